Lay out the workspaces and the shared types

Verdicts, clock, random numbers, prompts by levels, configuration and the protocols of log, instance list and engine stand in one package that all others build on.

--- /dev/null
+++ b/ava.config.mjs
@@ -0,0 +1,7 @@
+export default {
+  files: ['packages/*/dist/**/__tests__/**/*.test.js'],
+  watchMode: { ignoreChanges: ['**/*.ts'] },
+  workerThreads: false,
+  concurrency: 6,
+  timeout: '2m'
+}
--- /dev/null
+++ b/packages/foxtaillever-core/src/callerProtocol.ts
@@ -0,0 +1,17 @@
+/**
+ * Names of the callers' protocol beyond the usual completions calls.
+ */
+export enum CallerHeader {
+  Authorization = 'authorization',
+  IdempotencyKey = 'idempotency-key',
+  /** The request runs at most once; needs an idempotency key. */
+  NonIdempotent = 'x-non-idempotent',
+  /** Absolute deadline, milliseconds of Unix time. */
+  Deadline = 'x-request-deadline',
+  /** Deadline counted from arrival, for callers without a good clock. */
+  Timeout = 'x-request-timeout-ms',
+  Priority = 'x-priority',
+  RequestId = 'x-request-id',
+  Verdict = 'x-verdict',
+  RetryAfter = 'retry-after'
+}
--- /dev/null
+++ b/packages/foxtaillever-core/src/clock.ts
@@ -0,0 +1,49 @@
+/**
+ * Time as the rest of the system sees it. Modules store deadlines (milliseconds
+ * of Unix time), never durations, and take the clock from outside so that a run
+ * can be replayed from its seed.
+ */
+
+/** Undoes a scheduled task; harmless when the task has run. */
+export type Cancellation = () => void
+
+export interface Clock {
+  /** Milliseconds of Unix time. */
+  now: () => number
+  /** Runs the task once, not before the deadline. */
+  at: (deadline: number, task: () => void) => Cancellation
+}
+
+/** Node rejects longer timers; they are shortened and set again. */
+const LONGEST_TIMER_MS = 2_000_000_000
+
+/**
+ * The machine's clock. It is read once from the wall and then follows the
+ * monotonic clock, so a step of the wall clock moves no stored deadline.
+ */
+export class SystemClock implements Clock {
+  private constructor (private readonly origin: number) {}
+
+  static create (): SystemClock {
+    return new SystemClock(Date.now() - performance.now())
+  }
+
+  now (): number {
+    return this.origin + performance.now()
+  }
+
+  at (deadline: number, task: () => void): Cancellation {
+    let timer: NodeJS.Timeout
+    const arm = (): void => {
+      const wait = Math.max(0, deadline - this.now())
+      timer = wait > LONGEST_TIMER_MS ? setTimeout(arm, LONGEST_TIMER_MS) : setTimeout(task, wait)
+    }
+    arm()
+    return () => clearTimeout(timer)
+  }
+}
+
+/** Waits until the deadline. */
+export async function waitUntil (clock: Clock, deadline: number): Promise<void> {
+  await new Promise<void>(resolve => clock.at(deadline, resolve))
+}
--- /dev/null
+++ b/packages/foxtaillever-core/src/index.ts
@@ -0,0 +1,11 @@
+/** Public surface of the shared types. */
+export * from './callerProtocol.js'
+export * from './clock.js'
+export * from './configuration.js'
+export * from './engineProtocol.js'
+export * from './identity.js'
+export * from './logProtocol.js'
+export * from './platformProtocol.js'
+export * from './prompt.js'
+export * from './random.js'
+export * from './verdict.js'
--- /dev/null
+++ b/packages/foxtaillever-core/src/random.ts
@@ -0,0 +1,36 @@
+/**
+ * Randomness as the rest of the system sees it: one seeded source a process,
+ * passed in, so that every decision can be replayed.
+ */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import type { JumpableRandomGenerator } from 'pure-rand/types/JumpableRandomGenerator'
+
+export interface Random {
+  /** A number at least 0 and below 1. */
+  next: () => number
+  /** A whole number at least 0 and below the bound. */
+  below: (bound: number) => number
+}
+
+const RANGE = 2 ** 32
+
+export class SeededRandom implements Random {
+  private constructor (private readonly generator: JumpableRandomGenerator) {}
+
+  static create (seed: number): SeededRandom {
+    return new SeededRandom(xoroshiro128plus(seed))
+  }
+
+  next (): number {
+    return (this.generator.next() >>> 0) / RANGE
+  }
+
+  below (bound: number): number {
+    return Math.floor(this.next() * bound)
+  }
+}
+
+/** Exponentially distributed, for open-loop arrivals; the mean is in the caller's unit. */
+export function exponential (random: Random, mean: number): number {
+  return -Math.log(1 - random.next()) * mean
+}
--- /dev/null
+++ b/packages/foxtaillever-core/src/verdict.ts
@@ -0,0 +1,79 @@
+/**
+ * Verdicts and failures. Every failure in the system says whether the request
+ * it concerns may have run, because only that decides whether it may be sent
+ * again.
+ */
+
+/** Whether a request may have run. */
+export enum Verdict {
+  /** Proven: no byte left, or the backend server said so in its protocol. */
+  NotRun = 'not_run',
+  /** Bytes left and no proof came back. */
+  MayHaveRun = 'may_have_run',
+  /** The backend server has run it, at least in part. */
+  Ran = 'ran'
+}
+
+/** What went wrong, as callers and operators see it. */
+export enum FailureCode {
+  BadRequest = 'bad_request',
+  Unauthenticated = 'unauthenticated',
+  Forbidden = 'forbidden',
+  UnknownModel = 'unknown_model',
+  UnknownRoute = 'unknown_route',
+  TooLarge = 'too_large',
+  DeadlinePassed = 'deadline_passed',
+  DeadlineUnreachable = 'deadline_unreachable',
+  AccountOverLimit = 'account_over_limit',
+  Overloaded = 'overloaded',
+  Quarantined = 'quarantined',
+  NoBackendServer = 'no_backend_server',
+  NoConfiguration = 'no_configuration',
+  LogUnavailable = 'log_unavailable',
+  ClaimLost = 'claim_lost',
+  ClaimExpired = 'claim_expired',
+  KeyReused = 'key_reused',
+  Leaving = 'leaving',
+  ConnectionRefused = 'connection_refused',
+  ConnectionLost = 'connection_lost',
+  StreamBroken = 'stream_broken',
+  BackendServerRefused = 'backend_server_refused',
+  BackendServerError = 'backend_server_error',
+  Cancelled = 'cancelled',
+  Conflict = 'conflict',
+  Stale = 'stale',
+  Internal = 'internal'
+}
+
+/** A failure with its verdict. Carried as the left side of an Either. */
+export class Failure {
+  private constructor (
+    readonly code: FailureCode,
+    readonly verdict: Verdict,
+    readonly message: string,
+    /** When a new try makes sense, milliseconds of Unix time, if known. */
+    readonly retryAt?: number
+  ) {}
+
+  static create (code: FailureCode, verdict: Verdict, message: string, retryAt?: number): Failure {
+    return new Failure(code, verdict, message, retryAt)
+  }
+
+  /** A failure before any byte of the request left this process. */
+  static notRun (code: FailureCode, message: string, retryAt?: number): Failure {
+    return new Failure(code, Verdict.NotRun, message, retryAt)
+  }
+
+  /** The same failure when later knowledge changes the verdict. */
+  withVerdict (verdict: Verdict): Failure {
+    return new Failure(this.code, verdict, this.message, this.retryAt)
+  }
+}
+
+/**
+ * Whether a request with this verdict may be sent again. A request that may
+ * have run is sent again only when running it twice does no harm.
+ */
+export function isRepeatable (verdict: Verdict, idempotent: boolean): boolean {
+  return verdict === Verdict.NotRun || idempotent
+}
--- /dev/null
+++ b/packages/foxtaillever-policy/src/index.ts
@@ -0,0 +1,4 @@
+/** Public surface of the decisions. */
+export * from './job.js'
+export * from './placement.js'
+export * from './scheduler.js'
--- /dev/null
+++ b/packages/foxtaillever-testing/src/describe.ts
@@ -0,0 +1,17 @@
+/**
+ * Nested `describe` blocks for ava, which has none: a block puts its title
+ * before the titles of the tests in it. Blocks run at load time, tests later.
+ */
+import test, { type ExecutionContext } from 'ava'
+
+const titles: string[] = []
+
+export function describe (title: string, block: () => void): void {
+  titles.push(title)
+  block()
+  titles.pop()
+}
+
+export function it (title: string, run: (t: ExecutionContext) => Promise<void> | void): void {
+  test([...titles, title].join(' › '), run)
+}
--- /dev/null
+++ b/packages/foxtaillever-testing/src/index.ts
@@ -0,0 +1,3 @@
+/** Public surface of the test support. */
+export * from './describe.js'
+export * from './virtualClock.js'
