--- a/packages/foxtaillever-fleet/src/log/logReader.ts
+++ b/packages/foxtaillever-fleet/src/log/logReader.ts
@@ -40,7 +40,7 @@
   }
 
   start (): void {
-    void this.step()
+    this.step()
   }
 
   stop (): void {
@@ -59,7 +59,7 @@
         return this.clock.now()
       }
     })
-    this.clock.at(nextRead, () => { void this.step() })
+    this.clock.at(nextRead, () => this.step())
   }
 
   private take (page: LogPage): void {
