Build the decisions under load as modules behind the scheduler

Placement by expected time to first token over nested computed homes, admission by cost and deadline, weighted fair order with a floor, limits that follow demand, slow servers compared with their peers, a retry budget, suspects and quarantine, and a gate for plain services.

--- /dev/null
+++ b/packages/foxtaillever-policy/src/attempts/attemptTable.ts
@@ -0,0 +1,155 @@
+/**
+ * What runs at the backend servers, and what each step of an answer says of the
+ * server that gives it.
+ */
+import { FailureCode, type Failure, type StreamEnd, type StreamStart } from 'foxtaillever-core'
+import { MovingMean } from '../collections/movingMean.js'
+import type { Placer } from '../placement/placement.js'
+import { mayEject } from '../servers/compareServers.js'
+import type { Fleet } from '../servers/fleet.js'
+import { FAILURES_TO_EJECT, Standing } from '../servers/serverHealth.js'
+import type { Server } from '../servers/server.js'
+import type { Attempt } from './attempt.js'
+
+/** Mean time of a request at a server before one has ended, milliseconds. */
+const FIRST_SERVICE_MS = 1000
+
+/** About the last fifty requests count. */
+const SERVICE_GAIN = 0.02
+
+/** Shorter answers tell nothing of the decode speed. */
+const LEAST_DECODED = 8
+
+/** A probe this many times later than the peers' answers has failed. */
+const PROBE_LATE = 2
+
+/** Failures that are the server's, not the request's. */
+const serverFaults = new Set([
+  FailureCode.ConnectionRefused, FailureCode.ConnectionLost, FailureCode.StreamBroken, FailureCode.BackendServerError
+])
+
+export class AttemptTable {
+  private readonly attempts = new Map<string, Attempt>()
+  private readonly service = MovingMean.create(FIRST_SERVICE_MS, SERVICE_GAIN)
+
+  private constructor (private readonly fleet: Fleet, private readonly placer: Placer) {}
+
+  static create (fleet: Fleet, placer: Placer): AttemptTable {
+    return new AttemptTable(fleet, placer)
+  }
+
+  get size (): number {
+    return this.attempts.size
+  }
+
+  /** Mean time of a request at a server, milliseconds. */
+  get serviceMs (): number {
+    return this.service.value
+  }
+
+  get (jobId: string): Attempt | undefined {
+    return this.attempts.get(jobId)
+  }
+
+  add (attempt: Attempt): void {
+    const { server, sentAt, entry } = attempt
+    this.attempts.set(entry.job.id, attempt)
+    server.load.add(attempt.pendingTokens, attempt.reportableTokens, sentAt)
+    server.pending.set(entry.job.id, { sentAt, expectedMs: attempt.expectedMs })
+    server.longRunning += attempt.isLong ? 1 : 0
+    server.suspectsRunning += attempt.isSuspect ? 1 : 0
+    if (attempt.isProbe) {
+      server.health.probe(sentAt)
+    }
+  }
+
+  started (attempt: Attempt, start: StreamStart, now: number): void {
+    const { server, placement } = attempt
+    attempt.incarnation = start.incarnation
+    this.fleet.observeIncarnation(server, start.incarnation, now)
+    const uncached = Math.max(0, start.promptTokens - start.cachedTokens)
+    attempt.expectedMs += server.prefillMs(uncached - (attempt.entry.job.promptTokens - placement.cachedTokens))
+    this.setPending(attempt, uncached, uncached, now)
+    this.placer.learn(placement.levels, server, start.cachedTokens, now)
+  }
+
+  firstToken (attempt: Attempt, now: number): void {
+    const { server, placement, entry } = attempt
+    attempt.firstTokenAt = now
+    server.pending.delete(entry.job.id)
+    this.setPending(attempt, 0, 0, now)
+    this.placer.learnPrefilled(placement.levels, server, now)
+    const observedMs = now - attempt.sentAt
+    server.health.observe(observedMs, attempt.expectedMs, now)
+    const ratio = (observedMs + server.stepMs()) / (attempt.expectedMs + server.stepMs()) / server.health.peers
+    server.limit.observe(ratio, server.load.occupancy(now))
+    if (attempt.isProbe && server.health.standing === Standing.Ejected) {
+      this.judgeProbe(server, ratio, now)
+    }
+  }
+
+  finished (attempt: Attempt, end: StreamEnd, now: number): void {
+    const { server } = attempt
+    this.service.add(now - attempt.sentAt)
+    if (attempt.firstTokenAt > 0 && end.completionTokens >= LEAST_DECODED) {
+      server.health.observe(now - attempt.firstTokenAt, end.completionTokens * server.stepMs(), now)
+    }
+    this.remove(attempt, now)
+  }
+
+  /** @param ejectedShare most servers of the model set aside at once, 0 to 1. */
+  failed (attempt: Attempt, failure: Failure, ejectedShare: number, now: number): void {
+    const { server } = attempt
+    this.remove(attempt, now)
+    if (failure.code === FailureCode.Leaving) {
+      this.fleet.observeLeaving(server, true)
+    }
+    if (failure.code === FailureCode.BackendServerRefused) {
+      server.limit.observeRefusal()
+    }
+    if (serverFaults.has(failure.code)) {
+      this.observeFault(attempt, ejectedShare, now)
+    }
+  }
+
+  /** Takes the attempt off its server's counts. */
+  remove (attempt: Attempt, now: number): void {
+    const { server, entry } = attempt
+    this.attempts.delete(entry.job.id)
+    server.pending.delete(entry.job.id)
+    this.setPending(attempt, 0, 0, now)
+    server.load.remove(now)
+    server.longRunning -= attempt.isLong ? 1 : 0
+    server.suspectsRunning -= attempt.isSuspect ? 1 : 0
+  }
+
+  private setPending (attempt: Attempt, pending: number, reportable: number, now: number): void {
+    attempt.server.load.adjust(pending - attempt.pendingTokens, reportable - attempt.reportableTokens, now)
+    attempt.pendingTokens = pending
+    attempt.reportableTokens = reportable
+  }
+
+  private judgeProbe (server: Server, ratio: number, now: number): void {
+    if (ratio > PROBE_LATE) {
+      server.health.eject(now)
+      return
+    }
+    server.health.restore()
+    server.markCold(now)
+  }
+
+  private observeFault ({ server, entry, isProbe }: Attempt, ejectedShare: number, now: number): void {
+    const { health } = server
+    health.observeFailure()
+    if (health.standing === Standing.Ejected) {
+      if (isProbe) {
+        health.eject(now)
+      }
+      return
+    }
+    const peers = this.fleet.readyFor(entry.job.model)
+    if (health.failuresInRow >= FAILURES_TO_EJECT && mayEject(peers, ejectedShare)) {
+      health.eject(now)
+    }
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-policy/src/order/dispatcher.ts
@@ -0,0 +1,162 @@
+/**
+ * Goes through the waiting jobs in order and sends those for which a server is
+ * open and better than waiting.
+ *
+ * A job whose home is full is held back while the wait there costs less than
+ * doing its prefill again elsewhere; the jobs behind it go first to other
+ * servers. Without that, at full load each slot that frees up takes the next
+ * job whatever it has cached, and the hit rate falls to that of round robin
+ * just when capacity is scarce. The holding is bounded by a stored deadline and
+ * by how many are looked at, so no order is overturned and no pass is long.
+ */
+import { PriorityClass, type PlacementPolicy } from 'foxtaillever-core'
+import { DecayingRate } from '../collections/decayingRate.js'
+import { MovingMean } from '../collections/movingMean.js'
+import type { Placement, Placer } from '../placement/placement.js'
+import type { Fleet } from '../servers/fleet.js'
+import type { Server } from '../servers/server.js'
+import { Suspicion, type SuspectTable } from '../suspects/suspectTable.js'
+import type { WaitingJob } from './waitingJob.js'
+import type { WaitingRoom } from './waitingRoom.js'
+
+/** Jobs held back at most while others are looked at; bounds the cost of a pass. */
+const WINDOW = 32
+
+/** A job this many times the mean is long. */
+const LONG_FACTOR = 4
+
+/** The mean is over the last hundred jobs or so. */
+const MEAN_GAIN = 0.01
+
+/** Held at most for this many times the wait that was expected. */
+const HOLD_FACTOR = 2
+
+/** And for this share of the time left. */
+const HOLD_SHARE = 0.25
+
+/** Slots are kept for priority work while there was some within about this time. */
+const PRIORITY_FADE_MS = 10_000
+
+/** Shortest hold, about one pass of events, milliseconds. */
+const LEAST_HOLD_MS = 20
+
+export interface DispatchInput {
+  readonly policy: PlacementPolicy
+  readonly weightsVersionOf: (model: string) => string
+  readonly serviceMs: number
+  readonly now: number
+}
+
+export interface Dispatched {
+  readonly entry: WaitingJob
+  readonly placement: Placement
+  readonly isLong: boolean
+  readonly isSuspect: boolean
+}
+
+export interface DispatcherOptions {
+  readonly fleet: Fleet
+  readonly placer: Placer
+  readonly room: WaitingRoom
+  readonly suspects: SuspectTable
+  /** Sends the job, so that the next one is weighed against what it adds. */
+  readonly send: (dispatched: Dispatched, now: number) => void
+  readonly quarantine: (entry: WaitingJob) => void
+}
+
+export class Dispatcher {
+  private readonly meanCost = MovingMean.create(0, MEAN_GAIN)
+  private readonly priorityWork = DecayingRate.create(PRIORITY_FADE_MS)
+
+  private constructor (private readonly options: DispatcherOptions) {}
+
+  static create (options: DispatcherOptions): Dispatcher {
+    return new Dispatcher(options)
+  }
+
+  run (input: DispatchInput): void {
+    const { fleet, room, suspects } = this.options
+    let free = this.freeSlots(input.now)
+    let held = 0
+    while (free > 0 && held < WINDOW) {
+      const entry = room.queue.next()
+      if (!entry) {
+        break
+      }
+      const suspicion = suspects.suspicionOf(entry.job.fingerprint, input.now)
+      if (suspicion === Suspicion.Quarantined) {
+        this.options.quarantine(entry)
+      } else if (this.tryToSend(entry, suspicion === Suspicion.Suspect, input)) {
+        free -= 1
+      } else {
+        room.queue.skip(entry)
+        held += 1
+      }
+    }
+    room.queue.endPass()
+    for (const server of fleet.all()) {
+      server.held = 0
+    }
+  }
+
+  /** Requests that the servers could take now without waiting. */
+  private freeSlots (now: number): number {
+    let free = 0
+    for (const server of this.options.fleet.all()) {
+      free += Math.max(0, server.room(now) - server.load.occupancy(now))
+    }
+    return free
+  }
+
+  private tryToSend (entry: WaitingJob, isSuspect: boolean, input: DispatchInput): boolean {
+    const { now } = input
+    const isLong = this.isLong(entry)
+    const placement = this.options.placer.place(input.policy, {
+      job: entry.job,
+      weightsVersion: input.weightsVersionOf(entry.job.model),
+      failedAt: entry.failedAt,
+      isOpen: server => this.isOpen(server, entry, isLong, isSuspect, now),
+      mayHold: now < entry.holdUntil,
+      serviceMs: input.serviceMs,
+      now
+    })
+    if (!placement) {
+      return false
+    }
+    if (placement.held) {
+      this.hold(entry, placement, now)
+      return false
+    }
+    this.meanCost.add(entry.cost)
+    if (entry.job.priority === PriorityClass.Priority) {
+      this.priorityWork.add(1, now)
+    }
+    this.options.send({ entry, placement, isLong, isSuspect }, now)
+    return true
+  }
+
+  private hold (entry: WaitingJob, placement: Placement, now: number): void {
+    placement.server.held += 1
+    if (entry.holdUntil === Infinity) {
+      const longest = (entry.latestStart - now) * HOLD_SHARE
+      entry.holdUntil = now + Math.min(longest, LEAST_HOLD_MS + HOLD_FACTOR * placement.waitMs)
+    }
+  }
+
+  private isLong ({ cost }: WaitingJob): boolean {
+    return this.meanCost.samples > 0 && cost > LONG_FACTOR * this.meanCost.value
+  }
+
+  private isOpen (server: Server, { job }: WaitingJob, isLong: boolean, isSuspect: boolean, now: number): boolean {
+    const isReserved = job.priority !== PriorityClass.Priority && this.hasPriorityWork(now)
+    const room = isReserved ? server.unreservedRoom(now) : server.room(now)
+    return server.load.occupancy(now) < room &&
+      !(isLong && server.longRunning >= server.longRoom()) &&
+      !(isSuspect && server.suspectsRunning > 0)
+  }
+
+  /** Whether a request of the priority class came within the last seconds. */
+  private hasPriorityWork (now: number): boolean {
+    return this.priorityWork.value(now) * PRIORITY_FADE_MS > Math.exp(-1)
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-policy/src/placement/placement.ts
@@ -0,0 +1,173 @@
+/**
+ * Chooses a backend server for a job, or says that waiting for one that is full
+ * is better than going to one that is free. One handler for each policy; the
+ * table is the only place that knows them all.
+ */
+import { PlacementPolicy, type Random } from 'foxtaillever-core'
+import type { Candidate, Job } from '../job.js'
+import type { Fleet } from '../servers/fleet.js'
+import type { Server } from '../servers/server.js'
+import { rankByBaseline, type Baseline } from './baselines.js'
+import { collectCandidates } from './candidates.js'
+import { weighServer, type WeighedServer } from './expectedFirstToken.js'
+import { computeHomes, resizeHomes, type LevelHomes } from './homes.js'
+import { PrefixTable } from './prefixTable.js'
+
+/** Costs closer than this are equal; a late report is no better than that. */
+const EQUAL_MS = 2
+const EQUAL_SHARE = 0.05
+
+/** Candidates kept for the explanation. */
+const EXPLAINED = 8
+
+/** An engine caches whole blocks; a level counts as met when this share of it is. */
+const HIT_SHARE = 0.9
+
+export interface PlacementRequest {
+  readonly job: Job
+  readonly weightsVersion: string
+  readonly failedAt: readonly string[]
+  /** Whether the server may take this job now. */
+  readonly isOpen: (server: Server) => boolean
+  /** Whether the job may still wait for a better server. */
+  readonly mayHold: boolean
+  readonly serviceMs: number
+  readonly now: number
+}
+
+export interface Placement {
+  readonly server: Server
+  /** The server is full, and waiting for it is the cheapest. */
+  readonly held: boolean
+  readonly waitMs: number
+  readonly expectedMs: number
+  readonly cachedTokens: number
+  readonly levels: readonly LevelHomes[]
+  readonly candidates: readonly Candidate[]
+}
+
+export interface PlacerOptions {
+  readonly fleet: Fleet
+  readonly random: Random
+  readonly distanceTo: (failureDomain: string) => number
+}
+
+type PlacementHandler = (request: PlacementRequest) => Placement | undefined
+
+export class Placer {
+  readonly prefixes = PrefixTable.create()
+  private turn = 0
+  private readonly handlers: Record<PlacementPolicy, PlacementHandler>
+
+  private constructor (private readonly options: PlacerOptions) {
+    const baseline = (policy: Baseline): PlacementHandler => request => this.placeByBaseline(policy, request)
+    this.handlers = {
+      [PlacementPolicy.Random]: baseline(PlacementPolicy.Random),
+      [PlacementPolicy.RoundRobin]: baseline(PlacementPolicy.RoundRobin),
+      [PlacementPolicy.LeastOutstanding]: baseline(PlacementPolicy.LeastOutstanding),
+      [PlacementPolicy.PrefixAffinity]: baseline(PlacementPolicy.PrefixAffinity),
+      [PlacementPolicy.ExpectedFirstToken]: request => this.placeByFirstToken(request)
+    }
+  }
+
+  static create (options: PlacerOptions): Placer {
+    return new Placer(options)
+  }
+
+  /** Undefined when no server can take the job now and none is worth waiting for. */
+  place (policy: PlacementPolicy, request: PlacementRequest): Placement | undefined {
+    return this.handlers[policy](request)
+  }
+
+  /** The job was sent: its prefixes are that much hotter. */
+  warm (levels: readonly LevelHomes[], work: number, instances: number, now: number): void {
+    for (const { record } of levels) {
+      record.warm(work, now)
+      resizeHomes(record, instances, now)
+    }
+  }
+
+  /** The engine said how much it had cached: a hit or miss for each level. */
+  learn (levels: readonly LevelHomes[], server: Server, cachedTokens: number, now: number): void {
+    for (const { record, tokens, homes } of levels) {
+      const holder = record.holderAt(server)
+      const hit = cachedTokens >= tokens * HIT_SHARE
+      if (holder) {
+        server.retention.observe(now - holder.usedAt, hit)
+      }
+      if (homes.includes(server)) {
+        record.homeHit.add(hit ? 1 : 0)
+      }
+      if (hit) {
+        record.learn(server, now)
+      } else {
+        record.forget(server)
+      }
+    }
+  }
+
+  /** The prefill is done: the server now has every level. */
+  learnPrefilled (levels: readonly LevelHomes[], server: Server, now: number): void {
+    levels.forEach(({ record }) => record.learn(server, now))
+  }
+
+  private placeByBaseline (policy: Baseline, request: PlacementRequest): Placement | undefined {
+    const { job } = request
+    const servers = this.options.fleet.readyFor(job.model)
+      .filter(server => server.load.outstanding < server.configured.slots)
+    if (servers.length === 0) {
+      return undefined
+    }
+    const candidates = rankByBaseline(policy, { job, servers, random: this.options.random, turn: this.turn++ })
+    const server = this.options.fleet.get(candidates[0]?.server ?? '')
+    return server && {
+      server,
+      held: false,
+      waitMs: 0,
+      expectedMs: server.prefillMs(job.promptTokens),
+      cachedTokens: 0,
+      levels: [],
+      candidates: candidates.slice(0, EXPLAINED)
+    }
+  }
+
+  private placeByFirstToken (request: PlacementRequest): Placement | undefined {
+    const { job, weightsVersion, now } = request
+    const { fleet, random, distanceTo } = this.options
+    const servers = fleet.readyFor(job.model)
+    if (servers.length === 0) {
+      return undefined
+    }
+    const levels = computeHomes(this.prefixes, { job, weightsVersion, servers, epoch: fleet.epoch })
+    const input = { ...request, levels, distanceTo }
+    const weighed = collectCandidates(job, servers, levels, random, now)
+      .map(server => weighServer(server, input))
+      .sort((one, other) => one.cost - other.cost)
+    const chosen = this.choose(weighed, request)
+    return chosen && {
+      server: chosen.server,
+      held: !request.isOpen(chosen.server),
+      waitMs: chosen.waitMs,
+      expectedMs: chosen.firstTokenMs,
+      cachedTokens: chosen.cachedTokens,
+      levels,
+      candidates: weighed.slice(0, EXPLAINED).map(({ server, cost }) => ({ server: server.name, cost }))
+    }
+  }
+
+  /**
+   * Draws among the open servers that cost about as little as the best one.
+   * Were the best always taken, all instances that read one report would take
+   * the same.
+   */
+  private choose (weighed: readonly WeighedServer[], request: PlacementRequest): WeighedServer | undefined {
+    const open = weighed.filter(({ server }) => request.isOpen(server))
+    const best = request.mayHold ? weighed[0] : open[0]
+    if (!best) {
+      return undefined
+    }
+    const limit = best.cost + Math.max(EQUAL_MS, best.cost * EQUAL_SHARE)
+    const equal = open.filter(({ cost }) => cost <= limit)
+    return equal[this.options.random.below(equal.length)] ?? best
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-policy/src/placement/prefixTable.ts
@@ -0,0 +1,122 @@
+/**
+ * What this instance knows of each prefix: how hot it is, how many home servers
+ * that makes, which servers rank first for it and where it was met in a cache.
+ * Bounded; a prefix dropped from the table is only placed by computation again.
+ */
+import { hashNumber, type PrefixLevel } from 'foxtaillever-core'
+import { RecentMap } from '../collections/recentMap.js'
+import { DecayingRate } from '../collections/decayingRate.js'
+import { MovingMean } from '../collections/movingMean.js'
+import type { Job } from '../job.js'
+import type { Server } from '../servers/server.js'
+
+/** About 2 MB; at 15 requests a second, all levels seen in a minute. */
+const PREFIX_BOUND = 4096
+
+/** Servers remembered to hold a prefix; more are found by rank. */
+const HOLDER_BOUND = 6
+
+/** Heat is forgotten in this time, so that a key that cools gives its homes back. */
+const HEAT_FADE_MS = 10_000
+
+/** Standard deviations of a Poisson count taken off it. */
+const DOUBT = 1.5
+
+/** Chance that a home holds a prefix never met before. */
+const HOME_HIT_PRIOR = 0.5
+
+const HOME_HIT_GAIN = 0.2
+
+/** A server met with the prefix in its cache. */
+export interface Holder {
+  readonly server: Server
+  /** Of the engine that held it; after a restart the entry means nothing. */
+  readonly incarnation: string
+  usedAt: number
+}
+
+export class PrefixRecord {
+  readonly hash: number
+  /** Work that the prefix brings, server-milliseconds a millisecond. */
+  private readonly work = DecayingRate.create(HEAT_FADE_MS)
+  private readonly uses = DecayingRate.create(HEAT_FADE_MS)
+  /** Share of the requests sent to a home that found the prefix there. */
+  readonly homeHit = MovingMean.create(HOME_HIT_PRIOR, HOME_HIT_GAIN)
+  homeCount = 1
+  ranking: readonly Server[] = []
+  rankingEpoch = -1
+  private holders: Holder[] = []
+
+  private constructor (key: string) {
+    this.hash = hashNumber(key)
+  }
+
+  static create (key: string): PrefixRecord {
+    return new PrefixRecord(key)
+  }
+
+  warm (work: number, now: number): void {
+    this.work.add(work, now)
+    this.uses.add(1, now)
+  }
+
+  /**
+   * Work a millisecond that the uses seen here prove. Of few uses little is
+   * proven: one seen by chance, counted for 380 instances, would look hot.
+   */
+  heatAt (now: number): number {
+    const uses = this.uses.value(now) * HEAT_FADE_MS
+    const proven = uses <= 0 ? 0 : Math.max(0, 1 - DOUBT / Math.sqrt(uses))
+    return this.work.value(now) * proven
+  }
+
+  holderAt (server: Server): Holder | undefined {
+    return this.holders.find(holder => holder.server === server && holder.incarnation === server.incarnation)
+  }
+
+  heldBy (): readonly Holder[] {
+    return this.holders
+  }
+
+  /** The server holds the prefix as of now. */
+  learn (server: Server, now: number): void {
+    const known = this.holderAt(server)
+    if (known) {
+      known.usedAt = now
+      return
+    }
+    const others = this.holders.filter(holder => holder.server !== server)
+    const kept = others.sort((one, other) => other.usedAt - one.usedAt).slice(0, HOLDER_BOUND - 1)
+    this.holders = [...kept, { server, incarnation: server.incarnation, usedAt: now }]
+  }
+
+  forget (server: Server): void {
+    this.holders = this.holders.filter(holder => holder.server !== server)
+  }
+}
+
+export class PrefixTable {
+  private readonly records = RecentMap.create<PrefixRecord>(PREFIX_BOUND)
+
+  private constructor () {}
+
+  static create (): PrefixTable {
+    return new PrefixTable()
+  }
+
+  get size (): number {
+    return this.records.size
+  }
+
+  /** Account, model and weights are part of the key: no other account's work is ever counted on. */
+  use (job: Job, weightsVersion: string, level: PrefixLevel): PrefixRecord {
+    const key = `${job.account}/${job.model}/${weightsVersion}/${level.hash}`
+    const known = this.records.use(key)
+    if (known) {
+      return known
+    }
+    const record = PrefixRecord.create(key)
+    this.records.set(key, record)
+    return record
+  }
+}
--- a/packages/foxtaillever-policy/src/scheduler.ts
+++ b/packages/foxtaillever-policy/src/scheduler.ts
@@ -5,23 +5,37 @@
  * give the same decisions.
  */
 import {
-  AdministrativeState, emptyConfiguration, Failure, FailureCode, isRepeatable, ListedState, presetOf, ServerKind,
-  type BackendServer, type Configuration, type LoadReport, type Random, type StreamEnd, type StreamStart
+  emptyConfiguration, Failure, FailureCode, presetOf,
+  type Configuration, type ListedState, type LoadReport, type Preset, type Random, type StreamEnd, type StreamStart
 } from 'foxtaillever-core'
-import { Left, Right, type Either } from 'purify-ts'
+import type { Either } from 'purify-ts'
+import { AdmissionRule } from './admission/admission.js'
+import { Intake, type RuledFailure } from './admission/intake.js'
+import { Attempt } from './attempts/attempt.js'
+import { AttemptTable } from './attempts/attemptTable.js'
 import type { Assignment, Decisions, Job, Refusal } from './job.js'
-import { rankServers, type ServerView } from './placement.js'
+import type { AccountDemand } from './limits/shareOfLimit.js'
+import { Dispatcher, type Dispatched } from './order/dispatcher.js'
+import type { WaitingJob } from './order/waitingJob.js'
+import { WaitingRoom } from './order/waitingRoom.js'
+import { Placer } from './placement/placement.js'
+import { decideRetry } from './retries/decideRetry.js'
+import { RetryBudget } from './retries/retryBudget.js'
+import { dumpScheduler, type SchedulerState } from './schedulerState.js'
+import { Fleet } from './servers/fleet.js'
+import { isCrash } from './suspects/isCrash.js'
+import { SuspectTable, Suspicion, type SuspectFact } from './suspects/suspectTable.js'
 
 export interface SchedulerOptions {
   readonly random: Random
   /** Failure domain of this instance. */
   readonly failureDomain: string
+  /** One way from this instance to other failure domains, milliseconds. */
+  readonly distancesMs?: Readonly<Record<string, number>>
 }
 
-interface RunningJob {
-  readonly job: Job
-  readonly server: string
-}
+/** To a failure domain of the same region whose distance is not given. */
+const DISTANCE_MS = 1
 
 /** What to do with a job whose attempt failed. */
 export enum Sequel {
@@ -33,145 +47,252 @@
 
 export class Scheduler {
   private configuration: Configuration = emptyConfiguration
-  private readonly waiting = new Map<string, Job>()
-  private readonly running = new Map<string, RunningJob>()
-  private readonly outstanding = new Map<string, number>()
-  private readonly leaving = new Set<string>()
-  private turn = 0
+  private readonly fleet = Fleet.create()
+  private readonly room = WaitingRoom.create()
+  private readonly budget = RetryBudget.create()
+  private readonly suspects = SuspectTable.create()
+  private readonly placer: Placer
+  private readonly attempts: AttemptTable
+  private readonly intake: Intake
+  private readonly dispatcher: Dispatcher
+  private instances = 1
+  /** Time of the last call, for those that bring none. */
+  private now = 0
+  private assignments: Assignment[] = []
+  private refusals: Refusal[] = []
+  private readonly refusedByRule = new Map<string, number>()
 
-  private constructor (private readonly options: SchedulerOptions) {}
+  private constructor (private readonly options: SchedulerOptions) {
+    const distanceTo = (domain: string): number => domain === options.failureDomain ? 0 : options.distancesMs?.[domain] ?? DISTANCE_MS
+    this.placer = Placer.create({ fleet: this.fleet, random: options.random, distanceTo })
+    this.attempts = AttemptTable.create(this.fleet, this.placer)
+    const { fleet, room, placer, attempts, suspects } = this
+    const displace = (entry: WaitingJob, refusal: RuledFailure): void => this.refuseWaiting(entry, refusal)
+    this.intake = Intake.create({ fleet, room, attempts, suspects, displace })
+    this.dispatcher = Dispatcher.create({
+      fleet,
+      placer,
+      room,
+      suspects,
+      send: (dispatched, now) => this.send(dispatched, now),
+      quarantine: entry => this.refuseWaiting(entry, this.intake.quarantineOf(entry.job))
+    })
+  }
 
   static create (options: SchedulerOptions): Scheduler {
     return new Scheduler(options)
   }
 
   /** Puts a newer configuration in force. */
-  configure (configuration: Configuration, _now: number): void {
+  configure (configuration: Configuration, now: number): void {
     this.configuration = configuration
+    this.fleet.configure(configuration, now)
+    this.intake.configure(configuration)
+    this.room.queue.setFloor(this.preset.floorShare)
+    this.setDrainPrior()
   }
 
   /** Takes the instance list's word, or the server's own refusal, on a backend server. */
   observeListed (server: string, state: ListedState, _now: number): void {
-    if (state === ListedState.Leaving) {
-      this.leaving.add(server)
-    } else {
-      this.leaving.delete(server)
-    }
+    this.fleet.observeListed(server, state)
   }
 
   /** Takes a load report; it is late by the engine's lag. */
-  observeLoad (_server: string, _report: LoadReport, _now: number): void {}
+  observeLoad (server: string, report: LoadReport, now: number): void {
+    this.suspects.observeIncarnation(server, report.incarnation, report.madeAt, now)
+    this.fleet.observeLoad(server, report, now)
+  }
+
+  /** Takes the number of entry instances, this one included. */
+  observeInstances (count: number): void {
+    this.instances = Math.max(1, count)
+    this.intake.share.observeInstances(this.instances)
+    this.setDrainPrior()
+  }
+
+  /** Takes what a peer said of its accounts' demand; holds until it expires. */
+  observeDemand (peer: string, demands: readonly AccountDemand[], expiresAt: number): void {
+    this.intake.share.observePeer(peer, demands, expiresAt)
+  }
+
+  /** What to tell peers: demand of the accounts near their limit. */
+  demandToShare (now: number): AccountDemand[] {
+    return this.intake.share.toShare(account => this.configuration.accounts[account]?.tokensPerSecond ?? Infinity, now)
+  }
+
+  /** Takes what peers know of requests that may crash backend servers. */
+  observeSuspects (facts: readonly SuspectFact[], now: number): void {
+    this.suspects.observe(facts, now)
+  }
+
+  /** What to tell peers: requests that may crash backend servers. */
+  suspectsToShare (now: number): SuspectFact[] {
+    return this.suspects.toShare(now)
+  }
 
   /** Takes in a job, or refuses it at once. */
   offer (job: Job, now: number): Either<Failure, void> {
-    const preset = presetOf(this.configuration)
-    if (this.waiting.size >= preset.queueLimit) {
-      return Left(Failure.notRun(FailureCode.Overloaded, 'Too many requests wait at this instance.', now + 1000))
-    }
-    this.waiting.set(job.id, job)
-    return Right(undefined)
+    this.now = now
+    return this.intake.take(job, now).bimap(
+      refusal => this.countRefusal(refusal),
+      entry => this.takeIn(entry, now)
+    )
   }
 
   /** Forgets a job whose caller has gone. */
   withdraw (jobId: string): void {
-    this.waiting.delete(jobId)
-    this.release(jobId)
+    const waiting = this.room.get(jobId)
+    if (waiting) {
+      this.room.remove(waiting)
+      this.intake.settle(waiting, 0)
+    }
+    const attempt = this.attempts.get(jobId)
+    if (attempt) {
+      this.attempts.remove(attempt, this.now)
+      this.intake.settle(attempt.entry, attempt.entry.tokens)
+    }
   }
 
   /** Decides what to send and what to refuse now. */
   tick (now: number): Decisions {
-    const assignments: Assignment[] = []
-    const refusals: Refusal[] = []
-    for (const job of this.waiting.values()) {
-      if (job.deadline <= now) {
-        this.waiting.delete(job.id)
-        refusals.push({ jobId: job.id, rule: 'deadline', failure: Failure.notRun(FailureCode.DeadlinePassed, 'The deadline passed while the request waited.') })
-        continue
-      }
-      const assignment = this.assign(job)
-      if (assignment) {
-        assignments.push(assignment)
-      }
-    }
+    this.now = now
+    this.intake.share.tick(now)
+    this.fleet.tick(this.preset.ejectedShare, now)
+    this.room.wakePaused(now)
+    this.room.takeExpired(now).forEach(entry => this.refuse(entry, expiryOf(entry, now)))
+    this.intake.drain.tick(this.room.queue.size > 0, now)
+    this.dispatcher.run({
+      policy: this.preset.placement,
+      weightsVersionOf: model => this.configuration.models[model]?.weightsVersion ?? '',
+      serviceMs: this.attempts.serviceMs,
+      now
+    })
+    const { assignments, refusals } = this
+    this.assignments = []
+    this.refusals = []
     return { assignments, refusals }
   }
 
-  private assign (job: Job): Assignment | undefined {
-    const servers = this.openServers(job)
-    if (servers.length === 0) {
-      return undefined
-    }
-    const { placement } = presetOf(this.configuration)
-    const candidates = rankServers(placement, { job, servers, random: this.options.random, turn: this.turn++ })
-    const best = candidates[0]
-    if (!best) {
-      return undefined
-    }
-    this.waiting.delete(job.id)
-    this.running.set(job.id, { job, server: best.server })
-    this.outstanding.set(best.server, (this.outstanding.get(best.server) ?? 0) + 1)
-    return { jobId: job.id, server: best.server, candidates, rule: placement }
-  }
-
-  private openServers (job: Job): ServerView[] {
-    return Object.values(this.configuration.servers)
-      .filter(server => this.isOpen(server, job))
-      .map(server => ({ name: server.name, slots: server.slots, outstanding: this.outstanding.get(server.name) ?? 0 }))
-      .filter(server => server.outstanding < server.slots)
-  }
-
-  private isOpen (server: BackendServer, job: Job): boolean {
-    return server.kind === ServerKind.Language &&
-      server.state === AdministrativeState.InService &&
-      server.models.includes(job.model) &&
-      !this.leaving.has(server.name)
+  /** When the next tick is due though nothing is reported, milliseconds of Unix time. */
+  nextDue (): number {
+    return this.room.nextDue()
   }
 
   /** The engine has begun to answer. */
-  started (_jobId: string, _start: StreamStart, _now: number): void {}
+  started (jobId: string, start: StreamStart, now: number): void {
+    const attempt = this.attempts.get(jobId)
+    if (attempt) {
+      this.suspects.observeIncarnation(attempt.server.name, start.incarnation, now, now)
+      this.attempts.started(attempt, start, now)
+    }
+  }
 
   /** The first token came. */
-  firstToken (_jobId: string, _now: number): void {}
+  firstToken (jobId: string, now: number): void {
+    const attempt = this.attempts.get(jobId)
+    if (attempt && attempt.firstTokenAt === 0) {
+      this.attempts.firstToken(attempt, now)
+    }
+  }
 
   /** The answer is complete. */
-  finished (jobId: string, _end: StreamEnd, _now: number): void {
-    this.release(jobId)
+  finished (jobId: string, end: StreamEnd, now: number): void {
+    const attempt = this.attempts.get(jobId)
+    if (!attempt) {
+      return
+    }
+    const { entry } = attempt
+    this.attempts.finished(attempt, end, now)
+    this.suspects.clear(entry.job.fingerprint, now)
+    this.intake.observeEnd(entry, end)
   }
 
   /** An attempt failed; says whether the job waits again. */
   failed (jobId: string, failure: Failure, now: number): Sequel {
-    const running = this.running.get(jobId)
-    this.release(jobId)
-    if (!running || running.job.deadline <= now || !isRepeatable(failure.verdict, running.job.idempotent)) {
+    const attempt = this.attempts.get(jobId)
+    if (!attempt) {
+      return Sequel.GivenUp
+    }
+    const { entry, server } = attempt
+    this.attempts.failed(attempt, failure, this.preset.ejectedShare, now)
+    if (isCrash(failure)) {
+      this.suspects.accuse(entry.job.fingerprint, server.name, attempt.incarnation, now)
+    }
+    const notBefore = this.retryTime(attempt, failure, now)
+    if (notBefore === undefined) {
+      this.intake.settle(entry, entry.tokens)
       return Sequel.GivenUp
     }
-    this.waiting.set(jobId, running.job)
+    const failedAt = [...entry.failedAt, server.name]
+    this.room.add({ ...entry, failedAt, attempts: entry.attempts + 1, notBefore, holdUntil: Infinity, gone: false }, now)
     return Sequel.Retried
   }
 
-  private release (jobId: string): void {
-    const running = this.running.get(jobId)
-    if (!running) {
-      return
-    }
-    this.running.delete(jobId)
-    this.outstanding.set(running.server, (this.outstanding.get(running.server) ?? 1) - 1)
+  /** State for the dump: plain data, bounded by servers and rules. */
+  dump (): SchedulerState {
+    return dumpScheduler({
+      servers: [...this.fleet.all()],
+      now: this.now,
+      waiting: this.room.size,
+      running: this.attempts.size,
+      prefixes: this.placer.prefixes.size,
+      suspects: this.suspects.size,
+      retriesLeft: this.budget.left,
+      drainRate: this.intake.drain.value,
+      refusedByRule: Object.fromEntries(this.refusedByRule)
+    })
   }
 
-  /** State for the dump: plain data, bounded by what waits and runs. */
-  dump (): SchedulerState {
-    return {
-      waiting: this.waiting.size,
-      running: this.running.size,
-      outstanding: Object.fromEntries(this.outstanding),
-      leaving: [...this.leaving]
+  private get preset (): Preset {
+    return presetOf(this.configuration)
+  }
+
+  private setDrainPrior (): void {
+    const slots = [...this.fleet.all()].reduce((sum, { configured }) => sum + configured.slots, 0)
+    this.intake.drain.setPrior(slots / this.instances)
+  }
+
+  private send ({ entry, placement, isLong, isSuspect }: Dispatched, now: number): void {
+    const attempt = Attempt.create({ entry, placement, isLong, isSuspect, sentAt: now })
+    const { server, pendingTokens } = attempt
+    this.room.serve(entry)
+    this.intake.drain.serve(entry.cost)
+    this.placer.warm(placement.levels, server.prefillMs(pendingTokens) + entry.cost / server.configured.slots, this.instances, now)
+    this.attempts.add(attempt)
+    this.assignments.push({ jobId: entry.job.id, server: server.name, candidates: placement.candidates, rule: this.preset.placement })
+  }
+
+  private retryTime ({ entry }: Attempt, failure: Failure, now: number): number | undefined {
+    if (this.suspects.suspicionOf(entry.job.fingerprint, now) === Suspicion.Quarantined) {
+      return undefined
     }
+    const { job, latestStart } = entry
+    return decideRetry({ job, failure, attempts: entry.attempts + 1, latestStart, now }, this.budget, this.options.random)
+  }
+
+  private refuseWaiting (entry: WaitingJob, refusal: RuledFailure): void {
+    this.room.remove(entry)
+    this.refuse(entry, refusal)
+  }
+
+  private refuse (entry: WaitingJob, refusal: RuledFailure): void {
+    this.intake.settle(entry, 0)
+    this.refusals.push({ jobId: entry.job.id, rule: refusal.rule, failure: this.countRefusal(refusal) })
+  }
+
+  private takeIn (entry: WaitingJob, now: number): void {
+    this.budget.addFirstTry(this.preset.retryShare)
+    this.room.add(entry, now)
+  }
+
+  private countRefusal ({ rule, failure }: RuledFailure): Failure {
+    this.refusedByRule.set(rule, (this.refusedByRule.get(rule) ?? 0) + 1)
+    return failure
   }
 }
 
-export interface SchedulerState {
-  readonly waiting: number
-  readonly running: number
-  readonly outstanding: Readonly<Record<string, number>>
-  readonly leaving: readonly string[]
+function expiryOf ({ job }: WaitingJob, now: number): RuledFailure {
+  return job.deadline <= now
+    ? { rule: AdmissionRule.Deadline, failure: Failure.notRun(FailureCode.DeadlinePassed, 'The deadline passed while the request waited.') }
+    : { rule: AdmissionRule.Unreachable, failure: Failure.notRun(FailureCode.DeadlineUnreachable, 'The request can no longer be answered by its deadline.') }
 }
--- /dev/null
+++ b/packages/foxtaillever-policy/src/servers/server.ts
@@ -0,0 +1,113 @@
+/**
+ * One backend server as an entity: what is configured, what was observed, what
+ * this instance has running there.
+ */
+import { AdministrativeState, hashNumber, type BackendServer } from 'foxtaillever-core'
+import { Retention } from '../placement/retention.js'
+import { ConcurrencyLimit } from './concurrencyLimit.js'
+import { ServerHealth } from './serverHealth.js'
+import { ServerLoad } from './serverLoad.js'
+
+/** A restarted engine is filled up to its full share in this time. */
+const SLOW_START_MS = 10_000
+
+/** Share of its room that a cold server gets at once; enough to warm it by real work. */
+const COLD_SHARE = 0.25
+
+/** Share of the slots that long requests may take, so that a short one finds one free. */
+const LONG_SHARE = 0.75
+
+/** Share of the slots kept for priority work while there is any. */
+const RESERVED_SHARE = 0.125
+
+/** One request without its first token yet. */
+export interface PendingAnswer {
+  readonly sentAt: number
+  readonly expectedMs: number
+}
+
+export class Server {
+  readonly hash: number
+  readonly load = ServerLoad.create()
+  readonly health = ServerHealth.create()
+  readonly limit: ConcurrencyLimit
+  readonly retention = Retention.create()
+  /** Requests without first token, oldest first. */
+  readonly pending = new Map<string, PendingAnswer>()
+  incarnation = ''
+  /** No longer configured; what still runs there holds on to the entity. */
+  removed = false
+  /** The instance list's word, which lags. */
+  listedLeaving = false
+  /** The server's own word; a lagging list does not undo it. */
+  saidLeaving = false
+  longRunning = 0
+  suspectsRunning = 0
+  /** Requests of this pass that would rather wait for this server. */
+  held = 0
+  private coldSince = -Infinity
+
+  private constructor (public configured: BackendServer) {
+    this.hash = hashNumber(configured.name)
+    this.limit = ConcurrencyLimit.create(configured.slots)
+  }
+
+  static create (configured: BackendServer): Server {
+    return new Server(configured)
+  }
+
+  get name (): string {
+    return this.configured.name
+  }
+
+  get leaving (): boolean {
+    return this.listedLeaving || this.saidLeaving
+  }
+
+  /** Whether new work for the model may go there. */
+  isReadyFor (model: string): boolean {
+    return !this.removed && !this.leaving &&
+      this.configured.state === AdministrativeState.InService &&
+      this.configured.models.includes(model)
+  }
+
+  configure (configured: BackendServer): void {
+    this.configured = configured
+    this.limit.resize(configured.slots)
+  }
+
+  /** The engine came back empty, or has just been put in service. */
+  markCold (now: number): void {
+    this.coldSince = now
+  }
+
+  /** From the cold share up to 1. */
+  warmth (now: number): number {
+    return Math.min(1, COLD_SHARE + (1 - COLD_SHARE) * (now - this.coldSince) / SLOW_START_MS)
+  }
+
+  /** Requests it may have at once, as this instance sees it. */
+  room (now: number): number {
+    return Math.max(1, Math.floor(this.limit.value * this.warmth(now)))
+  }
+
+  /** Room for work that is not of the priority class while there is such. */
+  unreservedRoom (now: number): number {
+    const room = this.room(now)
+    return room > 1 ? room - Math.ceil(room * RESERVED_SHARE) : room
+  }
+
+  longRoom (): number {
+    return Math.max(1, Math.floor(this.configured.slots * LONG_SHARE))
+  }
+
+  /** Time that the given tokens take to prefill here, milliseconds. */
+  prefillMs (tokens: number): number {
+    return tokens / Math.max(1, this.configured.prefillTokensPerSecond) * 1000
+  }
+
+  /** Time of one decode step, milliseconds; a first token waits for the step that runs. */
+  stepMs (): number {
+    return 1000 / Math.max(1, this.configured.decodeTokensPerSecond)
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-policy/src/servers/serverLoad.ts
@@ -0,0 +1,100 @@
+/**
+ * How full a backend server is now, worked out from a report that is late.
+ *
+ * Without this, every instance that reads "idle" in the same old report sends
+ * there, and the server is flooded until the next one. Callers see the time to
+ * first token swing in the rhythm of the reports. So the report only says what
+ * the other instances have there; this instance's own part is always counted
+ * from its own sends, including those made since the report.
+ */
+import type { LoadReport } from 'foxtaillever-core'
+
+/** A report older than this says nothing; engines report about once a second. */
+const REPORT_VALID_MS = 5000
+
+/** Own past remembered for late reports; at 15 sends a second to one server, 4 s. */
+const HISTORY_LENGTH = 128
+
+interface OwnLoad {
+  readonly at: number
+  readonly outstanding: number
+  /** As the engine counts them: whole prompts until they start, then what is left to prefill. */
+  readonly reportable: number
+}
+
+export class ServerLoad {
+  /** Requests sent by this instance and not ended. */
+  outstanding = 0
+  /** Uncached prompt tokens sent by this instance whose first token has not come. */
+  pendingTokens = 0
+  private reportable = 0
+  private history: OwnLoad[] = []
+  private othersOutstanding = 0
+  private othersTokens = 0
+  private validUntil = 0
+
+  private constructor () {}
+
+  static create (): ServerLoad {
+    return new ServerLoad()
+  }
+
+  add (uncachedTokens: number, promptTokens: number, now: number): void {
+    this.outstanding += 1
+    this.pendingTokens += uncachedTokens
+    this.reportable += promptTokens
+    this.remember(now)
+  }
+
+  /** The engine has begun, or ended, a prefill; the counts fall or rise to what it said. */
+  adjust (pendingChange: number, reportableChange: number, now: number): void {
+    this.pendingTokens = Math.max(0, this.pendingTokens + pendingChange)
+    this.reportable = Math.max(0, this.reportable + reportableChange)
+    this.remember(now)
+  }
+
+  remove (now: number): void {
+    this.outstanding = Math.max(0, this.outstanding - 1)
+    this.remember(now)
+  }
+
+  observe (report: LoadReport, now: number): void {
+    const own = this.ownAt(Math.min(report.madeAt, now))
+    this.othersOutstanding = Math.max(0, report.running + report.waiting - own.outstanding)
+    this.othersTokens = Math.max(0, report.waitingTokens - own.reportable)
+    this.validUntil = now + REPORT_VALID_MS
+  }
+
+  /** Forgets what others had there; a restarted engine has nothing. */
+  reset (): void {
+    this.othersOutstanding = 0
+    this.othersTokens = 0
+  }
+
+  /** Requests there now, of all instances. */
+  occupancy (now: number): number {
+    return this.outstanding + (now < this.validUntil ? this.othersOutstanding : 0)
+  }
+
+  /** Uncached prompt tokens that a new request would stand behind. */
+  queuedTokens (now: number): number {
+    return this.pendingTokens + (now < this.validUntil ? this.othersTokens : 0)
+  }
+
+  private remember (now: number): void {
+    this.history.push({ at: now, outstanding: this.outstanding, reportable: this.reportable })
+    if (this.history.length >= 2 * HISTORY_LENGTH) {
+      this.history = this.history.slice(-HISTORY_LENGTH)
+    }
+  }
+
+  private ownAt (time: number): OwnLoad {
+    for (let index = this.history.length - 1; index >= 0; index -= 1) {
+      const entry = this.history[index] as OwnLoad
+      if (entry.at <= time) {
+        return entry
+      }
+    }
+    return { at: time, outstanding: 0, reportable: 0 }
+  }
+}
