--- a/packages/foxtaillever-standins/src/index.ts
+++ b/packages/foxtaillever-standins/src/index.ts
@@ -1,1 +1,10 @@
-export {}
+/** Public surface of the stand-ins. */
+export * from './answer.js'
+export * from './engine/blockCache.js'
+export * from './engine/engineModel.js'
+export * from './engine/engineServer.js'
+export * from './platform/instanceListModel.js'
+export * from './platform/instanceListServer.js'
+export * from './platform/logModel.js'
+export * from './platform/logServer.js'
+export * from './plain/plainServer.js'
