Serve a request from one end to the other

Entry instances read the configuration from the log, authenticate callers, place requests by prefix and stream answers from the engines, with a verdict on every failure.

--- a/packages/foxtaillever-core/src/clock.ts
+++ b/packages/foxtaillever-core/src/clock.ts
@@ -33,6 +33,11 @@
   }
 
   at (deadline: number, task: () => void): Cancellation {
+    // A timer waits a millisecond at least; what is due goes to the next turn of the loop.
+    if (deadline <= this.now()) {
+      const immediate = setImmediate(task)
+      return () => clearImmediate(immediate)
+    }
     let timer: NodeJS.Timeout
     const arm = (): void => {
       const wait = Math.max(0, deadline - this.now())
--- a/packages/foxtaillever-core/src/engineProtocol.ts
+++ b/packages/foxtaillever-core/src/engineProtocol.ts
@@ -82,7 +82,7 @@
 
 /** Receives what comes of one call; exactly one of finished and failed comes last. */
 export interface GenerateListener {
-  /** The last byte of the request has left; before it a loss is proven NotRun only when no byte did. */
+  /** The first byte is about to leave; a loss before this word is proven NotRun. */
   sent: () => void
   started: (start: StreamStart) => void
   /** @param sequence 1 for the first token. @param data the chunk as JSON text. */
--- /dev/null
+++ b/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
@@ -0,0 +1,189 @@
+/**
+ * A whole deployment in one process, on loopback: stand-ins of the platform,
+ * engines and plain services, and several entry instances before them.
+ */
+import type { FastifyInstance } from 'fastify'
+import {
+  AdministrativeState, createPreset, ListedKind, ListedState, PlacementPolicy, PresetName, RecordKind, ServerKind, SystemClock,
+  type BackendServer, type ListedInstance
+} from 'foxtaillever-core'
+import { ChangeKind, type Change } from 'foxtaillever-fleet'
+import { digestKey, EntryInstance } from 'foxtaillever-router'
+import {
+  createEngineServer, createInstanceListServer, createLogServer, createPlainServer, EngineModel, InstanceListModel, LogModel, type PlainServer
+} from 'foxtaillever-standins'
+import type { Shape } from './shape.js'
+
+const HOST = '127.0.0.1'
+const LIST_LAG_MS = 1000
+const LOG_RETENTION_MS = 86_400_000
+const LOG_APPENDS_PER_SECOND = 300
+const BODY_LIMIT_BYTES = 8 * 1024 * 1024
+
+export interface DeploymentOptions {
+  readonly shape: Shape
+  readonly placement: PlacementPolicy
+  readonly seed: number
+}
+
+/** The API key of an account of the stand-in deployment. */
+export function keyOf (account: string): string {
+  return `key-of-${account}`
+}
+
+export class EmbeddedDeployment {
+  private readonly clock = SystemClock.create()
+  private readonly servers: FastifyInstance[] = []
+  readonly log = LogModel.create({ retentionMs: LOG_RETENTION_MS, appendsPerSecond: LOG_APPENDS_PER_SECOND }, this.clock)
+  readonly list = InstanceListModel.create(LIST_LAG_MS, this.clock)
+  readonly engines = new Map<string, EngineModel>()
+  readonly plains: PlainServer[] = []
+  readonly instances: EntryInstance[] = []
+  /** Callers' addresses of the entry instances, as URLs. */
+  readonly addresses: string[] = []
+
+  private constructor (readonly options: DeploymentOptions) {}
+
+  static async start (options: DeploymentOptions): Promise<EmbeddedDeployment> {
+    const deployment = new EmbeddedDeployment(options)
+    await deployment.startAll()
+    return deployment
+  }
+
+  private async startAll (): Promise<void> {
+    const logAddress = await this.listen(createLogServer(this.log, this.clock))
+    const listAddress = await this.listen(createInstanceListServer(this.list))
+    const workers = await Promise.all(this.names('worker', this.options.shape.workers).map(async (name, index) => await this.startEngine(name, index)))
+    const plains = await Promise.all(this.names('plain', this.options.shape.plainWorkers).map(async (name, index) => await this.startPlain(name, index)))
+    this.publish([...workers, ...plains])
+    for (const [index, name] of this.names('entry', this.options.shape.instances).entries()) {
+      await this.startInstance(name, index, logAddress, listAddress)
+    }
+    await this.waitUntilReady()
+  }
+
+  private names (kind: string, count: number): string[] {
+    return Array.from({ length: count }, (_, index) => `${kind}-${index + 1}`)
+  }
+
+  private domainOf (index: number): string {
+    const { failureDomains } = this.options.shape
+    return failureDomains[index % failureDomains.length] ?? ''
+  }
+
+  private async listen (server: FastifyInstance): Promise<string> {
+    this.servers.push(server)
+    const url = await server.listen({ host: HOST, port: 0 })
+    return url.replace('http://', '')
+  }
+
+  private async startEngine (name: string, index: number): Promise<BackendServer> {
+    const { shape } = this.options
+    const model = EngineModel.create({
+      name,
+      models: [shape.model],
+      weightsVersion: 'v1',
+      slots: shape.slots,
+      prefillTokensPerSecond: shape.prefillTokensPerSecond,
+      decodeTokensPerSecond: shape.decodeTokensPerSecond,
+      cacheTokens: shape.cacheTokens,
+      cacheKeptMs: shape.cacheKeptMs
+    }, this.clock)
+    this.engines.set(name, model)
+    const address = await this.listen(createEngineServer(model))
+    this.enlist({ name, kind: ListedKind.BackendServer, address, failureDomain: this.domainOf(index), state: ListedState.Live })
+    return this.describeServer(name, ServerKind.Language, address, index, [shape.model])
+  }
+
+  private async startPlain (name: string, index: number): Promise<BackendServer> {
+    const plain = createPlainServer()
+    this.plains.push(plain)
+    const address = await this.listen(plain.server)
+    this.enlist({ name, kind: ListedKind.BackendServer, address, failureDomain: this.domainOf(index), state: ListedState.Live })
+    return this.describeServer(name, ServerKind.Plain, address, index, [])
+  }
+
+  private enlist (instance: ListedInstance): void {
+    this.list.put(instance)
+  }
+
+  private describeServer (name: string, kind: ServerKind, address: string, index: number, models: readonly string[]): BackendServer {
+    const { shape } = this.options
+    return {
+      name,
+      kind,
+      address,
+      failureDomain: this.domainOf(index),
+      models,
+      slots: shape.slots,
+      prefillTokensPerSecond: shape.prefillTokensPerSecond,
+      decodeTokensPerSecond: shape.decodeTokensPerSecond,
+      cacheTokens: shape.cacheTokens,
+      checksFencing: index % 2 === 0,
+      checksCaller: index % 2 === 0,
+      state: AdministrativeState.InService
+    }
+  }
+
+  private publish (servers: readonly BackendServer[]): void {
+    const { shape, placement } = this.options
+    const accounts: Change[] = shape.accounts.map(account => ({
+      kind: ChangeKind.PutAccount,
+      account: {
+        name: account.name,
+        keyDigests: [digestKey(keyOf(account.name))],
+        weight: account.weight,
+        priority: account.priority,
+        tokensPerSecond: 1_000_000,
+        concurrentRequests: 1000
+      }
+    }))
+    const changes: Change[] = [
+      ...accounts,
+      ...servers.map((server): Change => ({ kind: ChangeKind.PutServer, server })),
+      { kind: ChangeKind.PutModel, model: { name: shape.model, weightsVersion: 'v1', adapters: [] } },
+      {
+        kind: ChangeKind.PutService,
+        service: {
+          name: 'records',
+          path: '/services/records',
+          servers: servers.filter(server => server.kind === ServerKind.Plain).map(server => server.name),
+          calls: [{ method: 'GET', path: '/citations', idempotent: true }, { method: 'POST', path: '/exports', idempotent: false }],
+          concurrentRequests: 64,
+          timeoutMs: 2000
+        }
+      },
+      { kind: ChangeKind.PutPreset, preset: createPreset(PresetName.OrdinaryDays, { placement }) },
+      { kind: ChangeKind.SwitchPreset, name: PresetName.OrdinaryDays }
+    ]
+    this.log.append({ id: 'first-configuration', kind: RecordKind.Configuration, writtenAt: this.clock.now(), body: { base: 0, author: 'deployment', changes } })
+  }
+
+  private async startInstance (name: string, index: number, logAddress: string, listAddress: string): Promise<void> {
+    const instance = EntryInstance.create({
+      name,
+      failureDomain: this.domainOf(index),
+      host: HOST,
+      port: 0,
+      logAddress,
+      listAddress,
+      seed: this.options.seed + index,
+      bodyLimitBytes: BODY_LIMIT_BYTES
+    })
+    this.instances.push(instance)
+    this.addresses.push(await instance.start())
+  }
+
+  private async waitUntilReady (): Promise<void> {
+    for (const address of this.addresses) {
+      while ((await fetch(`${address}/readyz`)).status !== 200) {
+        await new Promise(resolve => setTimeout(resolve, 20))
+      }
+    }
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.instances.map(async instance => await instance.stop()))
+    await Promise.all(this.servers.map(async server => await server.close()))
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -0,0 +1,144 @@
+/** The callers' side over HTTP: the usual completions protocol. */
+import { randomUUID } from 'node:crypto'
+import fastify, { type FastifyError, type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
+import { CallerHeader, EnginePath, Failure, FailureCode, type ClientAccount, type Clock, type Configuration } from 'foxtaillever-core'
+import { Left, Right, type Either } from 'purify-ts'
+import type { RouterCore } from '../core/routerCore.js'
+import type { PlainRouter } from '../plain/plainRouter.js'
+import type { Accounts } from './accounts.js'
+import { failureBody, failureHeaders } from './failureBody.js'
+import { readSubmission, type CompletionPath, type ReadCall } from './readSubmission.js'
+import { statusOf } from './statusOf.js'
+import { StreamResponder } from './streamResponder.js'
+import { WholeResponder } from './wholeResponder.js'
+
+export interface CallerServerOptions {
+  readonly clock: Clock
+  readonly core: RouterCore
+  readonly plain: PlainRouter
+  readonly accounts: Accounts
+  readonly configuration: () => Configuration | undefined
+  /** Whether new requests are taken; false once a shutdown began. */
+  readonly accepting: () => boolean
+  readonly bodyLimitBytes: number
+}
+
+/** Headers and a slow body must be in by then, milliseconds. */
+const REQUEST_TIMEOUT_MS = 30_000
+
+const MAX_HEADER_BYTES = 16_384
+
+interface Admitted {
+  readonly account: ClientAccount
+  readonly configuration: Configuration
+}
+
+export class CallerServer {
+  readonly http: FastifyInstance
+
+  private constructor (private readonly options: CallerServerOptions) {
+    this.http = fastify({
+      bodyLimit: options.bodyLimitBytes,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      http: { maxHeaderSize: MAX_HEADER_BYTES }
+    })
+    this.http.setErrorHandler((error: FastifyError, request, reply) => this.refuse(request, reply, readHttpError(error)))
+    this.http.setNotFoundHandler((request, reply) => this.refuse(request, reply, Failure.notRun(FailureCode.UnknownRoute, 'No such path.')))
+    this.addHealth()
+    this.addModels()
+    this.addCompletions(EnginePath.Completions)
+    this.addCompletions(EnginePath.ChatCompletions)
+    this.addPlainServices()
+  }
+
+  static create (options: CallerServerOptions): CallerServer {
+    return new CallerServer(options)
+  }
+
+  private addHealth (): void {
+    this.http.get('/healthz', async () => ({ status: 'alive' }))
+    this.http.get('/readyz', (_, reply) => {
+      const ready = this.options.accepting() && this.options.configuration() !== undefined
+      reply.code(ready ? 200 : 503).send({ status: ready ? 'ready' : 'not ready' })
+    })
+  }
+
+  private addModels (): void {
+    this.http.get('/v1/models', (request, reply) => {
+      this.admit(request).caseOf({
+        Left: failure => this.refuse(request, reply, failure),
+        Right: ({ configuration }) => {
+          const data = Object.keys(configuration.models).map(id => ({ id, object: 'model', created: 0, owned_by: 'foxtaillever' }))
+          reply.send({ object: 'list', data })
+        }
+      })
+    })
+  }
+
+  private admit (request: FastifyRequest): Either<Failure, Admitted> {
+    if (!this.options.accepting()) {
+      return Left(Failure.notRun(FailureCode.Leaving, 'This instance is shutting down.', this.options.clock.now()))
+    }
+    const configuration = this.options.configuration()
+    if (!configuration) {
+      return Left(Failure.notRun(FailureCode.NoConfiguration, 'No configuration has been read yet.', this.options.clock.now() + 1000))
+    }
+    return this.options.accounts.authenticate(request.headers.authorization).chain(account => Right({ account, configuration }))
+  }
+
+  private addCompletions (path: CompletionPath): void {
+    this.http.post(path, (request, reply) => {
+      this.admit(request)
+        .chain(({ account, configuration }) => readSubmission({ headers: request.headers, path, body: request.body, account, configuration, clock: this.options.clock }))
+        .caseOf({
+          Left: failure => this.refuse(request, reply, failure),
+          Right: call => this.serve(call, reply)
+        })
+    })
+  }
+
+  private serve (call: ReadCall, reply: FastifyReply): void {
+    reply.hijack()
+    const response = reply.raw
+    const { submission, includeUsage } = call
+    const jobId = submission.job.id
+    const options = { response, submission, clock: this.options.clock, includeUsage }
+    const responder = call.stream ? StreamResponder.create(options) : WholeResponder.create(options)
+    response.on('close', () => {
+      if (!response.writableFinished) {
+        this.options.core.abandon(jobId)
+      }
+    })
+    response.on('drain', () => this.options.core.drained(jobId))
+    this.options.core.submit(submission, responder)
+  }
+
+  private addPlainServices (): void {
+    this.http.all('/services/*', async (request, reply) => {
+      const admitted = this.admit(request)
+      const answered = await admitted.caseOf({
+        Left: async failure => this.refuse(request, reply, failure),
+        Right: async ({ account, configuration }) => await this.options.plain.serve({ request, reply, account, configuration })
+      })
+      return answered ?? reply
+    })
+  }
+
+  private refuse (request: FastifyRequest, reply: FastifyReply, failure: Failure): void {
+    const id = typeof request.headers[CallerHeader.RequestId] === 'string' ? request.headers[CallerHeader.RequestId] : randomUUID()
+    reply.code(statusOf[failure.code])
+      .headers(failureHeaders(failure, id, this.options.clock))
+      .send(failureBody(failure, id))
+  }
+}
+
+/** Errors found by the HTTP library before a handler ran: nothing has left. */
+function readHttpError (error: FastifyError): Failure {
+  if (error.statusCode === 413) {
+    return Failure.notRun(FailureCode.TooLarge, 'The body is too large.')
+  }
+  if (error.statusCode !== undefined && error.statusCode < 500) {
+    return Failure.notRun(FailureCode.BadRequest, error.message)
+  }
+  return Failure.notRun(FailureCode.Internal, 'The request could not be read.')
+}
--- /dev/null
+++ b/packages/foxtaillever-router/src/callers/streamResponder.ts
@@ -0,0 +1,63 @@
+/**
+ * Streams an answer to a caller over server-sent events. The id of each event
+ * is the token's number, so a caller sees that nothing is missing; a stream
+ * without its closing event is an error.
+ */
+import type { ServerResponse } from 'node:http'
+import { CallerHeader, type Clock, type Failure, type StreamEnd, type StreamStart } from 'foxtaillever-core'
+import type { Responder, Submission } from '../core/request.js'
+import { chunkForms, usageOf } from './chunkForm.js'
+import { failureBody, failureHeaders } from './failureBody.js'
+import { statusOf } from './statusOf.js'
+
+export interface ResponderOptions {
+  readonly response: ServerResponse
+  readonly submission: Submission
+  readonly clock: Clock
+  readonly includeUsage: boolean
+}
+
+export class StreamResponder implements Responder {
+  private constructor (private readonly options: ResponderOptions) {}
+
+  static create (options: ResponderOptions): StreamResponder {
+    return new StreamResponder(options)
+  }
+
+  started (start: StreamStart): void {
+    this.options.response.writeHead(200, {
+      'content-type': 'text/event-stream; charset=utf-8',
+      'cache-control': 'no-cache',
+      [CallerHeader.RequestId]: this.options.submission.job.id,
+      'x-cached-tokens': String(start.cachedTokens)
+    })
+    this.options.response.flushHeaders()
+  }
+
+  token (sequence: number, data: string): boolean {
+    return this.options.response.write(`id: ${sequence}\ndata: ${data}\n\n`)
+  }
+
+  finished (end: StreamEnd): void {
+    const { response, submission, includeUsage } = this.options
+    const { id, model } = submission.job
+    const last = JSON.stringify(chunkForms[submission.path].lastChunk(id, model, end))
+    const usage = includeUsage ? `data: ${JSON.stringify({ id, object: 'chat.completion.chunk', created: 0, model, choices: [], usage: usageOf(end) })}\n\n` : ''
+    response.end(`id: ${end.completionTokens + 1}\ndata: ${last}\n\n${usage}data: [DONE]\n\n`)
+  }
+
+  failed (failure: Failure): void {
+    sendFailure(this.options, failure)
+  }
+}
+
+/** Before the headers a failure is a status; after them it is an event that ends the stream. */
+export function sendFailure ({ response, submission, clock }: ResponderOptions, failure: Failure): void {
+  const body = JSON.stringify(failureBody(failure, submission.job.id))
+  if (response.headersSent) {
+    response.end(`event: error\ndata: ${body}\n\n`)
+    return
+  }
+  response.writeHead(statusOf[failure.code], { 'content-type': 'application/json', ...failureHeaders(failure, submission.job.id, clock) })
+  response.end(body)
+}
--- a/packages/foxtaillever-router/src/index.ts
+++ b/packages/foxtaillever-router/src/index.ts
@@ -1,1 +1,5 @@
-export {}
+/** Public surface of the entry process. */
+export * from './callers/accounts.js'
+export * from './core/request.js'
+export * from './core/routerCore.js'
+export * from './entryInstance.js'
--- a/packages/foxtaillever-standins/src/engine/engineModel.ts
+++ b/packages/foxtaillever-standins/src/engine/engineModel.ts
@@ -173,12 +173,13 @@
     }
   }
 
-  cancel (streamId: string): void {
-    const stream = this.streams.get(streamId)
+  /** Stops a stream, named by its id or by the request's. */
+  cancel (id: string): void {
+    const stream = this.streams.get(id) ?? [...this.streams.values()].find(other => other.generation.requestId === id)
     if (!stream) {
       return
     }
-    this.streams.delete(streamId)
+    this.streams.delete(stream.id)
     this.waiting = this.waiting.filter(other => other !== stream)
     this.running = this.running.filter(other => other !== stream)
   }
