--- /dev/null
+++ b/packages/foxtaillever-policy/src/__fixtures__/fakeServers.ts
@@ -0,0 +1,98 @@
+/**
+ * A few backend servers as the decisions meet them: slots, one prefill at a
+ * time, decode side by side, a cache that forgets, a report that is late. Moved
+ * in steps; enough to see what callers receive, and no more.
+ */
+import type { Job } from '../job.js'
+
+export interface FakeServer {
+  readonly name: string
+  slots: number
+  prefillTokensPerMs: number
+  decodeTokensPerMs: number
+  /** Times slower than configured. */
+  slowness: number
+  /** Refuses connections. */
+  down: boolean
+  incarnation: number
+  readonly cache: Map<string, number>
+  waiting: FakeRun[]
+  running: FakeRun[]
+}
+
+export interface FakeRun {
+  readonly job: Job
+  prefillLeft: number
+  decodeLeft: number
+  cachedTokens: number
+  hasToken: boolean
+}
+
+/** What one step of a server brought; the driver passes it on. */
+export interface FakeEvents {
+  started: (run: FakeRun) => void
+  firstToken: (run: FakeRun) => void
+  finished: (run: FakeRun) => void
+}
+
+/** Cached prefixes unused for this long are gone, milliseconds. */
+const CACHE_KEPT_MS = 8000
+
+export function createFakeServer (name: string): FakeServer {
+  return { name, slots: 8, prefillTokensPerMs: 20, decodeTokensPerMs: 0.06, slowness: 1, down: false, incarnation: 1, cache: new Map(), waiting: [], running: [] }
+}
+
+function matchCache (server: FakeServer, job: Job, now: number): number {
+  const hits = job.levels.filter(({ hash }) => now - (server.cache.get(`${job.account}/${hash}`) ?? -Infinity) < CACHE_KEPT_MS)
+  return hits.at(-1)?.tokens ?? 0
+}
+
+function touchCache (server: FakeServer, job: Job, now: number): void {
+  job.levels.forEach(({ hash }) => server.cache.set(`${job.account}/${hash}`, now))
+}
+
+export function submit (server: FakeServer, job: Job, answerTokens: number): void {
+  server.waiting.push({ job, prefillLeft: 0, decodeLeft: answerTokens, cachedTokens: 0, hasToken: false })
+}
+
+/** Everything in flight is lost; the server comes back empty. */
+export function crash (server: FakeServer): FakeRun[] {
+  const lost = [...server.running, ...server.waiting]
+  server.incarnation += 1
+  server.cache.clear()
+  server.running = []
+  server.waiting = []
+  return lost
+}
+
+export function stepServer (server: FakeServer, stepMs: number, now: number, events: FakeEvents): void {
+  while (server.running.length < server.slots && server.waiting.length > 0) {
+    const run = server.waiting.shift() as FakeRun
+    run.cachedTokens = matchCache(server, run.job, now)
+    run.prefillLeft = run.job.promptTokens - run.cachedTokens
+    server.running.push(run)
+    events.started(run)
+  }
+  let prefill = stepMs * server.prefillTokensPerMs / server.slowness
+  for (const run of [...server.running]) {
+    const done = Math.min(prefill, run.prefillLeft)
+    run.prefillLeft -= done
+    prefill -= done
+    if (run.prefillLeft <= 0) {
+      decode(server, run, stepMs, now, events)
+    }
+  }
+}
+
+function decode (server: FakeServer, run: FakeRun, stepMs: number, now: number, events: FakeEvents): void {
+  if (!run.hasToken) {
+    run.hasToken = true
+    touchCache(server, run.job, now)
+    events.firstToken(run)
+  }
+  run.decodeLeft -= stepMs * server.decodeTokensPerMs / server.slowness
+  if (run.decodeLeft <= 0) {
+    server.running = server.running.filter(other => other !== run)
+    events.finished(run)
+  }
+}
--- a/packages/foxtaillever-policy/src/admission/drainRate.ts
+++ b/packages/foxtaillever-policy/src/admission/drainRate.ts
@@ -14,7 +14,7 @@
 const LEAST_SHARE = 0.02
 
 export class DrainRate {
-  private measured = MovingMean.create(0, GAIN)
+  private measured: MovingMean | undefined
   private served = 0
   private windowEnd = 0
   private waitedThroughout = false
@@ -32,7 +32,7 @@
 
   /** Cost served a millisecond while jobs wait. */
   get value (): number {
-    return this.measured.samples > 0 ? Math.max(this.prior * LEAST_SHARE, this.measured.value) : this.prior
+    return this.measured ? Math.max(this.prior * LEAST_SHARE, this.measured.value) : this.prior
   }
 
   serve (cost: number): void {
@@ -45,23 +45,15 @@
       return
     }
     if (this.waitedThroughout) {
-      this.addSample(this.served / (WINDOW_MS + now - this.windowEnd))
+      const rate = this.served / (WINDOW_MS + now - this.windowEnd)
+      this.measured ??= MovingMean.create(rate, GAIN)
+      this.measured.add(rate)
     } else if (!jobsWait) {
-      this.forget()
+      // The queue ran empty: the next one may be served at another rate.
+      this.measured = undefined
     }
     this.served = 0
     this.windowEnd = now + WINDOW_MS
     this.waitedThroughout = jobsWait
   }
-
-  private addSample (rate: number): void {
-    // The first window replaces the prior instead of being averaged with it.
-    const missing = this.measured.samples === 0 ? 1 / GAIN : 1
-    this.measured.add(this.measured.value + (rate - this.measured.value) * missing)
-  }
-
-  /** The queue ran empty: the next one may be served at another rate. */
-  private forget (): void {
-    this.measured = MovingMean.create(0, GAIN)
-  }
 }
--- a/packages/foxtaillever-policy/src/admission/intake.ts
+++ b/packages/foxtaillever-policy/src/admission/intake.ts
@@ -141,6 +141,7 @@
     job,
     weight,
     cost: cost.slotMs,
+    decodeMs: cost.decodeMs,
     tokens: cost.uncachedTokens + cost.completionTokens,
     latestStart: job.deadline - leastMs,
     failedAt: [],
--- a/packages/foxtaillever-policy/src/attempts/attemptTable.ts
+++ b/packages/foxtaillever-policy/src/attempts/attemptTable.ts
@@ -70,7 +70,7 @@
     const uncached = Math.max(0, start.promptTokens - start.cachedTokens)
     attempt.expectedMs += server.prefillMs(uncached - (attempt.entry.job.promptTokens - placement.cachedTokens))
     this.setPending(attempt, uncached, uncached, now)
-    this.placer.learn(placement.levels, server, start.cachedTokens, now)
+    this.placer.learn(placement, start.cachedTokens, now)
   }
 
   firstToken (attempt: Attempt, now: number): void {
@@ -78,11 +78,12 @@
     attempt.firstTokenAt = now
     server.pending.delete(entry.job.id)
     this.setPending(attempt, 0, 0, now)
+    this.placer.endPrefill(entry.job.id, placement)
     this.placer.learnPrefilled(placement.levels, server, now)
     const observedMs = now - attempt.sentAt
     server.health.observe(observedMs, attempt.expectedMs, now)
     const ratio = (observedMs + server.stepMs()) / (attempt.expectedMs + server.stepMs()) / server.health.peers
-    server.limit.observe(ratio, server.load.occupancy(now))
+    server.limit.observe(ratio, server.load.occupancy(now), now)
     if (attempt.isProbe && server.health.standing === Standing.Ejected) {
       this.judgeProbe(server, ratio, now)
     }
@@ -117,6 +118,7 @@
     const { server, entry } = attempt
     this.attempts.delete(entry.job.id)
     server.pending.delete(entry.job.id)
+    this.placer.endPrefill(entry.job.id, attempt.placement)
     this.setPending(attempt, 0, 0, now)
     server.load.remove(now)
     server.longRunning -= attempt.isLong ? 1 : 0
--- a/packages/foxtaillever-policy/src/order/dispatcher.ts
+++ b/packages/foxtaillever-policy/src/order/dispatcher.ts
@@ -28,6 +28,13 @@
 /** The mean is over the last hundred jobs or so. */
 const MEAN_GAIN = 0.01
 
+/**
+ * Once its hold is over a job may stand in the engine's own queue, up to this
+ * many times the room. Other instances' jobs may have taken each slot that it
+ * waited for; the engine's queue is the one that all of them share.
+ */
+const OVERCOMMIT = 2
+
 /** Held at most for this many times the wait that was expected. */
 const HOLD_FACTOR = 2
 
@@ -64,6 +71,14 @@
   readonly quarantine: (entry: WaitingJob) => void
 }
 
+interface OpenInput {
+  readonly entry: WaitingJob
+  readonly isLong: boolean
+  readonly isSuspect: boolean
+  readonly mayHold: boolean
+  readonly now: number
+}
+
 export class Dispatcher {
   private readonly meanCost = MovingMean.create(0, MEAN_GAIN)
   private readonly priorityWork = DecayingRate.create(PRIORITY_FADE_MS)
@@ -103,7 +118,7 @@
   private freeSlots (now: number): number {
     let free = 0
     for (const server of this.options.fleet.all()) {
-      free += Math.max(0, server.room(now) - server.load.occupancy(now))
+      free += Math.max(0, server.room(now) * OVERCOMMIT - server.load.occupancy(now))
     }
     return free
   }
@@ -111,12 +126,13 @@
   private tryToSend (entry: WaitingJob, isSuspect: boolean, input: DispatchInput): boolean {
     const { now } = input
     const isLong = this.isLong(entry)
+    const mayHold = now < entry.holdUntil
     const placement = this.options.placer.place(input.policy, {
       job: entry.job,
       weightsVersion: input.weightsVersionOf(entry.job.model),
       failedAt: entry.failedAt,
-      isOpen: server => this.isOpen(server, entry, isLong, isSuspect, now),
-      mayHold: now < entry.holdUntil,
+      isOpen: server => this.isOpen(server, { entry, isLong, isSuspect, mayHold, now }),
+      mayHold,
       serviceMs: input.serviceMs,
       now
     })
@@ -147,10 +163,10 @@
     return this.meanCost.samples > 0 && cost > LONG_FACTOR * this.meanCost.value
   }
 
-  private isOpen (server: Server, { job }: WaitingJob, isLong: boolean, isSuspect: boolean, now: number): boolean {
-    const isReserved = job.priority !== PriorityClass.Priority && this.hasPriorityWork(now)
+  private isOpen (server: Server, { entry, isLong, isSuspect, mayHold, now }: OpenInput): boolean {
+    const isReserved = entry.job.priority !== PriorityClass.Priority && this.hasPriorityWork(now)
     const room = isReserved ? server.unreservedRoom(now) : server.room(now)
-    return server.load.occupancy(now) < room &&
+    return server.load.occupancy(now) < room * (mayHold ? 1 : OVERCOMMIT) &&
       !(isLong && server.longRunning >= server.longRoom()) &&
       !(isSuspect && server.suspectsRunning > 0)
   }
--- a/packages/foxtaillever-policy/src/order/waitingJob.ts
+++ b/packages/foxtaillever-policy/src/order/waitingJob.ts
@@ -7,6 +7,8 @@
   readonly cost: number
   /** The same as tokens of uncached prefill and decode, for the account's limit. */
   readonly tokens: number
+  /** Part of the cost that is decode, milliseconds. */
+  readonly decodeMs: number
   readonly weight: number
   /** Started later than this it cannot end in time, milliseconds of Unix time. */
   readonly latestStart: number
--- a/packages/foxtaillever-policy/src/placement/expectedFirstToken.ts
+++ b/packages/foxtaillever-policy/src/placement/expectedFirstToken.ts
@@ -7,13 +7,10 @@
 import { Standing } from '../servers/serverHealth.js'
 import type { Server } from '../servers/server.js'
 import type { LevelHomes } from './homes.js'
+import { recomputationPrice } from './recomputation.js'
 
-/**
- * A millisecond of prefill done again is paid by this caller once and by those
- * behind it once more: at half load, each millisecond of work delays others by
- * rho / (1 - rho) = 1 ms.
- */
-const RECOMPUTATION_WEIGHT = 2
+/** A prefill under way is waited for when that saves at least this much, milliseconds. */
+const LEAST_SAVED_MS = 20
 
 /** A server that a job has failed at is taken again only when others are this much worse. */
 const FAILED_THERE_MS = 1000
@@ -30,6 +27,8 @@
   readonly distanceTo: (failureDomain: string) => number
   /** Mean time of a request at a server, milliseconds. */
   readonly serviceMs: number
+  /** Of the servers' slots, 0 to 1. */
+  readonly utilisation: number
   readonly now: number
 }
 
@@ -42,6 +41,15 @@
   /** Wait for a slot, milliseconds; 0 when one is free. */
   readonly waitMs: number
   readonly cachedTokens: number
+  /** A prefill under way there will leave more of the prompt cached. */
+  readonly isWarming: boolean
+}
+
+interface Expectation {
+  readonly cachedTokens: number
+  readonly isWarming: boolean
+  /** Wait for the prefill under way, milliseconds. */
+  readonly warmingMs: number
 }
 
 /** Prompt tokens that the server is expected to have cached. */
@@ -56,6 +64,26 @@
   return expected
 }
 
+/**
+ * A prompt whose prefix is being prefilled right now finds it cached once that
+ * is done. Ten requests of one cold prefix, sent at once, would do the prefill
+ * ten times, one after the other.
+ */
+function expectWithWarming (levels: readonly LevelHomes[], server: Server, now: number): Expectation {
+  const cachedTokens = expectCached(levels, server, now)
+  for (let index = levels.length - 1; index >= 0; index -= 1) {
+    const { record, tokens } = levels[index] as LevelHomes
+    if (server.prefillMs(tokens - cachedTokens) < LEAST_SAVED_MS) {
+      break
+    }
+    const warming = record.warmingAt(server)
+    if (warming) {
+      return { cachedTokens: tokens, isWarming: true, warmingMs: Math.max(0, warming.readyAt - now) }
+    }
+  }
+  return { cachedTokens, isWarming: false, warmingMs: 0 }
+}
+
 /** Time until a slot is free for one more, milliseconds. */
 export function waitForSlot (server: Server, serviceMs: number, now: number): number {
   const room = server.room(now)
@@ -68,6 +96,23 @@
   return failuresInRow === 0 || standing === Standing.Ejected ? 0 : FAILURE_COST_MS * 2 ** Math.min(failuresInRow, MOST_FAILURES_COUNTED)
 }
 
+/**
+ * Prompt tokens to be prefilled here of levels whose home is elsewhere. What a
+ * home prefills has to be done once anyway, and serves the next one; what any
+ * other server prefills is done again.
+ */
+function countWasted (levels: readonly LevelHomes[], server: Server, cachedTokens: number): number {
+  let wasted = 0
+  let start = 0
+  for (const { tokens, homes } of levels.slice(0, -1)) {
+    if (!homes.includes(server)) {
+      wasted += Math.max(0, tokens - Math.max(start, cachedTokens))
+    }
+    start = tokens
+  }
+  return wasted
+}
+
 /** A probe is to go there, so its lateness does not count. */
 function slownessOf ({ health }: Server): number {
   return health.standing === Standing.Ejected ? 1 : health.slowness
@@ -75,18 +120,21 @@
 
 export function weighServer (server: Server, input: WeighInput): WeighedServer {
   const { job, now } = input
-  const cachedTokens = Math.min(job.promptTokens, expectCached(input.levels, server, now))
+  const expected = expectWithWarming(input.levels, server, now)
+  const cachedTokens = Math.min(job.promptTokens, expected.cachedTokens)
   const prefillMs = server.prefillMs(job.promptTokens - cachedTokens)
   const waitMs = waitForSlot(server, input.serviceMs, now)
-  const queueMs = server.prefillMs(server.load.queuedTokens(now)) + waitMs
+  const queueMs = Math.max(server.prefillMs(server.load.queuedTokens(now)), expected.warmingMs) + waitMs
   const distanceMs = input.distanceTo(server.configured.failureDomain)
   const failedThereMs = input.failedAt.includes(server.name) ? FAILED_THERE_MS : 0
-  const engineMs = (queueMs + RECOMPUTATION_WEIGHT * prefillMs + server.stepMs()) * slownessOf(server)
+  const wastedMs = server.prefillMs(countWasted(input.levels, server, cachedTokens))
+  const engineMs = (queueMs + prefillMs + server.stepMs()) * slownessOf(server)
   return {
     server,
-    cost: engineMs + distanceMs + failureCost(server) + failedThereMs,
+    cost: engineMs + wastedMs * recomputationPrice(input.utilisation, server.load.cacheFullness(server.configured.cacheTokens)) + distanceMs + failureCost(server) + failedThereMs,
     firstTokenMs: queueMs + prefillMs + server.stepMs() + 2 * distanceMs,
-    waitMs,
-    cachedTokens
+    waitMs: Math.max(waitMs, expected.warmingMs),
+    cachedTokens,
+    isWarming: expected.isWarming
   }
 }
--- a/packages/foxtaillever-policy/src/placement/homes.ts
+++ b/packages/foxtaillever-policy/src/placement/homes.ts
@@ -58,7 +58,7 @@
   const result: LevelHomes[] = []
   let among = input.servers
   for (const level of levelsOf(input.job)) {
-    const record = table.use(input.job, input.weightsVersion, level)
+    const record = table.use(input.job, input.weightsVersion, level, result.length)
     const first = result.length === 0
     const homes = first ? firstHomes(record, input) : rankServers(record.hash, among, Math.min(record.homeCount, among.length))
     result.push({ record, tokens: level.tokens, homes })
--- a/packages/foxtaillever-policy/src/placement/placement.ts
+++ b/packages/foxtaillever-policy/src/placement/placement.ts
@@ -41,6 +41,7 @@
   readonly held: boolean
   readonly waitMs: number
   readonly expectedMs: number
+  readonly promptTokens: number
   readonly cachedTokens: number
   readonly levels: readonly LevelHomes[]
   readonly candidates: readonly Candidate[]
@@ -52,10 +53,16 @@
   readonly distanceTo: (failureDomain: string) => number
 }
 
+interface Choice extends WeighedServer {
+  /** Whether it takes the job now; else the job is held for it. */
+  readonly isOpen: boolean
+}
+
 type PlacementHandler = (request: PlacementRequest) => Placement | undefined
 
 export class Placer {
   readonly prefixes = PrefixTable.create()
+  private instances = 1
   private turn = 0
   private readonly handlers: Record<PlacementPolicy, PlacementHandler>
 
@@ -79,24 +86,45 @@
     return this.handlers[policy](request)
   }
 
-  /** The job was sent: its prefixes are that much hotter. */
-  warm (levels: readonly LevelHomes[], work: number, instances: number, now: number): void {
-    for (const { record } of levels) {
+  /** Takes the number of entry instances; each sees its part of the traffic. */
+  observeInstances (count: number): void {
+    this.instances = count
+  }
+
+  /**
+   * The job was sent: its prefixes are that much hotter, and will be cached there.
+   * @param decodeMs share of the server's time that its decode takes.
+   */
+  sent (jobId: string, placement: Placement, decodeMs: number, now: number): void {
+    const { server, levels, cachedTokens, promptTokens } = placement
+    const shared = levels.at(-2)?.tokens ?? 0
+    // Heat is counted as if the shared levels were cached: were misses heat, each would make homes that miss more.
+    const work = server.prefillMs(promptTokens - shared) + decodeMs
+    for (const { record, tokens } of levels) {
       record.warm(work, now)
-      resizeHomes(record, instances, now)
+      resizeHomes(record, this.instances, now)
+      if (tokens > cachedTokens) {
+        record.startWarming({ server, jobId, readyAt: now + placement.expectedMs })
+      }
     }
   }
 
+  /** The prefill has ended, or the job before it. */
+  endPrefill (jobId: string, { levels }: Placement): void {
+    levels.forEach(({ record }) => record.endWarming(jobId))
+  }
+
   /** The engine said how much it had cached: a hit or miss for each level. */
-  learn (levels: readonly LevelHomes[], server: Server, cachedTokens: number, now: number): void {
-    for (const { record, tokens, homes } of levels) {
+  learn ({ levels, server, promptTokens }: Placement, cachedTokens: number, now: number): void {
+    server.load.observeCached(cachedTokens / Math.max(1, promptTokens))
+    for (const [depth, { record, tokens, homes }] of levels.entries()) {
       const holder = record.holderAt(server)
       const hit = cachedTokens >= tokens * HIT_SHARE
       if (holder) {
         server.retention.observe(now - holder.usedAt, hit)
       }
       if (homes.includes(server)) {
-        record.homeHit.add(hit ? 1 : 0)
+        this.prefixes.observeHome(record, depth, hit)
       }
       if (hit) {
         record.learn(server, now)
@@ -125,6 +153,7 @@
       held: false,
       waitMs: 0,
       expectedMs: server.prefillMs(job.promptTokens),
+      promptTokens: job.promptTokens,
       cachedTokens: 0,
       levels: [],
       candidates: candidates.slice(0, EXPLAINED)
@@ -139,16 +168,17 @@
       return undefined
     }
     const levels = computeHomes(this.prefixes, { job, weightsVersion, servers, epoch: fleet.epoch })
-    const input = { ...request, levels, distanceTo }
+    const input = { job, levels, distanceTo, utilisation: fleet.utilisation, failedAt: request.failedAt, serviceMs: request.serviceMs, now }
     const weighed = collectCandidates(job, servers, levels, random, now)
       .map(server => weighServer(server, input))
       .sort((one, other) => one.cost - other.cost)
     const chosen = this.choose(weighed, request)
     return chosen && {
       server: chosen.server,
-      held: !request.isOpen(chosen.server),
+      held: !chosen.isOpen,
       waitMs: chosen.waitMs,
       expectedMs: chosen.firstTokenMs,
+      promptTokens: job.promptTokens,
       cachedTokens: chosen.cachedTokens,
       levels,
       candidates: weighed.slice(0, EXPLAINED).map(({ server, cost }) => ({ server: server.name, cost }))
@@ -160,14 +190,16 @@
    * Were the best always taken, all instances that read one report would take
    * the same.
    */
-  private choose (weighed: readonly WeighedServer[], request: PlacementRequest): WeighedServer | undefined {
-    const open = weighed.filter(({ server }) => request.isOpen(server))
+  private choose (weighed: readonly WeighedServer[], request: PlacementRequest): Choice | undefined {
+    const isOpen = ({ server, isWarming }: WeighedServer): boolean => request.isOpen(server) && !(request.mayHold && isWarming)
+    const open = weighed.filter(isOpen)
     const best = request.mayHold ? weighed[0] : open[0]
     if (!best) {
       return undefined
     }
     const limit = best.cost + Math.max(EQUAL_MS, best.cost * EQUAL_SHARE)
     const equal = open.filter(({ cost }) => cost <= limit)
-    return equal[this.options.random.below(equal.length)] ?? best
+    const chosen = equal[this.options.random.below(equal.length)]
+    return chosen ? { ...chosen, isOpen: true } : { ...best, isOpen: false }
   }
 }
--- a/packages/foxtaillever-policy/src/placement/prefixTable.ts
+++ b/packages/foxtaillever-policy/src/placement/prefixTable.ts
@@ -22,11 +22,14 @@
 /** Standard deviations of a Poisson count taken off it. */
 const DOUBT = 1.5
 
-/** Chance that a home holds a prefix never met before. */
+/** Chance that a home holds a prefix, before any request came. */
 const HOME_HIT_PRIOR = 0.5
 
 const HOME_HIT_GAIN = 0.2
 
+/** Over all prefixes of a depth the mean is over more requests. */
+const DEPTH_GAIN = 0.05
+
 /** A server met with the prefix in its cache. */
 export interface Holder {
   readonly server: Server
@@ -35,24 +38,35 @@
   usedAt: number
 }
 
+/** A prefill under way that will leave the prefix in a server's cache. */
+export interface Warming {
+  readonly server: Server
+  readonly jobId: string
+  /** When its first token is expected, milliseconds of Unix time. */
+  readonly readyAt: number
+}
+
 export class PrefixRecord {
   readonly hash: number
   /** Work that the prefix brings, server-milliseconds a millisecond. */
   private readonly work = DecayingRate.create(HEAT_FADE_MS)
   private readonly uses = DecayingRate.create(HEAT_FADE_MS)
   /** Share of the requests sent to a home that found the prefix there. */
-  readonly homeHit = MovingMean.create(HOME_HIT_PRIOR, HOME_HIT_GAIN)
+  readonly homeHit: MovingMean
   homeCount = 1
   ranking: readonly Server[] = []
   rankingEpoch = -1
   private holders: Holder[] = []
+  private warmings: Warming[] = []
 
-  private constructor (key: string) {
+  private constructor (key: string, homeHitPrior: number) {
     this.hash = hashNumber(key)
+    this.homeHit = MovingMean.create(homeHitPrior, HOME_HIT_GAIN)
   }
 
-  static create (key: string): PrefixRecord {
-    return new PrefixRecord(key)
+  /** @param homeHitPrior what is expected of its homes before the first request. */
+  static create (key: string, homeHitPrior: number): PrefixRecord {
+    return new PrefixRecord(key, homeHitPrior)
   }
 
   warm (work: number, now: number): void {
@@ -90,6 +104,18 @@
     this.holders = [...kept, { server, incarnation: server.incarnation, usedAt: now }]
   }
 
+  startWarming (warming: Warming): void {
+    this.warmings.push(warming)
+  }
+
+  endWarming (jobId: string): void {
+    this.warmings = this.warmings.filter(warming => warming.jobId !== jobId)
+  }
+
+  warmingAt (server: Server): Warming | undefined {
+    return this.warmings.find(warming => warming.server === server)
+  }
+
   forget (server: Server): void {
     this.holders = this.holders.filter(holder => holder.server !== server)
   }
@@ -97,6 +123,7 @@
 
 export class PrefixTable {
   private readonly records = RecentMap.create<PrefixRecord>(PREFIX_BOUND)
+  private readonly homeHitByDepth: MovingMean[] = []
 
   private constructor () {}
 
@@ -108,15 +135,29 @@
     return this.records.size
   }
 
-  /** Account, model and weights are part of the key: no other account's work is ever counted on. */
-  use (job: Job, weightsVersion: string, level: PrefixLevel): PrefixRecord {
+  /**
+   * Account, model and weights are part of the key: no other account's work is
+   * ever counted on.
+   * @param depth of the level, 0 for the shortest prefix.
+   */
+  use (job: Job, weightsVersion: string, level: PrefixLevel, depth: number): PrefixRecord {
     const key = `${job.account}/${job.model}/${weightsVersion}/${level.hash}`
     const known = this.records.use(key)
     if (known) {
       return known
     }
-    const record = PrefixRecord.create(key)
+    const record = PrefixRecord.create(key, this.homeHitAt(depth).value)
     this.records.set(key, record)
     return record
   }
+
+  /** A request went to a home of a prefix and found it there, or not. */
+  observeHome (record: PrefixRecord, depth: number, hit: boolean): void {
+    record.homeHit.add(hit ? 1 : 0)
+    this.homeHitAt(depth).add(hit ? 1 : 0)
+  }
+
+  private homeHitAt (depth: number): MovingMean {
+    return this.homeHitByDepth[depth] ??= MovingMean.create(HOME_HIT_PRIOR, DEPTH_GAIN)
+  }
 }
--- a/packages/foxtaillever-policy/src/scheduler.ts
+++ b/packages/foxtaillever-policy/src/scheduler.ts
@@ -107,6 +107,7 @@
   observeInstances (count: number): void {
     this.instances = Math.max(1, count)
     this.intake.share.observeInstances(this.instances)
+    this.placer.observeInstances(this.instances)
     this.setDrainPrior()
   }
 
@@ -254,12 +255,11 @@
 
   private send ({ entry, placement, isLong, isSuspect }: Dispatched, now: number): void {
     const attempt = Attempt.create({ entry, placement, isLong, isSuspect, sentAt: now })
-    const { server, pendingTokens } = attempt
     this.room.serve(entry)
     this.intake.drain.serve(entry.cost)
-    this.placer.warm(placement.levels, server.prefillMs(pendingTokens) + entry.cost / server.configured.slots, this.instances, now)
+    this.placer.sent(entry.job.id, placement, entry.decodeMs / placement.server.configured.slots, now)
     this.attempts.add(attempt)
-    this.assignments.push({ jobId: entry.job.id, server: server.name, candidates: placement.candidates, rule: this.preset.placement })
+    this.assignments.push({ jobId: entry.job.id, server: placement.server.name, candidates: placement.candidates, rule: this.preset.placement })
   }
 
   private retryTime ({ entry }: Attempt, failure: Failure, now: number): number | undefined {
--- a/packages/foxtaillever-policy/src/servers/compareServers.ts
+++ b/packages/foxtaillever-policy/src/servers/compareServers.ts
@@ -12,7 +12,7 @@
 import type { Server } from './server.js'
 
 /** Below this factor over the peers' median a server is as good as they are. */
-const NOTICED = 1.5
+const NOTICED = 2
 
 /** Above it the server is set aside. Between the two it gets less by its cost. */
 const EJECTED = 4
--- a/packages/foxtaillever-policy/src/servers/concurrencyLimit.ts
+++ b/packages/foxtaillever-policy/src/servers/concurrencyLimit.ts
@@ -17,11 +17,19 @@
 /** A refusal is stronger proof than a late answer. */
 const DECREASE_ON_REFUSAL = 0.7
 
+/** Lateness at a server with less than this of its limit taken has another cause. */
+const FULL_SHARE = 0.75
+
+/** Late answers of one batch count once. */
+const DECREASE_EVERY_MS = 250
+
 /** Room above the slots, so that the engine's batch never runs dry between two requests. */
 const SURPLUS_SHARE = 0.125
 
 export class ConcurrencyLimit {
   private limit: number
+  /** No further decrease before, milliseconds of Unix time. */
+  private decreaseAt = 0
 
   private constructor (private slots: number) {
     this.limit = slots
@@ -47,9 +55,9 @@
    * @param ratio observed against expected time to first token.
    * @param occupancy requests at the server; the limit grows only when it binds.
    */
-  observe (ratio: number, occupancy: number): void {
+  observe (ratio: number, occupancy: number, now: number): void {
     if (ratio > LATE_RATIO) {
-      this.limit = Math.max(1, this.limit * DECREASE)
+      this.decrease(occupancy, now)
       return
     }
     if (occupancy >= Math.floor(this.limit)) {
@@ -58,6 +66,13 @@
     }
   }
 
+  private decrease (occupancy: number, now: number): void {
+    if (occupancy >= this.limit * FULL_SHARE && now >= this.decreaseAt) {
+      this.limit = Math.max(1, this.limit * DECREASE)
+      this.decreaseAt = now + DECREASE_EVERY_MS
+    }
+  }
+
   observeRefusal (): void {
     this.limit = Math.max(1, this.limit * DECREASE_ON_REFUSAL)
   }
--- a/packages/foxtaillever-policy/src/servers/fleet.ts
+++ b/packages/foxtaillever-policy/src/servers/fleet.ts
@@ -12,6 +12,8 @@
 export class Fleet {
   /** Rises whenever the set of ready servers may have changed. */
   epoch = 0
+  /** Of all servers' slots at the last comparison, 0 to 1. */
+  utilisation = 0
   private readonly servers = new Map<string, Server>()
   private readonly ready = new Map<string, Server[]>()
   private served: ReadonlySet<string> = new Set()
@@ -117,9 +119,20 @@
       return
     }
     this.compareAt = now + COMPARE_EVERY_MS
+    this.utilisation = this.measureUtilisation(now)
     this.ready.forEach(servers => compareServers(servers, ejectedShare, now))
   }
 
+  private measureUtilisation (now: number): number {
+    let taken = 0
+    let slots = 0
+    for (const server of this.servers.values()) {
+      taken += Math.min(server.configured.slots, server.load.occupancy(now))
+      slots += server.configured.slots
+    }
+    return taken / Math.max(1, slots)
+  }
+
   private rebuild (): void {
     this.epoch += 1
     this.ready.clear()
--- a/packages/foxtaillever-policy/src/servers/serverLoad.ts
+++ b/packages/foxtaillever-policy/src/servers/serverLoad.ts
@@ -8,6 +8,7 @@
  * from its own sends, including those made since the report.
  */
 import type { LoadReport } from 'foxtaillever-core'
+import { MovingMean } from '../collections/movingMean.js'
 
 /** A report older than this says nothing; engines report about once a second. */
 const REPORT_VALID_MS = 5000
@@ -15,6 +16,10 @@
 /** Own past remembered for late reports; at 15 sends a second to one server, 4 s. */
 const HISTORY_LENGTH = 128
 
+/** Cached share of a prompt before one was seen. */
+const CACHED_PRIOR = 0.5
+const CACHED_GAIN = 0.1
+
 interface OwnLoad {
   readonly at: number
   readonly outstanding: number
@@ -31,6 +36,8 @@
   private history: OwnLoad[] = []
   private othersOutstanding = 0
   private othersTokens = 0
+  private readonly cachedShare = MovingMean.create(CACHED_PRIOR, CACHED_GAIN)
+  private cacheTokensUsed = 0
   private validUntil = 0
 
   private constructor () {}
@@ -62,6 +69,7 @@
     const own = this.ownAt(Math.min(report.madeAt, now))
     this.othersOutstanding = Math.max(0, report.running + report.waiting - own.outstanding)
     this.othersTokens = Math.max(0, report.waitingTokens - own.reportable)
+    this.cacheTokensUsed = report.cacheTokensUsed
     this.validUntil = now + REPORT_VALID_MS
   }
 
@@ -69,6 +77,7 @@
   reset (): void {
     this.othersOutstanding = 0
     this.othersTokens = 0
+    this.cacheTokensUsed = 0
   }
 
   /** Requests there now, of all instances. */
@@ -78,7 +87,18 @@
 
   /** Uncached prompt tokens that a new request would stand behind. */
   queuedTokens (now: number): number {
-    return this.pendingTokens + (now < this.validUntil ? this.othersTokens : 0)
+    // The engine counts whole prompts, of which it will find a part in its cache.
+    const others = this.othersTokens * (1 - this.cachedShare.value)
+    return this.pendingTokens + (now < this.validUntil ? others : 0)
+  }
+
+  observeCached (share: number): void {
+    this.cachedShare.add(share)
+  }
+
+  /** Used share of a cache of that size, 0 to 1. */
+  cacheFullness (cacheTokens: number): number {
+    return Math.min(1, this.cacheTokensUsed / Math.max(1, cacheTokens))
   }
 
   private remember (now: number): void {
