--- a/packages/foxtaillever-policy/src/__fixtures__/fakeServers.ts
+++ b/packages/foxtaillever-policy/src/__fixtures__/fakeServers.ts
@@ -3,6 +3,7 @@
  * time, decode side by side, a cache that forgets, a report that is late. Moved
  * in steps; enough to see what callers receive, and no more.
  */
+import { PriorityClass } from 'foxtaillever-core'
 import type { Job } from '../job.js'
 
 export interface FakeServer {
@@ -52,7 +53,10 @@
 }
 
 export function submit (server: FakeServer, job: Job, answerTokens: number): void {
-  server.waiting.push({ job, prefillLeft: 0, decodeLeft: answerTokens, cachedTokens: 0, hasToken: false })
+  const run = { job, prefillLeft: 0, decodeLeft: answerTokens, cachedTokens: 0, hasToken: false }
+  // Engines honour priorities among what waits.
+  const before = job.priority === PriorityClass.Priority ? server.waiting.findIndex(other => other.job.priority !== PriorityClass.Priority) : -1
+  server.waiting.splice(before < 0 ? server.waiting.length : before, 0, run)
 }
 
 /** Everything in flight is lost; the server comes back empty. */
--- a/packages/foxtaillever-policy/src/admission/intake.ts
+++ b/packages/foxtaillever-policy/src/admission/intake.ts
@@ -127,7 +127,7 @@
     let free = 0
     for (const server of this.options.fleet.readyFor(model)) {
       if (server.health.standing === Standing.Open) {
-        free += Math.max(0, server.unreservedRoom(now) - server.load.occupancy(now))
+        free += Math.max(0, server.roomBesidePriority(now) - server.load.occupancy(now))
       }
     }
     return free
--- a/packages/foxtaillever-policy/src/attempts/attemptTable.ts
+++ b/packages/foxtaillever-policy/src/attempts/attemptTable.ts
@@ -4,6 +4,7 @@
  */
 import { FailureCode, type Failure, type StreamEnd, type StreamStart } from 'foxtaillever-core'
 import { MovingMean } from '../collections/movingMean.js'
+import { RunningShares } from '../order/runningShares.js'
 import type { Placer } from '../placement/placement.js'
 import { mayEject } from '../servers/compareServers.js'
 import type { Fleet } from '../servers/fleet.js'
@@ -30,6 +31,8 @@
 
 export class AttemptTable {
   private readonly attempts = new Map<string, Attempt>()
+  /** Who runs how much, for the order of those that wait. */
+  readonly shares = RunningShares.create()
   private readonly service = MovingMean.create(FIRST_SERVICE_MS, SERVICE_GAIN)
 
   private constructor (private readonly fleet: Fleet, private readonly placer: Placer) {}
@@ -54,6 +57,7 @@
   add (attempt: Attempt): void {
     const { server, sentAt, entry } = attempt
     this.attempts.set(entry.job.id, attempt)
+    this.shares.add(entry)
     server.load.add(attempt.pendingTokens, attempt.reportableTokens, sentAt)
     server.pending.set(entry.job.id, { sentAt, expectedMs: attempt.expectedMs })
     server.longRunning += attempt.isLong ? 1 : 0
@@ -117,6 +121,7 @@
   remove (attempt: Attempt, now: number): void {
     const { server, entry } = attempt
     this.attempts.delete(entry.job.id)
+    this.shares.remove(entry)
     server.pending.delete(entry.job.id)
     this.placer.endPrefill(entry.job.id, attempt.placement)
     this.setPending(attempt, 0, 0, now)
--- a/packages/foxtaillever-policy/src/order/dispatcher.ts
+++ b/packages/foxtaillever-policy/src/order/dispatcher.ts
@@ -16,6 +16,7 @@
 import type { Fleet } from '../servers/fleet.js'
 import type { Server } from '../servers/server.js'
 import { Suspicion, type SuspectTable } from '../suspects/suspectTable.js'
+import type { RunningShares } from './runningShares.js'
 import type { WaitingJob } from './waitingJob.js'
 import type { WaitingRoom } from './waitingRoom.js'
 
@@ -66,6 +67,7 @@
   readonly placer: Placer
   readonly room: WaitingRoom
   readonly suspects: SuspectTable
+  readonly shares: RunningShares
   /** Sends the job, so that the next one is weighed against what it adds. */
   readonly send: (dispatched: Dispatched, now: number) => void
   readonly quarantine: (entry: WaitingJob) => void
@@ -75,6 +77,8 @@
   readonly entry: WaitingJob
   readonly isLong: boolean
   readonly isSuspect: boolean
+  /** Its account runs more than twice its share. */
+  readonly isHeavy: boolean
   readonly mayHold: boolean
   readonly now: number
 }
@@ -127,11 +131,12 @@
     const { now } = input
     const isLong = this.isLong(entry)
     const mayHold = now < entry.holdUntil
+    const isHeavy = this.options.shares.isHeavy(entry)
     const placement = this.options.placer.place(input.policy, {
       job: entry.job,
       weightsVersion: input.weightsVersionOf(entry.job.model),
       failedAt: entry.failedAt,
-      isOpen: server => this.isOpen(server, { entry, isLong, isSuspect, mayHold, now }),
+      isOpen: server => this.isOpen(server, { entry, isLong, isSuspect, isHeavy, mayHold, now }),
       mayHold,
       serviceMs: input.serviceMs,
       now
@@ -163,14 +168,27 @@
     return this.meanCost.samples > 0 && cost > LONG_FACTOR * this.meanCost.value
   }
 
-  private isOpen (server: Server, { entry, isLong, isSuspect, mayHold, now }: OpenInput): boolean {
-    const isReserved = entry.job.priority !== PriorityClass.Priority && this.hasPriorityWork(now)
-    const room = isReserved ? server.unreservedRoom(now) : server.room(now)
-    return server.load.occupancy(now) < room * (mayHold ? 1 : OVERCOMMIT) &&
+  private isOpen (server: Server, input: OpenInput): boolean {
+    const { isLong, isSuspect, now } = input
+    return server.load.occupancy(now) < this.roomAt(server, input) &&
       !(isLong && server.longRunning >= server.longRoom()) &&
       !(isSuspect && server.suspectsRunning > 0)
   }
 
+  private roomAt (server: Server, { entry, isHeavy, mayHold, now }: OpenInput): number {
+    if (entry.job.priority === PriorityClass.Priority) {
+      // The engine takes it before all that waits there.
+      return server.room(now) * OVERCOMMIT
+    }
+    if (isHeavy) {
+      return server.roomForHeavy(now)
+    }
+    if (this.hasPriorityWork(now)) {
+      return server.roomBesidePriority(now)
+    }
+    return server.room(now) * (mayHold ? 1 : OVERCOMMIT)
+  }
+
   /** Whether a request of the priority class came within the last seconds. */
   private hasPriorityWork (now: number): boolean {
     return this.priorityWork.value(now) * PRIORITY_FADE_MS > Math.exp(-1)
--- a/packages/foxtaillever-policy/src/placement/prefixTable.ts
+++ b/packages/foxtaillever-policy/src/placement/prefixTable.ts
@@ -158,6 +158,8 @@
   }
 
   private homeHitAt (depth: number): MovingMean {
-    return this.homeHitByDepth[depth] ??= MovingMean.create(HOME_HIT_PRIOR, DEPTH_GAIN)
+    const known = this.homeHitByDepth[depth] ?? MovingMean.create(HOME_HIT_PRIOR, DEPTH_GAIN)
+    this.homeHitByDepth[depth] = known
+    return known
   }
 }
--- a/packages/foxtaillever-policy/src/scheduler.ts
+++ b/packages/foxtaillever-policy/src/scheduler.ts
@@ -74,6 +74,7 @@
       placer,
       room,
       suspects,
+      shares: attempts.shares,
       send: (dispatched, now) => this.send(dispatched, now),
       quarantine: entry => this.refuseWaiting(entry, this.intake.quarantineOf(entry.job))
     })
--- a/packages/foxtaillever-policy/src/servers/server.ts
+++ b/packages/foxtaillever-policy/src/servers/server.ts
@@ -18,7 +18,10 @@
 const LONG_SHARE = 0.75
 
 /** Share of the slots kept for priority work while there is any. */
-const RESERVED_SHARE = 0.125
+const PRIORITY_SHARE = 0.125
+
+/** Share of the slots kept from accounts that run more than twice their share. */
+const LIGHT_SHARE = 0.375
 
 /** One request without its first token yet. */
 export interface PendingAnswer {
@@ -26,6 +29,11 @@
   readonly expectedMs: number
 }
 
+/** The room without the share, but never nothing. */
+function keepFree (room: number, share: number): number {
+  return Math.max(1, room - Math.ceil(room * share))
+}
+
 export class Server {
   readonly hash: number
   readonly load = ServerLoad.create()
@@ -92,9 +100,13 @@
   }
 
   /** Room for work that is not of the priority class while there is such. */
-  unreservedRoom (now: number): number {
-    const room = this.room(now)
-    return room > 1 ? room - Math.ceil(room * RESERVED_SHARE) : room
+  roomBesidePriority (now: number): number {
+    return keepFree(this.room(now), PRIORITY_SHARE)
+  }
+
+  /** Room for accounts that run more than twice their share. */
+  roomForHeavy (now: number): number {
+    return keepFree(this.room(now), LIGHT_SHARE)
   }
 
   longRoom (): number {
