Load settings and configuration, and say how to mend them

Operators could not drive the system without files that are checked before they do harm.

Publishing a file keeps the preset in force and drained servers unless the file names them: otherwise a colleague's publication would undo a switch that nobody asked to undo.

--- /dev/null
+++ b/packages/foxtaillever-settings/src/configuration/loadConfigurationFile.ts
@@ -0,0 +1,49 @@
+/**
+ * Loads the operators' configuration file.
+ */
+import { AdministrativeState, emptyConfiguration, PresetName, type Configuration } from 'foxtaillever-core'
+import * as R from 'fp-ts/lib/Record.js'
+import { pipe } from 'fp-ts/lib/function.js'
+import type { Either } from 'purify-ts'
+import type { Complaint } from '../complaint.js'
+import { loadDocument, parseDocument, type DocumentKind } from '../document/loadDocument.js'
+import { checkConfigurationFile } from './checkConfigurationFile.js'
+import { configurationSchema, type ConfigurationFile } from './configurationSchema.js'
+
+const kind: DocumentKind<ConfigurationFile> = { schema: configurationSchema, check: checkConfigurationFile }
+
+export async function loadConfigurationFile (file: string): Promise<Either<readonly Complaint[], ConfigurationFile>> {
+  return await loadDocument(kind, file)
+}
+
+/** The same from a text, for tools that hold no file. */
+export function parseConfigurationFile (file: string, text: string): Either<readonly Complaint[], ConfigurationFile> {
+  return parseDocument(kind, file, text)
+}
+
+function named<Entry> (entries: Readonly<Record<string, Entry>>): Record<string, Entry & { readonly name: string }> {
+  return pipe(entries, R.mapWithIndex((name, entry) => ({ name, ...entry })))
+}
+
+/**
+ * The configuration that publishing the file over another one would give. What
+ * operators set by commands (preset in force, drained servers) is kept unless
+ * the file says otherwise, so that publishing a file never undoes a switch.
+ */
+export function createConfiguration (file: ConfigurationFile, current: Configuration = emptyConfiguration): Configuration {
+  const state = (name: string): AdministrativeState => current.servers[name]?.state ?? AdministrativeState.InService
+  const preset = <Name extends PresetName>(name: Name): Configuration['presets'][Name] => ({ name, ...file.presets[name] })
+  return {
+    revision: current.revision,
+    accounts: named(file.accounts),
+    servers: pipe(named(file.servers), R.map(server => ({ ...server, state: server.state ?? state(server.name) }))),
+    models: named(file.models),
+    services: named(file.services),
+    presets: {
+      [PresetName.OrdinaryDays]: preset(PresetName.OrdinaryDays),
+      [PresetName.Peaks]: preset(PresetName.Peaks),
+      [PresetName.Maintenance]: preset(PresetName.Maintenance)
+    },
+    presetInForce: file.presetInForce ?? current.presetInForce
+  }
+}
