--- a/packages/foxtaillever-fleet/src/configuration/change.ts
+++ b/packages/foxtaillever-fleet/src/configuration/change.ts
@@ -1,7 +1,8 @@
 /**
  * Typed changes of configuration, as they stand in the log.
  */
-import type { BackendServer, ClientAccount, Configuration, Model, PlainService, Preset, PresetName } from 'foxtaillever-core'
+import { PresetName, type BackendServer, type ClientAccount, type Configuration, type Model, type PlainService, type Preset } from 'foxtaillever-core'
+import type { AcceptedRevision } from './foldedConfiguration.js'
 
 export enum ChangeKind {
   PutAccount = 'put-account',
@@ -39,6 +40,10 @@
 /** Body of a snapshot record: the whole configuration, revision included. */
 export interface SnapshotRecord {
   readonly configuration: Configuration
+  /** Every record up to this offset is folded in; later ones must be folded on top. */
+  readonly offset?: number
+  readonly digest?: string
+  readonly history?: readonly AcceptedRevision[]
 }
 
 function without<Entry> (entries: Readonly<Record<string, Entry>>, name: string): Readonly<Record<string, Entry>> {
@@ -61,6 +66,36 @@
   [ChangeKind.SwitchPreset]: (configuration, { name }) => ({ ...configuration, presetInForce: name })
 }
 
+/** What a change has to name before it is applied; checked alike by every reader. */
+const subjects: Record<ChangeKind, (change: Change) => unknown> = {
+  [ChangeKind.PutAccount]: change => (change as { account?: ClientAccount }).account?.name,
+  [ChangeKind.RemoveAccount]: change => (change as { name?: string }).name,
+  [ChangeKind.PutServer]: change => (change as { server?: BackendServer }).server?.name,
+  [ChangeKind.RemoveServer]: change => (change as { name?: string }).name,
+  [ChangeKind.PutModel]: change => (change as { model?: Model }).model?.name,
+  [ChangeKind.RemoveModel]: change => (change as { name?: string }).name,
+  [ChangeKind.PutService]: change => (change as { service?: PlainService }).service?.name,
+  [ChangeKind.RemoveService]: change => (change as { name?: string }).name,
+  [ChangeKind.PutPreset]: change => (change as { preset?: Preset }).preset?.name,
+  [ChangeKind.SwitchPreset]: change => (change as { name?: string }).name
+}
+
+const presetKinds: ReadonlySet<string> = new Set([ChangeKind.PutPreset, ChangeKind.SwitchPreset])
+const presetNames: ReadonlySet<unknown> = new Set(Object.values(PresetName))
+
+/**
+ * Whether a change can be applied at all. A record that names no such kind,
+ * entry or preset would leave every instance without a preset in force at the
+ * same moment; it is refused by all of them instead.
+ */
+export function isApplicable (change: Change): boolean {
+  const subject = subjects[change?.kind]?.(change)
+  if (typeof subject !== 'string' || subject === '') {
+    return false
+  }
+  return !presetKinds.has(change.kind) || presetNames.has(subject)
+}
+
 export function applyChange (configuration: Configuration, change: Change): Configuration {
   const handler = handlers[change.kind] as (configuration: Configuration, change: Change) => Configuration
   return handler(configuration, change)
--- a/packages/foxtaillever-fleet/src/configuration/foldConfiguration.ts
+++ b/packages/foxtaillever-fleet/src/configuration/foldConfiguration.ts
@@ -4,12 +4,12 @@
  * between instances, without any vote of ours.
  */
 import { RecordKind, type Configuration, type LogRecord } from 'foxtaillever-core'
-import { applyChange, type ConfigurationRecord, type SnapshotRecord } from './change.js'
+import { applyChange, isApplicable, type ConfigurationRecord, type SnapshotRecord } from './change.js'
 
 /** What became of one record. */
 export enum FoldOutcome {
   Accepted = 'accepted',
-  /** It builds on a revision that was no longer in force: another operator was first. */
+  /** It builds on a revision that was no longer in force (another operator was first), or cannot be applied. */
   Refused = 'refused',
   /** Not a configuration record, or one already covered. */
   Passed = 'passed'
@@ -22,7 +22,10 @@
 
 function foldChanges (configuration: Configuration, record: LogRecord): FoldStep {
   const body = record.body as ConfigurationRecord
-  if (body.base !== configuration.revision) {
+  if (body?.base !== configuration.revision) {
+    return { configuration, outcome: FoldOutcome.Refused }
+  }
+  if (!Array.isArray(body.changes) || !body.changes.every(isApplicable)) {
     return { configuration, outcome: FoldOutcome.Refused }
   }
   const changed = body.changes.reduce(applyChange, configuration)
@@ -31,7 +34,7 @@
 
 function foldSnapshot (configuration: Configuration, record: LogRecord): FoldStep {
   const body = record.body as SnapshotRecord
-  if (body.configuration.revision <= configuration.revision) {
+  if (!(body?.configuration?.revision > configuration.revision)) {
     return { configuration, outcome: FoldOutcome.Passed }
   }
   return { configuration: body.configuration, outcome: FoldOutcome.Accepted }
--- a/packages/foxtaillever-fleet/src/index.ts
+++ b/packages/foxtaillever-fleet/src/index.ts
@@ -1,4 +1,10 @@
 /** Public surface of what instances share. */
 export * from './configuration/change.js'
+export * from './configuration/configurationStore.js'
+export * from './configuration/digest.js'
 export * from './configuration/foldConfiguration.js'
+export * from './configuration/foldedConfiguration.js'
+export * from './configuration/publisher.js'
+export * from './configuration/snapshotWriter.js'
 export * from './log/logReader.js'
+export * from './membership/home.js'
