Add the control protocol between operators and entry instances

Operators need one typed way to publish, look and ask why. The router of procedures stands over an interface that the instance implements; every error that crosses the wire carries a verdict, and a publication whose answer is lost is told as "may have run", never as refused. Tokens are compared by digest, in constant time, against every entry.

The package speaks of the changes and publications that fleet defines, so the lint table now lets control import fleet; fleet still may not import control.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,7 +11,8 @@
   'foxtaillever-policy': [...network, ...above, 'foxtaillever-fleet', 'foxtaillever-settings', 'foxtaillever-control', 'foxtaillever-testing', 'node:timers', 'node:crypto'],
   'foxtaillever-fleet': [...above, 'foxtaillever-policy', 'foxtaillever-settings', 'foxtaillever-control', 'foxtaillever-testing'],
   'foxtaillever-settings': [...above, 'foxtaillever-policy', 'foxtaillever-fleet', 'foxtaillever-control', 'foxtaillever-testing'],
-  'foxtaillever-control': [...above, 'foxtaillever-policy', 'foxtaillever-fleet', 'foxtaillever-testing'],
+  // The control protocol speaks of the changes and publications that fleet defines.
+  'foxtaillever-control': [...above, 'foxtaillever-policy', 'foxtaillever-testing'],
   'foxtaillever-router': ['foxtaillever', 'foxtaillever-load', 'foxtaillever-standins', 'foxtaillever-testing'],
   'foxtaillever-standins': ['foxtaillever', 'foxtaillever-router', 'foxtaillever-load', 'foxtaillever-policy', 'foxtaillever-fleet', 'foxtaillever-testing'],
   foxtaillever: ['foxtaillever-router', 'foxtaillever-standins', 'foxtaillever-load', 'foxtaillever-testing']
--- /dev/null
+++ b/packages/foxtaillever-control/src/__fixtures__/fakeControl.ts
@@ -0,0 +1,106 @@
+/**
+ * A control over a configuration in memory, for tests of what stands on either
+ * side of the protocol. Publications are folded as the log's records are.
+ */
+import type { AddressInfo } from 'node:net'
+import { createHash } from 'node:crypto'
+import { emptyConfiguration, Failure, FailureCode, RecordKind, SystemClock, type Configuration } from 'foxtaillever-core'
+import { digestOf, foldConfiguration, FoldOutcome, PublicationOutcome, type AcceptedRevision, type Publication, type PublicationOrder } from 'foxtaillever-fleet'
+import { Left, Right, type Either } from 'purify-ts'
+import type { Control } from '../protocol/control.js'
+import { createFigures, type Figures } from '../protocol/figures.js'
+import { OrderState, type OrderProgress, type ServerOrder } from '../protocol/orders.js'
+import { MemberState, type AccountView, type ConfigurationView, type Dump, type Explanation, type MemberView, type ServerView } from '../protocol/views.js'
+import { createControlServer } from '../server/createControlServer.js'
+import { Operators } from '../server/operators.js'
+
+export class FakeControl implements Control {
+  folded: Configuration = emptyConfiguration
+  history: AcceptedRevision[] = []
+  memberViews: readonly MemberView[] = []
+  explanations = new Map<string, Explanation>()
+  accountFigures = new Map<string, Figures>()
+  given: OrderProgress[] = []
+
+  private constructor (readonly name: string) {}
+
+  static create (name: string): FakeControl {
+    return new FakeControl(name)
+  }
+
+  configuration (): Either<Failure, ConfigurationView> {
+    return Right({ configuration: this.folded, offset: this.folded.revision, digest: digestOf(this.folded), history: this.history })
+  }
+
+  async publish ({ base, author, changes }: PublicationOrder): Promise<Either<Failure, Publication>> {
+    const offset = this.folded.revision + 1
+    const step = foldConfiguration(this.folded, { id: String(offset), kind: RecordKind.Configuration, writtenAt: 0, appendedAt: 0, offset, body: { base, author, changes } })
+    const accepted = step.outcome === FoldOutcome.Accepted
+    this.folded = step.configuration
+    if (accepted) {
+      this.history.push({ revision: offset, author, id: String(offset) })
+    }
+    return Right({
+      outcome: accepted ? PublicationOutcome.Accepted : PublicationOutcome.Refused,
+      id: String(offset),
+      revision: this.folded.revision,
+      author: this.history.at(-1)?.author ?? '',
+      message: accepted ? `Revision ${offset} is accepted.` : 'Another change was first.'
+    })
+  }
+
+  members (): readonly MemberView[] {
+    return this.memberViews
+  }
+
+  servers (): readonly ServerView[] {
+    return Object.values(this.folded.servers).map(({ name, kind, failureDomain, address, state, slots }) =>
+      ({ name, kind, failureDomain, address, state, slots, ready: true, reason: '', running: 0, incarnation: '', weightsVersion: '', share: 1 }))
+  }
+
+  accounts (): readonly AccountView[] {
+    return Object.values(this.folded.accounts).map(({ name, priority, weight, tokensPerSecond, concurrentRequests }) =>
+      ({ name, priority, weight, waiting: 0, running: 0, tokensPerSecondLimit: tokensPerSecond, concurrentRequestsLimit: concurrentRequests }))
+  }
+
+  figures (account?: string): Either<Failure, Figures> {
+    return Right(this.accountFigures.get(account ?? '') ?? createFigures(0, 0))
+  }
+
+  async giveOrder (order: ServerOrder): Promise<Either<Failure, OrderProgress>> {
+    const progress = { id: String(this.given.length + 1), order, state: OrderState.Waiting, changedAt: 0, message: 'Waits for the lease.' }
+    this.given.push(progress)
+    return Right(progress)
+  }
+
+  orders (): readonly OrderProgress[] {
+    return this.given
+  }
+
+  dump (): Dump {
+    return { name: this.name, failureDomain: 'recife', takenAt: 0, parts: { configuration: { revision: this.folded.revision } }, leftOut: {} }
+  }
+
+  explain (requestId: string): Either<Failure, Explanation> {
+    const explanation = this.explanations.get(requestId)
+    return explanation ? Right(explanation) : Left(Failure.notRun(FailureCode.BadRequest, 'This instance has no record of the request.'))
+  }
+}
+
+export interface ServedControl {
+  readonly address: string
+  readonly close: () => void
+}
+
+/** Serves on a port of the system's choice to operators by name and token. */
+export async function serveControl (control: Control, tokens: Readonly<Record<string, string>>): Promise<ServedControl> {
+  const operators = Object.entries(tokens).map(([name, token]) => ({ name, tokenDigests: [createHash('sha256').update(token).digest('hex')] }))
+  const server = createControlServer(control, SystemClock.create(), Operators.create(operators))
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  const address = `127.0.0.1:${port}`
+  if (control instanceof FakeControl) {
+    control.memberViews = [...control.memberViews, { name: control.name, failureDomain: 'recife', state: MemberState.Live, controlAddress: address, revision: control.folded.revision, heardAt: 0 }]
+  }
+  return { address, close: () => { server.close(); server.closeAllConnections() } }
+}
--- a/packages/foxtaillever-control/src/index.ts
+++ b/packages/foxtaillever-control/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+/** Public surface of the control protocol. */
+export * from './client/controlClient.js'
+export * from './configuration/compareConfigurations.js'
+export * from './configuration/describeChanges.js'
+export * from './protocol/control.js'
+export * from './protocol/figures.js'
+export * from './protocol/orders.js'
+export * from './protocol/views.js'
+export * from './server/controlRouter.js'
+export * from './server/createControlServer.js'
+export * from './server/operators.js'
--- /dev/null
+++ b/packages/foxtaillever-control/src/protocol/orders.ts
@@ -0,0 +1,36 @@
+/**
+ * Orders to backend servers: each names a wanted state, which is observed and
+ * corrected until it holds.
+ */
+export enum OrderKind {
+  LoadWeights = 'load-weights',
+  LoadAdapter = 'load-adapter',
+  SetVersion = 'set-version',
+  SetRole = 'set-role'
+}
+
+export interface ServerOrder {
+  readonly kind: OrderKind
+  readonly server: string
+  readonly model: string
+  /** The version, adapter or role that is wanted. */
+  readonly value: string
+}
+
+export enum OrderState {
+  /** Waits for the lease or for the weight store. */
+  Waiting = 'waiting',
+  Sent = 'sent',
+  /** The backend server was seen in the wanted state. */
+  Done = 'done',
+  Failed = 'failed'
+}
+
+export interface OrderProgress {
+  readonly id: string
+  readonly order: ServerOrder
+  readonly state: OrderState
+  /** Milliseconds of Unix time. */
+  readonly changedAt: number
+  readonly message: string
+}
--- /dev/null
+++ b/packages/foxtaillever-control/src/server/createControlServer.ts
@@ -0,0 +1,20 @@
+/**
+ * An HTTP server of the control procedures, for instances and tests.
+ */
+import type { Server } from 'node:http'
+import { createHTTPServer } from '@trpc/server/adapters/standalone'
+import type { Clock } from 'foxtaillever-core'
+import type { Control } from '../protocol/control.js'
+import { controlRouter, createControlContext } from './controlRouter.js'
+import type { Operators } from './operators.js'
+
+/** Ten thousand changes of a few hundred bytes fit. */
+const BODY_BYTES = 8 * 1024 * 1024
+
+export function createControlServer (control: Control, clock: Clock, operators: Operators): Server {
+  return createHTTPServer({
+    router: controlRouter,
+    maxBodySize: BODY_BYTES,
+    createContext: ({ req }) => createControlContext(control, clock, operators, req.headers.authorization)
+  }) as Server
+}
