--- /dev/null
+++ b/packages/foxtaillever-fleet/src/membership/datagrams.ts
@@ -0,0 +1,65 @@
+/**
+ * The narrow interface to datagrams between instances, and its UDP side.
+ */
+import { createSocket, type Socket } from 'node:dgram'
+
+export type DatagramListener = (bytes: Uint8Array) => void
+
+/** Sends and receives whole datagrams; any of them may be lost. */
+export interface Datagrams {
+  /** Starts to receive. */
+  open: (listener: DatagramListener) => Promise<void>
+  /** @param address IP number and port. */
+  send: (address: string, bytes: Uint8Array) => void
+  close: () => Promise<void>
+}
+
+/** An address as the socket wants it. */
+export function parseAddress (address: string): { readonly host: string, readonly port: number } {
+  const colon = address.lastIndexOf(':')
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
+}
+
+export class UdpDatagrams implements Datagrams {
+  private closed = false
+
+  private constructor (private readonly socket: Socket, private readonly host: string, private readonly port: number) {}
+
+  /** @param address IP number and port; port 0 lets the system choose. */
+  static create (address: string): UdpDatagrams {
+    const { host, port } = parseAddress(address)
+    return new UdpDatagrams(createSocket('udp4'), host, port)
+  }
+
+  async open (listener: DatagramListener): Promise<void> {
+    this.socket.on('message', listener)
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject)
+      this.socket.bind(this.port, this.host, () => {
+        this.socket.off('error', reject)
+        this.socket.on('error', () => {})
+        resolve()
+      })
+    })
+  }
+
+  /** IP number and port in use, once open. */
+  address (): string {
+    const { address, port } = this.socket.address()
+    return `${address}:${port}`
+  }
+
+  send (address: string, bytes: Uint8Array): void {
+    if (this.closed) {
+      return
+    }
+    const { host, port } = parseAddress(address)
+    // A datagram that cannot be sent is as good as lost; the next tick sends again.
+    this.socket.send(bytes, port, host, () => {})
+  }
+
+  async close (): Promise<void> {
+    this.closed = true
+    await new Promise<void>(resolve => this.socket.close(() => resolve()))
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-fleet/src/membership/messenger.ts
@@ -0,0 +1,120 @@
+/**
+ * Sends and receives messages between instances: encodes, signs, numbers,
+ * verifies and counts them. What is forged, repeated or malformed ends here.
+ */
+import type { Clock } from 'foxtaillever-core'
+import type { ConfigurationStore } from '../configuration/configurationStore.js'
+import { Permission, type KeyRing } from '../security/keyRing.js'
+import { Admission, ReplayGuard } from '../security/replayGuard.js'
+import { open, seal } from '../security/seal.js'
+import type { Datagrams } from './datagrams.js'
+import { decodeMessage, encodeMessage, type Message } from './message.js'
+import type { ConfigurationPosition } from './member.js'
+import type { MemberTable } from './memberTable.js'
+import type { Self } from './self.js'
+
+/** Bytes of IPv4 and UDP headers, counted with each datagram. */
+export const HEADER_BYTES = 28
+
+/** Digits of the configuration's digest that each message carries; enough to show a fault. */
+const POSITION_DIGITS = 8
+
+/** What differs from message to message. */
+export type Content = Pick<Message, 'kind'> & Partial<Pick<Message, 'probe' | 'about' | 'entries' | 'facts'>>
+
+export type MessageListener = (message: Message) => void
+
+type AdmissionListeners = Partial<Record<Admission, MessageListener>>
+
+export interface Traffic {
+  sentMessages: number
+  sentBytes: number
+  receivedMessages: number
+  receivedBytes: number
+  /** Messages with a wrong signature, an unknown key or a broken form. */
+  forged: number
+  /** Messages seen before or too old. */
+  replayed: number
+}
+
+export interface MessengerParts {
+  readonly self: Self
+  readonly table: MemberTable
+  readonly store: ConfigurationStore
+  readonly keys: KeyRing
+  readonly clock: Clock
+  readonly datagrams: Datagrams
+}
+
+export class Messenger {
+  readonly traffic: Traffic = { sentMessages: 0, sentBytes: 0, receivedMessages: 0, receivedBytes: 0, forged: 0, replayed: 0 }
+  private readonly guard = ReplayGuard.create()
+
+  private constructor (private readonly parts: MessengerParts) {}
+
+  static create (parts: MessengerParts): Messenger {
+    return new Messenger(parts)
+  }
+
+  /** @param superseded gets messages of processes whose name a later one bears. */
+  async open (listener: MessageListener, superseded: MessageListener): Promise<void> {
+    const listeners: Partial<Record<Admission, MessageListener>> = {
+      [Admission.New]: listener,
+      [Admission.Superseded]: superseded
+    }
+    await this.parts.datagrams.open(bytes => this.receive(bytes, listeners))
+  }
+
+  async close (): Promise<void> {
+    await this.parts.datagrams.close()
+  }
+
+  send (address: string, content: Content): void {
+    const { self, table, clock, keys, datagrams } = this.parts
+    const { name, incarnation } = self.entry()
+    const message: Message = {
+      sender: name,
+      incarnation,
+      sequence: self.nextSequence(),
+      sentAt: Math.floor(clock.now()),
+      position: this.position(),
+      tableDigest: table.digest(),
+      probe: 0,
+      about: '',
+      entries: [],
+      facts: [],
+      ...content
+    }
+    const sealed = seal(keys, Permission.Join, encodeMessage(message))
+    this.traffic.sentMessages += 1
+    this.traffic.sentBytes += sealed.length + HEADER_BYTES
+    datagrams.send(address, sealed)
+  }
+
+  /** Run each tick. */
+  tick (): void {
+    this.guard.expire(this.parts.clock.now())
+  }
+
+  private position (): ConfigurationPosition {
+    const { configuration, offset, digest } = this.parts.store.current()
+    return { revision: configuration.revision, offset, digest: digest.slice(0, POSITION_DIGITS) }
+  }
+
+  private receive (bytes: Uint8Array, listeners: AdmissionListeners): void {
+    this.traffic.receivedMessages += 1
+    this.traffic.receivedBytes += bytes.length + HEADER_BYTES
+    open(this.parts.keys, Permission.Join, bytes).chain(decodeMessage).caseOf({
+      Nothing: () => { this.traffic.forged += 1 },
+      Just: message => this.admit(message, listeners)
+    })
+  }
+
+  private admit (message: Message, listeners: AdmissionListeners): void {
+    const admission = this.guard.admit(message, this.parts.clock.now())
+    if (admission !== Admission.New) {
+      this.traffic.replayed += 1
+    }
+    listeners[admission]?.(message)
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-fleet/src/membership/seedSystem.ts
@@ -0,0 +1,81 @@
+/**
+ * Finds members that this instance does not know, or believes to be gone: the
+ * addresses of its settings, the platform's list of instances and members
+ * called dead. By this a new instance joins, and halves of the fleet that
+ * called each other dead find each other again when the network heals.
+ */
+import { ListedKind, ListedState, type Clock, type InstanceList } from 'foxtaillever-core'
+import type { Membership } from './membership.js'
+import { MessageKind } from './message.js'
+import { MemberState } from './member.js'
+
+/** How often the platform's list is read, milliseconds; it lags by seconds itself. */
+const LIST_MS = 5000
+
+/** How often unknown addresses are tried, milliseconds. */
+const TRY_MS = 2000
+
+/** Addresses tried at once. */
+const TRIES = 3
+
+/** The dead that are tried each tick, so that a healed half is back within seconds. */
+const DEAD_TRIES = 1
+
+export class SeedSystem {
+  private listed: readonly string[] = []
+  /** Milliseconds of Unix time. */
+  private listAt = 0
+  private tryAt = 0
+
+  private constructor (
+    private readonly membership: Membership,
+    private readonly seeds: readonly string[],
+    private readonly instances: InstanceList,
+    private readonly clock: Clock
+  ) {}
+
+  static create (membership: Membership, seeds: readonly string[], instances: InstanceList, clock: Clock): SeedSystem {
+    return new SeedSystem(membership, seeds, instances, clock)
+  }
+
+  /** Run each tick. */
+  tick (): void {
+    const now = this.clock.now()
+    if (now >= this.listAt) {
+      this.listAt = now + LIST_MS
+      this.readList().catch(() => {})
+    }
+    if (now >= this.tryAt) {
+      this.tryAt = now + TRY_MS
+      this.probeAddresses(this.membership.pick(this.unknownAddresses(), TRIES))
+    }
+    this.probeAddresses(this.membership.pick(this.deadAddresses(), DEAD_TRIES))
+  }
+
+  private async readList (): Promise<void> {
+    const answer = await this.instances.list()
+    answer.ifRight(listed => {
+      this.listed = listed
+        .filter(({ kind, state }) => kind === ListedKind.EntryInstance && state === ListedState.Live)
+        .map(({ address }) => address)
+    })
+  }
+
+  private unknownAddresses (): readonly string[] {
+    const known = new Set(this.membership.table.all().map(member => member.address))
+    return [...new Set([...this.seeds, ...this.listed])].filter(address => !known.has(address))
+  }
+
+  private deadAddresses (): readonly string[] {
+    return this.membership.table.all()
+      .filter(member => member.state === MemberState.Dead)
+      .map(member => member.address)
+  }
+
+  private probeAddresses (addresses: readonly string[]): void {
+    const byAddress = new Map(this.membership.table.all().map(member => [member.address, member.name]))
+    for (const address of addresses) {
+      this.membership.messenger.send(address, { kind: MessageKind.Probe, entries: this.membership.newsFor(byAddress.get(address)) })
+    }
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-fleet/src/membership/syncSystem.ts
@@ -0,0 +1,60 @@
+/**
+ * Compares tables of members. Each message carries a hash of who lives in its
+ * sender's eyes; while hashes keep differing, the whole table is fetched from
+ * one that differs. Without this, news that got lost would leave two instances
+ * computing different homes for good.
+ */
+import type { Membership } from './membership.js'
+import type { Message } from './message.js'
+import type { Peers } from './peers.js'
+
+/** How long hashes may differ while news is on its way, milliseconds. */
+const PATIENCE_MS = 3000
+
+/** Random part of the patience, milliseconds, so that a fleet does not fetch all at once. */
+const SPREAD_MS = 2000
+
+export class SyncSystem {
+  /** When to fetch if hashes still differ, milliseconds of Unix time. */
+  private deadline = 0
+  private busy = false
+  private fetched = 0
+
+  private constructor (private readonly membership: Membership, private readonly peers: Peers) {}
+
+  static create (membership: Membership, peers: Peers): SyncSystem {
+    return new SyncSystem(membership, peers)
+  }
+
+  fetchCount (): number {
+    return this.fetched
+  }
+
+  /** Looks at the hash in each message. */
+  receive (message: Message): void {
+    const now = this.membership.clock.now()
+    if (message.tableDigest === this.membership.table.digest()) {
+      this.postpone(now)
+      return
+    }
+    const sender = this.membership.table.get(message.sender)
+    if (now >= this.deadline && !this.busy && sender !== undefined) {
+      this.fetch(sender.controlAddress).catch(() => {})
+    }
+  }
+
+  private postpone (now: number): void {
+    this.deadline = now + PATIENCE_MS + this.membership.random.below(SPREAD_MS)
+  }
+
+  private async fetch (address: string): Promise<void> {
+    this.busy = true
+    const answer = await this.peers.members(address)
+    this.busy = false
+    this.postpone(this.membership.clock.now())
+    answer.ifRight(entries => {
+      this.fetched += 1
+      entries.forEach(entry => this.membership.learn(entry, false))
+    })
+  }
+}
