Add the operators' command line

Operators drive the system by publishing configuration and switching presets, and need to see what it did. One command a file; tables for people, JSON with sorted keys for scripts, an exit code for each outcome, and a confirmation where traffic moves. A call passes to the next address only when the first one proved that it did not run. Tokens come from a variable or a file, never from the command line, which other users of the machine can read.

--- a/packages/foxtaillever-control/src/__fixtures__/fakeControl.ts
+++ b/packages/foxtaillever-control/src/__fixtures__/fakeControl.ts
@@ -5,12 +5,12 @@
 import type { AddressInfo } from 'node:net'
 import { createHash } from 'node:crypto'
 import { emptyConfiguration, Failure, FailureCode, RecordKind, SystemClock, type Configuration } from 'foxtaillever-core'
-import { digestOf, foldConfiguration, FoldOutcome, PublicationOutcome, type AcceptedRevision, type Publication, type PublicationOrder } from 'foxtaillever-fleet'
+import { digestOf, foldConfiguration, FoldOutcome, PublicationOutcome, type AcceptedRevision, type InForce, type Publication, type PublicationOrder } from 'foxtaillever-fleet'
 import { Left, Right, type Either } from 'purify-ts'
 import type { Control } from '../protocol/control.js'
 import { createFigures, type Figures } from '../protocol/figures.js'
 import { OrderState, type OrderProgress, type ServerOrder } from '../protocol/orders.js'
-import { MemberState, type AccountView, type ConfigurationView, type Dump, type Explanation, type MemberView, type ServerView } from '../protocol/views.js'
+import { MemberCondition, type AccountView, type ConfigurationView, type Dump, type Explanation, type MemberView, type ServerView } from '../protocol/views.js'
 import { createControlServer } from '../server/createControlServer.js'
 import { Operators } from '../server/operators.js'
 
@@ -21,6 +21,7 @@
   explanations = new Map<string, Explanation>()
   accountFigures = new Map<string, Figures>()
   given: OrderProgress[] = []
+  lagging: readonly string[] = []
 
   private constructor (readonly name: string) {}
 
@@ -49,6 +50,10 @@
     })
   }
 
+  async waitInForce (revision: number): Promise<InForce> {
+    return { revision, live: this.memberViews.length, inForce: this.memberViews.length - this.lagging.length, missing: this.lagging }
+  }
+
   members (): readonly MemberView[] {
     return this.memberViews
   }
@@ -100,7 +105,7 @@
   const { port } = server.address() as AddressInfo
   const address = `127.0.0.1:${port}`
   if (control instanceof FakeControl) {
-    control.memberViews = [...control.memberViews, { name: control.name, failureDomain: 'recife', state: MemberState.Live, controlAddress: address, revision: control.folded.revision, heardAt: 0 }]
+    control.memberViews = [...control.memberViews, { name: control.name, failureDomain: 'recife', state: MemberCondition.Live, controlAddress: address, revision: control.folded.revision, heardAt: 0 }]
   }
   return { address, close: () => { server.close(); server.closeAllConnections() } }
 }
--- a/packages/foxtaillever-control/src/client/controlClient.ts
+++ b/packages/foxtaillever-control/src/client/controlClient.ts
@@ -5,7 +5,7 @@
  */
 import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from '@trpc/client'
 import { Failure, FailureCode, Verdict } from 'foxtaillever-core'
-import type { Change, Publication } from 'foxtaillever-fleet'
+import type { Change, InForce, Publication } from 'foxtaillever-fleet'
 import { EitherAsync, type Either } from 'purify-ts'
 import type { Figures } from '../protocol/figures.js'
 import type { OrderProgress, ServerOrder } from '../protocol/orders.js'
@@ -16,8 +16,8 @@
 /** An instance that is there answers a question within this, milliseconds. */
 const ANSWER_TIMEOUT_MS = 5000
 
-/** Added to a publication's own wait for the way there and back, milliseconds. */
-const PUBLICATION_MARGIN_MS = 2000
+/** Added to the wait of a call for the way there and back, milliseconds. */
+const WAIT_MARGIN_MS = 2000
 
 type Result<Value> = Promise<Either<Failure, Value>>
 
@@ -35,7 +35,11 @@
   }
 
   async publish (base: number, changes: readonly Change[], waitMs: number): Result<Publication> {
-    return await this.ask(async options => await this.calls.publish.mutate({ base, changes: [...changes], waitMs }, options), waitMs + PUBLICATION_MARGIN_MS)
+    return await this.ask(async options => await this.calls.publish.mutate({ base, changes: [...changes], waitMs }, options), waitMs + WAIT_MARGIN_MS)
+  }
+
+  async waitInForce (revision: number, waitMs: number): Result<InForce> {
+    return await this.ask(async options => await this.calls.waitInForce.query({ revision, waitMs }, options), waitMs + WAIT_MARGIN_MS)
   }
 
   async members (): Result<readonly MemberView[]> {
--- a/packages/foxtaillever-control/src/protocol/views.ts
+++ b/packages/foxtaillever-control/src/protocol/views.ts
@@ -13,7 +13,7 @@
   readonly history: readonly AcceptedRevision[]
 }
 
-export enum MemberState {
+export enum MemberCondition {
   Live = 'live',
   Suspect = 'suspect',
   Leaving = 'leaving'
@@ -22,7 +22,7 @@
 export interface MemberView {
   readonly name: string
   readonly failureDomain: string
-  readonly state: MemberState
+  readonly state: MemberCondition
   /** IP number and port for operators. */
   readonly controlAddress: string
   /** Revision of the configuration in force there, as last heard. */
--- a/packages/foxtaillever-control/src/server/controlRouter.ts
+++ b/packages/foxtaillever-control/src/server/controlRouter.ts
@@ -18,8 +18,8 @@
   readonly operator: string
 }
 
-/** A publication may wait this long for the log at most, milliseconds. */
-export const LONGEST_PUBLICATION_MS = 30_000
+/** A call may wait this long for the log or for other instances, milliseconds. */
+export const LONGEST_WAIT_MS = 60_000
 
 /** More changes than a file of the two-year size makes; bounds one record. */
 const MOST_CHANGES = 10_000
@@ -28,7 +28,12 @@
   base: z.number().int().min(0),
   changes: z.array(z.custom<Change>(change => isApplicable(change as Change))).min(1).max(MOST_CHANGES),
   /** Counted from arrival, since operators' clocks are not the instances'. */
-  waitMs: z.number().int().min(1).max(LONGEST_PUBLICATION_MS)
+  waitMs: z.number().int().min(1).max(LONGEST_WAIT_MS)
+})
+
+const wait = z.object({
+  revision: z.number().int().min(0),
+  waitMs: z.number().int().min(1).max(LONGEST_WAIT_MS)
 })
 
 const serverOrder = z.object({
@@ -55,6 +60,7 @@
   configuration: procedure.query(({ ctx }) => orThrow(ctx.control.configuration())),
   publish: procedure.input(publication).mutation(async ({ ctx, input: { base, changes, waitMs } }) =>
     orThrow(await ctx.control.publish({ base, changes, author: ctx.operator, deadline: ctx.clock.now() + waitMs }))),
+  waitInForce: procedure.input(wait).query(async ({ ctx, input: { revision, waitMs } }) => await ctx.control.waitInForce(revision, ctx.clock.now() + waitMs)),
   members: procedure.query(({ ctx }) => ctx.control.members()),
   servers: procedure.query(({ ctx }) => ctx.control.servers()),
   accounts: procedure.query(({ ctx }) => ctx.control.accounts()),
--- /dev/null
+++ b/packages/foxtaillever/src/completion/completeWords.ts
@@ -0,0 +1,26 @@
+/**
+ * What may stand next on the command line, from the commands themselves.
+ */
+import type { Definition } from 'clipanion'
+
+function pathOf ({ path }: Definition): readonly string[] {
+  return path.split(' ').slice(1)
+}
+
+function startsWith (path: readonly string[], words: readonly string[]): boolean {
+  return words.every((word, index) => path[index] === word)
+}
+
+function optionsOf ({ options }: Definition): readonly string[] {
+  return options.flatMap(({ definition }) => definition.split(/[ ,]/).filter(word => word.startsWith('--')))
+}
+
+/** @param words what is typed after the program's name; the last one is being typed. */
+export function completeWords (definitions: readonly Definition[], words: readonly string[]): readonly string[] {
+  const typed = words.slice(0, -1)
+  const start = words.at(-1) ?? ''
+  const next = definitions.map(pathOf).filter(path => path.length > typed.length && startsWith(path, typed)).flatMap(path => path[typed.length] ?? [])
+  const options = definitions.filter(definition => startsWith(typed, pathOf(definition))).flatMap(optionsOf)
+  const candidates = start.startsWith('-') ? options : next
+  return [...new Set(candidates)].filter(word => word.startsWith(start)).sort()
+}
--- /dev/null
+++ b/packages/foxtaillever/src/connection/connection.ts
@@ -0,0 +1,78 @@
+/**
+ * Which instances a command speaks to, and with which token. Any instance will
+ * do, so several addresses are tried in turn; a call goes to another one only
+ * when the first proved that it did not run.
+ */
+import { readFile } from 'node:fs/promises'
+import { Failure, FailureCode, Verdict } from 'foxtaillever-core'
+import { ControlClient, MemberCondition, type MemberView } from 'foxtaillever-control'
+import { EitherAsync, Left, Right, type Either } from 'purify-ts'
+
+export interface ConnectionOptions {
+  /** From `--address`; undefined when not given. */
+  readonly address: string | undefined
+  /** From `--token-file`; undefined when not given. */
+  readonly tokenFile: string | undefined
+  readonly env: Readonly<Record<string, string | undefined>>
+}
+
+/** One instance's answer, or why there is none. */
+export interface InstanceAnswer<Value> {
+  readonly instance: string
+  readonly answer: Either<Failure, Value>
+}
+
+type Call<Value> = (client: ControlClient) => Promise<Either<Failure, Value>>
+
+async function readToken ({ tokenFile, env }: ConnectionOptions): Promise<Either<Failure, string>> {
+  if (tokenFile === undefined) {
+    const token = env['FOXTAILLEVER_TOKEN']
+    return token ? Right(token) : Left(Failure.notRun(FailureCode.Unauthenticated, 'No token is set.'))
+  }
+  return await EitherAsync(async () => (await readFile(tokenFile, 'utf8')).trim())
+    .mapLeft(() => Failure.notRun(FailureCode.Unauthenticated, `The token file ${tokenFile} cannot be read.`))
+}
+
+export class Connection {
+  private constructor (private readonly addresses: readonly string[], private readonly token: string) {}
+
+  static async create (options: ConnectionOptions): Promise<Either<Failure, Connection>> {
+    const addresses = (options.address ?? options.env['FOXTAILLEVER_ADDRESS'] ?? '').split(/[\s,]+/).filter(address => address !== '')
+    if (addresses.length === 0) {
+      return Left(Failure.notRun(FailureCode.ConnectionRefused, 'No instance is named.'))
+    }
+    const token = await readToken(options)
+    return token.map(text => new Connection(addresses, text))
+  }
+
+  /** Asks the first instance that is there. */
+  async ask<Value> (call: Call<Value>): Promise<Either<Failure, Value>> {
+    let last: Either<Failure, Value> = Left(Failure.notRun(FailureCode.ConnectionRefused, 'No instance is named.'))
+    for (const address of this.addresses) {
+      last = await call(ControlClient.create(address, this.token))
+      if (!mayTryNext(last)) {
+        return last
+      }
+    }
+    return last
+  }
+
+  /** Asks every live instance at once; those that do not answer are told with their failure. */
+  async askAll<Value> (call: Call<Value>): Promise<Either<Failure, ReadonlyArray<InstanceAnswer<Value>>>> {
+    const members = await this.ask(async client => await client.members())
+    return await EitherAsync.liftEither(members)
+      .map(async views => await Promise.all(views.map(async view => await this.askMember(view, call))))
+      .run()
+  }
+
+  private async askMember<Value> ({ name, controlAddress, state }: MemberView, call: Call<Value>): Promise<InstanceAnswer<Value>> {
+    const answer = await call(ControlClient.create(controlAddress, this.token))
+    const instance = state === MemberCondition.Live ? name : `${name} (${state})`
+    return { instance, answer }
+  }
+}
+
+/** Only an instance that was never reached may be passed over. */
+function mayTryNext (answer: Either<Failure, unknown>): boolean {
+  return answer.swap().map(({ code, verdict }) => code === FailureCode.ConnectionRefused && verdict === Verdict.NotRun).orDefault(false)
+}
--- a/packages/foxtaillever/src/index.ts
+++ b/packages/foxtaillever/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+/** Public surface of the command line. */
+export * from './createCli.js'
+export * from './exitCode.js'
--- /dev/null
+++ b/packages/foxtaillever/src/publish/setServerState.ts
@@ -0,0 +1,14 @@
+/**
+ * The change that takes a backend server out of service, or back in.
+ */
+import { Failure, FailureCode, type AdministrativeState, type Configuration } from 'foxtaillever-core'
+import { ChangeKind, type Change } from 'foxtaillever-fleet'
+import { Left, Right, type Either } from 'purify-ts'
+
+export function setServerState ({ servers }: Configuration, name: string, state: AdministrativeState): Either<Failure, readonly Change[]> {
+  const server = servers[name]
+  if (!server) {
+    return Left(Failure.notRun(FailureCode.BadRequest, `There is no backend server "${name}": \`foxtaillever servers\` lists them.`))
+  }
+  return Right(server.state === state ? [] : [{ kind: ChangeKind.PutServer, server: { ...server, state } }])
+}
