Pass plain services' bodies as they came and check their paths

Cause: a body was parsed and written again as JSON, so exports of any other form were refused; and a path such as citations/../exports matched the repeatable lookup while the service would have run the export.

--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -43,7 +43,6 @@
       http: { maxHeaderSize: MAX_HEADER_BYTES }
     })
     this.http.setErrorHandler((error: FastifyError, request, reply) => this.refuse(request, reply, readHttpError(error)))
-    this.http.setNotFoundHandler((request, reply) => this.refuse(request, reply, Failure.notRun(FailureCode.UnknownRoute, 'No such path.')))
     this.addHealth()
     this.addModels()
     this.addCompletions(EnginePath.Completions)
@@ -113,14 +112,19 @@
     this.options.core.submit(submission, responder)
   }
 
+  /** Any path that is not a call of the completions protocol may be a plain service's; its body passes as it came. */
   private addPlainServices (): void {
-    this.http.all('/services/*', async (request, reply) => {
-      const admitted = this.admit(request)
-      const answered = await admitted.caseOf({
-        Left: async failure => this.refuse(request, reply, failure),
-        Right: async ({ account, configuration }) => await this.options.plain.serve({ request, reply, account, configuration })
+    this.http.register(async plain => {
+      plain.removeAllContentTypeParsers()
+      plain.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
+      plain.all('/*', async (request, reply) => {
+        const admitted = this.admit(request)
+        await admitted.caseOf({
+          Left: async failure => this.refuse(request, reply, failure),
+          Right: async ({ account, configuration }) => { await this.options.plain.serve({ request, reply, account, configuration }) }
+        })
+        return reply
       })
-      return answered ?? reply
     })
   }
 
--- a/packages/foxtaillever-router/src/plain/plainRouter.ts
+++ b/packages/foxtaillever-router/src/plain/plainRouter.ts
@@ -5,14 +5,14 @@
  */
 import type { FastifyReply, FastifyRequest } from 'fastify'
 import {
-  Failure, FailureCode, isRepeatable, Verdict,
-  type ClientAccount, type Clock, type Configuration, type PlainService
+  CallerHeader, Failure, FailureCode, isRepeatable,
+  type BackendServer, type ClientAccount, type Clock, type Configuration
 } from 'foxtaillever-core'
-import { Left, Right, type Either } from 'purify-ts'
-import { Pool, type Dispatcher } from 'undici'
-import { isBeforeFirstByte } from '../adapters/isBeforeFirstByte.js'
+import { Left, type Either } from 'purify-ts'
+import { PlainClient, type PlainAnswer, type PlainRequest } from '../adapters/plainClient.js'
 import { failureBody, failureHeaders } from '../callers/failureBody.js'
 import { statusOf } from '../callers/statusOf.js'
+import { matchCall, type MatchedCall } from './matchCall.js'
 
 export interface PlainCallContext {
   readonly request: FastifyRequest
@@ -21,95 +21,99 @@
   readonly configuration: Configuration
 }
 
-const CONNECTIONS = 32
-const CONNECT_MS = 500
-
 /** Headers of the caller that the service sees. */
-const FORWARDED_HEADERS = ['content-type', 'accept', 'idempotency-key', 'x-request-id']
+const FORWARDED_HEADERS = ['content-type', 'accept', 'accept-language', CallerHeader.IdempotencyKey, CallerHeader.RequestId]
 
-type PlainAnswer = Dispatcher.ResponseData
+/** Headers of the service that the caller sees. */
+const RETURNED_HEADERS = ['content-type', 'content-length', 'content-disposition', 'etag', 'last-modified', 'cache-control']
 
 export class PlainRouter {
-  private readonly pools = new Map<string, Pool>()
+  private readonly client: PlainClient
   private turn = 0
 
-  private constructor (private readonly clock: Clock) {}
+  private constructor (private readonly clock: Clock) {
+    this.client = PlainClient.create(clock)
+  }
 
   static create (clock: Clock): PlainRouter {
     return new PlainRouter(clock)
   }
 
   async serve (context: PlainCallContext): Promise<FastifyReply> {
-    const answer = await this.route(context)
-    const { reply, request } = context
+    const { reply, request, configuration } = context
+    const matched = matchCall(configuration, request.method, request.url)
+    const answer = await matched.caseOf({
+      Left: async failure => Left(failure),
+      Right: async call => await this.tryServers(context, call)
+    })
     return answer.caseOf({
-      Left: failure => reply.code(statusOf[failure.code]).headers(failureHeaders(failure, request.id, this.clock)).send(failureBody(failure, request.id)),
-      Right: ({ statusCode, headers, body }) => reply.code(statusCode).header('content-type', headers['content-type'] ?? 'application/octet-stream').send(body)
+      Left: failure => this.refuse(reply, request, failure),
+      Right: served => this.pass(reply, served)
     })
   }
 
-  private async route (context: PlainCallContext): Promise<Either<Failure, PlainAnswer>> {
-    const { request, configuration } = context
-    const service = Object.values(configuration.services).find(candidate => request.url.startsWith(candidate.path))
-    if (!service) {
-      return Left(Failure.notRun(FailureCode.UnknownRoute, 'No plain service has this path.'))
-    }
-    const path = request.url.slice(service.path.length) || '/'
-    const call = service.calls.find(candidate => candidate.method === request.method && path.startsWith(candidate.path))
-    if (!call) {
-      return Left(Failure.notRun(FailureCode.UnknownRoute, `Service ${service.name} has no such call.`))
+  private refuse (reply: FastifyReply, request: FastifyRequest, failure: Failure): FastifyReply {
+    return reply.code(statusOf[failure.code])
+      .headers(failureHeaders(failure, request.id, this.clock))
+      .send(failureBody(failure, request.id))
+  }
+
+  private pass (reply: FastifyReply, { statusCode, headers, body }: PlainAnswer): FastifyReply {
+    for (const name of RETURNED_HEADERS) {
+      const value = headers[name]
+      if (value !== undefined) {
+        reply.header(name, value)
+      }
     }
-    return await this.tryServers(context, service, path, call.idempotent)
+    return reply.code(statusCode).send(body)
   }
 
   /** Tries one server after another as long as repeating is allowed and the deadline ahead. */
-  private async tryServers (context: PlainCallContext, service: PlainService, path: string, idempotent: boolean): Promise<Either<Failure, PlainAnswer>> {
-    const deadline = this.clock.now() + service.timeoutMs
-    const first = this.turn++
-    let failure = Failure.notRun(FailureCode.NoBackendServer, `Service ${service.name} has no backend server.`)
-    for (let index = 0; index < service.servers.length; index++) {
-      const name = service.servers[(first + index) % service.servers.length] ?? ''
-      const server = context.configuration.servers[name]
-      if (!server || this.clock.now() >= deadline) {
-        continue
+  private async tryServers (context: PlainCallContext, call: MatchedCall): Promise<Either<Failure, PlainAnswer>> {
+    const request = this.readRequest(context.request, call)
+    let failure = Failure.notRun(FailureCode.NoBackendServer, `Service ${call.service.name} has no backend server.`, this.clock.now() + 1000)
+    for (const server of this.serversInTurn(context.configuration, call)) {
+      if (this.clock.now() >= request.deadline) {
+        break
       }
-      const answer = await this.send(server.address, context.request, path, deadline)
-      if (answer.isRight() || !isRepeatable(answer.swap().orDefault(failure).verdict, idempotent)) {
+      const answer = await this.client.send(server.address, request)
+      if (answer.isRight()) {
         return answer
       }
       failure = answer.swap().orDefault(failure)
+      if (!isRepeatable(failure.verdict, call.idempotent)) {
+        break
+      }
     }
     return Left(failure)
   }
 
-  private async send (address: string, request: FastifyRequest, path: string, deadline: number): Promise<Either<Failure, PlainAnswer>> {
-    const limit = Math.max(1, deadline - this.clock.now())
-    const headers = Object.fromEntries(FORWARDED_HEADERS.flatMap(name => {
-      const value = request.headers[name]
-      return typeof value === 'string' ? [[name, value]] : []
-    }))
-    try {
-      return Right(await this.poolOf(address).request({
-        method: request.method as Dispatcher.HttpMethod,
-        path,
-        headers,
-        body: request.body === undefined ? null : JSON.stringify(request.body),
-        headersTimeout: limit,
-        bodyTimeout: limit
-      }))
-    } catch (error) {
-      const verdict = isBeforeFirstByte(error) ? Verdict.NotRun : Verdict.MayHaveRun
-      return Left(Failure.create(FailureCode.ConnectionLost, verdict, 'The plain service did not answer.'))
-    }
+  private serversInTurn (configuration: Configuration, call: MatchedCall): BackendServer[] {
+    const servers = call.service.servers
+      .map(name => configuration.servers[name])
+      .filter(server => server !== undefined)
+    const first = servers.length === 0 ? 0 : this.turn++ % servers.length
+    return [...servers.slice(first), ...servers.slice(0, first)]
   }
 
-  private poolOf (address: string): Pool {
-    const pool = this.pools.get(address) ?? new Pool(`http://${address}`, { connections: CONNECTIONS, connect: { timeout: CONNECT_MS } })
-    this.pools.set(address, pool)
-    return pool
+  private readRequest (request: FastifyRequest, call: MatchedCall): PlainRequest {
+    const headers: Record<string, string> = {}
+    for (const name of FORWARDED_HEADERS) {
+      const value = request.headers[name]
+      if (typeof value === 'string') {
+        headers[name] = value
+      }
+    }
+    return {
+      method: request.method,
+      path: call.path,
+      headers,
+      body: Buffer.isBuffer(request.body) ? request.body : undefined,
+      deadline: this.clock.now() + call.service.timeoutMs
+    }
   }
 
   async close (): Promise<void> {
-    await Promise.all([...this.pools.values()].map(async pool => await pool.destroy()))
+    await this.client.close()
   }
 }
