--- /dev/null
+++ b/packages/foxtaillever-fleet/src/__tests__/configuration.test.ts
@@ -0,0 +1,110 @@
+import { PresetName } from 'foxtaillever-core'
+import { describe, it, VirtualClock } from 'foxtaillever-testing'
+import { FakeFleet, type Instance } from '../__fixtures__/fakeFleet.js'
+import { ChangeKind } from '../configuration/change.js'
+import { PublicationOutcome } from '../configuration/publisher.js'
+
+const JOIN_MS = 8000
+
+/** What operators are promised for a change to be in force everywhere. */
+const IN_FORCE_MS = 8000
+
+async function createFleet (count = 9) {
+  const clock = VirtualClock.create()
+  const fake = FakeFleet.create(clock, 5)
+  const instances = await fake.startAll(count)
+  await clock.advanceBy(JOIN_MS)
+  return { clock, fake, instances }
+}
+
+async function switchPreset (instance: Instance, clock: VirtualClock, name: PresetName) {
+  const base = instance.fleet.store.configuration().revision
+  const publication = instance.fleet.publish({ base, author: 'operator', changes: [{ kind: ChangeKind.SwitchPreset, name }], deadline: clock.now() + 5000 })
+  await clock.advanceBy(1000)
+  return await publication
+}
+
+function presets (instances: readonly Instance[]): readonly PresetName[] {
+  return [...new Set(instances.map(({ fleet }) => fleet.store.configuration().presetInForce))]
+}
+
+describe('configuration of a fleet', () => {
+  it('is in force everywhere, and an operator who waits hears so', async t => {
+    const { clock, instances } = await createFleet()
+    const publication = await switchPreset(instances[0]!, clock, PresetName.Peaks)
+    t.is(publication.outcome, PublicationOutcome.Accepted)
+    const wait = instances[0]!.fleet.waitInForce(publication.revision, clock.now() + IN_FORCE_MS)
+    await clock.advanceBy(IN_FORCE_MS)
+    t.deepEqual(await wait, { revision: publication.revision, live: 9, inForce: 9, missing: [] })
+    t.deepEqual(presets(instances), [PresetName.Peaks])
+  })
+
+  it('names the instances that do not have it', async t => {
+    const { clock, fake, instances } = await createFleet()
+    const cutOff = instances[3]!
+    fake.network.cut((from, to) => from === cutOff.address || to === cutOff.address)
+    const publication = await switchPreset(instances[0]!, clock, PresetName.Peaks)
+    const wait = instances[0]!.fleet.waitInForce(publication.revision, clock.now() + 500)
+    await clock.advanceBy(600)
+    t.deepEqual((await wait).missing, [cutOff.name])
+  })
+
+  it('is in force within seconds though the log takes four seconds an answer', async t => {
+    const { clock, fake, instances } = await createFleet()
+    fake.log.readDelayMs = 4000
+    const revision = instances[0]!.fleet.store.configuration().revision
+    const publication = instances[0]!.fleet.publish({ base: revision, author: 'operator', changes: [{ kind: ChangeKind.SwitchPreset, name: PresetName.Peaks }], deadline: clock.now() + 60_000 })
+    await clock.advanceBy(IN_FORCE_MS)
+    t.is((await publication).outcome, PublicationOutcome.Accepted)
+    t.deepEqual(presets(instances), [PresetName.Peaks])
+  })
+
+  it('reaches all from the one that read it before the log went down', async t => {
+    // The log takes a change, one instance reads it, and the log goes down. Were
+    // it not passed on, an accepted preset would be in force on one instance only.
+    const { clock, fake, instances } = await createFleet()
+    const publication = instances[0]!.fleet.publish({ base: 0, author: 'operator', changes: [{ kind: ChangeKind.SwitchPreset, name: PresetName.Peaks }], deadline: clock.now() + 5000 })
+    instances[0]!.fleet.store.take(fake.log.all()[0]!)
+    fake.log.isDown = true
+    await clock.advanceBy(IN_FORCE_MS)
+    t.is((await publication).outcome, PublicationOutcome.Accepted)
+    t.deepEqual(presets(instances), [PresetName.Peaks])
+  })
+
+  it('is there at once on an instance that restarts while the log is down', async t => {
+    const { clock, fake, instances } = await createFleet(4)
+    await switchPreset(instances[0]!, clock, PresetName.Maintenance)
+    fake.log.isDown = true
+    const fresh = await fake.start('fresh')
+    t.false(fresh.fleet.store.isKnown())
+    await clock.advanceBy(1500)
+    t.is(fresh.fleet.store.configuration().presetInForce, PresetName.Maintenance)
+    t.is(fresh.fleet.store.current().digest, instances[0]!.fleet.store.current().digest)
+  })
+
+  it('is unknown to an instance that restarts without log and peers', async t => {
+    const { clock, fake, instances } = await createFleet(2)
+    await switchPreset(instances[0]!, clock, PresetName.Maintenance)
+    fake.log.isDown = true
+    await Promise.all(instances.map(({ fleet }) => fleet.stop()))
+    const fresh = await fake.start('fresh')
+    await clock.advanceBy(10_000)
+    t.false(fresh.fleet.store.isKnown())
+  })
+
+  it('does not go back when a half that lagged meets the other again', async t => {
+    // One half keeps the log, the other is cut off from it and from the rest.
+    // When they meet, the old preset must not come back into force anywhere.
+    const { clock, fake, instances } = await createFleet(6)
+    const left = new Set(instances.slice(0, 3).map(({ address }) => address))
+    fake.network.cut((from, to) => left.has(from) !== left.has(to))
+    await switchPreset(instances[0]!, clock, PresetName.Peaks)
+    await clock.advanceBy(120_000)
+    const seen: PresetName[] = []
+    instances[0]!.fleet.store.onChange(({ configuration }) => seen.push(configuration.presetInForce))
+    fake.network.heal()
+    await clock.advanceBy(20_000)
+    t.deepEqual(presets(instances), [PresetName.Peaks])
+    t.deepEqual(seen, [])
+  })
+})
--- /dev/null
+++ b/packages/foxtaillever-fleet/src/__tests__/membership.test.ts
@@ -0,0 +1,156 @@
+import { describe, it, VirtualClock } from 'foxtaillever-testing'
+import { FakeFleet, namesOf, type Instance } from '../__fixtures__/fakeFleet.js'
+import { FactKind } from '../softState/fact.js'
+
+const JOIN_MS = 8000
+
+/** Longer than probes, suspicion and the spread of news take together. */
+const DEATH_MS = 15_000
+
+const COUNT = 9
+
+async function createFleet (count = COUNT, lossShare = 0) {
+  const clock = VirtualClock.create()
+  const fake = FakeFleet.create(clock, 5, lossShare)
+  const instances = await fake.startAll(count)
+  await clock.advanceBy(JOIN_MS)
+  return { clock, fake, instances }
+}
+
+function allNames (instances: readonly Instance[]): readonly string[] {
+  return instances.map(({ name }) => name).sort()
+}
+
+describe('members', () => {
+  it('know each other within seconds of a start of all at once', async t => {
+    const { instances } = await createFleet()
+    instances.forEach(instance => t.deepEqual(namesOf(instance), allNames(instances)))
+  })
+
+  it('know each other though one datagram in ten is lost', async t => {
+    const { instances } = await createFleet(COUNT, 0.1)
+    instances.forEach(instance => t.is(namesOf(instance).length, COUNT))
+  })
+
+  it('drop one that leaves at once, without suspicion', async t => {
+    const { clock, instances } = await createFleet()
+    await instances[0]!.fleet.stop()
+    await clock.advanceBy(600)
+    instances.slice(1).forEach(instance => t.false(namesOf(instance).includes(instances[0]!.name)))
+  })
+
+  it('drop one that crashed, and take back its successor under the same name', async t => {
+    // An instance dies without a word and the platform replaces it. Kept as a
+    // member it would remain home of claims that nobody collects.
+    const { clock, fake, instances } = await createFleet()
+    const name = instances[4]!.name
+    await fake.crash(name)
+    await clock.advanceBy(DEATH_MS)
+    const others = instances.filter(instance => instance.name !== name)
+    others.forEach(instance => t.false(namesOf(instance).includes(name)))
+    const successor = await fake.start(name)
+    await clock.advanceBy(JOIN_MS)
+    ;[...others, successor].forEach(instance => t.is(namesOf(instance).length, COUNT))
+  })
+
+  it('stay members while one path between two of them is broken', async t => {
+    // A switch drops packets between two instances only. Without others to ask,
+    // each would call the other dead and the whole fleet would hear it.
+    const { clock, fake, instances } = await createFleet()
+    const [one, other] = [instances[0]!.address, instances[1]!.address]
+    fake.network.cut((from, to) => (from === one && to === other) || (from === other && to === one))
+    await clock.advanceBy(20_000)
+    instances.forEach(instance => t.is(namesOf(instance).length, COUNT))
+  })
+
+  it('lose a whole failure domain and keep the rest', async t => {
+    const { clock, fake, instances } = await createFleet()
+    const gone = instances.filter((_, index) => index % 3 === 0)
+    const addresses = new Set(gone.map(({ address }) => address))
+    fake.network.cut((from, to) => addresses.has(from) || addresses.has(to))
+    await clock.advanceBy(DEATH_MS)
+    const rest = instances.filter(instance => !gone.includes(instance))
+    rest.forEach(instance => t.deepEqual(namesOf(instance), allNames(rest)))
+  })
+
+  it('find each other again after the halves were apart for minutes', async t => {
+    // Regions lose each other and each half calls the other dead. If nobody
+    // tried the dead again, the halves would stay two fleets for good.
+    const { clock, fake, instances } = await createFleet()
+    const left = new Set(instances.slice(0, 4).map(({ address }) => address))
+    fake.network.cut((from, to) => left.has(from) !== left.has(to))
+    await clock.advanceBy(180_000)
+    instances.forEach((instance, index) => t.is(namesOf(instance).length, index < 4 ? 4 : 5))
+    fake.network.heal()
+    await clock.advanceBy(DEATH_MS)
+    instances.forEach(instance => t.deepEqual(namesOf(instance), allNames(instances)))
+  })
+
+  it('come back after a herd of restarts under new names', async t => {
+    const { clock, fake, instances } = await createFleet()
+    await Promise.all(instances.slice(0, 6).map(instance => instance.fleet.stop()))
+    fake.listed = fake.listed.slice(6)
+    const fresh = await Promise.all([0, 1, 2, 3, 4, 5].map(index => fake.start(`fresh-${index}`)))
+    await clock.advanceBy(JOIN_MS)
+    const now = [...instances.slice(6), ...fresh]
+    now.forEach(instance => t.deepEqual(namesOf(instance), allNames(now)))
+  })
+
+  describe('a paused member', () => {
+    it('that wakes is a member again and brings no old beliefs back', async t => {
+      // A virtual machine is frozen for a minute. Meanwhile it is called dead,
+      // another member leaves, and facts expire. Awake, it must neither call the
+      // others dead nor keep what it believed.
+      const clock = VirtualClock.create()
+      const fake = FakeFleet.create(clock, 5)
+      const instances = await fake.startAll(5)
+      const paused = VirtualClock.create()
+      const sleeper = await fake.start('sleeper', paused)
+      for (let step = 0; step < 80; step += 1) {
+        await clock.advanceBy(100)
+        await paused.advanceTo(clock.now())
+      }
+      instances[0]!.fleet.share(FactKind.Suspect, 'digest', 1, clock.now() + 30_000)
+      await clock.advanceBy(600)
+      await paused.advanceTo(clock.now())
+      t.is(sleeper.fleet.facts(FactKind.Suspect).length, 1)
+      t.is(namesOf(sleeper).length, 6)
+      fake.network.cut((from, to) => from === sleeper.address || to === sleeper.address)
+      await clock.advanceBy(30_000)
+      await instances[1]!.fleet.stop()
+      await clock.advanceBy(30_000)
+      t.is(namesOf(instances[0]!).length, 4)
+      fake.network.heal()
+      for (let step = 0; step < 150; step += 1) {
+        await clock.advanceBy(100)
+        await paused.advanceTo(clock.now())
+      }
+      const live = [instances[0]!, instances[2]!, instances[3]!, instances[4]!, sleeper]
+      live.forEach(instance => t.deepEqual(namesOf(instance), allNames(live)))
+      t.is(sleeper.fleet.facts(FactKind.Suspect).length, 0)
+    })
+
+    it('whose name was given away learns that it is superseded', async t => {
+      // The platform replaced a frozen instance and gave its name to another. The
+      // old process wakes and still believes that it bears the name.
+      const { clock, fake, instances } = await createFleet(4)
+      const old = instances[3]!
+      fake.network.cut((from, to) => from === old.address || to === old.address)
+      await clock.advanceBy(20_000)
+      const successor = await fake.start(old.name)
+      await clock.advanceBy(JOIN_MS)
+      fake.network.heal()
+      await clock.advanceBy(JOIN_MS)
+      t.true(old.fleet.isSuperseded())
+      t.false(successor.fleet.isSuperseded())
+      const seen = instances[0]!.fleet.members().find(member => member.name === old.name)
+      t.is(seen?.address, successor.address)
+    })
+  })
+
+  it('repeat a run from its seed', async t => {
+    const runs = await Promise.all([createFleet(6, 0.2), createFleet(6, 0.2)])
+    const [one, other] = runs.map(({ instances }) => instances.map(({ fleet }) => fleet.dump().traffic))
+    t.deepEqual(one, other)
+  })
+})
--- a/packages/foxtaillever-fleet/src/configuration/inForceSystem.ts
+++ b/packages/foxtaillever-fleet/src/configuration/inForceSystem.ts
@@ -24,8 +24,6 @@
 
 interface Wait {
   readonly revision: number
-  /** Milliseconds of Unix time. */
-  readonly deadline: number
   readonly finish: (inForce: InForce) => void
 }
 
@@ -46,12 +44,22 @@
   /** Answers when all live members have the revision, at the latest at the deadline. */
   async wait (revision: number, deadline: number): Promise<InForce> {
     return await new Promise<InForce>(resolve => {
-      const wait: Wait = { revision, deadline, finish: resolve }
+      const wait: Wait = { revision, finish: resolve }
       this.waits.add(wait)
+      this.clock.at(deadline, () => this.finish(wait))
       this.serve(wait)
     })
   }
 
+  /** Looks whether a member's word was the last one missing. */
+  hear (): void {
+    for (const wait of this.waits) {
+      if (this.missing(wait.revision).length === 0) {
+        this.finish(wait)
+      }
+    }
+  }
+
   /** Run each tick. */
   tick (): void {
     this.waits.forEach(wait => this.serve(wait))
@@ -59,13 +67,19 @@
 
   private serve (wait: Wait): void {
     const missing = this.missing(wait.revision)
-    if (missing.length > 0 && this.clock.now() < wait.deadline) {
-      this.membership.pick(missing, PROBES_PER_TICK).forEach(member => this.probe(member))
+    if (missing.length === 0) {
+      this.finish(wait)
+      return
+    }
+    this.membership.pick(missing, PROBES_PER_TICK).forEach(member => this.probe(member))
+  }
+
+  private finish (wait: Wait): void {
+    if (!this.waits.delete(wait)) {
       return
     }
-    this.waits.delete(wait)
     const live = this.membership.table.alive().length
-    const names = missing.map(member => member.name)
+    const names = this.missing(wait.revision).map(member => member.name)
     wait.finish({ revision: wait.revision, live, inForce: live - names.length, missing: names })
   }
 
--- /dev/null
+++ b/packages/foxtaillever-fleet/src/membership/peerRouter.ts
@@ -0,0 +1,67 @@
+/**
+ * The procedures that instances call on each other over tRPC, for what does
+ * not fit a datagram: the folded configuration and the table of members. Calls
+ * and answers are sealed, so it needs no protected connection: a forged call
+ * learns nothing and a forged answer changes nothing.
+ */
+import { initTRPC, TRPCError } from '@trpc/server'
+import { Packr } from 'msgpackr'
+import { Maybe } from 'purify-ts'
+import { z } from 'zod'
+import type { Clock } from 'foxtaillever-core'
+import { Permission, type KeyRing } from '../security/keyRing.js'
+import { Admission, ReplayGuard, type MessageOrigin } from '../security/replayGuard.js'
+import { open, seal } from '../security/seal.js'
+import type { PeerSource } from './peers.js'
+
+/** What a caller seals: who calls, and a number that the answer repeats. */
+export interface PeerCall extends MessageOrigin {
+  readonly procedure: PeerProcedure
+  readonly nonce: string
+}
+
+export enum PeerProcedure {
+  Configuration = 'configuration',
+  Members = 'members'
+}
+
+/** What is sealed as answer. */
+export interface PeerAnswer {
+  readonly nonce: string
+  readonly value: unknown
+}
+
+const packr = new Packr({ useRecords: false })
+
+const sealedMessage = z.object({ sealed: z.string() })
+
+export function sealValue (keys: KeyRing, value: PeerCall | PeerAnswer): { sealed: string } {
+  return { sealed: seal(keys, Permission.Join, packr.pack(value)).toString('base64') }
+}
+
+export function openValue<Value> (keys: KeyRing, sealed: string): Maybe<Value> {
+  return open(keys, Permission.Join, Buffer.from(sealed, 'base64'))
+    .chain(bytes => Maybe.encase(() => packr.unpack(bytes) as Value))
+}
+
+/** The router for tRPC; mounted by the process that has the HTTP server. */
+export function createPeerRouter (source: PeerSource, keys: KeyRing, clock: Clock) {
+  const trpc = initTRPC.create()
+  const guard = ReplayGuard.create()
+
+  const answer = (procedure: PeerProcedure, sealed: string, value: () => unknown): { sealed: string } => {
+    const call = openValue<PeerCall>(keys, sealed).extractNullable()
+    if (call === null || call.procedure !== procedure || guard.admit(call, clock.now()) !== Admission.New) {
+      throw new TRPCError({ code: 'UNAUTHORIZED', message: 'The call is not signed by a member, or was seen before.' })
+    }
+    guard.expire(clock.now())
+    return sealValue(keys, { nonce: call.nonce, value: value() })
+  }
+
+  return trpc.router({
+    configuration: trpc.procedure.input(sealedMessage).query(({ input }) => answer(PeerProcedure.Configuration, input.sealed, () => source.configuration())),
+    members: trpc.procedure.input(sealedMessage).query(({ input }) => answer(PeerProcedure.Members, input.sealed, () => source.memberEntries()))
+  })
+}
+
+export type PeerRouter = ReturnType<typeof createPeerRouter>
--- a/packages/foxtaillever-fleet/src/membership/seedSystem.ts
+++ b/packages/foxtaillever-fleet/src/membership/seedSystem.ts
@@ -46,18 +46,26 @@
       this.readList().catch(() => {})
     }
     if (now >= this.tryAt) {
-      this.tryAt = now + TRY_MS
-      this.probeAddresses(this.membership.pick(this.unknownAddresses(), TRIES))
+      this.tryUnknown()
     }
     this.probeAddresses(this.membership.pick(this.deadAddresses(), DEAD_TRIES))
   }
 
+  private tryUnknown (): void {
+    this.tryAt = this.clock.now() + TRY_MS
+    this.probeAddresses(this.membership.pick(this.unknownAddresses(), TRIES))
+  }
+
   private async readList (): Promise<void> {
     const answer = await this.instances.list()
     answer.ifRight(listed => {
       this.listed = listed
         .filter(({ kind, state }) => kind === ListedKind.EntryInstance && state === ListedState.Live)
         .map(({ address }) => address)
+      // Alone, and so perhaps without a configuration, it does not wait for its turn.
+      if (this.membership.others().length === 0) {
+        this.tryUnknown()
+      }
     })
   }
 
--- a/packages/foxtaillever-fleet/src/membership/systems.ts
+++ b/packages/foxtaillever-fleet/src/membership/systems.ts
@@ -86,6 +86,7 @@
       return
     }
     this.pulls.hear(sender.controlAddress, message.position)
+    this.inForce.hear()
     this.sync.receive(message)
     this.handlers[message.kind]?.(message, sender.address)
   }
--- /dev/null
+++ b/packages/foxtaillever-fleet/src/membership/trpcPeers.ts
@@ -0,0 +1,83 @@
+/**
+ * Calls other instances over tRPC.
+ */
+import { createTRPCClient, httpLink } from '@trpc/client'
+import { Left, Right, type Either } from 'purify-ts'
+import { Failure, FailureCode, type Clock, type Random } from 'foxtaillever-core'
+import type { FoldedConfiguration } from '../configuration/foldedConfiguration.js'
+import type { KeyRing } from '../security/keyRing.js'
+import type { MemberEntry } from './member.js'
+import { openValue, PeerProcedure, sealValue, type PeerAnswer, type PeerCall, type PeerRouter } from './peerRouter.js'
+import type { Peers } from './peers.js'
+
+/** Path below which the peer router is mounted. */
+export const PEER_PATH = '/fleet'
+
+/** How long one call may take, milliseconds; a slow peer must not hold up a restart. */
+const CALL_MS = 3000
+
+const NONCE_BOUND = 2 ** 32
+
+type Caller = (sealed: { sealed: string }, signal: AbortSignal) => Promise<{ sealed: string }>
+
+export class TrpcPeers implements Peers {
+  private readonly incarnation: number
+  private sequence = 0
+
+  private constructor (
+    private readonly name: string,
+    private readonly keys: KeyRing,
+    private readonly clock: Clock,
+    private readonly random: Random
+  ) {
+    this.incarnation = Math.floor(clock.now())
+  }
+
+  /** @param name of this instance. */
+  static create (name: string, keys: KeyRing, clock: Clock, random: Random): TrpcPeers {
+    return new TrpcPeers(name, keys, clock, random)
+  }
+
+  async configuration (address: string): Promise<Either<Failure, FoldedConfiguration>> {
+    const client = connect(address)
+    return await this.call(PeerProcedure.Configuration, (input, signal) => client.configuration.query(input, { signal }))
+  }
+
+  async members (address: string): Promise<Either<Failure, readonly MemberEntry[]>> {
+    const client = connect(address)
+    return await this.call(PeerProcedure.Members, (input, signal) => client.members.query(input, { signal }))
+  }
+
+  private async call<Value> (procedure: PeerProcedure, send: Caller): Promise<Either<Failure, Value>> {
+    const call = this.createCall(procedure)
+    try {
+      const { sealed } = await send(sealValue(this.keys, call), AbortSignal.timeout(CALL_MS))
+      const answer = openValue<PeerAnswer>(this.keys, sealed).filter(({ nonce }) => nonce === call.nonce)
+      return answer.map(({ value }) => value as Value).toEither(Failure.notRun(FailureCode.Unauthenticated, 'The answer is not signed by a member.'))
+    } catch (error) {
+      return Left(Failure.notRun(FailureCode.ConnectionLost, `The peer did not answer: ${String(error)}`))
+    }
+  }
+
+  private createCall (procedure: PeerProcedure): PeerCall {
+    this.sequence += 1
+    return {
+      sender: this.name,
+      incarnation: this.incarnation,
+      sequence: this.sequence,
+      sentAt: Math.floor(this.clock.now()),
+      procedure,
+      nonce: `${this.random.below(NONCE_BOUND).toString(16)}${this.random.below(NONCE_BOUND).toString(16)}`
+    }
+  }
+}
+
+function connect (address: string) {
+  return createTRPCClient<PeerRouter>({ links: [httpLink({ url: `http://${address}${PEER_PATH}` })] })
+}
+
+/** Peers of an instance that has none to call, such as a single one. */
+export const noPeers: Peers = {
+  configuration: async () => Left(Failure.notRun(FailureCode.ConnectionRefused, 'There are no peers.')),
+  members: async () => Right([])
+}
