--- a/packages/foxtaillever-fleet/src/configuration/__tests__/configurationStore.test.ts
+++ b/packages/foxtaillever-fleet/src/configuration/__tests__/configurationStore.test.ts
@@ -149,6 +149,20 @@
       t.false(store.hasGap())
     })
 
+    it('knows of a gap though the log has expired to nothing', t => {
+      // After a quiet time longer than the retention no record is left to show
+      // that others were missed; the log's first offset still does.
+      const store = storeAfter([changeRecord(1, 0)])
+      store.noteFirstKept(5)
+      t.true(store.hasGap())
+      store.take(changeRecord(5, 1))
+      t.is(store.configuration().revision, 1)
+      const peer = storeAfter([changeRecord(1, 0), changeRecord(2, 1), otherRecord(3), otherRecord(4)])
+      t.is(store.offer(peer.current()), OfferOutcome.Taken)
+      t.is(store.configuration().revision, 2)
+      t.is(store.current().offset, 5)
+    })
+
     it('ends with the same digest from any first offset, given one usable snapshot', t => {
       fc.assert(fc.property(logs, fc.nat(29), fc.nat(29), (records, cutPick, snapshotPick) => {
         const at = snapshotPick % records.length
--- a/packages/foxtaillever-fleet/src/configuration/configurationStore.ts
+++ b/packages/foxtaillever-fleet/src/configuration/configurationStore.ts
@@ -78,6 +78,13 @@
     this.closeGap(record)
   }
 
+  /** Hears from the log's reader that records before this offset are gone unread. */
+  readonly noteFirstKept = (first: number): void => {
+    if (first > this.folded.offset + 1) {
+      this.backlog.startAt(first)
+    }
+  }
+
   /** Takes a peer's copy when it stands further on in the log than this fold. */
   offer (copy: FoldedConfiguration): OfferOutcome {
     if (!isIntact(copy)) {
--- a/packages/foxtaillever-fleet/src/configuration/recordBacklog.ts
+++ b/packages/foxtaillever-fleet/src/configuration/recordBacklog.ts
@@ -21,7 +21,16 @@
   }
 
   isEmpty (): boolean {
-    return this.last === 0
+    return this.from === 0
+  }
+
+  /** Starts a run at the first offset still kept, before any record of it is read. */
+  startAt (first: number): void {
+    if (first > this.last + 1) {
+      this.records = []
+      this.from = first
+      this.last = first - 1
+    }
   }
 
   /** Whether the record continues the run without a second gap. */
--- a/packages/foxtaillever-fleet/src/fleet.ts
+++ b/packages/foxtaillever-fleet/src/fleet.ts
@@ -66,7 +66,7 @@
     this.store = ConfigurationStore.create()
     this.publisher = Publisher.create(log, this.store, clock, random)
     this.snapshots = SnapshotWriter.create(log, this.store, clock, random, options.logRetentionMs)
-    this.reader = LogReader.create(log, clock, [this.store.take, this.publisher.take, this.snapshots.take, ...options.readers ?? []])
+    this.reader = LogReader.create(log, clock, [this.store.take, this.publisher.take, this.snapshots.take, ...options.readers ?? []], this.store.noteFirstKept)
     const self = Self.create(options.self, clock.now())
     const table = MemberTable.create()
     const messenger = Messenger.create({ self, table, store: this.store, keys, clock, datagrams })
--- a/packages/foxtaillever-fleet/src/log/logReader.ts
+++ b/packages/foxtaillever-fleet/src/log/logReader.ts
@@ -12,16 +12,19 @@
 
 export type RecordReader = (record: LogRecord) => void
 
+/** Hears the first offset still kept when records before it were never read. */
+export type GapListener = (first: number) => void
+
 export class LogReader {
   private next = 1
   private stopped = false
   private reached = 0
   private lastRead = 0
 
-  private constructor (private readonly log: Log, private readonly clock: Clock, private readonly readers: readonly RecordReader[]) {}
+  private constructor (private readonly log: Log, private readonly clock: Clock, private readonly readers: readonly RecordReader[], private readonly onGap: GapListener) {}
 
-  static create (log: Log, clock: Clock, readers: readonly RecordReader[]): LogReader {
-    return new LogReader(log, clock, readers)
+  static create (log: Log, clock: Clock, readers: readonly RecordReader[], onGap: GapListener = () => {}): LogReader {
+    return new LogReader(log, clock, readers, onGap)
   }
 
   /** Offset of the last record handed on. */
@@ -65,6 +68,11 @@
   private take (page: LogPage): void {
     this.lastRead = this.clock.now()
     this.reached = page.next
+    // A quiet log can expire to nothing, so the gap is told by the page, not by a record.
+    if (page.first > this.next) {
+      this.next = page.first
+      this.onGap(page.first)
+    }
     for (const record of page.records) {
       if (record.offset < this.next) {
         continue
