--- a/packages/foxtaillever-control/src/__fixtures__/fakeControl.ts
+++ b/packages/foxtaillever-control/src/__fixtures__/fakeControl.ts
@@ -68,7 +68,7 @@
       ({ name, priority, weight, waiting: 0, running: 0, tokensPerSecondLimit: tokensPerSecond, concurrentRequestsLimit: concurrentRequests }))
   }
 
-  figures (account?: string): Either<Failure, Figures> {
+  async figures (account?: string): Promise<Either<Failure, Figures>> {
     return Right(this.accountFigures.get(account ?? '') ?? createFigures(0, 0))
   }
 
--- a/packages/foxtaillever-control/src/client/controlClient.ts
+++ b/packages/foxtaillever-control/src/client/controlClient.ts
@@ -11,7 +11,7 @@
 import type { OrderProgress, ServerOrder } from '../protocol/orders.js'
 import type { AccountView, ConfigurationView, Dump, Explanation, MemberView, ServerView } from '../protocol/views.js'
 import type { FailureShape } from '../server/controlFailure.js'
-import type { ControlRouter } from '../server/controlRouter.js'
+import { CONTROL_PATH, type ControlRouter } from '../server/controlRouter.js'
 
 /** An instance that is there answers a question within this, milliseconds. */
 const ANSWER_TIMEOUT_MS = 5000
@@ -26,7 +26,7 @@
 
   /** @param address IP number and port of the control port. */
   static create (address: string, token: string): ControlClient {
-    const link = httpLink({ url: `http://${address}`, headers: { authorization: `Bearer ${token}` } })
+    const link = httpLink({ url: `http://${address}${CONTROL_PATH}`, headers: { authorization: `Bearer ${token}` } })
     return new ControlClient(address, createTRPCClient<ControlRouter>({ links: [link] }))
   }
 
--- a/packages/foxtaillever-control/src/protocol/control.ts
+++ b/packages/foxtaillever-control/src/protocol/control.ts
@@ -20,7 +20,7 @@
   servers: () => readonly ServerView[]
   accounts: () => readonly AccountView[]
   /** Of one client account, or of all. */
-  figures: (account?: string) => Either<Failure, Figures>
+  figures: (account?: string) => Promise<Either<Failure, Figures>>
   giveOrder: (order: ServerOrder, author: string) => Promise<Either<Failure, OrderProgress>>
   orders: () => readonly OrderProgress[]
   dump: () => Dump
--- a/packages/foxtaillever-control/src/protocol/views.ts
+++ b/packages/foxtaillever-control/src/protocol/views.ts
@@ -81,14 +81,15 @@
 
 export enum DecisionKind {
   Arrived = 'arrived',
-  Queued = 'queued',
   Refused = 'refused',
   Placed = 'placed',
   Claimed = 'claimed',
+  Started = 'started',
   FirstToken = 'first-token',
   Retried = 'retried',
   Failed = 'failed',
-  Finished = 'finished'
+  Finished = 'finished',
+  Cancelled = 'cancelled'
 }
 
 /** One thing that was decided for a request, or that became of it. */
--- a/packages/foxtaillever-control/src/server/controlRouter.ts
+++ b/packages/foxtaillever-control/src/server/controlRouter.ts
@@ -64,13 +64,16 @@
   members: procedure.query(({ ctx }) => ctx.control.members()),
   servers: procedure.query(({ ctx }) => ctx.control.servers()),
   accounts: procedure.query(({ ctx }) => ctx.control.accounts()),
-  figures: procedure.input(z.object({ account: z.string().optional() })).query(({ ctx, input }) => orThrow(ctx.control.figures(input.account))),
+  figures: procedure.input(z.object({ account: z.string().optional() })).query(async ({ ctx, input }) => orThrow(await ctx.control.figures(input.account))),
   giveOrder: procedure.input(serverOrder).mutation(async ({ ctx, input }) => orThrow(await ctx.control.giveOrder(input, ctx.operator))),
   orders: procedure.query(({ ctx }) => ctx.control.orders()),
   dump: procedure.query(({ ctx }) => ctx.control.dump()),
   explain: procedure.input(z.object({ requestId: z.string().min(1).max(256) })).query(({ ctx, input }) => orThrow(ctx.control.explain(input.requestId)))
 })
 
+/** Path below which the procedures are mounted on the control port. */
+export const CONTROL_PATH = '/control'
+
 export type ControlRouter = typeof controlRouter
 
 /** The context of one call, from its Authorization header. */
--- a/packages/foxtaillever-control/src/server/createControlServer.ts
+++ b/packages/foxtaillever-control/src/server/createControlServer.ts
@@ -5,7 +5,7 @@
 import { createHTTPServer } from '@trpc/server/adapters/standalone'
 import type { Clock } from 'foxtaillever-core'
 import type { Control } from '../protocol/control.js'
-import { controlRouter, createControlContext } from './controlRouter.js'
+import { CONTROL_PATH, controlRouter, createControlContext } from './controlRouter.js'
 import type { Operators } from './operators.js'
 
 /** Ten thousand changes of a few hundred bytes fit. */
@@ -14,6 +14,7 @@
 export function createControlServer (control: Control, clock: Clock, operators: Operators): Server {
   return createHTTPServer({
     router: controlRouter,
+    basePath: `${CONTROL_PATH}/`,
     maxBodySize: BODY_BYTES,
     createContext: ({ req }) => createControlContext(control, clock, operators, req.headers.authorization)
   }) as Server
