--- a/packages/foxtaillever-fleet/src/log/logReader.ts
+++ b/packages/foxtaillever-fleet/src/log/logReader.ts
@@ -12,16 +12,19 @@
 
 export type RecordReader = (record: LogRecord) => void
 
+/** Sees each page before its records; needed to notice records that left the log unread. */
+export type PageReader = (page: LogPage) => void
+
 export class LogReader {
   private next = 1
   private stopped = false
   private reached = 0
   private lastRead = 0
 
-  private constructor (private readonly log: Log, private readonly clock: Clock, private readonly readers: readonly RecordReader[]) {}
+  private constructor (private readonly log: Log, private readonly clock: Clock, private readonly readers: readonly RecordReader[], private readonly pageReaders: readonly PageReader[]) {}
 
-  static create (log: Log, clock: Clock, readers: readonly RecordReader[]): LogReader {
-    return new LogReader(log, clock, readers)
+  static create (log: Log, clock: Clock, readers: readonly RecordReader[], pageReaders: readonly PageReader[] = []): LogReader {
+    return new LogReader(log, clock, readers, pageReaders)
   }
 
   /** Offset of the last record handed on. */
@@ -65,6 +68,7 @@
   private take (page: LogPage): void {
     this.lastRead = this.clock.now()
     this.reached = page.next
+    this.pageReaders.forEach(reader => reader(page))
     for (const record of page.records) {
       if (record.offset < this.next) {
         continue
