--- a/packages/foxtaillever-fleet/src/fleet.ts
+++ b/packages/foxtaillever-fleet/src/fleet.ts
@@ -8,7 +8,7 @@
 import { Publisher, type Publication, type PublicationOrder } from './configuration/publisher.js'
 import { SnapshotWriter } from './configuration/snapshotWriter.js'
 import { createDump, type FleetDump } from './fleetDump.js'
-import { LogReader, type RecordReader } from './log/logReader.js'
+import { LogReader, type PageReader, type RecordReader } from './log/logReader.js'
 import type { Datagrams } from './membership/datagrams.js'
 import type { Member } from './membership/member.js'
 import { MemberTable } from './membership/memberTable.js'
@@ -48,6 +48,8 @@
   readonly random: Random
   /** Further readers of the log; they see each record after the configuration. */
   readonly readers?: readonly RecordReader[]
+  /** Sees each page of the log before its records. */
+  readonly onPage?: PageReader
 }
 
 export class Fleet implements PeerSource {
@@ -66,7 +68,7 @@
     this.store = ConfigurationStore.create()
     this.publisher = Publisher.create(log, this.store, clock, random)
     this.snapshots = SnapshotWriter.create(log, this.store, clock, random, options.logRetentionMs)
-    this.reader = LogReader.create(log, clock, [this.store.take, this.publisher.take, this.snapshots.take, ...options.readers ?? []], this.store.noteFirstKept)
+    this.reader = LogReader.create(log, clock, [this.store.take, this.publisher.take, this.snapshots.take, ...options.readers ?? []], { onGap: this.store.noteFirstKept, onPage: options.onPage })
     const self = Self.create(options.self, clock.now())
     const table = MemberTable.create()
     const messenger = Messenger.create({ self, table, store: this.store, keys, clock, datagrams })
--- a/packages/foxtaillever-fleet/src/log/__tests__/logReader.test.ts
+++ b/packages/foxtaillever-fleet/src/log/__tests__/logReader.test.ts
@@ -33,7 +33,7 @@
     const gaps: number[] = []
     await fill(log, 3)
     log.expireBelow(4)
-    const reader = LogReader.create(log, clock, [], first => gaps.push(first))
+    const reader = LogReader.create(log, clock, [], { onGap: first => gaps.push(first) })
     reader.start()
     await clock.advanceBy(3000)
     t.deepEqual(gaps, [4])
--- a/packages/foxtaillever-fleet/src/log/logReader.ts
+++ b/packages/foxtaillever-fleet/src/log/logReader.ts
@@ -15,16 +15,25 @@
 /** Hears the first offset still kept when records before it were never read. */
 export type GapListener = (first: number) => void
 
+/** Sees each page before its records; tells how far and how fresh the reading is. */
+export type PageReader = (page: LogPage) => void
+
+/** Who else hears of the reading, besides the readers of records. */
+export interface ReadingListener {
+  readonly onGap?: GapListener
+  readonly onPage?: PageReader
+}
+
 export class LogReader {
   private next = 1
   private stopped = false
   private reached = 0
   private lastRead = 0
 
-  private constructor (private readonly log: Log, private readonly clock: Clock, private readonly readers: readonly RecordReader[], private readonly onGap: GapListener) {}
+  private constructor (private readonly log: Log, private readonly clock: Clock, private readonly readers: readonly RecordReader[], private readonly listener: ReadingListener) {}
 
-  static create (log: Log, clock: Clock, readers: readonly RecordReader[], onGap: GapListener = () => {}): LogReader {
-    return new LogReader(log, clock, readers, onGap)
+  static create (log: Log, clock: Clock, readers: readonly RecordReader[], listener: ReadingListener = {}): LogReader {
+    return new LogReader(log, clock, readers, listener)
   }
 
   /** Offset of the last record handed on. */
@@ -68,10 +77,11 @@
   private take (page: LogPage): void {
     this.lastRead = this.clock.now()
     this.reached = page.next
+    this.listener.onPage?.(page)
     // A quiet log can expire to nothing, so the gap is told by the page, not by a record.
     if (page.first > this.next) {
       this.next = page.first
-      this.onGap(page.first)
+      this.listener.onGap?.(page.first)
     }
     for (const record of page.records) {
       if (record.offset < this.next) {
