Complete the stand-ins: orders, cache events, kept cache, weight store, faults

The thin stand-ins knew crashes and little else. The engine now splits into batch, streams, weights, orders, events and kept cache, each without network and run by the clock and randomness passed in, so that one fuzzer can drive them in virtual time. Faults of every stand-in are switched at POST /faults.

--- a/packages/foxtaillever-core/src/engineProtocol.ts
+++ b/packages/foxtaillever-core/src/engineProtocol.ts
@@ -19,6 +19,8 @@
   Deadline = 'x-deadline',
   /** Tokens delivered so far by an earlier engine; the answer goes on after them. */
   ContinueAfter = 'x-continue-after',
+  /** Set for requests that run at most once. */
+  IdempotencyKey = 'idempotency-key',
   Fence = 'x-fence',
   Caller = 'x-caller',
   Verdict = 'x-verdict'
--- a/packages/foxtaillever-standins/src/commands/log.ts
+++ b/packages/foxtaillever-standins/src/commands/log.ts
@@ -2,19 +2,23 @@
 import { SystemClock } from 'foxtaillever-core'
 import { LogModel } from '../platform/logModel.js'
 import { createLogServer } from '../platform/logServer.js'
-import { serve } from './serve.js'
 import { StandinCommand } from './standinCommand.js'
 
 export class LogCommand extends StandinCommand {
   static override paths = [['log']]
-  static override usage = Command.Usage({ description: 'Serve the platform\'s append-only log.' })
+  static override usage = Command.Usage({
+    description: 'Serve the platform\'s append-only log.',
+    details: 'Faults are switched at run time: POST /faults with outage, slownessMs and lostAnswers.'
+  })
 
   retention = Option.String('--retention-ms', '86400000', { description: 'How long records are kept, milliseconds.' })
   rate = Option.String('--appends-per-second', '300', { description: 'Appends a second before it refuses.' })
 
   async execute (): Promise<void> {
     const clock = SystemClock.create()
-    const model = LogModel.create({ retentionMs: Number(this.retention), appendsPerSecond: Number(this.rate) }, clock)
-    await serve('log', createLogServer(model, clock), this.host, this.listenPort())
+    const retentionMs = this.number('--retention-ms', this.retention, 1)
+    const appendsPerSecond = this.number('--appends-per-second', this.rate, 1)
+    const model = LogModel.create({ retentionMs, appendsPerSecond }, clock)
+    await this.serve('log', createLogServer(model, clock))
   }
 }
--- a/packages/foxtaillever-standins/src/engine/engineModel.ts
+++ b/packages/foxtaillever-standins/src/engine/engineModel.ts
@@ -1,96 +1,93 @@
 /**
- * Model of a model engine: continuous batching with a batch limit, chunked
- * prefill, a prefix cache in limited memory, priorities, cancel and resume of
- * streams. It knows no network; a server puts it on a socket.
+ * Model of a model engine: streams over a batch with a prefix cache, identity
+ * checks, cancel and resume, load reports with a lag, cache events, orders, kept
+ * cache and faults. It knows no network; a server puts it on a socket.
  */
-import { estimateTokens, Failure, FailureCode, Verdict, type Clock, type LoadReport, type StreamEnd, type StreamStart } from 'foxtaillever-core'
-import { Left, Right, type Either } from 'purify-ts'
-import { answerKey, answerToken } from '../answer.js'
+import {
+  estimateTokens, Failure, FailureCode, SeededRandom, Verdict,
+  type CacheEventPage, type CacheExport, type CacheImport, type Clock, type EngineOrder, type EngineState, type LoadReport, type Random, type StreamStart
+} from 'foxtaillever-core'
+import { Left, type Either } from 'purify-ts'
+import { answerKey } from '../answer.js'
+import { KeptCacheStoreModel, type KeptCacheStore } from '../platform/keptCacheStoreModel.js'
+import { WeightStoreModel, type WeightStore } from '../platform/weightStoreModel.js'
+import { Batch } from './batch.js'
 import { BlockCache } from './blockCache.js'
+import { CacheEventFeed } from './cacheEventFeed.js'
+import { createEngineFaults, type EngineFaults } from './engineFaults.js'
+import { EngineListener } from './engineListener.js'
+import type { EngineOptions, Generation, Stream, StreamSink } from './generation.js'
+import { KeptCacheDesk } from './keptCacheDesk.js'
+import { LaggedValue } from './laggedValue.js'
+import { OrderDesk, type OrderCall } from './orderDesk.js'
+import { RunCounts } from './runCounts.js'
+import { StreamTable } from './streamTable.js'
+import { Weights } from './weights.js'
 
-export interface EngineOptions {
-  readonly name: string
-  readonly models: readonly string[]
-  readonly weightsVersion: string
-  readonly slots: number
-  readonly prefillTokensPerSecond: number
-  /** Decode steps a second when the batch is empty but for one. */
-  readonly decodeTokensPerSecond: number
-  readonly cacheTokens: number
-  /** Blocks unused for this long are evicted, milliseconds. */
-  readonly cacheKeptMs: number
+/** What an engine stands among; each part is made anew where none is given. */
+export interface EngineSurroundings {
+  readonly random?: Random
+  readonly weightStore?: WeightStore
+  readonly keptCacheStore?: KeptCacheStore
 }
 
-export interface Generation {
-  readonly requestId: string
-  readonly account: string
-  readonly model: string
-  readonly prompt: string
-  readonly maxTokens: number
-  /** Tokens an earlier engine delivered; the answer goes on after them. */
-  readonly continueAfter: number
-  /** Lower runs first. */
-  readonly priority: number
-  readonly expectedIncarnation: string
-  readonly expectedWeights: string
-}
-
-/** Receives a stream; events are numbered from 0 for the start. */
-export interface StreamSink {
-  started: (start: StreamStart) => void
-  token: (sequence: number, text: string) => void
-  finished: (sequence: number, end: StreamEnd) => void
-  failed: (failure: Failure) => void
-}
-
-interface Stream {
-  readonly id: string
-  readonly generation: Generation
-  readonly chain: readonly string[]
-  readonly promptTokens: number
-  readonly answerKey: string
-  readonly order: number
-  sink: StreamSink
-  start: StreamStart | undefined
-  prefillLeft: number
-  produced: number
-  done: boolean
-}
-
-const silentSink: StreamSink = {
-  started: () => {},
-  token: () => {},
-  finished: () => {},
-  failed: () => {}
-}
-
-/** Prompt tokens prefilled in one step at most; longer prompts take several steps. */
-const PREFILL_CHUNK_TOKENS = 2048
-
-/** Finished streams are kept this long for a resume, milliseconds. */
-const FINISHED_KEPT_MS = 10_000
+/** Room of a kept-cache store that belongs to one engine alone, tokens. */
+const OWN_STORE_TOKENS = 1_000_000
 
 export class EngineModel {
+  readonly faults: EngineFaults
+  /** What ran here over all incarnations, for oracles. */
+  readonly counts = RunCounts.create()
   private readonly cache: BlockCache
-  private readonly streams = new Map<string, Stream>()
-  private waiting: Stream[] = []
-  private running: Stream[] = []
+  private readonly streams: StreamTable
+  private readonly batch: Batch
+  private readonly events: CacheEventFeed
+  private readonly orders: OrderDesk
+  private readonly kept: KeptCacheDesk
+  private readonly reports: LaggedValue<LoadReport>
+  private readonly weights: Weights
   private order = 0
-  private stepping = false
   private leaving = false
   private incarnationNumber = 0
   private incarnation: string
-  private nextStepAt = 0
-  /** How many times each request began to run here, for oracles. */
-  readonly runs = new Map<string, number>()
+  private downUntil = 0
+  private crashListener: (restartAt: number) => void = () => {}
 
-  private constructor (readonly options: EngineOptions, private readonly clock: Clock) {
+  private constructor (readonly options: EngineOptions, private readonly clock: Clock, surroundings: EngineSurroundings) {
+    this.faults = createEngineFaults(options.eventLagMs, options.loadLagMs)
     this.cache = BlockCache.create(options.cacheTokens, options.cacheKeptMs)
+    this.weights = Weights.create(options)
+    this.streams = StreamTable.create(clock)
+    this.events = CacheEventFeed.create(clock, surroundings.random ?? SeededRandom.create(1), this.faults)
+    this.batch = Batch.create(options, clock, this.cache, this.faults, this.createListener())
+    const desk = { checksFencing: options.checksFencing ?? false, trustedCallers: options.trustedCallers }
+    this.orders = OrderDesk.create(desk, clock, surroundings.weightStore ?? WeightStoreModel.create(clock), order => this.apply(order))
+    this.kept = KeptCacheDesk.create(this.cache, clock, surroundings.keptCacheStore ?? KeptCacheStoreModel.create(OWN_STORE_TOKENS))
+    this.reports = LaggedValue.create(clock)
     this.incarnation = this.drawIncarnation()
+    this.sampleLoad()
   }
 
-  static create (options: EngineOptions, clock: Clock): EngineModel {
-    return new EngineModel(options, clock)
+  static create (options: EngineOptions, clock: Clock, surroundings: EngineSurroundings = {}): EngineModel {
+    return new EngineModel(options, clock, surroundings)
+  }
+
+  /** How many times each request began to run here, for oracles. */
+  get runs (): Map<string, number> {
+    return this.counts.byRequest
+  }
+
+  private createListener (): EngineListener {
+    return EngineListener.create({
+      events: this.events,
+      faults: this.faults,
+      counts: this.counts,
+      identityOf: generation => this.weights.identity(generation, this.incarnation),
+      startOf: (stream, cachedTokens) => this.startOf(stream, cachedTokens),
+      finish: stream => this.finish(stream),
+      crash: () => this.crash(),
+      changed: () => this.changed()
+    })
   }
 
   private drawIncarnation (): string {
@@ -102,40 +99,37 @@
   submit (generation: Generation, sink: StreamSink): Either<Failure, string> {
     return this.check(generation).map(() => {
       const stream = this.createStream(generation, sink)
-      this.streams.set(stream.id, stream)
-      this.waiting.push(stream)
-      this.waiting.sort((one, other) => one.generation.priority - other.generation.priority || one.order - other.order)
-      this.runs.set(generation.requestId, (this.runs.get(generation.requestId) ?? 0) + 1)
-      this.wake()
+      this.streams.add(stream)
+      this.batch.add(stream)
+      this.sampleLoad()
       return stream.id
     })
   }
 
   private check (generation: Generation): Either<Failure, void> {
     const refuse = (code: FailureCode, message: string): Either<Failure, void> => Left(Failure.notRun(code, message))
+    if (this.isDown()) {
+      return refuse(FailureCode.ConnectionRefused, 'This engine is starting.')
+    }
     if (this.leaving) {
       return refuse(FailureCode.Leaving, 'This engine is leaving.')
     }
-    if (!this.options.models.includes(generation.model)) {
-      return refuse(FailureCode.UnknownModel, `Model ${generation.model} is not loaded here.`)
+    if (this.orders.isPending()) {
+      return refuse(FailureCode.BackendServerRefused, 'This engine is carrying out an order.')
     }
     if (generation.expectedIncarnation !== '' && generation.expectedIncarnation !== this.incarnation) {
       return refuse(FailureCode.Stale, 'This engine has restarted since.')
     }
-    if (generation.expectedWeights !== '' && generation.expectedWeights !== this.options.weightsVersion) {
-      return refuse(FailureCode.Stale, `Weights ${this.options.weightsVersion} are loaded here.`)
-    }
-    return Right(undefined)
+    return this.weights.check(generation)
   }
 
   private createStream (generation: Generation, sink: StreamSink): Stream {
     const order = this.order++
-    const salt = `${generation.account}/${generation.model}/${this.options.weightsVersion}`
     return {
       id: `${this.incarnation}.${order}`,
       generation,
       sink,
-      chain: BlockCache.chain(salt, generation.prompt),
+      chain: BlockCache.chain(this.weights.salt(generation), generation.prompt),
       promptTokens: estimateTokens(generation.prompt.length),
       answerKey: answerKey(generation.prompt),
       order,
@@ -146,172 +140,152 @@
     }
   }
 
+  private startOf (stream: Stream, cachedTokens: number): StreamStart {
+    return {
+      streamId: stream.id,
+      incarnation: this.incarnation,
+      weightsVersion: this.weights.version(),
+      promptTokens: stream.promptTokens,
+      cachedTokens
+    }
+  }
+
   /** Attaches a new sink to a stream and repeats what came after the given event. */
   resume (streamId: string, after: number, sink: StreamSink): Either<Failure, void> {
-    const stream = this.streams.get(streamId)
-    if (!stream) {
-      return Left(Failure.create(FailureCode.StreamBroken, Verdict.MayHaveRun, 'This engine does not know the stream.'))
-    }
-    stream.sink = sink
-    if (stream.start) {
-      sink.started(stream.start)
-    }
-    for (let sequence = after + 1; sequence <= stream.produced; sequence++) {
-      sink.token(sequence, answerToken(stream.answerKey, sequence))
-    }
-    if (stream.done) {
-      sink.finished(stream.produced + 1, this.endOf(stream))
-    }
-    return Right(undefined)
+    return this.streams.resume(streamId, after, sink)
   }
 
   /** The socket is gone: the stream runs on, unseen, until it is resumed or its time is up. */
   detach (streamId: string, sink: StreamSink): void {
-    const stream = this.streams.get(streamId)
-    if (stream?.sink === sink) {
-      stream.sink = silentSink
-    }
+    this.streams.detach(streamId, sink)
   }
 
   cancel (streamId: string): void {
-    const stream = this.streams.get(streamId)
-    if (!stream) {
-      return
+    const stream = this.streams.take(streamId)
+    if (stream) {
+      this.batch.remove(stream)
+      this.changed()
+    }
+  }
+
+  private finish (stream: Stream): void {
+    this.streams.finish(stream)
+    this.changed()
+  }
+
+  /** Something ended: orders go on once nothing runs. */
+  private changed (): void {
+    this.sampleLoad()
+    if (this.batch.isEmpty()) {
+      this.orders.proceed()
     }
-    this.streams.delete(streamId)
-    this.waiting = this.waiting.filter(other => other !== stream)
-    this.running = this.running.filter(other => other !== stream)
   }
 
   /** Refuses new work from now on; what runs is finished. */
   leave (): void {
     this.leaving = true
+    this.sampleLoad()
   }
 
-  /** Loses everything and comes back empty, as a new incarnation. */
+  /** Loses everything and comes back empty, at once or after the restart time. */
   crash (): void {
-    const lost = [...this.streams.values()].filter(stream => !stream.done)
+    const lost = this.batch.clear()
     this.streams.clear()
-    this.waiting = []
-    this.running = []
+    this.orders.reset()
+    this.weights.reset()
+    this.renew()
+    this.downUntil = this.clock.now() + this.faults.restartMs
+    this.crashListener(this.downUntil)
+    lost.forEach(stream => stream.sink.failed(Failure.create(FailureCode.ConnectionLost, Verdict.MayHaveRun, 'The engine crashed.')))
+  }
+
+  /** Tells a server when this engine crashes, and when it will be back. */
+  onCrash (listener: (restartAt: number) => void): void {
+    this.crashListener = listener
+  }
+
+  isDown (): boolean {
+    return this.clock.now() < this.downUntil
+  }
+
+  /** Nothing that was cached counts any more. */
+  private renew (): void {
     this.cache.clear()
+    this.events.restart()
     this.incarnation = this.drawIncarnation()
-    lost.forEach(stream => stream.sink.failed(Failure.create(FailureCode.ConnectionLost, Verdict.MayHaveRun, 'The engine crashed.')))
+    this.sampleLoad()
   }
 
-  load (): LoadReport {
-    const uncached = (stream: Stream): number => stream.start ? stream.prefillLeft : stream.promptTokens
-    return {
-      incarnation: this.incarnation,
-      weightsVersion: this.options.weightsVersion,
-      running: this.running.length,
-      waiting: this.waiting.length,
-      waitingTokens: [...this.waiting, ...this.running].reduce((sum, stream) => sum + uncached(stream), 0),
-      cacheTokensUsed: this.cache.tokens(),
-      leaving: this.leaving,
-      madeAt: this.clock.now()
-    }
+  setFaults (faults: Partial<EngineFaults>): void {
+    Object.assign(this.faults, faults)
+    this.batch.wake()
   }
 
-  private wake (): void {
-    if (this.stepping) {
-      return
-    }
-    this.stepping = true
-    this.nextStepAt = this.clock.now()
-    this.scheduleStep()
+  /** Takes an order, or refuses it. */
+  give (call: OrderCall): Either<Failure, void> {
+    return this.orders.take(call).map(() => this.changed())
   }
 
-  /** Plans a step from the batch as it is now; its results come when it ends. */
-  private scheduleStep (): void {
-    this.fillBatch()
-    if (this.running.length === 0) {
-      this.stepping = false
-      return
-    }
-    const prefill = this.planPrefill()
-    const decodeMs = 1000 / this.options.decodeTokensPerSecond
-    const prefillMs = prefill.tokens / this.options.prefillTokensPerSecond * 1000
-    this.nextStepAt = Math.max(this.nextStepAt, this.clock.now() - decodeMs) + decodeMs + prefillMs
-    this.clock.at(this.nextStepAt, () => {
-      this.endStep(prefill.streams)
-      this.scheduleStep()
-    })
+  /** Every order that arrived, taken or not, for oracles. */
+  receivedOrders (): readonly OrderCall[] {
+    return this.orders.received
   }
 
-  private fillBatch (): void {
-    while (this.running.length < this.options.slots) {
-      const stream = this.waiting.shift()
-      if (!stream) {
-        return
-      }
-      const cachedTokens = Math.min(this.cache.match(stream.chain, this.clock.now()), stream.promptTokens)
-      stream.start = {
-        streamId: stream.id,
-        incarnation: this.incarnation,
-        weightsVersion: this.options.weightsVersion,
-        promptTokens: stream.promptTokens,
-        cachedTokens
-      }
-      stream.prefillLeft = stream.promptTokens - cachedTokens
-      this.running.push(stream)
-      stream.sink.started(stream.start)
+  private apply (order: EngineOrder): void {
+    if (this.weights.apply(order)) {
+      this.renew()
     }
   }
 
-  private planPrefill (): { tokens: number, streams: Map<Stream, number> } {
-    const streams = new Map<Stream, number>()
-    let tokens = 0
-    for (const stream of this.running) {
-      const chunk = Math.min(stream.prefillLeft, PREFILL_CHUNK_TOKENS - tokens)
-      if (chunk > 0) {
-        streams.set(stream, chunk)
-        tokens += chunk
-      }
-    }
-    return { tokens, streams }
+  /** Puts the cached blocks of a prefix into the kept-cache store; answers their tokens. */
+  async exportCache (request: CacheExport): Promise<Either<Failure, number>> {
+    return await this.kept.put(request, this.weights, this.incarnation)
   }
 
-  private endStep (prefilled: Map<Stream, number>): void {
-    for (const stream of [...this.running]) {
-      const chunk = prefilled.get(stream)
-      if (chunk !== undefined) {
-        stream.prefillLeft -= chunk
-      }
-      // A stream that is still in prefill produces nothing in this step.
-      if (stream.prefillLeft === 0) {
-        this.produce(stream, chunk !== undefined)
-      }
-    }
-    this.cache.evict(this.clock.now())
+  /** Takes blocks from the kept-cache store; answers their tokens. */
+  async importCache (request: CacheImport): Promise<Either<Failure, number>> {
+    return await this.kept.take(request, this.weights)
   }
 
-  private produce (stream: Stream, justPrefilled: boolean): void {
-    if (justPrefilled) {
-      this.cache.insert(stream.chain, this.clock.now())
-    }
-    if (stream.produced < stream.generation.maxTokens) {
-      stream.produced += 1
-      stream.sink.token(stream.produced, answerToken(stream.answerKey, stream.produced))
-    }
-    if (stream.produced >= stream.generation.maxTokens) {
-      this.finish(stream)
+  readEvents (after: number): CacheEventPage {
+    return this.events.read(this.incarnation, after)
+  }
+
+  private sampleLoad (): void {
+    this.reports.put(this.measureLoad(), this.faults.loadLagMs)
+  }
+
+  private measureLoad (): LoadReport {
+    return {
+      incarnation: this.incarnation,
+      weightsVersion: this.weights.version(),
+      running: this.batch.runningCount(),
+      waiting: this.batch.waitingCount(),
+      waitingTokens: this.batch.waitingTokens(),
+      cacheTokensUsed: this.cache.tokens(),
+      leaving: this.leaving,
+      madeAt: this.clock.now()
     }
   }
 
-  private finish (stream: Stream): void {
-    stream.done = true
-    this.running = this.running.filter(other => other !== stream)
-    this.clock.at(this.clock.now() + FINISHED_KEPT_MS, () => this.streams.delete(stream.id))
-    stream.sink.finished(stream.produced + 1, this.endOf(stream))
+  /** The load as it was some time ago. */
+  load (): LoadReport {
+    this.sampleLoad()
+    return this.reports.get(this.faults.loadLagMs) ?? this.measureLoad()
   }
 
-  private endOf (stream: Stream): StreamEnd {
+  state (): EngineState {
     return {
-      finishReason: 'length',
-      promptTokens: stream.promptTokens,
-      cachedTokens: stream.start?.cachedTokens ?? 0,
-      completionTokens: stream.produced
+      name: this.options.name,
+      incarnation: this.incarnation,
+      models: this.weights.models(),
+      weightsVersion: this.weights.version(),
+      adapters: this.weights.adapters(),
+      role: this.weights.role(),
+      leaving: this.leaving,
+      pendingOrders: this.orders.pendingOrders(),
+      doneOrders: this.orders.doneOrders(),
+      highestFence: this.orders.highestFence()
     }
   }
 }
--- a/packages/foxtaillever-standins/src/engine/engineServer.ts
+++ b/packages/foxtaillever-standins/src/engine/engineServer.ts
@@ -1,16 +1,25 @@
 /**
  * Puts the engine model on a socket: completions over server-sent events,
- * resume, cancel and load.
+ * resume, cancel, load, events, state, orders and kept cache, and the control
+ * route for faults.
  */
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
 import {
-  EngineHeader, EnginePath, Failure, FailureCode, renderMessages, StreamEvent, Verdict,
-  type ChatMessage, type StreamEnd, type StreamStart
+  EngineHeader, EnginePath, Failure, FailureCode, renderMessages, Verdict,
+  type CacheExport, type CacheImport, type ChatMessage, type EngineOrder
 } from 'foxtaillever-core'
-import { formatEvent } from './formatEvent.js'
-import type { EngineModel, Generation, StreamSink } from './engineModel.js'
+import type { Either } from 'purify-ts'
+import { crashWith, waitWhileFrozen } from './crashServer.js'
+import type { EngineFaults } from './engineFaults.js'
+import type { EngineModel } from './engineModel.js'
+import type { Generation } from './generation.js'
+import { chatChunk, SocketSink, textChunk, type ChunkForm } from './socketSink.js'
 
 const BODY_LIMIT_BYTES = 16 * 1024 * 1024
+const DEFAULT_MAX_TOKENS = 16
+
+/** Control route of all stand-ins. */
+const FAULTS_PATH = '/faults'
 
 interface CompletionBody {
   readonly model: string
@@ -19,7 +28,18 @@
   readonly max_tokens?: number
 }
 
-const DEFAULT_MAX_TOKENS = 16
+/** Faults to switch, and things to do at once. */
+interface Control extends Partial<EngineFaults> {
+  readonly crash?: boolean
+  readonly leave?: boolean
+}
+
+interface ResumeQuery {
+  readonly after?: string
+  readonly form?: string
+  readonly request?: string
+  readonly model?: string
+}
 
 function header (request: FastifyRequest, name: EngineHeader): string {
   const value = request.headers[name]
@@ -37,48 +57,33 @@
     continueAfter: Number(header(request, EngineHeader.ContinueAfter) || 0),
     priority: Number(header(request, EngineHeader.Priority) || 1),
     expectedIncarnation: header(request, EngineHeader.ExpectedIncarnation),
-    expectedWeights: header(request, EngineHeader.ExpectedWeights)
+    expectedWeights: header(request, EngineHeader.ExpectedWeights),
+    idempotencyKey: header(request, EngineHeader.IdempotencyKey)
   }
 }
 
-type ChunkForm = (id: string, model: string, text: string) => string
-
-const textChunk: ChunkForm = (id, model, text) =>
-  JSON.stringify({ id, object: 'text_completion', created: 0, model, choices: [{ index: 0, text, logprobs: null, finish_reason: null }] })
-
-const chatChunk: ChunkForm = (id, model, text) =>
-  JSON.stringify({ id, object: 'chat.completion.chunk', created: 0, model, choices: [{ index: 0, delta: { role: 'assistant', content: text }, finish_reason: null }] })
-
-/** Writes a stream to a socket; a crash cuts the socket without a last word. */
-class SocketSink implements StreamSink {
-  private constructor (private readonly reply: FastifyReply, private readonly chunk: (text: string) => string) {}
-
-  static create (reply: FastifyReply, chunk: (text: string) => string): SocketSink {
-    return new SocketSink(reply, chunk)
-  }
-
-  started (start: StreamStart): void {
-    this.reply.raw.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
-    this.reply.raw.write(formatEvent(0, JSON.stringify(start), StreamEvent.Started))
-  }
-
-  token (sequence: number, text: string): void {
-    this.reply.raw.write(formatEvent(sequence, this.chunk(text)))
-  }
-
-  finished (sequence: number, end: StreamEnd): void {
-    this.reply.raw.end(formatEvent(sequence, JSON.stringify(end), StreamEvent.Finished))
-  }
-
-  failed (_failure: Failure): void {
-    this.reply.raw.destroy()
-  }
+const STATUS_UNAVAILABLE = 503
+const statuses: Partial<Record<FailureCode, number>> = {
+  [FailureCode.Stale]: 409,
+  [FailureCode.Forbidden]: 403,
+  [FailureCode.UnknownRoute]: 404
 }
 
+/** Written by hand, since a hijacked reply knows no other way. */
 function refuse (reply: FastifyReply, failure: Failure): void {
-  reply.code(failure.code === FailureCode.Stale ? 409 : 503)
-    .header(EngineHeader.Verdict, failure.verdict)
-    .send({ error: { code: failure.code, message: failure.message, verdict: failure.verdict } })
+  reply.raw.writeHead(statuses[failure.code] ?? STATUS_UNAVAILABLE, { 'content-type': 'application/json', [EngineHeader.Verdict]: failure.verdict })
+  reply.raw.end(JSON.stringify({ error: { code: failure.code, message: failure.message, verdict: failure.verdict } }))
+}
+
+function answer (reply: FastifyReply, result: Either<Failure, object>): void {
+  reply.hijack()
+  result.caseOf({
+    Left: failure => refuse(reply, failure),
+    Right: body => {
+      reply.raw.writeHead(200, { 'content-type': 'application/json' })
+      reply.raw.end(JSON.stringify(body))
+    }
+  })
 }
 
 function stream (model: EngineModel, form: ChunkForm) {
@@ -87,7 +92,7 @@
     const sink = SocketSink.create(reply, text => form(generation.requestId, generation.model, text))
     reply.hijack()
     model.submit(generation, sink).caseOf({
-      Left: failure => sendRefusal(reply, failure),
+      Left: failure => refuse(reply, failure),
       Right: streamId => reply.raw.on('close', () => {
         if (!reply.raw.writableFinished) {
           model.detach(streamId, sink)
@@ -97,28 +102,75 @@
   }
 }
 
-/** After hijack the reply is written by hand. */
-function sendRefusal (reply: FastifyReply, failure: Failure): void {
-  const status = failure.code === FailureCode.Stale ? 409 : 503
-  reply.raw.writeHead(status, { 'content-type': 'application/json', [EngineHeader.Verdict]: failure.verdict })
-  reply.raw.end(JSON.stringify({ error: { code: failure.code, message: failure.message, verdict: failure.verdict } }))
-}
-
-export function createEngineServer (model: EngineModel): FastifyInstance {
-  const server = fastify({ bodyLimit: BODY_LIMIT_BYTES, forceCloseConnections: true })
+function serveStreams (server: FastifyInstance, model: EngineModel): void {
   server.post(EnginePath.Completions, stream(model, textChunk))
   server.post(EnginePath.ChatCompletions, stream(model, chatChunk))
-  server.get<{ Params: { id: string }, Querystring: { after?: string, form?: string, request?: string, model?: string } }>(`${EnginePath.Streams}/:id`, (request, reply) => {
+  server.get<{ Params: { id: string }, Querystring: ResumeQuery }>(`${EnginePath.Streams}/:id`, (request, reply) => {
     const form = request.query.form === EnginePath.ChatCompletions ? chatChunk : textChunk
     const sink = SocketSink.create(reply, text => form(request.query.request ?? '', request.query.model ?? '', text))
     reply.hijack()
-    model.resume(request.params.id, Number(request.query.after ?? 0), sink).ifLeft(failure => sendRefusal(reply, failure))
+    model.resume(request.params.id, Number(request.query.after ?? 0), sink).ifLeft(failure => refuse(reply, failure))
   })
   server.post<{ Params: { id: string } }>(`${EnginePath.Cancel}/:id`, (request, reply) => {
     model.cancel(request.params.id)
     reply.send({})
   })
-  server.get(EnginePath.Load, (_, reply) => { reply.send(model.load()) })
-  server.setNotFoundHandler((_, reply) => refuse(reply, Failure.create(FailureCode.UnknownRoute, Verdict.NotRun, 'No such call.')))
+}
+
+function serveState (server: FastifyInstance, model: EngineModel): void {
+  server.get(EnginePath.Load, async () => model.load())
+  server.get(EnginePath.State, async () => model.state())
+  server.get<{ Querystring: { after?: string } }>(EnginePath.Events, async request => model.readEvents(Number(request.query.after ?? 0)))
+}
+
+function serveOrders (server: FastifyInstance, model: EngineModel): void {
+  server.post(EnginePath.Orders, (request, reply) => {
+    const call = {
+      order: request.body as EngineOrder,
+      fence: Number(header(request, EngineHeader.Fence) || 0),
+      caller: header(request, EngineHeader.Caller)
+    }
+    answer(reply, model.give(call).map(() => model.state()))
+  })
+  server.post(EnginePath.CacheExport, async (request, reply) => {
+    const exported = await model.exportCache(request.body as CacheExport)
+    answer(reply, exported.map(tokens => ({ tokens })))
+  })
+  server.post(EnginePath.CacheImport, async (request, reply) => {
+    const imported = await model.importCache(request.body as CacheImport)
+    answer(reply, imported.map(tokens => ({ tokens })))
+  })
+}
+
+function serveFaults (server: FastifyInstance, model: EngineModel): void {
+  server.post(FAULTS_PATH, async (request) => {
+    const { crash, leave, ...faults } = request.body as Control
+    model.setFaults(faults)
+    if (leave === true) {
+      model.leave()
+    }
+    if (crash === true) {
+      model.crash()
+    }
+    return model.faults
+  })
+}
+
+export function createEngineServer (model: EngineModel): FastifyInstance {
+  const server = fastify({ bodyLimit: BODY_LIMIT_BYTES, forceCloseConnections: true })
+  server.addHook('onRequest', async (request) => {
+    if (request.url !== FAULTS_PATH) {
+      await waitWhileFrozen(model)
+    }
+  })
+  serveStreams(server, model)
+  serveState(server, model)
+  serveOrders(server, model)
+  serveFaults(server, model)
+  server.setNotFoundHandler((_, reply) => {
+    reply.hijack()
+    refuse(reply, Failure.create(FailureCode.UnknownRoute, Verdict.NotRun, 'No such call.'))
+  })
+  crashWith(server, model)
   return server
 }
--- /dev/null
+++ b/packages/foxtaillever-standins/src/plain/plainModel.ts
@@ -0,0 +1,57 @@
+/** Model of a plain service: it counts exports, which may not be repeated, and can be slow, fail or lose answers. */
+import { Failure, FailureCode, Verdict } from 'foxtaillever-core'
+import { Left, Right, type Either } from 'purify-ts'
+
+/** Faults that are switched at run time. */
+export interface PlainFaults {
+  /** Added to each answer, milliseconds. */
+  slownessMs: number
+  /** The next calls that fail without effect. */
+  failures: number
+  /** The next exports whose answer is lost after the effect. */
+  lostAnswers: number
+}
+
+export class PlainModel {
+  /** Runs by idempotency key of the export. */
+  readonly exports = new Map<string, number>()
+  lookups = 0
+  readonly faults: PlainFaults = { slownessMs: 0, failures: 0, lostAnswers: 0 }
+
+  private constructor () {}
+
+  static create (): PlainModel {
+    return new PlainModel()
+  }
+
+  setFaults (faults: Partial<PlainFaults>): void {
+    Object.assign(this.faults, faults)
+  }
+
+  lookUp (id: string): Either<Failure, object> {
+    return this.fail().map(() => {
+      this.lookups += 1
+      return { citation: id }
+    })
+  }
+
+  /** Runs an export; its effect stays also when the answer is lost. */
+  export (key: string): Either<Failure, object> {
+    return this.fail().chain(() => {
+      this.exports.set(key, (this.exports.get(key) ?? 0) + 1)
+      if (this.faults.lostAnswers === 0) {
+        return Right({ exported: key })
+      }
+      this.faults.lostAnswers -= 1
+      return Left(Failure.create(FailureCode.ConnectionLost, Verdict.MayHaveRun, 'The answer was lost.'))
+    })
+  }
+
+  private fail (): Either<Failure, void> {
+    if (this.faults.failures === 0) {
+      return Right(undefined)
+    }
+    this.faults.failures -= 1
+    return Left(Failure.notRun(FailureCode.BackendServerError, 'The service failed.'))
+  }
+}
--- a/packages/foxtaillever-standins/src/platform/instanceListModel.ts
+++ b/packages/foxtaillever-standins/src/platform/instanceListModel.ts
@@ -2,17 +2,28 @@
  * Model of the platform's list of live and leaving instances. What it says is
  * older than the truth by its lag.
  */
-import type { Clock, ListedInstance } from 'foxtaillever-core'
+import { Failure, FailureCode, type Clock, type ListedInstance } from 'foxtaillever-core'
+import { Left, Right, type Either } from 'purify-ts'
 
 interface Version {
   readonly visibleAt: number
   readonly instance: ListedInstance | undefined
 }
 
+/** Faults that are switched at run time. */
+export interface InstanceListFaults {
+  outage: boolean
+  /** Lag of changes from now on, milliseconds. */
+  lagMs: number
+}
+
 export class InstanceListModel {
   private readonly versions = new Map<string, Version[]>()
+  readonly faults: InstanceListFaults
 
-  private constructor (private readonly lagMs: number, private readonly clock: Clock) {}
+  private constructor (lagMs: number, private readonly clock: Clock) {
+    this.faults = { outage: false, lagMs }
+  }
 
   static create (lagMs: number, clock: Clock): InstanceListModel {
     return new InstanceListModel(lagMs, clock)
@@ -26,14 +37,28 @@
     this.push(name, undefined)
   }
 
+  setFaults (faults: Partial<InstanceListFaults>): void {
+    Object.assign(this.faults, faults)
+  }
+
   private push (name: string, instance: ListedInstance | undefined): void {
+    const now = this.clock.now()
     const versions = this.versions.get(name) ?? []
-    this.versions.set(name, [...versions, { visibleAt: this.clock.now() + this.lagMs, instance }])
+    const newestVisible = versions.findLastIndex(version => version.visibleAt <= now)
+    const seen = versions.slice(Math.max(0, newestVisible))
+    this.versions.set(name, [...seen, { visibleAt: now + this.faults.lagMs, instance }])
   }
 
   list (): ListedInstance[] {
     return [...this.versions.values()]
-      .map(versions => versions.filter(version => version.visibleAt <= this.clock.now()).at(-1)?.instance)
+      .map(versions => versions.findLast(version => version.visibleAt <= this.clock.now())?.instance)
       .filter(instance => instance !== undefined)
   }
+
+  /** The list as a reader gets it: nothing during an outage. */
+  read (): Either<Failure, ListedInstance[]> {
+    return this.faults.outage
+      ? Left(Failure.notRun(FailureCode.BackendServerError, 'The instance list is down.'))
+      : Right(this.list())
+  }
 }
--- a/packages/foxtaillever-standins/src/platform/instanceListServer.ts
+++ b/packages/foxtaillever-standins/src/platform/instanceListServer.ts
@@ -1,11 +1,16 @@
 /** Puts the instance list on a socket. */
 import fastify, { type FastifyInstance } from 'fastify'
 import type { ListedInstance } from 'foxtaillever-core'
-import type { InstanceListModel } from './instanceListModel.js'
+import type { InstanceListFaults, InstanceListModel } from './instanceListModel.js'
 
 export function createInstanceListServer (model: InstanceListModel): FastifyInstance {
   const server = fastify({ forceCloseConnections: true })
-  server.get('/instances', async () => model.list())
+  server.get('/instances', async (_, reply) => {
+    return model.read().caseOf<unknown>({
+      Left: failure => reply.code(503).send(failure),
+      Right: instances => instances
+    })
+  })
   server.put('/instances', async (request) => {
     model.put(request.body as ListedInstance)
     return {}
@@ -14,5 +19,9 @@
     model.remove(request.params.name)
     return {}
   })
+  server.post('/faults', async (request) => {
+    model.setFaults(request.body as Partial<InstanceListFaults>)
+    return model.faults
+  })
   return server
 }
--- /dev/null
+++ b/packages/foxtaillever-standins/src/platform/keptCacheStoreModel.ts
@@ -0,0 +1,67 @@
+/**
+ * Model of the kept-cache store: cached blocks of prefixes outside the engines,
+ * limited in size, the oldest dropped first. It gives back whatever it holds;
+ * who may use it is checked by the engine that imports.
+ */
+import { Failure, FailureCode, type KeptCache } from 'foxtaillever-core'
+import { Left, Right, type Either } from 'purify-ts'
+
+/** What an engine needs of the store. */
+export interface KeptCacheStore {
+  put: (key: string, entry: KeptCache) => Promise<Either<Failure, void>>
+  get: (key: string) => Promise<Either<Failure, KeptCache>>
+}
+
+export interface KeptCacheStoreFaults {
+  outage: boolean
+}
+
+export class KeptCacheStoreModel implements KeptCacheStore {
+  private readonly entries = new Map<string, KeptCache>()
+  readonly faults: KeptCacheStoreFaults = { outage: false }
+
+  private constructor (private readonly capacityTokens: number) {}
+
+  static create (capacityTokens: number): KeptCacheStoreModel {
+    return new KeptCacheStoreModel(capacityTokens)
+  }
+
+  async put (key: string, entry: KeptCache): Promise<Either<Failure, void>> {
+    if (this.faults.outage) {
+      return this.down()
+    }
+    this.entries.delete(key)
+    this.entries.set(key, entry)
+    this.shrink()
+    return Right(undefined)
+  }
+
+  async get (key: string): Promise<Either<Failure, KeptCache>> {
+    if (this.faults.outage) {
+      return this.down()
+    }
+    const entry = this.entries.get(key)
+    return entry ? Right(entry) : Left(Failure.notRun(FailureCode.BadRequest, `The store holds nothing under ${key}.`))
+  }
+
+  setFaults (faults: Partial<KeptCacheStoreFaults>): void {
+    Object.assign(this.faults, faults)
+  }
+
+  tokens (): number {
+    return [...this.entries.values()].reduce((sum, entry) => sum + entry.tokens, 0)
+  }
+
+  private down<Value> (): Either<Failure, Value> {
+    return Left(Failure.notRun(FailureCode.BackendServerError, 'The kept-cache store is down.'))
+  }
+
+  private shrink (): void {
+    for (const key of this.entries.keys()) {
+      if (this.tokens() <= this.capacityTokens) {
+        return
+      }
+      this.entries.delete(key)
+    }
+  }
+}
