--- a/packages/foxtaillever-standins/src/engine/engineModel.ts
+++ b/packages/foxtaillever-standins/src/engine/engineModel.ts
@@ -160,8 +160,9 @@
     this.streams.detach(streamId, sink)
   }
 
-  cancel (streamId: string): void {
-    const stream = this.streams.take(streamId)
+  /** Stops a stream, named by its id or by the request's. */
+  cancel (id: string): void {
+    const stream = this.streams.take(id)
     if (stream) {
       this.batch.remove(stream)
       this.changed()
--- a/packages/foxtaillever-standins/src/engine/streamTable.ts
+++ b/packages/foxtaillever-standins/src/engine/streamTable.ts
@@ -20,10 +20,10 @@
     this.streams.set(stream.id, stream)
   }
 
-  /** Takes a stream out; undefined when it is not known. */
+  /** Takes out a stream, named by its id or by the request's; undefined when it is not known. */
   take (id: string): Stream | undefined {
-    const stream = this.streams.get(id)
-    this.streams.delete(id)
+    const stream = this.streams.get(id) ?? [...this.streams.values()].find(other => other.generation.requestId === id)
+    this.streams.delete(stream?.id ?? '')
     return stream
   }
 
