Keep verdicts, streams and claims through broken tries

Shared types changed: GenerateListener.sent answers a boolean; GenerateStream.detach, Engine.cancel and ResumeCall are new.

--- a/packages/foxtaillever-core/src/engineProtocol.ts
+++ b/packages/foxtaillever-core/src/engineProtocol.ts
@@ -19,6 +19,8 @@
   Deadline = 'x-deadline',
   /** Tokens delivered so far by an earlier engine; the answer goes on after them. */
   ContinueAfter = 'x-continue-after',
+  /** Set for requests that run at most once. */
+  IdempotencyKey = 'idempotency-key',
   Fence = 'x-fence',
   Caller = 'x-caller',
   Verdict = 'x-verdict'
@@ -78,12 +80,27 @@
   readonly body: Readonly<Record<string, unknown>>
   /** Tokens already delivered by an earlier engine. */
   readonly continueAfter: number
+  /** Of a request that runs at most once; empty for the others. */
+  readonly idempotencyKey: string
+}
+
+/** Takes a stream up again at the engine that has it. */
+export interface ResumeCall {
+  readonly streamId: string
+  /** Tokens that need not be repeated. */
+  readonly after: number
+  readonly requestId: string
+  readonly model: string
+  readonly path: GenerateCall['path']
 }
 
 /** Receives what comes of one call; exactly one of finished and failed comes last. */
 export interface GenerateListener {
-  /** The first byte is about to leave; a loss before this word is proven NotRun. */
-  sent: () => void
+  /**
+   * The first byte is about to leave; a loss before this word is proven NotRun.
+   * @returns false to hold the byte back; the call then fails as not run.
+   */
+  sent: () => boolean
   started: (start: StreamStart) => void
   /** @param sequence 1 for the first token. @param data the chunk as JSON text. */
   token: (sequence: number, data: string) => void
@@ -94,6 +111,8 @@
 export interface GenerateStream {
   /** Tells the engine to stop; no further word comes to the listener. */
   cancel: Cancellation
+  /** Closes the connection and lets the engine go on; no further word comes to the listener. */
+  detach: () => void
   /** Stops reading, so that the engine is pressed back. */
   pause: () => void
   resume: () => void
@@ -116,6 +135,8 @@
 export interface Engine {
   generate: (call: GenerateCall, listener: GenerateListener) => GenerateStream
   /** Goes on with a stream after the given sequence. */
-  resume: (streamId: string, after: number, listener: GenerateListener) => GenerateStream
+  resume: (call: ResumeCall, listener: GenerateListener) => GenerateStream
+  /** Stops work by the id of its stream or request; tells nobody whether it worked. */
+  cancel: (id: string) => void
   load: () => Promise<Either<Failure, LoadReport>>
 }
--- a/packages/foxtaillever-router/src/adapters/engineClient.ts
+++ b/packages/foxtaillever-router/src/adapters/engineClient.ts
@@ -1,7 +1,7 @@
 /** A model engine over HTTP and server-sent events. */
 import {
   EngineHeader, EnginePath, Failure, FailureCode, PriorityClass,
-  type Engine, type GenerateCall, type GenerateListener, type GenerateStream, type LoadReport
+  type Engine, type GenerateCall, type GenerateListener, type GenerateStream, type LoadReport, type ResumeCall
 } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
 import { Pool } from 'undici'
@@ -46,13 +46,14 @@
     return handler
   }
 
-  resume (streamId: string, after: number, listener: GenerateListener): GenerateStream {
-    const handler = StreamHandler.create(listener, () => this.cancel(streamId))
-    this.pool.dispatch({ method: 'GET', path: `${EnginePath.Streams}/${streamId}?after=${after}` }, handler)
+  resume (call: ResumeCall, listener: GenerateListener): GenerateStream {
+    const handler = StreamHandler.create(listener, () => this.cancel(call.requestId))
+    const query = new URLSearchParams({ after: String(call.after), form: call.path, request: call.requestId, model: call.model })
+    this.pool.dispatch({ method: 'GET', path: `${EnginePath.Streams}/${encodeURIComponent(call.streamId)}?${query}` }, handler)
     return handler
   }
 
-  private cancel (id: string): void {
+  cancel (id: string): void {
     this.pool.request({ method: 'POST', path: `${EnginePath.Cancel}/${encodeURIComponent(id)}` })
       .then(answer => answer.body.dump())
       // An engine that cannot be told is gone, and its work with it.
@@ -85,6 +86,9 @@
   if (call.expectedIncarnation !== '') {
     headers[EngineHeader.ExpectedIncarnation] = call.expectedIncarnation
   }
+  if (call.idempotencyKey !== '') {
+    headers[EngineHeader.IdempotencyKey] = call.idempotencyKey
+  }
   if (call.continueAfter > 0) {
     headers[EngineHeader.ContinueAfter] = String(call.continueAfter)
   }
--- a/packages/foxtaillever-router/src/adapters/streamHandler.ts
+++ b/packages/foxtaillever-router/src/adapters/streamHandler.ts
@@ -39,14 +39,18 @@
   }
 
   cancel (): void {
+    if (!this.over && this.sent) {
+      this.tellEngine()
+    }
+    this.detach()
+  }
+
+  detach (): void {
     if (this.over) {
       return
     }
     this.over = true
     this.controller?.abort(new Error('cancelled'))
-    if (this.sent) {
-      this.tellEngine()
-    }
   }
 
   pause (): void {
@@ -63,8 +67,12 @@
       controller.abort(new Error('cancelled'))
       return
     }
+    if (!this.listener.sent()) {
+      controller.abort(new Error('held back'))
+      this.fail(Failure.notRun(FailureCode.DeadlinePassed, 'The request was held back before its first byte.'))
+      return
+    }
     this.sent = true
-    this.listener.sent()
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
--- a/packages/foxtaillever-router/src/callers/streamResponder.ts
+++ b/packages/foxtaillever-router/src/callers/streamResponder.ts
@@ -24,7 +24,7 @@
     return new StreamResponder(options)
   }
 
-  started (start: StreamStart): void {
+  started (start: StreamStart, _server: string): void {
     this.options.response.writeHead(200, {
       'content-type': 'text/event-stream; charset=utf-8',
       'cache-control': 'no-cache',
--- a/packages/foxtaillever-standins/src/platform/localLog.ts
+++ b/packages/foxtaillever-standins/src/platform/localLog.ts
@@ -13,10 +13,11 @@
   /** While true nothing of this process reaches the log, nor any answer it. */
   isCut = false
 
-  private constructor (private readonly model: LogModel, private readonly clock: Clock) {}
+  private constructor (private readonly model: LogModel, private readonly clock: Clock, private readonly modelClock: Clock) {}
 
-  static create (model: LogModel, clock: Clock): LocalLog {
-    return new LocalLog(model, clock)
+  /** @param clock the process's own; may differ from the log's. */
+  static create (model: LogModel, clock: Clock, modelClock = clock): LocalLog {
+    return new LocalLog(model, clock, modelClock)
   }
 
   async append (entry: LogEntry): Promise<Either<Failure, number>> {
@@ -32,7 +33,8 @@
   async read (from: number, deadline: number): Promise<Either<Failure, LogPage>> {
     await this.travel()
     if (!this.isCut) {
-      await this.model.waitFor(from, deadline)
+      const waitMs = deadline - this.clock.now()
+      await this.model.waitFor(from, this.modelClock.now() + waitMs)
     }
     const page = this.model.read(from)
     await this.travel()
--- a/packages/foxtaillever-testing/src/virtualClock.ts
+++ b/packages/foxtaillever-testing/src/virtualClock.ts
@@ -30,10 +30,20 @@
     return () => { this.tasks.delete(order) }
   }
 
+  /** Tasks are kept in order of setting, so the first of the earliest is next. */
+  private findNext (deadline: number): Task | undefined {
+    let next: Task | undefined
+    for (const task of this.tasks.values()) {
+      if (task.deadline <= deadline && (!next || task.deadline < next.deadline)) {
+        next = task
+      }
+    }
+    return next
+  }
+
   /** Runs the next task, or nothing when none is due by the deadline. */
   private runNext (deadline: number): boolean {
-    const due = [...this.tasks.values()].filter(task => task.deadline <= deadline)
-    const next = due.sort((a, b) => a.deadline - b.deadline || a.order - b.order)[0]
+    const next = this.findNext(deadline)
     if (!next) {
       return false
     }
