--- a/packages/foxtaillever-fleet/src/claims/claimKeeper.ts
+++ b/packages/foxtaillever-fleet/src/claims/claimKeeper.ts
@@ -78,7 +78,7 @@
     return new ClaimKeeper(log, fold, clock, options)
   }
 
-  /** Given to the log reader, for each page before its records. */
+  /** Given to the log reader, for records that left the log unread. */
   cover (page: LogPage): void {
     this.fold.cover(page)
   }
--- a/packages/foxtaillever-fleet/src/log/logReader.ts
+++ b/packages/foxtaillever-fleet/src/log/logReader.ts
@@ -12,8 +12,8 @@
 
 export type RecordReader = (record: LogRecord) => void
 
-/** Sees each page before its records; needed to notice records that left the log unread. */
-export type PageReader = (page: LogPage) => void
+/** Hears the first offset still kept, and the page that told, when records before it were never read. */
+export type GapListener = (first: number, page: LogPage) => void
 
 export class LogReader {
   private next = 1
@@ -21,10 +21,10 @@
   private reached = 0
   private lastRead = 0
 
-  private constructor (private readonly log: Log, private readonly clock: Clock, private readonly readers: readonly RecordReader[], private readonly pageReaders: readonly PageReader[]) {}
+  private constructor (private readonly log: Log, private readonly clock: Clock, private readonly readers: readonly RecordReader[], private readonly onGap: GapListener) {}
 
-  static create (log: Log, clock: Clock, readers: readonly RecordReader[], pageReaders: readonly PageReader[] = []): LogReader {
-    return new LogReader(log, clock, readers, pageReaders)
+  static create (log: Log, clock: Clock, readers: readonly RecordReader[], onGap: GapListener = () => {}): LogReader {
+    return new LogReader(log, clock, readers, onGap)
   }
 
   /** Offset of the last record handed on. */
@@ -68,7 +68,11 @@
   private take (page: LogPage): void {
     this.lastRead = this.clock.now()
     this.reached = page.next
-    this.pageReaders.forEach(reader => reader(page))
+    // A quiet log can expire to nothing, so the gap is told by the page, not by a record.
+    if (page.first > this.next) {
+      this.next = page.first
+      this.onGap(page.first, page)
+    }
     for (const record of page.records) {
       if (record.offset < this.next) {
         continue
