--- a/packages/foxtaillever-fleet/src/claims/claimFold.ts
+++ b/packages/foxtaillever-fleet/src/claims/claimFold.ts
@@ -28,7 +28,6 @@
 
 export class ClaimFold {
   private readonly standing = new Map<string, StandingClaim>()
-  private offset = 0
   private covered = Number.NEGATIVE_INFINITY
   private platformTime = Number.NEGATIVE_INFINITY
   private readonly rules: readonly Rule[] = [
@@ -62,13 +61,10 @@
   }
 
   /**
-   * Notes what a page no longer holds; called before the page's records. A
+   * Notes what has left the log unread; called before the page's records. A
    * reader that starts late, or fell behind retention, has missed records.
    */
   cover (page: LogPage): void {
-    if (page.first <= this.offset + 1) {
-      return
-    }
     const oldest = page.records[0]?.appendedAt ?? page.now
     const promised = page.now - this.options.logRetentionMs
     this.covered = Math.max(this.covered, Math.min(oldest, promised))
@@ -76,7 +72,6 @@
 
   /** Folds the next record; what it decided is returned, claim by claim. */
   read (record: LogRecord): readonly DecidedClaim[] {
-    this.offset = record.offset
     this.platformTime = Math.max(this.platformTime, record.appendedAt)
     this.forget()
     if (record.kind !== RecordKind.Claims && record.kind !== RecordKind.Outcomes) {
--- a/packages/foxtaillever-router/src/entryInstance.ts
+++ b/packages/foxtaillever-router/src/entryInstance.ts
@@ -2,11 +2,12 @@
  * One entry instance: the router's core between the callers' side and the
  * adapters to backend servers and platform.
  */
+import { randomUUID } from 'node:crypto'
 import {
   emptyConfiguration, SeededRandom, SystemClock, waitUntil,
   type BackendServer, type Clock, type Configuration, type LogRecord
 } from 'foxtaillever-core'
-import { foldConfiguration, LogReader } from 'foxtaillever-fleet'
+import { ClaimFold, ClaimKeeper, defaultClaimOptions, foldConfiguration, LogReader } from 'foxtaillever-fleet'
 import { EngineClient } from './adapters/engineClient.js'
 import { InstanceListClient } from './adapters/instanceListClient.js'
 import { LogClient } from './adapters/logClient.js'
@@ -25,8 +26,17 @@
   readonly listAddress: string
   readonly seed: number
   readonly bodyLimitBytes: number
+  /** The platform keeps records at least this long, milliseconds. */
+  readonly logRetentionMs?: number
+  /** Claims of non-idempotent requests are remembered this long, milliseconds. */
+  readonly claimKeptMs?: number
 }
 
+/** Trusted of the platform's log unless the settings say more, milliseconds. */
+const LOG_RETENTION_MS = 600_000
+
+const CLAIM_KEPT_MS = 3_600_000
+
 /** The list lags by itself; reading it more often would not make it newer. */
 const LIST_PERIOD_MS = 500
 
@@ -45,6 +55,7 @@
   private readonly log: LogClient
   private readonly list: InstanceListClient
   private readonly reader: LogReader
+  private readonly claims: ClaimKeeper
   private readonly core: RouterCore
   private readonly callers: CallerServer
   private configuration: Configuration = emptyConfiguration
@@ -55,12 +66,16 @@
     this.plain = PlainRouter.create(this.clock)
     this.log = LogClient.create(options.logAddress, this.clock)
     this.list = InstanceListClient.create(options.listAddress)
-    this.reader = LogReader.create(this.log, this.clock, [record => this.fold(record)])
+    this.claims = this.createClaims()
+    this.reader = LogReader.create(this.log, this.clock,
+      [record => this.fold(record), record => this.claims.read(record)],
+      (_, page) => this.claims.cover(page))
     this.core = RouterCore.create({
       clock: this.clock,
       random: SeededRandom.create(options.seed),
       failureDomain: options.failureDomain,
-      engineOf: server => this.engineOf(server)
+      engineOf: server => this.engineOf(server),
+      claims: this.claims
     })
     this.callers = CallerServer.create({
       clock: this.clock,
@@ -77,6 +92,12 @@
     return new EntryInstance(options)
   }
 
+  private createClaims (): ClaimKeeper {
+    const { name, logRetentionMs = LOG_RETENTION_MS, claimKeptMs = CLAIM_KEPT_MS } = this.options
+    const fold = ClaimFold.create({ keptMs: claimKeptMs, logRetentionMs })
+    return ClaimKeeper.create(this.log, fold, this.clock, { ...defaultClaimOptions, instance: name, incarnation: `${name}/${randomUUID()}` })
+  }
+
   /** Starts to serve; returns the callers' address. */
   async start (): Promise<string> {
     this.reader.start()
@@ -128,6 +149,7 @@
     while (this.core.inFlight() > 0 && this.clock.now() < deadline) {
       await waitUntil(this.clock, this.clock.now() + SHUTDOWN_LOOK_MS)
     }
+    this.core.endAll()
     this.running = false
     this.reader.stop()
     this.core.stop()
