Add run and compare to the load tool

Open-loop seeded arrivals over both shapes, with a shifting hot prefix, long answers among short ones and plain calls; every answer checked for whole, in order and own; refusals checked against what the engines counted; faults at given times; results as JSON and one HTML file. compare interleaves segments of the workload over variants, each on fresh stand-ins, and tells the ratio with its spread.

--- a/packages/foxtaillever-load/src/__tests__/wholePath.test.ts
+++ b/packages/foxtaillever-load/src/__tests__/wholePath.test.ts
@@ -4,7 +4,7 @@
 import { shapes, type Shape } from '../deployment/shape.js'
 import { createArrivals } from '../workload/createArrivals.js'
 import { runArrivals } from '../workload/runArrivals.js'
-import { AnswerState } from '../workload/sendRequest.js'
+import { AnswerState } from '../workload/answer.js'
 
 const shape: Shape = { ...shapes['sertaneja'] as Shape, instances: 3, workers: 3, answerTokens: 4 }
 
--- a/packages/foxtaillever-load/src/commands/demo.ts
+++ b/packages/foxtaillever-load/src/commands/demo.ts
@@ -4,7 +4,7 @@
 import { shapes } from '../deployment/shape.js'
 import { createArrivals } from '../workload/createArrivals.js'
 import { runArrivals } from '../workload/runArrivals.js'
-import { summarize, type Summary } from '../workload/summarize.js'
+import { summarize, type Summary } from '../results/summarize.js'
 
 const SEED = 1
 const SECONDS = 10
--- a/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
+++ b/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
@@ -4,31 +4,40 @@
  */
 import type { FastifyInstance } from 'fastify'
 import {
-  AdministrativeState, createPreset, ListedKind, ListedState, PlacementPolicy, PresetName, RecordKind, ServerKind, SystemClock,
-  type BackendServer, type ListedInstance
+  AdministrativeState, ListedKind, ListedState, RecordKind, SeededRandom, ServerKind, SystemClock,
+  type BackendServer, type ListedInstance, type PlacementPolicy, type Preset
 } from 'foxtaillever-core'
-import { ChangeKind, type Change } from 'foxtaillever-fleet'
-import { digestKey, EntryInstance } from 'foxtaillever-router'
+import { EntryInstance } from 'foxtaillever-router'
 import {
-  createEngineServer, createInstanceListServer, createLogServer, createPlainServer, EngineModel, InstanceListModel, LogModel, type PlainServer
+  createEngineServer, createInstanceListServer, createLogServer, createPlainServer,
+  EngineModel, InstanceListModel, KeptCacheStoreModel, LogModel, WeightStoreModel, type PlainServer
 } from 'foxtaillever-standins'
+import { createFirstChanges } from './createFirstChanges.js'
 import type { Shape } from './shape.js'
 
+export { keyOf } from './keyOf.js'
+
 const HOST = '127.0.0.1'
 const LIST_LAG_MS = 1000
 const LOG_RETENTION_MS = 86_400_000
 const LOG_APPENDS_PER_SECOND = 300
 const BODY_LIMIT_BYTES = 8 * 1024 * 1024
+const KEPT_CACHE_TOKENS = 4_000_000
+
+/** The user's trusted caller of orders; half of the engines check it. */
+const TRUSTED_CALLERS = ['foxtaillever']
 
 export interface DeploymentOptions {
   readonly shape: Shape
-  readonly placement: PlacementPolicy
+  readonly placement?: PlacementPolicy
+  /** Differences to the preset for ordinary days. */
+  readonly preset?: Partial<Preset>
   readonly seed: number
 }
 
-/** The API key of an account of the stand-in deployment. */
-export function keyOf (account: string): string {
-  return `key-of-${account}`
+/** Every other engine checks fencing numbers and callers of orders; the rest ignore both. */
+function isStrict (index: number): boolean {
+  return index % 2 === 0
 }
 
 export class EmbeddedDeployment {
@@ -36,6 +45,8 @@
   private readonly servers: FastifyInstance[] = []
   readonly log = LogModel.create({ retentionMs: LOG_RETENTION_MS, appendsPerSecond: LOG_APPENDS_PER_SECOND }, this.clock)
   readonly list = InstanceListModel.create(LIST_LAG_MS, this.clock)
+  readonly weightStore = WeightStoreModel.create(this.clock)
+  readonly keptCacheStore = KeptCacheStoreModel.create(KEPT_CACHE_TOKENS)
   readonly engines = new Map<string, EngineModel>()
   readonly plains: PlainServer[] = []
   readonly instances: EntryInstance[] = []
@@ -87,8 +98,16 @@
       prefillTokensPerSecond: shape.prefillTokensPerSecond,
       decodeTokensPerSecond: shape.decodeTokensPerSecond,
       cacheTokens: shape.cacheTokens,
-      cacheKeptMs: shape.cacheKeptMs
-    }, this.clock)
+      cacheKeptMs: shape.cacheKeptMs,
+      eventLagMs: shape.reportLagMs,
+      loadLagMs: shape.reportLagMs,
+      checksFencing: isStrict(index),
+      ...(isStrict(index) ? { trustedCallers: TRUSTED_CALLERS } : {})
+    }, this.clock, {
+      random: SeededRandom.create(this.options.seed + index),
+      weightStore: this.weightStore,
+      keptCacheStore: this.keptCacheStore
+    })
     this.engines.set(name, model)
     const address = await this.listen(createEngineServer(model))
     this.enlist({ name, kind: ListedKind.BackendServer, address, failureDomain: this.domainOf(index), state: ListedState.Live })
@@ -119,43 +138,15 @@
       prefillTokensPerSecond: shape.prefillTokensPerSecond,
       decodeTokensPerSecond: shape.decodeTokensPerSecond,
       cacheTokens: shape.cacheTokens,
-      checksFencing: index % 2 === 0,
-      checksCaller: index % 2 === 0,
+      checksFencing: isStrict(index),
+      checksCaller: isStrict(index),
       state: AdministrativeState.InService
     }
   }
 
   private publish (servers: readonly BackendServer[]): void {
-    const { shape, placement } = this.options
-    const accounts: Change[] = shape.accounts.map(account => ({
-      kind: ChangeKind.PutAccount,
-      account: {
-        name: account.name,
-        keyDigests: [digestKey(keyOf(account.name))],
-        weight: account.weight,
-        priority: account.priority,
-        tokensPerSecond: 1_000_000,
-        concurrentRequests: 1000
-      }
-    }))
-    const changes: Change[] = [
-      ...accounts,
-      ...servers.map((server): Change => ({ kind: ChangeKind.PutServer, server })),
-      { kind: ChangeKind.PutModel, model: { name: shape.model, weightsVersion: 'v1', adapters: [] } },
-      {
-        kind: ChangeKind.PutService,
-        service: {
-          name: 'records',
-          path: '/services/records',
-          servers: servers.filter(server => server.kind === ServerKind.Plain).map(server => server.name),
-          calls: [{ method: 'GET', path: '/citations', idempotent: true }, { method: 'POST', path: '/exports', idempotent: false }],
-          concurrentRequests: 64,
-          timeoutMs: 2000
-        }
-      },
-      { kind: ChangeKind.PutPreset, preset: createPreset(PresetName.OrdinaryDays, { placement }) },
-      { kind: ChangeKind.SwitchPreset, name: PresetName.OrdinaryDays }
-    ]
+    const { shape, placement, preset } = this.options
+    const changes = createFirstChanges(shape, { ...(placement === undefined ? {} : { placement }), ...preset }, servers)
     this.log.append({ id: 'first-configuration', kind: RecordKind.Configuration, writtenAt: this.clock.now(), body: { base: 0, author: 'deployment', changes } })
   }
 
--- a/packages/foxtaillever-load/src/deployment/shape.ts
+++ b/packages/foxtaillever-load/src/deployment/shape.ts
@@ -34,12 +34,41 @@
   /** Distinct instructions below each catalogue. */
   readonly tenants: number
   readonly answerTokens: number
+  /** Share of answers that are long, 0 to 1, and how many times longer they are. */
+  readonly longAnswerShare: number
+  readonly longAnswerFactor: number
+  /** Shares of arrivals that go to the plain service, 0 to 1. */
+  readonly lookupShare: number
+  readonly exportShare: number
+  /** The hot catalogue and tenant of each account move on after this long, milliseconds. */
+  readonly hotShiftMs: number
+  /** One way between caller and entry instance, milliseconds. */
+  readonly clientDelayMs: number
+  /** How late engines' load reports and cache events are, milliseconds. */
+  readonly reportLagMs: number
+  /** Arrivals a second that load the workers well without filling them. */
+  readonly requestsPerSecond: number
 }
 
-function createAccounts (priority: (index: number) => PriorityClass): AccountShape[] {
-  // A few of the eight accounts are large.
-  const arrivals = [30, 20, 14, 10, 8, 7, 6, 5]
-  return arrivals.map((share, index) => ({ name: `account-${index + 1}`, weight: index < 2 ? 2 : 1, priority: priority(index), arrivals: share }))
+/** Shares of arrivals of the eight accounts; a few are large. */
+const ACCOUNT_ARRIVALS = [30, 20, 14, 10, 8, 7, 6, 5]
+
+const LARGE_ACCOUNTS = 2
+
+function createAccounts (): AccountShape[] {
+  return ACCOUNT_ARRIVALS.map((share, index) => ({
+    name: `account-${index + 1}`,
+    weight: index < LARGE_ACCOUNTS ? 2 : 1,
+    priority: PriorityClass.Standard,
+    arrivals: share
+  }))
+}
+
+/** The first account is the law firm, whose work goes first. */
+function createLegalAccounts (): AccountShape[] {
+  return createAccounts().map((account, index) => index === 0
+    ? { ...account, name: 'law-firm', priority: PriorityClass.Priority }
+    : account)
 }
 
 export const shapes: Record<string, Shape> = {
@@ -50,7 +79,7 @@
     workers: 6,
     plainWorkers: 3,
     instances: 6,
-    accounts: createAccounts(() => PriorityClass.Standard),
+    accounts: createAccounts(),
     slots: 8,
     prefillTokensPerSecond: 20_000,
     decodeTokensPerSecond: 60,
@@ -61,7 +90,15 @@
     questionTokens: 128,
     catalogues: 3,
     tenants: 3,
-    answerTokens: 16
+    answerTokens: 16,
+    longAnswerShare: 0.1,
+    longAnswerFactor: 6,
+    lookupShare: 0.03,
+    exportShare: 0.03,
+    hotShiftMs: 6000,
+    clientDelayMs: 3,
+    reportLagMs: 300,
+    requestsPerSecond: 40
   },
   presedan: {
     name: 'presedan',
@@ -70,7 +107,7 @@
     workers: 6,
     plainWorkers: 3,
     instances: 6,
-    accounts: createAccounts(index => index === 0 ? PriorityClass.Priority : PriorityClass.Standard),
+    accounts: createLegalAccounts(),
     slots: 8,
     prefillTokensPerSecond: 20_000,
     decodeTokensPerSecond: 60,
@@ -81,6 +118,14 @@
     questionTokens: 256,
     catalogues: 2,
     tenants: 3,
-    answerTokens: 20
+    answerTokens: 20,
+    longAnswerShare: 0.15,
+    longAnswerFactor: 6,
+    lookupShare: 0.05,
+    exportShare: 0.02,
+    hotShiftMs: 8000,
+    clientDelayMs: 1,
+    reportLagMs: 300,
+    requestsPerSecond: 25
   }
 }
--- a/packages/foxtaillever-load/src/main.ts
+++ b/packages/foxtaillever-load/src/main.ts
@@ -1,10 +1,14 @@
 #!/usr/bin/env node
 /** The load and experiment tool. */
 import { Builtins, Cli } from 'clipanion'
+import { CompareCommand } from './commands/compare.js'
 import { DemoCommand } from './commands/demo.js'
+import { RunCommand } from './commands/run.js'
 
 const cli = new Cli({ binaryLabel: 'foxtaillever-load', binaryName: 'foxtaillever-load', binaryVersion: '0.1.0' })
 cli.register(Builtins.HelpCommand)
 cli.register(Builtins.VersionCommand)
-cli.register(DemoCommand)
+for (const command of [CompareCommand, DemoCommand, RunCommand]) {
+  cli.register(command)
+}
 await cli.runExit(process.argv.slice(2))
--- /dev/null
+++ b/packages/foxtaillever-load/src/report/htmlReport.ts
@@ -0,0 +1,122 @@
+/** A readable report in one self-contained HTML file: figures, plots, settings. */
+import { Metric, type Comparison } from '../experiment/compareVariants.js'
+import type { Results } from '../results/results.js'
+import { drawPlot, escapeText, type Plot, type PlotMark } from './svgPlot.js'
+import { formatMetric, formatRatio, percent } from './textTable.js'
+
+const STYLE = `body{font:15px/1.5 system-ui,sans-serif;max-width:1360px;margin:2em auto;padding:0 1em;color:#222}
+table{border-collapse:collapse;margin:1em 0}td,th{border:1px solid #ccc;padding:.25em .7em;text-align:left}th{background:#f3f3f3}
+.plots{display:grid;grid-template-columns:repeat(auto-fit,minmax(480px,1fr));gap:1em}svg{width:100%;font:11px system-ui,sans-serif}
+.bad{color:#b00020;font-weight:bold}`
+
+type Row = readonly string[]
+
+function table (head: Row, rows: readonly Row[]): string {
+  const cells = (row: Row, tag: string): string => `<tr>${row.map(cell => `<${tag}>${escapeText(cell)}</${tag}>`).join('')}</tr>`
+  return `<table>${cells(head, 'th')}${rows.map(row => cells(row, 'td')).join('')}</table>`
+}
+
+function page (title: string, parts: readonly string[]): string {
+  return `<!doctype html><html lang="en"><meta charset="utf-8"><title>${escapeText(title)}</title><style>${STYLE}</style><h1>${escapeText(title)}</h1>${parts.join('\n')}</html>\n`
+}
+
+/** Percentiles spread so that the tail takes most of the room: each nine as much as the last. */
+function tailPosition (percentile: number): number {
+  return -Math.log10(1 - Math.min(percentile, 99.99) / 100)
+}
+
+const CURVE_TICKS: readonly PlotMark[] = [0, 50, 90, 95, 99, 99.9].map(percentile => ({ x: tailPosition(percentile), label: `p${percentile}` }))
+
+function plotsOf (runs: readonly Results[]): string {
+  const marks = (runs[0]?.settings.faults ?? []).map(fault => ({
+    x: fault.offsetMs / 1000,
+    label: `${fault.target} ${Object.entries(fault.changes).map(([name, value]) => `${name}=${value}`).join(' ')}`
+  }))
+  const overTime = (title: string, yLabel: string, valueOf: (point: Results['series'][number]) => number): Plot => ({
+    title,
+    xLabel: 'seconds',
+    yLabel,
+    marks,
+    series: runs.map(run => ({ name: run.settings.variant, points: run.series.map(point => ({ x: point.second, y: valueOf(point) })) }))
+  })
+  const curve: Plot = {
+    title: 'Time to first token',
+    xLabel: 'percentile',
+    yLabel: 'ms',
+    xTicks: CURVE_TICKS,
+    series: runs.map(run => ({ name: run.settings.variant, points: run.firstTokenCurve.map(point => ({ x: tailPosition(point.percentile), y: point.ms })) }))
+  }
+  const plots = [
+    curve,
+    overTime('Time to first token, p95', 'ms', point => point.firstTokenP95Ms),
+    overTime('Prefix hit rate', 'share', point => point.prefixHitRate),
+    overTime('Complete answers', 'a second', point => point.complete)
+  ]
+  return `<div class="plots">${plots.map(drawPlot).join('')}</div>`
+}
+
+function settingsOf ({ settings, node, startedAt }: Results): string {
+  return table(['setting', 'value'], [
+    ['shape', settings.shape], ['seed', String(settings.seed)], ['requests a second', String(settings.requestsPerSecond)],
+    ['seconds', String(settings.seconds)], ['node', node], ['made at', startedAt]
+  ])
+}
+
+function accountsOf (results: Results): string {
+  return table(
+    ['client account', 'requests', 'complete', 'refused', 'broken', 'first token p50', 'p95', 'p99', 'prefix hit rate'],
+    Object.entries(results.accounts).map(([name, summary]) => [
+      name, String(summary.requests), String(summary.complete), String(summary.refused), String(summary.broken),
+      `${summary.firstTokenP50Ms} ms`, `${summary.firstTokenP95Ms} ms`, `${summary.firstTokenP99Ms} ms`, percent(summary.prefixHitRate)
+    ]))
+}
+
+function warningsOf (results: Results): string {
+  const { promises, summary } = results
+  const broken = promises ? promises.ranThoughNotRun + promises.doubledExports + promises.lostExports : 0
+  const lines = [
+    ...(summary.broken > 0 ? [`${summary.broken} answers were failed, cut or wrong.`] : []),
+    ...(broken > 0 ? [`${broken} promises were broken: ${JSON.stringify(promises)}.`] : [])
+  ]
+  return lines.map(line => `<p class="bad">${escapeText(line)}</p>`).join('')
+}
+
+function figuresOf (results: Results): string {
+  const { summary } = results
+  return table(['figure', 'value'], [
+    ['requests', String(summary.requests)],
+    ['complete, refused, broken', `${summary.complete}, ${summary.refused}, ${summary.broken}`],
+    ['time to first token', `p50 ${summary.firstTokenP50Ms} ms, p95 ${summary.firstTokenP95Ms} ms, p99 ${summary.firstTokenP99Ms} ms`],
+    ['between tokens', `p95 ${summary.betweenTokensP95Ms} ms`],
+    ['plain service', `p99 ${summary.plainP99Ms} ms`],
+    ['prefix hit rate', percent(summary.prefixHitRate)],
+    ['wasted recomputation', percent(summary.wastedShare)],
+    ['requests left late', `p99 ${summary.lateP99Ms} ms`],
+    ['event loop delay', `p99 ${results.loopDelayP99Ms.toFixed(1)} ms`],
+    ...Object.entries(results.failures).map(([name, count]): Row => [name, String(count)])
+  ])
+}
+
+export function createRunReport (results: Results): string {
+  return page(`foxtaillever-load: ${results.settings.variant} on ${results.settings.shape}`, [
+    warningsOf(results), figuresOf(results), plotsOf([results]),
+    '<h2>Client accounts</h2>', accountsOf(results), '<h2>Settings</h2>', settingsOf(results)
+  ])
+}
+
+export function createComparisonReport (comparison: Comparison): string {
+  const { outcomes } = comparison
+  const rows = Object.values(Metric).map((metric): Row => [
+    metric,
+    ...outcomes.map((outcome, index) => formatMetric(metric, outcome) + (index === 0 ? '' : `, ${formatRatio(outcome.ratios[metric])}`))
+  ])
+  const first = outcomes[0]?.results
+  return page(`foxtaillever-load: ${outcomes.map(outcome => outcome.name).join(' against ')} on ${comparison.shape}`, [
+    ...outcomes.map(outcome => warningsOf(outcome.results)),
+    `<p>Ratios are to ${escapeText(outcomes[0]?.name ?? '')}: geometric mean over the segments, in brackets the smallest and the largest.</p>`,
+    table(['figure', ...outcomes.map(outcome => outcome.name)], rows),
+    plotsOf(outcomes.map(outcome => outcome.results)),
+    ...outcomes.map(outcome => `<h2>Client accounts: ${escapeText(outcome.name)}</h2>${accountsOf(outcome.results)}`),
+    '<h2>Settings</h2>', first ? settingsOf(first) : ''
+  ])
+}
--- a/packages/foxtaillever-load/src/workload/createArrivals.ts
+++ b/packages/foxtaillever-load/src/workload/createArrivals.ts
@@ -2,49 +2,96 @@
  * Open-loop arrivals of requests with nested shared prompts, from a seed. An
  * arrival has its instant whether or not the system keeps up.
  */
-import { CHARACTERS_PER_TOKEN, exponential, type ChatMessage, type Random } from 'foxtaillever-core'
-import type { Shape } from '../deployment/shape.js'
-
-export interface Arrival {
-  /** Milliseconds after the start of the run. */
-  readonly offsetMs: number
-  readonly account: string
-  readonly model: string
-  readonly messages: readonly ChatMessage[]
-  readonly maxTokens: number
-  /** Entry instance that the balancer picks. */
-  readonly entry: number
-}
+import { exponential, type ChatMessage, type Random } from 'foxtaillever-core'
+import type { AccountShape, Shape } from '../deployment/shape.js'
+import { ArrivalKind, type Arrival } from './arrival.js'
+import { fillText, sharedText } from './prompts.js'
 
 export interface ArrivalOptions {
   readonly shape: Shape
   readonly random: Random
   readonly requestsPerSecond: number
   readonly seconds: number
+  /** Put before each id, so that several runs may share engines. */
+  readonly idPrefix?: string
 }
 
-/** Text of a given length that is the same for the same name. */
-export function fillText (name: string, tokens: number): string {
-  return `${name} `.repeat(Math.ceil(tokens * CHARACTERS_PER_TOKEN / (name.length + 1))).slice(0, tokens * CHARACTERS_PER_TOKEN)
-}
+/** Share of draws that go to the entry that is hot at the moment. */
+const HOT_SHARE = 0.5
 
-function pickAccount (shape: Shape, random: Random): string {
+function pickAccount (shape: Shape, random: Random): AccountShape {
   const total = shape.accounts.reduce((sum, account) => sum + account.arrivals, 0)
   let left = random.next() * total
   const picked = shape.accounts.find(account => {
     left -= account.arrivals
     return left < 0
   })
-  return (picked ?? shape.accounts[0])?.name ?? ''
+  return picked ?? shape.accounts[0] as AccountShape
+}
+
+/** Half of all draws go to one entry; which one moves on with time. */
+function pickHot (count: number, shift: number, random: Random): number {
+  return random.next() < HOT_SHARE ? shift % count : random.below(count)
+}
+
+function pickKind (shape: Shape, random: Random): ArrivalKind {
+  const drawn = random.next()
+  if (drawn < shape.lookupShare) {
+    return ArrivalKind.Lookup
+  }
+  return drawn < shape.lookupShare + shape.exportShare ? ArrivalKind.Export : ArrivalKind.Language
+}
+
+/** Remembers which prefixes have been drawn, to tell what could have been cached. */
+class SeenPrefixes {
+  private readonly names = new Set<string>()
+
+  private constructor () {}
+
+  static create (): SeenPrefixes {
+    return new SeenPrefixes()
+  }
+
+  /** Length of the longest of these nested prefixes seen before, tokens. */
+  take (prefixes: ReadonlyArray<{ readonly name: string, readonly tokens: number }>): number {
+    const known = prefixes.filter(prefix => this.names.has(prefix.name)).map(prefix => prefix.tokens)
+    prefixes.forEach(prefix => this.names.add(prefix.name))
+    return Math.max(0, ...known)
+  }
+}
+
+interface Drawn {
+  readonly messages: readonly ChatMessage[]
+  readonly sharedTokens: number
+}
+
+function drawPrompt (options: ArrivalOptions, account: string, offsetMs: number, serial: number, seen: SeenPrefixes): Drawn {
+  const { shape, random } = options
+  const shift = Math.floor(offsetMs / shape.hotShiftMs)
+  const catalogue = `${account} catalogue ${pickHot(shape.catalogues, shift, random)}`
+  const tenant = `${catalogue} tenant ${pickHot(shape.tenants, shift, random)}`
+  const question = `question ${serial} of ${random.below(1_000_000)}`
+  return {
+    messages: [
+      { role: 'system', content: sharedText(catalogue, shape.catalogueTokens) },
+      { role: 'system', content: sharedText(tenant, shape.tenantTokens) },
+      { role: 'user', content: fillText(question, shape.questionTokens) }
+    ],
+    sharedTokens: seen.take([
+      { name: catalogue, tokens: shape.catalogueTokens },
+      { name: tenant, tokens: shape.catalogueTokens + shape.tenantTokens }
+    ])
+  }
 }
 
-/** A few entries are hot: half of all draws go to the first one. */
-function pickHot (count: number, random: Random): number {
-  return random.next() < 0.5 ? 0 : random.below(count)
+/** Answers are short or long in a fixed mix, so that long ones stand among short ones. */
+function drawMaxTokens (shape: Shape, random: Random): number {
+  return random.next() < shape.longAnswerShare ? shape.answerTokens * shape.longAnswerFactor : shape.answerTokens
 }
 
 export function createArrivals (options: ArrivalOptions): Arrival[] {
-  const { shape, random, requestsPerSecond, seconds } = options
+  const { shape, random, requestsPerSecond, seconds, idPrefix = 'load' } = options
+  const seen = SeenPrefixes.create()
   const arrivals: Arrival[] = []
   let offsetMs = 0
   while (true) {
@@ -53,19 +100,21 @@
       return arrivals
     }
     const account = pickAccount(shape, random)
-    const catalogue = `${account} catalogue ${pickHot(shape.catalogues, random)}`
-    const tenant = `${catalogue} tenant ${pickHot(shape.tenants, random)}`
+    const kind = pickKind(shape, random)
+    const drawn = kind === ArrivalKind.Language
+      ? drawPrompt(options, account.name, offsetMs, arrivals.length, seen)
+      : { messages: [], sharedTokens: 0 }
     arrivals.push({
+      id: `${idPrefix}-${arrivals.length}`,
+      kind,
       offsetMs,
-      account,
+      account: account.name,
+      priority: account.priority,
       model: shape.model,
-      messages: [
-        { role: 'system', content: fillText(catalogue, shape.catalogueTokens) },
-        { role: 'system', content: fillText(tenant, shape.tenantTokens) },
-        { role: 'user', content: fillText(`question ${arrivals.length} of ${random.below(1_000_000)}`, shape.questionTokens) }
-      ],
-      maxTokens: shape.answerTokens,
-      entry: random.below(shape.instances)
+      ...drawn,
+      maxTokens: drawMaxTokens(shape, random),
+      entry: random.below(shape.instances),
+      clientDelayMs: shape.clientDelayMs
     })
   }
 }
--- a/packages/foxtaillever-load/src/workload/runArrivals.ts
+++ b/packages/foxtaillever-load/src/workload/runArrivals.ts
@@ -1,19 +1,43 @@
 /** Sends arrivals at their instants and gathers the answers. */
 import { Agent } from 'undici'
-import type { Arrival } from './createArrivals.js'
-import { sendRequest, type Answer } from './sendRequest.js'
+import { keyOf } from '../deployment/keyOf.js'
+import type { Answer } from './answer.js'
+import { ArrivalKind, type Arrival } from './arrival.js'
+import { sendPlain } from './sendPlain.js'
+import { sendRequest } from './sendRequest.js'
+import type { Sending } from './sending.js'
 
 /** Callers' connections to one entry instance at most. */
 const CONNECTIONS = 2000
 
-export async function runArrivals (addresses: readonly string[], arrivals: readonly Arrival[]): Promise<Answer[]> {
+type Sender = (sending: Sending, arrival: Arrival, intendedAt: number) => Promise<Answer>
+
+const senders: Record<ArrivalKind, Sender> = {
+  [ArrivalKind.Language]: sendRequest,
+  [ArrivalKind.Lookup]: sendPlain,
+  [ArrivalKind.Export]: sendPlain
+}
+
+export interface RunOptions {
+  /** API key of an account. */
+  readonly keyOf?: (account: string) => string
+  readonly onAnswer?: (answer: Answer) => void
+}
+
+export async function runArrivals (addresses: readonly string[], arrivals: readonly Arrival[], options: RunOptions = {}): Promise<Answer[]> {
   const dispatcher = new Agent({ connections: CONNECTIONS })
   const start = performance.now()
-  const answers = await Promise.all(arrivals.map(async arrival => {
+  const send = async (arrival: Arrival): Promise<Answer> => {
     const intendedAt = start + arrival.offsetMs
-    await new Promise(resolve => setTimeout(resolve, intendedAt - performance.now()))
-    return await sendRequest(addresses[arrival.entry % addresses.length] ?? '', arrival, intendedAt, dispatcher)
-  }))
+    const leaveAt = intendedAt + arrival.clientDelayMs
+    await new Promise(resolve => setTimeout(resolve, leaveAt - performance.now()))
+    const address = addresses[arrival.entry % addresses.length] ?? ''
+    const key = (options.keyOf ?? keyOf)(arrival.account)
+    const answer = await senders[arrival.kind]({ address, key, dispatcher }, arrival, intendedAt)
+    options.onAnswer?.(answer)
+    return answer
+  }
+  const answers = await Promise.all(arrivals.map(send))
   await dispatcher.destroy()
   return answers
 }
--- a/packages/foxtaillever-load/src/workload/sendRequest.ts
+++ b/packages/foxtaillever-load/src/workload/sendRequest.ts
@@ -1,106 +1,84 @@
-/** One caller: sends a request, reads its stream and checks the answer. */
+/** One caller of a language model: sends a request, reads its stream and checks the answer. */
 import { createParser } from 'eventsource-parser'
-import { EnginePath, renderMessages } from 'foxtaillever-core'
-import { wholeAnswer } from 'foxtaillever-standins'
-import { request, type Dispatcher } from 'undici'
-import { keyOf } from '../deployment/embeddedDeployment.js'
-import type { Arrival } from './createArrivals.js'
+import { CallerHeader, EnginePath } from 'foxtaillever-core'
+import { request } from 'undici'
+import { AnswerState, type Answer } from './answer.js'
+import type { Arrival } from './arrival.js'
+import type { Sending } from './sending.js'
+import { StreamReading } from './streamReading.js'
 
-export enum AnswerState {
-  Complete = 'complete',
-  Refused = 'refused',
-  /** The stream ended with an error event. */
-  Failed = 'failed',
-  /** The stream ended without a last word. */
-  Cut = 'cut',
-  /** The text is not the answer to this prompt. */
-  Wrong = 'wrong'
-}
-
-export interface Answer {
-  readonly state: AnswerState
-  readonly status: number
-  /** Milliseconds after the intended start; undefined when no token came. */
-  readonly firstTokenMs: number | undefined
-  readonly totalMs: number
-  readonly promptTokens: number
-  readonly cachedTokens: number
-}
+const STATUS_OK = 200
 
-interface Chunk {
-  readonly error?: unknown
-  readonly choices?: ReadonlyArray<{ readonly delta?: { readonly content?: string } }>
-  readonly usage?: { readonly prompt_tokens: number, readonly prompt_tokens_details: { readonly cached_tokens: number } }
+interface Refusal {
+  readonly code: string
+  readonly verdict: string
 }
 
-interface Reading {
-  text: string
-  closed: boolean
-  failed: boolean
-  firstTokenAt: number | undefined
-  promptTokens: number
-  cachedTokens: number
-}
-
-function readChunk (reading: Reading, data: string): void {
-  if (data === '[DONE]') {
-    reading.closed = true
-    return
-  }
-  const chunk = JSON.parse(data) as Chunk
-  if (chunk.error !== undefined) {
-    reading.failed = true
-    return
-  }
-  const text = chunk.choices?.[0]?.delta?.content ?? ''
-  if (text !== '' && reading.firstTokenAt === undefined) {
-    reading.firstTokenAt = performance.now()
-  }
-  reading.text += text
-  if (chunk.usage) {
-    reading.promptTokens = chunk.usage.prompt_tokens
-    reading.cachedTokens = chunk.usage.prompt_tokens_details.cached_tokens
-  }
+function bodyOf (arrival: Arrival): string {
+  return JSON.stringify({
+    model: arrival.model,
+    messages: arrival.messages,
+    max_tokens: arrival.maxTokens,
+    stream: true,
+    stream_options: { include_usage: true }
+  })
 }
 
-function judge (reading: Reading, arrival: Arrival): AnswerState {
-  if (reading.failed) {
-    return AnswerState.Failed
-  }
-  if (!reading.closed) {
-    return AnswerState.Cut
+function readRefusal (text: string): Refusal {
+  try {
+    return (JSON.parse(text) as { error: Refusal }).error
+  } catch {
+    return { code: 'unreadable', verdict: '' }
   }
-  return reading.text === wholeAnswer(renderMessages(arrival.messages), arrival.maxTokens) ? AnswerState.Complete : AnswerState.Wrong
 }
 
-/** @param intendedAt when the request should have left, on the monotonic clock. */
-export async function sendRequest (address: string, arrival: Arrival, intendedAt: number, dispatcher: Dispatcher): Promise<Answer> {
-  const reading: Reading = { text: '', closed: false, failed: false, firstTokenAt: undefined, promptTokens: 0, cachedTokens: 0 }
+export async function sendRequest (sending: Sending, arrival: Arrival, intendedAt: number): Promise<Answer> {
+  const reading = StreamReading.create()
+  const sentAt = performance.now()
   let status = 0
+  let refusal: Refusal = { code: '', verdict: '' }
   try {
-    const answer = await request(`${address}${EnginePath.ChatCompletions}`, {
-      dispatcher,
+    const answer = await request(`${sending.address}${EnginePath.ChatCompletions}`, {
+      dispatcher: sending.dispatcher,
       method: 'POST',
-      headers: { 'content-type': 'application/json', authorization: `Bearer ${keyOf(arrival.account)}` },
-      body: JSON.stringify({ model: arrival.model, messages: arrival.messages, max_tokens: arrival.maxTokens, stream: true, stream_options: { include_usage: true } })
+      headers: {
+        'content-type': 'application/json',
+        [CallerHeader.Authorization]: `Bearer ${sending.key}`,
+        [CallerHeader.RequestId]: arrival.id
+      },
+      body: bodyOf(arrival)
     })
     status = answer.statusCode
-    const parser = createParser({ onEvent: event => readChunk(reading, event.data) })
-    const decoder = new TextDecoder()
-    for await (const chunk of answer.body) {
-      if (status === 200) {
+    if (status === STATUS_OK) {
+      const parser = createParser({ onEvent: event => reading.take(event) })
+      const decoder = new TextDecoder()
+      for await (const chunk of answer.body) {
         parser.feed(decoder.decode(chunk as Buffer, { stream: true }))
       }
+    } else {
+      refusal = readRefusal(await answer.body.text())
     }
   } catch {
-    reading.closed = false
+    // A connection that broke leaves the reading open: the answer counts as cut.
   }
-  const state = status !== 0 && status !== 200 ? AnswerState.Refused : judge(reading, arrival)
+  return describe(arrival, intendedAt, sentAt, status, reading, reading.error ?? refusal)
+}
+
+function describe (arrival: Arrival, intendedAt: number, sentAt: number, status: number, reading: StreamReading, refusal: Refusal): Answer {
+  const isRefused = status !== 0 && status !== STATUS_OK
+  const { firstTokenAt, lastTokenAt } = reading
+  const gaps = reading.tokens() - 1
   return {
-    state,
+    arrival,
+    state: isRefused ? AnswerState.Refused : reading.judge(arrival),
     status,
-    firstTokenMs: reading.firstTokenAt === undefined ? undefined : reading.firstTokenAt - intendedAt,
-    totalMs: performance.now() - intendedAt,
+    code: refusal.code,
+    verdict: refusal.verdict,
+    // The caller's way is gone twice: once by the request, once by the answer.
+    firstTokenMs: firstTokenAt === undefined ? undefined : firstTokenAt - intendedAt + arrival.clientDelayMs,
+    totalMs: performance.now() - intendedAt + arrival.clientDelayMs,
+    betweenTokensMs: firstTokenAt === undefined || lastTokenAt === undefined || gaps < 1 ? undefined : (lastTokenAt - firstTokenAt) / gaps,
+    lateMs: sentAt - intendedAt - arrival.clientDelayMs,
     promptTokens: reading.promptTokens,
     cachedTokens: reading.cachedTokens
   }
