--- a/packages/foxtaillever-fleet/src/claims/__fixtures__/claimFleet.ts
+++ b/packages/foxtaillever-fleet/src/claims/__fixtures__/claimFleet.ts
@@ -41,7 +41,7 @@
     const fold = ClaimFold.create({ keptMs: RETENTION_MS, logRetentionMs })
     const incarnation = `instance-${this.started++}`
     const keeper = ClaimKeeper.create(log, fold, this.clock, { ...defaultClaimOptions, instance: incarnation, incarnation })
-    const reader = LogReader.create(log, this.clock, [record => keeper.read(record)], { onPage: page => keeper.cover(page) })
+    const reader = LogReader.create(log, this.clock, [record => keeper.read(record)], (_, page) => keeper.cover(page))
     reader.start()
     return { log, fold, keeper, reader }
   }
