--- /dev/null
+++ b/packages/foxtaillever-capacity/src/index.ts
@@ -0,0 +1,2 @@
+/** Public surface of the capacity measurements. */
+export * from './sizes.js'
--- /dev/null
+++ b/packages/foxtaillever-capacity/src/members/hostedMember.ts
@@ -0,0 +1,120 @@
+/**
+ * One light member: a whole Fleet with its own socket and HTTP server, without
+ * the router on top.
+ */
+import { createHTTPServer } from '@trpc/server/adapters/standalone'
+import type { AddressInfo, Server } from 'node:net'
+import { hashText, SeededRandom, type Clock, type InstanceList, type LogRecord } from 'foxtaillever-core'
+import { createPeerRouter, FactKind, Fleet, KeyRing, PEER_PATH, Permission, TrpcPeers, UdpDatagrams } from 'foxtaillever-fleet'
+import type { MemberPlan, MemberSample, Started } from './orders.js'
+import type { Reachability } from './reachability.js'
+import type { SharedLog } from './sharedLog.js'
+
+/** Long enough that no snapshot falls into a measurement, milliseconds. */
+const RETENTION_MS = 86_400_000
+
+/** How long a shared fact holds, milliseconds. */
+const FACT_MS = 10_000
+
+export interface HostParts {
+  readonly clock: Clock
+  readonly log: SharedLog
+  readonly instances: InstanceList
+  readonly reachability: Reachability
+  readonly seed: number
+}
+
+async function listen (server: Server): Promise<string> {
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+export class HostedMember {
+  private revisionAt = 0
+  private watched: readonly string[] = []
+  private goneAt = 0
+
+  private constructor (private readonly fleet: Fleet, private readonly server: Server, readonly started: Started, private readonly clock: Clock) {
+    fleet.store.onChange(() => { this.revisionAt = clock.now() })
+  }
+
+  static async create (plan: MemberPlan, parts: HostParts): Promise<HostedMember> {
+    const { clock, log, instances, reachability } = parts
+    const keys = KeyRing.create([{ id: 'k1', secret: 'a secret for measurements', permissions: [Permission.Join] }])
+    const random = SeededRandom.create(parts.seed)
+    const datagrams = UdpDatagrams.create('127.0.0.1:0')
+    const address = await datagrams.bind()
+    const source = { configuration: () => fleet.configuration(), memberEntries: () => fleet.memberEntries() }
+    const { server } = createHTTPServerOf(createPeerRouter(source, keys, clock))
+    const controlAddress = await listen(server)
+    const started = { ...plan, address, controlAddress }
+    const fleet = Fleet.create({
+      self: started,
+      seeds: [],
+      log,
+      logRetentionMs: RETENTION_MS,
+      instances,
+      datagrams: reachability.limitDatagrams(address, datagrams),
+      peers: reachability.limitPeers(controlAddress, TrpcPeers.create(plan.name, keys, clock, random)),
+      keys,
+      clock,
+      random
+    })
+    await fleet.start()
+    return new HostedMember(fleet, server, started, clock)
+  }
+
+  take (record: LogRecord): void {
+    this.fleet.store.take(record)
+  }
+
+  share (count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      this.fleet.share(FactKind.AccountDemand, `account-${index}`, [1234, 56], this.clock.now() + FACT_MS)
+    }
+  }
+
+  watch (names: readonly string[]): void {
+    this.watched = names
+    this.goneAt = 0
+  }
+
+  /** Looks whether the watched names are gone. */
+  look (): void {
+    if (this.watched.length === 0 || this.goneAt > 0) {
+      return
+    }
+    const names = new Set(this.fleet.members().map(member => member.name))
+    if (this.watched.every(name => !names.has(name))) {
+      this.goneAt = this.clock.now()
+    }
+  }
+
+  sample (): MemberSample {
+    const { traffic, facts, configurationsPulled, tablesFetched } = this.fleet.dump()
+    const members = this.fleet.members().map(member => member.name)
+    return {
+      name: this.started.name,
+      sentBytes: traffic.sentBytes,
+      receivedBytes: traffic.receivedBytes,
+      sentMessages: traffic.sentMessages,
+      membersHash: hashText(members.join()),
+      members: members.length,
+      revision: this.fleet.store.configuration().revision,
+      revisionAt: this.revisionAt,
+      goneAt: this.goneAt,
+      facts,
+      pulled: configurationsPulled,
+      synced: tablesFetched
+    }
+  }
+
+  async stop (): Promise<void> {
+    await this.fleet.stop()
+    this.server.close()
+  }
+}
+
+function createHTTPServerOf (router: ReturnType<typeof createPeerRouter>): { readonly server: Server } {
+  return { server: createHTTPServer({ router, basePath: `${PEER_PATH}/` }) as Server }
+}
--- a/packages/foxtaillever-fleet/src/configuration/pullSystem.ts
+++ b/packages/foxtaillever-fleet/src/configuration/pullSystem.ts
@@ -12,9 +12,19 @@
 /** How long the log may take to deliver what a peer already has, milliseconds. */
 const GRACE_MS = 1000
 
+/** Past this age of its last answer the log counts as down, milliseconds; twice the wait of a read. */
+const LOG_SILENCE_MS = 4000
+
 /** Pause before the next try, milliseconds. */
 const RETRY_MS = 500
 
+export interface PullParts {
+  readonly peers: Peers
+  readonly clock: Clock
+  /** When the log last answered, milliseconds of Unix time. */
+  readonly logAnsweredAt: () => number
+}
+
 interface Candidate {
   readonly address: string
   readonly position: ConfigurationPosition
@@ -24,13 +34,15 @@
   private candidate: Candidate | undefined
   /** When to fetch, milliseconds of Unix time. */
   private deadline = Infinity
+  /** No try before this instant, milliseconds of Unix time. */
+  private retryAt = 0
   private busy = false
   private pulled = 0
 
-  private constructor (private readonly store: ConfigurationStore, private readonly peers: Peers, private readonly clock: Clock) {}
+  private constructor (private readonly store: ConfigurationStore, private readonly parts: PullParts) {}
 
-  static create (store: ConfigurationStore, peers: Peers, clock: Clock): PullSystem {
-    return new PullSystem(store, peers, clock)
+  static create (store: ConfigurationStore, parts: PullParts): PullSystem {
+    return new PullSystem(store, parts)
   }
 
   pullCount (): number {
@@ -45,8 +57,7 @@
     if (this.candidate === undefined || position.offset > this.candidate.position.offset) {
       this.candidate = { address, position }
     }
-    // An instance without any configuration serves nothing, so it does not wait.
-    const due = this.clock.now() + (this.store.isKnown() ? GRACE_MS : 0)
+    const due = Math.max(this.retryAt, this.parts.clock.now() + this.grace())
     this.deadline = Math.min(this.deadline, due)
     this.tick()
   }
@@ -54,16 +65,22 @@
   /** Run each tick. */
   tick (): void {
     const { candidate } = this
-    if (candidate === undefined || this.busy || this.clock.now() < this.deadline) {
+    if (candidate === undefined || this.busy || this.parts.clock.now() < this.deadline) {
       return
     }
     this.candidate = undefined
     this.deadline = Infinity
     if (this.isAhead(candidate.position)) {
-      this.pull(candidate).catch(() => {})
+      this.pull(candidate).catch(() => {}).finally(() => { this.busy = false })
     }
   }
 
+  /** Without any configuration, or a log to wait for, there is no reason to wait. */
+  private grace (): number {
+    const logAnswers = this.parts.clock.now() - this.parts.logAnsweredAt() < LOG_SILENCE_MS
+    return this.store.isKnown() && logAnswers ? GRACE_MS : 0
+  }
+
   private isAhead ({ revision, offset }: ConfigurationPosition): boolean {
     const { configuration, offset: folded } = this.store.current()
     return revision > configuration.revision || (this.store.hasGap() && offset > folded)
@@ -71,10 +88,9 @@
 
   private async pull ({ address }: Candidate): Promise<void> {
     this.busy = true
-    const answer = await this.peers.configuration(address)
-    this.busy = false
+    const answer = await this.parts.peers.configuration(address)
     answer.caseOf({
-      Left: () => { this.deadline = this.clock.now() + RETRY_MS },
+      Left: () => { this.retryAt = this.parts.clock.now() + RETRY_MS },
       Right: copy => {
         this.pulled += 1
         this.store.offer(copy)
--- a/packages/foxtaillever-fleet/src/fleet.ts
+++ b/packages/foxtaillever-fleet/src/fleet.ts
@@ -71,7 +71,7 @@
     const table = MemberTable.create()
     const messenger = Messenger.create({ self, table, store: this.store, keys, clock, datagrams })
     this.membership = Membership.create(self, table, messenger, clock, random)
-    this.systems = Systems.create(this.membership, this.store, options)
+    this.systems = Systems.create(this.membership, this.store, { ...options, logAnsweredAt: () => this.reader.lastReadAt() })
   }
 
   static create (options: FleetOptions): Fleet {
--- a/packages/foxtaillever-fleet/src/membership/datagrams.ts
+++ b/packages/foxtaillever-fleet/src/membership/datagrams.ts
@@ -21,6 +21,7 @@
 }
 
 export class UdpDatagrams implements Datagrams {
+  private bound = false
   private closed = false
 
   private constructor (private readonly socket: Socket, private readonly host: string, private readonly port: number) {}
@@ -31,24 +32,21 @@
     return new UdpDatagrams(createSocket('udp4'), host, port)
   }
 
-  async open (listener: DatagramListener): Promise<void> {
-    this.socket.on('message', listener)
-    await new Promise<void>((resolve, reject) => {
-      this.socket.once('error', reject)
-      this.socket.bind(this.port, this.host, () => {
-        this.socket.off('error', reject)
-        this.socket.on('error', () => {})
-        resolve()
-      })
-    })
-  }
-
-  /** IP number and port in use, once open. */
-  address (): string {
+  /** Takes the port before anyone listens, so that its number can be told. */
+  async bind (): Promise<string> {
+    if (!this.bound) {
+      this.bound = true
+      await this.bindSocket()
+    }
     const { address, port } = this.socket.address()
     return `${address}:${port}`
   }
 
+  async open (listener: DatagramListener): Promise<void> {
+    this.socket.on('message', listener)
+    await this.bind()
+  }
+
   send (address: string, bytes: Uint8Array): void {
     if (this.closed) {
       return
@@ -62,4 +60,16 @@
     this.closed = true
     await new Promise<void>(resolve => this.socket.close(() => resolve()))
   }
+
+  private async bindSocket (): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject)
+      this.socket.bind(this.port, this.host, () => {
+        this.socket.off('error', reject)
+        // A later error concerns one datagram, which then is as good as lost.
+        this.socket.on('error', () => {})
+        resolve()
+      })
+    })
+  }
 }
--- a/packages/foxtaillever-fleet/src/membership/seedSystem.ts
+++ b/packages/foxtaillever-fleet/src/membership/seedSystem.ts
@@ -12,6 +12,9 @@
 /** How often the platform's list is read, milliseconds; it lags by seconds itself. */
 const LIST_MS = 5000
 
+/** The same for an instance that knows no other. */
+const LIST_ALONE_MS = 1000
+
 /** How often unknown addresses are tried, milliseconds. */
 const TRY_MS = 2000
 
@@ -42,7 +45,7 @@
   tick (): void {
     const now = this.clock.now()
     if (now >= this.listAt) {
-      this.listAt = now + LIST_MS
+      this.listAt = now + (this.isAlone() ? LIST_ALONE_MS : LIST_MS)
       this.readList().catch(() => {})
     }
     if (now >= this.tryAt) {
@@ -51,6 +54,10 @@
     this.probeAddresses(this.membership.pick(this.deadAddresses(), DEAD_TRIES))
   }
 
+  private isAlone (): boolean {
+    return this.membership.others().length === 0
+  }
+
   private tryUnknown (): void {
     this.tryAt = this.clock.now() + TRY_MS
     this.probeAddresses(this.membership.pick(this.unknownAddresses(), TRIES))
@@ -63,7 +70,7 @@
         .filter(({ kind, state }) => kind === ListedKind.EntryInstance && state === ListedState.Live)
         .map(({ address }) => address)
       // Alone, and so perhaps without a configuration, it does not wait for its turn.
-      if (this.membership.others().length === 0) {
+      if (this.isAlone()) {
         this.tryUnknown()
       }
     })
--- a/packages/foxtaillever-fleet/src/membership/syncSystem.ts
+++ b/packages/foxtaillever-fleet/src/membership/syncSystem.ts
@@ -39,7 +39,7 @@
     }
     const sender = this.membership.table.get(message.sender)
     if (now >= this.deadline && !this.busy && sender !== undefined) {
-      this.fetch(sender.controlAddress).catch(() => {})
+      this.fetch(sender.controlAddress).catch(() => {}).finally(() => { this.busy = false })
     }
   }
 
@@ -50,7 +50,6 @@
   private async fetch (address: string): Promise<void> {
     this.busy = true
     const answer = await this.peers.members(address)
-    this.busy = false
     this.postpone(this.membership.clock.now())
     answer.ifRight(entries => {
       this.fetched += 1
--- a/packages/foxtaillever-fleet/src/membership/systems.ts
+++ b/packages/foxtaillever-fleet/src/membership/systems.ts
@@ -20,6 +20,8 @@
   readonly instances: InstanceList
   readonly peers: Peers
   readonly clock: Clock
+  /** When the log last answered, milliseconds of Unix time. */
+  readonly logAnsweredAt: () => number
 }
 
 type Handler = (message: Message, address: string) => void
@@ -39,7 +41,7 @@
     this.news = NewsSystem.create(membership)
     this.seeds = SeedSystem.create(membership, parts.seeds, parts.instances, parts.clock)
     this.sync = SyncSystem.create(membership, parts.peers)
-    this.pulls = PullSystem.create(store, parts.peers, parts.clock)
+    this.pulls = PullSystem.create(store, parts)
     this.inForce = InForceSystem.create(store, membership, this.probes, parts.clock)
     this.facts = FactSystem.create(membership)
     this.handlers = {
