--- a/packages/foxtaillever-fleet/src/fleet.ts
+++ b/packages/foxtaillever-fleet/src/fleet.ts
@@ -92,6 +92,12 @@
     this.tick()
   }
 
+  /** Names the addresses that the system chose; to be called before the start. */
+  setAddresses (addresses: Pick<SelfDescription, 'address' | 'controlAddress'>): void {
+    this.membership.self.setAddresses(addresses)
+    this.membership.announce()
+  }
+
   /** Tells the others that this instance leaves; it still answers them. */
   leave (): void {
     this.systems.news.sayGoodbye()
--- a/packages/foxtaillever-fleet/src/membership/self.ts
+++ b/packages/foxtaillever-fleet/src/membership/self.ts
@@ -32,6 +32,11 @@
     return this.replaced
   }
 
+  /** Addresses that the system chose; the raised incarnation overrides what was said before. */
+  setAddresses (addresses: Pick<SelfDescription, 'address' | 'controlAddress'>): void {
+    this.current = { ...this.current, ...addresses, incarnation: this.current.incarnation + 1 }
+  }
+
   leave (): void {
     this.current = { ...this.current, state: MemberState.Left }
   }
--- a/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
+++ b/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
@@ -7,7 +7,8 @@
   AdministrativeState, ListedKind, ListedState, RecordKind, SeededRandom, ServerKind, SystemClock,
   type BackendServer, type ListedInstance, type PlacementPolicy, type Preset
 } from 'foxtaillever-core'
-import { EntryInstance } from 'foxtaillever-router'
+import { Permission } from 'foxtaillever-fleet'
+import { digestKey, EntryInstance, Logs, type EntryAddresses } from 'foxtaillever-router'
 import {
   createEngineServer, createInstanceListServer, createLogServer, createPlainServer,
   EngineModel, InstanceListModel, KeptCacheStoreModel, LogModel, WeightStoreModel, type PlainServer
@@ -21,7 +22,13 @@
 const LIST_LAG_MS = 1000
 const LOG_RETENTION_MS = 86_400_000
 const LOG_APPENDS_PER_SECOND = 300
-const BODY_LIMIT_BYTES = 8 * 1024 * 1024
+const LIMITS = { bodyBytes: 8 * 1024 * 1024, headerBytes: 16_384, arrivalTimeoutMs: 30_000, drainTimeoutMs: 10_000 }
+
+/** Known to this deployment alone, which listens on loopback. */
+const MEMBER_KEYS = [{ id: 'embedded', secret: 'a key of the embedded deployment', permissions: [Permission.Join, Permission.Publish, Permission.Order] }]
+
+export const OPERATOR = 'operator'
+export const OPERATOR_TOKEN = 'token-of-the-embedded-operator'
 const KEPT_CACHE_TOKENS = 4_000_000
 
 /** The user's trusted caller of orders; half of the engines check it. */
@@ -50,6 +57,7 @@
   readonly engines = new Map<string, EngineModel>()
   readonly plains: PlainServer[] = []
   readonly instances: EntryInstance[] = []
+  readonly entries: EntryAddresses[] = []
   /** Callers' addresses of the entry instances, as URLs. */
   readonly addresses: string[] = []
 
@@ -154,15 +162,25 @@
     const instance = EntryInstance.create({
       name,
       failureDomain: this.domainOf(index),
-      host: HOST,
-      port: 0,
+      listen: { host: HOST, port: 0 },
+      control: { host: HOST, port: 0 },
+      gossip: { host: HOST, port: 0 },
+      seeds: this.entries.map(entry => entry.gossip),
+      keys: MEMBER_KEYS,
+      operators: [{ name: OPERATOR, tokenDigests: [digestKey(OPERATOR_TOKEN)] }],
       logAddress,
       listAddress,
+      distancesMs: {},
+      limits: LIMITS,
+      logs: Logs.create({ instance: name, level: 'error', clock: this.clock }),
       seed: this.options.seed + index,
-      bodyLimitBytes: BODY_LIMIT_BYTES
+      logRetentionMs: LOG_RETENTION_MS,
+      claimKeptMs: LOG_RETENTION_MS / 2
     })
     this.instances.push(instance)
-    this.addresses.push(await instance.start())
+    const entry = await instance.start()
+    this.entries.push(entry)
+    this.addresses.push(entry.callers)
   }
 
   private async waitUntilReady (): Promise<void> {
--- a/packages/foxtaillever-policy/src/services/serviceGate.ts
+++ b/packages/foxtaillever-policy/src/services/serviceGate.ts
@@ -31,6 +31,8 @@
   readonly service: string
   /** Milliseconds of Unix time. */
   readonly deadline: number
+  /** Servers at which the call has failed; chosen again only when there is no other. */
+  readonly failedAt?: readonly string[]
 }
 
 /** Leave to send one call; given back by `release`. */
@@ -189,7 +191,7 @@
 
   private serve (state: ServiceState, now: number): void {
     for (const waiting of [...state.waiting.values()]) {
-      const server = this.chooseServer(state, now)
+      const server = this.chooseServer(state, waiting.call, now)
       if (!server || state.running >= state.configured.concurrentRequests) {
         return
       }
@@ -209,13 +211,14 @@
   }
 
   /** The open server with the fewest calls; one that keeps failing only when all do. */
-  private chooseServer (state: ServiceState, now: number): ServiceServer | undefined {
+  private chooseServer (state: ServiceState, { failedAt = [] }: ServiceCall, now: number): ServiceServer | undefined {
     const open = state.servers.filter(({ name }) => this.isOpen(name))
     const most = Math.ceil(state.configured.concurrentRequests / Math.max(1, open.length))
     const free = open.filter(({ running }) => running < most)
     const sound = free.filter(({ avoidedUntil }) => avoidedUntil <= now)
-    return (sound.length > 0 ? sound : free)
-      .reduce<ServiceServer | undefined>((best, server) => best && best.running <= server.running ? best : server, undefined)
+    const untried = sound.filter(({ name }) => !failedAt.includes(name))
+    return [untried, sound, free].find(choice => choice.length > 0)
+      ?.reduce<ServiceServer | undefined>((best, server) => best && best.running <= server.running ? best : server, undefined)
   }
 
   private isOpen (server: string): boolean {
--- a/packages/foxtaillever-router/src/adapters/engineClient.ts
+++ b/packages/foxtaillever-router/src/adapters/engineClient.ts
@@ -69,6 +69,12 @@
     }
   }
 
+  /** Closes once its streams are over. */
+  finish (): void {
+    // A failure here is one of the streams', which hear of it themselves.
+    this.pool.close().catch(() => {})
+  }
+
   async close (): Promise<void> {
     await this.pool.destroy()
   }
--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -4,6 +4,7 @@
 import { CallerHeader, EnginePath, Failure, FailureCode, type ClientAccount, type Clock, type Configuration } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
 import type { RouterCore } from '../core/routerCore.js'
+import type { InstanceLimits } from '../instance/entryInstanceOptions.js'
 import type { PlainRouter } from '../plain/plainRouter.js'
 import type { Accounts } from './accounts.js'
 import { failureBody, failureHeaders } from './failureBody.js'
@@ -20,14 +21,9 @@
   readonly configuration: () => Configuration | undefined
   /** Whether new requests are taken; false once a shutdown began. */
   readonly accepting: () => boolean
-  readonly bodyLimitBytes: number
+  readonly limits: Pick<InstanceLimits, 'bodyBytes' | 'headerBytes' | 'arrivalTimeoutMs'>
 }
 
-/** Headers and a slow body must be in by then, milliseconds. */
-const REQUEST_TIMEOUT_MS = 30_000
-
-const MAX_HEADER_BYTES = 16_384
-
 interface Admitted {
   readonly account: ClientAccount
   readonly configuration: Configuration
@@ -37,10 +33,11 @@
   readonly http: FastifyInstance
 
   private constructor (private readonly options: CallerServerOptions) {
+    const { bodyBytes, headerBytes, arrivalTimeoutMs } = options.limits
     this.http = fastify({
-      bodyLimit: options.bodyLimitBytes,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      http: { maxHeaderSize: MAX_HEADER_BYTES }
+      bodyLimit: bodyBytes,
+      requestTimeout: arrivalTimeoutMs,
+      http: { maxHeaderSize: headerBytes }
     })
     this.http.setErrorHandler((error: FastifyError, request, reply) => this.refuse(request, reply, readHttpError(error)))
     this.addHealth()
--- a/packages/foxtaillever-router/src/core/routerCore.ts
+++ b/packages/foxtaillever-router/src/core/routerCore.ts
@@ -17,6 +17,7 @@
 import { allSafeguards, Safeguard, type Safeguards } from './safeguards.js'
 import { ServerWords } from './serverWords.js'
 import { worseVerdict } from './worseVerdict.js'
+import { noObserver, type RequestObserver } from '../telemetry/requestObserver.js'
 
 export interface RouterCoreOptions {
   readonly clock: Clock
@@ -27,6 +28,10 @@
   /** Claims of non-idempotent requests; without it none is sent. */
   readonly claims?: Claims
   readonly invariants?: Invariants
+  /** One way from this instance to other failure domains, milliseconds. */
+  readonly distancesMs?: Readonly<Record<string, number>>
+  /** Hears what becomes of each request. */
+  readonly observer?: RequestObserver
   /** Other than all of them in tests alone. */
   readonly safeguards?: Safeguards
 }
@@ -34,7 +39,9 @@
 export class RouterCore {
   readonly invariants: Invariants
   private readonly requests = new Map<string, RequestRow>()
-  private readonly scheduler: Scheduler
+  /** Open to the exchange of soft state with other instances. */
+  readonly scheduler: Scheduler
+  private readonly observer: RequestObserver
   private readonly loop: Loop
   private readonly claims: Claims
   private readonly words: ServerWords
@@ -43,12 +50,13 @@
   private configuration: Configuration | undefined
 
   private constructor (private readonly options: RouterCoreOptions) {
-    const { clock, random, failureDomain, engineOf } = options
+    const { clock, random, failureDomain, engineOf, distancesMs } = options
+    this.observer = options.observer ?? noObserver
     this.invariants = options.invariants ?? Invariants.create()
     this.safeguards = options.safeguards ?? allSafeguards
     this.claims = options.claims ?? noClaims
     this.words = ServerWords.create(this.safeguards[Safeguard.AtOnceDrain])
-    this.scheduler = Scheduler.create({ random, failureDomain })
+    this.scheduler = Scheduler.create({ random, failureDomain, distancesMs })
     this.attempts = Attempts.create({
       clock,
       engineOf,
@@ -114,12 +122,17 @@
 
   /** Takes a request in; every outcome, refusals too, goes to the responder. */
   submit (submission: Submission, responder: Responder): void {
+    const { job } = submission
+    this.observer.arrived(job)
     checkClaimable(submission, this.options.claims)
-      .chain(() => this.scheduler.offer(submission.job, this.options.clock.now()))
+      .chain(() => this.scheduler.offer(job, this.options.clock.now()))
       .caseOf({
-        Left: failure => responder.failed(failure),
+        Left: failure => {
+          this.observer.refused(job, failure.code, failure)
+          responder.failed(failure)
+        },
         Right: () => {
-          this.requests.set(submission.job.id, createRow(submission, responder, true))
+          this.requests.set(job.id, createRow(submission, responder, true))
           this.loop.wake()
         }
       })
@@ -150,6 +163,7 @@
     }
     this.withdraw(row)
     this.close(row, this.verdictOf(row))
+    this.observer.cancelled(row.submission.job, row.server)
   }
 
   /** The caller reads again. */
@@ -214,12 +228,18 @@
   private refuse (refusal: Refusal): void {
     const row = this.requests.get(refusal.jobId)
     if (row) {
-      this.fail(row, refusal.failure)
+      this.observer.refused(row.submission.job, refusal.rule, refusal.failure)
+      this.end(row, refusal.failure)
     }
   }
 
-  /** The last word: what any try may have done counts, not only the last one. */
   private fail (row: RequestRow, failure: Failure): void {
+    this.observer.failed(row.submission.job, row.server, failure)
+    this.end(row, failure)
+  }
+
+  /** The last word: what any try may have done counts, not only the last one. */
+  private end (row: RequestRow, failure: Failure): void {
     const verdict = worseVerdict(row.verdict, failure.verdict)
     this.invariants.check(Invariant.NotRunProven, verdict !== Verdict.NotRun || !row.isUnproven, () => row.submission.job.id)
     this.close(row, verdict)
@@ -232,6 +252,7 @@
       this.scheduler.withdraw(assignment.jobId)
       return
     }
+    this.observer.assigned(row.submission.job, assignment)
     const needsClaim = !row.submission.job.idempotent && !row.grant && this.safeguards[Safeguard.ClaimBeforeSend]
     if (needsClaim) {
       this.claimFirst(row, assignment.server)
@@ -267,6 +288,7 @@
       return
     }
     row.grant = grant
+    this.observer.claimed(row.submission.job, server)
     this.send(row, server)
   }
 
@@ -288,6 +310,7 @@
   private onStarted (row: RequestRow, start: StreamStart): void {
     if (row.isScheduled) {
       this.scheduler.started(row.submission.job.id, start, this.options.clock.now())
+      this.observer.started(row.submission.job, row.server, start)
     }
     // Headers go out once, however many tries and resumes the answer takes.
     if (!row.isAnswering) {
@@ -299,6 +322,7 @@
   private onToken (row: RequestRow, sequence: number, data: string): void {
     if (sequence === 1) {
       this.scheduler.firstToken(row.submission.job.id, this.options.clock.now())
+      this.observer.firstToken(row.submission.job, row.server)
     }
     if (!row.responder.token(sequence, data)) {
       row.stream?.pause()
@@ -310,6 +334,7 @@
       this.scheduler.finished(row.submission.job.id, end, this.options.clock.now())
     }
     this.close(row, Verdict.Ran)
+    this.observer.finished(row.submission.job, row.server, end)
     row.responder.finished(end)
   }
 
@@ -331,6 +356,7 @@
       return
     }
     row.state = RequestState.Waiting
+    this.observer.retried(row.submission.job, row.server, failure)
     this.loop.wake()
   }
 
--- /dev/null
+++ b/packages/foxtaillever-router/src/instance/engines.ts
@@ -0,0 +1,40 @@
+/**
+ * Connections to the engines, one client an address. Those of backend servers
+ * that left the configuration are closed once their streams are over.
+ */
+import type { BackendServer, Configuration } from 'foxtaillever-core'
+import { EngineClient } from '../adapters/engineClient.js'
+
+export class Engines {
+  private readonly clients = new Map<string, EngineClient>()
+
+  private constructor () {}
+
+  static create (): Engines {
+    return new Engines()
+  }
+
+  of (server: BackendServer): EngineClient {
+    const known = this.clients.get(server.address)
+    if (known) {
+      return known
+    }
+    const client = EngineClient.create(server.address)
+    this.clients.set(server.address, client)
+    return client
+  }
+
+  configure (configuration: Configuration): void {
+    const addresses = new Set(Object.values(configuration.servers).map(server => server.address))
+    for (const [address, client] of this.clients) {
+      if (!addresses.has(address)) {
+        this.clients.delete(address)
+        client.finish()
+      }
+    }
+  }
+
+  async close (): Promise<void> {
+    await Promise.all([...this.clients.values()].map(async client => await client.close()))
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -0,0 +1,200 @@
+/**
+ * One entry instance: the router's core between the callers' side and the
+ * adapters to backend servers and platform, one member of the fleet.
+ */
+import { randomUUID } from 'node:crypto'
+import type { FastifyInstance } from 'fastify'
+import { SeededRandom, SystemClock, waitUntil, type Clock, type Configuration, type Random } from 'foxtaillever-core'
+import { Operators } from 'foxtaillever-control'
+import { ClaimFold, ClaimKeeper, createPeerRouter, defaultClaimOptions, Fleet, KeyRing, TrpcPeers, UdpDatagrams } from 'foxtaillever-fleet'
+import { ServiceGate } from 'foxtaillever-policy'
+import { InstanceListClient } from '../adapters/instanceListClient.js'
+import { LogClient } from '../adapters/logClient.js'
+import { Accounts } from '../callers/accounts.js'
+import { CallerServer } from '../callers/callerServer.js'
+import { createControlServer } from '../control/controlServer.js'
+import { InstanceControl } from '../control/instanceControl.js'
+import { RouterCore } from '../core/routerCore.js'
+import { PlainRouter } from '../plain/plainRouter.js'
+import { Part } from '../telemetry/logs.js'
+import { Telemetry } from '../telemetry/telemetry.js'
+import { Engines } from './engines.js'
+import type { EntryAddresses, EntryInstanceOptions, Listening } from './entryInstanceOptions.js'
+import { ListWatch } from './listWatch.js'
+import { ServerWatch } from './serverWatch.js'
+import { SoftStateExchange } from './softStateExchange.js'
+
+/** How often a shutdown looks whether the last answer is out, milliseconds. */
+const SHUTDOWN_LOOK_MS = 20
+
+/** Others have heard the goodbye by then, milliseconds; a balancer has looked again. */
+const GOODBYE_MS = 100
+
+function addressOf ({ host, port }: Listening): string {
+  return `${host}:${port}`
+}
+
+export class EntryInstance {
+  private readonly clock: Clock = SystemClock.create()
+  private readonly random: Random
+  private readonly engines = Engines.create()
+  private readonly accounts = Accounts.create()
+  private readonly gate = ServiceGate.create()
+  private readonly keys: KeyRing
+  private readonly log: LogClient
+  private readonly list: InstanceListClient
+  private readonly datagrams: UdpDatagrams
+  private readonly telemetry: Telemetry
+  private readonly claims: ClaimKeeper
+  private readonly fleet: Fleet
+  private readonly core: RouterCore
+  private readonly plain: PlainRouter
+  private readonly callers: CallerServer
+  private readonly control: FastifyInstance
+  private readonly watches: ReadonlyArray<{ readonly start: () => void, readonly stop: () => void }>
+  private accepting = true
+
+  private constructor (private readonly options: EntryInstanceOptions) {
+    const { clock, name } = { clock: this.clock, name: options.name }
+    this.random = SeededRandom.create(options.seed)
+    this.keys = KeyRing.create(options.keys)
+    this.log = LogClient.create(options.logAddress, clock)
+    this.list = InstanceListClient.create(options.listAddress)
+    this.datagrams = UdpDatagrams.create(addressOf(options.gossip))
+    this.telemetry = Telemetry.create({ instance: name, clock, logs: options.logs })
+    this.claims = this.createClaims()
+    this.fleet = this.createFleet()
+    this.core = this.createCore()
+    this.plain = PlainRouter.create(clock, this.gate)
+    this.callers = this.createCallers()
+    this.control = this.createControl()
+    this.watches = [
+      this.core,
+      this.plain,
+      ListWatch.create({ clock, list: this.list, core: this.core, gate: this.gate }),
+      ServerWatch.create({ clock, name, fleet: this.fleet, core: this.core, engines: this.engines, configuration: () => this.configuration() }),
+      SoftStateExchange.create({ clock, fleet: this.fleet, scheduler: this.core.scheduler })
+    ]
+  }
+
+  static create (options: EntryInstanceOptions): EntryInstance {
+    return new EntryInstance(options)
+  }
+
+  private createClaims (): ClaimKeeper {
+    const { name, logRetentionMs, claimKeptMs } = this.options
+    const fold = ClaimFold.create({ keptMs: claimKeptMs, logRetentionMs })
+    return ClaimKeeper.create(this.log, fold, this.clock, { ...defaultClaimOptions, instance: name, incarnation: `${name}/${randomUUID()}` })
+  }
+
+  private createFleet (): Fleet {
+    const { name, failureDomain, gossip, control, seeds, logRetentionMs } = this.options
+    const { clock, random, keys, log, list, datagrams } = this
+    return Fleet.create({
+      self: { name, failureDomain, address: addressOf(gossip), controlAddress: addressOf(control) },
+      seeds,
+      log,
+      logRetentionMs,
+      instances: list,
+      datagrams,
+      peers: TrpcPeers.create(name, keys, clock, random),
+      keys,
+      clock,
+      random,
+      readers: [record => this.claims.read(record)],
+      onGap: (_, page) => this.claims.cover(page)
+    })
+  }
+
+  private createCore (): RouterCore {
+    const { failureDomain, distancesMs } = this.options
+    return RouterCore.create({
+      clock: this.clock,
+      random: this.random,
+      failureDomain,
+      distancesMs,
+      engineOf: server => this.engines.of(server),
+      claims: this.claims,
+      observer: this.telemetry
+    })
+  }
+
+  private createCallers (): CallerServer {
+    return CallerServer.create({
+      clock: this.clock,
+      core: this.core,
+      plain: this.plain,
+      accounts: this.accounts,
+      configuration: () => this.fleet.store.isKnown() ? this.configuration() : undefined,
+      accepting: () => this.accepting,
+      limits: this.options.limits
+    })
+  }
+
+  private createControl (): FastifyInstance {
+    const { name, failureDomain, logs, operators } = this.options
+    const { clock, fleet, core, telemetry, keys } = this
+    return createControlServer({
+      control: InstanceControl.create({ name, failureDomain, clock, fleet, core, telemetry, logs }),
+      operators: Operators.create(operators),
+      metrics: telemetry.metrics,
+      clock,
+      peers: createPeerRouter(fleet, keys, clock)
+    })
+  }
+
+  private configuration (): Configuration {
+    return this.fleet.store.configuration()
+  }
+
+  /**
+   * Starts to serve. Callers are answered from the first moment on: with "not
+   * run" until a configuration is known, from the log or from another instance.
+   */
+  async start (): Promise<EntryAddresses> {
+    const { listen, control, logs } = this.options
+    this.fleet.store.onChange(() => this.configure())
+    const gossipAddress = await this.datagrams.bind()
+    const controlAddress = (await this.control.listen({ host: control.host, port: control.port })).replace('http://', '')
+    this.fleet.setAddresses({ address: gossipAddress, controlAddress })
+    await this.fleet.start()
+    this.watches.forEach(watch => watch.start())
+    const callersAddress = await this.callers.http.listen({ host: listen.host, port: listen.port })
+    logs.write('info', Part.Process, 'The instance serves.', { callers: callersAddress, control: controlAddress, gossip: gossipAddress })
+    return { callers: callersAddress, control: controlAddress, gossip: gossipAddress }
+  }
+
+  private configure (): void {
+    const configuration = this.configuration()
+    this.accounts.configure(configuration)
+    this.engines.configure(configuration)
+    this.gate.configure(configuration, this.clock.now())
+    this.core.configure(configuration)
+    this.options.logs.write('info', Part.Fleet, 'A configuration is in force.', { revision: configuration.revision, preset: configuration.presetInForce })
+  }
+
+  /** Requests and plain calls that still wait for their answer. */
+  private inFlight (): number {
+    return this.core.inFlight() + this.plain.inFlight()
+  }
+
+  /** Takes nothing new, finishes what is in flight, ends by a stored deadline. */
+  async stop (): Promise<void> {
+    const deadline = this.clock.now() + this.options.limits.drainTimeoutMs
+    this.accepting = false
+    this.fleet.leave()
+    this.options.logs.write('info', Part.Process, 'The instance shuts down.', { inFlight: this.inFlight() })
+    const goodbyeUntil = this.clock.now() + GOODBYE_MS
+    while (this.clock.now() < goodbyeUntil || (this.inFlight() > 0 && this.clock.now() < deadline)) {
+      await waitUntil(this.clock, this.clock.now() + SHUTDOWN_LOOK_MS)
+    }
+    this.core.endAll()
+    this.watches.forEach(watch => watch.stop())
+    await this.callers.http.close()
+    await this.control.close()
+    await this.fleet.stop()
+    await this.engines.close()
+    await Promise.all([this.plain.close(), this.log.close(), this.list.close()])
+    this.options.logs.write('info', Part.Process, 'The instance has ended.')
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-router/src/instance/entryInstanceOptions.ts
@@ -0,0 +1,56 @@
+/** What one entry instance is told at its start. */
+import type { OperatorTokens } from 'foxtaillever-control'
+import type { Key } from 'foxtaillever-fleet'
+import type { Logs } from '../telemetry/logs.js'
+
+export interface Listening {
+  /** IP number. */
+  readonly host: string
+  /** 0 lets the system choose. */
+  readonly port: number
+}
+
+export interface EntryInstanceOptions {
+  readonly name: string
+  readonly failureDomain: string
+  /** For callers. */
+  readonly listen: Listening
+  /** For operators and other instances. */
+  readonly control: Listening
+  /** UDP, between instances. */
+  readonly gossip: Listening
+  /** Addresses for datagrams of some instances, besides what the platform lists. */
+  readonly seeds: readonly string[]
+  readonly keys: readonly Key[]
+  readonly operators: readonly OperatorTokens[]
+  readonly logAddress: string
+  readonly listAddress: string
+  /** One way to other failure domains, milliseconds. */
+  readonly distancesMs: Readonly<Record<string, number>>
+  readonly limits: InstanceLimits
+  readonly logs: Logs
+  readonly seed: number
+  /** The platform keeps records at least this long, milliseconds. */
+  readonly logRetentionMs: number
+  /** Claims of non-idempotent requests are remembered this long, milliseconds. */
+  readonly claimKeptMs: number
+}
+
+export interface InstanceLimits {
+  readonly bodyBytes: number
+  readonly headerBytes: number
+  /** A request whose headers and body take longer to arrive is refused. */
+  readonly arrivalTimeoutMs: number
+  /** How long a leaving instance lets requests in flight go on. */
+  readonly drainTimeoutMs: number
+}
+
+/** Where an instance listens once it has started. */
+export interface EntryAddresses {
+  /** URL for callers. */
+  readonly callers: string
+  /** IP number and port. */
+  readonly control: string
+  /** IP number and port. */
+  readonly gossip: string
+}
--- a/packages/foxtaillever-router/src/plain/__tests__/plainRouter.test.ts
+++ b/packages/foxtaillever-router/src/plain/__tests__/plainRouter.test.ts
@@ -5,6 +5,7 @@
   AdministrativeState, emptyConfiguration, PriorityClass, ServerKind, SystemClock,
   type BackendServer, type ClientAccount, type Configuration
 } from 'foxtaillever-core'
+import { ServiceGate } from 'foxtaillever-policy'
 import { describe, it } from 'foxtaillever-testing'
 import { matchCall } from '../matchCall.js'
 import { PlainRouter } from '../plainRouter.js'
@@ -73,7 +74,10 @@
 }
 
 async function call (t: ExecutionContext, configuration: Configuration, method: 'GET' | 'POST', url: string): Promise<{ status: number, verdict: unknown, body: string }> {
-  const router = PlainRouter.create(SystemClock.create())
+  const clock = SystemClock.create()
+  const gate = ServiceGate.create()
+  gate.configure(configuration, clock.now())
+  const router = PlainRouter.create(clock, gate)
   const front = fastify()
   front.all('/*', async (request, reply) => await router.serve({ request, reply, account, configuration }))
   t.teardown(async () => {
--- a/packages/foxtaillever-router/src/plain/plainRouter.ts
+++ b/packages/foxtaillever-router/src/plain/plainRouter.ts
@@ -1,14 +1,15 @@
 /**
  * Routes calls of plain services by path. Language work never stands before
- * them: they have connections and limits of their own. A call that the service
- * does not declare repeatable is sent at most once.
+ * them: they have connections, limits and queues of their own. A call that the
+ * service does not declare repeatable is sent at most once.
  */
 import type { FastifyReply, FastifyRequest } from 'fastify'
 import {
   CallerHeader, Failure, FailureCode, isRepeatable,
-  type BackendServer, type ClientAccount, type Clock, type Configuration
+  type Cancellation, type ClientAccount, type Clock, type Configuration
 } from 'foxtaillever-core'
-import { Left, type Either } from 'purify-ts'
+import { CallOutcome, type ServiceGate, type ServicePass } from 'foxtaillever-policy'
+import { EitherAsync, Left, type Either } from 'purify-ts'
 import { PlainClient, type PlainAnswer, type PlainRequest } from '../adapters/plainClient.js'
 import { failureBody, failureHeaders } from '../callers/failureBody.js'
 import { statusOf } from '../callers/statusOf.js'
@@ -27,25 +28,49 @@
 /** Headers of the service that the caller sees. */
 const RETURNED_HEADERS = ['content-type', 'content-length', 'content-disposition', 'etag', 'last-modified', 'cache-control']
 
+/** Tries of a repeatable call at most; more would only lengthen an outage. */
+const MOST_TRIES = 3
+
+/** Failures of one server, which another may not have. */
+const triedAgain = new Set([FailureCode.ConnectionRefused, FailureCode.ConnectionLost])
+
+/** Waiting calls whose deadline has come are told this soon, milliseconds. */
+const TICK_MS = 20
+
 export class PlainRouter {
   private readonly client: PlainClient
-  private turn = 0
+  private calls = 0
+  private open = 0
+  private cancelTick: Cancellation = () => {}
 
-  private constructor (private readonly clock: Clock) {
+  private constructor (private readonly clock: Clock, private readonly gate: ServiceGate) {
     this.client = PlainClient.create(clock)
   }
 
-  static create (clock: Clock): PlainRouter {
-    return new PlainRouter(clock)
+  static create (clock: Clock, gate: ServiceGate): PlainRouter {
+    return new PlainRouter(clock, gate)
+  }
+
+  start (): void {
+    this.gate.tick(this.clock.now())
+    this.cancelTick = this.clock.at(this.clock.now() + TICK_MS, () => this.start())
+  }
+
+  stop (): void {
+    this.cancelTick()
+  }
+
+  /** Calls that wait for their answer. */
+  inFlight (): number {
+    return this.open
   }
 
   async serve (context: PlainCallContext): Promise<FastifyReply> {
     const { reply, request, configuration } = context
-    const matched = matchCall(configuration, request.method, request.url)
-    const answer = await matched.caseOf({
-      Left: async failure => Left(failure),
-      Right: async call => await this.tryServers(context, call)
-    })
+    this.open += 1
+    const answer = await EitherAsync.liftEither(matchCall(configuration, request.method, request.url))
+      .chain(async call => await this.tryServers(context, call))
+    this.open -= 1
     return answer.caseOf({
       Left: failure => this.refuse(reply, request, failure),
       Right: served => this.pass(reply, served)
@@ -68,32 +93,44 @@
     return reply.code(statusCode).send(body)
   }
 
-  /** Tries one server after another as long as repeating is allowed and the deadline ahead. */
+  /** Tries again as long as repeating is allowed and the deadline ahead. */
   private async tryServers (context: PlainCallContext, call: MatchedCall): Promise<Either<Failure, PlainAnswer>> {
     const request = this.readRequest(context.request, call)
-    let failure = Failure.notRun(FailureCode.NoBackendServer, `Service ${call.service.name} has no backend server.`, this.clock.now() + 1000)
-    for (const server of this.serversInTurn(context.configuration, call)) {
-      if (this.clock.now() >= request.deadline) {
-        break
-      }
-      const answer = await this.client.send(server.address, request)
+    const failedAt: string[] = []
+    let failure = Failure.notRun(FailureCode.DeadlinePassed, 'The deadline passed before the call was sent.')
+    for (let tries = 0; tries < MOST_TRIES && this.clock.now() < request.deadline; tries++) {
+      const answer = await this.tryOnce(context, call, request, failedAt)
       if (answer.isRight()) {
         return answer
       }
       failure = answer.swap().orDefault(failure)
-      if (!isRepeatable(failure.verdict, call.idempotent)) {
+      if (!triedAgain.has(failure.code) || !isRepeatable(failure.verdict, call.idempotent)) {
         break
       }
     }
     return Left(failure)
   }
 
-  private serversInTurn (configuration: Configuration, call: MatchedCall): BackendServer[] {
-    const servers = call.service.servers
-      .map(name => configuration.servers[name])
-      .filter(server => server !== undefined)
-    const first = servers.length === 0 ? 0 : this.turn++ % servers.length
-    return [...servers.slice(first), ...servers.slice(0, first)]
+  /** @param failedAt gets the server's name when the try fails. */
+  private async tryOnce (context: PlainCallContext, call: MatchedCall, request: PlainRequest, failedAt: string[]): Promise<Either<Failure, PlainAnswer>> {
+    const pass = await this.acquire(context.reply, call, request.deadline, [...failedAt])
+    return await EitherAsync.liftEither(pass).chain(async ({ callId, server }) => {
+      const answer = await this.client.send(context.configuration.servers[server]?.address ?? '', request)
+      this.gate.release(callId, answer.isRight() ? CallOutcome.Answered : CallOutcome.Failed, this.clock.now())
+      return answer.ifLeft(() => failedAt.push(server))
+    })
+  }
+
+  /** Waits for leave to send; a caller that goes meanwhile gives its place back. */
+  private async acquire (reply: FastifyReply, call: MatchedCall, deadline: number, failedAt: readonly string[]): Promise<Either<Failure, ServicePass>> {
+    const id = `plain-${++this.calls}`
+    return await new Promise(resolve => {
+      reply.raw.once('close', () => {
+        this.gate.withdraw(id)
+        resolve(Left(Failure.notRun(FailureCode.Cancelled, 'The caller has gone.')))
+      })
+      this.gate.acquire({ id, service: call.service.name, deadline, failedAt }, this.clock.now(), resolve)
+    })
   }
 
   private readRequest (request: FastifyRequest, call: MatchedCall): PlainRequest {
