--- /dev/null
+++ b/packages/foxtaillever-load/src/__fixtures__/withDeployment.ts
@@ -0,0 +1,24 @@
+/** A small embedded deployment for tests, stopped whatever happens. */
+import { PlacementPolicy } from 'foxtaillever-core'
+import { EmbeddedDeployment } from '../deployment/embeddedDeployment.js'
+import { shapes, type Shape } from '../deployment/shape.js'
+
+export const smallShape: Shape = { ...shapes['sertaneja'] as Shape, instances: 2, workers: 2, answerTokens: 4, clientDelayMs: 0 }
+
+export async function withDeployment (run: (deployment: EmbeddedDeployment) => Promise<void>, shape = smallShape): Promise<void> {
+  const deployment = await EmbeddedDeployment.start({ shape, placement: PlacementPolicy.ExpectedFirstToken, seed: 1 })
+  try {
+    await run(deployment)
+  } finally {
+    await deployment.stop()
+  }
+}
+
+const LOOK_MS = 5
+
+/** Waits until something holds; the test's own time limit ends a wait that is in vain. */
+export async function until (holds: () => boolean): Promise<void> {
+  while (!holds()) {
+    await new Promise(resolve => setTimeout(resolve, LOOK_MS))
+  }
+}
--- a/packages/foxtaillever-standins/src/engine/engineModel.ts
+++ b/packages/foxtaillever-standins/src/engine/engineModel.ts
@@ -252,6 +252,11 @@
     return this.events.read(this.incarnation, after)
   }
 
+  /** Streams in the batch right now, without the lag of load reports; for oracles. */
+  runningNow (): number {
+    return this.batch.runningCount()
+  }
+
   private sampleLoad (): void {
     this.reports.put(this.measureLoad(), this.faults.loadLagMs)
   }
