--- /dev/null
+++ b/packages/foxtaillever-proof/src/fuzz/runFuzz.ts
@@ -0,0 +1,77 @@
+/**
+ * One fuzzing campaign: many short lives of a small deployment, each a row of
+ * commands drawn by fast-check from one seed. A failure shrinks to the fewest
+ * commands and is replayed by its seed, path and replay path.
+ */
+import fc from 'fast-check'
+import { allSafeguards, type Safeguards } from 'foxtaillever-router'
+import { createCallerCommands, createOutliveLog, createTimeCommands } from '../commands/callerCommands.js'
+import type { Situation, WorldCommand } from '../commands/command.js'
+import { createEngineFaults, createEntryFaults, createLogFaults } from '../commands/faultCommands.js'
+import { World } from '../world/world.js'
+
+export interface FuzzOptions {
+  readonly seed: number
+  readonly runs: number
+  readonly safeguards?: Safeguards
+  readonly path?: string
+  readonly replayPath?: string
+  /** Hears how many runs are over. */
+  readonly onRun?: (runs: number) => void
+}
+
+export interface FuzzReport {
+  readonly seed: number
+  readonly runs: number
+  readonly commands: number
+  readonly checks: number
+  readonly engineRuns: number
+  readonly sendings: number
+  readonly wholeAnswers: number
+  /** Empty when nothing was found. */
+  readonly failure: string
+}
+
+const ENTRIES = 3
+const ENGINES = 3
+const MOST_COMMANDS = 40
+
+function createCommands (replayPath: string | undefined): fc.Arbitrary<Iterable<WorldCommand>> {
+  const usual = [
+    ...createCallerCommands(ENTRIES),
+    ...createTimeCommands(),
+    ...createEntryFaults(ENTRIES),
+    ...createEngineFaults(ENGINES),
+    ...createLogFaults(ENTRIES)
+  ]
+  const weighed = usual.map(arbitrary => ({ weight: 10, arbitrary }))
+  const mixed = fc.oneof(...weighed, { weight: 1, arbitrary: createOutliveLog() })
+  return fc.commands([mixed], { maxCommands: MOST_COMMANDS, replayPath, size: 'max' })
+}
+
+function createSituation (): Situation {
+  return { entries: Array.from({ length: ENTRIES }, () => ({ isUp: true, isPaused: false })), sendings: 0 }
+}
+
+export async function runFuzz (options: FuzzOptions): Promise<FuzzReport> {
+  const counts = { runs: 0, commands: 0, checks: 0, engineRuns: 0, sendings: 0, wholeAnswers: 0 }
+  const property = fc.asyncProperty(fc.nat(), createCommands(options.replayPath), async (seed, commands) => {
+    const world = await World.create({ seed, entries: ENTRIES, engines: ENGINES, safeguards: options.safeguards ?? allSafeguards })
+    await fc.asyncModelRun(() => ({ model: createSituation(), real: world }), commands)
+    await world.rest()
+    const { oracle } = world
+    counts.runs += 1
+    counts.commands += [...commands].length
+    counts.checks += oracle.checks
+    counts.engineRuns += oracle.runs.length
+    counts.sendings += oracle.sendings.length
+    counts.wholeAnswers += oracle.sendings.filter(sending => sending.isWhole).length
+    options.onRun?.(counts.runs)
+    const violation = oracle.violations[0]
+    if (violation) {
+      throw new Error(`${violation.promise}: ${violation.detail}`)
+    }
+  })
+  const details = await fc.check(property, { seed: options.seed, numRuns: options.runs, path: options.path, endOnFailure: false })
+  return { seed: options.seed, ...counts, failure: details.failed ? `${String(details.errorInstance)}\n${fc.defaultReportMessage(details)}` : '' }
+}
