Tell telemetry what becomes of each request

The core calls an observer at each decision and at each last word; without one nothing changes. Every request that arrives ends with exactly one of refused, failed, finished and cancelled.

--- a/packages/foxtaillever-router/src/core/routerCore.ts
+++ b/packages/foxtaillever-router/src/core/routerCore.ts
@@ -12,6 +12,7 @@
 import { Attempts } from './attempts.js'
 import { checkClaimable, createClaim, noClaims, type Claims } from './claimDesk.js'
 import { Invariant, Invariants } from './invariants.js'
+import { noObserver, type RequestObserver } from '../telemetry/requestObserver.js'
 import { Loop } from './loop.js'
 import { createRow, RequestState, type RequestRow, type Responder, type StreamPosition, type Submission } from './request.js'
 import { allSafeguards, Safeguard, type Safeguards } from './safeguards.js'
@@ -27,6 +28,8 @@
   /** Claims of non-idempotent requests; without it none is sent. */
   readonly claims?: Claims
   readonly invariants?: Invariants
+  /** Is told what becomes of each request; without it nobody is. */
+  readonly observer?: RequestObserver
   /** Other than all of them in tests alone. */
   readonly safeguards?: Safeguards
 }
@@ -40,6 +43,7 @@
   private readonly words: ServerWords
   private readonly attempts: Attempts
   private readonly safeguards: Safeguards
+  private readonly observer: RequestObserver
   private configuration: Configuration | undefined
 
   private constructor (private readonly options: RouterCoreOptions) {
@@ -47,6 +51,7 @@
     this.invariants = options.invariants ?? Invariants.create()
     this.safeguards = options.safeguards ?? allSafeguards
     this.claims = options.claims ?? noClaims
+    this.observer = options.observer ?? noObserver
     this.words = ServerWords.create(this.safeguards[Safeguard.AtOnceDrain])
     this.scheduler = Scheduler.create({ random, failureDomain })
     this.attempts = Attempts.create({
@@ -114,10 +119,14 @@
 
   /** Takes a request in; every outcome, refusals too, goes to the responder. */
   submit (submission: Submission, responder: Responder): void {
+    this.observer.arrived(submission.job)
     checkClaimable(submission, this.options.claims)
       .chain(() => this.scheduler.offer(submission.job, this.options.clock.now()))
       .caseOf({
-        Left: failure => responder.failed(failure),
+        Left: failure => {
+          this.observer.refused(submission.job, failure.code, failure)
+          responder.failed(failure)
+        },
         Right: () => {
           this.requests.set(submission.job.id, createRow(submission, responder, true))
           this.loop.wake()
@@ -132,6 +141,7 @@
       responder.failed(Failure.create(FailureCode.StreamBroken, Verdict.Ran, 'The backend server of this stream is not there any more.'))
       return
     }
+    this.observer.arrived(submission.job)
     const row = createRow(submission, responder, false)
     this.requests.set(submission.job.id, row)
     this.attempts.takeUp(row, server, position)
@@ -149,6 +159,7 @@
       row.stream?.cancel()
     }
     this.withdraw(row)
+    this.observer.cancelled(row.submission.job, row.server)
     this.close(row, this.verdictOf(row))
   }
 
@@ -214,24 +225,34 @@
   private refuse (refusal: Refusal): void {
     const row = this.requests.get(refusal.jobId)
     if (row) {
-      this.fail(row, refusal.failure)
+      this.fail(row, refusal.failure, refusal.rule)
     }
   }
 
   /** The last word: what any try may have done counts, not only the last one. */
-  private fail (row: RequestRow, failure: Failure): void {
+  private fail (row: RequestRow, failure: Failure, rule: string = failure.code): void {
     const verdict = worseVerdict(row.verdict, failure.verdict)
     this.invariants.check(Invariant.NotRunProven, verdict !== Verdict.NotRun || !row.isUnproven, () => row.submission.job.id)
     this.close(row, verdict)
+    this.tellFailure(row, failure.withVerdict(verdict), rule)
     row.responder.failed(failure.withVerdict(verdict))
   }
 
+  private tellFailure (row: RequestRow, failure: Failure, rule: string): void {
+    if (failure.verdict === Verdict.NotRun) {
+      this.observer.refused(row.submission.job, rule, failure)
+    } else {
+      this.observer.failed(row.submission.job, row.server, failure)
+    }
+  }
+
   private assign (assignment: Assignment): void {
     const row = this.requests.get(assignment.jobId)
     if (!row) {
       this.scheduler.withdraw(assignment.jobId)
       return
     }
+    this.observer.assigned(row.submission.job, assignment)
     const needsClaim = !row.submission.job.idempotent && !row.grant && this.safeguards[Safeguard.ClaimBeforeSend]
     if (needsClaim) {
       this.claimFirst(row, assignment.server)
@@ -267,6 +288,7 @@
       return
     }
     row.grant = grant
+    this.observer.claimed(row.submission.job, server)
     this.send(row, server)
   }
 
@@ -292,12 +314,14 @@
     // Headers go out once, however many tries and resumes the answer takes.
     if (!row.isAnswering) {
       row.isAnswering = true
+      this.observer.started(row.submission.job, row.server, start)
       row.responder.started(start, row.server)
     }
   }
 
   private onToken (row: RequestRow, sequence: number, data: string): void {
     if (sequence === 1) {
+      this.observer.firstToken(row.submission.job, row.server)
       this.scheduler.firstToken(row.submission.job.id, this.options.clock.now())
     }
     if (!row.responder.token(sequence, data)) {
@@ -310,6 +334,7 @@
       this.scheduler.finished(row.submission.job.id, end, this.options.clock.now())
     }
     this.close(row, Verdict.Ran)
+    this.observer.finished(row.submission.job, row.server, end)
     row.responder.finished(end)
   }
 
@@ -331,6 +356,7 @@
       return
     }
     row.state = RequestState.Waiting
+    this.observer.retried(row.submission.job, row.server, failure)
     this.loop.wake()
   }
 
