Join the fleet from the entry instance and serve its control port

An instance now holds a Fleet: its configuration comes from the fleet's store, which never moves back and hears from peers when the log is down, instead of a fold of its own. Operators, peers and the metrics store reach it on a control port, whose number is taken before others are told of it.

--- a/packages/foxtaillever-load/src/commands/demo.ts
+++ b/packages/foxtaillever-load/src/commands/demo.ts
@@ -1,6 +1,6 @@
 import { Command, Option } from 'clipanion'
 import { PlacementPolicy, SeededRandom } from 'foxtaillever-core'
-import { EmbeddedDeployment, keyOf } from '../deployment/embeddedDeployment.js'
+import { EmbeddedDeployment, keyOf, OPERATOR_TOKEN } from '../deployment/embeddedDeployment.js'
 import { shapes } from '../deployment/shape.js'
 import { createArrivals } from '../workload/createArrivals.js'
 import { runArrivals } from '../workload/runArrivals.js'
@@ -42,6 +42,7 @@
     const account = deployment.options.shape.accounts[0]?.name ?? ''
     const body = JSON.stringify({ model, stream: true, max_tokens: 8, messages: [{ role: 'user', content: 'Which feed for sows in their last week?' }] })
     this.context.stdout.write(`\nServing on ${deployment.addresses.join(' ')}. Stop with Ctrl-C.\n`)
+    this.context.stdout.write(`export FOXTAILLEVER_ADDRESS=${deployment.controlAddresses().join(',')} FOXTAILLEVER_TOKEN=${OPERATOR_TOKEN}\n`)
     this.context.stdout.write(`curl -N ${deployment.addresses[0]}/v1/chat/completions -H 'authorization: Bearer ${keyOf(account)}' -H 'content-type: application/json' -d '${body}'\n`)
     await new Promise<void>(resolve => {
       process.once('SIGINT', resolve)
--- a/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
+++ b/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
@@ -7,7 +7,7 @@
   AdministrativeState, ListedKind, ListedState, RecordKind, SeededRandom, ServerKind, SystemClock,
   type BackendServer, type ListedInstance, type PlacementPolicy, type Preset
 } from 'foxtaillever-core'
-import { EntryInstance } from 'foxtaillever-router'
+import { digestKey, EntryInstance } from 'foxtaillever-router'
 import {
   createEngineServer, createInstanceListServer, createLogServer, createPlainServer,
   EngineModel, InstanceListModel, KeptCacheStoreModel, LogModel, WeightStoreModel, type PlainServer
@@ -27,6 +27,16 @@
 /** The user's trusted caller of orders; half of the engines check it. */
 const TRUSTED_CALLERS = ['foxtaillever']
 
+/** Who may use the control ports of the stand-in deployment. */
+const OPERATOR = 'operator'
+export const OPERATOR_TOKEN = 'token-of-operator'
+
+/** Known to all; the deployment is on loopback. */
+const MEMBER_KEY = 'key of the embedded deployment'
+
+/** Instances that a new one is told of; it hears of the rest from them. */
+const SEEDS = 2
+
 export interface DeploymentOptions {
   readonly shape: Shape
   readonly placement?: PlacementPolicy
@@ -159,12 +169,20 @@
       logAddress,
       listAddress,
       seed: this.options.seed + index,
-      bodyLimitBytes: BODY_LIMIT_BYTES
+      bodyLimitBytes: BODY_LIMIT_BYTES,
+      operators: [{ name: OPERATOR, tokenDigests: [digestKey(OPERATOR_TOKEN)] }],
+      memberKeys: [{ id: 'embedded', secret: MEMBER_KEY }],
+      seeds: this.instances.slice(0, SEEDS).map(({ gossipAddress }) => gossipAddress)
     })
     this.instances.push(instance)
     this.addresses.push(await instance.start())
   }
 
+  /** Control addresses of the entry instances, as the command line wants them. */
+  controlAddresses (): readonly string[] {
+    return this.instances.map(instance => instance.controlAddress())
+  }
+
   private async waitUntilReady (): Promise<void> {
     for (const address of this.addresses) {
       while ((await fetch(`${address}/readyz`)).status !== 200) {
--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -21,6 +21,8 @@
   /** Whether new requests are taken; false once a shutdown began. */
   readonly accepting: () => boolean
   readonly bodyLimitBytes: number
+  /** Is told of calls that never became requests. */
+  readonly turnedAway?: (requestId: string, failure: Failure) => void
 }
 
 /** Headers and a slow body must be in by then, milliseconds. */
@@ -130,6 +132,7 @@
 
   private refuse (request: FastifyRequest, reply: FastifyReply, failure: Failure): void {
     const id = typeof request.headers[CallerHeader.RequestId] === 'string' ? request.headers[CallerHeader.RequestId] : randomUUID()
+    this.options.turnedAway?.(id, failure)
     reply.code(statusOf[failure.code])
       .headers(failureHeaders(failure, id, this.options.clock))
       .send(failureBody(failure, id))
--- a/packages/foxtaillever-router/src/control/controlServer.ts
+++ b/packages/foxtaillever-router/src/control/controlServer.ts
@@ -1,7 +1,11 @@
 /**
  * The control port of one entry instance: procedures for operators, procedures
- * for other instances, and the metrics. Callers have no way to this port.
+ * for other instances, and the metrics. Callers have no way to this port. The
+ * port is taken first, since others are told its number before anything can be
+ * answered on it.
  */
+import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { fastifyTRPCPlugin, type FastifyTRPCPluginOptions } from '@trpc/server/adapters/fastify'
 import fastify, { type FastifyInstance } from 'fastify'
 import type { Clock } from 'foxtaillever-core'
@@ -9,13 +13,13 @@
 import { PEER_PATH, type PeerRouter } from 'foxtaillever-fleet'
 import type { Metrics } from '../telemetry/metrics.js'
 
-export interface ControlServerOptions {
+export interface ControlServices {
   readonly control: Control
   readonly operators: Operators
   readonly metrics: Metrics
   readonly clock: Clock
-  /** Procedures that other instances call; none for an instance alone. */
-  readonly peers?: PeerRouter
+  /** Procedures that other instances call. */
+  readonly peers: PeerRouter
 }
 
 /** Ten thousand changes of a few hundred bytes fit. */
@@ -24,11 +28,52 @@
 /** Path below which a metrics store reads. */
 export const METRICS_PATH = '/metrics'
 
-/** Input of a query stands in the path of its URL; sealed calls of peers are longer than the library's own limit. */
-const PARAMETER_CHARACTERS = 5000
+/** Names of procedures stand in the path; none is longer. */
+const PARAMETER_CHARACTERS = 500
 
-export function createControlServer ({ control, operators, metrics, clock, peers }: ControlServerOptions): FastifyInstance {
-  const http = fastify({ bodyLimit: BODY_LIMIT_BYTES, routerOptions: { maxParamLength: PARAMETER_CHARACTERS } })
+export class ControlServer {
+  private http: FastifyInstance | undefined
+
+  private constructor (private readonly server: Server) {}
+
+  /** Takes the port; port 0 lets the system choose. */
+  static async listen (host: string, port: number): Promise<ControlServer> {
+    const server = createServer()
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, host, () => {
+        server.off('error', reject)
+        resolve()
+      })
+    })
+    return new ControlServer(server)
+  }
+
+  /** IP number and port. */
+  address (): string {
+    const { address, family, port } = this.server.address() as AddressInfo
+    return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`
+  }
+
+  /** Begins to answer. */
+  async serve (services: ControlServices): Promise<void> {
+    this.http = createHttp(this.server, services)
+    await this.http.ready()
+  }
+
+  async close (): Promise<void> {
+    await this.http?.close()
+    this.server.closeAllConnections()
+    await new Promise<void>(resolve => this.server.close(() => resolve()))
+  }
+}
+
+function createHttp (server: Server, { control, operators, metrics, clock, peers }: ControlServices): FastifyInstance {
+  const http = fastify({
+    bodyLimit: BODY_LIMIT_BYTES,
+    routerOptions: { maxParamLength: PARAMETER_CHARACTERS },
+    serverFactory: handler => server.on('request', handler)
+  })
   http.get(METRICS_PATH, async (_, reply) => {
     const text = await metrics.text()
     return await reply.type(metrics.contentType()).send(text)
@@ -40,8 +85,6 @@
       createContext: ({ req }) => createControlContext(control, clock, operators, req.headers.authorization)
     }
   } satisfies FastifyTRPCPluginOptions<ControlRouter>)
-  if (peers) {
-    http.register(fastifyTRPCPlugin, { prefix: PEER_PATH, trpcOptions: { router: peers } } satisfies FastifyTRPCPluginOptions<PeerRouter>)
-  }
+  http.register(fastifyTRPCPlugin, { prefix: PEER_PATH, trpcOptions: { router: peers } } satisfies FastifyTRPCPluginOptions<PeerRouter>)
   return http
 }
--- a/packages/foxtaillever-router/src/entryInstance.ts
+++ b/packages/foxtaillever-router/src/entryInstance.ts
@@ -4,17 +4,26 @@
  */
 import { randomUUID } from 'node:crypto'
 import {
-  emptyConfiguration, SeededRandom, SystemClock, waitUntil,
-  type BackendServer, type Clock, type Configuration, type LogRecord
+  SeededRandom, SystemClock, waitUntil,
+  type BackendServer, type Clock, type Configuration
 } from 'foxtaillever-core'
-import { ClaimFold, ClaimKeeper, defaultClaimOptions, foldConfiguration, LogReader } from 'foxtaillever-fleet'
+import { Operators, type OperatorTokens } from 'foxtaillever-control'
+import {
+  ClaimFold, ClaimKeeper, createPeerRouter, defaultClaimOptions, Fleet, KeyRing, Permission, TrpcPeers, UdpDatagrams,
+  type Key
+} from 'foxtaillever-fleet'
 import { EngineClient } from './adapters/engineClient.js'
 import { InstanceListClient } from './adapters/instanceListClient.js'
 import { LogClient } from './adapters/logClient.js'
 import { Accounts } from './callers/accounts.js'
 import { CallerServer } from './callers/callerServer.js'
+import { ControlServer } from './control/controlServer.js'
+import { InstanceControl } from './control/instanceControl.js'
 import { RouterCore } from './core/routerCore.js'
 import { PlainRouter } from './plain/plainRouter.js'
+import { Logs, Part } from './telemetry/logs.js'
+import { MetricName } from './telemetry/metricTable.js'
+import { Telemetry } from './telemetry/telemetry.js'
 
 export interface EntryInstanceOptions {
   readonly name: string
@@ -30,6 +39,18 @@
   readonly logRetentionMs?: number
   /** Claims of non-idempotent requests are remembered this long, milliseconds. */
   readonly claimKeptMs?: number
+  /** Port for operators and other instances; the system's choice by default. */
+  readonly controlPort?: number
+  /** UDP port for other instances; the system's choice by default. */
+  readonly gossipPort?: number
+  /** Addresses for datagrams of some other instances. */
+  readonly seeds?: readonly string[]
+  /** Who may use the control port; nobody by default. */
+  readonly operators?: readonly OperatorTokens[]
+  /** Keys by which instances know each other; without any, this one stays alone. */
+  readonly memberKeys?: readonly Pick<Key, 'id' | 'secret'>[]
+  /** Least level of a line that is logged. */
+  readonly logLevel?: string
 }
 
 /** Trusted of the platform's log unless the settings say more, milliseconds. */
@@ -47,6 +68,12 @@
 
 const SHUTDOWN_LOOK_MS = 20
 
+function createKeys (memberKeys: EntryInstanceOptions['memberKeys']): KeyRing {
+  // Nobody else knows a key drawn here, so nobody else can join.
+  const keys = memberKeys ?? [{ id: 'alone', secret: randomUUID() }]
+  return KeyRing.create(keys.map(({ id, secret }) => ({ id, secret, permissions: [Permission.Join] })))
+}
+
 export class EntryInstance {
   private readonly clock: Clock = SystemClock.create()
   private readonly engines = new Map<string, EngineClient>()
@@ -54,11 +81,16 @@
   private readonly plain: PlainRouter
   private readonly log: LogClient
   private readonly list: InstanceListClient
-  private readonly reader: LogReader
   private readonly claims: ClaimKeeper
+  private readonly logs: Logs
+  private readonly telemetry: Telemetry
   private readonly core: RouterCore
   private readonly callers: CallerServer
-  private configuration: Configuration = emptyConfiguration
+  private readonly keys: KeyRing
+  private fleet: Fleet | undefined
+  private control: ControlServer | undefined
+  /** IP number and port for datagrams of other instances, once started. */
+  gossipAddress = ''
   private accepting = true
   private running = true
 
@@ -67,22 +99,24 @@
     this.log = LogClient.create(options.logAddress, this.clock)
     this.list = InstanceListClient.create(options.listAddress)
     this.claims = this.createClaims()
-    this.reader = LogReader.create(this.log, this.clock,
-      [record => this.fold(record), record => this.claims.read(record)],
-      (_, page) => this.claims.cover(page))
+    this.keys = createKeys(options.memberKeys)
+    this.logs = Logs.create({ instance: options.name, level: options.logLevel ?? 'silent', clock: this.clock })
+    this.telemetry = Telemetry.create({ instance: options.name, clock: this.clock, logs: this.logs })
     this.core = RouterCore.create({
       clock: this.clock,
       random: SeededRandom.create(options.seed),
       failureDomain: options.failureDomain,
       engineOf: server => this.engineOf(server),
-      claims: this.claims
+      claims: this.claims,
+      observer: this.telemetry
     })
     this.callers = CallerServer.create({
       clock: this.clock,
       core: this.core,
       plain: this.plain,
       accounts: this.accounts,
-      configuration: () => this.configuration.revision > 0 ? this.configuration : undefined,
+      configuration: () => this.fleet?.store.isKnown() ? this.fleet.store.configuration() : undefined,
+      turnedAway: (requestId, failure) => this.telemetry.turnedAway(requestId, failure),
       accepting: () => this.accepting,
       bodyLimitBytes: options.bodyLimitBytes
     })
@@ -100,21 +134,72 @@
 
   /** Starts to serve; returns the callers' address. */
   async start (): Promise<string> {
-    this.reader.start()
+    const { host, port, controlPort = 0 } = this.options
+    this.control = await ControlServer.listen(host, controlPort)
+    this.fleet = await this.createFleet(this.control.address())
+    await this.serveOperators(this.control, this.fleet)
+    await this.fleet.start()
     this.core.start()
     this.watchList()
     this.watchLoad()
-    return await this.callers.http.listen({ host: this.options.host, port: this.options.port })
+    const address = await this.callers.http.listen({ host, port })
+    this.logs.write('info', Part.Process, 'The instance serves.', { address, control: this.control.address() })
+    return address
   }
 
-  private fold (record: LogRecord): void {
-    const { configuration } = foldConfiguration(this.configuration, record)
-    if (configuration === this.configuration) {
-      return
-    }
-    this.configuration = configuration
+  /** IP number and port for operators, once started. */
+  controlAddress (): string {
+    return this.control?.address() ?? ''
+  }
+
+  private async createFleet (controlAddress: string): Promise<Fleet> {
+    const { name, failureDomain, host, gossipPort = 0, seeds = [], seed, logRetentionMs = LOG_RETENTION_MS } = this.options
+    const { clock, log, keys } = this
+    const random = SeededRandom.create(seed)
+    const datagrams = UdpDatagrams.create(`${host}:${gossipPort}`)
+    this.gossipAddress = await datagrams.bind()
+    const fleet = Fleet.create({
+      self: { name, failureDomain, address: this.gossipAddress, controlAddress },
+      seeds,
+      log,
+      logRetentionMs,
+      instances: this.list,
+      datagrams,
+      peers: TrpcPeers.create(name, keys, clock, random),
+      keys,
+      clock,
+      random,
+      readers: [record => this.claims.read(record)],
+      onGap: (_, page) => this.claims.cover(page)
+    })
+    fleet.store.onChange(({ configuration }) => this.configure(configuration))
+    return fleet
+  }
+
+  private async serveOperators (server: ControlServer, fleet: Fleet): Promise<void> {
+    const { name, failureDomain, operators = [] } = this.options
+    const { clock, core, telemetry, logs, keys } = this
+    const startedAt = clock.now()
+    telemetry.metrics.onRead(() => [
+      { name: MetricName.Revision, value: fleet.store.configuration().revision },
+      { name: MetricName.FoldOffset, value: fleet.store.current().offset },
+      { name: MetricName.FoldAge, value: (clock.now() - Math.max(startedAt, fleet.logReader().lastReadAt())) / 1000 },
+      { name: MetricName.Members, value: fleet.members().length }
+    ])
+    await server.serve({
+      control: InstanceControl.create({ name, failureDomain, clock, fleet, core, telemetry, logs }),
+      operators: Operators.create(operators),
+      metrics: telemetry.metrics,
+      clock,
+      peers: createPeerRouter(fleet, keys, clock)
+    })
+  }
+
+  private configure (configuration: Configuration): void {
+    const { revision, presetInForce } = configuration
     this.accounts.configure(configuration)
     this.core.configure(configuration)
+    this.logs.write('info', Part.Fleet, 'A configuration is in force.', { revision, preset: presetInForce })
   }
 
   private engineOf (server: BackendServer): EngineClient {
@@ -133,7 +218,7 @@
 
   private async watchLoad (): Promise<void> {
     while (this.running) {
-      const servers = Object.values(this.configuration.servers).filter(server => server.models.length > 0)
+      const servers = Object.values(this.fleet?.store.configuration().servers ?? {}).filter(server => server.models.length > 0)
       await Promise.all(servers.map(async server => {
         const report = await this.engineOf(server).load()
         report.ifRight(load => this.core.observeLoad(server.name, load))
@@ -145,20 +230,22 @@
   /** Takes nothing new, finishes what is in flight, ends by a stored deadline. */
   async stop (): Promise<void> {
     this.accepting = false
+    this.fleet?.leave()
     const deadline = this.clock.now() + SHUTDOWN_MS
     while (this.core.inFlight() > 0 && this.clock.now() < deadline) {
       await waitUntil(this.clock, this.clock.now() + SHUTDOWN_LOOK_MS)
     }
     this.core.endAll()
     this.running = false
-    this.reader.stop()
     this.core.stop()
+    await this.fleet?.stop()
     await this.callers.http.close()
+    await this.control?.close()
     await Promise.all([...this.engines.values()].map(async engine => await engine.close()))
     await Promise.all([this.plain.close(), this.log.close(), this.list.close()])
   }
 
   dump (): unknown {
-    return { name: this.options.name, offset: this.reader.offset(), core: this.core.dump() }
+    return { name: this.options.name, fleet: this.fleet?.dump(), core: this.core.dump() }
   }
 }
