--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -3,7 +3,6 @@
  * adapters to backend servers and platform, one member of the fleet.
  */
 import { randomUUID } from 'node:crypto'
-import type { FastifyInstance } from 'fastify'
 import { SeededRandom, SystemClock, waitUntil, type Clock, type Configuration, type Random } from 'foxtaillever-core'
 import { Operators } from 'foxtaillever-control'
 import { ClaimFold, ClaimKeeper, createPeerRouter, defaultClaimOptions, Fleet, KeyRing, TrpcPeers, UdpDatagrams } from 'foxtaillever-fleet'
@@ -12,11 +11,12 @@
 import { LogClient } from '../adapters/logClient.js'
 import { Accounts } from '../callers/accounts.js'
 import { CallerServer } from '../callers/callerServer.js'
-import { createControlServer } from '../control/controlServer.js'
+import { ControlServer } from '../control/controlServer.js'
 import { InstanceControl } from '../control/instanceControl.js'
 import { RouterCore } from '../core/routerCore.js'
 import { PlainRouter } from '../plain/plainRouter.js'
 import { Part } from '../telemetry/logs.js'
+import { MetricName } from '../telemetry/metricTable.js'
 import { Telemetry } from '../telemetry/telemetry.js'
 import { Engines } from './engines.js'
 import type { EntryAddresses, EntryInstanceOptions, Listening } from './entryInstanceOptions.js'
@@ -50,7 +50,7 @@
   private readonly core: RouterCore
   private readonly plain: PlainRouter
   private readonly callers: CallerServer
-  private readonly control: FastifyInstance
+  private control: ControlServer | undefined
   private readonly watches: ReadonlyArray<{ readonly start: () => void, readonly stop: () => void }>
   private accepting = true
 
@@ -67,7 +67,6 @@
     this.core = this.createCore()
     this.plain = PlainRouter.create(clock, this.gate)
     this.callers = this.createCallers()
-    this.control = this.createControl()
     this.watches = [
       this.core,
       this.plain,
@@ -126,15 +125,18 @@
       plain: this.plain,
       accounts: this.accounts,
       configuration: () => this.fleet.store.isKnown() ? this.configuration() : undefined,
+      turnedAway: (requestId, failure) => this.telemetry.turnedAway(requestId, failure),
       accepting: () => this.accepting,
       limits: this.options.limits
     })
   }
 
-  private createControl (): FastifyInstance {
+  /** Begins to answer operators and other instances. */
+  private async serveControl (server: ControlServer): Promise<void> {
     const { name, failureDomain, logs, operators } = this.options
     const { clock, fleet, core, telemetry, keys } = this
-    return createControlServer({
+    this.measureFleet()
+    await server.serve({
       control: InstanceControl.create({ name, failureDomain, clock, fleet, core, telemetry, logs }),
       operators: Operators.create(operators),
       metrics: telemetry.metrics,
@@ -143,6 +145,17 @@
     })
   }
 
+  private measureFleet (): void {
+    const { clock, fleet, telemetry } = this
+    const startedAt = clock.now()
+    telemetry.metrics.onRead(() => [
+      { name: MetricName.Revision, value: fleet.store.configuration().revision },
+      { name: MetricName.FoldOffset, value: fleet.store.current().offset },
+      { name: MetricName.FoldAge, value: (clock.now() - Math.max(startedAt, fleet.logReader().lastReadAt())) / 1000 },
+      { name: MetricName.Members, value: fleet.members().length }
+    ])
+  }
+
   private configuration (): Configuration {
     return this.fleet.store.configuration()
   }
@@ -155,8 +168,10 @@
     const { listen, control, logs } = this.options
     this.fleet.store.onChange(() => this.configure())
     const gossipAddress = await this.datagrams.bind()
-    const controlAddress = (await this.control.listen({ host: control.host, port: control.port })).replace('http://', '')
+    this.control = await ControlServer.listen(control.host, control.port)
+    const controlAddress = this.control.address()
     this.fleet.setAddresses({ address: gossipAddress, controlAddress })
+    await this.serveControl(this.control)
     await this.fleet.start()
     this.watches.forEach(watch => watch.start())
     const callersAddress = await this.callers.http.listen({ host: listen.host, port: listen.port })
@@ -191,7 +206,7 @@
     this.core.endAll()
     this.watches.forEach(watch => watch.stop())
     await this.callers.http.close()
-    await this.control.close()
+    await this.control?.close()
     await this.fleet.stop()
     await this.engines.close()
     await Promise.all([this.plain.close(), this.log.close(), this.list.close()])
