--- a/packages/foxtaillever-router/src/plain/plainRouter.ts
+++ b/packages/foxtaillever-router/src/plain/plainRouter.ts
@@ -1,18 +1,19 @@
 /**
  * Routes calls of plain services by path. Language work never stands before
- * them: they have connections and limits of their own. A call that the service
- * does not declare repeatable is sent at most once.
+ * them: they have connections, limits and queues of their own. A call that the
+ * service does not declare repeatable is sent at most once.
  */
 import type { FastifyReply, FastifyRequest } from 'fastify'
 import {
-  Failure, FailureCode, isRepeatable, Verdict,
-  type ClientAccount, type Clock, type Configuration, type PlainService
+  CallerHeader, Failure, FailureCode, isRepeatable,
+  type Cancellation, type ClientAccount, type Clock, type Configuration
 } from 'foxtaillever-core'
-import { Left, Right, type Either } from 'purify-ts'
-import { Pool, type Dispatcher } from 'undici'
-import { isBeforeFirstByte } from '../adapters/isBeforeFirstByte.js'
+import { CallOutcome, type ServiceGate, type ServicePass } from 'foxtaillever-policy'
+import { EitherAsync, Left, type Either } from 'purify-ts'
+import { PlainClient, type PlainAnswer, type PlainRequest } from '../adapters/plainClient.js'
 import { failureBody, failureHeaders } from '../callers/failureBody.js'
 import { statusOf } from '../callers/statusOf.js'
+import { matchCall, type MatchedCall } from './matchCall.js'
 
 export interface PlainCallContext {
   readonly request: FastifyRequest
@@ -21,95 +22,135 @@
   readonly configuration: Configuration
 }
 
-const CONNECTIONS = 32
-const CONNECT_MS = 500
-
 /** Headers of the caller that the service sees. */
-const FORWARDED_HEADERS = ['content-type', 'accept', 'idempotency-key', 'x-request-id']
+const FORWARDED_HEADERS = ['content-type', 'accept', 'accept-language', CallerHeader.IdempotencyKey, CallerHeader.RequestId]
+
+/** Headers of the service that the caller sees. */
+const RETURNED_HEADERS = ['content-type', 'content-length', 'content-disposition', 'etag', 'last-modified', 'cache-control']
+
+/** Tries of a repeatable call at most; more would only lengthen an outage. */
+const MOST_TRIES = 3
+
+/** Failures of one server, which another may not have. */
+const triedAgain = new Set([FailureCode.ConnectionRefused, FailureCode.ConnectionLost])
 
-type PlainAnswer = Dispatcher.ResponseData
+/** Waiting calls whose deadline has come are told this soon, milliseconds. */
+const TICK_MS = 20
 
 export class PlainRouter {
-  private readonly pools = new Map<string, Pool>()
-  private turn = 0
+  private readonly client: PlainClient
+  private calls = 0
+  private open = 0
+  private cancelTick: Cancellation = () => {}
+
+  private constructor (private readonly clock: Clock, private readonly gate: ServiceGate) {
+    this.client = PlainClient.create(clock)
+  }
+
+  static create (clock: Clock, gate: ServiceGate): PlainRouter {
+    return new PlainRouter(clock, gate)
+  }
+
+  start (): void {
+    this.gate.tick(this.clock.now())
+    this.cancelTick = this.clock.at(this.clock.now() + TICK_MS, () => this.start())
+  }
 
-  private constructor (private readonly clock: Clock) {}
+  stop (): void {
+    this.cancelTick()
+  }
 
-  static create (clock: Clock): PlainRouter {
-    return new PlainRouter(clock)
+  /** Calls that wait for their answer. */
+  inFlight (): number {
+    return this.open
   }
 
   async serve (context: PlainCallContext): Promise<FastifyReply> {
-    const answer = await this.route(context)
-    const { reply, request } = context
+    const { reply, request, configuration } = context
+    this.open += 1
+    const answer = await EitherAsync.liftEither(matchCall(configuration, request.method, request.url))
+      .chain(async call => await this.tryServers(context, call))
+    this.open -= 1
     return answer.caseOf({
-      Left: failure => reply.code(statusOf[failure.code]).headers(failureHeaders(failure, request.id, this.clock)).send(failureBody(failure, request.id)),
-      Right: ({ statusCode, headers, body }) => reply.code(statusCode).header('content-type', headers['content-type'] ?? 'application/octet-stream').send(body)
+      Left: failure => this.refuse(reply, request, failure),
+      Right: served => this.pass(reply, served)
     })
   }
 
-  private async route (context: PlainCallContext): Promise<Either<Failure, PlainAnswer>> {
-    const { request, configuration } = context
-    const service = Object.values(configuration.services).find(candidate => request.url.startsWith(candidate.path))
-    if (!service) {
-      return Left(Failure.notRun(FailureCode.UnknownRoute, 'No plain service has this path.'))
-    }
-    const path = request.url.slice(service.path.length) || '/'
-    const call = service.calls.find(candidate => candidate.method === request.method && path.startsWith(candidate.path))
-    if (!call) {
-      return Left(Failure.notRun(FailureCode.UnknownRoute, `Service ${service.name} has no such call.`))
-    }
-    return await this.tryServers(context, service, path, call.idempotent)
+  private refuse (reply: FastifyReply, request: FastifyRequest, failure: Failure): FastifyReply {
+    return reply.code(statusOf[failure.code])
+      .headers(failureHeaders(failure, request.id, this.clock))
+      .send(failureBody(failure, request.id))
   }
 
-  /** Tries one server after another as long as repeating is allowed and the deadline ahead. */
-  private async tryServers (context: PlainCallContext, service: PlainService, path: string, idempotent: boolean): Promise<Either<Failure, PlainAnswer>> {
-    const deadline = this.clock.now() + service.timeoutMs
-    const first = this.turn++
-    let failure = Failure.notRun(FailureCode.NoBackendServer, `Service ${service.name} has no backend server.`)
-    for (let index = 0; index < service.servers.length; index++) {
-      const name = service.servers[(first + index) % service.servers.length] ?? ''
-      const server = context.configuration.servers[name]
-      if (!server || this.clock.now() >= deadline) {
-        continue
+  private pass (reply: FastifyReply, { statusCode, headers, body }: PlainAnswer): FastifyReply {
+    for (const name of RETURNED_HEADERS) {
+      const value = headers[name]
+      if (value !== undefined) {
+        reply.header(name, value)
       }
-      const answer = await this.send(server.address, context.request, path, deadline)
-      if (answer.isRight() || !isRepeatable(answer.swap().orDefault(failure).verdict, idempotent)) {
+    }
+    return reply.code(statusCode).send(body)
+  }
+
+  /** Tries again as long as repeating is allowed and the deadline ahead. */
+  private async tryServers (context: PlainCallContext, call: MatchedCall): Promise<Either<Failure, PlainAnswer>> {
+    const request = this.readRequest(context.request, call)
+    const failedAt: string[] = []
+    let failure = Failure.notRun(FailureCode.DeadlinePassed, 'The deadline passed before the call was sent.')
+    for (let tries = 0; tries < MOST_TRIES && this.clock.now() < request.deadline; tries++) {
+      const answer = await this.tryOnce(context, call, request, failedAt)
+      if (answer.isRight()) {
         return answer
       }
       failure = answer.swap().orDefault(failure)
+      if (!triedAgain.has(failure.code) || !isRepeatable(failure.verdict, call.idempotent)) {
+        break
+      }
     }
     return Left(failure)
   }
 
-  private async send (address: string, request: FastifyRequest, path: string, deadline: number): Promise<Either<Failure, PlainAnswer>> {
-    const limit = Math.max(1, deadline - this.clock.now())
-    const headers = Object.fromEntries(FORWARDED_HEADERS.flatMap(name => {
-      const value = request.headers[name]
-      return typeof value === 'string' ? [[name, value]] : []
-    }))
-    try {
-      return Right(await this.poolOf(address).request({
-        method: request.method as Dispatcher.HttpMethod,
-        path,
-        headers,
-        body: request.body === undefined ? null : JSON.stringify(request.body),
-        headersTimeout: limit,
-        bodyTimeout: limit
-      }))
-    } catch (error) {
-      const verdict = isBeforeFirstByte(error) ? Verdict.NotRun : Verdict.MayHaveRun
-      return Left(Failure.create(FailureCode.ConnectionLost, verdict, 'The plain service did not answer.'))
-    }
+  /** @param failedAt gets the server's name when the try fails. */
+  private async tryOnce (context: PlainCallContext, call: MatchedCall, request: PlainRequest, failedAt: string[]): Promise<Either<Failure, PlainAnswer>> {
+    const pass = await this.acquire(context.reply, call, request.deadline, [...failedAt])
+    return await EitherAsync.liftEither(pass).chain(async ({ callId, server }) => {
+      const answer = await this.client.send(context.configuration.servers[server]?.address ?? '', request)
+      this.gate.release(callId, answer.isRight() ? CallOutcome.Answered : CallOutcome.Failed, this.clock.now())
+      return answer.ifLeft(() => failedAt.push(server))
+    })
   }
 
-  private poolOf (address: string): Pool {
-    const pool = this.pools.get(address) ?? new Pool(`http://${address}`, { connections: CONNECTIONS, connect: { timeout: CONNECT_MS } })
-    this.pools.set(address, pool)
-    return pool
+  /** Waits for leave to send; a caller that goes meanwhile gives its place back. */
+  private async acquire (reply: FastifyReply, call: MatchedCall, deadline: number, failedAt: readonly string[]): Promise<Either<Failure, ServicePass>> {
+    const id = `plain-${++this.calls}`
+    return await new Promise(resolve => {
+      reply.raw.once('close', () => {
+        this.gate.withdraw(id)
+        resolve(Left(Failure.notRun(FailureCode.Cancelled, 'The caller has gone.')))
+      })
+      this.gate.acquire({ id, service: call.service.name, deadline, failedAt }, this.clock.now(), resolve)
+    })
+  }
+
+  private readRequest (request: FastifyRequest, call: MatchedCall): PlainRequest {
+    const headers: Record<string, string> = {}
+    for (const name of FORWARDED_HEADERS) {
+      const value = request.headers[name]
+      if (typeof value === 'string') {
+        headers[name] = value
+      }
+    }
+    return {
+      method: request.method,
+      path: call.path,
+      headers,
+      body: Buffer.isBuffer(request.body) ? request.body : undefined,
+      deadline: this.clock.now() + call.service.timeoutMs
+    }
   }
 
   async close (): Promise<void> {
-    await Promise.all([...this.pools.values()].map(async pool => await pool.destroy()))
+    await this.client.close()
   }
 }
