--- a/packages/foxtaillever-policy/src/bench/decisionCost.ts
+++ b/packages/foxtaillever-policy/src/bench/decisionCost.ts
@@ -58,10 +58,12 @@
   const promptTokens = blocks * TOKENS_PER_BLOCK
   const level = (name: string, share: number): PrefixLevel => ({ hash: name, tokens: Math.ceil(promptTokens * share) })
   const catalogue = random.below(4)
+  // An account uses two models; which prefixes this instance met before is left to chance.
+  const model = (account + random.below(2)) % MODELS
   return {
     id: String(id),
     account: `account-${account}`,
-    model: `model-${random.below(MODELS)}`,
+    model: `model-${model}`,
     priority: PriorityClass.Standard,
     idempotent: true,
     arrivedAt: now,
--- a/packages/foxtaillever-policy/src/placement/homes.ts
+++ b/packages/foxtaillever-policy/src/placement/homes.ts
@@ -69,9 +69,9 @@
 
 /** The ranking over all servers costs most, so it is kept until they change. */
 function firstHomes (record: PrefixRecord, input: HomesInput): readonly Server[] {
-  const length = Math.min(MOST_HOMES + SPILL_SERVERS, input.ranked.servers.length)
-  if (record.rankingEpoch !== input.epoch) {
-    record.ranking = input.ranked.first(record.hash, length)
+  const wanted = Math.min(record.homeCount + SPILL_SERVERS, input.ranked.servers.length)
+  if (record.rankingEpoch !== input.epoch || record.ranking.length < wanted) {
+    record.ranking = input.ranked.first(record.hash, wanted)
     record.rankingEpoch = input.epoch
   }
   return record.ranking.slice(0, record.homeCount)
