--- a/packages/foxtaillever-policy/src/attempts/attempt.ts
+++ b/packages/foxtaillever-policy/src/attempts/attempt.ts
@@ -31,6 +31,8 @@
   pendingTokens: number
   /** The same as the engine reports it. */
   reportableTokens: number
+  /** When the engine gave it a slot, milliseconds of Unix time; 0 before. */
+  startedAt = 0
   /** Milliseconds of Unix time; 0 before. */
   firstTokenAt = 0
 
--- a/packages/foxtaillever-policy/src/attempts/attemptTable.ts
+++ b/packages/foxtaillever-policy/src/attempts/attemptTable.ts
@@ -12,7 +12,7 @@
 import type { Server } from '../servers/server.js'
 import type { Attempt } from './attempt.js'
 
-/** Mean time of a request at a server before one has ended, milliseconds. */
+/** Mean time of a request in a server's slot before one has ended, milliseconds. */
 const FIRST_SERVICE_MS = 1000
 
 /** About the last fifty requests count. */
@@ -45,7 +45,7 @@
     return this.attempts.size
   }
 
-  /** Mean time of a request at a server, milliseconds. */
+  /** Mean time of a request in a server's slot, milliseconds. */
   get serviceMs (): number {
     return this.service.value
   }
@@ -70,6 +70,7 @@
   started (attempt: Attempt, start: StreamStart, now: number): void {
     const { server, placement } = attempt
     attempt.incarnation = start.incarnation
+    attempt.startedAt = now
     this.fleet.observeIncarnation(server, start.incarnation, now)
     const uncached = Math.max(0, start.promptTokens - start.cachedTokens)
     attempt.expectedMs += server.prefillMs(uncached - (attempt.entry.job.promptTokens - placement.cachedTokens))
@@ -95,7 +96,7 @@
 
   finished (attempt: Attempt, end: StreamEnd, now: number): void {
     const { server } = attempt
-    this.service.add(now - attempt.sentAt)
+    this.service.add(now - (attempt.startedAt || attempt.sentAt))
     if (attempt.firstTokenAt > 0 && end.completionTokens >= LEAST_DECODED) {
       server.health.observe(now - attempt.firstTokenAt, end.completionTokens * server.stepMs(), now)
     }
--- a/packages/foxtaillever-policy/src/order/dispatcher.ts
+++ b/packages/foxtaillever-policy/src/order/dispatcher.ts
@@ -73,13 +73,11 @@
   readonly quarantine: (entry: WaitingJob) => void
 }
 
-interface OpenInput {
+interface RoomInput {
   readonly entry: WaitingJob
-  readonly isLong: boolean
-  readonly isSuspect: boolean
   /** Its account runs more than twice its share. */
   readonly isHeavy: boolean
-  readonly mayHold: boolean
+  readonly overdueMs: number
   readonly now: number
 }
 
@@ -135,14 +133,15 @@
   private tryToSend (entry: WaitingJob, isSuspect: boolean, input: DispatchInput): boolean {
     const { now } = input
     const isLong = this.isLong(entry)
-    const mayHold = now < entry.holdUntil
+    const overdueMs = Math.max(0, now - entry.holdUntil)
     const isHeavy = this.options.shares.isHeavy(entry)
     const placement = this.options.placer.place(input.policy, {
       job: entry.job,
       weightsVersion: input.weightsVersionOf(entry.job.model),
       failedAt: entry.failedAt,
-      isOpen: server => this.isOpen(server, { entry, isLong, isSuspect, isHeavy, mayHold, now }),
-      mayHold,
+      isEligible: server => !(isLong && server.longRunning >= server.longRoom()) && !(isSuspect && server.suspectsRunning > 0),
+      hasRoom: server => server.load.occupancy(now) < this.roomAt(server, { entry, isHeavy, overdueMs, now }),
+      overdueMs,
       serviceMs: input.serviceMs,
       now
     })
@@ -174,14 +173,7 @@
     return this.meanCost.samples > 0 && cost > LONG_FACTOR * this.meanCost.value
   }
 
-  private isOpen (server: Server, input: OpenInput): boolean {
-    const { isLong, isSuspect, now } = input
-    return server.load.occupancy(now) < this.roomAt(server, input) &&
-      !(isLong && server.longRunning >= server.longRoom()) &&
-      !(isSuspect && server.suspectsRunning > 0)
-  }
-
-  private roomAt (server: Server, { entry, isHeavy, mayHold, now }: OpenInput): number {
+  private roomAt (server: Server, { entry, isHeavy, overdueMs, now }: RoomInput): number {
     if (entry.job.priority === PriorityClass.Priority) {
       // The engine takes it before all that waits there.
       return server.room(now) * OVERCOMMIT
@@ -192,7 +184,7 @@
     if (this.hasPriorityWork(now)) {
       return server.roomBesidePriority(now)
     }
-    return server.room(now) * (mayHold ? 1 : OVERCOMMIT)
+    return server.room(now) * (overdueMs === 0 ? 1 : OVERCOMMIT)
   }
 
   /** Whether a request of the priority class came within the last seconds. */
--- a/packages/foxtaillever-policy/src/placement/expectedFirstToken.ts
+++ b/packages/foxtaillever-policy/src/placement/expectedFirstToken.ts
@@ -97,16 +97,19 @@
 }
 
 /**
- * Prompt tokens to be prefilled here of levels whose home is elsewhere. What a
- * home prefills has to be done once anyway, and serves the next one; what any
- * other server prefills is done again.
+ * Prompt tokens of levels whose home is elsewhere and that this server has to
+ * prefill or to keep. What a home prefills has to be done once anyway, and
+ * serves the next one; what any other server prefills is done again. A copy
+ * that is there already costs no prefill, but using it keeps it in the cache,
+ * and in a full one another prefix goes for it.
  */
-function countWasted (levels: readonly LevelHomes[], server: Server, cachedTokens: number): number {
+function countWasted (levels: readonly LevelHomes[], server: Server, cachedTokens: number, cacheFullness: number): number {
   let wasted = 0
   let start = 0
   for (const { tokens, homes } of levels.slice(0, -1)) {
     if (!homes.includes(server)) {
-      wasted += Math.max(0, tokens - Math.max(start, cachedTokens))
+      const missing = Math.max(0, tokens - Math.max(start, cachedTokens))
+      wasted += missing + (tokens - start - missing) * cacheFullness
     }
     start = tokens
   }
@@ -127,11 +130,12 @@
   const queueMs = Math.max(server.prefillMs(server.load.queuedTokens(now)), expected.warmingMs) + waitMs
   const distanceMs = input.distanceTo(server.configured.failureDomain)
   const failedThereMs = input.failedAt.includes(server.name) ? FAILED_THERE_MS : 0
-  const wastedMs = server.prefillMs(countWasted(input.levels, server, cachedTokens))
+  const cacheFullness = server.load.cacheFullness(server.configured.cacheTokens)
+  const wastedMs = server.prefillMs(countWasted(input.levels, server, cachedTokens, cacheFullness))
   const engineMs = (queueMs + prefillMs + server.stepMs()) * slownessOf(server)
   return {
     server,
-    cost: engineMs + wastedMs * recomputationPrice(input.utilisation, server.load.cacheFullness(server.configured.cacheTokens)) + distanceMs + failureCost(server) + failedThereMs,
+    cost: engineMs + wastedMs * recomputationPrice(input.utilisation, cacheFullness) + distanceMs + failureCost(server) + failedThereMs,
     firstTokenMs: queueMs + prefillMs + server.stepMs() + 2 * distanceMs,
     waitMs: Math.max(waitMs, expected.warmingMs),
     cachedTokens,
--- a/packages/foxtaillever-policy/src/placement/placement.ts
+++ b/packages/foxtaillever-policy/src/placement/placement.ts
@@ -27,10 +27,12 @@
   readonly job: Job
   readonly weightsVersion: string
   readonly failedAt: readonly string[]
-  /** Whether the server may take this job now. */
-  readonly isOpen: (server: Server) => boolean
-  /** Whether the job may still wait for a better server. */
-  readonly mayHold: boolean
+  /** Whether the server may take this job at all, however empty it is. */
+  readonly isEligible: (server: Server) => boolean
+  /** Whether it has room for this job now. */
+  readonly hasRoom: (server: Server) => boolean
+  /** How much longer than expected the job has been held, milliseconds; 0 while its hold lasts. */
+  readonly overdueMs: number
   readonly serviceMs: number
   readonly now: number
 }
@@ -53,7 +55,7 @@
   readonly distanceTo: (failureDomain: string) => number
 }
 
-interface Choice extends WeighedServer {
+interface Offer extends WeighedServer {
   /** Whether it takes the job now; else the job is held for it. */
   readonly isOpen: boolean
 }
@@ -170,9 +172,10 @@
     const levels = computeHomes(this.prefixes, { job, weightsVersion, ranked: fleet.rankedFor(job.model), epoch: fleet.epoch })
     const input = { job, levels, distanceTo, utilisation: fleet.utilisation, failedAt: request.failedAt, serviceMs: request.serviceMs, now }
     const weighed = collectCandidates(job, servers, levels, random, now)
-      .map(server => weighServer(server, input))
+      .filter(server => request.isEligible(server))
+      .map(server => offerOf(weighServer(server, input), request))
       .sort((one, other) => one.cost - other.cost)
-    const chosen = this.choose(weighed, request)
+    const chosen = this.choose(weighed)
     return chosen && {
       server: chosen.server,
       held: !chosen.isOpen,
@@ -190,16 +193,23 @@
    * Were the best always taken, all instances that read one report would take
    * the same.
    */
-  private choose (weighed: readonly WeighedServer[], request: PlacementRequest): Choice | undefined {
-    const isOpen = ({ server, isWarming }: WeighedServer): boolean => request.isOpen(server) && !(request.mayHold && isWarming)
-    const open = weighed.filter(isOpen)
-    const best = request.mayHold ? weighed[0] : open[0]
+  private choose (offers: readonly Offer[]): Offer | undefined {
+    const best = offers[0]
     if (!best) {
       return undefined
     }
     const limit = best.cost + Math.max(EQUAL_MS, best.cost * EQUAL_SHARE)
-    const equal = open.filter(({ cost }) => cost <= limit)
-    const chosen = equal[this.options.random.below(equal.length)]
-    return chosen ? { ...chosen, isOpen: true } : { ...best, isOpen: false }
+    const equal = offers.filter(({ isOpen, cost }) => isOpen && cost <= limit)
+    return equal[this.options.random.below(equal.length)] ?? best
   }
 }
+
+/**
+ * A full server costs the wait for it. A job that has waited there longer than
+ * was expected waits behind something that the estimate does not see, so its
+ * cost rises with each millisecond until another server is cheaper.
+ */
+function offerOf (weighed: WeighedServer, { hasRoom, overdueMs }: PlacementRequest): Offer {
+  const isOpen = hasRoom(weighed.server) && !(weighed.isWarming && overdueMs === 0)
+  return { ...weighed, isOpen, cost: weighed.cost + (isOpen ? 0 : overdueMs) }
+}
--- a/packages/foxtaillever-policy/src/servers/concurrencyLimit.ts
+++ b/packages/foxtaillever-policy/src/servers/concurrencyLimit.ts
@@ -23,6 +23,9 @@
 /** Late answers of one batch count once. */
 const DECREASE_EVERY_MS = 250
 
+/** Below this share of the slots a server is not too full but too slow, which comparison with its peers tells. */
+const LEAST_SHARE = 0.25
+
 /** Room above the slots, so that the engine's batch never runs dry between two requests. */
 const SURPLUS_SHARE = 0.125
 
@@ -68,12 +71,16 @@
 
   private decrease (occupancy: number, now: number): void {
     if (occupancy >= this.limit * FULL_SHARE && now >= this.decreaseAt) {
-      this.limit = Math.max(1, this.limit * DECREASE)
+      this.limit = this.bounded(this.limit * DECREASE)
       this.decreaseAt = now + DECREASE_EVERY_MS
     }
   }
 
   observeRefusal (): void {
-    this.limit = Math.max(1, this.limit * DECREASE_ON_REFUSAL)
+    this.limit = this.bounded(this.limit * DECREASE_ON_REFUSAL)
+  }
+
+  private bounded (limit: number): number {
+    return Math.max(1, this.slots * LEAST_SHARE, limit)
   }
 }
