Move homes off full servers and count heat from a prefix's first use

Suspects of one crash were placed like other work and met again at the next cheapest server when two instances had them; they are placed by their fingerprint now, and come back over 300 ms.

--- a/packages/foxtaillever-policy/src/order/dispatcher.ts
+++ b/packages/foxtaillever-policy/src/order/dispatcher.ts
@@ -29,6 +29,12 @@
 /** The mean is over the last hundred jobs or so. */
 const MEAN_GAIN = 0.01
 
+/**
+ * Room beyond the slots that is used at once. The engine's queue is seen by all
+ * instances in its reports, while a job held back here is seen by none.
+ */
+const ENGINE_QUEUE = 1.5
+
 /**
  * Once its hold is over a job may stand in the engine's own queue, up to this
  * many times the room. Other instances' jobs may have taken each slot that it
@@ -36,6 +42,9 @@
  */
 const OVERCOMMIT = 2
 
+/** Below this share of all slots taken there are slots enough for every account. */
+const CROWDED = 0.6
+
 /** Held at most for this many times the wait that was expected. */
 const HOLD_FACTOR = 2
 
@@ -134,11 +143,12 @@
     const { now } = input
     const isLong = this.isLong(entry)
     const overdueMs = Math.max(0, now - entry.holdUntil)
-    const isHeavy = this.options.shares.isHeavy(entry)
+    const isHeavy = this.options.fleet.utilisation > CROWDED && this.options.shares.isHeavy(entry)
     const placement = this.options.placer.place(input.policy, {
       job: entry.job,
       weightsVersion: input.weightsVersionOf(entry.job.model),
       failedAt: entry.failedAt,
+      isSuspect,
       isEligible: server => !(isLong && server.longRunning >= server.longRoom()) && !(isSuspect && server.suspectsRunning > 0),
       hasRoom: server => server.load.occupancy(now) < this.roomAt(server, { entry, isHeavy, overdueMs, now }),
       overdueMs,
@@ -184,7 +194,7 @@
     if (this.hasPriorityWork(now)) {
       return server.roomBesidePriority(now)
     }
-    return server.room(now) * (overdueMs === 0 ? 1 : OVERCOMMIT)
+    return server.room(now) * (overdueMs === 0 ? ENGINE_QUEUE : OVERCOMMIT)
   }
 
   /** Whether a request of the priority class came within the last seconds. */
--- a/packages/foxtaillever-policy/src/placement/candidates.ts
+++ b/packages/foxtaillever-policy/src/placement/candidates.ts
@@ -3,11 +3,12 @@
  * that were met holding it, the next in rank, and some drawn at random. Never
  * all of them: with 700 servers that would cost more than it finds.
  */
-import { PriorityClass, type Random } from 'foxtaillever-core'
+import { hashNumber, PriorityClass, type Random } from 'foxtaillever-core'
 import type { Job } from '../job.js'
 import { Standing } from '../servers/serverHealth.js'
 import type { Server } from '../servers/server.js'
 import { SPILL_SERVERS, type LevelHomes } from './homes.js'
+import type { Ranked } from './rendezvous.js'
 
 /** Up to this many servers all are weighed; today's fleets have six. */
 const WEIGH_ALL = 8
@@ -77,3 +78,16 @@
     found.add(servers[random.below(servers.length)] as Server)
   }
 }
+
+/** Servers that a suspect may be tried at; two, so that one of them is rarely out of reach. */
+const SUSPECT_SERVERS = 2
+
+/**
+ * Servers for a request that may crash the one it runs at. They are drawn by
+ * its own fingerprint: were suspects placed like other work, those of one crash
+ * would meet again at the next cheapest server, sent there by instances that do
+ * not know of each other's, and the innocent would be in the second crash, too.
+ */
+export function collectForSuspect (job: Job, ranked: Ranked, now: number): Server[] {
+  return ranked.first(hashNumber(job.fingerprint), SUSPECT_SERVERS).filter(server => !isSetAside(server, job, now))
+}
--- a/packages/foxtaillever-policy/src/placement/expectedFirstToken.ts
+++ b/packages/foxtaillever-policy/src/placement/expectedFirstToken.ts
@@ -6,12 +6,18 @@
 import type { Job } from '../job.js'
 import { Standing } from '../servers/serverHealth.js'
 import type { Server } from '../servers/server.js'
-import type { LevelHomes } from './homes.js'
+import { SPILL_SERVERS, type LevelHomes } from './homes.js'
 import { recomputationPrice } from './recomputation.js'
 
 /** A prefill under way is waited for when that saves at least this much, milliseconds. */
 const LEAST_SAVED_MS = 20
 
+/**
+ * A copy at a server that is not next in rank is of no use to other instances,
+ * which would not look there, and is wasted so many times over.
+ */
+const UNRANKED_FACTOR = 3
+
 /** A server that a job has failed at is taken again only when others are this much worse. */
 const FAILED_THERE_MS = 1000
 
@@ -116,6 +122,11 @@
   return wasted
 }
 
+function isNextInRank (levels: readonly LevelHomes[], server: Server): boolean {
+  const record = levels[0]?.record
+  return record !== undefined && record.ranking.indexOf(server) >= 0 && record.ranking.indexOf(server) < record.homeCount + SPILL_SERVERS
+}
+
 /** A probe is to go there, so its lateness does not count. */
 function slownessOf ({ health }: Server): number {
   return health.standing === Standing.Ejected ? 1 : health.slowness
@@ -131,7 +142,8 @@
   const distanceMs = input.distanceTo(server.configured.failureDomain)
   const failedThereMs = input.failedAt.includes(server.name) ? FAILED_THERE_MS : 0
   const cacheFullness = server.load.cacheFullness(server.configured.cacheTokens)
-  const wastedMs = server.prefillMs(countWasted(input.levels, server, cachedTokens, cacheFullness))
+  const spreadFactor = isNextInRank(input.levels, server) ? 1 : UNRANKED_FACTOR
+  const wastedMs = server.prefillMs(countWasted(input.levels, server, cachedTokens, cacheFullness)) * spreadFactor
   const engineMs = (queueMs + prefillMs + server.stepMs()) * slownessOf(server)
   return {
     server,
--- a/packages/foxtaillever-policy/src/placement/homes.ts
+++ b/packages/foxtaillever-policy/src/placement/homes.ts
@@ -15,7 +15,7 @@
 import type { PrefixRecord, PrefixTable } from './prefixTable.js'
 
 /** Load that homes are counted for; the rest is room for bursts. */
-const TARGET_UTILISATION = 0.7
+const TARGET_UTILISATION = 0.5
 
 /** A set shrinks only when one server less would do with this much to spare. */
 const SHRINK_MARGIN = 0.25
@@ -24,7 +24,7 @@
 export const MOST_HOMES = 16
 
 /** Servers after the homes that take what the homes cannot. */
-export const SPILL_SERVERS = 2
+export const SPILL_SERVERS = 1
 
 /** Levels looked at: the first ones are shared most, the last ones by one conversation. */
 const FIRST_LEVELS = 3
--- a/packages/foxtaillever-policy/src/placement/placement.ts
+++ b/packages/foxtaillever-policy/src/placement/placement.ts
@@ -8,7 +8,7 @@
 import type { Fleet } from '../servers/fleet.js'
 import type { Server } from '../servers/server.js'
 import { rankByBaseline, type Baseline } from './baselines.js'
-import { collectCandidates } from './candidates.js'
+import { collectCandidates, collectForSuspect } from './candidates.js'
 import { weighServer, type WeighedServer } from './expectedFirstToken.js'
 import { computeHomes, resizeHomes, type LevelHomes } from './homes.js'
 import { PrefixTable } from './prefixTable.js'
@@ -27,6 +27,8 @@
   readonly job: Job
   readonly weightsVersion: string
   readonly failedAt: readonly string[]
+  /** It was in flight at a crash. */
+  readonly isSuspect: boolean
   /** Whether the server may take this job at all, however empty it is. */
   readonly isEligible: (server: Server) => boolean
   /** Whether it has room for this job now. */
@@ -169,9 +171,11 @@
     if (servers.length === 0) {
       return undefined
     }
-    const levels = computeHomes(this.prefixes, { job, weightsVersion, ranked: fleet.rankedFor(job.model), epoch: fleet.epoch })
+    const ranked = fleet.rankedFor(job.model)
+    const levels = computeHomes(this.prefixes, { job, weightsVersion, ranked, epoch: fleet.epoch })
     const input = { job, levels, distanceTo, utilisation: fleet.utilisation, failedAt: request.failedAt, serviceMs: request.serviceMs, now }
-    const weighed = collectCandidates(job, servers, levels, random, now)
+    const candidates = request.isSuspect ? collectForSuspect(job, ranked, now) : collectCandidates(job, servers, levels, random, now)
+    const weighed = candidates
       .filter(server => request.isEligible(server))
       .map(server => offerOf(weighServer(server, input), request))
       .sort((one, other) => one.cost - other.cost)
--- a/packages/foxtaillever-policy/src/placement/prefixTable.ts
+++ b/packages/foxtaillever-policy/src/placement/prefixTable.ts
@@ -17,7 +17,10 @@
 const HOLDER_BOUND = 6
 
 /** Heat is forgotten in this time, so that a key that cools gives its homes back. */
-const HEAT_FADE_MS = 10_000
+const HEAT_FADE_MS = 5000
+
+/** Heat of a new prefix is worked out as if it were this old, so that a burst is no rate. */
+const LEAST_AGE_MS = 500
 
 /** Standard deviations of a Poisson count taken off it. */
 const DOUBT = 1.5
@@ -54,6 +57,8 @@
   /** Share of the requests sent to a home that found the prefix there. */
   readonly homeHit: MovingMean
   homeCount = 1
+  /** Milliseconds of Unix time; 0 before. */
+  private firstUsedAt = 0
   ranking: readonly Server[] = []
   rankingEpoch = -1
   private holders: Holder[] = []
@@ -70,6 +75,7 @@
   }
 
   warm (work: number, now: number): void {
+    this.firstUsedAt ||= now
     this.work.add(work, now)
     this.uses.add(1, now)
   }
@@ -81,7 +87,9 @@
   heatAt (now: number): number {
     const uses = this.uses.value(now) * HEAT_FADE_MS
     const proven = uses <= 0 ? 0 : Math.max(0, 1 - DOUBT / Math.sqrt(uses))
-    return this.work.value(now) * proven
+    // A prefix met a second ago has a tenth of its heat in the mean; it is hot nonetheless.
+    const age = Math.max(LEAST_AGE_MS, now - this.firstUsedAt)
+    return this.work.value(now) * proven / (1 - Math.exp(-age / HEAT_FADE_MS))
   }
 
   holderAt (server: Server): Holder | undefined {
--- a/packages/foxtaillever-policy/src/placement/rendezvous.ts
+++ b/packages/foxtaillever-policy/src/placement/rendezvous.ts
@@ -21,11 +21,11 @@
 /** Servers with what ranking reads of each, side by side in memory. */
 export class Ranked {
   private readonly hashes: Uint32Array
-  private readonly mostSlots: number
+  private readonly mostWeight: number
 
   private constructor (readonly servers: readonly Server[]) {
     this.hashes = Uint32Array.from(servers, ({ hash }) => hash)
-    this.mostSlots = servers.reduce((most, { configured }) => Math.max(most, configured.slots), 1)
+    this.mostWeight = servers.reduce((most, { homeWeight }) => Math.max(most, homeWeight), 0)
   }
 
   static create (servers: readonly Server[]): Ranked {
@@ -47,7 +47,7 @@
         continue
       }
       const server = this.servers[index] as Server
-      const score = scoreOf(draw, server.configured.slots)
+      const score = scoreOf(draw, server.homeWeight)
       if (ranked.length < length || score > (scores[length - 1] as number)) {
         insert(server, score, ranked, scores, length)
         leastDraw = ranked.length < length ? 0 : this.drawFor(scores[length - 1] as number)
@@ -58,13 +58,13 @@
 
   /** The least draw that reaches the score with the highest weight. */
   private drawFor (score: number): number {
-    return Math.floor(Math.exp(-this.mostSlots / score) * RANGE) - 1
+    return Math.floor(Math.exp(-this.mostWeight / score) * RANGE) - 1
   }
 }
 
-/** The higher, the more the key belongs to the server; weighted by its slots. */
-function scoreOf (draw: number, slots: number): number {
-  return -slots / Math.log((draw + 0.5) / RANGE)
+/** The higher, the more the key belongs to the server; weighted by its slots and emptiness. */
+function scoreOf (draw: number, weight: number): number {
+  return -weight / Math.log((draw + 0.5) / RANGE)
 }
 
 /** The first servers for the key among a few. */
--- a/packages/foxtaillever-policy/src/retries/decideRetry.ts
+++ b/packages/foxtaillever-policy/src/retries/decideRetry.ts
@@ -3,6 +3,7 @@
  */
 import { FailureCode, isRepeatable, type Failure, type Random } from 'foxtaillever-core'
 import type { Job } from '../job.js'
+import { isCrash } from '../suspects/isCrash.js'
 import type { RetryBudget } from './retryBudget.js'
 
 /** Tries of one job, the first included; the third server that fails it is no accident. */
@@ -12,6 +13,9 @@
 const FIRST_PAUSE_MS = 20
 const LONGEST_PAUSE_MS = 1000
 
+/** After a crash all that was in flight comes back over this time, so that few meet at one server. */
+const SUSPECT_PAUSE_MS = 300
+
 /** Failures that another server would only repeat. */
 const final = new Set([
   FailureCode.BadRequest, FailureCode.Unauthenticated, FailureCode.Forbidden, FailureCode.TooLarge,
@@ -35,7 +39,8 @@
   if (attempts >= MOST_TRIES || final.has(failure.code) || !isRepeatable(failure.verdict, job.idempotent)) {
     return undefined
   }
-  const longest = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (attempts - 1))
+  const firstMs = isCrash(failure) ? SUSPECT_PAUSE_MS : FIRST_PAUSE_MS
+  const longest = Math.min(LONGEST_PAUSE_MS, firstMs * 2 ** (attempts - 1))
   // Drawn from the whole pause: callers that failed together come back apart.
   const notBefore = now + random.next() * longest
   if (notBefore > Math.min(latestStart, job.deadline) || !budget.take()) {
--- a/packages/foxtaillever-policy/src/servers/fleet.ts
+++ b/packages/foxtaillever-policy/src/servers/fleet.ts
@@ -5,6 +5,7 @@
 import { ListedState, ServerKind, type BackendServer, type Configuration, type LoadReport } from 'foxtaillever-core'
 import { Ranked } from '../placement/rendezvous.js'
 import { compareServers } from './compareServers.js'
+import { observeFullness, rebalance } from './rebalance.js'
 import { Server } from './server.js'
 
 /** Peers are compared this often. */
@@ -110,6 +111,7 @@
     this.observeIncarnation(server, report.incarnation, now)
     this.observeLeaving(server, report.leaving)
     server.load.observe(report, now)
+    observeFullness(server, now)
   }
 
   /** A new incarnation has an empty cache and a clean record. */
@@ -134,7 +136,12 @@
     this.compareAt = now + COMPARE_EVERY_MS / this.peers.length
     this.compareNext = (this.compareNext + 1) % this.peers.length
     this.utilisation = this.measureUtilisation(now)
-    compareServers(this.peers[this.compareNext] as Server[], ejectedShare, now)
+    const peers = this.peers[this.compareNext] as Server[]
+    compareServers(peers, ejectedShare, now)
+    if (rebalance(peers)) {
+      this.epoch += 1
+      this.ranked.clear()
+    }
   }
 
   /** Servers in service with the same models, which should be as fast. */
--- a/packages/foxtaillever-policy/src/servers/server.ts
+++ b/packages/foxtaillever-policy/src/servers/server.ts
@@ -42,6 +42,12 @@
   readonly retention = Retention.create()
   /** Requests without first token, oldest first. */
   readonly pending = new Map<string, PendingAnswer>()
+  /** Mean occupancy of its slots. */
+  fullness = 0
+  /** Milliseconds of Unix time; 0 before the first report. */
+  fullnessAt = 0
+  /** Its weight in the ranking of homes, as a factor to its slots. */
+  homeFactor = 1
   incarnation = ''
   /** No longer configured; what still runs there holds on to the entity. */
   removed = false
@@ -72,6 +78,10 @@
     return this.listedLeaving || this.saidLeaving
   }
 
+  get homeWeight (): number {
+    return this.configured.slots * this.homeFactor
+  }
+
   /** Whether new work for the model may go there. */
   isReadyFor (model: string): boolean {
     return !this.removed && !this.leaving &&
