--- /dev/null
+++ b/packages/foxtaillever-proof/src/__tests__/fuzz.test.ts
@@ -0,0 +1,39 @@
+import { describe, it } from 'foxtaillever-testing'
+import { mutants, runMutant } from '../fuzz/mutants.js'
+import { runFuzz } from '../fuzz/runFuzz.js'
+
+const RUNS = 40
+
+describe('fuzzing', () => {
+  describe('finds nothing', () => {
+    // A change that breaks a promise should be noticed before it lands; longer
+    // campaigns are run by hand with `npm run fuzz`.
+    for (const seed of [1, 2, 3]) {
+      it(`with seed ${seed}`, async t => {
+        const { failure, wholeAnswers } = await runFuzz({ seed, runs: RUNS })
+        t.is(failure, '')
+        t.true(wholeAnswers > RUNS)
+      })
+    }
+  })
+
+  describe('notices the removal of', () => {
+    // A proof that cannot fail proves nothing.
+    for (const mutant of mutants) {
+      it(mutant.safeguard, async t => {
+        const { failure } = await runMutant(mutant, true)
+        t.true(failure.includes(mutant.broken), failure)
+      })
+    }
+  })
+
+  it('replays a failure from its seed and path', async t => {
+    const [mutant] = mutants
+    if (!mutant) {
+      return t.fail('There are no mutants.')
+    }
+    const [first, second] = [await runMutant(mutant, true), await runMutant(mutant, true)]
+    t.not(first.failure, '')
+    t.is(first.failure, second.failure)
+  })
+})
--- a/packages/foxtaillever-proof/src/commands/callerCommands.ts
+++ b/packages/foxtaillever-proof/src/commands/callerCommands.ts
@@ -6,6 +6,9 @@
 const ACCOUNTS = ['cooperative', 'granja']
 const KEYS = 4
 
+/** Requests that come while a backend server begins to leave. */
+const LOAD = 4
+
 interface Draw {
   readonly entry: number
   readonly account: string
@@ -38,7 +41,7 @@
 const isUp = (entry: number) => (situation: Readonly<{ entries: ReadonlyArray<{ isUp: boolean }> }>): boolean =>
   situation.entries[entry]?.isUp === true
 
-export function createCallerCommands (entries: number): Array<fc.Arbitrary<WorldCommand>> {
+export function createCallerCommands (entries: number, engines: number): Array<fc.Arbitrary<WorldCommand>> {
   const send = draws(entries).map(draw => createCommand(`send(${JSON.stringify(draw)})`, async world => {
     const wish: Wish = { ...draw, idempotencyKey: undefined }
     world.send(wish)
@@ -52,6 +55,21 @@
     await world.pass(draw.gapMs)
   }, situation => { situation.sendings += 1 }, isUp(draw.entry)))
 
+  const burst = fc.tuple(draws(entries), fc.integer({ min: 2, max: 6 })).map(([draw, count]) => createCommand(`burst(${count}, ${JSON.stringify(draw)})`, async world => {
+    for (let index = 0; index < count; index++) {
+      world.send({ ...draw, idempotencyKey: undefined })
+      await world.pass(draw.gapMs)
+    }
+  }, situation => { situation.sendings += count }, isUp(draw.entry)))
+
+  const leaveUnderLoad = fc.tuple(draws(entries), fc.nat(engines - 1)).map(([draw, engine]) => createCommand(`leaveUnderLoad(${engine}, ${JSON.stringify(draw)})`, async world => {
+    world.leaveEngine(engine)
+    for (let index = 0; index < LOAD; index++) {
+      world.send({ ...draw, idempotencyKey: undefined })
+      await world.pass(draw.gapMs)
+    }
+  }, situation => { situation.sendings += LOAD }, isUp(draw.entry)))
+
   const abandon = fc.nat(20).map(index => createCommand(`abandon(${index})`, world => world.abandon(index)))
 
   const reconnect = fc.record({ index: fc.nat(10), entry: fc.nat(entries - 1) }).map(({ index, entry }) =>
@@ -60,7 +78,7 @@
       await world.pass(20)
     }))
 
-  return [send, send, order, order, order, abandon, reconnect]
+  return [send, burst, leaveUnderLoad, order, order, order, abandon, reconnect]
 }
 
 export function createTimeCommands (): Array<fc.Arbitrary<WorldCommand>> {
--- a/packages/foxtaillever-proof/src/fuzz/runFuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz/runFuzz.ts
@@ -41,7 +41,7 @@
 function createCommands (replayPath: string | undefined): fc.Arbitrary<Iterable<WorldCommand>> {
   const weigh = (weight: number, arbitraries: Array<fc.Arbitrary<WorldCommand>>) => arbitraries.map(arbitrary => ({ weight, arbitrary }))
   const mixed = fc.oneof(
-    ...weigh(40, createCallerCommands(ENTRIES)),
+    ...weigh(40, createCallerCommands(ENTRIES, ENGINES)),
     ...weigh(30, createTimeCommands()),
     ...weigh(8, createEntryFaults(ENTRIES)),
     ...weigh(10, createEngineFaults(ENGINES)),
--- a/packages/foxtaillever-proof/src/oracle/oracle.ts
+++ b/packages/foxtaillever-proof/src/oracle/oracle.ts
@@ -14,9 +14,10 @@
   readonly idempotencyKey: string
   readonly prompt: string
   readonly tokens: number
-  readonly entry: string
-  /** True time, milliseconds. */
-  readonly deadline: number
+  /** Instance through which it goes at present. */
+  entry: string
+  /** True time, milliseconds; later when the caller comes back for its stream. */
+  deadline: number
   readonly received: string[]
   lastWords: number
   failure: Failure | undefined
--- a/packages/foxtaillever-proof/src/world/entry.ts
+++ b/packages/foxtaillever-proof/src/world/entry.ts
@@ -40,6 +40,7 @@
   /** True time, milliseconds. */
   wokenAt = 0
   isDead = false
+  private readonly random
   private readonly snapshots: SnapshotWriter
   private readonly reader: LogReader
   private readonly engines = new Map<string, Engine>()
@@ -47,10 +48,11 @@
   private constructor (readonly options: EntryOptions) {
     const { world, logModel, clockError, safeguards, name, incarnation, seed, retentionMs } = options
     this.clock = HeldClock.create(world, clockError)
+    this.random = SeededRandom.create(seed)
     this.log = LocalLog.create(logModel, this.clock, world)
     const fold = ClaimFold.create({ keptMs: retentionMs, logRetentionMs: retentionMs })
     const claims = ClaimKeeper.create(this.log, fold, this.clock, { ...defaultClaimOptions, instance: name, incarnation })
-    const random = SeededRandom.create(seed)
+    const { random } = this
     const marginMs = safeguards[Safeguard.FencingMargin] ? LEASE_MARGIN_MS : 0
     this.holder = LeaseHolder.create({
       name: 'orders', instance: name, incarnation, log: this.log, fold: LeaseFold.create(), clock: this.clock, random, isCandidate: () => true, marginMs
@@ -83,7 +85,8 @@
     this.reader.start()
     this.core.start()
     this.look()
-    this.giveOrders()
+    // Otherwise the instance with the fastest clock would always be first.
+    this.clock.at(this.clock.now() + this.random.below(ORDER_MS), () => this.giveOrders())
   }
 
   private engineOf (name: string): Engine {
--- a/packages/foxtaillever-proof/src/world/world.ts
+++ b/packages/foxtaillever-proof/src/world/world.ts
@@ -39,6 +39,11 @@
 /** Clocks of instances run this slow at worst, and as much too fast; far worse than real ones. */
 const SLOWEST_RATE = 0.93
 
+const WARMING_DRAWS = 16
+
+/** A caller that came back waits this long, milliseconds. */
+const RECONNECT_MS = 5000
+
 const LIST_LAG_MS = 1500
 const APPENDS_PER_SECOND = 300
 
@@ -69,6 +74,8 @@
 
   private constructor (private readonly options: WorldOptions) {
     this.random = SeededRandom.create(options.seed)
+    // The first draws of neighbouring seeds are alike.
+    Array.from({ length: WARMING_DRAWS }, () => this.random.next())
     this.safeguards = options.safeguards ?? allSafeguards
   }
 
@@ -227,8 +234,11 @@
     }
     const { sending, submission, position } = lost
     const id = `${sending.id}~${this.started++}`
-    const job = { ...submission.job, id, idempotent: false, deadline: entry.clock.now() + 5000 }
+    const job = { ...submission.job, id, idempotent: false, deadline: entry.clock.now() + RECONNECT_MS }
     const again = { ...submission, job }
+    sending.isExcused = false
+    sending.entry = entry.options.name
+    sending.deadline = this.clock.now() + RECONNECT_MS / SLOWEST_RATE
     entry.core.takeUp(again, { ...position, after: sending.received.length }, this.createResponder(sending, again, entry, false))
   }
 
