--- a/packages/foxtaillever-fleet/src/fleet.ts
+++ b/packages/foxtaillever-fleet/src/fleet.ts
@@ -76,7 +76,7 @@
     const table = MemberTable.create()
     const messenger = Messenger.create({ self, table, store: this.store, keys, clock, datagrams })
     this.membership = Membership.create(self, table, messenger, clock, random)
-    this.systems = Systems.create(this.membership, this.store, options)
+    this.systems = Systems.create(this.membership, this.store, { ...options, logAnsweredAt: () => this.reader.lastReadAt() })
   }
 
   static create (options: FleetOptions): Fleet {
@@ -92,6 +92,12 @@
     this.tick()
   }
 
+  /** Names the addresses that the system chose; to be called before the start. */
+  setAddresses (addresses: Pick<SelfDescription, 'address' | 'controlAddress'>): void {
+    this.membership.self.setAddresses(addresses)
+    this.membership.announce()
+  }
+
   /** Tells the others that this instance leaves; it still answers them. */
   leave (): void {
     this.systems.news.sayGoodbye()
