--- a/packages/foxtaillever-proof/src/fuzz/mutants.ts
+++ b/packages/foxtaillever-proof/src/fuzz/mutants.ts
@@ -17,11 +17,11 @@
 }
 
 export const mutants: readonly Mutant[] = [
-  { safeguard: Safeguard.ClaimBeforeSend, seed: 1, runs: 100, broken: Promised.AtMostOnce },
-  { safeguard: Safeguard.IncarnationCheck, seed: 7, runs: 100, broken: Promised.OwnAnswerInOrder },
-  { safeguard: Safeguard.SequenceCheck, seed: 1, runs: 100, broken: Promised.OwnAnswerInOrder },
-  { safeguard: Safeguard.FencingMargin, seed: 1, runs: 100, broken: Promised.OneGiverOfOrders },
-  { safeguard: Safeguard.AtOnceDrain, seed: 7, runs: 100, broken: Promised.OwnWordAtOnce }
+  { safeguard: Safeguard.ClaimBeforeSend, seed: 1, runs: 600, broken: Promised.AtMostOnce },
+  { safeguard: Safeguard.IncarnationCheck, seed: 7, runs: 600, broken: Promised.OwnAnswerInOrder },
+  { safeguard: Safeguard.SequenceCheck, seed: 1, runs: 600, broken: Promised.OwnAnswerInOrder },
+  { safeguard: Safeguard.FencingMargin, seed: 1, runs: 600, broken: Promised.OneGiverOfOrders },
+  { safeguard: Safeguard.AtOnceDrain, seed: 7, runs: 600, broken: Promised.OwnWordAtOnce }
 ]
 
 /** The campaign with the one safeguard switched off. */
