--- a/packages/foxtaillever-router/src/core/routerCore.ts
+++ b/packages/foxtaillever-router/src/core/routerCore.ts
@@ -12,12 +12,12 @@
 import { Attempts } from './attempts.js'
 import { checkClaimable, createClaim, noClaims, type Claims } from './claimDesk.js'
 import { Invariant, Invariants } from './invariants.js'
+import { noObserver, type RequestObserver } from '../telemetry/requestObserver.js'
 import { Loop } from './loop.js'
 import { createRow, RequestState, type RequestRow, type Responder, type StreamPosition, type Submission } from './request.js'
 import { allSafeguards, Safeguard, type Safeguards } from './safeguards.js'
 import { ServerWords } from './serverWords.js'
 import { worseVerdict } from './worseVerdict.js'
-import { noObserver, type RequestObserver } from '../telemetry/requestObserver.js'
 
 export interface RouterCoreOptions {
   readonly clock: Clock
@@ -30,7 +30,7 @@
   readonly invariants?: Invariants
   /** One way from this instance to other failure domains, milliseconds. */
   readonly distancesMs?: Readonly<Record<string, number>>
-  /** Hears what becomes of each request. */
+  /** Is told what becomes of each request; without it nobody is. */
   readonly observer?: RequestObserver
   /** Other than all of them in tests alone. */
   readonly safeguards?: Safeguards
@@ -41,20 +41,20 @@
   private readonly requests = new Map<string, RequestRow>()
   /** Open to the exchange of soft state with other instances. */
   readonly scheduler: Scheduler
-  private readonly observer: RequestObserver
   private readonly loop: Loop
   private readonly claims: Claims
   private readonly words: ServerWords
   private readonly attempts: Attempts
   private readonly safeguards: Safeguards
+  private readonly observer: RequestObserver
   private configuration: Configuration | undefined
 
   private constructor (private readonly options: RouterCoreOptions) {
     const { clock, random, failureDomain, engineOf, distancesMs } = options
-    this.observer = options.observer ?? noObserver
     this.invariants = options.invariants ?? Invariants.create()
     this.safeguards = options.safeguards ?? allSafeguards
     this.claims = options.claims ?? noClaims
+    this.observer = options.observer ?? noObserver
     this.words = ServerWords.create(this.safeguards[Safeguard.AtOnceDrain])
     this.scheduler = Scheduler.create({ random, failureDomain, distancesMs })
     this.attempts = Attempts.create({
@@ -122,17 +122,16 @@
 
   /** Takes a request in; every outcome, refusals too, goes to the responder. */
   submit (submission: Submission, responder: Responder): void {
-    const { job } = submission
-    this.observer.arrived(job)
+    this.observer.arrived(submission.job)
     checkClaimable(submission, this.options.claims)
-      .chain(() => this.scheduler.offer(job, this.options.clock.now()))
+      .chain(() => this.scheduler.offer(submission.job, this.options.clock.now()))
       .caseOf({
         Left: failure => {
-          this.observer.refused(job, failure.code, failure)
+          this.observer.refused(submission.job, failure.code, failure)
           responder.failed(failure)
         },
         Right: () => {
-          this.requests.set(job.id, createRow(submission, responder, true))
+          this.requests.set(submission.job.id, createRow(submission, responder, true))
           this.loop.wake()
         }
       })
@@ -145,6 +144,7 @@
       responder.failed(Failure.create(FailureCode.StreamBroken, Verdict.Ran, 'The backend server of this stream is not there any more.'))
       return
     }
+    this.observer.arrived(submission.job)
     const row = createRow(submission, responder, false)
     this.requests.set(submission.job.id, row)
     this.attempts.takeUp(row, server, position)
@@ -162,8 +162,8 @@
       row.stream?.cancel()
     }
     this.withdraw(row)
-    this.close(row, this.verdictOf(row))
     this.observer.cancelled(row.submission.job, row.server)
+    this.close(row, this.verdictOf(row))
   }
 
   /** The caller reads again. */
@@ -228,24 +228,27 @@
   private refuse (refusal: Refusal): void {
     const row = this.requests.get(refusal.jobId)
     if (row) {
-      this.observer.refused(row.submission.job, refusal.rule, refusal.failure)
-      this.end(row, refusal.failure)
+      this.fail(row, refusal.failure, refusal.rule)
     }
   }
 
-  private fail (row: RequestRow, failure: Failure): void {
-    this.observer.failed(row.submission.job, row.server, failure)
-    this.end(row, failure)
-  }
-
   /** The last word: what any try may have done counts, not only the last one. */
-  private end (row: RequestRow, failure: Failure): void {
+  private fail (row: RequestRow, failure: Failure, rule: string = failure.code): void {
     const verdict = worseVerdict(row.verdict, failure.verdict)
     this.invariants.check(Invariant.NotRunProven, verdict !== Verdict.NotRun || !row.isUnproven, () => row.submission.job.id)
     this.close(row, verdict)
+    this.tellFailure(row, failure.withVerdict(verdict), rule)
     row.responder.failed(failure.withVerdict(verdict))
   }
 
+  private tellFailure (row: RequestRow, failure: Failure, rule: string): void {
+    if (failure.verdict === Verdict.NotRun) {
+      this.observer.refused(row.submission.job, rule, failure)
+    } else {
+      this.observer.failed(row.submission.job, row.server, failure)
+    }
+  }
+
   private assign (assignment: Assignment): void {
     const row = this.requests.get(assignment.jobId)
     if (!row) {
@@ -310,19 +313,19 @@
   private onStarted (row: RequestRow, start: StreamStart): void {
     if (row.isScheduled) {
       this.scheduler.started(row.submission.job.id, start, this.options.clock.now())
-      this.observer.started(row.submission.job, row.server, start)
     }
     // Headers go out once, however many tries and resumes the answer takes.
     if (!row.isAnswering) {
       row.isAnswering = true
+      this.observer.started(row.submission.job, row.server, start)
       row.responder.started(start, row.server)
     }
   }
 
   private onToken (row: RequestRow, sequence: number, data: string): void {
     if (sequence === 1) {
-      this.scheduler.firstToken(row.submission.job.id, this.options.clock.now())
       this.observer.firstToken(row.submission.job, row.server)
+      this.scheduler.firstToken(row.submission.job.id, this.options.clock.now())
     }
     if (!row.responder.token(sequence, data)) {
       row.stream?.pause()
