--- a/packages/foxtaillever-capacity/src/main.ts
+++ b/packages/foxtaillever-capacity/src/main.ts
@@ -1,7 +1,9 @@
 /** Entry of the capacity measurements. */
 import { Cli } from 'clipanion'
+import { CostsCommand } from './commands/costs.js'
 import { MembersCommand } from './commands/members.js'
 
 const cli = new Cli({ binaryLabel: 'foxtaillever-capacity', binaryName: 'capacity' })
+cli.register(CostsCommand)
 cli.register(MembersCommand)
 await cli.runExit(process.argv.slice(2))
--- a/packages/foxtaillever-fleet/src/membership/message.ts
+++ b/packages/foxtaillever-fleet/src/membership/message.ts
@@ -37,6 +37,14 @@
   readonly facts: readonly Fact[]
 }
 
+/** What every message says of its sender. */
+export type MessageHead = Pick<Message, 'sender' | 'incarnation' | 'sequence' | 'sentAt' | 'position' | 'tableDigest'>
+
+/** A message with nothing in it but what is given. */
+export function createMessage (parts: MessageHead & Partial<Message>): Message {
+  return { kind: MessageKind.News, probe: 0, about: '', entries: [], facts: [], ...parts }
+}
+
 type WireEntry = readonly [string, string, string, string, number, MemberState]
 type WireFact = readonly [string, FactKind, string, number, number, unknown]
 type WireMessage = readonly [MessageKind, string, number, number, number, number, string, number, number, string, number, readonly WireEntry[], readonly WireFact[]]
--- a/packages/foxtaillever-fleet/src/membership/messenger.ts
+++ b/packages/foxtaillever-fleet/src/membership/messenger.ts
@@ -8,7 +8,7 @@
 import { Admission, ReplayGuard } from '../security/replayGuard.js'
 import { open, seal } from '../security/seal.js'
 import type { Datagrams } from './datagrams.js'
-import { decodeMessage, encodeMessage, type Message } from './message.js'
+import { createMessage, decodeMessage, encodeMessage, type Message } from './message.js'
 import type { ConfigurationPosition } from './member.js'
 import type { MemberTable } from './memberTable.js'
 import type { Self } from './self.js'
@@ -72,19 +72,15 @@
   send (address: string, content: Content): void {
     const { self, table, clock, keys, datagrams } = this.parts
     const { name, incarnation } = self.entry()
-    const message: Message = {
+    const message = createMessage({
       sender: name,
       incarnation,
       sequence: self.nextSequence(),
       sentAt: Math.floor(clock.now()),
       position: this.position(),
       tableDigest: table.digest(),
-      probe: 0,
-      about: '',
-      entries: [],
-      facts: [],
       ...content
-    }
+    })
     const sealed = seal(keys, Permission.Join, encodeMessage(message))
     this.traffic.sentMessages += 1
     this.traffic.sentBytes += sealed.length + HEADER_BYTES
