Keep control within its bytes while the fleet heals

The fleet now tries one dead member together about once a second, news and facts have bytes for each tick, tables are fetched less often in larger fleets.

--- a/packages/foxtaillever-capacity/src/measures/fleetRun.ts
+++ b/packages/foxtaillever-capacity/src/measures/fleetRun.ts
@@ -59,7 +59,7 @@
 }
 
 function totals ({ members }: FleetSample): ReadonlyMap<string, number> {
-  return new Map(members.map(member => [member.name, member.sentBytes + member.receivedBytes]))
+  return new Map(members.map(member => [member.name, member.sentBytes + member.receivedBytes + member.peerBytes]))
 }
 
 function mostSince (before: FleetSample, after: FleetSample): number {
@@ -67,8 +67,9 @@
   return Math.max(...[...totals(after)].map(([name, bytes]) => bytes - (start.get(name) ?? 0)))
 }
 
+/** Procedure answers count on both sides, since what one receives another sends. */
 function averageOf (sample: FleetSample, field: 'sentBytes' | 'receivedBytes'): number {
-  return sample.members.reduce((sum, member) => sum + member[field], 0) / sample.members.length
+  return sample.members.reduce((sum, member) => sum + member[field] + member.peerBytes, 0) / sample.members.length
 }
 
 function isAgreed ({ members }: FleetSample, size: number): boolean {
@@ -97,7 +98,7 @@
     const whole = createWholeRecord(this.hosts.nextOffset())
     await this.hosts.append(whole)
     this.revision = whole.offset
-    await pause(3000)
+    await this.untilQuiet()
     const steady = await this.spending(STEADY_MS)
     const { heapBytes } = await this.hosts.sample(true)
     say('steady')
@@ -199,6 +200,7 @@
   }
 
   private async herd (): Promise<Repair> {
+    await this.untilQuiet()
     const share = twoYearSize.herd / twoYearSize.daemons
     const count = Math.max(1, Math.round(this.size * share))
     const names = this.hosts.members().slice(0, count).map(member => member.name)
@@ -206,6 +208,7 @@
   }
 
   private async healing (): Promise<Repair> {
+    await this.untilQuiet()
     const names = this.hosts.members().filter((_, index) => index % 2 === 0).map(member => member.name)
     await this.hosts.cut(names)
     await pause(SPLIT_MS)
@@ -234,6 +237,12 @@
     return { agreedMs: (agreedAt || Infinity) - startedAt, peakPerSecond: peak, averagePeakPerSecond: averagePeak }
   }
 
+  /** Waits until all news has been told. */
+  private async untilQuiet (): Promise<void> {
+    await this.until(sample => sample.members.every(member => member.rumours === 0))
+    await pause(1000)
+  }
+
   private async untilAgreed (): Promise<number> {
     const startedAt = clock.now()
     await this.until(sample => isAgreed(sample, this.hosts.members().length))
--- a/packages/foxtaillever-capacity/src/members/hostedMember.ts
+++ b/packages/foxtaillever-capacity/src/members/hostedMember.ts
@@ -34,7 +34,7 @@
   private watched: readonly string[] = []
   private goneAt = 0
 
-  private constructor (private readonly fleet: Fleet, private readonly server: Server, readonly started: Started, private readonly clock: Clock) {
+  private constructor (private readonly fleet: Fleet, private readonly server: Server, private readonly peers: TrpcPeers, readonly started: Started, private readonly clock: Clock) {
     fleet.store.onChange(() => { this.revisionAt = clock.now() })
   }
 
@@ -44,6 +44,7 @@
     const random = SeededRandom.create(parts.seed)
     const datagrams = UdpDatagrams.create('127.0.0.1:0')
     const address = await datagrams.bind()
+    const peers = TrpcPeers.create(plan.name, keys, clock, random)
     const source = { configuration: () => fleet.configuration(), memberEntries: () => fleet.memberEntries() }
     const { server } = createHTTPServerOf(createPeerRouter(source, keys, clock))
     const controlAddress = await listen(server)
@@ -55,13 +56,13 @@
       logRetentionMs: RETENTION_MS,
       instances,
       datagrams: reachability.limitDatagrams(address, datagrams),
-      peers: reachability.limitPeers(controlAddress, TrpcPeers.create(plan.name, keys, clock, random)),
+      peers: reachability.limitPeers(controlAddress, peers),
       keys,
       clock,
       random
     })
     await fleet.start()
-    return new HostedMember(fleet, server, started, clock)
+    return new HostedMember(fleet, server, peers, started, clock)
   }
 
   take (record: LogRecord): void {
@@ -91,13 +92,14 @@
   }
 
   sample (): MemberSample {
-    const { traffic, facts, configurationsPulled, tablesFetched } = this.fleet.dump()
+    const { traffic, facts, configurationsPulled, tablesFetched, rumours } = this.fleet.dump()
     const members = this.fleet.members().map(member => member.name)
     return {
       name: this.started.name,
       sentBytes: traffic.sentBytes,
       receivedBytes: traffic.receivedBytes,
-      sentMessages: traffic.sentMessages,
+      peerBytes: this.peers.receivedBytes(),
+      rumours,
       membersHash: hashText(members.join()),
       members: members.length,
       revision: this.fleet.store.configuration().revision,
--- a/packages/foxtaillever-capacity/src/members/orders.ts
+++ b/packages/foxtaillever-capacity/src/members/orders.ts
@@ -54,7 +54,9 @@
   readonly name: string
   readonly sentBytes: number
   readonly receivedBytes: number
-  readonly sentMessages: number
+  /** Answers of other members' procedures, bytes. */
+  readonly peerBytes: number
+  readonly rumours: number
   readonly membersHash: string
   readonly members: number
   readonly revision: number
--- a/packages/foxtaillever-fleet/src/membership/membership.ts
+++ b/packages/foxtaillever-fleet/src/membership/membership.ts
@@ -5,7 +5,7 @@
 import { ContactTable } from './contactTable.js'
 import { isLive, MemberState, type Member, type MemberEntry } from './member.js'
 import { MemberTable } from './memberTable.js'
-import { LARGEST_PAYLOAD_BYTES, type Message } from './message.js'
+import { entryBytes, LARGEST_PAYLOAD_BYTES, type Message } from './message.js'
 import type { Messenger } from './messenger.js'
 import { Rumours } from './rumours.js'
 import type { Self } from './self.js'
@@ -14,11 +14,15 @@
 const FIXED_PART_BYTES = 250
 
 /** Bytes of news that one message may carry. */
-export const NEWS_BYTES = LARGEST_PAYLOAD_BYTES - FIXED_PART_BYTES
+const MESSAGE_NEWS_BYTES = LARGEST_PAYLOAD_BYTES - FIXED_PART_BYTES
+
+/** Bytes of news that all messages of one tick may carry: 3 KB/s of the 14, as much again received. */
+const TICK_NEWS_BYTES = 1500
 
 export class Membership {
   readonly contacts = ContactTable.create()
   readonly rumours = Rumours.create()
+  private newsBytesLeft = TICK_NEWS_BYTES
 
   private constructor (
     readonly self: Self,
@@ -79,17 +83,25 @@
   }
 
   /**
-   * Entries to put into a message: this instance itself, what the receiver is
-   * wrongly or rightly called, so that it can answer, and news.
+   * Entries to put into any message: this instance itself, and what the receiver
+   * is called here, wrongly or rightly, so that it can answer.
    */
-  newsFor (receiver: string | undefined): readonly MemberEntry[] {
+  greetingFor (receiver: string | undefined): readonly MemberEntry[] {
     const known = receiver === undefined ? undefined : this.table.get(receiver)
     const called = known === undefined || isLive(known) ? [] : [known]
-    return [this.self.entry(), ...called, ...this.rumours.take(NEWS_BYTES)]
+    return [this.self.entry(), ...called]
+  }
+
+  /** The greeting and news, as much as the tick has left. */
+  newsFor (receiver: string): readonly MemberEntry[] {
+    const news = this.rumours.take(Math.min(MESSAGE_NEWS_BYTES, this.newsBytesLeft))
+    this.newsBytesLeft -= news.reduce((sum, entry) => sum + entryBytes(entry), 0)
+    return [...this.greetingFor(receiver), ...news]
   }
 
   /** Run each tick. */
   tick (): void {
+    this.newsBytesLeft = TICK_NEWS_BYTES
     const now = this.clock.now()
     this.table.expire(now).forEach(entry => this.rumours.add(entry, this.table.alive().length))
     this.contacts.retain(name => this.table.get(name) !== undefined)
--- a/packages/foxtaillever-fleet/src/membership/newsSystem.ts
+++ b/packages/foxtaillever-fleet/src/membership/newsSystem.ts
@@ -24,6 +24,14 @@
     }
   }
 
+  /** Tells a few at once that this instance has a new revision, which every message names. */
+  tellRevision (): void {
+    const { membership } = this
+    for (const target of membership.pick(membership.others(), FAN_OUT)) {
+      membership.messenger.send(target.address, { kind: MessageKind.News })
+    }
+  }
+
   sayGoodbye (): void {
     this.membership.self.leave()
     this.membership.announce()
--- a/packages/foxtaillever-fleet/src/membership/seedSystem.ts
+++ b/packages/foxtaillever-fleet/src/membership/seedSystem.ts
@@ -21,8 +21,11 @@
 /** Addresses tried at once. */
 const TRIES = 3
 
-/** The dead that are tried each tick, so that a healed half is back within seconds. */
-const DEAD_TRIES = 1
+/**
+ * Tries of one dead member by the whole fleet each tick. Were each member to try
+ * by itself, a dead address that another process takes over would be flooded.
+ */
+const TRIES_PER_DEAD = 0.5
 
 export class SeedSystem {
   private listed: readonly string[] = []
@@ -51,7 +54,7 @@
     if (now >= this.tryAt) {
       this.tryUnknown()
     }
-    this.probeAddresses(this.membership.pick(this.deadAddresses(), DEAD_TRIES))
+    this.tryDead()
   }
 
   private isAlone (): boolean {
@@ -81,16 +84,26 @@
     return [...new Set([...this.seeds, ...this.listed])].filter(address => !known.has(address))
   }
 
+  /** Seldom for a few dead in a large fleet, each tick for a half that is gone. */
+  private tryDead (): void {
+    const dead = this.deadAddresses()
+    const share = TRIES_PER_DEAD * dead.length / this.membership.table.alive().length
+    if (dead.length > 0 && this.membership.random.next() < share) {
+      this.probeAddresses(this.membership.pick(dead, 1))
+    }
+  }
+
   private deadAddresses (): readonly string[] {
+    const taken = new Set(this.membership.table.alive().map(member => member.address))
     return this.membership.table.all()
-      .filter(member => member.state === MemberState.Dead)
+      .filter(member => member.state === MemberState.Dead && !taken.has(member.address))
       .map(member => member.address)
   }
 
   private probeAddresses (addresses: readonly string[]): void {
     const byAddress = new Map(this.membership.table.all().map(member => [member.address, member.name]))
     for (const address of addresses) {
-      this.membership.messenger.send(address, { kind: MessageKind.Probe, entries: this.membership.newsFor(byAddress.get(address)) })
+      this.membership.messenger.send(address, { kind: MessageKind.Probe, entries: this.membership.greetingFor(byAddress.get(address)) })
     }
   }
 }
--- a/packages/foxtaillever-fleet/src/membership/syncSystem.ts
+++ b/packages/foxtaillever-fleet/src/membership/syncSystem.ts
@@ -11,6 +11,9 @@
 /** How long hashes may differ while news is on its way, milliseconds. */
 const PATIENCE_MS = 3000
 
+/** Added for each member, milliseconds, so that fetching stays at some 2 KB/s at any size. */
+const PATIENCE_PER_MEMBER_MS = 35
+
 /** Random part of the patience, milliseconds, so that a fleet does not fetch all at once. */
 const SPREAD_MS = 2000
 
@@ -44,7 +47,8 @@
   }
 
   private postpone (now: number): void {
-    this.deadline = now + PATIENCE_MS + this.membership.random.below(SPREAD_MS)
+    const patience = Math.max(PATIENCE_MS, PATIENCE_PER_MEMBER_MS * this.membership.table.alive().length)
+    this.deadline = now + patience + this.membership.random.below(SPREAD_MS)
   }
 
   private async fetch (address: string): Promise<void> {
--- a/packages/foxtaillever-fleet/src/membership/systems.ts
+++ b/packages/foxtaillever-fleet/src/membership/systems.ts
@@ -44,6 +44,7 @@
     this.pulls = PullSystem.create(store, parts)
     this.inForce = InForceSystem.create(store, membership, this.probes, parts.clock)
     this.facts = FactSystem.create(membership)
+    store.onChange(() => this.news.tellRevision())
     this.handlers = {
       [MessageKind.Probe]: (message, address) => this.probes.receiveProbe(message, address),
       [MessageKind.Ack]: message => this.probes.receiveAck(message),
--- a/packages/foxtaillever-fleet/src/membership/trpcPeers.ts
+++ b/packages/foxtaillever-fleet/src/membership/trpcPeers.ts
@@ -23,6 +23,7 @@
 export class TrpcPeers implements Peers {
   private readonly incarnation: number
   private sequence = 0
+  private received = 0
 
   private constructor (
     private readonly name: string,
@@ -38,6 +39,11 @@
     return new TrpcPeers(name, keys, clock, random)
   }
 
+  /** Bytes of all answers so far. */
+  receivedBytes (): number {
+    return this.received
+  }
+
   async configuration (address: string): Promise<Either<Failure, FoldedConfiguration>> {
     const client = connect(address)
     return await this.call(PeerProcedure.Configuration, (input, signal) => client.configuration.query(input, { signal }))
@@ -52,6 +58,7 @@
     const call = this.createCall(procedure)
     try {
       const { sealed } = await send(sealValue(this.keys, call), AbortSignal.timeout(CALL_MS))
+      this.received += sealed.length
       const answer = openValue<PeerAnswer>(this.keys, sealed).filter(({ nonce }) => nonce === call.nonce)
       return answer.map(({ value }) => value as Value).toEither(Failure.notRun(FailureCode.Unauthenticated, 'The answer is not signed by a member.'))
     } catch (error) {
--- a/packages/foxtaillever-fleet/src/softState/factSystem.ts
+++ b/packages/foxtaillever-fleet/src/softState/factSystem.ts
@@ -16,8 +16,8 @@
 /** Fixed cost of one datagram, bytes: fixed part and headers. */
 const DATAGRAM_BYTES = FIXED_PART_BYTES + 28
 
-/** Bytes of facts that one tick may send: 5 KB/s of the 14 at two ticks a second. */
-const BYTES_PER_TICK = 2500
+/** Bytes of facts that one tick may send: 3 KB/s of the 14 at two ticks a second, as much again received. */
+const BYTES_PER_TICK = 1500
 
 /** Largest fact, so that it fits a message with any others. */
 const LARGEST_FACT_BYTES = 600
