--- a/packages/foxtaillever-fleet/src/cacheEvents/cacheEventSystem.ts
+++ b/packages/foxtaillever-fleet/src/cacheEvents/cacheEventSystem.ts
@@ -6,7 +6,7 @@
  */
 import * as Option from 'fp-ts/lib/Option.js'
 import { pipe } from 'fp-ts/lib/function.js'
-import { ServerKind, type BackendServer, type Cancellation, type Clock } from 'foxtaillever-core'
+import { hashNumber, ServerKind, type BackendServer, type Cancellation, type Clock } from 'foxtaillever-core'
 import { homeOf, type Named } from '../membership/home.js'
 import { FactKind } from '../softState/fact.js'
 import type { CacheEvents } from './cacheEvent.js'
@@ -25,8 +25,16 @@
 export interface CacheSummary {
   readonly incarnation: string
   readonly doubtful: boolean
-  /** Account and hash of the hottest cached prefixes. */
-  readonly prefixes: readonly (readonly [string, string])[]
+  /** Marks of the hottest cached prefixes, hottest first. */
+  readonly prefixes: readonly number[]
+}
+
+/**
+ * Short mark of one account's prefix. Two prefixes may share a mark; that costs
+ * a worse placement at most, since engines keep accounts apart themselves.
+ */
+export function markOf (account: string, prefix: string): number {
+  return hashNumber(`${account}\0${prefix}`)
 }
 
 interface Watch {
@@ -126,7 +134,7 @@
     const summary: CacheSummary = {
       incarnation: watch.knowledge.incarnation(),
       doubtful: watch.knowledge.isDoubtful(now),
-      prefixes: watch.knowledge.hottest(SUMMARY_PREFIXES).map(({ account, prefix }) => [account, prefix] as const)
+      prefixes: watch.knowledge.hottest(SUMMARY_PREFIXES).map(({ account, prefix }) => markOf(account, prefix))
     }
     this.parts.share(FactKind.CacheSummary, name, summary, now + SUMMARY_LIFE_MS)
   }
--- a/packages/foxtaillever-fleet/src/log/logReader.ts
+++ b/packages/foxtaillever-fleet/src/log/logReader.ts
@@ -12,8 +12,8 @@
 
 export type RecordReader = (record: LogRecord) => void
 
-/** Hears the first offset still kept when records before it were never read. */
-export type GapListener = (first: number) => void
+/** Hears the first offset still kept, and the page that told, when records before it were never read. */
+export type GapListener = (first: number, page: LogPage) => void
 
 export class LogReader {
   private next = 1
@@ -71,7 +71,7 @@
     // A quiet log can expire to nothing, so the gap is told by the page, not by a record.
     if (page.first > this.next) {
       this.next = page.first
-      this.onGap(page.first)
+      this.onGap(page.first, page)
     }
     for (const record of page.records) {
       if (record.offset < this.next) {
