--- a/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
+++ b/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
@@ -183,6 +183,11 @@
     this.addresses.push(entry.callers)
   }
 
+  /** Control addresses of the entry instances, as the command line wants them. */
+  controlAddresses (): readonly string[] {
+    return this.entries.map(entry => entry.control)
+  }
+
   private async waitUntilReady (): Promise<void> {
     for (const address of this.addresses) {
       while ((await fetch(`${address}/readyz`)).status !== 200) {
