Fold a record of many changes in one pass, try unknown addresses together

A trial with 50 members stood still for over twenty seconds after one record of 2,408 entries: each change copied its whole table. Tables are now copied once a record. An instance's own entry follows a change of its addresses.

--- a/packages/foxtaillever-fleet/src/configuration/change.ts
+++ b/packages/foxtaillever-fleet/src/configuration/change.ts
@@ -46,24 +46,37 @@
   readonly history?: readonly AcceptedRevision[]
 }
 
-function without<Entry> (entries: Readonly<Record<string, Entry>>, name: string): Readonly<Record<string, Entry>> {
-  const { [name]: _, ...rest } = entries
-  return rest
+/**
+ * A configuration while one record's changes are put in. Tables are copied once
+ * a record: a first record of thousands of entries, with a copy for each, would
+ * hold the one thread for seconds.
+ */
+interface Draft {
+  readonly accounts: Record<string, ClientAccount>
+  readonly servers: Record<string, BackendServer>
+  readonly models: Record<string, Model>
+  readonly services: Record<string, PlainService>
+  readonly presets: Record<PresetName, Preset>
+  presetInForce: PresetName
+}
+
+function createDraft ({ accounts, servers, models, services, presets, presetInForce }: Configuration): Draft {
+  return { accounts: { ...accounts }, servers: { ...servers }, models: { ...models }, services: { ...services }, presets: { ...presets }, presetInForce }
 }
 
-type ChangeHandlers = { [Kind in ChangeKind]: (configuration: Configuration, change: Extract<Change, { kind: Kind }>) => Configuration }
+type ChangeHandlers = { [Kind in ChangeKind]: (draft: Draft, change: Extract<Change, { kind: Kind }>) => void }
 
 const handlers: ChangeHandlers = {
-  [ChangeKind.PutAccount]: (configuration, { account }) => ({ ...configuration, accounts: { ...configuration.accounts, [account.name]: account } }),
-  [ChangeKind.RemoveAccount]: (configuration, { name }) => ({ ...configuration, accounts: without(configuration.accounts, name) }),
-  [ChangeKind.PutServer]: (configuration, { server }) => ({ ...configuration, servers: { ...configuration.servers, [server.name]: server } }),
-  [ChangeKind.RemoveServer]: (configuration, { name }) => ({ ...configuration, servers: without(configuration.servers, name) }),
-  [ChangeKind.PutModel]: (configuration, { model }) => ({ ...configuration, models: { ...configuration.models, [model.name]: model } }),
-  [ChangeKind.RemoveModel]: (configuration, { name }) => ({ ...configuration, models: without(configuration.models, name) }),
-  [ChangeKind.PutService]: (configuration, { service }) => ({ ...configuration, services: { ...configuration.services, [service.name]: service } }),
-  [ChangeKind.RemoveService]: (configuration, { name }) => ({ ...configuration, services: without(configuration.services, name) }),
-  [ChangeKind.PutPreset]: (configuration, { preset }) => ({ ...configuration, presets: { ...configuration.presets, [preset.name]: preset } }),
-  [ChangeKind.SwitchPreset]: (configuration, { name }) => ({ ...configuration, presetInForce: name })
+  [ChangeKind.PutAccount]: (draft, { account }) => { draft.accounts[account.name] = account },
+  [ChangeKind.RemoveAccount]: (draft, { name }) => { delete draft.accounts[name] },
+  [ChangeKind.PutServer]: (draft, { server }) => { draft.servers[server.name] = server },
+  [ChangeKind.RemoveServer]: (draft, { name }) => { delete draft.servers[name] },
+  [ChangeKind.PutModel]: (draft, { model }) => { draft.models[model.name] = model },
+  [ChangeKind.RemoveModel]: (draft, { name }) => { delete draft.models[name] },
+  [ChangeKind.PutService]: (draft, { service }) => { draft.services[service.name] = service },
+  [ChangeKind.RemoveService]: (draft, { name }) => { delete draft.services[name] },
+  [ChangeKind.PutPreset]: (draft, { preset }) => { draft.presets[preset.name] = preset },
+  [ChangeKind.SwitchPreset]: (draft, { name }) => { draft.presetInForce = name }
 }
 
 /** What a change has to name before it is applied; checked alike by every reader. */
@@ -96,7 +109,16 @@
   return !presetKinds.has(change.kind) || presetNames.has(subject)
 }
 
+/** The configuration with the changes put in, in their order. */
+export function applyChanges (configuration: Configuration, changes: readonly Change[]): Configuration {
+  const draft = createDraft(configuration)
+  for (const change of changes) {
+    const handler = handlers[change.kind] as (draft: Draft, change: Change) => void
+    handler(draft, change)
+  }
+  return { ...configuration, ...draft }
+}
+
 export function applyChange (configuration: Configuration, change: Change): Configuration {
-  const handler = handlers[change.kind] as (configuration: Configuration, change: Change) => Configuration
-  return handler(configuration, change)
+  return applyChanges(configuration, [change])
 }
--- a/packages/foxtaillever-fleet/src/configuration/foldConfiguration.ts
+++ b/packages/foxtaillever-fleet/src/configuration/foldConfiguration.ts
@@ -4,7 +4,7 @@
  * between instances, without any vote of ours.
  */
 import { RecordKind, type Configuration, type LogRecord } from 'foxtaillever-core'
-import { applyChange, isApplicable, type ConfigurationRecord, type SnapshotRecord } from './change.js'
+import { applyChanges, isApplicable, type ConfigurationRecord, type SnapshotRecord } from './change.js'
 
 /** What became of one record. */
 export enum FoldOutcome {
@@ -28,7 +28,7 @@
   if (!Array.isArray(body.changes) || !body.changes.every(isApplicable)) {
     return { configuration, outcome: FoldOutcome.Refused }
   }
-  const changed = body.changes.reduce(applyChange, configuration)
+  const changed = applyChanges(configuration, body.changes)
   return { configuration: { ...changed, revision: record.offset }, outcome: FoldOutcome.Accepted }
 }
 
--- a/packages/foxtaillever-fleet/src/membership/memberTable.ts
+++ b/packages/foxtaillever-fleet/src/membership/memberTable.ts
@@ -77,6 +77,11 @@
     return true
   }
 
+  /** Puts this instance's own entry in, which only it may change at will. */
+  replace (entry: MemberEntry, now: number): void {
+    this.put(entry, now)
+  }
+
   /** Suspects whose deadline has passed are dead; the gone are forgotten. Returns the news. */
   expire (now: number): readonly MemberEntry[] {
     const overdue = [...this.members.values()].filter(member => member.deadline <= now)
--- a/packages/foxtaillever-fleet/src/membership/membership.ts
+++ b/packages/foxtaillever-fleet/src/membership/membership.ts
@@ -71,7 +71,7 @@
 
   /** Tells the others of this instance's own entry. */
   announce (): void {
-    this.table.merge(this.self.entry(), this.clock.now())
+    this.table.replace(this.self.entry(), this.clock.now())
     this.rumours.add(this.self.entry(), this.table.alive().length)
   }
 
--- a/packages/foxtaillever-fleet/src/membership/seedSystem.ts
+++ b/packages/foxtaillever-fleet/src/membership/seedSystem.ts
@@ -18,7 +18,7 @@
 /** How often unknown addresses are tried, milliseconds. */
 const TRY_MS = 2000
 
-/** Addresses tried at once. */
+/** Addresses that an instance tries at once which knows no other. */
 const TRIES = 3
 
 /**
@@ -61,9 +61,16 @@
     return this.membership.others().length === 0
   }
 
+  /** Alone, it tries at once; otherwise all members together try each address about once in the period. */
   private tryUnknown (): void {
     this.tryAt = this.clock.now() + TRY_MS
-    this.probeAddresses(this.membership.pick(this.unknownAddresses(), TRIES))
+    const unknown = this.unknownAddresses()
+    const share = unknown.length / this.membership.table.alive().length
+    if (this.isAlone()) {
+      this.probeAddresses(this.membership.pick(unknown, TRIES))
+    } else if (this.membership.random.next() < share) {
+      this.probeAddresses(this.membership.pick(unknown, 1))
+    }
   }
 
   private async readList (): Promise<void> {
