--- a/packages/foxtaillever-policy/src/attempts/attemptTable.ts
+++ b/packages/foxtaillever-policy/src/attempts/attemptTable.ts
@@ -4,6 +4,7 @@
  */
 import { FailureCode, type Failure, type StreamEnd, type StreamStart } from 'foxtaillever-core'
 import { MovingMean } from '../collections/movingMean.js'
+import { RunningShares } from '../order/runningShares.js'
 import type { Placer } from '../placement/placement.js'
 import { mayEject } from '../servers/compareServers.js'
 import type { Fleet } from '../servers/fleet.js'
@@ -30,6 +31,8 @@
 
 export class AttemptTable {
   private readonly attempts = new Map<string, Attempt>()
+  /** Who runs how much, for the order of those that wait. */
+  readonly shares = RunningShares.create()
   private readonly service = MovingMean.create(FIRST_SERVICE_MS, SERVICE_GAIN)
 
   private constructor (private readonly fleet: Fleet, private readonly placer: Placer) {}
@@ -54,6 +57,7 @@
   add (attempt: Attempt): void {
     const { server, sentAt, entry } = attempt
     this.attempts.set(entry.job.id, attempt)
+    this.shares.add(entry)
     server.load.add(attempt.pendingTokens, attempt.reportableTokens, sentAt)
     server.pending.set(entry.job.id, { sentAt, expectedMs: attempt.expectedMs })
     server.longRunning += attempt.isLong ? 1 : 0
@@ -70,7 +74,7 @@
     const uncached = Math.max(0, start.promptTokens - start.cachedTokens)
     attempt.expectedMs += server.prefillMs(uncached - (attempt.entry.job.promptTokens - placement.cachedTokens))
     this.setPending(attempt, uncached, uncached, now)
-    this.placer.learn(placement.levels, server, start.cachedTokens, now)
+    this.placer.learn(placement, start.cachedTokens, now)
   }
 
   firstToken (attempt: Attempt, now: number): void {
@@ -78,11 +82,12 @@
     attempt.firstTokenAt = now
     server.pending.delete(entry.job.id)
     this.setPending(attempt, 0, 0, now)
+    this.placer.endPrefill(entry.job.id, placement)
     this.placer.learnPrefilled(placement.levels, server, now)
     const observedMs = now - attempt.sentAt
     server.health.observe(observedMs, attempt.expectedMs, now)
     const ratio = (observedMs + server.stepMs()) / (attempt.expectedMs + server.stepMs()) / server.health.peers
-    server.limit.observe(ratio, server.load.occupancy(now))
+    server.limit.observe(ratio, server.load.occupancy(now), now)
     if (attempt.isProbe && server.health.standing === Standing.Ejected) {
       this.judgeProbe(server, ratio, now)
     }
@@ -116,7 +121,9 @@
   remove (attempt: Attempt, now: number): void {
     const { server, entry } = attempt
     this.attempts.delete(entry.job.id)
+    this.shares.remove(entry)
     server.pending.delete(entry.job.id)
+    this.placer.endPrefill(entry.job.id, attempt.placement)
     this.setPending(attempt, 0, 0, now)
     server.load.remove(now)
     server.longRunning -= attempt.isLong ? 1 : 0
@@ -138,7 +145,7 @@
     server.markCold(now)
   }
 
-  private observeFault ({ server, entry, isProbe }: Attempt, ejectedShare: number, now: number): void {
+  private observeFault ({ server, isProbe }: Attempt, ejectedShare: number, now: number): void {
     const { health } = server
     health.observeFailure()
     if (health.standing === Standing.Ejected) {
@@ -147,7 +154,7 @@
       }
       return
     }
-    const peers = this.fleet.readyFor(entry.job.model)
+    const peers = this.fleet.peersOf(server)
     if (health.failuresInRow >= FAILURES_TO_EJECT && mayEject(peers, ejectedShare)) {
       health.eject(now)
     }
--- a/packages/foxtaillever-policy/src/order/dispatcher.ts
+++ b/packages/foxtaillever-policy/src/order/dispatcher.ts
@@ -16,6 +16,7 @@
 import type { Fleet } from '../servers/fleet.js'
 import type { Server } from '../servers/server.js'
 import { Suspicion, type SuspectTable } from '../suspects/suspectTable.js'
+import type { RunningShares } from './runningShares.js'
 import type { WaitingJob } from './waitingJob.js'
 import type { WaitingRoom } from './waitingRoom.js'
 
@@ -28,6 +29,13 @@
 /** The mean is over the last hundred jobs or so. */
 const MEAN_GAIN = 0.01
 
+/**
+ * Once its hold is over a job may stand in the engine's own queue, up to this
+ * many times the room. Other instances' jobs may have taken each slot that it
+ * waited for; the engine's queue is the one that all of them share.
+ */
+const OVERCOMMIT = 2
+
 /** Held at most for this many times the wait that was expected. */
 const HOLD_FACTOR = 2
 
@@ -59,13 +67,28 @@
   readonly placer: Placer
   readonly room: WaitingRoom
   readonly suspects: SuspectTable
+  readonly shares: RunningShares
   /** Sends the job, so that the next one is weighed against what it adds. */
   readonly send: (dispatched: Dispatched, now: number) => void
   readonly quarantine: (entry: WaitingJob) => void
 }
 
+interface OpenInput {
+  readonly entry: WaitingJob
+  readonly isLong: boolean
+  readonly isSuspect: boolean
+  /** Its account runs more than twice its share. */
+  readonly isHeavy: boolean
+  readonly mayHold: boolean
+  readonly now: number
+}
+
 export class Dispatcher {
   private readonly meanCost = MovingMean.create(0, MEAN_GAIN)
+  /** Servers that jobs of this pass wait for. */
+  private readonly heldFor = new Set<Server>()
+  /** Where a server with room was found last; mostly it still has some. */
+  private cursor = 0
   private readonly priorityWork = DecayingRate.create(PRIORITY_FADE_MS)
 
   private constructor (private readonly options: DispatcherOptions) {}
@@ -75,10 +98,9 @@
   }
 
   run (input: DispatchInput): void {
-    const { fleet, room, suspects } = this.options
-    let free = this.freeSlots(input.now)
-    let held = 0
-    while (free > 0 && held < WINDOW) {
+    const { room, suspects } = this.options
+    let skipped = 0
+    while (skipped < WINDOW && this.hasRoom(input.now)) {
       const entry = room.queue.next()
       if (!entry) {
         break
@@ -86,37 +108,41 @@
       const suspicion = suspects.suspicionOf(entry.job.fingerprint, input.now)
       if (suspicion === Suspicion.Quarantined) {
         this.options.quarantine(entry)
-      } else if (this.tryToSend(entry, suspicion === Suspicion.Suspect, input)) {
-        free -= 1
-      } else {
+      } else if (!this.tryToSend(entry, suspicion === Suspicion.Suspect, input)) {
         room.queue.skip(entry)
-        held += 1
+        skipped += 1
       }
     }
     room.queue.endPass()
-    for (const server of fleet.all()) {
-      server.held = 0
-    }
+    this.heldFor.forEach(server => { server.held = 0 })
+    this.heldFor.clear()
   }
 
-  /** Requests that the servers could take now without waiting. */
-  private freeSlots (now: number): number {
-    let free = 0
-    for (const server of this.options.fleet.all()) {
-      free += Math.max(0, server.room(now) - server.load.occupancy(now))
+  /** Whether any server could take one more request now. */
+  private hasRoom (now: number): boolean {
+    const servers = this.options.fleet.list()
+    for (let step = 0; step < servers.length; step += 1) {
+      const index = (this.cursor + step) % servers.length
+      const server = servers[index] as Server
+      if (server.load.occupancy(now) < server.room(now) * OVERCOMMIT) {
+        this.cursor = index
+        return true
+      }
     }
-    return free
+    return false
   }
 
   private tryToSend (entry: WaitingJob, isSuspect: boolean, input: DispatchInput): boolean {
     const { now } = input
     const isLong = this.isLong(entry)
+    const mayHold = now < entry.holdUntil
+    const isHeavy = this.options.shares.isHeavy(entry)
     const placement = this.options.placer.place(input.policy, {
       job: entry.job,
       weightsVersion: input.weightsVersionOf(entry.job.model),
       failedAt: entry.failedAt,
-      isOpen: server => this.isOpen(server, entry, isLong, isSuspect, now),
-      mayHold: now < entry.holdUntil,
+      isOpen: server => this.isOpen(server, { entry, isLong, isSuspect, isHeavy, mayHold, now }),
+      mayHold,
       serviceMs: input.serviceMs,
       now
     })
@@ -137,6 +163,7 @@
 
   private hold (entry: WaitingJob, placement: Placement, now: number): void {
     placement.server.held += 1
+    this.heldFor.add(placement.server)
     if (entry.holdUntil === Infinity) {
       const longest = (entry.latestStart - now) * HOLD_SHARE
       entry.holdUntil = now + Math.min(longest, LEAST_HOLD_MS + HOLD_FACTOR * placement.waitMs)
@@ -147,14 +174,27 @@
     return this.meanCost.samples > 0 && cost > LONG_FACTOR * this.meanCost.value
   }
 
-  private isOpen (server: Server, { job }: WaitingJob, isLong: boolean, isSuspect: boolean, now: number): boolean {
-    const isReserved = job.priority !== PriorityClass.Priority && this.hasPriorityWork(now)
-    const room = isReserved ? server.unreservedRoom(now) : server.room(now)
-    return server.load.occupancy(now) < room &&
+  private isOpen (server: Server, input: OpenInput): boolean {
+    const { isLong, isSuspect, now } = input
+    return server.load.occupancy(now) < this.roomAt(server, input) &&
       !(isLong && server.longRunning >= server.longRoom()) &&
       !(isSuspect && server.suspectsRunning > 0)
   }
 
+  private roomAt (server: Server, { entry, isHeavy, mayHold, now }: OpenInput): number {
+    if (entry.job.priority === PriorityClass.Priority) {
+      // The engine takes it before all that waits there.
+      return server.room(now) * OVERCOMMIT
+    }
+    if (isHeavy) {
+      return server.roomForHeavy(now)
+    }
+    if (this.hasPriorityWork(now)) {
+      return server.roomBesidePriority(now)
+    }
+    return server.room(now) * (mayHold ? 1 : OVERCOMMIT)
+  }
+
   /** Whether a request of the priority class came within the last seconds. */
   private hasPriorityWork (now: number): boolean {
     return this.priorityWork.value(now) * PRIORITY_FADE_MS > Math.exp(-1)
