--- a/packages/foxtaillever-load/src/__tests__/openaiClient.test.ts
+++ b/packages/foxtaillever-load/src/__tests__/openaiClient.test.ts
@@ -87,7 +87,7 @@
     // stream is broken, and not take the half it has for the whole.
     it('sees a broken stream as an error and not as an end', async t => {
       await withDeployment(async deployment => {
-        const headers = { 'x-non-idempotent': 'true', 'idempotency-key': 'order-1' }
+        const headers = { 'x-non-idempotent': 'true', 'idempotency-key': `${Date.now()}-order` }
         const stream = await connect(deployment).chat.completions.create({ model, messages, max_tokens: 5000, stream: true }, { headers })
         const error = await t.throwsAsync(async () => {
           for await (const chunk of stream) {
