--- a/packages/foxtaillever-fleet/src/claims/claimKeeper.ts
+++ b/packages/foxtaillever-fleet/src/claims/claimKeeper.ts
@@ -60,7 +60,8 @@
   private readonly batch = ClaimBatch.create()
   private readonly waiting = new Map<string, Waiting>()
   /** Given up after an append that may have taken effect; freed when they turn up. */
-  private readonly abandoned = new Set<string>()
+  private readonly abandoned = new Map<string, Cancellation>()
+  private stopped = false
   private isAppending = false
   private cancelAppend: Cancellation | undefined
   private appendAt = Number.POSITIVE_INFINITY
@@ -144,7 +145,7 @@
       this.finish(waiting, decisions[decision](waiting, decided))
       return
     }
-    if (this.abandoned.delete(claim.requestId) && decision === ClaimDecision.Won) {
+    if (this.forget(claim.requestId) && decision === ClaimDecision.Won) {
       this.addOutcome(claim, offset, Verdict.NotRun)
     }
   }
@@ -161,19 +162,40 @@
       return
     }
     if (!this.batch.withdraw(requestId)) {
-      this.abandoned.add(requestId)
-      this.clock.at(this.clock.now() + ABANDONED_KEPT_MS, () => this.abandoned.delete(requestId))
+      this.abandoned.set(requestId, this.clock.at(this.clock.now() + ABANDONED_KEPT_MS, () => this.abandoned.delete(requestId)))
     }
     this.finish(waiting, Left(Failure.notRun(FailureCode.LogUnavailable, 'The log did not confirm the claim in time; nothing was sent.')))
   }
 
+  /** Whether a claim was abandoned; it is not looked for any more. */
+  private forget (requestId: string): boolean {
+    this.abandoned.get(requestId)?.()
+    return this.abandoned.delete(requestId)
+  }
+
+  /**
+   * Writes the last outcomes, once, and sets no timer any more: with the log
+   * closed, a keeper that went on would hold a process that has ended. An
+   * outcome that stays unwritten reads "may have run" at the other instances.
+   */
+  async stop (): Promise<void> {
+    this.cancelAppend?.()
+    if (!this.isAppending) {
+      await this.append()
+    }
+    this.stopped = true
+    this.cancelAppend?.()
+    this.abandoned.forEach(cancel => cancel())
+    this.abandoned.clear()
+  }
+
   private addOutcome (claim: Claim, claimOffset: number, verdict: Verdict): void {
     this.batch.addOutcomes([{ key: claim.key, requestId: claim.requestId, claimOffset, verdict }])
     this.schedule()
   }
 
   private schedule (): void {
-    if (this.isAppending || this.batch.isEmpty()) {
+    if (this.stopped || this.isAppending || this.batch.isEmpty()) {
       return
     }
     const windowMs = this.batch.hasClaims() ? this.options.claimWindowMs : this.options.outcomeWindowMs
@@ -225,7 +247,7 @@
     this.pausedUntil = Math.max(failure.retryAt ?? 0, this.clock.now() + APPEND_PAUSE_MS)
     this.batch.addOutcomes(outcomes)
     if (failure.verdict === Verdict.NotRun) {
-      claims.filter(claim => !this.abandoned.delete(claim.requestId)).forEach(claim => this.batch.addClaim(claim))
+      claims.filter(claim => !this.forget(claim.requestId)).forEach(claim => this.batch.addClaim(claim))
     }
   }
 }
