--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -204,6 +204,7 @@
       await waitUntil(this.clock, this.clock.now() + SHUTDOWN_LOOK_MS)
     }
     this.core.endAll()
+    await this.claims.stop()
     this.watches.forEach(watch => watch.stop())
     await this.callers.http.close()
     await this.control?.close()
