Serve an entry instance from a settings file

The binary foxtaillever-router checks its settings, serves until SIGTERM or SIGINT and takes new member keys on SIGHUP. Settings gain the log's promised retention and how long claims are kept; peers are now gossip addresses, which is what joining needs (the control addresses were of no use there).

--- /dev/null
+++ b/packages/foxtaillever-router/src/commands/serve.ts
@@ -0,0 +1,88 @@
+import { randomInt } from 'node:crypto'
+import { Command, Option } from 'clipanion'
+import { SystemClock } from 'foxtaillever-core'
+import { formatComplaint, loadRouterSettings, type Complaint, type RouterSettings } from 'foxtaillever-settings'
+import { createInstanceOptions } from '../instance/createInstanceOptions.js'
+import { EntryInstance } from '../instance/entryInstance.js'
+
+/** What the process ends with. */
+export enum ExitCode {
+  /** Told to stop, and every answer in flight was given its last word. */
+  Done = 0,
+  /** A port is taken or an address is not this machine's. */
+  CannotListen = 1,
+  /** The command line is wrong. */
+  Usage = 2,
+  /** The settings are refused; nothing was started. */
+  InvalidSettings = 3
+}
+
+const SEED_BOUND = 2 ** 31
+
+export class ServeCommand extends Command {
+  static override paths = [Command.Default]
+  static override usage = Command.Usage({
+    description: 'Serve as one entry instance until told to stop.',
+    details: `
+      Reads its settings, joins the other instances and serves callers. SIGTERM or
+      SIGINT begins a graceful stop: nothing new is taken, what is in flight is
+      finished, at the latest at limits.drainTimeoutMs. SIGHUP reads the settings
+      again and puts new member keys in force without a restart.
+
+      Exit codes: 0 stopped as told, 1 cannot listen, 2 wrong command line,
+      3 settings refused.
+    `,
+    examples: [
+      ['Serve', '$0 --settings router.jsonc'],
+      ['Only check the settings', '$0 --settings router.jsonc --check']
+    ]
+  })
+
+  settings = Option.String('--settings', { required: true, description: 'File of settings, JSON with comments.' })
+  check = Option.Boolean('--check', false, { description: 'Check the settings and end.' })
+
+  async execute (): Promise<number> {
+    const loaded = await loadRouterSettings(this.settings)
+    return await loaded.caseOf({
+      Left: async complaints => {
+        this.complain(complaints)
+        return ExitCode.InvalidSettings
+      },
+      Right: async settings => this.check ? this.approve() : await this.serve(settings)
+    })
+  }
+
+  private complain (complaints: readonly Complaint[]): void {
+    complaints.forEach(complaint => this.context.stderr.write(`${formatComplaint(complaint)}\n`))
+  }
+
+  private approve (): ExitCode {
+    this.context.stdout.write(`${this.settings} is in order.\n`)
+    return ExitCode.Done
+  }
+
+  private async serve (settings: RouterSettings): Promise<ExitCode> {
+    const instance = EntryInstance.create(createInstanceOptions(settings, SystemClock.create(), randomInt(SEED_BOUND)))
+    try {
+      await instance.start()
+    } catch (error) {
+      this.context.stderr.write(`Cannot listen: ${(error as Error).message}. Mend the addresses in ${this.settings} or free the port.\n`)
+      return ExitCode.CannotListen
+    }
+    process.on('SIGHUP', () => this.reload(instance))
+    await new Promise<void>(resolve => {
+      process.once('SIGTERM', resolve)
+      process.once('SIGINT', resolve)
+    })
+    await instance.stop()
+    return ExitCode.Done
+  }
+
+  /** Settings that are wrong now change nothing; the instance goes on with those it has. */
+  private async reload (instance: EntryInstance): Promise<void> {
+    const loaded = await loadRouterSettings(this.settings)
+    loaded
+      .ifLeft(complaints => this.complain(complaints))
+      .ifRight(settings => instance.replaceKeys(settings.memberKeys.map(({ id, secret }) => ({ id, secret: secret.reveal() }))))
+  }
+}
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto'
 import { SeededRandom, SystemClock, waitUntil, type Clock, type Configuration, type Random } from 'foxtaillever-core'
 import { Operators } from 'foxtaillever-control'
-import { ClaimFold, ClaimKeeper, createPeerRouter, defaultClaimOptions, Fleet, KeyRing, TrpcPeers, UdpDatagrams } from 'foxtaillever-fleet'
+import { ClaimFold, ClaimKeeper, createPeerRouter, defaultClaimOptions, Fleet, KeyRing, Permission, TrpcPeers, UdpDatagrams, type Key } from 'foxtaillever-fleet'
 import { ServiceGate } from 'foxtaillever-policy'
 import { InstanceListClient } from '../adapters/instanceListClient.js'
 import { LogClient } from '../adapters/logClient.js'
@@ -188,6 +188,12 @@
     this.options.logs.write('info', Part.Fleet, 'A configuration is in force.', { revision: configuration.revision, preset: configuration.presetInForce })
   }
 
+  /** Puts new keys between instances in force at once; the first one signs. */
+  replaceKeys (keys: ReadonlyArray<Pick<Key, 'id' | 'secret'>>): void {
+    this.keys.replace(keys.map(key => ({ ...key, permissions: [Permission.Join] })))
+    this.options.logs.write('info', Part.Process, 'New member keys are in force.', { keys: keys.map(({ id }) => id).join(' ') })
+  }
+
   /** Requests and plain calls that still wait for their answer. */
   private inFlight (): number {
     return this.core.inFlight() + this.plain.inFlight()
--- a/packages/foxtaillever-settings/src/router/checkRouterFile.ts
+++ b/packages/foxtaillever-settings/src/router/checkRouterFile.ts
@@ -29,10 +29,10 @@
   ? [{ path: ['control', 'port'], problem: `control.port is ${control.port}, which listen already uses.`, mend: 'Give operators a port of their own, which callers cannot reach.' }]
   : []
 
-const checkPeers: Check = ({ peers, control }) => [
+const checkPeers: Check = ({ peers, gossip }) => [
   ...findRepeats(peers, peer => peer).map(index => ({ path: ['peers', index], problem: `peers[${index}] is listed twice.`, mend: 'Keep one of the two.' })),
-  ...peers.flatMap((peer, index) => peer === addressOf(control)
-    ? [{ path: ['peers', index], problem: `peers[${index}] is this instance itself.`, mend: 'List the control addresses of other instances.' }]
+  ...peers.flatMap((peer, index) => peer === addressOf(gossip)
+    ? [{ path: ['peers', index], problem: `peers[${index}] is this instance itself.`, mend: 'List the gossip addresses of other instances.' }]
     : [])
 ]
 
--- a/packages/foxtaillever-settings/src/router/routerSchema.ts
+++ b/packages/foxtaillever-settings/src/router/routerSchema.ts
@@ -29,9 +29,20 @@
   }).strict().describe(what)
 }
 
+/** Snapshots of the configuration must be written and read within it. */
+const SHORTEST_RETENTION_MS = 60_000
+
+/** Ten years; longer ones are microseconds mistaken for milliseconds. */
+const LONGEST_RETENTION_MS = 315_360_000_000
+
+function retention (what: string): z.ZodNumber {
+  return z.number().int().min(SHORTEST_RETENTION_MS).max(LONGEST_RETENTION_MS).describe(`${what}, milliseconds.`)
+}
+
 const platform = z.object({
   logAddress: formatted(Format.Address).describe('IP number and port of the append-only log.'),
-  listAddress: formatted(Format.Address).describe('IP number and port of the list of instances.')
+  listAddress: formatted(Format.Address).describe('IP number and port of the list of instances.'),
+  logRetentionMs: retention('The log keeps records at least this long').default(3_600_000)
 }).strict().describe('Where the platform is.')
 
 const operator = z.object({
@@ -65,11 +76,12 @@
   listen: endpoint('Where callers reach it.'),
   control: endpoint('Where operators and other entry instances reach it.'),
   gossip: endpoint('Where other entry instances send their state, UDP.'),
-  peers: z.array(formatted(Format.Address)).default([]).describe('Control addresses of some other entry instances.'),
+  peers: z.array(formatted(Format.Address)).default([]).describe('Gossip addresses of some other entry instances; the rest are learnt from them.'),
   platform,
   operators: z.array(operator).min(1).describe('Who may use the control port.'),
   memberKeys: z.array(memberKey).min(1).describe('Keys by which entry instances know each other; the first signs, each is accepted.'),
   logLevel: z.nativeEnum(LogLevel).default(LogLevel.Info).describe('Least level of a line that is logged.'),
+  claimKeptMs: retention('Claims of non-idempotent requests are remembered this long; older keys are refused').default(3_600_000),
   limits: limits.default({}),
   distances: z.array(distance).default([]).describe('One way between each two failure domains.')
 }).strict()
--- a/packages/foxtaillever-settings/src/router/routerSettings.ts
+++ b/packages/foxtaillever-settings/src/router/routerSettings.ts
@@ -37,6 +37,8 @@
   readonly logAddress: string
   /** IP number and port of the list of instances. */
   readonly listAddress: string
+  /** It keeps records at least this long. */
+  readonly logRetentionMs: number
 }
 
 export interface Limits {
@@ -65,13 +67,15 @@
   readonly control: Endpoint
   /** UDP, between entry instances. */
   readonly gossip: Endpoint
-  /** Control addresses of some other entry instances, to find the rest by. */
+  /** Gossip addresses of some other entry instances, to find the rest by. */
   readonly peers: readonly string[]
   readonly platform: Platform
   readonly operators: readonly Operator[]
   /** The first signs; each is accepted. */
   readonly memberKeys: readonly MemberKey[]
   readonly logLevel: LogLevel
+  /** Claims of non-idempotent requests are remembered this long; older keys are refused. */
+  readonly claimKeptMs: number
   readonly limits: Limits
   readonly distances: readonly Distance[]
 }
