--- a/packages/foxtaillever-router/src/core/routerCore.ts
+++ b/packages/foxtaillever-router/src/core/routerCore.ts
@@ -12,12 +12,12 @@
 import { Attempts } from './attempts.js'
 import { checkClaimable, createClaim, noClaims, type Claims } from './claimDesk.js'
 import { Invariant, Invariants } from './invariants.js'
-import { noObserver, type RequestObserver } from '../telemetry/requestObserver.js'
 import { Loop } from './loop.js'
 import { createRow, RequestState, type RequestRow, type Responder, type StreamPosition, type Submission } from './request.js'
 import { allSafeguards, Safeguard, type Safeguards } from './safeguards.js'
 import { ServerWords } from './serverWords.js'
 import { worseVerdict } from './worseVerdict.js'
+import { noObserver, type RequestObserver } from '../telemetry/requestObserver.js'
 
 export interface RouterCoreOptions {
   readonly clock: Clock
@@ -28,7 +28,9 @@
   /** Claims of non-idempotent requests; without it none is sent. */
   readonly claims?: Claims
   readonly invariants?: Invariants
-  /** Is told what becomes of each request; without it nobody is. */
+  /** One way from this instance to other failure domains, milliseconds. */
+  readonly distancesMs?: Readonly<Record<string, number>>
+  /** Hears what becomes of each request. */
   readonly observer?: RequestObserver
   /** Other than all of them in tests alone. */
   readonly safeguards?: Safeguards
@@ -37,23 +39,24 @@
 export class RouterCore {
   readonly invariants: Invariants
   private readonly requests = new Map<string, RequestRow>()
-  private readonly scheduler: Scheduler
+  /** Open to the exchange of soft state with other instances. */
+  readonly scheduler: Scheduler
+  private readonly observer: RequestObserver
   private readonly loop: Loop
   private readonly claims: Claims
   private readonly words: ServerWords
   private readonly attempts: Attempts
   private readonly safeguards: Safeguards
-  private readonly observer: RequestObserver
   private configuration: Configuration | undefined
 
   private constructor (private readonly options: RouterCoreOptions) {
-    const { clock, random, failureDomain, engineOf } = options
+    const { clock, random, failureDomain, engineOf, distancesMs } = options
+    this.observer = options.observer ?? noObserver
     this.invariants = options.invariants ?? Invariants.create()
     this.safeguards = options.safeguards ?? allSafeguards
     this.claims = options.claims ?? noClaims
-    this.observer = options.observer ?? noObserver
     this.words = ServerWords.create(this.safeguards[Safeguard.AtOnceDrain])
-    this.scheduler = Scheduler.create({ random, failureDomain })
+    this.scheduler = Scheduler.create({ random, failureDomain, distancesMs })
     this.attempts = Attempts.create({
       clock,
       engineOf,
@@ -119,16 +122,17 @@
 
   /** Takes a request in; every outcome, refusals too, goes to the responder. */
   submit (submission: Submission, responder: Responder): void {
-    this.observer.arrived(submission.job)
+    const { job } = submission
+    this.observer.arrived(job)
     checkClaimable(submission, this.options.claims)
-      .chain(() => this.scheduler.offer(submission.job, this.options.clock.now()))
+      .chain(() => this.scheduler.offer(job, this.options.clock.now()))
       .caseOf({
         Left: failure => {
-          this.observer.refused(submission.job, failure.code, failure)
+          this.observer.refused(job, failure.code, failure)
           responder.failed(failure)
         },
         Right: () => {
-          this.requests.set(submission.job.id, createRow(submission, responder, true))
+          this.requests.set(job.id, createRow(submission, responder, true))
           this.loop.wake()
         }
       })
@@ -159,8 +163,8 @@
       row.stream?.cancel()
     }
     this.withdraw(row)
-    this.observer.cancelled(row.submission.job, row.server)
     this.close(row, this.verdictOf(row))
+    this.observer.cancelled(row.submission.job, row.server)
   }
 
   /** The caller reads again. */
@@ -234,16 +238,13 @@
     const verdict = worseVerdict(row.verdict, failure.verdict)
     this.invariants.check(Invariant.NotRunProven, verdict !== Verdict.NotRun || !row.isUnproven, () => row.submission.job.id)
     this.close(row, verdict)
-    this.tellFailure(row, failure.withVerdict(verdict), rule)
-    row.responder.failed(failure.withVerdict(verdict))
-  }
-
-  private tellFailure (row: RequestRow, failure: Failure, rule: string): void {
-    if (failure.verdict === Verdict.NotRun) {
-      this.observer.refused(row.submission.job, rule, failure)
+    const last = failure.withVerdict(verdict)
+    if (verdict === Verdict.NotRun) {
+      this.observer.refused(row.submission.job, rule, last)
     } else {
-      this.observer.failed(row.submission.job, row.server, failure)
+      this.observer.failed(row.submission.job, row.server, last)
     }
+    row.responder.failed(last)
   }
 
   private assign (assignment: Assignment): void {
@@ -310,19 +311,19 @@
   private onStarted (row: RequestRow, start: StreamStart): void {
     if (row.isScheduled) {
       this.scheduler.started(row.submission.job.id, start, this.options.clock.now())
+      this.observer.started(row.submission.job, row.server, start)
     }
     // Headers go out once, however many tries and resumes the answer takes.
     if (!row.isAnswering) {
       row.isAnswering = true
-      this.observer.started(row.submission.job, row.server, start)
       row.responder.started(start, row.server)
     }
   }
 
   private onToken (row: RequestRow, sequence: number, data: string): void {
     if (sequence === 1) {
-      this.observer.firstToken(row.submission.job, row.server)
       this.scheduler.firstToken(row.submission.job.id, this.options.clock.now())
+      this.observer.firstToken(row.submission.job, row.server)
     }
     if (!row.responder.token(sequence, data)) {
       row.stream?.pause()
