Run an entry instance from its settings file

Settings now name the log's retention and how long claims are remembered; a claim that would outlive the log is a contradiction, since a request could then run twice. Peers are named by their gossip address, as the fleet wants.

--- /dev/null
+++ b/packages/foxtaillever-router/src/instance/createEntryInstanceOptions.ts
@@ -0,0 +1,38 @@
+/** What an entry instance is told at its start, from its settings. */
+import { randomInt } from 'node:crypto'
+import type { Clock } from 'foxtaillever-core'
+import { Permission } from 'foxtaillever-fleet'
+import type { RouterSettings } from 'foxtaillever-settings'
+import { Logs } from '../telemetry/logs.js'
+import type { EntryInstanceOptions } from './entryInstanceOptions.js'
+
+const SEEDS = 2 ** 31
+
+/** One way from the instance's own failure domain to each other. */
+function distancesFrom ({ failureDomain, distances }: RouterSettings): Record<string, number> {
+  const own = distances.filter(({ between }) => between.includes(failureDomain))
+  return Object.fromEntries(own.map(({ between: [one, other], oneWayMs }) => [one === failureDomain ? other : one, oneWayMs]))
+}
+
+export function createEntryInstanceOptions (settings: RouterSettings, clock: Clock): EntryInstanceOptions {
+  const { name, failureDomain, listen, control, gossip, peers, operators, memberKeys, platform, limits, logLevel } = settings
+  return {
+    name,
+    failureDomain,
+    listen,
+    control,
+    gossip,
+    seeds: peers,
+    keys: memberKeys.map(({ id, secret }) => ({ id, secret: secret.reveal(), permissions: [Permission.Join] })),
+    operators,
+    logAddress: platform.logAddress,
+    listAddress: platform.listAddress,
+    distancesMs: distancesFrom(settings),
+    limits,
+    logs: Logs.create({ instance: name, level: logLevel, clock }),
+    // Instances that drew alike would choose alike and herd onto one server.
+    seed: randomInt(SEEDS),
+    logRetentionMs: platform.logRetentionMs,
+    claimKeptMs: limits.claimKeptMs
+  }
+}
--- a/packages/foxtaillever-settings/src/__tests__/badRouterSettings.test.ts
+++ b/packages/foxtaillever-settings/src/__tests__/badRouterSettings.test.ts
@@ -11,8 +11,8 @@
   listen: '{ "host": "10.0.0.1", "port": 8080 }',
   control: '{ "host": "10.0.0.1", "port": 8081 }',
   gossip: '{ "host": "10.0.0.1", "port": 8082 }',
-  peers: '["10.0.0.2:8081"]',
-  platform: '{ "logAddress": "10.0.0.9:7000", "listAddress": "10.0.0.9:7001" }',
+  peers: '["10.0.0.2:8082"]',
+  platform: '{ "logAddress": "10.0.0.9:7000", "listAddress": "10.0.0.9:7001", "logRetentionMs": 86400000 }',
   operators: `[{ "name": "ana", "tokenDigests": ["${digest}"] }]`,
   memberKeys: `[{ "id": "one", "key": "${key}" }]`
 }
@@ -36,8 +36,8 @@
   },
   {
     title: 'an unknown setting that resembles none',
-    changes: { platform: '{ "logAddress": "10.0.0.9:7000", "listAddress": "10.0.0.9:7001", "zookeeper": "x" }' },
-    messages: ['r.jsonc:8:80: platform.zookeeper is not a setting. Known here: logAddress, listAddress.']
+    changes: { platform: '{ "logAddress": "10.0.0.9:7000", "listAddress": "10.0.0.9:7001", "logRetentionMs": 86400000, "zookeeper": "x" }' },
+    messages: ['r.jsonc:8:108: platform.zookeeper is not a setting. Known here: logAddress, listAddress, logRetentionMs.']
   },
   {
     title: 'a missing setting',
@@ -116,8 +116,13 @@
   },
   {
     title: 'itself among its peers',
-    changes: { peers: '["10.0.0.1:8081"]' },
-    messages: ['r.jsonc:7:13: peers[0] is this instance itself. List the control addresses of other instances.']
+    changes: { peers: '["10.0.0.1:8082"]' },
+    messages: ['r.jsonc:7:13: peers[0] is this instance itself. List the gossip addresses of other instances.']
+  },
+  {
+    title: 'claims that outlive the log',
+    changes: { limits: '{ "claimKeptMs": 90000000 }' },
+    messages: ['r.jsonc:11:15: limits.claimKeptMs is 90000000, but the log keeps records for 86400000 only, so a request could run twice. Write less than platform.logRetentionMs; half of it is usual.']
   },
   {
     title: 'a failure domain that the distances do not name',
--- a/packages/foxtaillever-settings/src/router/checkRouterFile.ts
+++ b/packages/foxtaillever-settings/src/router/checkRouterFile.ts
@@ -29,13 +29,22 @@
   ? [{ path: ['control', 'port'], problem: `control.port is ${control.port}, which listen already uses.`, mend: 'Give operators a port of their own, which callers cannot reach.' }]
   : []
 
-const checkPeers: Check = ({ peers, control }) => [
+const checkPeers: Check = ({ peers, gossip }) => [
   ...findRepeats(peers, peer => peer).map(index => ({ path: ['peers', index], problem: `peers[${index}] is listed twice.`, mend: 'Keep one of the two.' })),
-  ...peers.flatMap((peer, index) => peer === addressOf(control)
-    ? [{ path: ['peers', index], problem: `peers[${index}] is this instance itself.`, mend: 'List the control addresses of other instances.' }]
+  ...peers.flatMap((peer, index) => peer === addressOf(gossip)
+    ? [{ path: ['peers', index], problem: `peers[${index}] is this instance itself.`, mend: 'List the gossip addresses of other instances.' }]
     : [])
 ]
 
+/** A claim that the log forgets first could be won twice. */
+const checkClaims: Check = ({ limits, platform }) => limits.claimKeptMs < platform.logRetentionMs
+  ? []
+  : [{
+      path: ['limits', 'claimKeptMs'],
+      problem: `limits.claimKeptMs is ${limits.claimKeptMs}, but the log keeps records for ${platform.logRetentionMs} only, so a request could run twice.`,
+      mend: 'Write less than platform.logRetentionMs; half of it is usual.'
+    }]
+
 const checkOperators: Check = ({ operators }) => {
   const digests = operators.flatMap(({ tokenDigests }, operator) => tokenDigests.map((digest, index) => ({ digest, path: ['operators', operator, 'tokenDigests', index] })))
   return [
@@ -77,7 +86,7 @@
   ]
 }
 
-const checks: readonly Check[] = [checkReachable, checkPorts, checkPeers, checkOperators, checkMemberKeys, checkDistances]
+const checks: readonly Check[] = [checkReachable, checkPorts, checkPeers, checkClaims, checkOperators, checkMemberKeys, checkDistances]
 
 export function checkRouterFile (file: RouterFile, environment: Environment): readonly Finding[] {
   return checks.flatMap(check => check(file, environment))
--- a/packages/foxtaillever-settings/src/router/routerSchema.ts
+++ b/packages/foxtaillever-settings/src/router/routerSchema.ts
@@ -12,6 +12,12 @@
 /** A day; nothing here waits longer. */
 const LONGEST_TIMEOUT_MS = 86_400_000
 
+/** A log that forgets sooner could not carry a configuration through an outage. */
+const SHORTEST_RETENTION_MS = 60_000
+
+/** Callers send again within this at least. */
+const SHORTEST_CLAIM_MS = 1000
+
 /** A chat request of a few tokens fits; smaller limits are megabytes mistaken for bytes. */
 const SMALLEST_BODY_BYTES = 1024
 
@@ -31,7 +37,8 @@
 
 const platform = z.object({
   logAddress: formatted(Format.Address).describe('IP number and port of the append-only log.'),
-  listAddress: formatted(Format.Address).describe('IP number and port of the list of instances.')
+  listAddress: formatted(Format.Address).describe('IP number and port of the list of instances.'),
+  logRetentionMs: z.number().int().min(SHORTEST_RETENTION_MS).describe('How long the log keeps records, milliseconds.')
 }).strict().describe('Where the platform is.')
 
 const operator = z.object({
@@ -50,7 +57,8 @@
   headerBytes: z.number().int().min(1024).max(1024 * 1024).default(16 * 1024).describe('Largest headers of a request, bytes.'),
   idleTimeoutMs: timeout('A connection with nothing sent either way is closed after this').default(75_000),
   arrivalTimeoutMs: timeout('A request that takes longer to arrive is refused').default(10_000),
-  drainTimeoutMs: timeout('How long a leaving instance lets requests in flight go on').default(60_000)
+  drainTimeoutMs: timeout('How long a leaving instance lets requests in flight go on').default(60_000),
+  claimKeptMs: z.number().int().min(SHORTEST_CLAIM_MS).default(3_600_000).describe('How long the claim of a non-idempotent request is remembered, milliseconds; a caller may send it again within.')
 }).strict().describe('Limits on what one caller can hold.')
 
 const distance = z.object({
@@ -65,7 +73,7 @@
   listen: endpoint('Where callers reach it.'),
   control: endpoint('Where operators and other entry instances reach it.'),
   gossip: endpoint('Where other entry instances send their state, UDP.'),
-  peers: z.array(formatted(Format.Address)).default([]).describe('Control addresses of some other entry instances.'),
+  peers: z.array(formatted(Format.Address)).default([]).describe('Gossip addresses of some other entry instances; the rest are learnt from them.'),
   platform,
   operators: z.array(operator).min(1).describe('Who may use the control port.'),
   memberKeys: z.array(memberKey).min(1).describe('Keys by which entry instances know each other; the first signs, each is accepted.'),
--- a/packages/foxtaillever-settings/src/router/routerSettings.ts
+++ b/packages/foxtaillever-settings/src/router/routerSettings.ts
@@ -37,6 +37,8 @@
   readonly logAddress: string
   /** IP number and port of the list of instances. */
   readonly listAddress: string
+  /** How long the log keeps records. */
+  readonly logRetentionMs: number
 }
 
 export interface Limits {
@@ -48,6 +50,8 @@
   readonly arrivalTimeoutMs: number
   /** How long a leaving instance lets requests in flight go on. */
   readonly drainTimeoutMs: number
+  /** How long the claim of a non-idempotent request is remembered. */
+  readonly claimKeptMs: number
 }
 
 /** One way between two failure domains. */
@@ -65,7 +69,7 @@
   readonly control: Endpoint
   /** UDP, between entry instances. */
   readonly gossip: Endpoint
-  /** Control addresses of some other entry instances, to find the rest by. */
+  /** Gossip addresses of some other entry instances, to find the rest by. */
   readonly peers: readonly string[]
   readonly platform: Platform
   readonly operators: readonly Operator[]
