--- /dev/null
+++ b/packages/foxtaillever/src/__fixtures__/readTranscript.ts
@@ -0,0 +1,34 @@
+/**
+ * Reads the transcripts of a page: blocks marked `console`, in which a line
+ * with `$` is a command and the lines below are what it prints.
+ */
+export interface Step {
+  readonly command: string
+  readonly output: string
+}
+
+const BLOCK = /```console\n([\s\S]*?)```/g
+
+export function readTranscript (page: string): readonly Step[] {
+  const blocks = [...page.matchAll(BLOCK)].map(match => match[1] ?? '')
+  return blocks.flatMap(block => block.split(/^\$ /m).slice(1)).map(step => {
+    const [command = '', ...lines] = step.split('\n')
+    return { command, output: lines.join('\n') }
+  })
+}
+
+/** Words of a command line, with quotes as a shell reads them. */
+export function splitWords (command: string): readonly string[] {
+  const words = command.match(/(?:'[^']*'|"[^"]*"|[^\s'"])+/g) ?? []
+  return words.map(word => word.replace(/'([^']*)'|"([^"]*)"/g, (_, single?: string, double?: string) => single ?? double ?? ''))
+}
+
+/** What may differ from run to run: ports, times, digests, numbers and the width of columns. */
+export function withoutNumbers (text: string): string {
+  return text
+    .replace(/\.[0-9a-f]{8}\b/g, '.ID')
+    .replace(/\d+/g, 'N')
+    .replace(/N\.N/g, 'N')
+    .replace(/[ \t]+/g, ' ')
+    .trim()
+}
