--- a/packages/foxtaillever-router/src/commands/serve.ts
+++ b/packages/foxtaillever-router/src/commands/serve.ts
@@ -1,8 +1,7 @@
-import { randomInt } from 'node:crypto'
 import { Command, Option } from 'clipanion'
 import { SystemClock } from 'foxtaillever-core'
 import { formatComplaint, loadRouterSettings, type Complaint, type RouterSettings } from 'foxtaillever-settings'
-import { createInstanceOptions } from '../instance/createInstanceOptions.js'
+import { createEntryInstanceOptions } from '../instance/createEntryInstanceOptions.js'
 import { EntryInstance } from '../instance/entryInstance.js'
 
 /** What the process ends with. */
@@ -17,10 +16,8 @@
   InvalidSettings = 3
 }
 
-const SEED_BOUND = 2 ** 31
-
 export class ServeCommand extends Command {
-  static override paths = [Command.Default]
+  static override paths = [Command.Default, ['serve']]
   static override usage = Command.Usage({
     description: 'Serve as one entry instance until told to stop.',
     details: `
@@ -33,16 +30,16 @@
       3 settings refused.
     `,
     examples: [
-      ['Serve', '$0 --settings router.jsonc'],
-      ['Only check the settings', '$0 --settings router.jsonc --check']
+      ['Serve', '$0 router.jsonc'],
+      ['Only check the settings', '$0 router.jsonc --check']
     ]
   })
 
-  settings = Option.String('--settings', { required: true, description: 'File of settings, JSON with comments.' })
+  settings = Option.String({ name: 'settings' })
   check = Option.Boolean('--check', false, { description: 'Check the settings and end.' })
 
   async execute (): Promise<number> {
-    const loaded = await loadRouterSettings(this.settings)
+    const loaded = await loadRouterSettings(this.settings, this.context.env)
     return await loaded.caseOf({
       Left: async complaints => {
         this.complain(complaints)
@@ -62,7 +59,7 @@
   }
 
   private async serve (settings: RouterSettings): Promise<ExitCode> {
-    const instance = EntryInstance.create(createInstanceOptions(settings, SystemClock.create(), randomInt(SEED_BOUND)))
+    const instance = EntryInstance.create(createEntryInstanceOptions(settings, SystemClock.create()))
     try {
       await instance.start()
     } catch (error) {
@@ -80,7 +77,7 @@
 
   /** Settings that are wrong now change nothing; the instance goes on with those it has. */
   private async reload (instance: EntryInstance): Promise<void> {
-    const loaded = await loadRouterSettings(this.settings)
+    const loaded = await loadRouterSettings(this.settings, this.context.env)
     loaded
       .ifLeft(complaints => this.complain(complaints))
       .ifRight(settings => instance.replaceKeys(settings.memberKeys.map(({ id, secret }) => ({ id, secret: secret.reveal() }))))
--- a/packages/foxtaillever-settings/src/configuration/validateConfiguration.ts
+++ b/packages/foxtaillever-settings/src/configuration/validateConfiguration.ts
@@ -14,16 +14,19 @@
   return entry
 }
 
-/** The file that would give this configuration; what operators set by commands is written out. */
+/**
+ * The file that would give this configuration. What operators set by commands
+ * (preset in force, drained servers) is left out, so that publishing the file
+ * on another day does not undo what they did since.
+ */
 export function createConfigurationFile (configuration: Configuration): ConfigurationFile {
-  const { accounts, servers, models, services, presets, presetInForce } = configuration
+  const { accounts, servers, models, services, presets } = configuration
   const file = {
     accounts: pipe(accounts, R.map(withoutName)),
-    servers: pipe(servers, R.map(withoutName)),
+    servers: pipe(servers, R.map(({ name, state, ...server }) => server)),
     models: pipe(models, R.map(withoutName)),
     services: pipe(services, R.map(withoutName)),
-    presets: pipe(presets, R.map(withoutName)),
-    presetInForce
+    presets: pipe(presets, R.map(withoutName))
   }
   return file as unknown as ConfigurationFile
 }
