--- /dev/null
+++ b/packages/foxtaillever-load/src/speed/measureGrowth.ts
@@ -0,0 +1,96 @@
+/**
+ * How the router's processor time grows with connections, accounts, workers and
+ * prompt length: the exponent of the growth between the smallest and the largest
+ * size, 1 for linear, 0 for none.
+ */
+import { createFigure, type Figure } from './figure.js'
+import type { Bench, SegmentLoad } from './bench.js'
+import { SMALL_SIZE, type SpeedSize } from './speedShape.js'
+import { SubjectKind } from './subject.js'
+import { BEAT_MS } from './upstream.js'
+
+/** Linear, with room for the noise of a shared machine. */
+const TARGET_EXPONENT = 1.1
+
+const SECONDS = 2
+const BASE: SegmentLoad = { requestsPerSecond: 50, seconds: SECONDS, tokens: 8, promptTokens: 1024 }
+
+interface Point {
+  readonly size: number
+  readonly cpuMs: number
+}
+
+function exponentOf (points: readonly Point[]): number {
+  const first = points[0]
+  const last = points.at(-1)
+  return first && last ? Math.log(last.cpuMs / first.cpuMs) / Math.log(last.size / first.size) : Number.NaN
+}
+
+function growthFigures (name: string, unit: string, points: readonly Point[]): Figure[] {
+  return [
+    ...points.map(point => createFigure(`${name}: ${point.size}`, [point.cpuMs], unit)),
+    createFigure(`${name}: exponent of growth`, [exponentOf(points)], '', TARGET_EXPONENT)
+  ]
+}
+
+async function onRouter<Value> (bench: Bench, size: SpeedSize, run: (subject: Awaited<ReturnType<Bench['start']>>) => Promise<Value>): Promise<Value> {
+  const subject = await bench.start(SubjectKind.Router, size)
+  try {
+    return await run(subject)
+  } finally {
+    subject.stop()
+  }
+}
+
+/** Streams open at once, each of the same token rate; the cost is that of a second. */
+async function measureConnections (bench: Bench): Promise<Figure[]> {
+  const points = await onRouter(bench, SMALL_SIZE, async subject => {
+    const measured: Point[] = []
+    for (const size of [20, 80, 320]) {
+      const tokens = SECONDS * 1000 / BEAT_MS
+      const { cpuMsPerRequest, sent } = await subject.load({ requestsPerSecond: size / SECONDS, seconds: SECONDS, tokens, promptTokens: 256 })
+      measured.push({ size, cpuMs: cpuMsPerRequest * sent })
+    }
+    return measured
+  })
+  return growthFigures('connections streaming at once', 'ms in all', points)
+}
+
+async function measureSizes (bench: Bench, name: string, sizes: readonly SpeedSize[], sizeOf: (size: SpeedSize) => number): Promise<Figure[]> {
+  const points: Point[] = []
+  const idle: Figure[] = []
+  for (const size of sizes) {
+    await onRouter(bench, size, async subject => {
+      points.push({ size: sizeOf(size), cpuMs: (await subject.load(BASE)).cpuMsPerRequest })
+      idle.push(createFigure(`${name}: ${sizeOf(size)}, idle`, [subject.idleCpuMs], 'ms a second'))
+    })
+  }
+  return [...growthFigures(name, 'ms a request', points), ...idle]
+}
+
+async function measurePrompts (bench: Bench): Promise<Figure[]> {
+  return await onRouter(bench, SMALL_SIZE, async subject => {
+    const points: Point[] = []
+    const blocks: Figure[] = []
+    for (const promptTokens of [1024, 8192, 65_536]) {
+      const { cpuMsPerRequest, usage } = await subject.load({ ...BASE, requestsPerSecond: 10, promptTokens })
+      points.push({ size: promptTokens, cpuMs: cpuMsPerRequest })
+      blocks.push(createFigure(`longest stop of the event loop, prompts of ${promptTokens} tokens`, [usage.longestBlockMs], 'ms', TARGET_BLOCK_MS))
+    }
+    return [...growthFigures('prompt tokens', 'ms a request', points), ...blocks]
+  })
+}
+
+/** From the issue that asks for these measurements. */
+const TARGET_BLOCK_MS = 10
+
+export async function measureGrowth (bench: Bench): Promise<Figure[]> {
+  const workers = [6, 67, 670].map(count => ({ ...SMALL_SIZE, workers: count }))
+  const accounts = [8, 170, 1700].map(count => ({ ...SMALL_SIZE, accounts: count }))
+  return [
+    ...await measureConnections(bench),
+    ...await measureSizes(bench, 'workers', workers, size => size.workers),
+    ...await measureSizes(bench, 'client accounts', accounts, size => size.accounts),
+    ...await measurePrompts(bench)
+  ]
+}
