Let the claim keeper end: last outcomes until a stored deadline, no timer left

Cause: an entry instance that had stopped kept its process alive, as the keeper retried its last outcomes against a closed log for ever. The test of the unmodified client library did not exit.

--- a/packages/foxtaillever-fleet/src/claims/claimKeeper.ts
+++ b/packages/foxtaillever-fleet/src/claims/claimKeeper.ts
@@ -5,7 +5,7 @@
  * guessing.
  */
 import {
-  Failure, FailureCode, RecordKind, Verdict,
+  Failure, FailureCode, RecordKind, Verdict, waitUntil,
   type Cancellation, type Clock, type Log, type LogPage, type LogRecord
 } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
@@ -59,8 +59,9 @@
 export class ClaimKeeper {
   private readonly batch = ClaimBatch.create()
   private readonly waiting = new Map<string, Waiting>()
-  /** Given up after an append that may have taken effect; freed when they turn up. */
-  private readonly abandoned = new Set<string>()
+  /** Given up after an append that may have taken effect, each with the instant until which it may turn up. */
+  private readonly abandoned = new Map<string, number>()
+  private isStopped = false
   private isAppending = false
   private cancelAppend: Cancellation | undefined
   private appendAt = Number.POSITIVE_INFINITY
@@ -120,6 +121,28 @@
     }
   }
 
+  /**
+   * Writes the last outcomes, at the latest until the deadline; what is not
+   * written stays "may have run" for all others.
+   */
+  async stop (deadline: number): Promise<void> {
+    while ((this.isAppending || !this.batch.isEmpty()) && this.clock.now() < deadline) {
+      this.flush()
+      await waitUntil(this.clock, this.clock.now() + this.options.claimWindowMs)
+    }
+    this.isStopped = true
+    this.cancelAppend?.()
+  }
+
+  /** Appends without waiting for a claim to travel with. */
+  private flush (): void {
+    const now = this.clock.now()
+    if (!this.isAppending && !this.batch.isEmpty() && now >= this.pausedUntil) {
+      this.cancelAppend?.()
+      this.append()
+    }
+  }
+
   /** Requests that wait for their claim. */
   size (): number {
     return this.waiting.size
@@ -161,19 +184,29 @@
       return
     }
     if (!this.batch.withdraw(requestId)) {
-      this.abandoned.add(requestId)
-      this.clock.at(this.clock.now() + ABANDONED_KEPT_MS, () => this.abandoned.delete(requestId))
+      this.abandon(requestId)
     }
     this.finish(waiting, Left(Failure.notRun(FailureCode.LogUnavailable, 'The log did not confirm the claim in time; nothing was sent.')))
   }
 
+  private abandon (requestId: string): void {
+    const now = this.clock.now()
+    for (const [id, until] of this.abandoned) {
+      if (until > now) {
+        break
+      }
+      this.abandoned.delete(id)
+    }
+    this.abandoned.set(requestId, now + ABANDONED_KEPT_MS)
+  }
+
   private addOutcome (claim: Claim, claimOffset: number, verdict: Verdict): void {
     this.batch.addOutcomes([{ key: claim.key, requestId: claim.requestId, claimOffset, verdict }])
     this.schedule()
   }
 
   private schedule (): void {
-    if (this.isAppending || this.batch.isEmpty()) {
+    if (this.isStopped || this.isAppending || this.batch.isEmpty()) {
       return
     }
     const windowMs = this.batch.hasClaims() ? this.options.claimWindowMs : this.options.outcomeWindowMs
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -27,6 +27,9 @@
 /** How often a shutdown looks whether the last answer is out, milliseconds. */
 const SHUTDOWN_LOOK_MS = 20
 
+/** The last outcomes of claims are written in this time, unless the log is down, milliseconds. */
+const LAST_OUTCOMES_MS = 1000
+
 /** Others have heard the goodbye by then, milliseconds; a balancer has looked again. */
 const GOODBYE_MS = 100
 
@@ -204,6 +207,7 @@
       await waitUntil(this.clock, this.clock.now() + SHUTDOWN_LOOK_MS)
     }
     this.core.endAll()
+    await this.claims.stop(this.clock.now() + LAST_OUTCOMES_MS)
     this.watches.forEach(watch => watch.stop())
     await this.callers.http.close()
     await this.control?.close()
