Let goodbyes leave the socket, refuse messages of another form

The close now waits for what is being sent. Messages that a member signed but whose form is another are counted and dropped instead of ending the process.

--- a/packages/foxtaillever-fleet/src/__tests__/security.test.ts
+++ b/packages/foxtaillever-fleet/src/__tests__/security.test.ts
@@ -68,10 +68,12 @@
   })
 
   it('cost a broken message nothing but a count, though a member signed it', async t => {
-    const { fake, instances } = await createFleet()
+    const { clock, fake, instances } = await createFleet()
     const target = instances[0]!
     const before = target.fleet.dump()
-    const bodies = [Buffer.from([0xc1]), Buffer.from('{"kind":1}'), Buffer.from([0x93, 1, 2, 3]), Buffer.alloc(0)]
+    const entry = { ...target.fleet.memberEntries()[0]!, name: 7 as unknown as string }
+    const wrongEntry = encodeMessage(createMessage(clock.now(), 'member', { entries: [entry] }))
+    const bodies = [Buffer.from([0xc1]), Buffer.from('{"kind":1}'), Buffer.from([0x93, 1, 2, 3]), Buffer.alloc(0), wrongEntry]
     bodies.forEach(body => fake.network.inject(target.address, seal(target.keys, Permission.Join, body)))
     t.is(target.fleet.dump().traffic.forged, before.traffic.forged + bodies.length)
   })
--- a/packages/foxtaillever-fleet/src/fleet.ts
+++ b/packages/foxtaillever-fleet/src/fleet.ts
@@ -15,6 +15,7 @@
 import { Membership } from './membership/membership.js'
 import { Messenger } from './membership/messenger.js'
 import type { Peers, PeerSource } from './membership/peers.js'
+import type { ListedAddress } from './membership/seedSystem.js'
 import { Self, type SelfDescription } from './membership/self.js'
 import { Systems } from './membership/systems.js'
 import type { KeyRing } from './security/keyRing.js'
@@ -41,6 +42,8 @@
   /** How long the platform keeps records, milliseconds. */
   readonly logRetentionMs: number
   readonly instances: InstanceList
+  /** The address for datagrams of a listed instance, where it is not the listed one. */
+  readonly gossipAddressOf?: ListedAddress
   readonly datagrams: Datagrams
   readonly peers: Peers
   readonly keys: KeyRing
--- a/packages/foxtaillever-fleet/src/fleetDump.ts
+++ b/packages/foxtaillever-fleet/src/fleetDump.ts
@@ -37,6 +37,7 @@
   readonly facts: number
   readonly factsWaiting: number
   readonly factsRefused: number
+  readonly factsUnreadable: number
   readonly rumours: number
   readonly tablesFetched: number
   readonly configurationsPulled: number
@@ -68,6 +69,7 @@
     facts: systems.facts.table.size(),
     factsWaiting: systems.facts.waitingCount(),
     factsRefused: systems.facts.table.refusedCount(),
+    factsUnreadable: systems.facts.unreadableCount(),
     rumours: membership.rumours.size(),
     tablesFetched: systems.sync.fetchCount(),
     configurationsPulled: systems.pulls.pullCount(),
--- a/packages/foxtaillever-fleet/src/membership/datagrams.ts
+++ b/packages/foxtaillever-fleet/src/membership/datagrams.ts
@@ -1,7 +1,7 @@
 /**
  * The narrow interface to datagrams between instances, and its UDP side.
  */
-import { createSocket, type Socket } from 'node:dgram'
+import { createSocket, type Socket, type SocketOptions } from 'node:dgram'
 
 export type DatagramListener = (bytes: Uint8Array) => void
 
@@ -20,16 +20,22 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
 }
 
+const IP_VERSION = 4
+
 export class UdpDatagrams implements Datagrams {
   private bound = false
   private closed = false
+  private sending = 0
+  private sent: () => void = () => {}
 
   private constructor (private readonly socket: Socket, private readonly host: string, private readonly port: number) {}
 
   /** @param address IP number and port; port 0 lets the system choose. */
   static create (address: string): UdpDatagrams {
     const { host, port } = parseAddress(address)
-    return new UdpDatagrams(createSocket('udp4'), host, port)
+    // Addresses are IP numbers, so nothing is ever looked up.
+    const lookup: SocketOptions['lookup'] = (number, _, found) => found(null, number, IP_VERSION)
+    return new UdpDatagrams(createSocket({ type: 'udp4', lookup }), host, port)
   }
 
   /** Takes the port before anyone listens, so that its number can be told. */
@@ -52,15 +58,27 @@
       return
     }
     const { host, port } = parseAddress(address)
+    this.sending += 1
     // A datagram that cannot be sent is as good as lost; the next tick sends again.
-    this.socket.send(bytes, port, host, () => {})
+    this.socket.send(bytes, port, host, () => this.noteSent())
   }
 
+  /** Waits for what is being sent: the last of it says that this instance leaves. */
   async close (): Promise<void> {
     this.closed = true
+    if (this.sending > 0) {
+      await new Promise<void>(resolve => { this.sent = resolve })
+    }
     await new Promise<void>(resolve => this.socket.close(() => resolve()))
   }
 
+  private noteSent (): void {
+    this.sending -= 1
+    if (this.sending === 0) {
+      this.sent()
+    }
+  }
+
   private async bindSocket (): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.socket.once('error', reject)
--- a/packages/foxtaillever-fleet/src/membership/message.ts
+++ b/packages/foxtaillever-fleet/src/membership/message.ts
@@ -80,10 +80,36 @@
   return packr.pack(wire)
 }
 
+function nameOfType (value: unknown): string {
+  return typeof value
+}
+
+function hasTypes (values: unknown, types: readonly string[]): boolean {
+  return Array.isArray(values) && types.every((expected, index) => expected === ANY || nameOfType(values[index]) === expected)
+}
+
+/** Any type; what a fact's value means is its reader's to check. */
+const ANY = 'any'
+const HEAD = ['number', 'string', 'number', 'number', 'number', 'number', 'string', 'number', 'number', 'string', 'number']
+const ENTRY = ['string', 'string', 'string', 'string', 'number', 'number']
+const FACT = ['string', 'number', 'string', 'number', 'number', ANY]
+
+function isEntry (entry: unknown): boolean {
+  return hasTypes(entry, ENTRY)
+}
+
+function isFact (fact: unknown): boolean {
+  return hasTypes(fact, FACT)
+}
+
 /** Reads a message whose signature has been verified; nothing when its form is another. */
 export function decodeMessage (bytes: Uint8Array): Maybe<Message> {
   return Maybe.encase(() => packr.unpack(bytes) as WireMessage).chain(wire => {
-    if (!Array.isArray(wire) || !Array.isArray(wire[11]) || !Array.isArray(wire[12])) {
+    // A member with another release may send another form; taken in, it would end this process.
+    if (!hasTypes(wire, HEAD) || !Array.isArray(wire[11]) || !Array.isArray(wire[12])) {
+      return Nothing
+    }
+    if (!wire[11].every(isEntry) || !wire[12].every(isFact)) {
       return Nothing
     }
     const [kind, sender, incarnation, sequence, sentAt, probe, about, revision, offset, digest, tableDigest, entries, facts] = wire
--- a/packages/foxtaillever-fleet/src/membership/seedSystem.ts
+++ b/packages/foxtaillever-fleet/src/membership/seedSystem.ts
@@ -4,14 +4,17 @@
  * called dead. By this a new instance joins, and halves of the fleet that
  * called each other dead find each other again when the network heals.
  */
-import { ListedKind, ListedState, type Clock, type InstanceList } from 'foxtaillever-core'
+import { ListedKind, ListedState, type Clock, type InstanceList, type ListedInstance } from 'foxtaillever-core'
 import type { Membership } from './membership.js'
 import { MessageKind } from './message.js'
 import { MemberState } from './member.js'
 
-/** How often the platform's list is read, milliseconds; it lags by seconds itself. */
+/** How often the platform's list is read at least, milliseconds; it lags by seconds itself. */
 const LIST_MS = 5000
 
+/** Added for each entry of the list, milliseconds, so that reading it stays at some 2 KB/s at any size. */
+const LIST_PER_ENTRY_MS = 75
+
 /** The same for an instance that knows no other. */
 const LIST_ALONE_MS = 1000
 
@@ -27,8 +30,12 @@
  */
 const TRIES_PER_DEAD = 0.5
 
+/** The address for datagrams of an instance that the platform lists. */
+export type ListedAddress = (instance: ListedInstance) => string
+
 export class SeedSystem {
   private listed: readonly string[] = []
+  private listLength = 0
   /** Milliseconds of Unix time. */
   private listAt = 0
   private tryAt = 0
@@ -37,18 +44,19 @@
     private readonly membership: Membership,
     private readonly seeds: readonly string[],
     private readonly instances: InstanceList,
+    private readonly addressOf: ListedAddress,
     private readonly clock: Clock
   ) {}
 
-  static create (membership: Membership, seeds: readonly string[], instances: InstanceList, clock: Clock): SeedSystem {
-    return new SeedSystem(membership, seeds, instances, clock)
+  static create (membership: Membership, seeds: readonly string[], instances: InstanceList, addressOf: ListedAddress, clock: Clock): SeedSystem {
+    return new SeedSystem(membership, seeds, instances, addressOf, clock)
   }
 
   /** Run each tick. */
   tick (): void {
     const now = this.clock.now()
     if (now >= this.listAt) {
-      this.listAt = now + (this.isAlone() ? LIST_ALONE_MS : LIST_MS)
+      this.listAt = now + this.listPeriod()
       this.readList().catch(() => {})
     }
     if (now >= this.tryAt) {
@@ -57,6 +65,10 @@
     this.tryDead()
   }
 
+  private listPeriod (): number {
+    return this.isAlone() ? LIST_ALONE_MS : Math.max(LIST_MS, this.listLength * LIST_PER_ENTRY_MS)
+  }
+
   private isAlone (): boolean {
     return this.membership.others().length === 0
   }
@@ -76,9 +88,10 @@
   private async readList (): Promise<void> {
     const answer = await this.instances.list()
     answer.ifRight(listed => {
+      this.listLength = listed.length
       this.listed = listed
         .filter(({ kind, state }) => kind === ListedKind.EntryInstance && state === ListedState.Live)
-        .map(({ address }) => address)
+        .map(this.addressOf)
       // Alone, and so perhaps without a configuration, it does not wait for its turn.
       if (this.isAlone()) {
         this.tryUnknown()
--- a/packages/foxtaillever-fleet/src/membership/systems.ts
+++ b/packages/foxtaillever-fleet/src/membership/systems.ts
@@ -12,12 +12,14 @@
 import { NewsSystem } from './newsSystem.js'
 import type { Peers } from './peers.js'
 import { ProbeSystem } from './probeSystem.js'
-import { SeedSystem } from './seedSystem.js'
+import { SeedSystem, type ListedAddress } from './seedSystem.js'
 import { SyncSystem } from './syncSystem.js'
 
 export interface SystemParts {
   readonly seeds: readonly string[]
   readonly instances: InstanceList
+  /** Without it, instances take datagrams at the listed address. */
+  readonly gossipAddressOf?: ListedAddress
   readonly peers: Peers
   readonly clock: Clock
   /** When the log last answered, milliseconds of Unix time. */
@@ -39,7 +41,7 @@
   private constructor (private readonly membership: Membership, store: ConfigurationStore, parts: SystemParts) {
     this.probes = ProbeSystem.create(membership)
     this.news = NewsSystem.create(membership)
-    this.seeds = SeedSystem.create(membership, parts.seeds, parts.instances, parts.clock)
+    this.seeds = SeedSystem.create(membership, parts.seeds, parts.instances, parts.gossipAddressOf ?? (({ address }) => address), parts.clock)
     this.sync = SyncSystem.create(membership, parts.peers)
     this.pulls = PullSystem.create(store, parts)
     this.inForce = InForceSystem.create(store, membership, this.probes, parts.clock)
--- a/packages/foxtaillever-fleet/src/softState/factSystem.ts
+++ b/packages/foxtaillever-fleet/src/softState/factSystem.ts
@@ -30,6 +30,7 @@
   private readonly outboxes = new Map<string, Map<string, Fact>>()
   private readonly listeners = new Set<FactListener>()
   private version = 0
+  private unreadable = 0
 
   private constructor (private readonly membership: Membership) {
     this.trees = RelayTrees.create(membership.name(), membership.table)
@@ -66,11 +67,16 @@
     for (const fact of message.facts) {
       if (fact.source !== this.membership.name() && this.table.put(fact, now)) {
         this.post(fact)
-        this.listeners.forEach(listener => listener(fact))
+        this.listeners.forEach(listener => this.hand(fact, listener))
       }
     }
   }
 
+  /** Facts that a listener could not read. */
+  unreadableCount (): number {
+    return this.unreadable
+  }
+
   /** Facts waiting to be sent. */
   waitingCount (): number {
     return [...this.outboxes.values()].reduce((sum, outbox) => sum + outbox.size, 0)
@@ -82,6 +88,15 @@
     this.flush()
   }
 
+  /** A member with another release may mean something else by a fact; that must not end this process. */
+  private hand (fact: Fact, listener: FactListener): void {
+    try {
+      listener(fact)
+    } catch {
+      this.unreadable += 1
+    }
+  }
+
   private post (fact: Fact): void {
     for (const child of this.trees.childrenFor(fact.source)) {
       const outbox = this.outboxes.get(child) ?? new Map<string, Fact>()
