--- a/packages/foxtaillever-policy/src/scheduler.ts
+++ b/packages/foxtaillever-policy/src/scheduler.ts
@@ -74,6 +74,7 @@
       placer,
       room,
       suspects,
+      shares: attempts.shares,
       send: (dispatched, now) => this.send(dispatched, now),
       quarantine: entry => this.refuseWaiting(entry, this.intake.quarantineOf(entry.job))
     })
@@ -107,6 +108,7 @@
   observeInstances (count: number): void {
     this.instances = Math.max(1, count)
     this.intake.share.observeInstances(this.instances)
+    this.placer.observeInstances(this.instances)
     this.setDrainPrior()
   }
 
@@ -231,7 +233,7 @@
   /** State for the dump: plain data, bounded by servers and rules. */
   dump (): SchedulerState {
     return dumpScheduler({
-      servers: [...this.fleet.all()],
+      servers: this.fleet.list(),
       now: this.now,
       waiting: this.room.size,
       running: this.attempts.size,
@@ -248,18 +250,17 @@
   }
 
   private setDrainPrior (): void {
-    const slots = [...this.fleet.all()].reduce((sum, { configured }) => sum + configured.slots, 0)
+    const slots = this.fleet.list().reduce((sum, { configured }) => sum + configured.slots, 0)
     this.intake.drain.setPrior(slots / this.instances)
   }
 
   private send ({ entry, placement, isLong, isSuspect }: Dispatched, now: number): void {
     const attempt = Attempt.create({ entry, placement, isLong, isSuspect, sentAt: now })
-    const { server, pendingTokens } = attempt
     this.room.serve(entry)
     this.intake.drain.serve(entry.cost)
-    this.placer.warm(placement.levels, server.prefillMs(pendingTokens) + entry.cost / server.configured.slots, this.instances, now)
+    this.placer.sent(entry.job.id, placement, entry.decodeMs / placement.server.configured.slots, now)
     this.attempts.add(attempt)
-    this.assignments.push({ jobId: entry.job.id, server: server.name, candidates: placement.candidates, rule: this.preset.placement })
+    this.assignments.push({ jobId: entry.job.id, server: placement.server.name, candidates: placement.candidates, rule: this.preset.placement })
   }
 
   private retryTime ({ entry }: Attempt, failure: Failure, now: number): number | undefined {
--- a/packages/foxtaillever-standins/src/engine/streamTable.ts
+++ b/packages/foxtaillever-standins/src/engine/streamTable.ts
@@ -9,6 +9,8 @@
 
 export class StreamTable {
   private readonly streams = new Map<string, Stream>()
+  /** Finished streams, the oldest first, and the instants until which they are kept. */
+  private finished: Array<{ readonly id: string, readonly keptUntil: number }> = []
 
   private constructor (private readonly clock: Clock) {}
 
@@ -17,6 +19,7 @@
   }
 
   add (stream: Stream): void {
+    this.sweep()
     this.streams.set(stream.id, stream)
   }
 
@@ -29,6 +32,7 @@
 
   /** Attaches a new sink and repeats what came after the given event. */
   resume (id: string, after: number, sink: StreamSink): Either<Failure, void> {
+    this.sweep()
     const stream = this.streams.get(id)
     if (!stream) {
       return Left(Failure.create(FailureCode.StreamBroken, Verdict.MayHaveRun, 'This engine does not know the stream.'))
@@ -56,11 +60,20 @@
 
   finish (stream: Stream): void {
     stream.done = true
-    this.clock.at(this.clock.now() + FINISHED_KEPT_MS, () => this.streams.delete(stream.id))
+    this.finished.push({ id: stream.id, keptUntil: this.clock.now() + FINISHED_KEPT_MS })
     stream.sink.finished(stream.produced + 1, endOf(stream))
   }
 
+  /** Forgets what finished long ago; no timer, so that nothing holds a process that is done. */
+  private sweep (): void {
+    const now = this.clock.now()
+    while (this.finished[0] && this.finished[0].keptUntil <= now) {
+      this.streams.delete(this.finished.shift()?.id ?? '')
+    }
+  }
+
   clear (): void {
+    this.finished = []
     this.streams.clear()
   }
 }
