Claim plain calls that may not be repeated before they are sent

Cause: the router never repeated an export itself, but a caller that sent it again through another instance had it run, and billed, twice. A non-idempotent call with an idempotency key now needs its claim in the log, like a non-idempotent prompt; the key must say when it was made. Before: three sendings of one export ran three times. After: one run, and 409 with a verdict for the others. A caller's own deadline now also bounds a plain call.

--- a/packages/foxtaillever-load/src/__tests__/wholePath.test.ts
+++ b/packages/foxtaillever-load/src/__tests__/wholePath.test.ts
@@ -17,6 +17,16 @@
   }
 }
 
+const headers = { authorization: `Bearer ${keyOf('account-1')}`, 'content-type': 'application/json' }
+
+async function exportCase (deployment: EmbeddedDeployment, instance: number, key: string): Promise<Response> {
+  return await fetch(`${deployment.addresses[instance]}/services/records/exports`, { method: 'POST', headers: { ...headers, 'idempotency-key': key }, body: '{}' })
+}
+
+function runsOf (deployment: EmbeddedDeployment, key: string): number {
+  return deployment.plains.reduce((sum, plain) => sum + (plain.exports.get(key) ?? 0), 0)
+}
+
 describe('the whole path', () => {
   describe('language work', () => {
     it('answers every caller with the whole answer to its own prompt', async t => {
@@ -40,13 +50,38 @@
   describe('plain services', () => {
     it('routes a lookup and an export by path', async t => {
       await withDeployment(async deployment => {
-        const headers = { authorization: `Bearer ${keyOf('account-1')}`, 'content-type': 'application/json', 'idempotency-key': 'export-1' }
         const lookup = await fetch(`${deployment.addresses[0]}/services/records/citations/17`, { headers })
         t.deepEqual(await lookup.json(), { citation: '17' })
-        const exported = await fetch(`${deployment.addresses[1]}/services/records/exports`, { method: 'POST', headers, body: '{}' })
-        t.deepEqual(await exported.json(), { exported: 'export-1' })
-        const runs = deployment.plains.map(plain => plain.exports.get('export-1') ?? 0)
-        t.is(runs.reduce((sum, count) => sum + count, 0), 1)
+        const key = `${Date.now()}-export-1`
+        const exported = await exportCase(deployment, 1, key)
+        t.deepEqual(await exported.json(), { exported: key })
+        t.is(runsOf(deployment, key), 1)
+      })
+    })
+
+    it('runs an export once, though its caller sends it again through another instance', async t => {
+      // The answer to a billed export was lost on its way, so the associate's
+      // program sends it again and the balancer picks another instance. Without
+      // a claim in the log the firm would be billed twice.
+      await withDeployment(async deployment => {
+        const key = `${Date.now()}-export-2`
+        const answers = await Promise.all([0, 1, 2].map(async instance => await exportCase(deployment, instance, key)))
+        const later = await exportCase(deployment, 1, key)
+        t.deepEqual(answers.map(answer => answer.status).sort((one, other) => one - other), [200, 409, 409])
+        t.is(later.status, 409)
+        t.not(later.headers.get('x-verdict'), 'not_run')
+        t.is(runsOf(deployment, key), 1)
+      })
+    })
+
+    it('refuses an export whose key does not say how old it is', async t => {
+      // Claims leave the log after its retention; a key without a date would
+      // look new a week later and the export would run twice.
+      await withDeployment(async deployment => {
+        const answer = await exportCase(deployment, 0, 'export-3')
+        t.is(answer.status, 400)
+        t.is(answer.headers.get('x-verdict'), 'not_run')
+        t.is(runsOf(deployment, 'export-3'), 0)
       })
     })
   })
--- a/packages/foxtaillever-load/src/results/checkPromises.ts
+++ b/packages/foxtaillever-load/src/results/checkPromises.ts
@@ -7,6 +7,7 @@
 import type { EmbeddedDeployment } from '../deployment/embeddedDeployment.js'
 import type { Answer } from '../workload/answer.js'
 import { ArrivalKind } from '../workload/arrival.js'
+import { arrivalOf } from '../workload/exportKey.js'
 
 export interface PromiseCheck {
   /** Refused with the verdict "not run", and yet run. */
@@ -22,9 +23,20 @@
   return requestId.split('.')[0] ?? ''
 }
 
+/** Runs of each export over all plain servers. */
+function countExports (deployment: EmbeddedDeployment): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const [key, runs] of deployment.plains.flatMap(plain => [...plain.exports])) {
+    const id = arrivalOf(key)
+    counts.set(id, (counts.get(id) ?? 0) + runs)
+  }
+  return counts
+}
+
 export function checkPromises (deployment: EmbeddedDeployment, answers: readonly Answer[]): PromiseCheck {
   const ran = new Set([...deployment.engines.values()].flatMap(engine => [...engine.runs.keys()].map(callersId)))
-  const exportsOf = (id: string): number => deployment.plains.reduce((sum, plain) => sum + (plain.exports.get(id) ?? 0), 0)
+  const exports = countExports(deployment)
+  const exportsOf = (id: string): number => exports.get(id) ?? 0
   const exported = answers.filter(answer => answer.arrival.kind === ArrivalKind.Export)
   const hasRun = (answer: Answer): boolean => ran.has(answer.arrival.id) || exportsOf(answer.arrival.id) > 0
   return {
--- a/packages/foxtaillever-load/src/workload/arrival.ts
+++ b/packages/foxtaillever-load/src/workload/arrival.ts
@@ -11,7 +11,7 @@
 }
 
 export interface Arrival {
-  /** Unique within a run; goes out as the request id and, for exports, as the idempotency key. */
+  /** Unique within a run; goes out as the request id and, for exports, in the idempotency key. */
   readonly id: string
   readonly kind: ArrivalKind
   /** Milliseconds after the start of the run. */
--- a/packages/foxtaillever-load/src/workload/sendPlain.ts
+++ b/packages/foxtaillever-load/src/workload/sendPlain.ts
@@ -3,6 +3,7 @@
 import { request } from 'undici'
 import { AnswerState, type Answer } from './answer.js'
 import { ArrivalKind, type Arrival } from './arrival.js'
+import { arrivalOf, createExportKey } from './exportKey.js'
 import type { Sending } from './sending.js'
 
 const SERVICE_PATH = '/services/records'
@@ -22,7 +23,7 @@
     headers: {
       [CallerHeader.Authorization]: `Bearer ${sending.key}`,
       [CallerHeader.RequestId]: arrival.id,
-      ...(isExport ? { 'content-type': 'application/json', [CallerHeader.IdempotencyKey]: arrival.id } : {})
+      ...(isExport ? { 'content-type': 'application/json', [CallerHeader.IdempotencyKey]: createExportKey(arrival.id, Date.now()) } : {})
     },
     ...(isExport ? { body: '{}' } : {})
   })
@@ -32,7 +33,7 @@
 export async function sendPlain (sending: Sending, arrival: Arrival, intendedAt: number): Promise<Answer> {
   const sentAt = performance.now()
   const { status, body } = await call(sending, arrival).catch(() => ({ status: 0, body: {} as PlainBody }))
-  const isOwn = body.citation === arrival.id || body.exported === arrival.id
+  const isOwn = body.citation === arrival.id || arrivalOf(body.exported ?? '') === arrival.id
   const states: Record<number, AnswerState> = { 0: AnswerState.Cut, [STATUS_OK]: isOwn ? AnswerState.Complete : AnswerState.Wrong }
   return {
     arrival,
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -68,7 +68,7 @@
     this.claims = this.createClaims()
     this.fleet = this.createFleet()
     this.core = this.createCore()
-    this.plain = PlainRouter.create(clock, this.gate)
+    this.plain = PlainRouter.create({ clock, gate: this.gate, claims: this.claims })
     this.callers = this.createCallers()
     this.watches = [
       this.core,
--- a/packages/foxtaillever-router/src/plain/__tests__/plainRouter.test.ts
+++ b/packages/foxtaillever-router/src/plain/__tests__/plainRouter.test.ts
@@ -7,6 +7,7 @@
 } from 'foxtaillever-core'
 import { ServiceGate } from 'foxtaillever-policy'
 import { describe, it } from 'foxtaillever-testing'
+import { noClaims } from '../../core/claimDesk.js'
 import { matchCall } from '../matchCall.js'
 import { PlainRouter } from '../plainRouter.js'
 
@@ -77,7 +78,7 @@
   const clock = SystemClock.create()
   const gate = ServiceGate.create()
   gate.configure(configuration, clock.now())
-  const router = PlainRouter.create(clock, gate)
+  const router = PlainRouter.create({ clock, gate, claims: noClaims })
   const front = fastify()
   front.all('/*', async (request, reply) => await router.serve({ request, reply, account, configuration }))
   t.teardown(async () => {
--- a/packages/foxtaillever-router/src/plain/plainRouter.ts
+++ b/packages/foxtaillever-router/src/plain/plainRouter.ts
@@ -3,9 +3,10 @@
  * them: they have connections, limits and queues of their own. A call that the
  * service does not declare repeatable is sent at most once.
  */
+import { randomUUID } from 'node:crypto'
 import type { FastifyReply, FastifyRequest } from 'fastify'
 import {
-  CallerHeader, Failure, FailureCode, isRepeatable,
+  CallerHeader, Failure, FailureCode, isRepeatable, Verdict,
   type Cancellation, type ClientAccount, type Clock, type Configuration
 } from 'foxtaillever-core'
 import { CallOutcome, type ServiceGate, type ServicePass } from 'foxtaillever-policy'
@@ -13,8 +14,18 @@
 import { PlainClient, type PlainAnswer, type PlainRequest } from '../adapters/plainClient.js'
 import { failureBody, failureHeaders } from '../callers/failureBody.js'
 import { statusOf } from '../callers/statusOf.js'
+import { worseVerdict } from '../core/worseVerdict.js'
+import type { Claims } from '../core/claimDesk.js'
+import { claimPlainCall, type ClaimedCall } from './claimPlainCall.js'
 import { matchCall, type MatchedCall } from './matchCall.js'
 
+export interface PlainRouterOptions {
+  readonly clock: Clock
+  readonly gate: ServiceGate
+  /** Claims of calls that may not be repeated. */
+  readonly claims: Claims
+}
+
 export interface PlainCallContext {
   readonly request: FastifyRequest
   readonly reply: FastifyReply
@@ -43,12 +54,17 @@
   private open = 0
   private cancelTick: Cancellation = () => {}
 
-  private constructor (private readonly clock: Clock, private readonly gate: ServiceGate) {
-    this.client = PlainClient.create(clock)
+  private readonly clock: Clock
+  private readonly gate: ServiceGate
+
+  private constructor (private readonly options: PlainRouterOptions) {
+    this.clock = options.clock
+    this.gate = options.gate
+    this.client = PlainClient.create(options.clock)
   }
 
-  static create (clock: Clock, gate: ServiceGate): PlainRouter {
-    return new PlainRouter(clock, gate)
+  static create (options: PlainRouterOptions): PlainRouter {
+    return new PlainRouter(options)
   }
 
   start (): void {
@@ -69,7 +85,7 @@
     const { reply, request, configuration } = context
     this.open += 1
     const answer = await EitherAsync.liftEither(matchCall(configuration, request.method, request.url))
-      .chain(async call => await this.tryServers(context, call))
+      .chain(async call => await this.serveCall(context, call))
     this.open -= 1
     return answer.caseOf({
       Left: failure => this.refuse(reply, request, failure),
@@ -93,10 +109,25 @@
     return reply.code(statusCode).send(body)
   }
 
-  /** Tries again as long as repeating is allowed and the deadline ahead. */
-  private async tryServers (context: PlainCallContext, call: MatchedCall): Promise<Either<Failure, PlainAnswer>> {
+  /** Serves the call, under a claim where it may not be repeated and its caller named a key. */
+  private async serveCall (context: PlainCallContext, call: MatchedCall): Promise<Either<Failure, PlainAnswer>> {
     const request = this.readRequest(context.request, call)
+    const idempotencyKey = request.headers[CallerHeader.IdempotencyKey] ?? ''
+    if (call.idempotent || idempotencyKey === '') {
+      return await this.tryServers(context, call, request)
+    }
+    const claimed: ClaimedCall = { id: randomUUID(), account: context.account.name, service: call.service.name, idempotencyKey, request }
+    return await EitherAsync.liftEither(await claimPlainCall(this.options.claims, claimed)).chain(async settle => {
+      const answer = await this.tryServers(context, call, request)
+      settle(answer.caseOf({ Left: failure => failure.verdict, Right: () => Verdict.Ran }))
+      return answer
+    })
+  }
+
+  /** Tries again as long as repeating is allowed and the deadline ahead. */
+  private async tryServers (context: PlainCallContext, call: MatchedCall, request: PlainRequest): Promise<Either<Failure, PlainAnswer>> {
     const failedAt: string[] = []
+    let verdict = Verdict.NotRun
     let failure = Failure.notRun(FailureCode.DeadlinePassed, 'The deadline passed before the call was sent.')
     for (let tries = 0; tries < MOST_TRIES && this.clock.now() < request.deadline; tries++) {
       const answer = await this.tryOnce(context, call, request, failedAt)
@@ -104,11 +135,12 @@
         return answer
       }
       failure = answer.swap().orDefault(failure)
+      verdict = worseVerdict(verdict, failure.verdict)
       if (!triedAgain.has(failure.code) || !isRepeatable(failure.verdict, call.idempotent)) {
         break
       }
     }
-    return Left(failure)
+    return Left(failure.withVerdict(verdict))
   }
 
   /** @param failedAt gets the server's name when the try fails. */
@@ -146,10 +178,17 @@
       path: call.path,
       headers,
       body: Buffer.isBuffer(request.body) ? request.body : undefined,
-      deadline: this.clock.now() + call.service.timeoutMs
+      deadline: this.readDeadline(request, call)
     }
   }
 
+  /** The service's own, or the caller's when that is sooner. */
+  private readDeadline (request: FastifyRequest, call: MatchedCall): number {
+    const now = this.clock.now()
+    const asked = [Number(request.headers[CallerHeader.Deadline]), now + Number(request.headers[CallerHeader.Timeout])]
+    return Math.min(now + call.service.timeoutMs, ...asked.filter(Number.isFinite))
+  }
+
   async close (): Promise<void> {
     await this.client.close()
   }
