--- /dev/null
+++ b/packages/foxtaillever-proof/src/soak/soakDeployment.ts
@@ -0,0 +1,199 @@
+/**
+ * The soak's processes on loopback: platform, engines, entry instances. Ports
+ * are chosen by the system once and kept, so that a restarted process comes
+ * back where its callers look for it.
+ */
+import { createHash, randomBytes } from 'node:crypto'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { AdministrativeState, ListedKind, ListedState, PriorityClass, RecordKind, ServerKind, waitUntil, SystemClock } from 'foxtaillever-core'
+import { ChangeKind, type Change } from 'foxtaillever-fleet'
+import { request } from 'undici'
+import type { EngineRun } from '../world/engineHost.js'
+import { Child } from './child.js'
+
+export const ENTRIES = 3
+export const ENGINES = 3
+
+/** API keys by account. */
+export const accounts: Readonly<Record<string, string>> = { cooperative: 'soak-key-cooperative', granja: 'soak-key-granja' }
+
+const RETENTION_MS = 3_600_000
+const READY_MS = 15_000
+const LOOK_MS = 50
+
+export interface Served {
+  readonly child: Child
+  readonly address: string
+}
+
+function digest (text: string): string {
+  return createHash('sha256').update(text).digest('hex')
+}
+
+async function choosePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const address = server.address()
+  await new Promise(resolve => server.close(resolve))
+  return typeof address === 'object' && address !== null ? address.port : 0
+}
+
+function moduleOf (specifier: string): string {
+  return fileURLToPath(new URL(specifier, import.meta.resolve('foxtaillever-standins')))
+}
+
+export class SoakDeployment {
+  readonly entries: Array<Served & { readonly control: string }> = []
+  readonly engines: Served[] = []
+  log!: Served
+  private list!: Served
+  private folder = ''
+  private readonly clock = SystemClock.create()
+
+  private constructor (private readonly onRun: (run: EngineRun) => void) {}
+
+  static async create (onRun: (run: EngineRun) => void): Promise<SoakDeployment> {
+    const deployment = new SoakDeployment(onRun)
+    deployment.folder = await mkdtemp(join(tmpdir(), 'foxtaillever-soak-'))
+    await deployment.startPlatform()
+    await deployment.startEngines()
+    await deployment.publish()
+    await deployment.startEntries()
+    return deployment
+  }
+
+  private async startStandin (name: string, ...options: string[]): Promise<Served> {
+    const port = await choosePort()
+    const child = Child.create({ name, arguments: [moduleOf('./main.js'), name, '--port', String(port), ...options], environment: {}, onLine: () => {} })
+    child.start()
+    return { child, address: `127.0.0.1:${port}` }
+  }
+
+  private async startPlatform (): Promise<void> {
+    this.log = await this.startStandin('log', '--retention-ms', String(RETENTION_MS))
+    this.list = await this.startStandin('instance-list')
+    await this.waitFor(`http://${this.log.address}/log?from=1`)
+    await this.waitFor(`http://${this.list.address}/instances`)
+  }
+
+  private async startEngines (): Promise<void> {
+    for (let index = 0; index < ENGINES; index++) {
+      const name = `engine-${index}`
+      const port = await choosePort()
+      const script = fileURLToPath(new URL('../soakEngine.js', import.meta.url))
+      const child = Child.create({
+        name,
+        arguments: [script, name, String(port)],
+        environment: {},
+        onLine: line => line.startsWith('run ') && this.onRun(JSON.parse(line.slice('run '.length)) as EngineRun)
+      })
+      child.start()
+      this.engines.push({ child, address: `127.0.0.1:${port}` })
+      await this.listEngine(index, ListedState.Live)
+      await this.waitFor(`http://127.0.0.1:${port}/load`)
+    }
+  }
+
+  async listEngine (index: number, state: ListedState): Promise<void> {
+    const name = `engine-${index}`
+    const body = JSON.stringify({ name, kind: ListedKind.BackendServer, address: this.engines[index]?.address ?? '', failureDomain: 'recife', state })
+    await this.tell(this.list.address, 'PUT', '/instances', body)
+  }
+
+  private async publish (): Promise<void> {
+    const changes: Change[] = [
+      ...Object.entries(accounts).map(([name, key]): Change => ({
+        kind: ChangeKind.PutAccount,
+        account: { name, keyDigests: [digest(key)], weight: 1, priority: PriorityClass.Standard, tokensPerSecond: 1_000_000, concurrentRequests: 1000 }
+      })),
+      { kind: ChangeKind.PutModel, model: { name: 'order-language', weightsVersion: 'v1', adapters: [] } },
+      ...this.engines.map(({ address }, index): Change => ({
+        kind: ChangeKind.PutServer,
+        server: {
+          name: `engine-${index}`,
+          kind: ServerKind.Language,
+          address,
+          failureDomain: 'recife',
+          models: ['order-language'],
+          slots: 16,
+          prefillTokensPerSecond: 20_000,
+          decodeTokensPerSecond: 30,
+          cacheTokens: 65_536,
+          checksFencing: false,
+          checksCaller: false,
+          state: AdministrativeState.InService
+        }
+      }))
+    ]
+    const record = { id: 'soak-configuration', kind: RecordKind.Configuration, writtenAt: Date.now(), body: { base: 0, author: 'soak', changes } }
+    await this.tell(this.log.address, 'POST', '/log', JSON.stringify(record))
+  }
+
+  private async startEntries (): Promise<void> {
+    const ports = await Promise.all(Array.from({ length: ENTRIES }, async () => [await choosePort(), await choosePort(), await choosePort()] as const))
+    const memberKey = randomBytes(32).toString('hex')
+    for (const [index, [listen, control, gossip]] of ports.entries()) {
+      const file = join(this.folder, `entry-${index}.jsonc`)
+      const peers = ports.map(([, , other]) => `127.0.0.1:${other}`).filter((_, other) => other !== index)
+      await writeFile(file, JSON.stringify({
+        name: `entry-${index}`,
+        failureDomain: 'recife',
+        listen: { host: '127.0.0.1', port: listen },
+        control: { host: '127.0.0.1', port: control },
+        gossip: { host: '127.0.0.1', port: gossip },
+        peers,
+        platform: { logAddress: this.log.address, listAddress: this.list.address, logRetentionMs: RETENTION_MS },
+        operators: [{ name: 'soak', tokenDigests: [digest('soak')] }],
+        memberKeys: [{ id: 'soak', keyVariable: 'FOXTAILLEVER_SOAK_KEY' }],
+        logLevel: 'error'
+      }))
+      const script = fileURLToPath(new URL('./main.js', import.meta.resolve('foxtaillever-router')))
+      const child = Child.create({ name: `entry-${index}`, arguments: [script, '--settings', file], environment: { FOXTAILLEVER_SOAK_KEY: memberKey }, onLine: () => {} })
+      child.start()
+      this.entries.push({ child, address: `http://127.0.0.1:${listen}`, control: `http://127.0.0.1:${control}` })
+    }
+    await Promise.all(this.entries.map(async ({ address }) => await this.waitFor(`${address}/readyz`)))
+  }
+
+  /** Switches faults of a stand-in; one that cannot be reached has worse ones. */
+  async setFaults (served: Served, faults: Readonly<Record<string, unknown>>): Promise<void> {
+    await this.tell(served.address, 'POST', '/faults', JSON.stringify(faults))
+  }
+
+  private async tell (address: string, method: 'PUT' | 'POST', path: string, body: string): Promise<void> {
+    try {
+      const answer = await request(`http://${address}${path}`, { method, body, headers: { 'content-type': 'application/json' }, headersTimeout: 2000 })
+      await answer.body.dump()
+    } catch {
+      // The rig's own faults may stand in its way.
+    }
+  }
+
+  async waitFor (url: string): Promise<void> {
+    const deadline = this.clock.now() + READY_MS
+    while (this.clock.now() < deadline) {
+      try {
+        const answer = await request(url, { headersTimeout: 1000 })
+        await answer.body.dump()
+        if (answer.statusCode === 200) {
+          return
+        }
+      } catch {
+        // Not there yet.
+      }
+      await waitUntil(this.clock, this.clock.now() + LOOK_MS)
+    }
+    const complaints = this.entries.map(({ child }) => child.complaint).join('\n')
+    throw new Error(`${url} does not answer.\n${complaints}`)
+  }
+
+  async end (): Promise<void> {
+    const all = [...this.entries, ...this.engines, this.log, this.list]
+    await Promise.all(all.map(async ({ child }) => await child.kill()))
+    await rm(this.folder, { recursive: true })
+  }
+}
