--- /dev/null
+++ b/packages/foxtaillever-capacity/src/commands/events.ts
@@ -0,0 +1,40 @@
+/**
+ * Prints what cache events add to placement over computed homes and the usage
+ * that answers report.
+ */
+import { Command } from 'clipanion'
+import { measureEventWorth, type Scale } from '../measures/eventWorth.js'
+import { createTable, type Row } from '../report/table.js'
+
+const SEEDS = [1, 2]
+
+const scales: readonly Scale[] = [
+  { title: 'today: 9 daemons, 6 workers, 60 requests/s', daemons: 9, workers: 6, requestsPerSecond: 60, prefixes: 150 },
+  { title: 'a tenth of the two-year size: 38 daemons, 67 workers, 550 requests/s', daemons: 38, workers: 67, requestsPerSecond: 550, prefixes: 1500 },
+  { title: 'the two-year size: 380 daemons, 670 workers, 5,500 requests/s', daemons: 380, workers: 670, requestsPerSecond: 5500, prefixes: 15_000 }
+]
+
+function meanOf (values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length
+}
+
+function rowsOf (scale: Scale): readonly Row[] {
+  const runs = SEEDS.map(seed => measureEventWorth(scale, seed))
+  return runs[0]!.map(({ kind }, index) => {
+    const worths = runs.map(run => run[index]!)
+    const rates = worths.map(({ hitRate }) => hitRate * 100)
+    return [kind, meanOf(rates), Math.max(...rates) - Math.min(...rates), meanOf(worths.map(({ p50 }) => p50)), meanOf(worths.map(({ p99 }) => p99))]
+  })
+}
+
+export class EventsCommand extends Command {
+  static override paths = [['events']]
+  static override usage = Command.Usage({ description: 'Measure what cache events add to placement.' })
+
+  async execute (): Promise<void> {
+    for (const scale of scales) {
+      const heads = ['', 'hit rate, %', 'spread over seeds', 'first token p50, ms', 'p99, ms']
+      this.context.stdout.write(`${createTable(scale.title, heads, rowsOf(scale))}\n`)
+    }
+  }
+}
--- a/packages/foxtaillever-load/src/commands/demo.ts
+++ b/packages/foxtaillever-load/src/commands/demo.ts
@@ -42,8 +42,12 @@
     const account = deployment.options.shape.accounts[0]?.name ?? ''
     const body = JSON.stringify({ model, stream: true, max_tokens: 8, messages: [{ role: 'user', content: 'Which feed for sows in their last week?' }] })
     this.context.stdout.write(`\nServing on ${deployment.addresses.join(' ')}. Stop with Ctrl-C.\n`)
-    this.context.stdout.write(`export FOXTAILLEVER_ADDRESS=${deployment.controlAddresses().join(',')} FOXTAILLEVER_TOKEN=${OPERATOR_TOKEN}\n`)
-    this.context.stdout.write(`curl -N ${deployment.addresses[0]}/v1/chat/completions -H 'authorization: Bearer ${keyOf(account)}' -H 'content-type: application/json' -d '${body}'\n`)
+    const addresses = deployment.entries.map(entry => entry.control).join(',')
+    this.context.stdout.write('In another terminal, in this directory:\n')
+    this.context.stdout.write(`export FOXTAILLEVER_ADDRESS=${addresses} FOXTAILLEVER_TOKEN=${OPERATOR_TOKEN} CALLERS=${deployment.addresses[0] ?? ''}\n`)
+    this.context.stdout.write('alias foxtaillever="node packages/foxtaillever/dist/main.js"\n')
+    this.context.stdout.write('foxtaillever members\n')
+    this.context.stdout.write(`curl -N $CALLERS/v1/chat/completions -H 'authorization: Bearer ${keyOf(account)}' -H 'content-type: application/json' -d '${body}'\n`)
     await new Promise<void>(resolve => {
       process.once('SIGINT', resolve)
       process.once('SIGTERM', resolve)
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto'
 import { SeededRandom, SystemClock, waitUntil, type Clock, type Configuration, type Random } from 'foxtaillever-core'
 import { Operators } from 'foxtaillever-control'
-import { ClaimFold, ClaimKeeper, createPeerRouter, defaultClaimOptions, Fleet, KeyRing, TrpcPeers, UdpDatagrams } from 'foxtaillever-fleet'
+import { ClaimFold, ClaimKeeper, createPeerRouter, defaultClaimOptions, Fleet, KeyRing, Permission, TrpcPeers, UdpDatagrams, type Key } from 'foxtaillever-fleet'
 import { ServiceGate } from 'foxtaillever-policy'
 import { InstanceListClient } from '../adapters/instanceListClient.js'
 import { LogClient } from '../adapters/logClient.js'
@@ -27,6 +27,9 @@
 /** How often a shutdown looks whether the last answer is out, milliseconds. */
 const SHUTDOWN_LOOK_MS = 20
 
+/** The last outcomes of claims are written in this time, unless the log is down, milliseconds. */
+const LAST_OUTCOMES_MS = 1000
+
 /** Others have heard the goodbye by then, milliseconds; a balancer has looked again. */
 const GOODBYE_MS = 100
 
@@ -65,7 +68,7 @@
     this.claims = this.createClaims()
     this.fleet = this.createFleet()
     this.core = this.createCore()
-    this.plain = PlainRouter.create(clock, this.gate)
+    this.plain = PlainRouter.create({ clock, gate: this.gate, claims: this.claims })
     this.callers = this.createCallers()
     this.watches = [
       this.core,
@@ -188,6 +191,12 @@
     this.options.logs.write('info', Part.Fleet, 'A configuration is in force.', { revision: configuration.revision, preset: configuration.presetInForce })
   }
 
+  /** Puts new keys between instances in force at once; the first one signs. */
+  replaceKeys (keys: ReadonlyArray<Pick<Key, 'id' | 'secret'>>): void {
+    this.keys.replace(keys.map(key => ({ ...key, permissions: [Permission.Join] })))
+    this.options.logs.write('info', Part.Process, 'New member keys are in force.', { keys: keys.map(({ id }) => id).join(' ') })
+  }
+
   /** Requests and plain calls that still wait for their answer. */
   private inFlight (): number {
     return this.core.inFlight() + this.plain.inFlight()
@@ -204,6 +213,7 @@
       await waitUntil(this.clock, this.clock.now() + SHUTDOWN_LOOK_MS)
     }
     this.core.endAll()
+    await this.claims.stop(this.clock.now() + LAST_OUTCOMES_MS)
     this.watches.forEach(watch => watch.stop())
     await this.callers.http.close()
     await this.control?.close()
