--- /dev/null
+++ b/packages/foxtaillever-policy/src/__tests__/sharedKnowledge.test.ts
@@ -0,0 +1,97 @@
+import { FailureCode, PriorityClass, type ClientAccount } from 'foxtaillever-core'
+import { describe, it } from 'foxtaillever-testing'
+import { AccountLimits, LimitRule } from '../limits/accountLimits.js'
+import { DemandShare } from '../limits/shareOfLimit.js'
+import { SuspectTable, Suspicion } from '../suspects/suspectTable.js'
+
+const NOW = 1_000_000
+
+const account: ClientAccount = { name: 'coop', keyDigests: [], weight: 1, priority: PriorityClass.Standard, tokensPerSecond: 1000, concurrentRequests: 4 }
+
+describe('what instances share', () => {
+  describe('the share of a limit', () => {
+    // The balancer sends nearly all of an account's requests to one of ten
+    // instances. With an even share the account is refused at a tenth of its limit.
+    it('follows demand, and is even while the peers are silent', t => {
+      const share = DemandShare.create()
+      share.observeInstances(2)
+      share.demand('coop', 900, NOW)
+      t.is(share.shareFor('coop', NOW), 0.5)
+      share.observePeer('peer', [{ account: 'coop', tokensPerSecond: 20 }], NOW + 3000)
+      t.true(share.shareFor('coop', NOW) > 0.85)
+      t.is(share.shareFor('coop', NOW + 3000), 0.5)
+    })
+
+    it('leaves room for instances that were not heard of', t => {
+      const share = DemandShare.create()
+      share.observeInstances(4)
+      share.demand('coop', 900, NOW)
+      share.observePeer('peer', [], NOW + 3000)
+      t.is(share.shareFor('coop', NOW), 0.5)
+    })
+
+    it('tells peers only of accounts near their limit', t => {
+      const share = DemandShare.create()
+      share.observeInstances(2)
+      share.demand('coop', 5000, NOW)
+      share.demand('quiet', 5, NOW)
+      t.deepEqual(share.toShare(() => 1000, NOW).map(({ account: name }) => name), ['coop'])
+    })
+  })
+
+  describe('the limits of an account', () => {
+    it('refuse until the time they tell', t => {
+      const limits = AccountLimits.create(DemandShare.create())
+      t.is(limits.check(account, 100, NOW), undefined)
+      limits.take('coop', 3000)
+      const refusal = limits.check(account, 100, NOW)
+      t.is(refusal?.rule, LimitRule.Tokens)
+      t.is(refusal?.failure.code, FailureCode.AccountOverLimit)
+      const retryAt = refusal?.failure.retryAt ?? 0
+      t.not(limits.check(account, 100, retryAt - 10), undefined)
+      t.is(limits.check(account, 100, retryAt), undefined)
+    })
+
+    it('count requests at once, and give back what was not used', t => {
+      const limits = AccountLimits.create(DemandShare.create())
+      for (let index = 0; index < 4; index += 1) {
+        t.is(limits.check(account, 100, NOW), undefined)
+        limits.take('coop', 400)
+      }
+      t.is(limits.check(account, 100, NOW)?.rule, LimitRule.Concurrency)
+      limits.settle('coop', 400, 0)
+      t.is(limits.check(account, 100, NOW), undefined)
+    })
+  })
+
+  describe('suspects', () => {
+    // The network between a router and one server is cut for a moment, twice. All
+    // requests in flight look as if they had crashed it, and none did.
+    it('are cleared when the same engine is still there', t => {
+      const suspects = SuspectTable.create()
+      suspects.accuse('one', 'server-1', 'a', NOW)
+      suspects.accuse('one', 'server-2', 'b', NOW + 10)
+      t.is(suspects.suspicionOf('one', NOW + 20), Suspicion.Quarantined)
+      suspects.observeIncarnation('server-1', 'a', NOW + 1000, NOW + 1100)
+      t.is(suspects.suspicionOf('one', NOW + 1100), Suspicion.Suspect)
+      suspects.observeIncarnation('server-2', 'c', NOW + 1000, NOW + 1100)
+      t.is(suspects.suspicionOf('one', NOW + 1100), Suspicion.Suspect)
+      suspects.clear('one', NOW + 1200)
+      t.is(suspects.suspicionOf('one', NOW + 1200), Suspicion.None)
+    })
+
+    // The caller sends the poison request through another instance each time.
+    it('are the same for all instances, in whatever order they hear of them', t => {
+      const [one, other] = [SuspectTable.create(), SuspectTable.create()]
+      one.accuse('bad', 'server-1', 'a', NOW)
+      other.accuse('bad', 'server-2', 'b', NOW)
+      const facts = [...one.toShare(NOW), ...other.toShare(NOW)]
+      one.observe(facts, NOW)
+      other.observe([...facts].reverse(), NOW)
+      one.observe(facts, NOW)
+      t.is(one.suspicionOf('bad', NOW), Suspicion.Quarantined)
+      t.is(other.suspicionOf('bad', NOW), Suspicion.Quarantined)
+      t.is(one.suspicionOf('bad', NOW + 600_000), Suspicion.None)
+    })
+  })
+})
