Refuse bad input with its verdict, and cut slow senders in time

Tests of oversized, truncated and malformed bodies, absurd deadlines, header floods, bytes that are not HTTP, slow senders and slow readers against running instances. They found, and this mends: - header floods and garbage were answered by the HTTP library without our verdict (answerBrokenRequest); - a slow sender was cut after 60 s, not after the set limit: the library takes the larger of its header and request limits, and looked every 30 s only; - a model named 'constructor' passed as known and waited out its deadline.

--- a/packages/foxtaillever-load/src/__fixtures__/withDeployment.ts
+++ b/packages/foxtaillever-load/src/__fixtures__/withDeployment.ts
@@ -1,12 +1,13 @@
 /** A small embedded deployment for tests, stopped whatever happens. */
 import { PlacementPolicy } from 'foxtaillever-core'
+import type { InstanceLimits } from 'foxtaillever-router'
 import { EmbeddedDeployment } from '../deployment/embeddedDeployment.js'
 import { shapes, type Shape } from '../deployment/shape.js'
 
 export const smallShape: Shape = { ...shapes['sertaneja'] as Shape, instances: 2, workers: 2, answerTokens: 4, clientDelayMs: 0 }
 
-export async function withDeployment (run: (deployment: EmbeddedDeployment) => Promise<void>, shape = smallShape): Promise<void> {
-  const deployment = await EmbeddedDeployment.start({ shape, placement: PlacementPolicy.ExpectedFirstToken, seed: 1 })
+export async function withDeployment (run: (deployment: EmbeddedDeployment) => Promise<void>, limits: Partial<InstanceLimits> = {}): Promise<void> {
+  const deployment = await EmbeddedDeployment.start({ shape: smallShape, limits, placement: PlacementPolicy.ExpectedFirstToken, seed: 1 })
   try {
     await run(deployment)
   } finally {
--- a/packages/foxtaillever-load/src/__tests__/wholePath.test.ts
+++ b/packages/foxtaillever-load/src/__tests__/wholePath.test.ts
@@ -1,8 +1,9 @@
-import { PlacementPolicy, SeededRandom } from 'foxtaillever-core'
+import { PlacementPolicy } from 'foxtaillever-core'
 import { describe, it } from 'foxtaillever-testing'
 import { EmbeddedDeployment, keyOf } from '../deployment/embeddedDeployment.js'
 import { shapes, type Shape } from '../deployment/shape.js'
 import { createArrivals } from '../workload/createArrivals.js'
+import { createRandom } from '../workload/createRandom.js'
 import { runArrivals } from '../workload/runArrivals.js'
 import { AnswerState } from '../workload/answer.js'
 
@@ -21,7 +22,7 @@
   describe('language work', () => {
     it('answers every caller with the whole answer to its own prompt', async t => {
       await withDeployment(async deployment => {
-        const arrivals = createArrivals({ shape, random: SeededRandom.create(7), requestsPerSecond: 40, seconds: 1 })
+        const arrivals = createArrivals({ shape, random: createRandom(7), requestsPerSecond: 40, seconds: 1 })
         const answers = await runArrivals(deployment.addresses, arrivals)
         t.true(answers.length > 10)
         t.true(answers.every(answer => answer.state === AnswerState.Complete))
--- a/packages/foxtaillever-load/src/commands/demo.ts
+++ b/packages/foxtaillever-load/src/commands/demo.ts
@@ -1,8 +1,9 @@
 import { Command, Option } from 'clipanion'
-import { PlacementPolicy, SeededRandom } from 'foxtaillever-core'
+import { PlacementPolicy } from 'foxtaillever-core'
 import { EmbeddedDeployment, keyOf, OPERATOR_TOKEN } from '../deployment/embeddedDeployment.js'
 import { shapes } from '../deployment/shape.js'
 import { createArrivals } from '../workload/createArrivals.js'
+import { createRandom } from '../workload/createRandom.js'
 import { runArrivals } from '../workload/runArrivals.js'
 import { summarize, type Summary } from '../results/summarize.js'
 
@@ -28,7 +29,7 @@
     }
     const deployment = await EmbeddedDeployment.start({ shape, placement: PlacementPolicy.ExpectedFirstToken, seed: SEED })
     this.context.stdout.write(`${deployment.addresses.length} entry instances before ${deployment.engines.size} engines, preset ordinary-days in force.\n`)
-    const arrivals = createArrivals({ shape, random: SeededRandom.create(SEED), requestsPerSecond: REQUESTS_PER_SECOND, seconds: SECONDS })
+    const arrivals = createArrivals({ shape, random: createRandom(SEED), requestsPerSecond: REQUESTS_PER_SECOND, seconds: SECONDS })
     const summary = summarize(await runArrivals(deployment.addresses, arrivals))
     this.context.stdout.write(formatTable(summary))
     if (this.keep) {
--- a/packages/foxtaillever-load/src/commands/speed.ts
+++ b/packages/foxtaillever-load/src/commands/speed.ts
@@ -1,6 +1,6 @@
 import { writeFile } from 'node:fs/promises'
 import { Command, Option } from 'clipanion'
-import { SeededRandom } from 'foxtaillever-core'
+import { createRandom } from '../workload/createRandom.js'
 import { Bench } from '../speed/bench.js'
 import { formatFigure, isMet, type Figure } from '../speed/figure.js'
 import { measureCost } from '../speed/measureCost.js'
@@ -35,7 +35,7 @@
   }
 
   private async measureAll (seed: number, measurements: readonly Measurement[]): Promise<Figure[]> {
-    const bench = await Bench.create(SeededRandom.create(seed))
+    const bench = await Bench.create(createRandom(seed))
     const figures: Figure[] = []
     try {
       for (const measure of measurements) {
--- a/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
+++ b/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
@@ -8,7 +8,7 @@
   type BackendServer, type ListedInstance, type PlacementPolicy, type Preset
 } from 'foxtaillever-core'
 import { Permission } from 'foxtaillever-fleet'
-import { digestKey, EntryInstance, Logs, type EntryAddresses } from 'foxtaillever-router'
+import { digestKey, EntryInstance, Logs, type EntryAddresses, type InstanceLimits } from 'foxtaillever-router'
 import {
   createEngineServer, createInstanceListServer, createLogServer, createPlainServer,
   EngineModel, InstanceListModel, KeptCacheStoreModel, LogModel, WeightStoreModel, type PlainServer
@@ -40,6 +40,8 @@
   /** Differences to the preset for ordinary days. */
   readonly preset?: Partial<Preset>
   readonly seed: number
+  /** Differences to the limits of entry instances. */
+  readonly limits?: Partial<InstanceLimits>
 }
 
 /** Every other engine checks fencing numbers and callers of orders; the rest ignore both. */
@@ -171,7 +173,7 @@
       logAddress,
       listAddress,
       distancesMs: {},
-      limits: LIMITS,
+      limits: { ...LIMITS, ...this.options.limits },
       logs: Logs.create({ instance: name, level: 'error', clock: this.clock }),
       seed: this.options.seed + index,
       logRetentionMs: LOG_RETENTION_MS,
--- a/packages/foxtaillever-load/src/experiment/runExperiment.ts
+++ b/packages/foxtaillever-load/src/experiment/runExperiment.ts
@@ -1,6 +1,6 @@
 /** One run: a deployment or given addresses, seeded arrivals, faults, results. */
 import { monitorEventLoopDelay } from 'node:perf_hooks'
-import { SeededRandom, type Preset } from 'foxtaillever-core'
+import type { Preset } from 'foxtaillever-core'
 import { EmbeddedDeployment } from '../deployment/embeddedDeployment.js'
 import type { Shape } from '../deployment/shape.js'
 import type { Fault } from '../faults/fault.js'
@@ -10,6 +10,7 @@
 import type { Answer } from '../workload/answer.js'
 import type { Arrival } from '../workload/arrival.js'
 import { createArrivals } from '../workload/createArrivals.js'
+import { createRandom } from '../workload/createRandom.js'
 import { runArrivals } from '../workload/runArrivals.js'
 
 export interface ExperimentOptions {
@@ -77,7 +78,7 @@
 function drawArrivals (options: ExperimentOptions): Arrival[] {
   return createArrivals({
     shape: options.shape,
-    random: SeededRandom.create(options.seed),
+    random: createRandom(options.seed),
     requestsPerSecond: options.requestsPerSecond,
     seconds: options.warmUpSeconds + options.seconds,
     idPrefix: `${options.variant.replaceAll(/[^\w-]/g, '_')}-${options.seed}`
--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -7,6 +7,7 @@
 import type { InstanceLimits } from '../instance/entryInstanceOptions.js'
 import type { PlainRouter } from '../plain/plainRouter.js'
 import type { Accounts } from './accounts.js'
+import { answerBrokenRequest } from './answerBrokenRequest.js'
 import { failureBody, failureHeaders } from './failureBody.js'
 import { readSubmission, type CompletionPath, type ReadCall } from './readSubmission.js'
 import { statusOf } from './statusOf.js'
@@ -26,6 +27,9 @@
   readonly turnedAway?: (requestId: string, failure: Failure) => void
 }
 
+/** How often slow senders are looked for, milliseconds; the library's own 30 s would double their time. */
+const SLOW_SENDER_LOOK_MS = 1000
+
 interface Admitted {
   readonly account: ClientAccount
   readonly configuration: Configuration
@@ -39,7 +43,13 @@
     this.http = fastify({
       bodyLimit: bodyBytes,
       requestTimeout: arrivalTimeoutMs,
-      http: { maxHeaderSize: headerBytes }
+      http: {
+        maxHeaderSize: headerBytes,
+        // The library takes the larger of the two limits for the whole request.
+        headersTimeout: arrivalTimeoutMs,
+        connectionsCheckingInterval: Math.min(arrivalTimeoutMs, SLOW_SENDER_LOOK_MS)
+      },
+      clientErrorHandler: answerBrokenRequest
     })
     this.http.setErrorHandler((error: FastifyError, request, reply) => this.refuse(request, reply, readHttpError(error)))
     this.addHealth()
--- a/packages/foxtaillever-router/src/callers/readSubmission.ts
+++ b/packages/foxtaillever-router/src/callers/readSubmission.ts
@@ -127,7 +127,7 @@
     const issue = read.error.issues[0]
     return Left(bad(`${issue?.path.join('.') || 'body'}: ${issue?.message ?? 'not understood'}`))
   }
-  if (!(read.data.model in context.configuration.models)) {
+  if (!Object.hasOwn(context.configuration.models, read.data.model)) {
     return Left(Failure.notRun(FailureCode.UnknownModel, `Model ${read.data.model} is not known here.`))
   }
   return Right(read.data)
