--- a/packages/foxtaillever-fleet/src/claims/claimKeeper.ts
+++ b/packages/foxtaillever-fleet/src/claims/claimKeeper.ts
@@ -5,7 +5,7 @@
  * guessing.
  */
 import {
-  Failure, FailureCode, RecordKind, Verdict,
+  Failure, FailureCode, RecordKind, Verdict, waitUntil,
   type Cancellation, type Clock, type Log, type LogPage, type LogRecord
 } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
@@ -59,9 +59,9 @@
 export class ClaimKeeper {
   private readonly batch = ClaimBatch.create()
   private readonly waiting = new Map<string, Waiting>()
-  /** Given up after an append that may have taken effect; freed when they turn up. */
-  private readonly abandoned = new Map<string, Cancellation>()
-  private stopped = false
+  /** Given up after an append that may have taken effect, each with the instant until which it may turn up. */
+  private readonly abandoned = new Map<string, number>()
+  private isStopped = false
   private isAppending = false
   private cancelAppend: Cancellation | undefined
   private appendAt = Number.POSITIVE_INFINITY
@@ -121,6 +121,28 @@
     }
   }
 
+  /**
+   * Writes the last outcomes, at the latest until the deadline; what is not
+   * written stays "may have run" for all others.
+   */
+  async stop (deadline: number): Promise<void> {
+    while ((this.isAppending || !this.batch.isEmpty()) && this.clock.now() < deadline) {
+      this.flush()
+      await waitUntil(this.clock, this.clock.now() + this.options.claimWindowMs)
+    }
+    this.isStopped = true
+    this.cancelAppend?.()
+  }
+
+  /** Appends without waiting for a claim to travel with. */
+  private flush (): void {
+    const now = this.clock.now()
+    if (!this.isAppending && !this.batch.isEmpty() && now >= this.pausedUntil) {
+      this.cancelAppend?.()
+      this.append()
+    }
+  }
+
   /** Requests that wait for their claim. */
   size (): number {
     return this.waiting.size
@@ -145,7 +167,7 @@
       this.finish(waiting, decisions[decision](waiting, decided))
       return
     }
-    if (this.forget(claim.requestId) && decision === ClaimDecision.Won) {
+    if (this.abandoned.delete(claim.requestId) && decision === ClaimDecision.Won) {
       this.addOutcome(claim, offset, Verdict.NotRun)
     }
   }
@@ -162,31 +184,20 @@
       return
     }
     if (!this.batch.withdraw(requestId)) {
-      this.abandoned.set(requestId, this.clock.at(this.clock.now() + ABANDONED_KEPT_MS, () => this.abandoned.delete(requestId)))
+      this.abandon(requestId)
     }
     this.finish(waiting, Left(Failure.notRun(FailureCode.LogUnavailable, 'The log did not confirm the claim in time; nothing was sent.')))
   }
 
-  /** Whether a claim was abandoned; it is not looked for any more. */
-  private forget (requestId: string): boolean {
-    this.abandoned.get(requestId)?.()
-    return this.abandoned.delete(requestId)
-  }
-
-  /**
-   * Writes the last outcomes, once, and sets no timer any more: with the log
-   * closed, a keeper that went on would hold a process that has ended. An
-   * outcome that stays unwritten reads "may have run" at the other instances.
-   */
-  async stop (): Promise<void> {
-    this.cancelAppend?.()
-    if (!this.isAppending) {
-      await this.append()
+  private abandon (requestId: string): void {
+    const now = this.clock.now()
+    for (const [id, until] of this.abandoned) {
+      if (until > now) {
+        break
+      }
+      this.abandoned.delete(id)
     }
-    this.stopped = true
-    this.cancelAppend?.()
-    this.abandoned.forEach(cancel => cancel())
-    this.abandoned.clear()
+    this.abandoned.set(requestId, now + ABANDONED_KEPT_MS)
   }
 
   private addOutcome (claim: Claim, claimOffset: number, verdict: Verdict): void {
@@ -195,7 +206,7 @@
   }
 
   private schedule (): void {
-    if (this.stopped || this.isAppending || this.batch.isEmpty()) {
+    if (this.isStopped || this.isAppending || this.batch.isEmpty()) {
       return
     }
     const windowMs = this.batch.hasClaims() ? this.options.claimWindowMs : this.options.outcomeWindowMs
@@ -247,7 +258,7 @@
     this.pausedUntil = Math.max(failure.retryAt ?? 0, this.clock.now() + APPEND_PAUSE_MS)
     this.batch.addOutcomes(outcomes)
     if (failure.verdict === Verdict.NotRun) {
-      claims.filter(claim => !this.forget(claim.requestId)).forEach(claim => this.batch.addClaim(claim))
+      claims.filter(claim => !this.abandoned.delete(claim.requestId)).forEach(claim => this.batch.addClaim(claim))
     }
   }
 }
--- a/packages/foxtaillever-settings/src/router/routerSettings.ts
+++ b/packages/foxtaillever-settings/src/router/routerSettings.ts
@@ -37,7 +37,7 @@
   readonly logAddress: string
   /** IP number and port of the list of instances. */
   readonly listAddress: string
-  /** It keeps records at least this long. */
+  /** How long the log keeps records. */
   readonly logRetentionMs: number
 }
 
@@ -50,6 +50,8 @@
   readonly arrivalTimeoutMs: number
   /** How long a leaving instance lets requests in flight go on. */
   readonly drainTimeoutMs: number
+  /** How long the claim of a non-idempotent request is remembered. */
+  readonly claimKeptMs: number
 }
 
 /** One way between two failure domains. */
@@ -74,8 +76,6 @@
   /** The first signs; each is accepted. */
   readonly memberKeys: readonly MemberKey[]
   readonly logLevel: LogLevel
-  /** Claims of non-idempotent requests are remembered this long; older keys are refused. */
-  readonly claimKeptMs: number
   readonly limits: Limits
   readonly distances: readonly Distance[]
 }
