--- a/packages/foxtaillever-router/src/telemetry/metrics.ts
+++ b/packages/foxtaillever-router/src/telemetry/metrics.ts
@@ -63,10 +63,12 @@
   }
 
   private refresh (): void {
-    for (const { name, labels = {}, value } of this.readings.flatMap(reading => reading())) {
+    const read = this.readings.flatMap(reading => reading())
+    // Reset before all, since one counter may have several readings, one for each label.
+    new Set(read.map(({ name }) => this.metrics[name])).forEach(metric => metric instanceof Counter && metric.reset())
+    for (const { name, labels = {}, value } of read) {
       const metric = this.metrics[name]
       if (metric instanceof Counter) {
-        metric.reset()
         metric.inc(labels, value)
       } else {
         (metric as Gauge).set(labels, value)
--- a/packages/foxtaillever-settings/src/router/checkRouterFile.ts
+++ b/packages/foxtaillever-settings/src/router/checkRouterFile.ts
@@ -36,6 +36,15 @@
     : [])
 ]
 
+/** A claim that the log forgets first could be won twice. */
+const checkClaims: Check = ({ limits, platform }) => limits.claimKeptMs < platform.logRetentionMs
+  ? []
+  : [{
+      path: ['limits', 'claimKeptMs'],
+      problem: `limits.claimKeptMs is ${limits.claimKeptMs}, but the log keeps records for ${platform.logRetentionMs} only, so a request could run twice.`,
+      mend: 'Write less than platform.logRetentionMs; half of it is usual.'
+    }]
+
 const checkOperators: Check = ({ operators }) => {
   const digests = operators.flatMap(({ tokenDigests }, operator) => tokenDigests.map((digest, index) => ({ digest, path: ['operators', operator, 'tokenDigests', index] })))
   return [
@@ -77,7 +86,7 @@
   ]
 }
 
-const checks: readonly Check[] = [checkReachable, checkPorts, checkPeers, checkOperators, checkMemberKeys, checkDistances]
+const checks: readonly Check[] = [checkReachable, checkPorts, checkPeers, checkClaims, checkOperators, checkMemberKeys, checkDistances]
 
 export function checkRouterFile (file: RouterFile, environment: Environment): readonly Finding[] {
   return checks.flatMap(check => check(file, environment))
