--- a/packages/foxtaillever-core/src/callerProtocol.ts
+++ b/packages/foxtaillever-core/src/callerProtocol.ts
@@ -12,6 +12,10 @@
   Timeout = 'x-request-timeout-ms',
   Priority = 'x-priority',
   RequestId = 'x-request-id',
+  /** The stream goes on when its caller is cut off, so that it can be taken up again. */
+  KeepStream = 'x-keep-stream',
+  /** On a streamed answer: opens it again through any instance. */
+  StreamToken = 'x-stream-token',
   Verdict = 'x-verdict',
   RetryAfter = 'retry-after'
 }
--- a/packages/foxtaillever-proof/src/soak/runSoak.ts
+++ b/packages/foxtaillever-proof/src/soak/runSoak.ts
@@ -32,26 +32,33 @@
   const random = SeededRandom.create(options.seed)
   const oracle = SoakOracle.create()
   const deployment = await SoakDeployment.create(run => oracle.ran(run))
-  const load = SoakLoad.create({ deployment, oracle, random, clock, requestsPerSecond: options.requestsPerSecond })
+  try {
+    return { oracle, faults: await soak(options, { deployment, oracle, random, clock }) }
+  } finally {
+    await deployment.end()
+  }
+}
+
+type Parts = Pick<FaultContext, 'deployment' | 'oracle' | 'random' | 'clock'>
+
+/** Returns how often each fault was brought about. */
+async function soak (options: SoakOptions, parts: Parts): Promise<Record<string, number>> {
+  const { deployment, oracle, clock } = parts
+  const load = SoakLoad.create({ ...parts, requestsPerSecond: options.requestsPerSecond })
   const context: FaultContext = {
-    deployment,
-    oracle,
-    random,
-    clock,
+    ...parts,
     disturb: entry => load.disturb(entry),
     drain: async entry => load.drain(entry)
   }
-  const endsAt = clock.now() + options.seconds * 1000
   const arrivals = load.run()
-  const faults = await disturbUntil(endsAt, context, options.onProgress, load)
+  const faults = await disturbUntil(clock.now() + options.seconds * 1000, context, options.onProgress, load)
   load.stop()
   await arrivals
   await waitUntil(clock, clock.now() + REST_MS)
   oracle.finish()
   await readInvariants(deployment, oracle)
   await load.close()
-  await deployment.end()
-  return { oracle, faults }
+  return faults
 }
 
 async function disturbUntil (endsAt: number, context: FaultContext, onProgress: (line: string) => void, load: SoakLoad): Promise<Record<string, number>> {
--- a/packages/foxtaillever-proof/src/soak/soakDeployment.ts
+++ b/packages/foxtaillever-proof/src/soak/soakDeployment.ts
@@ -52,6 +52,7 @@
   log!: Served
   private list!: Served
   private folder = ''
+  private readonly children: Child[] = []
   private readonly clock = SystemClock.create()
 
   private constructor (private readonly onRun: (run: EngineRun) => void) {}
@@ -59,20 +60,34 @@
   static async create (onRun: (run: EngineRun) => void): Promise<SoakDeployment> {
     const deployment = new SoakDeployment(onRun)
     deployment.folder = await mkdtemp(join(tmpdir(), 'foxtaillever-soak-'))
-    await deployment.startPlatform()
-    await deployment.startEngines()
-    await deployment.publish()
-    await deployment.startEntries()
+    try {
+      await deployment.start()
+    } catch (error) {
+      await deployment.end()
+      throw error
+    }
     return deployment
   }
 
+  private async start (): Promise<void> {
+    await this.startPlatform()
+    await this.startEngines()
+    await this.publish()
+    await this.startEntries()
+  }
+
   private async startStandin (name: string, ...options: string[]): Promise<Served> {
     const port = await choosePort()
     const child = Child.create({ name, arguments: [moduleOf('./main.js'), name, '--port', String(port), ...options], environment: {}, onLine: () => {} })
-    child.start()
+    this.launch(child)
     return { child, address: `127.0.0.1:${port}` }
   }
 
+  private launch (child: Child): void {
+    this.children.push(child)
+    child.start()
+  }
+
   private async startPlatform (): Promise<void> {
     this.log = await this.startStandin('log', '--retention-ms', String(RETENTION_MS))
     this.list = await this.startStandin('instance-list')
@@ -91,7 +106,7 @@
         environment: {},
         onLine: line => line.startsWith('run ') && this.onRun(JSON.parse(line.slice('run '.length)) as EngineRun)
       })
-      child.start()
+      this.launch(child)
       this.engines.push({ child, address: `127.0.0.1:${port}` })
       await this.listEngine(index, ListedState.Live)
       await this.waitFor(`http://127.0.0.1:${port}/load`)
@@ -149,11 +164,12 @@
         platform: { logAddress: this.log.address, listAddress: this.list.address, logRetentionMs: RETENTION_MS },
         operators: [{ name: 'soak', tokenDigests: [digest('soak')] }],
         memberKeys: [{ id: 'soak', keyVariable: 'FOXTAILLEVER_SOAK_KEY' }],
+        limits: { claimKeptMs: RETENTION_MS / 2 },
         logLevel: 'error'
       }))
       const script = fileURLToPath(new URL('./main.js', import.meta.resolve('foxtaillever-router')))
-      const child = Child.create({ name: `entry-${index}`, arguments: [script, '--settings', file], environment: { FOXTAILLEVER_SOAK_KEY: memberKey }, onLine: () => {} })
-      child.start()
+      const child = Child.create({ name: `entry-${index}`, arguments: [script, file], environment: { FOXTAILLEVER_SOAK_KEY: memberKey }, onLine: () => {} })
+      this.launch(child)
       this.entries.push({ child, address: `http://127.0.0.1:${listen}`, control: `http://127.0.0.1:${control}` })
     }
     await Promise.all(this.entries.map(async ({ address }) => await this.waitFor(`${address}/readyz`)))
@@ -192,8 +208,7 @@
   }
 
   async end (): Promise<void> {
-    const all = [...this.entries, ...this.engines, this.log, this.list]
-    await Promise.all(all.map(async ({ child }) => await child.kill()))
+    await Promise.all(this.children.map(async child => await child.kill()))
     await rm(this.folder, { recursive: true })
   }
 }
--- a/packages/foxtaillever-proof/src/world/world.ts
+++ b/packages/foxtaillever-proof/src/world/world.ts
@@ -200,10 +200,8 @@
 
   private createResponder (sending: Sending, submission: Submission, entry: Entry, isSlowReader: boolean): Responder {
     return {
-      started: (start, server) => {
-        const { streamId, incarnation, weightsVersion } = start
-        this.positions.push({ sending, submission, position: { server, streamId, incarnation, weightsVersion, requestId: sending.id, after: 0 } })
-      },
+      started: (_start, position) => { this.positions.push({ sending, submission, position }) },
+      moved: position => { this.positions.push({ sending, submission, position }) },
       token: (sequence, data) => {
         this.oracle.token(sending, sequence, data)
         if (isSlowReader) {
--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -10,7 +10,9 @@
 import { failureBody, failureHeaders } from './failureBody.js'
 import { readSubmission, type CompletionPath, type ReadCall } from './readSubmission.js'
 import { statusOf } from './statusOf.js'
+import { readTakeUp, type TakeUp } from './readTakeUp.js'
 import { StreamResponder } from './streamResponder.js'
+import type { StreamTokens } from './streamToken.js'
 import { WholeResponder } from './wholeResponder.js'
 
 export interface CallerServerOptions {
@@ -18,6 +20,7 @@
   readonly core: RouterCore
   readonly plain: PlainRouter
   readonly accounts: Accounts
+  readonly tokens: StreamTokens
   readonly configuration: () => Configuration | undefined
   /** Whether new requests are taken; false once a shutdown began. */
   readonly accepting: () => boolean
@@ -26,6 +29,9 @@
   readonly turnedAway?: (requestId: string, failure: Failure) => void
 }
 
+/** Stream tokens stand in the path, characters. */
+const LONGEST_PARAMETER = 2048
+
 interface Admitted {
   readonly account: ClientAccount
   readonly configuration: Configuration
@@ -38,6 +44,7 @@
     const { bodyBytes, headerBytes, arrivalTimeoutMs } = options.limits
     this.http = fastify({
       bodyLimit: bodyBytes,
+      maxParamLength: LONGEST_PARAMETER,
       requestTimeout: arrivalTimeoutMs,
       http: { maxHeaderSize: headerBytes }
     })
@@ -46,6 +53,7 @@
     this.addModels()
     this.addCompletions(EnginePath.Completions)
     this.addCompletions(EnginePath.ChatCompletions)
+    this.addStreams()
     this.addPlainServices()
   }
 
@@ -90,25 +98,51 @@
         .chain(({ account, configuration }) => readSubmission({ headers: request.headers, path, body: request.body, account, configuration, clock: this.options.clock }))
         .caseOf({
           Left: failure => this.refuse(request, reply, failure),
-          Right: call => this.serve(call, reply)
+          Right: call => this.serve(call, reply, request.headers[CallerHeader.KeepStream] === 'true')
         })
     })
   }
 
-  private serve (call: ReadCall, reply: FastifyReply): void {
+  private serve (call: ReadCall, reply: FastifyReply, mayComeBack: boolean): void {
     reply.hijack()
     const response = reply.raw
     const { submission, includeUsage } = call
-    const jobId = submission.job.id
-    const options = { response, submission, clock: this.options.clock, includeUsage }
+    const { tokens, clock, core } = this.options
+    const options = { response, submission, clock, includeUsage, tokens }
     const responder = call.stream ? StreamResponder.create(options) : WholeResponder.create(options)
+    this.follow(reply, submission.job.id, call.stream && mayComeBack)
+    core.submit(submission, responder)
+  }
+
+  /** The caller's side of a request: it may read slowly, and it may go. */
+  private follow (reply: FastifyReply, jobId: string, mayComeBack: boolean): void {
+    const response = reply.raw
     response.on('close', () => {
       if (!response.writableFinished) {
-        this.options.core.abandon(jobId)
+        this.options.core.abandon(jobId, mayComeBack)
       }
     })
     response.on('drain', () => this.options.core.drained(jobId))
-    this.options.core.submit(submission, responder)
+  }
+
+  /** Takes up a stream where its caller was cut off, whichever instance began it. */
+  private addStreams (): void {
+    this.http.get<{ Params: { token: string } }>('/v1/streams/:token', (request, reply) => {
+      const { clock, tokens } = this.options
+      this.admit(request)
+        .chain(({ account, configuration }) => readTakeUp({ token: request.params.token, headers: request.headers, account, configuration, clock, tokens }))
+        .caseOf({
+          Left: failure => this.refuse(request, reply, failure),
+          Right: call => this.takeUp(call, reply)
+        })
+    })
+  }
+
+  private takeUp ({ submission, position }: TakeUp, reply: FastifyReply): void {
+    reply.hijack()
+    const { tokens, clock, core } = this.options
+    this.follow(reply, submission.job.id, true)
+    core.takeUp(submission, position, StreamResponder.create({ response: reply.raw, submission, clock, includeUsage: false, tokens }))
   }
 
   /** Any path that is not a call of the completions protocol may be a plain service's; its body passes as it came. */
--- a/packages/foxtaillever-router/src/callers/readSubmission.ts
+++ b/packages/foxtaillever-router/src/callers/readSubmission.ts
@@ -82,7 +82,7 @@
   readonly includeUsage: boolean
 }
 
-function headerOf (context: CallContext, name: CallerHeader): string {
+function headerOf (context: Pick<CallContext, 'headers'>, name: CallerHeader): string {
   const value = context.headers[name]
   return typeof value === 'string' ? value : ''
 }
@@ -91,7 +91,7 @@
   return Failure.notRun(FailureCode.BadRequest, message)
 }
 
-function readDeadline (context: CallContext): Either<Failure, number> {
+export function readDeadline (context: Pick<CallContext, 'headers' | 'configuration' | 'clock'>): Either<Failure, number> {
   const now = context.clock.now()
   const absolute = headerOf(context, CallerHeader.Deadline)
   const relative = headerOf(context, CallerHeader.Timeout)
--- a/packages/foxtaillever-router/src/callers/streamResponder.ts
+++ b/packages/foxtaillever-router/src/callers/streamResponder.ts
@@ -5,16 +5,18 @@
  */
 import type { ServerResponse } from 'node:http'
 import { CallerHeader, type Clock, type Failure, type StreamEnd, type StreamStart } from 'foxtaillever-core'
-import type { Responder, Submission } from '../core/request.js'
+import type { Responder, StreamPosition, Submission } from '../core/request.js'
 import { chunkForms, usageOf } from './chunkForm.js'
 import { failureBody, failureHeaders } from './failureBody.js'
 import { statusOf } from './statusOf.js'
+import type { StreamTokens } from './streamToken.js'
 
 export interface ResponderOptions {
   readonly response: ServerResponse
   readonly submission: Submission
   readonly clock: Clock
   readonly includeUsage: boolean
+  readonly tokens: StreamTokens
 }
 
 export class StreamResponder implements Responder {
@@ -24,16 +26,28 @@
     return new StreamResponder(options)
   }
 
-  started (start: StreamStart, _server: string): void {
+  started (start: StreamStart, position: StreamPosition): void {
     this.options.response.writeHead(200, {
       'content-type': 'text/event-stream; charset=utf-8',
       'cache-control': 'no-cache',
       [CallerHeader.RequestId]: this.options.submission.job.id,
+      [CallerHeader.StreamToken]: this.tokenOf(position),
       'x-cached-tokens': String(start.cachedTokens)
     })
     this.options.response.flushHeaders()
   }
 
+  /** A comment, which clients that know nothing of tokens pass over. */
+  moved (position: StreamPosition): void {
+    this.options.response.write(`: ${CallerHeader.StreamToken} ${this.tokenOf(position)}\n\n`)
+  }
+
+  private tokenOf (position: StreamPosition): string {
+    const { tokens, submission } = this.options
+    const { account, model } = submission.job
+    return tokens.make({ account, model, path: submission.path, position })
+  }
+
   token (sequence: number, data: string): boolean {
     return this.options.response.write(`id: ${sequence}\ndata: ${data}\n\n`)
   }
--- /dev/null
+++ b/packages/foxtaillever-router/src/callers/streamToken.ts
@@ -0,0 +1,68 @@
+/**
+ * Opaque tokens by which a caller takes up its stream again, through any
+ * instance. A token names backend server, incarnation, account and stream; it
+ * is signed with the key that instances share, so that nobody makes one for
+ * another account's stream.
+ */
+import { EnginePath } from 'foxtaillever-core'
+import { MAC_BYTES, Permission, type KeyRing } from 'foxtaillever-fleet'
+import { Maybe } from 'purify-ts'
+import { z } from 'zod'
+import type { StreamPosition } from '../core/request.js'
+import type { CompletionPath } from './readSubmission.js'
+
+export interface StreamClaim {
+  readonly account: string
+  readonly model: string
+  readonly path: CompletionPath
+  readonly position: StreamPosition
+}
+
+/** Bytes before what is signed, so that a signature made for something else is never a token. */
+const PURPOSE = 'stream-token\0'
+
+const LONGEST_TOKEN = 2048
+
+const streamClaim = z.object({
+  account: z.string(),
+  model: z.string(),
+  path: z.union([z.literal(EnginePath.Completions), z.literal(EnginePath.ChatCompletions)]),
+  position: z.object({
+    server: z.string(),
+    incarnation: z.string(),
+    weightsVersion: z.string(),
+    streamId: z.string(),
+    requestId: z.string(),
+    after: z.number().int().min(0)
+  })
+})
+
+function signed (body: string): Buffer {
+  return Buffer.from(PURPOSE + body)
+}
+
+export class StreamTokens {
+  private constructor (private readonly keys: KeyRing) {}
+
+  static create (keys: KeyRing): StreamTokens {
+    return new StreamTokens(keys)
+  }
+
+  make (claim: StreamClaim): string {
+    const body = Buffer.from(JSON.stringify(claim)).toString('base64url')
+    const { keyId, mac } = this.keys.sign(Permission.Join, signed(body))
+    return `${body}.${Buffer.from(keyId).toString('base64url')}.${mac.toString('base64url')}`
+  }
+
+  /** Nothing for a token that no instance made, or that was changed. */
+  read (token: string): Maybe<StreamClaim> {
+    const [body = '', keyId = '', mac = '', ...rest] = token.split('.')
+    const signature = { keyId: Buffer.from(keyId, 'base64url').toString(), mac: Buffer.from(mac, 'base64url') }
+    const isWellFormed = token.length <= LONGEST_TOKEN && rest.length === 0 && signature.mac.length === MAC_BYTES
+    if (!isWellFormed || !this.keys.verify(Permission.Join, signed(body), signature)) {
+      return Maybe.empty()
+    }
+    return Maybe.encase(() => JSON.parse(Buffer.from(body, 'base64url').toString()) as unknown)
+      .chain(parsed => Maybe.fromNullable(streamClaim.safeParse(parsed).data))
+  }
+}
--- a/packages/foxtaillever-router/src/core/request.ts
+++ b/packages/foxtaillever-router/src/core/request.ts
@@ -18,10 +18,24 @@
   Done = 'done'
 }
 
+/** Where a caller that was cut off takes its stream up again. */
+export interface StreamPosition {
+  readonly server: string
+  readonly incarnation: string
+  readonly weightsVersion: string
+  readonly streamId: string
+  /** Id of the try at the engine. */
+  readonly requestId: string
+  /** Tokens that the caller has. */
+  readonly after: number
+}
+
 /** Receives the answer on the caller's behalf; exactly one of finished and failed comes last. */
 export interface Responder {
-  /** @param server the backend server that answers. */
-  started: (start: StreamStart, server: string) => void
+  /** @param position where the stream can be taken up again. */
+  started: (start: StreamStart, position: StreamPosition) => void
+  /** The answer goes on from another backend server. */
+  moved?: (position: StreamPosition) => void
   /**
    * @param sequence 1 for the first token of the whole answer.
    * @returns false when the caller reads too slowly and the engine must be held back.
@@ -41,18 +55,6 @@
   readonly idempotencyKey: string
 }
 
-/** Where a caller that was cut off takes its stream up again. */
-export interface StreamPosition {
-  readonly server: string
-  readonly incarnation: string
-  readonly weightsVersion: string
-  readonly streamId: string
-  /** Id of the try at the engine. */
-  readonly requestId: string
-  /** Tokens that the caller has. */
-  readonly after: number
-}
-
 /** One row of the request table. */
 export interface RequestRow {
   readonly submission: Submission
--- a/packages/foxtaillever-router/src/core/routerCore.ts
+++ b/packages/foxtaillever-router/src/core/routerCore.ts
@@ -315,15 +315,18 @@
       this.scheduler.started(row.submission.job.id, start, this.options.clock.now())
     }
     // Headers go out once, however many tries and resumes the answer takes.
+    const position = positionOf(row, start)
     if (!row.isAnswering) {
       row.isAnswering = true
       this.observer.started(row.submission.job, row.server, start)
-      row.responder.started(start, row.server)
+      row.responder.started(start, position)
+    } else {
+      row.responder.moved?.(position)
     }
   }
 
   private onToken (row: RequestRow, sequence: number, data: string): void {
-    if (sequence === 1) {
+    if (sequence === 1 && row.isScheduled) {
       this.observer.firstToken(row.submission.job, row.server)
       this.scheduler.firstToken(row.submission.job.id, this.options.clock.now())
     }
@@ -379,6 +382,10 @@
   }
 }
 
+function positionOf (row: RequestRow, { streamId, incarnation, weightsVersion }: StreamStart): StreamPosition {
+  return { server: row.server, streamId, incarnation, weightsVersion, requestId: row.engineId, after: row.delivered }
+}
+
 export interface RouterCoreState {
   readonly inFlight: number
   readonly scheduler: ReturnType<Scheduler['dump']>
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -11,6 +11,7 @@
 import { LogClient } from '../adapters/logClient.js'
 import { Accounts } from '../callers/accounts.js'
 import { CallerServer } from '../callers/callerServer.js'
+import { StreamTokens } from '../callers/streamToken.js'
 import { ControlServer } from '../control/controlServer.js'
 import { InstanceControl } from '../control/instanceControl.js'
 import { Invariants } from '../core/invariants.js'
@@ -133,6 +134,7 @@
       core: this.core,
       plain: this.plain,
       accounts: this.accounts,
+      tokens: StreamTokens.create(this.keys),
       configuration: () => this.fleet.store.isKnown() ? this.configuration() : undefined,
       turnedAway: (requestId, failure) => this.telemetry.turnedAway(requestId, failure),
       accepting: () => this.accepting,
