--- a/packages/foxtaillever-proof/src/soak/runSoak.ts
+++ b/packages/foxtaillever-proof/src/soak/runSoak.ts
@@ -48,10 +48,18 @@
   const context: FaultContext = {
     ...parts,
     disturb: entry => load.disturb(entry),
-    drain: async entry => load.drain(entry)
+    drain: entry => load.drain(entry),
+    draining: new Set()
   }
   const arrivals = load.run()
-  const faults = await disturbUntil(clock.now() + options.seconds * 1000, context, options.onProgress, load)
+  const endsAt = clock.now() + options.seconds * 1000
+  const faults: Record<string, number> = {}
+  // Two at a time, so that faults meet.
+  await Promise.all([
+    disturbUntil(endsAt, context, faults),
+    disturbUntil(endsAt, context, faults),
+    tellUntil(endsAt, context, options.onProgress, load)
+  ])
   load.stop()
   await arrivals
   await waitUntil(clock, clock.now() + REST_MS)
@@ -61,10 +69,8 @@
   return faults
 }
 
-async function disturbUntil (endsAt: number, context: FaultContext, onProgress: (line: string) => void, load: SoakLoad): Promise<Record<string, number>> {
-  const { clock, random, oracle } = context
-  const counts: Record<string, number> = {}
-  let progressAt = clock.now() + PROGRESS_MS
+async function disturbUntil (endsAt: number, context: FaultContext, counts: Record<string, number>): Promise<void> {
+  const { clock, random } = context
   while (clock.now() < endsAt) {
     const fault = soakFaults[random.below(soakFaults.length)]
     if (fault) {
@@ -72,13 +78,17 @@
       await fault.run(context)
     }
     await waitUntil(clock, clock.now() + random.below(LONGEST_CALM_MS))
-    if (clock.now() >= progressAt) {
-      progressAt = clock.now() + PROGRESS_MS
-      const violated = [...oracle.counts.values()].reduce((sum, count) => sum + count.violated, 0)
-      onProgress(`${Math.round((endsAt - clock.now()) / 1000)} s left, ${oracle.outcomes.get('whole') ?? 0} whole, ${load.inFlight} in flight, ${violated} violated`)
-    }
   }
-  return counts
+}
+
+async function tellUntil (endsAt: number, { clock, oracle }: FaultContext, onProgress: (line: string) => void, load: SoakLoad): Promise<void> {
+  while (clock.now() + PROGRESS_MS < endsAt) {
+    await waitUntil(clock, clock.now() + PROGRESS_MS)
+    const counts = [...oracle.counts.values()]
+    const violated = counts.reduce((sum, count) => sum + count.violated, 0)
+    onProgress(`${Math.round((endsAt - clock.now()) / 1000)} s left, ${oracle.outcomes.get('whole') ?? 0} whole, ${load.inFlight} in flight, ${violated} violated`)
+    counts.flatMap(({ details }) => details.splice(0)).forEach(detail => onProgress(`  ${detail}`))
+  }
 }
 
 const INVARIANT_LINE = /^foxtaillever_invariant_(checks|violations)_total\{invariant="([^"]+)"\} (\d+)/
--- a/packages/foxtaillever-proof/src/soak/soakFaults.ts
+++ b/packages/foxtaillever-proof/src/soak/soakFaults.ts
@@ -11,7 +11,9 @@
   /** An instance is about to be disturbed; its callers' connections may break. */
   readonly disturb: (entry: number) => void
   /** An instance was told to end gracefully: nothing through it may be cut until it is back. */
-  readonly drain: (entry: number) => Promise<void>
+  readonly drain: (entry: number) => void
+  /** Instances that end gracefully just now; no other fault hits them. */
+  readonly draining: Set<number>
 }
 
 type Fault = (context: FaultContext) => Promise<void>
@@ -25,17 +27,30 @@
   await waitUntil(context.clock, context.clock.now() + context.random.below(longestMs))
 }
 
+/** An instance that is not being drained, if the one drawn is not. */
+function drawEntry ({ random, draining }: FaultContext): number | undefined {
+  const index = random.below(ENTRIES)
+  return draining.has(index) ? undefined : index
+}
+
 async function killEntry (context: FaultContext): Promise<void> {
-  const index = context.random.below(ENTRIES)
+  const index = drawEntry(context)
+  if (index === undefined) {
+    return
+  }
   const entry = context.deployment.entries[index]
   context.disturb(index)
   await entry?.child.kill()
   await waitSome(context, LONGEST_DOWN_MS)
+  context.disturb(index)
   entry?.child.start()
 }
 
 async function pauseEntry (context: FaultContext): Promise<void> {
-  const index = context.random.below(ENTRIES)
+  const index = drawEntry(context)
+  if (index === undefined) {
+    return
+  }
   const entry = context.deployment.entries[index]
   context.disturb(index)
   entry?.child.stop()
@@ -46,23 +61,29 @@
 
 async function restartHerd (context: FaultContext): Promise<void> {
   const { entries } = context.deployment
-  entries.forEach((_, index) => context.disturb(index))
-  await Promise.all(entries.map(async ({ child }) => {
-    await child.kill()
-    child.start()
+  await Promise.all(entries.map(async ({ child }, index) => {
+    if (!context.draining.has(index)) {
+      context.disturb(index)
+      await child.kill()
+      child.start()
+    }
   }))
 }
 
 async function drainEntry (context: FaultContext): Promise<void> {
-  const index = context.random.below(ENTRIES)
-  const entry = context.deployment.entries[index]
-  if (!entry?.child.isUp()) {
+  const index = drawEntry(context)
+  const entry = index === undefined ? undefined : context.deployment.entries[index]
+  if (index === undefined || !entry?.child.isUp() || entry.child.isStopped) {
     return
   }
-  await context.drain(index)
+  context.draining.add(index)
+  // A process that has not begun to serve has nothing to finish.
+  await context.deployment.waitFor(`${entry.address}/readyz`)
+  context.drain(index)
   const code = await entry.child.terminate()
   context.oracle.expect(SoakPromise.GracefulStop, code === 0, () => `entry-${index} ended with ${code}: ${entry.child.complaint}`)
   entry.child.start()
+  context.draining.delete(index)
 }
 
 async function killEngine (context: FaultContext): Promise<void> {
--- a/packages/foxtaillever-proof/src/soak/soakOracle.ts
+++ b/packages/foxtaillever-proof/src/soak/soakOracle.ts
@@ -15,7 +15,7 @@
 export interface PromiseCount {
   checked: number
   violated: number
-  /** The first few violations. */
+  /** Some of the violations, until they are told. */
   readonly details: string[]
 }
 
--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -44,7 +44,7 @@
     const { bodyBytes, headerBytes, arrivalTimeoutMs } = options.limits
     this.http = fastify({
       bodyLimit: bodyBytes,
-      maxParamLength: LONGEST_PARAMETER,
+      routerOptions: { maxParamLength: LONGEST_PARAMETER },
       requestTimeout: arrivalTimeoutMs,
       http: { maxHeaderSize: headerBytes }
     })
--- a/packages/foxtaillever-router/src/commands/serve.ts
+++ b/packages/foxtaillever-router/src/commands/serve.ts
@@ -60,6 +60,11 @@
 
   private async serve (settings: RouterSettings): Promise<ExitCode> {
     const instance = EntryInstance.create(createEntryInstanceOptions(settings, SystemClock.create()))
+    // Listened to before callers can come in, so that no signal ends the process with an answer in flight.
+    const told = new Promise<void>(resolve => {
+      process.once('SIGTERM', resolve)
+      process.once('SIGINT', resolve)
+    })
     try {
       await instance.start()
     } catch (error) {
@@ -67,10 +72,7 @@
       return ExitCode.CannotListen
     }
     process.on('SIGHUP', () => this.reload(instance))
-    await new Promise<void>(resolve => {
-      process.once('SIGTERM', resolve)
-      process.once('SIGINT', resolve)
-    })
+    await told
     await instance.stop()
     return ExitCode.Done
   }
