--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -11,12 +11,15 @@
 import { LogClient } from '../adapters/logClient.js'
 import { Accounts } from '../callers/accounts.js'
 import { CallerServer } from '../callers/callerServer.js'
+import { StreamTokens } from '../callers/streamToken.js'
 import { ControlServer } from '../control/controlServer.js'
 import { InstanceControl } from '../control/instanceControl.js'
+import { Invariants } from '../core/invariants.js'
 import { RouterCore } from '../core/routerCore.js'
 import { PlainRouter } from '../plain/plainRouter.js'
 import { Part } from '../telemetry/logs.js'
 import { MetricName } from '../telemetry/metricTable.js'
+import { readInvariants } from '../telemetry/readInvariants.js'
 import { Telemetry } from '../telemetry/telemetry.js'
 import { Engines } from './engines.js'
 import type { EntryAddresses, EntryInstanceOptions, Listening } from './entryInstanceOptions.js'
@@ -117,7 +120,11 @@
       distancesMs,
       engineOf: server => this.engines.of(server),
       claims: this.claims,
-      observer: this.telemetry
+      observer: this.telemetry,
+      invariants: Invariants.create({
+        isFatal: false,
+        onViolation: (invariant, detail) => this.options.logs.write('error', Part.Requests, 'An invariant does not hold.', { invariant, detail })
+      })
     })
   }
 
@@ -127,6 +134,7 @@
       core: this.core,
       plain: this.plain,
       accounts: this.accounts,
+      tokens: StreamTokens.create(this.keys),
       configuration: () => this.fleet.store.isKnown() ? this.configuration() : undefined,
       turnedAway: (requestId, failure) => this.telemetry.turnedAway(requestId, failure),
       accepting: () => this.accepting,
@@ -151,6 +159,7 @@
   private measureFleet (): void {
     const { clock, fleet, telemetry } = this
     const startedAt = clock.now()
+    telemetry.metrics.onRead(() => readInvariants(this.core.invariants))
     telemetry.metrics.onRead(() => [
       { name: MetricName.Revision, value: fleet.store.configuration().revision },
       { name: MetricName.FoldOffset, value: fleet.store.current().offset },
