Pass single changes between peers, spread table fetches

A peer that is a few revisions behind now gets the accepted records alone, checked by the digest they must end at; tables go in half the bytes and fetches are spread over their whole period.

--- a/packages/foxtaillever-capacity/src/members/hostedMember.ts
+++ b/packages/foxtaillever-capacity/src/members/hostedMember.ts
@@ -5,7 +5,7 @@
 import { createHTTPServer } from '@trpc/server/adapters/standalone'
 import type { AddressInfo, Server } from 'node:net'
 import { hashText, SeededRandom, type Clock, type InstanceList, type LogRecord } from 'foxtaillever-core'
-import { createPeerRouter, FactKind, Fleet, KeyRing, PEER_PATH, Permission, TrpcPeers, UdpDatagrams } from 'foxtaillever-fleet'
+import { createPeerRouter, FactKind, Fleet, KeyRing, PEER_PATH, Permission, TrpcPeers, UdpDatagrams, type PeerSource } from 'foxtaillever-fleet'
 import type { MemberPlan, MemberSample, Started } from './orders.js'
 import type { Reachability } from './reachability.js'
 import type { SharedLog } from './sharedLog.js'
@@ -45,7 +45,7 @@
     const datagrams = UdpDatagrams.create('127.0.0.1:0')
     const address = await datagrams.bind()
     const peers = TrpcPeers.create(plan.name, keys, clock, random)
-    const source = { configuration: () => fleet.configuration(), memberEntries: () => fleet.memberEntries() }
+    const source: PeerSource = { configuration: () => fleet.configuration(), changesSince: revision => fleet.changesSince(revision), memberEntries: () => fleet.memberEntries() }
     const { server } = createHTTPServerOf(createPeerRouter(source, keys, clock))
     const controlAddress = await listen(server)
     const started = { ...plan, address, controlAddress }
--- a/packages/foxtaillever-capacity/src/members/reachability.ts
+++ b/packages/foxtaillever-capacity/src/members/reachability.ts
@@ -48,6 +48,7 @@
     const refused = Left(Failure.notRun(FailureCode.ConnectionRefused, 'Cut off.'))
     return {
       configuration: async to => this.isOpen(address, to) ? await peers.configuration(to) : refused,
+      changes: async (to, revision) => this.isOpen(address, to) && peers.changes ? await peers.changes(to, revision) : refused,
       members: async to => this.isOpen(address, to) ? await peers.members(to) : refused
     }
   }
--- a/packages/foxtaillever-fleet/src/__fixtures__/fakeFleet.ts
+++ b/packages/foxtaillever-fleet/src/__fixtures__/fakeFleet.ts
@@ -93,6 +93,10 @@
         const fleet = find(address)
         return fleet ? Right(fleet.configuration()) : refused
       },
+      changes: async (address, revision) => {
+        const changes = find(address)?.changesSince(revision)
+        return changes ? Right(changes) : refused
+      },
       members: async address => {
         const fleet = find(address)
         return fleet ? Right(fleet.memberEntries()) : refused
--- a/packages/foxtaillever-fleet/src/configuration/__tests__/configurationStore.test.ts
+++ b/packages/foxtaillever-fleet/src/configuration/__tests__/configurationStore.test.ts
@@ -102,6 +102,23 @@
       t.is(store.configuration().revision, 1)
     })
 
+    it('catches up by the changes of a peer, and only from where it stands', t => {
+      const records = [changeRecord(1, 0), changeRecord(2, 1), otherRecord(3), changeRecord(4, 2), changeRecord(5, 2), changeRecord(6, 4)]
+      const peer = storeAfter(records)
+      const behind = storeAfter(records.slice(0, 2))
+      const changes = peer.changesSince(2)!
+      t.deepEqual(changes.records.map(({ offset }) => offset), [4, 6])
+      t.is(behind.offerChanges(changes), OfferOutcome.Taken)
+      t.is(behind.current().digest, peer.current().digest)
+      t.is(behind.current().offset, 6)
+      t.is(behind.offerChanges(changes), OfferOutcome.Older)
+      const forged = { ...changes, records: [changeRecord(4, 2, [putPreset(99)])] }
+      const other = storeAfter(records.slice(0, 2))
+      t.is(other.offerChanges(forged), OfferOutcome.Damaged)
+      t.is(other.configuration().revision, 2)
+      t.is(peer.changesSince(3), undefined)
+    })
+
     it('refuses and counts a copy that contradicts its own fold', t => {
       const store = storeAfter([changeRecord(1, 0, [putPreset(5)])])
       const other = storeAfter([changeRecord(1, 0, [putPreset(6)]), otherRecord(2)]).current()
--- a/packages/foxtaillever-fleet/src/configuration/configurationStore.ts
+++ b/packages/foxtaillever-fleet/src/configuration/configurationStore.ts
@@ -8,7 +8,7 @@
 import type { ConfigurationRecord, SnapshotRecord } from './change.js'
 import { digestOf } from './digest.js'
 import { foldConfiguration, FoldOutcome } from './foldConfiguration.js'
-import { appendHistory, HISTORY_LENGTH, isIntact, nothingFolded, type AcceptedRevision, type FoldedConfiguration } from './foldedConfiguration.js'
+import { appendHistory, HISTORY_LENGTH, isIntact, nothingFolded, type AcceptedRevision, type ConfigurationChanges, type FoldedConfiguration } from './foldedConfiguration.js'
 import { RecordBacklog } from './recordBacklog.js'
 
 /** What became of a copy that a peer offered. */
@@ -27,6 +27,8 @@
   private folded = nothingFolded
   private readonly backlog = RecordBacklog.create()
   private readonly listeners = new Set<ConfigurationListener>()
+  /** The last accepted records, for peers that are behind. */
+  private recent: readonly LogRecord[] = []
   private divergences = 0
 
   private constructor () {}
@@ -72,6 +74,7 @@
     }
     if (record.offset === this.folded.offset + 1 && this.backlog.isEmpty()) {
       this.moveTo(this.fold(this.folded, record))
+      this.remember([record])
       return
     }
     this.backlog.add(record)
@@ -101,6 +104,29 @@
     return OfferOutcome.Taken
   }
 
+  /** What was accepted since the revision, if it does not lie too far back. */
+  changesSince (revision: number): ConfigurationChanges | undefined {
+    const start = this.recent.findIndex(record => (record.body as ConfigurationRecord).base === revision)
+    const { configuration, offset, digest } = this.folded
+    const records = this.recent.slice(start)
+    return start >= 0 && records.at(-1)?.offset === configuration.revision ? { records, offset, digest } : undefined
+  }
+
+  /** Folds a peer's changes on top of what is folded here; taken only when they end at the peer's digest. */
+  offerChanges ({ records, offset, digest }: ConfigurationChanges): OfferOutcome {
+    const first = records[0]?.body as ConfigurationRecord | undefined
+    if (offset <= this.folded.offset || first?.base !== this.folded.configuration.revision) {
+      return OfferOutcome.Older
+    }
+    const folded = records.reduce((state, record) => this.fold(state, record), this.folded)
+    if (folded.digest !== digest) {
+      return OfferOutcome.Damaged
+    }
+    const outcome = this.offer({ ...folded, offset })
+    this.remember(records)
+    return outcome
+  }
+
   /** The accepted record with this id, as far back as the history goes. */
   acceptedRevision (id: string): AcceptedRevision | undefined {
     return this.folded.history.find(accepted => accepted.id === id)
@@ -159,6 +185,14 @@
     return { ...folded, offset: reached }
   }
 
+  /** Keeps records that were accepted; after a jump the chain is broken, and peers then take the whole. */
+  private remember (records: readonly LogRecord[]): void {
+    const accepted = records.filter(({ offset }) => this.folded.history.some(({ revision }) => revision === offset))
+    if (accepted.length > 0) {
+      this.recent = [...this.recent, ...accepted].slice(-HISTORY_LENGTH)
+    }
+  }
+
   private moveTo (folded: FoldedConfiguration): void {
     const changed = folded.configuration.revision !== this.folded.configuration.revision
     this.folded = folded
--- a/packages/foxtaillever-fleet/src/configuration/foldedConfiguration.ts
+++ b/packages/foxtaillever-fleet/src/configuration/foldedConfiguration.ts
@@ -2,7 +2,7 @@
  * A configuration together with where in the log it stands, as instances keep
  * it, pass it on to each other and write it into snapshot records.
  */
-import { emptyConfiguration, type Configuration } from 'foxtaillever-core'
+import { emptyConfiguration, type Configuration, type LogRecord } from 'foxtaillever-core'
 import { digestOf } from './digest.js'
 
 /** One accepted record. */
@@ -26,6 +26,18 @@
   readonly history: readonly AcceptedRevision[]
 }
 
+/**
+ * What a peer that is a few revisions behind needs: some hundred bytes in place
+ * of the whole configuration's hundreds of thousands.
+ */
+export interface ConfigurationChanges {
+  /** Accepted records in order; the first builds on the peer's revision. */
+  readonly records: readonly LogRecord[]
+  /** Where the fold stands after them. */
+  readonly offset: number
+  readonly digest: string
+}
+
 export const nothingFolded: FoldedConfiguration = {
   configuration: emptyConfiguration,
   offset: 0,
--- a/packages/foxtaillever-fleet/src/configuration/pullSystem.ts
+++ b/packages/foxtaillever-fleet/src/configuration/pullSystem.ts
@@ -7,7 +7,7 @@
 import type { Clock } from 'foxtaillever-core'
 import type { Peers } from '../membership/peers.js'
 import type { ConfigurationPosition } from '../membership/member.js'
-import type { ConfigurationStore } from './configurationStore.js'
+import { OfferOutcome, type ConfigurationStore } from './configurationStore.js'
 
 /** How long the log may take to deliver what a peer already has, milliseconds. */
 const GRACE_MS = 1000
@@ -88,6 +88,9 @@
 
   private async pull ({ address }: Candidate): Promise<void> {
     this.busy = true
+    if (await this.pullChanges(address)) {
+      return
+    }
     const answer = await this.parts.peers.configuration(address)
     answer.caseOf({
       Left: () => { this.retryAt = this.parts.clock.now() + RETRY_MS },
@@ -97,4 +100,15 @@
       }
     })
   }
+
+  /** Tries with the changes alone; an instance that knows nothing needs the whole. */
+  private async pullChanges (address: string): Promise<boolean> {
+    if (!this.store.isKnown() || this.store.hasGap()) {
+      return false
+    }
+    const answer = await this.parts.peers.changes?.(address, this.store.configuration().revision)
+    const outcome = answer?.map(changes => this.store.offerChanges(changes)).toMaybe().extractNullable()
+    this.pulled += outcome === OfferOutcome.Taken ? 1 : 0
+    return outcome === OfferOutcome.Taken || outcome === OfferOutcome.Older
+  }
 }
--- a/packages/foxtaillever-fleet/src/fleet.ts
+++ b/packages/foxtaillever-fleet/src/fleet.ts
@@ -180,6 +180,11 @@
     return this.store.current()
   }
 
+  /** What a peer gets that is a few revisions behind. */
+  changesSince (revision: number) {
+    return this.store.changesSince(revision)
+  }
+
   /** What a peer gets that asks for the table of members. */
   memberEntries () {
     return this.membership.table.all()
--- a/packages/foxtaillever-fleet/src/membership/message.ts
+++ b/packages/foxtaillever-fleet/src/membership/message.ts
@@ -45,7 +45,7 @@
   return { kind: MessageKind.News, probe: 0, about: '', entries: [], facts: [], ...parts }
 }
 
-type WireEntry = readonly [string, string, string, string, number, MemberState]
+export type WireEntry = readonly [string, string, string, string, number, MemberState]
 type WireFact = readonly [string, FactKind, string, number, number, unknown]
 type WireMessage = readonly [MessageKind, string, number, number, number, number, string, number, number, string, number, readonly WireEntry[], readonly WireFact[]]
 
@@ -54,11 +54,11 @@
 
 const packr = new Packr({ useRecords: false })
 
-function packEntry (entry: MemberEntry): WireEntry {
+export function packEntry (entry: MemberEntry): WireEntry {
   return [entry.name, entry.address, entry.controlAddress, entry.failureDomain, entry.incarnation, entry.state]
 }
 
-function unpackEntry ([name, address, controlAddress, failureDomain, incarnation, state]: WireEntry): MemberEntry {
+export function unpackEntry ([name, address, controlAddress, failureDomain, incarnation, state]: WireEntry): MemberEntry {
   return { name, address, controlAddress, failureDomain, incarnation, state }
 }
 
@@ -94,7 +94,7 @@
 const ENTRY = ['string', 'string', 'string', 'string', 'number', 'number']
 const FACT = ['string', 'number', 'string', 'number', 'number', ANY]
 
-function isEntry (entry: unknown): boolean {
+export function isEntry (entry: unknown): entry is WireEntry {
   return hasTypes(entry, ENTRY)
 }
 
--- a/packages/foxtaillever-fleet/src/membership/peerRouter.ts
+++ b/packages/foxtaillever-fleet/src/membership/peerRouter.ts
@@ -12,16 +12,20 @@
 import { Permission, type KeyRing } from '../security/keyRing.js'
 import { Admission, ReplayGuard, type MessageOrigin } from '../security/replayGuard.js'
 import { open, seal } from '../security/seal.js'
+import { packEntry } from './message.js'
 import type { PeerSource } from './peers.js'
 
 /** What a caller seals: who calls, and a number that the answer repeats. */
 export interface PeerCall extends MessageOrigin {
   readonly procedure: PeerProcedure
   readonly nonce: string
+  /** For changes: the revision that the caller has. */
+  readonly revision: number
 }
 
 export enum PeerProcedure {
   Configuration = 'configuration',
+  Changes = 'changes',
   Members = 'members'
 }
 
@@ -49,18 +53,19 @@
   const trpc = initTRPC.create()
   const guard = ReplayGuard.create()
 
-  const answer = (procedure: PeerProcedure, sealed: string, value: () => unknown): { sealed: string } => {
+  const answer = (procedure: PeerProcedure, sealed: string, value: (call: PeerCall) => unknown): { sealed: string } => {
     const call = openValue<PeerCall>(keys, sealed).extractNullable()
     if (call === null || call.procedure !== procedure || guard.admit(call, clock.now()) !== Admission.New) {
       throw new TRPCError({ code: 'UNAUTHORIZED', message: 'The call is not signed by a member, or was seen before.' })
     }
     guard.expire(clock.now())
-    return sealValue(keys, { nonce: call.nonce, value: value() })
+    return sealValue(keys, { nonce: call.nonce, value: value(call) })
   }
 
   return trpc.router({
     configuration: trpc.procedure.input(sealedMessage).query(({ input }) => answer(PeerProcedure.Configuration, input.sealed, () => source.configuration())),
-    members: trpc.procedure.input(sealedMessage).query(({ input }) => answer(PeerProcedure.Members, input.sealed, () => source.memberEntries()))
+    changes: trpc.procedure.input(sealedMessage).query(({ input }) => answer(PeerProcedure.Changes, input.sealed, ({ revision }) => source.changesSince?.(revision) ?? null)),
+    members: trpc.procedure.input(sealedMessage).query(({ input }) => answer(PeerProcedure.Members, input.sealed, () => source.memberEntries().map(packEntry)))
   })
 }
 
--- a/packages/foxtaillever-fleet/src/membership/syncSystem.ts
+++ b/packages/foxtaillever-fleet/src/membership/syncSystem.ts
@@ -14,8 +14,8 @@
 /** Added for each member, milliseconds, so that fetching stays at some 2 KB/s at any size. */
 const PATIENCE_PER_MEMBER_MS = 35
 
-/** Random part of the patience, milliseconds, so that a fleet does not fetch all at once. */
-const SPREAD_MS = 2000
+/** The shortest patience as a share of the mean. */
+const SHORTEST_SHARE = 0.5
 
 export class SyncSystem {
   /** When to fetch if hashes still differ, milliseconds of Unix time. */
@@ -48,7 +48,8 @@
 
   private postpone (now: number): void {
     const patience = Math.max(PATIENCE_MS, PATIENCE_PER_MEMBER_MS * this.membership.table.alive().length)
-    this.deadline = now + patience + this.membership.random.below(SPREAD_MS)
+    // Spread as widely as it is long: a split shows to all members in the same second.
+    this.deadline = now + patience * (SHORTEST_SHARE + this.membership.random.next())
   }
 
   private async fetch (address: string): Promise<void> {
--- a/packages/foxtaillever-fleet/src/membership/trpcPeers.ts
+++ b/packages/foxtaillever-fleet/src/membership/trpcPeers.ts
@@ -4,9 +4,10 @@
 import { createTRPCClient, httpLink } from '@trpc/client'
 import { Left, Right, type Either } from 'purify-ts'
 import { Failure, FailureCode, type Clock, type Random } from 'foxtaillever-core'
-import type { FoldedConfiguration } from '../configuration/foldedConfiguration.js'
+import type { ConfigurationChanges, FoldedConfiguration } from '../configuration/foldedConfiguration.js'
 import type { KeyRing } from '../security/keyRing.js'
 import type { MemberEntry } from './member.js'
+import { isEntry, unpackEntry } from './message.js'
 import { openValue, PeerProcedure, sealValue, type PeerAnswer, type PeerCall, type PeerRouter } from './peerRouter.js'
 import type { Peers } from './peers.js'
 
@@ -49,13 +50,20 @@
     return await this.call(PeerProcedure.Configuration, (input, signal) => client.configuration.query(input, { signal }))
   }
 
+  async changes (address: string, revision: number): Promise<Either<Failure, ConfigurationChanges>> {
+    const client = connect(address)
+    const answer = await this.call<ConfigurationChanges | null>(PeerProcedure.Changes, (input, signal) => client.changes.query(input, { signal }), revision)
+    return answer.chain(changes => changes === null ? Left(Failure.notRun(FailureCode.Stale, 'The peer does not know changes that far back.')) : Right(changes))
+  }
+
   async members (address: string): Promise<Either<Failure, readonly MemberEntry[]>> {
     const client = connect(address)
-    return await this.call(PeerProcedure.Members, (input, signal) => client.members.query(input, { signal }))
+    const answer = await this.call<unknown[]>(PeerProcedure.Members, (input, signal) => client.members.query(input, { signal }))
+    return answer.map(entries => entries.filter(isEntry).map(unpackEntry))
   }
 
-  private async call<Value> (procedure: PeerProcedure, send: Caller): Promise<Either<Failure, Value>> {
-    const call = this.createCall(procedure)
+  private async call<Value> (procedure: PeerProcedure, send: Caller, revision = 0): Promise<Either<Failure, Value>> {
+    const call = this.createCall(procedure, revision)
     try {
       const { sealed } = await send(sealValue(this.keys, call), AbortSignal.timeout(CALL_MS))
       this.received += sealed.length
@@ -66,7 +74,7 @@
     }
   }
 
-  private createCall (procedure: PeerProcedure): PeerCall {
+  private createCall (procedure: PeerProcedure, revision: number): PeerCall {
     this.sequence += 1
     return {
       sender: this.name,
@@ -74,6 +82,7 @@
       sequence: this.sequence,
       sentAt: Math.floor(this.clock.now()),
       procedure,
+      revision,
       nonce: `${this.random.below(NONCE_BOUND).toString(16)}${this.random.below(NONCE_BOUND).toString(16)}`
     }
   }
