End a wait's timer with the wait

A process that had answered `--wait` stayed for up to the rest of its 15 s after it was told to stop: the timer of the deadline was left behind.

--- a/packages/foxtaillever-fleet/src/configuration/inForceSystem.ts
+++ b/packages/foxtaillever-fleet/src/configuration/inForceSystem.ts
@@ -44,9 +44,16 @@
   /** Answers when all live members have the revision, at the latest at the deadline. */
   async wait (revision: number, deadline: number): Promise<InForce> {
     return await new Promise<InForce>(resolve => {
-      const wait: Wait = { revision, finish: resolve }
+      const wait: Wait = {
+        revision,
+        finish: inForce => {
+          // A timer left behind would hold up the end of the process until the deadline.
+          cancel()
+          resolve(inForce)
+        }
+      }
+      const cancel = this.clock.at(deadline, () => this.finish(wait))
       this.waits.add(wait)
-      this.clock.at(deadline, () => this.finish(wait))
       this.serve(wait)
     })
   }
--- a/packages/foxtaillever/src/__tests__/newcomers.test.ts
+++ b/packages/foxtaillever/src/__tests__/newcomers.test.ts
@@ -45,7 +45,8 @@
     const url = (words.find(word => word.startsWith('$CALLERS')) ?? '').replace('$CALLERS', this.deployment.addresses[0] ?? '')
     const headers = words.flatMap((word, index) => words[index - 1] === '-H' ? [word.split(': ') as [string, string]] : [])
     const answer = await fetch(url, { method: 'POST', headers, body: words[words.indexOf('-d') + 1] })
-    return answer.status === 200 ? '' : await answer.text()
+    const text = await answer.text()
+    return answer.status === 200 ? '' : text
   }
 
   /** Of `sed -i '0,/A/s//B/' FILE`: the first A becomes B. */
