--- a/packages/foxtaillever-proof/src/world/enginePort.ts
+++ b/packages/foxtaillever-proof/src/world/enginePort.ts
@@ -31,6 +31,8 @@
   isOpen = true
   private isPaused = false
   private isSent = false
+  /** The wire is broken, though the router has not heard of it yet. */
+  private isCut = false
   private waiting: Word[] = []
   private swapped: Word['say'] | undefined
 
@@ -47,7 +49,7 @@
   /** Asks the router whether the byte may leave, then lets it travel. */
   open (arrive: () => void): void {
     this.clock.atWorld(this.world.now() + DELAY_MS, () => {
-      if (!this.isOpen) {
+      if (!this.isOpen || this.isCut) {
         return
       }
       if (!this.host.isReachable()) {
@@ -68,6 +70,7 @@
   }
 
   readonly cut = (): void => {
+    this.isCut = true
     this.host.cutters.delete(this.cut)
     const verdict = this.isSent ? Verdict.MayHaveRun : Verdict.NotRun
     this.hear(listener => listener.failed(Failure.create(FailureCode.ConnectionLost, verdict, 'The connection broke.')), true)
