--- a/packages/foxtaillever-policy/src/__tests__/bounds.test.ts
+++ b/packages/foxtaillever-policy/src/__tests__/bounds.test.ts
@@ -98,7 +98,7 @@
         const servers = createServers(ratios.length)
         for (let round = 0; round < 5; round += 1) {
           servers.forEach((server, index) => server.health.observe(100 * (ratios[index] as number), 100, NOW + round))
-          compareServers(servers, share, NOW + round)
+          compareServers(servers, { ejectedShare: share, instances: 1, now: NOW + round })
         }
         const ejected = servers.filter(({ health }) => health.standing === Standing.Ejected).length
         return ejected <= Math.floor(ratios.length * share)
--- a/packages/foxtaillever-policy/src/attempts/attemptTable.ts
+++ b/packages/foxtaillever-policy/src/attempts/attemptTable.ts
@@ -139,7 +139,7 @@
 
   private judgeProbe (server: Server, ratio: number, now: number): void {
     if (ratio > PROBE_LATE) {
-      server.health.eject(now)
+      server.health.eject(this.fleet.instances, now)
       return
     }
     server.health.restore()
@@ -151,13 +151,13 @@
     health.observeFailure()
     if (health.standing === Standing.Ejected) {
       if (isProbe) {
-        health.eject(now)
+        health.eject(this.fleet.instances, now)
       }
       return
     }
     const peers = this.fleet.peersOf(server)
     if (health.failuresInRow >= FAILURES_TO_EJECT && mayEject(peers, ejectedShare)) {
-      health.eject(now)
+      health.eject(this.fleet.instances, now)
     }
   }
 }
--- a/packages/foxtaillever-policy/src/placement/placement.ts
+++ b/packages/foxtaillever-policy/src/placement/placement.ts
@@ -72,7 +72,6 @@
 
 export class Placer {
   readonly prefixes = PrefixTable.create()
-  private instances = 1
   private turn = 0
   private readonly handlers: Record<PlacementPolicy, PlacementHandler>
 
@@ -96,11 +95,6 @@
     return this.handlers[policy](request)
   }
 
-  /** Takes the number of entry instances; each sees its part of the traffic. */
-  observeInstances (count: number): void {
-    this.instances = count
-  }
-
   /**
    * The job was sent: its prefixes are that much hotter, and will be cached there.
    * @param decodeMs share of the server's time that its decode takes.
@@ -112,7 +106,7 @@
     const work = server.prefillMs(promptTokens - shared) + decodeMs
     for (const { record, tokens } of levels) {
       record.warm(work, now)
-      resizeHomes(record, this.instances, now)
+      resizeHomes(record, this.options.fleet.instances, now)
       if (tokens > cachedTokens) {
         record.startWarming({ server, jobId, readyAt: now + placement.expectedMs })
       }
--- a/packages/foxtaillever-policy/src/scheduler.ts
+++ b/packages/foxtaillever-policy/src/scheduler.ts
@@ -108,7 +108,7 @@
   observeInstances (count: number): void {
     this.instances = Math.max(1, count)
     this.intake.share.observeInstances(this.instances)
-    this.placer.observeInstances(this.instances)
+    this.fleet.instances = this.instances
     this.setDrainPrior()
   }
 
--- a/packages/foxtaillever-policy/src/servers/compareServers.ts
+++ b/packages/foxtaillever-policy/src/servers/compareServers.ts
@@ -38,11 +38,17 @@
   return sorted[(sorted.length - 1) >> 1] ?? 1
 }
 
-/**
- * @param servers the peers: all servers in service for one model.
- * @param ejectedShare most of them set aside at once, 0 to 1.
- */
-export function compareServers (servers: readonly Server[], ejectedShare: number, now: number): void {
+export interface ComparisonInput {
+  /** Most of the peers set aside at once, 0 to 1. */
+  readonly ejectedShare: number
+  /** Entry instances. */
+  readonly instances: number
+  readonly now: number
+}
+
+/** @param servers the peers: all servers in service with the same models. */
+export function compareServers (servers: readonly Server[], input: ComparisonInput): void {
+  const { now } = input
   const lateness = servers.map(server => latenessOf(server, now)).sort((one, other) => one - other)
   const peers = Math.max(1, median(lateness))
   for (const server of servers) {
@@ -50,7 +56,7 @@
     server.health.peers = peers
     server.health.slowness = factor > NOTICED ? factor : 1
   }
-  ejectWorst(servers, ejectedShare, now)
+  ejectWorst(servers, input)
 }
 
 function isEjectable (server: Server, now: number): boolean {
@@ -60,13 +66,13 @@
   return health.standing === Standing.Open && isSlow
 }
 
-function ejectWorst (servers: readonly Server[], share: number, now: number): void {
+function ejectWorst (servers: readonly Server[], { ejectedShare, instances, now }: ComparisonInput): void {
   const worst = servers
     .filter(server => isEjectable(server, now))
     .sort((one, other) => other.health.slowness - one.health.slowness)
   for (const server of worst) {
-    if (mayEject(servers, share)) {
-      server.health.eject(now)
+    if (mayEject(servers, ejectedShare)) {
+      server.health.eject(instances, now)
     }
   }
 }
--- a/packages/foxtaillever-policy/src/servers/fleet.ts
+++ b/packages/foxtaillever-policy/src/servers/fleet.ts
@@ -16,6 +16,8 @@
   epoch = 0
   /** Of all servers' slots at the last comparison, 0 to 1. */
   utilisation = 0
+  /** Entry instances, this one included. */
+  instances = 1
   private readonly servers = new Map<string, Server>()
   private listed: readonly Server[] = []
   private readonly ready = new Map<string, Server[]>()
@@ -137,7 +139,7 @@
     this.compareNext = (this.compareNext + 1) % this.peers.length
     this.utilisation = this.measureUtilisation(now)
     const peers = this.peers[this.compareNext] as Server[]
-    compareServers(peers, ejectedShare, now)
+    compareServers(peers, { ejectedShare, instances: this.instances, now })
     if (rebalance(peers)) {
       this.epoch += 1
       this.ranked.clear()
--- a/packages/foxtaillever-policy/src/servers/serverHealth.ts
+++ b/packages/foxtaillever-policy/src/servers/serverHealth.ts
@@ -16,6 +16,13 @@
 /** First ejection; doubled each time a probe fails. */
 const FIRST_EJECTION_MS = 1000
 
+/**
+ * Each instance probes for itself, and each probe of a slow server is one late
+ * answer. With 6 instances a probe a second each made the p99 of the fleet, so
+ * they probe as much less often as they are more, up to this many times.
+ */
+const MOST_SPREAD = 8
+
 /** An ejected server is probed at least this often. */
 const LONGEST_EJECTION_MS = 30_000
 
@@ -67,9 +74,10 @@
     return Math.exp(this.latenessNow(now))
   }
 
-  eject (now: number): void {
+  /** @param instances entry instances, each of which will probe. */
+  eject (instances: number, now: number): void {
     this.standing = Standing.Ejected
-    this.probeAt = now + this.ejectionMs
+    this.probeAt = now + Math.min(LONGEST_EJECTION_MS, this.ejectionMs * Math.min(MOST_SPREAD, instances))
     this.ejectionMs = Math.min(LONGEST_EJECTION_MS, this.ejectionMs * 2)
   }
 
