Give orders to backend servers under a lease; observe and correct wanted state

An order stands in the log as a wanted state; the later of two that exclude each other counts. The lease's holder gives what is missing, at most two loads at once, also over a change of holder, and checks the lease right before the byte.

--- /dev/null
+++ b/packages/foxtaillever-router/src/adapters/orderClient.ts
@@ -0,0 +1,65 @@
+/** Orders to backend servers and their observed state, over HTTP. */
+import { EngineHeader, EnginePath, Failure, FailureCode, Verdict, type EngineOrder, type EngineState } from 'foxtaillever-core'
+import type { OrderPort } from 'foxtaillever-fleet'
+import { Left, Right, type Either } from 'purify-ts'
+import { request, type Dispatcher } from 'undici'
+import { isBeforeFirstByte } from './isBeforeFirstByte.js'
+
+const ANSWER_MS = 2000
+
+const STATUS_OK = 200
+
+export class OrderClient implements OrderPort {
+  private constructor (
+    /** Names this instance to servers that check who gives an order. */
+    private readonly caller: string,
+    private readonly addressOf: (server: string) => string | undefined
+  ) {}
+
+  static create (caller: string, addressOf: (server: string) => string | undefined): OrderClient {
+    return new OrderClient(caller, addressOf)
+  }
+
+  async state (server: string): Promise<Either<Failure, EngineState>> {
+    const answer = await this.call(server, EnginePath.State, { method: 'GET' })
+    return answer.map(body => body as EngineState)
+  }
+
+  /** Connects first, so that between the lease's check and the byte there is no wait for a connection. */
+  async give (server: string, order: EngineOrder, fence: () => Either<Failure, number>): Promise<Either<Failure, void>> {
+    const reachable = await this.call(server, EnginePath.State, { method: 'GET' })
+    if (reachable.isLeft()) {
+      return reachable.map(() => undefined)
+    }
+    const held = fence()
+    if (held.isLeft()) {
+      return held.map(() => undefined)
+    }
+    const headers = {
+      'content-type': 'application/json',
+      [EngineHeader.Caller]: this.caller,
+      [EngineHeader.Fence]: String(held.orDefault(0))
+    }
+    const answer = await this.call(server, EnginePath.Orders, { method: 'POST', headers, body: JSON.stringify(order) })
+    return answer.map(() => undefined)
+  }
+
+  private async call (server: string, path: EnginePath, options: { method: Dispatcher.HttpMethod, headers?: Record<string, string>, body?: string }): Promise<Either<Failure, unknown>> {
+    const address = this.addressOf(server)
+    if (address === undefined) {
+      return Left(Failure.notRun(FailureCode.NoBackendServer, `There is no backend server ${server}.`))
+    }
+    try {
+      const answer = await request(`http://${address}${path}`, { ...options, headersTimeout: ANSWER_MS, bodyTimeout: ANSWER_MS })
+      const text = await answer.body.text()
+      if (answer.statusCode === STATUS_OK) {
+        return Right(JSON.parse(text) as unknown)
+      }
+      const verdict = answer.headers[EngineHeader.Verdict] === Verdict.NotRun ? Verdict.NotRun : Verdict.MayHaveRun
+      return Left(Failure.create(FailureCode.BackendServerRefused, verdict, `Backend server ${server} refused: ${text.slice(0, 200)}`))
+    } catch (error) {
+      const verdict = isBeforeFirstByte(error) ? Verdict.NotRun : Verdict.MayHaveRun
+      return Left(Failure.create(FailureCode.ConnectionLost, verdict, `Backend server ${server} does not answer.`))
+    }
+  }
+}
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -16,6 +16,7 @@
 import { InstanceControl } from '../control/instanceControl.js'
 import { Invariants } from '../core/invariants.js'
 import { RouterCore } from '../core/routerCore.js'
+import { Orders } from '../orders/orders.js'
 import { PlainRouter } from '../plain/plainRouter.js'
 import { Part } from '../telemetry/logs.js'
 import { MetricName } from '../telemetry/metricTable.js'
@@ -54,6 +55,7 @@
   private readonly claims: ClaimKeeper
   private readonly fleet: Fleet
   private readonly core: RouterCore
+  private readonly orders: Orders
   private readonly plain: PlainRouter
   private readonly callers: CallerServer
   private control: ControlServer | undefined
@@ -71,10 +73,12 @@
     this.claims = this.createClaims()
     this.fleet = this.createFleet()
     this.core = this.createCore()
+    this.orders = this.createOrders()
     this.plain = PlainRouter.create({ clock, gate: this.gate, claims: this.claims })
     this.callers = this.createCallers()
     this.watches = [
       this.core,
+      this.orders,
       this.plain,
       ListWatch.create({ clock, list: this.list, core: this.core, gate: this.gate }),
       ServerWatch.create({ clock, name, fleet: this.fleet, core: this.core, engines: this.engines, configuration: () => this.configuration() }),
@@ -92,6 +96,14 @@
     return ClaimKeeper.create(this.log, fold, this.clock, { ...defaultClaimOptions, instance: name, incarnation: `${name}/${randomUUID()}` })
   }
 
+  private createOrders (): Orders {
+    const { clock, random, log, fleet } = this
+    const { name } = this.options
+    return Orders.create({
+      name, incarnation: `${name}/${randomUUID()}`, clock, random, log, configuration: () => this.configuration(), members: () => fleet.members()
+    })
+  }
+
   private createFleet (): Fleet {
     const { name, failureDomain, gossip, control, seeds, logRetentionMs } = this.options
     const { clock, random, keys, log, list, datagrams } = this
@@ -106,7 +118,7 @@
       keys,
       clock,
       random,
-      readers: [record => this.claims.read(record)],
+      readers: [record => this.claims.read(record), record => this.orders.read(record)],
       onGap: (_, page) => this.claims.cover(page)
     })
   }
@@ -148,7 +160,7 @@
     const { clock, fleet, core, telemetry, keys } = this
     this.measureFleet()
     await server.serve({
-      control: InstanceControl.create({ name, failureDomain, clock, fleet, core, telemetry, logs }),
+      control: InstanceControl.create({ name, failureDomain, clock, fleet, core, telemetry, logs, orders: this.orders.desk }),
       operators: Operators.create(operators),
       metrics: telemetry.metrics,
       clock,
--- /dev/null
+++ b/packages/foxtaillever-router/src/orders/orderDesk.ts
@@ -0,0 +1,115 @@
+/**
+ * Takes operators' orders into the log and tells how far each is. Whichever
+ * instance holds the lease carries them out; this one only sees what it can.
+ */
+import { randomUUID } from 'node:crypto'
+import { EngineRole, Failure, FailureCode, OrderKind as EngineOrderKind, RecordKind, waitUntil, type Clock, type EngineOrder, type Log } from 'foxtaillever-core'
+import { OrderKind, OrderState, type OrderProgress, type ServerOrder } from 'foxtaillever-control'
+import { isLoad, WantState, type OrderRecord, type OrderSystem, type Want, type WantFold } from 'foxtaillever-fleet'
+import { Left, Right, type Either } from 'purify-ts'
+import type { OrderDesk } from '../control/instanceControl.js'
+
+/** An order that is not read back by then may still be carried out, milliseconds. */
+const READ_BACK_MS = 5000
+
+const LOOK_MS = 50
+
+type Translation = (id: string, order: ServerOrder) => EngineOrder
+
+const translations: Record<OrderKind, Translation> = {
+  [OrderKind.LoadWeights]: (id, { model, value }) => ({ id, kind: EngineOrderKind.LoadModel, model, weightsVersion: value }),
+  [OrderKind.SetVersion]: (id, { model, value }) => ({ id, kind: EngineOrderKind.LoadVersion, model, weightsVersion: value }),
+  [OrderKind.LoadAdapter]: (id, { model, value }) => ({ id, kind: EngineOrderKind.LoadAdapter, model, adapter: value }),
+  [OrderKind.SetRole]: (id, { value }) => ({ id, kind: EngineOrderKind.ChangeRole, role: value as EngineRole })
+}
+
+/** Back from what stands in the log to what operators read. */
+const kinds: Record<EngineOrderKind, OrderKind> = {
+  [EngineOrderKind.LoadModel]: OrderKind.LoadWeights,
+  [EngineOrderKind.LoadVersion]: OrderKind.SetVersion,
+  [EngineOrderKind.LoadAdapter]: OrderKind.LoadAdapter,
+  [EngineOrderKind.ChangeRole]: OrderKind.SetRole
+}
+
+const states: Record<WantState, OrderState> = {
+  [WantState.Waiting]: OrderState.Waiting,
+  [WantState.Sent]: OrderState.Sent,
+  [WantState.Done]: OrderState.Done,
+  [WantState.Failed]: OrderState.Failed
+}
+
+export interface LogOrderDeskOptions {
+  readonly log: Log
+  readonly clock: Clock
+  readonly wants: WantFold
+  readonly system: OrderSystem
+}
+
+export class LogOrderDesk implements OrderDesk {
+  private constructor (private readonly options: LogOrderDeskOptions) {}
+
+  static create (options: LogOrderDeskOptions): LogOrderDesk {
+    return new LogOrderDesk(options)
+  }
+
+  async give (order: ServerOrder, author: string): Promise<Either<Failure, OrderProgress>> {
+    const { log, clock } = this.options
+    if (order.kind === OrderKind.SetRole && !Object.values(EngineRole).includes(order.value as EngineRole)) {
+      return Left(Failure.notRun(FailureCode.BadRequest, `A role is one of ${Object.values(EngineRole).join(', ')}.`))
+    }
+    const id = randomUUID()
+    const body: OrderRecord = { server: order.server, author, order: translations[order.kind](id, order) }
+    const appended = await log.append({ id, kind: RecordKind.Order, writtenAt: clock.now(), body })
+    this.options.system.watch()
+    const want = await this.readBack(id)
+    if (want) {
+      return Right(this.progressOf(want))
+    }
+    // A lost answer was looked for in the log and not found in time.
+    const failure = Failure.notRun(FailureCode.LogUnavailable, 'The order was not seen in the log; ask for the list of orders before giving it again.')
+    return Left(appended.swap().orDefault(failure))
+  }
+
+  private async readBack (id: string): Promise<Want | undefined> {
+    const { clock, wants } = this.options
+    const deadline = clock.now() + READ_BACK_MS
+    while (clock.now() < deadline) {
+      const want = wants.all().find(({ order }) => order.id === id)
+      if (want) {
+        return want
+      }
+      await waitUntil(clock, clock.now() + LOOK_MS)
+    }
+    return undefined
+  }
+
+  list (): readonly OrderProgress[] {
+    this.options.system.watch()
+    return this.options.wants.all().map(want => this.progressOf(want))
+  }
+
+  private progressOf (want: Want): OrderProgress {
+    const { system } = this.options
+    const { order, server } = want
+    return {
+      id: order.id,
+      order: { kind: kinds[order.kind], server, model: 'model' in order ? order.model : '', value: valueOf(order) },
+      state: states[system.stateOf(want)],
+      changedAt: system.changedAt(want),
+      message: system.refusalOf(want)?.message ?? (isLoad(order) ? 'At most two loads run at once.' : '')
+    }
+  }
+}
+
+type Values = { [Kind in EngineOrderKind]: (order: Extract<EngineOrder, { kind: Kind }>) => string }
+
+const values: Values = {
+  [EngineOrderKind.LoadModel]: order => order.weightsVersion,
+  [EngineOrderKind.LoadVersion]: order => order.weightsVersion,
+  [EngineOrderKind.LoadAdapter]: order => order.adapter,
+  [EngineOrderKind.ChangeRole]: order => order.role
+}
+
+function valueOf (order: EngineOrder): string {
+  return (values[order.kind] as (order: EngineOrder) => string)(order)
+}
