--- a/packages/foxtaillever-router/src/adapters/orderClient.ts
+++ b/packages/foxtaillever-router/src/adapters/orderClient.ts
@@ -5,19 +5,18 @@
 import { request, type Dispatcher } from 'undici'
 import { isBeforeFirstByte } from './isBeforeFirstByte.js'
 
+/** Names this system, whichever instance, to servers that check who gives an order. */
+const CALLER = 'foxtaillever'
+
 const ANSWER_MS = 2000
 
 const STATUS_OK = 200
 
 export class OrderClient implements OrderPort {
-  private constructor (
-    /** Names this instance to servers that check who gives an order. */
-    private readonly caller: string,
-    private readonly addressOf: (server: string) => string | undefined
-  ) {}
+  private constructor (private readonly addressOf: (server: string) => string | undefined) {}
 
-  static create (caller: string, addressOf: (server: string) => string | undefined): OrderClient {
-    return new OrderClient(caller, addressOf)
+  static create (addressOf: (server: string) => string | undefined): OrderClient {
+    return new OrderClient(addressOf)
   }
 
   async state (server: string): Promise<Either<Failure, EngineState>> {
@@ -37,7 +36,7 @@
     }
     const headers = {
       'content-type': 'application/json',
-      [EngineHeader.Caller]: this.caller,
+      [EngineHeader.Caller]: CALLER,
       [EngineHeader.Fence]: String(held.orDefault(0))
     }
     const answer = await this.call(server, EnginePath.Orders, { method: 'POST', headers, body: JSON.stringify(order) })
--- a/packages/foxtaillever-router/src/orders/orders.ts
+++ b/packages/foxtaillever-router/src/orders/orders.ts
@@ -43,7 +43,7 @@
       clock,
       holder: this.holder,
       wants: this.wants,
-      port: OrderClient.create(name, server => configuration().servers[server]?.address),
+      port: OrderClient.create(server => configuration().servers[server]?.address),
       servers: () => Object.values(configuration().servers).filter(({ models }) => models.length > 0).map(server => server.name)
     })
     this.desk = LogOrderDesk.create({ log, clock, wants: this.wants, system: this.system })
