Honour the idle timeout, and end when an address cannot be listened on

The setting idleTimeoutMs was checked but used by nobody; it now bounds a caller's connection without a request. An instance that could not listen said so and then stayed alive with its other sockets; seen with an address that is not this machine's, where it hung until killed. It now ends with 1.

--- a/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
+++ b/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
@@ -22,7 +22,7 @@
 const LIST_LAG_MS = 1000
 const LOG_RETENTION_MS = 86_400_000
 const LOG_APPENDS_PER_SECOND = 300
-const LIMITS = { bodyBytes: 8 * 1024 * 1024, headerBytes: 16_384, arrivalTimeoutMs: 30_000, drainTimeoutMs: 10_000 }
+const LIMITS = { bodyBytes: 8 * 1024 * 1024, headerBytes: 16_384, arrivalTimeoutMs: 30_000, idleTimeoutMs: 75_000, drainTimeoutMs: 10_000 }
 
 /** Known to this deployment alone, which listens on loopback. */
 const MEMBER_KEYS = [{ id: 'embedded', secret: 'a key of the embedded deployment', permissions: [Permission.Join, Permission.Publish, Permission.Order] }]
--- a/packages/foxtaillever-load/src/speed/startRouter.ts
+++ b/packages/foxtaillever-load/src/speed/startRouter.ts
@@ -11,7 +11,7 @@
 const HOST = '127.0.0.1'
 const LOG_RETENTION_MS = 86_400_000
 const LOG_APPENDS_PER_SECOND = 300
-const LIMITS = { bodyBytes: 8 * 1024 * 1024, headerBytes: 16_384, arrivalTimeoutMs: 30_000, drainTimeoutMs: 10_000 }
+const LIMITS = { bodyBytes: 8 * 1024 * 1024, headerBytes: 16_384, arrivalTimeoutMs: 30_000, idleTimeoutMs: 75_000, drainTimeoutMs: 10_000 }
 const READY_LOOK_MS = 20
 
 function describeWorker (shape: Shape, address: string, index: number): BackendServer {
--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -21,7 +21,7 @@
   readonly configuration: () => Configuration | undefined
   /** Whether new requests are taken; false once a shutdown began. */
   readonly accepting: () => boolean
-  readonly limits: Pick<InstanceLimits, 'bodyBytes' | 'headerBytes' | 'arrivalTimeoutMs'>
+  readonly limits: Pick<InstanceLimits, 'bodyBytes' | 'headerBytes' | 'arrivalTimeoutMs' | 'idleTimeoutMs'>
   /** Is told of calls that never became requests. */
   readonly turnedAway?: (requestId: string, failure: Failure) => void
 }
@@ -35,10 +35,11 @@
   readonly http: FastifyInstance
 
   private constructor (private readonly options: CallerServerOptions) {
-    const { bodyBytes, headerBytes, arrivalTimeoutMs } = options.limits
+    const { bodyBytes, headerBytes, arrivalTimeoutMs, idleTimeoutMs } = options.limits
     this.http = fastify({
       bodyLimit: bodyBytes,
       requestTimeout: arrivalTimeoutMs,
+      keepAliveTimeout: idleTimeoutMs,
       http: { maxHeaderSize: headerBytes }
     })
     this.http.setErrorHandler((error: FastifyError, request, reply) => this.refuse(request, reply, readHttpError(error)))
--- a/packages/foxtaillever-router/src/commands/serve.ts
+++ b/packages/foxtaillever-router/src/commands/serve.ts
@@ -64,7 +64,8 @@
       await instance.start()
     } catch (error) {
       this.context.stderr.write(`Cannot listen: ${(error as Error).message}. Mend the addresses in ${this.settings} or free the port.\n`)
-      return ExitCode.CannotListen
+      // What did start, such as the socket for other instances, would keep the process alive.
+      process.exit(ExitCode.CannotListen)
     }
     process.on('SIGHUP', () => this.reload(instance))
     await new Promise<void>(resolve => {
--- a/packages/foxtaillever-router/src/instance/entryInstanceOptions.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstanceOptions.ts
@@ -41,6 +41,8 @@
   readonly headerBytes: number
   /** A request whose headers and body take longer to arrive is refused. */
   readonly arrivalTimeoutMs: number
+  /** A caller's connection without a request is closed after this. */
+  readonly idleTimeoutMs: number
   /** How long a leaving instance lets requests in flight go on. */
   readonly drainTimeoutMs: number
 }
--- a/packages/foxtaillever-settings/src/router/routerSchema.ts
+++ b/packages/foxtaillever-settings/src/router/routerSchema.ts
@@ -55,7 +55,7 @@
 const limits = z.object({
   bodyBytes: z.number().int().min(SMALLEST_BODY_BYTES).max(LARGEST_BODY_BYTES).default(4 * 1024 * 1024).describe('Largest body of a request, bytes.'),
   headerBytes: z.number().int().min(1024).max(1024 * 1024).default(16 * 1024).describe('Largest headers of a request, bytes.'),
-  idleTimeoutMs: timeout('A connection with nothing sent either way is closed after this').default(75_000),
+  idleTimeoutMs: timeout('A connection without a request is closed after this; more than the balancer keeps its own open').default(75_000),
   arrivalTimeoutMs: timeout('A request that takes longer to arrive is refused').default(10_000),
   drainTimeoutMs: timeout('How long a leaving instance lets requests in flight go on').default(60_000),
   claimKeptMs: z.number().int().min(SHORTEST_CLAIM_MS).default(3_600_000).describe('How long the claim of a non-idempotent request is remembered, milliseconds; a caller may send it again within.')
--- a/packages/foxtaillever-settings/src/router/routerSettings.ts
+++ b/packages/foxtaillever-settings/src/router/routerSettings.ts
@@ -44,7 +44,7 @@
 export interface Limits {
   readonly bodyBytes: number
   readonly headerBytes: number
-  /** A caller's connection with nothing sent either way is closed after this. */
+  /** A caller's connection without a request is closed after this. */
   readonly idleTimeoutMs: number
   /** A request whose headers and body take longer to arrive is refused. */
   readonly arrivalTimeoutMs: number
