--- a/packages/foxtaillever-router/src/control/__tests__/instanceControl.test.ts
+++ b/packages/foxtaillever-router/src/control/__tests__/instanceControl.test.ts
@@ -1,7 +1,7 @@
 import { emptyConfiguration, PresetName, PriorityClass, RecordKind, type ClientAccount } from 'foxtaillever-core'
 import { ChangeKind, ConfigurationStore, MemberState, PublicationOutcome, type Change, type FleetDump, type PublicationOrder } from 'foxtaillever-fleet'
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
-import type { RouterCoreState } from '../../core/routerCore.js'
+import type { RouterCoreState } from '../../core/routerCoreOptions.js'
 import { Logs } from '../../telemetry/logs.js'
 import { Telemetry } from '../../telemetry/telemetry.js'
 import { createDump } from '../createDump.js'
--- a/packages/foxtaillever-router/src/control/instanceControl.ts
+++ b/packages/foxtaillever-router/src/control/instanceControl.ts
@@ -13,7 +13,7 @@
 import { applyChange, MemberState, type Fleet, type FleetDump, type InForce, type Publication, type PublicationOrder } from 'foxtaillever-fleet'
 import { validateConfiguration } from 'foxtaillever-settings'
 import { Left, Maybe, Right, type Either } from 'purify-ts'
-import type { RouterCoreState } from '../core/routerCore.js'
+import type { RouterCoreState } from '../core/routerCoreOptions.js'
 import type { Telemetry } from '../telemetry/telemetry.js'
 import { Part, type Logs } from '../telemetry/logs.js'
 import { createDump } from './createDump.js'
--- a/packages/foxtaillever-router/src/core/attempts.ts
+++ b/packages/foxtaillever-router/src/core/attempts.ts
@@ -252,3 +252,8 @@
     return row.isSent ? failure.verdict : Verdict.NotRun
   }
 }
+
+/** The server only refused an old incarnation: it is asked again, expecting none, and no retry is spent. */
+export function isMerelyRestarted (row: RequestRow, failure: Failure): boolean {
+  return failure.code === FailureCode.Stale && failure.verdict === Verdict.NotRun && row.expected !== ''
+}
--- a/packages/foxtaillever-router/src/core/request.ts
+++ b/packages/foxtaillever-router/src/core/request.ts
@@ -114,3 +114,8 @@
     grant: undefined
   }
 }
+
+/** Where the stream that has just started, or started again, can be taken up. */
+export function positionOf (row: RequestRow, { streamId, incarnation, weightsVersion }: StreamStart): StreamPosition {
+  return { server: row.server, streamId, incarnation, weightsVersion, requestId: row.engineId, after: row.delivered }
+}
--- a/packages/foxtaillever-router/src/core/routerCore.ts
+++ b/packages/foxtaillever-router/src/core/routerCore.ts
@@ -5,44 +5,29 @@
  */
 import {
   Failure, FailureCode, ListedKind, Verdict,
-  type BackendServer, type Clock, type Configuration, type Engine, type ListedInstance, type LoadReport, type Random, type StreamEnd, type StreamStart
+  type Configuration, type ListedInstance, type LoadReport, type StreamEnd, type StreamStart
 } from 'foxtaillever-core'
-import type { Grant } from 'foxtaillever-fleet'
 import { Scheduler, Sequel, type Assignment, type Refusal } from 'foxtaillever-policy'
-import { Attempts } from './attempts.js'
-import { checkClaimable, createClaim, noClaims, type Claims } from './claimDesk.js'
-import { Invariant, Invariants } from './invariants.js'
+import { Attempts, isMerelyRestarted } from './attempts.js'
+import { checkClaimable, noClaims } from './claimDesk.js'
+import { ClaimStep } from './claimStep.js'
+import { Invariants } from './invariants.js'
 import { noObserver, type RequestObserver } from '../telemetry/requestObserver.js'
 import { Loop } from './loop.js'
-import { createRow, RequestState, type RequestRow, type Responder, type StreamPosition, type Submission } from './request.js'
+import { createRow, positionOf, RequestState, type RequestRow, type Responder, type StreamPosition, type Submission } from './request.js'
+import { RequestTable } from './requestTable.js'
 import { allSafeguards, Safeguard, type Safeguards } from './safeguards.js'
+import type { RouterCoreOptions, RouterCoreState } from './routerCoreOptions.js'
 import { ServerWords } from './serverWords.js'
 import { worseVerdict } from './worseVerdict.js'
 
-export interface RouterCoreOptions {
-  readonly clock: Clock
-  readonly random: Random
-  readonly failureDomain: string
-  /** Finds the engine behind a backend server. */
-  readonly engineOf: (server: BackendServer) => Engine
-  /** Claims of non-idempotent requests; without it none is sent. */
-  readonly claims?: Claims
-  readonly invariants?: Invariants
-  /** One way from this instance to other failure domains, milliseconds. */
-  readonly distancesMs?: Readonly<Record<string, number>>
-  /** Is told what becomes of each request; without it nobody is. */
-  readonly observer?: RequestObserver
-  /** Other than all of them in tests alone. */
-  readonly safeguards?: Safeguards
-}
-
 export class RouterCore {
   readonly invariants: Invariants
-  private readonly requests = new Map<string, RequestRow>()
+  private readonly requests: RequestTable
+  private readonly claimStep: ClaimStep
   /** Open to the exchange of soft state with other instances. */
   readonly scheduler: Scheduler
   private readonly loop: Loop
-  private readonly claims: Claims
   private readonly words: ServerWords
   private readonly attempts: Attempts
   private readonly safeguards: Safeguards
@@ -53,8 +38,20 @@
     const { clock, random, failureDomain, engineOf, distancesMs } = options
     this.invariants = options.invariants ?? Invariants.create()
     this.safeguards = options.safeguards ?? allSafeguards
-    this.claims = options.claims ?? noClaims
     this.observer = options.observer ?? noObserver
+    const claims = options.claims ?? noClaims
+    this.requests = RequestTable.create({ claims, invariants: this.invariants, observer: this.observer, onClosed: () => this.loop.wake() })
+    this.claimStep = ClaimStep.create({
+      claims,
+      granted: (row, server) => {
+        this.observer.claimed(row.submission.job, server)
+        this.send(row, server)
+      },
+      refused: (row, failure) => {
+        this.withdraw(row)
+        this.requests.fail(row, failure)
+      }
+    })
     this.words = ServerWords.create(this.safeguards[Safeguard.AtOnceDrain])
     this.scheduler = Scheduler.create({ random, failureDomain, distancesMs })
     this.attempts = Attempts.create({
@@ -90,7 +87,7 @@
 
   /** Requests accepted and not yet answered. */
   inFlight (): number {
-    return this.requests.size
+    return this.requests.size()
   }
 
   configure (configuration: Configuration): void {
@@ -131,7 +128,7 @@
           responder.failed(failure)
         },
         Right: () => {
-          this.requests.set(submission.job.id, createRow(submission, responder, true))
+          this.requests.add(createRow(submission, responder, true))
           this.loop.wake()
         }
       })
@@ -146,13 +143,13 @@
     }
     this.observer.arrived(submission.job)
     const row = createRow(submission, responder, false)
-    this.requests.set(submission.job.id, row)
+    this.requests.add(row)
     this.attempts.takeUp(row, server, position)
   }
 
   /** The caller has gone: the engine's work is stopped, unless it may come back for it. */
   abandon (jobId: string, mayComeBack = false): void {
-    const row = this.requests.get(jobId)
+    const row = this.requests.find(jobId)
     if (!row) {
       return
     }
@@ -163,60 +160,38 @@
     }
     this.withdraw(row)
     this.observer.cancelled(row.submission.job, row.server)
-    this.close(row, this.verdictOf(row))
+    this.requests.close(row, this.requests.verdictOf(row))
   }
 
   /** The caller reads again. */
   drained (jobId: string): void {
-    this.requests.get(jobId)?.stream?.resume()
+    this.requests.find(jobId)?.stream?.resume()
   }
 
   /** The stored deadline of a shutdown has come: what is left gets its last word. */
   endAll (): void {
-    for (const row of this.requests.values()) {
-      row.stream?.cancel()
-      this.withdraw(row)
-      this.fail(row, Failure.create(FailureCode.Leaving, this.verdictOf(row), 'This instance shut down before the answer was complete.'))
+    for (const row of [...this.requests.all()]) {
+      this.end(row, FailureCode.Leaving, 'This instance shut down before the answer was complete.')
     }
   }
 
+  /** Ends a request at whatever it has come to, with the verdict of all its tries. */
+  private end (row: RequestRow, code: FailureCode, message: string): void {
+    row.stream?.cancel()
+    this.withdraw(row)
+    this.requests.fail(row, Failure.create(code, this.requests.verdictOf(row), message))
+  }
+
   private withdraw (row: RequestRow): void {
     if (row.isScheduled) {
       this.scheduler.withdraw(row.submission.job.id)
     }
   }
 
-  private close (row: RequestRow, verdict: Verdict): void {
-    const { id } = row.submission.job
-    this.invariants.check(Invariant.OneLastWord, row.state !== RequestState.Done, () => id)
-    if (row.state === RequestState.Claiming) {
-      this.claims.cancel(id)
-    }
-    if (row.grant) {
-      this.claims.settle(row.grant, verdict)
-    }
-    row.state = RequestState.Done
-    this.requests.delete(id)
-    this.loop.wake()
-  }
-
-  /** Requests past their deadline get their final answer now, with the verdict of all their tries. */
+  /** Requests past their deadline get their final answer now. */
   private expire (now: number): void {
-    for (const row of this.requests.values()) {
-      if (row.submission.job.deadline <= now) {
-        row.stream?.cancel()
-        this.withdraw(row)
-        this.fail(row, Failure.create(FailureCode.DeadlinePassed, this.verdictOf(row), 'The deadline passed before the answer was complete.'))
-      }
-    }
-  }
-
-  /** What is known now, the present try included. */
-  private verdictOf (row: RequestRow): Verdict {
-    if (row.start || row.delivered > 0) {
-      return Verdict.Ran
-    }
-    return worseVerdict(row.verdict, row.isSent && row.state !== RequestState.Waiting ? Verdict.MayHaveRun : Verdict.NotRun)
+    const late = [...this.requests.all()].filter(({ submission }) => submission.job.deadline <= now)
+    late.forEach(row => this.end(row, FailureCode.DeadlinePassed, 'The deadline passed before the answer was complete.'))
   }
 
   private dispatch (now: number): void {
@@ -226,31 +201,14 @@
   }
 
   private refuse (refusal: Refusal): void {
-    const row = this.requests.get(refusal.jobId)
+    const row = this.requests.find(refusal.jobId)
     if (row) {
-      this.fail(row, refusal.failure, refusal.rule)
-    }
-  }
-
-  /** The last word: what any try may have done counts, not only the last one. */
-  private fail (row: RequestRow, failure: Failure, rule: string = failure.code): void {
-    const verdict = worseVerdict(row.verdict, failure.verdict)
-    this.invariants.check(Invariant.NotRunProven, verdict !== Verdict.NotRun || !row.isUnproven, () => row.submission.job.id)
-    this.close(row, verdict)
-    this.tellFailure(row, failure.withVerdict(verdict), rule)
-    row.responder.failed(failure.withVerdict(verdict))
-  }
-
-  private tellFailure (row: RequestRow, failure: Failure, rule: string): void {
-    if (failure.verdict === Verdict.NotRun) {
-      this.observer.refused(row.submission.job, rule, failure)
-    } else {
-      this.observer.failed(row.submission.job, row.server, failure)
+      this.requests.fail(row, refusal.failure, refusal.rule)
     }
   }
 
   private assign (assignment: Assignment): void {
-    const row = this.requests.get(assignment.jobId)
+    const row = this.requests.find(assignment.jobId)
     if (!row) {
       this.scheduler.withdraw(assignment.jobId)
       return
@@ -258,43 +216,12 @@
     this.observer.assigned(row.submission.job, assignment)
     const needsClaim = !row.submission.job.idempotent && !row.grant && this.safeguards[Safeguard.ClaimBeforeSend]
     if (needsClaim) {
-      this.claimFirst(row, assignment.server)
+      this.claimStep.begin(row, assignment.server)
       return
     }
     this.send(row, assignment.server)
   }
 
-  private claimFirst (row: RequestRow, server: string): void {
-    row.state = RequestState.Claiming
-    createClaim(row.submission).caseOf({
-      Left: failure => this.onClaimRefused(row, failure),
-      Right: request => {
-        this.claims.claim(request).then(result => result.caseOf({
-          Left: failure => this.onClaimRefused(row, failure),
-          Right: grant => this.onGranted(row, grant, server)
-        }))
-      }
-    })
-  }
-
-  private onClaimRefused (row: RequestRow, failure: Failure): void {
-    if (row.state === RequestState.Claiming) {
-      this.withdraw(row)
-      this.fail(row, failure)
-    }
-  }
-
-  private onGranted (row: RequestRow, grant: Grant, server: string): void {
-    // The caller left while the claim was on its way: nothing was sent under it.
-    if (row.state !== RequestState.Claiming) {
-      this.claims.settle(grant, Verdict.NotRun)
-      return
-    }
-    row.grant = grant
-    this.observer.claimed(row.submission.job, server)
-    this.send(row, server)
-  }
-
   /** Things may have changed since the assignment, while the claim was made. */
   private send (row: RequestRow, name: string): void {
     const server = this.configuration?.servers[name]
@@ -339,7 +266,7 @@
     if (row.isScheduled) {
       this.scheduler.finished(row.submission.job.id, end, this.options.clock.now())
     }
-    this.close(row, Verdict.Ran)
+    this.requests.close(row, Verdict.Ran)
     this.observer.finished(row.submission.job, row.server, end)
     row.responder.finished(end)
   }
@@ -350,7 +277,7 @@
       this.words.observeLeaving(row.server, now)
       this.tellState(row.server)
     }
-    if (this.isMerelyRestarted(row, failure)) {
+    if (isMerelyRestarted(row, failure)) {
       this.words.forgetIncarnation(row.server)
       this.send(row, row.server)
       return
@@ -358,7 +285,7 @@
     row.verdict = worseVerdict(row.verdict, failure.verdict)
     const sequel = row.isScheduled ? this.scheduler.failed(row.submission.job.id, failure, now) : Sequel.GivenUp
     if (sequel === Sequel.GivenUp) {
-      this.fail(row, failure)
+      this.requests.fail(row, failure)
       return
     }
     row.state = RequestState.Waiting
@@ -366,29 +293,13 @@
     this.loop.wake()
   }
 
-  /** The server only refused an old incarnation: it is asked again, expecting none, and no retry is spent. */
-  private isMerelyRestarted (row: RequestRow, failure: Failure): boolean {
-    return failure.code === FailureCode.Stale && failure.verdict === Verdict.NotRun && row.expected !== ''
-  }
-
   /** State for the dump, at one instant. */
   dump (): RouterCoreState {
     return {
-      inFlight: this.requests.size,
+      inFlight: this.requests.size(),
       scheduler: this.scheduler.dump(),
       revision: this.configuration?.revision ?? 0,
       invariants: this.invariants.report()
     }
   }
 }
-
-function positionOf (row: RequestRow, { streamId, incarnation, weightsVersion }: StreamStart): StreamPosition {
-  return { server: row.server, streamId, incarnation, weightsVersion, requestId: row.engineId, after: row.delivered }
-}
-
-export interface RouterCoreState {
-  readonly inFlight: number
-  readonly scheduler: ReturnType<Scheduler['dump']>
-  readonly revision: number
-  readonly invariants: ReturnType<Invariants['report']>
-}
