--- a/packages/foxtaillever-proof/src/commands/callerCommands.ts
+++ b/packages/foxtaillever-proof/src/commands/callerCommands.ts
@@ -1,6 +1,7 @@
 /** What callers do: send, send again through another instance, leave, come back. */
 import fc from 'fast-check'
-import { RETENTION_MS, type Wish } from '../world/world.js'
+import type { Wish } from '../world/wish.js'
+import { RETENTION_MS } from '../world/world.js'
 import { createCommand, type WorldCommand } from './command.js'
 
 const ACCOUNTS = ['cooperative', 'granja']
--- a/packages/foxtaillever-proof/src/world/world.ts
+++ b/packages/foxtaillever-proof/src/world/world.ts
@@ -3,19 +3,19 @@
  * and callers, with every fault of the brief as a method. Everything random is
  * drawn from the seed.
  */
-import {
-  AdministrativeState, ListedKind, ListedState, PresetName, PriorityClass, RecordKind, SeededRandom, ServerKind, createTextPrompt, EnginePath, FailureCode,
-  type BackendServer, type Engine, type StreamEnd
-} from 'foxtaillever-core'
-import { ChangeKind, LeaseFold, type Change } from 'foxtaillever-fleet'
+import { FailureCode, ListedKind, ListedState, PresetName, RecordKind, SeededRandom, type Engine, type StreamEnd } from 'foxtaillever-core'
+import { ChangeKind } from 'foxtaillever-fleet'
 import { allSafeguards, type Responder, type Safeguards, type StreamPosition, type Submission } from 'foxtaillever-router'
 import { InstanceListModel, LogModel } from 'foxtaillever-standins'
 import { VirtualClock } from 'foxtaillever-testing/virtualClock'
 import { LAST_WORD_MS, Oracle, Promised, type Sending } from '../oracle/oracle.js'
+import { createFirstChanges } from './deploymentOf.js'
 import { EngineHost } from './engineHost.js'
 import { EnginePort } from './enginePort.js'
 import { Entry } from './entry.js'
 import type { HeldClock } from './heldClock.js'
+import { OrderWatch } from './orderWatch.js'
+import { createSubmission, type Wish } from './wish.js'
 
 export interface WorldOptions {
   readonly seed: number
@@ -24,17 +24,6 @@
   readonly safeguards?: Safeguards
 }
 
-export interface Wish {
-  readonly entry: number
-  readonly account: string
-  readonly prompt: number
-  readonly tokens: number
-  readonly timeoutMs: number
-  /** Undefined for idempotent requests. */
-  readonly idempotencyKey: string | undefined
-  readonly isSlowReader: boolean
-}
-
 export const RETENTION_MS = 150_000
 /** Clocks of instances run this slow at worst, and as much too fast; far worse than real ones. */
 const SLOWEST_RATE = 0.93
@@ -65,8 +54,7 @@
   readonly startedAt = this.clock.now()
   private readonly random
   private readonly safeguards: Safeguards
-  private readonly leases = LeaseFold.create()
-  private leasesRead = 0
+  private readonly orders = OrderWatch.create(this.log, this.oracle)
   private started = 0
   private records = 0
   /** Refusals that an instance has heard: instance, engine and the engine's crashes so far. */
@@ -82,7 +70,7 @@
   static async create (options: WorldOptions): Promise<World> {
     const world = new World(options)
     world.addEngines()
-    world.log.append({ id: 'first', kind: RecordKind.Configuration, writtenAt: world.clock.now(), body: { base: 0, author: 'operator', changes: world.firstChanges() } })
+    world.log.append({ id: 'first', kind: RecordKind.Configuration, writtenAt: world.clock.now(), body: { base: 0, author: 'operator', changes: createFirstChanges(world.engines.map(({ options: { name } }) => name)) } })
     for (let index = 0; index < options.entries; index++) {
       world.entries.push(world.createEntry(index))
     }
@@ -100,12 +88,6 @@
     }
   }
 
-  private firstChanges (): Change[] {
-    const servers = this.engines.map(({ options }): Change => ({ kind: ChangeKind.PutServer, server: serverOf(options.name) }))
-    // No version is asked for, so that weights may change beneath a stream.
-    return [...servers, { kind: ChangeKind.PutModel, model: { name: 'order-language', weightsVersion: '', adapters: [] } }]
-  }
-
   private createEntry (index: number): Entry {
     const name = `entry-${index}`
     const entry = Entry.create({
@@ -121,7 +103,7 @@
       engines: this.engines.map(engine => engine.options.name),
       copies: () => this.entries.filter(entry => !entry.isDead && !entry.isPaused).map(({ store }) => store.current()),
       retentionMs: RETENTION_MS,
-      onOrder: fence => this.onOrder(name, fence)
+      onOrder: fence => this.orders.check(name, fence)
     })
     entry.start()
     return entry
@@ -142,24 +124,6 @@
     })
   }
 
-  /** The byte of an order leaves: by the log, no one else may hold the lease. */
-  private onOrder (entry: string, fence: number): void {
-    this.followLeases()
-    const lease = this.leases.find('orders')
-    this.oracle.expect(Promised.OneGiverOfOrders, lease?.fence === fence, () => `${entry} under ${fence}, ${lease?.instance} holds ${lease?.fence}`)
-  }
-
-  /** The oracle sees the log also while nobody else does. */
-  private followLeases (): void {
-    const { outage } = this.log.faults
-    this.log.faults.outage = false
-    this.log.read(this.leasesRead + 1).ifRight(page => page.records.forEach(record => {
-      this.leasesRead = record.offset
-      this.leases.read(record)
-    }))
-    this.log.faults.outage = outage
-  }
-
   async pass (milliseconds: number): Promise<void> {
     await this.clock.advanceBy(milliseconds)
     this.oracle.checkDeadlines(this.clock.now(), name => this.wasPaused(name))
@@ -317,44 +281,4 @@
   }
 }
 
-function serverOf (name: string): BackendServer {
-  return {
-    name,
-    kind: ServerKind.Language,
-    address: name,
-    failureDomain: 'recife',
-    models: ['order-language'],
-    slots: 4,
-    prefillTokensPerSecond: 20_000,
-    decodeTokensPerSecond: 20,
-    cacheTokens: 4096,
-    checksFencing: false,
-    checksCaller: false,
-    state: AdministrativeState.InService
-  }
-}
-
-function createSubmission (sending: Sending, wish: Wish, now: number): Submission {
-  const prompt = createTextPrompt(sending.prompt)
-  return {
-    prompt,
-    path: EnginePath.Completions,
-    body: { model: 'order-language', prompt: sending.prompt, max_tokens: sending.tokens, stream: true },
-    idempotencyKey: sending.idempotencyKey,
-    job: {
-      id: sending.id,
-      account: sending.account,
-      model: 'order-language',
-      priority: PriorityClass.Standard,
-      idempotent: sending.idempotencyKey === '',
-      arrivedAt: now,
-      deadline: now + wish.timeoutMs,
-      levels: prompt.levels,
-      promptTokens: prompt.tokens,
-      maxTokens: sending.tokens,
-      fingerprint: `${sending.account} ${wish.prompt}`
-    }
-  }
-}
-
 export const presetNames = Object.values(PresetName)
--- a/packages/foxtaillever-router/src/core/attempts.ts
+++ b/packages/foxtaillever-router/src/core/attempts.ts
@@ -105,6 +105,15 @@
     this.resume(row, this.options.engineOf(server))
   }
 
+  /** Nobody reads the stream any more; the engine goes on only for a caller that may come back. */
+  leave (row: RequestRow, mayComeBack: boolean): void {
+    if (mayComeBack) {
+      row.stream?.detach()
+      return
+    }
+    row.stream?.cancel()
+  }
+
   private resume (row: RequestRow, engine: Engine): void {
     const { start, submission, delivered } = row
     if (!start) {
--- a/packages/foxtaillever-router/src/core/routerCore.ts
+++ b/packages/foxtaillever-router/src/core/routerCore.ts
@@ -97,11 +97,9 @@
   }
 
   observeList (instances: readonly ListedInstance[]): void {
-    for (const instance of instances) {
-      if (instance.kind === ListedKind.BackendServer) {
-        this.words.observeListed(instance.name, instance.state)
-        this.tellState(instance.name)
-      }
+    for (const { name, state } of instances.filter(({ kind }) => kind === ListedKind.BackendServer)) {
+      this.words.observeListed(name, state)
+      this.tellState(name)
     }
     this.loop.wake()
   }
@@ -153,11 +151,7 @@
     if (!row) {
       return
     }
-    if (mayComeBack) {
-      row.stream?.detach()
-    } else {
-      row.stream?.cancel()
-    }
+    this.attempts.leave(row, mayComeBack)
     this.withdraw(row)
     this.observer.cancelled(row.submission.job, row.server)
     this.requests.close(row, this.requests.verdictOf(row))
