--- a/packages/foxtaillever-router/src/core/attempts.ts
+++ b/packages/foxtaillever-router/src/core/attempts.ts
@@ -105,6 +105,15 @@
     this.resume(row, this.options.engineOf(server))
   }
 
+  /** Nobody reads the stream any more; the engine goes on only for a caller that may come back. */
+  leave (row: RequestRow, mayComeBack: boolean): void {
+    if (mayComeBack) {
+      row.stream?.detach()
+      return
+    }
+    row.stream?.cancel()
+  }
+
   private resume (row: RequestRow, engine: Engine): void {
     const { start, submission, delivered } = row
     if (!start) {
@@ -252,3 +261,8 @@
     return row.isSent ? failure.verdict : Verdict.NotRun
   }
 }
+
+/** The server only refused an old incarnation: it is asked again, expecting none, and no retry is spent. */
+export function isMerelyRestarted (row: RequestRow, failure: Failure): boolean {
+  return failure.code === FailureCode.Stale && failure.verdict === Verdict.NotRun && row.expected !== ''
+}
