--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -25,7 +25,7 @@
   readonly configuration: () => Configuration | undefined
   /** Whether new requests are taken; false once a shutdown began. */
   readonly accepting: () => boolean
-  readonly limits: Pick<InstanceLimits, 'bodyBytes' | 'headerBytes' | 'arrivalTimeoutMs'>
+  readonly limits: Pick<InstanceLimits, 'bodyBytes' | 'headerBytes' | 'arrivalTimeoutMs' | 'idleTimeoutMs'>
   /** Is told of calls that never became requests. */
   readonly turnedAway?: (requestId: string, failure: Failure) => void
 }
@@ -44,11 +44,12 @@
   readonly http: FastifyInstance
 
   private constructor (private readonly options: CallerServerOptions) {
-    const { bodyBytes, headerBytes, arrivalTimeoutMs } = options.limits
+    const { bodyBytes, headerBytes, arrivalTimeoutMs, idleTimeoutMs } = options.limits
     this.http = fastify({
       bodyLimit: bodyBytes,
       routerOptions: { maxParamLength: LONGEST_PARAMETER },
       requestTimeout: arrivalTimeoutMs,
+      keepAliveTimeout: idleTimeoutMs,
       http: {
         maxHeaderSize: headerBytes,
         // The library takes the larger of the two limits for the whole request.
