--- a/packages/foxtaillever-settings/src/configuration/configurationSchema.ts
+++ b/packages/foxtaillever-settings/src/configuration/configurationSchema.ts
@@ -62,7 +62,8 @@
   queueLimit: count('Requests waiting at one instance before new ones are refused.').default(1000),
   defaultTimeoutMs: timeout('Deadline of a request that names none').default(60_000),
   floorShare: share('Share of dispatches kept for lower classes').default(0.1),
-  ejectedShare: share('Most backend servers of a model set aside as slow at once').default(0.34)
+  ejectedShare: share('Most backend servers of a model set aside as slow at once').default(0.34),
+  recomputationWeight: z.number().min(0).max(100).default(1).describe('How much a prefill done again weighs against waiting; more for a higher hit rate.')
 }).strict()
 
 const presets = z.object({
