--- a/packages/foxtaillever-load/src/commands/demo.ts
+++ b/packages/foxtaillever-load/src/commands/demo.ts
@@ -1,8 +1,9 @@
 import { Command, Option } from 'clipanion'
-import { PlacementPolicy, SeededRandom } from 'foxtaillever-core'
+import { PlacementPolicy } from 'foxtaillever-core'
 import { EmbeddedDeployment, keyOf, OPERATOR_TOKEN } from '../deployment/embeddedDeployment.js'
 import { shapes } from '../deployment/shape.js'
 import { createArrivals } from '../workload/createArrivals.js'
+import { createRandom } from '../workload/createRandom.js'
 import { runArrivals } from '../workload/runArrivals.js'
 import { summarize, type Summary } from '../results/summarize.js'
 
@@ -28,7 +29,7 @@
     }
     const deployment = await EmbeddedDeployment.start({ shape, placement: PlacementPolicy.ExpectedFirstToken, seed: SEED })
     this.context.stdout.write(`${deployment.addresses.length} entry instances before ${deployment.engines.size} engines, preset ordinary-days in force.\n`)
-    const arrivals = createArrivals({ shape, random: SeededRandom.create(SEED), requestsPerSecond: REQUESTS_PER_SECOND, seconds: SECONDS })
+    const arrivals = createArrivals({ shape, random: createRandom(SEED), requestsPerSecond: REQUESTS_PER_SECOND, seconds: SECONDS })
     const summary = summarize(await runArrivals(deployment.addresses, arrivals))
     this.context.stdout.write(formatTable(summary))
     if (this.keep) {
@@ -42,8 +43,12 @@
     const account = deployment.options.shape.accounts[0]?.name ?? ''
     const body = JSON.stringify({ model, stream: true, max_tokens: 8, messages: [{ role: 'user', content: 'Which feed for sows in their last week?' }] })
     this.context.stdout.write(`\nServing on ${deployment.addresses.join(' ')}. Stop with Ctrl-C.\n`)
-    this.context.stdout.write(`export FOXTAILLEVER_ADDRESS=${deployment.controlAddresses().join(',')} FOXTAILLEVER_TOKEN=${OPERATOR_TOKEN}\n`)
-    this.context.stdout.write(`curl -N ${deployment.addresses[0]}/v1/chat/completions -H 'authorization: Bearer ${keyOf(account)}' -H 'content-type: application/json' -d '${body}'\n`)
+    const addresses = deployment.entries.map(entry => entry.control).join(',')
+    this.context.stdout.write('In another terminal, in this directory:\n')
+    this.context.stdout.write(`export FOXTAILLEVER_ADDRESS=${addresses} FOXTAILLEVER_TOKEN=${OPERATOR_TOKEN} CALLERS=${deployment.addresses[0] ?? ''}\n`)
+    this.context.stdout.write('alias foxtaillever="node packages/foxtaillever/dist/main.js"\n')
+    this.context.stdout.write('foxtaillever members\n')
+    this.context.stdout.write(`curl -N $CALLERS/v1/chat/completions -H 'authorization: Bearer ${keyOf(account)}' -H 'content-type: application/json' -d '${body}'\n`)
     await new Promise<void>(resolve => {
       process.once('SIGINT', resolve)
       process.once('SIGTERM', resolve)
--- a/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
+++ b/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
@@ -8,7 +8,7 @@
   type BackendServer, type ListedInstance, type PlacementPolicy, type Preset
 } from 'foxtaillever-core'
 import { Permission } from 'foxtaillever-fleet'
-import { digestKey, EntryInstance, Logs, type EntryAddresses } from 'foxtaillever-router'
+import { digestKey, EntryInstance, Logs, type EntryAddresses, type InstanceLimits } from 'foxtaillever-router'
 import {
   createEngineServer, createInstanceListServer, createLogServer, createPlainServer,
   EngineModel, InstanceListModel, KeptCacheStoreModel, LogModel, WeightStoreModel, type PlainServer
@@ -22,7 +22,7 @@
 const LIST_LAG_MS = 1000
 const LOG_RETENTION_MS = 86_400_000
 const LOG_APPENDS_PER_SECOND = 300
-const LIMITS = { bodyBytes: 8 * 1024 * 1024, headerBytes: 16_384, arrivalTimeoutMs: 30_000, drainTimeoutMs: 10_000 }
+const LIMITS = { bodyBytes: 8 * 1024 * 1024, headerBytes: 16_384, arrivalTimeoutMs: 30_000, idleTimeoutMs: 75_000, drainTimeoutMs: 10_000 }
 
 /** Known to this deployment alone, which listens on loopback. */
 const MEMBER_KEYS = [{ id: 'embedded', secret: 'a key of the embedded deployment', permissions: [Permission.Join, Permission.Publish, Permission.Order] }]
@@ -40,6 +40,8 @@
   /** Differences to the preset for ordinary days. */
   readonly preset?: Partial<Preset>
   readonly seed: number
+  /** Differences to the limits of entry instances. */
+  readonly limits?: Partial<InstanceLimits>
 }
 
 /** Every other engine checks fencing numbers and callers of orders; the rest ignore both. */
@@ -171,7 +173,7 @@
       logAddress,
       listAddress,
       distancesMs: {},
-      limits: LIMITS,
+      limits: { ...LIMITS, ...this.options.limits },
       logs: Logs.create({ instance: name, level: 'error', clock: this.clock }),
       seed: this.options.seed + index,
       logRetentionMs: LOG_RETENTION_MS,
--- a/packages/foxtaillever-policy/src/placement/placement.ts
+++ b/packages/foxtaillever-policy/src/placement/placement.ts
@@ -8,10 +8,11 @@
 import type { Fleet } from '../servers/fleet.js'
 import type { Server } from '../servers/server.js'
 import { rankByBaseline, type Baseline } from './baselines.js'
-import { collectCandidates } from './candidates.js'
+import { collectCandidates, collectForSuspect } from './candidates.js'
 import { weighServer, type WeighedServer } from './expectedFirstToken.js'
 import { computeHomes, resizeHomes, type LevelHomes } from './homes.js'
 import { PrefixTable } from './prefixTable.js'
+import { recomputationPrice } from './recomputation.js'
 
 /** Costs closer than this are equal; a late report is no better than that. */
 const EQUAL_MS = 2
@@ -27,11 +28,17 @@
   readonly job: Job
   readonly weightsVersion: string
   readonly failedAt: readonly string[]
-  /** Whether the server may take this job now. */
-  readonly isOpen: (server: Server) => boolean
-  /** Whether the job may still wait for a better server. */
-  readonly mayHold: boolean
+  /** It was in flight at a crash. */
+  readonly isSuspect: boolean
+  /** Whether the server may take this job at all, however empty it is. */
+  readonly isEligible: (server: Server) => boolean
+  /** Whether it has room for this job now. */
+  readonly hasRoom: (server: Server) => boolean
+  /** How much longer than expected the job has been held, milliseconds; 0 while its hold lasts. */
+  readonly overdueMs: number
   readonly serviceMs: number
+  /** How much a prefill done again weighs against waiting. */
+  readonly recomputationWeight: number
   readonly now: number
 }
 
@@ -53,7 +60,10 @@
   readonly distanceTo: (failureDomain: string) => number
 }
 
-interface Choice extends WeighedServer {
+/** A weighed server as this job can have it now. */
+interface Offer {
+  readonly weighed: WeighedServer
+  readonly cost: number
   /** Whether it takes the job now; else the job is held for it. */
   readonly isOpen: boolean
 }
@@ -167,21 +177,24 @@
     if (servers.length === 0) {
       return undefined
     }
-    const levels = computeHomes(this.prefixes, { job, weightsVersion, ranked: fleet.rankedFor(job.model), epoch: fleet.epoch })
-    const input = { job, levels, distanceTo, utilisation: fleet.utilisation, failedAt: request.failedAt, serviceMs: request.serviceMs, now }
-    const weighed = collectCandidates(job, servers, levels, random, now)
-      .map(server => weighServer(server, input))
+    const ranked = fleet.rankedFor(job.model)
+    const levels = computeHomes(this.prefixes, { job, weightsVersion, ranked, epoch: fleet.epoch })
+    const input = { job, levels, distanceTo, recomputationPrice: recomputationPrice(fleet.utilisation) * request.recomputationWeight, failedAt: request.failedAt, serviceMs: request.serviceMs, now }
+    const candidates = request.isSuspect ? collectForSuspect(job, ranked, now) : collectCandidates(job, servers, levels, random, now)
+    const offers = candidates
+      .filter(server => request.isEligible(server))
+      .map(server => createOffer(weighServer(server, input), request))
       .sort((one, other) => one.cost - other.cost)
-    const chosen = this.choose(weighed, request)
+    const chosen = this.choose(offers)
     return chosen && {
-      server: chosen.server,
+      server: chosen.weighed.server,
       held: !chosen.isOpen,
-      waitMs: chosen.waitMs,
-      expectedMs: chosen.firstTokenMs,
+      waitMs: chosen.weighed.waitMs,
+      expectedMs: chosen.weighed.firstTokenMs,
       promptTokens: job.promptTokens,
-      cachedTokens: chosen.cachedTokens,
+      cachedTokens: chosen.weighed.cachedTokens,
       levels,
-      candidates: weighed.slice(0, EXPLAINED).map(({ server, cost }) => ({ server: server.name, cost }))
+      candidates: offers.slice(0, EXPLAINED).map(({ weighed, cost }) => ({ server: weighed.server.name, cost }))
     }
   }
 
@@ -190,16 +203,23 @@
    * Were the best always taken, all instances that read one report would take
    * the same.
    */
-  private choose (weighed: readonly WeighedServer[], request: PlacementRequest): Choice | undefined {
-    const isOpen = ({ server, isWarming }: WeighedServer): boolean => request.isOpen(server) && !(request.mayHold && isWarming)
-    const open = weighed.filter(isOpen)
-    const best = request.mayHold ? weighed[0] : open[0]
+  private choose (offers: readonly Offer[]): Offer | undefined {
+    const best = offers[0]
     if (!best) {
       return undefined
     }
     const limit = best.cost + Math.max(EQUAL_MS, best.cost * EQUAL_SHARE)
-    const equal = open.filter(({ cost }) => cost <= limit)
-    const chosen = equal[this.options.random.below(equal.length)]
-    return chosen ? { ...chosen, isOpen: true } : { ...best, isOpen: false }
+    const equal = offers.filter(({ isOpen, cost }) => isOpen && cost <= limit)
+    return equal[this.options.random.below(equal.length)] ?? best
   }
 }
+
+/**
+ * A full server costs the wait for it. A job that has waited there longer than
+ * was expected waits behind something that the estimate does not see, so its
+ * cost rises with each millisecond until another server is cheaper.
+ */
+function createOffer (weighed: WeighedServer, { hasRoom, overdueMs }: PlacementRequest): Offer {
+  const isOpen = hasRoom(weighed.server) && !(weighed.isWarming && overdueMs === 0)
+  return { weighed, isOpen, cost: isOpen ? weighed.cost : weighed.cost + overdueMs }
+}
--- a/packages/foxtaillever-policy/src/scheduler.ts
+++ b/packages/foxtaillever-policy/src/scheduler.ts
@@ -158,13 +158,12 @@
   /** Decides what to send and what to refuse now. */
   tick (now: number): Decisions {
     this.now = now
-    this.intake.share.tick(now)
     this.fleet.tick(this.preset.ejectedShare, now)
     this.room.wakePaused(now)
     this.room.takeExpired(now).forEach(entry => this.refuse(entry, expiryOf(entry, now)))
     this.intake.drain.tick(this.room.queue.size > 0, now)
     this.dispatcher.run({
-      policy: this.preset.placement,
+      preset: this.preset,
       weightsVersionOf: model => this.configuration.models[model]?.weightsVersion ?? '',
       serviceMs: this.attempts.serviceMs,
       now
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -5,18 +5,22 @@
 import { randomUUID } from 'node:crypto'
 import { SeededRandom, SystemClock, waitUntil, type Clock, type Configuration, type Random } from 'foxtaillever-core'
 import { Operators } from 'foxtaillever-control'
-import { ClaimFold, ClaimKeeper, createPeerRouter, defaultClaimOptions, Fleet, KeyRing, TrpcPeers, UdpDatagrams } from 'foxtaillever-fleet'
+import { ClaimFold, ClaimKeeper, createPeerRouter, defaultClaimOptions, Fleet, KeyRing, Permission, TrpcPeers, UdpDatagrams, type Key } from 'foxtaillever-fleet'
 import { ServiceGate } from 'foxtaillever-policy'
 import { InstanceListClient } from '../adapters/instanceListClient.js'
 import { LogClient } from '../adapters/logClient.js'
 import { Accounts } from '../callers/accounts.js'
 import { CallerServer } from '../callers/callerServer.js'
+import { StreamTokens } from '../callers/streamToken.js'
 import { ControlServer } from '../control/controlServer.js'
 import { InstanceControl } from '../control/instanceControl.js'
+import { Invariants } from '../core/invariants.js'
 import { RouterCore } from '../core/routerCore.js'
+import { Orders } from '../orders/orders.js'
 import { PlainRouter } from '../plain/plainRouter.js'
 import { Part } from '../telemetry/logs.js'
 import { MetricName } from '../telemetry/metricTable.js'
+import { readInvariants } from '../telemetry/readInvariants.js'
 import { Telemetry } from '../telemetry/telemetry.js'
 import { Engines } from './engines.js'
 import type { EntryAddresses, EntryInstanceOptions, Listening } from './entryInstanceOptions.js'
@@ -27,6 +31,9 @@
 /** How often a shutdown looks whether the last answer is out, milliseconds. */
 const SHUTDOWN_LOOK_MS = 20
 
+/** The last outcomes of claims are written in this time, unless the log is down, milliseconds. */
+const LAST_OUTCOMES_MS = 1000
+
 /** Others have heard the goodbye by then, milliseconds; a balancer has looked again. */
 const GOODBYE_MS = 100
 
@@ -48,6 +55,7 @@
   private readonly claims: ClaimKeeper
   private readonly fleet: Fleet
   private readonly core: RouterCore
+  private readonly orders: Orders
   private readonly plain: PlainRouter
   private readonly callers: CallerServer
   private control: ControlServer | undefined
@@ -65,10 +73,12 @@
     this.claims = this.createClaims()
     this.fleet = this.createFleet()
     this.core = this.createCore()
-    this.plain = PlainRouter.create(clock, this.gate)
+    this.orders = this.createOrders()
+    this.plain = PlainRouter.create({ clock, gate: this.gate, claims: this.claims })
     this.callers = this.createCallers()
     this.watches = [
       this.core,
+      this.orders,
       this.plain,
       ListWatch.create({ clock, list: this.list, core: this.core, gate: this.gate }),
       ServerWatch.create({ clock, name, fleet: this.fleet, core: this.core, engines: this.engines, configuration: () => this.configuration() }),
@@ -86,6 +96,14 @@
     return ClaimKeeper.create(this.log, fold, this.clock, { ...defaultClaimOptions, instance: name, incarnation: `${name}/${randomUUID()}` })
   }
 
+  private createOrders (): Orders {
+    const { clock, random, log, fleet } = this
+    const { name } = this.options
+    return Orders.create({
+      name, incarnation: `${name}/${randomUUID()}`, clock, random, log, configuration: () => this.configuration(), members: () => fleet.members()
+    })
+  }
+
   private createFleet (): Fleet {
     const { name, failureDomain, gossip, control, seeds, logRetentionMs } = this.options
     const { clock, random, keys, log, list, datagrams } = this
@@ -100,7 +118,7 @@
       keys,
       clock,
       random,
-      readers: [record => this.claims.read(record)],
+      readers: [record => this.claims.read(record), record => this.orders.read(record)],
       onGap: (_, page) => this.claims.cover(page)
     })
   }
@@ -114,7 +132,11 @@
       distancesMs,
       engineOf: server => this.engines.of(server),
       claims: this.claims,
-      observer: this.telemetry
+      observer: this.telemetry,
+      invariants: Invariants.create({
+        isFatal: false,
+        onViolation: (invariant, detail) => this.options.logs.write('error', Part.Requests, 'An invariant does not hold.', { invariant, detail })
+      })
     })
   }
 
@@ -124,6 +146,7 @@
       core: this.core,
       plain: this.plain,
       accounts: this.accounts,
+      tokens: StreamTokens.create(this.keys),
       configuration: () => this.fleet.store.isKnown() ? this.configuration() : undefined,
       turnedAway: (requestId, failure) => this.telemetry.turnedAway(requestId, failure),
       accepting: () => this.accepting,
@@ -137,7 +160,7 @@
     const { clock, fleet, core, telemetry, keys } = this
     this.measureFleet()
     await server.serve({
-      control: InstanceControl.create({ name, failureDomain, clock, fleet, core, telemetry, logs }),
+      control: InstanceControl.create({ name, failureDomain, clock, fleet, core, telemetry, logs, orders: this.orders.desk }),
       operators: Operators.create(operators),
       metrics: telemetry.metrics,
       clock,
@@ -148,6 +171,7 @@
   private measureFleet (): void {
     const { clock, fleet, telemetry } = this
     const startedAt = clock.now()
+    telemetry.metrics.onRead(() => readInvariants(this.core.invariants))
     telemetry.metrics.onRead(() => [
       { name: MetricName.Revision, value: fleet.store.configuration().revision },
       { name: MetricName.FoldOffset, value: fleet.store.current().offset },
@@ -188,6 +212,12 @@
     this.options.logs.write('info', Part.Fleet, 'A configuration is in force.', { revision: configuration.revision, preset: configuration.presetInForce })
   }
 
+  /** Puts new keys between instances in force at once; the first one signs. */
+  replaceKeys (keys: ReadonlyArray<Pick<Key, 'id' | 'secret'>>): void {
+    this.keys.replace(keys.map(key => ({ ...key, permissions: [Permission.Join] })))
+    this.options.logs.write('info', Part.Process, 'New member keys are in force.', { keys: keys.map(({ id }) => id).join(' ') })
+  }
+
   /** Requests and plain calls that still wait for their answer. */
   private inFlight (): number {
     return this.core.inFlight() + this.plain.inFlight()
@@ -204,7 +234,7 @@
       await waitUntil(this.clock, this.clock.now() + SHUTDOWN_LOOK_MS)
     }
     this.core.endAll()
-    await this.claims.stop()
+    await this.claims.stop(this.clock.now() + LAST_OUTCOMES_MS)
     this.watches.forEach(watch => watch.stop())
     await this.callers.http.close()
     await this.control?.close()
