Give each preset its weight of recomputation

Cause: the field was optional, so a deployment made without it differed from a file that states the default, and the newcomer's walk showed three changes that nobody had made (its test failed). createPreset now sets 1; nothing else supplies a default.

--- a/packages/foxtaillever-core/src/configuration.ts
+++ b/packages/foxtaillever-core/src/configuration.ts
@@ -109,7 +109,7 @@
   /** Most backend servers of a model set aside as slow at once, 0 to 1. */
   readonly ejectedShare: number
   /** How much a prefill done again weighs against waiting; 1 when not given, more for a higher hit rate. */
-  readonly recomputationWeight?: number
+  readonly recomputationWeight: number
 }
 
 export interface Configuration {
@@ -132,6 +132,7 @@
     defaultTimeoutMs: 60_000,
     floorShare: 0.1,
     ejectedShare: 0.34,
+    recomputationWeight: 1,
     ...changes
   }
 }
--- a/packages/foxtaillever-policy/src/order/dispatcher.ts
+++ b/packages/foxtaillever-policy/src/order/dispatcher.ts
@@ -171,7 +171,7 @@
       hasRoom: server => server.load.occupancy(now) < roomFor(server, room),
       overdueMs,
       serviceMs: input.serviceMs,
-      recomputationWeight: input.preset.recomputationWeight ?? 1,
+      recomputationWeight: input.preset.recomputationWeight,
       now
     })
     if (!placement) {
