--- a/packages/foxtaillever-core/src/configuration.ts
+++ b/packages/foxtaillever-core/src/configuration.ts
@@ -132,6 +132,7 @@
     defaultTimeoutMs: 60_000,
     floorShare: 0.1,
     ejectedShare: 0.34,
+    recomputationWeight: 1,
     ...changes
   }
 }
