Keep the pages true: process metrics, flushed counts, no empty column

Lines left out are told before the process ends. The column of weights in `servers` was always empty and is gone; orders tell of weights.

--- a/packages/foxtaillever-control/src/__fixtures__/fakeControl.ts
+++ b/packages/foxtaillever-control/src/__fixtures__/fakeControl.ts
@@ -60,7 +60,7 @@
 
   servers (): readonly ServerView[] {
     return Object.values(this.folded.servers).map(({ name, kind, failureDomain, address, state, slots }) =>
-      ({ name, kind, failureDomain, address, state, slots, ready: true, reason: '', running: 0, incarnation: '', weightsVersion: '', share: 1 }))
+      ({ name, kind, failureDomain, address, state, slots, ready: true, reason: '', running: 0, incarnation: '', share: 1 }))
   }
 
   accounts (): readonly AccountView[] {
--- a/packages/foxtaillever-control/src/protocol/views.ts
+++ b/packages/foxtaillever-control/src/protocol/views.ts
@@ -46,7 +46,6 @@
   readonly running: number
   /** Empty until its first answer. */
   readonly incarnation: string
-  readonly weightsVersion: string
   /** Share of its usual work that it gets; below 1 when slow, cold or suspect. */
   readonly share: number
 }
--- a/packages/foxtaillever-router/src/control/instanceControl.ts
+++ b/packages/foxtaillever-router/src/control/instanceControl.ts
@@ -111,7 +111,6 @@
         slots,
         running: seen?.outstanding ?? 0,
         incarnation: seen?.incarnation ?? '',
-        weightsVersion: '',
         share: seen ? 1 / Math.max(1, seen.slowness) : 1
       }
     })
--- a/packages/foxtaillever-router/src/instance/createEntryInstanceOptions.ts
+++ b/packages/foxtaillever-router/src/instance/createEntryInstanceOptions.ts
@@ -29,6 +29,7 @@
     listAddress: platform.listAddress,
     distancesMs: distancesFrom(settings),
     limits,
+    hasOwnProcess: true,
     logs: Logs.create({ instance: name, level: logLevel, clock }),
     // Instances that drew alike would choose alike and herd onto one server.
     seed: randomInt(SEEDS),
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -70,6 +70,9 @@
     this.list = InstanceListClient.create(options.listAddress)
     this.datagrams = UdpDatagrams.create(addressOf(options.gossip))
     this.telemetry = Telemetry.create({ instance: name, clock, logs: options.logs })
+    if (options.hasOwnProcess === true) {
+      this.telemetry.metrics.addProcessMetrics()
+    }
     this.claims = this.createClaims()
     this.fleet = this.createFleet()
     this.core = this.createCore()
@@ -242,5 +245,6 @@
     await this.engines.close()
     await Promise.all([this.plain.close(), this.log.close(), this.list.close()])
     this.options.logs.write('info', Part.Process, 'The instance has ended.')
+    this.options.logs.flush()
   }
 }
--- a/packages/foxtaillever-router/src/instance/entryInstanceOptions.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstanceOptions.ts
@@ -29,6 +29,8 @@
   readonly distancesMs: Readonly<Record<string, number>>
   readonly limits: InstanceLimits
   readonly logs: Logs
+  /** Whether its metrics tell of the process too; not where many instances share one. */
+  readonly hasOwnProcess?: boolean
   readonly seed: number
   /** The platform keeps records at least this long, milliseconds. */
   readonly logRetentionMs: number
--- a/packages/foxtaillever/src/commands/servers.ts
+++ b/packages/foxtaillever/src/commands/servers.ts
@@ -16,10 +16,10 @@
     return await this.withConnection(async connection => {
       const views = await connection.ask(async client => await client.servers())
       return views.map(servers => this.print(servers, () => formatTable(
-        ['server', 'kind', 'failure domain', 'state', 'ready', 'running', 'slots', 'share', 'weights'],
+        ['server', 'kind', 'failure domain', 'state', 'ready', 'running', 'slots', 'share'],
         servers.map(server => [
           server.name, server.kind, server.failureDomain, server.state, server.ready ? 'yes' : `no: ${server.reason}`,
-          String(server.running), String(server.slots), formatShare(server.share), server.weightsVersion || '-'
+          String(server.running), String(server.slots), formatShare(server.share)
         ])
       )))
     })
