Restore the tests of a hot prefix, overload and retries as first written

Cause: while placement was being built, the p99 of a hot prefix at most half of prefix affinity's had become p95, the overload runs 10 s in place of 15, and the retry property's steps 250 ms in place of 50. Nothing allowed that.

--- a/packages/foxtaillever-policy/src/__tests__/bounds.test.ts
+++ b/packages/foxtaillever-policy/src/__tests__/bounds.test.ts
@@ -122,7 +122,7 @@
           scheduler.offer(createJob(String(index)), NOW + index)
           fail(NOW + index)
         }
-        for (let later = count; later < count + 5000; later += 250) {
+        for (let later = count; later < count + 5000; later += 50) {
           fail(NOW + later)
         }
         return sends <= count * (1 + retryShare) + 20
--- a/packages/foxtaillever-policy/src/__tests__/underLoad.test.ts
+++ b/packages/foxtaillever-policy/src/__tests__/underLoad.test.ts
@@ -67,20 +67,26 @@
     // A new catalogue is out and four of five requests carry it; half-way the next
     // one comes. With one home for each prefix its callers queue there while the
     // other servers idle.
+    const runHot = (placement: PlacementPolicy): Received[] => {
+      const callers = Callers.create({ instances: 3, preset: { placement } })
+      const start = callers.now
+      const others = mixed(callers)
+      callers.run(20_000, callers.arrive(90, () => {
+        const prefix = callers.now < start + 10_000 ? 'hot-1' : 'hot-2'
+        return callers.random.next() < 0.8 ? { account: 'account-1', prefix } : others()
+      }))
+      callers.run(DRAIN_MS)
+      return since(callers, start + WARM_UP_MS)
+    }
+    const spread = once(() => runHot(PlacementPolicy.ExpectedFirstToken))
+    const single = once(() => runHot(PlacementPolicy.PrefixAffinity))
+
+    it('spreads it, so that its callers wait less than half as long as with one home', t => {
+      t.true(quantile(spread(), 0.99) <= quantile(single(), 0.99) / 2)
+    })
+
     it('spreads it, so that nineteen in twenty callers wait less than half as long as with one home', t => {
-      const [spread, single] = [PlacementPolicy.ExpectedFirstToken, PlacementPolicy.PrefixAffinity].map(placement => {
-        const callers = Callers.create({ instances: 3, preset: { placement } })
-        const start = callers.now
-        const others = mixed(callers)
-        callers.run(20_000, callers.arrive(90, () => {
-          const prefix = callers.now < start + 10_000 ? 'hot-1' : 'hot-2'
-          return callers.random.next() < 0.8 ? { account: 'account-1', prefix } : others()
-        }))
-        callers.run(DRAIN_MS)
-        return since(callers, start + WARM_UP_MS)
-      }) as [Received[], Received[]]
-      t.true(quantile(spread, 0.95) <= quantile(single, 0.95) / 2)
-      t.true(quantile(spread, 0.99) < quantile(single, 0.99))
+      t.true(quantile(spread(), 0.95) <= quantile(single(), 0.95) / 2)
     })
   })
 
@@ -102,11 +108,11 @@
     // More requests come than the fleet can answer. Without admission each waits
     // until its deadline has passed, the servers work on answers that come too
     // late, and no caller is served.
-    const atCapacity = once(() => answered(runMixed(Callers.create({ instances: 2 }), CAPACITY, 10_000)).length)
+    const atCapacity = once(() => answered(runMixed(Callers.create({ instances: 2 }), CAPACITY)).length)
     for (const factor of [1.5, 2, 4]) {
       it(`keeps goodput at ${factor} times the capacity, and refuses at once`, t => {
         const callers = Callers.create({ instances: 2 })
-        const received = runMixed(callers, CAPACITY * factor, 10_000)
+        const received = runMixed(callers, CAPACITY * factor)
         t.true(answered(received).length >= atCapacity() * 0.9)
         t.true(answered(received).every(({ endMs }) => endMs <= 5000))
         const refused = received.filter(({ state }) => state === 'refused')
