--- a/packages/foxtaillever-settings/src/configuration/configurationSchema.ts
+++ b/packages/foxtaillever-settings/src/configuration/configurationSchema.ts
@@ -63,7 +63,7 @@
   defaultTimeoutMs: timeout('Deadline of a request that names none').default(60_000),
   floorShare: share('Share of dispatches kept for lower classes').default(0.1),
   ejectedShare: share('Most backend servers of a model set aside as slow at once').default(0.34),
-  recomputationWeight: z.number().min(0).max(100).optional().describe('How much a prefill done again weighs against waiting, 1 when left out; more for a higher hit rate.')
+  recomputationWeight: z.number().min(0).max(100).default(1).describe('How much a prefill done again weighs against waiting, 1 when left out; more for a higher hit rate.')
 }).strict()
 
 const presets = z.object({
