Draw differently from neighbouring seeds; mend what that brought to light

Cause: the generator's first draw was close to 1 for every small seed, so instances seeded one apart chose alike after a start. The new draws showed three faults that the old ones had hidden: - Suspects of crashes waited behind other facts of other receivers: a tick's bytes went to the first outbox. They now go to every receiver first. - An innocent request met the crash-causing one at a second server, tried there by another instance, and failed. Servers are now dealt out to instances for the tries of suspects.

An idle instance now ticks four times a second in place of fifty, and its plain services not at all; the first token of a stream wakes the loop, so that a job held for that prefill goes at once and not up to 20 ms later.

--- a/packages/foxtaillever-core/src/random.ts
+++ b/packages/foxtaillever-core/src/random.ts
@@ -14,11 +14,22 @@
 
 const RANGE = 2 ** 32
 
+/**
+ * The generator's first numbers hardly depend on a small seed: the very first
+ * one is close to 1 for all of them. Left in, instances seeded one apart would
+ * choose the same backend server at the same time.
+ */
+const SKIPPED_DRAWS = 64
+
 export class SeededRandom implements Random {
   private constructor (private readonly generator: JumpableRandomGenerator) {}
 
   static create (seed: number): SeededRandom {
-    return new SeededRandom(xoroshiro128plus(seed))
+    const generator = xoroshiro128plus(seed)
+    for (let index = 0; index < SKIPPED_DRAWS; index++) {
+      generator.next()
+    }
+    return new SeededRandom(generator)
   }
 
   next (): number {
--- a/packages/foxtaillever-fleet/src/softState/factSystem.ts
+++ b/packages/foxtaillever-fleet/src/softState/factSystem.ts
@@ -105,8 +105,15 @@
     }
   }
 
+  /** Suspects go to every receiver before anything else goes to one. */
   private flush (): void {
-    let room = BYTES_PER_TICK
+    const room = this.sendAll(BYTES_PER_TICK, isUrgent)
+    this.sendAll(room, () => true)
+  }
+
+  /** @returns the room that is left, bytes. */
+  private sendAll (bytes: number, isMeant: (fact: Fact) => boolean): number {
+    let room = bytes
     for (const [name, outbox] of [...this.outboxes]) {
       const target = this.membership.table.get(name)
       // Without a deadline the member is alive; suspects and the gone get nothing.
@@ -115,11 +122,15 @@
         continue
       }
       if (room < DATAGRAM_BYTES) {
-        return
+        break
+      }
+      const sent = this.sendSome(target.address, outbox, room, isMeant)
+      room -= sent
+      if (sent > 0) {
+        this.requeue(name, outbox)
       }
-      room -= this.sendSome(target.address, outbox, room)
-      this.requeue(name, outbox)
     }
+    return room
   }
 
   /** Puts what is left of an outbox last, so that all receivers take turns. */
@@ -130,9 +141,9 @@
     }
   }
 
-  private sendSome (address: string, outbox: Map<string, Fact>, room: number): number {
+  private sendSome (address: string, outbox: Map<string, Fact>, room: number, isMeant: (fact: Fact) => boolean): number {
     const now = this.membership.clock.now()
-    const facts = takeUrgent(outbox, Math.min(room, LARGEST_PAYLOAD_BYTES) - FIXED_PART_BYTES, now)
+    const facts = takeFacts(outbox, Math.min(room, LARGEST_PAYLOAD_BYTES) - FIXED_PART_BYTES, isMeant, now)
     if (facts.length === 0) {
       return 0
     }
@@ -141,8 +152,13 @@
   }
 }
 
+/** Without it in time, a request that crashes backend servers takes one more. */
+function isUrgent (fact: Fact): boolean {
+  return fact.kind === FactKind.Suspect
+}
+
 /** Takes facts out of the outbox up to so many bytes, urgent kinds first. */
-function takeUrgent (outbox: Map<string, Fact>, bytes: number, now: number): readonly Fact[] {
+function takeFacts (outbox: Map<string, Fact>, bytes: number, isMeant: (fact: Fact) => boolean, now: number): readonly Fact[] {
   const taken: Fact[] = []
   let room = bytes
   for (const [id, fact] of [...outbox].sort(([, a], [, b]) => a.kind - b.kind)) {
@@ -151,7 +167,7 @@
       continue
     }
     const size = factBytes(fact)
-    if (size > room) {
+    if (size > room || !isMeant(fact)) {
       continue
     }
     room -= size
--- a/packages/foxtaillever-policy/src/__fixtures__/callers.ts
+++ b/packages/foxtaillever-policy/src/__fixtures__/callers.ts
@@ -81,7 +81,7 @@
     this.schedulers = Array.from({ length: options.instances ?? 1 }, (_, index) => {
       const scheduler = Scheduler.create({ random: SeededRandom.create((options.seed ?? 1) * 100 + index), failureDomain: `domain-${index % 3 + 1}` })
       scheduler.configure(configuration, this.now)
-      scheduler.observeInstances(options.instances ?? 1)
+      scheduler.observeInstances(options.instances ?? 1, index)
       return scheduler
     })
   }
--- a/packages/foxtaillever-policy/src/placement/candidates.ts
+++ b/packages/foxtaillever-policy/src/placement/candidates.ts
@@ -79,15 +79,25 @@
   }
 }
 
+/** This instance among all, in order of name; the same order everywhere. */
+export interface InstancePlace {
+  readonly index: number
+  readonly count: number
+}
+
 /** Servers that a suspect may be tried at; two, so that one of them is rarely out of reach. */
 const SUSPECT_SERVERS = 2
 
 /**
  * Servers for a request that may crash the one it runs at. They are drawn by
- * its own fingerprint: were suspects placed like other work, those of one crash
- * would meet again at the next cheapest server, sent there by instances that do
- * not know of each other's, and the innocent would be in the second crash, too.
+ * its own fingerprint, and each instance tries its suspects at servers dealt to
+ * it alone: were suspects placed like other work, those of one crash would meet
+ * again at one server, sent there by instances that do not know of each other's,
+ * and the innocent would be in the second crash, too. With more instances than
+ * servers some are dealt none and take any; there suspects may still meet.
  */
-export function collectForSuspect (job: Job, ranked: Ranked, now: number): Server[] {
-  return ranked.first(hashNumber(job.fingerprint), SUSPECT_SERVERS).filter(server => !isSetAside(server, job, now))
+export function collectForSuspect (job: Job, ranked: Ranked, place: InstancePlace, now: number): Server[] {
+  const ready = ranked.first(hashNumber(job.fingerprint), Infinity).filter(server => !isSetAside(server, job, now))
+  const own = ready.filter(server => ranked.servers.indexOf(server) % place.count === place.index)
+  return (own.length > 0 ? own : ready).slice(0, SUSPECT_SERVERS)
 }
--- a/packages/foxtaillever-policy/src/placement/placement.ts
+++ b/packages/foxtaillever-policy/src/placement/placement.ts
@@ -8,7 +8,7 @@
 import type { Fleet } from '../servers/fleet.js'
 import type { Server } from '../servers/server.js'
 import { rankByBaseline, type Baseline } from './baselines.js'
-import { collectCandidates, collectForSuspect } from './candidates.js'
+import { collectCandidates, collectForSuspect, type InstancePlace } from './candidates.js'
 import { weighServer, type WeighedServer } from './expectedFirstToken.js'
 import { computeHomes, resizeHomes, type LevelHomes } from './homes.js'
 import { PrefixTable } from './prefixTable.js'
@@ -75,6 +75,8 @@
   private turn = 0
   private readonly handlers: Record<PlacementPolicy, PlacementHandler>
 
+  private instance: InstancePlace = { index: 0, count: 1 }
+
   private constructor (private readonly options: PlacerOptions) {
     const baseline = (policy: Baseline): PlacementHandler => request => this.placeByBaseline(policy, request)
     this.handlers = {
@@ -118,6 +120,11 @@
     levels.forEach(({ record }) => record.endWarming(jobId))
   }
 
+  /** Takes the place of this instance among all. */
+  observePlace (place: InstancePlace): void {
+    this.instance = place
+  }
+
   /** The engine said how much it had cached: a hit or miss for each level. */
   learn ({ levels, server, promptTokens }: Placement, cachedTokens: number, now: number): void {
     server.load.observeCached(cachedTokens / Math.max(1, promptTokens))
@@ -174,7 +181,7 @@
     const ranked = fleet.rankedFor(job.model)
     const levels = computeHomes(this.prefixes, { job, weightsVersion, ranked, epoch: fleet.epoch })
     const input = { job, levels, distanceTo, recomputationPrice: recomputationPrice(fleet.utilisation) * request.recomputationWeight, failedAt: request.failedAt, serviceMs: request.serviceMs, now }
-    const candidates = request.isSuspect ? collectForSuspect(job, ranked, now) : collectCandidates(job, servers, levels, random, now)
+    const candidates = request.isSuspect ? collectForSuspect(job, ranked, this.instance, now) : collectCandidates(job, servers, levels, random, now)
     const offers = candidates
       .filter(server => request.isEligible(server))
       .map(server => createOffer(weighServer(server, input), request))
--- a/packages/foxtaillever-policy/src/scheduler.ts
+++ b/packages/foxtaillever-policy/src/scheduler.ts
@@ -104,9 +104,13 @@
     this.fleet.observeLoad(server, report, now)
   }
 
-  /** Takes the number of entry instances, this one included. */
-  observeInstances (count: number): void {
+  /**
+   * Takes the number of entry instances, this one included.
+   * @param index place of this one among them, in order of name.
+   */
+  observeInstances (count: number, index = 0): void {
     this.instances = Math.max(1, count)
+    this.placer.observePlace({ index, count: this.instances })
     this.intake.share.observeInstances(this.instances)
     this.fleet.instances = this.instances
     this.setDrainPrior()
--- a/packages/foxtaillever-router/src/core/loop.ts
+++ b/packages/foxtaillever-router/src/core/loop.ts
@@ -8,18 +8,28 @@
 /** Something that runs over the tables at each tick. */
 export type System = (now: number) => void
 
-/** A quiet process still looks at its deadlines this often, milliseconds. */
-const QUIET_TICK_MS = 20
+/** While there is work, deadlines are looked at this often, milliseconds. */
+const BUSY_TICK_MS = 20
+
+/** Without any, only what is known of backend servers grows older, milliseconds. */
+const IDLE_TICK_MS = 250
+
+export interface LoopOptions {
+  readonly clock: Clock
+  readonly systems: readonly System[]
+  /** Whether anything in the tables may become due. */
+  readonly isBusy: () => boolean
+}
 
 export class Loop {
   private cancel: Cancellation | undefined
   private awake = false
   private stopped = false
 
-  private constructor (private readonly clock: Clock, private readonly systems: readonly System[]) {}
+  private constructor (private readonly options: LoopOptions) {}
 
-  static create (clock: Clock, systems: readonly System[]): Loop {
-    return new Loop(clock, systems)
+  static create (options: LoopOptions): Loop {
+    return new Loop(options)
   }
 
   /** Asks for a tick in the next turn; any number of calls make one tick. */
@@ -28,7 +38,7 @@
       return
     }
     this.awake = true
-    this.schedule(this.clock.now())
+    this.schedule(this.options.clock.now())
   }
 
   start (): void {
@@ -42,16 +52,17 @@
 
   private schedule (deadline: number): void {
     this.cancel?.()
-    this.cancel = this.clock.at(deadline, () => this.tick())
+    this.cancel = this.options.clock.at(deadline, () => this.tick())
   }
 
   private tick (): void {
     this.awake = false
-    const now = this.clock.now()
-    this.systems.forEach(system => system(now))
+    const { clock, systems, isBusy } = this.options
+    const now = clock.now()
+    systems.forEach(system => system(now))
     // A system may have asked for another tick.
     if (!this.awake && !this.stopped) {
-      this.schedule(this.clock.now() + QUIET_TICK_MS)
+      this.schedule(clock.now() + (isBusy() ? BUSY_TICK_MS : IDLE_TICK_MS))
     }
   }
 }
--- a/packages/foxtaillever-router/src/core/routerCore.ts
+++ b/packages/foxtaillever-router/src/core/routerCore.ts
@@ -67,10 +67,11 @@
         over: (row, failure) => this.onTryOver(row, failure)
       }
     })
-    this.loop = Loop.create(clock, [
-      now => this.dispatch(now),
-      now => this.expire(now)
-    ])
+    this.loop = Loop.create({
+      clock,
+      systems: [now => this.dispatch(now), now => this.expire(now)],
+      isBusy: () => this.inFlight() > 0
+    })
   }
 
   static create (options: RouterCoreOptions): RouterCore {
@@ -250,6 +251,8 @@
     if (sequence === 1 && row.isScheduled) {
       this.observer.firstToken(row.submission.job, row.server)
       this.scheduler.firstToken(row.submission.job.id, this.options.clock.now())
+      // A prefill has ended; a job that was held back for it may go now.
+      this.loop.wake()
     }
     if (!row.responder.token(sequence, data)) {
       row.stream?.pause()
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -82,10 +82,9 @@
     this.watches = [
       this.core,
       this.orders,
-      this.plain,
       ListWatch.create({ clock, list: this.list, core: this.core, gate: this.gate }),
       ServerWatch.create({ clock, name, fleet: this.fleet, core: this.core, engines: this.engines, configuration: () => this.configuration() }),
-      SoftStateExchange.create({ clock, fleet: this.fleet, scheduler: this.core.scheduler })
+      SoftStateExchange.create({ name, clock, fleet: this.fleet, scheduler: this.core.scheduler })
     ]
   }
 
--- a/packages/foxtaillever-router/src/instance/softStateExchange.ts
+++ b/packages/foxtaillever-router/src/instance/softStateExchange.ts
@@ -19,6 +19,8 @@
 const SUSPECT_TOLD_MS = 15_000
 
 export interface SoftStateOptions {
+  /** Of this instance. */
+  readonly name: string
   readonly clock: Clock
   readonly fleet: Fleet
   readonly scheduler: Scheduler
@@ -48,9 +50,10 @@
   }
 
   private tick (): void {
-    const { clock, fleet, scheduler } = this.options
+    const { clock, fleet, scheduler, name } = this.options
     const now = clock.now()
-    scheduler.observeInstances(fleet.members().length)
+    const members = fleet.members()
+    scheduler.observeInstances(members.length, Math.max(0, members.findIndex(member => member.name === name)))
     this.tellDemand(now)
     this.tellSuspects(now)
     this.cancel = clock.at(now + PERIOD_MS, () => this.tick())
--- a/packages/foxtaillever-router/src/plain/plainRouter.ts
+++ b/packages/foxtaillever-router/src/plain/plainRouter.ts
@@ -52,6 +52,7 @@
   private readonly client: PlainClient
   private calls = 0
   private open = 0
+  private isTicking = false
   private cancelTick: Cancellation = () => {}
 
   private readonly clock: Clock
@@ -67,13 +68,13 @@
     return new PlainRouter(options)
   }
 
-  start (): void {
-    this.gate.tick(this.clock.now())
-    this.cancelTick = this.clock.at(this.clock.now() + TICK_MS, () => this.start())
-  }
-
-  stop (): void {
-    this.cancelTick()
+  /** Looks after the waiting calls; an instance without any does not tick. */
+  private tick (): void {
+    this.isTicking = this.open > 0
+    if (this.isTicking) {
+      this.gate.tick(this.clock.now())
+      this.cancelTick = this.clock.at(this.clock.now() + TICK_MS, () => this.tick())
+    }
   }
 
   /** Calls that wait for their answer. */
@@ -84,6 +85,9 @@
   async serve (context: PlainCallContext): Promise<FastifyReply> {
     const { reply, request, configuration } = context
     this.open += 1
+    if (!this.isTicking) {
+      this.tick()
+    }
     const answer = await EitherAsync.liftEither(matchCall(configuration, request.method, request.url))
       .chain(async call => await this.serveCall(context, call))
     this.open -= 1
@@ -190,6 +194,7 @@
   }
 
   async close (): Promise<void> {
+    this.cancelTick()
     await this.client.close()
   }
 }
