--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -41,6 +41,14 @@
   return `${host}:${port}`
 }
 
+/**
+ * The platform lists the callers' port; instances of one deployment share the
+ * port for datagrams. A port that the system chose is only told by its owner.
+ */
+function gossipAddressOf (listed: string, port: number): string {
+  return port === 0 ? listed : `${listed.slice(0, listed.lastIndexOf(':'))}:${port}`
+}
+
 export class EntryInstance {
   private readonly clock: Clock = SystemClock.create()
   private readonly random: Random
@@ -115,6 +123,7 @@
       log,
       logRetentionMs,
       instances: list,
+      gossipAddressOf: ({ address }) => gossipAddressOf(address, gossip.port),
       datagrams,
       peers: TrpcPeers.create(name, keys, clock, random),
       keys,
