Read engines' load less often while no request comes

It now reads every 2 s once it has had no request for 5 s. What its first request is placed by may be 2 s old.

--- a/packages/foxtaillever-router/src/instance/serverWatch.ts
+++ b/packages/foxtaillever-router/src/instance/serverWatch.ts
@@ -13,8 +13,17 @@
 import type { RouterCore } from '../core/routerCore.js'
 import type { Engines } from './engines.js'
 
-/** Engines report with a lag of about this. */
-const PERIOD_MS = 500
+/** While requests come, milliseconds; engines report with a lag of about this. */
+const BUSY_PERIOD_MS = 500
+
+/**
+ * Without any, milliseconds. Reading is most of what an idle instance spends;
+ * what its first request is placed by may be this old.
+ */
+const IDLE_PERIOD_MS = 2000
+
+/** An instance without requests for this long is idle, milliseconds. */
+const IDLE_AFTER_MS = 5000
 
 /** Below this each instance reads every engine itself; the size of today. */
 const SELF_READING_MEMBERS = 9
@@ -36,6 +45,8 @@
 
 export class ServerWatch {
   private running = true
+  /** When a request was last seen in flight, milliseconds of Unix time. */
+  private busyAt = 0
   private readonly incarnations = new Map<string, string>()
 
   private constructor (private readonly options: ServerWatchOptions) {}
@@ -56,12 +67,19 @@
   private async watch (): Promise<void> {
     const { clock } = this.options
     while (this.running) {
-      const nextAt = clock.now() + PERIOD_MS
+      const nextAt = clock.now() + this.period(clock.now())
       await Promise.all(this.ownServers().map(async server => await this.read(server)))
       await waitUntil(clock, nextAt)
     }
   }
 
+  private period (now: number): number {
+    if (this.options.core.inFlight() > 0) {
+      this.busyAt = now
+    }
+    return now - this.busyAt < IDLE_AFTER_MS ? BUSY_PERIOD_MS : IDLE_PERIOD_MS
+  }
+
   private ownServers (): BackendServer[] {
     const { fleet, name, configuration } = this.options
     const members = fleet.members()
