Let one computed watcher tell an engine's load, by position and once a second

Cause: in a fleet of more than nine each queued engine was read by two watchers and told by name twice a second by both; by the sums of docs/CAPACITY.md three such engines filled what facts may cost an instance. Now one watcher reads an engine, tells a queue, a restart or a departure as a list of eight values at most once a second, and the next member takes over when it dies.

--- a/packages/foxtaillever-router/src/instance/serverWatch.ts
+++ b/packages/foxtaillever-router/src/instance/serverWatch.ts
@@ -4,14 +4,16 @@
  * Up to nine instances, each reads every engine itself: nine small answers a
  * period cost an engine nothing, and a report is as fresh as the engine's lag
  * allows. Were 380 instances to do so, each engine would answer 760 questions
- * a second; so in larger fleets a few computed watchers read an engine and tell
+ * a second; so in larger fleets one computed watcher reads an engine and tells
  * the others, as soft state, only what they would place differently by: that a
- * queue stands there, that it is leaving, or that it has restarted.
+ * queue stands there, that it is leaving, or that it has restarted. A watcher
+ * that dies is followed by the next one as soon as the members know.
  */
-import { ServerKind, waitUntil, type BackendServer, type Clock, type Configuration, type LoadReport } from 'foxtaillever-core'
-import { FactKind, homesOf, type Fact, type Fleet } from 'foxtaillever-fleet'
+import { ServerKind, waitUntil, type BackendServer, type Clock, type Configuration, type Engine, type LoadReport } from 'foxtaillever-core'
+import { FactKind, homeOf, type Fact, type Fleet } from 'foxtaillever-fleet'
+import { pipe } from 'fp-ts/lib/function.js'
+import { exists } from 'fp-ts/lib/Option.js'
 import type { RouterCore } from '../core/routerCore.js'
-import type { Engines } from './engines.js'
 
 /** While requests come, milliseconds; engines report with a lag of about this. */
 const BUSY_PERIOD_MS = 500
@@ -28,17 +30,35 @@
 /** Below this each instance reads every engine itself; the size of today. */
 const SELF_READING_MEMBERS = 9
 
-/** Watchers of one engine in a larger fleet, so that one may be dead unnoticed. */
-const WATCHERS = 2
+/** Between two words on one engine, milliseconds; three queued engines told twice as often would fill what facts may cost. */
+const TOLD_EVERY_MS = 1000
 
 /** A word on load is too old to place by after this, milliseconds. */
 const FACT_KEPT_MS = 3000
 
+/** What was last told of one engine. */
+interface Told {
+  readonly incarnation: string
+  /** Milliseconds of Unix time. */
+  readonly nextAt: number
+}
+
+/** A load report by position, since names would cost more bytes than numbers. */
+type PackedLoad = readonly [incarnation: string, weightsVersion: string, running: number, waiting: number, waitingTokens: number, cacheTokensUsed: number, leaving: 0 | 1, madeAt: number]
+
+function packLoad (load: LoadReport): PackedLoad {
+  return [load.incarnation, load.weightsVersion, load.running, load.waiting, load.waitingTokens, load.cacheTokensUsed, load.leaving ? 1 : 0, Math.floor(load.madeAt)]
+}
+
+function unpackLoad ([incarnation, weightsVersion, running, waiting, waitingTokens, cacheTokensUsed, leaving, madeAt]: PackedLoad): LoadReport {
+  return { incarnation, weightsVersion, running, waiting, waitingTokens, cacheTokensUsed, leaving: leaving === 1, madeAt }
+}
+
 export interface ServerWatchOptions {
   readonly clock: Clock
-  readonly fleet: Fleet
-  readonly core: RouterCore
-  readonly engines: Engines
+  readonly fleet: Pick<Fleet, 'members' | 'share' | 'onFact'>
+  readonly core: Pick<RouterCore, 'inFlight' | 'observeLoad'>
+  readonly engines: { readonly of: (server: BackendServer) => Pick<Engine, 'load'> }
   readonly name: string
   readonly configuration: () => Configuration
 }
@@ -47,7 +67,7 @@
   private running = true
   /** When a request was last seen in flight, milliseconds of Unix time. */
   private busyAt = 0
-  private readonly incarnations = new Map<string, string>()
+  private readonly told = new Map<string, Told>()
 
   private constructor (private readonly options: ServerWatchOptions) {}
 
@@ -87,7 +107,7 @@
     if (members.length <= SELF_READING_MEMBERS) {
       return servers
     }
-    return servers.filter(server => homesOf(`watch/${server.name}`, members, WATCHERS).some(member => member.name === name))
+    return servers.filter(server => pipe(homeOf(`watch/${server.name}`, members), exists(home => home.name === name)))
   }
 
   private async read (server: BackendServer): Promise<void> {
@@ -100,17 +120,21 @@
 
   private tell (server: string, load: LoadReport): void {
     const { fleet, clock } = this.options
-    const isRestarted = this.incarnations.get(server) !== load.incarnation
-    this.incarnations.set(server, load.incarnation)
+    const now = clock.now()
+    const known = this.told.get(server)
+    const isRestarted = known?.incarnation !== load.incarnation
     const matters = isRestarted || load.leaving || load.waiting > 0
-    if (matters && fleet.members().length > SELF_READING_MEMBERS) {
-      fleet.share(FactKind.ServerLoad, server, load, clock.now() + FACT_KEPT_MS)
+    const isSoon = !isRestarted && now < known.nextAt
+    if (!matters || isSoon || fleet.members().length <= SELF_READING_MEMBERS) {
+      return
     }
+    this.told.set(server, { incarnation: load.incarnation, nextAt: now + TOLD_EVERY_MS })
+    fleet.share(FactKind.ServerLoad, server, packLoad(load), now + FACT_KEPT_MS)
   }
 
   private take (fact: Fact): void {
     if (fact.kind === FactKind.ServerLoad) {
-      this.options.core.observeLoad(fact.key, fact.value as LoadReport)
+      this.options.core.observeLoad(fact.key, unpackLoad(fact.value as PackedLoad))
     }
   }
 }
