Bring the capacity page in line with how load is told

npm run capacity loads: a word on a queued worker takes 92 bytes in place of 182 and 134 words a second are told in place of 536, so 54 KB/s a daemon in place of 313 at the two-year size.

--- a/packages/foxtaillever-capacity/src/measures/factLoads.ts
+++ b/packages/foxtaillever-capacity/src/measures/factLoads.ts
@@ -19,7 +19,8 @@
   return factBytes(fact)
 }
 
-const report = { incarnation: '0123456789abcdef', weightsVersion: 'v12', running: 12, waiting: 3, waitingTokens: 12_345, cacheTokensUsed: 345_678, leaving: false, madeAt: now }
+/** As the router packs a load report. */
+const report = ['0123456789abcdef', 'v12', 12, 3, 12_345, 345_678, 0, now]
 
 const summary = { incarnation: '0123456789abcdef', doubtful: false, prefixes: Array.from({ length: 8 }, (_, index) => 4_000_000_000 + index) }
 
@@ -27,10 +28,12 @@
   return Array.from({ length: accounts }, (_, index) => [`account-${index}`, 12_345])
 }
 
-/** Share of workers with a queue at the peak, each told by two watchers twice a second. */
+/** Share of workers with a queue at the peak, each told by one watcher once a second. */
 const QUEUED_SHARE = 0.2
-const WATCHERS = 2
-const WORDS_PER_SECOND = 2
+
+/** Words of one instance on its accounts. */
+const DEMAND_WORDS_PER_SECOND = 2
+
 /** Accounts near their limit, and how many of them one daemon meets at once. */
 const NEAR_LIMIT_MET = 5
 const SUMMARY_SECONDS = 5
@@ -38,8 +41,8 @@
 export function factLoads (): readonly FactLoad[] {
   const { workers, daemons } = twoYearSize
   return [
-    { title: 'load of workers with a queue (20% of them)', factsPerSecond: workers * QUEUED_SHARE * WATCHERS * WORDS_PER_SECOND, bytesEach: sizeOf(FactKind.ServerLoad, 'language-worker-123', report) },
-    { title: 'demand of accounts near their limit (5 met by each daemon)', factsPerSecond: daemons * WORDS_PER_SECOND, bytesEach: sizeOf(FactKind.AccountDemand, 'all', demandOf(NEAR_LIMIT_MET)) },
+    { title: 'load of workers with a queue (20% of them)', factsPerSecond: workers * QUEUED_SHARE, bytesEach: sizeOf(FactKind.ServerLoad, 'language-worker-123', report) },
+    { title: 'demand of accounts near their limit (5 met by each daemon)', factsPerSecond: daemons * DEMAND_WORDS_PER_SECOND, bytesEach: sizeOf(FactKind.AccountDemand, 'all', demandOf(NEAR_LIMIT_MET)) },
     { title: 'summaries of cache events of every worker', factsPerSecond: workers / SUMMARY_SECONDS, bytesEach: sizeOf(FactKind.CacheSummary, 'language-worker-123', summary) },
     { title: 'one suspect of a crash', factsPerSecond: 1, bytesEach: sizeOf(FactKind.Suspect, 'f'.repeat(16), { fingerprint: 'f'.repeat(16), crashes: 1, expiresAt: now }) }
   ]
