Call the decisions' table of backend servers by what it is

Two classes were named Fleet: the members of foxtaillever-fleet and the table of backend servers within the decisions. The latter is now ServerTable. No behaviour changes.

--- a/packages/foxtaillever-policy/src/admission/intake.ts
+++ b/packages/foxtaillever-policy/src/admission/intake.ts
@@ -10,7 +10,7 @@
 import { DemandShare } from '../limits/shareOfLimit.js'
 import type { WaitingJob } from '../order/waitingJob.js'
 import type { WaitingRoom } from '../order/waitingRoom.js'
-import type { Fleet } from '../servers/fleet.js'
+import type { ServerTable } from '../servers/serverTable.js'
 import { Standing } from '../servers/serverHealth.js'
 import { Suspicion, type SuspectTable } from '../suspects/suspectTable.js'
 import { admit, AdmissionRule } from './admission.js'
@@ -31,7 +31,7 @@
 }
 
 export interface IntakeOptions {
-  readonly fleet: Fleet
+  readonly fleet: ServerTable
   readonly room: WaitingRoom
   readonly attempts: AttemptTable
   readonly suspects: SuspectTable
--- a/packages/foxtaillever-policy/src/attempts/attemptTable.ts
+++ b/packages/foxtaillever-policy/src/attempts/attemptTable.ts
@@ -7,7 +7,7 @@
 import { RunningShares } from '../order/runningShares.js'
 import type { Placer } from '../placement/placement.js'
 import { mayEject } from '../servers/compareServers.js'
-import type { Fleet } from '../servers/fleet.js'
+import type { ServerTable } from '../servers/serverTable.js'
 import { FAILURES_TO_EJECT, Standing } from '../servers/serverHealth.js'
 import type { Server } from '../servers/server.js'
 import type { Attempt } from './attempt.js'
@@ -35,9 +35,9 @@
   readonly shares = RunningShares.create()
   private readonly service = MovingMean.create(FIRST_SERVICE_MS, SERVICE_GAIN)
 
-  private constructor (private readonly fleet: Fleet, private readonly placer: Placer) {}
+  private constructor (private readonly fleet: ServerTable, private readonly placer: Placer) {}
 
-  static create (fleet: Fleet, placer: Placer): AttemptTable {
+  static create (fleet: ServerTable, placer: Placer): AttemptTable {
     return new AttemptTable(fleet, placer)
   }
 
--- a/packages/foxtaillever-policy/src/order/dispatcher.ts
+++ b/packages/foxtaillever-policy/src/order/dispatcher.ts
@@ -13,7 +13,7 @@
 import { DecayingRate } from '../collections/decayingRate.js'
 import { MovingMean } from '../collections/movingMean.js'
 import type { Placement, Placer } from '../placement/placement.js'
-import type { Fleet } from '../servers/fleet.js'
+import type { ServerTable } from '../servers/serverTable.js'
 import type { Server } from '../servers/server.js'
 import { Suspicion, type SuspectTable } from '../suspects/suspectTable.js'
 import type { RunningShares } from './runningShares.js'
@@ -72,7 +72,7 @@
 }
 
 export interface DispatcherOptions {
-  readonly fleet: Fleet
+  readonly fleet: ServerTable
   readonly placer: Placer
   readonly room: WaitingRoom
   readonly suspects: SuspectTable
--- a/packages/foxtaillever-policy/src/placement/placement.ts
+++ b/packages/foxtaillever-policy/src/placement/placement.ts
@@ -5,7 +5,7 @@
  */
 import { PlacementPolicy, type Random } from 'foxtaillever-core'
 import type { Candidate, Job } from '../job.js'
-import type { Fleet } from '../servers/fleet.js'
+import type { ServerTable } from '../servers/serverTable.js'
 import type { Server } from '../servers/server.js'
 import { rankByBaseline, type Baseline } from './baselines.js'
 import { collectCandidates, collectForSuspect, type InstancePlace } from './candidates.js'
@@ -55,7 +55,7 @@
 }
 
 export interface PlacerOptions {
-  readonly fleet: Fleet
+  readonly fleet: ServerTable
   readonly random: Random
   readonly distanceTo: (failureDomain: string) => number
 }
--- a/packages/foxtaillever-policy/src/scheduler.ts
+++ b/packages/foxtaillever-policy/src/scheduler.ts
@@ -22,7 +22,7 @@
 import { decideRetry } from './retries/decideRetry.js'
 import { RetryBudget } from './retries/retryBudget.js'
 import { dumpScheduler, type SchedulerState } from './schedulerState.js'
-import { Fleet } from './servers/fleet.js'
+import { ServerTable } from './servers/serverTable.js'
 import { isCrash } from './suspects/isCrash.js'
 import { SuspectTable, Suspicion, type SuspectFact } from './suspects/suspectTable.js'
 
@@ -47,7 +47,7 @@
 
 export class Scheduler {
   private configuration: Configuration = emptyConfiguration
-  private readonly fleet = Fleet.create()
+  private readonly fleet = ServerTable.create()
   private readonly room = WaitingRoom.create()
   private readonly budget = RetryBudget.create()
   private readonly suspects = SuspectTable.create()
--- a/packages/foxtaillever-policy/src/servers/fleet.ts
+++ b/packages/foxtaillever-policy/src/servers/serverTable.ts
@@ -11,7 +11,7 @@
 /** Peers are compared this often. */
 const COMPARE_EVERY_MS = 250
 
-export class Fleet {
+export class ServerTable {
   /** Rises whenever the set of ready servers may have changed. */
   epoch = 0
   /** Of all servers' slots at the last comparison, 0 to 1. */
@@ -30,8 +30,8 @@
 
   private constructor () {}
 
-  static create (): Fleet {
-    return new Fleet()
+  static create (): ServerTable {
+    return new ServerTable()
   }
 
   get (name: string): Server | undefined {
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -49,6 +49,7 @@
   return port === 0 ? listed : `${listed.slice(0, listed.lastIndexOf(':'))}:${port}`
 }
 
+/** Composes the parts of one instance; created at rest, then started and stopped once. */
 export class EntryInstance {
   private readonly clock: Clock = SystemClock.create()
   private readonly random: Random
@@ -71,7 +72,8 @@
   private accepting = true
 
   private constructor (private readonly options: EntryInstanceOptions) {
-    const { clock, name } = { clock: this.clock, name: options.name }
+    const { clock } = this
+    const { name } = options
     this.random = SeededRandom.create(options.seed)
     this.keys = KeyRing.create(options.keys)
     this.log = LogClient.create(options.logAddress, clock)
