Make claims of prompts and plain calls by one function; drop dead code

Both made a claim from a dated key with the same refusal, but for what it calls the request; that is now a parameter and both messages are as before. The load tool's limits stood twice. Nothing called Scheduler.nextDue and the waiting room's, noPeers and measureDigest.

--- a/packages/foxtaillever-capacity/src/measures/foldCost.ts
+++ b/packages/foxtaillever-capacity/src/measures/foldCost.ts
@@ -4,7 +4,7 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import { RecordKind, type LogRecord } from 'foxtaillever-core'
-import { ConfigurationStore, digestOf, isIntact, openValue, sealValue, KeyRing, Permission, type FoldedConfiguration } from 'foxtaillever-fleet'
+import { ConfigurationStore, isIntact, openValue, sealValue, KeyRing, Permission, type FoldedConfiguration } from 'foxtaillever-fleet'
 import { createAccountChange, createWholeRecord } from './syntheticConfiguration.js'
 import { microsecondsOf } from './timing.js'
 
@@ -73,9 +73,3 @@
     otherRecordMicroseconds: microsecondsOf(() => { store.take({ ...JSON.parse(claims) as LogRecord, offset: offset() }) })
   }
 }
-
-/** Digest of everything anew, as after a restart, microseconds. */
-export function measureDigest (): number {
-  const { store } = createFull()
-  return microsecondsOf(() => { digestOf(structuredClone(store.configuration())) })
-}
--- a/packages/foxtaillever-fleet/src/membership/trpcPeers.ts
+++ b/packages/foxtaillever-fleet/src/membership/trpcPeers.ts
@@ -91,9 +91,3 @@
 function connect (address: string) {
   return createTRPCClient<PeerRouter>({ links: [httpLink({ url: `http://${address}${PEER_PATH}` })] })
 }
-
-/** Peers of an instance that has none to call, such as a single one. */
-export const noPeers: Peers = {
-  configuration: async () => Left(Failure.notRun(FailureCode.ConnectionRefused, 'There are no peers.')),
-  members: async () => Right([])
-}
--- a/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
+++ b/packages/foxtaillever-load/src/deployment/embeddedDeployment.ts
@@ -14,6 +14,7 @@
   EngineModel, InstanceListModel, KeptCacheStoreModel, LogModel, WeightStoreModel, type PlainServer
 } from 'foxtaillever-standins'
 import { createFirstChanges } from './createFirstChanges.js'
+import { instanceLimits } from './instanceLimits.js'
 import type { Shape } from './shape.js'
 
 export { keyOf } from './keyOf.js'
@@ -22,7 +23,6 @@
 const LIST_LAG_MS = 1000
 const LOG_RETENTION_MS = 86_400_000
 const LOG_APPENDS_PER_SECOND = 300
-const LIMITS = { bodyBytes: 8 * 1024 * 1024, headerBytes: 16_384, arrivalTimeoutMs: 30_000, idleTimeoutMs: 75_000, drainTimeoutMs: 10_000 }
 
 /** Known to this deployment alone, which listens on loopback. */
 const MEMBER_KEYS = [{ id: 'embedded', secret: 'a key of the embedded deployment', permissions: [Permission.Join, Permission.Publish, Permission.Order] }]
@@ -173,7 +173,7 @@
       logAddress,
       listAddress,
       distancesMs: {},
-      limits: { ...LIMITS, ...this.options.limits },
+      limits: { ...instanceLimits, ...this.options.limits },
       logs: Logs.create({ instance: name, level: 'error', clock: this.clock }),
       seed: this.options.seed + index,
       logRetentionMs: LOG_RETENTION_MS,
--- /dev/null
+++ b/packages/foxtaillever-load/src/deployment/instanceLimits.ts
@@ -0,0 +1,10 @@
+/** Limits on callers that the entry instances of this tool are given. */
+import type { InstanceLimits } from 'foxtaillever-router'
+
+export const instanceLimits: InstanceLimits = {
+  bodyBytes: 8 * 1024 * 1024,
+  headerBytes: 16_384,
+  arrivalTimeoutMs: 30_000,
+  idleTimeoutMs: 75_000,
+  drainTimeoutMs: 10_000
+}
--- a/packages/foxtaillever-load/src/speed/startRouter.ts
+++ b/packages/foxtaillever-load/src/speed/startRouter.ts
@@ -4,6 +4,7 @@
 import { EntryInstance, Logs } from 'foxtaillever-router'
 import { createInstanceListServer, createLogServer, InstanceListModel, LogModel } from 'foxtaillever-standins'
 import { createFirstChanges } from '../deployment/createFirstChanges.js'
+import { instanceLimits } from '../deployment/instanceLimits.js'
 import type { Shape } from '../deployment/shape.js'
 import { createSpeedShape } from './speedShape.js'
 import type { SubjectSetup } from './subject.js'
@@ -11,7 +12,6 @@
 const HOST = '127.0.0.1'
 const LOG_RETENTION_MS = 86_400_000
 const LOG_APPENDS_PER_SECOND = 300
-const LIMITS = { bodyBytes: 8 * 1024 * 1024, headerBytes: 16_384, arrivalTimeoutMs: 30_000, idleTimeoutMs: 75_000, drainTimeoutMs: 10_000 }
 const READY_LOOK_MS = 20
 
 function describeWorker (shape: Shape, address: string, index: number): BackendServer {
@@ -54,7 +54,7 @@
     logAddress: await listenUrl(createLogServer(log, clock)),
     listAddress: await listenUrl(createInstanceListServer(InstanceListModel.create(0, clock))),
     distancesMs: {},
-    limits: LIMITS,
+    limits: instanceLimits,
     logs: Logs.create({ instance: 'entry-1', level: 'error', clock }),
     seed: 1,
     logRetentionMs: LOG_RETENTION_MS,
--- a/packages/foxtaillever-policy/src/order/waitingRoom.ts
+++ b/packages/foxtaillever-policy/src/order/waitingRoom.ts
@@ -83,12 +83,6 @@
     return expired
   }
 
-  /** When a tick is due though nothing happens, milliseconds of Unix time. */
-  nextDue (): number {
-    const pause = this.paused.peek()?.notBefore ?? Infinity
-    return Math.min(pause, this.expiring.peek()?.latestStart ?? Infinity)
-  }
-
   private trim (): void {
     for (const heap of [this.expiring, this.paused]) {
       if (heap.size > 2 * this.jobs.size + DEAD_ALLOWED) {
--- a/packages/foxtaillever-policy/src/scheduler.ts
+++ b/packages/foxtaillever-policy/src/scheduler.ts
@@ -178,11 +178,6 @@
     return { assignments, refusals }
   }
 
-  /** When the next tick is due though nothing is reported, milliseconds of Unix time. */
-  nextDue (): number {
-    return this.room.nextDue()
-  }
-
   /** The engine has begun to answer. */
   started (jobId: string, start: StreamStart, now: number): void {
     const attempt = this.attempts.get(jobId)
--- a/packages/foxtaillever-router/src/core/claimDesk.ts
+++ b/packages/foxtaillever-router/src/core/claimDesk.ts
@@ -20,23 +20,36 @@
   return createHash('sha256').update(path).update('\0').update(JSON.stringify(body)).digest('hex').slice(0, 32)
 }
 
-function undated (): Failure {
+/** What is to run at most once, as its claim needs it. */
+export interface Claimable extends Pick<ClaimRequest, 'requestId' | 'digest' | 'deadline'> {
+  /** As a refusal names it, such as "non-idempotent request". */
+  readonly name: string
+  readonly account: string
+  readonly idempotencyKey: string
+}
+
+function undated (name: string): Failure {
   return Failure.notRun(FailureCode.BadRequest,
-    'The idempotency key of a non-idempotent request must carry its creation time: a UUID of version 7, or milliseconds of Unix time, a hyphen and any text.')
+    `The idempotency key of a ${name} must carry its creation time: a UUID of version 7, or milliseconds of Unix time, a hyphen and any text.`)
 }
 
-/** The claim of a request, or why it cannot be claimed. */
-export function createClaim (submission: Submission): Either<Failure, ClaimRequest> {
-  const { job, idempotencyKey } = submission
-  return readKeyCreation(idempotencyKey).toEither(undated()).map(createdAt => ({
-    key: claimKey(job.account, idempotencyKey),
-    requestId: job.id,
-    digest: digestSubmission(submission),
+/** The claim under the key, or why it cannot be claimed. */
+export function createDatedClaim ({ name, account, idempotencyKey, requestId, digest, deadline }: Claimable): Either<Failure, ClaimRequest> {
+  return readKeyCreation(idempotencyKey).toEither(undated(name)).map(createdAt => ({
+    key: claimKey(account, idempotencyKey),
+    requestId,
+    digest,
     createdAt,
-    deadline: job.deadline
+    deadline
   }))
 }
 
+/** The claim of a request, or why it cannot be claimed. */
+export function createClaim (submission: Submission): Either<Failure, ClaimRequest> {
+  const { job: { id, account, deadline }, idempotencyKey } = submission
+  return createDatedClaim({ name: 'non-idempotent request', account, idempotencyKey, requestId: id, digest: digestSubmission(submission), deadline })
+}
+
 /** Refuses at once what could never be claimed. */
 export function checkClaimable (submission: Submission, claims: Claims | undefined): Either<Failure, void> {
   if (submission.job.idempotent) {
--- a/packages/foxtaillever-router/src/plain/claimPlainCall.ts
+++ b/packages/foxtaillever-router/src/plain/claimPlainCall.ts
@@ -8,11 +8,11 @@
  * cannot be told from a new one; its service has to live with that.
  */
 import { createHash } from 'node:crypto'
-import { Failure, FailureCode, type Verdict } from 'foxtaillever-core'
-import { claimKey, readKeyCreation, type ClaimRequest } from 'foxtaillever-fleet'
+import type { Failure, Verdict } from 'foxtaillever-core'
+import type { ClaimRequest } from 'foxtaillever-fleet'
 import { EitherAsync, type Either } from 'purify-ts'
 import type { PlainRequest } from '../adapters/plainClient.js'
-import type { Claims } from '../core/claimDesk.js'
+import { createDatedClaim, type Claims } from '../core/claimDesk.js'
 
 export interface ClaimedCall {
   readonly id: string
@@ -34,19 +34,9 @@
     .slice(0, 32)
 }
 
-function undated (): Failure {
-  return Failure.notRun(FailureCode.BadRequest,
-    'The idempotency key of a call that may not be repeated must carry its creation time: a UUID of version 7, or milliseconds of Unix time, a hyphen and any text.')
-}
-
 function createClaim (call: ClaimedCall): Either<Failure, ClaimRequest> {
-  return readKeyCreation(call.idempotencyKey).toEither(undated()).map(createdAt => ({
-    key: claimKey(call.account, call.idempotencyKey),
-    requestId: call.id,
-    digest: digestCall(call),
-    createdAt,
-    deadline: call.request.deadline
-  }))
+  const { id, account, idempotencyKey, request: { deadline } } = call
+  return createDatedClaim({ name: 'call that may not be repeated', account, idempotencyKey, requestId: id, digest: digestCall(call), deadline })
 }
 
 /** Resolves when the claim stands in the log as the winner; the answer to settle it with. */
