Order new weights by one fenced instance, and let instances hear each other

A lease in the store gives the fencing number by the offset of an append at an expected end; datagrams tell who changes what.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -14,6 +14,8 @@
   // The control protocol speaks of the changes and publications that fleet defines.
   'foxtaillever-control': [...above, 'foxtaillever-policy', 'foxtaillever-testing'],
   'foxtaillever-router': ['foxtaillever', 'foxtaillever-load', 'foxtaillever-standins', 'foxtaillever-testing'],
+  'foxtaillever-telemetry': [...above, 'foxtaillever-policy', 'foxtaillever-fleet', 'foxtaillever-settings', 'foxtaillever-control', 'foxtaillever-testing'],
+  'foxtaillever-relay': ['foxtaillever', 'foxtaillever-router', 'foxtaillever-load', 'foxtaillever-standins', 'foxtaillever-control', 'foxtaillever-testing', 'foxtaillever-platform'],
   'foxtaillever-standins': ['foxtaillever', 'foxtaillever-router', 'foxtaillever-load', 'foxtaillever-policy', 'foxtaillever-fleet', 'foxtaillever-testing'],
   foxtaillever: ['foxtaillever-router', 'foxtaillever-standins', 'foxtaillever-load', 'foxtaillever-testing']
 }
@@ -39,8 +41,19 @@
   }
 }
 
+/** Names of the users' wire belong into platform/ and into the stand-ins that speak it. */
+const wireNames = /x-(server-stamp|not-executed|expect-instance|expect-version|cache-salt|kv-fetch|kv-save|prompt-prefix|token-counts|weight-versions|deadline-ms)|keyed\\.|log-(read|append|newest)|kv-events/i.source
+const translation = {
+  files: ['packages/*/src/**/*.ts'],
+  ignores: ['packages/foxtaillever-standins/**', '**/__tests__/**', '**/__fixtures__/**'],
+  rules: {
+    'no-restricted-syntax': ['error', { selector: `Literal[value=/${wireNames}/i]`, message: 'Only platform/ knows the names of the users\' wire.' }]
+  }
+}
+
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'target/**', 'journal/**', 'node_modules/**'] }),
   ...layering,
-  purity
+  purity,
+  translation
 ]
--- a/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
+++ b/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
@@ -18,6 +18,8 @@
   readonly onRecord: (record: KeyedRecord) => void
   /** All keys there are, read up to the offset. */
   readonly onWhole: (keys: ReadonlySet<string>, end: number) => void
+  /** Everything before the offset has been read. */
+  readonly onReached: (offset: number) => void
   readonly onLost: (failure: Failure) => void
   readonly onRegained: () => void
 }
@@ -121,7 +123,7 @@
   }
 
   private async readOn (from: number): Promise<Failure | undefined> {
-    const { log, topic, waitMs, onRecord } = this.options
+    const { log, topic, waitMs, onRecord, onReached } = this.options
     const page = await log.read(topic, from, waitMs)
     return page.caseOf({
       Left: failure => failure,
@@ -132,6 +134,7 @@
         }
         records.forEach(onRecord)
         this.next = Math.max(this.next ?? 0, next)
+        onReached(this.next)
         return undefined
       }
     })
--- /dev/null
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -0,0 +1,121 @@
+/**
+ * Datagrams and calls between instances. Datagrams tell what changes by the
+ * second and may be lost; a call brings the records that an instance lacks while
+ * the platform's store does not answer it.
+ */
+import { createServer, type Server } from 'node:http'
+import { Failure, FailureCode, Verdict, type Clock } from 'foxtaillever-core'
+import { UdpDatagrams } from 'foxtaillever-fleet/membership/datagrams'
+import { Either, Left, Right } from 'purify-ts'
+import type { KeyedRecord } from '../knowledge/keyedLog.js'
+import { callServer } from '../servers/callServer.js'
+import { ServerConnections } from '../servers/serverConnections.js'
+import { decodePeerMessage, encodePeerMessage, type PeerMessage } from './peerMessage.js'
+
+/** Topics whose records instances tell each other. */
+export enum ToldTopic {
+  Operators = 'operators',
+  Servers = 'servers'
+}
+
+/** Records from an offset on, and up to where the teller knows the topic. */
+export interface ToldRecords {
+  readonly records: readonly KeyedRecord[]
+  readonly position: number
+}
+
+interface WireRecords {
+  readonly position: number
+  readonly records: ReadonlyArray<{ readonly key: string, readonly value: string | null, readonly offset: number }>
+}
+
+/** Another instance answers from memory, milliseconds. */
+const ANSWER_MS = 600
+
+export interface PeerLinkOptions {
+  readonly clock: Clock
+  /** IP number and port, for datagrams and for calls. */
+  readonly host: string
+  readonly port: number
+  readonly onMessage: (message: PeerMessage) => void
+  /** What this instance knows of a topic from an offset on. */
+  readonly tell: (topic: ToldTopic, from: number) => ToldRecords
+}
+
+export class PeerLink {
+  private readonly datagrams: UdpDatagrams
+  private readonly server: Server
+  private readonly connections = new Map<string, ServerConnections>()
+
+  private constructor (private readonly options: PeerLinkOptions) {
+    this.datagrams = UdpDatagrams.create(`${options.host}:${options.port}`)
+    this.server = createServer((request, response) => {
+      const { searchParams, pathname } = new URL(request.url ?? '', 'http://peer')
+      const topic = Object.values(ToldTopic).find(name => `/records/${name}` === pathname)
+      if (topic === undefined) {
+        response.writeHead(404).end()
+        return
+      }
+      response.end(encodeRecords(options.tell(topic, Number(searchParams.get('from')))))
+    })
+  }
+
+  static create (options: PeerLinkOptions): PeerLink {
+    return new PeerLink(options)
+  }
+
+  async open (): Promise<void> {
+    const { host, port, onMessage } = this.options
+    await this.datagrams.open(bytes => decodePeerMessage(bytes).ifJust(onMessage))
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, resolve)
+    })
+  }
+
+  async close (): Promise<void> {
+    this.server.close()
+    this.server.closeAllConnections()
+    this.connections.forEach(connections => connections.close())
+    await this.datagrams.close()
+  }
+
+  send (addresses: readonly string[], message: PeerMessage): void {
+    const bytes = encodePeerMessage(message)
+    addresses.forEach(address => this.datagrams.send(address, bytes))
+  }
+
+  /** Asks another instance for what it knows of a topic from an offset on. */
+  async ask (address: string, topic: ToldTopic, from: number): Promise<Either<Failure, ToldRecords>> {
+    const { clock } = this.options
+    const call = { method: 'GET', path: `/records/${topic}?from=${from}`, headers: ['Host', 'peer'], body: Buffer.alloc(0) }
+    const answer = await callServer(this.connectionsTo(address), call, clock, clock.now() + ANSWER_MS)
+    return answer.chain(({ status, body }) => status === 200 ? decodeRecords(body) : Left(malformed(`status ${status}`)))
+  }
+
+  private connectionsTo (address: string): ServerConnections {
+    let connections = this.connections.get(address)
+    if (!connections) {
+      connections = ServerConnections.create({ address, mostConnections: 1, onOpened: () => {} })
+      this.connections.set(address, connections)
+    }
+    return connections
+  }
+}
+
+function malformed (reason: string): Failure {
+  return Failure.create(FailureCode.Internal, Verdict.NotRun, `another instance answered with ${reason}`)
+}
+
+function encodeRecords ({ records, position }: ToldRecords): string {
+  const wire: WireRecords = { position, records: records.map(({ key, value, offset }) => ({ key, offset, value: value?.toString('base64') ?? null })) }
+  return JSON.stringify(wire)
+}
+
+function decodeRecords (body: Buffer): Either<Failure, ToldRecords> {
+  return Either.encase(() => JSON.parse(body.toString()) as WireRecords)
+    .mapLeft(({ message }) => malformed(message))
+    .chain(({ position, records }) => typeof position === 'number' && Array.isArray(records)
+      ? Right({ position, records: records.map(({ key, value, offset }) => ({ key, offset, value: value === null ? undefined : Buffer.from(value, 'base64') })) })
+      : Left(malformed('another form')))
+}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -0,0 +1,103 @@
+/** What instances tell each other by datagram: positional arrays by msgpackr, because names would double the size. */
+import { Packr } from 'msgpackr'
+import { Maybe } from 'purify-ts'
+
+/** How far an instance knows a topic. */
+export interface Positions {
+  readonly operators: number
+  readonly servers: number
+}
+
+/** Load that one instance puts on a backend server. */
+export interface ServerUse {
+  readonly server: string
+  readonly outstanding: number
+  /** Prompt tokens of these. */
+  readonly tokens: number
+}
+
+/** An engine's weights, as the one who orders them knows. */
+export interface WeightsNews {
+  readonly server: string
+  readonly model: string
+  readonly version: number
+  /** It takes nothing new for as long, milliseconds; 0 when it has the version. */
+  readonly changingMs: number
+}
+
+/** The newest record of the lease that is known. */
+export interface LeaseNews {
+  readonly offset: number
+  readonly holder: string
+  /** Since it was appended, milliseconds at most. */
+  readonly ageMs: number
+}
+
+export interface PeerMessage {
+  readonly name: string
+  /** IP number and port for datagrams and calls. */
+  readonly address: string
+  readonly failureDomain: string
+  /** Start of the process, milliseconds of Unix time. */
+  readonly startedAt: number
+  readonly isLeaving: boolean
+  /** The platform's store answers this instance. */
+  readonly hasStore: boolean
+  readonly positions: Positions
+  readonly lease: LeaseNews | undefined
+  readonly uses: readonly ServerUse[]
+  readonly weights: readonly WeightsNews[]
+  /** Digests of requests that crash backend servers. */
+  readonly suspects: readonly string[]
+}
+
+const packr = new Packr({ useRecords: false })
+
+export function encodePeerMessage (message: PeerMessage): Buffer {
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects } = message
+  return packr.pack([
+    name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
+    lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
+    uses.map(({ server, outstanding, tokens }) => [server, outstanding, tokens]),
+    weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
+    suspects
+  ])
+}
+
+type Wire = readonly [
+  string, string, string, number, boolean, boolean, number, number,
+  readonly [number, string, number] | null,
+  ReadonlyArray<readonly [string, number, number]>,
+  ReadonlyArray<readonly [string, string, number, number]>,
+  readonly string[]
+]
+
+const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
+
+function nameOfType (value: unknown): string {
+  return typeof value
+}
+
+function isWire (value: unknown): value is Wire {
+  return Array.isArray(value) && HEAD.every((type, index) => nameOfType(value[index]) === type) && value.slice(9, 12).every(part => Array.isArray(part))
+}
+
+/** Nothing for bytes of another form: an instance of another release may send them. */
+export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
+  return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects] = wire as Wire
+    return {
+      name,
+      address,
+      failureDomain,
+      startedAt,
+      isLeaving,
+      hasStore,
+      positions: { operators, servers },
+      lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
+      uses: uses.map(([server, outstanding, tokens]) => ({ server, outstanding, tokens })),
+      weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
+      suspects
+    }
+  }))
+}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/peers/peerTable.ts
@@ -0,0 +1,68 @@
+/** The other instances as this one hears them. */
+import type { PeerMessage } from './peerMessage.js'
+
+/** One instance, and when it was last heard. */
+export interface Peer {
+  readonly address: string
+  readonly last: PeerMessage | undefined
+  /** Milliseconds of Unix time; when it was first named, for one that was never heard. */
+  readonly heardAt: number
+}
+
+/** Three beats may be lost before an instance counts as gone, milliseconds. */
+const SILENT_MS = 3500
+
+/** One that is cut off still sends retries of its own; it counts for this long, milliseconds. */
+const COUNTED_MS = 30_000
+
+/** One that was named but never heard is greeted for this long, milliseconds. */
+const FORGOTTEN_MS = 120_000
+
+export class PeerTable {
+  private readonly peers = new Map<string, Peer>()
+
+  private constructor () {}
+
+  static create (): PeerTable {
+    return new PeerTable()
+  }
+
+  /** An address at which an instance may be. */
+  name (address: string, now: number): void {
+    if (!this.peers.has(address)) {
+      this.peers.set(address, { address, last: undefined, heardAt: now })
+    }
+  }
+
+  hear (message: PeerMessage, now: number): void {
+    const known = this.peers.get(message.address)?.last
+    // A datagram of an earlier process at the address may come late.
+    if (known === undefined || message.startedAt >= known.startedAt) {
+      this.peers.set(message.address, { address: message.address, last: message, heardAt: now })
+    }
+  }
+
+  /** Run at each beat. */
+  expire (now: number): void {
+    for (const [address, { heardAt }] of this.peers) {
+      if (heardAt + FORGOTTEN_MS <= now) {
+        this.peers.delete(address)
+      }
+    }
+  }
+
+  /** Everyone who may be there, heard or not. */
+  all (): readonly Peer[] {
+    return [...this.peers.values()]
+  }
+
+  /** Those heard of late that do not leave. */
+  alive (now: number): PeerMessage[] {
+    return this.all().flatMap(({ last, heardAt }) => last && !last.isLeaving && heardAt + SILENT_MS > now ? [last] : [])
+  }
+
+  /** Instances to reckon with, this one included, also while they cannot be heard. */
+  count (now: number): number {
+    return 1 + this.all().filter(({ heardAt }) => heardAt + COUNTED_MS > now).length
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -0,0 +1,123 @@
+/**
+ * This instance among the others: beats once a second, tells at once what cannot
+ * wait, and hears the rest. Nothing told here must last; it is told again with
+ * the next beat or found out anew.
+ */
+import type { Cancellation, Clock, Failure, Random } from 'foxtaillever-core'
+import type { Either } from 'purify-ts'
+import type { ToldRecords, ToldTopic } from './peerLink.js'
+import { PeerLink } from './peerLink.js'
+import { FleetUse } from './fleetUse.js'
+import type { PeerMessage, WeightsNews } from './peerMessage.js'
+import { PeerTable } from './peerTable.js'
+
+/** Between two beats, milliseconds. */
+const BEAT_MS = 1000
+
+/** Part of a period that is drawn, so that instances started together do not send together. */
+const BEAT_SPREAD = 0.2
+
+/** Others that hear one beat: with more, each hears a random part of the fleet every second, within 14 KB/s at 380. */
+const MOST_RECEIVERS = 24
+
+/** What this instance says of itself at the moment. */
+export type OwnWord = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt' | 'weights'>
+
+export interface PeersOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly name: string
+  readonly failureDomain: string
+  readonly host: string
+  readonly port: number
+  readonly word: () => OwnWord
+  readonly tell: (topic: ToldTopic, from: number) => ToldRecords
+  readonly onMessage: (message: PeerMessage) => void
+}
+
+export class Peers {
+  readonly table = PeerTable.create()
+  readonly use = FleetUse.create()
+  readonly link: PeerLink
+  readonly address: string
+  private readonly startedAt: number
+  private cancelBeat: Cancellation = () => {}
+
+  private constructor (private readonly options: PeersOptions) {
+    const { clock, host, port, tell } = options
+    this.address = `${host}:${port}`
+    this.startedAt = clock.now()
+    this.link = PeerLink.create({ clock, host, port, tell, onMessage: message => this.hear(message) })
+  }
+
+  static create (options: PeersOptions): Peers {
+    return new Peers(options)
+  }
+
+  async start (): Promise<void> {
+    await this.link.open()
+    this.beat()
+  }
+
+  async stop (): Promise<void> {
+    this.cancelBeat()
+    await this.link.close()
+  }
+
+  /** Addresses at which instances may be. */
+  nameAll (addresses: readonly string[]): void {
+    const now = this.options.clock.now()
+    addresses.filter(address => address !== this.address).forEach(address => this.table.name(address, now))
+    this.send([])
+  }
+
+  /** Others that are alive. */
+  alive (): PeerMessage[] {
+    return this.table.alive(this.options.clock.now())
+  }
+
+  /** Instances to reckon with, this one included. */
+  count (): number {
+    return this.table.count(this.options.clock.now())
+  }
+
+  /** Tells everyone now: an engine is about to change, a drain was learned. */
+  send (weights: readonly WeightsNews[]): void {
+    this.link.send(this.receivers(Infinity), this.message(weights))
+  }
+
+  async ask (address: string, topic: ToldTopic, from: number): Promise<Either<Failure, ToldRecords>> {
+    return await this.link.ask(address, topic, from)
+  }
+
+  private beat (): void {
+    const { clock, random } = this.options
+    const now = clock.now()
+    this.table.expire(now)
+    const alive = new Set(this.alive().map(({ address }) => address))
+    this.use.retain(address => alive.has(address))
+    this.link.send(this.receivers(MOST_RECEIVERS), this.message([]))
+    this.cancelBeat = clock.at(now + BEAT_MS * (1 - BEAT_SPREAD * random.next()), () => this.beat())
+  }
+
+  private receivers (most: number): string[] {
+    const addresses = this.table.all().map(({ address }) => address)
+    while (addresses.length > most) {
+      addresses.splice(this.options.random.below(addresses.length), 1)
+    }
+    return addresses
+  }
+
+  private message (weights: readonly WeightsNews[]): PeerMessage {
+    const { name, failureDomain, word } = this.options
+    return { name, address: this.address, failureDomain, startedAt: this.startedAt, weights, ...word() }
+  }
+
+  private hear (message: PeerMessage): void {
+    if (message.address !== this.address) {
+      this.table.hear(message, this.options.clock.now())
+      this.use.observe(message.address, message.uses)
+      this.options.onMessage(message)
+    }
+  }
+}
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,27 +1,26 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
+import { randomUUID } from 'node:crypto'
 import { createServer, type Server } from 'node:http'
+import { uptime } from 'node:os'
 import { hashNumber, waitUntil } from 'foxtaillever-core'
-import { placeExchange, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
-import { promptKeyOf } from './attempts/planTerms.js'
 import { CallerServer } from './callers/callerServer.js'
 import type { ExchangeContext } from './exchange/exchangeContext.js'
 import { ExchangeRun } from './exchange/exchangeRun.js'
 import type { KeyedRecord } from './knowledge/keyedLog.js'
-import { TopicFollower } from './knowledge/topicFollower.js'
-import type { Exchange } from './model/exchange.js'
+import { Knowledge } from './knowledge/knowledge.js'
+import { enterMemberBook } from './knowledge/memberBook.js'
 import type { Routing } from './model/routing.js'
+import { ToldTopic } from './peers/peerLink.js'
+import type { PeerMessage } from './peers/peerMessage.js'
+import { Peers, type OwnWord } from './peers/peers.js'
 import { OperatorKey, type RelayOptions } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
-import type { KnownServer } from './servers/knownServer.js'
+import { ServerChoice } from './servers/serverChoice.js'
 import { ServerDirectory } from './servers/serverDirectory.js'
 import { RelayLog } from './telemetry/relayLog.js'
-
-/** Configurations are rare, so the store holds the call until there is one, milliseconds. */
-const OPERATORS_WAIT_MS = 2500
-
-/** Between two reads of the servers' entries, milliseconds: well within the bound on new work for one that leaves. */
-const SERVERS_PACE_MS = 700
+import { OrderLease } from './weights/orderLease.js'
+import { WeightsDesk } from './weights/weightsDesk.js'
 
 /** The balancer notices within two seconds that this instance is not ready; until then it sends new connections, milliseconds. */
 const STOP_LISTENING_MS = 2600
@@ -32,29 +31,43 @@
 /** Part of the grace that is kept free for the process to end. */
 const GRACE_KEPT_FREE = 0.1
 
+/** Place of an instance that cannot take the lease, since the store does not answer it. */
+const LAST_RANK = 8
+
 export class Relay {
   private readonly log: RelayLog
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
   private readonly callers: CallerServer
   private readonly readiness: Server
-  private readonly operators: TopicFollower
-  private readonly servers: TopicFollower
+  private readonly knowledge: Knowledge
+  private readonly peers: Peers
+  private readonly lease: OrderLease
+  private readonly weights: WeightsDesk
+  private readonly choice: ServerChoice
   private readonly runs = new Set<ExchangeRun>()
   private readonly context: ExchangeContext
   private table: RouteTable | undefined
   private isLeaving = false
 
   private constructor (private readonly options: RelayOptions) {
-    const { clock, random, logs, callerWire, serverWire, retryAllowance, topics } = options
+    const { clock, random, logs, callerWire, serverWire, retryAllowance, failureDomain } = options
     this.log = RelayLog.create(logs)
     this.retries = RetryShare.create(retryAllowance)
     this.directory = ServerDirectory.create({
       onOpened: () => {},
-      onChanged: ({ id, state, service }, before) => this.log.belief('A backend server changed its state.', { server: id, service, state, before })
+      onChanged: ({ id, state, service }, before) => {
+        this.log.belief('A backend server changed its state.', { server: id, service, state, before })
+        this.weights.run()
+      }
+    })
+    this.peers = this.createPeers()
+    this.knowledge = this.createKnowledge()
+    this.lease = this.createLease()
+    this.weights = this.createWeightsDesk()
+    this.choice = ServerChoice.create({
+      clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
     })
-    this.operators = this.follow(topics.operators, OPERATORS_WAIT_MS, 0, record => this.readOperators(record), () => {})
-    this.servers = this.follow(topics.servers, 0, SERVERS_PACE_MS, record => this.readServer(record), (ids, end) => this.directory.retain(ids, end))
     this.context = {
       clock,
       random,
@@ -63,8 +76,8 @@
       retries: this.retries,
       log: this.log,
       routing: () => this.routing(),
-      place: (exchange, failed) => this.place(exchange, failed),
-      onMisdirected: () => {},
+      place: (exchange, failed) => this.choice.place(exchange, failed),
+      onMisdirected: () => { this.weights.run() },
       onOver: run => this.runs.delete(run)
     }
     this.callers = CallerServer.create({
@@ -86,9 +99,12 @@
   }
 
   async start (): Promise<void> {
-    const { callers, readiness } = this.options
-    this.operators.start()
-    this.servers.start()
+    const { callers, readiness, clock, log, topics, name, seeds } = this.options
+    this.log.belief('Starting.', { pid: process.pid })
+    await this.peers.start()
+    this.peers.nameAll(seeds)
+    this.knowledge.start()
+    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses) })
     await this.callers.listen(callers.host, callers.port)
     await new Promise<void>(resolve => this.readiness.listen(readiness.port, readiness.host, resolve))
     this.log.belief('Started.', {})
@@ -104,20 +120,116 @@
     const until = clock.now() + graceMs * (1 - GRACE_KEPT_FREE)
     this.log.belief('Leaving.', { requests: this.runs.size })
     this.callers.leave()
+    this.peers.send([])
     await waitUntil(clock, clock.now() + STOP_LISTENING_MS)
     this.callers.close()
     while (this.runs.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
     this.runs.forEach(run => run.abort())
-    this.operators.stop()
-    this.servers.stop()
+    this.weights.stop()
+    this.knowledge.stop()
     this.readiness.close()
+    await this.peers.stop()
     this.log.belief('Stopped.', {})
   }
 
+  private createPeers (): Peers {
+    const { clock, random, name, failureDomain, peers } = this.options
+    return Peers.create({
+      clock,
+      random,
+      name,
+      failureDomain,
+      ...peers,
+      word: () => this.word(),
+      tell: (topic, from) => this.knowledge.tell(topic, from),
+      onMessage: message => this.hear(message)
+    })
+  }
+
+  private createKnowledge (): Knowledge {
+    const { clock, random, log, topics } = this.options
+    return Knowledge.create({
+      clock,
+      random,
+      log,
+      topics: { [ToldTopic.Operators]: topics.operators, [ToldTopic.Servers]: topics.servers },
+      relayLog: this.log,
+      link: () => this.peers.link,
+      peers: () => this.peers.table.all().map(({ address, last }) => ({ address, positions: last?.positions })),
+      onRecord: { [ToldTopic.Operators]: record => this.readOperators(record), [ToldTopic.Servers]: record => this.readServer(record) }
+    })
+  }
+
+  private createLease (): OrderLease {
+    const { clock, fenceLog, topics, name, leasePauseMs } = this.options
+    return OrderLease.create({
+      clock,
+      uptime,
+      log: fenceLog,
+      topic: topics.lease,
+      holder: name,
+      incarnation: randomUUID(),
+      pauseMs: leasePauseMs,
+      onChanged: ({ offset }) => {
+        this.log.belief('Holds the lease on orders.', { fence: offset })
+        this.peers.send([])
+      }
+    })
+  }
+
+  private createWeightsDesk (): WeightsDesk {
+    const { clock, engineOrders, name } = this.options
+    return WeightsDesk.create({
+      clock,
+      holder: name,
+      directory: this.directory,
+      lease: this.lease,
+      orders: engineOrders,
+      log: this.log,
+      rank: () => this.orderRank(),
+      outstandingAt: ({ outstanding, listed }) => outstanding + this.peers.use.of(listed.id).outstanding,
+      tell: news => this.peers.send([news])
+    })
+  }
+
+  /** The last holder acts first, then the others in an order that all compute alike. */
+  private orderRank (): number {
+    const { name } = this.options
+    const last = this.lease.lastHolder
+    if (!this.knowledge.hasStore || this.isLeaving) {
+      return LAST_RANK
+    }
+    const others = this.peers.alive().filter(({ hasStore }) => hasStore).map(peer => peer.name)
+    const order = [...others, name].sort((one, other) => Number(other === last) - Number(one === last) || hashNumber(one) - hashNumber(other))
+    return order.indexOf(name)
+  }
+
+  /** What this instance tells the others of itself. */
+  private word (): OwnWord {
+    return {
+      isLeaving: this.isLeaving,
+      hasStore: this.knowledge.hasStore,
+      positions: this.knowledge.positions,
+      lease: this.lease.news(),
+      uses: this.directory.all().flatMap(({ listed, outstanding, outstandingTokens }) => outstanding > 0 ? [{ server: listed.id, outstanding, tokens: outstandingTokens }] : []),
+      suspects: []
+    }
+  }
+
+  private hear ({ lease, weights }: PeerMessage): void {
+    const count = this.peers.count()
+    this.retries.observeInstances(count)
+    this.directory.observeInstances(count)
+    if (lease) {
+      this.lease.observe(lease)
+    }
+    weights.forEach(news => this.weights.observe(news))
+  }
+
   private isReady (): boolean {
-    return !this.isLeaving && this.table !== undefined && this.servers.isSynced
+    return !this.isLeaving && this.table !== undefined && this.knowledge.isWhole
   }
 
   private routing (): Routing {
@@ -127,21 +239,6 @@
     return this.table.routing
   }
 
-  private follow (topic: string, waitMs: number, paceMs: number, onRecord: (record: KeyedRecord) => void, onWhole: (keys: ReadonlySet<string>, end: number) => void): TopicFollower {
-    const { clock, log } = this.options
-    return TopicFollower.create({
-      clock,
-      log,
-      topic,
-      waitMs,
-      paceMs,
-      onRecord,
-      onWhole,
-      onLost: failure => this.log.trouble('The platform\'s store does not answer.', { topic, reason: failure.message }),
-      onRegained: () => this.log.belief('The platform\'s store answers again.', { topic })
-    })
-  }
-
   private readOperators (record: KeyedRecord): void {
     const { readers } = this.options
     const { key, value } = record
@@ -155,6 +252,12 @@
         Right: routing => this.adopt(routing)
       })
     }
+    if (kind === OperatorKey.Weights) {
+      readers.weights(value).caseOf({
+        Left: reason => this.log.trouble('Named weights cannot be read.', { key, reason }),
+        Right: ({ model, version }) => this.weights.name(model, version)
+      })
+    }
   }
 
   private adopt (routing: Routing): void {
@@ -178,30 +281,4 @@
       Right: listed => this.directory.observe(listed, offset)
     })
   }
-
-  private place (exchange: Exchange, failed: ReadonlySet<string>): KnownServer | undefined {
-    const { clock, random, failureDomain } = this.options
-    const now = clock.now()
-    const offers = this.directory.ready(exchange.service)
-      .filter(({ listed }) => !failed.has(listed.id))
-      .map(server => toOffer(server, now))
-    const need = { promptKey: promptKeyOf(exchange), promptTokens: exchange.prompt?.promptTokens ?? 0, failureDomain }
-    const chosen = placeExchange(offers, need, random)
-    return chosen && this.directory.get(chosen.id)
-  }
-}
-
-function toOffer ({ listed, outstanding, outstandingTokens, avoidedUntil, changingUntil }: KnownServer, now: number): ServerOffer {
-  return {
-    id: listed.id,
-    hash: hashNumber(listed.id),
-    failureDomain: listed.failureDomain,
-    slots: listed.slots,
-    outstanding,
-    waitingTokens: outstandingTokens,
-    isAvoided: avoidedUntil > now,
-    isChanging: changingUntil > now,
-    isOutdated: false,
-    coldLeftMs: listed.coldLeftMs
-  }
 }
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -3,10 +3,13 @@
 import type { RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
 import type { Logs } from 'foxtaillever-telemetry'
 import type { Either } from 'purify-ts'
-import type { KeyedLog, KeyedRecord } from './knowledge/keyedLog.js'
+import type { KeyedRecord } from './knowledge/keyedLog.js'
+import type { WritableKeyedLog } from './knowledge/memberBook.js'
 import type { ListedServer, WantedWeights } from './model/listedServer.js'
 import type { Routing } from './model/routing.js'
 import type { CallerWire, ServerWire } from './model/wire.js'
+import type { EngineOrders } from './weights/engineOrders.js'
+import type { FenceLog } from './weights/fenceLog.js'
 
 export interface ListenAddress {
   readonly host: string
@@ -29,10 +32,14 @@
   Other = 'other'
 }
 
-/** Names of the topics that are followed. */
+/** Names of topics in the platform's store. */
 export interface Topics {
   readonly operators: string
   readonly servers: string
+  /** Addresses of instances, for those that start. */
+  readonly members: string
+  /** The lease on giving orders. */
+  readonly lease: string
 }
 
 export interface RelayOptions {
@@ -40,15 +47,25 @@
   readonly failureDomain: string
   readonly callers: ListenAddress
   readonly readiness: ListenAddress
+  /** For datagrams and calls between instances; the port is the same for all. */
+  readonly peers: ListenAddress
+  /** Addresses of some instances, which may be stale. */
+  readonly seeds: readonly string[]
   readonly clock: Clock
   readonly random: Random
   readonly logs: Logs
-  readonly log: KeyedLog
+  readonly log: WritableKeyedLog
+  readonly fenceLog: FenceLog
+  readonly engineOrders: EngineOrders
   readonly topics: Topics
   readonly readers: RecordReaders
   readonly callerWire: CallerWire
   readonly serverWire: ServerWire
   readonly retryAllowance: RetryAllowance
+  /** Between the orders of two holders of the lease, milliseconds. */
+  readonly leasePauseMs: number
+  /** After new weights were named no request may begin on older ones, milliseconds. */
+  readonly weightsBoundMs: number
   /** After this a shutdown ends what is left, milliseconds. */
   readonly graceMs: number
 }
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -58,7 +58,7 @@
       socket.off('timeout', destroy)
       socket.setTimeout(0)
     }
-    message.reusedSocket = true
+    super.reuseSocket(duplex, message)
   }
 }
 
--- /dev/null
+++ b/packages/foxtaillever-relay/src/weights/engineOrders.ts
@@ -0,0 +1,37 @@
+/** The narrow interface to what engines report and take as orders. */
+import type { Failure } from 'foxtaillever-core'
+import type { Either } from 'purify-ts'
+import type { KnownServer } from '../servers/knownServer.js'
+
+/** What an engine says of itself, some hundred milliseconds late. */
+export interface EngineReport {
+  readonly weights: ReadonlyMap<string, number>
+  /** An order is being carried out. */
+  readonly isBusy: boolean
+  /** Orders accepted since its start; an order that expects another number is refused. */
+  readonly sequence: number
+}
+
+export interface WeightsOrder {
+  readonly model: string
+  readonly version: number
+  readonly holder: string
+  readonly fence: number
+  /** Sequence of the engine's report, so that an order that comes late does nothing. */
+  readonly expectedSequence: number
+}
+
+export enum OrderAnswer {
+  /** It is being carried out, or holds already. */
+  Accepted = 'accepted',
+  /** Another order came first, or is being carried out. */
+  Conflict = 'conflict',
+  /** A higher fencing number was seen: this holder is one no more. */
+  Fenced = 'fenced',
+  Refused = 'refused'
+}
+
+export interface EngineOrders {
+  readonly report: (server: KnownServer) => Promise<Either<Failure, EngineReport>>
+  readonly order: (server: KnownServer, order: WeightsOrder) => Promise<Either<Failure, OrderAnswer>>
+}
--- a/scripts/buildSystem.mjs
+++ b/scripts/buildSystem.mjs
@@ -10,7 +10,7 @@
   target: 'node20',
   format: 'esm',
   // Libraries that are CommonJS load Node's own modules by require.
-  banner: { js: 'import { createRequire } from \'node:module\'; const require = createRequire(import.meta.url)' },
+  banner: { js: 'import { createRequire as createBundleRequire } from \'node:module\'; const require = createBundleRequire(import.meta.url)' },
   // Packages of this workspace are taken from their sources, so that nothing is written outside target/.
   conditions: ['source'],
   minifySyntax: true,
