--- a/packages/foxtaillever-policy/src/relay/retryShare.ts
+++ b/packages/foxtaillever-policy/src/relay/retryShare.ts
@@ -28,12 +28,17 @@
   private readonly services = new Map<string, Window>()
   private instances = 1
 
-  private constructor (private readonly allowance: RetryAllowance) {}
+  private constructor (private allowance: RetryAllowance) {}
 
   static create (allowance: RetryAllowance): RetryShare {
     return new RetryShare(allowance)
   }
 
+  /** Takes over what the users allow from now on. */
+  setAllowance (allowance: RetryAllowance): void {
+    this.allowance = allowance
+  }
+
   observeInstances (count: number): void {
     this.instances = Math.max(1, count)
   }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -14,7 +14,7 @@
 import { ToldTopic } from './peers/peerLink.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
-import { OperatorKey, type RelayOptions } from './relayOptions.js'
+import { OperatorKey, type RelayOptions, type RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
 import { ServerChoice } from './servers/serverChoice.js'
 import { ServerDirectory } from './servers/serverDirectory.js'
@@ -49,10 +49,12 @@
   private readonly context: ExchangeContext
   private table: RouteTable | undefined
   private isLeaving = false
+  private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
     const { clock, random, logs, callerWire, serverWire, retryAllowance, failureDomain } = options
     this.log = RelayLog.create(logs)
+    this.graceMs = options.graceMs
     this.retries = RetryShare.create(retryAllowance)
     this.directory = ServerDirectory.create({
       onOpened: () => {},
@@ -110,14 +112,21 @@
     this.log.belief('Started.', {})
   }
 
+  /** Takes over settings that were changed while it runs. */
+  apply ({ seeds, retryAllowance, graceMs }: RunningSettings): void {
+    this.graceMs = graceMs
+    this.retries.setAllowance(retryAllowance)
+    this.peers.nameAll(seeds)
+  }
+
   /** Leaves: not ready at once, serving until the balancer has noticed and the last answer is out. */
   async stop (): Promise<void> {
-    const { clock, graceMs } = this.options
+    const { clock } = this.options
     if (this.isLeaving) {
       return
     }
     this.isLeaving = true
-    const until = clock.now() + graceMs * (1 - GRACE_KEPT_FREE)
+    const until = clock.now() + this.graceMs * (1 - GRACE_KEPT_FREE)
     this.log.belief('Leaving.', { requests: this.runs.size })
     this.callers.leave()
     this.peers.send([])
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -42,15 +42,22 @@
   readonly lease: string
 }
 
-export interface RelayOptions {
+/** What may change while the instance runs. */
+export interface RunningSettings {
+  /** Addresses of some instances, which may be stale. */
+  readonly seeds: readonly string[]
+  readonly retryAllowance: RetryAllowance
+  /** After this a shutdown ends what is left, milliseconds. */
+  readonly graceMs: number
+}
+
+export interface RelayOptions extends RunningSettings {
   readonly name: string
   readonly failureDomain: string
   readonly callers: ListenAddress
   readonly readiness: ListenAddress
   /** For datagrams and calls between instances; the port is the same for all. */
   readonly peers: ListenAddress
-  /** Addresses of some instances, which may be stale. */
-  readonly seeds: readonly string[]
   readonly clock: Clock
   readonly random: Random
   readonly logs: Logs
@@ -61,11 +68,8 @@
   readonly readers: RecordReaders
   readonly callerWire: CallerWire
   readonly serverWire: ServerWire
-  readonly retryAllowance: RetryAllowance
   /** Between the orders of two holders of the lease, milliseconds. */
   readonly leasePauseMs: number
   /** After new weights were named no request may begin on older ones, milliseconds. */
   readonly weightsBoundMs: number
-  /** After this a shutdown ends what is left, milliseconds. */
-  readonly graceMs: number
 }
