Close connections that were never used when an instance leaves

Cause: node:http closes idle connections only after their first request, and keeps one whose answer began before the shutdown. Ruled out: a longer grace, since the request came long after callers had been told to leave. Connections are now counted and closed with their last answer. Tests: callerConnections.test.ts; the unused connection stays open without it.

--- /dev/null
+++ b/packages/foxtaillever-relay/src/callers/__tests__/callerConnections.test.ts
@@ -0,0 +1,85 @@
+/**
+ * A caller opens a connection and first uses it seconds later, or an answer
+ * that began before a shutdown ends after it. When such a connection outlives
+ * the shutdown's close, the caller's next request is cut as the process ends,
+ * and the caller cannot tell whether it has run.
+ */
+import { createServer, type Server, type ServerResponse } from 'node:http'
+import { connect, type AddressInfo, type Socket } from 'node:net'
+import { once } from 'node:events'
+import { describe, it } from 'foxtaillever-testing'
+import { CallerConnections } from '../callerConnections.js'
+
+interface Rig {
+  readonly server: Server
+  readonly connections: CallerConnections
+  readonly open: () => Promise<Socket>
+  readonly nextRequest: () => Promise<ServerResponse>
+}
+
+async function createRig (): Promise<Rig> {
+  const server = createServer()
+  const connections = CallerConnections.create(server)
+  server.on('request', (request, response) => connections.hold(request.socket, response))
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  return {
+    server,
+    connections,
+    open: async () => {
+      const accepted = once(server, 'connection')
+      const socket = connect(port, '127.0.0.1')
+      socket.on('error', () => {})
+      await accepted
+      return socket
+    },
+    nextRequest: async () => (await once(server, 'request'))[1] as ServerResponse
+  }
+}
+
+const HEAD = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+
+describe('CallerConnections', () => {
+  it('closes a connection that was never used', async t => {
+    const { server, connections, open } = await createRig()
+    const socket = await open()
+    server.close()
+    connections.close()
+    socket.resume()
+    await once(socket, 'close')
+    t.pass()
+  })
+
+  it('closes a connection after the answer that had begun before, and not earlier', async t => {
+    const { server, connections, open, nextRequest } = await createRig()
+    const socket = await open()
+    const chunks: Buffer[] = []
+    socket.on('data', (chunk: Buffer) => chunks.push(chunk))
+    const asked = nextRequest()
+    socket.write(HEAD)
+    const response = await asked
+    response.writeHead(200, { 'Content-Length': '4' })
+    response.write('ab')
+    server.close()
+    connections.close()
+    response.end('cd')
+    await once(socket, 'close')
+    t.true(Buffer.concat(chunks).toString().endsWith('abcd'))
+  })
+
+  it('closes a connection whose last answer is out', async t => {
+    const { server, connections, open, nextRequest } = await createRig()
+    const socket = await open()
+    const asked = nextRequest()
+    socket.write(HEAD)
+    const response = await asked
+    const closed = once(response, 'close')
+    response.end('x')
+    await Promise.all([closed, once(socket, 'data')])
+    server.close()
+    connections.close()
+    await once(socket, 'close')
+    t.pass()
+  })
+})
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -12,6 +12,7 @@
 import { drawService, type RouteTable } from '../routing/routeTable.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import { answerFailure } from './answerFailure.js'
+import { CallerConnections } from './callerConnections.js'
 
 /** When to come back while no configuration is known: it is read within a second of the start, milliseconds. */
 const COME_BACK_MS = 500
@@ -37,11 +38,13 @@
 
 export class CallerServer {
   private readonly server: Server
+  private readonly connections: CallerConnections
   private limits = defaultLimits
   private isLeaving = false
 
   private constructor (private readonly options: CallerServerOptions) {
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.take(request, response))
+    this.connections = CallerConnections.create(this.server)
     this.setLimits(defaultLimits)
   }
 
@@ -73,10 +76,11 @@
   /** Takes no new connections and closes those without a request. */
   close (): void {
     this.server.close()
-    this.server.closeIdleConnections()
+    this.connections.close()
   }
 
   private take (request: IncomingMessage, response: ServerResponse): void {
+    this.connections.hold(request.socket, response)
     if (this.isLeaving) {
       response.shouldKeepAlive = false
     }
