Trust answers only as far as they prove themselves, and refuse requests that crash servers

Cause: four ways in which a caller was told something false or lost a whole answer. Bytes after a whole answer turned it into a failure; a 503, 429 or 408 of a server without its word that it had not run was passed on as a promise; an unframed stream that was cut in the middle of an event ended as complete; a resumed stream could repeat events, or end with another server's failure. Besides, nothing recognised a request that crashes each server that runs it, and a silent connection held a repeatable request until its deadline.

Now the tries' ledger, the passing on of the answer and the watch for silence are modules of their own. Losses are shared in the datagrams' suspects field; after the third crash the request is refused everywhere. Health of servers is a fading cost of placement by outcomes and by time against the usual, in place of two faults in a row.

Ruled out: undici's parser (see serverConnections).

--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -3,7 +3,7 @@
  *
  * Requests that share a prompt level go to the server that computed homes name
  * for it, so that all instances agree without a word and each level is read
- * once. A home that is busy, avoided or about to change its weights loses to
+ * once. A home that is busy, failing or about to change its weights loses to
  * the next one when waiting for it would cost more than fetching the level
  * there. Everything is one cost in milliseconds until the first token.
  */
@@ -20,8 +20,8 @@
   readonly outstanding: number
   /** Prompt tokens that it has yet to read. */
   readonly waitingTokens: number
-  /** Too many faults of late. */
-  readonly isAvoided: boolean
+  /** What its faults and slowness of late make a request there cost, milliseconds. */
+  readonly faultCostMs: number
   /** It changes its weights now or will in a moment. */
   readonly isChanging: boolean
   /** Its weights are older than those wanted. */
@@ -53,9 +53,6 @@
 /** There and back to another failure domain, milliseconds, and the price of the bytes between. */
 const DOMAIN_MS = 2
 
-/** Longer than any fair wait: taken only when nothing else is left. */
-const AVOIDED_MS = 5000
-
 /** A change of weights waits for running requests and then loads, milliseconds. */
 const CHANGING_MS = 1500
 
@@ -71,7 +68,7 @@
     : waitingTokens / PREFILL_TOKENS_PER_MS + outstanding * REQUEST_MS + (isHome ? 0 : FETCH_MS)
   return work +
     (offer.failureDomain === need.failureDomain ? 0 : DOMAIN_MS) +
-    (offer.isAvoided ? AVOIDED_MS : 0) +
+    offer.faultCostMs +
     (offer.isChanging ? CHANGING_MS : 0) +
     (offer.isOutdated ? OUTDATED_MS : 0) +
     Math.min(offer.coldLeftMs, PLAIN_WORK_MS)
--- a/packages/foxtaillever-policy/src/relay/retryShare.ts
+++ b/packages/foxtaillever-policy/src/relay/retryShare.ts
@@ -43,16 +43,20 @@
     this.windowOf(service, now).requests.push(now)
   }
 
-  /** Whether one more arrival at the service is allowed now; if so it is counted. */
-  take (service: string, now: number): boolean {
+  /** Whether one more arrival at the service is allowed now. */
+  canTake (service: string, now: number): boolean {
     const { requests, retries } = this.windowOf(service, now)
     const { ratio, slack } = this.allowance
-    const allowed = (1 - KEPT_FREE) * (ratio * requests.length + slack / this.instances)
-    if (retries.length + 1 > allowed) {
-      return false
+    return retries.length + 1 <= (1 - KEPT_FREE) * (ratio * requests.length + slack / this.instances)
+  }
+
+  /** Like canTake; what is allowed is counted. */
+  take (service: string, now: number): boolean {
+    const isAllowed = this.canTake(service, now)
+    if (isAllowed) {
+      this.windowOf(service, now).retries.push(now)
     }
-    retries.push(now)
-    return true
+    return isAllowed
   }
 
   private windowOf (service: string, now: number): Window {
--- /dev/null
+++ b/packages/foxtaillever-policy/src/relay/silence.ts
@@ -0,0 +1,44 @@
+/**
+ * When the silence of a backend server is taken for its failure. A connection
+ * may go silent for good without being closed, and a server may hang while its
+ * probes answer; only time shows either. Too early wastes work that is nearly
+ * done and retries that are needed elsewhere; too late leaves the caller with
+ * nothing. So the bound follows the objective and what other servers do at the
+ * time, and leaves time for another try.
+ */
+
+/** An answer that began, or not, until then is of no worth within the objective. */
+const OBJECTIVES = 2
+
+/** Answers hardly ever take this many times the usual. */
+const TIMES_USUAL = 6
+
+/** Part of the time left after which another try could not end in time. */
+const LATEST_PART = 0.4
+
+/** Times the objective of pauses within a stream that is on its way. */
+const PAUSES = 4
+
+/** Engines that read large prompts, or load weights, pause running streams for hundreds of milliseconds. */
+const LEAST_PAUSE_MS = 1000
+
+export interface SilentTry {
+  /** When the try began, milliseconds of Unix time. */
+  readonly sentAt: number
+  /** When the caller stops waiting, milliseconds of Unix time. */
+  readonly deadline: number
+  readonly objectiveMs: number
+  /** What such requests usually take until their answer begins, milliseconds; undefined when unknown. */
+  readonly usualMs: number | undefined
+}
+
+/** Until when the beginning of an answer is awaited, milliseconds of Unix time. */
+export function awaitFirstUntil ({ sentAt, deadline, objectiveMs, usualMs = 0 }: SilentTry): number {
+  const patience = Math.max(OBJECTIVES * objectiveMs, TIMES_USUAL * usualMs)
+  return sentAt + Math.min(patience, LATEST_PART * Math.max(0, deadline - sentAt))
+}
+
+/** Until when the next part of an answer is awaited, milliseconds of Unix time. */
+export function awaitNextUntil (heardAt: number, pauseObjectiveMs: number): number {
+  return heardAt + Math.max(LEAST_PAUSE_MS, PAUSES * pauseObjectiveMs)
+}
--- a/packages/foxtaillever-policy/src/suspects/suspectTable.ts
+++ b/packages/foxtaillever-policy/src/suspects/suspectTable.ts
@@ -20,7 +20,7 @@
 /** Long enough for an operator to look, short enough that a wrong verdict heals by itself. */
 const QUARANTINE_MS = 600_000
 
-/** Crashes that prove it: co-victims of two crashes are kept apart by then. */
+/** Crashes that prove it unless said otherwise: co-victims of two crashes are kept apart by then. */
 const CRASHES_TO_QUARANTINE = 2
 
 const FACT_BOUND = 1024
@@ -72,10 +72,11 @@
   /** Crashes that this instance saw and that may yet be disproved, by server. */
   private readonly unproven = new Map<string, Crash>()
 
-  private constructor () {}
+  private constructor (private readonly crashesToQuarantine: number) {}
 
-  static create (): SuspectTable {
-    return new SuspectTable()
+  /** @param crashesToQuarantine crashes that prove it. */
+  static create (crashesToQuarantine = CRASHES_TO_QUARANTINE): SuspectTable {
+    return new SuspectTable(crashesToQuarantine)
   }
 
   get size (): number {
@@ -88,12 +89,18 @@
       return Suspicion.None
     }
     const guilt = guiltOf(fact)
-    if (guilt >= CRASHES_TO_QUARANTINE) {
+    if (guilt >= this.crashesToQuarantine) {
       return Suspicion.Quarantined
     }
     return guilt > 0 ? Suspicion.Suspect : Suspicion.None
   }
 
+  /** Crashes that speak against it. */
+  guiltOf (fingerprint: string): number {
+    const fact = this.facts.peek(fingerprint)
+    return fact ? guiltOf(fact) : 0
+  }
+
   /** When the quarantine ends, milliseconds of Unix time. */
   quarantinedUntil (fingerprint: string): number {
     return this.facts.peek(fingerprint)?.expiresAt ?? 0
@@ -151,7 +158,7 @@
       cleared: union(known.cleared, fact.cleared),
       expiresAt: Math.max(known.expiresAt, fact.expiresAt)
     }
-    const isNewlyProven = guiltOf(known) < CRASHES_TO_QUARANTINE && guiltOf(merged) >= CRASHES_TO_QUARANTINE
+    const isNewlyProven = guiltOf(known) < this.crashesToQuarantine && guiltOf(merged) >= this.crashesToQuarantine
     this.facts.set(fact.fingerprint, isNewlyProven ? { ...merged, expiresAt: Math.max(merged.expiresAt, now + QUARANTINE_MS) } : merged)
   }
 
--- /dev/null
+++ b/packages/foxtaillever-relay/src/__tests__/relayRig.ts
@@ -0,0 +1,137 @@
+/** The request side of the relay between real sockets: one caller's connection, scripted backend servers, time moved by hand. */
+import { connect, type Socket } from 'node:net'
+import { PassThrough } from 'node:stream'
+import { SeededRandom } from 'foxtaillever-core'
+import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
+import { Logs } from 'foxtaillever-telemetry'
+import { VirtualClock } from 'foxtaillever-testing'
+import { Right } from 'purify-ts'
+import { CallerServer } from '../callers/callerServer.js'
+import { CrashSuspects } from '../exchange/crashSuspects.js'
+import type { ExchangeContext } from '../exchange/exchangeContext.js'
+import { ExchangeRun } from '../exchange/exchangeRun.js'
+import { ServerState } from '../model/listedServer.js'
+import { Repeatability, type Route, type Routing } from '../model/routing.js'
+import type { CallerWire, ServerWire } from '../model/wire.js'
+import { RouteTable } from '../routing/routeTable.js'
+import { ServerDirectory } from '../servers/serverDirectory.js'
+import { RelayLog } from '../telemetry/relayLog.js'
+import { ScriptedServer, type Answer } from './scriptedServer.js'
+
+export const plainRoute: Route = {
+  name: 'r',
+  host: 'h',
+  pathPrefix: '/',
+  targets: [{ service: 's', weight: 1 }],
+  repeatability: Repeatability.Once,
+  isStream: false,
+  isResumable: false,
+  hasPrompt: false,
+  isPublic: true,
+  timeoutMs: 10_000,
+  objectiveMs: 100,
+  pauseObjectiveMs: 250,
+  mostAttempts: 2,
+  priority: 0
+}
+
+const callerWire: CallerWire = {
+  readHead: ({ headers, method = '', url = '' }) => Right({
+    id: String(headers['request-id']), method, path: url, host: 'h', headers: [], apiKey: undefined, patienceMs: undefined, prompt: undefined, resumeAfter: ''
+  })
+}
+
+const serverWire: ServerWire = {
+  createHeaders: ({ id, body }, { resumeAfter }) => ['Host', 'h', 'request-id', id, 'after', resumeAfter, 'content-length', String(body.length)],
+  readMarks: (_, headers) => ({
+    requestId: headers['request-id'] as string | undefined,
+    isStamped: headers['stamp'] !== undefined,
+    isNotRun: headers['not-run'] !== undefined,
+    serverId: undefined,
+    weightsVersion: undefined,
+    isEventStream: headers['content-type'] === 'text/event-stream'
+  }),
+  passHeaders: () => []
+}
+
+export class RelayRig {
+  readonly clock = VirtualClock.create()
+  readonly suspects = CrashSuspects.create()
+  readonly directory = ServerDirectory.create({ onOpened: () => {}, onChanged: () => {} })
+  readonly retries = RetryShare.create({ ratio: 0.2, slack: 1000, windowMs: 10_000 })
+  readonly servers: ScriptedServer[] = []
+  private readonly callers: CallerServer
+  private readonly runs = new Set<ExchangeRun>()
+  private port = 0
+
+  private constructor (route: Route) {
+    const { clock } = this
+    const limits = { headerBytes: 16_384, bodyBytes: 100_000, headerTimeoutMs: 5000, idleTimeoutMs: 5000 }
+    const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStore: undefined, accounts: [], limits }
+    const random = SeededRandom.create(1)
+    const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
+    const context: ExchangeContext = {
+      clock,
+      random,
+      wire: serverWire,
+      directory: this.directory,
+      retries: this.retries,
+      suspects: this.suspects,
+      log,
+      routing: () => routing,
+      place: (_, failed) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
+      onMisdirected: () => {},
+      onOver: run => this.runs.delete(run)
+    }
+    const table = RouteTable.create(routing)
+    this.callers = CallerServer.create({
+      clock, random, log, wire: callerWire, table: () => table, onExchange: (exchange, answer) => { this.runs.add(ExchangeRun.start(context, exchange, answer)) }
+    })
+    this.callers.setLimits(limits)
+  }
+
+  /** Servers are tried in the order of their answers. */
+  static async start (route: Partial<Route>, ...answers: Answer[]): Promise<RelayRig> {
+    const rig = new RelayRig({ ...plainRoute, ...route })
+    for (const answer of answers) {
+      await rig.addServer(answer)
+    }
+    rig.port = await rig.callers.listen('127.0.0.1', 0)
+    return rig
+  }
+
+  async addServer (answer: Answer): Promise<void> {
+    const server = await ScriptedServer.start(answer)
+    const id = `s${this.servers.push(server) - 1}`
+    const listed = { id, service: 's', address: server.address, failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, weights: new Map<string, number>() }
+    this.directory.observe(listed, this.servers.length)
+  }
+
+  get arrivals (): number {
+    return this.servers.reduce((sum, { arrivals }) => sum + arrivals.length, 0)
+  }
+
+  connect (): Socket {
+    return connect(this.port, '127.0.0.1').on('error', () => {})
+  }
+
+  /** Sends one request on a connection of its own and returns all bytes until its end. */
+  async ask (id: string, body = ''): Promise<string> {
+    const socket = this.connect()
+    socket.write(`POST /p HTTP/1.1\r\nhost: h\r\nrequest-id: ${id}\r\nconnection: close\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+    return await readAll(socket)
+  }
+
+  stop (): void {
+    this.callers.close()
+    this.servers.forEach(server => server.stop())
+  }
+}
+
+/** All bytes until the connection's end. */
+export async function readAll (socket: Socket): Promise<string> {
+  let text = ''
+  socket.on('data', bytes => { text += bytes.toString('latin1') })
+  await new Promise<void>(resolve => socket.once('close', () => resolve()))
+  return text
+}
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -15,6 +15,10 @@
   readonly marks: AnswerMarks
   /** For the caller, names and values in turn. */
   readonly headers: readonly string[]
+  /** Whether the answer itself says where it ends; otherwise it ends with its connection. */
+  readonly isFramed: boolean
+  /** When it came, milliseconds of Unix time. */
+  readonly at: number
 }
 
 export interface AttemptListener {
@@ -65,6 +69,11 @@
     return this.hasLeft
   }
 
+  /** Whether it went out on a connection that had served other requests before. */
+  get isOnKeptConnection (): boolean {
+    return this.request.reusedSocket
+  }
+
   /** Ends the try in silence; closing the connection tells the server to stop. */
   cancel (): void {
     this.finish()
@@ -76,6 +85,11 @@
     this.fail(this.hasLeft ? AttemptFailureKind.Silent : AttemptFailureKind.Unreachable, 'no answer in time')
   }
 
+  /** What came is not an answer to this request. */
+  reject (detail: string): void {
+    this.fail(AttemptFailureKind.Malformed, detail)
+  }
+
   /** The caller reads too slowly; the server has to wait. */
   pause (): void {
     this.response?.pause()
@@ -97,6 +111,10 @@
   }
 
   private onError (error: Error): void {
+    // What comes after a whole answer belongs to no request; its connection is closed, and the answer counts.
+    if (this.response?.complete === true) {
+      return
+    }
     const { code = error.message } = error as NodeJS.ErrnoException
     if (!this.hasLeft) {
       this.fail(AttemptFailureKind.Unreachable, code)
@@ -122,7 +140,8 @@
     response.on('end', () => this.onEnd(response))
     response.on('error', error => this.onError(error))
     response.on('aborted', () => this.fail(AttemptFailureKind.Lost, 'answer cut'))
-    this.options.listener.onHead({ status, marks, headers: this.options.wire.passHeaders(response.rawHeaders) })
+    const { clock, wire, listener } = this.options
+    listener.onHead({ status, marks, headers: wire.passHeaders(response.rawHeaders), isFramed: isFramed(response), at: clock.now() })
   }
 
   private checkHead (status: number, marks: AnswerMarks): AttemptFailure | undefined {
@@ -136,6 +155,10 @@
     if (marks.isNotRun) {
       return { kind: AttemptFailureKind.Refused, detail: `status ${status}` }
     }
+    if (promisesNotRun.has(status)) {
+      // Passed on, it would promise the caller what the server did not say.
+      return { kind: AttemptFailureKind.Malformed, detail: `status ${status} without a word that it did not run` }
+    }
     // Without the stamp nothing proves that the bytes come from the server.
     return marks.isStamped ? undefined : { kind: AttemptFailureKind.Malformed, detail: `status ${status} without a stamp` }
   }
@@ -188,6 +211,13 @@
 /** Status of a server that is not the expected one. */
 const MISDIRECTED = 421
 
+/** Callers read these as the promise that the request has not run and never will. */
+const promisesNotRun = new Set([408, 429, 503])
+
+function isFramed ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 function describeMisdirected ({ serverId, weightsVersion }: AnswerMarks): string {
   return `server ${serverId ?? 'unknown'}, weights ${weightsVersion ?? 'unknown'}`
 }
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -44,6 +44,14 @@
   [AttemptFailureKind.ServerError]: { verdict: Verdict.Ran, code: FailureCode.BackendServerError, isServersFault: true, isArrival: true }
 }
 
+/** Failures that look the same as a crash of the server while it ran the request. */
+const crashKinds: ReadonlySet<AttemptFailureKind> = new Set([AttemptFailureKind.Lost, AttemptFailureKind.Silent])
+
+/** Whether the server may have crashed with the request in flight. */
+export function mayBeCrash (kind: AttemptFailureKind): boolean {
+  return crashKinds.has(kind)
+}
+
 /** How a try failed. */
 export interface AttemptFailure {
   readonly kind: AttemptFailureKind
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -7,6 +7,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import type { CrashSuspects } from './crashSuspects.js'
 import type { ExchangeRun } from './exchangeRun.js'
 
 export interface ExchangeContext {
@@ -15,6 +16,7 @@
   readonly wire: ServerWire
   readonly directory: ServerDirectory
   readonly retries: RetryShare
+  readonly suspects: CrashSuspects
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -4,37 +4,25 @@
  * tries, and what may have run is sent again only where that does no harm.
  */
 import { Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
+import { awaitFirstUntil, awaitNextUntil } from 'foxtaillever-policy/relay/silence'
 import { Attempt, type AnswerHead } from '../attempts/attempt.js'
-import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
+import { AttemptFailureKind, meaningOf, mayBeCrash, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { planTerms } from '../attempts/planTerms.js'
 import { isRepeatable, type Exchange } from '../model/exchange.js'
-import type { SendTerms } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
-import { EventSplitter } from '../streams/eventSplitter.js'
+import { AnswerRelay } from './answerRelay.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import type { ExchangeContext } from './exchangeContext.js'
-
-/** Answers up to this size are held until they are whole, so that a cut one can be tried again, bytes. */
-const MOST_HELD_BYTES = 256 * 1024
+import { OpenTry } from './openTry.js'
+import { SilenceWatch } from './silenceWatch.js'
+import { TryLedger } from './tryLedger.js'
 
 /** A server answers at the deadline by itself; this much later the caller gets our word, milliseconds. */
 const DEADLINE_GRACE_MS = 40
 
-/** Servers that may reject one exchange before its caller is told to come back. */
-const MOST_REJECTIONS = 3
-
 /** When to come back after a rejection, milliseconds: servers answer in tens, and a full one drains in hundreds. */
 const COME_BACK_MS = 300
 
-/** Least time left for which another try is made, milliseconds. */
-const LEAST_TRY_MS = 20
-
-interface Try {
-  readonly attempt: Attempt
-  readonly server: KnownServer
-  readonly tokens: number
-}
-
 /** What a run came to, for the log. */
 export enum ExchangeEnd {
   Answered = 'answered',
@@ -43,27 +31,21 @@
 }
 
 export class ExchangeRun {
-  private current: Try | undefined
-  /** Servers that had the request, each in turn. */
-  private readonly tried: string[] = []
-  private readonly rejectedBy = new Set<string>()
-  private runs = 0
-  private arrivals = 0
-  private verdict = Verdict.NotRun
-  private isOver = false
+  private current: OpenTry | undefined
+  private readonly ledger: TryLedger
+  private readonly relay: AnswerRelay
   private head: AnswerHead | undefined
-  private held: Buffer[] = []
-  private heldBytes = 0
-  /** Events go to the caller as they arrive. */
-  private isStreaming = false
-  private splitter = EventSplitter.create()
-  private lastEventId: string
+  private isOver = false
   /** A server's own failure, passed on when no other try succeeds. */
   private fallback: { readonly head: AnswerHead, readonly body: Buffer } | undefined
   private cancelDeadline: Cancellation = () => {}
 
   private constructor (private readonly context: ExchangeContext, private readonly exchange: Exchange, private readonly answer: CallerAnswer) {
-    this.lastEventId = exchange.resumeAfter
+    this.ledger = TryLedger.create(exchange)
+    this.relay = AnswerRelay.create(exchange, answer, {
+      onFirstEvent: () => context.log.firstEvent(exchange, this.now),
+      onFull: () => this.current?.attempt.pause()
+    })
   }
 
   static start (context: ExchangeContext, exchange: Exchange, answer: CallerAnswer): ExchangeRun {
@@ -77,40 +59,40 @@
   }
 
   private begin (): void {
-    const { clock, retries } = this.context
-    const { exchange, answer } = this
+    const { exchange, answer, context } = this
+    const { clock, retries, suspects } = context
     answer.listen({ onGone: () => this.onGone(), onDrained: () => this.current?.attempt.resume() })
     this.cancelDeadline = clock.at(exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
     retries.addRequest(exchange.service, this.now)
+    if (suspects.isRefused(exchange, this.now)) {
+      this.fail(FailureCode.Quarantined, 'This request crashed the backend servers that ran it.', suspects.refusedUntil(exchange))
+      return
+    }
     this.tryNext()
   }
 
   private tryNext (): void {
-    const { exchange, context } = this
-    const server = context.place(exchange, this.rejectedBy)
+    const { exchange, context, ledger } = this
+    const server = context.place(exchange, ledger.failed)
     if (!server) {
       this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.')
       return
     }
-    if (this.arrivals > 0 && !context.retries.take(exchange.service, this.now)) {
+    if (ledger.arrivals > 0 && !context.retries.take(exchange.service, this.now)) {
       this.fail(FailureCode.Overloaded, 'The retry budget is used up.')
       return
     }
-    this.send(server, planTerms(exchange, server, context.routing(), this.lastEventId))
+    this.send(server)
   }
 
-  private send (server: KnownServer, terms: SendTerms): void {
-    const { exchange, context } = this
+  private send (server: KnownServer): void {
+    const { exchange, context, relay } = this
     const { clock, wire } = context
-    const tokens = exchange.prompt?.promptTokens ?? 0
-    this.tried.push(server.listed.id)
-    server.outstanding += 1
-    server.outstandingTokens += tokens
+    const beganAt = this.now
+    this.ledger.begin(server.listed.id)
     this.head = undefined
-    this.held = []
-    this.heldBytes = 0
-    this.splitter = EventSplitter.create()
-    const headers = wire.createHeaders(exchange, terms, this.now)
+    relay.reset()
+    const headers = wire.createHeaders(exchange, planTerms(exchange, server, context.routing(), relay.lastEventId), beganAt)
     const attempt = Attempt.begin({
       clock,
       wire,
@@ -124,104 +106,67 @@
         onFailed: failure => this.onFailed(failure)
       }
     })
-    this.current = { attempt, server, tokens }
+    this.current = OpenTry.open({ attempt, server, beganAt, tokens: exchange.prompt?.promptTokens ?? 0, watch: this.watch(beganAt) })
+  }
+
+  private watch (sentAt: number): SilenceWatch {
+    const { exchange, context } = this
+    const { deadline, route } = exchange
+    const usualMs = context.directory.usualTimeOf(route.name).value
+    return SilenceWatch.start({
+      clock: context.clock,
+      firstUntil: awaitFirstUntil({ sentAt, deadline, objectiveMs: route.objectiveMs, usualMs }),
+      nextUntil: heardAt => awaitNextUntil(heardAt, route.pauseObjectiveMs),
+      onSilent: () => this.onSilent()
+    })
   }
 
   private onHead (head: AnswerHead): void {
     const { exchange, context, current } = this
     const { weightsVersion } = head.marks
     if (current && exchange.prompt && weightsVersion !== undefined) {
-      context.directory.observeWeights(current.server.listed.id, exchange.prompt.model, weightsVersion)
+      context.directory.observeWeights(current.serverId, exchange.prompt.model, weightsVersion)
     }
     this.head = head
-    // A resumed run goes on in the answer that was begun.
-    this.isStreaming = exchange.route.isStream && head.marks.isEventStream && head.status < 300
+    this.rejectIf(this.relay.begin(head))
   }
 
   private onData (bytes: Buffer): void {
-    if (this.isStreaming) {
-      this.relayEvents(bytes)
-      return
-    }
-    this.hold(bytes)
-  }
-
-  private hold (bytes: Buffer): void {
-    if (this.answer.hasBegun) {
-      this.write(bytes)
-      return
-    }
-    this.held.push(bytes)
-    this.heldBytes += bytes.length
-    if (this.heldBytes > MOST_HELD_BYTES && this.head) {
-      this.answer.begin(this.head.status, this.head.headers)
-      this.held.splice(0).forEach(chunk => this.write(chunk))
-    }
-  }
-
-  private relayEvents (bytes: Buffer): void {
-    for (const { bytes: event, id } of this.splitter.push(bytes)) {
-      this.beginStream()
-      this.write(event)
-      if (id !== '') {
-        this.lastEventId = id
-      }
-    }
-    if (this.splitter.isOverfull) {
-      this.current?.attempt.giveUp()
-    }
-  }
-
-  private beginStream (): void {
-    if (!this.answer.hasBegun && this.head) {
-      this.answer.begin(this.head.status, this.head.headers)
-      this.context.log.firstEvent(this.exchange, this.now)
-    }
+    this.current?.hear()
+    this.rejectIf(this.relay.push(bytes))
   }
 
-  private write (bytes: Buffer): void {
-    if (!this.answer.write(bytes)) {
-      this.current?.attempt.pause()
+  private rejectIf (reason: string | undefined): void {
+    if (reason !== undefined) {
+      this.current?.attempt.reject(reason)
     }
   }
 
   private onEnd (): void {
-    const { head, answer } = this
-    const server = this.settle()
-    if (!head) {
+    const { head, answer, current, context, exchange, relay } = this
+    const cut = relay.checkWhole()
+    if (!head || cut !== undefined) {
+      this.onFailed({ kind: AttemptFailureKind.Lost, detail: cut ?? 'no answer' })
       return
     }
+    const server = this.settle()
     if (head.status >= 500 && !answer.hasBegun) {
-      this.onServerError(head, Buffer.concat(this.held), server)
+      this.onServerError(head, relay.body, server)
       return
     }
-    if (server) {
-      this.context.directory.observeSuccess(server.listed.id)
-    }
-    if (this.isStreaming) {
-      this.beginStream()
-      this.write(this.splitter.rest)
-    }
-    if (answer.hasBegun) {
-      answer.end()
-    } else {
-      answer.send(head.status, head.headers, Buffer.concat(this.held))
+    if (server && current) {
+      context.directory.observeSuccess(server.listed.id, exchange.route.name, head.at - current.beganAt, this.now)
+      context.suspects.acquit(exchange, server.listed.id, current.beganAt, this.now)
     }
+    relay.end()
     this.finish(ExchangeEnd.Answered, String(head.status))
   }
 
   /** The server ran the request and failed; its answer is passed on unless another try may do better. */
   private onServerError (head: AnswerHead, body: Buffer, server: KnownServer | undefined): void {
     this.fallback = { head, body }
-    this.runs += 1
-    this.verdict = Verdict.Ran
-    if (server) {
-      this.context.directory.observeFault(server.listed.id, this.now)
-      this.rejectedBy.add(server.listed.id)
-    }
-    this.context.log.attemptFailed(this.exchange, server?.listed.id ?? '', { kind: AttemptFailureKind.ServerError, detail: `status ${head.status}` }, Verdict.Ran)
-    if (this.mayTryAgain(true)) {
-      this.arrivals += 1
+    this.observeFailure({ kind: AttemptFailureKind.ServerError, detail: `status ${head.status}` }, server)
+    if (this.mayTryAgain()) {
       this.tryNext()
       return
     }
@@ -238,43 +183,56 @@
 
   private onFailed (failure: AttemptFailure): void {
     const { kind } = failure
-    const meaning = meaningOf[kind]
     const server = this.settle()
-    const id = server?.listed.id ?? ''
-    this.context.log.attemptFailed(this.exchange, id, failure, meaning.verdict)
-    if (meaning.isServersFault) {
-      this.context.directory.observeFault(id, this.now)
-    }
+    this.observeFailure(failure, server)
     if (kind === AttemptFailureKind.Misdirected) {
-      this.context.onMisdirected(id)
+      this.context.onMisdirected(server?.listed.id ?? '')
     }
-    this.rejectedBy.add(id)
-    this.arrivals += meaning.isArrival ? 1 : 0
-    const hasRun = meaning.verdict !== Verdict.NotRun
-    if (hasRun) {
-      this.runs += 1
-      this.verdict = this.answer.hasBegun ? Verdict.Ran : Verdict.MayHaveRun
-    }
-    if (this.mayTryAgain(hasRun)) {
+    if (this.mayTryAgain()) {
       this.tryNext()
       return
     }
-    this.fail(meaning.code, 'The request could not be completed.')
+    this.fail(meaningOf[kind].code, 'The request could not be completed.')
+  }
+
+  private observeFailure (failure: AttemptFailure, server: KnownServer | undefined): void {
+    const { exchange, context, ledger } = this
+    const { kind } = failure
+    const id = server?.listed.id ?? ''
+    ledger.observe(id, kind, this.answer.hasBegun)
+    context.log.attemptFailed(exchange, id, failure, meaningOf[kind].verdict)
+    if (meaningOf[kind].isServersFault) {
+      context.directory.observeFault(id, this.now)
+    }
+    if (mayBeCrash(kind)) {
+      context.suspects.accuse(exchange, id, this.now)
+    }
   }
 
-  private mayTryAgain (hasRun: boolean): boolean {
-    const { exchange } = this
-    const { mostAttempts, isStream, isResumable } = exchange.route
-    if (this.isOver || exchange.deadline - this.now < LEAST_TRY_MS) {
-      return false
+  private mayTryAgain (): boolean {
+    return !this.isOver && this.relay.canContinue && this.ledger.mayTryAgain(this.now) && !this.context.suspects.isDangerous(this.exchange)
+  }
+
+  /**
+   * The server has said nothing for too long. Another one gets what may run
+   * twice; all else waits for its deadline, because it may yet be answered.
+   */
+  private onSilent (): void {
+    const { current, context, exchange, relay } = this
+    if (!current) {
+      return
     }
-    if (this.answer.hasBegun && !(isStream && isResumable && this.isStreaming)) {
-      return false
+    const { attempt, server } = current
+    context.log.silent(exchange, server.listed.id, attempt.isOnKeptConnection)
+    // Connections of one age tend to go silent together; the server itself may be well.
+    server.connections.closeIdle()
+    if (isRepeatable(exchange) && relay.canContinue && this.ledger.hasTriesLeft && context.retries.canTake(exchange.service, this.now)) {
+      attempt.giveUp()
+      return
     }
-    if (!hasRun) {
-      return this.tried.length - this.runs < MOST_REJECTIONS && this.runs < mostAttempts
+    if (!attempt.isOnKeptConnection) {
+      context.directory.observeFault(server.listed.id, this.now)
     }
-    return isRepeatable(exchange) && this.runs < mostAttempts
   }
 
   private onGone (): void {
@@ -285,34 +243,37 @@
   }
 
   private onDeadline (): void {
-    if (this.isOver) {
-      return
-    }
-    if (this.current?.attempt.mayHaveArrived === true) {
-      this.verdict = Verdict.MayHaveRun
+    if (!this.isOver) {
+      this.cut(FailureCode.DeadlinePassed, 'The deadline passed before the answer was complete.')
     }
-    this.cancelCurrent()
-    this.fail(FailureCode.DeadlinePassed, 'The deadline passed before the answer was complete.')
   }
 
   /** Ends all that is left at a shutdown whose time is up. */
   abort (): void {
     if (!this.isOver) {
-      if (this.current?.attempt.mayHaveArrived === true) {
-        this.verdict = Verdict.MayHaveRun
-      }
-      this.cancelCurrent()
-      this.fail(FailureCode.Leaving, 'This instance shut down before the answer was complete.')
+      this.cut(FailureCode.Leaving, 'This instance shut down before the answer was complete.')
     }
   }
 
-  private fail (code: FailureCode, message: string): void {
+  private cut (code: FailureCode, message: string): void {
+    const { current, exchange, context } = this
+    const mayHaveArrived = current?.attempt.mayHaveArrived === true
+    this.ledger.observeCut(mayHaveArrived)
+    if (current && mayHaveArrived && !this.head && code === FailureCode.DeadlinePassed) {
+      context.suspects.accuse(exchange, current.serverId, this.now)
+    }
+    this.cancelCurrent()
+    this.fail(code, message)
+  }
+
+  private fail (code: FailureCode, message: string, comeBackAt = this.now + COME_BACK_MS): void {
     if (this.fallback && !this.answer.hasBegun) {
       this.passFallback()
       return
     }
-    const retryAt = this.verdict === Verdict.NotRun ? this.now + COME_BACK_MS : undefined
-    this.answer.fail(Failure.create(code, this.verdict, message, retryAt))
+    const { verdict } = this.ledger
+    const retryAt = verdict === Verdict.NotRun ? comeBackAt : undefined
+    this.answer.fail(Failure.create(code, verdict, message, retryAt))
     this.finish(ExchangeEnd.Failed, code)
   }
 
@@ -325,17 +286,15 @@
   private settle (): KnownServer | undefined {
     const { current } = this
     this.current = undefined
-    if (current) {
-      current.server.outstanding -= 1
-      current.server.outstandingTokens -= current.tokens
-    }
+    current?.close()
     return current?.server
   }
 
   private finish (end: ExchangeEnd, outcome: string): void {
     this.isOver = true
     this.cancelDeadline()
-    this.context.log.ended({ exchange: this.exchange, end, outcome, verdict: this.verdict, servers: this.tried, now: this.now })
+    const { exchange, ledger, now } = this
+    this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.tried, now })
     this.context.onOver(this)
   }
 }
--- /dev/null
+++ b/packages/foxtaillever-relay/src/exchange/silenceWatch.ts
@@ -0,0 +1,47 @@
+/** Notices that a backend server has been silent for too long, with one timer that follows the last word heard. */
+import type { Cancellation, Clock } from 'foxtaillever-core'
+
+export interface SilenceWatchOptions {
+  readonly clock: Clock
+  /** Until when the first word is awaited, milliseconds of Unix time. */
+  readonly firstUntil: number
+  /** Until when the next word is awaited after one was heard. */
+  readonly nextUntil: (heardAt: number) => number
+  readonly onSilent: () => void
+}
+
+export class SilenceWatch {
+  private until: number
+  private cancel: Cancellation = () => {}
+
+  private constructor (private readonly options: SilenceWatchOptions) {
+    this.until = options.firstUntil
+    this.arm()
+  }
+
+  static start (options: SilenceWatchOptions): SilenceWatch {
+    return new SilenceWatch(options)
+  }
+
+  /** A word came; the timer finds out by itself when it is due. */
+  hear (): void {
+    this.until = this.options.nextUntil(this.options.clock.now())
+  }
+
+  stop (): void {
+    this.cancel()
+    this.cancel = () => {}
+  }
+
+  private arm (): void {
+    const { clock, onSilent } = this.options
+    const until = this.until
+    this.cancel = clock.at(until, () => {
+      if (this.until > until) {
+        this.arm()
+        return
+      }
+      onSilent()
+    })
+  }
+}
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -5,6 +5,7 @@
 import { hashNumber, waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { CallerServer } from './callers/callerServer.js'
+import { CrashSuspects } from './exchange/crashSuspects.js'
 import type { ExchangeContext } from './exchange/exchangeContext.js'
 import { ExchangeRun } from './exchange/exchangeRun.js'
 import type { KeyedRecord } from './knowledge/keyedLog.js'
@@ -38,6 +39,7 @@
   private readonly log: RelayLog
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
+  private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: Server
   private readonly knowledge: Knowledge
@@ -74,6 +76,7 @@
       wire: serverWire,
       directory: this.directory,
       retries: this.retries,
+      suspects: this.suspects,
       log: this.log,
       routing: () => this.routing(),
       place: (exchange, failed) => this.choice.place(exchange, failed),
@@ -214,14 +217,15 @@
       positions: this.knowledge.positions,
       lease: this.lease.news(),
       uses: this.directory.all().flatMap(({ listed, outstanding, outstandingTokens }) => outstanding > 0 ? [{ server: listed.id, outstanding, tokens: outstandingTokens }] : []),
-      suspects: []
+      suspects: this.suspects.toTell(this.options.clock.now())
     }
   }
 
-  private hear ({ lease, weights }: PeerMessage): void {
+  private hear ({ lease, weights, suspects }: PeerMessage): void {
     const count = this.peers.count()
     this.retries.observeInstances(count)
     this.directory.observeInstances(count)
+    this.suspects.hear(suspects, this.options.clock.now())
     if (lease) {
       this.lease.observe(lease)
     }
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -1,4 +1,5 @@
 /** What this instance knows of one start of a backend server. */
+import type { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
 import type { ListedServer } from '../model/listedServer.js'
 import type { ServerConnections } from './serverConnections.js'
 
@@ -13,10 +14,7 @@
   outstanding: number
   /** Prompt tokens of these. */
   outstandingTokens: number
-  /** Faults in a row. */
-  faults: number
-  /** It gets new work again from then on, milliseconds of Unix time. */
-  avoidedUntil: number
+  readonly health: ServerHealth
   /** An order changes its weights until then, milliseconds of Unix time. */
   changingUntil: number
 }
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -53,7 +53,7 @@
 
   private toOffer (server: KnownServer, { prompt }: Exchange): ServerOffer {
     const { clock, use, weights } = this.options
-    const { listed, outstanding, outstandingTokens, avoidedUntil, changingUntil } = server
+    const { listed, outstanding, outstandingTokens, health, changingUntil } = server
     const now = clock.now()
     const others = use.of(listed.id)
     return {
@@ -63,7 +63,7 @@
       slots: listed.slots,
       outstanding: outstanding + others.outstanding,
       waitingTokens: outstandingTokens,
-      isAvoided: avoidedUntil > now,
+      faultCostMs: health.cost(now),
       isChanging: changingUntil > now,
       isOutdated: prompt !== undefined && weights.outdatedSince(prompt.model, server.weights.get(prompt.model) ?? 0) !== undefined,
       coldLeftMs: listed.coldLeftMs
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -4,6 +4,8 @@
  * offset is the belief's version, so that nothing ever goes back. What is gone
  * stays known as gone for a while, because an older word of it may still come.
  */
+import { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
+import { UsualTime } from 'foxtaillever-policy/relay/usualTime'
 import { ServerState, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { KnownServer } from './knownServer.js'
@@ -12,15 +14,6 @@
 /** Connections to a server before the configuration says how many it takes. */
 const DEFAULT_CONNECTIONS = 16
 
-/** First pause after a fault, milliseconds; doubled with each further one. */
-const FAULT_PAUSE_MS = 250
-
-/** Longest pause, milliseconds: a server that came back under its old id gets work again soon. */
-const LONGEST_FAULT_PAUSE_MS = 4000
-
-/** One fault alone may be the request's or the network's. */
-const FAULTS_TO_AVOID = 2
-
 export interface ServerDirectoryOptions {
   readonly onOpened: (server: ListedServer) => void
   /** The state of a server has changed, or it is new. */
@@ -30,6 +23,7 @@
 export class ServerDirectory {
   private readonly servers = new Map<string, KnownServer>()
   private readonly goneAt = new Map<string, number>()
+  private readonly usualTimes = new Map<string, UsualTime>()
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
   private instances = 1
@@ -111,24 +105,25 @@
     }
   }
 
-  observeSuccess (id: string): void {
-    const server = this.servers.get(id)
-    if (server) {
-      server.faults = 0
-      server.avoidedUntil = 0
+  /** How long requests of a route usually wait for the beginning of their answer. */
+  usualTimeOf (route: string): UsualTime {
+    let usual = this.usualTimes.get(route)
+    if (!usual) {
+      usual = UsualTime.create()
+      this.usualTimes.set(route, usual)
     }
+    return usual
+  }
+
+  /** @param ms time until the answer began. */
+  observeSuccess (id: string, route: string, ms: number, now: number): void {
+    const usual = this.usualTimeOf(route)
+    this.servers.get(id)?.health.observeGood(now, usual.ratioOf(ms))
+    usual.observe(ms)
   }
 
   observeFault (id: string, now: number): void {
-    const server = this.servers.get(id)
-    if (!server) {
-      return
-    }
-    server.faults += 1
-    if (server.faults >= FAULTS_TO_AVOID) {
-      const pause = FAULT_PAUSE_MS * 2 ** (server.faults - FAULTS_TO_AVOID)
-      server.avoidedUntil = now + Math.min(pause, LONGEST_FAULT_PAUSE_MS)
-    }
+    this.servers.get(id)?.health.observeBad(now)
   }
 
   private add (listed: ListedServer, offset: number): KnownServer {
@@ -139,7 +134,7 @@
       onOpened: () => this.options.onOpened(listed)
     })
     const server: KnownServer = {
-      listed, offset, connections, weights: new Map(), outstanding: 0, outstandingTokens: 0, faults: 0, avoidedUntil: 0, changingUntil: 0
+      listed, offset, connections, weights: new Map(), outstanding: 0, outstandingTokens: 0, health: ServerHealth.create(), changingUntil: 0
     }
     this.servers.set(listed.id, server)
     return server
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -42,6 +42,10 @@
     this.logs.write('warn', Part.Requests, 'A try failed.', { request: exchange.id, server, kind, detail, verdict })
   }
 
+  silent (exchange: Exchange, server: string, isOnKeptConnection: boolean): void {
+    this.logs.write('warn', Part.Requests, 'A backend server is silent.', { request: exchange.id, server, connection: isOnKeptConnection ? 'kept' : 'new' })
+  }
+
   ended ({ exchange, end, outcome, verdict, servers, now }: ExchangeOutcome): void {
     const subject = { request: exchange.id, account: exchange.account?.name, route: exchange.route.name, end, outcome, verdict, servers: servers.join(' '), ms: Math.round(now - exchange.arrivedAt) }
     this.logs.write('info', Part.Requests, `Ended: ${end}.`, subject)
