Weigh faults of servers against what is usual for their service

Cause: applications answer a seventh of some requests with errors of their own, on all servers alike. By an absolute count a single such error moved work to other failure domains, by chance. Now faults up to one and a half times the usual share cost nothing. A caller that meets no usable server at all is told to come back when one may have started.

The retry budget is checked against an oracle over random arrivals at four instances (300 runs, no window overrun). It is not strict for load in two clusters at both ends of a window: the requests of a whole window count, and only the fifth that is kept free covers the difference.

--- /dev/null
+++ b/packages/foxtaillever-policy/src/relay/__tests__/retryShare.test.ts
@@ -0,0 +1,64 @@
+/** The retry budget of a fleet in every window, against an oracle that sees all arrivals. */
+import fc from 'fast-check'
+import { describe, it } from 'foxtaillever-testing'
+import { RetryShare } from '../retryShare.js'
+
+const allowance = { ratio: 0.2, slack: 20, windowMs: 10_000 }
+const INSTANCES = 4
+
+/** One request, or one more arrival that an instance would like to send. */
+interface Step {
+  readonly afterMs: number
+  readonly instance: number
+  readonly isRetry: boolean
+}
+
+const step: fc.Arbitrary<Step> = fc.record({ afterMs: fc.integer({ min: 0, max: 400 }), instance: fc.integer({ min: 0, max: INSTANCES - 1 }), isRetry: fc.boolean() })
+
+/** In how many windows, each beginning at an arrival, more retries came than the requests and the constant allow. */
+function countOverrun (requests: readonly number[], retries: readonly number[]): number {
+  return retries.filter(from => {
+    const until = from + allowance.windowMs
+    const isIn = (at: number): boolean => at >= from && at < until
+    const before = requests.filter(at => at >= from - allowance.windowMs && at < from).length
+    const within = Math.max(requests.filter(isIn).length, before)
+    return retries.filter(isIn).length > allowance.ratio * within + allowance.slack
+  }).length
+}
+
+describe('retry budget', () => {
+  // A service is in trouble and every request fails. All instances want to send
+  // theirs again, and together they would double the load that brought it down.
+  it('is kept in every window by all instances together, whatever comes when', t => {
+    fc.assert(fc.property(fc.array(step, { minLength: 50, maxLength: 600 }), steps => {
+      const shares = Array.from({ length: INSTANCES }, () => RetryShare.create(allowance))
+      shares.forEach(share => share.observeInstances(INSTANCES))
+      const requests: number[] = []
+      const retries: number[] = []
+      let now = 0
+      for (const { afterMs, instance, isRetry } of steps) {
+        now += afterMs
+        const share = shares[instance] as RetryShare
+        if (!isRetry) {
+          share.addRequest('s', now)
+          requests.push(now)
+        } else if (share.take('s', now)) {
+          retries.push(now)
+        }
+      }
+      return countOverrun(requests, retries) === 0
+    }), { seed: 7, numRuns: 300 })
+    t.pass()
+  })
+
+  it('lets retries through again when the window has passed', t => {
+    const share = RetryShare.create(allowance)
+    let taken = 0
+    while (share.take('s', 0)) {
+      taken += 1
+    }
+    t.true(taken > 0)
+    t.false(share.canTake('s', allowance.windowMs - 1))
+    t.true(share.canTake('s', allowance.windowMs + 1))
+  })
+})
--- a/packages/foxtaillever-policy/src/relay/serverHealth.ts
+++ b/packages/foxtaillever-policy/src/relay/serverHealth.ts
@@ -3,13 +3,16 @@
  * probes may say that it is well while it fails half of its work, and the other
  * way round. Faults and slowness are weighed against what servers usually do,
  * and fade, so work comes back by itself, a little at first, and nobody is set
- * aside for good. The result is a cost of placement rather than a verdict: when
- * every server fails alike, all cost the same and none has to bear the rest.
+ * aside for good. The result is a cost of placement rather than a verdict: where
+ * all servers fail alike none of them costs more, and none has to bear the rest.
  */
 
 /** After this an outcome counts half, milliseconds: servers restart within some seconds. */
 const HALF_LIFE_MS = 3000
 
+/** A share of faults up to so many times the usual is chance, or the requests' own. */
+const ORDINARY_FAULTS = 1.5
+
 /** Good outcomes that each server is credited with: one fault alone may be the request's or the network's. */
 const CREDIT = 2
 
@@ -59,12 +62,20 @@
     this.bad += 1
   }
 
-  /** What placing a request there costs beyond the wait, milliseconds. */
-  cost (now: number): number {
+  /** Part of the requests of late that failed, 0 to 1. */
+  faultShare (now: number): number {
     this.fade(now)
-    const share = this.bad / (this.bad + this.good + CREDIT)
+    return this.bad / (this.bad + this.good + CREDIT)
+  }
+
+  /**
+   * What placing a request there costs beyond the wait, milliseconds.
+   * @param usualFaultShare of all servers of the service.
+   */
+  cost (now: number, usualFaultShare: number): number {
+    const faults = Math.max(0, this.faultShare(now) - ORDINARY_FAULTS * usualFaultShare)
     const ratio = this.ratioWeight < LEAST_SPEED_WEIGHT ? 0 : this.ratioSum / this.ratioWeight
-    return share * FAULT_MS + Math.max(0, ratio - ORDINARY_RATIO) * SLOW_MS
+    return faults * FAULT_MS + Math.max(0, ratio - ORDINARY_RATIO) * SLOW_MS
   }
 
   private fade (now: number): void {
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -12,6 +12,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { CallerAnswer } from './callerAnswer.js'
+import { ExchangeEnd } from './exchangeEnd.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { OpenTry } from './openTry.js'
 import { SilenceWatch } from './silenceWatch.js'
@@ -23,12 +24,8 @@
 /** When to come back after a rejection, milliseconds: servers answer in tens, and a full one drains in hundreds. */
 const COME_BACK_MS = 300
 
-/** What a run came to, for the log. */
-export enum ExchangeEnd {
-  Answered = 'answered',
-  Failed = 'failed',
-  CallerGone = 'caller-gone'
-}
+/** When to come back while no server can be used at all: a new one takes seconds to start, milliseconds. */
+const NO_SERVER_COME_BACK_MS = 2000
 
 export class ExchangeRun {
   private current: OpenTry | undefined
@@ -75,7 +72,8 @@
     const { exchange, context, ledger } = this
     const server = context.place(exchange, ledger.failed)
     if (!server) {
-      this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.')
+      const comeBackMs = ledger.tried.length > 0 ? COME_BACK_MS : NO_SERVER_COME_BACK_MS
+      this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.', this.now + comeBackMs)
       return
     }
     if (ledger.arrivals > 0 && !context.retries.take(exchange.service, this.now)) {
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -52,8 +52,8 @@
   }
 
   private toOffer (server: KnownServer, { prompt }: Exchange): ServerOffer {
-    const { clock, use, weights } = this.options
-    const { listed, outstanding, outstandingTokens, health, changingUntil } = server
+    const { clock, use, weights, directory } = this.options
+    const { listed, outstanding, outstandingTokens, changingUntil } = server
     const now = clock.now()
     const others = use.of(listed.id)
     return {
@@ -63,7 +63,7 @@
       slots: listed.slots,
       outstanding: outstanding + others.outstanding,
       waitingTokens: outstandingTokens,
-      faultCostMs: health.cost(now),
+      faultCostMs: directory.faultCostOf(server, now),
       isChanging: changingUntil > now,
       isOutdated: prompt !== undefined && weights.outdatedSince(prompt.model, server.weights.get(prompt.model) ?? 0) !== undefined,
       coldLeftMs: listed.coldLeftMs
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -23,6 +23,8 @@
 export class ServerDirectory {
   private readonly servers = new Map<string, KnownServer>()
   private readonly goneAt = new Map<string, number>()
+  /** All servers of a service together. */
+  private readonly serviceHealth = new Map<string, ServerHealth>()
   private readonly usualTimes = new Map<string, UsualTime>()
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
@@ -115,15 +117,38 @@
     return usual
   }
 
+  /** What the faults and the slowness of a server make a request there cost, milliseconds. */
+  faultCostOf ({ listed, health }: KnownServer, now: number): number {
+    return health.cost(now, this.healthOf(listed.service).faultShare(now))
+  }
+
   /** @param ms time until the answer began. */
   observeSuccess (id: string, route: string, ms: number, now: number): void {
     const usual = this.usualTimeOf(route)
-    this.servers.get(id)?.health.observeGood(now, usual.ratioOf(ms))
+    const ratio = usual.ratioOf(ms)
     usual.observe(ms)
+    this.observeOutcome(id, health => health.observeGood(now, ratio))
   }
 
   observeFault (id: string, now: number): void {
-    this.servers.get(id)?.health.observeBad(now)
+    this.observeOutcome(id, health => health.observeBad(now))
+  }
+
+  private observeOutcome (id: string, count: (health: ServerHealth) => void): void {
+    const server = this.servers.get(id)
+    if (server) {
+      count(server.health)
+      count(this.healthOf(server.listed.service))
+    }
+  }
+
+  private healthOf (service: string): ServerHealth {
+    let health = this.serviceHealth.get(service)
+    if (!health) {
+      health = ServerHealth.create()
+      this.serviceHealth.set(service, health)
+    }
+    return health
   }
 
   private add (listed: ListedServer, offset: number): KnownServer {
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -5,7 +5,7 @@
 import { Verdict, type Failure } from 'foxtaillever-core'
 import { Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
-import type { ExchangeEnd } from '../exchange/exchangeRun.js'
+import type { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 
 /** How an exchange ended. */
