Steer engines before orders leave, and give the last half time

Two changes ran unawaited beside each other in the desk, and an error in one was lost.

Now an engine gets no new work for 250 ms before its order, so prompts are read and short runs end; half of the fleet changes as fast as loads allow, the rest lets long runs end for up to 3 s, since the others serve meanwhile. A change is one state machine fed by reports; the policy decides the steps.

--- /dev/null
+++ b/packages/foxtaillever-policy/src/relay/__tests__/planRollout.test.ts
@@ -0,0 +1,49 @@
+import { describe, it } from 'foxtaillever-testing'
+import { LEAST_STEERED_MS, planRollout, RolloutPhase, type RolloutEngine } from '../planRollout.js'
+
+function engine (id: string, given: Partial<RolloutEngine> = {}): RolloutEngine {
+  return { id, hasWanted: false, phase: RolloutPhase.Serving, steeredMs: 0, work: 6, slots: 48, ...given }
+}
+
+function current (id: string): RolloutEngine {
+  return engine(id, { hasWanted: true })
+}
+
+const steered = { phase: RolloutPhase.Steered, steeredMs: LEAST_STEERED_MS }
+
+describe('a rollout of new weights', () => {
+  // Weights are named every few seconds. Were one engine changed after the other, or each only when its longest run has
+  // ended, most answers would come from replaced weights or from no engine at all.
+  it('takes two batches out of service and leaves the rest to serve', t => {
+    const engines = ['a', 'b', 'c', 'd', 'e', 'f'].map((id, index) => engine(id, { work: index }))
+    t.deepEqual(planRollout(engines), { steer: ['a', 'b', 'c', 'd'], order: [] })
+  })
+
+  it('orders no more than may load at once, those with the least work first', t => {
+    const engines = [engine('a', { ...steered, work: 5 }), engine('b', { ...steered, work: 1 }), engine('c', { ...steered, work: 3 }), engine('d', steered), engine('e'), engine('f')]
+    t.deepEqual(planRollout(engines), { steer: [], order: ['b', 'c'] })
+  })
+
+  // A prompt that is read while the weights change would leave levels of two versions under one name.
+  it('orders nothing before the prompts being read have been read', t => {
+    const engines = [engine('a', { ...steered, steeredMs: LEAST_STEERED_MS - 1, work: 0 }), engine('b'), engine('c')]
+    t.deepEqual(planRollout(engines).order, [])
+  })
+
+  // What a run makes after the change is worth nothing, so an engine that nobody needs lets its runs end.
+  it('lets long runs end once half of the fleet has the weights', t => {
+    const rest = [current('c'), current('d'), current('e')]
+    t.deepEqual(planRollout([engine('a', steered), engine('b', { ...steered, work: 0 }), engine('f'), ...rest]).order, ['b'])
+    t.deepEqual(planRollout([engine('a', { ...steered, steeredMs: 3000 }), engine('f'), ...rest]).order, ['a'])
+  })
+
+  it('takes fewer out of service under load', t => {
+    const engines = ['a', 'b', 'c', 'd', 'e', 'f'].map(id => engine(id, { work: 30 }))
+    t.is(planRollout(engines).steer.length, 2)
+  })
+
+  it('changes as many of a large fleet at once as load without slowing down', t => {
+    const engines = Array.from({ length: 42 }, (_, index) => engine(`e${index}`, steered))
+    t.is(planRollout(engines).order.length, 11)
+  })
+})
--- /dev/null
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/fakeEngines.ts
@@ -0,0 +1,114 @@
+/** Engines that take orders as real ones do: fenced, sequenced, some seconds late without an answer; and report late. */
+import { Failure, FailureCode, Verdict, waitUntil, type Clock, type Random } from 'foxtaillever-core'
+import { Left, Right, type Either } from 'purify-ts'
+import type { KnownServer } from '../../servers/knownServer.js'
+import { OrderAnswer, type EngineOrders, type EngineReport, type WeightsOrder } from '../engineOrders.js'
+
+const LOAD_MS = 420
+const REPORT_AGE_MS = 200
+const CALL_MS = 1
+const UNANSWERED_MS = 500
+const LEAST_LATE_MS = 2000
+const MOST_LATE_MS = 12_000
+
+interface FakeEngine {
+  version: number
+  sequence: number
+  fence: number
+  busyUntil: number
+  wanted: number
+  /** Until when the last run lasts, milliseconds of Unix time. */
+  runsUntil: number
+}
+
+/** An order that reached an engine. */
+export interface ArrivedOrder extends WeightsOrder {
+  readonly at: number
+  readonly engine: string
+  readonly wasRunning: boolean
+}
+
+export interface FakeEnginesOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly model: string
+  readonly ids: readonly string[]
+  /** Share of the orders that get no answer and come late; may change on the way. */
+  lateShare: number
+}
+
+function unanswered (): Failure {
+  return Failure.create(FailureCode.ConnectionLost, Verdict.MayHaveRun, 'no answer in time')
+}
+
+export class FakeEngines implements EngineOrders {
+  readonly arrived: ArrivedOrder[] = []
+  private readonly engines = new Map<string, FakeEngine>()
+
+  private constructor (readonly options: FakeEnginesOptions) {
+    options.ids.forEach(id => this.engines.set(id, { version: 1, sequence: 0, fence: -1, busyUntil: 0, wanted: 1, runsUntil: 0 }))
+  }
+
+  static create (options: FakeEnginesOptions): FakeEngines {
+    return new FakeEngines(options)
+  }
+
+  get versions (): number[] {
+    return [...this.engines.keys()].map(id => this.get(id).version)
+  }
+
+  /** Engines that load at the moment. */
+  get loading (): number {
+    return [...this.engines.values()].filter(({ busyUntil }) => busyUntil > this.options.clock.now()).length
+  }
+
+  run (id: string, until: number): void {
+    this.get(id).runsUntil = until
+  }
+
+  async report ({ listed }: KnownServer): Promise<Either<Failure, EngineReport>> {
+    const { clock, model } = this.options
+    const { version, busyUntil, sequence, runsUntil } = this.get(listed.id)
+    const now = clock.now()
+    // What is told next time was true some hundred milliseconds before.
+    const seen = { weights: new Map([[model, version]]), isBusy: busyUntil > now, sequence, running: runsUntil > now - REPORT_AGE_MS ? 1 : 0 }
+    await waitUntil(clock, now + CALL_MS)
+    return Right(seen)
+  }
+
+  async order ({ listed }: KnownServer, order: WeightsOrder): Promise<Either<Failure, OrderAnswer>> {
+    const { clock, random, lateShare } = this.options
+    this.arrived.push({ ...order, at: clock.now(), engine: listed.id, wasRunning: this.get(listed.id).runsUntil > clock.now() })
+    if (random.next() < lateShare) {
+      clock.at(clock.now() + LEAST_LATE_MS + random.below(MOST_LATE_MS - LEAST_LATE_MS), () => { this.carryOut(listed.id, order) })
+      await waitUntil(clock, clock.now() + UNANSWERED_MS)
+      return Left(unanswered())
+    }
+    await waitUntil(clock, clock.now() + CALL_MS)
+    return Right(this.carryOut(listed.id, order))
+  }
+
+  private carryOut (id: string, { version, fence, expectedSequence }: WeightsOrder): OrderAnswer {
+    const engine = this.get(id)
+    const now = this.options.clock.now()
+    if (fence < engine.fence) {
+      return OrderAnswer.Fenced
+    }
+    if (expectedSequence !== engine.sequence || engine.busyUntil > now) {
+      return OrderAnswer.Conflict
+    }
+    Object.assign(engine, { fence, sequence: engine.sequence + 1, wanted: version, busyUntil: now + LOAD_MS })
+    return OrderAnswer.Accepted
+  }
+
+  private get (id: string): FakeEngine {
+    const engine = this.engines.get(id)
+    if (!engine) {
+      throw new Error(`There is no engine ${id}.`)
+    }
+    if (engine.busyUntil <= this.options.clock.now()) {
+      engine.version = engine.wanted
+    }
+    return engine
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
@@ -0,0 +1,154 @@
+/** Several instances that order weights, over one store, with engines; instances freeze, are cut off and hear each other or not. */
+import { hashNumber, SeededRandom, waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
+import { Logs } from 'foxtaillever-telemetry'
+import { VirtualClock } from 'foxtaillever-testing'
+import { ServerState } from '../../model/listedServer.js'
+import type { LeaseNews, WeightsNews } from '../../peers/peerMessage.js'
+import { ServerDirectory } from '../../servers/serverDirectory.js'
+import { RelayLog } from '../../telemetry/relayLog.js'
+import { OrderLease } from '../orderLease.js'
+import { WeightsDesk } from '../weightsDesk.js'
+import { FakeEngines } from './fakeEngines.js'
+import { FakeFenceLog, type Weather } from './fakeFenceLog.js'
+
+export const MODEL = 'model'
+export const PAUSE_MS = 3000
+const BEAT_MS = 1000
+const DATAGRAM_MS = 1
+
+/** The clock of a machine that can freeze: its tasks come when it has thawed. Suspended, its steady clock stands still meanwhile. */
+class FreezableClock implements Clock {
+  private frozenUntil = 0
+  private stoodStillMs = 0
+
+  constructor (private readonly base: Clock) {}
+
+  now (): number {
+    return this.base.now() - this.stoodStillMs
+  }
+
+  at (deadline: number, task: () => void): Cancellation {
+    let cancel: Cancellation = () => {}
+    const run = (): void => {
+      if (this.base.now() < this.frozenUntil) {
+        cancel = this.base.at(this.frozenUntil, run)
+        return
+      }
+      task()
+    }
+    cancel = this.base.at(deadline + this.stoodStillMs, run)
+    return () => cancel()
+  }
+
+  freeze (forMs: number, isSuspended: boolean): void {
+    this.frozenUntil = this.base.now() + forMs
+    this.stoodStillMs += isSuspended ? forMs : 0
+  }
+
+  /** An answer that came meanwhile is read after the thaw. */
+  async read<T> (answer: Promise<T>): Promise<T> {
+    const value = await answer
+    if (this.base.now() < this.frozenUntil) {
+      await waitUntil(this.base, this.frozenUntil)
+    }
+    return value
+  }
+}
+
+export class Instance {
+  readonly weather: Weather = { lostShare: 0, isDown: false }
+  readonly clock: FreezableClock
+  readonly directory = ServerDirectory.create({ onOpened: () => {}, onChanged: () => {} })
+  readonly lease: OrderLease
+  readonly desk: WeightsDesk
+  /** Hears nothing and is not heard. */
+  isCut = false
+
+  constructor (private readonly fleet: OrderingFleet, readonly name: string) {
+    const { clock, store, engines } = fleet
+    const own = new FreezableClock(clock)
+    const log = store.through(this.weather)
+    this.clock = own
+    const uptime = (): number => clock.now() / 1000
+    this.lease = OrderLease.create({
+      clock: this.clock,
+      uptime,
+      topic: 'lease',
+      holder: name,
+      incarnation: name,
+      pauseMs: PAUSE_MS,
+      onChanged: news => fleet.send(this, news),
+      log: { append: async (...call) => await own.read(log.append(...call)), readAt: async (...call) => await own.read(log.readAt(...call)) }
+    })
+    this.desk = WeightsDesk.create({
+      clock: this.clock,
+      holder: name,
+      directory: this.directory,
+      lease: this.lease,
+      orders: { report: async server => await own.read(engines.report(server)), order: async (...call) => await own.read(engines.order(...call)) },
+      log: RelayLog.create(Logs.create({ instance: name, level: 'fatal', clock })),
+      rank: () => fleet.rankOf(this),
+      outstandingAt: () => 0,
+      tell: news => fleet.send(this, undefined, news)
+    })
+    engines.options.ids.forEach((id, offset) => this.directory.observe({
+      id, service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: 48, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([[MODEL, 1]])
+    }, offset))
+    this.beat()
+  }
+
+  hear (lease: LeaseNews | undefined, news: WeightsNews | undefined): void {
+    if (lease) {
+      this.lease.observe(lease)
+    }
+    if (news) {
+      this.desk.observe(news)
+    }
+  }
+
+  private beat (): void {
+    this.fleet.send(this, this.lease.news())
+    this.clock.at(this.clock.now() + BEAT_MS, () => this.beat())
+  }
+}
+
+export class OrderingFleet {
+  readonly clock = VirtualClock.create()
+  readonly random: SeededRandom
+  readonly engines: FakeEngines
+  readonly store: FakeFenceLog
+  readonly instances: Instance[]
+
+  private constructor (seed: number, engines: number, instances: number) {
+    this.random = SeededRandom.create(seed)
+    const ids = Array.from({ length: engines }, (_, index) => `engine-${index}`)
+    this.engines = FakeEngines.create({ clock: this.clock, random: this.random, model: MODEL, ids, lateShare: 0 })
+    this.store = FakeFenceLog.create(this.clock, this.random)
+    this.instances = []
+    Array.from({ length: instances }, (_, index) => this.instances.push(new Instance(this, `instance-${index}`)))
+  }
+
+  static create ({ seed = 1, engines = 6, instances = 3 } = {}): OrderingFleet {
+    return new OrderingFleet(seed, engines, instances)
+  }
+
+  /** Operators name a version; every instance that reaches the store learns it. */
+  name (version: number): void {
+    this.instances.forEach(({ clock, desk }) => clock.at(clock.now() + this.random.below(BEAT_MS / 10), () => desk.name(MODEL, version)))
+  }
+
+  /** Datagrams, of which one in twenty is lost. */
+  send (from: Instance, lease: LeaseNews | undefined, news?: WeightsNews): void {
+    for (const other of this.instances.filter(instance => instance !== from && !instance.isCut && !from.isCut)) {
+      if (this.random.below(20) > 0) {
+        other.clock.at(this.clock.now() + DATAGRAM_MS, () => other.hear(lease, news))
+      }
+    }
+  }
+
+  rankOf (instance: Instance): number {
+    const last = instance.lease.lastHolder
+    const order = [...this.instances].sort((one, other) => Number(other.name === last) - Number(one.name === last) || hashNumber(one.name) - hashNumber(other.name))
+    return instance.weather.isDown ? this.instances.length : order.indexOf(instance)
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
@@ -0,0 +1,137 @@
+import fc from 'fast-check'
+import { describe, it } from 'foxtaillever-testing'
+import { OrderingFleet, PAUSE_MS, type Instance } from '../__fixtures__/orderingFleet.js'
+
+/** What may happen to an instance or to all orders. */
+enum Trouble {
+  Freeze = 'freeze',
+  Suspend = 'suspend',
+  StoreDown = 'store-down',
+  AppendsLost = 'appends-lost',
+  Cut = 'cut',
+  OrdersLate = 'orders-late'
+}
+
+interface Event {
+  readonly trouble: Trouble
+  readonly at: number
+  readonly forMs: number
+  readonly whose: number
+}
+
+const PLAYED_MS = 20_000
+/** The longest late append or order, a holder's term, the pause and a whole rollout. */
+const CALM_MS = 30_000
+const RUNS = 60
+
+type Handler = (fleet: OrderingFleet, instance: Instance, event: Event) => () => void
+
+/** Each returns what ends it. */
+const handlers: Readonly<Record<Trouble, Handler>> = {
+  [Trouble.Freeze]: (_, { clock }, { forMs }) => {
+    clock.freeze(forMs, false)
+    return () => {}
+  },
+  [Trouble.Suspend]: (_, { clock }, { forMs }) => {
+    clock.freeze(forMs, true)
+    return () => {}
+  },
+  [Trouble.StoreDown]: (_, { weather }) => {
+    weather.isDown = true
+    return () => { weather.isDown = false }
+  },
+  [Trouble.AppendsLost]: (_, { weather }) => {
+    weather.lostShare = 0.5
+    return () => { weather.lostShare = 0 }
+  },
+  [Trouble.Cut]: (_, instance) => {
+    instance.isCut = true
+    return () => { instance.isCut = false }
+  },
+  [Trouble.OrdersLate]: ({ engines }) => {
+    engines.options.lateShare = 0.5
+    return () => { engines.options.lateShare = 0 }
+  }
+}
+
+const event = fc.record({
+  trouble: fc.constantFrom(...Object.values(Trouble)),
+  at: fc.integer({ min: 0, max: PLAYED_MS }),
+  forMs: fc.integer({ min: 200, max: 6000 }),
+  whose: fc.integer({ min: 0, max: 2 })
+})
+
+async function play (seed: number, events: readonly Event[]): Promise<OrderingFleet> {
+  const fleet = OrderingFleet.create({ seed })
+  const { clock, instances } = fleet
+  const start = clock.now()
+  for (const played of events) {
+    clock.at(start + played.at, () => {
+      const end = handlers[played.trouble](fleet, instances[played.whose] as Instance, played)
+      clock.at(start + played.at + played.forMs, end)
+    })
+  }
+  for (let version = 2; version * 3000 <= PLAYED_MS; version++) {
+    clock.at(start + version * 3000, () => fleet.name(version))
+  }
+  await clock.advanceBy(PLAYED_MS + CALM_MS)
+  return fleet
+}
+
+/** Orders that break what engines are owed: two holders must not take turns within the pause, nor share or lower a fence. */
+function wrongOrders ({ engines }: OrderingFleet): string[] {
+  return engines.arrived.flatMap((order, index) => {
+    const before = engines.arrived[index - 1]
+    if (!before || before.holder === order.holder) {
+      return []
+    }
+    const turn = order.at - before.at < PAUSE_MS ? [`turn after ${order.at - before.at} ms`] : []
+    return order.fence <= before.fence ? [...turn, `fence ${order.fence} after ${before.fence}`] : turn
+  })
+}
+
+describe('new weights', () => {
+  // Operators name weights; half a second later every engine must begin to have them, without all of them loading at once.
+  it('reach half of the engines within a second and the others soon after', async t => {
+    const fleet = OrderingFleet.create()
+    fleet.name(2)
+    await fleet.clock.advanceBy(2000)
+    t.true(fleet.engines.versions.filter(version => version === 2).length >= 3)
+    t.true(fleet.engines.loading <= 2)
+    await fleet.clock.advanceBy(2000)
+    t.deepEqual(fleet.engines.versions, [2, 2, 2, 2, 2, 2])
+    t.is(fleet.engines.arrived.length, 6)
+  })
+
+  // A version is named while the one before is still on its way. Loading both would take an engine out of service twice.
+  it('go straight to the newest version', async t => {
+    const fleet = OrderingFleet.create()
+    fleet.name(2)
+    await fleet.clock.advanceBy(300)
+    fleet.name(3)
+    await fleet.clock.advanceBy(4000)
+    t.deepEqual(fleet.engines.versions, [3, 3, 3, 3, 3, 3])
+    t.true(fleet.engines.arrived.filter(({ version }) => version === 2).length <= 2)
+  })
+
+  // Half of the fleet changes while requests run there; the rest may wait, and what its long runs make keeps its worth.
+  it('wait at the last engines for runs that end soon', async t => {
+    const fleet = OrderingFleet.create()
+    const { clock, engines } = fleet
+    engines.options.ids.forEach(id => engines.run(id, clock.now() + 2500))
+    fleet.name(2)
+    await clock.advanceBy(6000)
+    t.deepEqual(engines.versions, [2, 2, 2, 2, 2, 2])
+    t.is(engines.arrived.filter(({ wasRunning }) => wasRunning).length, 4)
+  })
+
+  // Machines freeze, lose the store or each other, appends and orders come late: engines must never hear two holders in
+  // turn, and when calm returns, all of them have the newest weights.
+  it('arrive everywhere by one holder at a time, whatever happens meanwhile', async t => {
+    await fc.assert(fc.asyncProperty(fc.integer({ min: 1, max: 1e6 }), fc.array(event, { maxLength: 6 }), async (seed, events) => {
+      const fleet = await play(seed, events)
+      t.deepEqual(wrongOrders(fleet), [])
+      t.deepEqual(new Set(fleet.engines.versions), new Set([6]))
+    }), { numRuns: RUNS, seed: 20 })
+  })
+})
--- a/packages/foxtaillever-relay/src/weights/engineOrders.ts
+++ b/packages/foxtaillever-relay/src/weights/engineOrders.ts
@@ -8,6 +8,8 @@
   readonly weights: ReadonlyMap<string, number>
   /** An order is being carried out. */
   readonly isBusy: boolean
+  /** Requests that run or wait there. */
+  readonly running: number
   /** Orders accepted since its start; an order that expects another number is refused. */
   readonly sequence: number
 }
@@ -28,9 +30,12 @@
   Conflict = 'conflict',
   /** A higher fencing number was seen: this holder is one no more. */
   Fenced = 'fenced',
-  Refused = 'refused'
+  Refused = 'refused',
+  /** No answer came; the order may be carried out yet. */
+  Unknown = 'unknown'
 }
 
+/** Requests that run when the order arrives go on under the new weights. */
 export interface EngineOrders {
   readonly report: (server: KnownServer) => Promise<Either<Failure, EngineReport>>
   readonly order: (server: KnownServer, order: WeightsOrder) => Promise<Either<Failure, OrderAnswer>>
--- a/packages/foxtaillever-relay/src/weights/orderLease.ts
+++ b/packages/foxtaillever-relay/src/weights/orderLease.ts
@@ -75,6 +75,11 @@
     return this.last?.holder
   }
 
+  /** An engine has seen a higher fencing number: the lease is another's, whatever the clocks say. */
+  drop (): void {
+    this.heldUntil = 0
+  }
+
   news (): LeaseNews | undefined {
     return this.last && { offset: this.last.offset, holder: this.last.holder, ageMs: this.options.clock.now() - this.last.knownSince }
   }
--- a/packages/foxtaillever-relay/src/weights/weightsDesk.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsDesk.ts
@@ -1,40 +1,30 @@
 /**
  * Brings the engines to the weights that operators name: newest only, a few at
- * once, by one instance at a time. The others are told before an order leaves,
- * so that the engine gets no request that it would turn away, and told again
- * when it has the weights. An order is a wanted state: it is observed, and given
- * again until it holds.
+ * once, by one instance at a time. What comes next is decided by the policy;
+ * this keeps the state that it looks at and carries out its steps. The others
+ * are told before an order leaves, so that the engine gets no request that it
+ * would turn away, and told again when it has the weights.
  */
 import { waitUntil, type Clock } from 'foxtaillever-core'
-import { planRollout } from 'foxtaillever-policy/relay/planRollout'
+import { planRollout, RolloutPhase, type RolloutEngine } from 'foxtaillever-policy/relay/planRollout'
 import { ServerState } from '../model/listedServer.js'
 import type { WeightsNews } from '../peers/peerMessage.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
-import { OrderAnswer, type EngineOrders } from './engineOrders.js'
+import { EngineChange } from './engineChange.js'
+import type { EngineOrders } from './engineOrders.js'
+import { NamedWeights } from './namedWeights.js'
 import type { OrderLease } from './orderLease.js'
 
 /** Between two looks while engines lack weights, milliseconds. */
 const LOOK_MS = 50
 
-/** The others hear of a change within this, milliseconds. */
-const TOLD_MS = 8
+/** How long the others keep work away from an engine after a word; it is repeated in time, and ends soon after a holder's death, milliseconds. */
+const STEERED_MS = 2500
 
-/** Between two looks at an engine that loads; its report is some hundred milliseconds late, milliseconds. */
-const WATCH_MS = 150
-
-/** An order that has not shown in the reports by then is given again, milliseconds. */
-const LONGEST_CHANGE_MS = 4000
-
-/** Looks in a row at an idle engine without the weights, after which the order counts as lost. */
-const IDLE_LOOKS = 4
-
-/** Versions remembered besides the newest; engines that far behind have long been excluded. */
-const MOST_NAMED = 8
-
-/** Before an engine that refused an order is asked again, milliseconds. */
-const AGAIN_MS = 300
+/** The word is repeated when less is left, milliseconds. */
+const TELL_AGAIN_MS = 800
 
 /** Each instance waits this much longer than the one before it for the lease to be taken, milliseconds. */
 const TURN_MS = 700
@@ -53,15 +43,10 @@
   readonly tell: (news: WeightsNews) => void
 }
 
-interface NamedWeights {
-  readonly version: number
-  /** When it was learned, milliseconds of Unix time. */
-  readonly since: number
-}
-
 export class WeightsDesk {
-  /** Versions of each model in the order in which they were named. */
-  private readonly named = new Map<string, NamedWeights[]>()
+  private readonly named = NamedWeights.create()
+  /** Changes that this instance carries out, by the engine's id. */
+  private readonly changes = new Map<string, EngineChange>()
   /** When something last went forward, here or elsewhere, milliseconds of Unix time. */
   private progressAt = 0
   private isRunning = false
@@ -75,36 +60,30 @@
   /** Operators named weights; older ones than are known are no news. */
   name (model: string, version: number): void {
     const now = this.options.clock.now()
-    if (version > (this.wanted(model)?.version ?? -1)) {
-      this.named.set(model, [...(this.named.get(model) ?? []).slice(-MOST_NAMED), { version, since: now }])
+    if (this.named.name(model, version, now)) {
       this.progressAt = now
       this.options.log.belief('Weights were named.', { model, version })
       this.run()
     }
   }
 
-  /** The newest weights that were named. */
-  wanted (model: string): NamedWeights | undefined {
-    return this.named.get(model)?.at(-1)
-  }
-
-  /**
-   * Since when there have been newer weights than the version, milliseconds of
-   * Unix time; undefined when there are none. The first newer ones count: were
-   * it the newest, versions named in quick succession would excuse any age.
-   */
+  /** Since when there have been newer weights than the version, milliseconds of Unix time; undefined when there are none. */
   outdatedSince (model: string, version: number): number | undefined {
-    return this.named.get(model)?.find(named => named.version > version)?.since
+    return this.named.outdatedSince(model, version)
   }
 
   /** What the one who gives orders tells. */
   observe ({ server, model, version, changingMs }: WeightsNews): void {
     const { clock, directory } = this.options
-    this.progressAt = clock.now()
+    const now = clock.now()
+    this.progressAt = now
     if (changingMs === 0) {
       directory.observeWeights(server, model, version)
-    } else {
-      this.markChanging(directory.get(server), changingMs)
+      return
+    }
+    const engine = directory.get(server)
+    if (engine) {
+      engine.changingUntil = now + changingMs
     }
   }
 
@@ -113,119 +92,130 @@
   }
 
   /** Looks again, as after a server came or its weights were found to differ. */
-  async run (): Promise<void> {
-    if (this.isRunning) {
-      return
+  run (): void {
+    if (!this.isRunning) {
+      this.isRunning = true
+      this.watch(this.lookOn())
     }
+  }
+
+  private async lookOn (): Promise<void> {
     const { clock } = this.options
-    this.isRunning = true
-    while (this.isRunning && this.named.size > 0 && this.outdatedModels().length > 0) {
+    while (this.isRunning && this.outdatedModels().length > 0) {
       await this.look()
       await waitUntil(clock, clock.now() + LOOK_MS)
     }
     this.isRunning = false
+    this.changes.clear()
+  }
+
+  /** A failure of our own must neither end the process nor pass unseen. */
+  private watch (work: Promise<void>): void {
+    work.catch((error: unknown) => this.options.log.trouble('Changing weights failed.', { reason: String(error) }))
   }
 
   private outdatedModels (): string[] {
-    return [...this.named.keys()].filter(model => this.enginesOf(model).some(engine => !this.hasWanted(engine, model)))
+    return this.named.models.filter(model => this.enginesOf(model).some(engine => !this.hasWanted(engine, model)))
   }
 
   private enginesOf (model: string): KnownServer[] {
     return this.options.directory.all().filter(({ listed, weights }) => listed.state === ServerState.Ready && weights.has(model))
   }
 
+  private wanted (model: string): number {
+    return this.named.newest(model)?.version ?? 0
+  }
+
   private hasWanted (engine: KnownServer, model: string): boolean {
-    return (engine.weights.get(model) ?? 0) >= (this.wanted(model)?.version ?? 0)
+    return (engine.weights.get(model) ?? 0) >= this.wanted(model)
   }
 
   private async look (): Promise<void> {
     const { clock, lease, rank } = this.options
     const isMyTurn = lease.fence() !== undefined || clock.now() >= this.progressAt + rank() * TURN_MS
     if (!isMyTurn || !await lease.take()) {
+      this.changes.clear()
       return
     }
-    for (const model of this.outdatedModels()) {
-      this.orderNext(model)
+    this.outdatedModels().forEach(model => this.advance(model))
+  }
+
+  private advance (model: string): void {
+    const engines = this.enginesOf(model)
+    this.forgetAllBut(engines)
+    const { steer, order } = planRollout(engines.map(engine => this.toRolloutEngine(engine, model)))
+    steer.forEach(id => this.steer(id, model))
+    order.forEach(id => this.order(id, model))
+    for (const engine of engines) {
+      const change = this.changes.get(engine.listed.id)
+      if (change) {
+        this.keepSteered(engine, model)
+        this.watch(change.look())
+      }
     }
   }
 
-  private orderNext (model: string): void {
-    const { clock, outstandingAt, directory } = this.options
-    const now = clock.now()
-    const engines = this.enginesOf(model).map(engine => ({
-      id: engine.listed.id,
-      hasWanted: this.hasWanted(engine, model),
-      isChanging: engine.changingUntil > now,
-      outstanding: outstandingAt(engine)
-    }))
-    for (const id of planRollout(engines)) {
-      const engine = directory.get(id)
-      if (engine) {
-        this.markChanging(engine, LONGEST_CHANGE_MS)
-        this.change(engine, model)
-      }
+  /** An engine that left or was found to have the weights is no longer changed here. */
+  private forgetAllBut (engines: readonly KnownServer[]): void {
+    const ids = new Set(engines.map(({ listed }) => listed.id))
+    for (const id of [...this.changes.keys()].filter(known => !ids.has(known))) {
+      this.changes.delete(id)
     }
   }
 
-  /** One order, from the first look at the engine to its new weights. */
-  private async change (engine: KnownServer, model: string): Promise<void> {
-    const { clock, tell, orders, lease, holder } = this.options
-    const server = engine.listed.id
-    tell({ server, model, version: 0, changingMs: LONGEST_CHANGE_MS })
-    const [report] = await Promise.all([orders.report(engine), waitUntil(clock, clock.now() + TOLD_MS)])
-    const state = report.orDefault({ weights: new Map(), isBusy: true, sequence: 0 })
-    const version = this.wanted(model)?.version ?? 0
-    const fence = lease.fence()
-    if ((state.weights.get(model) ?? 0) >= version) {
-      this.arrive(engine, model, state.weights.get(model) ?? 0)
-      return
-    }
-    if (state.isBusy || fence === undefined) {
-      this.markChanging(engine, AGAIN_MS)
-      return
+  private toRolloutEngine (engine: KnownServer, model: string): RolloutEngine {
+    const { clock, outstandingAt } = this.options
+    const { id, slots } = engine.listed
+    const change = this.changes.get(id)
+    return {
+      id,
+      slots,
+      hasWanted: this.hasWanted(engine, model),
+      phase: change?.phase ?? RolloutPhase.Serving,
+      steeredMs: change ? clock.now() - change.steeredAt : 0,
+      work: change?.running ?? outstandingAt(engine)
     }
-    const answer = await orders.order(engine, { model, version, holder, fence, expectedSequence: state.sequence })
-    const outcome = answer.orDefault(OrderAnswer.Refused)
-    this.options.log.belief('Ordered new weights.', { server, model, version, fence, sequence: state.sequence, outcome, failure: answer.swap().extract()?.toString() })
-    if (outcome !== OrderAnswer.Accepted && answer.isRight()) {
-      this.markChanging(engine, AGAIN_MS)
-      return
+  }
+
+  private steer (id: string, model: string): void {
+    const { clock, directory, holder, orders, log, lease } = this.options
+    const engine = directory.get(id)
+    if (engine) {
+      const onWeights = (version: number): void => this.onWeights(engine, model, version)
+      this.changes.set(id, EngineChange.create({ clock, engine, model, holder, orders, log, onWeights, onFenced: () => lease.drop() }))
     }
-    await this.watch(engine, model, version)
-  }
-
-  /** Looks until the engine has the weights; an unanswered order may still be carried out. */
-  private async watch (engine: KnownServer, model: string, version: number): Promise<void> {
-    const { clock, orders, directory } = this.options
-    const until = clock.now() + LONGEST_CHANGE_MS
-    let idleLooks = 0
-    this.markChanging(engine, LONGEST_CHANGE_MS)
-    while (clock.now() < until && engine.changingUntil > 0 && idleLooks < IDLE_LOOKS) {
-      await waitUntil(clock, clock.now() + WATCH_MS)
-      const report = await orders.report(engine)
-      report.ifRight(({ weights, isBusy }) => {
-        directory.observeWeights(engine.listed.id, model, weights.get(model) ?? 0)
-        idleLooks = isBusy ? 0 : idleLooks + 1
-      })
+  }
+
+  /** The lease is looked at last of all: an order must not leave after its term. */
+  private order (id: string, model: string): void {
+    const fence = this.options.lease.fence()
+    const change = this.changes.get(id)
+    if (change && fence !== undefined) {
+      this.watch(change.order({ version: this.wanted(model), fence }))
     }
-    if ((engine.weights.get(model) ?? 0) >= version) {
-      this.arrive(engine, model, version)
-    } else {
-      this.markChanging(engine, AGAIN_MS)
+  }
+
+  private keepSteered (engine: KnownServer, model: string): void {
+    const { clock, tell } = this.options
+    const now = clock.now()
+    if (engine.changingUntil < now + TELL_AGAIN_MS) {
+      engine.changingUntil = now + STEERED_MS
+      this.progressAt = now
+      tell({ server: engine.listed.id, model, version: 0, changingMs: STEERED_MS })
     }
   }
 
-  private arrive (engine: KnownServer, model: string, version: number): void {
-    const { directory, tell } = this.options
+  private onWeights (engine: KnownServer, model: string, version: number): void {
+    const { directory, tell, clock } = this.options
     const server = engine.listed.id
+    const isNews = version > (engine.weights.get(model) ?? -1)
     directory.observeWeights(server, model, version)
-    engine.changingUntil = 0
-    tell({ server, model, version, changingMs: 0 })
-  }
-
-  private markChanging (engine: KnownServer | undefined, forMs: number): void {
-    if (engine) {
-      engine.changingUntil = this.options.clock.now() + forMs
+    if (isNews || this.hasWanted(engine, model)) {
+      this.progressAt = clock.now()
+      tell({ server, model, version, changingMs: 0 })
+    }
+    if (this.hasWanted(engine, model)) {
+      this.changes.delete(server)
     }
   }
 }
