--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -4,6 +4,8 @@
  * offset is the belief's version, so that nothing ever goes back. What is gone
  * stays known as gone for a while, because an older word of it may still come.
  */
+import { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
+import { UsualTime } from 'foxtaillever-policy/relay/usualTime'
 import { ServerState, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { KnownServer } from './knownServer.js'
@@ -12,15 +14,6 @@
 /** Connections to a server before the configuration says how many it takes. */
 const DEFAULT_CONNECTIONS = 16
 
-/** First pause after a fault, milliseconds; doubled with each further one. */
-const FAULT_PAUSE_MS = 250
-
-/** Longest pause, milliseconds: a server that came back under its old id gets work again soon. */
-const LONGEST_FAULT_PAUSE_MS = 4000
-
-/** One fault alone may be the request's or the network's. */
-const FAULTS_TO_AVOID = 2
-
 export interface ServerDirectoryOptions {
   readonly onOpened: (server: ListedServer) => void
   /** The state of a server has changed, or it is new. */
@@ -30,6 +23,9 @@
 export class ServerDirectory {
   private readonly servers = new Map<string, KnownServer>()
   private readonly goneAt = new Map<string, number>()
+  /** All servers of a service together. */
+  private readonly serviceHealth = new Map<string, ServerHealth>()
+  private readonly usualTimes = new Map<string, UsualTime>()
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
   private instances = 1
@@ -48,13 +44,17 @@
     this.instances = Math.max(1, count)
   }
 
-  /** Takes in an entry; an older one than is known changes nothing. */
-  observe (listed: ListedServer, offset: number): void {
+  /**
+   * Takes in an entry; an older one than is known changes nothing.
+   * @returns whether the entry says anything else than the one before.
+   */
+  observe (listed: ListedServer, offset: number): boolean {
     const known = this.servers.get(listed.id)
     if (offset <= (known?.offset ?? this.goneAt.get(listed.id) ?? -1)) {
-      return
+      return false
     }
     const before = known?.listed.state
+    const isNews = known === undefined || !saysSame(known.listed, listed)
     const server = known ?? this.add(listed, offset)
     // A server that said it leaves does not come back under the same id.
     const state = before === ServerState.Draining ? ServerState.Draining : listed.state
@@ -64,6 +64,7 @@
     if (before !== state) {
       this.options.onChanged(server.listed, before)
     }
+    return isNews
   }
 
   /** The entry was removed: the server has left, or was silent for too long. */
@@ -111,24 +112,48 @@
     }
   }
 
-  observeSuccess (id: string): void {
-    const server = this.servers.get(id)
-    if (server) {
-      server.faults = 0
-      server.avoidedUntil = 0
+  /** How long requests of a route usually wait for the beginning of their answer. */
+  usualTimeOf (route: string): UsualTime {
+    let usual = this.usualTimes.get(route)
+    if (!usual) {
+      usual = UsualTime.create()
+      this.usualTimes.set(route, usual)
     }
+    return usual
+  }
+
+  /** What the faults and the slowness of a server make a request there cost, milliseconds. */
+  faultCostOf ({ listed, health }: KnownServer, now: number): number {
+    return health.cost(now, this.healthOf(listed.service).faultShare(now))
+  }
+
+  /** @param ms time until the answer began. */
+  observeSuccess (id: string, route: string, ms: number, now: number): void {
+    const usual = this.usualTimeOf(route)
+    const ratio = usual.ratioOf(ms)
+    usual.observe(ms)
+    this.observeOutcome(id, health => health.observeGood(now, ratio))
   }
 
   observeFault (id: string, now: number): void {
+    this.observeOutcome(id, health => health.observeBad(now))
+  }
+
+  private observeOutcome (id: string, count: (health: ServerHealth) => void): void {
     const server = this.servers.get(id)
-    if (!server) {
-      return
+    if (server) {
+      count(server.health)
+      count(this.healthOf(server.listed.service))
     }
-    server.faults += 1
-    if (server.faults >= FAULTS_TO_AVOID) {
-      const pause = FAULT_PAUSE_MS * 2 ** (server.faults - FAULTS_TO_AVOID)
-      server.avoidedUntil = now + Math.min(pause, LONGEST_FAULT_PAUSE_MS)
+  }
+
+  private healthOf (service: string): ServerHealth {
+    let health = this.serviceHealth.get(service)
+    if (!health) {
+      health = ServerHealth.create()
+      this.serviceHealth.set(service, health)
     }
+    return health
   }
 
   private add (listed: ListedServer, offset: number): KnownServer {
@@ -139,9 +164,16 @@
       onOpened: () => this.options.onOpened(listed)
     })
     const server: KnownServer = {
-      listed, offset, connections, weights: new Map(), outstanding: 0, outstandingTokens: 0, faults: 0, avoidedUntil: 0, changingUntil: 0
+      listed, offset, connections, weights: new Map(), outstanding: 0, outstandingTokens: 0, health: ServerHealth.create(), changingUntil: 0
     }
     this.servers.set(listed.id, server)
     return server
   }
 }
+
+/** Two entries of one server that differ by their heartbeat alone. */
+function saysSame (one: ListedServer, other: ListedServer): boolean {
+  return one.state === other.state && one.address === other.address && one.service === other.service && one.slots === other.slots &&
+    one.coldLeftMs === other.coldLeftMs && one.weights.size === other.weights.size &&
+    [...one.weights].every(([model, version]) => other.weights.get(model) === version)
+}
