Hear restarted instances after a step of the time of day; share connections anew

Cause: a message whose process start is earlier than the known one's was taken for a late datagram for up to two minutes, also when the machine's time of day had stepped back between two starts. And a server's connections were shared by the number of instances at the moment it was added, which is one at each start. Ruled out: not counting addresses that were only named: a machine that starts cut off would take the whole retry budget for itself.

--- a/packages/foxtaillever-relay/src/peers/peerTable.ts
+++ b/packages/foxtaillever-relay/src/peers/peerTable.ts
@@ -12,6 +12,9 @@
 /** Three beats may be lost before an instance counts as gone, milliseconds. */
 const SILENT_MS = 3500
 
+/** A datagram is not this late after a later one of the same machine, milliseconds. */
+const LATE_MS = 1500
+
 /** One that is cut off still sends retries of its own; it counts for this long, milliseconds. */
 const COUNTED_MS = 30_000
 
@@ -34,12 +37,20 @@
     }
   }
 
-  hear (message: PeerMessage, now: number): void {
-    const known = this.peers.get(message.address)?.last
-    // A datagram of an earlier process at the address may come late.
-    if (known === undefined || message.startedAt >= known.startedAt) {
+  /**
+   * Takes a message in, unless it is a late one of an earlier process at the
+   * address. Starts are told by the time of day, which may have stepped back
+   * between two of them: what keeps coming after the known process fell silent
+   * is the later process.
+   * @returns whether it was taken.
+   */
+  hear (message: PeerMessage, now: number): boolean {
+    const known = this.peers.get(message.address)
+    const isLate = known?.last !== undefined && message.startedAt < known.last.startedAt && now < known.heardAt + LATE_MS
+    if (!isLate) {
       this.peers.set(message.address, { address: message.address, last: message, heardAt: now })
     }
+    return !isLate
   }
 
   /** Run at each beat. */
@@ -61,7 +72,11 @@
     return this.all().flatMap(({ last, heardAt }) => last && !last.isLeaving && heardAt + SILENT_MS > now ? [last] : [])
   }
 
-  /** Instances to reckon with, this one included, also while they cannot be heard. */
+  /**
+   * Instances to reckon with, this one included, also while they cannot be heard.
+   * Addresses that were only named count too: parts of what all may do together
+   * must not grow because a machine is cut off, and a stale address costs little.
+   */
   count (now: number): number {
     return 1 + this.all().filter(({ heardAt }) => heardAt + COUNTED_MS > now).length
   }
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -135,8 +135,7 @@
   }
 
   private hear (message: PeerMessage): void {
-    if (message.address !== this.address) {
-      this.table.hear(message, this.options.clock.now())
+    if (message.address !== this.address && this.table.hear(message, this.options.clock.now())) {
       this.use.observe(message.address, message.uses)
       this.options.onMessage(message)
     }
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -119,6 +119,11 @@
     return call
   }
 
+  /** Other instances came or went, so that this one's part of the server's connections is another. */
+  limit (mostConnections: number): void {
+    this.agent.maxSockets = mostConnections
+  }
+
   /** Closes idle connections; those at work end with their request. */
   closeIdle (): void {
     Object.values(this.agent.freeSockets).flat().forEach(socket => socket?.destroy())
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -38,10 +38,25 @@
 
   configure (routing: Routing): void {
     this.routing = routing
+    this.limitConnections()
   }
 
   observeInstances (count: number): void {
-    this.instances = Math.max(1, count)
+    const instances = Math.max(1, count)
+    if (instances !== this.instances) {
+      this.instances = instances
+      this.limitConnections()
+    }
+  }
+
+  /** The limits of services and the number of instances may both change after a server was added. */
+  private limitConnections (): void {
+    this.servers.forEach(({ listed, connections }) => connections.limit(this.mostConnections(listed.service)))
+  }
+
+  private mostConnections (service: string): number {
+    const most = this.routing?.services.get(service)?.mostConnections ?? DEFAULT_CONNECTIONS
+    return Math.max(2, Math.floor(most / this.instances))
   }
 
   /**
@@ -157,10 +172,9 @@
   }
 
   private add (listed: ListedServer, offset: number): KnownServer {
-    const most = this.routing?.services.get(listed.service)?.mostConnections ?? DEFAULT_CONNECTIONS
     const connections = ServerConnections.create({
       address: listed.address,
-      mostConnections: Math.max(2, Math.floor(most / this.instances)),
+      mostConnections: this.mostConnections(listed.service),
       onOpened: () => this.options.onOpened(listed)
     })
     const server: KnownServer = {
