--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -13,6 +13,7 @@
 import type { RelayLog } from '../telemetry/relayLog.js'
 import { Freshness } from './freshness.js'
 import type { KeyedLog, KeyedRecord } from './keyedLog.js'
+import { PeerAsking, type KnowingPeer, type PeerAnswer } from './peerAsking.js'
 import { RecordTable } from './recordTable.js'
 import { Suspension } from './suspension.js'
 import { TopicFollower, type TopicFollowerOptions } from './topicFollower.js'
@@ -31,12 +32,6 @@
 
 const topics = Object.values(ToldTopic)
 
-/** An instance that may be asked, and how far it is; unknown for one that was never heard. */
-export interface KnowingPeer {
-  readonly address: string
-  readonly positions: Positions | undefined
-}
-
 export interface KnowledgeOptions {
   readonly clock: Clock
   readonly random: Random
@@ -60,7 +55,6 @@
 interface Followed {
   readonly table: RecordTable
   readonly follower: TopicFollower
-  isAsking: boolean
   /** Changes before this offset were told to the others, or told by them. */
   toldTo: number
 }
@@ -71,10 +65,12 @@
   private readonly freshness = Freshness.create()
   private readonly suspension: Suspension
   private readonly followed: Readonly<Record<ToldTopic, Followed>>
+  private readonly asking: PeerAsking
   private cancelLook = (): void => {}
 
   private constructor (private readonly options: KnowledgeOptions) {
     this.suspension = Suspension.create(options.clock, options.wallSeconds)
+    this.asking = PeerAsking.create({ ...options, onAnswer: (topic, answer) => this.takeAnswer(topic, answer) })
     this.followed = {
       [ToldTopic.Operators]: this.follow(ToldTopic.Operators, this.planOperators()),
       [ToldTopic.Servers]: this.follow(ToldTopic.Servers, this.planServers())
@@ -180,7 +176,7 @@
         topics.forEach(other => this.followed[other].follower.reconsider())
       }
     })
-    return { table, follower, isAsking: false, toldTo: 0 }
+    return { table, follower, toldTo: 0 }
   }
 
   private place (): ReaderPlace {
@@ -249,67 +245,44 @@
       return
     }
     if (topic === ToldTopic.Servers || follower.isFailing || this.servers.follower.isFailing) {
-      this.ask(address, topic, freshAt)
+      this.asking.ask(address, topic, table.position, freshAt)
     } else if (!follower.isReading) {
       // The store's connection is faster than an instance's, and a configuration may be large.
       follower.readNow()
     }
   }
 
-  private look (): void {
-    const { clock, relayLog } = this.options
-    const stoodMs = this.suspension.look(LOOK_MS)
-    if (stoodMs > 0) {
-      relayLog.trouble('This machine stood still; what is known is read again.', { stoodMs: Math.round(stoodMs) })
-      this.freshness.distrust()
-      topics.forEach(topic => this.followed[topic].follower.readNow())
-    }
-    topics.forEach(topic => this.lookAt(topic))
-    this.cancelLook = clock.at(clock.now() + LOOK_MS, () => this.look())
-  }
-
   /**
    * Asks a peer that is ahead. The servers' topic moves with every heartbeat, so
    * being a little behind there means nothing while readings go on.
    */
-  private lookAt (topic: ToldTopic): void {
-    const { random, peers } = this.options
+  private askWhereLacking (topic: ToldTopic): void {
     const { table, follower } = this.followed[topic]
     const isStale = follower.isFailing && !this.isFresh()
-    if (table.isWhole && topic === ToldTopic.Servers && !isStale) {
-      return
+    if (!table.isWhole || topic === ToldTopic.Operators || isStale) {
+      this.asking.askAhead(topic, table)
     }
-    const ahead = peers().filter(({ positions }) => positions === undefined ? !table.isWhole : positions[topic] > table.position)
-    const chosen = ahead[random.below(ahead.length)]
-    if (chosen) {
-      this.ask(chosen.address, topic, -Infinity)
+  }
+
+  private takeAnswer (topic: ToldTopic, { from, records, position, freshAt }: PeerAnswer): void {
+    this.takeTold(topic, from, records, position)
+    const { table, follower } = this.followed[topic]
+    if (topic === ToldTopic.Servers && table.isWhole) {
+      this.freshness.note(freshAt)
+      follower.reconsider()
     }
   }
 
-  /** @param freshAt the other knows the servers' entries as of then, milliseconds of Unix time. */
-  private async ask (address: string, topic: ToldTopic, freshAt: number): Promise<void> {
-    const { link, relayLog } = this.options
-    const followed = this.followed[topic]
-    if (followed.isAsking) {
-      return
+  private look (): void {
+    const { clock, relayLog } = this.options
+    const stoodMs = this.suspension.look(LOOK_MS)
+    if (stoodMs > 0) {
+      relayLog.trouble('This machine stood still; what is known is read again.', { stoodMs: Math.round(stoodMs) })
+      this.freshness.distrust()
+      topics.forEach(topic => this.followed[topic].follower.readNow())
     }
-    followed.isAsking = true
-    const from = followed.table.position
-    const told = await link().ask(address, topic, from)
-    followed.isAsking = false
-    told.caseOf({
-      Left: ({ message }) => relayLog.trouble('Another instance does not tell its records.', { peer: address, topic, reason: message }),
-      Right: ({ records, position }) => {
-        if (position > from) {
-          this.takeTold(topic, from, records, position)
-          relayLog.belief('Took records from another instance.', { peer: address, topic, from, position, records: records.length })
-        }
-        if (topic === ToldTopic.Servers && followed.table.isWhole) {
-          this.freshness.note(freshAt)
-          followed.follower.reconsider()
-        }
-      }
-    })
+    topics.forEach(topic => this.askWhereLacking(topic))
+    this.cancelLook = clock.at(clock.now() + LOOK_MS, () => this.look())
   }
 }
 
--- /dev/null
+++ b/packages/foxtaillever-relay/src/knowledge/peerAsking.ts
@@ -0,0 +1,70 @@
+/** Asks other instances for records that this one lacks, one call for each topic at a time. */
+import type { Random } from 'foxtaillever-core'
+import type { PeerLink } from '../peers/peerLink.js'
+import type { Positions } from '../peers/peerMessage.js'
+import type { ToldTopic } from '../peers/toldTopic.js'
+import type { RelayLog } from '../telemetry/relayLog.js'
+import type { KeyedRecord } from './keyedLog.js'
+import type { RecordTable } from './recordTable.js'
+
+/** An instance that may be asked, and how far it is; unknown for one that was never heard. */
+export interface KnowingPeer {
+  readonly address: string
+  readonly positions: Positions | undefined
+}
+
+/** Records for one who knows everything before an offset. */
+export interface PeerAnswer {
+  readonly from: number
+  readonly records: readonly KeyedRecord[]
+  readonly position: number
+  /** The other knew the servers' entries as of then, milliseconds of Unix time. */
+  readonly freshAt: number
+}
+
+export interface PeerAskingOptions {
+  readonly random: Random
+  readonly relayLog: RelayLog
+  readonly link: () => Pick<PeerLink, 'ask'>
+  readonly peers: () => readonly KnowingPeer[]
+  readonly onAnswer: (topic: ToldTopic, answer: PeerAnswer) => void
+}
+
+export class PeerAsking {
+  private readonly open = new Set<ToldTopic>()
+
+  private constructor (private readonly options: PeerAskingOptions) {}
+
+  static create (options: PeerAskingOptions): PeerAsking {
+    return new PeerAsking(options)
+  }
+
+  /** Asks one of those that are ahead, or any that was never heard while nothing is known yet. */
+  askAhead (topic: ToldTopic, { isWhole, position }: RecordTable): void {
+    const { random, peers } = this.options
+    const ahead = peers().filter(({ positions }) => positions === undefined ? !isWhole : positions[topic] > position)
+    const chosen = ahead[random.below(ahead.length)]
+    if (chosen) {
+      this.ask(chosen.address, topic, position, -Infinity)
+    }
+  }
+
+  async ask (address: string, topic: ToldTopic, from: number, freshAt: number): Promise<void> {
+    const { link, relayLog, onAnswer } = this.options
+    if (this.open.has(topic)) {
+      return
+    }
+    this.open.add(topic)
+    const told = await link().ask(address, topic, from)
+    this.open.delete(topic)
+    told.caseOf({
+      Left: ({ message }) => relayLog.trouble('Another instance does not tell its records.', { peer: address, topic, reason: message }),
+      Right: ({ records, position }) => {
+        if (position > from) {
+          relayLog.belief('Takes records from another instance.', { peer: address, topic, from, position, records: records.length })
+        }
+        onAnswer(topic, { from, records, position, freshAt })
+      }
+    })
+  }
+}
