Reckon with readers of a large fleet whose beats go to others

Cause: a beat reaches 24 of the others, so at 80 instances a quarter, at 380 three quarters of those alive were not heard within 3.5 s, and several believed to be the first reader of their failure domain at once. Test: peerTable.test.ts, last case.

--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -45,4 +45,13 @@
     t.is(table.count(25_000), 2)
     t.is(table.count(51_000), 1)
   })
+
+  it('does not take an instance of a large fleet for gone because its beats go to others', t => {
+    const table = PeerTable.create()
+    for (let port = 1; port <= 80; port += 1) {
+      table.hear({ ...message, address: `127.0.0.1:${port}` }, 20_000)
+    }
+    t.is(table.likely(25_000, 24).length, 80)
+    t.is(table.likely(40_000, 24).length, 0)
+  })
 })
--- a/packages/foxtaillever-relay/src/peers/peerTable.ts
+++ b/packages/foxtaillever-relay/src/peers/peerTable.ts
@@ -72,6 +72,16 @@
     return this.all().flatMap(({ last, heardAt }) => last && !last.isLeaving && heardAt + SILENT_MS > now ? [last] : [])
   }
 
+  /**
+   * Those that are likely there and do not leave. In a large fleet a beat goes to
+   * some of the others only, so silence says something after more beats.
+   * @param receivers others that hear one beat.
+   */
+  likely (now: number, receivers: number): PeerMessage[] {
+    const silentMs = SILENT_MS * Math.max(1, this.peers.size / receivers)
+    return this.all().flatMap(({ last, heardAt }) => last && !last.isLeaving && heardAt + silentMs > now ? [last] : [])
+  }
+
   /**
    * Instances to reckon with, this one included, also while they cannot be heard.
    * Addresses that were only named count too: parts of what all may do together
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -21,7 +21,7 @@
 /** Others that hear one beat: with more, each hears a random part of the fleet every second, within 14 KB/s at 380. */
 const MOST_RECEIVERS = 24
 
-/** Others that hear what this one read, those of its failure domain first: with 100 bytes 1.4 times a second, 14 KB/s. */
+/** Others that hear what this one read, those of its failure domain first: with 60 bytes 1.4 times a second, 8 KB/s. */
 const MOST_NOTIFIED = 96
 
 /** What this instance says of itself at the moment. */
@@ -81,6 +81,11 @@
     return this.table.alive(this.options.clock.now())
   }
 
+  /** Others that are likely there, though few of their beats come here. */
+  likely (): PeerMessage[] {
+    return this.table.likely(this.options.clock.now(), MOST_RECEIVERS)
+  }
+
   /** Instances to reckon with, this one included. */
   count (): number {
     return this.table.count(this.options.clock.now())
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -175,7 +175,7 @@
       random,
       wallSeconds: readWallSeconds,
       self: { name, failureDomain },
-      readers: () => this.peers.alive().filter(({ hasStore }) => hasStore),
+      readers: () => this.peers.likely().filter(({ hasStore }) => hasStore),
       notify: notice => this.peers.notify(notice),
       log,
       topics: { [ToldTopic.Operators]: topics.operators, [ToldTopic.Servers]: topics.servers },
