--- a/packages/foxtaillever-relay/src/__tests__/answers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/answers.test.ts
@@ -1,6 +1,7 @@
 /** What callers get when backend servers answer wrongly, in part, or not at all. */
 import { describe, it } from 'foxtaillever-testing'
 import { Repeatability } from '../model/routing.js'
+import { play, Way } from './misbehaviour.js'
 import { RelayRig } from './relayRig.js'
 import { chunk, streamHead, wholeAnswer } from './scriptedServer.js'
 
@@ -36,6 +37,17 @@
     rig.stop()
   })
 
+  // An answer without a length ends with its connection. A reset that comes with
+  // its last bytes looks like that end, and half an order would look whole.
+  it('tells the end of an answer without a length from a reset', async t => {
+    const expected = { [Way.Unframed]: /^HTTP\/1.1 200 [^]*the body of a$/, [Way.UnframedReset]: /^HTTP\/1.1 502 / }
+    for (const way of [Way.Unframed, Way.UnframedReset] as const) {
+      const rig = await RelayRig.start({}, arrival => play(way, false, arrival))
+      t.regex(await rig.ask('a'), expected[way])
+      rig.stop()
+    }
+  })
+
   // A server without announced lengths crashes in the middle of an event. The
   // end of its connection looks like the end of the stream.
   it('does not end a stream that was cut in the middle of an event', async t => {
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -4,6 +4,7 @@
  * server's stamp, and it counts as whole only if its framing says so.
  */
 import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Cancellation, Clock } from 'foxtaillever-core'
 import type { AnswerMarks, ServerWire } from '../model/wire.js'
 import type { ServerCall, ServerConnections } from '../servers/serverConnections.js'
@@ -51,6 +52,8 @@
   private response: IncomingMessage | undefined
   private hasLeft = false
   private isOver = false
+  /** The end of the connection was not the server's own. */
+  private wasReset = false
 
   private constructor (private readonly options: AttemptOptions) {
     const { connections, call, clock } = options
@@ -136,6 +139,10 @@
       return
     }
     this.response = response
+    if (!isFramed(response)) {
+      // Before node:http, which closes the connection at its end.
+      response.socket.prependOnceListener('end', () => { this.wasReset = isDisconnected(response.socket) })
+    }
     response.on('data', bytes => this.onData(bytes))
     response.on('end', () => this.onEnd(response))
     response.on('error', error => this.onError(error))
@@ -185,7 +192,7 @@
     if (this.isOver) {
       return
     }
-    if (!response.complete) {
+    if (!response.complete || this.wasReset) {
       this.fail(AttemptFailureKind.Lost, 'answer cut')
       return
     }
@@ -218,6 +225,17 @@
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
 
+/**
+ * Whether the connection is gone in both directions. Where a reset arrives
+ * together with the last bytes, libuv reports the end of the stream in its
+ * place, so that a cut answer without a length would look whole. The operating
+ * system knows no peer of a connection that was reset, but does of one that the
+ * peer has ended. Nothing asks for the address before, so it is not yet cached.
+ */
+function isDisconnected (socket: Socket): boolean {
+  return socket.remoteAddress === undefined
+}
+
 function describeMisdirected ({ serverId, weightsVersion }: AnswerMarks): string {
   return `server ${serverId ?? 'unknown'}, weights ${weightsVersion ?? 'unknown'}`
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -24,8 +24,8 @@
 /** When to come back after a rejection, milliseconds: servers answer in tens, and a full one drains in hundreds. */
 const COME_BACK_MS = 300
 
-/** When to come back while no server can be used at all: a new one takes seconds to start, milliseconds. */
-const NO_SERVER_COME_BACK_MS = 2000
+/** When to come back while no server is there or can be reached: one that crashed takes seconds to start again, milliseconds. */
+const NO_SERVER_COME_BACK_MS = 3000
 
 export class ExchangeRun {
   private current: OpenTry | undefined
@@ -190,7 +190,8 @@
       this.tryNext()
       return
     }
-    this.fail(meaningOf[kind].code, 'The request could not be completed.')
+    const comeBackMs = kind === AttemptFailureKind.Unreachable ? NO_SERVER_COME_BACK_MS : COME_BACK_MS
+    this.fail(meaningOf[kind].code, 'The request could not be completed.', this.now + comeBackMs)
   }
 
   private observeFailure (failure: AttemptFailure, server: KnownServer | undefined): void {
