Forget refused requests, and send none whose deadline passed while it was read

Cause: an exchange that was refused at once was over before it was entered into the set of open ones, and stayed there for the life of the process: memory grew with each refusal, and a shutdown always waited until its grace was over. Found by reading, shown by a test that counts open exchanges after a refusal. And a request whose body came in after its deadline was still sent to a server, with a millisecond left.

The tests of the callers' side (bodies in chunks, limits, 100-continue, leaving in each phase, several requests on one connection, slow readers) showed no further fault.

--- a/packages/foxtaillever-relay/src/__tests__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__tests__/relayRig.ts
@@ -9,7 +9,7 @@
 import { CallerServer } from '../callers/callerServer.js'
 import { CrashSuspects } from '../exchange/crashSuspects.js'
 import type { ExchangeContext } from '../exchange/exchangeContext.js'
-import { ExchangeRun } from '../exchange/exchangeRun.js'
+import { ExchangeRuns } from '../exchange/exchangeRuns.js'
 import { ServerState } from '../model/listedServer.js'
 import { Repeatability, type Route, type Routing } from '../model/routing.js'
 import type { CallerWire, ServerWire } from '../model/wire.js'
@@ -61,7 +61,7 @@
   readonly retries = RetryShare.create({ ratio: 0.2, slack: 1000, windowMs: 10_000 })
   readonly servers: ScriptedServer[] = []
   private readonly callers: CallerServer
-  private readonly runs = new Set<ExchangeRun>()
+  readonly runs: ExchangeRuns
   private port = 0
 
   private constructor (route: Route) {
@@ -80,12 +80,12 @@
       log,
       routing: () => routing,
       place: (_, failed) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
-      onMisdirected: () => {},
-      onOver: run => this.runs.delete(run)
+      onMisdirected: () => {}
     }
+    this.runs = ExchangeRuns.create(context)
     const table = RouteTable.create(routing)
     this.callers = CallerServer.create({
-      clock, random, log, wire: callerWire, table: () => table, onExchange: (exchange, answer) => { this.runs.add(ExchangeRun.start(context, exchange, answer)) }
+      clock, random, log, wire: callerWire, table: () => table, onExchange: (exchange, answer) => this.runs.start(exchange, answer)
     })
     this.callers.setLimits(limits)
   }
--- a/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
+++ b/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
@@ -26,6 +26,11 @@
     return this.response.headersSent
   }
 
+  /** The caller closed its connection while its request was read. */
+  get isGone (): boolean {
+    return this.response.destroyed
+  }
+
   listen ({ onGone, onDrained }: CallerAnswerListener): void {
     this.response.on('close', () => {
       if (!this.isOver) {
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -8,7 +8,6 @@
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { CrashSuspects } from './crashSuspects.js'
-import type { ExchangeRun } from './exchangeRun.js'
 
 export interface ExchangeContext {
   readonly clock: Clock
@@ -24,5 +23,4 @@
   readonly place: (exchange: Exchange, failed: ReadonlySet<string>) => KnownServer | undefined
   /** A server is not what it was thought to be. */
   readonly onMisdirected: (server: string) => void
-  readonly onOver: (run: ExchangeRun) => void
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -4,7 +4,6 @@
  * tries, and what may have run is sent again only where that does no harm.
  */
 import { Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
-import { awaitFirstUntil, awaitNextUntil } from 'foxtaillever-policy/relay/silence'
 import { Attempt, type AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, mayBeCrash, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { planTerms } from '../attempts/planTerms.js'
@@ -15,8 +14,8 @@
 import { ExchangeEnd } from './exchangeEnd.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { OpenTry } from './openTry.js'
-import { SilenceWatch } from './silenceWatch.js'
 import { TryLedger } from './tryLedger.js'
+import { watchTry } from './watchTry.js'
 
 /** A server answers at the deadline by itself; this much later the caller gets our word, milliseconds. */
 const DEADLINE_GRACE_MS = 40
@@ -37,7 +36,12 @@
   private fallback: { readonly head: AnswerHead, readonly body: Buffer } | undefined
   private cancelDeadline: Cancellation = () => {}
 
-  private constructor (private readonly context: ExchangeContext, private readonly exchange: Exchange, private readonly answer: CallerAnswer) {
+  private constructor (
+    private readonly context: ExchangeContext,
+    private readonly exchange: Exchange,
+    private readonly answer: CallerAnswer,
+    private readonly onOver: () => void
+  ) {
     this.ledger = TryLedger.create(exchange)
     this.relay = AnswerRelay.create(exchange, answer, {
       onFirstEvent: () => context.log.firstEvent(exchange, this.now),
@@ -45,22 +49,29 @@
     })
   }
 
-  static start (context: ExchangeContext, exchange: Exchange, answer: CallerAnswer): ExchangeRun {
-    const run = new ExchangeRun(context, exchange, answer)
-    run.begin()
-    return run
+  static create (context: ExchangeContext, exchange: Exchange, answer: CallerAnswer, onOver: () => void): ExchangeRun {
+    return new ExchangeRun(context, exchange, answer, onOver)
   }
 
   private get now (): number {
     return this.context.clock.now()
   }
 
-  private begin (): void {
+  /** Places it and sends it, or refuses it at once. */
+  begin (): void {
     const { exchange, answer, context } = this
     const { clock, retries, suspects } = context
+    if (answer.isGone) {
+      this.finish(ExchangeEnd.CallerGone, '')
+      return
+    }
     answer.listen({ onGone: () => this.onGone(), onDrained: () => this.current?.attempt.resume() })
     this.cancelDeadline = clock.at(exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
     retries.addRequest(exchange.service, this.now)
+    if (exchange.deadline <= this.now) {
+      this.fail(FailureCode.DeadlinePassed, 'The deadline passed before the request was read whole.')
+      return
+    }
     if (suspects.isRefused(exchange, this.now)) {
       this.fail(FailureCode.Quarantined, 'This request crashed the backend servers that ran it.', suspects.refusedUntil(exchange))
       return
@@ -104,19 +115,7 @@
         onFailed: failure => this.onFailed(failure)
       }
     })
-    this.current = OpenTry.open({ attempt, server, beganAt, tokens: exchange.prompt?.promptTokens ?? 0, watch: this.watch(beganAt) })
-  }
-
-  private watch (sentAt: number): SilenceWatch {
-    const { exchange, context } = this
-    const { deadline, route } = exchange
-    const usualMs = context.directory.usualTimeOf(route.name).value
-    return SilenceWatch.start({
-      clock: context.clock,
-      firstUntil: awaitFirstUntil({ sentAt, deadline, objectiveMs: route.objectiveMs, usualMs }),
-      nextUntil: heardAt => awaitNextUntil(heardAt, route.pauseObjectiveMs),
-      onSilent: () => this.onSilent()
-    })
+    this.current = OpenTry.open({ attempt, server, beganAt, tokens: exchange.prompt?.promptTokens ?? 0, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
   }
 
   private onHead (head: AnswerHead): void {
@@ -294,6 +293,6 @@
     this.cancelDeadline()
     const { exchange, ledger, now } = this
     this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.tried, now })
-    this.context.onOver(this)
+    this.onOver()
   }
 }
--- /dev/null
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
@@ -0,0 +1,31 @@
+/** The exchanges of an instance that are not over, so that a shutdown can wait for them. */
+import type { Exchange } from '../model/exchange.js'
+import type { CallerAnswer } from './callerAnswer.js'
+import type { ExchangeContext } from './exchangeContext.js'
+import { ExchangeRun } from './exchangeRun.js'
+
+export class ExchangeRuns {
+  private readonly runs = new Set<ExchangeRun>()
+
+  private constructor (private readonly context: ExchangeContext) {}
+
+  static create (context: ExchangeContext): ExchangeRuns {
+    return new ExchangeRuns(context)
+  }
+
+  get size (): number {
+    return this.runs.size
+  }
+
+  /** Takes over an exchange; one that is refused at once is over before this returns. */
+  start (exchange: Exchange, answer: CallerAnswer): void {
+    const run = ExchangeRun.create(this.context, exchange, answer, () => this.runs.delete(run))
+    this.runs.add(run)
+    run.begin()
+  }
+
+  /** Ends all that is left at a shutdown whose time is up. */
+  abort (): void {
+    this.runs.forEach(run => run.abort())
+  }
+}
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -6,8 +6,7 @@
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { CallerServer } from './callers/callerServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
-import type { ExchangeContext } from './exchange/exchangeContext.js'
-import { ExchangeRun } from './exchange/exchangeRun.js'
+import { ExchangeRuns } from './exchange/exchangeRuns.js'
 import { Knowledge } from './knowledge/knowledge.js'
 import { enterMemberBook } from './knowledge/memberBook.js'
 import { RecordIntake } from './knowledge/recordIntake.js'
@@ -45,8 +44,7 @@
   private readonly lease: OrderLease
   private readonly weights: WeightsDesk
   private readonly choice: ServerChoice
-  private readonly runs = new Set<ExchangeRun>()
-  private readonly context: ExchangeContext
+  private readonly runs: ExchangeRuns
   private table: RouteTable | undefined
   private isLeaving = false
   private graceMs: number
@@ -70,7 +68,7 @@
     this.choice = ServerChoice.create({
       clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
     })
-    this.context = {
+    this.runs = ExchangeRuns.create({
       clock,
       random,
       wire: serverWire,
@@ -80,16 +78,15 @@
       log: this.log,
       routing: () => this.routing(),
       place: (exchange, failed) => this.choice.place(exchange, failed),
-      onMisdirected: () => { this.weights.run() },
-      onOver: run => this.runs.delete(run)
-    }
+      onMisdirected: () => { this.weights.run() }
+    })
     this.callers = CallerServer.create({
       clock,
       random,
       wire: callerWire,
       log: this.log,
       table: () => this.table,
-      onExchange: (exchange, answer) => { this.runs.add(ExchangeRun.start(this.context, exchange, answer)) }
+      onExchange: (exchange, answer) => this.runs.start(exchange, answer)
     })
     this.readiness = createServer((_, response) => {
       response.writeHead(this.isReady() ? 200 : 503)
@@ -136,7 +133,7 @@
     while (this.runs.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
-    this.runs.forEach(run => run.abort())
+    this.runs.abort()
     this.weights.stop()
     this.knowledge.stop()
     this.readiness.close()
