Ask callers to come back soon again while no server is there

Cause: told to come back after 3 s, callers of a service without servers return together with the ordinary traffic when it has just started again, and without a bound on what waits, all of them are late.

--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -23,9 +23,6 @@
 /** When to come back after a rejection, milliseconds: servers answer in tens, and a full one drains in hundreds. */
 const COME_BACK_MS = 300
 
-/** When to come back while no server is there or can be reached: one that crashed takes seconds to start again, milliseconds. */
-const NO_SERVER_COME_BACK_MS = 3000
-
 export class ExchangeRun {
   private current: OpenTry | undefined
   private readonly ledger: TryLedger
@@ -83,8 +80,7 @@
     const { exchange, context, ledger } = this
     const server = context.place(exchange, ledger.failed)
     if (!server) {
-      const comeBackMs = ledger.tried.length > 0 ? COME_BACK_MS : NO_SERVER_COME_BACK_MS
-      this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.', this.now + comeBackMs)
+      this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.')
       return
     }
     if (ledger.arrivals > 0 && !context.retries.take(exchange.service, this.now)) {
@@ -189,8 +185,7 @@
       this.tryNext()
       return
     }
-    const comeBackMs = kind === AttemptFailureKind.Unreachable ? NO_SERVER_COME_BACK_MS : COME_BACK_MS
-    this.fail(meaningOf[kind].code, 'The request could not be completed.', this.now + comeBackMs)
+    this.fail(meaningOf[kind].code, 'The request could not be completed.')
   }
 
   private observeFailure (failure: AttemptFailure, server: KnownServer | undefined): void {
