Gather runs with a long output on the engines that change last

Cause: long runs on every engine are cut short by each change or hold it up. The lease's term falls to 1.2 s: after a holder lost the store, the next one began 5 s after the last record.

--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -26,6 +26,8 @@
   readonly isChanging: boolean
   /** Its weights are older than those wanted. */
   readonly isOutdated: boolean
+  /** It takes the runs with a long output. */
+  readonly isGathering: boolean
   /** How much longer it is slow after its start, milliseconds. */
   readonly coldLeftMs: number
 }
@@ -34,6 +36,8 @@
   /** Hash of the levels that requests share; undefined without a prompt. */
   readonly promptKey: number | undefined
   readonly promptTokens: number
+  /** Its output may be long. */
+  readonly isLong: boolean
   /** Where this instance is. */
   readonly failureDomain: string
 }
@@ -62,6 +66,9 @@
 /** Answers on old weights earn less; a fifth of a second of waiting is about as bad. */
 const OUTDATED_MS = 200
 
+/** A long run among short ones hinders the next change of weights; an engine that gathers them may hold 50 more requests than another, milliseconds. */
+const ASTRAY_MS = 100
+
 /** Expected cost, milliseconds until the first token. */
 function costOf (offer: ServerOffer, need: PlacementNeed, isHome: boolean): number {
   const { outstanding, slots, waitingTokens } = offer
@@ -74,6 +81,7 @@
     (offer.isAvoided ? AVOIDED_MS : 0) +
     (offer.isChanging ? CHANGING_MS : 0) +
     (offer.isOutdated ? OUTDATED_MS : 0) +
+    (need.isLong && !offer.isGathering ? ASTRAY_MS : 0) +
     Math.min(offer.coldLeftMs, PLAIN_WORK_MS)
 }
 
--- a/packages/foxtaillever-policy/src/relay/planRollout.ts
+++ b/packages/foxtaillever-policy/src/relay/planRollout.ts
@@ -52,7 +52,7 @@
 /** By then nine in ten long runs have ended, milliseconds; the next version is often named by then. */
 const PATIENCE_MS = 3000
 
-/** From this share of engines with the new weights on, the others have time. */
+/** From this share of engines with the new weights on, the others have time, if so many can serve the load. */
 const COVERED = 0.5
 
 export function planRollout (engines: readonly RolloutEngine[]): RolloutStep {
@@ -73,15 +73,19 @@
 
 function isCovered (engines: readonly RolloutEngine[]): boolean {
   const current = engines.filter(({ hasWanted, phase }) => hasWanted && phase === RolloutPhase.Serving).length
-  return current >= engines.length * COVERED
+  return current >= Math.min(engines.length / 2, Math.max(engines.length * COVERED, enginesNeeded(engines)))
 }
 
-/** Engines that the load lets out of service; never fewer than may load at once. */
-function mostOut (engines: readonly RolloutEngine[], atOnce: number): number {
+/** Engines that hold the load without being filled too far. */
+function enginesNeeded (engines: readonly RolloutEngine[]): number {
   const work = engines.reduce((sum, engine) => sum + engine.work, 0)
   const slots = engines.reduce((sum, engine) => sum + engine.slots, 0) / Math.max(1, engines.length)
-  const needed = Math.ceil(work / Math.max(1, slots * FILLED))
-  return Math.min(atOnce * BATCHES_OUT, Math.max(atOnce, engines.length - needed))
+  return Math.ceil(work / Math.max(1, slots * FILLED))
+}
+
+/** Engines that the load lets out of service; never fewer than may load at once. */
+function mostOut (engines: readonly RolloutEngine[], atOnce: number): number {
+  return Math.min(atOnce * BATCHES_OUT, Math.max(atOnce, engines.length - enginesNeeded(engines)))
 }
 
 function idsOf (engines: readonly RolloutEngine[], most: number): string[] {
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -1,5 +1,6 @@
 /** Gives the decision on placement what this instance knows, and takes its answer. */
 import { hashNumber, type Clock, type Random } from 'foxtaillever-core'
+import { gatherLongRuns, isLongRun } from 'foxtaillever-policy/relay/gatherLongRuns'
 import { placeExchange, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
 import { promptKeyOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
@@ -11,6 +12,8 @@
 /** Weights were named some time before they were learned, and a request takes some to begin, milliseconds. */
 const WEIGHTS_MARGIN_MS = 1500
 
+const nobody: ReadonlySet<string> = new Set()
+
 export interface ServerChoiceOptions {
   readonly clock: Clock
   readonly random: Random
@@ -32,10 +35,13 @@
   /** The server for the next try of an exchange, other than those that failed it. */
   place (exchange: Exchange, failed: ReadonlySet<string>): KnownServer | undefined {
     const { directory, random, failureDomain } = this.options
-    const offers = directory.ready(exchange.service)
+    const ready = directory.ready(exchange.service)
+    const isLong = isLongRun(exchange.prompt?.outputTokens ?? 0)
+    const gathering = isLong ? this.gather(ready, exchange) : nobody
+    const offers = ready
       .filter(server => !failed.has(server.listed.id) && this.hasFitWeights(server, exchange))
-      .map(server => this.toOffer(server, exchange))
-    const need = { promptKey: promptKeyOf(exchange), promptTokens: exchange.prompt?.promptTokens ?? 0, failureDomain }
+      .map(server => this.toOffer(server, exchange, gathering))
+    const need = { promptKey: promptKeyOf(exchange), promptTokens: exchange.prompt?.promptTokens ?? 0, isLong, failureDomain }
     const chosen = placeExchange(offers, need, random)
     return chosen && directory.get(chosen.id)
   }
@@ -51,21 +57,42 @@
     return since === undefined || clock.now() < since + weightsBoundMs - WEIGHTS_MARGIN_MS
   }
 
-  private toOffer (server: KnownServer, { prompt }: Exchange): ServerOffer {
-    const { clock, use, weights } = this.options
-    const { listed, outstanding, outstandingTokens, avoidedUntil, changingUntil } = server
+  private isOutdated (server: KnownServer, { prompt }: Exchange): boolean {
+    return prompt !== undefined && this.options.weights.outdatedSince(prompt.model, server.weights.get(prompt.model) ?? 0) !== undefined
+  }
+
+  private outstandingAt ({ listed, outstanding }: KnownServer): number {
+    return outstanding + this.options.use.of(listed.id).outstanding
+  }
+
+  private gather (servers: readonly KnownServer[], exchange: Exchange): ReadonlySet<string> {
+    const now = this.options.clock.now()
+    return gatherLongRuns(servers.map(server => ({
+      id: server.listed.id,
+      hash: hashNumber(server.listed.id),
+      isOutdated: this.isOutdated(server, exchange),
+      isOut: server.changingUntil > now || server.avoidedUntil > now,
+      weightsOrder: server.weightsOrder,
+      slots: server.listed.slots,
+      outstanding: this.outstandingAt(server)
+    })))
+  }
+
+  private toOffer (server: KnownServer, exchange: Exchange, gathering: ReadonlySet<string>): ServerOffer {
+    const { clock } = this.options
+    const { listed, outstandingTokens, avoidedUntil, changingUntil } = server
     const now = clock.now()
-    const others = use.of(listed.id)
     return {
       id: listed.id,
       hash: hashNumber(listed.id),
       failureDomain: listed.failureDomain,
       slots: listed.slots,
-      outstanding: outstanding + others.outstanding,
+      outstanding: this.outstandingAt(server),
       waitingTokens: outstandingTokens,
       isAvoided: avoidedUntil > now,
       isChanging: changingUntil > now,
-      isOutdated: prompt !== undefined && weights.outdatedSince(prompt.model, server.weights.get(prompt.model) ?? 0) !== undefined,
+      isOutdated: this.isOutdated(server, exchange),
+      isGathering: gathering.has(listed.id),
       coldLeftMs: listed.coldLeftMs
     }
   }
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -33,6 +33,8 @@
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
   private instances = 1
+  /** Changes of weights learned so far. */
+  private weightsChanges = 0
 
   private constructor (private readonly options: ServerDirectoryOptions) {}
 
@@ -107,6 +109,7 @@
     const server = this.servers.get(id)
     if (server && version > (server.weights.get(model) ?? -1)) {
       server.weights.set(model, version)
+      server.weightsOrder = this.weightsChanges++
       server.changingUntil = 0
     }
   }
@@ -139,7 +142,7 @@
       onOpened: () => this.options.onOpened(listed)
     })
     const server: KnownServer = {
-      listed, offset, connections, weights: new Map(), outstanding: 0, outstandingTokens: 0, faults: 0, avoidedUntil: 0, changingUntil: 0
+      listed, offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, outstandingTokens: 0, faults: 0, avoidedUntil: 0, changingUntil: 0
     }
     this.servers.set(listed.id, server)
     return server
--- a/packages/foxtaillever-relay/src/weights/orderLease.ts
+++ b/packages/foxtaillever-relay/src/weights/orderLease.ts
@@ -12,14 +12,14 @@
 import type { LeaseNews } from '../peers/peerMessage.js'
 import type { FenceLog } from './fenceLog.js'
 
-/** Long against a slow answer of the store, short against the wait after a holder's death, milliseconds. */
-const TERM_MS = 2000
+/** Long against a slow answer of the store, 240, short against the wait after a holder's death, milliseconds. */
+const TERM_MS = 1200
 
 /** A holder stops this long before its term is over: an order takes that long to arrive, milliseconds. */
 const TERM_MARGIN_MS = 300
 
 /** Renewed when less than this is left, milliseconds. */
-const RENEW_MS = 900
+const RENEW_MS = 450
 
 export interface OrderLeaseOptions {
   readonly clock: Clock
