--- a/packages/foxtaillever-relay/src/knowledge/memberBook.ts
+++ b/packages/foxtaillever-relay/src/knowledge/memberBook.ts
@@ -19,6 +19,8 @@
   readonly name: string
   readonly address: string
   readonly onAddresses: (addresses: readonly string[]) => void
+  /** An instance that leaves need not be found. */
+  readonly isLeaving: () => boolean
 }
 
 /** Between two tries while the store does not answer, milliseconds. */
@@ -28,9 +30,9 @@
 const MOST_TRIES = 20
 
 /** Enters the address and reads all others, until both have worked once. */
-export async function enterMemberBook ({ clock, log, topic, name, address, onAddresses }: MemberBookOptions): Promise<void> {
+export async function enterMemberBook ({ clock, log, topic, name, address, onAddresses, isLeaving }: MemberBookOptions): Promise<void> {
   let isEntered = false
-  for (let tries = 0; tries < MOST_TRIES; tries += 1) {
+  for (let tries = 0; tries < MOST_TRIES && !isLeaving(); tries += 1) {
     isEntered ||= (await log.put(topic, name, Buffer.from(address))).isRight()
     const page = isEntered ? await log.newest(topic, '') : undefined
     if (page?.isRight() === true) {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -104,7 +104,7 @@
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
-    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses) })
+    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await new Promise<void>(resolve => this.readiness.listen(readiness.port, readiness.host, resolve))
     this.log.belief('Started.', {})
