Never let logs block the process, and keep lines of failures first

Cause: pino wrote each line synchronously to standard output, so a reader that stands still held up every request, and under a fault ten lines of each sentence were all that was left of thousands of failed requests. Failed requests get 200 lines a second.

--- a/packages/foxtaillever-telemetry/src/logs.ts
+++ b/packages/foxtaillever-telemetry/src/logs.ts
@@ -7,6 +7,7 @@
  */
 import pino, { type DestinationStream, type Level, type Logger } from 'pino'
 import type { Clock } from 'foxtaillever-core'
+import { LineOutput } from './lineOutput.js'
 
 /** Parts of the process, as lines begin. */
 export enum Part {
@@ -43,6 +44,12 @@
 /** Lines of one sentence in one window; a person reads no more. */
 const LINES_PER_WINDOW = 10
 
+/**
+ * Lines about single failed requests in one window, over all sentences: whoever
+ * looks for one id must find it, and 200 lines cost some milliseconds.
+ */
+const FAILURES_PER_WINDOW = 200
+
 /** Length of a window, milliseconds. */
 const WINDOW_MS = 1000
 
@@ -55,12 +62,19 @@
   private readonly sentences = new Map<string, Sentence>()
   private windowOpen = false
   private leftOutInAll = 0
+  private failures = 0
 
-  private constructor (private readonly logger: Logger, private readonly clock: Clock) {}
+  private constructor (private readonly logger: Logger, private readonly clock: Clock, private readonly output: LineOutput | undefined) {}
 
   static create ({ instance, level, clock, destination }: LogsOptions): Logs {
     const options = { level, base: { instance }, timestamp: pino.stdTimeFunctions.isoTime }
-    return new Logs(destination ? pino(options, destination) : pino(options), clock)
+    if (destination) {
+      return new Logs(pino(options, destination), clock, undefined)
+    }
+    const output = LineOutput.create(clock)
+    const logs = new Logs(pino(options, output), clock, output)
+    process.once('exit', () => output.flush())
+    return logs
   }
 
   /** Lines left out since the start. */
@@ -82,6 +96,17 @@
     }
   }
 
+  /** Writes a line about a request that failed: not limited by sentence, only in all. */
+  writeFailure (part: Part, sentence: string, subject: Subject): void {
+    this.openWindow()
+    if (this.failures >= FAILURES_PER_WINDOW) {
+      this.write('warn', part, sentence, subject)
+      return
+    }
+    this.failures += 1
+    this.logger.warn(subject, `${part}: ${sentence}`)
+  }
+
   private mayWrite (text: string): boolean {
     this.openWindow()
     const sentence = this.sentences.get(text) ?? { written: 0, leftOut: 0 }
@@ -110,11 +135,16 @@
       }
     }
     this.sentences.clear()
+    this.failures = 0
+    const dropped = this.output?.takeDropped() ?? 0
+    if (dropped > 0) {
+      this.logger.warn({ dropped }, `${Part.Process}: Lines were dropped, since standard output took them too slowly.`)
+    }
   }
 
   /** Writes what is counted, before the process ends. */
   flush (): void {
     this.closeWindow()
-    this.logger.flush()
+    this.output?.flush()
   }
 }
