Tell figures and state at a metrics address, and beliefs beside each failure

Cause: a line of a failed request named neither the configuration nor the servers that could have taken it, and nothing could be asked of an instance.

--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -272,7 +272,7 @@
     const { verdict } = this.ledger
     const retryAt = verdict === Verdict.NotRun ? comeBackAt : undefined
     this.answer.fail(Failure.create(code, verdict, message, retryAt))
-    this.finish(ExchangeEnd.Failed, code)
+    this.finish(ExchangeEnd.Failed, code, message)
   }
 
   private cancelCurrent (): void {
@@ -288,11 +288,11 @@
     return current?.server
   }
 
-  private finish (end: ExchangeEnd, outcome: string): void {
+  private finish (end: ExchangeEnd, outcome: string, reason?: string): void {
     this.isOver = true
     this.cancelDeadline()
     const { exchange, ledger, now } = this
-    this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.tried, now })
+    this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.tried, now, reason })
     this.context.onOver(this)
   }
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -19,7 +19,9 @@
 import { RouteTable } from './routing/routeTable.js'
 import { ServerChoice } from './servers/serverChoice.js'
 import { ServerDirectory } from './servers/serverDirectory.js'
+import { MetricsServer } from './telemetry/metricsServer.js'
 import { RelayLog } from './telemetry/relayLog.js'
+import { RelayState } from './telemetry/relayState.js'
 import { OrderLease } from './weights/orderLease.js'
 import { LAST_RANK, orderRank } from './weights/orderRank.js'
 import { WeightsDesk } from './weights/weightsDesk.js'
@@ -35,6 +37,8 @@
 
 export class Relay {
   private readonly log: RelayLog
+  private readonly state: RelayState
+  private readonly figures: MetricsServer
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
   private readonly suspects = CrashSuspects.create()
@@ -53,7 +57,7 @@
 
   private constructor (private readonly options: RelayOptions) {
     const { clock, random, logs, callerWire, serverWire, retryAllowance, failureDomain } = options
-    this.log = RelayLog.create(logs)
+    this.log = RelayLog.create(logs, service => this.state.brief(service))
     this.graceMs = options.graceMs
     this.retries = RetryShare.create(retryAllowance)
     this.directory = ServerDirectory.create({
@@ -63,6 +67,9 @@
         this.weights.run()
       }
     })
+    this.state = this.createState()
+    this.state.addTo(this.log.metrics)
+    this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
     this.knowledge = this.createKnowledge()
     this.lease = this.createLease()
@@ -102,7 +109,7 @@
   }
 
   async start (): Promise<void> {
-    const { callers, readiness, clock, log, topics, name, seeds } = this.options
+    const { callers, readiness, metrics, clock, log, topics, name, seeds } = this.options
     this.log.belief('Starting.', { pid: process.pid })
     await this.peers.start()
     this.peers.nameAll(seeds)
@@ -110,6 +117,9 @@
     enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await new Promise<void>(resolve => this.readiness.listen(readiness.port, readiness.host, resolve))
+    if (metrics) {
+      this.figures.listen(metrics, reason => this.log.trouble('The address for metrics cannot be used.', { reason }))
+    }
     this.log.belief('Started.', {})
   }
 
@@ -140,10 +150,23 @@
     this.weights.stop()
     this.knowledge.stop()
     this.readiness.close()
+    this.figures.close()
     await this.peers.stop()
     this.log.belief('Stopped.', {})
   }
 
+  /** What this instance believes now, for an operator. */
+  dump (): object {
+    return this.state.dump()
+  }
+
+  private createState (): RelayState {
+    const { name, clock } = this.options
+    const { directory } = this
+    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.lease }
+    return RelayState.create({ name, clock, directory, ...parts, open: () => this.runs.size, isReady: () => this.isReady() })
+  }
+
   private createPeers (): Peers {
     const { clock, random, name, failureDomain, peers } = this.options
     return Peers.create({
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -56,6 +56,8 @@
   readonly failureDomain: string
   readonly callers: ListenAddress
   readonly readiness: ListenAddress
+  /** Where figures are told; undefined for nowhere. */
+  readonly metrics?: ListenAddress
   /** For datagrams and calls between instances; the port is the same for all. */
   readonly peers: ListenAddress
   readonly clock: Clock
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -1,11 +1,11 @@
 /**
  * The lines of the relay: one for each decision that touches a request or
- * changes what the process believes.
+ * changes what the process believes, and the figures that go with them.
  */
 import { Verdict, type Failure } from 'foxtaillever-core'
-import { Part, type Logs, type Subject } from 'foxtaillever-telemetry'
+import { Metrics, Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
-import type { ExchangeEnd } from '../exchange/exchangeEnd.js'
+import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 
 /** How an exchange ended. */
@@ -17,45 +17,70 @@
   readonly verdict: Verdict
   readonly servers: readonly string[]
   readonly now: number
+  /** Why it failed, for one that did. */
+  readonly reason?: string
 }
 
+/** What the process believes of a service at the moment; no service for the process itself. */
+export type Beliefs = (service?: string) => Subject
+
+/** A server's own word that it failed. */
+const SERVER_ERROR = 500
+
 export class RelayLog {
-  private constructor (private readonly logs: Logs) {}
+  private constructor (private readonly logs: Logs, readonly metrics: Metrics, private readonly beliefs: Beliefs) {}
 
-  static create (logs: Logs): RelayLog {
-    return new RelayLog(logs)
+  static create (logs: Logs, beliefs: Beliefs = () => ({})): RelayLog {
+    return new RelayLog(logs, Metrics.create('foxtaillever_'), beliefs)
   }
 
-  refused (head: ExchangeHead, failure: Failure): void {
-    this.logs.write('info', Part.Callers, 'Refused a request.', { request: head.id, code: failure.code, verdict: failure.verdict, host: head.host, path: head.path })
+  refused (head: ExchangeHead, { code, verdict, message }: Failure): void {
+    this.metrics.count('refusals_total', { code })
+    this.logs.writeFailure(Part.Callers, 'Refused a request.', { request: head.id, code, verdict, reason: message, host: head.host, path: head.path, ...this.beliefs() })
   }
 
   malformed (reason: string): void {
+    this.metrics.count('malformed_total')
     this.logs.write('warn', Part.Callers, 'Got a malformed request.', { reason })
   }
 
   firstEvent (exchange: Exchange, now: number): void {
+    this.metrics.observe('first_event_ms', {}, now - exchange.arrivedAt)
     this.logs.write('debug', Part.Requests, 'Passed on the first event.', { request: exchange.id, afterMs: Math.round(now - exchange.arrivedAt) })
   }
 
   attemptFailed (exchange: Exchange, server: string, { kind, detail }: AttemptFailure, verdict: Verdict): void {
-    this.logs.write('warn', Part.Requests, 'A try failed.', { request: exchange.id, server, kind, detail, verdict })
+    this.metrics.count('tries_failed_total', { kind })
+    this.logs.writeFailure(Part.Requests, 'A try failed.', { request: exchange.id, server, kind, detail, verdict })
   }
 
   silent (exchange: Exchange, server: string, isOnKeptConnection: boolean): void {
-    this.logs.write('warn', Part.Requests, 'A backend server is silent.', { request: exchange.id, server, connection: isOnKeptConnection ? 'kept' : 'new' })
+    const connection = isOnKeptConnection ? 'kept' : 'new'
+    this.metrics.count('silent_servers_total', { connection })
+    this.logs.writeFailure(Part.Requests, 'A backend server is silent.', { request: exchange.id, server, connection })
   }
 
-  ended ({ exchange, end, outcome, verdict, servers, now }: ExchangeOutcome): void {
-    const subject = { request: exchange.id, account: exchange.account?.name, route: exchange.route.name, end, outcome, verdict, servers: servers.join(' '), ms: Math.round(now - exchange.arrivedAt) }
-    this.logs.write('info', Part.Requests, `Ended: ${end}.`, subject)
+  ended ({ exchange, end, outcome, verdict, servers, now, reason }: ExchangeOutcome): void {
+    const ms = Math.round(now - exchange.arrivedAt)
+    const { id: request, account, route } = exchange
+    this.metrics.count('requests_total', { end, outcome, verdict })
+    this.metrics.observe('request_ms', { end }, ms)
+    const subject = { request, account: account?.name, route: route.name, end, outcome, verdict, servers: servers.join(' '), ms }
+    const isFailure = end === ExchangeEnd.Failed || Number(outcome) >= SERVER_ERROR
+    if (isFailure) {
+      this.logs.writeFailure(Part.Requests, `Ended: ${end}.`, { ...subject, reason, ...this.beliefs(exchange.service) })
+    } else {
+      this.logs.write('info', Part.Requests, `Ended: ${end}.`, subject)
+    }
   }
 
   belief (sentence: string, subject: Subject): void {
+    this.metrics.count('beliefs_total', { sentence })
     this.logs.write('info', Part.Fleet, sentence, subject)
   }
 
   trouble (sentence: string, subject: Subject): void {
+    this.metrics.count('troubles_total', { sentence })
     this.logs.write('warn', Part.Fleet, sentence, subject)
   }
 }
--- /dev/null
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -0,0 +1,83 @@
+/**
+ * What an instance believes at one instant: briefly beside each failure, so that
+ * its cause can be told from one line, and whole when somebody asks.
+ */
+import type { Clock } from 'foxtaillever-core'
+import type { Metrics, Subject } from 'foxtaillever-telemetry'
+import type { Knowledge } from '../knowledge/knowledge.js'
+import type { Routing } from '../model/routing.js'
+import type { Peers } from '../peers/peers.js'
+import type { ServerDirectory } from '../servers/serverDirectory.js'
+import type { OrderLease } from '../weights/orderLease.js'
+
+export interface RelayStateOptions {
+  readonly name: string
+  readonly clock: Clock
+  readonly routing: () => Routing | undefined
+  readonly directory: ServerDirectory
+  readonly peers: () => Peers
+  readonly knowledge: () => Knowledge
+  readonly lease: () => OrderLease
+  /** Requests that are not answered yet. */
+  readonly open: () => number
+  readonly isReady: () => boolean
+}
+
+export class RelayState {
+  private constructor (private readonly options: RelayStateOptions) {}
+
+  static create (options: RelayStateOptions): RelayState {
+    return new RelayState(options)
+  }
+
+  /** Beside a failure: the configuration's revision, and the servers that could have taken the request. */
+  brief (service?: string): Subject {
+    const { clock, routing, directory, knowledge } = this.options
+    const common = { revision: routing()?.revision, store: knowledge().hasStore ? 'answers' : 'dark' }
+    if (service === undefined) {
+      return common
+    }
+    const ready = directory.ready(service)
+    return {
+      ...common,
+      service,
+      ready: ready.length,
+      places: ready.reduce((sum, { listed }) => sum + listed.slots, 0),
+      outstanding: ready.reduce((sum, server) => sum + server.outstanding, 0),
+      worstFaultShare: Math.max(0, ...ready.map(({ health }) => health.faultShare(clock.now())))
+    }
+  }
+
+  /** All of it, without secrets, for an operator. */
+  dump (): object {
+    const { name, clock, routing, directory, peers, knowledge, lease, open, isReady } = this.options
+    const now = clock.now()
+    const { revision, routes = [], accounts = [] } = routing() ?? {}
+    return {
+      name,
+      at: new Date(now).toISOString(),
+      isReady: isReady(),
+      open: open(),
+      configuration: { revision, routes: routes.map(route => route.name), accounts: accounts.map(account => account.name) },
+      store: { answers: knowledge().hasStore, positions: knowledge().positions },
+      lease: { isHeld: lease().fence() !== undefined, ...lease().news() },
+      servers: directory.all().map(({ listed, weights, outstanding, health, changingUntil, offset }) => ({
+        ...listed, weights: Object.fromEntries(weights), outstanding, offset, faultShare: health.faultShare(now), changingMs: Math.max(0, changingUntil - now)
+      })),
+      instances: peers().table.all().map(({ address, last, heardAt }) => ({ address, name: last?.name, failureDomain: last?.failureDomain, heardMsAgo: now - heardAt }))
+    }
+  }
+
+  /** Figures that are read when the metrics are. */
+  addTo (metrics: Metrics): void {
+    const { routing, directory, peers, knowledge, lease, open, isReady } = this.options
+    metrics.gauge('ready', () => Number(isReady()))
+    metrics.gauge('open_requests', open)
+    metrics.gauge('configuration_revision', () => routing()?.revision ?? -1)
+    metrics.gauge('known_servers', () => directory.all().length)
+    metrics.gauge('known_instances', () => peers().count())
+    metrics.gauge('store_answers', () => Number(knowledge().hasStore))
+    metrics.gauge('lease_held', () => Number(lease().fence() !== undefined))
+    metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
+  }
+}
