Save a prompt level to the cache store once, and tell the others

Cause: every request carried the save address, so engines sent 2,890 tokens of its own per large request to the store. At a peak that filled the store's 360 Gbit/s link (2,194 GB in 46 s) and turned its room over in some six seconds, so shared levels were gone when an engine needed them.

--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -1,6 +1,7 @@
 /** What a try tells the server about cached levels, weights and time. */
 import { hashNumber } from 'foxtaillever-core'
-import type { Exchange } from '../model/exchange.js'
+import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
+import type { Exchange, Prompt } from '../model/exchange.js'
 import type { Routing } from '../model/routing.js'
 import type { SendTerms } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
@@ -21,26 +22,38 @@
   return `${wall}/w${weightsVersion}`
 }
 
+/** The deepest level that other requests share; the last one is the request's own or its session's. */
+function sharedLevelOf ({ levels }: Prompt): string {
+  return (levels[levels.length - 2] ?? levels[levels.length - 1])?.id ?? ''
+}
+
 /** Hash of the levels that requests share, which names their home; undefined without a prompt. */
 export function promptKeyOf ({ prompt, account }: Exchange): number | undefined {
   if (!prompt) {
     return undefined
   }
-  const { levels } = prompt
-  // The last level is the request's own or its session's.
-  const shared = levels[levels.length - 2] ?? levels[levels.length - 1]
   const wall = account?.isIsolated === true ? account.name : ''
-  return hashNumber(`${prompt.model}/${wall}/${shared?.id ?? ''}`)
+  return hashNumber(`${prompt.model}/${wall}/${sharedLevelOf(prompt)}`)
+}
+
+export interface TermsSources {
+  readonly routing: Routing
+  readonly savedLevels: SavedLevels
+  /** Milliseconds of Unix time. */
+  readonly now: number
 }
 
-export function planTerms (exchange: Exchange, server: KnownServer, routing: Routing, resumeAfter: string): SendTerms {
+export function planTerms (exchange: Exchange, server: KnownServer, resumeAfter: string, { routing, savedLevels, now }: TermsSources): SendTerms {
   const { prompt, route, account, deadline } = exchange
   const priority = Math.min(LAST_PRIORITY, account?.priority ?? route.priority ?? MIDDLE_PRIORITY)
   const common = { server: server.listed, deadline, priority, resumeAfter }
   const weightsVersion = prompt && server.weights.get(prompt.model)
   if (weightsVersion === undefined) {
-    return { ...common, cacheSalt: '', weightsVersion: undefined, fetchFrom: '', saveTo: '' }
+    return { ...common, cacheSalt: '', weightsVersion: undefined, fetchFrom: '', saveTo: '', savedLevel: undefined }
   }
   const store = routing.cacheStore?.address ?? ''
-  return { ...common, cacheSalt: cacheSaltOf(exchange, weightsVersion), weightsVersion, fetchFrom: store, saveTo: store }
+  const cacheSalt = cacheSaltOf(exchange, weightsVersion)
+  const level = hashNumber(`${prompt?.model}/${cacheSalt}/${prompt && sharedLevelOf(prompt)}`)
+  const isSaved = store !== '' && savedLevels.take(level, now)
+  return { ...common, cacheSalt, weightsVersion, fetchFrom: store, saveTo: isSaved ? store : '', savedLevel: isSaved ? level : undefined }
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -1,6 +1,7 @@
 /** What all exchanges of an instance share. */
 import type { Clock, Random } from 'foxtaillever-core'
 import type { RetryShare } from 'foxtaillever-policy/relay/retryShare'
+import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import type { Exchange } from '../model/exchange.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
@@ -15,6 +16,7 @@
   readonly wire: ServerWire
   readonly directory: ServerDirectory
   readonly retries: RetryShare
+  readonly savedLevels: SavedLevels
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -33,6 +33,7 @@
   readonly attempt: Attempt
   readonly server: KnownServer
   readonly tokens: number
+  readonly savedLevel: number | undefined
 }
 
 /** What a run came to, for the log. */
@@ -96,7 +97,7 @@
       this.fail(FailureCode.Overloaded, 'The retry budget is used up.')
       return
     }
-    this.send(server, planTerms(exchange, server, context.routing(), this.lastEventId))
+    this.send(server, planTerms(exchange, server, this.lastEventId, { routing: context.routing(), savedLevels: context.savedLevels, now: this.now }))
   }
 
   private send (server: KnownServer, terms: SendTerms): void {
@@ -124,7 +125,7 @@
         onFailed: failure => this.onFailed(failure)
       }
     })
-    this.current = { attempt, server, tokens }
+    this.current = { attempt, server, tokens, savedLevel: terms.savedLevel }
   }
 
   private onHead (head: AnswerHead): void {
@@ -133,6 +134,9 @@
     if (current && exchange.prompt && weightsVersion !== undefined) {
       context.directory.observeWeights(current.server.listed.id, exchange.prompt.model, weightsVersion)
     }
+    if (current?.savedLevel !== undefined && head.status < 300) {
+      context.savedLevels.confirm(current.savedLevel, this.now)
+    }
     this.head = head
     // A resumed run goes on in the answer that was begun.
     this.isStreaming = exchange.route.isStream && head.marks.isEventStream && head.status < 300
@@ -328,6 +332,9 @@
     if (current) {
       current.server.outstanding -= 1
       current.server.outstandingTokens -= current.tokens
+      if (current.savedLevel !== undefined) {
+        this.context.savedLevels.giveBack(current.savedLevel)
+      }
     }
     return current?.server
   }
--- a/packages/foxtaillever-relay/src/model/wire.ts
+++ b/packages/foxtaillever-relay/src/model/wire.ts
@@ -21,6 +21,8 @@
   readonly fetchFrom: string
   /** Address to which the engine sends the levels that it has read; empty for none. */
   readonly saveTo: string
+  /** Hash of the shared level that is saved with it; undefined for none. */
+  readonly savedLevel: number | undefined
   /** The last event that the caller has; empty for none. */
   readonly resumeAfter: string
 }
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -49,18 +49,21 @@
   readonly weights: readonly WeightsNews[]
   /** Digests of requests that crash backend servers. */
   readonly suspects: readonly string[]
+  /** Hashes of prompt levels that it had saved to the store of cached levels of late. */
+  readonly savedLevels: readonly number[]
 }
 
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
     uses.map(({ server, outstanding, tokens }) => [server, outstanding, tokens]),
     weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
-    suspects
+    suspects,
+    savedLevels
   ])
 }
 
@@ -69,7 +72,8 @@
   readonly [number, string, number] | null,
   ReadonlyArray<readonly [string, number, number]>,
   ReadonlyArray<readonly [string, string, number, number]>,
-  readonly string[]
+  readonly string[],
+  readonly number[]
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -79,13 +83,13 @@
 }
 
 function isWire (value: unknown): value is Wire {
-  return Array.isArray(value) && HEAD.every((type, index) => nameOfType(value[index]) === type) && value.slice(9, 12).every(part => Array.isArray(part))
+  return Array.isArray(value) && HEAD.every((type, index) => nameOfType(value[index]) === type) && value.slice(9, 13).every(part => Array.isArray(part))
 }
 
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels] = wire as Wire
     return {
       name,
       address,
@@ -97,7 +101,8 @@
       lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
       uses: uses.map(([server, outstanding, tokens]) => ({ server, outstanding, tokens })),
       weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
-      suspects
+      suspects,
+      savedLevels
     }
   }))
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -4,6 +4,7 @@
 import { uptime } from 'node:os'
 import { hashNumber, waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
+import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { CallerServer } from './callers/callerServer.js'
 import type { ExchangeContext } from './exchange/exchangeContext.js'
 import { ExchangeRun } from './exchange/exchangeRun.js'
@@ -38,6 +39,7 @@
   private readonly log: RelayLog
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
+  private readonly savedLevels = SavedLevels.create()
   private readonly callers: CallerServer
   private readonly readiness: Server
   private readonly knowledge: Knowledge
@@ -74,6 +76,7 @@
       wire: serverWire,
       directory: this.directory,
       retries: this.retries,
+      savedLevels: this.savedLevels,
       log: this.log,
       routing: () => this.routing(),
       place: (exchange, failed) => this.choice.place(exchange, failed),
@@ -214,11 +217,13 @@
       positions: this.knowledge.positions,
       lease: this.lease.news(),
       uses: this.directory.all().flatMap(({ listed, outstanding, outstandingTokens }) => outstanding > 0 ? [{ server: listed.id, outstanding, tokens: outstandingTokens }] : []),
-      suspects: []
+      suspects: [],
+      savedLevels: this.savedLevels.news(this.options.clock.now())
     }
   }
 
-  private hear ({ lease, weights }: PeerMessage): void {
+  private hear ({ lease, weights, savedLevels }: PeerMessage): void {
+    this.savedLevels.hear(savedLevels, this.options.clock.now())
     const count = this.peers.count()
     this.retries.observeInstances(count)
     this.directory.observeInstances(count)
