--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -8,6 +8,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import type { CrashSuspects } from './crashSuspects.js'
 import type { ExchangeRun } from './exchangeRun.js'
 
 export interface ExchangeContext {
@@ -17,6 +18,7 @@
   readonly directory: ServerDirectory
   readonly retries: RetryShare
   readonly savedLevels: SavedLevels
+  readonly suspects: CrashSuspects
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -5,7 +5,7 @@
 import { Verdict, type Failure } from 'foxtaillever-core'
 import { Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
-import type { ExchangeEnd } from '../exchange/exchangeRun.js'
+import type { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 
 /** How an exchange ended. */
@@ -42,6 +42,10 @@
     this.logs.write('warn', Part.Requests, 'A try failed.', { request: exchange.id, server, kind, detail, verdict })
   }
 
+  silent (exchange: Exchange, server: string, isOnKeptConnection: boolean): void {
+    this.logs.write('warn', Part.Requests, 'A backend server is silent.', { request: exchange.id, server, connection: isOnKeptConnection ? 'kept' : 'new' })
+  }
+
   ended ({ exchange, end, outcome, verdict, servers, now }: ExchangeOutcome): void {
     const subject = { request: exchange.id, account: exchange.account?.name, route: exchange.route.name, end, outcome, verdict, servers: servers.join(' '), ms: Math.round(now - exchange.arrivedAt) }
     this.logs.write('info', Part.Requests, `Ended: ${end}.`, subject)
