--- a/packages/foxtaillever-relay/src/__tests__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__tests__/relayRig.ts
@@ -3,6 +3,7 @@
 import { PassThrough } from 'node:stream'
 import { SeededRandom } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
+import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { Logs } from 'foxtaillever-telemetry'
 import { VirtualClock } from 'foxtaillever-testing'
 import { Right } from 'purify-ts'
@@ -77,6 +78,7 @@
       directory: this.directory,
       retries: this.retries,
       suspects: this.suspects,
+      savedLevels: SavedLevels.create(),
       log,
       routing: () => routing,
       place: (_, failed) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
