--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { waitUntil, type Clock } from 'foxtaillever-core'
+import { waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
 import { readBody } from '../readBody.js'
 import { AnswerWriter, headerOf, type Arrival } from './runRequest.js'
 import { ServerFault } from './serverFaults.js'
@@ -42,6 +42,7 @@
   address = ''
   private incarnation = 1
   private readonly server: Server
+  private cancelRestart: Cancellation = () => {}
 
   private constructor (readonly options: BackendServerOptions, private readonly runner: Runner) {
     this.server = createServer((request, response) => {
@@ -75,12 +76,17 @@
     const [host = '', port] = this.address.split(':')
     onCrashed(this)
     this.runner.reset()
-    this.close()
+    this.end()
     this.incarnation += 1
-    clock.at(clock.now() + restartMs, () => this.server.listen(Number(port), host, () => onStarted(this)))
+    this.cancelRestart = clock.at(clock.now() + restartMs, () => this.server.listen(Number(port), host, () => onStarted(this)))
   }
 
   close (): void {
+    this.cancelRestart()
+    this.end()
+  }
+
+  private end (): void {
     this.server.close()
     this.server.closeAllConnections()
   }
