--- a/packages/foxtaillever/src/commands/explain.ts
+++ b/packages/foxtaillever/src/commands/explain.ts
@@ -2,19 +2,30 @@
 import type { Explanation } from 'foxtaillever-control'
 import { ExitCode } from '../exitCode.js'
 import { formatExplanation } from '../format/formatExplanation.js'
+import { formatJson } from '../format/formatJson.js'
+import { beliefsAround, formatStory, isAboutRequest, isBelief, readLogs } from '../logs/logStory.js'
 import { OperatorCommand } from '../operatorCommand.js'
 
+/** Beliefs that explain a request are seldom older, milliseconds. */
+const BEFORE_MS = 3000
+
 export class ExplainCommand extends OperatorCommand {
   static override paths = [['explain']]
   static override usage = Command.Usage({
     category: 'State',
     description: 'Tell what was decided for a request and why.',
-    details: 'Asks every instance, since any may have served it. Each keeps only its latest requests; what it dropped cannot be told. The request id is in the x-request-id header of every answer.'
+    details: 'Asks every instance, since any may have served it. Each keeps only its latest requests; what it dropped cannot be told. The request id is in the x-request-id header of every answer. With --logs the instances are not asked: the log files of many instances are merged by time, every line about the request, and what the instances that had it came to believe from three seconds before; lines that cannot be read are counted.',
+    examples: [['From logs', 'foxtaillever explain 9c41d07be2a35f68 --logs entry-1.log entry-2.log']]
   })
 
   requestId = Option.String({ name: 'request-id' })
+  logs = Option.Boolean('--logs', false, { description: 'Read the log files named instead of asking instances.' })
+  files = Option.Rest({ name: 'file' })
 
   async execute (): Promise<ExitCode> {
+    if (this.logs) {
+      return await this.explainFromLogs()
+    }
     return await this.withConnection(async connection => {
       const answers = await connection.askAll(async client => await client.explain(this.requestId))
       return answers.map(list => {
@@ -24,6 +35,21 @@
     })
   }
 
+  private async explainFromLogs (): Promise<ExitCode> {
+    const isRequest = isAboutRequest(this.requestId)
+    const isKnown = isBelief('')
+    const { lines, malformed } = await readLogs(this.files, line => isRequest(line) || isKnown(line))
+    const request = lines.filter(isRequest)
+    if (request.length === 0) {
+      this.context.stderr.write(`No line of these logs is about ${this.requestId}; ${malformed} lines could not be read. Of successes ten a second are logged, of failures 200.\n`)
+      return ExitCode.Different
+    }
+    const beliefs = new Set(beliefsAround(lines.filter(isKnown), request, BEFORE_MS))
+    const story = { lines: lines.filter(line => isRequest(line) || beliefs.has(line)), malformed }
+    this.context.stdout.write(this.json ? formatJson(story) : formatStory(story))
+    return ExitCode.Done
+  }
+
   private tellNothing (asked: number): ExitCode {
     this.context.stderr.write(`None of ${asked} instances has a record of ${this.requestId}: it is too old, its instance was replaced, or the id is not the one of the answer's x-request-id header.\n`)
     return ExitCode.Different
--- a/packages/foxtaillever/src/createCli.ts
+++ b/packages/foxtaillever/src/createCli.ts
@@ -21,6 +21,8 @@
 import { ReportCommand } from './commands/report.js'
 import { ReturnCommand } from './commands/return.js'
 import { ServersCommand } from './commands/servers.js'
+import { SettingsCheckCommand } from './commands/settingsCheck.js'
+import { TimelineCommand } from './commands/timeline.js'
 import { TopCommand } from './commands/top.js'
 import { ExitCode } from './exitCode.js'
 
@@ -32,7 +34,7 @@
   PresetListCommand, PresetShowCommand, PresetSwitchCommand,
   MembersCommand, ServersCommand, AccountsCommand,
   DrainCommand, ReturnCommand, OrderCommand, OrdersCommand,
-  DumpCommand, ExplainCommand, TopCommand, ReportCommand,
+  SettingsCheckCommand, DumpCommand, ExplainCommand, TimelineCommand, TopCommand, ReportCommand,
   CompletionCommand, CompletionWordsCommand, DemoCommand
 ]
 
