--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,16 +1,15 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
 import { randomUUID } from 'node:crypto'
 import { createServer, type Server } from 'node:http'
-import { uptime } from 'node:os'
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { CallerServer } from './callers/callerServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
-import type { ExchangeContext } from './exchange/exchangeContext.js'
-import { ExchangeRun } from './exchange/exchangeRun.js'
+import { ExchangeRuns } from './exchange/exchangeRuns.js'
 import { Knowledge } from './knowledge/knowledge.js'
 import { enterMemberBook } from './knowledge/memberBook.js'
 import { RecordIntake } from './knowledge/recordIntake.js'
+import { readWallSeconds } from './knowledge/suspension.js'
 import type { Routing } from './model/routing.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
@@ -49,8 +48,7 @@
   private readonly lease: OrderLease
   private readonly weights: WeightsDesk
   private readonly choice: ServerChoice
-  private readonly runs = new Set<ExchangeRun>()
-  private readonly context: ExchangeContext
+  private readonly runs: ExchangeRuns
   private table: RouteTable | undefined
   private isLeaving = false
   private graceMs: number
@@ -77,7 +75,7 @@
     this.choice = ServerChoice.create({
       clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
     })
-    this.context = {
+    this.runs = ExchangeRuns.create({
       clock,
       random,
       wire: serverWire,
@@ -87,16 +85,15 @@
       log: this.log,
       routing: () => this.routing(),
       place: (exchange, failed) => this.choice.place(exchange, failed),
-      onMisdirected: () => { this.weights.run() },
-      onOver: run => this.runs.delete(run)
-    }
+      onMisdirected: () => { this.weights.run() }
+    })
     this.callers = CallerServer.create({
       clock,
       random,
       wire: callerWire,
       log: this.log,
       table: () => this.table,
-      onExchange: (exchange, answer) => { this.runs.add(ExchangeRun.start(this.context, exchange, answer)) }
+      onExchange: (exchange, answer) => this.runs.start(exchange, answer)
     })
     this.readiness = createServer((_, response) => {
       response.writeHead(this.isReady() ? 200 : 503)
@@ -146,7 +143,7 @@
     while (this.runs.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
-    this.runs.forEach(run => run.abort())
+    this.runs.abort()
     this.weights.stop()
     this.knowledge.stop()
     this.readiness.close()
@@ -196,9 +193,9 @@
     return Knowledge.create({
       clock,
       random,
-      uptime,
+      wallSeconds: readWallSeconds,
       self: { name, failureDomain },
-      readers: () => this.peers.alive().filter(({ hasStore }) => hasStore),
+      readers: () => this.peers.likely().filter(({ hasStore }) => hasStore),
       notify: notice => this.peers.notify(notice),
       log,
       topics: { [ToldTopic.Operators]: topics.operators, [ToldTopic.Servers]: topics.servers },
@@ -213,7 +210,7 @@
     const { clock, fenceLog, topics, name, leasePauseMs } = this.options
     return OrderLease.create({
       clock,
-      uptime,
+      uptime: readWallSeconds,
       log: fenceLog,
       topic: topics.lease,
       holder: name,
