--- a/packages/foxtaillever-telemetry/src/logs.ts
+++ b/packages/foxtaillever-telemetry/src/logs.ts
@@ -58,6 +58,16 @@
   leftOut: number
 }
 
+/** Outputs of this process; one listener serves them all. */
+const outputs = new Set<LineOutput>()
+
+function flushAtExit (output: LineOutput): void {
+  if (outputs.size === 0) {
+    process.once('exit', () => outputs.forEach(open => open.flush()))
+  }
+  outputs.add(output)
+}
+
 export class Logs {
   private readonly sentences = new Map<string, Sentence>()
   private windowOpen = false
@@ -72,9 +82,8 @@
       return new Logs(pino(options, destination), clock, undefined)
     }
     const output = LineOutput.create(clock)
-    const logs = new Logs(pino(options, output), clock, output)
-    process.once('exit', () => output.flush())
-    return logs
+    flushAtExit(output)
+    return new Logs(pino(options, output), clock, output)
   }
 
   /** Lines left out since the start. */
