Keep a closed stand-in closed when a late request crashes it

Seen once: the tests of server faults passed and did not end; two listening sockets of the first deployment were left (127.64.228.1). A crash fault on a request still on its way scheduled a restart after the close.

--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -42,6 +42,7 @@
   address = ''
   private incarnation = 1
   private readonly server: Server
+  private isClosed = false
   private cancelRestart: Cancellation = () => {}
 
   private constructor (readonly options: BackendServerOptions, private readonly runner: Runner) {
@@ -72,6 +73,10 @@
 
   /** Ends at once, and starts again under another id at the same address. */
   crash (): void {
+    // A request that was on its way when the server was closed may still crash it; that must not open it again.
+    if (this.isClosed) {
+      return
+    }
     const { clock, restartMs, onCrashed, onStarted } = this.options
     const [host = '', port] = this.address.split(':')
     onCrashed(this)
@@ -82,6 +87,7 @@
   }
 
   close (): void {
+    this.isClosed = true
     this.cancelRestart()
     this.end()
   }
