--- a/packages/foxtaillever-standins/src/platform/engines/__tests__/backendServer.test.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/__tests__/backendServer.test.ts
@@ -4,7 +4,7 @@
 
 const RESTART_MS = 100
 
-const idleRunner = { run: () => true, cancel: () => {}, reset: () => {}, calls: {} }
+const idleRunner = { admit: () => undefined, run: () => true, cancel: () => {}, reset: () => {}, calls: {} }
 
 function createServer (clock: VirtualClock): BackendServer {
   return BackendServer.create({ name: 'a', clock, restartMs: RESTART_MS, onCrashed: () => {}, onStarted: () => {} }, idleRunner)
