Look at the store when an append for the lease fails

An instance that others tell everything calls the store seldom, so a holder of the lease that was cut off went on to claim that the store answers it, and the others let it go first. Test: knowledge.test.ts, last case.

--- a/packages/foxtaillever-relay/src/knowledge/__tests__/knowledge.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/knowledge.test.ts
@@ -116,4 +116,16 @@
     await clock.advanceBy(1500)
     t.true(NAMES.every(name => fleet.get(name).beliefs.get('s') === 'ready'))
   })
+
+  it('notices by a doubt that the store does not answer here, though others tell what it holds', async t => {
+    const { clock, store, fleet } = await createFleet()
+    const quiet = 'e'
+    store.dark.add(quiet)
+    fleet.get(quiet).knowledge.doubt()
+    await clock.advanceBy(100)
+    t.false(fleet.get(quiet).knowledge.hasStore)
+    store.dark.clear()
+    await clock.advanceBy(2500)
+    t.true(fleet.get(quiet).knowledge.hasStore)
+  })
 })
--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -101,6 +101,11 @@
     return this.servers.follower.isAnswered
   }
 
+  /** Another call to the store failed: looks at once whether it answers. */
+  doubt (): void {
+    this.servers.follower.readNow()
+  }
+
   /** Until then an entry that is missing may come back, milliseconds of Unix time: the store was down for everyone. */
   get settledAt (): number {
     return this.freshness.settledAt
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -20,6 +20,7 @@
 import { ServerChoice } from './servers/serverChoice.js'
 import { ServerDirectory } from './servers/serverDirectory.js'
 import { RelayLog } from './telemetry/relayLog.js'
+import type { FenceLog } from './weights/fenceLog.js'
 import { OrderLease } from './weights/orderLease.js'
 import { LAST_RANK, orderRank } from './weights/orderRank.js'
 import { WeightsDesk } from './weights/weightsDesk.js'
@@ -191,7 +192,7 @@
     return OrderLease.create({
       clock,
       uptime: readWallSeconds,
-      log: fenceLog,
+      log: this.watchFenceLog(fenceLog),
       topic: topics.lease,
       holder: name,
       incarnation: randomUUID(),
@@ -203,6 +204,18 @@
     })
   }
 
+  /** Few calls go to the store from here: one that fails is reason to look whether it still answers. */
+  private watchFenceLog (log: FenceLog): FenceLog {
+    return {
+      append: async (topic, at, record) => {
+        const answer = await log.append(topic, at, record)
+        answer.ifLeft(() => this.knowledge.doubt())
+        return answer
+      },
+      readAt: async (topic, offset) => await log.readAt(topic, offset)
+    }
+  }
+
   private createWeightsDesk (): WeightsDesk {
     const { clock, engineOrders, name } = this.options
     return WeightsDesk.create({
