Let the next watch operators' records as soon as the last watcher is turned away

Cause: when the store turned away the three instances that held calls for operators' records (own-nodes on rsp, 5.0 s), the others joined only after 1.4 s of silence: configurations of 5.1 s were in force everywhere at 6.58 s, before the store was read by few at 5.1 to 5.5 s. Whoever loses the store now says so at once.

--- a/packages/foxtaillever-policy/src/relay/readTurn.ts
+++ b/packages/foxtaillever-policy/src/relay/readTurn.ts
@@ -33,7 +33,7 @@
 const LONGEST_TURN_MS = 800
 
 /** Without word from one that waits at the store for operators' changes, others wait there too, milliseconds. */
-const WATCH_SILENCE_MS = 1400
+export const WATCH_SILENCE_MS = 1400
 
 /** The rest of two seconds, milliseconds: others join in turn. */
 const LONGEST_WATCH_TURN_MS = 400
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/fakeFleet.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/fakeFleet.ts
@@ -11,12 +11,15 @@
 import { Knowledge } from '../knowledge.js'
 
 const ANSWER_MS = 4
+const BEAT_MS = 1000
 const unanswered = Failure.create(FailureCode.LogUnavailable, Verdict.NotRun, 'down')
 
 /** One store; it may turn single instances away. */
 export class FakeStore {
   readonly topics = new Map<string, KeyedRecord[]>()
   readonly dark = new Set<string>()
+  /** Instances whose call is held until there is a record. */
+  readonly held = new Set<string>()
   calls = 0
 
   constructor (private readonly clock: VirtualClock) {}
@@ -30,7 +33,14 @@
   of (instance: string): KeyedLog {
     return {
       newest: async topic => await this.answer(instance, 0, topic, Infinity, () => this.newest(topic)),
-      read: async (topic, from, waitMs) => await this.answer(instance, waitMs, topic, from, () => this.read(topic, from))
+      read: async (topic, from, waitMs) => {
+        if (waitMs > 0) {
+          this.held.add(instance)
+        }
+        const answer = await this.answer(instance, waitMs, topic, from, () => this.read(topic, from))
+        this.held.delete(instance)
+        return answer
+      }
     }
   }
 
@@ -79,10 +89,13 @@
   readonly instances: FakeInstance[] = []
   /** Instances whose datagrams are lost. */
   readonly mute = new Set<string>()
+  /** Whom the store answered at the last beat. */
+  private readonly answered = new Set<string>()
 
   constructor (private readonly clock: VirtualClock, readonly store: FakeStore, names: readonly string[], private readonly wallSeconds = () => clock.now() / 1000) {
     names.forEach((name, index) => this.instances.push(this.create(name, `domain-${index % 3}`)))
     this.instances.forEach(({ knowledge }) => knowledge.start())
+    this.beat()
   }
 
   get (name: string): FakeInstance {
@@ -94,6 +107,11 @@
     this.get(name).knowledge.stop()
   }
 
+  private beat (): void {
+    this.instances.forEach(({ name, knowledge }) => knowledge.hasStore ? this.answered.add(name) : this.answered.delete(name))
+    this.clock.at(this.clock.now() + BEAT_MS, () => this.beat())
+  }
+
   private create (name: string, failureDomain: string): FakeInstance {
     const { clock } = this
     const beliefs = new Map<string, string>()
@@ -118,7 +136,7 @@
       link: () => ({ ask: async (address, topic, from) => this.ask(address, topic, from) }),
       peers: () => others().map(other => ({ address: other.name, positions: other.knowledge.positions })),
       self: { name, failureDomain },
-      readers: () => others().filter(other => other.knowledge.hasStore).map(other => ({ name: other.name, failureDomain: `domain-${this.instances.indexOf(other) % 3}` })),
+      readers: () => others().filter(other => this.answered.has(other.name)).map(other => ({ name: other.name, failureDomain: `domain-${this.instances.indexOf(other) % 3}` })),
       notify: notice => this.deliver(name, { ...notice, address: name }),
       onRecord: { [ToldTopic.Operators]: take, [ToldTopic.Servers]: take }
     })
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/knowledge.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/knowledge.test.ts
@@ -128,4 +128,17 @@
     await clock.advanceBy(2500)
     t.true(fleet.get(quiet).knowledge.hasStore)
   })
+
+  it('does not wait for a silence when those that watch operators\' records are turned away', async t => {
+    const { clock, store, fleet } = await createFleet()
+    await clock.advanceBy(300)
+    const watching = NAMES.filter(name => store.held.has(name))
+    t.is(watching.length, 3)
+    watching.forEach(name => store.dark.add(name))
+    await clock.advanceBy(10)
+    store.append('operators', 'config', 'two')
+    const at = clock.now()
+    await clock.advanceBy(4000)
+    t.true(latest(fleet, 'config', NAMES) < at + 700, String(latest(fleet, 'config', NAMES) - at))
+  })
 })
--- a/packages/foxtaillever-relay/src/knowledge/freshness.ts
+++ b/packages/foxtaillever-relay/src/knowledge/freshness.ts
@@ -2,6 +2,7 @@
  * Up to when this instance knows what the platform's store holds, by its own
  * calls or by what others told, and whether the store was down for everyone.
  */
+import { WATCH_SILENCE_MS } from 'foxtaillever-policy/relay/readTurn'
 
 /** Older than the fleet lets its knowledge become while the store answers anyone, milliseconds. */
 const OUTAGE_MS = 2000
@@ -19,7 +20,9 @@
   /** The servers' entries are known as of then, milliseconds of Unix time. */
   freshAt = -Infinity
   /** Another was last heard to wait at the store for operators' changes, milliseconds of Unix time. */
-  watchedAt = -Infinity
+  private heardWatchAt = -Infinity
+  /** Those that were heard to wait there, and when last. */
+  private readonly watchers = new Map<string, number>()
   private returnedAt = -Infinity
 
   private constructor () {}
@@ -43,10 +46,28 @@
     this.freshAt = Math.max(this.freshAt, at)
   }
 
+  get watchedAt (): number {
+    return this.heardWatchAt
+  }
+
+  /** Another says whether it waits at the store; when the last one ceases, the next begin in their turn and not after a silence. */
+  noteWatch (address: string, isWatching: boolean, now: number): void {
+    if (isWatching) {
+      this.watchers.set(address, now)
+      this.heardWatchAt = now
+      return
+    }
+    const isLast = this.watchers.delete(address) && ![...this.watchers.values()].some(at => at + WATCH_SILENCE_MS > now)
+    if (isLast) {
+      this.heardWatchAt = Math.min(this.heardWatchAt, now - WATCH_SILENCE_MS)
+    }
+  }
+
   /** What is known may be old: this machine was suspended. */
   distrust (): void {
     this.freshAt = Math.min(this.freshAt, DISTRUSTED)
-    this.watchedAt = -Infinity
+    this.heardWatchAt = -Infinity
+    this.watchers.clear()
   }
 
   /** Until then an entry that is missing may come back, milliseconds of Unix time. */
--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -125,9 +125,7 @@
   /** Another instance has read the store. */
   hear ({ address, isFresh, isWatching, positions, news }: ReadNotice): void {
     const now = this.options.clock.now()
-    if (isWatching) {
-      this.freshness.watchedAt = now
-    }
+    this.freshness.noteWatch(address, isWatching, now)
     if (isFresh) {
       // Before its records are taken in: they are judged by when the store came back.
       this.freshness.noteAnswer(now, this.servers.follower.isFailing)
@@ -175,7 +173,10 @@
       onRecord: record => table.take(record),
       onWhole: (keys, end) => this.noteRead(topic, end, () => table.retain(keys, end)),
       onReached: offset => this.noteRead(topic, offset, () => table.reach(offset)),
-      onLost: failure => relayLog.trouble('The platform\'s store does not answer.', { topic, reason: failure.message }),
+      onLost: failure => {
+        relayLog.trouble('The platform\'s store does not answer.', { topic, reason: failure.message })
+        this.notify(undefined)
+      },
       onRegained: () => {
         relayLog.belief('The platform\'s store answers again.', { topic })
         topics.forEach(other => this.followed[other].follower.reconsider())
@@ -218,7 +219,7 @@
     const { operators, servers } = this.followed
     notify({
       isFresh: !servers.follower.isFailing && this.freshness.freshAt + JUST_NOW_MS > clock.now(),
-      isWatching: operators.follower.isAnswered && this.watchAt() <= clock.now(),
+      isWatching: this.hasStore && operators.follower.isAnswered && this.watchAt() <= clock.now(),
       positions: { [ToldTopic.Operators]: positionOf(operators), [ToldTopic.Servers]: positionOf(servers) },
       news
     })
