--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,12 +1,11 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
 import { randomUUID } from 'node:crypto'
-import { createServer, type Server } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { CallerServer } from './callers/callerServer.js'
+import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
-import type { ExchangeContext } from './exchange/exchangeContext.js'
-import { ExchangeRun } from './exchange/exchangeRun.js'
+import { ExchangeRuns } from './exchange/exchangeRuns.js'
 import { Knowledge } from './knowledge/knowledge.js'
 import { enterMemberBook } from './knowledge/memberBook.js'
 import { RecordIntake } from './knowledge/recordIntake.js'
@@ -19,10 +18,12 @@
 import { RouteTable } from './routing/routeTable.js'
 import { ServerChoice } from './servers/serverChoice.js'
 import { ServerDirectory } from './servers/serverDirectory.js'
+import { MetricsServer } from './telemetry/metricsServer.js'
 import { RelayLog } from './telemetry/relayLog.js'
-import type { FenceLog } from './weights/fenceLog.js'
+import { RelayState } from './telemetry/relayState.js'
 import { OrderLease } from './weights/orderLease.js'
 import { LAST_RANK, orderRank } from './weights/orderRank.js'
+import { watchFenceLog } from './weights/watchedFenceLog.js'
 import { WeightsDesk } from './weights/weightsDesk.js'
 
 /** The balancer notices within two seconds that this instance is not ready; until then it sends new connections, milliseconds. */
@@ -36,25 +37,26 @@
 
 export class Relay {
   private readonly log: RelayLog
+  private readonly state: RelayState
+  private readonly figures: MetricsServer
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
-  private readonly readiness: Server
+  private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
   private readonly peers: Peers
   private readonly lease: OrderLease
   private readonly weights: WeightsDesk
   private readonly choice: ServerChoice
-  private readonly runs = new Set<ExchangeRun>()
-  private readonly context: ExchangeContext
+  private readonly runs: ExchangeRuns
   private table: RouteTable | undefined
   private isLeaving = false
   private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
     const { clock, random, logs, callerWire, serverWire, retryAllowance, failureDomain } = options
-    this.log = RelayLog.create(logs)
+    this.log = RelayLog.create(logs, service => this.state.brief(service))
     this.graceMs = options.graceMs
     this.retries = RetryShare.create(retryAllowance)
     this.directory = ServerDirectory.create({
@@ -64,6 +66,9 @@
         this.weights.run()
       }
     })
+    this.state = this.createState()
+    this.state.addTo(this.log.metrics)
+    this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
     this.knowledge = this.createKnowledge()
     this.lease = this.createLease()
@@ -71,7 +76,7 @@
     this.choice = ServerChoice.create({
       clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
     })
-    this.context = {
+    this.runs = ExchangeRuns.create({
       clock,
       random,
       wire: serverWire,
@@ -81,21 +86,17 @@
       log: this.log,
       routing: () => this.routing(),
       place: (exchange, failed) => this.choice.place(exchange, failed),
-      onMisdirected: () => { this.weights.run() },
-      onOver: run => this.runs.delete(run)
-    }
+      onMisdirected: () => { this.weights.run() }
+    })
     this.callers = CallerServer.create({
       clock,
       random,
       wire: callerWire,
       log: this.log,
       table: () => this.table,
-      onExchange: (exchange, answer) => { this.runs.add(ExchangeRun.start(this.context, exchange, answer)) }
-    })
-    this.readiness = createServer((_, response) => {
-      response.writeHead(this.isReady() ? 200 : 503)
-      response.end()
+      onExchange: (exchange, answer) => this.runs.start(exchange, answer)
     })
+    this.readiness = ReadinessServer.create(() => this.isReady())
   }
 
   static create (options: RelayOptions): Relay {
@@ -103,14 +104,17 @@
   }
 
   async start (): Promise<void> {
-    const { callers, readiness, clock, log, topics, name, seeds } = this.options
+    const { callers, readiness, metrics, clock, log, topics, name, seeds } = this.options
     this.log.belief('Starting.', { pid: process.pid })
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
-    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses) })
+    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
-    await new Promise<void>(resolve => this.readiness.listen(readiness.port, readiness.host, resolve))
+    await this.readiness.listen(readiness.host, readiness.port)
+    if (metrics) {
+      this.figures.listen(metrics, reason => this.log.trouble('The address for metrics cannot be used.', { reason }))
+    }
     this.log.belief('Started.', {})
   }
 
@@ -137,14 +141,27 @@
     while (this.runs.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
-    this.runs.forEach(run => run.abort())
+    this.runs.abort()
     this.weights.stop()
     this.knowledge.stop()
     this.readiness.close()
+    this.figures.close()
     await this.peers.stop()
     this.log.belief('Stopped.', {})
   }
 
+  /** What this instance believes now, for an operator. */
+  dump (): object {
+    return this.state.dump()
+  }
+
+  private createState (): RelayState {
+    const { name, clock } = this.options
+    const { directory } = this
+    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.lease }
+    return RelayState.create({ name, clock, directory, ...parts, open: () => this.runs.size, isReady: () => this.isReady() })
+  }
+
   private createPeers (): Peers {
     const { clock, random, name, failureDomain, peers } = this.options
     return Peers.create({
@@ -192,7 +209,7 @@
     return OrderLease.create({
       clock,
       uptime: readWallSeconds,
-      log: this.watchFenceLog(fenceLog),
+      log: watchFenceLog(fenceLog, () => this.knowledge.doubt()),
       topic: topics.lease,
       holder: name,
       incarnation: randomUUID(),
@@ -204,18 +221,6 @@
     })
   }
 
-  /** Few calls go to the store from here: one that fails is reason to look whether it still answers. */
-  private watchFenceLog (log: FenceLog): FenceLog {
-    return {
-      append: async (topic, at, record) => {
-        const answer = await log.append(topic, at, record)
-        answer.ifLeft(() => this.knowledge.doubt())
-        return answer
-      },
-      readAt: async (topic, offset) => await log.readAt(topic, offset)
-    }
-  }
-
   private createWeightsDesk (): WeightsDesk {
     const { clock, engineOrders, name } = this.options
     return WeightsDesk.create({
