--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -97,7 +97,8 @@
     this.ledger.begin(server.listed.id)
     this.head = undefined
     relay.reset()
-    const headers = wire.createHeaders(exchange, planTerms(exchange, server, context.routing(), relay.lastEventId), beganAt)
+    const terms = planTerms(exchange, server, relay.lastEventId, { routing: context.routing(), savedLevels: context.savedLevels, now: beganAt })
+    const headers = wire.createHeaders(exchange, terms, beganAt)
     const attempt = Attempt.begin({
       clock,
       wire,
@@ -111,7 +112,7 @@
         onFailed: failure => this.onFailed(failure)
       }
     })
-    this.current = OpenTry.open({ attempt, server, beganAt, tokens: exchange.prompt?.promptTokens ?? 0, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
+    this.current = OpenTry.open({ attempt, server, beganAt, exchange, terms, savedLevels: context.savedLevels, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
   }
 
   private onHead (head: AnswerHead): void {
@@ -120,6 +121,7 @@
     if (current && exchange.prompt && weightsVersion !== undefined) {
       context.directory.observeWeights(current.serverId, exchange.prompt.model, weightsVersion)
     }
+    current?.observeStatus(head.status, this.now)
     this.head = head
     this.rejectIf(this.relay.begin(head))
   }
