--- /dev/null
+++ b/packages/foxtaillever-relay/src/callers/readinessServer.ts
@@ -0,0 +1,31 @@
+/** Tells the balancer whether callers may be sent here; the body says nothing. */
+import { createServer, type Server } from 'node:http'
+
+const READY_STATUS = 200
+const NOT_READY_STATUS = 503
+
+export class ReadinessServer {
+  private readonly server: Server
+
+  private constructor (isReady: () => boolean) {
+    this.server = createServer((_, response) => {
+      response.writeHead(isReady() ? READY_STATUS : NOT_READY_STATUS)
+      response.end()
+    })
+  }
+
+  static create (isReady: () => boolean): ReadinessServer {
+    return new ReadinessServer(isReady)
+  }
+
+  async listen (host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, resolve)
+    })
+  }
+
+  close (): void {
+    this.server.close()
+  }
+}
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/knowledge.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/knowledge.test.ts
@@ -116,4 +116,29 @@
     await clock.advanceBy(1500)
     t.true(NAMES.every(name => fleet.get(name).beliefs.get('s') === 'ready'))
   })
+
+  it('notices by a doubt that the store does not answer here, though others tell what it holds', async t => {
+    const { clock, store, fleet } = await createFleet()
+    const quiet = 'e'
+    store.dark.add(quiet)
+    fleet.get(quiet).knowledge.doubt()
+    await clock.advanceBy(100)
+    t.false(fleet.get(quiet).knowledge.hasStore)
+    store.dark.clear()
+    await clock.advanceBy(2500)
+    t.true(fleet.get(quiet).knowledge.hasStore)
+  })
+
+  it('does not wait for a silence when those that watch operators\' records are turned away', async t => {
+    const { clock, store, fleet } = await createFleet()
+    await clock.advanceBy(300)
+    const watching = NAMES.filter(name => store.held.has(name))
+    t.is(watching.length, 3)
+    watching.forEach(name => store.dark.add(name))
+    await clock.advanceBy(10)
+    store.append('operators', 'config', 'two')
+    const at = clock.now()
+    await clock.advanceBy(4000)
+    t.true(latest(fleet, 'config', NAMES) < at + 700, String(latest(fleet, 'config', NAMES) - at))
+  })
 })
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,10 +1,10 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
 import { randomUUID } from 'node:crypto'
-import { createServer, type Server } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { CallerServer } from './callers/callerServer.js'
+import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
 import { ExchangeRuns } from './exchange/exchangeRuns.js'
 import { Knowledge } from './knowledge/knowledge.js'
@@ -24,6 +24,7 @@
 import { RelayState } from './telemetry/relayState.js'
 import { OrderLease } from './weights/orderLease.js'
 import { LAST_RANK, orderRank } from './weights/orderRank.js'
+import { watchFenceLog } from './weights/watchedFenceLog.js'
 import { WeightsDesk } from './weights/weightsDesk.js'
 
 /** The balancer notices within two seconds that this instance is not ready; until then it sends new connections, milliseconds. */
@@ -32,8 +33,8 @@
 /** How often a shutdown looks whether the last answer is out, milliseconds. */
 const SHUTDOWN_LOOK_MS = 50
 
-/** Part of the grace that is kept free for the process to end. */
-const GRACE_KEPT_FREE = 0.1
+/** Part of the grace that is kept free for the process to end: a quarter of a second of eight, ten times what it takes. */
+const GRACE_KEPT_FREE = 0.03
 
 export class Relay {
   private readonly log: RelayLog
@@ -44,7 +45,7 @@
   private readonly savedLevels = SavedLevels.create()
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
-  private readonly readiness: Server
+  private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
   private readonly peers: Peers
   private readonly lease: OrderLease
@@ -98,10 +99,7 @@
       table: () => this.table,
       onExchange: (exchange, answer) => this.runs.start(exchange, answer)
     })
-    this.readiness = createServer((_, response) => {
-      response.writeHead(this.isReady() ? 200 : 503)
-      response.end()
-    })
+    this.readiness = ReadinessServer.create(() => this.isReady())
   }
 
   static create (options: RelayOptions): Relay {
@@ -116,7 +114,7 @@
     this.knowledge.start()
     enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
-    await new Promise<void>(resolve => this.readiness.listen(readiness.port, readiness.host, resolve))
+    await this.readiness.listen(readiness.host, readiness.port)
     if (metrics) {
       this.figures.listen(metrics, reason => this.log.trouble('The address for metrics cannot be used.', { reason }))
     }
@@ -214,7 +212,7 @@
     return OrderLease.create({
       clock,
       uptime: readWallSeconds,
-      log: fenceLog,
+      log: watchFenceLog(fenceLog, () => this.knowledge.doubt()),
       topic: topics.lease,
       holder: name,
       incarnation: randomUUID(),
