--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -4,6 +4,7 @@
  * server's stamp, and it counts as whole only if its framing says so.
  */
 import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Cancellation, Clock } from 'foxtaillever-core'
 import type { AnswerMarks, ServerWire } from '../model/wire.js'
 import type { ServerCall, ServerConnections } from '../servers/serverConnections.js'
@@ -15,6 +16,10 @@
   readonly marks: AnswerMarks
   /** For the caller, names and values in turn. */
   readonly headers: readonly string[]
+  /** Whether the answer itself says where it ends; otherwise it ends with its connection. */
+  readonly isFramed: boolean
+  /** When it came, milliseconds of Unix time. */
+  readonly at: number
 }
 
 export interface AttemptListener {
@@ -47,6 +52,8 @@
   private response: IncomingMessage | undefined
   private hasLeft = false
   private isOver = false
+  /** The end of the connection was not the server's own. */
+  private wasReset = false
 
   private constructor (private readonly options: AttemptOptions) {
     const { connections, call, clock } = options
@@ -65,6 +72,11 @@
     return this.hasLeft
   }
 
+  /** Whether it went out on a connection that had served other requests before. */
+  get isOnKeptConnection (): boolean {
+    return this.request.reusedSocket
+  }
+
   /** Ends the try in silence; closing the connection tells the server to stop. */
   cancel (): void {
     this.finish()
@@ -76,6 +88,11 @@
     this.fail(this.hasLeft ? AttemptFailureKind.Silent : AttemptFailureKind.Unreachable, 'no answer in time')
   }
 
+  /** What came is not an answer to this request. */
+  reject (detail: string): void {
+    this.fail(AttemptFailureKind.Malformed, detail)
+  }
+
   /** The caller reads too slowly; the server has to wait. */
   pause (): void {
     this.response?.pause()
@@ -97,6 +114,10 @@
   }
 
   private onError (error: Error): void {
+    // What comes after a whole answer belongs to no request; its connection is closed, and the answer counts.
+    if (this.response?.complete === true) {
+      return
+    }
     const { code = error.message } = error as NodeJS.ErrnoException
     if (!this.hasLeft) {
       this.fail(AttemptFailureKind.Unreachable, code)
@@ -118,11 +139,16 @@
       return
     }
     this.response = response
+    if (!isFramed(response)) {
+      // Before node:http, which closes the connection at its end.
+      response.socket.prependOnceListener('end', () => { this.wasReset = isDisconnected(response.socket) })
+    }
     response.on('data', bytes => this.onData(bytes))
     response.on('end', () => this.onEnd(response))
     response.on('error', error => this.onError(error))
     response.on('aborted', () => this.fail(AttemptFailureKind.Lost, 'answer cut'))
-    this.options.listener.onHead({ status, marks, headers: this.options.wire.passHeaders(response.rawHeaders) })
+    const { clock, wire, listener } = this.options
+    listener.onHead({ status, marks, headers: wire.passHeaders(response.rawHeaders), isFramed: isFramed(response), at: clock.now() })
   }
 
   private checkHead (status: number, marks: AnswerMarks): AttemptFailure | undefined {
@@ -136,6 +162,10 @@
     if (marks.isNotRun) {
       return { kind: AttemptFailureKind.Refused, detail: `status ${status}` }
     }
+    if (promisesNotRun.has(status)) {
+      // Passed on, it would promise the caller what the server did not say.
+      return { kind: AttemptFailureKind.Malformed, detail: `status ${status} without a word that it did not run` }
+    }
     // Without the stamp nothing proves that the bytes come from the server.
     return marks.isStamped ? undefined : { kind: AttemptFailureKind.Malformed, detail: `status ${status} without a stamp` }
   }
@@ -162,7 +192,7 @@
     if (this.isOver) {
       return
     }
-    if (!response.complete) {
+    if (!response.complete || this.wasReset) {
       this.fail(AttemptFailureKind.Lost, 'answer cut')
       return
     }
@@ -188,6 +218,24 @@
 /** Status of a server that is not the expected one. */
 const MISDIRECTED = 421
 
+/** Callers read these as the promise that the request has not run and never will. */
+const promisesNotRun = new Set([408, 429, 503])
+
+function isFramed ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
+/**
+ * Whether the connection is gone in both directions. Where a reset arrives
+ * together with the last bytes, libuv reports the end of the stream in its
+ * place, so that a cut answer without a length would look whole. The operating
+ * system knows no peer of a connection that was reset, but does of one that the
+ * peer has ended. Nothing asks for the address before, so it is not yet cached.
+ */
+function isDisconnected (socket: Socket): boolean {
+  return socket.remoteAddress === undefined
+}
+
 function describeMisdirected ({ serverId, weightsVersion }: AnswerMarks): string {
   return `server ${serverId ?? 'unknown'}, weights ${weightsVersion ?? 'unknown'}`
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -7,7 +7,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
-import type { ExchangeRun } from './exchangeRun.js'
+import type { CrashSuspects } from './crashSuspects.js'
 
 export interface ExchangeContext {
   readonly clock: Clock
@@ -15,6 +15,7 @@
   readonly wire: ServerWire
   readonly directory: ServerDirectory
   readonly retries: RetryShare
+  readonly suspects: CrashSuspects
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
@@ -22,5 +23,4 @@
   readonly place: (exchange: Exchange, failed: ReadonlySet<string>) => KnownServer | undefined
   /** A server is not what it was thought to be. */
   readonly onMisdirected: (server: string) => void
-  readonly onOver: (run: ExchangeRun) => void
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,25 +1,28 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
 import { randomUUID } from 'node:crypto'
 import { createServer, type Server } from 'node:http'
-import { uptime } from 'node:os'
-import { hashNumber, waitUntil } from 'foxtaillever-core'
+import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { CallerServer } from './callers/callerServer.js'
-import type { ExchangeContext } from './exchange/exchangeContext.js'
-import { ExchangeRun } from './exchange/exchangeRun.js'
-import type { KeyedRecord } from './knowledge/keyedLog.js'
+import { CrashSuspects } from './exchange/crashSuspects.js'
+import { ExchangeRuns } from './exchange/exchangeRuns.js'
 import { Knowledge } from './knowledge/knowledge.js'
 import { enterMemberBook } from './knowledge/memberBook.js'
+import { RecordIntake } from './knowledge/recordIntake.js'
+import { readWallSeconds } from './knowledge/suspension.js'
 import type { Routing } from './model/routing.js'
-import { ToldTopic } from './peers/peerLink.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
-import { OperatorKey, type RelayOptions } from './relayOptions.js'
+import { ToldTopic } from './peers/toldTopic.js'
+import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
 import { ServerChoice } from './servers/serverChoice.js'
 import { ServerDirectory } from './servers/serverDirectory.js'
+import { MetricsServer } from './telemetry/metricsServer.js'
 import { RelayLog } from './telemetry/relayLog.js'
+import { RelayState } from './telemetry/relayState.js'
 import { OrderLease } from './weights/orderLease.js'
+import { LAST_RANK, orderRank } from './weights/orderRank.js'
 import { WeightsDesk } from './weights/weightsDesk.js'
 
 /** The balancer notices within two seconds that this instance is not ready; until then it sends new connections, milliseconds. */
@@ -31,13 +34,13 @@
 /** Part of the grace that is kept free for the process to end. */
 const GRACE_KEPT_FREE = 0.1
 
-/** Place of an instance that cannot take the lease, since the store does not answer it. */
-const LAST_RANK = 8
-
 export class Relay {
   private readonly log: RelayLog
+  private readonly state: RelayState
+  private readonly figures: MetricsServer
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
+  private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: Server
   private readonly knowledge: Knowledge
@@ -45,14 +48,15 @@
   private readonly lease: OrderLease
   private readonly weights: WeightsDesk
   private readonly choice: ServerChoice
-  private readonly runs = new Set<ExchangeRun>()
-  private readonly context: ExchangeContext
+  private readonly runs: ExchangeRuns
   private table: RouteTable | undefined
   private isLeaving = false
+  private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
     const { clock, random, logs, callerWire, serverWire, retryAllowance, failureDomain } = options
-    this.log = RelayLog.create(logs)
+    this.log = RelayLog.create(logs, service => this.state.brief(service))
+    this.graceMs = options.graceMs
     this.retries = RetryShare.create(retryAllowance)
     this.directory = ServerDirectory.create({
       onOpened: () => {},
@@ -61,6 +65,9 @@
         this.weights.run()
       }
     })
+    this.state = this.createState()
+    this.state.addTo(this.log.metrics)
+    this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
     this.knowledge = this.createKnowledge()
     this.lease = this.createLease()
@@ -68,25 +75,25 @@
     this.choice = ServerChoice.create({
       clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
     })
-    this.context = {
+    this.runs = ExchangeRuns.create({
       clock,
       random,
       wire: serverWire,
       directory: this.directory,
       retries: this.retries,
+      suspects: this.suspects,
       log: this.log,
       routing: () => this.routing(),
       place: (exchange, failed) => this.choice.place(exchange, failed),
-      onMisdirected: () => { this.weights.run() },
-      onOver: run => this.runs.delete(run)
-    }
+      onMisdirected: () => { this.weights.run() }
+    })
     this.callers = CallerServer.create({
       clock,
       random,
       wire: callerWire,
       log: this.log,
       table: () => this.table,
-      onExchange: (exchange, answer) => { this.runs.add(ExchangeRun.start(this.context, exchange, answer)) }
+      onExchange: (exchange, answer) => this.runs.start(exchange, answer)
     })
     this.readiness = createServer((_, response) => {
       response.writeHead(this.isReady() ? 200 : 503)
@@ -99,25 +106,35 @@
   }
 
   async start (): Promise<void> {
-    const { callers, readiness, clock, log, topics, name, seeds } = this.options
+    const { callers, readiness, metrics, clock, log, topics, name, seeds } = this.options
     this.log.belief('Starting.', { pid: process.pid })
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
-    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses) })
+    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await new Promise<void>(resolve => this.readiness.listen(readiness.port, readiness.host, resolve))
+    if (metrics) {
+      this.figures.listen(metrics, reason => this.log.trouble('The address for metrics cannot be used.', { reason }))
+    }
     this.log.belief('Started.', {})
   }
 
+  /** Takes over settings that were changed while it runs. */
+  apply ({ seeds, retryAllowance, graceMs }: RunningSettings): void {
+    this.graceMs = graceMs
+    this.retries.setAllowance(retryAllowance)
+    this.peers.nameAll(seeds)
+  }
+
   /** Leaves: not ready at once, serving until the balancer has noticed and the last answer is out. */
   async stop (): Promise<void> {
-    const { clock, graceMs } = this.options
+    const { clock } = this.options
     if (this.isLeaving) {
       return
     }
     this.isLeaving = true
-    const until = clock.now() + graceMs * (1 - GRACE_KEPT_FREE)
+    const until = clock.now() + this.graceMs * (1 - GRACE_KEPT_FREE)
     this.log.belief('Leaving.', { requests: this.runs.size })
     this.callers.leave()
     this.peers.send([])
@@ -126,14 +143,27 @@
     while (this.runs.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
-    this.runs.forEach(run => run.abort())
+    this.runs.abort()
     this.weights.stop()
     this.knowledge.stop()
     this.readiness.close()
+    this.figures.close()
     await this.peers.stop()
     this.log.belief('Stopped.', {})
   }
 
+  /** What this instance believes now, for an operator. */
+  dump (): object {
+    return this.state.dump()
+  }
+
+  private createState (): RelayState {
+    const { name, clock } = this.options
+    const { directory } = this
+    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.lease }
+    return RelayState.create({ name, clock, directory, ...parts, open: () => this.runs.size, isReady: () => this.isReady() })
+  }
+
   private createPeers (): Peers {
     const { clock, random, name, failureDomain, peers } = this.options
     return Peers.create({
@@ -144,21 +174,35 @@
       ...peers,
       word: () => this.word(),
       tell: (topic, from) => this.knowledge.tell(topic, from),
-      onMessage: message => this.hear(message)
+      onMessage: message => this.hear(message),
+      onNotice: notice => this.knowledge.hear(notice)
     })
   }
 
   private createKnowledge (): Knowledge {
-    const { clock, random, log, topics } = this.options
+    const { clock, random, log, topics, name, failureDomain, readers } = this.options
+    const intake = RecordIntake.create({
+      clock,
+      log: this.log,
+      readers,
+      directory: this.directory,
+      settledAt: () => this.knowledge.settledAt,
+      onRouting: routing => this.adopt(routing),
+      onWeights: (model, version) => this.weights.name(model, version)
+    })
     return Knowledge.create({
       clock,
       random,
+      wallSeconds: readWallSeconds,
+      self: { name, failureDomain },
+      readers: () => this.peers.likely().filter(({ hasStore }) => hasStore),
+      notify: notice => this.peers.notify(notice),
       log,
       topics: { [ToldTopic.Operators]: topics.operators, [ToldTopic.Servers]: topics.servers },
       relayLog: this.log,
       link: () => this.peers.link,
       peers: () => this.peers.table.all().map(({ address, last }) => ({ address, positions: last?.positions })),
-      onRecord: { [ToldTopic.Operators]: record => this.readOperators(record), [ToldTopic.Servers]: record => this.readServer(record) }
+      onRecord: { [ToldTopic.Operators]: record => intake.takeOperators(record), [ToldTopic.Servers]: record => intake.takeServer(record) }
     })
   }
 
@@ -166,7 +210,7 @@
     const { clock, fenceLog, topics, name, leasePauseMs } = this.options
     return OrderLease.create({
       clock,
-      uptime,
+      uptime: readWallSeconds,
       log: fenceLog,
       topic: topics.lease,
       holder: name,
@@ -194,16 +238,12 @@
     })
   }
 
-  /** The last holder acts first, then the others in an order that all compute alike. */
   private orderRank (): number {
-    const { name } = this.options
-    const last = this.lease.lastHolder
     if (!this.knowledge.hasStore || this.isLeaving) {
       return LAST_RANK
     }
     const others = this.peers.alive().filter(({ hasStore }) => hasStore).map(peer => peer.name)
-    const order = [...others, name].sort((one, other) => Number(other === last) - Number(one === last) || hashNumber(one) - hashNumber(other))
-    return order.indexOf(name)
+    return orderRank(this.options.name, others, this.lease.lastHolder)
   }
 
   /** What this instance tells the others of itself. */
@@ -214,14 +254,15 @@
       positions: this.knowledge.positions,
       lease: this.lease.news(),
       uses: this.directory.all().flatMap(({ listed, outstanding, outstandingTokens }) => outstanding > 0 ? [{ server: listed.id, outstanding, tokens: outstandingTokens }] : []),
-      suspects: []
+      suspects: this.suspects.toTell(this.options.clock.now())
     }
   }
 
-  private hear ({ lease, weights }: PeerMessage): void {
+  private hear ({ lease, weights, suspects }: PeerMessage): void {
     const count = this.peers.count()
     this.retries.observeInstances(count)
     this.directory.observeInstances(count)
+    this.suspects.hear(suspects, this.options.clock.now())
     if (lease) {
       this.lease.observe(lease)
     }
@@ -239,27 +280,6 @@
     return this.table.routing
   }
 
-  private readOperators (record: KeyedRecord): void {
-    const { readers } = this.options
-    const { key, value } = record
-    if (value === undefined) {
-      return
-    }
-    const kind = readers.kindOfKey(record)
-    if (kind === OperatorKey.Routing) {
-      readers.routing(value).caseOf({
-        Left: reason => this.log.trouble('A configuration cannot be read; the last one stays in force.', { key, reason }),
-        Right: routing => this.adopt(routing)
-      })
-    }
-    if (kind === OperatorKey.Weights) {
-      readers.weights(value).caseOf({
-        Left: reason => this.log.trouble('Named weights cannot be read.', { key, reason }),
-        Right: ({ model, version }) => this.weights.name(model, version)
-      })
-    }
-  }
-
   private adopt (routing: Routing): void {
     const before = this.table?.routing.revision ?? -1
     if (routing.revision <= before) {
@@ -270,15 +290,4 @@
     this.callers.setLimits(routing.limits)
     this.log.belief('A configuration is in force.', { revision: routing.revision, before, routes: routing.routes.length })
   }
-
-  private readServer ({ key, value, offset }: KeyedRecord): void {
-    if (value === undefined) {
-      this.directory.remove(key, offset)
-      return
-    }
-    this.options.readers.server(key, value).caseOf({
-      Left: reason => this.log.trouble('An entry of a backend server cannot be read.', { server: key, reason }),
-      Right: listed => this.directory.observe(listed, offset)
-    })
-  }
 }
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -20,6 +20,9 @@
 
 const nobody: ReadonlySet<string> = new Set()
 
+/** A server whose faults cost more than this takes no part in gathering, milliseconds: about one fault in eight. */
+const FAULTY_MS = 100
+
 export interface ServerChoiceOptions {
   readonly clock: Clock
   readonly random: Random
@@ -78,7 +81,7 @@
       id: server.listed.id,
       hash: hashNumber(server.listed.id),
       isOutdated: this.isOutdated(server, exchange),
-      isOut: server.changingUntil > now || server.avoidedUntil > now,
+      isOut: server.changingUntil > now || this.options.directory.faultCostOf(server, now) > FAULTY_MS,
       weightsOrder: server.weightsOrder,
       slots: server.listed.slots,
       outstanding: this.outstandingAt(server)
@@ -86,8 +89,8 @@
   }
 
   private toOffer (server: KnownServer, exchange: Exchange, gathering: ReadonlySet<string>): ServerOffer {
-    const { clock } = this.options
-    const { listed, outstandingTokens, avoidedUntil, changingUntil } = server
+    const { clock, directory } = this.options
+    const { listed, outstandingTokens, changingUntil } = server
     const now = clock.now()
     return {
       id: listed.id,
@@ -96,7 +99,7 @@
       slots: listed.slots,
       outstanding: this.outstandingAt(server),
       waitingTokens: outstandingTokens,
-      isAvoided: avoidedUntil > now,
+      faultCostMs: directory.faultCostOf(server, now),
       isChanging: changingUntil > now,
       isOutdated: this.isOutdated(server, exchange),
       isGathering: gathering.has(listed.id),
