Tell since when weights are named to instances that restart

Cause: the store keeps the newest named version only and no time.

Now versions found at the start count as 4 s old, which lets older engines serve 2.5 s on, until another instance tells since when it knows them. Guesses are not told. A desk that was stopped stays stopped.

--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -25,6 +25,14 @@
   readonly changingMs: number
 }
 
+/** Weights that operators named. */
+export interface NamedNews {
+  readonly model: string
+  readonly version: number
+  /** Since they were learned, milliseconds. */
+  readonly ageMs: number
+}
+
 /** The newest record of the lease that is known. */
 export interface LeaseNews {
   readonly offset: number
@@ -47,6 +55,8 @@
   readonly lease: LeaseNews | undefined
   readonly uses: readonly ServerUse[]
   readonly weights: readonly WeightsNews[]
+  /** Since when which weights are replaced: the store keeps the newest only, and says of none when it was named. */
+  readonly named: readonly NamedNews[]
   /** Digests of requests that crash backend servers. */
   readonly suspects: readonly string[]
 }
@@ -54,13 +64,14 @@
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, named } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
     uses.map(({ server, outstanding, tokens }) => [server, outstanding, tokens]),
     weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
-    suspects
+    suspects,
+    named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)])
   ])
 }
 
@@ -69,7 +80,8 @@
   readonly [number, string, number] | null,
   ReadonlyArray<readonly [string, number, number]>,
   ReadonlyArray<readonly [string, string, number, number]>,
-  readonly string[]
+  readonly string[],
+  ReadonlyArray<readonly [string, number, number]> | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -85,7 +97,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, named = []] = wire as Wire
     return {
       name,
       address,
@@ -97,7 +109,8 @@
       lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
       uses: uses.map(([server, outstanding, tokens]) => ({ server, outstanding, tokens })),
       weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
-      suspects
+      suspects,
+      named: named.map(([model, version, ageMs]) => ({ model, version, ageMs }))
     }
   }))
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -188,7 +188,7 @@
       directory: this.directory,
       settledAt: () => this.knowledge.settledAt,
       onRouting: routing => this.adopt(routing),
-      onWeights: (model, version) => this.weights.name(model, version)
+      onWeights: (model, version) => this.weights.name(model, version, !this.knowledge.isWhole)
     })
     return Knowledge.create({
       clock,
@@ -254,11 +254,12 @@
       positions: this.knowledge.positions,
       lease: this.lease.news(),
       uses: this.directory.all().flatMap(({ listed, outstanding, outstandingTokens }) => outstanding > 0 ? [{ server: listed.id, outstanding, tokens: outstandingTokens }] : []),
-      suspects: this.suspects.toTell(this.options.clock.now())
+      suspects: this.suspects.toTell(this.options.clock.now()),
+      named: this.weights.ages()
     }
   }
 
-  private hear ({ lease, weights, suspects }: PeerMessage): void {
+  private hear ({ lease, weights, suspects, named }: PeerMessage): void {
     const count = this.peers.count()
     this.retries.observeInstances(count)
     this.directory.observeInstances(count)
@@ -267,6 +268,7 @@
       this.lease.observe(lease)
     }
     weights.forEach(news => this.weights.observe(news))
+    named.forEach(news => this.weights.observeNamed(news))
   }
 
   private isReady (): boolean {
--- a/packages/foxtaillever-relay/src/weights/weightsDesk.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsDesk.ts
@@ -8,7 +8,7 @@
 import { waitUntil, type Clock } from 'foxtaillever-core'
 import { planRollout, RolloutPhase, type RolloutEngine } from 'foxtaillever-policy/relay/planRollout'
 import { ServerState } from '../model/listedServer.js'
-import type { WeightsNews } from '../peers/peerMessage.js'
+import type { NamedNews, WeightsNews } from '../peers/peerMessage.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
@@ -50,6 +50,7 @@
   /** When something last went forward, here or elsewhere, milliseconds of Unix time. */
   private progressAt = 0
   private isRunning = false
+  private isStopped = false
 
   private constructor (private readonly options: WeightsDeskOptions) {}
 
@@ -57,12 +58,15 @@
     return new WeightsDesk(options)
   }
 
-  /** Operators named weights; older ones than are known are no news. */
-  name (model: string, version: number): void {
+  /**
+   * Operators named weights; older ones than are known are no news.
+   * @param isAssumed they were found in the store at the start
+   */
+  name (model: string, version: number, isAssumed = false): void {
     const now = this.options.clock.now()
-    if (this.named.name(model, version, now)) {
+    if (this.named.name(model, version, now, isAssumed)) {
       this.progressAt = now
-      this.options.log.belief('Weights were named.', { model, version })
+      this.options.log.belief('Weights were named.', { model, version, found: isAssumed ? 'at the start' : 'as news' })
       this.run()
     }
   }
@@ -72,6 +76,18 @@
     return this.named.outdatedSince(model, version)
   }
 
+  /** Since when which weights are known, to tell the others. */
+  ages (): NamedNews[] {
+    return this.named.ages(this.options.clock.now())
+  }
+
+  /** What another instance knows of named weights; it may have heard of them first. */
+  observeNamed (news: NamedNews): void {
+    if (this.named.observe(news, this.options.clock.now())) {
+      this.run()
+    }
+  }
+
   /** What the one who gives orders tells. */
   observe ({ server, model, version, changingMs }: WeightsNews): void {
     const { clock, directory } = this.options
@@ -87,13 +103,14 @@
     }
   }
 
+  /** For good: what is learned during a shutdown starts nothing. */
   stop (): void {
-    this.isRunning = false
+    this.isStopped = true
   }
 
   /** Looks again, as after a server came or its weights were found to differ. */
   run (): void {
-    if (!this.isRunning) {
+    if (!this.isRunning && !this.isStopped) {
       this.isRunning = true
       this.watch(this.lookOn())
     }
@@ -101,7 +118,7 @@
 
   private async lookOn (): Promise<void> {
     const { clock } = this.options
-    while (this.isRunning && this.outdatedModels().length > 0) {
+    while (!this.isStopped && this.outdatedModels().length > 0) {
       await this.look()
       await waitUntil(clock, clock.now() + LOOK_MS)
     }
