--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -20,6 +20,7 @@
   uses: [],
   weights: [],
   suspects: [],
+  savedLevels: [],
   named: []
 }
 
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -59,18 +59,21 @@
   readonly named: readonly NamedNews[]
   /** Digests of requests that crash backend servers. */
   readonly suspects: readonly string[]
+  /** Hashes of prompt levels that it had saved to the store of cached levels of late. */
+  readonly savedLevels: readonly number[]
 }
 
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, named } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
     uses.map(({ server, outstanding, tokens }) => [server, outstanding, tokens]),
     weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
     suspects,
+    savedLevels,
     named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)])
   ])
 }
@@ -81,6 +84,7 @@
   ReadonlyArray<readonly [string, number, number]>,
   ReadonlyArray<readonly [string, string, number, number]>,
   readonly string[],
+  readonly number[],
   ReadonlyArray<readonly [string, number, number]> | undefined
 ]
 
@@ -91,13 +95,13 @@
 }
 
 function isWire (value: unknown): value is Wire {
-  return Array.isArray(value) && HEAD.every((type, index) => nameOfType(value[index]) === type) && value.slice(9, 12).every(part => Array.isArray(part))
+  return Array.isArray(value) && HEAD.every((type, index) => nameOfType(value[index]) === type) && value.slice(9, 13).every(part => Array.isArray(part))
 }
 
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, named = []] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = []] = wire as Wire
     return {
       name,
       address,
@@ -110,6 +114,7 @@
       uses: uses.map(([server, outstanding, tokens]) => ({ server, outstanding, tokens })),
       weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
       suspects,
+      savedLevels,
       named: named.map(([model, version, ageMs]) => ({ model, version, ageMs }))
     }
   }))
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -3,6 +3,7 @@
 import { createServer, type Server } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
+import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { CallerServer } from './callers/callerServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
 import { ExchangeRuns } from './exchange/exchangeRuns.js'
@@ -40,6 +41,7 @@
   private readonly figures: MetricsServer
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
+  private readonly savedLevels = SavedLevels.create()
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: Server
@@ -81,6 +83,7 @@
       wire: serverWire,
       directory: this.directory,
       retries: this.retries,
+      savedLevels: this.savedLevels,
       suspects: this.suspects,
       log: this.log,
       routing: () => this.routing(),
@@ -255,15 +258,18 @@
       lease: this.lease.news(),
       uses: this.directory.all().flatMap(({ listed, outstanding, outstandingTokens }) => outstanding > 0 ? [{ server: listed.id, outstanding, tokens: outstandingTokens }] : []),
       suspects: this.suspects.toTell(this.options.clock.now()),
+      savedLevels: this.savedLevels.news(this.options.clock.now()),
       named: this.weights.ages()
     }
   }
 
-  private hear ({ lease, weights, suspects, named }: PeerMessage): void {
+  private hear ({ lease, weights, suspects, savedLevels, named }: PeerMessage): void {
+    const now = this.options.clock.now()
     const count = this.peers.count()
     this.retries.observeInstances(count)
     this.directory.observeInstances(count)
-    this.suspects.hear(suspects, this.options.clock.now())
+    this.suspects.hear(suspects, now)
+    this.savedLevels.hear(savedLevels, now)
     if (lease) {
       this.lease.observe(lease)
     }
