--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -20,7 +20,8 @@
   uses: [],
   weights: [],
   suspects: [],
-  savedLevels: []
+  savedLevels: [],
+  named: []
 }
 
 describe('PeerTable', () => {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -189,7 +189,7 @@
       directory: this.directory,
       settledAt: () => this.knowledge.settledAt,
       onRouting: routing => this.adopt(routing),
-      onWeights: (model, version) => this.weights.name(model, version)
+      onWeights: (model, version) => this.weights.name(model, version, !this.knowledge.isWhole)
     })
     return Knowledge.create({
       clock,
@@ -256,11 +256,12 @@
       lease: this.lease.news(),
       uses: this.directory.all().flatMap(({ listed, outstanding, outstandingTokens }) => outstanding > 0 ? [{ server: listed.id, outstanding, tokens: outstandingTokens }] : []),
       suspects: this.suspects.toTell(this.options.clock.now()),
-      savedLevels: this.savedLevels.news(this.options.clock.now())
+      savedLevels: this.savedLevels.news(this.options.clock.now()),
+      named: this.weights.ages()
     }
   }
 
-  private hear ({ lease, weights, suspects, savedLevels }: PeerMessage): void {
+  private hear ({ lease, weights, suspects, savedLevels, named }: PeerMessage): void {
     const now = this.options.clock.now()
     const count = this.peers.count()
     this.retries.observeInstances(count)
@@ -271,6 +272,7 @@
       this.lease.observe(lease)
     }
     weights.forEach(news => this.weights.observe(news))
+    named.forEach(news => this.weights.observeNamed(news))
   }
 
   private isReady (): boolean {
