--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -25,6 +25,14 @@
   readonly changingMs: number
 }
 
+/** Weights that operators named. */
+export interface NamedNews {
+  readonly model: string
+  readonly version: number
+  /** Since they were learned, milliseconds. */
+  readonly ageMs: number
+}
+
 /** The newest record of the lease that is known. */
 export interface LeaseNews {
   readonly offset: number
@@ -47,6 +55,8 @@
   readonly lease: LeaseNews | undefined
   readonly uses: readonly ServerUse[]
   readonly weights: readonly WeightsNews[]
+  /** Since when which weights are replaced: the store keeps the newest only, and says of none when it was named. */
+  readonly named: readonly NamedNews[]
   /** Digests of requests that crash backend servers. */
   readonly suspects: readonly string[]
   /** Hashes of prompt levels that it had saved to the store of cached levels of late. */
@@ -56,14 +66,15 @@
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
     uses.map(({ server, outstanding, tokens }) => [server, outstanding, tokens]),
     weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
     suspects,
-    savedLevels
+    savedLevels,
+    named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)])
   ])
 }
 
@@ -73,7 +84,8 @@
   ReadonlyArray<readonly [string, number, number]>,
   ReadonlyArray<readonly [string, string, number, number]>,
   readonly string[],
-  readonly number[]
+  readonly number[],
+  ReadonlyArray<readonly [string, number, number]> | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -89,7 +101,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = []] = wire as Wire
     return {
       name,
       address,
@@ -102,7 +114,8 @@
       uses: uses.map(([server, outstanding, tokens]) => ({ server, outstanding, tokens })),
       weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
       suspects,
-      savedLevels
+      savedLevels,
+      named: named.map(([model, version, ageMs]) => ({ model, version, ageMs }))
     }
   }))
 }
