Place by prompt tokens yet to be read, told every 150 ms, and spare the cache store's link

Cause: an instance knew only its own waiting prompts, and others' load a second late; and all engines fetch through the cache store's one link.

Now each instance tells the tokens that engines have yet to read for it, and those on their way from the store, every 150 ms in a small fleet (60 datagrams a second an instance at most, so once every 400 ms with 24 receivers).

--- a/packages/foxtaillever-policy/src/relay/savedLevels.ts
+++ b/packages/foxtaillever-policy/src/relay/savedLevels.ts
@@ -9,8 +9,9 @@
  */
 
 /**
- * A level is saved again after this, milliseconds: the store may have lost it,
- * and within ten seconds of its last use reading it once more is priced.
+ * A level is saved again after this, milliseconds: the store may have dropped
+ * it or come back empty, and within ten seconds of its last use reading it once
+ * more is priced.
  */
 const RENEW_MS = 10_000
 
@@ -48,10 +49,15 @@
     return new SavedLevels()
   }
 
+  /** Whether a level was saved of late, or is about to be. */
+  has (level: number, now: number): boolean {
+    const last = this.saves.get(level)
+    return last !== undefined && last.at + RENEW_MS > now
+  }
+
   /** Whether a request that reads the level is to save it; if so, others here do not. */
   take (level: number, now: number): boolean {
-    const last = this.saves.get(level)
-    if (last && last.at + RENEW_MS > now) {
+    if (this.has(level, now)) {
       return false
     }
     this.note(level, { at: now, state: SaveState.Pending })
--- a/packages/foxtaillever-relay/src/__tests__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__tests__/relayRig.ts
@@ -7,6 +7,7 @@
 import { Logs } from 'foxtaillever-telemetry'
 import { VirtualClock } from 'foxtaillever-testing'
 import { Right } from 'purify-ts'
+import { FetchLoad } from '../cache/fetchLoad.js'
 import { CallerServer } from '../callers/callerServer.js'
 import { CrashSuspects } from '../exchange/crashSuspects.js'
 import type { ExchangeContext } from '../exchange/exchangeContext.js'
@@ -79,6 +80,7 @@
       retries: this.retries,
       suspects: this.suspects,
       savedLevels: SavedLevels.create(),
+      fetchLoad: FetchLoad.create(() => 0),
       log,
       routing: () => routing,
       place: (_, failed) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -1,6 +1,8 @@
 /** What a try tells the server about cached levels, weights and time. */
 import { hashNumber } from 'foxtaillever-core'
 import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
+import { mayFetch, maySave } from 'foxtaillever-policy/relay/useCacheStore'
+import type { FetchLoad } from '../cache/fetchLoad.js'
 import type { Exchange, Prompt } from '../model/exchange.js'
 import type { Routing } from '../model/routing.js'
 import type { SendTerms } from '../model/wire.js'
@@ -22,6 +24,16 @@
   return `${wall}/w${weightsVersion}`
 }
 
+/** Tokens after the levels that other requests share; a prompt of one level may be shared as a whole. */
+function ownTokensOf ({ levels, promptTokens }: Prompt): number {
+  return levels.length < 2 ? 0 : Math.min(promptTokens, levels[levels.length - 1]?.tokens ?? 0)
+}
+
+/** Tokens of the level that an engine lacks most often: those before it are shared by more requests and seldom dropped. */
+function deepestSharedTokensOf ({ levels, promptTokens }: Prompt): number {
+  return levels[levels.length - 2]?.tokens ?? promptTokens
+}
+
 /** The deepest level that other requests share; the last one is the request's own or its session's. */
 function sharedLevelOf ({ levels }: Prompt): string {
   return (levels[levels.length - 2] ?? levels[levels.length - 1])?.id ?? ''
@@ -39,21 +51,35 @@
 export interface TermsSources {
   readonly routing: Routing
   readonly savedLevels: SavedLevels
+  readonly fetchLoad: FetchLoad
   /** Milliseconds of Unix time. */
   readonly now: number
 }
 
-export function planTerms (exchange: Exchange, server: KnownServer, resumeAfter: string, { routing, savedLevels, now }: TermsSources): SendTerms {
+export function planTerms (exchange: Exchange, server: KnownServer, resumeAfter: string, { routing, savedLevels, fetchLoad, now }: TermsSources): SendTerms {
   const { prompt, route, account, deadline } = exchange
   const priority = Math.min(LAST_PRIORITY, account?.priority ?? route.priority ?? MIDDLE_PRIORITY)
   const common = { server: server.listed, deadline, priority, resumeAfter }
   const weightsVersion = prompt && server.weights.get(prompt.model)
-  if (weightsVersion === undefined) {
-    return { ...common, cacheSalt: '', weightsVersion: undefined, fetchFrom: '', saveTo: '', savedLevel: undefined }
+  if (prompt === undefined || weightsVersion === undefined) {
+    return { ...common, cacheSalt: '', weightsVersion: undefined, fetchFrom: '', saveTo: '', unreadTokens: prompt?.promptTokens ?? 0, fetchedTokens: 0, savedLevel: undefined }
   }
   const store = routing.cacheStore?.address ?? ''
   const cacheSalt = cacheSaltOf(exchange, weightsVersion)
-  const level = hashNumber(`${prompt?.model}/${cacheSalt}/${prompt && sharedLevelOf(prompt)}`)
-  const isSaved = store !== '' && savedLevels.take(level, now)
-  return { ...common, cacheSalt, weightsVersion, fetchFrom: store, saveTo: isSaved ? store : '', savedLevel: isSaved ? level : undefined }
+  const level = hashNumber(`${prompt.model}/${cacheSalt}/${sharedLevelOf(prompt)}`)
+  const demand = { tokensOnTheWay: fetchLoad.tokensFrom(store) }
+  const isFetched = store !== '' && mayFetch(demand)
+  // What was saved is found at the server or fetched; what comes after it is read in any case.
+  const isFound = isFetched && savedLevels.has(level, now)
+  const isSaved = store !== '' && maySave(demand) && savedLevels.take(level, now)
+  return {
+    ...common,
+    cacheSalt,
+    weightsVersion,
+    fetchFrom: isFetched ? store : '',
+    saveTo: isSaved ? store : '',
+    unreadTokens: isFound ? ownTokensOf(prompt) : prompt.promptTokens,
+    fetchedTokens: isFound ? deepestSharedTokensOf(prompt) : 0,
+    savedLevel: isSaved ? level : undefined
+  }
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -2,6 +2,7 @@
 import type { Clock, Random } from 'foxtaillever-core'
 import type { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
+import type { FetchLoad } from '../cache/fetchLoad.js'
 import type { Exchange } from '../model/exchange.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
@@ -18,6 +19,7 @@
   readonly directory: ServerDirectory
   readonly retries: RetryShare
   readonly savedLevels: SavedLevels
+  readonly fetchLoad: FetchLoad
   readonly suspects: CrashSuspects
   readonly log: RelayLog
   /** The configuration in force. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -90,7 +90,7 @@
     this.ledger.begin(server.listed.id)
     this.head = undefined
     relay.reset()
-    const terms = planTerms(exchange, server, relay.lastEventId, { routing: context.routing(), savedLevels: context.savedLevels, now: beganAt })
+    const terms = planTerms(exchange, server, relay.lastEventId, { routing: context.routing(), savedLevels: context.savedLevels, fetchLoad: context.fetchLoad, now: beganAt })
     const headers = wire.createHeaders(exchange, terms, beganAt)
     const attempt = Attempt.begin({
       clock,
@@ -105,7 +105,7 @@
         onFailed: failure => this.onFailed(failure)
       }
     })
-    this.current = OpenTry.open({ attempt, server, beganAt, exchange, terms, savedLevels: context.savedLevels, watch: this.watch(beganAt) })
+    this.current = OpenTry.open({ attempt, server, beganAt, terms, savedLevels: context.savedLevels, fetchLoad: context.fetchLoad, watch: this.watch(beganAt) })
   }
 
   private watch (sentAt: number): SilenceWatch {
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -1,7 +1,7 @@
 /** A try on its way: the load that it puts on its backend server is counted until it is closed, once. */
 import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import type { Attempt } from '../attempts/attempt.js'
-import type { Exchange } from '../model/exchange.js'
+import type { FetchLoad } from '../cache/fetchLoad.js'
 import type { SendTerms } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { SilenceWatch } from './silenceWatch.js'
@@ -9,9 +9,9 @@
 export interface OpenTryOptions {
   readonly attempt: Attempt
   readonly server: KnownServer
-  readonly exchange: Exchange
   readonly terms: SendTerms
   readonly savedLevels: SavedLevels
+  readonly fetchLoad: FetchLoad
   /** Milliseconds of Unix time. */
   readonly beganAt: number
   readonly watch: SilenceWatch
@@ -21,17 +21,20 @@
   readonly attempt: Attempt
   readonly server: KnownServer
   readonly beganAt: number
-  /** Prompt tokens, which the server has yet to read. */
-  private readonly tokens: number
+  /** Prompt tokens that the server has yet to read. */
+  private unreadTokens: number
+  private fetchedTokens: number
 
   private constructor (private readonly options: OpenTryOptions) {
-    const { attempt, server, exchange, beganAt } = options
+    const { attempt, server, terms, beganAt } = options
     this.attempt = attempt
     this.server = server
     this.beganAt = beganAt
-    this.tokens = exchange.prompt?.promptTokens ?? 0
+    this.unreadTokens = terms.unreadTokens
     server.outstanding += 1
-    server.outstandingTokens += this.tokens
+    server.unreadTokens += this.unreadTokens
+    this.fetchedTokens = terms.fetchedTokens
+    options.fetchLoad.begin(this.fetchedTokens)
   }
 
   static open (options: OpenTryOptions): OpenTry {
@@ -49,6 +52,7 @@
   /** An answer begins with this status; with it, the server has read the prompt. */
   observeStatus (status: number, now: number): void {
     const { terms, savedLevels } = this.options
+    this.release()
     if (terms.savedLevel !== undefined && status < 300) {
       savedLevels.confirm(terms.savedLevel, now)
     }
@@ -59,9 +63,17 @@
     const { server, terms, savedLevels, watch } = this.options
     watch.stop()
     server.outstanding -= 1
-    server.outstandingTokens -= this.tokens
+    this.release()
     if (terms.savedLevel !== undefined) {
       savedLevels.giveBack(terms.savedLevel)
     }
   }
+
+  /** Nothing of the prompt is left to read. */
+  private release (): void {
+    this.server.unreadTokens -= this.unreadTokens
+    this.unreadTokens = 0
+    this.options.fetchLoad.end(this.fetchedTokens)
+    this.fetchedTokens = 0
+  }
 }
--- a/packages/foxtaillever-relay/src/model/wire.ts
+++ b/packages/foxtaillever-relay/src/model/wire.ts
@@ -21,6 +21,10 @@
   readonly fetchFrom: string
   /** Address to which the engine sends the levels that it has read; empty for none. */
   readonly saveTo: string
+  /** Prompt tokens that the server is likely to read rather than find. */
+  readonly unreadTokens: number
+  /** Tokens that the server is likely to fetch. */
+  readonly fetchedTokens: number
   /** Hash of the shared level that is saved with it; undefined for none. */
   readonly savedLevel: number | undefined
   /** The last event that the caller has; empty for none. */
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -12,7 +12,7 @@
 export interface ServerUse {
   readonly server: string
   readonly outstanding: number
-  /** Prompt tokens of these. */
+  /** Prompt tokens that it has yet to read for these. */
   readonly tokens: number
 }
 
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -12,8 +12,18 @@
 import type { ReadNotice } from './readNotice.js'
 import type { ToldTopic } from './toldTopic.js'
 
-/** Between two beats, milliseconds. */
-const BEAT_MS = 1000
+/**
+ * Between two beats of a small fleet, milliseconds. Prompts wait at an engine
+ * for tens to hundreds of milliseconds: told once a second, that load is over
+ * when it is heard, and placing by it is worse than not knowing it.
+ */
+const LEAST_BEAT_MS = 150
+
+/** Datagrams that one instance sends in a second, some 10 KB: with more receivers it beats less often, once a second at most. */
+const DATAGRAMS_PER_MS = 0.06
+
+/** Between two beats of a large fleet, milliseconds. */
+const MOST_BEAT_MS = 1000
 
 /** Part of a period that is drawn, so that instances started together do not send together. */
 const BEAT_SPREAD = 0.2
@@ -106,8 +116,10 @@
     this.table.expire(now)
     const alive = new Set(this.alive().map(({ address }) => address))
     this.use.retain(address => alive.has(address))
-    this.link.send(this.receivers(MOST_RECEIVERS), this.message([]))
-    this.cancelBeat = clock.at(now + BEAT_MS * (1 - BEAT_SPREAD * random.next()), () => this.beat())
+    const receivers = this.receivers(MOST_RECEIVERS)
+    const beatMs = Math.min(MOST_BEAT_MS, Math.max(LEAST_BEAT_MS, receivers.length / DATAGRAMS_PER_MS))
+    this.link.send(receivers, this.message([]))
+    this.cancelBeat = clock.at(now + beatMs * (1 - BEAT_SPREAD * random.next()), () => this.beat())
   }
 
   private receivers (most: number): string[] {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -5,6 +5,7 @@
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
+import { FetchLoad } from './cache/fetchLoad.js'
 import { CallerServer } from './callers/callerServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
 import type { ExchangeContext } from './exchange/exchangeContext.js'
@@ -13,7 +14,7 @@
 import { enterMemberBook } from './knowledge/memberBook.js'
 import { RecordIntake } from './knowledge/recordIntake.js'
 import type { Routing } from './model/routing.js'
-import type { PeerMessage } from './peers/peerMessage.js'
+import type { PeerMessage, ServerUse } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
 import { ToldTopic } from './peers/toldTopic.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
@@ -39,6 +40,7 @@
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
   private readonly savedLevels = SavedLevels.create()
+  private readonly fetchLoad = FetchLoad.create(store => this.peers.use.of(store).tokens)
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: Server
@@ -79,6 +81,7 @@
       directory: this.directory,
       retries: this.retries,
       savedLevels: this.savedLevels,
+      fetchLoad: this.fetchLoad,
       suspects: this.suspects,
       log: this.log,
       routing: () => this.routing(),
@@ -236,12 +239,22 @@
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.lease.news(),
-      uses: this.directory.all().flatMap(({ listed, outstanding, outstandingTokens }) => outstanding > 0 ? [{ server: listed.id, outstanding, tokens: outstandingTokens }] : []),
+      uses: this.uses(),
       suspects: this.suspects.toTell(this.options.clock.now()),
       savedLevels: this.savedLevels.news(this.options.clock.now())
     }
   }
 
+  /** Load that this instance puts on each backend server and on the store of cached levels. */
+  private uses (): ServerUse[] {
+    const uses = this.directory.all().map(({ listed, outstanding, unreadTokens }) => ({ server: listed.id, outstanding, tokens: unreadTokens }))
+    const store = this.table?.routing.cacheStore
+    if (store) {
+      uses.push({ server: store.address, outstanding: Math.sign(this.fetchLoad.ownTokens), tokens: this.fetchLoad.ownTokens })
+    }
+    return uses.filter(({ outstanding }) => outstanding > 0)
+  }
+
   private hear ({ lease, weights, suspects, savedLevels }: PeerMessage): void {
     const now = this.options.clock.now()
     const count = this.peers.count()
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -12,8 +12,8 @@
   readonly weights: Map<string, number>
   /** Requests of this instance that it has not answered yet. */
   outstanding: number
-  /** Prompt tokens of these. */
-  outstandingTokens: number
+  /** Prompt tokens that it has yet to read for these before their first event. */
+  unreadTokens: number
   readonly health: ServerHealth
   /** An order changes its weights until then, milliseconds of Unix time. */
   changingUntil: number
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -53,7 +53,7 @@
 
   private toOffer (server: KnownServer, { prompt }: Exchange): ServerOffer {
     const { clock, use, weights, directory } = this.options
-    const { listed, outstanding, outstandingTokens, changingUntil } = server
+    const { listed, outstanding, unreadTokens, changingUntil } = server
     const now = clock.now()
     const others = use.of(listed.id)
     return {
@@ -62,7 +62,7 @@
       failureDomain: listed.failureDomain,
       slots: listed.slots,
       outstanding: outstanding + others.outstanding,
-      waitingTokens: outstandingTokens,
+      waitingTokens: unreadTokens + others.tokens,
       faultCostMs: directory.faultCostOf(server, now),
       isChanging: changingUntil > now,
       isOutdated: prompt !== undefined && weights.outdatedSince(prompt.model, server.weights.get(prompt.model) ?? 0) !== undefined,
