--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,27 +1,28 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
 import { randomUUID } from 'node:crypto'
 import { createServer, type Server } from 'node:http'
-import { uptime } from 'node:os'
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
-import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
-import { FetchLoad } from './cache/fetchLoad.js'
+import { createCacheUse } from './cache/cacheUse.js'
 import { CallerServer } from './callers/callerServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
-import type { ExchangeContext } from './exchange/exchangeContext.js'
-import { ExchangeRun } from './exchange/exchangeRun.js'
+import { ExchangeRuns } from './exchange/exchangeRuns.js'
 import { Knowledge } from './knowledge/knowledge.js'
 import { enterMemberBook } from './knowledge/memberBook.js'
 import { RecordIntake } from './knowledge/recordIntake.js'
+import { readWallSeconds } from './knowledge/suspension.js'
 import type { Routing } from './model/routing.js'
-import type { PeerMessage, ServerUse } from './peers/peerMessage.js'
+import { ownUses } from './peers/ownUses.js'
+import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
 import { ToldTopic } from './peers/toldTopic.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
 import { ServerChoice } from './servers/serverChoice.js'
 import { ServerDirectory } from './servers/serverDirectory.js'
+import { MetricsServer } from './telemetry/metricsServer.js'
 import { RelayLog } from './telemetry/relayLog.js'
+import { RelayState } from './telemetry/relayState.js'
 import { OrderLease } from './weights/orderLease.js'
 import { LAST_RANK, orderRank } from './weights/orderRank.js'
 import { WeightsDesk } from './weights/weightsDesk.js'
@@ -37,10 +38,11 @@
 
 export class Relay {
   private readonly log: RelayLog
+  private readonly state: RelayState
+  private readonly figures: MetricsServer
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
-  private readonly savedLevels = SavedLevels.create()
-  private readonly fetchLoad = FetchLoad.create(store => this.peers.use.of(store).tokens)
+  private readonly caches = createCacheUse(store => this.peers.use.of(store).tokens)
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: Server
@@ -49,15 +51,14 @@
   private readonly lease: OrderLease
   private readonly weights: WeightsDesk
   private readonly choice: ServerChoice
-  private readonly runs = new Set<ExchangeRun>()
-  private readonly context: ExchangeContext
+  private readonly runs: ExchangeRuns
   private table: RouteTable | undefined
   private isLeaving = false
   private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
     const { clock, random, logs, callerWire, serverWire, retryAllowance, failureDomain } = options
-    this.log = RelayLog.create(logs)
+    this.log = RelayLog.create(logs, service => this.state.brief(service))
     this.graceMs = options.graceMs
     this.retries = RetryShare.create(retryAllowance)
     this.directory = ServerDirectory.create({
@@ -67,6 +68,9 @@
         this.weights.run()
       }
     })
+    this.state = this.createState()
+    this.state.addTo(this.log.metrics)
+    this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
     this.knowledge = this.createKnowledge()
     this.lease = this.createLease()
@@ -74,28 +78,26 @@
     this.choice = ServerChoice.create({
       clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
     })
-    this.context = {
+    this.runs = ExchangeRuns.create({
       clock,
       random,
       wire: serverWire,
       directory: this.directory,
       retries: this.retries,
-      savedLevels: this.savedLevels,
-      fetchLoad: this.fetchLoad,
+      ...this.caches,
       suspects: this.suspects,
       log: this.log,
       routing: () => this.routing(),
       place: (exchange, failed) => this.choice.place(exchange, failed),
-      onMisdirected: () => { this.weights.run() },
-      onOver: run => this.runs.delete(run)
-    }
+      onMisdirected: () => { this.weights.run() }
+    })
     this.callers = CallerServer.create({
       clock,
       random,
       wire: callerWire,
       log: this.log,
       table: () => this.table,
-      onExchange: (exchange, answer) => { this.runs.add(ExchangeRun.start(this.context, exchange, answer)) }
+      onExchange: (exchange, answer) => this.runs.start(exchange, answer)
     })
     this.readiness = createServer((_, response) => {
       response.writeHead(this.isReady() ? 200 : 503)
@@ -108,14 +110,17 @@
   }
 
   async start (): Promise<void> {
-    const { callers, readiness, clock, log, topics, name, seeds } = this.options
+    const { callers, readiness, metrics, clock, log, topics, name, seeds } = this.options
     this.log.belief('Starting.', { pid: process.pid })
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
-    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses) })
+    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await new Promise<void>(resolve => this.readiness.listen(readiness.port, readiness.host, resolve))
+    if (metrics) {
+      this.figures.listen(metrics, reason => this.log.trouble('The address for metrics cannot be used.', { reason }))
+    }
     this.log.belief('Started.', {})
   }
 
@@ -142,14 +147,27 @@
     while (this.runs.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
-    this.runs.forEach(run => run.abort())
+    this.runs.abort()
     this.weights.stop()
     this.knowledge.stop()
     this.readiness.close()
+    this.figures.close()
     await this.peers.stop()
     this.log.belief('Stopped.', {})
   }
 
+  /** What this instance believes now, for an operator. */
+  dump (): object {
+    return this.state.dump()
+  }
+
+  private createState (): RelayState {
+    const { name, clock } = this.options
+    const { directory } = this
+    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.lease }
+    return RelayState.create({ name, clock, directory, ...parts, open: () => this.runs.size, isReady: () => this.isReady() })
+  }
+
   private createPeers (): Peers {
     const { clock, random, name, failureDomain, peers } = this.options
     return Peers.create({
@@ -179,9 +197,9 @@
     return Knowledge.create({
       clock,
       random,
-      uptime,
+      wallSeconds: readWallSeconds,
       self: { name, failureDomain },
-      readers: () => this.peers.alive().filter(({ hasStore }) => hasStore),
+      readers: () => this.peers.likely().filter(({ hasStore }) => hasStore),
       notify: notice => this.peers.notify(notice),
       log,
       topics: { [ToldTopic.Operators]: topics.operators, [ToldTopic.Servers]: topics.servers },
@@ -196,7 +214,7 @@
     const { clock, fenceLog, topics, name, leasePauseMs } = this.options
     return OrderLease.create({
       clock,
-      uptime,
+      uptime: readWallSeconds,
       log: fenceLog,
       topic: topics.lease,
       holder: name,
@@ -239,20 +257,10 @@
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.lease.news(),
-      uses: this.uses(),
+      uses: ownUses(this.directory.all(), this.table?.routing.cacheStore?.address, this.caches.fetchLoad),
       suspects: this.suspects.toTell(this.options.clock.now()),
-      savedLevels: this.savedLevels.news(this.options.clock.now())
-    }
-  }
-
-  /** Load that this instance puts on each backend server and on the store of cached levels. */
-  private uses (): ServerUse[] {
-    const uses = this.directory.all().map(({ listed, outstanding, unreadTokens }) => ({ server: listed.id, outstanding, tokens: unreadTokens }))
-    const store = this.table?.routing.cacheStore
-    if (store) {
-      uses.push({ server: store.address, outstanding: Math.sign(this.fetchLoad.ownTokens), tokens: this.fetchLoad.ownTokens })
+      savedLevels: this.caches.savedLevels.news(this.options.clock.now())
     }
-    return uses.filter(({ outstanding }) => outstanding > 0)
   }
 
   private hear ({ lease, weights, suspects, savedLevels }: PeerMessage): void {
@@ -261,7 +269,7 @@
     this.retries.observeInstances(count)
     this.directory.observeInstances(count)
     this.suspects.hear(suspects, now)
-    this.savedLevels.hear(savedLevels, now)
+    this.caches.savedLevels.hear(savedLevels, now)
     if (lease) {
       this.lease.observe(lease)
     }
