--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -97,7 +97,7 @@
     this.ledger.begin(server.listed.id)
     this.head = undefined
     relay.reset()
-    const terms = planTerms(exchange, server, relay.lastEventId, { routing: context.routing(), savedLevels: context.savedLevels, now: beganAt })
+    const terms = planTerms(exchange, server, relay.lastEventId, { routing: context.routing(), savedLevels: context.savedLevels, fetchLoad: context.fetchLoad, now: beganAt })
     const headers = wire.createHeaders(exchange, terms, beganAt)
     const attempt = Attempt.begin({
       clock,
@@ -112,7 +112,8 @@
         onFailed: failure => this.onFailed(failure)
       }
     })
-    this.current = OpenTry.open({ attempt, server, beganAt, exchange, terms, savedLevels: context.savedLevels, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
+    const { savedLevels, fetchLoad } = context
+    this.current = OpenTry.open({ attempt, server, beganAt, terms, savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
   }
 
   private onHead (head: AnswerHead): void {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
-import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
+import { createCacheUse } from './cache/cacheUse.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
@@ -12,6 +12,7 @@
 import { RecordIntake } from './knowledge/recordIntake.js'
 import { readWallSeconds } from './knowledge/suspension.js'
 import type { Routing } from './model/routing.js'
+import { ownUses } from './peers/ownUses.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
 import { ToldTopic } from './peers/toldTopic.js'
@@ -42,7 +43,7 @@
   private readonly figures: MetricsServer
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
-  private readonly savedLevels = SavedLevels.create()
+  private readonly caches = createCacheUse(store => this.peers.use.of(store).tokens)
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: ReadinessServer
@@ -84,7 +85,7 @@
       wire: serverWire,
       directory: this.directory,
       retries: this.retries,
-      savedLevels: this.savedLevels,
+      ...this.caches,
       suspects: this.suspects,
       log: this.log,
       routing: () => this.routing(),
@@ -254,9 +255,9 @@
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.lease.news(),
-      uses: this.directory.all().flatMap(({ listed, outstanding, outstandingTokens }) => outstanding > 0 ? [{ server: listed.id, outstanding, tokens: outstandingTokens }] : []),
+      uses: ownUses(this.directory.all(), this.table?.routing.cacheStore?.address, this.caches.fetchLoad),
       suspects: this.suspects.toTell(this.options.clock.now()),
-      savedLevels: this.savedLevels.news(this.options.clock.now()),
+      savedLevels: this.caches.savedLevels.news(this.options.clock.now()),
       named: this.weights.ages()
     }
   }
@@ -267,7 +268,7 @@
     this.retries.observeInstances(count)
     this.directory.observeInstances(count)
     this.suspects.hear(suspects, now)
-    this.savedLevels.hear(savedLevels, now)
+    this.caches.savedLevels.hear(savedLevels, now)
     if (lease) {
       this.lease.observe(lease)
     }
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -89,8 +89,8 @@
   }
 
   private toOffer (server: KnownServer, exchange: Exchange, gathering: ReadonlySet<string>): ServerOffer {
-    const { clock, directory } = this.options
-    const { listed, outstandingTokens, changingUntil } = server
+    const { clock, directory, use } = this.options
+    const { listed, unreadTokens, changingUntil } = server
     const now = clock.now()
     return {
       id: listed.id,
@@ -98,7 +98,7 @@
       failureDomain: listed.failureDomain,
       slots: listed.slots,
       outstanding: this.outstandingAt(server),
-      waitingTokens: outstandingTokens,
+      waitingTokens: unreadTokens + use.of(listed.id).tokens,
       faultCostMs: directory.faultCostOf(server, now),
       isChanging: changingUntil > now,
       isOutdated: this.isOutdated(server, exchange),
