Give up on a silent engine only when it passes the request over

Cause: streams that may be resumed were tried elsewhere after twice their objective of silence, while engines that load weights or read large prompts are silent for long and well. Each such try is read twice. Now the answer to a request that was sent later tells that the earlier one is lost; a change of weights explains a silence; plain requests go on as before. A connection to a server is awaited for 200 ms in place of 500.

--- a/packages/foxtaillever-relay/src/__tests__/answers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/answers.test.ts
@@ -109,6 +109,36 @@
     rig.stop()
   })
 
+  // An engine reads large prompts, one after another. Each that is given up and
+  // sent elsewhere is read there from the beginning, and makes others wait.
+  it('is borne while the server has begun nothing newer', async t => {
+    const rig = await RelayRig.start(stream, () => {}, arrival => arrival.socket.write(streamHead(arrival) + chunk('id: 1\n\n') + '0\r\n\r\n'))
+    const queued = rig.ask('a')
+    await rig.servers[0]?.arrived(1)
+    await rig.clock.advanceBy(3000)
+    t.is(rig.arrivals, 1)
+    rig.runs.abort()
+    await queued
+    rig.stop()
+  })
+
+  it('of a server that passes a request over sends that one elsewhere', async t => {
+    const whole = (arrival: Parameters<typeof streamHead>[0]): void => { arrival.socket.write(streamHead(arrival) + chunk('id: 1\n\n') + '0\r\n\r\n') }
+    const rig = await RelayRig.start(stream, arrival => {
+      if (arrival.id !== 'a') {
+        whole(arrival)
+      }
+    }, whole)
+    const lost = rig.ask('a')
+    await rig.servers[0]?.arrived(1)
+    await rig.clock.advanceBy(100)
+    await rig.ask('b')
+    await rig.clock.advanceBy(1000)
+    t.regex(await lost, /^HTTP\/1.1 200 [^]*id: 1/)
+    t.is(rig.servers[1]?.arrivals.length, 1)
+    rig.stop()
+  })
+
   it('lets what runs once wait for its deadline', async t => {
     const rig = await RelayRig.start({}, () => {}, arrival => arrival.socket.write(wholeAnswer(arrival, 'twice')))
     const answer = rig.ask('a')
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -41,10 +41,11 @@
 }
 
 /**
- * A server in the same region accepts a connection well within this,
- * milliseconds; one that does not is cut off or gone, and another is tried.
+ * A server in the same region accepts a connection within some milliseconds,
+ * and this one's own work may hold up the news of it for as long again; one
+ * that does not is cut off or gone, and another may yet answer in time.
  */
-const CONNECT_TIMEOUT_MS = 500
+const CONNECT_TIMEOUT_MS = 200
 
 export class Attempt {
   private readonly request: ClientRequest
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -117,6 +117,7 @@
   private onHead (head: AnswerHead): void {
     const { exchange, context, current } = this
     const { weightsVersion } = head.marks
+    current?.begin()
     if (current && exchange.prompt && weightsVersion !== undefined) {
       context.directory.observeWeights(current.serverId, exchange.prompt.model, weightsVersion)
     }
@@ -211,23 +212,27 @@
    * twice; all else waits for its deadline, because it may yet be answered.
    */
   private onSilent (): void {
-    const { current, context, exchange, relay } = this
-    if (!current) {
+    const { current, context, exchange } = this
+    if (!current || current.isChanging) {
       return
     }
     const { attempt, server } = current
-    context.log.silent(exchange, server.listed.id, attempt.isOnKeptConnection)
+    context.log.silent(exchange, current.serverId, attempt.isOnKeptConnection)
     // Connections of one age tend to go silent together; the server itself may be well.
     server.connections.closeIdle()
-    if (isRepeatable(exchange) && relay.canContinue && this.ledger.hasTriesLeft && context.retries.canTake(exchange.service, this.now)) {
+    if (this.isBetterTriedAgain(current)) {
       attempt.giveUp()
-      return
-    }
-    if (!attempt.isOnKeptConnection) {
-      context.directory.observeFault(server.listed.id, this.now)
+    } else if (!attempt.isOnKeptConnection) {
+      context.directory.observeFault(current.serverId, this.now)
     }
   }
 
+  private isBetterTriedAgain (current: OpenTry): boolean {
+    const { exchange, relay, ledger, context } = this
+    const isQueued = exchange.route.isStream && !this.answer.hasBegun && !current.isOvertaken
+    return !isQueued && isRepeatable(exchange) && relay.canContinue && ledger.hasTriesLeft && context.retries.canTake(exchange.service, this.now)
+  }
+
   private onGone (): void {
     if (!this.isOver) {
       this.cancelCurrent()
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -35,6 +35,26 @@
     return this.server.listed.id
   }
 
+  /** The answer has begun. */
+  begin (): void {
+    const { server, beganAt } = this
+    server.newestBegun = Math.max(server.newestBegun, beganAt)
+  }
+
+  /**
+   * Whether answers to requests that were sent later have begun. An engine that
+   * reads large prompts or loads weights may be silent for long and well; one
+   * that passes a request over has lost it.
+   */
+  get isOvertaken (): boolean {
+    return this.server.newestBegun > this.beganAt
+  }
+
+  /** Whether the server changed its weights meanwhile, which explains a silence. */
+  get isChanging (): boolean {
+    return this.server.changingUntil > this.beganAt
+  }
+
   hear (): void {
     this.options.watch.hear()
   }
--- a/packages/foxtaillever-relay/src/exchange/silenceWatch.ts
+++ b/packages/foxtaillever-relay/src/exchange/silenceWatch.ts
@@ -7,12 +7,14 @@
   readonly firstUntil: number
   /** Until when the next word is awaited after one was heard. */
   readonly nextUntil: (heardAt: number) => number
+  /** Called again after each further span of silence. */
   readonly onSilent: () => void
 }
 
 export class SilenceWatch {
   private until: number
   private cancel: Cancellation = () => {}
+  private isStopped = false
 
   private constructor (private readonly options: SilenceWatchOptions) {
     this.until = options.firstUntil
@@ -29,19 +31,21 @@
   }
 
   stop (): void {
+    this.isStopped = true
     this.cancel()
-    this.cancel = () => {}
   }
 
   private arm (): void {
     const { clock, onSilent } = this.options
     const until = this.until
     this.cancel = clock.at(until, () => {
-      if (this.until > until) {
+      if (this.until <= until) {
+        onSilent()
+        this.hear()
+      }
+      if (!this.isStopped) {
         this.arm()
-        return
       }
-      onSilent()
     })
   }
 }
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -15,6 +15,8 @@
   /** Prompt tokens of these. */
   outstandingTokens: number
   readonly health: ServerHealth
+  /** When the newest of the requests was sent that it has begun to answer, milliseconds of Unix time. */
+  newestBegun: number
   /** An order changes its weights until then, milliseconds of Unix time. */
   changingUntil: number
 }
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -164,7 +164,7 @@
       onOpened: () => this.options.onOpened(listed)
     })
     const server: KnownServer = {
-      listed, offset, connections, weights: new Map(), outstanding: 0, outstandingTokens: 0, health: ServerHealth.create(), changingUntil: 0
+      listed, offset, connections, weights: new Map(), outstanding: 0, outstandingTokens: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0
     }
     this.servers.set(listed.id, server)
     return server
