--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -29,6 +29,8 @@
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
   private instances = 1
+  /** Changes of weights learned so far. */
+  private weightsChanges = 0
 
   private constructor (private readonly options: ServerDirectoryOptions) {}
 
@@ -38,10 +40,25 @@
 
   configure (routing: Routing): void {
     this.routing = routing
+    this.limitConnections()
   }
 
   observeInstances (count: number): void {
-    this.instances = Math.max(1, count)
+    const instances = Math.max(1, count)
+    if (instances !== this.instances) {
+      this.instances = instances
+      this.limitConnections()
+    }
+  }
+
+  /** The limits of services and the number of instances may both change after a server was added. */
+  private limitConnections (): void {
+    this.servers.forEach(({ listed, connections }) => connections.limit(this.mostConnections(listed.service)))
+  }
+
+  private mostConnections (service: string): number {
+    const most = this.routing?.services.get(service)?.mostConnections ?? DEFAULT_CONNECTIONS
+    return Math.max(2, Math.floor(most / this.instances))
   }
 
   /**
@@ -108,6 +125,7 @@
     const server = this.servers.get(id)
     if (server && version > (server.weights.get(model) ?? -1)) {
       server.weights.set(model, version)
+      server.weightsOrder = this.weightsChanges++
       server.changingUntil = 0
     }
   }
@@ -157,14 +175,13 @@
   }
 
   private add (listed: ListedServer, offset: number): KnownServer {
-    const most = this.routing?.services.get(listed.service)?.mostConnections ?? DEFAULT_CONNECTIONS
     const connections = ServerConnections.create({
       address: listed.address,
-      mostConnections: Math.max(2, Math.floor(most / this.instances)),
+      mostConnections: this.mostConnections(listed.service),
       onOpened: () => this.options.onOpened(listed)
     })
     const server: KnownServer = {
-      listed, offset, connections, weights: new Map(), outstanding: 0, outstandingTokens: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0
+      listed, offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, outstandingTokens: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0
     }
     this.servers.set(listed.id, server)
     return server
