Pass on answers without a body, and survive the end of their connections

Cause: an answer without a body (204, 304) names no length, so it was taken for one that ends with its connection; its watch for a reset outlived the answer on the kept connection and threw when that ended, which ends the process. Found by a new test. Such answers got a Content-Length besides, which they must not have.

--- a/packages/foxtaillever-relay/src/__tests__/answers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/answers.test.ts
@@ -29,6 +29,16 @@
     }
   })
 
+  // An answer without a body says no length; a caller's strict reader takes one
+  // with a length for malformed.
+  it('passes on an answer that has no body', async t => {
+    const rig = await RelayRig.start({}, ({ id, socket }) => socket.write(`HTTP/1.1 204 Done\r\nrequest-id: ${id}\r\nstamp: s\r\n\r\n`))
+    const text = await rig.ask('a')
+    t.regex(text, /^HTTP\/1.1 204 /)
+    t.notRegex(text, /content-length|transfer-encoding/i)
+    rig.stop()
+  })
+
   it('passes on a refusal as one, after other servers were asked', async t => {
     const refuse = (arrival: Parameters<typeof wholeAnswer>[0]): void => { arrival.socket.write(wholeAnswer(arrival, '', '503 Busy', 'not-run: 1')) }
     const rig = await RelayRig.start({}, refuse, refuse)
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -141,8 +141,9 @@
     }
     this.response = response
     if (!isFramed(response)) {
+      const { socket } = response
       // Before node:http, which closes the connection at its end.
-      response.socket.prependOnceListener('end', () => { this.wasReset = isDisconnected(response.socket) })
+      socket.prependOnceListener('end', () => { this.wasReset = isDisconnected(socket) })
     }
     response.on('data', bytes => this.onData(bytes))
     response.on('end', () => this.onEnd(response))
@@ -222,8 +223,11 @@
 /** Callers read these as the promise that the request has not run and never will. */
 const promisesNotRun = new Set([408, 429, 503])
 
-function isFramed ({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+/** These have no body, whatever their headers say. */
+const bodiless = new Set([204, 304])
+
+function isFramed ({ headers, statusCode = 0 }: IncomingMessage): boolean {
+  return bodiless.has(statusCode) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
 
 /**
--- a/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
+++ b/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
@@ -13,6 +13,9 @@
   readonly onDrained: () => void
 }
 
+/** Statuses whose answers have no body and say no length. */
+const bodiless = new Set([204, 304])
+
 export class CallerAnswer {
   private isOver = false
 
@@ -60,7 +63,7 @@
   /** Sends a whole answer. */
   send (status: number, headers: readonly string[], body: Buffer): void {
     this.isOver = true
-    this.response.writeHead(status, [...headers, 'Content-Length', String(body.length)])
+    this.response.writeHead(status, bodiless.has(status) ? headers as string[] : [...headers, 'Content-Length', String(body.length)])
     this.response.end(body)
   }
 
