--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -41,10 +41,11 @@
 }
 
 /**
- * A server in the same region accepts a connection well within this,
- * milliseconds; one that does not is cut off or gone, and another is tried.
+ * A server in the same region accepts a connection within some milliseconds,
+ * and this one's own work may hold up the news of it for as long again; one
+ * that does not is cut off or gone, and another may yet answer in time.
  */
-const CONNECT_TIMEOUT_MS = 500
+const CONNECT_TIMEOUT_MS = 200
 
 export class Attempt {
   private readonly request: ClientRequest
@@ -140,8 +141,9 @@
     }
     this.response = response
     if (!isFramed(response)) {
+      const { socket } = response
       // Before node:http, which closes the connection at its end.
-      response.socket.prependOnceListener('end', () => { this.wasReset = isDisconnected(response.socket) })
+      socket.prependOnceListener('end', () => { this.wasReset = isDisconnected(socket) })
     }
     response.on('data', bytes => this.onData(bytes))
     response.on('end', () => this.onEnd(response))
@@ -221,8 +223,11 @@
 /** Callers read these as the promise that the request has not run and never will. */
 const promisesNotRun = new Set([408, 429, 503])
 
-function isFramed ({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+/** These have no body, whatever their headers say. */
+const bodiless = new Set([204, 304])
+
+function isFramed ({ headers, statusCode = 0 }: IncomingMessage): boolean {
+  return bodiless.has(statusCode) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
 
 /**
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -17,6 +17,8 @@
   /** Prompt tokens that it has yet to read for these before their first event. */
   unreadTokens: number
   readonly health: ServerHealth
+  /** When the newest of the requests was sent that it has begun to answer, milliseconds of Unix time. */
+  newestBegun: number
   /** An order changes its weights until then, milliseconds of Unix time. */
   changingUntil: number
 }
