--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -44,7 +44,7 @@
       ready: ready.length,
       places: ready.reduce((sum, { listed }) => sum + listed.slots, 0),
       outstanding: ready.reduce((sum, server) => sum + server.outstanding, 0),
-      worstFaultShare: Math.max(0, ...ready.map(({ health }) => health.faultShare(clock.now())))
+      worstFaultShare: Number(Math.max(0, ...ready.map(({ health }) => health.faultShare(clock.now()))).toFixed(2))
     }
   }
 
