--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -19,7 +19,7 @@
   lease: undefined,
   uses: [],
   weights: [],
-  suspects: []
+  suspects: [], savedLevels: []
 }
 
 describe('PeerTable', () => {
