--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -19,7 +19,8 @@
   lease: undefined,
   uses: [],
   weights: [],
-  suspects: [], savedLevels: []
+  suspects: [],
+  savedLevels: []
 }
 
 describe('PeerTable', () => {
