Soak the real entry process over stand-ins of the users' platform

Asked afterwards: once at most, whole, in order, stamped, a true word that a request was not run, nothing allowed denied.

--- /dev/null
+++ b/packages/foxtaillever-proof/src/__tests__/platformSoak.test.ts
@@ -0,0 +1,14 @@
+import { describe, it } from 'foxtaillever-testing'
+import { runPlatformSoak } from '../platformSoak/runPlatformSoak.js'
+
+const entry = new URL('../../../../platform/dist/main.js', import.meta.url).pathname
+
+describe('the entry process under faults', () => {
+  // Processes are killed, paused and restarted while the store and the servers fail. Callers may be
+  // refused; nothing may run twice, be cut unnoticed, or be called not run though it has.
+  it('keeps its promises in a short run', async t => {
+    const { complaints, outcomes } = await runPlatformSoak({ seed: 1, seconds: 5, entry })
+    t.deepEqual(complaints, [])
+    t.true((outcomes[200] ?? 0) > 0)
+  })
+})
--- /dev/null
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -0,0 +1,80 @@
+/** What a soak does to processes, store and servers; each fault ends by itself. */
+import { waitUntil, type Clock, type Random } from 'foxtaillever-core'
+import { createConfiguration, ENGINES, MODEL, ZONES } from 'foxtaillever-platform/__fixtures__/relayFleet'
+import { AppendFault, ServerFault, StoreMode, type BackendServer } from 'foxtaillever-standins'
+import type { SoakedFleet, SoakedInstance } from './soakedFleet.js'
+
+export interface PlatformFaultContext {
+  readonly fleet: SoakedFleet
+  readonly clock: Clock
+  readonly random: Random
+}
+
+const LONGEST_PAUSE_MS = 2500
+const LONGEST_STORE_FAULT_MS = 3000
+
+/** Drained servers go on serving what they have for this long, milliseconds. */
+const DRAINED_SERVES_MS = 3000
+
+let revision = 1
+let weights = 1
+let added = 0
+
+function draw<Value> (random: Random, values: readonly Value[]): Value {
+  return values[random.below(values.length)] as Value
+}
+
+async function rest ({ clock, random }: PlatformFaultContext, most: number): Promise<void> {
+  await waitUntil(clock, clock.now() + random.below(most))
+}
+
+function drawInstance ({ fleet, random }: PlatformFaultContext): SoakedInstance {
+  return draw(random, fleet.instances)
+}
+
+async function faultStore (context: PlatformFaultContext, doors: readonly SoakedInstance[]): Promise<void> {
+  const mode = draw(context.random, [StoreMode.Silent, StoreMode.Resetting, StoreMode.Refusing])
+  doors.forEach(({ door }) => door.setMode(mode))
+  await rest(context, LONGEST_STORE_FAULT_MS)
+  doors.forEach(({ door }) => door.setMode(StoreMode.Up))
+}
+
+async function replaceServer ({ fleet, clock, random }: PlatformFaultContext): Promise<void> {
+  const engines = fleet.platform.servers.filter(({ options, isLeaving }) => options.name.startsWith('engine') && !isLeaving)
+  const leaving: BackendServer = draw(random, engines)
+  added += 1
+  await fleet.platform.addEngine(`engine-more-${added}`, ENGINES, draw(random, ZONES), { [MODEL]: weights })
+  fleet.platform.drain(leaving)
+  await waitUntil(clock, clock.now() + DRAINED_SERVES_MS)
+  fleet.platform.remove(leaving)
+}
+
+export const platformFaults: Readonly<Record<string, (context: PlatformFaultContext) => Promise<void>>> = {
+  'kill an instance': async context => {
+    const { child } = drawInstance(context)
+    await child.kill()
+    await rest(context, LONGEST_PAUSE_MS)
+    child.start()
+  },
+  'pause an instance': async context => {
+    const { child } = drawInstance(context)
+    child.stop()
+    await rest(context, LONGEST_PAUSE_MS)
+    child.continue()
+  },
+  'stop an instance in order': async context => {
+    const { child } = drawInstance(context)
+    await child.terminate()
+    child.start()
+  },
+  'fault the store for one': async context => await faultStore(context, [drawInstance(context)]),
+  'fault the store for all': async context => await faultStore(context, context.fleet.instances),
+  'lose answers of the store': async context => {
+    drawInstance(context).door.faults.appends.push(draw(context.random, [AppendFault.AnswerLost, AppendFault.Late]))
+  },
+  'forget the history': async ({ fleet }) => fleet.platform.store.compact(),
+  'fault a server': async ({ fleet, random }) => { draw(random, fleet.platform.servers).faults.push(draw(random, Object.values(ServerFault))) },
+  'replace a server': replaceServer,
+  'name new weights': async ({ fleet }) => { fleet.platform.nameWeights(MODEL, ++weights) },
+  'change the configuration': async ({ fleet }) => fleet.platform.configure(createConfiguration(++revision))
+}
--- /dev/null
+++ b/packages/foxtaillever-proof/src/platformSoak/soakedFleet.ts
@@ -0,0 +1,71 @@
+/** Real entry processes on loopback over stand-ins of the users' platform. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { SystemClock } from 'foxtaillever-core'
+import { Caller } from 'foxtaillever-platform/__fixtures__/caller'
+import { freePort, nextHost } from 'foxtaillever-platform/__fixtures__/loopback'
+import { createConfiguration, ENGINES, MODEL, PLAIN, ZONES } from 'foxtaillever-platform/__fixtures__/relayFleet'
+import { waitFor } from 'foxtaillever-platform/__fixtures__/waitFor'
+import { PlatformDeployment, type StoreServer } from 'foxtaillever-standins'
+import { Child } from '../soak/child.js'
+
+/** Bounds of the settings, short, so that a soak of seconds meets them. */
+const BOUNDS = { retry_budget_ratio: 0.2, retry_budget_slack: 50, budget_window_s: 10, grace_s: 8, lease_ms: 500, version_ms: 8000 }
+
+const HEARTBEAT_MS = 300
+
+export interface SoakedInstance {
+  readonly child: Child
+  readonly address: string
+  readonly door: StoreServer
+}
+
+export class SoakedFleet {
+  readonly clock = SystemClock.create()
+  readonly caller = Caller.create()
+  readonly platform = PlatformDeployment.create({ clock: this.clock, host: nextHost(), heartbeatMs: HEARTBEAT_MS })
+  readonly instances: SoakedInstance[] = []
+  private readonly folder = mkdtempSync(join(tmpdir(), 'foxtaillever-soak-'))
+  private peerPort = 0
+
+  private constructor (private readonly entry: string) {}
+
+  /** @param entry the program to run. */
+  static async start (entry: string): Promise<SoakedFleet> {
+    const fleet = new SoakedFleet(entry)
+    fleet.platform.nameWeights(MODEL, 1)
+    fleet.platform.configure(createConfiguration(1))
+    for (const zone of ZONES) {
+      await fleet.platform.addEngine(`engine-${zone}`, ENGINES, zone, { [MODEL]: 1 })
+      await fleet.platform.addPlain(`plain-${zone}`, PLAIN, zone)
+    }
+    fleet.peerPort = await freePort(nextHost())
+    for (const zone of ZONES) {
+      await fleet.add(zone)
+    }
+    for (const { address } of fleet.instances) {
+      await waitFor(`${address} serves`, async () => (await fleet.caller.send({ address, id: `start-${Math.random()}`, path: '/repeatable/x', key: 'key-acme', method: 'GET' })).status === 200)
+    }
+    return fleet
+  }
+
+  private async add (zone: string): Promise<void> {
+    const ip = nextHost()
+    const { door, address: store } = await this.platform.openStore()
+    const [front, ready] = [`${ip}:${await freePort(ip)}`, `${ip}:${await freePort(ip)}`]
+    const name = `instance-${this.instances.length + 1}`
+    const path = join(this.folder, `${name}.json`)
+    writeFileSync(path, JSON.stringify({ node: name, zone, ip, listen: { front, ready }, internal_ports: [this.peerPort, this.peerPort], seeds: [], heartbeat_ms: HEARTBEAT_MS, bounds: BOUNDS, platform: { address: store } }))
+    const child = Child.create({ name, arguments: [this.entry], environment: { FOXTAILLEVER_BOOT: path }, onLine: () => {} })
+    this.instances.push({ child, address: front, door })
+    child.start()
+  }
+
+  async end (): Promise<void> {
+    this.caller.close()
+    await Promise.all(this.instances.map(async ({ child }) => await child.kill()))
+    this.platform.close()
+    rmSync(this.folder, { recursive: true })
+  }
+}
