--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -73,7 +73,10 @@
     drawInstance(context).door.faults.appends.push(draw(context.random, [AppendFault.AnswerLost, AppendFault.Late]))
   },
   'forget the history': async ({ fleet }) => fleet.platform.store.compact(),
-  'fault a server': async ({ fleet, random }) => { draw(random, fleet.platform.servers).faults.push(draw(random, Object.values(ServerFault))) },
+  // Each is taken by one request; with one at a single server, few requests of a short run would meet one.
+  'fault the servers': async ({ fleet, random }) => {
+    fleet.platform.servers.forEach(({ faults }) => faults.push(draw(random, Object.values(ServerFault))))
+  },
   'replace a server': replaceServer,
   'name new weights': async ({ fleet }) => { fleet.platform.nameWeights(MODEL, ++weights) },
   'change the configuration': async ({ fleet }) => fleet.platform.configure(createConfiguration(++revision))
