--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { Failure, FailureCode, type Clock, type Random } from 'foxtaillever-core'
+import { comeBackAt } from 'foxtaillever-policy/relay/comeBack'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 import type { CallerLimits } from '../model/routing.js'
@@ -14,9 +15,6 @@
 import { answerFailure } from './answerFailure.js'
 import { CallerConnections } from './callerConnections.js'
 
-/** When to come back while no configuration is known: it is read within a second of the start, milliseconds. */
-const COME_BACK_MS = 500
-
 /** How often node:http looks for requests whose head takes too long, milliseconds. */
 const HEADER_CHECK_MS = 1000
 
@@ -103,7 +101,7 @@
     }
     const routes = table()
     if (!routes) {
-      refuse(Failure.notRun(FailureCode.NoConfiguration, 'No configuration is known yet.', arrivedAt + COME_BACK_MS))
+      refuse(Failure.notRun(FailureCode.NoConfiguration, 'No configuration is known yet.', comeBackAt(FailureCode.NoConfiguration, arrivedAt)))
       return
     }
     routes.find(head.host, head.path)
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -4,6 +4,7 @@
  * tries, and what may have run is sent again only where that does no harm.
  */
 import { Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
+import { comeBackAt } from 'foxtaillever-policy/relay/comeBack'
 import { Attempt, type AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, mayBeCrash, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { planTerms } from '../attempts/planTerms.js'
@@ -20,9 +21,6 @@
 /** A server answers at the deadline by itself; this much later the caller gets our word, milliseconds. */
 const DEADLINE_GRACE_MS = 40
 
-/** When to come back after a rejection, milliseconds: servers answer in tens, and a full one drains in hundreds. */
-const COME_BACK_MS = 300
-
 export class ExchangeRun {
   private current: OpenTry | undefined
   private readonly ledger: TryLedger
@@ -267,14 +265,13 @@
     this.fail(code, message)
   }
 
-  private fail (code: FailureCode, message: string, comeBackAt = this.now + COME_BACK_MS): void {
+  private fail (code: FailureCode, message: string, retryAt = comeBackAt(code, this.now)): void {
     if (this.fallback && !this.answer.hasBegun) {
       this.passFallback()
       return
     }
     const { verdict } = this.ledger
-    const retryAt = verdict === Verdict.NotRun ? comeBackAt : undefined
-    this.answer.fail(Failure.create(code, verdict, message, retryAt))
+    this.answer.fail(Failure.create(code, verdict, message, verdict === Verdict.NotRun ? retryAt : undefined))
     this.finish(ExchangeEnd.Failed, code, message)
   }
 
