--- a/packages/foxtaillever-relay/src/__tests__/answers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/answers.test.ts
@@ -1,9 +1,9 @@
 /** What callers get when backend servers answer wrongly, in part, or not at all. */
 import { describe, it } from 'foxtaillever-testing'
 import { Repeatability } from '../model/routing.js'
-import { play, Way } from './misbehaviour.js'
-import { RelayRig } from './relayRig.js'
-import { chunk, streamHead, wholeAnswer } from './scriptedServer.js'
+import { play, Way } from '../__fixtures__/misbehaviour.js'
+import { RelayRig } from '../__fixtures__/relayRig.js'
+import { chunk, streamHead, wholeAnswer } from '../__fixtures__/scriptedServer.js'
 
 const stream = { isStream: true, isResumable: true }
 
--- a/packages/foxtaillever-relay/src/__tests__/callers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/callers.test.ts
@@ -2,8 +2,8 @@
 import type { Socket } from 'node:net'
 import { describe, it } from 'foxtaillever-testing'
 import { Repeatability } from '../model/routing.js'
-import { readAll, RelayRig } from './relayRig.js'
-import { chunk, streamHead, wholeAnswer, type Arrival } from './scriptedServer.js'
+import { readAll, RelayRig } from '../__fixtures__/relayRig.js'
+import { chunk, streamHead, wholeAnswer, type Arrival } from '../__fixtures__/scriptedServer.js'
 
 const echo = (arrival: Arrival): void => { arrival.socket.write(wholeAnswer(arrival, `got ${arrival.body}`)) }
 
--- a/packages/foxtaillever-relay/src/__tests__/verdicts.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/verdicts.test.ts
@@ -6,8 +6,8 @@
 import fc from 'fast-check'
 import { describe, it } from 'foxtaillever-testing'
 import { Repeatability, type Route } from '../model/routing.js'
-import { bodyOf, EVENTS, play, runsIt, Way } from './misbehaviour.js'
-import { RelayRig } from './relayRig.js'
+import { bodyOf, EVENTS, play, runsIt, Way } from '../__fixtures__/misbehaviour.js'
+import { RelayRig } from '../__fixtures__/relayRig.js'
 
 const RUNS = Number(process.env['RELAY_FUZZ_RUNS'] ?? 40)
 const SEED = Number(process.env['RELAY_FUZZ_SEED'] ?? 11)
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/knowledge.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/knowledge.test.ts
@@ -5,7 +5,7 @@
  * left, and follow a configuration that is no longer in force.
  */
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
-import { FakeFleet, FakeStore } from './fakeFleet.js'
+import { FakeFleet, FakeStore } from '../__fixtures__/fakeFleet.js'
 
 const NAMES = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i']
 
