--- /dev/null
+++ b/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
@@ -0,0 +1,86 @@
+import { SeededRandom } from 'foxtaillever-core'
+import { describe, it } from 'foxtaillever-testing'
+import { mixHashes } from '../../placement/rendezvous.js'
+import { placeExchange, type PlacementNeed, type ServerOffer } from '../placeExchange.js'
+
+const SERVERS = 6
+const KEYS = 300
+const PROMPT_TOKENS = 9190
+const TOKENS_PER_MS = 110
+
+function offers (given: Partial<ServerOffer> = {}): ServerOffer[] {
+  return Array.from({ length: SERVERS }, (_, index) => ({
+    id: `e${index}`,
+    hash: mixHashes(index + 1, 77),
+    failureDomain: `d${index % 3}`,
+    slots: 48,
+    outstanding: 0,
+    waitingTokens: 0,
+    faultCostMs: 0,
+    isChanging: false,
+    isOutdated: false,
+    isGathering: false,
+    coldLeftMs: 0,
+    ...given
+  }))
+}
+
+function need (promptKey: number | undefined, failureDomain = 'd0'): PlacementNeed {
+  return { promptKey, promptTokens: PROMPT_TOKENS, isLong: false, failureDomain }
+}
+
+/** Places requests one after the other, each adding its work, and gives the work at each server, milliseconds. */
+function burst (count: number, promptKey: number, start: ServerOffer[]): Map<string, number> {
+  const random = SeededRandom.create(3)
+  const waiting = new Map(start.map(({ id, waitingTokens }) => [id, waitingTokens]))
+  for (let placed = 0; placed < count; placed += 1) {
+    const now = start.map(offer => ({ ...offer, waitingTokens: waiting.get(offer.id) ?? 0 }))
+    const chosen = placeExchange(now, need(promptKey), random)?.id ?? ''
+    waiting.set(chosen, (waiting.get(chosen) ?? 0) + PROMPT_TOKENS)
+  }
+  return new Map([...waiting].map(([id, tokens]) => [id, tokens / TOKENS_PER_MS]))
+}
+
+describe('placement of an exchange', () => {
+  // Instances that choose differently for one shared level have it read at each engine, and it crowds out others.
+  it('is the same at all instances while servers are idle', t => {
+    for (let key = 0; key < KEYS; key += 1) {
+      const chosen = ['d0', 'd1', 'd2'].map((domain, seed) => placeExchange(offers(), need(key * 7919, domain), SeededRandom.create(seed))?.id)
+      t.is(new Set(chosen).size, 1, `key ${key}`)
+    }
+  })
+
+  it('gives each server its part of the keys', t => {
+    const random = SeededRandom.create(1)
+    const counts = new Map<string, number>()
+    for (let key = 0; key < KEYS; key += 1) {
+      const id = placeExchange(offers(), need(key * 7919), random)?.id ?? ''
+      counts.set(id, (counts.get(id) ?? 0) + 1)
+    }
+    t.is(counts.size, SERVERS)
+    t.true(Math.max(...counts.values()) < 2 * KEYS / SERVERS)
+  })
+
+  // Thirty callers ask for one hot level at once. At its home alone the last of them waits two and a half seconds.
+  it('spreads a hot level once its home is busy', t => {
+    const alone = 30 * PROMPT_TOKENS / TOKENS_PER_MS
+    const longest = Math.max(...burst(30, 42, offers()).values())
+    t.true(longest < alone / 3, `${longest} of ${alone} ms`)
+  })
+
+  // An engine that changes its weights turns requests away, and each costs a retry of the fleet's budget.
+  it('leaves out an engine that changes its weights, also as a home', t => {
+    const home = placeExchange(offers(), need(42), SeededRandom.create(1))?.id
+    const changing = offers().map(offer => ({ ...offer, isChanging: offer.id === home }))
+    t.is(burst(20, 42, changing).get(home ?? ''), 0)
+  })
+
+  it('prefers free slots of a plain service to a queue nearby', t => {
+    const [near, far] = offers({ slots: 6 }) as [ServerOffer, ServerOffer]
+    t.is(placeExchange([{ ...near, outstanding: 8 }, far], need(undefined), SeededRandom.create(1))?.id, far.id)
+  })
+
+  it('has no answer without servers', t => {
+    t.is(placeExchange([], need(1), SeededRandom.create(1)), undefined)
+  })
+})
