Tell removals from before an instance's own start

Ruled out: late answers bringing back what was removed; a check for that stood already, and has moved into the table, where the fuzz covers it.

--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -14,7 +14,7 @@
 import { Freshness } from './freshness.js'
 import type { KeyedLog, KeyedRecord } from './keyedLog.js'
 import { PeerAsking, type KnowingPeer, type PeerAnswer } from './peerAsking.js'
-import { RecordTable } from './recordTable.js'
+import { RecordTable, type ToldSince } from './recordTable.js'
 import { Suspension } from './suspension.js'
 import { TopicFollower, type TopicFollowerOptions } from './topicFollower.js'
 
@@ -118,8 +118,7 @@
 
   /** What this instance knows of a topic from an offset on. */
   tell (topic: ToldTopic, from: number): ToldRecords {
-    const { table } = this.followed[topic]
-    return { records: table.since(from), position: table.position }
+    return this.followed[topic].table.tellSince(from)
   }
 
   /** Another instance has read the store. */
@@ -131,7 +130,7 @@
       this.freshness.noteAnswer(now, this.servers.follower.isFailing)
     }
     if (news) {
-      this.takeTold(news.topic, news.from, news.records, positions[news.topic].position)
+      this.takeTold(news.topic, { ...news, position: positions[news.topic].position, keys: undefined })
     }
     topics.forEach(topic => this.hearPosition(topic, positions[topic], address, isFresh ? now : -Infinity))
     topics.forEach(topic => this.followed[topic].follower.reconsider())
@@ -205,7 +204,7 @@
     const from = this.followed[topic].toldTo
     reach()
     this.followed[topic].toldTo = table.changed
-    const news = wasWhole && table.changed > from ? limitNews({ topic, from, records: table.since(from) }) : undefined
+    const news = wasWhole && table.changed > from && table.knowsRemovalsSince(from) ? limitNews({ topic, from, records: table.since(from) }) : undefined
     if (topic === ToldTopic.Servers) {
       this.freshness.note(follower.triedAt)
     }
@@ -226,13 +225,11 @@
   }
 
   /** Records of another instance, for one who knows everything before an offset. */
-  private takeTold (topic: ToldTopic, from: number, records: readonly KeyedRecord[], position: number): void {
+  private takeTold (topic: ToldTopic, told: ToldSince): void {
     const followed = this.followed[topic]
     const { table, follower } = followed
-    if (table.position >= from && position > table.position) {
-      records.forEach(record => table.take(record))
-      table.reach(position)
-      follower.skipTo(position)
+    if (table.takeTold(told)) {
+      follower.skipTo(told.position)
       followed.toldTo = table.changed
     }
   }
@@ -244,7 +241,7 @@
       return
     }
     if (table.position >= changed) {
-      this.takeTold(topic, table.position, [], position)
+      this.takeTold(topic, { from: table.position, records: [], position, keys: undefined })
       if (topic === ToldTopic.Servers) {
         this.freshness.note(freshAt)
       }
@@ -270,8 +267,9 @@
     }
   }
 
-  private takeAnswer (topic: ToldTopic, { from, records, position, freshAt }: PeerAnswer): void {
-    this.takeTold(topic, from, records, position)
+  private takeAnswer (topic: ToldTopic, answer: PeerAnswer): void {
+    this.takeTold(topic, answer)
+    const { freshAt } = answer
     const { table, follower } = this.followed[topic]
     if (topic === ToldTopic.Servers && table.isWhole) {
       this.freshness.note(freshAt)
--- a/packages/foxtaillever-relay/src/knowledge/peerAsking.ts
+++ b/packages/foxtaillever-relay/src/knowledge/peerAsking.ts
@@ -4,8 +4,7 @@
 import type { Positions } from '../peers/peerMessage.js'
 import type { ToldTopic } from '../peers/toldTopic.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
-import type { KeyedRecord } from './keyedLog.js'
-import type { RecordTable } from './recordTable.js'
+import type { RecordTable, ToldSince } from './recordTable.js'
 
 /** An instance that may be asked, and how far it is; unknown for one that was never heard. */
 export interface KnowingPeer {
@@ -13,11 +12,8 @@
   readonly positions: Positions | undefined
 }
 
-/** Records for one who knows everything before an offset. */
-export interface PeerAnswer {
-  readonly from: number
-  readonly records: readonly KeyedRecord[]
-  readonly position: number
+/** What another instance told. */
+export interface PeerAnswer extends ToldSince {
   /** The other knew the servers' entries as of then, milliseconds of Unix time. */
   readonly freshAt: number
 }
@@ -59,11 +55,11 @@
     this.open.delete(topic)
     told.caseOf({
       Left: ({ message }) => relayLog.trouble('Another instance does not tell its records.', { peer: address, topic, reason: message }),
-      Right: ({ records, position }) => {
+      Right: ({ records, position, keys }) => {
         if (position > from) {
           relayLog.belief('Takes records from another instance.', { peer: address, topic, from, position, records: records.length })
         }
-        onAnswer(topic, { from, records, position, freshAt })
+        onAnswer(topic, { from, records, position, keys, freshAt })
       }
     })
   }
--- a/packages/foxtaillever-relay/src/knowledge/recordTable.ts
+++ b/packages/foxtaillever-relay/src/knowledge/recordTable.ts
@@ -6,6 +6,16 @@
  */
 import type { KeyedRecord } from './keyedLog.js'
 
+/** What one instance tells another that knows everything before an offset. */
+export interface ToldSince {
+  readonly from: number
+  readonly records: readonly KeyedRecord[]
+  /** Everything before this offset is told. */
+  readonly position: number
+  /** All keys that there are; undefined where the records name every removal. */
+  readonly keys: readonly string[] | undefined
+}
+
 export class RecordTable {
   /** The last record of each key that said something new. */
   private readonly records = new Map<string, KeyedRecord>()
@@ -15,6 +25,8 @@
   private known: number | undefined
   /** No record from this offset on said anything new. */
   private changedEnd = 0
+  /** Removals before this offset may be unknown here: a whole reading names only what is there. */
+  private removalsFrom = 0
 
   private constructor (private readonly isNews: (record: KeyedRecord) => boolean) {}
 
@@ -51,6 +63,26 @@
     }
   }
 
+  /**
+   * Takes what another instance told one who knows everything before an offset;
+   * says whether it brought this table on. Where the other cannot tell what was
+   * removed meanwhile it names all keys there are. The answer may have been on its way
+   * for long: one that reaches no further than what is known by now may name
+   * keys that were removed since, and nothing would remove them again.
+   */
+  takeTold ({ from, records, position, keys }: ToldSince): boolean {
+    if (this.position < from || position <= this.position) {
+      return false
+    }
+    records.forEach(record => this.take(record))
+    if (keys) {
+      this.retain(new Set(keys), position)
+    } else {
+      this.reach(position)
+    }
+    return true
+  }
+
   /** Everything before the offset has been told. */
   reach (offset: number): void {
     this.known = Math.max(this.known ?? 0, offset)
@@ -63,6 +95,9 @@
         this.take({ key, value: undefined, offset: end - 1 })
       }
     }
+    this.removalsFrom = Math.max(this.removalsFrom, end)
+    // Whoever knows less has to ask, since a removal may be all that it lacks.
+    this.changedEnd = Math.max(this.changedEnd, end)
     this.reach(end)
   }
 
@@ -70,4 +105,19 @@
   since (offset: number): KeyedRecord[] {
     return [...this.records.values()].filter(record => record.offset >= offset)
   }
+
+  /** What to tell one who knows everything before the offset. */
+  tellSince (from: number): ToldSince {
+    const keys = this.knowsRemovalsSince(from) ? undefined : this.keys
+    return { from, records: this.since(from), position: this.position, keys }
+  }
+
+  /** Whether every removal from the offset on is among the records. */
+  knowsRemovalsSince (offset: number): boolean {
+    return offset >= this.removalsFrom
+  }
+
+  private get keys (): string[] {
+    return [...this.records.values()].flatMap(({ key, value }) => value === undefined ? [] : [key])
+  }
 }
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -18,9 +18,12 @@
 export interface ToldRecords {
   readonly records: readonly KeyedRecord[]
   readonly position: number
+  /** All keys that there are; undefined where the records name every removal. */
+  readonly keys: readonly string[] | undefined
 }
 
 interface WireRecords {
+  readonly keys?: readonly string[]
   readonly position: number
   readonly records: ReadonlyArray<{ readonly key: string, readonly value: string | null, readonly offset: number }>
 }
@@ -109,15 +112,15 @@
   return Failure.create(FailureCode.Internal, Verdict.NotRun, `another instance answered with ${reason}`)
 }
 
-function encodeRecords ({ records, position }: ToldRecords): string {
-  const wire: WireRecords = { position, records: records.map(({ key, value, offset }) => ({ key, offset, value: value?.toString('base64') ?? null })) }
+function encodeRecords ({ records, position, keys }: ToldRecords): string {
+  const wire: WireRecords = { position, keys, records: records.map(({ key, value, offset }) => ({ key, offset, value: value?.toString('base64') ?? null })) }
   return JSON.stringify(wire)
 }
 
 function decodeRecords (body: Buffer): Either<Failure, ToldRecords> {
   return Either.encase(() => JSON.parse(body.toString()) as WireRecords)
     .mapLeft(({ message }) => malformed(message))
-    .chain(({ position, records }) => typeof position === 'number' && Array.isArray(records)
-      ? Right({ position, records: records.map(({ key, value, offset }) => ({ key, offset, value: value === null ? undefined : Buffer.from(value, 'base64') })) })
+    .chain(({ position, records, keys }) => typeof position === 'number' && Array.isArray(records)
+      ? Right({ position, keys: Array.isArray(keys) ? keys : undefined, records: records.map(({ key, value, offset }) => ({ key, offset, value: value === null ? undefined : Buffer.from(value, 'base64') })) })
       : Left(malformed('another form')))
 }
