Share the stand-in logs' watchers, and drop what nothing uses

Both stand-in logs waited for a change by the same code; it is one class now. The callback for opened connections did nothing at any caller, and a second way to ask an instance had none.

--- a/packages/foxtaillever-relay/src/knowledge/__tests__/recordIntake.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/recordIntake.test.ts
@@ -19,7 +19,7 @@
 
 function createIntake (settledAt: number): { clock: VirtualClock, intake: RecordIntake, ready: () => string[] } {
   const clock = VirtualClock.create()
-  const directory = ServerDirectory.create({ onOpened: () => {}, onChanged: () => {} })
+  const directory = ServerDirectory.create({ onChanged: () => {} })
   const intake = RecordIntake.create({
     clock,
     log: RelayLog.create(Logs.create({ instance: 'a', level: 'silent', clock })),
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -101,7 +101,7 @@
   private connectionsTo (address: string): ServerConnections {
     let connections = this.connections.get(address)
     if (!connections) {
-      connections = ServerConnections.create({ address, mostConnections: 1, onOpened: () => {} })
+      connections = ServerConnections.create({ address, mostConnections: 1 })
       this.connections.set(address, connections)
     }
     return connections
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -3,8 +3,7 @@
  * wait, and hears the rest. Nothing told here must last; it is told again with
  * the next beat or found out anew.
  */
-import type { Cancellation, Clock, Failure, Random } from 'foxtaillever-core'
-import type { Either } from 'purify-ts'
+import type { Cancellation, Clock, Random } from 'foxtaillever-core'
 import { PeerLink, type ToldRecords } from './peerLink.js'
 import { FleetUse } from './fleetUse.js'
 import type { PeerMessage, WeightsNews } from './peerMessage.js'
@@ -115,10 +114,6 @@
     this.link.notify(this.notified(), { ...notice, address: this.address })
   }
 
-  async ask (address: string, topic: ToldTopic, from: number): Promise<Either<Failure, ToldRecords>> {
-    return await this.link.ask(address, topic, from)
-  }
-
   private beat (): void {
     const { clock, random } = this.options
     const now = clock.now()
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -63,7 +63,6 @@
     this.graceMs = options.graceMs
     this.retries = RetryShare.create(retryAllowance)
     this.directory = ServerDirectory.create({
-      onOpened: () => {},
       onChanged: ({ id, state, service }, before) => {
         this.log.belief('A backend server changed its state.', { server: id, service, state, before })
         this.weights.run()
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
@@ -36,7 +36,7 @@
 /** Whether the only engine is chosen, so much running there and so long after newer weights were named. */
 function isChosen (outstanding: number, outdatedMs: number): boolean {
   const clock = VirtualClock.create()
-  const directory = ServerDirectory.create({ onOpened: () => {}, onChanged: () => {} })
+  const directory = ServerDirectory.create({ onChanged: () => {} })
   directory.observe({ id: 'e', service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: SLOTS, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([['model', 1]]) }, 0)
   const engine = directory.get('e')
   if (engine) {
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -74,8 +74,6 @@
   /** IP number and port. */
   readonly address: string
   readonly mostConnections: number
-  /** Counts connections that were opened. */
-  readonly onOpened: () => void
 }
 
 /** Idle connections kept at most to one server. */
@@ -86,8 +84,7 @@
   private readonly host: string
   private readonly port: number
 
-  private constructor (private readonly options: ServerConnectionsOptions) {
-    const { address, mostConnections } = options
+  private constructor ({ address, mostConnections }: ServerConnectionsOptions) {
     const colon = address.lastIndexOf(':')
     this.host = address.slice(0, colon)
     this.port = Number(address.slice(colon + 1))
@@ -110,10 +107,7 @@
         onLeft()
         return
       }
-      socket.once('connect', () => {
-        this.options.onOpened()
-        onLeft()
-      })
+      socket.once('connect', onLeft)
     })
     call.end(body.length > 0 ? body : undefined)
     return call
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -15,7 +15,6 @@
 const DEFAULT_CONNECTIONS = 16
 
 export interface ServerDirectoryOptions {
-  readonly onOpened: (server: ListedServer) => void
   /** The state of a server has changed, or it is new. */
   readonly onChanged: (server: ListedServer, before: ServerState | undefined) => void
 }
@@ -177,8 +176,7 @@
   private add (listed: ListedServer, offset: number): KnownServer {
     const connections = ServerConnections.create({
       address: listed.address,
-      mostConnections: this.mostConnections(listed.service),
-      onOpened: () => this.options.onOpened(listed)
+      mostConnections: this.mostConnections(listed.service)
     })
     const server: KnownServer = {
       listed, offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0
--- a/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
@@ -58,7 +58,7 @@
 export class Instance {
   readonly weather: Weather = { lostShare: 0, isDown: false }
   readonly clock: FreezableClock
-  readonly directory = ServerDirectory.create({ onOpened: () => {}, onChanged: () => {} })
+  readonly directory = ServerDirectory.create({ onChanged: () => {} })
   readonly lease: OrderLease
   readonly desk: WeightsDesk
   /** Hears nothing and is not heard. */
--- a/packages/foxtaillever-standins/src/platform/logModel.ts
+++ b/packages/foxtaillever-standins/src/platform/logModel.ts
@@ -4,6 +4,7 @@
  */
 import { Failure, FailureCode, Verdict, type Clock, type LogEntry, type LogPage, type LogRecord } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
+import { Watchers } from './watchers.js'
 
 export interface LogOptions {
   /** Records older than this are dropped, milliseconds. */
@@ -29,10 +30,11 @@
   private next = 1
   private tokens: number
   private refilledAt: number
-  private watchers = new Set<() => void>()
+  private readonly watchers: Watchers
   readonly faults: LogFaults = { outage: false, slownessMs: 0, lostAnswers: 0 }
 
   private constructor (private readonly options: LogOptions, private readonly clock: Clock) {
+    this.watchers = Watchers.create(clock)
     this.tokens = options.appendsPerSecond
     this.refilledAt = clock.now()
   }
@@ -50,7 +52,7 @@
     }
     const record: LogRecord = { ...entry, offset: this.next++, appendedAt: this.clock.now() }
     this.records.push(record)
-    this.watchers.forEach(watcher => watcher())
+    this.watchers.wake()
     if (this.faults.lostAnswers > 0) {
       this.faults.lostAnswers -= 1
       return Left(Failure.create(FailureCode.ConnectionLost, Verdict.MayHaveRun, 'The answer was lost.'))
@@ -94,25 +96,13 @@
   /** Waits until an offset exists, the log goes down or the deadline passes. */
   async waitFor (offset: number, deadline: number): Promise<void> {
     while (this.next <= offset && this.clock.now() < deadline && !this.faults.outage) {
-      await this.nextChange(deadline)
+      await this.watchers.next(deadline)
     }
   }
 
-  private async nextChange (deadline: number): Promise<void> {
-    await new Promise<void>(resolve => {
-      const cancel = this.clock.at(deadline, () => watcher())
-      const watcher = (): void => {
-        cancel()
-        this.watchers.delete(watcher)
-        resolve()
-      }
-      this.watchers.add(watcher)
-    })
-  }
-
   /** Switches faults; waiting readers look again. */
   setFaults (faults: Partial<LogFaults>): void {
     Object.assign(this.faults, faults)
-    this.watchers.forEach(watcher => watcher())
+    this.watchers.wake()
   }
 }
--- a/packages/foxtaillever-standins/src/platform/store/storeModel.ts
+++ b/packages/foxtaillever-standins/src/platform/store/storeModel.ts
@@ -1,6 +1,7 @@
 /** The users' store as a model: topics of partitions, and readers who wait for records. */
 import type { Clock } from 'foxtaillever-core'
 import { createKeyedContent, Partition } from './partition.js'
+import { Watchers } from '../watchers.js'
 
 const KEYED_PREFIX = 'keyed.'
 
@@ -10,9 +11,11 @@
 
 export class StoreModel {
   private readonly partitions = new Map<string, Partition>()
-  private readonly watchers = new Set<() => void>()
+  private readonly watchers: Watchers
 
-  private constructor (private readonly clock: Clock) {}
+  private constructor (private readonly clock: Clock) {
+    this.watchers = Watchers.create(clock)
+  }
 
   static create (clock: Clock): StoreModel {
     return new StoreModel(clock)
@@ -42,25 +45,13 @@
 
   /** Somebody waits for records and may look again. */
   changed (): void {
-    this.watchers.forEach(watcher => watcher())
+    this.watchers.wake()
   }
 
   /** Waits until the partition has the offset, or until the deadline. */
   async waitFor (partition: Partition, offset: number, deadline: number): Promise<void> {
     while (partition.end <= offset && this.clock.now() < deadline) {
-      await this.nextChange(deadline)
+      await this.watchers.next(deadline)
     }
   }
-
-  private async nextChange (deadline: number): Promise<void> {
-    await new Promise<void>(resolve => {
-      const cancel = this.clock.at(deadline, () => watcher())
-      const watcher = (): void => {
-        cancel()
-        this.watchers.delete(watcher)
-        resolve()
-      }
-      this.watchers.add(watcher)
-    })
-  }
 }
