Tell of many engines in one notice, learn from refusals, and renew the lease by way of others

Cause: with 42 engines and 70 instances the holder told of each engine in a message of its own that also named all servers, to each of 69 instances. On a link of 7 Mbit/s that took seconds: ten orders in a row ended as 'no answer in time' after 500 ms, the word that an engine had changed was lost or late, and requests that expected the old weights were refused. A refusal (421) does not name the weights (the log says 'weights unknown'), but versions only rise, so it says that the engine has the next named ones at least.

Built: a notice of up to 32 engines after each look (12 engines: some 300 bytes instead of 12 messages of a kilobyte); beats name the engines with the newest weights for 6 s after these were named, by hashes of 5 bytes (210 bytes for 42); a refusal teaches, and the next try goes to an engine that is known to be current; the lease's appends are made by another instance while the store does not answer the holder; a renewal no longer holds up the looks; a holder that leaves says so. The plan steers the next engines only when those that load are almost done, and the second half serves on until its long runs have ended.

Ruled out: too few processor time at the holder (0.044 cores at most).

--- a/packages/foxtaillever-policy/src/relay/planRollout.ts
+++ b/packages/foxtaillever-policy/src/relay/planRollout.ts
@@ -5,8 +5,12 @@
  * and short runs end. Then the order leaves, and runs that are left go on under
  * the new weights, where what they make is worth nothing. Half of the fleet
  * changes as fast as the loads allow, because answers on replaced weights lose
- * a fifth of their worth after a second and a half; the rest has time to let
- * long runs end, since the first half can serve meanwhile.
+ * a fifth of their worth after a second and a half; the rest serves on until
+ * its long runs have ended, since the first half takes the new ones.
+ *
+ * All engines read all prompts anew after a change, the first ones for everyone.
+ * An engine that is steered before its turn to load, or stands idle for the end
+ * of long runs, is missing just then; with four of six out, the other two queue.
  */
 
 export enum RolloutPhase {
@@ -24,6 +28,8 @@
   readonly phase: RolloutPhase
   /** How long it has been steered, milliseconds. */
   readonly steeredMs: number
+  /** How long ago its order left, milliseconds; 0 without one. */
+  readonly orderedMs: number
   /** How long there have been newer weights than its own, milliseconds. */
   readonly outdatedMs: number
   /** Requests on their way to it or running there. */
@@ -37,20 +43,20 @@
 }
 
 /** Share of the engines that load at once; above it loads slow down where that was measured: 2 of 6, 12 of 42, 22 of 78. */
-const SHARE_AT_ONCE = 0.28
+const SHARE_AT_ONCE = 2 / 7
 
 /** Even the smallest fleet changes two, so that it takes half as long. */
 const LEAST_AT_ONCE = 2
 
-/** Engines out of service at most, in batches: one loads while the next one is steered. */
-const BATCHES_OUT = 2
-
-/** Part of its slots up to which an engine may be filled by what others leave to it. */
-const FILLED = 0.5
-
 /** Others hear within 10, and the longest prompts are read in 200 more; no level may be read across the change, milliseconds. */
 export const LEAST_STEERED_MS = 250
 
+/** Loading takes 420 and shows in reports after 650: one that was ordered so long ago makes room when the next has been steered, milliseconds. */
+const SOON_DONE_MS = 350
+
+/** With up to this part of the slots taken, hardly any long run is left; short ones end while it is steered. */
+const CALM = 0.06
+
 /** By then nine in ten long runs have ended, milliseconds; the next version is often named by then. */
 const PATIENCE_MS = 3000
 
@@ -61,18 +67,20 @@
  */
 const OVERDUE_MS = 4000
 
-/** From this share of engines with the new weights on, the others have time, if so many can serve the load. */
+/** From this share of engines with the new weights on, the others have time. */
 const COVERED = 0.5
 
 export function planRollout (engines: readonly RolloutEngine[]): RolloutStep {
   const atOnce = Math.max(LEAST_AT_ONCE, Math.floor(engines.length * SHARE_AT_ONCE))
   const inPhase = (phase: RolloutPhase): RolloutEngine[] => engines.filter(engine => !engine.hasWanted && engine.phase === phase).sort(compare)
   const steered = inPhase(RolloutPhase.Steered)
-  const ordered = engines.filter(({ phase }) => phase === RolloutPhase.Ordered).length
-  const patienceMs = isCovered(engines) ? PATIENCE_MS : LEAST_STEERED_MS
+  const ordered = engines.filter(({ phase }) => phase === RolloutPhase.Ordered)
+  const loadingOn = ordered.filter(({ orderedMs }) => orderedMs < SOON_DONE_MS).length
+  const mayWait = isCovered(engines)
+  const due = inPhase(RolloutPhase.Serving).filter(engine => !mayWait || isDue(engine))
   return {
-    steer: idsOf(inPhase(RolloutPhase.Serving), mostOut(engines, atOnce) - steered.length - ordered),
-    order: idsOf(steered.filter(engine => isDue(engine, patienceMs)), atOnce - ordered)
+    steer: idsOf(due, atOnce - steered.length - loadingOn),
+    order: idsOf(steered.filter(({ steeredMs }) => steeredMs >= LEAST_STEERED_MS), atOnce - ordered.length)
   }
 }
 
@@ -85,26 +93,14 @@
   return outdatedMs >= OVERDUE_MS ? outdatedMs : 0
 }
 
-function isDue (engine: RolloutEngine, patienceMs: number): boolean {
-  const isHurried = engine.work === 0 || overdueMs(engine) > 0
-  return engine.steeredMs >= (isHurried ? LEAST_STEERED_MS : patienceMs)
+/** Whether an engine need not serve on for the sake of its long runs. */
+function isDue ({ work, slots, outdatedMs }: RolloutEngine): boolean {
+  return work <= Math.max(1, slots * CALM) || outdatedMs >= PATIENCE_MS
 }
 
+/** Those that load now count: they serve before one that is steered now could be ordered. */
 function isCovered (engines: readonly RolloutEngine[]): boolean {
-  const current = engines.filter(({ hasWanted, phase }) => hasWanted && phase === RolloutPhase.Serving).length
-  return current >= Math.min(engines.length / 2, Math.max(engines.length * COVERED, enginesNeeded(engines)))
-}
-
-/** Engines that hold the load without being filled too far. */
-function enginesNeeded (engines: readonly RolloutEngine[]): number {
-  const work = engines.reduce((sum, engine) => sum + engine.work, 0)
-  const slots = engines.reduce((sum, engine) => sum + engine.slots, 0) / Math.max(1, engines.length)
-  return Math.ceil(work / Math.max(1, slots * FILLED))
-}
-
-/** Engines that the load lets out of service; never fewer than may load at once. */
-function mostOut (engines: readonly RolloutEngine[], atOnce: number): number {
-  return Math.min(atOnce * BATCHES_OUT, Math.max(atOnce, engines.length - enginesNeeded(engines)))
+  return engines.filter(({ hasWanted, phase }) => hasWanted || phase === RolloutPhase.Ordered).length >= engines.length * COVERED
 }
 
 function idsOf (engines: readonly RolloutEngine[], most: number): string[] {
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -83,7 +83,7 @@
       fetchLoad: FetchLoad.create(() => 0),
       log,
       routing: () => routing,
-      place: (_, failed) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
+      place: (_, { failed }) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
       onMisdirected: () => {}
     }
     this.runs = ExchangeRuns.create(context)
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -159,7 +159,7 @@
       return { kind: AttemptFailureKind.Foreign, detail: `answer to ${marks.requestId}` }
     }
     if (status === MISDIRECTED) {
-      return { kind: AttemptFailureKind.Misdirected, detail: describeMisdirected(marks) }
+      return { kind: AttemptFailureKind.Misdirected, detail: describeMisdirected(marks), serverId: marks.serverId }
     }
     if (marks.isNotRun) {
       return { kind: AttemptFailureKind.Refused, detail: `status ${status}` }
@@ -173,7 +173,8 @@
   }
 
   /** The rest of a refusal is read, so that its connection can be kept; what is not to be trusted is closed. */
-  private refuse (response: IncomingMessage, { kind, detail }: AttemptFailure): void {
+  private refuse (response: IncomingMessage, failure: AttemptFailure): void {
+    const { kind, detail } = failure
     const isKept = kind === AttemptFailureKind.Refused || kind === AttemptFailureKind.Misdirected
     if (!isKept) {
       this.fail(kind, detail)
@@ -181,7 +182,7 @@
     }
     this.finish()
     response.resume()
-    this.options.listener.onFailed({ kind, detail })
+    this.options.listener.onFailed(failure)
   }
 
   private onData (bytes: Buffer): void {
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -56,4 +56,6 @@
 export interface AttemptFailure {
   readonly kind: AttemptFailureKind
   readonly detail: string
+  /** The server that says it is not the one meant, or has other weights; undefined when not said. */
+  readonly serverId?: string
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -2,14 +2,17 @@
 import type { Clock, Random } from 'foxtaillever-core'
 import type { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
+import type { AttemptFailure } from '../attempts/attemptFailure.js'
 import type { FetchLoad } from '../cache/fetchLoad.js'
 import type { Exchange } from '../model/exchange.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import type { EarlierTries } from '../servers/serverChoice.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { CrashSuspects } from './crashSuspects.js'
+import type { OpenTry } from './openTry.js'
 
 export interface ExchangeContext {
   readonly clock: Clock
@@ -24,7 +27,7 @@
   /** The configuration in force. */
   readonly routing: () => Routing
   /** The server for the next try, other than those that failed it; undefined when there is none. */
-  readonly place: (exchange: Exchange, failed: ReadonlySet<string>) => KnownServer | undefined
-  /** A server is not what it was thought to be. */
-  readonly onMisdirected: (server: string) => void
+  readonly place: (exchange: Exchange, earlier: EarlierTries) => KnownServer | undefined
+  /** A server is not what it was thought to be; the failure may name it. */
+  readonly onMisdirected: (tried: OpenTry, exchange: Exchange, failure: AttemptFailure) => void
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -76,7 +76,7 @@
 
   private tryNext (): void {
     const { exchange, context, ledger } = this
-    const server = context.place(exchange, ledger.failed)
+    const server = context.place(exchange, ledger)
     if (!server) {
       this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.')
       return
@@ -178,10 +178,11 @@
 
   private onFailed (failure: AttemptFailure): void {
     const { kind } = failure
+    const tried = this.current
     const server = this.settle()
     this.observeFailure(failure, server)
-    if (kind === AttemptFailureKind.Misdirected) {
-      this.context.onMisdirected(server?.listed.id ?? '')
+    if (tried && kind === AttemptFailureKind.Misdirected) {
+      this.context.onMisdirected(tried, this.exchange, failure)
     }
     if (this.mayTryAgain()) {
       this.tryNext()
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -45,6 +45,11 @@
     return this.server.listed.id
   }
 
+  /** Weights that the server was thought to have; undefined for requests without a prompt. */
+  get expectedWeights (): number | undefined {
+    return this.options.terms.weightsVersion
+  }
+
   /** The answer has begun. */
   begin (): void {
     const { server, beganAt } = this
--- a/packages/foxtaillever-relay/src/exchange/tryLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/tryLedger.ts
@@ -3,7 +3,7 @@
  * whether another try is allowed follow from all of them, not from the last.
  */
 import { Verdict } from 'foxtaillever-core'
-import { meaningOf, type AttemptFailureKind } from '../attempts/attemptFailure.js'
+import { AttemptFailureKind, meaningOf } from '../attempts/attemptFailure.js'
 import { isRepeatable, type Exchange } from '../model/exchange.js'
 
 /** Servers that may reject one exchange before its caller is told to come back. */
@@ -17,6 +17,8 @@
   readonly tried: string[] = []
   /** Servers that failed it; they do not get it again. */
   readonly failed = new Set<string>()
+  /** A server was not what it was thought to be. */
+  wasMisdirected = false
   /** Of all tries together. */
   verdict = Verdict.NotRun
   /** Tries that arrived at a server; each but the first counts as a retry. */
@@ -44,6 +46,7 @@
   observe (server: string, kind: AttemptFailureKind, wasHeard: boolean): void {
     const { verdict, isArrival } = meaningOf[kind]
     this.failed.add(server)
+    this.wasMisdirected ||= kind === AttemptFailureKind.Misdirected
     this.arrivals += isArrival ? 1 : 0
     this.hasRun = verdict !== Verdict.NotRun
     if (this.hasRun) {
--- /dev/null
+++ b/packages/foxtaillever-relay/src/peers/__tests__/weightsNotice.test.ts
@@ -0,0 +1,28 @@
+/**
+ * A holder told of forty engines one by one, in beats that name all servers: its
+ * link of 7 Mbit/s was full for seconds, its orders got no answer, and the others
+ * kept sending requests to engines that refused them.
+ */
+import { describe, it } from 'foxtaillever-testing'
+import { decodePeerMessage } from '../peerMessage.js'
+import { decodeReadNotice } from '../readNotice.js'
+import { decodeWeightsNotice, encodeWeightsNotice, MOST_IN_NOTICE } from '../weightsNotice.js'
+
+/** What a frame of an Ethernet holds besides the headers of IP and UDP. */
+const FRAME_BYTES = 1472
+
+const news = Array.from({ length: MOST_IN_NOTICE }, (_, index) => ({ server: `i-5ad53fab${10 + index}`, model: 'model51000', version: 12, changingMs: 2500 }))
+
+describe('the word of engines that change', () => {
+  it('fits into a frame and comes as it was sent', t => {
+    const bytes = encodeWeightsNotice(news)
+    t.true(bytes.length <= FRAME_BYTES)
+    t.deepEqual(decodeWeightsNotice(bytes).extract(), news)
+  })
+
+  it('is not taken for another message', t => {
+    const bytes = encodeWeightsNotice(news)
+    t.true(decodePeerMessage(bytes).isNothing())
+    t.true(decodeReadNotice(bytes).isNothing())
+  })
+})
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -3,16 +3,19 @@
  * second and may be lost; a call brings the records that an instance lacks while
  * the platform's store does not answer it.
  */
-import { createServer, type Server } from 'node:http'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Failure, FailureCode, Verdict, type Clock } from 'foxtaillever-core'
 import { UdpDatagrams } from 'foxtaillever-fleet/membership/datagrams'
 import { Either, Left, Right } from 'purify-ts'
 import type { KeyedRecord } from '../knowledge/keyedLog.js'
 import { callServer } from '../servers/callServer.js'
 import { ServerConnections } from '../servers/serverConnections.js'
-import { decodePeerMessage, encodePeerMessage, type PeerMessage } from './peerMessage.js'
+import { decodePeerMessage, encodePeerMessage, type PeerMessage, type WeightsNews } from './peerMessage.js'
 import { decodeReadNotice, encodeReadNotice, type ReadNotice } from './readNotice.js'
+import type { FenceLog } from '../weights/fenceLog.js'
+import { LEASE_PATH, logThrough } from './leaseCalls.js'
 import { ToldTopic } from './toldTopic.js'
+import { decodeWeightsNotice, encodeWeightsNotice } from './weightsNotice.js'
 
 /** Records from an offset on, and up to where the teller knows the topic. */
 export interface ToldRecords {
@@ -38,8 +41,11 @@
   readonly port: number
   readonly onMessage: (message: PeerMessage) => void
   readonly onNotice: (notice: ReadNotice) => void
+  readonly onWeights: (news: readonly WeightsNews[]) => void
   /** What this instance knows of a topic from an offset on. */
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
+  /** Another instance asks for a call at the lease's log. */
+  readonly onLeaseCall: (request: IncomingMessage, search: URLSearchParams, response: ServerResponse) => void
 }
 
 export class PeerLink {
@@ -51,6 +57,10 @@
     this.datagrams = UdpDatagrams.create(`${options.host}:${options.port}`)
     this.server = createServer((request, response) => {
       const { searchParams, pathname } = new URL(request.url ?? '', 'http://peer')
+      if (pathname === LEASE_PATH) {
+        options.onLeaseCall(request, searchParams, response)
+        return
+      }
       const topic = Object.values(ToldTopic).find(name => `/records/${name}` === pathname)
       if (topic === undefined) {
         response.writeHead(404).end()
@@ -65,8 +75,9 @@
   }
 
   async open (): Promise<void> {
-    const { host, port, onMessage, onNotice } = this.options
-    await this.datagrams.open(bytes => decodePeerMessage(bytes).ifJust(onMessage).ifNothing(() => decodeReadNotice(bytes).ifJust(onNotice)))
+    const { host, port, onMessage, onNotice, onWeights } = this.options
+    await this.datagrams.open(bytes => decodePeerMessage(bytes).ifJust(onMessage).ifNothing(() =>
+      decodeReadNotice(bytes).ifJust(onNotice).ifNothing(() => decodeWeightsNotice(bytes).ifJust(onWeights))))
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject)
       this.server.listen(port, host, resolve)
@@ -90,6 +101,11 @@
     addresses.forEach(address => this.datagrams.send(address, bytes))
   }
 
+  tellWeights (addresses: readonly string[], news: readonly WeightsNews[]): void {
+    const bytes = encodeWeightsNotice(news)
+    addresses.forEach(address => this.datagrams.send(address, bytes))
+  }
+
   /** Asks another instance for what it knows of a topic from an offset on. */
   async ask (address: string, topic: ToldTopic, from: number): Promise<Either<Failure, ToldRecords>> {
     const { clock } = this.options
@@ -98,6 +114,12 @@
     return answer.chain(({ status, body }) => status === 200 ? decodeRecords(body) : Left(malformed(`status ${status}`)))
   }
 
+  /** The lease's log as another instance reaches it. */
+  logThrough (address: string): FenceLog {
+    const { clock } = this.options
+    return logThrough(async call => await callServer(this.connectionsTo(address), call, clock, clock.now() + ANSWER_MS))
+  }
+
   private connectionsTo (address: string): ServerConnections {
     let connections = this.connections.get(address)
     if (!connections) {
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -33,6 +33,14 @@
   readonly ageMs: number
 }
 
+/** Engines that have the newest weights, as far as the teller knows. */
+export interface CurrentEngines {
+  readonly model: string
+  readonly version: number
+  /** Hashes of their ids: 5 bytes each, 210 for 42 engines. */
+  readonly engines: readonly number[]
+}
+
 /** The newest record of the lease that is known. */
 export interface LeaseNews {
   readonly offset: number
@@ -61,12 +69,13 @@
   readonly suspects: readonly string[]
   /** Hashes of prompt levels that it had saved to the store of cached levels of late. */
   readonly savedLevels: readonly number[]
+  readonly current: readonly CurrentEngines[]
 }
 
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named, current } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -74,7 +83,8 @@
     weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
     suspects,
     savedLevels,
-    named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)])
+    named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
+    current.map(({ model, version, engines }) => [model, version, engines])
   ])
 }
 
@@ -85,7 +95,8 @@
   ReadonlyArray<readonly [string, string, number, number]>,
   readonly string[],
   readonly number[],
-  ReadonlyArray<readonly [string, number, number]> | undefined
+  ReadonlyArray<readonly [string, number, number]> | undefined,
+  ReadonlyArray<readonly [string, number, readonly number[]]> | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -101,7 +112,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = []] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = [], current = []] = wire as Wire
     return {
       name,
       address,
@@ -115,7 +126,8 @@
       weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
       suspects,
       savedLevels,
-      named: named.map(([model, version, ageMs]) => ({ model, version, ageMs }))
+      named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
+      current: current.map(([model, version, engines]) => ({ model, version, engines }))
     }
   }))
 }
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -4,12 +4,13 @@
  * the next beat or found out anew.
  */
 import type { Cancellation, Clock, Random } from 'foxtaillever-core'
-import { PeerLink, type ToldRecords } from './peerLink.js'
+import { PeerLink, type PeerLinkOptions, type ToldRecords } from './peerLink.js'
 import { FleetUse } from './fleetUse.js'
 import type { PeerMessage, WeightsNews } from './peerMessage.js'
 import { PeerTable } from './peerTable.js'
 import type { ReadNotice } from './readNotice.js'
 import type { ToldTopic } from './toldTopic.js'
+import { MOST_IN_NOTICE } from './weightsNotice.js'
 
 /**
  * Between two beats of a small fleet, milliseconds. Prompts wait at an engine
@@ -38,7 +39,7 @@
 const MOST_NOTIFIED = 96
 
 /** What this instance says of itself at the moment. */
-export type OwnWord = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt' | 'weights'>
+export type OwnWord = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt'>
 
 export interface PeersOptions {
   readonly clock: Clock
@@ -51,6 +52,8 @@
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   readonly onMessage: (message: PeerMessage) => void
   readonly onNotice: (notice: ReadNotice) => void
+  readonly onWeights: (news: readonly WeightsNews[]) => void
+  readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
 }
 
 export class Peers {
@@ -62,10 +65,10 @@
   private cancelBeat: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, tell, onNotice } = options
+    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
-    this.link = PeerLink.create({ clock, host, port, tell, onMessage: message => this.hear(message), onNotice })
+    this.link = PeerLink.create({ clock, host, port, tell, onMessage: message => this.hear(message), onNotice, onWeights, onLeaseCall })
   }
 
   static create (options: PeersOptions): Peers {
@@ -86,7 +89,7 @@
   nameAll (addresses: readonly string[]): void {
     const now = this.options.clock.now()
     addresses.filter(address => address !== this.address).forEach(address => this.table.name(address, now))
-    this.send([])
+    this.send()
   }
 
   /** Others that are alive. */
@@ -104,9 +107,17 @@
     return this.table.count(this.options.clock.now())
   }
 
-  /** Tells everyone now: an engine is about to change, a drain was learned. */
-  send (weights: readonly WeightsNews[]): void {
-    this.link.send(this.receivers(Infinity), this.message(weights))
+  /** Tells everyone now: a lease was taken, this instance leaves. */
+  send (): void {
+    this.link.send(this.receivers(Infinity), this.message())
+  }
+
+  /** Tells everyone now which engines are about to change or have changed. */
+  tellWeights (news: readonly WeightsNews[]): void {
+    const receivers = this.receivers(Infinity)
+    for (let from = 0; from < news.length; from += MOST_IN_NOTICE) {
+      this.link.tellWeights(receivers, news.slice(from, from + MOST_IN_NOTICE))
+    }
   }
 
   /** Tells the others what was read. */
@@ -122,7 +133,7 @@
     this.use.retain(address => alive.has(address))
     const receivers = this.receivers(MOST_RECEIVERS)
     const beatMs = Math.min(MOST_BEAT_MS, Math.max(LEAST_BEAT_MS, receivers.length / DATAGRAMS_PER_MS))
-    this.link.send(receivers, this.message([]))
+    this.link.send(receivers, this.message())
     this.cancelBeat = clock.at(now + beatMs * (1 - BEAT_SPREAD * random.next()), () => this.beat())
   }
 
@@ -145,9 +156,9 @@
     return [...near, ...far].slice(0, MOST_NOTIFIED).map(({ address }) => address)
   }
 
-  private message (weights: readonly WeightsNews[]): PeerMessage {
+  private message (): PeerMessage {
     const { name, failureDomain, word } = this.options
-    return { name, address: this.address, failureDomain, startedAt: this.startedAt, weights, ...word() }
+    return { name, address: this.address, failureDomain, startedAt: this.startedAt, ...word() }
   }
 
   private hear (message: PeerMessage): void {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,5 +1,5 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
-import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { createCacheUse } from './cache/cacheUse.js'
@@ -12,6 +12,7 @@
 import { RecordIntake } from './knowledge/recordIntake.js'
 import { readWallSeconds } from './knowledge/suspension.js'
 import type { Routing } from './model/routing.js'
+import { answerLeaseCall } from './peers/leaseCalls.js'
 import { ownUses } from './peers/ownUses.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
@@ -23,10 +24,7 @@
 import { MetricsServer } from './telemetry/metricsServer.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
-import { OrderLease } from './weights/orderLease.js'
-import { LAST_RANK, orderRank } from './weights/orderRank.js'
-import { watchFenceLog } from './weights/watchedFenceLog.js'
-import { WeightsDesk } from './weights/weightsDesk.js'
+import { createOrderOffice, type OrderOffice } from './weights/orderOffice.js'
 
 /** The balancer notices within two seconds that this instance is not ready; until then it sends new connections, milliseconds. */
 const STOP_LISTENING_MS = 2600
@@ -49,8 +47,7 @@
   private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
   private readonly peers: Peers
-  private readonly lease: OrderLease
-  private readonly weights: WeightsDesk
+  private readonly office: OrderOffice
   private readonly choice: ServerChoice
   private readonly runs: ExchangeRuns
   private table: RouteTable | undefined
@@ -65,7 +62,7 @@
     this.directory = ServerDirectory.create({
       onChanged: ({ id, state, service }, before) => {
         this.log.belief('A backend server changed its state.', { server: id, service, state, before })
-        this.weights.run()
+        this.office.desk.run()
       }
     })
     this.state = this.createState()
@@ -73,10 +70,9 @@
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
     this.knowledge = this.createKnowledge()
-    this.lease = this.createLease()
-    this.weights = this.createWeightsDesk()
+    this.office = this.createOffice()
     this.choice = ServerChoice.create({
-      clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
+      clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.office.desk, weightsBoundMs: options.weightsBoundMs
     })
     this.runs = ExchangeRuns.create({
       clock,
@@ -88,8 +84,9 @@
       suspects: this.suspects,
       log: this.log,
       routing: () => this.routing(),
-      place: (exchange, failed) => this.choice.place(exchange, failed),
-      onMisdirected: () => { this.weights.run() }
+      place: (exchange, earlier) => this.choice.place(exchange, earlier),
+      onMisdirected: ({ serverId, expectedWeights }, { prompt }, failure) =>
+        this.office.desk.observeRefusal(serverId, prompt?.model, failure.serverId === serverId ? expectedWeights : undefined)
     })
     this.callers = CallerServer.create({
       clock,
@@ -138,14 +135,14 @@
     const until = clock.now() + this.graceMs * (1 - GRACE_KEPT_FREE)
     this.log.belief('Leaving.', { requests: this.runs.size })
     this.callers.leave()
-    this.peers.send([])
+    this.peers.send()
     await waitUntil(clock, clock.now() + STOP_LISTENING_MS)
     this.callers.close()
     while (this.runs.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
     this.runs.abort()
-    this.weights.stop()
+    this.office.desk.stop()
     this.knowledge.stop()
     this.readiness.close()
     this.figures.close()
@@ -161,7 +158,7 @@
   private createState (): RelayState {
     const { name, clock } = this.options
     const { directory } = this
-    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.lease }
+    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.office.lease }
     return RelayState.create({ name, clock, directory, ...parts, open: () => this.runs.size, isReady: () => this.isReady() })
   }
 
@@ -176,7 +173,9 @@
       word: () => this.word(),
       tell: (topic, from) => this.knowledge.tell(topic, from),
       onMessage: message => this.hear(message),
-      onNotice: notice => this.knowledge.hear(notice)
+      onNotice: notice => this.knowledge.hear(notice),
+      onWeights: news => news.forEach(one => this.office.desk.observe(one)),
+      onLeaseCall: (request, search, response) => this.lendLease(request, search, response)
     })
   }
 
@@ -189,7 +188,7 @@
       directory: this.directory,
       settledAt: () => this.knowledge.settledAt,
       onRouting: routing => this.adopt(routing),
-      onWeights: (model, version) => this.weights.name(model, version, !this.knowledge.isWhole)
+      onWeights: (model, version) => this.office.desk.name(model, version, !this.knowledge.isWhole)
     })
     return Knowledge.create({
       clock,
@@ -207,61 +206,44 @@
     })
   }
 
-  private createLease (): OrderLease {
-    const { clock, fenceLog, topics, name, leasePauseMs } = this.options
-    return OrderLease.create({
-      clock,
-      uptime: readWallSeconds,
-      log: watchFenceLog(fenceLog, () => this.knowledge.doubt()),
-      topic: topics.lease,
-      holder: name,
-      incarnation: randomUUID(),
-      pauseMs: leasePauseMs,
-      onChanged: ({ offset }) => {
-        this.log.belief('Holds the lease on orders.', { fence: offset })
-        this.peers.send([])
-      }
+  private createOffice (): OrderOffice {
+    const { log, directory, peers } = this
+    return createOrderOffice({
+      ...this.options,
+      topic: this.options.topics.lease,
+      directory,
+      peers,
+      log,
+      isFit: () => this.knowledge.hasStore && !this.isLeaving,
+      onStoreFailed: () => this.knowledge.doubt()
     })
   }
 
-  private createWeightsDesk (): WeightsDesk {
-    const { clock, engineOrders, name } = this.options
-    return WeightsDesk.create({
-      clock,
-      holder: name,
-      directory: this.directory,
-      lease: this.lease,
-      orders: engineOrders,
-      log: this.log,
-      rank: () => this.orderRank(),
-      outstandingAt: ({ outstanding, listed }) => outstanding + this.peers.use.of(listed.id).outstanding,
-      tell: news => this.peers.send([news])
+  private lendLease (request: IncomingMessage, search: URLSearchParams, response: ServerResponse): void {
+    const { fenceLog, topics } = this.options
+    answerLeaseCall(fenceLog, topics.lease, request, search, response).catch((error: unknown) => {
+      this.log.trouble('A call at the lease for another instance failed.', { reason: String(error) })
+      response.destroy()
     })
   }
 
-  private orderRank (): number {
-    if (!this.knowledge.hasStore || this.isLeaving) {
-      return LAST_RANK
-    }
-    const others = this.peers.alive().filter(({ hasStore }) => hasStore).map(peer => peer.name)
-    return orderRank(this.options.name, others, this.lease.lastHolder)
-  }
-
   /** What this instance tells the others of itself. */
   private word (): OwnWord {
     return {
       isLeaving: this.isLeaving,
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
-      lease: this.lease.news(),
+      lease: this.office.lease.news(),
       uses: ownUses(this.directory.all(), this.table?.routing.cacheStore?.address, this.caches.fetchLoad),
       suspects: this.suspects.toTell(this.options.clock.now()),
       savedLevels: this.caches.savedLevels.news(this.options.clock.now()),
-      named: this.weights.ages()
+      named: this.office.desk.ages(),
+      weights: [],
+      current: this.office.desk.current()
     }
   }
 
-  private hear ({ lease, weights, suspects, savedLevels, named }: PeerMessage): void {
+  private hear ({ lease, weights, suspects, savedLevels, named, current }: PeerMessage): void {
     const now = this.options.clock.now()
     const count = this.peers.count()
     this.retries.observeInstances(count)
@@ -269,10 +251,11 @@
     this.suspects.hear(suspects, now)
     this.caches.savedLevels.hear(savedLevels, now)
     if (lease) {
-      this.lease.observe(lease)
+      this.office.lease.observe(lease)
     }
-    weights.forEach(news => this.weights.observe(news))
-    named.forEach(news => this.weights.observeNamed(news))
+    weights.forEach(news => this.office.desk.observe(news))
+    named.forEach(news => this.office.desk.observeNamed(news))
+    current.forEach(news => this.office.desk.observeCurrent(news))
   }
 
   private isReady (): boolean {
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -23,6 +23,14 @@
 /** A server whose faults cost more than this takes no part in gathering, milliseconds: about one fault in eight. */
 const FAULTY_MS = 100
 
+/** What the earlier tries of an exchange came to. */
+export interface EarlierTries {
+  /** Servers that failed it; they do not get it again. */
+  readonly failed: ReadonlySet<string>
+  /** One of them had other weights than were thought. */
+  readonly wasMisdirected: boolean
+}
+
 export interface ServerChoiceOptions {
   readonly clock: Clock
   readonly random: Random
@@ -42,19 +50,27 @@
   }
 
   /** The server for the next try of an exchange, other than those that failed it. */
-  place (exchange: Exchange, failed: ReadonlySet<string>): KnownServer | undefined {
+  place (exchange: Exchange, { failed, wasMisdirected }: EarlierTries): KnownServer | undefined {
     const { directory, random, failureDomain } = this.options
     const ready = directory.ready(exchange.service)
     const isLong = isLongRun(exchange.prompt?.outputTokens ?? 0)
     const gathering = isLong ? this.gather(ready, exchange) : nobody
-    const offers = ready
-      .filter(server => !failed.has(server.listed.id) && this.hasFitWeights(server, exchange))
-      .map(server => this.toOffer(server, exchange, gathering))
+    const fit = ready.filter(server => !failed.has(server.listed.id) && this.hasFitWeights(server, exchange))
+    const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, gathering))
     const need = { promptKey: promptKeyOf(exchange), promptTokens: exchange.prompt?.promptTokens ?? 0, isLong, failureDomain }
     const chosen = placeExchange(offers, need, random)
     return chosen && directory.get(chosen.id)
   }
 
+  /**
+   * Those with the newest weights, if there are any: the others may have been
+   * changed without a word of it, and a request has few tries.
+   */
+  private inNoDoubt (servers: readonly KnownServer[], exchange: Exchange): readonly KnownServer[] {
+    const current = servers.filter(server => !this.isOutdated(server, exchange))
+    return current.length > 0 ? current : servers
+  }
+
   /** Whether the request may begin there: the model is loaded, and its weights are not older than is allowed. */
   private hasFitWeights (server: KnownServer, { prompt }: Exchange): boolean {
     if (!prompt) {
--- a/packages/foxtaillever-relay/src/weights/engineChange.ts
+++ b/packages/foxtaillever-relay/src/weights/engineChange.ts
@@ -55,7 +55,8 @@
   private report: EngineReport | undefined
   /** Of the report in hand, milliseconds of Unix time. */
   private reportAskedAt = 0
-  private orderedAt: number | undefined
+  /** When the order left, milliseconds of Unix time; undefined without one. */
+  orderedAt: number | undefined
   private idleLooks = 0
   private lookAt: number
   private isCalling = false
--- a/packages/foxtaillever-relay/src/weights/namedWeights.ts
+++ b/packages/foxtaillever-relay/src/weights/namedWeights.ts
@@ -69,12 +69,17 @@
     return this.named.get(model)?.at(-1)
   }
 
+  /** The first version known after the given one. */
+  next (model: string, version: number): NamedVersion | undefined {
+    return this.named.get(model)?.find(named => named.version > version)
+  }
+
   /**
    * Since when there have been newer weights than the version, milliseconds of
    * Unix time; undefined when there are none. The first newer ones count: were
    * it the newest, versions named in quick succession would excuse any age.
    */
   outdatedSince (model: string, version: number): number | undefined {
-    return this.named.get(model)?.find(named => named.version > version)?.since
+    return this.next(model, version)?.since
   }
 }
--- a/packages/foxtaillever-relay/src/weights/orderLease.ts
+++ b/packages/foxtaillever-relay/src/weights/orderLease.ts
@@ -33,6 +33,7 @@
   /** Between the orders of two holders, milliseconds. */
   readonly pauseMs: number
   readonly onChanged: (news: LeaseNews) => void
+  readonly onReleased: () => void
 }
 
 /** The newest record that is known. */
@@ -80,6 +81,25 @@
     this.heldUntil = 0
   }
 
+  /**
+   * Gives no more orders under this lease, and says so: by an age at which the
+   * term is over but for the time that an order may be on its way, so that the
+   * next holder waits for the pause only.
+   */
+  release (): void {
+    const { clock, onReleased } = this.options
+    if (this.last !== undefined && this.fence() !== undefined) {
+      this.heldUntil = 0
+      this.last = { ...this.last, knownSince: Math.min(this.last.knownSince, clock.now() + TERM_MARGIN_MS - TERM_MS) }
+      onReleased()
+    }
+  }
+
+  /** It was this instance's last, and an answer to another append is still to come. */
+  get isRenewing (): boolean {
+    return this.isAsking && this.last?.holder === this.options.holder
+  }
+
   news (): LeaseNews | undefined {
     return this.last && { offset: this.last.offset, holder: this.last.holder, ageMs: this.options.clock.now() - this.last.knownSince }
   }
@@ -101,18 +121,24 @@
     return last !== undefined && last.holder !== options.holder && now < last.knownSince + TERM_MS + options.pauseMs
   }
 
-  /** Asks for the lease or renews it; says whether it is held. */
+  /** Asks for the lease or renews it; says whether it is held. Engines are not left alone while a renewal takes its time. */
   async take (): Promise<boolean> {
-    const { clock } = this.options
-    const now = clock.now()
-    const isFresh = this.fence() !== undefined && this.heldUntil - now > RENEW_MS
-    if (isFresh || this.isAsking || this.mustWait(now)) {
-      return this.fence() !== undefined
+    const now = this.options.clock.now()
+    const isHeld = this.fence() !== undefined
+    const isFresh = isHeld && this.heldUntil - now > RENEW_MS
+    if (!isFresh && !this.isAsking && !this.mustWait(now)) {
+      const asked = this.ask(now)
+      if (!isHeld) {
+        await asked
+      }
     }
+    return this.fence() !== undefined
+  }
+
+  private async ask (now: number): Promise<void> {
     this.isAsking = true
     await this.append(now)
     this.isAsking = false
-    return this.fence() !== undefined
   }
 
   private async append (sentAt: number): Promise<void> {
--- a/packages/foxtaillever-relay/src/weights/weightsDesk.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsDesk.ts
@@ -5,10 +5,10 @@
  * are told before an order leaves, so that the engine gets no request that it
  * would turn away, and told again when it has the weights.
  */
-import { waitUntil, type Clock } from 'foxtaillever-core'
+import { hashNumber, waitUntil, type Clock } from 'foxtaillever-core'
 import { planRollout, RolloutPhase, type RolloutEngine } from 'foxtaillever-policy/relay/planRollout'
 import { ServerState } from '../model/listedServer.js'
-import type { NamedNews, WeightsNews } from '../peers/peerMessage.js'
+import type { CurrentEngines, NamedNews, WeightsNews } from '../peers/peerMessage.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
@@ -29,6 +29,9 @@
 /** Each instance waits this much longer than the one before it for the lease to be taken, milliseconds. */
 const TURN_MS = 700
 
+/** Beats name engines with the newest weights for so long after these were named; the next are often named by then, milliseconds. */
+const TOLD_MS = 6000
+
 export interface WeightsDeskOptions {
   readonly clock: Clock
   readonly holder: string
@@ -40,13 +43,16 @@
   readonly rank: () => number
   /** All requests that the fleet has at the server. */
   readonly outstandingAt: (server: KnownServer) => number
-  readonly tell: (news: WeightsNews) => void
+  /** Told once after each look, for all engines of which there is news. */
+  readonly tell: (news: readonly WeightsNews[]) => void
 }
 
 export class WeightsDesk {
   private readonly named = NamedWeights.create()
   /** Changes that this instance carries out, by the engine's id. */
   private readonly changes = new Map<string, EngineChange>()
+  /** Not told yet; the newest word about each engine counts. */
+  private readonly untold = new Map<string, WeightsNews>()
   /** When something last went forward, here or elsewhere, milliseconds of Unix time. */
   private progressAt = 0
   private isRunning = false
@@ -103,9 +109,41 @@
     }
   }
 
-  /** For good: what is learned during a shutdown starts nothing. */
+  /**
+   * A server refused a request since it is not what it was thought to be.
+   * @param expected weights that it does not have, though it is the server meant; versions
+   * only rise, so it has those named next at least. Undefined when nothing is known.
+   */
+  observeRefusal (server: string, model: string | undefined, expected: number | undefined): void {
+    const next = model === undefined || expected === undefined ? undefined : this.named.next(model, expected)
+    if (model !== undefined && next !== undefined) {
+      this.options.directory.observeWeights(server, model, next.version)
+    }
+    this.run()
+  }
+
+  /** For each model, engines that have its newest weights while these are young: whoever missed a word of them hears it from anyone. */
+  current (): CurrentEngines[] {
+    const now = this.options.clock.now()
+    return this.named.models.flatMap(model => {
+      const newest = this.named.newest(model)
+      const isTold = newest !== undefined && now < newest.since + TOLD_MS
+      const engines = isTold ? this.enginesOf(model).filter(engine => engine.weights.get(model) === newest.version) : []
+      return newest === undefined || engines.length === 0 ? [] : [{ model, version: newest.version, engines: engines.map(({ listed }) => hashNumber(listed.id)) }]
+    })
+  }
+
+  observeCurrent ({ model, version, engines }: CurrentEngines): void {
+    const hashes = new Set(engines)
+    this.enginesOf(model)
+      .filter(engine => (engine.weights.get(model) ?? 0) < version && hashes.has(hashNumber(engine.listed.id)))
+      .forEach(engine => this.options.directory.observeWeights(engine.listed.id, model, version))
+  }
+
+  /** For good: what is learned during a shutdown starts nothing, and another may give the orders. */
   stop (): void {
     this.isStopped = true
+    this.options.lease.release()
   }
 
   /** Looks again, as after a server came or its weights were found to differ. */
@@ -124,6 +162,7 @@
     }
     this.isRunning = false
     this.changes.clear()
+    this.tellAll()
   }
 
   /** A failure of our own must neither end the process nor pass unseen. */
@@ -151,10 +190,26 @@
     const { clock, lease, rank } = this.options
     const isMyTurn = lease.fence() !== undefined || clock.now() >= this.progressAt + rank() * TURN_MS
     if (!isMyTurn || !await lease.take()) {
-      this.changes.clear()
+      this.forgetUnlessRenewing()
       return
     }
     this.outdatedModels().forEach(model => this.advance(model))
+    this.tellAll()
+  }
+
+  /** Another may give orders now. */
+  private forgetUnlessRenewing (): void {
+    if (!this.options.lease.isRenewing) {
+      this.changes.clear()
+    }
+  }
+
+  /** One word for many engines: a word for each to each instance would fill the link of a small machine for seconds. */
+  private tellAll (): void {
+    if (this.untold.size > 0) {
+      this.options.tell([...this.untold.values()])
+      this.untold.clear()
+    }
   }
 
   private advance (model: string): void {
@@ -191,6 +246,7 @@
       hasWanted: this.hasWanted(engine, model),
       phase: change?.phase ?? RolloutPhase.Serving,
       steeredMs: change ? now - change.steeredAt : 0,
+      orderedMs: change?.orderedAt === undefined ? 0 : now - change.orderedAt,
       outdatedMs: now - (this.outdatedSince(model, engine.weights.get(model) ?? 0) ?? now),
       work: change?.running ?? outstandingAt(engine)
     }
@@ -215,23 +271,22 @@
   }
 
   private keepSteered (engine: KnownServer, model: string): void {
-    const { clock, tell } = this.options
-    const now = clock.now()
+    const now = this.options.clock.now()
     if (engine.changingUntil < now + TELL_AGAIN_MS) {
       engine.changingUntil = now + STEERED_MS
       this.progressAt = now
-      tell({ server: engine.listed.id, model, version: 0, changingMs: STEERED_MS })
+      this.untold.set(engine.listed.id, { server: engine.listed.id, model, version: 0, changingMs: STEERED_MS })
     }
   }
 
   private onWeights (engine: KnownServer, model: string, version: number): void {
-    const { directory, tell, clock } = this.options
+    const { directory, clock } = this.options
     const server = engine.listed.id
     const isNews = version > (engine.weights.get(model) ?? -1)
     directory.observeWeights(server, model, version)
     if (isNews || this.hasWanted(engine, model)) {
       this.progressAt = clock.now()
-      tell({ server, model, version, changingMs: 0 })
+      this.untold.set(server, { server, model, version, changingMs: 0 })
     }
     if (this.hasWanted(engine, model)) {
       this.changes.delete(server)
