Tell of the lease in the small notice too

Each renewal, every half second, told all 69 others in a message of a kilobyte that names all servers: 184 KB/s of a link of 875. Not telling at once was ruled out: whoever missed a renewal asks too early after a holder's death, learns of it then and waits the term and the pause anew.

An answer on replaced weights is as good as another for the first 1.5 s, so placement no longer shuns those engines before: all instances rushed to the first that had changed. Not measured yet.

--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -10,12 +10,12 @@
 import type { KeyedRecord } from '../knowledge/keyedLog.js'
 import { callServer } from '../servers/callServer.js'
 import { ServerConnections } from '../servers/serverConnections.js'
-import { decodePeerMessage, encodePeerMessage, type PeerMessage, type WeightsNews } from './peerMessage.js'
+import { decodePeerMessage, encodePeerMessage, type PeerMessage } from './peerMessage.js'
 import { decodeReadNotice, encodeReadNotice, type ReadNotice } from './readNotice.js'
 import type { FenceLog } from '../weights/fenceLog.js'
 import { LEASE_PATH, logThrough } from './leaseCalls.js'
 import { ToldTopic } from './toldTopic.js'
-import { decodeWeightsNotice, encodeWeightsNotice } from './weightsNotice.js'
+import { decodeWeightsNotice, encodeWeightsNotice, type WeightsNotice } from './weightsNotice.js'
 
 /** Records from an offset on, and up to where the teller knows the topic. */
 export interface ToldRecords {
@@ -41,7 +41,7 @@
   readonly port: number
   readonly onMessage: (message: PeerMessage) => void
   readonly onNotice: (notice: ReadNotice) => void
-  readonly onWeights: (news: readonly WeightsNews[]) => void
+  readonly onWeights: (notice: WeightsNotice) => void
   /** What this instance knows of a topic from an offset on. */
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   /** Another instance asks for a call at the lease's log. */
@@ -101,8 +101,8 @@
     addresses.forEach(address => this.datagrams.send(address, bytes))
   }
 
-  tellWeights (addresses: readonly string[], news: readonly WeightsNews[]): void {
-    const bytes = encodeWeightsNotice(news)
+  tellWeights (addresses: readonly string[], notice: WeightsNotice): void {
+    const bytes = encodeWeightsNotice(notice)
     addresses.forEach(address => this.datagrams.send(address, bytes))
   }
 
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -6,7 +6,7 @@
 import type { Cancellation, Clock, Random } from 'foxtaillever-core'
 import { PeerLink, type PeerLinkOptions, type ToldRecords } from './peerLink.js'
 import { FleetUse } from './fleetUse.js'
-import type { PeerMessage, WeightsNews } from './peerMessage.js'
+import type { LeaseNews, PeerMessage, WeightsNews } from './peerMessage.js'
 import { PeerTable } from './peerTable.js'
 import type { ReadNotice } from './readNotice.js'
 import type { ToldTopic } from './toldTopic.js'
@@ -49,10 +49,11 @@
   readonly host: string
   readonly port: number
   readonly word: () => OwnWord
+  readonly lease: () => LeaseNews | undefined
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   readonly onMessage: (message: PeerMessage) => void
   readonly onNotice: (notice: ReadNotice) => void
-  readonly onWeights: (news: readonly WeightsNews[]) => void
+  readonly onWeights: PeerLinkOptions['onWeights']
   readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
 }
 
@@ -112,11 +113,12 @@
     this.link.send(this.receivers(Infinity), this.message())
   }
 
-  /** Tells everyone now which engines are about to change or have changed. */
+  /** Tells everyone now which engines are about to change or have changed, and of the lease. */
   tellWeights (news: readonly WeightsNews[]): void {
     const receivers = this.receivers(Infinity)
-    for (let from = 0; from < news.length; from += MOST_IN_NOTICE) {
-      this.link.tellWeights(receivers, news.slice(from, from + MOST_IN_NOTICE))
+    const lease = this.options.lease()
+    for (let from = 0; from === 0 || from < news.length; from += MOST_IN_NOTICE) {
+      this.link.tellWeights(receivers, { lease, news: news.slice(from, from + MOST_IN_NOTICE) })
     }
   }
 
--- a/packages/foxtaillever-relay/src/peers/weightsNotice.ts
+++ b/packages/foxtaillever-relay/src/peers/weightsNotice.ts
@@ -6,7 +6,7 @@
  */
 import { Packr } from 'msgpackr'
 import { Maybe } from 'purify-ts'
-import type { WeightsNews } from './peerMessage.js'
+import type { LeaseNews, WeightsNews } from './peerMessage.js'
 
 /** First element of the array; other messages begin with a text or another number. */
 const KIND = 2
@@ -16,22 +16,38 @@
 
 const packr = new Packr({ useRecords: false })
 
-type Wire = readonly [number, ReadonlyArray<readonly [string, string, number, number]>]
+export interface WeightsNotice {
+  readonly news: readonly WeightsNews[]
+  /** The newest record of the lease that the teller knows. */
+  readonly lease: LeaseNews | undefined
+}
+
+type Wire = readonly [number, ReadonlyArray<readonly [string, string, number, number]>, readonly [number, string, number] | null]
 
-export function encodeWeightsNotice (news: readonly WeightsNews[]): Buffer {
-  return packr.pack([KIND, news.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)])])
+export function encodeWeightsNotice ({ news, lease }: WeightsNotice): Buffer {
+  return packr.pack([
+    KIND,
+    news.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
+    lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)]
+  ])
 }
 
 function isWire (value: unknown): value is Wire {
-  return Array.isArray(value) && value[0] === KIND && Array.isArray(value[1]) && value[1].every(isNews)
+  return Array.isArray(value) && value[0] === KIND && Array.isArray(value[1]) && value[1].every(isNews) && (value[2] === null || isLease(value[2]))
 }
 
 function isNews (value: unknown): boolean {
   return Array.isArray(value) && typeof value[0] === 'string' && typeof value[1] === 'string' && typeof value[2] === 'number' && typeof value[3] === 'number'
 }
 
+function isLease (value: unknown): boolean {
+  return Array.isArray(value) && typeof value[0] === 'number' && typeof value[1] === 'string' && typeof value[2] === 'number'
+}
+
 /** Nothing for bytes of another form. */
-export function decodeWeightsNotice (bytes: Uint8Array): Maybe<readonly WeightsNews[]> {
-  return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).map(([, news]) =>
-    news.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })))
+export function decodeWeightsNotice (bytes: Uint8Array): Maybe<WeightsNotice> {
+  return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).map(([, news, lease]) => ({
+    news: news.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
+    lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] }
+  }))
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -17,6 +17,7 @@
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
 import { ToldTopic } from './peers/toldTopic.js'
+import type { WeightsNotice } from './peers/weightsNotice.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
 import { ServerChoice } from './servers/serverChoice.js'
@@ -171,10 +172,11 @@
       failureDomain,
       ...peers,
       word: () => this.word(),
+      lease: () => this.office.lease.news(),
       tell: (topic, from) => this.knowledge.tell(topic, from),
       onMessage: message => this.hear(message),
       onNotice: notice => this.knowledge.hear(notice),
-      onWeights: news => news.forEach(one => this.office.desk.observe(one)),
+      onWeights: notice => this.hearWeights(notice),
       onLeaseCall: (request, search, response) => this.lendLease(request, search, response)
     })
   }
@@ -243,6 +245,13 @@
     }
   }
 
+  private hearWeights ({ news, lease }: WeightsNotice): void {
+    if (lease) {
+      this.office.lease.observe(lease)
+    }
+    news.forEach(one => this.office.desk.observe(one))
+  }
+
   private hear ({ lease, weights, suspects, savedLevels, named, current }: PeerMessage): void {
     const now = this.options.clock.now()
     const count = this.peers.count()
@@ -250,10 +259,7 @@
     this.directory.observeInstances(count)
     this.suspects.hear(suspects, now)
     this.caches.savedLevels.hear(savedLevels, now)
-    if (lease) {
-      this.office.lease.observe(lease)
-    }
-    weights.forEach(news => this.office.desk.observe(news))
+    this.hearWeights({ news: weights, lease })
     named.forEach(news => this.office.desk.observeNamed(news))
     current.forEach(news => this.office.desk.observeCurrent(news))
   }
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -15,6 +15,14 @@
 /** Where most slots are taken a request may wait that much longer before it begins, milliseconds. */
 const QUEUED_MARGIN_MS = 1500
 
+/**
+ * An answer loses worth when it begins on weights replaced 1.5 s ago; until then
+ * they are as good as the newest, milliseconds, less 300 for a request to begin.
+ * All instances would else rush to the first engines that have changed, which
+ * read everything anew, and queue there while most of the fleet stands idle.
+ */
+const AS_GOOD_MS = 1200
+
 /** Part of the slots from which on requests wait. */
 const QUEUEING = 0.8
 
@@ -87,6 +95,13 @@
     return prompt !== undefined && this.options.weights.outdatedSince(prompt.model, server.weights.get(prompt.model) ?? 0) !== undefined
   }
 
+  /** Whether an answer on the server's weights is worth less than one on the newest. */
+  private isWorthLess (server: KnownServer, { prompt }: Exchange): boolean {
+    const { clock, weights } = this.options
+    const since = prompt && weights.outdatedSince(prompt.model, server.weights.get(prompt.model) ?? 0)
+    return since !== undefined && since + AS_GOOD_MS <= clock.now()
+  }
+
   private outstandingAt ({ listed, outstanding }: KnownServer): number {
     return outstanding + this.options.use.of(listed.id).outstanding
   }
@@ -117,7 +132,7 @@
       waitingTokens: unreadTokens + use.of(listed.id).tokens,
       faultCostMs: directory.faultCostOf(server, now),
       isChanging: changingUntil > now,
-      isOutdated: this.isOutdated(server, exchange),
+      isOutdated: this.isWorthLess(server, exchange),
       isGathering: gathering.has(listed.id),
       coldLeftMs: listed.coldLeftMs
     }
--- a/packages/foxtaillever-relay/src/weights/orderOffice.ts
+++ b/packages/foxtaillever-relay/src/weights/orderOffice.ts
@@ -68,11 +68,12 @@
     pauseMs: leasePauseMs,
     onChanged: ({ offset }) => {
       log.belief('Holds the lease on orders.', { fence: offset })
-      peers.send()
+      // Whoever missed a renewal would ask too early, learn of it then, and wait anew.
+      peers.tellWeights([])
     },
     onReleased: () => {
       log.belief('Gave up the lease on orders.', {})
-      peers.send()
+      peers.tellWeights([])
     }
   })
 }
