--- a/packages/foxtaillever-policy/src/relay/__tests__/planRollout.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/planRollout.test.ts
@@ -46,6 +46,13 @@
     t.deepEqual(planRollout([engine('a', { work: 10, outdatedMs: 3000 }), engine('f', { work: 10 }), ...rest]).steer, ['a'])
   })
 
+  it('lets short runs end at an engine that was steered once half of the fleet has the weights', t => {
+    const rest = [current('c'), current('d'), current('e')]
+    t.deepEqual(planRollout([engine('a', { ...steered, work: 10 }), engine('b', { ...steered, work: 1 }), ...rest]).order, ['b'])
+    t.deepEqual(planRollout([engine('a', { ...steered, work: 10, steeredMs: 750 }), ...rest]).order, ['a'])
+    t.deepEqual(planRollout([engine('a', { ...steered, work: 10, outdatedMs: 5000 }), ...rest]).order, ['a'])
+  })
+
   // Versions named every two seconds found the engine with the most runs last in line each time. After eight seconds
   // it could begin nothing more, while requests waited in its queue.
   it('does not let the engine with the most work come last again and again', t => {
--- a/packages/foxtaillever-policy/src/relay/planRollout.ts
+++ b/packages/foxtaillever-policy/src/relay/planRollout.ts
@@ -51,6 +51,9 @@
 /** Others hear within 10, and the longest prompts are read in 200 more; no level may be read across the change, milliseconds. */
 export const LEAST_STEERED_MS = 250
 
+/** Runs with a short output take 660 on average: an engine of the second half lets most of them end, milliseconds. */
+const MOST_STEERED_MS = 750
+
 /** Loading takes 420 and shows in reports after 650: one that was ordered so long ago makes room when the next has been steered, milliseconds. */
 const SOON_DONE_MS = 350
 
@@ -80,7 +83,7 @@
   const due = inPhase(RolloutPhase.Serving).filter(engine => !mayWait || isDue(engine))
   return {
     steer: idsOf(due, atOnce - steered.length - loadingOn),
-    order: idsOf(steered.filter(({ steeredMs }) => steeredMs >= LEAST_STEERED_MS), atOnce - ordered.length)
+    order: idsOf(steered.filter(engine => isReady(engine, mayWait)), atOnce - ordered.length)
   }
 }
 
@@ -94,8 +97,18 @@
 }
 
 /** Whether an engine need not serve on for the sake of its long runs. */
-function isDue ({ work, slots, outdatedMs }: RolloutEngine): boolean {
-  return work <= Math.max(1, slots * CALM) || outdatedMs >= PATIENCE_MS
+function isDue (engine: RolloutEngine): boolean {
+  return isCalm(engine) || engine.outdatedMs >= PATIENCE_MS
+}
+
+function isCalm ({ work, slots }: RolloutEngine): boolean {
+  return work <= Math.max(1, slots * CALM)
+}
+
+/** Whether what runs there after the steering need not be waited for any longer. */
+function isReady (engine: RolloutEngine, mayWait: boolean): boolean {
+  const isHurried = !mayWait || isCalm(engine) || overdueMs(engine) > 0
+  return engine.steeredMs >= (isHurried ? LEAST_STEERED_MS : MOST_STEERED_MS)
 }
 
 /** Those that load now count: they serve before one that is steered now could be ordered. */
