Let servers judge in the platform's soak, over links and a store of cached levels

The soak asked callers alone. What it could not see: a level of other weights or of a walled account that was fetched, work that goes to a leaving server, orders under a lease that has gone to another, a key that was taken away, a run whose caller has left.

The stand-in engines now fetch from and save to a store of cached levels and keep with each level who made it under which weights; orders may let runs go on, as the real ones do. Servers are reached over links that reset, fall silent or lose one direction.

Ruled out: the links' reset of sockets that are closing kept the process alive, so they are destroyed at the end.

--- /dev/null
+++ b/packages/foxtaillever-proof/src/platformSoak/__tests__/serverPromises.test.ts
@@ -0,0 +1,72 @@
+import { describe, it, VirtualClock } from 'foxtaillever-testing'
+import { PartCache, TokenEngine, type PartUse, type TakenOrder, type TokenRun } from 'foxtaillever-standins'
+import { Disturbances } from '../disturbances.js'
+import { serverComplaints } from '../serverPromises.js'
+import type { SoakedFleet } from '../soakedFleet.js'
+
+const ENGINE = { slots: 4, mostWaiting: 4, memoryTokens: 10_000, stepMs: 1, readTokensPerMs: 100, pieceTokens: 1000 }
+
+function createRun (requestId: string, changes: Partial<TokenRun> = {}): TokenRun {
+  return {
+    requestId, model: 'm1', salt: 'shared/w1', parts: [{ id: 'a', tokens: 500 }], promptTokens: 600, outputTokens: 1, priority: 1, resumeAfter: 0, account: 'acme', sink: { started: () => {}, token: () => {}, finished: () => {} }, ...changes
+  }
+}
+
+/** Two runs one after the other, at engines that share a store of cached parts. */
+async function usesOf (first: Partial<TokenRun>, versions: readonly [number, number]): Promise<readonly PartUse[]> {
+  const clock = VirtualClock.create()
+  const store = PartCache.create(5000)
+  const [one, other] = versions.map(version => TokenEngine.create(ENGINE, clock, () => version))
+  one?.submit(createRun('q1', { saveTo: store, ...first }))
+  await clock.advanceBy(100)
+  other?.submit(createRun('q2', { fetchFrom: store }))
+  await clock.advanceBy(100)
+  return other?.uses ?? []
+}
+
+function complaintsOf (seen: { readonly uses?: readonly PartUse[], readonly taken?: readonly TakenOrder[] }): string[] {
+  const { uses = [], taken = [] } = seen
+  const fleet = { operator: { drains: [] }, platform: { partUses: () => uses, takenOrders: () => [...taken] } } as unknown as SoakedFleet
+  return serverComplaints(fleet, Disturbances.create(() => 0))
+}
+
+function order (holder: string, fence: number, at: number): TakenOrder {
+  return { holder, fence, at, model: 'm1', version: 2 }
+}
+
+describe('what servers saw in a soak', () => {
+  it('is fine when a level is fetched under the weights that made it', async t => {
+    const uses = await usesOf({}, [1, 1])
+    t.is(uses.length, 1)
+    t.deepEqual(complaintsOf({ uses }), [])
+  })
+
+  // Weights change and the name under which a level is cached does not: callers get answers that no weights would give.
+  it('shows a level that other weights made', async t => {
+    t.deepEqual(complaintsOf({ uses: await usesOf({}, [1, 2]) }), ['q2 built on level a of weights 1 under weights 2'])
+  })
+
+  // Two accounts use one name for a level though one of them must share nothing.
+  it('shows a level from behind a wall', async t => {
+    t.deepEqual(complaintsOf({ uses: await usesOf({ account: 'walled' }, [1, 1]) }), ['q2 of acme built on level a of walled'])
+  })
+
+  // An instance that stood still goes on ordering under a lease that has gone to another.
+  it('shows orders of one whose lease has gone to another', t => {
+    t.deepEqual(complaintsOf({ taken: [order('a', 1, 10), order('b', 2, 20)] }), [])
+    t.deepEqual(complaintsOf({ taken: [order('a', 1, 10), order('b', 2, 20), order('a', 1, 30)] }), ['a ordered under fence 1 after b under 2'])
+    t.deepEqual(complaintsOf({ taken: [order('a', 1, 10), order('b', 1, 20)] }), ['b and a both ordered under fence 1'])
+  })
+})
+
+describe('disturbances of a soak', () => {
+  it('excuse what happens while they last and shortly after', async t => {
+    let now = 1000
+    const disturbances = Disturbances.create(() => now)
+    await disturbances.during(async () => { now = 2000 })
+    t.true(disturbances.wasCalm(0, 900))
+    t.false(disturbances.wasCalm(0, 1000))
+    t.false(disturbances.wasCalm(4000, 4500))
+    t.true(disturbances.wasCalm(5500, 6000))
+  })
+})
--- /dev/null
+++ b/packages/foxtaillever-proof/src/platformSoak/serverPromises.ts
@@ -0,0 +1,49 @@
+/** Promises of a soak that servers alone can judge: whom they ran, on which cached levels, and who ordered them. */
+import type { TakenOrder } from 'foxtaillever-standins'
+import type { Disturbances } from './disturbances.js'
+import type { SoakedFleet } from './soakedFleet.js'
+import { WALLED } from './soakOperator.js'
+
+/** New work may come to a leaving server for so long, milliseconds. */
+const DRAIN_MS = 2000
+
+export function serverComplaints (fleet: SoakedFleet, disturbances: Disturbances): string[] {
+  return [...drainComplaints(fleet, disturbances), ...cacheComplaints(fleet), ...orderComplaints(fleet)]
+}
+
+/** Work that an instance sent to a server long after it could know that the server leaves. */
+function drainComplaints ({ operator }: SoakedFleet, disturbances: Disturbances): string[] {
+  return operator.drains.flatMap(({ server, id, at }) => server.arrivals
+    .filter(arrival => arrival.hasRun && arrival.at > at + DRAIN_MS && server.id === id && disturbances.wasCalm(at, arrival.at))
+    .map(({ requestId, at: arrivedAt }) => `${requestId} ran at ${id} ${arrivedAt - at} ms after it was told to leave`))
+}
+
+/** Cached levels of other weights, or from behind another account's wall. */
+function cacheComplaints ({ platform }: SoakedFleet): string[] {
+  return platform.partUses().flatMap(({ requestId, account, weightsVersion, part: { id, maker } }) => {
+    const isStale = maker.weightsVersion !== weightsVersion
+    const isForeign = maker.account !== account && [maker.account, account].includes(WALLED)
+    return [
+      ...(isStale ? [`${requestId} built on level ${id} of weights ${maker.weightsVersion} under weights ${weightsVersion}`] : []),
+      ...(isForeign ? [`${requestId} of ${account} built on level ${id} of ${maker.account}`] : [])
+    ]
+  })
+}
+
+/** Orders of two holders under one fencing number, or of one whose lease had gone to another. */
+function orderComplaints ({ platform }: SoakedFleet): string[] {
+  const taken = platform.takenOrders().sort((one, other) => one.at - other.at)
+  const holders = new Map<number, string>()
+  let highest: TakenOrder | undefined
+  return taken.flatMap(order => {
+    const { holder, fence } = order
+    const known = holders.get(fence) ?? holder
+    holders.set(fence, known)
+    const before = highest
+    highest = before === undefined || fence > before.fence ? order : before
+    return [
+      ...(known === holder ? [] : [`${holder} and ${known} both ordered under fence ${fence}`]),
+      ...(before !== undefined && fence < before.fence ? [`${holder} ordered under fence ${fence} after ${before.holder} under ${before.fence}`] : [])
+    ]
+  })
+}
--- /dev/null
+++ b/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
@@ -0,0 +1,84 @@
+/** The operator of a soak: writes configurations with keys that come and go, names weights, drains servers. */
+import type { Clock } from 'foxtaillever-core'
+import { createConfiguration, ENGINES, MODEL, PLAIN } from 'foxtaillever-platform/__fixtures__/relayFleet'
+import type { BackendServer, PlatformDeployment } from 'foxtaillever-standins'
+
+/** Where the store of cached prompt levels is; only engines go there. */
+const CACHE_STORE = '127.0.0.1:9'
+
+/** Room of the store of cached prompt levels, tokens: a few prompts, so that it drops some. */
+const CACHE_STORE_TOKENS = 20_000
+
+/** Keys that are in force for good, by the account that holds them. */
+export const LASTING_KEYS: Readonly<Record<string, string>> = { 'key-acme': 'acme', 'key-walled': 'walled' }
+
+/** The account that shares no cached prompt level with others. */
+export const WALLED = 'walled'
+
+/** A key's time, milliseconds of Unix time. */
+export interface KeyTerm {
+  readonly key: string
+  readonly from: number
+  until: number
+}
+
+/** A server that was told to leave, and when. */
+export interface Drain {
+  readonly server: BackendServer
+  readonly id: string
+  readonly at: number
+}
+
+export class SoakOperator {
+  /** Keys that came with one configuration and went with the next. */
+  readonly terms: KeyTerm[] = []
+  readonly drains: Drain[] = []
+  weights = 1
+  private revision = 0
+
+  private constructor (private readonly clock: Clock, private readonly platform: PlatformDeployment) {}
+
+  static create (clock: Clock, platform: PlatformDeployment): SoakOperator {
+    return new SoakOperator(clock, platform)
+  }
+
+  start (): void {
+    this.platform.addCacheStore(CACHE_STORE, CACHE_STORE_TOKENS)
+    this.platform.nameWeights(MODEL, this.weights)
+    this.configure()
+  }
+
+  /** The next configuration, with a key of its own in place of the last one's. */
+  configure (): void {
+    this.revision += 1
+    const key = `key-${this.revision}`
+    const last = this.terms.at(-1)
+    this.platform.configure(createConfiguration(this.revision, {
+      services: [
+        { name: ENGINES, health_path: '/health', max_conns: 100, engine: { slots: 8, kv_capacity_tokens: 40_000, max_inflight: 8 } },
+        { name: PLAIN, health_path: '/health', max_conns: 100 },
+        { name: 'levels', kv_store_addr: CACHE_STORE, zone: 'zone-a', kv_capacity_tokens: CACHE_STORE_TOKENS }
+      ],
+      tenants: [{ name: 'acme', api_keys: ['key-acme', key] }, { name: WALLED, api_keys: ['key-walled'], isolated: true }]
+    }))
+    const now = this.clock.now()
+    if (last) {
+      last.until = now
+    }
+    this.terms.push({ key, from: now, until: Infinity })
+  }
+
+  nameWeights (): void {
+    this.weights += 1
+    this.platform.nameWeights(MODEL, this.weights)
+  }
+
+  drain (server: BackendServer): void {
+    this.platform.drain(server)
+    this.drains.push({ server, id: server.id, at: this.clock.now() })
+  }
+
+  clearCacheStore (): void {
+    this.platform.clearCacheStore(CACHE_STORE)
+  }
+}
--- a/packages/foxtaillever-standins/src/platform/engines/engineRunner.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/engineRunner.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Clock } from 'foxtaillever-core'
 import type { Runner } from './backendServer.js'
-import type { PromptPart } from './partCache.js'
+import type { PartCache, PromptPart } from './partCache.js'
 import { headerOf, type AnswerWriter } from './runRequest.js'
 import { TokenEngine, type TokenEngineOptions } from './tokenEngine.js'
 import { WeightOrders, type WeightOrderBody } from './weightOrders.js'
@@ -26,6 +26,8 @@
   readonly loadMs: number
   readonly isNamed: (model: string, version: number) => boolean
   readonly onLoaded: () => void
+  /** Cache of the engine or store at an address, if it is up. */
+  readonly cacheAt?: (address: string) => PartCache | undefined
 }
 
 function readParts (text: string): PromptPart[] {
@@ -49,7 +51,7 @@
 
   private constructor (private readonly options: EngineRunnerOptions) {
     const { clock, engine, loadMs, isNamed, onLoaded } = options
-    this.engine = TokenEngine.create(engine, clock)
+    this.engine = TokenEngine.create(engine, clock, model => this.orders.versions.get(model) ?? 0)
     this.orders = WeightOrders.create({
       clock,
       loadMs,
@@ -95,6 +97,9 @@
       outputTokens,
       priority: Number(headerOf(request, 'x-request-priority') || MIDDLE_PRIORITY),
       resumeAfter: Number(headerOf(request, 'last-event-id') || 0),
+      account: headerOf(request, 'x-tenant'),
+      fetchFrom: this.cacheAt(headerOf(request, 'x-kv-fetch')),
+      saveTo: this.cacheAt(headerOf(request, 'x-kv-save')),
       sink: {
         started: () => {
           begun()
@@ -121,6 +126,10 @@
     return [...this.orders.versions].map(([name, version]) => ({ name, version, adapters: [] }))
   }
 
+  private cacheAt (address: string): PartCache | undefined {
+    return address === '' ? undefined : this.options.cacheAt?.(address)
+  }
+
   private report (): object {
     const { active, queued, usedTokens, options } = this.engine
     return {
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -5,6 +5,10 @@
 import type { Cancellation, Clock } from 'foxtaillever-core'
 import { BackendServer, createPlainRunner, type Runner } from './engines/backendServer.js'
 import { EngineRunner } from './engines/engineRunner.js'
+import { PartCache } from './engines/partCache.js'
+import type { PartUse } from './engines/tokenEngine.js'
+import type { TakenOrder } from './engines/weightOrders.js'
+import { Link } from './link.js'
 import { OPERATORS_TOPIC, SERVERS_TOPIC, StoreModel } from './store/storeModel.js'
 import { StoreServer } from './store/storeServer.js'
 
@@ -24,6 +28,8 @@
   readonly runner: Runner
   readonly service: string
   readonly zone: string
+  /** Where others reach it. */
+  address: string
   isBeating: boolean
 }
 
@@ -32,11 +38,15 @@
   /** Loopback address of everything. */
   readonly host: string
   readonly heartbeatMs: number
+  /** Servers are reached over links that can be disturbed. */
+  readonly hasLinks?: boolean
 }
 
 export class PlatformDeployment {
   readonly store: StoreModel
   readonly servers: BackendServer[] = []
+  readonly links: Link[] = []
+  private readonly cacheStores = new Map<string, PartCache>()
   private readonly registered: Registered[] = []
   private readonly doors: StoreServer[] = []
   private readonly named = new Map<string, number>()
@@ -66,7 +76,8 @@
       mostEventCalls: EVENT_CALLS,
       loadMs: LOAD_MS,
       isNamed: (model, version) => version <= (this.named.get(model) ?? 0),
-      onLoaded: () => this.beatAll()
+      onLoaded: () => this.beatAll(),
+      cacheAt: address => this.cacheAt(address)
     })
     Object.entries(models).forEach(([model, version]) => runner.orders.versions.set(model, version))
     return { server: await this.add(name, service, zone, runner), runner }
@@ -76,6 +87,31 @@
     return await this.add(name, service, zone, createPlainRunner(this.options.clock, PLAIN_WORK_MS))
   }
 
+  /** A store of cached parts; no call reaches it, since engines alone use it. */
+  addCacheStore (address: string, mostTokens: number): void {
+    this.cacheStores.set(address, PartCache.create(mostTokens))
+  }
+
+  /** The store restarts without anything in it. */
+  clearCacheStore (address: string): void {
+    this.cacheStores.get(address)?.shrink(0)
+  }
+
+  /** Cached parts that runs of all engines built on. */
+  partUses (): PartUse[] {
+    return this.registered.flatMap(({ runner }) => runner instanceof EngineRunner ? runner.engine.uses : [])
+  }
+
+  /** Orders that engines took, of all their lives. */
+  takenOrders (): TakenOrder[] {
+    return this.registered.flatMap(({ runner }) => runner instanceof EngineRunner ? runner.orders.taken : [])
+  }
+
+  /** The engines that others may find in the store. */
+  engines (): EngineRunner[] {
+    return this.registered.flatMap(({ runner, isBeating }) => isBeating && runner instanceof EngineRunner ? [runner] : [])
+  }
+
   configure (configuration: object): void {
     this.store.put(OPERATORS_TOPIC, 'config', configuration)
   }
@@ -100,9 +136,15 @@
   close (): void {
     this.cancelBeat()
     this.doors.forEach(door => door.close())
+    this.links.forEach(link => link.close())
     this.servers.forEach(server => server.close())
   }
 
+  private cacheAt (address: string): PartCache | undefined {
+    const engine = this.registered.find(entry => entry.isBeating && entry.address === address)?.runner
+    return this.cacheStores.get(address) ?? (engine instanceof EngineRunner ? engine.engine.cache : undefined)
+  }
+
   private async add (name: string, service: string, zone: string, runner: Runner): Promise<BackendServer> {
     const { clock, host, heartbeatMs } = this.options
     const server = BackendServer.create({
@@ -114,17 +156,31 @@
         clock.at(clock.now() + SILENT_HEARTBEATS * heartbeatMs, () => this.store.put(SERVERS_TOPIC, id, undefined))
       },
       onStarted: () => {
-        entry.isBeating = true
-        this.write(entry)
+        if (entry.address !== '') {
+          entry.isBeating = true
+          this.write(entry)
+        }
       }
     }, runner)
-    const entry: Registered = { server, runner, service, zone, isBeating: false }
+    const entry: Registered = { server, runner, service, zone, address: '', isBeating: false }
     this.servers.push(server)
-    this.registered.push(entry)
     await server.listen(host)
+    entry.address = await this.reach(server.address)
+    entry.isBeating = true
+    this.registered.push(entry)
+    this.write(entry)
     return server
   }
 
+  private async reach (address: string): Promise<string> {
+    if (this.options.hasLinks !== true) {
+      return address
+    }
+    const link = Link.create(address)
+    this.links.push(link)
+    return await link.listen(this.options.host)
+  }
+
   private beat (): void {
     const { clock, heartbeatMs } = this.options
     this.beatAll()
@@ -135,11 +191,11 @@
     this.registered.filter(({ isBeating }) => isBeating).forEach(entry => this.write(entry))
   }
 
-  private write ({ server, runner, service, zone }: Registered): void {
+  private write ({ server, runner, service, zone, address }: Registered): void {
     this.beats += 1
     this.store.put(SERVERS_TOPIC, server.id, {
       service,
-      address: server.address,
+      address,
       zone,
       version: 'v1',
       slots: ENGINE.slots,
