--- a/packages/foxtaillever-load/src/report/htmlReport.ts
+++ b/packages/foxtaillever-load/src/report/htmlReport.ts
@@ -1,25 +1,10 @@
 /** A readable report in one self-contained HTML file: figures, plots, settings. */
+import { drawPage, drawPlots, drawTable, type Row } from 'foxtaillever-telemetry/report/htmlPage'
+import { drawPlot, escapeText, type Plot, type PlotMark } from 'foxtaillever-telemetry/report/svgPlot'
 import { Metric, type Comparison } from '../experiment/compareVariants.js'
 import type { Results } from '../results/results.js'
-import { drawPlot, escapeText, type Plot, type PlotMark } from './svgPlot.js'
 import { formatMetric, formatRatio, percent } from './textTable.js'
 
-const STYLE = `body{font:15px/1.5 system-ui,sans-serif;max-width:1360px;margin:2em auto;padding:0 1em;color:#222}
-table{border-collapse:collapse;margin:1em 0}td,th{border:1px solid #ccc;padding:.25em .7em;text-align:left}th{background:#f3f3f3}
-.plots{display:grid;grid-template-columns:repeat(auto-fit,minmax(480px,1fr));gap:1em}svg{width:100%;font:11px system-ui,sans-serif}
-.bad{color:#b00020;font-weight:bold}`
-
-type Row = readonly string[]
-
-function table (head: Row, rows: readonly Row[]): string {
-  const cells = (row: Row, tag: string): string => `<tr>${row.map(cell => `<${tag}>${escapeText(cell)}</${tag}>`).join('')}</tr>`
-  return `<table>${cells(head, 'th')}${rows.map(row => cells(row, 'td')).join('')}</table>`
-}
-
-function page (title: string, parts: readonly string[]): string {
-  return `<!doctype html><html lang="en"><meta charset="utf-8"><title>${escapeText(title)}</title><style>${STYLE}</style><h1>${escapeText(title)}</h1>${parts.join('\n')}</html>\n`
-}
-
 /** Percentiles spread so that the tail takes most of the room: each nine as much as the last. */
 function tailPosition (percentile: number): number {
   return -Math.log10(1 - Math.min(percentile, 99.99) / 100)
@@ -52,18 +37,18 @@
     overTime('Prefix hit rate', 'share', point => point.prefixHitRate),
     overTime('Complete answers', 'a second', point => point.complete)
   ]
-  return `<div class="plots">${plots.map(drawPlot).join('')}</div>`
+  return drawPlots(plots.map(drawPlot))
 }
 
 function settingsOf ({ settings, node, startedAt }: Results): string {
-  return table(['setting', 'value'], [
+  return drawTable(['setting', 'value'], [
     ['shape', settings.shape], ['seed', String(settings.seed)], ['requests a second', String(settings.requestsPerSecond)],
     ['seconds', String(settings.seconds)], ['node', node], ['made at', startedAt]
   ])
 }
 
 function accountsOf (results: Results): string {
-  return table(
+  return drawTable(
     ['client account', 'requests', 'complete', 'refused', 'broken', 'first token p50', 'p95', 'p99', 'prefix hit rate'],
     Object.entries(results.accounts).map(([name, summary]) => [
       name, String(summary.requests), String(summary.complete), String(summary.refused), String(summary.broken),
@@ -83,7 +68,7 @@
 
 function figuresOf (results: Results): string {
   const { summary } = results
-  return table(['figure', 'value'], [
+  return drawTable(['figure', 'value'], [
     ['requests', String(summary.requests)],
     ['complete, refused, broken', `${summary.complete}, ${summary.refused}, ${summary.broken}`],
     ['time to first token', `p50 ${summary.firstTokenP50Ms} ms, p95 ${summary.firstTokenP95Ms} ms, p99 ${summary.firstTokenP99Ms} ms`],
@@ -98,7 +83,7 @@
 }
 
 export function createRunReport (results: Results): string {
-  return page(`foxtaillever-load: ${results.settings.variant} on ${results.settings.shape}`, [
+  return drawPage(`foxtaillever-load: ${results.settings.variant} on ${results.settings.shape}`, [
     warningsOf(results), figuresOf(results), plotsOf([results]),
     '<h2>Client accounts</h2>', accountsOf(results), '<h2>Settings</h2>', settingsOf(results)
   ])
@@ -111,10 +96,10 @@
     ...outcomes.map((outcome, index) => formatMetric(metric, outcome) + (index === 0 ? '' : `, ${formatRatio(outcome.ratios[metric])}`))
   ])
   const first = outcomes[0]?.results
-  return page(`foxtaillever-load: ${outcomes.map(outcome => outcome.name).join(' against ')} on ${comparison.shape}`, [
+  return drawPage(`foxtaillever-load: ${outcomes.map(outcome => outcome.name).join(' against ')} on ${comparison.shape}`, [
     ...outcomes.map(outcome => warningsOf(outcome.results)),
     `<p>Ratios are to ${escapeText(outcomes[0]?.name ?? '')}: geometric mean over the segments, in brackets the smallest and the largest.</p>`,
-    table(['figure', ...outcomes.map(outcome => outcome.name)], rows),
+    drawTable(['figure', ...outcomes.map(outcome => outcome.name)], rows),
     plotsOf(outcomes.map(outcome => outcome.results)),
     ...outcomes.map(outcome => `<h2>Client accounts: ${escapeText(outcome.name)}</h2>${accountsOf(outcome.results)}`),
     '<h2>Settings</h2>', first ? settingsOf(first) : ''
--- a/packages/foxtaillever/src/createCli.ts
+++ b/packages/foxtaillever/src/createCli.ts
@@ -19,6 +19,7 @@
 import { PresetShowCommand } from './commands/presetShow.js'
 import { PresetSwitchCommand } from './commands/presetSwitch.js'
 import { ReportCommand } from './commands/report.js'
+import { ReportDayCommand } from './commands/reportDay.js'
 import { ReturnCommand } from './commands/return.js'
 import { ServersCommand } from './commands/servers.js'
 import { SettingsCheckCommand } from './commands/settingsCheck.js'
@@ -34,7 +35,7 @@
   PresetListCommand, PresetShowCommand, PresetSwitchCommand,
   MembersCommand, ServersCommand, AccountsCommand,
   DrainCommand, ReturnCommand, OrderCommand, OrdersCommand,
-  SettingsCheckCommand, DumpCommand, ExplainCommand, TimelineCommand, TopCommand, ReportCommand,
+  SettingsCheckCommand, DumpCommand, ExplainCommand, TimelineCommand, TopCommand, ReportCommand, ReportDayCommand,
   CompletionCommand, CompletionWordsCommand, DemoCommand
 ]
 
