--- a/packages/foxtaillever/src/__tests__/logStory.test.ts
+++ b/packages/foxtaillever/src/__tests__/logStory.test.ts
@@ -44,6 +44,14 @@
     t.is(malformed, 3)
   })
 
+  // Logs usually come through a collector, which writes a time and a host before each line.
+  it('may have a prefix of whoever collected them', async t => {
+    const file = join(await mkdtemp(join(tmpdir(), 'foxtaillever-')), 'collected.log')
+    await writeFile(file, `12:00:01 host-7 ${lineOf('01.000', 'one', 'fleet: A configuration is in force.', { revision: 4 })}\n`)
+    const { out } = await runCommand(['timeline', '--json', file])
+    t.is((JSON.parse(out) as { lines: unknown[] }).lines.length, 1)
+  })
+
   it('are not needed to check a settings file', async t => {
     const file = join(await mkdtemp(join(tmpdir(), 'foxtaillever-')), 'node.json')
     await writeFile(file, '{"node": 5}')
--- a/packages/foxtaillever/src/logs/logStory.ts
+++ b/packages/foxtaillever/src/logs/logStory.ts
@@ -22,8 +22,9 @@
 /** Fields that say what a line is about anyway. */
 const headFields = new Set(['level', 'time', 'instance', 'msg'])
 
+/** Collectors put a time or a host's name before a line; the line itself is one JSON object. */
 function parseLine (text: string): LogLine | undefined {
-  return Either.encase(() => JSON.parse(text) as Partial<LogLine> | null)
+  return Either.encase(() => JSON.parse(text.slice(Math.max(0, text.indexOf('{')))) as Partial<LogLine> | null)
     .toMaybe()
     .filter(line => typeof line?.time === 'string' && typeof line.instance === 'string' && typeof line.msg === 'string')
     .extract() as LogLine | undefined
