Keep an engine steered for its next weights while news of the last ones comes in

News of version 2, by beats and answers, came after the word that it changes to 3, and ended the steering. The word names the weights that the engine will have, and only those end it. An engine that reached what it was ordered to have is steered anew for newer weights; those that lack most versions go first, so that none changes twice within a second; the second half may serve 3.6 s on replaced weights, the time after which it has lost what a change costs.

--- a/packages/foxtaillever-policy/src/relay/planRollout.ts
+++ b/packages/foxtaillever-policy/src/relay/planRollout.ts
@@ -60,13 +60,17 @@
 /** With up to this part of the slots taken, hardly any long run is left; short ones end while it is steered. */
 const CALM = 0.06
 
-/** By then nine in ten long runs have ended, milliseconds; the next version is often named by then. */
-const PATIENCE_MS = 3000
+/**
+ * An engine of the second half may serve on replaced weights for so long, milliseconds:
+ * it loses a fifth of 13 worth a second from 1.5 s on, and a change costs 4.5 and some
+ * 2.5 that its runs lose. Where versions come faster, it goes straight to the next one.
+ */
+const PATIENCE_MS = 3600
 
 /**
- * An engine with weights replaced that long ago goes first, however much it
- * runs, milliseconds. With versions named in quick succession the one with the
- * most work would else come last each time, until it may begin nothing more.
+ * At an engine with weights replaced that long ago no run is waited for, milliseconds.
+ * With versions named in quick succession it would else come last each time, until it
+ * may begin nothing more.
  */
 const OVERDUE_MS = 4000
 
@@ -87,13 +91,9 @@
   }
 }
 
-/** Overdue engines first, the oldest of them first; then those with the least work. */
+/** Those that lack most versions first: one that changed a moment ago would read everything anew twice. Then those with the least work. */
 function compare (one: RolloutEngine, other: RolloutEngine): number {
-  return overdueMs(other) - overdueMs(one) || one.work - other.work
-}
-
-function overdueMs ({ outdatedMs }: RolloutEngine): number {
-  return outdatedMs >= OVERDUE_MS ? outdatedMs : 0
+  return other.outdatedMs - one.outdatedMs || one.work - other.work
 }
 
 /** Whether an engine need not serve on for the sake of its long runs. */
@@ -107,7 +107,7 @@
 
 /** Whether what runs there after the steering need not be waited for any longer. */
 function isReady (engine: RolloutEngine, mayWait: boolean): boolean {
-  const isHurried = !mayWait || isCalm(engine) || overdueMs(engine) > 0
+  const isHurried = !mayWait || isCalm(engine) || engine.outdatedMs >= OVERDUE_MS
   return engine.steeredMs >= (isHurried ? LEAST_STEERED_MS : MOST_STEERED_MS)
 }
 
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -20,6 +20,7 @@
 export interface WeightsNews {
   readonly server: string
   readonly model: string
+  /** The one that it has, or will have after the change. */
   readonly version: number
   /** It takes nothing new for as long, milliseconds; 0 when it has the version. */
   readonly changingMs: number
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -3,6 +3,12 @@
 import type { ListedServer } from '../model/listedServer.js'
 import type { ServerConnections } from './serverConnections.js'
 
+/** A version of one model's weights. */
+export interface WeightsOf {
+  readonly model: string
+  readonly version: number
+}
+
 export interface KnownServer {
   listed: ListedServer
   /** Offset of the record that the entry comes from; a lower one never replaces it. */
@@ -21,4 +27,6 @@
   newestBegun: number
   /** An order changes its weights until then, milliseconds of Unix time. */
   changingUntil: number
+  /** The weights that it will have after that; undefined when it never changed. */
+  changingTo: WeightsOf | undefined
 }
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -125,7 +125,7 @@
     if (server && version > (server.weights.get(model) ?? -1)) {
       server.weights.set(model, version)
       server.weightsOrder = this.weightsChanges++
-      server.changingUntil = 0
+      endChange(server, model, version)
     }
   }
 
@@ -179,13 +179,21 @@
       mostConnections: this.mostConnections(listed.service)
     })
     const server: KnownServer = {
-      listed, offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0
+      listed, offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
     }
     this.servers.set(listed.id, server)
     return server
   }
 }
 
+/** News of an earlier change may come after the word that the next one has begun; it does not end that. */
+function endChange (server: KnownServer, model: string, version: number): void {
+  const { changingTo } = server
+  if (changingTo === undefined || changingTo.model !== model || version >= changingTo.version) {
+    server.changingUntil = 0
+  }
+}
+
 /** Two entries of one server that differ by their heartbeat alone. */
 function saysSame (one: ListedServer, other: ListedServer): boolean {
   return one.state === other.state && one.address === other.address && one.service === other.service && one.slots === other.slots &&
--- /dev/null
+++ b/packages/foxtaillever-relay/src/weights/__tests__/told.test.ts
@@ -0,0 +1,31 @@
+/**
+ * The holder says that an engine changes to the next weights while others still
+ * learn, by beats and answers, of the change before. Taken for the end of the new
+ * one, that news made them send requests there, and all were refused.
+ */
+import { describe, it } from 'foxtaillever-testing'
+import { MODEL, OrderingFleet, type Instance } from '../__fixtures__/orderingFleet.js'
+
+const ENGINE = 'engine-0'
+
+function isSteered ({ directory, clock }: Instance): boolean {
+  return (directory.get(ENGINE)?.changingUntil ?? 0) > clock.now()
+}
+
+describe('an instance that hears of an engine that changes', () => {
+  const [instance] = OrderingFleet.create({ instances: 1 }).instances as [Instance]
+  instance.desk.stop()
+
+  it('keeps work away until it has the weights that were told', t => {
+    instance.desk.observe({ server: ENGINE, model: MODEL, version: 3, changingMs: 2500 })
+    instance.directory.observeWeights(ENGINE, MODEL, 2)
+    t.true(isSteered(instance))
+    instance.directory.observeWeights(ENGINE, MODEL, 3)
+    t.false(isSteered(instance))
+  })
+
+  it('is not misled by a word that comes after the change', t => {
+    instance.desk.observe({ server: ENGINE, model: MODEL, version: 3, changingMs: 2500 })
+    t.false(isSteered(instance))
+  })
+})
--- a/packages/foxtaillever-relay/src/weights/engineChange.ts
+++ b/packages/foxtaillever-relay/src/weights/engineChange.ts
@@ -57,6 +57,7 @@
   private reportAskedAt = 0
   /** When the order left, milliseconds of Unix time; undefined without one. */
   orderedAt: number | undefined
+  private orderedVersion = Infinity
   private idleLooks = 0
   private lookAt: number
   private isCalling = false
@@ -79,6 +80,11 @@
     return this.reportAskedAt >= this.steeredAt + REPORT_AGE_MS ? this.report?.running : undefined
   }
 
+  /** Whether the engine has what it was ordered to have. */
+  hasCarriedOut (version: number): boolean {
+    return version >= this.orderedVersion
+  }
+
   /** Asks for a report when one is due. */
   async look (): Promise<void> {
     const { clock, orders, engine, model, onWeights } = this.options
@@ -104,6 +110,7 @@
     }
     this.isCalling = true
     this.orderedAt = clock.now()
+    this.orderedVersion = version
     this.idleLooks = 0
     const expectedSequence = this.report.sequence
     const answer = await orders.order(engine, { model, version, holder, fence, expectedSequence })
--- a/packages/foxtaillever-relay/src/weights/weightsDesk.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsDesk.ts
@@ -104,8 +104,9 @@
       return
     }
     const engine = directory.get(server)
-    if (engine) {
+    if (engine && (engine.weights.get(model) ?? 0) < version) {
       engine.changingUntil = now + changingMs
+      engine.changingTo = { model, version }
     }
   }
 
@@ -273,9 +274,11 @@
   private keepSteered (engine: KnownServer, model: string): void {
     const now = this.options.clock.now()
     if (engine.changingUntil < now + TELL_AGAIN_MS) {
+      const version = this.wanted(model)
       engine.changingUntil = now + STEERED_MS
+      engine.changingTo = { model, version }
       this.progressAt = now
-      this.untold.set(engine.listed.id, { server: engine.listed.id, model, version: 0, changingMs: STEERED_MS })
+      this.untold.set(engine.listed.id, { server: engine.listed.id, model, version, changingMs: STEERED_MS })
     }
   }
 
@@ -288,7 +291,8 @@
       this.progressAt = clock.now()
       this.untold.set(server, { server, model, version, changingMs: 0 })
     }
-    if (this.hasWanted(engine, model)) {
+    // Were newer weights named meanwhile, it is steered anew for them in its turn.
+    if (this.hasWanted(engine, model) || this.changes.get(server)?.hasCarriedOut(version) === true) {
       this.changes.delete(server)
     }
   }
