Guess what other instances sent since a report from the own sends

The own sends since the report, times the number of other instances (four at most), now count as theirs, requests and tokens alike.

Ruled out: more homes from the first request on, since the worst requests found the prefix cached and waited for a slot.

--- a/packages/foxtaillever-policy/src/servers/serverLoad.ts
+++ b/packages/foxtaillever-policy/src/servers/serverLoad.ts
@@ -19,6 +19,13 @@
 /** Steps remembered; at least 1.3 s, more than a report is late. */
 const HISTORY_LENGTH = 64
 
+/**
+ * Other instances whose unseen sends are guessed from this one's own. Callers
+ * spread evenly, and a prefix that has just become hot has the same home for
+ * all; but a guess for hundreds from the sends of one would be chance.
+ */
+const MOST_ALIKE = 4
+
 /** Cached share of a prompt before one was seen. */
 const CACHED_PRIOR = 0.5
 const CACHED_GAIN = 0.1
@@ -28,6 +35,8 @@
   outstanding: number
   /** As the engine counts them: whole prompts until they start, then what is left to prefill. */
   reportable: number
+  /** Uncached tokens whose first token has not come. */
+  pending: number
 }
 
 export class ServerLoad {
@@ -35,10 +44,14 @@
   outstanding = 0
   /** Uncached prompt tokens sent by this instance whose first token has not come. */
   pendingTokens = 0
+  /** Entry instances, this one included. */
+  instances = 1
   private reportable = 0
   private history: OwnLoad[] = []
   private othersOutstanding = 0
   private othersTokens = 0
+  /** Own load when the last report was made. */
+  private reported: OwnLoad = { at: 0, outstanding: 0, reportable: 0, pending: 0 }
   private readonly cachedShare = MovingMean.create(CACHED_PRIOR, CACHED_GAIN)
   private cacheTokensUsed = 0
   private validUntil = 0
@@ -70,6 +83,7 @@
 
   observe (report: LoadReport, now: number): void {
     const own = this.ownAt(Math.min(report.madeAt, now))
+    this.reported = own
     this.othersOutstanding = Math.max(0, report.running + report.waiting - own.outstanding)
     this.othersTokens = Math.max(0, report.waitingTokens - own.reportable)
     this.cacheTokensUsed = report.cacheTokensUsed
@@ -85,14 +99,23 @@
 
   /** Requests there now, of all instances. */
   occupancy (now: number): number {
-    return this.outstanding + (now < this.validUntil ? this.othersOutstanding : 0)
+    return this.outstanding + (now < this.validUntil ? this.othersOutstanding + this.unseen(this.outstanding - this.reported.outstanding) : 0)
+  }
+
+  /**
+   * What others have sent since the report: as much as this one. A prefix that
+   * becomes hot makes all instances send to its home within one report's time;
+   * with its own sends alone each sees free slots there until the home is full.
+   */
+  private unseen (own: number): number {
+    return Math.max(0, own) * Math.min(MOST_ALIKE, this.instances - 1)
   }
 
   /** Uncached prompt tokens that a new request would stand behind. */
   queuedTokens (now: number): number {
     // The engine counts whole prompts, of which it will find a part in its cache.
     const others = this.othersTokens * (1 - this.cachedShare.value)
-    return this.pendingTokens + (now < this.validUntil ? others : 0)
+    return this.pendingTokens + (now < this.validUntil ? others + this.unseen(this.pendingTokens - this.reported.pending) : 0)
   }
 
   observeCached (share: number): void {
@@ -109,9 +132,10 @@
     if (last && now - last.at < HISTORY_STEP_MS) {
       last.outstanding = this.outstanding
       last.reportable = this.reportable
+      last.pending = this.pendingTokens
       return
     }
-    this.history.push({ at: now, outstanding: this.outstanding, reportable: this.reportable })
+    this.history.push({ at: now, outstanding: this.outstanding, reportable: this.reportable, pending: this.pendingTokens })
     if (this.history.length >= 2 * HISTORY_LENGTH) {
       this.history = this.history.slice(-HISTORY_LENGTH)
     }
@@ -124,6 +148,6 @@
         return entry
       }
     }
-    return { at: time, outstanding: 0, reportable: 0 }
+    return { at: time, outstanding: 0, reportable: 0, pending: 0 }
   }
 }
--- a/packages/foxtaillever-policy/src/servers/serverTable.ts
+++ b/packages/foxtaillever-policy/src/servers/serverTable.ts
@@ -112,6 +112,7 @@
     }
     this.observeIncarnation(server, report.incarnation, now)
     this.observeLeaving(server, report.leaving)
+    server.load.instances = this.instances
     server.load.observe(report, now)
     observeFullness(server, now)
   }
