--- /dev/null
+++ b/packages/foxtaillever-policy/src/relay/__fixtures__/engineFleet.ts
@@ -0,0 +1,266 @@
+/**
+ * A fleet of instances before engines, in steps of a millisecond: what callers
+ * wait for their first token by how instances learn of each other's load.
+ * Engines read one prompt after another, keep what they read until it yields to
+ * newer prompts, and fetch what they lack.
+ */
+import { exponential, SeededRandom } from 'foxtaillever-core'
+import { mixHashes } from '../../placement/rendezvous.js'
+import { rankOffers, type ServerOffer } from '../placeExchange.js'
+import { fadeLoad, noLoad, type ServerLoad } from '../serverLoad.js'
+
+/** How an instance knows what the others put on engines. */
+export enum Knowledge {
+  /** Beats at a random part of the others; the last of each counts whole. */
+  Beats,
+  /** Two engines' watchers are asked before each choice; sums in beats fade. */
+  Asked
+}
+
+export interface FleetShape {
+  readonly instances: number
+  readonly engines: number
+  /** Requests a second, all instances together. */
+  readonly rate: number
+  readonly knowledge: Knowledge
+  /** Part of the datagrams that are lost. */
+  readonly loss: number
+  readonly seed: number
+}
+
+export interface FleetOutcome {
+  /** Milliseconds from the choice to the first token. */
+  readonly p50: number
+  readonly p99: number
+  /** Part of the requests that waited for more than the objective. */
+  readonly lateShare: number
+  /** Part of the prompts whose shared level was not at the engine. */
+  readonly missShare: number
+  /** Requests that began at the busiest engine, in times of the mean. */
+  readonly spread: number
+}
+
+interface Request {
+  readonly key: number
+  readonly own: number
+  readonly shared: number
+  readonly runMs: number
+  readonly at: number
+  readonly instance: number
+  readonly engine: number
+  unread: number
+  endAt: number
+}
+
+interface Engine {
+  readonly offer: ServerOffer
+  readonly queue: Request[]
+  readonly running: Request[]
+  /** Kept levels, the least recently used first. */
+  readonly kept: Map<number, number>
+  begun: number
+}
+
+const MS = 20_000
+const TOKENS_PER_MS = 110
+const FETCHED_TOKENS_PER_MS = 140
+const MEMORY = 71_780
+const BEAT_MS = 1000
+const OBJECTIVE_MS = 400
+const RECEIVERS = 24
+const LEVELS_PER_ENGINE = 22
+
+/** Large prompts and short ones, in the parts in which one deployment gets them. */
+const LARGE = { share: 0.59, own: 2890, shared: 6300, runMs: 90 }
+const SHORT = { share: 0.41, own: 628, shared: 198, runMs: 500 }
+
+export class EngineFleet {
+  private readonly random: SeededRandom
+  private readonly engines: Engine[]
+  /** What each instance heard: sums of beats, or the last word of a watcher. */
+  private readonly heard: Array<Map<number, ServerLoad & { readonly at: number }>>
+  private readonly words: Array<Map<number, ReadonlyMap<number, ServerLoad>>>
+  private readonly waits: number[] = []
+  private misses = 0
+  private now = 0
+
+  private constructor (private readonly shape: FleetShape) {
+    const { instances, engines, seed } = shape
+    this.random = SeededRandom.create(seed)
+    this.engines = Array.from({ length: engines }, (_, index) => ({ offer: createOffer(index), queue: [], running: [], kept: new Map(), begun: 0 }))
+    this.heard = Array.from({ length: instances }, () => new Map())
+    this.words = Array.from({ length: instances }, () => new Map())
+  }
+
+  /** Plays twenty seconds of steady load. */
+  static play (shape: FleetShape): FleetOutcome {
+    const fleet = new EngineFleet(shape)
+    let nextAt = 0
+    for (; fleet.now < MS; fleet.now += 1) {
+      while (nextAt <= fleet.now) {
+        fleet.arrive()
+        nextAt += exponential(fleet.random, 1000 / shape.rate)
+      }
+      fleet.beat()
+      fleet.engines.forEach(engine => fleet.step(engine))
+    }
+    return fleet.outcome()
+  }
+
+  private arrive (): void {
+    const { engines, instances } = this.shape
+    const kind = this.random.next() < LARGE.share ? LARGE : SHORT
+    const key = Math.imul(1 + this.random.below(LEVELS_PER_ENGINE * engines), 7919) + kind.own
+    const instance = this.random.below(instances)
+    const engine = this.place(instance, key, kind.own + kind.shared)
+    const { kept, queue } = this.engines[engine] as Engine
+    const isKept = kept.has(key)
+    this.misses += isKept ? 0 : 1
+    const unread = kind.own + (isKept ? 0 : kind.shared * TOKENS_PER_MS / FETCHED_TOKENS_PER_MS)
+    queue.push({ key, own: kind.own, shared: kind.shared, runMs: kind.runMs, at: this.now, instance, engine, unread, endAt: Infinity })
+  }
+
+  private place (instance: number, key: number, promptTokens: number): number {
+    const need = { promptKey: key, promptTokens, outputTokens: 0, isLong: false, failureDomain: `${instance % 3}` }
+    const rank = (): readonly ServerOffer[] => rankOffers(this.engines.map((_, index) => this.offerOf(index, instance)), need, this.random)
+    if (this.shape.knowledge === Knowledge.Asked) {
+      rank().slice(0, 2).filter(() => this.random.next() >= this.shape.loss * 2).forEach(({ id }) => this.ask(instance, Number(id)))
+    }
+    return Number(rank()[0]?.id)
+  }
+
+  private ask (instance: number, engine: number): void {
+    this.heard[instance]?.set(engine, { ...this.loadOf(engine, request => request.instance !== instance), at: this.now })
+  }
+
+  private offerOf (engine: number, instance: number): ServerOffer {
+    const own = this.loadOf(engine, request => request.instance === instance)
+    const others = this.othersLoad(engine, instance)
+    const { offer } = this.engines[engine] as Engine
+    return { ...offer, outstanding: own.outstanding + others.outstanding, waitingTokens: own.tokens + others.tokens, heldTokens: own.heldTokens + others.heldTokens }
+  }
+
+  private othersLoad (engine: number, instance: number): ServerLoad {
+    if (this.shape.knowledge === Knowledge.Asked) {
+      const word = this.heard[instance]?.get(engine)
+      return word === undefined ? noLoad : fadeLoad(word, this.now - word.at)
+    }
+    return sum([...this.words[instance]?.values() ?? []].map(word => word.get(engine) ?? noLoad))
+  }
+
+  private loadOf (engine: number, counts: (request: Request) => boolean): ServerLoad {
+    const { queue, running } = this.engines[engine] as Engine
+    return sum([...queue, ...running].filter(counts).map(({ own, shared, unread }) => ({ outstanding: 1, tokens: unread, heldTokens: own + shared })))
+  }
+
+  /** Each instance in its own millisecond of the period. */
+  private beat (): void {
+    const { instances, knowledge, loss, engines } = this.shape
+    for (let teller = 0; teller < instances; teller += 1) {
+      if (this.now % BEAT_MS !== Math.floor(teller * BEAT_MS / instances)) {
+        continue
+      }
+      const word = new Map(Array.from({ length: engines }, (_, engine) => [engine, this.loadOf(engine, request => request.instance === teller)]))
+      for (let sent = 0; sent < Math.min(RECEIVERS, instances - 1); sent += 1) {
+        const hearer = this.random.below(instances)
+        if (this.random.next() < loss || hearer === teller) {
+          continue
+        }
+        if (knowledge === Knowledge.Beats) {
+          this.words[hearer]?.set(teller, word)
+        } else if (teller < engines) {
+          this.ask(hearer, teller)
+        }
+      }
+    }
+  }
+
+  private step (engine: Engine): void {
+    const { queue, running, kept } = engine
+    for (let index = running.length - 1; index >= 0; index -= 1) {
+      if ((running[index] as Request).endAt <= this.now) {
+        running.splice(index, 1)
+      }
+    }
+    let left = TOKENS_PER_MS
+    while (left > 0 && queue[0] !== undefined && this.hasRoom(engine, queue[0])) {
+      const first = queue[0]
+      const read = Math.min(left, first.unread)
+      first.unread -= read
+      left -= read
+      if (first.unread > 0) {
+        return
+      }
+      queue.shift()
+      first.endAt = this.now + first.runMs
+      running.push(first)
+      engine.begun += 1
+      this.waits.push(this.now - first.at)
+      kept.delete(first.key)
+      kept.set(first.key, first.shared)
+      dropOldest(kept, MEMORY - held(running))
+    }
+  }
+
+  private hasRoom ({ running, offer }: Engine, { own, shared }: Request): boolean {
+    return running.length < offer.slots && held(running) + own + shared <= MEMORY
+  }
+
+  private outcome (): FleetOutcome {
+    const sorted = [...this.waits].sort((one, other) => one - other)
+    const at = (part: number): number => sorted[Math.floor(part * (sorted.length - 1))] ?? 0
+    const begun = this.engines.map(engine => engine.begun)
+    const unanswered = this.engines.reduce((count, { queue }) => count + queue.length, 0)
+    return {
+      p50: at(0.5),
+      p99: at(0.99),
+      lateShare: (sorted.filter(wait => wait > OBJECTIVE_MS).length + unanswered) / (sorted.length + unanswered),
+      missShare: this.misses / sorted.length,
+      spread: Math.max(...begun) * begun.length / sorted.length
+    }
+  }
+}
+
+function createOffer (index: number): ServerOffer {
+  return {
+    id: String(index),
+    hash: mixHashes(index + 1, 77),
+    failureDomain: `${index % 3}`,
+    slots: 32,
+    outstanding: 0,
+    waitingTokens: 0,
+    heldTokens: 0,
+    memoryTokens: MEMORY,
+    isRefusing: false,
+    faultCostMs: 0,
+    isChanging: false,
+    isOutdated: false,
+    isGathering: false,
+    coldLeftMs: 0
+  }
+}
+
+function sum (loads: readonly ServerLoad[]): ServerLoad {
+  let { outstanding, tokens, heldTokens } = noLoad
+  for (const load of loads) {
+    outstanding += load.outstanding
+    tokens += load.tokens
+    heldTokens += load.heldTokens
+  }
+  return { outstanding, tokens, heldTokens }
+}
+
+function held (running: readonly Request[]): number {
+  return running.reduce((tokens, { own, shared }) => tokens + own + shared, 0)
+}
+
+function dropOldest (kept: Map<number, number>, room: number): void {
+  let tokens = [...kept.values()].reduce((total, size) => total + size, 0)
+  for (const [key, size] of kept) {
+    if (tokens <= room) {
+      return
+    }
+    kept.delete(key)
+    tokens -= size
+  }
+}
--- a/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
@@ -16,6 +16,9 @@
     slots: 48,
     outstanding: 0,
     waitingTokens: 0,
+    heldTokens: 0,
+    memoryTokens: 71_780,
+    isRefusing: false,
     faultCostMs: 0,
     isChanging: false,
     isOutdated: false,
@@ -26,7 +29,7 @@
 }
 
 function need (promptKey: number | undefined, failureDomain = 'd0'): PlacementNeed {
-  return { promptKey, promptTokens: PROMPT_TOKENS, isLong: false, failureDomain }
+  return { promptKey, promptTokens: PROMPT_TOKENS, outputTokens: 10, isLong: false, failureDomain }
 }
 
 /** Places requests one after the other, each adding its work, and gives the work at each server, milliseconds. */
@@ -75,6 +78,20 @@
     t.is(burst(20, 42, changing).get(home ?? ''), 0)
   })
 
+  // An engine with free slots had no room for one more large prompt: it dropped a running one, and both were read twice.
+  it('reckons with memory before slots', t => {
+    const home = placeExchange(offers(), need(42), SeededRandom.create(1))?.id
+    const full = offers().map(offer => ({ ...offer, heldTokens: offer.id === home ? 7 * PROMPT_TOKENS : 0 }))
+    t.not(placeExchange(full, need(42), SeededRandom.create(1))?.id, home)
+    t.is(placeExchange(full, { ...need(42), promptTokens: 800 }, SeededRandom.create(1))?.id, home)
+  })
+
+  it('leaves out an engine that has just turned a request away', t => {
+    const home = placeExchange(offers(), need(42), SeededRandom.create(1))?.id
+    const refusing = offers().map(offer => ({ ...offer, isRefusing: offer.id === home }))
+    t.not(placeExchange(refusing, need(42), SeededRandom.create(1))?.id, home)
+  })
+
   it('prefers free slots of a plain service to a queue nearby', t => {
     const [near, far] = offers({ slots: 6 }) as [ServerOffer, ServerOffer]
     t.is(placeExchange([{ ...near, outstanding: 8 }, far], need(undefined), SeededRandom.create(1))?.id, far.id)
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -20,6 +20,12 @@
   readonly outstanding: number
   /** Prompt tokens that it has yet to read. */
   readonly waitingTokens: number
+  /** Tokens that the requests there take of its memory until they end. */
+  readonly heldTokens: number
+  /** Its memory, in tokens; 0 where unknown. */
+  readonly memoryTokens: number
+  /** It turned a request away a moment ago. */
+  readonly isRefusing: boolean
   /** What its faults and slowness of late make a request there cost, milliseconds. */
   readonly faultCostMs: number
   /** It changes its weights now or will in a moment. */
@@ -36,6 +42,8 @@
   /** Hash of the levels that requests share; undefined without a prompt. */
   readonly promptKey: number | undefined
   readonly promptTokens: number
+  /** At most. */
+  readonly outputTokens: number
   /** Its output may be long. */
   readonly isLong: boolean
   /** Where this instance is. */
@@ -51,6 +59,19 @@
 /** Getting the shared levels of a prompt from elsewhere, milliseconds: 1.2 GB at 360 Gbit/s. */
 const FETCH_MS = 27
 
+/**
+ * An engine that dropped what it read for a level it lacks reads it again for
+ * the next request; where a level spills over, it spills to one engine first,
+ * milliseconds cheaper than elsewhere.
+ */
+const SECOND_HOME_MS = 10
+
+/** Memory is freed as requests end: eight large ones of 9,200 tokens fill an engine and end within 1.5 seconds, tokens a millisecond. */
+const FREED_TOKENS_PER_MS = 50
+
+/** What was turned away costs a retry of the fleet's budget; waiting that long elsewhere is cheaper, milliseconds. */
+const REFUSING_MS = 300
+
 /** A plain request's work, milliseconds; it decides how much a queued one counts. */
 const PLAIN_WORK_MS = 20
 
@@ -66,48 +87,59 @@
 /** A long run among short ones hinders the next change of weights; an engine that gathers them may hold 50 more requests than another, milliseconds. */
 const ASTRAY_MS = 100
 
+/** Order of an offer among the homes of a level. */
+enum Home {
+  First,
+  Second,
+  None
+}
+
+const fetchMsAt: Readonly<Record<Home, number>> = {
+  [Home.First]: 0,
+  [Home.Second]: FETCH_MS - SECOND_HOME_MS,
+  [Home.None]: FETCH_MS
+}
+
+/** How long a request waits for others to leave the memory, milliseconds; an engine that preempts them instead reads them twice. */
+function memoryMs ({ heldTokens, memoryTokens }: ServerOffer, { promptTokens, outputTokens }: PlacementNeed): number {
+  const over = heldTokens + promptTokens + outputTokens - memoryTokens
+  return memoryTokens === 0 ? 0 : Math.max(0, over) / FREED_TOKENS_PER_MS
+}
+
 /** Expected cost, milliseconds until the first token. */
-function costOf (offer: ServerOffer, need: PlacementNeed, isHome: boolean): number {
+function costOf (offer: ServerOffer, need: PlacementNeed, home: Home): number {
   const { outstanding, slots, waitingTokens } = offer
   const over = Math.max(0, outstanding + 1 - slots)
   const work = need.promptKey === undefined
     ? over * PLAIN_WORK_MS + outstanding / Math.max(1, slots) * PLAIN_WORK_MS
-    : waitingTokens / PREFILL_TOKENS_PER_MS + outstanding * REQUEST_MS + (isHome ? 0 : FETCH_MS)
+    : waitingTokens / PREFILL_TOKENS_PER_MS + outstanding * REQUEST_MS + memoryMs(offer, need) + fetchMsAt[home]
   return work +
     (offer.failureDomain === need.failureDomain ? 0 : DOMAIN_MS) +
     offer.faultCostMs +
+    (offer.isRefusing ? REFUSING_MS : 0) +
     (offer.isChanging ? CHANGING_MS : 0) +
     (offer.isOutdated ? OUTDATED_MS : 0) +
     (need.isLong && !offer.isGathering ? ASTRAY_MS : 0) +
     Math.min(offer.coldLeftMs, PLAIN_WORK_MS)
 }
 
-/** The server with the highest score for the key. */
-function homeOf (key: number, offers: readonly ServerOffer[]): string {
-  let home = ''
-  let best = -1
-  for (const { id, hash } of offers) {
-    const score = mixHashes(key, hash)
-    if (score > best) {
-      best = score
-      home = id
-    }
-  }
-  return home
+/** The two servers with the highest scores for the key. */
+function homesOf (key: number, offers: readonly ServerOffer[]): ReadonlyMap<string, Home> {
+  const scores = offers.map(({ id, hash }) => ({ id, score: mixHashes(key, hash) })).sort((one, other) => other.score - one.score)
+  return new Map(scores.slice(0, Home.None).map(({ id }, home) => [id, home]))
 }
 
-/** The cheapest server; among equals a random one, so that instances do not all take the same. */
-export function placeExchange (offers: readonly ServerOffer[], need: PlacementNeed, random: Random): ServerOffer | undefined {
-  const home = need.promptKey === undefined ? '' : homeOf(need.promptKey, offers)
-  let chosen: ServerOffer | undefined
-  let least = Infinity
-  for (const offer of offers) {
+/** All offers, the cheapest first; equals in random order, so that instances do not all take the same. */
+export function rankOffers (offers: readonly ServerOffer[], need: PlacementNeed, random: Random): readonly ServerOffer[] {
+  const homes = need.promptKey === undefined ? new Map<string, Home>() : homesOf(need.promptKey, offers)
+  return offers
     // Less than a millisecond tells nothing.
-    const cost = costOf(offer, need, offer.id === home) + random.next()
-    if (cost < least) {
-      least = cost
-      chosen = offer
-    }
-  }
-  return chosen
+    .map(offer => ({ offer, cost: costOf(offer, need, homes.get(offer.id) ?? Home.None) + random.next() }))
+    .sort((one, other) => one.cost - other.cost)
+    .map(({ offer }) => offer)
+}
+
+/** The cheapest server. */
+export function placeExchange (offers: readonly ServerOffer[], need: PlacementNeed, random: Random): ServerOffer | undefined {
+  return rankOffers(offers, need, random)[0]
 }
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -83,6 +83,7 @@
       fetchLoad: FetchLoad.create(() => 0),
       log,
       routing: () => routing,
+      askLoad: () => undefined,
       place: (_, failed) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
       onMisdirected: () => {}
     }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -23,6 +23,8 @@
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
+  /** Asks what the others put on the servers that come into question; undefined where it is known. Never fails. */
+  readonly askLoad: (exchange: Exchange, failed: ReadonlySet<string>) => Promise<void> | undefined
   /** The server for the next try, other than those that failed it; undefined when there is none. */
   readonly place: (exchange: Exchange, failed: ReadonlySet<string>) => KnownServer | undefined
   /** A server is not what it was thought to be. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -8,7 +8,7 @@
 import { Attempt, type AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, mayBeCrash, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { planTerms } from '../attempts/planTerms.js'
-import { isRepeatable, type Exchange } from '../model/exchange.js'
+import { heldTokensOf, isRepeatable, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { CallerAnswer } from './callerAnswer.js'
@@ -74,7 +74,21 @@
     this.tryNext()
   }
 
+  /** Places the next try, on fresh words of load where the fleet is large. */
   private tryNext (): void {
+    const asked = this.context.askLoad(this.exchange, this.ledger.failed)
+    if (asked === undefined) {
+      this.tryNow()
+      return
+    }
+    asked.then(() => {
+      if (!this.isOver) {
+        this.tryNow()
+      }
+    }, error => { throw error })
+  }
+
+  private tryNow (): void {
     const { exchange, context, ledger } = this
     const server = context.place(exchange, ledger.failed)
     if (!server) {
@@ -111,7 +125,7 @@
       }
     })
     const { savedLevels, fetchLoad } = context
-    this.current = OpenTry.open({ attempt, server, beganAt, terms, savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
+    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
   }
 
   private onHead (head: AnswerHead): void {
@@ -199,6 +213,9 @@
     if (meaningOf[kind].isServersFault) {
       context.directory.observeFault(id, this.now)
     }
+    if (kind === AttemptFailureKind.Refused) {
+      context.directory.observeRefusal(id, this.now)
+    }
     if (mayBeCrash(kind)) {
       context.suspects.accuse(exchange, id, this.now)
     }
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -10,6 +10,8 @@
   readonly attempt: Attempt
   readonly server: KnownServer
   readonly terms: SendTerms
+  /** Tokens of the server's memory that it takes until its end. */
+  readonly heldTokens: number
   readonly savedLevels: SavedLevels
   readonly fetchLoad: FetchLoad
   /** Milliseconds of Unix time. */
@@ -26,13 +28,14 @@
   private fetchedTokens: number
 
   private constructor (private readonly options: OpenTryOptions) {
-    const { attempt, server, terms, beganAt } = options
+    const { attempt, server, terms, beganAt, heldTokens } = options
     this.attempt = attempt
     this.server = server
     this.beganAt = beganAt
     this.unreadTokens = terms.unreadTokens
     server.outstanding += 1
     server.unreadTokens += this.unreadTokens
+    server.heldTokens += heldTokens
     this.fetchedTokens = terms.fetchedTokens
     options.fetchLoad.begin(this.fetchedTokens)
   }
@@ -80,9 +83,10 @@
 
   /** The server is free of it. */
   close (): void {
-    const { server, terms, savedLevels, watch } = this.options
+    const { server, terms, savedLevels, watch, heldTokens } = this.options
     watch.stop()
     server.outstanding -= 1
+    server.heldTokens -= heldTokens
     this.release()
     if (terms.savedLevel !== undefined) {
       savedLevels.giveBack(terms.savedLevel)
--- a/packages/foxtaillever-relay/src/model/exchange.ts
+++ b/packages/foxtaillever-relay/src/model/exchange.ts
@@ -48,6 +48,11 @@
   readonly deadline: number
 }
 
+/** Tokens of a server's memory that it takes until its end, at most. */
+export function heldTokensOf ({ prompt }: Exchange): number {
+  return prompt ? prompt.promptTokens + prompt.outputTokens : 0
+}
+
 /** Whether running it twice does no harm. */
 export function isRepeatable ({ route }: Exchange): boolean {
   return route.repeatability === Repeatability.Idempotent || (route.isStream && route.isResumable)
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -18,7 +18,7 @@
   positions: { operators: 0, servers: 0 },
   lease: undefined,
   uses: [],
-  weights: [],
+  sums: [],
   suspects: [],
   savedLevels: [],
   named: []
--- a/packages/foxtaillever-relay/src/peers/fleetUse.ts
+++ b/packages/foxtaillever-relay/src/peers/fleetUse.ts
@@ -1,31 +1,59 @@
-/** Load that the other instances put on each backend server, as they last told it. */
+/** Load that the other instances put on each backend server, as it was last told. */
+import type { Clock } from 'foxtaillever-core'
+import { fadeLoad, noLoad, sampleSum, type ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import type { ServerUse } from './peerMessage.js'
 
-interface Use {
-  outstanding: number
-  tokens: number
+interface Word {
+  readonly uses: readonly ServerUse[]
+  /** Milliseconds of Unix time. */
+  readonly at: number
 }
 
-const nothing: Readonly<Use> = { outstanding: 0, tokens: 0 }
+interface Sum extends ServerLoad {
+  readonly at: number
+}
+
+/** A sum is forgotten after this; less than a thousandth of it would count, milliseconds. */
+const FORGOTTEN_MS = 4000
 
 export class FleetUse {
-  private readonly byPeer = new Map<string, readonly ServerUse[]>()
-  private readonly sums = new Map<string, Use>()
+  private readonly byPeer = new Map<string, Word>()
+  private readonly sums = new Map<string, ServerLoad>()
+  /** Sums that a watcher told. */
+  private readonly watched = new Map<string, Sum>()
+
+  private constructor (private readonly clock: Clock) {}
 
-  private constructor () {}
+  static create (clock: Clock): FleetUse {
+    return new FleetUse(clock)
+  }
 
-  static create (): FleetUse {
-    return new FleetUse()
+  of (server: string): ServerLoad {
+    const told = this.sums.get(server) ?? noLoad
+    const sum = this.watched.get(server)
+    return sum === undefined ? told : add(told, fadeLoad(sum, this.clock.now() - sum.at), 1)
   }
 
-  of (server: string): Readonly<Use> {
-    return this.sums.get(server) ?? nothing
+  /**
+   * Tokens on the way at what everybody tells of for itself, where few words of
+   * each come here.
+   * @param others instances that tell.
+   */
+  sampledTokens (server: string, others: number): number {
+    const now = this.clock.now()
+    const words = [...this.byPeer.values()].map(({ uses, at }) => ({ amount: uses.find(use => use.server === server)?.tokens ?? 0, ageMs: now - at }))
+    return sampleSum(words, others)
   }
 
   observe (peer: string, uses: readonly ServerUse[]): void {
     this.forget(peer)
-    this.byPeer.set(peer, uses)
-    this.add(uses, 1)
+    this.byPeer.set(peer, { uses, at: this.clock.now() })
+    this.addAll(uses, 1)
+  }
+
+  /** A watcher told what all others put on the server. */
+  learn (server: string, load: ServerLoad): void {
+    this.watched.set(server, { ...load, at: this.clock.now() })
   }
 
   /** One that is not heard any more puts no load that anyone knows of. */
@@ -35,23 +63,35 @@
         this.forget(peer)
       }
     }
+    const now = this.clock.now()
+    for (const [server, { at }] of this.watched) {
+      if (at + FORGOTTEN_MS <= now) {
+        this.watched.delete(server)
+      }
+    }
   }
 
   private forget (peer: string): void {
-    this.add(this.byPeer.get(peer) ?? [], -1)
+    this.addAll(this.byPeer.get(peer)?.uses ?? [], -1)
     this.byPeer.delete(peer)
   }
 
-  private add (uses: readonly ServerUse[], sign: 1 | -1): void {
-    for (const { server, outstanding, tokens } of uses) {
-      const sum = this.sums.get(server) ?? { outstanding: 0, tokens: 0 }
-      sum.outstanding += sign * outstanding
-      sum.tokens += sign * tokens
+  private addAll (uses: readonly ServerUse[], sign: 1 | -1): void {
+    for (const use of uses) {
+      const sum = add(this.sums.get(use.server) ?? noLoad, use, sign)
       if (sum.outstanding <= 0) {
-        this.sums.delete(server)
+        this.sums.delete(use.server)
       } else {
-        this.sums.set(server, sum)
+        this.sums.set(use.server, sum)
       }
     }
   }
 }
+
+function add (one: ServerLoad, other: ServerLoad, sign: 1 | -1): ServerLoad {
+  return {
+    outstanding: one.outstanding + sign * other.outstanding,
+    tokens: one.tokens + sign * other.tokens,
+    heldTokens: one.heldTokens + sign * other.heldTokens
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -0,0 +1,70 @@
+/** What instances of a large fleet tell and ask each other about load, by datagram: arrays by position, servers by hash. */
+import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
+import { Packr } from 'msgpackr'
+import { Maybe } from 'purify-ts'
+
+/** First element of the array; other messages begin with a text or another number. */
+export enum LoadMessageKind {
+  Word = 2,
+  Question = 3,
+  Answer = 4
+}
+
+/** Load on one server. */
+export interface HashedLoad extends ServerLoad {
+  /** Hash of the server's id. */
+  readonly server: number
+}
+
+/** What one instance puts on servers that the receiver watches; replaces its earlier words on these. */
+export interface LoadWord {
+  readonly kind: LoadMessageKind.Word
+  readonly address: string
+  readonly loads: readonly HashedLoad[]
+}
+
+/** What do all others put on these servers? */
+export interface LoadQuestion {
+  readonly kind: LoadMessageKind.Question
+  readonly address: string
+  readonly number: number
+  readonly servers: readonly number[]
+}
+
+export interface LoadAnswer {
+  readonly kind: LoadMessageKind.Answer
+  readonly address: string
+  readonly number: number
+  readonly loads: readonly HashedLoad[]
+}
+
+export type LoadMessage = LoadWord | LoadQuestion | LoadAnswer
+
+const packr = new Packr({ useRecords: false })
+
+type WireLoad = readonly [number, number, number, number]
+
+const packLoad = ({ server, outstanding, tokens, heldTokens }: HashedLoad): WireLoad => [server, outstanding, tokens, heldTokens]
+const readLoad = ([server, outstanding, tokens, heldTokens]: WireLoad): HashedLoad => ({ server, outstanding, tokens, heldTokens })
+
+export function encodeLoadMessage (message: LoadMessage): Buffer {
+  const { kind, address } = message
+  switch (kind) {
+    case LoadMessageKind.Word: return packr.pack([kind, address, message.loads.map(packLoad)])
+    case LoadMessageKind.Question: return packr.pack([kind, address, message.number, message.servers])
+    case LoadMessageKind.Answer: return packr.pack([kind, address, message.number, message.loads.map(packLoad)])
+  }
+}
+
+const readers: Readonly<Record<LoadMessageKind, (address: string, rest: readonly unknown[]) => LoadMessage>> = {
+  [LoadMessageKind.Word]: (address, [loads]) => ({ kind: LoadMessageKind.Word, address, loads: (loads as WireLoad[]).map(readLoad) }),
+  [LoadMessageKind.Question]: (address, [number, servers]) => ({ kind: LoadMessageKind.Question, address, number: Number(number), servers: (servers as unknown[]).map(Number) }),
+  [LoadMessageKind.Answer]: (address, [number, loads]) => ({ kind: LoadMessageKind.Answer, address, number: Number(number), loads: (loads as WireLoad[]).map(readLoad) })
+}
+
+/** Nothing for bytes of another form. */
+export function decodeLoadMessage (bytes: Uint8Array): Maybe<LoadMessage> {
+  return Maybe.encase(() => packr.unpack(bytes) as unknown)
+    .filter((wire): wire is [LoadMessageKind, string, ...unknown[]] => Array.isArray(wire) && readers[wire[0] as LoadMessageKind] !== undefined && typeof wire[1] === 'string')
+    .chain(([kind, address, ...rest]) => Maybe.encase(() => readers[kind](address, rest)))
+}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/peers/loadTalk.ts
@@ -0,0 +1,229 @@
+/**
+ * Load in a large fleet. Each server has computed watchers: every instance tells
+ * them what it puts on the server as it changes, and asks the first of them
+ * before it chooses. So what it knows is as old as a datagram's way, and what it
+ * costs grows with its own requests and not with the fleet. A watcher that does
+ * not answer is passed over for a while; the next one heard every word too, at
+ * least once a second.
+ */
+import { hashNumber, type Cancellation, type Clock } from 'foxtaillever-core'
+import { watchersOf, type Watcher } from 'foxtaillever-policy/relay/computedWatchers'
+import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
+import type { FleetUse } from './fleetUse.js'
+import { LoadMessageKind, type HashedLoad, type LoadAnswer, type LoadMessage, type LoadQuestion, type LoadWord } from './loadMessage.js'
+import { LoadWatch } from './loadWatch.js'
+import type { ServerUse } from './peerMessage.js'
+
+/** Between two looks at what has changed, milliseconds: a server of 42 gets a request every 100. */
+const LOOK_MS = 25
+
+/** An unchanged word is told again after this, milliseconds; datagrams are lost, and watchers change. */
+const TELL_AGAIN_MS = 1000
+
+/** A watcher answers from memory and is at most 2.8 away and back, milliseconds; a slow machine's loop takes up to 10 more. */
+const ANSWER_MS = 15
+
+/** A watcher that left so many questions in a row unanswered is passed over. */
+const MOST_UNANSWERED = 2
+
+/** For so long, milliseconds; then one question finds out whether it is back. */
+const PASSED_OVER_MS = 1000
+
+interface Silence {
+  readonly unanswered: number
+  readonly until: number
+}
+
+interface Pending {
+  readonly waiting: Set<string>
+  readonly settle: () => void
+}
+
+export interface LoadTalkOptions {
+  readonly clock: Clock
+  readonly address: string
+  readonly use: FleetUse
+  readonly send: (address: string, message: LoadMessage) => void
+  /** Addresses of the others that are likely there. */
+  readonly others: () => readonly string[]
+  /** Load that this instance puts on each server now. */
+  readonly own: () => readonly ServerUse[]
+}
+
+interface ToldWord extends ServerLoad {
+  readonly at: number
+}
+
+export class LoadTalk {
+  private readonly watch = LoadWatch.create()
+  private readonly silences = new Map<string, Silence>()
+  private readonly pending = new Map<number, Pending>()
+  /** What was told last, by the server's id; `at` is when both watchers heard it. */
+  private readonly told = new Map<string, ToldWord>()
+  private readonly names = new Map<number, string>()
+  private readonly hashes = new Map<string, number>()
+  private number = 0
+  private cancelLook: Cancellation = () => {}
+
+  private constructor (private readonly options: LoadTalkOptions) {}
+
+  static create (options: LoadTalkOptions): LoadTalk {
+    return new LoadTalk(options)
+  }
+
+  stop (): void {
+    this.cancelLook()
+  }
+
+  /** Run with each beat of a large fleet: begins to tell changes. */
+  follow (): void {
+    this.cancelLook()
+    this.look()
+  }
+
+  hear (message: LoadMessage): void {
+    const now = this.options.clock.now()
+    switch (message.kind) {
+      case LoadMessageKind.Word: this.watch.hear(message.address, message.loads, now); break
+      case LoadMessageKind.Question: this.answer(message, now); break
+      case LoadMessageKind.Answer: this.learn(message, now); break
+    }
+  }
+
+  /** Load of those of the servers that this instance is asked for, to tell everyone. */
+  sums (servers: readonly string[]): ServerUse[] {
+    const { address, clock } = this.options
+    return servers
+      .filter(server => this.watchersOf(this.hashOf(server))[0]?.address === address)
+      .map(server => ({ server, ...this.watch.sumOf(this.hashOf(server), '', clock.now()) }))
+      .filter(({ outstanding }) => outstanding > 0)
+  }
+
+  /** Asks for the load of servers; resolves when all is known that will be, and never fails. */
+  async ask (servers: readonly string[]): Promise<void> {
+    const questions = new Map<string, number[]>()
+    for (const server of servers) {
+      const hash = this.hashOf(server)
+      const watcher = this.watchersOf(hash).find(({ address }) => !this.isPassedOver(address))
+      if (watcher) {
+        questions.set(watcher.address, [...questions.get(watcher.address) ?? [], hash])
+      }
+    }
+    const { address, clock, use } = this.options
+    questions.get(address)?.forEach(hash => use.learn(this.names.get(hash) ?? '', this.watch.sumOf(hash, address, clock.now())))
+    questions.delete(address)
+    if (questions.size > 0) {
+      await this.question(questions)
+    }
+  }
+
+  private async question (questions: ReadonlyMap<string, readonly number[]>): Promise<void> {
+    const { clock, address, send } = this.options
+    const number = this.number++
+    const waiting = new Set(questions.keys())
+    await new Promise<void>(resolve => {
+      const cancel = clock.at(clock.now() + ANSWER_MS, () => this.giveUp(number))
+      this.pending.set(number, { waiting, settle: () => { cancel(); resolve() } })
+      questions.forEach((servers, watcher) => send(watcher, { kind: LoadMessageKind.Question, address, number, servers }))
+    })
+  }
+
+  private giveUp (number: number): void {
+    const pending = this.pending.get(number)
+    const until = this.options.clock.now() + PASSED_OVER_MS
+    pending?.waiting.forEach(watcher => this.silences.set(watcher, { unanswered: (this.silences.get(watcher)?.unanswered ?? 0) + 1, until }))
+    this.pending.delete(number)
+    pending?.settle()
+  }
+
+  private isPassedOver (address: string): boolean {
+    const { unanswered, until } = this.silences.get(address) ?? { unanswered: 0, until: 0 }
+    return unanswered >= MOST_UNANSWERED && this.options.clock.now() < until
+  }
+
+  private answer ({ address: asker, number, servers }: LoadQuestion, now: number): void {
+    const loads = servers.map(server => ({ server, ...this.watch.sumOf(server, asker, now) }))
+    this.options.send(asker, { kind: LoadMessageKind.Answer, address: this.options.address, number, loads })
+  }
+
+  private learn ({ address, number, loads }: LoadAnswer, now: number): void {
+    this.silences.delete(address)
+    loads.forEach(({ server, ...load }) => this.options.use.learn(this.names.get(server) ?? '', load))
+    const pending = this.pending.get(number)
+    if (pending?.waiting.delete(address) === true && pending.waiting.size === 0) {
+      this.pending.delete(number)
+      pending.settle()
+    }
+  }
+
+  private look (): void {
+    const { clock } = this.options
+    this.tell(clock.now())
+    this.cancelLook = clock.at(clock.now() + LOOK_MS, () => this.look())
+  }
+
+  /** Changed words go to the first watcher at once; all go to both every second. */
+  private tell (now: number): void {
+    const own = new Map(this.options.own().map(use => [use.server, use]))
+    const words = new Map<string, HashedLoad[]>()
+    const gone = [...this.told.keys()].filter(server => !own.has(server))
+    for (const use of [...own.values(), ...gone.map(server => ({ server, outstanding: 0, tokens: 0, heldTokens: 0 }))]) {
+      const last = this.told.get(use.server)
+      const isDue = last === undefined || last.at + TELL_AGAIN_MS <= now
+      if (isDue || !isSame(last, use)) {
+        this.put(use, isDue, words, now)
+      }
+    }
+    words.forEach((loads, watcher) => this.sendWord(watcher, loads, now))
+  }
+
+  private put (use: ServerUse, isForAll: boolean, words: Map<string, HashedLoad[]>, now: number): void {
+    const hash = this.hashOf(use.server)
+    const { outstanding, tokens, heldTokens } = use
+    const watchers = this.watchersOf(hash).map(({ address }) => address)
+    const [first = ''] = watchers
+    const at = isForAll ? now : this.told.get(use.server)?.at ?? now
+    this.told.set(use.server, { outstanding, tokens, heldTokens, at })
+    for (const watcher of isForAll || outstanding === 0 ? watchers : [first]) {
+      words.set(watcher, [...words.get(watcher) ?? [], { server: hash, outstanding, tokens, heldTokens }])
+    }
+    if (outstanding === 0) {
+      this.told.delete(use.server)
+    }
+  }
+
+  private sendWord (watcher: string, loads: readonly HashedLoad[], now: number): void {
+    const { address, send } = this.options
+    const word: LoadWord = { kind: LoadMessageKind.Word, address, loads }
+    if (watcher === address) {
+      this.watch.hear(address, loads, now)
+    } else {
+      send(watcher, word)
+    }
+  }
+
+  private watchersOf (server: number): readonly Watcher[] {
+    const { address, others } = this.options
+    return watchersOf(server, [address, ...others()].map(name => ({ address: name, hash: this.instanceHash(name) })))
+  }
+
+  /** Hashes of addresses, which are asked for often. */
+  private instanceHash (address: string): number {
+    let hash = this.hashes.get(address)
+    if (hash === undefined) {
+      hash = hashNumber(address)
+      this.hashes.set(address, hash)
+    }
+    return hash
+  }
+
+  private hashOf (server: string): number {
+    const hash = this.instanceHash(server)
+    this.names.set(hash, server)
+    return hash
+  }
+}
+
+function isSame (one: ServerLoad, other: ServerLoad): boolean {
+  return one.outstanding === other.outstanding && one.tokens === other.tokens && one.heldTokens === other.heldTokens
+}
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -10,9 +10,11 @@
 import type { KeyedRecord } from '../knowledge/keyedLog.js'
 import { callServer } from '../servers/callServer.js'
 import { ServerConnections } from '../servers/serverConnections.js'
-import { decodePeerMessage, encodePeerMessage, type PeerMessage } from './peerMessage.js'
+import { decodeLoadMessage, encodeLoadMessage, type LoadMessage } from './loadMessage.js'
+import { decodePeerMessage, encodePeerMessage, type PeerMessage, type WeightsNews } from './peerMessage.js'
 import { decodeReadNotice, encodeReadNotice, type ReadNotice } from './readNotice.js'
 import { ToldTopic } from './toldTopic.js'
+import { decodeWeightsNotice, encodeWeightsNotice } from './weightsNotice.js'
 
 /** Records from an offset on, and up to where the teller knows the topic. */
 export interface ToldRecords {
@@ -38,6 +40,8 @@
   readonly port: number
   readonly onMessage: (message: PeerMessage) => void
   readonly onNotice: (notice: ReadNotice) => void
+  readonly onLoad: (message: LoadMessage) => void
+  readonly onWeights: (news: readonly WeightsNews[]) => void
   /** What this instance knows of a topic from an offset on. */
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
 }
@@ -65,14 +69,21 @@
   }
 
   async open (): Promise<void> {
-    const { host, port, onMessage, onNotice } = this.options
-    await this.datagrams.open(bytes => decodePeerMessage(bytes).ifJust(onMessage).ifNothing(() => decodeReadNotice(bytes).ifJust(onNotice)))
+    const { host, port } = this.options
+    await this.datagrams.open(bytes => this.receive(bytes))
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject)
       this.server.listen(port, host, resolve)
     })
   }
 
+  private receive (bytes: Uint8Array): void {
+    const { onMessage, onNotice, onLoad, onWeights } = this.options
+    decodeLoadMessage(bytes).ifJust(onLoad).ifNothing(() =>
+      decodePeerMessage(bytes).ifJust(onMessage).ifNothing(() =>
+        decodeReadNotice(bytes).ifJust(onNotice).ifNothing(() => decodeWeightsNotice(bytes).ifJust(onWeights))))
+  }
+
   async close (): Promise<void> {
     this.server.close()
     this.server.closeAllConnections()
@@ -90,6 +101,15 @@
     addresses.forEach(address => this.datagrams.send(address, bytes))
   }
 
+  sendLoad (address: string, message: LoadMessage): void {
+    this.datagrams.send(address, encodeLoadMessage(message))
+  }
+
+  sendWeights (addresses: readonly string[], news: readonly WeightsNews[]): void {
+    const bytes = encodeWeightsNotice(news)
+    addresses.forEach(address => this.datagrams.send(address, bytes))
+  }
+
   /** Asks another instance for what it knows of a topic from an offset on. */
   async ask (address: string, topic: ToldTopic, from: number): Promise<Either<Failure, ToldRecords>> {
     const { clock } = this.options
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -1,4 +1,5 @@
 /** What instances tell each other by datagram: positional arrays by msgpackr, because names would double the size. */
+import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import { Packr } from 'msgpackr'
 import { Maybe } from 'purify-ts'
 
@@ -8,12 +9,9 @@
   readonly servers: number
 }
 
-/** Load that one instance puts on a backend server. */
-export interface ServerUse {
+/** Load on a backend server. */
+export interface ServerUse extends ServerLoad {
   readonly server: string
-  readonly outstanding: number
-  /** Prompt tokens that it has yet to read for these. */
-  readonly tokens: number
 }
 
 /** An engine's weights, as the one who orders them knows. */
@@ -53,8 +51,10 @@
   readonly hasStore: boolean
   readonly positions: Positions
   readonly lease: LeaseNews | undefined
+  /** Load that it puts on servers itself; in a large fleet on the store of cached levels only. */
   readonly uses: readonly ServerUse[]
-  readonly weights: readonly WeightsNews[]
+  /** Load of all instances on the servers that it watches for the fleet. */
+  readonly sums: readonly ServerUse[]
   /** Since when which weights are replaced: the store keeps the newest only, and says of none when it was named. */
   readonly named: readonly NamedNews[]
   /** Digests of requests that crash backend servers. */
@@ -66,26 +66,36 @@
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, sums } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
-    uses.map(({ server, outstanding, tokens }) => [server, outstanding, tokens]),
-    weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
+    uses.map(packUse),
     suspects,
     savedLevels,
-    named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)])
+    named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
+    sums.map(packUse)
   ])
 }
 
+type WireUse = readonly [string, number, number, number?]
+
+function packUse ({ server, outstanding, tokens, heldTokens }: ServerUse): WireUse {
+  return [server, outstanding, tokens, heldTokens]
+}
+
+function readUse ([server, outstanding, tokens, heldTokens = 0]: WireUse): ServerUse {
+  return { server, outstanding, tokens, heldTokens }
+}
+
 type Wire = readonly [
   string, string, string, number, boolean, boolean, number, number,
   readonly [number, string, number] | null,
-  ReadonlyArray<readonly [string, number, number]>,
-  ReadonlyArray<readonly [string, string, number, number]>,
+  readonly WireUse[],
   readonly string[],
   readonly number[],
-  ReadonlyArray<readonly [string, number, number]> | undefined
+  ReadonlyArray<readonly [string, number, number]> | undefined,
+  readonly WireUse[] | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -95,13 +105,13 @@
 }
 
 function isWire (value: unknown): value is Wire {
-  return Array.isArray(value) && HEAD.every((type, index) => nameOfType(value[index]) === type) && value.slice(9, 13).every(part => Array.isArray(part))
+  return Array.isArray(value) && HEAD.every((type, index) => nameOfType(value[index]) === type) && value.slice(9, 12).every(part => Array.isArray(part))
 }
 
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = []] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], sums = []] = wire as Wire
     return {
       name,
       address,
@@ -111,8 +121,8 @@
       hasStore,
       positions: { operators, servers },
       lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
-      uses: uses.map(([server, outstanding, tokens]) => ({ server, outstanding, tokens })),
-      weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
+      uses: uses.map(readUse),
+      sums: sums.map(readUse),
       suspects,
       savedLevels,
       named: named.map(([model, version, ageMs]) => ({ model, version, ageMs }))
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -6,10 +6,12 @@
 import type { Cancellation, Clock, Random } from 'foxtaillever-core'
 import { PeerLink, type ToldRecords } from './peerLink.js'
 import { FleetUse } from './fleetUse.js'
-import type { PeerMessage, WeightsNews } from './peerMessage.js'
+import { LoadTalk } from './loadTalk.js'
+import type { PeerMessage, ServerUse, WeightsNews } from './peerMessage.js'
 import { PeerTable } from './peerTable.js'
 import type { ReadNotice } from './readNotice.js'
 import type { ToldTopic } from './toldTopic.js'
+import { WeightsTelling } from './weightsTelling.js'
 
 /**
  * Between two beats of a small fleet, milliseconds. Prompts wait at an engine
@@ -31,14 +33,18 @@
 /** Part of a period that is drawn, so that instances started together do not send together. */
 const BEAT_SPREAD = 0.2
 
-/** Others that hear one beat: with more, each hears a random part of the fleet every second, within 14 KB/s at 380. */
+/**
+ * Others that hear one beat. In a fleet with more, a large one, each hears a
+ * random part of the fleet every second, and load is told to computed watchers
+ * instead: 24 beats of 150 bytes a second, sent and received, are 7.2 KB/s.
+ */
 const MOST_RECEIVERS = 24
 
 /** Others that hear what this one read, those of its failure domain first: with 60 bytes 1.4 times a second, 8 KB/s. */
 const MOST_NOTIFIED = 96
 
 /** What this instance says of itself at the moment. */
-export type OwnWord = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt' | 'weights'>
+export type OwnWord = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt'>
 
 export interface PeersOptions {
   readonly clock: Clock
@@ -50,22 +56,34 @@
   readonly word: () => OwnWord
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   readonly onMessage: (message: PeerMessage) => void
+  readonly onWeights: (news: WeightsNews) => void
+  /** Load that this instance puts on each server now. */
+  readonly ownUses: () => readonly ServerUse[]
   readonly onNotice: (notice: ReadNotice) => void
 }
 
 export class Peers {
   readonly table = PeerTable.create()
-  readonly use = FleetUse.create()
+  readonly use: FleetUse
   readonly link: PeerLink
+  readonly loads: LoadTalk
   readonly address: string
   private readonly startedAt: number
+  private readonly weights: WeightsTelling
   private cancelBeat: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, tell, onNotice } = options
+    const { clock, host, port, tell, onNotice, onWeights, ownUses } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
-    this.link = PeerLink.create({ clock, host, port, tell, onMessage: message => this.hear(message), onNotice })
+    this.use = FleetUse.create(clock)
+    this.link = PeerLink.create({
+      clock, host, port, tell, onNotice, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message), onWeights: news => news.forEach(onWeights)
+    })
+    this.loads = LoadTalk.create({
+      clock, address: this.address, use: this.use, own: ownUses, send: (address, message) => this.link.sendLoad(address, message), others: () => this.likely().map(({ address }) => address)
+    })
+    this.weights = WeightsTelling.create(clock, news => this.link.sendWeights(this.receivers(Infinity), news))
   }
 
   static create (options: PeersOptions): Peers {
@@ -79,6 +97,8 @@
 
   async stop (): Promise<void> {
     this.cancelBeat()
+    this.loads.stop()
+    this.weights.stop()
     await this.link.close()
   }
 
@@ -86,7 +106,7 @@
   nameAll (addresses: readonly string[]): void {
     const now = this.options.clock.now()
     addresses.filter(address => address !== this.address).forEach(address => this.table.name(address, now))
-    this.send([])
+    this.send()
   }
 
   /** Others that are alive. */
@@ -104,9 +124,24 @@
     return this.table.count(this.options.clock.now())
   }
 
-  /** Tells everyone now: an engine is about to change, a drain was learned. */
-  send (weights: readonly WeightsNews[]): void {
-    this.link.send(this.receivers(Infinity), this.message(weights))
+  /** Whether beats go to a part of the others only. */
+  get isLarge (): boolean {
+    return this.table.all().length > MOST_RECEIVERS
+  }
+
+  /** Tokens that the others have on their way from the store of cached levels. */
+  tokensFrom (store: string): number {
+    return this.isLarge ? this.use.sampledTokens(store, this.table.all().length) : this.use.of(store).tokens
+  }
+
+  /** Beats to everyone now. */
+  send (): void {
+    this.link.send(this.receivers(Infinity), this.message())
+  }
+
+  /** Tells everyone in a moment: an engine is about to change, or has. */
+  tellWeights (news: WeightsNews): void {
+    this.weights.tell(news)
   }
 
   /** Tells the others what was read. */
@@ -121,8 +156,11 @@
     const alive = new Set(this.alive().map(({ address }) => address))
     this.use.retain(address => alive.has(address))
     const receivers = this.receivers(MOST_RECEIVERS)
-    const beatMs = Math.min(MOST_BEAT_MS, Math.max(LEAST_BEAT_MS, receivers.length / DATAGRAMS_PER_MS))
-    this.link.send(receivers, this.message([]))
+    const beatMs = this.isLarge ? MOST_BEAT_MS : Math.min(MOST_BEAT_MS, Math.max(LEAST_BEAT_MS, receivers.length / DATAGRAMS_PER_MS))
+    this.link.send(receivers, this.message())
+    if (this.isLarge) {
+      this.loads.follow()
+    }
     this.cancelBeat = clock.at(now + beatMs * (1 - BEAT_SPREAD * random.next()), () => this.beat())
   }
 
@@ -145,14 +183,15 @@
     return [...near, ...far].slice(0, MOST_NOTIFIED).map(({ address }) => address)
   }
 
-  private message (weights: readonly WeightsNews[]): PeerMessage {
+  private message (): PeerMessage {
     const { name, failureDomain, word } = this.options
-    return { name, address: this.address, failureDomain, startedAt: this.startedAt, weights, ...word() }
+    return { name, address: this.address, failureDomain, startedAt: this.startedAt, ...word() }
   }
 
   private hear (message: PeerMessage): void {
     if (message.address !== this.address && this.table.hear(message, this.options.clock.now())) {
       this.use.observe(message.address, message.uses)
+      message.sums.forEach(({ server, ...load }) => this.use.learn(server, load))
       this.options.onMessage(message)
     }
   }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -11,8 +11,9 @@
 import { enterMemberBook } from './knowledge/memberBook.js'
 import { RecordIntake } from './knowledge/recordIntake.js'
 import { readWallSeconds } from './knowledge/suspension.js'
+import type { Exchange } from './model/exchange.js'
 import type { Routing } from './model/routing.js'
-import { ownUses } from './peers/ownUses.js'
+import { ownStoreUses, ownUses } from './peers/ownUses.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
 import { ToldTopic } from './peers/toldTopic.js'
@@ -43,7 +44,7 @@
   private readonly figures: MetricsServer
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
-  private readonly caches = createCacheUse(store => this.peers.use.of(store).tokens)
+  private readonly caches = createCacheUse(store => this.peers.tokensFrom(store))
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: ReadinessServer
@@ -88,6 +89,7 @@
       suspects: this.suspects,
       log: this.log,
       routing: () => this.routing(),
+      askLoad: (exchange, failed) => this.askLoad(exchange, failed),
       place: (exchange, failed) => this.choice.place(exchange, failed),
       onMisdirected: () => { this.weights.run() }
     })
@@ -138,7 +140,7 @@
     const until = clock.now() + this.graceMs * (1 - GRACE_KEPT_FREE)
     this.log.belief('Leaving.', { requests: this.runs.size })
     this.callers.leave()
-    this.peers.send([])
+    this.peers.send()
     await waitUntil(clock, clock.now() + STOP_LISTENING_MS)
     this.callers.close()
     while (this.runs.size > 0 && clock.now() < until) {
@@ -176,6 +178,8 @@
       word: () => this.word(),
       tell: (topic, from) => this.knowledge.tell(topic, from),
       onMessage: message => this.hear(message),
+      onWeights: news => this.weights.observe(news),
+      ownUses: () => ownUses(this.directory.all()),
       onNotice: notice => this.knowledge.hear(notice)
     })
   }
@@ -219,7 +223,7 @@
       pauseMs: leasePauseMs,
       onChanged: ({ offset }) => {
         this.log.belief('Holds the lease on orders.', { fence: offset })
-        this.peers.send([])
+        this.peers.send()
       }
     })
   }
@@ -235,7 +239,7 @@
       log: this.log,
       rank: () => this.orderRank(),
       outstandingAt: ({ outstanding, listed }) => outstanding + this.peers.use.of(listed.id).outstanding,
-      tell: news => this.peers.send([news])
+      tell: news => this.peers.tellWeights(news)
     })
   }
 
@@ -247,6 +251,11 @@
     return orderRank(this.options.name, others, this.lease.lastHolder)
   }
 
+  /** In a large fleet an instance's own requests to a server are too few to know its load by. */
+  private askLoad (exchange: Exchange, failed: ReadonlySet<string>): Promise<void> | undefined {
+    return exchange.prompt && this.peers.isLarge ? this.peers.loads.ask(this.choice.shortlist(exchange, failed)) : undefined
+  }
+
   /** What this instance tells the others of itself. */
   private word (): OwnWord {
     return {
@@ -254,14 +263,15 @@
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.lease.news(),
-      uses: ownUses(this.directory.all(), this.table?.routing.cacheStore?.address, this.caches.fetchLoad),
+      uses: [...this.peers.isLarge ? [] : ownUses(this.directory.all()), ...ownStoreUses(this.table?.routing.cacheStore?.address, this.caches.fetchLoad)],
+      sums: this.peers.isLarge ? this.peers.loads.sums(this.directory.all().map(({ listed }) => listed.id)) : [],
       suspects: this.suspects.toTell(this.options.clock.now()),
       savedLevels: this.caches.savedLevels.news(this.options.clock.now()),
       named: this.weights.ages()
     }
   }
 
-  private hear ({ lease, weights, suspects, savedLevels, named }: PeerMessage): void {
+  private hear ({ lease, suspects, savedLevels, named }: PeerMessage): void {
     const now = this.options.clock.now()
     const count = this.peers.count()
     this.retries.observeInstances(count)
@@ -271,7 +281,6 @@
     if (lease) {
       this.lease.observe(lease)
     }
-    weights.forEach(news => this.weights.observe(news))
     named.forEach(news => this.weights.observeNamed(news))
   }
 
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -16,6 +16,10 @@
   outstanding: number
   /** Prompt tokens that it has yet to read for these before their first event. */
   unreadTokens: number
+  /** Tokens of its memory that these take until they end. */
+  heldTokens: number
+  /** When it last turned a request away, milliseconds of Unix time. */
+  refusedAt: number
   readonly health: ServerHealth
   /** When the newest of the requests was sent that it has begun to answer, milliseconds of Unix time. */
   newestBegun: number
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -1,7 +1,7 @@
 /** Gives the decision on placement what this instance knows, and takes its answer. */
 import { hashNumber, type Clock, type Random } from 'foxtaillever-core'
 import { gatherLongRuns, isLongRun } from 'foxtaillever-policy/relay/gatherLongRuns'
-import { placeExchange, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
+import { rankOffers, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
 import { promptKeyOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
 import type { FleetUse } from '../peers/fleetUse.js'
@@ -18,6 +18,12 @@
 /** Part of the slots from which on requests wait. */
 const QUEUEING = 0.8
 
+/** A home and the best besides: with two to choose from the fullest of 42 engines holds little more than the mean. */
+const SHORTLIST = 2
+
+/** Requests that filled an engine end within this, and an order to change weights is under way for about as long, milliseconds. */
+const REFUSING_MS = 500
+
 const nobody: ReadonlySet<string> = new Set()
 
 /** A server whose faults cost more than this takes no part in gathering, milliseconds: about one fault in eight. */
@@ -43,6 +49,16 @@
 
   /** The server for the next try of an exchange, other than those that failed it. */
   place (exchange: Exchange, failed: ReadonlySet<string>): KnownServer | undefined {
+    const [chosen] = this.rank(exchange, failed)
+    return chosen && this.options.directory.get(chosen.id)
+  }
+
+  /** The servers that come into question first, to ask for their load. */
+  shortlist (exchange: Exchange, failed: ReadonlySet<string>): string[] {
+    return this.rank(exchange, failed).slice(0, SHORTLIST).map(({ id }) => id)
+  }
+
+  private rank (exchange: Exchange, failed: ReadonlySet<string>): readonly ServerOffer[] {
     const { directory, random, failureDomain } = this.options
     const ready = directory.ready(exchange.service)
     const isLong = isLongRun(exchange.prompt?.outputTokens ?? 0)
@@ -50,9 +66,8 @@
     const offers = ready
       .filter(server => !failed.has(server.listed.id) && this.hasFitWeights(server, exchange))
       .map(server => this.toOffer(server, exchange, gathering))
-    const need = { promptKey: promptKeyOf(exchange), promptTokens: exchange.prompt?.promptTokens ?? 0, isLong, failureDomain }
-    const chosen = placeExchange(offers, need, random)
-    return chosen && directory.get(chosen.id)
+    const need = { promptKey: promptKeyOf(exchange), promptTokens: exchange.prompt?.promptTokens ?? 0, outputTokens: exchange.prompt?.outputTokens ?? 0, isLong, failureDomain }
+    return rankOffers(offers, need, random)
   }
 
   /** Whether the request may begin there: the model is loaded, and its weights are not older than is allowed. */
@@ -90,7 +105,7 @@
 
   private toOffer (server: KnownServer, exchange: Exchange, gathering: ReadonlySet<string>): ServerOffer {
     const { clock, directory, use } = this.options
-    const { listed, unreadTokens, changingUntil } = server
+    const { listed, unreadTokens, heldTokens, refusedAt, changingUntil } = server
     const now = clock.now()
     return {
       id: listed.id,
@@ -99,6 +114,9 @@
       slots: listed.slots,
       outstanding: this.outstandingAt(server),
       waitingTokens: unreadTokens + use.of(listed.id).tokens,
+      heldTokens: heldTokens + use.of(listed.id).heldTokens,
+      memoryTokens: directory.memoryOf(listed.service),
+      isRefusing: refusedAt + REFUSING_MS > now,
       faultCostMs: directory.faultCostOf(server, now),
       isChanging: changingUntil > now,
       isOutdated: this.isOutdated(server, exchange),
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -156,6 +156,19 @@
     this.observeOutcome(id, health => health.observeBad(now))
   }
 
+  /** It turned a request away: it is full, or about to change its weights. */
+  observeRefusal (id: string, now: number): void {
+    const server = this.servers.get(id)
+    if (server) {
+      server.refusedAt = now
+    }
+  }
+
+  /** Memory of an engine of the service, in tokens; 0 where unknown. */
+  memoryOf (service: string): number {
+    return this.routing?.services.get(service)?.engine?.cacheTokens ?? 0
+  }
+
   private observeOutcome (id: string, count: (health: ServerHealth) => void): void {
     const server = this.servers.get(id)
     if (server) {
@@ -179,7 +192,7 @@
       mostConnections: this.mostConnections(listed.service)
     })
     const server: KnownServer = {
-      listed, offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0
+      listed, offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, heldTokens: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0
     }
     this.servers.set(listed.id, server)
     return server
