--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -44,6 +44,8 @@
   readonly promptTokens: number
   /** At most. */
   readonly outputTokens: number
+  /** Prompt tokens on their way from the store of cached levels, which others wait for. */
+  readonly fetchedTokens: number
   /** Its output may be long. */
   readonly isLong: boolean
   /** Where this instance is. */
@@ -66,6 +68,15 @@
  */
 const SECOND_HOME_MS = 10
 
+/** The store's one link, tokens a millisecond: 234 within a failure domain at 360 Gbit/s, half of it between two. */
+const FETCHED_TOKENS_PER_MS = 140
+
+/** Part of the requests that find their level at its home, and need not wait for the link there. */
+const FOUND_AT_HOME = 0.5
+
+/** A level that cannot be fetched in time is read again, which costs more than an answer in time earns; callers wait that long for it to be found instead, milliseconds. */
+const MOST_LINK_MS = 250
+
 /** Memory is freed as requests end: eight large ones of 9,200 tokens fill an engine and end within 1.5 seconds, tokens a millisecond. */
 const FREED_TOKENS_PER_MS = 50
 
@@ -106,13 +117,18 @@
   return memoryTokens === 0 ? 0 : Math.max(0, over) / FREED_TOKENS_PER_MS
 }
 
+/** How much longer a request waits elsewhere than at its first home because fetches wait for each other, milliseconds. */
+function linkMs ({ fetchedTokens }: PlacementNeed, home: Home): number {
+  return home === Home.First ? 0 : Math.min(MOST_LINK_MS, fetchedTokens / FETCHED_TOKENS_PER_MS * FOUND_AT_HOME)
+}
+
 /** Expected cost, milliseconds until the first token. */
 function costOf (offer: ServerOffer, need: PlacementNeed, home: Home): number {
   const { outstanding, slots, waitingTokens } = offer
   const over = Math.max(0, outstanding + 1 - slots)
   const work = need.promptKey === undefined
     ? over * PLAIN_WORK_MS + outstanding / Math.max(1, slots) * PLAIN_WORK_MS
-    : waitingTokens / PREFILL_TOKENS_PER_MS + outstanding * REQUEST_MS + memoryMs(offer, need) + fetchMsAt[home]
+    : waitingTokens / PREFILL_TOKENS_PER_MS + outstanding * REQUEST_MS + memoryMs(offer, need) + fetchMsAt[home] + linkMs(need, home)
   return work +
     (offer.failureDomain === need.failureDomain ? 0 : DOMAIN_MS) +
     offer.faultCostMs +
--- /dev/null
+++ b/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
@@ -0,0 +1,96 @@
+import { hashNumber, SeededRandom } from 'foxtaillever-core'
+import { watchersOf } from 'foxtaillever-policy/relay/computedWatchers'
+import { describe, it } from 'foxtaillever-testing'
+import { TalkFleet, type Talker } from '../__fixtures__/talkFleet.js'
+
+const SERVER = 'i-5ad53fabda'
+const BUDGET = 14_000
+
+/** Beats of a large fleet: 24 a second of 150 bytes sent, and as many received. */
+const BEATS = 2 * 24 * 150
+
+/** The fleet's watchers of the server, the first one first, and two others. */
+function cast (fleet: TalkFleet): readonly [Talker, Talker, Talker, Talker] {
+  const watchers = watchersOf(hashNumber(SERVER), fleet.talkers.map(({ address }) => ({ address, hash: hashNumber(address) })))
+  const [first, second] = watchers.map(({ address }) => fleet.talkers.find(talker => talker.address === address)) as [Talker, Talker]
+  const [one, other] = fleet.talkers.filter(talker => talker !== first && talker !== second) as [Talker, Talker]
+  return [first, second, one, other]
+}
+
+/** Requests with a prompt that an instance gets in a second. */
+const REQUESTS = 6
+const SECONDS = 2
+
+/** One request at each instance: two servers are asked for, then it begins, is read and ends. */
+async function play (fleet: TalkFleet, random: SeededRandom, servers: number): Promise<void> {
+  const asked = fleet.talkers.map(async talker => {
+    const [chosen = '', other = ''] = [0, 1].map(() => `i-${random.below(servers)}`)
+    await talker.talk.ask([chosen, other])
+    fleet.put(talker, chosen, 1)
+  })
+  await fleet.pass(500 / REQUESTS)
+  await Promise.all(asked)
+  fleet.talkers.forEach(({ own }) => own.forEach(use => own.set(use.server, { ...use, tokens: 0 })))
+  await fleet.pass(500 / REQUESTS)
+  fleet.talkers.forEach(({ own }) => own.clear())
+}
+
+describe('load in a large fleet', () => {
+  // Eighty instances send to a home that each of them believes idle, and their callers wait in one queue.
+  it('is known to one who asks as soon as another has put it there, without the part of the asker', async t => {
+    const fleet = TalkFleet.create(80)
+    const [, , one, other] = cast(fleet)
+    fleet.put(one, SERVER, 5)
+    fleet.put(other, SERVER, 2)
+    await fleet.pass(30)
+    t.is(await fleet.ask(other, SERVER), 5)
+    fleet.put(one, SERVER, 0)
+    await fleet.pass(30)
+    t.is(await fleet.ask(other, SERVER), 0)
+    fleet.stop()
+  })
+
+  // The instance that keeps an engine's sum dies. Nobody may wait for it for long, and its successor must not take the engine for idle.
+  it('survives the loss of who knows it', async t => {
+    const fleet = TalkFleet.create(80)
+    const [first, , one, other] = cast(fleet)
+    fleet.put(one, SERVER, 5)
+    await fleet.pass(30)
+    first.isCut = true
+    for (let lost = 0; lost < 2; lost += 1) {
+      const askedAt = fleet.clock.now()
+      await fleet.ask(other, SERVER)
+      t.true(fleet.clock.now() <= askedAt + 20)
+    }
+    await fleet.pass(1000)
+    t.is(await fleet.ask(other, SERVER), 5)
+    fleet.stop()
+  })
+
+  // A process that was killed tells nobody that its requests are gone; engines would look busy for good.
+  it('forgets what an instance that has gone put there', async t => {
+    const fleet = TalkFleet.create(80)
+    const [, , one, other] = cast(fleet)
+    fleet.put(one, SERVER, 5)
+    await fleet.pass(30)
+    one.isCut = true
+    await fleet.pass(2600)
+    t.is(await fleet.ask(other, SERVER), 0)
+    fleet.stop()
+  })
+
+  for (const size of [81, 300, 380]) {
+    // Links of 7 Mbit/s carry answers; what grew with the fleet would crowd them out.
+    it(`costs an instance of ${size} its part of the budget for control at the most, beats included`, async t => {
+      const fleet = TalkFleet.create(size)
+      const random = SeededRandom.create(1)
+      for (let request = 0; request < REQUESTS * SECONDS; request += 1) {
+        await play(fleet, random, size)
+      }
+      const mean = fleet.talkers.reduce((sum, { bytes }) => sum + bytes, 0) / size / SECONDS
+      t.log(`${Math.round(mean + BEATS)} bytes a second`)
+      t.true(mean + BEATS < BUDGET)
+      fleet.stop()
+    })
+  }
+})
--- a/packages/foxtaillever-relay/src/peers/loadTalk.ts
+++ b/packages/foxtaillever-relay/src/peers/loadTalk.ts
@@ -26,8 +26,8 @@
 /** A watcher that left so many questions in a row unanswered is passed over. */
 const MOST_UNANSWERED = 2
 
-/** For so long, milliseconds; then one question finds out whether it is back. */
-const PASSED_OVER_MS = 1000
+/** For so long, milliseconds, as a process takes to restart; then one question finds out whether it is back. */
+const PASSED_OVER_MS = 3000
 
 interface Silence {
   readonly unanswered: number
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -77,7 +77,14 @@
     this.lease = this.createLease()
     this.weights = this.createWeightsDesk()
     this.choice = ServerChoice.create({
-      clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
+      clock,
+      random,
+      failureDomain,
+      directory: this.directory,
+      use: this.peers.use,
+      weights: this.weights,
+      weightsBoundMs: options.weightsBoundMs,
+      fetchedTokens: () => this.caches.fetchLoad.tokensFrom(this.table?.routing.cacheStore?.address ?? '')
     })
     this.runs = ExchangeRuns.create({
       clock,
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -35,6 +35,8 @@
   readonly failureDomain: string
   readonly directory: ServerDirectory
   readonly use: FleetUse
+  /** Prompt tokens on their way from the store of cached levels. */
+  readonly fetchedTokens: () => number
   readonly weights: Pick<WeightsDesk, 'outdatedSince'>
   /** After new weights were named no request may begin on older ones, milliseconds. */
   readonly weightsBoundMs: number
@@ -59,14 +61,15 @@
   }
 
   private rank (exchange: Exchange, failed: ReadonlySet<string>): readonly ServerOffer[] {
-    const { directory, random, failureDomain } = this.options
+    const { directory, random, failureDomain, fetchedTokens } = this.options
     const ready = directory.ready(exchange.service)
     const isLong = isLongRun(exchange.prompt?.outputTokens ?? 0)
     const gathering = isLong ? this.gather(ready, exchange) : nobody
     const offers = ready
       .filter(server => !failed.has(server.listed.id) && this.hasFitWeights(server, exchange))
       .map(server => this.toOffer(server, exchange, gathering))
-    const need = { promptKey: promptKeyOf(exchange), promptTokens: exchange.prompt?.promptTokens ?? 0, outputTokens: exchange.prompt?.outputTokens ?? 0, isLong, failureDomain }
+    const { promptTokens, outputTokens } = exchange.prompt ?? { promptTokens: 0, outputTokens: 0 }
+    const need = { promptKey: promptKeyOf(exchange), promptTokens, outputTokens, fetchedTokens: fetchedTokens(), isLong, failureDomain }
     return rankOffers(offers, need, random)
   }
 
