--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -80,12 +80,15 @@
 
 type WireUse = readonly [string, number, number, number?]
 
+/** Memory is told in units of so many tokens, so that a beat of a small fleet stays within its budget: as much as a short prompt. */
+const HELD_UNIT = 512
+
 function packUse ({ server, outstanding, tokens, heldTokens }: ServerUse): WireUse {
-  return [server, outstanding, tokens, heldTokens]
+  return [server, outstanding, tokens, Math.round(heldTokens / HELD_UNIT)]
 }
 
-function readUse ([server, outstanding, tokens, heldTokens = 0]: WireUse): ServerUse {
-  return { server, outstanding, tokens, heldTokens }
+function readUse ([server, outstanding, tokens, held = 0]: WireUse): ServerUse {
+  return { server, outstanding, tokens, heldTokens: held * HELD_UNIT }
 }
 
 type Wire = readonly [
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -33,13 +33,12 @@
 /** Part of a period that is drawn, so that instances started together do not send together. */
 const BEAT_SPREAD = 0.2
 
-/**
- * Others that hear one beat. In a fleet with more, a large one, each hears a
- * random part of the fleet every second, and load is told to computed watchers
- * instead: 24 beats of 150 bytes a second, sent and received, are 7.2 KB/s.
- */
+/** In a fleet with more others, a large one, a beat goes to some of them, and load is told to computed watchers instead. */
 const MOST_RECEIVERS = 24
 
+/** Others that hear one beat of a large fleet, drawn anew each second: 200 bytes, sent and received, are 6.4 KB/s; load takes another 6 at most days. */
+const LARGE_RECEIVERS = 16
+
 /** Others that hear what this one read, those of its failure domain first: with 60 bytes 1.4 times a second, 8 KB/s. */
 const MOST_NOTIFIED = 96
 
@@ -116,7 +115,7 @@
 
   /** Others that are likely there, though few of their beats come here. */
   likely (): PeerMessage[] {
-    return this.table.likely(this.options.clock.now(), MOST_RECEIVERS)
+    return this.table.likely(this.options.clock.now(), this.isLarge ? LARGE_RECEIVERS : MOST_RECEIVERS)
   }
 
   /** Instances to reckon with, this one included. */
@@ -155,7 +154,7 @@
     this.table.expire(now)
     const alive = new Set(this.alive().map(({ address }) => address))
     this.use.retain(address => alive.has(address))
-    const receivers = this.receivers(MOST_RECEIVERS)
+    const receivers = this.receivers(this.isLarge ? LARGE_RECEIVERS : MOST_RECEIVERS)
     const beatMs = this.isLarge ? MOST_BEAT_MS : Math.min(MOST_BEAT_MS, Math.max(LEAST_BEAT_MS, receivers.length / DATAGRAMS_PER_MS))
     this.link.send(receivers, this.message())
     if (this.isLarge) {
