--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -84,7 +84,7 @@
       log,
       routing: () => routing,
       askLoad: () => undefined,
-      place: (_, failed) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
+      place: (_, { failed }) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
       onMisdirected: () => {}
     }
     this.runs = ExchangeRuns.create(context)
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -21,7 +21,8 @@
   sums: [],
   suspects: [],
   savedLevels: [],
-  named: []
+  named: [],
+  current: []
 }
 
 describe('PeerTable', () => {
--- a/packages/foxtaillever-relay/src/peers/loadMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -5,9 +5,9 @@
 
 /** First element of the array; other messages begin with a text or another number. */
 export enum LoadMessageKind {
-  Word = 2,
-  Question = 3,
-  Answer = 4
+  Word = 11,
+  Question = 12,
+  Answer = 13
 }
 
 /** Load on one server. */
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -3,7 +3,7 @@
  * second and may be lost; a call brings the records that an instance lacks while
  * the platform's store does not answer it.
  */
-import { createServer, type Server } from 'node:http'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Failure, FailureCode, Verdict, type Clock } from 'foxtaillever-core'
 import { UdpDatagrams } from 'foxtaillever-fleet/membership/datagrams'
 import { Either, Left, Right } from 'purify-ts'
@@ -13,6 +13,8 @@
 import { decodeLoadMessage, encodeLoadMessage, type LoadMessage } from './loadMessage.js'
 import { decodePeerMessage, encodePeerMessage, type PeerMessage, type WeightsNews } from './peerMessage.js'
 import { decodeReadNotice, encodeReadNotice, type ReadNotice } from './readNotice.js'
+import type { FenceLog } from '../weights/fenceLog.js'
+import { LEASE_PATH, logThrough } from './leaseCalls.js'
 import { ToldTopic } from './toldTopic.js'
 import { decodeWeightsNotice, encodeWeightsNotice } from './weightsNotice.js'
 
@@ -44,6 +46,8 @@
   readonly onWeights: (news: readonly WeightsNews[]) => void
   /** What this instance knows of a topic from an offset on. */
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
+  /** Another instance asks for a call at the lease's log. */
+  readonly onLeaseCall: (request: IncomingMessage, search: URLSearchParams, response: ServerResponse) => void
 }
 
 export class PeerLink {
@@ -55,6 +59,10 @@
     this.datagrams = UdpDatagrams.create(`${options.host}:${options.port}`)
     this.server = createServer((request, response) => {
       const { searchParams, pathname } = new URL(request.url ?? '', 'http://peer')
+      if (pathname === LEASE_PATH) {
+        options.onLeaseCall(request, searchParams, response)
+        return
+      }
       const topic = Object.values(ToldTopic).find(name => `/records/${name}` === pathname)
       if (topic === undefined) {
         response.writeHead(404).end()
@@ -105,7 +113,7 @@
     this.datagrams.send(address, encodeLoadMessage(message))
   }
 
-  sendWeights (addresses: readonly string[], news: readonly WeightsNews[]): void {
+  tellWeights (addresses: readonly string[], news: readonly WeightsNews[]): void {
     const bytes = encodeWeightsNotice(news)
     addresses.forEach(address => this.datagrams.send(address, bytes))
   }
@@ -118,6 +126,12 @@
     return answer.chain(({ status, body }) => status === 200 ? decodeRecords(body) : Left(malformed(`status ${status}`)))
   }
 
+  /** The lease's log as another instance reaches it. */
+  logThrough (address: string): FenceLog {
+    const { clock } = this.options
+    return logThrough(async call => await callServer(this.connectionsTo(address), call, clock, clock.now() + ANSWER_MS))
+  }
+
   private connectionsTo (address: string): ServerConnections {
     let connections = this.connections.get(address)
     if (!connections) {
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -31,6 +31,14 @@
   readonly ageMs: number
 }
 
+/** Engines that have the newest weights, as far as the teller knows. */
+export interface CurrentEngines {
+  readonly model: string
+  readonly version: number
+  /** Hashes of their ids: 5 bytes each, 210 for 42 engines. */
+  readonly engines: readonly number[]
+}
+
 /** The newest record of the lease that is known. */
 export interface LeaseNews {
   readonly offset: number
@@ -61,12 +69,13 @@
   readonly suspects: readonly string[]
   /** Hashes of prompt levels that it had saved to the store of cached levels of late. */
   readonly savedLevels: readonly number[]
+  readonly current: readonly CurrentEngines[]
 }
 
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, sums } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -74,6 +83,7 @@
     suspects,
     savedLevels,
     named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
+    current.map(({ model, version, engines }) => [model, version, engines]),
     sums.map(packUse)
   ])
 }
@@ -98,6 +108,7 @@
   readonly string[],
   readonly number[],
   ReadonlyArray<readonly [string, number, number]> | undefined,
+  ReadonlyArray<readonly [string, number, readonly number[]]> | undefined,
   readonly WireUse[] | undefined
 ]
 
@@ -114,7 +125,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], sums = []] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = []] = wire as Wire
     return {
       name,
       address,
@@ -128,7 +139,8 @@
       sums: sums.map(readUse),
       suspects,
       savedLevels,
-      named: named.map(([model, version, ageMs]) => ({ model, version, ageMs }))
+      named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
+      current: current.map(([model, version, engines]) => ({ model, version, engines }))
     }
   }))
 }
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -4,14 +4,14 @@
  * the next beat or found out anew.
  */
 import type { Cancellation, Clock, Random } from 'foxtaillever-core'
-import { PeerLink, type ToldRecords } from './peerLink.js'
+import { PeerLink, type PeerLinkOptions, type ToldRecords } from './peerLink.js'
 import { FleetUse } from './fleetUse.js'
 import { LoadTalk } from './loadTalk.js'
 import type { PeerMessage, ServerUse, WeightsNews } from './peerMessage.js'
 import { PeerTable } from './peerTable.js'
 import type { ReadNotice } from './readNotice.js'
 import type { ToldTopic } from './toldTopic.js'
-import { WeightsTelling } from './weightsTelling.js'
+import { MOST_IN_NOTICE } from './weightsNotice.js'
 
 /**
  * Between two beats of a small fleet, milliseconds. Prompts wait at an engine
@@ -39,6 +39,13 @@
 /** Others that hear one beat of a large fleet, drawn anew each second: 200 bytes, sent and received, are 6.4 KB/s; load takes another 6 at most days. */
 const LARGE_RECEIVERS = 16
 
+/**
+ * Engines with the newest weights that one beat of a large fleet names, drawn
+ * anew for each, bytes 40: with 16 beats heard a second each of 42 is named to
+ * everyone three times a second.
+ */
+const MOST_CURRENT = 8
+
 /** Others that hear what this one read, those of its failure domain first: with 60 bytes 1.4 times a second, 8 KB/s. */
 const MOST_NOTIFIED = 96
 
@@ -55,10 +62,11 @@
   readonly word: () => OwnWord
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   readonly onMessage: (message: PeerMessage) => void
-  readonly onWeights: (news: WeightsNews) => void
   /** Load that this instance puts on each server now. */
   readonly ownUses: () => readonly ServerUse[]
   readonly onNotice: (notice: ReadNotice) => void
+  readonly onWeights: (news: readonly WeightsNews[]) => void
+  readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
 }
 
 export class Peers {
@@ -68,21 +76,19 @@
   readonly loads: LoadTalk
   readonly address: string
   private readonly startedAt: number
-  private readonly weights: WeightsTelling
   private cancelBeat: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, tell, onNotice, onWeights, ownUses } = options
+    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, ownUses } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.use = FleetUse.create(clock)
     this.link = PeerLink.create({
-      clock, host, port, tell, onNotice, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message), onWeights: news => news.forEach(onWeights)
+      clock, host, port, tell, onNotice, onWeights, onLeaseCall, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message)
     })
     this.loads = LoadTalk.create({
       clock, address: this.address, use: this.use, own: ownUses, send: (address, message) => this.link.sendLoad(address, message), others: () => this.likely().map(({ address }) => address)
     })
-    this.weights = WeightsTelling.create(clock, news => this.link.sendWeights(this.receivers(Infinity), news))
   }
 
   static create (options: PeersOptions): Peers {
@@ -97,7 +103,6 @@
   async stop (): Promise<void> {
     this.cancelBeat()
     this.loads.stop()
-    this.weights.stop()
     await this.link.close()
   }
 
@@ -133,14 +138,17 @@
     return this.isLarge ? this.use.sampledTokens(store, this.table.all().length) : this.use.of(store).tokens
   }
 
-  /** Beats to everyone now. */
+  /** Tells everyone now: a lease was taken, this instance leaves. */
   send (): void {
     this.link.send(this.receivers(Infinity), this.message())
   }
 
-  /** Tells everyone in a moment: an engine is about to change, or has. */
-  tellWeights (news: WeightsNews): void {
-    this.weights.tell(news)
+  /** Tells everyone now which engines are about to change or have changed. */
+  tellWeights (news: readonly WeightsNews[]): void {
+    const receivers = this.receivers(Infinity)
+    for (let from = 0; from < news.length; from += MOST_IN_NOTICE) {
+      this.link.tellWeights(receivers, news.slice(from, from + MOST_IN_NOTICE))
+    }
   }
 
   /** Tells the others what was read. */
@@ -164,11 +172,7 @@
   }
 
   private receivers (most: number): string[] {
-    const addresses = this.table.all().map(({ address }) => address)
-    while (addresses.length > most) {
-      addresses.splice(this.options.random.below(addresses.length), 1)
-    }
-    return addresses
+    return this.draw(this.table.all().map(({ address }) => address), most)
   }
 
   private notified (): string[] {
@@ -184,7 +188,19 @@
 
   private message (): PeerMessage {
     const { name, failureDomain, word } = this.options
-    return { name, address: this.address, failureDomain, startedAt: this.startedAt, ...word() }
+    return { name, address: this.address, failureDomain, startedAt: this.startedAt, ...this.limit(word()) }
+  }
+
+  private limit (word: OwnWord): OwnWord {
+    return this.isLarge ? { ...word, current: word.current.map(news => ({ ...news, engines: this.draw(news.engines, MOST_CURRENT) })) } : word
+  }
+
+  private draw<T> (all: readonly T[], most: number): T[] {
+    const drawn = [...all]
+    while (drawn.length > most) {
+      drawn.splice(this.options.random.below(drawn.length), 1)
+    }
+    return drawn
   }
 
   private hear (message: PeerMessage): void {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,5 +1,5 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
-import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { createCacheUse } from './cache/cacheUse.js'
@@ -13,21 +13,19 @@
 import { readWallSeconds } from './knowledge/suspension.js'
 import type { Exchange } from './model/exchange.js'
 import type { Routing } from './model/routing.js'
+import { answerLeaseCall } from './peers/leaseCalls.js'
 import { ownStoreUses, ownUses } from './peers/ownUses.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
 import { ToldTopic } from './peers/toldTopic.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
-import { ServerChoice } from './servers/serverChoice.js'
+import { ServerChoice, type EarlierTries } from './servers/serverChoice.js'
 import { ServerDirectory } from './servers/serverDirectory.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
-import { OrderLease } from './weights/orderLease.js'
-import { LAST_RANK, orderRank } from './weights/orderRank.js'
-import { watchFenceLog } from './weights/watchedFenceLog.js'
-import { WeightsDesk } from './weights/weightsDesk.js'
+import { createOrderOffice, type OrderOffice } from './weights/orderOffice.js'
 
 /** The balancer notices within two seconds that this instance is not ready; until then it sends new connections, milliseconds. */
 const STOP_LISTENING_MS = 2600
@@ -50,8 +48,7 @@
   private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
   private readonly peers: Peers
-  private readonly lease: OrderLease
-  private readonly weights: WeightsDesk
+  private readonly office: OrderOffice
   private readonly choice: ServerChoice
   private readonly runs: ExchangeRuns
   private table: RouteTable | undefined
@@ -66,7 +63,7 @@
     this.directory = ServerDirectory.create({
       onChanged: ({ id, state, service }, before) => {
         this.log.belief('A backend server changed its state.', { server: id, service, state, before })
-        this.weights.run()
+        this.office.desk.run()
       }
     })
     this.state = this.createState()
@@ -74,15 +71,14 @@
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
     this.knowledge = this.createKnowledge()
-    this.lease = this.createLease()
-    this.weights = this.createWeightsDesk()
+    this.office = this.createOffice()
     this.choice = ServerChoice.create({
       clock,
       random,
       failureDomain,
       directory: this.directory,
       use: this.peers.use,
-      weights: this.weights,
+      weights: this.office.desk,
       weightsBoundMs: options.weightsBoundMs,
       fetchedTokens: () => this.caches.fetchLoad.tokensFrom(this.table?.routing.cacheStore?.address ?? '')
     })
@@ -96,9 +92,10 @@
       suspects: this.suspects,
       log: this.log,
       routing: () => this.routing(),
-      askLoad: (exchange, failed) => this.askLoad(exchange, failed),
-      place: (exchange, failed) => this.choice.place(exchange, failed),
-      onMisdirected: () => { this.weights.run() }
+      askLoad: (exchange, earlier) => this.askLoad(exchange, earlier),
+      place: (exchange, earlier) => this.choice.place(exchange, earlier),
+      onMisdirected: ({ serverId, expectedWeights }, { prompt }, failure) =>
+        this.office.desk.observeRefusal(serverId, prompt?.model, failure.serverId === serverId ? expectedWeights : undefined)
     })
     this.callers = CallerServer.create({
       clock,
@@ -154,7 +151,7 @@
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
     this.runs.abort()
-    this.weights.stop()
+    this.office.desk.stop()
     this.knowledge.stop()
     this.readiness.close()
     this.figures.close()
@@ -170,7 +167,7 @@
   private createState (): RelayState {
     const { name, clock } = this.options
     const { directory } = this
-    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.lease }
+    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.office.lease }
     return RelayState.create({ name, clock, directory, ...parts, open: () => this.runs.size, isReady: () => this.isReady() })
   }
 
@@ -185,9 +182,10 @@
       word: () => this.word(),
       tell: (topic, from) => this.knowledge.tell(topic, from),
       onMessage: message => this.hear(message),
-      onWeights: news => this.weights.observe(news),
       ownUses: () => ownUses(this.directory.all()),
-      onNotice: notice => this.knowledge.hear(notice)
+      onNotice: notice => this.knowledge.hear(notice),
+      onWeights: news => news.forEach(one => this.office.desk.observe(one)),
+      onLeaseCall: (request, search, response) => this.lendLease(request, search, response)
     })
   }
 
@@ -200,7 +198,7 @@
       directory: this.directory,
       settledAt: () => this.knowledge.settledAt,
       onRouting: routing => this.adopt(routing),
-      onWeights: (model, version) => this.weights.name(model, version, !this.knowledge.isWhole)
+      onWeights: (model, version) => this.office.desk.name(model, version, !this.knowledge.isWhole)
     })
     return Knowledge.create({
       clock,
@@ -218,49 +216,30 @@
     })
   }
 
-  private createLease (): OrderLease {
-    const { clock, fenceLog, topics, name, leasePauseMs } = this.options
-    return OrderLease.create({
-      clock,
-      uptime: readWallSeconds,
-      log: watchFenceLog(fenceLog, () => this.knowledge.doubt()),
-      topic: topics.lease,
-      holder: name,
-      incarnation: randomUUID(),
-      pauseMs: leasePauseMs,
-      onChanged: ({ offset }) => {
-        this.log.belief('Holds the lease on orders.', { fence: offset })
-        this.peers.send()
-      }
+  private createOffice (): OrderOffice {
+    const { log, directory, peers } = this
+    return createOrderOffice({
+      ...this.options,
+      topic: this.options.topics.lease,
+      directory,
+      peers,
+      log,
+      isFit: () => this.knowledge.hasStore && !this.isLeaving,
+      onStoreFailed: () => this.knowledge.doubt()
     })
   }
 
-  private createWeightsDesk (): WeightsDesk {
-    const { clock, engineOrders, name } = this.options
-    return WeightsDesk.create({
-      clock,
-      holder: name,
-      directory: this.directory,
-      lease: this.lease,
-      orders: engineOrders,
-      log: this.log,
-      rank: () => this.orderRank(),
-      outstandingAt: ({ outstanding, listed }) => outstanding + this.peers.use.of(listed.id).outstanding,
-      tell: news => this.peers.tellWeights(news)
+  private lendLease (request: IncomingMessage, search: URLSearchParams, response: ServerResponse): void {
+    const { fenceLog, topics } = this.options
+    answerLeaseCall(fenceLog, topics.lease, request, search, response).catch((error: unknown) => {
+      this.log.trouble('A call at the lease for another instance failed.', { reason: String(error) })
+      response.destroy()
     })
   }
 
-  private orderRank (): number {
-    if (!this.knowledge.hasStore || this.isLeaving) {
-      return LAST_RANK
-    }
-    const others = this.peers.alive().filter(({ hasStore }) => hasStore).map(peer => peer.name)
-    return orderRank(this.options.name, others, this.lease.lastHolder)
-  }
-
   /** In a large fleet an instance's own requests to a server are too few to know its load by. */
-  private askLoad (exchange: Exchange, failed: ReadonlySet<string>): Promise<void> | undefined {
-    return exchange.prompt && this.peers.isLarge ? this.peers.loads.ask(this.choice.shortlist(exchange, failed)) : undefined
+  private askLoad (exchange: Exchange, earlier: EarlierTries): Promise<void> | undefined {
+    return exchange.prompt && this.peers.isLarge ? this.peers.loads.ask(this.choice.shortlist(exchange, earlier)) : undefined
   }
 
   /** What this instance tells the others of itself. */
@@ -269,16 +248,17 @@
       isLeaving: this.isLeaving,
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
-      lease: this.lease.news(),
+      lease: this.office.lease.news(),
       uses: [...this.peers.isLarge ? [] : ownUses(this.directory.all()), ...ownStoreUses(this.table?.routing.cacheStore?.address, this.caches.fetchLoad)],
       sums: this.peers.isLarge ? this.peers.loads.sums(this.directory.all().map(({ listed }) => listed.id)) : [],
       suspects: this.suspects.toTell(this.options.clock.now()),
       savedLevels: this.caches.savedLevels.news(this.options.clock.now()),
-      named: this.weights.ages()
+      named: this.office.desk.ages(),
+      current: this.office.desk.current()
     }
   }
 
-  private hear ({ lease, suspects, savedLevels, named }: PeerMessage): void {
+  private hear ({ lease, suspects, savedLevels, named, current }: PeerMessage): void {
     const now = this.options.clock.now()
     const count = this.peers.count()
     this.retries.observeInstances(count)
@@ -286,9 +266,10 @@
     this.suspects.hear(suspects, now)
     this.caches.savedLevels.hear(savedLevels, now)
     if (lease) {
-      this.lease.observe(lease)
+      this.office.lease.observe(lease)
     }
-    named.forEach(news => this.weights.observeNamed(news))
+    named.forEach(news => this.office.desk.observeNamed(news))
+    current.forEach(news => this.office.desk.observeCurrent(news))
   }
 
   private isReady (): boolean {
