Give each shared level a home store, and measure links in time

With several stores of cached levels only the first of the configuration was used, with limits in tokens that fit one link of 360 Gbit/s.

Each level now has a home store by rendezvous, with the home engine in the same failure domain where the engines suffice, since a far transfer takes the links twice as long. Limits are announced waits, from what each link moves. A transfer counts for 320 ms at most: counted until the first event, requests that queue for engines kept the link looking full, so more was read again and the queues grew. Saves count too. A save is told in eight messages rather than for two seconds, so that 97 in 100 instances hear of it where a message goes to a third of them: some 24 bytes more in a beat at 45 beats a second (1.1 KB/s), and up to 42 more for two more stores (1.9 KB/s).

Ruled out: knowledge of what is saved alone. 2 saves a second an instance in messages to 24 of 70 reach 79 in 100 within 2 s.

--- a/packages/foxtaillever-policy/src/relay/__tests__/savedLevels.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/savedLevels.test.ts
@@ -98,7 +98,7 @@
         return isToSave
       },
       now => {
-        const news = instances.map(instance => instance.news(now))
+        const news = instances.map(instance => instance.tell())
         instances.forEach((instance, index) => news.forEach((levels, from) => { if (from !== index) instance.hear(levels, now) }))
       })
     const figures = `read again: ${everything.readAgain} with all saved, ${told.readAgain} with ${told.saves} of ${told.requests} saved`
@@ -121,9 +121,9 @@
     const [one, other] = [SavedLevels.create(), SavedLevels.create()]
     one.take(1, 0)
     one.confirm(1, 90)
-    other.hear(one.news(500), 500)
+    other.hear(one.tell(), 500)
     t.false(other.take(1, 600))
-    t.deepEqual(other.news(600), [], 'only own saves are told')
+    t.deepEqual(other.tell(), [], 'only own saves are told')
   })
 
   // Right after a change of weights many requests are refused, those too that were to save the first reading of a
@@ -131,7 +131,7 @@
   it('has another request save what a refused one was to save', t => {
     const levels = SavedLevels.create()
     levels.take(1, 0)
-    t.deepEqual(levels.news(1), [], 'others hear only of what was read')
+    t.deepEqual(levels.tell(), [], 'others hear only of what was read')
     levels.giveBack(1)
     t.true(levels.take(1, 2))
     levels.confirm(1, 90)
@@ -145,9 +145,12 @@
     for (let level = 0; level < 1000; level++) {
       levels.confirm(level, level)
     }
-    t.is(levels.news(1500).length, 64, 'a message stays one datagram')
+    t.is(levels.tell().length, 64, 'a message stays one datagram')
+    const messages = Array.from({ length: 200 }, () => levels.tell())
+    t.deepEqual(messages[199], [], 'nothing is told for ever')
+    t.is(new Set(messages.flat()).size, 1000, 'and everything at least once')
     levels.confirm(5000, 100_000)
-    t.deepEqual(levels.news(100_000), [5000])
+    t.deepEqual(levels.tell(), [5000])
     t.true(levels.take(1, 100_000))
   })
 })
--- a/packages/foxtaillever-policy/src/relay/__tests__/useCacheStore.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/useCacheStore.test.ts
@@ -1,6 +1,6 @@
 import { SeededRandom } from 'foxtaillever-core'
 import { describe, it } from 'foxtaillever-testing'
-import { mayFetch, maySave } from '../useCacheStore.js'
+import { mayFetch, maySave, TRANSFER_COUNTED_MS, type StoreLink } from '../useCacheStore.js'
 
 /** What the store's link moves, tokens a millisecond. */
 const LINK_TOKENS_PER_MS = 140
@@ -23,24 +23,32 @@
   readonly fetched: number
 }
 
-/** Plays requests whose engines lack a level: a store's link and the engines, each a queue. */
-function play (isFetched: (tokensOnTheWay: number) => boolean): Outcome {
+/**
+ * Plays requests whose engines lack a level: a store's link and the engines, each a queue. Transfers are counted for
+ * as long as they may take, since nobody sees the link itself.
+ * @param times how many times the load, the link and the engines are there.
+ */
+function play (isFetched: (link: StoreLink) => boolean, times = 1): Outcome {
   const random = SeededRandom.create(3)
+  const tokensPerMs = LINK_TOKENS_PER_MS * times
   let now = 0
   let linkFreeAt = 0
   let enginesFreeAt = 0
   let late = 0
   let fetched = 0
-  for (let request = 0; request < REQUESTS; request++) {
+  let counted: number[] = []
+  for (let request = 0; request < REQUESTS * times; request++) {
     const gap = now % PERIOD_MS < BURST_MS ? BURST_GAP_MS : USUAL_GAP_MS
-    now += gap * 2 * random.next()
-    const tokensOnTheWay = Math.max(0, linkFreeAt - now) * LINK_TOKENS_PER_MS
+    now += gap * 2 * random.next() / times
+    counted = counted.filter(until => until > now)
+    const tokensOnTheWay = counted.length * SHARED_TOKENS
     let doneAt: number
-    if (isFetched(tokensOnTheWay)) {
+    if (isFetched({ tokensOnTheWay, tokensPerMs })) {
       fetched += 1
-      doneAt = linkFreeAt = Math.max(now, linkFreeAt) + SHARED_TOKENS / LINK_TOKENS_PER_MS
+      counted.push(now + TRANSFER_COUNTED_MS)
+      doneAt = linkFreeAt = Math.max(now, linkFreeAt) + SHARED_TOKENS / tokensPerMs
     } else {
-      doneAt = enginesFreeAt = Math.max(now, enginesFreeAt) + SHARED_TOKENS / ENGINES_TOKENS_PER_MS
+      doneAt = enginesFreeAt = Math.max(now, enginesFreeAt) + SHARED_TOKENS / ENGINES_TOKENS_PER_MS / times
     }
     late += doneAt - now > 400 ? 1 : 0
   }
@@ -52,7 +60,7 @@
   // there for up to two seconds, while the engines have time to read the levels themselves.
   it('reads levels again in a burst rather than wait for the link of the store', t => {
     const always = play(() => true)
-    const weighed = play(tokensOnTheWay => mayFetch({ tokensOnTheWay }))
+    const weighed = play(mayFetch)
     const figures = `late: ${always.late} with all fetched, ${weighed.late} with ${weighed.fetched} of ${REQUESTS} fetched`
     t.log(figures)
     t.true(always.late > REQUESTS / 10, figures)
@@ -60,10 +68,25 @@
     t.true(weighed.fetched > REQUESTS * 0.6, figures)
   })
 
+  // A fleet has ten times the load and links to match. With a limit in tokens that suits the small fleet, a tenth of
+  // the link is used at most, and callers wait for engines that read again what the store has.
+  it('uses a faster link as fully as a slow one', t => {
+    const small = play(mayFetch)
+    const large = play(mayFetch, 10)
+    const inTokens = play(({ tokensOnTheWay }) => tokensOnTheWay <= 45_000, 10)
+    const figures = `fetched: ${small.fetched} of ${REQUESTS}, ${large.fetched} of ten times as many, ${inTokens.fetched} with a limit in tokens`
+    t.log(figures)
+    t.true(large.fetched >= small.fetched * 10 * 0.95, figures)
+    t.true(large.late < REQUESTS * 10 / 100, figures)
+    t.true(inTokens.fetched < large.fetched * 0.95, figures)
+  })
+
   // Saves take the same link. A fetch that waits for one makes a caller wait; a save can be made up for.
   it('saves only while hardly anything waits', t => {
-    t.true(maySave({ tokensOnTheWay: 0 }))
-    const isFetchedOnly = [20_000, 35_000, 44_000].filter(tokensOnTheWay => mayFetch({ tokensOnTheWay }) && !maySave({ tokensOnTheWay }))
-    t.deepEqual(isFetchedOnly, [35_000, 44_000])
+    const after = (waitMs: number): StoreLink => ({ tokensOnTheWay: waitMs * LINK_TOKENS_PER_MS, tokensPerMs: LINK_TOKENS_PER_MS })
+    t.true(maySave(after(0)))
+    const isFetchedOnly = [140, 250, 310].filter(waitMs => mayFetch(after(waitMs)) && !maySave(after(waitMs)))
+    t.deepEqual(isFetchedOnly, [250, 310])
+    t.false(mayFetch(after(330)))
   })
 })
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -8,7 +8,7 @@
  * there. Everything is one cost in milliseconds until the first token.
  */
 import type { Random } from 'foxtaillever-core'
-import { mixHashes } from '../placement/rendezvous.js'
+import { homeOf } from './levelHome.js'
 
 /** A server as one decision sees it. */
 export interface ServerOffer {
@@ -35,6 +35,8 @@
 export interface PlacementNeed {
   /** Hash of the levels that requests share; undefined without a prompt. */
   readonly promptKey: number | undefined
+  /** Failure domains whose servers may be its home; undefined for all. */
+  readonly homeDomains?: ReadonlySet<string> | undefined
   readonly promptTokens: number
   /** Its output may be long. */
   readonly isLong: boolean
@@ -82,23 +84,18 @@
     Math.min(offer.coldLeftMs, PLAIN_WORK_MS)
 }
 
-/** The server with the highest score for the key. */
-function homeOf (key: number, offers: readonly ServerOffer[]): string {
-  let home = ''
-  let best = -1
-  for (const { id, hash } of offers) {
-    const score = mixHashes(key, hash)
-    if (score > best) {
-      best = score
-      home = id
-    }
+/** The home among the offers; those of another failure domain only where there is none in its own. */
+function homeAmong (offers: readonly ServerOffer[], { promptKey, homeDomains }: PlacementNeed): string {
+  if (promptKey === undefined) {
+    return ''
   }
-  return home
+  const near = homeDomains ? offers.filter(({ failureDomain }) => homeDomains.has(failureDomain)) : offers
+  return homeOf(promptKey, near.length > 0 ? near : offers)?.id ?? ''
 }
 
 /** The cheapest server; among equals a random one, so that instances do not all take the same. */
 export function placeExchange (offers: readonly ServerOffer[], need: PlacementNeed, random: Random): ServerOffer | undefined {
-  const home = need.promptKey === undefined ? '' : homeOf(need.promptKey, offers)
+  const home = homeAmong(offers, need)
   let chosen: ServerOffer | undefined
   let least = Infinity
   for (const offer of offers) {
--- a/packages/foxtaillever-policy/src/relay/savedLevels.ts
+++ b/packages/foxtaillever-policy/src/relay/savedLevels.ts
@@ -15,8 +15,12 @@
  */
 const RENEW_MS = 10_000
 
-/** Own saves are told in each message for this long, milliseconds: two beats, since a datagram may be lost. */
-const TOLD_MS = 2_000
+/**
+ * Messages in which an own save is told. Where each goes to a third of the
+ * instances, 97 in 100 have heard of it by then; where each goes to all, it
+ * outlasts the loss of datagrams.
+ */
+const TIMES_TOLD = 8
 
 /** Levels remembered, some 100 bytes each; more are in use only where each is rarely asked for. */
 const MOST_LEVELS = 20_000
@@ -42,6 +46,8 @@
 export class SavedLevels {
   /** By level; the oldest first. */
   private readonly saves = new Map<number, Save>()
+  /** Own saves, and in how many messages each is yet to be told. */
+  private readonly untold = new Map<number, number>()
 
   private constructor () {}
 
@@ -72,6 +78,7 @@
   /** The request that was to save the level has read it. */
   confirm (level: number, now: number): void {
     this.note(level, { at: now, state: SaveState.Own })
+    this.untold.set(level, TIMES_TOLD)
   }
 
   /** The request that was to save the level failed first. */
@@ -81,15 +88,17 @@
     }
   }
 
-  /** Own saves that the others may not know yet, the newest first. */
-  news (now: number): number[] {
-    const news: number[] = []
-    for (const [level, { at, state }] of this.saves) {
-      if (state === SaveState.Own && at + TOLD_MS > now) {
-        news.push(level)
+  /** Own saves for one message to the others; those told least often first. */
+  tell (): number[] {
+    const told = [...this.untold].sort(([, one], [, other]) => other - one).slice(0, MOST_TOLD)
+    for (const [level, times] of told) {
+      if (times > 1) {
+        this.untold.set(level, times - 1)
+      } else {
+        this.untold.delete(level)
       }
     }
-    return news.reverse().slice(0, MOST_TOLD)
+    return told.map(([level]) => level)
   }
 
   private note (level: number, save: Save): void {
--- a/packages/foxtaillever-policy/src/relay/useCacheStore.ts
+++ b/packages/foxtaillever-policy/src/relay/useCacheStore.ts
@@ -1,30 +1,50 @@
 /**
- * Whether a request uses the store of cached prompt levels. Its link serves one
- * transfer after another for all engines; at a peak a fetch may wait longer
- * than reading the level again takes, and the first token with it.
+ * Whether a request uses the store of cached prompt levels that is home to its
+ * level. The link of a store serves one transfer after another for all engines;
+ * at a peak a fetch may wait longer than reading the level again takes, and the
+ * first token with it. The limits are times, so that they hold whatever the
+ * links move and however many stores there are.
  */
 
-/** The link of the store as a request finds it. */
+/** The link of a store as a request finds it. */
 export interface StoreLink {
-  /** Tokens on their way from the store, this request's not counted. */
+  /** Tokens on their way from and to the store, this request's not counted; see `linkTokens`. */
   readonly tokensOnTheWay: number
+  /** What the link moves within a failure domain, tokens a millisecond. */
+  readonly tokensPerMs: number
 }
 
 /**
- * Tokens on their way beyond which the level is read rather than fetched. The
- * store moves some 140 tokens a millisecond, and four in ten of these are found
- * at their engine after all: so the wait is some 200 ms, half of the objective
- * of a first token. Waiting less than that for a fetch is cheaper than reading.
+ * Announced wait beyond which the level is read rather than fetched,
+ * milliseconds. Four in ten of the levels are found at their engine after all,
+ * so the true wait is some 190 ms, half of the objective of a first token.
+ * Waiting less than that for a fetch is cheaper than reading.
  */
-const MOST_TOKENS_ON_THE_WAY = 45_000
+const MOST_FETCH_WAIT_MS = 320
 
-/** Nothing is saved while fetches wait, tokens on their way: a save can be made up for later. */
-const MOST_TOKENS_FOR_SAVE = 30_000
+/** Nothing is saved while fetches wait as long, milliseconds: a save can be made up for later. */
+const MOST_SAVE_WAIT_MS = 215
 
-export function mayFetch ({ tokensOnTheWay }: StoreLink): boolean {
-  return tokensOnTheWay <= MOST_TOKENS_ON_THE_WAY
+/**
+ * A transfer counts for as long at most, milliseconds: one that was begun when
+ * the link allowed it is over by then. Counted until its request's first event,
+ * requests that queue for an engine would keep the link looking busy, so that
+ * levels are read again and the engines' queues grow further.
+ */
+export const TRANSFER_COUNTED_MS = MOST_FETCH_WAIT_MS
+
+/** A transfer between failure domains takes the link for this many times as long. */
+const FAR_TIMES = 2
+
+/** Tokens of a transfer as the link feels them. */
+export function linkTokens (tokens: number, isFar: boolean): number {
+  return isFar ? FAR_TIMES * tokens : tokens
+}
+
+export function mayFetch ({ tokensOnTheWay, tokensPerMs }: StoreLink): boolean {
+  return tokensOnTheWay <= MOST_FETCH_WAIT_MS * tokensPerMs
 }
 
-export function maySave ({ tokensOnTheWay }: StoreLink): boolean {
-  return tokensOnTheWay <= MOST_TOKENS_FOR_SAVE
+export function maySave ({ tokensOnTheWay, tokensPerMs }: StoreLink): boolean {
+  return tokensOnTheWay <= MOST_SAVE_WAIT_MS * tokensPerMs
 }
--- /dev/null
+++ b/packages/foxtaillever-relay/src/__fixtures__/exchanges.ts
@@ -0,0 +1,28 @@
+/** Requests as the core handles them, without a wire. */
+import type { Exchange } from '../model/exchange.js'
+import { Repeatability } from '../model/routing.js'
+
+/** A request for an engine, read at the time. */
+export function exchangeAt (now: number, given: Partial<Exchange> = {}): Exchange {
+  return {
+    id: 'request',
+    method: 'POST',
+    path: '/',
+    host: 'host',
+    headers: [],
+    apiKey: undefined,
+    patienceMs: undefined,
+    prompt: { model: 'model', levels: [], promptTokens: 100, outputTokens: 10 },
+    resumeAfter: '',
+    route: {
+      name: 'route', host: 'host', pathPrefix: '/', targets: [], repeatability: Repeatability.Once, isStream: true, isResumable: false, hasPrompt: true, isPublic: false, timeoutMs: 5000, objectiveMs: 400, pauseObjectiveMs: 0, mostAttempts: 1, priority: 1
+    },
+    service: 'engines',
+    account: undefined,
+    body: Buffer.alloc(0),
+    arrivedAt: now,
+    callerDeadline: now + 5000,
+    deadline: now + 5000,
+    ...given
+  }
+}
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -69,7 +69,7 @@
   private constructor (route: Route) {
     const { clock } = this
     const limits = { headerBytes: 16_384, bodyBytes: 100_000, headerTimeoutMs: 5000, idleTimeoutMs: 5000 }
-    const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStore: undefined, accounts: [], limits }
+    const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], limits }
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
     const context: ExchangeContext = {
--- /dev/null
+++ b/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
@@ -0,0 +1,78 @@
+import { hashNumber } from 'foxtaillever-core'
+import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
+import { describe, it } from 'foxtaillever-testing'
+import { exchangeAt } from '../../__fixtures__/exchanges.js'
+import { FetchLoad } from '../../cache/fetchLoad.js'
+import { ServerState } from '../../model/listedServer.js'
+import type { CacheStore, Routing } from '../../model/routing.js'
+import type { SendTerms } from '../../model/wire.js'
+import { planTerms } from '../planTerms.js'
+
+const TOKEN_BYTES = 192_512
+const SUBJECTS = 300
+const OWN_TOKENS = 2890
+
+function storeIn (failureDomain: string): CacheStore {
+  const address = `store-${failureDomain}`
+  return { address, hash: hashNumber(address), failureDomain, cacheTokens: 1_800_000, linkBytesPerMs: 93_750_000 }
+}
+
+const routing: Routing = {
+  revision: 1,
+  routes: [],
+  services: new Map([['engines', { name: 'engines', healthPath: '', mostConnections: 1, engine: { slots: 32, cacheTokens: 71_780, tokenBytes: TOKEN_BYTES, mostEventCalls: 1 } }]]),
+  cacheStores: ['a', 'b', 'c'].map(storeIn),
+  accounts: [],
+  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+}
+
+/** One instance's view of the stores. */
+class Instance {
+  readonly savedLevels = SavedLevels.create()
+  readonly fetchLoad = FetchLoad.create(store => this.told.get(store) ?? 0)
+  readonly told = new Map<string, number>()
+
+  terms (subject: number, request: number, failureDomain = 'a', now = 0): SendTerms {
+    const listed = { id: 'e', service: 'engines', address: '127.0.0.1:1', failureDomain, slots: 32, state: ServerState.Ready, coldLeftMs: 0, weights: new Map<string, number>() }
+    const levels = [{ id: 'root', tokens: 2520 }, { id: `subject ${subject}`, tokens: 3780 }, { id: `own ${request}`, tokens: OWN_TOKENS }]
+    const exchange = exchangeAt(now, { prompt: { model: 'model', levels, promptTokens: 9190, outputTokens: 10 } })
+    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, now })
+  }
+}
+
+describe('terms of a request with a shared prompt', () => {
+  // With several stores an instance that looks in another than the one that got the level finds nothing there, and the
+  // caller waits for thousands of tokens that were read before.
+  it('name the same store at every instance, and all stores in turn', t => {
+    const [one, other] = [new Instance(), new Instance()]
+    const counts = new Map<string, number>()
+    for (let subject = 0; subject < SUBJECTS; subject++) {
+      const saved = one.terms(subject, 1)
+      t.not(saved.saveTo, '')
+      t.is(other.terms(subject, 2).fetchFrom, saved.saveTo)
+      counts.set(saved.saveTo, (counts.get(saved.saveTo) ?? 0) + 1)
+    }
+    t.true([...counts.values()].every(count => count > SUBJECTS / 4), `${[...counts]}`)
+  })
+
+  // One store's link is full. Its levels are read again; were the whole fleet to stop fetching, the engines would have
+  // to read what the other stores could bring at once.
+  it('leave out a store whose link is full, and no other', t => {
+    const instance = new Instance()
+    instance.told.set('store-b', 1_000_000)
+    const sources = Array.from({ length: SUBJECTS }, (_, subject) => instance.terms(subject, 1).fetchFrom)
+    t.deepEqual([...new Set(sources)].sort(), ['', 'store-a', 'store-c'])
+  })
+
+  // A transfer between failure domains takes twice the link. Counted as one it would let fetches pile up.
+  it('count a far transfer twice, and only levels that the store is known to have', t => {
+    const instance = new Instance()
+    const first = instance.terms(1, 1)
+    const home = first.saveTo.replace('store-', '')
+    t.is(first.fetchedTokens, 0)
+    t.is(first.unreadTokens, 9190)
+    const near = instance.terms(1, 2, home)
+    t.deepEqual([near.fetchedTokens, near.unreadTokens, near.saveTo], [3780, OWN_TOKENS, ''])
+    t.is(instance.terms(1, 3, home === 'a' ? 'b' : 'a').fetchedTokens, 2 * 3780)
+  })
+})
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -1,7 +1,8 @@
 /** What a try tells the server about cached levels, weights and time. */
 import { hashNumber } from 'foxtaillever-core'
 import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
-import { mayFetch, maySave } from 'foxtaillever-policy/relay/useCacheStore'
+import { homeOf } from 'foxtaillever-policy/relay/levelHome'
+import { linkTokens, mayFetch, maySave } from 'foxtaillever-policy/relay/useCacheStore'
 import type { FetchLoad } from '../cache/fetchLoad.js'
 import type { Exchange, Prompt } from '../model/exchange.js'
 import type { Routing } from '../model/routing.js'
@@ -48,6 +49,9 @@
   return hashNumber(`${prompt.model}/${wall}/${sharedLevelOf(prompt)}`)
 }
 
+/** Terms of a try that neither fetches nor saves. */
+const noCache = { fetchFrom: '', saveTo: '', fetchedTokens: 0, savedTokens: 0, savedLevel: undefined }
+
 export interface TermsSources {
   readonly routing: Routing
   readonly savedLevels: SavedLevels
@@ -56,30 +60,39 @@
   readonly now: number
 }
 
-export function planTerms (exchange: Exchange, server: KnownServer, resumeAfter: string, { routing, savedLevels, fetchLoad, now }: TermsSources): SendTerms {
+export function planTerms (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, resumeAfter: string, { routing, savedLevels, fetchLoad, now }: TermsSources): SendTerms {
   const { prompt, route, account, deadline } = exchange
   const priority = Math.min(LAST_PRIORITY, account?.priority ?? route.priority ?? MIDDLE_PRIORITY)
   const common = { server: server.listed, deadline, priority, resumeAfter }
   const weightsVersion = prompt && server.weights.get(prompt.model)
   if (prompt === undefined || weightsVersion === undefined) {
-    return { ...common, cacheSalt: '', weightsVersion: undefined, fetchFrom: '', saveTo: '', unreadTokens: prompt?.promptTokens ?? 0, fetchedTokens: 0, savedLevel: undefined }
+    return { ...common, ...noCache, cacheSalt: '', weightsVersion: undefined, unreadTokens: prompt?.promptTokens ?? 0 }
   }
-  const store = routing.cacheStore?.address ?? ''
   const cacheSalt = cacheSaltOf(exchange, weightsVersion)
-  const level = hashNumber(`${prompt.model}/${cacheSalt}/${sharedLevelOf(prompt)}`)
-  const demand = { tokensOnTheWay: fetchLoad.tokensFrom(store) }
-  const isFetched = store !== '' && mayFetch(demand)
+  const key = promptKeyOf(exchange)
+  const store = key === undefined ? undefined : homeOf(key, routing.cacheStores)
+  const tokenBytes = routing.services.get(exchange.service)?.engine?.tokenBytes
+  if (store === undefined || tokenBytes === undefined) {
+    return { ...common, ...noCache, cacheSalt, weightsVersion, unreadTokens: prompt.promptTokens }
+  }
+  const level = hashNumber(`${prompt.model}/${cacheSalt}/${sharedLevelOf(prompt)}@${store.address}`)
+  const isFar = store.failureDomain !== server.listed.failureDomain
+  const link = { tokensOnTheWay: fetchLoad.tokensAt(store.address, now), tokensPerMs: store.linkBytesPerMs / tokenBytes }
+  const isFetched = mayFetch(link)
   // What was saved is found at the server or fetched; what comes after it is read in any case.
   const isFound = isFetched && savedLevels.has(level, now)
-  const isSaved = store !== '' && maySave(demand) && savedLevels.take(level, now)
+  const isSaved = maySave(link) && savedLevels.take(level, now)
+  const ownTokens = ownTokensOf(prompt)
+  const sharedTokens = deepestSharedTokensOf(prompt)
   return {
     ...common,
     cacheSalt,
     weightsVersion,
-    fetchFrom: isFetched ? store : '',
-    saveTo: isSaved ? store : '',
-    unreadTokens: isFound ? ownTokensOf(prompt) : prompt.promptTokens,
-    fetchedTokens: isFound ? deepestSharedTokensOf(prompt) : 0,
+    fetchFrom: isFetched ? store.address : '',
+    saveTo: isSaved ? store.address : '',
+    unreadTokens: isFound ? ownTokens : prompt.promptTokens,
+    fetchedTokens: isFound ? linkTokens(sharedTokens, isFar) : 0,
+    savedTokens: isSaved ? linkTokens(sharedTokens + ownTokens, isFar) : 0,
     savedLevel: isSaved ? level : undefined
   }
 }
--- a/packages/foxtaillever-relay/src/cache/fetchLoad.ts
+++ b/packages/foxtaillever-relay/src/cache/fetchLoad.ts
@@ -1,32 +1,68 @@
 /**
- * Prompt tokens on their way from the store of cached levels: those that this
- * instance asked engines to fetch for requests without an answer yet, and those
- * that the others told. All engines share the store's one link, so the sum says
- * how long the next fetch waits.
+ * Prompt tokens on their way from and to the stores of cached levels: those of
+ * transfers that this instance asked engines for, and those that the others
+ * told. All engines share a store's one link, so the sum says how long the next
+ * transfer waits.
  */
+import { TRANSFER_COUNTED_MS } from 'foxtaillever-policy/relay/useCacheStore'
+import type { ServerUse } from '../peers/peerMessage.js'
+
+export interface Transfer {
+  /** Address of the store. */
+  readonly store: string
+  /** As the link of the store feels them. */
+  readonly tokens: number
+  /** Counted until then, milliseconds of Unix time. */
+  readonly until: number
+}
+
 export class FetchLoad {
-  private own = 0
+  /** The oldest first. */
+  private readonly transfers = new Set<Transfer>()
 
   private constructor (private readonly othersTokens: (store: string) => number) {}
 
-  /** @param othersTokens tokens that the other instances have on their way from the store at the address. */
+  /** @param othersTokens tokens that the other instances have on their way from and to the store at the address. */
   static create (othersTokens: (store: string) => number): FetchLoad {
     return new FetchLoad(othersTokens)
   }
 
-  get ownTokens (): number {
-    return this.own
+  /** What this instance tells the others. */
+  own (now: number): ServerUse[] {
+    this.expire(now)
+    const sums = new Map<string, number>()
+    this.transfers.forEach(({ store, tokens }) => sums.set(store, (sums.get(store) ?? 0) + tokens))
+    return [...sums].map(([server, tokens]) => ({ server, outstanding: 1, tokens }))
+  }
+
+  tokensAt (store: string, now: number): number {
+    this.expire(now)
+    let sum = this.othersTokens(store)
+    this.transfers.forEach(transfer => { sum += transfer.store === store ? transfer.tokens : 0 })
+    return sum
   }
 
-  tokensFrom (store: string): number {
-    return this.own + this.othersTokens(store)
+  begin (store: string, tokens: number, now: number): Transfer | undefined {
+    if (tokens <= 0) {
+      return undefined
+    }
+    const transfer = { store, tokens, until: now + TRANSFER_COUNTED_MS }
+    this.transfers.add(transfer)
+    return transfer
   }
 
-  begin (tokens: number): void {
-    this.own += tokens
+  end (transfer: Transfer | undefined): void {
+    if (transfer) {
+      this.transfers.delete(transfer)
+    }
   }
 
-  end (tokens: number): void {
-    this.own -= tokens
+  private expire (now: number): void {
+    for (const transfer of this.transfers) {
+      if (transfer.until > now) {
+        return
+      }
+      this.transfers.delete(transfer)
+    }
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -1,7 +1,7 @@
 /** A try on its way: the load that it puts on its backend server is counted until it is closed, once. */
 import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import type { Attempt } from '../attempts/attempt.js'
-import type { FetchLoad } from '../cache/fetchLoad.js'
+import type { FetchLoad, Transfer } from '../cache/fetchLoad.js'
 import type { SendTerms } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { SilenceWatch } from './silenceWatch.js'
@@ -23,7 +23,7 @@
   readonly beganAt: number
   /** Prompt tokens that the server has yet to read. */
   private unreadTokens: number
-  private fetchedTokens: number
+  private fetch: Transfer | undefined
 
   private constructor (private readonly options: OpenTryOptions) {
     const { attempt, server, terms, beganAt } = options
@@ -33,8 +33,7 @@
     this.unreadTokens = terms.unreadTokens
     server.outstanding += 1
     server.unreadTokens += this.unreadTokens
-    this.fetchedTokens = terms.fetchedTokens
-    options.fetchLoad.begin(this.fetchedTokens)
+    this.fetch = options.fetchLoad.begin(terms.fetchFrom, terms.fetchedTokens, beganAt)
   }
 
   static open (options: OpenTryOptions): OpenTry {
@@ -71,10 +70,11 @@
 
   /** An answer begins with this status; with it, the server has read the prompt. */
   observeStatus (status: number, now: number): void {
-    const { terms, savedLevels } = this.options
+    const { terms, savedLevels, fetchLoad } = this.options
     this.release()
     if (terms.savedLevel !== undefined && status < 300) {
       savedLevels.confirm(terms.savedLevel, now)
+      fetchLoad.begin(terms.saveTo, terms.savedTokens, now)
     }
   }
 
@@ -93,7 +93,7 @@
   private release (): void {
     this.server.unreadTokens -= this.unreadTokens
     this.unreadTokens = 0
-    this.options.fetchLoad.end(this.fetchedTokens)
-    this.fetchedTokens = 0
+    this.options.fetchLoad.end(this.fetch)
+    this.fetch = undefined
   }
 }
--- a/packages/foxtaillever-relay/src/model/routing.ts
+++ b/packages/foxtaillever-relay/src/model/routing.ts
@@ -50,6 +50,8 @@
   readonly slots: number
   /** Room for running requests and cached levels together, tokens. */
   readonly cacheTokens: number
+  /** Memory of one cached token. */
+  readonly tokenBytes: number
   /** Calls for cache events that one engine holds at once. */
   readonly mostEventCalls: number
 }
@@ -67,8 +69,12 @@
 export interface CacheStore {
   /** IP number and port. */
   readonly address: string
+  /** Of its address; names the levels that are at home there. */
+  readonly hash: number
   readonly failureDomain: string
   readonly cacheTokens: number
+  /** What its link moves within its failure domain, bytes a millisecond. */
+  readonly linkBytesPerMs: number
 }
 
 export interface RelayAccount {
@@ -94,7 +100,8 @@
   readonly revision: number
   readonly routes: readonly Route[]
   readonly services: ReadonlyMap<string, Service>
-  readonly cacheStore: CacheStore | undefined
+  /** Each level is at home at one of them. */
+  readonly cacheStores: readonly CacheStore[]
   readonly accounts: readonly RelayAccount[]
   readonly limits: CallerLimits
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -76,7 +76,7 @@
     this.lease = this.createLease()
     this.weights = this.createWeightsDesk()
     this.choice = ServerChoice.create({
-      clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
+      clock, random, failureDomain, directory: this.directory, stores: () => this.table?.routing.cacheStores ?? [], use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
     })
     this.runs = ExchangeRuns.create({
       clock,
@@ -254,9 +254,9 @@
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.lease.news(),
-      uses: ownUses(this.directory.all(), this.table?.routing.cacheStore?.address, this.caches.fetchLoad),
+      uses: ownUses(this.directory.all(), this.caches.fetchLoad.own(this.options.clock.now())),
       suspects: this.suspects.toTell(this.options.clock.now()),
-      savedLevels: this.caches.savedLevels.news(this.options.clock.now()),
+      savedLevels: this.caches.savedLevels.tell(),
       named: this.weights.ages()
     }
   }
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
@@ -1,8 +1,7 @@
 import { SeededRandom } from 'foxtaillever-core'
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
-import type { Exchange } from '../../model/exchange.js'
+import { exchangeAt } from '../../__fixtures__/exchanges.js'
 import { ServerState } from '../../model/listedServer.js'
-import { Repeatability } from '../../model/routing.js'
 import { FleetUse } from '../../peers/fleetUse.js'
 import { ServerChoice } from '../serverChoice.js'
 import { ServerDirectory } from '../serverDirectory.js'
@@ -10,29 +9,6 @@
 const BOUND_MS = 8000
 const SLOTS = 48
 
-function exchangeAt (now: number): Exchange {
-  return {
-    id: 'request',
-    method: 'POST',
-    path: '/',
-    host: 'host',
-    headers: [],
-    apiKey: undefined,
-    patienceMs: undefined,
-    prompt: { model: 'model', levels: [], promptTokens: 100, outputTokens: 10 },
-    resumeAfter: '',
-    route: {
-      name: 'route', host: 'host', pathPrefix: '/', targets: [], repeatability: Repeatability.Once, isStream: true, isResumable: false, hasPrompt: true, isPublic: false, timeoutMs: 5000, objectiveMs: 400, pauseObjectiveMs: 0, mostAttempts: 1, priority: 1
-    },
-    service: 'engines',
-    account: undefined,
-    body: Buffer.alloc(0),
-    arrivedAt: now,
-    callerDeadline: now + 5000,
-    deadline: now + 5000
-  }
-}
-
 /** Whether the only engine is chosen, so much running there and so long after newer weights were named. */
 function isChosen (outstanding: number, outdatedMs: number): boolean {
   const clock = VirtualClock.create()
@@ -43,7 +19,7 @@
     engine.outstanding = outstanding
   }
   const weights = { outdatedSince: () => clock.now() - outdatedMs }
-  const choice = ServerChoice.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, use: FleetUse.create(), weights, weightsBoundMs: BOUND_MS })
+  const choice = ServerChoice.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, stores: () => [], use: FleetUse.create(), weights, weightsBoundMs: BOUND_MS })
   return choice.place(exchangeAt(clock.now()), new Set()) !== undefined
 }
 
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -1,9 +1,11 @@
 /** Gives the decision on placement what this instance knows, and takes its answer. */
 import { hashNumber, type Clock, type Random } from 'foxtaillever-core'
 import { gatherLongRuns, isLongRun } from 'foxtaillever-policy/relay/gatherLongRuns'
+import { homeDomains } from 'foxtaillever-policy/relay/levelHome'
 import { placeExchange, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
 import { promptKeyOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
+import type { CacheStore } from '../model/routing.js'
 import type { FleetUse } from '../peers/fleetUse.js'
 import type { WeightsDesk } from '../weights/weightsDesk.js'
 import type { KnownServer } from './knownServer.js'
@@ -28,6 +30,8 @@
   readonly random: Random
   readonly failureDomain: string
   readonly directory: ServerDirectory
+  /** Stores of cached prompt levels. */
+  readonly stores: () => readonly CacheStore[]
   readonly use: FleetUse
   readonly weights: Pick<WeightsDesk, 'outdatedSince'>
   /** After new weights were named no request may begin on older ones, milliseconds. */
@@ -50,11 +54,20 @@
     const offers = ready
       .filter(server => !failed.has(server.listed.id) && this.hasFitWeights(server, exchange))
       .map(server => this.toOffer(server, exchange, gathering))
-    const need = { promptKey: promptKeyOf(exchange), promptTokens: exchange.prompt?.promptTokens ?? 0, isLong, failureDomain }
+    const promptKey = promptKeyOf(exchange)
+    const need = { promptKey, homeDomains: this.homeDomains(promptKey, ready), promptTokens: exchange.prompt?.promptTokens ?? 0, isLong, failureDomain }
     const chosen = placeExchange(offers, need, random)
     return chosen && directory.get(chosen.id)
   }
 
+  /** Near the store that keeps the prompt's shared levels. */
+  private homeDomains (promptKey: number | undefined, servers: readonly KnownServer[]): ReadonlySet<string> | undefined {
+    if (promptKey === undefined) {
+      return undefined
+    }
+    return homeDomains(promptKey, this.options.stores(), servers.map(({ listed }) => ({ hash: 0, failureDomain: listed.failureDomain })))
+  }
+
   /** Whether the request may begin there: the model is loaded, and its weights are not older than is allowed. */
   private hasFitWeights (server: KnownServer, { prompt }: Exchange): boolean {
     if (!prompt) {
