--- a/packages/foxtaillever-policy/src/relay/__fixtures__/engineFleet.ts
+++ b/packages/foxtaillever-policy/src/relay/__fixtures__/engineFleet.ts
@@ -134,7 +134,7 @@
   }
 
   private place (instance: number, key: number, promptTokens: number): number {
-    const need = { promptKey: key, promptTokens, outputTokens: 0, fetchedTokens: Math.max(0, this.linkFreeAt - this.now) * this.shape.linkRate, isLong: false, failureDomain: `${instance % 3}` }
+    const need = { promptKey: key, promptTokens, outputTokens: 0, fetchWaitMs: Math.max(0, this.linkFreeAt - this.now), isLong: false, failureDomain: `${instance % 3}` }
     const rank = (): readonly ServerOffer[] => rankOffers(this.engines.map((_, index) => this.offerOf(index, instance)), need, this.random)
     if (this.shape.knowledge === Knowledge.Asked) {
       rank().slice(0, 2).filter(() => this.random.next() >= this.shape.loss * 2).forEach(({ id }) => this.ask(instance, Number(id)))
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -8,7 +8,7 @@
  * there. Everything is one cost in milliseconds until the first token.
  */
 import type { Random } from 'foxtaillever-core'
-import { mixHashes } from '../placement/rendezvous.js'
+import { homeOf } from './levelHome.js'
 
 /** A server as one decision sees it. */
 export interface ServerOffer {
@@ -41,11 +41,13 @@
 export interface PlacementNeed {
   /** Hash of the levels that requests share; undefined without a prompt. */
   readonly promptKey: number | undefined
+  /** Failure domains whose servers may be its home; undefined for all. */
+  readonly homeDomains?: ReadonlySet<string> | undefined
   readonly promptTokens: number
   /** At most. */
   readonly outputTokens: number
-  /** Prompt tokens on their way from the store of cached levels, which others wait for. */
-  readonly fetchedTokens: number
+  /** How long a fetch waits for the link of the level's store, milliseconds. */
+  readonly fetchWaitMs: number
   /** Its output may be long. */
   readonly isLong: boolean
   /** Where this instance is. */
@@ -68,9 +70,6 @@
  */
 const SECOND_HOME_MS = 10
 
-/** The store's one link, tokens a millisecond: 234 within a failure domain at 360 Gbit/s, half of it between two. */
-const FETCHED_TOKENS_PER_MS = 140
-
 /** Part of the requests that find their level at its home, and need not wait for the link there. */
 const FOUND_AT_HOME = 0.5
 
@@ -118,8 +117,8 @@
 }
 
 /** How much longer a request waits elsewhere than at its first home because fetches wait for each other, milliseconds. */
-function linkMs ({ fetchedTokens }: PlacementNeed, home: Home): number {
-  return home === Home.First ? 0 : Math.min(MOST_LINK_MS, fetchedTokens / FETCHED_TOKENS_PER_MS * FOUND_AT_HOME)
+function linkMs ({ fetchWaitMs }: PlacementNeed, home: Home): number {
+  return home === Home.First ? 0 : Math.min(MOST_LINK_MS, fetchWaitMs * FOUND_AT_HOME)
 }
 
 /** Expected cost, milliseconds until the first token. */
@@ -139,15 +138,21 @@
     Math.min(offer.coldLeftMs, PLAIN_WORK_MS)
 }
 
-/** The two servers with the highest scores for the key. */
-function homesOf (key: number, offers: readonly ServerOffer[]): ReadonlyMap<string, Home> {
-  const scores = offers.map(({ id, hash }) => ({ id, score: mixHashes(key, hash) })).sort((one, other) => other.score - one.score)
-  return new Map(scores.slice(0, Home.None).map(({ id }, home) => [id, home]))
+/** The two offers with the highest scores for the key; those of other failure domains only where there are none in its own. */
+function homesOf (offers: readonly ServerOffer[], { promptKey, homeDomains }: PlacementNeed): ReadonlyMap<string, Home> {
+  if (promptKey === undefined) {
+    return new Map()
+  }
+  const near = homeDomains ? offers.filter(({ failureDomain }) => homeDomains.has(failureDomain)) : offers
+  const first = homeOf(promptKey, near.length > 0 ? near : offers)
+  const others = offers.filter(offer => offer !== first)
+  const second = homeOf(promptKey, near.length > 1 ? others.filter(offer => near.includes(offer)) : others)
+  return new Map([first, second].flatMap((offer, home) => offer ? [[offer.id, home]] : []))
 }
 
 /** All offers, the cheapest first; equals in random order, so that instances do not all take the same. */
 export function rankOffers (offers: readonly ServerOffer[], need: PlacementNeed, random: Random): readonly ServerOffer[] {
-  const homes = need.promptKey === undefined ? new Map<string, Home>() : homesOf(need.promptKey, offers)
+  const homes = homesOf(offers, need)
   return offers
     // Less than a millisecond tells nothing.
     .map(offer => ({ offer, cost: costOf(offer, need, homes.get(offer.id) ?? Home.None) + random.next() }))
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -3,6 +3,7 @@
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { createCacheUse } from './cache/cacheUse.js'
+import { fetchWaitMs } from './cache/fetchWait.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
@@ -14,7 +15,7 @@
 import type { Exchange } from './model/exchange.js'
 import type { Routing } from './model/routing.js'
 import { answerLeaseCall } from './peers/leaseCalls.js'
-import { ownStoreUses, ownUses } from './peers/ownUses.js'
+import { ownUses } from './peers/ownUses.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
 import { ToldTopic } from './peers/toldTopic.js'
@@ -80,7 +81,8 @@
       use: this.peers.use,
       weights: this.office.desk,
       weightsBoundMs: options.weightsBoundMs,
-      fetchedTokens: () => this.caches.fetchLoad.tokensFrom(this.table?.routing.cacheStore?.address ?? '')
+      stores: () => this.table?.routing.cacheStores ?? [],
+      fetchWaitMs: (key, service) => fetchWaitMs(this.routing(), this.caches.fetchLoad, { key, service, now: clock.now() })
     })
     this.runs = ExchangeRuns.create({
       clock,
@@ -249,10 +251,10 @@
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.office.lease.news(),
-      uses: [...this.peers.isLarge ? [] : ownUses(this.directory.all()), ...ownStoreUses(this.table?.routing.cacheStore?.address, this.caches.fetchLoad)],
+      uses: [...this.peers.isLarge ? [] : ownUses(this.directory.all()), ...this.caches.fetchLoad.own(this.options.clock.now())],
       sums: this.peers.isLarge ? this.peers.loads.sums(this.directory.all().map(({ listed }) => listed.id)) : [],
       suspects: this.suspects.toTell(this.options.clock.now()),
-      savedLevels: this.caches.savedLevels.news(this.options.clock.now()),
+      savedLevels: this.caches.savedLevels.tell(),
       named: this.office.desk.ages(),
       current: this.office.desk.current()
     }
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -2,8 +2,10 @@
 import { hashNumber, type Clock, type Random } from 'foxtaillever-core'
 import { gatherLongRuns, isLongRun } from 'foxtaillever-policy/relay/gatherLongRuns'
 import { rankOffers, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
+import { homeDomains } from 'foxtaillever-policy/relay/levelHome'
 import { promptKeyOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
+import type { CacheStore } from '../model/routing.js'
 import type { FleetUse } from '../peers/fleetUse.js'
 import type { WeightsDesk } from '../weights/weightsDesk.js'
 import type { KnownServer } from './knownServer.js'
@@ -42,9 +44,11 @@
   readonly random: Random
   readonly failureDomain: string
   readonly directory: ServerDirectory
+  /** Stores of cached prompt levels. */
+  readonly stores: () => readonly CacheStore[]
   readonly use: FleetUse
-  /** Prompt tokens on their way from the store of cached levels. */
-  readonly fetchedTokens: () => number
+  /** How long a fetch of levels with the key waits for their store's link, milliseconds. */
+  readonly fetchWaitMs: (promptKey: number, service: string) => number
   readonly weights: Pick<WeightsDesk, 'outdatedSince'>
   /** After new weights were named no request may begin on older ones, milliseconds. */
   readonly weightsBoundMs: number
@@ -69,14 +73,23 @@
   }
 
   private rank (exchange: Exchange, { failed, wasMisdirected }: EarlierTries): readonly ServerOffer[] {
-    const { directory, random, failureDomain, fetchedTokens } = this.options
+    const { directory, random, failureDomain, fetchWaitMs } = this.options
     const ready = directory.ready(exchange.service)
     const isLong = isLongRun(exchange.prompt?.outputTokens ?? 0)
     const gathering = isLong ? this.gather(ready, exchange) : nobody
     const fit = ready.filter(server => !failed.has(server.listed.id) && this.hasFitWeights(server, exchange))
     const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, gathering))
     const { promptTokens, outputTokens } = exchange.prompt ?? { promptTokens: 0, outputTokens: 0 }
-    const need = { promptKey: promptKeyOf(exchange), promptTokens, outputTokens, fetchedTokens: fetchedTokens(), isLong, failureDomain }
+    const promptKey = promptKeyOf(exchange)
+    const need = {
+      promptKey,
+      homeDomains: this.homeDomains(promptKey, ready),
+      promptTokens,
+      outputTokens,
+      fetchWaitMs: promptKey === undefined ? 0 : fetchWaitMs(promptKey, exchange.service),
+      isLong,
+      failureDomain
+    }
     return rankOffers(offers, need, random)
   }
 
@@ -89,6 +102,14 @@
     return current.length > 0 ? current : servers
   }
 
+  /** Near the store that keeps the prompt's shared levels. */
+  private homeDomains (promptKey: number | undefined, servers: readonly KnownServer[]): ReadonlySet<string> | undefined {
+    if (promptKey === undefined) {
+      return undefined
+    }
+    return homeDomains(promptKey, this.options.stores(), servers.map(({ listed }) => ({ hash: 0, failureDomain: listed.failureDomain })))
+  }
+
   /** Whether the request may begin there: the model is loaded, and its weights are not older than is allowed. */
   private hasFitWeights (server: KnownServer, { prompt }: Exchange): boolean {
     if (!prompt) {
