--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -63,13 +63,6 @@
 /** Getting the shared levels of a prompt from elsewhere, milliseconds: 1.2 GB at 360 Gbit/s. */
 const FETCH_MS = 27
 
-/**
- * An engine that dropped what it read for a level it lacks reads it again for
- * the next request; where a level spills over, it spills to one engine first,
- * milliseconds cheaper than elsewhere.
- */
-const SECOND_HOME_MS = 10
-
 /** Part of the requests that find their level at its home, and need not wait for the link there. */
 const FOUND_AT_HOME = 0.5
 
@@ -97,37 +90,24 @@
 /** A long run among short ones hinders the next change of weights; an engine that gathers them may hold 50 more requests than another, milliseconds. */
 const ASTRAY_MS = 100
 
-/** Order of an offer among the homes of a level. */
-enum Home {
-  First,
-  Second,
-  None
-}
-
-const fetchMsAt: Readonly<Record<Home, number>> = {
-  [Home.First]: 0,
-  [Home.Second]: FETCH_MS - SECOND_HOME_MS,
-  [Home.None]: FETCH_MS
-}
-
 /** How long a request waits for others to leave the memory, milliseconds; an engine that preempts them instead reads them twice. */
 function memoryMs ({ heldTokens, memoryTokens }: ServerOffer, { promptTokens, outputTokens }: PlacementNeed): number {
   const over = heldTokens + promptTokens + outputTokens - memoryTokens
   return memoryTokens === 0 ? 0 : Math.max(0, over) / FREED_TOKENS_PER_MS
 }
 
-/** How much longer a request waits elsewhere than at its first home because fetches wait for each other, milliseconds. */
-function linkMs ({ fetchWaitMs }: PlacementNeed, home: Home): number {
-  return home === Home.First ? 0 : Math.min(MOST_LINK_MS, fetchWaitMs * FOUND_AT_HOME)
+/** How much longer a request waits elsewhere than at its home because fetches wait for each other, milliseconds. */
+function linkMs ({ fetchWaitMs }: PlacementNeed, isHome: boolean): number {
+  return isHome ? 0 : Math.min(MOST_LINK_MS, fetchWaitMs * FOUND_AT_HOME)
 }
 
 /** Expected cost, milliseconds until the first token. */
-function costOf (offer: ServerOffer, need: PlacementNeed, home: Home): number {
+function costOf (offer: ServerOffer, need: PlacementNeed, isHome: boolean): number {
   const { outstanding, slots, waitingTokens } = offer
   const over = Math.max(0, outstanding + 1 - slots)
   const work = need.promptKey === undefined
     ? over * PLAIN_WORK_MS + outstanding / Math.max(1, slots) * PLAIN_WORK_MS
-    : waitingTokens / PREFILL_TOKENS_PER_MS + outstanding * REQUEST_MS + memoryMs(offer, need) + fetchMsAt[home] + linkMs(need, home)
+    : waitingTokens / PREFILL_TOKENS_PER_MS + outstanding * REQUEST_MS + memoryMs(offer, need) + (isHome ? 0 : FETCH_MS) + linkMs(need, isHome)
   return work +
     (offer.failureDomain === need.failureDomain ? 0 : DOMAIN_MS) +
     offer.faultCostMs +
@@ -138,24 +118,21 @@
     Math.min(offer.coldLeftMs, PLAIN_WORK_MS)
 }
 
-/** The two offers with the highest scores for the key; those of other failure domains only where there are none in its own. */
-function homesOf (offers: readonly ServerOffer[], { promptKey, homeDomains }: PlacementNeed): ReadonlyMap<string, Home> {
+/** The home among the offers; those of another failure domain only where there is none in its own. */
+function homeAmong (offers: readonly ServerOffer[], { promptKey, homeDomains }: PlacementNeed): ServerOffer | undefined {
   if (promptKey === undefined) {
-    return new Map()
+    return undefined
   }
   const near = homeDomains ? offers.filter(({ failureDomain }) => homeDomains.has(failureDomain)) : offers
-  const first = homeOf(promptKey, near.length > 0 ? near : offers)
-  const others = offers.filter(offer => offer !== first)
-  const second = homeOf(promptKey, near.length > 1 ? others.filter(offer => near.includes(offer)) : others)
-  return new Map([first, second].flatMap((offer, home) => offer ? [[offer.id, home]] : []))
+  return homeOf(promptKey, near.length > 0 ? near : offers)
 }
 
 /** All offers, the cheapest first; equals in random order, so that instances do not all take the same. */
 export function rankOffers (offers: readonly ServerOffer[], need: PlacementNeed, random: Random): readonly ServerOffer[] {
-  const homes = homesOf(offers, need)
+  const home = homeAmong(offers, need)
   return offers
     // Less than a millisecond tells nothing.
-    .map(offer => ({ offer, cost: costOf(offer, need, homes.get(offer.id) ?? Home.None) + random.next() }))
+    .map(offer => ({ offer, cost: costOf(offer, need, offer === home) + random.next() }))
     .sort((one, other) => one.cost - other.cost)
     .map(({ offer }) => offer)
 }
