--- a/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
@@ -32,9 +32,11 @@
     this.talkers = addresses.map(address => this.createTalker(address, addresses.filter(other => other !== address)))
   }
 
-  static create (size: number): TalkFleet {
+  /** Has run for long enough that all of them answer. */
+  static async start (size: number): Promise<TalkFleet> {
     const fleet = new TalkFleet(size)
     fleet.talkers.forEach(({ talk }) => talk.follow())
+    await fleet.pass(1100)
     return fleet
   }
 
--- a/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
@@ -38,7 +38,7 @@
 describe('load in a large fleet', () => {
   // Eighty instances send to a home that each of them believes idle, and their callers wait in one queue.
   it('is known to one who asks as soon as another has put it there, without the part of the asker', async t => {
-    const fleet = TalkFleet.create(80)
+    const fleet = await TalkFleet.start(80)
     const [, , one, other] = cast(fleet)
     fleet.put(one, SERVER, 5)
     fleet.put(other, SERVER, 2)
@@ -52,7 +52,7 @@
 
   // The instance that keeps an engine's sum dies. Nobody may wait for it for long, and its successor must not take the engine for idle.
   it('survives the loss of who knows it', async t => {
-    const fleet = TalkFleet.create(80)
+    const fleet = await TalkFleet.start(80)
     const [first, , one, other] = cast(fleet)
     fleet.put(one, SERVER, 5)
     await fleet.pass(30)
@@ -67,9 +67,28 @@
     fleet.stop()
   })
 
+  // A watcher stood still and wakes. What it was told meanwhile is lost, and a full engine looks idle to it.
+  it('is not told by one that stood still until it has heard everything again', async t => {
+    const fleet = await TalkFleet.start(80)
+    const [first, , one, other] = cast(fleet)
+    first.talk.stop()
+    first.isCut = true
+    await fleet.pass(2000)
+    fleet.put(one, SERVER, 5)
+    await fleet.pass(30)
+    first.isCut = false
+    first.talk.follow()
+    await fleet.ask(other, SERVER)
+    await fleet.ask(other, SERVER)
+    t.is(await fleet.ask(other, SERVER), 5)
+    await fleet.pass(3100)
+    t.is(await fleet.ask(other, SERVER), 5)
+    fleet.stop()
+  })
+
   // A process that was killed tells nobody that its requests are gone; engines would look busy for good.
   it('forgets what an instance that has gone put there', async t => {
-    const fleet = TalkFleet.create(80)
+    const fleet = await TalkFleet.start(80)
     const [, , one, other] = cast(fleet)
     fleet.put(one, SERVER, 5)
     await fleet.pass(30)
@@ -82,7 +101,7 @@
   for (const size of [81, 380]) {
     // Links of 7 Mbit/s carry answers; what grew with the fleet would crowd them out.
     it(`costs an instance of ${size} its part of the budget for control at the most, beats included`, async t => {
-      const fleet = TalkFleet.create(size)
+      const fleet = await TalkFleet.start(size)
       const random = SeededRandom.create(1)
       for (let request = 0; request < REQUESTS * SECONDS; request += 1) {
         await play(fleet, random, size)
--- a/packages/foxtaillever-relay/src/peers/loadTalk.ts
+++ b/packages/foxtaillever-relay/src/peers/loadTalk.ts
@@ -29,6 +29,9 @@
 /** For so long, milliseconds, as a process takes to restart; then one question finds out whether it is back. */
 const PASSED_OVER_MS = 3000
 
+/** A look that late means that this instance stood still, or has just begun; words went by unheard, milliseconds. */
+const MISSED_LOOKS_MS = 500
+
 interface Silence {
   readonly unanswered: number
   readonly until: number
@@ -63,6 +66,9 @@
   private readonly names = new Map<number, string>()
   private readonly hashes = new Map<string, number>()
   private number = 0
+  private lookedAt = 0
+  /** By then everybody has told everything again, milliseconds of Unix time. */
+  private isWholeAt = Infinity
   private cancelLook: Cancellation = () => {}
 
   private constructor (private readonly options: LoadTalkOptions) {}
@@ -137,11 +143,19 @@
   }
 
   private isPassedOver (address: string): boolean {
+    const now = this.options.clock.now()
+    if (address === this.options.address) {
+      return now < this.isWholeAt
+    }
     const { unanswered, until } = this.silences.get(address) ?? { unanswered: 0, until: 0 }
-    return unanswered >= MOST_UNANSWERED && this.options.clock.now() < until
+    return unanswered >= MOST_UNANSWERED && now < until
   }
 
+  /** One that missed words says nothing rather than too little; the other watcher is asked in its place. */
   private answer ({ address: asker, number, servers }: LoadQuestion, now: number): void {
+    if (now < this.isWholeAt) {
+      return
+    }
     const loads = servers.map(server => ({ server, ...this.watch.sumOf(server, asker, now) }))
     this.options.send(asker, { kind: LoadMessageKind.Answer, address: this.options.address, number, loads })
   }
@@ -158,7 +172,12 @@
 
   private look (): void {
     const { clock } = this.options
-    this.tell(clock.now())
+    const now = clock.now()
+    if (now > this.lookedAt + MISSED_LOOKS_MS) {
+      this.isWholeAt = now + TELL_AGAIN_MS + LOOK_MS
+    }
+    this.lookedAt = now
+    this.tell(now)
     this.cancelLook = clock.at(clock.now() + LOOK_MS, () => this.look())
   }
 
