--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -7,7 +7,7 @@
 import { PeerLink, type PeerLinkOptions, type ToldRecords } from './peerLink.js'
 import { FleetUse } from './fleetUse.js'
 import { LoadTalk } from './loadTalk.js'
-import type { PeerMessage, ServerUse, WeightsNews } from './peerMessage.js'
+import type { LeaseNews, PeerMessage, ServerUse, WeightsNews } from './peerMessage.js'
 import { PeerTable } from './peerTable.js'
 import type { ReadNotice } from './readNotice.js'
 import { Rounds } from './rounds.js'
@@ -61,12 +61,13 @@
   readonly host: string
   readonly port: number
   readonly word: () => OwnWord
+  readonly lease: () => LeaseNews | undefined
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   readonly onMessage: (message: PeerMessage) => void
   /** Load that this instance puts on each server now. */
   readonly ownUses: () => readonly ServerUse[]
   readonly onNotice: (notice: ReadNotice) => void
-  readonly onWeights: (news: readonly WeightsNews[]) => void
+  readonly onWeights: PeerLinkOptions['onWeights']
   readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
 }
 
@@ -146,11 +147,12 @@
     this.link.send(this.receivers(), this.message())
   }
 
-  /** Tells everyone now which engines are about to change or have changed. */
+  /** Tells everyone now which engines are about to change or have changed, and of the lease. */
   tellWeights (news: readonly WeightsNews[]): void {
     const receivers = this.receivers()
-    for (let from = 0; from < news.length; from += MOST_IN_NOTICE) {
-      this.link.tellWeights(receivers, news.slice(from, from + MOST_IN_NOTICE))
+    const lease = this.options.lease()
+    for (let from = 0; from === 0 || from < news.length; from += MOST_IN_NOTICE) {
+      this.link.tellWeights(receivers, { lease, news: news.slice(from, from + MOST_IN_NOTICE) })
     }
   }
 
