Compose what carries exchanges apart from the instance of the relay

Cause: directory, choice of server, retry share, cache use and runs were wired in Relay only, together with peers, knowledge and weights, so nothing else could use the core. No behaviour changes.

Ruled out: giving the desk the peers or the weights desk itself; it takes only the load of others and the age of weights.

--- /dev/null
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -0,0 +1,80 @@
+/**
+ * What carries exchanges from callers to backend servers: the servers, the
+ * choice among them, the tries with their budget, and the runs. It knows neither
+ * where servers and routes are learned from nor what other instances tell; both
+ * come in by the options.
+ */
+import type { Clock, Random } from 'foxtaillever-core'
+import { RetryShare, type RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
+import { createCacheUse, type CacheUse } from '../cache/cacheUse.js'
+import type { ListedServer } from '../model/listedServer.js'
+import type { Routing } from '../model/routing.js'
+import type { ServerWire } from '../model/wire.js'
+import { ServerChoice, type ServerChoiceOptions } from '../servers/serverChoice.js'
+import { ServerDirectory } from '../servers/serverDirectory.js'
+import type { RelayLog } from '../telemetry/relayLog.js'
+import type { ExchangeContext } from './exchangeContext.js'
+import { ExchangeRuns } from './exchangeRuns.js'
+
+export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'suspects' | 'onMisdirected'> {
+  readonly clock: Clock
+  readonly random: Random
+  readonly wire: ServerWire
+  readonly log: RelayLog
+  readonly retryAllowance: RetryAllowance
+  /** The configuration in force; undefined until one is known. */
+  readonly routing: () => Routing | undefined
+  /** The state of a server has changed, or it is new. */
+  readonly onServerChanged: (server: ListedServer) => void
+}
+
+export class ExchangeDesk {
+  readonly directory: ServerDirectory
+  readonly retries: RetryShare
+  readonly caches: CacheUse
+  readonly runs: ExchangeRuns
+
+  private constructor (options: ExchangeDeskOptions) {
+    const { clock, random, wire, log, suspects, use, onMisdirected } = options
+    this.retries = RetryShare.create(options.retryAllowance)
+    this.caches = createCacheUse(store => use.of(store).tokens)
+    this.directory = ServerDirectory.create({
+      onChanged: (server, before) => {
+        const { id, service, state } = server
+        log.belief('A backend server changed its state.', { server: id, service, state, before })
+        options.onServerChanged(server)
+      }
+    })
+    const choice = ServerChoice.create({ ...options, directory: this.directory })
+    this.runs = ExchangeRuns.create({
+      clock,
+      random,
+      wire,
+      directory: this.directory,
+      retries: this.retries,
+      ...this.caches,
+      suspects,
+      log,
+      routing: () => knownRouting(options.routing()),
+      place: (exchange, failed) => choice.place(exchange, failed),
+      onMisdirected
+    })
+  }
+
+  static create (options: ExchangeDeskOptions): ExchangeDesk {
+    return new ExchangeDesk(options)
+  }
+
+  /** Instances that share the servers' connections and the retry budget. */
+  observeInstances (count: number): void {
+    this.retries.observeInstances(count)
+    this.directory.observeInstances(count)
+  }
+}
+
+function knownRouting (routing: Routing | undefined): Routing {
+  if (!routing) {
+    throw new Error('An exchange began without a configuration.')
+  }
+  return routing
+}
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,12 +1,10 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
 import { randomUUID } from 'node:crypto'
 import { waitUntil } from 'foxtaillever-core'
-import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
-import { createCacheUse } from './cache/cacheUse.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
-import { ExchangeRuns } from './exchange/exchangeRuns.js'
+import { ExchangeDesk } from './exchange/exchangeDesk.js'
 import { Knowledge } from './knowledge/knowledge.js'
 import { enterMemberBook } from './knowledge/memberBook.js'
 import { RecordIntake } from './knowledge/recordIntake.js'
@@ -18,8 +16,6 @@
 import { ToldTopic } from './peers/toldTopic.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
-import { ServerChoice } from './servers/serverChoice.js'
-import { ServerDirectory } from './servers/serverDirectory.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
@@ -41,9 +37,7 @@
   private readonly log: RelayLog
   private readonly state: RelayState
   private readonly figures: MetricsServer
-  private readonly directory: ServerDirectory
-  private readonly retries: RetryShare
-  private readonly caches = createCacheUse(store => this.peers.use.of(store).tokens)
+  private readonly desk: ExchangeDesk
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: ReadinessServer
@@ -51,23 +45,15 @@
   private readonly peers: Peers
   private readonly lease: OrderLease
   private readonly weights: WeightsDesk
-  private readonly choice: ServerChoice
-  private readonly runs: ExchangeRuns
   private table: RouteTable | undefined
   private isLeaving = false
   private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
-    const { clock, random, logs, callerWire, serverWire, retryAllowance, failureDomain } = options
+    const { clock, random, logs, callerWire } = options
     this.log = RelayLog.create(logs, service => this.state.brief(service))
     this.graceMs = options.graceMs
-    this.retries = RetryShare.create(retryAllowance)
-    this.directory = ServerDirectory.create({
-      onChanged: ({ id, state, service }, before) => {
-        this.log.belief('A backend server changed its state.', { server: id, service, state, before })
-        this.weights.run()
-      }
-    })
+    this.desk = this.createDesk()
     this.state = this.createState()
     this.state.addTo(this.log.metrics)
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
@@ -75,29 +61,13 @@
     this.knowledge = this.createKnowledge()
     this.lease = this.createLease()
     this.weights = this.createWeightsDesk()
-    this.choice = ServerChoice.create({
-      clock, random, failureDomain, directory: this.directory, use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
-    })
-    this.runs = ExchangeRuns.create({
-      clock,
-      random,
-      wire: serverWire,
-      directory: this.directory,
-      retries: this.retries,
-      ...this.caches,
-      suspects: this.suspects,
-      log: this.log,
-      routing: () => this.routing(),
-      place: (exchange, failed) => this.choice.place(exchange, failed),
-      onMisdirected: () => { this.weights.run() }
-    })
     this.callers = CallerServer.create({
       clock,
       random,
       wire: callerWire,
       log: this.log,
       table: () => this.table,
-      onExchange: (exchange, answer) => this.runs.start(exchange, answer)
+      onExchange: (exchange, answer) => this.desk.runs.start(exchange, answer)
     })
     this.readiness = ReadinessServer.create(() => this.isReady())
   }
@@ -124,7 +94,7 @@
   /** Takes over settings that were changed while it runs. */
   apply ({ seeds, retryAllowance, graceMs }: RunningSettings): void {
     this.graceMs = graceMs
-    this.retries.setAllowance(retryAllowance)
+    this.desk.retries.setAllowance(retryAllowance)
     this.peers.nameAll(seeds)
   }
 
@@ -136,15 +106,15 @@
     }
     this.isLeaving = true
     const until = clock.now() + this.graceMs * (1 - GRACE_KEPT_FREE)
-    this.log.belief('Leaving.', { requests: this.runs.size })
+    this.log.belief('Leaving.', { requests: this.desk.runs.size })
     this.callers.leave()
     this.peers.send([])
     await waitUntil(clock, clock.now() + STOP_LISTENING_MS)
     this.callers.close()
-    while (this.runs.size > 0 && clock.now() < until) {
+    while (this.desk.runs.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
-    this.runs.abort()
+    this.desk.runs.abort()
     this.weights.stop()
     this.knowledge.stop()
     this.readiness.close()
@@ -158,11 +128,30 @@
     return this.state.dump()
   }
 
+  private createDesk (): ExchangeDesk {
+    const { clock, random, failureDomain, serverWire, retryAllowance, weightsBoundMs } = this.options
+    return ExchangeDesk.create({
+      clock,
+      random,
+      failureDomain,
+      wire: serverWire,
+      log: this.log,
+      retryAllowance,
+      weightsBoundMs,
+      suspects: this.suspects,
+      use: { of: id => this.peers.use.of(id) },
+      weights: { outdatedSince: (model, version) => this.weights.outdatedSince(model, version) },
+      routing: () => this.table?.routing,
+      onServerChanged: () => this.weights.run(),
+      onMisdirected: () => { this.weights.run() }
+    })
+  }
+
   private createState (): RelayState {
     const { name, clock } = this.options
-    const { directory } = this
+    const { directory, runs } = this.desk
     const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.lease }
-    return RelayState.create({ name, clock, directory, ...parts, open: () => this.runs.size, isReady: () => this.isReady() })
+    return RelayState.create({ name, clock, directory, ...parts, open: () => runs.size, isReady: () => this.isReady() })
   }
 
   private createPeers (): Peers {
@@ -186,7 +175,7 @@
       clock,
       log: this.log,
       readers,
-      directory: this.directory,
+      directory: this.desk.directory,
       settledAt: () => this.knowledge.settledAt,
       onRouting: routing => this.adopt(routing),
       onWeights: (model, version) => this.weights.name(model, version, !this.knowledge.isWhole)
@@ -229,7 +218,7 @@
     return WeightsDesk.create({
       clock,
       holder: name,
-      directory: this.directory,
+      directory: this.desk.directory,
       lease: this.lease,
       orders: engineOrders,
       log: this.log,
@@ -249,25 +238,24 @@
 
   /** What this instance tells the others of itself. */
   private word (): OwnWord {
+    const { directory, caches } = this.desk
     return {
       isLeaving: this.isLeaving,
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.lease.news(),
-      uses: ownUses(this.directory.all(), this.table?.routing.cacheStore?.address, this.caches.fetchLoad),
+      uses: ownUses(directory.all(), this.table?.routing.cacheStore?.address, caches.fetchLoad),
       suspects: this.suspects.toTell(this.options.clock.now()),
-      savedLevels: this.caches.savedLevels.news(this.options.clock.now()),
+      savedLevels: caches.savedLevels.news(this.options.clock.now()),
       named: this.weights.ages()
     }
   }
 
   private hear ({ lease, weights, suspects, savedLevels, named }: PeerMessage): void {
     const now = this.options.clock.now()
-    const count = this.peers.count()
-    this.retries.observeInstances(count)
-    this.directory.observeInstances(count)
+    this.desk.observeInstances(this.peers.count())
     this.suspects.hear(suspects, now)
-    this.caches.savedLevels.hear(savedLevels, now)
+    this.desk.caches.savedLevels.hear(savedLevels, now)
     if (lease) {
       this.lease.observe(lease)
     }
@@ -279,20 +267,13 @@
     return !this.isLeaving && this.table !== undefined && this.knowledge.isWhole
   }
 
-  private routing (): Routing {
-    if (!this.table) {
-      throw new Error('An exchange began without a configuration.')
-    }
-    return this.table.routing
-  }
-
   private adopt (routing: Routing): void {
     const before = this.table?.routing.revision ?? -1
     if (routing.revision <= before) {
       return
     }
     this.table = RouteTable.create(routing)
-    this.directory.configure(routing)
+    this.desk.directory.configure(routing)
     this.callers.setLimits(routing.limits)
     this.log.belief('A configuration is in force.', { revision: routing.revision, before, routes: routing.routes.length })
   }
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -28,7 +28,7 @@
   readonly random: Random
   readonly failureDomain: string
   readonly directory: ServerDirectory
-  readonly use: FleetUse
+  readonly use: Pick<FleetUse, 'of'>
   readonly weights: Pick<WeightsDesk, 'outdatedSince'>
   /** After new weights were named no request may begin on older ones, milliseconds. */
   readonly weightsBoundMs: number
