--- a/packages/foxtaillever-policy/src/__tests__/serviceGate.test.ts
+++ b/packages/foxtaillever-policy/src/__tests__/serviceGate.test.ts
@@ -1,7 +1,7 @@
-import { AdministrativeState, FailureCode, ServerKind, type Configuration } from 'foxtaillever-core'
+import { AdministrativeState, Failure, FailureCode, ServerKind, type Configuration } from 'foxtaillever-core'
 import { describe, it } from 'foxtaillever-testing'
 import { createTestConfiguration } from '../__fixtures__/callers.js'
-import { CallOutcome, ServiceGate } from '../services/serviceGate.js'
+import { ServiceGate } from '../services/serviceGate.js'
 
 const NOW = 1_000_000
 
@@ -13,7 +13,7 @@
 }
 
 interface Caller {
-  server: string
+  isServed: boolean
   code: FailureCode | undefined
   retryAt: number | undefined
 }
@@ -22,10 +22,10 @@
   const gate = ServiceGate.create()
   gate.configure(createServiceConfiguration(), NOW)
   const call = (id: string, service: string, deadline = NOW + 1000): Caller => {
-    const caller: Caller = { server: '', code: undefined, retryAt: undefined }
+    const caller: Caller = { isServed: false, code: undefined, retryAt: undefined }
     gate.acquire({ id, service, deadline }, NOW, result => result.caseOf({
       Left: failure => { Object.assign(caller, { code: failure.code, retryAt: failure.retryAt }) },
-      Right: pass => { caller.server = pass.server }
+      Right: () => { caller.isServed = true }
     }))
     return caller
   }
@@ -38,18 +38,18 @@
   it('serves one service while another is stalled', t => {
     const { call } = createGate()
     const exports = Array.from({ length: 20 }, (_, index) => call(`export-${index}`, 'exports'))
-    t.is(exports.filter(({ server }) => server !== '').length, 4)
+    t.is(exports.filter(({ isServed }) => isServed).length, 4)
     t.true(exports.some(({ code }) => code === FailureCode.Overloaded))
-    t.not(call('lookup', 'lookups').server, '')
+    t.true(call('lookup', 'lookups').isServed)
   })
 
-  it('spreads calls evenly and hands a free place to the one that waited longest', t => {
+  it('hands a free place to the one that waited longest', t => {
     const { gate, call } = createGate()
     const calls = Array.from({ length: 6 }, (_, index) => call(String(index), 'lookups'))
-    t.deepEqual(calls.slice(0, 4).map(({ server }) => server).sort(), ['plain-1', 'plain-1', 'plain-2', 'plain-2'])
-    gate.release('0', CallOutcome.Answered, NOW + 5)
-    t.is(calls[4]?.server, calls[0]?.server)
-    t.is(calls[5]?.server, '')
+    t.deepEqual(calls.map(({ isServed }) => isServed), [true, true, true, true, false, false])
+    gate.release('0', NOW + 5)
+    t.true(calls[4]?.isServed)
+    t.false(calls[5]?.isServed)
   })
 
   // The service hangs. A call that waits for it gets its answer at its deadline,
@@ -65,16 +65,12 @@
     t.true((late.retryAt ?? 0) > NOW)
   })
 
-  // One of two servers answers nothing but errors. Half of all calls would fail.
-  it('passes over a server that keeps failing, and tries it again later', t => {
+  // The instance is stopped while calls wait for their turn. Their callers hear
+  // at once that they can go elsewhere, not that the connection was cut.
+  it('refuses all that wait at a shutdown', t => {
     const { gate, call } = createGate()
-    for (let index = 0; index < 10; index += 1) {
-      const { server } = call(String(index), 'lookups')
-      gate.release(String(index), server === 'plain-1' ? CallOutcome.Failed : CallOutcome.Answered, NOW)
-    }
-    t.is(call('next', 'lookups').server, 'plain-2')
-    gate.release('next', CallOutcome.Answered, NOW)
-    gate.observeLeaving('plain-2', true)
-    t.is(call('only', 'lookups').server, 'plain-1')
+    const calls = Array.from({ length: 6 }, (_, index) => call(String(index), 'lookups'))
+    gate.refuseAll(Failure.notRun(FailureCode.Leaving, 'leaving'))
+    t.deepEqual(calls.map(({ code }) => code), [undefined, undefined, undefined, undefined, FailureCode.Leaving, FailureCode.Leaving])
   })
 })
--- a/packages/foxtaillever-policy/src/relay/__tests__/silence.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/silence.test.ts
@@ -22,6 +22,15 @@
     t.is(awaitFirstUntil({ ...quick, deadline: 900 }), quick.sentAt)
   })
 
+  // A service that nobody gave an objective works for half of its time limit.
+  // Given up as silent, none of its answers would ever come.
+  it('waits for the deadline where neither an objective nor what is usual calls the answer late', t => {
+    const plain = { ...quick, objectiveMs: 0, deadline: 3000 }
+    t.is(awaitFirstUntil({ ...plain, usualMs: undefined }), plain.deadline)
+    t.is(awaitFirstUntil({ ...plain, usualMs: 1000 }), plain.deadline)
+    t.true(awaitFirstUntil({ ...plain, usualMs: 20 }) < 2000)
+  })
+
   it('bears pauses of a stream several times their objective', t => {
     t.true(awaitNextUntil(1000, 300) >= 1000 + 3 * 300)
     t.true(awaitNextUntil(1000, 0) > 1000)
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -44,6 +44,7 @@
 }
 
 const serverWire: ServerWire = {
+  notRunStatuses: new Set([408, 429, 503]),
   createHeaders: ({ id, body }, { resumeAfter }) => ['Host', 'h', 'request-id', id, 'after', resumeAfter, 'content-length', String(body.length)],
   readMarks: (_, headers) => ({
     requestId: headers['request-id'] as string | undefined,
@@ -74,6 +75,7 @@
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
     const context: ExchangeContext = {
       clock,
+      connectTimeoutMs: 200,
       random,
       wire: serverWire,
       directory: this.directory,
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -36,17 +36,12 @@
   readonly wire: ServerWire
   readonly connections: ServerConnections
   readonly requestId: string
+  /** Longest wait for a connection, milliseconds. */
+  readonly connectTimeoutMs: number
   readonly call: ServerCall
   readonly listener: AttemptListener
 }
 
-/**
- * A server in the same region accepts a connection within some milliseconds,
- * and this one's own work may hold up the news of it for as long again; one
- * that does not is cut off or gone, and another may yet answer in time.
- */
-const CONNECT_TIMEOUT_MS = 200
-
 export class Attempt {
   private readonly request: ClientRequest
   private readonly cancelConnectTimeout: Cancellation
@@ -57,11 +52,11 @@
   private wasReset = false
 
   private constructor (private readonly options: AttemptOptions) {
-    const { connections, call, clock } = options
+    const { connections, call, clock, connectTimeoutMs } = options
     this.request = connections.send(call, () => this.onLeft())
     this.request.on('response', response => this.onResponse(response))
     this.request.on('error', error => this.onError(error))
-    this.cancelConnectTimeout = clock.at(clock.now() + CONNECT_TIMEOUT_MS, () => this.onConnectTimeout())
+    this.cancelConnectTimeout = clock.at(clock.now() + connectTimeoutMs, () => this.onConnectTimeout())
   }
 
   static begin (options: AttemptOptions): Attempt {
@@ -154,7 +149,7 @@
   }
 
   private checkHead (status: number, marks: AnswerMarks): AttemptFailure | undefined {
-    const { requestId } = this.options
+    const { requestId, wire } = this.options
     if (marks.requestId !== undefined && marks.requestId !== requestId) {
       return { kind: AttemptFailureKind.Foreign, detail: `answer to ${marks.requestId}` }
     }
@@ -164,7 +159,7 @@
     if (marks.isNotRun) {
       return { kind: AttemptFailureKind.Refused, detail: `status ${status}` }
     }
-    if (promisesNotRun.has(status)) {
+    if (wire.notRunStatuses.has(status)) {
       // Passed on, it would promise the caller what the server did not say.
       return { kind: AttemptFailureKind.Malformed, detail: `status ${status} without a word that it did not run` }
     }
@@ -220,9 +215,6 @@
 /** Status of a server that is not the expected one. */
 const MISDIRECTED = 421
 
-/** Callers read these as the promise that the request has not run and never will. */
-const promisesNotRun = new Set([408, 429, 503])
-
 /** These have no body, whatever their headers say. */
 const bodiless = new Set([204, 304])
 
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -112,7 +112,7 @@
           const callerDeadline = head.patienceMs === undefined ? Infinity : arrivedAt + head.patienceMs
           const deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
           this.readBody(request, response, refuse, body => {
-            onExchange({ ...head, route, account, service: drawService(route, random), body, arrivedAt, callerDeadline, deadline }, CallerAnswer.create(response, () => clock.now()))
+            onExchange({ ...head, route, account, service: drawService(route, random), body, arrivedAt, callerDeadline, deadline }, CallerAnswer.create(response, failure => answerFailure(response, failure, clock.now())))
           })
         }
       })
--- a/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
+++ b/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
@@ -4,7 +4,6 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { Failure } from 'foxtaillever-core'
-import { answerFailure } from '../callers/answerFailure.js'
 
 export interface CallerAnswerListener {
   /** The caller closed its connection before the answer was whole. */
@@ -16,13 +15,18 @@
 /** Statuses whose answers have no body and say no length. */
 const bodiless = new Set([204, 304])
 
+function saysLength (headers: readonly string[]): boolean {
+  return headers.some((text, index) => index % 2 === 0 && text.toLowerCase() === 'content-length')
+}
+
 export class CallerAnswer {
   private isOver = false
 
-  private constructor (private readonly response: ServerResponse, private readonly now: () => number) {}
+  private constructor (private readonly response: ServerResponse, private readonly refuse: (failure: Failure) => void) {}
 
-  static create (response: ServerResponse, now: () => number): CallerAnswer {
-    return new CallerAnswer(response, now)
+  /** @param refuse writes a failure as the callers' protocol says, when nothing of an answer was written. */
+  static create (response: ServerResponse, refuse: (failure: Failure) => void): CallerAnswer {
+    return new CallerAnswer(response, refuse)
   }
 
   get hasBegun (): boolean {
@@ -63,7 +67,8 @@
   /** Sends a whole answer. */
   send (status: number, headers: readonly string[], body: Buffer): void {
     this.isOver = true
-    this.response.writeHead(status, bodiless.has(status) ? headers as string[] : [...headers, 'Content-Length', String(body.length)])
+    const saysNone = bodiless.has(status) || this.response.req.method === 'HEAD' || saysLength(headers)
+    this.response.writeHead(status, saysNone ? headers as string[] : [...headers, 'Content-Length', String(body.length)])
     this.response.end(body)
   }
 
@@ -74,6 +79,6 @@
       this.response.destroy()
       return
     }
-    answerFailure(this.response, failure, this.now())
+    this.refuse(failure)
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -11,15 +11,20 @@
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { CrashSuspects } from './crashSuspects.js'
 
+/** What a run asks and tells about requests that crash servers. */
+export type Suspicions = Pick<CrashSuspects, 'isRefused' | 'refusedUntil' | 'isDangerous' | 'accuse' | 'acquit'>
+
 export interface ExchangeContext {
   readonly clock: Clock
+  /** Longest wait for a connection, milliseconds. */
+  readonly connectTimeoutMs: number
   readonly random: Random
   readonly wire: ServerWire
   readonly directory: ServerDirectory
   readonly retries: RetryShare
   readonly savedLevels: SavedLevels
   readonly fetchLoad: FetchLoad
-  readonly suspects: CrashSuspects
+  readonly suspects: Suspicions
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -16,7 +16,7 @@
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
-export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'suspects' | 'onMisdirected'> {
+export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'onMisdirected'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
@@ -35,7 +35,7 @@
   readonly runs: ExchangeRuns
 
   private constructor (options: ExchangeDeskOptions) {
-    const { clock, random, wire, log, suspects, use, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, use, onMisdirected } = options
     this.retries = RetryShare.create(options.retryAllowance)
     this.caches = createCacheUse(store => use.of(store).tokens)
     this.directory = ServerDirectory.create({
@@ -49,6 +49,7 @@
     this.runs = ExchangeRuns.create({
       clock,
       random,
+      connectTimeoutMs,
       wire,
       directory: this.directory,
       retries: this.retries,
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -35,7 +35,7 @@
     private readonly context: ExchangeContext,
     private readonly exchange: Exchange,
     private readonly answer: CallerAnswer,
-    private readonly onOver: () => void
+    private readonly onOver: (verdict: Verdict) => void
   ) {
     this.ledger = TryLedger.create(exchange)
     this.relay = AnswerRelay.create(exchange, answer, {
@@ -44,7 +44,7 @@
     })
   }
 
-  static create (context: ExchangeContext, exchange: Exchange, answer: CallerAnswer, onOver: () => void): ExchangeRun {
+  static create (context: ExchangeContext, exchange: Exchange, answer: CallerAnswer, onOver: (verdict: Verdict) => void): ExchangeRun {
     return new ExchangeRun(context, exchange, answer, onOver)
   }
 
@@ -78,11 +78,11 @@
     const { exchange, context, ledger } = this
     const server = context.place(exchange, ledger.failed)
     if (!server) {
-      this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.')
+      this.fail(ledger.ranCode ?? FailureCode.NoBackendServer, 'No backend server can take the request now.')
       return
     }
     if (ledger.arrivals > 0 && !context.retries.take(exchange.service, this.now)) {
-      this.fail(FailureCode.Overloaded, 'The retry budget is used up.')
+      this.fail(ledger.ranCode ?? FailureCode.Overloaded, 'The retry budget is used up.')
       return
     }
     this.send(server)
@@ -102,6 +102,7 @@
       wire,
       connections: server.connections,
       requestId: exchange.id,
+      connectTimeoutMs: context.connectTimeoutMs,
       call: { method: exchange.method, path: exchange.path, headers, body: exchange.body },
       listener: {
         onHead: head => this.onHead(head),
@@ -236,6 +237,7 @@
 
   private onGone (): void {
     if (!this.isOver) {
+      this.ledger.observeCut(this.current?.attempt.mayHaveArrived === true)
       this.cancelCurrent()
       this.finish(ExchangeEnd.CallerGone, '')
     }
@@ -293,6 +295,6 @@
     this.cancelDeadline()
     const { exchange, ledger, now } = this
     this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.tried, now, reason })
-    this.onOver()
+    this.onOver(end === ExchangeEnd.Answered ? Verdict.Ran : ledger.verdict)
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
@@ -1,4 +1,5 @@
 /** The exchanges of an instance that are not over, so that a shutdown can wait for them. */
+import type { Verdict } from 'foxtaillever-core'
 import type { Exchange } from '../model/exchange.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import type { ExchangeContext } from './exchangeContext.js'
@@ -17,9 +18,15 @@
     return this.runs.size
   }
 
-  /** Takes over an exchange; one that is refused at once is over before this returns. */
-  start (exchange: Exchange, answer: CallerAnswer): void {
-    const run = ExchangeRun.create(this.context, exchange, answer, () => this.runs.delete(run))
+  /**
+   * Takes over an exchange; one that is refused at once is over before this returns.
+   * @param onOver is told whether the request may have run.
+   */
+  start (exchange: Exchange, answer: CallerAnswer, onOver: (verdict: Verdict) => void = () => {}): void {
+    const run = ExchangeRun.create(this.context, exchange, answer, verdict => {
+      this.runs.delete(run)
+      onOver(verdict)
+    })
     this.runs.add(run)
     run.begin()
   }
--- a/packages/foxtaillever-relay/src/exchange/tryLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/tryLedger.ts
@@ -2,7 +2,7 @@
  * What the tries of one exchange came to. The verdict that its caller hears and
  * whether another try is allowed follow from all of them, not from the last.
  */
-import { Verdict } from 'foxtaillever-core'
+import { Verdict, type FailureCode } from 'foxtaillever-core'
 import { meaningOf, type AttemptFailureKind } from '../attempts/attemptFailure.js'
 import { isRepeatable, type Exchange } from '../model/exchange.js'
 
@@ -21,6 +21,8 @@
   verdict = Verdict.NotRun
   /** Tries that arrived at a server; each but the first counts as a retry. */
   arrivals = 0
+  /** Of the last try that ran or may have run: it says more than that no further try can be made. */
+  ranCode: FailureCode | undefined
   /** Tries that ran or may have run. */
   private runs = 0
   private hasRun = false
@@ -42,12 +44,13 @@
 
   /** A try failed; a part of its answer may have reached the caller. */
   observe (server: string, kind: AttemptFailureKind, wasHeard: boolean): void {
-    const { verdict, isArrival } = meaningOf[kind]
+    const { verdict, code, isArrival } = meaningOf[kind]
     this.failed.add(server)
     this.arrivals += isArrival ? 1 : 0
     this.hasRun = verdict !== Verdict.NotRun
     if (this.hasRun) {
       this.runs += 1
+      this.ranCode = code
       this.strengthen(wasHeard ? Verdict.Ran : verdict)
     }
   }
--- a/packages/foxtaillever-relay/src/model/wire.ts
+++ b/packages/foxtaillever-relay/src/model/wire.ts
@@ -52,6 +52,8 @@
 }
 
 export interface ServerWire {
+  /** Statuses that callers read as the promise that the request has not run and never will. */
+  readonly notRunStatuses: ReadonlySet<number>
   /** Headers of a try, names and values in turn. */
   readonly createHeaders: (exchange: Exchange, terms: SendTerms, now: number) => string[]
   readonly readMarks: (status: number, headers: IncomingHttpHeaders) => AnswerMarks
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -27,6 +27,13 @@
 /** The balancer notices within two seconds that this instance is not ready; until then it sends new connections, milliseconds. */
 const STOP_LISTENING_MS = 2600
 
+/**
+ * A server in the same region accepts a connection within some milliseconds,
+ * and this one's own work may hold up the news of it for as long again; one
+ * that does not is cut off or gone, and another may yet answer in time.
+ */
+const CONNECT_TIMEOUT_MS = 200
+
 /** How often a shutdown looks whether the last answer is out, milliseconds. */
 const SHUTDOWN_LOOK_MS = 50
 
@@ -134,6 +141,7 @@
       clock,
       random,
       failureDomain,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
       wire: serverWire,
       log: this.log,
       retryAllowance,
--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -160,13 +160,11 @@
     this.http.register(async plain => {
       plain.removeAllContentTypeParsers()
       plain.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
-      plain.all('/*', async (request, reply) => {
-        const admitted = this.admit(request)
-        await admitted.caseOf({
-          Left: async failure => this.refuse(request, reply, failure),
-          Right: async ({ account, configuration }) => { await this.options.plain.serve({ request, reply, account, configuration }) }
+      plain.all('/*', (request, reply) => {
+        this.admit(request).caseOf({
+          Left: failure => this.refuse(request, reply, failure),
+          Right: ({ account, configuration }) => this.options.plain.serve({ request, reply, account, configuration })
         })
-        return reply
       })
     })
   }
--- a/packages/foxtaillever-router/src/callers/streamResponder.ts
+++ b/packages/foxtaillever-router/src/callers/streamResponder.ts
@@ -7,9 +7,9 @@
 import { CallerHeader, type Clock, type Failure, type StreamEnd, type StreamStart } from 'foxtaillever-core'
 import type { Responder, StreamPosition, Submission } from '../core/request.js'
 import { chunkForms, usageOf } from './chunkForm.js'
-import { failureBody, failureHeaders } from './failureBody.js'
-import { statusOf } from './statusOf.js'
+import { failureBody } from './failureBody.js'
 import type { StreamTokens } from './streamToken.js'
+import { writeFailure } from './writeFailure.js'
 
 export interface ResponderOptions {
   readonly response: ServerResponse
@@ -67,11 +67,10 @@
 
 /** Before the headers a failure is a status; after them it is an event that ends the stream. */
 export function sendFailure ({ response, submission, clock }: ResponderOptions, failure: Failure): void {
-  const body = JSON.stringify(failureBody(failure, submission.job.id))
+  const { id } = submission.job
   if (response.headersSent) {
-    response.end(`event: error\ndata: ${body}\n\n`)
+    response.end(`event: error\ndata: ${JSON.stringify(failureBody(failure, id))}\n\n`)
     return
   }
-  response.writeHead(statusOf[failure.code], { 'content-type': 'application/json', ...failureHeaders(failure, submission.job.id, clock) })
-  response.end(body)
+  writeFailure(response, failure, id, clock)
 }
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -6,7 +6,6 @@
 import { SeededRandom, SystemClock, waitUntil, type Clock, type Configuration, type Random } from 'foxtaillever-core'
 import { Operators } from 'foxtaillever-control'
 import { ClaimFold, ClaimKeeper, createPeerRouter, defaultClaimOptions, Fleet, KeyRing, Permission, TrpcPeers, UdpDatagrams, type Key } from 'foxtaillever-fleet'
-import { ServiceGate } from 'foxtaillever-policy'
 import { InstanceListClient } from '../adapters/instanceListClient.js'
 import { LogClient } from '../adapters/logClient.js'
 import { Accounts } from '../callers/accounts.js'
@@ -55,7 +54,6 @@
   private readonly random: Random
   private readonly engines = Engines.create()
   private readonly accounts = Accounts.create()
-  private readonly gate = ServiceGate.create()
   private readonly keys: KeyRing
   private readonly log: LogClient
   private readonly list: InstanceListClient
@@ -87,12 +85,12 @@
     this.fleet = this.createFleet()
     this.core = this.createCore()
     this.orders = this.createOrders()
-    this.plain = PlainRouter.create({ clock, gate: this.gate, claims: this.claims })
+    this.plain = PlainRouter.create({ clock, random: this.random, failureDomain: options.failureDomain, logs: options.logs, claims: this.claims })
     this.callers = this.createCallers()
     this.watches = [
       this.core,
       this.orders,
-      ListWatch.create({ clock, list: this.list, core: this.core, gate: this.gate }),
+      ListWatch.create({ clock, list: this.list, core: this.core, plain: this.plain }),
       ServerWatch.create({ clock, name, fleet: this.fleet, core: this.core, engines: this.engines, configuration: () => this.configuration() }),
       SoftStateExchange.create({ name, clock, fleet: this.fleet, scheduler: this.core.scheduler })
     ]
@@ -220,7 +218,7 @@
     const configuration = this.configuration()
     this.accounts.configure(configuration)
     this.engines.configure(configuration)
-    this.gate.configure(configuration, this.clock.now())
+    this.plain.configure(configuration)
     this.core.configure(configuration)
     this.options.logs.write('info', Part.Fleet, 'A configuration is in force.', { revision: configuration.revision, preset: configuration.presetInForce })
   }
@@ -247,13 +245,14 @@
       await waitUntil(this.clock, this.clock.now() + SHUTDOWN_LOOK_MS)
     }
     this.core.endAll()
+    this.plain.close()
     await this.claims.stop(this.clock.now() + LAST_OUTCOMES_MS)
     this.watches.forEach(watch => watch.stop())
     await this.callers.http.close()
     await this.control?.close()
     await this.fleet.stop()
     await this.engines.close()
-    await Promise.all([this.plain.close(), this.log.close(), this.list.close()])
+    await Promise.all([this.log.close(), this.list.close()])
     this.options.logs.write('info', Part.Process, 'The instance has ended.')
     this.options.logs.flush()
   }
--- a/packages/foxtaillever-router/src/instance/listWatch.ts
+++ b/packages/foxtaillever-router/src/instance/listWatch.ts
@@ -3,8 +3,8 @@
  * language work and plain services alike.
  */
 import { ListedKind, ListedState, waitUntil, type Clock, type InstanceList, type ListedInstance } from 'foxtaillever-core'
-import type { ServiceGate } from 'foxtaillever-policy'
 import type { RouterCore } from '../core/routerCore.js'
+import type { PlainRouter } from '../plain/plainRouter.js'
 
 /** The list lags by itself; reading it more often would not make it newer. */
 const PERIOD_MS = 500
@@ -13,7 +13,7 @@
   readonly clock: Clock
   readonly list: InstanceList
   readonly core: RouterCore
-  readonly gate: ServiceGate
+  readonly plain: Pick<PlainRouter, 'observeLeaving'>
 }
 
 export class ListWatch {
@@ -47,6 +47,6 @@
     this.options.core.observeList(instances)
     instances
       .filter(instance => instance.kind === ListedKind.BackendServer)
-      .forEach(({ name, state }) => this.options.gate.observeLeaving(name, state === ListedState.Leaving))
+      .forEach(({ name, state }) => this.options.plain.observeLeaving(name, state === ListedState.Leaving))
   }
 }
--- a/packages/foxtaillever-router/src/plain/__tests__/plainRouter.test.ts
+++ b/packages/foxtaillever-router/src/plain/__tests__/plainRouter.test.ts
@@ -1,104 +1,25 @@
-import { createServer, type AddressInfo, type Server } from 'node:net'
-import type { ExecutionContext } from 'ava'
-import fastify from 'fastify'
-import {
-  AdministrativeState, emptyConfiguration, PriorityClass, ServerKind, SystemClock,
-  type BackendServer, type ClientAccount, type Configuration
-} from 'foxtaillever-core'
-import { ServiceGate } from 'foxtaillever-policy'
+import type { Socket } from 'node:net'
+import { FailureCode, Verdict } from 'foxtaillever-core'
 import { describe, it } from 'foxtaillever-testing'
-import { noClaims } from '../../core/claimDesk.js'
+import { Right } from 'purify-ts'
+import type { Claims } from '../../core/claimDesk.js'
+import { closedPort, createConfiguration, PlainRig, startScripted, whole } from '../__fixtures__/plainRig.js'
 import { matchCall } from '../matchCall.js'
-import { PlainRouter } from '../plainRouter.js'
-
-const account: ClientAccount = { name: 'firm', keyDigests: [], weight: 1, priority: PriorityClass.Priority, tokensPerSecond: 1, concurrentRequests: 1 }
-
-function createPlain (name: string, port: number): BackendServer {
-  return {
-    name,
-    kind: ServerKind.Plain,
-    address: `127.0.0.1:${port}`,
-    failureDomain: 'sesvete',
-    models: [],
-    slots: 1,
-    prefillTokensPerSecond: 1,
-    decodeTokensPerSecond: 1,
-    cacheTokens: 0,
-    checksFencing: false,
-    checksCaller: false,
-    state: AdministrativeState.InService
-  }
-}
-
-function createConfiguration (ports: readonly number[]): Configuration {
-  const servers = ports.map((port, index) => createPlain(`plain-${index}`, port))
-  return {
-    ...emptyConfiguration,
-    servers: Object.fromEntries(servers.map(server => [server.name, server])),
-    services: {
-      records: {
-        name: 'records',
-        path: '/records',
-        servers: servers.map(server => server.name),
-        calls: [{ method: 'GET', path: '/citations', idempotent: true }, { method: 'POST', path: '/exports', idempotent: false }],
-        concurrentRequests: 8,
-        timeoutMs: 2000
-      }
-    }
-  }
-}
-
-/** A server that reads the first bytes of a call and then cuts the connection. */
-async function startCutting (): Promise<{ server: Server, calls: () => number }> {
-  let calls = 0
-  const server = createServer(socket => {
-    socket.on('error', () => {})
-    socket.once('data', () => {
-      calls += 1
-      socket.destroy()
-    })
-  })
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  return { server, calls: () => calls }
-}
 
-function portOf (server: Server): number {
-  return (server.address() as AddressInfo).port
+/** Reads the first bytes of a call and then cuts the connection. */
+function cut (socket: Socket): void {
+  socket.destroy()
 }
 
-/** A port on which nothing listens. */
-async function closedPort (): Promise<number> {
-  const { server } = await startCutting()
-  const port = portOf(server)
-  await new Promise(resolve => server.close(resolve))
-  return port
+function work (socket: Socket): void {
+  socket.write(whole('done'))
 }
 
-async function call (t: ExecutionContext, configuration: Configuration, method: 'GET' | 'POST', url: string): Promise<{ status: number, verdict: unknown, body: string }> {
-  const clock = SystemClock.create()
-  const gate = ServiceGate.create()
-  gate.configure(configuration, clock.now())
-  const router = PlainRouter.create({ clock, gate, claims: noClaims })
-  const front = fastify()
-  front.all('/*', async (request, reply) => await router.serve({ request, reply, account, configuration }))
-  t.teardown(async () => {
-    await front.close()
-    await router.close()
-  })
-  const answer = await front.inject({ method, url })
-  return { status: answer.statusCode, verdict: answer.headers['x-verdict'], body: answer.body }
-}
-
-async function startWorking (t: ExecutionContext): Promise<{ port: number, calls: () => number }> {
-  let calls = 0
-  const server = fastify()
-  server.all('/*', async () => {
-    calls += 1
-    return { done: true }
-  })
-  await server.listen({ host: '127.0.0.1', port: 0 })
-  t.teardown(async () => await server.close())
-  return { port: (server.server.address() as AddressInfo).port, calls: () => calls }
+/** Waits until so many calls have arrived at the servers together. */
+async function arrivals (servers: ReadonlyArray<{ readonly calls: readonly Socket[] }>, count: number): Promise<void> {
+  while (servers.reduce((sum, { calls }) => sum + calls.length, 0) < count) {
+    await new Promise(resolve => setImmediate(resolve))
+  }
 }
 
 describe('plain services', () => {
@@ -106,38 +27,150 @@
     it('repeats a lookup at another one', async t => {
       // The server crashed while it worked on a lookup. The associate should
       // see the citation as if nothing had happened.
-      const cutting = await startCutting()
-      t.teardown(() => { cutting.server.close() })
-      const working = await startWorking(t)
-      const answer = await call(t, createConfiguration([portOf(cutting.server), working.port]), 'GET', '/records/citations/1')
+      const cutting = await startScripted(t, cut)
+      const working = await startScripted(t, work)
+      const rig = await PlainRig.start(t, [cutting.port, working.port])
+      const answer = await rig.call('GET', '/citations/1')
       t.is(answer.status, 200)
-      t.is(cutting.calls(), 1)
+      t.is(cutting.calls.length, 1)
     })
 
     it('never repeats an export, and says that it may have run', async t => {
       // The server crashed while it worked on a billed export. Nobody can know
       // whether it was billed, so a second try might bill the client twice.
-      const cutting = await startCutting()
-      t.teardown(() => { cutting.server.close() })
-      const working = await startWorking(t)
-      const answer = await call(t, createConfiguration([portOf(cutting.server), working.port]), 'POST', '/records/exports')
+      const cutting = await startScripted(t, cut)
+      const working = await startScripted(t, work)
+      const rig = await PlainRig.start(t, [cutting.port, working.port])
+      const answer = await rig.call('POST', '/exports')
       t.is(answer.status, 502)
-      t.is(answer.verdict, 'may_have_run')
-      t.is(working.calls(), 0)
+      t.is(answer.headers.get('x-verdict'), 'may_have_run')
+      t.is(working.calls.length, 0)
     })
   })
 
   describe('when no connection to a backend server can be made', () => {
     it('sends an export to another one, since no byte of it has left', async t => {
-      const working = await startWorking(t)
-      const answer = await call(t, createConfiguration([await closedPort(), working.port]), 'POST', '/records/exports')
+      const working = await startScripted(t, work)
+      const rig = await PlainRig.start(t, [await closedPort(), working.port])
+      const answer = await rig.call('POST', '/exports')
       t.is(answer.status, 200)
-      t.is(working.calls(), 1)
+      t.is(working.calls.length, 1)
     })
 
-    it('says not run when that was the last one', async t => {
-      const answer = await call(t, createConfiguration([await closedPort()]), 'POST', '/records/exports')
-      t.is(answer.verdict, 'not_run')
+    it('says not run, and when to come back, when that was the last one', async t => {
+      const rig = await PlainRig.start(t, [await closedPort()])
+      const answer = await rig.call('POST', '/exports')
+      t.is(answer.headers.get('x-verdict'), 'not_run')
+      t.is(answer.headers.get('retry-after'), '1')
+    })
+  })
+
+  describe('when every backend server loses the call', () => {
+    // Both servers crash over a lookup. A status for "not run" would be wrong:
+    // the caller's log would deny work that was done.
+    it('says that it may have run, with the status of a lost call', async t => {
+      const servers = [await startScripted(t, cut), await startScripted(t, cut)]
+      const rig = await PlainRig.start(t, servers.map(({ port }) => port))
+      const answer = await rig.call('GET', '/citations/1')
+      t.is(answer.status, 502)
+      t.is(answer.headers.get('x-verdict'), 'may_have_run')
+      t.is(JSON.parse(answer.body).error.code, FailureCode.ConnectionLost)
+    })
+  })
+
+  describe('the choice of a backend server', () => {
+    it('spreads calls evenly', async t => {
+      const servers = [await startScripted(t, () => {}), await startScripted(t, () => {})]
+      const rig = await PlainRig.start(t, servers.map(({ port }) => port))
+      for (let count = 1; count <= 4; count += 1) {
+        rig.call('GET', '/citations/1').catch(() => {})
+        await arrivals(servers, count)
+      }
+      t.deepEqual(servers.map(({ calls }) => calls.length), [2, 2])
+    })
+
+    // One of two servers cuts every connection. Half of all calls would be lost
+    // first, and the exports among them for good.
+    it('passes over a server that keeps failing, and tries it again later', async t => {
+      const cutting = await startScripted(t, cut)
+      const working = await startScripted(t, work)
+      const rig = await PlainRig.start(t, [cutting.port, working.port])
+      for (let count = 0; count < 10; count += 1) {
+        await rig.call('GET', '/citations/1')
+      }
+      t.is(cutting.calls.length, 3)
+      await rig.clock.advanceBy(60_000)
+      await rig.call('GET', '/citations/1')
+      t.is(cutting.calls.length, 4)
+    })
+
+    it('sends a call to the only server that is left, however often it failed', async t => {
+      let isBroken = true
+      const server = await startScripted(t, socket => isBroken ? cut(socket) : work(socket))
+      const rig = await PlainRig.start(t, [server.port])
+      for (let count = 0; count < 5; count += 1) {
+        await rig.call('GET', '/citations/1')
+      }
+      isBroken = false
+      t.is((await rig.call('GET', '/citations/1')).status, 200)
+    })
+
+    // A server is drained and put back in service. Remembered as one that
+    // leaves, it would get no calls until the instance is restarted.
+    it('sends nothing to a server that leaves, and calls again when it is back', async t => {
+      const servers = [await startScripted(t, work), await startScripted(t, work)]
+      const rig = await PlainRig.start(t, servers.map(({ port }) => port))
+      rig.router.observeLeaving('plain-0', true)
+      await rig.call('GET', '/citations/1')
+      rig.router.observeLeaving('plain-0', false)
+      rig.router.observeLeaving('plain-1', true)
+      await rig.call('GET', '/citations/1')
+      t.deepEqual(servers.map(({ calls }) => calls.length), [1, 1])
+    })
+
+    // A server moves to another machine under its name. Connections to the old
+    // one would be used until they fail.
+    it('follows a server to its new address', async t => {
+      const [old, moved] = [await startScripted(t, work), await startScripted(t, work)]
+      const rig = await PlainRig.start(t, [old.port])
+      await rig.call('GET', '/citations/1')
+      rig.configure(createConfiguration([moved.port], 2))
+      await rig.call('GET', '/citations/1')
+      t.deepEqual([old.calls.length, moved.calls.length], [1, 1])
+    })
+  })
+
+  describe('claims of calls that run once', () => {
+    const headers = { 'idempotency-key': '1700000000000-export' }
+
+    function createClaims (settled: Verdict[]): Claims {
+      return { claim: async () => Right({} as never), cancel: () => {}, settle: (_, verdict) => settled.push(verdict) }
+    }
+
+    // The caller of a billed export leaves while it runs. Settled as not run,
+    // its second call under the same key would be billed again.
+    it('are settled as may have run when the caller leaves', async t => {
+      const settled: Verdict[] = []
+      const server = await startScripted(t, () => {})
+      const rig = await PlainRig.start(t, [server.port], createClaims(settled))
+      const caller = new AbortController()
+      const call = rig.call('POST', '/exports', { headers, signal: caller.signal }).catch(() => {})
+      await arrivals([server], 1)
+      const closed = new Promise(resolve => server.calls[0]?.once('close', resolve))
+      caller.abort()
+      await Promise.all([call, closed])
+      t.deepEqual(settled, [Verdict.MayHaveRun])
+    })
+
+    it('are settled by what the backend server proved', async t => {
+      const settled: Verdict[] = []
+      const answers = [work, cut, (socket: Socket) => socket.write(whole('', '503 Busy', 'x-verdict: not_run'))]
+      const server = await startScripted(t, (socket, call) => answers[call]?.(socket))
+      const rig = await PlainRig.start(t, [server.port], createClaims(settled))
+      for (const status of [200, 502, 503]) {
+        t.is((await rig.call('POST', '/exports', { headers })).status, status)
+      }
+      t.deepEqual(settled, [Verdict.Ran, Verdict.MayHaveRun, Verdict.NotRun])
     })
   })
 
--- a/packages/foxtaillever-router/src/plain/claimPlainCall.ts
+++ b/packages/foxtaillever-router/src/plain/claimPlainCall.ts
@@ -7,41 +7,41 @@
  * its first byte leaves, like a non-idempotent prompt. A call without a key
  * cannot be told from a new one; its service has to live with that.
  */
-import { createHash } from 'node:crypto'
+import { createHash, randomUUID } from 'node:crypto'
 import type { Failure, Verdict } from 'foxtaillever-core'
 import type { ClaimRequest } from 'foxtaillever-fleet'
 import { EitherAsync, type Either } from 'purify-ts'
-import type { PlainRequest } from '../adapters/plainClient.js'
+import type { Exchange } from 'foxtaillever-relay/model/exchange'
 import { createDatedClaim, type Claims } from '../core/claimDesk.js'
 
-export interface ClaimedCall {
-  readonly id: string
+/** What of the call is claimed. */
+export type ClaimedCall = Pick<Exchange, 'service' | 'method' | 'path' | 'body' | 'deadline'>
+
+export interface Claimant {
   readonly account: string
-  readonly service: string
   readonly idempotencyKey: string
-  readonly request: PlainRequest
 }
 
 /** Writes down how the call ended; nothing for a call that was not claimed. */
 export type Settle = (verdict: Verdict) => void
 
 /** Digest of all that makes the call; the same key with another one is refused. */
-function digestCall ({ service, request }: ClaimedCall): string {
+function digestCall ({ service, method, path, body }: ClaimedCall): string {
   return createHash('sha256')
-    .update(`${service}\0${request.method}\0${request.path}\0`)
-    .update(request.body ?? '')
+    .update(`${service}\0${method}\0${path}\0`)
+    .update(body)
     .digest('hex')
     .slice(0, 32)
 }
 
-function createClaim (call: ClaimedCall): Either<Failure, ClaimRequest> {
-  const { id, account, idempotencyKey, request: { deadline } } = call
-  return createDatedClaim({ name: 'call that may not be repeated', account, idempotencyKey, requestId: id, digest: digestCall(call), deadline })
+function createClaim (call: ClaimedCall, claimant: Claimant): Either<Failure, ClaimRequest> {
+  // The caller's own id may come again with another call; a claim's must not.
+  return createDatedClaim({ name: 'call that may not be repeated', ...claimant, requestId: randomUUID(), digest: digestCall(call), deadline: call.deadline })
 }
 
 /** Resolves when the claim stands in the log as the winner; the answer to settle it with. */
-export async function claimPlainCall (claims: Claims, call: ClaimedCall): Promise<Either<Failure, Settle>> {
-  return await EitherAsync.liftEither(createClaim(call))
+export async function claimPlainCall (claims: Claims, call: ClaimedCall, claimant: Claimant): Promise<Either<Failure, Settle>> {
+  return await EitherAsync.liftEither(createClaim(call, claimant))
     .chain(async request => await claims.claim(request))
     .map((grant): Settle => verdict => claims.settle(grant, verdict))
 }
--- /dev/null
+++ b/packages/foxtaillever-router/src/plain/createPlainDesk.ts
@@ -0,0 +1,61 @@
+/** The relay core for calls of plain services: without prompts, weights or other instances. */
+import { presetOf, type Clock, type Configuration, type Random } from 'foxtaillever-core'
+import type { RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
+import { ExchangeDesk } from 'foxtaillever-relay/exchange/exchangeDesk'
+import type { Suspicions } from 'foxtaillever-relay/exchange/exchangeContext'
+import type { RelayLog } from 'foxtaillever-relay/telemetry/relayLog'
+import { routingOf } from './plainRoutes.js'
+import { plainWire } from './plainWire.js'
+
+/** A server that takes longer to accept a connection is passed over, milliseconds: there and back to the farthest failure domain, twice. */
+const CONNECT_TIMEOUT_MS = 500
+
+/** Retries beyond the share, so that a quiet instance can move the calls of a server that crashes. */
+const RETRY_SLACK = 20
+
+/** Over which retries are counted, milliseconds; a server restarts within it. */
+const RETRY_WINDOW_MS = 10_000
+
+/**
+ * No call is suspected of crashing servers. The same few lookups come from all
+ * callers, so an outage of the service would make suspects of them, and they
+ * would be refused long after it.
+ */
+const noSuspicions: Suspicions = {
+  isRefused: () => false,
+  refusedUntil: () => 0,
+  isDangerous: () => false,
+  accuse: () => {},
+  acquit: () => {}
+}
+
+const nobodysLoad = { outstanding: 0, tokens: 0 }
+
+/** Retries as the preset in force allows them. */
+export function retryAllowanceOf (configuration: Configuration): RetryAllowance {
+  return { ratio: presetOf(configuration).retryShare, slack: RETRY_SLACK, windowMs: RETRY_WINDOW_MS }
+}
+
+export interface PlainDeskOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly failureDomain: string
+  readonly log: RelayLog
+  readonly configuration: () => Configuration
+}
+
+export function createPlainDesk ({ configuration, ...shared }: PlainDeskOptions): ExchangeDesk {
+  return ExchangeDesk.create({
+    ...shared,
+    wire: plainWire,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    retryAllowance: retryAllowanceOf(configuration()),
+    suspects: noSuspicions,
+    use: { of: () => nobodysLoad },
+    weights: { outdatedSince: () => undefined },
+    weightsBoundMs: Infinity,
+    routing: () => routingOf(configuration()),
+    onServerChanged: () => {},
+    onMisdirected: () => {}
+  })
+}
--- a/packages/foxtaillever-router/src/plain/matchCall.ts
+++ b/packages/foxtaillever-router/src/plain/matchCall.ts
@@ -1,9 +1,10 @@
 /** Finds the plain service and the declared call for a request path. */
-import { Failure, FailureCode, type Configuration, type PlainService } from 'foxtaillever-core'
+import { Failure, FailureCode, type Configuration, type PlainCall, type PlainService } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
 
 export interface MatchedCall {
   readonly service: PlainService
+  readonly call: PlainCall
   /** Path below the service's own, query included. */
   readonly path: string
   /** Whether the service itself allows the call to be repeated. */
@@ -45,5 +46,5 @@
   if (!call) {
     return unknown(`Service ${service.name} has no such call.`)
   }
-  return Right({ service, path, idempotent: call.idempotent })
+  return Right({ service, call, path, idempotent: call.idempotent })
 }
--- a/packages/foxtaillever-router/src/plain/plainRouter.ts
+++ b/packages/foxtaillever-router/src/plain/plainRouter.ts
@@ -1,27 +1,36 @@
 /**
  * Routes calls of plain services by path. Language work never stands before
- * them: they have connections, limits and queues of their own. A call that the
- * service does not declare repeatable is sent at most once.
+ * them: they have limits and queues of their own. A call is claimed where it may
+ * not be repeated, passes the gate of its service, and is then an exchange of the
+ * relay core, which chooses servers, tries, checks answers and says what may
+ * have run.
  */
-import { randomUUID } from 'node:crypto'
+import type { ServerResponse } from 'node:http'
 import type { FastifyReply, FastifyRequest } from 'fastify'
 import {
-  CallerHeader, Failure, FailureCode, isRepeatable, Verdict,
-  type Cancellation, type ClientAccount, type Clock, type Configuration
+  CallerHeader, emptyConfiguration, Failure, FailureCode,
+  type Cancellation, type ClientAccount, type Clock, type Configuration, type Random, type Verdict
 } from 'foxtaillever-core'
-import { CallOutcome, type ServiceGate, type ServicePass } from 'foxtaillever-policy'
-import { EitherAsync, Left, type Either } from 'purify-ts'
-import { PlainClient, type PlainAnswer, type PlainRequest } from '../adapters/plainClient.js'
-import { failureBody, failureHeaders } from '../callers/failureBody.js'
-import { statusOf } from '../callers/statusOf.js'
-import { worseVerdict } from '../core/worseVerdict.js'
+import { ServiceGate, type PassListener } from 'foxtaillever-policy'
+import { CallerAnswer } from 'foxtaillever-relay/exchange/callerAnswer'
+import type { ExchangeDesk } from 'foxtaillever-relay/exchange/exchangeDesk'
+import type { Exchange, ExchangeHead } from 'foxtaillever-relay/model/exchange'
+import { RelayLog } from 'foxtaillever-relay/telemetry/relayLog'
+import type { Logs } from 'foxtaillever-telemetry'
+import { Left } from 'purify-ts'
+import { writeFailure } from '../callers/writeFailure.js'
 import type { Claims } from '../core/claimDesk.js'
-import { claimPlainCall, type ClaimedCall } from './claimPlainCall.js'
+import { claimPlainCall } from './claimPlainCall.js'
+import { createPlainDesk, retryAllowanceOf } from './createPlainDesk.js'
 import { matchCall, type MatchedCall } from './matchCall.js'
+import { PlainServers } from './plainServers.js'
+import { readExchange, readHead } from './readExchange.js'
 
 export interface PlainRouterOptions {
   readonly clock: Clock
-  readonly gate: ServiceGate
+  readonly random: Random
+  readonly failureDomain: string
+  readonly logs: Logs
   /** Claims of calls that may not be repeated. */
   readonly claims: Claims
 }
@@ -33,48 +42,47 @@
   readonly configuration: Configuration
 }
 
-/** Headers of the caller that the service sees. */
-const FORWARDED_HEADERS = ['content-type', 'accept', 'accept-language', CallerHeader.IdempotencyKey, CallerHeader.RequestId]
-
-/** Headers of the service that the caller sees. */
-const RETURNED_HEADERS = ['content-type', 'content-length', 'content-disposition', 'etag', 'last-modified', 'cache-control']
-
-/** Tries of a repeatable call at most; more would only lengthen an outage. */
-const MOST_TRIES = 3
-
-/** Failures of one server, which another may not have. */
-const triedAgain = new Set([FailureCode.ConnectionRefused, FailureCode.ConnectionLost])
+/** The caller's side of one call. */
+interface Caller {
+  readonly answer: CallerAnswer
+  readonly response: ServerResponse
+}
 
 /** Waiting calls whose deadline has come are told this soon, milliseconds. */
 const TICK_MS = 20
 
 export class PlainRouter {
-  private readonly client: PlainClient
+  private readonly gate = ServiceGate.create()
+  private readonly log: RelayLog
+  private readonly desk: ExchangeDesk
+  private readonly servers: PlainServers
+  private configuration = emptyConfiguration
   private calls = 0
   private open = 0
   private isTicking = false
   private cancelTick: Cancellation = () => {}
 
-  private readonly clock: Clock
-  private readonly gate: ServiceGate
-
   private constructor (private readonly options: PlainRouterOptions) {
-    this.clock = options.clock
-    this.gate = options.gate
-    this.client = PlainClient.create(options.clock)
+    const { clock, random, failureDomain, logs } = options
+    this.log = RelayLog.create(logs)
+    this.desk = createPlainDesk({ clock, random, failureDomain, log: this.log, configuration: () => this.configuration })
+    this.servers = PlainServers.create(this.desk.directory)
   }
 
   static create (options: PlainRouterOptions): PlainRouter {
     return new PlainRouter(options)
   }
 
-  /** Looks after the waiting calls; an instance without any does not tick. */
-  private tick (): void {
-    this.isTicking = this.open > 0
-    if (this.isTicking) {
-      this.gate.tick(this.clock.now())
-      this.cancelTick = this.clock.at(this.clock.now() + TICK_MS, () => this.tick())
-    }
+  configure (configuration: Configuration): void {
+    this.configuration = configuration
+    this.gate.configure(configuration, this.options.clock.now())
+    this.desk.retries.setAllowance(retryAllowanceOf(configuration))
+    this.servers.configure(configuration)
+  }
+
+  /** Takes the word of the instance list, or of the server itself. */
+  observeLeaving (server: string, isLeaving: boolean): void {
+    this.servers.observeLeaving(server, isLeaving)
   }
 
   /** Calls that wait for their answer. */
@@ -82,119 +90,100 @@
     return this.open
   }
 
-  async serve (context: PlainCallContext): Promise<FastifyReply> {
-    const { reply, request, configuration } = context
+  serve ({ request, reply, account, configuration }: PlainCallContext): void {
+    reply.hijack()
+    const { clock } = this.options
+    const head = readHead(request)
+    const response = reply.raw
+    response.setHeader(CallerHeader.RequestId, head.id)
+    const caller = { response, answer: CallerAnswer.create(response, failure => writeFailure(response, failure, head.id, clock)) }
+    matchCall(configuration, request.method, request.url).caseOf({
+      Left: failure => this.refuse(caller, head, failure),
+      Right: call => {
+        this.begin()
+        this.serveCall(caller, call, readExchange(head, request, call, account, clock), String(request.headers[CallerHeader.IdempotencyKey] ?? ''))
+      }
+    })
+  }
+
+  private begin (): void {
     this.open += 1
     if (!this.isTicking) {
       this.tick()
     }
-    const answer = await EitherAsync.liftEither(matchCall(configuration, request.method, request.url))
-      .chain(async call => await this.serveCall(context, call))
-    this.open -= 1
-    return answer.caseOf({
-      Left: failure => this.refuse(reply, request, failure),
-      Right: served => this.pass(reply, served)
-    })
   }
 
-  private refuse (reply: FastifyReply, request: FastifyRequest, failure: Failure): FastifyReply {
-    return reply.code(statusOf[failure.code])
-      .headers(failureHeaders(failure, request.id, this.clock))
-      .send(failureBody(failure, request.id))
-  }
-
-  private pass (reply: FastifyReply, { statusCode, headers, body }: PlainAnswer): FastifyReply {
-    for (const name of RETURNED_HEADERS) {
-      const value = headers[name]
-      if (value !== undefined) {
-        reply.header(name, value)
-      }
+  /** Looks after the waiting calls; an instance without any does not tick. */
+  private tick (): void {
+    const { clock } = this.options
+    this.isTicking = this.open > 0
+    if (this.isTicking) {
+      this.gate.tick(clock.now())
+      this.cancelTick = clock.at(clock.now() + TICK_MS, () => this.tick())
     }
-    return reply.code(statusCode).send(body)
   }
 
   /** Serves the call, under a claim where it may not be repeated and its caller named a key. */
-  private async serveCall (context: PlainCallContext, call: MatchedCall): Promise<Either<Failure, PlainAnswer>> {
-    const request = this.readRequest(context.request, call)
-    const idempotencyKey = request.headers[CallerHeader.IdempotencyKey] ?? ''
-    if (call.idempotent || idempotencyKey === '') {
-      return await this.tryServers(context, call, request)
+  private async serveCall (caller: Caller, { idempotent }: MatchedCall, exchange: Exchange, idempotencyKey: string): Promise<void> {
+    if (idempotent || idempotencyKey === '') {
+      this.relay(caller, exchange, () => {})
+      return
     }
-    const claimed: ClaimedCall = { id: randomUUID(), account: context.account.name, service: call.service.name, idempotencyKey, request }
-    return await EitherAsync.liftEither(await claimPlainCall(this.options.claims, claimed)).chain(async settle => {
-      const answer = await this.tryServers(context, call, request)
-      settle(answer.caseOf({ Left: failure => failure.verdict, Right: () => Verdict.Ran }))
-      return answer
+    const claim = await claimPlainCall(this.options.claims, exchange, { account: exchange.account?.name ?? '', idempotencyKey })
+    claim.caseOf({
+      Left: failure => {
+        this.open -= 1
+        this.refuse(caller, exchange, failure)
+      },
+      Right: settle => this.relay(caller, exchange, settle)
     })
   }
 
-  /** Tries again as long as repeating is allowed and the deadline ahead. */
-  private async tryServers (context: PlainCallContext, call: MatchedCall, request: PlainRequest): Promise<Either<Failure, PlainAnswer>> {
-    const failedAt: string[] = []
-    let verdict = Verdict.NotRun
-    let failure = Failure.notRun(FailureCode.DeadlinePassed, 'The deadline passed before the call was sent.')
-    for (let tries = 0; tries < MOST_TRIES && this.clock.now() < request.deadline; tries++) {
-      const answer = await this.tryOnce(context, call, request, failedAt)
-      if (answer.isRight()) {
-        return answer
-      }
-      failure = answer.swap().orDefault(failure)
-      verdict = worseVerdict(verdict, failure.verdict)
-      if (!triedAgain.has(failure.code) || !isRepeatable(failure.verdict, call.idempotent)) {
-        break
-      }
-    }
-    return Left(failure.withVerdict(verdict))
-  }
-
-  /** @param failedAt gets the server's name when the try fails. */
-  private async tryOnce (context: PlainCallContext, call: MatchedCall, request: PlainRequest, failedAt: string[]): Promise<Either<Failure, PlainAnswer>> {
-    const pass = await this.acquire(context.reply, call, request.deadline, [...failedAt])
-    return await EitherAsync.liftEither(pass).chain(async ({ callId, server }) => {
-      const answer = await this.client.send(context.configuration.servers[server]?.address ?? '', request)
-      this.gate.release(callId, answer.isRight() ? CallOutcome.Answered : CallOutcome.Failed, this.clock.now())
-      return answer.ifLeft(() => failedAt.push(server))
-    })
-  }
-
-  /** Waits for leave to send; a caller that goes meanwhile gives its place back. */
-  private async acquire (reply: FastifyReply, call: MatchedCall, deadline: number, failedAt: readonly string[]): Promise<Either<Failure, ServicePass>> {
+  /**
+   * Sends the call as soon as its service has room for it; a caller that goes
+   * meanwhile gives its place back.
+   * @param onOver is told whether the call may have run.
+   */
+  private relay (caller: Caller, exchange: Exchange, onOver: (verdict: Verdict) => void): void {
+    const { service, deadline } = exchange
     const id = `plain-${++this.calls}`
-    return await new Promise(resolve => {
-      reply.raw.once('close', () => {
-        this.gate.withdraw(id)
-        resolve(Left(Failure.notRun(FailureCode.Cancelled, 'The caller has gone.')))
+    const onPass: PassListener = pass => {
+      caller.response.off('close', onGone)
+      pass.caseOf({
+        Left: failure => {
+          this.open -= 1
+          this.refuse(caller, exchange, failure)
+          onOver(failure.verdict)
+        },
+        Right: () => this.run(caller, exchange, id, onOver)
       })
-      this.gate.acquire({ id, service: call.service.name, deadline, failedAt }, this.clock.now(), resolve)
-    })
-  }
-
-  private readRequest (request: FastifyRequest, call: MatchedCall): PlainRequest {
-    const headers: Record<string, string> = {}
-    for (const name of FORWARDED_HEADERS) {
-      const value = request.headers[name]
-      if (typeof value === 'string') {
-        headers[name] = value
-      }
     }
-    return {
-      method: request.method,
-      path: call.path,
-      headers,
-      body: Buffer.isBuffer(request.body) ? request.body : undefined,
-      deadline: this.readDeadline(request, call)
+    const onGone = (): void => {
+      this.gate.withdraw(id)
+      onPass(Left(Failure.notRun(FailureCode.Cancelled, 'The caller has gone.')))
     }
+    caller.response.once('close', onGone)
+    this.gate.acquire({ id, service, deadline }, this.options.clock.now(), onPass)
+  }
+
+  private run ({ answer }: Caller, exchange: Exchange, id: string, onOver: (verdict: Verdict) => void): void {
+    this.desk.runs.start(exchange, answer, verdict => {
+      this.open -= 1
+      this.gate.release(id, this.options.clock.now())
+      onOver(verdict)
+    })
   }
 
-  /** The service's own, or the caller's when that is sooner. */
-  private readDeadline (request: FastifyRequest, call: MatchedCall): number {
-    const now = this.clock.now()
-    const asked = [Number(request.headers[CallerHeader.Deadline]), now + Number(request.headers[CallerHeader.Timeout])]
-    return Math.min(now + call.service.timeoutMs, ...asked.filter(Number.isFinite))
+  private refuse ({ answer }: Caller, head: ExchangeHead, failure: Failure): void {
+    this.log.refused(head, failure)
+    answer.fail(failure)
   }
 
-  async close (): Promise<void> {
+  /** Ends what is left at a shutdown whose time is up; nothing is kept open. */
+  close (): void {
     this.cancelTick()
-    await this.client.close()
+    this.gate.refuseAll(Failure.notRun(FailureCode.Leaving, 'This instance is shutting down.', this.options.clock.now()))
+    this.desk.runs.abort()
+    this.servers.configure(emptyConfiguration)
   }
 }
--- /dev/null
+++ b/packages/foxtaillever-router/src/plain/plainServers.ts
@@ -0,0 +1,43 @@
+/** Keeps the relay core's directory in line with the configuration and with what servers say of themselves. */
+import { emptyConfiguration, type Configuration } from 'foxtaillever-core'
+import type { ServerDirectory } from 'foxtaillever-relay/servers/serverDirectory'
+import { listServers, routingOf } from './plainRoutes.js'
+
+export class PlainServers {
+  private configuration: Configuration = emptyConfiguration
+  private readonly leaving = new Set<string>()
+  /** Rises with each change, as the directory asks of its entries. */
+  private version = 0
+
+  private constructor (private readonly directory: ServerDirectory) {}
+
+  static create (directory: ServerDirectory): PlainServers {
+    return new PlainServers(directory)
+  }
+
+  configure (configuration: Configuration): void {
+    this.configuration = configuration
+    this.directory.configure(routingOf(configuration))
+    this.update()
+  }
+
+  /** Takes the word of the instance list, or of the server itself. */
+  observeLeaving (server: string, isLeaving: boolean): void {
+    if (this.leaving.has(server) === isLeaving) {
+      return
+    }
+    if (isLeaving) {
+      this.leaving.add(server)
+    } else {
+      this.leaving.delete(server)
+    }
+    this.update()
+  }
+
+  private update (): void {
+    const listed = listServers(this.configuration, this.leaving)
+    this.version += 1
+    listed.forEach(server => this.directory.observe(server, this.version))
+    this.directory.retain(new Set(listed.map(({ id }) => id)), this.version + 1)
+  }
+}
--- /dev/null
+++ b/packages/foxtaillever-router/src/plain/plainWire.ts
@@ -0,0 +1,52 @@
+/**
+ * The wire between the router and plain services: ordinary HTTP, of which
+ * services see a few headers of the caller and callers a few of the service.
+ * Services know nothing of this router, so an answer needs no stamp, and the
+ * connection alone says whose it is.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import { CallerHeader, EngineHeader, Verdict } from 'foxtaillever-core'
+import type { AnswerMarks, ServerWire } from 'foxtaillever-relay/model/wire'
+
+/** Headers of the caller that the service sees, besides the request's id. */
+const FORWARDED_HEADERS = ['content-type', 'accept', 'accept-language', CallerHeader.IdempotencyKey]
+
+/** Headers of the service that the caller sees. */
+const returnedHeaders = new Set(['content-type', 'content-length', 'content-disposition', 'etag', 'last-modified', 'cache-control'])
+
+/** These have no body unless the caller sent one. */
+const bodilessMethods = new Set(['GET', 'HEAD', 'DELETE'])
+
+/** Names and values in turn. */
+export function forwardedHeaders (headers: IncomingHttpHeaders): string[] {
+  return FORWARDED_HEADERS.flatMap(name => {
+    const value = headers[name]
+    return typeof value === 'string' ? [name, value] : []
+  })
+}
+
+function returned (rawHeaders: readonly string[]): string[] {
+  return rawHeaders.filter((_, index) => returnedHeaders.has((rawHeaders[index - index % 2] ?? '').toLowerCase()))
+}
+
+function readMarks (_status: number, headers: IncomingHttpHeaders): AnswerMarks {
+  return {
+    requestId: undefined,
+    isStamped: true,
+    isNotRun: headers[EngineHeader.Verdict] === Verdict.NotRun,
+    serverId: undefined,
+    weightsVersion: undefined,
+    isEventStream: false
+  }
+}
+
+export const plainWire: ServerWire = {
+  // Callers go by the verdict, so a service's own "busy" is its own answer.
+  notRunStatuses: new Set(),
+  createHeaders: ({ id, method, headers, body }, { server }) => {
+    const length = body.length === 0 && bodilessMethods.has(method) ? [] : ['content-length', String(body.length)]
+    return ['host', server.address, CallerHeader.RequestId, id, ...headers, ...length]
+  },
+  readMarks,
+  passHeaders: returned
+}
