--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -54,7 +54,7 @@
   readonly directory: ServerDirectory
   /** Stores of cached prompt levels. */
   readonly stores: () => readonly CacheStore[]
-  readonly use: FleetUse
+  readonly use: Pick<FleetUse, 'of'>
   /** How long a fetch of levels with the key waits for their store's link, milliseconds. */
   readonly fetchWaitMs: (promptKey: number, service: string) => number
   readonly weights: Pick<WeightsDesk, 'outdatedSince'>
