--- /dev/null
+++ b/packages/foxtaillever-relay/src/exchange/afterwards.ts
@@ -0,0 +1,11 @@
+/**
+ * Goes on when what was begun is done, at once where nothing was. Promises that
+ * are done go on a turn later; most exchanges need not wait for one.
+ */
+export function afterwards (begun: Promise<void> | undefined, goOn: () => void): void {
+  if (begun === undefined) {
+    goOn()
+    return
+  }
+  begun.then(goOn, error => { throw error })
+}
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -10,6 +10,7 @@
 import { planTerms } from '../attempts/planTerms.js'
 import { heldTokensOf, isRepeatable, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import { afterwards } from './afterwards.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import { ExchangeEnd } from './exchangeEnd.js'
@@ -76,16 +77,11 @@
 
   /** Places the next try, on fresh words of load where the fleet is large. */
   private tryNext (): void {
-    const asked = this.context.askLoad(this.exchange, this.ledger)
-    if (asked === undefined) {
-      this.tryNow()
-      return
-    }
-    asked.then(() => {
+    afterwards(this.context.askLoad(this.exchange, this.ledger), () => {
       if (!this.isOver) {
         this.tryNow()
       }
-    }, error => { throw error })
+    })
   }
 
   private tryNow (): void {
