--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -10,6 +10,7 @@
 import type { KeyedRecord } from '../knowledge/keyedLog.js'
 import { callServer } from '../servers/callServer.js'
 import { ServerConnections } from '../servers/serverConnections.js'
+import { decodeLoadMessage, encodeLoadMessage, type LoadMessage } from './loadMessage.js'
 import { decodePeerMessage, encodePeerMessage, type PeerMessage } from './peerMessage.js'
 import { decodeReadNotice, encodeReadNotice, type ReadNotice } from './readNotice.js'
 import type { FenceLog } from '../weights/fenceLog.js'
@@ -41,6 +42,7 @@
   readonly port: number
   readonly onMessage: (message: PeerMessage) => void
   readonly onNotice: (notice: ReadNotice) => void
+  readonly onLoad: (message: LoadMessage) => void
   readonly onWeights: (notice: WeightsNotice) => void
   /** What this instance knows of a topic from an offset on. */
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
@@ -75,15 +77,21 @@
   }
 
   async open (): Promise<void> {
-    const { host, port, onMessage, onNotice, onWeights } = this.options
-    await this.datagrams.open(bytes => decodePeerMessage(bytes).ifJust(onMessage).ifNothing(() =>
-      decodeReadNotice(bytes).ifJust(onNotice).ifNothing(() => decodeWeightsNotice(bytes).ifJust(onWeights))))
+    const { host, port } = this.options
+    await this.datagrams.open(bytes => this.receive(bytes))
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject)
       this.server.listen(port, host, resolve)
     })
   }
 
+  private receive (bytes: Uint8Array): void {
+    const { onMessage, onNotice, onLoad, onWeights } = this.options
+    decodeLoadMessage(bytes).ifJust(onLoad).ifNothing(() =>
+      decodePeerMessage(bytes).ifJust(onMessage).ifNothing(() =>
+        decodeReadNotice(bytes).ifJust(onNotice).ifNothing(() => decodeWeightsNotice(bytes).ifJust(onWeights))))
+  }
+
   async close (): Promise<void> {
     this.server.close()
     this.server.closeAllConnections()
@@ -101,6 +109,10 @@
     addresses.forEach(address => this.datagrams.send(address, bytes))
   }
 
+  sendLoad (address: string, message: LoadMessage): void {
+    this.datagrams.send(address, encodeLoadMessage(message))
+  }
+
   tellWeights (addresses: readonly string[], notice: WeightsNotice): void {
     const bytes = encodeWeightsNotice(notice)
     addresses.forEach(address => this.datagrams.send(address, bytes))
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -6,9 +6,11 @@
 import type { Cancellation, Clock, Random } from 'foxtaillever-core'
 import { PeerLink, type PeerLinkOptions, type ToldRecords } from './peerLink.js'
 import { FleetUse } from './fleetUse.js'
-import type { LeaseNews, PeerMessage, WeightsNews } from './peerMessage.js'
+import { LoadTalk } from './loadTalk.js'
+import type { LeaseNews, PeerMessage, ServerUse, WeightsNews } from './peerMessage.js'
 import { PeerTable } from './peerTable.js'
 import type { ReadNotice } from './readNotice.js'
+import { Rounds } from './rounds.js'
 import type { ToldTopic } from './toldTopic.js'
 import { MOST_IN_NOTICE } from './weightsNotice.js'
 
@@ -32,9 +34,19 @@
 /** Part of a period that is drawn, so that instances started together do not send together. */
 const BEAT_SPREAD = 0.2
 
-/** Others that hear one beat: with more, each hears a random part of the fleet every second, within 14 KB/s at 380. */
+/** In a fleet with more others, a large one, a beat goes to some of them, and load is told to computed watchers instead. */
 const MOST_RECEIVERS = 24
 
+/** Others that hear one beat of a large fleet, a second: 200 bytes, sent and received, are 6.4 KB/s; load takes another 6 at most days. */
+const LARGE_RECEIVERS = 16
+
+/**
+ * Engines with the newest weights that one beat of a large fleet names, drawn
+ * anew for each, bytes 40: with 16 beats heard a second each of 42 is named to
+ * everyone three times a second.
+ */
+const MOST_CURRENT = 8
+
 /** Others that hear what this one read, those of its failure domain first: with 60 bytes 1.4 times a second, 8 KB/s. */
 const MOST_NOTIFIED = 96
 
@@ -52,6 +64,8 @@
   readonly lease: () => LeaseNews | undefined
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   readonly onMessage: (message: PeerMessage) => void
+  /** Load that this instance puts on each server now. */
+  readonly ownUses: () => readonly ServerUse[]
   readonly onNotice: (notice: ReadNotice) => void
   readonly onWeights: PeerLinkOptions['onWeights']
   readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
@@ -59,17 +73,26 @@
 
 export class Peers {
   readonly table = PeerTable.create()
-  readonly use = FleetUse.create()
+  readonly use: FleetUse
   readonly link: PeerLink
+  readonly loads: LoadTalk
   readonly address: string
   private readonly startedAt: number
+  private readonly rounds: Rounds
   private cancelBeat: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall } = options
+    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, ownUses } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
-    this.link = PeerLink.create({ clock, host, port, tell, onMessage: message => this.hear(message), onNotice, onWeights, onLeaseCall })
+    this.rounds = Rounds.create(options.random)
+    this.use = FleetUse.create(clock)
+    this.link = PeerLink.create({
+      clock, host, port, tell, onNotice, onWeights, onLeaseCall, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message)
+    })
+    this.loads = LoadTalk.create({
+      clock, address: this.address, use: this.use, own: ownUses, send: (address, message) => this.link.sendLoad(address, message), others: () => this.likely().map(({ address }) => address)
+    })
   }
 
   static create (options: PeersOptions): Peers {
@@ -83,6 +106,7 @@
 
   async stop (): Promise<void> {
     this.cancelBeat()
+    this.loads.stop()
     await this.link.close()
   }
 
@@ -100,7 +124,7 @@
 
   /** Others that are likely there, though few of their beats come here. */
   likely (): PeerMessage[] {
-    return this.table.likely(this.options.clock.now(), MOST_RECEIVERS)
+    return this.table.likely(this.options.clock.now(), this.isLarge ? LARGE_RECEIVERS : MOST_RECEIVERS)
   }
 
   /** Instances to reckon with, this one included. */
@@ -108,14 +132,24 @@
     return this.table.count(this.options.clock.now())
   }
 
+  /** Whether beats go to a part of the others only. */
+  get isLarge (): boolean {
+    return this.table.all().length > MOST_RECEIVERS
+  }
+
+  /** Tokens that the others have on their way from the store of cached levels. */
+  tokensFrom (store: string): number {
+    return this.isLarge ? this.use.sampledTokens(store, this.table.all().length) : this.use.of(store).tokens
+  }
+
   /** Tells everyone now: a lease was taken, this instance leaves. */
   send (): void {
-    this.link.send(this.receivers(Infinity), this.message())
+    this.link.send(this.receivers(), this.message())
   }
 
   /** Tells everyone now which engines are about to change or have changed, and of the lease. */
   tellWeights (news: readonly WeightsNews[]): void {
-    const receivers = this.receivers(Infinity)
+    const receivers = this.receivers()
     const lease = this.options.lease()
     for (let from = 0; from === 0 || from < news.length; from += MOST_IN_NOTICE) {
       this.link.tellWeights(receivers, { lease, news: news.slice(from, from + MOST_IN_NOTICE) })
@@ -133,18 +167,17 @@
     this.table.expire(now)
     const alive = new Set(this.alive().map(({ address }) => address))
     this.use.retain(address => alive.has(address))
-    const receivers = this.receivers(MOST_RECEIVERS)
-    const beatMs = Math.min(MOST_BEAT_MS, Math.max(LEAST_BEAT_MS, receivers.length / DATAGRAMS_PER_MS))
+    const receivers = this.isLarge ? this.rounds.next(this.receivers(), LARGE_RECEIVERS) : this.receivers()
+    const beatMs = this.isLarge ? MOST_BEAT_MS : Math.min(MOST_BEAT_MS, Math.max(LEAST_BEAT_MS, receivers.length / DATAGRAMS_PER_MS))
     this.link.send(receivers, this.message())
+    if (this.isLarge) {
+      this.loads.follow()
+    }
     this.cancelBeat = clock.at(now + beatMs * (1 - BEAT_SPREAD * random.next()), () => this.beat())
   }
 
-  private receivers (most: number): string[] {
-    const addresses = this.table.all().map(({ address }) => address)
-    while (addresses.length > most) {
-      addresses.splice(this.options.random.below(addresses.length), 1)
-    }
-    return addresses
+  private receivers (): string[] {
+    return this.table.all().map(({ address }) => address)
   }
 
   private notified (): string[] {
@@ -160,12 +193,25 @@
 
   private message (): PeerMessage {
     const { name, failureDomain, word } = this.options
-    return { name, address: this.address, failureDomain, startedAt: this.startedAt, ...word() }
+    return { name, address: this.address, failureDomain, startedAt: this.startedAt, ...this.limit(word()) }
+  }
+
+  private limit (word: OwnWord): OwnWord {
+    return this.isLarge ? { ...word, current: word.current.map(news => ({ ...news, engines: this.draw(news.engines, MOST_CURRENT) })) } : word
+  }
+
+  private draw<T> (all: readonly T[], most: number): T[] {
+    const drawn = [...all]
+    while (drawn.length > most) {
+      drawn.splice(this.options.random.below(drawn.length), 1)
+    }
+    return drawn
   }
 
   private hear (message: PeerMessage): void {
     if (message.address !== this.address && this.table.hear(message, this.options.clock.now())) {
       this.use.observe(message.address, message.uses)
+      message.sums.forEach(({ server, ...load }) => this.use.learn(server, load))
       this.options.onMessage(message)
     }
   }
