--- a/packages/foxtaillever-policy/src/relay/__fixtures__/engineFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/engineFleet.ts
@@ -5,9 +5,9 @@
  * newer prompts, and fetch what they lack.
  */
 import { exponential, SeededRandom } from 'foxtaillever-core'
-import { mixHashes } from '../../placement/rendezvous.js'
-import { rankOffers, type ServerOffer } from '../placeExchange.js'
-import { fadeLoad, noLoad, type ServerLoad } from '../serverLoad.js'
+import { mixHashes } from '../placement/rendezvous.js'
+import { rankOffers, type ServerOffer } from '../relay/placeExchange.js'
+import { fadeLoad, noLoad, type ServerLoad } from '../relay/serverLoad.js'
 
 /** How an instance knows what the others put on engines. */
 export enum Knowledge {
@@ -27,6 +27,8 @@
   /** The store's link, tokens a millisecond. */
   readonly linkRate: number
   readonly knowledge: Knowledge
+  /** Whether leaving a home costs the wait for the link. */
+  readonly isLinkCharged: boolean
   /** Part of the datagrams that are lost. */
   readonly loss: number
   readonly seed: number
@@ -134,7 +136,7 @@
   }
 
   private place (instance: number, key: number, promptTokens: number): number {
-    const need = { promptKey: key, promptTokens, outputTokens: 0, fetchWaitMs: Math.max(0, this.linkFreeAt - this.now), isLong: false, failureDomain: `${instance % 3}` }
+    const need = { promptKey: key, promptTokens, outputTokens: 0, fetchWaitMs: this.shape.isLinkCharged ? Math.max(0, this.linkFreeAt - this.now) : 0, isLong: false, failureDomain: `${instance % 3}` }
     const rank = (): readonly ServerOffer[] => rankOffers(this.engines.map((_, index) => this.offerOf(index, instance)), need, this.random)
     if (this.shape.knowledge === Knowledge.Asked) {
       rank().slice(0, 2).filter(() => this.random.next() >= this.shape.loss * 2).forEach(({ id }) => this.ask(instance, Number(id)))
--- a/packages/foxtaillever-policy/src/relay/__tests__/largeFleet.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/largeFleet.test.ts
@@ -1,11 +1,11 @@
 import { describe, it } from 'foxtaillever-testing'
-import { EngineFleet, Knowledge, type FleetOutcome } from '../__fixtures__/engineFleet.js'
+import { EngineFleet, Knowledge, type FleetOutcome } from '../../bench/engineFleet.js'
 import { watchersOf } from '../computedWatchers.js'
 import { fadeLoad, sampleSum } from '../serverLoad.js'
 
 /** Seventy instances before forty-two engines, with half more than their usual load. */
 function play (knowledge: Knowledge, seed: number, linkRate: number): FleetOutcome {
-  return EngineFleet.play({ instances: 70, engines: 42, rate: 600, linkRate, knowledge, loss: 0.025, seed })
+  return EngineFleet.play({ instances: 70, engines: 42, rate: 600, linkRate, knowledge, isLinkCharged: true, loss: 0.025, seed })
 }
 
 /** Tokens a millisecond: no fetch waits. */
