Leave silent stores of cached levels out, and don't count saves as their load

A store that is down cost every fetch some hundred milliseconds for as long as it was down, and one that came back empty counted as full for ten seconds. Two computed instances now look at each store twice a second and tell the others: a store is left out when all who looked of late found it silent (the next by rendezvous takes its levels), and what was saved is forgotten when its incarnation changes. Only those that look tell it: some 30 bytes a store in their beats, at the end of the message, optional on decode.

A store that crashes under load was not run.

--- a/packages/foxtaillever-policy/src/relay/savedLevels.ts
+++ b/packages/foxtaillever-policy/src/relay/savedLevels.ts
@@ -81,6 +81,12 @@
     this.untold.set(level, TIMES_TOLD)
   }
 
+  /** A store restarted empty: what it lacks is saved by the next requests that read it. */
+  forget (): void {
+    this.saves.clear()
+    this.untold.clear()
+  }
+
   /** The request that was to save the level failed first. */
   giveBack (level: number): void {
     if (this.saves.get(level)?.state === SaveState.Pending) {
--- a/packages/foxtaillever-policy/src/relay/useCacheStore.ts
+++ b/packages/foxtaillever-policy/src/relay/useCacheStore.ts
@@ -8,7 +8,7 @@
 
 /** The link of a store as a request finds it. */
 export interface StoreLink {
-  /** Tokens on their way from and to the store, this request's not counted; see `linkTokens`. */
+  /** Tokens on their way from the store, this request's not counted; see `linkTokens`. */
   readonly tokensOnTheWay: number
   /** What the link moves within a failure domain, tokens a millisecond. */
   readonly tokensPerMs: number
--- a/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
+++ b/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
@@ -31,12 +31,13 @@
   readonly savedLevels = SavedLevels.create()
   readonly fetchLoad = FetchLoad.create(store => this.told.get(store) ?? 0)
   readonly told = new Map<string, number>()
+  readonly silent = new Set<string>()
 
   terms (subject: number, request: number, failureDomain = 'a', now = 0): SendTerms {
     const listed = { id: 'e', service: 'engines', address: '127.0.0.1:1', failureDomain, slots: 32, state: ServerState.Ready, coldLeftMs: 0, weights: new Map<string, number>() }
     const levels = [{ id: 'root', tokens: 2520 }, { id: `subject ${subject}`, tokens: 3780 }, { id: `own ${request}`, tokens: OWN_TOKENS }]
     const exchange = exchangeAt(now, { prompt: { model: 'model', levels, promptTokens: 9190, outputTokens: 10 } })
-    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, now })
+    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, stores: routing.cacheStores.filter(({ address }) => !this.silent.has(address)), savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, now })
   }
 }
 
@@ -64,6 +65,21 @@
     t.deepEqual([...new Set(sources)].sort(), ['', 'store-a', 'store-c'])
   })
 
+  // A store is down. Whoever is told to fetch from it waits some hundred milliseconds for nothing.
+  it('name the next store while the home is silent, and have the level saved there', t => {
+    const instance = new Instance()
+    const home = instance.terms(1, 1).saveTo
+    instance.silent.add(home)
+    const next = instance.terms(1, 2)
+    t.not(next.saveTo, '')
+    t.not(next.saveTo, home)
+    t.is(next.fetchFrom, next.saveTo)
+    instance.silent.delete(home)
+    t.is(instance.terms(1, 3).fetchFrom, home)
+    routing.cacheStores.forEach(({ address }) => instance.silent.add(address))
+    t.is(instance.terms(1, 4).fetchFrom, '')
+  })
+
   // A transfer between failure domains takes twice the link. Counted as one it would let fetches pile up.
   it('count a far transfer twice, and only levels that the store is known to have', t => {
     const instance = new Instance()
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -5,7 +5,7 @@
 import { linkTokens, mayFetch, maySave } from 'foxtaillever-policy/relay/useCacheStore'
 import type { FetchLoad } from '../cache/fetchLoad.js'
 import type { Exchange, Prompt } from '../model/exchange.js'
-import type { Routing } from '../model/routing.js'
+import type { CacheStore, Routing } from '../model/routing.js'
 import type { SendTerms } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
 
@@ -50,17 +50,19 @@
 }
 
 /** Terms of a try that neither fetches nor saves. */
-const noCache = { fetchFrom: '', saveTo: '', fetchedTokens: 0, savedTokens: 0, savedLevel: undefined }
+const noCache = { fetchFrom: '', saveTo: '', fetchedTokens: 0, savedLevel: undefined }
 
 export interface TermsSources {
   readonly routing: Routing
+  /** Stores of cached levels that answer. */
+  readonly stores: readonly CacheStore[]
   readonly savedLevels: SavedLevels
   readonly fetchLoad: FetchLoad
   /** Milliseconds of Unix time. */
   readonly now: number
 }
 
-export function planTerms (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, resumeAfter: string, { routing, savedLevels, fetchLoad, now }: TermsSources): SendTerms {
+export function planTerms (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, resumeAfter: string, { routing, stores, savedLevels, fetchLoad, now }: TermsSources): SendTerms {
   const { prompt, route, account, deadline } = exchange
   const priority = Math.min(LAST_PRIORITY, account?.priority ?? route.priority ?? MIDDLE_PRIORITY)
   const common = { server: server.listed, deadline, priority, resumeAfter }
@@ -70,7 +72,7 @@
   }
   const cacheSalt = cacheSaltOf(exchange, weightsVersion)
   const key = promptKeyOf(exchange)
-  const store = key === undefined ? undefined : homeOf(key, routing.cacheStores)
+  const store = key === undefined ? undefined : homeOf(key, stores)
   const tokenBytes = routing.services.get(exchange.service)?.engine?.tokenBytes
   if (store === undefined || tokenBytes === undefined) {
     return { ...common, ...noCache, cacheSalt, weightsVersion, unreadTokens: prompt.promptTokens }
@@ -82,17 +84,14 @@
   // What was saved is found at the server or fetched; what comes after it is read in any case.
   const isFound = isFetched && savedLevels.has(level, now)
   const isSaved = maySave(link) && savedLevels.take(level, now)
-  const ownTokens = ownTokensOf(prompt)
-  const sharedTokens = deepestSharedTokensOf(prompt)
   return {
     ...common,
     cacheSalt,
     weightsVersion,
     fetchFrom: isFetched ? store.address : '',
     saveTo: isSaved ? store.address : '',
-    unreadTokens: isFound ? ownTokens : prompt.promptTokens,
-    fetchedTokens: isFound ? linkTokens(sharedTokens, isFar) : 0,
-    savedTokens: isSaved ? linkTokens(sharedTokens + ownTokens, isFar) : 0,
+    unreadTokens: isFound ? ownTokensOf(prompt) : prompt.promptTokens,
+    fetchedTokens: isFound ? linkTokens(deepestSharedTokensOf(prompt), isFar) : 0,
     savedLevel: isSaved ? level : undefined
   }
 }
--- a/packages/foxtaillever-relay/src/cache/fetchLoad.ts
+++ b/packages/foxtaillever-relay/src/cache/fetchLoad.ts
@@ -1,8 +1,8 @@
 /**
- * Prompt tokens on their way from and to the stores of cached levels: those of
- * transfers that this instance asked engines for, and those that the others
- * told. All engines share a store's one link, so the sum says how long the next
- * transfer waits.
+ * Prompt tokens on their way from the stores of cached levels: those that this
+ * instance asked engines to fetch, and those that the others told. All engines
+ * share a store's one link, so the sum says how long the next fetch waits. Saves
+ * are not counted: a level that is not saved is read again by all who ask for it.
  */
 import { TRANSFER_COUNTED_MS } from 'foxtaillever-policy/relay/useCacheStore'
 import type { ServerUse } from '../peers/peerMessage.js'
@@ -22,7 +22,7 @@
 
   private constructor (private readonly othersTokens: (store: string) => number) {}
 
-  /** @param othersTokens tokens that the other instances have on their way from and to the store at the address. */
+  /** @param othersTokens tokens that the other instances have on their way from the store at the address. */
   static create (othersTokens: (store: string) => number): FetchLoad {
     return new FetchLoad(othersTokens)
   }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -1,8 +1,7 @@
 /** What all exchanges of an instance share. */
 import type { Clock, Random } from 'foxtaillever-core'
 import type { RetryShare } from 'foxtaillever-policy/relay/retryShare'
-import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
-import type { FetchLoad } from '../cache/fetchLoad.js'
+import type { CacheUse } from '../cache/cacheUse.js'
 import type { Exchange } from '../model/exchange.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
@@ -17,8 +16,7 @@
   readonly wire: ServerWire
   readonly directory: ServerDirectory
   readonly retries: RetryShare
-  readonly savedLevels: SavedLevels
-  readonly fetchLoad: FetchLoad
+  readonly caches: Pick<CacheUse, 'savedLevels' | 'fetchLoad' | 'available'>
   readonly suspects: CrashSuspects
   readonly log: RelayLog
   /** The configuration in force. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -95,7 +95,7 @@
     this.ledger.begin(server.listed.id)
     this.head = undefined
     relay.reset()
-    const terms = planTerms(exchange, server, relay.lastEventId, { routing: context.routing(), savedLevels: context.savedLevels, fetchLoad: context.fetchLoad, now: beganAt })
+    const terms = planTerms(exchange, server, relay.lastEventId, { routing: context.routing(), stores: context.caches.available(), ...context.caches, now: beganAt })
     const headers = wire.createHeaders(exchange, terms, beganAt)
     const attempt = Attempt.begin({
       clock,
@@ -110,7 +110,7 @@
         onFailed: failure => this.onFailed(failure)
       }
     })
-    const { savedLevels, fetchLoad } = context
+    const { savedLevels, fetchLoad } = context.caches
     this.current = OpenTry.open({ attempt, server, beganAt, terms, savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
   }
 
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -70,11 +70,10 @@
 
   /** An answer begins with this status; with it, the server has read the prompt. */
   observeStatus (status: number, now: number): void {
-    const { terms, savedLevels, fetchLoad } = this.options
+    const { terms, savedLevels } = this.options
     this.release()
     if (terms.savedLevel !== undefined && status < 300) {
       savedLevels.confirm(terms.savedLevel, now)
-      fetchLoad.begin(terms.saveTo, terms.savedTokens, now)
     }
   }
 
--- a/packages/foxtaillever-relay/src/index.ts
+++ b/packages/foxtaillever-relay/src/index.ts
@@ -1,6 +1,7 @@
 /** Public surface of the relay. */
 export * from './relay.js'
 export * from './relayOptions.js'
+export type { CacheStoreCalls, StoreState } from './cache/storeWatch.js'
 export * from './knowledge/keyedLog.js'
 export * from './model/exchange.js'
 export * from './model/listedServer.js'
--- a/packages/foxtaillever-relay/src/model/wire.ts
+++ b/packages/foxtaillever-relay/src/model/wire.ts
@@ -25,8 +25,6 @@
   readonly unreadTokens: number
   /** Tokens that the server is likely to fetch, as the link of the store feels them. */
   readonly fetchedTokens: number
-  /** Tokens that the server is likely to save, as the link of the store feels them. */
-  readonly savedTokens: number
   /** Hash of the shared level that is saved with it; undefined for none. */
   readonly savedLevel: number | undefined
   /** The last event that the caller has; empty for none. */
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -21,7 +21,8 @@
   weights: [],
   suspects: [],
   savedLevels: [],
-  named: []
+  named: [],
+  stores: []
 }
 
 describe('PeerTable', () => {
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -1,4 +1,5 @@
 /** What instances tell each other by datagram: positional arrays by msgpackr, because names would double the size. */
+import type { StoreWord } from 'foxtaillever-policy/relay/storeReach'
 import { Packr } from 'msgpackr'
 import { Maybe } from 'purify-ts'
 
@@ -61,12 +62,14 @@
   readonly suspects: readonly string[]
   /** Hashes of prompt levels that it had saved to the store of cached levels of late. */
   readonly savedLevels: readonly number[]
+  /** What it found at the stores of cached levels that it watches. */
+  readonly stores: readonly StoreWord[]
 }
 
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named, stores } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -74,7 +77,8 @@
     weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
     suspects,
     savedLevels,
-    named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)])
+    named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
+    ...(stores.length > 0 ? [stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation])] : [])
   ])
 }
 
@@ -85,7 +89,8 @@
   ReadonlyArray<readonly [string, string, number, number]>,
   readonly string[],
   readonly number[],
-  ReadonlyArray<readonly [string, number, number]> | undefined
+  ReadonlyArray<readonly [string, number, number]> | undefined,
+  ReadonlyArray<readonly [string, boolean, number]> | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -101,7 +106,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = []] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = [], stores = []] = wire as Wire
     return {
       name,
       address,
@@ -115,7 +120,8 @@
       weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
       suspects,
       savedLevels,
-      named: named.map(([model, version, ageMs]) => ({ model, version, ageMs }))
+      named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
+      stores: stores.map(([store, isSilent, incarnation]) => ({ store, isSilent, incarnation }))
     }
   }))
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
-import { createCacheUse } from './cache/cacheUse.js'
+import { CacheUse } from './cache/cacheUse.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
@@ -43,7 +43,7 @@
   private readonly figures: MetricsServer
   private readonly directory: ServerDirectory
   private readonly retries: RetryShare
-  private readonly caches = createCacheUse(store => this.peers.use.of(store).tokens)
+  private readonly caches: CacheUse
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: ReadinessServer
@@ -58,7 +58,7 @@
   private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
-    const { clock, random, logs, callerWire, serverWire, retryAllowance, failureDomain } = options
+    const { clock, random, logs, callerWire, serverWire, retryAllowance, name, failureDomain } = options
     this.log = RelayLog.create(logs, service => this.state.brief(service))
     this.graceMs = options.graceMs
     this.retries = RetryShare.create(retryAllowance)
@@ -72,6 +72,7 @@
     this.state.addTo(this.log.metrics)
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
+    this.caches = CacheUse.create({ clock, calls: options.cacheStoreCalls, log: this.log, name, failureDomain, peers: this.peers, stores: () => this.table?.routing.cacheStores ?? [] })
     this.knowledge = this.createKnowledge()
     this.lease = this.createLease()
     this.weights = this.createWeightsDesk()
@@ -84,7 +85,7 @@
       wire: serverWire,
       directory: this.directory,
       retries: this.retries,
-      ...this.caches,
+      caches: this.caches,
       suspects: this.suspects,
       log: this.log,
       routing: () => this.routing(),
@@ -112,6 +113,7 @@
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
+    this.caches.watch.start()
     enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await this.readiness.listen(readiness.host, readiness.port)
@@ -146,6 +148,7 @@
     }
     this.runs.abort()
     this.weights.stop()
+    this.caches.watch.stop()
     this.knowledge.stop()
     this.readiness.close()
     this.figures.close()
@@ -160,9 +163,8 @@
 
   private createState (): RelayState {
     const { name, clock } = this.options
-    const { directory } = this
     const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.lease }
-    return RelayState.create({ name, clock, directory, ...parts, open: () => this.runs.size, isReady: () => this.isReady() })
+    return RelayState.create({ name, clock, directory: this.directory, ...parts, open: () => this.runs.size, isReady: () => this.isReady() })
   }
 
   private createPeers (): Peers {
@@ -254,20 +256,19 @@
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.lease.news(),
-      uses: ownUses(this.directory.all(), this.caches.fetchLoad.own(this.options.clock.now())),
+      uses: ownUses(this.directory.all(), this.caches.uses()),
       suspects: this.suspects.toTell(this.options.clock.now()),
-      savedLevels: this.caches.savedLevels.tell(),
+      ...this.caches.word(),
       named: this.weights.ages()
     }
   }
 
-  private hear ({ lease, weights, suspects, savedLevels, named }: PeerMessage): void {
-    const now = this.options.clock.now()
+  private hear ({ lease, weights, suspects, named, name, ...caches }: PeerMessage): void {
     const count = this.peers.count()
     this.retries.observeInstances(count)
     this.directory.observeInstances(count)
-    this.suspects.hear(suspects, now)
-    this.caches.savedLevels.hear(savedLevels, now)
+    this.suspects.hear(suspects, this.options.clock.now())
+    this.caches.hear(name, caches)
     if (lease) {
       this.lease.observe(lease)
     }
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -3,6 +3,7 @@
 import type { RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
 import type { Logs } from 'foxtaillever-telemetry'
 import type { Either } from 'purify-ts'
+import type { CacheStoreCalls } from './cache/storeWatch.js'
 import type { KeyedRecord } from './knowledge/keyedLog.js'
 import type { WritableKeyedLog } from './knowledge/memberBook.js'
 import type { ListedServer, WantedWeights } from './model/listedServer.js'
@@ -66,6 +67,7 @@
   readonly log: WritableKeyedLog
   readonly fenceLog: FenceLog
   readonly engineOrders: EngineOrders
+  readonly cacheStoreCalls: CacheStoreCalls
   readonly topics: Topics
   readonly readers: RecordReaders
   readonly callerWire: CallerWire
