--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,6 +1,7 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
+import { CacheUse } from './cache/cacheUse.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
@@ -44,6 +45,7 @@
   private readonly state: RelayState
   private readonly figures: MetricsServer
   private readonly desk: ExchangeDesk
+  private readonly caches: CacheUse
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: ReadinessServer
@@ -55,14 +57,15 @@
   private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
-    const { clock, random, logs, callerWire } = options
+    const { clock, random, logs, callerWire, name, failureDomain } = options
     this.log = RelayLog.create(logs, service => this.state.brief(service))
     this.graceMs = options.graceMs
+    this.peers = this.createPeers()
+    this.caches = CacheUse.create({ clock, calls: options.cacheStoreCalls, log: this.log, name, failureDomain, peers: this.peers, stores: () => this.table?.routing.cacheStores ?? [] })
     this.desk = this.createDesk()
     this.state = this.createState()
     this.state.addTo(this.log.metrics)
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
-    this.peers = this.createPeers()
     this.knowledge = this.createKnowledge()
     this.office = this.createOffice()
     this.callers = CallerServer.create({
@@ -86,6 +89,7 @@
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
+    this.caches.watch.start()
     enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await this.readiness.listen(readiness.host, readiness.port)
@@ -120,6 +124,7 @@
     }
     this.desk.runs.abort()
     this.office.desk.stop()
+    this.caches.watch.stop()
     this.knowledge.stop()
     this.readiness.close()
     this.figures.close()
@@ -145,7 +150,7 @@
       weightsBoundMs,
       suspects: this.suspects,
       use: { of: id => this.peers.use.of(id) },
-      othersTokens: store => this.peers.tokensFrom(store),
+      caches: this.caches,
       askLoad: shortlist => this.peers.isLarge ? this.peers.loads.ask(shortlist()) : undefined,
       weights: { outdatedSince: (model, version) => this.office.desk.outdatedSince(model, version) },
       routing: () => this.table?.routing,
@@ -231,16 +236,16 @@
 
   /** What this instance tells the others of itself. */
   private word (): OwnWord {
-    const { directory, caches } = this.desk
+    const { directory } = this.desk
     return {
       isLeaving: this.isLeaving,
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.office.lease.news(),
-      uses: [...this.peers.isLarge ? [] : ownUses(directory.all()), ...caches.fetchLoad.own(this.options.clock.now())],
+      uses: [...this.peers.isLarge ? [] : ownUses(directory.all()), ...this.caches.uses()],
       sums: this.peers.isLarge ? this.peers.loads.sums(directory.all().map(({ listed }) => listed.id)) : [],
       suspects: this.suspects.toTell(this.options.clock.now()),
-      savedLevels: caches.savedLevels.tell(),
+      ...this.caches.word(),
       named: this.office.desk.ages(),
       current: this.office.desk.current()
     }
@@ -253,11 +258,10 @@
     news.forEach(one => this.office.desk.observe(one))
   }
 
-  private hear ({ lease, suspects, savedLevels, named, current }: PeerMessage): void {
-    const now = this.options.clock.now()
+  private hear ({ lease, suspects, named, current, name, ...caches }: PeerMessage): void {
     this.desk.observeInstances(this.peers.count())
-    this.suspects.hear(suspects, now)
-    this.desk.caches.savedLevels.hear(savedLevels, now)
+    this.suspects.hear(suspects, this.options.clock.now())
+    this.caches.hear(name, caches)
     this.hearWeights({ news: [], lease })
     named.forEach(news => this.office.desk.observeNamed(news))
     current.forEach(news => this.office.desk.observeCurrent(news))
