--- a/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
@@ -72,7 +72,7 @@
     const use = FleetUse.create(clock)
     const own = new Map<string, ServerUse>()
     const talk = LoadTalk.create({
-      clock, address, use, send: (to, message) => this.send(address, to, message), others: () => others, own: () => [...own.values()]
+      clock, address, use, send: (to, message) => this.send(address, to, message), others: () => others, own: () => [...own.values()], onPassedOver: () => {}
     })
     return { address, talk, use, own, bytes: 0, isCut: false }
   }
--- a/packages/foxtaillever-relay/src/peers/loadTalk.ts
+++ b/packages/foxtaillever-relay/src/peers/loadTalk.ts
@@ -51,6 +51,8 @@
   readonly others: () => readonly string[]
   /** Load that this instance puts on each server now. */
   readonly own: () => readonly ServerUse[]
+  /** A watcher did not answer several questions in a row. */
+  readonly onPassedOver: (address: string) => void
 }
 
 interface ToldWord extends ServerLoad {
@@ -137,7 +139,13 @@
   private giveUp (number: number): void {
     const pending = this.pending.get(number)
     const until = this.options.clock.now() + PASSED_OVER_MS
-    pending?.waiting.forEach(watcher => this.silences.set(watcher, { unanswered: (this.silences.get(watcher)?.unanswered ?? 0) + 1, until }))
+    pending?.waiting.forEach(watcher => {
+      const unanswered = (this.silences.get(watcher)?.unanswered ?? 0) + 1
+      this.silences.set(watcher, { unanswered, until })
+      if (unanswered === MOST_UNANSWERED) {
+        this.options.onPassedOver(watcher)
+      }
+    })
     this.pending.delete(number)
     pending?.settle()
   }
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -66,6 +66,8 @@
   readonly onMessage: (message: PeerMessage) => void
   /** Load that this instance puts on each server now. */
   readonly ownUses: () => readonly ServerUse[]
+  /** An instance that keeps the load of servers does not answer. */
+  readonly onPassedOver: (address: string) => void
   readonly onNotice: (notice: ReadNotice) => void
   readonly onWeights: PeerLinkOptions['onWeights']
   readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
@@ -82,7 +84,7 @@
   private cancelBeat: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, ownUses } = options
+    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, ownUses, onPassedOver } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.rounds = Rounds.create(options.random)
@@ -91,7 +93,7 @@
       clock, host, port, tell, onNotice, onWeights, onLeaseCall, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message)
     })
     this.loads = LoadTalk.create({
-      clock, address: this.address, use: this.use, own: ownUses, send: (address, message) => this.link.sendLoad(address, message), others: () => this.likely().map(({ address }) => address)
+      clock, address: this.address, use: this.use, own: ownUses, onPassedOver, send: (address, message) => this.link.sendLoad(address, message), others: () => this.likely().map(({ address }) => address)
     })
   }
 
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -180,6 +180,7 @@
       tell: (topic, from) => this.knowledge.tell(topic, from),
       onMessage: message => this.hear(message),
       ownUses: () => ownUses(this.desk.directory.all()),
+      onPassedOver: peer => this.log.belief('An instance does not answer questions of load; its second is asked.', { peer }),
       onNotice: notice => this.knowledge.hear(notice),
       onWeights: notice => this.hearWeights(notice),
       onLeaseCall: (request, search, response) => this.lendLease(request, search, response)
