--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -37,7 +37,7 @@
 /** In a fleet with more others, a large one, a beat goes to some of them, and load is told to computed watchers instead. */
 const MOST_RECEIVERS = 24
 
-/** Others that hear one beat of a large fleet, a second: 200 bytes, sent and received, are 6.4 KB/s; load takes another 6 at most days. */
+/** Others that hear one beat of a large fleet, a second: 230 bytes, sent and received, are 7.4 KB/s; load takes another 6 on most days. */
 const LARGE_RECEIVERS = 16
 
 /**
