--- a/packages/foxtaillever-relay/src/cache/__tests__/fetchLoad.test.ts
+++ b/packages/foxtaillever-relay/src/cache/__tests__/fetchLoad.test.ts
@@ -21,7 +21,7 @@
     load.begin('b', 30, 0)
     t.is(load.tokensAt('a', 1), 1500)
     t.is(load.tokensAt('b', 1), 30)
-    t.deepEqual(load.own(1), [{ server: 'a', outstanding: 1, tokens: 1000 }, { server: 'b', outstanding: 1, tokens: 30 }])
+    t.deepEqual(load.own(1), [{ server: 'a', outstanding: 1, tokens: 1000, heldTokens: 0 }, { server: 'b', outstanding: 1, tokens: 30, heldTokens: 0 }])
     load.end(transfer)
     t.is(load.tokensAt('a', 1), 500)
   })
--- a/packages/foxtaillever-relay/src/cache/cacheUse.ts
+++ b/packages/foxtaillever-relay/src/cache/cacheUse.ts
@@ -1,11 +1,10 @@
 /** What an instance knows of the stores of cached levels: what they hold, whether they answer, and how busy their links are. */
 import { hashNumber, type Clock } from 'foxtaillever-core'
-import { homeOf } from 'foxtaillever-policy/relay/levelHome'
+import { watchersOf } from 'foxtaillever-policy/relay/computedWatchers'
 import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { StoreReach, type StoreWord } from 'foxtaillever-policy/relay/storeReach'
 import type { CacheStore } from '../model/routing.js'
 import type { ServerUse } from '../peers/peerMessage.js'
-import type { Peers } from '../peers/peers.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import { FetchLoad } from './fetchLoad.js'
 import { StoreWatch, type CacheStoreCalls } from './storeWatch.js'
@@ -18,13 +17,27 @@
 
 export interface CacheUseOptions {
   readonly clock: Clock
-  readonly calls: CacheStoreCalls
+  readonly cacheStoreCalls: CacheStoreCalls
   readonly log: RelayLog
-  readonly name: string
-  readonly failureDomain: string
   /** Those of the configuration in force. */
   readonly stores: () => readonly CacheStore[]
-  readonly peers: Pick<Peers, 'likely' | 'use' | 'send'>
+  /** Where the others know this instance. */
+  readonly ownAddress: () => string
+  /** The other instances that are likely there. */
+  readonly others: () => ReadonlyArray<{ readonly address: string }>
+  /** Tokens that the other instances have on their way from the store at the address. */
+  readonly othersTokens: (store: string) => number
+  /** The others are to hear of it now. */
+  readonly tellAll: () => void
+}
+
+/** For a deployment that has no store of cached levels. */
+export const withoutStores: Omit<CacheUseOptions, 'clock' | 'log' | 'stores'> = {
+  cacheStoreCalls: { look: async () => { throw new Error('There is no store of cached levels to look at.') } },
+  ownAddress: () => '',
+  others: () => [],
+  othersTokens: () => 0,
+  tellAll: () => {}
 }
 
 export class CacheUse {
@@ -34,8 +47,8 @@
   private readonly reach = StoreReach.create()
 
   private constructor (private readonly options: CacheUseOptions) {
-    const { clock, calls, peers } = options
-    this.fetchLoad = FetchLoad.create(store => peers.use.of(store).tokens)
+    const { clock, cacheStoreCalls: calls, othersTokens } = options
+    this.fetchLoad = FetchLoad.create(othersTokens)
     this.watch = StoreWatch.create({ clock, calls, stores: () => this.watched(), onChanged: word => this.onChanged(word) })
   }
 
@@ -54,9 +67,9 @@
   }
 
   word (): CacheWord {
-    const { name, clock } = this.options
+    const { ownAddress, clock } = this.options
     const stores = this.watch.words()
-    this.reach.hear(name, stores, clock.now())
+    this.reach.hear(ownAddress(), stores, clock.now())
     return { savedLevels: this.savedLevels.tell(), stores }
   }
 
@@ -70,20 +83,17 @@
 
   /** Two instances look at each store, since one may be cut off itself. */
   private watched (): CacheStore[] {
-    const { name, failureDomain, stores, peers } = this.options
-    const instances = [{ name, failureDomain }, ...peers.likely()].map(of => ({ ...of, hash: hashNumber(of.name) }))
-    return stores().filter(({ hash }) => {
-      const first = homeOf(hash, instances)
-      const second = homeOf(hash, instances.filter(instance => instance !== first))
-      return first?.name === name || second?.name === name
-    })
+    const { stores, ownAddress, others } = this.options
+    const own = ownAddress()
+    const instances = [own, ...others().map(({ address }) => address)].map(address => ({ address, hash: hashNumber(address) }))
+    return stores().filter(({ hash }) => watchersOf(hash, instances).some(({ address }) => address === own))
   }
 
   private onChanged (word: StoreWord): void {
-    const { name, log, peers } = this.options
+    const { ownAddress, log, tellAll } = this.options
     const { store, isSilent, incarnation } = word
     log.belief(isSilent ? 'A store of cached levels does not answer.' : 'A store of cached levels answers.', { store, incarnation })
-    this.hear(name, { savedLevels: [], stores: [word] })
-    peers.send([])
+    this.hear(ownAddress(), { savedLevels: [], stores: [word] })
+    tellAll()
   }
 }
--- a/packages/foxtaillever-relay/src/cache/fetchLoad.ts
+++ b/packages/foxtaillever-relay/src/cache/fetchLoad.ts
@@ -32,7 +32,7 @@
     this.expire(now)
     const sums = new Map<string, number>()
     this.transfers.forEach(({ store, tokens }) => sums.set(store, (sums.get(store) ?? 0) + tokens))
-    return [...sums].map(([server, tokens]) => ({ server, outstanding: 1, tokens }))
+    return [...sums].map(([server, tokens]) => ({ server, outstanding: 1, tokens, heldTokens: 0 }))
   }
 
   tokensAt (store: string, now: number): number {
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -1,28 +1,38 @@
 /** What all exchanges of an instance share. */
 import type { Clock, Random } from 'foxtaillever-core'
 import type { RetryShare } from 'foxtaillever-policy/relay/retryShare'
+import type { AttemptFailure } from '../attempts/attemptFailure.js'
 import type { CacheUse } from '../cache/cacheUse.js'
 import type { Exchange } from '../model/exchange.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import type { EarlierTries } from '../servers/serverChoice.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { CrashSuspects } from './crashSuspects.js'
+import type { OpenTry } from './openTry.js'
+
+/** What a run asks and tells about requests that crash servers. */
+export type Suspicions = Pick<CrashSuspects, 'isRefused' | 'refusedUntil' | 'isDangerous' | 'accuse' | 'acquit'>
 
 export interface ExchangeContext {
   readonly clock: Clock
+  /** Longest wait for a connection, milliseconds. */
+  readonly connectTimeoutMs: number
   readonly random: Random
   readonly wire: ServerWire
   readonly directory: ServerDirectory
   readonly retries: RetryShare
   readonly caches: Pick<CacheUse, 'savedLevels' | 'fetchLoad' | 'available'>
-  readonly suspects: CrashSuspects
+  readonly suspects: Suspicions
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
+  /** Asks what the others put on the servers that come into question; undefined where it is known. Never fails. */
+  readonly askLoad: (exchange: Exchange, earlier: EarlierTries) => Promise<void> | undefined
   /** The server for the next try, other than those that failed it; undefined when there is none. */
-  readonly place: (exchange: Exchange, failed: ReadonlySet<string>) => KnownServer | undefined
-  /** A server is not what it was thought to be. */
-  readonly onMisdirected: (server: string) => void
+  readonly place: (exchange: Exchange, earlier: EarlierTries) => KnownServer | undefined
+  /** A server is not what it was thought to be; the failure may name it. */
+  readonly onMisdirected: (tried: OpenTry, exchange: Exchange, failure: AttemptFailure) => void
 }
--- a/packages/foxtaillever-relay/src/peers/ownUses.ts
+++ b/packages/foxtaillever-relay/src/peers/ownUses.ts
@@ -1,9 +1,9 @@
-/** Load that this instance puts on each backend server and on the stores of cached levels, as it tells the others. */
+/** Load that this instance puts on each backend server, as it tells the others. */
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerUse } from './peerMessage.js'
 
-/** @param stores load on the stores of cached levels. */
-export function ownUses (servers: readonly KnownServer[], stores: readonly ServerUse[]): ServerUse[] {
-  const uses = servers.map(({ listed, outstanding, unreadTokens }) => ({ server: listed.id, outstanding, tokens: unreadTokens }))
-  return [...uses, ...stores].filter(({ outstanding }) => outstanding > 0)
+export function ownUses (servers: readonly KnownServer[]): ServerUse[] {
+  return servers
+    .filter(({ outstanding }) => outstanding > 0)
+    .map(({ listed, outstanding, unreadTokens, heldTokens }) => ({ server: listed.id, outstanding, tokens: unreadTokens, heldTokens }))
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,36 +1,38 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
-import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
-import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
-import { CacheUse } from './cache/cacheUse.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
-import { ExchangeRuns } from './exchange/exchangeRuns.js'
+import { ExchangeDesk } from './exchange/exchangeDesk.js'
 import { Knowledge } from './knowledge/knowledge.js'
 import { enterMemberBook } from './knowledge/memberBook.js'
 import { RecordIntake } from './knowledge/recordIntake.js'
 import { readWallSeconds } from './knowledge/suspension.js'
 import type { Routing } from './model/routing.js'
+import { answerLeaseCall } from './peers/leaseCalls.js'
 import { ownUses } from './peers/ownUses.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
 import { ToldTopic } from './peers/toldTopic.js'
+import type { WeightsNotice } from './peers/weightsNotice.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
-import { ServerChoice } from './servers/serverChoice.js'
-import { ServerDirectory } from './servers/serverDirectory.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
-import { OrderLease } from './weights/orderLease.js'
-import { LAST_RANK, orderRank } from './weights/orderRank.js'
-import { watchFenceLog } from './weights/watchedFenceLog.js'
-import { WeightsDesk } from './weights/weightsDesk.js'
+import { createOrderOffice, type OrderOffice } from './weights/orderOffice.js'
 
 /** The balancer notices within two seconds that this instance is not ready; until then it sends new connections, milliseconds. */
 const STOP_LISTENING_MS = 2600
 
+/**
+ * A server in the same region accepts a connection within some milliseconds,
+ * and this one's own work may hold up the news of it for as long again; one
+ * that does not is cut off or gone, and another may yet answer in time.
+ */
+const CONNECT_TIMEOUT_MS = 200
+
 /** How often a shutdown looks whether the last answer is out, milliseconds. */
 const SHUTDOWN_LOOK_MS = 50
 
@@ -41,64 +43,35 @@
   private readonly log: RelayLog
   private readonly state: RelayState
   private readonly figures: MetricsServer
-  private readonly directory: ServerDirectory
-  private readonly retries: RetryShare
-  private readonly caches: CacheUse
+  private readonly desk: ExchangeDesk
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
   private readonly peers: Peers
-  private readonly lease: OrderLease
-  private readonly weights: WeightsDesk
-  private readonly choice: ServerChoice
-  private readonly runs: ExchangeRuns
+  private readonly office: OrderOffice
   private table: RouteTable | undefined
   private isLeaving = false
   private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
-    const { clock, random, logs, callerWire, serverWire, retryAllowance, name, failureDomain } = options
+    const { clock, random, logs, callerWire } = options
     this.log = RelayLog.create(logs, service => this.state.brief(service))
     this.graceMs = options.graceMs
-    this.retries = RetryShare.create(retryAllowance)
-    this.directory = ServerDirectory.create({
-      onChanged: ({ id, state, service }, before) => {
-        this.log.belief('A backend server changed its state.', { server: id, service, state, before })
-        this.weights.run()
-      }
-    })
+    this.desk = this.createDesk()
     this.state = this.createState()
     this.state.addTo(this.log.metrics)
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
-    this.caches = CacheUse.create({ clock, calls: options.cacheStoreCalls, log: this.log, name, failureDomain, peers: this.peers, stores: () => this.table?.routing.cacheStores ?? [] })
     this.knowledge = this.createKnowledge()
-    this.lease = this.createLease()
-    this.weights = this.createWeightsDesk()
-    this.choice = ServerChoice.create({
-      clock, random, failureDomain, directory: this.directory, stores: () => this.table?.routing.cacheStores ?? [], use: this.peers.use, weights: this.weights, weightsBoundMs: options.weightsBoundMs
-    })
-    this.runs = ExchangeRuns.create({
-      clock,
-      random,
-      wire: serverWire,
-      directory: this.directory,
-      retries: this.retries,
-      caches: this.caches,
-      suspects: this.suspects,
-      log: this.log,
-      routing: () => this.routing(),
-      place: (exchange, failed) => this.choice.place(exchange, failed),
-      onMisdirected: () => { this.weights.run() }
-    })
+    this.office = this.createOffice()
     this.callers = CallerServer.create({
       clock,
       random,
       wire: callerWire,
       log: this.log,
       table: () => this.table,
-      onExchange: (exchange, answer) => this.runs.start(exchange, answer)
+      onExchange: (exchange, answer) => this.desk.runs.start(exchange, answer)
     })
     this.readiness = ReadinessServer.create(() => this.isReady())
   }
@@ -113,7 +86,7 @@
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
-    this.caches.watch.start()
+    this.desk.caches.watch.start()
     enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await this.readiness.listen(readiness.host, readiness.port)
@@ -126,7 +99,7 @@
   /** Takes over settings that were changed while it runs. */
   apply ({ seeds, retryAllowance, graceMs }: RunningSettings): void {
     this.graceMs = graceMs
-    this.retries.setAllowance(retryAllowance)
+    this.desk.retries.setAllowance(retryAllowance)
     this.peers.nameAll(seeds)
   }
 
@@ -138,17 +111,17 @@
     }
     this.isLeaving = true
     const until = clock.now() + this.graceMs * (1 - GRACE_KEPT_FREE)
-    this.log.belief('Leaving.', { requests: this.runs.size })
+    this.log.belief('Leaving.', { requests: this.desk.runs.size })
     this.callers.leave()
-    this.peers.send([])
+    this.peers.send()
     await waitUntil(clock, clock.now() + STOP_LISTENING_MS)
     this.callers.close()
-    while (this.runs.size > 0 && clock.now() < until) {
+    while (this.desk.runs.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
-    this.runs.abort()
-    this.weights.stop()
-    this.caches.watch.stop()
+    this.desk.runs.abort()
+    this.office.desk.stop()
+    this.desk.caches.watch.stop()
     this.knowledge.stop()
     this.readiness.close()
     this.figures.close()
@@ -161,10 +134,38 @@
     return this.state.dump()
   }
 
+  private createDesk (): ExchangeDesk {
+    const { clock, random, failureDomain, serverWire, cacheStoreCalls, retryAllowance, weightsBoundMs } = this.options
+    return ExchangeDesk.create({
+      clock,
+      random,
+      failureDomain,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      wire: serverWire,
+      log: this.log,
+      retryAllowance,
+      weightsBoundMs,
+      suspects: this.suspects,
+      use: { of: id => this.peers.use.of(id) },
+      othersTokens: store => this.peers.tokensFrom(store),
+      cacheStoreCalls,
+      ownAddress: () => this.peers.address,
+      others: () => this.peers.likely(),
+      tellAll: () => this.peers.send(),
+      askLoad: shortlist => this.peers.isLarge ? this.peers.loads.ask(shortlist()) : undefined,
+      weights: { outdatedSince: (model, version) => this.office.desk.outdatedSince(model, version) },
+      routing: () => this.table?.routing,
+      onServerChanged: () => this.office.desk.run(),
+      onMisdirected: ({ serverId, expectedWeights }, { prompt }, failure) =>
+        this.office.desk.observeRefusal(serverId, prompt?.model, failure.serverId === serverId ? expectedWeights : undefined)
+    })
+  }
+
   private createState (): RelayState {
     const { name, clock } = this.options
-    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.lease }
-    return RelayState.create({ name, clock, directory: this.directory, ...parts, open: () => this.runs.size, isReady: () => this.isReady() })
+    const { directory, runs } = this.desk
+    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.office.lease }
+    return RelayState.create({ name, clock, directory, ...parts, open: () => runs.size, isReady: () => this.isReady() })
   }
 
   private createPeers (): Peers {
@@ -176,9 +177,13 @@
       failureDomain,
       ...peers,
       word: () => this.word(),
+      lease: () => this.office.lease.news(),
       tell: (topic, from) => this.knowledge.tell(topic, from),
       onMessage: message => this.hear(message),
-      onNotice: notice => this.knowledge.hear(notice)
+      ownUses: () => ownUses(this.desk.directory.all()),
+      onNotice: notice => this.knowledge.hear(notice),
+      onWeights: notice => this.hearWeights(notice),
+      onLeaseCall: (request, search, response) => this.lendLease(request, search, response)
     })
   }
 
@@ -188,10 +193,10 @@
       clock,
       log: this.log,
       readers,
-      directory: this.directory,
+      directory: this.desk.directory,
       settledAt: () => this.knowledge.settledAt,
       onRouting: routing => this.adopt(routing),
-      onWeights: (model, version) => this.weights.name(model, version, !this.knowledge.isWhole)
+      onWeights: (model, version) => this.office.desk.name(model, version, !this.knowledge.isWhole)
     })
     return Knowledge.create({
       clock,
@@ -209,82 +214,62 @@
     })
   }
 
-  private createLease (): OrderLease {
-    const { clock, fenceLog, topics, name, leasePauseMs } = this.options
-    return OrderLease.create({
-      clock,
-      uptime: readWallSeconds,
-      log: watchFenceLog(fenceLog, () => this.knowledge.doubt()),
-      topic: topics.lease,
-      holder: name,
-      incarnation: randomUUID(),
-      pauseMs: leasePauseMs,
-      onChanged: ({ offset }) => {
-        this.log.belief('Holds the lease on orders.', { fence: offset })
-        this.peers.send([])
-      }
+  private createOffice (): OrderOffice {
+    const { log, peers, desk: { directory } } = this
+    return createOrderOffice({
+      ...this.options,
+      topic: this.options.topics.lease,
+      directory,
+      peers,
+      log,
+      isFit: () => this.knowledge.hasStore && !this.isLeaving,
+      onStoreFailed: () => this.knowledge.doubt()
     })
   }
 
-  private createWeightsDesk (): WeightsDesk {
-    const { clock, engineOrders, name } = this.options
-    return WeightsDesk.create({
-      clock,
-      holder: name,
-      directory: this.directory,
-      lease: this.lease,
-      orders: engineOrders,
-      log: this.log,
-      rank: () => this.orderRank(),
-      outstandingAt: ({ outstanding, listed }) => outstanding + this.peers.use.of(listed.id).outstanding,
-      tell: news => this.peers.send([news])
+  private lendLease (request: IncomingMessage, search: URLSearchParams, response: ServerResponse): void {
+    const { fenceLog, topics } = this.options
+    answerLeaseCall(fenceLog, topics.lease, request, search, response).catch((error: unknown) => {
+      this.log.trouble('A call at the lease for another instance failed.', { reason: String(error) })
+      response.destroy()
     })
   }
 
-  private orderRank (): number {
-    if (!this.knowledge.hasStore || this.isLeaving) {
-      return LAST_RANK
-    }
-    const others = this.peers.alive().filter(({ hasStore }) => hasStore).map(peer => peer.name)
-    return orderRank(this.options.name, others, this.lease.lastHolder)
-  }
-
   /** What this instance tells the others of itself. */
   private word (): OwnWord {
+    const { directory, caches } = this.desk
     return {
       isLeaving: this.isLeaving,
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
-      lease: this.lease.news(),
-      uses: ownUses(this.directory.all(), this.caches.uses()),
+      lease: this.office.lease.news(),
+      uses: [...this.peers.isLarge ? [] : ownUses(directory.all()), ...caches.uses()],
+      sums: this.peers.isLarge ? this.peers.loads.sums(directory.all().map(({ listed }) => listed.id)) : [],
       suspects: this.suspects.toTell(this.options.clock.now()),
-      ...this.caches.word(),
-      named: this.weights.ages()
+      ...caches.word(),
+      named: this.office.desk.ages(),
+      current: this.office.desk.current()
     }
   }
 
-  private hear ({ lease, weights, suspects, named, name, ...caches }: PeerMessage): void {
-    const count = this.peers.count()
-    this.retries.observeInstances(count)
-    this.directory.observeInstances(count)
-    this.suspects.hear(suspects, this.options.clock.now())
-    this.caches.hear(name, caches)
+  private hearWeights ({ news, lease }: WeightsNotice): void {
     if (lease) {
-      this.lease.observe(lease)
+      this.office.lease.observe(lease)
     }
-    weights.forEach(news => this.weights.observe(news))
-    named.forEach(news => this.weights.observeNamed(news))
+    news.forEach(one => this.office.desk.observe(one))
   }
 
-  private isReady (): boolean {
-    return !this.isLeaving && this.table !== undefined && this.knowledge.isWhole
+  private hear ({ address, lease, suspects, named, current, ...caches }: PeerMessage): void {
+    this.desk.observeInstances(this.peers.count())
+    this.suspects.hear(suspects, this.options.clock.now())
+    this.desk.caches.hear(address, caches)
+    this.hearWeights({ news: [], lease })
+    named.forEach(news => this.office.desk.observeNamed(news))
+    current.forEach(news => this.office.desk.observeCurrent(news))
   }
 
-  private routing (): Routing {
-    if (!this.table) {
-      throw new Error('An exchange began without a configuration.')
-    }
-    return this.table.routing
+  private isReady (): boolean {
+    return !this.isLeaving && this.table !== undefined && this.knowledge.isWhole
   }
 
   private adopt (routing: Routing): void {
@@ -293,7 +278,7 @@
       return
     }
     this.table = RouteTable.create(routing)
-    this.directory.configure(routing)
+    this.desk.directory.configure(routing)
     this.callers.setLimits(routing.limits)
     this.log.belief('A configuration is in force.', { revision: routing.revision, before, routes: routing.routes.length })
   }
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
@@ -19,8 +19,8 @@
     engine.outstanding = outstanding
   }
   const weights = { outdatedSince: () => clock.now() - outdatedMs }
-  const choice = ServerChoice.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, stores: () => [], use: FleetUse.create(), weights, weightsBoundMs: BOUND_MS })
-  return choice.place(exchangeAt(clock.now()), new Set()) !== undefined
+  const choice = ServerChoice.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, use: FleetUse.create(clock), fetchWaitMs: () => 0, stores: () => [], weights, weightsBoundMs: BOUND_MS })
+  return choice.place(exchangeAt(clock.now()), { failed: new Set(), wasMisdirected: false }) !== undefined
 }
 
 describe('the choice of a server with replaced weights', () => {
