--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock, Random } from 'foxtaillever-core'
 import { RetryShare, type RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
+import { CacheUse, type CacheUseOptions } from '../cache/cacheUse.js'
 import { fetchWaitMs } from '../cache/fetchWait.js'
 import type { ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
@@ -16,7 +17,7 @@
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
-export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'caches' | 'suspects' | 'onMisdirected'> {
+export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'onMisdirected'>, Omit<CacheUseOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
@@ -33,11 +34,13 @@
 export class ExchangeDesk {
   readonly directory: ServerDirectory
   readonly retries: RetryShare
+  readonly caches: CacheUse
   readonly runs: ExchangeRuns
 
   private constructor (options: ExchangeDeskOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, caches, askLoad, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, askLoad, onMisdirected } = options
     this.retries = RetryShare.create(options.retryAllowance)
+    this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
       onChanged: (server, before) => {
         const { id, service, state } = server
@@ -48,8 +51,8 @@
     const choice = ServerChoice.create({
       ...options,
       directory: this.directory,
-      stores: () => caches.available(),
-      fetchWaitMs: (key, service) => fetchWaitMs(knownRouting(options.routing()), caches, { key, service, now: clock.now() })
+      stores: () => this.caches.available(),
+      fetchWaitMs: (key, service) => fetchWaitMs(knownRouting(options.routing()), this.caches, { key, service, now: clock.now() })
     })
     this.runs = ExchangeRuns.create({
       clock,
@@ -58,7 +61,7 @@
       wire,
       directory: this.directory,
       retries: this.retries,
-      caches,
+      caches: this.caches,
       suspects,
       log,
       routing: () => knownRouting(options.routing()),
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,7 +1,6 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
-import { CacheUse } from './cache/cacheUse.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
@@ -45,7 +44,6 @@
   private readonly state: RelayState
   private readonly figures: MetricsServer
   private readonly desk: ExchangeDesk
-  private readonly caches: CacheUse
   private readonly suspects = CrashSuspects.create()
   private readonly callers: CallerServer
   private readonly readiness: ReadinessServer
@@ -57,15 +55,14 @@
   private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
-    const { clock, random, logs, callerWire, name, failureDomain } = options
+    const { clock, random, logs, callerWire } = options
     this.log = RelayLog.create(logs, service => this.state.brief(service))
     this.graceMs = options.graceMs
-    this.peers = this.createPeers()
-    this.caches = CacheUse.create({ clock, calls: options.cacheStoreCalls, log: this.log, name, failureDomain, peers: this.peers, stores: () => this.table?.routing.cacheStores ?? [] })
     this.desk = this.createDesk()
     this.state = this.createState()
     this.state.addTo(this.log.metrics)
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
+    this.peers = this.createPeers()
     this.knowledge = this.createKnowledge()
     this.office = this.createOffice()
     this.callers = CallerServer.create({
@@ -89,7 +86,7 @@
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
-    this.caches.watch.start()
+    this.desk.caches.watch.start()
     enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await this.readiness.listen(readiness.host, readiness.port)
@@ -124,7 +121,7 @@
     }
     this.desk.runs.abort()
     this.office.desk.stop()
-    this.caches.watch.stop()
+    this.desk.caches.watch.stop()
     this.knowledge.stop()
     this.readiness.close()
     this.figures.close()
@@ -138,7 +135,7 @@
   }
 
   private createDesk (): ExchangeDesk {
-    const { clock, random, failureDomain, serverWire, retryAllowance, weightsBoundMs } = this.options
+    const { clock, random, failureDomain, serverWire, cacheStoreCalls, retryAllowance, weightsBoundMs } = this.options
     return ExchangeDesk.create({
       clock,
       random,
@@ -150,7 +147,11 @@
       weightsBoundMs,
       suspects: this.suspects,
       use: { of: id => this.peers.use.of(id) },
-      caches: this.caches,
+      othersTokens: store => this.peers.tokensFrom(store),
+      cacheStoreCalls,
+      ownAddress: () => this.peers.address,
+      others: () => this.peers.likely(),
+      tellAll: () => this.peers.send(),
       askLoad: shortlist => this.peers.isLarge ? this.peers.loads.ask(shortlist()) : undefined,
       weights: { outdatedSince: (model, version) => this.office.desk.outdatedSince(model, version) },
       routing: () => this.table?.routing,
@@ -237,16 +238,16 @@
 
   /** What this instance tells the others of itself. */
   private word (): OwnWord {
-    const { directory } = this.desk
+    const { directory, caches } = this.desk
     return {
       isLeaving: this.isLeaving,
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.office.lease.news(),
-      uses: [...this.peers.isLarge ? [] : ownUses(directory.all()), ...this.caches.uses()],
+      uses: [...this.peers.isLarge ? [] : ownUses(directory.all()), ...caches.uses()],
       sums: this.peers.isLarge ? this.peers.loads.sums(directory.all().map(({ listed }) => listed.id)) : [],
       suspects: this.suspects.toTell(this.options.clock.now()),
-      ...this.caches.word(),
+      ...caches.word(),
       named: this.office.desk.ages(),
       current: this.office.desk.current()
     }
@@ -259,10 +260,10 @@
     news.forEach(one => this.office.desk.observe(one))
   }
 
-  private hear ({ lease, suspects, named, current, name, ...caches }: PeerMessage): void {
+  private hear ({ address, lease, suspects, named, current, ...caches }: PeerMessage): void {
     this.desk.observeInstances(this.peers.count())
     this.suspects.hear(suspects, this.options.clock.now())
-    this.caches.hear(name, caches)
+    this.desk.caches.hear(address, caches)
     this.hearWeights({ news: [], lease })
     named.forEach(news => this.office.desk.observeNamed(news))
     current.forEach(news => this.office.desk.observeCurrent(news))
--- a/packages/foxtaillever-router/src/plain/createPlainDesk.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDesk.ts
@@ -1,9 +1,8 @@
 /** The relay core for calls of plain services: without prompts, weights or other instances. */
 import { presetOf, type Clock, type Configuration, type Random } from 'foxtaillever-core'
 import type { RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
-import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { noLoad } from 'foxtaillever-policy/relay/serverLoad'
-import { FetchLoad } from 'foxtaillever-relay/cache/fetchLoad'
+import { withoutStores } from 'foxtaillever-relay/cache/cacheUse'
 import { ExchangeDesk } from 'foxtaillever-relay/exchange/exchangeDesk'
 import type { Suspicions } from 'foxtaillever-relay/exchange/exchangeContext'
 import type { RelayLog } from 'foxtaillever-relay/telemetry/relayLog'
@@ -53,7 +52,7 @@
     retryAllowance: retryAllowanceOf(configuration()),
     suspects: noSuspicions,
     use: { of: () => noLoad },
-    caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
+    ...withoutStores,
     askLoad: () => undefined,
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
