--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -7,6 +7,7 @@
 import type { Clock, Random } from 'foxtaillever-core'
 import { RetryShare, type RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
 import { createCacheUse, type CacheUse } from '../cache/cacheUse.js'
+import { fetchWaitMs } from '../cache/fetchWait.js'
 import type { ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
@@ -22,6 +23,10 @@
   readonly wire: ServerWire
   readonly log: RelayLog
   readonly retryAllowance: RetryAllowance
+  /** Tokens that other instances have on their way from and to the store of cached levels at the address. */
+  readonly othersTokens: (store: string) => number
+  /** Asks what other instances put on the servers that a prompt's choice comes down to; undefined where it is known. Never fails. */
+  readonly askLoad: (shortlist: () => readonly string[]) => Promise<void> | undefined
   /** The configuration in force; undefined until one is known. */
   readonly routing: () => Routing | undefined
   /** The state of a server has changed, or it is new. */
@@ -35,9 +40,9 @@
   readonly runs: ExchangeRuns
 
   private constructor (options: ExchangeDeskOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, use, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, othersTokens, askLoad, onMisdirected } = options
     this.retries = RetryShare.create(options.retryAllowance)
-    this.caches = createCacheUse(store => use.of(store).tokens)
+    this.caches = createCacheUse(othersTokens)
     this.directory = ServerDirectory.create({
       onChanged: (server, before) => {
         const { id, service, state } = server
@@ -45,7 +50,12 @@
         options.onServerChanged(server)
       }
     })
-    const choice = ServerChoice.create({ ...options, directory: this.directory })
+    const choice = ServerChoice.create({
+      ...options,
+      directory: this.directory,
+      stores: () => options.routing()?.cacheStores ?? [],
+      fetchWaitMs: (key, service) => fetchWaitMs(knownRouting(options.routing()), this.caches.fetchLoad, { key, service, now: clock.now() })
+    })
     this.runs = ExchangeRuns.create({
       clock,
       random,
@@ -57,7 +67,8 @@
       suspects,
       log,
       routing: () => knownRouting(options.routing()),
-      place: (exchange, failed) => choice.place(exchange, failed),
+      askLoad: (exchange, earlier) => exchange.prompt && askLoad(() => choice.shortlist(exchange, earlier)),
+      place: (exchange, earlier) => choice.place(exchange, earlier),
       onMisdirected
     })
   }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -8,8 +8,9 @@
 import { Attempt, type AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, mayBeCrash, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { planTerms } from '../attempts/planTerms.js'
-import { isRepeatable, type Exchange } from '../model/exchange.js'
+import { heldTokensOf, isRepeatable, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import { afterwards } from './afterwards.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import { ExchangeEnd } from './exchangeEnd.js'
@@ -74,9 +75,18 @@
     this.tryNext()
   }
 
+  /** Places the next try, on fresh words of load where the fleet is large. */
   private tryNext (): void {
+    afterwards(this.context.askLoad(this.exchange, this.ledger), () => {
+      if (!this.isOver) {
+        this.tryNow()
+      }
+    })
+  }
+
+  private tryNow (): void {
     const { exchange, context, ledger } = this
-    const server = context.place(exchange, ledger.failed)
+    const server = context.place(exchange, ledger)
     if (!server) {
       this.fail(ledger.ranCode ?? FailureCode.NoBackendServer, 'No backend server can take the request now.')
       return
@@ -112,7 +122,7 @@
       }
     })
     const { savedLevels, fetchLoad } = context
-    this.current = OpenTry.open({ attempt, server, beganAt, terms, savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
+    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
   }
 
   private onHead (head: AnswerHead): void {
@@ -179,10 +189,11 @@
 
   private onFailed (failure: AttemptFailure): void {
     const { kind } = failure
+    const tried = this.current
     const server = this.settle()
     this.observeFailure(failure, server)
-    if (kind === AttemptFailureKind.Misdirected) {
-      this.context.onMisdirected(server?.listed.id ?? '')
+    if (tried && kind === AttemptFailureKind.Misdirected) {
+      this.context.onMisdirected(tried, this.exchange, failure)
     }
     if (this.mayTryAgain()) {
       this.tryNext()
@@ -200,6 +211,9 @@
     if (meaningOf[kind].isServersFault) {
       context.directory.observeFault(id, this.now)
     }
+    if (kind === AttemptFailureKind.Refused) {
+      context.directory.observeRefusal(id, this.now)
+    }
     if (mayBeCrash(kind)) {
       context.suspects.accuse(exchange, id, this.now)
     }
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -1,7 +1,7 @@
 /** A try on its way: the load that it puts on its backend server is counted until it is closed, once. */
 import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import type { Attempt } from '../attempts/attempt.js'
-import type { FetchLoad } from '../cache/fetchLoad.js'
+import type { FetchLoad, Transfer } from '../cache/fetchLoad.js'
 import type { SendTerms } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { SilenceWatch } from './silenceWatch.js'
@@ -10,6 +10,8 @@
   readonly attempt: Attempt
   readonly server: KnownServer
   readonly terms: SendTerms
+  /** Tokens of the server's memory that it takes until its end. */
+  readonly heldTokens: number
   readonly savedLevels: SavedLevels
   readonly fetchLoad: FetchLoad
   /** Milliseconds of Unix time. */
@@ -23,18 +25,18 @@
   readonly beganAt: number
   /** Prompt tokens that the server has yet to read. */
   private unreadTokens: number
-  private fetchedTokens: number
+  private fetch: Transfer | undefined
 
   private constructor (private readonly options: OpenTryOptions) {
-    const { attempt, server, terms, beganAt } = options
+    const { attempt, server, terms, beganAt, heldTokens } = options
     this.attempt = attempt
     this.server = server
     this.beganAt = beganAt
     this.unreadTokens = terms.unreadTokens
     server.outstanding += 1
     server.unreadTokens += this.unreadTokens
-    this.fetchedTokens = terms.fetchedTokens
-    options.fetchLoad.begin(this.fetchedTokens)
+    server.heldTokens += heldTokens
+    this.fetch = options.fetchLoad.begin(terms.fetchFrom, terms.fetchedTokens, beganAt)
   }
 
   static open (options: OpenTryOptions): OpenTry {
@@ -45,6 +47,11 @@
     return this.server.listed.id
   }
 
+  /** Weights that the server was thought to have; undefined for requests without a prompt. */
+  get expectedWeights (): number | undefined {
+    return this.options.terms.weightsVersion
+  }
+
   /** The answer has begun. */
   begin (): void {
     const { server, beganAt } = this
@@ -71,18 +78,20 @@
 
   /** An answer begins with this status; with it, the server has read the prompt. */
   observeStatus (status: number, now: number): void {
-    const { terms, savedLevels } = this.options
+    const { terms, savedLevels, fetchLoad } = this.options
     this.release()
     if (terms.savedLevel !== undefined && status < 300) {
       savedLevels.confirm(terms.savedLevel, now)
+      fetchLoad.begin(terms.saveTo, terms.savedTokens, now)
     }
   }
 
   /** The server is free of it. */
   close (): void {
-    const { server, terms, savedLevels, watch } = this.options
+    const { server, terms, savedLevels, watch, heldTokens } = this.options
     watch.stop()
     server.outstanding -= 1
+    server.heldTokens -= heldTokens
     this.release()
     if (terms.savedLevel !== undefined) {
       savedLevels.giveBack(terms.savedLevel)
@@ -93,7 +102,7 @@
   private release (): void {
     this.server.unreadTokens -= this.unreadTokens
     this.unreadTokens = 0
-    this.options.fetchLoad.end(this.fetchedTokens)
-    this.fetchedTokens = 0
+    this.options.fetchLoad.end(this.fetch)
+    this.fetch = undefined
   }
 }
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -18,10 +18,11 @@
   positions: { operators: 0, servers: 0 },
   lease: undefined,
   uses: [],
-  weights: [],
+  sums: [],
   suspects: [],
   savedLevels: [],
-  named: []
+  named: [],
+  current: []
 }
 
 describe('PeerTable', () => {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,5 +1,5 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
-import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
@@ -10,19 +10,18 @@
 import { RecordIntake } from './knowledge/recordIntake.js'
 import { readWallSeconds } from './knowledge/suspension.js'
 import type { Routing } from './model/routing.js'
+import { answerLeaseCall } from './peers/leaseCalls.js'
 import { ownUses } from './peers/ownUses.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
 import { ToldTopic } from './peers/toldTopic.js'
+import type { WeightsNotice } from './peers/weightsNotice.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
-import { OrderLease } from './weights/orderLease.js'
-import { LAST_RANK, orderRank } from './weights/orderRank.js'
-import { watchFenceLog } from './weights/watchedFenceLog.js'
-import { WeightsDesk } from './weights/weightsDesk.js'
+import { createOrderOffice, type OrderOffice } from './weights/orderOffice.js'
 
 /** The balancer notices within two seconds that this instance is not ready; until then it sends new connections, milliseconds. */
 const STOP_LISTENING_MS = 2600
@@ -50,8 +49,7 @@
   private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
   private readonly peers: Peers
-  private readonly lease: OrderLease
-  private readonly weights: WeightsDesk
+  private readonly office: OrderOffice
   private table: RouteTable | undefined
   private isLeaving = false
   private graceMs: number
@@ -66,8 +64,7 @@
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
     this.knowledge = this.createKnowledge()
-    this.lease = this.createLease()
-    this.weights = this.createWeightsDesk()
+    this.office = this.createOffice()
     this.callers = CallerServer.create({
       clock,
       random,
@@ -115,14 +112,14 @@
     const until = clock.now() + this.graceMs * (1 - GRACE_KEPT_FREE)
     this.log.belief('Leaving.', { requests: this.desk.runs.size })
     this.callers.leave()
-    this.peers.send([])
+    this.peers.send()
     await waitUntil(clock, clock.now() + STOP_LISTENING_MS)
     this.callers.close()
     while (this.desk.runs.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_LOOK_MS)
     }
     this.desk.runs.abort()
-    this.weights.stop()
+    this.office.desk.stop()
     this.knowledge.stop()
     this.readiness.close()
     this.figures.close()
@@ -148,17 +145,20 @@
       weightsBoundMs,
       suspects: this.suspects,
       use: { of: id => this.peers.use.of(id) },
-      weights: { outdatedSince: (model, version) => this.weights.outdatedSince(model, version) },
+      othersTokens: store => this.peers.tokensFrom(store),
+      askLoad: shortlist => this.peers.isLarge ? this.peers.loads.ask(shortlist()) : undefined,
+      weights: { outdatedSince: (model, version) => this.office.desk.outdatedSince(model, version) },
       routing: () => this.table?.routing,
-      onServerChanged: () => this.weights.run(),
-      onMisdirected: () => { this.weights.run() }
+      onServerChanged: () => this.office.desk.run(),
+      onMisdirected: ({ serverId, expectedWeights }, { prompt }, failure) =>
+        this.office.desk.observeRefusal(serverId, prompt?.model, failure.serverId === serverId ? expectedWeights : undefined)
     })
   }
 
   private createState (): RelayState {
     const { name, clock } = this.options
     const { directory, runs } = this.desk
-    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.lease }
+    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.knowledge, lease: () => this.office.lease }
     return RelayState.create({ name, clock, directory, ...parts, open: () => runs.size, isReady: () => this.isReady() })
   }
 
@@ -171,9 +171,13 @@
       failureDomain,
       ...peers,
       word: () => this.word(),
+      lease: () => this.office.lease.news(),
       tell: (topic, from) => this.knowledge.tell(topic, from),
       onMessage: message => this.hear(message),
-      onNotice: notice => this.knowledge.hear(notice)
+      ownUses: () => ownUses(this.desk.directory.all()),
+      onNotice: notice => this.knowledge.hear(notice),
+      onWeights: notice => this.hearWeights(notice),
+      onLeaseCall: (request, search, response) => this.lendLease(request, search, response)
     })
   }
 
@@ -186,7 +190,7 @@
       directory: this.desk.directory,
       settledAt: () => this.knowledge.settledAt,
       onRouting: routing => this.adopt(routing),
-      onWeights: (model, version) => this.weights.name(model, version, !this.knowledge.isWhole)
+      onWeights: (model, version) => this.office.desk.name(model, version, !this.knowledge.isWhole)
     })
     return Knowledge.create({
       clock,
@@ -204,46 +208,27 @@
     })
   }
 
-  private createLease (): OrderLease {
-    const { clock, fenceLog, topics, name, leasePauseMs } = this.options
-    return OrderLease.create({
-      clock,
-      uptime: readWallSeconds,
-      log: watchFenceLog(fenceLog, () => this.knowledge.doubt()),
-      topic: topics.lease,
-      holder: name,
-      incarnation: randomUUID(),
-      pauseMs: leasePauseMs,
-      onChanged: ({ offset }) => {
-        this.log.belief('Holds the lease on orders.', { fence: offset })
-        this.peers.send([])
-      }
+  private createOffice (): OrderOffice {
+    const { log, peers, desk: { directory } } = this
+    return createOrderOffice({
+      ...this.options,
+      topic: this.options.topics.lease,
+      directory,
+      peers,
+      log,
+      isFit: () => this.knowledge.hasStore && !this.isLeaving,
+      onStoreFailed: () => this.knowledge.doubt()
     })
   }
 
-  private createWeightsDesk (): WeightsDesk {
-    const { clock, engineOrders, name } = this.options
-    return WeightsDesk.create({
-      clock,
-      holder: name,
-      directory: this.desk.directory,
-      lease: this.lease,
-      orders: engineOrders,
-      log: this.log,
-      rank: () => this.orderRank(),
-      outstandingAt: ({ outstanding, listed }) => outstanding + this.peers.use.of(listed.id).outstanding,
-      tell: news => this.peers.send([news])
+  private lendLease (request: IncomingMessage, search: URLSearchParams, response: ServerResponse): void {
+    const { fenceLog, topics } = this.options
+    answerLeaseCall(fenceLog, topics.lease, request, search, response).catch((error: unknown) => {
+      this.log.trouble('A call at the lease for another instance failed.', { reason: String(error) })
+      response.destroy()
     })
   }
 
-  private orderRank (): number {
-    if (!this.knowledge.hasStore || this.isLeaving) {
-      return LAST_RANK
-    }
-    const others = this.peers.alive().filter(({ hasStore }) => hasStore).map(peer => peer.name)
-    return orderRank(this.options.name, others, this.lease.lastHolder)
-  }
-
   /** What this instance tells the others of itself. */
   private word (): OwnWord {
     const { directory, caches } = this.desk
@@ -251,24 +236,31 @@
       isLeaving: this.isLeaving,
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
-      lease: this.lease.news(),
-      uses: ownUses(directory.all(), this.table?.routing.cacheStore?.address, caches.fetchLoad),
+      lease: this.office.lease.news(),
+      uses: [...this.peers.isLarge ? [] : ownUses(directory.all()), ...caches.fetchLoad.own(this.options.clock.now())],
+      sums: this.peers.isLarge ? this.peers.loads.sums(directory.all().map(({ listed }) => listed.id)) : [],
       suspects: this.suspects.toTell(this.options.clock.now()),
-      savedLevels: caches.savedLevels.news(this.options.clock.now()),
-      named: this.weights.ages()
+      savedLevels: caches.savedLevels.tell(),
+      named: this.office.desk.ages(),
+      current: this.office.desk.current()
     }
   }
 
-  private hear ({ lease, weights, suspects, savedLevels, named }: PeerMessage): void {
+  private hearWeights ({ news, lease }: WeightsNotice): void {
+    if (lease) {
+      this.office.lease.observe(lease)
+    }
+    news.forEach(one => this.office.desk.observe(one))
+  }
+
+  private hear ({ lease, suspects, savedLevels, named, current }: PeerMessage): void {
     const now = this.options.clock.now()
     this.desk.observeInstances(this.peers.count())
     this.suspects.hear(suspects, now)
     this.desk.caches.savedLevels.hear(savedLevels, now)
-    if (lease) {
-      this.lease.observe(lease)
-    }
-    weights.forEach(news => this.weights.observe(news))
-    named.forEach(news => this.weights.observeNamed(news))
+    this.hearWeights({ news: [], lease })
+    named.forEach(news => this.office.desk.observeNamed(news))
+    current.forEach(news => this.office.desk.observeCurrent(news))
   }
 
   private isReady (): boolean {
--- a/packages/foxtaillever-router/src/plain/createPlainDesk.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDesk.ts
@@ -1,6 +1,7 @@
 /** The relay core for calls of plain services: without prompts, weights or other instances. */
 import { presetOf, type Clock, type Configuration, type Random } from 'foxtaillever-core'
 import type { RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
+import { noLoad } from 'foxtaillever-policy/relay/serverLoad'
 import { ExchangeDesk } from 'foxtaillever-relay/exchange/exchangeDesk'
 import type { Suspicions } from 'foxtaillever-relay/exchange/exchangeContext'
 import type { RelayLog } from 'foxtaillever-relay/telemetry/relayLog'
@@ -29,8 +30,6 @@
   acquit: () => {}
 }
 
-const nobodysLoad = { outstanding: 0, tokens: 0 }
-
 /** Retries as the preset in force allows them. */
 export function retryAllowanceOf (configuration: Configuration): RetryAllowance {
   return { ratio: presetOf(configuration).retryShare, slack: RETRY_SLACK, windowMs: RETRY_WINDOW_MS }
@@ -51,7 +50,9 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     retryAllowance: retryAllowanceOf(configuration()),
     suspects: noSuspicions,
-    use: { of: () => nobodysLoad },
+    use: { of: () => noLoad },
+    othersTokens: () => 0,
+    askLoad: () => undefined,
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
     routing: () => routingOf(configuration()),
--- a/packages/foxtaillever-router/src/plain/plainRoutes.ts
+++ b/packages/foxtaillever-router/src/plain/plainRoutes.ts
@@ -35,7 +35,7 @@
     routes: [],
     // The gate bounds the calls of a service, so its connections need no further bound.
     services: new Map(Object.values(services).map(({ name, concurrentRequests }) => [name, { name, healthPath: '', mostConnections: concurrentRequests, engine: undefined }])),
-    cacheStore: undefined,
+    cacheStores: [],
     accounts: [],
     limits: { headerBytes: 0, bodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 }
   }
