Read what has arrived before calling a server silent

Cause: a loop that was held up (no processor, a machine that stood still) runs the timers that are due before it reads its sockets. An answer that came in time was taken for silence, a connection that was there for none, a whole answer for one past its deadline. Seen in two whole test runs beside a busy machine (load 31 to 34): a lookup ended with connection_lost after three tries that were all called silent; the same would meet every instance that thaws.

The watch over silence, the connect timeout and the deadline now decide after the loop's next turn at its sockets.

Ruled out: the least patience of plain calls (500 ms), as a longer stall would do the same. The export tests that ended with log_unavailable in the same runs are another path (the claim's own wait) and not explained by this.

--- a/packages/foxtaillever-core/src/clock.ts
+++ b/packages/foxtaillever-core/src/clock.ts
@@ -52,3 +52,17 @@
 export async function waitUntil (clock: Clock, deadline: number): Promise<void> {
   await new Promise<void>(resolve => clock.at(deadline, resolve))
 }
+
+/**
+ * Runs the task at the deadline, once what has arrived by then was read. A loop
+ * that was held up, by its own work or because the machine stood still, finds
+ * its timers due before it reads its sockets: an answer that came in time would
+ * be taken for silence.
+ */
+export function atAfterReading (clock: Clock, deadline: number, task: () => void): Cancellation {
+  let cancel = clock.at(deadline, () => {
+    // What is due already runs after the loop's next turn at its sockets.
+    cancel = clock.at(clock.now(), task)
+  })
+  return () => cancel()
+}
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -5,7 +5,7 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Cancellation, Clock } from 'foxtaillever-core'
+import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
 import type { AnswerMarks, AnswerWire } from '../model/wire.js'
 import type { ServerCall, ServerConnections } from '../servers/serverConnections.js'
 import { AttemptFailureKind, type AttemptFailure } from './attemptFailure.js'
@@ -58,7 +58,7 @@
     this.request = connections.send(call, () => this.onLeft())
     this.request.on('response', response => this.onResponse(response))
     this.request.on('error', error => this.onError(error))
-    this.cancelConnectTimeout = clock.at(clock.now() + connectTimeoutMs, () => this.onConnectTimeout())
+    this.cancelConnectTimeout = atAfterReading(clock, clock.now() + connectTimeoutMs, () => this.onConnectTimeout())
   }
 
   static begin (options: AttemptOptions): Attempt {
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -3,7 +3,7 @@
  * word to the caller, a whole answer or a failure whose verdict counts all
  * tries, and what may have run is sent again only where that does no harm.
  */
-import { Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
+import { atAfterReading, Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
 import { comeBackAt } from 'foxtaillever-policy/relay/comeBack'
 import { Attempt, type AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, mayBeCrash, type AttemptFailure } from '../attempts/attemptFailure.js'
@@ -62,7 +62,7 @@
       return
     }
     answer.listen({ onGone: () => this.onGone(), onDrained: () => this.current?.attempt.resume() })
-    this.cancelDeadline = clock.at(exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
+    this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
     retries.addRequest(exchange.service, this.now)
     if (exchange.deadline <= this.now) {
       this.fail(FailureCode.DeadlinePassed, 'The deadline passed before the request was read whole.')
--- a/packages/foxtaillever-relay/src/exchange/silenceWatch.ts
+++ b/packages/foxtaillever-relay/src/exchange/silenceWatch.ts
@@ -1,5 +1,5 @@
 /** Notices that a backend server has been silent for too long, with one timer that follows the last word heard. */
-import type { Cancellation, Clock } from 'foxtaillever-core'
+import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
 
 export interface SilenceWatchOptions {
   readonly clock: Clock
@@ -38,7 +38,7 @@
   private arm (): void {
     const { clock, onSilent } = this.options
     const until = this.until
-    this.cancel = clock.at(until, () => {
+    this.cancel = atAfterReading(clock, until, () => {
       if (this.until <= until) {
         onSilent()
         this.hear()
