Keep the retry budget over restarts, and orders off connections that servers spoil

A process that had just started took the whole constant of the retry budget until it heard of another instance, and its part anew although its last life still counted in the window. It takes none of it before it knows how many share it, a quarter until the window has passed, and takes the largest number that others know of.

A server that sends a second answer does so when the next request waits for one, so that request fails, for good if it may run only once. After a kept connection failed so, requests that may run once go on new connections for ten seconds.

Ruled out: a check before reuse (idle connections already close on any byte; these answers come after the next request).

--- a/packages/foxtaillever-policy/src/relay/__tests__/retryShare.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/retryShare.test.ts
@@ -31,7 +31,7 @@
   // theirs again, and together they would double the load that brought it down.
   it('is kept in every window by all instances together, whatever comes when', t => {
     fc.assert(fc.property(fc.array(step, { minLength: 50, maxLength: 600 }), steps => {
-      const shares = Array.from({ length: INSTANCES }, () => RetryShare.create(allowance))
+      const shares = Array.from({ length: INSTANCES }, () => RetryShare.create(allowance, -allowance.windowMs))
       shares.forEach(share => share.observeInstances(INSTANCES))
       const requests: number[] = []
       const retries: number[] = []
@@ -52,7 +52,8 @@
   })
 
   it('lets retries through again when the window has passed', t => {
-    const share = RetryShare.create(allowance)
+    const share = RetryShare.create(allowance, -allowance.windowMs)
+    share.observeInstances(1)
     let taken = 0
     while (share.take('s', 0)) {
       taken += 1
@@ -61,4 +62,31 @@
     t.false(share.canTake('s', allowance.windowMs - 1))
     t.true(share.canTake('s', allowance.windowMs + 1))
   })
+
+  // All processes are killed while every request fails, and start again at once.
+  // Each would spend its part of the constant anew, or all of it, as none has
+  // heard of the others yet.
+  it('is kept when all instances start again within a window, before they have heard of each other', t => {
+    const killedAt = 1000
+    const spend = (share: RetryShare, now: number): number => {
+      let taken = 0
+      while (share.take('s', now)) {
+        taken += 1
+      }
+      return taken
+    }
+    const lives = Array.from({ length: INSTANCES }, () => [RetryShare.create(allowance, -allowance.windowMs), RetryShare.create(allowance, killedAt)] as const)
+    const before = lives.reduce((sum, [first]) => {
+      first.observeInstances(INSTANCES)
+      return sum + spend(first, 0)
+    }, 0)
+    const unheard = lives.reduce((sum, [, second]) => sum + spend(second, killedAt), 0)
+    const heard = lives.reduce((sum, [, second]) => {
+      second.observeInstances(INSTANCES)
+      return sum + spend(second, allowance.windowMs - 1)
+    }, 0)
+    t.true(before > 0)
+    t.is(unheard, 0)
+    t.true(before + heard <= allowance.slack)
+  })
 })
--- a/packages/foxtaillever-policy/src/relay/retryShare.ts
+++ b/packages/foxtaillever-policy/src/relay/retryShare.ts
@@ -5,6 +5,12 @@
  * constant more, summed over all instances. Each takes its part of the constant
  * and the share of the requests that it saw itself, so the sum keeps the bound
  * without a word between them, also while they are cut off from each other.
+ *
+ * Many instances may be killed at once while every request fails. Each that
+ * starts again knows neither what its last life sent within the window nor, at
+ * first, how many others there are: it would take the whole constant for itself
+ * and spend its part a second time. So it takes no part of the constant before
+ * it knows their number, and a smaller one until the window has passed.
  */
 
 /** What the users allow in any window. */
@@ -19,6 +25,13 @@
 /** Kept free of the allowance: windows slide, and a retry may arrive later than it was sent. */
 const KEPT_FREE = 0.2
 
+/**
+ * Part of the constant that a process takes while its last life may still count
+ * in the window. With the whole that this life spent and KEPT_FREE it comes to
+ * the constant, 0.8 x (1 + 0.25).
+ */
+const FIRST_PART = 0.25
+
 interface Window {
   readonly requests: number[]
   readonly retries: number[]
@@ -26,12 +39,14 @@
 
 export class RetryShare {
   private readonly services = new Map<string, Window>()
-  private instances = 1
+  /** That share the constant; undefined until it is known. */
+  private instances: number | undefined
 
-  private constructor (private allowance: RetryAllowance) {}
+  private constructor (private allowance: RetryAllowance, private readonly startedAt: number) {}
 
-  static create (allowance: RetryAllowance): RetryShare {
-    return new RetryShare(allowance)
+  /** @param startedAt of the process, milliseconds of Unix time. */
+  static create (allowance: RetryAllowance, startedAt: number): RetryShare {
+    return new RetryShare(allowance, startedAt)
   }
 
   /** Takes over what the users allow from now on. */
@@ -51,8 +66,18 @@
   /** Whether one more arrival at the service is allowed now. */
   canTake (service: string, now: number): boolean {
     const { requests, retries } = this.windowOf(service, now)
-    const { ratio, slack } = this.allowance
-    return retries.length + 1 <= (1 - KEPT_FREE) * (ratio * requests.length + slack / this.instances)
+    const { ratio } = this.allowance
+    return retries.length + 1 <= (1 - KEPT_FREE) * (ratio * requests.length + this.slackAt(now))
+  }
+
+  /** This instance's part of the constant. */
+  private slackAt (now: number): number {
+    const { instances, startedAt, allowance: { slack, windowMs } } = this
+    if (instances === undefined) {
+      return 0
+    }
+    const isFirst = now < startedAt + windowMs
+    return (isFirst ? FIRST_PART : 1) * slack / instances
   }
 
   /** Like canTake; what is allowed is counted. */
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -60,7 +60,7 @@
   readonly clock = VirtualClock.create()
   readonly suspects = CrashSuspects.create()
   readonly directory = ServerDirectory.create({ onChanged: () => {} })
-  readonly retries = RetryShare.create({ ratio: 0.2, slack: 1000, windowMs: 10_000 })
+  readonly retries = RetryShare.create({ ratio: 0.2, slack: 1000, windowMs: 10_000 }, 0)
   readonly servers: ScriptedServer[] = []
   private readonly callers: CallerServer
   readonly runs: ExchangeRuns
@@ -86,6 +86,7 @@
       place: (_, failed) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
       onMisdirected: () => {}
     }
+    this.retries.observeInstances(1)
     this.runs = ExchangeRuns.create(context)
     const table = RouteTable.create(routing)
     this.callers = CallerServer.create({
--- a/packages/foxtaillever-relay/src/__tests__/answers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/answers.test.ts
@@ -107,6 +107,48 @@
   })
 })
 
+describe('kept connections', () => {
+  const hold = 'keep-alive: timeout=60'
+
+  // A server answers each request well and a moment later sends an answer that
+  // nobody asked for, when the next request is already on the connection. That
+  // one may have run, so an order fails each time it meets such a connection.
+  it('that bring answers of others cost one request, not each that may run once', async t => {
+    const seen = new Set<number>()
+    const rig = await RelayRig.start({}, arrival => {
+      const answered = seen.has(arrival.connection) ? { ...arrival, id: 'another' } : arrival
+      seen.add(arrival.connection)
+      arrival.socket.write(wholeAnswer(answered, 'hello', '200 OK', hold))
+    })
+    t.regex(await rig.ask('a'), /^HTTP\/1.1 200 /)
+    t.regex(await rig.ask('b'), /^HTTP\/1.1 502 /)
+    for (const id of ['c', 'd', 'e']) {
+      t.regex(await rig.ask(id), /^HTTP\/1.1 200 /)
+    }
+    rig.stop()
+  })
+
+  it('serve again when none has failed for a while', async t => {
+    const rig = await RelayRig.start({}, arrival => { arrival.socket.write(wholeAnswer(arrival, 'hello', '200 OK', hold)) })
+    rig.directory.distrustKept('s', rig.clock.now())
+    await rig.ask('a')
+    await rig.ask('b')
+    await rig.clock.advanceBy(10_000)
+    await rig.ask('c')
+    t.deepEqual(rig.servers[0]?.arrivals.map(({ connection }) => connection), [0, 1, 1])
+    rig.stop()
+  })
+
+  it('serve what may run twice all the while', async t => {
+    const rig = await RelayRig.start({ repeatability: Repeatability.Idempotent }, arrival => { arrival.socket.write(wholeAnswer(arrival, 'hello', '200 OK', hold)) })
+    rig.directory.distrustKept('s', rig.clock.now())
+    await rig.ask('a')
+    await rig.ask('b')
+    t.deepEqual(rig.servers[0]?.arrivals.map(({ connection }) => connection), [0, 0])
+    rig.stop()
+  })
+})
+
 describe('silence', () => {
   // A connection goes silent for good, and nothing closes it. The caller of a
   // request that may run twice waits for nothing until its deadline.
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -37,6 +37,8 @@
   readonly connections: ServerConnections
   readonly requestId: string
   readonly call: ServerCall
+  /** Not on a connection that has served other requests. */
+  readonly isOnNewConnection: boolean
   readonly listener: AttemptListener
 }
 
@@ -57,7 +59,10 @@
   private wasReset = false
 
   private constructor (private readonly options: AttemptOptions) {
-    const { connections, call, clock } = options
+    const { connections, call, clock, isOnNewConnection } = options
+    if (isOnNewConnection) {
+      connections.closeIdle()
+    }
     this.request = connections.send(call, () => this.onLeft())
     this.request.on('response', response => this.onResponse(response))
     this.request.on('error', error => this.onError(error))
@@ -208,7 +213,7 @@
     }
     this.finish()
     this.request.destroy()
-    this.options.listener.onFailed({ kind, detail })
+    this.options.listener.onFailed({ kind, detail, isOnKeptConnection: this.isOnKeptConnection && this.response === undefined })
   }
 
   private finish (): void {
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -56,4 +56,14 @@
 export interface AttemptFailure {
   readonly kind: AttemptFailureKind
   readonly detail: string
+  /** The connection had served other requests before, and no answer to this one came on it. */
+  readonly isOnKeptConnection?: boolean
+}
+
+/** What a connection comes to when its server closed it in silence, or sends more answers than it was asked for. */
+const spoiltKinds: ReadonlySet<AttemptFailureKind> = new Set([AttemptFailureKind.Lost, AttemptFailureKind.Foreign, AttemptFailureKind.Malformed])
+
+/** Whether the try may have failed for what had happened on its connection before. */
+export function spoilsConnections ({ kind, isOnKeptConnection = false }: AttemptFailure): boolean {
+  return isOnKeptConnection && spoiltKinds.has(kind)
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -6,7 +6,7 @@
 import { Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
 import { comeBackAt } from 'foxtaillever-policy/relay/comeBack'
 import { Attempt, type AnswerHead } from '../attempts/attempt.js'
-import { AttemptFailureKind, meaningOf, mayBeCrash, type AttemptFailure } from '../attempts/attemptFailure.js'
+import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { planTerms } from '../attempts/planTerms.js'
 import { isRepeatable, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
@@ -14,6 +14,7 @@
 import type { CallerAnswer } from './callerAnswer.js'
 import { ExchangeEnd } from './exchangeEnd.js'
 import type { ExchangeContext } from './exchangeContext.js'
+import { observeFailure } from './observeFailure.js'
 import { OpenTry } from './openTry.js'
 import { TryLedger } from './tryLedger.js'
 import { watchTry } from './watchTry.js'
@@ -102,6 +103,7 @@
       wire,
       connections: server.connections,
       requestId: exchange.id,
+      isOnNewConnection: !isRepeatable(exchange) && !context.directory.trustsKept(exchange.service, beganAt),
       call: { method: exchange.method, path: exchange.path, headers, body: exchange.body },
       listener: {
         onHead: head => this.onHead(head),
@@ -191,17 +193,9 @@
   }
 
   private observeFailure (failure: AttemptFailure, server: KnownServer | undefined): void {
-    const { exchange, context, ledger } = this
-    const { kind } = failure
     const id = server?.listed.id ?? ''
-    ledger.observe(id, kind, this.answer.hasBegun)
-    context.log.attemptFailed(exchange, id, failure, meaningOf[kind].verdict)
-    if (meaningOf[kind].isServersFault) {
-      context.directory.observeFault(id, this.now)
-    }
-    if (mayBeCrash(kind)) {
-      context.suspects.accuse(exchange, id, this.now)
-    }
+    this.ledger.observe(id, failure.kind, this.answer.hasBegun)
+    observeFailure(this.context, this.exchange, id, failure)
   }
 
   private mayTryAgain (): boolean {
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -21,7 +21,8 @@
   weights: [],
   suspects: [],
   savedLevels: [],
-  named: []
+  named: [],
+  instances: 1
 }
 
 describe('PeerTable', () => {
@@ -56,4 +57,13 @@
     t.is(table.likely(25_000, 24).length, 80)
     t.is(table.likely(40_000, 24).length, 0)
   })
+
+  // An instance starts while the store is dark and knows two addresses. Taking
+  // its part of what all may send together for a third, it would send too much.
+  it('counts as many instances as others know of', t => {
+    const table = PeerTable.create()
+    table.hear({ ...message, instances: 9 }, 20_000)
+    t.is(table.count(20_100), 9)
+    t.is(table.known(20_100), 2)
+  })
 })
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -57,6 +57,8 @@
   readonly weights: readonly WeightsNews[]
   /** Since when which weights are replaced: the store keeps the newest only, and says of none when it was named. */
   readonly named: readonly NamedNews[]
+  /** Instances that it reckons with, itself included: one that has just started knows few of them. */
+  readonly instances: number
   /** Digests of requests that crash backend servers. */
   readonly suspects: readonly string[]
   /** Hashes of prompt levels that it had saved to the store of cached levels of late. */
@@ -66,7 +68,7 @@
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named, instances } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -74,7 +76,8 @@
     weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
     suspects,
     savedLevels,
-    named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)])
+    named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
+    instances
   ])
 }
 
@@ -85,7 +88,8 @@
   ReadonlyArray<readonly [string, string, number, number]>,
   readonly string[],
   readonly number[],
-  ReadonlyArray<readonly [string, number, number]> | undefined
+  ReadonlyArray<readonly [string, number, number]> | undefined,
+  number | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -101,7 +105,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = []] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = [], instances = 1] = wire as Wire
     return {
       name,
       address,
@@ -115,6 +119,7 @@
       weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
       suspects,
       savedLevels,
+      instances: Number(instances) || 1,
       named: named.map(([model, version, ageMs]) => ({ model, version, ageMs }))
     }
   }))
--- a/packages/foxtaillever-relay/src/peers/peerTable.ts
+++ b/packages/foxtaillever-relay/src/peers/peerTable.ts
@@ -87,7 +87,16 @@
    * Addresses that were only named count too: parts of what all may do together
    * must not grow because a machine is cut off, and a stale address costs little.
    */
+  known (now: number): number {
+    return 1 + this.counted(now).length
+  }
+
+  /** Like known, or what the others know where that is more: one that has just started while the store is dark knows few by itself. */
   count (now: number): number {
-    return 1 + this.all().filter(({ heardAt }) => heardAt + COUNTED_MS > now).length
+    return Math.max(this.known(now), ...this.counted(now).map(({ last }) => last?.instances ?? 0))
+  }
+
+  private counted (now: number): Peer[] {
+    return this.all().filter(({ heardAt }) => heardAt + COUNTED_MS > now)
   }
 }
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -38,7 +38,7 @@
 const MOST_NOTIFIED = 96
 
 /** What this instance says of itself at the moment. */
-export type OwnWord = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt' | 'weights'>
+export type OwnWord = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt' | 'weights' | 'instances'>
 
 export interface PeersOptions {
   readonly clock: Clock
@@ -146,8 +146,8 @@
   }
 
   private message (weights: readonly WeightsNews[]): PeerMessage {
-    const { name, failureDomain, word } = this.options
-    return { name, address: this.address, failureDomain, startedAt: this.startedAt, weights, ...word() }
+    const { clock, name, failureDomain, word } = this.options
+    return { name, address: this.address, failureDomain, startedAt: this.startedAt, weights, instances: this.table.known(clock.now()), ...word() }
   }
 
   private hear (message: PeerMessage): void {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -61,7 +61,7 @@
     const { clock, random, logs, callerWire, serverWire, retryAllowance, failureDomain } = options
     this.log = RelayLog.create(logs, service => this.state.brief(service))
     this.graceMs = options.graceMs
-    this.retries = RetryShare.create(retryAllowance)
+    this.retries = RetryShare.create(retryAllowance, clock.now())
     this.directory = ServerDirectory.create({
       onChanged: ({ id, state, service }, before) => {
         this.log.belief('A backend server changed its state.', { server: id, service, state, before })
@@ -112,7 +112,7 @@
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
-    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
+    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.meet(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await this.readiness.listen(readiness.host, readiness.port)
     if (metrics) {
@@ -263,9 +263,7 @@
 
   private hear ({ lease, weights, suspects, savedLevels, named }: PeerMessage): void {
     const now = this.options.clock.now()
-    const count = this.peers.count()
-    this.retries.observeInstances(count)
-    this.directory.observeInstances(count)
+    this.observeInstances()
     this.suspects.hear(suspects, now)
     this.caches.savedLevels.hear(savedLevels, now)
     if (lease) {
@@ -275,6 +273,18 @@
     named.forEach(news => this.weights.observeNamed(news))
   }
 
+  /** The store names all that ever entered. */
+  private meet (addresses: readonly string[]): void {
+    this.peers.nameAll(addresses)
+    this.observeInstances()
+  }
+
+  private observeInstances (): void {
+    const count = this.peers.count()
+    this.retries.observeInstances(count)
+    this.directory.observeInstances(count)
+  }
+
   private isReady (): boolean {
     return !this.isLeaving && this.table !== undefined && this.knowledge.isWhole
   }
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -14,6 +14,13 @@
 /** Connections to a server before the configuration says how many it takes. */
 const DEFAULT_CONNECTIONS = 16
 
+/**
+ * How long kept connections are not trusted after one of them failed, milliseconds:
+ * servers that send second answers or drop idle connections do so for seconds, and
+ * all connections that were kept then have run out, twice over.
+ */
+const DISTRUSTED_MS = 10_000
+
 export interface ServerDirectoryOptions {
   /** The state of a server has changed, or it is new. */
   readonly onChanged: (server: ListedServer, before: ServerState | undefined) => void
@@ -24,6 +31,8 @@
   private readonly goneAt = new Map<string, number>()
   /** All servers of a service together. */
   private readonly serviceHealth = new Map<string, ServerHealth>()
+  /** Until when kept connections to a service's servers are not trusted, milliseconds of Unix time. */
+  private readonly distrustedUntil = new Map<string, number>()
   private readonly usualTimes = new Map<string, UsualTime>()
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
@@ -156,6 +165,20 @@
     this.observeOutcome(id, health => health.observeBad(now))
   }
 
+  /**
+   * A request failed for what came before it on its connection. A server that
+   * sends an answer too many does so late, when the next request waits for one,
+   * so nothing shows it in time; a new connection has no past. A request that
+   * may run once fails for good by it, which costs more than a connection.
+   */
+  distrustKept (service: string, now: number): void {
+    this.distrustedUntil.set(service, now + DISTRUSTED_MS)
+  }
+
+  trustsKept (service: string, now: number): boolean {
+    return now >= (this.distrustedUntil.get(service) ?? 0)
+  }
+
   private observeOutcome (id: string, count: (health: ServerHealth) => void): void {
     const server = this.servers.get(id)
     if (server) {
