Promise others not to use a lease whose grant was never heard

An instance asks for the lease on orders, the store appends its record, and the answer is lost with its way to the store. It now promises at once, and with each beat, that it gives no orders under that record, and they wait only for the orders that it gave before. The same process never holds a record that it promised not to use, also when a later try appends it; the promise names the process, so that it says nothing of its next life.

Also: what an instance saw itself of a request that may crash servers goes first in its beats, since what it heard of others left no room for it among a hundred others.

--- a/packages/foxtaillever-policy/src/suspects/suspectTable.ts
+++ b/packages/foxtaillever-policy/src/suspects/suspectTable.ts
@@ -133,6 +133,12 @@
     }
   }
 
+  /** The fact of a request, if one is known that still holds. */
+  factOf (fingerprint: string, now: number): SuspectFact | undefined {
+    const fact = this.facts.peek(fingerprint)
+    return fact && fact.expiresAt > now ? fact : undefined
+  }
+
   /** Facts for the peers, youngest first. */
   toShare (now: number): SuspectFact[] {
     return this.facts.list()
--- a/packages/foxtaillever-relay/src/exchange/crashSuspects.ts
+++ b/packages/foxtaillever-relay/src/exchange/crashSuspects.ts
@@ -15,6 +15,16 @@
 /** Facts in one datagram, some 100 bytes each; those of most crashes go first. */
 const MOST_TOLD = 12
 
+/**
+ * Places in a datagram for what happened here of late: with a server dozens of
+ * requests are lost, one at each instance, and what an instance heard of the
+ * others would leave no room for the one that only it knows.
+ */
+const MOST_OWN_TOLD = 6
+
+/** What happened here goes first for this long, milliseconds: a beat reaches a third of a large fleet once a second. */
+const OWN_FIRST_MS = 3000
+
 /** Hexadecimal digits of a digest; 64 bits tell a day's requests apart. */
 const DIGEST_DIGITS = 16
 
@@ -23,6 +33,8 @@
 export class CrashSuspects {
   private readonly table = SuspectTable.create(CRASHES_TO_REFUSE)
   private readonly digests = new WeakMap<Exchange, string>()
+  /** When this instance accused a request last, milliseconds of Unix time. */
+  private readonly accusedAt = new Map<string, number>()
 
   private constructor () {}
 
@@ -46,7 +58,9 @@
 
   /** The server was lost, or fell silent, while it had the request. */
   accuse (exchange: Exchange, server: string, now: number): void {
-    this.table.accuse(this.digestOf(exchange), server, '', now)
+    const digest = this.digestOf(exchange)
+    this.accusedAt.set(digest, now)
+    this.table.accuse(digest, server, '', now)
   }
 
   /** The server answered the request whole, to a try that began then. */
@@ -60,8 +74,14 @@
 
   /** What the other instances are to know. */
   toTell (now: number): string[] {
-    return this.table.toShare(now)
-      .sort((one, other) => other.crashes.length - one.crashes.length)
+    this.accusedAt.forEach((at, digest) => {
+      if (at + OWN_FIRST_MS <= now) {
+        this.accusedAt.delete(digest)
+      }
+    })
+    const own = [...this.accusedAt.keys()].flatMap(digest => this.table.factOf(digest, now) ?? []).sort(byGuilt).slice(0, MOST_OWN_TOLD)
+    const others = this.table.toShare(now).filter(fact => !own.includes(fact)).sort(byGuilt)
+    return [...own, ...others]
       .slice(0, MOST_TOLD)
       .map(({ fingerprint, crashes, cleared, expiresAt }) => [fingerprint, crashes.join(), cleared.join(), Math.ceil(expiresAt - now)].join(SEPARATOR))
   }
@@ -83,6 +103,14 @@
   }
 }
 
+function guiltOf ({ crashes, cleared }: SuspectFact): number {
+  return crashes.filter(crash => !cleared.includes(crash)).length
+}
+
+function byGuilt (one: SuspectFact, other: SuspectFact): number {
+  return guiltOf(other) - guiltOf(one)
+}
+
 /** Clocks of instances differ, so what is told is how long a fact holds. */
 function readFact (text: unknown, now: number): SuspectFact[] {
   const [fingerprint = '', crashes = '', cleared = '', left = ''] = String(text).split(SEPARATOR)
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -17,6 +17,7 @@
   hasStore: true,
   positions: { operators: 0, servers: 0 },
   lease: undefined,
+  resigned: undefined,
   uses: [],
   weights: [],
   suspects: [],
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -37,10 +37,20 @@
 export interface LeaseNews {
   readonly offset: number
   readonly holder: string
+  /** Start of the holder's process that wrote it. */
+  readonly incarnation: string
   /** Since it was appended, milliseconds at most. */
   readonly ageMs: number
 }
 
+/** The promise of a process that it gives no order under a record of the lease up to this one. */
+export interface LeaseResignation {
+  readonly incarnation: string
+  readonly offset: number
+  /** Since it could last give an order, milliseconds at least. */
+  readonly quietMs: number
+}
+
 export interface PeerMessage {
   readonly name: string
   /** IP number and port for datagrams and calls. */
@@ -53,6 +63,7 @@
   readonly hasStore: boolean
   readonly positions: Positions
   readonly lease: LeaseNews | undefined
+  readonly resigned: LeaseResignation | undefined
   readonly uses: readonly ServerUse[]
   readonly weights: readonly WeightsNews[]
   /** Since when which weights are replaced: the store keeps the newest only, and says of none when it was named. */
@@ -68,28 +79,30 @@
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named, instances } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named, instances, resigned } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
-    lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
+    lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs), lease.incarnation],
     uses.map(({ server, outstanding, tokens }) => [server, outstanding, tokens]),
     weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
     suspects,
     savedLevels,
     named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
-    instances
+    instances,
+    resigned === undefined ? null : [resigned.offset, resigned.incarnation, Math.floor(resigned.quietMs)]
   ])
 }
 
 type Wire = readonly [
   string, string, string, number, boolean, boolean, number, number,
-  readonly [number, string, number] | null,
+  readonly [number, string, number, string | undefined] | null,
   ReadonlyArray<readonly [string, number, number]>,
   ReadonlyArray<readonly [string, string, number, number]>,
   readonly string[],
   readonly number[],
   ReadonlyArray<readonly [string, number, number]> | undefined,
-  number | undefined
+  number | undefined,
+  readonly [number, string, number] | null | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -105,7 +118,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = [], instances = 1] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = [], instances = 1, resigned = null] = wire as Wire
     return {
       name,
       address,
@@ -114,7 +127,8 @@
       isLeaving,
       hasStore,
       positions: { operators, servers },
-      lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
+      lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2], incarnation: lease[3] ?? '' },
+      resigned: resigned === null ? undefined : { offset: resigned[0], incarnation: resigned[1], quietMs: resigned[2] },
       uses: uses.map(([server, outstanding, tokens]) => ({ server, outstanding, tokens })),
       weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
       suspects,
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,5 +1,4 @@
 /** One instance of the relay: callers on one side, backend servers on the other, the platform's store above. */
-import { randomUUID } from 'node:crypto'
 import { waitUntil } from 'foxtaillever-core'
 import { RetryShare } from 'foxtaillever-policy/relay/retryShare'
 import { createCacheUse } from './cache/cacheUse.js'
@@ -23,9 +22,9 @@
 import { MetricsServer } from './telemetry/metricsServer.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
-import { OrderLease } from './weights/orderLease.js'
+import { createOrderLease } from './weights/createOrderLease.js'
+import type { OrderLease } from './weights/orderLease.js'
 import { LAST_RANK, orderRank } from './weights/orderRank.js'
-import { watchFenceLog } from './weights/watchedFenceLog.js'
 import { WeightsDesk } from './weights/weightsDesk.js'
 
 /** The balancer notices within two seconds that this instance is not ready; until then it sends new connections, milliseconds. */
@@ -208,20 +207,7 @@
   }
 
   private createLease (): OrderLease {
-    const { clock, fenceLog, topics, name, leasePauseMs } = this.options
-    return OrderLease.create({
-      clock,
-      uptime: readWallSeconds,
-      log: watchFenceLog(fenceLog, () => this.knowledge.doubt()),
-      topic: topics.lease,
-      holder: name,
-      incarnation: randomUUID(),
-      pauseMs: leasePauseMs,
-      onChanged: ({ offset }) => {
-        this.log.belief('Holds the lease on orders.', { fence: offset })
-        this.peers.send([])
-      }
-    })
+    return createOrderLease(this.options, this.log, { doubt: () => this.knowledge.doubt(), tell: () => this.peers.send([]) })
   }
 
   private createWeightsDesk (): WeightsDesk {
@@ -254,6 +240,7 @@
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.lease.news(),
+      resigned: this.lease.resignation(),
       uses: ownUses(this.directory.all(), this.table?.routing.cacheStore?.address, this.caches.fetchLoad),
       suspects: this.suspects.toTell(this.options.clock.now()),
       savedLevels: this.caches.savedLevels.news(this.options.clock.now()),
@@ -261,7 +248,7 @@
     }
   }
 
-  private hear ({ lease, weights, suspects, savedLevels, named }: PeerMessage): void {
+  private hear ({ lease, resigned, weights, suspects, savedLevels, named }: PeerMessage): void {
     const now = this.options.clock.now()
     this.observeInstances()
     this.suspects.hear(suspects, now)
@@ -269,6 +256,9 @@
     if (lease) {
       this.lease.observe(lease)
     }
+    if (resigned) {
+      this.lease.observeResigned(resigned)
+    }
     weights.forEach(news => this.weights.observe(news))
     named.forEach(news => this.weights.observeNamed(news))
   }
--- a/packages/foxtaillever-relay/src/weights/__fixtures__/fakeFenceLog.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/fakeFenceLog.ts
@@ -5,12 +5,14 @@
 
 const CALL_MS = 4
 const GIVEN_UP_MS = 700
-const MOST_LATE_MS = 6000
+export const MOST_LATE_MS = 6000
 
 /** How the store treats the calls of one instance. */
 export interface Weather {
   /** Share of the appends whose answer is lost though they are carried out, now or late. */
   lostShare: number
+  /** A lost one is carried out so much later at most, milliseconds. */
+  mostLateMs: number
   isDown: boolean
 }
 
@@ -36,7 +38,7 @@
       return await this.giveUp()
     }
     if (this.random.next() < weather.lostShare) {
-      this.clock.at(this.clock.now() + this.random.below(MOST_LATE_MS), () => { this.appendNow(at, record) })
+      this.clock.at(this.clock.now() + this.random.below(weather.mostLateMs), () => { this.appendNow(at, record) })
       return await this.giveUp()
     }
     await waitUntil(this.clock, this.clock.now() + CALL_MS)
--- a/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
@@ -3,13 +3,13 @@
 import { Logs } from 'foxtaillever-telemetry'
 import { VirtualClock } from 'foxtaillever-testing'
 import { ServerState } from '../../model/listedServer.js'
-import type { LeaseNews, WeightsNews } from '../../peers/peerMessage.js'
+import type { LeaseNews, LeaseResignation, WeightsNews } from '../../peers/peerMessage.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
 import { RelayLog } from '../../telemetry/relayLog.js'
 import { OrderLease } from '../orderLease.js'
 import { WeightsDesk } from '../weightsDesk.js'
 import { FakeEngines } from './fakeEngines.js'
-import { FakeFenceLog, type Weather } from './fakeFenceLog.js'
+import { FakeFenceLog, MOST_LATE_MS, type Weather } from './fakeFenceLog.js'
 
 export const MODEL = 'model'
 export const PAUSE_MS = 3000
@@ -56,7 +56,7 @@
 }
 
 export class Instance {
-  readonly weather: Weather = { lostShare: 0, isDown: false }
+  readonly weather: Weather = { lostShare: 0, mostLateMs: MOST_LATE_MS, isDown: false }
   readonly clock: FreezableClock
   readonly directory = ServerDirectory.create({ onChanged: () => {} })
   readonly lease: OrderLease
@@ -78,6 +78,7 @@
       incarnation: name,
       pauseMs: PAUSE_MS,
       onChanged: news => fleet.send(this, news),
+      onResigned: () => fleet.send(this, this.lease.news()),
       log: { append: async (...call) => await own.read(log.append(...call)), readAt: async (...call) => await own.read(log.readAt(...call)) }
     })
     this.desk = WeightsDesk.create({
@@ -97,10 +98,13 @@
     this.beat()
   }
 
-  hear (lease: LeaseNews | undefined, news: WeightsNews | undefined): void {
+  hear (lease: LeaseNews | undefined, resigned: LeaseResignation | undefined, news: WeightsNews | undefined): void {
     if (lease) {
       this.lease.observe(lease)
     }
+    if (resigned) {
+      this.lease.observeResigned(resigned)
+    }
     if (news) {
       this.desk.observe(news)
     }
@@ -139,9 +143,10 @@
 
   /** Datagrams, of which one in twenty is lost. */
   send (from: Instance, lease: LeaseNews | undefined, news?: WeightsNews): void {
+    const resigned = from.lease.resignation()
     for (const other of this.instances.filter(instance => instance !== from && !instance.isCut && !from.isCut)) {
       if (this.random.below(20) > 0) {
-        other.clock.at(this.clock.now() + DATAGRAM_MS, () => other.hear(lease, news))
+        other.clock.at(this.clock.now() + DATAGRAM_MS, () => other.hear(lease, resigned, news))
       }
     }
   }
--- a/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
+++ b/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
@@ -125,6 +125,19 @@
     t.is(engines.arrived.filter(({ wasRunning }) => wasRunning).length, 4)
   })
 
+  // The one that is to give the orders asks for the lease. The store grants it, the answer is lost, and no further call gets
+  // through. The others see a holder that may order for seconds more, and all requests run on replaced weights meanwhile.
+  it('are not held up by a lease whose grant was never heard', async t => {
+    const fleet = OrderingFleet.create()
+    const first = fleet.instances.find(instance => fleet.rankOf(instance) === 0)
+    await fleet.clock.advanceBy(PAUSE_MS)
+    Object.assign(first?.weather ?? {}, { lostShare: 1, mostLateMs: 1 })
+    fleet.name(2)
+    await fleet.clock.advanceBy(3500)
+    t.true(fleet.engines.versions.filter(version => version === 2).length >= 3)
+    t.false(fleet.engines.arrived.some(({ holder }) => holder === first?.name))
+  })
+
   // Machines freeze, lose the store or each other, appends and orders come late: engines must never hear two holders in
   // turn, and when calm returns, all of them have the newest weights.
   it('arrive everywhere by one holder at a time, whatever happens meanwhile', async t => {
