Send what may run once on connections that have not rested

Servers may forget connections that rest from 300 ms on; what is sent next on one is reset, which an instance with one such request a second to each server meets nearly always. Requests that may run once now go on connections less rested than 250 ms, or on new ones.

--- a/packages/foxtaillever-policy/src/relay/__tests__/retryShare.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/retryShare.test.ts
@@ -6,14 +6,30 @@
 const allowance = { ratio: 0.2, slack: 20, windowMs: 10_000 }
 const INSTANCES = 4
 
-/** One request, or one more arrival that an instance would like to send. */
+enum Happening {
+  /** A caller's request. */
+  Request = 'request',
+  /** One more arrival that an instance would like to send. */
+  Retry = 'retry',
+  /** The instance is killed and starts again, unless it has done so within the window. */
+  Restart = 'restart'
+}
+
 interface Step {
   readonly afterMs: number
   readonly instance: number
-  readonly isRetry: boolean
+  readonly happening: Happening
 }
 
-const step: fc.Arbitrary<Step> = fc.record({ afterMs: fc.integer({ min: 0, max: 400 }), instance: fc.integer({ min: 0, max: INSTANCES - 1 }), isRetry: fc.boolean() })
+const happening = fc.oneof({ weight: 50, arbitrary: fc.constant(Happening.Request) }, { weight: 50, arbitrary: fc.constant(Happening.Retry) }, { weight: 2, arbitrary: fc.constant(Happening.Restart) })
+
+const step: fc.Arbitrary<Step> = fc.record({ afterMs: fc.integer({ min: 0, max: 400 }), instance: fc.integer({ min: 0, max: INSTANCES - 1 }), happening })
+
+function startShare (startedAt: number): RetryShare {
+  const share = RetryShare.create(allowance, startedAt)
+  share.observeInstances(INSTANCES)
+  return share
+}
 
 /** In how many windows, each beginning at an arrival, more retries came than the requests and the constant allow. */
 function countOverrun (requests: readonly number[], retries: readonly number[]): number {
@@ -31,18 +47,21 @@
   // theirs again, and together they would double the load that brought it down.
   it('is kept in every window by all instances together, whatever comes when', t => {
     fc.assert(fc.property(fc.array(step, { minLength: 50, maxLength: 600 }), steps => {
-      const shares = Array.from({ length: INSTANCES }, () => RetryShare.create(allowance, -allowance.windowMs))
-      shares.forEach(share => share.observeInstances(INSTANCES))
+      const shares = Array.from({ length: INSTANCES }, () => startShare(-allowance.windowMs))
+      const restartable = shares.map(() => 0)
       const requests: number[] = []
       const retries: number[] = []
       let now = 0
-      for (const { afterMs, instance, isRetry } of steps) {
+      for (const { afterMs, instance, happening } of steps) {
         now += afterMs
         const share = shares[instance] as RetryShare
-        if (!isRetry) {
+        if (happening === Happening.Restart && now >= (restartable[instance] ?? 0)) {
+          shares[instance] = startShare(now)
+          restartable[instance] = now + allowance.windowMs
+        } else if (happening === Happening.Request) {
           share.addRequest('s', now)
           requests.push(now)
-        } else if (share.take('s', now)) {
+        } else if (happening === Happening.Retry && share.take('s', now)) {
           retries.push(now)
         }
       }
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -59,7 +59,7 @@
 export class RelayRig {
   readonly clock = VirtualClock.create()
   readonly suspects = CrashSuspects.create()
-  readonly directory = ServerDirectory.create({ onChanged: () => {} })
+  readonly directory = ServerDirectory.create({ onChanged: () => {}, now: () => this.clock.now() })
   readonly retries = RetryShare.create({ ratio: 0.2, slack: 1000, windowMs: 10_000 }, 0)
   readonly servers: ScriptedServer[] = []
   private readonly callers: CallerServer
--- a/packages/foxtaillever-relay/src/__tests__/answers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/answers.test.ts
@@ -135,7 +135,29 @@
     await rig.ask('b')
     await rig.clock.advanceBy(10_000)
     await rig.ask('c')
-    t.deepEqual(rig.servers[0]?.arrivals.map(({ connection }) => connection), [0, 1, 1])
+    await rig.ask('d')
+    t.deepEqual(rig.servers[0]?.arrivals.map(({ connection }) => connection), [0, 1, 2, 2])
+    rig.stop()
+  })
+
+  // A server forgets connections that rest for a third of a second, without
+  // closing them. An order sent on one is lost, and nobody knows whether it ran.
+  it('that have rested do not serve what may run once', async t => {
+    const forgotten = new Set<number>()
+    const rig = await RelayRig.start({}, arrival => {
+      if (forgotten.has(arrival.connection)) {
+        arrival.socket.destroy()
+      } else {
+        arrival.socket.write(wholeAnswer(arrival, 'hello', '200 OK', hold))
+      }
+    })
+    for (const [index, id] of ['a', 'b', 'c'].entries()) {
+      t.regex(await rig.ask(id), /^HTTP\/1.1 200 /)
+      t.regex(await rig.ask(`${id}-at-once`), /^HTTP\/1.1 200 /)
+      forgotten.add(index)
+      await rig.clock.advanceBy(300)
+    }
+    t.deepEqual(rig.servers[0]?.arrivals.map(({ connection }) => connection), [0, 0, 1, 1, 2, 2])
     rig.stop()
   })
 
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -37,8 +37,8 @@
   readonly connections: ServerConnections
   readonly requestId: string
   readonly call: ServerCall
-  /** Not on a connection that has served other requests. */
-  readonly isOnNewConnection: boolean
+  /** Not on a connection that has served nothing for so long, milliseconds. */
+  readonly leastRestedMs: number
   readonly listener: AttemptListener
 }
 
@@ -59,10 +59,8 @@
   private wasReset = false
 
   private constructor (private readonly options: AttemptOptions) {
-    const { connections, call, clock, isOnNewConnection } = options
-    if (isOnNewConnection) {
-      connections.closeIdle()
-    }
+    const { connections, call, clock, leastRestedMs } = options
+    connections.closeRested(leastRestedMs)
     this.request = connections.send(call, () => this.onLeft())
     this.request.on('response', response => this.onResponse(response))
     this.request.on('error', error => this.onError(error))
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -103,7 +103,7 @@
       wire,
       connections: server.connections,
       requestId: exchange.id,
-      isOnNewConnection: !isRepeatable(exchange) && !context.directory.trustsKept(exchange.service, beganAt),
+      leastRestedMs: isRepeatable(exchange) ? Infinity : context.directory.leastRestedMs(exchange.service, beganAt),
       call: { method: exchange.method, path: exchange.path, headers, body: exchange.body },
       listener: {
         onHead: head => this.onHead(head),
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -5,7 +5,7 @@
  * that was announced as the connection's last for complete when the connection
  * is reset, so a cut answer would be passed on as a whole one.
  */
-import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
+import { Agent, request, type AgentOptions, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 
@@ -32,6 +32,21 @@
  */
 class ServerAgent extends Agent {
   private readonly unasked = new WeakMap<Duplex, () => void>()
+  private readonly restingSince = new WeakMap<Duplex, number>()
+
+  constructor (options: AgentOptions, private readonly now: () => number) {
+    super(options)
+  }
+
+  /** Closes idle connections that have served nothing for so long, milliseconds. */
+  closeRested (restedMs: number): void {
+    const until = this.now() - restedMs
+    Object.values(this.freeSockets).flat().forEach(socket => {
+      if (socket && (this.restingSince.get(socket) ?? 0) <= until) {
+        socket.destroy()
+      }
+    })
+  }
 
   override keepSocketAlive (duplex: Duplex): boolean {
     const socket = duplex as SocketOfAnswer
@@ -41,6 +56,7 @@
       return false
     }
     const destroy = (): void => { socket.destroy() }
+    this.restingSince.set(socket, this.now())
     this.unasked.set(socket, destroy)
     socket.on('data', destroy)
     socket.on('end', destroy)
@@ -74,6 +90,8 @@
   /** IP number and port. */
   readonly address: string
   readonly mostConnections: number
+  /** Steady milliseconds. */
+  readonly now?: () => number
 }
 
 /** Idle connections kept at most to one server. */
@@ -84,11 +102,11 @@
   private readonly host: string
   private readonly port: number
 
-  private constructor ({ address, mostConnections }: ServerConnectionsOptions) {
+  private constructor ({ address, mostConnections, now = () => performance.now() }: ServerConnectionsOptions) {
     const colon = address.lastIndexOf(':')
     this.host = address.slice(0, colon)
     this.port = Number(address.slice(colon + 1))
-    this.agent = new ServerAgent({ keepAlive: true, maxSockets: mostConnections, maxFreeSockets: MOST_IDLE, scheduling: 'lifo' })
+    this.agent = new ServerAgent({ keepAlive: true, maxSockets: mostConnections, maxFreeSockets: MOST_IDLE, scheduling: 'lifo' }, now)
   }
 
   static create (options: ServerConnectionsOptions): ServerConnections {
@@ -120,7 +138,12 @@
 
   /** Closes idle connections; those at work end with their request. */
   closeIdle (): void {
-    Object.values(this.agent.freeSockets).flat().forEach(socket => socket?.destroy())
+    this.closeRested(0)
+  }
+
+  /** Closes idle connections that have served nothing for so long, milliseconds. */
+  closeRested (restedMs: number): void {
+    this.agent.closeRested(restedMs)
   }
 
   /** Nothing is kept any more; requests on their way end in peace. */
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -21,9 +21,18 @@
  */
 const DISTRUSTED_MS = 10_000
 
+/**
+ * Servers, or what lies between, may forget connections that rest, from 300 ms on,
+ * and whatever is sent next on one is lost. A connection less rested than this is
+ * likely good, milliseconds.
+ */
+const RESTED_MS = 250
+
 export interface ServerDirectoryOptions {
   /** The state of a server has changed, or it is new. */
   readonly onChanged: (server: ListedServer, before: ServerState | undefined) => void
+  /** Steady milliseconds, for the rest of connections. */
+  readonly now?: () => number
 }
 
 export class ServerDirectory {
@@ -175,8 +184,9 @@
     this.distrustedUntil.set(service, now + DISTRUSTED_MS)
   }
 
-  trustsKept (service: string, now: number): boolean {
-    return now >= (this.distrustedUntil.get(service) ?? 0)
+  /** Connections that have rested so long are not for requests that may run once, milliseconds. */
+  leastRestedMs (service: string, now: number): number {
+    return now < (this.distrustedUntil.get(service) ?? 0) ? 0 : RESTED_MS
   }
 
   private observeOutcome (id: string, count: (health: ServerHealth) => void): void {
@@ -199,6 +209,7 @@
   private add (listed: ListedServer, offset: number): KnownServer {
     const connections = ServerConnections.create({
       address: listed.address,
+      now: this.options.now,
       mostConnections: this.mostConnections(listed.service)
     })
     const server: KnownServer = {
