--- a/packages/foxtaillever-policy/src/relay/__tests__/retryShare.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/retryShare.test.ts
@@ -66,7 +66,7 @@
         }
       }
       return countOverrun(requests, retries) === 0
-    }), { seed: 7, numRuns: 300 })
+    }), { seed: 7, numRuns: 600 })
     t.pass()
   })
 
@@ -108,4 +108,22 @@
     t.is(unheard, 0)
     t.true(before + heard <= allowance.slack)
   })
+
+  // A fleet starts for the first time, and its first callers meet a server that
+  // is full. Nothing was sent before, so nothing need be kept free for it.
+  it('is there from the start for an instance that never ran before', t => {
+    const [first, later] = [RetryShare.create(allowance, 0), RetryShare.create(allowance, 0)]
+    first.observeInstances(1)
+    first.observeFirstLife()
+    later.observeInstances(1)
+    const count = (share: RetryShare): number => {
+      let taken = 0
+      while (share.take('s', 0)) {
+        taken += 1
+      }
+      return taken
+    }
+    t.is(count(first), 16)
+    t.is(count(later), 4)
+  })
 })
--- a/packages/foxtaillever-policy/src/relay/retryShare.ts
+++ b/packages/foxtaillever-policy/src/relay/retryShare.ts
@@ -42,7 +42,7 @@
   /** That share the constant; undefined until it is known. */
   private instances: number | undefined
 
-  private constructor (private allowance: RetryAllowance, private readonly startedAt: number) {}
+  private constructor (private allowance: RetryAllowance, private startedAt: number) {}
 
   /** @param startedAt of the process, milliseconds of Unix time. */
   static create (allowance: RetryAllowance, startedAt: number): RetryShare {
@@ -54,6 +54,11 @@
     this.allowance = allowance
   }
 
+  /** No life of this instance came before: all that counts in the window was sent by this one. */
+  observeFirstLife (): void {
+    this.startedAt = -Infinity
+  }
+
   observeInstances (count: number): void {
     this.instances = Math.max(1, count)
   }
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -44,6 +44,7 @@
 }
 
 const serverWire: ServerWire = {
+  notRunStatuses: new Set([408, 429, 503]),
   createHeaders: ({ id, body }, { resumeAfter }) => ['Host', 'h', 'request-id', id, 'after', resumeAfter, 'content-length', String(body.length)],
   readMarks: (_, headers) => ({
     requestId: headers['request-id'] as string | undefined,
@@ -69,11 +70,12 @@
   private constructor (route: Route) {
     const { clock } = this
     const limits = { headerBytes: 16_384, bodyBytes: 100_000, headerTimeoutMs: 5000, idleTimeoutMs: 5000 }
-    const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStore: undefined, accounts: [], limits }
+    const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], limits }
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
     const context: ExchangeContext = {
       clock,
+      connectTimeoutMs: 200,
       random,
       wire: serverWire,
       directory: this.directory,
@@ -83,7 +85,8 @@
       fetchLoad: FetchLoad.create(() => 0),
       log,
       routing: () => routing,
-      place: (_, failed) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
+      askLoad: () => undefined,
+      place: (_, { failed }) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
       onMisdirected: () => {}
     }
     this.retries.observeInstances(1)
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -56,6 +56,8 @@
 export interface AttemptFailure {
   readonly kind: AttemptFailureKind
   readonly detail: string
+  /** The server that says it is not the one meant, or has other weights; undefined when not said. */
+  readonly serverId?: string
   /** The connection had served other requests before, and no answer to this one came on it. */
   readonly isOnKeptConnection?: boolean
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -8,8 +8,9 @@
 import { Attempt, type AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { planTerms } from '../attempts/planTerms.js'
-import { isRepeatable, type Exchange } from '../model/exchange.js'
+import { heldTokensOf, isRepeatable, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import { afterwards } from './afterwards.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import { ExchangeEnd } from './exchangeEnd.js'
@@ -36,7 +37,7 @@
     private readonly context: ExchangeContext,
     private readonly exchange: Exchange,
     private readonly answer: CallerAnswer,
-    private readonly onOver: () => void
+    private readonly onOver: (verdict: Verdict) => void
   ) {
     this.ledger = TryLedger.create(exchange)
     this.relay = AnswerRelay.create(exchange, answer, {
@@ -45,7 +46,7 @@
     })
   }
 
-  static create (context: ExchangeContext, exchange: Exchange, answer: CallerAnswer, onOver: () => void): ExchangeRun {
+  static create (context: ExchangeContext, exchange: Exchange, answer: CallerAnswer, onOver: (verdict: Verdict) => void): ExchangeRun {
     return new ExchangeRun(context, exchange, answer, onOver)
   }
 
@@ -75,15 +76,24 @@
     this.tryNext()
   }
 
+  /** Places the next try, on fresh words of load where the fleet is large. */
   private tryNext (): void {
+    afterwards(this.context.askLoad(this.exchange, this.ledger), () => {
+      if (!this.isOver) {
+        this.tryNow()
+      }
+    })
+  }
+
+  private tryNow (): void {
     const { exchange, context, ledger } = this
-    const server = context.place(exchange, ledger.failed)
+    const server = context.place(exchange, ledger)
     if (!server) {
-      this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.')
+      this.fail(ledger.ranCode ?? FailureCode.NoBackendServer, 'No backend server can take the request now.')
       return
     }
     if (ledger.arrivals > 0 && !context.retries.take(exchange.service, this.now)) {
-      this.fail(FailureCode.Overloaded, 'The retry budget is used up.')
+      this.fail(ledger.ranCode ?? FailureCode.Overloaded, 'The retry budget is used up.')
       return
     }
     this.send(server)
@@ -104,6 +114,7 @@
       connections: server.connections,
       requestId: exchange.id,
       leastRestedMs: isRepeatable(exchange) ? Infinity : context.directory.leastRestedMs(exchange.service, beganAt),
+      connectTimeoutMs: context.connectTimeoutMs,
       call: { method: exchange.method, path: exchange.path, headers, body: exchange.body },
       listener: {
         onHead: head => this.onHead(head),
@@ -113,7 +124,7 @@
       }
     })
     const { savedLevels, fetchLoad } = context
-    this.current = OpenTry.open({ attempt, server, beganAt, terms, savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
+    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
   }
 
   private onHead (head: AnswerHead): void {
@@ -180,10 +191,11 @@
 
   private onFailed (failure: AttemptFailure): void {
     const { kind } = failure
+    const tried = this.current
     const server = this.settle()
     this.observeFailure(failure, server)
-    if (kind === AttemptFailureKind.Misdirected) {
-      this.context.onMisdirected(server?.listed.id ?? '')
+    if (tried && kind === AttemptFailureKind.Misdirected) {
+      this.context.onMisdirected(tried, this.exchange, failure)
     }
     if (this.mayTryAgain()) {
       this.tryNext()
@@ -230,6 +242,7 @@
 
   private onGone (): void {
     if (!this.isOver) {
+      this.ledger.observeCut(this.current?.attempt.mayHaveArrived === true)
       this.cancelCurrent()
       this.finish(ExchangeEnd.CallerGone, '')
     }
@@ -287,6 +300,6 @@
     this.cancelDeadline()
     const { exchange, ledger, now } = this
     this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.tried, now, reason })
-    this.onOver()
+    this.onOver(end === ExchangeEnd.Answered ? Verdict.Ran : ledger.verdict)
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/observeFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/observeFailure.ts
@@ -1,5 +1,5 @@
 /** What an instance learns from a try that failed, beside what its exchange makes of it. */
-import { meaningOf, mayBeCrash, spoilsConnections, type AttemptFailure } from '../attempts/attemptFailure.js'
+import { AttemptFailureKind, meaningOf, mayBeCrash, spoilsConnections, type AttemptFailure } from '../attempts/attemptFailure.js'
 import type { Exchange } from '../model/exchange.js'
 import type { ExchangeContext } from './exchangeContext.js'
 
@@ -10,6 +10,9 @@
   if (isServersFault) {
     directory.observeFault(server, now)
   }
+  if (failure.kind === AttemptFailureKind.Refused) {
+    directory.observeRefusal(server, now)
+  }
   if (spoilsConnections(failure)) {
     directory.distrustKept(exchange.service, now)
   }
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -17,12 +17,12 @@
   hasStore: true,
   positions: { operators: 0, servers: 0 },
   lease: undefined,
-  resigned: undefined,
   uses: [],
-  weights: [],
+  sums: [],
   suspects: [],
   savedLevels: [],
   named: [],
+  current: [],
   instances: 1
 }
 
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -1,4 +1,5 @@
 /** What instances tell each other by datagram: positional arrays by msgpackr, because names would double the size. */
+import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import { Packr } from 'msgpackr'
 import { Maybe } from 'purify-ts'
 
@@ -8,12 +9,9 @@
   readonly servers: number
 }
 
-/** Load that one instance puts on a backend server. */
-export interface ServerUse {
+/** Load on a backend server. */
+export interface ServerUse extends ServerLoad {
   readonly server: string
-  readonly outstanding: number
-  /** Prompt tokens that it has yet to read for these. */
-  readonly tokens: number
 }
 
 /** An engine's weights, as the one who orders them knows. */
@@ -33,24 +31,22 @@
   readonly ageMs: number
 }
 
+/** Engines that have the newest weights, as far as the teller knows. */
+export interface CurrentEngines {
+  readonly model: string
+  readonly version: number
+  /** Hashes of their ids: 5 bytes each, 210 for 42 engines. */
+  readonly engines: readonly number[]
+}
+
 /** The newest record of the lease that is known. */
 export interface LeaseNews {
   readonly offset: number
   readonly holder: string
-  /** Start of the holder's process that wrote it. */
-  readonly incarnation: string
   /** Since it was appended, milliseconds at most. */
   readonly ageMs: number
 }
 
-/** The promise of a process that it gives no order under a record of the lease up to this one. */
-export interface LeaseResignation {
-  readonly incarnation: string
-  readonly offset: number
-  /** Since it could last give an order, milliseconds at least. */
-  readonly quietMs: number
-}
-
 export interface PeerMessage {
   readonly name: string
   /** IP number and port for datagrams and calls. */
@@ -63,46 +59,61 @@
   readonly hasStore: boolean
   readonly positions: Positions
   readonly lease: LeaseNews | undefined
-  readonly resigned: LeaseResignation | undefined
+  /** Load that it puts on servers itself; in a large fleet on the store of cached levels only. */
   readonly uses: readonly ServerUse[]
-  readonly weights: readonly WeightsNews[]
+  /** Load of all instances on the servers that it watches for the fleet. */
+  readonly sums: readonly ServerUse[]
   /** Since when which weights are replaced: the store keeps the newest only, and says of none when it was named. */
   readonly named: readonly NamedNews[]
-  /** Instances that it reckons with, itself included: one that has just started knows few of them. */
-  readonly instances: number
   /** Digests of requests that crash backend servers. */
   readonly suspects: readonly string[]
   /** Hashes of prompt levels that it had saved to the store of cached levels of late. */
   readonly savedLevels: readonly number[]
+  readonly current: readonly CurrentEngines[]
+  /** Instances that it reckons with, itself included: one that has just started knows few of them. */
+  readonly instances: number
 }
 
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, weights, suspects, savedLevels, named, instances, resigned } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums, instances } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
-    lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs), lease.incarnation],
-    uses.map(({ server, outstanding, tokens }) => [server, outstanding, tokens]),
-    weights.map(({ server, model, version, changingMs }) => [server, model, version, Math.round(changingMs)]),
+    lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
+    uses.map(packUse),
     suspects,
     savedLevels,
     named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
-    instances,
-    resigned === undefined ? null : [resigned.offset, resigned.incarnation, Math.floor(resigned.quietMs)]
+    current.map(({ model, version, engines }) => [model, version, engines]),
+    sums.map(packUse),
+    instances
   ])
 }
 
+type WireUse = readonly [string, number, number, number?]
+
+/** Memory is told in units of so many tokens, so that a beat of a small fleet stays within its budget: as much as a short prompt. */
+const HELD_UNIT = 512
+
+function packUse ({ server, outstanding, tokens, heldTokens }: ServerUse): WireUse {
+  return [server, outstanding, tokens, Math.round(heldTokens / HELD_UNIT)]
+}
+
+function readUse ([server, outstanding, tokens, held = 0]: WireUse): ServerUse {
+  return { server, outstanding, tokens, heldTokens: held * HELD_UNIT }
+}
+
 type Wire = readonly [
   string, string, string, number, boolean, boolean, number, number,
-  readonly [number, string, number, string | undefined] | null,
-  ReadonlyArray<readonly [string, number, number]>,
-  ReadonlyArray<readonly [string, string, number, number]>,
+  readonly [number, string, number] | null,
+  readonly WireUse[],
   readonly string[],
   readonly number[],
   ReadonlyArray<readonly [string, number, number]> | undefined,
-  number | undefined,
-  readonly [number, string, number] | null | undefined
+  ReadonlyArray<readonly [string, number, readonly number[]]> | undefined,
+  readonly WireUse[] | undefined,
+  number | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -112,13 +123,13 @@
 }
 
 function isWire (value: unknown): value is Wire {
-  return Array.isArray(value) && HEAD.every((type, index) => nameOfType(value[index]) === type) && value.slice(9, 13).every(part => Array.isArray(part))
+  return Array.isArray(value) && HEAD.every((type, index) => nameOfType(value[index]) === type) && value.slice(9, 12).every(part => Array.isArray(part))
 }
 
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, weights, suspects, savedLevels, named = [], instances = 1, resigned = null] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], instances = 1] = wire as Wire
     return {
       name,
       address,
@@ -127,14 +138,14 @@
       isLeaving,
       hasStore,
       positions: { operators, servers },
-      lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2], incarnation: lease[3] ?? '' },
-      resigned: resigned === null ? undefined : { offset: resigned[0], incarnation: resigned[1], quietMs: resigned[2] },
-      uses: uses.map(([server, outstanding, tokens]) => ({ server, outstanding, tokens })),
-      weights: weights.map(([server, model, version, changingMs]) => ({ server, model, version, changingMs })),
+      lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
+      uses: uses.map(readUse),
+      sums: sums.map(readUse),
+      instances: Number(instances) || 1,
       suspects,
       savedLevels,
-      instances: Number(instances) || 1,
-      named: named.map(([model, version, ageMs]) => ({ model, version, ageMs }))
+      named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
+      current: current.map(([model, version, engines]) => ({ model, version, engines }))
     }
   }))
 }
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -1,9 +1,11 @@
 /** Gives the decision on placement what this instance knows, and takes its answer. */
 import { hashNumber, type Clock, type Random } from 'foxtaillever-core'
 import { gatherLongRuns, isLongRun } from 'foxtaillever-policy/relay/gatherLongRuns'
-import { placeExchange, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
+import { rankOffers, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
+import { homeDomains } from 'foxtaillever-policy/relay/levelHome'
 import { promptKeyOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
+import type { CacheStore } from '../model/routing.js'
 import type { FleetUse } from '../peers/fleetUse.js'
 import type { WeightsDesk } from '../weights/weightsDesk.js'
 import type { KnownServer } from './knownServer.js'
@@ -15,20 +17,46 @@
 /** Where most slots are taken a request may wait that much longer before it begins, milliseconds. */
 const QUEUED_MARGIN_MS = 1500
 
+/**
+ * An answer loses worth when it begins on weights replaced 1.5 s ago; until then
+ * they are as good as the newest, milliseconds, less 300 for a request to begin.
+ * All instances would else rush to the first engines that have changed, which
+ * read everything anew, and queue there while most of the fleet stands idle.
+ */
+const AS_GOOD_MS = 1200
+
 /** Part of the slots from which on requests wait. */
 const QUEUEING = 0.8
 
+/** A home and the best besides: with two to choose from the fullest of 42 engines holds little more than the mean. */
+const SHORTLIST = 2
+
+/** Requests that filled an engine end within this, and an order to change weights is under way for about as long, milliseconds. */
+const REFUSING_MS = 500
+
 const nobody: ReadonlySet<string> = new Set()
 
 /** A server whose faults cost more than this takes no part in gathering, milliseconds: about one fault in eight. */
 const FAULTY_MS = 100
 
+/** What the earlier tries of an exchange came to. */
+export interface EarlierTries {
+  /** Servers that failed it; they do not get it again. */
+  readonly failed: ReadonlySet<string>
+  /** One of them had other weights than were thought. */
+  readonly wasMisdirected: boolean
+}
+
 export interface ServerChoiceOptions {
   readonly clock: Clock
   readonly random: Random
   readonly failureDomain: string
   readonly directory: ServerDirectory
-  readonly use: FleetUse
+  /** Stores of cached prompt levels. */
+  readonly stores: () => readonly CacheStore[]
+  readonly use: Pick<FleetUse, 'of'>
+  /** How long a fetch of levels with the key waits for their store's link, milliseconds. */
+  readonly fetchWaitMs: (promptKey: number, service: string) => number
   readonly weights: Pick<WeightsDesk, 'outdatedSince'>
   /** After new weights were named no request may begin on older ones, milliseconds. */
   readonly weightsBoundMs: number
@@ -42,17 +70,52 @@
   }
 
   /** The server for the next try of an exchange, other than those that failed it. */
-  place (exchange: Exchange, failed: ReadonlySet<string>): KnownServer | undefined {
-    const { directory, random, failureDomain } = this.options
+  place (exchange: Exchange, earlier: EarlierTries): KnownServer | undefined {
+    const [chosen] = this.rank(exchange, earlier)
+    return chosen && this.options.directory.get(chosen.id)
+  }
+
+  /** The servers that come into question first, to ask for their load. */
+  shortlist (exchange: Exchange, earlier: EarlierTries): string[] {
+    return this.rank(exchange, earlier).slice(0, SHORTLIST).map(({ id }) => id)
+  }
+
+  private rank (exchange: Exchange, { failed, wasMisdirected }: EarlierTries): readonly ServerOffer[] {
+    const { directory, random, failureDomain, fetchWaitMs } = this.options
     const ready = directory.ready(exchange.service)
     const isLong = isLongRun(exchange.prompt?.outputTokens ?? 0)
     const gathering = isLong ? this.gather(ready, exchange) : nobody
-    const offers = ready
-      .filter(server => !failed.has(server.listed.id) && this.hasFitWeights(server, exchange))
-      .map(server => this.toOffer(server, exchange, gathering))
-    const need = { promptKey: promptKeyOf(exchange), promptTokens: exchange.prompt?.promptTokens ?? 0, isLong, failureDomain }
-    const chosen = placeExchange(offers, need, random)
-    return chosen && directory.get(chosen.id)
+    const fit = ready.filter(server => !failed.has(server.listed.id) && this.hasFitWeights(server, exchange))
+    const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, gathering))
+    const { promptTokens, outputTokens } = exchange.prompt ?? { promptTokens: 0, outputTokens: 0 }
+    const promptKey = promptKeyOf(exchange)
+    const need = {
+      promptKey,
+      homeDomains: this.homeDomains(promptKey, ready),
+      promptTokens,
+      outputTokens,
+      fetchWaitMs: promptKey === undefined ? 0 : fetchWaitMs(promptKey, exchange.service),
+      isLong,
+      failureDomain
+    }
+    return rankOffers(offers, need, random)
+  }
+
+  /**
+   * Those with the newest weights, if there are any: the others may have been
+   * changed without a word of it, and a request has few tries.
+   */
+  private inNoDoubt (servers: readonly KnownServer[], exchange: Exchange): readonly KnownServer[] {
+    const current = servers.filter(server => !this.isOutdated(server, exchange))
+    return current.length > 0 ? current : servers
+  }
+
+  /** Near the store that keeps the prompt's shared levels. */
+  private homeDomains (promptKey: number | undefined, servers: readonly KnownServer[]): ReadonlySet<string> | undefined {
+    if (promptKey === undefined) {
+      return undefined
+    }
+    return homeDomains(promptKey, this.options.stores(), servers.map(({ listed }) => ({ hash: 0, failureDomain: listed.failureDomain })))
   }
 
   /** Whether the request may begin there: the model is loaded, and its weights are not older than is allowed. */
@@ -71,6 +134,13 @@
     return prompt !== undefined && this.options.weights.outdatedSince(prompt.model, server.weights.get(prompt.model) ?? 0) !== undefined
   }
 
+  /** Whether an answer on the server's weights is worth less than one on the newest. */
+  private isWorthLess (server: KnownServer, { prompt }: Exchange): boolean {
+    const { clock, weights } = this.options
+    const since = prompt && weights.outdatedSince(prompt.model, server.weights.get(prompt.model) ?? 0)
+    return since !== undefined && since + AS_GOOD_MS <= clock.now()
+  }
+
   private outstandingAt ({ listed, outstanding }: KnownServer): number {
     return outstanding + this.options.use.of(listed.id).outstanding
   }
@@ -90,7 +160,7 @@
 
   private toOffer (server: KnownServer, exchange: Exchange, gathering: ReadonlySet<string>): ServerOffer {
     const { clock, directory, use } = this.options
-    const { listed, unreadTokens, changingUntil } = server
+    const { listed, unreadTokens, heldTokens, refusedAt, changingUntil } = server
     const now = clock.now()
     return {
       id: listed.id,
@@ -99,9 +169,12 @@
       slots: listed.slots,
       outstanding: this.outstandingAt(server),
       waitingTokens: unreadTokens + use.of(listed.id).tokens,
+      heldTokens: heldTokens + use.of(listed.id).heldTokens,
+      memoryTokens: directory.memoryOf(listed.service),
+      isRefusing: refusedAt + REFUSING_MS > now,
       faultCostMs: directory.faultCostOf(server, now),
       isChanging: changingUntil > now,
-      isOutdated: this.isOutdated(server, exchange),
+      isOutdated: this.isWorthLess(server, exchange),
       isGathering: gathering.has(listed.id),
       coldLeftMs: listed.coldLeftMs
     }
