--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -41,6 +41,8 @@
   /** Longest wait for a connection, milliseconds. */
   readonly connectTimeoutMs: number
   readonly call: ServerCall
+  /** Not on a connection that has served nothing for so long, milliseconds. */
+  readonly leastRestedMs: number
   readonly listener: AttemptListener
 }
 
@@ -54,7 +56,8 @@
   private wasReset = false
 
   private constructor (private readonly options: AttemptOptions) {
-    const { connections, call, clock, connectTimeoutMs } = options
+    const { connections, call, clock, connectTimeoutMs, leastRestedMs } = options
+    connections.closeRested(leastRestedMs)
     this.request = connections.send(call, () => this.onLeft())
     this.request.on('response', response => this.onResponse(response))
     this.request.on('error', error => this.onError(error))
@@ -210,7 +213,7 @@
     }
     this.finish()
     this.request.destroy()
-    this.options.listener.onFailed({ kind, detail })
+    this.options.listener.onFailed({ kind, detail, isOnKeptConnection: this.isOnKeptConnection && this.response === undefined })
   }
 
   private finish (): void {
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -74,12 +74,14 @@
   readonly current: readonly CurrentEngines[]
   /** What it found at the stores of cached levels that it watches. */
   readonly stores: readonly StoreWord[]
+  /** Instances that it reckons with, itself included: one that has just started knows few of them. */
+  readonly instances: number
 }
 
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums, stores } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums, stores, instances } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -89,7 +91,8 @@
     named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
     current.map(({ model, version, engines }) => [model, version, engines]),
     sums.map(packUse),
-    ...(stores.length > 0 ? [stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation])] : [])
+    stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation]),
+    instances
   ])
 }
 
@@ -115,7 +118,8 @@
   ReadonlyArray<readonly [string, number, number]> | undefined,
   ReadonlyArray<readonly [string, number, readonly number[]]> | undefined,
   readonly WireUse[] | undefined,
-  ReadonlyArray<readonly [string, boolean, number]> | undefined
+  ReadonlyArray<readonly [string, boolean, number]> | undefined,
+  number | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -131,7 +135,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], stores = []] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1] = wire as Wire
     return {
       name,
       address,
@@ -143,6 +147,7 @@
       lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
       uses: uses.map(readUse),
       sums: sums.map(readUse),
+      instances: Number(instances) || 1,
       suspects,
       savedLevels,
       named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
--- a/packages/foxtaillever-router/src/plain/createPlainDesk.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDesk.ts
@@ -45,7 +45,7 @@
 }
 
 export function createPlainDesk ({ configuration, ...shared }: PlainDeskOptions): ExchangeDesk {
-  return ExchangeDesk.create({
+  const desk = ExchangeDesk.create({
     ...shared,
     wire: plainWire,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -60,4 +60,7 @@
     onServerChanged: () => {},
     onMisdirected: () => {}
   })
+  // The constant is meant for each instance.
+  desk.observeInstances(1)
+  return desk
 }
