--- a/packages/foxtaillever-policy/src/relay/useCacheStore.ts
+++ b/packages/foxtaillever-policy/src/relay/useCacheStore.ts
@@ -26,12 +26,13 @@
 const MOST_SAVE_WAIT_MS = 215
 
 /**
- * A transfer counts for as long at most, milliseconds: one that was begun when
- * the link allowed it is over by then. Counted until its request's first event,
- * requests that queue for an engine would keep the link looking busy, so that
- * levels are read again and the engines' queues grow further.
+ * A transfer counts until its request's first event, but for as long at most,
+ * milliseconds: one that would wait longer is not started. That a link is slow
+ * shows only in answers that stay out, so it is not cut shorter; counted without
+ * an end, requests that wait for an engine in trouble would keep the link
+ * looking full.
  */
-export const TRANSFER_COUNTED_MS = MOST_FETCH_WAIT_MS
+export const TRANSFER_COUNTED_MS = 2000
 
 /** A transfer between failure domains takes the link for this many times as long. */
 const FAR_TIMES = 2
