--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -51,7 +51,7 @@
     const choice = ServerChoice.create({
       ...options,
       directory: this.directory,
-      stores: () => options.routing()?.cacheStores ?? [],
+      stores: () => this.caches.available(),
       fetchWaitMs: (key, service) => fetchWaitMs(knownRouting(options.routing()), this.caches, { key, service, now: clock.now() })
     })
     this.runs = ExchangeRuns.create({
