--- a/packages/foxtaillever-relay/src/model/wire.ts
+++ b/packages/foxtaillever-relay/src/model/wire.ts
@@ -25,8 +25,6 @@
   readonly unreadTokens: number
   /** Tokens that the server is likely to fetch, as the link of the store feels them. */
   readonly fetchedTokens: number
-  /** Tokens that the server is likely to save, as the link of the store feels them. */
-  readonly savedTokens: number
   /** Hash of the shared level that is saved with it; undefined for none. */
   readonly savedLevel: number | undefined
   /** The last event that the caller has; empty for none. */
@@ -53,12 +51,16 @@
   readonly readHead: (message: IncomingMessage) => Either<string, ExchangeHead>
 }
 
-export interface ServerWire {
+/** How answers of backend servers are read. */
+export interface AnswerWire {
   /** Statuses that callers read as the promise that the request has not run and never will. */
   readonly notRunStatuses: ReadonlySet<number>
-  /** Headers of a try, names and values in turn. */
-  readonly createHeaders: (exchange: Exchange, terms: SendTerms, now: number) => string[]
   readonly readMarks: (status: number, headers: IncomingHttpHeaders) => AnswerMarks
   /** Headers to pass on to the caller, names and values in turn. */
   readonly passHeaders: (rawHeaders: readonly string[]) => string[]
 }
+
+export interface ServerWire extends AnswerWire {
+  /** Headers of a try, names and values in turn. */
+  readonly createHeaders: (exchange: Exchange, terms: SendTerms, now: number) => string[]
+}
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -22,7 +22,8 @@
   suspects: [],
   savedLevels: [],
   named: [],
-  current: []
+  current: [],
+  stores: []
 }
 
 describe('PeerTable', () => {
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -1,5 +1,6 @@
 /** What instances tell each other by datagram: positional arrays by msgpackr, because names would double the size. */
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
+import type { StoreWord } from 'foxtaillever-policy/relay/storeReach'
 import { Packr } from 'msgpackr'
 import { Maybe } from 'purify-ts'
 
@@ -71,12 +72,14 @@
   /** Hashes of prompt levels that it had saved to the store of cached levels of late. */
   readonly savedLevels: readonly number[]
   readonly current: readonly CurrentEngines[]
+  /** What it found at the stores of cached levels that it watches. */
+  readonly stores: readonly StoreWord[]
 }
 
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums, stores } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -85,7 +88,8 @@
     savedLevels,
     named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
     current.map(({ model, version, engines }) => [model, version, engines]),
-    sums.map(packUse)
+    sums.map(packUse),
+    ...(stores.length > 0 ? [stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation])] : [])
   ])
 }
 
@@ -110,7 +114,8 @@
   readonly number[],
   ReadonlyArray<readonly [string, number, number]> | undefined,
   ReadonlyArray<readonly [string, number, readonly number[]]> | undefined,
-  readonly WireUse[] | undefined
+  readonly WireUse[] | undefined,
+  ReadonlyArray<readonly [string, boolean, number]> | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -126,7 +131,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = []] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], stores = []] = wire as Wire
     return {
       name,
       address,
@@ -141,7 +146,8 @@
       suspects,
       savedLevels,
       named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
-      current: current.map(([model, version, engines]) => ({ model, version, engines }))
+      current: current.map(([model, version, engines]) => ({ model, version, engines })),
+      stores: stores.map(([store, isSilent, incarnation]) => ({ store, isSilent, incarnation }))
     }
   }))
 }
--- a/packages/foxtaillever-router/src/plain/createPlainDesk.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDesk.ts
@@ -2,6 +2,7 @@
 import { presetOf, type Clock, type Configuration, type Random } from 'foxtaillever-core'
 import type { RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
 import { noLoad } from 'foxtaillever-policy/relay/serverLoad'
+import { withoutStores } from 'foxtaillever-relay/cache/cacheUse'
 import { ExchangeDesk } from 'foxtaillever-relay/exchange/exchangeDesk'
 import type { Suspicions } from 'foxtaillever-relay/exchange/exchangeContext'
 import type { RelayLog } from 'foxtaillever-relay/telemetry/relayLog'
@@ -51,7 +52,7 @@
     retryAllowance: retryAllowanceOf(configuration()),
     suspects: noSuspicions,
     use: { of: () => noLoad },
-    othersTokens: () => 0,
+    ...withoutStores,
     askLoad: () => undefined,
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
