Keep as many idle connections to an engine as it may have streams

Cause: an engine's pool kept 16 idle connections, where undici kept all; beyond 16 streams at once each one that ended closed its connection and the next made another.

--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -74,9 +74,11 @@
   /** IP number and port. */
   readonly address: string
   readonly mostConnections: number
+  /** Idle connections kept at most. */
+  readonly mostIdle?: number
 }
 
-/** Idle connections kept at most to one server. */
+/** Idle connections kept at most to one server, where nothing else is said. */
 const MOST_IDLE = 16
 
 export class ServerConnections {
@@ -84,11 +86,11 @@
   private readonly host: string
   private readonly port: number
 
-  private constructor ({ address, mostConnections }: ServerConnectionsOptions) {
+  private constructor ({ address, mostConnections, mostIdle = MOST_IDLE }: ServerConnectionsOptions) {
     const colon = address.lastIndexOf(':')
     this.host = address.slice(0, colon)
     this.port = Number(address.slice(colon + 1))
-    this.agent = new ServerAgent({ keepAlive: true, maxSockets: mostConnections, maxFreeSockets: MOST_IDLE, scheduling: 'lifo' })
+    this.agent = new ServerAgent({ keepAlive: true, maxSockets: mostConnections, maxFreeSockets: mostIdle, scheduling: 'lifo' })
   }
 
   static create (options: ServerConnectionsOptions): ServerConnections {
--- a/packages/foxtaillever-router/src/adapters/engineClient.ts
+++ b/packages/foxtaillever-router/src/adapters/engineClient.ts
@@ -8,7 +8,7 @@
 import { Either } from 'purify-ts'
 import { StreamHandler } from './streamHandler.js'
 
-/** Connections to one engine at most; each stream holds one. */
+/** Connections to one engine at most; each stream holds one, and the next stream gets it. */
 const CONNECTIONS = 256
 
 /** An engine answers calls about itself within this, milliseconds. */
@@ -27,7 +27,7 @@
   private constructor (private readonly address: string, private readonly clock: Clock, private readonly connections: ServerConnections) {}
 
   static create (address: string, clock: Clock): EngineClient {
-    return new EngineClient(address, clock, ServerConnections.create({ address, mostConnections: CONNECTIONS }))
+    return new EngineClient(address, clock, ServerConnections.create({ address, mostConnections: CONNECTIONS, mostIdle: CONNECTIONS }))
   }
 
   generate (call: GenerateCall, listener: GenerateListener): GenerateStream {
