--- a/packages/foxtaillever-relay/src/cache/cacheUse.ts
+++ b/packages/foxtaillever-relay/src/cache/cacheUse.ts
@@ -1,13 +1,99 @@
-/** What an instance knows of the store of cached levels: what it holds, and how busy its link is. */
+/** What an instance knows of the stores of cached levels: what they hold, whether they answer, and how busy their links are. */
+import { hashNumber, type Clock } from 'foxtaillever-core'
+import { watchersOf } from 'foxtaillever-policy/relay/computedWatchers'
 import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
+import { StoreReach, type StoreWord } from 'foxtaillever-policy/relay/storeReach'
+import type { CacheStore } from '../model/routing.js'
+import type { ServerUse } from '../peers/peerMessage.js'
+import type { RelayLog } from '../telemetry/relayLog.js'
 import { FetchLoad } from './fetchLoad.js'
+import { StoreWatch, type CacheStoreCalls } from './storeWatch.js'
 
-export interface CacheUse {
-  readonly savedLevels: SavedLevels
-  readonly fetchLoad: FetchLoad
+/** What it tells the others. */
+export interface CacheWord {
+  readonly savedLevels: readonly number[]
+  readonly stores: readonly StoreWord[]
+}
+
+export interface CacheUseOptions {
+  readonly clock: Clock
+  readonly cacheStoreCalls: CacheStoreCalls
+  readonly log: RelayLog
+  /** Those of the configuration in force. */
+  readonly stores: () => readonly CacheStore[]
+  /** Where the others know this instance. */
+  readonly ownAddress: () => string
+  /** The other instances that are likely there. */
+  readonly others: () => ReadonlyArray<{ readonly address: string }>
+  /** Tokens that the other instances have on their way from the store at the address. */
+  readonly othersTokens: (store: string) => number
+  /** The others are to hear of it now. */
+  readonly tellAll: () => void
 }
 
-/** @param othersTokens tokens that the other instances have on their way from the store at the address. */
-export function createCacheUse (othersTokens: (store: string) => number): CacheUse {
-  return { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(othersTokens) }
+/** For a deployment that has no store of cached levels. */
+export const withoutStores: Omit<CacheUseOptions, 'clock' | 'log' | 'stores'> = {
+  cacheStoreCalls: { look: async () => { throw new Error('There is no store of cached levels to look at.') } },
+  ownAddress: () => '',
+  others: () => [],
+  othersTokens: () => 0,
+  tellAll: () => {}
+}
+
+export class CacheUse {
+  readonly savedLevels = SavedLevels.create()
+  readonly fetchLoad: FetchLoad
+  readonly watch: StoreWatch
+  private readonly reach = StoreReach.create()
+
+  private constructor (private readonly options: CacheUseOptions) {
+    const { clock, cacheStoreCalls: calls, othersTokens } = options
+    this.fetchLoad = FetchLoad.create(othersTokens)
+    this.watch = StoreWatch.create({ clock, calls, stores: () => this.watched(), onChanged: word => this.onChanged(word) })
+  }
+
+  static create (options: CacheUseOptions): CacheUse {
+    return new CacheUse(options)
+  }
+
+  /** Stores that answer. */
+  available (): CacheStore[] {
+    const now = this.options.clock.now()
+    return this.options.stores().filter(({ address }) => this.reach.answers(address, now))
+  }
+
+  uses (): ServerUse[] {
+    return this.fetchLoad.own(this.options.clock.now())
+  }
+
+  word (): CacheWord {
+    const { ownAddress, clock } = this.options
+    const stores = this.watch.words()
+    this.reach.hear(ownAddress(), stores, clock.now())
+    return { savedLevels: this.savedLevels.tell(), stores }
+  }
+
+  hear (instance: string, { savedLevels, stores }: CacheWord): void {
+    const now = this.options.clock.now()
+    if (this.reach.hear(instance, stores, now)) {
+      this.savedLevels.forget()
+    }
+    this.savedLevels.hear(savedLevels, now)
+  }
+
+  /** Two instances look at each store, since one may be cut off itself. */
+  private watched (): CacheStore[] {
+    const { stores, ownAddress, others } = this.options
+    const own = ownAddress()
+    const instances = [own, ...others().map(({ address }) => address)].map(address => ({ address, hash: hashNumber(address) }))
+    return stores().filter(({ hash }) => watchersOf(hash, instances).some(({ address }) => address === own))
+  }
+
+  private onChanged (word: StoreWord): void {
+    const { ownAddress, log, tellAll } = this.options
+    const { store, isSilent, incarnation } = word
+    log.belief(isSilent ? 'A store of cached levels does not answer.' : 'A store of cached levels answers.', { store, incarnation })
+    this.hear(ownAddress(), { savedLevels: [], stores: [word] })
+    tellAll()
+  }
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -86,6 +86,7 @@
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
+    this.desk.caches.watch.start()
     enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await this.readiness.listen(readiness.host, readiness.port)
@@ -120,6 +121,7 @@
     }
     this.desk.runs.abort()
     this.office.desk.stop()
+    this.desk.caches.watch.stop()
     this.knowledge.stop()
     this.readiness.close()
     this.figures.close()
@@ -133,7 +135,7 @@
   }
 
   private createDesk (): ExchangeDesk {
-    const { clock, random, failureDomain, serverWire, retryAllowance, weightsBoundMs } = this.options
+    const { clock, random, failureDomain, serverWire, cacheStoreCalls, retryAllowance, weightsBoundMs } = this.options
     return ExchangeDesk.create({
       clock,
       random,
@@ -146,6 +148,10 @@
       suspects: this.suspects,
       use: { of: id => this.peers.use.of(id) },
       othersTokens: store => this.peers.tokensFrom(store),
+      cacheStoreCalls,
+      ownAddress: () => this.peers.address,
+      others: () => this.peers.likely(),
+      tellAll: () => this.peers.send(),
       askLoad: shortlist => this.peers.isLarge ? this.peers.loads.ask(shortlist()) : undefined,
       weights: { outdatedSince: (model, version) => this.office.desk.outdatedSince(model, version) },
       routing: () => this.table?.routing,
@@ -175,6 +181,7 @@
       tell: (topic, from) => this.knowledge.tell(topic, from),
       onMessage: message => this.hear(message),
       ownUses: () => ownUses(this.desk.directory.all()),
+      onPassedOver: peer => this.log.belief('An instance does not answer questions of load; its second is asked.', { peer }),
       onNotice: notice => this.knowledge.hear(notice),
       onWeights: notice => this.hearWeights(notice),
       onLeaseCall: (request, search, response) => this.lendLease(request, search, response)
@@ -237,10 +244,10 @@
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
       lease: this.office.lease.news(),
-      uses: [...this.peers.isLarge ? [] : ownUses(directory.all()), ...caches.fetchLoad.own(this.options.clock.now())],
+      uses: [...this.peers.isLarge ? [] : ownUses(directory.all()), ...caches.uses()],
       sums: this.peers.isLarge ? this.peers.loads.sums(directory.all().map(({ listed }) => listed.id)) : [],
       suspects: this.suspects.toTell(this.options.clock.now()),
-      savedLevels: caches.savedLevels.tell(),
+      ...caches.word(),
       named: this.office.desk.ages(),
       current: this.office.desk.current()
     }
@@ -253,11 +260,10 @@
     news.forEach(one => this.office.desk.observe(one))
   }
 
-  private hear ({ lease, suspects, savedLevels, named, current }: PeerMessage): void {
-    const now = this.options.clock.now()
+  private hear ({ address, lease, suspects, named, current, ...caches }: PeerMessage): void {
     this.desk.observeInstances(this.peers.count())
-    this.suspects.hear(suspects, now)
-    this.desk.caches.savedLevels.hear(savedLevels, now)
+    this.suspects.hear(suspects, this.options.clock.now())
+    this.desk.caches.hear(address, caches)
     this.hearWeights({ news: [], lease })
     named.forEach(news => this.office.desk.observeNamed(news))
     current.forEach(news => this.office.desk.observeCurrent(news))
