--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock, Random } from 'foxtaillever-core'
 import { RetryShare, type RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
-import { createCacheUse, type CacheUse } from '../cache/cacheUse.js'
+import { CacheUse, type CacheUseOptions } from '../cache/cacheUse.js'
 import { fetchWaitMs } from '../cache/fetchWait.js'
 import type { ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
@@ -17,14 +17,12 @@
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
-export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'onMisdirected'> {
+export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'onMisdirected'>, Omit<CacheUseOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
   readonly log: RelayLog
   readonly retryAllowance: RetryAllowance
-  /** Tokens that other instances have on their way from and to the store of cached levels at the address. */
-  readonly othersTokens: (store: string) => number
   /** Asks what other instances put on the servers that a prompt's choice comes down to; undefined where it is known. Never fails. */
   readonly askLoad: (shortlist: () => readonly string[]) => Promise<void> | undefined
   /** The configuration in force; undefined until one is known. */
@@ -40,9 +38,9 @@
   readonly runs: ExchangeRuns
 
   private constructor (options: ExchangeDeskOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, othersTokens, askLoad, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, askLoad, onMisdirected } = options
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
-    this.caches = createCacheUse(othersTokens)
+    this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
       onChanged: (server, before) => {
         const { id, service, state } = server
@@ -53,8 +51,8 @@
     const choice = ServerChoice.create({
       ...options,
       directory: this.directory,
-      stores: () => options.routing()?.cacheStores ?? [],
-      fetchWaitMs: (key, service) => fetchWaitMs(knownRouting(options.routing()), this.caches.fetchLoad, { key, service, now: clock.now() })
+      stores: () => this.caches.available(),
+      fetchWaitMs: (key, service) => fetchWaitMs(knownRouting(options.routing()), this.caches, { key, service, now: clock.now() })
     })
     this.runs = ExchangeRuns.create({
       clock,
@@ -63,7 +61,7 @@
       wire,
       directory: this.directory,
       retries: this.retries,
-      ...this.caches,
+      caches: this.caches,
       suspects,
       log,
       routing: () => knownRouting(options.routing()),
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -23,7 +23,8 @@
   savedLevels: [],
   named: [],
   current: [],
-  instances: 1
+  instances: 1,
+  stores: []
 }
 
 describe('PeerTable', () => {
