--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -41,8 +41,8 @@
   /** Longest wait for a connection, milliseconds. */
   readonly connectTimeoutMs: number
   readonly call: ServerCall
-  /** Not on a connection that has served nothing for so long, milliseconds. */
-  readonly leastRestedMs: number
+  /** Not on a connection that has served nothing for so long, milliseconds; any will do without. */
+  readonly leastRestedMs?: number
   readonly listener: AttemptListener
 }
 
@@ -56,7 +56,7 @@
   private wasReset = false
 
   private constructor (private readonly options: AttemptOptions) {
-    const { connections, call, clock, connectTimeoutMs, leastRestedMs } = options
+    const { connections, call, clock, connectTimeoutMs, leastRestedMs = Infinity } = options
     connections.closeRested(leastRestedMs)
     this.request = connections.send(call, () => this.onLeft())
     this.request.on('response', response => this.onResponse(response))
