--- a/packages/foxtaillever-relay/src/knowledge/memberBook.ts
+++ b/packages/foxtaillever-relay/src/knowledge/memberBook.ts
@@ -18,6 +18,8 @@
   readonly topic: string
   readonly name: string
   readonly address: string
+  /** The topic did not name this instance before: this is its first life. */
+  readonly onFirstLife: () => void
   readonly onAddresses: (addresses: readonly string[]) => void
   /** An instance that leaves need not be found. */
   readonly isLeaving: () => boolean
@@ -30,7 +32,13 @@
 const MOST_TRIES = 20
 
 /** Enters the address and reads all others, until both have worked once. */
-export async function enterMemberBook ({ clock, log, topic, name, address, onAddresses, isLeaving }: MemberBookOptions): Promise<void> {
+export async function enterMemberBook ({ clock, log, topic, name, address, onFirstLife, onAddresses, isLeaving }: MemberBookOptions): Promise<void> {
+  const before = await log.newest(topic, '')
+  before.ifRight(({ records }) => {
+    if (!records.some(({ key }) => key === name)) {
+      onFirstLife()
+    }
+  })
   let isEntered = false
   for (let tries = 0; tries < MOST_TRIES && !isLeaving(); tries += 1) {
     isEntered ||= (await log.put(topic, name, Buffer.from(address))).isRight()
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -51,7 +51,7 @@
 const MOST_NOTIFIED = 96
 
 /** What this instance says of itself at the moment. */
-export type OwnWord = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt'>
+export type OwnWord = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt' | 'instances'>
 
 export interface PeersOptions {
   readonly clock: Clock
@@ -194,8 +194,8 @@
   }
 
   private message (): PeerMessage {
-    const { name, failureDomain, word } = this.options
-    return { name, address: this.address, failureDomain, startedAt: this.startedAt, ...this.limit(word()) }
+    const { clock, name, failureDomain, word } = this.options
+    return { name, address: this.address, failureDomain, startedAt: this.startedAt, instances: this.table.known(clock.now()), ...this.limit(word()) }
   }
 
   private limit (word: OwnWord): OwnWord {
