--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -92,9 +92,11 @@
   readonly mostConnections: number
   /** Steady milliseconds. */
   readonly now?: () => number
+  /** Idle connections kept at most. */
+  readonly mostIdle?: number
 }
 
-/** Idle connections kept at most to one server. */
+/** Idle connections kept at most to one server, where nothing else is said. */
 const MOST_IDLE = 16
 
 export class ServerConnections {
@@ -102,11 +104,11 @@
   private readonly host: string
   private readonly port: number
 
-  private constructor ({ address, mostConnections, now = () => performance.now() }: ServerConnectionsOptions) {
+  private constructor ({ address, mostConnections, mostIdle = MOST_IDLE, now = () => performance.now() }: ServerConnectionsOptions) {
     const colon = address.lastIndexOf(':')
     this.host = address.slice(0, colon)
     this.port = Number(address.slice(colon + 1))
-    this.agent = new ServerAgent({ keepAlive: true, maxSockets: mostConnections, maxFreeSockets: MOST_IDLE, scheduling: 'lifo' }, now)
+    this.agent = new ServerAgent({ keepAlive: true, maxSockets: mostConnections, maxFreeSockets: mostIdle, scheduling: 'lifo' }, now)
   }
 
   static create (options: ServerConnectionsOptions): ServerConnections {
