--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -5,7 +5,7 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Cancellation, Clock } from 'foxtaillever-core'
+import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
 import type { AnswerMarks, AnswerWire } from '../model/wire.js'
 import type { ServerCall, ServerConnections } from '../servers/serverConnections.js'
 import { AttemptFailureKind, type AttemptFailure } from './attemptFailure.js'
@@ -41,6 +41,8 @@
   /** Longest wait for a connection, milliseconds. */
   readonly connectTimeoutMs: number
   readonly call: ServerCall
+  /** Not on a connection that has served nothing for so long, milliseconds. */
+  readonly leastRestedMs: number
   readonly listener: AttemptListener
 }
 
@@ -54,11 +56,12 @@
   private wasReset = false
 
   private constructor (private readonly options: AttemptOptions) {
-    const { connections, call, clock, connectTimeoutMs } = options
+    const { connections, call, clock, connectTimeoutMs, leastRestedMs } = options
+    connections.closeRested(leastRestedMs)
     this.request = connections.send(call, () => this.onLeft())
     this.request.on('response', response => this.onResponse(response))
     this.request.on('error', error => this.onError(error))
-    this.cancelConnectTimeout = clock.at(clock.now() + connectTimeoutMs, () => this.onConnectTimeout())
+    this.cancelConnectTimeout = atAfterReading(clock, clock.now() + connectTimeoutMs, () => this.onConnectTimeout())
   }
 
   static begin (options: AttemptOptions): Attempt {
@@ -210,7 +213,7 @@
     }
     this.finish()
     this.request.destroy()
-    this.options.listener.onFailed({ kind, detail })
+    this.options.listener.onFailed({ kind, detail, isOnKeptConnection: this.isOnKeptConnection && this.response === undefined })
   }
 
   private finish (): void {
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -39,7 +39,7 @@
 
   private constructor (options: ExchangeDeskOptions) {
     const { clock, random, connectTimeoutMs, wire, log, suspects, askLoad, onMisdirected } = options
-    this.retries = RetryShare.create(options.retryAllowance)
+    this.retries = RetryShare.create(options.retryAllowance, clock.now())
     this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
       onChanged: (server, before) => {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -87,7 +87,7 @@
     this.peers.nameAll(seeds)
     this.knowledge.start()
     this.desk.caches.watch.start()
-    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onAddresses: addresses => this.peers.nameAll(addresses), isLeaving: () => this.isLeaving })
+    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onFirstLife: () => this.desk.retries.observeFirstLife(), onAddresses: addresses => this.meet(addresses), isLeaving: () => this.isLeaving })
     await this.callers.listen(callers.host, callers.port)
     await this.readiness.listen(readiness.host, readiness.port)
     if (metrics) {
@@ -269,6 +269,12 @@
     current.forEach(news => this.office.desk.observeCurrent(news))
   }
 
+  /** The store names all that ever entered. */
+  private meet (addresses: readonly string[]): void {
+    this.peers.nameAll(addresses)
+    this.desk.observeInstances(this.peers.count())
+  }
+
   private isReady (): boolean {
     return !this.isLeaving && this.table !== undefined && this.knowledge.isWhole
   }
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -14,9 +14,25 @@
 /** Connections to a server before the configuration says how many it takes. */
 const DEFAULT_CONNECTIONS = 16
 
+/**
+ * How long kept connections are not trusted after one of them failed, milliseconds:
+ * servers that send second answers or drop idle connections do so for seconds, and
+ * all connections that were kept then have run out, twice over.
+ */
+const DISTRUSTED_MS = 10_000
+
+/**
+ * Servers, or what lies between, may forget connections that rest, from 300 ms on,
+ * and whatever is sent next on one is lost. A connection less rested than this is
+ * likely good, milliseconds.
+ */
+const RESTED_MS = 250
+
 export interface ServerDirectoryOptions {
   /** The state of a server has changed, or it is new. */
   readonly onChanged: (server: ListedServer, before: ServerState | undefined) => void
+  /** Steady milliseconds, for the rest of connections. */
+  readonly now?: () => number
 }
 
 export class ServerDirectory {
@@ -24,6 +40,8 @@
   private readonly goneAt = new Map<string, number>()
   /** All servers of a service together. */
   private readonly serviceHealth = new Map<string, ServerHealth>()
+  /** Until when kept connections to a service's servers are not trusted, milliseconds of Unix time. */
+  private readonly distrustedUntil = new Map<string, number>()
   private readonly usualTimes = new Map<string, UsualTime>()
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
@@ -156,6 +174,21 @@
     this.observeOutcome(id, health => health.observeBad(now))
   }
 
+  /**
+   * A request failed for what came before it on its connection. A server that
+   * sends an answer too many does so late, when the next request waits for one,
+   * so nothing shows it in time; a new connection has no past. A request that
+   * may run once fails for good by it, which costs more than a connection.
+   */
+  distrustKept (service: string, now: number): void {
+    this.distrustedUntil.set(service, now + DISTRUSTED_MS)
+  }
+
+  /** Connections that have rested so long are not for requests that may run once, milliseconds. */
+  leastRestedMs (service: string, now: number): number {
+    return now < (this.distrustedUntil.get(service) ?? 0) ? 0 : RESTED_MS
+  }
+
   /** It turned a request away: it is full, or about to change its weights. */
   observeRefusal (id: string, now: number): void {
     const server = this.servers.get(id)
@@ -189,6 +222,7 @@
   private add (listed: ListedServer, offset: number): KnownServer {
     const connections = ServerConnections.create({
       address: listed.address,
+      now: this.options.now,
       mostConnections: this.mostConnections(listed.service)
     })
     const server: KnownServer = {
