--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -23,8 +23,8 @@
   savedLevels: [],
   named: [],
   current: [],
-  instances: 1,
-  stores: []
+  stores: [],
+  instances: 1
 }
 
 describe('PeerTable', () => {
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -72,10 +72,10 @@
   /** Hashes of prompt levels that it had saved to the store of cached levels of late. */
   readonly savedLevels: readonly number[]
   readonly current: readonly CurrentEngines[]
-  /** Instances that it reckons with, itself included: one that has just started knows few of them. */
-  readonly instances: number
   /** What it found at the stores of cached levels that it watches. */
   readonly stores: readonly StoreWord[]
+  /** Instances that it reckons with, itself included: one that has just started knows few of them. */
+  readonly instances: number
 }
 
 const packr = new Packr({ useRecords: false })
@@ -91,8 +91,8 @@
     named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
     current.map(({ model, version, engines }) => [model, version, engines]),
     sums.map(packUse),
-    instances,
-    ...(stores.length > 0 ? [stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation])] : [])
+    stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation]),
+    instances
   ])
 }
 
@@ -118,8 +118,8 @@
   ReadonlyArray<readonly [string, number, number]> | undefined,
   ReadonlyArray<readonly [string, number, readonly number[]]> | undefined,
   readonly WireUse[] | undefined,
-  number | undefined,
-  ReadonlyArray<readonly [string, boolean, number]> | undefined
+  ReadonlyArray<readonly [string, boolean, number]> | undefined,
+  number | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -135,7 +135,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], instances = 1, stores = []] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1] = wire as Wire
     return {
       name,
       address,
--- a/packages/foxtaillever-router/src/adapters/streamHandler.ts
+++ b/packages/foxtaillever-router/src/adapters/streamHandler.ts
@@ -60,7 +60,7 @@
     const { clock, connections, requestId, call } = options
     const until = (heardAt: number): number => heardAt + SILENCE_MS
     this.watch = SilenceWatch.start({ clock, firstUntil: until(clock.now()), nextUntil: until, onSilent: () => this.onSilent() })
-    this.attempt = Attempt.begin({ clock, connections, requestId, call, wire: engineWire, connectTimeoutMs: CONNECT_TIMEOUT_MS, listener: this })
+    this.attempt = Attempt.begin({ clock, connections, requestId, call, wire: engineWire, connectTimeoutMs: CONNECT_TIMEOUT_MS, leastRestedMs: Infinity, listener: this })
   }
 
   static create (options: StreamOptions): StreamHandler {
