Tell callers whose claim was not confirmed when to come back

Their refusal said "not run" and nothing else, so a caller had to guess. The test of the outage asks for it and failed before.

--- a/packages/foxtaillever-fleet/src/claims/__tests__/claimKeeper.test.ts
+++ b/packages/foxtaillever-fleet/src/claims/__tests__/claimKeeper.test.ts
@@ -86,6 +86,8 @@
       const answer = fleet.ask(member, { idempotencyKey: 'order', timeoutMs: 60_000 })
       await fleet.pass(3100)
       t.is(nameResult(answer), 'log_unavailable not_run')
+      const retryAt = answer.result?.swap().map(failure => failure.retryAt).extract() as number | undefined
+      t.true(retryAt !== undefined && retryAt > fleet.clock.now(), 'the caller learns when to come back')
       fleet.model.setFaults({ outage: false })
       await fleet.pass(5000)
       t.is(member.reader.offset(), 0)
--- a/packages/foxtaillever-fleet/src/claims/claimKeeper.ts
+++ b/packages/foxtaillever-fleet/src/claims/claimKeeper.ts
@@ -45,6 +45,9 @@
 /** An append that has not turned up by then is not expected any more, milliseconds. */
 const ABANDONED_KEPT_MS = 600_000
 
+/** A caller whose claim was not confirmed comes back after this, milliseconds: a lost answer of the log is noticed by then. */
+const RETURN_AFTER_MS = APPEND_WAIT_MS
+
 /** Pause after a refused append, milliseconds. */
 const APPEND_PAUSE_MS = 100
 
@@ -186,7 +189,8 @@
     if (!this.batch.withdraw(requestId)) {
       this.abandon(requestId)
     }
-    this.finish(waiting, Left(Failure.notRun(FailureCode.LogUnavailable, 'The log did not confirm the claim in time; nothing was sent.')))
+    const retryAt = this.clock.now() + RETURN_AFTER_MS
+    this.finish(waiting, Left(Failure.notRun(FailureCode.LogUnavailable, 'The log did not confirm the claim in time; nothing was sent.', retryAt)))
   }
 
   private abandon (requestId: string): void {
