Keep the soak's services in one place with the fixtures'

The soak's operator wrote out the two services of the fixture's configuration again to add a store of cached levels. It now adds the store to the same list; the configuration written is as before.

--- a/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
@@ -1,6 +1,6 @@
 /** The operator of a soak: writes configurations with keys that come and go, names weights, drains servers. */
 import type { Clock } from 'foxtaillever-core'
-import { createConfiguration, ENGINES, MODEL, PLAIN } from 'foxtaillever-platform/__fixtures__/relayFleet'
+import { createConfiguration, MODEL, services } from 'foxtaillever-platform/__fixtures__/relayFleet'
 import type { BackendServer, PlatformDeployment } from 'foxtaillever-standins'
 
 /** Where the store of cached prompt levels is; only engines go there. */
@@ -54,11 +54,7 @@
     const key = `key-${this.revision}`
     const last = this.terms.at(-1)
     this.platform.configure(createConfiguration(this.revision, {
-      services: [
-        { name: ENGINES, health_path: '/health', max_conns: 100, engine: { slots: 8, kv_capacity_tokens: 40_000, max_inflight: 8 } },
-        { name: PLAIN, health_path: '/health', max_conns: 100 },
-        { name: 'levels', kv_store_addr: CACHE_STORE, zone: 'zone-a', kv_capacity_tokens: CACHE_STORE_TOKENS }
-      ],
+      services: [...services, { name: 'levels', kv_store_addr: CACHE_STORE, zone: 'zone-a', kv_capacity_tokens: CACHE_STORE_TOKENS }],
       tenants: [{ name: 'acme', api_keys: ['key-acme', key] }, { name: WALLED, api_keys: ['key-walled'], isolated: true }]
     }))
     const now = this.clock.now()
