--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -52,6 +52,18 @@
   fleet.platform.remove(leaving)
 }
 
+/** What other writers may leave in the list, under a key of their own or a server's. */
+function foreignEntries ({ fleet }: PlatformFaultContext): Buffer[] {
+  const { address } = fleet.platform.servers[0] as BackendServer
+  const ready = { service: ENGINES, address, zone: ZONES[0], version: 'v1', slots: 8, state: 'ready', seq: 1, cold_left_ms: 0 }
+  return [
+    Buffer.from([0xff, 0xfe, 0x00]),
+    Buffer.from('[]'),
+    ...[{}, { ...ready, slots: 'many' }, { ...ready, state: 'asleep' }, { ...ready, address: undefined }, { ...ready, service: 'nobody\'s', models: [{ name: MODEL, version: 1 }] }]
+      .map(value => Buffer.from(JSON.stringify(value)))
+  ]
+}
+
 export const platformFaults: Readonly<Record<string, (context: PlatformFaultContext) => Promise<void>>> = {
   'kill an instance': async context => {
     const { child } = drawInstance(context)
@@ -82,6 +94,12 @@
   'fault the servers': async ({ fleet, random }) => {
     fleet.platform.servers.forEach(({ faults }) => faults.push(draw(random, Object.values(ServerFault))))
   },
+  'start servers again under their ids': async ({ fleet, random }) => draw(random, fleet.platform.servers).crash(true),
+  'write entries that are no servers\'': async context => {
+    const { fleet, random } = context
+    const keys = ['somebody', draw(random, fleet.platform.servers).id]
+    foreignEntries(context).forEach(value => fleet.platform.writeForeign(draw(random, keys), value))
+  },
   'replace a server': replaceServer,
   'disturb the links': async ({ fleet, random }) => {
     const fault = draw(random, Object.values(LinkFault))
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -110,7 +110,7 @@
   async addServer (answer: Answer): Promise<void> {
     const server = await ScriptedServer.start(answer)
     const id = `s${this.servers.push(server) - 1}`
-    const listed = { id, service: 's', address: server.address, failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, weights: new Map<string, number>() }
+    const listed = { id, startedAt: 0, service: 's', address: server.address, failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, weights: new Map<string, number>() }
     this.directory.observe(listed, this.servers.length)
   }
 
--- a/packages/foxtaillever-relay/src/cache/__tests__/fetchLoad.test.ts
+++ b/packages/foxtaillever-relay/src/cache/__tests__/fetchLoad.test.ts
@@ -1,3 +1,4 @@
+import { hashNumber } from 'foxtaillever-core'
 import { describe, it } from 'foxtaillever-testing'
 import { FetchLoad } from '../fetchLoad.js'
 
@@ -21,7 +22,7 @@
     load.begin('b', 30, 0)
     t.is(load.tokensAt('a', 1), 1500)
     t.is(load.tokensAt('b', 1), 30)
-    t.deepEqual(load.own(1), [{ server: 'a', outstanding: 1, tokens: 1000, heldTokens: 0 }, { server: 'b', outstanding: 1, tokens: 30, heldTokens: 0 }])
+    t.deepEqual(load.own(1), [{ server: hashNumber('a'), outstanding: 1, tokens: 1000, heldTokens: 0 }, { server: hashNumber('b'), outstanding: 1, tokens: 30, heldTokens: 0 }])
     load.end(transfer)
     t.is(load.tokensAt('a', 1), 500)
   })
--- a/packages/foxtaillever-relay/src/cache/fetchLoad.ts
+++ b/packages/foxtaillever-relay/src/cache/fetchLoad.ts
@@ -4,6 +4,7 @@
  * share a store's one link, so the sum says how long the next fetch waits. Saves
  * are not counted: a level that is not saved is read again by all who ask for it.
  */
+import { hashNumber } from 'foxtaillever-core'
 import { TRANSFER_COUNTED_MS } from 'foxtaillever-policy/relay/useCacheStore'
 import type { ServerUse } from '../peers/peerMessage.js'
 
@@ -32,7 +33,7 @@
     this.expire(now)
     const sums = new Map<string, number>()
     this.transfers.forEach(({ store, tokens }) => sums.set(store, (sums.get(store) ?? 0) + tokens))
-    return [...sums].map(([server, tokens]) => ({ server, outstanding: 1, tokens, heldTokens: 0 }))
+    return [...sums].map(([store, tokens]) => ({ server: hashNumber(store), outstanding: 1, tokens, heldTokens: 0 }))
   }
 
   tokensAt (store: string, now: number): number {
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -24,7 +24,7 @@
   readonly log: RelayLog
   readonly retryAllowance: RetryAllowance
   /** Asks what other instances put on the servers that a prompt's choice comes down to; undefined where it is known. Never fails. */
-  readonly askLoad: (shortlist: () => readonly string[]) => Promise<void> | undefined
+  readonly askLoad: (shortlist: () => readonly number[]) => Promise<void> | undefined
   /** The configuration in force; undefined until one is known. */
   readonly routing: () => Routing | undefined
   /** The state of a server has changed, or it is new. */
@@ -43,8 +43,8 @@
     this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
       onChanged: (server, before) => {
-        const { id, service, state } = server
-        log.belief('A backend server changed its state.', { server: id, service, state, before })
+        const { id, startedAt, service, state } = server
+        log.belief('A backend server changed its state.', { server: id, startedAt, service, state, before })
         options.onServerChanged(server)
       }
     })
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -132,7 +132,7 @@
     const { weightsVersion } = head.marks
     current?.begin()
     if (current && exchange.prompt && weightsVersion !== undefined) {
-      context.directory.observeWeights(current.serverId, exchange.prompt.model, weightsVersion)
+      context.directory.observeWeights(current.server, exchange.prompt.model, weightsVersion)
     }
     current?.observeStatus(head.status, this.now)
     this.head = head
@@ -163,7 +163,7 @@
       return
     }
     if (server && current) {
-      context.directory.observeSuccess(server.listed.id, exchange.route.name, head.at - current.beganAt, this.now)
+      context.directory.observeSuccess(server, exchange.route.name, head.at - current.beganAt, this.now)
       context.suspects.acquit(exchange, server.listed.id, current.beganAt, this.now)
     }
     relay.end()
@@ -205,9 +205,8 @@
   }
 
   private observeFailure (failure: AttemptFailure, server: KnownServer | undefined): void {
-    const id = server?.listed.id ?? ''
-    this.ledger.observe(id, failure.kind, this.answer.hasBegun)
-    observeFailure(this.context, this.exchange, id, failure)
+    this.ledger.observe(server?.listed.id ?? '', failure.kind, this.answer.hasBegun)
+    observeFailure(this.context, this.exchange, server, failure)
   }
 
   private mayTryAgain (): boolean {
@@ -230,7 +229,7 @@
     if (this.isBetterTriedAgain(current)) {
       attempt.giveUp()
     } else if (!attempt.isOnKeptConnection) {
-      context.directory.observeFault(current.serverId, this.now)
+      context.directory.observeFault(server, this.now)
     }
   }
 
--- a/packages/foxtaillever-relay/src/exchange/observeFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/observeFailure.ts
@@ -1,22 +1,25 @@
 /** What an instance learns from a try that failed, beside what its exchange makes of it. */
 import { AttemptFailureKind, meaningOf, mayBeCrash, spoilsConnections, type AttemptFailure } from '../attempts/attemptFailure.js'
 import type { Exchange } from '../model/exchange.js'
+import type { KnownServer } from '../servers/knownServer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 
-export function observeFailure ({ clock, log, directory, suspects }: ExchangeContext, exchange: Exchange, server: string, failure: AttemptFailure): void {
+export function observeFailure ({ clock, log, directory, suspects }: ExchangeContext, exchange: Exchange, server: KnownServer | undefined, failure: AttemptFailure): void {
   const { verdict, isServersFault } = meaningOf[failure.kind]
   const now = clock.now()
-  log.attemptFailed(exchange, server, failure, verdict)
-  if (isServersFault) {
+  const id = server?.listed.id ?? ''
+  log.attemptFailed(exchange, id, failure, verdict)
+  if (server && isServersFault) {
     directory.observeFault(server, now)
   }
-  if (failure.kind === AttemptFailureKind.Refused) {
-    directory.observeRefusal(server, now)
+  if (server && failure.kind === AttemptFailureKind.Refused) {
+    // It is full, or about to change its weights.
+    server.refusedAt = now
   }
   if (spoilsConnections(failure)) {
     directory.distrustKept(exchange.service, now)
   }
   if (mayBeCrash(failure.kind)) {
-    suspects.accuse(exchange, server, now)
+    suspects.accuse(exchange, id, now)
   }
 }
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/recordIntake.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/recordIntake.test.ts
@@ -14,7 +14,7 @@
 import { RecordIntake } from '../recordIntake.js'
 
 function readEntry (id: string): ListedServer {
-  return { id, service: 'chat', address: '127.0.0.1:1', failureDomain: 'one', slots: 1, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }
+  return { id, startedAt: 0, service: 'chat', address: '127.0.0.1:1', failureDomain: 'one', slots: 1, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }
 }
 
 function createIntake (settledAt: number): { clock: VirtualClock, intake: RecordIntake, ready: () => string[] } {
--- a/packages/foxtaillever-relay/src/knowledge/recordIntake.ts
+++ b/packages/foxtaillever-relay/src/knowledge/recordIntake.ts
@@ -20,7 +20,20 @@
   readonly onWeights: (model: string, version: number) => void
 }
 
+/** A key whose entry cannot be read is logged once in this, milliseconds. */
+const UNREADABLE_LOGGED_MS = 60_000
+
+/** Keys of unreadable entries logged in that time; one line each of some 300 bytes. */
+const MOST_UNREADABLE_LOGGED = 32
+
+/** Characters of a key and of the reason in such a line. */
+const MOST_KEY_LOGGED = 64
+const MOST_REASON_LOGGED = 160
+
 export class RecordIntake {
+  /** Keys logged as unreadable, and until when they are not logged again, milliseconds of Unix time. */
+  private readonly unreadable = new Map<string, number>()
+
   private constructor (private readonly options: RecordIntakeOptions) {}
 
   static create (options: RecordIntakeOptions): RecordIntake {
@@ -59,20 +72,36 @@
    * @returns whether it says anything else than the one before.
    */
   takeServer ({ key, value, offset }: KeyedRecord): boolean {
-    const { readers, log, directory } = this.options
+    const { readers, directory } = this.options
     if (value === undefined) {
       this.remove(key, offset)
       return true
     }
     return readers.server(key, value).caseOf({
-      Left: reason => {
-        log.trouble('An entry of a backend server cannot be read.', { server: key, reason })
-        return false
-      },
+      Left: reason => this.takeUnreadable(key, offset, reason),
       Right: listed => directory.observe(listed, offset)
     })
   }
 
+  /**
+   * Other writers may put entries there, as many as they like: each key is logged
+   * once in a while, and not more than some keys.
+   */
+  private takeUnreadable (key: string, offset: number, reason: string): boolean {
+    const { clock, log, directory } = this.options
+    const now = clock.now()
+    this.unreadable.forEach((until, id) => {
+      if (until <= now) {
+        this.unreadable.delete(id)
+      }
+    })
+    if (!this.unreadable.has(key) && this.unreadable.size < MOST_UNREADABLE_LOGGED) {
+      this.unreadable.set(key, now + UNREADABLE_LOGGED_MS)
+      log.trouble('An entry of a backend server cannot be read; it gets no new work.', { server: key.slice(0, MOST_KEY_LOGGED), offset, reason: reason.slice(0, MOST_REASON_LOGGED) })
+    }
+    return directory.observeUnreadable(key, offset)
+  }
+
   /**
    * While the store is down entries expire that live servers write again after
    * its return. Dropped at once, they would leave no server for a while.
--- a/packages/foxtaillever-relay/src/model/listedServer.ts
+++ b/packages/foxtaillever-relay/src/model/listedServer.ts
@@ -4,13 +4,21 @@
   Ready = 'ready',
   /** Will end soon and must get no new work. */
   Draining = 'draining',
+  /** Its newest entry says nothing that can be used; it gets no new work until the next one does. */
+  Unreadable = 'unreadable',
   /** Its entry was removed. */
   Gone = 'gone'
 }
 
-/** One start of a backend server; a restart is another one with another id. */
+/** One start of a backend server. */
 export interface ListedServer {
   readonly id: string
+  /**
+   * When it started, milliseconds of Unix time; a later start under the same id is
+   * another incarnation, which has nothing of what the former one had. 0 where servers
+   * do not say: each start then has an id of its own.
+   */
+  readonly startedAt: number
   readonly service: string
   /** IP number and port; given to another server some time after this one has ended. */
   readonly address: string
--- a/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
@@ -1,4 +1,5 @@
 /** Instances that tell each other of load, over datagrams in memory that a test may cut. */
+import { hashNumber } from 'foxtaillever-core'
 import { VirtualClock } from 'foxtaillever-testing'
 import { FleetUse } from '../fleetUse.js'
 import { decodeLoadMessage, encodeLoadMessage, type LoadMessage } from '../loadMessage.js'
@@ -16,7 +17,7 @@
   readonly talk: LoadTalk
   readonly use: FleetUse
   /** Load that it puts on each server. */
-  readonly own: Map<string, ServerUse>
+  readonly own: Map<number, ServerUse>
   /** Sent and received. */
   bytes: number
   /** Nothing goes in or out. */
@@ -42,21 +43,21 @@
 
   put ({ own }: Talker, server: string, outstanding: number): void {
     if (outstanding === 0) {
-      own.delete(server)
+      own.delete(hashNumber(server))
     } else {
-      own.set(server, { server, outstanding, tokens: outstanding * 2890, heldTokens: outstanding * 9200 })
+      own.set(hashNumber(server), { server: hashNumber(server), outstanding, tokens: outstanding * 2890, heldTokens: outstanding * 9200 })
     }
   }
 
   /** Asks and returns what was learned. */
   async ask ({ talk, use }: Talker, server: string): Promise<number> {
     const waiting = new Set([server])
-    const asked = talk.ask([server]).then(() => waiting.clear())
+    const asked = talk.ask([hashNumber(server)]).then(() => waiting.clear())
     while (waiting.size > 0) {
       await this.pass(1)
     }
     await asked
-    return use.of(server).outstanding
+    return use.of(hashNumber(server)).outstanding
   }
 
   async pass (ms: number): Promise<void> {
@@ -70,7 +71,7 @@
   private createTalker (address: string, others: readonly string[]): Talker {
     const { clock } = this
     const use = FleetUse.create(clock)
-    const own = new Map<string, ServerUse>()
+    const own = new Map<number, ServerUse>()
     const talk = LoadTalk.create({
       clock, address, use, send: (to, message) => this.send(address, to, message), others: () => others, own: () => [...own.values()], onPassedOver: () => {}
     })
--- a/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
@@ -25,7 +25,7 @@
 async function play (fleet: TalkFleet, random: SeededRandom, servers: number): Promise<void> {
   const asked = fleet.talkers.map(async talker => {
     const [chosen = '', other = ''] = [0, 1].map(() => `i-${random.below(servers)}`)
-    await talker.talk.ask([chosen, other])
+    await talker.talk.ask([chosen, other].map(server => hashNumber(server)))
     fleet.put(talker, chosen, 1)
   })
   await fleet.pass(500 / REQUESTS)
--- a/packages/foxtaillever-relay/src/peers/__tests__/weightsNotice.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/weightsNotice.test.ts
@@ -3,6 +3,7 @@
  * link of 7 Mbit/s was full for seconds, its orders got no answer, and the others
  * kept sending requests to engines that refused them.
  */
+import { hashNumber } from 'foxtaillever-core'
 import { describe, it } from 'foxtaillever-testing'
 import { decodePeerMessage } from '../peerMessage.js'
 import { decodeReadNotice } from '../readNotice.js'
@@ -11,7 +12,7 @@
 /** What a frame of an Ethernet holds besides the headers of IP and UDP. */
 const FRAME_BYTES = 1472
 
-const news = Array.from({ length: MOST_IN_NOTICE }, (_, index) => ({ server: `i-5ad53fab${10 + index}`, model: 'model51000', version: 12, changingMs: 2500 }))
+const news = Array.from({ length: MOST_IN_NOTICE }, (_, index) => ({ server: hashNumber(`i-5ad53fab${10 + index}`), model: 'model51000', version: 12, changingMs: 2500 }))
 
 const notice = { news, lease: { offset: 1000, holder: 'front-petrolina-22', ageMs: 120 } }
 
--- a/packages/foxtaillever-relay/src/peers/fleetUse.ts
+++ b/packages/foxtaillever-relay/src/peers/fleetUse.ts
@@ -18,9 +18,9 @@
 
 export class FleetUse {
   private readonly byPeer = new Map<string, Word>()
-  private readonly sums = new Map<string, ServerLoad>()
+  private readonly sums = new Map<number, ServerLoad>()
   /** Sums that a watcher told. */
-  private readonly watched = new Map<string, Sum>()
+  private readonly watched = new Map<number, Sum>()
 
   private constructor (private readonly clock: Clock) {}
 
@@ -28,7 +28,7 @@
     return new FleetUse(clock)
   }
 
-  of (server: string): ServerLoad {
+  of (server: number): ServerLoad {
     const told = this.sums.get(server) ?? noLoad
     const sum = this.watched.get(server)
     return sum === undefined ? told : add(told, fadeLoad(sum, this.clock.now() - sum.at), 1)
@@ -39,7 +39,7 @@
    * each come here.
    * @param others instances that tell.
    */
-  sampledTokens (server: string, others: number): number {
+  sampledTokens (server: number, others: number): number {
     const now = this.clock.now()
     const words = [...this.byPeer.values()].map(({ uses, at }) => ({ amount: uses.find(use => use.server === server)?.tokens ?? 0, ageMs: now - at }))
     return sampleSum(words, others)
@@ -52,7 +52,7 @@
   }
 
   /** A watcher told what all others put on the server. */
-  learn (server: string, load: ServerLoad): void {
+  learn (server: number, load: ServerLoad): void {
     this.watched.set(server, { ...load, at: this.clock.now() })
   }
 
--- a/packages/foxtaillever-relay/src/peers/loadMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -1,7 +1,7 @@
 /** What instances of a large fleet tell and ask each other about load, by datagram: arrays by position, servers by hash. */
-import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import { Packr } from 'msgpackr'
 import { Maybe } from 'purify-ts'
+import type { ServerUse } from './peerMessage.js'
 
 /** First element of the array; other messages begin with a text or another number. */
 export enum LoadMessageKind {
@@ -10,17 +10,11 @@
   Answer = 13
 }
 
-/** Load on one server. */
-export interface HashedLoad extends ServerLoad {
-  /** Hash of the server's id. */
-  readonly server: number
-}
-
 /** What one instance puts on servers that the receiver watches; replaces its earlier words on these. */
 export interface LoadWord {
   readonly kind: LoadMessageKind.Word
   readonly address: string
-  readonly loads: readonly HashedLoad[]
+  readonly loads: readonly ServerUse[]
 }
 
 /** What do all others put on these servers? */
@@ -35,7 +29,7 @@
   readonly kind: LoadMessageKind.Answer
   readonly address: string
   readonly number: number
-  readonly loads: readonly HashedLoad[]
+  readonly loads: readonly ServerUse[]
 }
 
 export type LoadMessage = LoadWord | LoadQuestion | LoadAnswer
@@ -44,8 +38,8 @@
 
 type WireLoad = readonly [number, number, number, number]
 
-const packLoad = ({ server, outstanding, tokens, heldTokens }: HashedLoad): WireLoad => [server, outstanding, tokens, heldTokens]
-const readLoad = ([server, outstanding, tokens, heldTokens]: WireLoad): HashedLoad => ({ server, outstanding, tokens, heldTokens })
+const packLoad = ({ server, outstanding, tokens, heldTokens }: ServerUse): WireLoad => [server, outstanding, tokens, heldTokens]
+const readLoad = ([server, outstanding, tokens, heldTokens]: WireLoad): ServerUse => ({ server, outstanding, tokens, heldTokens })
 
 export function encodeLoadMessage (message: LoadMessage): Buffer {
   const { kind, address } = message
--- a/packages/foxtaillever-relay/src/peers/loadTalk.ts
+++ b/packages/foxtaillever-relay/src/peers/loadTalk.ts
@@ -10,7 +10,7 @@
 import { watchersOf, type Watcher } from 'foxtaillever-policy/relay/computedWatchers'
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import type { FleetUse } from './fleetUse.js'
-import { LoadMessageKind, type HashedLoad, type LoadAnswer, type LoadMessage, type LoadQuestion, type LoadWord } from './loadMessage.js'
+import { LoadMessageKind, type LoadAnswer, type LoadMessage, type LoadQuestion, type LoadWord } from './loadMessage.js'
 import { LoadWatch } from './loadWatch.js'
 import type { ServerUse } from './peerMessage.js'
 
@@ -63,9 +63,8 @@
   private readonly watch = LoadWatch.create()
   private readonly silences = new Map<string, Silence>()
   private readonly pending = new Map<number, Pending>()
-  /** What was told last, by the server's id; `at` is when both watchers heard it. */
-  private readonly told = new Map<string, ToldWord>()
-  private readonly names = new Map<number, string>()
+  /** What was told last, by the server's hash; `at` is when both watchers heard it. */
+  private readonly told = new Map<number, ToldWord>()
   private readonly hashes = new Map<string, number>()
   private number = 0
   private lookedAt = 0
@@ -99,26 +98,25 @@
   }
 
   /** Load of those of the servers that this instance is asked for, to tell everyone. */
-  sums (servers: readonly string[]): ServerUse[] {
+  sums (servers: readonly number[]): ServerUse[] {
     const { address, clock } = this.options
     return servers
-      .filter(server => this.watchersOf(this.hashOf(server))[0]?.address === address)
-      .map(server => ({ server, ...this.watch.sumOf(this.hashOf(server), '', clock.now()) }))
+      .filter(server => this.watchersOf(server)[0]?.address === address)
+      .map(server => ({ server, ...this.watch.sumOf(server, '', clock.now()) }))
       .filter(({ outstanding }) => outstanding > 0)
   }
 
   /** Asks for the load of servers; resolves when all is known that will be, and never fails. */
-  async ask (servers: readonly string[]): Promise<void> {
+  async ask (servers: readonly number[]): Promise<void> {
     const questions = new Map<string, number[]>()
     for (const server of servers) {
-      const hash = this.hashOf(server)
-      const watcher = this.watchersOf(hash).find(({ address }) => !this.isPassedOver(address))
+      const watcher = this.watchersOf(server).find(({ address }) => !this.isPassedOver(address))
       if (watcher) {
-        questions.set(watcher.address, [...questions.get(watcher.address) ?? [], hash])
+        questions.set(watcher.address, [...questions.get(watcher.address) ?? [], server])
       }
     }
     const { address, clock, use } = this.options
-    questions.get(address)?.forEach(hash => use.learn(this.names.get(hash) ?? '', this.watch.sumOf(hash, address, clock.now())))
+    questions.get(address)?.forEach(server => use.learn(server, this.watch.sumOf(server, address, clock.now())))
     questions.delete(address)
     if (questions.size > 0) {
       await this.question(questions)
@@ -170,7 +168,7 @@
 
   private learn ({ address, number, loads }: LoadAnswer, now: number): void {
     this.silences.delete(address)
-    loads.forEach(({ server, ...load }) => this.options.use.learn(this.names.get(server) ?? '', load))
+    loads.forEach(({ server, ...load }) => this.options.use.learn(server, load))
     const pending = this.pending.get(number)
     if (pending?.waiting.delete(address) === true && pending.waiting.size === 0) {
       this.pending.delete(number)
@@ -192,7 +190,7 @@
   /** Changed words go to the first watcher at once; all go to both every second. */
   private tell (now: number): void {
     const own = new Map(this.options.own().map(use => [use.server, use]))
-    const words = new Map<string, HashedLoad[]>()
+    const words = new Map<string, ServerUse[]>()
     const gone = [...this.told.keys()].filter(server => !own.has(server))
     for (const use of [...own.values(), ...gone.map(server => ({ server, outstanding: 0, tokens: 0, heldTokens: 0 }))]) {
       const last = this.told.get(use.server)
@@ -204,22 +202,21 @@
     words.forEach((loads, watcher) => this.sendWord(watcher, loads, now))
   }
 
-  private put (use: ServerUse, isForAll: boolean, words: Map<string, HashedLoad[]>, now: number): void {
-    const hash = this.hashOf(use.server)
-    const { outstanding, tokens, heldTokens } = use
-    const watchers = this.watchersOf(hash).map(({ address }) => address)
+  private put (use: ServerUse, isForAll: boolean, words: Map<string, ServerUse[]>, now: number): void {
+    const { server, outstanding, tokens, heldTokens } = use
+    const watchers = this.watchersOf(server).map(({ address }) => address)
     const [first = ''] = watchers
-    const at = isForAll ? now : this.told.get(use.server)?.at ?? now
-    this.told.set(use.server, { outstanding, tokens, heldTokens, at })
+    const at = isForAll ? now : this.told.get(server)?.at ?? now
+    this.told.set(server, { outstanding, tokens, heldTokens, at })
     for (const watcher of isForAll || outstanding === 0 ? watchers : [first]) {
-      words.set(watcher, [...words.get(watcher) ?? [], { server: hash, outstanding, tokens, heldTokens }])
+      words.set(watcher, [...words.get(watcher) ?? [], { server, outstanding, tokens, heldTokens }])
     }
     if (outstanding === 0) {
-      this.told.delete(use.server)
+      this.told.delete(server)
     }
   }
 
-  private sendWord (watcher: string, loads: readonly HashedLoad[], now: number): void {
+  private sendWord (watcher: string, loads: readonly ServerUse[], now: number): void {
     const { address, send } = this.options
     const word: LoadWord = { kind: LoadMessageKind.Word, address, loads }
     if (watcher === address) {
@@ -243,12 +240,6 @@
     }
     return hash
   }
-
-  private hashOf (server: string): number {
-    const hash = this.instanceHash(server)
-    this.names.set(hash, server)
-    return hash
-  }
 }
 
 function isSame (one: ServerLoad, other: ServerLoad): boolean {
--- a/packages/foxtaillever-relay/src/peers/loadWatch.ts
+++ b/packages/foxtaillever-relay/src/peers/loadWatch.ts
@@ -1,6 +1,6 @@
 /** Load of the servers that this instance watches, by the instances that told it. */
 import { noLoad, type ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
-import type { HashedLoad } from './loadMessage.js'
+import type { ServerUse } from './peerMessage.js'
 
 interface Told extends ServerLoad {
   /** Milliseconds of Unix time. */
@@ -20,7 +20,7 @@
     return new LoadWatch()
   }
 
-  hear (teller: string, loads: readonly HashedLoad[], now: number): void {
+  hear (teller: string, loads: readonly ServerUse[], now: number): void {
     for (const { server, ...load } of loads) {
       const words = this.told.get(server) ?? new Map<string, Told>()
       this.told.set(server, words)
--- a/packages/foxtaillever-relay/src/peers/ownUses.ts
+++ b/packages/foxtaillever-relay/src/peers/ownUses.ts
@@ -5,5 +5,5 @@
 export function ownUses (servers: readonly KnownServer[]): ServerUse[] {
   return servers
     .filter(({ outstanding }) => outstanding > 0)
-    .map(({ listed, outstanding, unreadTokens, heldTokens }) => ({ server: listed.id, outstanding, tokens: unreadTokens, heldTokens }))
+    .map(({ hash, outstanding, unreadTokens, heldTokens }) => ({ server: hash, outstanding, tokens: unreadTokens, heldTokens }))
 }
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -12,12 +12,14 @@
 
 /** Load on a backend server. */
 export interface ServerUse extends ServerLoad {
-  readonly server: string
+  /** Hash of its incarnation, or of the address of a store of cached levels. */
+  readonly server: number
 }
 
 /** An engine's weights, as the one who orders them knows. */
 export interface WeightsNews {
-  readonly server: string
+  /** Hash of its incarnation. */
+  readonly server: number
   readonly model: string
   /** The one that it has, or will have after the change. */
   readonly version: number
@@ -37,7 +39,7 @@
 export interface CurrentEngines {
   readonly model: string
   readonly version: number
-  /** Hashes of their ids: 5 bytes each, 210 for 42 engines. */
+  /** Hashes of their incarnations: 5 bytes each, 210 for 42 engines. */
   readonly engines: readonly number[]
 }
 
@@ -96,7 +98,7 @@
   ])
 }
 
-type WireUse = readonly [string, number, number, number?]
+type WireUse = readonly [number, number, number, number?]
 
 /** Memory is told in units of so many tokens, so that a beat of a small fleet stays within its budget: as much as a short prompt. */
 const HELD_UNIT = 512
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -3,7 +3,7 @@
  * wait, and hears the rest. Nothing told here must last; it is told again with
  * the next beat or found out anew.
  */
-import type { Cancellation, Clock, Random } from 'foxtaillever-core'
+import { hashNumber, type Cancellation, type Clock, type Random } from 'foxtaillever-core'
 import { PeerLink, type PeerLinkOptions, type ToldRecords } from './peerLink.js'
 import { FleetUse } from './fleetUse.js'
 import { LoadTalk } from './loadTalk.js'
@@ -141,7 +141,8 @@
 
   /** Tokens that the others have on their way from the store of cached levels. */
   tokensFrom (store: string): number {
-    return this.isLarge ? this.use.sampledTokens(store, this.table.all().length) : this.use.of(store).tokens
+    const hash = hashNumber(store)
+    return this.isLarge ? this.use.sampledTokens(hash, this.table.all().length) : this.use.of(hash).tokens
   }
 
   /** Tells everyone now: a lease was taken, this instance leaves. */
--- a/packages/foxtaillever-relay/src/peers/weightsNotice.ts
+++ b/packages/foxtaillever-relay/src/peers/weightsNotice.ts
@@ -22,7 +22,7 @@
   readonly lease: LeaseNews | undefined
 }
 
-type Wire = readonly [number, ReadonlyArray<readonly [string, string, number, number]>, readonly [number, string, number] | null]
+type Wire = readonly [number, ReadonlyArray<readonly [number, string, number, number]>, readonly [number, string, number] | null]
 
 export function encodeWeightsNotice ({ news, lease }: WeightsNotice): Buffer {
   return packr.pack([
@@ -37,7 +37,7 @@
 }
 
 function isNews (value: unknown): boolean {
-  return Array.isArray(value) && typeof value[0] === 'string' && typeof value[1] === 'string' && typeof value[2] === 'number' && typeof value[3] === 'number'
+  return Array.isArray(value) && typeof value[0] === 'number' && typeof value[1] === 'string' && typeof value[2] === 'number' && typeof value[3] === 'number'
 }
 
 function isLease (value: unknown): boolean {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -146,7 +146,7 @@
       retryAllowance,
       weightsBoundMs,
       suspects: this.suspects,
-      use: { of: id => this.peers.use.of(id) },
+      use: { of: hash => this.peers.use.of(hash) },
       othersTokens: store => this.peers.tokensFrom(store),
       cacheStoreCalls,
       ownAddress: () => this.peers.address,
@@ -156,8 +156,8 @@
       weights: { outdatedSince: (model, version) => this.office.desk.outdatedSince(model, version) },
       routing: () => this.table?.routing,
       onServerChanged: () => this.office.desk.run(),
-      onMisdirected: ({ serverId, expectedWeights }, { prompt }, failure) =>
-        this.office.desk.observeRefusal(serverId, prompt?.model, failure.serverId === serverId ? expectedWeights : undefined)
+      onMisdirected: ({ server, serverId, expectedWeights }, { prompt }, failure) =>
+        this.office.desk.observeRefusal(server, prompt?.model, failure.serverId === serverId ? expectedWeights : undefined)
     })
   }
 
@@ -245,7 +245,7 @@
       positions: this.knowledge.positions,
       lease: this.office.lease.news(),
       uses: [...this.peers.isLarge ? [] : ownUses(directory.all()), ...caches.uses()],
-      sums: this.peers.isLarge ? this.peers.loads.sums(directory.all().map(({ listed }) => listed.id)) : [],
+      sums: this.peers.isLarge ? this.peers.loads.sums(directory.all().map(({ hash }) => hash)) : [],
       suspects: this.suspects.toTell(this.options.clock.now()),
       ...caches.word(),
       named: this.office.desk.ages(),
@@ -287,6 +287,7 @@
     this.table = RouteTable.create(routing)
     this.desk.directory.configure(routing)
     this.callers.setLimits(routing.limits)
+    this.office.desk.run()
     this.log.belief('A configuration is in force.', { revision: routing.revision, before, routes: routing.routes.length })
   }
 }
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
@@ -13,7 +13,7 @@
 function isChosen (outstanding: number, outdatedMs: number): boolean {
   const clock = VirtualClock.create()
   const directory = ServerDirectory.create({ onChanged: () => {} })
-  directory.observe({ id: 'e', service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: SLOTS, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([['model', 1]]) }, 0)
+  directory.observe({ id: 'e', startedAt: 0, service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: SLOTS, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([['model', 1]]) }, 0)
   const engine = directory.get('e')
   if (engine) {
     engine.outstanding = outstanding
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -1,8 +1,14 @@
 /** What this instance knows of one start of a backend server. */
+import { hashNumber } from 'foxtaillever-core'
 import type { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
 import type { ListedServer } from '../model/listedServer.js'
 import type { ServerConnections } from './serverConnections.js'
 
+/** What an incarnation is called among instances. */
+export function incarnationHash ({ id, startedAt }: Pick<ListedServer, 'id' | 'startedAt'>): number {
+  return hashNumber(startedAt === 0 ? id : `${id}@${startedAt}`)
+}
+
 /** A version of one model's weights. */
 export interface WeightsOf {
   readonly model: string
@@ -11,6 +17,8 @@
 
 export interface KnownServer {
   listed: ListedServer
+  /** Of the incarnation: what instances call it among themselves, so that a word on the former one is not taken for this one. */
+  readonly hash: number
   /** Offset of the record that the entry comes from; a lower one never replaces it. */
   offset: number
   readonly connections: ServerConnections
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -75,9 +75,9 @@
     return chosen && this.options.directory.get(chosen.id)
   }
 
-  /** The servers that come into question first, to ask for their load. */
-  shortlist (exchange: Exchange, earlier: EarlierTries): string[] {
-    return this.rank(exchange, earlier).slice(0, SHORTLIST).map(({ id }) => id)
+  /** Hashes of the servers that come into question first, to ask for their load. */
+  shortlist (exchange: Exchange, earlier: EarlierTries): number[] {
+    return this.rank(exchange, earlier).slice(0, SHORTLIST).flatMap(({ id }) => this.options.directory.get(id)?.hash ?? [])
   }
 
   private rank (exchange: Exchange, { failed, wasMisdirected }: EarlierTries): readonly ServerOffer[] {
@@ -141,8 +141,8 @@
     return since !== undefined && since + AS_GOOD_MS <= clock.now()
   }
 
-  private outstandingAt ({ listed, outstanding }: KnownServer): number {
-    return outstanding + this.options.use.of(listed.id).outstanding
+  private outstandingAt ({ hash, outstanding }: KnownServer): number {
+    return outstanding + this.options.use.of(hash).outstanding
   }
 
   private gather (servers: readonly KnownServer[], exchange: Exchange): ReadonlySet<string> {
@@ -162,14 +162,15 @@
     const { clock, directory, use } = this.options
     const { listed, unreadTokens, heldTokens, refusedAt, changingUntil } = server
     const now = clock.now()
+    const others = use.of(server.hash)
     return {
       id: listed.id,
       hash: hashNumber(listed.id),
       failureDomain: listed.failureDomain,
       slots: listed.slots,
       outstanding: this.outstandingAt(server),
-      waitingTokens: unreadTokens + use.of(listed.id).tokens,
-      heldTokens: heldTokens + use.of(listed.id).heldTokens,
+      waitingTokens: unreadTokens + others.tokens,
+      heldTokens: heldTokens + others.heldTokens,
       memoryTokens: directory.memoryOf(listed.service),
       isRefusing: refusedAt + REFUSING_MS > now,
       faultCostMs: directory.faultCostOf(server, now),
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -3,12 +3,16 @@
  * the platform's store, read here or told by another instance; the record's
  * offset is the belief's version, so that nothing ever goes back. What is gone
  * stays known as gone for a while, because an older word of it may still come.
+ *
+ * A server may start again under its id. The new incarnation has nothing that the
+ * former one had: it gets a `KnownServer` of its own, and whoever still holds the
+ * former one, such as a request on its way there, changes only that.
  */
 import { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
 import { UsualTime } from 'foxtaillever-policy/relay/usualTime'
 import { ServerState, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
-import type { KnownServer } from './knownServer.js'
+import { incarnationHash, type KnownServer } from './knownServer.js'
 import { ServerConnections } from './serverConnections.js'
 
 /** Connections to a server before the configuration says how many it takes. */
@@ -35,9 +39,18 @@
   readonly now?: () => number
 }
 
+/** The record that removed an entry. */
+interface Removal {
+  readonly offset: number
+  /** Of the newest incarnation that was known. */
+  readonly startedAt: number
+}
+
 export class ServerDirectory {
   private readonly servers = new Map<string, KnownServer>()
-  private readonly goneAt = new Map<string, number>()
+  /** The same servers by the hash of their incarnation. */
+  private readonly byHash = new Map<number, KnownServer>()
+  private readonly gone = new Map<string, Removal>()
   /** All servers of a service together. */
   private readonly serviceHealth = new Map<string, ServerHealth>()
   /** Until when kept connections to a service's servers are not trusted, milliseconds of Unix time. */
@@ -83,34 +96,96 @@
    * @returns whether the entry says anything else than the one before.
    */
   observe (listed: ListedServer, offset: number): boolean {
-    const known = this.servers.get(listed.id)
-    if (offset <= (known?.offset ?? this.goneAt.get(listed.id) ?? -1)) {
+    // The last record of a former incarnation may stand behind the first one of the next.
+    if (!this.isNewer(listed.id, offset) || listed.startedAt < this.startOf(listed.id)) {
       return false
     }
+    const known = this.incarnationOf(listed)
     const before = known?.listed.state
     const isNews = known === undefined || !saysSame(known.listed, listed)
     const server = known ?? this.add(listed, offset)
-    // A server that said it leaves does not come back under the same id.
+    // An incarnation that said it leaves does not come back.
     const state = before === ServerState.Draining ? ServerState.Draining : listed.state
     server.listed = { ...listed, state }
     server.offset = offset
-    listed.weights.forEach((version, model) => this.observeWeights(listed.id, model, version))
+    listed.weights.forEach((version, model) => this.observeWeights(server, model, version))
     if (before !== state) {
       this.options.onChanged(server.listed, before)
     }
     return isNews
   }
 
+  /**
+   * The newest entry of the id says nothing that can be used, as when another
+   * writer has put it there: no new work goes there until a later one does.
+   * @returns whether that is news.
+   */
+  observeUnreadable (id: string, offset: number): boolean {
+    const known = this.servers.get(id)
+    if (!known || !this.isNewer(id, offset)) {
+      return false
+    }
+    known.offset = offset
+    const before = known.listed.state
+    if (before !== ServerState.Ready) {
+      return false
+    }
+    known.listed = { ...known.listed, state: ServerState.Unreadable }
+    this.options.onChanged(known.listed, before)
+    return true
+  }
+
+  /**
+   * A server said itself when it started.
+   * @returns whether it is the incarnation known; a later one takes its place, of an
+   * earlier one nothing counts.
+   */
+  observeStart (server: KnownServer, startedAt: number): boolean {
+    const { listed, offset } = server
+    if (startedAt > listed.startedAt && this.servers.get(listed.id) === server) {
+      const next = { ...listed, startedAt, weights: new Map<string, number>() }
+      this.end(server)
+      this.add(next, offset)
+      this.options.onChanged(next, undefined)
+    }
+    return startedAt === listed.startedAt
+  }
+
+  private isNewer (id: string, offset: number): boolean {
+    return offset > (this.servers.get(id)?.offset ?? this.gone.get(id)?.offset ?? -1)
+  }
+
+  /** Start of the newest incarnation known of the id. */
+  private startOf (id: string): number {
+    return this.servers.get(id)?.listed.startedAt ?? this.gone.get(id)?.startedAt ?? 0
+  }
+
+  /** The server of the id if it is this incarnation; a former one ends here. */
+  private incarnationOf ({ id, startedAt }: ListedServer): KnownServer | undefined {
+    const known = this.servers.get(id)
+    if (known && startedAt > known.listed.startedAt) {
+      this.end(known)
+      return undefined
+    }
+    return known
+  }
+
+  /** Nothing is believed of the incarnation any more; requests on their way there end by themselves. */
+  private end (server: KnownServer): void {
+    this.servers.delete(server.listed.id)
+    this.byHash.delete(server.hash)
+    server.connections.close()
+  }
+
   /** The entry was removed: the server has left, or was silent for too long. */
   remove (id: string, offset: number): void {
-    const known = this.servers.get(id)
-    if (offset <= (known?.offset ?? this.goneAt.get(id) ?? -1)) {
+    if (!this.isNewer(id, offset)) {
       return
     }
-    this.goneAt.set(id, offset)
+    const known = this.servers.get(id)
+    this.gone.set(id, { offset, startedAt: this.startOf(id) })
     if (known) {
-      this.servers.delete(id)
-      known.connections.close()
+      this.end(known)
       this.options.onChanged({ ...known.listed, state: ServerState.Gone }, known.listed.state)
     }
   }
@@ -128,6 +203,16 @@
     return this.servers.get(id)
   }
 
+  /** By the hash of its incarnation, as other instances name it. */
+  ofHash (hash: number): KnownServer | undefined {
+    return this.byHash.get(hash)
+  }
+
+  /** Whether the configuration has the service: an entry from another writer may name any. */
+  isServed (service: string): boolean {
+    return this.routing?.services.has(service) === true
+  }
+
   all (): readonly KnownServer[] {
     return [...this.servers.values()]
   }
@@ -137,10 +222,9 @@
     return this.all().filter(({ listed }) => listed.service === service && listed.state === ServerState.Ready)
   }
 
-  /** Weights only rise within one start of a server. */
-  observeWeights (id: string, model: string, version: number): void {
-    const server = this.servers.get(id)
-    if (server && version > (server.weights.get(model) ?? -1)) {
+  /** Weights only rise within one incarnation of a server. */
+  observeWeights (server: KnownServer, model: string, version: number): void {
+    if (version > (server.weights.get(model) ?? -1)) {
       server.weights.set(model, version)
       server.weightsOrder = this.weightsChanges++
       endChange(server, model, version)
@@ -163,15 +247,15 @@
   }
 
   /** @param ms time until the answer began. */
-  observeSuccess (id: string, route: string, ms: number, now: number): void {
+  observeSuccess (server: KnownServer, route: string, ms: number, now: number): void {
     const usual = this.usualTimeOf(route)
     const ratio = usual.ratioOf(ms)
     usual.observe(ms)
-    this.observeOutcome(id, health => health.observeGood(now, ratio))
+    this.observeOutcome(server, health => health.observeGood(now, ratio))
   }
 
-  observeFault (id: string, now: number): void {
-    this.observeOutcome(id, health => health.observeBad(now))
+  observeFault (server: KnownServer, now: number): void {
+    this.observeOutcome(server, health => health.observeBad(now))
   }
 
   /**
@@ -189,25 +273,14 @@
     return now < (this.distrustedUntil.get(service) ?? 0) ? 0 : RESTED_MS
   }
 
-  /** It turned a request away: it is full, or about to change its weights. */
-  observeRefusal (id: string, now: number): void {
-    const server = this.servers.get(id)
-    if (server) {
-      server.refusedAt = now
-    }
-  }
-
   /** Memory of an engine of the service, in tokens; 0 where unknown. */
   memoryOf (service: string): number {
     return this.routing?.services.get(service)?.engine?.cacheTokens ?? 0
   }
 
-  private observeOutcome (id: string, count: (health: ServerHealth) => void): void {
-    const server = this.servers.get(id)
-    if (server) {
-      count(server.health)
-      count(this.healthOf(server.listed.service))
-    }
+  private observeOutcome ({ listed, health }: KnownServer, count: (health: ServerHealth) => void): void {
+    count(health)
+    count(this.healthOf(listed.service))
   }
 
   private healthOf (service: string): ServerHealth {
@@ -226,9 +299,10 @@
       mostConnections: this.mostConnections(listed.service)
     })
     const server: KnownServer = {
-      listed, offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, heldTokens: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
+      listed, hash: incarnationHash(listed), offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, heldTokens: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
     }
     this.servers.set(listed.id, server)
+    this.byHash.set(server.hash, server)
     return server
   }
 }
@@ -243,7 +317,7 @@
 
 /** Two entries of one server that differ by their heartbeat alone. */
 function saysSame (one: ListedServer, other: ListedServer): boolean {
-  return one.state === other.state && one.address === other.address && one.service === other.service && one.slots === other.slots &&
+  return one.startedAt === other.startedAt && one.state === other.state && one.address === other.address && one.service === other.service && one.slots === other.slots &&
     one.coldLeftMs === other.coldLeftMs && one.weights.size === other.weights.size &&
     [...one.weights].every(([model, version]) => other.weights.get(model) === version)
 }
--- a/packages/foxtaillever-relay/src/weights/__fixtures__/fakeEngines.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/fakeEngines.ts
@@ -14,6 +14,8 @@
 const LONG_RUNS = 6
 
 interface FakeEngine {
+  /** Milliseconds of Unix time. */
+  startedAt: number
   version: number
   sequence: number
   fence: number
@@ -48,7 +50,7 @@
   private readonly engines = new Map<string, FakeEngine>()
 
   private constructor (readonly options: FakeEnginesOptions) {
-    options.ids.forEach(id => this.engines.set(id, { version: 1, sequence: 0, fence: -1, busyUntil: 0, wanted: 1, runsUntil: 0 }))
+    options.ids.forEach(id => this.engines.set(id, { startedAt: 1, version: 1, sequence: 0, fence: -1, busyUntil: 0, wanted: 1, runsUntil: 0 }))
   }
 
   static create (options: FakeEnginesOptions): FakeEngines {
@@ -69,16 +71,23 @@
     return this.get(id).runsUntil > this.options.clock.now() ? LONG_RUNS : 0
   }
 
+  /** It starts again under its id, with the weights that it had; sequence and fence are those of a new engine. */
+  restart (id: string): FakeEngine {
+    const engine = this.get(id)
+    const now = this.options.clock.now()
+    return Object.assign(engine, { startedAt: now, sequence: 0, fence: -1, busyUntil: 0, wanted: engine.version, runsUntil: 0 })
+  }
+
   run (id: string, until: number): void {
     this.get(id).runsUntil = until
   }
 
   async report ({ listed }: KnownServer): Promise<Either<Failure, EngineReport>> {
     const { clock, model } = this.options
-    const { version, busyUntil, sequence, runsUntil } = this.get(listed.id)
+    const { startedAt, version, busyUntil, sequence, runsUntil } = this.get(listed.id)
     const now = clock.now()
     // What is told next time was true some hundred milliseconds before.
-    const seen = { weights: new Map([[model, version]]), isBusy: busyUntil > now, sequence, running: runsUntil > now - REPORT_AGE_MS ? LONG_RUNS : 0 }
+    const seen = { startedAt, weights: new Map([[model, version]]), isBusy: busyUntil > now, sequence, running: runsUntil > now - REPORT_AGE_MS ? LONG_RUNS : 0 }
     await waitUntil(clock, now + CALL_MS)
     return Right(seen)
   }
--- a/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
@@ -3,6 +3,7 @@
 import { Logs } from 'foxtaillever-telemetry'
 import { VirtualClock } from 'foxtaillever-testing'
 import { ServerState } from '../../model/listedServer.js'
+import type { Routing } from '../../model/routing.js'
 import type { LeaseNews, WeightsNews } from '../../peers/peerMessage.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
 import { RelayLog } from '../../telemetry/relayLog.js'
@@ -13,11 +14,23 @@
 import { FakeEngines } from './fakeEngines.js'
 import { FakeFenceLog, type Weather } from './fakeFenceLog.js'
 
+/** The configuration has the engines' service. */
+const routing: Routing = {
+  revision: 1,
+  routes: [],
+  services: new Map([['engines', { name: 'engines', healthPath: '', mostConnections: 300, engine: undefined }]]),
+  cacheStores: [],
+  accounts: [],
+  limits: { headerBytes: 0, bodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 }
+}
+
 export const MODEL = 'model'
 export const PAUSE_MS = 3000
 const BEAT_MS = 1000
 const DATAGRAM_MS = 1
 const USUALLY_LOST = 0.05
+/** Until a new entry of the list is read, milliseconds at most. */
+const LISTED_MS = 2000
 
 /** The clock of a machine that can freeze: its tasks come when it has thawed. Suspended, its steady clock stands still meanwhile. */
 class FreezableClock implements Clock {
@@ -98,12 +111,18 @@
       outstandingAt: ({ listed }) => engines.outstandingAt(listed.id),
       tell: news => fleet.send(this, undefined, news)
     })
-    engines.options.ids.forEach((id, offset) => this.directory.observe({
-      id, service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: 48, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([[MODEL, 1]])
-    }, offset))
+    this.directory.configure(routing)
+    engines.options.ids.forEach((id, offset) => this.list(id, 1, 1, offset))
     this.beat()
   }
 
+  /** The list has an entry of an engine. */
+  list (id: string, startedAt: number, version: number, offset: number): void {
+    this.directory.observe({
+      id, startedAt, service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: 48, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([[MODEL, version]])
+    }, offset)
+  }
+
   hear (lease: LeaseNews | undefined, news: readonly WeightsNews[]): void {
     if (lease) {
       this.lease.observe(lease)
@@ -123,6 +142,8 @@
   readonly engines: FakeEngines
   readonly store: FakeFenceLog
   readonly instances: Instance[]
+  /** Of the next entry of the list. */
+  private offset = 1000
   /** Share of the datagrams that are lost; may change on the way. */
   lostShare = USUALLY_LOST
 
@@ -144,6 +165,13 @@
     this.instances.forEach(({ clock, desk }) => clock.at(clock.now() + this.random.below(BEAT_MS / 10), () => desk.name(MODEL, version)))
   }
 
+  /** An engine starts again under its id; each instance reads so in the list after a while. */
+  restart (id: string): void {
+    const { startedAt, version } = this.engines.restart(id)
+    const offset = this.offset++
+    this.instances.forEach(instance => instance.clock.at(this.clock.now() + this.random.below(LISTED_MS), () => instance.list(id, startedAt, version, offset)))
+  }
+
   /** Datagrams, of which some are lost. */
   send (from: Instance, lease: LeaseNews | undefined, news: readonly WeightsNews[] = []): void {
     for (const other of this.instances.filter(instance => instance !== from && !instance.isCut && !from.isCut)) {
--- a/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
+++ b/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
@@ -11,7 +11,8 @@
   Cut = 'cut',
   OrdersLate = 'orders-late',
   DatagramsLost = 'datagrams-lost',
-  GivesUp = 'gives-up'
+  GivesUp = 'gives-up',
+  EngineStartsAgain = 'engine-starts-again'
 }
 
 interface Event {
@@ -59,6 +60,10 @@
     fleet.lostShare = 0.7
     return () => { fleet.lostShare = lostShare }
   },
+  [Trouble.EngineStartsAgain]: (fleet, _, { whose }) => {
+    fleet.restart(`engine-${whose}`)
+    return () => {}
+  },
   [Trouble.GivesUp]: (_, { lease }) => {
     lease.release()
     return () => {}
--- a/packages/foxtaillever-relay/src/weights/__tests__/told.test.ts
+++ b/packages/foxtaillever-relay/src/weights/__tests__/told.test.ts
@@ -4,6 +4,7 @@
  * one, that news made them send requests there, and all were refused.
  */
 import { describe, it } from 'foxtaillever-testing'
+import type { KnownServer } from '../../servers/knownServer.js'
 import { MODEL, OrderingFleet, type Instance } from '../__fixtures__/orderingFleet.js'
 
 const ENGINE = 'engine-0'
@@ -15,17 +16,18 @@
 describe('an instance that hears of an engine that changes', () => {
   const [instance] = OrderingFleet.create({ instances: 1 }).instances as [Instance]
   instance.desk.stop()
+  const engine = instance.directory.get(ENGINE) as KnownServer
 
   it('keeps work away until it has the weights that were told', t => {
-    instance.desk.observe({ server: ENGINE, model: MODEL, version: 3, changingMs: 2500 })
-    instance.directory.observeWeights(ENGINE, MODEL, 2)
+    instance.desk.observe({ server: engine.hash, model: MODEL, version: 3, changingMs: 2500 })
+    instance.directory.observeWeights(engine, MODEL, 2)
     t.true(isSteered(instance))
-    instance.directory.observeWeights(ENGINE, MODEL, 3)
+    instance.directory.observeWeights(engine, MODEL, 3)
     t.false(isSteered(instance))
   })
 
   it('is not misled by a word that comes after the change', t => {
-    instance.desk.observe({ server: ENGINE, model: MODEL, version: 3, changingMs: 2500 })
+    instance.desk.observe({ server: engine.hash, model: MODEL, version: 3, changingMs: 2500 })
     t.false(isSteered(instance))
   })
 })
--- a/packages/foxtaillever-relay/src/weights/engineChange.ts
+++ b/packages/foxtaillever-relay/src/weights/engineChange.ts
@@ -41,6 +41,8 @@
   readonly log: RelayLog
   /** The engine reported these weights. */
   readonly onWeights: (version: number) => void
+  /** Whether the engine that started then is the one steered; one that started again since is another. */
+  readonly isSameStart: (startedAt: number) => boolean
   /** Another holder gave orders with a higher fencing number. */
   readonly onFenced: () => void
 }
@@ -71,6 +73,10 @@
     return new EngineChange(options)
   }
 
+  get engine (): KnownServer {
+    return this.options.engine
+  }
+
   get phase (): RolloutPhase {
     return this.orderedAt !== undefined || this.report?.isBusy === true ? RolloutPhase.Ordered : RolloutPhase.Steered
   }
@@ -87,7 +93,7 @@
 
   /** Asks for a report when one is due. */
   async look (): Promise<void> {
-    const { clock, orders, engine, model, onWeights } = this.options
+    const { clock, orders, engine, model, onWeights, isSameStart } = this.options
     const askedAt = clock.now()
     if (this.isCalling || askedAt < this.lookAt) {
       return
@@ -97,6 +103,9 @@
     this.isCalling = false
     this.lookAt = clock.now() + AGAIN_MS
     answer.ifRight(report => {
+      if (!isSameStart(report.startedAt ?? engine.listed.startedAt)) {
+        return
+      }
       this.takeReport(report, askedAt)
       onWeights(report.weights.get(model) ?? 0)
     })
--- a/packages/foxtaillever-relay/src/weights/engineOrders.ts
+++ b/packages/foxtaillever-relay/src/weights/engineOrders.ts
@@ -5,6 +5,8 @@
 
 /** What an engine says of itself, some hundred milliseconds late. */
 export interface EngineReport {
+  /** When it started, milliseconds of Unix time; undefined where engines do not say. */
+  readonly startedAt: number | undefined
   readonly weights: ReadonlyMap<string, number>
   /** An order is being carried out. */
   readonly isBusy: boolean
--- a/packages/foxtaillever-relay/src/weights/orderOffice.ts
+++ b/packages/foxtaillever-relay/src/weights/orderOffice.ts
@@ -39,7 +39,7 @@
     orders: engineOrders,
     log,
     rank: () => isFit() ? orderRank(name, fitPeers(peers).map(peer => peer.name), lease.lastHolder) : LAST_RANK,
-    outstandingAt: ({ outstanding, listed }) => outstanding + peers.use.of(listed.id).outstanding,
+    outstandingAt: ({ outstanding, hash }) => outstanding + peers.use.of(hash).outstanding,
     tell: news => peers.tellWeights(news)
   })
   return { lease, desk }
--- a/packages/foxtaillever-relay/src/weights/weightsDesk.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsDesk.ts
@@ -5,7 +5,7 @@
  * are told before an order leaves, so that the engine gets no request that it
  * would turn away, and told again when it has the weights.
  */
-import { hashNumber, waitUntil, type Clock } from 'foxtaillever-core'
+import { waitUntil, type Clock } from 'foxtaillever-core'
 import { planRollout, RolloutPhase, type RolloutEngine } from 'foxtaillever-policy/relay/planRollout'
 import { ServerState } from '../model/listedServer.js'
 import type { CurrentEngines, NamedNews, WeightsNews } from '../peers/peerMessage.js'
@@ -99,12 +99,10 @@
     const { clock, directory } = this.options
     const now = clock.now()
     this.progressAt = now
-    if (changingMs === 0) {
-      directory.observeWeights(server, model, version)
-      return
-    }
-    const engine = directory.get(server)
-    if (engine && (engine.weights.get(model) ?? 0) < version) {
+    const engine = directory.ofHash(server)
+    if (engine && changingMs === 0) {
+      directory.observeWeights(engine, model, version)
+    } else if (engine && (engine.weights.get(model) ?? 0) < version) {
       engine.changingUntil = now + changingMs
       engine.changingTo = { model, version }
     }
@@ -115,7 +113,7 @@
    * @param expected weights that it does not have, though it is the server meant; versions
    * only rise, so it has those named next at least. Undefined when nothing is known.
    */
-  observeRefusal (server: string, model: string | undefined, expected: number | undefined): void {
+  observeRefusal (server: KnownServer, model: string | undefined, expected: number | undefined): void {
     const next = model === undefined || expected === undefined ? undefined : this.named.next(model, expected)
     if (model !== undefined && next !== undefined) {
       this.options.directory.observeWeights(server, model, next.version)
@@ -130,15 +128,15 @@
       const newest = this.named.newest(model)
       const isTold = newest !== undefined && now < newest.since + TOLD_MS
       const engines = isTold ? this.enginesOf(model).filter(engine => engine.weights.get(model) === newest.version) : []
-      return newest === undefined || engines.length === 0 ? [] : [{ model, version: newest.version, engines: engines.map(({ listed }) => hashNumber(listed.id)) }]
+      return newest === undefined || engines.length === 0 ? [] : [{ model, version: newest.version, engines: engines.map(({ hash }) => hash) }]
     })
   }
 
   observeCurrent ({ model, version, engines }: CurrentEngines): void {
     const hashes = new Set(engines)
     this.enginesOf(model)
-      .filter(engine => (engine.weights.get(model) ?? 0) < version && hashes.has(hashNumber(engine.listed.id)))
-      .forEach(engine => this.options.directory.observeWeights(engine.listed.id, model, version))
+      .filter(engine => (engine.weights.get(model) ?? 0) < version && hashes.has(engine.hash))
+      .forEach(engine => this.options.directory.observeWeights(engine, model, version))
   }
 
   /** For good: what is learned during a shutdown starts nothing, and another may give the orders. */
@@ -176,7 +174,8 @@
   }
 
   private enginesOf (model: string): KnownServer[] {
-    return this.options.directory.all().filter(({ listed, weights }) => listed.state === ServerState.Ready && weights.has(model))
+    const { directory } = this.options
+    return directory.all().filter(({ listed, weights }) => listed.state === ServerState.Ready && weights.has(model) && directory.isServed(listed.service))
   }
 
   private wanted (model: string): number {
@@ -228,11 +227,13 @@
     }
   }
 
-  /** An engine that left or was found to have the weights is no longer changed here. */
+  /** An engine that left, started again or was found to have the weights is no longer changed here. */
   private forgetAllBut (engines: readonly KnownServer[]): void {
-    const ids = new Set(engines.map(({ listed }) => listed.id))
-    for (const id of [...this.changes.keys()].filter(known => !ids.has(known))) {
-      this.changes.delete(id)
+    const kept = new Set(engines)
+    for (const [id, { engine }] of this.changes) {
+      if (!kept.has(engine)) {
+        this.changes.delete(id)
+      }
     }
   }
 
@@ -258,7 +259,9 @@
     const engine = directory.get(id)
     if (engine) {
       const onWeights = (version: number): void => this.onWeights(engine, model, version)
-      this.changes.set(id, EngineChange.create({ clock, engine, model, holder, orders, log, onWeights, onFenced: () => lease.drop() }))
+      this.changes.set(id, EngineChange.create({
+        clock, engine, model, holder, orders, log, onWeights, onFenced: () => lease.drop(), isSameStart: startedAt => directory.observeStart(engine, startedAt)
+      }))
     }
   }
 
@@ -278,22 +281,22 @@
       engine.changingUntil = now + STEERED_MS
       engine.changingTo = { model, version }
       this.progressAt = now
-      this.untold.set(engine.listed.id, { server: engine.listed.id, model, version, changingMs: STEERED_MS })
+      this.untold.set(engine.listed.id, { server: engine.hash, model, version, changingMs: STEERED_MS })
     }
   }
 
   private onWeights (engine: KnownServer, model: string, version: number): void {
     const { directory, clock } = this.options
-    const server = engine.listed.id
+    const { id } = engine.listed
     const isNews = version > (engine.weights.get(model) ?? -1)
-    directory.observeWeights(server, model, version)
+    directory.observeWeights(engine, model, version)
     if (isNews || this.hasWanted(engine, model)) {
       this.progressAt = clock.now()
-      this.untold.set(server, { server, model, version, changingMs: 0 })
+      this.untold.set(id, { server: engine.hash, model, version, changingMs: 0 })
     }
     // Were newer weights named meanwhile, it is steered anew for them in its turn.
-    if (this.hasWanted(engine, model) || this.changes.get(server)?.hasCarriedOut(version) === true) {
-      this.changes.delete(server)
+    if (this.hasWanted(engine, model) || this.changes.get(id)?.hasCarriedOut(version) === true) {
+      this.changes.delete(id)
     }
   }
 }
--- a/packages/foxtaillever-router/src/plain/plainRoutes.ts
+++ b/packages/foxtaillever-router/src/plain/plainRoutes.ts
@@ -58,6 +58,7 @@
     const open = openServers(service, configuration, leaving)
     return open.map(({ name, address, failureDomain }) => ({
       id: `${service.name}/${name}@${address}`,
+      startedAt: 0,
       service: service.name,
       address,
       failureDomain,
--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -40,12 +40,15 @@
   readonly arrivals: Arrival[] = []
   isLeaving = false
   address = ''
-  private incarnation = 1
+  /** Of this start, milliseconds of Unix time. */
+  startedAt: number
+  private names = 1
   private readonly server: Server
   private isClosed = false
   private cancelRestart: Cancellation = () => {}
 
   private constructor (readonly options: BackendServerOptions, private readonly runner: Runner) {
+    this.startedAt = Math.floor(options.clock.now())
     this.server = createServer((request, response) => {
       this.take(request, response).catch((error: Error) => response.destroy(error))
     })
@@ -55,9 +58,9 @@
     return new BackendServer(options, runner)
   }
 
-  /** Drawn anew at each start. */
+  /** Another one after most starts. */
   get id (): string {
-    return `${this.options.name}-${this.incarnation}`
+    return `${this.options.name}-${this.names}`
   }
 
   /** How often a request began to run here. */
@@ -71,8 +74,8 @@
     this.options.onStarted(this)
   }
 
-  /** Ends at once, and starts again under another id at the same address. */
-  crash (): void {
+  /** Ends at once, and starts again at the same address, under another id or the one that it had. */
+  crash (keepsId = false): void {
     // A request that was on its way when the server was closed may still crash it; that must not open it again.
     if (this.isClosed) {
       return
@@ -82,8 +85,11 @@
     onCrashed(this)
     this.runner.reset()
     this.end()
-    this.incarnation += 1
-    this.cancelRestart = clock.at(clock.now() + restartMs, () => this.server.listen(Number(port), host, () => onStarted(this)))
+    this.names += keepsId ? 0 : 1
+    this.cancelRestart = clock.at(clock.now() + restartMs, () => {
+      this.startedAt = Math.floor(clock.now())
+      this.server.listen(Number(port), host, () => onStarted(this))
+    })
   }
 
   close (): void {
@@ -109,7 +115,7 @@
       response.writeHead(this.isLeaving ? 503 : 200, { 'X-Instance-Id': this.id }).end()
     } else if (call) {
       const answer = await call(request, body)
-      response.writeHead(answer.status, { 'Content-Type': 'application/json' }).end(answer.body && JSON.stringify(answer.body))
+      response.writeHead(answer.status, { 'Content-Type': 'application/json' }).end(answer.body && JSON.stringify({ ...answer.body, born: this.startedAt }))
     } else {
       this.run(request, response, this.note(request, body))
     }
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -133,6 +133,11 @@
     this.store.put(SERVERS_TOPIC, server.id, undefined)
   }
 
+  /** Another writer than a server puts something into the list. */
+  writeForeign (key: string, value: Buffer): void {
+    this.store.putBytes(SERVERS_TOPIC, key, value)
+  }
+
   close (): void {
     this.cancelBeat()
     this.doors.forEach(door => door.close())
@@ -153,7 +158,7 @@
       restartMs: RESTART_MS,
       onCrashed: ({ id }) => {
         entry.isBeating = false
-        clock.at(clock.now() + SILENT_HEARTBEATS * heartbeatMs, () => this.store.put(SERVERS_TOPIC, id, undefined))
+        clock.at(clock.now() + SILENT_HEARTBEATS * heartbeatMs, () => this.expire(entry, id))
       },
       onStarted: () => {
         if (entry.address !== '') {
@@ -172,6 +177,13 @@
     return server
   }
 
+  /** A server that is back under its id keeps the entry. */
+  private expire ({ isBeating, server }: Registered, id: string): void {
+    if (!isBeating || server.id !== id) {
+      this.store.put(SERVERS_TOPIC, id, undefined)
+    }
+  }
+
   private async reach (address: string): Promise<string> {
     if (this.options.hasLinks !== true) {
       return address
@@ -203,7 +215,8 @@
       cold_left_ms: 0,
       stage: 'both',
       models: runner instanceof EngineRunner ? runner.models() : [],
-      seq: this.beats
+      seq: this.beats,
+      born: server.startedAt
     })
   }
 }
