Send one request, not hundreds, to a dead server whose address another has

Cause: the list names a crashed server for three heartbeats more, and its successor starts at the same address within one. The dead one looks idle, so each request was placed there, refused by the successor, and spent a retry of the budget that all instances share. Orders went there too and held the places of a rollout.

A refusal that names another server now keeps everything from the dead one for four seconds (it may be the wrong word of a faulty server, so not for good); a refused connection makes a server dear for 300 ms; an engine from which two reports in a row do not come holds no place in a rollout.

Ruled out: taking the later of two entries with one address. Another writer's entry would take a live server out.

--- a/packages/foxtaillever-policy/src/bench/engineFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/engineFleet.ts
@@ -251,6 +251,7 @@
     heldTokens: 0,
     memoryTokens: MEMORY,
     isRefusing: false,
+    isAbsent: false,
     faultCostMs: 0,
     isChanging: false,
     isOutdated: false,
--- a/packages/foxtaillever-policy/src/relay/__tests__/gatherLongRuns.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/gatherLongRuns.test.ts
@@ -9,7 +9,7 @@
 
 function offer (id: string, given: Partial<ServerOffer>): ServerOffer {
   return {
-    id, hash: 1, failureDomain: 'a', slots: 48, outstanding: 0, waitingTokens: 0, heldTokens: 0, memoryTokens: 0, isRefusing: false, faultCostMs: 0, isChanging: false, isOutdated: false, isGathering: false, coldLeftMs: 0, ...given
+    id, hash: 1, failureDomain: 'a', slots: 48, outstanding: 0, waitingTokens: 0, heldTokens: 0, memoryTokens: 0, isRefusing: false, isAbsent: false, faultCostMs: 0, isChanging: false, isOutdated: false, isGathering: false, coldLeftMs: 0, ...given
   }
 }
 
--- a/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
@@ -19,6 +19,7 @@
     heldTokens: 0,
     memoryTokens: 71_780,
     isRefusing: false,
+    isAbsent: false,
     faultCostMs: 0,
     isChanging: false,
     isOutdated: false,
@@ -100,6 +101,14 @@
     t.not(placeExchange(refusing, need(42), SeededRandom.create(1))?.id, home)
   })
 
+  // The one that crashed is idle and at home to the levels; requests that go there come back, and the service has no other.
+  it('leaves out a server that nobody listens for, unless there is no other', t => {
+    const home = placeExchange(offers(), need(42), SeededRandom.create(1))?.id
+    const absent = offers().map(offer => ({ ...offer, isAbsent: offer.id === home, outstanding: offer.id === home ? 0 : 40 }))
+    t.not(placeExchange(absent, need(42), SeededRandom.create(1))?.id, home)
+    t.is(placeExchange(absent.filter(({ isAbsent }) => isAbsent), need(42), SeededRandom.create(1))?.id, home)
+  })
+
   it('prefers free slots of a plain service to a queue nearby', t => {
     const [near, far] = offers({ slots: 6 }) as [ServerOffer, ServerOffer]
     t.is(placeExchange([{ ...near, outstanding: 8 }, far], need(undefined), SeededRandom.create(1))?.id, far.id)
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -26,6 +26,8 @@
   readonly memoryTokens: number
   /** It turned a request away a moment ago. */
   readonly isRefusing: boolean
+  /** Nobody listened at its address a moment ago. */
+  readonly isAbsent: boolean
   /** What its faults and slowness of late make a request there cost, milliseconds. */
   readonly faultCostMs: number
   /** It changes its weights now or will in a moment. */
@@ -75,6 +77,9 @@
 /** What was turned away costs a retry of the fleet's budget; waiting that long elsewhere is cheaper, milliseconds. */
 const REFUSING_MS = 300
 
+/** A try where nobody listens costs a connection and comes back at once, but most that crash stay away for a second, milliseconds. */
+const ABSENT_MS = 1000
+
 /** A plain request's work, milliseconds; it decides how much a queued one counts. */
 const PLAIN_WORK_MS = 20
 
@@ -112,6 +117,7 @@
     (offer.failureDomain === need.failureDomain ? 0 : DOMAIN_MS) +
     offer.faultCostMs +
     (offer.isRefusing ? REFUSING_MS : 0) +
+    (offer.isAbsent ? ABSENT_MS : 0) +
     (offer.isChanging ? CHANGING_MS : 0) +
     (offer.isOutdated ? OUTDATED_MS : 0) +
     (need.isLong && !offer.isGathering ? ASTRAY_MS : 0) +
--- a/packages/foxtaillever-relay/src/exchange/observeFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/observeFailure.ts
@@ -1,5 +1,5 @@
 /** What an instance learns from a try that failed, beside what its exchange makes of it. */
-import { AttemptFailureKind, meaningOf, mayBeCrash, spoilsConnections, type AttemptFailure } from '../attempts/attemptFailure.js'
+import { AttemptFailureKind, isRefusedConnection, meaningOf, mayBeCrash, spoilsConnections, type AttemptFailure } from '../attempts/attemptFailure.js'
 import type { Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ExchangeContext } from './exchangeContext.js'
@@ -12,6 +12,12 @@
   if (server && isServersFault) {
     directory.observeFault(server, now)
   }
+  if (server && isRefusedConnection(failure)) {
+    directory.observeAbsent(server, now)
+  }
+  if (server && failure.kind === AttemptFailureKind.Misdirected && failure.serverId !== undefined && failure.serverId !== id) {
+    directory.observeDisplaced(server, now)
+  }
   if (server && failure.kind === AttemptFailureKind.Refused) {
     // It is full, or about to change its weights.
     server.refusedAt = now
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -32,6 +32,10 @@
   unreadTokens: number
   /** Tokens of its memory that these take until they end. */
   heldTokens: number
+  /** Another server was found at its address: it gets nothing until then, milliseconds of Unix time. */
+  displacedUntil: number
+  /** Nobody listened at its address: it gets nothing that can go elsewhere until then, milliseconds of Unix time. */
+  absentUntil: number
   /** When it last turned a request away, milliseconds of Unix time. */
   refusedAt: number
   readonly health: ServerHealth
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -81,11 +81,12 @@
   }
 
   private rank (exchange: Exchange, { failed, wasMisdirected }: EarlierTries): readonly ServerOffer[] {
-    const { directory, random, failureDomain, fetchWaitMs } = this.options
+    const { clock, directory, random, failureDomain, fetchWaitMs } = this.options
+    const now = clock.now()
     const ready = directory.ready(exchange.service)
     const isLong = isLongRun(exchange.prompt?.outputTokens ?? 0)
     const gathering = isLong ? this.gather(ready, exchange) : nobody
-    const fit = ready.filter(server => !failed.has(server.listed.id) && this.hasFitWeights(server, exchange))
+    const fit = ready.filter(server => !failed.has(server.listed.id) && server.displacedUntil <= now && this.hasFitWeights(server, exchange))
     const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, gathering))
     const { promptTokens, outputTokens } = exchange.prompt ?? { promptTokens: 0, outputTokens: 0 }
     const promptKey = promptKeyOf(exchange)
@@ -151,7 +152,7 @@
       id: server.listed.id,
       hash: hashNumber(server.listed.id),
       isOutdated: this.isOutdated(server, exchange),
-      isOut: server.changingUntil > now || this.options.directory.faultCostOf(server, now) > FAULTY_MS,
+      isOut: server.changingUntil > now || server.absentUntil > now || server.displacedUntil > now || this.options.directory.faultCostOf(server, now) > FAULTY_MS,
       weightsOrder: server.weightsOrder,
       slots: server.listed.slots,
       outstanding: this.outstandingAt(server)
@@ -160,7 +161,7 @@
 
   private toOffer (server: KnownServer, exchange: Exchange, gathering: ReadonlySet<string>): ServerOffer {
     const { clock, directory, use } = this.options
-    const { listed, unreadTokens, heldTokens, refusedAt, changingUntil } = server
+    const { listed, unreadTokens, heldTokens, refusedAt, absentUntil, changingUntil } = server
     const now = clock.now()
     const others = use.of(server.hash)
     return {
@@ -173,6 +174,7 @@
       heldTokens: heldTokens + others.heldTokens,
       memoryTokens: directory.memoryOf(listed.service),
       isRefusing: refusedAt + REFUSING_MS > now,
+      isAbsent: absentUntil > now,
       faultCostMs: directory.faultCostOf(server, now),
       isChanging: changingUntil > now,
       isOutdated: this.isWorthLess(server, exchange),
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -32,6 +32,16 @@
  */
 const RESTED_MS = 250
 
+/**
+ * The list names a server that crashed for three heartbeats more, while another
+ * starts at its address within one. Whoever is found there says who it is; taken
+ * back after this in case it was the wrong word of a faulty one, milliseconds.
+ */
+const DISPLACED_MS = 4000
+
+/** Where nobody listens a process has ended; the next is there within a second or some, milliseconds. */
+const ABSENT_MS = 300
+
 export interface ServerDirectoryOptions {
   /** The state of a server has changed, or it is new. */
   readonly onChanged: (server: ListedServer, before: ServerState | undefined) => void
@@ -273,6 +283,16 @@
     return now < (this.distrustedUntil.get(service) ?? 0) ? 0 : RESTED_MS
   }
 
+  /** Another server answered at its address. */
+  observeDisplaced (server: KnownServer, now: number): void {
+    server.displacedUntil = Math.max(server.displacedUntil, now + DISPLACED_MS)
+  }
+
+  /** A connection to its address was refused. */
+  observeAbsent (server: KnownServer, now: number): void {
+    server.absentUntil = now + ABSENT_MS
+  }
+
   /** Memory of an engine of the service, in tokens; 0 where unknown. */
   memoryOf (service: string): number {
     return this.routing?.services.get(service)?.engine?.cacheTokens ?? 0
@@ -299,7 +319,7 @@
       mostConnections: this.mostConnections(listed.service)
     })
     const server: KnownServer = {
-      listed, hash: incarnationHash(listed), offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, heldTokens: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
+      listed, hash: incarnationHash(listed), offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
     }
     this.servers.set(listed.id, server)
     this.byHash.set(server.hash, server)
--- a/packages/foxtaillever-relay/src/weights/engineChange.ts
+++ b/packages/foxtaillever-relay/src/weights/engineChange.ts
@@ -29,6 +29,9 @@
 /** An order that has not shown in the reports by then counts as lost, milliseconds. */
 const LONGEST_CHANGE_MS = 4000
 
+/** Reports in a row that do not come from an engine that is likely down. */
+const UNHEARD_REPORTS = 2
+
 /** Before an engine that refused an order or did not report is asked again, milliseconds. */
 const AGAIN_MS = 300
 
@@ -45,6 +48,8 @@
   readonly isSameStart: (startedAt: number) => boolean
   /** Another holder gave orders with a higher fencing number. */
   readonly onFenced: () => void
+  /** Another server has the engine's address. */
+  readonly onDisplaced: () => void
 }
 
 export interface OrderTerms {
@@ -63,6 +68,8 @@
   private idleLooks = 0
   private lookAt: number
   private isCalling = false
+  /** Reports in a row that did not come. */
+  private unheard = 0
 
   private constructor (private readonly options: EngineChangeOptions) {
     this.steeredAt = options.clock.now()
@@ -81,6 +88,11 @@
     return this.orderedAt !== undefined || this.report?.isBusy === true ? RolloutPhase.Ordered : RolloutPhase.Steered
   }
 
+  /** It does not answer, as one that crashed: waiting for it, others could be changed. */
+  get isUnheard (): boolean {
+    return this.unheard >= UNHEARD_REPORTS
+  }
+
   /** Requests that the engine has, by a report made after the steering; undefined without one. */
   get running (): number | undefined {
     return this.reportAskedAt >= this.steeredAt + REPORT_AGE_MS ? this.report?.running : undefined
@@ -102,6 +114,7 @@
     const answer = await orders.report(engine)
     this.isCalling = false
     this.lookAt = clock.now() + AGAIN_MS
+    this.unheard = answer.isLeft() ? this.unheard + 1 : 0
     answer.ifRight(report => {
       if (!isSameStart(report.startedAt ?? engine.listed.startedAt)) {
         return
@@ -113,7 +126,7 @@
 
   /** Gives the order if a report tells its sequence. */
   async order ({ version, fence }: OrderTerms): Promise<void> {
-    const { clock, orders, engine, model, holder, log, onFenced } = this.options
+    const { clock, orders, engine, model, holder, log, onFenced, onDisplaced } = this.options
     if (this.isCalling || this.report === undefined) {
       return
     }
@@ -130,6 +143,8 @@
     this.takeAnswer(outcome)
     if (outcome === OrderAnswer.Fenced) {
       onFenced()
+    } else if (outcome === OrderAnswer.Displaced) {
+      onDisplaced()
     }
   }
 
--- a/packages/foxtaillever-relay/src/weights/engineOrders.ts
+++ b/packages/foxtaillever-relay/src/weights/engineOrders.ts
@@ -33,6 +33,8 @@
   /** A higher fencing number was seen: this holder is one no more. */
   Fenced = 'fenced',
   Refused = 'refused',
+  /** Another server has the address. */
+  Displaced = 'displaced',
   /** No answer came; the order may be carried out yet. */
   Unknown = 'unknown'
 }
--- a/packages/foxtaillever-relay/src/weights/weightsDesk.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsDesk.ts
@@ -174,8 +174,9 @@
   }
 
   private enginesOf (model: string): KnownServer[] {
-    const { directory } = this.options
-    return directory.all().filter(({ listed, weights }) => listed.state === ServerState.Ready && weights.has(model) && directory.isServed(listed.service))
+    const { clock, directory } = this.options
+    const now = clock.now()
+    return directory.all().filter(({ listed, weights, displacedUntil }) => listed.state === ServerState.Ready && displacedUntil <= now && weights.has(model) && directory.isServed(listed.service))
   }
 
   private wanted (model: string): number {
@@ -215,7 +216,7 @@
   private advance (model: string): void {
     const engines = this.enginesOf(model)
     this.forgetAllBut(engines)
-    const { steer, order } = planRollout(engines.map(engine => this.toRolloutEngine(engine, model)))
+    const { steer, order } = planRollout(engines.filter(({ listed }) => this.changes.get(listed.id)?.isUnheard !== true).map(engine => this.toRolloutEngine(engine, model)))
     steer.forEach(id => this.steer(id, model))
     order.forEach(id => this.order(id, model))
     for (const engine of engines) {
@@ -260,7 +261,7 @@
     if (engine) {
       const onWeights = (version: number): void => this.onWeights(engine, model, version)
       this.changes.set(id, EngineChange.create({
-        clock, engine, model, holder, orders, log, onWeights, onFenced: () => lease.drop(), isSameStart: startedAt => directory.observeStart(engine, startedAt)
+        clock, engine, model, holder, orders, log, onWeights, onFenced: () => lease.drop(), onDisplaced: () => directory.observeDisplaced(engine, clock.now()), isSameStart: startedAt => directory.observeStart(engine, startedAt)
       }))
     }
   }
