Place by the speed at which engines were seen to read, and by configured links

Hypothesis: on engines that read 49.6 prompt tokens a millisecond the constant of 110 makes a queue look half as long as it is, so requests gather at the few engines with the newest weights and all are late by a little.

Change: PrefillSpeed learns the median speed from first events, in steps of its logarithm; told with the beats, so that an instance that has just started knows it. The time of a fetch comes from the configuration (link, bytes a token). A level that is not saved for an engine's weights counts as read. Replaced weights cost a part of the objective instead of 200 ms. A plain request's work is what is usual on its route.

--- a/packages/foxtaillever-policy/src/bench/engineFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/engineFleet.ts
@@ -70,6 +70,9 @@
 }
 
 const MS = 8_000
+/** Moving a large request's shared level, milliseconds. */
+const FETCH_MS = 27
+
 const TOKENS_PER_MS = 110
 /** A fetch that would wait longer is not begun. */
 const MOST_LINK_MS = 320
@@ -136,7 +139,8 @@
   }
 
   private place (instance: number, key: number, promptTokens: number): number {
-    const need = { promptKey: key, promptTokens, outputTokens: 0, fetchWaitMs: this.shape.isLinkCharged ? Math.max(0, this.linkFreeAt - this.now) : 0, isLong: false, failureDomain: `${instance % 3}` }
+    const pace = { tokensPerMs: TOKENS_PER_MS, fetchMs: FETCH_MS }
+    const need = { promptKey: key, promptTokens, outputTokens: 0, pace, objectiveMs: OBJECTIVE_MS, workMs: 0, fetchWaitMs: this.shape.isLinkCharged ? Math.max(0, this.linkFreeAt - this.now) : 0, isLong: false, failureDomain: `${instance % 3}` }
     const rank = (): readonly ServerOffer[] => rankOffers(this.engines.map((_, index) => this.offerOf(index, instance)), need, this.random)
     if (this.shape.knowledge === Knowledge.Asked) {
       rank().slice(0, 2).filter(() => this.random.next() >= this.shape.loss * 2).forEach(({ id }) => this.ask(instance, Number(id)))
@@ -248,6 +252,7 @@
     slots: 32,
     outstanding: 0,
     waitingTokens: 0,
+    missingTokens: 0,
     heldTokens: 0,
     memoryTokens: MEMORY,
     isRefusing: false,
--- a/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
@@ -16,6 +16,7 @@
     slots: 48,
     outstanding: 0,
     waitingTokens: 0,
+    missingTokens: 2890,
     heldTokens: 0,
     memoryTokens: 71_780,
     isRefusing: false,
@@ -30,7 +31,7 @@
 }
 
 function need (promptKey: number | undefined, failureDomain = 'd0'): PlacementNeed {
-  return { promptKey, promptTokens: PROMPT_TOKENS, outputTokens: 10, fetchWaitMs: 0, isLong: false, failureDomain }
+  return { promptKey, promptTokens: PROMPT_TOKENS, outputTokens: 10, pace: { tokensPerMs: TOKENS_PER_MS, fetchMs: 27 }, objectiveMs: 400, workMs: 20, fetchWaitMs: 0, isLong: false, failureDomain }
 }
 
 /** Places requests one after the other, each adding its work, and gives the work at each server, milliseconds. */
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -5,7 +5,8 @@
  * for it, so that all instances agree without a word and each level is read
  * once. A home that is busy, failing or about to change its weights loses to
  * the next one when waiting for it would cost more than fetching the level
- * there. Everything is one cost in milliseconds until the first token.
+ * there. Everything is one cost in milliseconds until the first token, by what
+ * engines and links were observed or configured to do.
  */
 import type { Random } from 'foxtaillever-core'
 import { homeOf } from './levelHome.js'
@@ -20,6 +21,8 @@
   readonly outstanding: number
   /** Prompt tokens that it has yet to read. */
   readonly waitingTokens: number
+  /** Tokens of this prompt that it would have to read. */
+  readonly missingTokens: number
   /** Tokens that the requests there take of its memory until they end. */
   readonly heldTokens: number
   /** Its memory, in tokens; 0 where unknown. */
@@ -40,6 +43,14 @@
   readonly coldLeftMs: number
 }
 
+/** What the engines and links of a service do. */
+export interface EnginePace {
+  /** Prompt tokens read in a millisecond; see `PrefillSpeed`. */
+  readonly tokensPerMs: number
+  /** Getting the shared level of the prompt from its store within a failure domain, milliseconds. */
+  readonly fetchMs: number
+}
+
 export interface PlacementNeed {
   /** Hash of the levels that requests share; undefined without a prompt. */
   readonly promptKey: number | undefined
@@ -48,6 +59,11 @@
   readonly promptTokens: number
   /** At most. */
   readonly outputTokens: number
+  readonly pace: EnginePace
+  /** Until the first event, milliseconds. */
+  readonly objectiveMs: number
+  /** A plain request's work, milliseconds; it decides how much a queued one counts. */
+  readonly workMs: number
   /** How long a fetch waits for the link of the level's store, milliseconds. */
   readonly fetchWaitMs: number
   /** Its output may be long. */
@@ -56,23 +72,17 @@
   readonly failureDomain: string
 }
 
-/** Reading a prompt, tokens a millisecond; what the slowest engines of today do. */
-const PREFILL_TOKENS_PER_MS = 110
-
 /** What one more running request adds to each step until the first token, milliseconds. */
 const REQUEST_MS = 2
 
-/** Getting the shared levels of a prompt from elsewhere, milliseconds: 1.2 GB at 360 Gbit/s. */
-const FETCH_MS = 27
-
 /** Part of the requests that find their level at its home, and need not wait for the link there. */
 const FOUND_AT_HOME = 0.5
 
 /** A level that cannot be fetched in time is read again, which costs more than an answer in time earns; callers wait that long for it to be found instead, milliseconds. */
 const MOST_LINK_MS = 250
 
-/** Memory is freed as requests end: eight large ones of 9,200 tokens fill an engine and end within 1.5 seconds, tokens a millisecond. */
-const FREED_TOKENS_PER_MS = 50
+/** Memory is freed as requests end, about half as fast as prompts are read: eight of 9,200 tokens, read at 110 a millisecond, end within 1.5 seconds. */
+const FREED_PART = 0.45
 
 /** What was turned away costs a retry of the fleet's budget; waiting that long elsewhere is cheaper, milliseconds. */
 const REFUSING_MS = 300
@@ -80,8 +90,8 @@
 /** A try where nobody listens costs a connection and comes back at once, but most that crash stay away for a second, milliseconds. */
 const ABSENT_MS = 1000
 
-/** A plain request's work, milliseconds; it decides how much a queued one counts. */
-const PLAIN_WORK_MS = 20
+/** How much of its coldness a request meets at most at a server that has just started, milliseconds. */
+const MOST_COLD_MS = 20
 
 /** There and back to another failure domain, milliseconds, and the price of the bytes between. */
 const DOMAIN_MS = 2
@@ -89,16 +99,22 @@
 /** A change of weights waits for running requests and then loads, milliseconds. */
 const CHANGING_MS = 1500
 
-/** Answers on old weights earn less; a fifth of a second of waiting is about as bad. */
-const OUTDATED_MS = 200
+/** Answers on old weights earn a fifth less; waiting for so much of the objective risks about as much. */
+const OUTDATED_PART = 0.33
+
+/** From this part of the objective on a first event may be late, by what is not known of the queue before it. */
+const SAFE_PART = 0.7
+
+/** A late answer loses most of its worth: each millisecond beyond the safe part counts that many times more. */
+const LATE_TIMES = 3
 
 /** A long run among short ones hinders the next change of weights; an engine that gathers them may hold 50 more requests than another, milliseconds. */
 const ASTRAY_MS = 100
 
 /** How long a request waits for others to leave the memory, milliseconds; an engine that preempts them instead reads them twice. */
-function memoryMs ({ heldTokens, memoryTokens }: ServerOffer, { promptTokens, outputTokens }: PlacementNeed): number {
+function memoryMs ({ heldTokens, memoryTokens }: ServerOffer, { promptTokens, outputTokens, pace }: PlacementNeed): number {
   const over = heldTokens + promptTokens + outputTokens - memoryTokens
-  return memoryTokens === 0 ? 0 : Math.max(0, over) / FREED_TOKENS_PER_MS
+  return memoryTokens === 0 ? 0 : Math.max(0, over) / (FREED_PART * pace.tokensPerMs)
 }
 
 /** How much longer a request waits elsewhere than at its home because fetches wait for each other, milliseconds. */
@@ -106,22 +122,31 @@
   return isHome ? 0 : Math.min(MOST_LINK_MS, fetchWaitMs * FOUND_AT_HOME)
 }
 
+/** Of a request without a prompt, milliseconds. */
+function plainMs ({ outstanding, slots }: ServerOffer, { workMs }: PlacementNeed): number {
+  const over = Math.max(0, outstanding + 1 - slots)
+  return (over + outstanding / Math.max(1, slots)) * workMs
+}
+
+/** Until the first token of a request with a prompt, milliseconds, and more than that where it is likely late. */
+function promptMs (offer: ServerOffer, need: PlacementNeed, isHome: boolean): number {
+  const { outstanding, waitingTokens, missingTokens } = offer
+  const { tokensPerMs, fetchMs } = need.pace
+  const expected = (waitingTokens + missingTokens) / tokensPerMs + outstanding * REQUEST_MS + memoryMs(offer, need) + (isHome ? 0 : fetchMs) + linkMs(need, isHome)
+  return expected + LATE_TIMES * Math.max(0, expected - SAFE_PART * need.objectiveMs)
+}
+
 /** Expected cost, milliseconds until the first token. */
 function costOf (offer: ServerOffer, need: PlacementNeed, isHome: boolean): number {
-  const { outstanding, slots, waitingTokens } = offer
-  const over = Math.max(0, outstanding + 1 - slots)
-  const work = need.promptKey === undefined
-    ? over * PLAIN_WORK_MS + outstanding / Math.max(1, slots) * PLAIN_WORK_MS
-    : waitingTokens / PREFILL_TOKENS_PER_MS + outstanding * REQUEST_MS + memoryMs(offer, need) + (isHome ? 0 : FETCH_MS) + linkMs(need, isHome)
-  return work +
+  return (need.promptKey === undefined ? plainMs(offer, need) : promptMs(offer, need, isHome)) +
     (offer.failureDomain === need.failureDomain ? 0 : DOMAIN_MS) +
     offer.faultCostMs +
     (offer.isRefusing ? REFUSING_MS : 0) +
     (offer.isAbsent ? ABSENT_MS : 0) +
     (offer.isChanging ? CHANGING_MS : 0) +
-    (offer.isOutdated ? OUTDATED_MS : 0) +
+    (offer.isOutdated ? OUTDATED_PART * need.objectiveMs : 0) +
     (need.isLong && !offer.isGathering ? ASTRAY_MS : 0) +
-    Math.min(offer.coldLeftMs, PLAIN_WORK_MS)
+    Math.min(offer.coldLeftMs, MOST_COLD_MS)
 }
 
 /** The home among the offers; those of another failure domain only where there is none in its own. */
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -84,6 +84,7 @@
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
       log,
       routing: () => routing,
+      othersTokensAt: () => 0,
       askLoad: () => undefined,
       place: (_, { failed }) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
       onMisdirected: () => {}
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -25,13 +25,18 @@
   return `${wall}/w${weightsVersion}`
 }
 
+/** The level at its store under the weights, as it is saved. */
+export function savedLevelOf (exchange: Exchange, prompt: Prompt, weightsVersion: number, store: CacheStore): number {
+  return hashNumber(`${prompt.model}/${cacheSaltOf(exchange, weightsVersion)}/${sharedLevelOf(prompt)}@${store.address}`)
+}
+
 /** Tokens after the levels that other requests share; a prompt of one level may be shared as a whole. */
-function ownTokensOf ({ levels, promptTokens }: Prompt): number {
+export function ownTokensOf ({ levels, promptTokens }: Prompt): number {
   return levels.length < 2 ? 0 : Math.min(promptTokens, levels[levels.length - 1]?.tokens ?? 0)
 }
 
 /** Tokens of the level that an engine lacks most often: those before it are shared by more requests and seldom dropped. */
-function deepestSharedTokensOf ({ levels, promptTokens }: Prompt): number {
+export function deepestSharedTokensOf ({ levels, promptTokens }: Prompt): number {
   return levels[levels.length - 2]?.tokens ?? promptTokens
 }
 
@@ -77,7 +82,7 @@
   if (store === undefined || tokenBytes === undefined) {
     return { ...common, ...noCache, cacheSalt, weightsVersion, unreadTokens: prompt.promptTokens }
   }
-  const level = hashNumber(`${prompt.model}/${cacheSalt}/${sharedLevelOf(prompt)}@${store.address}`)
+  const level = savedLevelOf(exchange, prompt, weightsVersion, store)
   const isFar = store.failureDomain !== server.listed.failureDomain
   const link = { tokensOnTheWay: fetchLoad.tokensAt(store.address, now), tokensPerMs: store.linkBytesPerMs / tokenBytes }
   const isFetched = mayFetch(link)
--- /dev/null
+++ b/packages/foxtaillever-relay/src/cache/levelSupply.ts
@@ -0,0 +1,41 @@
+/** How the shared levels of a prompt would come to an engine: found, fetched from their store, or read. */
+import { homeOf } from 'foxtaillever-policy/relay/levelHome'
+import { deepestSharedTokensOf, ownTokensOf, promptKeyOf, savedLevelOf } from '../attempts/planTerms.js'
+import type { Exchange } from '../model/exchange.js'
+import type { Routing } from '../model/routing.js'
+import type { KnownServer } from '../servers/knownServer.js'
+import type { CacheUse } from './cacheUse.js'
+
+export interface LevelSupply {
+  /** Moving the deepest shared level within a failure domain, milliseconds; 0 without a store. */
+  readonly fetchMs: number
+  /** How long a fetch waits for the store's link, milliseconds. */
+  readonly waitMs: number
+  /** Tokens of the prompt that the engine would have to read. */
+  readonly missingTokens: (server: Pick<KnownServer, 'weights'>) => number
+}
+
+const nothing: LevelSupply = { fetchMs: 0, waitMs: 0, missingTokens: () => 0 }
+
+export function levelSupplyOf (exchange: Exchange, { services }: Routing, caches: Pick<CacheUse, 'available' | 'fetchLoad' | 'savedLevels'>, now: number): LevelSupply {
+  const { prompt, service } = exchange
+  const key = promptKeyOf(exchange)
+  if (prompt === undefined || key === undefined) {
+    return nothing
+  }
+  const store = homeOf(key, caches.available())
+  const tokenBytes = services.get(service)?.engine?.tokenBytes
+  if (store === undefined || tokenBytes === undefined) {
+    return { ...nothing, missingTokens: () => prompt.promptTokens }
+  }
+  const msOf = (tokens: number): number => tokens * tokenBytes / store.linkBytesPerMs
+  return {
+    fetchMs: msOf(deepestSharedTokensOf(prompt)),
+    waitMs: msOf(caches.fetchLoad.tokensAt(store.address, now)),
+    missingTokens: ({ weights }) => {
+      const version = weights.get(prompt.model)
+      const isSaved = version !== undefined && caches.savedLevels.has(savedLevelOf(exchange, prompt, version, store), now)
+      return isSaved ? ownTokensOf(prompt) : prompt.promptTokens
+    }
+  }
+}
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -7,7 +7,7 @@
 import type { Clock, Random } from 'foxtaillever-core'
 import { RetryShare, type RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
 import { CacheUse, type CacheUseOptions } from '../cache/cacheUse.js'
-import { fetchWaitMs } from '../cache/fetchWait.js'
+import { levelSupplyOf } from '../cache/levelSupply.js'
 import type { ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
@@ -52,7 +52,7 @@
       ...options,
       directory: this.directory,
       stores: () => this.caches.available(),
-      fetchWaitMs: (key, service) => fetchWaitMs(knownRouting(options.routing()), this.caches, { key, service, now: clock.now() })
+      levelSupply: exchange => levelSupplyOf(exchange, knownRouting(options.routing()), this.caches, clock.now())
     })
     this.runs = ExchangeRuns.create({
       clock,
@@ -65,6 +65,7 @@
       suspects,
       log,
       routing: () => knownRouting(options.routing()),
+      othersTokensAt: server => options.use.of(server.hash).tokens,
       askLoad: (exchange, earlier) => exchange.prompt && askLoad(() => choice.shortlist(exchange, earlier)),
       place: (exchange, earlier) => choice.place(exchange, earlier),
       onMisdirected
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -124,7 +124,7 @@
       }
     })
     const { savedLevels, fetchLoad } = context.caches
-    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
+    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens: context.othersTokensAt(server), savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
   }
 
   private onHead (head: AnswerHead): void {
@@ -134,6 +134,9 @@
     if (current && exchange.prompt && weightsVersion !== undefined) {
       context.directory.observeWeights(current.server, exchange.prompt.model, weightsVersion)
     }
+    if (current && exchange.prompt && head.status < 300 && !current.isChanging) {
+      context.directory.prefillSpeedOf(exchange.service).observe(current.tokensToRead, head.at - current.beganAt)
+    }
     current?.observeStatus(head.status, this.now)
     this.head = head
     this.rejectIf(this.relay.begin(head))
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -12,6 +12,8 @@
   readonly terms: SendTerms
   /** Tokens of the server's memory that it takes until its end. */
   readonly heldTokens: number
+  /** Prompt tokens of the other instances that the server has yet to read. */
+  readonly othersTokens: number
   readonly savedLevels: SavedLevels
   readonly fetchLoad: FetchLoad
   /** Milliseconds of Unix time. */
@@ -25,6 +27,8 @@
   readonly beganAt: number
   /** Prompt tokens that the server has yet to read. */
   private unreadTokens: number
+  /** Those before it and its own when it was sent. */
+  readonly tokensToRead: number
   private fetch: Transfer | undefined
 
   private constructor (private readonly options: OpenTryOptions) {
@@ -35,6 +39,7 @@
     this.unreadTokens = terms.unreadTokens
     server.outstanding += 1
     server.unreadTokens += this.unreadTokens
+    this.tokensToRead = server.unreadTokens + options.othersTokens
     server.heldTokens += heldTokens
     this.fetch = options.fetchLoad.begin(terms.fetchFrom, terms.fetchedTokens, beganAt)
   }
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -24,6 +24,7 @@
   named: [],
   current: [],
   stores: [],
+  speeds: [],
   instances: 1
 }
 
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -1,4 +1,5 @@
 /** What instances tell each other by datagram: positional arrays by msgpackr, because names would double the size. */
+import type { SpeedWord } from 'foxtaillever-policy/relay/prefillSpeed'
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import type { StoreWord } from 'foxtaillever-policy/relay/storeReach'
 import { Packr } from 'msgpackr'
@@ -51,6 +52,11 @@
   readonly ageMs: number
 }
 
+/** How fast the engines of a service read prompts, as the teller observed. */
+export interface SpeedNews extends SpeedWord {
+  readonly service: string
+}
+
 export interface PeerMessage {
   readonly name: string
   /** IP number and port for datagrams and calls. */
@@ -76,6 +82,8 @@
   readonly current: readonly CurrentEngines[]
   /** What it found at the stores of cached levels that it watches. */
   readonly stores: readonly StoreWord[]
+  /** Of services of which it has seen enough, for instances that have just started. */
+  readonly speeds: readonly SpeedNews[]
   /** Instances that it reckons with, itself included: one that has just started knows few of them. */
   readonly instances: number
 }
@@ -83,7 +91,7 @@
 const packr = new Packr({ useRecords: false })
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums, stores, instances } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums, stores, instances, speeds } = message
   return packr.pack([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -94,7 +102,8 @@
     current.map(({ model, version, engines }) => [model, version, engines]),
     sums.map(packUse),
     stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation]),
-    instances
+    instances,
+    speeds.map(({ service, tokensPerMs, samples }) => [service, Math.round(tokensPerMs), samples])
   ])
 }
 
@@ -121,7 +130,8 @@
   ReadonlyArray<readonly [string, number, readonly number[]]> | undefined,
   readonly WireUse[] | undefined,
   ReadonlyArray<readonly [string, boolean, number]> | undefined,
-  number | undefined
+  number | undefined,
+  ReadonlyArray<readonly [string, number, number]> | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -137,7 +147,7 @@
 /** Nothing for bytes of another form: an instance of another release may send them. */
 export function decodePeerMessage (bytes: Uint8Array): Maybe<PeerMessage> {
   return Maybe.encase(() => packr.unpack(bytes) as unknown).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1] = wire as Wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = []] = wire as Wire
     return {
       name,
       address,
@@ -154,6 +164,7 @@
       savedLevels,
       named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
       current: current.map(([model, version, engines]) => ({ model, version, engines })),
+      speeds: speeds.map(([service, tokensPerMs, samples]) => ({ service, tokensPerMs: Number(tokensPerMs), samples: Number(samples) })),
       stores: stores.map(([store, isSilent, incarnation]) => ({ store, isSilent, incarnation }))
     }
   }))
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -249,7 +249,8 @@
       suspects: this.suspects.toTell(this.options.clock.now()),
       ...caches.word(),
       named: this.office.desk.ages(),
-      current: this.office.desk.current()
+      current: this.office.desk.current(),
+      speeds: directory.speedsToTell()
     }
   }
 
@@ -260,11 +261,12 @@
     news.forEach(one => this.office.desk.observe(one))
   }
 
-  private hear ({ address, lease, suspects, named, current, ...caches }: PeerMessage): void {
+  private hear ({ address, lease, suspects, named, current, speeds, ...caches }: PeerMessage): void {
     this.desk.observeInstances(this.peers.count())
     this.suspects.hear(suspects, this.options.clock.now())
     this.desk.caches.hear(address, caches)
     this.hearWeights({ news: [], lease })
+    speeds.forEach(({ service, ...word }) => this.desk.directory.prefillSpeedOf(service).hear(word))
     named.forEach(news => this.office.desk.observeNamed(news))
     current.forEach(news => this.office.desk.observeCurrent(news))
   }
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
@@ -19,7 +19,7 @@
     engine.outstanding = outstanding
   }
   const weights = { outdatedSince: () => clock.now() - outdatedMs }
-  const choice = ServerChoice.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, use: FleetUse.create(clock), fetchWaitMs: () => 0, stores: () => [], weights, weightsBoundMs: BOUND_MS })
+  const choice = ServerChoice.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, use: FleetUse.create(clock), levelSupply: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 0 }), stores: () => [], weights, weightsBoundMs: BOUND_MS })
   return choice.place(exchangeAt(clock.now()), { failed: new Set(), wasMisdirected: false }) !== undefined
 }
 
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -6,6 +6,7 @@
 import { promptKeyOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
 import type { CacheStore } from '../model/routing.js'
+import type { LevelSupply } from '../cache/levelSupply.js'
 import type { FleetUse } from '../peers/fleetUse.js'
 import type { WeightsDesk } from '../weights/weightsDesk.js'
 import type { KnownServer } from './knownServer.js'
@@ -34,6 +35,9 @@
 /** Requests that filled an engine end within this, and an order to change weights is under way for about as long, milliseconds. */
 const REFUSING_MS = 500
 
+/** A plain request's work before any was seen, milliseconds. */
+const FIRST_WORK_MS = 20
+
 const nobody: ReadonlySet<string> = new Set()
 
 /** A server whose faults cost more than this takes no part in gathering, milliseconds: about one fault in eight. */
@@ -55,8 +59,8 @@
   /** Stores of cached prompt levels. */
   readonly stores: () => readonly CacheStore[]
   readonly use: Pick<FleetUse, 'of'>
-  /** How long a fetch of levels with the key waits for their store's link, milliseconds. */
-  readonly fetchWaitMs: (promptKey: number, service: string) => number
+  /** How the levels of a prompt would come to an engine. */
+  readonly levelSupply: (exchange: Exchange) => LevelSupply
   readonly weights: Pick<WeightsDesk, 'outdatedSince'>
   /** After new weights were named no request may begin on older ones, milliseconds. */
   readonly weightsBoundMs: number
@@ -81,13 +85,14 @@
   }
 
   private rank (exchange: Exchange, { failed, wasMisdirected }: EarlierTries): readonly ServerOffer[] {
-    const { clock, directory, random, failureDomain, fetchWaitMs } = this.options
+    const { clock, directory, random, failureDomain, levelSupply } = this.options
     const now = clock.now()
     const ready = directory.ready(exchange.service)
     const isLong = isLongRun(exchange.prompt?.outputTokens ?? 0)
     const gathering = isLong ? this.gather(ready, exchange) : nobody
     const fit = ready.filter(server => !failed.has(server.listed.id) && server.displacedUntil <= now && this.hasFitWeights(server, exchange))
-    const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, gathering))
+    const supply = levelSupply(exchange)
+    const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, supply, gathering))
     const { promptTokens, outputTokens } = exchange.prompt ?? { promptTokens: 0, outputTokens: 0 }
     const promptKey = promptKeyOf(exchange)
     const need = {
@@ -95,7 +100,10 @@
       homeDomains: this.homeDomains(promptKey, ready),
       promptTokens,
       outputTokens,
-      fetchWaitMs: promptKey === undefined ? 0 : fetchWaitMs(promptKey, exchange.service),
+      pace: { tokensPerMs: directory.prefillSpeedOf(exchange.service).tokensPerMs, fetchMs: supply.fetchMs },
+      objectiveMs: exchange.route.objectiveMs,
+      workMs: directory.usualTimeOf(exchange.route.name).value ?? FIRST_WORK_MS,
+      fetchWaitMs: supply.waitMs,
       isLong,
       failureDomain
     }
@@ -159,7 +167,7 @@
     })))
   }
 
-  private toOffer (server: KnownServer, exchange: Exchange, gathering: ReadonlySet<string>): ServerOffer {
+  private toOffer (server: KnownServer, exchange: Exchange, supply: LevelSupply, gathering: ReadonlySet<string>): ServerOffer {
     const { clock, directory, use } = this.options
     const { listed, unreadTokens, heldTokens, refusedAt, absentUntil, changingUntil } = server
     const now = clock.now()
@@ -171,6 +179,7 @@
       slots: listed.slots,
       outstanding: this.outstandingAt(server),
       waitingTokens: unreadTokens + others.tokens,
+      missingTokens: supply.missingTokens(server),
       heldTokens: heldTokens + others.heldTokens,
       memoryTokens: directory.memoryOf(listed.service),
       isRefusing: refusedAt + REFUSING_MS > now,
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -8,10 +8,12 @@
  * former one had: it gets a `KnownServer` of its own, and whoever still holds the
  * former one, such as a request on its way there, changes only that.
  */
+import { PrefillSpeed, SETTLED_SAMPLES } from 'foxtaillever-policy/relay/prefillSpeed'
 import { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
 import { UsualTime } from 'foxtaillever-policy/relay/usualTime'
 import { ServerState, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
+import type { SpeedNews } from '../peers/peerMessage.js'
 import { incarnationHash, type KnownServer } from './knownServer.js'
 import { ServerConnections } from './serverConnections.js'
 
@@ -66,6 +68,8 @@
   /** Until when kept connections to a service's servers are not trusted, milliseconds of Unix time. */
   private readonly distrustedUntil = new Map<string, number>()
   private readonly usualTimes = new Map<string, UsualTime>()
+  /** By service. */
+  readonly prefillSpeeds = new Map<string, PrefillSpeed>()
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
   private instances = 1
@@ -251,6 +255,22 @@
     return usual
   }
 
+  /** What this instance has seen enough of to tell it. */
+  speedsToTell (): SpeedNews[] {
+    return [...this.prefillSpeeds].flatMap(([service, { tokensPerMs, samples }]) =>
+      samples >= SETTLED_SAMPLES && this.isServed(service) ? [{ service, tokensPerMs, samples }] : [])
+  }
+
+  /** How fast the engines of a service read prompts; others may tell of one that is not configured here yet. */
+  prefillSpeedOf (service: string): PrefillSpeed {
+    let speed = this.prefillSpeeds.get(service)
+    if (!speed) {
+      speed = PrefillSpeed.create()
+      this.prefillSpeeds.set(service, speed)
+    }
+    return speed
+  }
+
   /** What the faults and the slowness of a server make a request there cost, milliseconds. */
   faultCostOf ({ listed, health }: KnownServer, now: number): number {
     return health.cost(now, this.healthOf(listed.service).faultShare(now))
--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -64,6 +64,7 @@
       servers: directory.all().map(({ listed, weights, outstanding, health, changingUntil, offset }) => ({
         ...listed, weights: Object.fromEntries(weights), outstanding, offset, faultShare: health.faultShare(now), changingMs: Math.max(0, changingUntil - now)
       })),
+      reading: Object.fromEntries([...directory.prefillSpeeds].map(([service, { tokensPerMs, samples }]) => [service, { tokensPerMs, samples }])),
       instances: peers().table.all().map(({ address, last, heardAt }) => ({ address, name: last?.name, failureDomain: last?.failureDomain, heardMsAgo: now - heardAt }))
     }
   }
