Take fewer engines out for new weights while prompts wait at the others

What serves cannot read what comes.

Change: the mean wait of prompts at serving engines (told load by the observed speed) lowers how many change at once, from 2 in 7 to one; engines with weights replaced 2.5 s ago go on as fast as loads allow, so that the bound holds.

--- a/packages/foxtaillever-policy/src/relay/__tests__/planRollout.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/planRollout.test.ts
@@ -2,7 +2,7 @@
 import { LEAST_STEERED_MS, planRollout, RolloutPhase, type RolloutEngine } from '../planRollout.js'
 
 function engine (id: string, given: Partial<RolloutEngine> = {}): RolloutEngine {
-  return { id, hasWanted: false, phase: RolloutPhase.Serving, steeredMs: 0, orderedMs: 0, outdatedMs: 100, work: 6, slots: 48, ...given }
+  return { id, hasWanted: false, phase: RolloutPhase.Serving, steeredMs: 0, orderedMs: 0, outdatedMs: 100, work: 6, waitMs: 0, slots: 48, ...given }
 }
 
 function current (id: string): RolloutEngine {
@@ -77,4 +77,20 @@
     const engines = Array.from({ length: 42 }, (_, index) => engine(`e${index}`, steered))
     t.is(planRollout(engines).order.length, 12)
   })
+
+  // Four of thirteen engines have crashed under full load, and three more are taken out for new weights: what is left
+  // cannot read the prompts that come, and for ten seconds most callers get their first token late.
+  it('takes fewer engines out while prompts wait at the others, and as many as ever once the bound is near', t => {
+    const fleet = (waitMs: number, outdatedMs = 100): RolloutEngine[] => Array.from({ length: 13 }, (_, index) => engine(String(index), { waitMs, outdatedMs }))
+    t.is(planRollout(fleet(0)).steer.length, 3)
+    t.is(planRollout(fleet(130)).steer.length, 2)
+    t.is(planRollout(fleet(400)).steer.length, 1)
+    t.is(planRollout(fleet(400, 2500)).steer.length, 3)
+  })
+
+  it('counts the wait of engines that serve alone', t => {
+    const loading = Array.from({ length: 3 }, (_, index) => engine(`l${index}`, { phase: RolloutPhase.Ordered, orderedMs: 400, waitMs: 2000 }))
+    const serving = Array.from({ length: 10 }, (_, index) => engine(`s${index}`))
+    t.is(planRollout([...loading, ...serving]).steer.length, 3)
+  })
 })
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -99,8 +99,8 @@
 /** A change of weights waits for running requests and then loads, milliseconds. */
 const CHANGING_MS = 1500
 
-/** Answers on old weights earn a fifth less; waiting for so much of the objective risks about as much. */
-const OUTDATED_PART = 0.33
+/** Answers on old weights earn a fifth less; a first event expected at four fifths of the objective rather than a third risks as much by being late. */
+const OUTDATED_PART = 0.6
 
 /** From this part of the objective on a first event may be late, by what is not known of the queue before it. */
 const SAFE_PART = 0.7
--- a/packages/foxtaillever-policy/src/relay/planRollout.ts
+++ b/packages/foxtaillever-policy/src/relay/planRollout.ts
@@ -11,6 +11,10 @@
  * All engines read all prompts anew after a change, the first ones for everyone.
  * An engine that is steered before its turn to load, or stands idle for the end
  * of long runs, is missing just then; with four of six out, the other two queue.
+ *
+ * So while prompts wait at the engines that serve, as after a crash of others or
+ * in a burst, fewer change at once: a late answer loses more than one on replaced
+ * weights. Only what the bound on replaced weights asks for goes on regardless.
  */
 
 export enum RolloutPhase {
@@ -34,6 +38,8 @@
   readonly outdatedMs: number
   /** Requests on their way to it or running there. */
   readonly work: number
+  /** How long the prompts that wait there take to read, milliseconds. */
+  readonly waitMs: number
   readonly slots: number
 }
 
@@ -74,11 +80,39 @@
  */
 const OVERDUE_MS = 4000
 
+/**
+ * With weights replaced that long ago engines change as fast as loads allow, however
+ * long prompts wait: the last of thirteen, three at once and a second each, is done four
+ * seconds later, milliseconds.
+ */
+const PRESSED_OVERDUE_MS = 2500
+
 /** From this share of engines with the new weights on, the others have time. */
 const COVERED = 0.5
 
+/** Prompts that wait no longer on average are read well within any objective, milliseconds. */
+const CALM_WAIT_MS = 60
+
+/** When prompts wait so long on average, one engine fewer makes most of them late, milliseconds. */
+const PRESSED_WAIT_MS = 200
+
+/** While prompts wait, so many change at once at the least: the bound on replaced weights goes on counting. */
+const LEAST_PRESSED = 1
+
+/** How many may be out of service at once. */
+function mostAtOnce (engines: readonly RolloutEngine[]): number {
+  const most = Math.max(LEAST_AT_ONCE, Math.floor(engines.length * SHARE_AT_ONCE))
+  const serving = engines.filter(({ phase }) => phase === RolloutPhase.Serving)
+  if (serving.length === 0 || engines.some(({ hasWanted, outdatedMs }) => !hasWanted && outdatedMs >= PRESSED_OVERDUE_MS)) {
+    return most
+  }
+  const wait = serving.reduce((sum, { waitMs }) => sum + waitMs, 0) / serving.length
+  const pressure = Math.min(1, Math.max(0, (wait - CALM_WAIT_MS) / (PRESSED_WAIT_MS - CALM_WAIT_MS)))
+  return Math.max(LEAST_PRESSED, Math.round(most - pressure * (most - LEAST_PRESSED)))
+}
+
 export function planRollout (engines: readonly RolloutEngine[]): RolloutStep {
-  const atOnce = Math.max(LEAST_AT_ONCE, Math.floor(engines.length * SHARE_AT_ONCE))
+  const atOnce = mostAtOnce(engines)
   const inPhase = (phase: RolloutPhase): RolloutEngine[] => engines.filter(engine => !engine.hasWanted && engine.phase === phase).sort(compare)
   const steered = inPhase(RolloutPhase.Steered)
   const ordered = engines.filter(({ phase }) => phase === RolloutPhase.Ordered)
--- a/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
@@ -109,6 +109,7 @@
       log: RelayLog.create(Logs.create({ instance: name, level: 'fatal', clock })),
       rank: () => fleet.rankOf(this),
       outstandingAt: ({ listed }) => engines.outstandingAt(listed.id),
+      waitMsAt: () => fleet.waitMs,
       tell: news => fleet.send(this, undefined, news)
     })
     this.directory.configure(routing)
@@ -144,6 +145,8 @@
   readonly instances: Instance[]
   /** Of the next entry of the list. */
   private offset = 1000
+  /** How long prompts wait at each engine, milliseconds; may change on the way. */
+  waitMs = 0
   /** Share of the datagrams that are lost; may change on the way. */
   lostShare = USUALLY_LOST
 
--- a/packages/foxtaillever-relay/src/weights/engineChange.ts
+++ b/packages/foxtaillever-relay/src/weights/engineChange.ts
@@ -26,6 +26,9 @@
 /** Looks in a row at an idle engine without the weights, after which the order counts as lost. */
 const IDLE_LOOKS = 4
 
+/** The same where no answer came: what was carried out shows by now, and the engine stands idle. */
+const UNANSWERED_IDLE_LOOKS = 2
+
 /** An order that has not shown in the reports by then counts as lost, milliseconds. */
 const LONGEST_CHANGE_MS = 4000
 
@@ -66,6 +69,7 @@
   orderedAt: number | undefined
   private orderedVersion = Infinity
   private idleLooks = 0
+  private wasAccepted = false
   private lookAt: number
   private isCalling = false
   /** Reports in a row that did not come. */
@@ -150,8 +154,9 @@
 
   private takeAnswer (outcome: OrderAnswer): void {
     const now = this.options.clock.now()
-    if (outcome === OrderAnswer.Accepted || outcome === OrderAnswer.Unknown) {
-      this.lookAt = now + FIRST_WATCH_MS
+    this.wasAccepted = outcome === OrderAnswer.Accepted
+    if (this.wasAccepted || outcome === OrderAnswer.Unknown) {
+      this.lookAt = this.wasAccepted ? now + FIRST_WATCH_MS : now
       return
     }
     this.orderedAt = undefined
@@ -170,7 +175,7 @@
     }
     this.lookAt = now + WATCH_MS
     this.idleLooks = report.isBusy ? 0 : this.idleLooks + 1
-    if (this.idleLooks >= IDLE_LOOKS || now >= this.orderedAt + LONGEST_CHANGE_MS) {
+    if (this.idleLooks >= (this.wasAccepted ? IDLE_LOOKS : UNANSWERED_IDLE_LOOKS) || now >= this.orderedAt + LONGEST_CHANGE_MS) {
       this.orderedAt = undefined
     }
   }
--- a/packages/foxtaillever-relay/src/weights/weightsDesk.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsDesk.ts
@@ -43,6 +43,8 @@
   readonly rank: () => number
   /** All requests that the fleet has at the server. */
   readonly outstandingAt: (server: KnownServer) => number
+  /** How long the prompts that wait at the server take to read, milliseconds. */
+  readonly waitMsAt: (server: KnownServer) => number
   /** Told once after each look, for all engines of which there is news. */
   readonly tell: (news: readonly WeightsNews[]) => void
 }
@@ -239,7 +241,7 @@
   }
 
   private toRolloutEngine (engine: KnownServer, model: string): RolloutEngine {
-    const { clock, outstandingAt } = this.options
+    const { clock, outstandingAt, waitMsAt } = this.options
     const now = clock.now()
     const { id, slots } = engine.listed
     const change = this.changes.get(id)
@@ -251,7 +253,8 @@
       steeredMs: change ? now - change.steeredAt : 0,
       orderedMs: change?.orderedAt === undefined ? 0 : now - change.orderedAt,
       outdatedMs: now - (this.outdatedSince(model, engine.weights.get(model) ?? 0) ?? now),
-      work: change?.running ?? outstandingAt(engine)
+      work: change?.running ?? outstandingAt(engine),
+      waitMs: waitMsAt(engine)
     }
   }
 
