Keep prompts at their homes where no store keeps levels

Without a store a level counted as read anew everywhere, at its home too, so that a home was worth nothing. Elsewhere it has to be read: that is its cost.

--- a/packages/foxtaillever-relay/src/cache/levelSupply.ts
+++ b/packages/foxtaillever-relay/src/cache/levelSupply.ts
@@ -7,7 +7,7 @@
 import type { CacheUse } from './cacheUse.js'
 
 export interface LevelSupply {
-  /** Moving the deepest shared level within a failure domain, milliseconds; 0 without a store. */
+  /** Until an engine has the deepest shared level that another has read, milliseconds: moved from a store within a failure domain, read without one. */
   readonly fetchMs: number
   /** How long a fetch waits for the store's link, milliseconds. */
   readonly waitMs: number
@@ -17,7 +17,7 @@
 
 const nothing: LevelSupply = { fetchMs: 0, waitMs: 0, missingTokens: () => 0 }
 
-export function levelSupplyOf (exchange: Exchange, { services }: Routing, caches: Pick<CacheUse, 'available' | 'fetchLoad' | 'savedLevels'>, now: number): LevelSupply {
+export function levelSupplyOf (exchange: Exchange, { services }: Routing, caches: Pick<CacheUse, 'available' | 'fetchLoad' | 'savedLevels'>, now: number, tokensPerMs: number): LevelSupply {
   const { prompt, service } = exchange
   const key = promptKeyOf(exchange)
   if (prompt === undefined || key === undefined) {
@@ -26,7 +26,8 @@
   const store = homeOf(key, caches.available())
   const tokenBytes = services.get(service)?.engine?.tokenBytes
   if (store === undefined || tokenBytes === undefined) {
-    return { ...nothing, missingTokens: () => prompt.promptTokens }
+    const ownTokens = ownTokensOf(prompt)
+    return { fetchMs: (prompt.promptTokens - ownTokens) / tokensPerMs, waitMs: 0, missingTokens: () => ownTokens }
   }
   const msOf = (tokens: number): number => tokens * tokenBytes / store.linkBytesPerMs
   return {
