Ask for load before each choice in small fleets too

Hypothesis: eight instances hear of each other's load every 200 ms; in between all of them see the same engine idle and send there together.

A home where nobody here knows the level is worth the reading that four in ten find done there; first steps of the observed speed are half as large, since right after a start waits are others' that nobody knows of.

--- a/packages/foxtaillever-policy/src/relay/__tests__/gatherLongRuns.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/gatherLongRuns.test.ts
@@ -25,7 +25,7 @@
   })
 
   it('prefer an engine that gathers them to an idle one, but not to one with room when it is full', t => {
-    const need = { promptKey: 1, promptTokens: 800, outputTokens: 300, pace: { tokensPerMs: 110, fetchMs: 27 }, objectiveMs: 600, workMs: 20, fetchWaitMs: 0, isLong: true, failureDomain: 'a' }
+    const need = { promptKey: 1, promptTokens: 800, sharedTokens: 0, outputTokens: 300, pace: { tokensPerMs: 110, fetchMs: 27 }, objectiveMs: 600, workMs: 20, fetchWaitMs: 0, isLong: true, failureDomain: 'a' }
     const place = (outstanding: number): string | undefined =>
       placeExchange([offer('gathering', { isGathering: true, outstanding }), offer('idle', {})], need, SeededRandom.create(1))?.id
     t.is(place(20), 'gathering')
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -57,6 +57,8 @@
   /** Failure domains whose servers may be its home; undefined for all. */
   readonly homeDomains?: ReadonlySet<string> | undefined
   readonly promptTokens: number
+  /** Those of the levels that other requests share. */
+  readonly sharedTokens: number
   /** At most. */
   readonly outputTokens: number
   readonly pace: EnginePace
@@ -78,6 +80,12 @@
 /** Part of the requests that find their level at its home, and need not wait for the link there. */
 const FOUND_AT_HOME = 0.5
 
+/**
+ * Part of the requests that find a level at its home though nobody here knows of it:
+ * it was saved more than ten seconds ago, or before this instance started.
+ */
+const FOUND_UNKNOWN = 0.4
+
 /** A level that cannot be fetched in time is read again, which costs more than an answer in time earns; callers wait that long for it to be found instead, milliseconds. */
 const MOST_LINK_MS = 250
 
@@ -117,9 +125,12 @@
   return memoryTokens === 0 ? 0 : Math.max(0, over) / (FREED_PART * pace.tokensPerMs)
 }
 
-/** How much longer a request waits elsewhere than at its home because fetches wait for each other, milliseconds. */
-function linkMs ({ fetchWaitMs }: PlacementNeed, isHome: boolean): number {
-  return isHome ? 0 : Math.min(MOST_LINK_MS, fetchWaitMs * FOUND_AT_HOME)
+/** How much later the shared levels are there elsewhere than at their home, milliseconds. */
+function awayMs ({ missingTokens }: ServerOffer, { fetchWaitMs, promptTokens, sharedTokens, pace }: PlacementNeed): number {
+  const isKept = missingTokens < promptTokens
+  return isKept
+    ? pace.fetchMs + Math.min(MOST_LINK_MS, fetchWaitMs * FOUND_AT_HOME)
+    : Math.max(pace.fetchMs, FOUND_UNKNOWN * sharedTokens / pace.tokensPerMs)
 }
 
 /** Of a request without a prompt, milliseconds. */
@@ -131,8 +142,7 @@
 /** Until the first token of a request with a prompt, milliseconds, and more than that where it is likely late. */
 function promptMs (offer: ServerOffer, need: PlacementNeed, isHome: boolean): number {
   const { outstanding, waitingTokens, missingTokens } = offer
-  const { tokensPerMs, fetchMs } = need.pace
-  const expected = (waitingTokens + missingTokens) / tokensPerMs + outstanding * REQUEST_MS + memoryMs(offer, need) + (isHome ? 0 : fetchMs) + linkMs(need, isHome)
+  const expected = (waitingTokens + missingTokens) / need.pace.tokensPerMs + outstanding * REQUEST_MS + memoryMs(offer, need) + (isHome ? 0 : awayMs(offer, need))
   return expected + LATE_TIMES * Math.max(0, expected - SAFE_PART * need.objectiveMs)
 }
 
--- a/packages/foxtaillever-policy/src/relay/prefillSpeed.ts
+++ b/packages/foxtaillever-policy/src/relay/prefillSpeed.ts
@@ -23,10 +23,18 @@
 /** A shorter prompt's time says more of the steps of other requests than of reading, tokens. */
 const LEAST_TOKENS = 2000
 
-/** Steps of the logarithm: the first ones bring a guess that is wrong fourfold right within ten samples, later ones follow a drift within some forty. */
-const FIRST_STEP = 0.3
+/**
+ * Steps of the logarithm: the first ones bring a guess that is wrong fivefold right
+ * within forty samples, later ones follow a drift within some forty. Right after a
+ * start of all instances prompts wait behind others that nobody knows of yet; larger
+ * steps would take that for slow engines.
+ */
+const FIRST_STEP = 0.15
 const LAST_STEP = 0.03
 
+/** Samples after which a step is half of the first. */
+const STEP_HALVED = 8
+
 /** Samples on which an estimate rests that is as good as it gets. */
 export const SETTLED_SAMPLES = 20
 
@@ -67,7 +75,7 @@
     if (tokens < LEAST_TOKENS || ms <= SET_UP_MS) {
       return
     }
-    const step = Math.max(LAST_STEP, FIRST_STEP / (1 + this.count / 4))
+    const step = Math.max(LAST_STEP, FIRST_STEP / (1 + this.count / STEP_HALVED))
     const sample = Math.log(tokens / (ms - SET_UP_MS))
     const move = Math.max(-step, Math.min(step, sample - this.logSpeed))
     this.logSpeed = Math.min(Math.log(FASTEST), Math.max(Math.log(SLOWEST), this.logSpeed + move))
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -173,9 +173,7 @@
     const receivers = this.isLarge ? this.rounds.next(this.receivers(), LARGE_RECEIVERS) : this.receivers()
     const beatMs = this.isLarge ? MOST_BEAT_MS : Math.min(MOST_BEAT_MS, Math.max(LEAST_BEAT_MS, receivers.length / DATAGRAMS_PER_MS))
     this.link.send(receivers, this.message())
-    if (this.isLarge) {
-      this.loads.follow()
-    }
+    this.loads.follow()
     this.cancelBeat = clock.at(now + beatMs * (1 - BEAT_SPREAD * random.next()), () => this.beat())
   }
 
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -3,7 +3,7 @@
 import { gatherLongRuns, isLongRun } from 'foxtaillever-policy/relay/gatherLongRuns'
 import { rankOffers, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
 import { homeDomains } from 'foxtaillever-policy/relay/levelHome'
-import { promptKeyOf } from '../attempts/planTerms.js'
+import { ownTokensOf, promptKeyOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
 import type { CacheStore } from '../model/routing.js'
 import type { LevelSupply } from '../cache/levelSupply.js'
@@ -99,6 +99,7 @@
       promptKey,
       homeDomains: this.homeDomains(promptKey, ready),
       promptTokens,
+      sharedTokens: exchange.prompt ? promptTokens - ownTokensOf(exchange.prompt) : 0,
       outputTokens,
       pace: { tokensPerMs: directory.prefillSpeedOf(exchange.service).tokensPerMs, fetchMs: supply.fetchMs },
       objectiveMs: exchange.route.objectiveMs,
