Let requests that would be late by the queue yield to those that can be in time

Load: more prompts than the engines can read, for seconds. In the order of arrival all wait as long as the queue, and nearly all are late.

Change: a request whose first event is expected beyond 0.8 of its objective, for the queue before it, goes to the engine at once with a less urgent priority. The others' queue stays shorter than the objective; nothing is held or rejected.

--- a/packages/foxtaillever-policy/src/bench/engineFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/engineFleet.ts
@@ -8,6 +8,7 @@
 import { mixHashes } from '../placement/rendezvous.js'
 import { rankOffers, type ServerOffer } from '../relay/placeExchange.js'
 import { fadeLoad, noLoad, type ServerLoad } from '../relay/serverLoad.js'
+import { isToYield } from '../relay/yieldPriority.js'
 
 /** How an instance knows what the others put on engines. */
 export enum Knowledge {
@@ -31,6 +32,10 @@
   readonly isLinkCharged: boolean
   /** Part of the datagrams that are lost. */
   readonly loss: number
+  /** What an engine reads in a millisecond, tokens. */
+  readonly tokensPerMs?: number
+  /** Requests that would be late by the queue go behind those that can be in time. */
+  readonly isYielding?: boolean
   readonly seed: number
 }
 
@@ -40,6 +45,8 @@
   readonly p99: number
   /** Part of the requests that waited for more than the objective. */
   readonly lateShare: number
+  /** Requests a second that did not. */
+  readonly goodput: number
   /** Part of the shared levels that were read because the store's link was too busy. */
   readonly againShare: number
   /** Requests that began at the busiest engine, in times of the mean. */
@@ -56,6 +63,8 @@
   readonly engine: number
   /** When its shared level is there. */
   readonly readyAt: number
+  readonly isYielding: boolean
+  hasBegun: boolean
   unread: number
   endAt: number
 }
@@ -70,10 +79,9 @@
 }
 
 const MS = 8_000
+const TOKENS_PER_MS = 110
 /** Moving a large request's shared level, milliseconds. */
 const FETCH_MS = 27
-
-const TOKENS_PER_MS = 110
 /** A fetch that would wait longer is not begun. */
 const MOST_LINK_MS = 320
 const MEMORY = 71_780
@@ -133,14 +141,25 @@
     }
     const isRead = !kept.has(key) && !isFetched
     this.readAgain += isRead ? 1 : 0
+    const unread = kind.own + (isRead ? kind.shared : 0)
     queue.push({
-      key, own: kind.own, shared: kind.shared, runMs: kind.runMs, at: this.now, instance, engine, readyAt: isFetched ? this.linkFreeAt : this.now, unread: kind.own + (isRead ? kind.shared : 0), endAt: Infinity
+      key, own: kind.own, shared: kind.shared, runMs: kind.runMs, at: this.now, instance, engine, readyAt: isFetched ? this.linkFreeAt : this.now, isYielding: this.isToYield(instance, engine, unread), hasBegun: false, unread, endAt: Infinity
     })
   }
 
+  private isToYield (instance: number, engine: number, unread: number): boolean {
+    const { waitingTokens } = this.offerOf(engine, instance)
+    const waitMs = waitingTokens / this.tokensPerMs
+    return this.shape.isYielding === true && isToYield({ elapsedMs: 0, waitMs, readMs: unread / this.tokensPerMs, objectiveMs: OBJECTIVE_MS })
+  }
+
+  private get tokensPerMs (): number {
+    return this.shape.tokensPerMs ?? TOKENS_PER_MS
+  }
+
   private place (instance: number, key: number, promptTokens: number): number {
-    const pace = { tokensPerMs: TOKENS_PER_MS, fetchMs: FETCH_MS }
-    const need = { promptKey: key, promptTokens, outputTokens: 0, pace, objectiveMs: OBJECTIVE_MS, workMs: 0, fetchWaitMs: this.shape.isLinkCharged ? Math.max(0, this.linkFreeAt - this.now) : 0, isLong: false, failureDomain: `${instance % 3}` }
+    const pace = { tokensPerMs: this.tokensPerMs, fetchMs: FETCH_MS }
+    const need = { promptKey: key, promptTokens, sharedTokens: 0, outputTokens: 0, pace, objectiveMs: OBJECTIVE_MS, workMs: 0, fetchWaitMs: this.shape.isLinkCharged ? Math.max(0, this.linkFreeAt - this.now) : 0, isLong: false, failureDomain: `${instance % 3}` }
     const rank = (): readonly ServerOffer[] => rankOffers(this.engines.map((_, index) => this.offerOf(index, instance)), need, this.random)
     if (this.shape.knowledge === Knowledge.Asked) {
       rank().slice(0, 2).filter(() => this.random.next() >= this.shape.loss * 2).forEach(({ id }) => this.ask(instance, Number(id)))
@@ -169,7 +188,7 @@
 
   private loadOf (engine: number, counts: (request: Request) => boolean): ServerLoad {
     const { queue, running } = this.engines[engine] as Engine
-    return sum([...queue, ...running].filter(counts).map(({ own, shared, unread }) => ({ outstanding: 1, tokens: unread, heldTokens: own + shared })))
+    return sum([...queue, ...running].filter(counts).map(({ own, shared, unread, isYielding }) => ({ outstanding: 1, tokens: isYielding ? 0 : unread, heldTokens: own + shared })))
   }
 
   /** Each instance in its own millisecond of the period. */
@@ -201,15 +220,16 @@
         running.splice(index, 1)
       }
     }
-    let left = TOKENS_PER_MS
+    let left = this.tokensPerMs
     for (;;) {
-      const place = queue.findIndex(({ readyAt }) => readyAt <= this.now)
+      const place = this.nextIn(queue)
       const first = queue[place]
       if (left <= 0 || first === undefined || !this.hasRoom(engine, first)) {
         return
       }
       const read = Math.min(left, first.unread)
       first.unread -= read
+      first.hasBegun = true
       left -= read
       if (first.unread > 0) {
         return
@@ -225,6 +245,15 @@
     }
   }
 
+  /** The one being read goes on; of the others those that yield come last. */
+  private nextIn (queue: readonly Request[]): number {
+    const isReady = ({ readyAt }: Request): boolean => readyAt <= this.now
+    const rank = (request: Request): number => request.hasBegun ? 0 : request.isYielding ? 2 : 1
+    const ready = queue.filter(isReady)
+    const first = ready.reduce((best, request) => Math.min(best, rank(request)), Infinity)
+    return queue.findIndex(request => isReady(request) && rank(request) === first)
+  }
+
   private hasRoom ({ running, offer }: Engine, { own, shared }: Request): boolean {
     return running.length < offer.slots && held(running) + own + shared <= MEMORY
   }
@@ -238,6 +267,7 @@
       p50: at(0.5),
       p99: at(0.99),
       lateShare: (sorted.filter(wait => wait > OBJECTIVE_MS).length + unanswered) / (sorted.length + unanswered),
+      goodput: sorted.filter(wait => wait <= OBJECTIVE_MS).length * 1000 / MS,
       againShare: this.readAgain / sorted.length,
       spread: Math.max(...begun) * begun.length / sorted.length
     }
--- a/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
+++ b/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
@@ -37,7 +37,7 @@
     const listed = { id: 'e', startedAt: 0, service: 'engines', address: '127.0.0.1:1', failureDomain, slots: 32, state: ServerState.Ready, coldLeftMs: 0, weights: new Map<string, number>() }
     const levels = [{ id: 'root', tokens: 2520 }, { id: `subject ${subject}`, tokens: 3780 }, { id: `own ${request}`, tokens: OWN_TOKENS }]
     const exchange = exchangeAt(now, { prompt: { model: 'model', levels, promptTokens: 9190, outputTokens: 10 } })
-    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, stores: routing.cacheStores.filter(({ address }) => !this.silent.has(address)), savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, now })
+    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, stores: routing.cacheStores.filter(({ address }) => !this.silent.has(address)), savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, tokensBefore: 0, tokensPerMs: 110, now })
   }
 }
 
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -3,6 +3,7 @@
 import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { homeOf } from 'foxtaillever-policy/relay/levelHome'
 import { linkTokens, mayFetch, maySave } from 'foxtaillever-policy/relay/useCacheStore'
+import { isToYield, LAST_PRIORITY, yieldPriority, type ExpectedStart } from 'foxtaillever-policy/relay/yieldPriority'
 import type { FetchLoad } from '../cache/fetchLoad.js'
 import type { Exchange, Prompt } from '../model/exchange.js'
 import type { CacheStore, Routing } from '../model/routing.js'
@@ -12,9 +13,6 @@
 /** Priority of requests whose route names none. */
 const MIDDLE_PRIORITY = 5
 
-/** Least urgent priority of the engines. */
-const LAST_PRIORITY = 9
-
 /**
  * Identity under which levels are cached. Neither engines nor stores say under
  * which weights a level was made, and they check no account: so both are part
@@ -63,24 +61,41 @@
   readonly stores: readonly CacheStore[]
   readonly savedLevels: SavedLevels
   readonly fetchLoad: FetchLoad
+  /** Prompt tokens before it at the server. */
+  readonly tokensBefore: number
+  /** What the engines of the service read in a millisecond. */
+  readonly tokensPerMs: number
   /** Milliseconds of Unix time. */
   readonly now: number
 }
 
-export function planTerms (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, resumeAfter: string, { routing, stores, savedLevels, fetchLoad, now }: TermsSources): SendTerms {
-  const { prompt, route, account, deadline } = exchange
+export function planTerms (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, resumeAfter: string, sources: TermsSources): SendTerms {
+  const { account, route, deadline } = exchange
   const priority = Math.min(LAST_PRIORITY, account?.priority ?? route.priority ?? MIDDLE_PRIORITY)
-  const common = { server: server.listed, deadline, priority, resumeAfter }
+  const levels = planLevels(exchange, server, sources)
+  const isYielding = exchange.prompt !== undefined && isToYield(expectedStart(exchange, levels.unreadTokens, sources))
+  return { ...levels, server: server.listed, deadline, resumeAfter, isYielding, priority: isYielding ? yieldPriority(priority) : priority }
+}
+
+function expectedStart ({ arrivedAt, route }: Exchange, unreadTokens: number, { tokensBefore, tokensPerMs, now }: TermsSources): ExpectedStart {
+  return { elapsedMs: now - arrivedAt, waitMs: tokensBefore / tokensPerMs, readMs: unreadTokens / tokensPerMs, objectiveMs: route.objectiveMs }
+}
+
+/** The part of the terms that concerns cached levels. */
+type LevelTerms = Pick<SendTerms, 'cacheSalt' | 'weightsVersion' | 'fetchFrom' | 'saveTo' | 'unreadTokens' | 'fetchedTokens' | 'savedLevel'>
+
+function planLevels (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, { routing, stores, savedLevels, fetchLoad, now }: TermsSources): LevelTerms {
+  const { prompt } = exchange
   const weightsVersion = prompt && server.weights.get(prompt.model)
   if (prompt === undefined || weightsVersion === undefined) {
-    return { ...common, ...noCache, cacheSalt: '', weightsVersion: undefined, unreadTokens: prompt?.promptTokens ?? 0 }
+    return { ...noCache, cacheSalt: '', weightsVersion: undefined, unreadTokens: prompt?.promptTokens ?? 0 }
   }
   const cacheSalt = cacheSaltOf(exchange, weightsVersion)
   const key = promptKeyOf(exchange)
   const store = key === undefined ? undefined : homeOf(key, stores)
   const tokenBytes = routing.services.get(exchange.service)?.engine?.tokenBytes
   if (store === undefined || tokenBytes === undefined) {
-    return { ...common, ...noCache, cacheSalt, weightsVersion, unreadTokens: prompt.promptTokens }
+    return { ...noCache, cacheSalt, weightsVersion, unreadTokens: prompt.promptTokens }
   }
   const level = savedLevelOf(exchange, prompt, weightsVersion, store)
   const isFar = store.failureDomain !== server.listed.failureDomain
@@ -90,7 +105,6 @@
   const isFound = isFetched && savedLevels.has(level, now)
   const isSaved = maySave(link) && savedLevels.take(level, now)
   return {
-    ...common,
     cacheSalt,
     weightsVersion,
     fetchFrom: isFetched ? store.address : '',
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -106,7 +106,15 @@
     this.ledger.begin(server.listed.id)
     this.head = undefined
     relay.reset()
-    const terms = planTerms(exchange, server, relay.lastEventId, { routing: context.routing(), stores: context.caches.available(), ...context.caches, now: beganAt })
+    const othersTokens = context.othersTokensAt(server)
+    const terms = planTerms(exchange, server, relay.lastEventId, {
+      ...context.caches,
+      routing: context.routing(),
+      stores: context.caches.available(),
+      tokensBefore: server.unreadTokens + othersTokens,
+      tokensPerMs: context.directory.prefillSpeedOf(exchange.service).tokensPerMs,
+      now: beganAt
+    })
     const headers = wire.createHeaders(exchange, terms, beganAt)
     const attempt = Attempt.begin({
       clock,
@@ -124,7 +132,7 @@
       }
     })
     const { savedLevels, fetchLoad } = context.caches
-    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens: context.othersTokensAt(server), savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
+    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, savedLevels, fetchLoad, watch: watchTry(context, exchange, beganAt, () => this.onSilent()) })
   }
 
   private onHead (head: AnswerHead): void {
@@ -134,7 +142,7 @@
     if (current && exchange.prompt && weightsVersion !== undefined) {
       context.directory.observeWeights(current.server, exchange.prompt.model, weightsVersion)
     }
-    if (current && exchange.prompt && head.status < 300 && !current.isChanging) {
+    if (current && exchange.prompt && head.status < 300 && !current.isChanging && !current.isYielding) {
       context.directory.prefillSpeedOf(exchange.service).observe(current.tokensToRead, head.at - current.beganAt)
     }
     current?.observeStatus(head.status, this.now)
@@ -238,7 +246,7 @@
 
   private isBetterTriedAgain (current: OpenTry): boolean {
     const { exchange, relay, ledger, context } = this
-    const isQueued = exchange.route.isStream && !this.answer.hasBegun && !current.isOvertaken
+    const isQueued = exchange.route.isStream && !this.answer.hasBegun && (!current.isOvertaken || current.isYielding)
     return !isQueued && isRepeatable(exchange) && relay.canContinue && ledger.hasTriesLeft && context.retries.canTake(exchange.service, this.now)
   }
 
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -36,7 +36,8 @@
     this.attempt = attempt
     this.server = server
     this.beganAt = beganAt
-    this.unreadTokens = terms.unreadTokens
+    // Nobody else waits for a prompt that yields. Counted, those that gather under overload would make all others yield too.
+    this.unreadTokens = terms.isYielding ? 0 : terms.unreadTokens
     server.outstanding += 1
     server.unreadTokens += this.unreadTokens
     this.tokensToRead = server.unreadTokens + options.othersTokens
@@ -57,6 +58,11 @@
     return this.options.terms.weightsVersion
   }
 
+  /** Requests that can still be in time go before it. */
+  get isYielding (): boolean {
+    return this.options.terms.isYielding
+  }
+
   /** The answer has begun. */
   begin (): void {
     const { server, beganAt } = this
--- a/packages/foxtaillever-relay/src/model/wire.ts
+++ b/packages/foxtaillever-relay/src/model/wire.ts
@@ -13,6 +13,8 @@
   /** When the server is to stop working on it, milliseconds of Unix time. */
   readonly deadline: number
   readonly priority: number
+  /** It goes behind requests that can still be in time. */
+  readonly isYielding: boolean
   /** Identity under which the engine may find and keep cached levels; empty for requests without a prompt. */
   readonly cacheSalt: string
   /** Weights that the request must run on; undefined for requests without a prompt. */
