--- a/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
+++ b/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
@@ -33,11 +33,12 @@
   readonly told = new Map<string, number>()
   readonly silent = new Set<string>()
 
-  terms (subject: number, request: number, failureDomain = 'a', now = 0): SendTerms {
+  /** @param tokensBefore that wait at the engine. */
+  terms (subject: number, request: number, failureDomain = 'a', now = 0, tokensBefore = 0): SendTerms {
     const listed = { id: 'e', startedAt: 0, service: 'engines', address: '127.0.0.1:1', failureDomain, slots: 32, state: ServerState.Ready, coldLeftMs: 0, weights: new Map<string, number>() }
     const levels = [{ id: 'root', tokens: 2520 }, { id: `subject ${subject}`, tokens: 3780 }, { id: `own ${request}`, tokens: OWN_TOKENS }]
     const exchange = exchangeAt(now, { prompt: { model: 'model', levels, promptTokens: 9190, outputTokens: 10 } })
-    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, stores: routing.cacheStores.filter(({ address }) => !this.silent.has(address)), savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, tokensBefore: 0, tokensPerMs: 110, now })
+    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, stores: routing.cacheStores.filter(({ address }) => !this.silent.has(address)), savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, tokensBefore, tokensPerMs: 110, now })
   }
 }
 
@@ -91,4 +92,15 @@
     t.deepEqual([near.fetchedTokens, near.unreadTokens, near.saveTo], [3780, OWN_TOKENS, ''])
     t.is(instance.terms(1, 3, home === 'a' ? 'b' : 'a').fetchedTokens, 2 * 3780)
   })
+
+  // The engine's queue alone takes longer than the objective. Sent like any other, the request would be late, and so
+  // would the next one behind it, which could still be in time.
+  it('let a request that the queue makes late go behind the others, and no other', t => {
+    const { objectiveMs } = exchangeAt(0).route
+    const instance = new Instance()
+    const [idle, full] = [instance.terms(1, 1), instance.terms(2, 2, 'a', 0, objectiveMs * 110)]
+    t.false(idle.isYielding)
+    t.true(full.isYielding)
+    t.is(full.priority, idle.priority + 5)
+  })
 })
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -77,7 +77,7 @@
   return { ...levels, server: server.listed, deadline, resumeAfter, isYielding, priority: isYielding ? yieldPriority(priority) : priority }
 }
 
-function expectedStart ({ arrivedAt, route }: Exchange, unreadTokens: number, { tokensBefore, tokensPerMs, now }: TermsSources): ExpectedStart {
+export function expectedStart ({ arrivedAt, route }: Exchange, unreadTokens: number, { tokensBefore, tokensPerMs, now }: Pick<TermsSources, 'tokensBefore' | 'tokensPerMs' | 'now'>): ExpectedStart {
   return { elapsedMs: now - arrivedAt, waitMs: tokensBefore / tokensPerMs, readMs: unreadTokens / tokensPerMs, objectiveMs: route.objectiveMs }
 }
 
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -7,7 +7,7 @@
 import { comeBackAt } from 'foxtaillever-policy/relay/comeBack'
 import { Attempt, type AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
-import { planTerms } from '../attempts/planTerms.js'
+import { expectedStart, planTerms } from '../attempts/planTerms.js'
 import { heldTokensOf, isRepeatable, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { afterwards } from './afterwards.js'
@@ -107,14 +107,12 @@
     this.head = undefined
     relay.reset()
     const othersTokens = context.othersTokensAt(server)
-    const terms = planTerms(exchange, server, relay.lastEventId, {
-      ...context.caches,
-      routing: context.routing(),
-      stores: context.caches.available(),
-      tokensBefore: server.unreadTokens + othersTokens,
-      tokensPerMs: context.directory.prefillSpeedOf(exchange.service).tokensPerMs,
-      now: beganAt
-    })
+    const { tokensPerMs } = context.directory.prefillSpeedOf(exchange.service)
+    const pace = { tokensBefore: server.unreadTokens + othersTokens, tokensPerMs, now: beganAt }
+    const terms = planTerms(exchange, server, relay.lastEventId, { ...context.caches, ...pace, routing: context.routing(), stores: context.caches.available() })
+    if (terms.isYielding) {
+      context.log.yields(exchange, server.listed.id, expectedStart(exchange, terms.unreadTokens, pace))
+    }
     const headers = wire.createHeaders(exchange, terms, beganAt)
     const attempt = Attempt.begin({
       clock,
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -3,6 +3,7 @@
  * changes what the process believes, and the figures that go with them.
  */
 import { Verdict, type Failure } from 'foxtaillever-core'
+import type { ExpectedStart } from 'foxtaillever-policy/relay/yieldPriority'
 import { Metrics, Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
@@ -54,6 +55,12 @@
     this.logs.writeFailure(Part.Requests, 'A try failed.', { request: exchange.id, server, kind, detail, verdict, connection: isOnKeptConnection === true ? 'kept' : undefined })
   }
 
+  /** The queue at its server would make it late; it goes behind those that can be in time. */
+  yields (exchange: Exchange, server: string, { waitMs, readMs, objectiveMs }: ExpectedStart): void {
+    this.metrics.count('requests_yielding_total', { route: exchange.route.name })
+    this.logs.write('info', Part.Requests, 'Yields to requests that can be in time.', { request: exchange.id, server, waitMs: Math.round(waitMs), readMs: Math.round(readMs), objectiveMs })
+  }
+
   silent (exchange: Exchange, server: string, isOnKeptConnection: boolean): void {
     const connection = isOnKeptConnection ? 'kept' : 'new'
     this.metrics.count('silent_servers_total', { connection })
--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -77,6 +77,7 @@
     metrics.gauge('configuration_revision', () => routing()?.revision ?? -1)
     metrics.gauge('known_servers', () => directory.all().length)
     metrics.gauge('known_instances', () => peers().count())
+    metrics.gauge('prefill_tokens_per_ms', () => Math.round([...directory.prefillSpeeds.values()].at(0)?.tokensPerMs ?? 0))
     metrics.gauge('store_answers', () => Number(knowledge().hasStore))
     metrics.gauge('lease_held', () => Number(lease().fence() !== undefined))
     metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
