--- a/packages/foxtaillever-policy/src/bench/largeFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/largeFleet.ts
@@ -2,7 +2,8 @@
  * Prints what callers of a large fleet get by how its instances know of load.
  * Run it with `node packages/foxtaillever-policy/dist/bench/largeFleet.js`.
  */
-import { EngineFleet, Knowledge } from './engineFleet.js'
+import { EngineFleet } from './engineFleet.js'
+import { Knowledge } from './fleetShape.js'
 
 /** One deployment of seventy instances on a calm day, and half more. */
 const RATES = [385, 600]
--- a/packages/foxtaillever-policy/src/relay/__tests__/largeFleet.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/largeFleet.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'foxtaillever-testing'
-import { EngineFleet, Knowledge, type FleetOutcome } from '../../bench/engineFleet.js'
+import { EngineFleet } from '../../bench/engineFleet.js'
+import { Knowledge, type FleetOutcome } from '../../bench/fleetShape.js'
 import { watchersOf } from '../computedWatchers.js'
 import { fadeLoad, sampleSum } from '../serverLoad.js'
 
--- a/packages/foxtaillever-policy/src/relay/__tests__/yieldPriority.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/yieldPriority.test.ts
@@ -4,7 +4,8 @@
  * every caller waits too long, though half of them could have been served in time.
  */
 import { describe, it } from 'foxtaillever-testing'
-import { EngineFleet, Knowledge, type FleetOutcome } from '../../bench/engineFleet.js'
+import { EngineFleet } from '../../bench/engineFleet.js'
+import { Knowledge, type FleetOutcome } from '../../bench/fleetShape.js'
 import { isToYield, LAST_PRIORITY, yieldPriority } from '../yieldPriority.js'
 
 /** Tokens a millisecond. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -52,7 +52,7 @@
       ...options,
       directory: this.directory,
       stores: () => this.caches.available(),
-      levelSupply: exchange => levelSupplyOf(exchange, knownRouting(options.routing()), this.caches, clock.now(), this.directory.prefillSpeedOf(exchange.service).tokensPerMs)
+      levelSupply: exchange => levelSupplyOf(exchange, knownRouting(options.routing()), this.caches, clock.now(), this.directory.experience.prefillSpeedOf(exchange.service).tokensPerMs)
     })
     this.runs = ExchangeRuns.create({
       clock,
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -7,7 +7,6 @@
 import { comeBackAt } from 'foxtaillever-policy/relay/comeBack'
 import { Attempt, type AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
-import { expectedStart, planTerms } from '../attempts/planTerms.js'
 import { heldTokensOf, isRepeatable, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { afterwards } from './afterwards.js'
@@ -16,7 +15,9 @@
 import { ExchangeEnd } from './exchangeEnd.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { observeFailure } from './observeFailure.js'
+import { observeHead } from './observeHead.js'
 import { OpenTry } from './openTry.js'
+import { planTry } from './planTry.js'
 import { TryLedger } from './tryLedger.js'
 import { watchTry } from './watchTry.js'
 
@@ -106,20 +107,14 @@
     this.ledger.begin(server.listed.id)
     this.head = undefined
     relay.reset()
-    const othersTokens = context.othersTokensAt(server)
-    const { tokensPerMs } = context.directory.prefillSpeedOf(exchange.service)
-    const pace = { tokensBefore: server.unreadTokens + othersTokens, tokensPerMs, now: beganAt }
-    const terms = planTerms(exchange, server, relay.lastEventId, { ...context.caches, ...pace, routing: context.routing(), stores: context.caches.available() })
-    if (terms.isYielding) {
-      context.log.yields(exchange, server.listed.id, expectedStart(exchange, terms.unreadTokens, pace))
-    }
+    const { terms, othersTokens } = planTry(context, exchange, server, relay.lastEventId)
     const headers = wire.createHeaders(exchange, terms, beganAt)
     const attempt = Attempt.begin({
       clock,
       wire,
       connections: server.connections,
       requestId: exchange.id,
-      leastRestedMs: isRepeatable(exchange) ? Infinity : context.directory.leastRestedMs(exchange.service, beganAt),
+      leastRestedMs: isRepeatable(exchange) ? Infinity : context.directory.experience.leastRestedMs(exchange.service, beganAt),
       connectTimeoutMs: context.connectTimeoutMs,
       call: { method: exchange.method, path: exchange.path, headers, body: exchange.body },
       listener: {
@@ -135,15 +130,9 @@
 
   private onHead (head: AnswerHead): void {
     const { exchange, context, current } = this
-    const { weightsVersion } = head.marks
-    current?.begin()
-    if (current && exchange.prompt && weightsVersion !== undefined) {
-      context.directory.observeWeights(current.server, exchange.prompt.model, weightsVersion)
-    }
-    if (current && exchange.prompt && head.status < 300 && !current.isChanging && !current.isYielding) {
-      context.directory.prefillSpeedOf(exchange.service).observe(current.tokensToRead, head.at - current.beganAt)
+    if (current) {
+      observeHead(context, exchange, current, head)
     }
-    current?.observeStatus(head.status, this.now)
     this.head = head
     this.rejectIf(this.relay.begin(head))
   }
@@ -172,7 +161,7 @@
       return
     }
     if (server && current) {
-      context.directory.observeSuccess(server, exchange.route.name, head.at - current.beganAt, this.now)
+      context.directory.experience.observeSuccess(server, exchange.route.name, head.at - current.beganAt, this.now)
       context.suspects.acquit(exchange, server.listed.id, current.beganAt, this.now)
     }
     relay.end()
@@ -238,7 +227,7 @@
     if (this.isBetterTriedAgain(current)) {
       attempt.giveUp()
     } else if (!attempt.isOnKeptConnection) {
-      context.directory.observeFault(server, this.now)
+      context.directory.experience.observeFault(server, this.now)
     }
   }
 
--- a/packages/foxtaillever-relay/src/exchange/observeFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/observeFailure.ts
@@ -10,20 +10,20 @@
   const id = server?.listed.id ?? ''
   log.attemptFailed(exchange, id, failure, verdict)
   if (server && isServersFault) {
-    directory.observeFault(server, now)
+    directory.experience.observeFault(server, now)
   }
   if (server && isRefusedConnection(failure)) {
-    directory.observeAbsent(server, now)
+    directory.experience.observeAbsent(server, now)
   }
   if (server && failure.kind === AttemptFailureKind.Misdirected && failure.serverId !== undefined && failure.serverId !== id) {
-    directory.observeDisplaced(server, now)
+    directory.experience.observeDisplaced(server, now)
   }
   if (server && failure.kind === AttemptFailureKind.Refused) {
     // It is full, or about to change its weights.
     server.refusedAt = now
   }
   if (spoilsConnections(failure)) {
-    directory.distrustKept(exchange.service, now)
+    directory.experience.distrustKept(exchange.service, now)
   }
   if (mayBeCrash(failure.kind)) {
     suspects.accuse(exchange, id, now)
--- /dev/null
+++ b/packages/foxtaillever-relay/src/exchange/planTry.ts
@@ -0,0 +1,24 @@
+/** Plans the next try of an exchange at a server, by what is known to wait there. */
+import { expectedStart, planTerms } from '../attempts/planTerms.js'
+import type { Exchange } from '../model/exchange.js'
+import type { SendTerms } from '../model/wire.js'
+import type { KnownServer } from '../servers/knownServer.js'
+import type { ExchangeContext } from './exchangeContext.js'
+
+export interface PlannedTry {
+  readonly terms: SendTerms
+  /** Prompt tokens of the other instances that the server has yet to read. */
+  readonly othersTokens: number
+}
+
+export function planTry (context: ExchangeContext, exchange: Exchange, server: KnownServer, resumeAfter: string): PlannedTry {
+  const { clock, caches, directory, log, othersTokensAt, routing } = context
+  const othersTokens = othersTokensAt(server)
+  const { tokensPerMs } = directory.experience.prefillSpeedOf(exchange.service)
+  const pace = { tokensBefore: server.unreadTokens + othersTokens, tokensPerMs, now: clock.now() }
+  const terms = planTerms(exchange, server, resumeAfter, { ...caches, ...pace, routing: routing(), stores: caches.available() })
+  if (terms.isYielding) {
+    log.yields(exchange, server.listed.id, expectedStart(exchange, terms.unreadTokens, pace))
+  }
+  return { terms, othersTokens }
+}
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -266,7 +266,7 @@
     this.suspects.hear(suspects, this.options.clock.now())
     this.desk.caches.hear(address, caches)
     this.hearWeights({ news: [], lease })
-    speeds.forEach(({ service, ...word }) => this.desk.directory.prefillSpeedOf(service).hear(word))
+    speeds.forEach(({ service, ...word }) => this.desk.directory.experience.prefillSpeedOf(service).hear(word))
     named.forEach(news => this.office.desk.observeNamed(news))
     current.forEach(news => this.office.desk.observeCurrent(news))
   }
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverDirectory.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverDirectory.test.ts
@@ -32,7 +32,7 @@
   Object.assign(former, { outstanding: 7, unreadTokens: 9000, heldTokens: 9000, refusedAt: 5, newestBegun: 5, changingUntil: 1e15, changingTo: { model: MODEL, version: 9 } })
   directory.observeWeights(former, MODEL, 4)
   for (let fault = 0; fault < 20; fault++) {
-    directory.observeFault(former, 1000)
+    directory.experience.observeFault(former, 1000)
   }
   changes.length = 0
   return { directory, former, changes }
@@ -61,7 +61,7 @@
     directory.observe(entry(NEXT, 3), 1)
     const next = current(directory)
     directory.observeWeights(former, MODEL, 8)
-    directory.observeFault(former, 1000)
+    directory.experience.observeFault(former, 1000)
     former.outstanding -= 1
     t.is(directory.ofHash(former.hash), undefined)
     t.false(directory.observeStart(next, FORMER))
--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -64,7 +64,7 @@
       servers: directory.all().map(({ listed, weights, outstanding, health, changingUntil, offset }) => ({
         ...listed, weights: Object.fromEntries(weights), outstanding, offset, faultShare: health.faultShare(now), changingMs: Math.max(0, changingUntil - now)
       })),
-      reading: Object.fromEntries([...directory.prefillSpeeds].map(([service, { tokensPerMs, samples }]) => [service, { tokensPerMs, samples }])),
+      reading: Object.fromEntries([...directory.experience.prefillSpeeds].map(([service, { tokensPerMs, samples }]) => [service, { tokensPerMs, samples }])),
       instances: peers().table.all().map(({ address, last, heardAt }) => ({ address, name: last?.name, failureDomain: last?.failureDomain, heardMsAgo: now - heardAt }))
     }
   }
@@ -77,7 +77,7 @@
     metrics.gauge('configuration_revision', () => routing()?.revision ?? -1)
     metrics.gauge('known_servers', () => directory.all().length)
     metrics.gauge('known_instances', () => peers().count())
-    metrics.gauge('prefill_tokens_per_ms', () => Math.round([...directory.prefillSpeeds.values()].at(0)?.tokensPerMs ?? 0))
+    metrics.gauge('prefill_tokens_per_ms', () => Math.round([...directory.experience.prefillSpeeds.values()].at(0)?.tokensPerMs ?? 0))
     metrics.gauge('store_answers', () => Number(knowledge().hasStore))
     metrics.gauge('lease_held', () => Number(lease().fence() !== undefined))
     metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
--- a/packages/foxtaillever-relay/src/weights/weightsDesk.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsDesk.ts
@@ -5,17 +5,14 @@
  * are told before an order leaves, so that the engine gets no request that it
  * would turn away, and told again when it has the weights.
  */
-import { waitUntil, type Clock } from 'foxtaillever-core'
+import { waitUntil } from 'foxtaillever-core'
 import { planRollout, RolloutPhase, type RolloutEngine } from 'foxtaillever-policy/relay/planRollout'
 import { ServerState } from '../model/listedServer.js'
 import type { CurrentEngines, NamedNews, WeightsNews } from '../peers/peerMessage.js'
 import type { KnownServer } from '../servers/knownServer.js'
-import type { ServerDirectory } from '../servers/serverDirectory.js'
-import type { RelayLog } from '../telemetry/relayLog.js'
 import { EngineChange } from './engineChange.js'
-import type { EngineOrders } from './engineOrders.js'
 import { NamedWeights } from './namedWeights.js'
-import type { OrderLease } from './orderLease.js'
+import type { WeightsDeskOptions } from './weightsDeskOptions.js'
 
 /** Between two looks while engines lack weights, milliseconds. */
 const LOOK_MS = 50
@@ -32,23 +29,6 @@
 /** Beats name engines with the newest weights for so long after these were named; the next are often named by then, milliseconds. */
 const TOLD_MS = 6000
 
-export interface WeightsDeskOptions {
-  readonly clock: Clock
-  readonly holder: string
-  readonly directory: ServerDirectory
-  readonly lease: OrderLease
-  readonly orders: EngineOrders
-  readonly log: RelayLog
-  /** This instance's place among those that may take the lease; 0 acts at once. */
-  readonly rank: () => number
-  /** All requests that the fleet has at the server. */
-  readonly outstandingAt: (server: KnownServer) => number
-  /** How long the prompts that wait at the server take to read, milliseconds. */
-  readonly waitMsAt: (server: KnownServer) => number
-  /** Told once after each look, for all engines of which there is news. */
-  readonly tell: (news: readonly WeightsNews[]) => void
-}
-
 export class WeightsDesk {
   private readonly named = NamedWeights.create()
   /** Changes that this instance carries out, by the engine's id. */
@@ -264,7 +244,16 @@
     if (engine) {
       const onWeights = (version: number): void => this.onWeights(engine, model, version)
       this.changes.set(id, EngineChange.create({
-        clock, engine, model, holder, orders, log, onWeights, onFenced: () => lease.drop(), onDisplaced: () => directory.observeDisplaced(engine, clock.now()), isSameStart: startedAt => directory.observeStart(engine, startedAt)
+        clock,
+        engine,
+        model,
+        holder,
+        orders,
+        log,
+        onWeights,
+        onFenced: () => lease.drop(),
+        onDisplaced: () => directory.experience.observeDisplaced(engine, clock.now()),
+        isSameStart: startedAt => directory.observeStart(engine, startedAt)
       }))
     }
   }
