--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -15,16 +15,16 @@
 import { MOST_IN_NOTICE } from './weightsNotice.js'
 
 /**
- * Between two beats of a small fleet, milliseconds. Prompts wait at an engine
- * for tens to hundreds of milliseconds: told once a second, that load is over
- * when it is heard, and placing by it is worse than not knowing it.
+ * Between two beats of a small fleet, milliseconds. They carry sums of load, for the
+ * servers that are not asked for, and prompts wait at an engine for tens to hundreds
+ * of milliseconds: told once a second, that load is over when it is heard.
  */
 const LEAST_BEAT_MS = 200
 
 /**
- * Datagrams that one instance sends in a millisecond. A beat that names nine
- * servers has 278 bytes with its headers: 50 a second are 13.9 KB/s. With more
- * receivers it beats less often, once a second at least.
+ * Datagrams that one instance sends in a millisecond. A beat has some 190 bytes with
+ * its headers: 45 a second are 8.6 KB/s. With more receivers it beats less often,
+ * once a second at least.
  */
 const DATAGRAMS_PER_MS = 0.045
 
@@ -34,7 +34,7 @@
 /** Part of a period that is drawn, so that instances started together do not send together. */
 const BEAT_SPREAD = 0.2
 
-/** In a fleet with more others, a large one, a beat goes to some of them, and load is told to computed watchers instead. */
+/** In a fleet with more others, a large one, a beat goes to some of them. */
 const MOST_RECEIVERS = 24
 
 /** Others that hear one beat of a large fleet, a second: 230 bytes, sent and received, are 7.4 KB/s; load takes another 6 on most days. */
