Give a call the time back in which this process stood still

Ruled out: reading the sockets first alone; a call that had not left when the process stood still gave the other side no time at all, as where test and server share one loop.

Before: both tests in callServer.test.ts fail.

--- a/packages/foxtaillever-core/src/clock.ts
+++ b/packages/foxtaillever-core/src/clock.ts
@@ -66,3 +66,23 @@
   })
   return () => cancel()
 }
+
+/** A timer that fires this late says that the process stood still, milliseconds; a busy loop is late by some ten. */
+const STALL_MS = 50
+
+/** Longest time that is given back after a stall, milliseconds: a call that was under way needs no more once the process runs. */
+const MOST_GIVEN_BACK_MS = 1000
+
+/**
+ * Runs the task when another process has had until the deadline to answer. Time
+ * in which this process stood still is given back once: it may not have sent its
+ * call yet, and a silence that it could not hear says nothing of the other side.
+ */
+export function atAfterSilence (clock: Clock, deadline: number, task: () => void): Cancellation {
+  let cancel = clock.at(deadline, () => {
+    const lateMs = clock.now() - deadline
+    const until = lateMs > STALL_MS ? clock.now() + Math.min(lateMs, MOST_GIVEN_BACK_MS) : deadline
+    cancel = atAfterReading(clock, until, task)
+  })
+  return () => cancel()
+}
--- a/packages/foxtaillever-relay/src/exchange/__tests__/silenceWatch.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/silenceWatch.test.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events'
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import { SystemClock } from 'foxtaillever-core'
-import { describe, it } from 'foxtaillever-testing'
+import { describe, holdUpUntil, it } from 'foxtaillever-testing'
 import { SilenceWatch } from '../silenceWatch.js'
 
 const PATIENCE_MS = 20
@@ -20,11 +20,6 @@
   return { near, far, close }
 }
 
-/** Keeps the event loop from everything until the instant has passed. */
-function holdUpUntil (clock: SystemClock, instant: number): void {
-  while (clock.now() <= instant);
-}
-
 describe('SilenceWatch', () => {
   // The process has no processor for a while, or its machine stood still. The server's answer came in time and waits
   // in the socket, but the timer is due first: the try is given up, and a request that may run once is lost.
@@ -39,7 +34,7 @@
       watch.hear()
       resolve()
     }))
-    holdUpUntil(clock, until)
+    holdUpUntil(until)
     await heard
     watch.stop()
     t.false(isSilent)
--- /dev/null
+++ b/packages/foxtaillever-relay/src/servers/__tests__/callServer.test.ts
@@ -0,0 +1,61 @@
+import { createServer, type RequestListener, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { SystemClock } from 'foxtaillever-core'
+import { describe, holdUpUntil, it } from 'foxtaillever-testing'
+import { callServer } from '../callServer.js'
+import { ServerConnections } from '../serverConnections.js'
+
+const DEADLINE_MS = 40
+
+/** Far longer than the call may take. */
+const STALL_MS = 200
+
+const call = { method: 'GET', path: '/records', headers: ['Host', 'peer'], body: Buffer.alloc(0) }
+
+/** A server in this process. */
+async function listen (answer: RequestListener): Promise<{ readonly server: Server, readonly connections: ServerConnections }> {
+  const server = createServer(answer)
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  return { server, connections: ServerConnections.create({ address: `127.0.0.1:${port}`, mostConnections: 1 }) }
+}
+
+function close (server: Server, connections: ServerConnections): void {
+  connections.close()
+  server.close()
+  server.closeAllConnections()
+}
+
+describe('callServer', () => {
+  const clock = SystemClock.create()
+
+  describe('in a process that stands still past the deadline', () => {
+    // The machine freezes or the processor is taken away while a call to the store is on its way. The timer is due
+    // before the answer is read, the store counts as dark, and requests are refused that could be served.
+    it('takes the answer that had arrived', async t => {
+      const deadline = clock.now() + DEADLINE_MS
+      const { server, connections } = await listen((_request, response) => {
+        response.end('known', () => holdUpUntil(deadline + STALL_MS))
+      })
+      const answer = callServer(connections, call, clock, deadline)
+      t.is((await answer).map(({ status }) => status).extract(), 200)
+      close(server, connections)
+    })
+
+    // As before, but the call had not left yet when the process stood still: the other side had no time at all.
+    it('leaves the other side the time that was lost', async t => {
+      const { server, connections } = await listen((_request, response) => { response.end('known') })
+      const deadline = clock.now() + DEADLINE_MS
+      const answer = callServer(connections, call, clock, deadline)
+      holdUpUntil(deadline + STALL_MS)
+      t.is((await answer).map(({ status }) => status).extract(), 200)
+      close(server, connections)
+    })
+  })
+
+  it('fails by its deadline where nothing answers', async t => {
+    const { server, connections } = await listen(() => {})
+    t.true((await callServer(connections, call, clock, clock.now() + DEADLINE_MS)).isLeft())
+    close(server, connections)
+  })
+})
--- a/packages/foxtaillever-relay/src/servers/callServer.ts
+++ b/packages/foxtaillever-relay/src/servers/callServer.ts
@@ -1,6 +1,6 @@
 /** A short call of the process itself: sent once, answered whole or failed by its deadline. */
 import type { IncomingMessage } from 'node:http'
-import { Failure, FailureCode, Verdict, type Clock } from 'foxtaillever-core'
+import { atAfterSilence, Failure, FailureCode, Verdict, type Clock } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
 import type { ServerCall, ServerConnections } from './serverConnections.js'
 
@@ -15,7 +15,7 @@
   return await new Promise(resolve => {
     let verdict = Verdict.NotRun
     const request = connections.send(call, () => { verdict = Verdict.MayHaveRun })
-    const cancelDeadline = clock.at(deadline, () => request.destroy(new Error('no answer in time')))
+    const cancelDeadline = atAfterSilence(clock, deadline, () => request.destroy(new Error('no answer in time')))
     const fail = (error: Error): void => {
       cancelDeadline()
       const code = verdict === Verdict.NotRun ? FailureCode.ConnectionRefused : FailureCode.ConnectionLost
--- a/packages/foxtaillever-testing/src/index.ts
+++ b/packages/foxtaillever-testing/src/index.ts
@@ -1,3 +1,4 @@
 /** Public surface of the test support. */
 export * from './describe.js'
+export * from './holdUpUntil.js'
 export * from './virtualClock.js'
