Start from CommonJS, without WebAssembly and without what is loaded lazily

Cause: of a start's 165 ms of processor (bare Node 48, with the four built-in modules that an entry needs 68), the loader of ECMAScript modules read every property of node:fs and node:crypto, which loads what Node keeps for later (94 of 421 ms under a profiler), and a WebAssembly hash was instantiated for numbers that plain code makes as well.

The bundle is CommonJS; hashNumber is MurmurHash3 of imurmurhash; the hash of prompt levels, which the platform's entry process never uses, stands apart from the core package's index.

--- a/packages/foxtaillever-capacity/src/members/hostedMember.ts
+++ b/packages/foxtaillever-capacity/src/members/hostedMember.ts
@@ -4,7 +4,8 @@
  */
 import { createHTTPServer } from '@trpc/server/adapters/standalone'
 import type { AddressInfo, Server } from 'node:net'
-import { hashText, SeededRandom, type Clock, type InstanceList, type LogRecord } from 'foxtaillever-core'
+import { SeededRandom, type Clock, type InstanceList, type LogRecord } from 'foxtaillever-core'
+import { hashText } from 'foxtaillever-core/hashPrompt'
 import { createPeerRouter, FactKind, Fleet, KeyRing, PEER_PATH, Permission, TrpcPeers, UdpDatagrams, type PeerSource } from 'foxtaillever-fleet'
 import type { MemberPlan, MemberSample, Started } from './orders.js'
 import type { Reachability } from './reachability.js'
--- a/packages/foxtaillever-core/src/__tests__/prompt.test.ts
+++ b/packages/foxtaillever-core/src/__tests__/hashPrompt.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { createChatPrompt, createTextPrompt } from '../prompt.js'
+import { createChatPrompt, createTextPrompt } from '../hashPrompt.js'
 
 const catalogue = { role: 'system', content: 'catalogue '.repeat(40) }
 
--- a/packages/foxtaillever-load/src/speed/measureGrowth.ts
+++ b/packages/foxtaillever-load/src/speed/measureGrowth.ts
@@ -3,7 +3,8 @@
  * prompt length: the exponent of the growth between the smallest and the largest
  * size, 1 for linear, 0 for none.
  */
-import { CHARACTERS_PER_TOKEN, createChatPrompt } from 'foxtaillever-core'
+import { CHARACTERS_PER_TOKEN } from 'foxtaillever-core'
+import { createChatPrompt } from 'foxtaillever-core/hashPrompt'
 import { createFigure, type Figure } from './figure.js'
 import type { Bench, SegmentLoad } from './bench.js'
 import { SMALL_SIZE, type SpeedSize } from './speedShape.js'
--- a/packages/foxtaillever-proof/src/platformSoak.ts
+++ b/packages/foxtaillever-proof/src/platformSoak.ts
@@ -9,7 +9,7 @@
   seed = Option.String('--seed', '1', { description: 'First seed of load and faults.' })
   seeds = Option.String('--seeds', '1', { description: 'How many seeds, one after the other.' })
   seconds = Option.String('--seconds', '20', { description: 'How long load and faults of one seed go on.' })
-  entry = Option.String('--entry', 'target/entry.mjs', { description: 'The program to run.' })
+  entry = Option.String('--entry', 'target/entry.cjs', { description: 'The program to run.' })
 
   async execute (): Promise<number> {
     let broken = 0
--- a/packages/foxtaillever-proof/src/world/wish.ts
+++ b/packages/foxtaillever-proof/src/world/wish.ts
@@ -1,5 +1,6 @@
 /** What a simulated caller wants, and the submission that comes of it. */
-import { createTextPrompt, EnginePath, PriorityClass } from 'foxtaillever-core'
+import { EnginePath, PriorityClass } from 'foxtaillever-core'
+import { createTextPrompt } from 'foxtaillever-core/hashPrompt'
 import type { Submission } from 'foxtaillever-router'
 import type { Sending } from '../oracle/oracle.js'
 
--- a/packages/foxtaillever-router/src/callers/readSubmission.ts
+++ b/packages/foxtaillever-router/src/callers/readSubmission.ts
@@ -1,9 +1,10 @@
 /** Reads a completions call into a submission, or says what is wrong with it. */
 import { createHash, randomUUID } from 'node:crypto'
 import {
-  CallerHeader, createChatPrompt, createTextPrompt, EnginePath, Failure, FailureCode, presetOf, PriorityClass,
+  CallerHeader, EnginePath, Failure, FailureCode, presetOf, PriorityClass,
   type ClientAccount, type Clock, type Configuration, type Prompt
 } from 'foxtaillever-core'
+import { createChatPrompt, createTextPrompt } from 'foxtaillever-core/hashPrompt'
 import { Left, Right, type Either } from 'purify-ts'
 import { z } from 'zod'
 import type { Submission } from '../core/request.js'
--- a/packages/foxtaillever-router/src/callers/readTakeUp.ts
+++ b/packages/foxtaillever-router/src/callers/readTakeUp.ts
@@ -1,6 +1,7 @@
 /** Reads a call that takes up a stream again, or says why it may not. */
 import { randomUUID } from 'node:crypto'
-import { createTextPrompt, Failure, FailureCode, type ClientAccount } from 'foxtaillever-core'
+import { Failure, FailureCode, type ClientAccount } from 'foxtaillever-core'
+import { createTextPrompt } from 'foxtaillever-core/hashPrompt'
 import { Left, Right, type Either } from 'purify-ts'
 import type { StreamPosition, Submission } from '../core/request.js'
 import { readDeadline, type CallContext } from './readSubmission.js'
--- a/packages/foxtaillever-router/src/core/__fixtures__/coreRig.ts
+++ b/packages/foxtaillever-router/src/core/__fixtures__/coreRig.ts
@@ -1,8 +1,9 @@
 /** The router core before engines whose every word a test speaks. */
 import {
-  AdministrativeState, createTextPrompt, emptyConfiguration, EnginePath, Failure, FailureCode, ListedKind, ListedState, PriorityClass, SeededRandom, ServerKind, Verdict,
+  AdministrativeState, emptyConfiguration, EnginePath, Failure, FailureCode, ListedKind, ListedState, PriorityClass, SeededRandom, ServerKind, Verdict,
   type Configuration, type Engine, type GenerateCall, type GenerateListener, type GenerateStream, type ResumeCall
 } from 'foxtaillever-core'
+import { createTextPrompt } from 'foxtaillever-core/hashPrompt'
 import { Grant, type ClaimRequest } from 'foxtaillever-fleet'
 import { VirtualClock } from 'foxtaillever-testing'
 import { Left, Right, type Either } from 'purify-ts'
--- a/packages/foxtaillever-standins/src/answer.ts
+++ b/packages/foxtaillever-standins/src/answer.ts
@@ -2,7 +2,8 @@
  * The answer of a stand-in engine: a function of the prompt alone, so that a
  * caller can check that an answer is whole, in order and its own.
  */
-import { hashNumber, hashText } from 'foxtaillever-core'
+import { hashNumber } from 'foxtaillever-core'
+import { hashText } from 'foxtaillever-core/hashPrompt'
 
 /** What every token of the answer to a prompt is derived from. */
 export function answerKey (prompt: string): string {
--- a/packages/foxtaillever-standins/src/engine/blockCache.ts
+++ b/packages/foxtaillever-standins/src/engine/blockCache.ts
@@ -3,7 +3,8 @@
  * account, model and weights, limited in number, evicted least recently used
  * first and in any case some seconds after their last use.
  */
-import { CHARACTERS_PER_TOKEN, hashText } from 'foxtaillever-core'
+import { CHARACTERS_PER_TOKEN } from 'foxtaillever-core'
+import { hashText } from 'foxtaillever-core/hashPrompt'
 
 export const BLOCK_TOKENS = 16
 const BLOCK_CHARACTERS = BLOCK_TOKENS * CHARACTERS_PER_TOKEN
