Fetch from the home engine where a request goes to another

A level is asked for 0.18 times a second and its save was forgotten after ten, so more than half of the requests save 9,190 tokens each: 1,400 Gbit/s for links of 1,590, which fetches share.

Now a request that goes to another engine than its home fetches from the home, over that engine's link, and only the home saves.

--- a/packages/foxtaillever-policy/src/relay/levelHome.ts
+++ b/packages/foxtaillever-policy/src/relay/levelHome.ts
@@ -35,6 +35,12 @@
   return home
 }
 
+/** The home among places of the domains; those of another domain only where there is none in these. */
+export function homeAmong<Place extends HomePlace> (key: number, domains: ReadonlySet<string> | undefined, places: readonly Place[]): Place | undefined {
+  const near = domains ? places.filter(({ failureDomain }) => domains.has(failureDomain)) : places
+  return homeOf(key, near.length > 0 ? near : places)
+}
+
 function countDomains (places: readonly HomePlace[]): Map<string, number> {
   const counts = new Map<string, number>()
   places.forEach(({ failureDomain }) => counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1))
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -9,7 +9,7 @@
  * engines and links were observed or configured to do.
  */
 import type { Random } from 'foxtaillever-core'
-import { homeOf } from './levelHome.js'
+import { homeAmong } from './levelHome.js'
 
 /** A server as one decision sees it. */
 export interface ServerOffer {
@@ -159,18 +159,9 @@
     Math.min(offer.coldLeftMs, MOST_COLD_MS)
 }
 
-/** The home among the offers; those of another failure domain only where there is none in its own. */
-function homeAmong (offers: readonly ServerOffer[], { promptKey, homeDomains }: PlacementNeed): ServerOffer | undefined {
-  if (promptKey === undefined) {
-    return undefined
-  }
-  const near = homeDomains ? offers.filter(({ failureDomain }) => homeDomains.has(failureDomain)) : offers
-  return homeOf(promptKey, near.length > 0 ? near : offers)
-}
-
 /** All offers, the cheapest first; equals in random order, so that instances do not all take the same. */
 export function rankOffers (offers: readonly ServerOffer[], need: PlacementNeed, random: Random): readonly ServerOffer[] {
-  const home = homeAmong(offers, need)
+  const home = need.promptKey === undefined ? undefined : homeAmong(need.promptKey, need.homeDomains, offers)
   return offers
     // Less than a millisecond tells nothing.
     .map(offer => ({ offer, cost: costOf(offer, need, offer === home) + random.next() }))
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -88,6 +88,7 @@
       onLoadChanged: () => {},
       askLoad: () => undefined,
       place: (_, { failed }) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
+      homeOf: () => undefined,
       onMisdirected: () => {}
     }
     this.retries.observeInstances(1)
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -61,6 +61,8 @@
   readonly stores: readonly CacheStore[]
   readonly savedLevels: SavedLevels
   readonly fetchLoad: FetchLoad
+  /** The engine that is home to the prompt's levels, if it can be read from; undefined for none. */
+  readonly home: Pick<KnownServer, 'listed' | 'weights'> | undefined
   /** Prompt tokens before it at the server. */
   readonly tokensBefore: number
   /** What the engines of the service read in a millisecond. */
@@ -84,7 +86,7 @@
 /** The part of the terms that concerns cached levels. */
 type LevelTerms = Pick<SendTerms, 'cacheSalt' | 'weightsVersion' | 'fetchFrom' | 'saveTo' | 'unreadTokens' | 'fetchedTokens' | 'savedLevel'>
 
-function planLevels (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, { routing, stores, savedLevels, fetchLoad, now }: TermsSources): LevelTerms {
+function planLevels (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, { routing, stores, home, savedLevels, fetchLoad, now }: TermsSources): LevelTerms {
   const { prompt } = exchange
   const weightsVersion = prompt && server.weights.get(prompt.model)
   if (prompt === undefined || weightsVersion === undefined) {
@@ -97,6 +99,10 @@
   if (store === undefined || tokenBytes === undefined) {
     return { ...noCache, cacheSalt, weightsVersion, unreadTokens: prompt.promptTokens }
   }
+  if (home !== undefined && home.listed.id !== server.listed.id && home.weights.get(prompt.model) === weightsVersion) {
+    // Its own link brings the levels without the store's, which all engines share; and the home is who saves them.
+    return { ...noCache, cacheSalt, weightsVersion, fetchFrom: home.listed.address, unreadTokens: ownTokensOf(prompt) }
+  }
   const level = savedLevelOf(exchange, prompt, weightsVersion, store)
   const isFar = store.failureDomain !== server.listed.failureDomain
   const link = { tokensOnTheWay: fetchLoad.tokensAt(store.address, now), tokensPerMs: store.linkBytesPerMs / tokenBytes }
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -69,6 +69,7 @@
       onLoadChanged,
       askLoad: (exchange, earlier) => exchange.prompt && askLoad(() => choice.shortlist(exchange, earlier)),
       place: (exchange, earlier) => choice.place(exchange, earlier),
+      homeOf: exchange => choice.homeOf(exchange),
       onMisdirected
     })
   }
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -19,6 +19,8 @@
   listed: ListedServer
   /** Of the incarnation: what instances call it among themselves, so that a word on the former one is not taken for this one. */
   readonly hash: number
+  /** Of its id, by which levels have their homes. */
+  readonly idHash: number
   /** Offset of the record that the entry comes from; a lower one never replaces it. */
   offset: number
   readonly connections: ServerConnections
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -1,8 +1,8 @@
 /** Gives the decision on placement what this instance knows, and takes its answer. */
-import { hashNumber, type Clock, type Random } from 'foxtaillever-core'
+import type { Clock, Random } from 'foxtaillever-core'
 import { gatherLongRuns, isLongRun } from 'foxtaillever-policy/relay/gatherLongRuns'
 import { rankOffers, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
-import { homeDomains } from 'foxtaillever-policy/relay/levelHome'
+import { homeAmong, homeDomains } from 'foxtaillever-policy/relay/levelHome'
 import { ownTokensOf, promptKeyOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
 import type { CacheStore } from '../model/routing.js'
@@ -84,6 +84,22 @@
     return this.rank(exchange, earlier).slice(0, SHORTLIST).flatMap(({ id }) => this.options.directory.get(id)?.hash ?? [])
   }
 
+  /** The engine that is home to the levels of the exchange's prompt, if it can be read from. */
+  homeOf (exchange: Exchange): KnownServer | undefined {
+    const { clock, directory } = this.options
+    const now = clock.now()
+    const promptKey = promptKeyOf(exchange)
+    if (promptKey === undefined) {
+      return undefined
+    }
+    const ready = directory.ready(exchange.service)
+    const places = ready
+      .filter(server => server.displacedUntil <= now && this.hasFitWeights(server, exchange))
+      .map(server => ({ server, hash: server.idHash, failureDomain: server.listed.failureDomain }))
+    const home = homeAmong(promptKey, this.homeDomains(promptKey, ready), places)?.server
+    return home && home.absentUntil <= now && home.changingUntil <= now ? home : undefined
+  }
+
   private rank (exchange: Exchange, { failed, wasMisdirected }: EarlierTries): readonly ServerOffer[] {
     const { clock, directory, random, failureDomain, levelSupply } = this.options
     const now = clock.now()
@@ -159,7 +175,7 @@
     const now = this.options.clock.now()
     return gatherLongRuns(servers.map(server => ({
       id: server.listed.id,
-      hash: hashNumber(server.listed.id),
+      hash: server.idHash,
       isOutdated: this.isOutdated(server, exchange),
       isOut: server.changingUntil > now || server.absentUntil > now || server.displacedUntil > now || this.options.directory.experience.faultCostOf(server, now) > FAULTY_MS,
       weightsOrder: server.weightsOrder,
@@ -175,7 +191,7 @@
     const others = use.of(server.hash)
     return {
       id: listed.id,
-      hash: hashNumber(listed.id),
+      hash: server.idHash,
       failureDomain: listed.failureDomain,
       slots: listed.slots,
       outstanding: this.outstandingAt(server),
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -8,6 +8,7 @@
  * former one had: it gets a `KnownServer` of its own, and whoever still holds the
  * former one, such as a request on its way there, changes only that.
  */
+import { hashNumber } from 'foxtaillever-core'
 import { SETTLED_SAMPLES } from 'foxtaillever-policy/relay/prefillSpeed'
 import { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
 import { ServerState, type ListedServer } from '../model/listedServer.js'
@@ -234,7 +235,7 @@
       mostConnections: this.mostConnections(listed.service)
     })
     const server: KnownServer = {
-      listed, hash: incarnationHash(listed), offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
+      listed, hash: incarnationHash(listed), idHash: hashNumber(listed.id), offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
     }
     this.servers.set(listed.id, server)
     this.byHash.set(server.hash, server)
