Choose among the servers that were asked for, and tell what their watchers can know

An instance asks for the load of a home and the next best, finds both busy, and takes a third whose word is seconds old and has faded: it looks idle.

Change: of a prompt's three best servers, which are asked for, one is taken unless none of them takes requests. With it came, each by itself: - watchers also tell which servers several instances could not reach in the last second, so that not each of 78 finds a dark engine by a caller of its own, and which levels at home there were saved, so that they are saved once; - while a home is not there all agree on the next one; - a transfer counts until the link must be through with it, not until a first event that comes seconds late; - a request that goes away from home fetches from it where the store has nothing.

--- a/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
@@ -96,6 +96,17 @@
     t.is(placeExchange(full, { ...need(42), promptTokens: 800 }, SeededRandom.create(1))?.id, home)
   })
 
+  // A home is dark. Were it still the home, each instance would send the level's requests to another engine, and the
+  // fleet would read the level as often as it has engines.
+  it('agrees on one engine while the home is not there', t => {
+    const asked = need(42, 'elsewhere')
+    const home = placeExchange(offers(), asked, SeededRandom.create(1))?.id
+    const dark = offers().map(offer => ({ ...offer, isAbsent: offer.id === home }))
+    const chosen = Array.from({ length: 20 }, (_, seed) => placeExchange(dark, asked, SeededRandom.create(seed))?.id)
+    t.is(new Set(chosen).size, 1)
+    t.not(chosen[0], home)
+  })
+
   it('leaves out an engine that has just turned a request away', t => {
     const home = placeExchange(offers(), need(42), SeededRandom.create(1))?.id
     const refusing = offers().map(offer => ({ ...offer, isRefusing: offer.id === home }))
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -159,9 +159,15 @@
     Math.min(offer.coldLeftMs, MOST_COLD_MS)
 }
 
+/** Those that are there, if any: while a home is not, all agree on the next one rather than each on another. */
+function presentAmong (offers: readonly ServerOffer[]): readonly ServerOffer[] {
+  const present = offers.filter(({ isAbsent }) => !isAbsent)
+  return present.length > 0 ? present : offers
+}
+
 /** All offers, the cheapest first; equals in random order, so that instances do not all take the same. */
 export function rankOffers (offers: readonly ServerOffer[], need: PlacementNeed, random: Random): readonly ServerOffer[] {
-  const home = need.promptKey === undefined ? undefined : homeAmong(need.promptKey, need.homeDomains, offers)
+  const home = need.promptKey === undefined ? undefined : homeAmong(need.promptKey, need.homeDomains, presentAmong(offers))
   return offers
     // Less than a millisecond tells nothing.
     .map(offer => ({ offer, cost: costOf(offer, need, offer === home) + random.next() }))
--- a/packages/foxtaillever-policy/src/relay/useCacheStore.ts
+++ b/packages/foxtaillever-policy/src/relay/useCacheStore.ts
@@ -25,14 +25,14 @@
 /** Nothing is saved while fetches wait as long, milliseconds: a save can be made up for later. */
 const MOST_SAVE_WAIT_MS = 215
 
-/**
- * A transfer counts until its request's first event, but for as long at most,
- * milliseconds: one that would wait longer is not started. That a link is slow
- * shows only in answers that stay out, so it is not cut shorter; counted without
- * an end, requests that wait for an engine in trouble would keep the link
- * looking full.
- */
-export const TRANSFER_COUNTED_MS = 2000
+/** One that would wait longer is not started, milliseconds. */
+const MOST_TRANSFER_MS = 2000
+
+/** A transfer may take that many times what the link's rate says: links are shared unevenly, and some turn slow. */
+const TRANSFER_SLACK = 2
+
+/** Until an engine has asked for a transfer and the store has begun it, milliseconds. */
+const TRANSFER_SET_UP_MS = 50
 
 /** A transfer between failure domains takes the link for this many times as long. */
 const FAR_TIMES = 2
@@ -42,6 +42,17 @@
   return isFar ? FAR_TIMES * tokens : tokens
 }
 
+/**
+ * Until when a transfer counts, milliseconds of Unix time: when those before it
+ * and its own must be through. Its request's first event ends it sooner, but says
+ * nothing when it comes late: while prompts wait for seconds at the engines,
+ * levels that were fetched long ago would keep the link looking full; then levels
+ * are read again that could be fetched, and the prompts wait for that too.
+ */
+export function transferUntil ({ tokensOnTheWay, tokensPerMs }: StoreLink, tokens: number, now: number): number {
+  return now + Math.min(MOST_TRANSFER_MS, TRANSFER_SET_UP_MS + TRANSFER_SLACK * (tokensOnTheWay + tokens) / tokensPerMs)
+}
+
 export function mayFetch ({ tokensOnTheWay, tokensPerMs }: StoreLink): boolean {
   return tokensOnTheWay <= MOST_FETCH_WAIT_MS * tokensPerMs
 }
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -86,6 +86,8 @@
       routing: () => routing,
       othersTokensAt: () => 0,
       onLoadChanged: () => {},
+      onSaved: () => {},
+      onUnreachable: () => {},
       askLoad: () => undefined,
       place: (_, { failed }) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
       homeOf: () => undefined,
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -72,10 +72,3 @@
 export function spoilsConnections ({ kind, isOnKeptConnection = false }: AttemptFailure): boolean {
   return isOnKeptConnection && spoiltKinds.has(kind)
 }
-
-/** The operating system's word that nobody listens there. */
-const CONNECTION_REFUSED = 'ECONNREFUSED'
-
-export function isRefusedConnection ({ kind, detail }: AttemptFailure): boolean {
-  return kind === AttemptFailureKind.Unreachable && detail === CONNECTION_REFUSED
-}
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -2,7 +2,7 @@
 import { hashNumber } from 'foxtaillever-core'
 import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { homeOf } from 'foxtaillever-policy/relay/levelHome'
-import { linkTokens, mayFetch, maySave } from 'foxtaillever-policy/relay/useCacheStore'
+import { linkTokens, mayFetch, maySave, transferUntil } from 'foxtaillever-policy/relay/useCacheStore'
 import { isToYield, LAST_PRIORITY, yieldPriority, type ExpectedStart } from 'foxtaillever-policy/relay/yieldPriority'
 import type { FetchLoad } from '../cache/fetchLoad.js'
 import type { Exchange, Prompt } from '../model/exchange.js'
@@ -28,6 +28,15 @@
   return hashNumber(`${prompt.model}/${cacheSaltOf(exchange, weightsVersion)}/${sharedLevelOf(prompt)}@${store.address}`)
 }
 
+/** The same, where it is saved once a server reads it; undefined where it is not. */
+export function savedLevelAt (exchange: Exchange, { weights }: Pick<KnownServer, 'weights'>, stores: readonly CacheStore[]): number | undefined {
+  const { prompt } = exchange
+  const key = promptKeyOf(exchange)
+  const version = prompt && weights.get(prompt.model)
+  const store = key === undefined ? undefined : homeOf(key, stores)
+  return prompt && version !== undefined && store ? savedLevelOf(exchange, prompt, version, store) : undefined
+}
+
 /** Tokens after the levels that other requests share; a prompt of one level may be shared as a whole. */
 export function ownTokensOf ({ levels, promptTokens }: Prompt): number {
   return levels.length < 2 ? 0 : Math.min(promptTokens, levels[levels.length - 1]?.tokens ?? 0)
@@ -53,7 +62,7 @@
 }
 
 /** Terms of a try that neither fetches nor saves. */
-const noCache = { fetchFrom: '', saveTo: '', fetchedTokens: 0, savedLevel: undefined }
+const noCache = { fetchFrom: '', saveTo: '', fetchedTokens: 0, fetchUntil: 0, savedLevel: undefined }
 
 export interface TermsSources {
   readonly routing: Routing
@@ -84,7 +93,7 @@
 }
 
 /** The part of the terms that concerns cached levels. */
-type LevelTerms = Pick<SendTerms, 'cacheSalt' | 'weightsVersion' | 'fetchFrom' | 'saveTo' | 'unreadTokens' | 'fetchedTokens' | 'savedLevel'>
+type LevelTerms = Pick<SendTerms, 'cacheSalt' | 'weightsVersion' | 'fetchFrom' | 'saveTo' | 'unreadTokens' | 'fetchedTokens' | 'fetchUntil' | 'savedLevel'>
 
 function planLevels (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, { routing, stores, home, savedLevels, fetchLoad, now }: TermsSources): LevelTerms {
   const { prompt } = exchange
@@ -99,16 +108,17 @@
   if (store === undefined || tokenBytes === undefined) {
     return { ...noCache, cacheSalt, weightsVersion, unreadTokens: prompt.promptTokens }
   }
-  if (home !== undefined && home.listed.id !== server.listed.id && home.weights.get(prompt.model) === weightsVersion) {
-    // Its own link brings the levels without the store's, which all engines share; and the home is who saves them.
-    return { ...noCache, cacheSalt, weightsVersion, fetchFrom: home.listed.address, unreadTokens: ownTokensOf(prompt) }
-  }
   const level = savedLevelOf(exchange, prompt, weightsVersion, store)
   const isFar = store.failureDomain !== server.listed.failureDomain
   const link = { tokensOnTheWay: fetchLoad.tokensAt(store.address, now), tokensPerMs: store.linkBytesPerMs / tokenBytes }
   const isFetched = mayFetch(link)
   // What was saved is found at the server or fetched; what comes after it is read in any case.
   const isFound = isFetched && savedLevels.has(level, now)
+  if (!isFound && home !== undefined && home.listed.id !== server.listed.id && home.weights.get(prompt.model) === weightsVersion) {
+    // The home has the levels, or reads them for requests of its own and has them saved: a copy here would be saved in vain.
+    return { ...noCache, cacheSalt, weightsVersion, fetchFrom: home.listed.address, unreadTokens: ownTokensOf(prompt) }
+  }
+  const fetchedTokens = isFound ? linkTokens(deepestSharedTokensOf(prompt), isFar) : 0
   const isSaved = maySave(link) && savedLevels.take(level, now)
   return {
     cacheSalt,
@@ -116,7 +126,8 @@
     fetchFrom: isFetched ? store.address : '',
     saveTo: isSaved ? store.address : '',
     unreadTokens: isFound ? ownTokensOf(prompt) : prompt.promptTokens,
-    fetchedTokens: isFound ? linkTokens(deepestSharedTokensOf(prompt), isFar) : 0,
+    fetchedTokens,
+    fetchUntil: transferUntil(link, fetchedTokens, now),
     savedLevel: isSaved ? level : undefined
   }
 }
--- a/packages/foxtaillever-relay/src/cache/__tests__/fetchLoad.test.ts
+++ b/packages/foxtaillever-relay/src/cache/__tests__/fetchLoad.test.ts
@@ -1,4 +1,5 @@
 import { hashNumber } from 'foxtaillever-core'
+import { transferUntil, type StoreLink } from 'foxtaillever-policy/relay/useCacheStore'
 import { describe, it } from 'foxtaillever-testing'
 import { FetchLoad } from '../fetchLoad.js'
 
@@ -9,17 +10,31 @@
   it('counts a transfer no longer than it can take, however late the answer', t => {
     const load = FetchLoad.create(() => 0)
     for (let request = 0; request < 100; request++) {
-      load.begin('store', 3780, request * 100)
+      const now = request * 100
+      const link = { tokensOnTheWay: load.tokensAt('store', now), tokensPerMs: 400 }
+      load.begin('store', 3780, transferUntil(link, 3780, now))
     }
-    t.is(load.tokensAt('store', 10_000), 19 * 3780)
-    t.is(load.tokensAt('store', 11_900), 0)
-    t.deepEqual(load.own(11_900), [])
+    t.true(load.tokensAt('store', 10_000) <= 3780, 'the link could carry ten times as much')
+    t.is(load.tokensAt('store', 10_200), 0)
+    t.deepEqual(load.own(10_200), [])
+  })
+
+  // More is asked for than the link carries. Each transfer waits for those before it, and must count for as long.
+  it('counts transfers that wait for the link until their turn is over, for two seconds at the most', t => {
+    const load = FetchLoad.create(() => 0)
+    const link = (): StoreLink => ({ tokensOnTheWay: load.tokensAt('store', 0), tokensPerMs: 10 })
+    for (let request = 0; request < 10; request++) {
+      load.begin('store', 3780, transferUntil(link(), 3780, 0))
+    }
+    t.is(load.tokensAt('store', 500), 10 * 3780)
+    t.is(load.tokensAt('store', 1900), 8 * 3780)
+    t.is(load.tokensAt('store', 2000), 0)
   })
 
   it('counts each store by itself, with what the others told', t => {
     const load = FetchLoad.create(store => store === 'a' ? 500 : 0)
-    const transfer = load.begin('a', 1000, 0)
-    load.begin('b', 30, 0)
+    const transfer = load.begin('a', 1000, 2000)
+    load.begin('b', 30, 2000)
     t.is(load.tokensAt('a', 1), 1500)
     t.is(load.tokensAt('b', 1), 30)
     t.deepEqual(load.own(1), [{ server: hashNumber('a'), outstanding: 1, tokens: 1000, heldTokens: 0 }, { server: hashNumber('b'), outstanding: 1, tokens: 30, heldTokens: 0 }])
--- a/packages/foxtaillever-relay/src/cache/fetchLoad.ts
+++ b/packages/foxtaillever-relay/src/cache/fetchLoad.ts
@@ -5,7 +5,6 @@
  * are not counted: a level that is not saved is read again by all who ask for it.
  */
 import { hashNumber } from 'foxtaillever-core'
-import { TRANSFER_COUNTED_MS } from 'foxtaillever-policy/relay/useCacheStore'
 import type { ServerUse } from '../peers/peerMessage.js'
 
 export interface Transfer {
@@ -18,7 +17,6 @@
 }
 
 export class FetchLoad {
-  /** The oldest first. */
   private readonly transfers = new Set<Transfer>()
 
   private constructor (private readonly othersTokens: (store: string) => number) {}
@@ -43,11 +41,12 @@
     return sum
   }
 
-  begin (store: string, tokens: number, now: number): Transfer | undefined {
+  /** @param until when it must be through, milliseconds of Unix time. */
+  begin (store: string, tokens: number, until: number): Transfer | undefined {
     if (tokens <= 0) {
       return undefined
     }
-    const transfer = { store, tokens, until: now + TRANSFER_COUNTED_MS }
+    const transfer = { store, tokens, until }
     this.transfers.add(transfer)
     return transfer
   }
@@ -60,10 +59,9 @@
 
   private expire (now: number): void {
     for (const transfer of this.transfers) {
-      if (transfer.until > now) {
-        return
+      if (transfer.until <= now) {
+        this.transfers.delete(transfer)
       }
-      this.transfers.delete(transfer)
     }
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -4,10 +4,11 @@
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
 import type { CacheUse } from '../cache/cacheUse.js'
 import type { Exchange } from '../model/exchange.js'
+import type { LevelAtHome } from '../peers/loadTalk.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
-import type { EarlierTries } from '../servers/serverChoice.js'
+import type { AskedServers, EarlierTries } from '../servers/serverChoice.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { CrashSuspects } from './crashSuspects.js'
@@ -33,10 +34,14 @@
   readonly othersTokensAt: (server: KnownServer) => number
   /** What this instance puts on a server is another. */
   readonly onLoadChanged: () => void
-  /** Asks what the others put on the servers that come into question; undefined where it is known. Never fails. */
-  readonly askLoad: (exchange: Exchange, earlier: EarlierTries) => Promise<void> | undefined
+  /** The level of a prompt was saved to its store. */
+  readonly onSaved: (level: LevelAtHome) => void
+  /** A server took no connection. */
+  readonly onUnreachable: (server: KnownServer) => void
+  /** Asks what the others put on the servers that come into question, and tells which; undefined where it is known. Never fails. */
+  readonly askLoad: (exchange: Exchange, earlier: EarlierTries) => Promise<AskedServers> | undefined
   /** The server for the next try, other than those that failed it; undefined when there is none. */
-  readonly place: (exchange: Exchange, earlier: EarlierTries) => KnownServer | undefined
+  readonly place: (exchange: Exchange, earlier: EarlierTries, asked: AskedServers | undefined) => KnownServer | undefined
   /** The engine that is home to the levels of the exchange's prompt, if it can be read from. */
   readonly homeOf: (exchange: Exchange) => KnownServer | undefined
   /** A server is not what it was thought to be; the failure may name it. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -8,23 +8,35 @@
 import { RetryShare, type RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
 import { CacheUse, type CacheUseOptions } from '../cache/cacheUse.js'
 import { levelSupplyOf } from '../cache/levelSupply.js'
+import { savedLevelAt } from '../attempts/planTerms.js'
+import type { Exchange } from '../model/exchange.js'
 import type { ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
+import type { LevelAtHome } from '../peers/loadTalk.js'
+import type { KnownServer } from '../servers/knownServer.js'
 import { ServerChoice, type ServerChoiceOptions } from '../servers/serverChoice.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
-export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'onMisdirected' | 'onLoadChanged'>, Omit<CacheUseOptions, 'stores'> {
+/** What is to be known before a server is chosen. */
+export interface LoadWish {
+  /** By their hashes. */
+  readonly servers: readonly number[]
+  /** The deepest shared level of the prompt, where it is saved. */
+  readonly level: LevelAtHome | undefined
+}
+
+export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'onMisdirected' | 'onLoadChanged' | 'onSaved' | 'onUnreachable'>, Omit<CacheUseOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
   readonly log: RelayLog
   readonly retryAllowance: RetryAllowance
-  /** Asks what other instances put on the servers that a prompt's choice comes down to; undefined where it is known. Never fails. */
-  readonly askLoad: (shortlist: () => readonly number[]) => Promise<void> | undefined
+  /** Asks what other instances know of the servers that a prompt's choice comes down to; undefined where it is known. Never fails. */
+  readonly askLoad: (wish: () => LoadWish) => Promise<void> | undefined
   /** The configuration in force; undefined until one is known. */
   readonly routing: () => Routing | undefined
   /** The state of a server has changed, or it is new. */
@@ -37,8 +49,11 @@
   readonly caches: CacheUse
   readonly runs: ExchangeRuns
 
+  private readonly clock: Clock
+
   private constructor (options: ExchangeDeskOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, askLoad, onLoadChanged, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, askLoad, onLoadChanged, onSaved, onUnreachable, onMisdirected } = options
+    this.clock = clock
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
     this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
@@ -67,8 +82,17 @@
       routing: () => knownRouting(options.routing()),
       othersTokensAt: server => options.use.of(server.hash).tokens,
       onLoadChanged,
-      askLoad: (exchange, earlier) => exchange.prompt && askLoad(() => choice.shortlist(exchange, earlier)),
-      place: (exchange, earlier) => choice.place(exchange, earlier),
+      onSaved,
+      onUnreachable,
+      askLoad: (exchange, earlier) => {
+        let servers: readonly number[] = []
+        const asked = exchange.prompt && askLoad(() => {
+          servers = choice.shortlist(exchange, earlier)
+          return { servers, level: this.levelAtHome(exchange, choice.homeOf(exchange)) }
+        })
+        return asked?.then(() => new Set(servers))
+      },
+      place: (exchange, earlier, asked) => choice.place(exchange, earlier, asked),
       homeOf: exchange => choice.homeOf(exchange),
       onMisdirected
     })
@@ -83,6 +107,19 @@
     this.retries.observeInstances(count)
     this.directory.observeInstances(count)
   }
+
+  private levelAtHome (exchange: Exchange, home: KnownServer | undefined): LevelAtHome | undefined {
+    const level = home && savedLevelAt(exchange, home, this.caches.available())
+    return home && level !== undefined ? { level, home: home.hash } : undefined
+  }
+
+  /** Several instances could not reach a server; by its hash. */
+  hearUnreachable (hash: number): void {
+    const server = this.directory.ofHash(hash)
+    if (server) {
+      this.directory.experience.observeAbsent(server, this.clock.now())
+    }
+  }
 }
 
 function knownRouting (routing: Routing | undefined): Routing {
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -9,6 +9,7 @@
 import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { heldTokensOf, isRepeatable, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import type { AskedServers } from '../servers/serverChoice.js'
 import { afterwards } from './afterwards.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { CallerAnswer } from './callerAnswer.js'
@@ -79,16 +80,16 @@
 
   /** Places the next try, on fresh words of load where the fleet is large. */
   private tryNext (): void {
-    afterwards(this.context.askLoad(this.exchange, this.ledger), () => {
+    afterwards(this.context.askLoad(this.exchange, this.ledger), asked => {
       if (!this.isOver) {
-        this.tryNow()
+        this.tryNow(asked)
       }
     })
   }
 
-  private tryNow (): void {
+  private tryNow (asked: AskedServers | undefined): void {
     const { exchange, context, ledger } = this
-    const server = context.place(exchange, ledger)
+    const server = context.place(exchange, ledger, asked)
     if (!server) {
       this.fail(ledger.ranCode ?? FailureCode.NoBackendServer, 'No backend server can take the request now.')
       return
@@ -125,8 +126,9 @@
       }
     })
     const { onLoadChanged, caches: { savedLevels, fetchLoad } } = context
+    const onSaved = (level: number): void => context.onSaved({ level, home: server.hash })
     const watch = watchTry(context, exchange, beganAt, () => this.onSilent())
-    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, savedLevels, fetchLoad, watch, onLoadChanged })
+    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, savedLevels, fetchLoad, watch, onSaved, onLoadChanged })
   }
 
   private onHead (head: AnswerHead): void {
--- a/packages/foxtaillever-relay/src/exchange/observeFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/observeFailure.ts
@@ -1,10 +1,10 @@
 /** What an instance learns from a try that failed, beside what its exchange makes of it. */
-import { AttemptFailureKind, isRefusedConnection, meaningOf, mayBeCrash, spoilsConnections, type AttemptFailure } from '../attempts/attemptFailure.js'
+import { AttemptFailureKind, meaningOf, mayBeCrash, spoilsConnections, type AttemptFailure } from '../attempts/attemptFailure.js'
 import type { Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 
-export function observeFailure ({ clock, log, directory, suspects }: ExchangeContext, exchange: Exchange, server: KnownServer | undefined, failure: AttemptFailure): void {
+export function observeFailure ({ clock, log, directory, suspects, onUnreachable }: ExchangeContext, exchange: Exchange, server: KnownServer | undefined, failure: AttemptFailure): void {
   const { verdict, isServersFault } = meaningOf[failure.kind]
   const now = clock.now()
   const id = server?.listed.id ?? ''
@@ -12,8 +12,9 @@
   if (server && isServersFault) {
     directory.experience.observeFault(server, now)
   }
-  if (server && isRefusedConnection(failure)) {
+  if (server && failure.kind === AttemptFailureKind.Unreachable) {
     directory.experience.observeAbsent(server, now)
+    onUnreachable(server)
   }
   if (server && failure.kind === AttemptFailureKind.Misdirected && failure.serverId !== undefined && failure.serverId !== id) {
     directory.experience.observeDisplaced(server, now)
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -19,6 +19,8 @@
   /** Milliseconds of Unix time. */
   readonly beganAt: number
   readonly watch: SilenceWatch
+  /** The level of the prompt was saved; the server is its home. */
+  readonly onSaved: (level: number) => void
   /** The load on a server is another. */
   readonly onLoadChanged: () => void
 }
@@ -44,7 +46,7 @@
     server.unreadTokens += this.unreadTokens
     this.tokensToRead = server.unreadTokens + options.othersTokens
     server.heldTokens += heldTokens
-    this.fetch = options.fetchLoad.begin(terms.fetchFrom, terms.fetchedTokens, beganAt)
+    this.fetch = options.fetchLoad.begin(terms.fetchFrom, terms.fetchedTokens, terms.fetchUntil)
     options.onLoadChanged()
   }
 
@@ -96,6 +98,7 @@
     this.release()
     if (terms.savedLevel !== undefined && status < 300) {
       savedLevels.confirm(terms.savedLevel, now)
+      this.options.onSaved(terms.savedLevel)
     }
   }
 
--- a/packages/foxtaillever-relay/src/model/wire.ts
+++ b/packages/foxtaillever-relay/src/model/wire.ts
@@ -27,6 +27,8 @@
   readonly unreadTokens: number
   /** Tokens that the server is likely to fetch, as the link of the store feels them. */
   readonly fetchedTokens: number
+  /** When that transfer must be through, milliseconds of Unix time. */
+  readonly fetchUntil: number
   /** Hash of the shared level that is saved with it; undefined for none. */
   readonly savedLevel: number | undefined
   /** The last event that the caller has; empty for none. */
--- a/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
@@ -5,7 +5,7 @@
 import { FleetUse } from '../fleetUse.js'
 import { unpackDatagram } from '../datagram.js'
 import { encodeLoadMessage, readLoadMessage, type LoadMessage } from '../loadMessage.js'
-import { LoadTalk } from '../loadTalk.js'
+import { LoadTalk, type LevelAtHome } from '../loadTalk.js'
 import type { ServerUse } from '../peerMessage.js'
 
 /** A datagram's way, milliseconds. */
@@ -23,6 +23,10 @@
   readonly use: FleetUse
   /** Load that it puts on each server. */
   readonly own: Map<number, ServerUse>
+  /** Servers that it was told cannot be reached. */
+  readonly unreachable: Set<number>
+  /** Levels that it was told were saved. */
+  readonly saved: Set<number>
   /** Sent and received. */
   bytes: number
   /** Nothing goes in or out. */
@@ -76,9 +80,9 @@
   }
 
   /** Asks and returns what was learned. */
-  async ask ({ talk, use }: Talker, server: string): Promise<number> {
+  async ask ({ talk, use }: Talker, server: string, level?: LevelAtHome): Promise<number> {
     const waiting = new Set([server])
-    const asked = talk.ask([hashNumber(server)]).then(() => waiting.clear())
+    const asked = talk.ask([hashNumber(server)], level).then(() => waiting.clear())
     while (waiting.size > 0) {
       await this.pass(1)
     }
@@ -106,12 +110,14 @@
     const { clock } = this
     const use = FleetUse.create(clock)
     const own = new Map<number, ServerUse>()
+    const unreachable = new Set<number>()
+    const saved = new Set<number>()
     const watchers = ComputedWatchers.create()
     watchers.setMembers([address, ...others])
     const talk = LoadTalk.create({
-      clock, address, use, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), own: () => [...own.values()], onPassedOver: () => {}
+      clock, address, use, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), own: () => [...own.values()], onSaved: levels => { levels.forEach(level => saved.add(level)) }, onUnreachable: server => { unreachable.add(server) }, onPassedOver: () => {}
     })
-    return { address, talk, use, own, bytes: 0, isCut: false, cancelBeat: () => {} }
+    return { address, talk, use, own, unreachable, saved, bytes: 0, isCut: false, cancelBeat: () => {} }
   }
 
   private send (from: string, to: string, message: LoadMessage): void {
--- a/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
@@ -96,6 +96,46 @@
     fleet.stop()
   })
 
+  // An engine goes dark: it takes no connection, and a caller whose request is sent there waits for the timeout. With
+  // eighty instances each of them would have to find out by a caller of its own.
+  it('tells who is about to send to a server that others could not reach, and for a second only', async t => {
+    const fleet = await TalkFleet.start(80)
+    const [, , one, other] = cast(fleet)
+    const [third] = fleet.talkers.filter(talker => talker !== one && talker !== other) as [Talker]
+    one.talk.noteUnreachable(hashNumber(SERVER))
+    await fleet.pass(10)
+    await fleet.ask(other, SERVER)
+    t.is(other.unreachable.size, 0, 'one instance alone may be cut off itself')
+    third.talk.noteUnreachable(hashNumber(SERVER))
+    await fleet.pass(10)
+    await fleet.ask(other, SERVER)
+    t.deepEqual([...other.unreachable], [hashNumber(SERVER)])
+    other.unreachable.clear()
+    await fleet.pass(1000)
+    await fleet.ask(other, SERVER)
+    t.is(other.unreachable.size, 0)
+    fleet.stop()
+  })
+
+  // Each instance that has not heard of a save has the level saved again. With eighty of them half of the large prompts
+  // went to the store in copies, its link was full of them, and what it held was pushed out.
+  it('tells who asks for a home that a level there was saved, at once and for a while', async t => {
+    const fleet = await TalkFleet.start(80)
+    const [, , one, other] = cast(fleet)
+    const level = { level: 7, home: hashNumber(SERVER) }
+    await fleet.ask(other, SERVER, level)
+    t.is(other.saved.size, 0)
+    one.talk.noteSaved(level)
+    await fleet.pass(10)
+    await fleet.ask(other, SERVER, level)
+    t.deepEqual([...other.saved], [7])
+    other.saved.clear()
+    await fleet.pass(60_000)
+    await fleet.ask(other, SERVER, level)
+    t.is(other.saved.size, 0)
+    fleet.stop()
+  })
+
   for (const size of [81, 380]) {
     // Links of 7 Mbit/s carry answers; what grew with the fleet would crowd them out.
     it(`costs an instance of ${size} its part of the budget for control at the most, beats included`, async t => {
--- a/packages/foxtaillever-relay/src/peers/loadMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -10,6 +10,10 @@
   readonly kind: DatagramKind.LoadWord
   readonly address: string
   readonly loads: readonly ServerUse[]
+  /** Servers that took no connection from it a moment ago. */
+  readonly unreachable: readonly number[]
+  /** Prompt levels, at home at a server that the receiver watches, that it had saved to their store. */
+  readonly saved: readonly number[]
 }
 
 /** What do all others put on these servers? */
@@ -18,6 +22,8 @@
   readonly address: string
   readonly number: number
   readonly servers: readonly number[]
+  /** Prompt levels at home at one of the servers: were they saved of late? */
+  readonly levels: readonly number[]
 }
 
 export interface LoadAnswer {
@@ -25,6 +31,10 @@
   readonly address: string
   readonly number: number
   readonly loads: readonly ServerUse[]
+  /** Those of the servers that several instances could not reach of late. */
+  readonly unreachable: readonly number[]
+  /** Those of the levels that were saved of late. */
+  readonly saved: readonly number[]
 }
 
 export type LoadMessage = LoadWord | LoadQuestion | LoadAnswer
@@ -32,21 +42,22 @@
 type WireLoad = readonly [number, number, number, number]
 
 const packLoad = ({ server, outstanding, tokens, heldTokens }: ServerUse): WireLoad => [server, outstanding, tokens, heldTokens]
+const readNumbers = (wire: unknown = []): number[] => (wire as unknown[]).map(Number)
 const readLoad = ([server, outstanding, tokens, heldTokens]: WireLoad): ServerUse => ({ server, outstanding, tokens, heldTokens })
 
 export function encodeLoadMessage (message: LoadMessage): Buffer {
   const { kind, address } = message
   switch (kind) {
-    case DatagramKind.LoadWord: return packDatagram([kind, address, message.loads.map(packLoad)])
-    case DatagramKind.LoadQuestion: return packDatagram([kind, address, message.number, message.servers])
-    case DatagramKind.LoadAnswer: return packDatagram([kind, address, message.number, message.loads.map(packLoad)])
+    case DatagramKind.LoadWord: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved])
+    case DatagramKind.LoadQuestion: return packDatagram([kind, address, message.number, message.servers, message.levels])
+    case DatagramKind.LoadAnswer: return packDatagram([kind, address, message.number, message.loads.map(packLoad), message.unreachable, message.saved])
   }
 }
 
 const readers: Readonly<Record<LoadMessageKind, (address: string, rest: readonly unknown[]) => LoadMessage>> = {
-  [DatagramKind.LoadWord]: (address, [loads]) => ({ kind: DatagramKind.LoadWord, address, loads: (loads as WireLoad[]).map(readLoad) }),
-  [DatagramKind.LoadQuestion]: (address, [number, servers]) => ({ kind: DatagramKind.LoadQuestion, address, number: Number(number), servers: (servers as unknown[]).map(Number) }),
-  [DatagramKind.LoadAnswer]: (address, [number, loads]) => ({ kind: DatagramKind.LoadAnswer, address, number: Number(number), loads: (loads as WireLoad[]).map(readLoad) })
+  [DatagramKind.LoadWord]: (address, [loads, unreachable, saved]) => ({ kind: DatagramKind.LoadWord, address, loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved) }),
+  [DatagramKind.LoadQuestion]: (address, [number, servers, levels]) => ({ kind: DatagramKind.LoadQuestion, address, number: Number(number), servers: readNumbers(servers), levels: readNumbers(levels) }),
+  [DatagramKind.LoadAnswer]: (address, [number, loads, unreachable, saved]) => ({ kind: DatagramKind.LoadAnswer, address, number: Number(number), loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved) })
 }
 
 /** Nothing for a datagram of another form. */
--- a/packages/foxtaillever-relay/src/peers/loadTalk.ts
+++ b/packages/foxtaillever-relay/src/peers/loadTalk.ts
@@ -43,6 +43,21 @@
   readonly until: number
 }
 
+/** A prompt level, and the server that is its home. */
+export interface LevelAtHome {
+  readonly level: number
+  /** By its hash. */
+  readonly home: number
+}
+
+/** What is asked of one watcher. */
+interface Question {
+  readonly servers: number[]
+  readonly levels: number[]
+}
+
+type Learned = Pick<LoadAnswer, 'loads' | 'unreachable' | 'saved'>
+
 interface Pending {
   readonly waiting: Set<string>
   readonly settle: () => void
@@ -57,6 +72,10 @@
   readonly watchersOf: (server: number) => readonly string[]
   /** Load that this instance puts on each server now. */
   readonly own: () => readonly ServerUse[]
+  /** Levels were saved of late by whomever. */
+  readonly onSaved: (levels: readonly number[]) => void
+  /** Several instances could not reach a server of late. */
+  readonly onUnreachable: (server: number) => void
   /** A watcher did not answer several questions in a row. */
   readonly onPassedOver: (address: string) => void
 }
@@ -111,12 +130,26 @@
   hear (message: LoadMessage): void {
     const now = this.options.clock.now()
     switch (message.kind) {
-      case DatagramKind.LoadWord: this.watch.hear(message.address, message.loads, now); break
+      case DatagramKind.LoadWord: this.takeWord(message, now); break
       case DatagramKind.LoadQuestion: this.answer(message, now); break
-      case DatagramKind.LoadAnswer: this.learn(message, now); break
+      case DatagramKind.LoadAnswer: this.takeAnswer(message); break
     }
   }
 
+  /** A server took no connection from this instance: its watchers hear of it, and by them who is about to send there. */
+  noteUnreachable (server: number): void {
+    const { address, clock, watchersOf } = this.options
+    const word: LoadWord = { kind: DatagramKind.LoadWord, address, loads: [], unreachable: [server], saved: [] }
+    watchersOf(server).forEach(watcher => this.sendWord(watcher, word, clock.now()))
+  }
+
+  /** This instance had a level saved: the watchers of its home tell those who ask next, so that it is saved once. */
+  noteSaved ({ level, home }: LevelAtHome): void {
+    const { address, clock, watchersOf } = this.options
+    const word: LoadWord = { kind: DatagramKind.LoadWord, address, loads: [], unreachable: [], saved: [level] }
+    watchersOf(home).forEach(watcher => this.sendWord(watcher, word, clock.now()))
+  }
+
   /** Load of those of the servers that this instance is asked for, to tell everyone. */
   sums (servers: readonly number[]): ServerUse[] {
     const { address, clock } = this.options
@@ -126,31 +159,48 @@
       .filter(({ outstanding }) => outstanding > 0)
   }
 
-  /** Asks for the load of servers; resolves when all is known that will be, and never fails. */
-  async ask (servers: readonly number[]): Promise<void> {
-    const questions = new Map<string, number[]>()
-    for (const server of servers) {
-      const watcher = this.options.watchersOf(server).find(address => !this.isPassedOver(address))
-      if (watcher !== undefined) {
-        questions.set(watcher, [...questions.get(watcher) ?? [], server])
-      }
+  /**
+   * Asks for the load of servers, and whether a level was saved; resolves when all
+   * is known that will be, and never fails.
+   */
+  async ask (servers: readonly number[], level?: LevelAtHome): Promise<void> {
+    const questions = this.plan(servers, level)
+    const { address } = this.options
+    const own = questions.get(address)
+    if (own) {
+      questions.delete(address)
+      this.learn(this.answerTo(own, address))
     }
-    const { address, clock, use } = this.options
-    questions.get(address)?.forEach(server => use.learn(server, this.watch.sumOf(server, address, clock.now())))
-    questions.delete(address)
     if (questions.size > 0) {
       await this.question(questions)
     }
   }
 
-  private async question (questions: ReadonlyMap<string, readonly number[]>): Promise<void> {
+  /** What to ask whom. */
+  private plan (servers: readonly number[], level: LevelAtHome | undefined): Map<string, Question> {
+    const questions = new Map<string, Question>()
+    for (const server of new Set(level === undefined ? servers : [...servers, level.home])) {
+      const watcher = this.options.watchersOf(server).find(address => !this.isPassedOver(address))
+      if (watcher !== undefined) {
+        const question = questions.get(watcher) ?? { servers: [], levels: [] }
+        question.servers.push(server)
+        if (server === level?.home) {
+          question.levels.push(level.level)
+        }
+        questions.set(watcher, question)
+      }
+    }
+    return questions
+  }
+
+  private async question (questions: ReadonlyMap<string, Question>): Promise<void> {
     const { clock, address, send } = this.options
     const number = this.number++
     const waiting = new Set(questions.keys())
     await new Promise<void>(resolve => {
       const cancel = clock.at(clock.now() + ANSWER_MS, () => this.giveUp(number))
       this.pending.set(number, { waiting, settle: () => { cancel(); resolve() } })
-      questions.forEach((servers, watcher) => send(watcher, { kind: DatagramKind.LoadQuestion, address, number, servers }))
+      questions.forEach((question, watcher) => send(watcher, { kind: DatagramKind.LoadQuestion, address, number, ...question }))
     })
   }
 
@@ -178,17 +228,33 @@
   }
 
   /** One that missed words says nothing rather than too little; the other watcher is asked in its place. */
-  private answer ({ address: asker, number, servers }: LoadQuestion, now: number): void {
-    if (now < this.isWholeAt) {
-      return
+  private answer (question: LoadQuestion, now: number): void {
+    if (now >= this.isWholeAt) {
+      const { address, number } = question
+      this.options.send(address, { kind: DatagramKind.LoadAnswer, address: this.options.address, number, ...this.answerTo(question, address) })
     }
-    const loads = servers.map(server => ({ server, ...this.watch.sumOf(server, asker, now) }))
-    this.options.send(asker, { kind: DatagramKind.LoadAnswer, address: this.options.address, number, loads })
   }
 
-  private learn ({ address, number, loads }: LoadAnswer, now: number): void {
+  private answerTo ({ servers, levels }: Question | LoadQuestion, asker: string): Learned {
+    const now = this.options.clock.now()
+    return {
+      loads: servers.map(server => ({ server, ...this.watch.sumOf(server, asker, now) })),
+      unreachable: servers.filter(server => this.watch.isUnreachable(server, now)),
+      saved: levels.filter(level => this.watch.saved.has(level, now))
+    }
+  }
+
+  private learn ({ loads, unreachable, saved }: Learned): void {
+    const { use, onUnreachable, onSaved } = this.options
+    loads.forEach(({ server, ...load }) => use.learn(server, load))
+    unreachable.forEach(onUnreachable)
+    onSaved(saved)
+  }
+
+  private takeAnswer (answer: LoadAnswer): void {
+    const { address, number } = answer
     this.silences.delete(address)
-    loads.forEach(({ server, ...load }) => this.options.use.learn(server, load))
+    this.learn(answer)
     const pending = this.pending.get(number)
     if (pending?.waiting.delete(address) === true && pending.waiting.size === 0) {
       this.pending.delete(number)
@@ -215,7 +281,8 @@
         this.put(use, isDue, words, now)
       }
     }
-    words.forEach((loads, watcher) => this.sendWord(watcher, loads, now))
+    const { address } = this.options
+    words.forEach((loads, watcher) => this.sendWord(watcher, { kind: DatagramKind.LoadWord, address, loads, unreachable: [], saved: [] }, now))
   }
 
   private put (use: ServerUse, isForAll: boolean, words: Map<string, ServerUse[]>, now: number): void {
@@ -232,11 +299,16 @@
     }
   }
 
-  private sendWord (watcher: string, loads: readonly ServerUse[], now: number): void {
+  private takeWord ({ address, loads, unreachable, saved }: LoadWord, now: number): void {
+    this.watch.hear(address, loads, now)
+    this.watch.hearUnreachable(address, unreachable, now)
+    this.watch.saved.hear(saved, now)
+  }
+
+  private sendWord (watcher: string, word: LoadWord, now: number): void {
     const { address, send } = this.options
-    const word: LoadWord = { kind: DatagramKind.LoadWord, address, loads }
     if (watcher === address) {
-      this.watch.hear(address, loads, now)
+      this.takeWord(word, now)
     } else {
       send(watcher, word)
     }
--- a/packages/foxtaillever-relay/src/peers/loadWatch.ts
+++ b/packages/foxtaillever-relay/src/peers/loadWatch.ts
@@ -1,4 +1,5 @@
-/** Load of the servers that this instance watches, by the instances that told it. */
+/** What instances told of the servers that this one watches: their load, who could not reach them, and which levels at home there were saved. */
+import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { noLoad, type ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import type { ServerUse } from './peerMessage.js'
 
@@ -10,9 +11,19 @@
 /** Words are told again every second; without two of them the teller is gone, or another watches for it, milliseconds. */
 const TOLD_MS = 2500
 
+/** A server that took no connection is tried again after this, milliseconds: processes restart within some seconds. */
+const UNREACHABLE_MS = 1000
+
+/** One instance alone that reaches a server no more may be cut off itself. */
+const LEAST_TELLERS = 2
+
 export class LoadWatch {
   /** By the server's hash, then by the teller's address. */
   private readonly told = new Map<number, Map<string, Told>>()
+  /** Levels at home at these servers that were saved to their store. */
+  readonly saved = SavedLevels.create()
+  /** When a server could not be reached, milliseconds of Unix time; by its hash, then by the teller's address. */
+  private readonly unreached = new Map<number, Map<string, number>>()
 
   private constructor () {}
 
@@ -32,6 +43,27 @@
     }
   }
 
+  hearUnreachable (teller: string, servers: readonly number[], now: number): void {
+    for (const server of servers) {
+      const tellers = this.unreached.get(server) ?? new Map<string, number>()
+      this.unreached.set(server, tellers.set(teller, now))
+    }
+  }
+
+  /** Whether several instances could not reach the server a moment ago. */
+  isUnreachable (server: number, now: number): boolean {
+    const tellers = this.unreached.get(server)
+    tellers?.forEach((at, teller) => {
+      if (at + UNREACHABLE_MS <= now) {
+        tellers.delete(teller)
+      }
+    })
+    if (tellers?.size === 0) {
+      this.unreached.delete(server)
+    }
+    return (tellers?.size ?? 0) >= LEAST_TELLERS
+  }
+
   /** @param except the one who asks knows its own part better. */
   sumOf (server: number, except: string, now: number): ServerLoad {
     let { outstanding, tokens, heldTokens } = noLoad
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -67,6 +67,10 @@
   readonly onMessage: (message: PeerMessage) => void
   /** Load that this instance puts on each server now. */
   readonly ownUses: () => readonly ServerUse[]
+  /** Levels were saved of late by whomever. */
+  readonly onSaved: (levels: readonly number[]) => void
+  /** Several instances could not reach a server of late; by its hash. */
+  readonly onUnreachable: (server: number) => void
   /** An instance that keeps the load of servers does not answer. */
   readonly onPassedOver: (address: string) => void
   readonly onNotice: (notice: ReadNotice) => void
@@ -90,7 +94,7 @@
   private cancelBeat: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, ownUses, onPassedOver } = options
+    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, ownUses, onSaved, onUnreachable, onPassedOver } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.rounds = Rounds.create(options.random)
@@ -99,7 +103,7 @@
       clock, host, port, tell, onNotice, onWeights, onLeaseCall, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message)
     })
     this.loads = LoadTalk.create({
-      clock, address: this.address, use: this.use, own: ownUses, onPassedOver, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server)
+      clock, address: this.address, use: this.use, own: ownUses, onSaved, onUnreachable, onPassedOver, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server)
     })
   }
 
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -152,8 +152,13 @@
       ownAddress: () => this.peers.address,
       watchersOf: store => this.peers.watchers.of(store),
       onLoadChanged: () => this.peers.loads.noteChange(),
+      onUnreachable: ({ hash }) => this.peers.loads.noteUnreachable(hash),
       tellAll: () => this.peers.send(),
-      askLoad: shortlist => this.peers.loads.ask(shortlist()),
+      askLoad: wish => {
+        const { servers, level } = wish()
+        return this.peers.loads.ask(servers, level)
+      },
+      onSaved: level => this.peers.loads.noteSaved(level),
       weights: { outdatedSince: (model, version) => this.office.desk.outdatedSince(model, version) },
       routing: () => this.table?.routing,
       onServerChanged: () => this.office.desk.run(),
@@ -182,6 +187,8 @@
       tell: (topic, from) => this.knowledge.tell(topic, from),
       onMessage: message => this.hear(message),
       ownUses: () => ownUses(this.desk.directory.all()),
+      onSaved: levels => this.desk.caches.savedLevels.hear(levels, clock.now()),
+      onUnreachable: hash => this.desk.hearUnreachable(hash),
       onPassedOver: peer => this.log.belief('An instance does not answer questions of load; its second is asked.', { peer }),
       onNotice: notice => this.knowledge.hear(notice),
       onWeights: notice => this.hearWeights(notice),
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
@@ -23,6 +23,39 @@
   return choice.place(exchangeAt(clock.now()), { failed: new Set(), wasMisdirected: false }) !== undefined
 }
 
+/** The engine that is chosen of twenty, of which those that were asked for have so many tokens to read and no word tells of the others. */
+function chooseAmong (asked: ReadonlyMap<string, number>, changing: readonly string[] = []): string | undefined {
+  const clock = VirtualClock.create()
+  const directory = ServerDirectory.create({ onChanged: () => {} })
+  const use = FleetUse.create(clock)
+  for (let index = 0; index < 20; index += 1) {
+    const id = `e${index}`
+    directory.observe({ id, startedAt: 0, service: 'engines', address: `127.0.0.1:${index + 1}`, failureDomain: 'a', slots: SLOTS, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([['model', 1]]) }, index)
+    const engine = directory.get(id)
+    const tokens = asked.get(id)
+    if (engine && tokens !== undefined) {
+      use.learn(engine.hash, { outstanding: 4, tokens, heldTokens: 0 })
+      engine.changingUntil = changing.includes(id) ? Infinity : 0
+    }
+  }
+  const choice = ServerChoice.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, use, levelSupply: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 9190 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS })
+  const hashes = new Set([...asked.keys()].flatMap(id => directory.get(id)?.hash ?? []))
+  return choice.place(exchangeAt(clock.now(), { service: 'engines', prompt: { model: 'model', levels: [{ id: 'root', tokens: 6300 }, { id: 'own', tokens: 2890 }], promptTokens: 9190, outputTokens: 10 } }), { failed: new Set(), wasMisdirected: false }, hashes)?.listed.id
+}
+
+describe('the choice among many servers', () => {
+  // All engines have a queue. Those that were asked for are known to; of the others the last word is seconds old and has
+  // faded. Sent to one of these, the prompt waits as long, and its shared levels are read once more.
+  it('takes the best of those that were asked for, not one of whom nothing is known', t => {
+    t.is(chooseAmong(new Map([['e3', 30_000], ['e7', 20_000]])), 'e7')
+  })
+
+  it('takes another where none of these takes requests', t => {
+    const chosen = chooseAmong(new Map([['e3', 30_000], ['e7', 20_000]]), ['e3', 'e7'])
+    t.false(['e3', 'e7'].includes(chosen ?? ''))
+  })
+})
+
 describe('the choice of a server with replaced weights', () => {
   // A request waited two seconds in the queue of a full engine and began after the bound, on weights it must not have.
   it('reckons with the wait in the queue of a full engine', t => {
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -29,8 +29,8 @@
 /** Part of the slots from which on requests wait. */
 const QUEUEING = 0.8
 
-/** A home and the best besides: with two to choose from the fullest of 42 engines holds little more than the mean. */
-const SHORTLIST = 2
+/** A home and the two that look best besides: with two to choose from the fullest of 42 engines holds little more than the mean. */
+const SHORTLIST = 3
 
 /** Requests that filled an engine end within this, and an order to change weights is under way for about as long, milliseconds. */
 const REFUSING_MS = 500
@@ -40,9 +40,14 @@
 
 const nobody: ReadonlySet<string> = new Set()
 
+const noneAsked: AskedServers = new Set()
+
 /** A server whose faults cost more than this takes no part in gathering, milliseconds: about one fault in eight. */
 const FAULTY_MS = 100
 
+/** Hashes of servers whose load was just asked for. */
+export type AskedServers = ReadonlySet<number>
+
 /** What the earlier tries of an exchange came to. */
 export interface EarlierTries {
   /** Servers that failed it; they do not get it again. */
@@ -73,10 +78,19 @@
     return new ServerChoice(options)
   }
 
-  /** The server for the next try of an exchange, other than those that failed it. */
-  place (exchange: Exchange, earlier: EarlierTries): KnownServer | undefined {
-    const [chosen] = this.rank(exchange, earlier)
-    return chosen && this.options.directory.get(chosen.id)
+  /**
+   * The server for the next try of an exchange, other than those that failed it.
+   * One of those that were asked for, while any of them takes requests: words of
+   * the others are old and have faded. Under pressure all that were asked for are
+   * busy, and whatever was not would look idle; prompts then go anywhere but home,
+   * are read again there, and keep up the pressure by it.
+   */
+  place (exchange: Exchange, earlier: EarlierTries, asked: AskedServers = noneAsked): KnownServer | undefined {
+    const { directory } = this.options
+    const ranked = this.rank(exchange, earlier)
+    const known = ranked.find(offer => isOpen(offer) && asked.has(directory.get(offer.id)?.hash ?? 0))
+    const chosen = known ?? ranked[0]
+    return chosen && directory.get(chosen.id)
   }
 
   /** Hashes of the servers that come into question first, to ask for their load. */
@@ -94,10 +108,10 @@
     }
     const ready = directory.ready(exchange.service)
     const places = ready
-      .filter(server => server.displacedUntil <= now && this.hasFitWeights(server, exchange))
+      .filter(server => server.displacedUntil <= now && server.absentUntil <= now && this.hasFitWeights(server, exchange))
       .map(server => ({ server, hash: server.idHash, failureDomain: server.listed.failureDomain }))
     const home = homeAmong(promptKey, this.homeDomains(promptKey, ready), places)?.server
-    return home && home.absentUntil <= now && home.changingUntil <= now ? home : undefined
+    return home && home.changingUntil <= now ? home : undefined
   }
 
   private rank (exchange: Exchange, { failed, wasMisdirected }: EarlierTries): readonly ServerOffer[] {
@@ -209,3 +223,8 @@
     }
   }
 }
+
+/** Whether a request that is sent there may begin at once or wait its turn. */
+function isOpen ({ isAbsent, isChanging, isRefusing }: ServerOffer): boolean {
+  return !isAbsent && !isChanging && !isRefusing
+}
--- a/packages/foxtaillever-router/src/plain/createPlainDesk.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDesk.ts
@@ -54,6 +54,8 @@
     use: { of: () => noLoad },
     ...withoutStores,
     onLoadChanged: () => {},
+    onSaved: () => {},
+    onUnreachable: () => {},
     askLoad: () => undefined,
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
