Forget what watchers know of saves when a store comes back empty

A store that restarts has nothing; watchers that go on telling of saves there would keep its levels from being saved for ten seconds.

--- a/packages/foxtaillever-policy/src/relay/__tests__/largeFleet.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/largeFleet.test.ts
@@ -1,7 +1,8 @@
+import { hashNumber } from 'foxtaillever-core'
 import { describe, it } from 'foxtaillever-testing'
 import { EngineFleet } from '../../bench/engineFleet.js'
 import { Knowledge, type FleetOutcome } from '../../bench/fleetShape.js'
-import { watchersOf } from '../computedWatchers.js'
+import { ComputedWatchers, watchersOf } from '../computedWatchers.js'
 import { fadeLoad, sampleSum } from '../serverLoad.js'
 
 /** Seventy instances before forty-two engines, with half more than their usual load. */
@@ -48,6 +49,20 @@
     t.is(tokens, 500)
   })
 
+  // Watchers are kept between words of load. Were they kept when an instance goes, words would go where nobody is.
+  it('keeps the watchers of a server for as long as the members stay the same', t => {
+    const addresses = Array.from({ length: 70 }, (_, index) => `10.0.0.${index}:7340`)
+    const watchers = ComputedWatchers.create()
+    watchers.setMembers(addresses)
+    const [first = '', second] = watchers.of(4711)
+    t.deepEqual(watchers.of(4711), watchersOf(4711, addresses.map(address => ({ address, hash: hashNumber(address) }))).map(({ address }) => address))
+    watchers.setMembers([...addresses])
+    t.is(watchers.of(4711), watchers.of(4711))
+    watchers.setMembers(addresses.filter(address => address !== first))
+    t.is(watchers.of(4711)[0], second)
+    t.is(watchers.of(4711).length, 2)
+  })
+
   // An instance dies. If the watchers of all engines changed with it, nobody would know the load of any for a second.
   it('changes the watchers of few engines when an instance goes', t => {
     const instances = Array.from({ length: 70 }, (_, index) => ({ address: `a${index}`, hash: Math.imul(index + 1, 2_654_435_761) >>> 0 }))
--- a/packages/foxtaillever-relay/src/cache/cacheUse.ts
+++ b/packages/foxtaillever-relay/src/cache/cacheUse.ts
@@ -26,6 +26,8 @@
   readonly watchersOf: (store: number) => readonly string[]
   /** Tokens that the other instances have on their way from the store at the address. */
   readonly othersTokens: (store: string) => number
+  /** A store came back empty: what was saved there is saved no more. */
+  readonly onStoreRestarted: () => void
   /** The others are to hear of it now. */
   readonly tellAll: () => void
 }
@@ -36,6 +38,7 @@
   ownAddress: () => '',
   watchersOf: () => [''],
   othersTokens: () => 0,
+  onStoreRestarted: () => {},
   tellAll: () => {}
 }
 
@@ -76,6 +79,7 @@
     const now = this.options.clock.now()
     if (this.reach.hear(instance, stores, now)) {
       this.savedLevels.forget()
+      this.options.onStoreRestarted()
     }
     this.savedLevels.hear(savedLevels, now)
   }
--- a/packages/foxtaillever-relay/src/peers/loadTalk.ts
+++ b/packages/foxtaillever-relay/src/peers/loadTalk.ts
@@ -150,6 +150,11 @@
     watchersOf(home).forEach(watcher => this.sendWord(watcher, word, clock.now()))
   }
 
+  /** A store came back empty: nobody is told any more that a level was saved. */
+  forgetSaved (): void {
+    this.watch.saved.forget()
+  }
+
   /** Load of those of the servers that this instance is asked for, to tell everyone. */
   sums (servers: readonly number[]): ServerUse[] {
     const { address, clock } = this.options
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -159,6 +159,7 @@
         return this.peers.loads.ask(servers, level)
       },
       onSaved: level => this.peers.loads.noteSaved(level),
+      onStoreRestarted: () => this.peers.loads.forgetSaved(),
       weights: { outdatedSince: (model, version) => this.office.desk.outdatedSince(model, version) },
       routing: () => this.table?.routing,
       onServerChanged: () => this.office.desk.run(),
