Short prompts do not yield; questions of load stand apart from words

One that takes less than a twentieth of its objective to read does not yield.

A try takes what it needs of its context.

--- a/packages/foxtaillever-policy/src/relay/__tests__/yieldPriority.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/yieldPriority.test.ts
@@ -41,6 +41,13 @@
     })
   }
 
+  // A question of some hundred tokens waits behind large documents. Put behind them all, it is lost; it would have delayed
+  // each by some milliseconds.
+  it('are not short ones', t => {
+    t.false(isToYield({ elapsedMs: 0, waitMs: 900, readMs: 17, objectiveMs: 500 }))
+    t.true(isToYield({ elapsedMs: 0, waitMs: 900, readMs: 58, objectiveMs: 800 }))
+  })
+
   it('are those that wait, not those that are late by their size or have all the time', t => {
     const start = { elapsedMs: 0, waitMs: 0, readMs: 100, objectiveMs: 600 }
     t.false(isToYield(start))
--- a/packages/foxtaillever-policy/src/relay/yieldPriority.ts
+++ b/packages/foxtaillever-policy/src/relay/yieldPriority.ts
@@ -23,6 +23,13 @@
  */
 const FEASIBLE_PART = 0.8
 
+/**
+ * Part of the objective that a prompt must take to read for its yielding to help: twenty shorter ones fill an objective.
+ * What waits for seconds are large prompts; a short one before them delays each by some milliseconds, and behind them it
+ * is lost. The wait is reckoned over all that wait, though engines let the more urgent go first.
+ */
+const LEAST_READ_PART = 0.05
+
 /** How far a request that yields goes back; requests that yield keep their order among themselves. */
 const YIELD_STEP = 5
 
@@ -40,10 +47,10 @@
   readonly objectiveMs: number
 }
 
-/** Whether the queue makes it late. One that is late by its own size goes on as it is, if it need not wait. */
+/** Whether the queue makes it late. One that is late by its own size goes on as it is, if it need not wait, and so does a short one. */
 export function isToYield ({ elapsedMs, waitMs, readMs, objectiveMs }: ExpectedStart): boolean {
   const most = FEASIBLE_PART * objectiveMs
-  return waitMs > most / 2 && elapsedMs + waitMs + readMs > most
+  return readMs > LEAST_READ_PART * objectiveMs && waitMs > most / 2 && elapsedMs + waitMs + readMs > most
 }
 
 export function yieldPriority (priority: number): number {
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -13,7 +13,7 @@
 import type { ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
-import type { LevelAtHome } from '../peers/loadTalk.js'
+import type { LevelAtHome, LoadWish } from '../peers/loadQuestions.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { ServerChoice, type ServerChoiceOptions } from '../servers/serverChoice.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
@@ -21,14 +21,6 @@
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
-/** What is to be known before a server is chosen. */
-export interface LoadWish {
-  /** By their hashes. */
-  readonly servers: readonly number[]
-  /** The deepest shared level of the prompt, where it is saved. */
-  readonly level: LevelAtHome | undefined
-}
-
 export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'onMisdirected' | 'onLoadChanged' | 'onSaved' | 'onUnreachable'>, Omit<CacheUseOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
@@ -50,10 +42,12 @@
   readonly runs: ExchangeRuns
 
   private readonly clock: Clock
+  private readonly log: RelayLog
 
   private constructor (options: ExchangeDeskOptions) {
     const { clock, random, connectTimeoutMs, wire, log, suspects, askLoad, onLoadChanged, onSaved, onUnreachable, onMisdirected } = options
     this.clock = clock
+    this.log = log
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
     this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
@@ -116,8 +110,12 @@
   /** Several instances could not reach a server; by its hash. */
   hearUnreachable (hash: number): void {
     const server = this.directory.ofHash(hash)
+    const now = this.clock.now()
+    if (server && server.absentUntil <= now) {
+      this.log.belief('Other instances could not reach a backend server; it is passed over for a moment.', { server: server.listed.id })
+    }
     if (server) {
-      this.directory.experience.observeAbsent(server, this.clock.now())
+      this.directory.experience.observeAbsent(server, now)
     }
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -125,10 +125,8 @@
         onFailed: failure => this.onFailed(failure)
       }
     })
-    const { onLoadChanged, caches: { savedLevels, fetchLoad } } = context
-    const onSaved = (level: number): void => context.onSaved({ level, home: server.hash })
     const watch = watchTry(context, exchange, beganAt, () => this.onSilent())
-    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, savedLevels, fetchLoad, watch, onSaved, onLoadChanged })
+    this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, watch, context })
   }
 
   private onHead (head: AnswerHead): void {
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -1,9 +1,9 @@
 /** A try on its way: the load that it puts on its backend server is counted until it is closed, once. */
-import type { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import type { Attempt } from '../attempts/attempt.js'
-import type { FetchLoad, Transfer } from '../cache/fetchLoad.js'
+import type { Transfer } from '../cache/fetchLoad.js'
 import type { SendTerms } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import type { ExchangeContext } from './exchangeContext.js'
 import type { SilenceWatch } from './silenceWatch.js'
 
 export interface OpenTryOptions {
@@ -14,15 +14,10 @@
   readonly heldTokens: number
   /** Prompt tokens of the other instances that the server has yet to read. */
   readonly othersTokens: number
-  readonly savedLevels: SavedLevels
-  readonly fetchLoad: FetchLoad
   /** Milliseconds of Unix time. */
   readonly beganAt: number
   readonly watch: SilenceWatch
-  /** The level of the prompt was saved; the server is its home. */
-  readonly onSaved: (level: number) => void
-  /** The load on a server is another. */
-  readonly onLoadChanged: () => void
+  readonly context: Pick<ExchangeContext, 'caches' | 'onSaved' | 'onLoadChanged'>
 }
 
 export class OpenTry {
@@ -46,8 +41,8 @@
     server.unreadTokens += this.unreadTokens
     this.tokensToRead = server.unreadTokens + options.othersTokens
     server.heldTokens += heldTokens
-    this.fetch = options.fetchLoad.begin(terms.fetchFrom, terms.fetchedTokens, terms.fetchUntil)
-    options.onLoadChanged()
+    this.fetch = options.context.caches.fetchLoad.begin(terms.fetchFrom, terms.fetchedTokens, terms.fetchUntil)
+    options.context.onLoadChanged()
   }
 
   static open (options: OpenTryOptions): OpenTry {
@@ -94,23 +89,23 @@
 
   /** An answer begins with this status; with it, the server has read the prompt. */
   observeStatus (status: number, now: number): void {
-    const { terms, savedLevels } = this.options
+    const { terms, server, context } = this.options
     this.release()
     if (terms.savedLevel !== undefined && status < 300) {
-      savedLevels.confirm(terms.savedLevel, now)
-      this.options.onSaved(terms.savedLevel)
+      context.caches.savedLevels.confirm(terms.savedLevel, now)
+      context.onSaved({ level: terms.savedLevel, home: server.hash })
     }
   }
 
   /** The server is free of it. */
   close (): void {
-    const { server, terms, savedLevels, watch, heldTokens } = this.options
+    const { server, terms, context, watch, heldTokens } = this.options
     watch.stop()
     server.outstanding -= 1
     server.heldTokens -= heldTokens
     this.release()
     if (terms.savedLevel !== undefined) {
-      savedLevels.giveBack(terms.savedLevel)
+      context.caches.savedLevels.giveBack(terms.savedLevel)
     }
   }
 
@@ -118,8 +113,9 @@
   private release (): void {
     this.server.unreadTokens -= this.unreadTokens
     this.unreadTokens = 0
-    this.options.fetchLoad.end(this.fetch)
+    const { caches, onLoadChanged } = this.options.context
+    caches.fetchLoad.end(this.fetch)
     this.fetch = undefined
-    this.options.onLoadChanged()
+    onLoadChanged()
   }
 }
--- a/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
@@ -5,7 +5,8 @@
 import { FleetUse } from '../fleetUse.js'
 import { unpackDatagram } from '../datagram.js'
 import { encodeLoadMessage, readLoadMessage, type LoadMessage } from '../loadMessage.js'
-import { LoadTalk, type LevelAtHome } from '../loadTalk.js'
+import type { LevelAtHome } from '../loadQuestions.js'
+import { LoadTalk } from '../loadTalk.js'
 import type { ServerUse } from '../peerMessage.js'
 
 /** A datagram's way, milliseconds. */
@@ -82,7 +83,7 @@
   /** Asks and returns what was learned. */
   async ask ({ talk, use }: Talker, server: string, level?: LevelAtHome): Promise<number> {
     const waiting = new Set([server])
-    const asked = talk.ask([hashNumber(server)], level).then(() => waiting.clear())
+    const asked = talk.ask({ servers: [hashNumber(server)], level }).then(() => waiting.clear())
     while (waiting.size > 0) {
       await this.pass(1)
     }
--- a/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
@@ -21,12 +21,19 @@
 const REQUESTS = 6
 const SECONDS = 1
 
-/** One request at each instance: two servers are asked for, then it begins, is read and ends. */
+/** Hashes of levels. */
+const LEVELS = 2 ** 32
+
+/** One request at each instance: two servers and a level are asked for, then it begins, is read and ends; one in four has the level saved. */
 async function play (fleet: TalkFleet, random: SeededRandom, servers: number): Promise<void> {
   const asked = fleet.talkers.map(async talker => {
     const [chosen = '', other = ''] = [0, 1].map(() => `i-${random.below(servers)}`)
-    await talker.talk.ask([chosen, other].map(server => hashNumber(server)))
+    const level = { level: random.below(LEVELS), home: hashNumber(chosen) }
+    await talker.talk.ask({ servers: [chosen, other].map(server => hashNumber(server)), level })
     fleet.put(talker, chosen, 1)
+    if (random.below(4) === 0) {
+      talker.talk.noteSaved(level)
+    }
   })
   await fleet.pass(500 / REQUESTS)
   await Promise.all(asked)
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -154,10 +154,7 @@
       onLoadChanged: () => this.peers.loads.noteChange(),
       onUnreachable: ({ hash }) => this.peers.loads.noteUnreachable(hash),
       tellAll: () => this.peers.send(),
-      askLoad: wish => {
-        const { servers, level } = wish()
-        return this.peers.loads.ask(servers, level)
-      },
+      askLoad: wish => this.peers.loads.ask(wish()),
       onSaved: level => this.peers.loads.noteSaved(level),
       onStoreRestarted: () => this.peers.loads.forgetSaved(),
       weights: { outdatedSince: (model, version) => this.office.desk.outdatedSince(model, version) },
