--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -29,8 +29,11 @@
 /** Part of the slots from which on requests wait. */
 const QUEUEING = 0.8
 
-/** A home and the two that look best besides: with two to choose from the fullest of 42 engines holds little more than the mean. */
-const SHORTLIST = 3
+/**
+ * A home and the best besides: with two to choose from the fullest of 42 engines holds little more than the mean. Asking
+ * for a third would take control traffic beyond 14 KB/s at six prompts a second.
+ */
+const SHORTLIST = 2
 
 /** Requests that filled an engine end within this, and an order to change weights is under way for about as long, milliseconds. */
 const REFUSING_MS = 500
