--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -90,7 +90,6 @@
       onUnreachable: () => {},
       askLoad: () => undefined,
       place: (_, { failed }) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
-      homeOf: () => undefined,
       onMisdirected: () => {}
     }
     this.retries.observeInstances(1)
--- a/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
+++ b/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
@@ -6,7 +6,6 @@
 import { ServerState, type ListedServer } from '../../model/listedServer.js'
 import type { CacheStore, Routing } from '../../model/routing.js'
 import type { SendTerms } from '../../model/wire.js'
-import type { KnownServer } from '../../servers/knownServer.js'
 import { planTerms } from '../planTerms.js'
 
 const TOKEN_BYTES = 192_512
@@ -37,14 +36,13 @@
   readonly fetchLoad = FetchLoad.create(store => this.told.get(store) ?? 0)
   readonly told = new Map<string, number>()
   readonly silent = new Set<string>()
-  home: Pick<KnownServer, 'listed' | 'weights'> | undefined
 
   /** @param tokensBefore that wait at the engine. */
   terms (subject: number, request: number, failureDomain = 'a', now = 0, tokensBefore = 0): SendTerms {
     const listed = listedEngine('e', '127.0.0.1:1', failureDomain)
     const levels = [{ id: 'root', tokens: 2520 }, { id: `subject ${subject}`, tokens: 3780 }, { id: `own ${request}`, tokens: OWN_TOKENS }]
     const exchange = exchangeAt(now, { prompt: { model: 'model', levels, promptTokens: 9190, outputTokens: 10 } })
-    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, stores: routing.cacheStores.filter(({ address }) => !this.silent.has(address)), savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, home: this.home, tokensBefore, tokensPerMs: 110, now })
+    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, stores: routing.cacheStores.filter(({ address }) => !this.silent.has(address)), savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, tokensBefore, tokensPerMs: 110, now })
   }
 }
 
@@ -99,18 +97,6 @@
     t.is(instance.terms(1, 3, home === 'a' ? 'b' : 'a').fetchedTokens, 2 * 3780)
   })
 
-  // A home with a queue passes requests on to other engines. Were each of them to fetch from the store, its one link
-  // would be full within seconds, and were each to save, the store would drop what is in use for copies of it.
-  it('name the home engine where the request goes to another with the same weights, and save nothing there', t => {
-    const instance = new Instance()
-    const listed = listedEngine('home', '127.0.0.1:2')
-    instance.home = { listed, weights: new Map([['model', 1]]) }
-    const away = instance.terms(1, 1)
-    t.deepEqual([away.fetchFrom, away.saveTo, away.unreadTokens, away.fetchedTokens], ['127.0.0.1:2', '', OWN_TOKENS, 0])
-    instance.home = { listed, weights: new Map([['model', 2]]) }
-    t.true(instance.terms(2, 3).fetchFrom.startsWith('store-'))
-  })
-
   // The engine's queue alone takes longer than the objective. Sent like any other, the request would be late, and so
   // would the next one behind it, which could still be in time.
   it('let a request that the queue makes late go behind the others, and no other', t => {
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -70,8 +70,6 @@
   readonly stores: readonly CacheStore[]
   readonly savedLevels: SavedLevels
   readonly fetchLoad: FetchLoad
-  /** The engine that is home to the prompt's levels, if it can be read from; undefined for none. */
-  readonly home: Pick<KnownServer, 'listed' | 'weights'> | undefined
   /** Prompt tokens before it at the server. */
   readonly tokensBefore: number
   /** What the engines of the service read in a millisecond. */
@@ -95,7 +93,7 @@
 /** The part of the terms that concerns cached levels. */
 type LevelTerms = Pick<SendTerms, 'cacheSalt' | 'weightsVersion' | 'fetchFrom' | 'saveTo' | 'unreadTokens' | 'fetchedTokens' | 'fetchUntil' | 'savedLevel'>
 
-function planLevels (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, { routing, stores, home, savedLevels, fetchLoad, now }: TermsSources): LevelTerms {
+function planLevels (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, { routing, stores, savedLevels, fetchLoad, now }: TermsSources): LevelTerms {
   const { prompt } = exchange
   const weightsVersion = prompt && server.weights.get(prompt.model)
   if (prompt === undefined || weightsVersion === undefined) {
@@ -114,10 +112,6 @@
   const isFetched = mayFetch(link)
   // What was saved is found at the server or fetched; what comes after it is read in any case.
   const isFound = isFetched && savedLevels.has(level, now)
-  if (!isFound && home !== undefined && home.listed.id !== server.listed.id && home.weights.get(prompt.model) === weightsVersion) {
-    // The home has the levels, or reads them for requests of its own and has them saved: a copy here would be saved in vain.
-    return { ...noCache, cacheSalt, weightsVersion, fetchFrom: home.listed.address, unreadTokens: ownTokensOf(prompt) }
-  }
   const fetchedTokens = isFound ? linkTokens(deepestSharedTokensOf(prompt), isFar) : 0
   const isSaved = maySave(link) && savedLevels.take(level, now)
   return {
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -42,8 +42,6 @@
   readonly askLoad: (exchange: Exchange, earlier: EarlierTries) => Promise<AskedServers> | undefined
   /** The server for the next try, other than those that failed it; undefined when there is none. */
   readonly place: (exchange: Exchange, earlier: EarlierTries, asked: AskedServers | undefined) => KnownServer | undefined
-  /** The engine that is home to the levels of the exchange's prompt, if it can be read from. */
-  readonly homeOf: (exchange: Exchange) => KnownServer | undefined
   /** A server is not what it was thought to be; the failure may name it. */
   readonly onMisdirected: (tried: OpenTry, exchange: Exchange, failure: AttemptFailure) => void
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -87,7 +87,6 @@
         return asked?.then(() => new Set(servers))
       },
       place: (exchange, earlier, asked) => choice.place(exchange, earlier, asked),
-      homeOf: exchange => choice.homeOf(exchange),
       onMisdirected
     })
   }
--- a/packages/foxtaillever-relay/src/exchange/planTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/planTry.ts
@@ -12,11 +12,11 @@
 }
 
 export function planTry (context: ExchangeContext, exchange: Exchange, server: KnownServer, resumeAfter: string): PlannedTry {
-  const { clock, caches, directory, homeOf, log, othersTokensAt, routing } = context
+  const { clock, caches, directory, log, othersTokensAt, routing } = context
   const othersTokens = othersTokensAt(server)
   const { tokensPerMs } = directory.experience.prefillSpeedOf(exchange.service)
   const pace = { tokensBefore: server.unreadTokens + othersTokens, tokensPerMs, now: clock.now() }
-  const terms = planTerms(exchange, server, resumeAfter, { ...caches, ...pace, routing: routing(), home: homeOf(exchange), stores: caches.available() })
+  const terms = planTerms(exchange, server, resumeAfter, { ...caches, ...pace, routing: routing(), stores: caches.available() })
   if (terms.isYielding) {
     log.yields(exchange, server.listed.id, expectedStart(exchange, terms.unreadTokens, pace))
   }
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -101,7 +101,7 @@
     return this.rank(exchange, earlier).slice(0, SHORTLIST).flatMap(({ id }) => this.options.directory.get(id)?.hash ?? [])
   }
 
-  /** The engine that is home to the levels of the exchange's prompt, if it can be read from. */
+  /** The engine that is home to the levels of the exchange's prompt, while it takes requests. */
   homeOf (exchange: Exchange): KnownServer | undefined {
     const { clock, directory } = this.options
     const now = clock.now()
