Count a level's home among the servers that were asked for

Its watcher is asked for the level's save anyway and tells its load with it, so the home may be chosen also where it was not among the best two by older words.

--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -15,7 +15,7 @@
 import type { ServerWire } from '../model/wire.js'
 import type { LevelAtHome, LoadWish } from '../peers/loadQuestions.js'
 import type { KnownServer } from '../servers/knownServer.js'
-import { ServerChoice, type ServerChoiceOptions } from '../servers/serverChoice.js'
+import { ServerChoice, type AskedServers, type ServerChoiceOptions } from '../servers/serverChoice.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { ExchangeContext } from './exchangeContext.js'
@@ -27,8 +27,8 @@
   readonly wire: ServerWire
   readonly log: RelayLog
   readonly retryAllowance: RetryAllowance
-  /** Asks what other instances know of the servers that a prompt's choice comes down to; undefined where it is known. Never fails. */
-  readonly askLoad: (wish: () => LoadWish) => Promise<void> | undefined
+  /** Asks what other instances know of the servers that a prompt's choice comes down to, and tells which; undefined where it is known. Never fails. */
+  readonly askLoad: (wish: () => LoadWish) => Promise<AskedServers> | undefined
   /** The configuration in force; undefined until one is known. */
   readonly routing: () => Routing | undefined
   /** The state of a server has changed, or it is new. */
@@ -78,14 +78,7 @@
       onLoadChanged,
       onSaved,
       onUnreachable,
-      askLoad: (exchange, earlier) => {
-        let servers: readonly number[] = []
-        const asked = exchange.prompt && askLoad(() => {
-          servers = choice.shortlist(exchange, earlier)
-          return { servers, level: this.levelAtHome(exchange, choice.homeOf(exchange)) }
-        })
-        return asked?.then(() => new Set(servers))
-      },
+      askLoad: (exchange, earlier) => exchange.prompt && askLoad(() => ({ servers: choice.shortlist(exchange, earlier), level: this.levelAtHome(exchange, choice.homeOf(exchange)) })),
       place: (exchange, earlier, asked) => choice.place(exchange, earlier, asked),
       onMisdirected
     })
--- a/packages/foxtaillever-relay/src/peers/loadQuestions.ts
+++ b/packages/foxtaillever-relay/src/peers/loadQuestions.ts
@@ -76,9 +76,13 @@
     return new LoadQuestions(options)
   }
 
-  /** Resolves when all is known that will be, and never fails. */
-  async ask (wish: LoadWish): Promise<void> {
-    const questions = this.plan(wish)
+  /**
+   * Resolves when all is known that will be, and never fails.
+   * @returns the servers that were asked for, by their hashes.
+   */
+  async ask ({ servers, level }: LoadWish): Promise<ReadonlySet<number>> {
+    const asked = new Set(level === undefined ? servers : [...servers, level.home])
+    const questions = this.plan(asked, level)
     const { address, answerOwn, onLearned } = this.options
     const own = questions.get(address)
     if (own) {
@@ -88,6 +92,7 @@
     if (questions.size > 0) {
       await this.send(questions)
     }
+    return asked
   }
 
   hear (answer: LoadAnswer): void {
@@ -102,9 +107,9 @@
   }
 
   /** What to ask whom. */
-  private plan ({ servers, level }: LoadWish): Map<string, WatcherQuestion> {
+  private plan (servers: ReadonlySet<number>, level: LevelAtHome | undefined): Map<string, WatcherQuestion> {
     const questions = new Map<string, WatcherQuestion>()
-    for (const server of new Set(level === undefined ? servers : [...servers, level.home])) {
+    for (const server of servers) {
       const watcher = this.options.watchersOf(server).find(address => !this.isPassedOver(address))
       if (watcher !== undefined) {
         const question = questions.get(watcher) ?? { servers: [], levels: [] }
--- a/packages/foxtaillever-relay/src/peers/loadTalk.ts
+++ b/packages/foxtaillever-relay/src/peers/loadTalk.ts
@@ -101,9 +101,9 @@
     }
   }
 
-  /** Asks the watchers of servers what they know; resolves when all is known that will be, and never fails. */
-  async ask (wish: LoadWish): Promise<void> {
-    await this.questions.ask(wish)
+  /** Asks the watchers of servers what they know; see `LoadQuestions`. */
+  async ask (wish: LoadWish): Promise<ReadonlySet<number>> {
+    return await this.questions.ask(wish)
   }
 
   /** A server took no connection from this instance: its watchers hear of it, and by them who is about to send there. */
