--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -43,7 +43,7 @@
   })
 }
 
-const serverWire: ServerWire = {
+export const serverWire: ServerWire = {
   notRunStatuses: new Set([408, 429, 503]),
   createHeaders: ({ id, body }, { resumeAfter }) => ['Host', 'h', 'request-id', id, 'after', resumeAfter, 'content-length', String(body.length)],
   readMarks: (_, headers) => ({
@@ -63,6 +63,8 @@
   readonly directory = ServerDirectory.create({ onChanged: () => {}, now: () => this.clock.now() })
   readonly retries = RetryShare.create({ ratio: 0.2, slack: 1000, windowMs: 10_000 }, 0)
   readonly servers: ScriptedServer[] = []
+  /** Servers of which the watchers were told that they take no connection. */
+  readonly unreachable: string[] = []
   private readonly callers: CallerServer
   readonly runs: ExchangeRuns
   private port = 0
@@ -87,7 +89,7 @@
       othersTokensAt: () => 0,
       onLoadChanged: () => {},
       onSaved: () => {},
-      onUnreachable: () => {},
+      onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
       askLoad: () => undefined,
       place: (_, { failed }) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
       onMisdirected: () => {}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -0,0 +1,72 @@
+/**
+ * A backend server takes no connection any more. Its list entry stays for seconds,
+ * and each of many instances would send callers there until it has found out by
+ * one of its own.
+ */
+import { PassThrough } from 'node:stream'
+import { SeededRandom } from 'foxtaillever-core'
+import { noLoad } from 'foxtaillever-policy/relay/serverLoad'
+import { Logs } from 'foxtaillever-telemetry'
+import { describe, it, VirtualClock } from 'foxtaillever-testing'
+import { RelayRig, serverWire } from '../__fixtures__/relayRig.js'
+import type { Arrival } from '../__fixtures__/scriptedServer.js'
+import { withoutStores } from '../cache/cacheUse.js'
+import { CrashSuspects } from '../exchange/crashSuspects.js'
+import { ExchangeDesk } from '../exchange/exchangeDesk.js'
+import { ServerState } from '../model/listedServer.js'
+import { RelayLog } from '../telemetry/relayLog.js'
+
+function answerWell ({ id, socket }: Arrival): void {
+  socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nstamp: s\r\ncontent-length: 2\r\n\r\nok`)
+}
+
+function createDesk (clock: VirtualClock, told: string[]): ExchangeDesk {
+  const destination = new PassThrough().on('data', line => { told.push(String(line)) })
+  return ExchangeDesk.create({
+    ...withoutStores,
+    clock,
+    random: SeededRandom.create(1),
+    failureDomain: 'd',
+    connectTimeoutMs: 200,
+    wire: serverWire,
+    log: RelayLog.create(Logs.create({ instance: 'i', level: 'info', clock, destination })),
+    retryAllowance: { ratio: 0.2, slack: 10, windowMs: 10_000 },
+    suspects: CrashSuspects.create(),
+    use: { of: () => noLoad },
+    weights: { outdatedSince: () => undefined },
+    weightsBoundMs: Infinity,
+    routing: () => undefined,
+    askLoad: () => undefined,
+    onLoadChanged: () => {},
+    onSaved: () => {},
+    onUnreachable: () => {},
+    onServerChanged: () => {},
+    onMisdirected: () => {}
+  })
+}
+
+describe('a server that takes no connection', () => {
+  it('is told of at once, and passed over by the next request', async t => {
+    const rig = await RelayRig.start({}, answerWell, answerWell)
+    rig.servers[0]?.stop()
+    t.true((await rig.ask('one')).endsWith('ok'))
+    t.deepEqual(rig.unreachable, ['s0'])
+    t.true((rig.directory.get('s0')?.absentUntil ?? 0) > rig.clock.now())
+    t.is(rig.directory.get('s1')?.absentUntil, 0)
+    rig.stop()
+  })
+
+  it('is passed over where others could not reach it, with one line for each time', async t => {
+    const clock = VirtualClock.create()
+    const told: string[] = []
+    const desk = createDesk(clock, told)
+    desk.directory.observe({ id: 'dark', startedAt: 0, service: 's', address: '127.0.0.1:1', failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }, 1)
+    const dark = desk.directory.get('dark')
+    desk.hearUnreachable(dark?.hash ?? 0)
+    desk.hearUnreachable(dark?.hash ?? 0)
+    desk.hearUnreachable(4711)
+    t.true((dark?.absentUntil ?? 0) > clock.now())
+    await new Promise(resolve => setImmediate(resolve))
+    t.is(told.join('').split('could not reach').length - 1, 1)
+  })
+})
