Forget words of servers that nobody asks for any more

Tellers of a server that could not be reached were kept until somebody asked for it; of a server that is gone nobody does. A datagram with a text at its front is a beat whatever the text: a name such as 'constructor' found a function of the table's prototype. Both found by reading; nothing that is decided changes.

--- a/packages/foxtaillever-relay/src/peers/loadWatch.ts
+++ b/packages/foxtaillever-relay/src/peers/loadWatch.ts
@@ -44,6 +44,9 @@
   }
 
   hearUnreachable (teller: string, servers: readonly number[], now: number): void {
+    if (servers.length > 0) {
+      this.forgetReached(now)
+    }
     for (const server of servers) {
       const tellers = this.unreached.get(server) ?? new Map<string, number>()
       this.unreached.set(server, tellers.set(teller, now))
@@ -52,16 +55,22 @@
 
   /** Whether several instances could not reach the server a moment ago. */
   isUnreachable (server: number, now: number): boolean {
-    const tellers = this.unreached.get(server)
-    tellers?.forEach((at, teller) => {
-      if (at + UNREACHABLE_MS <= now) {
-        tellers.delete(teller)
+    const times = [...this.unreached.get(server)?.values() ?? []]
+    return times.filter(at => at + UNREACHABLE_MS > now).length >= LEAST_TELLERS
+  }
+
+  /** Servers that are gone for good are never asked for again; their words must not gather. */
+  private forgetReached (now: number): void {
+    for (const [server, tellers] of this.unreached) {
+      tellers.forEach((at, teller) => {
+        if (at + UNREACHABLE_MS <= now) {
+          tellers.delete(teller)
+        }
+      })
+      if (tellers.size === 0) {
+        this.unreached.delete(server)
       }
-    })
-    if (tellers?.size === 0) {
-      this.unreached.delete(server)
     }
-    return (tellers?.size ?? 0) >= LEAST_TELLERS
   }
 
   /** @param except the one who asks knows its own part better. */
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -58,7 +58,7 @@
   private readonly datagrams: UdpDatagrams
   private readonly server: Server
   private readonly connections = new Map<string, ServerConnections>()
-  private readonly receivers: Readonly<Record<DatagramKind, Receiver>>
+  private readonly receivers: Readonly<Record<DatagramKind, Receiver | undefined>>
   private readonly receiveBeat: Receiver
 
   private constructor (private readonly options: PeerLinkOptions) {
@@ -103,8 +103,9 @@
 
   private receive (bytes: Uint8Array): void {
     unpackDatagram(bytes).ifJust(wire => {
-      const receive = this.receivers[wire[0] as DatagramKind] ?? this.receiveBeat
-      receive(wire)
+      const [kind] = wire
+      const receive = typeof kind === 'number' ? this.receivers[kind as DatagramKind] : this.receiveBeat
+      receive?.(wire)
     })
   }
 
