Keep quotas of client accounts over the whole fleet, by a keeper for each

Ruled out by sums: shares for each instance. The smallest account may use 250,000 tokens in any 8 s, 27 large requests over 70 instances: rounded down shares refuse nearly all, rounded up they admit 643,000.

One instance decides for an account by a token bucket, computed from the members; the next two of the ranking stand in. The whole rate is the keeper's only while its stand-in has promised to hold back; otherwise each has half of what the tolerance allows. A bucket that starts begins nearly empty: with a token bucket no history has to be learned again after a kill.

--- a/packages/foxtaillever-core/src/verdict.ts
+++ b/packages/foxtaillever-core/src/verdict.ts
@@ -25,6 +25,7 @@
   DeadlinePassed = 'deadline_passed',
   DeadlineUnreachable = 'deadline_unreachable',
   AccountOverLimit = 'account_over_limit',
+  QuotaUnknown = 'quota_unknown',
   Overloaded = 'overloaded',
   Quarantined = 'quarantined',
   NoBackendServer = 'no_backend_server',
--- a/packages/foxtaillever-policy/src/limits/accountLimits.ts
+++ b/packages/foxtaillever-policy/src/limits/accountLimits.ts
@@ -8,6 +8,7 @@
 import { Failure, FailureCode, type ClientAccount } from 'foxtaillever-core'
 import { RecentMap } from '../collections/recentMap.js'
 import type { ShareOfLimit } from './shareOfLimit.js'
+import { TokenBucket } from './tokenBucket.js'
 
 /** A limit a second is kept over this time; people read and click in bursts. */
 const BURST_MS = 2000
@@ -20,10 +21,8 @@
   Concurrency = 'account-concurrency'
 }
 
-interface Bucket {
-  tokens: number
-  /** Milliseconds of Unix time. */
-  filledAt: number
+interface AccountUse {
+  readonly work: TokenBucket
   running: number
 }
 
@@ -33,7 +32,7 @@
 }
 
 export class AccountLimits {
-  private readonly buckets = RecentMap.create<Bucket>(ACCOUNT_BOUND)
+  private readonly uses = RecentMap.create<AccountUse>(ACCOUNT_BOUND)
 
   private constructor (private readonly share: ShareOfLimit) {}
 
@@ -45,13 +44,13 @@
   check (account: ClientAccount, serviceMs: number, now: number): LimitRejection | undefined {
     const share = this.share.shareFor(account.name, now)
     const rate = account.tokensPerSecond * share / 1000
-    const bucket = this.fill(account.name, rate, now)
-    if (bucket.running >= Math.max(1, Math.floor(account.concurrentRequests * share))) {
-      const failure = Failure.notRun(FailureCode.AccountOverLimit, 'The client account has too many requests at once.', Math.ceil(now + serviceMs / bucket.running))
+    const use = this.fill(account.name, rate, now)
+    if (use.running >= Math.max(1, Math.floor(account.concurrentRequests * share))) {
+      const failure = Failure.notRun(FailureCode.AccountOverLimit, 'The client account has too many requests at once.', Math.ceil(now + serviceMs / use.running))
       return { rule: LimitRule.Concurrency, failure }
     }
-    if (bucket.tokens < 0) {
-      const failure = Failure.notRun(FailureCode.AccountOverLimit, 'The client account is over its tokens a second.', Math.ceil(now + -bucket.tokens / rate))
+    if (use.work.level < 0) {
+      const failure = Failure.notRun(FailureCode.AccountOverLimit, 'The client account is over its tokens a second.', Math.ceil(now + use.work.emptyForMs(rate)))
       return { rule: LimitRule.Tokens, failure }
     }
     return undefined
@@ -59,28 +58,27 @@
 
   /** The request was taken in; a large one may leave the bucket in debt. */
   take (account: string, tokens: number): void {
-    const bucket = this.buckets.use(account)
-    if (bucket) {
-      bucket.tokens -= tokens
-      bucket.running += 1
+    const use = this.uses.use(account)
+    if (use) {
+      use.work.take(tokens)
+      use.running += 1
     }
   }
 
   /** The request ended; what it did not use goes back, what it used besides is owed. */
   settle (account: string, estimatedTokens: number, usedTokens: number): void {
-    const bucket = this.buckets.peek(account)
-    if (bucket) {
-      bucket.tokens += estimatedTokens - usedTokens
-      bucket.running = Math.max(0, bucket.running - 1)
+    const use = this.uses.peek(account)
+    if (use) {
+      use.work.giveBack(estimatedTokens - usedTokens)
+      use.running = Math.max(0, use.running - 1)
     }
   }
 
-  private fill (account: string, rate: number, now: number): Bucket {
+  private fill (account: string, rate: number, now: number): AccountUse {
     const most = rate * BURST_MS
-    const bucket = this.buckets.use(account) ?? { tokens: most, filledAt: now, running: 0 }
-    bucket.tokens = Math.min(most, bucket.tokens + Math.max(0, now - bucket.filledAt) * rate)
-    bucket.filledAt = now
-    this.buckets.set(account, bucket)
-    return bucket
+    const use = this.uses.use(account) ?? { work: TokenBucket.create(most, now), running: 0 }
+    use.work.fill(rate, most, now)
+    this.uses.set(account, use)
+    return use
   }
 }
--- /dev/null
+++ b/packages/foxtaillever-policy/src/limits/quotaBook.ts
@@ -0,0 +1,256 @@
+/**
+ * Decides on the quotas of client accounts for a whole fleet, at the instances
+ * that keep them.
+ *
+ * The load it answers: an account sends many times its usual to seventy
+ * instances, each of which sees less than one large request of its limit. Shares
+ * of a limit cannot work there: rounded down they refuse nearly everything,
+ * rounded up they admit the limit many times over. So one instance decides for
+ * an account, by a token bucket, and the others ask it.
+ *
+ * Who decides follows from the members: the first of a ranking is the keeper, the
+ * second its stand-in, the third a reserve. Two of them may decide at the same
+ * time, for halves of a fleet that cannot hear each other. So the whole rate is the
+ * keeper's only while the stand-in has promised to hold back, for a moment and
+ * again and again; without that word each has half of it. The tolerance of the
+ * quota pays for the rest: a little for the stand-in and the reserve at any time.
+ *
+ * A keeper that starts needs no history: its bucket begins nearly empty and fills
+ * at the quota's rate, and so does not repeat what the one before it granted.
+ */
+import { RecentMap } from '../collections/recentMap.js'
+import { TokenBucket } from './tokenBucket.js'
+
+/** What an account may use, over all instances. */
+export interface QuotaLimit {
+  readonly perSecond: number
+  /** At once, after a pause. */
+  readonly burst: number
+  /** Of the configuration that set it; a higher one replaces it. */
+  readonly revision: number
+}
+
+/** By how much a quota may be missed while instances cannot agree. */
+export interface QuotaTolerance {
+  /** As a part of the quota. */
+  readonly overage: number
+  /** Beside that, in any time as long as the window. */
+  readonly slack: number
+  readonly windowMs: number
+}
+
+/** What an instance is to an account's quota, in the order of its ranking. */
+export enum QuotaRole {
+  Keeper = 'keeper',
+  StandIn = 'stand-in',
+  Reserve = 'reserve',
+  None = 'none'
+}
+
+export enum QuotaOutcome {
+  Granted = 'granted',
+  /** Beyond the quota. */
+  Refused = 'refused',
+  /** Somebody else decides. */
+  NotMine = 'not-mine'
+}
+
+export interface QuotaClaim {
+  readonly account: string
+  readonly limit: QuotaLimit
+  readonly cost: number
+  /** The request is already on its way: it is counted and cannot be refused. */
+  readonly isTaken: boolean
+}
+
+export interface QuotaDecision {
+  readonly outcome: QuotaOutcome
+  /** When there is room, milliseconds of Unix time; for a refusal. */
+  readonly retryAt: number
+  /** So much is left that requests of the next moment need not wait for a decision. */
+  readonly isFar: boolean
+}
+
+/** A stand-in's promise holds for so long from when the keeper asked for it, milliseconds: some thirty times a datagram's way and back on a busy machine. */
+const PROMISE_MS = 500
+
+/** The stand-in holds back for longer than the keeper relies on it, milliseconds: no clock runs so fast. */
+const PROMISE_MARGIN_MS = 200
+
+/** Between two renewals, milliseconds: three may be lost. */
+export const RENEWAL_MS = 150
+
+/** A bucket that is fuller fills again soon enough without a promise. */
+const RENEWAL_LEVEL = 0.75
+
+/** Part of the burst that must be left for requests that do not wait for a decision. */
+const FAR_LEVEL = 0.5
+
+/** Parts of the slack: the others pay for the one request by which a bucket may be in debt. */
+const START_PART = 1 / 8
+const STAND_IN_PART = 1 / 8
+const RESERVE_PART = 1 / 16
+
+/** Callers that are sent back come one after the other, up to so far ahead, milliseconds; their deadlines are not further. */
+const MOST_AHEAD_MS = 8000
+
+/** Accounts remembered; more than one instance keeps of 1,700. */
+const ACCOUNT_BOUND = 2048
+
+interface AccountState {
+  bucket: TokenBucket
+  role: QuotaRole
+  limit: QuotaLimit
+  /** The stand-in holds back until then; as the keeper knows. */
+  heldBackUntil: number
+  renewedAt: number
+  /** When the next refused caller may come back. */
+  nextReturnAt: number
+}
+
+/** How a bucket fills in a role. */
+interface Filling {
+  readonly perMs: number
+  readonly most: number
+  /** Whether nobody else can decide when it is empty. */
+  readonly isFinal: boolean
+}
+
+export class QuotaBook {
+  private readonly states = RecentMap.create<AccountState>(ACCOUNT_BOUND)
+  /** Accounts for which this instance has promised to hold back, and until when. */
+  private readonly promises = RecentMap.create<number>(ACCOUNT_BOUND)
+  /** By role, at a moment. */
+  private readonly fillings: Readonly<Record<QuotaRole, (state: AccountState, isHeldBack: boolean, now: number) => Filling>>
+
+  private constructor (private readonly tolerance: QuotaTolerance) {
+    const { overage, slack, windowMs } = tolerance
+    const half = (1 + overage) / 2
+    this.fillings = {
+      [QuotaRole.Keeper]: ({ limit, heldBackUntil }, _, now) => ({ perMs: limit.perSecond / 1000 * (now < heldBackUntil ? 1 : half), most: limit.burst, isFinal: true }),
+      [QuotaRole.StandIn]: ({ limit }, isHeldBack) => {
+        const most = slack * STAND_IN_PART + limit.burst * overage / 2
+        return { perMs: isHeldBack ? slack * STAND_IN_PART / windowMs : limit.perSecond / 1000 * half, most, isFinal: !isHeldBack }
+      },
+      [QuotaRole.Reserve]: () => ({ perMs: slack * RESERVE_PART / windowMs, most: slack * RESERVE_PART, isFinal: false }),
+      [QuotaRole.None]: () => ({ perMs: 0, most: 0, isFinal: false })
+    }
+  }
+
+  static create (tolerance: QuotaTolerance): QuotaBook {
+    return new QuotaBook(tolerance)
+  }
+
+  /**
+   * Decides, and counts what it grants.
+   * @param settledAt since when the members are those by which the role was computed, milliseconds of Unix time.
+   */
+  decide (claim: QuotaClaim, role: QuotaRole, settledAt: number, now: number): QuotaDecision {
+    if (role === QuotaRole.None) {
+      return { outcome: QuotaOutcome.NotMine, retryAt: now, isFar: false }
+    }
+    const acting = this.actingRole(claim.account, role, now)
+    const state = this.stateOf(claim, acting, settledAt, now)
+    const filling = this.fill(claim.account, state, now)
+    const isKeeper = acting === QuotaRole.Keeper
+    const isGranted = claim.isTaken || state.bucket.level > 0
+    if (isGranted) {
+      state.bucket.take(claim.cost)
+    }
+    return {
+      outcome: isGranted ? QuotaOutcome.Granted : filling.isFinal ? QuotaOutcome.Refused : QuotaOutcome.NotMine,
+      retryAt: isGranted ? now : this.nextReturn(state, claim.cost, filling.perMs, now),
+      isFar: isKeeper && state.bucket.level >= FAR_LEVEL * state.limit.burst
+    }
+  }
+
+  /** When the stand-in's promise must be renewed, milliseconds of Unix time; undefined while it need not be, or is not this instance's to ask for. */
+  renewalDueAt (account: string, now: number): number | undefined {
+    const state = this.states.peek(account)
+    if (state?.role !== QuotaRole.Keeper) {
+      return undefined
+    }
+    this.fill(account, state, now)
+    return state.bucket.level < RENEWAL_LEVEL * state.limit.burst ? state.renewedAt + RENEWAL_MS : undefined
+  }
+
+  /** The stand-in was asked for its promise. */
+  noteRenewal (account: string, now: number): void {
+    const state = this.states.peek(account)
+    if (state) {
+      state.renewedAt = now
+    }
+  }
+
+  /** A request that was counted has not run. */
+  giveBack (account: string, cost: number): void {
+    this.states.peek(account)?.bucket.giveBack(cost)
+  }
+
+  /** The stand-in answered a renewal that this keeper sent then. */
+  observePromise (account: string, sentAt: number): void {
+    const state = this.states.peek(account)
+    if (state) {
+      state.heldBackUntil = Math.max(state.heldBackUntil, sentAt + PROMISE_MS)
+    }
+  }
+
+  /** This stand-in holds back for the keeper. */
+  promise (account: string, now: number): void {
+    const state = this.states.peek(account)
+    if (state) {
+      this.fill(account, state, now)
+    }
+    this.promises.set(account, now + PROMISE_MS + PROMISE_MARGIN_MS)
+  }
+
+  /** A promise binds whoever gave it: a new keeper may be known to few yet, and the one before it among those that take themselves for it. */
+  private actingRole (account: string, role: QuotaRole, now: number): QuotaRole {
+    return role === QuotaRole.Keeper && this.isHeldBack(account, now) ? QuotaRole.StandIn : role
+  }
+
+  private isHeldBack (account: string, now: number): boolean {
+    return now < (this.promises.peek(account) ?? 0)
+  }
+
+  private stateOf ({ account, limit }: QuotaClaim, role: QuotaRole, settledAt: number, now: number): AccountState {
+    const known = this.states.use(account)
+    if (!known) {
+      const state: AccountState = { bucket: this.startingBucket(Infinity, settledAt), role, limit, heldBackUntil: 0, renewedAt: 0, nextReturnAt: 0 }
+      this.states.set(account, state)
+      return state
+    }
+    if (known.role !== role) {
+      // Whoever kept the quota meanwhile has used it.
+      known.bucket = this.startingBucket(known.bucket.level, settledAt)
+      known.role = role
+    }
+    if (limit.revision > known.limit.revision) {
+      this.fill(account, known, now)
+      known.limit = limit
+    }
+    return known
+  }
+
+  private startingBucket (most: number, settledAt: number): TokenBucket {
+    return TokenBucket.create(Math.min(most, this.tolerance.slack * START_PART), settledAt)
+  }
+
+  private fill (account: string, state: AccountState, now: number): Filling {
+    if (state.heldBackUntil < now) {
+      // Until the promise ran out, the bucket filled as it allowed.
+      const { perMs, most } = this.fillings[state.role](state, false, state.heldBackUntil - 1)
+      state.bucket.fill(perMs, most, state.heldBackUntil)
+    }
+    const filling = this.fillings[state.role](state, this.isHeldBack(account, now), now)
+    state.bucket.fill(filling.perMs, filling.most, now)
+    return filling
+  }
+
+  private nextReturn (state: AccountState, cost: number, perMs: number, now: number): number {
+    const roomAt = now + state.bucket.emptyForMs(perMs)
+    const at = Math.min(Math.max(roomAt, state.nextReturnAt), now + MOST_AHEAD_MS)
+    state.nextReturnAt = at + cost / perMs
+    return at
+  }
+}
--- a/packages/foxtaillever-policy/src/relay/computedWatchers.ts
+++ b/packages/foxtaillever-policy/src/relay/computedWatchers.ts
@@ -12,25 +12,25 @@
   readonly hash: number
 }
 
-/** The first watcher of a server is asked, the second takes over; fewer where there are fewer instances. */
-export function watchersOf (server: number, instances: readonly Watcher[]): readonly Watcher[] {
-  let first: Watcher | undefined
-  let second: Watcher | undefined
-  let firstScore = -1
-  let secondScore = -1
+/** A watcher and the one that takes over. */
+const DEFAULT_COUNT = 2
+
+/** The first of a ranking is asked, the next takes over; fewer where there are fewer instances. */
+export function watchersOf (key: number, instances: readonly Watcher[], count = DEFAULT_COUNT): readonly Watcher[] {
+  const ranked: Watcher[] = []
+  const scores: number[] = []
   for (const watcher of instances) {
-    const score = mixHashes(server, watcher.hash)
-    if (score > firstScore) {
-      second = first
-      secondScore = firstScore
-      first = watcher
-      firstScore = score
-    } else if (score > secondScore) {
-      second = watcher
-      secondScore = score
+    const score = mixHashes(key, watcher.hash)
+    if (ranked.length < count || score > (scores[count - 1] as number)) {
+      const place = scores.findIndex(other => score > other)
+      const index = place === -1 ? ranked.length : place
+      ranked.splice(index, 0, watcher)
+      scores.splice(index, 0, score)
+      ranked.length = Math.min(ranked.length, count)
+      scores.length = ranked.length
     }
   }
-  return [first, second].filter(watcher => watcher !== undefined)
+  return ranked
 }
 
 /** Watchers of servers that are remembered: four times the 670 of the largest fleet, so that replaced ones do not gather. */
@@ -44,21 +44,26 @@
   private members: readonly Watcher[] = []
   private readonly byServer = new Map<number, readonly string[]>()
 
-  private constructor () {}
+  private constructor (private readonly count: number) {}
 
-  static create (): ComputedWatchers {
-    return new ComputedWatchers()
+  /** @param count instances that a ranking names. */
+  static create (count = DEFAULT_COUNT): ComputedWatchers {
+    return new ComputedWatchers(count)
   }
 
-  /** @param addresses of all instances that are likely there, this one included. */
-  setMembers (addresses: readonly string[]): void {
+  /**
+   * @param addresses of all instances that are likely there, this one included.
+   * @returns whether they are others than before.
+   */
+  setMembers (addresses: readonly string[]): boolean {
     const { members } = this
     if (addresses.length === members.length && addresses.every((address, index) => address === members[index]?.address)) {
-      return
+      return false
     }
     const hashes = new Map(members.map(({ address, hash }) => [address, hash]))
     this.members = addresses.map(address => ({ address, hash: hashes.get(address) ?? hashNumber(address) }))
     this.byServer.clear()
+    return true
   }
 
   /** Addresses of a server's watchers, by the server's hash. */
@@ -68,7 +73,7 @@
       if (this.byServer.size >= MOST_REMEMBERED) {
         this.byServer.clear()
       }
-      watchers = watchersOf(server, this.members).map(({ address }) => address)
+      watchers = watchersOf(server, this.members, this.count).map(({ address }) => address)
       this.byServer.set(server, watchers)
     }
     return watchers
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -16,6 +16,7 @@
 import { Repeatability, type Route, type Routing } from '../model/routing.js'
 import type { CallerWire, ServerWire } from '../model/wire.js'
 import { RouteTable } from '../routing/routeTable.js'
+import { noQuota } from '../quota/quotaDesk.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
 import { RelayLog } from '../telemetry/relayLog.js'
 import { ScriptedServer, type Answer } from './scriptedServer.js'
@@ -65,6 +66,8 @@
   readonly servers: ScriptedServer[] = []
   /** Servers of which the watchers were told that they take no connection. */
   readonly unreachable: string[] = []
+  /** Decides on what the caller's account may use. */
+  quota = noQuota
   private readonly callers: CallerServer
   readonly runs: ExchangeRuns
   private port = 0
@@ -83,6 +86,10 @@
       directory: this.directory,
       retries: this.retries,
       suspects: this.suspects,
+      quota: {
+        admit: (exchange, go) => this.quota.admit(exchange, go),
+        giveBack: exchange => this.quota.giveBack(exchange)
+      },
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
       log,
       routing: () => routing,
--- a/packages/foxtaillever-relay/src/callers/answerFailure.ts
+++ b/packages/foxtaillever-relay/src/callers/answerFailure.ts
@@ -6,7 +6,8 @@
   [FailureCode.BadRequest]: 400,
   [FailureCode.Unauthenticated]: 401,
   [FailureCode.UnknownRoute]: 404,
-  [FailureCode.TooLarge]: 413
+  [FailureCode.TooLarge]: 413,
+  [FailureCode.AccountOverLimit]: 429
 }
 
 /** These promise callers that the request has not run and never will. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -11,6 +11,7 @@
 import type { AskedServers, EarlierTries } from '../servers/serverChoice.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import type { QuotaDesk } from '../quota/quotaDesk.js'
 import type { CrashSuspects } from './crashSuspects.js'
 import type { OpenTry } from './openTry.js'
 
@@ -27,6 +28,7 @@
   readonly retries: RetryShare
   readonly caches: Pick<CacheUse, 'savedLevels' | 'fetchLoad' | 'available'>
   readonly suspects: Suspicions
+  readonly quota: Pick<QuotaDesk, 'admit' | 'giveBack'>
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -21,7 +21,7 @@
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
-export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'onMisdirected' | 'onLoadChanged' | 'onSaved' | 'onUnreachable'>, Omit<CacheUseOptions, 'stores'> {
+export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'onMisdirected' | 'onLoadChanged' | 'onSaved' | 'onUnreachable'>, Omit<CacheUseOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
@@ -45,7 +45,7 @@
   private readonly log: RelayLog
 
   private constructor (options: ExchangeDeskOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, askLoad, onLoadChanged, onSaved, onUnreachable, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, askLoad, onLoadChanged, onSaved, onUnreachable, onMisdirected } = options
     this.clock = clock
     this.log = log
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
@@ -72,6 +72,7 @@
       retries: this.retries,
       caches: this.caches,
       suspects,
+      quota,
       log,
       routing: () => knownRouting(options.routing()),
       othersTokensAt: server => options.use.of(server.hash).tokens,
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -34,6 +34,8 @@
   /** A server's own failure, passed on when no other try succeeds. */
   private fallback: { readonly head: AnswerHead, readonly body: Buffer } | undefined
   private cancelDeadline: Cancellation = () => {}
+  /** It counts among what its client account has used. */
+  private isCounted = false
 
   private constructor (
     private readonly context: ExchangeContext,
@@ -75,7 +77,19 @@
       this.fail(FailureCode.Quarantined, 'This request crashed the backend servers that ran it.', suspects.refusedUntil(exchange))
       return
     }
-    this.tryNext()
+    context.quota.admit(exchange, refusal => this.onAdmitted(refusal))
+  }
+
+  /** The quota of its client account lets it run, or refuses it. */
+  private onAdmitted (refusal: Failure | undefined): void {
+    this.isCounted = refusal === undefined
+    if (this.isOver) {
+      this.returnQuota(ExchangeEnd.CallerGone)
+    } else if (refusal) {
+      this.fail(refusal.code, refusal.message, refusal.retryAt)
+    } else {
+      this.tryNext()
+    }
   }
 
   /** Places the next try, on fresh words of load where the fleet is large. */
@@ -293,11 +307,20 @@
     return current?.server
   }
 
+  /** What has not run is not used. */
+  private returnQuota (end: ExchangeEnd): void {
+    if (this.isCounted && end !== ExchangeEnd.Answered && this.ledger.verdict === Verdict.NotRun) {
+      this.context.quota.giveBack(this.exchange)
+    }
+    this.isCounted = false
+  }
+
   private finish (end: ExchangeEnd, outcome: string, reason?: string): void {
     this.isOver = true
     this.cancelDeadline()
     const { exchange, ledger, now } = this
     this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.tried, now, reason })
+    this.returnQuota(end)
     this.onOver(end === ExchangeEnd.Answered ? Verdict.Ran : ledger.verdict)
   }
 }
--- a/packages/foxtaillever-relay/src/model/routing.ts
+++ b/packages/foxtaillever-relay/src/model/routing.ts
@@ -77,6 +77,23 @@
   readonly linkBytesPerMs: number
 }
 
+/** What a quota counts. */
+export enum QuotaUnit {
+  Requests = 'requests',
+  /** Of the prompt and of the answer at most. */
+  Tokens = 'tokens'
+}
+
+/** What an account may use over all instances. */
+export interface RelayQuota {
+  readonly unit: QuotaUnit
+  readonly perSecond: number
+  /** At once, after a pause. */
+  readonly burst: number
+  /** Tokens of a request that does not say how many it has. */
+  readonly unmeasuredTokens: number
+}
+
 export interface RelayAccount {
   readonly name: string
   readonly apiKeys: readonly string[]
@@ -84,6 +101,8 @@
   readonly priority: number | undefined
   /** Shares no cached level with any other account. */
   readonly isIsolated: boolean
+  /** Undefined for no limit. */
+  readonly quota: RelayQuota | undefined
 }
 
 /** Bounds on what callers may send, and how long they may take. */
--- a/packages/foxtaillever-relay/src/peers/datagram.ts
+++ b/packages/foxtaillever-relay/src/peers/datagram.ts
@@ -13,7 +13,12 @@
   Weights = 2,
   LoadWord = 11,
   LoadQuestion = 12,
-  LoadAnswer = 13
+  LoadAnswer = 13,
+  QuotaQuestion = 21,
+  QuotaAnswer = 22,
+  QuotaReturn = 23,
+  QuotaRenewal = 24,
+  QuotaPromise = 25
 }
 
 const packr = new Packr({ useRecords: false })
--- a/packages/foxtaillever-relay/src/peers/loadQuestions.ts
+++ b/packages/foxtaillever-relay/src/peers/loadQuestions.ts
@@ -6,16 +6,11 @@
 import type { Clock } from 'foxtaillever-core'
 import { DatagramKind } from './datagram.js'
 import type { LoadAnswer, LoadQuestion } from './loadMessage.js'
+import { PassedOver } from './passedOver.js'
 
 /** A watcher answers from memory and is at most 2.8 away and back, milliseconds; a slow machine's loop takes up to 10 more. */
 const ANSWER_MS = 15
 
-/** A watcher that left so many questions in a row unanswered is passed over. */
-const MOST_UNANSWERED = 2
-
-/** For so long, milliseconds, as a process takes to restart; then one question finds out whether it is back. */
-const PASSED_OVER_MS = 3000
-
 /** A prompt level, and the server that is its home. */
 export interface LevelAtHome {
   readonly level: number
@@ -40,11 +35,6 @@
 /** What a watcher knows. */
 export type WatcherWord = Pick<LoadAnswer, 'loads' | 'unreachable' | 'saved'>
 
-interface Silence {
-  readonly unanswered: number
-  readonly until: number
-}
-
 interface Pending {
   readonly waiting: Set<string>
   readonly settle: () => void
@@ -66,11 +56,13 @@
 }
 
 export class LoadQuestions {
-  private readonly silences = new Map<string, Silence>()
+  private readonly passedOver: PassedOver
   private readonly pending = new Map<number, Pending>()
   private number = 0
 
-  private constructor (private readonly options: LoadQuestionsOptions) {}
+  private constructor (private readonly options: LoadQuestionsOptions) {
+    this.passedOver = PassedOver.create(options)
+  }
 
   static create (options: LoadQuestionsOptions): LoadQuestions {
     return new LoadQuestions(options)
@@ -97,7 +89,7 @@
 
   hear (answer: LoadAnswer): void {
     const { address, number } = answer
-    this.silences.delete(address)
+    this.passedOver.hear(address)
     this.options.onLearned(answer)
     const pending = this.pending.get(number)
     if (pending?.waiting.delete(address) === true && pending.waiting.size === 0) {
@@ -136,14 +128,7 @@
 
   private giveUp (number: number): void {
     const pending = this.pending.get(number)
-    const until = this.options.clock.now() + PASSED_OVER_MS
-    pending?.waiting.forEach(watcher => {
-      const unanswered = (this.silences.get(watcher)?.unanswered ?? 0) + 1
-      this.silences.set(watcher, { unanswered, until })
-      if (unanswered === MOST_UNANSWERED) {
-        this.options.onPassedOver(watcher)
-      }
-    })
+    pending?.waiting.forEach(watcher => this.passedOver.miss(watcher))
     this.pending.delete(number)
     pending?.settle()
   }
@@ -152,7 +137,6 @@
     if (address === this.options.address) {
       return !this.options.isOwnWhole()
     }
-    const { unanswered, until } = this.silences.get(address) ?? { unanswered: 0, until: 0 }
-    return unanswered >= MOST_UNANSWERED && this.options.clock.now() < until
+    return this.passedOver.has(address)
   }
 }
--- a/packages/foxtaillever-relay/src/peers/peerTable.ts
+++ b/packages/foxtaillever-relay/src/peers/peerTable.ts
@@ -106,6 +106,20 @@
     return Math.max(this.known(now), ...this.counted(now).map(({ last }) => last?.instances ?? 0))
   }
 
+  /**
+   * Addresses of those that were there of late and do not leave, in their order.
+   * One that is cut off or starts again stays among them, so that what is
+   * computed from them does not move with every silence.
+   */
+  lasting (now: number): string[] {
+    return this.counted(now).flatMap(({ address, last }) => last?.isLeaving === true ? [] : [address]).sort()
+  }
+
+  /** Whether this instance knows as many as any of the others does. */
+  knowsAll (now: number): boolean {
+    return this.counted(now).some(({ last }) => last !== undefined) && this.known(now) >= this.count(now)
+  }
+
   private counted (now: number): Peer[] {
     return this.all().filter(({ heardAt }) => heardAt + COUNTED_MS > now)
   }
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -12,6 +12,7 @@
 import { PeerTable } from './peerTable.js'
 import type { ReadNotice } from './readNotice.js'
 import { Rounds } from './rounds.js'
+import { Keepers } from '../quota/keepers.js'
 import type { ToldTopic } from './toldTopic.js'
 import { MOST_IN_NOTICE } from './weightsNotice.js'
 
@@ -62,6 +63,7 @@
   readonly host: string
   readonly port: number
   readonly word: () => OwnWord
+  readonly isLeaving: () => boolean
   readonly lease: () => LeaseNews | undefined
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   readonly onMessage: (message: PeerMessage) => void
@@ -76,6 +78,7 @@
   readonly onNotice: (notice: ReadNotice) => void
   readonly onWeights: PeerLinkOptions['onWeights']
   readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
+  readonly onQuota: PeerLinkOptions['onQuota']
 }
 
 export class Peers {
@@ -86,6 +89,8 @@
   readonly address: string
   /** Who keeps the sum of a server's load, and looks at a store of cached levels. */
   readonly watchers = ComputedWatchers.create()
+  /** Who decides on the quota of an account. */
+  readonly keepers: Keepers
   private readonly startedAt: number
   private readonly rounds: Rounds
   /** As of the last beat, or of the last instance that came or left. */
@@ -94,13 +99,14 @@
   private cancelBeat: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, ownUses, onSaved, onUnreachable, onPassedOver } = options
+    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, onQuota, ownUses, onSaved, onUnreachable, onPassedOver } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
+    this.keepers = Keepers.create(clock.now())
     this.rounds = Rounds.create(options.random)
     this.use = FleetUse.create(clock)
     this.link = PeerLink.create({
-      clock, host, port, tell, onNotice, onWeights, onLeaseCall, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message)
+      clock, host, port, tell, onNotice, onWeights, onLeaseCall, onQuota, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message)
     })
     this.loads = LoadTalk.create({
       clock, address: this.address, use: this.use, own: ownUses, onSaved, onUnreachable, onPassedOver, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server)
@@ -198,6 +204,8 @@
     this.likelyOthers = this.table.likely(now, this.isLarge ? LARGE_RECEIVERS : MOST_RECEIVERS)
     this.reckonedWith = this.table.count(now)
     this.watchers.setMembers([this.address, ...this.likelyOthers.map(({ address }) => address)])
+    const lasting = this.table.lasting(now)
+    this.keepers.setMembers(this.options.isLeaving() ? lasting : [this.address, ...lasting].sort(), this.table.knowsAll(now), now)
   }
 
   private receivers (): string[] {
--- /dev/null
+++ b/packages/foxtaillever-relay/src/quota/__fixtures__/quotaFleet.ts
@@ -0,0 +1,177 @@
+/** Instances that share quotas, over datagrams in memory that get lost, late and doubled, and may be cut; all admissions are kept for an oracle. */
+import { SeededRandom, type Random } from 'foxtaillever-core'
+import { QuotaOutcome, type QuotaLimit, type QuotaTolerance } from 'foxtaillever-policy/limits/quotaBook'
+import { VirtualClock } from 'foxtaillever-testing/virtualClock'
+import { unpackDatagram } from '../../peers/datagram.js'
+import { Keepers } from '../keepers.js'
+import { encodeQuotaMessage, readQuotaMessage, type QuotaMessage } from '../quotaMessage.js'
+import { QuotaTalk, type QuotaWord } from '../quotaTalk.js'
+
+export const tolerance: QuotaTolerance = { overage: 0.1, slack: 72_000, windowMs: 8000 }
+
+/** Between two looks at the members, milliseconds. */
+const BEAT_MS = 250
+
+/** IP and UDP headers, bytes. */
+const HEADERS = 28
+
+/** One request that may run. */
+export interface Admission {
+  readonly at: number
+  readonly cost: number
+}
+
+/** What was asked for, and what came of it. */
+export interface Asked extends Admission {
+  readonly word: QuotaWord
+  /** Until it was decided, milliseconds. */
+  readonly waitedMs: number
+}
+
+export interface Node {
+  readonly address: string
+  /** Those it knows, itself included. */
+  known: Set<string>
+  talk: QuotaTalk
+  keepers: Keepers
+  isDown: boolean
+  /** Those of one side hear each other only. */
+  side: number
+  sentBytes: number
+}
+
+export interface FleetFaults {
+  /** Parts of all datagrams. */
+  lost: number
+  doubled: number
+  /** Longest way of a datagram, milliseconds. */
+  longestMs: number
+}
+
+export class QuotaFleet {
+  readonly clock = VirtualClock.create()
+  readonly nodes: Node[] = []
+  readonly asked = new Map<string, Asked[]>()
+  readonly faults: FleetFaults = { lost: 0, doubled: 0, longestMs: 2 }
+  private readonly random: Random
+
+  private constructor (seed: number) {
+    this.random = SeededRandom.create(seed)
+  }
+
+  /** Has run for long enough that all know each other. */
+  static async start (size: number, seed = 1): Promise<QuotaFleet> {
+    const fleet = new QuotaFleet(seed)
+    const addresses = Array.from({ length: size }, (_, index) => `10.1.${index % 3}.${index}:7340`)
+    addresses.forEach(address => fleet.add(address, addresses))
+    fleet.beat()
+    await fleet.pass(6000)
+    return fleet
+  }
+
+  /** An instance starts, or starts again: it knows nothing of before but the others' addresses. */
+  add (address: string, known: readonly string[]): Node {
+    const earlier = this.nodes.find(node => node.address === address)
+    const node = earlier ?? { address, isDown: false, side: 0, sentBytes: 0 } as unknown as Node
+    const keepers = Keepers.create(this.clock.now())
+    Object.assign(node, { known: new Set([address, ...known]), keepers, isDown: false })
+    node.talk = QuotaTalk.create({
+      clock: this.clock,
+      address,
+      tolerance,
+      ranking: account => keepers.of(account),
+      settledAt: () => keepers.settledAt,
+      send: (to, message) => this.send(node, to, message),
+      onDecided: () => {},
+      onPassedOver: () => {}
+    })
+    if (!earlier) {
+      this.nodes.push(node)
+    }
+    this.look(node)
+    return node
+  }
+
+  up (): Node[] {
+    return this.nodes.filter(({ isDown }) => !isDown)
+  }
+
+  /** One request of the account at the instance; the oracle hears what came of it. */
+  ask ({ talk }: Node, account: string, limit: QuotaLimit, cost: number): void {
+    const at = this.clock.now()
+    talk.claim({ account, limit, cost }, word => {
+      const asked = this.asked.get(account) ?? []
+      asked.push({ at: this.clock.now(), cost, word, waitedMs: this.clock.now() - at })
+      this.asked.set(account, asked)
+    })
+  }
+
+  /**
+   * Requests of an account come at random instants for a while.
+   * @param perSecond tokens of all instances together.
+   * @param pick draws who gets a request; any that is up unless said otherwise.
+   */
+  async load (account: string, limit: () => QuotaLimit, perSecond: number, cost: number, ms: number, pick: (up: Node[]) => Node | undefined = up => up[this.random.below(up.length)]): Promise<void> {
+    const until = this.clock.now() + ms
+    while (this.clock.now() < until) {
+      await this.pass(-Math.log(1 - this.random.next()) * cost / perSecond * 1000)
+      const node = pick(this.up())
+      if (node) {
+        this.ask(node, account, limit(), cost)
+      }
+    }
+  }
+
+  async pass (ms: number): Promise<void> {
+    await this.clock.advanceTo(this.clock.now() + ms)
+  }
+
+  admitted (account: string): Admission[] {
+    return (this.asked.get(account) ?? []).filter(({ word }) => word.outcome === QuotaOutcome.Granted)
+  }
+
+  /** Most that was admitted in any window. */
+  mostInWindow (admitted: readonly Admission[]): number {
+    let from = 0
+    let sum = 0
+    let most = 0
+    for (const { at, cost } of admitted) {
+      sum += cost
+      while ((admitted[from] as Admission).at < at - tolerance.windowMs) {
+        sum -= (admitted[from++] as Admission).cost
+      }
+      most = Math.max(most, sum)
+    }
+    return most
+  }
+
+  private beat (): void {
+    this.up().forEach(node => this.look(node))
+    this.clock.at(this.clock.now() + BEAT_MS, () => this.beat())
+  }
+
+  private look ({ known, keepers }: Node): void {
+    keepers.setMembers([...known].sort(), known.size >= this.nodes.length, this.clock.now())
+  }
+
+  private send (from: Node, to: string, message: QuotaMessage): void {
+    const bytes = encodeQuotaMessage(message)
+    from.sentBytes += bytes.length + HEADERS
+    const { lost, doubled, longestMs } = this.faults
+    const copies = this.random.next() < lost ? 0 : this.random.next() < doubled ? 2 : 1
+    for (let copy = 0; copy < copies; copy++) {
+      this.clock.at(this.clock.now() + 0.1 + this.random.next() * longestMs, () => {
+        const receiver = this.nodes.find(({ address }) => address === to)
+        if (receiver && !receiver.isDown && receiver.side === from.side) {
+          unpackDatagram(bytes).chain(readQuotaMessage).ifJust(heard => receiver.talk.hear(heard))
+        }
+      })
+    }
+  }
+}
+
+/** What the rule allows in a window. */
+export function allowed ({ perSecond, burst }: QuotaLimit): number {
+  const { overage, slack, windowMs } = tolerance
+  return (perSecond * windowMs / 1000 + burst) * (1 + overage) + slack
+}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/quota/keepers.ts
@@ -0,0 +1,50 @@
+/** Who decides on the quota of an account, computed from the members that this instance knows. */
+import { hashNumber } from 'foxtaillever-core'
+import { ComputedWatchers } from 'foxtaillever-policy/relay/computedWatchers'
+import { QUOTA_RANKS } from './quotaTalk.js'
+
+/**
+ * An instance that has just started may not know the others yet, and would take
+ * itself for the keeper of every account. After this it decides by those it
+ * knows, milliseconds: beats of all have come by then, also in a large fleet.
+ */
+const LEARNING_MS = 5000
+
+/** One that nobody names is alone, milliseconds: the others greet it within a second. */
+const ALONE_MS = 1500
+
+export class Keepers {
+  private readonly rankings = ComputedWatchers.create(QUOTA_RANKS)
+  private changedAt: number
+  private isLearned = false
+
+  private constructor (private readonly startedAt: number) {
+    this.changedAt = startedAt
+  }
+
+  /** @param now start of this instance, milliseconds of Unix time. */
+  static create (now: number): Keepers {
+    return new Keepers(now)
+  }
+
+  /**
+   * @param addresses of those that may decide, in an order that all share.
+   * @param isWhole whether they are all that anybody knows of.
+   */
+  setMembers (addresses: readonly string[], isWhole: boolean, now: number): void {
+    if (this.rankings.setMembers(addresses)) {
+      this.changedAt = now
+    }
+    this.isLearned ||= isWhole || now >= this.startedAt + (addresses.length > 1 ? LEARNING_MS : ALONE_MS)
+  }
+
+  /** Addresses, the keeper first. */
+  of (account: string): readonly string[] {
+    return this.rankings.of(hashNumber(account))
+  }
+
+  /** Since when the members are the same, milliseconds of Unix time; undefined while they are not known yet. */
+  get settledAt (): number | undefined {
+    return this.isLearned ? this.changedAt : undefined
+  }
+}
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -19,6 +19,8 @@
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
+import { QuotaDesk } from './quota/quotaDesk.js'
+import { QuotaTalk } from './quota/quotaTalk.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
 import { createOrderOffice, type OrderOffice } from './weights/orderOffice.js'
@@ -49,6 +51,7 @@
   private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
   private readonly peers: Peers
+  private readonly quota: QuotaTalk
   private readonly office: OrderOffice
   private table: RouteTable | undefined
   private isLeaving = false
@@ -63,6 +66,7 @@
     this.state.addTo(this.log.metrics)
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
+    this.quota = this.createQuota()
     this.knowledge = this.createKnowledge()
     this.office = this.createOffice()
     this.callers = CallerServer.create({
@@ -146,6 +150,7 @@
       retryAllowance,
       weightsBoundMs,
       suspects: this.suspects,
+      quota: QuotaDesk.create({ clock, log: this.log, talk: () => this.quota, revision: () => this.table?.routing.revision ?? -1 }),
       use: { of: hash => this.peers.use.of(hash) },
       othersTokens: store => this.peers.tokensFrom(store),
       cacheStoreCalls,
@@ -190,7 +195,24 @@
       onPassedOver: peer => this.log.belief('An instance does not answer questions of load; its second is asked.', { peer }),
       onNotice: notice => this.knowledge.hear(notice),
       onWeights: notice => this.hearWeights(notice),
-      onLeaseCall: (request, search, response) => this.lendLease(request, search, response)
+      onLeaseCall: (request, search, response) => this.lendLease(request, search, response),
+      onQuota: message => this.quota.hear(message),
+      isLeaving: () => this.isLeaving
+    })
+  }
+
+  private createQuota (): QuotaTalk {
+    const { clock, quotaTolerance: tolerance } = this.options
+    const { peers, log } = this
+    return QuotaTalk.create({
+      clock,
+      address: peers.address,
+      tolerance,
+      ranking: account => peers.keepers.of(account),
+      settledAt: () => peers.keepers.settledAt,
+      send: (address, message) => peers.link.sendQuota(address, message),
+      onDecided: (role, outcome) => log.quotaDecided(role, outcome),
+      onPassedOver: peer => log.belief('An instance does not answer questions of quota; the next in the ranking is asked.', { peer })
     })
   }
 
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -3,9 +3,11 @@
  * changes what the process believes, and the figures that go with them.
  */
 import { Verdict, type Failure } from 'foxtaillever-core'
+import type { QuotaOutcome, QuotaRole } from 'foxtaillever-policy/limits/quotaBook'
 import type { ExpectedStart } from 'foxtaillever-policy/relay/yieldPriority'
 import { Metrics, Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
+import type { QuotaWord } from '../quota/quotaTalk.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 
@@ -61,6 +63,20 @@
     this.logs.write('info', Part.Requests, 'Yields to requests that can be in time.', { request: exchange.id, server, waitMs: Math.round(waitMs), readMs: Math.round(readMs), objectiveMs })
   }
 
+  /** @param askedAt when the decision was asked for, milliseconds of Unix time. */
+  quotaRefused ({ id, account }: Exchange, { outcome, role, decidedBy, retryAt }: QuotaWord, cost: number, askedAt: number, now: number): void {
+    const { quota, name } = account ?? {}
+    this.metrics.count('quota_refusals_total', { outcome, role })
+    this.logs.writeFailure(Part.Requests, 'Refused by the quota of its client account.', {
+      request: id, account: name, outcome, role, decidedBy, cost, perSecond: quota?.perSecond, burst: quota?.burst, waitedMs: Math.round(now - askedAt), retryMs: Math.round(retryAt - now)
+    })
+  }
+
+  /** This instance decided for itself or another. */
+  quotaDecided (role: QuotaRole, outcome: QuotaOutcome): void {
+    this.metrics.count('quota_decisions_total', { role, outcome })
+  }
+
   silent (exchange: Exchange, server: string, isOnKeptConnection: boolean): void {
     const connection = isOnKeptConnection ? 'kept' : 'new'
     this.metrics.count('silent_servers_total', { connection })
--- a/packages/foxtaillever-router/src/callers/statusOf.ts
+++ b/packages/foxtaillever-router/src/callers/statusOf.ts
@@ -11,6 +11,7 @@
   [FailureCode.DeadlinePassed]: 504,
   [FailureCode.DeadlineUnreachable]: 503,
   [FailureCode.AccountOverLimit]: 429,
+  [FailureCode.QuotaUnknown]: 503,
   [FailureCode.Overloaded]: 503,
   [FailureCode.Quarantined]: 422,
   [FailureCode.NoBackendServer]: 503,
--- a/packages/foxtaillever-router/src/plain/readExchange.ts
+++ b/packages/foxtaillever-router/src/plain/readExchange.ts
@@ -41,7 +41,7 @@
     path: call.path,
     route: routeOf(call),
     service: call.service.name,
-    account: { name, apiKeys: [], priority: undefined, isIsolated: false },
+    account: { name, apiKeys: [], priority: undefined, isIsolated: false, quota: undefined },
     body: Buffer.isBuffer(request.body) ? request.body : noBody,
     arrivedAt,
     callerDeadline,
