Bound what instances use of a quota without a decision

Cause: an account far from its limit that runs away just when half of the instances lose its keeper: each admits for half a second on the keeper's last word, and what it tells is heard by nobody.

An answer now says how much its asker may use: half of what is left, divided by the instances, so that all of them together cannot lose sight of more.

--- a/packages/foxtaillever-policy/src/limits/quotaBook.ts
+++ b/packages/foxtaillever-policy/src/limits/quotaBook.ts
@@ -67,8 +67,8 @@
   readonly outcome: QuotaOutcome
   /** When there is room, milliseconds of Unix time; for a refusal. */
   readonly retryAt: number
-  /** So much is left that requests of the next moment need not wait for a decision. */
-  readonly isFar: boolean
+  /** What the asker may use in the next moment without waiting for a decision. */
+  readonly free: number
 }
 
 /** A stand-in's promise holds for so long from when the keeper asked for it, milliseconds: some thirty times a datagram's way and back on a busy machine. */
@@ -83,8 +83,8 @@
 /** A bucket that is fuller fills again soon enough without a promise. */
 const RENEWAL_LEVEL = 0.75
 
-/** Part of the burst that must be left for requests that do not wait for a decision. */
-const FAR_LEVEL = 0.5
+/** Part of what is left that all instances together may use without waiting: as much is lost sight of if they cannot tell of it. */
+const FREE_PART = 0.5
 
 /** Parts of the slack: the others pay for the one request by which a bucket may be in debt. */
 const START_PART = 1 / 8
@@ -144,10 +144,11 @@
   /**
    * Decides, and counts what it grants.
    * @param settledAt since when the members are those by which the role was computed, milliseconds of Unix time.
+   * @param instances that there are.
    */
-  decide (claim: QuotaClaim, role: QuotaRole, settledAt: number, now: number): QuotaDecision {
+  decide (claim: QuotaClaim, role: QuotaRole, settledAt: number, instances: number, now: number): QuotaDecision {
     if (role === QuotaRole.None) {
-      return { outcome: QuotaOutcome.NotMine, retryAt: now, isFar: false }
+      return { outcome: QuotaOutcome.NotMine, retryAt: now, free: 0 }
     }
     const acting = this.actingRole(claim.account, role, now)
     const state = this.stateOf(claim, acting, settledAt, now)
@@ -160,7 +161,7 @@
     return {
       outcome: isGranted ? QuotaOutcome.Granted : filling.isFinal ? QuotaOutcome.Refused : QuotaOutcome.NotMine,
       retryAt: isGranted ? now : this.nextReturn(state, claim.cost, filling.perMs, now),
-      isFar: isKeeper && state.bucket.level >= FAR_LEVEL * state.limit.burst
+      free: isKeeper ? Math.max(0, FREE_PART * state.bucket.level / instances) : 0
     }
   }
 
--- a/packages/foxtaillever-relay/src/quota/__fixtures__/quotaFleet.ts
+++ b/packages/foxtaillever-relay/src/quota/__fixtures__/quotaFleet.ts
@@ -81,6 +81,7 @@
       tolerance,
       ranking: account => keepers.of(account),
       settledAt: () => keepers.settledAt,
+      instances: () => node.known.size,
       send: (to, message) => this.send(node, to, message),
       onDecided: () => {},
       onPassedOver: () => {}
--- a/packages/foxtaillever-relay/src/quota/__fixtures__/quotaHistory.ts
+++ b/packages/foxtaillever-relay/src/quota/__fixtures__/quotaHistory.ts
@@ -30,7 +30,7 @@
 
   private constructor (readonly fleet: QuotaFleet, readonly seed: number) {
     this.random = SeededRandom.create(seed)
-    const perSecond = 18_000 * (1 + this.random.below(10))
+    const perSecond = 18_000 * 2 ** this.random.below(6)
     this.limit = { perSecond, burst: perSecond, revision: 1 }
   }
 
--- a/packages/foxtaillever-relay/src/quota/__tests__/quotaTalk.test.ts
+++ b/packages/foxtaillever-relay/src/quota/__tests__/quotaTalk.test.ts
@@ -80,6 +80,21 @@
       })
     }
 
+    // An account far from its limit runs away at the moment when half of the instances lose its keeper: what they admit
+    // without a word, and tell somebody who cannot hear it, is counted nowhere.
+    it('instances that lose the keeper of an account far from its limit do not go on without a word', async t => {
+      const large: QuotaLimit = { perSecond: 900_000, burst: 900_000, revision: 1 }
+      const fleet = await QuotaFleet.start(195)
+      const [keeper, standIn] = rankOf(fleet)
+      await fleet.load(ACCOUNT, () => large, large.perSecond * USUAL, LARGE / 10, 4000)
+      fleet.nodes.forEach((node, index) => { node.side = index % 2 })
+      Object.assign(keeper as Node, { side: 0 })
+      Object.assign(standIn as Node, { side: 1 })
+      await fleet.load(ACCOUNT, () => large, large.perSecond * USUAL * HOT, LARGE, 12_000)
+      const most = fleet.mostInWindow(fleet.admitted(ACCOUNT))
+      t.true(most <= allowed(large), `${most} of ${allowed(large)}`)
+    })
+
     // Power is lost where the account is kept: whoever takes over knows nothing of the last seconds, and one that
     // believed the account fresh would admit its whole burst again.
     for (const [name, dead] of [['keeper', [0]], ['keeper and its stand-in', [0, 1]], ['keeper, its stand-in and the reserve', [0, 1, 2]]] as const) {
--- a/packages/foxtaillever-relay/src/quota/quotaMessage.ts
+++ b/packages/foxtaillever-relay/src/quota/quotaMessage.ts
@@ -25,7 +25,8 @@
   readonly role: QuotaRole
   /** Until there is room, milliseconds. */
   readonly retryMs: number
-  readonly isFar: boolean
+  /** What the asker may use in the next moment without a decision. */
+  readonly free: number
 }
 
 /** A request that was counted has not run. */
@@ -54,7 +55,7 @@
       const { number, limit: { perSecond, burst, revision }, cost, isTaken } = message
       return packDatagram([kind, address, account, number, perSecond, burst, revision, cost, isTaken])
     }
-    case DatagramKind.QuotaAnswer: return packDatagram([kind, address, account, message.number, message.outcome, message.role, Math.ceil(message.retryMs), message.isFar])
+    case DatagramKind.QuotaAnswer: return packDatagram([kind, address, account, message.number, message.outcome, message.role, Math.ceil(message.retryMs), Math.floor(message.free)])
     case DatagramKind.QuotaReturn: return packDatagram([kind, address, account, message.cost])
     case DatagramKind.QuotaRenewal:
     case DatagramKind.QuotaPromise: return packDatagram([kind, address, account, message.sentAt])
@@ -69,8 +70,8 @@
   [DatagramKind.QuotaQuestion]: (address, account, [number, perSecond, burst, revision, cost, isTaken]) => ({
     kind: DatagramKind.QuotaQuestion, address, account, number: Number(number), limit: { perSecond: Number(perSecond), burst: Number(burst), revision: Number(revision) }, cost: Number(cost), isTaken: isTaken === true
   }),
-  [DatagramKind.QuotaAnswer]: (address, account, [number, outcome, role, retryMs, isFar]) => ({
-    kind: DatagramKind.QuotaAnswer, address, account, number: Number(number), outcome: outcome as QuotaOutcome, role: role as QuotaRole, retryMs: Number(retryMs), isFar: isFar === true
+  [DatagramKind.QuotaAnswer]: (address, account, [number, outcome, role, retryMs, free]) => ({
+    kind: DatagramKind.QuotaAnswer, address, account, number: Number(number), outcome: outcome as QuotaOutcome, role: role as QuotaRole, retryMs: Number(retryMs), free: Number(free)
   }),
   [DatagramKind.QuotaReturn]: (address, account, [cost]) => ({ kind: DatagramKind.QuotaReturn, address, account, cost: Number(cost) }),
   [DatagramKind.QuotaRenewal]: readRenewal(DatagramKind.QuotaRenewal),
--- a/packages/foxtaillever-relay/src/quota/quotaTalk.ts
+++ b/packages/foxtaillever-relay/src/quota/quotaTalk.ts
@@ -1,8 +1,9 @@
 /**
  * Quotas of client accounts among the instances of a fleet. Each account has a
  * keeper, computed from the members, that decides for all; its next two in the
- * ranking take over within the bounds that `QuotaBook` sets. Far from the limit a
- * request is only counted there; near it one question is waited for.
+ * ranking take over within the bounds that `QuotaBook` sets. Each answer says what
+ * its asker may use without waiting, so that far from the limit a request is only
+ * counted there; near it one question is waited for.
  */
 import { atAfterSilence, type Cancellation, type Clock } from 'foxtaillever-core'
 import { RecentMap } from 'foxtaillever-policy/collections/recentMap'
@@ -17,11 +18,11 @@
 /** Nobody waits for a decision for longer, milliseconds. */
 const MOST_WAIT_MS = 200
 
-/** An account that was far from its limit is taken to be so for as long, milliseconds. */
-const FAR_MS = 500
+/** What may be used without a decision is forgotten after this, milliseconds. */
+const FREE_MS = 500
 
-/** Accounts that are known to be far from their limit. */
-const FAR_BOUND = 2048
+/** Accounts of which something may be used without a decision. */
+const FREE_BOUND = 2048
 
 /** The ranking's places, in their order. */
 const rolesByRank: readonly QuotaRole[] = [QuotaRole.Keeper, QuotaRole.StandIn, QuotaRole.Reserve]
@@ -48,11 +49,19 @@
   readonly ranking: (account: string) => readonly string[]
   /** Since when the members are those by which rankings are computed; undefined while they are not known yet. */
   readonly settledAt: () => number | undefined
+  /** Those that there are, this one included. */
+  readonly instances: () => number
   readonly send: (address: string, message: QuotaMessage) => void
   /** This instance decided on a claim of any instance. */
   readonly onDecided: (role: QuotaRole, outcome: QuotaOutcome) => void
 }
 
+interface Allowance {
+  tokens: number
+  /** Milliseconds of Unix time. */
+  readonly until: number
+}
+
 interface Pending {
   readonly claim: QuotaClaim
   /** Those that have not been asked yet, in their order. */
@@ -68,8 +77,7 @@
   private readonly book: QuotaBook
   private readonly passedOver: PassedOver
   private readonly pending = new Map<number, Pending>()
-  /** Until when accounts are taken to be far from their limits. */
-  private readonly far = RecentMap.create<number>(FAR_BOUND)
+  private readonly allowances = RecentMap.create<Allowance>(FREE_BOUND)
   /** Accounts whose promise will be looked at again. */
   private readonly renewing = new Set<string>()
   private number = 0
@@ -89,7 +97,7 @@
     const now = clock.now()
     const left = this.ranking(claim.account)
     const [first = ''] = left
-    if (first !== this.options.address && now < (this.far.peek(claim.account) ?? 0)) {
+    if (first !== this.options.address && this.isFree(claim, now)) {
       this.ask(first, this.number++, { ...claim, isTaken: true })
       go({ outcome: QuotaOutcome.Granted, role: QuotaRole.None, decidedBy: '', retryAt: now })
       return
@@ -125,6 +133,16 @@
     }
   }
 
+  /** Whether it need not wait for a decision; if so, it is taken off what need not. */
+  private isFree ({ account, cost }: Omit<QuotaClaim, 'isTaken'>, now: number): boolean {
+    const allowance = this.allowances.peek(account)
+    if (!allowance || allowance.until <= now || allowance.tokens < cost) {
+      return false
+    }
+    allowance.tokens -= cost
+    return true
+  }
+
   /** Those that answer, or all where none does. */
   private ranking (account: string): string[] {
     const ranking = this.options.ranking(account)
@@ -165,10 +183,10 @@
     this.askNext(number, pending)
   }
 
-  private hearAnswer ({ address, number, account, outcome, role, retryMs, isFar }: QuotaAnswer): void {
+  private hearAnswer ({ address, number, account, outcome, role, retryMs, free }: QuotaAnswer): void {
     const now = this.options.clock.now()
     this.passedOver.hear(address)
-    this.far.set(account, isFar ? now + FAR_MS : 0)
+    this.allowances.set(account, { tokens: free, until: now + FREE_MS })
     const pending = this.pending.get(number)
     if (pending?.waiting.delete(address) !== true) {
       return
@@ -211,7 +229,7 @@
 
   /** Decides as what this instance is to the account. */
   private answer ({ number, account, limit, cost, isTaken }: QuotaQuestion): QuotaAnswer {
-    const { address, clock, ranking, settledAt, onDecided } = this.options
+    const { address, clock, ranking, settledAt, instances, onDecided } = this.options
     const now = clock.now()
     const ranked = ranking(account)
     const since = settledAt()
@@ -221,11 +239,11 @@
       this.book.observePromise(account, now)
     }
     const role = since === undefined ? QuotaRole.None : rolesByRank[ranked.indexOf(address)] ?? QuotaRole.None
-    const { outcome, retryAt, isFar } = this.book.decide({ account, limit, cost, isTaken }, role, since ?? now, now)
+    const { outcome, retryAt, free } = this.book.decide({ account, limit, cost, isTaken }, role, since ?? now, instances(), now)
     this.renew(account)
     if (!isTaken) {
       onDecided(role, outcome)
     }
-    return { kind: DatagramKind.QuotaAnswer, address, number, account, outcome, role, retryMs: retryAt - now, isFar }
+    return { kind: DatagramKind.QuotaAnswer, address, number, account, outcome, role, retryMs: retryAt - now, free }
   }
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -210,6 +210,7 @@
       tolerance,
       ranking: account => peers.keepers.of(account),
       settledAt: () => peers.keepers.settledAt,
+      instances: () => peers.count(),
       send: (address, message) => peers.link.sendQuota(address, message),
       onDecided: (role, outcome) => log.quotaDecided(role, outcome),
       onPassedOver: peer => log.belief('An instance does not answer questions of quota; the next in the ranking is asked.', { peer })
