--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -1,5 +1,6 @@
-/** `npm run fuzz -- --seed S --runs N`: exits 1 when a promise was broken. */
+/** `npm run fuzz -- --seed S --runs N`, and `npm run fuzz -- quota`: exits 1 when a promise was broken. */
 import { Cli, Command, Option } from 'clipanion'
+import { QuotaHistory } from 'foxtaillever-relay/quota/__fixtures__/quotaHistory'
 import { runFuzz } from './fuzz/runFuzz.js'
 
 const PROGRESS_RUNS = 500
@@ -27,4 +28,28 @@
   }
 }
 
-await Cli.from([FuzzCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
+/** Instances of one history, in turn. */
+const QUOTA_SIZES = [8, 30, 70, 195]
+
+class QuotaCommand extends Command {
+  static override paths = [['quota']]
+  static override usage = Command.Usage({ description: 'Draw histories of a fleet that shares quotas, and check every window against an oracle.' })
+
+  seed = Option.String('--seed', '1', { description: 'Seed of the first history; the next ones follow.' })
+  runs = Option.String('--runs', '300', { description: 'Histories of one account.' })
+
+  async execute (): Promise<number> {
+    let worst = 0
+    for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.runs); seed++) {
+      const report = await QuotaHistory.play(seed, QUOTA_SIZES[seed % QUOTA_SIZES.length] as number)
+      worst = Math.max(worst, report.worst)
+      if (report.worst > 1) {
+        console.log(JSON.stringify(report))
+      }
+    }
+    console.log(JSON.stringify({ runs: Number(this.runs), worst }))
+    return worst > 1 ? 1 : 0
+  }
+}
+
+await Cli.from([FuzzCommand, QuotaCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
