Begin a quota's bucket at the start of the process, and ask on while instances start

Nobody decides at a process before it starts, so a bucket fills from there; the ranking is asked again and again for half a second.

--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -64,6 +64,8 @@
   readonly port: number
   readonly word: () => OwnWord
   readonly isLeaving: () => boolean
+  /** Start of this process, milliseconds of Unix time. */
+  readonly processStartedAt: number
   readonly lease: () => LeaseNews | undefined
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   readonly onMessage: (message: PeerMessage) => void
@@ -102,7 +104,7 @@
     const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, onQuota, ownUses, onSaved, onUnreachable, onPassedOver } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
-    this.keepers = Keepers.create(clock.now())
+    this.keepers = Keepers.create(this.options.processStartedAt)
     this.rounds = Rounds.create(options.random)
     this.use = FleetUse.create(clock)
     this.link = PeerLink.create({
--- a/packages/foxtaillever-relay/src/quota/__fixtures__/quotaFleet.ts
+++ b/packages/foxtaillever-relay/src/quota/__fixtures__/quotaFleet.ts
@@ -69,11 +69,14 @@
     return fleet
   }
 
-  /** An instance starts, or starts again: it knows nothing of before but the others' addresses. */
-  add (address: string, known: readonly string[]): Node {
+  /**
+   * An instance starts, or starts again: it knows nothing of before but the others' addresses.
+   * @param bootMs since its process started, milliseconds.
+   */
+  add (address: string, known: readonly string[], bootMs = 0): Node {
     const earlier = this.nodes.find(node => node.address === address)
     const node = earlier ?? { address, isDown: false, side: 0, sentBytes: 0 } as unknown as Node
-    const keepers = Keepers.create(this.clock.now())
+    const keepers = Keepers.create(this.clock.now() - bootMs)
     Object.assign(node, { known: new Set([address, ...known]), keepers, isDown: false })
     node.talk = QuotaTalk.create({
       clock: this.clock,
--- a/packages/foxtaillever-relay/src/quota/__tests__/quotaTalk.test.ts
+++ b/packages/foxtaillever-relay/src/quota/__tests__/quotaTalk.test.ts
@@ -25,10 +25,13 @@
 }
 
 /** They start again at their addresses, and know them all from the store. */
-function restart (fleet: QuotaFleet, nodes: readonly Node[]): void {
-  nodes.forEach(({ address }) => fleet.add(address, fleet.nodes.map(node => node.address)))
+function restart (fleet: QuotaFleet, nodes: readonly Node[], bootMs = 0): void {
+  nodes.forEach(({ address }) => fleet.add(address, fleet.nodes.map(node => node.address), bootMs))
 }
 
+/** From power to the first request of a small machine, milliseconds. */
+const BOOT_MS = 1000
+
 /** Tokens refused by anybody or nobody, as a part of what was asked for. */
 function refusedPart (fleet: QuotaFleet): number {
   const asked = fleet.asked.get(ACCOUNT) ?? []
@@ -124,6 +127,21 @@
       t.true(refusedPart(fleet) < 0.05, `${refusedPart(fleet)} was refused`)
     })
 
+    // All instances lose power together. Whoever keeps the account knows nothing of the time before, but that its own
+    // process has not decided on anything since it started. Callers that were cut off come back at once.
+    it('an account below its limit is not refused after a restart of all', async t => {
+      const large: QuotaLimit = { perSecond: 900_000, burst: 900_000, revision: 1 }
+      const fleet = await QuotaFleet.start(70)
+      await fleet.load(ACCOUNT, () => large, large.perSecond * USUAL, LARGE, 2000)
+      fleet.asked.clear()
+      kill(fleet.nodes)
+      await fleet.pass(2500)
+      restart(fleet, fleet.nodes, BOOT_MS)
+      await fleet.load(ACCOUNT, () => large, large.perSecond * USUAL * 3, LARGE, 500)
+      await fleet.load(ACCOUNT, () => large, large.perSecond * USUAL, LARGE, 4000)
+      t.true(refusedPart(fleet) < 0.01, `${refusedPart(fleet)} was refused`)
+    })
+
     it('nobody waits long for a keeper that does not answer, and after two questions nobody waits at all', async t => {
       const fleet = await QuotaFleet.start(70)
       const [keeper] = rankOf(fleet)
--- a/packages/foxtaillever-relay/src/quota/keepers.ts
+++ b/packages/foxtaillever-relay/src/quota/keepers.ts
@@ -22,9 +22,9 @@
     this.changedAt = startedAt
   }
 
-  /** @param now start of this instance, milliseconds of Unix time. */
-  static create (now: number): Keepers {
-    return new Keepers(now)
+  /** @param startedAt start of this process, milliseconds of Unix time: so long nobody has decided here. */
+  static create (startedAt: number): Keepers {
+    return new Keepers(startedAt)
   }
 
   /**
@@ -32,7 +32,7 @@
    * @param isWhole whether they are all that anybody knows of.
    */
   setMembers (addresses: readonly string[], isWhole: boolean, now: number): void {
-    if (this.rankings.setMembers(addresses)) {
+    if (this.rankings.setMembers(addresses) && this.isLearned) {
       this.changedAt = now
     }
     this.isLearned ||= isWhole || now >= this.startedAt + (addresses.length > 1 ? LEARNING_MS : ALONE_MS)
--- a/packages/foxtaillever-relay/src/quota/quotaTalk.ts
+++ b/packages/foxtaillever-relay/src/quota/quotaTalk.ts
@@ -15,8 +15,8 @@
 /** One that does not answer for so long, milliseconds, is silent: a datagram's way is two at most, a busy loop takes tens. */
 const ANSWER_MS = 50
 
-/** Nobody waits for a decision for longer, milliseconds. */
-const MOST_WAIT_MS = 200
+/** Nobody waits for a decision for longer, milliseconds: as long as instances that all start at once differ. */
+const MOST_WAIT_MS = 500
 
 /** What may be used without a decision is forgotten after this, milliseconds. */
 const FREE_MS = 500
@@ -64,8 +64,8 @@
 
 interface Pending {
   readonly claim: QuotaClaim
-  /** Those that have not been asked yet, in their order. */
-  readonly left: string[]
+  /** Those that have not been asked in this round, in their order. */
+  left: readonly string[]
   /** Asked and not heard of. */
   readonly waiting: Set<string>
   readonly go: (word: QuotaWord) => void
@@ -159,17 +159,18 @@
     }
   }
 
-  /** Asks whoever is next; with nobody left, waits for those that were asked. */
+  /** Asks whoever is next. After the last it begins anew, since one that starts, or learns who the others are, decides a moment later. */
   private askNext (number: number, pending: Pending): void {
     const { clock } = this.options
     const now = clock.now()
-    const next = pending.left.shift()
     pending.cancel()
-    if (next === undefined && (pending.waiting.size === 0 || now >= pending.until)) {
+    if (now >= pending.until) {
       this.settle(number, { outcome: QuotaOutcome.NotMine, role: QuotaRole.None, decidedBy: '', retryAt: now })
       return
     }
-    pending.cancel = atAfterSilence(clock, next === undefined ? pending.until : now + ANSWER_MS, () => this.miss(number, pending, next))
+    const [next, ...left] = pending.left
+    pending.left = next === undefined ? this.ranking(pending.claim.account) : left
+    pending.cancel = atAfterSilence(clock, Math.min(now + ANSWER_MS, pending.until), () => this.miss(number, pending, next))
     if (next !== undefined) {
       pending.waiting.add(next)
       this.ask(next, number, pending.claim)
@@ -193,7 +194,7 @@
     }
     if (outcome !== QuotaOutcome.NotMine) {
       this.settle(number, { outcome, role, decidedBy: address, retryAt: now + retryMs })
-    } else if (pending.left.length > 0 || pending.waiting.size === 0) {
+    } else if (pending.left.length > 0) {
       this.askNext(number, pending)
     }
   }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -197,7 +197,8 @@
       onWeights: notice => this.hearWeights(notice),
       onLeaseCall: (request, search, response) => this.lendLease(request, search, response),
       onQuota: message => this.quota.hear(message),
-      isLeaving: () => this.isLeaving
+      isLeaving: () => this.isLeaving,
+      processStartedAt: clock.now() - process.uptime() * 1000
     })
   }
 
