--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -14,6 +14,8 @@
 export interface AnswerRelayListener {
   /** The first event goes to the caller. */
   readonly onFirstEvent: () => void
+  /** Events that came together go to the caller. */
+  readonly onEvents: () => void
   /** The caller reads more slowly than the server writes. */
   readonly onFull: () => void
 }
@@ -71,7 +73,11 @@
       this.hold(bytes)
       return undefined
     }
-    for (const { bytes: event, id } of this.splitter.push(bytes)) {
+    const events = this.splitter.push(bytes)
+    if (events.length > 0) {
+      this.listener.onEvents()
+    }
+    for (const { bytes: event, id } of events) {
       if (isRepeated(id, this.lastEventId)) {
         return `event ${id} after ${this.lastEventId}`
       }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -19,6 +19,7 @@
 import { observeHead } from './observeHead.js'
 import { OpenTry } from './openTry.js'
 import { planTry } from './planTry.js'
+import { StreamPace } from './streamPace.js'
 import { TryLedger } from './tryLedger.js'
 import { watchTry } from './watchTry.js'
 
@@ -29,6 +30,7 @@
   private current: OpenTry | undefined
   private readonly ledger: TryLedger
   private readonly relay: AnswerRelay
+  private readonly pace = StreamPace.create()
   private head: AnswerHead | undefined
   private isOver = false
   /** A server's own failure, passed on when no other try succeeds. */
@@ -46,6 +48,7 @@
     this.ledger = TryLedger.create(exchange)
     this.relay = AnswerRelay.create(exchange, answer, {
       onFirstEvent: () => context.log.firstEvent(exchange, this.now),
+      onEvents: () => this.pace.observe(this.now),
       onFull: () => this.current?.attempt.pause()
     })
   }
@@ -319,7 +322,7 @@
     this.isOver = true
     this.cancelDeadline()
     const { exchange, ledger, now } = this
-    this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.tried, now, reason })
+    this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.tried, pace: this.pace.since(exchange.arrivedAt), now, reason })
     this.returnQuota(end)
     this.onOver(end === ExchangeEnd.Answered ? Verdict.Ran : ledger.verdict)
   }
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -19,6 +19,8 @@
   readonly outcome: string
   readonly verdict: Verdict
   readonly servers: readonly string[]
+  /** Of a streamed answer; see `StreamPace`. */
+  readonly pace: { readonly firstMs: number, readonly pauseMs: number } | undefined
   readonly now: number
   /** Why it failed, for one that did. */
   readonly reason?: string
@@ -83,12 +85,12 @@
     this.logs.writeFailure(Part.Requests, 'A backend server is silent.', { request: exchange.id, server, connection })
   }
 
-  ended ({ exchange, end, outcome, verdict, servers, now, reason }: ExchangeOutcome): void {
+  ended ({ exchange, end, outcome, verdict, servers, pace, now, reason }: ExchangeOutcome): void {
     const ms = Math.round(now - exchange.arrivedAt)
     const { id: request, account, route } = exchange
     this.metrics.count('requests_total', { end, outcome, verdict })
     this.metrics.observe('request_ms', { end }, ms)
-    const subject = { request, account: account?.name, route: route.name, end, outcome, verdict, servers: servers.join(' '), ms }
+    const subject = { request, account: account?.name, route: route.name, end, outcome, verdict, servers: servers.join(' '), ms, ...pace, promptTokens: exchange.prompt?.promptTokens }
     const isFailure = end === ExchangeEnd.Failed || Number(outcome) >= SERVER_ERROR
     if (isFailure) {
       this.logs.writeFailure(Part.Requests, `Ended: ${end}.`, { ...subject, reason, ...this.beliefs(exchange.service) })
