Grant in each window what a quota says, and lead askers to a keeper that has just joined

Cause: an account whose limit was lowered to a half of its use lost more than the rule takes from it. The bucket is now half as deep and fills faster, and 0.7 of the tolerated overage is used while all is well.

--- a/packages/foxtaillever-policy/src/limits/quotaBook.ts
+++ b/packages/foxtaillever-policy/src/limits/quotaBook.ts
@@ -17,6 +17,11 @@
  *
  * A keeper that starts needs no history: its bucket begins nearly empty and fills
  * at the quota's rate, and so does not repeat what the one before it granted.
+ *
+ * A quota holds over any window: the rate times the window, and the burst. A bucket
+ * as deep as the burst would grant that burst once and the rate alone afterwards. So
+ * it is half as deep, and fills faster: whoever sends steadily gets in each window
+ * what the quota says.
  */
 import { RecentMap } from '../collections/recentMap.js'
 import { TokenBucket } from './tokenBucket.js'
@@ -24,7 +29,7 @@
 /** What an account may use, over all instances. */
 export interface QuotaLimit {
   readonly perSecond: number
-  /** At once, after a pause. */
+  /** Beside that, in any window. */
   readonly burst: number
   /** Of the configuration that set it; a higher one replaces it. */
   readonly revision: number
@@ -84,12 +89,22 @@
 const RENEWAL_LEVEL = 0.75
 
 /** Part of what is left that all instances together may use without waiting: as much is lost sight of if they cannot tell of it. */
-const FREE_PART = 0.5
+const FREE_PART = 0.25
+
+/** Depth of the keeper's bucket, as a part of the burst. */
+const DEPTH_PART = 0.5
+
+/** Part of the tolerated overage that is used while all is well; the rest is for members that come and go, and for datagrams that are lost. */
+const OVERAGE_PART = 0.7
 
-/** Parts of the slack: the others pay for the one request by which a bucket may be in debt. */
-const START_PART = 1 / 8
+/** Each of two that cannot hear each other has half of the rate. */
+const HALF = 0.5
+
+/** Parts of the slack: the rest pays for the one request by which a bucket may be in debt. */
+const DEPTH_SLACK_PART = 1 / 4
+const START_PART = 1 / 16
 const STAND_IN_PART = 1 / 8
-const RESERVE_PART = 1 / 16
+const RESERVE_PART = 1 / 32
 
 /** Callers that are sent back come one after the other, up to so far ahead, milliseconds; their deadlines are not further. */
 const MOST_AHEAD_MS = 8000
@@ -125,12 +140,11 @@
 
   private constructor (private readonly tolerance: QuotaTolerance) {
     const { overage, slack, windowMs } = tolerance
-    const half = (1 + overage) / 2
     this.fillings = {
-      [QuotaRole.Keeper]: ({ limit, heldBackUntil }, _, now) => ({ perMs: limit.perSecond / 1000 * (now < heldBackUntil ? 1 : half), most: limit.burst, isFinal: true }),
+      [QuotaRole.Keeper]: ({ limit, heldBackUntil }, _, now) => ({ perMs: this.perMs(limit) * (now < heldBackUntil ? 1 : HALF), most: limit.burst * DEPTH_PART + slack * DEPTH_SLACK_PART, isFinal: true }),
       [QuotaRole.StandIn]: ({ limit }, isHeldBack) => {
         const most = slack * STAND_IN_PART + limit.burst * overage / 2
-        return { perMs: isHeldBack ? slack * STAND_IN_PART / windowMs : limit.perSecond / 1000 * half, most, isFinal: !isHeldBack }
+        return { perMs: isHeldBack ? slack * STAND_IN_PART / windowMs : this.perMs(limit) * HALF, most, isFinal: !isHeldBack }
       },
       [QuotaRole.Reserve]: () => ({ perMs: slack * RESERVE_PART / windowMs, most: slack * RESERVE_PART, isFinal: false }),
       [QuotaRole.None]: () => ({ perMs: 0, most: 0, isFinal: false })
@@ -172,7 +186,7 @@
       return undefined
     }
     this.fill(account, state, now)
-    return state.bucket.level < RENEWAL_LEVEL * state.limit.burst ? state.renewedAt + RENEWAL_MS : undefined
+    return state.bucket.level < RENEWAL_LEVEL * DEPTH_PART * state.limit.burst ? state.renewedAt + RENEWAL_MS : undefined
   }
 
   /** The stand-in was asked for its promise. */
@@ -233,6 +247,13 @@
     return known
   }
 
+  /** What all that decide may grant in a millisecond: with their buckets' depths it makes up what a window allows. */
+  private perMs ({ perSecond, burst }: QuotaLimit): number {
+    const { overage, windowMs } = this.tolerance
+    const allowed = (perSecond * windowMs / 1000 + burst) * (1 + overage * OVERAGE_PART)
+    return (allowed - burst * (DEPTH_PART + overage / 2)) / windowMs
+  }
+
   private startingBucket (most: number, settledAt: number): TokenBucket {
     return TokenBucket.create(Math.min(most, this.tolerance.slack * START_PART), settledAt)
   }
--- a/packages/foxtaillever-relay/src/peers/peerTable.ts
+++ b/packages/foxtaillever-relay/src/peers/peerTable.ts
@@ -67,6 +67,10 @@
     return this.peers.size
   }
 
+  has (address: string): boolean {
+    return this.peers.has(address)
+  }
+
   /** What was last heard of the instance at the address. */
   last (address: string): PeerMessage | undefined {
     return this.peers.get(address)?.last
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -138,6 +138,13 @@
     this.send()
   }
 
+  /** An instance spoke that this one may not know yet. */
+  meet (address: string): void {
+    if (address !== this.address && !this.table.has(address)) {
+      this.nameAll([address])
+    }
+  }
+
   /** Others that are alive. */
   alive (): PeerMessage[] {
     return this.table.alive(this.options.clock.now())
--- a/packages/foxtaillever-relay/src/quota/__fixtures__/quotaFleet.ts
+++ b/packages/foxtaillever-relay/src/quota/__fixtures__/quotaFleet.ts
@@ -86,6 +86,7 @@
       settledAt: () => keepers.settledAt,
       instances: () => node.known.size,
       send: (to, message) => this.send(node, to, message),
+      onMet: other => { node.known.add(other); this.look(node) },
       onDecided: () => {},
       onPassedOver: () => {}
     })
--- a/packages/foxtaillever-relay/src/quota/quotaMessage.ts
+++ b/packages/foxtaillever-relay/src/quota/quotaMessage.ts
@@ -27,6 +27,8 @@
   readonly retryMs: number
   /** What the asker may use in the next moment without a decision. */
   readonly free: number
+  /** Who decides instead, where the teller does not; empty where it does. */
+  readonly keeper: string
 }
 
 /** A request that was counted has not run. */
@@ -55,7 +57,7 @@
       const { number, limit: { perSecond, burst, revision }, cost, isTaken } = message
       return packDatagram([kind, address, account, number, perSecond, burst, revision, cost, isTaken])
     }
-    case DatagramKind.QuotaAnswer: return packDatagram([kind, address, account, message.number, message.outcome, message.role, Math.ceil(message.retryMs), Math.floor(message.free)])
+    case DatagramKind.QuotaAnswer: return packDatagram([kind, address, account, message.number, message.outcome, message.role, Math.ceil(message.retryMs), Math.floor(message.free), message.keeper])
     case DatagramKind.QuotaReturn: return packDatagram([kind, address, account, message.cost])
     case DatagramKind.QuotaRenewal:
     case DatagramKind.QuotaPromise: return packDatagram([kind, address, account, message.sentAt])
@@ -70,8 +72,8 @@
   [DatagramKind.QuotaQuestion]: (address, account, [number, perSecond, burst, revision, cost, isTaken]) => ({
     kind: DatagramKind.QuotaQuestion, address, account, number: Number(number), limit: { perSecond: Number(perSecond), burst: Number(burst), revision: Number(revision) }, cost: Number(cost), isTaken: isTaken === true
   }),
-  [DatagramKind.QuotaAnswer]: (address, account, [number, outcome, role, retryMs, free]) => ({
-    kind: DatagramKind.QuotaAnswer, address, account, number: Number(number), outcome: outcome as QuotaOutcome, role: role as QuotaRole, retryMs: Number(retryMs), free: Number(free)
+  [DatagramKind.QuotaAnswer]: (address, account, [number, outcome, role, retryMs, free, keeper]) => ({
+    kind: DatagramKind.QuotaAnswer, address, account, number: Number(number), outcome: outcome as QuotaOutcome, role: role as QuotaRole, retryMs: Number(retryMs), free: Number(free), keeper: String(keeper)
   }),
   [DatagramKind.QuotaReturn]: (address, account, [cost]) => ({ kind: DatagramKind.QuotaReturn, address, account, cost: Number(cost) }),
   [DatagramKind.QuotaRenewal]: readRenewal(DatagramKind.QuotaRenewal),
--- a/packages/foxtaillever-relay/src/quota/quotaTalk.ts
+++ b/packages/foxtaillever-relay/src/quota/quotaTalk.ts
@@ -52,6 +52,8 @@
   /** Those that there are, this one included. */
   readonly instances: () => number
   readonly send: (address: string, message: QuotaMessage) => void
+  /** An instance spoke that may not be known here yet. */
+  readonly onMet: (address: string) => void
   /** This instance decided on a claim of any instance. */
   readonly onDecided: (role: QuotaRole, outcome: QuotaOutcome) => void
 }
@@ -68,6 +70,8 @@
   left: readonly string[]
   /** Asked and not heard of. */
   readonly waiting: Set<string>
+  /** All that were asked. */
+  readonly asked: Set<string>
   readonly go: (word: QuotaWord) => void
   readonly until: number
   cancel: Cancellation
@@ -103,7 +107,7 @@
       return
     }
     const number = this.number++
-    const pending: Pending = { claim: { ...claim, isTaken: false }, left, waiting: new Set(), go, until: now + MOST_WAIT_MS, cancel: () => {} }
+    const pending: Pending = { claim: { ...claim, isTaken: false }, left, waiting: new Set(), asked: new Set(), go, until: now + MOST_WAIT_MS, cancel: () => {} }
     this.pending.set(number, pending)
     this.askNext(number, pending)
   }
@@ -126,6 +130,8 @@
       case DatagramKind.QuotaAnswer: this.hearAnswer(message); break
       case DatagramKind.QuotaReturn: this.book.giveBack(message.account, message.cost); break
       case DatagramKind.QuotaRenewal:
+        // One that has just joined keeps the account now, and this instance has to know it.
+        this.options.onMet(message.address)
         this.book.promise(message.account, clock.now())
         send(message.address, { ...message, kind: DatagramKind.QuotaPromise, address })
         break
@@ -173,6 +179,7 @@
     pending.cancel = atAfterSilence(clock, Math.min(now + ANSWER_MS, pending.until), () => this.miss(number, pending, next))
     if (next !== undefined) {
       pending.waiting.add(next)
+      pending.asked.add(next)
       this.ask(next, number, pending.claim)
     }
   }
@@ -184,7 +191,7 @@
     this.askNext(number, pending)
   }
 
-  private hearAnswer ({ address, number, account, outcome, role, retryMs, free }: QuotaAnswer): void {
+  private hearAnswer ({ address, number, account, outcome, role, retryMs, free, keeper }: QuotaAnswer): void {
     const now = this.options.clock.now()
     this.passedOver.hear(address)
     this.allowances.set(account, { tokens: free, until: now + FREE_MS })
@@ -194,7 +201,12 @@
     }
     if (outcome !== QuotaOutcome.NotMine) {
       this.settle(number, { outcome, role, decidedBy: address, retryAt: now + retryMs })
-    } else if (pending.left.length > 0) {
+      return
+    }
+    if (keeper !== '' && !pending.asked.has(keeper)) {
+      pending.left = [keeper, ...pending.left.filter(other => other !== keeper)]
+    }
+    if (pending.left.length > 0) {
       this.askNext(number, pending)
     }
   }
@@ -245,6 +257,6 @@
     if (!isTaken) {
       onDecided(role, outcome)
     }
-    return { kind: DatagramKind.QuotaAnswer, address, number, account, outcome, role, retryMs: retryAt - now, free }
+    return { kind: DatagramKind.QuotaAnswer, address, number, account, outcome, role, retryMs: retryAt - now, free, keeper: outcome === QuotaOutcome.NotMine && ranked[0] !== address ? ranked[0] ?? '' : '' }
   }
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -213,6 +213,7 @@
       settledAt: () => peers.keepers.settledAt,
       instances: () => peers.count(),
       send: (address, message) => peers.link.sendQuota(address, message),
+      onMet: address => peers.meet(address),
       onDecided: (role, outcome) => log.quotaDecided(role, outcome),
       onPassedOver: peer => log.belief('An instance does not answer questions of quota; the next in the ranking is asked.', { peer })
     })
