Spread runs with a long output over all engines

Cause: runs with a long output were gathered on as few engines as hold the fleet's requests at 0.6 of their slots, and the sum of requests is known in part only in a large fleet.

--- a/packages/foxtaillever-policy/src/bench/engineFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/engineFleet.ts
@@ -117,7 +117,7 @@
 
   private place (instance: number, key: number, promptTokens: number): number {
     const pace = { tokensPerMs: this.tokensPerMs, fetchMs: FETCH_MS }
-    const need = { promptKey: key, promptTokens, sharedTokens: 0, outputTokens: 0, pace, objectiveMs: OBJECTIVE_MS, workMs: 0, fetchWaitMs: this.shape.isLinkCharged ? Math.max(0, this.linkFreeAt - this.now) : 0, isLong: false, failureDomain: `${instance % 3}` }
+    const need = { promptKey: key, promptTokens, sharedTokens: 0, outputTokens: 0, pace, objectiveMs: OBJECTIVE_MS, workMs: 0, fetchWaitMs: this.shape.isLinkCharged ? Math.max(0, this.linkFreeAt - this.now) : 0, failureDomain: `${instance % 3}` }
     const rank = (): readonly ServerOffer[] => rankOffers(this.engines.map((_, index) => this.offerOf(index, instance)), need, this.random)
     if (this.shape.knowledge === Knowledge.Asked) {
       rank().slice(0, 2).filter(() => this.random.next() >= this.shape.loss * 2).forEach(({ id }) => this.ask(instance, Number(id)))
@@ -248,7 +248,6 @@
     faultCostMs: 0,
     isChanging: false,
     isOutdated: false,
-    isGathering: false,
     coldLeftMs: 0
   }
 }
--- a/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
@@ -24,14 +24,13 @@
     faultCostMs: 0,
     isChanging: false,
     isOutdated: false,
-    isGathering: false,
     coldLeftMs: 0,
     ...given
   }))
 }
 
 function need (promptKey: number | undefined, failureDomain = 'd0'): PlacementNeed {
-  return { promptKey, promptTokens: PROMPT_TOKENS, sharedTokens: 6300, outputTokens: 10, pace: { tokensPerMs: TOKENS_PER_MS, fetchMs: 27 }, objectiveMs: 400, workMs: 20, fetchWaitMs: 0, isLong: false, failureDomain }
+  return { promptKey, promptTokens: PROMPT_TOKENS, sharedTokens: 6300, outputTokens: 10, pace: { tokensPerMs: TOKENS_PER_MS, fetchMs: 27 }, objectiveMs: 400, workMs: 20, fetchWaitMs: 0, failureDomain }
 }
 
 /** Places requests one after the other, each adding its work, and gives the work at each server, milliseconds. */
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -37,8 +37,6 @@
   readonly isChanging: boolean
   /** Its weights are older than those wanted. */
   readonly isOutdated: boolean
-  /** It takes the runs with a long output. */
-  readonly isGathering: boolean
   /** How much longer it is slow after its start, milliseconds. */
   readonly coldLeftMs: number
 }
@@ -68,8 +66,6 @@
   readonly workMs: number
   /** How long a fetch waits for the link of the level's store, milliseconds. */
   readonly fetchWaitMs: number
-  /** Its output may be long. */
-  readonly isLong: boolean
   /** Where this instance is. */
   readonly failureDomain: string
 }
@@ -116,9 +112,6 @@
 /** A late answer loses most of its worth: each millisecond beyond the safe part counts that many times more. */
 const LATE_TIMES = 3
 
-/** A long run among short ones hinders the next change of weights; an engine that gathers them may hold 50 more requests than another, milliseconds. */
-const ASTRAY_MS = 100
-
 /** How long a request waits for others to leave the memory, milliseconds; an engine that preempts them instead reads them twice. */
 function memoryMs ({ heldTokens, memoryTokens }: ServerOffer, { promptTokens, outputTokens, pace }: PlacementNeed): number {
   const over = heldTokens + promptTokens + outputTokens - memoryTokens
@@ -155,7 +148,6 @@
     (offer.isAbsent ? ABSENT_MS : 0) +
     (offer.isChanging ? CHANGING_MS : 0) +
     (offer.isOutdated ? OUTDATED_PART * need.objectiveMs : 0) +
-    (need.isLong && !offer.isGathering ? ASTRAY_MS : 0) +
     Math.min(offer.coldLeftMs, MOST_COLD_MS)
 }
 
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -93,13 +93,12 @@
     faultCostMs: 0,
     isChanging: false,
     isOutdated: false,
-    isGathering: false,
     coldLeftMs: 0
   }))
 }
 
 const need: PlacementNeed = {
-  promptKey: 42, promptTokens: 9190, sharedTokens: 6300, outputTokens: 10, pace: { tokensPerMs: 50, fetchMs: 20 }, objectiveMs: 800, workMs: 20, fetchWaitMs: 0, isLong: false, failureDomain: 'domain-0'
+  promptKey: 42, promptTokens: 9190, sharedTokens: 6300, outputTokens: 10, pace: { tokensPerMs: 50, fetchMs: 20 }, objectiveMs: 800, workMs: 20, fetchWaitMs: 0, failureDomain: 'domain-0'
 }
 
 const pieces: Readonly<Record<string, (size: Size) => Piece>> = {
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
@@ -56,6 +56,29 @@
   })
 })
 
+describe('the choice for runs with a long output', () => {
+  // Each holds one of sixteen slots for seconds. Where they gather on few engines, prompts wait there for a slot and
+  // running streams pause, while most of the fleet has room.
+  it('leaves no engine with more than half of its slots taken while the fleet has a fifth', t => {
+    const clock = VirtualClock.create()
+    const directory = ServerDirectory.create({ onChanged: () => {} })
+    for (let index = 0; index < 20; index += 1) {
+      directory.observe({ id: `e${index}`, startedAt: 0, service: 'engines', address: `127.0.0.1:${index + 1}`, failureDomain: 'a', slots: 16, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([['model', 1]]) }, index)
+    }
+    const choice = ServerChoice.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, use: FleetUse.create(clock), levelSupply: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 628 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS })
+    for (let run = 0; run < 64; run += 1) {
+      const prompt = { model: 'model', levels: [{ id: `subject-${run}`, tokens: 198 }, { id: `own-${run}`, tokens: 628 }], promptTokens: 826, outputTokens: 500 }
+      const engine = choice.place(exchangeAt(clock.now(), { service: 'engines', prompt }), { failed: new Set(), wasMisdirected: false })
+      if (engine) {
+        engine.outstanding += 1
+      }
+    }
+    const taken = directory.ready('engines').map(({ outstanding }) => outstanding)
+    t.is(taken.reduce((sum, one) => sum + one, 0), 64)
+    t.true(Math.max(...taken) <= 8, String(taken))
+  })
+})
+
 describe('the choice of a server with replaced weights', () => {
   // A request waited two seconds in the queue of a full engine and began after the bound, on weights it must not have.
   it('reckons with the wait in the queue of a full engine', t => {
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -26,8 +26,6 @@
   readonly connections: ServerConnections
   /** Newest weights version seen of each model, by the list, a report or an answer. */
   readonly weights: Map<string, number>
-  /** Rises with each change of weights that this instance learned, of any server. */
-  weightsOrder: number
   /** Requests of this instance that it has not answered yet. */
   outstanding: number
   /** Prompt tokens that it has yet to read for these before their first event. */
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -1,6 +1,5 @@
 /** Gives the decision on placement what this instance knows, and takes its answer. */
 import type { Clock, Random } from 'foxtaillever-core'
-import { gatherLongRuns, isLongRun } from 'foxtaillever-policy/relay/gatherLongRuns'
 import { rankOffers, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
 import { homeAmong, homeDomains } from 'foxtaillever-policy/relay/levelHome'
 import { ownTokensOf, promptKeyOf } from '../attempts/planTerms.js'
@@ -41,13 +40,8 @@
 /** A plain request's work before any was seen, milliseconds. */
 const FIRST_WORK_MS = 20
 
-const nobody: ReadonlySet<string> = new Set()
-
 const noneAsked: AskedServers = new Set()
 
-/** A server whose faults cost more than this takes no part in gathering, milliseconds: about one fault in eight. */
-const FAULTY_MS = 100
-
 /** Hashes of servers whose load was just asked for. */
 export type AskedServers = ReadonlySet<number>
 
@@ -121,11 +115,9 @@
     const { clock, directory, random, failureDomain, levelSupply } = this.options
     const now = clock.now()
     const ready = directory.ready(exchange.service)
-    const isLong = isLongRun(exchange.prompt?.outputTokens ?? 0)
-    const gathering = isLong ? this.gather(ready, exchange) : nobody
     const fit = ready.filter(server => !failed.has(server.listed.id) && server.displacedUntil <= now && this.hasFitWeights(server, exchange))
     const supply = levelSupply(exchange)
-    const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, supply, gathering))
+    const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, supply))
     const { promptTokens, outputTokens } = exchange.prompt ?? { promptTokens: 0, outputTokens: 0 }
     const promptKey = promptKeyOf(exchange)
     const need = {
@@ -138,7 +130,6 @@
       objectiveMs: exchange.route.objectiveMs,
       workMs: directory.experience.usualTimeOf(exchange.route.name).value ?? FIRST_WORK_MS,
       fetchWaitMs: supply.waitMs,
-      isLong,
       failureDomain
     }
     return rankOffers(offers, need, random)
@@ -188,20 +179,7 @@
     return outstanding + this.options.use.of(hash).outstanding
   }
 
-  private gather (servers: readonly KnownServer[], exchange: Exchange): ReadonlySet<string> {
-    const now = this.options.clock.now()
-    return gatherLongRuns(servers.map(server => ({
-      id: server.listed.id,
-      hash: server.idHash,
-      isOutdated: this.isOutdated(server, exchange),
-      isOut: server.changingUntil > now || server.absentUntil > now || server.displacedUntil > now || this.options.directory.experience.faultCostOf(server, now) > FAULTY_MS,
-      weightsOrder: server.weightsOrder,
-      slots: server.listed.slots,
-      outstanding: this.outstandingAt(server)
-    })))
-  }
-
-  private toOffer (server: KnownServer, exchange: Exchange, supply: LevelSupply, gathering: ReadonlySet<string>): ServerOffer {
+  private toOffer (server: KnownServer, exchange: Exchange, supply: LevelSupply): ServerOffer {
     const { clock, directory, use } = this.options
     const { listed, unreadTokens, heldTokens, refusedAt, absentUntil, changingUntil } = server
     const now = clock.now()
@@ -221,7 +199,6 @@
       faultCostMs: directory.experience.faultCostOf(server, now),
       isChanging: changingUntil > now,
       isOutdated: this.isWorthLess(server, exchange),
-      isGathering: gathering.has(listed.id),
       coldLeftMs: listed.coldLeftMs
     }
   }
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -46,7 +46,6 @@
   /** Instances that share a server's connections. */
   private instances = 1
   /** Changes of weights learned so far. */
-  private weightsChanges = 0
 
   private constructor (private readonly options: ServerDirectoryOptions) {}
 
@@ -212,7 +211,6 @@
   observeWeights (server: KnownServer, model: string, version: number): void {
     if (version > (server.weights.get(model) ?? -1)) {
       server.weights.set(model, version)
-      server.weightsOrder = this.weightsChanges++
       endChange(server, model, version)
     }
   }
@@ -235,7 +233,7 @@
       mostConnections: this.mostConnections(listed.service)
     })
     const server: KnownServer = {
-      listed, hash: incarnationHash(listed), idHash: hashNumber(listed.id), offset, connections, weights: new Map(), weightsOrder: 0, outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
+      listed, hash: incarnationHash(listed), idHash: hashNumber(listed.id), offset, connections, weights: new Map(), outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
     }
     this.servers.set(listed.id, server)
     this.byHash.set(server.hash, server)
