Send nothing to nobody when the last instance leaves

Found by reading: an empty ranking made an instance send a datagram to no address, which node refuses by an exception. The test failed with a message told to ''.

--- a/packages/foxtaillever-relay/src/quota/__tests__/quotaTalk.test.ts
+++ b/packages/foxtaillever-relay/src/quota/__tests__/quotaTalk.test.ts
@@ -1,7 +1,8 @@
 import { QuotaOutcome, type QuotaLimit } from 'foxtaillever-policy/limits/quotaBook'
-import { describe, it } from 'foxtaillever-testing'
-import { allowed, QuotaFleet, type Node } from '../__fixtures__/quotaFleet.js'
+import { describe, it, VirtualClock } from 'foxtaillever-testing'
+import { allowed, QuotaFleet, tolerance, type Node } from '../__fixtures__/quotaFleet.js'
 import { QuotaHistory } from '../__fixtures__/quotaHistory.js'
+import { QuotaTalk } from '../quotaTalk.js'
 
 const ACCOUNT = 'acme'
 const LARGE = 9190
@@ -158,6 +159,19 @@
     })
   })
 
+  // The last instance leaves: it decides no more, and nobody is left to tell.
+  it('an instance that knows nobody who decides tells nobody', async t => {
+    const clock = VirtualClock.create()
+    const told: string[] = []
+    const talk = QuotaTalk.create({ clock, address: 'a:1', tolerance, ranking: () => [], settledAt: () => 0, instances: () => 1, send: to => { told.push(to) }, onMet: () => {}, onDecided: () => {}, onPassedOver: () => {} })
+    const outcomes: QuotaOutcome[] = []
+    talk.claim({ account: ACCOUNT, limit: small, cost: 1 }, ({ outcome }) => { outcomes.push(outcome) })
+    talk.giveBack(ACCOUNT, 1)
+    await clock.advanceBy(1000)
+    t.deepEqual(told, [])
+    t.deepEqual(outcomes, [QuotaOutcome.NotMine])
+  })
+
   describe('when the limit changes', () => {
     // An operator lowers the limit far below what is sent. What was sent before it must not count against the new
     // limit for long, and the old one must not go on.
--- a/packages/foxtaillever-relay/src/quota/quotaTalk.ts
+++ b/packages/foxtaillever-relay/src/quota/quotaTalk.ts
@@ -100,8 +100,8 @@
     const { clock } = this.options
     const now = clock.now()
     const left = this.ranking(claim.account)
-    const [first = ''] = left
-    if (first !== this.options.address && this.isFree(claim, now)) {
+    const [first] = left
+    if (first !== undefined && first !== this.options.address && this.isFree(claim, now)) {
       this.ask(first, this.number++, { ...claim, isTaken: true })
       go({ outcome: QuotaOutcome.Granted, role: QuotaRole.None, decidedBy: '', retryAt: now })
       return
@@ -114,11 +114,11 @@
 
   /** A request that was counted has not run. */
   giveBack (account: string, cost: number): void {
-    const [keeper = ''] = this.ranking(account)
+    const [keeper] = this.ranking(account)
     const { address, send } = this.options
     if (keeper === address) {
       this.book.giveBack(account, cost)
-    } else {
+    } else if (keeper !== undefined) {
       send(keeper, { kind: DatagramKind.QuotaReturn, address, account, cost })
     }
   }
