--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -12,6 +12,9 @@
 import { LoadTalk } from '../peers/loadTalk.js'
 import { encodePeerMessage, readPeerMessage, type PeerMessage, type ServerUse } from '../peers/peerMessage.js'
 import { PeerTable } from '../peers/peerTable.js'
+import { Keepers } from '../quota/keepers.js'
+import { encodeQuotaMessage, readQuotaMessage } from '../quota/quotaMessage.js'
+import { QuotaTalk } from '../quota/quotaTalk.js'
 
 const INSTANCES = [8, 80, 195, 380]
 const SERVERS = [6, 55, 670]
@@ -19,6 +22,9 @@
 /** Requests under way at one instance, each at a server of its own. */
 const OPEN = 5
 
+/** Client accounts with a quota. */
+const ACCOUNTS = 1700
+
 /** Each piece is run for so long, milliseconds, after as long without measuring. */
 const MEASURED_MS = 60
 
@@ -146,6 +152,25 @@
       talk.follow()
     }
   },
+  'quota asked, decided and answered, 1,700 accounts in turn': ({ addresses }) => {
+    const keepers = Keepers.create(0)
+    keepers.setMembers(addresses, true, clock.now())
+    const ranked = keepers.of('account-0')
+    const talks = ranked.slice(0, 2).map(address => QuotaTalk.create({
+      clock,
+      address,
+      tolerance: { overage: 0.1, slack: 72_000, windowMs: 8000 },
+      ranking: () => ranked,
+      settledAt: () => 0,
+      instances: () => addresses.length,
+      send: (to, message) => { unpackDatagram(encodeQuotaMessage(message)).chain(readQuotaMessage).ifJust(heard => talks[ranked.indexOf(to)]?.hear(heard)) },
+      onMet: () => {},
+      onDecided: () => {},
+      onPassedOver: () => {}
+    }))
+    let turn = 0
+    return () => { talks[1]?.claim({ account: `account-${turn++ % ACCOUNTS}`, limit: { perSecond: 1e9, burst: 1e9, revision: 1 }, cost: 9190 }, () => {}) }
+  },
   placement: ({ servers }) => {
     const offers = createOffers(servers)
     const random = SeededRandom.create(1)
