Keep what was left of a bucket when a keeper held back for another

Found by reading: a keeper that held back for one that has just joined and then decided again began its bucket as of the start of its process, and so full.

--- a/packages/foxtaillever-policy/src/limits/quotaBook.ts
+++ b/packages/foxtaillever-policy/src/limits/quotaBook.ts
@@ -113,7 +113,7 @@
 const ACCOUNT_BOUND = 2048
 
 interface AccountState {
-  bucket: TokenBucket
+  readonly bucket: TokenBucket
   role: QuotaRole
   limit: QuotaLimit
   /** The stand-in holds back until then; as the keeper knows. */
@@ -231,13 +231,13 @@
   private stateOf ({ account, limit }: QuotaClaim, role: QuotaRole, settledAt: number, now: number): AccountState {
     const known = this.states.use(account)
     if (!known) {
-      const state: AccountState = { bucket: this.startingBucket(Infinity, settledAt), role, limit, heldBackUntil: 0, renewedAt: 0, nextReturnAt: 0 }
+      const state: AccountState = { bucket: TokenBucket.create(this.tolerance.slack * START_PART, settledAt), role, limit, heldBackUntil: 0, renewedAt: 0, nextReturnAt: 0 }
       this.states.set(account, state)
       return state
     }
     if (known.role !== role) {
       // Whoever kept the quota meanwhile has used it.
-      known.bucket = this.startingBucket(known.bucket.level, settledAt)
+      known.bucket.beginAnew(this.tolerance.slack * START_PART, settledAt)
       known.role = role
     }
     if (limit.revision > known.limit.revision) {
@@ -254,10 +254,6 @@
     return (allowed - burst * (DEPTH_PART + overage / 2)) / windowMs
   }
 
-  private startingBucket (most: number, settledAt: number): TokenBucket {
-    return TokenBucket.create(Math.min(most, this.tolerance.slack * START_PART), settledAt)
-  }
-
   private fill (account: string, state: AccountState, now: number): Filling {
     if (state.heldBackUntil < now) {
       // Until the promise ran out, the bucket filled as it allowed.
--- a/packages/foxtaillever-policy/src/limits/tokenBucket.ts
+++ b/packages/foxtaillever-policy/src/limits/tokenBucket.ts
@@ -24,6 +24,12 @@
     this.filledAt = Math.max(this.filledAt, now)
   }
 
+  /** Keeps no more than this, and fills from this instant on, or from when it was filled last where that is later. */
+  beginAnew (most: number, from: number): void {
+    this.tokens = Math.min(most, this.tokens)
+    this.filledAt = Math.max(this.filledAt, from)
+  }
+
   take (tokens: number): void {
     this.tokens -= tokens
   }
