Log and count what backend servers state of their limits

Answers are now read for it at the edge; a change of what an instance believes, an unreadable figure and each send to such a server leave a line and a counter. What is placed where does not change yet.

The limit ends with an answer that states none to a request sent after the limit was last stated, so that an answer read late, as after a freeze, ends nothing.

--- /dev/null
+++ b/packages/foxtaillever-policy/src/limits/statedLimits.ts
@@ -0,0 +1,55 @@
+/**
+ * Rate limits that backend servers state for themselves. A server in need says
+ * with each answer how many requests a second it takes from all instances
+ * together; the limit holds until an answer to a later request states none.
+ */
+import { RecentMap } from '../collections/recentMap.js'
+
+export interface StatedLimit {
+  /** Requests from all instances together. */
+  readonly perSecond: number
+  /** When it was last stated, milliseconds of Unix time. */
+  readonly at: number
+}
+
+interface Statement {
+  /** Undefined once the server states no limit. */
+  readonly perSecond: number | undefined
+  readonly at: number
+}
+
+/** Servers remembered: three times those of the largest fleet. */
+const SERVER_BOUND = 2048
+
+export class StatedLimits {
+  /** By the hash of the server's incarnation. */
+  private readonly statements = RecentMap.create<Statement>(SERVER_BOUND)
+
+  private constructor () {}
+
+  static create (): StatedLimits {
+    return new StatedLimits()
+  }
+
+  /** The limit in force. */
+  of (server: number): StatedLimit | undefined {
+    const { perSecond, at } = this.statements.peek(String(server)) ?? {}
+    return perSecond === undefined || at === undefined ? undefined : { perSecond, at }
+  }
+
+  /**
+   * Takes in a statement unless a newer one is known.
+   * @param perSecond undefined where the server states no limit.
+   * @param at when it was made, milliseconds of Unix time; for none, when the request was sent whose answer lacks it.
+   * @returns whether the limit in force is another.
+   */
+  observe (server: number, perSecond: number | undefined, at: number): boolean {
+    const key = String(server)
+    const known = this.statements.peek(key)
+    if (known === undefined ? perSecond === undefined : known.at >= at) {
+      return false
+    }
+    this.statements.set(key, { perSecond, at })
+    return known?.perSecond !== perSecond
+  }
+}
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -12,6 +12,8 @@
 import { CrashSuspects } from '../exchange/crashSuspects.js'
 import type { ExchangeContext } from '../exchange/exchangeContext.js'
 import { ExchangeRuns } from '../exchange/exchangeRuns.js'
+import { LimitStatementKind, noLimit } from '../model/limitStatement.js'
+import { ServerLimits } from '../limits/serverLimits.js'
 import { ServerState } from '../model/listedServer.js'
 import { Repeatability, type Route, type Routing } from '../model/routing.js'
 import type { CallerWire, ServerWire } from '../model/wire.js'
@@ -53,7 +55,8 @@
     isNotRun: headers['not-run'] !== undefined,
     serverId: undefined,
     weightsVersion: undefined,
-    isEventStream: headers['content-type'] === 'text/event-stream'
+    isEventStream: headers['content-type'] === 'text/event-stream',
+    limit: headers.limit === undefined ? noLimit : { kind: LimitStatementKind.Limit, perSecond: Number(headers.limit) }
   }),
   passHeaders: () => []
 }
@@ -69,6 +72,7 @@
   /** Decides on what the caller's account may use. */
   quota = noQuota
   private readonly callers: CallerServer
+  readonly limits: ServerLimits
   readonly runs: ExchangeRuns
   private port = 0
 
@@ -78,6 +82,7 @@
     const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], limits }
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
+    this.limits = ServerLimits.create({ clock, log })
     const context: ExchangeContext = {
       clock,
       connectTimeoutMs: 200,
@@ -90,6 +95,7 @@
         admit: (exchange, go) => this.quota.admit(exchange, go),
         giveBack: exchange => this.quota.giveBack(exchange)
       },
+      limits: this.limits,
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
       log,
       routing: () => routing,
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -12,6 +12,7 @@
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { QuotaDesk } from '../quota/quotaDesk.js'
+import type { ServerLimits } from '../limits/serverLimits.js'
 import type { CrashSuspects } from './crashSuspects.js'
 import type { OpenTry } from './openTry.js'
 
@@ -29,6 +30,7 @@
   readonly caches: Pick<CacheUse, 'savedLevels' | 'fetchLoad' | 'available'>
   readonly suspects: Suspicions
   readonly quota: Pick<QuotaDesk, 'admit' | 'giveBack'>
+  readonly limits: Pick<ServerLimits, 'observe' | 'noteSend'>
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -12,6 +12,7 @@
 import type { Exchange } from '../model/exchange.js'
 import type { ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
+import { ServerLimits } from '../limits/serverLimits.js'
 import type { ServerWire } from '../model/wire.js'
 import type { LevelAtHome, LoadWish } from '../peers/loadQuestions.js'
 import type { KnownServer } from '../servers/knownServer.js'
@@ -40,6 +41,7 @@
   readonly retries: RetryShare
   readonly caches: CacheUse
   readonly runs: ExchangeRuns
+  readonly limits: ServerLimits
 
   private readonly clock: Clock
   private readonly log: RelayLog
@@ -48,6 +50,7 @@
     const { clock, random, connectTimeoutMs, wire, log, suspects, quota, askLoad, onLoadChanged, onSaved, onUnreachable, onMisdirected } = options
     this.clock = clock
     this.log = log
+    this.limits = ServerLimits.create({ clock, log })
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
     this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
@@ -73,6 +76,7 @@
       caches: this.caches,
       suspects,
       quota,
+      limits: this.limits,
       log,
       routing: () => knownRouting(options.routing()),
       othersTokensAt: server => options.use.of(server.hash).tokens,
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -127,6 +127,7 @@
     relay.reset()
     const { terms, othersTokens } = planTry(context, exchange, server, relay.lastEventId)
     const headers = wire.createHeaders(exchange, terms, beganAt)
+    context.limits.noteSend(exchange, server)
     const attempt = Attempt.begin({
       clock,
       wire,
@@ -136,6 +137,7 @@
       connectTimeoutMs: context.connectTimeoutMs,
       call: { method: exchange.method, path: exchange.path, headers, body: exchange.body },
       listener: {
+        onMarks: marks => context.limits.observe(server, marks, beganAt),
         onHead: head => this.onHead(head),
         onData: bytes => this.onData(bytes),
         onEnd: () => this.onEnd(),
--- a/packages/foxtaillever-relay/src/model/wire.ts
+++ b/packages/foxtaillever-relay/src/model/wire.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { Either } from 'purify-ts'
 import type { Exchange, ExchangeHead } from './exchange.js'
+import type { LimitStatement } from './limitStatement.js'
 import type { ListedServer } from './listedServer.js'
 
 /** What a try tells the backend server besides the caller's request. */
@@ -48,6 +49,7 @@
   /** Weights the answer was made with; undefined when not said. */
   readonly weightsVersion: number | undefined
   readonly isEventStream: boolean
+  readonly limit: LimitStatement
 }
 
 export interface CallerWire {
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -4,6 +4,7 @@
  */
 import { Verdict, type Failure } from 'foxtaillever-core'
 import type { QuotaOutcome, QuotaRole } from 'foxtaillever-policy/limits/quotaBook'
+import type { StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
 import type { ExpectedStart } from 'foxtaillever-policy/relay/yieldPriority'
 import { Metrics, Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
@@ -79,6 +80,17 @@
     this.metrics.count('quota_decisions_total', { role, outcome })
   }
 
+  /** A server stated a limit that is no rate; the one before it stays in force. */
+  limitUnreadable (server: string, text: string): void {
+    this.metrics.count('server_limits_unreadable_total')
+    this.logs.writeFailure(Part.Requests, 'A backend server stated a limit that cannot be read.', { server, text })
+  }
+
+  sentUnderLimit ({ id: request }: Exchange, server: string, { perSecond, at }: StatedLimit, now: number): void {
+    this.metrics.count('sent_under_server_limit_total', { server })
+    this.logs.write('info', Part.Requests, 'Sends to a backend server that stated a limit.', { request, server, perSecond, statedMsAgo: Math.round(now - at) })
+  }
+
   silent (exchange: Exchange, server: string, isOnKeptConnection: boolean): void {
     const connection = isOnKeptConnection ? 'kept' : 'new'
     this.metrics.count('silent_servers_total', { connection })
--- a/packages/foxtaillever-router/src/plain/plainWire.ts
+++ b/packages/foxtaillever-router/src/plain/plainWire.ts
@@ -6,6 +6,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { CallerHeader, EngineHeader, Verdict } from 'foxtaillever-core'
+import { noLimit } from 'foxtaillever-relay/model/limitStatement'
 import type { AnswerMarks, ServerWire } from 'foxtaillever-relay/model/wire'
 
 /** Headers of the caller that the service sees, besides the request's id. */
@@ -36,7 +37,8 @@
     isNotRun: headers[EngineHeader.Verdict] === Verdict.NotRun,
     serverId: undefined,
     weightsVersion: undefined,
-    isEventStream: false
+    isEventStream: false,
+    limit: noLimit
   }
 }
 
