--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -39,6 +39,8 @@
   readonly faults: ServerFault[] = []
   readonly arrivals: Arrival[] = []
   isLeaving = false
+  /** Requests a second that it says it takes from all instances together, as its answers put it. */
+  statedLimit: string | undefined
   address = ''
   /** Of this start, milliseconds of Unix time. */
   startedAt: number
@@ -121,6 +123,10 @@
     }
   }
 
+  private limitHeader (): Readonly<Record<string, string>> {
+    return this.statedLimit === undefined ? {} : { 'Server-Limit': this.statedLimit }
+  }
+
   private note (request: IncomingMessage, body: Buffer): Arrival {
     const { method = '', url = '', headers } = request
     const arrival = { requestId: headerOf(request, 'x-request-id'), method, path: url, headers, body: body.toString(), at: this.options.clock.now(), hasRun: false }
@@ -131,7 +137,7 @@
   private run (request: IncomingMessage, response: ServerResponse, arrival: Arrival): void {
     const { requestId } = arrival
     const refuse = (status: number): void => {
-      response.writeHead(status, { 'X-Request-Id': requestId, 'X-Instance-Id': this.id, 'X-Not-Executed': 1 }).end()
+      response.writeHead(status, { 'X-Request-Id': requestId, 'X-Instance-Id': this.id, 'X-Not-Executed': 1, ...this.limitHeader() }).end()
     }
     const status = requestId === '' ? 400 : this.runner.admit(request)
     if (status !== undefined) {
@@ -142,7 +148,7 @@
     if (fault === ServerFault.Silent) {
       return
     }
-    const writer = AnswerWriter.create(response, requestId, fault, () => this.crash())
+    const writer = AnswerWriter.create(response, { requestId, fault, crash: () => this.crash(), limitHeader: () => this.limitHeader() })
     response.on('close', () => this.runner.cancel(requestId))
     if (!this.runner.run(request, writer, () => { arrival.hasRun = true })) {
       refuse(503)
--- a/packages/foxtaillever-standins/src/platform/engines/runRequest.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/runRequest.ts
@@ -22,22 +22,26 @@
   return typeof value === 'string' ? value : ''
 }
 
+export interface AnswerWriterOptions {
+  readonly requestId: string
+  readonly fault: ServerFault | undefined
+  /** Ends the server's process. */
+  readonly crash: () => void
+  /** What the server states of its limit when the answer begins. */
+  readonly limitHeader: () => Readonly<Record<string, string>>
+}
+
 /** Writes events and commits the fault that this request has to suffer. */
 export class AnswerWriter {
-  private constructor (
-    private readonly response: ServerResponse,
-    private readonly requestId: string,
-    private readonly fault: ServerFault | undefined,
-    private readonly crash: () => void
-  ) {}
+  private constructor (private readonly response: ServerResponse, private readonly options: AnswerWriterOptions) {}
 
-  static create (response: ServerResponse, requestId: string, fault: ServerFault | undefined, crash: () => void): AnswerWriter {
-    return new AnswerWriter(response, requestId, fault, crash)
+  static create (response: ServerResponse, options: AnswerWriterOptions): AnswerWriter {
+    return new AnswerWriter(response, options)
   }
 
   /** Begins the answer; returns whether anything more is to be written. */
   begin (status: number, headers: Readonly<Record<string, string | number>>): boolean {
-    const { response, fault } = this
+    const { response, options: { fault, requestId, limitHeader } } = this
     if (fault === ServerFault.AnswerLost || fault === ServerFault.Garbage) {
       if (fault === ServerFault.Garbage) {
         response.socket?.write('no answer at all\r\n\r\n')
@@ -45,13 +49,13 @@
       response.socket?.end()
       return false
     }
-    const id = fault === ServerFault.Foreign ? `not-${this.requestId}` : this.requestId
-    response.writeHead(status, { 'X-Request-Id': id, 'X-Server-Stamp': `stamp.${this.requestId}`, ...headers })
+    const id = fault === ServerFault.Foreign ? `not-${requestId}` : requestId
+    response.writeHead(status, { 'X-Request-Id': id, 'X-Server-Stamp': `stamp.${requestId}`, ...limitHeader(), ...headers })
     return true
   }
 
   event (number: number, text: string): void {
-    const { response, fault } = this
+    const { response, options: { fault, crash } } = this
     const whole = `id: ${number}\ndata: ${text}\n\n`
     if (number < FAULTY_EVENT || fault === undefined || fault === ServerFault.ExtraAnswer) {
       response.write(whole)
@@ -65,18 +69,18 @@
         response.socket?.destroy()
       }
       if (fault === ServerFault.Crash) {
-        this.crash()
+        crash()
       }
     })
   }
 
   end (body?: Buffer): void {
-    const { response, fault } = this
+    const { response, options: { fault, crash } } = this
     if (fault === ServerFault.Hang) {
       return
     }
     if (fault === ServerFault.Truncate || fault === ServerFault.Crash) {
-      const cut = fault === ServerFault.Crash ? this.crash : () => response.socket?.destroy()
+      const cut = fault === ServerFault.Crash ? crash : () => response.socket?.destroy()
       response.write(body?.subarray(0, body.length / 2) ?? '', () => { cut() })
       return
     }
