--- a/packages/foxtaillever-policy/src/limits/quotaBook.ts
+++ b/packages/foxtaillever-policy/src/limits/sharedLimitBook.ts
@@ -1,33 +1,31 @@
 /**
- * Decides on the quotas of client accounts for a whole fleet, at the instances
- * that keep them.
+ * Decides on limits that all instances share, at the instance that owns each.
  *
- * The load it answers: an account sends many times its usual to seventy
- * instances, each of which sees less than one large request of its limit. Shares
- * of a limit cannot work there: rounded down they refuse nearly everything,
- * rounded up they admit the limit many times over. So one instance decides for
- * an account, by a token bucket, and the others ask it.
+ * The load it answers: many instances send to one limit, and each sees less than
+ * one request of it. A share for each cannot work there: rounded down it refuses
+ * nearly everything, rounded up it admits the limit many times over. So one
+ * instance decides for a key, by a token bucket, and the others ask it.
  *
- * Who decides follows from the members: the first of a ranking is the keeper, the
- * second its stand-in, the third a reserve. Two of them may decide at the same
+ * Who decides follows from the members: the first of a ranking is the owner, the
+ * second its standby, the third a reserve. Two of them may decide at the same
  * time, for halves of a fleet that cannot hear each other. So the whole rate is the
- * keeper's only while the stand-in has promised to hold back, for a moment and
- * again and again; without that word each has half of it. The tolerance of the
- * quota pays for the rest: a little for the stand-in and the reserve at any time.
+ * owner's only while the standby has promised to hold back, for a moment and
+ * again and again; without that promise each has half of it. The tolerance of the
+ * limit pays for the rest: a little for the standby and the reserve at any time.
  *
- * A keeper that starts needs no history: its bucket begins nearly empty and fills
- * at the quota's rate, and so does not repeat what the one before it granted.
+ * An owner that starts needs no history: its bucket begins nearly empty and fills
+ * at the limit's rate, and so does not repeat what the one before it granted.
  *
- * A quota holds over any window: the rate times the window, and the burst. A bucket
+ * A limit holds over any window: the rate times the window, and the burst. A bucket
  * as deep as the burst would grant that burst once and the rate alone afterwards. So
- * it is half as deep, and fills faster: whoever sends steadily gets in each window
- * what the quota says.
+ * it is half as deep, and fills faster: steady use gets in each window what the
+ * limit says.
  */
 import { RecentMap } from '../collections/recentMap.js'
 import { TokenBucket } from './tokenBucket.js'
 
-/** What an account may use, over all instances. */
-export interface QuotaLimit {
+/** What may be used of a key, over all instances. */
+export interface SharedLimit {
   readonly perSecond: number
   /** Beside that, in any window. */
   readonly burst: number
@@ -35,51 +33,51 @@
   readonly revision: number
 }
 
-/** By how much a quota may be missed while instances cannot agree. */
-export interface QuotaTolerance {
-  /** As a part of the quota. */
+/** By how much a limit may be missed while instances cannot agree. */
+export interface LimitTolerance {
+  /** As a part of the limit. */
   readonly overage: number
   /** Beside that, in any time as long as the window. */
   readonly slack: number
   readonly windowMs: number
 }
 
-/** What an instance is to an account's quota, in the order of its ranking. */
-export enum QuotaRole {
-  Keeper = 'keeper',
-  StandIn = 'stand-in',
+/** What an instance is to a key's limit, in the order of its ranking. */
+export enum LimitRole {
+  Owner = 'owner',
+  Standby = 'standby',
   Reserve = 'reserve',
   None = 'none'
 }
 
-export enum QuotaOutcome {
+export enum LimitOutcome {
   Granted = 'granted',
-  /** Beyond the quota. */
+  /** Beyond the limit. */
   Refused = 'refused',
   /** Somebody else decides. */
   NotMine = 'not-mine'
 }
 
-export interface QuotaClaim {
-  readonly account: string
-  readonly limit: QuotaLimit
+export interface LimitClaim {
+  readonly key: string
+  readonly limit: SharedLimit
   readonly cost: number
   /** The request is already on its way: it is counted and cannot be refused. */
   readonly isTaken: boolean
 }
 
-export interface QuotaDecision {
-  readonly outcome: QuotaOutcome
+export interface LimitDecision {
+  readonly outcome: LimitOutcome
   /** When there is room, milliseconds of Unix time; for a refusal. */
   readonly retryAt: number
   /** What the asker may use in the next moment without waiting for a decision. */
   readonly free: number
 }
 
-/** A stand-in's promise holds for so long from when the keeper asked for it, milliseconds: some thirty times a datagram's way and back on a busy machine. */
+/** A standby's promise holds for so long from when the owner asked for it, milliseconds: some thirty times a datagram's way and back on a busy machine. */
 const PROMISE_MS = 500
 
-/** The stand-in holds back for longer than the keeper relies on it, milliseconds: no clock runs so fast. */
+/** The standby holds back for longer than the owner relies on it, milliseconds: no clock runs so fast. */
 const PROMISE_MARGIN_MS = 200
 
 /** Between two renewals, milliseconds: three may be lost. */
@@ -91,7 +89,7 @@
 /** Part of what is left that all instances together may use without waiting: as much is lost sight of if they cannot tell of it. */
 const FREE_PART = 0.25
 
-/** Depth of the keeper's bucket, as a part of the burst. */
+/** Depth of the owner's bucket, as a part of the burst. */
 const DEPTH_PART = 0.5
 
 /** Part of the tolerated overage that is used while all is well; the rest is for members that come and go, and for datagrams that are lost. */
@@ -103,7 +101,7 @@
 /** Parts of the slack: the rest pays for the one request by which a bucket may be in debt. */
 const DEPTH_SLACK_PART = 1 / 4
 const START_PART = 1 / 16
-const STAND_IN_PART = 1 / 8
+const STANDBY_PART = 1 / 8
 const RESERVE_PART = 1 / 32
 
 /** Callers that are sent back come one after the other, up to so far ahead, milliseconds; their deadlines are not further. */
@@ -114,9 +112,9 @@
 
 interface AccountState {
   readonly bucket: TokenBucket
-  role: QuotaRole
-  limit: QuotaLimit
-  /** The stand-in holds back until then; as the keeper knows. */
+  role: LimitRole
+  limit: SharedLimit
+  /** The standby holds back until then; as the owner knows. */
   heldBackUntil: number
   renewedAt: number
   /** When the next refused caller may come back. */
@@ -131,28 +129,28 @@
   readonly isFinal: boolean
 }
 
-export class QuotaBook {
+export class SharedLimitBook {
   private readonly states = RecentMap.create<AccountState>(ACCOUNT_BOUND)
   /** Accounts for which this instance has promised to hold back, and until when. */
   private readonly promises = RecentMap.create<number>(ACCOUNT_BOUND)
   /** By role, at a moment. */
-  private readonly fillings: Readonly<Record<QuotaRole, (state: AccountState, isHeldBack: boolean, now: number) => Filling>>
+  private readonly fillings: Readonly<Record<LimitRole, (state: AccountState, isHeldBack: boolean, now: number) => Filling>>
 
-  private constructor (private readonly tolerance: QuotaTolerance) {
+  private constructor (private readonly tolerance: LimitTolerance) {
     const { overage, slack, windowMs } = tolerance
     this.fillings = {
-      [QuotaRole.Keeper]: ({ limit, heldBackUntil }, _, now) => ({ perMs: this.perMs(limit) * (now < heldBackUntil ? 1 : HALF), most: limit.burst * DEPTH_PART + slack * DEPTH_SLACK_PART, isFinal: true }),
-      [QuotaRole.StandIn]: ({ limit }, isHeldBack) => {
-        const most = slack * STAND_IN_PART + limit.burst * overage / 2
-        return { perMs: isHeldBack ? slack * STAND_IN_PART / windowMs : this.perMs(limit) * HALF, most, isFinal: !isHeldBack }
+      [LimitRole.Owner]: ({ limit, heldBackUntil }, _, now) => ({ perMs: this.perMs(limit) * (now < heldBackUntil ? 1 : HALF), most: limit.burst * DEPTH_PART + slack * DEPTH_SLACK_PART, isFinal: true }),
+      [LimitRole.Standby]: ({ limit }, isHeldBack) => {
+        const most = slack * STANDBY_PART + limit.burst * overage / 2
+        return { perMs: isHeldBack ? slack * STANDBY_PART / windowMs : this.perMs(limit) * HALF, most, isFinal: !isHeldBack }
       },
-      [QuotaRole.Reserve]: () => ({ perMs: slack * RESERVE_PART / windowMs, most: slack * RESERVE_PART, isFinal: false }),
-      [QuotaRole.None]: () => ({ perMs: 0, most: 0, isFinal: false })
+      [LimitRole.Reserve]: () => ({ perMs: slack * RESERVE_PART / windowMs, most: slack * RESERVE_PART, isFinal: false }),
+      [LimitRole.None]: () => ({ perMs: 0, most: 0, isFinal: false })
     }
   }
 
-  static create (tolerance: QuotaTolerance): QuotaBook {
-    return new QuotaBook(tolerance)
+  static create (tolerance: LimitTolerance): SharedLimitBook {
+    return new SharedLimitBook(tolerance)
   }
 
   /**
@@ -160,107 +158,107 @@
    * @param settledAt since when the members are those by which the role was computed, milliseconds of Unix time.
    * @param instances that there are.
    */
-  decide (claim: QuotaClaim, role: QuotaRole, settledAt: number, instances: number, now: number): QuotaDecision {
-    if (role === QuotaRole.None) {
-      return { outcome: QuotaOutcome.NotMine, retryAt: now, free: 0 }
+  decide (claim: LimitClaim, role: LimitRole, settledAt: number, instances: number, now: number): LimitDecision {
+    if (role === LimitRole.None) {
+      return { outcome: LimitOutcome.NotMine, retryAt: now, free: 0 }
     }
-    const acting = this.actingRole(claim.account, role, now)
+    const acting = this.actingRole(claim.key, role, now)
     const state = this.stateOf(claim, acting, settledAt, now)
-    const filling = this.fill(claim.account, state, now)
-    const isKeeper = acting === QuotaRole.Keeper
+    const filling = this.fill(claim.key, state, now)
+    const isOwner = acting === LimitRole.Owner
     const isGranted = claim.isTaken || state.bucket.level > 0
     if (isGranted) {
       state.bucket.take(claim.cost)
     }
     return {
-      outcome: isGranted ? QuotaOutcome.Granted : filling.isFinal ? QuotaOutcome.Refused : QuotaOutcome.NotMine,
+      outcome: isGranted ? LimitOutcome.Granted : filling.isFinal ? LimitOutcome.Refused : LimitOutcome.NotMine,
       retryAt: isGranted ? now : this.nextReturn(state, claim.cost, filling.perMs, now),
-      free: isKeeper ? Math.max(0, FREE_PART * state.bucket.level / instances) : 0
+      free: isOwner ? Math.max(0, FREE_PART * state.bucket.level / instances) : 0
     }
   }
 
-  /** When the stand-in's promise must be renewed, milliseconds of Unix time; undefined while it need not be, or is not this instance's to ask for. */
-  renewalDueAt (account: string, now: number): number | undefined {
-    const state = this.states.peek(account)
-    if (state?.role !== QuotaRole.Keeper) {
+  /** When the standby's promise must be renewed, milliseconds of Unix time; undefined while it need not be, or is not this instance's to ask for. */
+  renewalDueAt (key: string, now: number): number | undefined {
+    const state = this.states.peek(key)
+    if (state?.role !== LimitRole.Owner) {
       return undefined
     }
-    this.fill(account, state, now)
+    this.fill(key, state, now)
     return state.bucket.level < RENEWAL_LEVEL * DEPTH_PART * state.limit.burst ? state.renewedAt + RENEWAL_MS : undefined
   }
 
-  /** The stand-in was asked for its promise. */
-  noteRenewal (account: string, now: number): void {
-    const state = this.states.peek(account)
+  /** The standby was asked for its promise. */
+  noteRenewal (key: string, now: number): void {
+    const state = this.states.peek(key)
     if (state) {
       state.renewedAt = now
     }
   }
 
   /** A request that was counted has not run. */
-  giveBack (account: string, cost: number): void {
-    this.states.peek(account)?.bucket.giveBack(cost)
+  giveBack (key: string, cost: number): void {
+    this.states.peek(key)?.bucket.giveBack(cost)
   }
 
-  /** The stand-in answered a renewal that this keeper sent then. */
-  observePromise (account: string, sentAt: number): void {
-    const state = this.states.peek(account)
+  /** The standby answered a renewal that this owner sent then. */
+  observePromise (key: string, sentAt: number): void {
+    const state = this.states.peek(key)
     if (state) {
       state.heldBackUntil = Math.max(state.heldBackUntil, sentAt + PROMISE_MS)
     }
   }
 
-  /** This stand-in holds back for the keeper. */
-  promise (account: string, now: number): void {
-    const state = this.states.peek(account)
+  /** This standby holds back for the owner. */
+  promise (key: string, now: number): void {
+    const state = this.states.peek(key)
     if (state) {
-      this.fill(account, state, now)
+      this.fill(key, state, now)
     }
-    this.promises.set(account, now + PROMISE_MS + PROMISE_MARGIN_MS)
+    this.promises.set(key, now + PROMISE_MS + PROMISE_MARGIN_MS)
   }
 
-  /** A promise binds whoever gave it: a new keeper may be known to few yet, and the one before it among those that take themselves for it. */
-  private actingRole (account: string, role: QuotaRole, now: number): QuotaRole {
-    return role === QuotaRole.Keeper && this.isHeldBack(account, now) ? QuotaRole.StandIn : role
+  /** A promise binds whoever gave it: a new owner may be known to few yet, and the one before it among those that take themselves for it. */
+  private actingRole (key: string, role: LimitRole, now: number): LimitRole {
+    return role === LimitRole.Owner && this.isHeldBack(key, now) ? LimitRole.Standby : role
   }
 
-  private isHeldBack (account: string, now: number): boolean {
-    return now < (this.promises.peek(account) ?? 0)
+  private isHeldBack (key: string, now: number): boolean {
+    return now < (this.promises.peek(key) ?? 0)
   }
 
-  private stateOf ({ account, limit }: QuotaClaim, role: QuotaRole, settledAt: number, now: number): AccountState {
-    const known = this.states.use(account)
+  private stateOf ({ key, limit }: LimitClaim, role: LimitRole, settledAt: number, now: number): AccountState {
+    const known = this.states.use(key)
     if (!known) {
       const state: AccountState = { bucket: TokenBucket.create(this.tolerance.slack * START_PART, settledAt), role, limit, heldBackUntil: 0, renewedAt: 0, nextReturnAt: 0 }
-      this.states.set(account, state)
+      this.states.set(key, state)
       return state
     }
     if (known.role !== role) {
-      // Whoever kept the quota meanwhile has used it.
+      // Whoever owned the key meanwhile has used it.
       known.bucket.beginAnew(this.tolerance.slack * START_PART, settledAt)
       known.role = role
     }
     if (limit.revision > known.limit.revision) {
-      this.fill(account, known, now)
+      this.fill(key, known, now)
       known.limit = limit
     }
     return known
   }
 
   /** What all that decide may grant in a millisecond: with their buckets' depths it makes up what a window allows. */
-  private perMs ({ perSecond, burst }: QuotaLimit): number {
+  private perMs ({ perSecond, burst }: SharedLimit): number {
     const { overage, windowMs } = this.tolerance
     const allowed = (perSecond * windowMs / 1000 + burst) * (1 + overage * OVERAGE_PART)
     return (allowed - burst * (DEPTH_PART + overage / 2)) / windowMs
   }
 
-  private fill (account: string, state: AccountState, now: number): Filling {
+  private fill (key: string, state: AccountState, now: number): Filling {
     if (state.heldBackUntil < now) {
       // Until the promise ran out, the bucket filled as it allowed.
       const { perMs, most } = this.fillings[state.role](state, false, state.heldBackUntil - 1)
       state.bucket.fill(perMs, most, state.heldBackUntil)
     }
-    const filling = this.fillings[state.role](state, this.isHeldBack(account, now), now)
+    const filling = this.fillings[state.role](state, this.isHeldBack(key, now), now)
     state.bucket.fill(filling.perMs, filling.most, now)
     return filling
   }
--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -1,6 +1,6 @@
 /** `npm run fuzz -- --seed S --runs N`, and `npm run fuzz -- quota`: exits 1 when a promise was broken. */
 import { Cli, Command, Option } from 'clipanion'
-import { QuotaHistory } from 'foxtaillever-relay/quota/__fixtures__/quotaHistory'
+import { LimitHistory } from 'foxtaillever-relay/limits/__fixtures__/limitHistory'
 import { runFuzz } from './fuzz/runFuzz.js'
 
 const PROGRESS_RUNS = 500
@@ -41,7 +41,7 @@
   async execute (): Promise<number> {
     let worst = 0
     for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.runs); seed++) {
-      const report = await QuotaHistory.play(seed, QUOTA_SIZES[seed % QUOTA_SIZES.length] as number)
+      const report = await LimitHistory.play(seed, QUOTA_SIZES[seed % QUOTA_SIZES.length] as number)
       worst = Math.max(worst, report.worst)
       if (report.worst > 1) {
         console.log(JSON.stringify(report))
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -18,7 +18,7 @@
 import { Repeatability, type Route, type Routing } from '../model/routing.js'
 import type { CallerWire, ServerWire } from '../model/wire.js'
 import { RouteTable } from '../routing/routeTable.js'
-import { noQuota } from '../quota/quotaDesk.js'
+import { noQuotas } from '../limits/accountQuotas.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
 import { RelayLog } from '../telemetry/relayLog.js'
 import { ScriptedServer, type Answer } from './scriptedServer.js'
@@ -70,7 +70,7 @@
   /** Servers of which the watchers were told that they take no connection. */
   readonly unreachable: string[] = []
   /** Decides on what the caller's account may use. */
-  quota = noQuota
+  quota = noQuotas
   private readonly callers: CallerServer
   readonly limits: ServerLimits
   readonly runs: ExchangeRuns
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -14,7 +14,7 @@
 import { CrashSuspects } from '../exchange/crashSuspects.js'
 import { ExchangeDesk } from '../exchange/exchangeDesk.js'
 import { ServerState } from '../model/listedServer.js'
-import { noQuota } from '../quota/quotaDesk.js'
+import { noQuotas } from '../limits/accountQuotas.js'
 import { RelayLog } from '../telemetry/relayLog.js'
 
 function answerWell ({ id, socket }: Arrival): void {
@@ -33,7 +33,7 @@
     log: RelayLog.create(Logs.create({ instance: 'i', level: 'info', clock, destination })),
     retryAllowance: { ratio: 0.2, slack: 10, windowMs: 10_000 },
     suspects: CrashSuspects.create(),
-    quota: noQuota,
+    quota: noQuotas,
     use: { of: () => noLoad },
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -12,9 +12,9 @@
 import { LoadTalk } from '../peers/loadTalk.js'
 import { encodePeerMessage, readPeerMessage, type PeerMessage, type ServerUse } from '../peers/peerMessage.js'
 import { PeerTable } from '../peers/peerTable.js'
-import { Keepers } from '../quota/keepers.js'
-import { encodeQuotaMessage, readQuotaMessage } from '../quota/quotaMessage.js'
-import { QuotaTalk } from '../quota/quotaTalk.js'
+import { LimitOwners } from '../limits/limitOwners.js'
+import { encodeLimitMessage, readLimitMessage } from '../limits/limitMessage.js'
+import { LimitProtocol } from '../limits/limitProtocol.js'
 
 const INSTANCES = [8, 80, 195, 380]
 const SERVERS = [6, 55, 670]
@@ -153,23 +153,23 @@
     }
   },
   'quota asked, decided and answered, 1,700 accounts in turn': ({ addresses }) => {
-    const keepers = Keepers.create(0)
-    keepers.setMembers(addresses, true, clock.now())
-    const ranked = keepers.of('account-0')
-    const talks = ranked.slice(0, 2).map(address => QuotaTalk.create({
+    const limitOwners = LimitOwners.create(0)
+    limitOwners.setMembers(addresses, true, clock.now())
+    const ranked = limitOwners.of('account-0')
+    const protocols = ranked.slice(0, 2).map(address => LimitProtocol.create({
       clock,
       address,
       tolerance: { overage: 0.1, slack: 72_000, windowMs: 8000 },
       ranking: () => ranked,
       settledAt: () => 0,
       instances: () => addresses.length,
-      send: (to, message) => { unpackDatagram(encodeQuotaMessage(message)).chain(readQuotaMessage).ifJust(heard => talks[ranked.indexOf(to)]?.hear(heard)) },
+      send: (to, message) => { unpackDatagram(encodeLimitMessage(message)).chain(readLimitMessage).ifJust(heard => protocols[ranked.indexOf(to)]?.hear(heard)) },
       onMet: () => {},
       onDecided: () => {},
       onPassedOver: () => {}
     }))
     let turn = 0
-    return () => { talks[1]?.claim({ account: `account-${turn++ % ACCOUNTS}`, limit: { perSecond: 1e9, burst: 1e9, revision: 1 }, cost: 9190 }, () => {}) }
+    return () => { protocols[1]?.claim({ key: `account-${turn++ % ACCOUNTS}`, limit: { perSecond: 1e9, burst: 1e9, revision: 1 }, cost: 9190 }, () => {}) }
   },
   placement: ({ servers }) => {
     const offers = createOffers(servers)
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -11,7 +11,7 @@
 import type { AskedServers, EarlierTries } from '../servers/serverChoice.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
-import type { QuotaDesk } from '../quota/quotaDesk.js'
+import type { AccountQuotas } from '../limits/accountQuotas.js'
 import type { ServerLimits } from '../limits/serverLimits.js'
 import type { CrashSuspects } from './crashSuspects.js'
 import type { OpenTry } from './openTry.js'
@@ -29,7 +29,7 @@
   readonly retries: RetryShare
   readonly caches: Pick<CacheUse, 'savedLevels' | 'fetchLoad' | 'available'>
   readonly suspects: Suspicions
-  readonly quota: Pick<QuotaDesk, 'admit' | 'giveBack'>
+  readonly quota: Pick<AccountQuotas, 'admit' | 'giveBack'>
   readonly limits: Pick<ServerLimits, 'observe' | 'noteSend'>
   readonly log: RelayLog
   /** The configuration in force. */
--- a/packages/foxtaillever-relay/src/quota/__fixtures__/quotaFleet.ts
+++ b/packages/foxtaillever-relay/src/limits/__fixtures__/limitFleet.ts
@@ -1,13 +1,13 @@
 /** Instances that share quotas, over datagrams in memory that get lost, late and doubled, and may be cut; all admissions are kept for an oracle. */
 import { SeededRandom, type Random } from 'foxtaillever-core'
-import { QuotaOutcome, type QuotaLimit, type QuotaTolerance } from 'foxtaillever-policy/limits/quotaBook'
+import { LimitOutcome, type SharedLimit, type LimitTolerance } from 'foxtaillever-policy/limits/sharedLimitBook'
 import { VirtualClock } from 'foxtaillever-testing/virtualClock'
 import { unpackDatagram } from '../../peers/datagram.js'
-import { Keepers } from '../keepers.js'
-import { encodeQuotaMessage, readQuotaMessage, type QuotaMessage } from '../quotaMessage.js'
-import { QuotaTalk, type QuotaWord } from '../quotaTalk.js'
+import { LimitOwners } from '../limitOwners.js'
+import { encodeLimitMessage, readLimitMessage, type LimitMessage } from '../limitMessage.js'
+import { LimitProtocol, type LimitResult } from '../limitProtocol.js'
 
-export const tolerance: QuotaTolerance = { overage: 0.1, slack: 72_000, windowMs: 8000 }
+export const tolerance: LimitTolerance = { overage: 0.1, slack: 72_000, windowMs: 8000 }
 
 /** Between two looks at the members, milliseconds. */
 const BEAT_MS = 250
@@ -23,7 +23,7 @@
 
 /** What was asked for, and what came of it. */
 export interface Asked extends Admission {
-  readonly word: QuotaWord
+  readonly result: LimitResult
   /** Until it was decided, milliseconds. */
   readonly waitedMs: number
 }
@@ -32,8 +32,8 @@
   readonly address: string
   /** Those it knows, itself included. */
   known: Set<string>
-  talk: QuotaTalk
-  keepers: Keepers
+  protocol: LimitProtocol
+  limitOwners: LimitOwners
   isDown: boolean
   /** Those of one side hear each other only. */
   side: number
@@ -48,7 +48,7 @@
   longestMs: number
 }
 
-export class QuotaFleet {
+export class LimitFleet {
   readonly clock = VirtualClock.create()
   readonly nodes: Node[] = []
   readonly asked = new Map<string, Asked[]>()
@@ -60,8 +60,8 @@
   }
 
   /** Has run for long enough that all know each other. */
-  static async start (size: number, seed = 1): Promise<QuotaFleet> {
-    const fleet = new QuotaFleet(seed)
+  static async start (size: number, seed = 1): Promise<LimitFleet> {
+    const fleet = new LimitFleet(seed)
     const addresses = Array.from({ length: size }, (_, index) => `10.1.${index % 3}.${index}:7340`)
     addresses.forEach(address => fleet.add(address, addresses))
     fleet.beat()
@@ -76,14 +76,14 @@
   add (address: string, known: readonly string[], bootMs = 0): Node {
     const earlier = this.nodes.find(node => node.address === address)
     const node = earlier ?? { address, isDown: false, side: 0, sentBytes: 0 } as unknown as Node
-    const keepers = Keepers.create(this.clock.now() - bootMs)
-    Object.assign(node, { known: new Set([address, ...known]), keepers, isDown: false })
-    node.talk = QuotaTalk.create({
+    const limitOwners = LimitOwners.create(this.clock.now() - bootMs)
+    Object.assign(node, { known: new Set([address, ...known]), limitOwners, isDown: false })
+    node.protocol = LimitProtocol.create({
       clock: this.clock,
       address,
       tolerance,
-      ranking: account => keepers.of(account),
-      settledAt: () => keepers.settledAt,
+      ranking: account => limitOwners.of(account),
+      settledAt: () => limitOwners.settledAt,
       instances: () => node.known.size,
       send: (to, message) => this.send(node, to, message),
       onMet: other => { node.known.add(other); this.look(node) },
@@ -102,12 +102,12 @@
   }
 
   /** One request of the account at the instance; the oracle hears what came of it. */
-  ask ({ talk }: Node, account: string, limit: QuotaLimit, cost: number): void {
+  ask ({ protocol }: Node, key: string, limit: SharedLimit, cost: number): void {
     const at = this.clock.now()
-    talk.claim({ account, limit, cost }, word => {
-      const asked = this.asked.get(account) ?? []
-      asked.push({ at: this.clock.now(), cost, word, waitedMs: this.clock.now() - at })
-      this.asked.set(account, asked)
+    protocol.claim({ key, limit, cost }, result => {
+      const asked = this.asked.get(key) ?? []
+      asked.push({ at: this.clock.now(), cost, result, waitedMs: this.clock.now() - at })
+      this.asked.set(key, asked)
     })
   }
 
@@ -116,13 +116,13 @@
    * @param perSecond tokens of all instances together.
    * @param pick draws who gets a request; any that is up unless said otherwise.
    */
-  async load (account: string, limit: () => QuotaLimit, perSecond: number, cost: number, ms: number, pick: (up: Node[]) => Node | undefined = up => up[this.random.below(up.length)]): Promise<void> {
+  async load (key: string, limit: () => SharedLimit, perSecond: number, cost: number, ms: number, pick: (up: Node[]) => Node | undefined = up => up[this.random.below(up.length)]): Promise<void> {
     const until = this.clock.now() + ms
     while (this.clock.now() < until) {
       await this.pass(-Math.log(1 - this.random.next()) * cost / perSecond * 1000)
       const node = pick(this.up())
       if (node) {
-        this.ask(node, account, limit(), cost)
+        this.ask(node, key, limit(), cost)
       }
     }
   }
@@ -131,8 +131,8 @@
     await this.clock.advanceTo(this.clock.now() + ms)
   }
 
-  admitted (account: string): Admission[] {
-    return (this.asked.get(account) ?? []).filter(({ word }) => word.outcome === QuotaOutcome.Granted)
+  admitted (key: string): Admission[] {
+    return (this.asked.get(key) ?? []).filter(({ result }) => result.outcome === LimitOutcome.Granted)
   }
 
   /** Most that was admitted in any window. */
@@ -155,12 +155,12 @@
     this.clock.at(this.clock.now() + BEAT_MS, () => this.beat())
   }
 
-  private look ({ known, keepers }: Node): void {
-    keepers.setMembers([...known].sort(), known.size >= this.nodes.length, this.clock.now())
+  private look ({ known, limitOwners }: Node): void {
+    limitOwners.setMembers([...known].sort(), known.size >= this.nodes.length, this.clock.now())
   }
 
-  private send (from: Node, to: string, message: QuotaMessage): void {
-    const bytes = encodeQuotaMessage(message)
+  private send (from: Node, to: string, message: LimitMessage): void {
+    const bytes = encodeLimitMessage(message)
     from.sentBytes += bytes.length + HEADERS
     const { lost, doubled, longestMs } = this.faults
     const copies = this.random.next() < lost ? 0 : this.random.next() < doubled ? 2 : 1
@@ -168,7 +168,7 @@
       this.clock.at(this.clock.now() + 0.1 + this.random.next() * longestMs, () => {
         const receiver = this.nodes.find(({ address }) => address === to)
         if (receiver && !receiver.isDown && receiver.side === from.side) {
-          unpackDatagram(bytes).chain(readQuotaMessage).ifJust(heard => receiver.talk.hear(heard))
+          unpackDatagram(bytes).chain(readLimitMessage).ifJust(heard => receiver.protocol.hear(heard))
         }
       })
     }
@@ -176,7 +176,7 @@
 }
 
 /** What the rule allows in a window. */
-export function allowed ({ perSecond, burst }: QuotaLimit): number {
+export function allowed ({ perSecond, burst }: SharedLimit): number {
   const { overage, slack, windowMs } = tolerance
   return (perSecond * windowMs / 1000 + burst) * (1 + overage) + slack
 }
--- a/packages/foxtaillever-relay/src/quota/__fixtures__/quotaHistory.ts
+++ b/packages/foxtaillever-relay/src/limits/__fixtures__/limitHistory.ts
@@ -1,7 +1,7 @@
 /** A history of a fleet that shares quotas, drawn from a seed: faults, members and limits change while an account sends too much. */
 import { SeededRandom, type Random } from 'foxtaillever-core'
-import type { QuotaLimit } from 'foxtaillever-policy/limits/quotaBook'
-import { allowed, QuotaFleet, tolerance, type Node } from './quotaFleet.js'
+import type { SharedLimit } from 'foxtaillever-policy/limits/sharedLimitBook'
+import { allowed, LimitFleet, tolerance, type Node } from './limitFleet.js'
 
 const ACCOUNT = 'acme'
 
@@ -10,9 +10,9 @@
 const CHANGES = 8
 
 /** What happens at one instant. */
-type Change = (history: QuotaHistory) => void
+type Change = (history: LimitHistory) => void
 
-export interface QuotaReport {
+export interface LimitReport {
   readonly seed: number
   /** Names of what happened, in turn. */
   readonly changes: string[]
@@ -20,22 +20,22 @@
   readonly worst: number
 }
 
-export class QuotaHistory {
+export class LimitHistory {
   readonly random: Random
-  limit: QuotaLimit
+  limit: SharedLimit
   /** Tokens a second that are sent, as a part of the quota. */
   factor = 0.55
   private worst = 0
   private since = 0
 
-  private constructor (readonly fleet: QuotaFleet, readonly seed: number) {
+  private constructor (readonly fleet: LimitFleet, readonly seed: number) {
     this.random = SeededRandom.create(seed)
     const perSecond = 18_000 * 2 ** this.random.below(6)
     this.limit = { perSecond, burst: perSecond, revision: 1 }
   }
 
-  static async play (seed: number, size: number): Promise<QuotaReport> {
-    const history = new QuotaHistory(await QuotaFleet.start(size, seed), seed)
+  static async play (seed: number, size: number): Promise<LimitReport> {
+    const history = new LimitHistory(await LimitFleet.start(size, seed), seed)
     const changes: string[] = []
     for (let index = 0; index < CHANGES; index++) {
       const name = draw(history.random, Object.keys(kinds))
@@ -96,9 +96,9 @@
     history.later(12_000, () => fleet.nodes.forEach(node => { node.side = 0 }))
   },
   killMany: history => history.kill(history.some(0.55), 2000),
-  killKeepers: history => {
+  killOwners: history => {
     const { fleet } = history
-    const ranked = fleet.up()[0]?.keepers.of(ACCOUNT) ?? []
+    const ranked = fleet.up()[0]?.limitOwners.of(ACCOUNT) ?? []
     history.kill(fleet.up().filter(({ address }) => ranked.slice(0, 1 + history.random.below(3)).includes(address)), 2000 + history.random.below(1500))
   },
   freeze: history => {
--- a/packages/foxtaillever-relay/src/quota/__tests__/quotaDesk.test.ts
+++ b/packages/foxtaillever-relay/src/limits/__tests__/accountQuotas.test.ts
@@ -1,13 +1,13 @@
 import { PassThrough } from 'node:stream'
-import { QuotaOutcome, QuotaRole } from 'foxtaillever-policy/limits/quotaBook'
+import { LimitOutcome, LimitRole } from 'foxtaillever-policy/limits/sharedLimitBook'
 import { Logs } from 'foxtaillever-telemetry'
 import { describe, it } from 'foxtaillever-testing'
 import { plainRoute, RelayRig } from '../../__fixtures__/relayRig.js'
 import type { Exchange } from '../../model/exchange.js'
 import { QuotaUnit, type RelayQuota } from '../../model/routing.js'
 import { RelayLog } from '../../telemetry/relayLog.js'
-import { QuotaDesk } from '../quotaDesk.js'
-import type { QuotaTalk, QuotaWord } from '../quotaTalk.js'
+import { AccountQuotas } from '../accountQuotas.js'
+import type { LimitProtocol, LimitResult } from '../limitProtocol.js'
 
 const quota: RelayQuota = { unit: QuotaUnit.Tokens, perSecond: 1000, burst: 1000, unmeasuredTokens: 200 }
 
@@ -19,18 +19,18 @@
   readonly givenBack: number[]
 }
 
-/** A desk whose keeper says the same of every request. */
-function deskOf (rig: RelayRig, word: Partial<QuotaWord>, told: Told = { costs: [], givenBack: [] }): QuotaDesk {
+/** A desk whose owner says the same of every request. */
+function deskOf (rig: RelayRig, result: Partial<LimitResult>, told: Told = { costs: [], givenBack: [] }): AccountQuotas {
   const { clock } = rig
-  const talk: Pick<QuotaTalk, 'claim' | 'giveBack'> = {
+  const protocol: Pick<LimitProtocol, 'claim' | 'giveBack'> = {
     claim: ({ cost }, go) => {
       told.costs.push(cost)
-      go({ outcome: QuotaOutcome.Granted, role: QuotaRole.Keeper, decidedBy: '10.0.0.1:1', retryAt: clock.now(), ...word })
+      go({ outcome: LimitOutcome.Granted, role: LimitRole.Owner, decidedBy: '10.0.0.1:1', retryAt: clock.now(), ...result })
     },
     giveBack: (_, cost) => { told.givenBack.push(cost) }
   }
   const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
-  const desk = QuotaDesk.create({ clock, log, talk: () => talk, revision: () => 1 })
+  const desk = AccountQuotas.create({ clock, log, protocol: () => protocol, revision: () => 1 })
   rig.quota = { admit: (exchange, go) => desk.admit({ ...exchange, account }, go), giveBack: exchange => desk.giveBack({ ...exchange, account }) }
   return desk
 }
@@ -43,7 +43,7 @@
   // A caller is over its account's quota. It has to hear at once that nothing ran, and when there will be room.
   it('refuses at once, truthfully not run, with a time to come back', async t => {
     const rig = await RelayRig.start({}, wellAnswered)
-    deskOf(rig, { outcome: QuotaOutcome.Refused, retryAt: rig.clock.now() + 1250 })
+    deskOf(rig, { outcome: LimitOutcome.Refused, retryAt: rig.clock.now() + 1250 })
     const answer = await rig.ask('a')
     rig.stop()
     t.true(answer.startsWith('HTTP/1.1 429'), answer)
@@ -55,7 +55,7 @@
   // Nobody who decides can be reached. The caller is not over its quota, as far as anybody knows, and must not be told so.
   it('answers 503 where nobody decides', async t => {
     const rig = await RelayRig.start({}, wellAnswered)
-    deskOf(rig, { outcome: QuotaOutcome.NotMine })
+    deskOf(rig, { outcome: LimitOutcome.NotMine })
     const answer = await rig.ask('a')
     rig.stop()
     t.true(answer.startsWith('HTTP/1.1 503'), answer)
--- a/packages/foxtaillever-relay/src/quota/__tests__/quotaTalk.test.ts
+++ b/packages/foxtaillever-relay/src/limits/__tests__/limitProtocol.test.ts
@@ -1,14 +1,14 @@
-import { QuotaOutcome, type QuotaLimit } from 'foxtaillever-policy/limits/quotaBook'
+import { LimitOutcome, type SharedLimit } from 'foxtaillever-policy/limits/sharedLimitBook'
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
-import { allowed, QuotaFleet, tolerance, type Node } from '../__fixtures__/quotaFleet.js'
-import { QuotaHistory } from '../__fixtures__/quotaHistory.js'
-import { QuotaTalk } from '../quotaTalk.js'
+import { allowed, LimitFleet, tolerance, type Node } from '../__fixtures__/limitFleet.js'
+import { LimitHistory } from '../__fixtures__/limitHistory.js'
+import { LimitProtocol } from '../limitProtocol.js'
 
 const ACCOUNT = 'acme'
 const LARGE = 9190
 
 /** The smallest quota: two large requests a second. */
-const small: QuotaLimit = { perSecond: 18_000, burst: 18_000, revision: 1 }
+const small: SharedLimit = { perSecond: 18_000, burst: 18_000, revision: 1 }
 
 /** The usual use of an account, as a part of its quota. */
 const USUAL = 0.55
@@ -16,9 +16,9 @@
 /** How many times its usual a runaway account sends. */
 const HOT = 7.5
 
-function rankOf (fleet: QuotaFleet): Node[] {
+function rankOf (fleet: LimitFleet): Node[] {
   const [node] = fleet.up()
-  return (node?.keepers.of(ACCOUNT) ?? []).flatMap(address => fleet.nodes.filter(other => other.address === address))
+  return (node?.limitOwners.of(ACCOUNT) ?? []).flatMap(address => fleet.nodes.filter(other => other.address === address))
 }
 
 function kill (nodes: readonly Node[]): void {
@@ -26,7 +26,7 @@
 }
 
 /** They start again at their addresses, and know them all from the store. */
-function restart (fleet: QuotaFleet, nodes: readonly Node[], bootMs = 0): void {
+function restart (fleet: LimitFleet, nodes: readonly Node[], bootMs = 0): void {
   nodes.forEach(({ address }) => fleet.add(address, fleet.nodes.map(node => node.address), bootMs))
 }
 
@@ -34,9 +34,9 @@
 const BOOT_MS = 1000
 
 /** Tokens refused by anybody or nobody, as a part of what was asked for. */
-function refusedPart (fleet: QuotaFleet): number {
+function refusedPart (fleet: LimitFleet): number {
   const asked = fleet.asked.get(ACCOUNT) ?? []
-  const refused = asked.filter(({ word }) => word.outcome !== QuotaOutcome.Granted)
+  const refused = asked.filter(({ result }) => result.outcome !== LimitOutcome.Granted)
   return refused.length / asked.length
 }
 
@@ -46,7 +46,7 @@
       // An account's script runs away: it sends many times its limit to all instances, each of which
       // sees so little of it that no share of its own could tell. Callers of all others wait for the engines that it takes.
       it('an account far over its limit gets what it may have and no more', async t => {
-        const fleet = await QuotaFleet.start(size)
+        const fleet = await LimitFleet.start(size)
         await fleet.load(ACCOUNT, () => small, small.perSecond * USUAL * HOT, LARGE, 12_000)
         const most = fleet.mostInWindow(fleet.admitted(ACCOUNT))
         t.true(most <= allowed(small), `${most} of ${allowed(small)}`)
@@ -57,7 +57,7 @@
       // A limit by shares would refuse the second large request that one instance sees; the account's owner
       // would be turned away at a half of what was sold.
       it('an account below its limit is not refused, wherever its requests land', async t => {
-        const fleet = await QuotaFleet.start(size)
+        const fleet = await LimitFleet.start(size)
         await fleet.load(ACCOUNT, () => small, small.perSecond * USUAL, LARGE / 10, 8000)
         await fleet.load(ACCOUNT, () => small, small.perSecond * USUAL, LARGE / 10, 8000, ([first]) => first)
         t.true(refusedPart(fleet) < 0.01, `${refusedPart(fleet)} was refused`)
@@ -70,12 +70,12 @@
     // decide, and both together would admit the limit twice.
     for (const size of [8, 70]) {
       it(`halves of ${size} that do not hear each other together stay within the limit`, async t => {
-        const fleet = await QuotaFleet.start(size)
+        const fleet = await LimitFleet.start(size)
         await fleet.load(ACCOUNT, () => small, small.perSecond * USUAL, LARGE, 4000)
-        const [keeper, standIn] = rankOf(fleet)
+        const [owner, standby] = rankOf(fleet)
         fleet.nodes.forEach((node, index) => { node.side = index % 2 })
-        Object.assign(keeper as Node, { side: 0 })
-        Object.assign(standIn as Node, { side: 1 })
+        Object.assign(owner as Node, { side: 0 })
+        Object.assign(standby as Node, { side: 1 })
         await fleet.load(ACCOUNT, () => small, small.perSecond * USUAL * HOT, LARGE, 12_000)
         fleet.nodes.forEach(node => { node.side = 0 })
         await fleet.load(ACCOUNT, () => small, small.perSecond * USUAL * HOT, LARGE, 8000)
@@ -84,16 +84,16 @@
       })
     }
 
-    // An account far from its limit runs away at the moment when half of the instances lose its keeper: what they admit
-    // without a word, and tell somebody who cannot hear it, is counted nowhere.
-    it('instances that lose the keeper of an account far from its limit do not go on without a word', async t => {
-      const large: QuotaLimit = { perSecond: 900_000, burst: 900_000, revision: 1 }
-      const fleet = await QuotaFleet.start(195)
-      const [keeper, standIn] = rankOf(fleet)
+    // An account far from its limit runs away at the moment when half of the instances lose its owner: what they admit
+    // without a decision, and tell somebody who cannot hear it, is counted nowhere.
+    it('instances that lose the owner of an account far from its limit do not go on without a decision', async t => {
+      const large: SharedLimit = { perSecond: 900_000, burst: 900_000, revision: 1 }
+      const fleet = await LimitFleet.start(195)
+      const [owner, standby] = rankOf(fleet)
       await fleet.load(ACCOUNT, () => large, large.perSecond * USUAL, LARGE / 10, 4000)
       fleet.nodes.forEach((node, index) => { node.side = index % 2 })
-      Object.assign(keeper as Node, { side: 0 })
-      Object.assign(standIn as Node, { side: 1 })
+      Object.assign(owner as Node, { side: 0 })
+      Object.assign(standby as Node, { side: 1 })
       await fleet.load(ACCOUNT, () => large, large.perSecond * USUAL * HOT, LARGE, 12_000)
       const most = fleet.mostInWindow(fleet.admitted(ACCOUNT))
       t.true(most <= allowed(large), `${most} of ${allowed(large)}`)
@@ -101,9 +101,9 @@
 
     // Power is lost where the account is kept: whoever takes over knows nothing of the last seconds, and one that
     // believed the account fresh would admit its whole burst again.
-    for (const [name, dead] of [['keeper', [0]], ['keeper and its stand-in', [0, 1]], ['keeper, its stand-in and the reserve', [0, 1, 2]]] as const) {
+    for (const [name, dead] of [['owner', [0]], ['owner and its standby', [0, 1]], ['owner, its standby and the reserve', [0, 1, 2]]] as const) {
       it(`the ${name} may die and start again without a second burst`, async t => {
-        const fleet = await QuotaFleet.start(70)
+        const fleet = await LimitFleet.start(70)
         await fleet.load(ACCOUNT, () => small, small.perSecond * USUAL * HOT, LARGE, 6000)
         const ranked = rankOf(fleet)
         const killed = fleet.nodes.filter((node, index) => ranked.indexOf(node) === -1 ? index % 2 === 0 : dead.some(rank => ranked[rank] === node))
@@ -116,14 +116,14 @@
       })
     }
 
-    // The keeper dies under usual load: its account is below its limit, and its callers should not notice.
-    it('the death of the keeper alone costs an account below its limit hardly anything', async t => {
-      const fleet = await QuotaFleet.start(70)
+    // The owner dies under usual load: its account is below its limit, and its callers should not notice.
+    it('the death of the owner alone costs an account below its limit hardly anything', async t => {
+      const fleet = await LimitFleet.start(70)
       await fleet.load(ACCOUNT, () => small, small.perSecond * USUAL, LARGE / 10, 2000)
-      const [keeper] = rankOf(fleet)
-      kill([keeper as Node])
+      const [owner] = rankOf(fleet)
+      kill([owner as Node])
       await fleet.load(ACCOUNT, () => small, small.perSecond * USUAL, LARGE / 10, 3500)
-      restart(fleet, [keeper as Node])
+      restart(fleet, [owner as Node])
       await fleet.load(ACCOUNT, () => small, small.perSecond * USUAL, LARGE / 10, 4000)
       t.true(refusedPart(fleet) < 0.05, `${refusedPart(fleet)} was refused`)
     })
@@ -131,8 +131,8 @@
     // All instances lose power together. Whoever keeps the account knows nothing of the time before, but that its own
     // process has not decided on anything since it started. Callers that were cut off come back at once.
     it('an account below its limit is not refused after a restart of all', async t => {
-      const large: QuotaLimit = { perSecond: 900_000, burst: 900_000, revision: 1 }
-      const fleet = await QuotaFleet.start(70)
+      const large: SharedLimit = { perSecond: 900_000, burst: 900_000, revision: 1 }
+      const fleet = await LimitFleet.start(70)
       await fleet.load(ACCOUNT, () => large, large.perSecond * USUAL, LARGE, 2000)
       fleet.asked.clear()
       kill(fleet.nodes)
@@ -143,10 +143,10 @@
       t.true(refusedPart(fleet) < 0.01, `${refusedPart(fleet)} was refused`)
     })
 
-    it('nobody waits long for a keeper that does not answer, and after two questions nobody waits at all', async t => {
-      const fleet = await QuotaFleet.start(70)
-      const [keeper] = rankOf(fleet)
-      kill([keeper as Node])
+    it('nobody waits long for an owner that does not answer, and after two questions nobody waits at all', async t => {
+      const fleet = await LimitFleet.start(70)
+      const [owner] = rankOf(fleet)
+      kill([owner as Node])
       const [asker] = fleet.up()
       for (let index = 0; index < 5; index++) {
         fleet.ask(asker as Node, ACCOUNT, small, 100)
@@ -163,21 +163,21 @@
   it('an instance that knows nobody who decides tells nobody', async t => {
     const clock = VirtualClock.create()
     const told: string[] = []
-    const talk = QuotaTalk.create({ clock, address: 'a:1', tolerance, ranking: () => [], settledAt: () => 0, instances: () => 1, send: to => { told.push(to) }, onMet: () => {}, onDecided: () => {}, onPassedOver: () => {} })
-    const outcomes: QuotaOutcome[] = []
-    talk.claim({ account: ACCOUNT, limit: small, cost: 1 }, ({ outcome }) => { outcomes.push(outcome) })
-    talk.giveBack(ACCOUNT, 1)
+    const protocol = LimitProtocol.create({ clock, address: 'a:1', tolerance, ranking: () => [], settledAt: () => 0, instances: () => 1, send: to => { told.push(to) }, onMet: () => {}, onDecided: () => {}, onPassedOver: () => {} })
+    const outcomes: LimitOutcome[] = []
+    protocol.claim({ key: ACCOUNT, limit: small, cost: 1 }, ({ outcome }) => { outcomes.push(outcome) })
+    protocol.giveBack(ACCOUNT, 1)
     await clock.advanceBy(1000)
     t.deepEqual(told, [])
-    t.deepEqual(outcomes, [QuotaOutcome.NotMine])
+    t.deepEqual(outcomes, [LimitOutcome.NotMine])
   })
 
   describe('when the limit changes', () => {
     // An operator lowers the limit far below what is sent. What was sent before it must not count against the new
     // limit for long, and the old one must not go on.
     it('a lower one binds from the first instance that knows it, and no window after it is over', async t => {
-      const fleet = await QuotaFleet.start(70)
-      let limit: QuotaLimit = { perSecond: 180_000, burst: 180_000, revision: 1 }
+      const fleet = await LimitFleet.start(70)
+      let limit: SharedLimit = { perSecond: 180_000, burst: 180_000, revision: 1 }
       await fleet.load(ACCOUNT, () => limit, 300_000, LARGE, 4000)
       limit = { ...small, revision: 2 }
       await fleet.pass(1)
@@ -193,7 +193,7 @@
   describe('through histories of faults', () => {
     for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
       it(`no window is over the limit, seed ${seed}`, async t => {
-        const { changes, worst } = await QuotaHistory.play(seed, seed % 2 === 0 ? 8 : 70)
+        const { changes, worst } = await LimitHistory.play(seed, seed % 2 === 0 ? 8 : 70)
         t.true(worst <= 1, `${worst.toFixed(2)} of what is allowed, with ${changes.join(', ')}`)
       })
     }
@@ -202,20 +202,20 @@
   describe('refused callers', () => {
     // Told the same instant, all of them come back at once and are refused again.
     it('are told instants one after the other, at which there is room', async t => {
-      const fleet = await QuotaFleet.start(70)
+      const fleet = await LimitFleet.start(70)
       const [asker] = fleet.up()
       for (let index = 0; index < 12; index++) {
         fleet.ask(asker as Node, ACCOUNT, small, LARGE)
         await fleet.pass(20)
       }
-      const refused = (fleet.asked.get(ACCOUNT) ?? []).filter(({ word }) => word.outcome === QuotaOutcome.Refused)
-      const instants = refused.map(({ word }) => word.retryAt)
+      const refused = (fleet.asked.get(ACCOUNT) ?? []).filter(({ result }) => result.outcome === LimitOutcome.Refused)
+      const instants = refused.map(({ result }) => result.retryAt)
       t.true(instants.length >= 6, String(instants.length))
       instants.slice(1).forEach((at, index) => t.true(at - (instants[index] as number) > 300, String(instants)))
       await fleet.pass((instants[0] as number) - fleet.clock.now() + 5)
       fleet.ask(asker as Node, ACCOUNT, small, LARGE)
       await fleet.pass(20)
-      t.is(fleet.asked.get(ACCOUNT)?.at(-1)?.word.outcome, QuotaOutcome.Granted)
+      t.is(fleet.asked.get(ACCOUNT)?.at(-1)?.result.outcome, LimitOutcome.Granted)
     })
   })
 })
--- a/packages/foxtaillever-relay/src/quota/quotaDesk.ts
+++ b/packages/foxtaillever-relay/src/limits/accountQuotas.ts
@@ -1,15 +1,15 @@
 /** Asks for each exchange whether its client account may use what it costs. */
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
-import { QuotaOutcome } from 'foxtaillever-policy/limits/quotaBook'
+import { LimitOutcome } from 'foxtaillever-policy/limits/sharedLimitBook'
 import { comeBackAt } from 'foxtaillever-policy/relay/comeBack'
 import type { Exchange } from '../model/exchange.js'
 import { QuotaUnit, type RelayQuota } from '../model/routing.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
-import type { QuotaTalk, QuotaWord } from './quotaTalk.js'
+import type { LimitProtocol, LimitResult } from './limitProtocol.js'
 
-export interface QuotaDeskOptions {
+export interface AccountQuotasOptions {
   readonly clock: Clock
-  readonly talk: () => Pick<QuotaTalk, 'claim' | 'giveBack'>
+  readonly protocol: () => Pick<LimitProtocol, 'claim' | 'giveBack'>
   readonly log: Pick<RelayLog, 'quotaRefused'>
   /** Of the configuration in force. */
   readonly revision: () => number
@@ -22,13 +22,13 @@
 }
 
 /** Of exchanges whose quota somebody else has looked at. */
-export const noQuota: Pick<QuotaDesk, 'admit' | 'giveBack'> = { admit: (_, go) => go(), giveBack: () => {} }
+export const noQuotas: Pick<AccountQuotas, 'admit' | 'giveBack'> = { admit: (_, go) => go(), giveBack: () => {} }
 
-export class QuotaDesk {
-  private constructor (private readonly options: QuotaDeskOptions) {}
+export class AccountQuotas {
+  private constructor (private readonly options: AccountQuotasOptions) {}
 
-  static create (options: QuotaDeskOptions): QuotaDesk {
-    return new QuotaDesk(options)
+  static create (options: AccountQuotasOptions): AccountQuotas {
+    return new AccountQuotas(options)
   }
 
   /** Goes on when it is decided, with the failure of a request that may not run. */
@@ -38,17 +38,17 @@
       go()
       return
     }
-    const { clock, talk, log, revision } = this.options
+    const { clock, protocol, log, revision } = this.options
     const { name } = exchange.account
     const cost = costOf[quota.unit](exchange, quota)
     const askedAt = clock.now()
-    talk().claim({ account: name, cost, limit: { perSecond: quota.perSecond, burst: quota.burst, revision: revision() } }, word => {
-      if (word.outcome === QuotaOutcome.Granted) {
+    protocol().claim({ key: name, cost, limit: { perSecond: quota.perSecond, burst: quota.burst, revision: revision() } }, result => {
+      if (result.outcome === LimitOutcome.Granted) {
         go()
         return
       }
-      log.quotaRefused(exchange, word, cost, askedAt, clock.now())
-      go(this.refusalOf(word))
+      log.quotaRefused(exchange, result, cost, askedAt, clock.now())
+      go(this.refusalOf(result))
     })
   }
 
@@ -56,12 +56,12 @@
   giveBack (exchange: Exchange): void {
     const { account } = exchange
     if (account?.quota) {
-      this.options.talk().giveBack(account.name, costOf[account.quota.unit](exchange, account.quota))
+      this.options.protocol().giveBack(account.name, costOf[account.quota.unit](exchange, account.quota))
     }
   }
 
-  private refusalOf ({ outcome, retryAt }: QuotaWord): Failure {
-    return outcome === QuotaOutcome.Refused
+  private refusalOf ({ outcome, retryAt }: LimitResult): Failure {
+    return outcome === LimitOutcome.Refused
       ? Failure.notRun(FailureCode.AccountOverLimit, 'The client account is over its quota.', retryAt)
       : Failure.notRun(FailureCode.QuotaUnknown, 'Nobody who decides on the quota of the client account answers.', comeBackAt(FailureCode.QuotaUnknown, this.options.clock.now()))
   }
--- a/packages/foxtaillever-relay/src/quota/keepers.ts
+++ b/packages/foxtaillever-relay/src/limits/limitOwners.ts
@@ -1,11 +1,11 @@
-/** Who decides on the quota of an account, computed from the members that this instance knows. */
+/** Who decides on a shared limit, computed from the members that this instance knows. */
 import { hashNumber } from 'foxtaillever-core'
 import { ComputedWatchers } from 'foxtaillever-policy/relay/computedWatchers'
-import { QUOTA_RANKS } from './quotaTalk.js'
+import { LIMIT_RANKS } from './limitProtocol.js'
 
 /**
  * An instance that has just started may not know the others yet, and would take
- * itself for the keeper of every account. After this it decides by those it
+ * itself for the owner of every key. After this it decides by those it
  * knows, milliseconds: beats of all have come by then, also in a large fleet.
  */
 const LEARNING_MS = 5000
@@ -13,8 +13,8 @@
 /** One that nobody names is alone, milliseconds: the others greet it within a second. */
 const ALONE_MS = 1500
 
-export class Keepers {
-  private readonly rankings = ComputedWatchers.create(QUOTA_RANKS)
+export class LimitOwners {
+  private readonly rankings = ComputedWatchers.create(LIMIT_RANKS)
   private changedAt: number
   private isLearned = false
 
@@ -23,8 +23,8 @@
   }
 
   /** @param startedAt start of this process, milliseconds of Unix time: so long nobody has decided here. */
-  static create (startedAt: number): Keepers {
-    return new Keepers(startedAt)
+  static create (startedAt: number): LimitOwners {
+    return new LimitOwners(startedAt)
   }
 
   /**
@@ -38,7 +38,7 @@
     this.isLearned ||= isWhole || now >= this.startedAt + (addresses.length > 1 ? LEARNING_MS : ALONE_MS)
   }
 
-  /** Addresses, the keeper first. */
+  /** Addresses, the owner first. */
   of (account: string): readonly string[] {
     return this.rankings.of(hashNumber(account))
   }
--- a/packages/foxtaillever-relay/src/quota/quotaTalk.ts
+++ b/packages/foxtaillever-relay/src/limits/limitProtocol.ts
@@ -1,16 +1,16 @@
 /**
- * Quotas of client accounts among the instances of a fleet. Each account has a
- * keeper, computed from the members, that decides for all; its next two in the
- * ranking take over within the bounds that `QuotaBook` sets. Each answer says what
+ * Limits that the instances of a fleet share. Each key has an
+ * owner, computed from the members, that decides for all; the next two in the
+ * ranking take over within the bounds that `SharedLimitBook` sets. Each answer says what
  * its asker may use without waiting, so that far from the limit a request is only
  * counted there; near it one question is waited for.
  */
 import { atAfterSilence, type Cancellation, type Clock } from 'foxtaillever-core'
 import { RecentMap } from 'foxtaillever-policy/collections/recentMap'
-import { QuotaBook, QuotaOutcome, QuotaRole, RENEWAL_MS, type QuotaClaim, type QuotaTolerance } from 'foxtaillever-policy/limits/quotaBook'
+import { SharedLimitBook, LimitOutcome, LimitRole, RENEWAL_MS, type LimitClaim, type LimitTolerance } from 'foxtaillever-policy/limits/sharedLimitBook'
 import { DatagramKind } from '../peers/datagram.js'
 import { PassedOver, type PassedOverOptions } from '../peers/passedOver.js'
-import type { QuotaAnswer, QuotaMessage, QuotaQuestion } from './quotaMessage.js'
+import type { LimitAnswer, LimitMessage, LimitQuestion } from './limitMessage.js'
 
 /** One that does not answer for so long, milliseconds, is silent: a datagram's way is two at most, a busy loop takes tens. */
 const ANSWER_MS = 50
@@ -25,37 +25,37 @@
 const FREE_BOUND = 2048
 
 /** The ranking's places, in their order. */
-const rolesByRank: readonly QuotaRole[] = [QuotaRole.Keeper, QuotaRole.StandIn, QuotaRole.Reserve]
+const rolesByRank: readonly LimitRole[] = [LimitRole.Owner, LimitRole.Standby, LimitRole.Reserve]
 
-/** Instances that may decide for an account. */
-export const QUOTA_RANKS = rolesByRank.length
+/** Instances that may decide for a key. */
+export const LIMIT_RANKS = rolesByRank.length
 
 /** What came of a claim. */
-export interface QuotaWord {
+export interface LimitResult {
   /** Nobody decided where it is neither granted nor refused. */
-  readonly outcome: QuotaOutcome
-  readonly role: QuotaRole
+  readonly outcome: LimitOutcome
+  readonly role: LimitRole
   /** Who decided; empty for none. */
   readonly decidedBy: string
   /** When there is room, milliseconds of Unix time; for a refusal. */
   readonly retryAt: number
 }
 
-export interface QuotaTalkOptions extends PassedOverOptions {
+export interface LimitProtocolOptions extends PassedOverOptions {
   readonly clock: Clock
   readonly address: string
-  readonly tolerance: QuotaTolerance
-  /** Addresses of those that may decide for an account, the keeper first. */
-  readonly ranking: (account: string) => readonly string[]
+  readonly tolerance: LimitTolerance
+  /** Addresses of those that may decide for a key, the owner first. */
+  readonly ranking: (key: string) => readonly string[]
   /** Since when the members are those by which rankings are computed; undefined while they are not known yet. */
   readonly settledAt: () => number | undefined
   /** Those that there are, this one included. */
   readonly instances: () => number
-  readonly send: (address: string, message: QuotaMessage) => void
+  readonly send: (address: string, message: LimitMessage) => void
   /** An instance spoke that may not be known here yet. */
   readonly onMet: (address: string) => void
   /** This instance decided on a claim of any instance. */
-  readonly onDecided: (role: QuotaRole, outcome: QuotaOutcome) => void
+  readonly onDecided: (role: LimitRole, outcome: LimitOutcome) => void
 }
 
 interface Allowance {
@@ -65,20 +65,20 @@
 }
 
 interface Pending {
-  readonly claim: QuotaClaim
+  readonly claim: LimitClaim
   /** Those that have not been asked in this round, in their order. */
   left: readonly string[]
   /** Asked and not heard of. */
   readonly waiting: Set<string>
   /** All that were asked. */
   readonly asked: Set<string>
-  readonly go: (word: QuotaWord) => void
+  readonly go: (result: LimitResult) => void
   readonly until: number
   cancel: Cancellation
 }
 
-export class QuotaTalk {
-  private readonly book: QuotaBook
+export class LimitProtocol {
+  private readonly book: SharedLimitBook
   private readonly passedOver: PassedOver
   private readonly pending = new Map<number, Pending>()
   private readonly allowances = RecentMap.create<Allowance>(FREE_BOUND)
@@ -86,24 +86,24 @@
   private readonly renewing = new Set<string>()
   private number = 0
 
-  private constructor (private readonly options: QuotaTalkOptions) {
-    this.book = QuotaBook.create(options.tolerance)
+  private constructor (private readonly options: LimitProtocolOptions) {
+    this.book = SharedLimitBook.create(options.tolerance)
     this.passedOver = PassedOver.create(options)
   }
 
-  static create (options: QuotaTalkOptions): QuotaTalk {
-    return new QuotaTalk(options)
+  static create (options: LimitProtocolOptions): LimitProtocol {
+    return new LimitProtocol(options)
   }
 
-  /** Counts a request of an account and goes on when it is decided, at once where nobody need be waited for. */
-  claim (claim: Omit<QuotaClaim, 'isTaken'>, go: (word: QuotaWord) => void): void {
+  /** Counts a request of a key and goes on when it is decided, at once where nobody need be waited for. */
+  claim (claim: Omit<LimitClaim, 'isTaken'>, go: (result: LimitResult) => void): void {
     const { clock } = this.options
     const now = clock.now()
-    const left = this.ranking(claim.account)
+    const left = this.ranking(claim.key)
     const [first] = left
     if (first !== undefined && first !== this.options.address && this.isFree(claim, now)) {
       this.ask(first, this.number++, { ...claim, isTaken: true })
-      go({ outcome: QuotaOutcome.Granted, role: QuotaRole.None, decidedBy: '', retryAt: now })
+      go({ outcome: LimitOutcome.Granted, role: LimitRole.None, decidedBy: '', retryAt: now })
       return
     }
     const number = this.number++
@@ -113,35 +113,35 @@
   }
 
   /** A request that was counted has not run. */
-  giveBack (account: string, cost: number): void {
-    const [keeper] = this.ranking(account)
+  giveBack (key: string, cost: number): void {
+    const [owner] = this.ranking(key)
     const { address, send } = this.options
-    if (keeper === address) {
-      this.book.giveBack(account, cost)
-    } else if (keeper !== undefined) {
-      send(keeper, { kind: DatagramKind.QuotaReturn, address, account, cost })
+    if (owner === address) {
+      this.book.giveBack(key, cost)
+    } else if (owner !== undefined) {
+      send(owner, { kind: DatagramKind.LimitReturn, address, key, cost })
     }
   }
 
-  hear (message: QuotaMessage): void {
+  hear (message: LimitMessage): void {
     const { clock, address, send } = this.options
     switch (message.kind) {
-      case DatagramKind.QuotaQuestion: send(message.address, this.answer(message)); break
-      case DatagramKind.QuotaAnswer: this.hearAnswer(message); break
-      case DatagramKind.QuotaReturn: this.book.giveBack(message.account, message.cost); break
-      case DatagramKind.QuotaRenewal:
-        // One that has just joined keeps the account now, and this instance has to know it.
+      case DatagramKind.LimitQuestion: send(message.address, this.answer(message)); break
+      case DatagramKind.LimitAnswer: this.hearAnswer(message); break
+      case DatagramKind.LimitReturn: this.book.giveBack(message.key, message.cost); break
+      case DatagramKind.LimitRenewal:
+        // One that has just joined owns the key now, and this instance has to know it.
         this.options.onMet(message.address)
-        this.book.promise(message.account, clock.now())
-        send(message.address, { ...message, kind: DatagramKind.QuotaPromise, address })
+        this.book.promise(message.key, clock.now())
+        send(message.address, { ...message, kind: DatagramKind.LimitPromise, address })
         break
-      case DatagramKind.QuotaPromise: this.book.observePromise(message.account, message.sentAt); break
+      case DatagramKind.LimitPromise: this.book.observePromise(message.key, message.sentAt); break
     }
   }
 
   /** Whether it need not wait for a decision; if so, it is taken off what need not. */
-  private isFree ({ account, cost }: Omit<QuotaClaim, 'isTaken'>, now: number): boolean {
-    const allowance = this.allowances.peek(account)
+  private isFree ({ key, cost }: Omit<LimitClaim, 'isTaken'>, now: number): boolean {
+    const allowance = this.allowances.peek(key)
     if (!allowance || allowance.until <= now || allowance.tokens < cost) {
       return false
     }
@@ -150,14 +150,14 @@
   }
 
   /** Those that answer, or all where none does. */
-  private ranking (account: string): string[] {
-    const ranking = this.options.ranking(account)
+  private ranking (key: string): string[] {
+    const ranking = this.options.ranking(key)
     const answering = ranking.filter(address => !this.passedOver.has(address))
     return answering.length > 0 ? answering : [...ranking]
   }
 
-  private ask (address: string, number: number, claim: QuotaClaim): void {
-    const question: QuotaQuestion = { kind: DatagramKind.QuotaQuestion, address: this.options.address, number, ...claim }
+  private ask (address: string, number: number, claim: LimitClaim): void {
+    const question: LimitQuestion = { kind: DatagramKind.LimitQuestion, address: this.options.address, number, ...claim }
     if (address === this.options.address) {
       this.hearAnswer(this.answer(question))
     } else {
@@ -171,11 +171,11 @@
     const now = clock.now()
     pending.cancel()
     if (now >= pending.until) {
-      this.settle(number, { outcome: QuotaOutcome.NotMine, role: QuotaRole.None, decidedBy: '', retryAt: now })
+      this.settle(number, { outcome: LimitOutcome.NotMine, role: LimitRole.None, decidedBy: '', retryAt: now })
       return
     }
     const [next, ...left] = pending.left
-    pending.left = next === undefined ? this.ranking(pending.claim.account) : left
+    pending.left = next === undefined ? this.ranking(pending.claim.key) : left
     pending.cancel = atAfterSilence(clock, Math.min(now + ANSWER_MS, pending.until), () => this.miss(number, pending, next))
     if (next !== undefined) {
       pending.waiting.add(next)
@@ -191,72 +191,72 @@
     this.askNext(number, pending)
   }
 
-  private hearAnswer ({ address, number, account, outcome, role, retryMs, free, keeper }: QuotaAnswer): void {
+  private hearAnswer ({ address, number, key, outcome, role, retryMs, free, owner }: LimitAnswer): void {
     const now = this.options.clock.now()
     this.passedOver.hear(address)
-    this.allowances.set(account, { tokens: free, until: now + FREE_MS })
+    this.allowances.set(key, { tokens: free, until: now + FREE_MS })
     const pending = this.pending.get(number)
     if (pending?.waiting.delete(address) !== true) {
       return
     }
-    if (outcome !== QuotaOutcome.NotMine) {
+    if (outcome !== LimitOutcome.NotMine) {
       this.settle(number, { outcome, role, decidedBy: address, retryAt: now + retryMs })
       return
     }
-    if (keeper !== '' && !pending.asked.has(keeper)) {
-      pending.left = [keeper, ...pending.left.filter(other => other !== keeper)]
+    if (owner !== '' && !pending.asked.has(owner)) {
+      pending.left = [owner, ...pending.left.filter(other => other !== owner)]
     }
     if (pending.left.length > 0) {
       this.askNext(number, pending)
     }
   }
 
-  private settle (number: number, word: QuotaWord): void {
+  private settle (number: number, result: LimitResult): void {
     const pending = this.pending.get(number)
     this.pending.delete(number)
     pending?.cancel()
-    pending?.go(word)
+    pending?.go(result)
   }
 
-  /** Asks the stand-in to hold back, as long as the account's bucket has to fill at the whole rate. */
-  private renew (account: string): void {
+  /** Asks the standby to hold back, as long as the key's bucket has to fill at the whole rate. */
+  private renew (key: string): void {
     const { address, clock, ranking, send } = this.options
     const now = clock.now()
-    const [keeper, standIn] = ranking(account)
-    const dueAt = this.book.renewalDueAt(account, now)
-    if (dueAt === undefined || keeper !== address || standIn === undefined) {
+    const [owner, standby] = ranking(key)
+    const dueAt = this.book.renewalDueAt(key, now)
+    if (dueAt === undefined || owner !== address || standby === undefined) {
       return
     }
     if (dueAt <= now) {
-      this.book.noteRenewal(account, now)
-      send(standIn, { kind: DatagramKind.QuotaRenewal, address, account, sentAt: now })
+      this.book.noteRenewal(key, now)
+      send(standby, { kind: DatagramKind.LimitRenewal, address, key, sentAt: now })
     }
-    if (!this.renewing.has(account)) {
-      this.renewing.add(account)
+    if (!this.renewing.has(key)) {
+      this.renewing.add(key)
       clock.at(now + RENEWAL_MS, () => {
-        this.renewing.delete(account)
-        this.renew(account)
+        this.renewing.delete(key)
+        this.renew(key)
       })
     }
   }
 
-  /** Decides as what this instance is to the account. */
-  private answer ({ number, account, limit, cost, isTaken }: QuotaQuestion): QuotaAnswer {
+  /** Decides as what this instance is to the key. */
+  private answer ({ number, key, limit, cost, isTaken }: LimitQuestion): LimitAnswer {
     const { address, clock, ranking, settledAt, instances, onDecided } = this.options
     const now = clock.now()
-    const ranked = ranking(account)
+    const ranked = ranking(key)
     const since = settledAt()
-    const [, standIn] = ranked
-    if (standIn === undefined) {
+    const [, standby] = ranked
+    if (standby === undefined) {
       // Alone there is nobody who would have to hold back.
-      this.book.observePromise(account, now)
+      this.book.observePromise(key, now)
     }
-    const role = since === undefined ? QuotaRole.None : rolesByRank[ranked.indexOf(address)] ?? QuotaRole.None
-    const { outcome, retryAt, free } = this.book.decide({ account, limit, cost, isTaken }, role, since ?? now, instances(), now)
-    this.renew(account)
+    const role = since === undefined ? LimitRole.None : rolesByRank[ranked.indexOf(address)] ?? LimitRole.None
+    const { outcome, retryAt, free } = this.book.decide({ key, limit, cost, isTaken }, role, since ?? now, instances(), now)
+    this.renew(key)
     if (!isTaken) {
       onDecided(role, outcome)
     }
-    return { kind: DatagramKind.QuotaAnswer, address, number, account, outcome, role, retryMs: retryAt - now, free, keeper: outcome === QuotaOutcome.NotMine && ranked[0] !== address ? ranked[0] ?? '' : '' }
+    return { kind: DatagramKind.LimitAnswer, address, number, key, outcome, role, retryMs: retryAt - now, free, owner: outcome === LimitOutcome.NotMine && ranked[0] !== address ? ranked[0] ?? '' : '' }
   }
 }
--- a/packages/foxtaillever-relay/src/peers/datagram.ts
+++ b/packages/foxtaillever-relay/src/peers/datagram.ts
@@ -14,11 +14,11 @@
   LoadWord = 11,
   LoadQuestion = 12,
   LoadAnswer = 13,
-  QuotaQuestion = 21,
-  QuotaAnswer = 22,
-  QuotaReturn = 23,
-  QuotaRenewal = 24,
-  QuotaPromise = 25
+  LimitQuestion = 21,
+  LimitAnswer = 22,
+  LimitReturn = 23,
+  LimitRenewal = 24,
+  LimitPromise = 25
 }
 
 const packr = new Packr({ useRecords: false })
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -12,7 +12,7 @@
 import { ServerConnections } from '../servers/serverConnections.js'
 import { DatagramKind, unpackDatagram } from './datagram.js'
 import { encodeLoadMessage, readLoadMessage, type LoadMessage } from './loadMessage.js'
-import { encodeQuotaMessage, readQuotaMessage, type QuotaMessage } from '../quota/quotaMessage.js'
+import { encodeLimitMessage, readLimitMessage, type LimitMessage } from '../limits/limitMessage.js'
 import { encodePeerMessage, readPeerMessage, type PeerMessage } from './peerMessage.js'
 import { encodeReadNotice, readReadNotice, type ReadNotice } from './readNotice.js'
 import type { FenceLog } from '../weights/fenceLog.js'
@@ -46,7 +46,7 @@
   readonly onNotice: (notice: ReadNotice) => void
   readonly onLoad: (message: LoadMessage) => void
   readonly onWeights: (notice: WeightsNotice) => void
-  readonly onQuota: (message: QuotaMessage) => void
+  readonly onQuota: (message: LimitMessage) => void
   /** What this instance knows of a topic from an offset on. */
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   /** Another instance asks for a call at the lease's log. */
@@ -66,7 +66,7 @@
   private constructor (private readonly options: PeerLinkOptions) {
     const { onMessage, onNotice, onLoad, onWeights, onQuota } = options
     const receiveLoad: Receiver = wire => { readLoadMessage(wire).ifJust(onLoad) }
-    const receiveQuota: Receiver = wire => { readQuotaMessage(wire).ifJust(onQuota) }
+    const receiveQuota: Receiver = wire => { readLimitMessage(wire).ifJust(onQuota) }
     this.receiveBeat = wire => { readPeerMessage(wire).ifJust(onMessage) }
     this.receivers = {
       [DatagramKind.LoadWord]: receiveLoad,
@@ -74,11 +74,11 @@
       [DatagramKind.LoadAnswer]: receiveLoad,
       [DatagramKind.ReadNotice]: wire => { readReadNotice(wire).ifJust(onNotice) },
       [DatagramKind.Weights]: wire => { readWeightsNotice(wire).ifJust(onWeights) },
-      [DatagramKind.QuotaQuestion]: receiveQuota,
-      [DatagramKind.QuotaAnswer]: receiveQuota,
-      [DatagramKind.QuotaReturn]: receiveQuota,
-      [DatagramKind.QuotaRenewal]: receiveQuota,
-      [DatagramKind.QuotaPromise]: receiveQuota
+      [DatagramKind.LimitQuestion]: receiveQuota,
+      [DatagramKind.LimitAnswer]: receiveQuota,
+      [DatagramKind.LimitReturn]: receiveQuota,
+      [DatagramKind.LimitRenewal]: receiveQuota,
+      [DatagramKind.LimitPromise]: receiveQuota
     }
     this.datagrams = UdpDatagrams.create(`${options.host}:${options.port}`)
     this.server = createServer((request, response) => {
@@ -138,8 +138,8 @@
     this.datagrams.send(address, encodeLoadMessage(message))
   }
 
-  sendQuota (address: string, message: QuotaMessage): void {
-    this.datagrams.send(address, encodeQuotaMessage(message))
+  sendQuota (address: string, message: LimitMessage): void {
+    this.datagrams.send(address, encodeLimitMessage(message))
   }
 
   tellWeights (addresses: readonly string[], notice: WeightsNotice): void {
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -12,7 +12,7 @@
 import { PeerTable } from './peerTable.js'
 import type { ReadNotice } from './readNotice.js'
 import { Rounds } from './rounds.js'
-import { Keepers } from '../quota/keepers.js'
+import { LimitOwners } from '../limits/limitOwners.js'
 import type { ToldTopic } from './toldTopic.js'
 import { MOST_IN_NOTICE } from './weightsNotice.js'
 
@@ -92,7 +92,7 @@
   /** Who keeps the sum of a server's load, and looks at a store of cached levels. */
   readonly watchers = ComputedWatchers.create()
   /** Who decides on the quota of an account. */
-  readonly keepers: Keepers
+  readonly limitOwners: LimitOwners
   private readonly startedAt: number
   private readonly rounds: Rounds
   /** As of the last beat, or of the last instance that came or left. */
@@ -104,7 +104,7 @@
     const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, onQuota, ownUses, onSaved, onUnreachable, onPassedOver } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
-    this.keepers = Keepers.create(this.options.processStartedAt)
+    this.limitOwners = LimitOwners.create(this.options.processStartedAt)
     this.rounds = Rounds.create(options.random)
     this.use = FleetUse.create(clock)
     this.link = PeerLink.create({
@@ -214,7 +214,7 @@
     this.reckonedWith = this.table.count(now)
     this.watchers.setMembers([this.address, ...this.likelyOthers.map(({ address }) => address)])
     const lasting = this.table.lasting(now)
-    this.keepers.setMembers(this.options.isLeaving() ? lasting : [this.address, ...lasting].sort(), this.table.knowsAll(now), now)
+    this.limitOwners.setMembers(this.options.isLeaving() ? lasting : [this.address, ...lasting].sort(), this.table.knowsAll(now), now)
   }
 
   private receivers (): string[] {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -19,8 +19,8 @@
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
-import { QuotaDesk } from './quota/quotaDesk.js'
-import { QuotaTalk } from './quota/quotaTalk.js'
+import { AccountQuotas } from './limits/accountQuotas.js'
+import { LimitProtocol } from './limits/limitProtocol.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
 import { createOrderOffice, type OrderOffice } from './weights/orderOffice.js'
@@ -51,7 +51,7 @@
   private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
   private readonly peers: Peers
-  private readonly quota: QuotaTalk
+  private readonly quota: LimitProtocol
   private readonly office: OrderOffice
   private table: RouteTable | undefined
   private isLeaving = false
@@ -150,7 +150,7 @@
       retryAllowance,
       weightsBoundMs,
       suspects: this.suspects,
-      quota: QuotaDesk.create({ clock, log: this.log, talk: () => this.quota, revision: () => this.table?.routing.revision ?? -1 }),
+      quota: AccountQuotas.create({ clock, log: this.log, protocol: () => this.quota, revision: () => this.table?.routing.revision ?? -1 }),
       use: { of: hash => this.peers.use.of(hash) },
       othersTokens: store => this.peers.tokensFrom(store),
       cacheStoreCalls,
@@ -202,15 +202,15 @@
     })
   }
 
-  private createQuota (): QuotaTalk {
+  private createQuota (): LimitProtocol {
     const { clock, quotaTolerance: tolerance } = this.options
     const { peers, log } = this
-    return QuotaTalk.create({
+    return LimitProtocol.create({
       clock,
       address: peers.address,
       tolerance,
-      ranking: account => peers.keepers.of(account),
-      settledAt: () => peers.keepers.settledAt,
+      ranking: account => peers.limitOwners.of(account),
+      settledAt: () => peers.limitOwners.settledAt,
       instances: () => peers.count(),
       send: (address, message) => peers.link.sendQuota(address, message),
       onMet: address => peers.meet(address),
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -1,6 +1,6 @@
 /** What an instance of the relay is made of. */
 import type { Clock, Random } from 'foxtaillever-core'
-import type { QuotaTolerance } from 'foxtaillever-policy/limits/quotaBook'
+import type { LimitTolerance } from 'foxtaillever-policy/limits/sharedLimitBook'
 import type { RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
 import type { Logs } from 'foxtaillever-telemetry'
 import type { Either } from 'purify-ts'
@@ -55,7 +55,7 @@
 
 export interface RelayOptions extends RunningSettings {
   /** By how much quotas may be missed while instances cannot agree. */
-  readonly quotaTolerance: QuotaTolerance
+  readonly quotaTolerance: LimitTolerance
   readonly name: string
   readonly failureDomain: string
   readonly callers: ListenAddress
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -3,12 +3,12 @@
  * changes what the process believes, and the figures that go with them.
  */
 import { Verdict, type Failure } from 'foxtaillever-core'
-import type { QuotaOutcome, QuotaRole } from 'foxtaillever-policy/limits/quotaBook'
+import type { LimitOutcome, LimitRole } from 'foxtaillever-policy/limits/sharedLimitBook'
 import type { StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
 import type { ExpectedStart } from 'foxtaillever-policy/relay/yieldPriority'
 import { Metrics, Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
-import type { QuotaWord } from '../quota/quotaTalk.js'
+import type { LimitResult } from '../limits/limitProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 
@@ -67,7 +67,7 @@
   }
 
   /** @param askedAt when the decision was asked for, milliseconds of Unix time. */
-  quotaRefused ({ id, account }: Exchange, { outcome, role, decidedBy, retryAt }: QuotaWord, cost: number, askedAt: number, now: number): void {
+  quotaRefused ({ id, account }: Exchange, { outcome, role, decidedBy, retryAt }: LimitResult, cost: number, askedAt: number, now: number): void {
     const { quota, name } = account ?? {}
     this.metrics.count('quota_refusals_total', { outcome, role })
     this.logs.writeFailure(Part.Requests, 'Refused by the quota of its client account.', {
@@ -76,7 +76,7 @@
   }
 
   /** This instance decided for itself or another. */
-  quotaDecided (role: QuotaRole, outcome: QuotaOutcome): void {
+  quotaDecided (role: LimitRole, outcome: LimitOutcome): void {
     this.metrics.count('quota_decisions_total', { role, outcome })
   }
 
--- a/packages/foxtaillever-router/src/plain/createPlainDesk.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDesk.ts
@@ -5,7 +5,7 @@
 import { withoutStores } from 'foxtaillever-relay/cache/cacheUse'
 import { ExchangeDesk } from 'foxtaillever-relay/exchange/exchangeDesk'
 import type { Suspicions } from 'foxtaillever-relay/exchange/exchangeContext'
-import { noQuota } from 'foxtaillever-relay/quota/quotaDesk'
+import { noQuotas } from 'foxtaillever-relay/limits/accountQuotas'
 import type { RelayLog } from 'foxtaillever-relay/telemetry/relayLog'
 import { routingOf } from './plainRoutes.js'
 import { plainWire } from './plainWire.js'
@@ -53,7 +53,7 @@
     retryAllowance: retryAllowanceOf(configuration()),
     suspects: noSuspicions,
     // The router's own limits have let the call pass.
-    quota: noQuota,
+    quota: noQuotas,
     use: { of: () => noLoad },
     ...withoutStores,
     onLoadChanged: () => {},
