--- a/packages/foxtaillever-policy/src/limits/sharedLimitBook.ts
+++ b/packages/foxtaillever-policy/src/limits/sharedLimitBook.ts
@@ -22,6 +22,7 @@
  * limit says.
  */
 import { RecentMap } from '../collections/recentMap.js'
+import { ReturnTurns } from './returnTurns.js'
 import { TokenBucket } from './tokenBucket.js'
 
 /** What may be used of a key, over all instances. */
@@ -42,6 +43,14 @@
   readonly windowMs: number
 }
 
+/** When those who were refused may ask again. */
+export enum ReturnOrder {
+  /** Each of them comes back: one after the other. */
+  InTurn = 'in-turn',
+  /** They go elsewhere: whoever asks first once there is room. */
+  FirstCome = 'first-come'
+}
+
 /** What an instance is to a key's limit, in the order of its ranking. */
 export enum LimitRole {
   Owner = 'owner',
@@ -104,21 +113,17 @@
 const STANDBY_PART = 1 / 8
 const RESERVE_PART = 1 / 32
 
-/** Callers that are sent back come one after the other, up to so far ahead, milliseconds; their deadlines are not further. */
-const MOST_AHEAD_MS = 8000
-
-/** Accounts remembered; more than one instance keeps of 1,700. */
-const ACCOUNT_BOUND = 2048
+/** Keys remembered; more than one instance owns of 1,700 client accounts or 670 servers. */
+const KEY_BOUND = 2048
 
-interface AccountState {
+interface KeyState {
   readonly bucket: TokenBucket
   role: LimitRole
   limit: SharedLimit
   /** The standby holds back until then; as the owner knows. */
   heldBackUntil: number
   renewedAt: number
-  /** When the next refused caller may come back. */
-  nextReturnAt: number
+  readonly returns: ReturnTurns
 }
 
 /** How a bucket fills in a role. */
@@ -130,13 +135,13 @@
 }
 
 export class SharedLimitBook {
-  private readonly states = RecentMap.create<AccountState>(ACCOUNT_BOUND)
-  /** Accounts for which this instance has promised to hold back, and until when. */
-  private readonly promises = RecentMap.create<number>(ACCOUNT_BOUND)
+  private readonly states = RecentMap.create<KeyState>(KEY_BOUND)
+  /** Keys for which this instance has promised to hold back, and until when. */
+  private readonly promises = RecentMap.create<number>(KEY_BOUND)
   /** By role, at a moment. */
-  private readonly fillings: Readonly<Record<LimitRole, (state: AccountState, isHeldBack: boolean, now: number) => Filling>>
+  private readonly fillings: Readonly<Record<LimitRole, (state: KeyState, isHeldBack: boolean, now: number) => Filling>>
 
-  private constructor (private readonly tolerance: LimitTolerance) {
+  private constructor (private readonly tolerance: LimitTolerance, private readonly returnOrder: ReturnOrder) {
     const { overage, slack, windowMs } = tolerance
     this.fillings = {
       [LimitRole.Owner]: ({ limit, heldBackUntil }, _, now) => ({ perMs: this.perMs(limit) * (now < heldBackUntil ? 1 : HALF), most: limit.burst * DEPTH_PART + slack * DEPTH_SLACK_PART, isFinal: true }),
@@ -149,8 +154,8 @@
     }
   }
 
-  static create (tolerance: LimitTolerance): SharedLimitBook {
-    return new SharedLimitBook(tolerance)
+  static create (tolerance: LimitTolerance, returnOrder = ReturnOrder.InTurn): SharedLimitBook {
+    return new SharedLimitBook(tolerance, returnOrder)
   }
 
   /**
@@ -226,10 +231,10 @@
     return now < (this.promises.peek(key) ?? 0)
   }
 
-  private stateOf ({ key, limit }: LimitClaim, role: LimitRole, settledAt: number, now: number): AccountState {
+  private stateOf ({ key, limit }: LimitClaim, role: LimitRole, settledAt: number, now: number): KeyState {
     const known = this.states.use(key)
     if (!known) {
-      const state: AccountState = { bucket: TokenBucket.create(this.tolerance.slack * START_PART, settledAt), role, limit, heldBackUntil: 0, renewedAt: 0, nextReturnAt: 0 }
+      const state: KeyState = { bucket: TokenBucket.create(this.tolerance.slack * START_PART, settledAt), role, limit, heldBackUntil: 0, renewedAt: 0, returns: ReturnTurns.create() }
       this.states.set(key, state)
       return state
     }
@@ -252,7 +257,7 @@
     return (allowed - burst * (DEPTH_PART + overage / 2)) / windowMs
   }
 
-  private fill (key: string, state: AccountState, now: number): Filling {
+  private fill (key: string, state: KeyState, now: number): Filling {
     if (state.heldBackUntil < now) {
       // Until the promise ran out, the bucket filled as it allowed.
       const { perMs, most } = this.fillings[state.role](state, false, state.heldBackUntil - 1)
@@ -263,10 +268,8 @@
     return filling
   }
 
-  private nextReturn (state: AccountState, cost: number, perMs: number, now: number): number {
+  private nextReturn (state: KeyState, cost: number, perMs: number, now: number): number {
     const roomAt = now + state.bucket.emptyForMs(perMs)
-    const at = Math.min(Math.max(roomAt, state.nextReturnAt), now + MOST_AHEAD_MS)
-    state.nextReturnAt = at + cost / perMs
-    return at
+    return this.returnOrder === ReturnOrder.InTurn ? state.returns.next(roomAt, cost / perMs, now) : roomAt
   }
 }
--- a/packages/foxtaillever-policy/src/limits/statedLimits.ts
+++ b/packages/foxtaillever-policy/src/limits/statedLimits.ts
@@ -18,6 +18,15 @@
   readonly at: number
 }
 
+/** A statement and whose it is. */
+export interface ServerStatement extends Statement {
+  /** Hash of the server's incarnation. */
+  readonly server: number
+}
+
+/** Others are told for so long that a limit has ended, milliseconds: beats of all have come by then. */
+const ENDED_TOLD_MS = 3000
+
 /** Servers remembered: three times those of the largest fleet. */
 const SERVER_BOUND = 2048
 
@@ -37,6 +46,13 @@
     return perSecond === undefined || at === undefined ? undefined : { perSecond, at }
   }
 
+  /** Limits in force, and those that ended a moment ago. */
+  toTell (now: number): ServerStatement[] {
+    return this.statements.list()
+      .filter(([, { perSecond, at }]) => perSecond !== undefined || at + ENDED_TOLD_MS > now)
+      .map(([server, statement]) => ({ server: Number(server), ...statement }))
+  }
+
   /**
    * Takes in a statement unless a newer one is known.
    * @param perSecond undefined where the server states no limit.
--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -1,5 +1,6 @@
-/** `npm run fuzz -- --seed S --runs N`, and `npm run fuzz -- quota`: exits 1 when a promise was broken. */
+/** `npm run fuzz -- --seed S --runs N`, `npm run fuzz -- quota` and `npm run fuzz -- server-limits`: exits 1 when a promise was broken. */
 import { Cli, Command, Option } from 'clipanion'
+import { quotas, serverLimits, type LimitSubject } from 'foxtaillever-relay/limits/__fixtures__/limitFleet'
 import { LimitHistory } from 'foxtaillever-relay/limits/__fixtures__/limitHistory'
 import { runFuzz } from './fuzz/runFuzz.js'
 
@@ -29,19 +30,22 @@
 }
 
 /** Instances of one history, in turn. */
-const QUOTA_SIZES = [8, 30, 70, 195]
+const LIMIT_SIZES = [8, 30, 70, 195]
 
-class QuotaCommand extends Command {
-  static override paths = [['quota']]
-  static override usage = Command.Usage({ description: 'Draw histories of a fleet that shares quotas, and check every window against an oracle.' })
+/** By the command's path. */
+const limitSubjects: Readonly<Record<string, LimitSubject>> = { quota: quotas, 'server-limits': serverLimits }
+
+class LimitsCommand extends Command {
+  static override paths = Object.keys(limitSubjects).map(name => [name])
+  static override usage = Command.Usage({ description: 'Draw histories of a fleet that shares limits, and check every window against an oracle.' })
 
   seed = Option.String('--seed', '1', { description: 'Seed of the first history; the next ones follow.' })
-  runs = Option.String('--runs', '300', { description: 'Histories of one account.' })
+  runs = Option.String('--runs', '300', { description: 'Histories of one limit.' })
 
   async execute (): Promise<number> {
     let worst = 0
     for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.runs); seed++) {
-      const report = await LimitHistory.play(seed, QUOTA_SIZES[seed % QUOTA_SIZES.length] as number)
+      const report = await LimitHistory.play(seed, LIMIT_SIZES[seed % LIMIT_SIZES.length] as number, limitSubjects[this.path[0] ?? ''])
       worst = Math.max(worst, report.worst)
       if (report.worst > 1) {
         console.log(JSON.stringify(report))
@@ -52,4 +56,4 @@
   }
 }
 
-await Cli.from([FuzzCommand, QuotaCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
+await Cli.from([FuzzCommand, LimitsCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -13,6 +13,7 @@
 import type { ExchangeContext } from '../exchange/exchangeContext.js'
 import { ExchangeRuns } from '../exchange/exchangeRuns.js'
 import { LimitStatementKind, noLimit } from '../model/limitStatement.js'
+import { noSharedLimits } from '../limits/limitProtocol.js'
 import { ServerLimits } from '../limits/serverLimits.js'
 import { ServerState } from '../model/listedServer.js'
 import { Repeatability, type Route, type Routing } from '../model/routing.js'
@@ -71,6 +72,8 @@
   readonly unreachable: string[] = []
   /** Decides on what the caller's account may use. */
   quota = noQuotas
+  /** Decides on what servers state that they take. */
+  limitProtocol = noSharedLimits
   private readonly callers: CallerServer
   readonly limits: ServerLimits
   readonly runs: ExchangeRuns
@@ -82,7 +85,7 @@
     const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], limits }
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
-    this.limits = ServerLimits.create({ clock, log })
+    this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, instances: () => 1, onUrgent: () => {} })
     const context: ExchangeContext = {
       clock,
       connectTimeoutMs: 200,
@@ -104,7 +107,7 @@
       onSaved: () => {},
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
       askLoad: () => undefined,
-      place: (_, { failed }) => this.directory.ready('s').find(({ listed }) => !failed.has(listed.id)),
+      place: (_, { failed }) => this.directory.ready('s').find(({ listed, limitedUntil }) => !failed.has(listed.id) && limitedUntil <= clock.now()),
       onMisdirected: () => {}
     }
     this.retries.observeInstances(1)
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -15,6 +15,7 @@
 import { ExchangeDesk } from '../exchange/exchangeDesk.js'
 import { ServerState } from '../model/listedServer.js'
 import { noQuotas } from '../limits/accountQuotas.js'
+import { noSharedLimits } from '../limits/limitProtocol.js'
 import { RelayLog } from '../telemetry/relayLog.js'
 
 function answerWell ({ id, socket }: Arrival): void {
@@ -42,6 +43,8 @@
     onLoadChanged: () => {},
     onSaved: () => {},
     onUnreachable: () => {},
+    limitProtocol: () => noSharedLimits,
+    onLimitChanged: () => {},
     onServerChanged: () => {},
     onMisdirected: () => {}
   })
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -14,6 +14,7 @@
 import { PeerTable } from '../peers/peerTable.js'
 import { LimitOwners } from '../limits/limitOwners.js'
 import { encodeLimitMessage, readLimitMessage } from '../limits/limitMessage.js'
+import { createQuotaKind } from '../limits/accountQuotas.js'
 import { LimitProtocol } from '../limits/limitProtocol.js'
 
 const INSTANCES = [8, 80, 195, 380]
@@ -73,6 +74,7 @@
     current: [],
     stores: [],
     speeds: [{ service: 'engines', tokensPerMs: 50, samples: 20 }],
+    limits: [],
     instances: 1
   }
 }
@@ -159,7 +161,7 @@
     const protocols = ranked.slice(0, 2).map(address => LimitProtocol.create({
       clock,
       address,
-      tolerance: { overage: 0.1, slack: 72_000, windowMs: 8000 },
+      ...createQuotaKind({ overage: 0.1, slack: 72_000, windowMs: 8000 }),
       ranking: () => ranked,
       settledAt: () => 0,
       instances: () => addresses.length,
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -12,7 +12,7 @@
 import type { Exchange } from '../model/exchange.js'
 import type { ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
-import { ServerLimits } from '../limits/serverLimits.js'
+import { ServerLimits, type ServerLimitsOptions } from '../limits/serverLimits.js'
 import type { ServerWire } from '../model/wire.js'
 import type { LevelAtHome, LoadWish } from '../peers/loadQuestions.js'
 import type { KnownServer } from '../servers/knownServer.js'
@@ -32,6 +32,10 @@
   readonly askLoad: (wish: () => LoadWish) => Promise<AskedServers> | undefined
   /** The configuration in force; undefined until one is known. */
   readonly routing: () => Routing | undefined
+  /** Decides on limits that servers stated. */
+  readonly limitProtocol: ServerLimitsOptions['protocol']
+  /** A server stated a limit that all instances must know now. */
+  readonly onLimitChanged: () => void
   /** The state of a server has changed, or it is new. */
   readonly onServerChanged: (server: ListedServer) => void
 }
@@ -44,13 +48,13 @@
   readonly limits: ServerLimits
 
   private readonly clock: Clock
+  private instances = 1
   private readonly log: RelayLog
 
   private constructor (options: ExchangeDeskOptions) {
     const { clock, random, connectTimeoutMs, wire, log, suspects, quota, askLoad, onLoadChanged, onSaved, onUnreachable, onMisdirected } = options
     this.clock = clock
     this.log = log
-    this.limits = ServerLimits.create({ clock, log })
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
     this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
@@ -60,6 +64,7 @@
         options.onServerChanged(server)
       }
     })
+    this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: options.limitProtocol, instances: () => this.instances, onUrgent: options.onLimitChanged })
     const choice = ServerChoice.create({
       ...options,
       directory: this.directory,
@@ -95,6 +100,7 @@
 
   /** Instances that share the servers' connections and the retry budget. */
   observeInstances (count: number): void {
+    this.instances = count
     this.retries.observeInstances(count)
     this.directory.observeInstances(count)
   }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -11,6 +11,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import type { AskedServers } from '../servers/serverChoice.js'
 import { afterwards } from './afterwards.js'
+import { LimitAdmission } from '../limits/serverLimits.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import { ExchangeEnd } from './exchangeEnd.js'
@@ -36,6 +37,8 @@
   /** A server's own failure, passed on when no other try succeeds. */
   private fallback: { readonly head: AnswerHead, readonly body: Buffer } | undefined
   private cancelDeadline: Cancellation = () => {}
+  /** The current try counts in the limit that its server stated. */
+  private isCountedAtServer = false
   /** It counts among what its client account has used. */
   private isCounted = false
 
@@ -107,15 +110,40 @@
   private tryNow (asked: AskedServers | undefined): void {
     const { exchange, context, ledger } = this
     const server = context.place(exchange, ledger, asked)
-    if (!server) {
-      this.fail(ledger.ranCode ?? FailureCode.NoBackendServer, 'No backend server can take the request now.')
+    if (server) {
+      context.limits.admit(server, exchange, admission => this.onRoom(server, admission, asked))
       return
     }
-    if (ledger.arrivals > 0 && !context.retries.take(exchange.service, this.now)) {
+    const returnAt = context.limits.returnAt(exchange.service)
+    if (returnAt === undefined) {
+      this.fail(ledger.ranCode ?? FailureCode.NoBackendServer, 'No backend server can take the request now.')
+    } else {
+      this.fail(ledger.ranCode ?? FailureCode.Overloaded, 'The backend servers are at the limits that they stated.', returnAt)
+    }
+  }
+
+  /** The server's limit has room for it, or another server is tried. */
+  private onRoom (server: KnownServer, admission: LimitAdmission, asked: AskedServers | undefined): void {
+    const { exchange, context, ledger } = this
+    this.isCountedAtServer = admission === LimitAdmission.Counted
+    if (this.isOver) {
+      this.returnServerLimit(server)
+    } else if (admission === LimitAdmission.Refused) {
+      this.tryNow(asked)
+    } else if (ledger.arrivals > 0 && !context.retries.take(exchange.service, this.now)) {
+      this.returnServerLimit(server)
       this.fail(ledger.ranCode ?? FailureCode.Overloaded, 'The retry budget is used up.')
-      return
+    } else {
+      this.send(server)
+    }
+  }
+
+  /** The try did not reach the server. */
+  private returnServerLimit (server: KnownServer): void {
+    if (this.isCountedAtServer) {
+      this.isCountedAtServer = false
+      this.context.limits.giveBack(server)
     }
-    this.send(server)
   }
 
   private send (server: KnownServer): void {
@@ -127,7 +155,6 @@
     relay.reset()
     const { terms, othersTokens } = planTry(context, exchange, server, relay.lastEventId)
     const headers = wire.createHeaders(exchange, terms, beganAt)
-    context.limits.noteSend(exchange, server)
     const attempt = Attempt.begin({
       clock,
       wire,
@@ -212,6 +239,9 @@
     const tried = this.current
     const server = this.settle()
     this.observeFailure(failure, server)
+    if (server && !meaningOf[kind].isArrival) {
+      this.returnServerLimit(server)
+    }
     if (tried && kind === AttemptFailureKind.Misdirected) {
       this.context.onMisdirected(tried, this.exchange, failure)
     }
--- a/packages/foxtaillever-relay/src/limits/__fixtures__/limitFleet.ts
+++ b/packages/foxtaillever-relay/src/limits/__fixtures__/limitFleet.ts
@@ -5,10 +5,14 @@
 import { unpackDatagram } from '../../peers/datagram.js'
 import { LimitOwners } from '../limitOwners.js'
 import { encodeLimitMessage, readLimitMessage, type LimitMessage } from '../limitMessage.js'
-import { LimitProtocol, type LimitResult } from '../limitProtocol.js'
+import { createQuotaKind } from '../accountQuotas.js'
+import { serverLimitKind } from '../serverLimits.js'
+import { LimitProtocol, type LimitKind, type LimitResult } from '../limitProtocol.js'
 
 export const tolerance: LimitTolerance = { overage: 0.1, slack: 72_000, windowMs: 8000 }
 
+export const quotaKind = createQuotaKind(tolerance)
+
 /** Between two looks at the members, milliseconds. */
 const BEAT_MS = 250
 
@@ -55,13 +59,13 @@
   readonly faults: FleetFaults = { lost: 0, doubled: 0, longestMs: 2 }
   private readonly random: Random
 
-  private constructor (seed: number) {
+  private constructor (private readonly kind: LimitKind, seed: number) {
     this.random = SeededRandom.create(seed)
   }
 
   /** Has run for long enough that all know each other. */
-  static async start (size: number, seed = 1): Promise<LimitFleet> {
-    const fleet = new LimitFleet(seed)
+  static async start (size: number, seed = 1, kind = quotaKind): Promise<LimitFleet> {
+    const fleet = new LimitFleet(kind, seed)
     const addresses = Array.from({ length: size }, (_, index) => `10.1.${index % 3}.${index}:7340`)
     addresses.forEach(address => fleet.add(address, addresses))
     fleet.beat()
@@ -81,7 +85,7 @@
     node.protocol = LimitProtocol.create({
       clock: this.clock,
       address,
-      tolerance,
+      ...this.kind,
       ranking: account => limitOwners.of(account),
       settledAt: () => limitOwners.settledAt,
       instances: () => node.known.size,
@@ -142,7 +146,7 @@
     let most = 0
     for (const { at, cost } of admitted) {
       sum += cost
-      while ((admitted[from] as Admission).at < at - tolerance.windowMs) {
+      while ((admitted[from] as Admission).at < at - this.kind.tolerance.windowMs) {
         sum -= (admitted[from++] as Admission).cost
       }
       most = Math.max(most, sum)
@@ -175,7 +179,37 @@
   }
 }
 
-/** What the rule allows in a window. */
+/** A kind of limit, and what histories draw of it. */
+export interface LimitSubject {
+  readonly kind: LimitKind
+  readonly drawRate: (random: Random) => number
+  readonly leastRate: number
+  readonly burstOf: (perSecond: number) => number
+  readonly drawCost: (random: Random) => number
+  /** What the rule allows in a window. */
+  readonly allowed: (limit: SharedLimit) => number
+}
+
+export const quotas: LimitSubject = {
+  kind: quotaKind,
+  drawRate: random => 18_000 * 2 ** random.below(6),
+  leastRate: 18_000,
+  burstOf: perSecond => perSecond,
+  drawCost: random => 500 + random.below(9500),
+  allowed
+}
+
+/** Rates that servers state: from one request in four seconds to sixteen a second. */
+export const serverLimits: LimitSubject = {
+  kind: serverLimitKind,
+  drawRate: random => 0.25 * 2 ** random.below(7),
+  leastRate: 0.25,
+  burstOf: () => 0,
+  drawCost: () => 1,
+  allowed: ({ perSecond }) => 1.5 * perSecond * serverLimitKind.tolerance.windowMs / 1000 + 5
+}
+
+/** What the rule allows of a quota in a window. */
 export function allowed ({ perSecond, burst }: SharedLimit): number {
   const { overage, slack, windowMs } = tolerance
   return (perSecond * windowMs / 1000 + burst) * (1 + overage) + slack
--- a/packages/foxtaillever-relay/src/limits/__fixtures__/limitHistory.ts
+++ b/packages/foxtaillever-relay/src/limits/__fixtures__/limitHistory.ts
@@ -1,7 +1,7 @@
 /** A history of a fleet that shares quotas, drawn from a seed: faults, members and limits change while an account sends too much. */
 import { SeededRandom, type Random } from 'foxtaillever-core'
 import type { SharedLimit } from 'foxtaillever-policy/limits/sharedLimitBook'
-import { allowed, LimitFleet, tolerance, type Node } from './limitFleet.js'
+import { LimitFleet, quotas, type LimitSubject, type Node } from './limitFleet.js'
 
 const ACCOUNT = 'acme'
 
@@ -28,14 +28,14 @@
   private worst = 0
   private since = 0
 
-  private constructor (readonly fleet: LimitFleet, readonly seed: number) {
+  private constructor (readonly fleet: LimitFleet, readonly subject: LimitSubject, readonly seed: number) {
     this.random = SeededRandom.create(seed)
-    const perSecond = 18_000 * 2 ** this.random.below(6)
-    this.limit = { perSecond, burst: perSecond, revision: 1 }
+    const perSecond = subject.drawRate(this.random)
+    this.limit = { perSecond, burst: subject.burstOf(perSecond), revision: fleet.clock.now() }
   }
 
-  static async play (seed: number, size: number): Promise<LimitReport> {
-    const history = new LimitHistory(await LimitFleet.start(size, seed), seed)
+  static async play (seed: number, size: number, subject = quotas): Promise<LimitReport> {
+    const history = new LimitHistory(await LimitFleet.start(size, seed, subject.kind), subject, seed)
     const changes: string[] = []
     for (let index = 0; index < CHANGES; index++) {
       const name = draw(history.random, Object.keys(kinds))
@@ -65,18 +65,19 @@
   /** Windows of the limit so far are checked; those of another begin. */
   setLimit (perSecond: number): void {
     this.check()
-    this.limit = { perSecond, burst: perSecond, revision: this.limit.revision + 1 }
+    const { fleet, subject } = this
+    this.limit = { perSecond, burst: subject.burstOf(perSecond), revision: fleet.clock.now() }
     // A lower limit binds once a whole window has passed.
-    this.since = this.fleet.clock.now() + tolerance.windowMs
+    this.since = fleet.clock.now() + subject.kind.tolerance.windowMs
   }
 
   private check (): void {
     const admitted = this.fleet.admitted(ACCOUNT).filter(({ at }) => at >= this.since)
-    this.worst = Math.max(this.worst, this.fleet.mostInWindow(admitted) / allowed(this.limit))
+    this.worst = Math.max(this.worst, this.fleet.mostInWindow(admitted) / this.subject.allowed(this.limit))
   }
 
   private async send (ms: number): Promise<void> {
-    const cost = 500 + this.random.below(9500)
+    const cost = this.subject.drawCost(this.random)
     await this.fleet.load(ACCOUNT, () => this.limit, this.limit.perSecond * this.factor, cost, ms)
   }
 }
@@ -88,7 +89,7 @@
 const kinds: Readonly<Record<string, Change>> = {
   hot: history => { history.factor = 0.55 * 7.5 },
   usual: history => { history.factor = 0.55 },
-  lower: history => history.setLimit(Math.max(18_000, history.limit.perSecond / 4)),
+  lower: history => history.setLimit(Math.max(history.subject.leastRate, history.limit.perSecond / 4)),
   raise: history => history.setLimit(history.limit.perSecond * 2),
   cutHalf: history => {
     const { fleet } = history
--- a/packages/foxtaillever-relay/src/limits/__tests__/limitProtocol.test.ts
+++ b/packages/foxtaillever-relay/src/limits/__tests__/limitProtocol.test.ts
@@ -1,6 +1,6 @@
 import { LimitOutcome, type SharedLimit } from 'foxtaillever-policy/limits/sharedLimitBook'
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
-import { allowed, LimitFleet, tolerance, type Node } from '../__fixtures__/limitFleet.js'
+import { allowed, LimitFleet, quotaKind, type Node } from '../__fixtures__/limitFleet.js'
 import { LimitHistory } from '../__fixtures__/limitHistory.js'
 import { LimitProtocol } from '../limitProtocol.js'
 
@@ -163,7 +163,7 @@
   it('an instance that knows nobody who decides tells nobody', async t => {
     const clock = VirtualClock.create()
     const told: string[] = []
-    const protocol = LimitProtocol.create({ clock, address: 'a:1', tolerance, ranking: () => [], settledAt: () => 0, instances: () => 1, send: to => { told.push(to) }, onMet: () => {}, onDecided: () => {}, onPassedOver: () => {} })
+    const protocol = LimitProtocol.create({ ...quotaKind, clock, address: 'a:1', ranking: () => [], settledAt: () => 0, instances: () => 1, send: to => { told.push(to) }, onMet: () => {}, onDecided: () => {}, onPassedOver: () => {} })
     const outcomes: LimitOutcome[] = []
     protocol.claim({ key: ACCOUNT, limit: small, cost: 1 }, ({ outcome }) => { outcomes.push(outcome) })
     protocol.giveBack(ACCOUNT, 1)
--- /dev/null
+++ b/packages/foxtaillever-relay/src/limits/__tests__/serverLimits.test.ts
@@ -0,0 +1,159 @@
+import { describe, it, VirtualClock } from 'foxtaillever-testing'
+import { exchangeAt } from '../../__fixtures__/exchanges.js'
+import { LimitStatementKind, noLimit, type LimitStatement } from '../../model/limitStatement.js'
+import { ServerState } from '../../model/listedServer.js'
+import type { AnswerMarks } from '../../model/wire.js'
+import { ServerDirectory } from '../../servers/serverDirectory.js'
+import { LimitFleet, serverLimits } from '../__fixtures__/limitFleet.js'
+import { LimitHistory } from '../__fixtures__/limitHistory.js'
+import { noSharedLimits } from '../limitProtocol.js'
+import { LimitAdmission, ServerLimits } from '../serverLimits.js'
+
+const KEY = '4711'
+
+/** How many times its limit a server in need is sent. */
+const PRESSURE = 6
+
+function marksOf (limit: LimitStatement, isNotRun = false): AnswerMarks {
+  return { requestId: 'r', isStamped: !isNotRun, isNotRun, serverId: undefined, weightsVersion: undefined, isEventStream: false, limit }
+}
+
+function rateOf (perSecond: number): LimitStatement {
+  return { kind: LimitStatementKind.Limit, perSecond }
+}
+
+/** One instance and one server, and how often it told the others at once. */
+class Rig {
+  readonly clock = VirtualClock.create()
+  private readonly beganAt = this.clock.now()
+  readonly directory = ServerDirectory.create({ onChanged: () => {} })
+  urgent = 0
+  readonly limits = ServerLimits.create({
+    clock: this.clock,
+    directory: this.directory,
+    log: { belief: () => {}, limitUnreadable: () => {}, sentUnderLimit: () => {}, serverLimitRefused: () => {} },
+    protocol: () => noSharedLimits,
+    instances: () => 1,
+    onUrgent: () => { this.urgent += 1 }
+  })
+
+  constructor () {
+    this.start(0)
+  }
+
+  get server (): NonNullable<ReturnType<ServerDirectory['get']>> {
+    const server = this.directory.get('s')
+    if (!server) {
+      throw new Error('The server is gone.')
+    }
+    return server
+  }
+
+  start (startedAt: number): void {
+    this.directory.observe({ id: 's', startedAt, service: 'plain', address: '127.0.0.1:1', failureDomain: 'd', slots: 6, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }, startedAt)
+  }
+
+  /** @param sentMs when its request was sent, milliseconds since the rig began. */
+  answer (limit: LimitStatement, sentMs: number, isNotRun = false): void {
+    this.limits.observe(this.server, marksOf(limit, isNotRun), this.beganAt + sentMs)
+  }
+
+  /** Whether a request counts in a limit. */
+  get isLimited (): boolean {
+    let found = LimitAdmission.Free
+    this.limits.admit(this.server, exchangeAt(this.clock.now()), admission => { found = admission })
+    return found !== LimitAdmission.Free
+  }
+}
+
+describe('a limit that a server states', () => {
+  it('holds until an answer to a later request states none', async t => {
+    const rig = new Rig()
+    await rig.clock.advanceBy(1000)
+    rig.answer(rateOf(1.1), 500)
+    t.true(rig.isLimited)
+    await rig.clock.advanceBy(1000)
+    rig.answer(noLimit, 1500)
+    t.false(rig.isLimited)
+  })
+
+  // Guards against an answer that a frozen instance reads seconds late.
+  it('does not end by an answer to an earlier request', async t => {
+    const rig = new Rig()
+    await rig.clock.advanceBy(1000)
+    rig.answer(rateOf(1.1), 500)
+    rig.answer(noLimit, 900)
+    t.true(rig.isLimited)
+  })
+
+  it('does not end by a rejection, nor by a text that is no rate', async t => {
+    const rig = new Rig()
+    rig.answer(rateOf(1.1), 0)
+    await rig.clock.advanceBy(1000)
+    rig.answer(noLimit, 900, true)
+    rig.answer({ kind: LimitStatementKind.Unreadable, text: 'soon' }, 900)
+    t.true(rig.isLimited)
+  })
+
+  it('begins with a rejection too', t => {
+    const rig = new Rig()
+    rig.answer(rateOf(2), 0, true)
+    t.true(rig.isLimited)
+  })
+
+  // Guards against a limit of one incarnation that binds the next.
+  it('ends with the server\'s process', t => {
+    const rig = new Rig()
+    rig.answer(rateOf(1.1), 0)
+    rig.start(7)
+    t.false(rig.isLimited)
+    t.deepEqual(rig.limits.news(), [])
+  })
+
+  it('is told at once when it begins, falls far or ends, and with the beats otherwise', async t => {
+    const rig = new Rig()
+    const told: number[] = []
+    for (const [index, limit] of [rateOf(10), rateOf(9), rateOf(12), rateOf(2), noLimit].entries()) {
+      await rig.clock.advanceBy(100)
+      rig.answer(limit, (index + 1) * 100)
+      told.push(rig.urgent)
+    }
+    t.deepEqual(told, [1, 1, 1, 2, 3])
+  })
+
+  // Guards against an old word of another instance that brings a limit back.
+  it('is not brought back by what another instance heard before its end', async t => {
+    const rig = new Rig()
+    rig.answer(rateOf(1.1), 0)
+    await rig.clock.advanceBy(2000)
+    rig.answer(noLimit, 1500)
+    rig.limits.hear([{ server: rig.server.hash, perSecond: 1.1, ageMs: 800 }])
+    t.false(rig.isLimited)
+    rig.limits.hear([{ server: rig.server.hash, perSecond: 1.1, ageMs: 100 }])
+    t.true(rig.isLimited)
+  })
+})
+
+describe('requests to a server in need', () => {
+  for (const size of [6, 70, 380]) {
+    for (const perSecond of [0.25, 1.1, 10]) {
+      // Guards against a share for each instance, rounded up or down.
+      it(`stay within ${perSecond} a second from ${size} instances, and use it`, async t => {
+        const fleet = await LimitFleet.start(size, 1, serverLimits.kind)
+        const limit = { perSecond, burst: 0, revision: fleet.clock.now() }
+        await fleet.load(KEY, () => limit, perSecond * PRESSURE, 1, 16_000)
+        const admitted = fleet.admitted(KEY)
+        t.true(fleet.mostInWindow(admitted) <= serverLimits.allowed(limit), `${fleet.mostInWindow(admitted)} of ${serverLimits.allowed(limit)}`)
+        t.true(admitted.length >= 0.8 * perSecond * 16, `${admitted.length} of ${perSecond * 16}`)
+      })
+    }
+  }
+
+  // Guards against owners that come, go or disagree, each letting the whole limit through.
+  for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+    it(`stay within it through drawn faults, seed ${seed}`, async t => {
+      const { changes, worst } = await LimitHistory.play(seed, seed % 2 === 0 ? 6 : 70, serverLimits)
+      t.true(worst <= 1, `${worst.toFixed(2)} of what is allowed, with ${changes.join(', ')}`)
+    })
+  }
+})
--- a/packages/foxtaillever-relay/src/limits/accountQuotas.ts
+++ b/packages/foxtaillever-relay/src/limits/accountQuotas.ts
@@ -1,11 +1,19 @@
 /** Asks for each exchange whether its client account may use what it costs. */
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
-import { LimitOutcome } from 'foxtaillever-policy/limits/sharedLimitBook'
+import { LimitOutcome, ReturnOrder, type LimitTolerance } from 'foxtaillever-policy/limits/sharedLimitBook'
 import { comeBackAt } from 'foxtaillever-policy/relay/comeBack'
 import type { Exchange } from '../model/exchange.js'
 import { QuotaUnit, type RelayQuota } from '../model/routing.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
-import type { LimitProtocol, LimitResult } from './limitProtocol.js'
+import { LimitScope } from './limitMessage.js'
+import type { LimitKind, LimitProtocol, LimitResult } from './limitProtocol.js'
+
+/** Nobody waits longer for a decision, milliseconds: as long as instances that all start at once differ. */
+const MOST_WAIT_MS = 500
+
+export function createQuotaKind (tolerance: LimitTolerance): LimitKind {
+  return { scope: LimitScope.Account, tolerance, returnOrder: ReturnOrder.InTurn, mostWaitMs: MOST_WAIT_MS }
+}
 
 export interface AccountQuotasOptions {
   readonly clock: Clock
--- a/packages/foxtaillever-relay/src/limits/limitMessage.ts
+++ b/packages/foxtaillever-relay/src/limits/limitMessage.ts
@@ -3,9 +3,18 @@
 import { Maybe } from 'purify-ts'
 import { DatagramKind, packDatagram } from '../peers/datagram.js'
 
+/** What a shared limit is for; keys of one kind mean nothing to another. */
+export enum LimitScope {
+  /** A client account's quota. */
+  Account = 1,
+  /** A rate that a backend server states for itself. */
+  Server = 2
+}
+
 /** One request of a key, to whoever decides. */
 export interface LimitQuestion {
   readonly kind: DatagramKind.LimitQuestion
+  readonly scope: LimitScope
   readonly address: string
   readonly number: number
   readonly key: string
@@ -17,6 +26,7 @@
 
 export interface LimitAnswer {
   readonly kind: DatagramKind.LimitAnswer
+  readonly scope: LimitScope
   readonly address: string
   readonly number: number
   readonly key: string
@@ -34,6 +44,7 @@
 /** A request that was counted has not run. */
 export interface LimitReturn {
   readonly kind: DatagramKind.LimitReturn
+  readonly scope: LimitScope
   readonly address: string
   readonly key: string
   readonly cost: number
@@ -42,6 +53,7 @@
 /** An owner asks its standby to hold back, and the standby promises it. */
 export interface LimitRenewal {
   readonly kind: DatagramKind.LimitRenewal | DatagramKind.LimitPromise
+  readonly scope: LimitScope
   readonly address: string
   readonly key: string
   /** By the owner's clock, milliseconds. */
@@ -51,31 +63,34 @@
 export type LimitMessage = LimitQuestion | LimitAnswer | LimitReturn | LimitRenewal
 
 export function encodeLimitMessage (message: LimitMessage): Buffer {
-  const { kind, address, key } = message
+  const { kind, scope, address, key } = message
   switch (kind) {
     case DatagramKind.LimitQuestion: {
       const { number, limit: { perSecond, burst, revision }, cost, isTaken } = message
-      return packDatagram([kind, address, key, number, perSecond, burst, revision, cost, isTaken])
+      return packDatagram([kind, scope, address, key, number, perSecond, burst, revision, cost, isTaken])
     }
-    case DatagramKind.LimitAnswer: return packDatagram([kind, address, key, message.number, message.outcome, message.role, Math.ceil(message.retryMs), Math.floor(message.free), message.owner])
-    case DatagramKind.LimitReturn: return packDatagram([kind, address, key, message.cost])
+    case DatagramKind.LimitAnswer: return packDatagram([kind, scope, address, key, message.number, message.outcome, message.role, Math.ceil(message.retryMs), Math.floor(message.free), message.owner])
+    case DatagramKind.LimitReturn: return packDatagram([kind, scope, address, key, message.cost])
     case DatagramKind.LimitRenewal:
-    case DatagramKind.LimitPromise: return packDatagram([kind, address, key, message.sentAt])
+    case DatagramKind.LimitPromise: return packDatagram([kind, scope, address, key, message.sentAt])
   }
 }
 
-type Reader = (address: string, key: string, rest: readonly unknown[]) => LimitMessage
+/** Who speaks of what. */
+type Subject = Pick<LimitMessage, 'scope' | 'address' | 'key'>
+
+type Reader = (subject: Subject, rest: readonly unknown[]) => LimitMessage
 
-const readRenewal = (kind: LimitRenewal['kind']): Reader => (address, key, [sentAt]) => ({ kind, address, key, sentAt: Number(sentAt) })
+const readRenewal = (kind: LimitRenewal['kind']): Reader => (subject, [sentAt]) => ({ kind, ...subject, sentAt: Number(sentAt) })
 
 const readers: Readonly<Record<LimitMessage['kind'], Reader>> = {
-  [DatagramKind.LimitQuestion]: (address, key, [number, perSecond, burst, revision, cost, isTaken]) => ({
-    kind: DatagramKind.LimitQuestion, address, key, number: Number(number), limit: { perSecond: Number(perSecond), burst: Number(burst), revision: Number(revision) }, cost: Number(cost), isTaken: isTaken === true
+  [DatagramKind.LimitQuestion]: (subject, [number, perSecond, burst, revision, cost, isTaken]) => ({
+    kind: DatagramKind.LimitQuestion, ...subject, number: Number(number), limit: { perSecond: Number(perSecond), burst: Number(burst), revision: Number(revision) }, cost: Number(cost), isTaken: isTaken === true
   }),
-  [DatagramKind.LimitAnswer]: (address, key, [number, outcome, role, retryMs, free, owner]) => ({
-    kind: DatagramKind.LimitAnswer, address, key, number: Number(number), outcome: outcome as LimitOutcome, role: role as LimitRole, retryMs: Number(retryMs), free: Number(free), owner: String(owner)
+  [DatagramKind.LimitAnswer]: (subject, [number, outcome, role, retryMs, free, owner]) => ({
+    kind: DatagramKind.LimitAnswer, ...subject, number: Number(number), outcome: outcome as LimitOutcome, role: role as LimitRole, retryMs: Number(retryMs), free: Number(free), owner: String(owner)
   }),
-  [DatagramKind.LimitReturn]: (address, key, [cost]) => ({ kind: DatagramKind.LimitReturn, address, key, cost: Number(cost) }),
+  [DatagramKind.LimitReturn]: (subject, [cost]) => ({ kind: DatagramKind.LimitReturn, ...subject, cost: Number(cost) }),
   [DatagramKind.LimitRenewal]: readRenewal(DatagramKind.LimitRenewal),
   [DatagramKind.LimitPromise]: readRenewal(DatagramKind.LimitPromise)
 }
@@ -88,9 +103,9 @@
 
 /** Nothing for a datagram of another form. */
 export function readLimitMessage (wire: readonly unknown[]): Maybe<LimitMessage> {
-  const [kind, address, key, ...rest] = wire as readonly [LimitMessage['kind'], unknown, unknown, ...unknown[]]
+  const [kind, scope, address, key, ...rest] = wire as readonly [LimitMessage['kind'], LimitScope, unknown, unknown, ...unknown[]]
   return Maybe.fromNullable(readers[kind])
-    .filter(() => typeof address === 'string' && typeof key === 'string')
-    .chain(read => Maybe.encase(() => read(address as string, key as string, rest)))
+    .filter(() => scope in LimitScope && typeof address === 'string' && typeof key === 'string')
+    .chain(read => Maybe.encase(() => read({ scope, address: address as string, key: key as string }, rest)))
     .filter(isSound)
 }
--- a/packages/foxtaillever-relay/src/limits/limitProtocol.ts
+++ b/packages/foxtaillever-relay/src/limits/limitProtocol.ts
@@ -1,23 +1,20 @@
 /**
- * Limits that the instances of a fleet share. Each key has an
- * owner, computed from the members, that decides for all; the next two in the
- * ranking take over within the bounds that `SharedLimitBook` sets. Each answer says what
- * its asker may use without waiting, so that far from the limit a request is only
- * counted there; near it one question is waited for.
+ * Limits that the instances of a fleet share. Each key has an owner, computed from
+ * the members, that decides for all; the next two in the ranking take over within
+ * the bounds that `SharedLimitBook` sets. Each answer says what its asker may use
+ * without waiting, so that far from the limit a request is only counted there; near
+ * it one question is waited for.
  */
 import { atAfterSilence, type Cancellation, type Clock } from 'foxtaillever-core'
 import { RecentMap } from 'foxtaillever-policy/collections/recentMap'
-import { SharedLimitBook, LimitOutcome, LimitRole, RENEWAL_MS, type LimitClaim, type LimitTolerance } from 'foxtaillever-policy/limits/sharedLimitBook'
+import { SharedLimitBook, LimitOutcome, LimitRole, RENEWAL_MS, type LimitClaim, type LimitTolerance, type ReturnOrder } from 'foxtaillever-policy/limits/sharedLimitBook'
 import { DatagramKind } from '../peers/datagram.js'
 import { PassedOver, type PassedOverOptions } from '../peers/passedOver.js'
-import type { LimitAnswer, LimitMessage, LimitQuestion } from './limitMessage.js'
+import { LimitScope, type LimitAnswer, type LimitMessage, type LimitQuestion } from './limitMessage.js'
 
 /** One that does not answer for so long, milliseconds, is silent: a datagram's way is two at most, a busy loop takes tens. */
 const ANSWER_MS = 50
 
-/** Nobody waits for a decision for longer, milliseconds: as long as instances that all start at once differ. */
-const MOST_WAIT_MS = 500
-
 /** What may be used without a decision is forgotten after this, milliseconds. */
 const FREE_MS = 500
 
@@ -27,6 +24,13 @@
 /** The ranking's places, in their order. */
 const rolesByRank: readonly LimitRole[] = [LimitRole.Owner, LimitRole.Standby, LimitRole.Reserve]
 
+/** How the revision of a limit travels; the same way back. */
+const revisionOnWire: Readonly<Record<LimitScope, (revision: number, now: number) => number>> = {
+  [LimitScope.Account]: revision => revision,
+  // When a server stated it: an age, since the clocks of instances differ.
+  [LimitScope.Server]: (statedAt, now) => now - statedAt
+}
+
 /** Instances that may decide for a key. */
 export const LIMIT_RANKS = rolesByRank.length
 
@@ -41,10 +45,18 @@
   readonly retryAt: number
 }
 
-export interface LimitProtocolOptions extends PassedOverOptions {
+/** How limits of one scope are held. */
+export interface LimitKind {
+  readonly scope: LimitScope
+  readonly tolerance: LimitTolerance
+  readonly returnOrder: ReturnOrder
+  /** Nobody waits for a decision for longer, milliseconds. */
+  readonly mostWaitMs: number
+}
+
+export interface LimitProtocolOptions extends LimitKind, PassedOverOptions {
   readonly clock: Clock
   readonly address: string
-  readonly tolerance: LimitTolerance
   /** Addresses of those that may decide for a key, the owner first. */
   readonly ranking: (key: string) => readonly string[]
   /** Since when the members are those by which rankings are computed; undefined while they are not known yet. */
@@ -58,6 +70,12 @@
   readonly onDecided: (role: LimitRole, outcome: LimitOutcome) => void
 }
 
+/** Where all requests may run, as among servers that state no limit. */
+export const noSharedLimits: Pick<LimitProtocol, 'claim' | 'giveBack'> = {
+  claim: (_, go) => go({ outcome: LimitOutcome.Granted, role: LimitRole.None, decidedBy: '', retryAt: 0 }),
+  giveBack: () => {}
+}
+
 interface Allowance {
   tokens: number
   /** Milliseconds of Unix time. */
@@ -87,7 +105,7 @@
   private number = 0
 
   private constructor (private readonly options: LimitProtocolOptions) {
-    this.book = SharedLimitBook.create(options.tolerance)
+    this.book = SharedLimitBook.create(options.tolerance, options.returnOrder)
     this.passedOver = PassedOver.create(options)
   }
 
@@ -97,7 +115,7 @@
 
   /** Counts a request of a key and goes on when it is decided, at once where nobody need be waited for. */
   claim (claim: Omit<LimitClaim, 'isTaken'>, go: (result: LimitResult) => void): void {
-    const { clock } = this.options
+    const { clock, mostWaitMs } = this.options
     const now = clock.now()
     const left = this.ranking(claim.key)
     const [first] = left
@@ -107,7 +125,7 @@
       return
     }
     const number = this.number++
-    const pending: Pending = { claim: { ...claim, isTaken: false }, left, waiting: new Set(), asked: new Set(), go, until: now + MOST_WAIT_MS, cancel: () => {} }
+    const pending: Pending = { claim: { ...claim, isTaken: false }, left, waiting: new Set(), asked: new Set(), go, until: now + mostWaitMs, cancel: () => {} }
     this.pending.set(number, pending)
     this.askNext(number, pending)
   }
@@ -115,18 +133,18 @@
   /** A request that was counted has not run. */
   giveBack (key: string, cost: number): void {
     const [owner] = this.ranking(key)
-    const { address, send } = this.options
+    const { address, scope, send } = this.options
     if (owner === address) {
       this.book.giveBack(key, cost)
     } else if (owner !== undefined) {
-      send(owner, { kind: DatagramKind.LimitReturn, address, key, cost })
+      send(owner, { kind: DatagramKind.LimitReturn, scope, address, key, cost })
     }
   }
 
   hear (message: LimitMessage): void {
     const { clock, address, send } = this.options
     switch (message.kind) {
-      case DatagramKind.LimitQuestion: send(message.address, this.answer(message)); break
+      case DatagramKind.LimitQuestion: send(message.address, this.answer(this.convert(message))); break
       case DatagramKind.LimitAnswer: this.hearAnswer(message); break
       case DatagramKind.LimitReturn: this.book.giveBack(message.key, message.cost); break
       case DatagramKind.LimitRenewal:
@@ -156,12 +174,19 @@
     return answering.length > 0 ? answering : [...ranking]
   }
 
+  /** Between this instance's clock and the wire. */
+  private convert (question: LimitQuestion): LimitQuestion {
+    const { limit } = question
+    return { ...question, limit: { ...limit, revision: revisionOnWire[this.options.scope](limit.revision, this.options.clock.now()) } }
+  }
+
   private ask (address: string, number: number, claim: LimitClaim): void {
-    const question: LimitQuestion = { kind: DatagramKind.LimitQuestion, address: this.options.address, number, ...claim }
-    if (address === this.options.address) {
+    const { address: own, scope } = this.options
+    const question: LimitQuestion = { kind: DatagramKind.LimitQuestion, scope, address: own, number, ...claim }
+    if (address === own) {
       this.hearAnswer(this.answer(question))
     } else {
-      this.options.send(address, question)
+      this.options.send(address, this.convert(question))
     }
   }
 
@@ -220,7 +245,7 @@
 
   /** Asks the standby to hold back, as long as the key's bucket has to fill at the whole rate. */
   private renew (key: string): void {
-    const { address, clock, ranking, send } = this.options
+    const { address, scope, clock, ranking, send } = this.options
     const now = clock.now()
     const [owner, standby] = ranking(key)
     const dueAt = this.book.renewalDueAt(key, now)
@@ -229,7 +254,7 @@
     }
     if (dueAt <= now) {
       this.book.noteRenewal(key, now)
-      send(standby, { kind: DatagramKind.LimitRenewal, address, key, sentAt: now })
+      send(standby, { kind: DatagramKind.LimitRenewal, scope, address, key, sentAt: now })
     }
     if (!this.renewing.has(key)) {
       this.renewing.add(key)
@@ -242,7 +267,7 @@
 
   /** Decides as what this instance is to the key. */
   private answer ({ number, key, limit, cost, isTaken }: LimitQuestion): LimitAnswer {
-    const { address, clock, ranking, settledAt, instances, onDecided } = this.options
+    const { address, scope, clock, ranking, settledAt, instances, onDecided } = this.options
     const now = clock.now()
     const ranked = ranking(key)
     const since = settledAt()
@@ -257,6 +282,6 @@
     if (!isTaken) {
       onDecided(role, outcome)
     }
-    return { kind: DatagramKind.LimitAnswer, address, number, key, outcome, role, retryMs: retryAt - now, free, owner: outcome === LimitOutcome.NotMine && ranked[0] !== address ? ranked[0] ?? '' : '' }
+    return { kind: DatagramKind.LimitAnswer, scope, address, number, key, outcome, role, retryMs: retryAt - now, free, owner: outcome === LimitOutcome.NotMine && ranked[0] !== address ? ranked[0] ?? '' : '' }
   }
 }
--- a/packages/foxtaillever-relay/src/limits/serverLimits.ts
+++ b/packages/foxtaillever-relay/src/limits/serverLimits.ts
@@ -1,19 +1,72 @@
-/** Rate limits that backend servers state, as the exchanges of an instance learn them from answers. */
+/**
+ * Rate limits that backend servers state for all instances together: learned from
+ * answers, told among instances, and held by the protocol of shared limits.
+ *
+ * The load it answers: a server in need takes an eighth of its usual. Each instance
+ * learns of it at another moment and sends it less than one request of the limit,
+ * so that only their sum shows that it is too much.
+ */
 import type { Clock } from 'foxtaillever-core'
-import { StatedLimits } from 'foxtaillever-policy/limits/statedLimits'
+import { ReturnTurns } from 'foxtaillever-policy/limits/returnTurns'
+import { LimitOutcome, ReturnOrder, type LimitTolerance } from 'foxtaillever-policy/limits/sharedLimitBook'
+import { StatedLimits, type StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
 import type { Exchange } from '../model/exchange.js'
 import { LimitStatementKind } from '../model/limitStatement.js'
 import type { AnswerMarks } from '../model/wire.js'
+import type { LimitNews } from '../peers/peerMessage.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import { LimitScope } from './limitMessage.js'
+import type { LimitKind, LimitProtocol, LimitResult } from './limitProtocol.js'
+
+/**
+ * A standby and a reserve may let through a few requests of their own beside the
+ * owner: with its rate they stay below one and a half times the limit and five
+ * requests in any window.
+ */
+const TOLERANCE: LimitTolerance = { overage: 0, slack: 4, windowMs: 4000 }
+
+/** Nobody waits longer for a decision, milliseconds: other servers may have room. */
+const MOST_WAIT_MS = 100
+
+export const serverLimitKind: LimitKind = { scope: LimitScope.Server, tolerance: TOLERANCE, returnOrder: ReturnOrder.FirstCome, mostWaitMs: MOST_WAIT_MS }
+
+/** However little a server takes, it gets so many requests a second: only its answers tell that its need is over. */
+const LEAST_PER_S = 0.25
+
+/** A refusal is taken for the server's for so long at most, milliseconds: limits rise, and others give back. */
+const MOST_REFUSED_MS = 1000
+
+/** Where nobody decided, the next request asks again after this, milliseconds. */
+const UNDECIDED_MS = 200
+
+/** A limit that falls by more than this part is told at once. */
+const URGENT_FALL = 0.3
+
+/** Whether a request may be sent to a server. */
+export enum LimitAdmission {
+  /** No limit is in force. */
+  Free = 'free',
+  /** It is counted in the limit. */
+  Counted = 'counted',
+  Refused = 'refused'
+}
 
 export interface ServerLimitsOptions {
   readonly clock: Clock
-  readonly log: Pick<RelayLog, 'belief' | 'limitUnreadable' | 'sentUnderLimit'>
+  readonly directory: Pick<ServerDirectory, 'ready' | 'ofHash'>
+  readonly log: Pick<RelayLog, 'belief' | 'limitUnreadable' | 'sentUnderLimit' | 'serverLimitRefused'>
+  readonly protocol: () => Pick<LimitProtocol, 'claim' | 'giveBack'>
+  readonly instances: () => number
+  /** A limit began, ended or fell, which the other instances must know now. */
+  readonly onUrgent: () => void
 }
 
 export class ServerLimits {
   private readonly stated = StatedLimits.create()
+  /** Of the callers that were refused, by service. */
+  private readonly returns = new Map<string, ReturnTurns>()
 
   private constructor (private readonly options: ServerLimitsOptions) {}
 
@@ -28,28 +81,100 @@
   observe (server: KnownServer, { limit, isStamped, isNotRun }: AnswerMarks, sentAt: number): void {
     const { clock, log } = this.options
     switch (limit.kind) {
-      case LimitStatementKind.Limit: this.learn(server, limit.perSecond, clock.now()); break
+      case LimitStatementKind.Limit: this.learnHere(server, limit.perSecond, clock.now()); break
       case LimitStatementKind.Unreadable: log.limitUnreadable(server.listed.id, limit.text); break
       case LimitStatementKind.None:
         // A rejection need not repeat the limit.
         if (isStamped && !isNotRun) {
-          this.learn(server, undefined, sentAt)
+          this.learnHere(server, undefined, sentAt)
         }
     }
   }
 
-  /** A request is about to be sent to the server. */
-  noteSend (exchange: Exchange, { hash, listed }: KnownServer): void {
-    const limit = this.stated.of(hash)
-    if (limit) {
-      this.options.log.sentUnderLimit(exchange, listed.id, limit, this.options.clock.now())
+  /** What another instance tells. */
+  hear (news: readonly LimitNews[]): void {
+    const { clock, directory } = this.options
+    news.forEach(({ server, perSecond, ageMs }) => {
+      const known = directory.ofHash(server)
+      if (known) {
+        this.learn(known, perSecond, clock.now() - ageMs)
+      }
+    })
+  }
+
+  /** What to tell the others. */
+  news (): LimitNews[] {
+    const { clock, directory } = this.options
+    const now = clock.now()
+    return this.stated.toTell(now)
+      .filter(({ server }) => directory.ofHash(server) !== undefined)
+      .map(({ server, perSecond, at }) => ({ server, perSecond, ageMs: now - at }))
+  }
+
+  /** Counts a request in the server's limit, and goes on when it is decided. */
+  admit (server: KnownServer, exchange: Exchange, go: (admission: LimitAdmission) => void): void {
+    const limit = this.stated.of(server.hash)
+    if (!limit) {
+      go(LimitAdmission.Free)
+      return
     }
+    const shared = { perSecond: Math.max(LEAST_PER_S, limit.perSecond), burst: 0, revision: limit.at }
+    this.options.protocol().claim({ key: String(server.hash), limit: shared, cost: 1 }, result => go(this.settle(server, exchange, limit, result)))
   }
 
-  private learn ({ hash, listed }: KnownServer, perSecond: number | undefined, at: number): void {
-    const before = this.stated.of(hash)?.perSecond
-    if (this.stated.observe(hash, perSecond, at)) {
-      this.options.log.belief('A backend server states another limit of requests a second.', { server: listed.id, perSecond, before })
+  /** What was counted did not reach the server. */
+  giveBack ({ hash }: KnownServer): void {
+    this.options.protocol().giveBack(String(hash), 1)
+  }
+
+  /** When a caller may come back, milliseconds of Unix time, where limits keep requests from servers of the service; undefined otherwise. */
+  returnAt (service: string): number | undefined {
+    const { clock, directory, instances } = this.options
+    const now = clock.now()
+    const full = directory.ready(service).filter(({ limitedUntil }) => limitedUntil > now)
+    const perSecond = full.reduce((sum, { hash }) => sum + Math.max(LEAST_PER_S, this.stated.of(hash)?.perSecond ?? 0), 0)
+    if (full.length === 0) {
+      return undefined
     }
+    const turns = this.returns.get(service) ?? ReturnTurns.create()
+    this.returns.set(service, turns)
+    return turns.next(Math.min(...full.map(({ limitedUntil }) => limitedUntil)), instances() * 1000 / perSecond, now)
   }
+
+  private settle (server: KnownServer, exchange: Exchange, limit: StatedLimit, result: LimitResult): LimitAdmission {
+    const { clock, log } = this.options
+    const now = clock.now()
+    const { id } = server.listed
+    if (result.outcome === LimitOutcome.Granted) {
+      log.sentUnderLimit(exchange, id, limit, now)
+      return LimitAdmission.Counted
+    }
+    const roomAt = result.outcome === LimitOutcome.Refused ? Math.min(result.retryAt, now + MOST_REFUSED_MS) : now + UNDECIDED_MS
+    // The limit may have ended while the decision was on its way.
+    server.limitedUntil = this.stated.of(server.hash) ? roomAt : 0
+    log.serverLimitRefused(exchange, id, limit, result, now)
+    return LimitAdmission.Refused
+  }
+
+  private learnHere (server: KnownServer, perSecond: number | undefined, at: number): void {
+    const before = this.stated.of(server.hash)?.perSecond
+    if (this.learn(server, perSecond, at) && isUrgent(before, perSecond)) {
+      this.options.onUrgent()
+    }
+  }
+
+  /** @returns whether the limit in force is another. */
+  private learn (server: KnownServer, perSecond: number | undefined, at: number): boolean {
+    const before = this.stated.of(server.hash)?.perSecond
+    const isNews = this.stated.observe(server.hash, perSecond, at)
+    if (isNews) {
+      server.limitedUntil = 0
+      this.options.log.belief('A backend server states another limit of requests a second.', { server: server.listed.id, perSecond, before, ageMs: Math.round(this.options.clock.now() - at) })
+    }
+    return isNews
+  }
+}
+
+function isUrgent (before: number | undefined, after: number | undefined): boolean {
+  return before === undefined || after === undefined || after < before * (1 - URGENT_FALL)
 }
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -25,6 +25,7 @@
   current: [],
   stores: [],
   speeds: [],
+  limits: [],
   instances: 1
 }
 
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -46,7 +46,7 @@
   readonly onNotice: (notice: ReadNotice) => void
   readonly onLoad: (message: LoadMessage) => void
   readonly onWeights: (notice: WeightsNotice) => void
-  readonly onQuota: (message: LimitMessage) => void
+  readonly onLimit: (message: LimitMessage) => void
   /** What this instance knows of a topic from an offset on. */
   readonly tell: (topic: ToldTopic, from: number) => ToldRecords
   /** Another instance asks for a call at the lease's log. */
@@ -64,9 +64,9 @@
   private readonly receiveBeat: Receiver
 
   private constructor (private readonly options: PeerLinkOptions) {
-    const { onMessage, onNotice, onLoad, onWeights, onQuota } = options
+    const { onMessage, onNotice, onLoad, onWeights, onLimit } = options
     const receiveLoad: Receiver = wire => { readLoadMessage(wire).ifJust(onLoad) }
-    const receiveQuota: Receiver = wire => { readLimitMessage(wire).ifJust(onQuota) }
+    const receiveLimit: Receiver = wire => { readLimitMessage(wire).ifJust(onLimit) }
     this.receiveBeat = wire => { readPeerMessage(wire).ifJust(onMessage) }
     this.receivers = {
       [DatagramKind.LoadWord]: receiveLoad,
@@ -74,11 +74,11 @@
       [DatagramKind.LoadAnswer]: receiveLoad,
       [DatagramKind.ReadNotice]: wire => { readReadNotice(wire).ifJust(onNotice) },
       [DatagramKind.Weights]: wire => { readWeightsNotice(wire).ifJust(onWeights) },
-      [DatagramKind.LimitQuestion]: receiveQuota,
-      [DatagramKind.LimitAnswer]: receiveQuota,
-      [DatagramKind.LimitReturn]: receiveQuota,
-      [DatagramKind.LimitRenewal]: receiveQuota,
-      [DatagramKind.LimitPromise]: receiveQuota
+      [DatagramKind.LimitQuestion]: receiveLimit,
+      [DatagramKind.LimitAnswer]: receiveLimit,
+      [DatagramKind.LimitReturn]: receiveLimit,
+      [DatagramKind.LimitRenewal]: receiveLimit,
+      [DatagramKind.LimitPromise]: receiveLimit
     }
     this.datagrams = UdpDatagrams.create(`${options.host}:${options.port}`)
     this.server = createServer((request, response) => {
@@ -138,7 +138,7 @@
     this.datagrams.send(address, encodeLoadMessage(message))
   }
 
-  sendQuota (address: string, message: LimitMessage): void {
+  sendLimit (address: string, message: LimitMessage): void {
     this.datagrams.send(address, encodeLimitMessage(message))
   }
 
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -57,6 +57,16 @@
   readonly service: string
 }
 
+/** What a backend server stated of its limit last, as far as the teller knows. */
+export interface LimitNews {
+  /** Hash of its incarnation. */
+  readonly server: number
+  /** Requests from all instances together; undefined once it states no limit. */
+  readonly perSecond: number | undefined
+  /** Since it was stated, milliseconds. */
+  readonly ageMs: number
+}
+
 export interface PeerMessage {
   readonly name: string
   /** IP number and port for datagrams and calls. */
@@ -84,12 +94,13 @@
   readonly stores: readonly StoreWord[]
   /** Of services of which it has seen enough, for instances that have just started. */
   readonly speeds: readonly SpeedNews[]
+  readonly limits: readonly LimitNews[]
   /** Instances that it reckons with, itself included: one that has just started knows few of them. */
   readonly instances: number
 }
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums, stores, instances, speeds } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums, stores, instances, speeds, limits } = message
   return packDatagram([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -101,7 +112,8 @@
     sums.map(packUse),
     stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation]),
     instances,
-    speeds.map(({ service, tokensPerMs, samples }) => [service, Math.round(tokensPerMs), samples])
+    speeds.map(({ service, tokensPerMs, samples }) => [service, Math.round(tokensPerMs), samples]),
+    limits.map(({ server, perSecond, ageMs }) => [server, perSecond ?? null, Math.round(ageMs)])
   ])
 }
 
@@ -129,7 +141,8 @@
   readonly WireUse[] | undefined,
   ReadonlyArray<readonly [string, boolean, number]> | undefined,
   number | undefined,
-  ReadonlyArray<readonly [string, number, number]> | undefined
+  ReadonlyArray<readonly [string, number, number]> | undefined,
+  ReadonlyArray<readonly [number, number | null, number]> | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -145,7 +158,7 @@
 /** Nothing for a datagram of another form: an instance of another release may send it. */
 export function readPeerMessage (datagram: readonly unknown[]): Maybe<PeerMessage> {
   return Maybe.of(datagram).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = []] = wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = []] = wire
     return {
       name,
       address,
@@ -163,6 +176,7 @@
       named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
       current: current.map(([model, version, engines]) => ({ model, version, engines })),
       speeds: speeds.map(([service, tokensPerMs, samples]) => ({ service, tokensPerMs: Number(tokensPerMs), samples: Number(samples) })),
+      limits: limits.map(([server, perSecond, ageMs]) => ({ server: Number(server), perSecond: perSecond === null ? undefined : Number(perSecond), ageMs: Number(ageMs) })),
       stores: stores.map(([store, isSilent, incarnation]) => ({ store, isSilent, incarnation }))
     }
   }))
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -33,6 +33,9 @@
 /** Between two beats of a large fleet, milliseconds. */
 const MOST_BEAT_MS = 1000
 
+/** Between two messages to everyone beside the beats, milliseconds. */
+const LEAST_TELL_MS = 250
+
 /** Part of a period that is drawn, so that instances started together do not send together. */
 const BEAT_SPREAD = 0.2
 
@@ -80,7 +83,7 @@
   readonly onNotice: (notice: ReadNotice) => void
   readonly onWeights: PeerLinkOptions['onWeights']
   readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
-  readonly onQuota: PeerLinkOptions['onQuota']
+  readonly onLimit: PeerLinkOptions['onLimit']
 }
 
 export class Peers {
@@ -99,16 +102,19 @@
   private likelyOthers: readonly PeerMessage[] = []
   private reckonedWith = 1
   private cancelBeat: Cancellation = () => {}
+  private toldAt = 0
+  private isTellDue = false
+  private cancelTell: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, onQuota, ownUses, onSaved, onUnreachable, onPassedOver } = options
+    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, onLimit, ownUses, onSaved, onUnreachable, onPassedOver } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.limitOwners = LimitOwners.create(this.options.processStartedAt)
     this.rounds = Rounds.create(options.random)
     this.use = FleetUse.create(clock)
     this.link = PeerLink.create({
-      clock, host, port, tell, onNotice, onWeights, onLeaseCall, onQuota, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message)
+      clock, host, port, tell, onNotice, onWeights, onLeaseCall, onLimit, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message)
     })
     this.loads = LoadTalk.create({
       clock, address: this.address, use: this.use, own: ownUses, onSaved, onUnreachable, onPassedOver, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server)
@@ -126,6 +132,7 @@
 
   async stop (): Promise<void> {
     this.cancelBeat()
+    this.cancelTell()
     this.loads.stop()
     await this.link.close()
   }
@@ -176,6 +183,19 @@
     this.link.send(this.receivers(), this.message())
   }
 
+  /** Tells everyone in a moment what cannot wait for a beat, together with what comes until then. */
+  tellSoon (): void {
+    if (!this.isTellDue) {
+      this.isTellDue = true
+      const { clock } = this.options
+      this.cancelTell = clock.at(Math.max(clock.now(), this.toldAt + LEAST_TELL_MS), () => {
+        this.isTellDue = false
+        this.toldAt = clock.now()
+        this.send()
+      })
+    }
+  }
+
   /** Tells everyone now which engines are about to change or have changed, and of the lease. */
   tellWeights (news: readonly WeightsNews[]): void {
     const receivers = this.receivers()
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -19,8 +19,10 @@
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
-import { AccountQuotas } from './limits/accountQuotas.js'
-import { LimitProtocol } from './limits/limitProtocol.js'
+import { AccountQuotas, createQuotaKind } from './limits/accountQuotas.js'
+import { LimitScope } from './limits/limitMessage.js'
+import { LimitProtocol, type LimitKind } from './limits/limitProtocol.js'
+import { serverLimitKind } from './limits/serverLimits.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
 import { createOrderOffice, type OrderOffice } from './weights/orderOffice.js'
@@ -51,7 +53,7 @@
   private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
   private readonly peers: Peers
-  private readonly quota: LimitProtocol
+  private readonly limits: Readonly<Record<LimitScope, LimitProtocol>>
   private readonly office: OrderOffice
   private table: RouteTable | undefined
   private isLeaving = false
@@ -66,7 +68,7 @@
     this.state.addTo(this.log.metrics)
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
-    this.quota = this.createQuota()
+    this.limits = this.createLimits()
     this.knowledge = this.createKnowledge()
     this.office = this.createOffice()
     this.callers = CallerServer.create({
@@ -150,7 +152,7 @@
       retryAllowance,
       weightsBoundMs,
       suspects: this.suspects,
-      quota: AccountQuotas.create({ clock, log: this.log, protocol: () => this.quota, revision: () => this.table?.routing.revision ?? -1 }),
+      quota: AccountQuotas.create({ clock, log: this.log, protocol: () => this.limits[LimitScope.Account], revision: () => this.table?.routing.revision ?? -1 }),
       use: { of: hash => this.peers.use.of(hash) },
       othersTokens: store => this.peers.tokensFrom(store),
       cacheStoreCalls,
@@ -161,6 +163,8 @@
       tellAll: () => this.peers.send(),
       askLoad: wish => this.peers.loads.ask(wish()),
       onSaved: level => this.peers.loads.noteSaved(level),
+      limitProtocol: () => this.limits[LimitScope.Server],
+      onLimitChanged: () => this.peers.tellSoon(),
       onStoreRestarted: () => this.peers.loads.forgetSaved(),
       weights: { outdatedSince: (model, version) => this.office.desk.outdatedSince(model, version) },
       routing: () => this.table?.routing,
@@ -196,26 +200,33 @@
       onNotice: notice => this.knowledge.hear(notice),
       onWeights: notice => this.hearWeights(notice),
       onLeaseCall: (request, search, response) => this.lendLease(request, search, response),
-      onQuota: message => this.quota.hear(message),
+      onLimit: message => this.limits[message.scope].hear(message),
       isLeaving: () => this.isLeaving,
       processStartedAt: clock.now() - process.uptime() * 1000
     })
   }
 
-  private createQuota (): LimitProtocol {
-    const { clock, quotaTolerance: tolerance } = this.options
+  private createLimits (): Readonly<Record<LimitScope, LimitProtocol>> {
+    return {
+      [LimitScope.Account]: this.createLimitProtocol(createQuotaKind(this.options.quotaTolerance)),
+      [LimitScope.Server]: this.createLimitProtocol(serverLimitKind)
+    }
+  }
+
+  private createLimitProtocol (kind: LimitKind): LimitProtocol {
+    const { clock } = this.options
     const { peers, log } = this
     return LimitProtocol.create({
+      ...kind,
       clock,
       address: peers.address,
-      tolerance,
-      ranking: account => peers.limitOwners.of(account),
+      ranking: key => peers.limitOwners.of(key),
       settledAt: () => peers.limitOwners.settledAt,
       instances: () => peers.count(),
-      send: (address, message) => peers.link.sendQuota(address, message),
+      send: (address, message) => peers.link.sendLimit(address, message),
       onMet: address => peers.meet(address),
-      onDecided: (role, outcome) => log.quotaDecided(role, outcome),
-      onPassedOver: peer => log.belief('An instance does not answer questions of quota; the next in the ranking is asked.', { peer })
+      onDecided: (role, outcome) => log.limitDecided(kind.scope, role, outcome),
+      onPassedOver: peer => log.belief('An instance does not answer questions of limits; the next in the ranking is asked.', { peer })
     })
   }
 
@@ -281,7 +292,8 @@
       ...caches.word(),
       named: this.office.desk.ages(),
       current: this.office.desk.current(),
-      speeds: directory.speedsToTell()
+      speeds: directory.speedsToTell(),
+      limits: this.desk.limits.news()
     }
   }
 
@@ -292,8 +304,9 @@
     news.forEach(one => this.office.desk.observe(one))
   }
 
-  private hear ({ address, lease, suspects, named, current, speeds, ...caches }: PeerMessage): void {
+  private hear ({ address, lease, suspects, named, current, speeds, limits, ...caches }: PeerMessage): void {
     this.desk.observeInstances(this.peers.count())
+    this.desk.limits.hear(limits)
     this.suspects.hear(suspects, this.options.clock.now())
     this.desk.caches.hear(address, caches)
     this.hearWeights({ news: [], lease })
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -36,6 +36,8 @@
   displacedUntil: number
   /** Nobody listened at its address: it gets nothing that can go elsewhere until then, milliseconds of Unix time. */
   absentUntil: number
+  /** The limit that it stated is used up: it gets nothing until then, milliseconds of Unix time. */
+  limitedUntil: number
   /** When it last turned a request away, milliseconds of Unix time. */
   refusedAt: number
   readonly health: ServerHealth
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -105,7 +105,7 @@
     }
     const ready = directory.ready(exchange.service)
     const places = ready
-      .filter(server => server.displacedUntil <= now && server.absentUntil <= now && this.hasFitWeights(server, exchange))
+      .filter(server => isOpenAt(server, now) && server.absentUntil <= now && this.hasFitWeights(server, exchange))
       .map(server => ({ server, hash: server.idHash, failureDomain: server.listed.failureDomain }))
     const home = homeAmong(promptKey, this.homeDomains(promptKey, ready), places)?.server
     return home && home.changingUntil <= now ? home : undefined
@@ -115,7 +115,7 @@
     const { clock, directory, random, failureDomain, levelSupply } = this.options
     const now = clock.now()
     const ready = directory.ready(exchange.service)
-    const fit = ready.filter(server => !failed.has(server.listed.id) && server.displacedUntil <= now && this.hasFitWeights(server, exchange))
+    const fit = ready.filter(server => !failed.has(server.listed.id) && isOpenAt(server, now) && this.hasFitWeights(server, exchange))
     const supply = levelSupply(exchange)
     const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, supply))
     const { promptTokens, outputTokens } = exchange.prompt ?? { promptTokens: 0, outputTokens: 0 }
@@ -204,6 +204,11 @@
   }
 }
 
+/** Whether requests can go there at all. */
+function isOpenAt ({ displacedUntil, limitedUntil }: KnownServer, now: number): boolean {
+  return displacedUntil <= now && limitedUntil <= now
+}
+
 /** Whether a request that is sent there may begin at once or wait its turn. */
 function isOpen ({ isAbsent, isChanging, isRefusing }: ServerOffer): boolean {
   return !isAbsent && !isChanging && !isRefusing
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -8,6 +8,7 @@
 import type { ExpectedStart } from 'foxtaillever-policy/relay/yieldPriority'
 import { Metrics, Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
+import { LimitScope } from '../limits/limitMessage.js'
 import type { LimitResult } from '../limits/limitProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
@@ -76,8 +77,8 @@
   }
 
   /** This instance decided for itself or another. */
-  quotaDecided (role: LimitRole, outcome: LimitOutcome): void {
-    this.metrics.count('quota_decisions_total', { role, outcome })
+  limitDecided (scope: LimitScope, role: LimitRole, outcome: LimitOutcome): void {
+    this.metrics.count('limit_decisions_total', { scope: LimitScope[scope], role, outcome })
   }
 
   /** A server stated a limit that is no rate; the one before it stays in force. */
@@ -91,6 +92,14 @@
     this.logs.write('info', Part.Requests, 'Sends to a backend server that stated a limit.', { request, server, perSecond, statedMsAgo: Math.round(now - at) })
   }
 
+  /** A request goes elsewhere, or back to its caller. */
+  serverLimitRefused ({ id: request }: Exchange, server: string, { perSecond, at }: StatedLimit, { outcome, role, decidedBy, retryAt }: LimitResult, now: number): void {
+    this.metrics.count('server_limit_refusals_total', { outcome, role })
+    this.logs.writeFailure(Part.Requests, 'A backend server has no room under the limit that it stated.', {
+      request, server, perSecond, statedMsAgo: Math.round(now - at), outcome, role, decidedBy, retryMs: Math.round(retryAt - now)
+    })
+  }
+
   silent (exchange: Exchange, server: string, isOnKeptConnection: boolean): void {
     const connection = isOnKeptConnection ? 'kept' : 'new'
     this.metrics.count('silent_servers_total', { connection })
--- a/packages/foxtaillever-router/src/plain/createPlainDesk.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDesk.ts
@@ -6,6 +6,7 @@
 import { ExchangeDesk } from 'foxtaillever-relay/exchange/exchangeDesk'
 import type { Suspicions } from 'foxtaillever-relay/exchange/exchangeContext'
 import { noQuotas } from 'foxtaillever-relay/limits/accountQuotas'
+import { noSharedLimits } from 'foxtaillever-relay/limits/limitProtocol'
 import type { RelayLog } from 'foxtaillever-relay/telemetry/relayLog'
 import { routingOf } from './plainRoutes.js'
 import { plainWire } from './plainWire.js'
@@ -63,6 +64,8 @@
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
     routing: () => routingOf(configuration()),
+    limitProtocol: () => noSharedLimits,
+    onLimitChanged: () => {},
     onServerChanged: () => {},
     onMisdirected: () => {}
   })
