Let the soak's servers state limits, and count at the server what they get

A drawn fault lets a server state 0, 1.1 or 5 requests a second, or none any more. Windows in which an instance was down or had just started are left out: it knows nothing of the limit yet.

--- a/packages/foxtaillever-proof/src/platformSoak/__tests__/serverPromises.test.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/__tests__/serverPromises.test.ts
@@ -1,7 +1,7 @@
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
 import { PartCache, TokenEngine, type PartUse, type TakenOrder, type TokenRun } from 'foxtaillever-standins'
 import { Disturbances } from '../disturbances.js'
-import { serverComplaints } from '../serverPromises.js'
+import { limitComplaints, serverComplaints } from '../serverPromises.js'
 import type { SoakedFleet } from '../soakedFleet.js'
 
 const ENGINE = { slots: 4, mostWaiting: 4, memoryTokens: 10_000, stepMs: 1, readTokensPerMs: 100, pieceTokens: 1000 }
@@ -57,6 +57,19 @@
     t.deepEqual(complaintsOf({ taken: [order('a', 1, 10), order('b', 2, 20), order('a', 1, 30)] }), ['a ordered under fence 1 after b under 2'])
     t.deepEqual(complaintsOf({ taken: [order('a', 1, 10), order('b', 1, 20)] }), ['b and a both ordered under fence 1'])
   })
+
+  // A limit that each instance keeps for itself lets through as many times what the server takes.
+  it('shows more requests than a server stated that it takes', t => {
+    const complaintsAt = (times: readonly number[]): number => {
+      const server = { id: 's', arrivals: times.map(at => ({ at, statedLimit: '1' })) }
+      const fleet = { operator: { rates: [{ server, perSecond: 1, from: 0, until: Infinity }] } } as unknown as SoakedFleet
+      return limitComplaints(fleet, Disturbances.create(() => 0)).length
+    }
+    const most = Array.from({ length: 11 }, (_, index) => 3000 + index * 350)
+    t.is(complaintsAt(most), 0)
+    t.is(complaintsAt([...most, 6900]), 1)
+    t.is(complaintsAt(Array.from({ length: 50 }, (_, index) => index * 10)), 0)
+  })
 })
 
 describe('disturbances of a soak', () => {
--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -10,11 +10,16 @@
   readonly clock: Clock
   readonly random: Random
   readonly disturbances: Disturbances
+  /** Instances that stop or stand still. */
+  readonly outages: Disturbances
 }
 
 const LONGEST_PAUSE_MS = 2500
 const LONGEST_STORE_FAULT_MS = 3000
 
+/** Rates that servers in need state; undefined: the need is over. */
+const RATES = [0, 1.1, 5, undefined]
+
 /** Drained servers go on serving what they have for this long, milliseconds. */
 const DRAINED_SERVES_MS = 3000
 
@@ -67,22 +72,26 @@
 export const platformFaults: Readonly<Record<string, (context: PlatformFaultContext) => Promise<void>>> = {
   'kill an instance': async context => {
     const { child } = drawInstance(context)
-    await child.kill()
-    await rest(context, LONGEST_PAUSE_MS)
-    child.start()
+    await context.outages.during(async () => {
+      await child.kill()
+      await rest(context, LONGEST_PAUSE_MS)
+      child.start()
+    })
   },
   'pause an instance': async context => {
     const { child } = drawInstance(context)
-    await context.disturbances.during(async () => {
+    await context.outages.during(async () => await context.disturbances.during(async () => {
       child.stop()
       await rest(context, LONGEST_PAUSE_MS)
       child.continue()
-    })
+    }))
   },
   'stop an instance in order': async context => {
     const { child } = drawInstance(context)
-    await child.terminate()
-    child.start()
+    await context.outages.during(async () => {
+      await child.terminate()
+      child.start()
+    })
   },
   'fault the store for one': async context => await faultStore(context, [drawInstance(context)]),
   'fault the store for all': async context => await faultStore(context, context.fleet.instances),
@@ -94,6 +103,7 @@
   'fault the servers': async ({ fleet, random }) => {
     fleet.platform.servers.forEach(({ faults }) => faults.push(draw(random, Object.values(ServerFault))))
   },
+  'limit a server': async ({ fleet, random }) => fleet.operator.limit(draw(random, fleet.platform.servers), draw(random, RATES)),
   'start servers again under their ids': async ({ fleet, random }) => draw(random, fleet.platform.servers).crash(true),
   'write entries that are no servers\'': async context => {
     const { fleet, random } = context
--- a/packages/foxtaillever-proof/src/platformSoak/serverPromises.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/serverPromises.ts
@@ -1,4 +1,5 @@
 /** Promises of a soak that servers alone can judge: whom they ran, on which cached levels, and who ordered them. */
+import { allowedInWindow, BINDING_MS, WINDOW_MS } from 'foxtaillever-platform/__fixtures__/limitedServers'
 import type { TakenOrder } from 'foxtaillever-standins'
 import type { Disturbances } from './disturbances.js'
 import type { SoakedFleet } from './soakedFleet.js'
@@ -11,6 +12,23 @@
   return [...drainComplaints(fleet, disturbances), ...cacheComplaints(fleet), ...orderComplaints(fleet)]
 }
 
+/**
+ * More requests in some time than a server said it takes. Instances that have just
+ * started know nothing of it yet, so such times are left out.
+ */
+export function limitComplaints ({ operator }: Pick<SoakedFleet, 'operator'>, outages: Disturbances): string[] {
+  return operator.rates.flatMap(({ server, perSecond, from, until }) => {
+    const most = allowedInWindow(perSecond)
+    const times = server.arrivals
+      .filter(({ at, statedLimit }) => statedLimit === String(perSecond) && at >= from + BINDING_MS && at <= until)
+      .map(({ at }) => at)
+    return times.flatMap((at, index) => {
+      const count = times.slice(index).filter(other => other < at + WINDOW_MS).length
+      return count > most && outages.wasCalm(at - BINDING_MS, at + WINDOW_MS) ? [`${server.id} got ${count} requests in ${WINDOW_MS} ms from ${at - from} ms after it stated ${perSecond} a second on`] : []
+    })
+  })
+}
+
 /** Work that an instance sent to a server long after it could know that the server leaves. */
 function drainComplaints ({ operator }: SoakedFleet, disturbances: Disturbances): string[] {
   return operator.drains.flatMap(({ server, id, at }) => server.arrivals
--- a/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
@@ -29,7 +29,16 @@
   readonly at: number
 }
 
+/** A rate that a server stated for itself. */
+export interface StatedRate {
+  readonly server: BackendServer
+  readonly perSecond: number
+  readonly from: number
+  until: number
+}
+
 export class SoakOperator {
+  readonly rates: StatedRate[] = []
   /** Keys that came with one configuration and went with the next. */
   readonly terms: KeyTerm[] = []
   readonly drains: Drain[] = []
@@ -42,6 +51,16 @@
     return new SoakOperator(clock, platform)
   }
 
+  /** The server states a rate until it is told another; undefined for none. */
+  limit (server: BackendServer, perSecond: number | undefined): void {
+    const now = this.clock.now()
+    this.rates.filter(rate => rate.server === server && rate.until === Infinity).forEach(rate => { rate.until = now })
+    server.statedLimit = perSecond === undefined ? undefined : String(perSecond)
+    if (perSecond !== undefined) {
+      this.rates.push({ server, perSecond, from: now, until: Infinity })
+    }
+  }
+
   start (): void {
     this.platform.addCacheStore(CACHE_STORE, CACHE_STORE_TOKENS)
     this.platform.nameWeights(MODEL, this.weights)
--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -86,6 +86,7 @@
     const [host = '', port] = this.address.split(':')
     onCrashed(this)
     this.runner.reset()
+    this.statedLimit = undefined
     this.end()
     this.names += keepsId ? 0 : 1
     this.cancelRestart = clock.at(clock.now() + restartMs, () => {
@@ -129,7 +130,7 @@
 
   private note (request: IncomingMessage, body: Buffer): Arrival {
     const { method = '', url = '', headers } = request
-    const arrival = { requestId: headerOf(request, 'x-request-id'), method, path: url, headers, body: body.toString(), at: this.options.clock.now(), hasRun: false }
+    const arrival = { requestId: headerOf(request, 'x-request-id'), method, path: url, headers, body: body.toString(), at: this.options.clock.now(), statedLimit: this.statedLimit, hasRun: false }
     this.arrivals.push(arrival)
     return arrival
   }
--- a/packages/foxtaillever-standins/src/platform/engines/runRequest.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/runRequest.ts
@@ -13,6 +13,8 @@
   readonly headers: IncomingHttpHeaders
   readonly body: string
   readonly at: number
+  /** The rate that the server stated then. */
+  readonly statedLimit: string | undefined
   /** Whether the server began to work on it. */
   hasRun: boolean
 }
