--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -109,7 +109,12 @@
 
   /** The engines that others may find in the store. */
   engines (): EngineRunner[] {
-    return this.registered.flatMap(({ runner, isBeating }) => isBeating && runner instanceof EngineRunner ? [runner] : [])
+    return this.listedEngines().map(({ runner }) => runner)
+  }
+
+  /** The same with their servers. */
+  listedEngines (): Array<{ readonly server: BackendServer, readonly runner: EngineRunner }> {
+    return this.registered.flatMap(({ server, runner, isBeating }) => isBeating && runner instanceof EngineRunner ? [{ server, runner }] : [])
   }
 
   configure (configuration: object): void {
