Split the life of an exchange: where its next try goes, and what ends it at once

The placing of a try with its limit and budget is tryPlacement.ts; shared limits are built in createLimitProtocols.ts. A test holds that load nobody asks for goes with the beats alone.

--- /dev/null
+++ b/packages/foxtaillever-relay/src/exchange/beginAttempt.ts
@@ -0,0 +1,24 @@
+/** Begins a try of an exchange at the backend server that was chosen for it. */
+import { Attempt, type AttemptListener } from '../attempts/attempt.js'
+import { isRepeatable, type Exchange } from '../model/exchange.js'
+import type { KnownServer } from '../servers/knownServer.js'
+import type { ExchangeContext } from './exchangeContext.js'
+
+/**
+ * @param headers names and values in turn.
+ * @param beganAt milliseconds of Unix time.
+ */
+export function beginAttempt (context: ExchangeContext, exchange: Exchange, server: KnownServer, headers: readonly string[], beganAt: number, listener: AttemptListener): Attempt {
+  const { clock, wire, connectTimeoutMs, directory, limits } = context
+  const { id, method, path, body, service } = exchange
+  return Attempt.begin({
+    clock,
+    wire,
+    connections: server.connections,
+    requestId: id,
+    leastRestedMs: isRepeatable(exchange) ? Infinity : directory.experience.leastRestedMs(service, beganAt),
+    connectTimeoutMs,
+    call: { method, path, headers, body },
+    listener: { ...listener, onMarks: marks => limits.observe(server, marks, beganAt) }
+  })
+}
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -5,23 +5,24 @@
  */
 import { atAfterReading, Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
 import { comeBackAt } from 'foxtaillever-policy/relay/comeBack'
-import { Attempt, type AnswerHead } from '../attempts/attempt.js'
+import type { AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
-import { heldTokensOf, isRepeatable, type Exchange } from '../model/exchange.js'
+import { heldTokensOf, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
-import type { AskedServers } from '../servers/serverChoice.js'
-import { afterwards } from './afterwards.js'
-import { LimitAdmission } from '../limits/serverLimits.js'
 import { AnswerRelay } from './answerRelay.js'
+import { beginAttempt } from './beginAttempt.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import { ExchangeEnd } from './exchangeEnd.js'
 import type { ExchangeContext } from './exchangeContext.js'
+import { isBetterGivenUp } from './isBetterGivenUp.js'
 import { observeFailure } from './observeFailure.js'
 import { observeHead } from './observeHead.js'
 import { OpenTry } from './openTry.js'
 import { planTry } from './planTry.js'
+import { refusalOf } from './refusalOf.js'
 import { StreamPace } from './streamPace.js'
 import { TryLedger } from './tryLedger.js'
+import { TryPlacement } from './tryPlacement.js'
 import { watchTry } from './watchTry.js'
 
 /** A server answers at the deadline by itself; this much later the caller gets our word, milliseconds. */
@@ -30,6 +31,7 @@
 export class ExchangeRun {
   private current: OpenTry | undefined
   private readonly ledger: TryLedger
+  private readonly placement: TryPlacement
   private readonly relay: AnswerRelay
   private readonly pace = StreamPace.create()
   private head: AnswerHead | undefined
@@ -37,8 +39,6 @@
   /** A server's own failure, passed on when no other try succeeds. */
   private fallback: { readonly head: AnswerHead, readonly body: Buffer } | undefined
   private cancelDeadline: Cancellation = () => {}
-  /** The current try counts in the limit that its server stated. */
-  private isCountedAtServer = false
   /** It counts among what its client account has used. */
   private isCounted = false
 
@@ -49,6 +49,14 @@
     private readonly onOver: (verdict: Verdict) => void
   ) {
     this.ledger = TryLedger.create(exchange)
+    this.placement = TryPlacement.create({
+      context,
+      exchange,
+      ledger: this.ledger,
+      isOver: () => this.isOver,
+      onPlaced: server => this.send(server),
+      onFailed: (code, message, retryAt) => this.fail(code, message, retryAt)
+    })
     this.relay = AnswerRelay.create(exchange, answer, {
       onFirstEvent: () => context.log.firstEvent(exchange, this.now),
       onEvents: () => this.pace.observe(this.now),
@@ -75,12 +83,9 @@
     answer.listen({ onGone: () => this.onGone(), onDrained: () => this.current?.attempt.resume() })
     this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
     retries.addRequest(exchange.service, this.now)
-    if (exchange.deadline <= this.now) {
-      this.fail(FailureCode.DeadlinePassed, 'The deadline passed before the request was read whole.')
-      return
-    }
-    if (suspects.isRefused(exchange, this.now)) {
-      this.fail(FailureCode.Quarantined, 'This request crashed the backend servers that ran it.', suspects.refusedUntil(exchange))
+    const refusal = refusalOf(exchange, suspects, this.now)
+    if (refusal) {
+      this.fail(refusal.code, refusal.message, refusal.retryAt)
       return
     }
     context.quota.admit(exchange, refusal => this.onAdmitted(refusal))
@@ -94,82 +99,23 @@
     } else if (refusal) {
       this.fail(refusal.code, refusal.message, refusal.retryAt)
     } else {
-      this.tryNext()
-    }
-  }
-
-  /** Places the next try, on fresh words of load where the fleet is large. */
-  private tryNext (): void {
-    afterwards(this.context.askLoad(this.exchange, this.ledger), asked => {
-      if (!this.isOver) {
-        this.tryNow(asked)
-      }
-    })
-  }
-
-  private tryNow (asked: AskedServers | undefined): void {
-    const { exchange, context, ledger } = this
-    const server = context.place(exchange, ledger, asked)
-    if (server) {
-      context.limits.admit(server, exchange, admission => this.onRoom(server, admission, asked))
-      return
-    }
-    const returnAt = context.limits.returnAt(exchange.service)
-    if (returnAt === undefined) {
-      this.fail(ledger.ranCode ?? FailureCode.NoBackendServer, 'No backend server can take the request now.')
-    } else {
-      this.fail(ledger.ranCode ?? FailureCode.Overloaded, 'The backend servers are at the limits that they stated.', returnAt)
-    }
-  }
-
-  /** The server's limit has room for it, or another server is tried. */
-  private onRoom (server: KnownServer, admission: LimitAdmission, asked: AskedServers | undefined): void {
-    const { exchange, context, ledger } = this
-    this.isCountedAtServer = admission === LimitAdmission.Counted
-    if (this.isOver) {
-      this.returnServerLimit(server)
-    } else if (admission === LimitAdmission.Refused) {
-      this.tryNow(asked)
-    } else if (ledger.arrivals > 0 && !context.retries.take(exchange.service, this.now)) {
-      this.returnServerLimit(server)
-      this.fail(ledger.ranCode ?? FailureCode.Overloaded, 'The retry budget is used up.')
-    } else {
-      this.send(server)
-    }
-  }
-
-  /** The try did not reach the server. */
-  private returnServerLimit (server: KnownServer): void {
-    if (this.isCountedAtServer) {
-      this.isCountedAtServer = false
-      this.context.limits.giveBack(server)
+      this.placement.next()
     }
   }
 
   private send (server: KnownServer): void {
     const { exchange, context, relay } = this
-    const { clock, wire } = context
     const beganAt = this.now
     this.ledger.begin(server.listed.id)
     this.head = undefined
     relay.reset()
     const { terms, othersTokens } = planTry(context, exchange, server, relay.lastEventId)
-    const headers = wire.createHeaders(exchange, terms, beganAt)
-    const attempt = Attempt.begin({
-      clock,
-      wire,
-      connections: server.connections,
-      requestId: exchange.id,
-      leastRestedMs: isRepeatable(exchange) ? Infinity : context.directory.experience.leastRestedMs(exchange.service, beganAt),
-      connectTimeoutMs: context.connectTimeoutMs,
-      call: { method: exchange.method, path: exchange.path, headers, body: exchange.body },
-      listener: {
-        onMarks: marks => context.limits.observe(server, marks, beganAt),
-        onHead: head => this.onHead(head),
-        onData: bytes => this.onData(bytes),
-        onEnd: () => this.onEnd(),
-        onFailed: failure => this.onFailed(failure)
-      }
+    const headers = context.wire.createHeaders(exchange, terms, beganAt)
+    const attempt = beginAttempt(context, exchange, server, headers, beganAt, {
+      onHead: head => this.onHead(head),
+      onData: bytes => this.onData(bytes),
+      onEnd: () => this.onEnd(),
+      onFailed: failure => this.onFailed(failure)
     })
     const watch = watchTry(context, exchange, beganAt, () => this.onSilent())
     this.current = OpenTry.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, watch, context })
@@ -220,18 +166,15 @@
     this.fallback = { head, body }
     this.observeFailure({ kind: AttemptFailureKind.ServerError, detail: `status ${head.status}` }, server)
     if (this.mayTryAgain()) {
-      this.tryNext()
+      this.placement.next()
       return
     }
-    this.passFallback()
+    this.passOn(head, body)
   }
 
-  private passFallback (): void {
-    if (this.fallback) {
-      const { head, body } = this.fallback
-      this.answer.send(head.status, head.headers, body)
-      this.finish(ExchangeEnd.Answered, String(head.status))
-    }
+  private passOn (head: AnswerHead, body: Buffer): void {
+    this.answer.send(head.status, head.headers, body)
+    this.finish(ExchangeEnd.Answered, String(head.status))
   }
 
   private onFailed (failure: AttemptFailure): void {
@@ -239,14 +182,14 @@
     const tried = this.current
     const server = this.settle()
     this.observeFailure(failure, server)
-    if (server && !meaningOf[kind].isArrival) {
-      this.returnServerLimit(server)
+    if (!meaningOf[kind].isArrival) {
+      this.placement.giveBack()
     }
     if (tried && kind === AttemptFailureKind.Misdirected) {
       this.context.onMisdirected(tried, this.exchange, failure)
     }
     if (this.mayTryAgain()) {
-      this.tryNext()
+      this.placement.next()
       return
     }
     this.fail(meaningOf[kind].code, 'The request could not be completed.')
@@ -266,7 +209,7 @@
    * twice; all else waits for its deadline, because it may yet be answered.
    */
   private onSilent (): void {
-    const { current, context, exchange } = this
+    const { current, context, exchange, relay, ledger, answer } = this
     if (!current || current.isChanging) {
       return
     }
@@ -274,19 +217,13 @@
     context.log.silent(exchange, current.serverId, attempt.isOnKeptConnection)
     // Connections of one age tend to go silent together; the server itself may be well.
     server.connections.closeIdle()
-    if (this.isBetterTriedAgain(current)) {
+    if (isBetterGivenUp(context, exchange, { current, ledger, canContinue: relay.canContinue, hasBegun: answer.hasBegun })) {
       attempt.giveUp()
     } else if (!attempt.isOnKeptConnection) {
       context.directory.experience.observeFault(server, this.now)
     }
   }
 
-  private isBetterTriedAgain (current: OpenTry): boolean {
-    const { exchange, relay, ledger, context } = this
-    const isQueued = exchange.route.isStream && !this.answer.hasBegun && (!current.isOvertaken || current.isYielding)
-    return !isQueued && isRepeatable(exchange) && relay.canContinue && ledger.hasTriesLeft && context.retries.canTake(exchange.service, this.now)
-  }
-
   private onGone (): void {
     if (!this.isOver) {
       this.ledger.observeCut(this.current?.attempt.mayHaveArrived === true)
@@ -321,7 +258,7 @@
 
   private fail (code: FailureCode, message: string, retryAt = comeBackAt(code, this.now)): void {
     if (this.fallback && !this.answer.hasBegun) {
-      this.passFallback()
+      this.passOn(this.fallback.head, this.fallback.body)
       return
     }
     const { verdict } = this.ledger
--- a/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
@@ -38,6 +38,8 @@
 export class TalkFleet {
   readonly clock = VirtualClock.create()
   readonly talkers: Talker[]
+  /** Servers whose load nobody asks for. */
+  readonly unasked = new Set<number>()
 
   private constructor (size: number) {
     const addresses = Array.from({ length: size }, (_, index) => `10.1.${index % 4}.${index}:7340`)
@@ -116,7 +118,7 @@
     const watchers = ComputedWatchers.create()
     watchers.setMembers([address, ...others])
     const talk = LoadTalk.create({
-      clock, address, use, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), own: () => [...own.values()], isAskedFor: () => true, onSaved: levels => { levels.forEach(level => saved.add(level)) }, onUnreachable: server => { unreachable.add(server) }, onPassedOver: () => {}
+      clock, address, use, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), own: () => [...own.values()], isAskedFor: server => !this.unasked.has(server), onSaved: levels => { levels.forEach(level => saved.add(level)) }, onUnreachable: server => { unreachable.add(server) }, onPassedOver: () => {}
     })
     return { address, talk, use, own, unreachable, saved, bytes: 0, isCut: false, cancelBeat: () => {} }
   }
--- a/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
@@ -147,6 +147,20 @@
     fleet.stop()
   })
 
+  // Guards against datagrams on plain servers with every request.
+  it('is told with the beats alone where nobody asks for it', async t => {
+    const fleet = await TalkFleet.start(80)
+    const [first, , one] = cast(fleet)
+    fleet.unasked.add(hashNumber(SERVER))
+    const before = one.bytes
+    fleet.put(one, SERVER, 5)
+    await fleet.pass(30)
+    t.is(one.bytes, before)
+    await fleet.pass(1000)
+    t.is(first.talk.sums([hashNumber(SERVER)])[0]?.outstanding, 5)
+    fleet.stop()
+  })
+
   for (const size of [81, 380]) {
     // Links of 7 Mbit/s carry answers; what grew with the fleet would crowd them out.
     it(`costs an instance of ${size} its part of the budget for control at the most, beats included`, async t => {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -19,10 +19,9 @@
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
-import { AccountQuotas, createQuotaKind } from './limits/accountQuotas.js'
+import { AccountQuotas } from './limits/accountQuotas.js'
+import { createLimitProtocols, type LimitProtocols } from './limits/createLimitProtocols.js'
 import { LimitScope } from './limits/limitMessage.js'
-import { LimitProtocol, type LimitKind } from './limits/limitProtocol.js'
-import { serverLimitKind } from './limits/serverLimits.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
 import { createOrderOffice, type OrderOffice } from './weights/orderOffice.js'
@@ -53,7 +52,7 @@
   private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
   private readonly peers: Peers
-  private readonly limits: Readonly<Record<LimitScope, LimitProtocol>>
+  private readonly limits: LimitProtocols
   private readonly office: OrderOffice
   private table: RouteTable | undefined
   private isLeaving = false
@@ -68,7 +67,7 @@
     this.state.addTo(this.log.metrics)
     this.figures = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
     this.peers = this.createPeers()
-    this.limits = this.createLimits()
+    this.limits = createLimitProtocols({ clock, quotaTolerance: options.quotaTolerance, peers: this.peers, log: this.log })
     this.knowledge = this.createKnowledge()
     this.office = this.createOffice()
     this.callers = CallerServer.create({
@@ -207,30 +206,6 @@
     })
   }
 
-  private createLimits (): Readonly<Record<LimitScope, LimitProtocol>> {
-    return {
-      [LimitScope.Account]: this.createLimitProtocol(createQuotaKind(this.options.quotaTolerance)),
-      [LimitScope.Server]: this.createLimitProtocol(serverLimitKind)
-    }
-  }
-
-  private createLimitProtocol (kind: LimitKind): LimitProtocol {
-    const { clock } = this.options
-    const { peers, log } = this
-    return LimitProtocol.create({
-      ...kind,
-      clock,
-      address: peers.address,
-      ranking: key => peers.limitOwners.of(key),
-      settledAt: () => peers.limitOwners.settledAt,
-      instances: () => peers.count(),
-      send: (address, message) => peers.link.sendLimit(address, message),
-      onMet: address => peers.meet(address),
-      onDecided: (role, outcome) => log.limitDecided(kind.scope, role, outcome),
-      onPassedOver: peer => log.belief('An instance does not answer questions of limits; the next in the ranking is asked.', { peer })
-    })
-  }
-
   private createKnowledge (): Knowledge {
     const { clock, random, log, topics, name, failureDomain, readers } = this.options
     const intake = RecordIntake.create({
