--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -52,6 +52,9 @@
  */
 const MOST_CURRENT = 8
 
+/** Limits of servers that one beat of a large fleet tells, drawn anew for each, bytes 14; what begins or ends is told at once beside the beats. */
+const MOST_LIMITS = 8
+
 /** Others that hear what this one read, those of its failure domain first: with 60 bytes 1.4 times a second, 8 KB/s. */
 const MOST_NOTIFIED = 96
 
@@ -221,7 +224,7 @@
     this.use.retain(address => alive.has(address))
     const receivers = this.isLarge ? this.rounds.next(this.receivers(), LARGE_RECEIVERS) : this.receivers()
     const beatMs = this.isLarge ? MOST_BEAT_MS : Math.min(MOST_BEAT_MS, Math.max(LEAST_BEAT_MS, receivers.length / DATAGRAMS_PER_MS))
-    this.link.send(receivers, this.message())
+    this.link.send(receivers, this.message(MOST_LIMITS))
     this.loads.follow()
     this.cancelBeat = clock.at(now + beatMs * (1 - BEAT_SPREAD * random.next()), () => this.beat())
   }
@@ -254,13 +257,13 @@
     return [...near, ...far].slice(0, MOST_NOTIFIED).map(({ address }) => address)
   }
 
-  private message (): PeerMessage {
+  private message (mostLimits = Infinity): PeerMessage {
     const { clock, name, failureDomain, word } = this.options
-    return { name, address: this.address, failureDomain, startedAt: this.startedAt, instances: this.table.known(clock.now()), ...this.limit(word()) }
+    return { name, address: this.address, failureDomain, startedAt: this.startedAt, instances: this.table.known(clock.now()), ...this.limit(word(), mostLimits) }
   }
 
-  private limit (word: OwnWord): OwnWord {
-    return this.isLarge ? { ...word, current: word.current.map(news => ({ ...news, engines: this.draw(news.engines, MOST_CURRENT) })) } : word
+  private limit (word: OwnWord, mostLimits: number): OwnWord {
+    return this.isLarge ? { ...word, limits: this.draw(word.limits, mostLimits), current: word.current.map(news => ({ ...news, engines: this.draw(news.engines, MOST_CURRENT) })) } : word
   }
 
   private draw<T> (all: readonly T[], most: number): T[] {
