Leave a server out for a moment where its limit has room at once

Found by reading. A refusal may tell the instant at which it was made: a bucket that is exactly empty has room with the next microsecond. The instance that owns the limit then chose the same server again within one turn of the event loop, and again, until the stack was full wherever the clock stands still for a turn. The test ended with a RangeError before. A statement in a beat that is no rate is dropped, too.

--- a/packages/foxtaillever-relay/src/__tests__/limitedServers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/limitedServers.test.ts
@@ -14,13 +14,15 @@
 /** Grants so many requests, and keeps what was given back. */
 class Grants {
   givenBack = 0
+  claims = 0
 
-  constructor (private left: number) {}
+  constructor (private left: number, private readonly retryAt = Infinity) {}
 
   readonly protocol: Pick<LimitProtocol, 'claim' | 'giveBack'> = {
     claim: (_, go) => {
       this.left -= 1
-      go({ outcome: this.left >= 0 ? LimitOutcome.Granted : LimitOutcome.Refused, role: LimitRole.Owner, decidedBy: 'a', retryAt: Infinity })
+      this.claims += 1
+      go({ outcome: this.left >= 0 ? LimitOutcome.Granted : LimitOutcome.Refused, role: LimitRole.Owner, decidedBy: 'a', retryAt: this.retryAt })
     },
     giveBack: () => { this.givenBack += 1 }
   }
@@ -52,6 +54,16 @@
     rig.stop()
   })
 
+  // Guards against asking again and again within one turn of the event loop.
+  it('asks once where the refusal tells an instant that has come', async t => {
+    const { rig } = await startLimited(0, answerWith('200 OK', LIMITED))
+    const grants = new Grants(0, rig.clock.now())
+    rig.limitProtocol = grants.protocol
+    t.regex(await rig.ask('second'), /^HTTP\/1.1 503 /)
+    t.is(grants.claims, 1)
+    rig.stop()
+  })
+
   // Guards against retries that the limit does not count.
   it('is not sent again beyond the limit', async t => {
     const { rig } = await startLimited(1, answerWith('500 Failed', LIMITED), answerWith('500 Failed', LIMITED))
--- a/packages/foxtaillever-relay/src/limits/limitProtocol.ts
+++ b/packages/foxtaillever-relay/src/limits/limitProtocol.ts
@@ -18,7 +18,7 @@
 /** What may be used without a decision is forgotten after this, milliseconds. */
 const FREE_MS = 500
 
-/** Accounts of which something may be used without a decision. */
+/** Keys of which something may be used without a decision. */
 const FREE_BOUND = 2048
 
 /** The ranking's places, in their order. */
@@ -100,7 +100,7 @@
   private readonly passedOver: PassedOver
   private readonly pending = new Map<number, Pending>()
   private readonly allowances = RecentMap.create<Allowance>(FREE_BOUND)
-  /** Accounts whose promise will be looked at again. */
+  /** Keys whose promise will be looked at again. */
   private readonly renewing = new Set<string>()
   private number = 0
 
--- a/packages/foxtaillever-relay/src/limits/serverLimits.ts
+++ b/packages/foxtaillever-relay/src/limits/serverLimits.ts
@@ -38,6 +38,9 @@
 /** A refusal is taken for the server's for so long at most, milliseconds: limits rise, and others give back. */
 const MOST_REFUSED_MS = 1000
 
+/** And for so long at least, milliseconds: a bucket that is just empty has room at once, and the clock may stand for a turn. */
+const LEAST_REFUSED_MS = 5
+
 /** Where nobody decided, the next request asks again after this, milliseconds. */
 const UNDECIDED_MS = 200
 
@@ -149,9 +152,9 @@
       log.sentUnderLimit(exchange, id, limit, now)
       return LimitAdmission.Counted
     }
-    const roomAt = result.outcome === LimitOutcome.Refused ? Math.min(result.retryAt, now + MOST_REFUSED_MS) : now + UNDECIDED_MS
+    const pauseMs = result.outcome === LimitOutcome.Refused ? Math.min(Math.max(result.retryAt - now, LEAST_REFUSED_MS), MOST_REFUSED_MS) : UNDECIDED_MS
     // The limit may have ended while the decision was on its way.
-    server.limitedUntil = this.stated.of(server.hash) ? roomAt : 0
+    server.limitedUntil = this.stated.of(server.hash) ? now + pauseMs : 0
     log.serverLimitRefused(exchange, id, limit, result, now)
     return LimitAdmission.Refused
   }
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -155,6 +155,11 @@
   return HEAD.every((type, index) => nameOfType(value[index]) === type) && value.slice(9, 12).every(part => Array.isArray(part))
 }
 
+/** A rate that is none would close a server for good. */
+function isStatement ([server, perSecond, ageMs]: readonly [number, number | null, number]): boolean {
+  return [server, perSecond ?? 0, ageMs].every(value => Number.isFinite(value) && value >= 0)
+}
+
 /** Nothing for a datagram of another form: an instance of another release may send it. */
 export function readPeerMessage (datagram: readonly unknown[]): Maybe<PeerMessage> {
   return Maybe.of(datagram).filter(isWire).chain(wire => Maybe.encase(() => {
@@ -176,7 +181,7 @@
       named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
       current: current.map(([model, version, engines]) => ({ model, version, engines })),
       speeds: speeds.map(([service, tokensPerMs, samples]) => ({ service, tokensPerMs: Number(tokensPerMs), samples: Number(samples) })),
-      limits: limits.map(([server, perSecond, ageMs]) => ({ server: Number(server), perSecond: perSecond === null ? undefined : Number(perSecond), ageMs: Number(ageMs) })),
+      limits: limits.filter(isStatement).map(([server, perSecond, ageMs]) => ({ server, perSecond: perSecond ?? undefined, ageMs })),
       stores: stores.map(([store, isSilent, incarnation]) => ({ store, isSilent, incarnation }))
     }
   }))
