Tell that a server's limit ended for some seconds only

Each answer without a limit set the time of its end anew, so that every beat told of the end for as long as the server answered, and in a large fleet took the place of limits in force. The test, six answers in six seconds, failed before. The end now keeps its time. The book of statements says how a limit changed, so that an answer looks it up once and not three times.

--- a/packages/foxtaillever-policy/src/limits/sharedLimitBook.ts
+++ b/packages/foxtaillever-policy/src/limits/sharedLimitBook.ts
@@ -30,7 +30,7 @@
   readonly perSecond: number
   /** Beside that, in any window. */
   readonly burst: number
-  /** Of the configuration that set it; a higher one replaces it. */
+  /** Of the configuration that set it, or when a server stated it; a higher one replaces it. */
   readonly revision: number
 }
 
--- a/packages/foxtaillever-policy/src/limits/statedLimits.ts
+++ b/packages/foxtaillever-policy/src/limits/statedLimits.ts
@@ -18,6 +18,12 @@
   readonly at: number
 }
 
+/** A limit in force that became another; undefined where there is none. */
+export interface LimitChange {
+  readonly before: number | undefined
+  readonly after: number | undefined
+}
+
 /** A statement and whose it is. */
 export interface ServerStatement extends Statement {
   /** Hash of the server's incarnation. */
@@ -57,15 +63,17 @@
    * Takes in a statement unless a newer one is known.
    * @param perSecond undefined where the server states no limit.
    * @param at when it was made, milliseconds of Unix time; for none, when the request was sent whose answer lacks it.
-   * @returns whether the limit in force is another.
+   * @returns how the limit in force changed; undefined where it is the same.
    */
-  observe (server: number, perSecond: number | undefined, at: number): boolean {
+  observe (server: number, perSecond: number | undefined, at: number): LimitChange | undefined {
     const key = String(server)
     const known = this.statements.peek(key)
-    if (known === undefined ? perSecond === undefined : known.at >= at) {
-      return false
+    const before = known?.perSecond
+    // The end of a limit keeps its time, so that it is not told for as long as the server answers.
+    if ((before === undefined && perSecond === undefined) || (known && known.at >= at)) {
+      return undefined
     }
     this.statements.set(key, { perSecond, at })
-    return known?.perSecond !== perSecond
+    return before === perSecond ? undefined : { before, after: perSecond }
   }
 }
--- a/packages/foxtaillever-relay/src/limits/__tests__/serverLimits.test.ts
+++ b/packages/foxtaillever-relay/src/limits/__tests__/serverLimits.test.ts
@@ -121,6 +121,17 @@
     t.deepEqual(told, [1, 1, 1, 2, 3])
   })
 
+  // Guards against beats that tell of a limit's end for as long as the server answers.
+  it('is told to have ended for some seconds only, however many answers follow', async t => {
+    const rig = new Rig()
+    rig.answer(rateOf(1.1), 0)
+    for (let second = 1; second <= 6; second += 1) {
+      await rig.clock.advanceBy(1000)
+      rig.answer(noLimit, second * 1000 - 100)
+    }
+    t.deepEqual(rig.limits.news(), [])
+  })
+
   // Guards against an old word of another instance that brings a limit back.
   it('is not brought back by what another instance heard before its end', async t => {
     const rig = new Rig()
--- a/packages/foxtaillever-relay/src/limits/limitOwners.ts
+++ b/packages/foxtaillever-relay/src/limits/limitOwners.ts
@@ -39,8 +39,8 @@
   }
 
   /** Addresses, the owner first. */
-  of (account: string): readonly string[] {
-    return this.rankings.of(hashNumber(account))
+  of (key: string): readonly string[] {
+    return this.rankings.of(hashNumber(key))
   }
 
   /** Since when the members are the same, milliseconds of Unix time; undefined while they are not known yet. */
--- a/packages/foxtaillever-relay/src/limits/serverLimits.ts
+++ b/packages/foxtaillever-relay/src/limits/serverLimits.ts
@@ -9,7 +9,7 @@
 import type { Clock } from 'foxtaillever-core'
 import { ReturnTurns } from 'foxtaillever-policy/limits/returnTurns'
 import { LimitOutcome, ReturnOrder, type LimitTolerance } from 'foxtaillever-policy/limits/sharedLimitBook'
-import { StatedLimits, type StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
+import { StatedLimits, type LimitChange, type StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
 import type { Exchange } from '../model/exchange.js'
 import { LimitStatementKind } from '../model/limitStatement.js'
 import type { AnswerMarks } from '../model/wire.js'
@@ -160,24 +160,22 @@
   }
 
   private learnHere (server: KnownServer, perSecond: number | undefined, at: number): void {
-    const before = this.stated.of(server.hash)?.perSecond
-    if (this.learn(server, perSecond, at) && isUrgent(before, perSecond)) {
+    const change = this.learn(server, perSecond, at)
+    if (change && isUrgent(change)) {
       this.options.onUrgent()
     }
   }
 
-  /** @returns whether the limit in force is another. */
-  private learn (server: KnownServer, perSecond: number | undefined, at: number): boolean {
-    const before = this.stated.of(server.hash)?.perSecond
-    const isNews = this.stated.observe(server.hash, perSecond, at)
-    if (isNews) {
+  private learn (server: KnownServer, perSecond: number | undefined, at: number): LimitChange | undefined {
+    const change = this.stated.observe(server.hash, perSecond, at)
+    if (change) {
       server.limitedUntil = 0
-      this.options.log.belief('A backend server states another limit of requests a second.', { server: server.listed.id, perSecond, before, ageMs: Math.round(this.options.clock.now() - at) })
+      this.options.log.belief('A backend server states another limit of requests a second.', { server: server.listed.id, perSecond, before: change.before, ageMs: Math.round(this.options.clock.now() - at) })
     }
-    return isNews
+    return change
   }
 }
 
-function isUrgent (before: number | undefined, after: number | undefined): boolean {
+function isUrgent ({ before, after }: LimitChange): boolean {
   return before === undefined || after === undefined || after < before * (1 - URGENT_FALL)
 }
