--- a/packages/foxtaillever-proof/src/platformSoak/serverPromises.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/serverPromises.ts
@@ -1,5 +1,5 @@
 /** Promises of a soak that servers alone can judge: whom they ran, on which cached levels, and who ordered them. */
-import { allowedInWindow, BINDING_MS, WINDOW_MS } from 'foxtaillever-platform/__fixtures__/limitedServers'
+import { allowedInWindow, BINDING_MS, countWindows, WINDOW_MS } from 'foxtaillever-platform/__fixtures__/limitedServers'
 import type { TakenOrder } from 'foxtaillever-standins'
 import type { Disturbances } from './disturbances.js'
 import type { SoakedFleet } from './soakedFleet.js'
@@ -22,10 +22,9 @@
     const times = server.arrivals
       .filter(({ at, statedLimit }) => statedLimit === String(perSecond) && at >= from + BINDING_MS && at <= until)
       .map(({ at }) => at)
-    return times.flatMap((at, index) => {
-      const count = times.slice(index).filter(other => other < at + WINDOW_MS).length
-      return count > most && outages.wasCalm(at - BINDING_MS, at + WINDOW_MS) ? [`${server.id} got ${count} requests in ${WINDOW_MS} ms from ${at - from} ms after it stated ${perSecond} a second on`] : []
-    })
+    return countWindows(times)
+      .filter(({ from: at, count }) => count > most && outages.wasCalm(at - BINDING_MS, at + WINDOW_MS))
+      .map(({ from: at, count }) => `${server.id} got ${count} requests in ${WINDOW_MS} ms from ${at - from} ms after it stated ${perSecond} a second on`)
   })
 }
 
