Log the store's era and the records that a reading passes over

Now each reading of a whole topic is logged with the offset that was known before, and records that are dropped as older are counted. No decision changes.

--- a/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
@@ -32,6 +32,7 @@
   /** The store as one instance reaches it. */
   of (instance: string): KeyedLog {
     return {
+      era: 0,
       newest: async topic => await this.answer(instance, 0, topic, Infinity, () => this.newest(topic)),
       read: async (topic, from, waitMs) => {
         if (waitMs > 0) {
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/topicFollower.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/topicFollower.test.ts
@@ -34,6 +34,7 @@
   const wholeKeys: string[][] = []
   const settled = async (): Promise<void> => await new Promise(resolve => { clock.at(clock.now() + ANSWER_MS, resolve) })
   const log: KeyedLog = {
+    era: 0,
     newest: async () => {
       calls.push('newest')
       await settled()
--- a/packages/foxtaillever-relay/src/knowledge/keyedLog.ts
+++ b/packages/foxtaillever-relay/src/knowledge/keyedLog.ts
@@ -25,6 +25,8 @@
 }
 
 export interface KeyedLog {
+  /** Rises each time the store was restored from an older copy, and gives offsets out again; the highest that an answer named, 0 before. */
+  readonly era: number
   /** @param after key after which the page begins; empty for the first. */
   readonly newest: (topic: string, after: string) => Promise<Either<Failure, NewestPage>>
   /** @param waitMs how long the store may hold the call until there is a record. */
--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -57,6 +57,8 @@
   readonly follower: TopicFollower
   /** Changes before this offset were told to the others, or told by them. */
   toldTo: number
+  /** Records of the reading under way that are older than what is known. */
+  olderRecords: number
 }
 
 type ReadPlan = Pick<TopicFollowerOptions, 'waitMs' | 'dueAt' | 'notBefore' | 'onAnswered'>
@@ -67,6 +69,8 @@
   private readonly followed: Readonly<Record<ToldTopic, Followed>>
   private readonly asking: PeerAsking
   private cancelLook = (): void => {}
+  /** Of the store, as of the last look. */
+  private era = 0
 
   private constructor (private readonly options: KnowledgeOptions) {
     this.suspension = Suspension.create(options.clock, options.wallSeconds)
@@ -101,6 +105,11 @@
     return this.servers.follower.isAnswered
   }
 
+  /** Rises each time the store was restored from an older copy. */
+  get storeEra (): number {
+    return this.options.log.era
+  }
+
   /** Another call to the store failed: looks at once whether it answers. */
   doubt (): void {
     this.servers.follower.readNow()
@@ -169,9 +178,16 @@
       log,
       topic: names[topic],
       isTold: () => this.isFresh(),
-      onRecord: record => table.take(record),
-      onWhole: (keys, end) => this.noteRead(topic, end, () => table.retain(keys, end)),
-      onReached: offset => this.noteRead(topic, offset, () => table.reach(offset)),
+      onRecord: record => { followed.olderRecords += Number(!table.take(record)) },
+      onWhole: (keys, end) => {
+        relayLog.belief('Read a topic of the platform\'s store whole.', { topic, era: log.era, end, known: table.position, records: keys.size, older: followed.olderRecords })
+        followed.olderRecords = 0
+        this.noteRead(topic, end, () => table.retain(keys, end))
+      },
+      onReached: offset => {
+        this.logOlder(topic, offset)
+        this.noteRead(topic, offset, () => table.reach(offset))
+      },
       onLost: failure => {
         relayLog.trouble('The platform\'s store does not answer.', { topic, reason: failure.message })
         this.notify(undefined)
@@ -181,7 +197,26 @@
         topics.forEach(other => this.followed[other].follower.reconsider())
       }
     })
-    return { table, follower, toldTo: 0 }
+    const followed: Followed = { table, follower, toldTo: 0, olderRecords: 0 }
+    return followed
+  }
+
+  private logOlder (topic: ToldTopic, offset: number): void {
+    const followed = this.followed[topic]
+    if (followed.olderRecords > 0) {
+      const { log, relayLog } = this.options
+      relayLog.trouble('Passed over records of the platform\'s store as older than what is known.', { topic, era: log.era, offset, known: followed.table.position, older: followed.olderRecords })
+      followed.olderRecords = 0
+    }
+  }
+
+  /** The store was restored from an older copy. */
+  private logEra (): void {
+    const { log: { era }, relayLog } = this.options
+    if (era > this.era) {
+      relayLog.trouble('The platform\'s store is in another era.', { era, before: this.era })
+      this.era = era
+    }
   }
 
   private place (): ReaderPlace {
@@ -279,6 +314,7 @@
 
   private look (): void {
     const { clock, relayLog } = this.options
+    this.logEra()
     const stoodMs = this.suspension.look(LOOK_MS)
     if (stoodMs > 0) {
       relayLog.trouble('This machine stood still; what is known is read again.', { stoodMs: Math.round(stoodMs) })
--- a/packages/foxtaillever-relay/src/knowledge/recordTable.ts
+++ b/packages/foxtaillever-relay/src/knowledge/recordTable.ts
@@ -49,10 +49,12 @@
     return this.changedEnd
   }
 
-  take (record: KeyedRecord): void {
+  /** @returns false for a record that is older than what is known of its key. */
+  take (record: KeyedRecord): boolean {
     const { key, offset } = record
-    if (offset <= (this.seen.get(key) ?? -1)) {
-      return
+    const seen = this.seen.get(key) ?? -1
+    if (offset <= seen) {
+      return offset === seen
     }
     this.seen.set(key, offset)
     // Who heard of the removal must hear that it was undone, though nothing else has changed.
@@ -61,6 +63,7 @@
       this.records.set(key, record)
       this.changedEnd = Math.max(this.changedEnd, offset + 1)
     }
+    return true
   }
 
   /**
--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -79,6 +79,7 @@
     metrics.gauge('known_instances', () => peers().count())
     metrics.gauge('prefill_tokens_per_ms', () => Math.round([...directory.experience.prefillSpeeds.values()].at(0)?.tokensPerMs ?? 0))
     metrics.gauge('store_answers', () => Number(knowledge().hasStore))
+    metrics.gauge('store_era', () => knowledge().storeEra)
     metrics.gauge('lease_held', () => Number(lease().fence() !== undefined))
     metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
   }
