--- a/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
@@ -21,9 +21,24 @@
   /** Instances whose call is held until there is a record. */
   readonly held = new Set<string>()
   calls = 0
+  /** No call gets through. */
+  isAway = false
+  private era = 0
 
   constructor (private readonly clock: VirtualClock) {}
 
+  /** What the topics hold, to restore it later. */
+  copy (): ReadonlyMap<string, readonly KeyedRecord[]> {
+    return new Map([...this.topics].map(([topic, records]) => [topic, [...records]]))
+  }
+
+  /** Loses everything since the copy was made; offsets since then are given out again. */
+  restore (copy: ReadonlyMap<string, readonly KeyedRecord[]>): void {
+    this.topics.clear()
+    copy.forEach((records, topic) => this.topics.set(topic, [...records]))
+    this.era += 1
+  }
+
   append (topic: string, key: string, value: string | undefined): void {
     const records = this.records(topic)
     records.push({ key, value: value === undefined ? undefined : Buffer.from(value), offset: records.length })
@@ -31,8 +46,9 @@
 
   /** The store as one instance reaches it. */
   of (instance: string): KeyedLog {
+    const current = (): number => this.era
     return {
-      era: 0,
+      get era () { return current() },
       newest: async topic => await this.answer(instance, 0, topic, Infinity, () => this.newest(topic)),
       read: async (topic, from, waitMs) => {
         if (waitMs > 0) {
@@ -58,7 +74,7 @@
 
   private read (topic: string, from: number): RecordPage {
     const records = this.records(topic).slice(from)
-    return { records, next: from + records.length, isGap: false }
+    return { records, next: from + records.length, isGap: from > this.records(topic).length }
   }
 
   private async answer<Page> (instance: string, waitMs: number, topic: string, from: number, page: () => Page): Promise<Either<Failure, Page>> {
@@ -66,8 +82,12 @@
     const until = this.clock.now() + waitMs
     do {
       await new Promise<void>(resolve => { this.clock.at(this.clock.now() + ANSWER_MS, resolve) })
-    } while (!this.dark.has(instance) && this.clock.now() < until && this.records(topic).length <= from)
-    return this.dark.has(instance) ? Left(unanswered) : Right(page())
+    } while (!this.isDarkFor(instance) && this.clock.now() < until && this.records(topic).length === from)
+    return this.isDarkFor(instance) ? Left(unanswered) : Right(page())
+  }
+
+  private isDarkFor (instance: string): boolean {
+    return this.isAway || this.dark.has(instance)
   }
 }
 
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -2,14 +2,14 @@
  * The users' platform around instances, on loopback and in one process: the
  * store, servers that register and leave there, and operators who write to it.
  */
-import type { Cancellation, Clock } from 'foxtaillever-core'
+import { waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
 import { BackendServer, createPlainRunner, type Runner } from './engines/backendServer.js'
 import { EngineRunner } from './engines/engineRunner.js'
 import { PartCache } from './engines/partCache.js'
 import type { PartUse } from './engines/tokenEngine.js'
 import type { TakenOrder } from './engines/weightOrders.js'
 import { Link } from './link.js'
-import { OPERATORS_TOPIC, SERVERS_TOPIC, StoreModel } from './store/storeModel.js'
+import { OPERATORS_TOPIC, SERVERS_TOPIC, StoreModel, type StoreCopy } from './store/storeModel.js'
 import { StoreServer } from './store/storeServer.js'
 
 /** Small against a real engine, so that runs are short. */
@@ -33,6 +33,17 @@
   isBeating: boolean
 }
 
+/** How the store is restored. */
+export interface Restoration {
+  readonly copy: StoreCopy
+  /** No call gets through for so long, milliseconds. */
+  readonly awayMs: number
+  /** What was lost is written again so long after the store is back, milliseconds. */
+  readonly rewrittenMs: number
+  /** Carried out on the restored store before any call gets through. */
+  readonly beforeCalls?: () => void
+}
+
 export interface PlatformDeploymentOptions {
   readonly clock: Clock
   /** Loopback address of everything. */
@@ -50,6 +61,8 @@
   private readonly registered: Registered[] = []
   private readonly doors: StoreServer[] = []
   private readonly named = new Map<string, number>()
+  /** The newest that operators wrote, by key. */
+  private readonly written = new Map<string, object>()
   private cancelBeat: Cancellation = () => {}
   private beats = 0
 
@@ -118,12 +131,25 @@
   }
 
   configure (configuration: object): void {
-    this.store.put(OPERATORS_TOPIC, 'config', configuration)
+    this.writeAsOperator('config', configuration)
   }
 
   nameWeights (model: string, version: number): void {
     this.named.set(model, version)
-    this.store.put(OPERATORS_TOPIC, `version/${model}`, { model, version })
+    this.writeAsOperator(`version/${model}`, { model, version })
+  }
+
+  /** The store is away and comes back from an older copy; operators and servers then write again what they wrote. */
+  async restoreStore ({ copy, awayMs, rewrittenMs, beforeCalls = () => {} }: Restoration): Promise<void> {
+    const { clock } = this.options
+    this.store.isAway = true
+    this.doors.forEach(door => door.disconnect())
+    await waitUntil(clock, clock.now() + awayMs)
+    this.store.restore(copy)
+    beforeCalls()
+    this.store.isAway = false
+    await waitUntil(clock, clock.now() + rewrittenMs)
+    this.writeAgain()
   }
 
   /** The server says that it leaves, and goes on serving what it has. */
@@ -150,6 +176,22 @@
     this.servers.forEach(server => server.close())
   }
 
+  private writeAsOperator (key: string, value: object): void {
+    this.written.set(key, value)
+    this.store.put(OPERATORS_TOPIC, key, value)
+  }
+
+  private writeAgain (): void {
+    const { newest } = this.store.partition(OPERATORS_TOPIC)
+    this.written.forEach((value, key) => {
+      if (newest.get(key)?.value.toString() !== JSON.stringify(value)) {
+        this.store.put(OPERATORS_TOPIC, key, value)
+      }
+    })
+    this.registered.filter(({ isBeating }) => !isBeating).forEach(({ server }) => this.store.put(SERVERS_TOPIC, server.id, undefined))
+    this.beatAll()
+  }
+
   private cacheAt (address: string): PartCache | undefined {
     const engine = this.registered.find(entry => entry.isBeating && entry.address === address)?.runner
     return this.cacheStores.get(address) ?? (engine instanceof EngineRunner ? engine.engine.cache : undefined)
--- a/packages/foxtaillever-standins/src/platform/store/partition.ts
+++ b/packages/foxtaillever-standins/src/platform/store/partition.ts
@@ -72,6 +72,16 @@
     return new Partition(isKeyed)
   }
 
+  /** The same records, independent of this partition from now on. */
+  copy (): Partition {
+    const copy = Partition.create(this.isKeyed)
+    copy.records = [...this.records]
+    copy.end = this.end
+    this.newest.forEach((record, key) => copy.newest.set(key, record))
+    this.producers.forEach((producer, name) => copy.producers.set(name, { ...producer, answers: new Map(producer.answers) }))
+    return copy
+  }
+
   /** First offset that is kept. */
   get first (): number {
     return this.records[0]?.offset ?? this.end
@@ -132,9 +142,9 @@
     }
   }
 
-  /** Undefined when the records from there on are not all kept. */
+  /** Undefined when the records from there on are not all kept, or the partition ends before. */
   read (from: number): readonly StoredRecord[] | undefined {
-    return from < this.first ? undefined : this.records.slice(from - this.first)
+    return from < this.first || from > this.end ? undefined : this.records.slice(from - this.first)
   }
 
   trim (before: number): void {
--- a/packages/foxtaillever-standins/src/platform/store/storeFaults.ts
+++ b/packages/foxtaillever-standins/src/platform/store/storeFaults.ts
@@ -26,11 +26,13 @@
   readonly appends: AppendFault[]
   /** When a late append is carried out after its call, milliseconds. */
   lateMs: number
+  /** Answers name the store's era. */
+  namesEra: boolean
 }
 
 /** Long enough that the caller has given up on the answer, milliseconds. */
 const DEFAULT_LATE_MS = 900
 
 export function createStoreFaults (): StoreFaults {
-  return { mode: StoreMode.Up, slownessMs: 0, appends: [], lateMs: DEFAULT_LATE_MS }
+  return { mode: StoreMode.Up, slownessMs: 0, appends: [], lateMs: DEFAULT_LATE_MS, namesEra: true }
 }
--- a/packages/foxtaillever-standins/src/platform/store/storeModel.ts
+++ b/packages/foxtaillever-standins/src/platform/store/storeModel.ts
@@ -9,8 +9,15 @@
 export const OPERATORS_TOPIC = 'keyed.op'
 export const SERVERS_TOPIC = 'keyed.servers'
 
+/** What the store held at an instant, by topic and partition. */
+export type StoreCopy = ReadonlyMap<string, Partition>
+
 export class StoreModel {
   private readonly partitions = new Map<string, Partition>()
+  /** Rises each time the store is restored from a copy. */
+  era = 0
+  /** No call gets through. */
+  isAway = false
   private readonly watchers: Watchers
 
   private constructor (private readonly clock: Clock) {
@@ -38,6 +45,18 @@
     this.partition(topic).append([createKeyedContent(key, value)], {}, this.clock.now()).ifRight(() => this.changed())
   }
 
+  copy (): StoreCopy {
+    return new Map([...this.partitions].map(([name, partition]) => [name, partition.copy()]))
+  }
+
+  /** Loses everything since the copy was made; offsets since then are given out again. */
+  restore (copy: StoreCopy): void {
+    this.partitions.clear()
+    copy.forEach((partition, name) => this.partitions.set(name, partition.copy()))
+    this.era += 1
+    this.changed()
+  }
+
   /** Records so far are forgotten; the newest of each key stays. */
   compact (): void {
     this.partitions.forEach(partition => partition.trim(partition.end))
--- a/packages/foxtaillever-standins/src/platform/store/storeServer.ts
+++ b/packages/foxtaillever-standins/src/platform/store/storeServer.ts
@@ -7,7 +7,7 @@
 import type { AddressInfo } from 'node:net'
 import { waitUntil, type Clock } from 'foxtaillever-core'
 import { readBody } from '../readBody.js'
-import type { AppendConditions } from './partition.js'
+import type { AppendConditions, Partition } from './partition.js'
 import { frameRecords, splitRecords } from './recordFrames.js'
 import { AppendFault, createStoreFaults, StoreMode, type StoreFaults } from './storeFaults.js'
 import { OPERATORS_TOPIC, SERVERS_TOPIC, type StoreModel } from './storeModel.js'
@@ -72,10 +72,15 @@
   setMode (mode: StoreMode): void {
     this.faults.mode = mode
     if (mode === StoreMode.Resetting) {
-      this.server.closeAllConnections()
+      this.disconnect()
     }
   }
 
+  /** Resets all connections. */
+  disconnect (): void {
+    this.server.closeAllConnections()
+  }
+
   close (): void {
     this.server.close()
     this.server.closeAllConnections()
@@ -89,7 +94,7 @@
     if (mode === StoreMode.Silent) {
       return
     }
-    if (mode === StoreMode.Resetting) {
+    if (mode === StoreMode.Resetting || this.model.isAway) {
       request.socket.destroy()
       return
     }
@@ -97,13 +102,17 @@
     const answer = await this.answer(pathname, searchParams, body)
     // A mode that came while the call was held has the last word.
     if (answer && this.faults.mode === StoreMode.Up) {
-      response.writeHead(answer.status, { 'Content-Length': answer.body.length })
+      response.writeHead(answer.status, { ...this.eraHeader(), 'Content-Length': answer.body.length })
       response.end(answer.body)
     } else if (this.faults.mode === StoreMode.Refusing) {
-      response.writeHead(503).end()
+      response.writeHead(503, this.eraHeader()).end()
     }
   }
 
+  private eraHeader (): Record<string, string> {
+    return this.faults.namesEra ? { 'Store-Era': String(this.model.era) } : {}
+  }
+
   /** Undefined when the answer is lost. */
   private async answer (path: string, query: URLSearchParams, body: Buffer): Promise<Answer | undefined> {
     const handler = this.handlers[path]
@@ -135,9 +144,10 @@
   }
 
   private async read (query: URLSearchParams): Promise<Answer> {
-    const partition = this.model.partition(query.get('topic') ?? '', numberOf(query, 'part'))
+    const find = (): Partition => this.model.partition(query.get('topic') ?? '', numberOf(query, 'part'))
     const from = numberOf(query, 'from') ?? 0
-    await this.model.waitFor(partition, from, this.clock.now() + (numberOf(query, 'wait_ms') ?? 0))
+    await this.model.waitFor(find(), from, this.clock.now() + (numberOf(query, 'wait_ms') ?? 0))
+    const partition = find()
     const records = partition.read(from)
     return records
       ? { status: 200, body: frameRecords(partition.end, partition.first, records.map(({ content }) => content)) }
