Number what the platform's store holds by its era and its offset

Callers of a route that had been confirmed 2.5 s before got 404. Cause: a record counted as newer only if its offset was higher than the last of its key, and a reader asked on from its former offset. After the store was restored from an older copy it gives offsets out again, so every instance dropped changes until the topic had grown past the former end, or skipped what stood below it.

A position is now one number made of Store-Era and offset, so every comparison, in the tables, between instances and in the followers, puts a later era first. An answer of another era than the position asked for ends that reading, and the topic is read whole; a rise is learned from any answer of the store, or from another instance's positions, and does not wait for a held call.

--- a/packages/foxtaillever-relay/src/index.ts
+++ b/packages/foxtaillever-relay/src/index.ts
@@ -1,4 +1,5 @@
 /** Public surface of the relay. */
+export { eraOf, MOST_ERA, offsetOf, positionAt } from './knowledge/storePosition.js'
 export * from './relay.js'
 export * from './relayOptions.js'
 export type { CacheStoreCalls, StoreState } from './cache/storeWatch.js'
--- a/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
@@ -9,6 +9,7 @@
 import { RelayLog } from '../../telemetry/relayLog.js'
 import type { KeyedLog, KeyedRecord, NewestPage, RecordPage } from '../keyedLog.js'
 import { Knowledge } from '../knowledge.js'
+import { eraOf, offsetOf, positionAt } from '../storePosition.js'
 
 const ANSWER_MS = 4
 const BEAT_MS = 1000
@@ -24,6 +25,8 @@
   /** No call gets through. */
   isAway = false
   private era = 0
+  /** The era that the last answer to an instance named. */
+  private readonly named = new Map<string, number>()
 
   constructor (private readonly clock: VirtualClock) {}
 
@@ -46,9 +49,9 @@
 
   /** The store as one instance reaches it. */
   of (instance: string): KeyedLog {
-    const current = (): number => this.era
+    const { named } = this
     return {
-      get era () { return current() },
+      get era () { return named.get(instance) ?? 0 },
       newest: async topic => await this.answer(instance, 0, topic, Infinity, () => this.newest(topic)),
       read: async (topic, from, waitMs) => {
         if (waitMs > 0) {
@@ -67,14 +70,20 @@
     return records
   }
 
+  private placed (record: KeyedRecord): KeyedRecord {
+    return { ...record, offset: positionAt(this.era, record.offset) }
+  }
+
   private newest (topic: string): NewestPage {
     const byKey = new Map(this.records(topic).map(record => [record.key, record]))
-    return { records: [...byKey.values()].filter(({ value }) => value !== undefined), hasMore: false, end: this.records(topic).length }
+    const records = [...byKey.values()].filter(({ value }) => value !== undefined).map(record => this.placed(record))
+    return { records, hasMore: false, end: positionAt(this.era, this.records(topic).length) }
   }
 
   private read (topic: string, from: number): RecordPage {
-    const records = this.records(topic).slice(from)
-    return { records, next: from + records.length, isGap: from > this.records(topic).length }
+    const records = this.records(topic).slice(offsetOf(from)).map(record => this.placed(record))
+    const isGap = eraOf(from) !== this.era || offsetOf(from) > this.records(topic).length
+    return { records, next: from + records.length, isGap }
   }
 
   private async answer<Page> (instance: string, waitMs: number, topic: string, from: number, page: () => Page): Promise<Either<Failure, Page>> {
@@ -82,8 +91,16 @@
     const until = this.clock.now() + waitMs
     do {
       await new Promise<void>(resolve => { this.clock.at(this.clock.now() + ANSWER_MS, resolve) })
-    } while (!this.isDarkFor(instance) && this.clock.now() < until && this.records(topic).length === from)
-    return this.isDarkFor(instance) ? Left(unanswered) : Right(page())
+    } while (!this.isDarkFor(instance) && this.clock.now() < until && this.endsAt(topic, from))
+    if (this.isDarkFor(instance)) {
+      return Left(unanswered)
+    }
+    this.named.set(instance, this.era)
+    return Right(page())
+  }
+
+  private endsAt (topic: string, position: number): boolean {
+    return positionAt(this.era, this.records(topic).length) === position
   }
 
   private isDarkFor (instance: string): boolean {
--- a/packages/foxtaillever-relay/src/knowledge/keyedLog.ts
+++ b/packages/foxtaillever-relay/src/knowledge/keyedLog.ts
@@ -1,4 +1,8 @@
-/** The narrow interface to topics of the platform's store in which the newest record of each key is kept. */
+/**
+ * The narrow interface to topics of the platform's store in which the newest
+ * record of each key is kept. What it calls offsets are positions, which
+ * `storePosition` makes of the store's era and its offset.
+ */
 import type { Failure } from 'foxtaillever-core'
 import type { Either } from 'purify-ts'
 
@@ -16,11 +20,11 @@
   readonly end: number
 }
 
-/** Records from an offset on, or word that they were deleted. */
+/** Records from an offset on, or word that they were deleted or that the store is in another era. */
 export interface RecordPage {
   readonly records: readonly KeyedRecord[]
   readonly next: number
-  /** Records between the offset asked for and these are gone. */
+  /** What stands between the offset asked for and the topic's end is not known by this answer. */
   readonly isGap: boolean
 }
 
--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -15,6 +15,7 @@
 import type { KeyedLog, KeyedRecord } from './keyedLog.js'
 import { PeerAsking, type KnowingPeer, type PeerAnswer } from './peerAsking.js'
 import { RecordTable, type ToldSince } from './recordTable.js'
+import { eraOf } from './storePosition.js'
 import { Suspension } from './suspension.js'
 import { TopicFollower, type TopicFollowerOptions } from './topicFollower.js'
 
@@ -141,6 +142,7 @@
     if (news) {
       this.takeTold(news.topic, { ...news, position: positions[news.topic].position, keys: undefined })
     }
+    this.enterEra(Math.max(...topics.map(topic => eraOf(positions[topic].position))))
     topics.forEach(topic => this.hearPosition(topic, positions[topic], address, isFresh ? now : -Infinity))
     topics.forEach(topic => this.followed[topic].follower.reconsider())
   }
@@ -210,13 +212,13 @@
     }
   }
 
-  /** The store was restored from an older copy. */
-  private logEra (): void {
-    const { log: { era }, relayLog } = this.options
+  /** Whoever learns that the store was restored from an older copy reads everything anew. */
+  private enterEra (era: number): void {
     if (era > this.era) {
-      relayLog.trouble('The platform\'s store is in another era.', { era, before: this.era })
+      this.options.relayLog.trouble('The platform\'s store was restored from an older copy.', { era, before: this.era })
       this.era = era
     }
+    topics.forEach(topic => this.followed[topic].follower.enter(era))
   }
 
   private place (): ReaderPlace {
@@ -282,7 +284,8 @@
       }
       return
     }
-    if (topic === ToldTopic.Servers || follower.isFailing || this.servers.follower.isFailing) {
+    const isReadAnew = eraOf(position) > eraOf(table.position)
+    if (follower.isFailing || this.servers.follower.isFailing || (topic === ToldTopic.Servers && !isReadAnew)) {
       this.asking.ask(address, topic, table.position, freshAt)
     } else if (!follower.isReading) {
       // The store's connection is faster than an instance's, and a configuration may be large.
@@ -314,7 +317,7 @@
 
   private look (): void {
     const { clock, relayLog } = this.options
-    this.logEra()
+    this.enterEra(Math.max(this.options.log.era, ...this.options.peers().map(({ positions }) => eraOf(positions?.servers ?? 0))))
     const stoodMs = this.suspension.look(LOOK_MS)
     if (stoodMs > 0) {
       relayLog.trouble('This machine stood still; what is known is read again.', { stoodMs: Math.round(stoodMs) })
--- a/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
+++ b/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock, Failure } from 'foxtaillever-core'
 import type { KeyedLog, KeyedRecord } from './keyedLog.js'
+import { eraOf } from './storePosition.js'
 
 export interface TopicFollowerOptions {
   readonly clock: Clock
@@ -42,6 +43,9 @@
 /** Between two calls, milliseconds, should the store not hold them as asked. */
 const LEAST_PAUSE_MS = 20
 
+/** Between two readings anew that are due to another's word on the store's era, milliseconds, should the store not be there yet. */
+const ENTER_PAUSE_MS = 1000
+
 /** What is due much later is looked at again after this, milliseconds. */
 const LONGEST_SLEEP_MS = 10_000
 
@@ -52,6 +56,9 @@
   private isRunning = false
   private isWanted = false
   private wake = (): void => {}
+  /** Gives up the call under way, whose answer no longer counts. */
+  private interrupt = (): void => {}
+  private enteredAt = -Infinity
   /** When the last call was sent, milliseconds of Unix time. */
   triedAt = -Infinity
   /** A call is under way. */
@@ -90,6 +97,17 @@
     }
   }
 
+  /** The store is in a later era, by another's word: what is known of the topic is read anew, without waiting for a call under way. */
+  enter (era: number): void {
+    const now = this.options.clock.now()
+    if (this.next !== undefined && eraOf(this.next) < era && now >= this.enteredAt + ENTER_PAUSE_MS) {
+      this.enteredAt = now
+      this.next = undefined
+      this.interrupt()
+      this.wake()
+    }
+  }
+
   /** What is due may have changed. */
   reconsider (): void {
     this.wake()
@@ -188,8 +206,9 @@
 
   private async readOn (from: number): Promise<Failure | undefined> {
     const { log, topic, waitMs, onRecord, onReached } = this.options
-    const page = await log.read(topic, from, waitMs())
-    return page.caseOf({
+    const interrupted = new Promise<undefined>(resolve => { this.interrupt = () => resolve(undefined) })
+    const page = await Promise.race([log.read(topic, from, waitMs()), interrupted])
+    return page?.caseOf({
       Left: failure => failure,
       Right: ({ records, next, isGap }) => {
         this.noteAnswer()
--- a/packages/foxtaillever-relay/src/peers/readNotice.ts
+++ b/packages/foxtaillever-relay/src/peers/readNotice.ts
@@ -42,10 +42,19 @@
   return bytes <= MOST_NEWS_BYTES ? news : undefined
 }
 
+/** Only a little is new before a position, so the difference takes fewer bytes than a second one. */
+function packPosition ({ position, changed }: ReadPosition): [position: number, unchanged: number] {
+  return [position, position - changed]
+}
+
+function readPosition (position: number, unchanged: number): ReadPosition {
+  return { position, changed: position - unchanged }
+}
+
 export function encodeReadNotice ({ address, isFresh, isWatching, positions, news }: ReadNotice): Buffer {
   const { operators, servers } = positions
   return packDatagram([
-    DatagramKind.ReadNotice, address, isFresh, isWatching, operators.position, operators.changed, servers.position, servers.changed,
+    DatagramKind.ReadNotice, address, isFresh, isWatching, ...packPosition(operators), ...packPosition(servers),
     news === undefined ? null : [news.topic, news.from, news.records.map(({ key, value, offset }) => [key, value ?? null, offset])]
   ])
 }
@@ -68,14 +77,14 @@
 /** Nothing for a datagram of another form. */
 export function readReadNotice (datagram: readonly unknown[]): Maybe<ReadNotice> {
   return Maybe.of(datagram).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [, address, isFresh, isWatching, operators, operatorsChanged, servers, serversChanged, news] = wire
+    const [, address, isFresh, isWatching, operators, operatorsUnchanged, servers, serversUnchanged, news] = wire
     return {
       address,
       isFresh,
       isWatching,
       positions: {
-        [ToldTopic.Operators]: { position: operators, changed: operatorsChanged },
-        [ToldTopic.Servers]: { position: servers, changed: serversChanged }
+        [ToldTopic.Operators]: readPosition(operators, operatorsUnchanged),
+        [ToldTopic.Servers]: readPosition(servers, serversUnchanged)
       },
       news: news === null
         ? undefined
