Rank operators' records by their versions, and wait for others at a start

A store that was restored from an older copy shows configuration N-k at a later position than N had, until operators write again. An instance that ran kept N, but told others the older one; an instance that started served by it, and refused what N allows. A configuration that was written again under the same revision with other contents was never taken.

Now versions say what is newer, and of one revision the record written later counts. What is kept is told. Beats carry the revision in force; whoever has read as far and yet has an older one asks for the records.

--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -64,6 +64,7 @@
     startedAt: 1,
     isLeaving: false,
     hasStore: true,
+    revision: 57,
     positions: { operators: 1, servers: 1 },
     lease: { offset: 1, holder: 'a', ageMs: 1 },
     uses: [],
--- a/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
@@ -123,6 +123,10 @@
   return value.split('|')[0] ?? ''
 }
 
+function revisionOf (beliefs: ReadonlyMap<string, string>): number {
+  return Number(beliefs.get('config') ?? -1) || -1
+}
+
 export class FakeFleet {
   readonly instances: FakeInstance[] = []
   /** Instances whose datagrams are lost. */
@@ -140,6 +144,14 @@
     return this.instances.find(instance => instance.name === name) as FakeInstance
   }
 
+  /** An instance starts. */
+  add (name: string): FakeInstance {
+    const instance = this.create(name, `domain-${this.instances.length % 3}`)
+    this.instances.push(instance)
+    instance.knowledge.start()
+    return instance
+  }
+
   kill (name: string): void {
     this.get(name).isAlive = false
     this.get(name).knowledge.stop()
@@ -154,12 +166,17 @@
     const { clock } = this
     const beliefs = new Map<string, string>()
     const learnedAt = new Map<string, number>()
+    const takenAt = new Map<string, number>()
     const others = (): FakeInstance[] => this.instances.filter(other => other.name !== name && other.isAlive)
-    const take = ({ key, value }: KeyedRecord): boolean => {
+    // Contents that are numbers are versions.
+    const take = ({ key, value, offset }: KeyedRecord): boolean => {
       const text = value === undefined ? '' : withoutBeat(value.toString())
-      if (beliefs.get(key) === text) {
+      const known = beliefs.get(key)
+      const isOlder = Number(text) < Number(known) || (offset < (takenAt.get(key) ?? -1) && !(Number(text) > Number(known)))
+      if (known === text || isOlder) {
         return false
       }
+      takenAt.set(key, offset)
       beliefs.set(key, text)
       learnedAt.set(key, clock.now())
       return true
@@ -172,11 +189,15 @@
       topics: { [ToldTopic.Operators]: 'operators', [ToldTopic.Servers]: 'servers' },
       relayLog: RelayLog.create(Logs.create({ instance: name, level: 'silent', clock })),
       link: () => ({ ask: async (address, topic, from) => this.ask(address, topic, from) }),
-      peers: () => others().map(other => ({ address: other.name, positions: other.knowledge.positions })),
+      peers: () => others().map(other => ({ address: other.name, positions: other.knowledge.positions, revision: revisionOf(other.beliefs) })),
+      revision: () => revisionOf(beliefs),
       self: { name, failureDomain },
       readers: () => others().filter(other => this.answered.has(other.name)).map(other => ({ name: other.name, failureDomain: `domain-${this.instances.indexOf(other) % 3}` })),
       notify: notice => this.deliver(name, { ...notice, address: name }),
-      onRecord: { [ToldTopic.Operators]: take, [ToldTopic.Servers]: take }
+      onRecord: {
+        [ToldTopic.Operators]: record => record.value === undefined ? false : take(record),
+        [ToldTopic.Servers]: take
+      }
     })
     return { name, knowledge, beliefs, learnedAt, isAlive: true }
   }
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/recordIntake.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/recordIntake.test.ts
@@ -9,9 +9,11 @@
 import { Logs } from 'foxtaillever-telemetry'
 import { ServerState, type ListedServer } from '../../model/listedServer.js'
 import { OperatorKey } from '../../relayOptions.js'
+import type { Routing } from '../../model/routing.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
 import { RelayLog } from '../../telemetry/relayLog.js'
 import { RecordIntake } from '../recordIntake.js'
+import { positionAt } from '../storePosition.js'
 
 function readEntry (id: string): ListedServer {
   return { id, startedAt: 0, service: 'chat', address: '127.0.0.1:1', failureDomain: 'one', slots: 1, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }
@@ -32,7 +34,7 @@
     directory,
     settledAt: () => clock.now() < settledAt ? settledAt : -Infinity,
     onRouting: () => {},
-    onWeights: () => {}
+    onWeights: () => true
   })
   return { clock, intake, ready: () => directory.ready('chat').map(({ listed }) => listed.id) }
 }
@@ -60,4 +62,46 @@
     intake.takeServer({ key: 's', value, offset: 2 })
     t.deepEqual(ready(), ['s'])
   })
+
+  describe('with configurations of a restored store', () => {
+    const text = (revision: number, contents: string): Buffer => Buffer.from(`${revision} ${contents}`)
+
+    function createRoutingIntake (): { intake: RecordIntake, taken: string[] } {
+      const clock = VirtualClock.create()
+      const taken: string[] = []
+      const intake = RecordIntake.create({
+        clock,
+        log: RelayLog.create(Logs.create({ instance: 'a', level: 'silent', clock })),
+        readers: {
+          routing: bytes => Right({ revision: Number(bytes.toString().split(' ')[0]), text: bytes.toString() } as unknown as Routing),
+          weights: () => { throw new Error('not read here') },
+          server: id => Right(readEntry(id)),
+          kindOfKey: () => OperatorKey.Routing
+        },
+        directory: ServerDirectory.create({ onChanged: () => {} }),
+        settledAt: () => -Infinity,
+        onRouting: routing => taken.push((routing as unknown as { readonly text: string }).text),
+        onWeights: () => true
+      })
+      return { intake, taken }
+    }
+
+    // Guards against a configuration that goes back to the one in the copy.
+    it('keeps the newest revision, at whatever position it stands', t => {
+      const { intake, taken } = createRoutingIntake()
+      t.true(intake.takeOperators({ key: 'config', value: text(5, 'a'), offset: 9 }))
+      t.false(intake.takeOperators({ key: 'config', value: text(4, 'a'), offset: positionAt(1, 2) }))
+      t.true(intake.takeOperators({ key: 'config', value: text(6, 'a'), offset: 10 }))
+      t.deepEqual(taken, ['5 a', '6 a'])
+    })
+
+    // Guards against other contents under a revision that is known: the one confirmed later counts.
+    it('takes other contents of the same revision where they were written later', t => {
+      const { intake, taken } = createRoutingIntake()
+      t.true(intake.takeOperators({ key: 'config', value: text(5, 'lost'), offset: 9 }))
+      t.true(intake.takeOperators({ key: 'config', value: text(5, 'again'), offset: positionAt(1, 2) }))
+      t.false(intake.takeOperators({ key: 'config', value: text(5, 'lost'), offset: 9 }))
+      t.deepEqual(taken, ['5 lost', '5 again'])
+    })
+  })
 })
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/restoredStore.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/restoredStore.test.ts
@@ -13,6 +13,11 @@
 const AWAY_MS = 500
 const LOST = 6
 
+/** Versions of the configuration: the last that is lost, and those that follow. */
+const NEWEST_LOST = '7'
+const NEW = '8'
+const NEWER = '9'
+
 interface Restored {
   readonly clock: VirtualClock
   readonly store: FakeStore
@@ -29,7 +34,7 @@
 async function restoreStore ({ lost, beforeCalls }: Events = {}): Promise<Restored> {
   const clock = VirtualClock.create()
   const store = new FakeStore(clock)
-  store.append('operators', 'config', 'one')
+  store.append('operators', 'config', '1')
   store.append('servers', 's', 'ready')
   store.append('servers', 'other', 'ready')
   const fleet = new FakeFleet(clock, store, NAMES)
@@ -37,7 +42,7 @@
   const copy = store.copy()
   lost?.(store)
   for (let count = 0; count < LOST; count += 1) {
-    store.append('operators', 'config', `lost ${count}`)
+    store.append('operators', 'config', String(2 + count))
     store.append('servers', 'other', `ready|${count}`)
     await clock.advanceBy(500)
   }
@@ -54,9 +59,9 @@
   it('has what is written afterwards within the bound, at lower offsets too', async t => {
     const { clock, store, fleet } = await restoreStore()
     await clock.advanceBy(BOUND_MS)
-    store.append('operators', 'config', 'new')
+    store.append('operators', 'config', NEW)
     await clock.advanceBy(BOUND_MS)
-    t.deepEqual(NAMES.filter(name => fleet.get(name).beliefs.get('config') !== 'new'), [])
+    t.deepEqual(NAMES.filter(name => fleet.get(name).beliefs.get('config') !== NEW), [])
   })
 
   // Guards against a reader that goes on at its former offset where the topic has grown past it meanwhile.
@@ -94,12 +99,40 @@
     const { clock, store, fleet } = await restoreStore()
     store.dark.add('a')
     await clock.advanceBy(BOUND_MS)
-    store.append('operators', 'config', 'new')
+    store.append('operators', 'config', NEW)
     await clock.advanceBy(BOUND_MS)
-    t.is(fleet.get('a').beliefs.get('config'), 'new')
+    t.is(fleet.get('a').beliefs.get('config'), NEW)
     store.dark.clear()
-    store.append('operators', 'config', 'newer')
+    store.append('operators', 'config', NEWER)
+    await clock.advanceBy(BOUND_MS)
+    t.is(fleet.get('a').beliefs.get('config'), NEWER)
+  })
+
+  // Guards against a configuration that was in force and is taken back while the store shows an older one.
+  it('keeps what was in force until something newer is written', async t => {
+    const { clock, fleet } = await restoreStore()
+    await clock.advanceBy(BOUND_MS)
+    t.deepEqual(NAMES.filter(name => fleet.get(name).beliefs.get('config') !== NEWEST_LOST), [])
+  })
+
+  // Guards against an instance that takes the copy's configuration for the newest because it has just started.
+  it('brings an instance that starts meanwhile to what is in force', async t => {
+    const { clock, fleet } = await restoreStore()
+    await clock.advanceBy(BOUND_MS / 2)
+    const started = fleet.add('late')
+    await clock.advanceBy(BOUND_MS / 2)
+    t.is(started.beliefs.get('config'), NEWEST_LOST)
+  })
+
+  // Guards against two restorations in a row, the second before everybody has noticed the first.
+  it('follows a store that is restored twice in a row', async t => {
+    const { clock, store, fleet } = await restoreStore()
+    const copy = store.copy()
+    store.append('operators', 'config', NEW)
+    await clock.advanceBy(50)
+    store.restore(copy)
+    store.append('operators', 'config', NEWER)
     await clock.advanceBy(BOUND_MS)
-    t.is(fleet.get('a').beliefs.get('config'), 'newer')
+    t.deepEqual(NAMES.filter(name => fleet.get(name).beliefs.get('config') !== NEWER), [])
   })
 })
--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -14,7 +14,7 @@
 import { Freshness } from './freshness.js'
 import type { KeyedLog, KeyedRecord } from './keyedLog.js'
 import { PeerAsking, type KnowingPeer, type PeerAnswer } from './peerAsking.js'
-import { RecordTable, type ToldSince } from './recordTable.js'
+import { RecordRanking, RecordTable, type ToldSince } from './recordTable.js'
 import { eraOf } from './storePosition.js'
 import { Suspension } from './suspension.js'
 import { TopicFollower, type TopicFollowerOptions } from './topicFollower.js'
@@ -33,6 +33,11 @@
 
 const topics = Object.values(ToldTopic)
 
+const rankings: Readonly<Record<ToldTopic, RecordRanking>> = {
+  [ToldTopic.Operators]: RecordRanking.ByContents,
+  [ToldTopic.Servers]: RecordRanking.ByOffset
+}
+
 export interface KnowledgeOptions {
   readonly clock: Clock
   readonly random: Random
@@ -48,6 +53,8 @@
   readonly self: Reader
   /** The others that the store answers. */
   readonly readers: () => readonly Reader[]
+  /** Of the configuration that was taken in last; -1 before the first. */
+  readonly revision: () => number
   readonly notify: (notice: Omit<ReadNotice, 'address'>) => void
   /** Takes a record in; says whether it changed anything. */
   readonly onRecord: Readonly<Record<ToldTopic, (record: KeyedRecord) => boolean>>
@@ -173,7 +180,7 @@
 
   private follow (topic: ToldTopic, plan: ReadPlan): Followed {
     const { clock, log, topics: names, relayLog, onRecord } = this.options
-    const table = RecordTable.create(onRecord[topic])
+    const table = RecordTable.create(onRecord[topic], rankings[topic])
     const follower = TopicFollower.create({
       ...plan,
       clock,
@@ -336,6 +343,7 @@
       topics.forEach(topic => this.followed[topic].follower.readNow())
     }
     topics.forEach(topic => this.askWhereLacking(topic))
+    this.asking.askForNewerRouting(this.followed[ToldTopic.Operators].table.position, this.options.revision())
     this.cancelLook = clock.at(clock.now() + LOOK_MS, () => this.look())
   }
 }
--- a/packages/foxtaillever-relay/src/knowledge/peerAsking.ts
+++ b/packages/foxtaillever-relay/src/knowledge/peerAsking.ts
@@ -2,7 +2,7 @@
 import type { Random } from 'foxtaillever-core'
 import type { PeerLink } from '../peers/peerLink.js'
 import type { Positions } from '../peers/peerMessage.js'
-import type { ToldTopic } from '../peers/toldTopic.js'
+import { ToldTopic } from '../peers/toldTopic.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { RecordTable, ToldSince } from './recordTable.js'
 
@@ -10,6 +10,8 @@
 export interface KnowingPeer {
   readonly address: string
   readonly positions: Positions | undefined
+  /** Of the configuration that it acts by; -1 for none or unknown. */
+  readonly revision: number
 }
 
 /** What another instance told. */
@@ -45,6 +47,19 @@
     }
   }
 
+  /**
+   * Asks one that has read no further and yet has a newer configuration: the store
+   * was restored from an older copy, and the other knows what was lost.
+   */
+  askForNewerRouting (position: number, revision: number): void {
+    const { random, peers } = this.options
+    const newer = peers().filter(peer => peer.revision > revision && peer.positions !== undefined && peer.positions.operators <= position)
+    const chosen = newer[random.below(newer.length)]
+    if (chosen) {
+      this.ask(chosen.address, ToldTopic.Operators, 0, -Infinity)
+    }
+  }
+
   async ask (address: string, topic: ToldTopic, from: number, freshAt: number): Promise<void> {
     const { link, relayLog, onAnswer } = this.options
     if (this.open.has(topic)) {
--- a/packages/foxtaillever-relay/src/knowledge/recordIntake.ts
+++ b/packages/foxtaillever-relay/src/knowledge/recordIntake.ts
@@ -17,7 +17,15 @@
   /** Until then an entry that is missing may come back, milliseconds of Unix time. */
   readonly settledAt: () => number
   readonly onRouting: (routing: Routing) => void
-  readonly onWeights: (model: string, version: number) => void
+  /** @returns false where newer weights of the model are named already. */
+  readonly onWeights: (model: string, version: number) => boolean
+}
+
+/** The configuration that was taken in last. */
+interface TakenRouting {
+  readonly value: Buffer
+  readonly revision: number
+  readonly offset: number
 }
 
 /** A key whose entry cannot be read is logged once in this, milliseconds. */
@@ -33,6 +41,13 @@
 export class RecordIntake {
   /** Keys logged as unreadable, and until when they are not logged again, milliseconds of Unix time. */
   private readonly unreadable = new Map<string, number>()
+  private taken: TakenRouting | undefined
+
+  private readonly operatorHandlers: Readonly<Record<OperatorKey, (key: string, value: Buffer, offset: number) => boolean>> = {
+    [OperatorKey.Routing]: (key, value, offset) => this.takeRouting(key, value, offset),
+    [OperatorKey.Weights]: (key, value) => this.takeWeights(key, value),
+    [OperatorKey.Other]: () => false
+  }
 
   private constructor (private readonly options: RecordIntakeOptions) {}
 
@@ -41,30 +56,57 @@
   }
 
   /**
-   * A record of operators.
-   * @returns whether it says anything new, which each does.
+   * A record of operators. Versions say what is newer, not offsets: a store that was
+   * restored from an older copy shows older contents at later positions.
+   * @returns false for one that is older than what is in force.
    */
   takeOperators (record: KeyedRecord): boolean {
-    const { readers, log, onRouting, onWeights } = this.options
     const { key, value } = record
     if (value === undefined) {
       // What was in force stays: a record that is dropped from the store revokes nothing.
-      return true
-    }
-    const kind = readers.kindOfKey(record)
-    if (kind === OperatorKey.Routing) {
-      readers.routing(value).caseOf({
-        Left: reason => log.trouble('A configuration cannot be read; the last one stays in force.', { key, reason }),
-        Right: onRouting
-      })
+      return false
     }
-    if (kind === OperatorKey.Weights) {
-      readers.weights(value).caseOf({
-        Left: reason => log.trouble('Named weights cannot be read.', { key, reason }),
-        Right: ({ model, version }) => onWeights(model, version)
-      })
+    return this.operatorHandlers[this.options.readers.kindOfKey(record)](key, value, record.offset)
+  }
+
+  private takeRouting (key: string, value: Buffer, offset: number): boolean {
+    const { readers, log, onRouting } = this.options
+    if (this.taken?.value.equals(value) === true) {
+      this.taken = { ...this.taken, offset: Math.max(this.taken.offset, offset) }
+      return true
     }
-    return true
+    return readers.routing(value).caseOf({
+      Left: reason => {
+        log.trouble('A configuration cannot be read; the last one stays in force.', { key, reason })
+        return offset > (this.taken?.offset ?? -1)
+      },
+      Right: routing => {
+        if (!this.isNewRouting(routing, offset)) {
+          log.trouble('The platform\'s store has an older configuration than the one in force, which stays.', { revision: routing.revision, inForce: this.taken?.revision, offset })
+          return false
+        }
+        this.taken = { value, revision: routing.revision, offset }
+        onRouting(routing)
+        return true
+      }
+    })
+  }
+
+  /** Of two with the same revision the one written later counts. */
+  private isNewRouting ({ revision }: Routing, offset: number): boolean {
+    const { taken } = this
+    return taken === undefined || revision > taken.revision || (revision === taken.revision && offset > taken.offset)
+  }
+
+  private takeWeights (key: string, value: Buffer): boolean {
+    const { readers, log, onWeights } = this.options
+    return readers.weights(value).caseOf({
+      Left: reason => {
+        log.trouble('Named weights cannot be read.', { key, reason })
+        return true
+      },
+      Right: ({ model, version }) => onWeights(model, version)
+    })
   }
 
   /**
--- a/packages/foxtaillever-relay/src/knowledge/recordTable.ts
+++ b/packages/foxtaillever-relay/src/knowledge/recordTable.ts
@@ -17,6 +17,13 @@
   readonly keys: readonly string[] | undefined
 }
 
+/** What makes a record newer than another of its key. */
+export enum RecordRanking {
+  ByOffset = 'by-offset',
+  /** Contents carry versions; whoever takes a record in decides. */
+  ByContents = 'by-contents'
+}
+
 export class RecordTable {
   /** The last record of each key that said something new. */
   private readonly records = new Map<string, KeyedRecord>()
@@ -29,11 +36,11 @@
   /** Removals before this offset may be unknown here: a whole reading names only what is there. */
   private removalsFrom = 0
 
-  private constructor (private readonly isNews: (record: KeyedRecord) => boolean) {}
+  private constructor (private readonly isNews: (record: KeyedRecord) => boolean, private readonly ranking: RecordRanking) {}
 
   /** @param isNews takes a record in and says whether it changed anything. */
-  static create (isNews: (record: KeyedRecord) => boolean): RecordTable {
-    return new RecordTable(isNews)
+  static create (isNews: (record: KeyedRecord) => boolean, ranking = RecordRanking.ByOffset): RecordTable {
+    return new RecordTable(isNews, ranking)
   }
 
   get isWhole (): boolean {
@@ -54,15 +61,16 @@
   take (record: KeyedRecord): boolean {
     const { key, offset } = record
     const seen = this.seen.get(key) ?? -1
-    if (offset <= seen) {
+    if (offset <= seen && this.ranking === RecordRanking.ByOffset) {
       return offset === seen
     }
-    this.seen.set(key, offset)
+    const latest = Math.max(offset, seen)
+    this.seen.set(key, latest)
     // Who heard of the removal must hear that it was undone, though nothing else has changed.
     const isBack = record.value !== undefined && this.records.has(key) && this.records.get(key)?.value === undefined
     if (this.isNews(record) || isBack) {
-      this.records.set(key, record)
-      this.changedEnd = Math.max(this.changedEnd, offset + 1)
+      this.records.set(key, { ...record, offset: latest })
+      this.changedEnd = Math.max(this.changedEnd, latest + 1)
     }
     return true
   }
@@ -91,10 +99,13 @@
    * keys that were removed since, and nothing would remove them again.
    */
   takeTold ({ from, records, position, keys }: ToldSince): boolean {
-    if (this.position < from || position <= this.position) {
+    const isAhead = this.position >= from && position > this.position
+    if (isAhead || this.ranking === RecordRanking.ByContents) {
+      records.forEach(record => this.take(record))
+    }
+    if (!isAhead) {
       return false
     }
-    records.forEach(record => this.take(record))
     if (keys) {
       this.retain(new Set(keys), position)
     } else {
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -78,6 +78,8 @@
   /** The platform's store answers this instance. */
   readonly hasStore: boolean
   readonly positions: Positions
+  /** Of the configuration that it acts by; -1 before the first. */
+  readonly revision: number
   readonly lease: LeaseNews | undefined
   /** Load that it puts on servers itself; in a large fleet on the store of cached levels only. */
   readonly uses: readonly ServerUse[]
@@ -100,7 +102,7 @@
 }
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums, stores, instances, speeds, limits } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, uses, suspects, savedLevels, named, current, sums, stores, instances, speeds, limits, revision } = message
   return packDatagram([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -113,7 +115,8 @@
     stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation]),
     instances,
     speeds.map(({ service, tokensPerMs, samples }) => [service, Math.round(tokensPerMs), samples]),
-    limits.map(({ server, perSecond, ageMs }) => [server, perSecond ?? null, Math.round(ageMs)])
+    limits.map(({ server, perSecond, ageMs }) => [server, perSecond ?? null, Math.round(ageMs)]),
+    revision
   ])
 }
 
@@ -142,7 +145,8 @@
   ReadonlyArray<readonly [string, boolean, number]> | undefined,
   number | undefined,
   ReadonlyArray<readonly [string, number, number]> | undefined,
-  ReadonlyArray<readonly [number, number | null, number]> | undefined
+  ReadonlyArray<readonly [number, number | null, number]> | undefined,
+  number | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -163,7 +167,7 @@
 /** Nothing for a datagram of another form: an instance of another release may send it. */
 export function readPeerMessage (datagram: readonly unknown[]): Maybe<PeerMessage> {
   return Maybe.of(datagram).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = []] = wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, uses, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = [], revision = -1] = wire
     return {
       name,
       address,
@@ -172,6 +176,7 @@
       isLeaving,
       hasStore,
       positions: { operators, servers },
+      revision: Number(revision),
       lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
       uses: uses.map(readUse),
       sums: sums.map(readUse),
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -8,6 +8,7 @@
 import { Knowledge } from './knowledge/knowledge.js'
 import { enterMemberBook } from './knowledge/memberBook.js'
 import { RecordIntake } from './knowledge/recordIntake.js'
+import { StartCheck } from './knowledge/startCheck.js'
 import { readWallSeconds } from './knowledge/suspension.js'
 import type { Routing } from './model/routing.js'
 import { answerLeaseCall } from './peers/leaseCalls.js'
@@ -54,6 +55,7 @@
   private readonly peers: Peers
   private readonly limits: LimitProtocols
   private readonly office: OrderOffice
+  private readonly startCheck = StartCheck.create()
   private table: RouteTable | undefined
   private isLeaving = false
   private graceMs: number
@@ -75,7 +77,7 @@
       random,
       wire: callerWire,
       log: this.log,
-      table: () => this.table,
+      table: () => this.usableTable(),
       onExchange: (exchange, answer) => this.desk.runs.start(exchange, answer)
     })
     this.readiness = ReadinessServer.create(() => this.isReady())
@@ -151,7 +153,7 @@
       retryAllowance,
       weightsBoundMs,
       suspects: this.suspects,
-      quota: AccountQuotas.create({ clock, log: this.log, protocol: () => this.limits[LimitScope.Account], revision: () => this.table?.routing.revision ?? -1 }),
+      quota: AccountQuotas.create({ clock, log: this.log, protocol: () => this.limits[LimitScope.Account], revision: () => this.revision }),
       use: { of: hash => this.peers.use.of(hash) },
       othersTokens: store => this.peers.tokensFrom(store),
       cacheStoreCalls,
@@ -228,7 +230,8 @@
       topics: { [ToldTopic.Operators]: topics.operators, [ToldTopic.Servers]: topics.servers },
       relayLog: this.log,
       link: () => this.peers.link,
-      peers: () => this.peers.table.all().map(({ address, last }) => ({ address, positions: last?.positions })),
+      peers: () => this.peers.table.all().map(({ address, last }) => ({ address, positions: last?.positions, revision: last?.revision ?? -1 })),
+      revision: () => this.revision,
       onRecord: { [ToldTopic.Operators]: record => intake.takeOperators(record), [ToldTopic.Servers]: record => intake.takeServer(record) }
     })
   }
@@ -261,6 +264,7 @@
       isLeaving: this.isLeaving,
       hasStore: this.knowledge.hasStore,
       positions: this.knowledge.positions,
+      revision: this.revision,
       lease: this.office.lease.news(),
       uses: caches.uses(),
       sums: this.peers.loads.sums(directory.all().map(({ hash }) => hash)),
@@ -298,14 +302,21 @@
   }
 
   private isReady (): boolean {
-    return !this.isLeaving && this.table !== undefined && this.knowledge.isWhole
+    return !this.isLeaving && this.knowledge.isWhole && this.usableTable() !== undefined
+  }
+
+  private get revision (): number {
+    return this.table?.routing.revision ?? -1
+  }
+
+  /** Callers are not answered by a configuration that others know to be replaced. */
+  private usableTable (): RouteTable | undefined {
+    const beliefs = { now: this.options.clock.now(), revision: this.revision, era: this.knowledge.storeEra, told: () => this.peers.alive().map(({ revision }) => revision) }
+    return this.table && this.startCheck.isPassed(beliefs) ? this.table : undefined
   }
 
   private adopt (routing: Routing): void {
-    const before = this.table?.routing.revision ?? -1
-    if (routing.revision <= before) {
-      return
-    }
+    const before = this.revision
     this.table = RouteTable.create(routing)
     this.desk.directory.configure(routing)
     this.callers.setLimits(routing.limits)
--- a/packages/foxtaillever-relay/src/weights/weightsDesk.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsDesk.ts
@@ -50,13 +50,14 @@
    * Operators named weights; older ones than are known are no news.
    * @param isAssumed they were found in the store at the start
    */
-  name (model: string, version: number, isAssumed = false): void {
+  name (model: string, version: number, isAssumed = false): boolean {
     const now = this.options.clock.now()
     if (this.named.name(model, version, now, isAssumed)) {
       this.progressAt = now
       this.options.log.belief('Weights were named.', { model, version, found: isAssumed ? 'at the start' : 'as news' })
       this.run()
     }
+    return version === this.wanted(model)
   }
 
   /** Since when there have been newer weights than the version, milliseconds of Unix time; undefined when there are none. */
