--- a/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
@@ -131,6 +131,8 @@
   readonly instances: FakeInstance[] = []
   /** Instances whose datagrams are lost. */
   readonly mute = new Set<string>()
+  /** Instances whose calls to others fail. */
+  readonly cut = new Set<string>()
   /** Whom the store answered at the last beat. */
   private readonly answered = new Set<string>()
 
@@ -188,7 +190,7 @@
       log: this.store.of(name),
       topics: { [ToldTopic.Operators]: 'operators', [ToldTopic.Servers]: 'servers' },
       relayLog: RelayLog.create(Logs.create({ instance: name, level: 'silent', clock })),
-      link: () => ({ ask: async (address, topic, from) => this.ask(address, topic, from) }),
+      link: () => ({ ask: async (address, topic, from) => this.cut.has(name) ? Left(unanswered) : this.ask(address, topic, from) }),
       peers: () => others().map(other => ({ address: other.name, positions: other.knowledge.positions, revision: revisionOf(other.beliefs) })),
       revision: () => revisionOf(beliefs),
       self: { name, failureDomain },
