Keep fencing numbers rising, and one holder of the lease, in a restored store

The lease's offsets are the fencing numbers of orders. After the store was restored from an older copy they went back: engines refuse every order until the topic has grown past its former end, an offset may be granted to two holders, and an append may fit by chance where another's record stood before. A former holder whose record was the newest in the copy took the lease at once, beside the one whose record was lost.

Fencing numbers are positions now. An append at a position of an earlier era grants nothing and tells where the topic ends; and whoever learns of a new era so waits a term and the pause, since the copy says nothing of who held the lease last.

The adapter's test failed before (offset 1 granted a second time), and with the lease as it was the test of a former holder does.

--- a/packages/foxtaillever-relay/src/weights/__fixtures__/fakeFenceLog.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/fakeFenceLog.ts
@@ -1,6 +1,7 @@
 /** A topic of the store: appends may be lost, or carried out seconds after their caller has given up. */
 import { Failure, FailureCode, Verdict, waitUntil, type Clock, type Random } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
+import { eraOf, offsetOf, positionAt } from '../../knowledge/storePosition.js'
 import type { FenceAppend, FenceLog } from '../fenceLog.js'
 
 const CALL_MS = 4
@@ -16,8 +17,14 @@
   isDown: boolean
 }
 
+interface StoredRecord {
+  readonly content: Buffer
+  readonly appendedAt: number
+}
+
 export class FakeFenceLog {
-  readonly records: Buffer[] = []
+  private records: StoredRecord[] = []
+  private era = 0
 
   private constructor (private readonly clock: Clock, private readonly random: Random) {}
 
@@ -25,15 +32,29 @@
     return new FakeFenceLog(clock, random)
   }
 
-  /** The log as one instance reaches it. */
+  /** Comes back from a copy that is so old; offsets since then are given out again. */
+  restore (ageMs: number): void {
+    this.records = this.records.filter(({ appendedAt }) => appendedAt <= this.clock.now() - ageMs)
+    this.era += 1
+  }
+
+  /** The log as one instance reaches it, which learns the era from answers. */
   through (weather: Weather): FenceLog {
+    let known = 0
     return {
-      append: async (_, at, record) => await this.append(weather, at, record),
+      append: async (_, at, record) => {
+        const offset = eraOf(at) < known ? undefined : offsetOf(at)
+        const answer = await this.append(weather, offset, record)
+        return answer.map(({ isAppended, end }) => {
+          known = eraOf(end)
+          return { isAppended: isAppended && known === eraOf(at), end }
+        })
+      },
       readAt: async (_, offset) => await this.readAt(weather, offset)
     }
   }
 
-  private async append (weather: Weather, at: number, record: Buffer): Promise<Either<Failure, FenceAppend>> {
+  private async append (weather: Weather, at: number | undefined, record: Buffer): Promise<Either<Failure, FenceAppend>> {
     if (weather.isDown) {
       return await this.giveUp()
     }
@@ -45,12 +66,12 @@
     return Right(this.appendNow(at, record))
   }
 
-  private appendNow (at: number, record: Buffer): FenceAppend {
+  private appendNow (at: number | undefined, content: Buffer): FenceAppend {
     const isAppended = at === this.records.length
     if (isAppended) {
-      this.records.push(record)
+      this.records.push({ content, appendedAt: this.clock.now() })
     }
-    return { isAppended, end: this.records.length }
+    return { isAppended, end: positionAt(this.era, this.records.length) }
   }
 
   private async readAt (weather: Weather, offset: number): Promise<Either<Failure, Buffer | undefined>> {
@@ -58,7 +79,7 @@
       return await this.giveUp()
     }
     await waitUntil(this.clock, this.clock.now() + CALL_MS)
-    return Right(this.records[offset])
+    return Right(eraOf(offset) === this.era ? this.records[offsetOf(offset)]?.content : undefined)
   }
 
   private async giveUp<T> (): Promise<Either<Failure, T>> {
--- a/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
+++ b/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check'
-import { describe, it } from 'foxtaillever-testing'
+import { describe, it, type VirtualClock } from 'foxtaillever-testing'
 import { OrderingFleet, PAUSE_MS, type Instance } from '../__fixtures__/orderingFleet.js'
 
 /** What may happen to an instance or to all orders. */
@@ -12,7 +12,8 @@
   OrdersLate = 'orders-late',
   DatagramsLost = 'datagrams-lost',
   GivesUp = 'gives-up',
-  EngineStartsAgain = 'engine-starts-again'
+  EngineStartsAgain = 'engine-starts-again',
+  StoreRestored = 'store-restored'
 }
 
 interface Event {
@@ -64,6 +65,13 @@
     fleet.restart(`engine-${whose}`)
     return () => {}
   },
+  [Trouble.StoreRestored]: ({ store, instances }, _, { forMs }) => {
+    instances.forEach(({ weather }) => { weather.isDown = true })
+    return () => {
+      store.restore(forMs)
+      instances.forEach(({ weather }) => { weather.isDown = false })
+    }
+  },
   [Trouble.GivesUp]: (_, { lease }) => {
     lease.release()
     return () => {}
@@ -123,6 +131,12 @@
   })
 }
 
+async function take (clock: VirtualClock, instance: Instance | undefined): Promise<boolean | undefined> {
+  const taken = instance?.lease.take()
+  await clock.advanceBy(20)
+  return await taken
+}
+
 describe('new weights', () => {
   // Operators name weights; half a second later every engine must begin to have them, without all of them loading at once.
   it('reach half of the engines within a second and the others soon after', async t => {
@@ -201,6 +215,39 @@
     t.true(fleet.engines.versions.filter(version => version === 2).length >= 3)
   })
 
+  // Guards against fencing numbers that engines refuse, and against a second holder, after the store forgot the lease.
+  it('go on by one holder at a time when the store is restored from a copy without the lease', async t => {
+    const fleet = OrderingFleet.create({ engines: 42 })
+    const { clock, engines, store } = fleet
+    fleet.name(2)
+    await clock.advanceBy(1500)
+    store.restore(1500)
+    fleet.name(3)
+    await clock.advanceBy(12_000)
+    t.deepEqual(wrongOrders(fleet), [])
+    t.deepEqual(new Set(engines.versions), new Set([3]))
+  })
+
+  // Guards against a former holder that takes its own old record in the copy for the newest.
+  it('are not ordered by a former holder whose record is the newest in the copy', async t => {
+    const fleet = OrderingFleet.create({ instances: 2 })
+    const { clock, store, instances: [former, holder] } = fleet
+    t.true(await take(clock, former))
+    await clock.advanceBy(1000)
+    if (former) {
+      former.isCut = true
+    }
+    await clock.advanceBy(PAUSE_MS + 1500)
+    t.true(await take(clock, holder))
+    await clock.advanceBy(10)
+    store.restore(PAUSE_MS)
+    t.false(await take(clock, former))
+    await clock.advanceBy(PAUSE_MS)
+    t.false(await take(clock, former))
+    await clock.advanceBy(1500)
+    t.true(await take(clock, former))
+  })
+
   // Machines freeze, lose the store or each other, appends and orders come late: engines must never hear two holders in
   // turn, and when calm returns, all of them have the newest weights.
   it('arrive everywhere by one holder at a time, whatever happens meanwhile', async t => {
--- a/packages/foxtaillever-relay/src/weights/orderLease.ts
+++ b/packages/foxtaillever-relay/src/weights/orderLease.ts
@@ -6,10 +6,13 @@
  * one before. The holder counts the term from before its append and by two
  * clocks, because a suspended machine's steady clock stands still. Whoever takes
  * over waits until the last holder's term and the pause that the users ask for
- * between two holders have passed, counted from when the record was learned.
+ * between two holders have passed, counted from when the record was learned. A
+ * store that was restored from an older copy may have lost the last record, and
+ * says nothing of who held the lease last: everybody waits.
  */
 import type { Clock } from 'foxtaillever-core'
 import type { LeaseNews } from '../peers/peerMessage.js'
+import { eraOf } from '../knowledge/storePosition.js'
 import type { FenceLog } from './fenceLog.js'
 
 /** Long against a slow answer of the store, 240, short against the wait after a holder's death, milliseconds. */
@@ -21,6 +24,9 @@
 /** Renewed when less than this is left, milliseconds. */
 const RENEW_MS = 450
 
+/** Is waited out by everybody. */
+const UNKNOWN_HOLDER = 'unknown'
+
 export interface OrderLeaseOptions {
   readonly clock: Clock
   /** A clock that counts suspension, seconds; a step of it ends the lease early at worst. */
@@ -151,7 +157,7 @@
         // It may have been appended, or may be yet: the first one counts the term.
         this.open = this.open?.at === at ? this.open : { at, sentAt, sentUptime }
       },
-      Right: async ({ isAppended, end }) => isAppended ? this.hold({ at, sentAt, sentUptime }) : await this.learn(end)
+      Right: async ({ isAppended, end }) => isAppended ? this.hold({ at, sentAt, sentUptime }) : await this.learn(at, end)
     })
   }
 
@@ -171,7 +177,7 @@
   }
 
   /** The topic ends elsewhere: another has the lease, or an answer to this instance was lost. */
-  private async learn (end: number): Promise<void> {
+  private async learn (at: number, end: number): Promise<void> {
     const { log, topic, clock } = this.options
     const offset = end - 1
     const found = await log.readAt(topic, offset)
@@ -181,7 +187,8 @@
       return
     }
     this.heldUntil = 0
-    this.last = { offset, holder: holderOf(record), knownSince: clock.now() }
+    const isSameEra = eraOf(end) === eraOf(at)
+    this.last = { offset, holder: isSameEra ? holderOf(record) : UNKNOWN_HOLDER, knownSince: clock.now() }
   }
 }
 
@@ -190,6 +197,6 @@
     return String((JSON.parse(record ?? '') as { holder?: unknown }).holder)
   } catch {
     // A record that cannot be read was written by another release; its holder is waited out like any other.
-    return 'unknown'
+    return UNKNOWN_HOLDER
   }
 }
