Enter the member book again where the store was restored

An instance that entered its address in the seconds that the store lost was found by nobody who started afterwards, and a restarted one took the missing entry for its first life, which frees the whole of its part of the retry budget. On a rise of the era each instance now enters its address again, spread over 4 s, and a first life is believed only in the store's first era.

With it, what reads at the store is split from what is believed of it: readPlans, readingLog, knowledgeOptions, createKnowledge.

--- a/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
@@ -193,6 +193,7 @@
       link: () => ({ ask: async (address, topic, from) => this.cut.has(name) ? Left(unanswered) : this.ask(address, topic, from) }),
       peers: () => others().map(other => ({ address: other.name, positions: other.knowledge.positions, revision: revisionOf(other.beliefs) })),
       revision: () => revisionOf(beliefs),
+      onRestored: () => {},
       self: { name, failureDomain },
       readers: () => others().filter(other => this.answered.has(other.name)).map(other => ({ name: other.name, failureDomain: `domain-${this.instances.indexOf(other) % 3}` })),
       notify: notice => this.deliver(name, { ...notice, address: name }),
--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -4,23 +4,19 @@
  * tell the others; each reads for itself when it hears of no reading, and asks
  * another instance while the store does not answer it.
  */
-import type { Clock, Random } from 'foxtaillever-core'
-import { nextReadAt, nextWatchAt, placeReader, type Reader, type ReaderPlace } from 'foxtaillever-policy/relay/readTurn'
-import type { PeerLink, ToldRecords } from '../peers/peerLink.js'
+import type { ToldRecords } from '../peers/peerLink.js'
 import type { Positions } from '../peers/peerMessage.js'
 import { limitNews, type ReadNotice, type ReadPosition } from '../peers/readNotice.js'
 import { ToldTopic } from '../peers/toldTopic.js'
-import type { RelayLog } from '../telemetry/relayLog.js'
 import { Freshness } from './freshness.js'
-import type { KeyedLog, KeyedRecord } from './keyedLog.js'
-import { PeerAsking, type KnowingPeer, type PeerAnswer } from './peerAsking.js'
+import type { KnowledgeOptions } from './knowledgeOptions.js'
+import { PeerAsking, type PeerAnswer } from './peerAsking.js'
+import { ReadingLog } from './readingLog.js'
+import { ReadPlans } from './readPlans.js'
 import { RecordRanking, RecordTable, type ToldSince } from './recordTable.js'
 import { eraOf } from './storePosition.js'
 import { Suspension } from './suspension.js'
-import { TopicFollower, type TopicFollowerOptions } from './topicFollower.js'
-
-/** How long the store may hold a call for operators' records, which are rare, milliseconds: a silent connection shows by then. */
-const OPERATORS_WAIT_MS = 2500
+import { TopicFollower } from './topicFollower.js'
 
 /** Between two looks whether another instance is ahead, milliseconds. */
 const LOOK_MS = 200
@@ -28,9 +24,6 @@
 /** A reading that ended this long ago is told as one of now, milliseconds. */
 const JUST_NOW_MS = 50
 
-/** Without a reading, here or told, for this long, others are asked, milliseconds. */
-const STALE_MS = 1600
-
 const topics = Object.values(ToldTopic)
 
 const rankings: Readonly<Record<ToldTopic, RecordRanking>> = {
@@ -38,54 +31,32 @@
   [ToldTopic.Servers]: RecordRanking.ByOffset
 }
 
-export interface KnowledgeOptions {
-  readonly clock: Clock
-  readonly random: Random
-  /** A clock that counts suspension, seconds. */
-  readonly wallSeconds: () => number
-  readonly log: KeyedLog
-  /** Names of the topics in the store. */
-  readonly topics: Readonly<Record<ToldTopic, string>>
-  readonly relayLog: RelayLog
-  readonly link: () => Pick<PeerLink, 'ask'>
-  readonly peers: () => readonly KnowingPeer[]
-  /** This instance among those that read. */
-  readonly self: Reader
-  /** The others that the store answers. */
-  readonly readers: () => readonly Reader[]
-  /** Of the configuration that was taken in last; -1 before the first. */
-  readonly revision: () => number
-  readonly notify: (notice: Omit<ReadNotice, 'address'>) => void
-  /** Takes a record in; says whether it changed anything. */
-  readonly onRecord: Readonly<Record<ToldTopic, (record: KeyedRecord) => boolean>>
-}
-
 interface Followed {
   readonly table: RecordTable
   readonly follower: TopicFollower
   /** Changes before this offset were told to the others, or told by them. */
   toldTo: number
-  /** Records of the reading under way that are older than what is known. */
-  olderRecords: number
 }
 
-type ReadPlan = Pick<TopicFollowerOptions, 'waitMs' | 'dueAt' | 'notBefore' | 'onAnswered'>
-
 export class Knowledge {
   private readonly freshness = Freshness.create()
+  private readonly plans: ReadPlans
+  private readonly readings: ReadingLog
   private readonly suspension: Suspension
   private readonly followed: Readonly<Record<ToldTopic, Followed>>
   private readonly asking: PeerAsking
   private cancelLook = (): void => {}
-  /** Of the store, as of the last look. */
+  /** The highest that is known of the store. */
   private era = 0
 
   private constructor (private readonly options: KnowledgeOptions) {
+    this.plans = ReadPlans.create({ ...options, freshness: this.freshness, servers: () => this.servers.follower })
+    this.readings = ReadingLog.create(options.relayLog)
     this.suspension = Suspension.create(options.clock, options.wallSeconds)
     this.asking = PeerAsking.create({ ...options, onAnswer: (topic, answer) => this.takeAnswer(topic, answer) })
     this.followed = {
-      [ToldTopic.Operators]: this.follow(ToldTopic.Operators, this.planOperators()),
-      [ToldTopic.Servers]: this.follow(ToldTopic.Servers, this.planServers())
+      [ToldTopic.Operators]: this.follow(ToldTopic.Operators),
+      [ToldTopic.Servers]: this.follow(ToldTopic.Servers)
     }
   }
 
@@ -115,7 +86,7 @@
 
   /** Rises each time the store was restored from an older copy. */
   get storeEra (): number {
-    return this.options.log.era
+    return Math.max(this.era, this.options.log.era)
   }
 
   /** Another call to the store failed: looks at once whether it answers. */
@@ -158,46 +129,25 @@
     return this.followed[ToldTopic.Servers]
   }
 
-  /** Operators' records must be known at once, so the first of each failure domain wait for them at the store. */
-  private planOperators (): ReadPlan {
-    return {
-      waitMs: () => this.watchAt() <= this.options.clock.now() ? OPERATORS_WAIT_MS : 0,
-      dueAt: () => this.watchAt(),
-      // One topic shows whether the store answers again; to call for both would cost twice.
-      notBefore: () => this.servers.follower.isFailing ? Infinity : 0,
-      onAnswered: () => {}
-    }
-  }
-
-  private planServers (): ReadPlan {
-    return {
-      waitMs: () => 0,
-      dueAt: () => nextReadAt(this.freshness.freshAt, this.place()),
-      notBefore: () => 0,
-      onAnswered: () => this.freshness.noteAnswer(this.options.clock.now(), this.servers.follower.isFailing)
-    }
-  }
-
-  private follow (topic: ToldTopic, plan: ReadPlan): Followed {
+  private follow (topic: ToldTopic): Followed {
     const { clock, log, topics: names, relayLog, onRecord } = this.options
     const table = RecordTable.create(onRecord[topic], rankings[topic])
     const follower = TopicFollower.create({
-      ...plan,
+      ...this.plans.of(topic),
       clock,
       log,
       topic: names[topic],
-      isTold: () => this.isFresh(),
-      onRecord: record => { followed.olderRecords += Number(!table.take(record)) },
-      onListed: record => { followed.olderRecords += Number(!table.takeListed(record)) },
+      isTold: () => this.plans.isFresh,
+      onRecord: record => this.readings.noteRecord(topic, table.take(record)),
+      onListed: record => this.readings.noteRecord(topic, table.takeListed(record)),
       onWhole: (keys, end) => {
-        relayLog.belief('Read a topic of the platform\'s store whole.', { topic, era: log.era, end, known: table.position, records: keys.size, older: followed.olderRecords })
-        followed.olderRecords = 0
+        this.readings.whole({ topic, era: log.era, end, known: table.position }, keys.size)
         this.noteEra(topic, end)
         this.noteRead(topic, end, () => table.retain(keys, end))
       },
-      onReached: offset => {
-        this.logOlder(topic, offset)
-        this.noteRead(topic, offset, () => table.reach(offset))
+      onReached: end => {
+        this.readings.reached({ topic, era: log.era, end, known: table.position })
+        this.noteRead(topic, end, () => table.reach(end))
       },
       onLost: failure => {
         relayLog.trouble('The platform\'s store does not answer.', { topic, reason: failure.message })
@@ -208,23 +158,16 @@
         topics.forEach(other => this.followed[other].follower.reconsider())
       }
     })
-    const followed: Followed = { table, follower, toldTo: 0, olderRecords: 0 }
-    return followed
-  }
-
-  private logOlder (topic: ToldTopic, offset: number): void {
-    const followed = this.followed[topic]
-    if (followed.olderRecords > 0) {
-      const { log, relayLog } = this.options
-      relayLog.trouble('Passed over records of the platform\'s store as older than what is known.', { topic, era: log.era, offset, known: followed.table.position, older: followed.olderRecords })
-      followed.olderRecords = 0
-    }
+    return { table, follower, toldTo: 0 }
   }
 
   /** Before records of a later era are taken in: entries that these lack may be written again. */
   private noteEra (topic: ToldTopic, position: number): void {
     const { table } = this.followed[topic]
-    if (topic === ToldTopic.Servers && table.isWhole && eraOf(position) > eraOf(table.position)) {
+    const era = eraOf(position)
+    if (!table.isWhole) {
+      this.era = Math.max(this.era, era)
+    } else if (topic === ToldTopic.Servers && era > eraOf(table.position)) {
       this.freshness.noteRestored(this.options.clock.now())
     }
   }
@@ -234,23 +177,11 @@
     if (era > this.era) {
       this.options.relayLog.trouble('The platform\'s store was restored from an older copy.', { era, before: this.era })
       this.era = era
+      this.options.onRestored()
     }
     topics.forEach(topic => this.followed[topic].follower.enter(era))
   }
 
-  private place (): ReaderPlace {
-    const { self, readers } = this.options
-    return placeReader(self, readers())
-  }
-
-  private watchAt (): number {
-    return nextWatchAt(this.freshness.watchedAt, this.place())
-  }
-
-  private isFresh (): boolean {
-    return this.freshness.freshAt + STALE_MS > this.options.clock.now()
-  }
-
   /** The store has told everything before an offset; the others are told in turn. */
   private noteRead (topic: ToldTopic, offset: number, reach: () => void): void {
     const { table, follower } = this.followed[topic]
@@ -272,7 +203,7 @@
     const { operators, servers } = this.followed
     notify({
       isFresh: !servers.follower.isFailing && this.freshness.freshAt + JUST_NOW_MS > clock.now(),
-      isWatching: this.hasStore && operators.follower.isAnswered && this.watchAt() <= clock.now(),
+      isWatching: this.hasStore && operators.follower.isAnswered && this.plans.isWatching,
       positions: { [ToldTopic.Operators]: positionOf(operators), [ToldTopic.Servers]: positionOf(servers) },
       news
     })
@@ -317,7 +248,7 @@
    */
   private askWhereLacking (topic: ToldTopic): void {
     const { table, follower } = this.followed[topic]
-    const isStale = follower.isFailing && !this.isFresh()
+    const isStale = follower.isFailing && !this.plans.isFresh
     if (!table.isWhole || topic === ToldTopic.Operators || isStale) {
       this.asking.askAhead(topic, table)
     }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -5,17 +5,15 @@
 import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
 import { ExchangeDesk } from './exchange/exchangeDesk.js'
-import { Knowledge } from './knowledge/knowledge.js'
-import { enterMemberBook } from './knowledge/memberBook.js'
-import { RecordIntake } from './knowledge/recordIntake.js'
+import { createKnowledge } from './knowledge/createKnowledge.js'
+import type { Knowledge } from './knowledge/knowledge.js'
+import { MemberBook } from './knowledge/memberBook.js'
 import { StartCheck } from './knowledge/startCheck.js'
-import { readWallSeconds } from './knowledge/suspension.js'
 import type { Routing } from './model/routing.js'
 import { answerLeaseCall } from './peers/leaseCalls.js'
 import { ownUses } from './peers/ownUses.js'
 import type { PeerMessage } from './peers/peerMessage.js'
 import { Peers, type OwnWord } from './peers/peers.js'
-import { ToldTopic } from './peers/toldTopic.js'
 import type { WeightsNotice } from './peers/weightsNotice.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
@@ -52,6 +50,7 @@
   private readonly callers: CallerServer
   private readonly readiness: ReadinessServer
   private readonly knowledge: Knowledge
+  private readonly memberBook: MemberBook
   private readonly peers: Peers
   private readonly limits: LimitProtocols
   private readonly office: OrderOffice
@@ -71,6 +70,7 @@
     this.peers = this.createPeers()
     this.limits = createLimitProtocols({ clock, quotaTolerance: options.quotaTolerance, peers: this.peers, log: this.log })
     this.knowledge = this.createKnowledge()
+    this.memberBook = this.createMemberBook()
     this.office = this.createOffice()
     this.callers = CallerServer.create({
       clock,
@@ -88,13 +88,13 @@
   }
 
   async start (): Promise<void> {
-    const { callers, readiness, metrics, clock, log, topics, name, seeds } = this.options
+    const { callers, readiness, metrics, seeds } = this.options
     this.log.belief('Starting.', { pid: process.pid })
     await this.peers.start()
     this.peers.nameAll(seeds)
     this.knowledge.start()
     this.desk.caches.watch.start()
-    enterMemberBook({ clock, log, topic: topics.members, name, address: this.peers.address, onFirstLife: () => this.desk.retries.observeFirstLife(), onAddresses: addresses => this.meet(addresses), isLeaving: () => this.isLeaving })
+    this.note(this.memberBook.enter())
     await this.callers.listen(callers.host, callers.port)
     await this.readiness.listen(readiness.host, readiness.port)
     if (metrics) {
@@ -209,30 +209,35 @@
   }
 
   private createKnowledge (): Knowledge {
-    const { clock, random, log, topics, name, failureDomain, readers } = this.options
-    const intake = RecordIntake.create({
-      clock,
-      log: this.log,
-      readers,
+    return createKnowledge({
+      ...this.options,
+      relayLog: this.log,
       directory: this.desk.directory,
-      settledAt: () => this.knowledge.settledAt,
+      peers: this.peers,
+      revision: () => this.revision,
       onRouting: routing => this.adopt(routing),
-      onWeights: (model, version) => this.office.desk.name(model, version, !this.knowledge.isWhole)
+      onWeights: (model, version, isStart) => this.office.desk.name(model, version, isStart),
+      onRestored: () => this.note(this.memberBook.enterAgain())
     })
-    return Knowledge.create({
+  }
+
+  /** Work beside the requests that failed for a reason that nobody foresaw. */
+  private note (work: Promise<void>): void {
+    work.catch((error: unknown) => this.log.trouble('Work in the background failed.', { reason: String(error) }))
+  }
+
+  private createMemberBook (): MemberBook {
+    const { clock, random, log, topics, name } = this.options
+    return MemberBook.create({
       clock,
       random,
-      wallSeconds: readWallSeconds,
-      self: { name, failureDomain },
-      readers: () => this.peers.likely().filter(({ hasStore }) => hasStore),
-      notify: notice => this.peers.notify(notice),
       log,
-      topics: { [ToldTopic.Operators]: topics.operators, [ToldTopic.Servers]: topics.servers },
-      relayLog: this.log,
-      link: () => this.peers.link,
-      peers: () => this.peers.table.all().map(({ address, last }) => ({ address, positions: last?.positions, revision: last?.revision ?? -1 })),
-      revision: () => this.revision,
-      onRecord: { [ToldTopic.Operators]: record => intake.takeOperators(record), [ToldTopic.Servers]: record => intake.takeServer(record) }
+      topic: topics.members,
+      name,
+      address: this.peers.address,
+      onFirstLife: () => this.desk.retries.observeFirstLife(),
+      onAddresses: addresses => this.meet(addresses),
+      isLeaving: () => this.isLeaving
     })
   }
 
