--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -20,6 +20,11 @@
 /** Rates that servers in need state; undefined: the need is over. */
 const RATES = [0, 1.1, 5, undefined]
 
+/** The store may be restored from a copy so old, after it was away for so long; what was lost is written again in that time, milliseconds. */
+const OLDEST_COPY_MS = 3000
+const LONGEST_AWAY_MS = 800
+const LONGEST_REWRITE_MS = 1500
+
 /** Drained servers go on serving what they have for this long, milliseconds. */
 const DRAINED_SERVES_MS = 3000
 
@@ -98,6 +103,12 @@
   'lose answers of the store': async context => {
     drawInstance(context).door.faults.appends.push(draw(context.random, [AppendFault.AnswerLost, AppendFault.Late]))
   },
+  'restore the store from an older copy': async context => {
+    const { fleet: { platform }, random, disturbances } = context
+    const copy = platform.store.copy()
+    await rest(context, OLDEST_COPY_MS)
+    await disturbances.during(async () => await platform.restoreStore({ copy, awayMs: random.below(LONGEST_AWAY_MS), rewrittenMs: random.below(LONGEST_REWRITE_MS) }))
+  },
   'forget the history': async ({ fleet }) => fleet.platform.store.compact(),
   // Each is taken by one request; with one at a single server, few requests of a short run would meet one.
   'fault the servers': async ({ fleet, random }) => {
--- a/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
@@ -53,6 +53,7 @@
   try {
     await Promise.all([disturb(), disturb(), send()])
     await fleet.waitUntilServing()
+    await fleet.waitUntilConfigured()
     await fleet.waitUntilSettled()
     const { platform, operator } = fleet
     const seen = { cachedLevelsUsed: platform.partUses().length, orders: platform.takenOrders().length, drains: operator.drains.length, keysTaken: operator.terms.length - 1, limits: operator.rates.length }
--- a/packages/foxtaillever-proof/src/platformSoak/soakedFleet.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakedFleet.ts
@@ -57,6 +57,14 @@
     }
   }
 
+  /** Every instance acts by the newest configuration, whatever the store went through. */
+  async waitUntilConfigured (): Promise<void> {
+    const key = this.operator.terms.at(-1)?.key ?? ''
+    for (const { address } of this.instances) {
+      await waitFor(`${address} has the newest configuration`, async () => (await this.caller.send({ address, id: `probe-${this.probes++}`, path: '/repeatable/x', key, method: 'GET' })).status === 200)
+    }
+  }
+
   /** Every engine has nothing to do and, unless it leaves, the newest weights. */
   async waitUntilSettled (): Promise<void> {
     await waitFor('engines have the newest weights and nothing to do', () => this.unsettled().length === 0).catch((error: Error) => {
--- a/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
@@ -13,6 +13,8 @@
 
 const ANSWER_MS = 4
 const BEAT_MS = 1000
+/** A call fails so long after the store should have answered, milliseconds. */
+const GIVEN_UP_MS = 700
 const unanswered = Failure.create(FailureCode.LogUnavailable, Verdict.NotRun, 'down')
 
 /** One store; it may turn single instances away. */
@@ -25,6 +27,8 @@
   /** No call gets through. */
   isAway = false
   private era = 0
+  /** Calls from before then get no answer any more, milliseconds of Unix time. */
+  private silencedAt = -Infinity
   /** The era that the last answer to an instance named. */
   private readonly named = new Map<string, number>()
 
@@ -42,6 +46,11 @@
     this.era += 1
   }
 
+  /** All connections go silent without a word; new ones work. */
+  silence (): void {
+    this.silencedAt = this.clock.now()
+  }
+
   append (topic: string, key: string, value: string | undefined): void {
     const records = this.records(topic)
     records.push({ key, value: value === undefined ? undefined : Buffer.from(value), offset: records.length })
@@ -88,11 +97,15 @@
 
   private async answer<Page> (instance: string, waitMs: number, topic: string, from: number, page: () => Page): Promise<Either<Failure, Page>> {
     this.calls += 1
-    const until = this.clock.now() + waitMs
+    const calledAt = this.clock.now()
+    const until = calledAt + waitMs
     do {
       await new Promise<void>(resolve => { this.clock.at(this.clock.now() + ANSWER_MS, resolve) })
     } while (!this.isDarkFor(instance) && this.clock.now() < until && this.endsAt(topic, from))
-    if (this.isDarkFor(instance)) {
+    if (calledAt < this.silencedAt) {
+      await new Promise<void>(resolve => { this.clock.at(until + GIVEN_UP_MS, resolve) })
+    }
+    if (calledAt < this.silencedAt || this.isDarkFor(instance)) {
       return Left(unanswered)
     }
     this.named.set(instance, this.era)
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/restoredStore.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/restoredStore.test.ts
@@ -131,6 +131,20 @@
     })
   }
 
+  // Guards against waiting for an answer that was held across the return and never comes.
+  it('is read anew within the bound where held calls stay silent', async t => {
+    const { clock, store, fleet } = await restoreStore()
+    await clock.advanceBy(BOUND_MS)
+    const copy = store.copy()
+    store.append('operators', 'config', NEW)
+    await clock.advanceBy(1000)
+    store.silence()
+    store.restore(copy)
+    store.append('operators', 'config', NEWER)
+    await clock.advanceBy(BOUND_MS)
+    t.deepEqual(NAMES.filter(name => fleet.get(name).beliefs.get('config') !== NEWER), [])
+  })
+
   // Guards against two restorations in a row, the second before everybody has noticed the first.
   it('follows a store that is restored twice in a row', async t => {
     const { clock, store, fleet } = await restoreStore()
