--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -10,11 +10,10 @@
 import { MemberBook } from './knowledge/memberBook.js'
 import { StartCheck } from './knowledge/startCheck.js'
 import type { Routing } from './model/routing.js'
+import { createOwnWord, takePeerMessage, takeWeightsNotice, type BeatParts } from './peers/beatContents.js'
 import { answerLeaseCall } from './peers/leaseCalls.js'
 import { ownUses } from './peers/ownUses.js'
-import type { PeerMessage } from './peers/peerMessage.js'
-import { Peers, type OwnWord } from './peers/peers.js'
-import type { WeightsNotice } from './peers/weightsNotice.js'
+import { Peers } from './peers/peers.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
@@ -190,17 +189,17 @@
       name,
       failureDomain,
       ...peers,
-      word: () => this.word(),
+      word: () => createOwnWord(this.beatParts()),
       lease: () => this.office.lease.news(),
       tell: (topic, from) => this.knowledge.tell(topic, from),
-      onMessage: message => this.hear(message),
+      onMessage: message => takePeerMessage(this.beatParts(), message),
       ownUses: () => ownUses(this.desk.directory.all()),
       isAskedFor: server => (this.desk.directory.ofHash(server)?.weights.size ?? 0) > 0,
       onSaved: levels => this.desk.caches.savedLevels.hear(levels, clock.now()),
       onUnreachable: hash => this.desk.hearUnreachable(hash),
       onPassedOver: peer => this.log.belief('An instance does not answer questions of load; its second is asked.', { peer }),
       onNotice: notice => this.knowledge.hear(notice),
-      onWeights: notice => this.hearWeights(notice),
+      onWeights: notice => takeWeightsNotice(this.office, notice),
       onLeaseCall: (request, search, response) => this.lendLease(request, search, response),
       onLimit: message => this.limits[message.scope].hear(message),
       isLeaving: () => this.isLeaving,
@@ -262,42 +261,9 @@
     })
   }
 
-  /** What this instance tells the others of itself. */
-  private word (): OwnWord {
-    const { directory, caches } = this.desk
-    return {
-      isLeaving: this.isLeaving,
-      hasStore: this.knowledge.hasStore,
-      positions: this.knowledge.positions,
-      revision: this.revision,
-      lease: this.office.lease.news(),
-      uses: caches.uses(),
-      sums: this.peers.loads.sums(directory.all().map(({ hash }) => hash)),
-      suspects: this.suspects.toTell(this.options.clock.now()),
-      ...caches.word(),
-      named: this.office.desk.ages(),
-      current: this.office.desk.current(),
-      speeds: directory.speedsToTell(),
-      limits: this.desk.limits.news()
-    }
-  }
-
-  private hearWeights ({ news, lease }: WeightsNotice): void {
-    if (lease) {
-      this.office.lease.observe(lease)
-    }
-    news.forEach(one => this.office.desk.observe(one))
-  }
-
-  private hear ({ address, lease, suspects, named, current, speeds, limits, ...caches }: PeerMessage): void {
-    this.desk.observeInstances(this.peers.count())
-    this.desk.limits.hear(limits)
-    this.suspects.hear(suspects, this.options.clock.now())
-    this.desk.caches.hear(address, caches)
-    this.hearWeights({ news: [], lease })
-    speeds.forEach(({ service, ...word }) => this.desk.directory.experience.prefillSpeedOf(service).hear(word))
-    named.forEach(news => this.office.desk.observeNamed(news))
-    current.forEach(news => this.office.desk.observeCurrent(news))
+  private beatParts (): BeatParts {
+    const { options: { clock }, desk, suspects, peers, knowledge, office, isLeaving, revision } = this
+    return { clock, desk, suspects, peers, knowledge, office, isLeaving, revision }
   }
 
   /** The store names all that ever entered. */
