Tell positions as era and offset in logs and dumps; read no routing twice

A position of a later era is a number of thirteen digits, so lines and dumps show it as 1/57. A record of the same era that stands before the one in force is not parsed, nor told as an older configuration: it is history that a reading brings again. The peers of a look are gathered once.

--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -10,7 +10,7 @@
 import { ToldTopic } from '../peers/toldTopic.js'
 import { Freshness } from './freshness.js'
 import type { KnowledgeOptions } from './knowledgeOptions.js'
-import { PeerAsking, type PeerAnswer } from './peerAsking.js'
+import { PeerAsking, type KnowingPeer, type PeerAnswer } from './peerAsking.js'
 import { ReadingLog } from './readingLog.js'
 import { ReadPlans } from './readPlans.js'
 import { RecordRanking, RecordTable, type ToldSince } from './recordTable.js'
@@ -141,12 +141,12 @@
       onRecord: record => this.readings.noteRecord(topic, table.take(record)),
       onListed: record => this.readings.noteRecord(topic, table.takeListed(record)),
       onWhole: (keys, end) => {
-        this.readings.whole({ topic, era: log.era, end, known: table.position }, keys.size)
+        this.readings.whole({ topic, end, known: table.position }, keys.size)
         this.noteEra(topic, end)
         this.noteRead(topic, end, () => table.retain(keys, end))
       },
       onReached: end => {
-        this.readings.reached({ topic, era: log.era, end, known: table.position })
+        this.readings.reached({ topic, end, known: table.position })
         this.noteRead(topic, end, () => table.reach(end))
       },
       onLost: failure => {
@@ -246,11 +246,11 @@
    * Asks a peer that is ahead. The servers' topic moves with every heartbeat, so
    * being a little behind there means nothing while readings go on.
    */
-  private askWhereLacking (topic: ToldTopic): void {
+  private askWhereLacking (topic: ToldTopic, peers: readonly KnowingPeer[]): void {
     const { table, follower } = this.followed[topic]
     const isStale = follower.isFailing && !this.plans.isFresh
     if (!table.isWhole || topic === ToldTopic.Operators || isStale) {
-      this.asking.askAhead(topic, table)
+      this.asking.askAhead(topic, table, peers)
     }
   }
 
@@ -266,15 +266,16 @@
 
   private look (): void {
     const { clock, relayLog } = this.options
-    this.enterEra(Math.max(this.options.log.era, ...this.options.peers().map(({ positions }) => eraOf(positions?.servers ?? 0))))
+    const peers = this.options.peers()
+    this.enterEra(Math.max(this.options.log.era, ...peers.map(({ positions }) => eraOf(positions?.servers ?? 0))))
     const stoodMs = this.suspension.look(LOOK_MS)
     if (stoodMs > 0) {
       relayLog.trouble('This machine stood still; what is known is read again.', { stoodMs: Math.round(stoodMs) })
       this.freshness.distrust()
       topics.forEach(topic => this.followed[topic].follower.readNow())
     }
-    topics.forEach(topic => this.askWhereLacking(topic))
-    this.asking.askForNewerRouting(this.followed[ToldTopic.Operators].table.position, this.options.revision())
+    topics.forEach(topic => this.askWhereLacking(topic, peers))
+    this.asking.askForNewerRouting(this.followed[ToldTopic.Operators].table.position, this.options.revision(), peers)
     this.cancelLook = clock.at(clock.now() + LOOK_MS, () => this.look())
   }
 }
--- a/packages/foxtaillever-relay/src/knowledge/peerAsking.ts
+++ b/packages/foxtaillever-relay/src/knowledge/peerAsking.ts
@@ -5,6 +5,7 @@
 import { ToldTopic } from '../peers/toldTopic.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { RecordTable, ToldSince } from './recordTable.js'
+import { formatPosition } from './storePosition.js'
 
 /** An instance that may be asked, and how far it is; unknown for one that was never heard. */
 export interface KnowingPeer {
@@ -24,7 +25,6 @@
   readonly random: Random
   readonly relayLog: RelayLog
   readonly link: () => Pick<PeerLink, 'ask'>
-  readonly peers: () => readonly KnowingPeer[]
   readonly onAnswer: (topic: ToldTopic, answer: PeerAnswer) => void
 }
 
@@ -38,25 +38,24 @@
   }
 
   /** Asks one of those that are ahead, or any that was never heard while nothing is known yet. */
-  askAhead (topic: ToldTopic, { isWhole, position }: RecordTable): void {
-    const { random, peers } = this.options
-    const ahead = peers().filter(({ positions }) => positions === undefined ? !isWhole : positions[topic] > position)
-    const chosen = ahead[random.below(ahead.length)]
-    if (chosen) {
-      this.ask(chosen.address, topic, position, -Infinity)
-    }
+  askAhead (topic: ToldTopic, { isWhole, position }: RecordTable, peers: readonly KnowingPeer[]): void {
+    const ahead = peers.filter(({ positions }) => positions === undefined ? !isWhole : positions[topic] > position)
+    this.askOne(ahead, topic, position)
   }
 
   /**
    * Asks one that has read no further and yet has a newer configuration: the store
    * was restored from an older copy, and the other knows what was lost.
    */
-  askForNewerRouting (position: number, revision: number): void {
-    const { random, peers } = this.options
-    const newer = peers().filter(peer => peer.revision > revision && peer.positions !== undefined && peer.positions.operators <= position)
-    const chosen = newer[random.below(newer.length)]
+  askForNewerRouting (position: number, revision: number, peers: readonly KnowingPeer[]): void {
+    const newer = peers.filter(peer => peer.revision > revision && peer.positions !== undefined && peer.positions.operators <= position)
+    this.askOne(newer, ToldTopic.Operators, 0)
+  }
+
+  private askOne (peers: readonly KnowingPeer[], topic: ToldTopic, from: number): void {
+    const chosen = peers[this.options.random.below(peers.length)]
     if (chosen) {
-      this.ask(chosen.address, ToldTopic.Operators, 0, -Infinity)
+      this.ask(chosen.address, topic, from, -Infinity)
     }
   }
 
@@ -72,7 +71,7 @@
       Left: ({ message }) => relayLog.trouble('Another instance does not tell its records.', { peer: address, topic, reason: message }),
       Right: ({ records, position, keys }) => {
         if (position > from) {
-          relayLog.belief('Takes records from another instance.', { peer: address, topic, from, position, records: records.length })
+          relayLog.belief('Takes records from another instance.', { peer: address, topic, from: formatPosition(from), position: formatPosition(position), records: records.length })
         }
         onAnswer(topic, { from, records, position, keys, freshAt })
       }
--- a/packages/foxtaillever-relay/src/knowledge/readingLog.ts
+++ b/packages/foxtaillever-relay/src/knowledge/readingLog.ts
@@ -1,12 +1,11 @@
 /** Lines on what readings of the platform's store brought, so that a record that was passed over can be found afterwards. */
 import type { ToldTopic } from '../peers/toldTopic.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import { formatPosition } from './storePosition.js'
 
 /** A reading that has ended. */
 export interface EndedReading {
   readonly topic: ToldTopic
-  /** Of the store. */
-  readonly era: number
   /** Everything before this position has been read. */
   readonly end: number
   /** Everything before this position was known before. */
@@ -30,14 +29,16 @@
     }
   }
 
-  whole (reading: EndedReading, records: number): void {
-    this.log.belief('Read a topic of the platform\'s store whole.', { ...reading, records, older: this.takeOlder(reading.topic) })
+  whole ({ topic, end, known }: EndedReading, records: number): void {
+    const subject = { topic, end: formatPosition(end), known: formatPosition(known), records, older: this.takeOlder(topic) }
+    this.log.belief('Read a topic of the platform\'s store whole.', subject)
   }
 
-  reached (reading: EndedReading): void {
-    const older = this.takeOlder(reading.topic)
+  reached ({ topic, end, known }: EndedReading): void {
+    const older = this.takeOlder(topic)
     if (older > 0) {
-      this.log.trouble('Passed over records of the platform\'s store as older than what is known.', { ...reading, older })
+      const subject = { topic, end: formatPosition(end), known: formatPosition(known), older }
+      this.log.trouble('Passed over records of the platform\'s store as older than what is known.', subject)
     }
   }
 
--- a/packages/foxtaillever-relay/src/knowledge/recordIntake.ts
+++ b/packages/foxtaillever-relay/src/knowledge/recordIntake.ts
@@ -8,6 +8,7 @@
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { KeyedRecord } from './keyedLog.js'
+import { eraOf, formatPosition } from './storePosition.js'
 
 export interface RecordIntakeOptions {
   readonly clock: Clock
@@ -71,18 +72,22 @@
 
   private takeRouting (key: string, value: Buffer, offset: number): boolean {
     const { readers, log, onRouting } = this.options
-    if (this.taken?.value.equals(value) === true) {
-      this.taken = { ...this.taken, offset: Math.max(this.taken.offset, offset) }
+    const { taken } = this
+    if (taken?.value.equals(value) === true) {
+      this.taken = { ...taken, offset: Math.max(taken.offset, offset) }
       return true
     }
+    if (taken !== undefined && offset < taken.offset && eraOf(offset) === eraOf(taken.offset)) {
+      return false
+    }
     return readers.routing(value).caseOf({
       Left: reason => {
         log.trouble('A configuration cannot be read; the last one stays in force.', { key, reason })
-        return offset > (this.taken?.offset ?? -1)
+        return offset > (taken?.offset ?? -1)
       },
       Right: routing => {
         if (!this.isNewRouting(routing, offset)) {
-          log.trouble('The platform\'s store has an older configuration than the one in force, which stays.', { revision: routing.revision, inForce: this.taken?.revision, offset })
+          log.trouble('The platform\'s store has an older configuration than the one in force, which stays.', { revision: routing.revision, inForce: taken?.revision, position: formatPosition(offset) })
           return false
         }
         this.taken = { value, revision: routing.revision, offset }
@@ -139,7 +144,7 @@
     })
     if (!this.unreadable.has(key) && this.unreadable.size < MOST_UNREADABLE_LOGGED) {
       this.unreadable.set(key, now + UNREADABLE_LOGGED_MS)
-      log.trouble('An entry of a backend server cannot be read; it gets no new work.', { server: key.slice(0, MOST_KEY_LOGGED), offset, reason: reason.slice(0, MOST_REASON_LOGGED) })
+      log.trouble('An entry of a backend server cannot be read; it gets no new work.', { server: key.slice(0, MOST_KEY_LOGGED), position: formatPosition(offset), reason: reason.slice(0, MOST_REASON_LOGGED) })
     }
     return directory.observeUnreadable(key, offset)
   }
@@ -154,7 +159,7 @@
       directory.remove(id, offset)
       return
     }
-    log.belief('An entry expired while the store was down; its server may write it again.', { server: id, offset })
+    log.belief('An entry expired while the store was down; its server may write it again.', { server: id, position: formatPosition(offset) })
     clock.at(settledAt(), () => directory.remove(id, offset))
   }
 }
--- a/packages/foxtaillever-relay/src/knowledge/storePosition.ts
+++ b/packages/foxtaillever-relay/src/knowledge/storePosition.ts
@@ -22,3 +22,8 @@
 export function offsetOf (position: number): number {
   return position % OFFSETS
 }
+
+/** As logs and dumps tell it: era and offset. */
+export function formatPosition (position: number): string {
+  return `${eraOf(position)}/${offsetOf(position)}`
+}
--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -5,6 +5,7 @@
 import type { Clock } from 'foxtaillever-core'
 import type { Metrics, Subject } from 'foxtaillever-telemetry'
 import type { Knowledge } from '../knowledge/knowledge.js'
+import { formatPosition } from '../knowledge/storePosition.js'
 import type { Routing } from '../model/routing.js'
 import type { Peers } from '../peers/peers.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
@@ -53,16 +54,17 @@
     const { name, clock, routing, directory, peers, knowledge, lease, open, isReady } = this.options
     const now = clock.now()
     const { revision, routes = [], accounts = [] } = routing() ?? {}
+    const { operators, servers: read } = knowledge().positions
     return {
       name,
       at: new Date(now).toISOString(),
       isReady: isReady(),
       open: open(),
       configuration: { revision, routes: routes.map(route => route.name), accounts: accounts.map(account => account.name) },
-      store: { answers: knowledge().hasStore, positions: knowledge().positions },
+      store: { answers: knowledge().hasStore, era: knowledge().storeEra, positions: { operators: formatPosition(operators), servers: formatPosition(read) } },
       lease: { isHeld: lease().fence() !== undefined, ...lease().news() },
       servers: directory.all().map(({ listed, weights, outstanding, health, changingUntil, offset }) => ({
-        ...listed, weights: Object.fromEntries(weights), outstanding, offset, faultShare: health.faultShare(now), changingMs: Math.max(0, changingUntil - now)
+        ...listed, weights: Object.fromEntries(weights), outstanding, position: formatPosition(offset), faultShare: health.faultShare(now), changingMs: Math.max(0, changingUntil - now)
       })),
       reading: Object.fromEntries([...directory.experience.prefillSpeeds].map(([service, { tokensPerMs, samples }]) => [service, { tokensPerMs, samples }])),
       instances: peers().table.all().map(({ address, last, heardAt }) => ({ address, name: last?.name, failureDomain: last?.failureDomain, heardMsAgo: now - heardAt }))
