Let a herd of readers of the whole store end: answers that have begun are read on

Found by the sums for 380 instances that read a restored store at once: 128 MB at 80 MB/s take 1.6 s, and a call that was not whole after 0.7 s was given up and made again after the same pause by all. An answer that has begun is read on while its pieces come within 0.7 s; the time until a page of the whole begins doubles from 0.7 to 2.8 s with each failure; pauses are drawn up to 15% shorter; and a store that did not answer is asked again as soon as nobody else tells what it holds, not two seconds after the failed call.

--- a/packages/foxtaillever-relay/src/knowledge/__tests__/topicFollower.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/topicFollower.test.ts
@@ -3,7 +3,7 @@
  * held call too soon. Each call is paid for, and calls beyond a limit are turned
  * away for all instances; but what was missed must be noticed.
  */
-import { Failure, FailureCode, Verdict } from 'foxtaillever-core'
+import { Failure, FailureCode, SeededRandom, Verdict } from 'foxtaillever-core'
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
 import { Left, Right } from 'purify-ts'
 import type { KeyedLog, KeyedRecord } from '../keyedLog.js'
@@ -57,6 +57,7 @@
     isTold: false,
     follower: TopicFollower.create({
       clock,
+      random: SeededRandom.create(3),
       log,
       topic: 'servers',
       waitMs: () => 0,
--- a/packages/foxtaillever-relay/src/knowledge/keyedLog.ts
+++ b/packages/foxtaillever-relay/src/knowledge/keyedLog.ts
@@ -31,8 +31,11 @@
 export interface KeyedLog {
   /** Rises each time the store was restored from an older copy, and gives offsets out again; the highest that an answer named, 0 before. */
   readonly era: number
-  /** @param after key after which the page begins; empty for the first. */
-  readonly newest: (topic: string, after: string) => Promise<Either<Failure, NewestPage>>
+  /**
+   * @param after key after which the page begins; empty for the first.
+   * @param answerMs how long the store may take until it begins to answer.
+   */
+  readonly newest: (topic: string, after: string, answerMs: number) => Promise<Either<Failure, NewestPage>>
   /** @param waitMs how long the store may hold the call until there is a record. */
   readonly read: (topic: string, from: number, waitMs: number) => Promise<Either<Failure, RecordPage>>
 }
--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -130,11 +130,12 @@
   }
 
   private follow (topic: ToldTopic): Followed {
-    const { clock, log, topics: names, relayLog, onRecord } = this.options
+    const { clock, random, log, topics: names, relayLog, onRecord } = this.options
     const table = RecordTable.create(onRecord[topic], rankings[topic])
     const follower = TopicFollower.create({
       ...this.plans.of(topic),
       clock,
+      random,
       log,
       topic: names[topic],
       isTold: () => this.plans.isFresh,
@@ -274,6 +275,8 @@
       this.freshness.distrust()
       topics.forEach(topic => this.followed[topic].follower.readNow())
     }
+    // Once nobody tells any more, a store that did not answer is asked sooner.
+    topics.forEach(topic => this.followed[topic].follower.reconsider())
     topics.forEach(topic => this.askWhereLacking(topic, peers))
     this.asking.askForNewerRouting(this.followed[ToldTopic.Operators].table.position, this.options.revision(), peers)
     this.cancelLook = clock.at(clock.now() + LOOK_MS, () => this.look())
--- a/packages/foxtaillever-relay/src/knowledge/memberBook.ts
+++ b/packages/foxtaillever-relay/src/knowledge/memberBook.ts
@@ -27,6 +27,9 @@
   readonly isLeaving: () => boolean
 }
 
+/** How long the store may take to answer, milliseconds: at a start, all instances may ask at the same time. */
+const ANSWER_MS = 2800
+
 /** Between two tries while the store does not answer, milliseconds. */
 const AGAIN_MS = 1500
 
@@ -59,7 +62,7 @@
   /** A store that was restored may have lost the address, and shows no first life. */
   private async noteFirstLife (): Promise<void> {
     const { log, topic, name, onFirstLife } = this.options
-    const before = await log.newest(topic, '')
+    const before = await log.newest(topic, '', ANSWER_MS)
     before.ifRight(({ records, end }) => {
       if (eraOf(end) === 0 && !records.some(({ key }) => key === name)) {
         onFirstLife()
@@ -84,7 +87,7 @@
 
   private async readAddresses (): Promise<boolean> {
     const { log, topic, onAddresses } = this.options
-    const page = await log.newest(topic, '')
+    const page = await log.newest(topic, '', ANSWER_MS)
     page.ifRight(({ records }) => onAddresses(records.flatMap(({ value }) => value ? [value.toString()] : [])))
     return page.isRight()
   }
--- a/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
+++ b/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
@@ -4,12 +4,13 @@
  * together, so it reads only when that is due, or waits at the store, and asks
  * less often while the store does not answer.
  */
-import type { Clock, Failure } from 'foxtaillever-core'
+import type { Clock, Failure, Random } from 'foxtaillever-core'
 import type { KeyedLog, KeyedRecord } from './keyedLog.js'
 import { eraOf } from './storePosition.js'
 
 export interface TopicFollowerOptions {
   readonly clock: Clock
+  readonly random: Random
   readonly log: KeyedLog
   readonly topic: string
   /** How long the store may hold the next call until there is a record, milliseconds. */
@@ -42,6 +43,15 @@
 /** Pause while others tell what the store holds, milliseconds: only whether it answers here again is asked. */
 const TOLD_PAUSE_MS = 2000
 
+/** Part of a pause that is drawn, so that instances whose calls failed together do not call together again. */
+const PAUSE_SPREAD = 0.15
+
+/** How long the store may take until it begins to answer with a page of the whole topic, milliseconds; doubled after each failure. */
+const FIRST_PAGE_MS = 700
+
+/** All instances may read whole at the same time, and the store's rate is shared. */
+const LONGEST_PAGE_MS = 2800
+
 /** Between two calls, milliseconds, should the store not hold them as asked. */
 const LEAST_PAUSE_MS = 20
 
@@ -55,6 +65,7 @@
   /** Offset of the next record; undefined before the first whole reading. */
   private next: number | undefined
   private failures = 0
+  private pauseFactor = 1
   private isRunning = false
   private isWanted = false
   private wake = (): void => {}
@@ -144,7 +155,7 @@
     const { dueAt, notBefore, isTold } = this.options
     if (this.failures > 0) {
       const pause = isTold() ? TOLD_PAUSE_MS : Math.min(FIRST_PAUSE_MS * 2 ** (this.failures - 1), LONGEST_PAUSE_MS)
-      return Math.max(notBefore(), this.triedAt + pause)
+      return Math.max(notBefore(), this.triedAt + pause * this.pauseFactor)
     }
     const isDue = this.next === undefined || this.isWanted
     return Math.max(notBefore(), this.triedAt + LEAST_PAUSE_MS, isDue ? 0 : dueAt())
@@ -163,6 +174,7 @@
 
   private noteFailure (failure: Failure): void {
     this.failures += 1
+    this.pauseFactor = 1 - PAUSE_SPREAD * this.options.random.next()
     if (this.failures === 1) {
       this.options.onLost(failure)
     }
@@ -181,11 +193,12 @@
   /** Pages are no snapshot: what changes meanwhile is read again from the first page's end. */
   private async readWhole (): Promise<Failure | undefined> {
     const { log, topic, onListed, onWhole } = this.options
+    const answerMs = Math.min(FIRST_PAGE_MS * 2 ** this.failures, LONGEST_PAGE_MS)
     const keys = new Set<string>()
     let after = ''
     let end: number | undefined
     for (;;) {
-      const page = await log.newest(topic, after)
+      const page = await log.newest(topic, after, answerMs)
       if (page.isLeft()) {
         return page.extract() as Failure
       }
--- a/packages/foxtaillever-relay/src/servers/__tests__/callServer.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/callServer.test.ts
@@ -53,6 +53,22 @@
     })
   })
 
+  // Guards against a long answer that is given up in its middle, with that of every other instance.
+  it('reads an answer that has begun as long as it comes, and no longer', async t => {
+    const { server, connections } = await listen((request, response) => {
+      const last = request.url === '/stalls' ? 2 : 5
+      const write = (piece: number): void => {
+        response.write('piece')
+        setTimeout(() => piece < last ? write(piece + 1) : request.url === '/stalls' || response.end(), DEADLINE_MS / 2)
+      }
+      write(1)
+    })
+    const read = async (path: string): Promise<number> => (await callServer(connections, { ...call, path }, clock, clock.now() + DEADLINE_MS, 10 * DEADLINE_MS)).map(({ body }) => body.length).orDefault(0)
+    t.is(await read('/'), 25)
+    t.is(await read('/stalls'), 0)
+    close(server, connections)
+  })
+
   it('fails by its deadline where nothing answers', async t => {
     const { server, connections } = await listen(() => {})
     t.true((await callServer(connections, call, clock, clock.now() + DEADLINE_MS)).isLeft())
