Keep a server's idle connections within what it accepts from all instances

In use are only as many as the server has requests; idle ones now keep to the part rounded down, to none where instances are more than connections. Of each instance's total two stay, since a second request would wait for a whole answer.

Test first: five instances with two requests each left ten connections open at a server of four, until they timed out; now none is left beyond four. Node takes a maxFreeSockets of 0 given at creation for its default, so it is set afterwards.

--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -164,7 +164,7 @@
   private connectionsTo (address: string): ServerConnections {
     let connections = this.connections.get(address)
     if (!connections) {
-      connections = ServerConnections.create({ address, mostConnections: 1 })
+      connections = ServerConnections.create({ address, part: { total: 1, idle: 1 } })
       this.connections.set(address, connections)
     }
     return connections
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -8,6 +8,7 @@
 import { Agent, request, type AgentOptions, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import type { ConnectionPart } from 'foxtaillever-policy/relay/connectionPart'
 
 /** An idle connection is closed after this unless the server says otherwise, milliseconds. */
 const IDLE_TIMEOUT_MS = 4000
@@ -89,26 +90,22 @@
 export interface ServerConnectionsOptions {
   /** IP number and port. */
   readonly address: string
-  readonly mostConnections: number
+  readonly part: ConnectionPart
   /** Steady milliseconds. */
   readonly now?: () => number
-  /** Idle connections kept at most. */
-  readonly mostIdle?: number
 }
 
-/** Idle connections kept at most to one server, where nothing else is said. */
-const MOST_IDLE = 16
-
 export class ServerConnections {
   private readonly agent: ServerAgent
   private readonly host: string
   private readonly port: number
 
-  private constructor ({ address, mostConnections, mostIdle = MOST_IDLE, now = () => performance.now() }: ServerConnectionsOptions) {
+  private constructor ({ address, part, now = () => performance.now() }: ServerConnectionsOptions) {
     const colon = address.lastIndexOf(':')
     this.host = address.slice(0, colon)
     this.port = Number(address.slice(colon + 1))
-    this.agent = new ServerAgent({ keepAlive: true, maxSockets: mostConnections, maxFreeSockets: mostIdle, scheduling: 'lifo' }, now)
+    this.agent = new ServerAgent({ keepAlive: true, scheduling: 'lifo' }, now)
+    this.limit(part)
   }
 
   static create (options: ServerConnectionsOptions): ServerConnections {
@@ -134,8 +131,9 @@
   }
 
   /** Other instances came or went, so that this one's part of the server's connections is another. */
-  limit (mostConnections: number): void {
-    this.agent.maxSockets = mostConnections
+  limit ({ total, idle }: ConnectionPart): void {
+    this.agent.maxSockets = total
+    this.agent.maxFreeSockets = idle
   }
 
   /** Closes idle connections; those at work end with their request. */
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -9,6 +9,7 @@
  * former one, such as a request on its way there, changes only that.
  */
 import { hashNumber } from 'foxtaillever-core'
+import { connectionPart, type ConnectionPart } from 'foxtaillever-policy/relay/connectionPart'
 import { SETTLED_SAMPLES } from 'foxtaillever-policy/relay/prefillSpeed'
 import { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
 import { ServerState, type ListedServer } from '../model/listedServer.js'
@@ -45,7 +46,6 @@
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
   private instances = 1
-  /** Changes of weights learned so far. */
 
   private constructor (private readonly options: ServerDirectoryOptions) {}
 
@@ -68,12 +68,11 @@
 
   /** The limits of services and the number of instances may both change after a server was added. */
   private limitConnections (): void {
-    this.servers.forEach(({ listed, connections }) => connections.limit(this.mostConnections(listed.service)))
+    this.servers.forEach(({ listed, connections }) => connections.limit(this.connectionPart(listed.service)))
   }
 
-  private mostConnections (service: string): number {
-    const most = this.routing?.services.get(service)?.mostConnections ?? DEFAULT_CONNECTIONS
-    return Math.max(2, Math.floor(most / this.instances))
+  private connectionPart (service: string): ConnectionPart {
+    return connectionPart(this.routing?.services.get(service)?.mostConnections ?? DEFAULT_CONNECTIONS, this.instances)
   }
 
   /**
@@ -231,7 +230,7 @@
     const connections = ServerConnections.create({
       address: listed.address,
       now: this.options.now,
-      mostConnections: this.mostConnections(listed.service)
+      part: this.connectionPart(listed.service)
     })
     const server: KnownServer = {
       listed, hash: incarnationHash(listed), idHash: hashNumber(listed.id), offset, connections, weights: new Map(), outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, limitedUntil: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
--- a/packages/foxtaillever-router/src/adapters/engineClient.ts
+++ b/packages/foxtaillever-router/src/adapters/engineClient.ts
@@ -27,7 +27,7 @@
   private constructor (private readonly address: string, private readonly clock: Clock, private readonly connections: ServerConnections) {}
 
   static create (address: string, clock: Clock): EngineClient {
-    return new EngineClient(address, clock, ServerConnections.create({ address, mostConnections: CONNECTIONS, mostIdle: CONNECTIONS }))
+    return new EngineClient(address, clock, ServerConnections.create({ address, part: { total: CONNECTIONS, idle: CONNECTIONS } }))
   }
 
   generate (call: GenerateCall, listener: GenerateListener): GenerateStream {
