Look again early only at a store that does not answer

The look five times a second woke both readers also while the store answers; each then computes its turn over all instances, 380 hashes at the size to design for.

--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -276,7 +276,7 @@
       topics.forEach(topic => this.followed[topic].follower.readNow())
     }
     // Once nobody tells any more, a store that did not answer is asked sooner.
-    topics.forEach(topic => this.followed[topic].follower.reconsider())
+    topics.map(topic => this.followed[topic].follower).filter(({ isFailing }) => isFailing).forEach(follower => follower.reconsider())
     topics.forEach(topic => this.askWhereLacking(topic, peers))
     this.asking.askForNewerRouting(this.followed[ToldTopic.Operators].table.position, this.options.revision(), peers)
     this.cancelLook = clock.at(clock.now() + LOOK_MS, () => this.look())
