Read heartbeats oneself where a restored store lists servers that had left

An instance that knew of a server's removal passes over its listing in the copy and waits for its next heartbeat. Others that never knew the removal have nothing new to tell, and their notices say that nothing is lacking: the position moved past the heartbeats, and the server stayed gone for good there. Now whoever has such listings reads by itself for up to 5 s. The new test, six instances and thirty that started after the return and read first, failed before at all six; in the first era nothing changes.

--- a/packages/foxtaillever-relay/src/knowledge/__tests__/restoredStore.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/restoredStore.test.ts
@@ -86,6 +86,24 @@
     t.deepEqual(NAMES.filter(name => fleet.get(name).beliefs.get('s') !== 'ready'), [])
   })
 
+  // Guards against an instance that is told to lack nothing by others who never knew that the server had left.
+  it('hears of a server that is back though others do not tell of it', async t => {
+    const { clock, store, fleet } = await restoreStore({ lost: store => store.append('servers', 's', undefined) })
+    await clock.advanceBy(BOUND_MS)
+    // So many that the one whose turn to read comes first is among them.
+    const started = Array.from({ length: 30 }, (_, index) => `started-${index}`)
+    started.forEach(name => {
+      fleet.cut.add(name)
+      fleet.add(name)
+    })
+    await clock.advanceBy(BOUND_MS)
+    for (let beat = 0; beat < 8; beat += 1) {
+      store.append('servers', 's', `ready|${beat}`)
+      await clock.advanceBy(400)
+    }
+    t.deepEqual(NAMES.filter(name => fleet.get(name).beliefs.get('s') !== 'ready'), [])
+  })
+
   // Guards against dropping servers that came in the lost seconds before they can write their entries again.
   it('lets servers that the copy does not list return', async t => {
     const { clock, fleet } = await restoreStore({ lost: store => store.append('servers', 'new', 'ready') })
--- a/packages/foxtaillever-relay/src/knowledge/knowledge.ts
+++ b/packages/foxtaillever-relay/src/knowledge/knowledge.ts
@@ -24,6 +24,9 @@
 /** A reading that ended this long ago is told as one of now, milliseconds. */
 const JUST_NOW_MS = 50
 
+/** A server that lives writes its entry several times in this, one that has left is removed again, milliseconds. */
+const LEFTOVERS_MS = 5000
+
 const topics = Object.values(ToldTopic)
 
 const rankings: Readonly<Record<ToldTopic, RecordRanking>> = {
@@ -46,6 +49,8 @@
   private readonly followed: Readonly<Record<ToldTopic, Followed>>
   private readonly asking: PeerAsking
   private cancelLook = (): void => {}
+  /** Until then heartbeats of servers that a restored store lists are read here, milliseconds of Unix time. */
+  private leftoversUntil = -Infinity
   /** The highest that is known of the store. */
   private era = 0
 
@@ -144,6 +149,7 @@
       onWhole: (keys, end) => {
         this.readings.whole({ topic, end, known: table.position }, keys.size)
         this.noteEra(topic, end)
+        this.leftoversUntil = clock.now() + LEFTOVERS_MS
         this.noteRead(topic, end, () => table.retain(keys, end))
       },
       onReached: end => {
@@ -227,6 +233,10 @@
     if (!table.isWhole) {
       return
     }
+    if (table.hasLeftovers && !follower.isFailing && this.options.clock.now() < this.leftoversUntil) {
+      follower.readNow()
+      return
+    }
     if (table.position >= changed) {
       this.takeTold(topic, { from: table.position, records: [], position, keys: undefined })
       if (topic === ToldTopic.Servers) {
--- a/packages/foxtaillever-relay/src/knowledge/recordTable.ts
+++ b/packages/foxtaillever-relay/src/knowledge/recordTable.ts
@@ -36,6 +36,9 @@
   /** Removals before this offset may be unknown here: a whole reading names only what is there. */
   private removalsFrom = 0
 
+  /** Keys that a restored store lists although they were removed, until a later record tells. */
+  private readonly leftovers = new Set<string>()
+
   private constructor (private readonly isNews: (record: KeyedRecord) => boolean, private readonly ranking: RecordRanking) {}
 
   /** @param isNews takes a record in and says whether it changed anything. */
@@ -66,6 +69,7 @@
     }
     const latest = Math.max(offset, seen)
     this.seen.set(key, latest)
+    this.leftovers.delete(key)
     // Who heard of the removal must hear that it was undone, though nothing else has changed.
     const isBack = record.value !== undefined && this.records.has(key) && this.records.get(key)?.value === undefined
     if (this.isNews(record) || isBack) {
@@ -88,9 +92,15 @@
       return this.take(record)
     }
     this.seen.set(key, Math.max(offset, this.seen.get(key) ?? offset))
+    this.leftovers.add(key)
     return true
   }
 
+  /** Whether later records are waited for that others may not tell, since for them nothing has changed. */
+  get hasLeftovers (): boolean {
+    return this.leftovers.size > 0
+  }
+
   /**
    * Takes what another instance told one who knows everything before an offset;
    * says whether it brought this table on. Where the other cannot tell what was
