--- a/packages/foxtaillever-relay/src/knowledge/__tests__/recordIntake.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/recordIntake.test.ts
@@ -12,17 +12,15 @@
 import type { Routing } from '../../model/routing.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
 import { RelayLog } from '../../telemetry/relayLog.js'
-import { RecordIntake } from '../recordIntake.js'
+import { RecordIntake, type RecordIntakeOptions } from '../recordIntake.js'
 import { positionAt } from '../storePosition.js'
 
 function readEntry (id: string): ListedServer {
   return { id, startedAt: 0, service: 'chat', address: '127.0.0.1:1', failureDomain: 'one', slots: 1, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }
 }
 
-function createIntake (settledAt: number): { clock: VirtualClock, intake: RecordIntake, ready: () => string[] } {
-  const clock = VirtualClock.create()
-  const directory = ServerDirectory.create({ onChanged: () => {} })
-  const intake = RecordIntake.create({
+function createOptions (clock: VirtualClock): RecordIntakeOptions {
+  return {
     clock,
     log: RelayLog.create(Logs.create({ instance: 'a', level: 'silent', clock })),
     readers: {
@@ -31,11 +29,17 @@
       server: id => Right(readEntry(id)),
       kindOfKey: () => OperatorKey.Other
     },
-    directory,
-    settledAt: () => clock.now() < settledAt ? settledAt : -Infinity,
+    directory: ServerDirectory.create({ onChanged: () => {} }),
+    settledAt: () => -Infinity,
     onRouting: () => {},
     onWeights: () => true
-  })
+  }
+}
+
+function createIntake (settledAt: number): { clock: VirtualClock, intake: RecordIntake, ready: () => string[] } {
+  const clock = VirtualClock.create()
+  const directory = ServerDirectory.create({ onChanged: () => {} })
+  const intake = RecordIntake.create({ ...createOptions(clock), directory, settledAt: () => clock.now() < settledAt ? settledAt : -Infinity })
   return { clock, intake, ready: () => directory.ready('chat').map(({ listed }) => listed.id) }
 }
 
@@ -69,19 +73,15 @@
     function createRoutingIntake (): { intake: RecordIntake, taken: string[] } {
       const clock = VirtualClock.create()
       const taken: string[] = []
+      const options = createOptions(clock)
       const intake = RecordIntake.create({
-        clock,
-        log: RelayLog.create(Logs.create({ instance: 'a', level: 'silent', clock })),
+        ...options,
         readers: {
+          ...options.readers,
           routing: bytes => Right({ revision: Number(bytes.toString().split(' ')[0]), text: bytes.toString() } as unknown as Routing),
-          weights: () => { throw new Error('not read here') },
-          server: id => Right(readEntry(id)),
           kindOfKey: () => OperatorKey.Routing
         },
-        directory: ServerDirectory.create({ onChanged: () => {} }),
-        settledAt: () => -Infinity,
-        onRouting: routing => taken.push((routing as unknown as { readonly text: string }).text),
-        onWeights: () => true
+        onRouting: routing => taken.push((routing as unknown as { readonly text: string }).text)
       })
       return { intake, taken }
     }
