Log and count what backend servers state of themselves, in answers to calls of every kind

A line and a count (server_statements_total) now tell each answer that says the server leaves or asks for rest, with the request, and each time that cannot be read. The heads of all answers pass one place, the connections of a server, so that reports and orders are covered too.

No decision changes with it.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -16,6 +16,7 @@
 import { noSharedLimits } from '../limits/limitProtocol.js'
 import { ServerLimits } from '../limits/serverLimits.js'
 import { ServerState } from '../model/listedServer.js'
+import { readRetryAfter } from '../model/retryAfter.js'
 import { Repeatability, type Route, type Routing } from '../model/routing.js'
 import type { CallerWire, ServerWire } from '../model/wire.js'
 import { RouteTable } from '../routing/routeTable.js'
@@ -59,6 +60,12 @@
     isEventStream: headers['content-type'] === 'text/event-stream',
     limit: headers.limit === undefined ? noLimit : { kind: LimitStatementKind.Limit, perSecond: Number(headers.limit) }
   }),
+  readStatement: (status, headers) => ({
+    serverId: undefined,
+    requestId: headers['request-id'] as string | undefined,
+    isLeaving: headers.leaving !== undefined,
+    restMs: readRetryAfter(status, headers['retry-after'])
+  }),
   passHeaders: () => []
 }
 
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -18,6 +18,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import { ServerChoice, type AskedServers, type ServerChoiceOptions } from '../servers/serverChoice.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
+import { ServerStatements } from '../servers/serverStatements.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
@@ -57,7 +58,10 @@
     this.log = log
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
     this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
+    const statements = ServerStatements.create({ log })
     this.directory = ServerDirectory.create({
+      now: () => clock.now(),
+      onAnswer: (server, status, headers) => statements.observe(server, wire.readStatement(status, headers)),
       onChanged: (server, before) => {
         const { id, startedAt, service, state } = server
         log.belief('A backend server changed its state.', { server: id, startedAt, service, state, before })
--- a/packages/foxtaillever-relay/src/model/wire.ts
+++ b/packages/foxtaillever-relay/src/model/wire.ts
@@ -7,6 +7,7 @@
 import type { Exchange, ExchangeHead } from './exchange.js'
 import type { LimitStatement } from './limitStatement.js'
 import type { ListedServer } from './listedServer.js'
+import type { ServerStatement } from './serverStatement.js'
 
 /** What a try tells the backend server besides the caller's request. */
 export interface SendTerms {
@@ -67,6 +68,7 @@
 }
 
 export interface ServerWire extends AnswerWire {
+  readonly readStatement: (status: number, headers: IncomingHttpHeaders) => ServerStatement
   /** Headers of a try, names and values in turn. */
   readonly createHeaders: (exchange: Exchange, terms: SendTerms, now: number) => string[]
 }
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -5,7 +5,7 @@
  * that was announced as the connection's last for complete when the connection
  * is reset, so a cut answer would be passed on as a whole one.
  */
-import { Agent, request, type AgentOptions, type ClientRequest, type IncomingMessage } from 'node:http'
+import { Agent, request, type AgentOptions, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { ConnectionPart } from 'foxtaillever-policy/relay/connectionPart'
@@ -87,20 +87,28 @@
   readonly body: Buffer
 }
 
+/** Hears the head of every answer of the server, before whoever sent the request. */
+export type AnswerListener = (status: number, headers: IncomingHttpHeaders, sentAt: number) => void
+
 export interface ServerConnectionsOptions {
   /** IP number and port. */
   readonly address: string
   readonly part: ConnectionPart
   /** Steady milliseconds. */
-  readonly now?: () => number
+  readonly now?: (() => number) | undefined
+  readonly onAnswer?: AnswerListener
 }
 
 export class ServerConnections {
   private readonly agent: ServerAgent
   private readonly host: string
   private readonly port: number
+  private readonly now: () => number
+  private readonly onAnswer: AnswerListener
 
-  private constructor ({ address, part, now = () => performance.now() }: ServerConnectionsOptions) {
+  private constructor ({ address, part, now = () => performance.now(), onAnswer = () => {} }: ServerConnectionsOptions) {
+    this.now = now
+    this.onAnswer = onAnswer
     const colon = address.lastIndexOf(':')
     this.host = address.slice(0, colon)
     this.port = Number(address.slice(colon + 1))
@@ -119,6 +127,8 @@
   send ({ method, path, headers, body }: ServerCall, onLeft: () => void): ClientRequest {
     const { host, port, agent } = this
     const call = request({ host, port, agent, method, path, headers: headers as unknown as Record<string, string>, setHost: false })
+    const sentAt = this.now()
+    call.on('response', ({ statusCode = 0, headers }) => this.onAnswer(statusCode, headers, sentAt))
     call.on('socket', socket => {
       if (!socket.connecting) {
         onLeft()
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -8,6 +8,7 @@
  * former one had: it gets a `KnownServer` of its own, and whoever still holds the
  * former one, such as a request on its way there, changes only that.
  */
+import type { IncomingHttpHeaders } from 'node:http'
 import { hashNumber } from 'foxtaillever-core'
 import { connectionPart, type ConnectionPart } from 'foxtaillever-policy/relay/connectionPart'
 import { SETTLED_SAMPLES } from 'foxtaillever-policy/relay/prefillSpeed'
@@ -25,7 +26,9 @@
 export interface ServerDirectoryOptions {
   /** The state of a server has changed, or it is new. */
   readonly onChanged: (server: ListedServer, before: ServerState | undefined) => void
-  /** Steady milliseconds, for the rest of connections. */
+  /** A server has answered a request of any kind, sent at the time by `now`. */
+  readonly onAnswer?: (server: KnownServer, status: number, headers: IncomingHttpHeaders, sentAt: number) => void
+  /** Steady milliseconds. */
   readonly now?: () => number
 }
 
@@ -230,7 +233,8 @@
     const connections = ServerConnections.create({
       address: listed.address,
       now: this.options.now,
-      part: this.connectionPart(listed.service)
+      part: this.connectionPart(listed.service),
+      onAnswer: (status, headers, sentAt) => this.options.onAnswer?.(server, status, headers, sentAt)
     })
     const server: KnownServer = {
       listed, hash: incarnationHash(listed), idHash: hashNumber(listed.id), offset, connections, weights: new Map(), outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, limitedUntil: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -100,6 +100,21 @@
     })
   }
 
+  saysItLeaves (server: string, request: string | undefined): void {
+    this.metrics.count('server_statements_total', { kind: 'leaving' })
+    this.logs.write('info', Part.Requests, 'A backend server says in an answer that it leaves.', { request, server })
+  }
+
+  asksForRest (server: string, request: string | undefined, restMs: number): void {
+    this.metrics.count('server_statements_total', { kind: 'rest' })
+    this.logs.writeFailure(Part.Requests, 'A backend server asks for rest.', { request, server, restMs: Math.round(restMs) })
+  }
+
+  restUnreadable (server: string, text: string): void {
+    this.metrics.count('server_statements_total', { kind: 'unreadable-rest' })
+    this.logs.writeFailure(Part.Requests, 'A backend server asks for rest, and the time cannot be read.', { server, text })
+  }
+
   silent (exchange: Exchange, server: string, isOnKeptConnection: boolean): void {
     const connection = isOnKeptConnection ? 'kept' : 'new'
     this.metrics.count('silent_servers_total', { connection })
--- a/packages/foxtaillever-router/src/plain/plainWire.ts
+++ b/packages/foxtaillever-router/src/plain/plainWire.ts
@@ -7,6 +7,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { CallerHeader, EngineHeader, Verdict } from 'foxtaillever-core'
 import { noLimit } from 'foxtaillever-relay/model/limitStatement'
+import { readRetryAfter } from 'foxtaillever-relay/model/retryAfter'
 import type { AnswerMarks, ServerWire } from 'foxtaillever-relay/model/wire'
 
 /** Headers of the caller that the service sees, besides the request's id. */
@@ -50,5 +51,6 @@
     return ['host', server.address, CallerHeader.RequestId, id, ...headers, ...length]
   },
   readMarks,
+  readStatement: (status, headers) => ({ serverId: undefined, requestId: undefined, isLeaving: false, restMs: readRetryAfter(status, headers['retry-after']) }),
   passHeaders: returned
 }
