--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -7,7 +7,7 @@
 import type { AddressInfo } from 'node:net'
 import { waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
 import { readBody } from '../readBody.js'
-import { AnswerWriter, headerOf, type Arrival } from './runRequest.js'
+import { AnswerWriter, headerOf, type Arrival, type StatedAnswer } from './runRequest.js'
 import { ServerFault } from './serverFaults.js'
 
 export const HEALTH_PATH = '/health'
@@ -41,6 +41,8 @@
   isLeaving = false
   /** Requests a second that it says it takes from all instances together, as its answers put it. */
   statedLimit: string | undefined
+  /** It turns all requests away and asks whoever sent one for so much rest, seconds, as its answers put it. */
+  askedRest: string | undefined
   address = ''
   /** Of this start, milliseconds of Unix time. */
   startedAt: number
@@ -88,6 +90,7 @@
     onCrashed(this)
     this.runner.reset()
     this.statedLimit = undefined
+    this.askedRest = undefined
     this.end()
     this.names += keepsId ? 0 : 1
     this.isRestarting = true
@@ -120,30 +123,43 @@
       this.note(request, body)
       response.writeHead(421, { 'X-Instance-Id': this.id, 'X-Not-Executed': 1 }).end()
     } else if (url === HEALTH_PATH) {
-      response.writeHead(this.isLeaving ? 503 : 200, { 'X-Instance-Id': this.id }).end()
+      response.writeHead(this.isLeaving ? 503 : 200, { 'X-Instance-Id': this.id, ...this.statements() }).end()
     } else if (call) {
       const answer = await call(request, body)
-      response.writeHead(answer.status, { 'Content-Type': 'application/json' }).end(answer.body && JSON.stringify({ ...answer.body, born: this.startedAt }))
+      response.writeHead(answer.status, { 'Content-Type': 'application/json', ...this.statements() }).end(answer.body && JSON.stringify({ ...answer.body, born: this.startedAt }))
     } else {
       this.run(request, response, this.note(request, body))
     }
   }
 
-  private limitHeader (): Readonly<Record<string, string>> {
-    return this.statedLimit === undefined ? {} : { 'Server-Limit': this.statedLimit }
+  /** What it says of itself in every answer. */
+  private statements (): Readonly<Record<string, string>> {
+    return {
+      ...(this.statedLimit === undefined ? {} : { 'Server-Limit': this.statedLimit }),
+      ...(this.isLeaving ? { 'Server-Leaving': '1' } : {})
+    }
   }
 
   private note (request: IncomingMessage, body: Buffer): Arrival {
     const { method = '', url = '', headers } = request
-    const arrival = { requestId: headerOf(request, 'x-request-id'), method, path: url, headers, body: body.toString(), at: this.options.clock.now(), statedLimit: this.statedLimit, hasRun: false }
+    const arrival: Arrival = { requestId: headerOf(request, 'x-request-id'), method, path: url, headers, body: body.toString(), at: this.options.clock.now(), startedAt: this.startedAt, statedLimit: this.statedLimit, answer: undefined, hasRun: false }
     this.arrivals.push(arrival)
     return arrival
   }
 
+  private answerNow (restMs: number): StatedAnswer {
+    return { at: this.options.clock.now(), isLeaving: this.isLeaving, restMs }
+  }
+
   private run (request: IncomingMessage, response: ServerResponse, arrival: Arrival): void {
     const { requestId } = arrival
-    const refuse = (status: number): void => {
-      response.writeHead(status, { 'X-Request-Id': requestId, 'X-Instance-Id': this.id, 'X-Not-Executed': 1, ...this.limitHeader() }).end()
+    const refuse = (status: number, headers: Readonly<Record<string, string>> = {}): void => {
+      response.writeHead(status, { 'X-Request-Id': requestId, 'X-Instance-Id': this.id, 'X-Not-Executed': 1, ...this.statements(), ...headers }).end()
+    }
+    if (this.askedRest !== undefined) {
+      arrival.answer = this.answerNow(Number(this.askedRest) * 1000)
+      refuse(503, { 'Retry-After': this.askedRest })
+      return
     }
     const status = requestId === '' ? 400 : this.runner.admit(request)
     if (status !== undefined) {
@@ -154,7 +170,15 @@
     if (fault === ServerFault.Silent) {
       return
     }
-    const writer = AnswerWriter.create(response, { requestId, fault, crash: () => this.crash(), limitHeader: () => this.limitHeader() })
+    const writer = AnswerWriter.create(response, {
+      requestId,
+      fault,
+      crash: () => this.crash(),
+      statements: () => {
+        arrival.answer = this.answerNow(0)
+        return this.statements()
+      }
+    })
     response.on('close', () => this.runner.cancel(requestId))
     if (!this.runner.run(request, writer, () => { arrival.hasRun = true })) {
       refuse(503)
--- a/packages/foxtaillever-standins/src/platform/engines/runRequest.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/runRequest.ts
@@ -5,6 +5,14 @@
 /** Event in the middle of which a faulty answer ends. */
 const FAULTY_EVENT = 3
 
+/** What the head of an answer said of its server. */
+export interface StatedAnswer {
+  readonly at: number
+  readonly isLeaving: boolean
+  /** Rest that it asked for; 0 for none. */
+  readonly restMs: number
+}
+
 /** A request as it arrived, for oracles. */
 export interface Arrival {
   readonly requestId: string
@@ -13,8 +21,12 @@
   readonly headers: IncomingHttpHeaders
   readonly body: string
   readonly at: number
+  /** When the server had started, milliseconds of Unix time. */
+  readonly startedAt: number
   /** The rate that the server stated then. */
   readonly statedLimit: string | undefined
+  /** Undefined while there is none. */
+  answer: StatedAnswer | undefined
   /** Whether the server began to work on it. */
   hasRun: boolean
 }
@@ -29,8 +41,8 @@
   readonly fault: ServerFault | undefined
   /** Ends the server's process. */
   readonly crash: () => void
-  /** What the server states of its limit when the answer begins. */
-  readonly limitHeader: () => Readonly<Record<string, string>>
+  /** What the server says of itself when the answer begins. */
+  readonly statements: () => Readonly<Record<string, string>>
 }
 
 /** Writes events and commits the fault that this request has to suffer. */
@@ -43,7 +55,7 @@
 
   /** Begins the answer; returns whether anything more is to be written. */
   begin (status: number, headers: Readonly<Record<string, string | number>>): boolean {
-    const { response, options: { fault, requestId, limitHeader } } = this
+    const { response, options: { fault, requestId, statements } } = this
     if (fault === ServerFault.AnswerLost || fault === ServerFault.Garbage) {
       if (fault === ServerFault.Garbage) {
         response.socket?.write('no answer at all\r\n\r\n')
@@ -52,7 +64,7 @@
       return false
     }
     const id = fault === ServerFault.Foreign ? `not-${requestId}` : requestId
-    response.writeHead(status, { 'X-Request-Id': id, 'X-Server-Stamp': `stamp.${requestId}`, ...limitHeader(), ...headers })
+    response.writeHead(status, { 'X-Request-Id': id, 'X-Server-Stamp': `stamp.${requestId}`, ...statements(), ...headers })
     return true
   }
 
