Believe a backend server that says in an answer that it leaves

Now the head of every answer on a server's connections is read, whatever was asked and however the answer ends, and its word is kept with the incarnation: through older entries, a removal and a return to the list. An answer heard after the start of an incarnation that becomes known later is that incarnation's. One question, from when on the server may be sent to, stands before the choice and again right before the first byte leaves, for requests, reports and orders alike.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -22,6 +22,8 @@
 import { RouteTable } from '../routing/routeTable.js'
 import { noQuotas } from '../limits/accountQuotas.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
+import { opensAt } from '../servers/serverOpening.js'
+import { ServerStatements } from '../servers/serverStatements.js'
 import { RelayLog } from '../telemetry/relayLog.js'
 import { ScriptedServer, type Answer } from './scriptedServer.js'
 
@@ -61,7 +63,7 @@
     limit: headers.limit === undefined ? noLimit : { kind: LimitStatementKind.Limit, perSecond: Number(headers.limit) }
   }),
   readStatement: (status, headers) => ({
-    serverId: undefined,
+    serverId: headers.server as string | undefined,
     requestId: headers['request-id'] as string | undefined,
     isLeaving: headers.leaving !== undefined,
     restMs: readRetryAfter(status, headers['retry-after'])
@@ -72,17 +74,25 @@
 export class RelayRig {
   readonly clock = VirtualClock.create()
   readonly suspects = CrashSuspects.create()
-  readonly directory = ServerDirectory.create({ onChanged: () => {}, now: () => this.clock.now() })
+  readonly directory = ServerDirectory.create({
+    onChanged: () => {},
+    now: () => this.clock.now(),
+    onAnswer: (server, status, headers) => this.statements.observe(server, serverWire.readStatement(status, headers))
+  })
+
   readonly retries = RetryShare.create({ ratio: 0.2, slack: 1000, windowMs: 10_000 }, 0)
   readonly servers: ScriptedServer[] = []
   /** Servers of which the watchers were told that they take no connection. */
   readonly unreachable: string[] = []
+  /** Runs when a try was begun or is over. */
+  onLoadChanged = (): void => {}
   /** Decides on what the caller's account may use. */
   quota = noQuotas
   /** Decides on what servers state that they take. */
   limitProtocol = noSharedLimits
   private readonly callers: CallerServer
   readonly limits: ServerLimits
+  private readonly statements: ServerStatements
   readonly runs: ExchangeRuns
   private port = 0
 
@@ -93,6 +103,7 @@
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, instances: () => 1, onUrgent: () => {} })
+    this.statements = ServerStatements.create({ clock, log, directory: this.directory })
     const context: ExchangeContext = {
       clock,
       connectTimeoutMs: 200,
@@ -110,11 +121,11 @@
       log,
       routing: () => routing,
       othersTokensAt: () => 0,
-      onLoadChanged: () => {},
+      onLoadChanged: () => this.onLoadChanged(),
       onSaved: () => {},
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
       askLoad: () => undefined,
-      place: (_, { failed }) => this.directory.ready('s').find(({ listed, limitedUntil }) => !failed.has(listed.id) && limitedUntil <= clock.now()),
+      place: (_, { failed }) => this.directory.ready('s').find(server => !failed.has(server.listed.id) && opensAt(server) <= clock.now()),
       onMisdirected: () => {}
     }
     this.retries.observeInstances(1)
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net'
 import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
 import type { AnswerMarks, AnswerWire } from '../model/wire.js'
-import type { ServerCall, ServerConnections } from '../servers/serverConnections.js'
+import { ClosedServerError, type ServerCall, type ServerConnections } from '../servers/serverConnections.js'
 import { AttemptFailureKind, type AttemptFailure } from './attemptFailure.js'
 
 /** The head of a server's own answer, checked. */
@@ -127,7 +127,7 @@
     }
     const { code = error.message } = error as NodeJS.ErrnoException
     if (!this.hasLeft) {
-      this.fail(AttemptFailureKind.Unreachable, code)
+      this.fail(error instanceof ClosedServerError ? AttemptFailureKind.Closed : AttemptFailureKind.Unreachable, code)
       return
     }
     this.fail(code.startsWith('HPE_') ? AttemptFailureKind.Malformed : AttemptFailureKind.Lost, code)
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -10,6 +10,8 @@
   Unreachable = 'unreachable',
   /** A connection came about, but it was too late to send or no longer allowed. */
   HeldBack = 'held-back',
+  /** The server was found to take no requests before the first byte left. */
+  Closed = 'closed',
   /** The server said that it did not run the request and never will. */
   Refused = 'refused',
   /** Another server has the address, or the server has other weights; it did not run the request. */
@@ -38,6 +40,7 @@
 export const meaningOf: Readonly<Record<AttemptFailureKind, FailureMeaning>> = {
   [AttemptFailureKind.Unreachable]: { verdict: Verdict.NotRun, code: FailureCode.ConnectionRefused, isServersFault: true, isArrival: false },
   [AttemptFailureKind.HeldBack]: { verdict: Verdict.NotRun, code: FailureCode.DeadlinePassed, isServersFault: false, isArrival: false },
+  [AttemptFailureKind.Closed]: { verdict: Verdict.NotRun, code: FailureCode.NoBackendServer, isServersFault: false, isArrival: false },
   [AttemptFailureKind.Refused]: { verdict: Verdict.NotRun, code: FailureCode.BackendServerRefused, isServersFault: false, isArrival: true },
   [AttemptFailureKind.Misdirected]: { verdict: Verdict.NotRun, code: FailureCode.Stale, isServersFault: false, isArrival: true },
   [AttemptFailureKind.Lost]: { verdict: Verdict.MayHaveRun, code: FailureCode.ConnectionLost, isServersFault: true, isArrival: true },
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -47,6 +47,7 @@
   readonly caches: CacheUse
   readonly runs: ExchangeRuns
   readonly limits: ServerLimits
+  private readonly statements: ServerStatements
 
   private readonly clock: Clock
   private instances = 1
@@ -58,16 +59,16 @@
     this.log = log
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
     this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
-    const statements = ServerStatements.create({ log })
     this.directory = ServerDirectory.create({
       now: () => clock.now(),
-      onAnswer: (server, status, headers) => statements.observe(server, wire.readStatement(status, headers)),
+      onAnswer: (server, status, headers) => this.statements.observe(server, wire.readStatement(status, headers)),
       onChanged: (server, before) => {
         const { id, startedAt, service, state } = server
         log.belief('A backend server changed its state.', { server: id, startedAt, service, state, before })
         options.onServerChanged(server)
       }
     })
+    this.statements = ServerStatements.create({ clock, log, directory: this.directory })
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: options.limitProtocol, instances: () => this.instances, onUrgent: options.onLimitChanged })
     const choice = ServerChoice.create({
       ...options,
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverDirectory.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverDirectory.test.ts
@@ -134,3 +134,53 @@
     t.is(directory.get('other'), undefined)
   })
 })
+
+describe('a server that said in an answer that it leaves', () => {
+  const HEARD = FORMER + 4000
+
+  // Guards against older words of the list that take back what the server said itself.
+  it('stays leaving through entries, a removal and a return to the list', t => {
+    const { directory, changes } = believe()
+    t.true(directory.observeLeaving('e', HEARD))
+    t.false(directory.observeLeaving('e', HEARD + 1))
+    directory.observe(entry(FORMER), 1)
+    t.deepEqual(directory.ready('s'), [])
+    directory.remove('e', 2)
+    directory.observe(entry(FORMER), 3)
+    t.deepEqual(directory.ready('s'), [])
+    t.deepEqual(changes, ['ready to draining', 'draining to gone', 'none to draining'])
+  })
+
+  it('stays leaving where the word came while the list did not name it', t => {
+    const { directory } = believe()
+    directory.remove('e', 1)
+    directory.observeLeaving('e', HEARD)
+    directory.observe(entry(FORMER), 2)
+    t.deepEqual(directory.ready('s'), [])
+  })
+
+  it('serves again once it has started again', t => {
+    const { directory } = believe()
+    directory.observeLeaving('e', HEARD)
+    directory.observe(entry(NEXT), 1)
+    t.is(current(directory).listed.state, ServerState.Ready)
+  })
+
+  // Guards against a start that is learned late and unsays what came after it.
+  it('stays leaving where the word is younger than the start that becomes known', t => {
+    for (const learn of [
+      (directory: ServerDirectory) => directory.observe(entry(NEXT), 1),
+      (directory: ServerDirectory, former: KnownServer) => directory.observeStart(former, NEXT)
+    ]) {
+      const { directory, former } = believe()
+      directory.observeLeaving('e', NEXT + 1)
+      learn(directory, former)
+      t.is(current(directory).listed.startedAt, NEXT)
+      t.deepEqual(directory.ready('s'), [])
+    }
+  })
+
+  it('names none that is not known', t => {
+    t.false(believe().directory.observeLeaving('other', HEARD))
+  })
+})
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -1,5 +1,6 @@
 /** What this instance knows of one start of a backend server. */
 import { hashNumber } from 'foxtaillever-core'
+import type { StatedState } from 'foxtaillever-policy/relay/statedState'
 import type { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
 import type { ListedServer } from '../model/listedServer.js'
 import type { ServerConnections } from './serverConnections.js'
@@ -24,6 +25,8 @@
   /** Offset of the record that the entry comes from; a lower one never replaces it. */
   offset: number
   readonly connections: ServerConnections
+  /** What it has stated of itself. */
+  readonly stated: StatedState
   /** Newest weights version seen of each model, by the list, a report or an answer. */
   readonly weights: Map<string, number>
   /** Requests of this instance that it has not answered yet. */
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -10,6 +10,7 @@
 import type { WeightsDesk } from '../weights/weightsDesk.js'
 import type { KnownServer } from './knownServer.js'
 import type { ServerDirectory } from './serverDirectory.js'
+import { opensAt } from './serverOpening.js'
 
 /** Weights were named some time before they were learned, and a request takes some to begin, milliseconds. */
 const WEIGHTS_MARGIN_MS = 1500
@@ -105,7 +106,7 @@
     }
     const ready = directory.ready(exchange.service)
     const places = ready
-      .filter(server => isOpenAt(server, now) && server.absentUntil <= now && this.hasFitWeights(server, exchange))
+      .filter(server => opensAt(server) <= now && server.absentUntil <= now && this.hasFitWeights(server, exchange))
       .map(server => ({ server, hash: server.idHash, failureDomain: server.listed.failureDomain }))
     const home = homeAmong(promptKey, this.homeDomains(promptKey, ready), places)?.server
     return home && home.changingUntil <= now ? home : undefined
@@ -115,7 +116,7 @@
     const { clock, directory, random, failureDomain, levelSupply } = this.options
     const now = clock.now()
     const ready = directory.ready(exchange.service)
-    const fit = ready.filter(server => !failed.has(server.listed.id) && isOpenAt(server, now) && this.hasFitWeights(server, exchange))
+    const fit = ready.filter(server => !failed.has(server.listed.id) && opensAt(server) <= now && this.hasFitWeights(server, exchange))
     const supply = levelSupply(exchange)
     const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, supply))
     const { promptTokens, outputTokens } = exchange.prompt ?? { promptTokens: 0, outputTokens: 0 }
@@ -204,11 +205,6 @@
   }
 }
 
-/** Whether requests can go there at all. */
-function isOpenAt ({ displacedUntil, limitedUntil }: KnownServer, now: number): boolean {
-  return displacedUntil <= now && limitedUntil <= now
-}
-
 /** Whether a request that is sent there may begin at once or wait its turn. */
 function isOpen ({ isAbsent, isChanging, isRefusing }: ServerOffer): boolean {
   return !isAbsent && !isChanging && !isRefusing
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -87,6 +87,9 @@
   readonly body: Buffer
 }
 
+/** The server takes nothing from this instance now; no byte has left. */
+export class ClosedServerError extends Error {}
+
 /** Hears the head of every answer of the server, before whoever sent the request. */
 export type AnswerListener = (status: number, headers: IncomingHttpHeaders, sentAt: number) => void
 
@@ -96,6 +99,8 @@
   readonly part: ConnectionPart
   /** Steady milliseconds. */
   readonly now?: (() => number) | undefined
+  /** Asked right before the first byte of a request leaves. */
+  readonly mayLeave?: () => boolean
   readonly onAnswer?: AnswerListener
 }
 
@@ -104,10 +109,12 @@
   private readonly host: string
   private readonly port: number
   private readonly now: () => number
+  private readonly mayLeave: () => boolean
   private readonly onAnswer: AnswerListener
 
-  private constructor ({ address, part, now = () => performance.now(), onAnswer = () => {} }: ServerConnectionsOptions) {
+  private constructor ({ address, part, now = () => performance.now(), mayLeave = () => true, onAnswer = () => {} }: ServerConnectionsOptions) {
     this.now = now
+    this.mayLeave = mayLeave
     this.onAnswer = onAnswer
     const colon = address.lastIndexOf(':')
     this.host = address.slice(0, colon)
@@ -129,12 +136,19 @@
     const call = request({ host, port, agent, method, path, headers: headers as unknown as Record<string, string>, setHost: false })
     const sentAt = this.now()
     call.on('response', ({ statusCode = 0, headers }) => this.onAnswer(statusCode, headers, sentAt))
+    const leave = (): void => {
+      if (this.mayLeave()) {
+        onLeft()
+      } else {
+        call.destroy(new ClosedServerError(`The server at ${host}:${port} takes nothing now.`))
+      }
+    }
     call.on('socket', socket => {
       if (!socket.connecting) {
-        onLeft()
+        leave()
         return
       }
-      socket.once('connect', onLeft)
+      socket.once('connect', leave)
     })
     call.end(body.length > 0 ? body : undefined)
     return call
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -13,12 +13,14 @@
 import { connectionPart, type ConnectionPart } from 'foxtaillever-policy/relay/connectionPart'
 import { SETTLED_SAMPLES } from 'foxtaillever-policy/relay/prefillSpeed'
 import { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
+import { StatedState } from 'foxtaillever-policy/relay/statedState'
 import { ServerState, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { SpeedNews } from '../peers/peerMessage.js'
 import { incarnationHash, type KnownServer } from './knownServer.js'
 import { ServerConnections } from './serverConnections.js'
 import { ServerExperience } from './serverExperience.js'
+import { reachableFrom } from './serverOpening.js'
 
 /** Connections to a server before the configuration says how many it takes. */
 const DEFAULT_CONNECTIONS = 16
@@ -28,7 +30,7 @@
   readonly onChanged: (server: ListedServer, before: ServerState | undefined) => void
   /** A server has answered a request of any kind, sent at the time by `now`. */
   readonly onAnswer?: (server: KnownServer, status: number, headers: IncomingHttpHeaders, sentAt: number) => void
-  /** Steady milliseconds. */
+  /** Milliseconds of Unix time, steady. */
   readonly now?: () => number
 }
 
@@ -37,6 +39,7 @@
   readonly offset: number
   /** Of the newest incarnation that was known. */
   readonly startedAt: number
+  readonly stated: StatedState
 }
 
 export class ServerDirectory {
@@ -50,7 +53,11 @@
   /** Instances that share a server's connections. */
   private instances = 1
 
-  private constructor (private readonly options: ServerDirectoryOptions) {}
+  private readonly now: () => number
+
+  private constructor (private readonly options: ServerDirectoryOptions) {
+    this.now = options.now ?? (() => performance.now())
+  }
 
   static create (options: ServerDirectoryOptions): ServerDirectory {
     return new ServerDirectory(options)
@@ -88,19 +95,19 @@
       return false
     }
     const known = this.incarnationOf(listed)
-    const before = known?.listed.state
-    // An incarnation that said it leaves does not come back.
-    const state = before === ServerState.Draining ? ServerState.Draining : listed.state
-    const current = { ...listed, state }
-    const isNews = known === undefined || !saysSame(known.listed, current)
+    const before = known?.listed
     const server = known ?? this.add(listed, offset)
-    server.listed = current
+    if (listed.state === ServerState.Draining) {
+      server.stated.observeLeaving(0)
+    }
+    // An incarnation that said it leaves does not come back.
+    server.listed = { ...listed, state: server.stated.isLeaving ? ServerState.Draining : listed.state }
     server.offset = offset
     listed.weights.forEach((version, model) => this.observeWeights(server, model, version))
-    if (before !== state) {
-      this.options.onChanged(server.listed, before)
+    if (before?.state !== server.listed.state) {
+      this.options.onChanged(server.listed, before?.state)
     }
-    return isNews
+    return before === undefined || !saysSame(before, server.listed)
   }
 
   /**
@@ -123,6 +130,22 @@
     return true
   }
 
+  /**
+   * A server said in an answer that it leaves. Whatever incarnation the request was meant
+   * for, the newest one known has answered: those before it had ended.
+   * @returns whether that is news.
+   */
+  observeLeaving (id: string, now: number): boolean {
+    const server = this.servers.get(id)
+    const isNews = (server ?? this.gone.get(id))?.stated.observeLeaving(now) === true
+    if (server && isNews) {
+      const before = server.listed.state
+      server.listed = { ...server.listed, state: ServerState.Draining }
+      this.options.onChanged(server.listed, before)
+    }
+    return isNews
+  }
+
   /**
    * A server said itself when it started.
    * @returns whether it is the incarnation known; a later one takes its place, of an
@@ -131,10 +154,11 @@
   observeStart (server: KnownServer, startedAt: number): boolean {
     const { listed, offset } = server
     if (startedAt > listed.startedAt && this.servers.get(listed.id) === server) {
-      const next = { ...listed, startedAt, weights: new Map<string, number>() }
-      this.end(server)
-      this.add(next, offset)
-      this.options.onChanged(next, undefined)
+      const next = this.add({ ...listed, startedAt, state: ServerState.Ready, weights: new Map<string, number>() }, offset)
+      if (next.stated.isLeaving) {
+        next.listed = { ...next.listed, state: ServerState.Draining }
+      }
+      this.options.onChanged(next.listed, undefined)
     }
     return startedAt === listed.startedAt
   }
@@ -148,14 +172,19 @@
     return this.servers.get(id)?.listed.startedAt ?? this.gone.get(id)?.startedAt ?? 0
   }
 
-  /** The server of the id if it is this incarnation; a former one ends here. */
+  /** The server of the id if it is this incarnation. */
   private incarnationOf ({ id, startedAt }: ListedServer): KnownServer | undefined {
     const known = this.servers.get(id)
-    if (known && startedAt > known.listed.startedAt) {
-      this.end(known)
-      return undefined
+    return known && startedAt > known.listed.startedAt ? undefined : known
+  }
+
+  /** What the incarnation has stated already; a later one than was known has stated what was heard since its start. */
+  private statedOf ({ id, startedAt }: ListedServer): StatedState {
+    const stated = this.servers.get(id)?.stated ?? this.gone.get(id)?.stated
+    if (stated === undefined) {
+      return StatedState.create()
     }
-    return known
+    return startedAt > this.startOf(id) ? stated.since(startedAt) : stated
   }
 
   /** Nothing is believed of the incarnation any more; requests on their way there end by themselves. */
@@ -171,10 +200,13 @@
       return
     }
     const known = this.servers.get(id)
-    this.gone.set(id, { offset, startedAt: this.startOf(id) })
+    const stated = known?.stated ?? this.gone.get(id)?.stated ?? StatedState.create()
+    this.gone.set(id, { offset, startedAt: this.startOf(id), stated })
     if (known) {
+      const before = known.listed.state
+      known.listed = { ...known.listed, state: ServerState.Gone }
       this.end(known)
-      this.options.onChanged({ ...known.listed, state: ServerState.Gone }, known.listed.state)
+      this.options.onChanged(known.listed, before)
     }
   }
 
@@ -229,15 +261,22 @@
     return this.routing?.services.get(service)?.engine?.cacheTokens ?? 0
   }
 
+  /** Adds an incarnation; the former one ends. */
   private add (listed: ListedServer, offset: number): KnownServer {
+    const stated = this.statedOf(listed)
+    const former = this.servers.get(listed.id)
+    if (former) {
+      this.end(former)
+    }
     const connections = ServerConnections.create({
       address: listed.address,
-      now: this.options.now,
+      now: this.now,
       part: this.connectionPart(listed.service),
+      mayLeave: () => reachableFrom(server) <= this.now(),
       onAnswer: (status, headers, sentAt) => this.options.onAnswer?.(server, status, headers, sentAt)
     })
     const server: KnownServer = {
-      listed, hash: incarnationHash(listed), idHash: hashNumber(listed.id), offset, connections, weights: new Map(), outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, limitedUntil: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
+      listed, hash: incarnationHash(listed), idHash: hashNumber(listed.id), offset, connections, stated, weights: new Map(), outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, limitedUntil: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
     }
     this.servers.set(listed.id, server)
     this.byHash.set(server.hash, server)
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -100,9 +100,11 @@
     })
   }
 
-  saysItLeaves (server: string, request: string | undefined): void {
+  saysItLeaves (server: string, request: string | undefined, isNews: boolean): void {
     this.metrics.count('server_statements_total', { kind: 'leaving' })
-    this.logs.write('info', Part.Requests, 'A backend server says in an answer that it leaves.', { request, server })
+    if (isNews) {
+      this.logs.write('info', Part.Requests, 'A backend server says in an answer that it leaves.', { request, server })
+    }
   }
 
   asksForRest (server: string, request: string | undefined, restMs: number): void {
