Leave a backend server alone for the rest that it asks for

Callers were refused or served late: requests went on to servers that turn them away and name a time of rest.

Cause: nothing read the time; a refusal counted for half a second.

Now the time is kept with the incarnation, by the same two doors as the word that a server leaves: the head of every answer with status 503, and the question before the choice and before the first byte. Of two rests the later end counts. At the end one request goes there, others once it has been taken. Orders and reports wait too, and other engines get new weights first. Where all servers of a service rest, callers are refused at once and told the earliest end, one after the other; where one takes requests now they are told to come back soon.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -23,6 +23,7 @@
 import { noQuotas } from '../limits/accountQuotas.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
 import { opensAt } from '../servers/serverOpening.js'
+import { ServiceReturns } from '../servers/serviceReturns.js'
 import { ServerStatements } from '../servers/serverStatements.js'
 import { RelayLog } from '../telemetry/relayLog.js'
 import { ScriptedServer, type Answer } from './scriptedServer.js'
@@ -65,6 +66,7 @@
   readStatement: (status, headers) => ({
     serverId: headers.server as string | undefined,
     requestId: headers['request-id'] as string | undefined,
+    hasRun: headers.stamp !== undefined && headers['not-run'] === undefined,
     isLeaving: headers.leaving !== undefined,
     restMs: readRetryAfter(status, headers['retry-after'])
   }),
@@ -77,7 +79,7 @@
   readonly directory = ServerDirectory.create({
     onChanged: () => {},
     now: () => this.clock.now(),
-    onAnswer: (server, status, headers) => this.statements.observe(server, serverWire.readStatement(status, headers))
+    onAnswer: (server, status, headers, sentAt) => this.statements.observe(server, serverWire.readStatement(status, headers), sentAt)
   })
 
   readonly retries = RetryShare.create({ ratio: 0.2, slack: 1000, windowMs: 10_000 }, 0)
@@ -102,8 +104,9 @@
     const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], limits }
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
-    this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, instances: () => 1, onUrgent: () => {} })
+    this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, onUrgent: () => {} })
     this.statements = ServerStatements.create({ clock, log, directory: this.directory })
+    const returns = ServiceReturns.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => 1 })
     const context: ExchangeContext = {
       clock,
       connectTimeoutMs: 200,
@@ -126,6 +129,7 @@
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
       askLoad: () => undefined,
       place: (_, { failed }) => this.directory.ready('s').find(server => !failed.has(server.listed.id) && opensAt(server) <= clock.now()),
+      returnAt: service => returns.returnAt(service),
       onMisdirected: () => {}
     }
     this.retries.observeInstances(1)
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -30,7 +30,7 @@
   readonly caches: Pick<CacheUse, 'savedLevels' | 'fetchLoad' | 'available'>
   readonly suspects: Suspicions
   readonly quota: Pick<AccountQuotas, 'admit' | 'giveBack'>
-  readonly limits: Pick<ServerLimits, 'observe' | 'admit' | 'giveBack' | 'returnAt'>
+  readonly limits: Pick<ServerLimits, 'observe' | 'admit' | 'giveBack'>
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
@@ -46,6 +46,8 @@
   readonly askLoad: (exchange: Exchange, earlier: EarlierTries) => Promise<AskedServers> | undefined
   /** The server for the next try, other than those that failed it; undefined when there is none. */
   readonly place: (exchange: Exchange, earlier: EarlierTries, asked: AskedServers | undefined) => KnownServer | undefined
+  /** When a caller may come back where no server of the service takes requests now, milliseconds of Unix time; undefined where none said so. */
+  readonly returnAt: (service: string) => number | undefined
   /** A server is not what it was thought to be; the failure may name it. */
   readonly onMisdirected: (tried: OpenTry, exchange: Exchange, failure: AttemptFailure) => void
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -18,6 +18,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import { ServerChoice, type AskedServers, type ServerChoiceOptions } from '../servers/serverChoice.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
+import { ServiceReturns } from '../servers/serviceReturns.js'
 import { ServerStatements } from '../servers/serverStatements.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { ExchangeContext } from './exchangeContext.js'
@@ -61,7 +62,7 @@
     this.caches = CacheUse.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
       now: () => clock.now(),
-      onAnswer: (server, status, headers) => this.statements.observe(server, wire.readStatement(status, headers)),
+      onAnswer: (server, status, headers, sentAt) => this.statements.observe(server, wire.readStatement(status, headers), sentAt),
       onChanged: (server, before) => {
         const { id, startedAt, service, state } = server
         log.belief('A backend server changed its state.', { server: id, startedAt, service, state, before })
@@ -69,7 +70,8 @@
       }
     })
     this.statements = ServerStatements.create({ clock, log, directory: this.directory })
-    this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: options.limitProtocol, instances: () => this.instances, onUrgent: options.onLimitChanged })
+    this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: options.limitProtocol, onUrgent: options.onLimitChanged })
+    const returns = ServiceReturns.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => this.instances })
     const choice = ServerChoice.create({
       ...options,
       directory: this.directory,
@@ -94,6 +96,7 @@
       onSaved,
       onUnreachable,
       askLoad: (exchange, earlier) => exchange.prompt && askLoad(() => ({ servers: choice.shortlist(exchange, earlier), level: this.levelAtHome(exchange, choice.homeOf(exchange)) })),
+      returnAt: service => returns.returnAt(service),
       place: (exchange, earlier, asked) => choice.place(exchange, earlier, asked),
       onMisdirected
     })
--- a/packages/foxtaillever-relay/src/exchange/openTry.ts
+++ b/packages/foxtaillever-relay/src/exchange/openTry.ts
@@ -38,6 +38,7 @@
     // Nobody else waits for a prompt that yields. Counted, those that gather under overload would make all others yield too.
     this.unreadTokens = terms.isYielding ? 0 : terms.unreadTokens
     server.outstanding += 1
+    server.stated.observeSent(beganAt)
     server.unreadTokens += this.unreadTokens
     this.tokensToRead = server.unreadTokens + options.othersTokens
     server.heldTokens += heldTokens
--- a/packages/foxtaillever-relay/src/exchange/tryPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/tryPlacement.ts
@@ -58,11 +58,11 @@
       context.limits.admit(server, exchange, admission => this.onAdmission(server, admission, asked))
       return
     }
-    const returnAt = context.limits.returnAt(exchange.service)
+    const returnAt = context.returnAt(exchange.service)
     if (returnAt === undefined) {
       this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.')
     } else {
-      this.fail(FailureCode.Overloaded, 'The backend servers are at the limits that they stated.', returnAt)
+      this.fail(FailureCode.Overloaded, 'All backend servers rest or are at the limits that they stated.', returnAt)
     }
   }
 
--- a/packages/foxtaillever-relay/src/limits/__tests__/serverLimits.test.ts
+++ b/packages/foxtaillever-relay/src/limits/__tests__/serverLimits.test.ts
@@ -33,7 +33,6 @@
     directory: this.directory,
     log: { belief: () => {}, limitUnreadable: () => {}, sentUnderLimit: () => {}, serverLimitRefused: () => {} },
     protocol: () => noSharedLimits,
-    instances: () => 1,
     onUrgent: () => { this.urgent += 1 }
   })
 
--- a/packages/foxtaillever-relay/src/limits/serverLimits.ts
+++ b/packages/foxtaillever-relay/src/limits/serverLimits.ts
@@ -7,7 +7,6 @@
  * so that only their sum shows that it is too much.
  */
 import type { Clock } from 'foxtaillever-core'
-import { ReturnTurns } from 'foxtaillever-policy/limits/returnTurns'
 import { LimitOutcome, ReturnOrder, type LimitTolerance } from 'foxtaillever-policy/limits/sharedLimitBook'
 import { StatedLimits, type LimitChange, type StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
 import type { Exchange } from '../model/exchange.js'
@@ -58,18 +57,15 @@
 
 export interface ServerLimitsOptions {
   readonly clock: Clock
-  readonly directory: Pick<ServerDirectory, 'ready' | 'ofHash'>
+  readonly directory: Pick<ServerDirectory, 'ofHash'>
   readonly log: Pick<RelayLog, 'belief' | 'limitUnreadable' | 'sentUnderLimit' | 'serverLimitRefused'>
   readonly protocol: () => Pick<LimitProtocol, 'claim' | 'giveBack'>
-  readonly instances: () => number
   /** A limit began, ended or fell, which the other instances must know now. */
   readonly onUrgent: () => void
 }
 
 export class ServerLimits {
   private readonly stated = StatedLimits.create()
-  /** Of the callers that were refused, by service. */
-  private readonly returns = new Map<string, ReturnTurns>()
 
   private constructor (private readonly options: ServerLimitsOptions) {}
 
@@ -121,7 +117,7 @@
       go(LimitAdmission.Free)
       return
     }
-    const shared = { perSecond: Math.max(LEAST_PER_S, limit.perSecond), burst: 0, revision: limit.at }
+    const shared = { perSecond: this.limitOf(server) ?? LEAST_PER_S, burst: 0, revision: limit.at }
     this.options.protocol().claim({ key: String(server.hash), limit: shared, cost: 1 }, result => go(this.settle(server, exchange, limit, result)))
   }
 
@@ -130,18 +126,10 @@
     this.options.protocol().giveBack(String(hash), 1)
   }
 
-  /** When a caller may come back, milliseconds of Unix time, where limits keep requests from servers of the service; undefined otherwise. */
-  returnAt (service: string): number | undefined {
-    const { clock, directory, instances } = this.options
-    const now = clock.now()
-    const full = directory.ready(service).filter(({ limitedUntil }) => limitedUntil > now)
-    const perSecond = full.reduce((sum, { hash }) => sum + Math.max(LEAST_PER_S, this.stated.of(hash)?.perSecond ?? 0), 0)
-    if (full.length === 0) {
-      return undefined
-    }
-    const turns = this.returns.get(service) ?? ReturnTurns.create()
-    this.returns.set(service, turns)
-    return turns.next(Math.min(...full.map(({ limitedUntil }) => limitedUntil)), instances() * 1000 / perSecond, now)
+  /** Requests a second that the server takes from all instances together; undefined without a limit. */
+  limitOf ({ hash }: KnownServer): number | undefined {
+    const limit = this.stated.of(hash)
+    return limit && Math.max(LEAST_PER_S, limit.perSecond)
   }
 
   private settle (server: KnownServer, exchange: Exchange, limit: StatedLimit, result: LimitResult): LimitAdmission {
--- a/packages/foxtaillever-relay/src/model/serverStatement.ts
+++ b/packages/foxtaillever-relay/src/model/serverStatement.ts
@@ -6,6 +6,8 @@
   readonly serverId: string | undefined
   /** Id of the request that the answer belongs to; undefined when not said. */
   readonly requestId: string | undefined
+  /** The answer is to a request that the server took on. */
+  readonly hasRun: boolean
   /** It will end soon and must get no new work. */
   readonly isLeaving: boolean
   /** It wants nothing from this instance for so long, milliseconds; 0 when it asks for no rest. Left: a text that is no time. */
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -131,13 +131,20 @@
   }
 
   /**
-   * A server said in an answer that it leaves. Whatever incarnation the request was meant
-   * for, the newest one known has answered: those before it had ended.
+   * What the newest incarnation known of the id has stated. Whichever a request was meant
+   * for, that one answers it: those before had ended.
+   */
+  newestStated (id: string): StatedState | undefined {
+    return (this.servers.get(id) ?? this.gone.get(id))?.stated
+  }
+
+  /**
+   * A server said in an answer that it leaves.
    * @returns whether that is news.
    */
   observeLeaving (id: string, now: number): boolean {
     const server = this.servers.get(id)
-    const isNews = (server ?? this.gone.get(id))?.stated.observeLeaving(now) === true
+    const isNews = this.newestStated(id)?.observeLeaving(now) === true
     if (server && isNews) {
       const before = server.listed.state
       server.listed = { ...server.listed, state: ServerState.Draining }
@@ -180,7 +187,7 @@
 
   /** What the incarnation has stated already; a later one than was known has stated what was heard since its start. */
   private statedOf ({ id, startedAt }: ListedServer): StatedState {
-    const stated = this.servers.get(id)?.stated ?? this.gone.get(id)?.stated
+    const stated = this.newestStated(id)
     if (stated === undefined) {
       return StatedState.create()
     }
@@ -200,7 +207,7 @@
       return
     }
     const known = this.servers.get(id)
-    const stated = known?.stated ?? this.gone.get(id)?.stated ?? StatedState.create()
+    const stated = this.newestStated(id) ?? StatedState.create()
     this.gone.set(id, { offset, startedAt: this.startOf(id), stated })
     if (known) {
       const before = known.listed.state
--- a/packages/foxtaillever-relay/src/servers/serverOpening.ts
+++ b/packages/foxtaillever-relay/src/servers/serverOpening.ts
@@ -4,10 +4,10 @@
 
 /** Nothing may reach it before, no report or order either, milliseconds of Unix time; Infinity for never again. */
 export function reachableFrom ({ listed, stated, displacedUntil }: KnownServer): number {
-  return listed.state === ServerState.Ready ? Math.max(displacedUntil, stated.opensAt) : Infinity
+  return listed.state === ServerState.Ready ? Math.max(displacedUntil, stated.reachableFrom) : Infinity
 }
 
-/** The same for requests of callers, which count in the limit that it stated. */
+/** The same for requests of callers, which count in the limit that it stated and return by a few after its rest. */
 export function opensAt (server: KnownServer): number {
-  return Math.max(reachableFrom(server), server.limitedUntil)
+  return Math.max(reachableFrom(server), server.stated.opensAt, server.limitedUntil)
 }
--- a/packages/foxtaillever-relay/src/servers/serverStatements.ts
+++ b/packages/foxtaillever-relay/src/servers/serverStatements.ts
@@ -7,7 +7,7 @@
 
 export interface ServerStatementsOptions {
   readonly clock: Clock
-  readonly directory: Pick<ServerDirectory, 'observeLeaving'>
+  readonly directory: Pick<ServerDirectory, 'observeLeaving' | 'newestStated'>
   readonly log: Pick<RelayLog, 'saysItLeaves' | 'asksForRest' | 'restUnreadable'>
 }
 
@@ -18,20 +18,26 @@
     return new ServerStatements(options)
   }
 
-  observe (server: KnownServer, { serverId, requestId, isLeaving, restMs }: ServerStatement): void {
+  /** @param sentAt when the request was sent that is answered, milliseconds of Unix time. */
+  observe (server: KnownServer, { serverId, requestId, hasRun, isLeaving, restMs }: ServerStatement, sentAt: number): void {
     const { clock, directory, log } = this.options
+    const now = clock.now()
     const { id } = server.listed
     // Another server answers at the address; it speaks of itself.
     if (serverId !== undefined && serverId !== id) {
       return
     }
     if (isLeaving) {
-      log.saysItLeaves(id, requestId, directory.observeLeaving(id, clock.now()))
+      log.saysItLeaves(id, requestId, directory.observeLeaving(id, now))
+    }
+    if (hasRun) {
+      directory.newestStated(id)?.observeTaken(sentAt)
     }
     restMs
       .ifLeft(text => log.restUnreadable(id, text))
       .ifRight(ms => {
         if (ms > 0) {
+          directory.newestStated(id)?.observeRest(now + ms, now)
           log.asksForRest(id, requestId, ms)
         }
       })
--- a/packages/foxtaillever-relay/src/weights/engineChange.ts
+++ b/packages/foxtaillever-relay/src/weights/engineChange.ts
@@ -8,6 +8,7 @@
 import type { Clock } from 'foxtaillever-core'
 import { LEAST_STEERED_MS, RolloutPhase } from 'foxtaillever-policy/relay/planRollout'
 import type { KnownServer } from '../servers/knownServer.js'
+import { reachableFrom } from '../servers/serverOpening.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import { OrderAnswer, type EngineOrders, type EngineReport } from './engineOrders.js'
 
@@ -111,7 +112,7 @@
   async look (): Promise<void> {
     const { clock, orders, engine, model, onWeights, isSameStart } = this.options
     const askedAt = clock.now()
-    if (this.isCalling || askedAt < this.lookAt) {
+    if (this.isCalling || askedAt < this.lookAt || reachableFrom(engine) > askedAt) {
       return
     }
     this.isCalling = true
@@ -131,7 +132,7 @@
   /** Gives the order if a report tells its sequence. */
   async order ({ version, fence }: OrderTerms): Promise<void> {
     const { clock, orders, engine, model, holder, log, onFenced, onDisplaced } = this.options
-    if (this.isCalling || this.report === undefined) {
+    if (this.isCalling || this.report === undefined || reachableFrom(engine) > clock.now()) {
       return
     }
     this.isCalling = true
--- a/packages/foxtaillever-router/src/plain/plainWire.ts
+++ b/packages/foxtaillever-router/src/plain/plainWire.ts
@@ -51,6 +51,6 @@
     return ['host', server.address, CallerHeader.RequestId, id, ...headers, ...length]
   },
   readMarks,
-  readStatement: (status, headers) => ({ serverId: undefined, requestId: undefined, isLeaving: false, restMs: readRetryAfter(status, headers['retry-after']) }),
+  readStatement: (status, headers) => ({ serverId: undefined, requestId: undefined, hasRun: headers[EngineHeader.Verdict] !== Verdict.NotRun, isLeaving: false, restMs: readRetryAfter(status, headers['retry-after']) }),
   passHeaders: returned
 }
