Read the rate that a server states at the same place as its other words

Server-Limit was read for tries alone, and only from answers that fit the request; it now passes the same two doors: the head of every answer, and the question before each send.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -60,15 +60,15 @@
     isNotRun: headers['not-run'] !== undefined,
     serverId: undefined,
     weightsVersion: undefined,
-    isEventStream: headers['content-type'] === 'text/event-stream',
-    limit: headers.limit === undefined ? noLimit : { kind: LimitStatementKind.Limit, perSecond: Number(headers.limit) }
+    isEventStream: headers['content-type'] === 'text/event-stream'
   }),
   readStatement: (status, headers) => ({
     serverId: headers.server as string | undefined,
     requestId: headers['request-id'] as string | undefined,
     hasRun: headers.stamp !== undefined && headers['not-run'] === undefined,
     isLeaving: headers.leaving !== undefined,
-    restMs: readRetryAfter(status, headers['retry-after'])
+    restMs: readRetryAfter(status, headers['retry-after']),
+    limit: headers.limit === undefined ? noLimit : { kind: LimitStatementKind.Limit, perSecond: Number(headers.limit) }
   }),
   passHeaders: () => []
 }
@@ -105,7 +105,7 @@
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, onUrgent: () => {} })
-    this.statements = ServerStatements.create({ clock, log, directory: this.directory })
+    this.statements = ServerStatements.create({ clock, log, directory: this.directory, limits: this.limits })
     const returns = ServiceReturns.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => 1 })
     const context: ExchangeContext = {
       clock,
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -25,8 +25,6 @@
 export interface AttemptListener {
   /** The first byte is about to leave; false holds it back. */
   readonly mayLeave?: () => boolean
-  /** The server's own answer, a rejection too, before anything else of it. */
-  readonly onMarks?: (marks: AnswerMarks) => void
   readonly onHead: (head: AnswerHead) => void
   readonly onData: (bytes: Buffer) => void
   /** The answer is whole. */
@@ -141,9 +139,6 @@
     const status = response.statusCode ?? 0
     const marks = this.options.wire.readMarks(status, response.headers)
     const failure = this.checkHead(status, marks)
-    if (failure === undefined || failure.kind === AttemptFailureKind.Refused) {
-      this.options.listener.onMarks?.(marks)
-    }
     if (failure) {
       this.refuse(response, failure)
       return
--- a/packages/foxtaillever-relay/src/exchange/beginAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/beginAttempt.ts
@@ -9,7 +9,7 @@
  * @param beganAt milliseconds of Unix time.
  */
 export function beginAttempt (context: ExchangeContext, exchange: Exchange, server: KnownServer, headers: readonly string[], beganAt: number, listener: AttemptListener): Attempt {
-  const { clock, wire, connectTimeoutMs, directory, limits } = context
+  const { clock, wire, connectTimeoutMs, directory } = context
   const { id, method, path, body, service } = exchange
   return Attempt.begin({
     clock,
@@ -19,6 +19,6 @@
     leastRestedMs: isRepeatable(exchange) ? Infinity : directory.experience.leastRestedMs(service, beganAt),
     connectTimeoutMs,
     call: { method, path, headers, body },
-    listener: { ...listener, onMarks: marks => limits.observe(server, marks, beganAt) }
+    listener
   })
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -30,7 +30,7 @@
   readonly caches: Pick<CacheUse, 'savedLevels' | 'fetchLoad' | 'available'>
   readonly suspects: Suspicions
   readonly quota: Pick<AccountQuotas, 'admit' | 'giveBack'>
-  readonly limits: Pick<ServerLimits, 'observe' | 'admit' | 'giveBack'>
+  readonly limits: Pick<ServerLimits, 'admit' | 'giveBack'>
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -69,8 +69,8 @@
         options.onServerChanged(server)
       }
     })
-    this.statements = ServerStatements.create({ clock, log, directory: this.directory })
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: options.limitProtocol, onUrgent: options.onLimitChanged })
+    this.statements = ServerStatements.create({ clock, log, directory: this.directory, limits: this.limits })
     const returns = ServiceReturns.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => this.instances })
     const choice = ServerChoice.create({
       ...options,
--- a/packages/foxtaillever-relay/src/limits/__tests__/serverLimits.test.ts
+++ b/packages/foxtaillever-relay/src/limits/__tests__/serverLimits.test.ts
@@ -2,7 +2,6 @@
 import { exchangeAt } from '../../__fixtures__/exchanges.js'
 import { LimitStatementKind, noLimit, type LimitStatement } from '../../model/limitStatement.js'
 import { ServerState } from '../../model/listedServer.js'
-import type { AnswerMarks } from '../../model/wire.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
 import { LimitFleet, serverLimits } from '../__fixtures__/limitFleet.js'
 import { LimitHistory } from '../__fixtures__/limitHistory.js'
@@ -14,10 +13,6 @@
 /** How many times its limit a server in need is sent. */
 const PRESSURE = 6
 
-function marksOf (limit: LimitStatement, isNotRun = false): AnswerMarks {
-  return { requestId: 'r', isStamped: !isNotRun, isNotRun, serverId: undefined, weightsVersion: undefined, isEventStream: false, limit }
-}
-
 function rateOf (perSecond: number): LimitStatement {
   return { kind: LimitStatementKind.Limit, perSecond }
 }
@@ -54,7 +49,7 @@
 
   /** @param sentMs when its request was sent, milliseconds since the rig began. */
   answer (limit: LimitStatement, sentMs: number, isNotRun = false): void {
-    this.limits.observe(this.server, marksOf(limit, isNotRun), this.beganAt + sentMs)
+    this.limits.observe(this.server, { limit, hasRun: !isNotRun }, this.beganAt + sentMs)
   }
 
   /** Whether a request counts in a limit. */
--- a/packages/foxtaillever-relay/src/limits/serverLimits.ts
+++ b/packages/foxtaillever-relay/src/limits/serverLimits.ts
@@ -11,7 +11,7 @@
 import { StatedLimits, type LimitChange, type StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
 import type { Exchange } from '../model/exchange.js'
 import { LimitStatementKind } from '../model/limitStatement.js'
-import type { AnswerMarks } from '../model/wire.js'
+import type { ServerStatement } from '../model/serverStatement.js'
 import type { LimitNews } from '../peers/peerMessage.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
@@ -77,14 +77,14 @@
    * Takes in what an answer states.
    * @param sentAt when its request was sent, milliseconds of Unix time.
    */
-  observe (server: KnownServer, { limit, isStamped, isNotRun }: AnswerMarks, sentAt: number): void {
+  observe (server: KnownServer, { limit, hasRun }: Pick<ServerStatement, 'limit' | 'hasRun'>, sentAt: number): void {
     const { clock, log } = this.options
     switch (limit.kind) {
       case LimitStatementKind.Limit: this.learnHere(server, limit.perSecond, clock.now()); break
       case LimitStatementKind.Unreadable: log.limitUnreadable(server.listed.id, limit.text); break
       case LimitStatementKind.None:
         // A rejection need not repeat the limit.
-        if (isStamped && !isNotRun) {
+        if (hasRun) {
           this.learnHere(server, undefined, sentAt)
         }
     }
--- a/packages/foxtaillever-relay/src/model/serverStatement.ts
+++ b/packages/foxtaillever-relay/src/model/serverStatement.ts
@@ -1,5 +1,6 @@
 /** What a backend server states of itself in the head of an answer, whatever the answer is about. */
 import type { Either } from 'purify-ts'
+import type { LimitStatement } from './limitStatement.js'
 
 export interface ServerStatement {
   /** Id of the server that answered; undefined when not said. */
@@ -12,4 +13,6 @@
   readonly isLeaving: boolean
   /** It wants nothing from this instance for so long, milliseconds; 0 when it asks for no rest. Left: a text that is no time. */
   readonly restMs: Either<string, number>
+  /** The rate that it takes from all instances together. */
+  readonly limit: LimitStatement
 }
--- a/packages/foxtaillever-relay/src/model/wire.ts
+++ b/packages/foxtaillever-relay/src/model/wire.ts
@@ -5,7 +5,6 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { Either } from 'purify-ts'
 import type { Exchange, ExchangeHead } from './exchange.js'
-import type { LimitStatement } from './limitStatement.js'
 import type { ListedServer } from './listedServer.js'
 import type { ServerStatement } from './serverStatement.js'
 
@@ -50,7 +49,6 @@
   /** Weights the answer was made with; undefined when not said. */
   readonly weightsVersion: number | undefined
   readonly isEventStream: boolean
-  readonly limit: LimitStatement
 }
 
 export interface CallerWire {
--- a/packages/foxtaillever-router/src/adapters/engineWire.ts
+++ b/packages/foxtaillever-router/src/adapters/engineWire.ts
@@ -2,11 +2,10 @@
  * How answers of engines are read: none needs a stamp, since a stream counts as
  * whole only with its last event; a refusal is read to its end for its reason.
  */
-import { noLimit } from 'foxtaillever-relay/model/limitStatement'
 import type { AnswerWire } from 'foxtaillever-relay/model/wire'
 
 export const engineWire: AnswerWire = {
   notRunStatuses: new Set(),
-  readMarks: () => ({ requestId: undefined, isStamped: true, isNotRun: false, serverId: undefined, weightsVersion: undefined, isEventStream: true, limit: noLimit }),
+  readMarks: () => ({ requestId: undefined, isStamped: true, isNotRun: false, serverId: undefined, weightsVersion: undefined, isEventStream: true }),
   passHeaders: rawHeaders => [...rawHeaders]
 }
--- a/packages/foxtaillever-router/src/plain/plainWire.ts
+++ b/packages/foxtaillever-router/src/plain/plainWire.ts
@@ -38,8 +38,7 @@
     isNotRun: headers[EngineHeader.Verdict] === Verdict.NotRun,
     serverId: undefined,
     weightsVersion: undefined,
-    isEventStream: false,
-    limit: noLimit
+    isEventStream: false
   }
 }
 
@@ -51,6 +50,6 @@
     return ['host', server.address, CallerHeader.RequestId, id, ...headers, ...length]
   },
   readMarks,
-  readStatement: (status, headers) => ({ serverId: undefined, requestId: undefined, hasRun: headers[EngineHeader.Verdict] !== Verdict.NotRun, isLeaving: false, restMs: readRetryAfter(status, headers['retry-after']) }),
+  readStatement: (status, headers) => ({ serverId: undefined, requestId: undefined, hasRun: headers[EngineHeader.Verdict] !== Verdict.NotRun, isLeaving: false, restMs: readRetryAfter(status, headers['retry-after']), limit: noLimit }),
   passHeaders: returned
 }
