Say what servers state of themselves in the soak and in drawn histories

The soak rests one server or all, and replaces one while the store is dark for all; an oracle counts at the servers whether an instance sent on after a word, unless it was killed, stopped or suspended meanwhile.

--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -1,7 +1,8 @@
-/** `npm run fuzz -- --seed S --runs N`, `npm run fuzz -- quota` and `npm run fuzz -- server-limits`: exits 1 when a promise was broken. */
+/** `npm run fuzz -- --seed S --runs N`, `npm run fuzz -- quota`, `server-limits` and `server-statements`: exits 1 when a promise was broken. */
 import { Cli, Command, Option } from 'clipanion'
 import { quotas, serverLimits, type LimitSubject } from 'foxtaillever-relay/limits/__fixtures__/limitFleet'
 import { LimitHistory } from 'foxtaillever-relay/limits/__fixtures__/limitHistory'
+import { StatementHistory } from 'foxtaillever-relay/servers/__fixtures__/statementHistory'
 import { runFuzz } from './fuzz/runFuzz.js'
 
 const PROGRESS_RUNS = 500
@@ -56,4 +57,23 @@
   }
 }
 
-await Cli.from([FuzzCommand, LimitsCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
+class StatementsCommand extends Command {
+  static override paths = [['server-statements']]
+  static override usage = Command.Usage({ description: 'Draw histories of servers that say they leave or ask for rest, and count what reaches them.' })
+
+  seed = Option.String('--seed', '1', { description: 'Seed of the first history; the next ones follow.' })
+  runs = Option.String('--runs', '300', { description: 'Histories.' })
+
+  async execute (): Promise<number> {
+    let broken = 0
+    for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.runs); seed++) {
+      const complaints = await StatementHistory.play(seed)
+      broken += complaints.length
+      complaints.forEach(complaint => console.log(`seed ${seed}: ${complaint}`))
+    }
+    console.log(JSON.stringify({ runs: Number(this.runs), broken }))
+    return broken > 0 ? 1 : 0
+  }
+}
+
+await Cli.from([FuzzCommand, LimitsCommand, StatementsCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
--- a/packages/foxtaillever-proof/src/platformSoak/__tests__/serverPromises.test.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/__tests__/serverPromises.test.ts
@@ -1,7 +1,7 @@
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
 import { PartCache, TokenEngine, type PartUse, type TakenOrder, type TokenRun } from 'foxtaillever-standins'
 import { Disturbances } from '../disturbances.js'
-import { limitComplaints, serverComplaints } from '../serverPromises.js'
+import { limitComplaints, serverComplaints, statementComplaints } from '../serverPromises.js'
 import type { SoakedFleet } from '../soakedFleet.js'
 
 const ENGINE = { slots: 4, mostWaiting: 4, memoryTokens: 10_000, stepMs: 1, readTokensPerMs: 100, pieceTokens: 1000 }
@@ -72,6 +72,43 @@
   })
 })
 
+describe('what servers said of themselves in a soak', () => {
+  interface Given {
+    readonly at: number
+    readonly isLeaving?: boolean
+    readonly restMs?: number
+  }
+
+  /** Complaints about one server and one instance; answers come with the requests, and an outage may lie between. */
+  async function complaintsAfter (given: readonly Given[], outage?: string): Promise<string[]> {
+    let now = 0
+    const clocked = (): Disturbances => Disturbances.create(() => now)
+    const [outages, cuts] = [clocked(), clocked()]
+    if (outage !== undefined) {
+      now = 1000
+      await outages.during(async () => {}, outage)
+    }
+    const arrivals = given.map(({ at, isLeaving = false, restMs = 0 }, index) => ({ requestId: `q${index}`, at, startedAt: 1, answer: { at, isLeaving, restMs } }))
+    const sent = given.map(({ at, isLeaving }, index) => ({ id: `q${index}`, instance: 0, sentAt: at, toldLeavingAt: isLeaving === true ? at : undefined }))
+    const fleet = { platform: { servers: [{ id: 's', arrivals }] }, instances: [{ address: 'a' }] } as unknown as SoakedFleet
+    return statementComplaints(fleet, sent, outages, cuts)
+  }
+
+  // Guards against an oracle that sees nothing.
+  it('shows requests that a leaving server got later than it may', async t => {
+    t.deepEqual(await complaintsAfter([{ at: 100, isLeaving: true }, { at: 2100 }]), [])
+    t.is((await complaintsAfter([{ at: 100, isLeaving: true }, { at: 2101 }])).length, 1)
+    t.is((await complaintsAfter([{ at: 100, isLeaving: true }, { at: 2101 }], 'b')).length, 1)
+    t.deepEqual(await complaintsAfter([{ at: 100, isLeaving: true }, { at: 2101 }], 'a'), [])
+  })
+
+  it('shows more than two requests in a rest', async t => {
+    const inRest = [700, 900].map(at => ({ at }))
+    t.deepEqual(await complaintsAfter([{ at: 100, restMs: 3000 }, { at: 500 }, ...inRest, { at: 3100 }]), [])
+    t.is((await complaintsAfter([{ at: 100, restMs: 3000 }, ...inRest, { at: 3099 }])).length, 1)
+  })
+})
+
 describe('disturbances of a soak', () => {
   it('excuse what happens while they last and shortly after', async t => {
     let now = 1000
--- a/packages/foxtaillever-proof/src/platformSoak/disturbances.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/disturbances.ts
@@ -8,6 +8,8 @@
 const AFTERMATH_MS = 3000
 
 interface Disturbance {
+  /** Who was out of touch; undefined for all. */
+  readonly subject: string | undefined
   readonly from: number
   /** Milliseconds of Unix time; Infinity while it lasts. */
   until: number
@@ -22,15 +24,17 @@
     return new Disturbances(now)
   }
 
-  async during (disturb: () => Promise<void>): Promise<void> {
-    const disturbance: Disturbance = { from: this.now(), until: Infinity }
+  async during (disturb: () => Promise<void>, subject?: string): Promise<void> {
+    const disturbance: Disturbance = { subject, from: this.now(), until: Infinity }
     this.known.push(disturbance)
     await disturb()
     disturbance.until = this.now() + AFTERMATH_MS
   }
 
-  /** Whether all was well the whole time, milliseconds of Unix time. */
-  wasCalm (from: number, until: number): boolean {
-    return this.known.every(disturbance => disturbance.until < from || disturbance.from > until)
+  /** Whether all was well the whole time, milliseconds of Unix time; with a subject, whether all was well with that one. */
+  wasCalm (from: number, until: number, subject?: string): boolean {
+    return this.known
+      .filter(disturbance => subject === undefined || (disturbance.subject ?? subject) === subject)
+      .every(disturbance => disturbance.until < from || disturbance.from > until)
   }
 }
--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -10,8 +10,10 @@
   readonly clock: Clock
   readonly random: Random
   readonly disturbances: Disturbances
-  /** Instances that stop or stand still. */
+  /** Instances that stop or stand still, by address. */
   readonly outages: Disturbances
+  /** Connections to servers are cut. */
+  readonly cuts: Disturbances
 }
 
 const LONGEST_PAUSE_MS = 2500
@@ -20,6 +22,10 @@
 /** Rates that servers in need state; undefined: the need is over. */
 const RATES = [0, 1.1, 5, undefined]
 
+/** What servers ask for that turn requests away, seconds, and how long they need at most, milliseconds. */
+const RESTS_S = [0.3, 1, 3]
+const LONGEST_NEED_MS = 4000
+
 /** The store may be restored from a copy so old, after it was away for so long; what was lost is written again in that time, milliseconds. */
 const OLDEST_COPY_MS = 3000
 const LONGEST_AWAY_MS = 800
@@ -53,6 +59,14 @@
   })
 }
 
+async function restServers (context: PlatformFaultContext, servers: readonly BackendServer[]): Promise<void> {
+  const { fleet, random } = context
+  const seconds = draw(random, RESTS_S)
+  servers.forEach(server => fleet.operator.rest(server, seconds))
+  await rest(context, LONGEST_NEED_MS)
+  servers.forEach(server => fleet.operator.rest(server, undefined))
+}
+
 async function replaceServer ({ fleet, clock, random }: PlatformFaultContext): Promise<void> {
   const engines = fleet.platform.servers.filter(({ options, isLeaving }) => options.name.startsWith('engine') && !isLeaving)
   const leaving: BackendServer = draw(random, engines)
@@ -76,27 +90,27 @@
 
 export const platformFaults: Readonly<Record<string, (context: PlatformFaultContext) => Promise<void>>> = {
   'kill an instance': async context => {
-    const { child } = drawInstance(context)
+    const { child, address } = drawInstance(context)
     await context.outages.during(async () => {
       await child.kill()
       await rest(context, LONGEST_PAUSE_MS)
       child.start()
-    })
+    }, address)
   },
   'pause an instance': async context => {
-    const { child } = drawInstance(context)
+    const { child, address } = drawInstance(context)
     await context.outages.during(async () => await context.disturbances.during(async () => {
       child.stop()
       await rest(context, LONGEST_PAUSE_MS)
       child.continue()
-    }))
+    }), address)
   },
   'stop an instance in order': async context => {
-    const { child } = drawInstance(context)
+    const { child, address } = drawInstance(context)
     await context.outages.during(async () => {
       await child.terminate()
       child.start()
-    })
+    }, address)
   },
   'fault the store for one': async context => await faultStore(context, [drawInstance(context)]),
   'fault the store for all': async context => await faultStore(context, context.fleet.instances),
@@ -115,6 +129,11 @@
     fleet.platform.servers.forEach(({ faults }) => faults.push(draw(random, Object.values(ServerFault))))
   },
   'limit a server': async ({ fleet, random }) => fleet.operator.limit(draw(random, fleet.platform.servers), draw(random, RATES)),
+  'rest a server': async context => await restServers(context, [draw(context.random, context.fleet.platform.servers)]),
+  'rest all servers': async context => await restServers(context, context.fleet.platform.servers),
+  'replace a server while the store is dark': async context => {
+    await Promise.all([faultStore(context, context.fleet.instances), replaceServer(context)])
+  },
   'start servers again under their ids': async ({ fleet, random }) => draw(random, fleet.platform.servers).crash(true),
   'write entries that are no servers\'': async context => {
     const { fleet, random } = context
@@ -122,9 +141,9 @@
     foreignEntries(context).forEach(value => fleet.platform.writeForeign(draw(random, keys), value))
   },
   'replace a server': replaceServer,
-  'disturb the links': async ({ fleet, random }) => {
+  'disturb the links': async ({ fleet, random, cuts }) => {
     const fault = draw(random, Object.values(LinkFault))
-    fleet.platform.links.forEach(link => link.strike(fault))
+    await cuts.during(async () => fleet.platform.links.forEach(link => link.strike(fault)))
   },
   'empty the cache store': async ({ fleet }) => fleet.operator.clearCacheStore(),
   'name new weights': async ({ fleet }) => fleet.operator.nameWeights(),
--- a/packages/foxtaillever-proof/src/platformSoak/platformLoad.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformLoad.ts
@@ -1,6 +1,7 @@
 /** Requests of a soak, and what may be said against each once all is quiet. */
 import type { Random } from 'foxtaillever-core'
 import type { CallerReply } from 'foxtaillever-platform/__fixtures__/caller'
+import { requestOf, type SentRequest } from 'foxtaillever-platform/__fixtures__/statementOracle'
 import { Path, promptHeaders, wholeStream } from 'foxtaillever-platform/__fixtures__/relayFleet'
 import type { Disturbances } from './disturbances.js'
 import type { SoakedFleet } from './soakedFleet.js'
@@ -32,8 +33,11 @@
   readonly id: string
   readonly path: Path
   readonly key: string
+  /** Index of the instance. */
+  readonly instance: number
   /** Milliseconds of Unix time. */
   readonly at: number
+  readonly answeredAt: number
   readonly reply: CallerReply
 }
 
@@ -51,13 +55,14 @@
     const { fleet, random } = this
     const id = `q${this.number++}`
     const path = paths[random.below(paths.length)] as Path
-    const { address } = fleet.instances[random.below(fleet.instances.length)] ?? { address: '' }
+    const instance = random.below(fleet.instances.length)
+    const { address } = fleet.instances[instance] ?? { address: '' }
     const headers = path === Path.Stream ? promptHeaders(id, EVENTS) : {}
     const key = this.drawKey()
     const at = fleet.clock.now()
     const leaveAfterMs = random.next() < LEAVING ? LEAVE_AFTER_MS : undefined
     const reply = await fleet.caller.send({ address, id, path: `${path}x`, key, headers, body: 'a body', patienceMs: PATIENCE_MS, leaveAfterMs })
-    this.sent.push({ id, path, key, at, reply })
+    this.sent.push({ id, path, key, instance, at, answeredAt: fleet.clock.now(), reply })
   }
 
   /** One that is in force for good, or one of the last three that came and went. */
@@ -69,6 +74,11 @@
     return keys[random.below(keys.length)] ?? ''
   }
 
+  /** All of them, for oracles. */
+  get requests (): readonly SentRequest[] {
+    return this.sent.map(({ at: sentAt, reply: { headers }, ...sent }) => requestOf({ ...sent, sentAt, headers }))
+  }
+
   /** Ends of requests by status; 0 for those without an answer. */
   get outcomes (): Readonly<Record<string, number>> {
     const outcomes: Record<string, number> = {}
--- a/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
@@ -3,7 +3,7 @@
 import { Disturbances } from './disturbances.js'
 import { platformFaults } from './platformFaults.js'
 import { PlatformLoad } from './platformLoad.js'
-import { limitComplaints, serverComplaints } from './serverPromises.js'
+import { limitComplaints, serverComplaints, statementComplaints } from './serverPromises.js'
 import { SoakedFleet } from './soakedFleet.js'
 
 export interface PlatformSoakOptions {
@@ -30,6 +30,7 @@
   const fleet = await SoakedFleet.start(entry)
   const disturbances = Disturbances.create(() => clock.now())
   const outages = Disturbances.create(() => clock.now())
+  const cuts = Disturbances.create(() => clock.now())
   const load = PlatformLoad.create(fleet, SeededRandom.create(seed + 1), disturbances)
   const endsAt = clock.now() + seconds * 1000
   const faults: Record<string, number> = {}
@@ -38,7 +39,7 @@
     while (clock.now() < endsAt) {
       const name = names[random.below(names.length)] ?? ''
       faults[name] = (faults[name] ?? 0) + 1
-      await platformFaults[name]?.({ fleet, clock, random, disturbances, outages })
+      await platformFaults[name]?.({ fleet, clock, random, disturbances, outages, cuts })
       await waitUntil(clock, clock.now() + random.below(LONGEST_CALM_MS))
     }
   }
@@ -56,8 +57,8 @@
     await fleet.waitUntilConfigured()
     await fleet.waitUntilSettled()
     const { platform, operator } = fleet
-    const seen = { cachedLevelsUsed: platform.partUses().length, orders: platform.takenOrders().length, drains: operator.drains.length, keysTaken: operator.terms.length - 1, limits: operator.rates.length }
-    return { complaints: [...load.complaints(), ...serverComplaints(fleet, disturbances), ...limitComplaints(fleet, outages)], outcomes: load.outcomes, faults, seen }
+    const seen = { cachedLevelsUsed: platform.partUses().length, orders: platform.takenOrders().length, drains: operator.drains.length, keysTaken: operator.terms.length - 1, limits: operator.rates.length, rests: operator.rests }
+    return { complaints: [...load.complaints(), ...serverComplaints(fleet, disturbances), ...limitComplaints(fleet, outages), ...statementComplaints(fleet, load.requests, outages, cuts)], outcomes: load.outcomes, faults, seen }
   } finally {
     await fleet.end()
   }
--- a/packages/foxtaillever-proof/src/platformSoak/serverPromises.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/serverPromises.ts
@@ -1,5 +1,6 @@
 /** Promises of a soak that servers alone can judge: whom they ran, on which cached levels, and who ordered them. */
 import { allowedInWindow, BINDING_MS, countWindows, WINDOW_MS } from 'foxtaillever-platform/__fixtures__/limitedServers'
+import { leavingComplaints, restComplaints, type SentRequest } from 'foxtaillever-platform/__fixtures__/statementOracle'
 import type { TakenOrder } from 'foxtaillever-standins'
 import type { Disturbances } from './disturbances.js'
 import type { SoakedFleet } from './soakedFleet.js'
@@ -28,6 +29,15 @@
   })
 }
 
+/** Requests that reached servers against what these had told the instances, which a start or a suspension of the instance excuses; so does a cut for a rest. */
+export function statementComplaints ({ platform, instances }: Pick<SoakedFleet, 'platform' | 'instances'>, sent: readonly SentRequest[], outages: Disturbances, cuts: Disturbances): string[] {
+  const ranOn = (instance: number, from: number, until: number): boolean => outages.wasCalm(from, until, instances[instance]?.address)
+  return platform.servers.flatMap(server => [
+    ...leavingComplaints(server, sent, ranOn),
+    ...restComplaints(server, sent, (instance, from, until) => ranOn(instance, from, until) && cuts.wasCalm(from, until))
+  ])
+}
+
 /** Work that an instance sent to a server long after it could know that the server leaves. */
 function drainComplaints ({ operator }: SoakedFleet, disturbances: Disturbances): string[] {
   return operator.drains.flatMap(({ server, id, at }) => server.arrivals
--- a/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
@@ -39,6 +39,8 @@
 
 export class SoakOperator {
   readonly rates: StatedRate[] = []
+  /** How often a server was made to ask for rest. */
+  rests = 0
   /** Keys that came with one configuration and went with the next. */
   readonly terms: KeyTerm[] = []
   readonly drains: Drain[] = []
@@ -61,6 +63,12 @@
     }
   }
 
+  /** The server turns all requests away and asks for so much rest, seconds; undefined: it is well again. */
+  rest (server: BackendServer, seconds: number | undefined): void {
+    server.askedRest = seconds === undefined ? undefined : String(seconds)
+    this.rests += seconds === undefined ? 0 : 1
+  }
+
   start (): void {
     this.platform.addCacheStore(CACHE_STORE, CACHE_STORE_TOKENS)
     this.platform.nameWeights(MODEL, this.weights)
