--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -8,7 +8,9 @@
 import { formatPosition } from '../knowledge/storePosition.js'
 import type { Routing } from '../model/routing.js'
 import type { Peers } from '../peers/peers.js'
+import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
+import { opensAt } from '../servers/serverOpening.js'
 import type { OrderLease } from '../weights/orderLease.js'
 
 export interface RelayStateOptions {
@@ -63,14 +65,26 @@
       configuration: { revision, routes: routes.map(route => route.name), accounts: accounts.map(account => account.name) },
       store: { answers: knowledge().hasStore, era: knowledge().storeEra, positions: { operators: formatPosition(operators), servers: formatPosition(read) } },
       lease: { isHeld: lease().fence() !== undefined, ...lease().news() },
-      servers: directory.all().map(({ listed, weights, outstanding, health, changingUntil, offset }) => ({
-        ...listed, weights: Object.fromEntries(weights), outstanding, position: formatPosition(offset), faultShare: health.faultShare(now), changingMs: Math.max(0, changingUntil - now)
-      })),
+      servers: directory.all().map(server => this.describe(server, now)),
       reading: Object.fromEntries([...directory.experience.prefillSpeeds].map(([service, { tokensPerMs, samples }]) => [service, { tokensPerMs, samples }])),
       instances: peers().table.all().map(({ address, last, heardAt }) => ({ address, name: last?.name, failureDomain: last?.failureDomain, heardMsAgo: now - heardAt }))
     }
   }
 
+  private describe (server: KnownServer, now: number): object {
+    const { listed, weights, outstanding, health, changingUntil, offset } = server
+    const opensInMs = opensAt(server) - now
+    return {
+      ...listed,
+      weights: Object.fromEntries(weights),
+      outstanding,
+      position: formatPosition(offset),
+      faultShare: health.faultShare(now),
+      changingMs: Math.max(0, changingUntil - now),
+      opensInMs: Number.isFinite(opensInMs) ? Math.max(0, Math.round(opensInMs)) : undefined
+    }
+  }
+
   /** Figures that are read when the metrics are. */
   addTo (metrics: Metrics): void {
     const { routing, directory, peers, knowledge, lease, open, isReady } = this.options
--- a/packages/foxtaillever-router/src/plain/__tests__/plainRouter.test.ts
+++ b/packages/foxtaillever-router/src/plain/__tests__/plainRouter.test.ts
@@ -52,6 +52,18 @@
     })
   })
 
+  describe('when a backend server asks for rest', () => {
+    // Guards against calls that a server has turned away for a time of its own.
+    it('sends it nothing until then, and the calls to another one', async t => {
+      const rest: Answer = arrival => arrival.socket.write(wholeAnswer(arrival, '', '503 Busy', 'x-verdict: not_run', 'retry-after: 3'))
+      const rig = await PlainRig.start(t, rest, work)
+      for (const path of ['/exports', '/exports', '/exports']) {
+        t.is((await rig.call('POST', path)).status, 200)
+      }
+      t.deepEqual(rig.arrivals, [1, 3])
+    })
+  })
+
   describe('when every backend server loses the call', () => {
     // Both servers crash over a lookup. A status for "not run" would be wrong:
     // the caller's log would deny work that was done.
