Rank a second time only the servers that were asked for, and name a level once a weights version

Each prompt ranked all servers twice and hashed its level's name once a server. The choice is the same: costs of servers do not depend on each other, and the home is looked for among all.

--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -9,7 +9,7 @@
  * engines and links were observed or configured to do.
  */
 import type { Random } from 'foxtaillever-core'
-import { homeAmong } from './levelHome.js'
+import { homeAmong, type HomePlace } from './levelHome.js'
 
 /** A server as one decision sees it. */
 export interface ServerOffer {
@@ -54,6 +54,8 @@
   readonly promptKey: number | undefined
   /** Failure domains whose servers may be its home; undefined for all. */
   readonly homeDomains?: ReadonlySet<string> | undefined
+  /** Hash of the home among all servers; it is looked for among the offers where undefined. */
+  readonly homeHash?: number | undefined
   readonly promptTokens: number
   /** Those of the levels that other requests share. */
   readonly sharedTokens: number
@@ -151,18 +153,19 @@
     Math.min(offer.coldLeftMs, MOST_COLD_MS)
 }
 
-/** Those that are there, if any: while a home is not, all agree on the next one rather than each on another. */
-function presentAmong (offers: readonly ServerOffer[]): readonly ServerOffer[] {
-  const present = offers.filter(({ isAbsent }) => !isAbsent)
-  return present.length > 0 ? present : offers
+/** The home among servers that are there, if any: while it is not, all agree on the next one rather than each on another. */
+export function presentHome<Place extends HomePlace & Pick<ServerOffer, 'isAbsent'>> (promptKey: number, domains: ReadonlySet<string> | undefined, places: readonly Place[]): Place | undefined {
+  const present = places.filter(({ isAbsent }) => !isAbsent)
+  return homeAmong(promptKey, domains, present.length > 0 ? present : places)
 }
 
 /** All offers, the cheapest first; equals in random order, so that instances do not all take the same. */
 export function rankOffers (offers: readonly ServerOffer[], need: PlacementNeed, random: Random): readonly ServerOffer[] {
-  const home = need.promptKey === undefined ? undefined : homeAmong(need.promptKey, need.homeDomains, presentAmong(offers))
+  const { promptKey, homeDomains } = need
+  const homeHash = need.homeHash ?? (promptKey === undefined ? undefined : presentHome(promptKey, homeDomains, offers)?.hash)
   return offers
     // Less than a millisecond tells nothing.
-    .map(offer => ({ offer, cost: costOf(offer, need, offer === home) + random.next() }))
+    .map(offer => ({ offer, cost: costOf(offer, need, offer.hash === homeHash) + random.next() }))
     .sort((one, other) => one.cost - other.cost)
     .map(({ offer }) => offer)
 }
--- a/packages/foxtaillever-relay/src/cache/levelSupply.ts
+++ b/packages/foxtaillever-relay/src/cache/levelSupply.ts
@@ -29,14 +29,25 @@
     const ownTokens = ownTokensOf(prompt)
     return { fetchMs: (prompt.promptTokens - ownTokens) / tokensPerMs, waitMs: 0, missingTokens: () => ownTokens }
   }
+  // Most servers have the same weights.
+  const missing = new Map<number, number>()
+  const missingOn = (version: number): number => {
+    const known = missing.get(version)
+    if (known !== undefined) {
+      return known
+    }
+    const isSaved = caches.savedLevels.has(savedLevelOf(exchange, prompt, version, store), now)
+    const tokens = isSaved ? ownTokensOf(prompt) : prompt.promptTokens
+    missing.set(version, tokens)
+    return tokens
+  }
   const msOf = (tokens: number): number => tokens * tokenBytes / store.linkBytesPerMs
   return {
     fetchMs: msOf(deepestSharedTokensOf(prompt)),
     waitMs: msOf(caches.fetchLoad.tokensAt(store.address, now)),
     missingTokens: ({ weights }) => {
       const version = weights.get(prompt.model)
-      const isSaved = version !== undefined && caches.savedLevels.has(savedLevelOf(exchange, prompt, version, store), now)
-      return isSaved ? ownTokensOf(prompt) : prompt.promptTokens
+      return version === undefined ? prompt.promptTokens : missingOn(version)
     }
   }
 }
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -1,6 +1,6 @@
 /** Gives the decision on placement what this instance knows, and takes its answer. */
 import type { Clock, Random } from 'foxtaillever-core'
-import { rankOffers, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
+import { presentHome, rankOffers, type ServerOffer } from 'foxtaillever-policy/relay/placeExchange'
 import { homeAmong, homeDomains } from 'foxtaillever-policy/relay/levelHome'
 import { ownTokensOf, promptKeyOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
@@ -85,15 +85,16 @@
    */
   place (exchange: Exchange, earlier: EarlierTries, asked: AskedServers = noneAsked): KnownServer | undefined {
     const { directory } = this.options
-    const ranked = this.rank(exchange, earlier)
-    const known = ranked.find(offer => isOpen(offer) && asked.has(directory.get(offer.id)?.hash ?? 0))
-    const chosen = known ?? ranked[0]
+    const fit = this.fit(exchange, earlier)
+    const known = fit.filter(({ hash }) => asked.has(hash))
+    const chosen = this.rank(exchange, known, fit).find(isOpen) ?? this.rank(exchange, fit, fit)[0]
     return chosen && directory.get(chosen.id)
   }
 
   /** Hashes of the servers that come into question first, to ask for their load. */
   shortlist (exchange: Exchange, earlier: EarlierTries): number[] {
-    return this.rank(exchange, earlier).slice(0, SHORTLIST).flatMap(({ id }) => this.options.directory.get(id)?.hash ?? [])
+    const fit = this.fit(exchange, earlier)
+    return this.rank(exchange, fit, fit).slice(0, SHORTLIST).flatMap(({ id }) => this.options.directory.get(id)?.hash ?? [])
   }
 
   /** The engine that is home to the levels of the exchange's prompt, while it takes requests. */
@@ -112,18 +113,27 @@
     return home && home.changingUntil <= now ? home : undefined
   }
 
-  private rank (exchange: Exchange, { failed, wasMisdirected }: EarlierTries): readonly ServerOffer[] {
-    const { clock, directory, random, failureDomain, levelSupply } = this.options
+  /** The servers that can take the next try. */
+  private fit (exchange: Exchange, { failed, wasMisdirected }: EarlierTries): readonly KnownServer[] {
+    const { clock, directory } = this.options
     const now = clock.now()
-    const ready = directory.ready(exchange.service)
-    const fit = ready.filter(server => !failed.has(server.listed.id) && opensAt(server) <= now && this.hasFitWeights(server, exchange))
+    const fit = directory.ready(exchange.service).filter(server => !failed.has(server.listed.id) && opensAt(server) <= now && this.hasFitWeights(server, exchange))
+    return wasMisdirected ? this.inNoDoubt(fit, exchange) : fit
+  }
+
+  /**
+   * The best of some servers first.
+   * @param all among which the home of the prompt's levels is.
+   */
+  private rank (exchange: Exchange, servers: readonly KnownServer[], all: readonly KnownServer[]): readonly ServerOffer[] {
+    const { directory, random, failureDomain, levelSupply } = this.options
     const supply = levelSupply(exchange)
-    const offers = (wasMisdirected ? this.inNoDoubt(fit, exchange) : fit).map(server => this.toOffer(server, exchange, supply))
+    const offers = servers.map(server => this.toOffer(server, exchange, supply))
     const { promptTokens, outputTokens } = exchange.prompt ?? { promptTokens: 0, outputTokens: 0 }
     const promptKey = promptKeyOf(exchange)
     const need = {
       promptKey,
-      homeDomains: this.homeDomains(promptKey, ready),
+      homeHash: this.homeHash(promptKey, exchange, all),
       promptTokens,
       sharedTokens: exchange.prompt ? promptTokens - ownTokensOf(exchange.prompt) : 0,
       outputTokens,
@@ -145,6 +155,17 @@
     return current.length > 0 ? current : servers
   }
 
+  /** The home of the prompt's levels among servers, those that are not there last. */
+  private homeHash (promptKey: number | undefined, { service }: Exchange, servers: readonly KnownServer[]): number | undefined {
+    const { clock, directory } = this.options
+    const now = clock.now()
+    if (promptKey === undefined) {
+      return undefined
+    }
+    const places = servers.map(({ idHash, listed, absentUntil }) => ({ hash: idHash, failureDomain: listed.failureDomain, isAbsent: absentUntil > now }))
+    return presentHome(promptKey, this.homeDomains(promptKey, directory.ready(service)), places)?.hash
+  }
+
   /** Near the store that keeps the prompt's shared levels. */
   private homeDomains (promptKey: number | undefined, servers: readonly KnownServer[]): ReadonlySet<string> | undefined {
     if (promptKey === undefined) {
