Tell the watchers of a server that it turned a request away

A server in need turns away a request of each instance: of what one is told nobody else knows.

It is a hint: it costs a place in the ranking and closes nothing, since the server has asked nothing of the others. It goes with the words and answers that are sent anyway; a refusal costs two datagrams.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -127,6 +127,7 @@
       onLoadChanged: () => this.onLoadChanged(),
       onSaved: () => {},
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
+      onRefused: () => {},
       askLoad: () => undefined,
       place: (_, { failed }) => this.directory.ready('s').find(server => !failed.has(server.listed.id) && opensAt(server) <= clock.now()),
       returnAt: service => returns.returnAt(service),
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -43,6 +43,7 @@
     onLoadChanged: () => {},
     onSaved: () => {},
     onUnreachable: () => {},
+    onRefused: () => {},
     limitProtocol: () => noSharedLimits,
     onLimitChanged: () => {},
     onServerChanged: () => {},
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -24,7 +24,10 @@
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
-export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'onMisdirected' | 'onLoadChanged' | 'onSaved' | 'onUnreachable'>, Omit<CacheUseOptions, 'stores'> {
+/** Whoever is about to send a prompt asks its watchers again; their word serves this one choice, milliseconds. */
+const HEARD_MS = 50
+
+export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'onMisdirected' | 'onLoadChanged' | 'onSaved' | 'onUnreachable' | 'onRefused'>, Omit<CacheUseOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
@@ -55,7 +58,7 @@
   private readonly log: RelayLog
 
   private constructor (options: ExchangeDeskOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, askLoad, onLoadChanged, onSaved, onUnreachable, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, askLoad, onLoadChanged, onSaved, onUnreachable, onRefused, onMisdirected } = options
     this.clock = clock
     this.log = log
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
@@ -95,6 +98,7 @@
       onLoadChanged,
       onSaved,
       onUnreachable,
+      onRefused,
       askLoad: (exchange, earlier) => exchange.prompt && askLoad(() => ({ servers: choice.shortlist(exchange, earlier), level: this.levelAtHome(exchange, choice.homeOf(exchange)) })),
       returnAt: service => returns.returnAt(service),
       place: (exchange, earlier, asked) => choice.place(exchange, earlier, asked),
@@ -118,6 +122,14 @@
     return home && level !== undefined ? { level, home: home.hash } : undefined
   }
 
+  /** A server turned away requests of other instances; by its hash. */
+  hearRefusing (hash: number): void {
+    const server = this.directory.ofHash(hash)
+    if (server) {
+      server.refusingOthersUntil = this.clock.now() + HEARD_MS
+    }
+  }
+
   /** Several instances could not reach a server; by its hash. */
   hearUnreachable (hash: number): void {
     const server = this.directory.ofHash(hash)
--- a/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
@@ -103,6 +103,21 @@
     fleet.stop()
   })
 
+  // Guards against a server in need that turns away a request of each instance of a large fleet.
+  it('tells who is about to send to a server that turned away a request of another, and for half a second only', async t => {
+    const fleet = await TalkFleet.start(80)
+    const [, , one, other] = cast(fleet)
+    one.talk.noteRefused(hashNumber(SERVER))
+    await fleet.pass(10)
+    await fleet.ask(other, SERVER)
+    t.deepEqual([...other.refusing], [hashNumber(SERVER)])
+    other.refusing.clear()
+    await fleet.pass(500)
+    await fleet.ask(other, SERVER)
+    t.is(other.refusing.size, 0)
+    fleet.stop()
+  })
+
   // An engine goes dark: it takes no connection, and a caller whose request is sent there waits for the timeout. With
   // eighty instances each of them would have to find out by a caller of its own.
   it('tells who is about to send to a server that others could not reach, and for a second only', async t => {
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -43,6 +43,8 @@
   limitedUntil: number
   /** When it last turned a request away, milliseconds of Unix time. */
   refusedAt: number
+  /** It turns away requests of other instances, as far as was asked for, until then, milliseconds of Unix time. */
+  refusingOthersUntil: number
   readonly health: ServerHealth
   /** When the newest of the requests was sent that it has begun to answer, milliseconds of Unix time. */
   newestBegun: number
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -283,7 +283,7 @@
       onAnswer: (status, headers, sentAt) => this.options.onAnswer?.(server, status, headers, sentAt)
     })
     const server: KnownServer = {
-      listed, hash: incarnationHash(listed), idHash: hashNumber(listed.id), offset, connections, stated, weights: new Map(), outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, limitedUntil: 0, refusedAt: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
+      listed, hash: incarnationHash(listed), idHash: hashNumber(listed.id), offset, connections, stated, weights: new Map(), outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, limitedUntil: 0, refusedAt: 0, refusingOthersUntil: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
     }
     this.servers.set(listed.id, server)
     this.byHash.set(server.hash, server)
--- a/packages/foxtaillever-router/src/plain/createPlainDesk.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDesk.ts
@@ -60,6 +60,7 @@
     onLoadChanged: () => {},
     onSaved: () => {},
     onUnreachable: () => {},
+    onRefused: () => {},
     askLoad: () => undefined,
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
