Order no engine in its rest, and keep files of the servers short

A test holds that others go first and that the order comes after the rest. The creation of a known server and the comparison of entries stand beside their types.

--- a/packages/foxtaillever-relay/src/model/listedServer.ts
+++ b/packages/foxtaillever-relay/src/model/listedServer.ts
@@ -36,3 +36,10 @@
   readonly model: string
   readonly version: number
 }
+
+/** Two entries of one server that differ by their heartbeat alone. */
+export function saysSame (one: ListedServer, other: ListedServer): boolean {
+  return one.startedAt === other.startedAt && one.state === other.state && one.address === other.address && one.service === other.service && one.slots === other.slots &&
+    one.coldLeftMs === other.coldLeftMs && one.weights.size === other.weights.size &&
+    [...one.weights].every(([model, version]) => other.weights.get(model) === version)
+}
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -1,7 +1,7 @@
 /** What this instance knows of one start of a backend server. */
 import { hashNumber } from 'foxtaillever-core'
+import { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
 import type { StatedState } from 'foxtaillever-policy/relay/statedState'
-import type { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
 import type { ListedServer } from '../model/listedServer.js'
 import type { ServerConnections } from './serverConnections.js'
 
@@ -53,3 +53,28 @@
   /** The weights that it will have after that; undefined when it never changed. */
   changingTo: WeightsOf | undefined
 }
+
+/** A start of which nothing is known but its entry and what it has stated already. */
+export function createKnownServer (listed: ListedServer, offset: number, stated: StatedState, connections: ServerConnections): KnownServer {
+  return {
+    listed,
+    hash: incarnationHash(listed),
+    idHash: hashNumber(listed.id),
+    offset,
+    connections,
+    stated,
+    weights: new Map(),
+    outstanding: 0,
+    unreadTokens: 0,
+    heldTokens: 0,
+    displacedUntil: 0,
+    absentUntil: 0,
+    limitedUntil: 0,
+    refusedAt: 0,
+    refusingOthersUntil: 0,
+    health: ServerHealth.create(),
+    newestBegun: 0,
+    changingUntil: 0,
+    changingTo: undefined
+  }
+}
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -9,15 +9,13 @@
  * former one, such as a request on its way there, changes only that.
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import { hashNumber } from 'foxtaillever-core'
 import { connectionPart, type ConnectionPart } from 'foxtaillever-policy/relay/connectionPart'
 import { SETTLED_SAMPLES } from 'foxtaillever-policy/relay/prefillSpeed'
-import { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
 import { StatedState } from 'foxtaillever-policy/relay/statedState'
-import { ServerState, type ListedServer } from '../model/listedServer.js'
+import { saysSame, ServerState, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { SpeedNews } from '../peers/peerMessage.js'
-import { incarnationHash, type KnownServer } from './knownServer.js'
+import { createKnownServer, type KnownServer } from './knownServer.js'
 import { ServerConnections } from './serverConnections.js'
 import { ServerExperience } from './serverExperience.js'
 import { reachableFrom } from './serverOpening.js'
@@ -282,9 +280,7 @@
       mayLeave: () => reachableFrom(server) <= this.now(),
       onAnswer: (status, headers, sentAt) => this.options.onAnswer?.(server, status, headers, sentAt)
     })
-    const server: KnownServer = {
-      listed, hash: incarnationHash(listed), idHash: hashNumber(listed.id), offset, connections, stated, weights: new Map(), outstanding: 0, unreadTokens: 0, heldTokens: 0, displacedUntil: 0, absentUntil: 0, limitedUntil: 0, refusedAt: 0, refusingOthersUntil: 0, health: ServerHealth.create(), newestBegun: 0, changingUntil: 0, changingTo: undefined
-    }
+    const server = createKnownServer(listed, offset, stated, connections)
     this.servers.set(listed.id, server)
     this.byHash.set(server.hash, server)
     return server
@@ -298,10 +294,3 @@
     server.changingUntil = 0
   }
 }
-
-/** Two entries of one server that differ by their heartbeat alone. */
-function saysSame (one: ListedServer, other: ListedServer): boolean {
-  return one.startedAt === other.startedAt && one.state === other.state && one.address === other.address && one.service === other.service && one.slots === other.slots &&
-    one.coldLeftMs === other.coldLeftMs && one.weights.size === other.weights.size &&
-    [...one.weights].every(([model, version]) => other.weights.get(model) === version)
-}
--- a/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
+++ b/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
@@ -161,6 +161,20 @@
     t.true(fleet.engines.arrived.filter(({ version }) => version === 2).length <= 2)
   })
 
+  // Guards against orders to an engine that wants nothing, and against waiting for it.
+  it('go to the other engines first where one asked for rest, and there after it', async t => {
+    const fleet = OrderingFleet.create()
+    const { clock, engines, instances } = fleet
+    const until = clock.now() + 5000
+    instances.forEach(({ directory }) => directory.newestStated('engine-0')?.observeRest(until, clock.now()))
+    fleet.name(2)
+    await clock.advanceTo(until - 1)
+    t.deepEqual(engines.versions, [1, 2, 2, 2, 2, 2])
+    await clock.advanceBy(2000)
+    t.deepEqual(engines.versions, [2, 2, 2, 2, 2, 2])
+    t.true(engines.arrived.filter(({ engine }) => engine === 'engine-0').every(({ at }) => at >= until))
+  })
+
   // Half of the fleet changes while requests run there; the rest may wait, and what its long runs make keeps its worth.
   it('wait at the last engines for runs that end soon', async t => {
     const fleet = OrderingFleet.create()
--- a/packages/foxtaillever-relay/src/weights/engineChange.ts
+++ b/packages/foxtaillever-relay/src/weights/engineChange.ts
@@ -56,6 +56,12 @@
   readonly onDisplaced: () => void
 }
 
+/** Whether an engine comes into question for new weights; others go before one that does not answer or wants rest. */
+export function canBeChanged (engine: KnownServer, change: EngineChange | undefined, now: number): boolean {
+  const isResting = reachableFrom(engine) > now
+  return change?.isUnheard !== true && (!isResting || change?.phase === RolloutPhase.Ordered)
+}
+
 export interface OrderTerms {
   readonly version: number
   readonly fence: number
--- a/packages/foxtaillever-relay/src/weights/weightsDesk.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsDesk.ts
@@ -10,8 +10,7 @@
 import { ServerState } from '../model/listedServer.js'
 import type { CurrentEngines, NamedNews, WeightsNews } from '../peers/peerMessage.js'
 import type { KnownServer } from '../servers/knownServer.js'
-import { reachableFrom } from '../servers/serverOpening.js'
-import { EngineChange } from './engineChange.js'
+import { canBeChanged, EngineChange } from './engineChange.js'
 import { NamedWeights } from './namedWeights.js'
 import type { WeightsDeskOptions } from './weightsDeskOptions.js'
 
@@ -198,9 +197,10 @@
   }
 
   private advance (model: string): void {
+    const now = this.options.clock.now()
     const engines = this.enginesOf(model)
     this.forgetAllBut(engines)
-    const { steer, order } = planRollout(engines.filter(engine => this.canBeChanged(engine)).map(engine => this.toRolloutEngine(engine, model)))
+    const { steer, order } = planRollout(engines.filter(engine => canBeChanged(engine, this.changes.get(engine.listed.id), now)).map(engine => this.toRolloutEngine(engine, model)))
     steer.forEach(id => this.steer(id, model))
     order.forEach(id => this.order(id, model))
     for (const engine of engines) {
@@ -212,13 +212,6 @@
     }
   }
 
-  /** Others go before one that does not answer or wants rest. */
-  private canBeChanged (engine: KnownServer): boolean {
-    const change = this.changes.get(engine.listed.id)
-    const isResting = reachableFrom(engine) > this.options.clock.now()
-    return change?.isUnheard !== true && (!isResting || change?.phase === RolloutPhase.Ordered)
-  }
-
   /** An engine that left, started again or was found to have the weights is no longer changed here. */
   private forgetAllBut (engines: readonly KnownServer[]): void {
     const kept = new Set(engines)
