Ask for the load of a prompt's home first, and of others only where it is not the first choice

While the home of its levels is the first choice, words of the others that have faded towards idle cannot change that, and one question is enough.

--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -16,7 +16,7 @@
 import type { ServerWire } from '../model/wire.js'
 import type { LevelAtHome, LoadWish } from '../peers/loadQuestions.js'
 import type { KnownServer } from '../servers/knownServer.js'
-import { ServerChoice, type AskedServers, type ServerChoiceOptions } from '../servers/serverChoice.js'
+import { ServerChoice, type AskedServers, type EarlierTries, type ServerChoiceOptions } from '../servers/serverChoice.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
 import { ServiceReturns } from '../servers/serviceReturns.js'
 import { ServerStatements } from '../servers/serverStatements.js'
@@ -58,7 +58,7 @@
   private readonly log: RelayLog
 
   private constructor (options: ExchangeDeskOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, askLoad, onLoadChanged, onSaved, onUnreachable, onRefused, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, onLoadChanged, onSaved, onUnreachable, onRefused, onMisdirected } = options
     this.clock = clock
     this.log = log
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
@@ -99,7 +99,7 @@
       onSaved,
       onUnreachable,
       onRefused,
-      askLoad: (exchange, earlier) => exchange.prompt && askLoad(() => ({ servers: choice.shortlist(exchange, earlier), level: this.levelAtHome(exchange, choice.homeOf(exchange)) })),
+      askLoad: (exchange, earlier) => exchange.prompt && this.askAround(choice, options.askLoad, exchange, earlier),
       returnAt: service => returns.returnAt(service),
       place: (exchange, earlier, asked) => choice.place(exchange, earlier, asked),
       onMisdirected
@@ -117,6 +117,20 @@
     this.directory.observeInstances(count)
   }
 
+  /**
+   * Asks for the load of the home of the prompt's levels, and of the next best only where the
+   * home is not the first choice: the others' words have faded, so they look idler than they are.
+   */
+  private async askAround (choice: ServerChoice, ask: ExchangeDeskOptions['askLoad'], exchange: Exchange, earlier: EarlierTries): Promise<AskedServers> {
+    const home = choice.homeOf(exchange)
+    const asked = home && await ask(() => ({ servers: [home.hash], level: this.levelAtHome(exchange, home) }))
+    if (home && asked && choice.isFirst(home, exchange, earlier)) {
+      return asked
+    }
+    const others = await ask(() => ({ servers: choice.shortlist(exchange, earlier).filter(server => asked?.has(server) !== true) }))
+    return new Set([...asked ?? [], ...others ?? []])
+  }
+
   private levelAtHome (exchange: Exchange, home: KnownServer | undefined): LevelAtHome | undefined {
     const level = home && savedLevelAt(exchange, home, this.caches.available())
     return home && level !== undefined ? { level, home: home.hash } : undefined
