--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -16,11 +16,12 @@
 import type { ServerWire } from '../model/wire.js'
 import type { LevelAtHome, LoadWish } from '../peers/loadQuestions.js'
 import type { KnownServer } from '../servers/knownServer.js'
-import { ServerChoice, type AskedServers, type EarlierTries, type ServerChoiceOptions } from '../servers/serverChoice.js'
+import { ServerChoice, type AskedServers, type ServerChoiceOptions } from '../servers/serverChoice.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
 import { ServiceReturns } from '../servers/serviceReturns.js'
 import { ServerStatements } from '../servers/serverStatements.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import { askAround } from './askAround.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
@@ -81,6 +82,7 @@
       stores: () => this.caches.available(),
       levelSupply: exchange => levelSupplyOf(exchange, knownRouting(options.routing()), this.caches, clock.now(), this.directory.experience.prefillSpeedOf(exchange.service).tokensPerMs)
     })
+    const asking = { choice, ask: options.askLoad, levelAt: (exchange: Exchange, home: KnownServer) => this.levelAtHome(exchange, home) }
     this.runs = ExchangeRuns.create({
       clock,
       random,
@@ -99,7 +101,7 @@
       onSaved,
       onUnreachable,
       onRefused,
-      askLoad: (exchange, earlier) => exchange.prompt && this.askAround(choice, options.askLoad, exchange, earlier),
+      askLoad: (exchange, earlier) => exchange.prompt && askAround(asking, exchange, earlier),
       returnAt: service => returns.returnAt(service),
       place: (exchange, earlier, asked) => choice.place(exchange, earlier, asked),
       onMisdirected
@@ -117,23 +119,9 @@
     this.directory.observeInstances(count)
   }
 
-  /**
-   * Asks for the load of the home of the prompt's levels, and of the next best only where the
-   * home is not the first choice: the others' words have faded, so they look idler than they are.
-   */
-  private async askAround (choice: ServerChoice, ask: ExchangeDeskOptions['askLoad'], exchange: Exchange, earlier: EarlierTries): Promise<AskedServers> {
-    const home = choice.homeOf(exchange)
-    const asked = home && await ask(() => ({ servers: [home.hash], level: this.levelAtHome(exchange, home) }))
-    if (home && asked && choice.isFirst(home, exchange, earlier)) {
-      return asked
-    }
-    const others = await ask(() => ({ servers: choice.shortlist(exchange, earlier).filter(server => asked?.has(server) !== true) }))
-    return new Set([...asked ?? [], ...others ?? []])
-  }
-
-  private levelAtHome (exchange: Exchange, home: KnownServer | undefined): LevelAtHome | undefined {
-    const level = home && savedLevelAt(exchange, home, this.caches.available())
-    return home && level !== undefined ? { level, home: home.hash } : undefined
+  private levelAtHome (exchange: Exchange, home: KnownServer): LevelAtHome | undefined {
+    const level = savedLevelAt(exchange, home, this.caches.available())
+    return level === undefined ? undefined : { level, home: home.hash }
   }
 
   /** A server turned away requests of other instances; by its hash. */
