--- a/packages/foxtaillever-policy/src/relay/statedState.ts
+++ b/packages/foxtaillever-policy/src/relay/statedState.ts
@@ -3,9 +3,9 @@
  * requests by that.
  *
  * The load it answers: a server leaves while the platform's store is away, or turns
- * requests away for seconds and wants none for a while. Its answers are the only ones who
- * say so, and whatever else is heard of it meanwhile is older. When a rest ends, all that
- * was kept from the server would come at once, and it would ask for the next.
+ * requests away for seconds. Only its answers say so, and whatever else is heard of it
+ * meanwhile is older. When a rest ends, all that was kept from the server would come at
+ * once, and it would ask for the next.
  */
 
 /** After a rest one request goes to the server; the next waits for its answer, and this long at most, milliseconds. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -21,7 +21,6 @@
 import { ServiceReturns } from '../servers/serviceReturns.js'
 import { ServerStatements } from '../servers/serverStatements.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
-import { askAround } from './askAround.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
@@ -59,7 +58,7 @@
   private readonly log: RelayLog
 
   private constructor (options: ExchangeDeskOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, onLoadChanged, onSaved, onUnreachable, onRefused, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, askLoad, onLoadChanged, onSaved, onUnreachable, onRefused, onMisdirected } = options
     this.clock = clock
     this.log = log
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
@@ -82,7 +81,6 @@
       stores: () => this.caches.available(),
       levelSupply: exchange => levelSupplyOf(exchange, knownRouting(options.routing()), this.caches, clock.now(), this.directory.experience.prefillSpeedOf(exchange.service).tokensPerMs)
     })
-    const asking = { choice, ask: options.askLoad, levelAt: (exchange: Exchange, home: KnownServer) => this.levelAtHome(exchange, home) }
     this.runs = ExchangeRuns.create({
       clock,
       random,
@@ -101,7 +99,7 @@
       onSaved,
       onUnreachable,
       onRefused,
-      askLoad: (exchange, earlier) => exchange.prompt && askAround(asking, exchange, earlier),
+      askLoad: (exchange, earlier) => exchange.prompt && askLoad(() => ({ servers: choice.shortlist(exchange, earlier), level: this.levelAtHome(exchange, choice.homeOf(exchange)) })),
       returnAt: service => returns.returnAt(service),
       place: (exchange, earlier, asked) => choice.place(exchange, earlier, asked),
       onMisdirected
@@ -119,9 +117,9 @@
     this.directory.observeInstances(count)
   }
 
-  private levelAtHome (exchange: Exchange, home: KnownServer): LevelAtHome | undefined {
-    const level = savedLevelAt(exchange, home, this.caches.available())
-    return level === undefined ? undefined : { level, home: home.hash }
+  private levelAtHome (exchange: Exchange, home: KnownServer | undefined): LevelAtHome | undefined {
+    const level = home && savedLevelAt(exchange, home, this.caches.available())
+    return home && level !== undefined ? { level, home: home.hash } : undefined
   }
 
   /** A server turned away requests of other instances; by its hash. */
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -97,13 +97,6 @@
     return this.rank(exchange, fit, fit).slice(0, SHORTLIST).flatMap(({ id }) => this.options.directory.get(id)?.hash ?? [])
   }
 
-  /** Whether the server is the first choice by what is known now. */
-  isFirst ({ listed }: KnownServer, exchange: Exchange, earlier: EarlierTries): boolean {
-    const fit = this.fit(exchange, earlier)
-    const [first] = this.rank(exchange, fit, fit)
-    return first?.id === listed.id && isOpen(first)
-  }
-
   /** The engine that is home to the levels of the exchange's prompt, while it takes requests. */
   homeOf (exchange: Exchange): KnownServer | undefined {
     const { clock, directory } = this.options
