--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -105,7 +105,7 @@
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, onUrgent: () => {} })
-    this.statements = ServerStatements.create({ clock, log, directory: this.directory, limits: this.limits })
+    this.statements = ServerStatements.create({ clock, log, directory: this.directory, limits: this.limits, onRestAsked: () => {} })
     const returns = ServiceReturns.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => 1 })
     const context: ExchangeContext = {
       clock,
@@ -127,7 +127,6 @@
       onLoadChanged: () => this.onLoadChanged(),
       onSaved: () => {},
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
-      onRefused: () => {},
       askLoad: () => undefined,
       place: (_, { failed }) => this.directory.ready('s').find(server => !failed.has(server.listed.id) && opensAt(server) <= clock.now()),
       returnAt: service => returns.returnAt(service),
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -43,7 +43,7 @@
     onLoadChanged: () => {},
     onSaved: () => {},
     onUnreachable: () => {},
-    onRefused: () => {},
+    onRestAsked: () => {},
     limitProtocol: () => noSharedLimits,
     onLimitChanged: () => {},
     onServerChanged: () => {},
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -82,7 +82,7 @@
 
 function createTalk (watchers: ComputedWatchers, address: string): LoadTalk {
   return LoadTalk.create({
-    clock, address, use: FleetUse.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), own: () => [], isAskedFor: () => true, onSaved: () => {}, onUnreachable: () => {}, onRefusing: () => {}, onPassedOver: () => {}
+    clock, address, use: FleetUse.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), own: () => [], isAskedFor: () => true, onSaved: () => {}, onUnreachable: () => {}, onResting: () => {}, onPassedOver: () => {}
   })
 }
 
@@ -139,7 +139,7 @@
     const watchers = ComputedWatchers.create()
     watchers.setMembers([address, other, ...others])
     const talk = createTalk(watchers, address)
-    const word = encodeLoadMessage({ kind: 11, address: other, loads: [useOf(server, 1)], unreachable: [], saved: [], refusing: [] })
+    const word = encodeLoadMessage({ kind: 11, address: other, loads: [useOf(server, 1)], unreachable: [], saved: [], resting: [] })
     const question = encodeLoadMessage({ kind: 12, address: other, number: 1, servers: [server], levels: [7] })
     return () => [word, question].forEach(bytes => unpackDatagram(bytes).chain(readLoadMessage).ifJust(message => talk.hear(message)))
   },
@@ -148,7 +148,7 @@
     watchers.setMembers([address, ...others])
     let outstanding = 0
     const talk = LoadTalk.create({
-      clock, address, use: FleetUse.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), own: () => servers.slice(0, OPEN).map(server => useOf(server, 1 + outstanding % 2)), isAskedFor: () => true, onSaved: () => {}, onUnreachable: () => {}, onRefusing: () => {}, onPassedOver: () => {}
+      clock, address, use: FleetUse.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), own: () => servers.slice(0, OPEN).map(server => useOf(server, 1 + outstanding % 2)), isAskedFor: () => true, onSaved: () => {}, onUnreachable: () => {}, onResting: () => {}, onPassedOver: () => {}
     })
     return () => {
       outstanding += 1
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -42,8 +42,6 @@
   readonly onSaved: (level: LevelAtHome) => void
   /** A server took no connection. */
   readonly onUnreachable: (server: KnownServer) => void
-  /** A server for whose load others ask turned a request away. */
-  readonly onRefused: (server: KnownServer) => void
   /** Asks what the others put on the servers that come into question, and tells which; undefined where it is known. Never fails. */
   readonly askLoad: (exchange: Exchange, earlier: EarlierTries) => Promise<AskedServers> | undefined
   /** The server for the next try, other than those that failed it; undefined when there is none. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDesk.ts
@@ -27,7 +27,7 @@
 /** Whoever is about to send a prompt asks its watchers again; their word serves this one choice, milliseconds. */
 const HEARD_MS = 50
 
-export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'onMisdirected' | 'onLoadChanged' | 'onSaved' | 'onUnreachable' | 'onRefused'>, Omit<CacheUseOptions, 'stores'> {
+export interface ExchangeDeskOptions extends Pick<ServerChoiceOptions, 'failureDomain' | 'use' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'onMisdirected' | 'onLoadChanged' | 'onSaved' | 'onUnreachable'>, Omit<CacheUseOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
@@ -37,6 +37,8 @@
   readonly askLoad: (wish: () => LoadWish) => Promise<AskedServers> | undefined
   /** The configuration in force; undefined until one is known. */
   readonly routing: () => Routing | undefined
+  /** A server asked this instance for rest. */
+  readonly onRestAsked: (server: KnownServer) => void
   /** Decides on limits that servers stated. */
   readonly limitProtocol: ServerLimitsOptions['protocol']
   /** A server stated a limit that all instances must know now. */
@@ -58,7 +60,7 @@
   private readonly log: RelayLog
 
   private constructor (options: ExchangeDeskOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, askLoad, onLoadChanged, onSaved, onUnreachable, onRefused, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, askLoad, onLoadChanged, onSaved, onUnreachable, onMisdirected } = options
     this.clock = clock
     this.log = log
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
@@ -73,7 +75,7 @@
       }
     })
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: options.limitProtocol, onUrgent: options.onLimitChanged })
-    this.statements = ServerStatements.create({ clock, log, directory: this.directory, limits: this.limits })
+    this.statements = ServerStatements.create({ clock, log, directory: this.directory, limits: this.limits, onRestAsked: options.onRestAsked })
     const returns = ServiceReturns.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => this.instances })
     const choice = ServerChoice.create({
       ...options,
@@ -98,7 +100,6 @@
       onLoadChanged,
       onSaved,
       onUnreachable,
-      onRefused,
       askLoad: (exchange, earlier) => exchange.prompt && askLoad(() => ({ servers: choice.shortlist(exchange, earlier), level: this.levelAtHome(exchange, choice.homeOf(exchange)) })),
       returnAt: service => returns.returnAt(service),
       place: (exchange, earlier, asked) => choice.place(exchange, earlier, asked),
@@ -122,11 +123,11 @@
     return home && level !== undefined ? { level, home: home.hash } : undefined
   }
 
-  /** A server turned away requests of other instances; by its hash. */
-  hearRefusing (hash: number): void {
+  /** A server asked other instances for rest; by its hash. */
+  hearResting (hash: number): void {
     const server = this.directory.ofHash(hash)
     if (server) {
-      server.refusingOthersUntil = this.clock.now() + HEARD_MS
+      server.restingForOthersUntil = this.clock.now() + HEARD_MS
     }
   }
 
--- a/packages/foxtaillever-relay/src/exchange/observeFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/observeFailure.ts
@@ -4,7 +4,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 
-export function observeFailure ({ clock, log, directory, suspects, onUnreachable, onRefused }: ExchangeContext, exchange: Exchange, server: KnownServer | undefined, failure: AttemptFailure): void {
+export function observeFailure ({ clock, log, directory, suspects, onUnreachable }: ExchangeContext, exchange: Exchange, server: KnownServer | undefined, failure: AttemptFailure): void {
   const { verdict, isServersFault } = meaningOf[failure.kind]
   const now = clock.now()
   const id = server?.listed.id ?? ''
@@ -22,9 +22,6 @@
   if (server && failure.kind === AttemptFailureKind.Refused) {
     // It is full, or about to change its weights.
     server.refusedAt = now
-    if (exchange.prompt) {
-      onRefused(server)
-    }
   }
   if (spoilsConnections(failure)) {
     directory.experience.distrustKept(exchange.service, now)
--- a/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/talkFleet.ts
@@ -26,7 +26,7 @@
   readonly own: Map<number, ServerUse>
   /** Servers that it was told cannot be reached. */
   readonly unreachable: Set<number>
-  readonly refusing: Set<number>
+  readonly resting: Set<number>
   /** Levels that it was told were saved. */
   readonly saved: Set<number>
   /** Sent and received. */
@@ -115,14 +115,14 @@
     const use = FleetUse.create(clock)
     const own = new Map<number, ServerUse>()
     const unreachable = new Set<number>()
-    const refusing = new Set<number>()
+    const resting = new Set<number>()
     const saved = new Set<number>()
     const watchers = ComputedWatchers.create()
     watchers.setMembers([address, ...others])
     const talk = LoadTalk.create({
-      clock, address, use, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), own: () => [...own.values()], isAskedFor: server => !this.unasked.has(server), onSaved: levels => { levels.forEach(level => saved.add(level)) }, onUnreachable: server => { unreachable.add(server) }, onRefusing: server => { refusing.add(server) }, onPassedOver: () => {}
+      clock, address, use, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), own: () => [...own.values()], isAskedFor: server => !this.unasked.has(server), onSaved: levels => { levels.forEach(level => saved.add(level)) }, onUnreachable: server => { unreachable.add(server) }, onResting: server => { resting.add(server) }, onPassedOver: () => {}
     })
-    return { address, talk, use, own, unreachable, refusing, saved, bytes: 0, isCut: false, cancelBeat: () => {} }
+    return { address, talk, use, own, unreachable, resting, saved, bytes: 0, isCut: false, cancelBeat: () => {} }
   }
 
   private send (from: string, to: string, message: LoadMessage): void {
--- a/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/loadTalk.test.ts
@@ -103,18 +103,18 @@
     fleet.stop()
   })
 
-  // Guards against a server in need that turns away a request of each instance of a large fleet.
-  it('tells who is about to send to a server that turned away a request of another, and for half a second only', async t => {
+  // Guards against a server in need that has to ask each instance of a large fleet.
+  it('tells who is about to send to a server that asked another for rest, and for half a second only', async t => {
     const fleet = await TalkFleet.start(80)
     const [, , one, other] = cast(fleet)
-    one.talk.noteRefused(hashNumber(SERVER))
+    one.talk.noteResting(hashNumber(SERVER))
     await fleet.pass(10)
     await fleet.ask(other, SERVER)
-    t.deepEqual([...other.refusing], [hashNumber(SERVER)])
-    other.refusing.clear()
+    t.deepEqual([...other.resting], [hashNumber(SERVER)])
+    other.resting.clear()
     await fleet.pass(500)
     await fleet.ask(other, SERVER)
-    t.is(other.refusing.size, 0)
+    t.is(other.resting.size, 0)
     fleet.stop()
   })
 
--- a/packages/foxtaillever-relay/src/peers/loadMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -14,8 +14,8 @@
   readonly unreachable: readonly number[]
   /** Prompt levels, at home at a server that the receiver watches, that it had saved to their store. */
   readonly saved: readonly number[]
-  /** Servers that turned a request of it away a moment ago. */
-  readonly refusing: readonly number[]
+  /** Servers that asked it for rest a moment ago. */
+  readonly resting: readonly number[]
 }
 
 /** What do all others put on these servers? */
@@ -37,8 +37,8 @@
   readonly unreachable: readonly number[]
   /** Those of the levels that were saved of late. */
   readonly saved: readonly number[]
-  /** Those of the servers that turned requests away of late. */
-  readonly refusing: readonly number[]
+  /** Those of the servers that asked any instance for rest of late. */
+  readonly resting: readonly number[]
 }
 
 export type LoadMessage = LoadWord | LoadQuestion | LoadAnswer
@@ -52,16 +52,16 @@
 export function encodeLoadMessage (message: LoadMessage): Buffer {
   const { kind, address } = message
   switch (kind) {
-    case DatagramKind.LoadWord: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved, message.refusing])
+    case DatagramKind.LoadWord: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved, message.resting])
     case DatagramKind.LoadQuestion: return packDatagram([kind, address, message.number, message.servers, message.levels])
-    case DatagramKind.LoadAnswer: return packDatagram([kind, address, message.number, message.loads.map(packLoad), message.unreachable, message.saved, message.refusing])
+    case DatagramKind.LoadAnswer: return packDatagram([kind, address, message.number, message.loads.map(packLoad), message.unreachable, message.saved, message.resting])
   }
 }
 
 const readers: Readonly<Record<LoadMessageKind, (address: string, rest: readonly unknown[]) => LoadMessage>> = {
-  [DatagramKind.LoadWord]: (address, [loads, unreachable, saved, refusing]) => ({ kind: DatagramKind.LoadWord, address, loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), refusing: readNumbers(refusing) }),
+  [DatagramKind.LoadWord]: (address, [loads, unreachable, saved, resting]) => ({ kind: DatagramKind.LoadWord, address, loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), resting: readNumbers(resting) }),
   [DatagramKind.LoadQuestion]: (address, [number, servers, levels]) => ({ kind: DatagramKind.LoadQuestion, address, number: Number(number), servers: readNumbers(servers), levels: readNumbers(levels) }),
-  [DatagramKind.LoadAnswer]: (address, [number, loads, unreachable, saved, refusing]) => ({ kind: DatagramKind.LoadAnswer, address, number: Number(number), loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), refusing: readNumbers(refusing) })
+  [DatagramKind.LoadAnswer]: (address, [number, loads, unreachable, saved, resting]) => ({ kind: DatagramKind.LoadAnswer, address, number: Number(number), loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), resting: readNumbers(resting) })
 }
 
 /** Nothing for a datagram of another form. */
--- a/packages/foxtaillever-relay/src/peers/loadQuestions.ts
+++ b/packages/foxtaillever-relay/src/peers/loadQuestions.ts
@@ -33,7 +33,7 @@
 }
 
 /** What a watcher knows. */
-export type WatcherWord = Pick<LoadAnswer, 'loads' | 'unreachable' | 'saved' | 'refusing'>
+export type WatcherWord = Pick<LoadAnswer, 'loads' | 'unreachable' | 'saved' | 'resting'>
 
 interface Pending {
   readonly waiting: Set<string>
--- a/packages/foxtaillever-relay/src/peers/loadTalk.ts
+++ b/packages/foxtaillever-relay/src/peers/loadTalk.ts
@@ -39,8 +39,8 @@
   readonly onSaved: (levels: readonly number[]) => void
   /** Several instances could not reach a server of late. */
   readonly onUnreachable: (server: number) => void
-  /** A server turned away requests of others of late. */
-  readonly onRefusing: (server: number) => void
+  /** A server asked other instances for rest of late. */
+  readonly onResting: (server: number) => void
 }
 
 interface ToldWord extends ServerLoad {
@@ -115,9 +115,11 @@
     this.tellWatchers(server, { unreachable: [server] })
   }
 
-  /** A server turned a request away: whoever is about to send there hears of it. */
-  noteRefused (server: number): void {
-    this.tellWatchers(server, { refusing: [server] })
+  /** A server asked for rest: whoever is about to send there hears of it. */
+  noteResting (server: number): void {
+    if (this.options.isAskedFor(server)) {
+      this.tellWatchers(server, { resting: [server] })
+    }
   }
 
   /** This instance had a level saved: the watchers of its home tell those who ask next, so that it is saved once. */
@@ -153,15 +155,15 @@
       loads: servers.map(server => ({ server, ...this.watch.sumOf(server, asker, now) })),
       unreachable: servers.filter(server => this.watch.isUnreachable(server, now)),
       saved: levels.filter(level => this.watch.saved.has(level, now)),
-      refusing: servers.filter(server => this.watch.isRefusing(server, now))
+      resting: servers.filter(server => this.watch.isResting(server, now))
     }
   }
 
-  private learn ({ loads, unreachable, saved, refusing }: WatcherWord): void {
-    const { use, onUnreachable, onRefusing, onSaved } = this.options
+  private learn ({ loads, unreachable, saved, resting }: WatcherWord): void {
+    const { use, onUnreachable, onResting, onSaved } = this.options
     loads.forEach(({ server, ...load }) => use.learn(server, load))
     unreachable.forEach(onUnreachable)
-    refusing.forEach(onRefusing)
+    resting.forEach(onResting)
     onSaved(saved)
   }
 
@@ -201,11 +203,11 @@
     }
   }
 
-  private takeWord ({ address, loads, unreachable, saved, refusing }: LoadWord, now: number): void {
+  private takeWord ({ address, loads, unreachable, saved, resting }: LoadWord, now: number): void {
     this.watch.hear(address, loads, now)
     this.watch.hearUnreachable(address, unreachable, now)
     this.watch.saved.hear(saved, now)
-    this.watch.hearRefusing(refusing, now)
+    this.watch.hearResting(resting, now)
   }
 
   private tellWatchers (server: number, news: Partial<WatcherWord>): void {
@@ -213,9 +215,9 @@
     watchersOf(server).forEach(watcher => this.sendWord(watcher, news, clock.now()))
   }
 
-  private sendWord (watcher: string, { loads = [], unreachable = [], saved = [], refusing = [] }: Partial<WatcherWord>, now: number): void {
+  private sendWord (watcher: string, { loads = [], unreachable = [], saved = [], resting = [] }: Partial<WatcherWord>, now: number): void {
     const { address, send } = this.options
-    const word: LoadWord = { kind: DatagramKind.LoadWord, address, loads, unreachable, saved, refusing }
+    const word: LoadWord = { kind: DatagramKind.LoadWord, address, loads, unreachable, saved, resting }
     if (watcher === address) {
       this.takeWord(word, now)
     } else {
--- a/packages/foxtaillever-relay/src/peers/loadWatch.ts
+++ b/packages/foxtaillever-relay/src/peers/loadWatch.ts
@@ -1,4 +1,4 @@
-/** What instances told of the servers that this one watches: their load, who could not reach them or was turned away, and which levels at home there were saved. */
+/** What instances told of the servers that this one watches: their load, who could not reach them or was asked for rest, and which levels at home there were saved. */
 import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { noLoad, type ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import type { ServerUse } from './peerMessage.js'
@@ -14,8 +14,8 @@
 /** A server that took no connection is tried again after this, milliseconds: processes restart within some seconds. */
 const UNREACHABLE_MS = 1000
 
-/** What a server says to one instance it says to the next; soon after it may be well again, milliseconds. */
-const REFUSING_MS = 500
+/** A server that asks one instance for rest would ask the next; soon after it may be well again, milliseconds. */
+const RESTING_MS = 500
 
 /** One instance alone that reaches a server no more may be cut off itself. */
 const LEAST_TELLERS = 2
@@ -28,8 +28,8 @@
   /** When a server could not be reached, milliseconds of Unix time; by its hash, then by the teller's address. */
   private readonly unreached = new Map<number, Map<string, number>>()
 
-  /** Until when servers that turned a request away are passed over, milliseconds of Unix time; by the server's hash. */
-  private readonly refusingUntil = new Map<number, number>()
+  /** Until when servers that asked for rest are passed over, milliseconds of Unix time; by the server's hash. */
+  private readonly restingUntil = new Map<number, number>()
 
   private constructor () {}
 
@@ -65,18 +65,18 @@
     return times.filter(at => at + UNREACHABLE_MS > now).length >= LEAST_TELLERS
   }
 
-  hearRefusing (servers: readonly number[], now: number): void {
-    this.refusingUntil.forEach((until, server) => {
+  hearResting (servers: readonly number[], now: number): void {
+    this.restingUntil.forEach((until, server) => {
       if (until <= now) {
-        this.refusingUntil.delete(server)
+        this.restingUntil.delete(server)
       }
     })
-    servers.forEach(server => this.refusingUntil.set(server, now + REFUSING_MS))
+    servers.forEach(server => this.restingUntil.set(server, now + RESTING_MS))
   }
 
-  /** Whether the server turned away a request of any instance a moment ago. */
-  isRefusing (server: number, now: number): boolean {
-    return (this.refusingUntil.get(server) ?? 0) > now
+  /** Whether the server asked any instance for rest a moment ago. */
+  isResting (server: number, now: number): boolean {
+    return (this.restingUntil.get(server) ?? 0) > now
   }
 
   /** Servers that are gone for good are never asked for again; their words must not gather. */
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -83,8 +83,8 @@
   readonly onSaved: (levels: readonly number[]) => void
   /** Several instances could not reach a server of late; by its hash. */
   readonly onUnreachable: (server: number) => void
-  /** A server turned away requests of others of late; by its hash. */
-  readonly onRefusing: (server: number) => void
+  /** A server asked other instances for rest of late; by its hash. */
+  readonly onResting: (server: number) => void
   /** An instance that keeps the load of servers does not answer. */
   readonly onPassedOver: (address: string) => void
   readonly onNotice: (notice: ReadNotice) => void
@@ -114,7 +114,7 @@
   private cancelTell: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, onLimit, ownUses, isAskedFor, onSaved, onUnreachable, onRefusing, onPassedOver } = options
+    const { clock, host, port, tell, onNotice, onWeights, onLeaseCall, onLimit, ownUses, isAskedFor, onSaved, onUnreachable, onResting, onPassedOver } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.limitOwners = LimitOwners.create(this.options.processStartedAt)
@@ -124,7 +124,7 @@
       clock, host, port, tell, onNotice, onWeights, onLeaseCall, onLimit, onMessage: message => this.hear(message), onLoad: message => this.loads.hear(message)
     })
     this.loads = LoadTalk.create({
-      clock, address: this.address, use: this.use, own: ownUses, isAskedFor, onSaved, onUnreachable, onRefusing, onPassedOver, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server)
+      clock, address: this.address, use: this.use, own: ownUses, isAskedFor, onSaved, onUnreachable, onResting, onPassedOver, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server)
     })
   }
 
--- a/packages/foxtaillever-relay/src/servers/__fixtures__/statementHistory.ts
+++ b/packages/foxtaillever-relay/src/servers/__fixtures__/statementHistory.ts
@@ -72,6 +72,7 @@
     clock: this.clock,
     directory: this.directory,
     limits: { observe: () => {} },
+    onRestAsked: () => {},
     log: { saysItLeaves: () => {}, asksForRest: () => {}, restUnreadable: () => {} }
   })
 
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverChoice.test.ts
@@ -24,7 +24,7 @@
 }
 
 /** The engine that is chosen of twenty, of which those that were asked for have so many tokens to read and no word tells of the others. */
-function chooseAmong (asked: ReadonlyMap<string, number>, changing: readonly string[] = []): string | undefined {
+function chooseAmong (asked: ReadonlyMap<string, number>, changing: readonly string[] = [], resting: readonly string[] = []): string | undefined {
   const clock = VirtualClock.create()
   const directory = ServerDirectory.create({ onChanged: () => {} })
   const use = FleetUse.create(clock)
@@ -36,6 +36,7 @@
     if (engine && tokens !== undefined) {
       use.learn(engine.hash, { outstanding: 4, tokens, heldTokens: 0 })
       engine.changingUntil = changing.includes(id) ? Infinity : 0
+      engine.restingForOthersUntil = resting.includes(id) ? Infinity : 0
     }
   }
   const choice = ServerChoice.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, use, levelSupply: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 9190 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS })
@@ -50,6 +51,11 @@
     t.is(chooseAmong(new Map([['e3', 30_000], ['e7', 20_000]])), 'e7')
   })
 
+  // Guards against a request to a server that has just asked another instance for rest.
+  it('passes over one that rests for others while another takes requests', t => {
+    t.is(chooseAmong(new Map([['e3', 30_000], ['e7', 20_000]]), [], ['e7']), 'e3')
+  })
+
   it('takes another where none of these takes requests', t => {
     const chosen = chooseAmong(new Map([['e3', 30_000], ['e7', 20_000]]), ['e3', 'e7'])
     t.false(['e3', 'e7'].includes(chosen ?? ''))
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -43,8 +43,8 @@
   limitedUntil: number
   /** When it last turned a request away, milliseconds of Unix time. */
   refusedAt: number
-  /** It turns away requests of other instances, as far as was asked for, until then, milliseconds of Unix time. */
-  refusingOthersUntil: number
+  /** It rests for other instances, as far as was asked for, until then, milliseconds of Unix time. */
+  restingForOthersUntil: number
   readonly health: ServerHealth
   /** When the newest of the requests was sent that it has begun to answer, milliseconds of Unix time. */
   newestBegun: number
@@ -71,7 +71,7 @@
     absentUntil: 0,
     limitedUntil: 0,
     refusedAt: 0,
-    refusingOthersUntil: 0,
+    restingForOthersUntil: 0,
     health: ServerHealth.create(),
     newestBegun: 0,
     changingUntil: 0,
--- a/packages/foxtaillever-relay/src/servers/serverChoice.ts
+++ b/packages/foxtaillever-relay/src/servers/serverChoice.ts
@@ -203,7 +203,7 @@
 
   private toOffer (server: KnownServer, exchange: Exchange, supply: LevelSupply): ServerOffer {
     const { clock, directory, use } = this.options
-    const { listed, unreadTokens, heldTokens, refusedAt, refusingOthersUntil, absentUntil, changingUntil } = server
+    const { listed, unreadTokens, heldTokens, refusedAt, restingForOthersUntil, absentUntil, changingUntil } = server
     const now = clock.now()
     const others = use.of(server.hash)
     return {
@@ -216,7 +216,7 @@
       missingTokens: supply.missingTokens(server),
       heldTokens: heldTokens + others.heldTokens,
       memoryTokens: directory.memoryOf(listed.service),
-      isRefusing: refusedAt + REFUSING_MS > now || refusingOthersUntil > now,
+      isRefusing: refusedAt + REFUSING_MS > now || restingForOthersUntil > now,
       isAbsent: absentUntil > now,
       faultCostMs: directory.experience.faultCostOf(server, now),
       isChanging: changingUntil > now,
--- a/packages/foxtaillever-relay/src/servers/serverStatements.ts
+++ b/packages/foxtaillever-relay/src/servers/serverStatements.ts
@@ -10,6 +10,8 @@
   readonly clock: Clock
   readonly directory: Pick<ServerDirectory, 'get' | 'observeLeaving' | 'newestStated'>
   readonly limits: Pick<ServerLimits, 'observe'>
+  /** The others would be asked next. */
+  readonly onRestAsked: (server: KnownServer) => void
   readonly log: Pick<RelayLog, 'saysItLeaves' | 'asksForRest' | 'restUnreadable'>
 }
 
@@ -23,7 +25,7 @@
   /** @param sentAt when the request was sent that is answered, milliseconds of Unix time. */
   observe (server: KnownServer, statement: ServerStatement, sentAt: number): void {
     const { serverId, requestId, hasRun, isLeaving, restMs } = statement
-    const { clock, directory, limits, log } = this.options
+    const { clock, directory, limits, log, onRestAsked } = this.options
     const now = clock.now()
     const { id } = server.listed
     // Another server answers at the address; it speaks of itself.
@@ -42,6 +44,7 @@
       .ifRight(ms => {
         if (ms > 0) {
           directory.newestStated(id)?.observeRest(now + ms, now)
+          onRestAsked(server)
           log.asksForRest(id, requestId, ms)
         }
       })
--- a/packages/foxtaillever-router/src/plain/createPlainDesk.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDesk.ts
@@ -60,7 +60,7 @@
     onLoadChanged: () => {},
     onSaved: () => {},
     onUnreachable: () => {},
-    onRefused: () => {},
+    onRestAsked: () => {},
     askLoad: () => undefined,
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
