Let the fuzzer run again: a fixture took the clock from where tests are declared

npm run fuzz ended at once since statement histories were added to it: their fixture imported the package that needs ava. No product code changes.

--- a/packages/foxtaillever-relay/src/servers/__fixtures__/statementHistory.ts
+++ b/packages/foxtaillever-relay/src/servers/__fixtures__/statementHistory.ts
@@ -4,7 +4,7 @@
  * under their ids. What reaches the servers is counted there.
  */
 import { SeededRandom, type Random } from 'foxtaillever-core'
-import { VirtualClock } from 'foxtaillever-testing'
+import { VirtualClock } from 'foxtaillever-testing/virtualClock'
 import { Right } from 'purify-ts'
 import { noLimit } from '../../model/limitStatement.js'
 import { ServerState, type ListedServer } from '../../model/listedServer.js'
