--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -42,7 +42,7 @@
 }
 
 /** Names of the users' wire belong into platform/ and into the stand-ins that speak it. */
-const wireNames = /x-(server-stamp|not-executed|expect-instance|expect-version|cache-salt|kv-fetch|kv-save|prompt-prefix|token-counts|weight-versions|deadline-ms)|keyed\\.|server-(leaving|limit)|log-(read|append|newest)|kv-events/i.source
+const wireNames = /x-(server-stamp|not-executed|expect-instance|expect-version|cache-salt|kv-fetch|kv-save|prompt-prefix|token-counts|weight-versions|deadline-ms)|keyed\\.|^server-(leaving|limit)$|log-(read|append|newest)|kv-events/i.source
 const translation = {
   files: ['packages/*/src/**/*.ts'],
   ignores: ['packages/foxtaillever-standins/**', '**/__tests__/**', '**/__fixtures__/**'],
