Pass on entries by what the entries said before; round retry times up; extend deadlines by every stall

Cause: whether an entry is passed on was decided by the state in force, which answers change too. RecordHandler now compares an entry with the entry before it. The same cause stood in four other places: an unreadable entry of a server that states its leaving, the first entry of an incarnation known from an answer, a late entry of a former incarnation, and named weights that another instance had named before. The soak lets a server state its leaving up to 600 ms before its entry does. The directory's methods return nothing any more; what they returned is asserted on RecordHandler.

Retry-After was rounded to hundredths, less than 5 ms to 0.00. It is rounded up now. A call of 40 ms failed when its process stalled for 41 to 90 ms: the extension began at 50 ms of lateness and did not see a stall that ended before the deadline. Half of the time is now checked too and every lateness extends the deadline.

--- a/packages/foxtaillever-core/src/clock.ts
+++ b/packages/foxtaillever-core/src/clock.ts
@@ -67,23 +67,25 @@
   return () => cancel()
 }
 
-/** A timer that fires this late shows that the process was suspended, milliseconds; a busy event loop is about ten late. */
-const STALL_MS = 50
-
 /** Longest extension of a deadline after a stall, milliseconds: a call in flight needs no more once the process runs again. */
 const MAX_EXTENSION_MS = 1000
 
 /**
  * Runs the task when another process has had until the deadline to answer. If
- * this process was suspended meanwhile, the deadline is extended once by that
- * time: this process may not have sent its call yet, and an answer that it could
- * not receive says nothing about the other process.
+ * this process stalls meanwhile, because it is suspended or its event loop is busy,
+ * the deadline is extended by that time: this process may not have sent its call
+ * yet, and an answer that it could not receive says nothing about the other process.
+ * A stall shows as a late timer, so one timer runs at half of the time: a stall that
+ * ends shortly before the deadline would make no timer at the deadline late.
  */
 export function atAfterSilence (clock: Clock, deadline: number, task: () => void): Cancellation {
-  let cancel = clock.at(deadline, () => {
-    const lateMs = clock.now() - deadline
-    const until = lateMs > STALL_MS ? clock.now() + Math.min(lateMs, MAX_EXTENSION_MS) : deadline
-    cancel = atAfterReading(clock, until, task)
+  const lateMsAt = (due: number): number => Math.min(MAX_EXTENSION_MS, Math.max(0, clock.now() - due))
+  const half = (clock.now() + deadline) / 2
+  let cancel = clock.at(half, () => {
+    const extended = deadline + lateMsAt(half)
+    cancel = clock.at(extended, () => {
+      cancel = atAfterReading(clock, clock.now() + lateMsAt(extended), task)
+    })
   })
   return () => cancel()
 }
--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -2,6 +2,7 @@
 import { Cli, Command, Option } from 'clipanion'
 import { quotas, serverLimits, type LimitSubject } from 'foxtaillever-relay/limits/__fixtures__/limitFleet'
 import { LimitHistory } from 'foxtaillever-relay/limits/__fixtures__/limitHistory'
+import { FleetStatementHistory } from 'foxtaillever-relay/servers/__fixtures__/fleetStatementHistory'
 import { StatementHistory } from 'foxtaillever-relay/servers/__fixtures__/statementHistory'
 import { runFuzz } from './fuzz/runFuzz.js'
 
@@ -67,7 +68,7 @@
   async execute (): Promise<number> {
     let broken = 0
     for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.runs); seed++) {
-      const violations = await StatementHistory.play(seed)
+      const violations = [...await StatementHistory.play(seed), ...await FleetStatementHistory.play(seed)]
       broken += violations.length
       violations.forEach(violation => console.log(`seed ${seed}: ${violation}`))
     }
--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -34,6 +34,9 @@
 /** How long a drained server goes on serving the requests that it has, milliseconds. */
 const DRAIN_DURATION_MS = 3000
 
+/** A server may state in its answers that it leaves up to this long before its entry says so, milliseconds. */
+const MAX_STATEMENT_LEAD_MS = 600
+
 /** How many new weights are named in a row, each before the previous ones are loaded. */
 const CHANGES_IN_SUCCESSION = 3
 const SUCCESSION_INTERVAL_MS = 700
@@ -67,10 +70,13 @@
   servers.forEach(server => fleet.operator.setRetryAfter(server, undefined))
 }
 
-async function replaceServer ({ fleet, clock, random }: PlatformFaultContext): Promise<void> {
+async function replaceServer (context: PlatformFaultContext): Promise<void> {
+  const { fleet, clock, random } = context
   const engines = fleet.platform.servers.filter(({ options, isLeaving }) => options.name.startsWith('engine') && !isLeaving)
   const leaving: BackendServer = draw(random, engines)
   await fleet.platform.addEngine(`engine-more-${fleet.platform.servers.length}`, ENGINES, draw(random, ZONES), { [MODEL]: fleet.operator.weights })
+  leaving.isLeaving = true
+  await waitRandomly(context, MAX_STATEMENT_LEAD_MS)
   fleet.operator.drain(leaving)
   await waitUntil(clock, clock.now() + DRAIN_DURATION_MS)
   fleet.platform.remove(leaving)
--- a/packages/foxtaillever-relay/src/callers/answerFailure.ts
+++ b/packages/foxtaillever-relay/src/callers/answerFailure.ts
@@ -27,12 +27,17 @@
   return code === FailureCode.DeadlinePassed ? DEADLINE_STATUS : MAY_HAVE_RUN_STATUS
 }
 
+/** Rounded up to hundredths of a second: a retry before that time is rejected again, and a time of 0 would promise room at once. */
+function retryAfterOf (retryAt: number, now: number): string {
+  return (Math.max(1, Math.ceil((retryAt - now) / 10)) / 100).toFixed(2)
+}
+
 export function answerFailure (response: ServerResponse, failure: Failure, now: number): void {
   const status = statusOf(failure)
   const body = Buffer.from(JSON.stringify({ error: { code: failure.code, verdict: failure.verdict, message: failure.message } }))
   const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)]
   if (failure.retryAt !== undefined && failure.verdict === Verdict.NotRun) {
-    headers.push('Retry-After', (Math.max(0, failure.retryAt - now) / 1000).toFixed(2))
+    headers.push('Retry-After', retryAfterOf(failure.retryAt, now))
   }
   response.writeHead(status, headers)
   response.end(body)
--- a/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
@@ -149,7 +149,14 @@
   /** Instances that the store answered at the last heartbeat. */
   private readonly answered = new Set<string>()
 
-  constructor (private readonly clock: VirtualClock, readonly store: FakeStore, names: readonly string[], private readonly wallSeconds = () => clock.now() / 1000) {
+  /** @param serverRecords creates what applies the records of servers at an instance, in place of recording their values. */
+  constructor (
+    private readonly clock: VirtualClock,
+    readonly store: FakeStore,
+    names: readonly string[],
+    private readonly wallSeconds = () => clock.now() / 1000,
+    private readonly serverRecords?: (instance: string) => (record: KeyedRecord) => boolean
+  ) {
     names.forEach((name, index) => this.instances.push(this.create(name, `domain-${index % 3}`)))
     this.instances.forEach(({ replica }) => replica.start())
     this.recordHeartbeat()
@@ -212,7 +219,7 @@
       notify: notice => this.deliver(name, { ...notice, address: name }),
       onRecord: {
         [AnnouncedTopic.Operators]: record => record.value === undefined ? false : applyRecord(record),
-        [AnnouncedTopic.Servers]: applyRecord
+        [AnnouncedTopic.Servers]: this.serverRecords?.(name) ?? applyRecord
       }
     })
     return { name, replica, values, learnedAt, isAlive: true }
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/recordHandler.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/recordHandler.test.ts
@@ -4,12 +4,13 @@
  * entries again. An instance that removes its servers at once refuses every request
  * for two seconds, though all servers work.
  */
-import { Right } from 'purify-ts'
+import { Left, Right, type Either } from 'purify-ts'
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
 import { Logs } from 'foxtaillever-telemetry'
-import { ServerState, type ListedServer } from '../../model/listedServer.js'
+import { ServerState, type ListedServer, type WantedWeights } from '../../model/listedServer.js'
 import { OperatorKey } from '../../relayOptions.js'
 import type { Routing } from '../../model/routing.js'
+import type { KnownServer } from '../../servers/knownServer.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
 import { RelayLog } from '../../telemetry/relayLog.js'
 import { RecordHandler, type RecordHandlerOptions } from '../recordHandler.js'
@@ -32,7 +33,7 @@
     directory: ServerDirectory.create({ onChanged: () => {} }),
     removalsDeferredUntil: () => -Infinity,
     onRouting: () => {},
-    onWeights: () => true
+    onWeights: () => {}
   }
 }
 
@@ -67,6 +68,67 @@
     t.deepEqual(ready(), ['s'])
   })
 
+  describe('when it decides which records to pass on', () => {
+    function createEntryHandler (): { handler: RecordHandler, directory: ServerDirectory, apply: (text: string, offset: number) => boolean } {
+      const options = createOptions(VirtualClock.create())
+      const { directory } = options
+      // Entries have the form STATE START.
+      const server = (id: string, bytes: Buffer): Either<string, ListedServer> => {
+        const [state, startedAt] = bytes.toString().split(' ')
+        return state === 'garbage' ? Left(state) : Right({ ...readEntry(id), state: state as ServerState, startedAt: Number(startedAt) })
+      }
+      const handler = RecordHandler.create({ ...options, readers: { ...options.readers, server } })
+      return { handler, directory, apply: (text, offset) => handler.applyServerRecord({ key: 's', value: Buffer.from(text), offset }) }
+    }
+
+    // Guards against an instance that keeps an entry to itself because an answer has already told it the same.
+    it('passes on that a server leaves, although the server stated it before', t => {
+      const { directory, apply } = createEntryHandler()
+      t.true(apply('ready 1', 0))
+      directory.markLeaving('s', 1000)
+      t.false(apply('ready 1', 1))
+      t.true(apply('draining 1', 2))
+      t.false(apply('draining 1', 3))
+    })
+
+    it('passes on the entry of an incarnation that it knew from an answer, and a late entry of the former one', t => {
+      const { directory, apply } = createEntryHandler()
+      apply('ready 1', 0)
+      directory.recordStart(directory.get('s') as KnownServer, 2)
+      t.true(apply('draining 1', 1))
+      t.true(apply('ready 2', 2))
+      t.false(apply('ready 2', 3))
+    })
+
+    it('passes on once that the entry of a server that leaves cannot be read', t => {
+      const { directory, apply } = createEntryHandler()
+      apply('ready 1', 0)
+      directory.markLeaving('s', 1000)
+      t.true(apply('garbage', 1))
+      t.false(apply('garbage', 2))
+      t.true(apply('ready 1', 3))
+    })
+
+    it('passes on a removal and the entry after it, and no unreadable entry of an unknown server', t => {
+      const { handler, apply } = createEntryHandler()
+      t.false(apply('garbage', 0))
+      t.true(apply('ready 1', 1))
+      t.true(handler.applyServerRecord({ key: 's', value: undefined, offset: 2 }))
+      t.true(apply('ready 1', 3))
+    })
+
+    // Guards against a starting instance that finds no named weights at any other.
+    it('passes on named weights, although another instance named newer ones before', t => {
+      const options = createOptions(VirtualClock.create())
+      const weights = (bytes: Buffer): Either<string, WantedWeights> => Right({ model: 'm', version: Number(bytes.toString()) })
+      const handler = RecordHandler.create({ ...options, readers: { ...options.readers, weights, kindOfKey: () => OperatorKey.Weights }, onWeights: () => {} })
+      const apply = (version: number, offset: number): boolean => handler.applyOperatorRecord({ key: 'version/m', value: Buffer.from(String(version)), offset })
+      t.true(apply(3, 0))
+      t.false(apply(2, positionAt(1, 0)))
+      t.true(apply(4, positionAt(1, 1)))
+    })
+  })
+
   describe('with configurations of a restored store', () => {
     const text = (revision: number, contents: string): Buffer => Buffer.from(`${revision} ${contents}`)
 
--- a/packages/foxtaillever-relay/src/knowledge/createStoreReplica.ts
+++ b/packages/foxtaillever-relay/src/knowledge/createStoreReplica.ts
@@ -18,11 +18,8 @@
   /** Revision of the configuration in force; -1 before the first. */
   readonly revision: () => number
   readonly onRouting: (routing: Routing) => void
-  /**
-   * @param isStart whether the record was read while the instance started.
-   * @returns false if newer weights of the model are already set.
-   */
-  readonly onWeights: (model: string, version: number, isStart: boolean) => boolean
+  /** @param isStart whether the record was read while the instance started. */
+  readonly onWeights: (model: string, version: number, isStart: boolean) => void
   readonly onRestored: () => void
 }
 
--- a/packages/foxtaillever-relay/src/knowledge/recordHandler.ts
+++ b/packages/foxtaillever-relay/src/knowledge/recordHandler.ts
@@ -2,8 +2,13 @@
  * Applies records of the platform's store: configurations, weights versions and
  * the entries of backend servers. A configuration or weights record that cannot be
  * read changes nothing.
+ *
+ * Whether a record is passed on to other instances depends on the earlier records of
+ * its key only. What this instance learned in another way, such as from a server's
+ * answer, other instances may not know.
  */
 import type { Clock } from 'foxtaillever-core'
+import { hasSameContent, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import { OperatorKey, type RecordReaders } from '../relayOptions.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
@@ -19,8 +24,7 @@
   /** Until this time a missing entry may be written again, so removals wait; milliseconds of Unix time. */
   readonly removalsDeferredUntil: () => number
   readonly onRouting: (routing: Routing) => void
-  /** @returns false if newer weights of the model are already set. */
-  readonly onWeights: (model: string, version: number) => boolean
+  readonly onWeights: (model: string, version: number) => void
 }
 
 /** The configuration that was applied last. */
@@ -44,6 +48,10 @@
   /** Keys that were logged as unreadable, and the time until which they are not logged again, milliseconds of Unix time. */
   private readonly unreadableKeys = new Map<string, number>()
   private applied: AppliedRouting | undefined
+  /** The newest version of each model in the records. */
+  private readonly recordedVersions = new Map<string, number>()
+  /** The last entry of each server; undefined where it cannot be read. */
+  private readonly entries = new Map<string, ListedServer | undefined>()
 
   private readonly operatorHandlers: Readonly<Record<OperatorKey, (key: string, value: Buffer, offset: number) => boolean>> = {
     [OperatorKey.Routing]: (key, value, offset) => this.applyRouting(key, value, offset),
@@ -111,7 +119,12 @@
         log.trouble('Named weights cannot be read.', { key, reason })
         return true
       },
-      Right: ({ model, version }) => onWeights(model, version)
+      Right: ({ model, version }) => {
+        const recorded = this.recordedVersions.get(model) ?? -1
+        this.recordedVersions.set(model, Math.max(recorded, version))
+        onWeights(model, version)
+        return version >= recorded
+      }
     })
   }
 
@@ -122,20 +135,37 @@
   applyServerRecord ({ key, value, offset }: KeyedRecord): boolean {
     const { readers, directory } = this.options
     if (value === undefined) {
+      this.entries.delete(key)
       this.removeServer(key, offset)
       return true
     }
     return readers.server(key, value).caseOf({
-      Left: reason => this.handleUnreadableEntry(key, offset, reason),
-      Right: listed => directory.applyEntry(listed, offset)
+      Left: reason => {
+        this.handleUnreadableEntry(key, offset, reason)
+        return this.replaceEntry(key, undefined)
+      },
+      Right: listed => {
+        directory.applyEntry(listed, offset)
+        return this.replaceEntry(key, listed)
+      }
     })
   }
 
+  /** @returns whether the entry differs from the previous one. An unreadable entry without a previous one concerns no known server. */
+  private replaceEntry (key: string, entry: ListedServer | undefined): boolean {
+    const isKnown = this.entries.has(key)
+    const previous = this.entries.get(key)
+    if (isKnown || entry !== undefined) {
+      this.entries.set(key, entry)
+    }
+    return previous === undefined || entry === undefined ? previous !== entry : !hasSameContent(previous, entry)
+  }
+
   /**
    * Any number of invalid entries may be written to the topic, so the log is limited
    * by key and in all.
    */
-  private handleUnreadableEntry (key: string, offset: number, reason: string): boolean {
+  private handleUnreadableEntry (key: string, offset: number, reason: string): void {
     const { clock, log, directory } = this.options
     const now = clock.now()
     this.unreadableKeys.forEach((until, id) => {
@@ -147,7 +177,7 @@
       this.unreadableKeys.set(key, now + UNREADABLE_LOG_INTERVAL_MS)
       log.trouble('An entry of a backend server cannot be read; it gets no new work.', { server: key.slice(0, MAX_KEY_LOGGED), position: formatPosition(offset), reason: reason.slice(0, MAX_REASON_LOGGED) })
     }
-    return directory.markUnreadable(key, offset)
+    directory.markUnreadable(key, offset)
   }
 
   /**
--- a/packages/foxtaillever-relay/src/servers/__tests__/callServer.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/callServer.test.ts
@@ -53,6 +53,17 @@
     })
   })
 
+  // Guards against calls that fail after a stall that ends before the deadline: the server had hardly any time.
+  it('gives the server the time of a stall that ends before the deadline', async t => {
+    const { server, connections } = await listen((_request, response) => { response.end('known') })
+    const beganAt = clock.now()
+    const answer = callServer(connections, call, clock, beganAt + DEADLINE_MS)
+    blockEventLoopUntil(beganAt + 0.9 * DEADLINE_MS)
+    setImmediate(() => blockEventLoopUntil(beganAt + 1.2 * DEADLINE_MS))
+    t.is((await answer).map(({ status }) => status).extract(), 200)
+    close(server, connections)
+  })
+
   // Guards against a long answer that is aborted while it still arrives, at every instance that reads it.
   it('reads an answer that has begun while chunks arrive, and fails when they stop', async t => {
     const { server, connections } = await listen((request, response) => {
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -13,7 +13,7 @@
 import { connectionShare, type ConnectionShare } from 'foxtaillever-policy/relay/connectionShare'
 import { SETTLED_SAMPLES } from 'foxtaillever-policy/relay/prefillSpeed'
 import { StatedAvailability } from 'foxtaillever-policy/relay/statedAvailability'
-import { hasSameContent, ServerState, type ListedServer } from '../model/listedServer.js'
+import { ServerState, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { SpeedUpdate } from '../peers/peerMessage.js'
 import { createKnownServer, type KnownServer } from './knownServer.js'
@@ -84,17 +84,14 @@
     return connectionShare(this.routing?.services.get(service)?.mostConnections ?? DEFAULT_CONNECTIONS, this.instanceCount)
   }
 
-  /**
-   * Applies an entry; one that is older than the known entry changes nothing.
-   * @returns whether the entry differs from the previous one.
-   */
-  applyEntry (listed: ListedServer, offset: number): boolean {
+  /** Applies an entry; one that is older than the known entry changes nothing. */
+  applyEntry (listed: ListedServer, offset: number): void {
     // The last record of one incarnation may come after the first record of the next.
     if (!this.isNewer(listed.id, offset) || listed.startedAt < this.newestStartOf(listed.id)) {
-      return false
+      return
     }
     const known = this.incarnationOf(listed)
-    const before = known?.listed
+    const before = known?.listed.state
     const server = known ?? this.addIncarnation(listed, offset)
     if (listed.state === ServerState.Draining) {
       server.stated.recordLeaving(0)
@@ -103,30 +100,26 @@
     server.listed = { ...listed, state: server.stated.isLeaving ? ServerState.Draining : listed.state }
     server.offset = offset
     listed.weights.forEach((version, model) => this.recordWeights(server, model, version))
-    if (before?.state !== server.listed.state) {
-      this.options.onChanged(server.listed, before?.state)
+    if (before !== server.listed.state) {
+      this.options.onChanged(server.listed, before)
     }
-    return before === undefined || !hasSameContent(before, server.listed)
   }
 
   /**
    * The newest entry of the id cannot be read, for example because another writer
    * wrote it: the server gets no new work until a later entry can be read.
-   * @returns whether the state of the server changed.
    */
-  markUnreadable (id: string, offset: number): boolean {
+  markUnreadable (id: string, offset: number): void {
     const known = this.servers.get(id)
     if (!known || !this.isNewer(id, offset)) {
-      return false
+      return
     }
     known.offset = offset
     const before = known.listed.state
-    if (before !== ServerState.Ready) {
-      return false
+    if (before === ServerState.Ready) {
+      known.listed = { ...known.listed, state: ServerState.Unreadable }
+      this.options.onChanged(known.listed, before)
     }
-    known.listed = { ...known.listed, state: ServerState.Unreadable }
-    this.options.onChanged(known.listed, before)
-    return true
   }
 
   /**
--- a/packages/foxtaillever-relay/src/weights/weightsRollout.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsRollout.ts
@@ -48,17 +48,15 @@
 
   /**
    * Adds a version that operators named and starts its rollout; known or older versions change nothing.
-   * Returns whether the version is the newest.
    * @param isAssumed the version was found in the store at the start
    */
-  addVersion (model: string, version: number, isAssumed = false): boolean {
+  addVersion (model: string, version: number, isAssumed = false): void {
     const now = this.options.clock.now()
     if (this.named.addVersion(model, version, now, isAssumed)) {
       this.progressAt = now
       this.options.log.belief('Weights were named.', { model, version, found: isAssumed ? 'at the start' : 'as an update' })
       this.ensureRunning()
     }
-    return version === this.wantedVersion(model)
   }
 
   /** When the version was replaced by a newer one, milliseconds of Unix time; undefined if it is the newest. */
