Admission queue of a backend server, without I/O

Requests wait in the order of rank, fair turn of their client account and arrival; the next one is admitted when the server needs less than the read-ahead for what it has. ClassQueue takes any entry with an account.

--- a/packages/foxtaillever-policy/src/order/classQueue.ts
+++ b/packages/foxtaillever-policy/src/order/classQueue.ts
@@ -8,26 +8,31 @@
 import { Heap } from '../collections/heap.js'
 import type { WaitingJob } from './waitingJob.js'
 
-interface AccountQueue {
+/** The part of a job that its turn depends on. */
+export interface FairJob extends Pick<WaitingJob, 'cost' | 'weight' | 'attempts' | 'gone' | 'turn' | 'sequence'> {
+  readonly job: { readonly account: string }
+}
+
+interface AccountQueue<Job extends FairJob> {
   /** Turn of the account's next job. */
   nextTurn: number
   waiting: number
   work: number
   weight: number
   /** In order of arrival; jobs that are gone are removed now and then. */
-  jobs: WaitingJob[]
+  jobs: Job[]
 }
 
-function loadOf (account: AccountQueue): number {
+function loadOf (account: AccountQueue<FairJob>): number {
   return account.work / account.weight
 }
 
 /** Entries of jobs that are gone which a heap may hold before it is cleaned. */
 const MAX_GONE_ENTRIES = 64
 
-export class ClassQueue {
-  private readonly jobsByTurn = Heap.create<WaitingJob>((a, b) => a.turn < b.turn || (a.turn === b.turn && a.sequence < b.sequence))
-  private readonly accounts = new Map<string, AccountQueue>()
+export class ClassQueue<Job extends FairJob = WaitingJob> {
+  private readonly jobsByTurn = Heap.create<Job>((a, b) => a.turn < b.turn || (a.turn === b.turn && a.sequence < b.sequence))
+  private readonly accounts = new Map<string, AccountQueue<Job>>()
   private virtualTime = 0
   private sequence = 0
   /** Waiting jobs. */
@@ -39,11 +44,11 @@
 
   private constructor () {}
 
-  static create (): ClassQueue {
-    return new ClassQueue()
+  static create<Job extends FairJob = WaitingJob> (): ClassQueue<Job> {
+    return new ClassQueue<Job>()
   }
 
-  add (entry: WaitingJob): void {
+  add (entry: Job): void {
     const account = this.accountOf(entry)
     const isRetry = entry.attempts > 0
     entry.turn = isRetry ? this.virtualTime : Math.max(this.virtualTime, account.nextTurn)
@@ -61,7 +66,7 @@
   }
 
   /** Removes a job that was not sent, without charging its account. */
-  remove (entry: WaitingJob): void {
+  remove (entry: Job): void {
     const account = this.removeFromAccount(entry)
     if (entry.attempts === 0) {
       account.nextTurn -= entry.cost / entry.weight
@@ -70,13 +75,13 @@
   }
 
   /** Records that the job was sent. */
-  recordSent (entry: WaitingJob): void {
+  recordSent (entry: Job): void {
     this.virtualTime = Math.max(this.virtualTime, entry.turn)
     this.pruneAccount(entry.job.account, this.removeFromAccount(entry))
   }
 
   /** Removes the next job in fair order from the heap; `putBack` returns it. */
-  takeNext (): WaitingJob | undefined {
+  takeNext (): Job | undefined {
     this.dropGoneJobs()
     return this.jobsByTurn.pop()
   }
@@ -86,7 +91,7 @@
     return this.jobsByTurn.size > 0
   }
 
-  putBack (entry: WaitingJob): void {
+  putBack (entry: Job): void {
     this.jobsByTurn.push(entry)
   }
 
@@ -107,8 +112,8 @@
   }
 
   /** The latest job of the account with the most waiting work for its weight. */
-  lastJobOfHeaviestAccount (): WaitingJob | undefined {
-    let heaviest: AccountQueue | undefined
+  lastJobOfHeaviestAccount (): Job | undefined {
+    let heaviest: AccountQueue<Job> | undefined
     for (const account of this.accounts.values()) {
       if (account.waiting > 0 && loadOf(account) > (heaviest ? loadOf(heaviest) : 0)) {
         heaviest = account
@@ -117,7 +122,7 @@
     return heaviest?.jobs.findLast(entry => !entry.gone)
   }
 
-  private removeFromAccount (entry: WaitingJob): AccountQueue {
+  private removeFromAccount (entry: Job): AccountQueue<Job> {
     const account = this.accountOf(entry)
     entry.gone = true
     this.updateCounts(account, entry, -1)
@@ -125,25 +130,25 @@
     return account
   }
 
-  private updateCounts (account: AccountQueue, entry: WaitingJob, sign: 1 | -1): void {
+  private updateCounts (account: AccountQueue<Job>, entry: Job, sign: 1 | -1): void {
     account.waiting += sign
     account.work += sign * entry.cost
     this.size += sign
     this.work += sign * entry.cost
   }
 
-  private accountOf ({ job, weight }: WaitingJob): AccountQueue {
+  private accountOf ({ job, weight }: Job): AccountQueue<Job> {
     const known = this.accounts.get(job.account)
     if (known) {
       return known
     }
-    const account = { nextTurn: this.virtualTime, waiting: 0, work: 0, weight, jobs: [] }
+    const account: AccountQueue<Job> = { nextTurn: this.virtualTime, waiting: 0, work: 0, weight, jobs: [] }
     this.accounts.set(job.account, account)
     return account
   }
 
   /** Removes the entry of an account without waiting jobs whose charge has been worked off. */
-  private pruneAccount (name: string, account: AccountQueue): void {
+  private pruneAccount (name: string, account: AccountQueue<Job>): void {
     if (account.waiting === 0 && account.nextTurn <= this.virtualTime) {
       this.accounts.delete(name)
     }
--- /dev/null
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -0,0 +1,233 @@
+/**
+ * Decides which request is sent next to one backend server, and which is rejected.
+ *
+ * Load pattern: for some seconds more prompts arrive than the server reads, as in a
+ * burst, after other servers crashed, or while one client account sends many times its
+ * usual load. Sent at once, ten large prompts fill the server's memory and are read one
+ * after the other; a short urgent prompt that the server starts at once still waits for
+ * all of them. Under memory pressure the server preempts requests and reads them twice.
+ *
+ * So prompts wait here, and the server gets the next one shortly before it would be
+ * idle. Until then a more urgent request, or one of an account with less work served,
+ * can go first, and a request that cannot begin before its deadline is rejected while
+ * its caller can still use the time.
+ */
+import { RecentMap } from '../collections/recentMap.js'
+import { ClassQueue, type FairJob } from '../order/classQueue.js'
+import { LEAST_URGENT_PRIORITY, yieldPriority } from './yieldPriority.js'
+
+export interface AdmissionEntry {
+  /** Identifies the request. */
+  readonly key: string
+  /** Client account; empty for none. */
+  readonly account: string
+  /** Equal for a request and its retry by the same caller. */
+  readonly fingerprint: number
+  /** Prompt tokens that the server has to read. */
+  readonly tokens: number
+  /** Tokens of the server's memory that the request occupies until it ends. */
+  readonly heldTokens: number
+  /** 0 is the most urgent. */
+  readonly priority: number
+  /** Until when its first event is on time, milliseconds of Unix time. */
+  readonly objectiveAt: number
+  /** From then on it cannot begin in time for its deadline, milliseconds of Unix time. */
+  readonly latestStartAt: number
+  /** Its requester renews it before then, milliseconds of Unix time. */
+  readonly expiresAt: number
+}
+
+/** The load and the capacity of the server. */
+export interface ServerRoom {
+  /** Prompt tokens that it has yet to read; see `BacklogEstimate`. */
+  readonly backlogTokens: number
+  /** Tokens of its memory that requests occupy. */
+  readonly heldTokens: number
+  /** Requests that it has. */
+  readonly outstanding: number
+  /** Prompt tokens that it reads in a millisecond. */
+  readonly tokensPerMs: number
+  /** Its memory, in tokens; 0 where unknown. */
+  readonly memoryTokens: number
+  readonly slots: number
+  /** The next request is sent when the server needs less than this to read what it has, milliseconds. */
+  readonly readAheadMs: number
+}
+
+export interface RejectedEntry {
+  readonly entry: AdmissionEntry
+  /** When there will be room, milliseconds of Unix time. */
+  readonly retryAt: number
+}
+
+export interface AdmissionDecision {
+  readonly admitted: AdmissionEntry[]
+  readonly rejected: RejectedEntry[]
+}
+
+interface QueuedEntry extends FairJob {
+  readonly job: AdmissionEntry
+  /** Class of the queue; rises when the request can no longer be on time. */
+  rank: number
+  expiresAt: number
+}
+
+/** Share of the read-ahead below which an idle queue needs no decision of the owner. */
+const NEARLY_IDLE_SHARE = 0.5
+
+/** How long a rejected request is remembered, milliseconds: callers return within a third of their time. */
+const REMEMBERED_MS = 5000
+const MAX_REMEMBERED = 512
+
+/** Minimum time between two decisions without a new report, milliseconds. */
+const MIN_INTERVAL_MS = 10
+
+function fits (room: ServerRoom, { heldTokens }: AdmissionEntry): boolean {
+  const hasMemory = room.memoryTokens === 0 || room.outstanding === 0 || room.heldTokens + heldTokens <= room.memoryTokens
+  return room.backlogTokens < room.readAheadMs * room.tokensPerMs && room.outstanding < room.slots && hasMemory
+}
+
+/** Whether a request can be sent without a decision of the owner, because the server is nearly idle. */
+export function isNearlyIdle (room: ServerRoom, heldTokens: number): boolean {
+  const hasMemory = room.memoryTokens === 0 || room.heldTokens + heldTokens <= NEARLY_IDLE_SHARE * room.memoryTokens
+  return room.backlogTokens < NEARLY_IDLE_SHARE * room.readAheadMs * room.tokensPerMs && room.outstanding < NEARLY_IDLE_SHARE * room.slots && hasMemory
+}
+
+export class AdmissionQueue {
+  private readonly ranks = Array.from({ length: LEAST_URGENT_PRIORITY + 1 }, () => ClassQueue.create<QueuedEntry>())
+  private readonly entries = new Map<string, QueuedEntry>()
+  /** When requests were rejected, by their fingerprint. */
+  private readonly rejectedAt = RecentMap.create<number>(MAX_REMEMBERED)
+  /** The retry time given last, plus the reading time of its request, milliseconds of Unix time. */
+  private nextRetryAt = 0
+
+  private constructor () {}
+
+  static create (): AdmissionQueue {
+    return new AdmissionQueue()
+  }
+
+  get size (): number {
+    return this.entries.size
+  }
+
+  has (key: string): boolean {
+    return this.entries.has(key)
+  }
+
+  /** Adds a request, or renews it. */
+  add (entry: AdmissionEntry, now: number): void {
+    const known = this.entries.get(entry.key)
+    if (known) {
+      known.expiresAt = entry.expiresAt
+      return
+    }
+    const isReturning = (this.rejectedAt.peek(String(entry.fingerprint)) ?? -Infinity) + REMEMBERED_MS > now
+    const rank = Math.min(LEAST_URGENT_PRIORITY, Math.max(0, Math.round(entry.priority)))
+    this.insert({ job: entry, cost: entry.tokens, weight: 1, attempts: isReturning ? 1 : 0, gone: false, turn: 0, sequence: 0, rank, expiresAt: entry.expiresAt })
+  }
+
+  remove (key: string): void {
+    const queued = this.entries.get(key)
+    if (queued) {
+      this.entries.delete(key)
+      this.classOf(queued).remove(queued)
+    }
+  }
+
+  /** Tokens queued at the priority or a more urgent one. */
+  queuedTokens (priority: number): number {
+    return this.ranks.slice(0, priority + 1).reduce((tokens, { work }) => tokens + work, 0)
+  }
+
+  /** Takes the requests that are admitted or rejected now out of the queue, in order. */
+  decide (room: ServerRoom, now: number): AdmissionDecision {
+    this.removeExpired(now)
+    const rejected = this.rejectHopeless(room, now)
+    return { admitted: this.admit(room), rejected }
+  }
+
+  /** When to decide again without a new report, milliseconds of Unix time; Infinity while empty. */
+  nextDecisionAt ({ backlogTokens, tokensPerMs, readAheadMs }: ServerRoom, now: number): number {
+    if (this.size === 0) {
+      return Infinity
+    }
+    const latestStartAt = Math.min(...[...this.entries.values()].map(({ job }) => job.latestStartAt))
+    return Math.max(now + MIN_INTERVAL_MS, Math.min(now + backlogTokens / tokensPerMs - readAheadMs, latestStartAt))
+  }
+
+  private classOf ({ rank }: Pick<QueuedEntry, 'rank'>): ClassQueue<QueuedEntry> {
+    return this.ranks[rank] as ClassQueue<QueuedEntry>
+  }
+
+  private insert (queued: QueuedEntry): void {
+    this.entries.set(queued.job.key, queued)
+    this.classOf(queued).add(queued)
+  }
+
+  private removeExpired (now: number): void {
+    for (const { job: { key }, expiresAt } of [...this.entries.values()]) {
+      if (expiresAt <= now) {
+        this.remove(key)
+      }
+    }
+  }
+
+  /** Rejects what cannot begin before its deadline, and puts what can no longer be on time behind what can. */
+  private rejectHopeless ({ backlogTokens, tokensPerMs }: ServerRoom, now: number): RejectedEntry[] {
+    const rejected: RejectedEntry[] = []
+    let tokensBefore = backlogTokens
+    for (let rank = 0; rank <= LEAST_URGENT_PRIORITY; rank += 1) {
+      for (const queued of this.inOrder(rank)) {
+        const { job } = queued
+        const startAt = now + tokensBefore / tokensPerMs
+        const readMs = job.tokens / tokensPerMs
+        if (startAt > job.latestStartAt) {
+          rejected.push({ entry: job, retryAt: this.spreadRetry(startAt, readMs) })
+          this.rejectedAt.set(String(job.fingerprint), now)
+          this.remove(job.key)
+        } else if (startAt + readMs > job.objectiveAt && rank < yieldPriority(job.priority)) {
+          this.remove(job.key)
+          this.insert({ ...queued, gone: false, rank: yieldPriority(job.priority) })
+        } else {
+          tokensBefore += job.tokens
+        }
+      }
+    }
+    return rejected
+  }
+
+  private inOrder (rank: number): QueuedEntry[] {
+    return [...this.entries.values()].filter(queued => queued.rank === rank).sort((a, b) => a.turn - b.turn || a.sequence - b.sequence)
+  }
+
+  /** Spaces retry times by the reading time of each request, so that callers do not return together. */
+  private spreadRetry (startAt: number, readMs: number): number {
+    const retryAt = Math.max(startAt, this.nextRetryAt)
+    this.nextRetryAt = retryAt + readMs
+    return retryAt
+  }
+
+  /** In strict order: while the next request does not fit, none of those after it is sent. */
+  private admit (room: ServerRoom): AdmissionEntry[] {
+    const admitted: AdmissionEntry[] = []
+    let left = room
+    for (;;) {
+      const rank = this.ranks.findIndex(jobs => jobs.hasNext())
+      const jobs = this.ranks[rank]
+      const next = jobs?.takeNext()
+      if (jobs === undefined || next === undefined) {
+        return admitted
+      }
+      if (!fits(left, next.job)) {
+        jobs.putBack(next)
+        return admitted
+      }
+      const { key, tokens, heldTokens } = next.job
+      jobs.recordSent(next)
+      this.entries.delete(key)
+      admitted.push(next.job)
+      left = { ...left, backlogTokens: left.backlogTokens + tokens, heldTokens: left.heldTokens + heldTokens, outstanding: left.outstanding + 1 }
+    }
+  }
+}
