--- a/packages/foxtaillever-relay/src/__fixtures__/createExchange.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/createExchange.ts
@@ -15,7 +15,7 @@
     prompt: { model: 'model', levels: [], promptTokens: 100, outputTokens: 10 },
     resumeAfter: '',
     route: {
-      name: 'route', host: 'host', pathPrefix: '/', targets: [], repeatability: Repeatability.Once, isStream: true, isResumable: false, hasPrompt: true, isPublic: false, timeoutMs: 5000, objectiveMs: 400, pauseObjectiveMs: 0, mostAttempts: 1, priority: 1
+      name: 'route', host: 'host', pathPrefix: '/', targets: [], repeatability: Repeatability.Once, isStream: true, isResumable: false, hasPrompt: true, isPublic: false, timeoutMs: 5000, objectiveMs: 400, pauseObjectiveMs: 0, mostAttempts: 1, awaitsAdmission: false, silenceLimitMs: Infinity, priority: 1
     },
     service: 'engines',
     account: undefined,
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -42,6 +42,8 @@
   objectiveMs: 100,
   pauseObjectiveMs: 250,
   mostAttempts: 2,
+  awaitsAdmission: false,
+  silenceLimitMs: Infinity,
   priority: 0
 }
 
--- a/packages/foxtaillever-relay/src/model/routing.ts
+++ b/packages/foxtaillever-relay/src/model/routing.ts
@@ -40,6 +40,10 @@
   readonly pauseObjectiveMs: number
   /** Maximum number of backend servers that may run one request. */
   readonly mostAttempts: number
+  /** Requests with large prompts are admitted by the owner of their server's queue before they are sent; see `AdmissionQueue`. */
+  readonly awaitsAdmission: boolean
+  /** Callers give up when an answer sends nothing for this long, milliseconds; Infinity if they wait until their deadline. */
+  readonly silenceLimitMs: number
   /** 0 is the most urgent. */
   readonly priority: number
 }
--- a/packages/foxtaillever-router/src/plain/plainRoutes.ts
+++ b/packages/foxtaillever-router/src/plain/plainRoutes.ts
@@ -24,6 +24,8 @@
     objectiveMs: 0,
     pauseObjectiveMs: 0,
     mostAttempts: MAX_ATTEMPTS,
+    awaitsAdmission: false,
+    silenceLimitMs: Infinity,
     priority: 0
   }
 }
