Admission protocol between instances

The owner of a server, its first watcher, admits, queues or rejects requests of all instances; the second watcher is asked when the owner does not answer within 15 ms or lacks reports. Load requests carry the priority of the request, and the watcher counts the tokens that are queued at it or a more urgent one.

Changes of load went to the first watcher only, and to the second with a heartbeat. While the first does not answer they go to both: the second decides in its place, and would do so on loads that are up to a second old.

A watcher that was suspended took its data as complete until its next heartbeat, so datagrams handled before that were answered from old reports. It now counts as incomplete from 1,500 ms after its last heartbeat.

--- a/packages/foxtaillever-relay/src/peers/datagram.ts
+++ b/packages/foxtaillever-relay/src/peers/datagram.ts
@@ -18,7 +18,10 @@
   LimitResponse = 22,
   LimitRefund = 23,
   LimitRenewal = 24,
-  LimitPromise = 25
+  LimitPromise = 25,
+  AdmissionRequest = 31,
+  AdmissionResponse = 32,
+  AdmissionCancel = 33
 }
 
 const packr = new Packr({ useRecords: false })
--- a/packages/foxtaillever-relay/src/peers/loadMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -26,6 +26,8 @@
   readonly servers: readonly number[]
   /** Prompt levels whose home is one of the servers; asks whether they were saved recently. */
   readonly levels: readonly number[]
+  /** Of the request that needs a server: the response counts what is queued for admission at this priority or a more urgent one. Undefined for none of it. */
+  readonly priority?: number | undefined
 }
 
 export interface LoadResponse {
@@ -53,14 +55,14 @@
   const { kind, address } = message
   switch (kind) {
     case DatagramKind.ServerLoadReport: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff])
-    case DatagramKind.LoadRequest: return packDatagram([kind, address, message.number, message.servers, message.levels])
+    case DatagramKind.LoadRequest: return packDatagram([kind, address, message.number, message.servers, message.levels, ...(message.priority === undefined ? [] : [message.priority])])
     case DatagramKind.LoadResponse: return packDatagram([kind, address, message.number, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff])
   }
 }
 
 const readers: Readonly<Record<LoadMessageKind, (address: string, rest: readonly unknown[]) => LoadMessage>> = {
   [DatagramKind.ServerLoadReport]: (address, [loads, unreachable, saved, backingOff]) => ({ kind: DatagramKind.ServerLoadReport, address, loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff) }),
-  [DatagramKind.LoadRequest]: (address, [number, servers, levels]) => ({ kind: DatagramKind.LoadRequest, address, number: Number(number), servers: readNumbers(servers), levels: readNumbers(levels) }),
+  [DatagramKind.LoadRequest]: (address, [number, servers, levels, priority]) => ({ kind: DatagramKind.LoadRequest, address, number: Number(number), servers: readNumbers(servers), levels: readNumbers(levels), priority: Number.isFinite(priority) ? priority as number : undefined }),
   [DatagramKind.LoadResponse]: (address, [number, loads, unreachable, saved, backingOff]) => ({ kind: DatagramKind.LoadResponse, address, number: Number(number), loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff) })
 }
 
--- a/packages/foxtaillever-relay/src/peers/loadProtocol.ts
+++ b/packages/foxtaillever-relay/src/peers/loadProtocol.ts
@@ -43,6 +43,10 @@
   readonly onUnreachable: (server: number) => void
   /** Called when a server recently asked other instances to back off. */
   readonly onBackingOff: (server: number) => void
+  /** Called with every report on a watched server: who reports, and by how many its outstanding requests there have risen. */
+  readonly onReported: (server: number, reporter: string, added: number) => void
+  /** Prompt tokens that are queued for admission at a server, at the priority or a more urgent one. */
+  readonly queuedTokens: (server: number, priority: number) => number
 }
 
 interface ReportedLoad extends ServerLoad {
@@ -62,11 +66,11 @@
   private cancelPoll: Cancellation = () => {}
 
   private constructor (private readonly options: LoadProtocolOptions) {
-    const { address, clock } = options
+    const { address } = options
     this.queries = LoadQueryClient.create({
       ...options,
       answerLocally: request => this.answerTo(request, address),
-      isOwnDataComplete: () => clock.now() >= this.completeAt,
+      isOwnDataComplete: () => this.isComplete,
       onReport: report => this.applyWatcherReport(report)
     })
   }
@@ -75,6 +79,18 @@
     return new LoadProtocol(options)
   }
 
+  /** Whether this instance has received every report that it should have as a watcher. */
+  get isComplete (): boolean {
+    const now = this.options.clock.now()
+    // After a suspension the first heartbeat may run later than the datagrams that waited for it.
+    return now >= this.completeAt && now <= this.heartbeatAt + MISSED_HEARTBEAT_MS
+  }
+
+  /** Load that all instances put on a watched server, this one included. */
+  watchedLoad (server: number): ServerLoad {
+    return this.watchedServers.sumOf(server, '', this.options.clock.now())
+  }
+
   stop (): void {
     this.cancelPoll()
   }
@@ -102,7 +118,7 @@
     const now = this.options.clock.now()
     switch (message.kind) {
       case DatagramKind.ServerLoadReport: this.applyReport(message, now); break
-      case DatagramKind.LoadRequest: this.answer(message, now); break
+      case DatagramKind.LoadRequest: this.answer(message); break
       case DatagramKind.LoadResponse: this.queries.handleResponse(message); break
     }
   }
@@ -144,23 +160,27 @@
   }
 
   /** A watcher that missed reports does not answer, rather than answer too little; the other watcher is queried instead. */
-  private answer (request: LoadRequest, now: number): void {
-    if (now >= this.completeAt) {
+  private answer (request: LoadRequest): void {
+    if (this.isComplete) {
       const { address, number } = request
       this.options.send(address, { kind: DatagramKind.LoadResponse, address: this.options.address, number, ...this.answerTo(request, address) })
     }
   }
 
-  private answerTo ({ servers, levels }: WatcherRequest | LoadRequest, requester: string): WatcherReport {
+  private answerTo ({ servers, levels, priority }: WatcherRequest | LoadRequest, requester: string): WatcherReport {
     const now = this.options.clock.now()
     return {
-      loads: servers.map(server => ({ server, ...this.watchedServers.sumOf(server, requester, now) })),
+      loads: servers.map(server => this.withQueue({ server, ...this.watchedServers.sumOf(server, requester, now) }, priority)),
       unreachable: servers.filter(server => this.watchedServers.isUnreachable(server, now)),
       saved: levels.filter(level => this.watchedServers.saved.isSavedRecently(level, now)),
       backingOff: servers.filter(server => this.watchedServers.isBackingOff(server, now))
     }
   }
 
+  private withQueue (load: ServerLoadEntry, priority: number | undefined): ServerLoadEntry {
+    return priority === undefined ? load : { ...load, tokens: load.tokens + this.options.queuedTokens(load.server, priority) }
+  }
+
   private applyWatcherReport ({ loads, unreachable, saved, backingOff }: WatcherReport): void {
     const { fleetLoad, onUnreachable, onBackingOff, onSaved } = this.options
     loads.forEach(({ server, ...load }) => fleetLoad.setWatchedLoad(server, load))
@@ -197,7 +217,8 @@
     const [primary = ''] = watchers
     const at = isForAll ? now : this.reported.get(server)?.at ?? now
     this.reported.set(server, { outstanding, tokens, heldTokens, at })
-    for (const watcher of isForAll || outstanding === 0 ? watchers : [primary]) {
+    // While the first watcher does not answer, the second decides in its place and needs every change.
+    for (const watcher of isForAll || outstanding === 0 || this.queries.isUnresponsive(primary) ? watchers : [primary]) {
       reports.set(watcher, [...reports.get(watcher) ?? [], { server, outstanding, tokens, heldTokens }])
     }
     if (outstanding === 0) {
@@ -206,7 +227,9 @@
   }
 
   private applyReport ({ address, loads, unreachable, saved, backingOff }: ServerLoadReport, now: number): void {
+    const before = loads.map(({ server }) => this.watchedServers.outstandingOf(server, address))
     this.watchedServers.recordLoads(address, loads, now)
+    loads.forEach(({ server, outstanding }, index) => this.options.onReported(server, address, outstanding - (before[index] ?? 0)))
     this.watchedServers.recordUnreachable(address, unreachable, now)
     this.watchedServers.saved.recordAnnounced(saved, now)
     this.watchedServers.recordBackingOff(backingOff, now)
--- a/packages/foxtaillever-relay/src/peers/loadQueryClient.ts
+++ b/packages/foxtaillever-relay/src/peers/loadQueryClient.ts
@@ -24,12 +24,15 @@
   readonly servers: readonly number[]
   /** The deepest shared level of the prompt, if levels are saved. */
   readonly level?: LevelAtHome | undefined
+  /** Counts the tokens queued for admission at this priority or a more urgent one; undefined for none of them. */
+  readonly priority?: number | undefined
 }
 
 /** The part of a query that goes to one watcher. */
 export interface WatcherRequest {
   readonly servers: number[]
   readonly levels: number[]
+  readonly priority?: number | undefined
 }
 
 /** What a watcher knows about servers and levels. */
@@ -72,9 +75,9 @@
    * Resolves when every watcher has answered or timed out; never rejects.
    * @returns hashes of the servers whose load was queried.
    */
-  async query ({ servers, level }: LoadQuery): Promise<ReadonlySet<number>> {
+  async query ({ servers, level, priority }: LoadQuery): Promise<ReadonlySet<number>> {
     const queried = new Set(level === undefined ? servers : [...servers, level.home])
-    const requests = this.plan(queried, level)
+    const requests = this.plan(queried, level, priority)
     const { address, answerLocally, onReport } = this.options
     const own = requests.get(address)
     if (own) {
@@ -98,13 +101,18 @@
     }
   }
 
+  /** Whether the instance is skipped because it did not answer. */
+  isUnresponsive (address: string): boolean {
+    return this.unresponsive.has(address)
+  }
+
   /** Requests by the address of the watcher that gets them. */
-  private plan (servers: ReadonlySet<number>, level: LevelAtHome | undefined): Map<string, WatcherRequest> {
+  private plan (servers: ReadonlySet<number>, level: LevelAtHome | undefined, priority: number | undefined): Map<string, WatcherRequest> {
     const requests = new Map<string, WatcherRequest>()
     for (const server of servers) {
       const watcher = this.options.watchersOf(server).find(address => !this.isSkipped(address))
       if (watcher !== undefined) {
-        const request = requests.get(watcher) ?? { servers: [], levels: [] }
+        const request = requests.get(watcher) ?? { servers: [], levels: [], priority }
         request.servers.push(server)
         if (server === level?.home) {
           request.levels.push(level.level)
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -13,6 +13,7 @@
 import { DatagramKind, unpackDatagram } from './datagram.js'
 import { encodeLoadMessage, readLoadMessage, type LoadMessage } from './loadMessage.js'
 import { encodeLimitMessage, readLimitMessage, type LimitMessage } from '../limits/limitMessage.js'
+import { encodeAdmissionMessage, readAdmissionMessage, type AdmissionMessage } from '../admission/admissionMessage.js'
 import { encodePeerMessage, readPeerMessage, type PeerMessage } from './peerMessage.js'
 import { encodeReadNotice, readReadNotice, type ReadNotice } from './readNotice.js'
 import type { FenceLog } from '../weights/fenceLog.js'
@@ -47,6 +48,7 @@
   readonly onLoad: (message: LoadMessage) => void
   readonly onWeights: (notice: WeightsNotice) => void
   readonly onLimit: (message: LimitMessage) => void
+  readonly onAdmission: (message: AdmissionMessage) => void
   /** Returns what this instance knows of a topic from an offset on. */
   readonly recordsFrom: (topic: AnnouncedTopic, from: number) => AnnouncedRecords
   /** Handles a call of another instance that uses the lease's log through this one. */
@@ -64,9 +66,10 @@
   private readonly receiveHeartbeat: Receiver
 
   private constructor (private readonly options: PeerLinkOptions) {
-    const { onMessage, onNotice, onLoad, onWeights, onLimit } = options
+    const { onMessage, onNotice, onLoad, onWeights, onLimit, onAdmission } = options
     const receiveLoad: Receiver = wire => { readLoadMessage(wire).ifJust(onLoad) }
     const receiveLimit: Receiver = wire => { readLimitMessage(wire).ifJust(onLimit) }
+    const receiveAdmission: Receiver = wire => { readAdmissionMessage(wire).ifJust(onAdmission) }
     this.receiveHeartbeat = wire => { readPeerMessage(wire).ifJust(onMessage) }
     this.receivers = {
       [DatagramKind.ServerLoadReport]: receiveLoad,
@@ -78,7 +81,10 @@
       [DatagramKind.LimitResponse]: receiveLimit,
       [DatagramKind.LimitRefund]: receiveLimit,
       [DatagramKind.LimitRenewal]: receiveLimit,
-      [DatagramKind.LimitPromise]: receiveLimit
+      [DatagramKind.LimitPromise]: receiveLimit,
+      [DatagramKind.AdmissionRequest]: receiveAdmission,
+      [DatagramKind.AdmissionResponse]: receiveAdmission,
+      [DatagramKind.AdmissionCancel]: receiveAdmission
     }
     this.datagrams = UdpDatagrams.create(`${options.host}:${options.port}`)
     this.server = createServer((request, response) => {
@@ -142,6 +148,10 @@
     this.datagrams.send(address, encodeLimitMessage(message))
   }
 
+  sendAdmission (address: string, message: AdmissionMessage): void {
+    this.datagrams.send(address, encodeAdmissionMessage(message))
+  }
+
   sendWeights (addresses: readonly string[], notice: WeightsNotice): void {
     const bytes = encodeWeightsNotice(notice)
     addresses.forEach(address => this.datagrams.send(address, bytes))
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -6,6 +6,7 @@
  */
 import { hashNumber, type Cancellation, type Clock, type Random } from 'foxtaillever-core'
 import { ComputedWatchers } from 'foxtaillever-policy/relay/computedWatchers'
+import { AdmissionProtocol, type AdmissionProtocolOptions } from '../admission/admissionProtocol.js'
 import { PeerLink, type PeerLinkOptions, type AnnouncedRecords } from './peerLink.js'
 import { FleetLoad } from './fleetLoad.js'
 import { LoadProtocol } from './loadProtocol.js'
@@ -92,6 +93,7 @@
   readonly onWeights: PeerLinkOptions['onWeights']
   readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
   readonly onLimit: PeerLinkOptions['onLimit']
+  readonly admission: Pick<AdmissionProtocolOptions, 'roomOf' | 'onDecided' | 'onUnresponsive'>
 }
 
 export class Peers {
@@ -99,6 +101,7 @@
   readonly fleetLoad: FleetLoad
   readonly link: PeerLink
   readonly loadProtocol: LoadProtocol
+  readonly admission: AdmissionProtocol
   readonly address: string
   /** Determines which instances sum up a server's load, and which check a store of cached levels. */
   readonly watchers = ComputedWatchers.create()
@@ -115,17 +118,20 @@
   private cancelSend: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive } = options
+    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive, admission } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.limitOwners = LimitOwners.create(this.options.processStartedAt)
     this.rounds = HeartbeatRounds.create(options.random)
     this.fleetLoad = FleetLoad.create(clock)
     this.link = PeerLink.create({
-      clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message)
+      clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
     })
     this.loadProtocol = LoadProtocol.create({
-      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server)
+      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (server, priority) => this.admission.queuedTokens(server, priority)
+    })
+    this.admission = AdmissionProtocol.create({
+      ...admission, clock, address: this.address, watchersOf: server => this.watchers.of(server), isComplete: () => this.loadProtocol.isComplete, loadOf: server => this.loadProtocol.watchedLoad(server), send: (address, message) => this.link.sendAdmission(address, message)
     })
   }
 
@@ -142,6 +148,7 @@
     this.cancelHeartbeat()
     this.cancelSend()
     this.loadProtocol.stop()
+    this.admission.stop()
     await this.link.close()
   }
 
--- a/packages/foxtaillever-relay/src/peers/watchedServerTable.ts
+++ b/packages/foxtaillever-relay/src/peers/watchedServerTable.ts
@@ -49,6 +49,11 @@
     }
   }
 
+  /** Requests at the server that the instance reported last. */
+  outstandingOf (server: number, reporter: string): number {
+    return this.loads.get(server)?.get(reporter)?.outstanding ?? 0
+  }
+
   recordUnreachable (reporter: string, servers: readonly number[], now: number): void {
     if (servers.length > 0) {
       this.removeExpiredReports(now)
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,6 +1,7 @@
 /** One instance of the relay. Takes requests from callers, sends them to backend servers, and follows the platform's store. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
+import { createAdmissionOptions } from './admission/createAdmissionOptions.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
 import { CrashSuspects } from './exchange/crashSuspects.js'
@@ -177,10 +178,8 @@
   }
 
   private createState (): RelayState {
-    const { name, clock } = this.options
-    const { directory, runs } = this.dispatcher
-    const parts = { routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.storeReplica, lease: () => this.orderCoordinator.lease }
-    return RelayState.create({ name, clock, directory, ...parts, open: () => runs.size, isReady: () => this.isReady() })
+    const { options: { name, clock }, dispatcher: { directory, runs } } = this
+    return RelayState.create({ name, clock, directory, routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.storeReplica, lease: () => this.orderCoordinator.lease, open: () => runs.size, isReady: () => this.isReady() })
   }
 
   private createPeers (): Peers {
@@ -205,6 +204,7 @@
       onWeights: notice => applyWeightsNotice(this.orderCoordinator, notice),
       onLeaseCall: (request, search, response) => this.proxyLeaseCall(request, search, response),
       onLimit: message => this.limits[message.scope].receive(message),
+      admission: createAdmissionOptions({ log: this.log, directory: this.dispatcher.directory, routing: () => this.table?.routing }),
       isLeaving: () => this.isLeaving,
       processStartedAt: clock.now() - process.uptime() * 1000
     })
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -8,6 +8,8 @@
 import type { ExpectedStart } from 'foxtaillever-policy/relay/yieldPriority'
 import { Metrics, Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
+import { AdmissionOutcome } from '../admission/admissionMessage.js'
+import type { AdmissionResult } from '../admission/admissionProtocol.js'
 import { LimitScope } from '../limits/limitMessage.js'
 import type { LimitResult } from '../limits/limitProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
@@ -100,6 +102,29 @@
     })
   }
 
+  /** A request of this instance was queued for the first time, or decided. */
+  admissionDecided (outcome: AdmissionOutcome, waitedMs: number): void {
+    this.metrics.count('admissions_total', { outcome: AdmissionOutcome[outcome] })
+    if (outcome !== AdmissionOutcome.Queued) {
+      this.metrics.observe('admission_wait_ms', { outcome: AdmissionOutcome[outcome] }, waitedMs)
+    }
+  }
+
+  /** Called once for each request, however often it is renewed. */
+  admissionQueued ({ id: request, account }: Exchange, server: string, { decidedBy, backlogMs }: AdmissionResult): void {
+    this.logs.write('info', Part.Requests, 'Waits for admission at a backend server.', { request, account: account?.name, server, backlogMs: Math.round(backlogMs), decidedBy })
+  }
+
+  /** @param requestedAt when the request first asked for admission, milliseconds of Unix time. */
+  admittedAfterWaiting ({ id: request, account }: Exchange, server: string, { decidedBy, backlogMs }: AdmissionResult, requestedAt: number, now: number): void {
+    this.logs.write('info', Part.Requests, 'Admitted at a backend server after waiting.', { request, account: account?.name, server, waitedMs: Math.round(now - requestedAt), backlogMs: Math.round(backlogMs), decidedBy })
+  }
+
+  /** @param requestedAt when the request first asked for admission, milliseconds of Unix time. */
+  admissionRejected ({ id: request, account }: Exchange, server: string, { decidedBy, backlogMs, retryAt }: AdmissionResult, requestedAt: number, now: number): void {
+    this.logs.writeFailure(Part.Requests, 'Rejected: a backend server has no room before the latest start.', { request, account: account?.name, server, waitedMs: Math.round(now - requestedAt), backlogMs: Math.round(backlogMs), retryMs: Math.round(retryAt - now), decidedBy })
+  }
+
   leavingStated (server: string, request: string | undefined, isNew: boolean): void {
     this.metrics.count('server_statements_total', { kind: 'leaving' })
     if (isNew) {
--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -92,6 +92,7 @@
     metrics.gauge('open_requests', open)
     metrics.gauge('configuration_revision', () => routing()?.revision ?? -1)
     metrics.gauge('known_servers', () => directory.all().length)
+    metrics.gauge('admission_queue', () => peers().admission.queueSize)
     metrics.gauge('known_instances', () => peers().count())
     metrics.gauge('prefill_tokens_per_ms', () => Math.round([...directory.observations.prefillSpeeds.values()].at(0)?.tokensPerMs ?? 0))
     metrics.gauge('store_answers', () => Number(knowledge().hasStore))
