--- a/packages/foxtaillever-policy/src/order/classQueue.ts
+++ b/packages/foxtaillever-policy/src/order/classQueue.ts
@@ -11,8 +11,13 @@
 /** The part of a job that its turn depends on. */
 export interface FairJob extends Pick<WaitingJob, 'cost' | 'weight' | 'attempts' | 'gone' | 'turn' | 'sequence'> {
   readonly job: { readonly account: string }
+  /** Position of an earlier attempt, which this one keeps; its account is charged as for a new job. */
+  readonly place?: FairPlace
 }
 
+/** Position in the fair order. */
+export type FairPlace = Readonly<Pick<WaitingJob, 'turn' | 'sequence'>>
+
 interface AccountQueue<Job extends FairJob> {
   /** Turn of the account's next job. */
   nextTurn: number
@@ -30,11 +35,16 @@
 /** Entries of jobs that are gone which a heap may hold before it is cleaned. */
 const MAX_GONE_ENTRIES = 64
 
+/** Entries of accounts without waiting jobs that are kept before those whose charge is worked off are removed. */
+const MAX_IDLE_ACCOUNTS = 64
+
 export class ClassQueue<Job extends FairJob = WaitingJob> {
   private readonly jobsByTurn = Heap.create<Job>((a, b) => a.turn < b.turn || (a.turn === b.turn && a.sequence < b.sequence))
   private readonly accounts = new Map<string, AccountQueue<Job>>()
   private virtualTime = 0
   private sequence = 0
+  /** Number of accounts at which idle ones are removed; doubles the remaining ones, so that each removal is paid for by as many additions. */
+  private accountsToPrune = MAX_IDLE_ACCOUNTS
   /** Waiting jobs. */
   size = 0
   /** Cost of the waiting jobs, milliseconds of a server's slot. */
@@ -51,10 +61,11 @@
   add (entry: Job): void {
     const account = this.accountOf(entry)
     const isRetry = entry.attempts > 0
-    entry.turn = isRetry ? this.virtualTime : Math.max(this.virtualTime, account.nextTurn)
-    entry.sequence = this.sequence++
+    const turn = Math.max(this.virtualTime, account.nextTurn)
+    entry.turn = isRetry ? this.virtualTime : Math.min(turn, entry.place?.turn ?? turn)
+    entry.sequence = entry.place?.sequence ?? this.sequence++
     if (!isRetry) {
-      account.nextTurn = entry.turn + entry.cost / entry.weight
+      account.nextTurn = turn + entry.cost / entry.weight
     }
     this.activeWeight += account.waiting === 0 ? entry.weight : 0
     this.updateCounts(account, entry, 1)
@@ -142,6 +153,7 @@
     if (known) {
       return known
     }
+    this.pruneIdleAccounts()
     const account: AccountQueue<Job> = { nextTurn: this.virtualTime, waiting: 0, work: 0, weight, jobs: [] }
     this.accounts.set(job.account, account)
     return account
@@ -154,6 +166,17 @@
     }
   }
 
+  /** The charge of an account's last job is worked off only after the account was last touched. */
+  private pruneIdleAccounts (): void {
+    if (this.accounts.size < this.accountsToPrune) {
+      return
+    }
+    for (const [name, account] of this.accounts) {
+      this.pruneAccount(name, account)
+    }
+    this.accountsToPrune = 2 * this.accounts.size + MAX_IDLE_ACCOUNTS
+  }
+
   private dropGoneJobs (): void {
     while (this.jobsByTurn.peek()?.gone) {
       this.jobsByTurn.pop()
--- a/packages/foxtaillever-policy/src/relay/admissionQueue.ts
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -12,8 +12,7 @@
  * can go first, and a request that cannot begin before its deadline is rejected while
  * its caller can still use the time.
  */
-import { RecentMap } from '../collections/recentMap.js'
-import { ClassQueue, type FairJob } from '../order/classQueue.js'
+import { ClassQueue, type FairJob, type FairPlace } from '../order/classQueue.js'
 import { LEAST_URGENT_PRIORITY, yieldPriority } from './yieldPriority.js'
 
 export interface AdmissionEntry {
@@ -29,7 +28,7 @@
   readonly heldTokens: number
   /** 0 is the most urgent. */
   readonly priority: number
-  /** Until when its first event is on time, milliseconds of Unix time. */
+  /** Until when its first event may be expected for it to be on time (FEASIBLE_SHARE of the objective), milliseconds of Unix time. */
   readonly objectiveAt: number
   /** From then on it cannot begin in time for its deadline, milliseconds of Unix time. */
   readonly latestStartAt: number
@@ -67,11 +66,22 @@
 
 interface QueuedEntry extends FairJob {
   readonly job: AdmissionEntry
+  /** Rank of its priority. */
+  readonly firstRank: number
+  /** Position in the class of its first rank. */
+  readonly firstPlace?: FairPlace
   /** Class of the queue; rises when the request can no longer be on time. */
   rank: number
   expiresAt: number
 }
 
+/** A rejected request, whose retry gets the same place. */
+interface RejectedPlace extends FairPlace {
+  readonly fingerprint: number
+  readonly rank: number
+  readonly until: number
+}
+
 /** Share of the read-ahead below which an idle queue needs no decision of the owner. */
 const NEARLY_IDLE_SHARE = 0.5
 
@@ -96,10 +106,10 @@
 export class AdmissionQueue {
   private readonly ranks = Array.from({ length: LEAST_URGENT_PRIORITY + 1 }, () => ClassQueue.create<QueuedEntry>())
   private readonly entries = new Map<string, QueuedEntry>()
-  /** When requests were rejected, by their fingerprint. */
-  private readonly rejectedAt = RecentMap.create<number>(MAX_REMEMBERED)
-  /** The retry time given last, plus the reading time of its request, milliseconds of Unix time. */
-  private nextRetryAt = 0
+  /** Places of rejected requests that have not returned, the oldest first. */
+  private readonly rejectedPlaces: RejectedPlace[] = []
+  /** For each rank, the retry time given last plus the reading time of its request, milliseconds of Unix time. */
+  private readonly nextRetryAt = new Array<number>(LEAST_URGENT_PRIORITY + 1).fill(0)
 
   private constructor () {}
 
@@ -122,9 +132,10 @@
       known.expiresAt = entry.expiresAt
       return
     }
-    const isReturning = (this.rejectedAt.peek(String(entry.fingerprint)) ?? -Infinity) + REMEMBERED_MS > now
     const rank = Math.min(LEAST_URGENT_PRIORITY, Math.max(0, Math.round(entry.priority)))
-    this.insert({ job: entry, cost: entry.tokens, weight: 1, attempts: isReturning ? 1 : 0, gone: false, turn: 0, sequence: 0, rank, expiresAt: entry.expiresAt })
+    const place = this.takePlace(entry.fingerprint, rank, now)
+    const queued = { job: entry, cost: entry.tokens, weight: 1, attempts: 0, gone: false, turn: 0, sequence: 0, rank, firstRank: rank, expiresAt: entry.expiresAt }
+    this.insert(place ? { ...queued, place } : queued)
   }
 
   remove (key: string): void {
@@ -149,11 +160,15 @@
 
   /** When to decide again without a new report, milliseconds of Unix time; Infinity while empty. */
   nextDecisionAt ({ backlogTokens, tokensPerMs, readAheadMs }: ServerRoom, now: number): number {
-    if (this.size === 0) {
-      return Infinity
+    const waitMs = backlogTokens / tokensPerMs
+    let at = Infinity
+    for (const { job, expiresAt } of this.entries.values()) {
+      // On a server that has stopped, the expected start moves away from here on.
+      at = Math.min(at, expiresAt, job.latestStartAt - waitMs)
     }
-    const latestStartAt = Math.min(...[...this.entries.values()].map(({ job }) => job.latestStartAt))
-    return Math.max(now + MIN_INTERVAL_MS, Math.min(now + backlogTokens / tokensPerMs - readAheadMs, latestStartAt))
+    // Below the read-ahead, the next entry waits for a slot or for memory: a report shows when there is one.
+    const readAt = this.size > 0 && waitMs >= readAheadMs ? now + waitMs - readAheadMs : Infinity
+    return Math.max(now + MIN_INTERVAL_MS, Math.min(at, readAt))
   }
 
   private classOf ({ rank }: Pick<QueuedEntry, 'rank'>): ClassQueue<QueuedEntry> {
@@ -178,33 +193,57 @@
     const rejected: RejectedEntry[] = []
     let tokensBefore = backlogTokens
     for (let rank = 0; rank <= LEAST_URGENT_PRIORITY; rank += 1) {
+      const hopeless: QueuedEntry[] = []
       for (const queued of this.inOrder(rank)) {
-        const { job } = queued
+        const { job, firstRank } = queued
         const startAt = now + tokensBefore / tokensPerMs
-        const readMs = job.tokens / tokensPerMs
         if (startAt > job.latestStartAt) {
-          rejected.push({ entry: job, retryAt: this.spreadRetry(startAt, readMs) })
-          this.rejectedAt.set(String(job.fingerprint), now)
-          this.remove(job.key)
-        } else if (startAt + readMs > job.objectiveAt && rank < yieldPriority(job.priority)) {
-          this.remove(job.key)
-          this.insert({ ...queued, gone: false, rank: yieldPriority(job.priority) })
+          hopeless.push(queued)
+        } else if (startAt + job.tokens / tokensPerMs > job.objectiveAt && rank < yieldPriority(firstRank)) {
+          this.lowerRank(queued)
         } else {
           tokensBefore += job.tokens
         }
       }
+      // A retry waits for the whole queue of the rank, not only for what was before the rejected request.
+      const emptyAt = now + tokensBefore / tokensPerMs
+      rejected.push(...hopeless.map(queued => this.reject(queued, emptyAt, tokensPerMs, now)))
     }
     return rejected
   }
 
+  private lowerRank (queued: QueuedEntry): void {
+    const { job, turn, sequence, firstRank, firstPlace, place, ...rest } = queued
+    this.remove(job.key)
+    this.insert({ ...rest, job, turn, sequence, firstRank, firstPlace: firstPlace ?? { turn, sequence }, gone: false, rank: yieldPriority(firstRank) })
+  }
+
+  private reject (queued: QueuedEntry, emptyAt: number, tokensPerMs: number, now: number): RejectedEntry {
+    const { job, rank, firstRank, firstPlace = queued } = queued
+    this.remove(job.key)
+    const retryAt = this.spreadRetry(rank, emptyAt, job.tokens / tokensPerMs)
+    const { turn, sequence } = firstPlace
+    this.rejectedPlaces.push({ fingerprint: job.fingerprint, rank: firstRank, turn, sequence, until: now + REMEMBERED_MS })
+    if (this.rejectedPlaces.length > MAX_REMEMBERED) {
+      this.rejectedPlaces.shift()
+    }
+    return { entry: job, retryAt }
+  }
+
+  /** The place of a rejected request with this fingerprint, for one retry: otherwise an account with many equal requests would keep a place that is long past. */
+  private takePlace (fingerprint: number, rank: number, now: number): FairPlace | undefined {
+    const index = this.rejectedPlaces.findIndex(place => place.fingerprint === fingerprint && place.rank === rank && place.until > now)
+    return index < 0 ? undefined : this.rejectedPlaces.splice(index, 1)[0]
+  }
+
   private inOrder (rank: number): QueuedEntry[] {
     return [...this.entries.values()].filter(queued => queued.rank === rank).sort((a, b) => a.turn - b.turn || a.sequence - b.sequence)
   }
 
-  /** Spaces retry times by the reading time of each request, so that callers do not return together. */
-  private spreadRetry (startAt: number, readMs: number): number {
-    const retryAt = Math.max(startAt, this.nextRetryAt)
-    this.nextRetryAt = retryAt + readMs
+  /** Spaces retry times by the reading time of each request, so that callers do not return together; those of more urgent ranks come before. */
+  private spreadRetry (rank: number, emptyAt: number, readMs: number): number {
+    const retryAt = Math.max(emptyAt, ...this.nextRetryAt.slice(0, rank + 1))
+    this.nextRetryAt[rank] = retryAt + readMs
     return retryAt
   }
 
