--- a/packages/foxtaillever-policy/src/order/classQueue.ts
+++ b/packages/foxtaillever-policy/src/order/classQueue.ts
@@ -171,6 +171,10 @@
     if (this.accounts.size < this.accountsToPrune) {
       return
     }
+    if (this.size === 0) {
+      // Without waiting jobs the virtual time does not advance, and no charge would ever be worked off.
+      this.virtualTime = Math.max(this.virtualTime, ...[...this.accounts.values()].map(({ nextTurn }) => nextTurn))
+    }
     for (const [name, account] of this.accounts) {
       this.pruneAccount(name, account)
     }
