--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -13,6 +13,8 @@
 import type { ExchangeContext } from '../exchange/exchangeContext.js'
 import { ExchangeRuns } from '../exchange/exchangeRuns.js'
 import { LimitStatementKind, noLimit } from '../model/limitStatement.js'
+import { noAdmissionProtocol } from '../admission/admissionProtocol.js'
+import type { AdmissionContext } from '../admission/requestAdmission.js'
 import { noSharedLimits } from '../limits/limitProtocol.js'
 import { ServerLimits } from '../limits/serverLimits.js'
 import { ServerState } from '../model/listedServer.js'
@@ -94,6 +96,8 @@
   quota = noQuotas
   /** Decides on requests under the limits that servers stated. */
   limitProtocol = noSharedLimits
+  /** Decides on admission at servers. */
+  admission: AdmissionContext = { claims: { claimFor: () => undefined, queuePriorityOf: () => undefined }, protocol: noAdmissionProtocol }
   private readonly callers: CallerServer
   readonly limits: ServerLimits
   private readonly statements: ServerStatementHandler
@@ -122,6 +126,10 @@
         refund: exchange => this.quota.refund(exchange)
       },
       limits: this.limits,
+      admission: {
+        claims: { claimFor: (exchange, server) => this.admission.claims.claimFor(exchange, server), queuePriorityOf: () => undefined },
+        protocol: { request: (claim, onResult) => this.admission.protocol.request(claim, onResult) }
+      },
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
       log,
       routing: () => routing,
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -15,6 +15,7 @@
 import { ExchangeDispatcher } from '../exchange/exchangeDispatcher.js'
 import { ServerState } from '../model/listedServer.js'
 import { noQuotas } from '../limits/accountQuotas.js'
+import { noAdmissionProtocol } from '../admission/admissionProtocol.js'
 import { noSharedLimits } from '../limits/limitProtocol.js'
 import { RelayLog } from '../telemetry/relayLog.js'
 
@@ -45,6 +46,7 @@
     onUnreachable: () => {},
     onBackoffRequested: () => {},
     limitProtocol: () => noSharedLimits,
+    admissionProtocol: () => noAdmissionProtocol,
     onLimitChanged: () => {},
     onServerChanged: () => {},
     onMisdirected: () => {}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/admission/admissionClaims.ts
@@ -0,0 +1,75 @@
+/** Decides which requests ask the owner of their server's queue for admission, and with which claim. */
+import { hashNumber, type Clock } from 'foxtaillever-core'
+import { isNearlyIdle } from 'foxtaillever-policy/relay/admissionQueue'
+import { priorityOf } from '../attempts/planTerms.js'
+import { heldTokensOf, type Exchange, type Prompt } from '../model/exchange.js'
+import type { FleetLoad } from '../peers/fleetLoad.js'
+import type { KnownServer } from '../servers/knownServer.js'
+import type { AdmissionClaim } from './admissionProtocol.js'
+import type { ServerCapacity } from './serverAdmissions.js'
+
+/**
+ * Minimum share of the objective that reading the whole prompt must take. A shorter
+ * prompt delays the others by some milliseconds, and a round trip to the owner would
+ * delay it by as much.
+ */
+const MIN_READ_SHARE = 0.1
+
+export interface AdmissionClaimsOptions {
+  readonly clock: Clock
+  readonly fleetLoad: Pick<FleetLoad, 'of'>
+  /** Undefined for a server that takes no requests. */
+  readonly capacityOf: (server: number) => ServerCapacity | undefined
+  /** Prompt tokens of the request that the server has not cached. */
+  readonly missingTokensAt: (exchange: Exchange, server: KnownServer) => number
+}
+
+/** Equal for a request and its retry, which has an id of its own: the last level belongs to the request or its session. */
+function fingerprintOf ({ account }: Exchange, { levels, promptTokens }: Prompt): number {
+  return hashNumber(`${account?.name ?? ''}/${levels.at(-1)?.id ?? ''}/${promptTokens}`)
+}
+
+export class AdmissionClaims {
+  private constructor (private readonly options: AdmissionClaimsOptions) {}
+
+  static create (options: AdmissionClaimsOptions): AdmissionClaims {
+    return new AdmissionClaims(options)
+  }
+
+  /** Priority at which requests like this one are queued; undefined for those that never are. */
+  queuePriorityOf (exchange: Exchange): number | undefined {
+    return exchange.route.awaitsAdmission && exchange.prompt !== undefined ? priorityOf(exchange) : undefined
+  }
+
+  /** The claim of a request at a server; undefined where it is sent without asking. */
+  claimFor (exchange: Exchange, server: KnownServer): AdmissionClaim | undefined {
+    const { clock, capacityOf, missingTokensAt } = this.options
+    const { route, prompt, account, arrivedAt, deadline } = exchange
+    const capacity = route.awaitsAdmission && prompt ? capacityOf(server.hash) : undefined
+    if (capacity === undefined || prompt === undefined || prompt.promptTokens < MIN_READ_SHARE * route.objectiveMs * capacity.tokensPerMs) {
+      return undefined
+    }
+    const tokens = missingTokensAt(exchange, server)
+    const heldTokens = heldTokensOf(exchange)
+    if (this.isNearlyIdle(server, capacity, heldTokens)) {
+      return undefined
+    }
+    const latestEnd = Math.min(deadline, arrivedAt + route.silenceLimitMs)
+    return {
+      server: server.hash,
+      tokens,
+      heldTokens,
+      priority: priorityOf(exchange),
+      account: account?.name ?? '',
+      fingerprint: fingerprintOf(exchange, prompt),
+      elapsedMs: clock.now() - arrivedAt,
+      objectiveMs: route.objectiveMs,
+      latestStartAt: latestEnd - tokens / capacity.tokensPerMs
+    }
+  }
+
+  private isNearlyIdle ({ hash, outstanding, unreadTokens, heldTokens }: KnownServer, capacity: ServerCapacity, addedTokens: number): boolean {
+    const others = this.options.fleetLoad.of(hash)
+    return isNearlyIdle({ ...capacity, outstanding: outstanding + others.outstanding, backlogTokens: unreadTokens + others.tokens, heldTokens: heldTokens + others.heldTokens }, addedTokens)
+  }
+}
--- a/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
@@ -71,6 +71,14 @@
   readonly onDecided: (outcome: AdmissionOutcome, waitedMs: number) => void
 }
 
+/** Decides on no request: each is sent as without admission. */
+export const noAdmissionProtocol: Pick<AdmissionProtocol, 'request'> = {
+  request: (_, onResult) => {
+    onResult({ outcome: AdmissionOutcome.NotOwner, decidedBy: '', retryAt: 0, backlogMs: 0 })
+    return { renew: () => {}, cancel: () => {} }
+  }
+}
+
 interface PendingRequest {
   readonly number: number
   readonly claim: AdmissionClaim
--- /dev/null
+++ b/packages/foxtaillever-relay/src/admission/requestAdmission.ts
@@ -0,0 +1,113 @@
+/**
+ * Waits for admission of one request at the backend server that was chosen for it.
+ * While it waits, its server is chosen again at each renewal, so that it leaves the
+ * queue of a server that fails, or takes the room of another.
+ */
+import type { Clock } from 'foxtaillever-core'
+import type { Exchange } from '../model/exchange.js'
+import type { KnownServer } from '../servers/knownServer.js'
+import type { RelayLog } from '../telemetry/relayLog.js'
+import type { AdmissionClaims } from './admissionClaims.js'
+import { AdmissionOutcome } from './admissionMessage.js'
+import type { AdmissionProtocol, AdmissionResult, PendingAdmission } from './admissionProtocol.js'
+
+export interface AdmissionContext {
+  readonly claims: Pick<AdmissionClaims, 'claimFor' | 'queuePriorityOf'>
+  readonly protocol: Pick<AdmissionProtocol, 'request'>
+}
+
+export interface RequestAdmissionOptions {
+  readonly admission: AdmissionContext
+  readonly clock: Clock
+  readonly log: Pick<RelayLog, 'admissionQueued' | 'admittedAfterWaiting' | 'admissionRejected'>
+  readonly exchange: Exchange
+  /** @param isAdmitted by the owner of the server's queue; false where no instance decided. */
+  readonly onAdmitted: (server: KnownServer, isAdmitted: boolean) => void
+  /** @param retryAt when there will be room, milliseconds of Unix time. */
+  readonly onRejected: (retryAt: number) => void
+  /** The request still waits; its server is to be chosen again. */
+  readonly onQueued: () => void
+}
+
+export class RequestAdmission {
+  private pending: PendingAdmission | undefined
+  private server: KnownServer | undefined
+  /** When the request first asked for admission, milliseconds of Unix time. */
+  private requestedAt: number | undefined
+  private isLogged = false
+
+  private constructor (private readonly options: RequestAdmissionOptions) {}
+
+  static create (options: RequestAdmissionOptions): RequestAdmission {
+    return new RequestAdmission(options)
+  }
+
+  /** Whether the request was queued and its server is to be chosen again. */
+  get isWaiting (): boolean {
+    return this.pending !== undefined
+  }
+
+  /** Asks for admission at the server; after `onQueued` it renews the claim there, or moves it. */
+  request (server: KnownServer): void {
+    const { admission, clock, exchange } = this.options
+    if (this.pending && this.server === server) {
+      this.pending.renew(result => this.handleResult(server, result))
+      return
+    }
+    this.cancel()
+    const claim = admission.claims.claimFor(exchange, server)
+    if (claim === undefined) {
+      this.options.onAdmitted(server, false)
+      return
+    }
+    this.requestedAt ??= clock.now()
+    this.server = server
+    let isDecided = false
+    const pending = admission.protocol.request(claim, result => {
+      isDecided = result.outcome !== AdmissionOutcome.Queued
+      this.handleResult(server, result)
+    })
+    // An owner that is this instance may have decided before the call returned.
+    this.pending = isDecided ? undefined : pending
+  }
+
+  /** Withdraws the request from the queue. */
+  cancel (): void {
+    this.pending?.cancel()
+    this.pending = undefined
+    this.server = undefined
+  }
+
+  private handleResult (server: KnownServer, result: AdmissionResult): void {
+    this.handlers[result.outcome](server, result)
+  }
+
+  private readonly handlers: Readonly<Record<AdmissionOutcome, (server: KnownServer, result: AdmissionResult) => void>> = {
+    [AdmissionOutcome.Admitted]: (server, result) => {
+      const { log, exchange, clock, onAdmitted } = this.options
+      if (this.isLogged) {
+        log.admittedAfterWaiting(exchange, server.listed.id, result, this.requestedAt ?? clock.now(), clock.now())
+      }
+      this.pending = undefined
+      onAdmitted(server, true)
+    },
+    [AdmissionOutcome.Queued]: (server, result) => {
+      const { log, exchange, onQueued } = this.options
+      if (!this.isLogged) {
+        this.isLogged = true
+        log.admissionQueued(exchange, server.listed.id, result)
+      }
+      onQueued()
+    },
+    [AdmissionOutcome.Rejected]: (server, result) => {
+      const { log, exchange, clock, onRejected } = this.options
+      log.admissionRejected(exchange, server.listed.id, result, this.requestedAt ?? clock.now(), clock.now())
+      this.pending = undefined
+      onRejected(result.retryAt)
+    },
+    [AdmissionOutcome.NotOwner]: server => {
+      this.pending = undefined
+      this.options.onAdmitted(server, false)
+    }
+  }
+}
--- a/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
+++ b/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
@@ -42,7 +42,7 @@
     const listed = listedEngine('e', '127.0.0.1:1', failureDomain)
     const levels = [{ id: 'root', tokens: 2520 }, { id: `subject ${subject}`, tokens: 3780 }, { id: `own ${request}`, tokens: OWN_TOKENS }]
     const exchange = createExchange(now, { prompt: { model: 'model', levels, promptTokens: 9190, outputTokens: 10 } })
-    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, stores: routing.cacheStores.filter(({ address }) => !this.silent.has(address)), savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, tokensBefore, tokensPerMs: 110, now })
+    return planTerms(exchange, { listed, weights: new Map([['model', 1]]) }, '', { routing, stores: routing.cacheStores.filter(({ address }) => !this.silent.has(address)), savedLevels: this.savedLevels, fetchLoad: this.fetchLoad, tokensBefore, tokensPerMs: 110, mayYield: true, now })
   }
 }
 
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -75,15 +75,22 @@
   readonly tokensBefore: number
   /** Prompt tokens that an engine of the service reads per millisecond. */
   readonly tokensPerMs: number
+  /** Whether the request goes behind those that can be on time if the queue makes it late. */
+  readonly mayYield: boolean
   /** Milliseconds of Unix time. */
   readonly now: number
 }
 
+/** Priority of a request, that of its client account if it has one; 0 is the most urgent. */
+export function priorityOf ({ account, route }: Exchange): number {
+  return Math.min(LEAST_URGENT_PRIORITY, account?.priority ?? route.priority ?? MIDDLE_PRIORITY)
+}
+
 export function planTerms (exchange: Exchange, server: Pick<KnownServer, 'listed' | 'weights'>, resumeAfter: string, inputs: TermsInputs): SendTerms {
-  const { account, route, deadline } = exchange
-  const priority = Math.min(LEAST_URGENT_PRIORITY, account?.priority ?? route.priority ?? MIDDLE_PRIORITY)
+  const { deadline } = exchange
+  const priority = priorityOf(exchange)
   const levels = planLevels(exchange, server, inputs)
-  const isYielding = exchange.prompt !== undefined && shouldYield(expectedStart(exchange, levels.unreadTokens, inputs))
+  const isYielding = exchange.prompt !== undefined && inputs.mayYield && shouldYield(expectedStart(exchange, levels.unreadTokens, inputs))
   return { ...levels, server: server.listed, deadline, resumeAfter, isYielding, priority: isYielding ? yieldPriority(priority) : priority }
 }
 
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -2,9 +2,11 @@
  * Finds the backend server for the next attempt of an exchange: queries the load
  * where that helps, chooses a server, and counts the attempt against the rate
  * limit that the server stated. A server at its limit is skipped for the next
- * best one.
+ * best one. Where the route asks for it, the attempt then waits for admission at the
+ * server; while it waits, the server is chosen again.
  */
 import { FailureCode } from 'foxtaillever-core'
+import { RequestAdmission } from '../admission/requestAdmission.js'
 import { LimitAdmission } from '../limits/serverLimits.js'
 import type { Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
@@ -19,7 +21,8 @@
   readonly ledger: AttemptLedger
   /** Whether the exchange has ended. */
   readonly isOver: () => boolean
-  readonly onPlaced: (server: KnownServer) => void
+  /** @param isAdmitted by the owner of the server's queue, which has counted what waits there. */
+  readonly onPlaced: (server: KnownServer, isAdmitted: boolean) => void
   /** @param retryAt when the caller may retry, milliseconds of Unix time; undefined where the code determines it. */
   readonly onFailed: (code: FailureCode, message: string, retryAt?: number) => void
 }
@@ -27,8 +30,26 @@
 export class AttemptPlacement {
   /** The server against whose rate limit the current attempt counts. */
   private countedServer: KnownServer | undefined
+  private readonly admission: RequestAdmission
 
-  private constructor (private readonly options: AttemptPlacementOptions) {}
+  private constructor (private readonly options: AttemptPlacementOptions) {
+    const { context: { admission, clock, log }, exchange, onPlaced } = options
+    this.admission = RequestAdmission.create({
+      admission,
+      clock,
+      log,
+      exchange,
+      onAdmitted: onPlaced,
+      onRejected: retryAt => {
+        this.releaseLimit()
+        this.fail(FailureCode.Overloaded, 'No backend server has room before the deadline.', retryAt)
+      },
+      onQueued: () => {
+        this.releaseLimit()
+        this.placeNext()
+      }
+    })
+  }
 
   static create (options: AttemptPlacementOptions): AttemptPlacement {
     return new AttemptPlacement(options)
@@ -43,6 +64,14 @@
     })
   }
 
+  /** Stops waiting, because the exchange has ended. */
+  stop (): void {
+    if (this.admission.isWaiting) {
+      this.releaseLimit()
+      this.admission.cancel()
+    }
+  }
+
   /** Stops counting an attempt that did not reach its server. */
   releaseLimit (): void {
     const server = this.countedServer
@@ -59,6 +88,7 @@
       context.limits.admit(server, exchange, admission => this.onAdmission(server, admission, queriedServers))
       return
     }
+    this.admission.cancel()
     const earliestRetryAt = context.earliestRetryAt(exchange.service)
     if (earliestRetryAt === undefined) {
       this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.')
@@ -68,17 +98,19 @@
   }
 
   private onAdmission (server: KnownServer, admission: LimitAdmission, queriedServers: QueriedServers | undefined): void {
-    const { context, exchange, ledger, isOver, onPlaced } = this.options
+    const { context, exchange, ledger, isOver } = this.options
+    // The retry was counted before the attempt was queued.
+    const isRetry = ledger.arrivals > 0 && !this.admission.isWaiting
     this.countedServer = admission === LimitAdmission.Counted ? server : undefined
     if (isOver()) {
       this.releaseLimit()
     } else if (admission === LimitAdmission.Refused) {
       this.selectServer(queriedServers)
-    } else if (ledger.arrivals > 0 && !context.retries.tryRetry(exchange.service, context.clock.now())) {
+    } else if (isRetry && !context.retries.tryRetry(exchange.service, context.clock.now())) {
       this.releaseLimit()
       this.fail(FailureCode.Overloaded, 'The retry budget is used up.')
     } else {
-      onPlaced(server)
+      this.admission.request(server)
     }
   }
 
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -1,6 +1,7 @@
 /** What all exchanges of an instance share: configuration, servers, limits and callbacks. */
 import type { Clock, Random } from 'foxtaillever-core'
 import type { RetryShare } from 'foxtaillever-policy/relay/retryShare'
+import type { AdmissionContext } from '../admission/requestAdmission.js'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
 import type { CacheStoreTracker } from '../cache/cacheStoreTracker.js'
 import type { Exchange } from '../model/exchange.js'
@@ -31,6 +32,8 @@
   readonly suspects: SuspectRegistry
   readonly quota: Pick<AccountQuotas, 'admit' | 'refund'>
   readonly limits: Pick<ServerLimits, 'admit' | 'refund'>
+  /** Admission at servers that are short of room. */
+  readonly admission: AdmissionContext
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -5,6 +5,9 @@
  */
 import type { Clock, Random } from 'foxtaillever-core'
 import { RetryShare, type RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
+import { AdmissionClaims } from '../admission/admissionClaims.js'
+import type { AdmissionContext } from '../admission/requestAdmission.js'
+import { ServerRooms } from '../admission/serverRooms.js'
 import { CacheStoreTracker, type CacheStoreTrackerOptions } from '../cache/cacheStoreTracker.js'
 import { estimateLevelFetch } from '../cache/estimateLevelFetch.js'
 import { savedLevelAt } from '../attempts/planTerms.js'
@@ -40,6 +43,8 @@
   readonly onBackoffRequested: (server: KnownServer) => void
   /** Decides on requests under the limits that servers stated. */
   readonly limitProtocol: ServerLimitsOptions['protocol']
+  /** Decides on admission at servers. */
+  readonly admissionProtocol: () => AdmissionContext['protocol']
   /** A server stated a limit that all instances must know now. */
   readonly onLimitChanged: () => void
   /** The state of a server has changed, or it is new. */
@@ -52,6 +57,8 @@
   readonly caches: CacheStoreTracker
   readonly runs: ExchangeRuns
   readonly limits: ServerLimits
+  /** What each server can take. */
+  readonly rooms: ServerRooms
   private readonly statements: ServerStatementHandler
 
   private readonly clock: Clock
@@ -82,6 +89,8 @@
       stores: () => this.caches.available(),
       estimateLevelFetch: exchange => estimateLevelFetch(exchange, requireRouting(options.routing()), this.caches, clock.now(), this.directory.observations.prefillSpeedOf(exchange.service).tokensPerMs)
     })
+    this.rooms = ServerRooms.create({ directory: this.directory, routing: options.routing })
+    const claims = AdmissionClaims.create({ clock, fleetLoad: options.fleetLoad, capacityOf: server => this.rooms.of(server), missingTokensAt: (exchange, server) => selector.missingTokensAt(exchange, server) })
     this.runs = ExchangeRuns.create({
       clock,
       random,
@@ -93,13 +102,14 @@
       suspects,
       quota,
       limits: this.limits,
+      admission: { claims, protocol: { request: (claim, onResult) => options.admissionProtocol().request(claim, onResult) } },
       log,
       routing: () => requireRouting(options.routing()),
       othersTokensAt: server => options.fleetLoad.of(server.hash).tokens,
       onLoadChanged,
       onSaved,
       onUnreachable,
-      queryLoad: (exchange, earlier) => exchange.prompt && queryLoad(() => ({ servers: selector.shortlist(exchange, earlier), level: this.levelAtHome(exchange, selector.homeServerOf(exchange)) })),
+      queryLoad: (exchange, earlier) => exchange.prompt && queryLoad(() => ({ servers: selector.shortlist(exchange, earlier), priority: claims.queuePriorityOf(exchange), level: this.levelAtHome(exchange, selector.homeServerOf(exchange)) })),
       earliestRetryAt: service => retrySchedules.nextRetryAt(service),
       selectServer: (exchange, earlier, queriedServers) => selector.selectServer(exchange, earlier, queriedServers),
       onMisdirected
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -55,7 +55,7 @@
       exchange,
       ledger: this.ledger,
       isOver: () => this.isOver,
-      onPlaced: server => this.send(server),
+      onPlaced: (server, isAdmitted) => this.send(server, isAdmitted),
       onFailed: (code, message, retryAt) => this.fail(code, message, retryAt)
     })
     this.relay = AnswerRelay.create(exchange, answer, {
@@ -75,8 +75,7 @@
 
   /** Places and sends the request, or refuses it at once. */
   begin (): void {
-    const { exchange, answer, context } = this
-    const { clock, retries, suspects } = context
+    const { exchange, answer, context, context: { clock, retries, suspects } } = this
     if (answer.isGone) {
       this.finish(ExchangeEnd.CallerGone, '')
       return
@@ -104,13 +103,13 @@
     }
   }
 
-  private send (server: KnownServer): void {
+  private send (server: KnownServer, isAdmitted: boolean): void {
     const { exchange, context, relay } = this
     const beganAt = this.now
     this.ledger.addAttempt(server.listed.id)
     this.head = undefined
     relay.reset()
-    const { terms, othersTokens } = planAttempt(context, exchange, server, relay.lastEventId)
+    const { terms, othersTokens } = planAttempt(context, exchange, server, { resumeAfter: relay.lastEventId, isAdmitted })
     const headers = context.wire.createHeaders(exchange, terms, beganAt)
     const attempt = beginAttempt(context, exchange, server, headers, beganAt, {
       onHead: head => this.onHead(head),
@@ -292,6 +291,7 @@
   private finish (end: ExchangeEnd, outcome: string, reason?: string): void {
     this.isOver = true
     this.cancelDeadline()
+    this.placement.stop()
     const { exchange, ledger, now } = this
     this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.attemptedServers, pace: this.pace.measureSince(exchange.arrivedAt), now, reason })
     this.returnQuota(end)
--- a/packages/foxtaillever-relay/src/exchange/planAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/planAttempt.ts
@@ -11,12 +11,20 @@
   readonly othersTokens: number
 }
 
-export function planAttempt (context: ExchangeContext, exchange: Exchange, server: KnownServer, resumeAfter: string): PlannedAttempt {
+/** What an attempt continues from. */
+export interface AttemptStart {
+  /** Id of the last event that the caller has received; empty for none. */
+  readonly resumeAfter: string
+  /** The owner of the server's queue admitted the request in its turn, so it does not yield. */
+  readonly isAdmitted: boolean
+}
+
+export function planAttempt (context: ExchangeContext, exchange: Exchange, server: KnownServer, { resumeAfter, isAdmitted }: AttemptStart): PlannedAttempt {
   const { clock, caches, directory, log, othersTokensAt, routing } = context
   const othersTokens = othersTokensAt(server)
   const { tokensPerMs } = directory.observations.prefillSpeedOf(exchange.service)
   const pace = { tokensBefore: server.unreadTokens + othersTokens, tokensPerMs, now: clock.now() }
-  const terms = planTerms(exchange, server, resumeAfter, { ...caches, ...pace, routing: routing(), stores: caches.available() })
+  const terms = planTerms(exchange, server, resumeAfter, { ...caches, ...pace, mayYield: !isAdmitted, routing: routing(), stores: caches.available() })
   if (terms.isYielding) {
     log.yields(exchange, server.listed.id, expectedStart(exchange, terms.unreadTokens, pace))
   }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -167,6 +167,7 @@
       queryLoad: createQuery => this.peers.loadProtocol.query(createQuery()),
       onSaved: level => this.peers.loadProtocol.reportSaved(level),
       limitProtocol: () => this.limits[LimitScope.Server],
+      admissionProtocol: () => this.peers.admission,
       onLimitChanged: () => this.peers.sendSoon(),
       onStoreRestarted: () => this.peers.loadProtocol.forgetSaved(),
       weights: { outdatedSince: (model, version) => this.orderCoordinator.rollout.outdatedSince(model, version) },
@@ -204,7 +205,7 @@
       onWeights: notice => applyWeightsNotice(this.orderCoordinator, notice),
       onLeaseCall: (request, search, response) => this.proxyLeaseCall(request, search, response),
       onLimit: message => this.limits[message.scope].receive(message),
-      admission: createAdmissionOptions({ log: this.log, directory: this.dispatcher.directory, routing: () => this.table?.routing }),
+      admission: createAdmissionOptions(this.log, this.dispatcher.rooms),
       isLeaving: () => this.isLeaving,
       processStartedAt: clock.now() - process.uptime() * 1000
     })
--- a/packages/foxtaillever-relay/src/servers/serverSelector.ts
+++ b/packages/foxtaillever-relay/src/servers/serverSelector.ts
@@ -99,6 +99,11 @@
     return this.rankServers(exchange, eligible, eligible).slice(0, SHORTLIST_SIZE).flatMap(({ id }) => this.options.directory.get(id)?.hash ?? [])
   }
 
+  /** Prompt tokens of the exchange that the server would have to read. */
+  missingTokensAt (exchange: Exchange, server: KnownServer): number {
+    return this.options.estimateLevelFetch(exchange).missingTokens(server)
+  }
+
   /** The home engine of the levels of the exchange's prompt, while it accepts requests. */
   homeServerOf (exchange: Exchange): KnownServer | undefined {
     const { clock, directory } = this.options
--- a/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
@@ -5,6 +5,7 @@
 import { noCacheStores } from 'foxtaillever-relay/cache/cacheStoreTracker'
 import { ExchangeDispatcher } from 'foxtaillever-relay/exchange/exchangeDispatcher'
 import type { SuspectRegistry } from 'foxtaillever-relay/exchange/exchangeContext'
+import { noAdmissionProtocol } from 'foxtaillever-relay/admission/admissionProtocol'
 import { noQuotas } from 'foxtaillever-relay/limits/accountQuotas'
 import { noSharedLimits } from 'foxtaillever-relay/limits/limitProtocol'
 import type { RelayLog } from 'foxtaillever-relay/telemetry/relayLog'
@@ -66,6 +67,7 @@
     weightsBoundMs: Infinity,
     routing: () => routingOf(configuration()),
     limitProtocol: () => noSharedLimits,
+    admissionProtocol: () => noAdmissionProtocol,
     onLimitChanged: () => {},
     onServerChanged: () => {},
     onMisdirected: () => {}
