No prompt passes those that are queued for admission at its server

While other requests are queued at the server that was chosen, short prompts ask for admission too; the load response says so.

--- a/packages/foxtaillever-relay/src/admission/admissionClaims.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionClaims.ts
@@ -36,24 +36,21 @@
     return new AdmissionClaims(options)
   }
 
-  /** Priority at which requests like this one are queued; undefined for those that never are. */
+  /** Priority at which a request is queued; undefined without a prompt. */
   queuePriorityOf (exchange: Exchange): number | undefined {
-    return exchange.route.awaitsAdmission && exchange.prompt !== undefined ? priorityOf(exchange) : undefined
+    return exchange.prompt && priorityOf(exchange)
   }
 
   /** The claim of a request at a server; undefined where it is sent without asking. */
   claimFor (exchange: Exchange, server: KnownServer): AdmissionClaim | undefined {
     const { clock, capacityOf, missingTokensAt } = this.options
     const { route, prompt, account, arrivedAt, deadline } = exchange
-    const capacity = route.awaitsAdmission && prompt ? capacityOf(server.hash) : undefined
-    if (capacity === undefined || prompt === undefined || prompt.promptTokens < MIN_READ_SHARE * route.objectiveMs * capacity.tokensPerMs) {
+    const capacity = prompt && capacityOf(server.hash)
+    if (capacity === undefined || prompt === undefined || !this.mustAsk(exchange, prompt, server, capacity)) {
       return undefined
     }
     const tokens = missingTokensAt(exchange, server)
     const heldTokens = heldTokensOf(exchange)
-    if (this.isNearlyIdle(server, capacity, heldTokens)) {
-      return undefined
-    }
     const latestEnd = Math.min(deadline, arrivedAt + route.silenceLimitMs)
     return {
       server: server.hash,
@@ -68,6 +65,13 @@
     }
   }
 
+  /** No prompt passes those that are queued; without a queue, only large prompts at a busy server ask. */
+  private mustAsk (exchange: Exchange, { promptTokens }: Prompt, server: KnownServer, capacity: ServerCapacity): boolean {
+    const { awaitsAdmission, objectiveMs } = exchange.route
+    const isLarge = promptTokens >= MIN_READ_SHARE * objectiveMs * capacity.tokensPerMs
+    return server.queuedUntil > this.options.clock.now() || (awaitsAdmission && isLarge && !this.isNearlyIdle(server, capacity, heldTokensOf(exchange)))
+  }
+
   private isNearlyIdle ({ hash, outstanding, unreadTokens, heldTokens }: KnownServer, capacity: ServerCapacity, addedTokens: number): boolean {
     const others = this.options.fleetLoad.of(hash)
     return isNearlyIdle({ ...capacity, outstanding: outstanding + others.outstanding, backlogTokens: unreadTokens + others.tokens, heldTokens: heldTokens + others.heldTokens }, addedTokens)
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -83,7 +83,7 @@
 
 function createProtocol (watchers: ComputedWatchers, address: string): LoadProtocol {
   return LoadProtocol.create({
-    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => [], isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
+    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => [], isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onQueued: () => {}, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
   })
 }
 
@@ -149,7 +149,7 @@
     watchers.setMembers([address, ...others])
     let outstanding = 0
     const protocol = LoadProtocol.create({
-      clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => servers.slice(0, IN_FLIGHT).map(server => createLoad(server, 1 + outstanding % 2)), isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
+      clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => servers.slice(0, IN_FLIGHT).map(server => createLoad(server, 1 + outstanding % 2)), isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onQueued: () => {}, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
     })
     return () => {
       outstanding += 1
--- a/packages/foxtaillever-relay/src/peers/__fixtures__/loadProtocolFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/loadProtocolFleet.ts
@@ -120,7 +120,7 @@
     const watchers = ComputedWatchers.create()
     watchers.setMembers([address, ...others])
     const protocol = LoadProtocol.create({
-      clock, address, fleetLoad, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), ownLoads: () => [...ownLoads.values()], isQueried: server => !this.unqueried.has(server), onSaved: levels => { levels.forEach(level => saved.add(level)) }, onUnreachable: server => { unreachable.add(server) }, onBackingOff: server => { backingOff.add(server) }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
+      clock, address, fleetLoad, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), ownLoads: () => [...ownLoads.values()], isQueried: server => !this.unqueried.has(server), onSaved: levels => { levels.forEach(level => saved.add(level)) }, onUnreachable: server => { unreachable.add(server) }, onBackingOff: server => { backingOff.add(server) }, onQueued: () => {}, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
     })
     return { address, protocol, fleetLoad, ownLoads, unreachable, backingOff, saved, bytes: 0, isCut: false, cancelHeartbeat: () => {} }
   }
--- a/packages/foxtaillever-relay/src/peers/loadMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -41,6 +41,8 @@
   readonly saved: readonly number[]
   /** The servers among these that recently asked any instance to back off. */
   readonly backingOff: readonly number[]
+  /** The servers among these at which requests are queued for admission. */
+  readonly queued: readonly number[]
 }
 
 export type LoadMessage = ServerLoadReport | LoadRequest | LoadResponse
@@ -56,14 +58,14 @@
   switch (kind) {
     case DatagramKind.ServerLoadReport: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff])
     case DatagramKind.LoadRequest: return packDatagram([kind, address, message.number, message.servers, message.levels, ...(message.priority === undefined ? [] : [message.priority])])
-    case DatagramKind.LoadResponse: return packDatagram([kind, address, message.number, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff])
+    case DatagramKind.LoadResponse: return packDatagram([kind, address, message.number, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff, ...(message.queued.length > 0 ? [message.queued] : [])])
   }
 }
 
 const readers: Readonly<Record<LoadMessageKind, (address: string, rest: readonly unknown[]) => LoadMessage>> = {
   [DatagramKind.ServerLoadReport]: (address, [loads, unreachable, saved, backingOff]) => ({ kind: DatagramKind.ServerLoadReport, address, loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff) }),
   [DatagramKind.LoadRequest]: (address, [number, servers, levels, priority]) => ({ kind: DatagramKind.LoadRequest, address, number: Number(number), servers: readNumbers(servers), levels: readNumbers(levels), priority: Number.isFinite(priority) ? priority as number : undefined }),
-  [DatagramKind.LoadResponse]: (address, [number, loads, unreachable, saved, backingOff]) => ({ kind: DatagramKind.LoadResponse, address, number: Number(number), loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff) })
+  [DatagramKind.LoadResponse]: (address, [number, loads, unreachable, saved, backingOff, queued]) => ({ kind: DatagramKind.LoadResponse, address, number: Number(number), loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff), queued: readNumbers(queued) })
 }
 
 /** Nothing for a datagram of another form. */
--- a/packages/foxtaillever-relay/src/peers/loadProtocol.ts
+++ b/packages/foxtaillever-relay/src/peers/loadProtocol.ts
@@ -7,6 +7,7 @@
  */
 import type { Cancellation } from 'foxtaillever-core'
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
+import { LEAST_URGENT_PRIORITY } from 'foxtaillever-policy/relay/yieldPriority'
 import { DatagramKind } from './datagram.js'
 import type { FleetLoad } from './fleetLoad.js'
 import type { LoadMessage, LoadRequest, ServerLoadReport } from './loadMessage.js'
@@ -43,6 +44,8 @@
   readonly onUnreachable: (server: number) => void
   /** Called when a server recently asked other instances to back off. */
   readonly onBackingOff: (server: number) => void
+  /** Called when requests are queued for admission at a server. */
+  readonly onQueued: (server: number) => void
   /** Called with every report on a watched server: who reports, and by how many its outstanding requests there have risen. */
   readonly onReported: (server: number, reporter: string, added: number) => void
   /** Prompt tokens that are queued for admission at a server, at the priority or a more urgent one. */
@@ -173,7 +176,8 @@
       loads: servers.map(server => this.withQueue({ server, ...this.watchedServers.sumOf(server, requester, now) }, priority)),
       unreachable: servers.filter(server => this.watchedServers.isUnreachable(server, now)),
       saved: levels.filter(level => this.watchedServers.saved.isSavedRecently(level, now)),
-      backingOff: servers.filter(server => this.watchedServers.isBackingOff(server, now))
+      backingOff: servers.filter(server => this.watchedServers.isBackingOff(server, now)),
+      queued: servers.filter(server => this.options.queuedTokens(server, LEAST_URGENT_PRIORITY) > 0)
     }
   }
 
@@ -181,11 +185,12 @@
     return priority === undefined ? load : { ...load, tokens: load.tokens + this.options.queuedTokens(load.server, priority) }
   }
 
-  private applyWatcherReport ({ loads, unreachable, saved, backingOff }: WatcherReport): void {
-    const { fleetLoad, onUnreachable, onBackingOff, onSaved } = this.options
+  private applyWatcherReport ({ loads, unreachable, saved, backingOff, queued }: WatcherReport): void {
+    const { fleetLoad, onUnreachable, onBackingOff, onQueued, onSaved } = this.options
     loads.forEach(({ server, ...load }) => fleetLoad.setWatchedLoad(server, load))
     unreachable.forEach(onUnreachable)
     backingOff.forEach(onBackingOff)
+    queued.forEach(onQueued)
     onSaved(saved)
   }
 
--- a/packages/foxtaillever-relay/src/peers/loadQueryClient.ts
+++ b/packages/foxtaillever-relay/src/peers/loadQueryClient.ts
@@ -36,7 +36,7 @@
 }
 
 /** What a watcher knows about servers and levels. */
-export type WatcherReport = Pick<LoadResponse, 'loads' | 'unreachable' | 'saved' | 'backingOff'>
+export type WatcherReport = Pick<LoadResponse, 'loads' | 'unreachable' | 'saved' | 'backingOff' | 'queued'>
 
 interface PendingQuery {
   readonly waiting: Set<string>
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -87,6 +87,8 @@
   readonly onUnreachable: (server: number) => void
   /** Called with the hash of a server that recently asked other instances to back off. */
   readonly onBackingOff: (server: number) => void
+  /** Called with the hash of a server at which requests are queued for admission. */
+  readonly onQueued: (server: number) => void
   /** Called when a watcher of servers does not answer. */
   readonly onUnresponsive: (address: string) => void
   readonly onNotice: (notice: ReadNotice) => void
@@ -118,7 +120,7 @@
   private cancelSend: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive, admission } = options
+    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onQueued, onUnresponsive, admission } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.limitOwners = LimitOwners.create(this.options.processStartedAt)
@@ -128,7 +130,7 @@
       clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
     })
     this.loadProtocol = LoadProtocol.create({
-      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (server, priority) => this.admission.queuedTokens(server, priority)
+      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onQueued, onUnresponsive, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (server, priority) => this.admission.queuedTokens(server, priority)
     })
     this.admission = AdmissionProtocol.create({
       ...admission, clock, address: this.address, watchersOf: server => this.watchers.of(server), isComplete: () => this.loadProtocol.isComplete, loadOf: server => this.loadProtocol.watchedLoad(server), send: (address, message) => this.link.sendAdmission(address, message)
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -200,6 +200,7 @@
       onSaved: levels => this.dispatcher.caches.savedLevels.recordAnnounced(levels, clock.now()),
       onUnreachable: hash => this.dispatcher.recordUnreachable(hash),
       onBackingOff: hash => this.dispatcher.recordBackoff(hash),
+      onQueued: hash => this.dispatcher.recordQueue(hash),
       onUnresponsive: peer => this.log.belief('An instance does not answer questions of load; its second is asked.', { peer }),
       onNotice: notice => this.storeReplica.handleNotice(notice),
       onWeights: notice => applyWeightsNotice(this.orderCoordinator, notice),
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -45,6 +45,8 @@
   refusedAt: number
   /** Other instances reported, when queried, that the server asked them for backoff; counts until then, milliseconds of Unix time. */
   peerBackoffUntil: number
+  /** Its owner reported, when queried, that requests are queued for admission; counts until then, milliseconds of Unix time. */
+  queuedUntil: number
   readonly health: ServerHealth
   /** When the most recently sent of the requests that it has begun to answer was sent, milliseconds of Unix time. */
   newestAnsweredSentAt: number
@@ -72,6 +74,7 @@
     limitedUntil: 0,
     refusedAt: 0,
     peerBackoffUntil: 0,
+    queuedUntil: 0,
     health: ServerHealth.create(),
     newestAnsweredSentAt: 0,
     changingUntil: 0,
