Estimate the speed of each server, and weigh homes of levels by it

Placement takes the speed and the home weight of each candidate; both are still those of the service everywhere.

--- a/packages/foxtaillever-policy/src/bench/engineFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/engineFleet.ts
@@ -116,8 +116,7 @@
   }
 
   private placeRequest (instance: number, key: number, promptTokens: number): number {
-    const pace = { tokensPerMs: this.tokensPerMs, fetchMs: FETCH_MS }
-    const need = { promptKey: key, promptTokens, sharedTokens: 0, outputTokens: 0, pace, objectiveMs: OBJECTIVE_MS, workMs: 0, fetchWaitMs: this.shape.isLinkCharged ? Math.max(0, this.linkFreeAt - this.now) : 0, failureDomain: `${instance % 3}` }
+    const need = { promptKey: key, promptTokens, sharedTokens: 0, outputTokens: 0, fetchMs: FETCH_MS, objectiveMs: OBJECTIVE_MS, workMs: 0, fetchWaitMs: this.shape.isLinkCharged ? Math.max(0, this.linkFreeAt - this.now) : 0, failureDomain: `${instance % 3}` }
     const rank = (): readonly ServerCandidate[] => rankCandidates(this.engines.map((_, index) => this.offerOf(index, instance)), need, this.random)
     if (this.shape.knowledge === LoadKnowledge.Queried) {
       rank().slice(0, 2).filter(() => this.random.next() >= this.shape.loss * 2).forEach(({ id }) => this.queryLoad(instance, Number(id)))
@@ -133,7 +132,7 @@
     const own = this.loadOf(engine, request => request.instance === instance)
     const others = this.othersLoad(engine, instance)
     const { candidate } = this.engines[engine] as Engine
-    return { ...candidate, outstanding: own.outstanding + others.outstanding, waitingTokens: own.tokens + others.tokens, heldTokens: own.heldTokens + others.heldTokens }
+    return { ...candidate, tokensPerMs: this.tokensPerMs, outstanding: own.outstanding + others.outstanding, waitingTokens: own.tokens + others.tokens, heldTokens: own.heldTokens + others.heldTokens }
   }
 
   private othersLoad (engine: number, instance: number): ServerLoad {
@@ -243,6 +242,8 @@
     missingTokens: 0,
     heldTokens: 0,
     memoryTokens: MEMORY_TOKENS,
+    tokensPerMs: TOKENS_PER_MS,
+    weight: 1,
     isRefusing: false,
     isUnreachable: false,
     faultCostMs: 0,
--- a/packages/foxtaillever-policy/src/relay/__tests__/levelHome.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/levelHome.test.ts
@@ -10,7 +10,7 @@
 
 function placesIn (domains: readonly string[], seed: number): NamedPlace[] {
   const random = SeededRandom.create(seed)
-  return domains.map((failureDomain, index) => ({ name: `${failureDomain}${index}`, hash: random.below(2 ** 32), failureDomain }))
+  return domains.map((failureDomain, index) => ({ name: `${failureDomain}${index}`, hash: random.below(2 ** 32), failureDomain, weight: 1 }))
 }
 
 function repeat (domains: readonly string[], times: number): string[] {
--- a/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
@@ -19,6 +19,8 @@
     missingTokens: 2890,
     heldTokens: 0,
     memoryTokens: 71_780,
+    tokensPerMs: TOKENS_PER_MS,
+    weight: 1,
     isRefusing: false,
     isUnreachable: false,
     faultCostMs: 0,
@@ -30,7 +32,7 @@
 }
 
 function need (promptKey: number | undefined, failureDomain = 'd0'): PlacementNeed {
-  return { promptKey, promptTokens: PROMPT_TOKENS, sharedTokens: 6300, outputTokens: 10, pace: { tokensPerMs: TOKENS_PER_MS, fetchMs: 27 }, objectiveMs: 400, workMs: 20, fetchWaitMs: 0, failureDomain }
+  return { promptKey, promptTokens: PROMPT_TOKENS, sharedTokens: 6300, outputTokens: 10, fetchMs: 27, objectiveMs: 400, workMs: 20, fetchWaitMs: 0, failureDomain }
 }
 
 /** Places requests one after the other, each adding its work, and returns the work at each server, milliseconds. */
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -12,10 +12,8 @@
 import { homeAmong, type HomePlace } from './levelHome.js'
 
 /** What a placement decision knows of a server. */
-export interface ServerCandidate {
+export interface ServerCandidate extends HomePlace {
   readonly id: string
-  readonly hash: number
-  readonly failureDomain: string
   readonly slots: number
   /** Requests sent to it and not yet answered completely. */
   readonly outstanding: number
@@ -27,6 +25,8 @@
   readonly heldTokens: number
   /** Its memory, in tokens; 0 where unknown. */
   readonly memoryTokens: number
+  /** Prompt tokens that it reads in a millisecond; see `ServerSpeed`. */
+  readonly tokensPerMs: number
   /** It refused a request a moment ago. */
   readonly isRefusing: boolean
   /** A connection to its address failed a moment ago. */
@@ -41,14 +41,6 @@
   readonly coldLeftMs: number
 }
 
-/** Speed of a service's engines and links. */
-export interface EngineSpeed {
-  /** Prompt tokens read in a millisecond; see `PrefillSpeed`. */
-  readonly tokensPerMs: number
-  /** Time to fetch the shared level of the prompt from a store in the same failure domain, milliseconds. */
-  readonly fetchMs: number
-}
-
 export interface PlacementNeed {
   /** Hash of the levels that requests share; undefined without a prompt. */
   readonly promptKey: number | undefined
@@ -61,7 +53,8 @@
   readonly sharedTokens: number
   /** Maximum. */
   readonly outputTokens: number
-  readonly pace: EngineSpeed
+  /** Time to fetch the shared level of the prompt from a store in the same failure domain, milliseconds. */
+  readonly fetchMs: number
   /** Objective for the time until the first event, milliseconds. */
   readonly objectiveMs: number
   /** Work of a request without a prompt, milliseconds; the cost of each queued request. */
@@ -118,17 +111,17 @@
 const LATE_COST_FACTOR = 3
 
 /** How long a request waits for memory that others occupy, milliseconds; an engine that preempts them instead reads them twice. */
-function memoryWaitMs ({ heldTokens, memoryTokens }: ServerCandidate, { promptTokens, outputTokens, pace }: PlacementNeed): number {
+function memoryWaitMs ({ heldTokens, memoryTokens, tokensPerMs }: ServerCandidate, { promptTokens, outputTokens }: PlacementNeed): number {
   const over = heldTokens + promptTokens + outputTokens - memoryTokens
-  return memoryTokens === 0 ? 0 : Math.max(0, over) / (FREED_RATIO * pace.tokensPerMs)
+  return memoryTokens === 0 ? 0 : Math.max(0, over) / (FREED_RATIO * tokensPerMs)
 }
 
 /** Additional time until the shared levels are available at a server other than their home, milliseconds. */
-function awayFromHomeCostMs ({ missingTokens }: ServerCandidate, { fetchWaitMs, promptTokens, sharedTokens, pace }: PlacementNeed): number {
+function awayFromHomeCostMs ({ missingTokens, tokensPerMs }: ServerCandidate, { fetchMs, fetchWaitMs, promptTokens, sharedTokens }: PlacementNeed): number {
   const isKept = missingTokens < promptTokens
   return isKept
-    ? pace.fetchMs + Math.min(MAX_LINK_WAIT_MS, fetchWaitMs * FOUND_AT_HOME_SHARE)
-    : Math.max(pace.fetchMs, FOUND_UNRECORDED_SHARE * sharedTokens / pace.tokensPerMs)
+    ? fetchMs + Math.min(MAX_LINK_WAIT_MS, fetchWaitMs * FOUND_AT_HOME_SHARE)
+    : Math.max(fetchMs, FOUND_UNRECORDED_SHARE * sharedTokens / tokensPerMs)
 }
 
 /** Cost of a request without a prompt, milliseconds. */
@@ -139,8 +132,8 @@
 
 /** Time until the first token of a request with a prompt, milliseconds, plus a cost where it is likely to be late. */
 function promptCostMs (candidate: ServerCandidate, need: PlacementNeed, isHome: boolean): number {
-  const { outstanding, waitingTokens, missingTokens } = candidate
-  const expected = (waitingTokens + missingTokens) / need.pace.tokensPerMs + outstanding * REQUEST_COST_MS + memoryWaitMs(candidate, need) + (isHome ? 0 : awayFromHomeCostMs(candidate, need))
+  const { outstanding, waitingTokens, missingTokens, tokensPerMs } = candidate
+  const expected = (waitingTokens + missingTokens) / tokensPerMs + outstanding * REQUEST_COST_MS + memoryWaitMs(candidate, need) + (isHome ? 0 : awayFromHomeCostMs(candidate, need))
   return expected + LATE_COST_FACTOR * Math.max(0, expected - SAFE_SHARE * need.objectiveMs)
 }
 
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -73,7 +73,7 @@
   readonly fetchLoad: FetchLoad
   /** Prompt tokens that the server reads before those of this request. */
   readonly tokensBefore: number
-  /** Prompt tokens that an engine of the service reads per millisecond. */
+  /** Prompt tokens that the server reads per millisecond. */
   readonly tokensPerMs: number
   /** Milliseconds of Unix time. */
   readonly now: number
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -98,6 +98,8 @@
     missingTokens: 2890,
     heldTokens: 9000,
     memoryTokens: 90_000,
+    tokensPerMs: 50,
+    weight: 1,
     isRefusing: false,
     isUnreachable: false,
     faultCostMs: 0,
@@ -108,7 +110,7 @@
 }
 
 const need: PlacementNeed = {
-  promptKey: 42, promptTokens: 9190, sharedTokens: 6300, outputTokens: 10, pace: { tokensPerMs: 50, fetchMs: 20 }, objectiveMs: 800, workMs: 20, fetchWaitMs: 0, failureDomain: 'domain-0'
+  promptKey: 42, promptTokens: 9190, sharedTokens: 6300, outputTokens: 10, fetchMs: 20, objectiveMs: 800, workMs: 20, fetchWaitMs: 0, failureDomain: 'domain-0'
 }
 
 const operations: Readonly<Record<string, (size: Size) => Operation>> = {
--- a/packages/foxtaillever-relay/src/exchange/planAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/planAttempt.ts
@@ -14,7 +14,7 @@
 export function planAttempt (context: ExchangeContext, exchange: Exchange, server: KnownServer, resumeAfter: string): PlannedAttempt {
   const { clock, caches, directory, log, othersTokensAt, routing } = context
   const othersTokens = othersTokensAt(server)
-  const { tokensPerMs } = directory.observations.prefillSpeedOf(exchange.service)
+  const tokensPerMs = directory.observations.tokensPerMsOf(server)
   const pace = { tokensBefore: server.unreadTokens + othersTokens, tokensPerMs, now: clock.now() }
   const terms = planTerms(exchange, server, resumeAfter, { ...caches, ...pace, routing: routing(), stores: caches.available() })
   if (terms.isYielding) {
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -1,6 +1,7 @@
 /** What this instance knows about one incarnation of a backend server. */
 import { hashNumber } from 'foxtaillever-core'
 import { ServerHealth } from 'foxtaillever-policy/relay/serverHealth'
+import { ordinarySpeed, type ObservedSpeed } from 'foxtaillever-policy/relay/serverSpeed'
 import type { StatedAvailability } from 'foxtaillever-policy/relay/statedAvailability'
 import type { ListedServer } from '../model/listedServer.js'
 import type { ServerConnections } from './serverConnections.js'
@@ -46,6 +47,8 @@
   /** Other instances reported, when queried, that the server asked them for backoff; counts until then, milliseconds of Unix time. */
   peerBackoffUntil: number
   readonly health: ServerHealth
+  /** Its reading speed, as its first watcher announces it. */
+  speed: ObservedSpeed
   /** When the most recently sent of the requests that it has begun to answer was sent, milliseconds of Unix time. */
   newestAnsweredSentAt: number
   /** Its weights are being changed by an order until then, milliseconds of Unix time. */
@@ -73,6 +76,7 @@
     refusedAt: 0,
     peerBackoffUntil: 0,
     health: ServerHealth.create(),
+    speed: ordinarySpeed,
     newestAnsweredSentAt: 0,
     changingUntil: 0,
     changingTo: undefined
--- a/packages/foxtaillever-relay/src/servers/serverObservations.ts
+++ b/packages/foxtaillever-relay/src/servers/serverObservations.ts
@@ -67,6 +67,11 @@
     return speed
   }
 
+  /** How fast a server processes prompts, tokens a millisecond: its own speed where it clearly differs from its service's. */
+  tokensPerMsOf ({ speed, listed }: Pick<KnownServer, 'speed' | 'listed'>): number {
+    return speed.tokensPerMs ?? this.prefillSpeedOf(listed.service).tokensPerMs
+  }
+
   /** What a request to the server costs because of its faults and slowness, milliseconds. */
   faultCostOf ({ listed, health }: KnownServer, now: number): number {
     return health.cost(now, this.healthOf(listed.service).faultShare(now))
--- a/packages/foxtaillever-relay/src/servers/serverSelector.ts
+++ b/packages/foxtaillever-relay/src/servers/serverSelector.ts
@@ -1,7 +1,8 @@
 /** Selects the backend server for each attempt: passes what this instance knows to the placement policy and returns its best server. */
 import type { Clock, Random } from 'foxtaillever-core'
 import { presentHome, rankCandidates, type ServerCandidate } from 'foxtaillever-policy/relay/placeExchange'
-import { homeAmong, homeDomains } from 'foxtaillever-policy/relay/levelHome'
+import { homeAmong, homeDomains, type HomePlace } from 'foxtaillever-policy/relay/levelHome'
+import { homeWeight } from 'foxtaillever-policy/relay/serverSpeed'
 import { ownTokensOf, promptKeyOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
 import type { CacheStore } from '../model/routing.js'
@@ -110,7 +111,7 @@
     const ready = directory.ready(exchange.service)
     const places = ready
       .filter(server => availableFrom(server) <= now && server.unreachableUntil <= now && this.hasAllowedWeights(server, exchange))
-      .map(server => ({ server, hash: server.idHash, failureDomain: server.listed.failureDomain }))
+      .map(server => ({ server, ...homePlaceOf(server) }))
     const home = homeAmong(promptKey, this.homeDomains(promptKey, ready), places)?.server
     return home && home.changingUntil <= now ? home : undefined
   }
@@ -130,7 +131,8 @@
   private rankServers (exchange: Exchange, servers: readonly KnownServer[], all: readonly KnownServer[]): readonly ServerCandidate[] {
     const { directory, random, failureDomain, estimateLevelFetch } = this.options
     const estimate = estimateLevelFetch(exchange)
-    const candidates = servers.map(server => this.toCandidate(server, exchange, estimate))
+    const { tokensPerMs } = directory.observations.prefillSpeedOf(exchange.service)
+    const candidates = servers.map(server => this.toCandidate(server, exchange, estimate, tokensPerMs))
     const { promptTokens, outputTokens } = exchange.prompt ?? { promptTokens: 0, outputTokens: 0 }
     const promptKey = promptKeyOf(exchange)
     const need = {
@@ -139,7 +141,7 @@
       promptTokens,
       sharedTokens: exchange.prompt ? promptTokens - ownTokensOf(exchange.prompt) : 0,
       outputTokens,
-      pace: { tokensPerMs: directory.observations.prefillSpeedOf(exchange.service).tokensPerMs, fetchMs: estimate.fetchMs },
+      fetchMs: estimate.fetchMs,
       objectiveMs: exchange.route.objectiveMs,
       workMs: directory.observations.usualTimeOf(exchange.route.name).value ?? DEFAULT_WORK_MS,
       fetchWaitMs: estimate.waitMs,
@@ -164,7 +166,7 @@
     if (promptKey === undefined) {
       return undefined
     }
-    const places = servers.map(({ idHash, listed, unreachableUntil }) => ({ hash: idHash, failureDomain: listed.failureDomain, isUnreachable: unreachableUntil > now }))
+    const places = servers.map(server => ({ ...homePlaceOf(server), isUnreachable: server.unreachableUntil > now }))
     return presentHome(promptKey, this.homeDomains(promptKey, directory.ready(service)), places)?.hash
   }
 
@@ -173,7 +175,7 @@
     if (promptKey === undefined) {
       return undefined
     }
-    return homeDomains(promptKey, this.options.stores(), servers.map(({ listed }) => ({ hash: 0, failureDomain: listed.failureDomain })))
+    return homeDomains(promptKey, this.options.stores(), servers.map(homePlaceOf))
   }
 
   /** Whether the request may begin there: the model is loaded, and its weights are not older than allowed. */
@@ -203,21 +205,21 @@
     return outstanding + this.options.fleetLoad.of(hash).outstanding
   }
 
-  private toCandidate (server: KnownServer, exchange: Exchange, estimate: LevelFetchEstimate): ServerCandidate {
+  private toCandidate (server: KnownServer, exchange: Exchange, estimate: LevelFetchEstimate, serviceTokensPerMs: number): ServerCandidate {
     const { clock, directory, fleetLoad } = this.options
     const { listed, unreadTokens, heldTokens, refusedAt, peerBackoffUntil, unreachableUntil, changingUntil } = server
     const now = clock.now()
     const others = fleetLoad.of(server.hash)
     return {
+      ...homePlaceOf(server),
       id: listed.id,
-      hash: server.idHash,
-      failureDomain: listed.failureDomain,
       slots: listed.slots,
       outstanding: this.outstandingAt(server),
       waitingTokens: unreadTokens + others.tokens,
       missingTokens: estimate.missingTokens(server),
       heldTokens: heldTokens + others.heldTokens,
       memoryTokens: directory.memoryTokensOf(listed.service),
+      tokensPerMs: server.speed.tokensPerMs ?? serviceTokensPerMs,
       isRefusing: refusedAt + REFUSAL_LASTS_MS > now || peerBackoffUntil > now,
       isUnreachable: unreachableUntil > now,
       faultCostMs: directory.observations.faultCostOf(server, now),
@@ -228,6 +230,10 @@
   }
 }
 
+function homePlaceOf ({ idHash, listed, speed }: KnownServer): HomePlace {
+  return { hash: idHash, failureDomain: listed.failureDomain, weight: homeWeight(speed.weightStep) }
+}
+
 /** Whether the server would start or queue a request that is sent to it. */
 function acceptsRequests ({ isUnreachable, isChanging, isRefusing }: ServerCandidate): boolean {
   return !isUnreachable && !isChanging && !isRefusing
--- a/packages/foxtaillever-relay/src/weights/orderCoordinator.ts
+++ b/packages/foxtaillever-relay/src/weights/orderCoordinator.ts
@@ -40,7 +40,7 @@
     log,
     rank: () => isEligible() ? orderRank(name, eligiblePeers(peers).map(peer => peer.name), lease.lastHolder) : LAST_RANK,
     outstandingAt: ({ outstanding, hash }) => outstanding + peers.fleetLoad.of(hash).outstanding,
-    waitMsAt: ({ unreadTokens, hash, listed }) => (unreadTokens + peers.fleetLoad.of(hash).tokens) / directory.observations.prefillSpeedOf(listed.service).tokensPerMs,
+    waitMsAt: server => (server.unreadTokens + peers.fleetLoad.of(server.hash).tokens) / directory.observations.tokensPerMsOf(server),
     announce: updates => peers.announceWeights(updates)
   })
   return { lease, rollout }
