Collect the speed of each server at its watchers, and announce it

Samples of first events go with the next load reports to both watchers of the server. The first watcher announces the speed and the weight step with its answers and heartbeats, and logs a change of the step with its inputs. Entries of ordinary servers are as long as before, and no datagram is added. A watcher without enough samples of the service estimates nothing: from the initial value of the service's speed, every server would differ.

--- a/packages/foxtaillever-policy/src/relay/__tests__/serverSpeed.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/serverSpeed.test.ts
@@ -52,6 +52,7 @@
   // A speed between two steps would move the homes of levels with every sample.
   it('keeps its weight step near the midpoint between two steps', t => {
     const speed = ServerSpeed.create(SERVICE, { tokensPerMs: 100, weightStep: 2 })
+    Array.from({ length: 100 }, () => speed.addSample(TOKENS, SET_UP_MS + TOKENS / 100))
     const steps = [2, 2.4, 2.8, 2.6, 2.2, 1.6, 1.2].map(position => speed.weightStep(100 / 2 ** (position / 2)))
     t.deepEqual(steps, [2, 2, 2, 2, 2, 2, 2])
     t.is(speed.weightStep(100 / 2 ** (2.9 / 2)), 3)
--- a/packages/foxtaillever-policy/src/relay/serverSpeed.ts
+++ b/packages/foxtaillever-policy/src/relay/serverSpeed.ts
@@ -22,7 +22,10 @@
 /** A server's own speed is used from this number of samples on. */
 export const MIN_SAMPLES = 8
 
-/** Smaller factors between a server's speed and the service's are within the noise of both estimates. */
+/** Samples that an estimate announced by another watcher counts for: with fewer, the first samples after a change of watchers would move it by more than its noise. */
+const ANNOUNCED_SAMPLES = 40
+
+/** Smaller factors between a server's speed and the service's are within the noise of both estimates; with few samples, their noise is added. */
 const CLEAR_FACTOR = 1.3
 
 /**
@@ -72,7 +75,7 @@
     const { tokensPerMs = serviceTokensPerMs, weightStep } = known
     const longTerm = SpeedEstimate.create(serviceTokensPerMs, LONG_TERM_STEPS)
     if (known.tokensPerMs !== undefined || weightStep !== 0) {
-      longTerm.adopt(serviceTokensPerMs * homeWeight(weightStep), MIN_SAMPLES)
+      longTerm.adopt(serviceTokensPerMs * homeWeight(weightStep), ANNOUNCED_SAMPLES)
     }
     return new ServerSpeed(SpeedEstimate.create(tokensPerMs, SHORT_TERM_STEPS), longTerm, weightStep)
   }
@@ -97,7 +100,8 @@
     const longTerm = this.longTerm.tokensPerMs
     const shortTerm = this.shortTerm.tokensPerMs
     const own = differsBy(DEPARTURE_FACTOR, shortTerm, longTerm) ? shortTerm : longTerm
-    return this.samples >= MIN_SAMPLES && differsBy(CLEAR_FACTOR, own, serviceTokensPerMs) ? own : serviceTokensPerMs
+    const clearFactor = CLEAR_FACTOR * Math.exp(this.longTerm.step)
+    return this.samples >= MIN_SAMPLES && differsBy(clearFactor, own, serviceTokensPerMs) ? own : serviceTokensPerMs
   }
 
   /** Step of the home weight, with hysteresis. */
@@ -105,11 +109,12 @@
     if (this.samples < MIN_SAMPLES) {
       return this.step
     }
-    const { tokensPerMs } = this.longTerm
+    const { tokensPerMs, step } = this.longTerm
     const position = STEPS_PER_DOUBLING * Math.log2(tokensPerMs / serviceTokensPerMs)
+    const noise = STEPS_PER_DOUBLING * step / Math.LN2
     if (!differsBy(CLEAR_FACTOR, tokensPerMs, serviceTokensPerMs)) {
       this.step = 0
-    } else if (Math.abs(position - this.step) > 0.5 + HYSTERESIS_STEPS) {
+    } else if (Math.abs(position - this.step) > 0.5 + HYSTERESIS_STEPS + noise) {
       this.step = Math.max(-MAX_WEIGHT_STEP, Math.min(MAX_WEIGHT_STEP, Math.round(position)))
     }
     return this.step
--- a/packages/foxtaillever-policy/src/relay/speedEstimate.ts
+++ b/packages/foxtaillever-policy/src/relay/speedEstimate.ts
@@ -52,6 +52,12 @@
     return this.count
   }
 
+  /** How far the next sample may move the logarithm, which is also how far the estimate may be off by noise. */
+  get step (): number {
+    const { first, last, halvingSamples } = this.steps
+    return Math.max(last, first / (1 + this.count / halvingSamples))
+  }
+
   /**
    * Adds the sample of a first event; what is not a sample of the speed changes nothing.
    * @param tokens that were to be read until then, as far as was known when the request was sent.
@@ -61,8 +67,7 @@
     if (!isSpeedSample(tokens, ms)) {
       return
     }
-    const { first, last, halvingSamples } = this.steps
-    const step = Math.max(last, first / (1 + this.count / halvingSamples))
+    const { step } = this
     const sample = Math.log(tokens / (ms - SET_UP_MS))
     const move = Math.max(-step, Math.min(step, sample - this.logSpeed))
     this.logSpeed = Math.min(Math.log(MAX_TOKENS_PER_MS), Math.max(Math.log(MIN_TOKENS_PER_MS), this.logSpeed + move))
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -125,6 +125,7 @@
       routing: () => routing,
       othersTokensAt: () => 0,
       onLoadChanged: () => this.onLoadChanged(),
+      onSpeedSample: () => {},
       onSaved: () => {},
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
       queryLoad: () => undefined,
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -41,6 +41,7 @@
     routing: () => undefined,
     queryLoad: () => undefined,
     onLoadChanged: () => {},
+    onSpeedSample: () => {},
     onSaved: () => {},
     onUnreachable: () => {},
     onBackoffRequested: () => {},
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -83,7 +83,7 @@
 
 function createProtocol (watchers: ComputedWatchers, address: string): LoadProtocol {
   return LoadProtocol.create({
-    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => [], isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onUnresponsive: () => {}
+    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => [], isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}
   })
 }
 
@@ -142,7 +142,7 @@
     const watchers = ComputedWatchers.create()
     watchers.setMembers([address, other, ...others])
     const protocol = createProtocol(watchers, address)
-    const report = encodeLoadMessage({ kind: 11, address: other, loads: [createLoad(server, 1)], unreachable: [], saved: [], backingOff: [] })
+    const report = encodeLoadMessage({ kind: 11, address: other, loads: [createLoad(server, 1)], unreachable: [], saved: [], backingOff: [], samples: [{ server, tokens: 9190, ms: 200 }] })
     const query = encodeLoadMessage({ kind: 12, address: other, number: 1, servers: [server], levels: [7] })
     return () => [report, query].forEach(bytes => unpackDatagram(bytes).chain(readLoadMessage).ifJust(message => protocol.handleMessage(message)))
   },
@@ -151,7 +151,7 @@
     watchers.setMembers([address, ...others])
     let outstanding = 0
     const protocol = LoadProtocol.create({
-      clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => servers.slice(0, IN_FLIGHT).map(server => createLoad(server, 1 + outstanding % 2)), isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onUnresponsive: () => {}
+      clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => servers.slice(0, IN_FLIGHT).map(server => createLoad(server, 1 + outstanding % 2)), isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}
     })
     return () => {
       outstanding += 1
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -38,6 +38,8 @@
   readonly othersTokensAt: (server: KnownServer) => number
   /** The load that this instance puts on a server has changed. */
   readonly onLoadChanged: () => void
+  /** The first event of an answer shows how fast the server reads; called before the load is changed. */
+  readonly onSpeedSample: (server: KnownServer, tokens: number, ms: number) => void
   /** The level of a prompt was saved to its store. */
   readonly onSaved: (level: LevelAtHome) => void
   /** A connection to a server could not be opened. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -26,7 +26,7 @@
 /** How long a reported backoff counts, milliseconds: it serves one choice only, because watchers are queried again before each prompt. */
 const BACKOFF_REPORT_VALID_MS = 50
 
-export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'onMisdirected' | 'onLoadChanged' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
+export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
@@ -59,7 +59,7 @@
   private readonly log: RelayLog
 
   private constructor (options: ExchangeDispatcherOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, queryLoad, onLoadChanged, onSaved, onUnreachable, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, queryLoad, onLoadChanged, onSpeedSample, onSaved, onUnreachable, onMisdirected } = options
     this.clock = clock
     this.log = log
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
@@ -97,6 +97,7 @@
       routing: () => requireRouting(options.routing()),
       othersTokensAt: server => options.fleetLoad.of(server.hash).tokens,
       onLoadChanged,
+      onSpeedSample,
       onSaved,
       onUnreachable,
       queryLoad: (exchange, earlier) => exchange.prompt && queryLoad(() => ({ servers: selector.shortlist(exchange, earlier), level: this.levelAtHome(exchange, selector.homeServerOf(exchange)) })),
--- a/packages/foxtaillever-relay/src/exchange/recordAnswerHead.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAnswerHead.ts
@@ -7,7 +7,7 @@
 /** Statuses below this one mean that the request succeeded. */
 const FIRST_UNSUCCESSFUL_STATUS = 300
 
-export function recordAnswerHead ({ clock, directory }: ExchangeContext, { prompt, service }: Exchange, inFlight: InFlightAttempt, { status, marks, at }: AnswerHead): void {
+export function recordAnswerHead ({ clock, directory, onSpeedSample }: ExchangeContext, { prompt, service }: Exchange, inFlight: InFlightAttempt, { status, marks, at }: AnswerHead): void {
   const { weightsVersion } = marks
   inFlight.markBegun()
   if (prompt && weightsVersion !== undefined) {
@@ -15,7 +15,9 @@
   }
   // Waiting for new weights or behind other requests says nothing about the prefill speed.
   if (prompt && status < FIRST_UNSUCCESSFUL_STATUS && !inFlight.isChanging && !inFlight.isYielding) {
-    directory.observations.prefillSpeedOf(service).addSample(inFlight.tokensToRead, at - inFlight.beganAt)
+    const ms = at - inFlight.beganAt
+    directory.observations.prefillSpeedOf(service).addSample(inFlight.tokensToRead, ms)
+    onSpeedSample(inFlight.server, inFlight.tokensToRead, ms)
   }
   inFlight.recordStatus(status, clock.now())
 }
--- a/packages/foxtaillever-relay/src/peers/__fixtures__/loadProtocolFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/loadProtocolFleet.ts
@@ -1,6 +1,7 @@
 /** Instances that exchange load by datagrams in memory, which a test may block. */
 import { hashNumber, type Cancellation } from 'foxtaillever-core'
 import { ComputedWatchers } from 'foxtaillever-policy/relay/computedWatchers'
+import { ordinarySpeed, type ObservedSpeed } from 'foxtaillever-policy/relay/serverSpeed'
 import { VirtualClock } from 'foxtaillever-testing'
 import { FleetLoad } from '../fleetLoad.js'
 import { unpackDatagram } from '../datagram.js'
@@ -8,6 +9,7 @@
 import type { LevelAtHome } from '../loadQueryClient.js'
 import { LoadProtocol } from '../loadProtocol.js'
 import type { ServerLoadEntry } from '../peerMessage.js'
+import type { SpeedRegistry, WeightStepChange } from '../watchedSpeeds.js'
 
 /** Transit time of a datagram, milliseconds. */
 const LATENCY_MS = 1
@@ -29,6 +31,9 @@
   readonly backingOff: Set<number>
   /** Levels reported to the instance as saved. */
   readonly saved: Set<number>
+  /** Speeds of servers as the instance knows them. */
+  readonly speeds: Map<number, ObservedSpeed>
+  readonly weightSteps: WeightStepChange[]
   /** Bytes sent and received. */
   bytes: number
   /** Whether all datagrams to and from the instance are lost. */
@@ -39,8 +44,11 @@
 export class LoadProtocolFleet {
   readonly clock = VirtualClock.create()
   readonly peers: LoadPeer[]
+  private readonly watchers: ComputedWatchers[] = []
   /** Servers whose load is not queried. */
   readonly unqueried = new Set<number>()
+  /** Speed of the service as all instances know it, tokens a millisecond. */
+  readonly serviceTokensPerMs = 50
 
   private constructor (size: number) {
     const addresses = Array.from({ length: size }, (_, index) => `10.1.${index % 4}.${index}:7340`)
@@ -78,6 +86,11 @@
     peer.isCut = true
   }
 
+  /** All instances learn that one is gone. */
+  removeMember (gone: LoadPeer): void {
+    this.watchers.forEach(watchers => watchers.setMembers(this.peers.filter(peer => peer !== gone).map(({ address }) => address)))
+  }
+
   resume (peer: LoadPeer): void {
     peer.isCut = false
     this.runHeartbeat(peer)
@@ -117,12 +130,16 @@
     const unreachable = new Set<number>()
     const backingOff = new Set<number>()
     const saved = new Set<number>()
+    const speeds = new Map<number, ObservedSpeed>()
+    const weightSteps: WeightStepChange[] = []
+    const registry: SpeedRegistry = { of: server => speeds.get(server) ?? ordinarySpeed, serviceTokensPerMs: () => this.serviceTokensPerMs, record: (server, speed) => { speeds.set(server, speed) }, onWeightStep: change => { weightSteps.push(change) } }
     const watchers = ComputedWatchers.create()
     watchers.setMembers([address, ...others])
+    this.watchers.push(watchers)
     const protocol = LoadProtocol.create({
-      clock, address, fleetLoad, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), ownLoads: () => [...ownLoads.values()], isQueried: server => !this.unqueried.has(server), onSaved: levels => { levels.forEach(level => saved.add(level)) }, onUnreachable: server => { unreachable.add(server) }, onBackingOff: server => { backingOff.add(server) }, onUnresponsive: () => {}
+      clock, address, fleetLoad, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), ownLoads: () => [...ownLoads.values()], isQueried: server => !this.unqueried.has(server), onSaved: levels => { levels.forEach(level => saved.add(level)) }, onUnreachable: server => { unreachable.add(server) }, onBackingOff: server => { backingOff.add(server) }, speeds: registry, onUnresponsive: () => {}
     })
-    return { address, protocol, fleetLoad, ownLoads, unreachable, backingOff, saved, bytes: 0, isCut: false, cancelHeartbeat: () => {} }
+    return { address, protocol, fleetLoad, ownLoads, unreachable, backingOff, saved, speeds, weightSteps, bytes: 0, isCut: false, cancelHeartbeat: () => {} }
   }
 
   private send (from: string, to: string, message: LoadMessage): void {
--- a/packages/foxtaillever-relay/src/peers/loadMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -1,7 +1,9 @@
 /** Datagrams with which instances of a large fleet report and query load: positional arrays, servers by hash. */
 import { Maybe } from 'purify-ts'
 import { DatagramKind, packDatagram } from './datagram.js'
-import type { ServerLoadEntry } from './peerMessage.js'
+import type { ServerLoadEntry, WatchedServerEntry } from './peerMessage.js'
+import { packSpeed, readSpeed, type SpeedFields } from './speedFields.js'
+import type { SpeedSample } from './watchedSpeeds.js'
 
 export type LoadMessageKind = DatagramKind.ServerLoadReport | DatagramKind.LoadRequest | DatagramKind.LoadResponse
 
@@ -16,6 +18,8 @@
   readonly saved: readonly number[]
   /** Servers that recently asked the sender to back off. */
   readonly backingOff: readonly number[]
+  /** First events at servers that the receiver watches, since the sender's last report to it. */
+  readonly samples: readonly SpeedSample[]
 }
 
 /** Asks for the load that all other instances put on these servers. */
@@ -32,7 +36,7 @@
   readonly kind: DatagramKind.LoadResponse
   readonly address: string
   readonly number: number
-  readonly loads: readonly ServerLoadEntry[]
+  readonly loads: readonly WatchedServerEntry[]
   /** The servers among these that several instances recently could not reach. */
   readonly unreachable: readonly number[]
   /** The levels among these that were saved recently. */
@@ -44,24 +48,33 @@
 export type LoadMessage = ServerLoadReport | LoadRequest | LoadResponse
 
 type WireLoad = readonly [number, number, number, number]
+type WireWatched = readonly [...WireLoad, ...SpeedFields]
+type WireSample = readonly [number, number, number]
 
 const packLoad = ({ server, outstanding, tokens, heldTokens }: ServerLoadEntry): WireLoad => [server, outstanding, tokens, heldTokens]
 const readNumbers = (wire: unknown = []): number[] => (wire as unknown[]).map(Number)
 const readLoad = ([server, outstanding, tokens, heldTokens]: WireLoad): ServerLoadEntry => ({ server, outstanding, tokens, heldTokens })
 
+const packWatched = (entry: WatchedServerEntry): WireWatched => [...packLoad(entry), ...packSpeed(entry.speed)]
+const readWatched = ([server, outstanding, tokens, heldTokens, ...speed]: WireWatched): WatchedServerEntry => ({ server, outstanding, tokens, heldTokens, speed: readSpeed(speed) })
+
+/** A list of samples is the last element of a report; absent when there are none. */
+const packSamples = (samples: readonly SpeedSample[]): WireSample[][] => samples.length === 0 ? [] : [samples.map(({ server, tokens, ms }) => [server, tokens, ms])]
+const readSamples = (wire: unknown = []): SpeedSample[] => (wire as WireSample[]).map(([server, tokens, ms]) => ({ server, tokens, ms })).filter(({ tokens, ms }) => Number.isFinite(tokens) && Number.isFinite(ms))
+
 export function encodeLoadMessage (message: LoadMessage): Buffer {
   const { kind, address } = message
   switch (kind) {
-    case DatagramKind.ServerLoadReport: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff])
+    case DatagramKind.ServerLoadReport: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff, ...packSamples(message.samples)])
     case DatagramKind.LoadRequest: return packDatagram([kind, address, message.number, message.servers, message.levels])
-    case DatagramKind.LoadResponse: return packDatagram([kind, address, message.number, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff])
+    case DatagramKind.LoadResponse: return packDatagram([kind, address, message.number, message.loads.map(packWatched), message.unreachable, message.saved, message.backingOff])
   }
 }
 
 const readers: Readonly<Record<LoadMessageKind, (address: string, rest: readonly unknown[]) => LoadMessage>> = {
-  [DatagramKind.ServerLoadReport]: (address, [loads, unreachable, saved, backingOff]) => ({ kind: DatagramKind.ServerLoadReport, address, loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff) }),
+  [DatagramKind.ServerLoadReport]: (address, [loads, unreachable, saved, backingOff, samples]) => ({ kind: DatagramKind.ServerLoadReport, address, loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff), samples: readSamples(samples) }),
   [DatagramKind.LoadRequest]: (address, [number, servers, levels]) => ({ kind: DatagramKind.LoadRequest, address, number: Number(number), servers: readNumbers(servers), levels: readNumbers(levels) }),
-  [DatagramKind.LoadResponse]: (address, [number, loads, unreachable, saved, backingOff]) => ({ kind: DatagramKind.LoadResponse, address, number: Number(number), loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff) })
+  [DatagramKind.LoadResponse]: (address, [number, loads, unreachable, saved, backingOff]) => ({ kind: DatagramKind.LoadResponse, address, number: Number(number), loads: (loads as WireWatched[]).map(readWatched), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff) })
 }
 
 /** Nothing for a datagram of another form. */
--- a/packages/foxtaillever-relay/src/peers/loadProtocol.ts
+++ b/packages/foxtaillever-relay/src/peers/loadProtocol.ts
@@ -7,12 +7,14 @@
  */
 import type { Cancellation } from 'foxtaillever-core'
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
+import { ordinarySpeed } from 'foxtaillever-policy/relay/serverSpeed'
 import { DatagramKind } from './datagram.js'
 import type { FleetLoad } from './fleetLoad.js'
 import type { LoadMessage, LoadRequest, ServerLoadReport } from './loadMessage.js'
 import { LoadQueryClient, type LevelAtHome, type LoadQueryClientOptions, type LoadQuery, type WatcherRequest, type WatcherReport } from './loadQueryClient.js'
 import { WatchedServerTable } from './watchedServerTable.js'
-import type { ServerLoadEntry } from './peerMessage.js'
+import type { ServerLoadEntry, WatchedServerEntry } from './peerMessage.js'
+import { WatchedSpeeds, type SpeedRegistry, type SpeedSample } from './watchedSpeeds.js'
 
 /** Milliseconds between two reports of changes: each of 42 servers gets a request every 100. The first change is reported at once. */
 const POLL_INTERVAL_MS = 25
@@ -43,6 +45,7 @@
   readonly onUnreachable: (server: number) => void
   /** Called when a server recently asked other instances to back off. */
   readonly onBackingOff: (server: number) => void
+  readonly speeds: SpeedRegistry
 }
 
 interface ReportedLoad extends ServerLoad {
@@ -51,6 +54,7 @@
 
 export class LoadProtocol {
   private readonly watchedServers = WatchedServerTable.create()
+  private readonly speeds: WatchedSpeeds
   private readonly queries: LoadQueryClient
   /** Load last reported, by the server's hash; `at` is when it was last reported to all watchers. */
   private readonly reported = new Map<number, ReportedLoad>()
@@ -63,6 +67,7 @@
 
   private constructor (private readonly options: LoadProtocolOptions) {
     const { address, clock } = options
+    this.speeds = WatchedSpeeds.create(options.speeds)
     this.queries = LoadQueryClient.create({
       ...options,
       answerLocally: request => this.answerTo(request, address),
@@ -86,6 +91,7 @@
       this.completeAt = now + ALL_REPORTED_MS
     }
     this.heartbeatAt = now
+    this.speeds.retain(now)
     this.cancelPoll()
     this.poll(() => true)
   }
@@ -112,6 +118,22 @@
     return await this.queries.query(query)
   }
 
+  /** A first event at a server shows its speed: its watchers get the sample with the next report, which the ended reading causes. */
+  addSpeedSample (sample: SpeedSample): void {
+    this.speeds.addSample(sample, this.options.watchersOf(sample.server), this.options.clock.now())
+  }
+
+  /** Applies what watchers announce about servers. This instance's own estimates replace it where it is the first watcher. */
+  applyWatchedServers (entries: readonly WatchedServerEntry[]): void {
+    const { fleetLoad, speeds } = this.options
+    for (const { server, speed = ordinarySpeed, ...load } of entries) {
+      fleetLoad.setWatchedLoad(server, load)
+      if (!this.isFirstWatcher(server)) {
+        speeds.record(server, speed)
+      }
+    }
+  }
+
   /** A server accepted no connection from this instance: its watchers pass this on to instances that are about to send there. */
   reportUnreachable (server: number): void {
     this.notifyWatchers(server, { unreachable: [server] })
@@ -134,13 +156,21 @@
     this.watchedServers.saved.clear()
   }
 
-  /** Total load of the servers for which this instance is the first watcher, to be sent to all instances. */
-  sums (servers: readonly number[]): ServerLoadEntry[] {
-    const { address, clock } = this.options
+  /** Total load and the speed of the servers for which this instance is the first watcher, to be sent to all instances. */
+  sums (servers: readonly number[]): WatchedServerEntry[] {
+    const now = this.options.clock.now()
     return servers
-      .filter(server => this.options.watchersOf(server)[0] === address)
-      .map(server => ({ server, ...this.watchedServers.sumOf(server, '', clock.now()) }))
-      .filter(({ outstanding }) => outstanding > 0)
+      .filter(server => this.isFirstWatcher(server))
+      .map(server => this.watchedEntry(server, '', now))
+      .filter(({ server, outstanding, speed }) => outstanding > 0 || speed !== undefined || this.speeds.hasReturned(server, now))
+  }
+
+  private isFirstWatcher (server: number): boolean {
+    return this.options.watchersOf(server)[0] === this.options.address
+  }
+
+  private watchedEntry (server: number, except: string, now: number): WatchedServerEntry {
+    return { server, ...this.watchedServers.sumOf(server, except, now), speed: this.speeds.announcedSpeed(server) }
   }
 
   /** A watcher that missed reports does not answer, rather than answer too little; the other watcher is queried instead. */
@@ -154,7 +184,7 @@
   private answerTo ({ servers, levels }: WatcherRequest | LoadRequest, requester: string): WatcherReport {
     const now = this.options.clock.now()
     return {
-      loads: servers.map(server => ({ server, ...this.watchedServers.sumOf(server, requester, now) })),
+      loads: servers.map(server => this.watchedEntry(server, requester, now)),
       unreachable: servers.filter(server => this.watchedServers.isUnreachable(server, now)),
       saved: levels.filter(level => this.watchedServers.saved.isSavedRecently(level, now)),
       backingOff: servers.filter(server => this.watchedServers.isBackingOff(server, now))
@@ -162,8 +192,8 @@
   }
 
   private applyWatcherReport ({ loads, unreachable, saved, backingOff }: WatcherReport): void {
-    const { fleetLoad, onUnreachable, onBackingOff, onSaved } = this.options
-    loads.forEach(({ server, ...load }) => fleetLoad.setWatchedLoad(server, load))
+    const { onUnreachable, onBackingOff, onSaved } = this.options
+    this.applyWatchedServers(loads)
     unreachable.forEach(onUnreachable)
     backingOff.forEach(onBackingOff)
     onSaved(saved)
@@ -205,11 +235,12 @@
     }
   }
 
-  private applyReport ({ address, loads, unreachable, saved, backingOff }: ServerLoadReport, now: number): void {
+  private applyReport ({ address, loads, unreachable, saved, backingOff, samples }: ServerLoadReport, now: number): void {
     this.watchedServers.recordLoads(address, loads, now)
     this.watchedServers.recordUnreachable(address, unreachable, now)
     this.watchedServers.saved.recordAnnounced(saved, now)
     this.watchedServers.recordBackingOff(backingOff, now)
+    this.speeds.recordSamples(samples, server => this.isFirstWatcher(server), now)
   }
 
   private notifyWatchers (server: number, changes: Partial<WatcherReport>): void {
@@ -219,7 +250,7 @@
 
   private sendReport (watcher: string, { loads = [], unreachable = [], saved = [], backingOff = [] }: Partial<WatcherReport>, now: number): void {
     const { address, send } = this.options
-    const report: ServerLoadReport = { kind: DatagramKind.ServerLoadReport, address, loads, unreachable, saved, backingOff }
+    const report: ServerLoadReport = { kind: DatagramKind.ServerLoadReport, address, loads, unreachable, saved, backingOff, samples: this.speeds.takeSamples(watcher) }
     if (watcher === address) {
       this.applyReport(report, now)
     } else {
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -1,9 +1,11 @@
 /** What an instance reports about itself to the others with each heartbeat, by datagram. */
 import type { SpeedReport } from 'foxtaillever-policy/relay/prefillSpeed'
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
+import type { ObservedSpeed } from 'foxtaillever-policy/relay/serverSpeed'
 import type { StoreReport } from 'foxtaillever-policy/relay/storeReachability'
 import { Maybe } from 'purify-ts'
 import { packDatagram } from './datagram.js'
+import { packSpeed, readSpeed, type SpeedFields } from './speedFields.js'
 
 /** Up to which offset an instance knows each topic. */
 export interface Positions {
@@ -17,6 +19,12 @@
   readonly server: number
 }
 
+/** Load of all instances on a backend server, and its reading speed, from a watcher of the server. */
+export interface WatchedServerEntry extends ServerLoadEntry {
+  /** Undefined where the service's speed applies. */
+  readonly speed?: ObservedSpeed | undefined
+}
+
 /** An engine's weights, as known to the instance that orders them. */
 export interface WeightsUpdate {
   /** Hash of its incarnation. */
@@ -84,7 +92,7 @@
   /** Load that the sender itself puts on servers; in a large fleet only on the store of cached levels. */
   readonly loads: readonly ServerLoadEntry[]
   /** Load of all instances on the servers that the sender watches for the fleet. */
-  readonly sums: readonly ServerLoadEntry[]
+  readonly sums: readonly WatchedServerEntry[]
   /** When weights were named: the store keeps only the newest, without the time at which they were named. */
   readonly named: readonly NamedWeightsUpdate[]
   /** Digests of requests suspected of crashing backend servers. */
@@ -111,7 +119,7 @@
     savedLevels,
     named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
     current.map(({ model, version, engines }) => [model, version, engines]),
-    sums.map(packLoad),
+    sums.map(packSum),
     stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation]),
     instances,
     speeds.map(({ service, tokensPerMs, samples }) => [service, Math.round(tokensPerMs), samples]),
@@ -122,10 +130,12 @@
 
 type WireLoad = readonly [number, number, number, number?]
 
+type WireSum = readonly [...WireLoad, ...SpeedFields]
+
 /** Held tokens are sent in units of this size, that of a short prompt, so that a heartbeat of a small fleet stays within its budget. */
 const HELD_UNIT = 512
 
-function packLoad ({ server, outstanding, tokens, heldTokens }: ServerLoadEntry): WireLoad {
+function packLoad ({ server, outstanding, tokens, heldTokens }: ServerLoadEntry): readonly [number, number, number, number] {
   return [server, outstanding, tokens, Math.round(heldTokens / HELD_UNIT)]
 }
 
@@ -133,6 +143,14 @@
   return { server, outstanding, tokens, heldTokens: held * HELD_UNIT }
 }
 
+function packSum (sum: WatchedServerEntry): WireSum {
+  return [...packLoad(sum), ...packSpeed(sum.speed)]
+}
+
+function readSum ([server, outstanding, tokens, held, ...speed]: WireSum): WatchedServerEntry {
+  return { ...readLoad([server, outstanding, tokens, held]), speed: readSpeed(speed) }
+}
+
 type Wire = readonly [
   string, string, string, number, boolean, boolean, number, number,
   readonly [number, string, number] | null,
@@ -141,7 +159,7 @@
   readonly number[],
   ReadonlyArray<readonly [string, number, number]> | undefined,
   ReadonlyArray<readonly [string, number, readonly number[]]> | undefined,
-  readonly WireLoad[] | undefined,
+  readonly WireSum[] | undefined,
   ReadonlyArray<readonly [string, boolean, number]> | undefined,
   number | undefined,
   ReadonlyArray<readonly [string, number, number]> | undefined,
@@ -179,7 +197,7 @@
       revision: Number(revision),
       lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
       loads: loads.map(readLoad),
-      sums: sums.map(readLoad),
+      sums: sums.map(readSum),
       instances: Number(instances) || 1,
       suspects,
       savedLevels,
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -15,6 +15,7 @@
 import { HeartbeatRounds } from './heartbeatRounds.js'
 import { LimitOwners } from '../limits/limitOwners.js'
 import type { AnnouncedTopic } from './announcedTopic.js'
+import type { SpeedRegistry } from './watchedSpeeds.js'
 import { MAX_ENGINES_IN_NOTICE } from './weightsNotice.js'
 
 /**
@@ -86,6 +87,7 @@
   readonly onUnreachable: (server: number) => void
   /** Called with the hash of a server that recently asked other instances to back off. */
   readonly onBackingOff: (server: number) => void
+  readonly speeds: SpeedRegistry
   /** Called when a watcher of servers does not answer. */
   readonly onUnresponsive: (address: string) => void
   readonly onNotice: (notice: ReadNotice) => void
@@ -115,7 +117,7 @@
   private cancelSend: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive } = options
+    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive, speeds } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.limitOwners = LimitOwners.create(this.options.processStartedAt)
@@ -125,7 +127,7 @@
       clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message)
     })
     this.loadProtocol = LoadProtocol.create({
-      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server)
+      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive, speeds, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server)
     })
   }
 
@@ -285,7 +287,7 @@
         this.refresh()
       }
       this.fleetLoad.setPeerLoad(message.address, message.loads)
-      message.sums.forEach(({ server, ...load }) => this.fleetLoad.setWatchedLoad(server, load))
+      this.loadProtocol.applyWatchedServers(message.sums)
       this.options.onMessage(message)
     }
   }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -20,6 +20,7 @@
 import { AccountQuotas } from './limits/accountQuotas.js'
 import { createLimitProtocols, type LimitProtocols } from './limits/createLimitProtocols.js'
 import { LimitScope } from './limits/limitMessage.js'
+import { createSpeedRegistry } from './servers/speedRegistry.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
 import { createOrderCoordinator, type OrderCoordinator } from './weights/orderCoordinator.js'
@@ -160,6 +161,7 @@
       ownAddress: () => this.peers.address,
       watchersOf: store => this.peers.watchers.of(store),
       onLoadChanged: () => this.peers.loadProtocol.noteChange(),
+      onSpeedSample: ({ hash }, tokens, ms) => this.peers.loadProtocol.addSpeedSample({ server: hash, tokens, ms }),
       onUnreachable: ({ hash }) => this.peers.loadProtocol.reportUnreachable(hash),
       onBackoffRequested: ({ hash }) => this.peers.loadProtocol.reportBackingOff(hash),
       announceNow: () => this.peers.sendHeartbeat(),
@@ -200,6 +202,7 @@
       onSaved: levels => this.dispatcher.caches.savedLevels.recordAnnounced(levels, clock.now()),
       onUnreachable: hash => this.dispatcher.recordUnreachable(hash),
       onBackingOff: hash => this.dispatcher.recordBackoff(hash),
+      speeds: createSpeedRegistry(this.dispatcher.directory, this.log),
       onUnresponsive: peer => this.log.belief('An instance does not answer questions of load; its second is asked.', { peer }),
       onNotice: notice => this.storeReplica.handleNotice(notice),
       onWeights: notice => applyWeightsNotice(this.orderCoordinator, notice),
--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -72,7 +72,7 @@
   }
 
   private describe (server: KnownServer, now: number): object {
-    const { listed, weights, outstanding, health, changingUntil, offset } = server
+    const { listed, weights, outstanding, health, changingUntil, offset, speed } = server
     const opensInMs = availableFrom(server) - now
     return {
       ...listed,
@@ -80,6 +80,7 @@
       outstanding,
       position: formatPosition(offset),
       faultShare: health.faultShare(now),
+      speed,
       changingMs: Math.max(0, changingUntil - now),
       opensInMs: Number.isFinite(opensInMs) ? Math.max(0, Math.round(opensInMs)) : undefined
     }
--- a/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
@@ -58,6 +58,7 @@
     fleetLoad: { of: () => noLoad },
     ...noCacheStores,
     onLoadChanged: () => {},
+    onSpeedSample: () => {},
     onSaved: () => {},
     onUnreachable: () => {},
     onBackoffRequested: () => {},
