--- a/packages/foxtaillever-policy/src/bench/fleetShape.ts
+++ b/packages/foxtaillever-policy/src/bench/fleetShape.ts
@@ -24,6 +24,12 @@
   readonly loss: number
   /** Prefill speed of an engine, tokens a millisecond. */
   readonly tokensPerMs?: number
+  /** Speeds of the engines relative to that speed, repeated in this order; without it all are equal, and instances know the speed. */
+  readonly speedFactors?: readonly number[]
+  /** Whether instances estimate the speed of each engine, in addition to that of all engines together. */
+  readonly isSpeedKnown?: boolean
+  /** The outcome counts requests that begin after this many milliseconds, by when the speeds are known. */
+  readonly warmUpMs?: number
   /** Whether requests that the queue would make late yield to those that can be in time. */
   readonly isYielding?: boolean
   readonly seed: number
@@ -41,4 +47,8 @@
   readonly repeatedShare: number
   /** Requests that began at the busiest engine, divided by the mean. */
   readonly spread: number
+  /** Wait that 95 in 100 requests do not exceed, milliseconds. */
+  readonly p95: number
+  /** The same for the requests at the slowest third of the engines. */
+  readonly slowestP95: number
 }
--- a/packages/foxtaillever-relay/src/peers/watchedSpeeds.ts
+++ b/packages/foxtaillever-relay/src/peers/watchedSpeeds.ts
@@ -32,7 +32,7 @@
 export interface SpeedRegistry {
   /** Undefined for an unknown server. */
   readonly of: (server: number) => ObservedSpeed | undefined
-  /** Speed of the server's service; undefined while this instance has too few samples of it. */
+  /** Speed of the server's service, the same at all instances; undefined while no instance has enough samples of it. */
   readonly serviceTokensPerMs: (server: number) => number | undefined
   readonly record: (server: number, speed: ObservedSpeed) => void
   readonly onWeightStep: (change: WeightStepChange) => void
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -202,7 +202,7 @@
       onSaved: levels => this.dispatcher.caches.savedLevels.recordAnnounced(levels, clock.now()),
       onUnreachable: hash => this.dispatcher.recordUnreachable(hash),
       onBackingOff: hash => this.dispatcher.recordBackoff(hash),
-      speeds: createSpeedRegistry(this.dispatcher.directory, this.log),
+      speeds: createSpeedRegistry({ clock, directory: this.dispatcher.directory, log: this.log, peerSpeeds: () => this.peers.likely().flatMap(peer => peer.speeds) }),
       onUnresponsive: peer => this.log.belief('An instance does not answer questions of load; its second is asked.', { peer }),
       onNotice: notice => this.storeReplica.handleNotice(notice),
       onWeights: notice => applyWeightsNotice(this.orderCoordinator, notice),
