--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -83,7 +83,7 @@
 
 function createProtocol (watchers: ComputedWatchers, address: string): LoadProtocol {
   return LoadProtocol.create({
-    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => [], isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onQueued: () => {}, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
+    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => [], isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onQueued: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
   })
 }
 
@@ -98,6 +98,8 @@
     missingTokens: 2890,
     heldTokens: 9000,
     memoryTokens: 90_000,
+    tokensPerMs: 50,
+    weight: 1,
     isRefusing: false,
     isUnreachable: false,
     faultCostMs: 0,
@@ -108,7 +110,7 @@
 }
 
 const need: PlacementNeed = {
-  promptKey: 42, promptTokens: 9190, sharedTokens: 6300, outputTokens: 10, pace: { tokensPerMs: 50, fetchMs: 20 }, objectiveMs: 800, workMs: 20, fetchWaitMs: 0, failureDomain: 'domain-0'
+  promptKey: 42, promptTokens: 9190, sharedTokens: 6300, outputTokens: 10, fetchMs: 20, objectiveMs: 800, workMs: 20, fetchWaitMs: 0, failureDomain: 'domain-0'
 }
 
 const operations: Readonly<Record<string, (size: Size) => Operation>> = {
@@ -140,7 +142,7 @@
     const watchers = ComputedWatchers.create()
     watchers.setMembers([address, other, ...others])
     const protocol = createProtocol(watchers, address)
-    const report = encodeLoadMessage({ kind: 11, address: other, loads: [createLoad(server, 1)], unreachable: [], saved: [], backingOff: [] })
+    const report = encodeLoadMessage({ kind: 11, address: other, loads: [createLoad(server, 1)], unreachable: [], saved: [], backingOff: [], samples: [{ server, tokens: 9190, ms: 200 }] })
     const query = encodeLoadMessage({ kind: 12, address: other, number: 1, servers: [server], levels: [7] })
     return () => [report, query].forEach(bytes => unpackDatagram(bytes).chain(readLoadMessage).ifJust(message => protocol.handleMessage(message)))
   },
@@ -149,7 +151,7 @@
     watchers.setMembers([address, ...others])
     let outstanding = 0
     const protocol = LoadProtocol.create({
-      clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => servers.slice(0, IN_FLIGHT).map(server => createLoad(server, 1 + outstanding % 2)), isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onQueued: () => {}, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
+      clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => servers.slice(0, IN_FLIGHT).map(server => createLoad(server, 1 + outstanding % 2)), isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onQueued: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
     })
     return () => {
       outstanding += 1
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -16,6 +16,7 @@
 import { HeartbeatRounds } from './heartbeatRounds.js'
 import { LimitOwners } from '../limits/limitOwners.js'
 import type { AnnouncedTopic } from './announcedTopic.js'
+import type { SpeedRegistry } from './watchedSpeeds.js'
 import { MAX_ENGINES_IN_NOTICE } from './weightsNotice.js'
 
 /**
@@ -89,6 +90,7 @@
   readonly onBackingOff: (server: number) => void
   /** Called with the hash of a server at which requests are queued for admission. */
   readonly onQueued: (server: number) => void
+  readonly speeds: SpeedRegistry
   /** Called when a watcher of servers does not answer. */
   readonly onUnresponsive: (address: string) => void
   readonly onNotice: (notice: ReadNotice) => void
@@ -120,7 +122,7 @@
   private cancelSend: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onQueued, onUnresponsive, admission } = options
+    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onQueued, onUnresponsive, speeds, admission } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.limitOwners = LimitOwners.create(this.options.processStartedAt)
@@ -130,7 +132,7 @@
       clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
     })
     this.loadProtocol = LoadProtocol.create({
-      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onQueued, onUnresponsive, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (server, priority) => this.admission.queuedTokens(server, priority)
+      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onQueued, onUnresponsive, speeds, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (server, priority) => this.admission.queuedTokens(server, priority)
     })
     this.admission = AdmissionProtocol.create({
       ...admission, clock, address: this.address, watchersOf: server => this.watchers.of(server), isComplete: () => this.loadProtocol.isComplete, loadOf: server => this.loadProtocol.watchedLoad(server), send: (address, message) => this.link.sendAdmission(address, message)
@@ -294,7 +296,7 @@
         this.refresh()
       }
       this.fleetLoad.setPeerLoad(message.address, message.loads)
-      message.sums.forEach(({ server, ...load }) => this.fleetLoad.setWatchedLoad(server, load))
+      this.loadProtocol.applyWatchedServers(message.sums)
       this.options.onMessage(message)
     }
   }
