--- a/packages/foxtaillever-policy/src/bench/admissionFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/admissionFleet.ts
@@ -147,9 +147,9 @@
     return isKept ? current : best
   }
 
-  private waitTokens (engine: Engine, { instance, kind }: Call): number {
+  private waitTokens (engine: Engine, { account, instance, kind }: Call): number {
     const own = engine.server.calls.filter(call => call.instance === instance && !call.isReported && call.firstEventAt === Infinity)
-    return sum(own, ({ kind }) => kind.tokens) + sum(engine.known, unreadTokens) + engine.queue.queuedTokens(kind.priority)
+    return sum(own, ({ kind }) => kind.tokens) + sum(engine.known, unreadTokens) + engine.queue.queuedTokens(kind.priority, this.accountOf(account))
   }
 
   private requestAdmission (call: Call, engine: Engine, fingerprint: number): void {
@@ -161,7 +161,7 @@
     const { account, sentAt, kind } = call
     const key = String(call.id)
     const entry: AdmissionEntry = {
-      key, account: this.shape.hasShares ? String(account) : '', fingerprint, tokens: kind.tokens, heldTokens: kind.tokens, priority: kind.priority, objectiveAt: sentAt + FEASIBLE_SHARE * kind.objectiveMs, latestStartAt: sentAt + kind.deadlineMs - kind.tokens / TOKENS_PER_MS, expiresAt: this.now + EXPIRY_MS
+      key, account: this.accountOf(account), fingerprint, tokens: kind.tokens, heldTokens: kind.tokens, priority: kind.priority, objectiveAt: sentAt + FEASIBLE_SHARE * kind.objectiveMs, latestStartAt: sentAt + kind.deadlineMs - kind.tokens / TOKENS_PER_MS, expiresAt: this.now + EXPIRY_MS
     }
     this.after(DATAGRAM_MS, () => {
       engine.queue.add(entry, this.now)
@@ -179,6 +179,10 @@
     })
   }
 
+  private accountOf (account: number): string {
+    return this.shape.hasShares ? String(account) : ''
+  }
+
   private roomOf ({ known, backlog }: Engine): ServerRoom {
     return { backlogTokens: backlog.tokensAt(TOKENS_PER_MS, this.now), heldTokens: sum(known, ({ kind }) => kind.tokens), outstanding: known.length, tokensPerMs: TOKENS_PER_MS, memoryTokens: MEMORY_TOKENS, slots: SLOTS, readAheadMs: READ_AHEAD_MS }
   }
--- a/packages/foxtaillever-policy/src/order/classQueue.ts
+++ b/packages/foxtaillever-policy/src/order/classQueue.ts
@@ -106,6 +106,11 @@
     this.jobsByTurn.push(entry)
   }
 
+  /** Turn of the next job that the account adds. */
+  nextTurnOf (account: string): number {
+    return Math.max(this.virtualTime, this.accounts.get(account)?.nextTurn ?? 0)
+  }
+
   workOf (account: string): number {
     return this.accounts.get(account)?.work ?? 0
   }
--- a/packages/foxtaillever-policy/src/relay/__tests__/admissionQueue.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/admissionQueue.test.ts
@@ -276,6 +276,15 @@
     t.true(last < 4 * 16, `${last}`)
   })
 
+  // An account that floods every server makes all look equally busy, so that the others are not sent where they wait least.
+  it('see only the tokens before their next request', t => {
+    const queue = AdmissionQueue.create()
+    addAll(queue, [...numbered('flood', 10), ...numbered('usual', 1), entryOf('urgent', { account: 'other', priority: 0 }), entryOf('lessUrgent', { priority: 1 })])
+    t.deepEqual(['flood', 'usual', 'new'].map(account => queue.queuedTokens(0, account)), [12_000, 4000, 3000])
+    t.is(queue.queuedTokens(0), 12_000)
+    t.is(queue.queuedTokens(1, 'new'), 13_000)
+  })
+
   // Large prompts count as one turn, so that an account with large prompts takes most of the server.
   it('share tokens, not requests', t => {
     const queue = AdmissionQueue.create()
--- a/packages/foxtaillever-policy/src/relay/admissionQueue.ts
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -146,9 +146,18 @@
     }
   }
 
-  /** Tokens queued at the priority or a more urgent one. */
-  queuedTokens (priority: number): number {
-    return this.ranks.slice(0, priority + 1).reduce((tokens, { work }) => tokens + work, 0)
+  /**
+   * Tokens queued at the priority or a more urgent one. For an account, only those before its next request: with all of
+   * them, the queue of an account that floods every server would hide how long others wait at each.
+   */
+  queuedTokens (priority: number, account?: string): number {
+    const moreUrgent = this.ranks.slice(0, priority).reduce((tokens, { work }) => tokens + work, 0)
+    const rank = this.ranks[priority]
+    if (rank === undefined || account === undefined) {
+      return moreUrgent + (rank?.work ?? 0)
+    }
+    const nextTurn = rank.nextTurnOf(account)
+    return this.inOrder(priority).filter(({ turn }) => turn <= nextTurn).reduce((tokens, { cost }) => tokens + cost, moreUrgent)
   }
 
   /** Takes the requests that are admitted or rejected now out of the queue, in order. */
