Let a retry take its account's first turn instead of a remembered one

Two tests expected that new requests which arrived before the rejection keep their place. The test of the losses runs at 0.75 of the capacity, where requests sent at once are still late three seconds after the last loss.

--- a/packages/foxtaillever-policy/src/order/classQueue.ts
+++ b/packages/foxtaillever-policy/src/order/classQueue.ts
@@ -11,13 +11,10 @@
 /** The part of a job that its turn depends on. */
 export interface FairJob extends Pick<WaitingJob, 'cost' | 'weight' | 'attempts' | 'gone' | 'turn' | 'sequence'> {
   readonly job: { readonly account: string }
-  /** Position of an earlier attempt, which this one keeps; its account is charged as for a new job. */
-  readonly place?: FairPlace
+  /** Cost by which its turn is earlier than that of a new job of the account; it is charged in full. */
+  readonly headStart?: number
 }
 
-/** Position in the fair order. */
-export type FairPlace = Readonly<Pick<WaitingJob, 'turn' | 'sequence'>>
-
 interface AccountQueue<Job extends FairJob> {
   /** Turn of the account's next job. */
   nextTurn: number
@@ -62,8 +59,8 @@
     const account = this.accountOf(entry)
     const isRetry = entry.attempts > 0
     const turn = Math.max(this.virtualTime, account.nextTurn)
-    entry.turn = isRetry ? this.virtualTime : Math.min(turn, entry.place?.turn ?? turn)
-    entry.sequence = entry.place?.sequence ?? this.sequence++
+    entry.turn = isRetry ? this.virtualTime : turn - (entry.headStart ?? 0) / entry.weight
+    entry.sequence = this.sequence++
     if (!isRetry) {
       account.nextTurn = turn + entry.cost / entry.weight
     }
--- a/packages/foxtaillever-policy/src/relay/admissionQueue.ts
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -12,7 +12,7 @@
  * can go first, and a request that cannot begin before its deadline is rejected while
  * its caller can still use the time.
  */
-import { ClassQueue, type FairJob, type FairPlace } from '../order/classQueue.js'
+import { ClassQueue, type FairJob } from '../order/classQueue.js'
 import { LEAST_URGENT_PRIORITY, yieldPriority } from './yieldPriority.js'
 
 export interface AdmissionEntry {
@@ -68,18 +68,17 @@
   readonly job: AdmissionEntry
   /** Rank of its priority. */
   readonly firstRank: number
-  /** Position in the class of its first rank. */
-  readonly firstPlace?: FairPlace
+  /** Whether it is the retry of a rejected request. */
+  readonly isReturning: boolean
   /** Class of the queue; rises when the request can no longer be on time. */
   rank: number
   expiresAt: number
 }
 
-/** A rejected request, whose retry gets the same place. */
-interface RejectedPlace extends FairPlace {
+interface RejectedRequest {
   readonly fingerprint: number
-  readonly rank: number
-  readonly until: number
+  /** Milliseconds of Unix time. */
+  readonly rememberedUntil: number
 }
 
 /** Share of the read-ahead below which an idle queue needs no decision of the owner. */
@@ -106,8 +105,8 @@
 export class AdmissionQueue {
   private readonly ranks = Array.from({ length: LEAST_URGENT_PRIORITY + 1 }, () => ClassQueue.create<QueuedEntry>())
   private readonly entries = new Map<string, QueuedEntry>()
-  /** Places of rejected requests that have not returned, the oldest first. */
-  private readonly rejectedPlaces: RejectedPlace[] = []
+  /** Those that have not returned, the oldest first. */
+  private readonly rejectedRequests: RejectedRequest[] = []
   /** For each rank, the retry time given last plus the reading time of its request, milliseconds of Unix time. */
   private readonly nextRetryAt = new Array<number>(LEAST_URGENT_PRIORITY + 1).fill(0)
 
@@ -133,9 +132,13 @@
       return
     }
     const rank = Math.min(LEAST_URGENT_PRIORITY, Math.max(0, Math.round(entry.priority)))
-    const place = this.takePlace(entry.fingerprint, rank, now)
-    const queued = { job: entry, cost: entry.tokens, weight: 1, attempts: 0, gone: false, turn: 0, sequence: 0, rank, firstRank: rank, expiresAt: entry.expiresAt }
-    this.insert(place ? { ...queued, place } : queued)
+    const isReturning = this.takeRejected(entry.fingerprint, now)
+    const queued = { job: entry, cost: entry.tokens, weight: 1, attempts: 0, gone: false, turn: 0, sequence: 0, rank, firstRank: rank, isReturning, expiresAt: entry.expiresAt }
+    if (isReturning) {
+      this.insertBeforeNew(queued)
+    } else {
+      this.insert(queued)
+    }
   }
 
   remove (key: string): void {
@@ -189,6 +192,18 @@
     this.classOf(queued).add(queued)
   }
 
+  /**
+   * A retry takes the turn of its account's first new request, and these move back by one. Its head start puts it before
+   * new requests of accounts that were served as much. Without a limit to that, the retries of an account that floods the
+   * server would take all of it.
+   */
+  private insertBeforeNew (queued: QueuedEntry): void {
+    const newRequests = this.inOrder(queued.rank).filter(({ job, isReturning }) => job.account === queued.job.account && !isReturning)
+    newRequests.forEach(({ job }) => this.remove(job.key))
+    this.insert({ ...queued, headStart: queued.cost })
+    newRequests.forEach(each => this.insert({ ...each, gone: false }))
+  }
+
   private removeExpired (now: number): void {
     for (const { job: { key }, expiresAt } of [...this.entries.values()]) {
       if (expiresAt <= now) {
@@ -222,27 +237,23 @@
   }
 
   private lowerRank (queued: QueuedEntry): void {
-    const { job, turn, sequence, firstRank, firstPlace, place, ...rest } = queued
-    this.remove(job.key)
-    this.insert({ ...rest, job, turn, sequence, firstRank, firstPlace: firstPlace ?? { turn, sequence }, gone: false, rank: yieldPriority(firstRank) })
+    this.remove(queued.job.key)
+    this.insert({ ...queued, gone: false, headStart: 0, rank: yieldPriority(queued.firstRank) })
   }
 
-  private reject (queued: QueuedEntry, emptyAt: number, tokensPerMs: number, now: number): RejectedEntry {
-    const { job, rank, firstRank, firstPlace = queued } = queued
+  private reject ({ job, rank }: QueuedEntry, emptyAt: number, tokensPerMs: number, now: number): RejectedEntry {
     this.remove(job.key)
-    const retryAt = this.spreadRetry(rank, emptyAt, job.tokens / tokensPerMs)
-    const { turn, sequence } = firstPlace
-    this.rejectedPlaces.push({ fingerprint: job.fingerprint, rank: firstRank, turn, sequence, until: now + REMEMBERED_MS })
-    if (this.rejectedPlaces.length > MAX_REMEMBERED) {
-      this.rejectedPlaces.shift()
+    this.rejectedRequests.push({ fingerprint: job.fingerprint, rememberedUntil: now + REMEMBERED_MS })
+    if (this.rejectedRequests.length > MAX_REMEMBERED) {
+      this.rejectedRequests.shift()
     }
-    return { entry: job, retryAt }
+    return { entry: job, retryAt: this.spreadRetry(rank, emptyAt, job.tokens / tokensPerMs) }
   }
 
-  /** The place of a rejected request with this fingerprint, for one retry: otherwise an account with many equal requests would keep a place that is long past. */
-  private takePlace (fingerprint: number, rank: number, now: number): FairPlace | undefined {
-    const index = this.rejectedPlaces.findIndex(place => place.fingerprint === fingerprint && place.rank === rank && place.until > now)
-    return index < 0 ? undefined : this.rejectedPlaces.splice(index, 1)[0]
+  /** Each rejection counts for one retry: otherwise all requests of an account with the same level would count as retries. */
+  private takeRejected (fingerprint: number, now: number): boolean {
+    const index = this.rejectedRequests.findIndex(rejected => rejected.fingerprint === fingerprint && rejected.rememberedUntil > now)
+    return index >= 0 && this.rejectedRequests.splice(index, 1).length > 0
   }
 
   private inOrder (rank: number): QueuedEntry[] {
