All prompts of a service await admission at busy servers once large ones do; count the interval between admissions

Slots bind too: a short answer runs for 2.5 s, 5.9 s while its engine reads, and 32 of them fill an engine. The expected start counts the interval between admissions, so requests that cannot begin are rejected when this is known.

--- a/packages/foxtaillever-policy/src/relay/admissionQueue.ts
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -102,6 +102,9 @@
   return room.backlogTokens < NEARLY_IDLE_SHARE * room.readAheadMs * room.tokensPerMs && room.outstanding < NEARLY_IDLE_SHARE * room.slots && hasMemory
 }
 
+/** Weight of each new interval in the mean interval between admissions. */
+const INTERVAL_WEIGHT = 0.2
+
 export class AdmissionQueue {
   private readonly ranks = Array.from({ length: LEAST_URGENT_PRIORITY + 1 }, () => ClassQueue.create<QueuedEntry>())
   private readonly entries = new Map<string, QueuedEntry>()
@@ -109,6 +112,10 @@
   private readonly rejectedRequests: RejectedRequest[] = []
   /** For each rank, the retry time given last plus the reading time of its request, milliseconds of Unix time. */
   private readonly nextRetryAt = new Array<number>(LEAST_URGENT_PRIORITY + 1).fill(0)
+  /** Mean time between two admissions while requests are queued, milliseconds: where slots or memory are scarce, it is longer than reading. */
+  private intervalMs = 0
+  /** The last admission since the queue was empty, milliseconds of Unix time. */
+  private admittedAt: number | undefined
 
   private constructor () {}
 
@@ -167,7 +174,21 @@
   decide (room: ServerRoom, now: number): AdmissionDecision {
     this.removeExpired(now)
     const rejected = this.rejectHopeless(room, now)
-    return { admitted: this.admit(room), rejected }
+    const admitted = this.admit(room)
+    this.recordAdmissions(admitted.length, now)
+    return { admitted, rejected }
+  }
+
+  private recordAdmissions (count: number, now: number): void {
+    if (count > 0 && this.admittedAt !== undefined) {
+      this.intervalMs += INTERVAL_WEIGHT * ((now - this.admittedAt) / count - this.intervalMs)
+    }
+    if (this.size === 0) {
+      this.intervalMs = 0
+      this.admittedAt = undefined
+    } else if (count > 0) {
+      this.admittedAt = now
+    }
   }
 
   /** When to decide again without a new report, milliseconds of Unix time; Infinity while empty. */
@@ -216,21 +237,24 @@
   private rejectHopeless ({ backlogTokens, tokensPerMs }: ServerRoom, now: number): RejectedEntry[] {
     const rejected: RejectedEntry[] = []
     let tokensBefore = backlogTokens
+    let requestsBefore = 0
+    const expectedStart = (): number => now + Math.max(tokensBefore / tokensPerMs, requestsBefore * this.intervalMs)
     for (let rank = 0; rank <= LEAST_URGENT_PRIORITY; rank += 1) {
       const hopeless: QueuedEntry[] = []
       for (const queued of this.inOrder(rank)) {
         const { job, firstRank } = queued
-        const startAt = now + tokensBefore / tokensPerMs
+        const startAt = expectedStart()
         if (startAt > job.latestStartAt) {
           hopeless.push(queued)
         } else if (startAt + job.tokens / tokensPerMs > job.objectiveAt && rank < yieldPriority(firstRank)) {
           this.lowerRank(queued)
         } else {
           tokensBefore += job.tokens
+          requestsBefore += 1
         }
       }
       // A retry waits for the whole queue of the rank, not only for what was before the rejected request.
-      const emptyAt = now + tokensBefore / tokensPerMs
+      const emptyAt = expectedStart()
       rejected.push(...hopeless.map(queued => this.reject(queued, emptyAt, tokensPerMs, now)))
     }
     return rejected
--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
@@ -200,7 +200,7 @@
       onSaved: () => {},
       onUnreachable: () => {},
       onBackingOff: () => {},
-      onUnresponsive: () => {},
+      onQueued: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {},
       onReported: (server, reporter, added) => admission.recordLoad(server, reporter, added),
       queuedTokens: (server, priority) => admission.queuedTokens(server, priority)
     })
--- a/packages/foxtaillever-relay/src/admission/admissionClaims.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionClaims.ts
@@ -9,11 +9,14 @@
 import type { ServerCapacity } from './serverAdmissions.js'
 
 /**
- * Minimum share of the objective that reading the whole prompt must take. A shorter
- * prompt delays the others by some milliseconds, and a round trip to the owner would
- * delay it by as much.
+ * Minimum share of the objective that reading the whole prompt takes if it is large.
+ * Where all prompts are shorter, each delays the others by some milliseconds, and a round
+ * trip to the owner would delay it by as much.
  */
-const MIN_READ_SHARE = 0.1
+const LARGE_READ_SHARE = 0.15
+
+/** How long the prompts of a service ask for admission after a large one, milliseconds. */
+const LARGE_PROMPTS_MS = 10_000
 
 export interface AdmissionClaimsOptions {
   readonly clock: Clock
@@ -30,6 +33,9 @@
 }
 
 export class AdmissionClaims {
+  /** Until when prompts ask for admission, by service, milliseconds of Unix time. */
+  private readonly askingUntil = new Map<string, number>()
+
   private constructor (private readonly options: AdmissionClaimsOptions) {}
 
   static create (options: AdmissionClaimsOptions): AdmissionClaims {
@@ -65,11 +71,15 @@
     }
   }
 
-  /** No prompt passes those that are queued; without a queue, only large prompts at a busy server ask. */
+  /** Once large prompts await admission at a service, all its prompts do at a busy server, since they compete for the same slots. */
   private mustAsk (exchange: Exchange, { promptTokens }: Prompt, server: KnownServer, capacity: ServerCapacity): boolean {
-    const { awaitsAdmission, objectiveMs } = exchange.route
-    const isLarge = promptTokens >= MIN_READ_SHARE * objectiveMs * capacity.tokensPerMs
-    return server.queuedUntil > this.options.clock.now() || (awaitsAdmission && isLarge && !this.isNearlyIdle(server, capacity, heldTokensOf(exchange)))
+    const { service, route: { awaitsAdmission, objectiveMs } } = exchange
+    const now = this.options.clock.now()
+    if (awaitsAdmission && promptTokens >= LARGE_READ_SHARE * objectiveMs * capacity.tokensPerMs) {
+      this.askingUntil.set(service, now + LARGE_PROMPTS_MS)
+    }
+    const isAsking = (this.askingUntil.get(service) ?? 0) > now || server.queuedUntil > now
+    return isAsking && !this.isNearlyIdle(server, capacity, heldTokensOf(exchange))
   }
 
   private isNearlyIdle ({ hash, outstanding, unreadTokens, heldTokens }: KnownServer, capacity: ServerCapacity, addedTokens: number): boolean {
