--- a/packages/foxtaillever-relay/src/peers/loadMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -58,21 +58,35 @@
 const packWatched = (entry: WatchedServerEntry): WireWatched => [...packLoad(entry), ...packSpeed(entry.speed)]
 const readWatched = ([server, outstanding, tokens, heldTokens, ...speed]: WireWatched): WatchedServerEntry => ({ server, outstanding, tokens, heldTokens, speed: readSpeed(speed) })
 
-/** A list of samples is the last element of a report; absent when there are none. */
-const packSamples = (samples: readonly SpeedSample[]): WireSample[][] => samples.length === 0 ? [] : [samples.map(({ server, tokens, ms }) => [server, tokens, ms])]
-const readSamples = (wire: unknown = []): SpeedSample[] => (wire as WireSample[]).map(([server, tokens, ms]) => ({ server, tokens, ms })).filter(({ tokens, ms }) => Number.isFinite(tokens) && Number.isFinite(ms))
+/**
+ * A list of samples is the last element of a report; absent when there are none. Their
+ * servers are mostly among those of the loads: -1 is the first of these, and so on.
+ */
+function packSamples ({ loads, samples }: ServerLoadReport): WireSample[][] {
+  const positions = new Map(loads.map(({ server }, index) => [server, -1 - index]))
+  return samples.length === 0 ? [] : [samples.map(({ server, tokens, ms }) => [positions.get(server) ?? server, tokens, ms])]
+}
+
+function readSamples (wire: unknown = [], loads: readonly ServerLoadEntry[]): SpeedSample[] {
+  return (wire as WireSample[])
+    .map(([server, tokens, ms]) => ({ server: server < 0 ? loads[-1 - server]?.server ?? 0 : server, tokens, ms }))
+    .filter(({ tokens, ms }) => Number.isFinite(tokens) && Number.isFinite(ms))
+}
 
 export function encodeLoadMessage (message: LoadMessage): Buffer {
   const { kind, address } = message
   switch (kind) {
-    case DatagramKind.ServerLoadReport: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff, ...packSamples(message.samples)])
+    case DatagramKind.ServerLoadReport: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff, ...packSamples(message)])
     case DatagramKind.LoadRequest: return packDatagram([kind, address, message.number, message.servers, message.levels])
     case DatagramKind.LoadResponse: return packDatagram([kind, address, message.number, message.loads.map(packWatched), message.unreachable, message.saved, message.backingOff])
   }
 }
 
 const readers: Readonly<Record<LoadMessageKind, (address: string, rest: readonly unknown[]) => LoadMessage>> = {
-  [DatagramKind.ServerLoadReport]: (address, [loads, unreachable, saved, backingOff, samples]) => ({ kind: DatagramKind.ServerLoadReport, address, loads: (loads as WireLoad[]).map(readLoad), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff), samples: readSamples(samples) }),
+  [DatagramKind.ServerLoadReport]: (address, [wireLoads, unreachable, saved, backingOff, samples]) => {
+    const loads = (wireLoads as WireLoad[]).map(readLoad)
+    return { kind: DatagramKind.ServerLoadReport, address, loads, unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff), samples: readSamples(samples, loads) }
+  },
   [DatagramKind.LoadRequest]: (address, [number, servers, levels]) => ({ kind: DatagramKind.LoadRequest, address, number: Number(number), servers: readNumbers(servers), levels: readNumbers(levels) }),
   [DatagramKind.LoadResponse]: (address, [number, loads, unreachable, saved, backingOff]) => ({ kind: DatagramKind.LoadResponse, address, number: Number(number), loads: (loads as WireWatched[]).map(readWatched), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff) })
 }
--- a/packages/foxtaillever-relay/src/peers/loadProtocol.ts
+++ b/packages/foxtaillever-relay/src/peers/loadProtocol.ts
@@ -118,9 +118,12 @@
     return await this.queries.query(query)
   }
 
-  /** A first event at a server shows its speed: its watchers get the sample with the next report, which the ended reading causes. */
+  /** A first event at a server shows its speed: its first watcher gets the sample with the next report, which the ended reading causes. */
   addSpeedSample (sample: SpeedSample): void {
-    this.speeds.addSample(sample, this.options.watchersOf(sample.server), this.options.clock.now())
+    const [first] = this.options.watchersOf(sample.server)
+    if (first !== undefined) {
+      this.speeds.addSample(sample, first, this.options.clock.now())
+    }
   }
 
   /** Applies what watchers announce about servers. This instance's own estimates replace it where it is the first watcher. */
--- a/packages/foxtaillever-relay/src/peers/watchedSpeeds.ts
+++ b/packages/foxtaillever-relay/src/peers/watchedSpeeds.ts
@@ -1,9 +1,9 @@
 /**
  * Reading speeds of servers, from the first events of all instances. An instance uses
  * a given server too rarely to estimate its speed, so every instance sends its samples
- * with its load reports to the server's watchers. The first watcher announces the
- * speed with its answers and heartbeats; the second one keeps its own estimate, so
- * that it can take over.
+ * with its load reports to the server's first watcher, which announces the speed with
+ * its answers and heartbeats. A watcher that takes over starts from what was announced;
+ * sent to both watchers, samples would take an instance beyond 14 KB/s.
  */
 import { ordinarySpeed, ServerSpeed, type ObservedSpeed } from 'foxtaillever-policy/relay/serverSpeed'
 import { isSpeedSample } from 'foxtaillever-policy/relay/speedEstimate'
@@ -66,11 +66,12 @@
     return new WatchedSpeeds(registry)
   }
 
-  /** Keeps a sample of this instance for the next report to each of the watchers. */
-  addSample ({ server, tokens, ms }: SpeedSample, watchers: readonly string[], now: number): void {
+  /** Keeps a sample of this instance for the next report to the watcher. */
+  addSample ({ server, tokens, ms }: SpeedSample, watcher: string, now: number): void {
     if (isSpeedSample(tokens, ms)) {
       const sample = { server, tokens: Math.round(tokens), ms: Math.round(ms) }
-      watchers.forEach(watcher => this.pending.set(watcher, { samples: [...this.pending.get(watcher)?.samples ?? [], sample].slice(-MAX_PENDING_SAMPLES), at: now }))
+      const earlier = this.pending.get(watcher)?.samples ?? []
+      this.pending.set(watcher, { samples: [...earlier, sample].slice(-MAX_PENDING_SAMPLES), at: now })
     }
   }
 
