Weigh the pause that reading a prompt causes at uneven servers; rooms by each server's speed

In the uneven deployment 871 of 1,194 late short answers were late by a pause between events alone: a slow engine reads a large prompt for 425 ms, and its running streams get an event after five of its steps. Placement charges the time by which reading pauses running streams beyond 0.6 of their objective, where servers differ in speed; with equal servers nothing changes.

--- a/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
@@ -47,6 +47,30 @@
   return new Map([...waiting].map(([id, tokens]) => [id, tokens / TOKENS_PER_MS]))
 }
 
+describe('placement among servers of different speed', () => {
+  const SLOW = 21.6
+  const FAST = 52.5
+  const key = 7919
+
+  /** Speed of the server chosen for an uncached prompt whose home is a slow server with running streams, while the fast one has more to read. */
+  function chosenSpeed (promptTokens: number, pauseObjectiveMs?: number): number | undefined {
+    const slow = createCandidates({ tokensPerMs: SLOW, missingTokens: promptTokens, outstanding: 6, failureDomain: 'd0' })
+    const candidates = slow.map((candidate, index) => index === 5 ? { ...candidate, tokensPerMs: FAST, outstanding: 12, waitingTokens: 11_000 } : candidate)
+    const placement = { ...need(key), homeHash: candidates[0]?.hash, promptTokens, sharedTokens: 0.6 * promptTokens, objectiveMs: 815, fetchMs: 38, pauseObjectiveMs }
+    return placeExchange(candidates, placement, SeededRandom.create(1))?.tokensPerMs
+  }
+
+  // Guards against large prompts at slow servers, where reading them makes all running streams pause for too long.
+  it('sends a prompt whose reading pauses running streams for too long to a faster server', t => {
+    t.is(chosenSpeed(9190), SLOW)
+    t.is(chosenSpeed(9190, 500), FAST)
+  })
+
+  it('leaves a prompt at its home where reading it pauses no stream for too long', t => {
+    t.is(chosenSpeed(6000, 500), SLOW)
+  })
+})
+
 describe('placement of an exchange', () => {
   // If instances choose different engines for one shared level, each engine reads it and evicts others.
   it('is the same at all instances while servers are idle', t => {
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -57,6 +57,8 @@
   readonly fetchMs: number
   /** Objective for the time until the first event, milliseconds. */
   readonly objectiveMs: number
+  /** Shortest objective for pauses in the service's streams, milliseconds; undefined for none, and where all servers pause their streams alike. */
+  readonly pauseObjectiveMs?: number | undefined
   /** Work of a request without a prompt, milliseconds; the cost of each queued request. */
   readonly workMs: number
   /** How long a fetch waits for the link of the level's store, milliseconds. */
@@ -110,6 +112,27 @@
 /** Additional cost of each millisecond beyond SAFE_SHARE: a late answer loses most of its worth. */
 const LATE_COST_FACTOR = 3
 
+/**
+ * Share of the pause objective for which a server may read without a break. Its running streams get one token for
+ * each piece of a prompt that it reads, and an event carries several tokens.
+ */
+const SAFE_PAUSE_SHARE = 0.6
+
+/** Cost of each millisecond beyond SAFE_PAUSE_SHARE: all running streams of the server are late by it. */
+const PAUSE_COST_FACTOR = 4
+
+/**
+ * Cost of the time by which reading this prompt too pauses the running streams of the server for longer than their
+ * objective. A slow server pauses them the longest, and a faster one can read a large prompt instead.
+ */
+function pauseCostMs ({ waitingTokens, missingTokens, outstanding, tokensPerMs }: ServerCandidate, { pauseObjectiveMs }: PlacementNeed): number {
+  if (pauseObjectiveMs === undefined || outstanding === 0) {
+    return 0
+  }
+  const overMs = (tokens: number): number => Math.max(0, tokens / tokensPerMs - SAFE_PAUSE_SHARE * pauseObjectiveMs)
+  return PAUSE_COST_FACTOR * (overMs(waitingTokens + missingTokens) - overMs(waitingTokens))
+}
+
 /** How long a request waits for memory that others occupy, milliseconds; an engine that preempts them instead reads them twice. */
 function memoryWaitMs ({ heldTokens, memoryTokens, tokensPerMs }: ServerCandidate, { promptTokens, outputTokens }: PlacementNeed): number {
   const over = heldTokens + promptTokens + outputTokens - memoryTokens
@@ -134,7 +157,7 @@
 function promptCostMs (candidate: ServerCandidate, need: PlacementNeed, isHome: boolean): number {
   const { outstanding, waitingTokens, missingTokens, tokensPerMs } = candidate
   const expected = (waitingTokens + missingTokens) / tokensPerMs + outstanding * REQUEST_COST_MS + memoryWaitMs(candidate, need) + (isHome ? 0 : awayFromHomeCostMs(candidate, need))
-  return expected + LATE_COST_FACTOR * Math.max(0, expected - SAFE_SHARE * need.objectiveMs)
+  return expected + LATE_COST_FACTOR * Math.max(0, expected - SAFE_SHARE * need.objectiveMs) + pauseCostMs(candidate, need)
 }
 
 /** Expected cost of a candidate, in milliseconds until the first token. */
--- a/packages/foxtaillever-relay/src/admission/serverRooms.ts
+++ b/packages/foxtaillever-relay/src/admission/serverRooms.ts
@@ -15,10 +15,27 @@
   readonly routing: () => Routing | undefined
 }
 
+/** What the prompt routes of a service require of its servers, milliseconds. */
+interface ServiceObjectives {
+  /** How much a server may have to read when it gets the next request. */
+  readonly readAheadMs: number
+  /** The shortest objective for pauses in streams; undefined for none. */
+  readonly pauseObjectiveMs: number | undefined
+}
+
+function objectivesOf (service: string, routing: Routing | undefined): ServiceObjectives {
+  const routes = (routing?.routes ?? []).filter(({ hasPrompt, targets }) => hasPrompt && targets.some(target => target.service === service))
+  const pauses = routes.map(({ pauseObjectiveMs }) => pauseObjectiveMs).filter(pauseMs => pauseMs > 0)
+  return {
+    readAheadMs: routes.length === 0 ? MIN_READ_AHEAD_MS : Math.max(MIN_READ_AHEAD_MS, READ_AHEAD_SHARE * Math.min(...routes.map(({ objectiveMs }) => objectiveMs))),
+    pauseObjectiveMs: pauses.length === 0 ? undefined : Math.min(...pauses)
+  }
+}
+
 export class ServerRooms {
   private routing: Routing | undefined
   /** By service, for the current routing: decisions look it up for each request. */
-  private readonly readAheads = new Map<string, number>()
+  private readonly objectives = new Map<string, ServiceObjectives>()
 
   private constructor (private readonly options: ServerRoomsOptions) {}
 
@@ -29,31 +46,27 @@
   /** Undefined for a server that takes no requests. */
   of (hash: number): ServerCapacity | undefined {
     const { directory } = this.options
-    const { listed } = directory.getByHash(hash) ?? {}
+    const { listed, speed } = directory.getByHash(hash) ?? {}
     if (listed?.state !== ServerState.Ready) {
       return undefined
     }
     const { service, slots } = listed
-    const { tokensPerMs } = directory.observations.prefillSpeedOf(service)
-    return { tokensPerMs, memoryTokens: directory.memoryTokensOf(service), slots, readAheadMs: this.readAheadMsOf(service) }
+    const tokensPerMs = speed?.tokensPerMs ?? directory.observations.prefillSpeedOf(service).tokensPerMs
+    return { tokensPerMs, memoryTokens: directory.memoryTokensOf(service), slots, readAheadMs: this.objectivesOf(service).readAheadMs }
   }
 
-  /** How much a server of the service may have to read when it gets the next request, milliseconds. */
-  readAheadMsOf (service: string): number {
+  /** Requirements of the service under the configuration in force. */
+  objectivesOf (service: string): ServiceObjectives {
     const routing = this.options.routing()
     if (routing !== this.routing) {
       this.routing = routing
-      this.readAheads.clear()
+      this.objectives.clear()
     }
-    const known = this.readAheads.get(service)
-    if (known !== undefined) {
-      return known
+    let objectives = this.objectives.get(service)
+    if (objectives === undefined) {
+      objectives = objectivesOf(service, routing)
+      this.objectives.set(service, objectives)
     }
-    const objectives = (routing?.routes ?? [])
-      .filter(({ hasPrompt, targets }) => hasPrompt && targets.some(target => target.service === service))
-      .map(({ objectiveMs }) => objectiveMs)
-    const readAheadMs = objectives.length === 0 ? MIN_READ_AHEAD_MS : Math.max(MIN_READ_AHEAD_MS, READ_AHEAD_SHARE * Math.min(...objectives))
-    this.readAheads.set(service, readAheadMs)
-    return readAheadMs
+    return objectives
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -85,6 +85,7 @@
     const retrySchedules = ServiceRetrySchedules.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => this.instances })
     const selector = ServerSelector.create({
       ...options,
+      pauseObjectiveMsOf: service => this.rooms.objectivesOf(service).pauseObjectiveMs,
       directory: this.directory,
       stores: () => this.caches.available(),
       estimateLevelFetch: exchange => estimateLevelFetch(exchange, requireRouting(options.routing()), this.caches, clock.now(), this.directory.observations.prefillSpeedOf(exchange.service).tokensPerMs)
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverSelector.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverSelector.test.ts
@@ -19,12 +19,12 @@
     engine.outstanding = outstanding
   }
   const weights = { outdatedSince: () => clock.now() - outdatedMs }
-  const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad: FleetLoad.create(clock), estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 0 }), stores: () => [], weights, weightsBoundMs: BOUND_MS })
+  const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad: FleetLoad.create(clock), estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 0 }), stores: () => [], weights, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined })
   return selector.selectServer(createExchange(clock.now()), { failed: new Set(), wasMisdirected: false }) !== undefined
 }
 
 /** The engine chosen among twenty: the queried ones have the given numbers of tokens to process, and nothing is known of the others. */
-function chooseAmong (queried: ReadonlyMap<string, number>, changing: readonly string[] = [], backingOff: readonly string[] = []): string | undefined {
+function chooseAmong (queried: ReadonlyMap<string, number>, changing: readonly string[] = [], backingOff: readonly string[] = [], slow: readonly string[] = []): string | undefined {
   const clock = VirtualClock.create()
   const directory = ServerDirectory.create({ onChanged: () => {} })
   const fleetLoad = FleetLoad.create(clock)
@@ -35,11 +35,12 @@
     const tokens = queried.get(id)
     if (engine && tokens !== undefined) {
       fleetLoad.setWatchedLoad(engine.hash, { outstanding: 4, tokens, heldTokens: 0 })
+      engine.speed = { tokensPerMs: slow.includes(id) ? 20 : undefined, weightStep: 0 }
       engine.changingUntil = changing.includes(id) ? Infinity : 0
       engine.peerBackoffUntil = backingOff.includes(id) ? Infinity : 0
     }
   }
-  const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad, estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 9190 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS })
+  const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad, estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 9190 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined })
   const hashes = new Set([...queried.keys()].flatMap(id => directory.get(id)?.hash ?? []))
   return selector.selectServer(createExchange(clock.now(), { service: 'engines', prompt: { model: 'model', levels: [{ id: 'root', tokens: 6300 }, { id: 'own', tokens: 2890 }], promptTokens: 9190, outputTokens: 10 } }), { failed: new Set(), wasMisdirected: false }, hashes)?.listed.id
 }
@@ -51,6 +52,11 @@
     t.is(chooseAmong(new Map([['e3', 30_000], ['e7', 20_000]])), 'e7')
   })
 
+  // The shorter queue of a slow server takes longer to read.
+  it('takes a server with a longer queue that it reads faster', t => {
+    t.is(chooseAmong(new Map([['e3', 30_000], ['e7', 20_000]]), [], [], ['e7']), 'e3')
+  })
+
   // Guards against a request to a server that has just asked another instance for backoff.
   it('skips a server that is backing off for other instances while another accepts requests', t => {
     t.is(chooseAmong(new Map([['e3', 30_000], ['e7', 20_000]]), [], ['e7']), 'e3')
@@ -71,7 +77,7 @@
     for (let index = 0; index < 20; index += 1) {
       directory.applyEntry({ id: `e${index}`, startedAt: 0, service: 'engines', address: `127.0.0.1:${index + 1}`, failureDomain: 'a', slots: 16, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([['model', 1]]) }, index)
     }
-    const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad: FleetLoad.create(clock), estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 628 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS })
+    const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad: FleetLoad.create(clock), estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 628 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined })
     for (let run = 0; run < 64; run += 1) {
       const prompt = { model: 'model', levels: [{ id: `subject-${run}`, tokens: 198 }, { id: `own-${run}`, tokens: 628 }], promptTokens: 826, outputTokens: 500 }
       const engine = selector.selectServer(createExchange(clock.now(), { service: 'engines', prompt }), { failed: new Set(), wasMisdirected: false })
--- a/packages/foxtaillever-relay/src/servers/serverSelector.ts
+++ b/packages/foxtaillever-relay/src/servers/serverSelector.ts
@@ -67,6 +67,8 @@
   /** Estimates what it takes to get the levels of a prompt to an engine. */
   readonly estimateLevelFetch: (exchange: Exchange) => LevelFetchEstimate
   readonly weights: Pick<WeightsRollout, 'outdatedSince'>
+  /** The shortest objective for pauses in streams of a service, milliseconds; undefined for none. */
+  readonly pauseObjectiveMsOf: (service: string) => number | undefined
   /** How long after new weights were named a request may still begin on older ones, milliseconds. */
   readonly weightsBoundMs: number
 }
@@ -148,6 +150,7 @@
       outputTokens,
       fetchMs: estimate.fetchMs,
       objectiveMs: exchange.route.objectiveMs,
+      pauseObjectiveMs: all.some(({ speed }) => speed.weightStep !== 0) ? this.options.pauseObjectiveMsOf(exchange.service) : undefined,
       workMs: directory.observations.usualTimeOf(exchange.route.name).value ?? DEFAULT_WORK_MS,
       fetchWaitMs: estimate.waitMs,
       failureDomain
