Decide again when an entry behind others may be too late, and count requests on time until the last arrival

On a server that has stopped, only the backlog and not the queue before an entry counted for the time of the next decision. The model counted requests that began on time after the last arrival, which favoured loads above the capacity.

--- a/packages/foxtaillever-policy/src/bench/admissionShape.ts
+++ b/packages/foxtaillever-policy/src/bench/admissionShape.ts
@@ -67,9 +67,10 @@
     return new AdmissionOutcome(shape, calls, preemptions, rejections)
   }
 
-  /** Requests on time a second; a rejected caller that retries and is served on time counts once. */
+  /** Requests that began on time a second, without those that began after the last arrival. */
   goodput (matches: Predicate = () => true): number {
-    return this.calls.filter(call => isOnTime(call) && matches(call)).length * 1000 / this.shape.durationMs
+    const { durationMs } = this.shape
+    return this.calls.filter(call => isOnTime(call) && call.sentAt + call.waitMs < durationMs && matches(call)).length * 1000 / durationMs
   }
 
   /** Share of the requests that were on time; a rejected one was not. */
--- a/packages/foxtaillever-policy/src/relay/admissionQueue.ts
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -174,9 +174,11 @@
   nextDecisionAt ({ backlogTokens, tokensPerMs, readAheadMs }: ServerRoom, now: number): number {
     const waitMs = backlogTokens / tokensPerMs
     let at = Infinity
-    for (const { job, expiresAt } of this.entries.values()) {
+    let startInMs = waitMs
+    for (const { job, expiresAt } of this.ranks.flatMap((_, rank) => this.inOrder(rank))) {
       // On a server that has stopped, the expected start moves away from here on.
-      at = Math.min(at, expiresAt, job.latestStartAt - waitMs)
+      at = Math.min(at, expiresAt, job.latestStartAt - startInMs)
+      startInMs += job.tokens / tokensPerMs
     }
     // Below the read-ahead, the next entry waits for a slot or for memory: a report shows when there is one.
     const readAt = this.size > 0 && waitMs >= readAheadMs ? now + waitMs - readAheadMs : Infinity
