--- a/packages/foxtaillever-policy/src/relay/__tests__/admissionHistories.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/admissionHistories.test.ts
@@ -50,10 +50,12 @@
         this.waiting.delete(key)
       }
     }
+    const before = this.queue.queuedTokens(9) + room.backlogTokens
     const decision = this.queue.decide(room, this.now)
     decision.rejected.forEach(({ entry, retryAt }) => {
       this.t.true(this.waiting.delete(entry.key), `${entry.key} rejected without waiting`)
       this.t.true(retryAt >= this.now)
+      this.t.true(entry.latestStartAt < this.now + (before - entry.tokens) / room.tokensPerMs, `${entry.key} rejected while there was room`)
     })
     this.checkRoom(decision, room)
     decision.admitted.forEach(admitted => this.t.true(this.waiting.delete(admitted.key), `${admitted.key} admitted without waiting`))
