--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -7,6 +7,10 @@
 import { hashNumber, SeededRandom, SystemClock } from 'foxtaillever-core'
 import { ComputedWatchers } from 'foxtaillever-policy/relay/computedWatchers'
 import { rankCandidates, type PlacementNeed, type ServerCandidate } from 'foxtaillever-policy/relay/placeExchange'
+import { noLoad } from 'foxtaillever-policy/relay/serverLoad'
+import { encodeAdmissionMessage, readAdmissionMessage } from '../admission/admissionMessage.js'
+import { AdmissionProtocol } from '../admission/admissionProtocol.js'
+import type { ServerCapacity } from '../admission/serverAdmissions.js'
 import { unpackDatagram } from '../peers/datagram.js'
 import { FleetLoad } from '../peers/fleetLoad.js'
 import { encodeLoadMessage, readLoadMessage } from '../peers/loadMessage.js'
@@ -175,6 +179,19 @@
     let turn = 0
     return () => { protocols[1]?.claim({ key: `account-${turn++ % ACCOUNTS}`, limit: { perSecond: 1e9, burst: 1e9, revision: 1 }, cost: 9190 }, () => {}) }
   },
+  'admission requested, decided and answered, and its report counted': ({ addresses: [owner = '', requester = ''], servers }) => {
+    const roomOf = (): ServerCapacity => ({ tokensPerMs: 38.7, memoryTokens: 91_225, slots: 32, readAheadMs: 102 })
+    const shared = { clock, watchersOf: () => [owner], isComplete: () => true, roomOf, loadOf: () => noLoad, onDecided: () => {}, onUnresponsive: () => {} }
+    const protocols = new Map([owner, requester].map(address => [address, AdmissionProtocol.create({
+      ...shared, address, send: (to, message) => { unpackDatagram(encodeAdmissionMessage(message)).chain(readAdmissionMessage).ifJust(received => protocols.get(to)?.receive(received)) }
+    })]))
+    let turn = 0
+    return () => {
+      const server = servers[turn++ % servers.length] ?? 0
+      protocols.get(requester)?.request({ server, tokens: 2890, heldTokens: 9200, priority: 3, account: 'account-17', fingerprint: turn, elapsedMs: 3, objectiveMs: 1215, latestStartAt: clock.now() + 2000 }, () => {})
+      protocols.get(owner)?.recordLoad(server, requester, 1)
+    }
+  },
   placement: ({ servers }) => {
     const candidates = createCandidates(servers)
     const random = SeededRandom.create(1)
