--- a/packages/foxtaillever-policy/src/relay/prefillSpeed.ts
+++ b/packages/foxtaillever-policy/src/relay/prefillSpeed.ts
@@ -22,6 +22,9 @@
 /** Samples after which an estimate no longer improves. */
 export const SETTLED_SAMPLES = 20
 
+/** Samples from which an estimate counts in the median over all instances, which evens out their errors. */
+export const ANNOUNCED_SAMPLES = 8
+
 /** An instance's estimate, as it reports it to others. */
 export interface SpeedReport {
   readonly tokensPerMs: number
@@ -50,9 +53,9 @@
     this.estimate.addSample(tokens, ms)
   }
 
-  /** Adopts the estimate of an instance with more samples; only until this instance has SETTLED_SAMPLES of its own. */
+  /** Adopts the settled estimate of an instance; only until this instance has SETTLED_SAMPLES of its own. */
   adoptReport ({ tokensPerMs, samples }: SpeedReport): void {
-    if (this.samples < SETTLED_SAMPLES && samples > this.samples && tokensPerMs >= MIN_TOKENS_PER_MS && tokensPerMs <= MAX_TOKENS_PER_MS) {
+    if (this.samples < SETTLED_SAMPLES && samples >= SETTLED_SAMPLES && tokensPerMs >= MIN_TOKENS_PER_MS && tokensPerMs <= MAX_TOKENS_PER_MS) {
       this.estimate.adopt(tokensPerMs, Math.min(samples, SETTLED_SAMPLES))
     }
   }
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -11,7 +11,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { connectionShare, type ConnectionShare } from 'foxtaillever-policy/relay/connectionShare'
-import { SETTLED_SAMPLES } from 'foxtaillever-policy/relay/prefillSpeed'
+import { ANNOUNCED_SAMPLES } from 'foxtaillever-policy/relay/prefillSpeed'
 import { StatedAvailability } from 'foxtaillever-policy/relay/statedAvailability'
 import { ServerState, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
@@ -252,7 +252,7 @@
   /** Prompt speeds for which this instance has enough samples to announce them. */
   speedsToAnnounce (): SpeedUpdate[] {
     return [...this.observations.prefillSpeeds].flatMap(([service, { tokensPerMs, samples }]) =>
-      samples >= SETTLED_SAMPLES && this.hasService(service) ? [{ service, tokensPerMs, samples }] : [])
+      samples >= ANNOUNCED_SAMPLES && this.hasService(service) ? [{ service, tokensPerMs, samples }] : [])
   }
 
   /** Memory of an engine of the service, in tokens; 0 where unknown. */
