--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
@@ -1,9 +1,9 @@
 /**
  * Instances and backend servers under a virtual clock. Instances exchange load and
  * admissions by datagrams that may be lost, doubled or delayed; they may be down,
- * suspended or cut off. A server reads one prompt at a time, in order of arrival.
+ * suspended or cut off.
  */
-import { hashNumber, SeededRandom, type Cancellation, type Clock, type Random } from 'foxtaillever-core'
+import { SeededRandom, type Clock, type Random } from 'foxtaillever-core'
 import { ComputedWatchers } from 'foxtaillever-policy/relay/computedWatchers'
 import { VirtualClock } from 'foxtaillever-testing/virtualClock'
 import { unpackDatagram } from '../../peers/datagram.js'
@@ -13,25 +13,15 @@
 import type { ServerLoadEntry } from '../../peers/peerMessage.js'
 import { AdmissionOutcome, encodeAdmissionMessage, readAdmissionMessage, type AdmissionMessage } from '../admissionMessage.js'
 import { AdmissionProtocol, type AdmissionResult, type PendingAdmission } from '../admissionProtocol.js'
+import { createProcessClock, type SimulatedProcess } from './processClock.js'
+import { capacity, SimulatedServer } from './simulatedServer.js'
 
 const HEARTBEAT_MS = 1000
 const MAX_TRANSIT_MS = 2
 /** Size of the IP and UDP headers, bytes. */
 export const HEADER_BYTES = 28
 
-/** Capacity of the deployment with scarce engines, with fewer slots so that these run out too. */
-export const capacity = { tokensPerMs: 38.7, memoryTokens: 91_225, slots: 12, readAheadMs: 102 }
-
-export interface FleetServer {
-  readonly name: string
-  readonly hash: number
-  /** Whether instances know it and may send to it. */
-  isReady: boolean
-  isReading: boolean
-  current: FleetRequest | undefined
-  readonly waiting: FleetRequest[]
-  readonly running: Set<FleetRequest>
-}
+export type FleetServer = SimulatedServer<FleetRequest>
 
 export interface FleetRequest {
   readonly node: FleetNode
@@ -57,9 +47,8 @@
 
 export type RequestTraits = Partial<Pick<FleetRequest, 'tokens' | 'heldTokens' | 'priority' | 'account' | 'objectiveMs'>> & { readonly startInMs?: number }
 
-export interface FleetNode {
+export interface FleetNode extends SimulatedProcess {
   readonly address: string
-  /** Increases with each restart. */
   generation: number
   isDown: boolean
   isFrozen: boolean
@@ -73,8 +62,6 @@
   admission: AdmissionProtocol
   /** Requests that it has at servers. */
   readonly open: Set<FleetRequest>
-  /** What waits until a suspended process runs again. */
-  readonly inbox: Array<() => void>
 }
 
 export class AdmissionFleet {
@@ -95,7 +82,9 @@
 
   private constructor (servers: number, seed: number) {
     this.random = SeededRandom.create(seed)
-    this.servers = Array.from({ length: servers }, (_, index) => ({ name: `engine-${index}`, hash: hashNumber(`engine-${index}`), isReady: true, isReading: true, current: undefined, waiting: [], running: new Set<FleetRequest>() }))
+    this.servers = Array.from({ length: servers }, (_, index) => SimulatedServer.create<FleetRequest>({
+      clock: this.clock, name: `engine-${index}`, runMs: () => this.runMs, onRead: request => this.handleRead(request), onEnd: request => this.end(request)
+    }))
   }
 
   /** Starts the instances and runs until all answer. */
@@ -156,10 +145,8 @@
     node.load.noteChange()
     this.clock.at(this.clock.now() + 1, () => {
       if (node.open.has(request)) {
-        server.running.add(request)
-        server.waiting.push(request)
+        server.accept(request)
         this.onArrival(request)
-        this.readNext(server)
       }
     })
   }
@@ -188,7 +175,7 @@
 
   /** The process starts without state. */
   boot (node: FleetNode): void {
-    const clock = this.clockOf(node)
+    const clock = createProcessClock(this.clock, node)
     const { address, watchers } = node
     const fleetLoad = FleetLoad.create(clock)
     const watchersOf = (server: number): readonly string[] => watchers.of(server)
@@ -234,13 +221,20 @@
 
   end (request: FleetRequest): void {
     const { node, server } = request
-    server.running.delete(request)
+    server.remove(request)
     node.open.delete(request)
     if (!node.isDown) {
       node.load.noteChange()
     }
   }
 
+  private handleRead (request: FleetRequest): void {
+    request.isUnread = false
+    if (!request.node.isDown) {
+      request.node.load.noteChange()
+    }
+  }
+
   private stop ({ load, admission }: FleetNode): void {
     load.stop()
     admission.stop()
@@ -251,27 +245,6 @@
     clock.at(clock.now() + HEARTBEAT_MS, () => this.runHeartbeat(node, clock))
   }
 
-  /** A clock whose tasks run only while the process does. */
-  private clockOf (node: FleetNode): Clock {
-    const { generation } = node
-    const run = (task: () => void, isCancelled: () => boolean): void => {
-      if (isCancelled() || node.generation !== generation) {
-        return
-      }
-      if (node.isFrozen) {
-        node.inbox.push(() => run(task, isCancelled))
-      } else {
-        task()
-      }
-    }
-    const at = (deadline: number, task: () => void): Cancellation => {
-      let isCancelled = false
-      this.clock.at(deadline, () => run(task, () => isCancelled))
-      return () => { isCancelled = true }
-    }
-    return { now: () => this.clock.now(), at }
-  }
-
   private ownLoads (node: FleetNode): ServerLoadEntry[] {
     return this.servers.map(server => {
       const requests = [...node.open].filter(request => request.server === server)
@@ -280,30 +253,6 @@
     }).filter(({ outstanding }) => outstanding > 0)
   }
 
-  readNext (server: FleetServer): void {
-    if (server.current !== undefined || !server.isReading) {
-      return
-    }
-    const next = server.waiting.shift()
-    if (next === undefined) {
-      return
-    }
-    if (!server.running.has(next)) {
-      this.readNext(server)
-      return
-    }
-    server.current = next
-    this.clock.at(this.clock.now() + next.tokens / capacity.tokensPerMs, () => {
-      server.current = undefined
-      next.isUnread = false
-      if (!next.node.isDown) {
-        next.node.load.noteChange()
-      }
-      this.clock.at(this.clock.now() + this.runMs, () => this.end(next))
-      this.readNext(server)
-    })
-  }
-
   private sendAdmission (from: FleetNode, to: string, message: AdmissionMessage): void {
     this.onSend(from, to, message)
     if (!this.isLost(from, to, message)) {
--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionHistory.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionHistory.ts
@@ -1,7 +1,8 @@
 /** A history of a fleet that shares two backend servers, drawn from a seed: instances, datagrams and servers fail while more requests arrive than the servers can read. */
 import { SeededRandom, type Random } from 'foxtaillever-core'
-import { AdmissionFleet, capacity, type FleetNode, type FleetRequest, type FleetServer } from './admissionFleet.js'
+import { AdmissionFleet, type FleetNode, type FleetRequest } from './admissionFleet.js'
 import { AdmissionOracle, LARGEST, SMALLEST } from './admissionOracle.js'
+import { capacity } from './simulatedServer.js'
 
 const CHANGES = 8
 const MIN_PAUSE_MS = 200
@@ -204,17 +205,13 @@
     history.undoIn(1000, 2000, () => Object.assign(history.fleet.faults, { lost: 0, doubled: 0 }))
   },
   stall: history => {
-    const server: FleetServer = history.draw(history.fleet.servers)
-    server.isReading = false
-    history.undoIn(200, 1200, () => {
-      server.isReading = true
-      history.fleet.readNext(server)
-    })
+    const server = history.draw(history.fleet.servers)
+    server.stopReading()
+    history.undoIn(200, 1200, () => server.resumeReading())
   },
   serverFails: history => {
     const server = history.draw(history.fleet.servers)
     server.isReady = false
-    server.waiting.length = 0
     server.running.forEach(request => history.fleet.end(request))
     history.fleet.nodes.forEach(node => history.oracle.forget(node))
     history.undoIn(500, 1500, () => { server.isReady = true })
--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionOracle.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionOracle.ts
@@ -4,7 +4,8 @@
  */
 import { DatagramKind } from '../../peers/datagram.js'
 import { AdmissionOutcome, type AdmissionMessage } from '../admissionMessage.js'
-import { capacity, type AdmissionFleet, type FleetNode, type FleetRequest, type FleetServer } from './admissionFleet.js'
+import type { AdmissionFleet, FleetNode, FleetRequest, FleetServer } from './admissionFleet.js'
+import { capacity } from './simulatedServer.js'
 
 /** The largest request that histories draw, tokens. */
 export const LARGEST = 9190
