--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
@@ -18,6 +18,10 @@
 
 const HEARTBEAT_MS = 1000
 const MAX_TRANSIT_MS = 2
+
+/** Difference between the clocks of two instances, milliseconds: a time of one that another takes for its own is far off. */
+const CLOCK_STEP_MS = 100_000
+
 /** Size of the IP and UDP headers, bytes. */
 export const HEADER_BYTES = 28
 
@@ -91,8 +95,8 @@
   static async start (size: number, { servers = 1, seed = 1 } = {}): Promise<AdmissionFleet> {
     const fleet = new AdmissionFleet(servers, seed)
     const addresses = Array.from({ length: size }, (_, index) => `10.1.${index % 3}.${index}:7340`)
-    addresses.forEach(address => {
-      const node = { address, generation: 0, isDown: false, isFrozen: false, side: 0, members: new Set(addresses), watchers: ComputedWatchers.create(), open: new Set(), inbox: [] } as unknown as FleetNode
+    addresses.forEach((address, index) => {
+      const node = { address, clockOffsetMs: index * CLOCK_STEP_MS, generation: 0, isDown: false, isFrozen: false, side: 0, members: new Set(addresses), watchers: ComputedWatchers.create(), open: new Set(), inbox: [] } as unknown as FleetNode
       fleet.nodes.push(node)
       node.watchers.setMembers(addresses)
       fleet.boot(node)
@@ -133,7 +137,7 @@
 
   ask (request: FleetRequest): void {
     const { node, server: { hash }, tokens, heldTokens, priority, account, objectiveMs, arrivedAt, latestStartAt } = request
-    const claim = { server: hash, tokens, heldTokens, priority, account, fingerprint: this.requests.indexOf(request), elapsedMs: this.clock.now() - arrivedAt, objectiveMs, latestStartAt }
+    const claim = { server: hash, tokens, heldTokens, priority, account, fingerprint: this.requests.indexOf(request), elapsedMs: this.clock.now() - arrivedAt, objectiveMs, latestStartAt: latestStartAt + node.clockOffsetMs }
     request.pending = node.admission.request(claim, result => this.handleResult(request, result))
   }
 
@@ -151,7 +155,8 @@
     })
   }
 
-  handleResult (request: FleetRequest, result: AdmissionResult): void {
+  handleResult (request: FleetRequest, ownResult: AdmissionResult): void {
+    const result = { ...ownResult, retryAt: ownResult.retryAt - request.node.clockOffsetMs }
     request.results.push(result)
     if (result.outcome === AdmissionOutcome.Queued) {
       this.onQueue(request)
--- a/packages/foxtaillever-relay/src/admission/__fixtures__/processClock.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/processClock.ts
@@ -2,6 +2,8 @@
 import type { Cancellation, Clock } from 'foxtaillever-core'
 
 export interface SimulatedProcess {
+  /** By how much its clock is ahead, milliseconds. */
+  readonly clockOffsetMs: number
   /** Increases with each restart. */
   readonly generation: number
   readonly isFrozen: boolean
@@ -10,7 +12,7 @@
 }
 
 export function createProcessClock (clock: Clock, process: SimulatedProcess): Clock {
-  const { generation } = process
+  const { generation, clockOffsetMs } = process
   const run = (task: () => void, isCancelled: () => boolean): void => {
     if (isCancelled() || process.generation !== generation) {
       return
@@ -23,8 +25,8 @@
   }
   const at = (deadline: number, task: () => void): Cancellation => {
     let isCancelled = false
-    clock.at(deadline, () => run(task, () => isCancelled))
+    clock.at(deadline - clockOffsetMs, () => run(task, () => isCancelled))
     return () => { isCancelled = true }
   }
-  return { now: () => clock.now(), at }
+  return { now: () => clock.now() + clockOffsetMs, at }
 }
