--- a/packages/foxtaillever-policy/src/bench/admissionFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/admissionFleet.ts
@@ -218,7 +218,7 @@
 
   private setKnown (engine: Engine, known: Call[]): void {
     engine.known = known
-    engine.backlog.record(sum(known, unreadTokens), this.now)
+    engine.backlog.record(sum(known, unreadTokens), TOKENS_PER_MS, this.now)
   }
 
   private send (call: Call, engine = this.chooseEngine(call)): void {
--- a/packages/foxtaillever-policy/src/relay/admissionQueue.ts
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -102,6 +102,9 @@
   return room.backlogTokens < NEARLY_IDLE_SHARE * room.readAheadMs * room.tokensPerMs && room.outstanding < NEARLY_IDLE_SHARE * room.slots && hasMemory
 }
 
+/** Latest retry time that is given, milliseconds from now: later ones would be given to callers who have given up. */
+const MAX_RETRY_MS = 5000
+
 /** Weight of each new interval in the mean interval between admissions. */
 const INTERVAL_WEIGHT = 0.2
 
@@ -273,7 +276,7 @@
     if (this.rejectedRequests.length > MAX_REMEMBERED) {
       this.rejectedRequests.shift()
     }
-    return { entry: job, retryAt: this.spreadRetry(rank, emptyAt, job.tokens / tokensPerMs) }
+    return { entry: job, retryAt: Math.min(now + MAX_RETRY_MS, this.spreadRetry(rank, emptyAt, job.tokens / tokensPerMs)) }
   }
 
   /** Each rejection counts for one retry: otherwise all requests of an account with the same level would count as retries. */
--- a/packages/foxtaillever-policy/src/relay/backlogEstimate.ts
+++ b/packages/foxtaillever-policy/src/relay/backlogEstimate.ts
@@ -15,8 +15,10 @@
 
 export class BacklogEstimate {
   private unreadTokens = 0
-  /** Since when the server has read the prompt that it reads now, milliseconds of Unix time. */
-  private readingSince = 0
+  /** Part of them that was read by the time of the last record. */
+  private readTokens = 0
+  /** Milliseconds of Unix time. */
+  private recordedAt = 0
 
   private constructor () {}
 
@@ -25,16 +27,20 @@
   }
 
   /** @param unreadTokens of all requests that the server has, or that are on their way to it. */
-  record (unreadTokens: number, now: number): void {
-    if (this.unreadTokens === 0 || unreadTokens < this.unreadTokens) {
-      this.readingSince = now
-    }
+  record (unreadTokens: number, tokensPerMs: number, now: number): void {
+    // The tokens of a first event were among those read; what was read of other prompts stays read.
+    const finished = Math.max(0, this.unreadTokens - unreadTokens)
+    this.readTokens = Math.max(0, this.readBy(tokensPerMs, now) - finished)
     this.unreadTokens = unreadTokens
+    this.recordedAt = now
   }
 
   /** Tokens that are still to be read. */
   tokensAt (tokensPerMs: number, now: number): number {
-    const read = Math.max(0, now - this.readingSince) * tokensPerMs
-    return this.unreadTokens - Math.min(MAX_PROGRESS_SHARE * this.unreadTokens, read)
+    return this.unreadTokens - this.readBy(tokensPerMs, now)
+  }
+
+  private readBy (tokensPerMs: number, now: number): number {
+    return Math.min(MAX_PROGRESS_SHARE * this.unreadTokens, this.readTokens + Math.max(0, now - this.recordedAt) * tokensPerMs)
   }
 }
--- a/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
+++ b/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
@@ -67,6 +67,8 @@
 export class ServerAdmissions {
   private readonly queue = AdmissionQueue.create()
   private readonly estimate = BacklogEstimate.create()
+  /** Speed of the server at the last decision. */
+  private tokensPerMs = 0
   /** Requesters of the queued entries, by key. */
   private readonly queuedIds = new Map<string, RequestId>()
   /** By key, the oldest first. */
@@ -146,6 +148,7 @@
   /** Takes the requests that are admitted or rejected now out of the queue, in order. */
   decide (load: ServerLoad, capacity: ServerCapacity, now: number): RequestDecision[] {
     this.load = load
+    this.tokensPerMs = capacity.tokensPerMs
     this.removeOverdue(now)
     const room = this.roomAt(capacity, now)
     const { admitted, rejected } = this.queue.decide(room, now)
@@ -193,7 +196,7 @@
   }
 
   private recordBacklog (now: number): void {
-    this.estimate.record(this.total().tokens, now)
+    this.estimate.record(this.total().tokens, this.tokensPerMs, now)
   }
 
   /** Admissions that appear in no report were not sent, or have ended. */
