--- a/packages/foxtaillever-policy/src/bench/admissionFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/admissionFleet.ts
@@ -7,9 +7,9 @@
  * still waits behind all that were started before it.
  */
 import { exponential, SeededRandom } from 'foxtaillever-core'
-import { AdmissionQueue, isNearlyIdle, type AdmissionEntry, type RejectedEntry, type ServerRoom } from '../relay/admissionQueue.js'
+import { AdmissionQueue, FEASIBLE_QUEUE_SHARE, isNearlyIdle, type AdmissionEntry, type RejectedEntry, type ServerRoom } from '../relay/admissionQueue.js'
 import { BacklogEstimate } from '../relay/backlogEstimate.js'
-import { FEASIBLE_SHARE, shouldYield, yieldPriority } from '../relay/yieldPriority.js'
+import { shouldYield, yieldPriority } from '../relay/yieldPriority.js'
 import { MEMORY_TOKENS, SimulatedEngine, SLOTS, TOKENS_PER_MS, type EngineCall } from './admissionEngine.js'
 import { accountShares, AdmissionOutcome, LARGE, SHORT, type AdmissionShape, type PromptKind } from './admissionShape.js'
 
@@ -162,7 +162,7 @@
     const { account, sentAt, kind } = call
     const key = String(call.id)
     const entry: AdmissionEntry = {
-      key, account: this.accountOf(account), fingerprint, tokens: kind.tokens, heldTokens: kind.tokens, priority: kind.priority, objectiveAt: sentAt + FEASIBLE_SHARE * kind.objectiveMs, latestStartAt: sentAt + kind.deadlineMs - kind.tokens / TOKENS_PER_MS, expiresAt: this.now + EXPIRY_MS
+      key, account: this.accountOf(account), fingerprint, tokens: kind.tokens, heldTokens: kind.tokens, priority: kind.priority, objectiveAt: sentAt + FEASIBLE_QUEUE_SHARE * kind.objectiveMs, latestStartAt: sentAt + kind.deadlineMs - kind.tokens / TOKENS_PER_MS, expiresAt: this.now + EXPIRY_MS
     }
     this.after(DATAGRAM_MS, () => {
       engine.queue.add(entry, this.now)
--- a/packages/foxtaillever-policy/src/relay/admissionQueue.ts
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -13,6 +13,7 @@
  * its caller can still use the time.
  */
 import { ClassQueue, type FairJob } from '../order/classQueue.js'
+import { RejectedRequests } from './rejectedRequests.js'
 import { LEAST_URGENT_PRIORITY, yieldPriority } from './yieldPriority.js'
 
 export interface AdmissionEntry {
@@ -28,7 +29,7 @@
   readonly heldTokens: number
   /** 0 is the most urgent. */
   readonly priority: number
-  /** Until when its first event may be expected for it to be on time (FEASIBLE_SHARE of the objective), milliseconds of Unix time. */
+  /** Until when its first event may be expected for it to be on time (FEASIBLE_QUEUE_SHARE of the objective), milliseconds of Unix time. */
   readonly objectiveAt: number
   /** From then on it cannot begin in time for its deadline, milliseconds of Unix time. */
   readonly latestStartAt: number
@@ -75,18 +76,14 @@
   expiresAt: number
 }
 
-interface RejectedRequest {
-  readonly fingerprint: number
-  /** Milliseconds of Unix time. */
-  readonly rememberedUntil: number
-}
-
 /** Share of the read-ahead below which an idle queue needs no decision of the owner. */
 const NEARLY_IDLE_SHARE = 0.5
 
-/** How long a rejected request is remembered, milliseconds: callers return within a third of their time. */
-const REMEMBERED_MS = 5000
-const MAX_REMEMBERED = 512
+/**
+ * Share of the objective up to which a queued request is expected to be on time. The owner knows the queue better than a
+ * requester that sends at once and yields beyond 0.8: with 0.8, requests that would have been on time are moved back.
+ */
+export const FEASIBLE_QUEUE_SHARE = 0.9
 
 /** Minimum time between two decisions without a new report, milliseconds. */
 const MIN_INTERVAL_MS = 10
@@ -105,10 +102,7 @@
 export class AdmissionQueue {
   private readonly ranks = Array.from({ length: LEAST_URGENT_PRIORITY + 1 }, () => ClassQueue.create<QueuedEntry>())
   private readonly entries = new Map<string, QueuedEntry>()
-  /** Those that have not returned, the oldest first. */
-  private readonly rejectedRequests: RejectedRequest[] = []
-  /** For each rank, the retry time given last plus the reading time of its request, milliseconds of Unix time. */
-  private readonly nextRetryAt = new Array<number>(LEAST_URGENT_PRIORITY + 1).fill(0)
+  private readonly rejectedRequests = RejectedRequests.create()
 
   private constructor () {}
 
@@ -132,7 +126,7 @@
       return
     }
     const rank = Math.min(LEAST_URGENT_PRIORITY, Math.max(0, Math.round(entry.priority)))
-    const isReturning = this.takeRejected(entry.fingerprint, now)
+    const isReturning = this.rejectedRequests.takeRetry(entry.fingerprint, now)
     const queued = { job: entry, cost: entry.tokens, weight: 1, attempts: 0, gone: false, turn: 0, sequence: 0, rank, firstRank: rank, isReturning, expiresAt: entry.expiresAt }
     if (isReturning) {
       this.insertBeforeNew(queued)
@@ -245,30 +239,14 @@
 
   private reject ({ job, rank }: QueuedEntry, emptyAt: number, tokensPerMs: number, now: number): RejectedEntry {
     this.remove(job.key)
-    this.rejectedRequests.push({ fingerprint: job.fingerprint, rememberedUntil: now + REMEMBERED_MS })
-    if (this.rejectedRequests.length > MAX_REMEMBERED) {
-      this.rejectedRequests.shift()
-    }
-    return { entry: job, retryAt: this.spreadRetry(rank, emptyAt, job.tokens / tokensPerMs) }
-  }
-
-  /** Each rejection counts for one retry: otherwise all requests of an account with the same level would count as retries. */
-  private takeRejected (fingerprint: number, now: number): boolean {
-    const index = this.rejectedRequests.findIndex(rejected => rejected.fingerprint === fingerprint && rejected.rememberedUntil > now)
-    return index >= 0 && this.rejectedRequests.splice(index, 1).length > 0
+    this.rejectedRequests.record(job.fingerprint, now)
+    return { entry: job, retryAt: this.rejectedRequests.spaceRetry(rank, emptyAt, job.tokens / tokensPerMs) }
   }
 
   private inOrder (rank: number): QueuedEntry[] {
     return [...this.entries.values()].filter(queued => queued.rank === rank).sort((a, b) => a.turn - b.turn || a.sequence - b.sequence)
   }
 
-  /** Spaces retry times by the reading time of each request, so that callers do not return together; those of more urgent ranks come before. */
-  private spreadRetry (rank: number, emptyAt: number, readMs: number): number {
-    const retryAt = Math.max(emptyAt, ...this.nextRetryAt.slice(0, rank + 1))
-    this.nextRetryAt[rank] = retryAt + readMs
-    return retryAt
-  }
-
   /** In strict order: while the next request does not fit, none of those after it is sent. */
   private admit (room: ServerRoom): AdmissionEntry[] {
     const admitted: AdmissionEntry[] = []
--- a/packages/foxtaillever-policy/src/relay/yieldPriority.ts
+++ b/packages/foxtaillever-policy/src/relay/yieldPriority.ts
@@ -20,7 +20,7 @@
  * overload the first event comes some hundred milliseconds later than expected, a
  * sixth of the objectives in use.
  */
-export const FEASIBLE_SHARE = 0.8
+const FEASIBLE_SHARE = 0.8
 
 /**
  * Minimum share of the objective that reading a prompt must take for the request to yield: twenty shorter prompts fill
