--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -97,7 +97,7 @@
   /** Decides on requests under the limits that servers stated. */
   limitProtocol = noSharedLimits
   /** Decides on admission at servers. */
-  admission: AdmissionContext = { claims: { claimFor: () => undefined, queuePriorityOf: () => undefined }, protocol: noAdmissionProtocol }
+  admission: AdmissionContext = { claims: { claimFor: () => undefined, queuePositionOf: () => undefined }, protocol: noAdmissionProtocol }
   private readonly callers: CallerServer
   readonly limits: ServerLimits
   private readonly statements: ServerStatementHandler
@@ -127,7 +127,7 @@
       },
       limits: this.limits,
       admission: {
-        claims: { claimFor: (exchange, server) => this.admission.claims.claimFor(exchange, server), queuePriorityOf: () => undefined },
+        claims: { claimFor: (exchange, server) => this.admission.claims.claimFor(exchange, server), queuePositionOf: () => undefined },
         protocol: { request: (claim, onResult) => this.admission.protocol.request(claim, onResult) }
       },
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
@@ -195,9 +195,11 @@
       onSaved: () => {},
       onUnreachable: () => {},
       onBackingOff: () => {},
-      onQueued: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {},
+      onQueued: () => {},
+      speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} },
+      onUnresponsive: () => {},
       onReported: (server, reporter, added) => admission.recordLoad(server, reporter, added),
-      queuedTokens: (server, priority) => admission.queuedTokens(server, priority)
+      queuedTokens: (server, priority, account) => admission.queuedTokens(server, priority, account)
     })
     const admission = AdmissionProtocol.create({
       clock,
--- a/packages/foxtaillever-relay/src/admission/__tests__/admissionMessage.test.ts
+++ b/packages/foxtaillever-relay/src/admission/__tests__/admissionMessage.test.ts
@@ -32,9 +32,9 @@
   // Instances of the previous release send load requests without the priority during an update.
   it('of load carry the priority of the request, or none', t => {
     const query = { kind: DatagramKind.LoadRequest, address: head.address, number: 4, servers: [1, 2], levels: [3] } as const
-    const priorityOf = (bytes: Buffer): unknown => unpackDatagram(bytes).chain(readLoadMessage).map(message => message.kind === DatagramKind.LoadRequest ? message.priority : 'none').extract()
-    t.is(priorityOf(encodeLoadMessage({ ...query, priority: 2 })), 2)
-    t.is(priorityOf(encodeLoadMessage(query)), undefined)
-    t.is(priorityOf(packDatagram([query.kind, query.address, 4, [1], [], NaN])), undefined)
+    const positionOf = (bytes: Buffer): unknown => unpackDatagram(bytes).chain(readLoadMessage).map(message => message.kind === DatagramKind.LoadRequest ? message.position : 'none').extract()
+    t.deepEqual(positionOf(encodeLoadMessage({ ...query, position: { priority: 2, account: 'a' } })), { priority: 2, account: 'a' })
+    t.is(positionOf(encodeLoadMessage(query)), undefined)
+    t.is(positionOf(packDatagram([query.kind, query.address, 4, [1], [], NaN, 'a'])), undefined)
   })
 })
--- a/packages/foxtaillever-relay/src/admission/__tests__/admissionProtocol.test.ts
+++ b/packages/foxtaillever-relay/src/admission/__tests__/admissionProtocol.test.ts
@@ -44,7 +44,7 @@
     fleet.request(requester, server, { priority: 5 })
     await fleet.pass(5)
     const tokensAt = async (priority?: number): Promise<number> => {
-      const answered = requester.load.query({ servers: [server.hash], priority })
+      const answered = requester.load.query({ servers: [server.hash], position: priority === undefined ? undefined : { priority, account: 'acme' } })
       await fleet.pass(5)
       await answered
       return requester.fleetLoad.of(server.hash).tokens
--- a/packages/foxtaillever-relay/src/admission/admissionClaims.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionClaims.ts
@@ -4,6 +4,7 @@
 import { priorityOf } from '../attempts/planTerms.js'
 import { heldTokensOf, type Exchange, type Prompt } from '../model/exchange.js'
 import type { FleetLoad } from '../peers/fleetLoad.js'
+import type { QueuePosition } from '../peers/loadMessage.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { AdmissionClaim } from './admissionProtocol.js'
 import type { ServerCapacity } from './serverAdmissions.js'
@@ -42,9 +43,10 @@
     return new AdmissionClaims(options)
   }
 
-  /** Priority at which a request is queued; undefined without a prompt. */
-  queuePriorityOf (exchange: Exchange): number | undefined {
-    return exchange.prompt && priorityOf(exchange)
+  /** Where a request would be queued; undefined where none await admission. */
+  queuePositionOf (exchange: Exchange): QueuePosition | undefined {
+    const { prompt, service, account } = exchange
+    return prompt && this.isAsking(service) ? { priority: priorityOf(exchange), account: account?.name ?? '' } : undefined
   }
 
   /** The claim of a request at a server; undefined where it is sent without asking. */
@@ -78,8 +80,11 @@
     if (awaitsAdmission && promptTokens >= LARGE_READ_SHARE * objectiveMs * capacity.tokensPerMs) {
       this.askingUntil.set(service, now + LARGE_PROMPTS_MS)
     }
-    const isAsking = (this.askingUntil.get(service) ?? 0) > now || server.queuedUntil > now
-    return isAsking && !this.isNearlyIdle(server, capacity, heldTokensOf(exchange))
+    return (this.isAsking(service) || server.queuedUntil > now) && !this.isNearlyIdle(server, capacity, heldTokensOf(exchange))
+  }
+
+  private isAsking (service: string): boolean {
+    return (this.askingUntil.get(service) ?? 0) > this.options.clock.now()
   }
 
   private isNearlyIdle ({ hash, outstanding, unreadTokens, heldTokens }: KnownServer, capacity: ServerCapacity, addedTokens: number): boolean {
--- a/packages/foxtaillever-relay/src/admission/admissionOwner.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionOwner.ts
@@ -5,7 +5,8 @@
  */
 import type { Cancellation, Clock } from 'foxtaillever-core'
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
-import { FEASIBLE_SHARE, LEAST_URGENT_PRIORITY } from 'foxtaillever-policy/relay/yieldPriority'
+import { FEASIBLE_QUEUE_SHARE } from 'foxtaillever-policy/relay/admissionQueue'
+import { LEAST_URGENT_PRIORITY } from 'foxtaillever-policy/relay/yieldPriority'
 import { DatagramKind } from '../peers/datagram.js'
 import { AdmissionOutcome, type AdmissionCancel, type AdmissionRequest, type AdmissionResponse } from './admissionMessage.js'
 import { ServerAdmissions, type Decision, type RequestId, type ServerCapacity } from './serverAdmissions.js'
@@ -53,8 +54,8 @@
     this.servers.clear()
   }
 
-  queuedTokens (server: number, priority: number): number {
-    return this.servers.get(server)?.admissions.queuedTokens(priority) ?? 0
+  queuedTokens (server: number, priority: number, account?: string): number {
+    return this.servers.get(server)?.admissions.queuedTokens(priority, account) ?? 0
   }
 
   /** Responds to a request, at once and, while it is queued, again when it is decided. */
@@ -72,7 +73,7 @@
       this.respond(server, request, known)
       return
     }
-    const entry = { tokens, heldTokens, priority, account, fingerprint, objectiveAt: now - elapsedMs + FEASIBLE_SHARE * objectiveMs, latestStartAt: now + startInMs, expiresAt: now + ENTRY_TTL_MS }
+    const entry = { tokens, heldTokens, priority, account, fingerprint, objectiveAt: now - elapsedMs + FEASIBLE_QUEUE_SHARE * objectiveMs, latestStartAt: now + startInMs, expiresAt: now + ENTRY_TTL_MS }
     if (!admissions.add({ address: request.address, number: request.number }, entry, now)) {
       const backlogMs = admissions.backlogMs(capacity, now)
       const retryAt = now + backlogMs + admissions.queuedTokens(LEAST_URGENT_PRIORITY) / capacity.tokensPerMs
--- a/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
@@ -161,9 +161,9 @@
     this.owner.recordLoad(server, reporter, added)
   }
 
-  /** Tokens queued here at the priority or a more urgent one. */
-  queuedTokens (server: number, priority: number): number {
-    return this.owner.queuedTokens(server, priority)
+  /** Tokens queued here at the priority or a more urgent one; for an account, those before its next request. */
+  queuedTokens (server: number, priority: number, account?: string): number {
+    return this.owner.queuedTokens(server, priority, account)
   }
 
   private renew (request: PendingRequest, onResult: (result: AdmissionResult) => void): void {
--- a/packages/foxtaillever-relay/src/admission/requestAdmission.ts
+++ b/packages/foxtaillever-relay/src/admission/requestAdmission.ts
@@ -12,7 +12,7 @@
 import type { AdmissionProtocol, AdmissionResult, PendingAdmission } from './admissionProtocol.js'
 
 export interface AdmissionContext {
-  readonly claims: Pick<AdmissionClaims, 'claimFor' | 'queuePriorityOf'>
+  readonly claims: Pick<AdmissionClaims, 'claimFor' | 'queuePositionOf'>
   readonly protocol: Pick<AdmissionProtocol, 'request'>
 }
 
--- a/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
+++ b/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
@@ -67,8 +67,6 @@
 export class ServerAdmissions {
   private readonly queue = AdmissionQueue.create()
   private readonly estimate = BacklogEstimate.create()
-  /** Speed of the server at the last decision. */
-  private tokensPerMs = 0
   /** Requesters of the queued entries, by key. */
   private readonly queuedIds = new Map<string, RequestId>()
   /** By key, the oldest first. */
@@ -93,8 +91,8 @@
     return this.queue.size === 0 && this.usedAt + IDLE_MS <= now
   }
 
-  queuedTokens (priority: number): number {
-    return this.queue.queuedTokens(Math.min(LEAST_URGENT_PRIORITY, Math.max(0, Math.round(priority))))
+  queuedTokens (priority: number, account?: string): number {
+    return this.queue.queuedTokens(Math.min(LEAST_URGENT_PRIORITY, Math.max(0, Math.round(priority))), account)
   }
 
   /** The decision on a request that was made a moment ago. */
@@ -148,7 +146,6 @@
   /** Takes the requests that are admitted or rejected now out of the queue, in order. */
   decide (load: ServerLoad, capacity: ServerCapacity, now: number): RequestDecision[] {
     this.load = load
-    this.tokensPerMs = capacity.tokensPerMs
     this.removeOverdue(now)
     const room = this.roomAt(capacity, now)
     const { admitted, rejected } = this.queue.decide(room, now)
@@ -196,7 +193,7 @@
   }
 
   private recordBacklog (now: number): void {
-    this.estimate.record(this.total().tokens, this.tokensPerMs, now)
+    this.estimate.record(this.total().tokens, now)
   }
 
   /** Admissions that appear in no report were not sent, or have ended. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -111,7 +111,7 @@
       onSpeedSample,
       onSaved,
       onUnreachable,
-      queryLoad: (exchange, earlier) => exchange.prompt && queryLoad(() => ({ servers: selector.shortlist(exchange, earlier), priority: claims.queuePriorityOf(exchange), level: this.levelAtHome(exchange, selector.homeServerOf(exchange)) })),
+      queryLoad: (exchange, earlier) => exchange.prompt && queryLoad(() => ({ servers: selector.shortlist(exchange, earlier), position: claims.queuePositionOf(exchange), level: this.levelAtHome(exchange, selector.homeServerOf(exchange)) })),
       earliestRetryAt: service => retrySchedules.nextRetryAt(service),
       selectServer: (exchange, earlier, queriedServers) => selector.selectServer(exchange, earlier, queriedServers),
       onMisdirected
--- a/packages/foxtaillever-relay/src/peers/loadMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -22,6 +22,14 @@
   readonly samples: readonly SpeedSample[]
 }
 
+/** Where a request would be queued for admission. */
+export interface QueuePosition {
+  /** 0 is the most urgent. */
+  readonly priority: number
+  /** Client account; empty for none. */
+  readonly account: string
+}
+
 /** Asks for the load that all other instances put on these servers. */
 export interface LoadRequest {
   readonly kind: DatagramKind.LoadRequest
@@ -30,8 +38,8 @@
   readonly servers: readonly number[]
   /** Prompt levels whose home is one of the servers; asks whether they were saved recently. */
   readonly levels: readonly number[]
-  /** Of the request that needs a server: the response counts what is queued for admission at this priority or a more urgent one. Undefined for none of it. */
-  readonly priority?: number | undefined
+  /** Of the request that needs a server: the response counts what is queued for admission before it. Undefined for none of it. */
+  readonly position?: QueuePosition | undefined
 }
 
 export interface LoadResponse {
@@ -77,11 +85,15 @@
     .filter(({ tokens, ms }) => Number.isFinite(tokens) && Number.isFinite(ms))
 }
 
+function readPosition ([priority, account]: readonly unknown[]): QueuePosition | undefined {
+  return Number.isFinite(priority) && typeof account === 'string' ? { priority: priority as number, account } : undefined
+}
+
 export function encodeLoadMessage (message: LoadMessage): Buffer {
   const { kind, address } = message
   switch (kind) {
     case DatagramKind.ServerLoadReport: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff, ...packSamples(message)])
-    case DatagramKind.LoadRequest: return packDatagram([kind, address, message.number, message.servers, message.levels, ...(message.priority === undefined ? [] : [message.priority])])
+    case DatagramKind.LoadRequest: return packDatagram([kind, address, message.number, message.servers, message.levels, ...(message.position === undefined ? [] : [message.position.priority, message.position.account])])
     case DatagramKind.LoadResponse: return packDatagram([kind, address, message.number, message.loads.map(packWatched), message.unreachable, message.saved, message.backingOff, ...(message.queued.length > 0 ? [message.queued] : [])])
   }
 }
@@ -91,7 +103,7 @@
     const loads = (wireLoads as WireLoad[]).map(readLoad)
     return { kind: DatagramKind.ServerLoadReport, address, loads, unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff), samples: readSamples(samples, loads) }
   },
-  [DatagramKind.LoadRequest]: (address, [number, servers, levels, priority]) => ({ kind: DatagramKind.LoadRequest, address, number: Number(number), servers: readNumbers(servers), levels: readNumbers(levels), priority: Number.isFinite(priority) ? priority as number : undefined }),
+  [DatagramKind.LoadRequest]: (address, [number, servers, levels, ...position]) => ({ kind: DatagramKind.LoadRequest, address, number: Number(number), servers: readNumbers(servers), levels: readNumbers(levels), position: readPosition(position) }),
   [DatagramKind.LoadResponse]: (address, [number, loads, unreachable, saved, backingOff, queued]) => ({ kind: DatagramKind.LoadResponse, address, number: Number(number), loads: (loads as WireWatched[]).map(readWatched), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff), queued: readNumbers(queued) })
 }
 
--- a/packages/foxtaillever-relay/src/peers/loadProtocol.ts
+++ b/packages/foxtaillever-relay/src/peers/loadProtocol.ts
@@ -11,7 +11,7 @@
 import { LEAST_URGENT_PRIORITY } from 'foxtaillever-policy/relay/yieldPriority'
 import { DatagramKind } from './datagram.js'
 import type { FleetLoad } from './fleetLoad.js'
-import type { LoadMessage, LoadRequest, ServerLoadReport } from './loadMessage.js'
+import type { LoadMessage, LoadRequest, QueuePosition, ServerLoadReport } from './loadMessage.js'
 import { LoadQueryClient, type LevelAtHome, type LoadQueryClientOptions, type LoadQuery, type WatcherRequest, type WatcherReport } from './loadQueryClient.js'
 import { WatchedServerTable } from './watchedServerTable.js'
 import type { ServerLoadEntry, WatchedServerEntry } from './peerMessage.js'
@@ -50,8 +50,8 @@
   readonly onQueued: (server: number) => void
   /** Called with every report on a watched server: who reports, and by how many its outstanding requests there have risen. */
   readonly onReported: (server: number, reporter: string, added: number) => void
-  /** Prompt tokens that are queued for admission at a server, at the priority or a more urgent one. */
-  readonly queuedTokens: (server: number, priority: number) => number
+  /** Prompt tokens that are queued for admission at a server, at the priority or a more urgent one; for an account, those before its next request. */
+  readonly queuedTokens: (server: number, priority: number, account?: string) => number
   readonly speeds: SpeedRegistry
 }
 
@@ -203,10 +203,10 @@
     }
   }
 
-  private answerTo ({ servers, levels, priority }: WatcherRequest | LoadRequest, requester: string): WatcherReport {
+  private answerTo ({ servers, levels, position }: WatcherRequest | LoadRequest, requester: string): WatcherReport {
     const now = this.options.clock.now()
     return {
-      loads: servers.map(server => this.withQueue(this.watchedEntry(server, requester, now), priority)),
+      loads: servers.map(server => this.withQueue(this.watchedEntry(server, requester, now), position)),
       unreachable: servers.filter(server => this.watchedServers.isUnreachable(server, now)),
       saved: levels.filter(level => this.watchedServers.saved.isSavedRecently(level, now)),
       backingOff: servers.filter(server => this.watchedServers.isBackingOff(server, now)),
@@ -214,8 +214,8 @@
     }
   }
 
-  private withQueue (load: WatchedServerEntry, priority: number | undefined): WatchedServerEntry {
-    return priority === undefined ? load : { ...load, tokens: load.tokens + this.options.queuedTokens(load.server, priority) }
+  private withQueue (load: WatchedServerEntry, position: QueuePosition | undefined): WatchedServerEntry {
+    return position === undefined ? load : { ...load, tokens: load.tokens + this.options.queuedTokens(load.server, position.priority, position.account) }
   }
 
   private applyWatcherReport ({ loads, unreachable, saved, backingOff, queued }: WatcherReport): void {
--- a/packages/foxtaillever-relay/src/peers/loadQueryClient.ts
+++ b/packages/foxtaillever-relay/src/peers/loadQueryClient.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from 'foxtaillever-core'
 import { DatagramKind } from './datagram.js'
-import type { LoadResponse, LoadRequest } from './loadMessage.js'
+import type { LoadResponse, LoadRequest, QueuePosition } from './loadMessage.js'
 import { UnresponsivePeers } from './unresponsivePeers.js'
 
 /** A watcher answers from memory. The round trip takes at most 2.8 ms, and the event loop of a slow machine adds up to 10. */
@@ -24,15 +24,15 @@
   readonly servers: readonly number[]
   /** The deepest shared level of the prompt, if levels are saved. */
   readonly level?: LevelAtHome | undefined
-  /** Counts the tokens queued for admission at this priority or a more urgent one; undefined for none of them. */
-  readonly priority?: number | undefined
+  /** Counts the tokens queued for admission before a request there; undefined for none of them. */
+  readonly position?: QueuePosition | undefined
 }
 
 /** The part of a query that goes to one watcher. */
 export interface WatcherRequest {
   readonly servers: number[]
   readonly levels: number[]
-  readonly priority?: number | undefined
+  readonly position?: QueuePosition | undefined
 }
 
 /** What a watcher knows about servers and levels. */
@@ -75,9 +75,9 @@
    * Resolves when every watcher has answered or timed out; never rejects.
    * @returns hashes of the servers whose load was queried.
    */
-  async query ({ servers, level, priority }: LoadQuery): Promise<ReadonlySet<number>> {
+  async query ({ servers, level, position }: LoadQuery): Promise<ReadonlySet<number>> {
     const queried = new Set(level === undefined ? servers : [...servers, level.home])
-    const requests = this.plan(queried, level, priority)
+    const requests = this.plan(queried, level, position)
     const { address, answerLocally, onReport } = this.options
     const own = requests.get(address)
     if (own) {
@@ -107,12 +107,12 @@
   }
 
   /** Requests by the address of the watcher that gets them. */
-  private plan (servers: ReadonlySet<number>, level: LevelAtHome | undefined, priority: number | undefined): Map<string, WatcherRequest> {
+  private plan (servers: ReadonlySet<number>, level: LevelAtHome | undefined, position: QueuePosition | undefined): Map<string, WatcherRequest> {
     const requests = new Map<string, WatcherRequest>()
     for (const server of servers) {
       const watcher = this.options.watchersOf(server).find(address => !this.isSkipped(address))
       if (watcher !== undefined) {
-        const request = requests.get(watcher) ?? { servers: [], levels: [], priority }
+        const request = requests.get(watcher) ?? { servers: [], levels: [], position }
         request.servers.push(server)
         if (server === level?.home) {
           request.levels.push(level.level)
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -132,7 +132,7 @@
       clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onLimit, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
     })
     this.loadProtocol = LoadProtocol.create({
-      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onQueued, onUnresponsive, speeds, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (server, priority) => this.admission.queuedTokens(server, priority)
+      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onQueued, onUnresponsive, speeds, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (...position) => this.admission.queuedTokens(...position)
     })
     this.admission = AdmissionProtocol.create({
       ...admission, clock, address: this.address, watchersOf: server => this.watchers.of(server), isComplete: () => this.loadProtocol.isComplete, loadOf: server => this.loadProtocol.watchedLoad(server), send: (address, message) => this.link.sendAdmission(address, message)
