--- a/packages/foxtaillever-relay/src/peers/__fixtures__/loadProtocolFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/loadProtocolFleet.ts
@@ -48,7 +48,7 @@
   /** Servers whose load is not queried. */
   readonly unqueried = new Set<number>()
   /** Speed of the service as all instances know it, tokens a millisecond. */
-  readonly serviceTokensPerMs = 50
+  serviceTokensPerMs: number | undefined = 50
 
   private constructor (size: number) {
     const addresses = Array.from({ length: size }, (_, index) => `10.1.${index % 4}.${index}:7340`)
--- a/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
@@ -45,6 +45,20 @@
     fleet.stop()
   })
 
+  // Slow servers get few prompts: after a start of all instances, samples that are dropped cost seconds.
+  it('counts samples from before the speed of the service was known', async t => {
+    const fleet = await LoadProtocolFleet.start(40)
+    const [first, , others] = pickPeers(fleet)
+    const { serviceTokensPerMs } = fleet
+    fleet.serviceTokensPerMs = undefined
+    await runRequests(fleet, others.slice(0, 12), 20)
+    t.is(first.speeds.get(server), undefined)
+    fleet.serviceTokensPerMs = serviceTokensPerMs
+    await runRequests(fleet, others.slice(12, 13), 20)
+    t.true((first.speeds.get(server)?.tokensPerMs ?? Infinity) < 26)
+    fleet.stop()
+  })
+
   // The first watcher crashes. If the second one started from nothing, homes would move back and away again.
   it('is kept by the second watcher when it takes over', async t => {
     const fleet = await LoadProtocolFleet.start(40)
--- a/packages/foxtaillever-relay/src/peers/watchedSpeeds.ts
+++ b/packages/foxtaillever-relay/src/peers/watchedSpeeds.ts
@@ -41,6 +41,9 @@
 /** Samples kept for one watcher until the next report to it; newer ones replace older ones. One report with these has 200 bytes more. */
 const MAX_PENDING_SAMPLES = 16
 
+/** Samples kept for one server until the speed of its service is known, which takes some seconds after a start of all instances. */
+const MAX_EARLY_SAMPLES = 16
+
 /** Pending samples of a watcher that gets no report are dropped after this many milliseconds: every watcher in use gets one with each heartbeat. */
 const PENDING_MS = 2500
 
@@ -55,6 +58,8 @@
 
 export class WatchedSpeeds {
   private readonly speeds = new Map<number, ServerSpeed>()
+  /** Samples from before the speed of the service was known, by server. */
+  private readonly early = new Map<number, readonly SpeedSample[]>()
   /** When servers were last announced with a speed of their own, milliseconds of Unix time. */
   private readonly distinctAt = new Map<number, number>()
   /** Samples not yet reported, by the watcher's address. */
@@ -84,23 +89,30 @@
 
   /** @param isFirst whether this instance is the first watcher of a server. */
   recordSamples (samples: readonly SpeedSample[], isFirst: (server: number) => boolean, now: number): void {
-    for (const { server, tokens, ms } of samples) {
+    for (const sample of samples) {
+      const { server } = sample
       const known = this.registry.of(server)
       const serviceTokensPerMs = this.registry.serviceTokensPerMs(server)
       if (known !== undefined && serviceTokensPerMs !== undefined) {
-        const speed = this.speeds.get(server) ?? ServerSpeed.create(serviceTokensPerMs, known)
-        this.speeds.set(server, speed)
-        speed.addSample(tokens, ms)
+        this.addSamples([...this.early.get(server) ?? [], sample], known, serviceTokensPerMs)
+        this.early.delete(server)
         if (isFirst(server)) {
-          this.announce(server, speed, known, serviceTokensPerMs)
-          if (this.announcedSpeed(server) !== undefined) {
-            this.distinctAt.set(server, now)
-          }
+          this.announce(server, known, serviceTokensPerMs, now)
         }
+      } else if (known !== undefined) {
+        this.early.set(server, [...this.early.get(server) ?? [], sample].slice(-MAX_EARLY_SAMPLES))
       }
     }
   }
 
+  private addSamples (samples: readonly SpeedSample[], known: ObservedSpeed, serviceTokensPerMs: number): void {
+    for (const { server, tokens, ms } of samples) {
+      const speed = this.speeds.get(server) ?? ServerSpeed.create(serviceTokensPerMs, known)
+      this.speeds.set(server, speed)
+      speed.addSample(tokens, ms)
+    }
+  }
+
   /** The server's speed for other instances; undefined where the service's applies. */
   announcedSpeed (server: number): ObservedSpeed | undefined {
     const { tokensPerMs, weightStep } = this.registry.of(server) ?? ordinarySpeed
@@ -114,9 +126,10 @@
 
   /** Removes the estimates of servers that are gone, and samples that no report took. */
   retain (now: number): void {
-    for (const server of this.speeds.keys()) {
+    for (const server of [...this.speeds.keys(), ...this.early.keys()]) {
       if (this.registry.of(server) === undefined) {
         this.speeds.delete(server)
+        this.early.delete(server)
         this.distinctAt.delete(server)
       }
     }
@@ -128,12 +141,19 @@
   }
 
   /** The step continues from the one that the instances use, which the previous first watcher may have announced. */
-  private announce (server: number, speed: ServerSpeed, { weightStep: before }: ObservedSpeed, serviceTokensPerMs: number): void {
+  private announce (server: number, { weightStep: before }: ObservedSpeed, serviceTokensPerMs: number, now: number): void {
+    const speed = this.speeds.get(server)
+    if (speed === undefined) {
+      return
+    }
     speed.adoptWeightStep(before)
     const observed = speed.observe(serviceTokensPerMs)
     this.registry.record(server, observed)
     if (observed.weightStep !== before) {
       this.registry.onWeightStep({ server, before, step: observed.weightStep, samples: speed.samples, tokensPerMs: speed.longTermTokensPerMs, serviceTokensPerMs })
     }
+    if (this.announcedSpeed(server) !== undefined) {
+      this.distinctAt.set(server, now)
+    }
   }
 }
