--- a/packages/foxtaillever-relay/src/peers/__fixtures__/loadProtocolFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/loadProtocolFleet.ts
@@ -48,7 +48,8 @@
   /** Servers whose load is not queried. */
   readonly unqueried = new Set<number>()
   /** Speed of the service as all instances know it, tokens a millisecond. */
-  serviceTokensPerMs: number | undefined = 50
+  readonly serviceTokensPerMs = 50
+  isServiceSpeedKnown = true
 
   private constructor (size: number) {
     const addresses = Array.from({ length: size }, (_, index) => `10.1.${index % 4}.${index}:7340`)
@@ -132,7 +133,7 @@
     const saved = new Set<number>()
     const speeds = new Map<number, ObservedSpeed>()
     const weightSteps: WeightStepChange[] = []
-    const registry: SpeedRegistry = { of: server => speeds.get(server) ?? ordinarySpeed, serviceTokensPerMs: () => this.serviceTokensPerMs, record: (server, speed) => { speeds.set(server, speed) }, onWeightStep: change => { weightSteps.push(change) } }
+    const registry: SpeedRegistry = { of: server => speeds.get(server) ?? ordinarySpeed, serviceTokensPerMs: () => this.isServiceSpeedKnown ? this.serviceTokensPerMs : undefined, record: (server, speed) => { speeds.set(server, speed) }, onWeightStep: change => { weightSteps.push(change) } }
     const watchers = ComputedWatchers.create()
     watchers.setMembers([address, ...others])
     this.watchers.push(watchers)
--- a/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
@@ -49,11 +49,10 @@
   it('counts samples from before the speed of the service was known', async t => {
     const fleet = await LoadProtocolFleet.start(40)
     const [first, , others] = pickPeers(fleet)
-    const { serviceTokensPerMs } = fleet
-    fleet.serviceTokensPerMs = undefined
+    fleet.isServiceSpeedKnown = false
     await runRequests(fleet, others.slice(0, 12), 20)
     t.is(first.speeds.get(server), undefined)
-    fleet.serviceTokensPerMs = serviceTokensPerMs
+    fleet.isServiceSpeedKnown = true
     await runRequests(fleet, others.slice(12, 13), 20)
     t.true((first.speeds.get(server)?.tokensPerMs ?? Infinity) < 26)
     fleet.stop()
