--- a/packages/foxtaillever-policy/src/relay/admissionQueue.ts
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -88,9 +88,17 @@
 /** Minimum time between two decisions without a new report, milliseconds. */
 const MIN_INTERVAL_MS = 10
 
-function fits (room: ServerRoom, { heldTokens }: AdmissionEntry): boolean {
+/**
+ * A prompt whose reading takes less than this share of the read-ahead does not wait for reading: engines read urgent
+ * short prompts between the pieces of large ones, and waiting here would cost more than it saves.
+ */
+export const SHORT_READ_SHARE = 0.5
+
+function fits (room: ServerRoom, { tokens, heldTokens }: AdmissionEntry): boolean {
   const hasMemory = room.memoryTokens === 0 || room.outstanding === 0 || room.heldTokens + heldTokens <= room.memoryTokens
-  return room.backlogTokens < room.readAheadMs * room.tokensPerMs && room.outstanding < room.slots && hasMemory
+  const readAheadTokens = room.readAheadMs * room.tokensPerMs
+  const isRead = room.backlogTokens < readAheadTokens || tokens < SHORT_READ_SHARE * readAheadTokens
+  return isRead && room.outstanding < room.slots && hasMemory
 }
 
 /** Whether a request can be sent without a decision of the owner, because the server is nearly idle. */
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -96,6 +96,8 @@
   quota = noQuotas
   /** Decides on requests under the limits that servers stated. */
   limitProtocol = noSharedLimits
+  /** How often a server was chosen for an attempt. */
+  choices = 0
   /** Decides on admission at servers. */
   admission: AdmissionContext = { claims: { claimFor: () => undefined, queuePositionOf: () => undefined }, protocol: noAdmissionProtocol }
   private readonly callers: CallerServer
@@ -139,7 +141,10 @@
       onSaved: () => {},
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
       queryLoad: () => undefined,
-      selectServer: (_, { failed }) => this.directory.ready('s').find(server => !failed.has(server.listed.id) && availableFrom(server) <= clock.now()),
+      selectServer: (_, { failed }) => {
+        this.choices += 1
+        return this.directory.ready('s').find(server => !failed.has(server.listed.id) && availableFrom(server) <= clock.now())
+      },
       earliestRetryAt: service => retrySchedules.nextRetryAt(service),
       onMisdirected: () => {}
     }
--- a/packages/foxtaillever-relay/src/admission/requestAdmission.ts
+++ b/packages/foxtaillever-relay/src/admission/requestAdmission.ts
@@ -1,16 +1,21 @@
 /**
  * Waits for admission of one request at the backend server that was chosen for it.
- * While it waits, its server is chosen again at each renewal, so that it leaves the
- * queue of a server that fails, or takes the room of another.
+ * While it waits, its server is chosen again at every second renewal, and at once when
+ * the server takes no more requests, so that it leaves the queue of a server that fails,
+ * or takes the room of another.
  */
 import type { Clock } from 'foxtaillever-core'
 import type { Exchange } from '../model/exchange.js'
+import { availableFrom } from '../servers/serverAvailability.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { AdmissionClaims } from './admissionClaims.js'
 import { AdmissionOutcome } from './admissionMessage.js'
 import type { AdmissionProtocol, AdmissionResult, PendingAdmission } from './admissionProtocol.js'
 
+/** Renewals after which the server is chosen again while it takes requests: a choice costs more than all else that a renewal does. */
+const RENEWALS_PER_CHOICE = 2
+
 export interface AdmissionContext {
   readonly claims: Pick<AdmissionClaims, 'claimFor' | 'queuePositionOf'>
   readonly protocol: Pick<AdmissionProtocol, 'request'>
@@ -29,12 +34,18 @@
   readonly onQueued: () => void
 }
 
+function takesRequests (server: KnownServer, now: number): boolean {
+  return Math.max(availableFrom(server), server.changingUntil, server.unreachableUntil) <= now
+}
+
 export class RequestAdmission {
   private pending: PendingAdmission | undefined
   private server: KnownServer | undefined
   /** When the request first asked for admission, milliseconds of Unix time. */
   private requestedAt: number | undefined
-  private isLogged = false
+  private wasQueued = false
+  /** Since the server was chosen. */
+  private renewals = 0
 
   private constructor (private readonly options: RequestAdmissionOptions) {}
 
@@ -62,6 +73,7 @@
     }
     this.requestedAt ??= clock.now()
     this.server = server
+    this.renewals = 0
     let isDecided = false
     const pending = admission.protocol.request(claim, result => {
       isDecided = result.outcome !== AdmissionOutcome.Queued
@@ -85,19 +97,24 @@
   private readonly handlers: Readonly<Record<AdmissionOutcome, (server: KnownServer, result: AdmissionResult) => void>> = {
     [AdmissionOutcome.Admitted]: (server, result) => {
       const { log, exchange, clock, onAdmitted } = this.options
-      if (this.isLogged) {
+      if (this.wasQueued) {
         log.admittedAfterWaiting(exchange, server.listed.id, result, this.requestedAt ?? clock.now(), clock.now())
       }
       this.pending = undefined
       onAdmitted(server, true)
     },
     [AdmissionOutcome.Queued]: (server, result) => {
-      const { log, exchange, onQueued } = this.options
-      if (!this.isLogged) {
-        this.isLogged = true
+      const { log, exchange, clock, onQueued } = this.options
+      if (!this.wasQueued) {
+        this.wasQueued = true
         log.admissionQueued(exchange, server.listed.id, result)
       }
-      onQueued()
+      this.renewals += 1
+      if (this.renewals % RENEWALS_PER_CHOICE !== 0 && takesRequests(server, clock.now())) {
+        this.pending?.renew(renewed => this.handleResult(server, renewed))
+      } else {
+        onQueued()
+      }
     },
     [AdmissionOutcome.Rejected]: (server, result) => {
       const { log, exchange, clock, onRejected } = this.options
