--- a/packages/foxtaillever-policy/src/bench/admissionFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/admissionFleet.ts
@@ -7,7 +7,8 @@
  * still waits behind all that were started before it.
  */
 import { exponential, SeededRandom } from 'foxtaillever-core'
-import { AdmissionQueue, FEASIBLE_QUEUE_SHARE, isNearlyIdle, type AdmissionEntry, type RejectedEntry, type ServerRoom } from '../relay/admissionQueue.js'
+import { AdmissionQueue, FEASIBLE_QUEUE_SHARE, type AdmissionEntry, type RejectedEntry } from '../relay/admissionQueue.js'
+import { isNearlyIdle, type ServerRoom } from '../relay/serverRoom.js'
 import { BacklogEstimate } from '../relay/backlogEstimate.js'
 import { shouldYield, yieldPriority } from '../relay/yieldPriority.js'
 import { MEMORY_TOKENS, SimulatedEngine, SLOTS, TOKENS_PER_MS, type EngineCall } from './admissionEngine.js'
--- a/packages/foxtaillever-policy/src/relay/__fixtures__/admission.ts
+++ b/packages/foxtaillever-policy/src/relay/__fixtures__/admission.ts
@@ -1,5 +1,6 @@
 /** Entries and a server for tests of the admission queue. */
-import type { AdmissionDecision, AdmissionEntry, AdmissionQueue, ServerRoom } from '../admissionQueue.js'
+import type { AdmissionDecision, AdmissionEntry, AdmissionQueue } from '../admissionQueue.js'
+import type { ServerRoom } from '../serverRoom.js'
 
 /** A server that reads 10 tokens a millisecond and gets its next request 100 ms before it would be idle. */
 export const idleRoom: ServerRoom = { backlogTokens: 0, heldTokens: 0, outstanding: 0, tokensPerMs: 10, memoryTokens: 0, slots: 32, readAheadMs: 100 }
--- a/packages/foxtaillever-policy/src/relay/__tests__/admissionHistories.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/admissionHistories.test.ts
@@ -1,7 +1,8 @@
 import fc from 'fast-check'
 import { describe, it } from 'foxtaillever-testing'
 import { entryOf, idleRoom } from '../__fixtures__/admission.js'
-import { AdmissionQueue, SHORT_READ_SHARE, type AdmissionDecision, type AdmissionEntry, type ServerRoom } from '../admissionQueue.js'
+import { AdmissionQueue, type AdmissionDecision, type AdmissionEntry } from '../admissionQueue.js'
+import { SHORT_READ_SHARE, type ServerRoom } from '../serverRoom.js'
 import { yieldPriority } from '../yieldPriority.js'
 
 const RUNS = { numRuns: 400, seed: 31 }
--- a/packages/foxtaillever-policy/src/relay/__tests__/admissionQueue.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/admissionQueue.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'foxtaillever-testing'
 import { addAll, admitAll, entryOf, fullRoom, idleRoom, keysOf, rejectedKeys } from '../__fixtures__/admission.js'
-import { AdmissionQueue, isNearlyIdle, type ServerRoom } from '../admissionQueue.js'
+import { AdmissionQueue } from '../admissionQueue.js'
+import { isNearlyIdle, type ServerRoom } from '../serverRoom.js'
 import { BacklogEstimate } from '../backlogEstimate.js'
 
 function numbered (prefix: string, count: number, account = prefix): ReturnType<typeof entryOf>[] {
--- a/packages/foxtaillever-policy/src/relay/admissionQueue.ts
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -13,6 +13,7 @@
  * its caller can still use the time.
  */
 import { ClassQueue, type FairJob } from '../order/classQueue.js'
+import { hasRoomFor, type ServerRoom } from './serverRoom.js'
 import { RejectedRequests } from './rejectedRequests.js'
 import { LEAST_URGENT_PRIORITY, yieldPriority } from './yieldPriority.js'
 
@@ -37,23 +38,6 @@
   readonly expiresAt: number
 }
 
-/** The load and the capacity of the server. */
-export interface ServerRoom {
-  /** Prompt tokens that it has yet to read; see `BacklogEstimate`. */
-  readonly backlogTokens: number
-  /** Tokens of its memory that requests occupy. */
-  readonly heldTokens: number
-  /** Requests that it has. */
-  readonly outstanding: number
-  /** Prompt tokens that it reads in a millisecond. */
-  readonly tokensPerMs: number
-  /** Its memory, in tokens; 0 where unknown. */
-  readonly memoryTokens: number
-  readonly slots: number
-  /** The next request is sent when the server needs less than this to read what it has, milliseconds. */
-  readonly readAheadMs: number
-}
-
 export interface RejectedEntry {
   readonly entry: AdmissionEntry
   /** When there will be room, milliseconds of Unix time. */
@@ -76,9 +60,6 @@
   expiresAt: number
 }
 
-/** Share of the read-ahead below which an idle queue needs no decision of the owner. */
-const NEARLY_IDLE_SHARE = 0.5
-
 /**
  * Share of the objective up to which a queued request is expected to be on time. The owner knows the queue better than a
  * requester that sends at once and yields beyond 0.8: with 0.8, requests that would have been on time are moved back.
@@ -88,25 +69,6 @@
 /** Minimum time between two decisions without a new report, milliseconds. */
 const MIN_INTERVAL_MS = 10
 
-/**
- * A prompt whose reading takes less than this share of the read-ahead does not wait for reading: engines read urgent
- * short prompts between the pieces of large ones, and waiting here would cost more than it saves.
- */
-export const SHORT_READ_SHARE = 0.5
-
-function fits (room: ServerRoom, { tokens, heldTokens }: AdmissionEntry): boolean {
-  const hasMemory = room.memoryTokens === 0 || room.outstanding === 0 || room.heldTokens + heldTokens <= room.memoryTokens
-  const readAheadTokens = room.readAheadMs * room.tokensPerMs
-  const isRead = room.backlogTokens < readAheadTokens || tokens < SHORT_READ_SHARE * readAheadTokens
-  return isRead && room.outstanding < room.slots && hasMemory
-}
-
-/** Whether a request can be sent without a decision of the owner, because the server is nearly idle. */
-export function isNearlyIdle (room: ServerRoom, heldTokens: number): boolean {
-  const hasMemory = room.memoryTokens === 0 || room.heldTokens + heldTokens <= NEARLY_IDLE_SHARE * room.memoryTokens
-  return room.backlogTokens < NEARLY_IDLE_SHARE * room.readAheadMs * room.tokensPerMs && room.outstanding < NEARLY_IDLE_SHARE * room.slots && hasMemory
-}
-
 /** Latest retry time that is given, milliseconds from now: later ones would be given to callers who have given up. */
 const MAX_RETRY_MS = 5000
 
@@ -299,7 +261,7 @@
       if (jobs === undefined || next === undefined) {
         return admitted
       }
-      if (!fits(left, next.job)) {
+      if (!hasRoomFor(left, next.job)) {
         jobs.putBack(next)
         return admitted
       }
--- a/packages/foxtaillever-relay/src/admission/admissionClaims.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionClaims.ts
@@ -1,6 +1,6 @@
 /** Decides which requests ask the owner of their server's queue for admission, and with which claim. */
 import { hashNumber, type Clock } from 'foxtaillever-core'
-import { isNearlyIdle } from 'foxtaillever-policy/relay/admissionQueue'
+import { isNearlyIdle } from 'foxtaillever-policy/relay/serverRoom'
 import { priorityOf } from '../attempts/planTerms.js'
 import { heldTokensOf, type Exchange, type Prompt } from '../model/exchange.js'
 import type { FleetLoad } from '../peers/fleetLoad.js'
--- a/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
+++ b/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
@@ -4,7 +4,8 @@
  * which a requester may ask for again.
  */
 import { RecentMap } from 'foxtaillever-policy/collections/recentMap'
-import { AdmissionQueue, type AdmissionEntry, type ServerRoom } from 'foxtaillever-policy/relay/admissionQueue'
+import { AdmissionQueue, type AdmissionEntry } from 'foxtaillever-policy/relay/admissionQueue'
+import type { ServerRoom } from 'foxtaillever-policy/relay/serverRoom'
 import { BacklogEstimate } from 'foxtaillever-policy/relay/backlogEstimate'
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import { LEAST_URGENT_PRIORITY } from 'foxtaillever-policy/relay/yieldPriority'
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -16,6 +16,7 @@
 import type { Routing } from '../model/routing.js'
 import { ServerLimits, type ServerLimitsOptions } from '../limits/serverLimits.js'
 import type { ServerWire } from '../model/wire.js'
+import type { LoadProtocolOptions } from '../peers/loadProtocol.js'
 import type { LevelAtHome, LoadQuery } from '../peers/loadQueryClient.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { ServerSelector, type QueriedServers, type ServerSelectorOptions } from '../servers/serverSelector.js'
@@ -134,8 +135,18 @@
     return home && level !== undefined ? { level, home: home.hash } : undefined
   }
 
+  /** Handlers of what watchers of servers report. */
+  get reportHandlers (): Pick<LoadProtocolOptions, 'onSaved' | 'onUnreachable' | 'onBackingOff' | 'onQueued'> {
+    return {
+      onSaved: levels => this.caches.savedLevels.recordAnnounced(levels, this.clock.now()),
+      onUnreachable: hash => this.recordUnreachable(hash),
+      onBackingOff: hash => this.recordBackoff(hash),
+      onQueued: hash => this.recordQueue(hash)
+    }
+  }
+
   /** Records that a server, given by its hash, asked other instances to back off. */
-  recordBackoff (hash: number): void {
+  private recordBackoff (hash: number): void {
     const server = this.directory.getByHash(hash)
     if (server) {
       server.peerBackoffUntil = this.clock.now() + REPORT_VALID_MS
@@ -143,7 +154,7 @@
   }
 
   /** Records that requests are queued for admission at a server, given by its hash. */
-  recordQueue (hash: number): void {
+  private recordQueue (hash: number): void {
     const server = this.directory.getByHash(hash)
     if (server) {
       server.queuedUntil = this.clock.now() + REPORT_VALID_MS
@@ -151,7 +162,7 @@
   }
 
   /** Records that several instances could not reach a server, given by its hash. */
-  recordUnreachable (hash: number): void {
+  private recordUnreachable (hash: number): void {
     const server = this.directory.getByHash(hash)
     const now = this.clock.now()
     if (server && server.unreachableUntil <= now) {
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -9,14 +9,13 @@
 import { AdmissionProtocol, type AdmissionProtocolOptions } from '../admission/admissionProtocol.js'
 import { PeerLink, type PeerLinkOptions, type AnnouncedRecords } from './peerLink.js'
 import { FleetLoad } from './fleetLoad.js'
-import { LoadProtocol } from './loadProtocol.js'
-import type { LeaseUpdate, PeerMessage, ServerLoadEntry, WeightsUpdate } from './peerMessage.js'
+import { LoadProtocol, type LoadProtocolOptions } from './loadProtocol.js'
+import type { LeaseUpdate, PeerMessage, WeightsUpdate } from './peerMessage.js'
 import { PeerTable } from './peerTable.js'
 import type { ReadNotice } from './readNotice.js'
 import { HeartbeatRounds } from './heartbeatRounds.js'
 import { LimitOwners } from '../limits/limitOwners.js'
 import type { AnnouncedTopic } from './announcedTopic.js'
-import type { SpeedRegistry } from './watchedSpeeds.js'
 import { MAX_ENGINES_IN_NOTICE } from './weightsNotice.js'
 
 /**
@@ -64,7 +63,7 @@
 /** What this instance currently reports about itself. */
 export type OwnReport = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt' | 'instances'>
 
-export interface PeersOptions {
+export interface PeersOptions extends Pick<LoadProtocolOptions, 'ownLoads' | 'isQueried' | 'onSaved' | 'onUnreachable' | 'onBackingOff' | 'onQueued' | 'onUnresponsive' | 'speeds'> {
   readonly clock: Clock
   readonly random: Random
   readonly name: string
@@ -78,21 +77,6 @@
   readonly lease: () => LeaseUpdate | undefined
   readonly recordsFrom: (topic: AnnouncedTopic, from: number) => AnnouncedRecords
   readonly onMessage: (message: PeerMessage) => void
-  /** Load that this instance puts on each server now. */
-  readonly ownLoads: () => readonly ServerLoadEntry[]
-  /** Whether instances query the load of a server before they choose. */
-  readonly isQueried: (server: number) => boolean
-  /** Called with levels that any instance saved recently. */
-  readonly onSaved: (levels: readonly number[]) => void
-  /** Called with the hash of a server that several instances recently could not reach. */
-  readonly onUnreachable: (server: number) => void
-  /** Called with the hash of a server that recently asked other instances to back off. */
-  readonly onBackingOff: (server: number) => void
-  /** Called with the hash of a server at which requests are queued for admission. */
-  readonly onQueued: (server: number) => void
-  readonly speeds: SpeedRegistry
-  /** Called when a watcher of servers does not answer. */
-  readonly onUnresponsive: (address: string) => void
   readonly onNotice: (notice: ReadNotice) => void
   readonly onWeights: PeerLinkOptions['onWeights']
   readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -199,10 +199,7 @@
       onMessage: message => applyPeerMessage(this.heartbeatParts(), message),
       ownLoads: () => ownLoads(this.dispatcher.directory.all()),
       isQueried: server => (this.dispatcher.directory.getByHash(server)?.weights.size ?? 0) > 0,
-      onSaved: levels => this.dispatcher.caches.savedLevels.recordAnnounced(levels, clock.now()),
-      onUnreachable: hash => this.dispatcher.recordUnreachable(hash),
-      onBackingOff: hash => this.dispatcher.recordBackoff(hash),
-      onQueued: hash => this.dispatcher.recordQueue(hash),
+      ...this.dispatcher.reportHandlers,
       speeds: createSpeedRegistry({ clock, directory: this.dispatcher.directory, log: this.log, peerSpeeds: () => this.peers.likely().flatMap(peer => peer.speeds) }),
       onUnresponsive: peer => this.log.belief('An instance does not answer questions of load; its second is asked.', { peer }),
       onNotice: notice => this.storeReplica.handleNotice(notice),
@@ -274,7 +271,6 @@
     return { clock, exchanges: dispatcher, suspects, peers, knowledge: storeReplica, orders: orderCoordinator, isLeaving, revision }
   }
 
-  /** Adds the addresses of all instances that ever registered in the store. */
   private addAddresses (addresses: readonly string[]): void {
     this.peers.addAddresses(addresses)
     this.dispatcher.setInstanceCount(this.peers.count())
