--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -240,7 +240,10 @@
       name,
       address: this.peers.address,
       onFirstIncarnation: () => this.dispatcher.retries.recordFirstStart(),
-      onAddresses: addresses => this.addAddresses(addresses),
+      onAddresses: addresses => {
+        this.peers.addAddresses(addresses)
+        this.dispatcher.setInstanceCount(this.peers.count())
+      },
       isLeaving: () => this.isLeaving
     })
   }
@@ -271,11 +274,6 @@
     return { clock, exchanges: dispatcher, suspects, peers, knowledge: storeReplica, orders: orderCoordinator, isLeaving, revision }
   }
 
-  private addAddresses (addresses: readonly string[]): void {
-    this.peers.addAddresses(addresses)
-    this.dispatcher.setInstanceCount(this.peers.count())
-  }
-
   private isReady (): boolean {
     return !this.isLeaving && this.storeReplica.isComplete && this.usableTable() !== undefined
   }
