--- a/packages/foxtaillever-policy/src/relay/__tests__/admissionQueue.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/admissionQueue.test.ts
@@ -88,7 +88,7 @@
     t.deepEqual(queue.decide(fullRoom, 10).rejected.map(({ retryAt }) => retryAt), [1100])
   })
 
-  // Urgent callers are told to return after less urgent ones that were rejected before.
+  // Guards against urgent callers that get a later retry time than less urgent ones that were rejected before.
   it('does not delay the retry of an urgent request for less urgent ones', t => {
     const queue = AdmissionQueue.create()
     addAll(queue, [entryOf('a', { priority: 2, latestStartAt: 0, tokens: 50_000 }), entryOf('b', { priority: 2, latestStartAt: 0 })])
@@ -109,7 +109,7 @@
     t.is(admittedAt, 6)
   })
 
-  // New callers take the room for which a rejected one was told to wait; it is rejected again.
+  // Guards against new callers that take the room for which a rejected one waits until its retry time.
   it('lets the retry go before new requests of its rank', t => {
     const queue = AdmissionQueue.create()
     addAll(queue, [...numbered('old', 3, ''), entryOf('returning', { latestStartAt: 0, fingerprint: 77 })])
@@ -118,7 +118,7 @@
     t.deepEqual(admitAll(queue, 300), ['retry', 'old0', 'old1', 'old2', 'new', 'other', 'second'])
   })
 
-  // The callers that were told to wait longest return first; if each passed those before it, the first would wait longest.
+  // Callers with the latest retry times have waited longest; if each passed those before it, the first would wait longest.
   it('keeps the order of retries', t => {
     const queue = AdmissionQueue.create()
     addAll(queue, [1, 2, 3].map(fingerprint => entryOf(`first${fingerprint}`, { latestStartAt: 0, fingerprint })))
--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionOracle.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionOracle.ts
@@ -36,7 +36,7 @@
   isOrderChecked = true
   /** Whether no fault affects the fleet. */
   isUndisturbed = false
-  /** Entries that each owner has told their requesters to be queued, by owner and request. */
+  /** Entries for which each owner has sent the outcome Queued, by owner and request. */
   private readonly queued = new Map<string, Map<string, QueuedEntry>>()
 
   /** Decisions by owner and request; a repeated response is no decision. */
--- a/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
@@ -3,7 +3,7 @@
  * each server: its first watcher, which receives the load reports. The requester asks
  * the owner, and the second watcher when the owner does not answer or lacks reports.
  * A queued request is renewed every 250 ms. The first decision that arrives counts;
- * the other instances that were asked are told to forget the request.
+ * the other instances that were asked get a cancellation.
  */
 import { atAfterReading, type Cancellation } from 'foxtaillever-core'
 import { RecentMap } from 'foxtaillever-policy/collections/recentMap'
@@ -31,19 +31,8 @@
 const MAX_COMPLETED = 2048
 
 /** A request that asks for admission. */
-export interface AdmissionClaim {
-  /** Hash of the server's incarnation. */
-  readonly server: number
-  readonly tokens: number
-  readonly heldTokens: number
-  readonly priority: number
-  /** Client account; empty for none. */
-  readonly account: string
-  readonly fingerprint: number
-  /** Time since its caller sent the request, milliseconds. */
-  readonly elapsedMs: number
-  readonly objectiveMs: number
-  /** Milliseconds of Unix time. */
+export interface AdmissionClaim extends Pick<AdmissionRequest, 'server' | 'tokens' | 'heldTokens' | 'priority' | 'account' | 'fingerprint' | 'elapsedMs' | 'objectiveMs'> {
+  /** From then on it cannot begin in time for its deadline, milliseconds of Unix time. */
   readonly latestStartAt: number
 }
 
