Only large prompts of routes with one attempt ask for admission

Short answers hold slots for 2.5 s, which the choice of a server does not count, so they queued at full servers. Shares of accounts thus cover large prompts.

--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
@@ -195,7 +195,6 @@
       onSaved: () => {},
       onUnreachable: () => {},
       onBackingOff: () => {},
-      onQueued: () => {},
       speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} },
       onUnresponsive: () => {},
       onReported: (server, reporter, added) => admission.recordLoad(server, reporter, added),
--- a/packages/foxtaillever-relay/src/admission/admissionClaims.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionClaims.ts
@@ -10,14 +10,11 @@
 import type { ServerCapacity } from './serverAdmissions.js'
 
 /**
- * Minimum share of the objective that reading the whole prompt takes if it is large.
- * Where all prompts are shorter, each delays the others by some milliseconds, and a round
- * trip to the owner would delay it by as much.
+ * Minimum share of the objective that reading the whole prompt must take. A shorter prompt
+ * delays the others by some milliseconds, and engines start it before large ones if it is
+ * urgent: waiting here, it would leave slots unused for a round trip to the owner or more.
  */
-const LARGE_READ_SHARE = 0.15
-
-/** How long the prompts of a service ask for admission after a large one, milliseconds. */
-const LARGE_PROMPTS_MS = 10_000
+const MIN_READ_SHARE = 0.1
 
 export interface AdmissionClaimsOptions {
   readonly clock: Clock
@@ -34,26 +31,23 @@
 }
 
 export class AdmissionClaims {
-  /** Until when prompts ask for admission, by service, milliseconds of Unix time. */
-  private readonly askingUntil = new Map<string, number>()
-
   private constructor (private readonly options: AdmissionClaimsOptions) {}
 
   static create (options: AdmissionClaimsOptions): AdmissionClaims {
     return new AdmissionClaims(options)
   }
 
-  /** Where a request would be queued; undefined where none await admission. */
+  /** Where a request would be queued; undefined for one that never is. */
   queuePositionOf (exchange: Exchange): QueuePosition | undefined {
-    const { prompt, service, account } = exchange
-    return prompt && this.isAsking(service) ? { priority: priorityOf(exchange), account: account?.name ?? '' } : undefined
+    const { prompt, route, account } = exchange
+    return prompt && route.awaitsAdmission ? { priority: priorityOf(exchange), account: account?.name ?? '' } : undefined
   }
 
   /** The claim of a request at a server; undefined where it is sent without asking. */
   claimFor (exchange: Exchange, server: KnownServer): AdmissionClaim | undefined {
     const { clock, capacityOf, missingTokensAt } = this.options
     const { route, prompt, account, arrivedAt, deadline } = exchange
-    const capacity = prompt && capacityOf(server.hash)
+    const capacity = prompt && route.awaitsAdmission ? capacityOf(server.hash) : undefined
     if (capacity === undefined || prompt === undefined || !this.mustAsk(exchange, prompt, server, capacity)) {
       return undefined
     }
@@ -73,18 +67,9 @@
     }
   }
 
-  /** Once large prompts await admission at a service, all its prompts do at a busy server, since they compete for the same slots. */
   private mustAsk (exchange: Exchange, { promptTokens }: Prompt, server: KnownServer, capacity: ServerCapacity): boolean {
-    const { service, route: { awaitsAdmission, objectiveMs } } = exchange
-    const now = this.options.clock.now()
-    if (awaitsAdmission && promptTokens >= LARGE_READ_SHARE * objectiveMs * capacity.tokensPerMs) {
-      this.askingUntil.set(service, now + LARGE_PROMPTS_MS)
-    }
-    return (this.isAsking(service) || server.queuedUntil > now) && !this.isNearlyIdle(server, capacity, heldTokensOf(exchange))
-  }
-
-  private isAsking (service: string): boolean {
-    return (this.askingUntil.get(service) ?? 0) > this.options.clock.now()
+    const isLarge = promptTokens >= MIN_READ_SHARE * exchange.route.objectiveMs * capacity.tokensPerMs
+    return isLarge && !this.isNearlyIdle(server, capacity, heldTokensOf(exchange))
   }
 
   private isNearlyIdle ({ hash, outstanding, unreadTokens, heldTokens }: KnownServer, capacity: ServerCapacity, addedTokens: number): boolean {
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -87,7 +87,7 @@
 
 function createProtocol (watchers: ComputedWatchers, address: string): LoadProtocol {
   return LoadProtocol.create({
-    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => [], isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onQueued: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
+    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => [], isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
   })
 }
 
@@ -155,7 +155,7 @@
     watchers.setMembers([address, ...others])
     let outstanding = 0
     const protocol = LoadProtocol.create({
-      clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => servers.slice(0, IN_FLIGHT).map(server => createLoad(server, 1 + outstanding % 2)), isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, onQueued: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
+      clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => servers.slice(0, IN_FLIGHT).map(server => createLoad(server, 1 + outstanding % 2)), isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
     })
     return () => {
       outstanding += 1
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -27,8 +27,8 @@
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
-/** How long a watcher's report on a backoff or a queue counts, milliseconds: it serves one choice only, because watchers are queried again before each prompt. */
-const REPORT_VALID_MS = 50
+/** How long a reported backoff counts, milliseconds: it serves one choice only, because watchers are queried again before each prompt. */
+const BACKOFF_REPORT_VALID_MS = 50
 
 export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
   readonly clock: Clock
@@ -136,12 +136,11 @@
   }
 
   /** Handlers of what watchers of servers report. */
-  get reportHandlers (): Pick<LoadProtocolOptions, 'onSaved' | 'onUnreachable' | 'onBackingOff' | 'onQueued'> {
+  get reportHandlers (): Pick<LoadProtocolOptions, 'onSaved' | 'onUnreachable' | 'onBackingOff'> {
     return {
       onSaved: levels => this.caches.savedLevels.recordAnnounced(levels, this.clock.now()),
       onUnreachable: hash => this.recordUnreachable(hash),
-      onBackingOff: hash => this.recordBackoff(hash),
-      onQueued: hash => this.recordQueue(hash)
+      onBackingOff: hash => this.recordBackoff(hash)
     }
   }
 
@@ -149,15 +148,7 @@
   private recordBackoff (hash: number): void {
     const server = this.directory.getByHash(hash)
     if (server) {
-      server.peerBackoffUntil = this.clock.now() + REPORT_VALID_MS
-    }
-  }
-
-  /** Records that requests are queued for admission at a server, given by its hash. */
-  private recordQueue (hash: number): void {
-    const server = this.directory.getByHash(hash)
-    if (server) {
-      server.queuedUntil = this.clock.now() + REPORT_VALID_MS
+      server.peerBackoffUntil = this.clock.now() + BACKOFF_REPORT_VALID_MS
     }
   }
 
--- a/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
@@ -110,7 +110,7 @@
 describe('messages with the speed of servers', () => {
   it('are read as they were sent', t => {
     const report: LoadMessage = { kind: DatagramKind.ServerLoadReport, address: 'a', loads: [load], unreachable: [1], saved: [2], backingOff: [3], samples: [{ server: 7, tokens: 9190, ms: 431 }, { server: 8, tokens: 2890, ms: 90 }] }
-    const response: LoadMessage = { kind: DatagramKind.LoadResponse, address: 'a', number: 4, loads: [{ ...load, speed: { tokensPerMs: undefined, weightStep: 3 } }], unreachable: [1], saved: [2], backingOff: [3], queued: [7] }
+    const response: LoadMessage = { kind: DatagramKind.LoadResponse, address: 'a', number: 4, loads: [{ ...load, speed: { tokensPerMs: undefined, weightStep: 3 } }], unreachable: [1], saved: [2], backingOff: [3] }
     t.deepEqual(roundTrip(report), report)
     t.deepEqual(roundTrip(response), response)
     t.deepEqual(unpackDatagram(encodePeerMessage(heartbeat)).chain(readPeerMessage).extract(), heartbeat)
@@ -122,7 +122,7 @@
     const report = readLoadMessage([DatagramKind.ServerLoadReport, 'a', [wireLoad], [], [], []]).extract()
     const response = readLoadMessage([DatagramKind.LoadResponse, 'a', 4, [wireLoad], [], [], []]).extract()
     t.deepEqual(report, { kind: DatagramKind.ServerLoadReport, address: 'a', loads: [load], unreachable: [], saved: [], backingOff: [], samples: [] })
-    t.deepEqual(response, { kind: DatagramKind.LoadResponse, address: 'a', number: 4, loads: [{ ...load, speed: undefined }], unreachable: [], saved: [], backingOff: [], queued: [] })
+    t.deepEqual(response, { kind: DatagramKind.LoadResponse, address: 'a', number: 4, loads: [{ ...load, speed: undefined }], unreachable: [], saved: [], backingOff: [] })
     const wire = unpackDatagram(encodePeerMessage(heartbeat)).orDefault([]).map((part, index) => index === 14 ? [[7, 1, 2890, 2]] : part)
     t.deepEqual(readPeerMessage(wire).extract()?.sums, [{ ...load, speed: undefined }])
   })
--- a/packages/foxtaillever-relay/src/peers/loadMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/loadMessage.ts
@@ -53,8 +53,6 @@
   readonly saved: readonly number[]
   /** The servers among these that recently asked any instance to back off. */
   readonly backingOff: readonly number[]
-  /** The servers among these at which requests are queued for admission. */
-  readonly queued: readonly number[]
 }
 
 export type LoadMessage = ServerLoadReport | LoadRequest | LoadResponse
@@ -94,7 +92,7 @@
   switch (kind) {
     case DatagramKind.ServerLoadReport: return packDatagram([kind, address, message.loads.map(packLoad), message.unreachable, message.saved, message.backingOff, ...packSamples(message)])
     case DatagramKind.LoadRequest: return packDatagram([kind, address, message.number, message.servers, message.levels, ...(message.position === undefined ? [] : [message.position.priority, message.position.account])])
-    case DatagramKind.LoadResponse: return packDatagram([kind, address, message.number, message.loads.map(packWatched), message.unreachable, message.saved, message.backingOff, ...(message.queued.length > 0 ? [message.queued] : [])])
+    case DatagramKind.LoadResponse: return packDatagram([kind, address, message.number, message.loads.map(packWatched), message.unreachable, message.saved, message.backingOff])
   }
 }
 
@@ -104,7 +102,7 @@
     return { kind: DatagramKind.ServerLoadReport, address, loads, unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff), samples: readSamples(samples, loads) }
   },
   [DatagramKind.LoadRequest]: (address, [number, servers, levels, ...position]) => ({ kind: DatagramKind.LoadRequest, address, number: Number(number), servers: readNumbers(servers), levels: readNumbers(levels), position: readPosition(position) }),
-  [DatagramKind.LoadResponse]: (address, [number, loads, unreachable, saved, backingOff, queued]) => ({ kind: DatagramKind.LoadResponse, address, number: Number(number), loads: (loads as WireWatched[]).map(readWatched), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff), queued: readNumbers(queued) })
+  [DatagramKind.LoadResponse]: (address, [number, loads, unreachable, saved, backingOff]) => ({ kind: DatagramKind.LoadResponse, address, number: Number(number), loads: (loads as WireWatched[]).map(readWatched), unreachable: readNumbers(unreachable), saved: readNumbers(saved), backingOff: readNumbers(backingOff) })
 }
 
 /** Nothing for a datagram of another form. */
--- a/packages/foxtaillever-relay/src/peers/loadProtocol.ts
+++ b/packages/foxtaillever-relay/src/peers/loadProtocol.ts
@@ -8,7 +8,6 @@
 import type { Cancellation } from 'foxtaillever-core'
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import { ordinarySpeed } from 'foxtaillever-policy/relay/serverSpeed'
-import { LEAST_URGENT_PRIORITY } from 'foxtaillever-policy/relay/yieldPriority'
 import { DatagramKind } from './datagram.js'
 import type { FleetLoad } from './fleetLoad.js'
 import type { LoadMessage, LoadRequest, QueuePosition, ServerLoadReport } from './loadMessage.js'
@@ -46,8 +45,6 @@
   readonly onUnreachable: (server: number) => void
   /** Called when a server recently asked other instances to back off. */
   readonly onBackingOff: (server: number) => void
-  /** Called when requests are queued for admission at a server. */
-  readonly onQueued: (server: number) => void
   /** Called with every report on a watched server: who reports, and by how many its outstanding requests there have risen. */
   readonly onReported: (server: number, reporter: string, added: number) => void
   /** Prompt tokens that are queued for admission at a server, at the priority or a more urgent one; for an account, those before its next request. */
@@ -209,8 +206,7 @@
       loads: servers.map(server => this.withQueue(this.watchedEntry(server, requester, now), position)),
       unreachable: servers.filter(server => this.watchedServers.isUnreachable(server, now)),
       saved: levels.filter(level => this.watchedServers.saved.isSavedRecently(level, now)),
-      backingOff: servers.filter(server => this.watchedServers.isBackingOff(server, now)),
-      queued: servers.filter(server => this.options.queuedTokens(server, LEAST_URGENT_PRIORITY) > 0)
+      backingOff: servers.filter(server => this.watchedServers.isBackingOff(server, now))
     }
   }
 
@@ -218,12 +214,11 @@
     return position === undefined ? load : { ...load, tokens: load.tokens + this.options.queuedTokens(load.server, position.priority, position.account) }
   }
 
-  private applyWatcherReport ({ loads, unreachable, saved, backingOff, queued }: WatcherReport): void {
-    const { onUnreachable, onBackingOff, onQueued, onSaved } = this.options
+  private applyWatcherReport ({ loads, unreachable, saved, backingOff }: WatcherReport): void {
+    const { onUnreachable, onBackingOff, onSaved } = this.options
     this.applyWatchedServers(loads)
     unreachable.forEach(onUnreachable)
     backingOff.forEach(onBackingOff)
-    queued.forEach(onQueued)
     onSaved(saved)
   }
 
--- a/packages/foxtaillever-relay/src/peers/loadQueryClient.ts
+++ b/packages/foxtaillever-relay/src/peers/loadQueryClient.ts
@@ -36,7 +36,7 @@
 }
 
 /** What a watcher knows about servers and levels. */
-export type WatcherReport = Pick<LoadResponse, 'loads' | 'unreachable' | 'saved' | 'backingOff' | 'queued'>
+export type WatcherReport = Pick<LoadResponse, 'loads' | 'unreachable' | 'saved' | 'backingOff'>
 
 interface PendingQuery {
   readonly waiting: Set<string>
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -46,8 +46,6 @@
   refusedAt: number
   /** Other instances reported, when queried, that the server asked them for backoff; counts until then, milliseconds of Unix time. */
   peerBackoffUntil: number
-  /** Its owner reported, when queried, that requests are queued for admission; counts until then, milliseconds of Unix time. */
-  queuedUntil: number
   readonly health: ServerHealth
   /** Its reading speed, as its first watcher announces it. */
   speed: ObservedSpeed
@@ -77,7 +75,6 @@
     limitedUntil: 0,
     refusedAt: 0,
     peerBackoffUntil: 0,
-    queuedUntil: 0,
     health: ServerHealth.create(),
     speed: ordinarySpeed,
     newestAnsweredSentAt: 0,
