--- a/packages/foxtaillever-policy/src/bench/fleetSpeeds.ts
+++ b/packages/foxtaillever-policy/src/bench/fleetSpeeds.ts
@@ -58,7 +58,7 @@
 
   private medianSpeed (): number | undefined {
     const settled = this.services.filter(({ samples }) => samples >= SETTLED_SAMPLES)
-    return medianSpeeds(settled.map(({ tokensPerMs }) => ({ service: '', tokensPerMs }))).get('')
+    return medianSpeeds(settled.map(({ tokensPerMs, samples }) => ({ service: '', tokensPerMs, samples }))).get('')
   }
 
   private serviceAt (instance: number): PrefillSpeed {
