Use one piece of code for what the admission work had written twice

Cause: a read-through of the admission and speed work found twins of existing code and values computed twice. Change: a server's reading speed comes from ServerObservations.tokensPerMsOf in ServerRooms too; the class of a priority is determined in the queue alone; a claim states when its request arrived instead of a time that was converted back; the owner sums the load of a server once a report; the fuzz commands share seeds and options, the benches the conditions of a server and the load protocol, three tests the check of the next decision.

--- a/packages/foxtaillever-policy/src/bench/admissionEngine.ts
+++ b/packages/foxtaillever-policy/src/bench/admissionEngine.ts
@@ -18,7 +18,7 @@
   firstEventAt: number
 }
 
-export class SimulatedEngine<Call extends EngineCall> {
+export class AdmissionEngine<Call extends EngineCall> {
   private waiting: Call[] = []
   /** In the order in which they are read. */
   private started: Call[] = []
@@ -26,8 +26,8 @@
 
   private constructor () {}
 
-  static create<Call extends EngineCall> (): SimulatedEngine<Call> {
-    return new SimulatedEngine<Call>()
+  static create<Call extends EngineCall> (): AdmissionEngine<Call> {
+    return new AdmissionEngine<Call>()
   }
 
   get calls (): readonly Call[] {
--- a/packages/foxtaillever-policy/src/bench/admissionFleet.ts
+++ b/packages/foxtaillever-policy/src/bench/admissionFleet.ts
@@ -11,7 +11,7 @@
 import { isNearlyIdle, type ServerRoom } from '../relay/serverRoom.js'
 import { BacklogEstimate } from '../relay/backlogEstimate.js'
 import { shouldYield, yieldPriority } from '../relay/yieldPriority.js'
-import { MEMORY_TOKENS, SimulatedEngine, SLOTS, TOKENS_PER_MS, type EngineCall } from './admissionEngine.js'
+import { MEMORY_TOKENS, AdmissionEngine, SLOTS, TOKENS_PER_MS, type EngineCall } from './admissionEngine.js'
 import { accountShares, AdmissionOutcome, LARGE, SHORT, type AdmissionShape, type PromptKind } from './admissionShape.js'
 
 interface Call extends EngineCall {
@@ -28,7 +28,7 @@
 }
 
 interface Engine {
-  readonly server: SimulatedEngine<Call>
+  readonly server: AdmissionEngine<Call>
   isLost: boolean
   readonly queue: AdmissionQueue
   readonly backlog: BacklogEstimate
@@ -60,7 +60,7 @@
   private constructor (private readonly shape: AdmissionShape) {
     this.arrivals = SeededRandom.create(shape.seed)
     this.random = SeededRandom.create(shape.seed + 1000)
-    this.engines = Array.from({ length: shape.engines }, () => ({ server: SimulatedEngine.create<Call>(), isLost: false, queue: AdmissionQueue.create(), backlog: BacklogEstimate.create(), known: [], decideAt: Infinity }))
+    this.engines = Array.from({ length: shape.engines }, () => ({ server: AdmissionEngine.create<Call>(), isLost: false, queue: AdmissionQueue.create(), backlog: BacklogEstimate.create(), known: [], decideAt: Infinity }))
   }
 
   static simulate (shape: AdmissionShape): AdmissionOutcome {
--- a/packages/foxtaillever-policy/src/bench/simulatedEngine.ts
+++ b/packages/foxtaillever-policy/src/bench/simulatedEngine.ts
@@ -1,6 +1,6 @@
 /** Engines of the simulated fleet: their requests, caches and waits. */
 import { mixHashes } from '../placement/rendezvous.js'
-import type { ServerCandidate } from '../relay/placeExchange.js'
+import { ordinaryConditions, type ServerCandidate } from '../relay/placeExchange.js'
 import { noLoad, type ServerLoad } from '../relay/serverLoad.js'
 
 export const TOKENS_PER_MS = 110
@@ -55,13 +55,7 @@
     heldTokens: 0,
     memoryTokens: MEMORY_TOKENS,
     tokensPerMs: TOKENS_PER_MS,
-    weight: 1,
-    isRefusing: false,
-    isUnreachable: false,
-    faultCostMs: 0,
-    isChanging: false,
-    isOutdated: false,
-    coldLeftMs: 0
+    ...ordinaryConditions
   }
 }
 
--- a/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/placeExchange.test.ts
@@ -1,7 +1,7 @@
 import { SeededRandom } from 'foxtaillever-core'
 import { describe, it } from 'foxtaillever-testing'
 import { mixHashes } from '../../placement/rendezvous.js'
-import { placeExchange, type PlacementNeed, type ServerCandidate } from '../placeExchange.js'
+import { ordinaryConditions, placeExchange, type PlacementNeed, type ServerCandidate } from '../placeExchange.js'
 
 const SERVERS = 6
 const KEYS = 300
@@ -20,13 +20,7 @@
     heldTokens: 0,
     memoryTokens: 71_780,
     tokensPerMs: TOKENS_PER_MS,
-    weight: 1,
-    isRefusing: false,
-    isUnreachable: false,
-    faultCostMs: 0,
-    isChanging: false,
-    isOutdated: false,
-    coldLeftMs: 0,
+    ...ordinaryConditions,
     ...given
   }))
 }
--- a/packages/foxtaillever-policy/src/relay/admissionQueue.ts
+++ b/packages/foxtaillever-policy/src/relay/admissionQueue.ts
@@ -75,6 +75,11 @@
 /** Weight of each new interval in the mean interval between admissions. */
 const INTERVAL_WEIGHT = 0.2
 
+/** Class of the queue for a priority, which another instance may have sent. */
+function rankOf (priority: number): number {
+  return Math.min(LEAST_URGENT_PRIORITY, Math.max(0, Math.round(priority)))
+}
+
 export class AdmissionQueue {
   private readonly ranks = Array.from({ length: LEAST_URGENT_PRIORITY + 1 }, () => ClassQueue.create<QueuedEntry>())
   private readonly entries = new Map<string, QueuedEntry>()
@@ -105,7 +110,7 @@
       known.expiresAt = entry.expiresAt
       return
     }
-    const rank = Math.min(LEAST_URGENT_PRIORITY, Math.max(0, Math.round(entry.priority)))
+    const rank = rankOf(entry.priority)
     const isReturning = this.rejectedRequests.takeRetry(entry.fingerprint, now)
     const queued = { job: entry, cost: entry.tokens, weight: 1, attempts: 0, gone: false, turn: 0, sequence: 0, rank, firstRank: rank, isReturning, expiresAt: entry.expiresAt }
     if (isReturning) {
@@ -128,13 +133,14 @@
    * them, the queue of an account that floods every server would hide how long others wait at each.
    */
   queuedTokens (priority: number, account?: string): number {
-    const moreUrgent = this.ranks.slice(0, priority).reduce((tokens, { work }) => tokens + work, 0)
-    const rank = this.ranks[priority]
-    if (rank === undefined || account === undefined) {
-      return moreUrgent + (rank?.work ?? 0)
+    const rank = rankOf(priority)
+    const moreUrgent = this.ranks.slice(0, rank).reduce((tokens, { work }) => tokens + work, 0)
+    const jobs = this.classOf({ rank })
+    if (account === undefined) {
+      return moreUrgent + jobs.work
     }
-    const nextTurn = rank.nextTurnOf(account)
-    return this.inOrder(priority).filter(({ turn }) => turn <= nextTurn).reduce((tokens, { cost }) => tokens + cost, moreUrgent)
+    const nextTurn = jobs.nextTurnOf(account)
+    return this.inOrder(rank).filter(({ turn }) => turn <= nextTurn).reduce((tokens, { cost }) => tokens + cost, moreUrgent)
   }
 
   /** Takes the requests that are admitted or rejected now out of the queue, in order. */
--- a/packages/foxtaillever-policy/src/relay/placeExchange.ts
+++ b/packages/foxtaillever-policy/src/relay/placeExchange.ts
@@ -41,6 +41,17 @@
   readonly coldLeftMs: number
 }
 
+/** Conditions of a server that neither attract nor deter requests. */
+export const ordinaryConditions = {
+  weight: 1,
+  isRefusing: false,
+  isUnreachable: false,
+  faultCostMs: 0,
+  isChanging: false,
+  isOutdated: false,
+  coldLeftMs: 0
+} as const satisfies Partial<ServerCandidate>
+
 export interface PlacementNeed {
   /** Hash of the levels that requests share; undefined without a prompt. */
   readonly promptKey: number | undefined
--- a/packages/foxtaillever-policy/src/relay/serverSpeed.ts
+++ b/packages/foxtaillever-policy/src/relay/serverSpeed.ts
@@ -23,7 +23,7 @@
 export const MIN_SAMPLES = 8
 
 /** Samples that an estimate announced by another watcher counts for: with fewer, the first samples after a change of watchers would move it by more than its noise. */
-const ANNOUNCED_SAMPLES = 40
+const ADOPTED_SAMPLES = 40
 
 /** Smaller factors between a server's speed and the service's are within the noise of both estimates; with few samples, their noise is added. */
 const CLEAR_FACTOR = 1.3
@@ -75,7 +75,7 @@
     const { tokensPerMs = serviceTokensPerMs, weightStep } = known
     const longTerm = SpeedEstimate.create(serviceTokensPerMs, LONG_TERM_STEPS)
     if (known.tokensPerMs !== undefined || weightStep !== 0) {
-      longTerm.adopt(serviceTokensPerMs * homeWeight(weightStep), ANNOUNCED_SAMPLES)
+      longTerm.adopt(serviceTokensPerMs * homeWeight(weightStep), ADOPTED_SAMPLES)
     }
     return new ServerSpeed(SpeedEstimate.create(tokensPerMs, SHORT_TERM_STEPS), longTerm, weightStep)
   }
--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -38,16 +38,23 @@
 /** The kind of limit by the command's path. */
 const limitSubjects: Readonly<Record<string, LimitSubject>> = { quota: quotas, 'server-limits': serverLimits }
 
-class LimitsCommand extends Command {
+/** Plays drawn histories, one for each seed. */
+abstract class HistoriesCommand extends Command {
+  seed = Option.String('--seed', '1', { description: 'Seed of the first history; the next ones follow.' })
+  runs = Option.String('--runs', '300', { description: 'Number of histories.' })
+
+  protected seeds (): number[] {
+    return Array.from({ length: Number(this.runs) }, (_, index) => Number(this.seed) + index)
+  }
+}
+
+class LimitsCommand extends HistoriesCommand {
   static override paths = Object.keys(limitSubjects).map(name => [name])
   static override usage = Command.Usage({ description: 'Draw histories of a fleet that shares limits, and check every window against an oracle.' })
 
-  seed = Option.String('--seed', '1', { description: 'Seed of the first history; the next ones follow.' })
-  runs = Option.String('--runs', '300', { description: 'Number of histories of one limit.' })
-
   async execute (): Promise<number> {
     let worst = 0
-    for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.runs); seed++) {
+    for (const seed of this.seeds()) {
       const report = await LimitHistory.play(seed, LIMIT_SIZES[seed % LIMIT_SIZES.length] as number, limitSubjects[this.path[0] ?? ''])
       worst = Math.max(worst, report.worst)
       if (report.worst > 1) {
@@ -59,16 +66,13 @@
   }
 }
 
-class StatementsCommand extends Command {
+class StatementsCommand extends HistoriesCommand {
   static override paths = [['server-statements']]
   static override usage = Command.Usage({ description: 'Draw histories of servers that state that they are leaving or backing off, and count the requests that reach them.' })
 
-  seed = Option.String('--seed', '1', { description: 'Seed of the first history; the next ones follow.' })
-  runs = Option.String('--runs', '300', { description: 'Number of histories.' })
-
   async execute (): Promise<number> {
     let broken = 0
-    for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.runs); seed++) {
+    for (const seed of this.seeds()) {
       const violations = [...await StatementHistory.play(seed), ...await FleetStatementHistory.play(seed)]
       broken += violations.length
       violations.forEach(violation => console.log(`seed ${seed}: ${violation}`))
@@ -78,18 +82,15 @@
   }
 }
 
-class AdmissionCommand extends Command {
+class AdmissionCommand extends HistoriesCommand {
   static override paths = [['admission']]
   static override usage = Command.Usage({ description: 'Draw histories of a fleet that admits requests at backend servers, and check what reaches the servers against an oracle.' })
 
-  seed = Option.String('--seed', '1', { description: 'Seed of the first history; the next ones follow.' })
-  runs = Option.String('--runs', '300', { description: 'Number of histories.' })
-
   async execute (): Promise<number> {
     let broken = 0
     let requests = 0
     let worstExcess = -Infinity
-    for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.runs); seed++) {
+    for (const seed of this.seeds()) {
       const report = await AdmissionHistory.play(seed)
       broken += report.violations.length
       requests += report.requests
--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
@@ -137,7 +137,7 @@
 
   ask (request: FleetRequest): void {
     const { node, server: { hash }, tokens, heldTokens, priority, account, objectiveMs, arrivedAt, latestStartAt } = request
-    const claim = { server: hash, tokens, heldTokens, priority, account, fingerprint: this.requests.indexOf(request), elapsedMs: this.clock.now() - arrivedAt, objectiveMs, latestStartAt: latestStartAt + node.clockOffsetMs }
+    const claim = { server: hash, tokens, heldTokens, priority, account, fingerprint: this.requests.indexOf(request), arrivedAt: arrivedAt + node.clockOffsetMs, objectiveMs, latestStartAt: latestStartAt + node.clockOffsetMs }
     request.pending = node.admission.request(claim, result => this.handleResult(request, result))
   }
 
--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionScene.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionScene.ts
@@ -30,6 +30,13 @@
   return results.map(({ outcome }) => outcome)
 }
 
+/** Checks that the next request of the scene is decided by the instance within the time, milliseconds. */
+export async function assertNextDecidedBy (t: ExecutionContext, { fleet, requester, server }: Scene, node: FleetNode, withinMs: number): Promise<void> {
+  const request = fleet.request(requester, server)
+  await fleet.pass(withinMs)
+  assertDecidedBy(t, request, node)
+}
+
 export function assertDecidedBy (t: ExecutionContext, { result, sent }: FleetRequest, node: FleetNode): void {
   t.is(result?.outcome, AdmissionOutcome.Admitted)
   t.is(result?.decidedBy, node.address)
--- a/packages/foxtaillever-relay/src/admission/__tests__/admissionFailures.test.ts
+++ b/packages/foxtaillever-relay/src/admission/__tests__/admissionFailures.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'foxtaillever-testing'
 import { DatagramKind } from '../../peers/datagram.js'
 import { AdmissionFleet, type FleetNode, type FleetRequest, type FleetServer } from '../__fixtures__/admissionFleet.js'
-import { assertDecidedBy, occupy, startScene } from '../__fixtures__/admissionScene.js'
+import { assertDecidedBy, assertNextDecidedBy, occupy, startScene } from '../__fixtures__/admissionScene.js'
 import { AdmissionOutcome } from '../admissionMessage.js'
 
 const { Admitted, NotOwner } = AdmissionOutcome
@@ -80,7 +80,8 @@
 
   // After a suspension of seconds its reports are gone, and the server would look idle to it.
   it('gets no decision from an owner that was suspended for seconds until all reports are repeated', async t => {
-    const { fleet, server, owner, standby, requester } = await startScene()
+    const scene = await startScene()
+    const { fleet, server, owner, standby, requester } = scene
     owner.isFrozen = true
     await fleet.pass(4000)
     fleet.thaw(owner)
@@ -88,14 +89,13 @@
     await fleet.pass(30)
     assertDecidedBy(t, request, standby)
     await fleet.pass(1100)
-    const later = fleet.request(requester, server)
-    await fleet.pass(30)
-    assertDecidedBy(t, later, owner)
+    await assertNextDecidedBy(t, scene, owner, 30)
     fleet.stopAll()
   })
 
   it('asks the standby while the owner is cut off, and the owner again within 3 s', async t => {
-    const { fleet, server, owner, standby, requester } = await startScene()
+    const scene = await startScene()
+    const { fleet, server, owner, standby, requester } = scene
     owner.side = 1
     const request = fleet.request(requester, server)
     await fleet.pass(500)
@@ -103,9 +103,7 @@
     await fleet.pass(500)
     owner.side = 0
     await fleet.pass(3000)
-    const later = fleet.request(requester, server)
-    await fleet.pass(30)
-    assertDecidedBy(t, later, owner)
+    await assertNextDecidedBy(t, scene, owner, 30)
     fleet.stopAll()
   })
 
@@ -121,9 +119,7 @@
     // Reports are complete 1,025 ms after the start.
     await fleet.pass(1050)
     assertDecidedBy(t, request, standby)
-    const later = fleet.request(requester, server)
-    await fleet.pass(600)
-    assertDecidedBy(t, later, owner)
+    await assertNextDecidedBy(t, scene, owner, 600)
     fleet.stopAll()
   })
 
--- a/packages/foxtaillever-relay/src/admission/admissionClaims.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionClaims.ts
@@ -1,5 +1,5 @@
 /** Decides which requests ask the owner of their server's queue for admission, and with which claim. */
-import { hashNumber, type Clock } from 'foxtaillever-core'
+import { hashNumber } from 'foxtaillever-core'
 import { isNearlyIdle } from 'foxtaillever-policy/relay/serverRoom'
 import { priorityOf } from '../attempts/planTerms.js'
 import { heldTokensOf, type Exchange, type Prompt } from '../model/exchange.js'
@@ -17,7 +17,6 @@
 const MIN_READ_SHARE = 0.1
 
 export interface AdmissionClaimsOptions {
-  readonly clock: Clock
   readonly fleetLoad: Pick<FleetLoad, 'of'>
   /** Undefined for a server that takes no requests. */
   readonly capacityOf: (server: number) => ServerCapacity | undefined
@@ -45,10 +44,11 @@
 
   /** The claim of a request at a server; undefined where it is sent without asking. */
   claimFor (exchange: Exchange, server: KnownServer): AdmissionClaim | undefined {
-    const { clock, capacityOf, missingTokensAt } = this.options
-    const { route, prompt, account, arrivedAt, deadline } = exchange
-    const capacity = prompt && route.awaitsAdmission ? capacityOf(server.hash) : undefined
-    if (capacity === undefined || prompt === undefined || !this.mustAsk(exchange, prompt, server, capacity)) {
+    const { capacityOf, missingTokensAt } = this.options
+    const { route, prompt, arrivedAt, deadline } = exchange
+    const position = this.queuePositionOf(exchange)
+    const capacity = position && capacityOf(server.hash)
+    if (prompt === undefined || position === undefined || capacity === undefined || !this.mustAsk(exchange, prompt, server, capacity)) {
       return undefined
     }
     const tokens = missingTokensAt(exchange, server)
@@ -58,10 +58,9 @@
       server: server.hash,
       tokens,
       heldTokens,
-      priority: priorityOf(exchange),
-      account: account?.name ?? '',
+      ...position,
       fingerprint: fingerprintOf(exchange, prompt),
-      elapsedMs: clock.now() - arrivedAt,
+      arrivedAt,
       objectiveMs: route.objectiveMs,
       latestStartAt: latestEnd - tokens / capacity.tokensPerMs
     }
--- a/packages/foxtaillever-relay/src/admission/admissionOwner.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionOwner.ts
@@ -94,8 +94,12 @@
   /** A load report on the server arrived; see `ServerAdmissions.recordLoad`. */
   recordLoad (server: number, reporter: string, added: number): void {
     const { clock, loadOf } = this.options
-    this.servers.get(server)?.admissions.recordLoad(loadOf(server), reporter, added, clock.now())
-    this.decide(server)
+    const owned = this.servers.get(server)
+    if (owned) {
+      const load = loadOf(server)
+      owned.admissions.recordLoad(load, reporter, added, clock.now())
+      this.decide(server, load)
+    }
   }
 
   /** Undefined while this instance cannot decide on the server. */
@@ -125,7 +129,7 @@
     })
   }
 
-  private decide (server: number): void {
+  private decide (server: number, knownLoad?: ServerLoad): void {
     const owned = this.servers.get(server)
     if (owned === undefined) {
       return
@@ -140,7 +144,7 @@
       this.servers.delete(server)
       return
     }
-    const decisions = admissions.decide(loadOf(server), capacity, now)
+    const decisions = admissions.decide(knownLoad ?? loadOf(server), capacity, now)
     const nextAt = admissions.nextDecisionAt(capacity, now)
     owned.cancelDecision = Number.isFinite(nextAt) ? clock.at(nextAt, () => this.decide(server)) : () => {}
     decisions.forEach(({ id, ...decision }) => this.respond(server, id, decision))
--- a/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
@@ -31,7 +31,9 @@
 const MAX_COMPLETED = 2048
 
 /** A request that asks for admission. */
-export interface AdmissionClaim extends Pick<AdmissionRequest, 'server' | 'tokens' | 'heldTokens' | 'priority' | 'account' | 'fingerprint' | 'elapsedMs' | 'objectiveMs'> {
+export interface AdmissionClaim extends Pick<AdmissionRequest, 'server' | 'tokens' | 'heldTokens' | 'priority' | 'account' | 'fingerprint' | 'objectiveMs'> {
+  /** When its caller sent the request, milliseconds of Unix time. */
+  readonly arrivedAt: number
   /** From then on it cannot begin in time for its deadline, milliseconds of Unix time. */
   readonly latestStartAt: number
 }
@@ -71,8 +73,6 @@
 interface PendingRequest {
   readonly number: number
   readonly claim: AdmissionClaim
-  /** When its caller sent the request, milliseconds of Unix time. */
-  readonly arrivedAt: number
   readonly requestedAt: number
   /** Instances that were asked and may have the request queued. */
   readonly asked: Set<string>
@@ -127,7 +127,7 @@
   request (claim: AdmissionClaim, onResult: (result: AdmissionResult) => void): PendingAdmission {
     const now = this.options.clock.now()
     const request: PendingRequest = {
-      number: this.nextNumber++, claim, arrivedAt: now - claim.elapsedMs, requestedAt: now, asked: new Set(), remaining: [], awaited: undefined, queuedAt: undefined, wasQueued: false, result: undefined, onResult: undefined, cancelTimeout: () => {}, cancelRound: () => {}
+      number: this.nextNumber++, claim, requestedAt: now, asked: new Set(), remaining: [], awaited: undefined, queuedAt: undefined, wasQueued: false, result: undefined, onResult: undefined, cancelTimeout: () => {}, cancelRound: () => {}
     }
     this.pending.set(request.number, request)
     this.startRound(request, onResult)
@@ -202,9 +202,9 @@
     }
   }
 
-  private messageOf ({ number, claim, arrivedAt }: PendingRequest): AdmissionRequest {
+  private messageOf ({ number, claim }: PendingRequest): AdmissionRequest {
     const { clock, address } = this.options
-    const { elapsedMs, latestStartAt, ...fields } = claim
+    const { arrivedAt, latestStartAt, ...fields } = claim
     const now = clock.now()
     return { kind: DatagramKind.AdmissionRequest, address, number, ...fields, elapsedMs: now - arrivedAt, startInMs: Math.min(MAX_START_IN_MS, latestStartAt - now) }
   }
--- a/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
+++ b/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
@@ -8,7 +8,6 @@
 import type { ServerRoom } from 'foxtaillever-policy/relay/serverRoom'
 import { BacklogEstimate } from 'foxtaillever-policy/relay/backlogEstimate'
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
-import { LEAST_URGENT_PRIORITY } from 'foxtaillever-policy/relay/yieldPriority'
 import { AdmissionOutcome } from './admissionMessage.js'
 
 /** What the server can take, apart from its current load. */
@@ -93,7 +92,7 @@
   }
 
   queuedTokens (priority: number, account?: string): number {
-    return this.queue.queuedTokens(Math.min(LEAST_URGENT_PRIORITY, Math.max(0, Math.round(priority))), account)
+    return this.queue.queuedTokens(priority, account)
   }
 
   /** The decision on a request that was made a moment ago. */
--- a/packages/foxtaillever-relay/src/admission/serverRooms.ts
+++ b/packages/foxtaillever-relay/src/admission/serverRooms.ts
@@ -46,13 +46,12 @@
   /** Undefined for a server that takes no requests. */
   of (hash: number): ServerCapacity | undefined {
     const { directory } = this.options
-    const { listed, speed } = directory.getByHash(hash) ?? {}
-    if (listed?.state !== ServerState.Ready) {
+    const server = directory.getByHash(hash)
+    if (server?.listed.state !== ServerState.Ready) {
       return undefined
     }
-    const { service, slots } = listed
-    const tokensPerMs = speed?.tokensPerMs ?? directory.observations.prefillSpeedOf(service).tokensPerMs
-    return { tokensPerMs, memoryTokens: directory.memoryTokensOf(service), slots, readAheadMs: this.objectivesOf(service).readAheadMs }
+    const { service, slots } = server.listed
+    return { tokensPerMs: directory.observations.tokensPerMsOf(server), memoryTokens: directory.memoryTokensOf(service), slots, readAheadMs: this.objectivesOf(service).readAheadMs }
   }
 
   /** Requirements of the service under the configuration in force. */
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -6,7 +6,7 @@
 import { performance } from 'node:perf_hooks'
 import { hashNumber, SeededRandom, SystemClock } from 'foxtaillever-core'
 import { ComputedWatchers } from 'foxtaillever-policy/relay/computedWatchers'
-import { rankCandidates, type PlacementNeed, type ServerCandidate } from 'foxtaillever-policy/relay/placeExchange'
+import { ordinaryConditions, rankCandidates, type PlacementNeed, type ServerCandidate } from 'foxtaillever-policy/relay/placeExchange'
 import { noLoad } from 'foxtaillever-policy/relay/serverLoad'
 import { encodeAdmissionMessage, readAdmissionMessage } from '../admission/admissionMessage.js'
 import { AdmissionProtocol } from '../admission/admissionProtocol.js'
@@ -85,9 +85,9 @@
   }
 }
 
-function createProtocol (watchers: ComputedWatchers, address: string): LoadProtocol {
+function createProtocol (watchers: ComputedWatchers, address: string, ownLoads: () => readonly ServerLoadEntry[] = () => []): LoadProtocol {
   return LoadProtocol.create({
-    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => [], isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
+    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads, isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
   })
 }
 
@@ -103,13 +103,7 @@
     heldTokens: 9000,
     memoryTokens: 90_000,
     tokensPerMs: 50,
-    weight: 1,
-    isRefusing: false,
-    isUnreachable: false,
-    faultCostMs: 0,
-    isChanging: false,
-    isOutdated: false,
-    coldLeftMs: 0
+    ...ordinaryConditions
   }))
 }
 
@@ -154,9 +148,7 @@
     const watchers = ComputedWatchers.create()
     watchers.setMembers([address, ...others])
     let outstanding = 0
-    const protocol = LoadProtocol.create({
-      clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads: () => servers.slice(0, IN_FLIGHT).map(server => createLoad(server, 1 + outstanding % 2)), isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
-    })
+    const protocol = createProtocol(watchers, address, () => servers.slice(0, IN_FLIGHT).map(server => createLoad(server, 1 + outstanding % 2)))
     return () => {
       outstanding += 1
       protocol.handleHeartbeat()
@@ -190,7 +182,7 @@
     let turn = 0
     return () => {
       const server = servers[turn++ % servers.length] ?? 0
-      protocols.get(requester)?.request({ server, tokens: 2890, heldTokens: 9200, priority: 3, account: 'account-17', fingerprint: turn, elapsedMs: 3, objectiveMs: 1215, latestStartAt: clock.now() + 2000 }, () => {})
+      protocols.get(requester)?.request({ server, tokens: 2890, heldTokens: 9200, priority: 3, account: 'account-17', fingerprint: turn, arrivedAt: clock.now() - 3, objectiveMs: 1215, latestStartAt: clock.now() + 2000 }, () => {})
       protocols.get(owner)?.recordLoad(server, requester, 1)
     }
   },
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -92,7 +92,7 @@
       estimateLevelFetch: exchange => estimateLevelFetch(exchange, requireRouting(options.routing()), this.caches, clock.now(), this.directory.observations.prefillSpeedOf(exchange.service).tokensPerMs)
     })
     this.rooms = ServerRooms.create({ directory: this.directory, routing: options.routing })
-    const claims = AdmissionClaims.create({ clock, fleetLoad: options.fleetLoad, capacityOf: server => this.rooms.of(server), missingTokensAt: (exchange, server) => selector.missingTokensAt(exchange, server) })
+    const claims = AdmissionClaims.create({ fleetLoad: options.fleetLoad, capacityOf: server => this.rooms.of(server), missingTokensAt: (exchange, server) => selector.missingTokensAt(exchange, server) })
     this.runs = ExchangeRuns.create({
       clock,
       random,
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/recordHandler.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/recordHandler.test.ts
@@ -81,7 +81,7 @@
       return { handler, directory, apply: (text, offset) => handler.applyServerRecord({ key: 's', value: Buffer.from(text), offset }) }
     }
 
-    // Guards against an instance that keeps an entry to itself because an answer has already told it the same.
+    // Guards against an instance that does not pass an entry on because it has learned the same from an answer.
     it('passes on that a server leaves, although the server stated it before', t => {
       const { directory, apply } = createEntryHandler()
       t.true(apply('ready 1', 0))
