Say when a server, and any server, was last heard where an attempt fails

A failed connection to a server that is down and one over links of the instance's own that are down read the same in the logs. The line now has heardMsAgo and anyHeardMsAgo: with the links down, neither the server nor any other was heard since the cut.

--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -131,7 +131,10 @@
   }
 
   private onData (bytes: Buffer): void {
-    this.current?.recordActivity()
+    if (this.current) {
+      this.current.recordActivity()
+      this.context.directory.recordHeard(this.current.server)
+    }
     this.rejectIf(this.relay.push(bytes))
   }
 
--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -8,7 +8,7 @@
   const { verdict, isServerFault } = meaningOf[failure.kind]
   const now = clock.now()
   const id = server?.listed.id ?? ''
-  log.attemptFailed(exchange, id, failure, verdict)
+  log.attemptFailed(exchange, id, failure, verdict, { serverAt: server?.heardAt ?? 0, anyServerAt: directory.heardAt, now })
   if (server && isServerFault) {
     directory.observations.recordFault(server, now)
   }
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -51,6 +51,8 @@
   speed: ObservedSpeed
   /** When the most recently sent of the requests that it has begun to answer was sent, milliseconds of Unix time. */
   newestAnsweredSentAt: number
+  /** When this instance last received anything from it, milliseconds of Unix time; 0 for never. */
+  heardAt: number
   /** Its weights are being changed by an order until then, milliseconds of Unix time. */
   changingUntil: number
   /** The weights that it will have after that change; undefined if its weights were never changed. */
@@ -78,6 +80,7 @@
     health: ServerHealth.create(),
     speed: ordinarySpeed,
     newestAnsweredSentAt: 0,
+    heardAt: 0,
     changingUntil: 0,
     changingTo: undefined
   }
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -48,6 +48,8 @@
   private readonly removals = new Map<string, Removal>()
   /** What requests have shown about the servers. */
   readonly observations = ServerObservations.create()
+  /** When this instance last received anything from any server, milliseconds of Unix time; 0 for never. */
+  heardAt = 0
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
   private instanceCount = 1
@@ -241,6 +243,12 @@
     return this.all().filter(({ listed }) => listed.service === service && listed.state === ServerState.Ready)
   }
 
+  /** Records that this instance received something from the server over a connection of its own. */
+  recordHeard (server: KnownServer): void {
+    server.heardAt = this.now()
+    this.heardAt = server.heardAt
+  }
+
   /** Records a weights version; within one incarnation of a server versions only increase. */
   recordWeights (server: KnownServer, model: string, version: number): void {
     if (version > (server.weights.get(model) ?? -1)) {
@@ -272,7 +280,10 @@
       now: this.now,
       part: this.connectionPart(listed.service),
       maySend: () => reachableFrom(server) <= this.now(),
-      onAnswer: (status, headers, sentAt) => this.options.onAnswer?.(server, status, headers, sentAt)
+      onAnswer: (status, headers, sentAt) => {
+        this.recordHeard(server)
+        this.options.onAnswer?.(server, status, headers, sentAt)
+      }
     })
     const server = createKnownServer(listed, offset, stated, connections)
     this.servers.set(listed.id, server)
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -30,6 +30,13 @@
   readonly reason?: string
 }
 
+/** When this instance last received anything from backend servers, milliseconds of Unix time; 0 for never. */
+export interface LastHeard {
+  readonly serverAt: number
+  readonly anyServerAt: number
+  readonly now: number
+}
+
 /** Summarizes the state of the process, and of a service if one is given. */
 export type DescribeState = (service?: string) => Subject
 
@@ -58,9 +65,12 @@
     this.logs.write('debug', Part.Requests, 'Passed on the first event.', { request: exchange.id, afterMs: Math.round(now - exchange.arrivedAt) })
   }
 
-  attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection }: AttemptFailure, verdict: Verdict): void {
+  /** @param heard tells a server that is down from links of this instance that are down. */
+  attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now }: LastHeard): void {
     this.metrics.count('tries_failed_total', { kind })
-    this.logs.writeFailure(Part.Requests, 'A try failed.', { request: exchange.id, server, kind, detail, verdict, connection: isOnReusedConnection === true ? 'kept' : undefined })
+    this.logs.writeFailure(Part.Requests, 'A try failed.', {
+      request: exchange.id, server, kind, detail, verdict, connection: isOnReusedConnection === true ? 'kept' : undefined, heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now)
+    })
   }
 
   /** The queue at its server would make the request late; it goes behind requests that can be in time. */
@@ -172,3 +182,8 @@
     this.logs.write('warn', Part.Fleet, sentence, subject)
   }
 }
+
+/** Undefined for a time of 0, which stands for never. */
+function millisecondsSince (at: number, now: number): number | undefined {
+  return at === 0 ? undefined : Math.round(now - at)
+}
