Failing test: callers of instances whose links to the servers are cut

A stand-in gives each instance its own links to the servers; they hang, are reset, refuse new connections or lose answers for five seconds.

--- /dev/null
+++ b/packages/foxtaillever-standins/src/platform/instanceLinks.ts
@@ -0,0 +1,41 @@
+/** The links of one instance to all backend servers. Cutting them leaves the links of other instances as they are. */
+import { Link, type LinkCut } from './link.js'
+
+export class InstanceLinks {
+  /** By the address of the server. */
+  private readonly links = new Map<string, { readonly link: Link, readonly address: string }>()
+
+  private constructor (private readonly host: string) {}
+
+  /** @param host loopback address at which the links listen. */
+  static create (host: string): InstanceLinks {
+    return new InstanceLinks(host)
+  }
+
+  async add (target: string): Promise<void> {
+    const link = Link.create(target)
+    this.links.set(target, { link, address: await link.listen(this.host) })
+  }
+
+  /** Returns the address at which the instance reaches the server; the same address without a link. */
+  addressOf (target: string): string {
+    return this.links.get(target)?.address ?? target
+  }
+
+  /** @param targets addresses of servers; all if not given. */
+  cut (cut: LinkCut, targets?: readonly string[]): void {
+    this.links.forEach(({ link }, target) => {
+      if (targets?.includes(target) !== false) {
+        link.cut(cut)
+      }
+    })
+  }
+
+  repair (): void {
+    this.links.forEach(({ link }) => link.repair())
+  }
+
+  close (): void {
+    this.links.forEach(({ link }) => link.close())
+  }
+}
--- a/packages/foxtaillever-standins/src/platform/link.ts
+++ b/packages/foxtaillever-standins/src/platform/link.ts
@@ -1,6 +1,7 @@
 /**
- * TCP proxy to a server on loopback, with faults: it can reset its connections,
- * stop forwarding without closing them, or stop forwarding in one direction.
+ * TCP proxy to a server on loopback. A fault hits the connections that are open: they
+ * are reset, or forward nothing, or only in one direction. A cut also hits the
+ * connections that are opened until it is repaired.
  */
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 
@@ -13,6 +14,18 @@
   AnswersLost = 'deaf-caller'
 }
 
+/** How connections over the link fail while it is cut. */
+export enum LinkCut {
+  /** Open and new connections forward nothing; open ones go on where they stopped once the link is repaired. */
+  Hang = 'hang',
+  /** Open connections are reset and new ones refused. */
+  Reset = 'reset',
+  /** Open connections work and new ones are refused. */
+  RefuseNew = 'refuse-new',
+  /** On open and new connections, bytes from the server are lost and bytes to the server are forwarded. */
+  OneWay = 'one-way'
+}
+
 interface LinkedConnection {
   readonly callerSocket: Socket
   readonly serverSocket: Socket
@@ -42,9 +55,34 @@
   [LinkFault.AnswersLost]: ({ callerSocket, serverSocket }) => { serverSocket.unpipe(callerSocket).resume() }
 }
 
+/** What a cut does to connections that are open when it begins. */
+const cutActions: Readonly<Record<LinkCut, (connection: LinkedConnection) => void>> = {
+  [LinkCut.Hang]: faultActions[LinkFault.Silent],
+  [LinkCut.Reset]: faultActions[LinkFault.Reset],
+  [LinkCut.RefuseNew]: () => {},
+  [LinkCut.OneWay]: faultActions[LinkFault.AnswersLost]
+}
+
+/** What a repair does to connections that are open when the cut ends. */
+const repairActions: Readonly<Record<LinkCut, (connection: LinkedConnection) => void>> = {
+  [LinkCut.Hang]: ({ callerSocket, serverSocket }) => {
+    callerSocket.pipe(serverSocket)
+    serverSocket.pipe(callerSocket)
+  },
+  [LinkCut.Reset]: () => {},
+  [LinkCut.RefuseNew]: () => {},
+  [LinkCut.OneWay]: faultActions[LinkFault.Reset]
+}
+
+/** Cuts during which the link refuses new connections. */
+const refusingCuts: ReadonlySet<LinkCut> = new Set([LinkCut.Reset, LinkCut.RefuseNew])
+
 export class Link {
   private readonly server: Server
   private readonly connections = new Set<LinkedConnection>()
+  private currentCut: LinkCut | undefined
+  private address = { host: '', port: 0 }
+  private isClosed = false
 
   private constructor (private readonly target: string) {
     this.server = createServer(callerSocket => this.open(callerSocket))
@@ -57,7 +95,32 @@
   /** Returns the address at which this link forwards to the target. */
   async listen (host: string): Promise<string> {
     await new Promise<void>(resolve => this.server.listen(0, host, resolve))
-    return `${host}:${(this.server.address() as AddressInfo).port}`
+    this.address = { host, port: (this.server.address() as AddressInfo).port }
+    return `${host}:${this.address.port}`
+  }
+
+  /** Cuts the link until it is repaired; a cut link stays cut as it is. */
+  cut (cut: LinkCut): void {
+    if (this.currentCut !== undefined) {
+      return
+    }
+    this.currentCut = cut
+    if (refusingCuts.has(cut)) {
+      this.server.close()
+    }
+    this.connections.forEach(cutActions[cut])
+  }
+
+  repair (): void {
+    const cut = this.currentCut
+    if (cut === undefined || this.isClosed) {
+      return
+    }
+    this.currentCut = undefined
+    if (refusingCuts.has(cut)) {
+      this.server.listen(this.address.port, this.address.host)
+    }
+    this.connections.forEach(repairActions[cut])
   }
 
   injectFault (fault: LinkFault): void {
@@ -65,6 +128,7 @@
   }
 
   close (): void {
+    this.isClosed = true
     this.server.close()
     for (const { callerSocket, serverSocket } of this.connections) {
       callerSocket.destroy()
@@ -89,5 +153,8 @@
       socket.on('error', () => faultActions[LinkFault.Reset](connection))
       socket.on('close', end)
     }
+    if (this.currentCut !== undefined) {
+      cutActions[this.currentCut](connection)
+    }
   }
 }
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -3,11 +3,13 @@
  * servers that register in the store and leave it, and operators that write to it.
  */
 import { waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
+import { Either } from 'purify-ts'
 import { BackendServer, createPlainRunner, type Runner } from './engines/backendServer.js'
 import { EngineRunner } from './engines/engineRunner.js'
 import { PartCache } from './engines/partCache.js'
 import type { PartUse } from './engines/tokenEngine.js'
 import type { AcceptedOrder } from './engines/weightOrders.js'
+import { InstanceLinks } from './instanceLinks.js'
 import { Link } from './link.js'
 import { OPERATORS_TOPIC, SERVERS_TOPIC, StoreModel, type StoreCopy } from './store/storeModel.js'
 import { StoreServer } from './store/storeServer.js'
@@ -57,6 +59,7 @@
   readonly store: StoreModel
   readonly servers: BackendServer[] = []
   readonly links: Link[] = []
+  private readonly instanceLinks: InstanceLinks[] = []
   private readonly cacheStores = new Map<string, PartCache>()
   private readonly registered: RegisteredServer[] = []
   private readonly storeServers: StoreServer[] = []
@@ -75,11 +78,19 @@
     return new PlatformDeployment(options)
   }
 
-  /** Opens another address of the store, with its own faults. */
-  async openStore (): Promise<{ readonly storeServer: StoreServer, readonly address: string }> {
-    const storeServer = StoreServer.create(this.store, this.options.clock)
+  /**
+   * Opens another address of the store, with its own faults.
+   * @param hasOwnLinks whether it lists the servers under the addresses of links that only its readers use.
+   */
+  async openStore (hasOwnLinks = false): Promise<{ readonly storeServer: StoreServer, readonly address: string, readonly links: InstanceLinks }> {
+    const links = InstanceLinks.create(this.options.host)
+    if (hasOwnLinks) {
+      this.instanceLinks.push(links)
+      await Promise.all(this.registered.map(async ({ address }) => await links.add(address)))
+    }
+    const storeServer = StoreServer.create(this.store, this.options.clock, value => rewriteAddress(value, links))
     this.storeServers.push(storeServer)
-    return { storeServer, address: await storeServer.listen(this.options.host) }
+    return { storeServer, address: await storeServer.listen(this.options.host), links }
   }
 
   async addEngine (name: string, service: string, zone: string, models: Readonly<Record<string, number>>): Promise<{ readonly server: BackendServer, readonly runner: EngineRunner }> {
@@ -173,6 +184,7 @@
     this.cancelHeartbeat()
     this.storeServers.forEach(storeServer => storeServer.close())
     this.links.forEach(link => link.close())
+    this.instanceLinks.forEach(links => links.close())
     this.servers.forEach(server => server.close())
   }
 
@@ -218,6 +230,7 @@
     this.servers.push(server)
     await server.listen(host)
     entry.address = await this.openLink(server.address)
+    await Promise.all(this.instanceLinks.map(async links => await links.add(entry.address)))
     entry.sendsHeartbeats = true
     this.registered.push(entry)
     this.writeEntry(entry)
@@ -267,3 +280,12 @@
     })
   }
 }
+
+/** Values of other writers than servers, which need not be JSON, stay as they are. */
+function rewriteAddress (value: Buffer, links: InstanceLinks): Buffer {
+  return Either.encase(() => JSON.parse(value.toString()) as { readonly address?: unknown } | null)
+    .map(entry => typeof entry?.address === 'string' && links.addressOf(entry.address) !== entry.address
+      ? Buffer.from(JSON.stringify({ ...entry, address: links.addressOf(entry.address) }))
+      : value)
+    .orDefault(value)
+}
