--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -12,6 +12,7 @@
 import { CrashSuspects } from '../exchange/crashSuspects.js'
 import type { ExchangeContext } from '../exchange/exchangeContext.js'
 import { ExchangeRuns } from '../exchange/exchangeRuns.js'
+import { directPaths } from '../links/serverPaths.js'
 import { LimitStatementKind, noLimit } from '../model/limitStatement.js'
 import { noAdmissionProtocol } from '../admission/admissionProtocol.js'
 import type { AdmissionContext } from '../admission/requestAdmission.js'
@@ -132,6 +133,7 @@
         claims: { claimFor: (exchange, server) => this.admission.claims.claimFor(exchange, server), queuePositionOf: () => undefined },
         protocol: { request: (claim, onResult) => this.admission.protocol.request(claim, onResult) }
       },
+      paths: directPaths,
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
       log,
       routing: () => routing,
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -13,6 +13,7 @@
 import { noCacheStores } from '../cache/cacheStoreTracker.js'
 import { CrashSuspects } from '../exchange/crashSuspects.js'
 import { ExchangeDispatcher } from '../exchange/exchangeDispatcher.js'
+import { directPaths } from '../links/serverPaths.js'
 import { ServerState } from '../model/listedServer.js'
 import { noQuotas } from '../limits/accountQuotas.js'
 import { noAdmissionProtocol } from '../admission/admissionProtocol.js'
@@ -28,6 +29,7 @@
   return ExchangeDispatcher.create({
     ...noCacheStores,
     clock,
+    paths: directPaths,
     random: SeededRandom.create(1),
     failureDomain: 'd',
     connectTimeoutMs: 200,
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -3,11 +3,11 @@
  * before the listener receives it: it must carry the request's id and the
  * server's stamp, and it counts as complete only if its framing says so.
  */
-import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
 import type { AnswerMarks, AnswerWire } from '../model/wire.js'
-import { SendNotAllowedError, type ServerCall, type ServerConnections } from '../servers/serverConnections.js'
+import { SendNotAllowedError, type ServerCall, type ServerChannel } from '../servers/serverConnections.js'
 import { AttemptFailureKind, type AttemptFailure } from './attemptFailure.js'
 
 /** The checked head of an answer that comes from the server itself. */
@@ -36,7 +36,9 @@
 export interface AttemptOptions {
   readonly clock: Clock
   readonly wire: AnswerWire
-  readonly connections: ServerConnections
+  readonly connections: ServerChannel
+  /** Reads the failure that an answer reports instead of being the server's; without it every answer is the server's. */
+  readonly readFailure?: ((headers: IncomingHttpHeaders) => AttemptFailure | undefined) | undefined
   readonly requestId: string
   /** Longest wait for a connection, milliseconds. */
   readonly connectTimeoutMs: number
@@ -136,6 +138,11 @@
       response.destroy()
       return
     }
+    const reported = this.options.readFailure?.(response.headers)
+    if (reported) {
+      this.failAfterReading(response, reported)
+      return
+    }
     const status = response.statusCode ?? 0
     const marks = this.options.wire.readMarks(status, response.headers)
     const failure = this.checkHead(status, marks)
@@ -184,6 +191,10 @@
       this.fail(kind, detail)
       return
     }
+    this.failAfterReading(response, failure)
+  }
+
+  private failAfterReading (response: IncomingMessage, failure: AttemptFailure): void {
     this.finish()
     response.resume()
     this.options.listener.onFailed(failure)
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -66,6 +66,8 @@
   readonly serverId?: string
   /** Whether the connection had served other requests before, and no answer to this one arrived on it. */
   readonly isOnReusedConnection?: boolean
+  /** Whether another instance, which carried the request, reported the failure of its attempt at the server. */
+  readonly isReported?: boolean
 }
 
 /** How attempts fail on a reused connection that the server had closed without notice, or on which it sent surplus answers. */
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -69,6 +69,7 @@
     startedAt: 1,
     isLeaving: false,
     hasStore: true,
+    links: 0,
     revision: 57,
     positions: { operators: 1, servers: 1 },
     lease: { offset: 1, holder: 'a', ageMs: 1 },
--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -4,12 +4,15 @@
  * only from the last.
  */
 import { Verdict, type FailureCode } from 'foxtaillever-core'
-import { AttemptFailureKind, meaningOf } from '../attempts/attemptFailure.js'
+import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { isRepeatable, type Exchange } from '../model/exchange.js'
 
 /** Servers that may reject one exchange before its caller is asked to retry later. */
 const MAX_REJECTIONS = 3
 
+/** Attempts that may find no connection before the caller is asked to retry later: those of a few servers and instances. */
+const MAX_UNCONNECTED = 6
+
 /** Time that must be left before the deadline for another attempt, milliseconds. */
 const MIN_ATTEMPT_MS = 20
 
@@ -18,6 +21,10 @@
   readonly attemptedServers: string[] = []
   /** Servers that failed the request; it is not sent to them again. */
   readonly failed = new Set<string>()
+  /** Addresses of other instances that failed to carry the request; it is not sent through them again. */
+  readonly triedForwarders = new Set<string>()
+  /** Whether an attempt over this instance's own links found no connection. */
+  wasUnreachable = false
   /** Whether a server had another id or other weights than expected. */
   wasMisdirected = false
   /** The verdict on all attempts together. */
@@ -28,6 +35,10 @@
   ranCode: FailureCode | undefined
   /** Attempts that ran or may have run. */
   private runs = 0
+  /** Attempts that were rejected by a server. */
+  private rejections = 0
+  /** Attempts that did not arrive at a server. */
+  private unconnected = 0
   private hasRun = false
 
   private constructor (private readonly exchange: Exchange) {}
@@ -48,13 +59,22 @@
   /**
    * Records a failed attempt.
    * @param hasAnswerBegun whether a part of an answer was sent to the caller.
+   * @param forwarder address of the instance that carried the request; undefined for none.
    */
-  recordFailure (server: string, kind: AttemptFailureKind, hasAnswerBegun: boolean): void {
+  recordFailure (server: string, { kind, isReported }: AttemptFailure, hasAnswerBegun: boolean, forwarder?: string): void {
     const { verdict, code, isArrival } = meaningOf[kind]
-    this.failed.add(server)
+    this.hasRun = verdict !== Verdict.NotRun
+    if (forwarder !== undefined && (isReported !== true || !isArrival)) {
+      this.triedForwarders.add(forwarder)
+    }
+    if (forwarder === undefined || isArrival) {
+      this.failed.add(server)
+    }
+    this.wasUnreachable ||= forwarder === undefined && kind === AttemptFailureKind.Unreachable
     this.wasMisdirected ||= kind === AttemptFailureKind.Misdirected
     this.arrivals += isArrival ? 1 : 0
-    this.hasRun = verdict !== Verdict.NotRun
+    this.rejections += isArrival && !this.hasRun ? 1 : 0
+    this.unconnected += isArrival ? 0 : 1
     if (this.hasRun) {
       this.runs += 1
       this.ranCode = code
@@ -71,12 +91,12 @@
 
   /** Whether another attempt may follow the one that failed last. */
   mayRetry (now: number): boolean {
-    const { exchange, runs, attemptedServers } = this
+    const { exchange, runs } = this
     const { mostAttempts } = exchange.route
     if (exchange.deadline - now < MIN_ATTEMPT_MS || runs >= mostAttempts) {
       return false
     }
-    return this.hasRun ? isRepeatable(exchange) : attemptedServers.length - runs < MAX_REJECTIONS
+    return this.hasRun ? isRepeatable(exchange) : this.rejections < MAX_REJECTIONS && this.unconnected < MAX_UNCONNECTED
   }
 
   /** Updates the verdict; once it is `Ran`, it stays. */
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -72,6 +72,12 @@
     }
   }
 
+  /** No path leads to the server that was chosen. */
+  failUnreached (): void {
+    this.releaseLimit()
+    this.fail(FailureCode.NoBackendServer, 'No backend server is within reach of this instance, and no other instance can carry the request.')
+  }
+
   /** Stops counting an attempt that did not reach its server. */
   releaseLimit (): void {
     const server = this.countedServer
--- a/packages/foxtaillever-relay/src/exchange/beginAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/beginAttempt.ts
@@ -1,24 +1,29 @@
 /** Begins an attempt of an exchange at the backend server that was chosen for it. */
 import { Attempt, type AttemptListener } from '../attempts/attempt.js'
-import { isRepeatable, type Exchange } from '../model/exchange.js'
-import type { KnownServer } from '../servers/knownServer.js'
+import { omitForwarding } from '../links/forwardingMessage.js'
+import type { ServerPath } from '../links/serverPaths.js'
+import type { Exchange } from '../model/exchange.js'
 import type { ExchangeContext } from './exchangeContext.js'
 
-/**
- * @param headers alternating names and values.
- * @param beganAt milliseconds of Unix time.
- */
-export function beginAttempt (context: ExchangeContext, exchange: Exchange, server: KnownServer, headers: readonly string[], beganAt: number, listener: AttemptListener): Attempt {
-  const { clock, wire, connectTimeoutMs, directory } = context
-  const { id, method, path, body, service } = exchange
+export interface AttemptRoute {
+  readonly path: ServerPath
+  /** Connections that have been idle for longer are not used, milliseconds. */
+  readonly maxIdleMs: number
+}
+
+/** @param headers alternating names and values. */
+export function beginAttempt (context: ExchangeContext, exchange: Exchange, { path, maxIdleMs }: AttemptRoute, headers: readonly string[], listener: AttemptListener): Attempt {
+  const { clock, wire, connectTimeoutMs } = context
+  const { id, method, path: target, body } = exchange
   return Attempt.begin({
     clock,
-    wire,
-    connections: server.connections,
+    wire: path.forwarder === undefined ? wire : { ...wire, passHeaders: rawHeaders => omitForwarding(wire.passHeaders(rawHeaders)) },
+    connections: path.channel,
+    readFailure: path.readFailure,
     requestId: id,
-    maxIdleMs: isRepeatable(exchange) ? Infinity : directory.observations.trustedIdleMs(service, beganAt),
+    maxIdleMs,
     connectTimeoutMs,
-    call: { method, path, headers, body },
+    call: { method, path: target, headers, body },
     listener
   })
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -4,6 +4,7 @@
 import type { AdmissionContext } from '../admission/requestAdmission.js'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
 import type { CacheStoreTracker } from '../cache/cacheStoreTracker.js'
+import type { ServerPaths } from '../links/serverPaths.js'
 import type { Exchange } from '../model/exchange.js'
 import type { LevelAtHome } from '../peers/loadQueryClient.js'
 import type { Routing } from '../model/routing.js'
@@ -34,6 +35,8 @@
   readonly limits: Pick<ServerLimits, 'admit' | 'refund'>
   /** Admission at servers that are short of room. */
   readonly admission: AdmissionContext
+  /** Ways to the servers. */
+  readonly paths: ServerPaths
   readonly log: RelayLog
   /** The configuration in force. */
   readonly routing: () => Routing
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -3,6 +3,7 @@
  * the choice among them, the retry budget and the runs in progress. Routes, and
  * what other instances report, come in through the options.
  */
+import type { IncomingHttpHeaders } from 'node:http'
 import type { Clock, Random } from 'foxtaillever-core'
 import { RetryShare, type RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
 import { AdmissionClaims } from '../admission/admissionClaims.js'
@@ -30,7 +31,7 @@
 /** How long a reported backoff counts, milliseconds: it serves one choice only, because watchers are queried again before each prompt. */
 const BACKOFF_REPORT_VALID_MS = 50
 
-export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
+export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'paths' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
@@ -65,11 +66,13 @@
   private readonly clock: Clock
   private instances = 1
   private readonly log: RelayLog
+  private readonly wire: ServerWire
 
   private constructor (options: ExchangeDispatcherOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, queryLoad, onLoadChanged, onSpeedSample, onSaved, onUnreachable, onMisdirected } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, queryLoad, onLoadChanged, onSpeedSample, onSaved, onUnreachable, onMisdirected, paths } = options
     this.clock = clock
     this.log = log
+    this.wire = wire
     this.retries = RetryShare.create(options.retryAllowance, clock.now())
     this.caches = CacheStoreTracker.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
@@ -86,6 +89,7 @@
     const retrySchedules = ServiceRetrySchedules.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => this.instances })
     const selector = ServerSelector.create({
       ...options,
+      isUsable: server => paths.isUsable(server),
       pauseObjectiveMsOf: service => this.rooms.objectivesOf(service).pauseObjectiveMs,
       directory: this.directory,
       stores: () => this.caches.available(),
@@ -101,6 +105,7 @@
       directory: this.directory,
       retries: this.retries,
       caches: this.caches,
+      paths,
       suspects,
       quota,
       limits: this.limits,
@@ -135,6 +140,11 @@
     return home && level !== undefined ? { level, home: home.hash } : undefined
   }
 
+  /** Applies what a server stated in an answer that came through another instance. */
+  applyForwardedAnswer (server: KnownServer, status: number, headers: IncomingHttpHeaders, sentAt: number): void {
+    this.statements.applyStatement(server, this.wire.readStatement(status, headers), sentAt)
+  }
+
   /** Handlers of what watchers of servers report. */
   get reportHandlers (): Pick<LoadProtocolOptions, 'onSaved' | 'onUnreachable' | 'onBackingOff'> {
     return {
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -17,12 +17,13 @@
 import type { CallerAnswer } from './callerAnswer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeEnd } from './exchangeEnd.js'
+import { findAttemptRoute } from './findAttemptRoute.js'
+import { handleSilence, isSilentOnBrokenLink, suspectSilentServer } from './handleSilence.js'
 import { InFlightAttempt } from './inFlightAttempt.js'
 import { planAttempt } from './planAttempt.js'
-import { recordAnswerHead } from './recordAnswerHead.js'
+import { recordAnswer, recordAnswerHead } from './recordAnswerHead.js'
 import { recordAttemptFailure } from './recordAttemptFailure.js'
 import { findRefusal } from './findRefusal.js'
-import { shouldAbandon } from './shouldAbandon.js'
 import { StreamPace } from './streamPace.js'
 import { watchAttempt } from './watchAttempt.js'
 
@@ -106,19 +107,22 @@
   private send (server: KnownServer, isAdmitted: boolean): void {
     const { exchange, context, relay } = this
     const beganAt = this.now
+    const route = findAttemptRoute(context, exchange, server, this.ledger)
+    if (!route) {
+      this.placement.failUnreached()
+      return
+    }
     this.ledger.addAttempt(server.listed.id)
     this.head = undefined
     relay.reset()
     const { terms, othersTokens } = planAttempt(context, exchange, server, { resumeAfter: relay.lastEventId, isAdmitted })
-    const headers = context.wire.createHeaders(exchange, terms, beganAt)
-    const attempt = beginAttempt(context, exchange, server, headers, beganAt, {
+    const attempt = beginAttempt(context, exchange, route, context.wire.createHeaders(exchange, terms, beganAt), {
       onHead: head => this.onHead(head),
       onData: bytes => this.onData(bytes),
       onEnd: () => this.onEnd(),
       onFailed: failure => this.onFailed(failure)
     })
-    const watch = watchAttempt(context, exchange, beganAt, () => this.onSilent())
-    this.current = InFlightAttempt.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, watch, context })
+    this.current = InFlightAttempt.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, watch: watchAttempt(context, exchange, beganAt, () => this.onSilent()), forwarder: route.path.forwarder, context })
   }
 
   private onHead (head: AnswerHead): void {
@@ -131,9 +135,10 @@
   }
 
   private onData (bytes: Buffer): void {
-    if (this.current) {
-      this.current.recordActivity()
-      this.context.directory.recordHeard(this.current.server)
+    const { current, context } = this
+    current?.recordActivity(this.now)
+    if (current && current.forwarder === undefined) {
+      context.directory.recordHeard(current.server)
     }
     this.rejectIf(this.relay.push(bytes))
   }
@@ -151,23 +156,20 @@
       this.onFailed({ kind: AttemptFailureKind.Lost, detail: truncation ?? 'no answer' })
       return
     }
-    const server = this.closeCurrent()
+    this.closeCurrent()
     if (head.status >= 500 && !answer.hasBegun) {
-      this.onServerError(head, relay.body, server)
+      this.onServerError(head, relay.body, current)
       return
     }
-    if (server && current) {
-      context.directory.observations.recordSuccess(server, exchange.route.name, head.at - current.beganAt, this.now)
-      context.suspects.clearSuspicion(exchange, server.listed.id, current.beganAt, this.now)
-    }
+    recordAnswer(context, exchange, current, head)
     relay.end()
     this.finish(ExchangeEnd.Answered, String(head.status))
   }
 
   /** The server ran the request and failed. Its answer is forwarded unless another attempt is allowed. */
-  private onServerError (head: AnswerHead, body: Buffer, server: KnownServer | undefined): void {
+  private onServerError (head: AnswerHead, body: Buffer, failed: InFlightAttempt | undefined): void {
     this.fallback = { head, body }
-    this.recordFailure({ kind: AttemptFailureKind.ServerError, detail: `status ${head.status}` }, server)
+    this.recordFailure({ kind: AttemptFailureKind.ServerError, detail: `status ${head.status}`, isReported: true }, failed)
     if (this.mayRetry()) {
       this.placement.placeNext()
       return
@@ -183,8 +185,8 @@
   private onFailed (failure: AttemptFailure): void {
     const { kind } = failure
     const inFlight = this.current
-    const server = this.closeCurrent()
-    this.recordFailure(failure, server)
+    this.closeCurrent()
+    this.recordFailure(failure, inFlight)
     if (!meaningOf[kind].isArrival) {
       this.placement.releaseLimit()
     }
@@ -198,9 +200,9 @@
     this.fail(meaningOf[kind].code, 'The request could not be completed.')
   }
 
-  private recordFailure (failure: AttemptFailure, server: KnownServer | undefined): void {
-    this.ledger.recordFailure(server?.listed.id ?? '', failure.kind, this.answer.hasBegun)
-    recordAttemptFailure(this.context, this.exchange, server, failure)
+  private recordFailure (failure: AttemptFailure, failed: InFlightAttempt | undefined): void {
+    this.ledger.recordFailure(failed?.serverId ?? '', failure, this.answer.hasBegun, failed?.forwarder)
+    recordAttemptFailure(this.context, this.exchange, failed, failure)
   }
 
   private mayRetry (): boolean {
@@ -214,17 +216,15 @@
    */
   private onSilent (): void {
     const { current, context, exchange, relay, ledger, answer } = this
-    if (!current || current.isChanging) {
-      return
+    if (current && !current.isChanging) {
+      handleSilence(context, exchange, { current, ledger, canContinue: relay.canContinue, hasBegun: answer.hasBegun })
     }
-    const { attempt, server } = current
-    context.log.silent(exchange, current.serverId, attempt.isOnReusedConnection)
-    // Connections of the same age tend to go silent together; the server itself may be healthy.
-    server.connections.closeIdle()
-    if (shouldAbandon(context, exchange, { current, ledger, canContinue: relay.canContinue, hasBegun: answer.hasBegun })) {
-      attempt.timeOut()
-    } else if (!attempt.isOnReusedConnection) {
-      context.directory.observations.recordFault(server, this.now)
+  }
+
+  /** The links of this instance broke: an attempt that is silent since may be abandoned early. */
+  checkLink (): void {
+    if (isSilentOnBrokenLink(this.context, this.current)) {
+      this.onSilent()
     }
   }
 
@@ -254,7 +254,7 @@
     const mayHaveArrived = current?.attempt.mayHaveArrived === true
     this.ledger.recordInterruption(mayHaveArrived)
     if (current && mayHaveArrived && !this.head && code === FailureCode.DeadlinePassed) {
-      context.suspects.recordLoss(exchange, current.serverId, this.now)
+      suspectSilentServer(context, current, () => context.suspects.recordLoss(exchange, current.serverId, this.now))
     }
     this.cancelCurrent()
     this.fail(code, message)
@@ -265,8 +265,7 @@
       this.forwardAnswer(this.fallback.head, this.fallback.body)
       return
     }
-    const { verdict } = this.ledger
-    this.answer.fail(Failure.create(code, verdict, message, verdict === Verdict.NotRun ? retryAt : undefined))
+    this.answer.fail(Failure.create(code, this.ledger.verdict, message, this.ledger.verdict === Verdict.NotRun ? retryAt : undefined))
     this.finish(ExchangeEnd.Failed, code, message)
   }
 
@@ -275,12 +274,10 @@
     this.closeCurrent()
   }
 
-  /** Closes the current attempt and returns its server. */
-  private closeCurrent (): KnownServer | undefined {
+  private closeCurrent (): void {
     const { current } = this
     this.current = undefined
     current?.close()
-    return current?.server
   }
 
   /** Gives the quota back where the request has not run. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
@@ -31,6 +31,11 @@
     run.begin()
   }
 
+  /** Abandons attempts that are silent because links of this instance are broken. */
+  checkLinks (): void {
+    this.runs.forEach(run => run.checkLink())
+  }
+
   /** Fails the remaining exchanges when the time of a graceful shutdown is up. */
   abort (): void {
     this.runs.forEach(run => run.abort())
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -17,7 +17,9 @@
   /** Milliseconds of Unix time. */
   readonly beganAt: number
   readonly watch: SilenceWatch
-  readonly context: Pick<ExchangeContext, 'caches' | 'onSaved' | 'onLoadChanged'>
+  /** Address of the instance that carries the request; undefined for none. */
+  readonly forwarder: string | undefined
+  readonly context: Pick<ExchangeContext, 'caches' | 'onSaved' | 'onLoadChanged' | 'paths'>
 }
 
 export class InFlightAttempt {
@@ -29,6 +31,9 @@
   /** Prompt tokens that the server had to read when the attempt was sent, its own included. */
   readonly tokensToRead: number
   private fetch: Transfer | undefined
+  private readonly endWait: () => void
+  /** When anything was last received, or the attempt began; milliseconds of Unix time. */
+  activeAt: number
 
   private constructor (private readonly options: InFlightAttemptOptions) {
     const { attempt, server, terms, beganAt, heldTokens } = options
@@ -43,6 +48,8 @@
     this.tokensToRead = server.unreadTokens + options.othersTokens
     server.heldTokens += heldTokens
     this.fetch = options.context.caches.fetchLoad.beginTransfer(terms.fetchFrom, terms.fetchedTokens, terms.fetchUntil)
+    this.activeAt = beganAt
+    this.endWait = options.forwarder === undefined ? options.context.paths.beginWait(server) : () => {}
     options.context.onLoadChanged()
   }
 
@@ -84,7 +91,13 @@
     return this.server.changingUntil > this.beganAt
   }
 
-  recordActivity (): void {
+  /** Address of the instance that carries the request; undefined for none. */
+  get forwarder (): string | undefined {
+    return this.options.forwarder
+  }
+
+  recordActivity (now: number): void {
+    this.activeAt = now
     this.options.watch.recordActivity()
   }
 
@@ -102,6 +115,7 @@
   close (): void {
     const { server, terms, context, watch, heldTokens } = this.options
     watch.stop()
+    this.endWait()
     server.outstanding -= 1
     server.heldTokens -= heldTokens
     this.releaseUnreadPrompt()
--- a/packages/foxtaillever-relay/src/exchange/recordAnswerHead.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAnswerHead.ts
@@ -1,4 +1,4 @@
-/** Records what the head of an answer shows about its server, for all exchanges of the instance. */
+/** Records what an answer shows about its server, for all exchanges of the instance. */
 import type { AnswerHead } from '../attempts/attempt.js'
 import type { Exchange } from '../model/exchange.js'
 import type { ExchangeContext } from './exchangeContext.js'
@@ -13,11 +13,22 @@
   if (prompt && weightsVersion !== undefined) {
     directory.recordWeights(inFlight.server, prompt.model, weightsVersion)
   }
-  // Waiting for new weights or behind other requests says nothing about the prefill speed.
-  if (prompt && status < FIRST_UNSUCCESSFUL_STATUS && !inFlight.isChanging && !inFlight.isYielding) {
+  // Waiting for new weights, behind other requests or for another instance says nothing about the prefill speed.
+  if (prompt && status < FIRST_UNSUCCESSFUL_STATUS && !inFlight.isChanging && !inFlight.isYielding && inFlight.forwarder === undefined) {
     const ms = at - inFlight.beganAt
     directory.observations.prefillSpeedOf(service).addSample(inFlight.tokensToRead, ms)
     onSpeedSample(inFlight.server, inFlight.tokensToRead, ms)
   }
   inFlight.recordStatus(status, clock.now())
 }
+
+/** Records a complete answer. */
+export function recordAnswer ({ clock, directory, suspects }: ExchangeContext, exchange: Exchange, inFlight: InFlightAttempt | undefined, { at }: AnswerHead): void {
+  if (!inFlight) {
+    return
+  }
+  const { server, beganAt } = inFlight
+  const now = clock.now()
+  directory.observations.recordSuccess(server, exchange.route.name, at - beganAt, now)
+  suspects.clearSuspicion(exchange, server.listed.id, beganAt, now)
+}
--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -1,25 +1,81 @@
 /** Records what a failed attempt shows about its server, for all exchanges of the instance. */
 import { AttemptFailureKind, meaningOf, mayBeCrash, mayBeStaleConnection, type AttemptFailure } from '../attempts/attemptFailure.js'
+import { Suspicion } from '../links/linkMonitor.js'
 import type { Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 
-export function recordAttemptFailure ({ clock, log, directory, suspects, onUnreachable }: ExchangeContext, exchange: Exchange, server: KnownServer | undefined, failure: AttemptFailure): void {
-  const { verdict, isServerFault } = meaningOf[failure.kind]
+export interface FailedAttempt {
+  readonly server: KnownServer
+  /** Address of the instance that carried the request; undefined for none. */
+  readonly forwarder: string | undefined
+  /** Milliseconds of Unix time. */
+  readonly beganAt: number
+}
+
+/** Failures that this instance's own links may explain. */
+const suspicionOf: Partial<Record<AttemptFailureKind, Suspicion>> = {
+  [AttemptFailureKind.Unreachable]: Suspicion.Unreachable,
+  [AttemptFailureKind.Lost]: Suspicion.Unresponsive,
+  [AttemptFailureKind.Silent]: Suspicion.Unresponsive
+}
+
+export function recordAttemptFailure (context: ExchangeContext, exchange: Exchange, attempt: FailedAttempt | undefined, failure: AttemptFailure): void {
+  const { clock, log, directory } = context
+  const { verdict } = meaningOf[failure.kind]
+  log.attemptFailed(exchange, attempt?.server.listed.id ?? '', failure, verdict, { serverAt: attempt?.server.heardAt ?? 0, anyServerAt: directory.heardAt, now: clock.now(), forwarder: attempt?.forwarder })
+  if (!attempt) {
+    return
+  }
+  if (attempt.forwarder === undefined) {
+    recordDirectFailure(context, exchange, attempt, failure)
+  } else {
+    recordForwardedFailure(context, exchange, attempt.server, attempt.forwarder, failure)
+  }
+}
+
+function recordDirectFailure (context: ExchangeContext, exchange: Exchange, { server, beganAt }: FailedAttempt, failure: AttemptFailure): void {
+  const { clock, directory, paths, onUnreachable } = context
+  const suspicion = suspicionOf[failure.kind]
+  if (suspicion === undefined) {
+    recordServerFailure(context, exchange, server, failure)
+    return
+  }
+  if (failure.kind === AttemptFailureKind.Unreachable && !paths.isBroken(server)) {
+    directory.observations.recordUnreachable(server, clock.now())
+  }
+  paths.suspect(server, suspicion, beganAt, () => {
+    recordServerFailure(context, exchange, server, failure)
+    if (failure.kind === AttemptFailureKind.Unreachable) {
+      onUnreachable(server)
+    }
+  })
+}
+
+/** Only what the other instance reports says anything about the server. */
+function recordForwardedFailure (context: ExchangeContext, exchange: Exchange, server: KnownServer, forwarder: string, failure: AttemptFailure): void {
+  const { clock, directory, paths } = context
+  if (failure.isReported === true && meaningOf[failure.kind].isArrival) {
+    recordServerFailure(context, exchange, server, failure)
+    return
+  }
+  paths.recordForwarderFailure(forwarder)
+  if (failure.isReported === true && failure.kind === AttemptFailureKind.Unreachable) {
+    directory.observations.recordUnreachable(server, clock.now())
+  }
+}
+
+/** Records a failure that is the server's. */
+function recordServerFailure ({ clock, directory, suspects }: ExchangeContext, exchange: Exchange, server: KnownServer, failure: AttemptFailure): void {
   const now = clock.now()
-  const id = server?.listed.id ?? ''
-  log.attemptFailed(exchange, id, failure, verdict, { serverAt: server?.heardAt ?? 0, anyServerAt: directory.heardAt, now })
-  if (server && isServerFault) {
+  const { id } = server.listed
+  if (meaningOf[failure.kind].isServerFault) {
     directory.observations.recordFault(server, now)
   }
-  if (server && failure.kind === AttemptFailureKind.Unreachable) {
-    directory.observations.recordUnreachable(server, now)
-    onUnreachable(server)
-  }
-  if (server && failure.kind === AttemptFailureKind.Misdirected && failure.serverId !== undefined && failure.serverId !== id) {
+  if (failure.kind === AttemptFailureKind.Misdirected && failure.serverId !== undefined && failure.serverId !== id) {
     directory.observations.recordDisplaced(server, now)
   }
-  if (server && failure.kind === AttemptFailureKind.Refused) {
+  if (failure.kind === AttemptFailureKind.Refused) {
     // The server is full, or about to change its weights.
     server.refusedAt = now
   }
--- a/packages/foxtaillever-relay/src/exchange/shouldAbandon.ts
+++ b/packages/foxtaillever-relay/src/exchange/shouldAbandon.ts
@@ -13,8 +13,8 @@
   readonly hasBegun: boolean
 }
 
-export function shouldAbandon ({ clock, retries }: ExchangeContext, exchange: Exchange, { current, ledger, canContinue, hasBegun }: SilentAttempt): boolean {
+export function shouldAbandon ({ clock, retries, paths }: ExchangeContext, exchange: Exchange, { current, ledger, canContinue, hasBegun }: SilentAttempt): boolean {
   // A request that waits in the engine's queue would only wait again at another server.
-  const isQueued = exchange.route.isStream && !hasBegun && (!current.isOvertaken || current.isYielding)
+  const isQueued = exchange.route.isStream && !hasBegun && (!current.isOvertaken || current.isYielding) && !(current.forwarder === undefined && paths.isBroken(current.server))
   return !isQueued && isRepeatable(exchange) && canContinue && ledger.hasAttemptsLeft && retries.canRetry(exchange.service, clock.now())
 }
--- /dev/null
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -0,0 +1,167 @@
+/**
+ * Carries requests of other instances to backend servers that they do not reach. The
+ * server's answer goes back as it arrives; a failure goes back as what it proves. What
+ * a server has asked of this instance holds for these requests too.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Clock } from 'foxtaillever-core'
+import { Attempt } from '../attempts/attempt.js'
+import { AttemptFailureKind, type AttemptFailure } from '../attempts/attemptFailure.js'
+import type { AnswerWire } from '../model/wire.js'
+import type { KnownServer } from '../servers/knownServer.js'
+import { availableFrom } from '../servers/serverAvailability.js'
+import type { ServerDirectory } from '../servers/serverDirectory.js'
+import type { RelayLog } from '../telemetry/relayLog.js'
+import { answeredHeaders, failureHeaders, FAILURE_STATUS, omitForwarding, PROBE_PATH, readForwarding, type ForwardingRequest } from './forwardingMessage.js'
+import { ProbeFinding, Suspicion, type LinkMonitor } from './linkMonitor.js'
+
+/** Requests that one instance carries at the same time, some ten kilobytes each: they must not crowd out its own. */
+const MAX_CARRIED = 256
+
+export interface ForwardingServerOptions {
+  readonly clock: Clock
+  readonly wire: AnswerWire
+  readonly connectTimeoutMs: number
+  readonly directory: () => Pick<ServerDirectory, 'getByHash' | 'recordHeard'>
+  readonly monitor: Pick<LinkMonitor, 'brokenSince' | 'findFor' | 'suspect'>
+  readonly log: Pick<RelayLog, 'carried'>
+  /** Whether an instance of the fleet has the address. */
+  readonly isMember: (address: string) => boolean
+  /** Longest body of a request that is accepted, bytes. */
+  readonly maxBodyBytes: () => number
+}
+
+export class ForwardingServer {
+  private carried = 0
+
+  private constructor (private readonly options: ForwardingServerOptions) {}
+
+  static create (options: ForwardingServerOptions): ForwardingServer {
+    return new ForwardingServer(options)
+  }
+
+  /** Requests of other instances that are in flight. */
+  get size (): number {
+    return this.carried
+  }
+
+  /** Handles a call of another instance. @returns whether it is a call of this protocol. */
+  handle (request: IncomingMessage, response: ServerResponse): boolean {
+    const forwarding = readForwarding(request.headers)
+    if (forwarding) {
+      this.forward(forwarding, request, response)
+      return true
+    }
+    const { pathname, searchParams } = new URL(request.url ?? '', 'http://peer')
+    if (pathname !== PROBE_PATH) {
+      return false
+    }
+    this.options.monitor.findFor(Number(searchParams.get('server'))).then(finding => response.end(finding), () => response.end(ProbeFinding.Unknown))
+    return true
+  }
+
+  private forward (forwarding: ForwardingRequest, request: IncomingMessage, response: ServerResponse): void {
+    const { isMember, directory, maxBodyBytes } = this.options
+    const server = directory().getByHash(forwarding.server)
+    const refusal = !isMember(forwarding.from) || hostOf(forwarding.from) !== request.socket.remoteAddress ? 'not a request of the fleet' : this.findRefusal(server)
+    if (server === undefined || refusal !== undefined) {
+      request.resume()
+      this.reportFailure(response, { kind: AttemptFailureKind.Unreachable, detail: refusal ?? 'unknown server' })
+      return
+    }
+    this.carried += 1
+    response.once('close', () => { this.carried -= 1 })
+    const chunks: Buffer[] = []
+    let length = 0
+    request.on('data', (chunk: Buffer) => {
+      length += chunk.length
+      chunks.push(chunk)
+      if (length > maxBodyBytes()) {
+        request.destroy()
+      }
+    })
+    request.on('error', () => {})
+    request.on('end', () => this.send(forwarding, server, request, Buffer.concat(chunks), response))
+  }
+
+  /** Why this instance does not send a request to the server now; undefined if it does. */
+  private findRefusal (server: KnownServer | undefined): string | undefined {
+    const { clock, monitor } = this.options
+    if (server === undefined) {
+      return 'unknown server'
+    }
+    if (this.carried >= MAX_CARRIED) {
+      return 'too many requests of other instances'
+    }
+    if (availableFrom(server) > clock.now()) {
+      return 'the server takes no requests'
+    }
+    return monitor.brokenSince(server) === undefined ? undefined : 'out of reach here too'
+  }
+
+  private send ({ requestId, from }: ForwardingRequest, server: KnownServer, { method = '', url = '', rawHeaders }: IncomingMessage, body: Buffer, response: ServerResponse): void {
+    const { clock, wire, connectTimeoutMs, directory, monitor, log } = this.options
+    const beganAt = clock.now()
+    const finish = (outcome: string): void => log.carried({ request: requestId, from, server: server.listed.id, outcome, ms: Math.round(clock.now() - beganAt) })
+    const attempt = Attempt.begin({
+      clock,
+      wire,
+      connections: server.connections,
+      requestId,
+      connectTimeoutMs,
+      call: { method, path: url, headers: omitConnection(omitForwarding(rawHeaders)), body },
+      listener: {
+        onHead: ({ status, headers }) => { response.writeHead(status, [...headers, ...answeredHeaders]) },
+        onData: bytes => {
+          directory().recordHeard(server)
+          if (!response.write(bytes)) {
+            attempt.pause()
+          }
+        },
+        onEnd: () => {
+          response.end()
+          finish('answered')
+        },
+        onFailed: failure => {
+          this.suspectServer(server, failure, beganAt, monitor)
+          this.reportFailure(response, failure)
+          finish(failure.kind)
+        }
+      }
+    })
+    response.on('drain', () => attempt.resume())
+    response.on('close', () => {
+      if (!response.writableFinished) {
+        attempt.cancel()
+      }
+    })
+  }
+
+  /** The failure may be due to this instance's own links. */
+  private suspectServer (server: KnownServer, { kind }: AttemptFailure, beganAt: number, monitor: Pick<LinkMonitor, 'suspect'>): void {
+    if (kind === AttemptFailureKind.Unreachable) {
+      monitor.suspect(server, Suspicion.Unreachable, beganAt)
+    } else if (kind === AttemptFailureKind.Lost) {
+      monitor.suspect(server, Suspicion.Unresponsive, beganAt)
+    }
+  }
+
+  /** An answer that was begun is cut, so that it does not look complete. */
+  private reportFailure (response: ServerResponse, failure: AttemptFailure): void {
+    if (response.headersSent) {
+      response.destroy()
+      return
+    }
+    response.writeHead(FAILURE_STATUS, [...failureHeaders(failure), 'Content-Length', '0'])
+    response.end()
+  }
+}
+
+function hostOf (address: string): string {
+  return address.slice(0, address.lastIndexOf(':'))
+}
+
+/** Removes the header that applies only to the connection between the instances. */
+function omitConnection (rawHeaders: readonly string[]): string[] {
+  return rawHeaders.filter((_, index) => (rawHeaders[index - index % 2] ?? '').toLowerCase() !== 'connection')
+}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -0,0 +1,291 @@
+/**
+ * Tells failures of backend servers from failures of this instance's own links.
+ *
+ * A failed connection or a silent server shows the same in both cases, and an instance
+ * that blames the servers for its links passes over all of them and makes other
+ * instances do so. So before anything is concluded from such a failure, the server is
+ * probed here, and then through other instances: if one of them reaches it, the link
+ * is at fault.
+ */
+import { waitUntil, type Cancellation, type Clock, type Random } from 'foxtaillever-core'
+import { BrokenLinks, LinkState } from 'foxtaillever-policy/relay/brokenLinks'
+import type { KnownServer } from '../servers/knownServer.js'
+import { reachableFrom } from '../servers/serverAvailability.js'
+import type { ServerDirectory } from '../servers/serverDirectory.js'
+import type { RelayLog } from '../telemetry/relayLog.js'
+import { SilenceDetector } from './silenceDetector.js'
+
+/** What one instance finds out about another one's link to a server. */
+export enum ProbeFinding {
+  /** It reaches the server. */
+  Reached = 'reached',
+  /** It does not reach the server, but others. */
+  NotReached = 'not-reached',
+  /** It reaches no servers itself, or does not know the server. */
+  Unknown = 'unknown'
+}
+
+/** Why a server is suspected to be out of reach. */
+export enum Suspicion {
+  /** No connection could be established. */
+  Unreachable = 'unreachable',
+  /** An established connection failed or was silent. */
+  Unresponsive = 'unresponsive'
+}
+
+/** Longest wait for the answer to a probe, milliseconds: a busy server or event loop answers within this. */
+const PROBE_TIMEOUT_MS = 250
+
+/** How long an own probe runs before other instances are asked to probe too, milliseconds. */
+const PROBE_HEAD_START_MS = 60
+
+/** Instances that are asked to probe a server. */
+const PROBING_PEERS = 2
+
+/** Between two probes of a failure domain whose servers are out of reach, milliseconds. */
+const RETURN_PROBE_INTERVAL_MS = 250
+
+/** A finding that a server itself has failed is valid for this long, milliseconds: as long as it is then passed over. */
+const FINDING_VALID_MS = 300
+
+/** An instance that has heard from no server for this long cannot tell whether its own links work, milliseconds. */
+const HEARD_VALID_MS = 1000
+
+/** An answer as recent as this proves that the link works, milliseconds. */
+const RECENT_ANSWER_MS = 100
+
+/** Time for which links must be cut before duties that need them are handed over, milliseconds: a false alarm ends with the next probe. */
+const LASTING_CUT_MS = 2 * RETURN_PROBE_INTERVAL_MS
+
+type Conclusion = () => void
+
+export interface LinkMonitorOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Pick<RelayLog, 'belief'>
+  readonly directory: () => Pick<ServerDirectory, 'all' | 'getByHash' | 'heardAt' | 'recordHeard'>
+  /** Probes the server over this instance's own links; never rejects. */
+  readonly probe: (server: KnownServer, deadline: number) => Promise<boolean>
+  /** Addresses of other instances that reach the servers as far as is known, in random order. */
+  readonly peers: () => readonly string[]
+  /** Asks another instance to probe the server; never rejects. */
+  readonly probeThrough: (peer: string, server: KnownServer, deadline: number) => Promise<ProbeFinding>
+  /** The state of the links has changed; other instances must learn of it. */
+  readonly onStateChanged: () => void
+  /** More servers are out of reach; what waits for them over the own links may wait in vain. */
+  readonly onBroken: () => void
+}
+
+export class LinkMonitor {
+  private readonly links = BrokenLinks.create()
+  /** Conclusions that wait for the check of a server, by its hash. */
+  private readonly checks = new Map<number, Conclusion[]>()
+  /** Until when a server counts as failed itself, milliseconds of Unix time; by its hash. */
+  private readonly failedUntil = new Map<number, number>()
+  private readonly silence: SilenceDetector
+  private cutSince = Infinity
+  private isProbing = false
+  private isStopped = false
+  private cancelProbes: Cancellation = () => {}
+
+  private constructor (private readonly options: LinkMonitorOptions) {
+    const { clock, directory } = options
+    this.silence = SilenceDetector.create({
+      clock,
+      heardAt: () => directory().heardAt,
+      onSilent: servers => servers.forEach(server => this.suspect(server, Suspicion.Unresponsive, clock.now()))
+    })
+  }
+
+  static create (options: LinkMonitorOptions): LinkMonitor {
+    return new LinkMonitor(options)
+  }
+
+  get state (): LinkState {
+    return this.links.state
+  }
+
+  /** Whether the links to servers of several failure domains have been broken for some time. */
+  get isCutLastingly (): boolean {
+    return this.state === LinkState.Cut && this.options.clock.now() >= this.cutSince + LASTING_CUT_MS
+  }
+
+  /** Whether it is being checked why a server does not answer. */
+  get isChecking (): boolean {
+    return this.checks.size > 0
+  }
+
+  /** Since when the server is out of reach from here although others reach it, milliseconds of Unix time; undefined while it is not. */
+  brokenSince (server: KnownServer): number | undefined {
+    return this.links.brokenSince(linkOf(server))
+  }
+
+  /** Counts a request that waits for the server over this instance's own links. @returns a function that ends the wait. */
+  beginWait (server: KnownServer): () => void {
+    return this.silence.beginWait(server)
+  }
+
+  /**
+   * Checks whether a failure at a server is due to this instance's links.
+   * @param beganAt start of what failed, milliseconds of Unix time.
+   * @param conclude called when the failure is the server's; not called when it is explained by the links.
+   */
+  suspect (server: KnownServer, suspicion: Suspicion, beganAt: number, conclude: Conclusion = () => {}): void {
+    const now = this.options.clock.now()
+    if (this.links.isBroken(linkOf(server))) {
+      return
+    }
+    if ((this.failedUntil.get(server.hash) ?? 0) > now || reachableFrom(server) > now) {
+      conclude()
+      return
+    }
+    const waiting = this.checks.get(server.hash)
+    if (waiting) {
+      waiting.push(conclude)
+      return
+    }
+    this.checks.set(server.hash, [conclude])
+    this.check(server, suspicion, beganAt).then(isOwnLink => this.finishCheck(server, isOwnLink), error => {
+      this.options.log.belief('The check of a backend server failed.', { server: server.listed.id, reason: String(error) })
+      this.finishCheck(server, false)
+    })
+  }
+
+  /** What this instance answers to another one that does not reach the server. */
+  async findFor (hash: number): Promise<ProbeFinding> {
+    const { clock, directory } = this.options
+    const server = directory().getByHash(hash)
+    if (!server || this.links.isBroken(linkOf(server))) {
+      return ProbeFinding.Unknown
+    }
+    if (server.heardAt + RECENT_ANSWER_MS > clock.now() || await this.probe(server)) {
+      return ProbeFinding.Reached
+    }
+    const isSound = this.state === LinkState.Sound && directory().heardAt + HEARD_VALID_MS > clock.now()
+    return isSound ? ProbeFinding.NotReached : ProbeFinding.Unknown
+  }
+
+  stop (): void {
+    this.isStopped = true
+    this.cancelProbes()
+    this.silence.stop()
+  }
+
+  private async probe (server: KnownServer): Promise<boolean> {
+    const { clock, directory, probe } = this.options
+    const isReached = await probe(server, clock.now() + PROBE_TIMEOUT_MS)
+    if (isReached) {
+      directory().recordHeard(server)
+    }
+    return isReached
+  }
+
+  /** @returns whether this instance's link to the server is at fault. */
+  private async check (server: KnownServer, suspicion: Suspicion, beganAt: number): Promise<boolean> {
+    const { clock, directory } = this.options
+    if (suspicion === Suspicion.Unresponsive) {
+      const own = this.probe(server)
+      const headStart = waitUntil(clock, clock.now() + PROBE_HEAD_START_MS).then(() => false)
+      if (await Promise.race([own, headStart])) {
+        return false
+      }
+      const [isReached, findings] = await Promise.all([own, this.askPeers(server)])
+      return !isReached && this.judge(findings, directory().heardAt > beganAt)
+    }
+    const findings = await this.askPeers(server)
+    return this.judge(findings, directory().heardAt > beganAt)
+  }
+
+  /** @param hasHeardOthers whether this instance has heard from another server since the failure began. */
+  private judge (findings: readonly ProbeFinding[], hasHeardOthers: boolean): boolean {
+    if (findings.includes(ProbeFinding.Reached)) {
+      return true
+    }
+    return !findings.includes(ProbeFinding.NotReached) && !hasHeardOthers
+  }
+
+  private async askPeers (server: KnownServer): Promise<readonly ProbeFinding[]> {
+    const { clock, peers, probeThrough } = this.options
+    const deadline = clock.now() + PROBE_TIMEOUT_MS + PROBE_HEAD_START_MS
+    return await Promise.all(peers().slice(0, PROBING_PEERS).map(async peer => await probeThrough(peer, server, deadline)))
+  }
+
+  private finishCheck (server: KnownServer, isOwnLink: boolean): void {
+    const { clock } = this.options
+    const conclusions = this.checks.get(server.hash) ?? []
+    this.checks.delete(server.hash)
+    const now = clock.now()
+    this.failedUntil.forEach((until, hash) => {
+      if (until <= now) {
+        this.failedUntil.delete(hash)
+      }
+    })
+    if (isOwnLink) {
+      this.markBroken(server)
+    } else {
+      this.failedUntil.set(server.hash, now + FINDING_VALID_MS)
+      conclusions.forEach(conclude => conclude())
+    }
+  }
+
+  private markBroken (server: KnownServer): void {
+    const { clock, log, onBroken } = this.options
+    const now = clock.now()
+    server.unreachableUntil = 0
+    this.changeState(() => this.links.recordBroken(linkOf(server), now))
+    log.belief('A backend server is out of reach from here, but not for other instances.', { server: server.listed.id, failureDomain: server.listed.failureDomain, links: LinkState[this.state] })
+    onBroken()
+    if (!this.isProbing && !this.isStopped) {
+      this.isProbing = true
+      this.scheduleProbes()
+    }
+  }
+
+  private scheduleProbes (): void {
+    const { clock } = this.options
+    this.cancelProbes = clock.at(clock.now() + RETURN_PROBE_INTERVAL_MS, () => {
+      this.probeBrokenDomains().then(() => {
+        this.isProbing = this.state !== LinkState.Sound && !this.isStopped
+        if (this.isProbing) {
+          this.scheduleProbes()
+        }
+      }, () => {})
+    })
+  }
+
+  /** Probes one server of each failure domain that is out of reach. */
+  private async probeBrokenDomains (): Promise<void> {
+    const { clock, directory, random } = this.options
+    await Promise.all(this.links.failureDomains.map(async failureDomain => {
+      const servers = directory().all().filter(server => server.listed.failureDomain === failureDomain && reachableFrom(server) <= clock.now())
+      const server = servers[random.below(Math.max(1, servers.length))]
+      if (server === undefined || await this.probe(server)) {
+        this.markSound(failureDomain, servers)
+      }
+    }))
+  }
+
+  private markSound (failureDomain: string, servers: readonly KnownServer[]): void {
+    const [server] = servers
+    const since = server && this.brokenSince(server)
+    this.changeState(() => this.links.recordSound(failureDomain))
+    this.options.log.belief('Backend servers of a failure domain are within reach again.', { failureDomain, links: LinkState[this.state] })
+    if (since !== undefined) {
+      // Connections that were idle all the time may have been lost without notice.
+      servers.forEach(({ connections }) => connections.closeIdleUntil(since))
+    }
+  }
+
+  private changeState (change: () => void): void {
+    const before = this.state
+    change()
+    if (this.state !== before) {
+      this.cutSince = this.state === LinkState.Cut ? this.options.clock.now() : Infinity
+      this.options.onStateChanged()
+    }
+  }
+}
+
+function linkOf ({ hash, listed: { failureDomain } }: KnownServer): { readonly hash: number, readonly failureDomain: string } {
+  return { hash, failureDomain }
+}
--- /dev/null
+++ b/packages/foxtaillever-relay/src/links/serverProbe.ts
@@ -0,0 +1,30 @@
+/** Probes a backend server on a new connection: any answer proves that the link to it works. */
+import { request } from 'node:http'
+import { atAfterReading, type Clock } from 'foxtaillever-core'
+import type { ServerCall } from '../servers/serverConnections.js'
+
+export interface ProbeTarget {
+  /** IP address and port. */
+  readonly address: string
+  readonly call: ServerCall
+}
+
+/**
+ * @param deadline milliseconds of Unix time.
+ * @returns whether the server answered; never rejects.
+ */
+export async function probeServer ({ address, call: { method, path, headers } }: ProbeTarget, clock: Clock, deadline: number): Promise<boolean> {
+  const [host, port] = address.split(':')
+  return await new Promise(resolve => {
+    const probe = request({ host, port, method, path, headers: headers as unknown as Record<string, string>, setHost: false, agent: false })
+    const cancelTimeout = atAfterReading(clock, deadline, () => finish(false))
+    const finish = (isReached: boolean): void => {
+      cancelTimeout()
+      resolve(isReached)
+      probe.destroy()
+    }
+    probe.on('response', () => finish(true))
+    probe.on('error', () => finish(false))
+    probe.end()
+  })
+}
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -15,6 +15,7 @@
   startedAt: 10_000,
   isLeaving: false,
   hasStore: true,
+  links: 0,
   revision: -1,
   positions: { operators: 0, servers: 0 },
   lease: undefined,
--- a/packages/foxtaillever-relay/src/peers/heartbeatContents.ts
+++ b/packages/foxtaillever-relay/src/peers/heartbeatContents.ts
@@ -1,5 +1,6 @@
 /** Builds what an instance reports about itself in its heartbeats, and applies the heartbeats of other instances. */
 import type { Clock } from 'foxtaillever-core'
+import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
 import type { CrashSuspects } from '../exchange/crashSuspects.js'
 import type { ExchangeDispatcher } from '../exchange/exchangeDispatcher.js'
 import type { StoreReplica } from '../knowledge/storeReplica.js'
@@ -17,12 +18,15 @@
   readonly knowledge: StoreReplica
   readonly orders: OrderCoordinator
   readonly isLeaving: boolean
+  /** How much of the servers this instance reaches over its own links. */
+  readonly links: LinkState
   /** Revision of the configuration in force; -1 before the first. */
   readonly revision: number
 }
 
-export function createOwnReport ({ clock, exchanges, suspects, peers, knowledge, orders, isLeaving, revision }: HeartbeatParts): OwnReport {
+export function createOwnReport ({ clock, exchanges, suspects, peers, knowledge, orders, isLeaving, links, revision }: HeartbeatParts): OwnReport {
   const { directory, caches, limits } = exchanges
+  const cacheReport = caches.createReport()
   return {
     isLeaving,
     hasStore: knowledge.hasStore,
@@ -32,7 +36,10 @@
     loads: caches.fetchLoads(),
     sums: peers.loadProtocol.sums(directory.all().map(({ hash }) => hash)),
     suspects: suspects.factsToAnnounce(clock.now()),
-    ...caches.createReport(),
+    ...cacheReport,
+    // To an instance with broken links, every store is silent.
+    stores: links === LinkState.Sound ? cacheReport.stores : [],
+    links,
     named: orders.rollout.versionAges(),
     current: orders.rollout.currentEngines(),
     speeds: directory.speedsToAnnounce(),
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -51,6 +51,8 @@
   readonly onAdmission: (message: AdmissionMessage) => void
   /** Returns what this instance knows of a topic from an offset on. */
   readonly recordsFrom: (topic: AnnouncedTopic, from: number) => AnnouncedRecords
+  /** Handles calls of another instance about its requests to servers; returns whether it handles the call. */
+  readonly onServerCall: (request: IncomingMessage, response: ServerResponse) => boolean
   /** Handles a call of another instance that uses the lease's log through this one. */
   readonly onLeaseCall: (request: IncomingMessage, search: URLSearchParams, response: ServerResponse) => void
 }
@@ -88,6 +90,9 @@
     }
     this.datagrams = UdpDatagrams.create(`${options.host}:${options.port}`)
     this.server = createServer((request, response) => {
+      if (options.onServerCall(request, response)) {
+        return
+      }
       const { searchParams, pathname } = new URL(request.url ?? '', 'http://peer')
       if (pathname === LEASE_PATH) {
         options.onLeaseCall(request, searchParams, response)
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -1,4 +1,5 @@
 /** What an instance reports about itself to the others with each heartbeat, by datagram. */
+import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
 import type { SpeedReport } from 'foxtaillever-policy/relay/prefillSpeed'
 import type { ServerLoad } from 'foxtaillever-policy/relay/serverLoad'
 import type { ObservedSpeed } from 'foxtaillever-policy/relay/serverSpeed'
@@ -105,12 +106,14 @@
   /** Speeds of services that the sender has observed enough, for instances that have just started. */
   readonly speeds: readonly SpeedUpdate[]
   readonly limits: readonly LimitUpdate[]
+  /** How much of the servers the sender reaches over its own links. */
+  readonly links: LinkState
   /** Number of instances that the sender counts, itself included; an instance that has just started knows few by itself. */
   readonly instances: number
 }
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, loads, suspects, savedLevels, named, current, sums, stores, instances, speeds, limits, revision } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, loads, suspects, savedLevels, named, current, sums, stores, instances, speeds, limits, revision, links } = message
   return packDatagram([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -124,7 +127,8 @@
     instances,
     speeds.map(({ service, tokensPerMs, samples }) => [service, Math.round(tokensPerMs), samples]),
     limits.map(({ server, perSecond, ageMs }) => [server, perSecond ?? null, Math.round(ageMs)]),
-    revision
+    revision,
+    links
   ])
 }
 
@@ -164,6 +168,7 @@
   number | undefined,
   ReadonlyArray<readonly [string, number, number]> | undefined,
   ReadonlyArray<readonly [number, number | null, number]> | undefined,
+  number | undefined,
   number | undefined
 ]
 
@@ -185,7 +190,7 @@
 /** Nothing for a datagram of another form, which an instance of another release may send. */
 export function readPeerMessage (datagram: readonly unknown[]): Maybe<PeerMessage> {
   return Maybe.of(datagram).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, loads, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = [], revision = -1] = wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, loads, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = [], revision = -1, links = LinkState.Sound] = wire
     return {
       name,
       address,
@@ -195,6 +200,7 @@
       hasStore,
       positions: { operators, servers },
       revision: Number(revision),
+      links: links in LinkState ? links : LinkState.Sound,
       lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
       loads: loads.map(readLoad),
       sums: sums.map(readSum),
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,5 +1,4 @@
 /** One instance of the relay. Takes requests from callers, sends them to backend servers, and follows the platform's store. */
-import type { IncomingMessage, ServerResponse } from 'node:http'
 import { waitUntil } from 'foxtaillever-core'
 import { createAdmissionOptions } from './admission/createAdmissionOptions.js'
 import { CallerServer } from './callers/callerServer.js'
@@ -20,6 +19,7 @@
 import { MetricsServer } from './telemetry/metricsServer.js'
 import { AccountQuotas } from './limits/accountQuotas.js'
 import { createLimitProtocols, type LimitProtocols } from './limits/createLimitProtocols.js'
+import { createLinks, type Links } from './links/createLinks.js'
 import { LimitScope } from './limits/limitMessage.js'
 import { createSpeedRegistry } from './servers/speedRegistry.js'
 import { RelayLog } from './telemetry/relayLog.js'
@@ -55,6 +55,7 @@
   private readonly memberRegistry: MemberRegistry
   private readonly peers: Peers
   private readonly limits: LimitProtocols
+  private readonly links: Links
   private readonly orderCoordinator: OrderCoordinator
   private readonly startCheck = StartCheck.create()
   private table: RouteTable | undefined
@@ -65,6 +66,7 @@
     const { clock, random, logs, callerWire } = options
     this.log = RelayLog.create(logs, service => this.state.summarize(service))
     this.graceMs = options.graceMs
+    this.links = createLinks({ ...options, log: this.log, wire: options.serverWire, connectTimeoutMs: CONNECT_TIMEOUT_MS, dispatcher: () => this.dispatcher, peers: () => this.peers, routing: () => this.table?.routing })
     this.dispatcher = this.createDispatcher()
     this.state = this.createState()
     this.state.registerGauges(this.log.metrics)
@@ -125,10 +127,12 @@
     this.peers.sendHeartbeat()
     await waitUntil(clock, clock.now() + STOP_LISTENING_MS)
     this.callers.close()
-    while (this.dispatcher.runs.size > 0 && clock.now() < until) {
+    while (this.dispatcher.runs.size + this.links.server.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_POLL_MS)
     }
     this.dispatcher.runs.abort()
+    this.links.monitor.stop()
+    this.links.client.close()
     this.orderCoordinator.rollout.stop()
     this.dispatcher.caches.monitor.stop()
     this.storeReplica.stop()
@@ -151,6 +155,7 @@
       failureDomain,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       wire: serverWire,
+      paths: this.links.paths,
       log: this.log,
       retryAllowance,
       weightsBoundMs,
@@ -186,7 +191,7 @@
   }
 
   private createPeers (): Peers {
-    const { clock, random, name, failureDomain, peers } = this.options
+    const { clock, random, name, failureDomain, peers, fenceLog, topics } = this.options
     return Peers.create({
       clock,
       random,
@@ -204,7 +209,8 @@
       onUnresponsive: peer => this.log.belief('An instance does not answer questions of load; its second is asked.', { peer }),
       onNotice: notice => this.storeReplica.handleNotice(notice),
       onWeights: notice => applyWeightsNotice(this.orderCoordinator, notice),
-      onLeaseCall: (request, search, response) => this.proxyLeaseCall(request, search, response),
+      onLeaseCall: (request, search, response) => this.runInBackground(answerLeaseCall(fenceLog, topics.lease, request, search, response).catch((error: unknown) => { response.destroy(); throw error })),
+      onServerCall: (request, response) => this.links.server.handle(request, response),
       onLimit: message => this.limits[message.scope].receive(message),
       admission: createAdmissionOptions(this.log, this.dispatcher.rooms),
       isLeaving: () => this.isLeaving,
@@ -256,22 +262,15 @@
       directory,
       peers,
       log,
-      isEligible: () => this.storeReplica.hasStore && !this.isLeaving,
+      isEligible: () => this.storeReplica.hasStore && !this.isLeaving && !this.links.monitor.isCutLastingly,
+      reachesServers: () => !this.links.monitor.isCutLastingly,
       onStoreFailed: () => this.storeReplica.checkStore()
     })
   }
 
-  private proxyLeaseCall (request: IncomingMessage, search: URLSearchParams, response: ServerResponse): void {
-    const { fenceLog, topics } = this.options
-    answerLeaseCall(fenceLog, topics.lease, request, search, response).catch((error: unknown) => {
-      this.log.trouble('A call at the lease for another instance failed.', { reason: String(error) })
-      response.destroy()
-    })
-  }
-
   private heartbeatParts (): HeartbeatParts {
-    const { options: { clock }, dispatcher, suspects, peers, storeReplica, orderCoordinator, isLeaving, revision } = this
-    return { clock, exchanges: dispatcher, suspects, peers, knowledge: storeReplica, orders: orderCoordinator, isLeaving, revision }
+    const { options: { clock }, dispatcher, suspects, peers, storeReplica, orderCoordinator, isLeaving, revision, links: { monitor } } = this
+    return { links: monitor.state, clock, exchanges: dispatcher, suspects, peers, knowledge: storeReplica, orders: orderCoordinator, isLeaving, revision }
   }
 
   private isReady (): boolean {
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -8,8 +8,9 @@
 import type { KeyedRecord } from './knowledge/keyedLog.js'
 import type { WritableKeyedLog } from './knowledge/memberRegistry.js'
 import type { ListedServer, WantedWeights } from './model/listedServer.js'
-import type { Routing } from './model/routing.js'
+import type { Routing, Service } from './model/routing.js'
 import type { CallerWire, ServerWire } from './model/wire.js'
+import type { ServerCall } from './servers/serverConnections.js'
 import type { EngineOrders } from './weights/engineOrders.js'
 import type { FenceLog } from './weights/fenceLog.js'
 
@@ -75,6 +76,8 @@
   readonly readers: RecordReaders
   readonly callerWire: CallerWire
   readonly serverWire: ServerWire
+  /** A call that servers of the service answer without running anything; undefined for an unknown service. */
+  readonly probeCall: (service: Service | undefined) => ServerCall
   /** Minimum pause between the orders of two successive holders of the lease, milliseconds. */
   readonly leasePauseMs: number
   /** Time after the announcement of new weights from which no request may begin on older weights, milliseconds. */
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverSelector.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverSelector.test.ts
@@ -19,7 +19,7 @@
     engine.outstanding = outstanding
   }
   const weights = { outdatedSince: () => clock.now() - outdatedMs }
-  const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad: FleetLoad.create(clock), estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 0 }), stores: () => [], weights, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined })
+  const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad: FleetLoad.create(clock), estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 0 }), stores: () => [], weights, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined, isUsable: () => true })
   return selector.selectServer(createExchange(clock.now()), { failed: new Set(), wasMisdirected: false }) !== undefined
 }
 
@@ -40,7 +40,7 @@
       engine.peerBackoffUntil = backingOff.includes(id) ? Infinity : 0
     }
   }
-  const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad, estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 9190 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined })
+  const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad, estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 9190 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined, isUsable: () => true })
   const hashes = new Set([...queried.keys()].flatMap(id => directory.get(id)?.hash ?? []))
   return selector.selectServer(createExchange(clock.now(), { service: 'engines', prompt: { model: 'model', levels: [{ id: 'root', tokens: 6300 }, { id: 'own', tokens: 2890 }], promptTokens: 9190, outputTokens: 10 } }), { failed: new Set(), wasMisdirected: false }, hashes)?.listed.id
 }
@@ -77,7 +77,7 @@
     for (let index = 0; index < 20; index += 1) {
       directory.applyEntry({ id: `e${index}`, startedAt: 0, service: 'engines', address: `127.0.0.1:${index + 1}`, failureDomain: 'a', slots: 16, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([['model', 1]]) }, index)
     }
-    const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad: FleetLoad.create(clock), estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 628 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined })
+    const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad: FleetLoad.create(clock), estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 628 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined, isUsable: () => true })
     for (let run = 0; run < 64; run += 1) {
       const prompt = { model: 'model', levels: [{ id: `subject-${run}`, tokens: 198 }, { id: `own-${run}`, tokens: 628 }], promptTokens: 826, outputTokens: 500 }
       const engine = selector.selectServer(createExchange(clock.now(), { service: 'engines', prompt }), { failed: new Set(), wasMisdirected: false })
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -49,6 +49,16 @@
     })
   }
 
+  /** Closes connections that were idle already at that time, and have been since. */
+  closeIdleUntil (at: number): void {
+    this.closeIdleFor(this.now() - at)
+  }
+
+  /** Whether a connection became idle after that time. */
+  hasIdleSince (at: number): boolean {
+    return Object.values(this.freeSockets).flat().some(socket => socket !== undefined && !socket.destroyed && (this.idleSince.get(socket) ?? 0) > at)
+  }
+
   override keepSocketAlive (duplex: Duplex): boolean {
     const socket = duplex as SocketWithAnswer
     const hint = KEEP_ALIVE_HINT.exec(String(socket._httpMessage?.res?.headers['keep-alive'] ?? ''))?.[1]
@@ -102,18 +112,33 @@
   /** Checked right before the first byte of a request is sent. */
   readonly maySend?: () => boolean
   readonly onAnswer?: AnswerListener
+  /** IP address from which connections are opened; the system chooses one if not given. */
+  readonly localHost?: string | undefined
 }
 
-export class ServerConnections {
+/** Sends requests to one server, over connections that are kept between requests. */
+export interface ServerChannel {
+  /**
+   * Begins a request and sends its body.
+   * @param onBeforeSend called right before the first byte may be sent: from then on the request may have run.
+   */
+  readonly send: (call: ServerCall, onBeforeSend: () => void) => ClientRequest
+  /** Closes connections that have been idle for at least this long, milliseconds. */
+  readonly closeIdleFor: (idleMs: number) => void
+}
+
+export class ServerConnections implements ServerChannel {
   private readonly agent: ServerAgent
   private readonly host: string
   private readonly port: number
   private readonly now: () => number
   private readonly maySend: () => boolean
   private readonly onAnswer: AnswerListener
+  private readonly localHost: string | undefined
 
-  private constructor ({ address, part, now = () => performance.now(), maySend = () => true, onAnswer = () => {} }: ServerConnectionsOptions) {
+  private constructor ({ address, part, now = () => performance.now(), maySend = () => true, onAnswer = () => {}, localHost }: ServerConnectionsOptions) {
     this.now = now
+    this.localHost = localHost
     this.maySend = maySend
     this.onAnswer = onAnswer
     const colon = address.lastIndexOf(':')
@@ -132,8 +157,8 @@
    * @param onBeforeSend called right before the first byte may be sent: from then on the request may have run.
    */
   send ({ method, path, headers, body }: ServerCall, onBeforeSend: () => void): ClientRequest {
-    const { host, port, agent } = this
-    const call = request({ host, port, agent, method, path, headers: headers as unknown as Record<string, string>, setHost: false })
+    const { host, port, agent, localHost } = this
+    const call = request({ host, port, agent, ...(localHost === undefined ? {} : { localAddress: localHost }), method, path, headers: headers as unknown as Record<string, string>, setHost: false })
     const sentAt = this.now()
     call.on('response', ({ statusCode = 0, headers }) => this.onAnswer(statusCode, headers, sentAt))
     const startSending = (): void => {
@@ -170,6 +195,16 @@
     this.agent.closeIdleFor(idleMs)
   }
 
+  /** Closes connections that were idle already at that time, milliseconds of Unix time. */
+  closeIdleUntil (at: number): void {
+    this.agent.closeIdleUntil(at)
+  }
+
+  /** Whether an answer ended on an idle connection after that time, milliseconds of Unix time. */
+  hasIdleSince (at: number): boolean {
+    return this.agent.hasIdleSince(at)
+  }
+
   /** Keeps no more idle connections; requests in flight finish normally. */
   close (): void {
     this.agent.maxFreeSockets = 0
--- a/packages/foxtaillever-relay/src/servers/serverSelector.ts
+++ b/packages/foxtaillever-relay/src/servers/serverSelector.ts
@@ -66,6 +66,8 @@
   readonly fleetLoad: Pick<FleetLoad, 'of'>
   /** Estimates what it takes to get the levels of a prompt to an engine. */
   readonly estimateLevelFetch: (exchange: Exchange) => LevelFetchEstimate
+  /** Whether any path to the server is known. */
+  readonly isUsable: (server: KnownServer) => boolean
   readonly weights: Pick<WeightsRollout, 'outdatedSince'>
   /** The shortest objective for pauses in streams of a service, milliseconds; undefined for none. */
   readonly pauseObjectiveMsOf: (service: string) => number | undefined
@@ -127,7 +129,7 @@
   private eligibleServers (exchange: Exchange, { failed, wasMisdirected }: EarlierAttempts): readonly KnownServer[] {
     const { clock, directory } = this.options
     const now = clock.now()
-    const eligible = directory.ready(exchange.service).filter(server => !failed.has(server.listed.id) && availableFrom(server) <= now && this.hasAllowedWeights(server, exchange))
+    const eligible = directory.ready(exchange.service).filter(server => !failed.has(server.listed.id) && availableFrom(server) <= now && this.options.isUsable(server) && this.hasAllowedWeights(server, exchange))
     return wasMisdirected ? this.preferCurrentWeights(eligible, exchange) : eligible
   }
 
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -35,6 +35,8 @@
   readonly serverAt: number
   readonly anyServerAt: number
   readonly now: number
+  /** Address of the instance that carried the request; undefined for none. */
+  readonly forwarder?: string | undefined
 }
 
 /** Summarizes the state of the process, and of a service if one is given. */
@@ -66,13 +68,25 @@
   }
 
   /** @param heard tells a server that is down from links of this instance that are down. */
-  attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now }: LastHeard): void {
+  attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now, forwarder }: LastHeard): void {
     this.metrics.count('tries_failed_total', { kind })
     this.logs.writeFailure(Part.Requests, 'A try failed.', {
-      request: exchange.id, server, kind, detail, verdict, connection: isOnReusedConnection === true ? 'kept' : undefined, heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now)
+      request: exchange.id, server, kind, detail, verdict, forwarder, connection: isOnReusedConnection === true ? 'kept' : undefined, heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now)
     })
   }
 
+  /** This instance's own link to the server is broken; another instance carries the request. */
+  forwarded ({ id: request, account }: Exchange, server: string, forwarder: string): void {
+    this.metrics.count('requests_forwarded_total')
+    this.logs.write('info', Part.Requests, 'Sent through another instance.', { request, account: account?.name, server, forwarder })
+  }
+
+  /** This instance carried a request of another one to a server. */
+  carried (subject: { readonly request: string, readonly from: string, readonly server: string, readonly outcome: string, readonly ms: number }): void {
+    this.metrics.count('requests_carried_total', { outcome: subject.outcome })
+    this.logs.write('info', Part.Requests, 'Carried a request of another instance.', { ...subject })
+  }
+
   /** The queue at its server would make the request late; it goes behind requests that can be in time. */
   yields (exchange: Exchange, server: string, { waitMs, readMs, objectiveMs }: ExpectedStart): void {
     this.metrics.count('requests_yielding_total', { route: exchange.route.name })
--- a/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
@@ -81,6 +81,8 @@
   readonly storeLog: FenceLog
   /** Neither receives nor sends datagrams. */
   isPartitioned = false
+  /** Whether its links to the engines work. */
+  reachesServers = true
 
   constructor (private readonly fleet: OrderingFleet, readonly name: string) {
     const { clock, store, engines } = fleet
@@ -101,6 +103,7 @@
       log: { append: async (...call) => await own.read(log.append(...call)), readAt: async (...call) => await own.read(log.readAt(...call)) }
     })
     this.rollout = WeightsRollout.create({
+      reachesServers: () => this.reachesServers,
       clock: this.clock,
       holder: name,
       directory: this.directory,
--- a/packages/foxtaillever-relay/src/weights/orderCoordinator.ts
+++ b/packages/foxtaillever-relay/src/weights/orderCoordinator.ts
@@ -1,5 +1,6 @@
 /** Creates the parts of an instance that order engines to change weights: the lease and the rollout. */
 import { randomUUID } from 'node:crypto'
+import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
 import { readWallClockSeconds } from '../knowledge/suspensionDetector.js'
 import type { Peers } from '../peers/peers.js'
 import type { RelayOptions } from '../relayOptions.js'
@@ -17,8 +18,10 @@
   readonly directory: ServerDirectory
   readonly peers: Peers
   readonly log: RelayLog
-  /** Whether this instance reaches the platform's store and is not leaving. */
+  /** Whether this instance reaches the platform's store and the servers and is not leaving. */
   readonly isEligible: () => boolean
+  /** Whether this instance reaches the servers; otherwise it releases the lease. */
+  readonly reachesServers: () => boolean
   /** A call to the store failed. */
   readonly onStoreFailed: () => void
 }
@@ -29,13 +32,14 @@
 }
 
 export function createOrderCoordinator (options: OrderCoordinatorOptions): OrderCoordinator {
-  const { clock, name, directory, peers, log, engineOrders, isEligible } = options
+  const { clock, name, directory, peers, log, engineOrders, isEligible, reachesServers } = options
   const lease = createLease(options)
   const rollout = WeightsRollout.create({
     clock,
     holder: name,
     directory,
     lease,
+    reachesServers,
     orders: engineOrders,
     log,
     rank: () => isEligible() ? orderRank(name, eligiblePeers(peers).map(peer => peer.name), lease.lastHolder) : LAST_RANK,
@@ -47,7 +51,7 @@
 }
 
 function eligiblePeers (peers: Peers): ReturnType<Peers['alive']> {
-  return peers.alive().filter(({ hasStore }) => hasStore)
+  return peers.alive().filter(({ hasStore, links }) => hasStore && links !== LinkState.Cut)
 }
 
 function createLease ({ clock, random, name, fenceLog, leasePauseMs, topic, peers, log, onStoreFailed }: OrderCoordinatorOptions): OrderLease {
@@ -55,7 +59,7 @@
     clock,
     random,
     own: fenceLog,
-    proxies: () => eligiblePeers(peers).map(({ address }) => address),
+    proxies: () => peers.alive().filter(({ hasStore }) => hasStore).map(({ address }) => address),
     through: address => peers.link.proxiedLog(address),
     onFailed: onStoreFailed
   })
--- a/packages/foxtaillever-relay/src/weights/weightsRollout.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsRollout.ts
@@ -170,7 +170,12 @@
   }
 
   private async check (): Promise<void> {
-    const { clock, lease, rank } = this.options
+    const { clock, lease, rank, reachesServers } = this.options
+    if (!reachesServers()) {
+      lease.release()
+      this.changes.clear()
+      return
+    }
     const isOwnTurn = lease.fence() !== undefined || clock.now() >= this.progressAt + rank() * RANK_DELAY_MS
     if (!isOwnTurn || !await lease.acquire()) {
       this.dropChangesUnlessRenewing()
--- a/packages/foxtaillever-relay/src/weights/weightsRolloutOptions.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsRolloutOptions.ts
@@ -16,6 +16,8 @@
   readonly log: RelayLog
   /** This instance's rank among those that may take the lease; rank 0 acts at once. */
   readonly rank: () => number
+  /** Whether this instance reaches the engines over its own links. If it does not, another instance must give the orders. */
+  readonly reachesServers: () => boolean
   /** Outstanding requests of the whole fleet at the server. */
   readonly outstandingAt: (server: KnownServer) => number
   /** Time to read the prompts that wait at the server, milliseconds. */
--- a/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
@@ -7,6 +7,7 @@
 import type { SuspectRegistry } from 'foxtaillever-relay/exchange/exchangeContext'
 import { noAdmissionProtocol } from 'foxtaillever-relay/admission/admissionProtocol'
 import { noQuotas } from 'foxtaillever-relay/limits/accountQuotas'
+import { directPaths } from 'foxtaillever-relay/links/serverPaths'
 import { noSharedLimits } from 'foxtaillever-relay/limits/limitProtocol'
 import type { RelayLog } from 'foxtaillever-relay/telemetry/relayLog'
 import { routingOf } from './plainRoutes.js'
@@ -51,6 +52,7 @@
   const dispatcher = ExchangeDispatcher.create({
     ...shared,
     wire: plainWire,
+    paths: directPaths,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     retryAllowance: retryAllowanceOf(configuration()),
     suspects: noSuspicions,
