Let an instance judge its links by what it hears now, not by what it heard before

What callers saw: after all instances had been cut off from all servers at once, requests with one and the same content were refused as having crashed the servers that ran them (0 of them served after the repair, retry times of ten minutes).

An instance that asked others about a server that fell silent got "not reached" from instances that had been cut off at the same moment and still counted as sound, since they had heard from a server within the last second. So the losses counted as crashes, three of them as proof.

Change: an instance says that a server does not answer others either only if another server answers a probe, or is heard, at that time; the same holds for what it concludes itself when nobody else can tell.

--- /dev/null
+++ b/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
@@ -0,0 +1,224 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { SeededRandom, SystemClock } from 'foxtaillever-core'
+import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
+import { describe, it } from 'foxtaillever-testing'
+import { serverWire } from '../../__fixtures__/relayRig.js'
+import { ScriptedServer, type Answer } from '../../__fixtures__/scriptedServer.js'
+import { Attempt, type AnswerHead } from '../../attempts/attempt.js'
+import { AttemptFailureKind, type AttemptFailure } from '../../attempts/attemptFailure.js'
+import { ServerState } from '../../model/listedServer.js'
+import type { PeerMessage } from '../../peers/peerMessage.js'
+import type { KnownServer } from '../../servers/knownServer.js'
+import { ServerDirectory } from '../../servers/serverDirectory.js'
+import { ForwardingClient } from '../forwardingClient.js'
+import { readReportedFailure } from '../forwardingMessage.js'
+import { ForwardingServer } from '../forwardingServer.js'
+import { ProbeFinding } from '../linkMonitor.js'
+
+const OWN_HOST = '127.0.0.1'
+
+interface Outcome {
+  readonly head?: AnswerHead
+  readonly body: string
+  readonly failure?: AttemptFailure
+}
+
+/** An instance without links, another one that carries its requests, and a scripted server. */
+class Rig {
+  readonly clock = SystemClock.create()
+  readonly directory = ServerDirectory.create({ onChanged: () => {}, now: () => this.clock.now() })
+  readonly members = new Set([`${OWN_HOST}:7340`])
+  isBroken = false
+  readonly outcomes: string[] = []
+  private readonly http: Server
+  readonly carrying: ForwardingServer
+  readonly client: ForwardingClient
+  private address = ''
+
+  private constructor (readonly scripted: ScriptedServer, handle?: (request: IncomingMessage, response: ServerResponse) => void) {
+    const { clock } = this
+    this.directory.applyEntry({ id: 's', startedAt: 0, service: 's', address: scripted.address, failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }, 1)
+    this.carrying = ForwardingServer.create({
+      clock,
+      wire: { ...serverWire, passHeaders: headers => [...headers] },
+      connectTimeoutMs: 500,
+      directory: () => this.directory,
+      monitor: { brokenSince: () => this.isBroken ? 1 : undefined, findFor: async () => ProbeFinding.Reached, suspect: () => {} },
+      log: { carried: ({ outcome }) => this.outcomes.push(outcome) },
+      isMember: address => this.members.has(address),
+      maxBodyBytes: () => 1000
+    })
+    this.http = createServer(handle ?? ((request, response) => { this.carrying.handle(request, response) }))
+    this.client = ForwardingClient.create({
+      clock,
+      random: SeededRandom.create(1),
+      address: () => `${OWN_HOST}:7340`,
+      peers: () => [{ address: this.address, links: LinkState.Sound } as PeerMessage],
+      onAnswer: () => {}
+    })
+  }
+
+  static async start (answer: Answer, handle?: (request: IncomingMessage, response: ServerResponse) => void): Promise<Rig> {
+    const rig = new Rig(await ScriptedServer.start(answer), handle)
+    await new Promise<void>(resolve => rig.http.listen(0, OWN_HOST, resolve))
+    rig.address = `${OWN_HOST}:${(rig.http.address() as AddressInfo).port}`
+    return rig
+  }
+
+  get server (): KnownServer {
+    return this.directory.get('s') as KnownServer
+  }
+
+  /** @param onBegun receives the attempt. */
+  async send (id: string, body = '', onBegun: (attempt: Attempt) => void = () => {}): Promise<Outcome> {
+    const forwarder = this.client.forwarderFor(this.server, id, new Set())
+    return await new Promise(resolve => {
+      if (!forwarder) {
+        resolve({ body: '', failure: { kind: AttemptFailureKind.Unreachable, detail: 'no forwarder' } })
+        return
+      }
+      let head: AnswerHead | undefined
+      let text = ''
+      onBegun(Attempt.begin({
+        clock: this.clock,
+        wire: { ...serverWire, passHeaders: headers => [...headers] },
+        connections: forwarder.channel,
+        readFailure: readReportedFailure,
+        requestId: id,
+        connectTimeoutMs: 500,
+        call: { method: 'POST', path: '/p', headers: ['Host', 'h', 'request-id', id, 'content-length', String(body.length)], body: Buffer.from(body) },
+        listener: {
+          onHead: received => { head = received },
+          onData: bytes => { text += bytes.toString() },
+          onEnd: () => resolve({ ...(head ? { head } : {}), body: text }),
+          onFailed: failure => resolve({ ...(head ? { head } : {}), body: text, failure })
+        }
+      }))
+    })
+  }
+
+  stop (): void {
+    this.client.close()
+    this.http.close()
+    this.http.closeAllConnections()
+    this.scripted.stop()
+  }
+}
+
+const answerWell: Answer = ({ id, socket }) => { socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nstamp: s\r\ncontent-length: 2\r\n\r\nok`) }
+
+const neverRun = [AttemptFailureKind.Unreachable, AttemptFailureKind.Closed]
+
+describe('a request that another instance carries', () => {
+  it('reaches the server as it was sent, and its answer comes back', async t => {
+    const rig = await Rig.start(answerWell)
+    const { head, body, failure } = await rig.send('r1', 'the body')
+    t.is(failure, undefined)
+    t.is(head?.status, 200)
+    t.is(body, 'ok')
+    t.is(rig.scripted.arrivals.length, 1)
+    t.deepEqual(rig.outcomes, ['answered'])
+    rig.stop()
+  })
+
+  // Guards against strangers that send requests to servers through an instance.
+  it('is not sent if it comes from no instance of the fleet', async t => {
+    const rig = await Rig.start(answerWell)
+    rig.members.clear()
+    t.is((await rig.send('r1')).failure?.kind, AttemptFailureKind.Unreachable)
+    t.is(rig.scripted.arrivals.length, 0)
+    rig.stop()
+  })
+
+  // Guards against an instance that does for others what a server asked it not to do.
+  it('is not sent to a server that told the carrying instance that it leaves', async t => {
+    const rig = await Rig.start(answerWell)
+    rig.directory.markLeaving('s', rig.clock.now())
+    const { failure } = await rig.send('r1')
+    t.true(failure !== undefined && neverRun.includes(failure.kind))
+    t.is(rig.scripted.arrivals.length, 0)
+    rig.stop()
+  })
+
+  // Guards against two instances without links that send each other's requests back and forth.
+  it('is not sent on by an instance whose own link is broken', async t => {
+    const rig = await Rig.start(answerWell)
+    rig.isBroken = true
+    t.is((await rig.send('r1')).failure?.kind, AttemptFailureKind.Unreachable)
+    t.is(rig.scripted.arrivals.length, 0)
+    rig.stop()
+  })
+
+  it('fails as not sent if the server accepts no connection there either', async t => {
+    const rig = await Rig.start(answerWell)
+    rig.scripted.stop()
+    const { failure } = await rig.send('r1')
+    t.is(failure?.kind, AttemptFailureKind.Unreachable)
+    t.true(failure?.isReported)
+    rig.stop()
+  })
+
+  // Guards against a second run of a request whose connection to the server was lost at the carrying instance.
+  it('fails as one that may have run if the server closes its connection', async t => {
+    const rig = await Rig.start(({ socket }) => { socket.destroy() })
+    const { failure } = await rig.send('r1')
+    t.is(failure?.kind, AttemptFailureKind.Lost)
+    t.true(failure?.isReported)
+    rig.stop()
+  })
+
+  it('fails as refused if the server says that it did not run it', async t => {
+    const rig = await Rig.start(({ id, socket }) => { socket.write(`HTTP/1.1 503 Full\r\nrequest-id: ${id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n`) })
+    t.is((await rig.send('r1')).failure?.kind, AttemptFailureKind.Refused)
+    rig.stop()
+  })
+
+  // Guards against a part of an answer that looks complete after it has passed another instance.
+  it('does not look complete if the server breaks off its answer', async t => {
+    const rig = await Rig.start(({ id, socket }) => {
+      socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nstamp: s\r\ncontent-length: 10\r\n\r\nok`, () => { socket.destroy() })
+    })
+    t.is((await rig.send('r1')).failure?.kind, AttemptFailureKind.Lost)
+    rig.stop()
+  })
+
+  // Guards against an answer that ends with its connection and counts as cut, or a cut one that counts as whole.
+  it('keeps an answer whole whose end is the end of its connection', async t => {
+    const rig = await Rig.start(({ id, socket }) => { socket.end(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nstamp: s\r\nconnection: close\r\n\r\nall of it`) })
+    const { body, failure } = await rig.send('r1')
+    t.is(failure, undefined)
+    t.is(body, 'all of it')
+    rig.stop()
+  })
+
+  // Guards against servers that go on working for callers that have left.
+  it('is cancelled at the server when its instance cancels it', async t => {
+    const closed = new Promise<void>(resolve => {
+      Rig.start(({ socket }) => { socket.once('close', () => resolve()) }).then(async rig => {
+        rig.send('r1', '', attempt => setTimeout(() => attempt.cancel(), 50)).catch(() => {})
+        await closed
+        rig.stop()
+      }, () => {})
+    })
+    await t.notThrowsAsync(closed)
+  })
+
+  // Guards against answers of an instance of an earlier release that count as the server's.
+  it('was not sent if the other instance knows no forwarding', async t => {
+    const rig = await Rig.start(answerWell, (_, response) => response.writeHead(404).end())
+    const { failure } = await rig.send('r1')
+    t.is(failure?.kind, AttemptFailureKind.Unreachable)
+    t.is(rig.scripted.arrivals.length, 0)
+    rig.stop()
+  })
+
+  it('goes through no instance that failed to carry one a moment ago', async t => {
+    const rig = await Rig.start(answerWell)
+    const { address = '' } = rig.client.forwarderFor(rig.server, 'r1', new Set()) ?? {}
+    rig.client.recordFailure(address)
+    t.is(rig.client.forwarderFor(rig.server, 'r1', new Set()), undefined)
+    t.false(rig.client.isAvailable)
+    rig.stop()
+  })
+})
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -100,7 +100,7 @@
   }
 
   private send ({ requestId, from }: ForwardingRequest, server: KnownServer, { method = '', url = '', rawHeaders }: IncomingMessage, body: Buffer, response: ServerResponse): void {
-    const { clock, wire, connectTimeoutMs, directory, monitor, log } = this.options
+    const { clock, wire, connectTimeoutMs, directory, log } = this.options
     const beganAt = clock.now()
     const finish = (outcome: string): void => log.carried({ request: requestId, from, server: server.listed.id, outcome, ms: Math.round(clock.now() - beganAt) })
     const attempt = Attempt.begin({
@@ -123,7 +123,7 @@
           finish('answered')
         },
         onFailed: failure => {
-          this.suspectServer(server, failure, beganAt, monitor)
+          this.suspectServer(server, failure)
           this.reportFailure(response, failure)
           finish(failure.kind)
         }
@@ -138,11 +138,12 @@
   }
 
   /** The failure may be due to this instance's own links. */
-  private suspectServer (server: KnownServer, { kind }: AttemptFailure, beganAt: number, monitor: Pick<LinkMonitor, 'suspect'>): void {
+  private suspectServer (server: KnownServer, { kind }: AttemptFailure): void {
+    const { monitor } = this.options
     if (kind === AttemptFailureKind.Unreachable) {
-      monitor.suspect(server, Suspicion.Unreachable, beganAt)
+      monitor.suspect(server, Suspicion.Unreachable)
     } else if (kind === AttemptFailureKind.Lost) {
-      monitor.suspect(server, Suspicion.Unresponsive, beganAt)
+      monitor.suspect(server, Suspicion.Unresponsive)
     }
   }
 
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -48,9 +48,6 @@
 /** A finding that a server itself has failed is valid for this long, milliseconds: as long as it is then passed over. */
 const FINDING_VALID_MS = 300
 
-/** An instance that has heard from no server for this long cannot tell whether its own links work, milliseconds. */
-const HEARD_VALID_MS = 1000
-
 /** An answer as recent as this proves that the link works, milliseconds. */
 const RECENT_ANSWER_MS = 100
 
@@ -93,7 +90,7 @@
     this.silence = SilenceDetector.create({
       clock,
       heardAt: () => directory().heardAt,
-      onSilent: servers => servers.forEach(server => this.suspect(server, Suspicion.Unresponsive, clock.now()))
+      onSilent: servers => servers.forEach(server => this.suspect(server, Suspicion.Unresponsive))
     })
   }
 
@@ -127,10 +124,9 @@
 
   /**
    * Checks whether a failure at a server is due to this instance's links.
-   * @param beganAt start of what failed, milliseconds of Unix time.
    * @param conclude called when the failure is the server's; not called when it is explained by the links.
    */
-  suspect (server: KnownServer, suspicion: Suspicion, beganAt: number, conclude: Conclusion = () => {}): void {
+  suspect (server: KnownServer, suspicion: Suspicion, conclude: Conclusion = () => {}): void {
     const now = this.options.clock.now()
     if (this.links.isBroken(linkOf(server))) {
       return
@@ -145,7 +141,7 @@
       return
     }
     this.checks.set(server.hash, [conclude])
-    this.check(server, suspicion, beganAt).then(isOwnLink => this.finishCheck(server, isOwnLink), error => {
+    this.check(server, suspicion).then(isOwnLink => this.finishCheck(server, isOwnLink), error => {
       this.options.log.belief('The check of a backend server failed.', { server: server.listed.id, reason: String(error) })
       this.finishCheck(server, false)
     })
@@ -158,11 +154,14 @@
     if (!server || this.links.isBroken(linkOf(server))) {
       return ProbeFinding.Unknown
     }
-    if (server.heardAt + RECENT_ANSWER_MS > clock.now() || await this.probe(server)) {
+    if (server.heardAt + RECENT_ANSWER_MS > clock.now()) {
+      return ProbeFinding.Reached
+    }
+    const isAnotherReached = this.reachesAnother(server)
+    if (await this.probe(server)) {
       return ProbeFinding.Reached
     }
-    const isSound = this.state === LinkState.Sound && directory().heardAt + HEARD_VALID_MS > clock.now()
-    return isSound ? ProbeFinding.NotReached : ProbeFinding.Unknown
+    return await isAnotherReached ? ProbeFinding.NotReached : ProbeFinding.Unknown
   }
 
   stop (): void {
@@ -181,27 +180,30 @@
   }
 
   /** @returns whether this instance's link to the server is at fault. */
-  private async check (server: KnownServer, suspicion: Suspicion, beganAt: number): Promise<boolean> {
-    const { clock, directory } = this.options
-    if (suspicion === Suspicion.Unresponsive) {
-      const own = this.probe(server)
-      const headStart = waitUntil(clock, clock.now() + PROBE_HEAD_START_MS).then(() => false)
-      if (await Promise.race([own, headStart])) {
-        return false
-      }
-      const [isReached, findings] = await Promise.all([own, this.askPeers(server)])
-      return !isReached && this.judge(findings, directory().heardAt > beganAt)
+  private async check (server: KnownServer, suspicion: Suspicion): Promise<boolean> {
+    const { clock } = this.options
+    if (suspicion === Suspicion.Unreachable) {
+      const findings = await this.askPeers(server)
+      return isOwnLink(findings) ?? !await this.reachesAnother(server)
     }
-    const findings = await this.askPeers(server)
-    return this.judge(findings, directory().heardAt > beganAt)
+    const own = this.probe(server)
+    const headStart = waitUntil(clock, clock.now() + PROBE_HEAD_START_MS).then(() => false)
+    if (await Promise.race([own, headStart])) {
+      return false
+    }
+    const [isReached, findings, isAnotherReached] = await Promise.all([own, this.askPeers(server), this.reachesAnother(server)])
+    return !isReached && (isOwnLink(findings) ?? !isAnotherReached)
   }
 
-  /** @param hasHeardOthers whether this instance has heard from another server since the failure began. */
-  private judge (findings: readonly ProbeFinding[], hasHeardOthers: boolean): boolean {
-    if (findings.includes(ProbeFinding.Reached)) {
-      return true
-    }
-    return !findings.includes(ProbeFinding.NotReached) && !hasHeardOthers
+  /** Probes another server, in another failure domain where there is one, unless one is heard meanwhile. */
+  private async reachesAnother ({ hash, listed }: KnownServer): Promise<boolean> {
+    const { clock, directory, random } = this.options
+    const beganAt = clock.now()
+    const others = directory().all().filter(server => server.hash !== hash && reachableFrom(server) <= beganAt)
+    const elsewhere = others.filter(server => server.listed.failureDomain !== listed.failureDomain)
+    const candidates = elsewhere.length > 0 ? elsewhere : others
+    const other = candidates[random.below(Math.max(1, candidates.length))]
+    return (other !== undefined && await this.probe(other)) || directory().heardAt > beganAt
   }
 
   private async askPeers (server: KnownServer): Promise<readonly ProbeFinding[]> {
@@ -211,10 +213,9 @@
   }
 
   private finishCheck (server: KnownServer, isOwnLink: boolean): void {
-    const { clock } = this.options
+    const now = this.options.clock.now()
     const conclusions = this.checks.get(server.hash) ?? []
     this.checks.delete(server.hash)
-    const now = clock.now()
     this.failedUntil.forEach((until, hash) => {
       if (until <= now) {
         this.failedUntil.delete(hash)
@@ -289,3 +290,11 @@
 function linkOf ({ hash, listed: { failureDomain } }: KnownServer): { readonly hash: number, readonly failureDomain: string } {
   return { hash, failureDomain }
 }
+
+/** What the findings of other instances say of this one's link; undefined where none could tell. */
+function isOwnLink (findings: readonly ProbeFinding[]): boolean | undefined {
+  if (findings.includes(ProbeFinding.Reached)) {
+    return true
+  }
+  return findings.includes(ProbeFinding.NotReached) ? false : undefined
+}
