Send brittle servers no more than they have slots for

A server may state in all its answers how many requests a second it can reject (Server-Brittle). Some seconds later it lets fewer wait, and fails if it must reject more; its load then moves to the rest. Nothing read the statement.

Each instance sent by its own knowledge of the load, a heartbeat old, and only rejections showed that the room was gone.

Every request for a brittle server asks the owner of the server's queue for admission, with and without a prompt. The owner admits as many as the server has slots, whatever the server would let wait, and fewer after a rejection of any instance, which reports it at once. A request without a prompt waits twice its objective at most. What a change of load leaves free is reported within 5 ms while others may wait for it, else within 25: a slot that nobody knows of is idle. If no instance decides, a brittle server gets the instance's even part of its slots, and the rest is refused with a time to retry.

--- a/packages/foxtaillever-policy/src/limits/statedLimits.ts
+++ b/packages/foxtaillever-policy/src/limits/statedLimits.ts
@@ -46,6 +46,11 @@
     return new StatedLimits()
   }
 
+  /** Whether any server has a limit in force. */
+  get isAnyInForce (): boolean {
+    return this.statements.list().some(([, { perSecond }]) => perSecond !== undefined)
+  }
+
   /** The limit in force. */
   limitOf (server: number): StatedLimit | undefined {
     const { perSecond, at } = this.statements.peek(String(server)) ?? {}
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -24,6 +24,7 @@
 import type { CallerWire, ServerWire } from '../model/wire.js'
 import { RouteTable } from '../routing/routeTable.js'
 import { noQuotas } from '../limits/accountQuotas.js'
+import { BrittleServers } from '../servers/brittleServers.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
 import { availableFrom } from '../servers/serverAvailability.js'
 import { ServiceRetrySchedules } from '../servers/serviceRetrySchedules.js'
@@ -73,6 +74,7 @@
     hasRun: headers.stamp !== undefined && headers['not-run'] === undefined,
     isLeaving: headers.leaving !== undefined,
     restMs: readRetryAfter(status, headers['retry-after']),
+    maxRejections: noLimit,
     limit: headers.limit === undefined ? noLimit : { kind: LimitStatementKind.Limit, perSecond: Number(headers.limit) }
   }),
   passHeaders: () => []
@@ -100,7 +102,7 @@
   /** How often a server was chosen for an attempt. */
   choices = 0
   /** Decides on admission at servers. */
-  admission: AdmissionContext = { claims: { claimFor: () => undefined, queuePositionOf: () => undefined }, protocol: noAdmissionProtocol }
+  admission: AdmissionContext = { claims: { claimFor: () => undefined, queuePositionOf: () => undefined, mayBypass: () => true }, protocol: noAdmissionProtocol }
   private readonly callers: CallerServer
   readonly limits: ServerLimits
   private readonly statements: ServerStatementHandler
@@ -114,7 +116,8 @@
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, onUrgent: () => {} })
-    this.statements = ServerStatementHandler.create({ clock, log, directory: this.directory, limits: this.limits, onBackoffRequested: () => {} })
+    const brittle = BrittleServers.create({ clock, log, directory: this.directory, onUrgent: () => {} })
+    this.statements = ServerStatementHandler.create({ clock, log, directory: this.directory, limits: this.limits, brittle, onBackoffRequested: () => {} })
     const retrySchedules = ServiceRetrySchedules.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => 1 })
     const context: ExchangeContext = {
       clock,
@@ -130,7 +133,7 @@
       },
       limits: this.limits,
       admission: {
-        claims: { claimFor: (exchange, server) => this.admission.claims.claimFor(exchange, server), queuePositionOf: () => undefined },
+        claims: { claimFor: (exchange, server) => this.admission.claims.claimFor(exchange, server), queuePositionOf: () => undefined, mayBypass: () => true },
         protocol: { request: (claim, onResult) => this.admission.protocol.request(claim, onResult) }
       },
       paths: directPaths,
@@ -142,6 +145,7 @@
       onSpeedSample: () => {},
       onSaved: () => {},
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
+      onRejected: () => {},
       queryLoad: () => undefined,
       selectServer: (_, { failed }) => {
         this.choices += 1
--- a/packages/foxtaillever-relay/src/__tests__/admission.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/admission.test.ts
@@ -49,7 +49,7 @@
 async function start (...answers: Answer[]): Promise<{ rig: RelayRig, owner: ScriptedOwner }> {
   const rig = await RelayRig.start({ mostAttempts: 1, awaitsAdmission: true }, ...answers)
   const owner = new ScriptedOwner()
-  rig.admission = { claims: { claimFor: (_, server) => claimFor(server), queuePositionOf: () => undefined }, protocol: owner.protocol }
+  rig.admission = { claims: { claimFor: (_, server) => claimFor(server), queuePositionOf: () => undefined, mayBypass: () => true }, protocol: owner.protocol }
   return { rig, owner }
 }
 
--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
@@ -185,6 +185,7 @@
     const fleetLoad = FleetLoad.create(clock)
     const watchersOf = (server: number): readonly string[] => watchers.of(server)
     const load = LoadProtocol.create({
+      onRejectionReported: () => {},
       clock,
       address,
       fleetLoad,
--- a/packages/foxtaillever-relay/src/admission/admissionClaims.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionClaims.ts
@@ -2,7 +2,7 @@
 import { hashNumber } from 'foxtaillever-core'
 import { isNearlyIdle } from 'foxtaillever-policy/relay/serverRoom'
 import { priorityOf } from '../attempts/planTerms.js'
-import { heldTokensOf, type Exchange, type Prompt } from '../model/exchange.js'
+import { heldTokensOf, type Exchange } from '../model/exchange.js'
 import type { FleetLoad } from '../peers/fleetLoad.js'
 import type { QueuePosition } from '../peers/loadMessage.js'
 import type { KnownServer } from '../servers/knownServer.js'
@@ -20,13 +20,23 @@
   readonly fleetLoad: Pick<FleetLoad, 'of'>
   /** Undefined for a server that takes no requests. */
   readonly capacityOf: (server: number) => ServerCapacity | undefined
+  /** Whether the server fails if it must reject a few requests. */
+  readonly isBrittle: (server: KnownServer) => boolean
+  /** Instances of the fleet, this one included. */
+  readonly instances: () => number
   /** Prompt tokens of the request that the server has not cached. */
   readonly missingTokensAt: (exchange: Exchange, server: KnownServer) => number
 }
 
+/**
+ * Longest wait of a request without a prompt for admission, as a multiple of its objective: an answer that begins later is
+ * worth little, and its caller does better with a time to retry.
+ */
+const MAX_WAIT_OBJECTIVES = 2
+
 /** Equal for a request and its retry, which has an id of its own: the last level belongs to the request or its session. */
-function fingerprintOf ({ account }: Exchange, { levels, promptTokens }: Prompt): number {
-  return hashNumber(`${account?.name ?? ''}/${levels.at(-1)?.id ?? ''}/${promptTokens}`)
+function fingerprintOf ({ account, prompt, path, body }: Exchange): number {
+  return hashNumber(`${account?.name ?? ''}/${prompt ? `${prompt.levels.at(-1)?.id ?? ''}/${prompt.promptTokens}` : `${path}/${body.length}`}`)
 }
 
 export class AdmissionClaims {
@@ -44,30 +54,40 @@
 
   /** The claim of a request at a server; undefined where it is sent without asking. */
   claimFor (exchange: Exchange, server: KnownServer): AdmissionClaim | undefined {
-    const { capacityOf, missingTokensAt } = this.options
-    const { route, prompt, arrivedAt, deadline } = exchange
-    const position = this.queuePositionOf(exchange)
-    const capacity = position && capacityOf(server.hash)
-    if (prompt === undefined || position === undefined || capacity === undefined || !this.mustAsk(exchange, prompt, server, capacity)) {
+    const { capacityOf, isBrittle, missingTokensAt } = this.options
+    const { route, prompt, arrivedAt, account } = exchange
+    const isRequired = isBrittle(server)
+    const capacity = isRequired || (prompt && route.awaitsAdmission) ? capacityOf(server.hash) : undefined
+    if (capacity === undefined || !(isRequired || this.delaysOthers(exchange, server, capacity))) {
       return undefined
     }
-    const tokens = missingTokensAt(exchange, server)
-    const heldTokens = heldTokensOf(exchange)
-    const latestEnd = Math.min(deadline, arrivedAt + route.silenceLimitMs)
+    const tokens = prompt ? missingTokensAt(exchange, server) : 0
     return {
       server: server.hash,
       tokens,
-      heldTokens,
-      ...position,
-      fingerprint: fingerprintOf(exchange, prompt),
+      heldTokens: heldTokensOf(exchange),
+      priority: priorityOf(exchange),
+      account: account?.name ?? '',
+      fingerprint: fingerprintOf(exchange),
       arrivedAt,
       objectiveMs: route.objectiveMs,
-      latestStartAt: latestEnd - tokens / capacity.tokensPerMs
+      latestStartAt: latestStartOf(exchange, tokens / capacity.tokensPerMs)
     }
   }
 
-  private mustAsk (exchange: Exchange, { promptTokens }: Prompt, server: KnownServer, capacity: ServerCapacity): boolean {
-    const isLarge = promptTokens >= MIN_READ_SHARE * exchange.route.objectiveMs * capacity.tokensPerMs
+  /**
+   * Whether a request may be sent although no instance decided on its admission. A brittle
+   * server gets only as many as it takes if all instances send as many.
+   */
+  mayBypass (server: KnownServer): boolean {
+    const { isBrittle, instances } = this.options
+    return !isBrittle(server) || server.outstanding < Math.max(1, Math.floor(server.listed.slots / instances()))
+  }
+
+  /** Whether reading the prompt delays others, so that its instance asks unless the server is nearly idle. */
+  private delaysOthers (exchange: Exchange, server: KnownServer, capacity: ServerCapacity): boolean {
+    const { prompt, route } = exchange
+    const isLarge = (prompt?.promptTokens ?? 0) >= MIN_READ_SHARE * route.objectiveMs * capacity.tokensPerMs
     return isLarge && !this.isNearlyIdle(server, capacity, heldTokensOf(exchange))
   }
 
@@ -76,3 +96,9 @@
     return isNearlyIdle({ ...capacity, outstanding: outstanding + others.outstanding, backlogTokens: unreadTokens + others.tokens, heldTokens: heldTokens + others.heldTokens }, addedTokens)
   }
 }
+
+/** From then on the request cannot begin in time, milliseconds of Unix time. */
+function latestStartOf ({ route, prompt, arrivedAt, deadline }: Exchange, readMs: number): number {
+  const latestEnd = Math.min(deadline, arrivedAt + route.silenceLimitMs)
+  return prompt ? latestEnd - readMs : Math.min(latestEnd, arrivedAt + MAX_WAIT_OBJECTIVES * route.objectiveMs)
+}
--- a/packages/foxtaillever-relay/src/admission/requestAdmission.ts
+++ b/packages/foxtaillever-relay/src/admission/requestAdmission.ts
@@ -16,8 +16,11 @@
 /** Renewals after which the server is chosen again while it takes requests: a choice costs more than all else that a renewal does. */
 const RENEWALS_PER_CHOICE = 2
 
+/** When to retry a request on whose admission no instance decides, milliseconds: another instance takes over within this. */
+const UNDECIDED_RETRY_MS = 500
+
 export interface AdmissionContext {
-  readonly claims: Pick<AdmissionClaims, 'claimFor' | 'queuePositionOf'>
+  readonly claims: Pick<AdmissionClaims, 'claimFor' | 'queuePositionOf' | 'mayBypass'>
   readonly protocol: Pick<AdmissionProtocol, 'request'>
 }
 
@@ -123,8 +126,13 @@
       onRejected(result.retryAt)
     },
     [AdmissionOutcome.NotOwner]: server => {
+      const { admission, clock, onAdmitted, onRejected } = this.options
       this.pending = undefined
-      this.options.onAdmitted(server, false)
+      if (admission.claims.mayBypass(server)) {
+        onAdmitted(server, false)
+      } else {
+        onRejected(clock.now() + UNDECIDED_RETRY_MS)
+      }
     }
   }
 }
--- a/packages/foxtaillever-relay/src/admission/serverRooms.ts
+++ b/packages/foxtaillever-relay/src/admission/serverRooms.ts
@@ -1,6 +1,9 @@
 /** Determines what a backend server can take, from its entry and the configuration of its service. */
+import type { Clock } from 'foxtaillever-core'
+import { LearnedSlots } from 'foxtaillever-policy/relay/learnedSlots'
 import type { Routing } from '../model/routing.js'
 import { ServerState } from '../model/listedServer.js'
+import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { ServerCapacity } from './serverAdmissions.js'
 
@@ -11,6 +14,9 @@
 const MIN_READ_AHEAD_MS = 60
 
 export interface ServerRoomsOptions {
+  readonly clock: Clock
+  /** Whether the server fails if it must reject a few requests. */
+  readonly isBrittle: (server: KnownServer) => boolean
   readonly directory: Pick<ServerDirectory, 'getByHash' | 'memoryTokensOf' | 'observations'>
   readonly routing: () => Routing | undefined
 }
@@ -37,6 +43,8 @@
   /** By service, for the current routing: decisions look it up for each request. */
   private readonly objectives = new Map<string, ServiceObjectives>()
 
+  private readonly learnedSlots = LearnedSlots.create()
+
   private constructor (private readonly options: ServerRoomsOptions) {}
 
   static create (options: ServerRoomsOptions): ServerRooms {
@@ -45,15 +53,24 @@
 
   /** Undefined for a server that takes no requests. */
   of (hash: number): ServerCapacity | undefined {
-    const { directory } = this.options
+    const { clock, directory, isBrittle } = this.options
     const server = directory.getByHash(hash)
     if (server?.listed.state !== ServerState.Ready) {
       return undefined
     }
-    const { service, slots } = server.listed
+    const { service } = server.listed
+    const slots = isBrittle(server) ? this.learnedSlots.slotsOf(hash, server.listed.slots, clock.now()) : server.listed.slots
     return { tokensPerMs: directory.observations.tokensPerMsOf(server), memoryTokens: directory.memoryTokensOf(service), slots, readAheadMs: this.objectivesOf(service).readAheadMs }
   }
 
+  /**
+   * A server rejected a request of any instance.
+   * @param outstanding requests that it had from all instances.
+   */
+  recordRejection (hash: number, outstanding: number): void {
+    this.learnedSlots.recordRejection(hash, outstanding, this.options.clock.now())
+  }
+
   /** Requirements of the service under the configuration in force. */
   objectivesOf (service: string): ServiceObjectives {
     const routing = this.options.routing()
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -70,6 +70,7 @@
     isLeaving: false,
     hasStore: true,
     links: 0,
+    brittle: [],
     revision: 57,
     positions: { operators: 1, servers: 1 },
     lease: { offset: 1, holder: 'a', ageMs: 1 },
@@ -88,7 +89,21 @@
 
 function createProtocol (watchers: ComputedWatchers, address: string, ownLoads: () => readonly ServerLoadEntry[] = () => []): LoadProtocol {
   return LoadProtocol.create({
-    clock, address, fleetLoad: FleetLoad.create(clock), send: (_, message) => { encodeLoadMessage(message) }, watchersOf: server => watchers.of(server), ownLoads, isQueried: () => true, onSaved: () => {}, onUnreachable: () => {}, onBackingOff: () => {}, speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} }, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
+    onRejectionReported: () => {},
+    clock,
+    address,
+    fleetLoad: FleetLoad.create(clock),
+    send: (_, message) => { encodeLoadMessage(message) },
+    watchersOf: server => watchers.of(server),
+    ownLoads,
+    isQueried: () => true,
+    onSaved: () => {},
+    onUnreachable: () => {},
+    onBackingOff: () => {},
+    speeds: { of: () => undefined, serviceTokensPerMs: () => undefined, record: () => {}, onWeightStep: () => {} },
+    onUnresponsive: () => {},
+    onReported: () => {},
+    queuedTokens: () => 0
   })
 }
 
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -42,14 +42,16 @@
   readonly routing: () => Routing
   /** Prompt tokens that the other instances have at the server, as far as is known. */
   readonly othersTokensAt: (server: KnownServer) => number
-  /** The load that this instance puts on a server has changed. */
-  readonly onLoadChanged: () => void
+  /** The load that this instance puts on the server has changed. */
+  readonly onLoadChanged: (server: KnownServer) => void
   /** The first event of an answer shows how fast the server reads; called before the load is changed. */
   readonly onSpeedSample: (server: KnownServer, tokens: number, ms: number) => void
   /** The level of a prompt was saved to its store. */
   readonly onSaved: (level: LevelAtHome) => void
   /** A connection to a server could not be opened. */
   readonly onUnreachable: (server: KnownServer) => void
+  /** A server rejected a request. */
+  readonly onRejected: (server: KnownServer) => void
   /** Queries the load that other instances put on the candidate servers, and resolves to the servers it queried; undefined where the load is known. Never rejects. */
   readonly queryLoad: (exchange: Exchange, earlier: EarlierAttempts) => Promise<QueriedServers> | undefined
   /** Selects the server for the next attempt among those at which no attempt failed; undefined when there is none. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -19,6 +19,7 @@
 import type { ServerWire } from '../model/wire.js'
 import type { LoadProtocolOptions } from '../peers/loadProtocol.js'
 import type { LevelAtHome, LoadQuery } from '../peers/loadQueryClient.js'
+import { BrittleServers } from '../servers/brittleServers.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { ServerSelector, type QueriedServers, type ServerSelectorOptions } from '../servers/serverSelector.js'
 import { ServerDirectory } from '../servers/serverDirectory.js'
@@ -59,6 +60,7 @@
   readonly caches: CacheStoreTracker
   readonly runs: ExchangeRuns
   readonly limits: ServerLimits
+  readonly brittle: BrittleServers
   /** What each server can take. */
   readonly rooms: ServerRooms
   private readonly statements: ServerStatementHandler
@@ -85,7 +87,8 @@
       }
     })
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: options.limitProtocol, onUrgent: options.onLimitChanged })
-    this.statements = ServerStatementHandler.create({ clock, log, directory: this.directory, limits: this.limits, onBackoffRequested: options.onBackoffRequested })
+    this.brittle = BrittleServers.create({ clock, log, directory: this.directory, onUrgent: options.onLimitChanged })
+    this.statements = ServerStatementHandler.create({ clock, log, directory: this.directory, limits: this.limits, brittle: this.brittle, onBackoffRequested: options.onBackoffRequested })
     const retrySchedules = ServiceRetrySchedules.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => this.instances })
     const selector = ServerSelector.create({
       ...options,
@@ -95,8 +98,8 @@
       stores: () => this.caches.available(),
       estimateLevelFetch: exchange => estimateLevelFetch(exchange, requireRouting(options.routing()), this.caches, clock.now(), this.directory.observations.prefillSpeedOf(exchange.service).tokensPerMs)
     })
-    this.rooms = ServerRooms.create({ directory: this.directory, routing: options.routing })
-    const claims = AdmissionClaims.create({ fleetLoad: options.fleetLoad, capacityOf: server => this.rooms.of(server), missingTokensAt: (exchange, server) => selector.missingTokensAt(exchange, server) })
+    this.rooms = ServerRooms.create({ clock, directory: this.directory, routing: options.routing, isBrittle: server => this.brittle.isBrittle(server) })
+    const claims = AdmissionClaims.create({ fleetLoad: options.fleetLoad, capacityOf: server => this.rooms.of(server), isBrittle: server => this.brittle.isBrittle(server), instances: () => this.instances, missingTokensAt: (exchange, server) => selector.missingTokensAt(exchange, server) })
     this.runs = ExchangeRuns.create({
       clock,
       random,
@@ -117,6 +120,11 @@
       onSpeedSample,
       onSaved,
       onUnreachable,
+      onRejected: server => {
+        if (this.brittle.isBrittle(server)) {
+          options.onBackoffRequested(server)
+        }
+      },
       queryLoad: (exchange, earlier) => exchange.prompt && queryLoad(() => ({ servers: selector.shortlist(exchange, earlier), position: claims.queuePositionOf(exchange), level: this.levelAtHome(exchange, selector.homeServerOf(exchange)) })),
       earliestRetryAt: service => retrySchedules.nextRetryAt(service),
       selectServer: (exchange, earlier, queriedServers) => selector.selectServer(exchange, earlier, queriedServers),
@@ -140,6 +148,12 @@
     return home && level !== undefined ? { level, home: home.hash } : undefined
   }
 
+  /** Whether instances report each change of the load that they put on the server, given by its hash. */
+  isQueried (hash: number): boolean {
+    const server = this.directory.getByHash(hash)
+    return server !== undefined && (server.weights.size > 0 || this.brittle.isBrittle(server))
+  }
+
   /** Applies what a server stated in an answer that came through another instance. */
   applyForwardedAnswer (server: KnownServer, status: number, headers: IncomingHttpHeaders, sentAt: number): void {
     this.statements.applyStatement(server, this.wire.readStatement(status, headers), sentAt)
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -50,7 +50,7 @@
     this.fetch = options.context.caches.fetchLoad.beginTransfer(terms.fetchFrom, terms.fetchedTokens, terms.fetchUntil)
     this.activeAt = beganAt
     this.endWait = options.forwarder === undefined ? options.context.paths.beginWait(server) : () => {}
-    options.context.onLoadChanged()
+    options.context.onLoadChanged(server)
   }
 
   static open (options: InFlightAttemptOptions): InFlightAttempt {
@@ -131,6 +131,6 @@
     const { caches, onLoadChanged } = this.options.context
     caches.fetchLoad.endTransfer(this.fetch)
     this.fetch = undefined
-    onLoadChanged()
+    onLoadChanged(this.server)
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -64,7 +64,7 @@
 }
 
 /** Records a failure that is the server's. */
-function recordServerFailure ({ clock, directory, suspects }: ExchangeContext, exchange: Exchange, server: KnownServer, failure: AttemptFailure): void {
+function recordServerFailure ({ clock, directory, suspects, onRejected }: ExchangeContext, exchange: Exchange, server: KnownServer, failure: AttemptFailure): void {
   const now = clock.now()
   const { id } = server.listed
   if (meaningOf[failure.kind].isServerFault) {
@@ -76,6 +76,7 @@
   if (failure.kind === AttemptFailureKind.Refused) {
     // The server is full, or about to change its weights.
     server.refusedAt = now
+    onRejected(server)
   }
   if (mayBeStaleConnection(failure)) {
     directory.observations.distrustIdleConnections(exchange.service, now)
--- a/packages/foxtaillever-relay/src/model/serverStatement.ts
+++ b/packages/foxtaillever-relay/src/model/serverStatement.ts
@@ -15,4 +15,6 @@
   readonly restMs: Either<string, number>
   /** The rate that the server accepts from all instances together. */
   readonly limit: LimitStatement
+  /** Requests a second that the server can reject for want of room; it fails if it must reject more. */
+  readonly maxRejections: LimitStatement
 }
--- a/packages/foxtaillever-relay/src/peers/__fixtures__/loadProtocolFleet.ts
+++ b/packages/foxtaillever-relay/src/peers/__fixtures__/loadProtocolFleet.ts
@@ -138,7 +138,21 @@
     watchers.setMembers([address, ...others])
     this.watchers.push(watchers)
     const protocol = LoadProtocol.create({
-      clock, address, fleetLoad, send: (to, message) => this.send(address, to, message), watchersOf: server => watchers.of(server), ownLoads: () => [...ownLoads.values()], isQueried: server => !this.unqueried.has(server), onSaved: levels => { levels.forEach(level => saved.add(level)) }, onUnreachable: server => { unreachable.add(server) }, onBackingOff: server => { backingOff.add(server) }, speeds: registry, onUnresponsive: () => {}, onReported: () => {}, queuedTokens: () => 0
+      onRejectionReported: () => {},
+      clock,
+      address,
+      fleetLoad,
+      send: (to, message) => this.send(address, to, message),
+      watchersOf: server => watchers.of(server),
+      ownLoads: () => [...ownLoads.values()],
+      isQueried: server => !this.unqueried.has(server),
+      onSaved: levels => { levels.forEach(level => saved.add(level)) },
+      onUnreachable: server => { unreachable.add(server) },
+      onBackingOff: server => { backingOff.add(server) },
+      speeds: registry,
+      onUnresponsive: () => {},
+      onReported: () => {},
+      queuedTokens: () => 0
     })
     return { address, protocol, fleetLoad, ownLoads, unreachable, backingOff, saved, speeds, weightSteps, bytes: 0, isCut: false, cancelHeartbeat: () => {} }
   }
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -16,6 +16,7 @@
   isLeaving: false,
   hasStore: true,
   links: 0,
+  brittle: [],
   revision: -1,
   positions: { operators: 0, servers: 0 },
   lease: undefined,
--- a/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
@@ -104,7 +104,27 @@
 
 const load = { server: 7, outstanding: 1, tokens: 2890, heldTokens: 1024 }
 const heartbeat: PeerMessage = {
-  name: 'a', address: '10.0.0.1:7340', failureDomain: 'd', startedAt: 1, isLeaving: false, hasStore: true, links: 0, revision: 1, positions: { operators: 1, servers: 1 }, lease: undefined, loads: [load], sums: [{ ...load, speed: { tokensPerMs: 22, weightStep: -2 } }, { ...load, speed: undefined }], suspects: [], savedLevels: [], named: [], current: [], stores: [], speeds: [], limits: [], instances: 1
+  name: 'a',
+  address: '10.0.0.1:7340',
+  failureDomain: 'd',
+  startedAt: 1,
+  isLeaving: false,
+  hasStore: true,
+  links: 0,
+  brittle: [],
+  revision: 1,
+  positions: { operators: 1, servers: 1 },
+  lease: undefined,
+  loads: [load],
+  sums: [{ ...load, speed: { tokensPerMs: 22, weightStep: -2 } }, { ...load, speed: undefined }],
+  suspects: [],
+  savedLevels: [],
+  named: [],
+  current: [],
+  stores: [],
+  speeds: [],
+  limits: [],
+  instances: 1
 }
 
 describe('messages with the speed of servers', () => {
--- a/packages/foxtaillever-relay/src/peers/heartbeatContents.ts
+++ b/packages/foxtaillever-relay/src/peers/heartbeatContents.ts
@@ -43,14 +43,16 @@
     named: orders.rollout.versionAges(),
     current: orders.rollout.currentEngines(),
     speeds: directory.speedsToAnnounce(),
-    limits: limits.updates()
+    limits: limits.updates(),
+    brittle: exchanges.brittle.updates()
   }
 }
 
-export function applyPeerMessage (parts: HeartbeatParts, { address, lease, suspects, named, current, speeds, limits, ...caches }: PeerMessage): void {
+export function applyPeerMessage (parts: HeartbeatParts, { address, lease, suspects, named, current, speeds, limits, brittle, ...caches }: PeerMessage): void {
   const { clock, exchanges, peers, orders } = parts
   exchanges.setInstanceCount(peers.count())
   exchanges.limits.applyUpdates(limits)
+  exchanges.brittle.applyUpdates(brittle)
   parts.suspects.receiveFacts(suspects, clock.now())
   exchanges.caches.applyReport(address, caches)
   applyWeightsNotice(orders, { updates: [], lease })
--- a/packages/foxtaillever-relay/src/peers/loadProtocol.ts
+++ b/packages/foxtaillever-relay/src/peers/loadProtocol.ts
@@ -19,6 +19,9 @@
 /** Milliseconds between two reports of changes: each of 42 servers gets a request every 100. The first change is reported at once. */
 const POLL_INTERVAL_MS = 25
 
+/** The same where requests wait for what a change leaves free, milliseconds: a slot that is not reported is idle. */
+const AWAITED_INTERVAL_MS = 5
+
 /**
  * Unchanged load is reported again with the first heartbeat after this many
  * milliseconds, because datagrams are lost and watchers change. Heartbeats of a
@@ -45,6 +48,8 @@
   readonly onUnreachable: (server: number) => void
   /** Called when a server recently asked other instances to back off. */
   readonly onBackingOff: (server: number) => void
+  /** Called with every report that a watched server rejected a request or asked for backoff. */
+  readonly onRejectionReported: (server: number) => void
   /** Called with every report on a watched server: who reports, and by how many its outstanding requests there have risen. */
   readonly onReported: (server: number, reporter: string, added: number) => void
   /** Prompt tokens that are queued for admission at a server, at the priority or a more urgent one; for an account, those before its next request. */
@@ -64,7 +69,8 @@
   private readonly reported = new Map<number, ReportedLoad>()
   private heartbeatAt = 0
   private polledAt = 0
-  private isPollDue = false
+  /** Milliseconds of Unix time; Infinity while no poll is due. */
+  private pollDueAt = Infinity
   /** When every instance will have repeated all its reports, milliseconds of Unix time. */
   private completeAt = Infinity
   private cancelPoll: Cancellation = () => {}
@@ -112,11 +118,13 @@
     this.poll(() => true)
   }
 
-  /** Called when the load that this instance puts on a server changed; reports it soon, together with further changes until then. */
-  noteChange (): void {
-    if (!this.isPollDue) {
-      this.isPollDue = true
-      this.cancelPoll = this.options.clock.at(this.polledAt + POLL_INTERVAL_MS, () => this.poll(this.options.isQueried))
+  /** Called when the load that this instance puts on a server changed; reports it soon, sooner if others may wait for what it leaves free. */
+  noteChange (isAwaited = false): void {
+    const at = this.polledAt + (isAwaited ? AWAITED_INTERVAL_MS : POLL_INTERVAL_MS)
+    if (at < this.pollDueAt) {
+      this.cancelPoll()
+      this.pollDueAt = at
+      this.cancelPoll = this.options.clock.at(at, () => this.poll(this.options.isQueried))
     }
   }
 
@@ -225,7 +233,7 @@
   private poll (isReported: (server: number) => boolean): void {
     const now = this.options.clock.now()
     this.polledAt = now
-    this.isPollDue = false
+    this.pollDueAt = Infinity
     this.sendReports(isReported, now)
   }
 
@@ -266,6 +274,7 @@
     this.watchedServers.recordUnreachable(address, unreachable, now)
     this.watchedServers.saved.recordAnnounced(saved, now)
     this.watchedServers.recordBackingOff(backingOff, now)
+    backingOff.forEach(this.options.onRejectionReported)
     this.speeds.recordSamples(samples, server => this.isFirstWatcher(server), now)
   }
 
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -106,6 +106,8 @@
   /** Speeds of services that the sender has observed enough, for instances that have just started. */
   readonly speeds: readonly SpeedUpdate[]
   readonly limits: readonly LimitUpdate[]
+  /** Rejections a second that servers state they can bear. */
+  readonly brittle: readonly LimitUpdate[]
   /** How much of the servers the sender reaches over its own links. */
   readonly links: LinkState
   /** Number of instances that the sender counts, itself included; an instance that has just started knows few by itself. */
@@ -113,7 +115,7 @@
 }
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, loads, suspects, savedLevels, named, current, sums, stores, instances, speeds, limits, revision, links } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, loads, suspects, savedLevels, named, current, sums, stores, instances, speeds, limits, revision, links, brittle } = message
   return packDatagram([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -126,9 +128,10 @@
     stores.map(({ store, isSilent, incarnation }) => [store, isSilent, incarnation]),
     instances,
     speeds.map(({ service, tokensPerMs, samples }) => [service, Math.round(tokensPerMs), samples]),
-    limits.map(({ server, perSecond, ageMs }) => [server, perSecond ?? null, Math.round(ageMs)]),
+    limits.map(packLimit),
     revision,
-    links
+    links,
+    brittle.map(packLimit)
   ])
 }
 
@@ -136,6 +139,12 @@
 
 type WireSum = readonly [...WireLoad, ...SpeedFields]
 
+type WireLimit = readonly [number, number | null, number]
+
+function packLimit ({ server, perSecond, ageMs }: LimitUpdate): WireLimit {
+  return [server, perSecond ?? null, Math.round(ageMs)]
+}
+
 /** Held tokens are sent in units of this size, that of a short prompt, so that a heartbeat of a small fleet stays within its budget. */
 const HELD_UNIT = 512
 
@@ -167,9 +176,10 @@
   ReadonlyArray<readonly [string, boolean, number]> | undefined,
   number | undefined,
   ReadonlyArray<readonly [string, number, number]> | undefined,
-  ReadonlyArray<readonly [number, number | null, number]> | undefined,
+  readonly WireLimit[] | undefined,
   number | undefined,
-  number | undefined
+  number | undefined,
+  readonly WireLimit[] | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -183,14 +193,18 @@
 }
 
 /** Rejects invalid rates: one would stop all requests to a server permanently. */
-function isStatement ([server, perSecond, ageMs]: readonly [number, number | null, number]): boolean {
+function isStatement ([server, perSecond, ageMs]: WireLimit): boolean {
   return [server, perSecond ?? 0, ageMs].every(value => Number.isFinite(value) && value >= 0)
 }
 
+function readLimits (limits: readonly WireLimit[]): LimitUpdate[] {
+  return limits.filter(isStatement).map(([server, perSecond, ageMs]) => ({ server, perSecond: perSecond ?? undefined, ageMs }))
+}
+
 /** Nothing for a datagram of another form, which an instance of another release may send. */
 export function readPeerMessage (datagram: readonly unknown[]): Maybe<PeerMessage> {
   return Maybe.of(datagram).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, loads, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = [], revision = -1, links = LinkState.Sound] = wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, loads, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = [], revision = -1, links = LinkState.Sound, brittle = []] = wire
     return {
       name,
       address,
@@ -210,7 +224,8 @@
       named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
       current: current.map(([model, version, engines]) => ({ model, version, engines })),
       speeds: speeds.map(([service, tokensPerMs, samples]) => ({ service, tokensPerMs: Number(tokensPerMs), samples: Number(samples) })),
-      limits: limits.filter(isStatement).map(([server, perSecond, ageMs]) => ({ server, perSecond: perSecond ?? undefined, ageMs })),
+      limits: readLimits(limits),
+      brittle: readLimits(brittle),
       stores: stores.map(([store, isSilent, incarnation]) => ({ store, isSilent, incarnation }))
     }
   }))
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -63,7 +63,7 @@
 /** What this instance currently reports about itself. */
 export type OwnReport = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt' | 'instances'>
 
-export interface PeersOptions extends Pick<LoadProtocolOptions, 'ownLoads' | 'isQueried' | 'onSaved' | 'onUnreachable' | 'onBackingOff' | 'onUnresponsive' | 'speeds'> {
+export interface PeersOptions extends Pick<LoadProtocolOptions, 'ownLoads' | 'isQueried' | 'onSaved' | 'onUnreachable' | 'onBackingOff' | 'onRejectionReported' | 'onUnresponsive' | 'speeds'> {
   readonly clock: Clock
   readonly random: Random
   readonly name: string
@@ -107,7 +107,7 @@
   private cancelSend: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive, speeds, admission } = options
+    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, admission } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.limitOwners = LimitOwners.create(this.options.processStartedAt)
@@ -117,7 +117,7 @@
       clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
     })
     this.loadProtocol = LoadProtocol.create({
-      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onUnresponsive, speeds, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (...position) => this.admission.queuedTokens(...position)
+      clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (...position) => this.admission.queuedTokens(...position)
     })
     this.admission = AdmissionProtocol.create({
       ...admission, clock, address: this.address, watchersOf: server => this.watchers.of(server), isComplete: () => this.loadProtocol.isComplete, loadOf: server => this.loadProtocol.watchedLoad(server), send: (address, message) => this.link.sendAdmission(address, message)
@@ -262,7 +262,7 @@
   }
 
   private limit (report: OwnReport, maxLimits: number): OwnReport {
-    return this.isLarge ? { ...report, limits: this.draw(report.limits, maxLimits), current: report.current.map(current => ({ ...current, engines: this.draw(current.engines, MAX_CURRENT_ENGINES) })) } : report
+    return this.isLarge ? { ...report, limits: this.draw(report.limits, maxLimits), brittle: this.draw(report.brittle, maxLimits), current: report.current.map(current => ({ ...current, engines: this.draw(current.engines, MAX_CURRENT_ENGINES) })) } : report
   }
 
   private draw<T> (all: readonly T[], max: number): T[] {
--- a/packages/foxtaillever-relay/src/servers/__fixtures__/fleetStatementHistory.ts
+++ b/packages/foxtaillever-relay/src/servers/__fixtures__/fleetStatementHistory.ts
@@ -107,7 +107,7 @@
       onRouting: () => {},
       onWeights: () => {}
     })
-    this.instances.push({ name, directory, statements: ServerStatementHandler.create({ clock, directory, limits: { applyStatement: () => {} }, onBackoffRequested: () => {}, log }) })
+    this.instances.push({ name, directory, statements: ServerStatementHandler.create({ clock, directory, limits: { applyStatement: () => {} }, brittle: { applyStatement: () => {} }, onBackoffRequested: () => {}, log }) })
     return record => handler.applyServerRecord(record)
   }
 
@@ -192,7 +192,7 @@
       this.checkArrival(instance, server, sentAt)
       this.after(this.random.below(WORK_MS), () => {
         if (server.startedAt === startedAt) {
-          instance.statements.applyStatement(known, { serverId: server.id, requestId: undefined, hasRun: true, isLeaving, restMs: Right(0), limit: noLimit }, sentAt)
+          instance.statements.applyStatement(known, { serverId: server.id, requestId: undefined, hasRun: true, isLeaving, restMs: Right(0), limit: noLimit, maxRejections: noLimit }, sentAt)
           if (isLeaving && !server.answerLeavingAt.has(instance.name)) {
             server.answerLeavingAt.set(instance.name, this.clock.now())
           }
--- a/packages/foxtaillever-relay/src/servers/__fixtures__/statementHistory.ts
+++ b/packages/foxtaillever-relay/src/servers/__fixtures__/statementHistory.ts
@@ -72,6 +72,7 @@
     clock: this.clock,
     directory: this.directory,
     limits: { applyStatement: () => {} },
+    brittle: { applyStatement: () => {} },
     onBackoffRequested: () => {},
     log: { leavingStated: () => {}, backoffRequested: () => {}, backoffUnreadable: () => {} }
   })
@@ -170,7 +171,7 @@
     if (restMs > 0) {
       server.backoffs.push({ at: now, until: now + restMs, startedAt })
     }
-    const statement: ServerStatement = { serverId: this.draw([undefined, server.id]), requestId: undefined, hasRun: !isBackingOff, isLeaving, restMs: Right(restMs), limit: noLimit }
+    const statement: ServerStatement = { serverId: this.draw([undefined, server.id]), requestId: undefined, hasRun: !isBackingOff, isLeaving, restMs: Right(restMs), limit: noLimit, maxRejections: noLimit }
     this.after(isBackingOff ? this.random.below(TRANSIT_MS) : this.random.below(WORK_MS), () => {
       // A process that has ended sends no answers.
       if (server.startedAt === startedAt) {
--- a/packages/foxtaillever-relay/src/servers/serverStatementHandler.ts
+++ b/packages/foxtaillever-relay/src/servers/serverStatementHandler.ts
@@ -3,6 +3,7 @@
 import type { ServerStatement } from '../model/serverStatement.js'
 import type { ServerLimits } from '../limits/serverLimits.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import type { BrittleServers } from './brittleServers.js'
 import type { KnownServer } from './knownServer.js'
 import type { ServerDirectory } from './serverDirectory.js'
 
@@ -10,6 +11,7 @@
   readonly clock: Clock
   readonly directory: Pick<ServerDirectory, 'get' | 'markLeaving' | 'newestStatedState'>
   readonly limits: Pick<ServerLimits, 'applyStatement'>
+  readonly brittle: Pick<BrittleServers, 'applyStatement'>
   /** A server asked this instance for backoff. Other instances must know, or the server would have to ask them next. */
   readonly onBackoffRequested: (server: KnownServer) => void
   readonly log: Pick<RelayLog, 'leavingStated' | 'backoffRequested' | 'backoffUnreadable'>
@@ -25,7 +27,7 @@
   /** @param sentAt when the answered request was sent, milliseconds of Unix time. */
   applyStatement (server: KnownServer, statement: ServerStatement, sentAt: number): void {
     const { serverId, requestId, hasRun, isLeaving, restMs } = statement
-    const { clock, directory, limits, log, onBackoffRequested } = this.options
+    const { clock, directory, limits, brittle, log, onBackoffRequested } = this.options
     const now = clock.now()
     const { id } = server.listed
     // Another server answers at the address; its statement is not about this server.
@@ -33,6 +35,7 @@
       return
     }
     limits.applyStatement(directory.get(id) ?? server, statement, sentAt)
+    brittle.applyStatement(directory.get(id) ?? server, statement, sentAt)
     if (isLeaving) {
       log.leavingStated(id, requestId, directory.markLeaving(id, now))
     }
--- a/packages/foxtaillever-router/src/plain/plainWire.ts
+++ b/packages/foxtaillever-router/src/plain/plainWire.ts
@@ -50,6 +50,14 @@
     return ['host', server.address, CallerHeader.RequestId, id, ...headers, ...length]
   },
   readMarks,
-  readStatement: (status, headers) => ({ serverId: undefined, requestId: undefined, hasRun: headers[EngineHeader.Verdict] !== Verdict.NotRun, isLeaving: false, restMs: readRetryAfter(status, headers['retry-after']), limit: noLimit }),
+  readStatement: (status, headers) => ({
+    serverId: undefined,
+    requestId: undefined,
+    hasRun: headers[EngineHeader.Verdict] !== Verdict.NotRun,
+    isLeaving: false,
+    restMs: readRetryAfter(status, headers['retry-after']),
+    limit: noLimit,
+    maxRejections: noLimit
+  }),
   passHeaders: selectReturnedHeaders
 }
--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
+import type { Cancellation, Clock } from 'foxtaillever-core'
 import { readBody } from '../readBody.js'
 import { AnswerWriter, headerOf, type Arrival, type StatedAnswer } from './answerWriter.js'
 import { ServerFault } from './serverFaults.js'
@@ -21,6 +21,8 @@
   readonly cancel: (requestId: string) => void
   /** Clears all state, since the process ended. */
   readonly reset: () => void
+  /** Sets how many requests may wait in addition to those that run. */
+  readonly setMaxWaiting: (count: number) => void
   /** Calls about the server itself, by method and path. */
   readonly calls: Readonly<Record<string, (request: IncomingMessage, body: Buffer) => Promise<{ readonly status: number, readonly body?: object }>>>
 }
@@ -34,6 +36,16 @@
   readonly onStarted: (server: BackendServer) => void
 }
 
+/** How many requests a second the server can reject for want of room; it fails if it must reject more. */
+interface Brittleness {
+  readonly perSecond: number
+  /** It fails from then on, milliseconds of Unix time. */
+  readonly from: number
+}
+
+/** Time from the first statement of a brittle server until it may fail, milliseconds. */
+const BRITTLE_NOTICE_MS = 3000
+
 export class BackendServer {
   /** Each applies to one of the next requests that would run. */
   readonly faults: ServerFault[] = []
@@ -43,6 +55,11 @@
   statedLimit: string | undefined
   /** If set, it refuses all requests and requests a backoff of this many seconds, as stated in its answers. */
   retryAfter: string | undefined
+  /** When it failed because it had to reject too many requests, milliseconds of Unix time. */
+  readonly falls: number[] = []
+  private brittleness: Brittleness | undefined
+  /** When it rejected requests for want of room, milliseconds of Unix time. */
+  private rejections: number[] = []
   address = ''
   /** Start of this incarnation, milliseconds of Unix time. */
   startedAt: number
@@ -73,6 +90,16 @@
     return this.arrivals.filter(arrival => arrival.hasRun && arrival.requestId === requestId).length
   }
 
+  /**
+   * States from now on how many requests a second it can reject; undefined for any number. Some time later it lets fewer
+   * requests wait.
+   */
+  setBrittle (perSecond: number | undefined, maxWaiting: number): void {
+    const { clock } = this.options
+    this.brittleness = perSecond === undefined ? undefined : { perSecond, from: clock.now() + BRITTLE_NOTICE_MS }
+    clock.at(clock.now() + (perSecond === undefined ? 0 : BRITTLE_NOTICE_MS), () => this.runner.setMaxWaiting(maxWaiting))
+  }
+
   async listen (host = '127.0.0.1'): Promise<void> {
     await new Promise<void>(resolve => this.server.listen(0, host, resolve))
     this.address = `${host}:${(this.server.address() as AddressInfo).port}`
@@ -136,7 +163,8 @@
   private statementHeaders (): Readonly<Record<string, string>> {
     return {
       ...(this.statedLimit === undefined ? {} : { 'Server-Limit': this.statedLimit }),
-      ...(this.isLeaving ? { 'Server-Leaving': '1' } : {})
+      ...(this.isLeaving ? { 'Server-Leaving': '1' } : {}),
+      ...(this.brittleness ? { 'Server-Brittle': String(this.brittleness.perSecond) } : {})
     }
   }
 
@@ -182,26 +210,17 @@
     response.on('close', () => this.runner.cancel(requestId))
     if (!this.runner.run(request, writer, () => { arrival.hasRun = true })) {
       refuse(503)
+      this.recordRejection()
     }
   }
-}
 
-/** Creates the runner of a plain server, which answers each request after some time with a body that contains its id. */
-export function createPlainRunner (clock: Clock, workMs: number): Runner {
-  return {
-    admit: () => undefined,
-    run: (request, writer, onRunStarted) => {
-      onRunStarted()
-      const body = Buffer.from(`done ${headerOf(request, 'x-request-id')} ${'.'.repeat(200)}`)
-      waitUntil(clock, clock.now() + workMs).then(() => {
-        if (writer.begin(200, { 'Content-Length': body.length })) {
-          writer.end(body)
-        }
-      }, () => {})
-      return true
-    },
-    cancel: () => {},
-    reset: () => {},
-    calls: {}
+  private recordRejection (): void {
+    const now = this.options.clock.now()
+    this.rejections = [...this.rejections.filter(at => at + 1000 > now), now]
+    if (this.brittleness && now >= this.brittleness.from && this.rejections.length > this.brittleness.perSecond) {
+      this.falls.push(now)
+      this.rejections = []
+      this.crash()
+    }
   }
 }
--- a/packages/foxtaillever-standins/src/platform/engines/engineRunner.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/engineRunner.ts
@@ -115,6 +115,10 @@
     this.engine.cancel(requestId)
   }
 
+  setMaxWaiting (count: number): void {
+    this.engine.maxWaiting = count
+  }
+
   reset (): void {
     this.engine.clear()
     this.engine.cache.shrink(0)
--- a/packages/foxtaillever-standins/src/platform/engines/tokenEngine.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/tokenEngine.ts
@@ -73,12 +73,16 @@
   prefilledTokens = 0
   /** Cached parts that runs used. */
   readonly uses: PartUse[] = []
+  /** Requests that may wait in addition to those that run. */
+  maxWaiting: number
   private waiting: ScheduledRun[] = []
   private running: ScheduledRun[] = []
   private order = 0
   private cancelStep: Cancellation | undefined
 
-  private constructor (readonly options: TokenEngineOptions, private readonly clock: Clock, private readonly versionOf: (model: string) => number) {}
+  private constructor (readonly options: TokenEngineOptions, private readonly clock: Clock, private readonly versionOf: (model: string) => number) {
+    this.maxWaiting = options.maxWaiting
+  }
 
   /** @param versionOf returns the version of a model's weights that is loaded now. */
   static create (options: TokenEngineOptions, clock: Clock, versionOf: (model: string) => number = () => 0): TokenEngine {
@@ -100,8 +104,8 @@
 
   /** Returns whether the request is accepted; a refused request has not run. */
   submit (run: TokenRun): boolean {
-    const { slots, maxWaiting, memoryTokens } = this.options
-    const isFull = this.running.length + this.waiting.length >= slots + maxWaiting
+    const { slots, memoryTokens } = this.options
+    const isFull = this.running.length + this.waiting.length >= slots + this.maxWaiting
     if (isFull || run.promptTokens + run.outputTokens > memoryTokens) {
       return false
     }
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -4,8 +4,9 @@
  */
 import { waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
 import { Either } from 'purify-ts'
-import { BackendServer, createPlainRunner, type Runner } from './engines/backendServer.js'
+import { BackendServer, type Runner } from './engines/backendServer.js'
 import { EngineRunner } from './engines/engineRunner.js'
+import { createPlainRunner, type PlainShape } from './engines/plainRunner.js'
 import { PartCache } from './engines/partCache.js'
 import type { PartUse } from './engines/tokenEngine.js'
 import type { AcceptedOrder } from './engines/weightOrders.js'
@@ -22,7 +23,8 @@
 
 const RESTART_MS = 400
 const LOAD_MS = 40
-const PLAIN_WORK_MS = 10
+/** Runs any number of requests at the same time. */
+const PLAIN: PlainShape = { workMs: 10, slots: Infinity, maxWaiting: 0 }
 const EVENT_CALLS = 16
 
 interface RegisteredServer {
@@ -30,6 +32,7 @@
   readonly runner: Runner
   readonly service: string
   readonly zone: string
+  readonly slots: number
   /** Address at which other processes reach it; over a link if there is one. */
   address: string
   sendsHeartbeats: boolean
@@ -107,8 +110,8 @@
     return { server: await this.add(name, service, zone, runner), runner }
   }
 
-  async addPlain (name: string, service: string, zone: string): Promise<BackendServer> {
-    return await this.add(name, service, zone, createPlainRunner(this.options.clock, PLAIN_WORK_MS))
+  async addPlain (name: string, service: string, zone: string, shape = PLAIN): Promise<BackendServer> {
+    return await this.add(name, service, zone, createPlainRunner(this.options.clock, shape), Math.min(shape.slots, ENGINE.slots))
   }
 
   /** Adds a store of cached parts. It has no server, since only the engines use it. */
@@ -209,7 +212,7 @@
     return this.cacheStores.get(address) ?? (engine instanceof EngineRunner ? engine.engine.cache : undefined)
   }
 
-  private async add (name: string, service: string, zone: string, runner: Runner): Promise<BackendServer> {
+  private async add (name: string, service: string, zone: string, runner: Runner, slots = ENGINE.slots): Promise<BackendServer> {
     const { clock, host, heartbeatMs } = this.options
     const server = BackendServer.create({
       name,
@@ -226,7 +229,7 @@
         }
       }
     }, runner)
-    const entry: RegisteredServer = { server, runner, service, zone, address: '', sendsHeartbeats: false }
+    const entry: RegisteredServer = { server, runner, service, zone, slots, address: '', sendsHeartbeats: false }
     this.servers.push(server)
     await server.listen(host)
     entry.address = await this.openLink(server.address)
@@ -263,14 +266,14 @@
     this.registered.filter(({ sendsHeartbeats }) => sendsHeartbeats).forEach(entry => this.writeEntry(entry))
   }
 
-  private writeEntry ({ server, runner, service, zone, address }: RegisteredServer): void {
+  private writeEntry ({ server, runner, service, zone, slots, address }: RegisteredServer): void {
     this.entrySequence += 1
     this.store.put(SERVERS_TOPIC, server.id, {
       service,
       address,
       zone,
       version: 'v1',
-      slots: ENGINE.slots,
+      slots,
       state: server.isLeaving ? 'draining' : 'ready',
       cold_left_ms: 0,
       stage: 'both',
