Hand orders over from an instance that reaches fewer engines than another

The holder had found the servers of one failure domain out of reach, and then no more: the detector of silence went on picking servers whose links it knew to be broken, and calls about orders that no engine answered raised no suspicion. So the holder kept the lease on orders, which no engine got.

--- a/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
@@ -144,6 +144,20 @@
     rig.monitor.stop()
   })
 
+  // Guards against an instance that knows one broken link and takes the silence of the others for granted.
+  it('checks the servers that are still expected to answer', async t => {
+    const rig = new Rig()
+    rig.directory.recordHeard(rig.server('a1'))
+    await rig.suspect('a1')
+    for (const id of ['a1', 'b1', 'c1']) {
+      rig.monitor.beginWait(rig.server(id))
+    }
+    await rig.advance(700)
+    t.is(rig.monitor.state, LinkState.Cut)
+    t.false(rig.probed.includes('a1') && !rig.probed.includes('b1'))
+    rig.monitor.stop()
+  })
+
   it('does not check a single silent server, nor while others are heard', async t => {
     const rig = new Rig()
     const endWait = rig.monitor.beginWait(rig.server('a1'))
@@ -166,9 +180,9 @@
       await rig.suspect('a1')
       await rig.suspect('b1')
       t.is(rig.monitor.state, LinkState.Cut)
-      t.false(rig.monitor.isCutLastingly)
+      t.false(rig.monitor.isBrokenLastingly)
       await rig.advance(600)
-      t.true(rig.monitor.isCutLastingly)
+      t.true(rig.monitor.isBrokenLastingly)
       rig.reached.add('a1').add('a2')
       await rig.advance(600)
       t.is(rig.monitor.state, LinkState.Partial)
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -51,10 +51,8 @@
 /** An answer as recent as this proves that the link works, milliseconds. */
 const RECENT_ANSWER_MS = 100
 
-/** Time for which links must be cut before duties that need them are handed over, milliseconds: a false alarm ends with the next probe. */
-const LASTING_CUT_MS = 2 * RETURN_PROBE_INTERVAL_MS
-
-type Conclusion = () => void
+/** Time for which links must be broken before duties that need them are handed over, milliseconds: a false alarm ends with the next probe. */
+const LASTING_MS = 2 * RETURN_PROBE_INTERVAL_MS
 
 export interface LinkMonitorOptions {
   readonly clock: Clock
@@ -76,11 +74,12 @@
 export class LinkMonitor {
   private readonly links = BrokenLinks.create()
   /** Conclusions that wait for the check of a server, by its hash. */
-  private readonly checks = new Map<number, Conclusion[]>()
+  private readonly checks = new Map<number, Array<() => void>>()
   /** Until when a server counts as failed itself, milliseconds of Unix time; by its hash. */
   private readonly failedUntil = new Map<number, number>()
   private readonly silence: SilenceDetector
-  private cutSince = Infinity
+  /** Since when any link is broken, milliseconds of Unix time; Infinity while none is. */
+  private brokenFrom = Infinity
   private isProbing = false
   private isStopped = false
   private cancelProbes: Cancellation = () => {}
@@ -90,6 +89,7 @@
     this.silence = SilenceDetector.create({
       clock,
       heardAt: () => directory().heardAt,
+      isExpected: server => this.brokenSince(server) === undefined,
       onSilent: servers => servers.forEach(server => this.suspect(server, Suspicion.Unresponsive))
     })
   }
@@ -102,9 +102,9 @@
     return this.links.state
   }
 
-  /** Whether the links to servers of several failure domains have been broken for some time. */
-  get isCutLastingly (): boolean {
-    return this.state === LinkState.Cut && this.options.clock.now() >= this.cutSince + LASTING_CUT_MS
+  /** Whether links have been broken for some time. */
+  get isBrokenLastingly (): boolean {
+    return this.options.clock.now() >= this.brokenFrom + LASTING_MS
   }
 
   /** Whether it is being checked why a server does not answer. */
@@ -126,7 +126,7 @@
    * Checks whether a failure at a server is due to this instance's links.
    * @param conclude called when the failure is the server's; not called when it is explained by the links.
    */
-  suspect (server: KnownServer, suspicion: Suspicion, conclude: Conclusion = () => {}): void {
+  suspect (server: KnownServer, suspicion: Suspicion, conclude = () => {}): void {
     const now = this.options.clock.now()
     if (this.links.isBroken(linkOf(server))) {
       return
@@ -281,7 +281,7 @@
     const before = this.state
     change()
     if (this.state !== before) {
-      this.cutSince = this.state === LinkState.Cut ? this.options.clock.now() : Infinity
+      this.brokenFrom = this.state === LinkState.Sound ? Infinity : Math.min(this.brokenFrom, this.options.clock.now())
       this.options.onStateChanged()
     }
   }
--- a/packages/foxtaillever-relay/src/links/silenceDetector.ts
+++ b/packages/foxtaillever-relay/src/links/silenceDetector.ts
@@ -27,6 +27,8 @@
   readonly clock: Clock
   /** When anything was last received from any server, milliseconds of Unix time. */
   readonly heardAt: () => number
+  /** Whether an answer of the server is expected; not where its link is known to be broken. */
+  readonly isExpected: (server: KnownServer) => boolean
   /** Called with two servers that should have answered. */
   readonly onSilent: (servers: readonly KnownServer[]) => void
 }
@@ -77,9 +79,9 @@
   }
 
   private check (): void {
-    const { clock, heardAt, onSilent } = this.options
+    const { clock, heardAt, isExpected, onSilent } = this.options
     const now = clock.now()
-    const silent = [...this.waits].filter(([, { since }]) => since + SILENCE_MS <= now).map(([server]) => server)
+    const silent = [...this.waits].filter(([server, { since }]) => since + SILENCE_MS <= now && isExpected(server)).map(([server]) => server)
     if (heardAt() + SILENCE_MS <= now && silent.length >= MIN_SERVERS && this.checkedAt + CHECK_INTERVAL_MS <= now) {
       this.checkedAt = now
       onSilent(this.pick(silent))
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -263,8 +263,8 @@
       directory,
       peers,
       log,
-      isEligible: () => this.storeReplica.hasStore && !this.isLeaving && !this.links.monitor.isCutLastingly,
-      reachesServers: () => !this.links.monitor.isCutLastingly,
+      isEligible: () => this.storeReplica.hasStore && !this.isLeaving,
+      links: this.links.monitor,
       onStoreFailed: () => this.storeReplica.checkStore()
     })
   }
--- a/packages/foxtaillever-relay/src/weights/orderCoordinator.ts
+++ b/packages/foxtaillever-relay/src/weights/orderCoordinator.ts
@@ -2,10 +2,13 @@
 import { randomUUID } from 'node:crypto'
 import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
 import { readWallClockSeconds } from '../knowledge/suspensionDetector.js'
+import { Suspicion, type LinkMonitor } from '../links/linkMonitor.js'
 import type { Peers } from '../peers/peers.js'
 import type { RelayOptions } from '../relayOptions.js'
+import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import { OrderAnswer, type EngineOrders } from './engineOrders.js'
 import { OrderLease } from './orderLease.js'
 import { LAST_RANK, orderRank } from './orderRank.js'
 import { ProxiedFenceLog } from './proxiedFenceLog.js'
@@ -18,10 +21,9 @@
   readonly directory: ServerDirectory
   readonly peers: Peers
   readonly log: RelayLog
-  /** Whether this instance reaches the platform's store and the servers and is not leaving. */
+  /** Whether this instance reaches the platform's store and is not leaving. */
   readonly isEligible: () => boolean
-  /** Whether this instance reaches the servers; otherwise it releases the lease. */
-  readonly reachesServers: () => boolean
+  readonly links: Pick<LinkMonitor, 'state' | 'isBrokenLastingly' | 'suspect'>
   /** A call to the store failed. */
   readonly onStoreFailed: () => void
 }
@@ -32,7 +34,8 @@
 }
 
 export function createOrderCoordinator (options: OrderCoordinatorOptions): OrderCoordinator {
-  const { clock, name, directory, peers, log, engineOrders, isEligible, reachesServers } = options
+  const { clock, name, directory, peers, log, links, isEligible } = options
+  const reachesServers = (): boolean => !links.isBrokenLastingly || !peers.alive().some(peer => peer.hasStore && peer.links < links.state)
   const lease = createLease(options)
   const rollout = WeightsRollout.create({
     clock,
@@ -40,9 +43,9 @@
     directory,
     lease,
     reachesServers,
-    orders: engineOrders,
+    orders: watchLinks(options),
     log,
-    rank: () => isEligible() ? orderRank(name, eligiblePeers(peers).map(peer => peer.name), lease.lastHolder) : LAST_RANK,
+    rank: () => isEligible() && reachesServers() ? orderRank(name, eligiblePeers(peers).map(peer => peer.name), lease.lastHolder) : LAST_RANK,
     outstandingAt: ({ outstanding, hash }) => outstanding + peers.fleetLoad.of(hash).outstanding,
     waitMsAt: server => (server.unreadTokens + peers.fleetLoad.of(server.hash).tokens) / directory.observations.tokensPerMsOf(server),
     announce: updates => peers.announceWeights(updates)
@@ -50,6 +53,21 @@
   return { lease, rollout }
 }
 
+/** An engine that does not answer may be out of reach from here only. */
+function watchLinks ({ engineOrders, links }: Pick<OrderCoordinatorOptions, 'engineOrders' | 'links'>): EngineOrders {
+  const suspect = (engine: KnownServer): void => links.suspect(engine, Suspicion.Unresponsive)
+  return {
+    report: async engine => (await engineOrders.report(engine)).ifLeft(() => suspect(engine)),
+    order: async (engine, order) => {
+      const answer = await engineOrders.order(engine, order)
+      if (answer.map(given => given === OrderAnswer.Unknown).orDefault(true)) {
+        suspect(engine)
+      }
+      return answer
+    }
+  }
+}
+
 function eligiblePeers (peers: Peers): ReturnType<Peers['alive']> {
   return peers.alive().filter(({ hasStore, links }) => hasStore && links !== LinkState.Cut)
 }
