Cut links of instances and make servers brittle in the soak

Each process reaches the servers over links of its own. The links of one instance, of all but one, or of one after the other hang, are reset, refuse new connections or lose answers for 1.5 to 6 s; engines or plain servers bear one to four rejections a second for five seconds and let none wait. Two oracles: callers of cut instances are served at least two thirds as often as the others, and no brittle server fails, except near a start, a suspension or a cut.

--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -1,7 +1,7 @@
 /** The faults that a soak injects into processes, store and servers; each fault ends by itself. */
 import { waitUntil, type Clock, type Random } from 'foxtaillever-core'
 import { ENGINES, MODEL, ZONES } from 'foxtaillever-platform/__fixtures__/relayFleet'
-import { AppendFault, LinkFault, ServerFault, StoreMode, type BackendServer } from 'foxtaillever-standins'
+import { AppendFault, LinkCut, LinkFault, ServerFault, StoreMode, type BackendServer } from 'foxtaillever-standins'
 import type { Disturbances } from './disturbances.js'
 import type { SoakFleet, SoakInstance } from './soakFleet.js'
 
@@ -26,6 +26,14 @@
 const RETRY_AFTER_S = [0.3, 1, 3]
 const MAX_BACKOFF_MS = 4000
 
+/** Longest cut of an instance's links to the servers, and shortest, milliseconds. */
+const MAX_CUT_MS = 6000
+const MIN_CUT_MS = 1500
+
+/** Rejections a second that brittle servers bear, and how long they are brittle, milliseconds. */
+const REJECTIONS_PER_S = [1, 2, 4]
+const BRITTLE_MS = 5000
+
 /** Bounds of a restored store: age of the copy, outage before the restore, and time until lost records are written again, milliseconds. */
 const MAX_COPY_AGE_MS = 3000
 const MAX_OUTAGE_MS = 800
@@ -70,6 +78,17 @@
   servers.forEach(server => fleet.operator.setRetryAfter(server, undefined))
 }
 
+async function cutLinks ({ fleet, clock, random, cuts }: PlatformFaultContext, instances: readonly number[]): Promise<void> {
+  const cut = draw(random, Object.values(LinkCut))
+  const from = clock.now()
+  await cuts.recordDuring(async () => {
+    instances.forEach(index => fleet.instances[index]?.links.cut(cut))
+    await waitUntil(clock, from + MIN_CUT_MS + random.below(MAX_CUT_MS - MIN_CUT_MS))
+    instances.forEach(index => fleet.instances[index]?.links.repair())
+  })
+  fleet.operator.linkCuts.push({ instances, from, until: clock.now() })
+}
+
 async function replaceServer (context: PlatformFaultContext): Promise<void> {
   const { fleet, clock, random } = context
   const engines = fleet.platform.servers.filter(({ options, isLeaving }) => options.name.startsWith('engine') && !isLeaving)
@@ -151,6 +170,24 @@
     const fault = draw(random, Object.values(LinkFault))
     await cuts.recordDuring(async () => fleet.platform.links.forEach(link => link.injectFault(fault)))
   },
+  'cut the links of an instance': async context => await cutLinks(context, [context.random.below(context.fleet.instances.length)]),
+  'cut the links of all but one instance': async context => {
+    const { random, fleet: { instances } } = context
+    const sound = random.below(instances.length)
+    await cutLinks(context, instances.map((_, index) => index).filter(index => index !== sound))
+  },
+  'cut the links of one instance after the other': async context => {
+    for (const index of context.fleet.instances.keys()) {
+      await cutLinks(context, [index])
+    }
+  },
+  'make servers brittle': async ({ fleet, clock, random }) => {
+    const kind = draw(random, ['engine', 'plain'])
+    const servers = fleet.platform.servers.filter(({ options }) => options.name.startsWith(kind))
+    fleet.operator.setBrittle(servers, draw(random, REJECTIONS_PER_S))
+    await waitUntil(clock, clock.now() + BRITTLE_MS)
+    fleet.operator.setBrittle(servers, undefined)
+  },
   'empty the cache store': async ({ fleet }) => fleet.operator.clearCacheStore(),
   'name new weights': async ({ fleet }) => fleet.operator.nameWeights(),
   'name weights in quick succession': async ({ fleet, clock }) => {
--- a/packages/foxtaillever-proof/src/platformSoak/platformLoad.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformLoad.ts
@@ -79,6 +79,11 @@
     return this.completed.map(({ at: sentAt, reply: { headers }, ...sent }) => sentRequestOf({ ...sent, sentAt, headers }))
   }
 
+  /** When each request was sent, where, and whether it was served. */
+  get replies (): ReadonlyArray<{ readonly instance: number, readonly at: number, readonly isServed: boolean }> {
+    return this.completed.filter(({ reply: { status } }) => ![401, 403, 404].includes(status)).map(({ instance, at, reply: { status, isWhole } }) => ({ instance, at, isServed: status === 200 && isWhole }))
+  }
+
   /** Number of requests by status; 0 stands for those without an answer. */
   get outcomes (): Readonly<Record<string, number>> {
     const outcomes: Record<string, number> = {}
--- a/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
@@ -3,7 +3,7 @@
 import { Disturbances } from './disturbances.js'
 import { platformFaults } from './platformFaults.js'
 import { PlatformLoad } from './platformLoad.js'
-import { limitViolations, serverViolations, statementViolations } from './serverViolations.js'
+import { brittleViolations, limitViolations, linkCutViolations, serverViolations, statementViolations } from './serverViolations.js'
 import { SoakFleet } from './soakFleet.js'
 
 export interface PlatformSoakOptions {
@@ -57,8 +57,8 @@
     await fleet.waitUntilConfigured()
     await fleet.waitUntilSettled()
     const { platform, operator } = fleet
-    const seen = { cachedLevelsUsed: platform.partUses().length, orders: platform.acceptedOrders().length, drains: operator.drains.length, keysTaken: operator.temporaryKeys.length - 1, limits: operator.rates.length, rests: operator.backoffCount }
-    return { violations: [...load.violations(), ...serverViolations(fleet, disturbances), ...limitViolations(fleet, outages), ...statementViolations(fleet, load.requests, outages, cuts)], outcomes: load.outcomes, faults, seen }
+    const seen = { cachedLevelsUsed: platform.partUses().length, orders: platform.acceptedOrders().length, drains: operator.drains.length, keysTaken: operator.temporaryKeys.length - 1, limits: operator.rates.length, rests: operator.backoffCount, linkCuts: operator.linkCuts.length, falls: platform.servers.reduce((sum, { falls }) => sum + falls.length, 0) }
+    return { violations: [...load.violations(), ...serverViolations(fleet, disturbances), ...limitViolations(fleet, outages), ...statementViolations(fleet, load.requests, outages, cuts), ...linkCutViolations(fleet, load.replies, outages), ...brittleViolations(fleet, outages, cuts)], outcomes: load.outcomes, faults, seen }
   } finally {
     await fleet.close()
   }
--- a/packages/foxtaillever-proof/src/platformSoak/serverViolations.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/serverViolations.ts
@@ -74,3 +74,37 @@
     ]
   })
 }
+
+/** Callers of cut instances must be served from this long after the cut began, milliseconds. */
+const SERVED_AFTER_MS = 3000
+
+/** They must be served at least this often, as a share of how often the others are, unless only a few fail. */
+const MIN_RELATIVE_SHARE = 2 / 3
+const FEW_FAILURES = 10
+
+/** Cuts of links during which callers of the cut instances were served far worse than the others. */
+export function linkCutViolations ({ operator, instances }: Pick<SoakFleet, 'operator' | 'instances'>, replies: ReadonlyArray<{ readonly instance: number, readonly at: number, readonly isServed: boolean }>, outages: Disturbances): string[] {
+  return operator.linkCuts.flatMap(({ instances: cut, from, until }) => {
+    const isDisturbed = cut.length === instances.length || !outages.wasUndisturbed(from, until) || operator.linkCuts.some(other => other.from !== from && other.from < until && other.until > from)
+    const during = replies.filter(({ at }) => at >= from + SERVED_AFTER_MS && at <= until)
+    const [atCut, atOthers] = [during.filter(({ instance }) => cut.includes(instance)), during.filter(({ instance }) => !cut.includes(instance))]
+    const failed = atCut.filter(({ isServed }) => !isServed).length
+    return !isDisturbed && failed > FEW_FAILURES + during.length / 50 && shareServed(atCut) < MIN_RELATIVE_SHARE * shareServed(atOthers)
+      ? [`${failed} of ${atCut.length} requests failed at instances ${cut.join(', ')}, whose links were cut for ${Math.round(until - from)} ms`]
+      : []
+  })
+}
+
+function shareServed (replies: ReadonlyArray<{ readonly isServed: boolean }>): number {
+  return replies.filter(({ isServed }) => isServed).length / Math.max(1, replies.length)
+}
+
+/** Instances that have just started don't know for this long which servers are brittle, milliseconds. */
+const BRITTLE_LEARNED_MS = 3000
+
+/** Failures of brittle servers. One while an instance started, was suspended or cut off is excused. */
+export function brittleViolations ({ platform }: Pick<SoakFleet, 'platform'>, outages: Disturbances, cuts: Disturbances): string[] {
+  return platform.servers.flatMap(server => server.falls
+    .filter(at => outages.wasUndisturbed(at - BRITTLE_LEARNED_MS, at) && cuts.wasUndisturbed(at - BRITTLE_LEARNED_MS, at))
+    .map(at => `${server.id} failed because it had to reject too many requests, at ${Math.round(at)}`))
+}
--- a/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
@@ -7,7 +7,7 @@
 import { freePort, nextHost } from 'foxtaillever-platform/__fixtures__/loopback'
 import { ENGINES, MODEL, PLAIN, ZONES } from 'foxtaillever-platform/__fixtures__/relayFleet'
 import { waitFor } from 'foxtaillever-platform/__fixtures__/waitFor'
-import { PlatformDeployment, type StoreServer } from 'foxtaillever-standins'
+import { PlatformDeployment, type InstanceLinks, type PlainShape, type StoreServer } from 'foxtaillever-standins'
 import { Child } from '../soak/child.js'
 import { SoakOperator } from './soakOperator.js'
 
@@ -16,10 +16,15 @@
 
 const HEARTBEAT_MS = 300
 
+/** About half used by the load, so that a server that lets no request wait has to reject some. */
+const PLAIN_SHAPE: PlainShape = { workMs: 100, slots: 2, maxWaiting: 4 }
+
 export interface SoakInstance {
   readonly child: Child
   readonly address: string
   readonly storeServer: StoreServer
+  /** Its links to the servers. */
+  readonly links: InstanceLinks
 }
 
 export class SoakFleet {
@@ -40,7 +45,7 @@
     fleet.operator.start()
     for (const zone of ZONES) {
       await fleet.platform.addEngine(`engine-${zone}`, ENGINES, zone, { [MODEL]: 1 })
-      await fleet.platform.addPlain(`plain-${zone}`, PLAIN, zone)
+      await fleet.platform.addPlain(`plain-${zone}`, PLAIN, zone, PLAIN_SHAPE)
     }
     fleet.peerPort = await freePort(nextHost())
     for (const zone of ZONES) {
@@ -81,13 +86,13 @@
 
   private async addInstance (zone: string): Promise<void> {
     const ip = nextHost()
-    const { storeServer, address: store } = await this.platform.openStore()
+    const { storeServer, address: store, links } = await this.platform.openStore(true)
     const [front, ready] = [`${ip}:${await freePort(ip)}`, `${ip}:${await freePort(ip)}`]
     const name = `instance-${this.instances.length + 1}`
     const path = join(this.folder, `${name}.json`)
     writeFileSync(path, JSON.stringify({ node: name, zone, ip, listen: { front, ready }, internal_ports: [this.peerPort, this.peerPort], seeds: [], heartbeat_ms: HEARTBEAT_MS, bounds: SHORT_BOUNDS, platform: { address: store } }))
     const child = Child.create({ name, arguments: [this.entry], environment: { FOXTAILLEVER_BOOT: path }, onLine: () => {} })
-    this.instances.push({ child, address: front, storeServer })
+    this.instances.push({ child, address: front, storeServer, links })
     child.start()
   }
 
--- a/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
@@ -9,6 +9,9 @@
 /** Capacity of the store of cached prompt levels, tokens: a few prompts, so that it evicts some. */
 const CACHE_STORE_TOKENS = 20_000
 
+/** Requests that a server that is not brittle lets wait. */
+const USUAL_WAITING = 4
+
 /** Keys that stay in force for the whole soak, and the account of each. */
 export const PERMANENT_KEYS: Readonly<Record<string, string>> = { 'key-acme': 'acme', 'key-walled': 'walled' }
 
@@ -37,8 +40,17 @@
   until: number
 }
 
+/** A time in which the links of some instances to all servers were cut. */
+export interface LinkCutPeriod {
+  /** Indexes of the instances. */
+  readonly instances: readonly number[]
+  readonly from: number
+  readonly until: number
+}
+
 export class SoakOperator {
   readonly rates: StatedRate[] = []
+  readonly linkCuts: LinkCutPeriod[] = []
   /** How often a server was made to state a Retry-After. */
   backoffCount = 0
   /** Keys that were added by one configuration and removed by the next. */
@@ -69,6 +81,11 @@
     this.backoffCount += seconds === undefined ? 0 : 1
   }
 
+  /** The servers can reject only a few requests a second from now on, and let none wait some time later; undefined: as before. */
+  setBrittle (servers: readonly BackendServer[], perSecond: number | undefined): void {
+    servers.forEach(server => server.setBrittle(perSecond, perSecond === undefined ? USUAL_WAITING : 0))
+  }
+
   start (): void {
     this.platform.addCacheStore(CACHE_STORE, CACHE_STORE_TOKENS)
     this.platform.nameWeights(MODEL, this.weights)
