Check findings about links against drawn histories, and mend what they show

Causes, all of the same class:

- an instance said that it reaches a server because it had heard from it 100 ms before; it probes now;
- of two silent servers that were checked, one had failed itself, and the next check came a second later; three are checked, and the next ones as soon as a link is found broken;
- what had hung on a broken link failed after the link was back, and the server, which answered again, was blamed; a failure of what began before the links returned is explained by them.

--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -1,8 +1,9 @@
-/** `npm run fuzz -- --seed S --runs N`, `npm run fuzz -- quota`, `server-limits`, `server-statements` and `admission`: exits 1 when a promise was broken. */
+/** `npm run fuzz -- --seed S --runs N`, `npm run fuzz -- quota`, `server-limits`, `server-statements`, `admission` and `links`: exits 1 when a promise was broken. */
 import { Cli, Command, Option } from 'clipanion'
 import { AdmissionHistory } from 'foxtaillever-relay/admission/__fixtures__/admissionHistory'
 import { quotas, serverLimits, type LimitSubject } from 'foxtaillever-relay/limits/__fixtures__/limitFleet'
 import { LimitHistory } from 'foxtaillever-relay/limits/__fixtures__/limitHistory'
+import { LinkHistory } from 'foxtaillever-relay/links/__fixtures__/linkHistory'
 import { FleetStatementHistory } from 'foxtaillever-relay/servers/__fixtures__/fleetStatementHistory'
 import { StatementHistory } from 'foxtaillever-relay/servers/__fixtures__/statementHistory'
 import { runFuzz } from './fuzz/runFuzz.js'
@@ -82,6 +83,22 @@
   }
 }
 
+class LinksCommand extends HistoriesCommand {
+  static override paths = [['links']]
+  static override usage = Command.Usage({ description: 'Draw histories of instances whose links to servers break and return, and check what they conclude about the servers.' })
+
+  async execute (): Promise<number> {
+    let broken = 0
+    for (const seed of this.seeds()) {
+      const violations = await LinkHistory.play(seed)
+      broken += violations.length
+      violations.forEach(violation => console.log(`seed ${seed}: ${violation}`))
+    }
+    console.log(JSON.stringify({ runs: Number(this.runs), broken }))
+    return broken > 0 ? 1 : 0
+  }
+}
+
 class AdmissionCommand extends HistoriesCommand {
   static override paths = [['admission']]
   static override usage = Command.Usage({ description: 'Draw histories of a fleet that admits requests at backend servers, and check what reaches the servers against an oracle.' })
@@ -102,4 +119,4 @@
   }
 }
 
-await Cli.from([FuzzCommand, LimitsCommand, StatementsCommand, AdmissionCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
+await Cli.from([FuzzCommand, LimitsCommand, StatementsCommand, AdmissionCommand, LinksCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
--- a/packages/foxtaillever-relay/src/exchange/handleSilence.ts
+++ b/packages/foxtaillever-relay/src/exchange/handleSilence.ts
@@ -14,9 +14,9 @@
 }
 
 /** @param conclude called when the silence is the server's; not for requests that another instance carries. */
-export function suspectSilentServer ({ paths }: ExchangeContext, { forwarder, server }: InFlightAttempt, conclude: () => void): void {
+export function suspectSilentServer ({ paths }: ExchangeContext, { forwarder, server, beganAt }: InFlightAttempt, conclude: () => void): void {
   if (forwarder === undefined) {
-    paths.suspect(server, Suspicion.Unresponsive, conclude)
+    paths.suspect(server, Suspicion.Unresponsive, beganAt, conclude)
   }
 }
 
--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -9,6 +9,8 @@
   readonly server: KnownServer
   /** Address of the instance that carried the request; undefined for none. */
   readonly forwarder: string | undefined
+  /** Milliseconds of Unix time. */
+  readonly beganAt: number
 }
 
 /** Failures that this instance's own links may explain. */
@@ -32,7 +34,7 @@
   }
 }
 
-function recordDirectFailure (context: ExchangeContext, exchange: Exchange, { server }: FailedAttempt, failure: AttemptFailure): void {
+function recordDirectFailure (context: ExchangeContext, exchange: Exchange, { server, beganAt }: FailedAttempt, failure: AttemptFailure): void {
   const { clock, directory, paths, onUnreachable } = context
   const suspicion = suspicionOf[failure.kind]
   if (suspicion === undefined) {
@@ -42,7 +44,7 @@
   if (failure.kind === AttemptFailureKind.Unreachable && !paths.isBroken(server)) {
     directory.observations.recordUnreachable(server, clock.now())
   }
-  paths.suspect(server, suspicion, () => {
+  paths.suspect(server, suspicion, beganAt, () => {
     recordServerFailure(context, exchange, server, failure)
     if (failure.kind === AttemptFailureKind.Unreachable) {
       onUnreachable(server)
--- a/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
@@ -49,8 +49,8 @@
     return this.directory.get(id) as KnownServer
   }
 
-  async suspect (id: string, suspicion = Suspicion.Unreachable): Promise<void> {
-    this.monitor.suspect(this.server(id), suspicion, () => this.concluded.push(id))
+  async suspect (id: string, suspicion = Suspicion.Unreachable, beganAt = this.clock.now()): Promise<void> {
+    this.monitor.suspect(this.server(id), suspicion, beganAt, () => this.concluded.push(id))
     await this.advance(0)
   }
 
@@ -125,7 +125,7 @@
     rig.reached.add('a1')
     const { monitor } = rig
     for (let index = 0; index < 10; index += 1) {
-      monitor.suspect(rig.server('a1'), Suspicion.Unresponsive, () => rig.concluded.push('a1'))
+      monitor.suspect(rig.server('a1'), Suspicion.Unresponsive, rig.clock.now(), () => rig.concluded.push('a1'))
     }
     await rig.advance(0)
     t.is(rig.concluded.length, 10)
@@ -193,6 +193,20 @@
       rig.monitor.stop()
     })
 
+    // Guards against requests that hung on a broken link and count as crashes once it works again.
+    it('concludes nothing from what began before they returned', async t => {
+      const rig = new Rig()
+      const beganAt = rig.clock.now()
+      await rig.suspect('a1')
+      ;['a1', 'a2', 'b1', 'c1'].forEach(id => rig.reached.add(id))
+      await rig.advance(600)
+      t.is(rig.monitor.state, LinkState.Sound)
+      await rig.suspect('b1', Suspicion.Unresponsive, beganAt)
+      t.deepEqual(rig.concluded, [])
+      await rig.suspect('b1', Suspicion.Unresponsive)
+      t.deepEqual(rig.concluded, ['b1'])
+    })
+
     // Guards against instances that are cut off together and confirm each other's findings.
     it('tells other instances that it does not know whether a server works', async t => {
       const rig = new Rig()
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -123,7 +123,7 @@
           finish('answered')
         },
         onFailed: failure => {
-          this.suspectServer(server, failure)
+          this.suspectServer(server, failure, beganAt)
           this.reportFailure(response, failure)
           finish(failure.kind)
         }
@@ -138,12 +138,12 @@
   }
 
   /** The failure may be due to this instance's own links. */
-  private suspectServer (server: KnownServer, { kind }: AttemptFailure): void {
+  private suspectServer (server: KnownServer, { kind }: AttemptFailure, beganAt: number): void {
     const { monitor } = this.options
     if (kind === AttemptFailureKind.Unreachable) {
-      monitor.suspect(server, Suspicion.Unreachable)
+      monitor.suspect(server, Suspicion.Unreachable, beganAt)
     } else if (kind === AttemptFailureKind.Lost) {
-      monitor.suspect(server, Suspicion.Unresponsive)
+      monitor.suspect(server, Suspicion.Unresponsive, beganAt)
     }
   }
 
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -48,9 +48,6 @@
 /** A finding that a server itself has failed is valid for this long, milliseconds: as long as it is then passed over. */
 const FINDING_VALID_MS = 300
 
-/** An answer as recent as this proves that the link works, milliseconds. */
-const RECENT_ANSWER_MS = 100
-
 /** Time for which links must be broken before duties that need them are handed over, milliseconds: a false alarm ends with the next probe. */
 const LASTING_MS = 2 * RETURN_PROBE_INTERVAL_MS
 
@@ -80,6 +77,8 @@
   private readonly silence: SilenceDetector
   /** Since when any link is broken, milliseconds of Unix time; Infinity while none is. */
   private brokenFrom = Infinity
+  /** When links were last found to work again, milliseconds of Unix time; they explain failures of what began before. */
+  private returnedAt = -Infinity
   private isProbing = false
   private isStopped = false
   private cancelProbes: Cancellation = () => {}
@@ -89,8 +88,9 @@
     this.silence = SilenceDetector.create({
       clock,
       heardAt: () => directory().heardAt,
+      isAnyBroken: () => this.state !== LinkState.Sound,
       isExpected: server => this.brokenSince(server) === undefined,
-      onSilent: servers => servers.forEach(server => this.suspect(server, Suspicion.Unresponsive))
+      onSilent: servers => servers.forEach(server => this.suspect(server, Suspicion.Unresponsive, clock.now()))
     })
   }
 
@@ -124,11 +124,12 @@
 
   /**
    * Checks whether a failure at a server is due to this instance's links.
+   * @param beganAt start of what failed, milliseconds of Unix time.
    * @param conclude called when the failure is the server's; not called when it is explained by the links.
    */
-  suspect (server: KnownServer, suspicion: Suspicion, conclude = () => {}): void {
+  suspect (server: KnownServer, suspicion: Suspicion, beganAt: number, conclude = () => {}): void {
     const now = this.options.clock.now()
-    if (this.links.isBroken(linkOf(server))) {
+    if (this.links.isBroken(linkOf(server)) || beganAt < this.returnedAt) {
       return
     }
     if ((this.failedUntil.get(server.hash) ?? 0) > now || reachableFrom(server) > now) {
@@ -149,14 +150,10 @@
 
   /** What this instance answers to another one that does not reach the server. */
   async findFor (hash: number): Promise<ProbeFinding> {
-    const { clock, directory } = this.options
-    const server = directory().getByHash(hash)
+    const server = this.options.directory().getByHash(hash)
     if (!server || this.links.isBroken(linkOf(server))) {
       return ProbeFinding.Unknown
     }
-    if (server.heardAt + RECENT_ANSWER_MS > clock.now()) {
-      return ProbeFinding.Reached
-    }
     const isAnotherReached = this.reachesAnother(server)
     if (await this.probe(server)) {
       return ProbeFinding.Reached
@@ -236,6 +233,7 @@
     this.changeState(() => this.links.recordBroken(linkOf(server), now))
     log.belief('A backend server is out of reach from here, but not for other instances.', { server: server.listed.id, failureDomain: server.listed.failureDomain, links: LinkState[this.state] })
     onBroken()
+    this.silence.checkSoon()
     if (!this.isProbing && !this.isStopped) {
       this.isProbing = true
       this.scheduleProbes()
@@ -269,6 +267,7 @@
   private markSound (failureDomain: string, servers: readonly KnownServer[]): void {
     const [server] = servers
     const since = server && this.brokenSince(server)
+    this.returnedAt = this.options.clock.now()
     this.changeState(() => this.links.recordSound(failureDomain))
     this.options.log.belief('Backend servers of a failure domain are within reach again.', { failureDomain, links: LinkState[this.state] })
     if (since !== undefined) {
--- a/packages/foxtaillever-relay/src/links/serverPaths.ts
+++ b/packages/foxtaillever-relay/src/links/serverPaths.ts
@@ -35,7 +35,7 @@
   /** Whether this instance's own link to the server is broken. */
   readonly isBroken: (server: KnownServer) => boolean
   /** Checks a failure; see `LinkMonitor`. */
-  readonly suspect: (server: KnownServer, suspicion: Suspicion, conclude: () => void) => void
+  readonly suspect: (server: KnownServer, suspicion: Suspicion, beganAt: number, conclude: () => void) => void
   /** Records that an instance did not carry a request. */
   readonly recordForwarderFailure: (address: string) => void
   /** Counts a request that waits for the server over this instance's own links; returns a function that ends the wait. */
@@ -51,7 +51,7 @@
   isUsable: () => true,
   pathTo: ({ connections }) => directPath(connections),
   isBroken: () => false,
-  suspect: (_server, _suspicion, conclude) => conclude(),
+  suspect: (_server, _suspicion, _beganAt, conclude) => conclude(),
   recordForwarderFailure: () => {},
   beginWait: () => () => {}
 }
--- a/packages/foxtaillever-relay/src/links/silenceDetector.ts
+++ b/packages/foxtaillever-relay/src/links/silenceDetector.ts
@@ -15,6 +15,9 @@
 /** Between two checks, milliseconds: with few requests in flight, silence is common. */
 const CHECK_INTERVAL_MS = 1000
 
+/** Servers that are checked, of different failure domains where possible; one of them may have failed itself. */
+const CHECKED_SERVERS = 3
+
 /** Shortest wait of the timer, milliseconds. */
 const MIN_ARM_MS = 25
 
@@ -29,14 +32,17 @@
   readonly heardAt: () => number
   /** Whether an answer of the server is expected; not where its link is known to be broken. */
   readonly isExpected: (server: KnownServer) => boolean
-  /** Called with two servers that should have answered. */
+  /** Whether any link is known to be broken. */
+  readonly isAnyBroken: () => boolean
+  /** Called with some servers that should have answered. */
   readonly onSilent: (servers: readonly KnownServer[]) => void
 }
 
 export class SilenceDetector {
   private readonly waits = new Map<KnownServer, Wait>()
-  private checkedAt = -Infinity
+  private nextCheckAt = -Infinity
   private isArmed = false
+  private isStopped = false
   private cancel: Cancellation = () => {}
 
   private constructor (private readonly options: SilenceDetectorOptions) {}
@@ -59,18 +65,26 @@
     }
   }
 
+  /** Checks the other silent servers without waiting for the interval, because a link was found to be broken. */
+  checkSoon (): void {
+    this.nextCheckAt = -Infinity
+    this.cancel()
+    this.isArmed = false
+    this.arm()
+  }
+
   stop (): void {
-    this.isArmed = true
+    this.isStopped = true
     this.cancel()
   }
 
   private arm (): void {
-    if (this.isArmed || this.waits.size < MIN_SERVERS) {
+    if (this.isStopped || this.isArmed || this.waits.size < (this.options.isAnyBroken() ? 1 : MIN_SERVERS)) {
       return
     }
     const { clock, heardAt } = this.options
     this.isArmed = true
-    const at = Math.max(clock.now() + MIN_ARM_MS, heardAt() + SILENCE_MS, this.checkedAt + CHECK_INTERVAL_MS)
+    const at = Math.max(clock.now() + MIN_ARM_MS, heardAt() + SILENCE_MS, this.nextCheckAt)
     this.cancel = atAfterReading(clock, at, () => {
       this.isArmed = false
       this.check()
@@ -79,19 +93,17 @@
   }
 
   private check (): void {
-    const { clock, heardAt, isExpected, onSilent } = this.options
+    const { clock, heardAt, isExpected, isAnyBroken, onSilent } = this.options
     const now = clock.now()
     const silent = [...this.waits].filter(([server, { since }]) => since + SILENCE_MS <= now && isExpected(server)).map(([server]) => server)
-    if (heardAt() + SILENCE_MS <= now && silent.length >= MIN_SERVERS && this.checkedAt + CHECK_INTERVAL_MS <= now) {
-      this.checkedAt = now
+    if (heardAt() + SILENCE_MS <= now && silent.length >= (isAnyBroken() ? 1 : MIN_SERVERS) && this.nextCheckAt <= now) {
+      this.nextCheckAt = now + CHECK_INTERVAL_MS
       onSilent(this.pick(silent))
     }
   }
 
-  /** Two servers, of different failure domains where possible. */
   private pick (servers: readonly KnownServer[]): readonly KnownServer[] {
-    const [first, ...others] = servers
-    const second = others.find(({ listed }) => listed.failureDomain !== first?.listed.failureDomain) ?? others[0]
-    return [first, second].flatMap(server => server ?? [])
+    const ofDomains = [...new Map(servers.map(server => [server.listed.failureDomain, server])).values()]
+    return [...ofDomains, ...servers.filter(server => !ofDomains.includes(server))].slice(0, CHECKED_SERVERS)
   }
 }
--- a/packages/foxtaillever-relay/src/weights/orderCoordinator.ts
+++ b/packages/foxtaillever-relay/src/weights/orderCoordinator.ts
@@ -54,8 +54,8 @@
 }
 
 /** An engine that does not answer may be out of reach from here only. */
-function watchLinks ({ engineOrders, links }: Pick<OrderCoordinatorOptions, 'engineOrders' | 'links'>): EngineOrders {
-  const suspect = (engine: KnownServer): void => links.suspect(engine, Suspicion.Unresponsive)
+function watchLinks ({ clock, engineOrders, links }: Pick<OrderCoordinatorOptions, 'clock' | 'engineOrders' | 'links'>): EngineOrders {
+  const suspect = (engine: KnownServer): void => links.suspect(engine, Suspicion.Unresponsive, clock.now())
   return {
     report: async engine => (await engineOrders.report(engine)).ifLeft(() => suspect(engine)),
     order: async (engine, order) => {
