--- a/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
@@ -14,7 +14,7 @@
 import { ForwardingClient } from '../forwardingClient.js'
 import { readReportedFailure } from '../forwardingMessage.js'
 import { ForwardingServer } from '../forwardingServer.js'
-import { ProbeFinding } from '../linkMonitor.js'
+import { ProbeFinding } from '../peerProbes.js'
 
 const OWN_HOST = '127.0.0.1'
 
--- a/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
@@ -4,7 +4,8 @@
 import { ServerState } from '../../model/listedServer.js'
 import type { KnownServer } from '../../servers/knownServer.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
-import { LinkMonitor, ProbeFinding, Suspicion } from '../linkMonitor.js'
+import { LinkMonitor, Suspicion } from '../linkMonitor.js'
+import { ProbeFinding } from '../peerProbes.js'
 
 /** A monitor with servers in three failure domains, whose probes are answered as the test says. */
 class Rig {
--- a/packages/foxtaillever-relay/src/links/forwardingClient.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingClient.ts
@@ -15,7 +15,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import { ServerConnections, type ServerCall, type ServerChannel } from '../servers/serverConnections.js'
 import { forwardingHeaders, PROBE_PATH } from './forwardingMessage.js'
-import { ProbeFinding } from './linkMonitor.js'
+import { ProbeFinding } from './peerProbes.js'
 
 /** Connections to one other instance: more requests than it would carry for this one at the largest size. */
 const CONNECTIONS: { readonly total: number, readonly idle: number } = { total: 64, idle: 8 }
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -7,24 +7,15 @@
  * probed here, and then through other instances: if one of them reaches it, the link
  * is at fault.
  */
-import { waitUntil, type Cancellation, type Clock, type Random } from 'foxtaillever-core'
+import { waitUntil, type Cancellation, type Random } from 'foxtaillever-core'
 import { BrokenLinks, LinkState } from 'foxtaillever-policy/relay/brokenLinks'
 import type { KnownServer } from '../servers/knownServer.js'
 import { reachableFrom } from '../servers/serverAvailability.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import { askPeers, isOwnLink, ProbeFinding, type PeerProbes } from './peerProbes.js'
 import { SilenceDetector } from './silenceDetector.js'
 
-/** What one instance finds out about another one's link to a server. */
-export enum ProbeFinding {
-  /** It reaches the server. */
-  Reached = 'reached',
-  /** It does not reach the server, but others. */
-  NotReached = 'not-reached',
-  /** It reaches no servers itself, or does not know the server. */
-  Unknown = 'unknown'
-}
-
 /** Why a server is suspected to be out of reach. */
 export enum Suspicion {
   /** No connection could be established. */
@@ -36,12 +27,12 @@
 /** Longest wait for the answer to a probe, milliseconds: a busy server or event loop answers within this. */
 const PROBE_TIMEOUT_MS = 250
 
+/** The same for an own probe that others are asked to confirm, milliseconds: a false alarm ends with the next probe. */
+const CONFIRMED_TIMEOUT_MS = 150
+
 /** How long an own probe runs before other instances are asked to probe too, milliseconds. */
 const PROBE_HEAD_START_MS = 60
 
-/** Instances that are asked to probe a server. */
-const PROBING_PEERS = 2
-
 /** Between two probes of a failure domain whose servers are out of reach, milliseconds. */
 const RETURN_PROBE_INTERVAL_MS = 250
 
@@ -51,17 +42,12 @@
 /** Time for which links must be broken before duties that need them are handed over, milliseconds: a false alarm ends with the next probe. */
 const LASTING_MS = 2 * RETURN_PROBE_INTERVAL_MS
 
-export interface LinkMonitorOptions {
-  readonly clock: Clock
+export interface LinkMonitorOptions extends PeerProbes {
   readonly random: Random
   readonly log: Pick<RelayLog, 'belief'>
   readonly directory: () => Pick<ServerDirectory, 'all' | 'getByHash' | 'heardAt' | 'recordHeard'>
   /** Probes the server over this instance's own links; never rejects. */
   readonly probe: (server: KnownServer, deadline: number) => Promise<boolean>
-  /** Addresses of other instances that reach the servers as far as is known, in random order. */
-  readonly peers: () => readonly string[]
-  /** Asks another instance to probe the server; never rejects. */
-  readonly probeThrough: (peer: string, server: KnownServer, deadline: number) => Promise<ProbeFinding>
   /** The state of the links has changed; other instances must learn of it. */
   readonly onStateChanged: () => void
   /** More servers are out of reach; what waits for them over the own links may wait in vain. */
@@ -167,9 +153,9 @@
     this.silence.stop()
   }
 
-  private async probe (server: KnownServer): Promise<boolean> {
+  private async probe (server: KnownServer, timeoutMs = PROBE_TIMEOUT_MS): Promise<boolean> {
     const { clock, directory, probe } = this.options
-    const isReached = await probe(server, clock.now() + PROBE_TIMEOUT_MS)
+    const isReached = await probe(server, clock.now() + timeoutMs)
     if (isReached) {
       directory().recordHeard(server)
     }
@@ -180,16 +166,17 @@
   private async check (server: KnownServer, suspicion: Suspicion): Promise<boolean> {
     const { clock } = this.options
     if (suspicion === Suspicion.Unreachable) {
-      const findings = await this.askPeers(server)
+      const findings = await askPeers(this.options, server)
       return isOwnLink(findings) ?? !await this.reachesAnother(server)
     }
-    const own = this.probe(server)
+    const own = this.probe(server, CONFIRMED_TIMEOUT_MS)
     const headStart = waitUntil(clock, clock.now() + PROBE_HEAD_START_MS).then(() => false)
     if (await Promise.race([own, headStart])) {
       return false
     }
-    const [isReached, findings, isAnotherReached] = await Promise.all([own, this.askPeers(server), this.reachesAnother(server)])
-    return !isReached && (isOwnLink(findings) ?? !isAnotherReached)
+    const isAnotherReached = this.reachesAnother(server)
+    const [isReached, findings] = await Promise.all([own, askPeers(this.options, server)])
+    return !isReached && (isOwnLink(findings) ?? !await isAnotherReached)
   }
 
   /** Probes another server, in another failure domain where there is one, unless one is heard meanwhile. */
@@ -203,12 +190,6 @@
     return (other !== undefined && await this.probe(other)) || directory().heardAt > beganAt
   }
 
-  private async askPeers (server: KnownServer): Promise<readonly ProbeFinding[]> {
-    const { clock, peers, probeThrough } = this.options
-    const deadline = clock.now() + PROBE_TIMEOUT_MS + PROBE_HEAD_START_MS
-    return await Promise.all(peers().slice(0, PROBING_PEERS).map(async peer => await probeThrough(peer, server, deadline)))
-  }
-
   private finishCheck (server: KnownServer, isOwnLink: boolean): void {
     const now = this.options.clock.now()
     const conclusions = this.checks.get(server.hash) ?? []
@@ -289,11 +270,3 @@
 function linkOf ({ hash, listed: { failureDomain } }: KnownServer): { readonly hash: number, readonly failureDomain: string } {
   return { hash, failureDomain }
 }
-
-/** What the findings of other instances say of this one's link; undefined where none could tell. */
-function isOwnLink (findings: readonly ProbeFinding[]): boolean | undefined {
-  if (findings.includes(ProbeFinding.Reached)) {
-    return true
-  }
-  return findings.includes(ProbeFinding.NotReached) ? false : undefined
-}
--- a/packages/foxtaillever-relay/src/links/silenceDetector.ts
+++ b/packages/foxtaillever-relay/src/links/silenceDetector.ts
@@ -13,7 +13,10 @@
 const MIN_SERVERS = 2
 
 /** Between two checks, milliseconds: with few requests in flight, silence is common. */
-const CHECK_INTERVAL_MS = 1000
+const CHECK_INTERVAL_MS = 500
+
+/** The same while a link is known to be broken, milliseconds: others may be. */
+const BROKEN_CHECK_INTERVAL_MS = 250
 
 /** Servers that are checked, of different failure domains where possible; one of them may have failed itself. */
 const CHECKED_SERVERS = 3
@@ -97,7 +100,7 @@
     const now = clock.now()
     const silent = [...this.waits].filter(([server, { since }]) => since + SILENCE_MS <= now && isExpected(server)).map(([server]) => server)
     if (heardAt() + SILENCE_MS <= now && silent.length >= (isAnyBroken() ? 1 : MIN_SERVERS) && this.nextCheckAt <= now) {
-      this.nextCheckAt = now + CHECK_INTERVAL_MS
+      this.nextCheckAt = now + (isAnyBroken() ? BROKEN_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS)
       onSilent(this.pick(silent))
     }
   }
