--- a/packages/foxtaillever-relay/src/admission/admissionClaims.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionClaims.ts
@@ -77,11 +77,13 @@
 
   /**
    * Whether a request may be sent although no instance decided on its admission. A brittle
-   * server gets only as many as it takes if all instances send as many.
+   * server that is at most half used gets as many as it takes if all instances send as many.
    */
   mayBypass (server: KnownServer): boolean {
-    const { isBrittle, instances } = this.options
-    return !isBrittle(server) || server.outstanding < Math.max(1, Math.floor(server.listed.slots / instances()))
+    const { isBrittle, instances, fleetLoad } = this.options
+    const { outstanding, hash, listed: { slots } } = server
+    const isHalfUsed = outstanding + fleetLoad.of(hash).outstanding >= slots / 2
+    return !isBrittle(server) || (!isHalfUsed && outstanding < Math.max(1, Math.floor(slots / instances())))
   }
 
   /** Whether reading the prompt delays others, so that its instance asks unless the server is nearly idle. */
