--- a/packages/foxtaillever-relay/src/limits/serverLimits.ts
+++ b/packages/foxtaillever-relay/src/limits/serverLimits.ts
@@ -8,11 +8,11 @@
  */
 import type { Clock } from 'foxtaillever-core'
 import { LimitOutcome, RetryOrder, type LimitTolerance } from 'foxtaillever-policy/limits/sharedLimitLedger'
-import { StatedLimits, type LimitChange, type StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
+import type { LimitChange, StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
 import type { Exchange } from '../model/exchange.js'
-import { LimitStatementKind } from '../model/limitStatement.js'
 import type { ServerStatement } from '../model/serverStatement.js'
 import type { LimitUpdate } from '../peers/peerMessage.js'
+import { AnnouncedStatements } from '../servers/announcedStatements.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
@@ -65,9 +65,21 @@
 }
 
 export class ServerLimits {
-  private readonly stated = StatedLimits.create()
-
-  private constructor (private readonly options: ServerLimitsOptions) {}
+  private readonly stated: AnnouncedStatements
+
+  private constructor (private readonly options: ServerLimitsOptions) {
+    const { clock, log, onUrgent } = options
+    this.stated = AnnouncedStatements.create({
+      ...options,
+      onChanged: (server, change, isOwn, at) => {
+        server.limitedUntil = 0
+        log.belief('A backend server states another limit of requests a second.', { server: server.listed.id, perSecond: change.after, before: change.before, ageMs: Math.round(clock.now() - at) })
+        if (isOwn && isUrgent(change)) {
+          onUrgent()
+        }
+      }
+    })
+  }
 
   static create (options: ServerLimitsOptions): ServerLimits {
     return new ServerLimits(options)
@@ -78,41 +90,22 @@
    * @param sentAt when its request was sent, milliseconds of Unix time.
    */
   applyStatement (server: KnownServer, { limit, hasRun }: Pick<ServerStatement, 'limit' | 'hasRun'>, sentAt: number): void {
-    const { clock, log } = this.options
-    switch (limit.kind) {
-      case LimitStatementKind.Limit: this.recordOwnObservation(server, limit.perSecond, clock.now()); break
-      case LimitStatementKind.Unreadable: log.limitUnreadable(server.listed.id, limit.text); break
-      case LimitStatementKind.None:
-        // A rejection need not repeat the limit.
-        if (hasRun) {
-          this.recordOwnObservation(server, undefined, sentAt)
-        }
-    }
+    this.stated.apply(server, limit, hasRun, sentAt)
   }
 
   /** Applies updates of another instance. */
   applyUpdates (updates: readonly LimitUpdate[]): void {
-    const { clock, directory } = this.options
-    updates.forEach(({ server, perSecond, ageMs }) => {
-      const known = directory.getByHash(server)
-      if (known) {
-        this.recordLimit(known, perSecond, clock.now() - ageMs)
-      }
-    })
+    this.stated.applyUpdates(updates)
   }
 
   /** Updates to send to the other instances. */
   updates (): LimitUpdate[] {
-    const { clock, directory } = this.options
-    const now = clock.now()
-    return this.stated.statementsToAnnounce(now)
-      .filter(({ server }) => directory.getByHash(server) !== undefined)
-      .map(({ server, perSecond, at }) => ({ server, perSecond, ageMs: now - at }))
+    return this.stated.updates()
   }
 
   /** Counts a request against the server's limit; calls back when decided. */
   admit (server: KnownServer, exchange: Exchange, onDecided: (admission: LimitAdmission) => void): void {
-    const limit = this.stated.limitOf(server.hash)
+    const limit = this.stated.of(server.hash)
     if (!limit) {
       onDecided(LimitAdmission.Free)
       return
@@ -128,7 +121,7 @@
 
   /** Requests a second that the server accepts from all instances together; undefined without a limit. */
   limitOf ({ hash }: KnownServer): number | undefined {
-    const limit = this.stated.limitOf(hash)
+    const limit = this.stated.of(hash)
     return limit && Math.max(MIN_PER_S, limit.perSecond)
   }
 
@@ -142,26 +135,10 @@
     }
     const pauseMs = result.outcome === LimitOutcome.Refused ? Math.min(Math.max(result.retryAt - now, MIN_REFUSED_MS), MAX_REFUSED_MS) : UNDECIDED_RETRY_MS
     // The limit may have ended before the decision arrived.
-    server.limitedUntil = this.stated.limitOf(server.hash) ? now + pauseMs : 0
+    server.limitedUntil = this.stated.of(server.hash) ? now + pauseMs : 0
     log.serverLimitRefused(exchange, id, limit, result, now)
     return LimitAdmission.Refused
   }
-
-  private recordOwnObservation (server: KnownServer, perSecond: number | undefined, at: number): void {
-    const change = this.recordLimit(server, perSecond, at)
-    if (change && isUrgent(change)) {
-      this.options.onUrgent()
-    }
-  }
-
-  private recordLimit (server: KnownServer, perSecond: number | undefined, at: number): LimitChange | undefined {
-    const change = this.stated.recordStatement(server.hash, perSecond, at)
-    if (change) {
-      server.limitedUntil = 0
-      this.options.log.belief('A backend server states another limit of requests a second.', { server: server.listed.id, perSecond, before: change.before, ageMs: Math.round(this.options.clock.now() - at) })
-    }
-    return change
-  }
 }
 
 function isUrgent ({ before, after }: LimitChange): boolean {
--- a/packages/foxtaillever-relay/src/servers/brittleServers.ts
+++ b/packages/foxtaillever-relay/src/servers/brittleServers.ts
@@ -5,11 +5,10 @@
  * slots for, so that nothing depends on how many requests the server lets wait.
  */
 import type { Clock } from 'foxtaillever-core'
-import { StatedLimits } from 'foxtaillever-policy/limits/statedLimits'
-import { LimitStatementKind } from '../model/limitStatement.js'
 import type { ServerStatement } from '../model/serverStatement.js'
 import type { LimitUpdate } from '../peers/peerMessage.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import { AnnouncedStatements } from './announcedStatements.js'
 import type { KnownServer } from './knownServer.js'
 import type { ServerDirectory } from './serverDirectory.js'
 
@@ -22,9 +21,23 @@
 }
 
 export class BrittleServers {
-  private readonly stated = StatedLimits.create()
+  private readonly stated: AnnouncedStatements
 
-  private constructor (private readonly options: BrittleServersOptions) {}
+  private constructor (private readonly options: BrittleServersOptions) {
+    const { clock, log, onUrgent } = options
+    this.stated = AnnouncedStatements.create({
+      ...options,
+      onChanged: (server, { before, after }, isOwn, at) => {
+        if ((before === undefined) === (after === undefined)) {
+          return
+        }
+        log.belief('A backend server states another number of rejections a second that it can bear.', { server: server.listed.id, perSecond: after, ageMs: Math.round(clock.now() - at) })
+        if (isOwn) {
+          onUrgent()
+        }
+      }
+    })
+  }
 
   static create (options: BrittleServersOptions): BrittleServers {
     return new BrittleServers(options)
@@ -32,58 +45,22 @@
 
   /** @param sentAt when the answered request was sent, milliseconds of Unix time. */
   applyStatement (server: KnownServer, { maxRejections, hasRun }: Pick<ServerStatement, 'maxRejections' | 'hasRun'>, sentAt: number): void {
-    const { clock, log } = this.options
-    switch (maxRejections.kind) {
-      case LimitStatementKind.Limit: this.recordOwnObservation(server, maxRejections.perSecond, clock.now()); break
-      case LimitStatementKind.Unreadable: log.limitUnreadable(server.listed.id, maxRejections.text); break
-      case LimitStatementKind.None:
-        if (hasRun) {
-          this.recordOwnObservation(server, undefined, sentAt)
-        }
-    }
+    this.stated.apply(server, maxRejections, hasRun, sentAt)
   }
 
   /** Applies updates of another instance. */
   applyUpdates (updates: readonly LimitUpdate[]): void {
-    const { clock, directory } = this.options
-    updates.forEach(({ server, perSecond, ageMs }) => {
-      const known = directory.getByHash(server)
-      if (known) {
-        this.record(known, perSecond, clock.now() - ageMs)
-      }
-    })
+    this.stated.applyUpdates(updates)
   }
 
   /** Updates to send to the other instances. */
   updates (): LimitUpdate[] {
-    const { clock, directory } = this.options
-    const now = clock.now()
-    return this.stated.statementsToAnnounce(now)
-      .filter(({ server }) => directory.getByHash(server) !== undefined)
-      .map(({ server, perSecond, at }) => ({ server, perSecond, ageMs: now - at }))
+    return this.stated.updates()
   }
 
   /** Whether the server is brittle. One that has not answered yet is taken to be like the others of its service. */
   isBrittle ({ hash, heardAt, listed }: KnownServer): boolean {
-    if (this.stated.limitOf(hash) !== undefined) {
-      return true
-    }
-    return heardAt === 0 && this.stated.isAnyInForce && this.options.directory.ready(listed.service).some(other => this.stated.limitOf(other.hash) !== undefined)
-  }
-
-  private recordOwnObservation (server: KnownServer, perSecond: number | undefined, at: number): void {
-    if (this.record(server, perSecond, at)) {
-      this.options.onUrgent()
-    }
-  }
-
-  /** @returns whether the server has become brittle or no longer is. */
-  private record (server: KnownServer, perSecond: number | undefined, at: number): boolean {
-    const change = this.stated.recordStatement(server.hash, perSecond, at)
-    const isChanged = change !== undefined && (change.before === undefined) !== (change.after === undefined)
-    if (isChanged) {
-      this.options.log.belief('A backend server states another number of rejections a second that it can bear.', { server: server.listed.id, perSecond, ageMs: Math.round(this.options.clock.now() - at) })
-    }
-    return isChanged
+    const { stated, options: { directory } } = this
+    return stated.of(hash) !== undefined || (heardAt === 0 && stated.isAnyInForce && directory.ready(listed.service).some(other => stated.of(other.hash) !== undefined))
   }
 }
