Keep admissions at brittle servers exact while instances stand still

Two causes, both of short waits: the owner of a server's queue forgot an admission after 60 ms, when its requester had stood still for longer and not reported it yet; and requesters asked the second watcher after 15 ms, so that two instances decided at the same time. For brittle servers an admission now counts for 250 ms unless a report contains it, and the owner has 100 ms to answer. Other servers keep the short waits.

--- a/packages/foxtaillever-relay/src/__tests__/admission.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/admission.test.ts
@@ -43,7 +43,7 @@
 }
 
 function claimFor (server: Pick<KnownServer, 'hash'>): AdmissionClaim {
-  return { server: server.hash, tokens: 1, heldTokens: 1, priority: 1, account: '', fingerprint: 1, arrivedAt: Date.now(), objectiveMs: 1000, latestStartAt: Infinity }
+  return { server: server.hash, tokens: 1, heldTokens: 1, priority: 1, account: '', fingerprint: 1, arrivedAt: Date.now(), objectiveMs: 1000, latestStartAt: Infinity, isBrittle: false }
 }
 
 async function start (...answers: Answer[]): Promise<{ rig: RelayRig, owner: ScriptedOwner }> {
--- a/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
+++ b/packages/foxtaillever-relay/src/admission/__fixtures__/admissionFleet.ts
@@ -137,7 +137,7 @@
 
   ask (request: FleetRequest): void {
     const { node, server: { hash }, tokens, heldTokens, priority, account, objectiveMs, arrivedAt, latestStartAt } = request
-    const claim = { server: hash, tokens, heldTokens, priority, account, fingerprint: this.requests.indexOf(request), arrivedAt: arrivedAt + node.clockOffsetMs, objectiveMs, latestStartAt: latestStartAt + node.clockOffsetMs }
+    const claim = { server: hash, tokens, heldTokens, priority, account, fingerprint: this.requests.indexOf(request), arrivedAt: arrivedAt + node.clockOffsetMs, objectiveMs, latestStartAt: latestStartAt + node.clockOffsetMs, isBrittle: false }
     request.pending = node.admission.request(claim, result => this.handleResult(request, result))
   }
 
@@ -206,7 +206,7 @@
       address,
       watchersOf,
       isComplete: () => load.isComplete,
-      roomOf: server => this.servers.some(({ hash, isReady }) => hash === server && isReady) ? capacity : undefined,
+      roomOf: server => this.servers.some(({ hash, isReady }) => hash === server && isReady) ? { ...capacity, isBrittle: false } : undefined,
       loadOf: server => load.watchedLoad(server),
       send: (to, message) => this.sendAdmission(node, to, message),
       onDecided: () => {},
--- a/packages/foxtaillever-relay/src/admission/__tests__/serverAdmissions.test.ts
+++ b/packages/foxtaillever-relay/src/admission/__tests__/serverAdmissions.test.ts
@@ -4,7 +4,7 @@
 import { MAX_QUEUED, ServerAdmissions } from '../serverAdmissions.js'
 
 /** Room for a single request, and reading that takes no time. */
-const capacity = { tokensPerMs: 1e9, memoryTokens: 0, slots: 1, readAheadMs: 100 }
+const capacity = { tokensPerMs: 1e9, memoryTokens: 0, slots: 1, readAheadMs: 100, isBrittle: false }
 const entry = { account: 'acme', fingerprint: 1, tokens: 9190, heldTokens: 9190, priority: 3, objectiveAt: 60_000, latestStartAt: 60_000, expiresAt: 60_000 }
 const one = { outstanding: 1, tokens: 9190, heldTokens: 9190 }
 
--- a/packages/foxtaillever-relay/src/admission/admissionClaims.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionClaims.ts
@@ -64,6 +64,7 @@
     const tokens = prompt ? missingTokensAt(exchange, server) : 0
     return {
       server: server.hash,
+      isBrittle: isRequired,
       tokens,
       heldTokens: heldTokensOf(exchange),
       priority: priorityOf(exchange),
--- a/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
@@ -15,6 +15,9 @@
 /** The owner answers from memory. The round trip takes at most 2.8 ms, and the event loop of a slow machine adds up to 10. */
 const RESPONSE_TIMEOUT_MS = 15
 
+/** The same for a brittle server: two instances that decide at the same time, because one of them was busy, admit too much. */
+const BRITTLE_RESPONSE_TIMEOUT_MS = 100
+
 /** A queued request chooses its server again after this many milliseconds. */
 const RENEWAL_MS = 250
 
@@ -36,6 +39,8 @@
   readonly arrivedAt: number
   /** From then on it cannot begin in time for its deadline, milliseconds of Unix time. */
   readonly latestStartAt: number
+  /** The server fails if it gets more than it has slots for. */
+  readonly isBrittle: boolean
 }
 
 export interface AdmissionResult {
@@ -192,7 +197,7 @@
     request.awaited = next
     if (next !== undefined) {
       request.asked.add(next)
-      request.cancelTimeout = atAfterReading(clock, clock.now() + RESPONSE_TIMEOUT_MS, () => {
+      request.cancelTimeout = atAfterReading(clock, clock.now() + (request.claim.isBrittle ? BRITTLE_RESPONSE_TIMEOUT_MS : RESPONSE_TIMEOUT_MS), () => {
         this.unresponsive.recordTimeout(next)
         this.askNext(request)
       })
@@ -204,7 +209,7 @@
 
   private messageOf ({ number, claim }: PendingRequest): AdmissionRequest {
     const { clock, address } = this.options
-    const { arrivedAt, latestStartAt, ...fields } = claim
+    const { arrivedAt, latestStartAt, isBrittle, ...fields } = claim
     const now = clock.now()
     return { kind: DatagramKind.AdmissionRequest, address, number, ...fields, elapsedMs: now - arrivedAt, startInMs: Math.min(MAX_START_IN_MS, latestStartAt - now) }
   }
--- a/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
+++ b/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
@@ -11,7 +11,10 @@
 import { AdmissionOutcome } from './admissionMessage.js'
 
 /** What the server can take, apart from its current load. */
-export type ServerCapacity = Omit<ServerRoom, 'backlogTokens' | 'heldTokens' | 'outstanding'>
+export interface ServerCapacity extends Omit<ServerRoom, 'backlogTokens' | 'heldTokens' | 'outstanding'> {
+  /** The server fails if it gets more than it has slots for. */
+  readonly isBrittle: boolean
+}
 
 /** Identifies a request in the fleet. */
 export interface RequestId {
@@ -37,6 +40,9 @@
  */
 const UNREPORTED_MS = 60
 
+/** The same for a brittle server: longer than a busy instance or owner stands still, so that an admission is not forgotten before it is reported. */
+const BRITTLE_UNREPORTED_MS = 250
+
 /** How long a decision is remembered, milliseconds: a requester that lost the response renews within 250, or a second time. */
 const REMEMBERED_MS = 600
 const MAX_REMEMBERED = 1024
@@ -150,9 +156,10 @@
     const room = this.roomAt(capacity, now)
     const { admitted, rejected } = this.queue.decide(room, now)
     const backlogMs = room.backlogTokens / room.tokensPerMs
+    const unreportedUntil = now + (capacity.isBrittle ? BRITTLE_UNREPORTED_MS : UNREPORTED_MS)
     const decisions = [
-      ...rejected.map(({ entry, retryAt }) => this.settle(entry, { outcome: AdmissionOutcome.Rejected, retryAt, backlogMs }, now)),
-      ...admitted.map(entry => this.settle(entry, { outcome: AdmissionOutcome.Admitted, retryAt: now, backlogMs }, now))
+      ...rejected.map(({ entry, retryAt }) => this.settle(entry, { outcome: AdmissionOutcome.Rejected, retryAt, backlogMs }, now, unreportedUntil)),
+      ...admitted.map(entry => this.settle(entry, { outcome: AdmissionOutcome.Admitted, retryAt: now, backlogMs }, now, unreportedUntil))
     ]
     this.queuedIds.forEach((_, key) => {
       if (!this.queue.has(key)) {
@@ -206,13 +213,13 @@
     this.recordBacklog(now)
   }
 
-  private settle ({ key, tokens, heldTokens }: AdmissionEntry, decision: Decision, now: number): RequestDecision {
+  private settle ({ key, tokens, heldTokens }: AdmissionEntry, decision: Decision, now: number, unreportedUntil: number): RequestDecision {
     const id = this.queuedIds.get(key) as RequestId
     this.queuedIds.delete(key)
     this.usedAt = now
     this.decided.set(key, { ...decision, until: now + REMEMBERED_MS })
     if (decision.outcome === AdmissionOutcome.Admitted) {
-      this.unreported.set(key, { address: id.address, tokens, heldTokens, until: now + UNREPORTED_MS })
+      this.unreported.set(key, { address: id.address, tokens, heldTokens, until: unreportedUntil })
       this.recordBacklog(now)
     }
     return { ...decision, id }
--- a/packages/foxtaillever-relay/src/admission/serverRooms.ts
+++ b/packages/foxtaillever-relay/src/admission/serverRooms.ts
@@ -59,8 +59,9 @@
       return undefined
     }
     const { service } = server.listed
-    const slots = isBrittle(server) ? this.learnedSlots.slotsOf(hash, server.listed.slots, clock.now()) : server.listed.slots
-    return { tokensPerMs: directory.observations.tokensPerMsOf(server), memoryTokens: directory.memoryTokensOf(service), slots, readAheadMs: this.objectivesOf(service).readAheadMs }
+    const isLimited = isBrittle(server)
+    const slots = isLimited ? this.learnedSlots.slotsOf(hash, server.listed.slots, clock.now()) : server.listed.slots
+    return { tokensPerMs: directory.observations.tokensPerMsOf(server), memoryTokens: directory.memoryTokensOf(service), slots, readAheadMs: this.objectivesOf(service).readAheadMs, isBrittle: isLimited }
   }
 
   /**
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -190,7 +190,7 @@
     return () => { protocols[1]?.claim({ key: `account-${turn++ % ACCOUNTS}`, limit: { perSecond: 1e9, burst: 1e9, revision: 1 }, cost: 9190 }, () => {}) }
   },
   'admission requested, decided and answered, and its report counted': ({ addresses: [owner = '', requester = ''], servers }) => {
-    const roomOf = (): ServerCapacity => ({ tokensPerMs: 38.7, memoryTokens: 91_225, slots: 32, readAheadMs: 102 })
+    const roomOf = (): ServerCapacity => ({ tokensPerMs: 38.7, memoryTokens: 91_225, slots: 32, readAheadMs: 102, isBrittle: false })
     const shared = { clock, watchersOf: () => [owner], isComplete: () => true, roomOf, loadOf: () => noLoad, onDecided: () => {}, onUnresponsive: () => {} }
     const protocols = new Map([owner, requester].map(address => [address, AdmissionProtocol.create({
       ...shared, address, send: (to, message) => { unpackDatagram(encodeAdmissionMessage(message)).chain(readAdmissionMessage).ifJust(received => protocols.get(to)?.receive(received)) }
@@ -198,7 +198,7 @@
     let turn = 0
     return () => {
       const server = servers[turn++ % servers.length] ?? 0
-      protocols.get(requester)?.request({ server, tokens: 2890, heldTokens: 9200, priority: 3, account: 'account-17', fingerprint: turn, arrivedAt: clock.now() - 3, objectiveMs: 1215, latestStartAt: clock.now() + 2000 }, () => {})
+      protocols.get(requester)?.request({ server, tokens: 2890, heldTokens: 9200, priority: 3, account: 'account-17', fingerprint: turn, arrivedAt: clock.now() - 3, objectiveMs: 1215, latestStartAt: clock.now() + 2000, isBrittle: false }, () => {})
       protocols.get(owner)?.recordLoad(server, requester, 1)
     }
   },
