Extend probes and the detector of silence by stalls of the own process

The process had stood still, took the silence for broken links, probes that others answered in time confirmed it, and repeatable attempts were abandoned for others. Probes and the detector now wait as much longer as the process stood still, like calls between instances do, and the own probe of a check has the same 250 ms as those of others.

A carrying instance no longer refuses a request because its own claim under a stated limit was refused: the asking instance has counted the request.

--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -9,7 +9,7 @@
 import { AttemptFailureKind, type AttemptFailure } from '../attempts/attemptFailure.js'
 import type { AnswerWire } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
-import { availableFrom } from '../servers/serverAvailability.js'
+import { reachableFrom } from '../servers/serverAvailability.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import { answeredHeaders, failureHeaders, FAILURE_STATUS, omitForwarding, PROBE_PATH, readForwarding, type ForwardingRequest } from './forwardingMessage.js'
@@ -94,7 +94,8 @@
     if (this.carried >= MAX_CARRIED) {
       return 'too many requests of other instances'
     }
-    if (availableFrom(server) > clock.now()) {
+    // The asking instance has counted the request against a limit that the server stated.
+    if (Math.max(reachableFrom(server), server.stated.opensAt) > clock.now()) {
       return 'the server takes no requests'
     }
     return monitor.brokenSince(server) === undefined ? undefined : 'out of reach here too'
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -27,9 +27,6 @@
 /** Longest wait for the answer to a probe, milliseconds: a busy server or event loop answers within this. */
 const PROBE_TIMEOUT_MS = 250
 
-/** The same for an own probe that others are asked to confirm, milliseconds: a false alarm ends with the next probe. */
-const CONFIRMED_TIMEOUT_MS = 150
-
 /** How long an own probe runs before other instances are asked to probe too, milliseconds. */
 const PROBE_HEAD_START_MS = 60
 
@@ -153,9 +150,9 @@
     this.silence.stop()
   }
 
-  private async probe (server: KnownServer, timeoutMs = PROBE_TIMEOUT_MS): Promise<boolean> {
+  private async probe (server: KnownServer): Promise<boolean> {
     const { clock, directory, probe } = this.options
-    const isReached = await probe(server, clock.now() + timeoutMs)
+    const isReached = await probe(server, clock.now() + PROBE_TIMEOUT_MS)
     if (isReached) {
       directory().recordHeard(server)
     }
@@ -169,7 +166,7 @@
       const findings = await askPeers(this.options, server)
       return isOwnLink(findings) ?? !await this.reachesAnother(server)
     }
-    const own = this.probe(server, CONFIRMED_TIMEOUT_MS)
+    const own = this.probe(server)
     const headStart = waitUntil(clock, clock.now() + PROBE_HEAD_START_MS).then(() => false)
     if (await Promise.race([own, headStart])) {
       return false
--- a/packages/foxtaillever-relay/src/links/serverProbe.ts
+++ b/packages/foxtaillever-relay/src/links/serverProbe.ts
@@ -1,6 +1,6 @@
 /** Probes a backend server on a new connection: any answer proves that the link to it works. */
 import { request } from 'node:http'
-import { atAfterReading, type Clock } from 'foxtaillever-core'
+import { atAfterSilence, type Clock } from 'foxtaillever-core'
 import type { ServerCall } from '../servers/serverConnections.js'
 
 export interface ProbeTarget {
@@ -17,7 +17,7 @@
   const [host, port] = address.split(':')
   return await new Promise(resolve => {
     const probe = request({ host, port, method, path, headers: headers as unknown as Record<string, string>, setHost: false, agent: false })
-    const cancelTimeout = atAfterReading(clock, deadline, () => finish(false))
+    const cancelTimeout = atAfterSilence(clock, deadline, () => finish(false))
     const finish = (isReached: boolean): void => {
       cancelTimeout()
       resolve(isReached)
--- a/packages/foxtaillever-relay/src/links/silenceDetector.ts
+++ b/packages/foxtaillever-relay/src/links/silenceDetector.ts
@@ -3,7 +3,7 @@
  * that hang when links are cut show no error, and a single request waits for its whole
  * timeout; but all servers falling silent at once is unlikely to be the servers' doing.
  */
-import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
+import { atAfterSilence, type Cancellation, type Clock } from 'foxtaillever-core'
 import type { KnownServer } from '../servers/knownServer.js'
 
 /** Silence of all servers after which they are checked, milliseconds: some stream or answer arrives far more often. */
@@ -88,7 +88,7 @@
     const { clock, heardAt } = this.options
     this.isArmed = true
     const at = Math.max(clock.now() + MIN_ARM_MS, heardAt() + SILENCE_MS, this.nextCheckAt)
-    this.cancel = atAfterReading(clock, at, () => {
+    this.cancel = atAfterSilence(clock, at, () => {
       this.isArmed = false
       this.check()
       this.arm()
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -53,7 +53,6 @@
   private routing: Routing | undefined
   /** Instances that share a server's connections. */
   private instanceCount = 1
-
   private readonly now: () => number
 
   private constructor (private readonly options: ServerDirectoryOptions) {
--- a/packages/foxtaillever-relay/src/weights/weightsRollout.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsRollout.ts
@@ -173,10 +173,8 @@
     const { clock, lease, rank, reachesServers } = this.options
     if (!reachesServers()) {
       lease.release()
-      this.changes.clear()
-      return
     }
-    const isOwnTurn = lease.fence() !== undefined || clock.now() >= this.progressAt + rank() * RANK_DELAY_MS
+    const isOwnTurn = reachesServers() && (lease.fence() !== undefined || clock.now() >= this.progressAt + rank() * RANK_DELAY_MS)
     if (!isOwnTurn || !await lease.acquire()) {
       this.dropChangesUnlessRenewing()
       return
