--- a/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
+++ b/packages/foxtaillever-relay/src/admission/serverAdmissions.ts
@@ -57,6 +57,8 @@
   readonly address: string
   readonly tokens: number
   readonly heldTokens: number
+  /** Milliseconds of Unix time. */
+  readonly admittedAt: number
   /** Counts until then, milliseconds of Unix time. */
   readonly until: number
 }
@@ -139,8 +141,9 @@
    */
   recordLoad (load: ServerLoad, reporter: string, added: number, now: number): void {
     let contained = added
-    for (const [key, { address }] of this.unreported) {
-      if (contained > 0 && address === reporter) {
+    for (const [key, { address, admittedAt }] of this.unreported) {
+      if (address === reporter && (contained > 0 || admittedAt + UNREPORTED_MS <= now)) {
+        // A request that ended before the report is in no count of it.
         this.unreported.delete(key)
         contained -= 1
       }
@@ -219,7 +222,7 @@
     this.usedAt = now
     this.decided.set(key, { ...decision, until: now + REMEMBERED_MS })
     if (decision.outcome === AdmissionOutcome.Admitted) {
-      this.unreported.set(key, { address: id.address, tokens, heldTokens, until: unreportedUntil })
+      this.unreported.set(key, { address: id.address, tokens, heldTokens, admittedAt: now, until: unreportedUntil })
       this.recordBacklog(now)
     }
     return { ...decision, id }
