--- a/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
@@ -111,7 +111,7 @@
 const neverRun = [AttemptFailureKind.Unreachable, AttemptFailureKind.Closed]
 
 describe('a request that another instance carries', () => {
-  it('reaches the server as it was sent, and its answer comes back', async t => {
+  it('reaches the server as it was sent, and its answer returns', async t => {
     const rig = await Rig.start(answerWell)
     const { head, body, failure } = await rig.send('r1', 'the body')
     t.is(failure, undefined)
@@ -132,7 +132,7 @@
   })
 
   // Guards against an instance that does for others what a server asked it not to do.
-  it('is not sent to a server that told the carrying instance that it leaves', async t => {
+  it('is not sent to a server that stated to the carrying instance that it leaves', async t => {
     const rig = await Rig.start(answerWell)
     rig.directory.markLeaving('s', rig.clock.now())
     const { failure } = await rig.send('r1')
