Look for one instance that can carry requests, not for all, at each choice

While links are broken, whether any path to a server is known was asked for each server, and each time the whole list of other instances was filtered: 670 x 380 for one request at the largest size. The first instance that qualifies is enough; the answer is the same. A type is used where its copy stood, and a comment says what `isReported` means for answers of the server itself.

--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -66,7 +66,7 @@
   readonly serverId?: string
   /** Whether the connection had served other requests before, and no answer to this one arrived on it. */
   readonly isOnReusedConnection?: boolean
-  /** Whether another instance, which carried the request, reported the failure of its attempt at the server. */
+  /** Whether the failure is known to be that of an attempt at the server, also if another instance carried the request. */
   readonly isReported?: boolean
 }
 
--- a/packages/foxtaillever-relay/src/links/forwardingClient.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingClient.ts
@@ -55,7 +55,7 @@
 
   /** Whether any instance may carry requests now. */
   get isAvailable (): boolean {
-    return this.candidates().length > 0
+    return this.options.peers().some(peer => peer.links !== LinkState.Cut && !this.isPassedOver(peer))
   }
 
   /** Addresses of instances whose links are sound as far as is known, in random order. */
@@ -110,12 +110,15 @@
 
   /** Instances with sound links; only where there is none, those that reach a part of the servers. */
   private candidates (): readonly string[] {
-    const now = this.options.clock.now()
-    const peers = this.options.peers().filter(({ address }) => (this.passedOverUntil.get(address) ?? 0) <= now)
+    const peers = this.options.peers().filter(peer => !this.isPassedOver(peer))
     const sound = peers.filter(({ links }) => links === LinkState.Sound)
     return (sound.length > 0 ? sound : peers.filter(({ links }) => links === LinkState.Partial)).map(({ address }) => address)
   }
 
+  private isPassedOver ({ address }: PeerMessage): boolean {
+    return (this.passedOverUntil.get(address) ?? 0) > this.options.clock.now()
+  }
+
   private connectionsTo (address: string): ServerConnections {
     let connections = this.connections.get(address)
     if (!connections) {
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -8,7 +8,7 @@
  * is at fault.
  */
 import { waitUntil, type Cancellation, type Random } from 'foxtaillever-core'
-import { BrokenLinks, LinkState } from 'foxtaillever-policy/relay/brokenLinks'
+import { BrokenLinks, LinkState, type LinkedServer } from 'foxtaillever-policy/relay/brokenLinks'
 import type { KnownServer } from '../servers/knownServer.js'
 import { reachableFrom } from '../servers/serverAvailability.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
@@ -264,6 +264,6 @@
   }
 }
 
-function linkOf ({ hash, listed: { failureDomain } }: KnownServer): { readonly hash: number, readonly failureDomain: string } {
+function linkOf ({ hash, listed: { failureDomain } }: KnownServer): LinkedServer {
   return { hash, failureDomain }
 }
