--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -8,7 +8,7 @@
 import { EngineRunner } from './engines/engineRunner.js'
 import { createPlainRunner, type PlainShape } from './engines/plainRunner.js'
 import { PartCache } from './engines/partCache.js'
-import type { PartUse } from './engines/tokenEngine.js'
+import type { PartUse, TokenEngineOptions } from './engines/tokenEngine.js'
 import type { AcceptedOrder } from './engines/weightOrders.js'
 import { InstanceLinks } from './instanceLinks.js'
 import { Link } from './link.js'
@@ -16,7 +16,7 @@
 import { StoreServer } from './store/storeServer.js'
 
 /** Smaller than a real engine, so that runs are short. */
-const ENGINE = { slots: 8, maxWaiting: 8, memoryTokens: 40_000, stepMs: 4, prefillTokensPerMs: 110, chunkTokens: 4096 }
+const ENGINE: TokenEngineOptions = { slots: 8, maxWaiting: 8, memoryTokens: 40_000, stepMs: 4, prefillTokensPerMs: 110, chunkTokens: 4096 }
 
 /** A server is removed after this many heartbeat intervals without a heartbeat. */
 const MISSED_HEARTBEATS = 3
@@ -96,10 +96,10 @@
     return { storeServer, address: await storeServer.listen(this.options.host), links }
   }
 
-  async addEngine (name: string, service: string, zone: string, models: Readonly<Record<string, number>>): Promise<{ readonly server: BackendServer, readonly runner: EngineRunner }> {
+  async addEngine (name: string, service: string, zone: string, models: Readonly<Record<string, number>>, shape: Partial<TokenEngineOptions> = {}): Promise<{ readonly server: BackendServer, readonly runner: EngineRunner }> {
     const runner = EngineRunner.create({
       clock: this.options.clock,
-      engine: ENGINE,
+      engine: { ...ENGINE, ...shape },
       maxEventCalls: EVENT_CALLS,
       loadMs: LOAD_MS,
       isNamed: (model, version) => version <= (this.namedVersions.get(model) ?? 0),
