Take no link for broken because a server answered one instance a moment sooner

A server that fell silent for a moment, or started again, could be taken for a server behind broken links by an instance with sound ones. Its requests then went through other instances, and it told the others that it does not reach the servers.

Cause: the own probe and those of two other instances begin up to 60 ms apart. If the server begins to answer in between, the own probe has failed and another instance's has not, which counted as proof that the link is at fault. On the way back, one server of a failure domain was probed each time; while that one was down itself, sound links stayed broken.

Evidence: drawn histories (`linkHistory`) now let servers be silent for 0.2 to 1.2 s, and object to any link that is still taken for broken two seconds after it works, or never was cut.

--- a/packages/foxtaillever-relay/src/links/__fixtures__/linkHistory.ts
+++ b/packages/foxtaillever-relay/src/links/__fixtures__/linkHistory.ts
@@ -1,6 +1,6 @@
 /**
  * Plays a drawn history of a fleet whose links to servers break and return and whose
- * servers fail, with the link monitor of each instance, and checks what they conclude.
+ * servers fail or fall silent for a moment, with the link monitor of each instance, and checks what they conclude.
  */
 import { SeededRandom } from 'foxtaillever-core'
 import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
@@ -23,6 +23,7 @@
 
 const CUT_MS = { least: 1500, most: 5000 }
 const CRASH_MS = { least: 300, most: 2500 }
+const SILENCE_MS = { least: 200, most: 1200 }
 
 /** A cut instance knows of it after this, and that its links are back, milliseconds. */
 const NOTICED_AFTER_MS = 1000
@@ -34,7 +35,9 @@
 enum Path {
   Works = 'works',
   Refuses = 'refuses',
-  Hangs = 'hangs'
+  Hangs = 'hangs',
+  /** Works, but the server answers later. */
+  Silent = 'silent'
 }
 
 interface Instance {
@@ -52,8 +55,10 @@
   private readonly clock = VirtualClock.create()
   private readonly random: SeededRandom
   private readonly instances: Instance[] = []
-  /** When a server was last down, milliseconds of Unix time; Infinity while it is. */
+  /** When a server was last down or silent, milliseconds of Unix time; Infinity while it is. */
   private readonly downAt = new Map<string, number>()
+  /** Until when silent servers send nothing, milliseconds of Unix time. */
+  private readonly silentUntil = new Map<string, number>()
   private readonly violations = new Set<string>()
 
   private constructor (seed: number) {
@@ -90,11 +95,7 @@
       random,
       log: { belief: () => {} },
       directory: () => directory,
-      probe: async ({ listed: { id } }, deadline) => {
-        const path = this.pathTo(instance, id)
-        await this.wait(path === Path.Hangs ? deadline - clock.now() : ANSWER_MS)
-        return path === Path.Works
-      },
+      probe: async ({ listed: { id } }, deadline) => await this.probe(instance, id, deadline),
       peers: () => this.usablePeersOf(instance).map(peer => ({ peer, order: random.next() })).sort((a, b) => a.order - b.order).map(({ peer }) => peer.name),
       probeThrough: async (peer, { hash }) => {
         await this.wait(PEER_CALL_MS)
@@ -109,6 +110,14 @@
     return instance
   }
 
+  private async probe (instance: Instance, id: string, deadline: number): Promise<boolean> {
+    const { clock, silentUntil } = this
+    const path = this.pathTo(instance, id)
+    const answersAt = path === Path.Silent ? (silentUntil.get(id) ?? 0) : path === Path.Hangs ? Infinity : clock.now()
+    await this.wait(Math.min(deadline, answersAt + ANSWER_MS) - clock.now())
+    return path !== Path.Refuses && answersAt + ANSWER_MS <= deadline
+  }
+
   /** Other instances with sound links; only where there is none, those that reach a part of the servers. */
   private usablePeersOf (instance: Instance): readonly Instance[] {
     const peers = this.instances.filter(peer => peer !== instance)
@@ -130,7 +139,10 @@
 
   private pathTo ({ paths }: Instance, id: string): Path {
     const path = paths.get(id.slice(0, 1)) ?? Path.Works
-    return path === Path.Works && !this.isUp(id) ? Path.Refuses : path
+    if (path !== Path.Works || this.isUp(id)) {
+      return path
+    }
+    return (this.silentUntil.get(id) ?? 0) > this.clock.now() ? Path.Silent : Path.Refuses
   }
 
   private sendRequests (instance: Instance, until: number): void {
@@ -148,19 +160,28 @@
     const conclude = (): void => this.checkConclusion(instance, id)
     const endWait = instance.monitor.beginWait(server)
     const beganAt = clock.now()
-    const actions: Readonly<Record<Path, () => void>> = {
-      [Path.Works]: () => clock.at(clock.now() + ANSWER_MS, () => {
+    const lose = (): void => {
+      endWait()
+      instance.monitor.suspect(server, Suspicion.Unresponsive, beganAt, conclude)
+    }
+    const answerAt = (answeredAt: number): void => {
+      clock.at(answeredAt, () => {
+        if (instance.paths.has(server.listed.failureDomain)) {
+          clock.at(Math.max(clock.now(), beganAt + PATIENCE_MS), lose)
+          return
+        }
         instance.directory.recordHeard(server)
         endWait()
-      }),
+      })
+    }
+    const actions: Readonly<Record<Path, () => void>> = {
+      [Path.Works]: () => answerAt(clock.now() + ANSWER_MS),
+      [Path.Silent]: () => answerAt((this.silentUntil.get(id) ?? 0) + ANSWER_MS),
       [Path.Refuses]: () => {
         endWait()
         instance.monitor.suspect(server, Suspicion.Unreachable, beganAt, conclude)
       },
-      [Path.Hangs]: () => clock.at(clock.now() + PATIENCE_MS, () => {
-        endWait()
-        instance.monitor.suspect(server, Suspicion.Unresponsive, beganAt, conclude)
-      })
+      [Path.Hangs]: () => clock.at(clock.now() + PATIENCE_MS, lose)
     }
     actions[this.pathTo(instance, id)]()
   }
@@ -178,8 +199,8 @@
     if (isCutWholly && isSomeoneSound && cutSince + NOTICED_AFTER_MS < now && monitor.state !== LinkState.Cut) {
       this.violations.add(`${name} has not noticed that its links are cut`)
     }
-    if (soundSince + SOUND_AFTER_MS < now && cutSince === Infinity && monitor.state === LinkState.Cut) {
-      this.violations.add(`${name} has not noticed that its links are back`)
+    if (soundSince + SOUND_AFTER_MS < now && cutSince === Infinity && monitor.state !== LinkState.Sound) {
+      this.violations.add(`${name} takes sound links for broken`)
     }
   }
 
@@ -206,16 +227,22 @@
     })
   }
 
-  private scheduleCrash (until: number): void {
-    const { clock, random, downAt } = this
-    if (clock.now() >= until) {
+  /** A server fails and starts again, or is silent and goes on. */
+  private scheduleCrash (last: number): void {
+    const { clock, random, downAt, silentUntil } = this
+    if (clock.now() >= last) {
       return
     }
     const id = SERVERS[random.below(SERVERS.length)] as string
+    const isSilent = random.below(2) === 0
+    const until = clock.now() + this.draw(isSilent ? SILENCE_MS : CRASH_MS)
     downAt.set(id, Infinity)
-    clock.at(clock.now() + this.draw(CRASH_MS), () => {
+    if (isSilent) {
+      silentUntil.set(id, until)
+    }
+    clock.at(until, () => {
       downAt.set(id, clock.now())
-      clock.at(clock.now() + this.draw(CRASH_MS), () => this.scheduleCrash(until))
+      clock.at(clock.now() + this.draw(CRASH_MS), () => this.scheduleCrash(last))
     })
   }
 }
--- a/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
@@ -1,4 +1,4 @@
-import { SeededRandom } from 'foxtaillever-core'
+import { SeededRandom, waitUntil } from 'foxtaillever-core'
 import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
 import { ServerState } from '../../model/listedServer.js'
@@ -7,6 +7,12 @@
 import { LinkMonitor, Suspicion } from '../linkMonitor.js'
 import { ProbeFinding } from '../peerProbes.js'
 
+/** How soon a probe is answered once its server is reached, milliseconds. */
+const POLL_MS = 10
+
+/** A server that accepted no connection is probed again for this long, milliseconds. */
+const CONFIRMED_WITHIN_MS = 60
+
 /** A monitor with servers in three failure domains, whose probes are answered as the test says. */
 class Rig {
   readonly clock = VirtualClock.create()
@@ -26,8 +32,8 @@
     directory: () => this.directory,
     probe: async ({ listed: { id } }, deadline) => {
       this.probed.push(id)
-      if (!this.reached.has(id)) {
-        await new Promise<void>(resolve => this.clock.at(deadline, resolve))
+      for (let at = this.clock.now(); at < deadline && !this.reached.has(id); at = this.clock.now()) {
+        await waitUntil(this.clock, Math.min(deadline, at + POLL_MS))
       }
       return this.reached.has(id)
     },
@@ -52,7 +58,7 @@
 
   async suspect (id: string, suspicion = Suspicion.Unreachable, beganAt = this.clock.now()): Promise<void> {
     this.monitor.suspect(this.server(id), suspicion, beganAt, () => this.concluded.push(id))
-    await this.advance(0)
+    await this.advance(suspicion === Suspicion.Unreachable ? CONFIRMED_WITHIN_MS : 0)
   }
 
   async advance (ms: number): Promise<void> {
@@ -120,6 +126,19 @@
     })
   })
 
+  // Guards against instances that all take their links for broken since a silent server answers some of their probes a moment sooner.
+  it('takes no link for broken if the server answers here too a moment later', async t => {
+    for (const suspicion of Object.values(Suspicion)) {
+      const rig = new Rig()
+      rig.monitor.suspect(rig.server('a1'), suspicion, rig.clock.now(), () => rig.concluded.push('a1'))
+      await rig.advance(CONFIRMED_WITHIN_MS - 2 * POLL_MS)
+      rig.reached.add('a1')
+      await rig.advance(300)
+      t.deepEqual(rig.concluded, ['a1'], suspicion)
+      t.is(rig.monitor.state, LinkState.Sound, suspicion)
+    }
+  })
+
   it('checks a server once for all that failed there meanwhile', async t => {
     const rig = new Rig()
     rig.findings = [ProbeFinding.NotReached]
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -13,7 +13,7 @@
 import { reachableFrom } from '../servers/serverAvailability.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
-import { askPeers, isOwnLink, ProbeFinding, type PeerProbes } from './peerProbes.js'
+import { askPeers, FINDING_TIMEOUT_MS, isOwnLink, ProbeFinding, type PeerProbes } from './peerProbes.js'
 import { SilenceDetector } from './silenceDetector.js'
 
 /** Why a server is suspected to be out of reach. */
@@ -30,9 +30,18 @@
 /** How long an own probe runs before other instances are asked to probe too, milliseconds. */
 const PROBE_HEAD_START_MS = 60
 
+/** Probes of several instances that a server answers at the same time end within this, milliseconds. */
+const SIMULTANEOUS_MS = 60
+
+/** How long an own probe runs if it is not answered, milliseconds: until the other instances' findings, and a moment longer. */
+const OWN_PROBE_TIMEOUT_MS = PROBE_HEAD_START_MS + FINDING_TIMEOUT_MS + SIMULTANEOUS_MS
+
 /** Between two probes of a failure domain whose servers are out of reach, milliseconds. */
 const RETURN_PROBE_INTERVAL_MS = 250
 
+/** Servers of such a failure domain that are probed each time. */
+const RETURN_PROBES = 2
+
 /** A finding that a server itself has failed is valid for this long, milliseconds: as long as it is then passed over. */
 const FINDING_VALID_MS = 300
 
@@ -150,30 +159,38 @@
     this.silence.stop()
   }
 
-  private async probe (server: KnownServer): Promise<boolean> {
+  private async probe (server: KnownServer, timeoutMs = PROBE_TIMEOUT_MS): Promise<boolean> {
     const { clock, directory, probe } = this.options
-    const isReached = await probe(server, clock.now() + PROBE_TIMEOUT_MS)
+    const isReached = await probe(server, clock.now() + timeoutMs)
     if (isReached) {
       directory().recordHeard(server)
     }
     return isReached
   }
 
+  /** @returns whether the probe was answered by the deadline, milliseconds of Unix time. */
+  private async within (deadline: number, probe: Promise<boolean>): Promise<boolean> {
+    return await Promise.race([probe, waitUntil(this.options.clock, deadline).then(() => false)])
+  }
+
   /** @returns whether this instance's link to the server is at fault. */
   private async check (server: KnownServer, suspicion: Suspicion): Promise<boolean> {
     const { clock } = this.options
-    if (suspicion === Suspicion.Unreachable) {
-      const findings = await askPeers(this.options, server)
-      return isOwnLink(findings) ?? !await this.reachesAnother(server)
-    }
-    const own = this.probe(server)
-    const headStart = waitUntil(clock, clock.now() + PROBE_HEAD_START_MS).then(() => false)
-    if (await Promise.race([own, headStart])) {
+    const beganAt = clock.now()
+    const own = this.probe(server, OWN_PROBE_TIMEOUT_MS)
+    if (suspicion === Suspicion.Unresponsive && await this.within(beganAt + PROBE_HEAD_START_MS, own)) {
       return false
     }
     const isAnotherReached = this.reachesAnother(server)
-    const [isReached, findings] = await Promise.all([own, askPeers(this.options, server)])
-    return !isReached && (isOwnLink(findings) ?? !await isAnotherReached)
+    const isLinkBroken = isOwnLink(await askPeers(this.options, server))
+    if (isLinkBroken === false) {
+      return false
+    }
+    // The server may have begun to answer between the own probe and those of the other instances.
+    const again = this.probe(server)
+    const ownUntil = suspicion === Suspicion.Unresponsive ? beganAt + PROBE_TIMEOUT_MS : beganAt
+    const isReached = await this.within(Math.max(ownUntil, clock.now() + SIMULTANEOUS_MS), own.then(async isReached => isReached || await again))
+    return !isReached && (isLinkBroken ?? !await isAnotherReached)
   }
 
   /** Probes another server, in another failure domain where there is one, unless one is heard meanwhile. */
@@ -230,13 +247,14 @@
     })
   }
 
-  /** Probes one server of each failure domain that is out of reach. */
+  /** Probes two servers of each failure domain that is out of reach, since one may have failed itself. */
   private async probeBrokenDomains (): Promise<void> {
     const { clock, directory, random } = this.options
     await Promise.all(this.links.failureDomains.map(async failureDomain => {
       const servers = directory().all().filter(server => server.listed.failureDomain === failureDomain && reachableFrom(server) <= clock.now())
-      const server = servers[random.below(Math.max(1, servers.length))]
-      if (server === undefined || await this.probe(server)) {
+      const first = random.below(Math.max(1, servers.length))
+      const probed = [...servers.slice(first), ...servers.slice(0, first)].slice(0, RETURN_PROBES)
+      if (probed.length === 0 || await isAnyReached(probed.map(async server => await this.probe(server)))) {
         this.markSound(failureDomain, servers)
       }
     }))
@@ -267,3 +285,11 @@
 function linkOf ({ hash, listed: { failureDomain } }: KnownServer): LinkedServer {
   return { hash, failureDomain }
 }
+
+/** Resolves with the first probe that is answered, or when all have failed. */
+async function isAnyReached (probes: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
+  return await new Promise((resolve, reject) => {
+    probes.forEach(probe => probe.then(isReached => isReached && resolve(true), reject))
+    Promise.all(probes).then(() => resolve(false), reject)
+  })
+}
--- a/packages/foxtaillever-relay/src/links/peerProbes.ts
+++ b/packages/foxtaillever-relay/src/links/peerProbes.ts
@@ -24,7 +24,7 @@
 const PROBING_PEERS = 2
 
 /** Longest wait for their findings, milliseconds: that of their own probe and the way there and back. */
-const FINDING_TIMEOUT_MS = 310
+export const FINDING_TIMEOUT_MS = 310
 
 /** Resolves with the first finding that the server is reached, or with all. */
 export async function askPeers ({ clock, peers, probeThrough }: PeerProbes, server: KnownServer): Promise<readonly ProbeFinding[]> {
--- a/packages/foxtaillever-standins/src/platform/instanceLinks.ts
+++ b/packages/foxtaillever-standins/src/platform/instanceLinks.ts
@@ -24,18 +24,19 @@
 
   /** @param targets addresses of servers; all if not given. */
   cut (cut: LinkCut, targets?: readonly string[]): void {
-    this.links.forEach(({ link }, target) => {
-      if (targets?.includes(target) !== false) {
-        link.cut(cut)
-      }
-    })
+    this.linksTo(targets).forEach(link => link.cut(cut))
   }
 
-  repair (): void {
-    this.links.forEach(({ link }) => link.repair())
+  /** @param targets addresses of servers; all if not given. */
+  repair (targets?: readonly string[]): void {
+    this.linksTo(targets).forEach(link => link.repair())
   }
 
   close (): void {
     this.links.forEach(({ link }) => link.close())
   }
+
+  private linksTo (targets: readonly string[] | undefined): Link[] {
+    return [...this.links].flatMap(([target, { link }]) => targets?.includes(target) === false ? [] : [link])
+  }
 }
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -11,7 +11,7 @@
 import type { PartUse, TokenEngineOptions } from './engines/tokenEngine.js'
 import type { AcceptedOrder } from './engines/weightOrders.js'
 import { InstanceLinks } from './instanceLinks.js'
-import { Link } from './link.js'
+import { Link, LinkCut } from './link.js'
 import { OPERATORS_TOPIC, SERVERS_TOPIC, StoreModel, type StoreCopy } from './store/storeModel.js'
 import { StoreServer } from './store/storeServer.js'
 
@@ -172,6 +172,18 @@
     this.writeEntries()
   }
 
+  /**
+   * Makes servers silent to all instances that have links of their own: they send nothing for a while and
+   * go on with what they have.
+   */
+  async silence (servers: readonly BackendServer[], ms: number): Promise<void> {
+    const { clock } = this.options
+    const targets = this.registered.filter(({ server }) => servers.includes(server)).map(({ address }) => address)
+    this.instanceLinks.forEach(links => links.cut(LinkCut.Hang, targets))
+    await waitUntil(clock, clock.now() + ms)
+    this.instanceLinks.forEach(links => links.repair(targets))
+  }
+
   /** Removes the entry of a server that has left. */
   remove (server: BackendServer): void {
     this.registered.filter(entry => entry.server === server).forEach(entry => { entry.sendsHeartbeats = false })
