--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -30,6 +30,9 @@
 const MAX_CUT_MS = 6000
 const MIN_CUT_MS = 1500
 
+/** Silence of a server that goes on afterwards, milliseconds. */
+const SILENCE_MS = 1000
+
 /** Rejections a second that brittle servers bear, and how long they are brittle, milliseconds. */
 const REJECTIONS_PER_S = [1, 2, 4]
 const BRITTLE_MS = 5000
@@ -181,6 +184,7 @@
       await cutLinks(context, [index])
     }
   },
+  'silence a server': async ({ fleet: { platform }, random }) => await platform.silence([draw(random, platform.servers)], SILENCE_MS),
   'make servers brittle': async ({ fleet, clock, random }) => {
     const kind = draw(random, ['engine', 'plain'])
     const servers = fleet.platform.servers.filter(({ options }) => options.name.startsWith(kind))
