--- a/packages/foxtaillever-relay/src/exchange/handleSilence.ts
+++ b/packages/foxtaillever-relay/src/exchange/handleSilence.ts
@@ -1,5 +1,5 @@
 /** Decides what follows when the server of an attempt has sent nothing for too long. */
-import { Suspicion } from '../links/linkMonitor.js'
+import { Suspicion } from '../links/linkCheck.js'
 import type { Exchange } from '../model/exchange.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import type { InFlightAttempt } from './inFlightAttempt.js'
--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -1,6 +1,6 @@
 /** Records what a failed attempt shows about its server, for all exchanges of the instance. */
 import { AttemptFailureKind, meaningOf, mayBeCrash, mayBeStaleConnection, type AttemptFailure } from '../attempts/attemptFailure.js'
-import { Suspicion } from '../links/linkMonitor.js'
+import { Suspicion } from '../links/linkCheck.js'
 import type { Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ExchangeContext } from './exchangeContext.js'
--- a/packages/foxtaillever-relay/src/links/__fixtures__/linkHistory.ts
+++ b/packages/foxtaillever-relay/src/links/__fixtures__/linkHistory.ts
@@ -7,7 +7,8 @@
 import { VirtualClock } from 'foxtaillever-testing/virtualClock'
 import { ServerState } from '../../model/listedServer.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
-import { LinkMonitor, Suspicion } from '../linkMonitor.js'
+import { Suspicion } from '../linkCheck.js'
+import { LinkMonitor } from '../linkMonitor.js'
 
 const INSTANCES = 4
 const SERVERS = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2'] as const
--- a/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
@@ -4,7 +4,8 @@
 import { ServerState } from '../../model/listedServer.js'
 import type { KnownServer } from '../../servers/knownServer.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
-import { LinkMonitor, Suspicion } from '../linkMonitor.js'
+import { Suspicion } from '../linkCheck.js'
+import { LinkMonitor } from '../linkMonitor.js'
 import { ProbeFinding } from '../peerProbes.js'
 
 /** How soon a probe is answered once its server is reached, milliseconds. */
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -13,7 +13,8 @@
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import { answeredHeaders, failureHeaders, FAILURE_STATUS, omitForwarding, PROBE_PATH, readForwarding, type ForwardingRequest } from './forwardingMessage.js'
-import { Suspicion, type LinkMonitor } from './linkMonitor.js'
+import { Suspicion } from './linkCheck.js'
+import type { LinkMonitor } from './linkMonitor.js'
 import { ProbeFinding } from './peerProbes.js'
 
 /** Requests that one instance carries at the same time, some ten kilobytes each: they must not crowd out its own. */
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -7,35 +7,16 @@
  * probed here, and then through other instances: if one of them reaches it, the link
  * is at fault.
  */
-import { waitUntil, type Cancellation, type Random } from 'foxtaillever-core'
+import type { Cancellation } from 'foxtaillever-core'
 import { BrokenLinks, LinkState, type LinkedServer } from 'foxtaillever-policy/relay/brokenLinks'
 import type { KnownServer } from '../servers/knownServer.js'
 import { reachableFrom } from '../servers/serverAvailability.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
-import { askPeers, FINDING_TIMEOUT_MS, isOwnLink, ProbeFinding, type PeerProbes } from './peerProbes.js'
+import { LinkCheck, Suspicion, type LinkCheckOptions } from './linkCheck.js'
+import { isAnyReached, ProbeFinding } from './peerProbes.js'
 import { SilenceDetector } from './silenceDetector.js'
 
-/** Why a server is suspected to be out of reach. */
-export enum Suspicion {
-  /** No connection could be established. */
-  Unreachable = 'unreachable',
-  /** An established connection failed or was silent. */
-  Unresponsive = 'unresponsive'
-}
-
-/** Longest wait for the answer to a probe, milliseconds: a busy server or event loop answers within this. */
-const PROBE_TIMEOUT_MS = 250
-
-/** How long an own probe runs before other instances are asked to probe too, milliseconds. */
-const PROBE_HEAD_START_MS = 60
-
-/** Probes of several instances that a server answers at the same time end within this, milliseconds. */
-const SIMULTANEOUS_MS = 60
-
-/** How long an own probe runs if it is not answered, milliseconds: until the other instances' findings, and a moment longer. */
-const OWN_PROBE_TIMEOUT_MS = PROBE_HEAD_START_MS + FINDING_TIMEOUT_MS + SIMULTANEOUS_MS
-
 /** Between two probes of a failure domain whose servers are out of reach, milliseconds. */
 const RETURN_PROBE_INTERVAL_MS = 250
 
@@ -48,12 +29,9 @@
 /** Time for which links must be broken before duties that need them are handed over, milliseconds: a false alarm ends with the next probe. */
 const LASTING_MS = 2 * RETURN_PROBE_INTERVAL_MS
 
-export interface LinkMonitorOptions extends PeerProbes {
-  readonly random: Random
+export interface LinkMonitorOptions extends LinkCheckOptions {
   readonly log: Pick<RelayLog, 'belief'>
   readonly directory: () => Pick<ServerDirectory, 'all' | 'getByHash' | 'heardAt' | 'recordHeard'>
-  /** Probes the server over this instance's own links; never rejects. */
-  readonly probe: (server: KnownServer, deadline: number) => Promise<boolean>
   /** The state of the links has changed; other instances must learn of it. */
   readonly onStateChanged: () => void
   /** More servers are out of reach; what waits for them over the own links may wait in vain. */
@@ -66,6 +44,7 @@
   private readonly checks = new Map<number, Array<() => void>>()
   /** Until when a server counts as failed itself, milliseconds of Unix time; by its hash. */
   private readonly failedUntil = new Map<number, number>()
+  private readonly linkCheck: LinkCheck
   private readonly silence: SilenceDetector
   /** Since when any link is broken, milliseconds of Unix time; Infinity while none is. */
   private brokenFrom = Infinity
@@ -77,6 +56,7 @@
 
   private constructor (private readonly options: LinkMonitorOptions) {
     const { clock, directory } = options
+    this.linkCheck = LinkCheck.create(options)
     this.silence = SilenceDetector.create({
       clock,
       heardAt: () => directory().heardAt,
@@ -134,7 +114,7 @@
       return
     }
     this.checks.set(server.hash, [conclude])
-    this.check(server, suspicion).then(isOwnLink => this.finishCheck(server, isOwnLink), error => {
+    this.linkCheck.isLinkAtFault(server, suspicion).then(isOwnLink => this.finishCheck(server, isOwnLink), error => {
       this.options.log.belief('The check of a backend server failed.', { server: server.listed.id, reason: String(error) })
       this.finishCheck(server, false)
     })
@@ -146,11 +126,7 @@
     if (!server || this.links.isBroken(linkOf(server))) {
       return ProbeFinding.Unknown
     }
-    const isAnotherReached = this.reachesAnother(server)
-    if (await this.probe(server)) {
-      return ProbeFinding.Reached
-    }
-    return await isAnotherReached ? ProbeFinding.NotReached : ProbeFinding.Unknown
+    return await this.linkCheck.find(server)
   }
 
   stop (): void {
@@ -159,51 +135,6 @@
     this.silence.stop()
   }
 
-  private async probe (server: KnownServer, timeoutMs = PROBE_TIMEOUT_MS): Promise<boolean> {
-    const { clock, directory, probe } = this.options
-    const isReached = await probe(server, clock.now() + timeoutMs)
-    if (isReached) {
-      directory().recordHeard(server)
-    }
-    return isReached
-  }
-
-  /** @returns whether the probe was answered by the deadline, milliseconds of Unix time. */
-  private async within (deadline: number, probe: Promise<boolean>): Promise<boolean> {
-    return await Promise.race([probe, waitUntil(this.options.clock, deadline).then(() => false)])
-  }
-
-  /** @returns whether this instance's link to the server is at fault. */
-  private async check (server: KnownServer, suspicion: Suspicion): Promise<boolean> {
-    const { clock } = this.options
-    const beganAt = clock.now()
-    const own = this.probe(server, OWN_PROBE_TIMEOUT_MS)
-    if (suspicion === Suspicion.Unresponsive && await this.within(beganAt + PROBE_HEAD_START_MS, own)) {
-      return false
-    }
-    const isAnotherReached = this.reachesAnother(server)
-    const isLinkBroken = isOwnLink(await askPeers(this.options, server))
-    if (isLinkBroken === false) {
-      return false
-    }
-    // The server may have begun to answer between the own probe and those of the other instances.
-    const again = this.probe(server)
-    const ownUntil = suspicion === Suspicion.Unresponsive ? beganAt + PROBE_TIMEOUT_MS : beganAt
-    const isReached = await this.within(Math.max(ownUntil, clock.now() + SIMULTANEOUS_MS), own.then(async isReached => isReached || await again))
-    return !isReached && (isLinkBroken ?? !await isAnotherReached)
-  }
-
-  /** Probes another server, in another failure domain where there is one, unless one is heard meanwhile. */
-  private async reachesAnother ({ hash, listed }: KnownServer): Promise<boolean> {
-    const { clock, directory, random } = this.options
-    const beganAt = clock.now()
-    const others = directory().all().filter(server => server.hash !== hash && reachableFrom(server) <= beganAt)
-    const elsewhere = others.filter(server => server.listed.failureDomain !== listed.failureDomain)
-    const candidates = elsewhere.length > 0 ? elsewhere : others
-    const other = candidates[random.below(Math.max(1, candidates.length))]
-    return (other !== undefined && await this.probe(other)) || directory().heardAt > beganAt
-  }
-
   private finishCheck (server: KnownServer, isOwnLink: boolean): void {
     const now = this.options.clock.now()
     const conclusions = this.checks.get(server.hash) ?? []
@@ -254,7 +185,7 @@
       const servers = directory().all().filter(server => server.listed.failureDomain === failureDomain && reachableFrom(server) <= clock.now())
       const first = random.below(Math.max(1, servers.length))
       const probed = [...servers.slice(first), ...servers.slice(0, first)].slice(0, RETURN_PROBES)
-      if (probed.length === 0 || await isAnyReached(probed.map(async server => await this.probe(server)))) {
+      if (probed.length === 0 || await isAnyReached(probed.map(async server => await this.linkCheck.probe(server)))) {
         this.markSound(failureDomain, servers)
       }
     }))
@@ -285,11 +216,3 @@
 function linkOf ({ hash, listed: { failureDomain } }: KnownServer): LinkedServer {
   return { hash, failureDomain }
 }
-
-/** Resolves with the first probe that is answered, or when all have failed. */
-async function isAnyReached (probes: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
-  return await new Promise((resolve, reject) => {
-    probes.forEach(probe => probe.then(isReached => isReached && resolve(true), reject))
-    Promise.all(probes).then(() => resolve(false), reject)
-  })
-}
--- a/packages/foxtaillever-relay/src/links/peerProbes.ts
+++ b/packages/foxtaillever-relay/src/links/peerProbes.ts
@@ -43,3 +43,11 @@
   }
   return findings.includes(ProbeFinding.NotReached) ? false : undefined
 }
+
+/** Resolves with the first probe that is answered, or when all have failed. */
+export async function isAnyReached (probes: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
+  return await new Promise((resolve, reject) => {
+    probes.forEach(probe => probe.then(isReached => isReached && resolve(true), reject))
+    Promise.all(probes).then(() => resolve(false), reject)
+  })
+}
--- a/packages/foxtaillever-relay/src/links/serverPaths.ts
+++ b/packages/foxtaillever-relay/src/links/serverPaths.ts
@@ -6,7 +6,8 @@
 import type { ServerChannel } from '../servers/serverConnections.js'
 import type { ForwardingClient } from './forwardingClient.js'
 import { readReportedFailure } from './forwardingMessage.js'
-import type { LinkMonitor, Suspicion } from './linkMonitor.js'
+import type { Suspicion } from './linkCheck.js'
+import type { LinkMonitor } from './linkMonitor.js'
 
 export interface ServerPath {
   readonly channel: ServerChannel
--- a/packages/foxtaillever-standins/src/platform/instanceLinks.ts
+++ b/packages/foxtaillever-standins/src/platform/instanceLinks.ts
@@ -1,4 +1,5 @@
 /** The links of one instance to all backend servers. Cutting them leaves the links of other instances as they are. */
+import { Either } from 'purify-ts'
 import { Link, type LinkCut } from './link.js'
 
 export class InstanceLinks {
@@ -22,6 +23,15 @@
     return this.links.get(target)?.address ?? target
   }
 
+  /** Returns a server's entry with the address at which the instance reaches it; values of other writers, which need not be JSON, stay as they are. */
+  rewriteAddress (value: Buffer): Buffer {
+    return Either.encase(() => JSON.parse(value.toString()) as { readonly address?: unknown } | null)
+      .map(entry => typeof entry?.address === 'string' && this.addressOf(entry.address) !== entry.address
+        ? Buffer.from(JSON.stringify({ ...entry, address: this.addressOf(entry.address) }))
+        : value)
+      .orDefault(value)
+  }
+
   /** @param targets addresses of servers; all if not given. */
   cut (cut: LinkCut, targets?: readonly string[]): void {
     this.linksTo(targets).forEach(link => link.cut(cut))
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -3,7 +3,6 @@
  * servers that register in the store and leave it, and operators that write to it.
  */
 import { waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
-import { Either } from 'purify-ts'
 import { BackendServer, type Runner } from './engines/backendServer.js'
 import { EngineRunner } from './engines/engineRunner.js'
 import { createPlainRunner, type PlainShape } from './engines/plainRunner.js'
@@ -91,7 +90,7 @@
       this.instanceLinks.push(links)
       await Promise.all(this.registered.map(async ({ address }) => await links.add(address)))
     }
-    const storeServer = StoreServer.create(this.store, this.options.clock, value => rewriteAddress(value, links))
+    const storeServer = StoreServer.create(this.store, this.options.clock, value => links.rewriteAddress(value))
     this.storeServers.push(storeServer)
     return { storeServer, address: await storeServer.listen(this.options.host), links }
   }
@@ -295,12 +294,3 @@
     })
   }
 }
-
-/** Values of other writers than servers, which need not be JSON, stay as they are. */
-function rewriteAddress (value: Buffer, links: InstanceLinks): Buffer {
-  return Either.encase(() => JSON.parse(value.toString()) as { readonly address?: unknown } | null)
-    .map(entry => typeof entry?.address === 'string' && links.addressOf(entry.address) !== entry.address
-      ? Buffer.from(JSON.stringify({ ...entry, address: links.addressOf(entry.address) }))
-      : value)
-    .orDefault(value)
-}
