Count the slot of a request that was given up while a brittle server may still run it

Callers saw servers fail that state `Server-Brittle`, when other callers left early: the next request was sent into a slot that was still in use, was rejected, and a server that bears one or two rejections a second failed.

The records of the server show a second and a third request in its two slots, and no silence or cut before it.

Cause: an attempt stopped counting when it was cancelled or lost, while a server goes on with the run for a while.

Now the slot counts until twice the usual time of the route after the request was sent, 500 ms after it was given up at most, at brittle servers only.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -139,6 +139,7 @@
       paths: directPaths,
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
       log,
+      isBrittle: server => brittle.isBrittle(server),
       routing: () => routing,
       othersTokensAt: () => 0,
       onLoadChanged: () => this.onLoadChanged(),
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -38,6 +38,8 @@
   /** Ways to the servers. */
   readonly paths: ServerPaths
   readonly log: RelayLog
+  /** Whether the server fails if it must reject a few requests. */
+  readonly isBrittle: (server: KnownServer) => boolean
   /** The configuration in force. */
   readonly routing: () => Routing
   /** Prompt tokens that the other instances have at the server, as far as is known. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -98,8 +98,9 @@
       stores: () => this.caches.available(),
       estimateLevelFetch: exchange => estimateLevelFetch(exchange, requireRouting(options.routing()), this.caches, clock.now(), this.directory.observations.prefillSpeedOf(exchange.service).tokensPerMs)
     })
-    this.rooms = ServerRooms.create({ clock, directory: this.directory, routing: options.routing, isBrittle: server => this.brittle.isBrittle(server) })
-    const claims = AdmissionClaims.create({ fleetLoad: options.fleetLoad, capacityOf: server => this.rooms.of(server), isBrittle: server => this.brittle.isBrittle(server), instances: () => this.instances, missingTokensAt: (exchange, server) => selector.missingTokensAt(exchange, server) })
+    const isBrittle = (server: KnownServer): boolean => this.brittle.isBrittle(server)
+    this.rooms = ServerRooms.create({ clock, directory: this.directory, routing: options.routing, isBrittle })
+    const claims = AdmissionClaims.create({ fleetLoad: options.fleetLoad, capacityOf: server => this.rooms.of(server), isBrittle, instances: () => this.instances, missingTokensAt: (exchange, server) => selector.missingTokensAt(exchange, server) })
     this.runs = ExchangeRuns.create({
       clock,
       random,
@@ -114,6 +115,7 @@
       limits: this.limits,
       admission: { claims, protocol: { request: (claim, onResult) => options.admissionProtocol().request(claim, onResult) } },
       log,
+      isBrittle,
       routing: () => requireRouting(options.routing()),
       othersTokensAt: server => options.fleetLoad.of(server.hash).tokens,
       onLoadChanged,
@@ -121,7 +123,7 @@
       onSaved,
       onUnreachable,
       onRejected: server => {
-        if (this.brittle.isBrittle(server)) {
+        if (isBrittle(server)) {
           options.onBackoffRequested(server)
         }
       },
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -122,7 +122,7 @@
       onEnd: () => this.onEnd(),
       onFailed: failure => this.onFailed(failure)
     })
-    this.current = InFlightAttempt.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, watch: watchAttempt(context, exchange, beganAt, () => this.onSilent()), forwarder: route.path.forwarder, context })
+    this.current = InFlightAttempt.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, usualMs: context.directory.observations.usualTimeOf(exchange.route.name).value, watch: watchAttempt(context, exchange, beganAt, () => this.onSilent()), forwarder: route.path.forwarder, context })
   }
 
   private onHead (head: AnswerHead): void {
@@ -185,7 +185,7 @@
   private onFailed (failure: AttemptFailure): void {
     const { kind } = failure
     const inFlight = this.current
-    this.closeCurrent()
+    this.closeCurrent(meaningOf[kind].verdict === Verdict.MayHaveRun)
     this.recordFailure(failure, inFlight)
     if (!meaningOf[kind].isArrival) {
       this.placement.releaseLimit()
@@ -271,13 +271,13 @@
 
   private cancelCurrent (): void {
     this.current?.attempt.cancel()
-    this.closeCurrent()
+    this.closeCurrent(this.current?.attempt.mayHaveArrived)
   }
 
-  private closeCurrent (): void {
+  private closeCurrent (mayStillRun = false): void {
     const { current } = this
     this.current = undefined
-    current?.close()
+    current?.close(mayStillRun)
   }
 
   /** Gives the quota back where the request has not run. */
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -6,6 +6,12 @@
 import type { ExchangeContext } from './exchangeContext.js'
 import type { SilenceWatch } from './silenceWatch.js'
 
+/** A server stops the run of a cancelled request within this, milliseconds. */
+const MAX_CANCELLED_RUN_MS = 500
+
+/** Time that a run hardly ever exceeds, as a multiple of the usual time until an answer begins. */
+const USUAL_FACTOR = 2
+
 export interface InFlightAttemptOptions {
   readonly attempt: Attempt
   readonly server: KnownServer
@@ -16,10 +22,12 @@
   readonly othersTokens: number
   /** Milliseconds of Unix time. */
   readonly beganAt: number
+  /** Usual time until the answer to such a request begins, milliseconds; undefined when unknown. */
+  readonly usualMs: number | undefined
   readonly watch: SilenceWatch
   /** Address of the instance that carries the request; undefined for none. */
   readonly forwarder: string | undefined
-  readonly context: Pick<ExchangeContext, 'caches' | 'onSaved' | 'onLoadChanged' | 'paths'>
+  readonly context: Pick<ExchangeContext, 'clock' | 'caches' | 'onSaved' | 'onLoadChanged' | 'paths' | 'isBrittle'>
 }
 
 export class InFlightAttempt {
@@ -111,19 +119,35 @@
     }
   }
 
-  /** Stops counting the attempt against its server. */
-  close (): void {
+  /**
+   * Stops counting the attempt against its server.
+   * @param mayStillRun whether the server may still run the request, because its answer was not awaited.
+   */
+  close (mayStillRun: boolean): void {
     const { server, terms, context, watch, heldTokens } = this.options
     watch.stop()
     this.endWait()
-    server.outstanding -= 1
     server.heldTokens -= heldTokens
+    if (mayStillRun && context.isBrittle(server)) {
+      this.releaseSlotLater()
+    } else {
+      server.outstanding -= 1
+    }
     this.releaseUnreadPrompt()
     if (terms.savedLevel !== undefined) {
       context.caches.savedLevels.releaseSave(terms.savedLevel)
     }
   }
 
+  /** Another request in the slot of one that still runs would be rejected, and the server fails if it must reject a few. */
+  private releaseSlotLater (): void {
+    const { server, beganAt, usualMs = Infinity, context: { clock, onLoadChanged } } = this.options
+    clock.at(Math.min(clock.now() + MAX_CANCELLED_RUN_MS, beganAt + USUAL_FACTOR * usualMs), () => {
+      server.outstanding -= 1
+      onLoadChanged(server)
+    })
+  }
+
   /** Stops counting the prompt as unread. */
   private releaseUnreadPrompt (): void {
     this.server.unreadTokens -= this.unreadTokens
