--- a/packages/foxtaillever-relay/src/links/peerProbes.ts
+++ b/packages/foxtaillever-relay/src/links/peerProbes.ts
@@ -30,10 +30,7 @@
 export async function askPeers ({ clock, peers, probeThrough }: PeerProbes, server: KnownServer): Promise<readonly ProbeFinding[]> {
   const deadline = clock.now() + FINDING_TIMEOUT_MS
   const calls = peers().slice(0, PROBING_PEERS).map(async peer => await probeThrough(peer, server, deadline))
-  return await new Promise(resolve => {
-    calls.forEach(call => call.then(finding => finding === ProbeFinding.Reached && resolve([finding]), () => {}))
-    Promise.all(calls).then(resolve, () => resolve([]))
-  })
+  return await firstOrAll(calls, finding => finding === ProbeFinding.Reached)
 }
 
 /** What the findings of other instances say of this one's link; undefined where none could tell. */
@@ -46,8 +43,13 @@
 
 /** Resolves with the first probe that is answered, or when all have failed. */
 export async function isAnyReached (probes: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
-  return await new Promise((resolve, reject) => {
-    probes.forEach(probe => probe.then(isReached => isReached && resolve(true), reject))
-    Promise.all(probes).then(() => resolve(false), reject)
+  return (await firstOrAll(probes, isReached => isReached)).includes(true)
+}
+
+/** Resolves with the first decisive result alone, or with all; with none where a call rejects. */
+async function firstOrAll<Result> (calls: ReadonlyArray<Promise<Result>>, isDecisive: (result: Result) => boolean): Promise<readonly Result[]> {
+  return await new Promise(resolve => {
+    calls.forEach(call => call.then(result => isDecisive(result) && resolve([result]), () => {}))
+    Promise.all(calls).then(resolve, () => resolve([]))
   })
 }
