--- a/packages/foxtaillever-policy/src/relay/retryShare.ts
+++ b/packages/foxtaillever-policy/src/relay/retryShare.ts
@@ -70,9 +70,13 @@
 
   /** Whether one more retry of a request for the service is allowed now. */
   canRetry (service: string, now: number): boolean {
+    return this.available(service, now) >= 1
+  }
+
+  /** Retries of requests for the service that are left now; a fraction where less than one is. */
+  available (service: string, now: number): number {
     const { requests, retries } = this.windowOf(service, now)
-    const { ratio } = this.allowance
-    return retries.length + 1 <= (1 - RESERVED_SHARE) * (ratio * requests.length + this.slackShareAt(now))
+    return (1 - RESERVED_SHARE) * (this.allowance.ratio * requests.length + this.slackShareAt(now)) - retries.length
   }
 
   /** This instance's part of the constant. */
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -112,7 +112,7 @@
       this.releaseLimit()
     } else if (admission === LimitAdmission.Refused) {
       this.selectServer(queriedServers)
-    } else if (isRetry && !context.retries.tryRetry(exchange.service, context.clock.now())) {
+    } else if (isRetry && !this.countRetry()) {
       this.releaseLimit()
       this.fail(FailureCode.Overloaded, 'The retry budget is used up.')
     } else {
@@ -120,6 +120,14 @@
     }
   }
 
+  /** Counts the attempt against the retry budget; returns whether the budget allows it. */
+  private countRetry (): boolean {
+    const { context: { clock, log, retries }, exchange } = this.options
+    const isAllowed = retries.tryRetry(exchange.service, clock.now())
+    log.retryDecided(exchange, isAllowed, retries.available(exchange.service, clock.now()))
+    return isAllowed
+  }
+
   /** Fails with the code of an earlier attempt that ran, if any: it says more than that no server is left. */
   private fail (code: FailureCode, message: string, retryAt?: number): void {
     this.options.onFailed(this.options.ledger.ranCode ?? code, message, retryAt)
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -75,6 +75,12 @@
     })
   }
 
+  /** @param available what is left of this instance's share of the retry budget, in retries. */
+  retryDecided ({ id: request, account, service }: Exchange, isAllowed: boolean, available: number): void {
+    this.metrics.count('retries_total', { service, allowed: String(isAllowed) })
+    this.logs.write('info', Part.Requests, isAllowed ? 'Retries at another backend server.' : 'The retry budget is used up.', { request, account: account?.name, service, available: Number(available.toFixed(2)) })
+  }
+
   /** This instance's own link to the server is broken; another instance carries the request. */
   forwarded ({ id: request, account }: Exchange, server: string, forwarder: string): void {
     this.metrics.count('requests_forwarded_total')
