Keep the retry budget over restarts: each process begins with an empty bucket

A process that started knew nothing of the retries that its former process, or the instance that it replaces, had sent within the window: only the constant was reduced for it, not the ratio's part, and a replacement took itself for a first start.

The share is now a token bucket that begins empty: in any window the processes of an instance send at most what the bucket held when it began and what was added within it, whatever happened before. So the detection of a first start goes; it read the member topic once more at each start. Where an instance's share is below four retries a window they are counted as before, and a process makes none until a window after its start. The largest number of instances counts for ten minutes, so that regions that lose each other don't use the constant twice.

Tests whose first failing request comes right after the start wait four seconds.

--- a/packages/foxtaillever-policy/src/relay/retryShare.ts
+++ b/packages/foxtaillever-policy/src/relay/retryShare.ts
@@ -2,16 +2,23 @@
  * This instance's share of the fleet's retry budget.
  *
  * In any window a service may receive retries for a share of its requests plus a
- * constant, summed over all instances. Each instance uses its part of the constant
- * and the share of the requests that it received itself. So the sum stays within the
- * budget without messages, also while instances are cut off from each other.
+ * constant, summed over all instances. Each instance uses the share of the requests
+ * that it received itself and its part of the constant, so that the sum stays within
+ * the budget without messages, also while instances are cut off from each other.
  *
- * Many instances may be killed at once while every request fails. An instance that
- * restarts knows neither what its former process sent within the window nor, at
- * first, how many instances there are: it would use the whole constant, and its part
- * twice. So it uses no part of the constant before it knows the number of instances,
- * and a smaller part until the window has passed.
+ * A process knows nothing of what its former process sent within the window, nor
+ * whether it takes the place of another instance. So its share is a token bucket that
+ * begins empty, and what a former process spent need not be known: in any window the
+ * processes of an instance, one after the other, send at most what the bucket held
+ * when the window began and what was added within it. The bucket fills with requests
+ * and with time, and holds a part of the budget of one window for a burst of failures.
+ *
+ * Where the share is a few retries in a window, the part that a bucket may hold is less
+ * than one. There the retries within the window are counted instead, and a process
+ * makes none until a window after its start.
  */
+import { SlidingCount } from '../collections/slidingCount.js'
+import { TokenBucket } from '../limits/tokenBucket.js'
 
 /** The configured retry budget in any window. */
 export interface RetryAllowance {
@@ -22,50 +29,55 @@
   readonly windowMs: number
 }
 
-/** Share of the allowance that stays unused: windows slide, and a retry may arrive later than it was sent. */
-const RESERVED_SHARE = 0.2
+/** Part of a window's budget that is used in all: a retry may arrive later than it was counted. */
+const USED_SHARE = 0.95
+
+/** Part of a window's budget that may be saved for a burst. */
+const SAVED_SHARE = 0.25
+
+/** Below this many retries in a window, what may be saved is less than one retry, and the bucket would never allow any. */
+const SMALL_BUDGET = 1 / SAVED_SHARE
 
 /**
- * Share of the constant that a process uses while retries of its former process may
- * still count in the window. With RESERVED_SHARE and all that the former process
- * used, the sum is the constant: 0.8 x (1 + 0.25).
+ * How long the largest number of instances counts, milliseconds. Regions lose each
+ * other for minutes: if each counted only its own instances, together they would
+ * use the constant twice.
  */
-const FIRST_WINDOW_SHARE = 0.25
+const COUNT_HOLD_MS = 600_000
 
-interface Window {
-  readonly requests: number[]
-  readonly retries: number[]
+interface ServiceShare {
+  readonly requests: SlidingCount
+  readonly retries: SlidingCount
+  readonly bucket: TokenBucket
 }
 
 export class RetryShare {
-  private readonly services = new Map<string, Window>()
-  /** Number of instances that share the constant; undefined until it is known. */
-  private instances: number | undefined
+  private readonly services = new Map<string, ServiceShare>()
+  private largest = { count: 0, until: 0 }
 
-  private constructor (private allowance: RetryAllowance, private startedAt: number) {}
+  private constructor (private allowance: RetryAllowance, private readonly startedAt: number, private readonly instances: () => number | undefined) {}
 
-  /** @param startedAt of the process, milliseconds of Unix time. */
-  static create (allowance: RetryAllowance, startedAt: number): RetryShare {
-    return new RetryShare(allowance, startedAt)
+  /**
+   * @param startedAt of the process, milliseconds of Unix time.
+   * @param instances number of instances that share the constant; undefined until it is known.
+   */
+  static create (allowance: RetryAllowance, startedAt: number, instances: () => number | undefined): RetryShare {
+    return new RetryShare(allowance, startedAt, instances)
   }
 
   /** Replaces the configured budget. */
   setAllowance (allowance: RetryAllowance): void {
+    if (allowance.windowMs !== this.allowance.windowMs) {
+      this.services.clear()
+    }
     this.allowance = allowance
   }
 
-  /** Records that this instance has no former process: all that counts in the window was sent by this one. */
-  recordFirstStart (): void {
-    this.startedAt = -Infinity
-  }
-
-  setInstances (count: number): void {
-    this.instances = Math.max(1, count)
-  }
-
   /** Records a caller's request for the service. */
   addRequest (service: string, now: number): void {
-    this.windowOf(service, now).requests.push(now)
+    const { requests, bucket } = this.shareOf(service)
+    requests.add(now)
+    bucket.refund((USED_SHARE - SAVED_SHARE) * this.allowance.ratio)
   }
 
   /** Whether one more retry of a request for the service is allowed now. */
@@ -73,50 +85,49 @@
     return this.available(service, now) >= 1
   }
 
-  /** Retries of requests for the service that are left now; a fraction where less than one is. */
-  available (service: string, now: number): number {
-    const { requests, retries } = this.windowOf(service, now)
-    return (1 - RESERVED_SHARE) * (this.allowance.ratio * requests.length + this.slackShareAt(now)) - retries.length
-  }
-
-  /** This instance's part of the constant. */
-  private slackShareAt (now: number): number {
-    const { instances, startedAt, allowance: { slack, windowMs } } = this
-    if (instances === undefined) {
-      return 0
-    }
-    const isFirstWindow = now < startedAt + windowMs
-    return (isFirstWindow ? FIRST_WINDOW_SHARE : 1) * slack / instances
-  }
-
   /** Like canRetry, but counts the retry when it is allowed. */
   tryRetry (service: string, now: number): boolean {
     const isAllowed = this.canRetry(service, now)
     if (isAllowed) {
-      this.windowOf(service, now).retries.push(now)
+      const { retries, bucket } = this.shareOf(service)
+      retries.add(now)
+      bucket.take(1)
     }
     return isAllowed
   }
 
-  private windowOf (service: string, now: number): Window {
-    let window = this.services.get(service)
-    if (!window) {
-      window = { requests: [], retries: [] }
-      this.services.set(service, window)
+  /** Retries of requests for the service that are left now; a fraction where less than one is. */
+  available (service: string, now: number): number {
+    const { requests, retries, bucket } = this.shareOf(service)
+    const { ratio, windowMs } = this.allowance
+    const slack = this.slackPart(now)
+    const budget = ratio * requests.atLeast(now) + slack
+    bucket.fill((USED_SHARE - SAVED_SHARE) * slack / windowMs, SAVED_SHARE * budget, now)
+    if (budget >= SMALL_BUDGET) {
+      return bucket.level
     }
-    const from = now - this.allowance.windowMs
-    dropBefore(window.requests, from)
-    dropBefore(window.retries, from)
-    return window
+    return now < this.startedAt + windowMs ? 0 : USED_SHARE * budget - retries.atMost(now)
   }
-}
 
-function dropBefore (times: number[], from: number): void {
-  let count = 0
-  while (count < times.length && (times[count] as number) < from) {
-    count += 1
+  /** This instance's part of the constant. */
+  private slackPart (now: number): number {
+    const count = this.instances()
+    if (count === undefined) {
+      return 0
+    }
+    if (count >= this.largest.count || now >= this.largest.until) {
+      this.largest = { count: Math.max(1, count), until: now + COUNT_HOLD_MS }
+    }
+    return this.allowance.slack / this.largest.count
   }
-  if (count > 0) {
-    times.splice(0, count)
+
+  private shareOf (service: string): ServiceShare {
+    let share = this.services.get(service)
+    if (!share) {
+      const { windowMs } = this.allowance
+      share = { requests: SlidingCount.create(windowMs), retries: SlidingCount.create(windowMs), bucket: TokenBucket.create(0, this.startedAt) }
+      this.services.set(service, share)
+    }
+    return share
   }
 }
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -36,6 +36,7 @@
     wire: serverWire,
     log: RelayLog.create(Logs.create({ instance: 'i', level: 'info', clock, destination })),
     retryAllowance: { ratio: 0.2, slack: 10, windowMs: 10_000 },
+    knownInstances: () => 1,
     suspects: CrashSuspects.create(),
     quota: noQuotas,
     fleetLoad: { of: () => noLoad },
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -104,7 +104,7 @@
   }
 
   private onAdmission (server: KnownServer, admission: LimitAdmission, queriedServers: QueriedServers | undefined): void {
-    const { context, exchange, ledger, isOver } = this.options
+    const { ledger, isOver } = this.options
     // The retry was counted before the attempt was queued.
     const isRetry = ledger.arrivals > 0 && !this.admission.isWaiting
     this.countedServer = admission === LimitAdmission.Counted ? server : undefined
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -38,6 +38,8 @@
   readonly wire: ServerWire
   readonly log: RelayLog
   readonly retryAllowance: RetryAllowance
+  /** Number of instances of the fleet; undefined until it is known. */
+  readonly knownInstances: () => number | undefined
   /** Queries other instances for the load of the candidate servers of a prompt, and resolves to the servers it queried; undefined where the load is known. Never rejects. */
   readonly queryLoad: (query: () => LoadQuery) => Promise<QueriedServers> | undefined
   /** The configuration in force; undefined until one is known. */
@@ -75,7 +77,7 @@
     this.clock = clock
     this.log = log
     this.wire = wire
-    this.retries = RetryShare.create(options.retryAllowance, clock.now())
+    this.retries = RetryShare.create(options.retryAllowance, clock.now(), options.knownInstances)
     this.caches = CacheStoreTracker.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
       now: () => clock.now(),
@@ -138,10 +140,9 @@
     return new ExchangeDispatcher(options)
   }
 
-  /** Sets how many instances share the servers' connections and the retry budget. */
+  /** Sets how many instances share the servers' connections. */
   setInstanceCount (count: number): void {
     this.instances = count
-    this.retries.setInstances(count)
     this.directory.setInstanceCount(count)
   }
 
--- a/packages/foxtaillever-relay/src/knowledge/memberRegistry.ts
+++ b/packages/foxtaillever-relay/src/knowledge/memberRegistry.ts
@@ -6,7 +6,6 @@
 import { waitUntil, type Clock, type Failure, type Random } from 'foxtaillever-core'
 import type { Either } from 'purify-ts'
 import type { KeyedLog } from './keyedLog.js'
-import { eraOf } from './storePosition.js'
 
 /** A keyed log that can be written. */
 export interface WritableKeyedLog extends KeyedLog {
@@ -20,8 +19,6 @@
   readonly topic: string
   readonly name: string
   readonly address: string
-  /** The topic had no address of this instance: this is its first incarnation. */
-  readonly onFirstIncarnation: () => void
   readonly onAddresses: (addresses: readonly string[]) => void
   /** An instance that is leaving stops its attempts to register. */
   readonly isLeaving: () => boolean
@@ -48,7 +45,6 @@
 
   /** Writes the address and reads all others, with retries until both succeed. */
   async register (): Promise<void> {
-    await this.detectFirstIncarnation()
     await this.retry(async () => await this.putAddress() && await this.readAddresses())
   }
 
@@ -59,17 +55,6 @@
     await this.retry(async () => await this.putAddress())
   }
 
-  /** In a restored store the address may be lost, so its absence does not prove a first incarnation. */
-  private async detectFirstIncarnation (): Promise<void> {
-    const { log, topic, name, onFirstIncarnation } = this.options
-    const before = await log.newest(topic, '', ANSWER_TIMEOUT_MS)
-    before.ifRight(({ records, end }) => {
-      if (eraOf(end) === 0 && !records.some(({ key }) => key === name)) {
-        onFirstIncarnation()
-      }
-    })
-  }
-
   private async retry (attempt: () => Promise<boolean>): Promise<void> {
     const { clock, isLeaving } = this.options
     for (let attempts = 0; attempts < MAX_ATTEMPTS && !isLeaving(); attempts += 1) {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -158,6 +158,7 @@
       paths: this.links.paths,
       log: this.log,
       retryAllowance,
+      knownInstances: () => this.peers.limitOwners.stableSince === undefined ? undefined : this.peers.count(),
       weightsBoundMs,
       suspects: this.suspects,
       quota: AccountQuotas.create({ clock, log: this.log, protocol: () => this.limits[LimitScope.Account], revision: () => this.revision }),
@@ -246,7 +247,6 @@
       topic: topics.members,
       name,
       address: this.peers.address,
-      onFirstIncarnation: () => this.dispatcher.retries.recordFirstStart(),
       onAddresses: addresses => {
         this.peers.addAddresses(addresses)
         this.dispatcher.setInstanceCount(this.peers.count())
--- a/packages/foxtaillever-router/src/plain/__fixtures__/plainRig.ts
+++ b/packages/foxtaillever-router/src/plain/__fixtures__/plainRig.ts
@@ -65,6 +65,9 @@
   return address
 }
 
+/** Time in which a router saves as much of its retry budget as it may, milliseconds. */
+const RETRIES_SAVED_MS = 4000
+
 export class PlainRig {
   readonly clock = VirtualClock.create()
   readonly router: PlainRouter
@@ -89,6 +92,7 @@
     const front = fastify({ forceCloseConnections: true })
     front.all('/*', (request, reply) => { rig.router.serve({ request, reply, account, configuration: rig.configuration }) })
     rig.address = await front.listen({ host: '127.0.0.1', port: 0 })
+    await rig.clock.advanceBy(RETRIES_SAVED_MS)
     t.teardown(async () => {
       rig.router.close()
       servers.forEach(server => server.stop())
--- a/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
@@ -55,6 +55,8 @@
     paths: directPaths,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     retryAllowance: retryAllowanceOf(configuration()),
+    // RETRY_SLACK applies to each instance by itself.
+    knownInstances: () => 1,
     suspects: noSuspicions,
     // The router has already applied its own limits.
     quota: noQuotas,
@@ -75,7 +77,6 @@
     onServerChanged: () => {},
     onMisdirected: () => {}
   })
-  // RETRY_SLACK applies to each instance by itself.
   dispatcher.setInstanceCount(1)
   return dispatcher
 }
