Read the software version of servers and the stream that a caller takes up, and log both

Nothing decides by them yet. The line of a server's state names its version, and each stream that goes on at another server, in the same answer or for a caller that takes it up, has a line with the server and its version: logs of streams of two versions could not tell the cases apart.

--- a/packages/foxtaillever-relay/src/__fixtures__/createExchange.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/createExchange.ts
@@ -14,6 +14,7 @@
     patienceMs: undefined,
     prompt: { model: 'model', levels: [], promptTokens: 100, outputTokens: 10 },
     resumeAfter: '',
+    resumedId: '',
     route: {
       name: 'route', host: 'host', pathPrefix: '/', targets: [], repeatability: Repeatability.Once, isStream: true, isResumable: false, hasPrompt: true, isPublic: false, timeoutMs: 5000, objectiveMs: 400, pauseObjectiveMs: 0, mostAttempts: 1, awaitsAdmission: false, silenceLimitMs: Infinity, priority: 1
     },
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -55,7 +55,16 @@
 
 const callerWire: CallerWire = {
   readHead: ({ headers, method = '', url = '' }) => Right({
-    id: String(headers['request-id']), method, path: url, host: 'h', headers: [], apiKey: undefined, patienceMs: undefined, prompt: undefined, resumeAfter: ''
+    id: String(headers['request-id']),
+    method,
+    path: url,
+    host: 'h',
+    headers: [],
+    apiKey: undefined,
+    patienceMs: undefined,
+    prompt: undefined,
+    resumeAfter: '',
+    resumedId: ''
   })
 }
 
@@ -179,7 +188,7 @@
   async addServer (answer: Answer): Promise<void> {
     const server = await ScriptedServer.start(answer)
     const id = `s${this.servers.push(server) - 1}`
-    const listed = { id, startedAt: 0, service: 's', address: server.address, failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, weights: new Map<string, number>() }
+    const listed = { id, startedAt: 0, service: 's', address: server.address, failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map<string, number>() }
     this.directory.applyEntry(listed, this.servers.length)
   }
 
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -72,7 +72,7 @@
     const clock = VirtualClock.create()
     const logLines: string[] = []
     const dispatcher = createDispatcher(clock, logLines)
-    dispatcher.directory.applyEntry({ id: 'unreachable', startedAt: 0, service: 's', address: '127.0.0.1:1', failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }, 1)
+    dispatcher.directory.applyEntry({ id: 'unreachable', startedAt: 0, service: 's', address: '127.0.0.1:1', failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map() }, 1)
     const unreachable = dispatcher.directory.get('unreachable')
     dispatcher.reportHandlers.onUnreachable(unreachable?.hash ?? 0)
     dispatcher.reportHandlers.onUnreachable(unreachable?.hash ?? 0)
--- a/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
+++ b/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
@@ -27,7 +27,7 @@
 }
 
 function listedEngine (id: string, address: string, failureDomain = 'a'): ListedServer {
-  return { id, startedAt: 0, service: 'engines', address, failureDomain, slots: 32, state: ServerState.Ready, coldLeftMs: 0, weights: new Map<string, number>() }
+  return { id, startedAt: 0, service: 'engines', address, failureDomain, slots: 32, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map<string, number>() }
 }
 
 /** One instance's view of the stores. */
--- a/packages/foxtaillever-relay/src/exchange/__tests__/crashSuspects.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/crashSuspects.test.ts
@@ -22,6 +22,7 @@
     patienceMs: undefined,
     prompt: undefined,
     resumeAfter: '',
+    resumedId: '',
     route: plainRoute,
     account: undefined,
     service: 's',
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -83,8 +83,8 @@
       now: () => clock.now(),
       onAnswer: (server, status, headers, sentAt) => this.statements.applyStatement(server, wire.readStatement(status, headers), sentAt),
       onChanged: (server, before) => {
-        const { id, startedAt, service, state } = server
-        log.belief('A backend server changed its state.', { server: id, startedAt, service, state, before })
+        const { id, startedAt, service, softwareVersion, state } = server
+        log.belief('A backend server changed its state.', { server: id, startedAt, service, softwareVersion, state, before })
         options.onServerChanged(server)
       }
     })
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -115,6 +115,9 @@
     this.ledger.addAttempt(server.listed.id)
     this.head = undefined
     relay.reset()
+    if (relay.lastEventId !== '') {
+      context.log.continued(exchange, server.listed.id, server.listed.softwareVersion, relay.lastEventId)
+    }
     const { terms, othersTokens } = planAttempt(context, exchange, server, { resumeAfter: relay.lastEventId, isAdmitted })
     const attempt = beginAttempt(context, exchange, route, context.wire.createHeaders(exchange, terms, beganAt), {
       onHead: head => this.onHead(head),
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/recordHandler.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/recordHandler.test.ts
@@ -17,7 +17,7 @@
 import { positionAt } from '../storePosition.js'
 
 function readEntry (id: string): ListedServer {
-  return { id, startedAt: 0, service: 'chat', address: '127.0.0.1:1', failureDomain: 'one', slots: 1, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }
+  return { id, startedAt: 0, service: 'chat', address: '127.0.0.1:1', failureDomain: 'one', slots: 1, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map() }
 }
 
 function createOptions (clock: VirtualClock): RecordHandlerOptions {
--- a/packages/foxtaillever-relay/src/limits/__tests__/serverLimits.test.ts
+++ b/packages/foxtaillever-relay/src/limits/__tests__/serverLimits.test.ts
@@ -44,7 +44,7 @@
   }
 
   start (startedAt: number): void {
-    this.directory.applyEntry({ id: 's', startedAt, service: 'plain', address: '127.0.0.1:1', failureDomain: 'd', slots: 6, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }, startedAt)
+    this.directory.applyEntry({ id: 's', startedAt, service: 'plain', address: '127.0.0.1:1', failureDomain: 'd', slots: 6, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map() }, startedAt)
   }
 
   /** @param sentMs when the answer's request was sent, milliseconds since the rig started. */
--- a/packages/foxtaillever-relay/src/links/__fixtures__/linkHistory.ts
+++ b/packages/foxtaillever-relay/src/links/__fixtures__/linkHistory.ts
@@ -90,7 +90,7 @@
   private createInstance (name: string): Instance {
     const { clock, random } = this
     const directory = ServerDirectory.create({ onChanged: () => {}, now: () => clock.now() })
-    SERVERS.forEach((id, offset) => directory.applyEntry({ id, startedAt: 0, service: 's', address: '127.0.0.1:1', failureDomain: id.slice(0, 1), slots: 8, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }, offset))
+    SERVERS.forEach((id, offset) => directory.applyEntry({ id, startedAt: 0, service: 's', address: '127.0.0.1:1', failureDomain: id.slice(0, 1), slots: 8, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map() }, offset))
     const monitor = LinkMonitor.create({
       clock,
       random,
--- a/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
@@ -38,7 +38,7 @@
 
   private constructor (readonly scripted: ScriptedServer, handle?: (request: IncomingMessage, response: ServerResponse) => void) {
     const { clock } = this
-    this.directory.applyEntry({ id: 's', startedAt: 0, service: 's', address: scripted.address, failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, weights: new Map() }, 1)
+    this.directory.applyEntry({ id: 's', startedAt: 0, service: 's', address: scripted.address, failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map() }, 1)
     this.carrying = ForwardingServer.create({
       clock,
       wire: { ...serverWire, passHeaders: headers => [...headers] },
--- a/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
@@ -49,7 +49,7 @@
 
   constructor () {
     ['a1', 'a2', 'b1', 'c1'].forEach((id, offset) => this.directory.applyEntry({
-      id, startedAt: 0, service: 's', address: '127.0.0.1:1', failureDomain: id.slice(0, 1), slots: 8, state: ServerState.Ready, coldLeftMs: 0, weights: new Map()
+      id, startedAt: 0, service: 's', address: '127.0.0.1:1', failureDomain: id.slice(0, 1), slots: 8, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map()
     }, offset))
   }
 
--- a/packages/foxtaillever-relay/src/model/exchange.ts
+++ b/packages/foxtaillever-relay/src/model/exchange.ts
@@ -33,6 +33,8 @@
   readonly prompt: Prompt | undefined
   /** Id of the last event that the caller has received; empty for none. */
   readonly resumeAfter: string
+  /** Id of the caller's attempt that brought the first event of the stream; empty where the caller does not name it. */
+  readonly resumedId: string
 }
 
 export interface Exchange extends ExchangeHead {
--- a/packages/foxtaillever-relay/src/model/listedServer.ts
+++ b/packages/foxtaillever-relay/src/model/listedServer.ts
@@ -27,6 +27,8 @@
   readonly state: ServerState
   /** Remaining warm-up time after its start, during which it is slow, milliseconds. */
   readonly coldLeftMs: number
+  /** Version of its software; several may serve one service, and the text has no order. */
+  readonly softwareVersion: string
   /** Weights version of each model that it has loaded. */
   readonly weights: ReadonlyMap<string, number>
 }
@@ -39,7 +41,7 @@
 
 /** Whether two entries of one server differ in nothing but their heartbeat. */
 export function hasSameContent (a: ListedServer, b: ListedServer): boolean {
-  return a.startedAt === b.startedAt && a.state === b.state && a.address === b.address && a.service === b.service && a.slots === b.slots &&
+  return a.startedAt === b.startedAt && a.state === b.state && a.address === b.address && a.service === b.service && a.slots === b.slots && a.softwareVersion === b.softwareVersion &&
     a.coldLeftMs === b.coldLeftMs && a.weights.size === b.weights.size &&
     [...a.weights].every(([model, version]) => b.weights.get(model) === version)
 }
--- a/packages/foxtaillever-relay/src/servers/__fixtures__/fleetStatementHistory.ts
+++ b/packages/foxtaillever-relay/src/servers/__fixtures__/fleetStatementHistory.ts
@@ -60,7 +60,7 @@
   const [state = '', startedAt] = value.toString().split(/[ |]/)
   return state === UNREADABLE
     ? Left(UNREADABLE)
-    : Right({ id, startedAt: Number(startedAt), service: 's', address: '127.0.0.1:1', failureDomain: 'd', slots: 8, state: state as ServerState, coldLeftMs: 0, weights: new Map() })
+    : Right({ id, startedAt: Number(startedAt), service: 's', address: '127.0.0.1:1', failureDomain: 'd', slots: 8, state: state as ServerState, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map() })
 }
 
 export class FleetStatementHistory {
--- a/packages/foxtaillever-relay/src/servers/__fixtures__/statementHistory.ts
+++ b/packages/foxtaillever-relay/src/servers/__fixtures__/statementHistory.ts
@@ -60,7 +60,7 @@
 
   entry (): ListedServer {
     const { id, startedAt, isLeaving } = this
-    return { id, startedAt, service: 's', address: '127.0.0.1:1', failureDomain: 'd', slots: 8, state: isLeaving ? ServerState.Draining : ServerState.Ready, coldLeftMs: 0, weights: new Map() }
+    return { id, startedAt, service: 's', address: '127.0.0.1:1', failureDomain: 'd', slots: 8, state: isLeaving ? ServerState.Draining : ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map() }
   }
 }
 
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverDirectory.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverDirectory.test.ts
@@ -14,7 +14,7 @@
 const NEXT = FORMER + 9000
 
 function entry (startedAt: number, version = 1, state = ServerState.Ready): ListedServer {
-  return { id: 'e', startedAt, service: 's', address: '127.0.0.1:1', failureDomain: 'a', slots: 8, state, coldLeftMs: 0, weights: new Map([[MODEL, version]]) }
+  return { id: 'e', startedAt, service: 's', address: '127.0.0.1:1', failureDomain: 'a', slots: 8, state, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map([[MODEL, version]]) }
 }
 
 interface Rig {
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverSelector.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverSelector.test.ts
@@ -13,7 +13,7 @@
 function isChosen (outstanding: number, outdatedMs: number): boolean {
   const clock = VirtualClock.create()
   const directory = ServerDirectory.create({ onChanged: () => {} })
-  directory.applyEntry({ id: 'e', startedAt: 0, service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: SLOTS, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([['model', 1]]) }, 0)
+  directory.applyEntry({ id: 'e', startedAt: 0, service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: SLOTS, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map([['model', 1]]) }, 0)
   const engine = directory.get('e')
   if (engine) {
     engine.outstanding = outstanding
@@ -30,7 +30,7 @@
   const fleetLoad = FleetLoad.create(clock)
   for (let index = 0; index < 20; index += 1) {
     const id = `e${index}`
-    directory.applyEntry({ id, startedAt: 0, service: 'engines', address: `127.0.0.1:${index + 1}`, failureDomain: 'a', slots: SLOTS, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([['model', 1]]) }, index)
+    directory.applyEntry({ id, startedAt: 0, service: 'engines', address: `127.0.0.1:${index + 1}`, failureDomain: 'a', slots: SLOTS, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map([['model', 1]]) }, index)
     const engine = directory.get(id)
     const tokens = queried.get(id)
     if (engine && tokens !== undefined) {
@@ -75,7 +75,7 @@
     const clock = VirtualClock.create()
     const directory = ServerDirectory.create({ onChanged: () => {} })
     for (let index = 0; index < 20; index += 1) {
-      directory.applyEntry({ id: `e${index}`, startedAt: 0, service: 'engines', address: `127.0.0.1:${index + 1}`, failureDomain: 'a', slots: 16, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([['model', 1]]) }, index)
+      directory.applyEntry({ id: `e${index}`, startedAt: 0, service: 'engines', address: `127.0.0.1:${index + 1}`, failureDomain: 'a', slots: 16, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map([['model', 1]]) }, index)
     }
     const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad: FleetLoad.create(clock), estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 628 }), stores: () => [], weights: { outdatedSince: () => undefined }, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined, isUsable: () => true })
     for (let run = 0; run < 64; run += 1) {
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -67,6 +67,12 @@
     this.logs.write('debug', Part.Requests, 'Passed on the first event.', { request: exchange.id, afterMs: Math.round(now - exchange.arrivedAt) })
   }
 
+  /** Another server goes on with a stream, for the same caller's attempt or for one that takes the stream up. */
+  continued ({ id: request, resumedId }: Exchange, server: string, softwareVersion: string, lastEventId: string): void {
+    this.metrics.count('streams_continued_total', { attempt: resumedId === '' ? 'same' : 'next' })
+    this.logs.write('info', Part.Requests, 'Goes on with a stream.', { request, resumes: resumedId, server, softwareVersion, lastEventId })
+  }
+
   /** @param heard tells a server that is down from links of this instance that are down. */
   attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now, forwarder }: LastHeard): void {
     this.metrics.count('tries_failed_total', { kind })
--- a/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
@@ -123,7 +123,7 @@
   /** Adds an entry of an engine to this instance's list. */
   list (id: string, startedAt: number, version: number, offset: number): void {
     this.directory.applyEntry({
-      id, startedAt, service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: 48, state: ServerState.Ready, coldLeftMs: 0, weights: new Map([[MODEL, version]])
+      id, startedAt, service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: 48, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map([[MODEL, version]])
     }, offset)
   }
 
--- a/packages/foxtaillever-router/src/plain/plainRoutes.ts
+++ b/packages/foxtaillever-router/src/plain/plainRoutes.ts
@@ -68,6 +68,7 @@
       slots: Math.ceil(service.concurrentRequests / available.length),
       state: ServerState.Ready,
       coldLeftMs: 0,
+      softwareVersion: '',
       weights: new Map<string, number>()
     }))
   })
--- a/packages/foxtaillever-router/src/plain/readExchange.ts
+++ b/packages/foxtaillever-router/src/plain/readExchange.ts
@@ -23,7 +23,8 @@
     apiKey: undefined,
     patienceMs: undefined,
     prompt: undefined,
-    resumeAfter: ''
+    resumeAfter: '',
+    resumedId: ''
   }
 }
 
