--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -130,6 +130,13 @@
     while (this.dispatcher.runs.size + this.links.server.size > 0 && clock.now() < until) {
       await waitUntil(clock, clock.now() + SHUTDOWN_POLL_MS)
     }
+    await this.close()
+  }
+
+  /** Ends at once, and fails the requests that are still in flight. */
+  async close (): Promise<void> {
+    this.isLeaving = true
+    this.callers.close()
     this.dispatcher.runs.abort()
     this.links.monitor.stop()
     this.links.client.close()
--- a/packages/foxtaillever-standins/src/platform/engines/__tests__/backendServer.test.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/__tests__/backendServer.test.ts
@@ -10,7 +10,7 @@
   it('starts once after two crashes in a row', async t => {
     const clock = SystemClock.create()
     let starts = 0
-    const server = BackendServer.create({ name: 'plain', clock, restartMs: RESTART_MS, onCrashed: () => {}, onStarted: () => { starts += 1 } }, createPlainRunner(clock, { workMs: 1, slots: 1, maxWaiting: 0 }))
+    const server = BackendServer.create({ name: 'plain', clock, softwareVersion: 'v1', restartMs: RESTART_MS, onCrashed: () => {}, onStarted: () => { starts += 1 } }, createPlainRunner(clock, { workMs: 1, slots: 1, maxWaiting: 0 }))
     await server.listen()
     server.crash(true)
     server.crash(true)
--- a/packages/foxtaillever-standins/src/platform/engines/answerWriter.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/answerWriter.ts
@@ -5,6 +5,9 @@
 /** Event in the middle of which a faulty answer breaks off. */
 const FAULTY_EVENT = 3
 
+/** Version of the software of servers that are not given another one. */
+export const FIRST_SOFTWARE_VERSION = 'v1'
+
 /** What the headers of an answer stated about its server. */
 export interface StatedAnswer {
   readonly at: number
@@ -38,6 +41,8 @@
 
 export interface AnswerWriterOptions {
   readonly requestId: string
+  /** Of the server that writes the answer. Events show it unless it is the first one. */
+  readonly softwareVersion: string
   readonly fault: ServerFault | undefined
   /** Ends the server's process. */
   readonly crash: () => void
@@ -69,8 +74,8 @@
   }
 
   event (number: number, text: string): void {
-    const { response, options: { fault, crash } } = this
-    const whole = `id: ${number}\ndata: ${text}\n\n`
+    const { response, options: { fault, crash, softwareVersion } } = this
+    const whole = `id: ${number}\ndata: ${text}${softwareVersion === FIRST_SOFTWARE_VERSION ? '' : `@${softwareVersion}`}\n\n`
     if (number < FAULTY_EVENT || fault === undefined || fault === ServerFault.ExtraAnswer) {
       response.write(whole)
       return
--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -30,6 +30,7 @@
 export interface BackendServerOptions {
   readonly name: string
   readonly clock: Clock
+  readonly softwareVersion: string
   /** Time from a crash to the restart, milliseconds. */
   readonly restartMs: number
   readonly onCrashed: (server: BackendServer) => void
@@ -51,6 +52,10 @@
   readonly faults: ServerFault[] = []
   readonly arrivals: Arrival[] = []
   isLeaving = false
+  /** Version of the software that runs. */
+  softwareVersion: string
+  /** Version of the software from the next start on. */
+  nextSoftwareVersion: string
   /** Requests a second that it accepts from all instances together, as stated in its answers; undefined for no limit. */
   statedLimit: string | undefined
   /** If set, it refuses all requests and requests a backoff of this many seconds, as stated in its answers. */
@@ -71,6 +76,7 @@
 
   private constructor (readonly options: BackendServerOptions, private readonly runner: Runner) {
     this.startedAt = Math.floor(options.clock.now())
+    this.softwareVersion = this.nextSoftwareVersion = options.softwareVersion
     this.server = createServer((request, response) => {
       this.handleRequest(request, response).catch((error: Error) => response.destroy(error))
     })
@@ -123,6 +129,7 @@
     this.isRestarting = true
     this.cancelRestart = clock.at(clock.now() + restartMs, () => {
       this.startedAt = Math.floor(clock.now())
+      this.softwareVersion = this.nextSoftwareVersion
       this.server.listen(Number(port), host, () => {
         this.isRestarting = false
         onStarted(this)
@@ -200,6 +207,7 @@
     }
     const writer = AnswerWriter.create(response, {
       requestId,
+      softwareVersion: this.softwareVersion,
       fault,
       crash: () => this.crash(),
       createStatementHeaders: () => {
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -3,6 +3,7 @@
  * servers that register in the store and leave it, and operators that write to it.
  */
 import { waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
+import { FIRST_SOFTWARE_VERSION } from './engines/answerWriter.js'
 import { BackendServer, type Runner } from './engines/backendServer.js'
 import { EngineRunner } from './engines/engineRunner.js'
 import { createPlainRunner, type PlainShape } from './engines/plainRunner.js'
@@ -95,7 +96,7 @@
     return { storeServer, address: await storeServer.listen(this.options.host), links }
   }
 
-  async addEngine (name: string, service: string, zone: string, models: Readonly<Record<string, number>>, shape: Partial<TokenEngineOptions> = {}): Promise<{ readonly server: BackendServer, readonly runner: EngineRunner }> {
+  async addEngine (name: string, service: string, zone: string, models: Readonly<Record<string, number>>, shape: Partial<TokenEngineOptions> = {}, softwareVersion = FIRST_SOFTWARE_VERSION): Promise<{ readonly server: BackendServer, readonly runner: EngineRunner }> {
     const runner = EngineRunner.create({
       clock: this.options.clock,
       engine: { ...ENGINE, ...shape },
@@ -106,7 +107,7 @@
       cacheAt: address => this.cacheAt(address)
     })
     Object.entries(models).forEach(([model, version]) => runner.orders.versions.set(model, version))
-    return { server: await this.add(name, service, zone, runner), runner }
+    return { server: await this.add(name, service, zone, runner, ENGINE.slots, softwareVersion), runner }
   }
 
   async addPlain (name: string, service: string, zone: string, shape = PLAIN): Promise<BackendServer> {
@@ -223,11 +224,12 @@
     return this.cacheStores.get(address) ?? (engine instanceof EngineRunner ? engine.engine.cache : undefined)
   }
 
-  private async add (name: string, service: string, zone: string, runner: Runner, slots = ENGINE.slots): Promise<BackendServer> {
+  private async add (name: string, service: string, zone: string, runner: Runner, slots = ENGINE.slots, softwareVersion = FIRST_SOFTWARE_VERSION): Promise<BackendServer> {
     const { clock, host, heartbeatMs } = this.options
     const server = BackendServer.create({
       name,
       clock,
+      softwareVersion,
       restartMs: RESTART_MS,
       onCrashed: ({ id }) => {
         entry.sendsHeartbeats = false
@@ -283,7 +285,7 @@
       service,
       address,
       zone,
-      version: 'v1',
+      version: server.softwareVersion,
       slots,
       state: server.isLeaving ? 'draining' : 'ready',
       cold_left_ms: 0,
