Let a stream go on only at servers of the software version that began it

Callers received streams whose events came from servers of two software versions, within one answer and after they had taken the stream up at another instance. The version was read from a server's entry and dropped, so every server of a service counted as equal, and an instance at which a stream is taken up did not know who had begun it.

The version of the first event now binds the choice of servers. While several versions serve, the instance that begins a stream tells two others, of other failure domains, before the first event goes out; an instance that takes it up asks them. Where nobody knows, the stream goes on only if one version serves, and is refused as not run otherwise. A stream that goes on does not yield in an engine's queue, and stays at its service on a route with several.

--- /dev/null
+++ b/packages/foxtaillever-policy/src/relay/servedVersions.ts
@@ -0,0 +1,35 @@
+/**
+ * Software versions whose servers serve a service, or did until a moment ago. What
+ * two versions write does not fit together, so a stream must go on at the version that
+ * began it. A version counts for a while after its last server is gone, because
+ * callers still take up the streams that it began.
+ */
+
+/** A caller takes a stream up within its deadline, milliseconds. */
+const COUNTED_MS = 30_000
+
+export class ServedVersions {
+  /** When each version was last seen, milliseconds of Unix time, by service. */
+  private readonly services = new Map<string, Map<string, number>>()
+
+  private constructor () {}
+
+  static create (): ServedVersions {
+    return new ServedVersions()
+  }
+
+  /** @param serving versions of the servers that are ready now. */
+  recent (service: string, serving: Iterable<string>, now: number): readonly string[] {
+    const seen = this.services.get(service) ?? new Map<string, number>()
+    this.services.set(service, seen)
+    for (const version of serving) {
+      seen.set(version, now)
+    }
+    for (const [version, seenAt] of seen) {
+      if (seenAt + COUNTED_MS <= now) {
+        seen.delete(version)
+      }
+    }
+    return [...seen.keys()]
+  }
+}
--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -5,6 +5,7 @@
 import { LimitHistory } from 'foxtaillever-relay/limits/__fixtures__/limitHistory'
 import { LinkHistory } from 'foxtaillever-relay/links/__fixtures__/linkHistory'
 import { Disturbance, drawnFleets, RetryHistory, type DrawnFleet } from 'foxtaillever-policy/relay/__fixtures__/retryHistory'
+import { StreamVersionHistory } from 'foxtaillever-relay/streams/__fixtures__/streamVersionHistory'
 import { FleetStatementHistory } from 'foxtaillever-relay/servers/__fixtures__/fleetStatementHistory'
 import { StatementHistory } from 'foxtaillever-relay/servers/__fixtures__/statementHistory'
 import { runFuzz } from './fuzz/runFuzz.js'
@@ -138,4 +139,22 @@
   }
 }
 
-await Cli.from([FuzzCommand, RetriesCommand, LimitsCommand, StatementsCommand, AdmissionCommand, LinksCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
+class StreamVersionsCommand extends HistoriesCommand {
+  static override paths = [['stream-versions']]
+  static override usage = Command.Usage({ description: 'Draw histories of streams that are taken up at other instances while several software versions serve, and check where they go on.' })
+
+  async execute (): Promise<number> {
+    let [broken, takenUp, wentOn] = [0, 0, 0]
+    for (const seed of this.seeds()) {
+      const report = await StreamVersionHistory.play(seed)
+      broken += report.violations.length
+      takenUp += report.takenUp
+      wentOn += report.wentOn
+      report.violations.forEach(violation => console.log(`seed ${seed}: ${violation}`))
+    }
+    console.log(JSON.stringify({ runs: Number(this.runs), broken, takenUp, wentOn }))
+    return broken > 0 ? 1 : 0
+  }
+}
+
+await Cli.from([FuzzCommand, RetriesCommand, StreamVersionsCommand, LimitsCommand, StatementsCommand, AdmissionCommand, LinksCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -29,6 +29,7 @@
 import { availableFrom } from '../servers/serverAvailability.js'
 import { ServiceRetrySchedules } from '../servers/serviceRetrySchedules.js'
 import { ServerStatementHandler } from '../servers/serverStatementHandler.js'
+import { noStreamVersions } from '../streams/streamVersions.js'
 import { RelayLog } from '../telemetry/relayLog.js'
 import { ScriptedServer, type Answer } from './scriptedServer.js'
 
@@ -139,6 +140,7 @@
       directory: this.directory,
       retries: this.retries,
       suspects: this.suspects,
+      streamVersions: noStreamVersions,
       quota: {
         admit: (exchange, go) => this.quota.admit(exchange, go),
         refund: exchange => this.quota.refund(exchange)
@@ -164,13 +166,13 @@
         this.choices += 1
         return this.directory.ready('s').find(server => !failed.has(server.listed.id) && availableFrom(server) <= clock.now())
       },
-      earliestRetryAt: service => retrySchedules.nextRetryAt(service),
+      earliestRetryAt: (service, softwareVersion) => retrySchedules.nextRetryAt(service, softwareVersion),
       onMisdirected: () => {}
     }
     this.runs = ExchangeRuns.create(context)
     const table = RouteTable.create(routing)
     this.callers = CallerServer.create({
-      clock, random, log, wire: callerWire, table: () => table, onExchange: (exchange, answer) => this.runs.start(exchange, answer)
+      clock, log, wire: callerWire, table: () => table, onExchange: (exchange, answer) => this.runs.start(exchange, answer)
     })
     this.callers.setLimits(limits)
   }
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -18,6 +18,7 @@
 import { noQuotas } from '../limits/accountQuotas.js'
 import { noAdmissionProtocol } from '../admission/admissionProtocol.js'
 import { noSharedLimits } from '../limits/limitProtocol.js'
+import { noStreamVersions } from '../streams/streamVersions.js'
 import { RelayLog } from '../telemetry/relayLog.js'
 
 function answerWell ({ id, socket }: Arrival): void {
@@ -39,6 +40,7 @@
     knownInstances: () => 1,
     suspects: CrashSuspects.create(),
     quota: noQuotas,
+    streamVersions: noStreamVersions,
     fleetLoad: { of: () => noLoad },
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -5,13 +5,13 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { Failure, FailureCode, type Clock, type Random } from 'foxtaillever-core'
+import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 import type { CallerLimits } from '../model/routing.js'
 import type { CallerWire } from '../model/wire.js'
-import { drawService, type RouteTable } from '../routing/routeTable.js'
+import { selectService, type RouteTable } from '../routing/routeTable.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import { answerFailure } from './answerFailure.js'
 import { CallerConnections } from './callerConnections.js'
@@ -27,7 +27,6 @@
 
 export interface CallerServerOptions {
   readonly clock: Clock
-  readonly random: Random
   readonly wire: CallerWire
   readonly log: RelayLog
   /** The configuration in force; undefined until one is known. */
@@ -94,7 +93,7 @@
   }
 
   private handleHead (head: ExchangeHead, request: IncomingMessage, response: ServerResponse): void {
-    const { clock, random, table, log, onExchange } = this.options
+    const { clock, table, log, onExchange } = this.options
     const arrivedAt = clock.now()
     const refuse = (failure: Failure): void => {
       log.refused(head, failure)
@@ -113,7 +112,7 @@
           const callerDeadline = head.patienceMs === undefined ? Infinity : arrivedAt + head.patienceMs
           const deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
           this.readBody(request, response, refuse, body => {
-            onExchange({ ...head, route, account, service: drawService(route, random), body, arrivedAt, callerDeadline, deadline }, CallerAnswer.create(response, failure => answerFailure(response, failure, clock.now())))
+            onExchange({ ...head, route, account, service: selectService(route, head.resumedId || head.id), body, arrivedAt, callerDeadline, deadline }, CallerAnswer.create(response, failure => answerFailure(response, failure, clock.now())))
           })
         }
       })
--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -25,6 +25,8 @@
   readonly triedForwarders = new Set<string>()
   /** Whether an attempt over this instance's own links found no connection. */
   wasUnreachable = false
+  /** Software version of the servers that may get the exchange; undefined for any. */
+  softwareVersion: string | undefined
   /** Whether a server had another id or other weights than expected. */
   wasMisdirected = false
   /** The verdict on all attempts together. */
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -95,9 +95,9 @@
       return
     }
     this.admission.cancel()
-    const earliestRetryAt = context.earliestRetryAt(exchange.service)
+    const earliestRetryAt = context.earliestRetryAt(exchange.service, ledger.softwareVersion)
     if (earliestRetryAt === undefined) {
-      this.fail(FailureCode.NoBackendServer, 'No backend server can take the request now.')
+      this.fail(FailureCode.NoBackendServer, ledger.softwareVersion === undefined ? 'No backend server can take the request now.' : 'No backend server of the software version that began the stream can take it now.')
     } else {
       this.fail(FailureCode.Overloaded, 'All backend servers rest or are at the limits that they stated.', earliestRetryAt)
     }
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -12,6 +12,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import type { QueriedServers, EarlierAttempts } from '../servers/serverSelector.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
+import type { StreamVersions } from '../streams/streamVersions.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { AccountQuotas } from '../limits/accountQuotas.js'
 import type { ServerLimits } from '../limits/serverLimits.js'
@@ -33,6 +34,8 @@
   readonly suspects: SuspectRegistry
   readonly quota: Pick<AccountQuotas, 'admit' | 'refund'>
   readonly limits: Pick<ServerLimits, 'admit' | 'refund'>
+  /** Software versions that began streams. */
+  readonly streamVersions: Pick<StreamVersions, 'find' | 'record'>
   /** Admission at servers that are short of room. */
   readonly admission: AdmissionContext
   /** Ways to the servers. */
@@ -58,8 +61,8 @@
   readonly queryLoad: (exchange: Exchange, earlier: EarlierAttempts) => Promise<QueriedServers> | undefined
   /** Selects the server for the next attempt among those at which no attempt failed; undefined when there is none. */
   readonly selectServer: (exchange: Exchange, earlier: EarlierAttempts, queriedServers: QueriedServers | undefined) => KnownServer | undefined
-  /** When a caller may retry while no server of the service takes requests, milliseconds of Unix time; undefined where no server stated it. */
-  readonly earliestRetryAt: (service: string) => number | undefined
+  /** When a caller may retry while no server of the service, or of one of its software versions, takes requests, milliseconds of Unix time; undefined where no server stated it. */
+  readonly earliestRetryAt: (service: string, softwareVersion: string | undefined) => number | undefined
   /** A server has another id or other weights than expected; the failure may name its id. */
   readonly onMisdirected: (inFlight: InFlightAttempt, exchange: Exchange, failure: AttemptFailure) => void
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -32,7 +32,7 @@
 /** How long a reported backoff counts, milliseconds: it serves one choice only, because watchers are queried again before each prompt. */
 const BACKOFF_REPORT_VALID_MS = 50
 
-export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'paths' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
+export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'paths' | 'streamVersions' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
@@ -73,7 +73,7 @@
   private readonly wire: ServerWire
 
   private constructor (options: ExchangeDispatcherOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, queryLoad, onLoadChanged, onSpeedSample, onSaved, onUnreachable, onMisdirected, paths } = options
+    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, streamVersions, queryLoad, onLoadChanged, onSpeedSample, onSaved, onUnreachable, onMisdirected, paths } = options
     this.clock = clock
     this.log = log
     this.wire = wire
@@ -114,6 +114,7 @@
       paths,
       suspects,
       quota,
+      streamVersions,
       limits: this.limits,
       admission: { claims, protocol: { request: (claim, onResult) => options.admissionProtocol().request(claim, onResult) } },
       log,
@@ -130,7 +131,7 @@
         }
       },
       queryLoad: (exchange, earlier) => exchange.prompt && queryLoad(() => ({ servers: selector.shortlist(exchange, earlier), position: claims.queuePositionOf(exchange), level: this.levelAtHome(exchange, selector.homeServerOf(exchange)) })),
-      earliestRetryAt: service => retrySchedules.nextRetryAt(service),
+      earliestRetryAt: (service, softwareVersion) => retrySchedules.nextRetryAt(service, softwareVersion),
       selectServer: (exchange, earlier, queriedServers) => selector.selectServer(exchange, earlier, queriedServers),
       onMisdirected
     })
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -24,6 +24,8 @@
 import { recordAnswer, recordAnswerHead } from './recordAnswerHead.js'
 import { recordAttemptFailure } from './recordAttemptFailure.js'
 import { findRefusal } from './findRefusal.js'
+import { QuotaClaim } from './quotaClaim.js'
+import { StreamContinuity } from './streamContinuity.js'
 import { StreamPace } from './streamPace.js'
 import { watchAttempt } from './watchAttempt.js'
 
@@ -33,6 +35,7 @@
 export class ExchangeRun {
   private current: InFlightAttempt | undefined
   private readonly ledger: AttemptLedger
+  private readonly continuity: StreamContinuity
   private readonly placement: AttemptPlacement
   private readonly relay: AnswerRelay
   private readonly pace = StreamPace.create()
@@ -41,8 +44,7 @@
   /** A server's own error answer, forwarded when no other attempt succeeds. */
   private fallback: { readonly head: AnswerHead, readonly body: Buffer } | undefined
   private cancelDeadline: Cancellation = () => {}
-  /** Whether the request counts against the quota of its client account. */
-  private isCounted = false
+  private readonly quota: QuotaClaim
 
   private constructor (
     private readonly context: ExchangeContext,
@@ -51,6 +53,8 @@
     private readonly onOver: (verdict: Verdict) => void
   ) {
     this.ledger = AttemptLedger.create(exchange)
+    this.quota = QuotaClaim.create(context.quota, exchange)
+    this.continuity = StreamContinuity.create(context, exchange, this.ledger)
     this.placement = AttemptPlacement.create({
       context,
       exchange,
@@ -60,7 +64,10 @@
       onFailed: (code, message, retryAt) => this.fail(code, message, retryAt)
     })
     this.relay = AnswerRelay.create(exchange, answer, {
-      onFirstEvent: () => context.log.firstEvent(exchange, this.now),
+      onFirstEvent: () => {
+        context.log.firstEvent(exchange, this.now)
+        this.continuity.recordFirstEvent(this.current?.server)
+      },
       onEvents: () => this.pace.recordChunk(this.now),
       onBackpressure: () => this.current?.attempt.pause()
     })
@@ -76,7 +83,7 @@
 
   /** Places and sends the request, or refuses it at once. */
   begin (): void {
-    const { exchange, answer, context, context: { clock, retries, suspects } } = this
+    const { exchange, answer, context: { clock, retries, suspects } } = this
     if (answer.isGone) {
       this.finish(ExchangeEnd.CallerGone, '')
       return
@@ -84,24 +91,24 @@
     answer.listen({ onGone: () => this.onGone(), onDrained: () => this.current?.attempt.resume() })
     this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
     retries.addRequest(exchange.service, this.now)
-    const refusal = findRefusal(exchange, suspects, this.now)
-    if (refusal) {
+    this.refuseOr(findRefusal(exchange, suspects, this.now), () => this.quota.claim(refusal => this.onAdmitted(refusal)))
+  }
+
+  /** Goes on with the next step, unless the exchange has ended or is refused. */
+  private refuseOr (refusal: Failure | undefined, next: () => void): void {
+    if (!this.isOver && refusal) {
       this.fail(refusal.code, refusal.message, refusal.retryAt)
-      return
+    } else if (!this.isOver) {
+      next()
     }
-    context.quota.admit(exchange, refusal => this.onAdmitted(refusal))
   }
 
   /** Continues after the quota of the client account admitted or refused the request. */
   private onAdmitted (refusal: Failure | undefined): void {
-    this.isCounted = refusal === undefined
     if (this.isOver) {
-      this.returnQuota(ExchangeEnd.CallerGone)
-    } else if (refusal) {
-      this.fail(refusal.code, refusal.message, refusal.retryAt)
-    } else {
-      this.placement.placeNext()
+      this.quota.settle(false)
     }
+    this.refuseOr(refusal, () => this.continuity.resolve(failure => this.refuseOr(failure, () => this.placement.placeNext())))
   }
 
   private send (server: KnownServer, isAdmitted: boolean): void {
@@ -115,9 +122,7 @@
     this.ledger.addAttempt(server.listed.id)
     this.head = undefined
     relay.reset()
-    if (relay.lastEventId !== '') {
-      context.log.continued(exchange, server.listed.id, server.listed.softwareVersion, relay.lastEventId)
-    }
+    this.continuity.recordAttempt(server, relay.lastEventId)
     const { terms, othersTokens } = planAttempt(context, exchange, server, { resumeAfter: relay.lastEventId, isAdmitted })
     const attempt = beginAttempt(context, exchange, route, context.wire.createHeaders(exchange, terms, beganAt), {
       onHead: head => this.onHead(head),
@@ -283,21 +288,13 @@
     current?.close(mayStillRun)
   }
 
-  /** Gives the quota back where the request has not run. */
-  private returnQuota (end: ExchangeEnd): void {
-    if (this.isCounted && end !== ExchangeEnd.Answered && this.ledger.verdict === Verdict.NotRun) {
-      this.context.quota.refund(this.exchange)
-    }
-    this.isCounted = false
-  }
-
   private finish (end: ExchangeEnd, outcome: string, reason?: string): void {
     this.isOver = true
     this.cancelDeadline()
     this.placement.stop()
     const { exchange, ledger, now } = this
     this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.attemptedServers, pace: this.pace.measureSince(exchange.arrivedAt), now, reason })
-    this.returnQuota(end)
+    this.quota.settle(end === ExchangeEnd.Answered || ledger.verdict !== Verdict.NotRun)
     this.onOver(end === ExchangeEnd.Answered ? Verdict.Ran : ledger.verdict)
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/planAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/planAttempt.ts
@@ -24,7 +24,7 @@
   const othersTokens = othersTokensAt(server)
   const tokensPerMs = directory.observations.tokensPerMsOf(server)
   const pace = { tokensBefore: server.unreadTokens + othersTokens, tokensPerMs, now: clock.now() }
-  const terms = planTerms(exchange, server, resumeAfter, { ...caches, ...pace, mayYield: !isAdmitted, routing: routing(), stores: caches.available() })
+  const terms = planTerms(exchange, server, resumeAfter, { ...caches, ...pace, mayYield: !isAdmitted && resumeAfter === '', routing: routing(), stores: caches.available() })
   if (terms.isYielding) {
     log.yields(exchange, server.listed.id, expectedStart(exchange, terms.unreadTokens, pace))
   }
--- a/packages/foxtaillever-relay/src/peers/datagram.ts
+++ b/packages/foxtaillever-relay/src/peers/datagram.ts
@@ -21,7 +21,11 @@
   LimitPromise = 25,
   AdmissionRequest = 31,
   AdmissionResponse = 32,
-  AdmissionCancel = 33
+  AdmissionCancel = 33,
+  StreamVersionNotice = 41,
+  StreamVersionAcknowledgement = 42,
+  StreamVersionRequest = 43,
+  StreamVersionResponse = 44
 }
 
 const packr = new Packr({ useRecords: false })
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -14,6 +14,7 @@
 import { encodeLoadMessage, readLoadMessage, type LoadMessage } from './loadMessage.js'
 import { encodeLimitMessage, readLimitMessage, type LimitMessage } from '../limits/limitMessage.js'
 import { encodeAdmissionMessage, readAdmissionMessage, type AdmissionMessage } from '../admission/admissionMessage.js'
+import { encodeStreamVersionMessage, readStreamVersionMessage, type StreamVersionMessage } from '../streams/streamVersionMessage.js'
 import { encodePeerMessage, readPeerMessage, type PeerMessage } from './peerMessage.js'
 import { encodeReadNotice, readReadNotice, type ReadNotice } from './readNotice.js'
 import type { FenceLog } from '../weights/fenceLog.js'
@@ -49,6 +50,7 @@
   readonly onWeights: (notice: WeightsNotice) => void
   readonly onLimit: (message: LimitMessage) => void
   readonly onAdmission: (message: AdmissionMessage) => void
+  readonly onStreamVersion: (message: StreamVersionMessage) => void
   /** Returns what this instance knows of a topic from an offset on. */
   readonly recordsFrom: (topic: AnnouncedTopic, from: number) => AnnouncedRecords
   /** Handles calls of another instance about its requests to servers; returns whether it handles the call. */
@@ -68,10 +70,11 @@
   private readonly receiveHeartbeat: Receiver
 
   private constructor (private readonly options: PeerLinkOptions) {
-    const { onMessage, onNotice, onLoad, onWeights, onLimit, onAdmission } = options
+    const { onMessage, onNotice, onLoad, onWeights, onLimit, onAdmission, onStreamVersion } = options
     const receiveLoad: Receiver = wire => { readLoadMessage(wire).ifJust(onLoad) }
     const receiveLimit: Receiver = wire => { readLimitMessage(wire).ifJust(onLimit) }
     const receiveAdmission: Receiver = wire => { readAdmissionMessage(wire).ifJust(onAdmission) }
+    const receiveStreamVersion: Receiver = wire => { readStreamVersionMessage(wire).ifJust(onStreamVersion) }
     this.receiveHeartbeat = wire => { readPeerMessage(wire).ifJust(onMessage) }
     this.receivers = {
       [DatagramKind.ServerLoadReport]: receiveLoad,
@@ -86,7 +89,11 @@
       [DatagramKind.LimitPromise]: receiveLimit,
       [DatagramKind.AdmissionRequest]: receiveAdmission,
       [DatagramKind.AdmissionResponse]: receiveAdmission,
-      [DatagramKind.AdmissionCancel]: receiveAdmission
+      [DatagramKind.AdmissionCancel]: receiveAdmission,
+      [DatagramKind.StreamVersionNotice]: receiveStreamVersion,
+      [DatagramKind.StreamVersionAcknowledgement]: receiveStreamVersion,
+      [DatagramKind.StreamVersionRequest]: receiveStreamVersion,
+      [DatagramKind.StreamVersionResponse]: receiveStreamVersion
     }
     this.datagrams = UdpDatagrams.create(`${options.host}:${options.port}`)
     this.server = createServer((request, response) => {
@@ -157,6 +164,10 @@
     this.datagrams.send(address, encodeAdmissionMessage(message))
   }
 
+  sendStreamVersion (address: string, message: StreamVersionMessage): void {
+    this.datagrams.send(address, encodeStreamVersionMessage(message))
+  }
+
   sendWeights (addresses: readonly string[], notice: WeightsNotice): void {
     const bytes = encodeWeightsNotice(notice)
     addresses.forEach(address => this.datagrams.send(address, bytes))
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -15,6 +15,7 @@
 import type { ReadNotice } from './readNotice.js'
 import { HeartbeatRounds } from './heartbeatRounds.js'
 import { LimitOwners } from '../limits/limitOwners.js'
+import { StreamHolders } from '../streams/streamHolders.js'
 import type { AnnouncedTopic } from './announcedTopic.js'
 import { MAX_ENGINES_IN_NOTICE } from './weightsNotice.js'
 
@@ -82,6 +83,7 @@
   readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
   readonly onServerCall: PeerLinkOptions['onServerCall']
   readonly onLimit: PeerLinkOptions['onLimit']
+  readonly onStreamVersion: PeerLinkOptions['onStreamVersion']
   readonly admission: Pick<AdmissionProtocolOptions, 'roomOf' | 'onDecided' | 'onUnresponsive'>
 }
 
@@ -96,6 +98,8 @@
   readonly watchers = ComputedWatchers.create()
   /** Determines which instance decides on the quota of a client account. */
   readonly limitOwners: LimitOwners
+  /** Determines which instances keep the software version of a stream. */
+  readonly streamHolders: StreamHolders
   private readonly startedAt: number
   private readonly rounds: HeartbeatRounds
   /** As of the last heartbeat, or of the last instance that joined or left. */
@@ -107,14 +111,15 @@
   private cancelSend: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, admission } = options
+    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onStreamVersion, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, admission } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.limitOwners = LimitOwners.create(this.options.processStartedAt)
+    this.streamHolders = StreamHolders.create({ address: this.address, failureDomain: options.failureDomain })
     this.rounds = HeartbeatRounds.create(options.random)
     this.fleetLoad = FleetLoad.create(clock)
     this.link = PeerLink.create({
-      clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
+      clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onStreamVersion, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
     })
     this.loadProtocol = LoadProtocol.create({
       clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (...position) => this.admission.queuedTokens(...position)
@@ -238,6 +243,7 @@
     this.instanceCount = this.table.count(now)
     this.watchers.setMembers([this.address, ...this.likelyOthers.map(({ address }) => address)])
     const lasting = this.table.lasting(now)
+    this.streamHolders.setMembers(lasting.map(address => ({ address, failureDomain: this.table.lastMessage(address)?.failureDomain ?? '' })))
     this.limitOwners.setMembers(this.options.isLeaving() ? lasting : [this.address, ...lasting].sort(), this.table.knowsAll(now), now)
   }
 
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,5 +1,4 @@
 /** One instance of the relay. Takes requests from callers, sends them to backend servers, and follows the platform's store. */
-import { waitUntil } from 'foxtaillever-core'
 import { createAdmissionOptions } from './admission/createAdmissionOptions.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
@@ -15,20 +14,20 @@
 import { ownLoads } from './peers/ownLoads.js'
 import { Peers } from './peers/peers.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
+import { waitForRequests } from './waitForRequests.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
 import { AccountQuotas } from './limits/accountQuotas.js'
 import { createLimitProtocols, type LimitProtocols } from './limits/createLimitProtocols.js'
 import { createLinks, type Links } from './links/createLinks.js'
 import { LimitScope } from './limits/limitMessage.js'
+import type { StreamVersions } from './streams/streamVersions.js'
 import { createSpeedRegistry } from './servers/speedRegistry.js'
+import { createStreamVersions } from './streams/createStreamVersions.js'
 import { RelayLog } from './telemetry/relayLog.js'
 import { RelayState } from './telemetry/relayState.js'
 import { createOrderCoordinator, type OrderCoordinator } from './weights/orderCoordinator.js'
 
-/** How long a shutdown still accepts connections, milliseconds: the load balancer notices within two seconds that the instance is not ready. */
-const STOP_LISTENING_MS = 2600
-
 /**
  * A backend server in the same region accepts a connection within some
  * milliseconds, and a busy event loop here may notice it as much later. A
@@ -37,12 +36,6 @@
  */
 const CONNECT_TIMEOUT_MS = 200
 
-/** How often a shutdown checks whether the last answer is sent, milliseconds. */
-const SHUTDOWN_POLL_MS = 50
-
-/** Share of the grace period that is reserved for the process to end: a quarter of a second of eight, ten times what it takes. */
-const GRACE_RESERVE_SHARE = 0.03
-
 export class Relay {
   private readonly log: RelayLog
   private readonly state: RelayState
@@ -56,6 +49,7 @@
   private readonly peers: Peers
   private readonly limits: LimitProtocols
   private readonly links: Links
+  private readonly streamVersions: StreamVersions
   private readonly orderCoordinator: OrderCoordinator
   private readonly startCheck = StartCheck.create()
   private table: RouteTable | undefined
@@ -63,10 +57,11 @@
   private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
-    const { clock, random, logs, callerWire } = options
+    const { clock, logs, callerWire } = options
     this.log = RelayLog.create(logs, service => this.state.summarize(service))
     this.graceMs = options.graceMs
     this.links = createLinks({ ...options, log: this.log, wire: options.serverWire, connectTimeoutMs: CONNECT_TIMEOUT_MS, dispatcher: () => this.dispatcher, peers: () => this.peers, routing: () => this.table?.routing })
+    this.streamVersions = createStreamVersions({ clock, directory: () => this.dispatcher.directory, peers: () => this.peers })
     this.dispatcher = this.createDispatcher()
     this.state = this.createState()
     this.state.registerGauges(this.log.metrics)
@@ -78,7 +73,6 @@
     this.orderCoordinator = this.createCoordinator()
     this.callers = CallerServer.create({
       clock,
-      random,
       wire: callerWire,
       log: this.log,
       table: () => this.usableTable(),
@@ -121,15 +115,10 @@
       return
     }
     this.isLeaving = true
-    const until = clock.now() + this.graceMs * (1 - GRACE_RESERVE_SHARE)
     this.log.belief('Leaving.', { requests: this.dispatcher.runs.size })
     this.callers.endKeepAlive()
     this.peers.sendHeartbeat()
-    await waitUntil(clock, clock.now() + STOP_LISTENING_MS)
-    this.callers.close()
-    while (this.dispatcher.runs.size + this.links.server.size > 0 && clock.now() < until) {
-      await waitUntil(clock, clock.now() + SHUTDOWN_POLL_MS)
-    }
+    await waitForRequests({ clock, graceMs: this.graceMs, stopListening: () => this.callers.close(), requests: () => this.dispatcher.runs.size + this.links.server.size })
     await this.close()
   }
 
@@ -138,13 +127,11 @@
     this.isLeaving = true
     this.callers.close()
     this.dispatcher.runs.abort()
-    this.links.monitor.stop()
-    this.links.client.close()
-    this.orderCoordinator.rollout.stop()
-    this.dispatcher.caches.monitor.stop()
-    this.storeReplica.stop()
-    this.readiness.close()
-    this.metricsServer.close()
+    const { links, orderCoordinator, dispatcher, storeReplica, streamVersions, readiness, metricsServer } = this
+    const working = [links.monitor, orderCoordinator.rollout, dispatcher.caches.monitor, storeReplica, streamVersions]
+    working.forEach(part => part.stop())
+    const open = [links.client, readiness, metricsServer]
+    open.forEach(part => part.close())
     await this.peers.stop()
     this.log.belief('Stopped.', {})
   }
@@ -163,6 +150,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       wire: serverWire,
       paths: this.links.paths,
+      streamVersions: this.streamVersions,
       log: this.log,
       retryAllowance,
       knownInstances: () => this.peers.limitOwners.stableSince === undefined ? undefined : this.peers.count(),
@@ -187,7 +175,10 @@
       onStoreRestarted: () => this.peers.loadProtocol.forgetSaved(),
       weights: { outdatedSince: (model, version) => this.orderCoordinator.rollout.outdatedSince(model, version) },
       routing: () => this.table?.routing,
-      onServerChanged: () => this.orderCoordinator.rollout.ensureRunning(),
+      onServerChanged: ({ service }) => {
+        this.orderCoordinator.rollout.ensureRunning()
+        this.streamVersions.handleServersChanged(service)
+      },
       onMisdirected: ({ server, serverId, expectedWeights }, { prompt }, failure) =>
         this.orderCoordinator.rollout.handleRefusal(server, prompt?.model, failure.serverId === serverId ? expectedWeights : undefined)
     })
@@ -221,6 +212,7 @@
       onLeaseCall: (request, search, response) => this.runInBackground(answerLeaseCall(fenceLog, topics.lease, request, search, response).catch((error: unknown) => { response.destroy(); throw error })),
       onServerCall: (request, response) => this.links.server.handle(request, response),
       onLimit: message => this.limits[message.scope].receive(message),
+      onStreamVersion: message => this.streamVersions.receive(message),
       admission: createAdmissionOptions(this.log, this.dispatcher.rooms),
       isLeaving: () => this.isLeaving,
       processStartedAt: clock.now() - process.uptime() * 1000
--- a/packages/foxtaillever-relay/src/routing/routeTable.ts
+++ b/packages/foxtaillever-relay/src/routing/routeTable.ts
@@ -1,8 +1,11 @@
 /** Finds the route of a request and the account of its API key in one revision of the configuration. */
-import { Failure, FailureCode, type Random } from 'foxtaillever-core'
+import { Failure, FailureCode, hashNumber } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
 import type { RelayAccount, Route, Routing } from '../model/routing.js'
 
+/** Hashes are below this. */
+const HASH_RANGE = 2 ** 32
+
 function pathOf (target: string): string {
   const end = target.search(/[?#]/)
   return end === -1 ? target : target.slice(0, end)
@@ -45,13 +48,16 @@
   }
 }
 
-/** Selects a service of the route at random, in proportion to the weights of its targets. */
-export function drawService ({ targets }: Route, random: Random): string {
+/**
+ * Selects a service of the route in proportion to the weights of its targets.
+ * @param streamId id of the caller's attempt, or of the one whose stream it takes up: both select the same service.
+ */
+export function selectService ({ targets }: Route, streamId: string): string {
   const total = targets.reduce((sum, { weight }) => sum + weight, 0)
-  let left = random.next() * total
-  const drawn = targets.find(({ weight }) => {
+  let left = hashNumber(streamId) / HASH_RANGE * total
+  const selected = targets.find(({ weight }) => {
     left -= weight
     return left < 0
   })
-  return (drawn ?? targets[targets.length - 1])?.service ?? ''
+  return (selected ?? targets[targets.length - 1])?.service ?? ''
 }
--- a/packages/foxtaillever-relay/src/servers/serverSelector.ts
+++ b/packages/foxtaillever-relay/src/servers/serverSelector.ts
@@ -54,6 +54,8 @@
   readonly failed: ReadonlySet<string>
   /** One of these servers had other weights than expected. */
   readonly wasMisdirected: boolean
+  /** Software version of the servers that may get the exchange; undefined for any. */
+  readonly softwareVersion?: string | undefined
 }
 
 export interface ServerSelectorOptions {
@@ -126,10 +128,10 @@
   }
 
   /** The servers that can take the next attempt. */
-  private eligibleServers (exchange: Exchange, { failed, wasMisdirected }: EarlierAttempts): readonly KnownServer[] {
+  private eligibleServers (exchange: Exchange, { failed, wasMisdirected, softwareVersion }: EarlierAttempts): readonly KnownServer[] {
     const { clock, directory } = this.options
     const now = clock.now()
-    const eligible = directory.ready(exchange.service).filter(server => !failed.has(server.listed.id) && availableFrom(server) <= now && this.options.isUsable(server) && this.hasAllowedWeights(server, exchange))
+    const eligible = directory.ready(exchange.service).filter(server => !failed.has(server.listed.id) && hasSoftware(server, softwareVersion) && availableFrom(server) <= now && this.options.isUsable(server) && this.hasAllowedWeights(server, exchange))
     return wasMisdirected ? this.preferCurrentWeights(eligible, exchange) : eligible
   }
 
@@ -248,3 +250,7 @@
 function acceptsRequests ({ isUnreachable, isChanging, isRefusing }: ServerCandidate): boolean {
   return !isUnreachable && !isChanging && !isRefusing
 }
+
+function hasSoftware ({ listed }: KnownServer, softwareVersion: string | undefined): boolean {
+  return softwareVersion === undefined || listed.softwareVersion === softwareVersion
+}
--- a/packages/foxtaillever-relay/src/servers/serviceRetrySchedules.ts
+++ b/packages/foxtaillever-relay/src/servers/serviceRetrySchedules.ts
@@ -29,11 +29,14 @@
     return new ServiceRetrySchedules(options)
   }
 
-  /** Milliseconds of Unix time; undefined if no server has stated when it accepts requests again, or if one accepts them now. */
-  nextRetryAt (service: string): number | undefined {
+  /**
+   * Milliseconds of Unix time; undefined if no server has stated when it accepts requests again, or if one accepts them now.
+   * @param softwareVersion of the servers that count; undefined for all.
+   */
+  nextRetryAt (service: string, softwareVersion?: string): number | undefined {
     const { clock, directory, limitOf, instances } = this.options
     const now = clock.now()
-    const ready = directory.ready(service)
+    const ready = directory.ready(service).filter(({ listed }) => softwareVersion === undefined || listed.softwareVersion === softwareVersion)
     const closed = ready.filter(({ stated, limitedUntil }) => Math.max(stated.opensAt, limitedUntil) > now)
     if (closed.length === 0 || ready.some(server => availableFrom(server) <= now)) {
       return undefined
--- /dev/null
+++ b/packages/foxtaillever-relay/src/streams/streamVersions.ts
@@ -0,0 +1,243 @@
+/**
+ * Keeps for each stream the software version of the server that sent its first
+ * event, so that the stream goes on only there, also when its caller takes it up at
+ * another instance after the one that began it is gone.
+ *
+ * The instance that begins a stream tells two others before the caller receives
+ * the first event, and repeats it until they acknowledge it. It does so only while
+ * servers of several versions serve the service; once that begins, it tells the
+ * streams that it began before. An instance at which a stream is taken up asks those
+ * that may know it.
+ */
+import { atAfterSilence, type Cancellation, type Clock } from 'foxtaillever-core'
+import { RecentMap } from 'foxtaillever-policy/collections/recentMap'
+import { DatagramKind } from '../peers/datagram.js'
+import type { StreamVersion, StreamVersionMessage, StreamVersionNotice, StreamVersionRequest, StreamVersionResponse } from './streamVersionMessage.js'
+
+/** Time until a datagram without an answer is sent again, milliseconds: a round trip takes a few, a busy event loop adds tens. */
+const RESEND_MS = 30
+
+/** Transmissions of a notice or request: where three in ten datagrams are lost, fewer than one in a hundred does not arrive. */
+const MAX_SENDS = 4
+
+/** How long a stream's version is kept, milliseconds: a caller takes a stream up within its deadline. */
+const KEPT_MS = 60_000
+
+/** A process knows by then which versions served while the streams began that callers take up, milliseconds after its start. */
+const FULL_KNOWLEDGE_MS = 30_000
+
+/** Streams whose version is kept: 60 a second began in a minute, three times as many are kept for others. */
+const MAX_KEPT = 16_384
+
+/** Where a stream that a caller takes up may go on. */
+export interface StreamOrigin {
+  /** Whether an instance knows the version that began it. */
+  readonly isKnown: boolean
+  /** That version, or the only one that serves; undefined where nobody knows it and several serve. */
+  readonly softwareVersion: string | undefined
+}
+
+export interface StreamVersionsOptions {
+  readonly clock: Clock
+  readonly address: () => string
+  /** Addresses of the instances that keep the version of a stream that this instance began. */
+  readonly holdersOf: (id: string) => readonly string[]
+  /** Addresses of the instances that may know the version of a stream. */
+  readonly askedFor: (id: string) => readonly string[]
+  /** Versions whose servers serve the service, or did until a moment ago, as far as this instance knows. */
+  readonly versionsOf: (service: string) => readonly string[]
+  readonly send: (address: string, message: StreamVersionMessage) => void
+}
+
+/** For services whose servers state no version. */
+export const noStreamVersions: Pick<StreamVersions, 'find' | 'record'> = {
+  find: (_service, _id, onFound) => onFound({ isKnown: false, softwareVersion: '' }),
+  record: () => {}
+}
+
+interface KeptVersion extends StreamVersion {
+  /** Milliseconds of Unix time. */
+  readonly expiresAt: number
+  /** Whether this instance sent events of the stream, and whether it told its holders. */
+  readonly isOwn: boolean
+  isTold: boolean
+}
+
+/** A notice or request that is repeated until its receivers have answered. */
+interface Repetition {
+  readonly unanswered: Set<string>
+  sends: number
+  cancel: Cancellation
+}
+
+interface PendingSearch extends Repetition {
+  readonly request: StreamVersionRequest
+  areSeveral: boolean
+  readonly waiting: Array<(origin: StreamOrigin) => void>
+}
+
+export class StreamVersions {
+  private readonly kept = RecentMap.create<KeptVersion>(MAX_KEPT)
+  private readonly notices = new Map<string, Repetition>()
+  private readonly searches = new Map<string, PendingSearch>()
+  /** Services that servers of several versions were serving at the last check. */
+  private readonly mixedServices = new Set<string>()
+
+  private readonly fullKnowledgeAt: number
+
+  private constructor (private readonly options: StreamVersionsOptions) {
+    this.fullKnowledgeAt = options.clock.now() + FULL_KNOWLEDGE_MS
+  }
+
+  static create (options: StreamVersionsOptions): StreamVersions {
+    return new StreamVersions(options)
+  }
+
+  /** Records the version of a stream, before its first event is sent to the caller. */
+  record (stream: StreamVersion): void {
+    const kept: KeptVersion = { ...stream, expiresAt: this.options.clock.now() + KEPT_MS, isOwn: true, isTold: false }
+    this.kept.set(stream.id, kept)
+    if (this.areSeveral(stream.service)) {
+      this.tell(kept)
+    }
+  }
+
+  /** Tells the streams that began before servers of another version were known. */
+  handleServersChanged (service: string): void {
+    const areSeveral = this.areSeveral(service)
+    if (areSeveral && !this.mixedServices.has(service)) {
+      this.kept.list().forEach(([, kept]) => {
+        if (kept.isOwn && !kept.isTold && kept.service === service && this.isCurrent(kept)) {
+          this.tell(kept)
+        }
+      })
+    }
+    this.mixedServices[areSeveral ? 'add' : 'delete'](service)
+  }
+
+  /** Finds the version of a stream that a caller takes up; calls back once it is known or the asked instances have answered or are silent. */
+  find (service: string, id: string, onFound: (origin: StreamOrigin) => void): void {
+    const known = this.knownVersion(id, service)
+    const asked = known === undefined && id !== '' ? this.options.askedFor(id) : []
+    if (asked.length === 0) {
+      onFound(this.originOf(service, known, false))
+      return
+    }
+    const earlier = this.searches.get(id)
+    if (earlier) {
+      earlier.waiting.push(onFound)
+      return
+    }
+    const request: StreamVersionRequest = { kind: DatagramKind.StreamVersionRequest, address: this.options.address(), id, service }
+    const search: PendingSearch = { request, areSeveral: false, waiting: [onFound], unanswered: new Set(asked), sends: 0, cancel: () => {} }
+    this.searches.set(id, search)
+    this.repeat(search, request, () => this.isConclusive(search) ? 1 : MAX_SENDS, () => {
+      // A process that has just started and reaches nobody does not know whether other versions served a moment ago.
+      search.areSeveral ||= search.unanswered.size === asked.length && !this.hasFullKnowledge
+      this.complete(search, undefined)
+    })
+  }
+
+  /** Whether silent instances need not be waited for: one version serves, as far as all know that answered. */
+  private isConclusive ({ request, areSeveral }: PendingSearch): boolean {
+    return this.hasFullKnowledge && !areSeveral && !this.areSeveral(request.service)
+  }
+
+  private get hasFullKnowledge (): boolean {
+    return this.options.clock.now() >= this.fullKnowledgeAt
+  }
+
+  receive (message: StreamVersionMessage): void {
+    const { send, clock } = this.options
+    const own = this.options.address()
+    const { address, id } = message
+    switch (message.kind) {
+      case DatagramKind.StreamVersionNotice:
+        if (!this.kept.peek(id)?.isOwn) {
+          const { service, softwareVersion } = message
+          this.kept.set(id, { id, service, softwareVersion, expiresAt: clock.now() + KEPT_MS, isOwn: false, isTold: false })
+        }
+        send(address, { kind: DatagramKind.StreamVersionAcknowledgement, address: own, id })
+        break
+      case DatagramKind.StreamVersionAcknowledgement: this.handleAcknowledgement(address, id); break
+      case DatagramKind.StreamVersionRequest:
+        send(address, { kind: DatagramKind.StreamVersionResponse, address: own, id, softwareVersion: this.knownVersion(id, message.service), areSeveral: this.areSeveral(message.service) })
+        break
+      case DatagramKind.StreamVersionResponse: this.handleResponse(message); break
+    }
+  }
+
+  stop (): void {
+    this.notices.forEach(({ cancel }) => cancel())
+    this.searches.forEach(({ cancel }) => cancel())
+  }
+
+  private tell (kept: KeptVersion): void {
+    const { id, service, softwareVersion } = kept
+    kept.isTold = true
+    this.notices.get(id)?.cancel()
+    const notice: StreamVersionNotice = { kind: DatagramKind.StreamVersionNotice, address: this.options.address(), id, service, softwareVersion }
+    const repetition: Repetition = { unanswered: new Set(this.options.holdersOf(id)), sends: 0, cancel: () => {} }
+    this.notices.set(id, repetition)
+    this.repeat(repetition, notice, () => MAX_SENDS, () => this.notices.delete(id))
+  }
+
+  /** Sends the message to all that have not answered, again and again; calls back when it was sent often enough. */
+  private repeat (repetition: Repetition, message: StreamVersionMessage, maxSends: () => number, onOver: () => void): void {
+    const { clock, send } = this.options
+    if (repetition.sends >= maxSends() || repetition.unanswered.size === 0) {
+      onOver()
+      return
+    }
+    repetition.sends += 1
+    repetition.unanswered.forEach(address => send(address, message))
+    repetition.cancel = atAfterSilence(clock, clock.now() + RESEND_MS, () => this.repeat(repetition, message, maxSends, onOver))
+  }
+
+  private handleAcknowledgement (address: string, id: string): void {
+    const notice = this.notices.get(id)
+    if (notice?.unanswered.delete(address) === true && notice.unanswered.size === 0) {
+      notice.cancel()
+      this.notices.delete(id)
+    }
+  }
+
+  private handleResponse ({ address, id, softwareVersion, areSeveral }: StreamVersionResponse): void {
+    const search = this.searches.get(id)
+    if (!search) {
+      return
+    }
+    search.unanswered.delete(address)
+    search.areSeveral ||= areSeveral
+    if (softwareVersion !== undefined || search.unanswered.size === 0) {
+      this.complete(search, softwareVersion)
+    }
+  }
+
+  private complete (search: PendingSearch, known: string | undefined): void {
+    const { request: { id, service }, areSeveral, waiting } = search
+    search.cancel()
+    this.searches.delete(id)
+    waiting.forEach(onFound => onFound(this.originOf(service, known, areSeveral)))
+  }
+
+  /** @param areSeveral whether another instance knows servers of several versions. */
+  private originOf (service: string, known: string | undefined, areSeveral: boolean): StreamOrigin {
+    const [only] = areSeveral || this.areSeveral(service) ? [] : this.options.versionsOf(service)
+    return { isKnown: known !== undefined, softwareVersion: known ?? only }
+  }
+
+  private areSeveral (service: string): boolean {
+    return this.options.versionsOf(service).length > 1
+  }
+
+  /** A stream that began at another service has no version in this one. */
+  private knownVersion (id: string, service: string): string | undefined {
+    const kept = this.kept.peek(id)
+    return kept && kept.service === service && this.isCurrent(kept) ? kept.softwareVersion : undefined
+  }
+
+  private isCurrent ({ expiresAt }: KeptVersion): boolean {
+    return this.options.clock.now() < expiresAt
+  }
+}
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -13,6 +13,7 @@
 import { LimitScope } from '../limits/limitMessage.js'
 import type { LimitResult } from '../limits/limitProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
+import type { ListedServer } from '../model/listedServer.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 
 /** How an exchange ended. */
@@ -67,8 +68,14 @@
     this.logs.write('debug', Part.Requests, 'Passed on the first event.', { request: exchange.id, afterMs: Math.round(now - exchange.arrivedAt) })
   }
 
+  /** @param softwareVersion at which the stream may go on; undefined where several serve and no instance knows which began it. */
+  takenUp ({ id: request, resumedId, resumeAfter, service }: Exchange, isKnown: boolean, softwareVersion: string | undefined, ms: number): void {
+    this.metrics.count('streams_taken_up_total', { service, known: String(isKnown) })
+    this.logs.write('info', Part.Requests, 'A caller takes up a stream.', { request, resumes: resumedId, lastEventId: resumeAfter, origin: isKnown ? 'known' : 'unknown', softwareVersion, searchMs: Math.round(ms) })
+  }
+
   /** Another server goes on with a stream, for the same caller's attempt or for one that takes the stream up. */
-  continued ({ id: request, resumedId }: Exchange, server: string, softwareVersion: string, lastEventId: string): void {
+  continued ({ id: request, resumedId }: Exchange, { id: server, softwareVersion }: ListedServer, lastEventId: string): void {
     this.metrics.count('streams_continued_total', { attempt: resumedId === '' ? 'same' : 'next' })
     this.logs.write('info', Part.Requests, 'Goes on with a stream.', { request, resumes: resumedId, server, softwareVersion, lastEventId })
   }
--- a/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
@@ -9,6 +9,7 @@
 import { noQuotas } from 'foxtaillever-relay/limits/accountQuotas'
 import { directPaths } from 'foxtaillever-relay/links/serverPaths'
 import { noSharedLimits } from 'foxtaillever-relay/limits/limitProtocol'
+import { noStreamVersions } from 'foxtaillever-relay/streams/streamVersions'
 import type { RelayLog } from 'foxtaillever-relay/telemetry/relayLog'
 import { routingOf } from './plainRoutes.js'
 import { plainWire } from './plainWire.js'
@@ -60,6 +61,7 @@
     suspects: noSuspicions,
     // The router has already applied its own limits.
     quota: noQuotas,
+    streamVersions: noStreamVersions,
     fleetLoad: { of: () => noLoad },
     ...noCacheStores,
     onLoadChanged: () => {},
