Soak: kills in series, servers of several software versions, and streams that are taken up

The soak kills all instances within one window of the retry budget, replaces servers by ones of other software versions, and lets callers take up streams that broke.

--- a/packages/foxtaillever-proof/src/__tests__/platformSoak.test.ts
+++ b/packages/foxtaillever-proof/src/__tests__/platformSoak.test.ts
@@ -11,4 +11,12 @@
     t.deepEqual(violations, [])
     t.true((outcomes[200] ?? 0) > 0)
   })
+
+  // Guards against new processes that spend the retry budget of their former ones again, and against streams
+  // that go on at another software version after the instances that knew theirs were killed.
+  it('keeps the retry budget and the software version of streams while instances are killed in series', async t => {
+    const { violations, seen } = await runPlatformSoak({ seed: 2, seconds: 14, entry, faultNames: ['kill instances in series', 'replace a server', 'fault the servers', 'start servers again under their ids'] })
+    t.deepEqual(violations, [])
+    t.true((seen.streamsTakenUp ?? 0) > 0)
+  })
 })
--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -48,6 +48,12 @@
 /** A server may state in its answers that it leaves up to this long before its entry says so, milliseconds. */
 const MAX_STATEMENT_LEAD_MS = 600
 
+/** Kills in series fall into one window of the retry budget, milliseconds between two. */
+const SERIES_INTERVAL_MS = 1200
+
+/** Software versions of servers that replace others. */
+const SOFTWARE_VERSIONS = ['v1', 'v2', 'v3']
+
 /** How many new weights are named in a row, each before the previous ones are loaded. */
 const CHANGES_IN_SUCCESSION = 3
 const SUCCESSION_INTERVAL_MS = 700
@@ -96,7 +102,7 @@
   const { fleet, clock, random } = context
   const engines = fleet.platform.servers.filter(({ options, isLeaving }) => options.name.startsWith('engine') && !isLeaving)
   const leaving: BackendServer = draw(random, engines)
-  await fleet.platform.addEngine(`engine-more-${fleet.platform.servers.length}`, ENGINES, draw(random, ZONES), { [MODEL]: fleet.operator.weights })
+  await fleet.platform.addEngine(`engine-more-${fleet.platform.servers.length}`, ENGINES, draw(random, ZONES), { [MODEL]: fleet.operator.weights }, {}, draw(random, SOFTWARE_VERSIONS))
   leaving.isLeaving = true
   await waitRandomly(context, MAX_STATEMENT_LEAD_MS)
   fleet.operator.drain(leaving)
@@ -116,14 +122,22 @@
   ]
 }
 
+async function killInstance (context: PlatformFaultContext, { child, address }: SoakInstance): Promise<void> {
+  await context.outages.recordDuring(async () => {
+    await child.kill()
+    await waitRandomly(context, MAX_PAUSE_MS)
+    child.start()
+  }, address)
+}
+
 export const platformFaults: Readonly<Record<string, (context: PlatformFaultContext) => Promise<void>>> = {
-  'kill an instance': async context => {
-    const { child, address } = drawInstance(context)
-    await context.outages.recordDuring(async () => {
-      await child.kill()
-      await waitRandomly(context, MAX_PAUSE_MS)
-      child.start()
-    }, address)
+  'kill an instance': async context => await killInstance(context, drawInstance(context)),
+  'kill instances in series': async context => {
+    const { fleet: { instances }, clock } = context
+    await Promise.all(instances.map(async (instance, index) => {
+      await waitUntil(clock, clock.now() + index * SERIES_INTERVAL_MS)
+      await killInstance(context, instance)
+    }))
   },
   'pause an instance': async context => {
     const { child, address } = drawInstance(context)
--- a/packages/foxtaillever-proof/src/platformSoak/platformLoad.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformLoad.ts
@@ -1,5 +1,5 @@
 /** Sends the requests of a soak and checks the outcome of each after the soak. */
-import type { Random } from 'foxtaillever-core'
+import { waitUntil, type Random } from 'foxtaillever-core'
 import type { CallerReply } from 'foxtaillever-platform/__fixtures__/caller'
 import { sentRequestOf, type SentRequest } from 'foxtaillever-platform/__fixtures__/statementOracle'
 import { Path, promptHeaders, wholeStream } from 'foxtaillever-platform/__fixtures__/relayFleet'
@@ -29,6 +29,10 @@
 /** Share of requests with a temporary key. */
 const TEMPORARY_KEY_SHARE = 0.3
 
+/** Tries of a caller whose stream breaks, and the time before each, milliseconds. */
+const MAX_TRIES = 3
+const TRY_AGAIN_AFTER_MS = 50
+
 interface CompletedRequest {
   readonly id: string
   readonly path: Path
@@ -39,6 +43,8 @@
   readonly at: number
   readonly answeredAt: number
   readonly reply: CallerReply
+  /** Events that the caller had received before, over its earlier tries; none unless it takes up a stream. */
+  readonly eventsBefore: readonly string[]
 }
 
 export class PlatformLoad {
@@ -62,7 +68,39 @@
     const at = fleet.clock.now()
     const disconnectAfterMs = random.next() < DISCONNECT_SHARE ? DISCONNECT_AFTER_MS : undefined
     const reply = await fleet.caller.send({ address, id, path: `${path}x`, key, headers, body: 'a body', patienceMs: CALLER_TIMEOUT_MS, disconnectAfterMs })
-    this.completed.push({ id, path, key, instance, at, answeredAt: fleet.clock.now(), reply })
+    const sent = { id, path, key, instance, at, answeredAt: fleet.clock.now(), reply, eventsBefore: [] }
+    this.completed.push(sent)
+    if (path === Path.Stream) {
+      await this.takeUp(sent)
+    }
+  }
+
+  /** Takes up a stream that broke after some events, at other instances. */
+  private async takeUp (first: CompletedRequest): Promise<void> {
+    const { fleet } = this
+    const { id: firstId, path, key } = first
+    let events = wholeEvents(first)
+    for (let count = 1; count < MAX_TRIES && events.length > 0 && events.length < EVENTS_PER_STREAM; count += 1) {
+      await waitUntil(fleet.clock, fleet.clock.now() + TRY_AGAIN_AFTER_MS)
+      const [id, instance, at] = [`${firstId}-${count}`, (first.instance + count) % fleet.instances.length, fleet.clock.now()]
+      const headers = { ...promptHeaders(firstId, EVENTS_PER_STREAM), 'Last-Event-Id': String(events.length), Resumes: firstId }
+      const reply = await fleet.caller.send({ address: fleet.instances[instance]?.address ?? '', id, path: `${path}x`, key, headers, body: 'a body', patienceMs: CALLER_TIMEOUT_MS })
+      const sent = { id, path, key, instance, at, answeredAt: fleet.clock.now(), reply, eventsBefore: events }
+      this.completed.push(sent)
+      events = [...events, ...wholeEvents(sent)]
+    }
+  }
+
+  /** When requests were sent for each service, by the beginning of its servers' names. */
+  get requestTimes (): Readonly<Record<string, readonly number[]>> {
+    const timesOf = (isStream: boolean): number[] => this.completed.filter(({ path }) => (path === Path.Stream) === isStream).map(({ at }) => at)
+    return { engine: timesOf(true), plain: timesOf(false) }
+  }
+
+  /** Streams that were taken up, and those of them that went on. */
+  get takenUp (): { readonly streams: number, readonly wentOn: number } {
+    const takenUp = this.completed.filter(({ eventsBefore }) => eventsBefore.length > 0)
+    return { streams: takenUp.length, wentOn: takenUp.filter(sent => wholeEvents(sent).length > 0).length }
   }
 
   /** Draws a permanent key, or one of the last three temporary keys. */
@@ -106,20 +144,27 @@
   }
 
   private check (sent: CompletedRequest): string[] {
-    const { id, path, reply: { status, isWhole, body, isStamped } } = sent
+    const { id, path, eventsBefore, reply: { status, isWhole, body, isStamped } } = sent
     const runs = this.fleet.platform.servers.reduce((sum, server) => sum + server.runsOf(id), 0)
-    const expectedStream = wholeStream(id, EVENTS_PER_STREAM)
+    const events = [...eventsBefore, ...wholeEvents(sent)]
+    const expectedEvents = wholeStream(id.split('-')[0] ?? '', EVENTS_PER_STREAM).split('\n\n').slice(0, -1)
     const isStream = path === Path.Stream
-    const isExpectedBody = isStream ? body === expectedStream : body.startsWith(`done ${id} `)
+    const isInOrder = events.every((event, index) => event.split('@')[0] === expectedEvents[index])
+    const isExpectedBody = isStream ? isInOrder && events.length === EVENTS_PER_STREAM : body.startsWith(`done ${id} `)
     const promises: ReadonlyArray<readonly [string, boolean]> = [
       ['ran more than once', path !== Path.Once || runs <= 1],
       ['was reported as not run, but ran', !notRunStatuses.has(status) || runs === 0],
       ['got a complete answer with wrong bytes', status !== 200 || !isWhole || isExpectedBody],
       ['got a success without the server\'s stamp', status !== 200 || isStamped],
-      ['got events out of order or cut off', !isStream || status !== 200 || expectedStream.startsWith(body.slice(0, body.lastIndexOf('\n\n') + 2))],
+      ['got events out of order or cut off', !isStream || status !== 200 || isInOrder],
+      ['got events of several software versions', new Set(events.map(event => event.split('@')[1])).size <= 1],
       ['was denied though its key is in force', ![400, 401, 403, 404].includes(status) || !this.isKeyStateKnown(sent, true)],
       ['ran though its key was no longer in force', runs === 0 || !this.isKeyStateKnown(sent, false)]
     ]
     return promises.filter(([, holds]) => !holds).map(([claim]) => `${id} (${path}) ${claim}: status ${status}, ${runs} runs`)
   }
 }
+
+function wholeEvents ({ path, reply: { status, body } }: Pick<CompletedRequest, 'path' | 'reply'>): string[] {
+  return path === Path.Stream && status === 200 ? body.split('\n\n').slice(0, -1) : []
+}
--- a/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
@@ -3,7 +3,7 @@
 import { Disturbances } from './disturbances.js'
 import { platformFaults } from './platformFaults.js'
 import { PlatformLoad } from './platformLoad.js'
-import { brittleViolations, limitViolations, linkCutViolations, serverViolations, statementViolations } from './serverViolations.js'
+import { brittleViolations, limitViolations, linkCutViolations, retryViolations, serverViolations, statementViolations } from './serverViolations.js'
 import { SoakFleet } from './soakFleet.js'
 
 export interface PlatformSoakOptions {
@@ -11,6 +11,8 @@
   readonly seconds: number
   /** The program to run. */
   readonly entry: string
+  /** Names of the faults to draw from; all if not given. */
+  readonly faultNames?: readonly string[]
 }
 
 export interface PlatformSoakReport {
@@ -24,7 +26,7 @@
 const REQUEST_INTERVAL_MS = 20
 const MAX_FAULT_INTERVAL_MS = 800
 
-export async function runPlatformSoak ({ seed, seconds, entry }: PlatformSoakOptions): Promise<PlatformSoakReport> {
+export async function runPlatformSoak ({ seed, seconds, entry, faultNames = Object.keys(platformFaults) }: PlatformSoakOptions): Promise<PlatformSoakReport> {
   const clock = SystemClock.create()
   const random = SeededRandom.create(seed)
   const fleet = await SoakFleet.start(entry)
@@ -34,10 +36,9 @@
   const load = PlatformLoad.create(fleet, SeededRandom.create(seed + 1), disturbances)
   const endsAt = clock.now() + seconds * 1000
   const faults: Record<string, number> = {}
-  const names = Object.keys(platformFaults)
   const injectFaults = async (): Promise<void> => {
     while (clock.now() < endsAt) {
-      const name = names[random.below(names.length)] ?? ''
+      const name = faultNames[random.below(faultNames.length)] ?? ''
       faults[name] = (faults[name] ?? 0) + 1
       await platformFaults[name]?.({ fleet, clock, random, disturbances, outages, cuts })
       await waitUntil(clock, clock.now() + random.below(MAX_FAULT_INTERVAL_MS))
@@ -57,8 +58,8 @@
     await fleet.waitUntilConfigured()
     await fleet.waitUntilSettled()
     const { platform, operator } = fleet
-    const seen = { cachedLevelsUsed: platform.partUses().length, orders: platform.acceptedOrders().length, drains: operator.drains.length, keysTaken: operator.temporaryKeys.length - 1, limits: operator.rates.length, rests: operator.backoffCount, linkCuts: operator.linkCuts.length, falls: platform.servers.reduce((sum, { falls }) => sum + falls.length, 0) }
-    return { violations: [...load.violations(), ...serverViolations(fleet, disturbances), ...limitViolations(fleet, outages), ...statementViolations(fleet, load.requests, outages, cuts), ...linkCutViolations(fleet, load.replies, outages), ...brittleViolations(fleet, outages, cuts)], outcomes: load.outcomes, faults, seen }
+    const seen = { cachedLevelsUsed: platform.partUses().length, orders: platform.acceptedOrders().length, drains: operator.drains.length, keysTaken: operator.temporaryKeys.length - 1, limits: operator.rates.length, rests: operator.backoffCount, linkCuts: operator.linkCuts.length, streamsTakenUp: load.takenUp.streams, streamsWentOn: load.takenUp.wentOn, falls: platform.servers.reduce((sum, { falls }) => sum + falls.length, 0) }
+    return { violations: [...load.violations(), ...serverViolations(fleet, disturbances), ...limitViolations(fleet, outages), ...statementViolations(fleet, load.requests, outages, cuts), ...linkCutViolations(fleet, load.replies, outages), ...brittleViolations(fleet, outages, cuts), ...retryViolations(fleet, load.requestTimes)], outcomes: load.outcomes, faults, seen }
   } finally {
     await fleet.close()
   }
--- a/packages/foxtaillever-proof/src/platformSoak/serverViolations.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/serverViolations.ts
@@ -3,7 +3,7 @@
 import { leavingViolations, backoffViolations, type SentRequest } from 'foxtaillever-platform/__fixtures__/statementOracle'
 import type { AcceptedOrder } from 'foxtaillever-standins'
 import type { Disturbances } from './disturbances.js'
-import type { SoakFleet } from './soakFleet.js'
+import { SHORT_BOUNDS, type SoakFleet } from './soakFleet.js'
 import { ISOLATED_ACCOUNT } from './soakOperator.js'
 
 /** How long new work may still reach a server after it began to leave, milliseconds. */
@@ -108,3 +108,25 @@
     .filter(at => outages.wasUndisturbed(at - BRITTLE_LEARNED_MS, at) && cuts.wasUndisturbed(at - BRITTLE_LEARNED_MS, at))
     .map(at => `${server.id} failed because it had to reject too many requests, at ${Math.round(at)}`))
 }
+
+/** Bounds of the retry budget, as in the instances' settings. */
+const { retry_budget_ratio: RETRY_RATIO, retry_budget_slack: RETRY_SLACK, budget_window_s: BUDGET_WINDOW_S } = SHORT_BOUNDS
+
+/**
+ * Windows in which a service got more retries from all instances than the budget allows.
+ * @param requestTimes when callers sent requests for each service, by the beginning of its servers' names.
+ */
+export function retryViolations ({ platform }: Pick<SoakFleet, 'platform'>, requestTimes: Readonly<Record<string, readonly number[]>>): string[] {
+  const windowMs = BUDGET_WINDOW_S * 1000
+  return Object.entries(requestTimes).flatMap(([service, requests]) => {
+    const arrivals = platform.servers.filter(({ options }) => options.name.startsWith(service)).flatMap(server => server.arrivals).filter(({ requestId }) => requestId !== '').sort((a, b) => a.at - b.at)
+    const first = new Set<string>()
+    const retries = arrivals.filter(({ requestId }) => first.size === first.add(requestId).size).map(({ at }) => at)
+    const countFrom = (times: readonly number[], from: number): number => times.filter(at => at >= from && at < from + windowMs).length
+    return retries.flatMap(from => {
+      const allowed = RETRY_RATIO * Math.max(...[0, windowMs / 2, windowMs].map(shift => countFrom(requests, from - shift))) + RETRY_SLACK
+      const count = countFrom(retries, from)
+      return count > allowed ? [`${service}: ${count} retries in ${windowMs} ms, ${allowed} allowed`] : []
+    })
+  })
+}
--- a/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
@@ -12,7 +12,7 @@
 import { SoakOperator } from './soakOperator.js'
 
 /** Time bounds of the settings, so short that a soak of seconds reaches them. */
-const SHORT_BOUNDS = { retry_budget_ratio: 0.2, retry_budget_slack: 50, budget_window_s: 10, grace_s: 8, lease_ms: 500, version_ms: 8000 }
+export const SHORT_BOUNDS = { retry_budget_ratio: 0.2, retry_budget_slack: 50, budget_window_s: 10, grace_s: 8, lease_ms: 500, version_ms: 8000 }
 
 const HEARTBEAT_MS = 300
 
