Number claims on shared limits from the time of the start

A claim of a restarted instance could be granted by a late response to a claim of its former process: both numbered theirs from 0, and a response is matched by number and address. Found while looking for what else a new process takes for granted about its former one. The test fails on the code before. Admissions already did so; both use one function now.

--- a/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
@@ -8,6 +8,7 @@
 import { atAfterReading, type Cancellation } from 'foxtaillever-core'
 import { RecentMap } from 'foxtaillever-policy/collections/recentMap'
 import { DatagramKind } from '../peers/datagram.js'
+import { firstRequestNumber } from '../peers/firstRequestNumber.js'
 import { UnresponsivePeers, type UnresponsivePeersOptions } from '../peers/unresponsivePeers.js'
 import { AdmissionOutcome, type AdmissionMessage, type AdmissionRequest, type AdmissionResponse } from './admissionMessage.js'
 import { AdmissionOwner, type AdmissionOwnerOptions } from './admissionOwner.js'
@@ -27,9 +28,6 @@
 /** Longest time until the latest start that is sent, milliseconds; far beyond every deadline. */
 const MAX_START_IN_MS = 3_600_000
 
-/** Numbers begin at the time of the start, so that a restarted requester does not repeat those of its predecessor. They are sent in four bytes. */
-const NUMBER_RANGE = 2 ** 32
-
 /** Completed requests for which a late admission is recognized. */
 const MAX_COMPLETED = 2048
 
@@ -106,7 +104,7 @@
   private constructor (private readonly options: AdmissionProtocolOptions) {
     this.owner = AdmissionOwner.create({ ...options, respond: (address, response) => this.send(address, response) })
     this.unresponsive = UnresponsivePeers.create(options)
-    this.nextNumber = Math.floor(options.clock.now()) % NUMBER_RANGE
+    this.nextNumber = firstRequestNumber(options.clock)
   }
 
   static create (options: AdmissionProtocolOptions): AdmissionProtocol {
--- a/packages/foxtaillever-relay/src/limits/__tests__/limitProtocol.test.ts
+++ b/packages/foxtaillever-relay/src/limits/__tests__/limitProtocol.test.ts
@@ -1,8 +1,10 @@
-import { LimitOutcome, type SharedLimit } from 'foxtaillever-policy/limits/sharedLimitLedger'
+import { LimitOutcome, LimitRole, type SharedLimit } from 'foxtaillever-policy/limits/sharedLimitLedger'
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
 import { allowed, LimitFleet, quotaKind, type FleetNode } from '../__fixtures__/limitFleet.js'
 import { LimitHistory } from '../__fixtures__/limitHistory.js'
 import { LimitProtocol } from '../limitProtocol.js'
+import { LimitScope, type LimitMessage, type LimitRequest } from '../limitMessage.js'
+import { DatagramKind } from '../../peers/datagram.js'
 
 const ACCOUNT = 'acme'
 const LARGE = 9190
@@ -172,6 +174,21 @@
     t.deepEqual(outcomes, [LimitOutcome.NotMine])
   })
 
+  // Guards against a restarted instance that takes a late response to a claim of its former process for one to its own.
+  it('a response to a claim of the former process decides on no claim of the new one', async t => {
+    const clock = VirtualClock.create()
+    const requests: LimitMessage[] = []
+    const create = (): LimitProtocol => LimitProtocol.create({ ...quotaKind, clock, address: 'a:1', ranking: () => ['b:1'], stableSince: () => 0, instanceCount: () => 2, send: (_, message) => { requests.push(message) }, onInstanceSeen: () => {}, onDecided: () => {}, onUnresponsive: () => {} })
+    const outcomes: LimitOutcome[] = []
+    create().claim({ key: 'former', limit: small, cost: 1 }, () => {})
+    const [request] = requests as [LimitRequest]
+    await clock.advanceBy(BOOT_MS)
+    const restarted = create()
+    restarted.claim({ key: ACCOUNT, limit: small, cost: 1 }, ({ outcome }) => { outcomes.push(outcome) })
+    restarted.receive({ kind: DatagramKind.LimitResponse, scope: LimitScope.Account, address: 'b:1', number: request.number, key: 'former', outcome: LimitOutcome.Granted, role: LimitRole.Owner, retryMs: 0, free: 0, owner: '' })
+    t.deepEqual(outcomes, [])
+  })
+
   describe('when the limit changes', () => {
     // An operator lowers the limit far below the load. Earlier requests must not count against the new limit for long,
     // and the old limit must no longer apply.
--- a/packages/foxtaillever-relay/src/limits/limitProtocol.ts
+++ b/packages/foxtaillever-relay/src/limits/limitProtocol.ts
@@ -10,6 +10,7 @@
 import { RecentMap } from 'foxtaillever-policy/collections/recentMap'
 import { SharedLimitLedger, LimitOutcome, LimitRole, RENEWAL_MS, type LimitClaim, type LimitTolerance, type RetryOrder } from 'foxtaillever-policy/limits/sharedLimitLedger'
 import { DatagramKind } from '../peers/datagram.js'
+import { firstRequestNumber } from '../peers/firstRequestNumber.js'
 import { UnresponsivePeers, type UnresponsivePeersOptions } from '../peers/unresponsivePeers.js'
 import { LimitScope, type LimitMessage, type LimitRequest, type LimitResponse } from './limitMessage.js'
 
@@ -104,11 +105,12 @@
   private readonly allowances = RecentMap.create<Allowance>(MAX_ALLOWANCES)
   /** Keys with a scheduled renewal of the standby's promise. */
   private readonly renewals = new Set<string>()
-  private nextNumber = 0
+  private nextNumber: number
 
   private constructor (private readonly options: LimitProtocolOptions) {
     this.ledger = SharedLimitLedger.create(options.tolerance, options.retryOrder)
     this.skippedPeers = UnresponsivePeers.create(options)
+    this.nextNumber = firstRequestNumber(options.clock)
   }
 
   static create (options: LimitProtocolOptions): LimitProtocol {
