--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -1,4 +1,4 @@
-/** `npm run fuzz -- --seed S --runs N`, `npm run fuzz -- quota`, `server-limits`, `server-statements`, `admission` and `links`, `retries`: exits 1 when a promise was broken. */
+/** `npm run fuzz -- --seed S --runs N`, `npm run fuzz -- quota`, `server-limits`, `server-statements`, `admission`, `links`, `retries` and `stream-versions`: exits 1 when a promise was broken. */
 import { Cli, Command, Option } from 'clipanion'
 import { AdmissionHistory } from 'foxtaillever-relay/admission/__fixtures__/admissionHistory'
 import { quotas, serverLimits, type LimitSubject } from 'foxtaillever-relay/limits/__fixtures__/limitFleet'
--- a/packages/foxtaillever-relay/src/streams/streamVersions.ts
+++ b/packages/foxtaillever-relay/src/streams/streamVersions.ts
@@ -26,7 +26,7 @@
 /** A process knows by then which versions served while the streams began that callers take up, milliseconds after its start. */
 const FULL_KNOWLEDGE_MS = 30_000
 
-/** Streams whose version is kept: 60 a second began in a minute, three times as many are kept for others. */
+/** Streams whose version is kept: 60 a second that begin here, and twice as many that others tell, for a minute, are 10,800. */
 const MAX_KEPT = 16_384
 
 /** Where a stream that a caller takes up may go on. */
@@ -58,8 +58,9 @@
 interface KeptVersion extends StreamVersion {
   /** Milliseconds of Unix time. */
   readonly expiresAt: number
-  /** Whether this instance sent events of the stream, and whether it told its holders. */
+  /** Whether this instance sent events of the stream. */
   readonly isOwn: boolean
+  /** Whether it told the instances that keep the version. */
   isTold: boolean
 }
 
@@ -82,7 +83,6 @@
   private readonly searches = new Map<string, PendingSearch>()
   /** Services that servers of several versions were serving at the last check. */
   private readonly mixedServices = new Set<string>()
-
   private readonly fullKnowledgeAt: number
 
   private constructor (private readonly options: StreamVersionsOptions) {
