--- a/packages/foxtaillever-relay/src/streams/streamHolders.ts
+++ b/packages/foxtaillever-relay/src/streams/streamHolders.ts
@@ -49,7 +49,7 @@
     const others = [...this.membersByDomain].filter(([domain]) => domain !== this.own.failureDomain)
     const firsts = others.flatMap(([, members]) => watchersOf(key, members, 1))
     const holders = watchersOf(key, firsts, HOLDERS)
-    const rest = watchersOf(key, this.members.filter(member => !holders.includes(member)), HOLDERS - holders.length)
+    const rest = holders.length < HOLDERS ? watchersOf(key, this.members.filter(member => !holders.includes(member)), HOLDERS - holders.length) : []
     return [...holders, ...rest].map(({ address }) => address)
   }
 
