Tell earlier streams each time that a second software version appears

After the first release had ended, streams that had begun while one version served were not told when the next release began: the service was still marked as one of several versions. A caller that took such a stream up at another instance was refused. Found on reading the change again; the test fails on the code before. Streams that are not told yet are told at every change of the servers while several versions serve.

--- a/packages/foxtaillever-policy/src/relay/servedVersions.ts
+++ b/packages/foxtaillever-policy/src/relay/servedVersions.ts
@@ -18,7 +18,7 @@
     return new ServedVersions()
   }
 
-  /** @param serving versions of the servers that are ready now. */
+  /** @param serving versions of the servers that are listed now. */
   recent (service: string, serving: Iterable<string>, now: number): readonly string[] {
     const seen = this.services.get(service) ?? new Map<string, number>()
     this.services.set(service, seen)
--- a/packages/foxtaillever-relay/src/streams/__tests__/streamVersions.test.ts
+++ b/packages/foxtaillever-relay/src/streams/__tests__/streamVersions.test.ts
@@ -63,6 +63,17 @@
       rig.streams.handleServersChanged(SERVICE)
       t.deepEqual(rig.sent.map(({ to, id }) => [to, id]), [['a', 'x'], ['b', 'x']])
     })
+
+    // Guards against a second release whose earlier streams are not told, because the first one was noticed already.
+    it('includes them each time that a second version appears', t => {
+      const rig = createRig(['v1', 'v2'])
+      rig.streams.handleServersChanged(SERVICE)
+      rig.versions = ['v2']
+      rig.streams.record({ id: 'x', service: SERVICE, softwareVersion: 'v2' })
+      rig.versions = ['v2', 'v3']
+      rig.streams.handleServersChanged(SERVICE)
+      t.deepEqual(rig.sent.map(({ to, id }) => [to, id]), [['a', 'x'], ['b', 'x']])
+    })
   })
 
   describe('a stream that is taken up', () => {
--- a/packages/foxtaillever-relay/src/streams/streamVersions.ts
+++ b/packages/foxtaillever-relay/src/streams/streamVersions.ts
@@ -81,8 +81,6 @@
   private readonly kept = RecentMap.create<KeptVersion>(MAX_KEPT)
   private readonly notices = new Map<string, Repetition>()
   private readonly searches = new Map<string, PendingSearch>()
-  /** Services that servers of several versions were serving at the last check. */
-  private readonly mixedServices = new Set<string>()
   private readonly fullKnowledgeAt: number
 
   private constructor (private readonly options: StreamVersionsOptions) {
@@ -104,15 +102,14 @@
 
   /** Tells the streams that began before servers of another version were known. */
   handleServersChanged (service: string): void {
-    const areSeveral = this.areSeveral(service)
-    if (areSeveral && !this.mixedServices.has(service)) {
-      this.kept.list().forEach(([, kept]) => {
-        if (kept.isOwn && !kept.isTold && kept.service === service && this.isCurrent(kept)) {
-          this.tell(kept)
-        }
-      })
+    if (!this.areSeveral(service)) {
+      return
     }
-    this.mixedServices[areSeveral ? 'add' : 'delete'](service)
+    this.kept.list().forEach(([, kept]) => {
+      if (kept.isOwn && !kept.isTold && kept.service === service && this.isCurrent(kept)) {
+        this.tell(kept)
+      }
+    })
   }
 
   /** Finds the version of a stream that a caller takes up; calls back once it is known or the asked instances have answered or are silent. */
