--- a/packages/foxtaillever/src/__tests__/operations.test.ts
+++ b/packages/foxtaillever/src/__tests__/operations.test.ts
@@ -30,6 +30,7 @@
 /** By heading of the page: makes one request fail and returns its id. */
 const failures: Readonly<Record<string, (fleet: RelayFleet) => Promise<string>>> = {
   'Turned away under load': async fleet => {
+    await fleet.waitForRetries()
     const replies = await Promise.all(Array.from({ length: CROWD_SIZE }, async (_, index) => await fleet.stream(index % 3, `crowd-${index}`, `c${index}`, 200)))
     return `crowd-${replies.findIndex(({ status, body }) => status === 503 && body.includes('backend_server_refused'))}`
   },
