Compute the holders' members only when the members change

Every heartbeat hashed all addresses again and grouped them by failure domain with a copied list for each.

--- a/packages/foxtaillever-relay/src/streams/streamHolders.ts
+++ b/packages/foxtaillever-relay/src/streams/streamHolders.ts
@@ -24,6 +24,7 @@
 }
 
 export class StreamHolders {
+  private known: readonly StreamMember[] = []
   private members: readonly Watcher[] = []
   private readonly membersByDomain = new Map<string, Watcher[]>()
 
@@ -35,11 +36,16 @@
 
   /** @param members the other instances. */
   setMembers (members: readonly StreamMember[]): void {
+    if (members.length === this.known.length && members.every((member, index) => isSameMember(member, this.known[index]))) {
+      return
+    }
+    this.known = members
     this.members = members.map(({ address }) => ({ address, hash: hashNumber(address) }))
     this.membersByDomain.clear()
     members.forEach(({ failureDomain }, index) => {
-      const known = this.membersByDomain.get(failureDomain) ?? []
-      this.membersByDomain.set(failureDomain, [...known, this.members[index] as Watcher])
+      const ofDomain = this.membersByDomain.get(failureDomain) ?? []
+      ofDomain.push(this.members[index] as Watcher)
+      this.membersByDomain.set(failureDomain, ofDomain)
     })
   }
 
@@ -59,3 +65,7 @@
     return asked.map(({ address }) => address)
   }
 }
+
+function isSameMember (a: StreamMember, b: StreamMember | undefined): boolean {
+  return a.address === b?.address && a.failureDomain === b.failureDomain
+}
