--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -2,9 +2,9 @@
 import { Cli, Command, Option } from 'clipanion'
 import { AdmissionHistory } from 'foxtaillever-relay/admission/__fixtures__/admissionHistory'
 import { quotas, serverLimits, type LimitSubject } from 'foxtaillever-relay/limits/__fixtures__/limitFleet'
-import { LimitHistory } from 'foxtaillever-relay/limits/__fixtures__/limitHistory'
+import { LimitHistory, type LimitReport } from 'foxtaillever-relay/limits/__fixtures__/limitHistory'
 import { LinkHistory } from 'foxtaillever-relay/links/__fixtures__/linkHistory'
-import { Disturbance, drawnFleets, RetryHistory, type DrawnFleet } from 'foxtaillever-policy/relay/__fixtures__/retryHistory'
+import { Disturbance, drawnFleets, RetryHistory, type DrawnFleet, type RetryReport } from 'foxtaillever-policy/relay/__fixtures__/retryHistory'
 import { StreamVersionHistory } from 'foxtaillever-relay/streams/__fixtures__/streamVersionHistory'
 import { FleetStatementHistory } from 'foxtaillever-relay/servers/__fixtures__/fleetStatementHistory'
 import { StatementHistory } from 'foxtaillever-relay/servers/__fixtures__/statementHistory'
@@ -51,14 +51,14 @@
   }
 }
 
-class LimitsCommand extends HistoriesCommand {
-  static override paths = Object.keys(limitSubjects).map(name => [name])
-  static override usage = Command.Usage({ description: 'Draw histories of a fleet that shares limits, and check every window against an oracle.' })
+/** Histories of which each report has the worst use of a limit or budget, as a share of what it allows. */
+abstract class WorstUseCommand extends HistoriesCommand {
+  protected abstract play (seed: number): Promise<{ readonly worst: number }>
 
   async execute (): Promise<number> {
     let worst = 0
     for (const seed of this.seeds()) {
-      const report = await LimitHistory.play(seed, LIMIT_SIZES[seed % LIMIT_SIZES.length] as number, limitSubjects[this.path[0] ?? ''])
+      const report = await this.play(seed)
       worst = Math.max(worst, report.worst)
       if (report.worst > 1) {
         console.log(JSON.stringify(report))
@@ -69,35 +69,73 @@
   }
 }
 
-class StatementsCommand extends HistoriesCommand {
-  static override paths = [['server-statements']]
-  static override usage = Command.Usage({ description: 'Draw histories of servers that state that they are leaving or backing off, and count the requests that reach them.' })
+class LimitsCommand extends WorstUseCommand {
+  static override paths = Object.keys(limitSubjects).map(name => [name])
+  static override usage = Command.Usage({ description: 'Draw histories of a fleet that shares limits, and check every window against an oracle.' })
+
+  protected async play (seed: number): Promise<LimitReport> {
+    return await LimitHistory.play(seed, LIMIT_SIZES[seed % LIMIT_SIZES.length] as number, limitSubjects[this.path[0] ?? ''])
+  }
+}
+
+class RetriesCommand extends WorstUseCommand {
+  static override paths = [['retries']]
+  static override usage = Command.Usage({ description: 'Draw histories of a fleet that is killed, replaced and enlarged while requests fail, and check the retry budget in every window.' })
+
+  protected async play (seed: number): Promise<RetryReport> {
+    return RetryHistory.play({ ...drawnFleets[seed % drawnFleets.length] as DrawnFleet, seed, disturbances: Object.values(Disturbance) })
+  }
+}
+
+/** What one history broke, each as a sentence, and what it counted. */
+interface HistoryReport {
+  readonly violations: readonly string[]
+  readonly counts?: Readonly<Record<string, number>>
+}
+
+/** Histories of which each report names what was broken. */
+abstract class ViolationsCommand extends HistoriesCommand {
+  protected abstract play (seed: number): Promise<HistoryReport>
 
   async execute (): Promise<number> {
     let broken = 0
+    const sums: Record<string, number> = {}
     for (const seed of this.seeds()) {
-      const violations = [...await StatementHistory.play(seed), ...await FleetStatementHistory.play(seed)]
+      const { violations, counts = {} } = await this.play(seed)
       broken += violations.length
+      Object.entries(counts).forEach(([name, count]) => { sums[name] = (sums[name] ?? 0) + count })
       violations.forEach(violation => console.log(`seed ${seed}: ${violation}`))
     }
-    console.log(JSON.stringify({ runs: Number(this.runs), broken }))
+    console.log(JSON.stringify({ runs: Number(this.runs), broken, ...sums }))
     return broken > 0 ? 1 : 0
   }
 }
 
-class LinksCommand extends HistoriesCommand {
+class StatementsCommand extends ViolationsCommand {
+  static override paths = [['server-statements']]
+  static override usage = Command.Usage({ description: 'Draw histories of servers that state that they are leaving or backing off, and count the requests that reach them.' })
+
+  protected async play (seed: number): Promise<HistoryReport> {
+    return { violations: [...await StatementHistory.play(seed), ...await FleetStatementHistory.play(seed)] }
+  }
+}
+
+class LinksCommand extends ViolationsCommand {
   static override paths = [['links']]
   static override usage = Command.Usage({ description: 'Draw histories of instances whose links to servers break and return, and check what they conclude about the servers.' })
 
-  async execute (): Promise<number> {
-    let broken = 0
-    for (const seed of this.seeds()) {
-      const violations = await LinkHistory.play(seed)
-      broken += violations.length
-      violations.forEach(violation => console.log(`seed ${seed}: ${violation}`))
-    }
-    console.log(JSON.stringify({ runs: Number(this.runs), broken }))
-    return broken > 0 ? 1 : 0
+  protected async play (seed: number): Promise<HistoryReport> {
+    return { violations: await LinkHistory.play(seed) }
+  }
+}
+
+class StreamVersionsCommand extends ViolationsCommand {
+  static override paths = [['stream-versions']]
+  static override usage = Command.Usage({ description: 'Draw histories of streams that are taken up at other instances while several software versions serve, and check where they go on.' })
+
+  protected async play (seed: number): Promise<HistoryReport> {
+    const { violations, ...counts } = await StreamVersionHistory.play(seed)
+    return { violations, counts }
   }
 }
 
@@ -121,40 +159,4 @@
   }
 }
 
-class RetriesCommand extends HistoriesCommand {
-  static override paths = [['retries']]
-  static override usage = Command.Usage({ description: 'Draw histories of a fleet that is killed, replaced and enlarged while requests fail, and check the retry budget in every window.' })
-
-  async execute (): Promise<number> {
-    let worst = 0
-    for (const seed of this.seeds()) {
-      const report = RetryHistory.play({ ...drawnFleets[seed % drawnFleets.length] as DrawnFleet, seed, disturbances: Object.values(Disturbance) })
-      worst = Math.max(worst, report.worst)
-      if (report.worst > 1) {
-        console.log(JSON.stringify(report))
-      }
-    }
-    console.log(JSON.stringify({ runs: Number(this.runs), worst }))
-    return worst > 1 ? 1 : 0
-  }
-}
-
-class StreamVersionsCommand extends HistoriesCommand {
-  static override paths = [['stream-versions']]
-  static override usage = Command.Usage({ description: 'Draw histories of streams that are taken up at other instances while several software versions serve, and check where they go on.' })
-
-  async execute (): Promise<number> {
-    let [broken, takenUp, wentOn] = [0, 0, 0]
-    for (const seed of this.seeds()) {
-      const report = await StreamVersionHistory.play(seed)
-      broken += report.violations.length
-      takenUp += report.takenUp
-      wentOn += report.wentOn
-      report.violations.forEach(violation => console.log(`seed ${seed}: ${violation}`))
-    }
-    console.log(JSON.stringify({ runs: Number(this.runs), broken, takenUp, wentOn }))
-    return broken > 0 ? 1 : 0
-  }
-}
-
 await Cli.from([FuzzCommand, RetriesCommand, StreamVersionsCommand, LimitsCommand, StatementsCommand, AdmissionCommand, LinksCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
