--- a/packages/foxtaillever-relay/src/streams/__tests__/streamVersions.test.ts
+++ b/packages/foxtaillever-relay/src/streams/__tests__/streamVersions.test.ts
@@ -68,7 +68,7 @@
       t.deepEqual(rig.sent.map(({ to, id }) => [to, id]), [['a', 'x'], ['b', 'x']])
     })
 
-    // Guards against a second release whose earlier streams are not told, because the first one was noticed already.
+    // Guards against a second release whose earlier streams are not announced, because the service was still marked as one of several versions.
     it('includes them each time that a second version appears', async t => {
       const rig = createRig(['v1', 'v2'])
       await rig.clock.advanceBy(LONG_MS)
--- a/packages/foxtaillever-relay/src/streams/streamVersions.ts
+++ b/packages/foxtaillever-relay/src/streams/streamVersions.ts
@@ -3,10 +3,10 @@
  * event, so that the stream goes on only there, also when its caller takes it up at
  * another instance after the one that began it is gone.
  *
- * The instance that begins a stream tells two others before the caller receives
+ * The instance that begins a stream announces its version to two others before the caller receives
  * the first event, and repeats it until they acknowledge it. It does so only while
  * servers of several versions serve the service, or while it has run too short to know
- * that; once several serve, it tells the streams that it began before. An instance at
+ * that; once several serve, it announces those that it began before. An instance at
  * which a stream is taken up asks those that may know it.
  */
 import { atAfterSilence, type Cancellation, type Clock } from 'foxtaillever-core'
@@ -26,7 +26,7 @@
 /** A process knows by then which versions served while the streams began that callers take up, milliseconds after its start. */
 const FULL_KNOWLEDGE_MS = 30_000
 
-/** Streams whose version is kept: 60 a second that begin here, and twice as many that others tell, for a minute, are 10,800. */
+/** Streams whose version is kept: 60 a second that begin here, and twice as many that others announce, for a minute, are 10,800. */
 const MAX_KEPT = 16_384
 
 /** Where a stream that a caller takes up may go on. */
@@ -62,8 +62,8 @@
   readonly expiresAt: number
   /** Whether this instance sent events of the stream. */
   readonly isOwn: boolean
-  /** Whether it told the instances that keep the version. */
-  isTold: boolean
+  /** Whether the version was announced to the instances that keep it. */
+  isAnnounced: boolean
 }
 
 /** A notice or request that is repeated until its receivers have answered. */
@@ -97,21 +97,21 @@
 
   /** Records the version of a stream, before its first event is sent to the caller. */
   record (stream: StreamVersion): void {
-    const kept: KeptVersion = { ...stream, expiresAt: this.options.clock.now() + KEPT_MS, isOwn: true, isTold: false }
+    const kept: KeptVersion = { ...stream, expiresAt: this.options.clock.now() + KEPT_MS, isOwn: true, isAnnounced: false }
     this.kept.set(stream.id, kept)
     if (!this.hasFullKnowledge || this.areSeveral(stream.service)) {
-      this.tell(kept)
+      this.announce(kept)
     }
   }
 
-  /** Tells the streams that began before servers of another version were known. */
+  /** Announces the streams that began before servers of another version were known. */
   handleServersChanged (service: string): void {
     if (!this.areSeveral(service)) {
       return
     }
     this.kept.list().forEach(([, kept]) => {
-      if (kept.isOwn && !kept.isTold && kept.service === service && this.isCurrent(kept)) {
-        this.tell(kept)
+      if (kept.isOwn && !kept.isAnnounced && kept.service === service && this.isCurrent(kept)) {
+        this.announce(kept)
       }
     })
   }
@@ -152,7 +152,7 @@
       case DatagramKind.StreamVersionNotice:
         if (!this.kept.peek(id)?.isOwn) {
           const { service, softwareVersion } = message
-          this.kept.set(id, { id, service, softwareVersion, expiresAt: clock.now() + KEPT_MS, isOwn: false, isTold: false })
+          this.kept.set(id, { id, service, softwareVersion, expiresAt: clock.now() + KEPT_MS, isOwn: false, isAnnounced: false })
         }
         send(address, { kind: DatagramKind.StreamVersionAcknowledgement, address: own, id })
         break
@@ -169,9 +169,9 @@
     this.searches.forEach(({ cancel }) => cancel())
   }
 
-  private tell (kept: KeptVersion): void {
+  private announce (kept: KeptVersion): void {
     const { id, service, softwareVersion } = kept
-    kept.isTold = true
+    kept.isAnnounced = true
     this.notices.get(id)?.cancel()
     const notice: StreamVersionNotice = { kind: DatagramKind.StreamVersionNotice, address: this.options.address(), id, service, softwareVersion }
     const repetition: Repetition = { unanswered: new Set(this.options.holdersOf(id)), sends: 0, cancel: () => {} }
