--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -210,7 +210,7 @@
 
   private recordFailure (failure: AttemptFailure, failed: InFlightAttempt | undefined): void {
     this.ledger.recordFailure(failed?.serverId ?? '', failure, this.answer.hasBegun, failed?.forwarder)
-    recordAttemptFailure(this.context, this.exchange, failed, failure)
+    recordAttemptFailure(this.context, this.exchange, failed, failure, this.head?.at)
   }
 
   private mayRetry (): boolean {
--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -20,10 +20,11 @@
   [AttemptFailureKind.Silent]: Suspicion.Unresponsive
 }
 
-export function recordAttemptFailure (context: ExchangeContext, exchange: Exchange, attempt: FailedAttempt | undefined, failure: AttemptFailure): void {
+/** @param answeredAt when the head of the answer arrived, milliseconds of Unix time; undefined if it did not. */
+export function recordAttemptFailure (context: ExchangeContext, exchange: Exchange, attempt: FailedAttempt | undefined, failure: AttemptFailure, answeredAt?: number): void {
   const { clock, log, directory } = context
   const { verdict } = meaningOf[failure.kind]
-  log.attemptFailed(exchange, attempt?.server.listed.id ?? '', failure, verdict, { serverAt: attempt?.server.heardAt ?? 0, anyServerAt: directory.heardAt, now: clock.now(), forwarder: attempt?.forwarder })
+  log.attemptFailed(exchange, attempt?.server.listed.id ?? '', failure, verdict, { serverAt: attempt?.server.heardAt ?? 0, anyServerAt: directory.heardAt, now: clock.now(), forwarder: attempt?.forwarder, answeredAt })
   if (!attempt) {
     return
   }
--- a/packages/foxtaillever-relay/src/model/exchange.ts
+++ b/packages/foxtaillever-relay/src/model/exchange.ts
@@ -55,6 +55,11 @@
   return prompt ? prompt.promptTokens + prompt.outputTokens : 0
 }
 
+/** The levels of a prompt that other requests may share: all but the last. */
+export function sharedLevelsOf ({ prompt }: Pick<Exchange, 'prompt'>): readonly PromptLevel[] {
+  return prompt?.levels.slice(0, -1) ?? []
+}
+
 /** Whether the request may run more than once. */
 export function isRepeatable ({ route }: Exchange): boolean {
   return route.repeatability === Repeatability.Idempotent || (route.isStream && route.isResumable)
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -14,7 +14,7 @@
 import type { LimitResult } from '../limits/limitProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { ListedServer } from '../model/listedServer.js'
-import type { Exchange, ExchangeHead } from '../model/exchange.js'
+import { sharedLevelsOf, type Exchange, type ExchangeHead } from '../model/exchange.js'
 
 /** How an exchange ended. */
 export interface ExchangeOutcome {
@@ -38,6 +38,8 @@
   readonly now: number
   /** Address of the instance that carried the request; undefined for none. */
   readonly forwarder?: string | undefined
+  /** When the head of the answer arrived; undefined if it did not. */
+  readonly answeredAt?: number | undefined
 }
 
 /** Summarizes the state of the process, and of a service if one is given. */
@@ -81,10 +83,10 @@
   }
 
   /** @param heard tells a server that is down from links of this instance that are down. */
-  attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now, forwarder }: LastHeard): void {
+  attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now, forwarder, answeredAt }: LastHeard): void {
     this.metrics.count('tries_failed_total', { kind })
     this.logs.writeFailure(Part.Requests, 'A try failed.', {
-      request: exchange.id, server, kind, detail, verdict, forwarder, connection: isOnReusedConnection === true ? 'kept' : undefined, heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now)
+      request: exchange.id, account: exchange.account?.name, sharedLevels: sharedLevelsOf(exchange).map(({ id }) => id).join(' '), server, kind, detail, verdict, forwarder, answeringMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt), connection: isOnReusedConnection === true ? 'kept' : undefined, heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now)
     })
   }
 
