--- a/packages/foxtaillever-standins/src/platform/engines/answerWriter.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/answerWriter.ts
@@ -46,6 +46,8 @@
   readonly fault: ServerFault | undefined
   /** Ends the server's process. */
   readonly crash: () => void
+  /** Ends the server's process a moment after an answer began. */
+  readonly crashSoon: () => void
   /** Creates the headers in which the server states its limit or that it leaves; called when the answer begins. */
   readonly createStatementHeaders: () => Readonly<Record<string, string>>
 }
@@ -60,7 +62,11 @@
 
   /** Begins the answer; returns whether the caller should write more. */
   begin (status: number, headers: Readonly<Record<string, string | number>>): boolean {
-    const { response, options: { fault, requestId, createStatementHeaders } } = this
+    const { response, options: { fault, requestId, createStatementHeaders, crash } } = this
+    if (fault === ServerFault.CrashAtStart) {
+      crash()
+      return false
+    }
     if (fault === ServerFault.AnswerLost || fault === ServerFault.Garbage) {
       if (fault === ServerFault.Garbage) {
         response.socket?.write('no answer at all\r\n\r\n')
@@ -70,13 +76,17 @@
     }
     const id = fault === ServerFault.Foreign ? `not-${requestId}` : requestId
     response.writeHead(status, { 'X-Request-Id': id, 'X-Server-Stamp': `stamp.${requestId}`, ...createStatementHeaders(), ...headers })
+    if (fault === ServerFault.CrashAfterStart) {
+      response.flushHeaders()
+      this.options.crashSoon()
+    }
     return true
   }
 
   event (number: number, text: string): void {
     const { response, options: { fault, crash, softwareVersion } } = this
     const whole = `id: ${number}\ndata: ${text}${softwareVersion === FIRST_SOFTWARE_VERSION ? '' : `@${softwareVersion}`}\n\n`
-    if (number < FAULTY_EVENT || fault === undefined || fault === ServerFault.ExtraAnswer) {
+    if (number < FAULTY_EVENT || fault === undefined || fault === ServerFault.ExtraAnswer || fault === ServerFault.CrashAfterStart) {
       response.write(whole)
       return
     }
@@ -98,6 +108,10 @@
     if (fault === ServerFault.Hang) {
       return
     }
+    if (fault === ServerFault.CrashAfterStart) {
+      crash()
+      return
+    }
     if (fault === ServerFault.Truncate || fault === ServerFault.Crash) {
       const breakOff = fault === ServerFault.Crash ? crash : () => response.socket?.destroy()
       response.write(body?.subarray(0, body.length / 2) ?? '', () => { breakOff() })
--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -5,13 +5,19 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { Cancellation, Clock } from 'foxtaillever-core'
+import { hashNumber, type Cancellation, type Clock } from 'foxtaillever-core'
 import { readBody } from '../readBody.js'
 import { AnswerWriter, headerOf, type Arrival, type StatedAnswer } from './answerWriter.js'
 import { ServerFault } from './serverFaults.js'
 
 export const HEALTH_PATH = '/health'
 
+/** How a server crashes on a level of a prompt. */
+export type LevelFault = ServerFault.CrashAtStart | ServerFault.CrashAfterStart
+
+/** From the start of an answer to the crash that it causes, milliseconds. */
+const CRASH_DELAY_MS = { least: 20, most: 120 }
+
 /** Runs the requests of a kind of server. */
 export interface Runner {
   /** Returns the status of the refusal, or undefined if the request may run. */
@@ -62,6 +68,10 @@
   retryAfter: string | undefined
   /** When it failed because it had to reject too many requests, milliseconds of Unix time. */
   readonly falls: number[] = []
+  /** When it crashed because of a level of a prompt, milliseconds of Unix time. */
+  readonly levelCrashes: number[] = []
+  /** How the server crashes on prompts with a level, by the level's id. */
+  crashingLevels: ReadonlyMap<string, LevelFault> = new Map()
   private brittleness: Brittleness | undefined
   /** When it rejected requests for want of room, milliseconds of Unix time. */
   private rejections: number[] = []
@@ -188,6 +198,7 @@
 
   private run (request: IncomingMessage, response: ServerResponse, arrival: Arrival): void {
     const { requestId } = arrival
+    const { clock } = this.options
     const refuse = (status: number, headers: Readonly<Record<string, string>> = {}): void => {
       response.writeHead(status, { 'X-Request-Id': requestId, 'X-Instance-Id': this.id, 'X-Not-Executed': 1, ...this.statementHeaders(), ...headers }).end()
     }
@@ -201,7 +212,8 @@
       refuse(status)
       return
     }
-    const fault = this.faults.shift()
+    const levelFault = this.levelFaultOf(request)
+    const fault = levelFault ?? this.faults.shift()
     if (fault === ServerFault.Silent) {
       return
     }
@@ -209,7 +221,22 @@
       requestId,
       softwareVersion: this.softwareVersion,
       fault,
-      crash: () => this.crash(),
+      crash: () => {
+        if (levelFault !== undefined && !this.isRestarting) {
+          this.levelCrashes.push(clock.now())
+        }
+        this.crash()
+      },
+      crashSoon: () => {
+        const { startedAt } = this
+        const delay = CRASH_DELAY_MS.least + hashNumber(requestId) % (CRASH_DELAY_MS.most - CRASH_DELAY_MS.least)
+        clock.at(clock.now() + delay, () => {
+          if (startedAt === this.startedAt && !this.isRestarting && !this.isClosed) {
+            this.levelCrashes.push(clock.now())
+            this.crash()
+          }
+        })
+      },
       createStatementHeaders: () => {
         arrival.answer = this.createStatedAnswer(0)
         return this.statementHeaders()
@@ -222,6 +249,15 @@
     }
   }
 
+  /** The last level of a prompt is the request's own. */
+  private levelFaultOf (request: IncomingMessage): LevelFault | undefined {
+    if (this.crashingLevels.size === 0) {
+      return undefined
+    }
+    const levels = headerOf(request, 'x-prompt-prefix').split(',').slice(0, -1).map(entry => entry.split(':')[0] ?? '')
+    return levels.map(level => this.crashingLevels.get(level)).find(fault => fault !== undefined)
+  }
+
   private recordRejection (): void {
     const now = this.options.clock.now()
     this.rejections = [...this.rejections.filter(at => at + 1000 > now), now]
--- a/packages/foxtaillever-standins/src/platform/engines/serverFaults.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/serverFaults.ts
@@ -2,6 +2,10 @@
 export enum ServerFault {
   /** The process ends in the middle of an answer and restarts under another id. */
   Crash = 'crash',
+  /** The process ends before it sends anything of an answer that it begins. */
+  CrashAtStart = 'crash-at-start',
+  /** The process ends a moment after it began an answer. */
+  CrashAfterStart = 'crash-after-start',
   /** The connection ends in the middle of an answer. */
   Truncate = 'truncate',
   /** A second answer follows a complete one. */
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -4,7 +4,7 @@
  */
 import { waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
 import { FIRST_SOFTWARE_VERSION } from './engines/answerWriter.js'
-import { BackendServer, type Runner } from './engines/backendServer.js'
+import { BackendServer, type LevelFault, type Runner } from './engines/backendServer.js'
 import { EngineRunner } from './engines/engineRunner.js'
 import { createPlainRunner, type PlainShape } from './engines/plainRunner.js'
 import { PartCache } from './engines/partCache.js'
@@ -56,6 +56,8 @@
   readonly heartbeatMs: number
   /** Whether servers are reached over links, which can have faults. */
   readonly hasLinks?: boolean
+  /** Time from a server's crash to its restart, milliseconds. */
+  readonly restartMs?: number
 }
 
 export class PlatformDeployment {
@@ -66,6 +68,8 @@
   private readonly cacheStores = new Map<string, PartCache>()
   private readonly registered: RegisteredServer[] = []
   private readonly storeServers: StoreServer[] = []
+  /** Prompt levels that crash the servers, which share this table. */
+  readonly crashingLevels = new Map<string, LevelFault>()
   private readonly namedVersions = new Map<string, number>()
   /** Newest values that operators wrote, by key. */
   private readonly operatorValues = new Map<string, object>()
@@ -225,12 +229,12 @@
   }
 
   private async add (name: string, service: string, zone: string, runner: Runner, slots = ENGINE.slots, softwareVersion = FIRST_SOFTWARE_VERSION): Promise<BackendServer> {
-    const { clock, host, heartbeatMs } = this.options
+    const { clock, host, heartbeatMs, restartMs = RESTART_MS } = this.options
     const server = BackendServer.create({
       name,
       clock,
       softwareVersion,
-      restartMs: RESTART_MS,
+      restartMs,
       onCrashed: ({ id }) => {
         entry.sendsHeartbeats = false
         clock.at(clock.now() + MISSED_HEARTBEATS * heartbeatMs, () => this.expire(entry, id))
@@ -244,6 +248,7 @@
     }, runner)
     const entry: RegisteredServer = { server, runner, service, zone, slots, address: '', sendsHeartbeats: false }
     this.servers.push(server)
+    server.crashingLevels = this.crashingLevels
     await server.listen(host)
     entry.address = await this.openLink(server.address)
     await Promise.all(this.instanceLinks.map(async links => await links.add(entry.address)))
