Stand-in: list servers under one address for all instances, also where each has links of its own

Instances pass entries of the server list on to each other; the stand-in gave each instance entries with the addresses of its own links, so after new weights the other three used the links of the instance that reads the list. Cutting these cut the servers off from everybody. The product is not at fault: real servers have one address.

Entries now hold the servers' own addresses. An instance connects to its links at the same port of another loopback host: in one process the reader of entries is wrapped, in the soak a preloaded module redirects connections.

--- a/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
@@ -9,11 +9,15 @@
 import { waitFor } from 'foxtaillever-platform/__fixtures__/waitFor'
 import { PlatformDeployment, type InstanceLinks, type PlainShape, type StoreServer } from 'foxtaillever-standins'
 import { Child } from '../soak/child.js'
+import { LINKS_HOST, SERVERS_HOST } from './linkHosts.js'
 import { SoakOperator } from './soakOperator.js'
 
 /** Time bounds of the settings, so short that a soak of seconds reaches them. */
 export const SHORT_BOUNDS = { retry_budget_ratio: 0.2, retry_budget_slack: 50, budget_window_s: 10, grace_s: 8, lease_ms: 500, version_ms: 8000 }
 
+/** Preloaded by the instances, so that their connections to servers use their own links. */
+const LINKS_MODULE = new URL('connectThroughLinks.js', import.meta.url).href
+
 const HEARTBEAT_MS = 300
 
 /** About half used by the load, so that a server that lets no request wait has to reject some. */
@@ -30,7 +34,8 @@
 export class SoakFleet {
   readonly clock = SystemClock.create()
   readonly caller = Caller.create()
-  readonly platform = PlatformDeployment.create({ clock: this.clock, host: nextHost(), heartbeatMs: HEARTBEAT_MS, hasLinks: true })
+  private readonly serversHost = nextHost()
+  readonly platform = PlatformDeployment.create({ clock: this.clock, host: this.serversHost, heartbeatMs: HEARTBEAT_MS, hasLinks: true })
   readonly operator = SoakOperator.create(this.clock, this.platform)
   readonly instances: SoakInstance[] = []
   private readonly folder = mkdtempSync(join(tmpdir(), 'foxtaillever-soak-'))
@@ -86,12 +91,12 @@
 
   private async addInstance (zone: string): Promise<void> {
     const ip = nextHost()
-    const { storeServer, address: store, links } = await this.platform.openStore(true)
+    const { storeServer, address: store, links } = await this.platform.openStore(nextHost())
     const [front, ready] = [`${ip}:${await freePort(ip)}`, `${ip}:${await freePort(ip)}`]
     const name = `instance-${this.instances.length + 1}`
     const path = join(this.folder, `${name}.json`)
     writeFileSync(path, JSON.stringify({ node: name, zone, ip, listen: { front, ready }, internal_ports: [this.peerPort, this.peerPort], seeds: [], heartbeat_ms: HEARTBEAT_MS, bounds: SHORT_BOUNDS, platform: { address: store } }))
-    const child = Child.create({ name, arguments: [this.entry], environment: { FOXTAILLEVER_BOOT: path }, onLine: () => {} })
+    const child = Child.create({ name, arguments: ['--import', LINKS_MODULE, this.entry], environment: { FOXTAILLEVER_BOOT: path, [SERVERS_HOST]: this.serversHost, [LINKS_HOST]: links.host }, onLine: () => {} })
     this.instances.push({ child, address: front, storeServer, links })
     child.start()
   }
--- a/packages/foxtaillever-standins/src/platform/instanceLinks.ts
+++ b/packages/foxtaillever-standins/src/platform/instanceLinks.ts
@@ -1,33 +1,33 @@
-/** The links of one instance to all backend servers. Cutting them leaves the links of other instances as they are. */
+/**
+ * The links of one instance to all backend servers. Cutting them leaves the links of
+ * other instances as they are. Servers are listed under one address for all instances;
+ * the instance must connect to the link's host at the same port instead.
+ */
 import { Either } from 'purify-ts'
 import { Link, type LinkCut } from './link.js'
 
 export class InstanceLinks {
   /** By the address of the server. */
-  private readonly links = new Map<string, { readonly link: Link, readonly address: string }>()
+  private readonly links = new Map<string, Link>()
 
-  private constructor (private readonly host: string) {}
+  private constructor (readonly host: string) {}
 
-  /** @param host loopback address at which the links listen. */
+  /** @param host loopback address that no other instance's links use. */
   static create (host: string): InstanceLinks {
     return new InstanceLinks(host)
   }
 
   async add (target: string): Promise<void> {
     const link = Link.create(target)
-    this.links.set(target, { link, address: await link.listen(this.host) })
-  }
-
-  /** Returns the address at which the instance reaches the server; the same address without a link. */
-  addressOf (target: string): string {
-    return this.links.get(target)?.address ?? target
+    await link.listen(this.host, portOf(target))
+    this.links.set(target, link)
   }
 
   /** Returns a server's entry with the address at which the instance reaches it; values of other writers, which need not be JSON, stay as they are. */
   rewriteAddress (value: Buffer): Buffer {
     return Either.encase(() => JSON.parse(value.toString()) as { readonly address?: unknown } | null)
-      .map(entry => typeof entry?.address === 'string' && this.addressOf(entry.address) !== entry.address
-        ? Buffer.from(JSON.stringify({ ...entry, address: this.addressOf(entry.address) }))
+      .map(entry => typeof entry?.address === 'string' && this.links.has(entry.address)
+        ? Buffer.from(JSON.stringify({ ...entry, address: `${this.host}:${portOf(entry.address)}` }))
         : value)
       .orDefault(value)
   }
@@ -43,10 +43,14 @@
   }
 
   close (): void {
-    this.links.forEach(({ link }) => link.close())
+    this.links.forEach(link => link.close())
   }
 
   private linksTo (targets: readonly string[] | undefined): Link[] {
-    return [...this.links].flatMap(([target, { link }]) => targets?.includes(target) === false ? [] : [link])
+    return [...this.links].flatMap(([target, link]) => targets?.includes(target) === false ? [] : [link])
   }
 }
+
+function portOf (address: string): number {
+  return Number(address.slice(address.lastIndexOf(':') + 1))
+}
--- a/packages/foxtaillever-standins/src/platform/link.ts
+++ b/packages/foxtaillever-standins/src/platform/link.ts
@@ -92,9 +92,15 @@
     return new Link(target)
   }
 
-  /** Returns the address at which this link forwards to the target. */
-  async listen (host: string): Promise<string> {
-    await new Promise<void>(resolve => this.server.listen(0, host, resolve))
+  /**
+   * Returns the address at which this link forwards to the target.
+   * @param port a free one if not given.
+   */
+  async listen (host: string, port = 0): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, resolve)
+    })
     this.address = { host, port: (this.server.address() as AddressInfo).port }
     return `${host}:${this.address.port}`
   }
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -87,17 +87,17 @@
 
   /**
    * Opens another address of the store, with its own faults.
-   * @param hasOwnLinks whether it lists the servers under the addresses of links that only its readers use.
+   * @param linksHost loopback address of links to the servers that only its readers use; undefined for none.
    */
-  async openStore (hasOwnLinks = false): Promise<{ readonly storeServer: StoreServer, readonly address: string, readonly links: InstanceLinks }> {
-    const links = InstanceLinks.create(this.options.host)
-    if (hasOwnLinks) {
+  async openStore (linksHost?: string): Promise<{ readonly storeServer: StoreServer, readonly address: string, readonly links: InstanceLinks }> {
+    const links = InstanceLinks.create(linksHost ?? this.options.host)
+    if (linksHost !== undefined) {
       this.instanceLinks.push(links)
       await Promise.all(this.registered.map(async ({ address }) => await links.add(address)))
     }
-    const storeServer = StoreServer.create(this.store, this.options.clock, value => links.rewriteAddress(value))
+    const storeServer = StoreServer.create(this.store, this.options.clock)
     this.storeServers.push(storeServer)
-    return { storeServer, address: await storeServer.listen(this.options.host), links }
+    return { storeServer, address: await storeServer.listen(links.host), links }
   }
 
   async addEngine (name: string, service: string, zone: string, models: Readonly<Record<string, number>>, shape: Partial<TokenEngineOptions> = {}, softwareVersion = FIRST_SOFTWARE_VERSION): Promise<{ readonly server: BackendServer, readonly runner: EngineRunner }> {
--- a/packages/foxtaillever-standins/src/platform/store/storeServer.ts
+++ b/packages/foxtaillever-standins/src/platform/store/storeServer.ts
@@ -7,7 +7,7 @@
 import type { AddressInfo } from 'node:net'
 import { waitUntil, type Clock } from 'foxtaillever-core'
 import { readBody } from '../readBody.js'
-import { createKeyedContent, readKeyedContent, type AppendConditions, type Partition } from './partition.js'
+import type { AppendConditions, Partition } from './partition.js'
 import { frameRecords, splitRecords } from './recordFrames.js'
 import { AppendFault, createStoreFaults, StoreMode, type StoreFaults } from './storeFaults.js'
 import { OPERATORS_TOPIC, SERVERS_TOPIC, type StoreModel } from './storeModel.js'
@@ -39,9 +39,6 @@
   }
 }
 
-/** Changes the value of a record of the server list before it is served. */
-export type RewriteEntry = (value: Buffer) => Buffer
-
 export class StoreServer {
   readonly faults: StoreFaults = createStoreFaults()
   /** Calls by path since the start. */
@@ -49,7 +46,7 @@
   private readonly server: Server
   private readonly handlers: Readonly<Record<string, (query: URLSearchParams, body: Buffer) => Promise<Answer> | Answer>>
 
-  private constructor (private readonly model: StoreModel, private readonly clock: Clock, private readonly rewriteEntry: RewriteEntry) {
+  private constructor (private readonly model: StoreModel, private readonly clock: Clock) {
     this.handlers = {
       '/log-append': (query, body) => this.append(query, body),
       '/log-read': async query => await this.read(query),
@@ -61,8 +58,8 @@
     })
   }
 
-  static create (model: StoreModel, clock: Clock, rewriteEntry: RewriteEntry = value => value): StoreServer {
-    return new StoreServer(model, clock, rewriteEntry)
+  static create (model: StoreModel, clock: Clock): StoreServer {
+    return new StoreServer(model, clock)
   }
 
   /** Returns the address, with a port from the system. */
@@ -153,7 +150,7 @@
     const partition = find()
     const records = partition.read(from)
     return records
-      ? { status: 200, body: frameRecords(partition.end, partition.first, records.map(({ content }) => this.rewriteContent(query, content))) }
+      ? { status: 200, body: frameRecords(partition.end, partition.first, records.map(({ content }) => content)) }
       : json(410, { first: partition.first })
   }
 
@@ -163,23 +160,11 @@
     const keys = [...partition.newest.keys()].sort().filter(key => key > after)
     const items = keys.slice(0, PAGE_ITEMS).map(key => {
       const { value, offset } = partition.newest.get(key) ?? { value: Buffer.alloc(0), offset: 0 }
-      return { key, value: this.rewriteValue(query, value).toString('base64'), offset }
+      return { key, value: value.toString('base64'), offset }
     })
     return json(200, { items, has_more: keys.length > items.length, end: partition.end })
   }
 
-  private rewriteValue (query: URLSearchParams, value: Buffer): Buffer {
-    return query.get('topic') === SERVERS_TOPIC && value.length > 0 ? this.rewriteEntry(value) : value
-  }
-
-  private rewriteContent (query: URLSearchParams, content: Buffer): Buffer {
-    if (query.get('topic') !== SERVERS_TOPIC) {
-      return content
-    }
-    const { key, value } = readKeyedContent(content)
-    return createKeyedContent(key, this.rewriteValue(query, value))
-  }
-
   private trim (query: URLSearchParams): Answer {
     this.model.partition(query.get('topic') ?? '', numberOf(query, 'part')).trim(numberOf(query, 'before') ?? 0)
     return json(200, {})
