--- /dev/null
+++ b/packages/foxtaillever-policy/src/crashes/crashEvidence.ts
@@ -0,0 +1,353 @@
+/**
+ * Finds out which level of prompts, or which request, crashes the backend servers.
+ *
+ * Every request that was in flight at a crash may have caused it, and most levels of
+ * prompts are in flight at most crashes. What tells the cause from its company is that no
+ * request with it is ever answered, and that it explains several crashes by requests that
+ * were sent one after another. A level is suspected from its second crash on and then
+ * tried by one request at a time; it is quarantined once enough crashes speak against it.
+ */
+
+/** What may cause crashes: a level of prompts, or a request as a whole that its caller sends again. */
+export enum CauseKind {
+  Level = 'level',
+  Request = 'request'
+}
+
+/** A request that was in flight at a server when it crashed. */
+export interface LostRequest {
+  /** Digest of what stays the same when its caller sends it again. */
+  readonly request: string
+  /** Client account; empty for none. */
+  readonly account: string
+  /** Ids of the levels of its prompt that may have caused the crash, the first one first. */
+  readonly levels: readonly string[]
+  /** Milliseconds of Unix time. */
+  readonly sentAt: number
+  /** Whether its suspected levels were tried: no other request with them was in flight. */
+  readonly isTrial: boolean
+}
+
+/** A cause of crashes that the evidence proves. */
+export interface ProvenCause {
+  readonly kind: CauseKind
+  /** Id of the level, or digest of the request. */
+  readonly id: string
+  /** The only client account whose requests crashed servers; undefined if there are several, so that the cause does not depend on the account. */
+  readonly account: string | undefined
+  /** Hashes of the incarnations that it crashed. */
+  readonly servers: readonly number[]
+}
+
+/** Crashes by requests sent one after another, and distinct requests among them, without which nothing is proven. */
+const MIN_CRASHES = 3
+const MIN_REQUESTS: Readonly<Record<CauseKind, number>> = { [CauseKind.Level]: 2, [CauseKind.Request]: 1 }
+
+/**
+ * How unlikely it must be that none of the crashed requests with a level was answered
+ * although the level is sound, as a natural logarithm. A level that many requests share
+ * is in flight at every crash, so that chance gets more opportunities.
+ */
+const MIN_EVIDENCE = 5.5
+const MIN_EVIDENCE_OF_SHARED = 8.5
+
+/** A level is shared by many if so many of its requests are lost in a crash, on average. */
+const SHARED_BY = 2
+
+/** Each crash may be a coincidence with this probability, however rare it seems. */
+const MIN_CHANCE = 0.05
+
+/** A trial lasts about this long, milliseconds: a server that crashes meanwhile for another reason speaks against the level by chance. */
+const TRIAL_MS = 500
+
+/** Chance that another of the levels that were tried at the same server crashed it. */
+const AMBIGUOUS_CHANCE = 0.5
+
+/** Crashes within this time show how often servers crash, milliseconds. */
+const CRASH_RATE_MS = 10_000
+
+/** Distinct crashes from which a cause is suspected. */
+const CRASHES_TO_SUSPECT = 2
+
+/** Evidence is kept for this long, milliseconds. */
+const KEPT_MS = 120_000
+
+const MAX_CRASHES = 64
+const MAX_LOST_REQUESTS = 256
+
+/** Numbers of requests of a service that were answered lately: within each of `ANSWER_SPANS_MS`. */
+export type AnswerCounts = readonly number[]
+
+/** Milliseconds. */
+export const ANSWER_SPANS_MS = [125, 250, 500, 1000, 2000, 4000, 8000] as const
+
+/** A first level that was in flight at so many more crashes than a deeper one is the likelier cause. */
+const MORE_CRASHES = 2
+
+interface Crash {
+  readonly server: number
+  /** Milliseconds of Unix time. */
+  at: number
+  /** By the request's digest. */
+  readonly lost: Map<string, LostRequest>
+  /** Levels of these requests. */
+  readonly levels: Set<string>
+  /** Requests answered before the crash, by all instances that lost requests in it. */
+  readonly answers: number[]
+  /** A quarantined level was in flight, so the crash says nothing about other levels. */
+  isExplained: boolean
+}
+
+/** What speaks against one cause. */
+interface Suspicion {
+  readonly kind: CauseKind
+  readonly id: string
+  /** In order of time, after the last answer. */
+  readonly crashes: Crash[]
+  /** Position among the levels of its prompts. */
+  depth: number
+}
+
+export class CrashEvidence {
+  /** By the hash of the server's incarnation, in order of arrival. */
+  private readonly crashes = new Map<number, Crash>()
+  /** When a request with the level was last known to be answered, milliseconds of Unix time; by the level's id, or the request's digest. */
+  private readonly answeredAt = new Map<string, number>()
+  private readonly provenRequests = new Set<string>()
+
+  private constructor () {}
+
+  static create (): CrashEvidence {
+    return new CrashEvidence()
+  }
+
+  get isEmpty (): boolean {
+    return this.crashes.size === 0
+  }
+
+  /**
+   * Adds requests that were in flight when a server crashed.
+   * @param at time of the crash, milliseconds of Unix time.
+   * @param answers of the instance that lost these, before the crash.
+   */
+  addCrash (server: number, at: number, lost: readonly LostRequest[], answers: AnswerCounts, now: number): void {
+    this.expire(now)
+    const crash = this.crashes.get(server) ?? { server, at, lost: new Map(), levels: new Set(), answers: ANSWER_SPANS_MS.map(() => 0), isExplained: false }
+    if (lost.some(({ request }) => !crash.lost.has(request))) {
+      answers.forEach((count, index) => { crash.answers[index] = (crash.answers[index] ?? 0) + count })
+    }
+    crash.at = Math.min(crash.at, at)
+    this.crashes.set(server, crash)
+    lost.forEach(request => {
+      if (crash.lost.size < MAX_LOST_REQUESTS) {
+        crash.lost.set(request.request, request)
+        request.levels.forEach(level => crash.levels.add(level))
+      }
+    })
+  }
+
+  /** Removes a crash that did not happen: the same incarnation has answered since. */
+  removeCrash (server: number): void {
+    this.crashes.delete(server)
+  }
+
+  /**
+   * @param causes levels of a request that was answered, and its digest.
+   * @param at milliseconds of Unix time.
+   */
+  addAnswer (causes: readonly string[], at: number): void {
+    causes.filter(id => this.crashesWith(id).length > 0).forEach(id => this.answeredAt.set(id, Math.max(at, this.answeredAt.get(id) ?? 0)))
+  }
+
+  /** Whether anything speaks against the level, or the request, that an answer at that time disproves, milliseconds of Unix time. */
+  isOpen (level: string, at: number): boolean {
+    return this.unexplainedCrashes(level).some(crash => crash.at < at)
+  }
+
+  /** Levels that were in flight at several crashes since the last answer, with the time of the last of these crashes. */
+  suspectedLevels (): Map<string, number> {
+    const suspected = [...this.suspicions().values()].filter(({ kind, crashes }) => kind === CauseKind.Level && crashes.length >= CRASHES_TO_SUSPECT)
+    return new Map(suspected.map(({ id, crashes }) => [id, crashes.at(-1)?.at ?? 0]))
+  }
+
+  /** Whether the level was in flight at several crashes since the last answer. */
+  isSuspected (level: string): boolean {
+    return this.unexplainedCrashes(level).length >= CRASHES_TO_SUSPECT
+  }
+
+  /** Levels that were in flight at crashes since a time, milliseconds of Unix time. */
+  levelsOfCrashesSince (since: number): Set<string> {
+    return new Set([...this.crashes.values()].filter(({ at }) => at >= since).flatMap(({ levels }) => [...levels]))
+  }
+
+  /** Records that a level is known to crash servers: crashes with it in flight say nothing about other levels. */
+  markExplained (level: string): void {
+    this.crashesWith(level).forEach(crash => { crash.isExplained = true })
+  }
+
+  /**
+   * Causes that are proven now; each is reported once, since it explains its crashes.
+   * @param serverCount servers of the service.
+   */
+  proveCauses (serverCount: number, now: number): ProvenCause[] {
+    this.expire(now)
+    const proven: ProvenCause[] = []
+    for (let cause = this.strongestProof(serverCount); cause !== undefined; cause = this.strongestProof(serverCount)) {
+      const { kind, id, crashes } = cause
+      proven.push({ kind, id, account: onlyAccount(crashes, cause), servers: crashes.map(({ server }) => server) })
+      if (kind === CauseKind.Level) {
+        this.markExplained(id)
+      } else {
+        this.provenRequests.add(id)
+      }
+    }
+    return proven
+  }
+
+  /**
+   * Whether a quarantined level crashed a server without a request of the account, so
+   * that the cause does not depend on the account.
+   */
+  isProvenBeyond (level: string, account: string): boolean {
+    return this.crashesWith(level).some(crash => {
+      const requests = [...crash.lost.values()].filter(({ levels }) => levels.includes(level))
+      return requests.length > 0 && requests.every(request => request.account !== account)
+    })
+  }
+
+  private crashesWith (id: string): Crash[] {
+    return [...this.crashes.values()].filter(({ levels, lost }) => levels.has(id) || lost.has(id))
+  }
+
+  private unexplainedCrashes (level: string): Crash[] {
+    const answeredAt = this.answeredAt.get(level) ?? -Infinity
+    return this.crashesWith(level).filter(({ isExplained, at }) => !isExplained && at > answeredAt)
+  }
+
+  /** Everything that was in flight at crashes that are not explained. */
+  private suspicions (): Map<string, Suspicion> {
+    const suspicions = new Map<string, Suspicion>()
+    const add = (kind: CauseKind, id: string, depth: number, crash: Crash): void => {
+      const key = `${kind}/${id}`
+      const known = suspicions.get(key) ?? { kind, id, crashes: [], depth }
+      known.depth = Math.max(known.depth, depth)
+      if (known.crashes.at(-1) !== crash) {
+        known.crashes.push(crash)
+      }
+      suspicions.set(key, known)
+    }
+    for (const crash of [...this.crashes.values()].sort((a, b) => a.at - b.at)) {
+      crash.lost.forEach(({ request, levels }) => {
+        if (!this.provenRequests.has(request) && crash.at > (this.answeredAt.get(request) ?? -Infinity)) {
+          add(CauseKind.Request, request, levels.length, crash)
+        }
+        if (!crash.isExplained) {
+          levels.forEach((level, depth) => {
+            if (crash.at > (this.answeredAt.get(level) ?? -Infinity)) {
+              add(CauseKind.Level, level, depth, crash)
+            }
+          })
+        }
+      })
+    }
+    return suspicions
+  }
+
+  /** What is proven and not explained as well by something more specific. */
+  private strongestProof (serverCount: number): Suspicion | undefined {
+    const suspicions = [...this.suspicions().values()]
+    return suspicions.find(suspicion => this.isProven(suspicion, serverCount) && !suspicions.some(other => explainsAsWell(other, suspicion)))
+  }
+
+  private isProven (suspicion: Suspicion, serverCount: number): boolean {
+    const successive = successiveCrashes(suspicion)
+    const evidence = suspicion.kind === CauseKind.Level
+      ? successive.slice(1).reduce((sum, crash, index) => sum - Math.log(this.chanceOf(crash, successive[index] as Crash, suspicion, serverCount)), 0)
+      : Infinity
+    const requests = countRequests(suspicion)
+    const minEvidence = requests > SHARED_BY * suspicion.crashes.length ? MIN_EVIDENCE_OF_SHARED : MIN_EVIDENCE
+    return successive.length >= MIN_CRASHES && evidence >= minEvidence && requests >= MIN_REQUESTS[suspicion.kind]
+  }
+
+  /**
+   * How likely it is that the next request with a sound level is lost after a crash too:
+   * as are others that were sent meanwhile, or a trial by a crash for another reason.
+   */
+  private chanceOf (crash: Crash, before: Crash, suspicion: Suspicion, serverCount: number): number {
+    const { at, lost } = crash
+    const isOwn = isCausedBy(suspicion)
+    const trials = [...lost.values()].filter(({ isTrial }) => isTrial)
+    const isTrial = trials.some(isOwn)
+    if (isTrial && trials.some(trial => !isOwn(trial) && trial.levels.some(level => this.isSuspected(level)))) {
+      return AMBIGUOUS_CHANCE
+    }
+    const crashesLately = [...this.crashes.values()].filter(other => other.at > at - CRASH_RATE_MS && other.at <= at).length
+    const chance = isTrial ? crashesLately * TRIAL_MS / CRASH_RATE_MS / serverCount : (lost.size + 1) / (answersSince(crash, before.at) + lost.size + 1)
+    return Math.min(1, Math.max(MIN_CHANCE, chance))
+  }
+
+  private expire (now: number): void {
+    for (const [server, { at }] of this.crashes) {
+      if (at + KEPT_MS <= now || this.crashes.size > MAX_CRASHES) {
+        this.crashes.delete(server)
+      }
+    }
+    if (this.crashes.size === 0) {
+      this.answeredAt.clear()
+      this.provenRequests.clear()
+    }
+  }
+}
+
+function isCausedBy ({ kind, id }: Pick<Suspicion, 'kind' | 'id'>): (request: LostRequest) => boolean {
+  return kind === CauseKind.Request ? ({ request }) => request === id : ({ levels }) => levels.includes(id)
+}
+
+/** Crashes of which each had a request in flight that was sent after the crash before: servers that crash at the same moment have one reason. */
+function successiveCrashes (suspicion: Suspicion): Crash[] {
+  const isOwn = isCausedBy(suspicion)
+  const successive: Crash[] = []
+  for (const crash of suspicion.crashes) {
+    const countedAt = successive.at(-1)?.at ?? -Infinity
+    if ([...crash.lost.values()].some(request => isOwn(request) && request.sentAt > countedAt)) {
+      successive.push(crash)
+    }
+  }
+  return successive
+}
+
+/** Requests that were answered between a time and the crash, milliseconds of Unix time. */
+function answersSince ({ at, answers }: Crash, since: number): number {
+  const span = ANSWER_SPANS_MS.findIndex(ms => at - since < ms)
+  return answers[span === -1 ? answers.length - 1 : span - 1] ?? 0
+}
+
+function countRequests (suspicion: Suspicion): number {
+  const isOwn = isCausedBy(suspicion)
+  return new Set(suspicion.crashes.flatMap(({ lost }) => [...lost.values()].filter(isOwn).map(({ request }) => request))).size
+}
+
+function onlyAccount (crashes: readonly Crash[], suspicion: Suspicion): string | undefined {
+  const isOwn = isCausedBy(suspicion)
+  const accounts = new Set(crashes.flatMap(({ lost }) => [...lost.values()].filter(isOwn).map(({ account }) => account)))
+  return accounts.size === 1 ? [...accounts][0] : undefined
+}
+
+/**
+ * Whether another level explains the crashes as well as this one. All requests with a
+ * deeper level have the first level too, so a deeper one that was in flight at most of the
+ * crashes is the likelier cause; of two at the same depth it is the one that explains more.
+ */
+function explainsAsWell (other: Suspicion, level: Suspicion): boolean {
+  if (other === level || other.kind !== CauseKind.Level || level.kind !== CauseKind.Level) {
+    return false
+  }
+  const shared = level.crashes.filter(crash => other.crashes.includes(crash)).length
+  if (other.depth < level.depth) {
+    return shared === level.crashes.length && other.crashes.length >= level.crashes.length + MORE_CRASHES
+  }
+  if (other.depth > level.depth) {
+    return 2 * shared >= level.crashes.length
+  }
+  return shared === level.crashes.length && countRequests(other) >= countRequests(level)
+}
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -9,7 +9,7 @@
 import { Right } from 'purify-ts'
 import { FetchLoad } from '../cache/fetchLoad.js'
 import { CallerServer } from '../callers/callerServer.js'
-import { CrashSuspects } from '../exchange/crashSuspects.js'
+import { CrashProtocol } from '../crashes/crashProtocol.js'
 import type { ExchangeContext } from '../exchange/exchangeContext.js'
 import { ExchangeRuns } from '../exchange/exchangeRuns.js'
 import { directPaths } from '../links/serverPaths.js'
@@ -94,7 +94,19 @@
 
 export class RelayRig {
   readonly clock = VirtualClock.create()
-  readonly suspects = CrashSuspects.create()
+  /** As of a fleet of one instance. */
+  readonly crashes = CrashProtocol.create({
+    clock: this.clock,
+    log: RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock: this.clock, destination: new PassThrough() })),
+    address: () => 'own',
+    decidersOf: () => ['own'],
+    serverCount: () => this.directory.all().length,
+    send: () => {},
+    sendToAll: () => {},
+    onQuarantine: () => this.runs.checkQuarantines(),
+    onDecided: () => {}
+  })
+
   readonly directory = ServerDirectory.create({
     onChanged: () => {},
     now: () => this.clock.now(),
@@ -139,7 +151,7 @@
       wire: serverWire,
       directory: this.directory,
       retries: this.retries,
-      suspects: this.suspects,
+      crashes: this.crashes,
       streamVersions: noStreamVersions,
       quota: {
         admit: (exchange, go) => this.quota.admit(exchange, go),
--- a/packages/foxtaillever-relay/src/__tests__/answers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/answers.test.ts
@@ -250,6 +250,9 @@
   })
 })
 
+/** Instances have decided by then what a crash says, milliseconds. */
+const DECIDED_WITHIN_MS = 100
+
 describe('requests that crash servers', () => {
   // One request crashes each server that runs it, and its caller retries it
   // repeatedly. Each crash loses all requests that run on that server.
@@ -259,6 +262,7 @@
     for (const [index, id] of ['a', 'b', 'c'].entries()) {
       t.regex(await rig.sendRequest(id, 'poison'), /^HTTP\/1.1 502 /)
       rig.directory.remove(`s${index}`, 100 + index)
+      await rig.clock.advanceBy(DECIDED_WITHIN_MS)
     }
     t.regex(await rig.sendRequest('d', 'poison'), /^HTTP\/1.1 503 [^]*not_run/)
     t.is(rig.arrivals, 3)
@@ -271,9 +275,10 @@
     for (const [index, id] of ['a', 'b', 'c'].entries()) {
       await rig.sendRequest(id, 'poison')
       rig.directory.remove(`s${index}`, 100 + index)
+      await rig.clock.advanceBy(DECIDED_WITHIN_MS)
     }
     const other = await RelayRig.start({}, arrival => arrival.socket.write(wholeAnswer(arrival, 'hello')))
-    other.suspects.receiveFacts(rig.suspects.factsToAnnounce(rig.clock.now()), other.clock.now())
+    other.crashes.applyQuarantines(rig.crashes.quarantinesToAnnounce())
     t.regex(await other.sendRequest('d', 'poison'), /^HTTP\/1.1 503 /)
     t.regex(await other.sendRequest('e', 'harmless'), /^HTTP\/1.1 200 /)
     rig.stop()
@@ -293,6 +298,7 @@
     for (const [index, outcome] of outcomes.entries()) {
       t.regex(await rig.sendRequest(`${index}`, 'page'), outcome === 'crash' ? /^HTTP\/1.1 502 / : /^HTTP\/1.1 200 /)
       rig.directory.remove(`s${index}`, 100 + index)
+      await rig.clock.advanceBy(DECIDED_WITHIN_MS)
     }
     rig.stop()
   })
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -11,7 +11,7 @@
 import { RelayRig, serverWire } from '../__fixtures__/relayRig.js'
 import type { Arrival } from '../__fixtures__/scriptedServer.js'
 import { noCacheStores } from '../cache/cacheStoreTracker.js'
-import { CrashSuspects } from '../exchange/crashSuspects.js'
+import { noCrashes } from '../crashes/crashProtocol.js'
 import { ExchangeDispatcher } from '../exchange/exchangeDispatcher.js'
 import { directPaths } from '../links/serverPaths.js'
 import { ServerState } from '../model/listedServer.js'
@@ -38,7 +38,7 @@
     log: RelayLog.create(Logs.create({ instance: 'i', level: 'info', clock, destination })),
     retryAllowance: { ratio: 0.2, slack: 10, windowMs: 10_000 },
     knownInstances: () => 1,
-    suspects: CrashSuspects.create(),
+    crashes: noCrashes,
     quota: noQuotas,
     streamVersions: noStreamVersions,
     fleetLoad: { of: () => noLoad },
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -50,12 +50,9 @@
   [AttemptFailureKind.ServerError]: { verdict: Verdict.Ran, code: FailureCode.BackendServerError, isServerFault: true, isArrival: true }
 }
 
-/** Failures that look like a crash of the server while it ran the request. */
-const crashKinds: ReadonlySet<AttemptFailureKind> = new Set([AttemptFailureKind.Lost, AttemptFailureKind.Silent])
-
-/** Whether the server may have crashed with the request in flight. */
+/** Whether the server may have crashed with the request in flight: a process that ends closes its connections. */
 export function mayBeCrash (kind: AttemptFailureKind): boolean {
-  return crashKinds.has(kind)
+  return kind === AttemptFailureKind.Lost
 }
 
 /** How an attempt failed. */
--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -76,7 +76,7 @@
     lease: { offset: 1, holder: 'a', ageMs: 1 },
     loads: [],
     sums,
-    suspects: [],
+    quarantines: [],
     savedLevels: [1, 2, 3, 4],
     named: [],
     current: [],
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -4,6 +4,7 @@
 import type { AdmissionContext } from '../admission/requestAdmission.js'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
 import type { CacheStoreTracker } from '../cache/cacheStoreTracker.js'
+import type { CrashProtocol } from '../crashes/crashProtocol.js'
 import type { ServerPaths } from '../links/serverPaths.js'
 import type { Exchange } from '../model/exchange.js'
 import type { LevelAtHome } from '../peers/loadQueryClient.js'
@@ -16,11 +17,10 @@
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { AccountQuotas } from '../limits/accountQuotas.js'
 import type { ServerLimits } from '../limits/serverLimits.js'
-import type { CrashSuspects } from './crashSuspects.js'
 import type { InFlightAttempt } from './inFlightAttempt.js'
 
-/** The part of `CrashSuspects` that a run uses. */
-export type SuspectRegistry = Pick<CrashSuspects, 'isRefused' | 'refusedUntil' | 'wasLostRepeatedly' | 'recordLoss' | 'clearSuspicion'>
+/** The part of `CrashProtocol` that a run uses. */
+export type CrashRegistry = Pick<CrashProtocol, 'findQuarantine' | 'recordRefusal' | 'claimTrial' | 'mayRetry' | 'recordLoss' | 'recordAnswer' | 'recordProgress'>
 
 export interface ExchangeContext {
   readonly clock: Clock
@@ -31,7 +31,7 @@
   readonly directory: ServerDirectory
   readonly retries: RetryShare
   readonly caches: Pick<CacheStoreTracker, 'savedLevels' | 'fetchLoad' | 'available'>
-  readonly suspects: SuspectRegistry
+  readonly crashes: CrashRegistry
   readonly quota: Pick<AccountQuotas, 'admit' | 'refund'>
   readonly limits: Pick<ServerLimits, 'admit' | 'refund'>
   /** Software versions that began streams. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -32,7 +32,7 @@
 /** How long a reported backoff counts, milliseconds: it serves one choice only, because watchers are queried again before each prompt. */
 const BACKOFF_REPORT_VALID_MS = 50
 
-export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'suspects' | 'quota' | 'paths' | 'streamVersions' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
+export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'crashes' | 'quota' | 'paths' | 'streamVersions' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
@@ -73,7 +73,7 @@
   private readonly wire: ServerWire
 
   private constructor (options: ExchangeDispatcherOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, suspects, quota, streamVersions, queryLoad, onLoadChanged, onSpeedSample, onSaved, onUnreachable, onMisdirected, paths } = options
+    const { clock, random, connectTimeoutMs, wire, log, crashes, quota, streamVersions, queryLoad, onLoadChanged, onSpeedSample, onSaved, onUnreachable, onMisdirected, paths } = options
     this.clock = clock
     this.log = log
     this.wire = wire
@@ -112,7 +112,7 @@
       retries: this.retries,
       caches: this.caches,
       paths,
-      suspects,
+      crashes,
       quota,
       streamVersions,
       limits: this.limits,
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -8,6 +8,7 @@
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
 import type { AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
+import { causesOf } from '../crashes/lostRequests.js'
 import { heldTokensOf, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { AnswerRelay } from './answerRelay.js'
@@ -32,6 +33,9 @@
 /** A server answers at the deadline by itself. If it does not, this instance fails the request this much later, milliseconds. */
 const DEADLINE_GRACE_MS = 40
 
+/** A request that waits for the trial of a suspected prompt level may come again after this, milliseconds: most trials end sooner. */
+const TRIAL_RETRY_MS = 300
+
 export class ExchangeRun {
   private current: InFlightAttempt | undefined
   private readonly ledger: AttemptLedger
@@ -83,7 +87,7 @@
 
   /** Places and sends the request, or refuses it at once. */
   begin (): void {
-    const { exchange, answer, context: { clock, retries, suspects } } = this
+    const { exchange, answer, context: { clock, retries } } = this
     if (answer.isGone) {
       this.finish(ExchangeEnd.CallerGone, '')
       return
@@ -91,7 +95,7 @@
     answer.listen({ onGone: () => this.onGone(), onDrained: () => this.current?.attempt.resume() })
     this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
     retries.addRequest(exchange.service, this.now)
-    this.refuseOr(findRefusal(exchange, suspects, this.now), () => this.quota.claim(refusal => this.onAdmitted(refusal)))
+    this.refuseOr(this.findRefusal(), () => this.quota.claim(refusal => this.onAdmitted(refusal)))
   }
 
   /** Goes on with the next step, unless the exchange has ended or is refused. */
@@ -108,12 +112,39 @@
     if (this.isOver) {
       this.quota.settle(false)
     }
-    this.refuseOr(refusal, () => this.continuity.resolve(failure => this.refuseOr(failure, () => this.placement.placeNext())))
+    this.refuseOr(refusal, () => this.continuity.resolve(failure => this.refuseOr(failure, () => this.claimTrial())))
+  }
+
+  /** A request with a prompt level that is suspected of crashing servers waits for the decision whether it may run now. */
+  private claimTrial (): void {
+    const { context: { crashes }, exchange } = this
+    crashes.claimTrial(causesOf(exchange), exchange.service, isGranted => {
+      const refusal = isGranted ? this.findRefusal() : Failure.notRun(FailureCode.Overloaded, 'A level of the prompt was in flight at several crashes of backend servers; one request at a time tries it.', this.now + TRIAL_RETRY_MS)
+      this.refuseOr(refusal, () => this.placement.placeNext())
+    })
+  }
+
+  private findRefusal (): Failure | undefined {
+    return findRefusal(this.exchange, this.context.crashes, this.now)
+  }
+
+  /** What crashes servers became known: the request is not sent, or is cancelled if its answer has not begun. */
+  checkQuarantine (): void {
+    const refusal = this.isOver || this.answer.hasBegun ? undefined : this.findRefusal()
+    if (refusal?.code === FailureCode.Quarantined) {
+      this.interrupt(refusal.code, refusal.message, refusal.retryAt)
+    }
   }
 
   private send (server: KnownServer, isAdmitted: boolean): void {
     const { exchange, context, relay } = this
     const beganAt = this.now
+    const refusal = this.findRefusal()
+    if (refusal?.code === FailureCode.Quarantined) {
+      this.placement.releaseLimit()
+      this.fail(refusal.code, refusal.message, refusal.retryAt)
+      return
+    }
     const route = findAttemptRoute(context, exchange, server, this.ledger)
     if (!route) {
       this.placement.failUnreached()
@@ -125,6 +156,7 @@
     this.continuity.recordAttempt(server, relay.lastEventId)
     const { terms, othersTokens } = planAttempt(context, exchange, server, { resumeAfter: relay.lastEventId, isAdmitted })
     const attempt = beginAttempt(context, exchange, route, context.wire.createHeaders(exchange, terms, beganAt), {
+      maySend: () => context.crashes.findQuarantine(causesOf(exchange)) === undefined,
       onHead: head => this.onHead(head),
       onData: bytes => this.onData(bytes),
       onEnd: () => this.onEnd(),
@@ -143,8 +175,11 @@
   }
 
   private onData (bytes: Buffer): void {
-    const { current, context } = this
+    const { current, context, exchange, head } = this
     current?.recordActivity(this.now)
+    if (current && head) {
+      context.crashes.recordProgress(causesOf(exchange), exchange.service, head.at)
+    }
     if (current && current.forwarder === undefined) {
       context.directory.recordHeard(current.server)
     }
@@ -214,7 +249,7 @@
   }
 
   private mayRetry (): boolean {
-    return !this.isOver && this.relay.canContinue && this.ledger.mayRetry(this.now) && !this.context.suspects.wasLostRepeatedly(this.exchange)
+    return !this.isOver && this.relay.canContinue && this.ledger.mayRetry(this.now) && this.context.crashes.mayRetry(causesOf(this.exchange))
   }
 
   /**
@@ -257,15 +292,15 @@
     }
   }
 
-  private interrupt (code: FailureCode, message: string): void {
-    const { current, exchange, context } = this
+  private interrupt (code: FailureCode, message: string, retryAt?: number): void {
+    const { current, context } = this
     const mayHaveArrived = current?.attempt.mayHaveArrived === true
     this.ledger.recordInterruption(mayHaveArrived)
     if (current && mayHaveArrived && !this.head && code === FailureCode.DeadlinePassed) {
-      suspectSilentServer(context, current, () => context.suspects.recordLoss(exchange, current.serverId, this.now))
+      suspectSilentServer(context, current, () => {})
     }
     this.cancelCurrent()
-    this.fail(code, message)
+    this.fail(code, message, retryAt)
   }
 
   private fail (code: FailureCode, message: string, retryAt = earliestRetryTime(code, this.now)): void {
--- a/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
@@ -36,6 +36,11 @@
     this.runs.forEach(run => run.checkLink())
   }
 
+  /** Refuses or cancels requests that are known to crash servers. */
+  checkQuarantines (): void {
+    this.runs.forEach(run => run.checkQuarantine())
+  }
+
   /** Fails the remaining exchanges when the time of a graceful shutdown is up. */
   abort (): void {
     this.runs.forEach(run => run.abort())
--- a/packages/foxtaillever-relay/src/exchange/findRefusal.ts
+++ b/packages/foxtaillever-relay/src/exchange/findRefusal.ts
@@ -1,14 +1,25 @@
 /** Returns why an exchange is refused before it is sent to any server; undefined where it is not. */
 import { Failure, FailureCode } from 'foxtaillever-core'
+import { CauseKind } from 'foxtaillever-policy/crashes/crashEvidence'
+import type { Quarantine } from 'foxtaillever-policy/crashes/quarantineTable'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
+import { causesOf } from '../crashes/lostRequests.js'
 import type { Exchange } from '../model/exchange.js'
-import type { SuspectRegistry } from './exchangeContext.js'
+import type { CrashRegistry } from './exchangeContext.js'
 
-export function findRefusal (exchange: Exchange, suspects: Pick<SuspectRegistry, 'isRefused' | 'refusedUntil'>, now: number): Failure | undefined {
+const reasons: Readonly<Record<CauseKind, (quarantine: Quarantine) => string>> = {
+  [CauseKind.Request]: ({ servers }) => `This request crashed the ${servers.length} backend servers that ran it.`,
+  [CauseKind.Level]: ({ id, servers }) => `Level ${id} of the prompt crashed ${servers.length} backend servers, and no request with it was answered.`
+}
+
+export function findRefusal (exchange: Exchange, crashes: Pick<CrashRegistry, 'findQuarantine' | 'recordRefusal'>, now: number): Failure | undefined {
   if (exchange.deadline <= now) {
     return Failure.notRun(FailureCode.DeadlinePassed, 'The deadline passed before the request was read whole.', earliestRetryTime(FailureCode.DeadlinePassed, now))
   }
-  return suspects.isRefused(exchange, now)
-    ? Failure.notRun(FailureCode.Quarantined, 'This request crashed the backend servers that ran it.', suspects.refusedUntil(exchange))
-    : undefined
+  const quarantine = crashes.findQuarantine(causesOf(exchange))
+  if (quarantine === undefined) {
+    return undefined
+  }
+  crashes.recordRefusal(quarantine)
+  return Failure.notRun(FailureCode.Quarantined, reasons[quarantine.kind](quarantine), quarantine.expiresAt)
 }
--- a/packages/foxtaillever-relay/src/exchange/handleSilence.ts
+++ b/packages/foxtaillever-relay/src/exchange/handleSilence.ts
@@ -13,10 +13,10 @@
   return attempt !== undefined && attempt.forwarder === undefined && paths.isBroken(attempt.server) && attempt.activeAt + BROKEN_SILENCE_MS <= clock.now()
 }
 
-/** @param conclude called when the silence is the server's; not for requests that another instance carries. */
-export function suspectSilentServer ({ paths }: ExchangeContext, { forwarder, server, beganAt }: InFlightAttempt, conclude: () => void): void {
+/** @param onServerAtFault called when the silence is the server's; not for requests that another instance carries. */
+export function suspectSilentServer ({ paths }: ExchangeContext, { forwarder, server, beganAt }: InFlightAttempt, onServerAtFault: () => void): void {
   if (forwarder === undefined) {
-    paths.suspect(server, Suspicion.Unresponsive, beganAt, conclude)
+    paths.suspect(server, Suspicion.Unresponsive, beganAt, { onServerAtFault })
   }
 }
 
--- a/packages/foxtaillever-relay/src/exchange/recordAnswerHead.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAnswerHead.ts
@@ -1,5 +1,6 @@
 /** Records what an answer shows about its server, for all exchanges of the instance. */
 import type { AnswerHead } from '../attempts/attempt.js'
+import { causesOf } from '../crashes/lostRequests.js'
 import type { Exchange } from '../model/exchange.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import type { InFlightAttempt } from './inFlightAttempt.js'
@@ -23,12 +24,12 @@
 }
 
 /** Records a complete answer. */
-export function recordAnswer ({ clock, directory, suspects }: ExchangeContext, exchange: Exchange, inFlight: InFlightAttempt | undefined, { at }: AnswerHead): void {
+export function recordAnswer ({ clock, directory, crashes }: ExchangeContext, exchange: Exchange, inFlight: InFlightAttempt | undefined, { at }: AnswerHead): void {
   if (!inFlight) {
     return
   }
   const { server, beganAt } = inFlight
   const now = clock.now()
   directory.observations.recordSuccess(server, exchange.route.name, at - beganAt, now)
-  suspects.clearSuspicion(exchange, server.listed.id, beganAt, now)
+  crashes.recordAnswer(causesOf(exchange), exchange.service, server.hash, beganAt)
 }
--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -1,6 +1,7 @@
 /** Records what a failed attempt shows about its server, for all exchanges of the instance. */
 import { AttemptFailureKind, meaningOf, mayBeCrash, mayBeStaleConnection, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { Suspicion } from '../links/linkCheck.js'
+import { causesOf } from '../crashes/lostRequests.js'
 import type { Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ExchangeContext } from './exchangeContext.js'
@@ -29,14 +30,15 @@
     return
   }
   if (attempt.forwarder === undefined) {
-    recordDirectFailure(context, exchange, attempt, failure)
+    recordDirectFailure(context, exchange, attempt, failure, answeredAt)
   } else {
     recordForwardedFailure(context, exchange, attempt.server, attempt.forwarder, failure)
   }
 }
 
-function recordDirectFailure (context: ExchangeContext, exchange: Exchange, { server, beganAt }: FailedAttempt, failure: AttemptFailure): void {
-  const { clock, directory, paths, onUnreachable } = context
+function recordDirectFailure (context: ExchangeContext, exchange: Exchange, { server, beganAt }: FailedAttempt, failure: AttemptFailure, answeredAt: number | undefined): void {
+  const { clock, directory, paths, crashes, onUnreachable } = context
+  const lostAt = clock.now()
   const suspicion = suspicionOf[failure.kind]
   if (suspicion === undefined) {
     recordServerFailure(context, exchange, server, failure)
@@ -45,10 +47,17 @@
   if (failure.kind === AttemptFailureKind.Unreachable && !paths.isBroken(server)) {
     directory.observations.recordUnreachable(server, clock.now())
   }
-  paths.suspect(server, suspicion, beganAt, () => {
-    recordServerFailure(context, exchange, server, failure)
-    if (failure.kind === AttemptFailureKind.Unreachable) {
-      onUnreachable(server)
+  paths.suspect(server, suspicion, beganAt, {
+    onServerAtFault: () => {
+      recordServerFailure(context, exchange, server, failure)
+      if (failure.kind === AttemptFailureKind.Unreachable) {
+        onUnreachable(server)
+      }
+    },
+    onNotReached: () => {
+      if (mayBeCrash(failure.kind)) {
+        crashes.recordLoss(causesOf(exchange), { service: exchange.service, server: server.hash, sentAt: beganAt, lostAt, answeredAt })
+      }
     }
   })
 }
@@ -67,7 +76,7 @@
 }
 
 /** Records a failure that is the server's. */
-function recordServerFailure ({ clock, directory, suspects, onRejected }: ExchangeContext, exchange: Exchange, server: KnownServer, failure: AttemptFailure): void {
+function recordServerFailure ({ clock, directory, onRejected }: ExchangeContext, exchange: Exchange, server: KnownServer, failure: AttemptFailure): void {
   const now = clock.now()
   const { id } = server.listed
   if (meaningOf[failure.kind].isServerFault) {
@@ -84,7 +93,4 @@
   if (mayBeStaleConnection(failure)) {
     directory.observations.distrustIdleConnections(exchange.service, now)
   }
-  if (mayBeCrash(failure.kind)) {
-    suspects.recordLoss(exchange, id, now)
-  }
 }
--- a/packages/foxtaillever-relay/src/links/__fixtures__/linkHistory.ts
+++ b/packages/foxtaillever-relay/src/links/__fixtures__/linkHistory.ts
@@ -158,12 +158,12 @@
       return
     }
     const { id } = server.listed
-    const conclude = (): void => this.checkConclusion(instance, id)
+    const conclusions = { onServerAtFault: () => this.checkConclusion(instance, id) }
     const endWait = instance.monitor.beginWait(server)
     const beganAt = clock.now()
     const lose = (): void => {
       endWait()
-      instance.monitor.suspect(server, Suspicion.Unresponsive, beganAt, conclude)
+      instance.monitor.suspect(server, Suspicion.Unresponsive, beganAt, conclusions)
     }
     const answerAt = (answeredAt: number): void => {
       clock.at(answeredAt, () => {
@@ -180,7 +180,7 @@
       [Path.Silent]: () => answerAt((this.silentUntil.get(id) ?? 0) + ANSWER_MS),
       [Path.Refuses]: () => {
         endWait()
-        instance.monitor.suspect(server, Suspicion.Unreachable, beganAt, conclude)
+        instance.monitor.suspect(server, Suspicion.Unreachable, beganAt, conclusions)
       },
       [Path.Hangs]: () => clock.at(clock.now() + PATIENCE_MS, lose)
     }
--- a/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
@@ -1,5 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { CauseKind } from 'foxtaillever-policy/crashes/crashEvidence'
+import type { Quarantine } from 'foxtaillever-policy/crashes/quarantineTable'
 import { SeededRandom, SystemClock } from 'foxtaillever-core'
 import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
 import { describe, it } from 'foxtaillever-testing'
@@ -10,6 +12,8 @@
 import { ServerState } from '../../model/listedServer.js'
 import type { PeerMessage } from '../../peers/peerMessage.js'
 import type { KnownServer } from '../../servers/knownServer.js'
+import type { Loss } from '../../crashes/crashProtocol.js'
+import type { RequestCauses } from '../../crashes/lostRequests.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
 import { ForwardingClient } from '../forwardingClient.js'
 import { readReportedFailure } from '../forwardingMessage.js'
@@ -24,12 +28,17 @@
   readonly failure?: AttemptFailure
 }
 
+const causes: RequestCauses = { request: 'digest', account: 'acme', levels: ['first', 'second'] }
+
 /** An instance without links, another one that carries its requests, and a scripted server. */
 class Rig {
   readonly clock = SystemClock.create()
   readonly directory = ServerDirectory.create({ onChanged: () => {}, now: () => this.clock.now() })
   readonly members = new Set([`${OWN_HOST}:7340`])
   isBroken = false
+  quarantine: Quarantine | undefined
+  /** What the carrying instance recorded as lost. */
+  readonly losses: Array<{ readonly causes: RequestCauses, readonly loss: Loss }> = []
   readonly outcomes: string[] = []
   private readonly http: Server
   readonly carrying: ForwardingServer
@@ -44,8 +53,9 @@
       wire: { ...serverWire, passHeaders: headers => [...headers] },
       connectTimeoutMs: 500,
       directory: () => this.directory,
-      monitor: { brokenSince: () => this.isBroken ? 1 : undefined, findFor: async () => ProbeFinding.Reached, suspect: () => {} },
+      monitor: { brokenSince: () => this.isBroken ? 1 : undefined, findFor: async () => ProbeFinding.Reached, suspect: (_server, _suspicion, _beganAt, conclusions) => conclusions?.onNotReached?.() },
       log: { carried: ({ outcome }) => this.outcomes.push(outcome) },
+      crashes: { findQuarantine: () => this.quarantine, recordLoss: (causes, loss) => this.losses.push({ causes, loss }) },
       isMember: address => this.members.has(address),
       maxBodyBytes: () => 1000
     })
@@ -72,7 +82,7 @@
 
   /** @param onBegun receives the attempt. */
   async send (id: string, body = '', onBegun: (attempt: Attempt) => void = () => {}): Promise<Outcome> {
-    const forwarder = this.client.forwarderFor(this.server, id, new Set())
+    const forwarder = this.client.forwarderFor(this.server, { requestId: id, causes }, new Set())
     return await new Promise(resolve => {
       if (!forwarder) {
         resolve({ body: '', failure: { kind: AttemptFailureKind.Unreachable, detail: 'no forwarder' } })
@@ -215,10 +225,29 @@
 
   it('goes through no instance that failed to carry one a moment ago', async t => {
     const rig = await Rig.start(answerWell)
-    const { address = '' } = rig.client.forwarderFor(rig.server, 'r1', new Set()) ?? {}
+    const { address = '' } = rig.client.forwarderFor(rig.server, { requestId: 'r1', causes }, new Set()) ?? {}
     rig.client.recordFailure(address)
-    t.is(rig.client.forwarderFor(rig.server, 'r1', new Set()), undefined)
+    t.is(rig.client.forwarderFor(rig.server, { requestId: 'r1', causes }, new Set()), undefined)
     t.false(rig.client.isAvailable)
     rig.stop()
   })
+
+  // Guards against crashes that count for nothing, or as the carrying instance's fault, because another instance carried the request.
+  it('is recorded as lost by the carrying instance when it crashes the server', async t => {
+    const rig = await Rig.start(({ socket }) => { socket.destroy() })
+    await rig.send('r1')
+    t.deepEqual(rig.losses.map(loss => loss.causes), [causes])
+    t.is(rig.losses[0]?.loss.server, rig.server.hash)
+    rig.stop()
+  })
+
+  // Guards against requests that wait for a connection at the carrying instance and crash servers after all instances refuse them.
+  it('is not sent by an instance that refuses it', async t => {
+    const rig = await Rig.start(answerWell)
+    rig.quarantine = { kind: CauseKind.Level, id: 'second', account: undefined, servers: [], revision: 1, isLifted: false, expiresAt: Infinity }
+    const { failure } = await rig.send('r1')
+    t.is(failure?.kind, AttemptFailureKind.HeldBack)
+    t.is(rig.scripted.arrivals.length, 0)
+    rig.stop()
+  })
 })
--- a/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
@@ -58,7 +58,7 @@
   }
 
   async suspect (id: string, suspicion = Suspicion.Unreachable, beganAt = this.clock.now()): Promise<void> {
-    this.monitor.suspect(this.server(id), suspicion, beganAt, () => this.concluded.push(id))
+    this.monitor.suspect(this.server(id), suspicion, beganAt, { onServerAtFault: () => this.concluded.push(id) })
     await this.advance(suspicion === Suspicion.Unreachable ? CONFIRMED_WITHIN_MS : 0)
   }
 
@@ -131,7 +131,7 @@
   it('takes no link for broken if the server answers here too a moment later', async t => {
     for (const suspicion of Object.values(Suspicion)) {
       const rig = new Rig()
-      rig.monitor.suspect(rig.server('a1'), suspicion, rig.clock.now(), () => rig.concluded.push('a1'))
+      rig.monitor.suspect(rig.server('a1'), suspicion, rig.clock.now(), { onServerAtFault: () => rig.concluded.push('a1') })
       await rig.advance(CONFIRMED_WITHIN_MS - 2 * POLL_MS)
       rig.reached.add('a1')
       await rig.advance(300)
@@ -146,7 +146,7 @@
     rig.reached.add('a1')
     const { monitor } = rig
     for (let index = 0; index < 10; index += 1) {
-      monitor.suspect(rig.server('a1'), Suspicion.Unresponsive, rig.clock.now(), () => rig.concluded.push('a1'))
+      monitor.suspect(rig.server('a1'), Suspicion.Unresponsive, rig.clock.now(), { onServerAtFault: () => rig.concluded.push('a1') })
     }
     await rig.advance(0)
     t.is(rig.concluded.length, 10)
--- a/packages/foxtaillever-relay/src/links/createLinks.ts
+++ b/packages/foxtaillever-relay/src/links/createLinks.ts
@@ -1,5 +1,6 @@
 /** Creates the parts of an instance that deal with its links to the backend servers. */
 import type { Clock, Random } from 'foxtaillever-core'
+import type { CrashProtocol } from '../crashes/crashProtocol.js'
 import type { ExchangeDispatcher } from '../exchange/exchangeDispatcher.js'
 import type { Routing } from '../model/routing.js'
 import type { ServerWire } from '../model/wire.js'
@@ -20,6 +21,7 @@
   readonly clock: Clock
   readonly random: Random
   readonly log: RelayLog
+  readonly crashes: CrashProtocol
   readonly wire: ServerWire
   readonly probeCall: RelayOptions['probeCall']
   readonly connectTimeoutMs: number
@@ -36,7 +38,7 @@
   readonly paths: ServerPaths
 }
 
-export function createLinks ({ clock, random, log, wire, probeCall, connectTimeoutMs, dispatcher, peers, routing }: LinksOptions): Links {
+export function createLinks ({ clock, random, log, crashes, wire, probeCall, connectTimeoutMs, dispatcher, peers, routing }: LinksOptions): Links {
   const client = ForwardingClient.create({
     clock,
     random,
@@ -63,6 +65,7 @@
     directory,
     monitor,
     log,
+    crashes,
     isMember: address => peers().table.has(address),
     maxBodyBytes: () => routing()?.limits.bodyBytes ?? DEFAULT_BODY_BYTES
   })
--- a/packages/foxtaillever-relay/src/links/forwardingClient.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingClient.ts
@@ -14,7 +14,7 @@
 import { callServer } from '../servers/callServer.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { ServerConnections, type ServerCall, type ServerChannel } from '../servers/serverConnections.js'
-import { forwardingHeaders, PROBE_PATH } from './forwardingMessage.js'
+import { forwardingHeaders, PROBE_PATH, type ForwardedRequest } from './forwardingMessage.js'
 import { ProbeFinding } from './peerProbes.js'
 
 /** Connections to one other instance: more requests than it would carry for this one at the largest size. */
@@ -68,12 +68,12 @@
    * Chooses the instance that carries a request, of two drawn the one with fewer requests of this instance.
    * @param tried instances that have failed to carry the request.
    */
-  forwarderFor (server: KnownServer, requestId: string, tried: ReadonlySet<string>): Forwarder | undefined {
+  forwarderFor (server: KnownServer, request: ForwardedRequest, tried: ReadonlySet<string>): Forwarder | undefined {
     const { random } = this.options
     const candidates = this.candidates().filter(address => !tried.has(address))
     const drawn = [random, random].flatMap(source => candidates[source.below(Math.max(1, candidates.length))] ?? [])
     const [address] = drawn.sort((a, b) => this.inFlightAt(a) - this.inFlightAt(b))
-    return address === undefined ? undefined : { address, channel: { send: (call, onBeforeSend) => this.send(address, server, requestId, call, onBeforeSend), closeIdleFor: () => {} } }
+    return address === undefined ? undefined : { address, channel: { send: (call, onBeforeSend) => this.send(address, server, request, call, onBeforeSend), closeIdleFor: () => {} } }
   }
 
   /** Records that the instance could not send a request on. */
@@ -93,10 +93,10 @@
     this.connections.forEach(connections => connections.close())
   }
 
-  private send (address: string, server: KnownServer, requestId: string, call: ServerCall, onBeforeSend: () => void): ClientRequest {
+  private send (address: string, server: KnownServer, forwarded: ForwardedRequest, call: ServerCall, onBeforeSend: () => void): ClientRequest {
     const { clock, onAnswer } = this.options
     const sentAt = clock.now()
-    const headers = [...call.headers, ...forwardingHeaders({ server: server.hash, from: this.options.address(), requestId })]
+    const headers = [...call.headers, ...forwardingHeaders({ ...forwarded, server: server.hash, from: this.options.address() })]
     const request = this.connectionsTo(address).send({ ...call, headers }, onBeforeSend)
     this.inFlight.set(address, this.inFlightAt(address) + 1)
     request.once('close', () => this.inFlight.set(address, this.inFlightAt(address) - 1))
--- a/packages/foxtaillever-relay/src/links/forwardingMessage.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingMessage.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { AttemptFailureKind, type AttemptFailure } from '../attempts/attemptFailure.js'
+import type { RequestCauses } from '../crashes/lostRequests.js'
 
 const REQUEST_HEADER = 'foxtaillever-forward'
 const RESULT_HEADER = 'foxtaillever-result'
@@ -18,16 +19,23 @@
 /** Status of an answer that only reports a failure. */
 export const FAILURE_STATUS = 502
 
-export interface ForwardingRequest {
+/** What the instance that carries a request needs to know of it. */
+export interface ForwardedRequest {
+  readonly requestId: string
+  readonly causes: RequestCauses
+}
+
+export interface ForwardingRequest extends ForwardedRequest {
   /** Hash of the server's incarnation. */
   readonly server: number
   /** Address of the instance that asks. */
   readonly from: string
-  readonly requestId: string
 }
 
-export function forwardingHeaders ({ server, from, requestId }: ForwardingRequest): string[] {
-  return [REQUEST_HEADER, new URLSearchParams({ server: String(server), from, id: requestId }).toString()]
+export function forwardingHeaders ({ server, from, requestId, causes: { request, account, levels } }: ForwardingRequest): string[] {
+  const fields = new URLSearchParams({ server: String(server), from, id: requestId, request, account })
+  levels.forEach(level => fields.append('level', level))
+  return [REQUEST_HEADER, fields.toString()]
 }
 
 /** Undefined for a call that asks for something else. */
@@ -37,7 +45,8 @@
     return undefined
   }
   const fields = new URLSearchParams(text)
-  return { server: Number(fields.get('server')), from: fields.get('from') ?? '', requestId: fields.get('id') ?? '' }
+  const textOf = (name: string): string => fields.get(name) ?? ''
+  return { server: Number(fields.get('server')), from: textOf('from'), requestId: textOf('id'), causes: { request: textOf('request'), account: textOf('account'), levels: fields.getAll('level') } }
 }
 
 export const answeredHeaders: readonly string[] = [RESULT_HEADER, ANSWERED]
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -7,6 +7,7 @@
 import type { Clock } from 'foxtaillever-core'
 import { Attempt } from '../attempts/attempt.js'
 import { AttemptFailureKind, type AttemptFailure } from '../attempts/attemptFailure.js'
+import type { CrashProtocol } from '../crashes/crashProtocol.js'
 import type { AnswerWire } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { reachableFrom } from '../servers/serverAvailability.js'
@@ -27,6 +28,7 @@
   readonly directory: () => Pick<ServerDirectory, 'getByHash' | 'recordHeard'>
   readonly monitor: Pick<LinkMonitor, 'brokenSince' | 'findFor' | 'suspect'>
   readonly log: Pick<RelayLog, 'carried'>
+  readonly crashes: Pick<CrashProtocol, 'findQuarantine' | 'recordLoss'>
   /** Whether an instance of the fleet has the address. */
   readonly isMember: (address: string) => boolean
   /** Longest body of a request that is accepted, bytes. */
@@ -102,9 +104,10 @@
     return monitor.brokenSince(server) === undefined ? undefined : 'out of reach here too'
   }
 
-  private send ({ requestId, from }: ForwardingRequest, server: KnownServer, { method = '', url = '', rawHeaders }: IncomingMessage, body: Buffer, response: ServerResponse): void {
-    const { clock, wire, connectTimeoutMs, directory, log } = this.options
+  private send ({ requestId, from, causes }: ForwardingRequest, server: KnownServer, { method = '', url = '', rawHeaders }: IncomingMessage, body: Buffer, response: ServerResponse): void {
+    const { clock, wire, connectTimeoutMs, directory, log, crashes } = this.options
     const beganAt = clock.now()
+    let answeredAt: number | undefined
     const finish = (outcome: string): void => log.carried({ request: requestId, from, server: server.listed.id, outcome, ms: Math.round(clock.now() - beganAt) })
     const attempt = Attempt.begin({
       clock,
@@ -114,7 +117,11 @@
       connectTimeoutMs,
       call: { method, path: url, headers: omitConnection(omitForwarding(rawHeaders)), body },
       listener: {
-        onHead: ({ status, headers }) => { response.writeHead(status, [...headers, ...answeredHeaders]) },
+        maySend: () => crashes.findQuarantine(causes) === undefined,
+        onHead: ({ status, headers, at }) => {
+          answeredAt = at
+          response.writeHead(status, [...headers, ...answeredHeaders])
+        },
         onData: bytes => {
           directory().recordHeard(server)
           if (!response.write(bytes)) {
@@ -126,7 +133,8 @@
           finish('answered')
         },
         onFailed: failure => {
-          this.suspectServer(server, failure, beganAt)
+          const lostAt = clock.now()
+          this.suspectServer(server, failure, beganAt, () => crashes.recordLoss(causes, { service: server.listed.service, server: server.hash, sentAt: beganAt, lostAt, answeredAt }))
           this.reportFailure(response, failure)
           finish(failure.kind)
         }
@@ -141,12 +149,12 @@
   }
 
   /** The failure may be due to this instance's own links. */
-  private suspectServer (server: KnownServer, { kind }: AttemptFailure, beganAt: number): void {
+  private suspectServer (server: KnownServer, { kind }: AttemptFailure, beganAt: number, onCrashed: () => void): void {
     const { monitor } = this.options
     if (kind === AttemptFailureKind.Unreachable) {
       monitor.suspect(server, Suspicion.Unreachable, beganAt)
     } else if (kind === AttemptFailureKind.Lost) {
-      monitor.suspect(server, Suspicion.Unresponsive, beganAt)
+      monitor.suspect(server, Suspicion.Unresponsive, beganAt, { onNotReached: onCrashed })
     }
   }
 
--- a/packages/foxtaillever-relay/src/links/linkCheck.ts
+++ b/packages/foxtaillever-relay/src/links/linkCheck.ts
@@ -16,6 +16,18 @@
   Unresponsive = 'unresponsive'
 }
 
+/** What a check finds out. */
+export enum LinkFinding {
+  /** Others reach the server. */
+  OwnLink = 'own-link',
+  /** This instance reaches the server, so only the connection failed. */
+  ServerReached = 'server-reached',
+  /** The server is not reached, but others are. */
+  ServerFailed = 'server-failed',
+  /** No server is reached, by this instance or by those that were asked. */
+  NoneReached = 'none-reached'
+}
+
 /** Longest wait for the answer to a probe, milliseconds: a busy server or event loop answers within this. */
 const PROBE_TIMEOUT_MS = 250
 
@@ -52,24 +64,30 @@
     return isReached
   }
 
-  /** @returns whether this instance's link to the server is at fault, and not the server. */
-  async isLinkAtFault (server: KnownServer, suspicion: Suspicion): Promise<boolean> {
+  /** Finds out whether this instance's link to the server is at fault, or the server. */
+  async check (server: KnownServer, suspicion: Suspicion): Promise<LinkFinding> {
     const { clock } = this.options
     const beganAt = clock.now()
     const own = this.probe(server, OWN_PROBE_TIMEOUT_MS)
     if (suspicion === Suspicion.Unresponsive && await this.within(beganAt + PROBE_HEAD_START_MS, own)) {
-      return false
+      return LinkFinding.ServerReached
     }
     const isAnotherReached = this.reachesAnother(server)
     const isLinkBroken = isOwnLink(await askPeers(this.options, server))
     if (isLinkBroken === false) {
-      return false
+      return LinkFinding.ServerFailed
     }
     // The server may have begun to answer between the own probe and those of the other instances.
     const again = this.probe(server)
     const ownUntil = suspicion === Suspicion.Unresponsive ? beganAt + PROBE_TIMEOUT_MS : beganAt
     const isReached = await this.within(Math.max(ownUntil, clock.now() + SIMULTANEOUS_MS), own.then(async isReached => isReached || await again))
-    return !isReached && (isLinkBroken ?? !await isAnotherReached)
+    if (isReached) {
+      return LinkFinding.ServerReached
+    }
+    if (isLinkBroken === true) {
+      return LinkFinding.OwnLink
+    }
+    return await isAnotherReached ? LinkFinding.ServerFailed : LinkFinding.NoneReached
   }
 
   /** Finds out for another instance whether the server is reached. */
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -13,7 +13,7 @@
 import { reachableFrom } from '../servers/serverAvailability.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
-import { LinkCheck, Suspicion, type LinkCheckOptions } from './linkCheck.js'
+import { LinkCheck, LinkFinding, Suspicion, type LinkCheckOptions } from './linkCheck.js'
 import { isAnyReached, ProbeFinding } from './peerProbes.js'
 import { SilenceDetector } from './silenceDetector.js'
 
@@ -38,12 +38,51 @@
   readonly onBroken: () => void
 }
 
+/** What follows from the check of a failure. */
+export interface FailureConclusions {
+  /** The failure is the server's; not called when it is explained by the links. */
+  readonly onServerAtFault?: () => void
+  /** Nobody reached the server: it has failed, or this instance and those that were asked reach no server at all. */
+  readonly onNotReached?: () => void
+}
+
+const isServerAtFault: Readonly<Record<LinkFinding, boolean>> = {
+  [LinkFinding.OwnLink]: false,
+  [LinkFinding.ServerReached]: true,
+  [LinkFinding.ServerFailed]: true,
+  [LinkFinding.NoneReached]: false
+}
+
+const isNotReached: Readonly<Record<LinkFinding, boolean>> = {
+  [LinkFinding.OwnLink]: false,
+  [LinkFinding.ServerReached]: false,
+  [LinkFinding.ServerFailed]: true,
+  [LinkFinding.NoneReached]: true
+}
+
+interface FailedServer {
+  readonly finding: LinkFinding
+  /** Milliseconds of Unix time. */
+  readonly until: number
+}
+
+function conclude (waiting: readonly FailureConclusions[], finding: LinkFinding): void {
+  waiting.forEach(({ onServerAtFault, onNotReached }) => {
+    if (isServerAtFault[finding]) {
+      onServerAtFault?.()
+    }
+    if (isNotReached[finding]) {
+      onNotReached?.()
+    }
+  })
+}
+
 export class LinkMonitor {
   private readonly links = BrokenLinks.create()
   /** Conclusions that wait for the check of a server, by its hash. */
-  private readonly checks = new Map<number, Array<() => void>>()
-  /** Until when a server counts as failed itself, milliseconds of Unix time; by its hash. */
-  private readonly failedUntil = new Map<number, number>()
+  private readonly checks = new Map<number, FailureConclusions[]>()
+  /** Servers found to have failed themselves, by their hash. */
+  private readonly failed = new Map<number, FailedServer>()
   private readonly linkCheck: LinkCheck
   private readonly silence: SilenceDetector
   /** Since when any link is broken, milliseconds of Unix time; Infinity while none is. */
@@ -97,26 +136,26 @@
   /**
    * Checks whether a failure at a server is due to this instance's links.
    * @param beganAt start of what failed, milliseconds of Unix time.
-   * @param conclude called when the failure is the server's; not called when it is explained by the links.
    */
-  suspect (server: KnownServer, suspicion: Suspicion, beganAt: number, conclude = () => {}): void {
+  suspect (server: KnownServer, suspicion: Suspicion, beganAt: number, conclusions: FailureConclusions = {}): void {
     const now = this.options.clock.now()
     if (this.links.isBroken(linkOf(server)) || beganAt < this.returnedAt) {
       return
     }
-    if ((this.failedUntil.get(server.hash) ?? 0) > now || reachableFrom(server) > now) {
-      conclude()
+    const failed = this.failed.get(server.hash)
+    if ((failed?.until ?? 0) > now || reachableFrom(server) > now) {
+      conclude([conclusions], failed?.finding ?? LinkFinding.ServerFailed)
       return
     }
     const waiting = this.checks.get(server.hash)
     if (waiting) {
-      waiting.push(conclude)
+      waiting.push(conclusions)
       return
     }
-    this.checks.set(server.hash, [conclude])
-    this.linkCheck.isLinkAtFault(server, suspicion).then(isOwnLink => this.finishCheck(server, isOwnLink), error => {
+    this.checks.set(server.hash, [conclusions])
+    this.linkCheck.check(server, suspicion).then(finding => this.finishCheck(server, finding), error => {
       this.options.log.belief('The check of a backend server failed.', { server: server.listed.id, reason: String(error) })
-      this.finishCheck(server, false)
+      this.finishCheck(server, LinkFinding.ServerReached)
     })
   }
 
@@ -135,29 +174,29 @@
     this.silence.stop()
   }
 
-  private finishCheck (server: KnownServer, isOwnLink: boolean): void {
+  private finishCheck (server: KnownServer, finding: LinkFinding): void {
     const now = this.options.clock.now()
-    const conclusions = this.checks.get(server.hash) ?? []
+    const waiting = this.checks.get(server.hash) ?? []
     this.checks.delete(server.hash)
-    this.failedUntil.forEach((until, hash) => {
+    this.failed.forEach(({ until }, hash) => {
       if (until <= now) {
-        this.failedUntil.delete(hash)
+        this.failed.delete(hash)
       }
     })
-    if (isOwnLink) {
-      this.markBroken(server)
+    if (isServerAtFault[finding]) {
+      this.failed.set(server.hash, { finding, until: now + FINDING_VALID_MS })
     } else {
-      this.failedUntil.set(server.hash, now + FINDING_VALID_MS)
-      conclusions.forEach(conclude => conclude())
+      this.markBroken(server, finding)
     }
+    conclude(waiting, finding)
   }
 
-  private markBroken (server: KnownServer): void {
+  private markBroken (server: KnownServer, finding: LinkFinding): void {
     const { clock, log, onBroken } = this.options
     const now = clock.now()
     server.unreachableUntil = 0
     this.changeState(() => this.links.recordBroken(linkOf(server), now))
-    log.belief('A backend server is out of reach from here, but not for other instances.', { server: server.listed.id, failureDomain: server.listed.failureDomain, links: LinkState[this.state] })
+    log.belief('A backend server is out of reach from here, but not for other instances.', { server: server.listed.id, failureDomain: server.listed.failureDomain, finding, links: LinkState[this.state] })
     onBroken()
     this.silence.checkSoon()
     if (!this.isProbing && !this.isStopped) {
--- a/packages/foxtaillever-relay/src/links/serverPaths.ts
+++ b/packages/foxtaillever-relay/src/links/serverPaths.ts
@@ -2,12 +2,13 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
+import type { RequestCauses } from '../crashes/lostRequests.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ServerChannel } from '../servers/serverConnections.js'
 import type { ForwardingClient } from './forwardingClient.js'
 import { readReportedFailure } from './forwardingMessage.js'
 import type { Suspicion } from './linkCheck.js'
-import type { LinkMonitor } from './linkMonitor.js'
+import type { FailureConclusions, LinkMonitor } from './linkMonitor.js'
 
 export interface ServerPath {
   readonly channel: ServerChannel
@@ -19,6 +20,8 @@
 
 /** What the path of a request depends on. */
 export interface PathNeed {
+  /** What another instance that carries the request reports if the server crashes. */
+  readonly causes: RequestCauses
   readonly requestId: string
   /** Connections that have been idle for longer are not used, milliseconds. */
   readonly maxIdleMs: number
@@ -36,7 +39,7 @@
   /** Whether this instance's own link to the server is broken. */
   readonly isBroken: (server: KnownServer) => boolean
   /** Checks a failure; see `LinkMonitor`. */
-  readonly suspect: (server: KnownServer, suspicion: Suspicion, beganAt: number, conclude: () => void) => void
+  readonly suspect: (server: KnownServer, suspicion: Suspicion, beganAt: number, conclusions: FailureConclusions) => void
   /** Records that an instance did not carry a request. */
   readonly recordForwarderFailure: (address: string) => void
   /** Counts a request that waits for the server over this instance's own links; returns a function that ends the wait. */
@@ -52,7 +55,10 @@
   isUsable: () => true,
   pathTo: ({ connections }) => directPath(connections),
   isBroken: () => false,
-  suspect: (_server, _suspicion, _beganAt, conclude) => conclude(),
+  suspect: (_server, _suspicion, _beganAt, { onServerAtFault, onNotReached }) => {
+    onServerAtFault?.()
+    onNotReached?.()
+  },
   recordForwarderFailure: () => {},
   beginWait: () => () => {}
 }
@@ -69,8 +75,8 @@
 }
 
 export function createServerPaths ({ now, monitor, client }: ServerPathsOptions): ServerPaths {
-  const forwardedPath = (server: KnownServer, { requestId, triedForwarders }: PathNeed): ServerPath | undefined => {
-    const forwarder = client.forwarderFor(server, requestId, triedForwarders)
+  const forwardedPath = (server: KnownServer, { requestId, causes, triedForwarders }: PathNeed): ServerPath | undefined => {
+    const forwarder = client.forwarderFor(server, { requestId, causes }, triedForwarders)
     return forwarder && { channel: forwarder.channel, forwarder: forwarder.address, readFailure: readReportedFailure }
   }
   return {
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -22,7 +22,7 @@
   lease: undefined,
   loads: [],
   sums: [],
-  suspects: [],
+  quarantines: [],
   savedLevels: [],
   named: [],
   current: [],
--- a/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
@@ -117,7 +117,7 @@
   lease: undefined,
   loads: [load],
   sums: [{ ...load, speed: { tokensPerMs: 22, weightStep: -2 } }, { ...load, speed: undefined }],
-  suspects: [],
+  quarantines: [],
   savedLevels: [],
   named: [],
   current: [],
--- a/packages/foxtaillever-relay/src/peers/datagram.ts
+++ b/packages/foxtaillever-relay/src/peers/datagram.ts
@@ -25,7 +25,14 @@
   StreamVersionNotice = 41,
   StreamVersionAcknowledgement = 42,
   StreamVersionRequest = 43,
-  StreamVersionResponse = 44
+  StreamVersionResponse = 44,
+  CrashReport = 51,
+  CrashRetraction = 52,
+  AnsweredNotice = 53,
+  SuspicionNotice = 54,
+  TrialRequest = 55,
+  TrialResponse = 56,
+  QuarantineNotice = 57
 }
 
 const packr = new Packr({ useRecords: false })
--- a/packages/foxtaillever-relay/src/peers/heartbeatContents.ts
+++ b/packages/foxtaillever-relay/src/peers/heartbeatContents.ts
@@ -1,7 +1,6 @@
 /** Builds what an instance reports about itself in its heartbeats, and applies the heartbeats of other instances. */
-import type { Clock } from 'foxtaillever-core'
 import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
-import type { CrashSuspects } from '../exchange/crashSuspects.js'
+import type { CrashProtocol } from '../crashes/crashProtocol.js'
 import type { ExchangeDispatcher } from '../exchange/exchangeDispatcher.js'
 import type { StoreReplica } from '../knowledge/storeReplica.js'
 import type { OrderCoordinator } from '../weights/orderCoordinator.js'
@@ -11,9 +10,8 @@
 
 /** Components of an instance that heartbeats read and update. */
 export interface HeartbeatParts {
-  readonly clock: Clock
   readonly exchanges: ExchangeDispatcher
-  readonly suspects: CrashSuspects
+  readonly crashes: Pick<CrashProtocol, 'quarantinesToAnnounce' | 'applyQuarantines'>
   readonly peers: Peers
   readonly knowledge: StoreReplica
   readonly orders: OrderCoordinator
@@ -24,7 +22,7 @@
   readonly revision: number
 }
 
-export function createOwnReport ({ clock, exchanges, suspects, peers, knowledge, orders, isLeaving, links, revision }: HeartbeatParts): OwnReport {
+export function createOwnReport ({ exchanges, crashes, peers, knowledge, orders, isLeaving, links, revision }: HeartbeatParts): OwnReport {
   const { directory, caches, limits } = exchanges
   const cacheReport = caches.createReport()
   return {
@@ -35,7 +33,7 @@
     lease: orders.lease.snapshot(),
     loads: caches.fetchLoads(),
     sums: peers.loadProtocol.sums(directory.all().map(({ hash }) => hash)),
-    suspects: suspects.factsToAnnounce(clock.now()),
+    quarantines: crashes.quarantinesToAnnounce(),
     ...cacheReport,
     // To an instance with broken links, every store is silent.
     stores: links === LinkState.Sound ? cacheReport.stores : [],
@@ -48,12 +46,12 @@
   }
 }
 
-export function applyPeerMessage (parts: HeartbeatParts, { address, lease, suspects, named, current, speeds, limits, brittle, ...caches }: PeerMessage): void {
-  const { clock, exchanges, peers, orders } = parts
+export function applyPeerMessage (parts: HeartbeatParts, { address, lease, quarantines, named, current, speeds, limits, brittle, ...caches }: PeerMessage): void {
+  const { exchanges, peers, orders, crashes } = parts
   exchanges.setInstanceCount(peers.count())
   exchanges.limits.applyUpdates(limits)
   exchanges.brittle.applyUpdates(brittle)
-  parts.suspects.receiveFacts(suspects, clock.now())
+  crashes.applyQuarantines(quarantines)
   exchanges.caches.applyReport(address, caches)
   applyWeightsNotice(orders, { updates: [], lease })
   speeds.forEach(({ service, ...speed }) => exchanges.directory.observations.prefillSpeedOf(service).adoptReport(speed))
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -15,6 +15,7 @@
 import { encodeLimitMessage, readLimitMessage, type LimitMessage } from '../limits/limitMessage.js'
 import { encodeAdmissionMessage, readAdmissionMessage, type AdmissionMessage } from '../admission/admissionMessage.js'
 import { encodeStreamVersionMessage, readStreamVersionMessage, type StreamVersionMessage } from '../streams/streamVersionMessage.js'
+import { encodeCrashMessage, readCrashMessage, type CrashMessage } from '../crashes/crashMessage.js'
 import { encodePeerMessage, readPeerMessage, type PeerMessage } from './peerMessage.js'
 import { encodeReadNotice, readReadNotice, type ReadNotice } from './readNotice.js'
 import type { FenceLog } from '../weights/fenceLog.js'
@@ -51,6 +52,7 @@
   readonly onLimit: (message: LimitMessage) => void
   readonly onAdmission: (message: AdmissionMessage) => void
   readonly onStreamVersion: (message: StreamVersionMessage) => void
+  readonly onCrash: (message: CrashMessage) => void
   /** Returns what this instance knows of a topic from an offset on. */
   readonly recordsFrom: (topic: AnnouncedTopic, from: number) => AnnouncedRecords
   /** Handles calls of another instance about its requests to servers; returns whether it handles the call. */
@@ -70,11 +72,12 @@
   private readonly receiveHeartbeat: Receiver
 
   private constructor (private readonly options: PeerLinkOptions) {
-    const { onMessage, onNotice, onLoad, onWeights, onLimit, onAdmission, onStreamVersion } = options
+    const { onMessage, onNotice, onLoad, onWeights, onLimit, onAdmission, onStreamVersion, onCrash } = options
     const receiveLoad: Receiver = wire => { readLoadMessage(wire).ifJust(onLoad) }
     const receiveLimit: Receiver = wire => { readLimitMessage(wire).ifJust(onLimit) }
     const receiveAdmission: Receiver = wire => { readAdmissionMessage(wire).ifJust(onAdmission) }
     const receiveStreamVersion: Receiver = wire => { readStreamVersionMessage(wire).ifJust(onStreamVersion) }
+    const receiveCrash: Receiver = wire => { readCrashMessage(wire).ifJust(onCrash) }
     this.receiveHeartbeat = wire => { readPeerMessage(wire).ifJust(onMessage) }
     this.receivers = {
       [DatagramKind.ServerLoadReport]: receiveLoad,
@@ -93,7 +96,14 @@
       [DatagramKind.StreamVersionNotice]: receiveStreamVersion,
       [DatagramKind.StreamVersionAcknowledgement]: receiveStreamVersion,
       [DatagramKind.StreamVersionRequest]: receiveStreamVersion,
-      [DatagramKind.StreamVersionResponse]: receiveStreamVersion
+      [DatagramKind.StreamVersionResponse]: receiveStreamVersion,
+      [DatagramKind.CrashReport]: receiveCrash,
+      [DatagramKind.CrashRetraction]: receiveCrash,
+      [DatagramKind.AnsweredNotice]: receiveCrash,
+      [DatagramKind.SuspicionNotice]: receiveCrash,
+      [DatagramKind.TrialRequest]: receiveCrash,
+      [DatagramKind.TrialResponse]: receiveCrash,
+      [DatagramKind.QuarantineNotice]: receiveCrash
     }
     this.datagrams = UdpDatagrams.create(`${options.host}:${options.port}`)
     this.server = createServer((request, response) => {
@@ -168,6 +178,11 @@
     this.datagrams.send(address, encodeStreamVersionMessage(message))
   }
 
+  sendCrash (addresses: readonly string[], message: CrashMessage): void {
+    const bytes = encodeCrashMessage(message)
+    addresses.forEach(address => this.datagrams.send(address, bytes))
+  }
+
   sendWeights (addresses: readonly string[], notice: WeightsNotice): void {
     const bytes = encodeWeightsNotice(notice)
     addresses.forEach(address => this.datagrams.send(address, bytes))
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -5,6 +5,7 @@
 import type { ObservedSpeed } from 'foxtaillever-policy/relay/serverSpeed'
 import type { StoreReport } from 'foxtaillever-policy/relay/storeReachability'
 import { Maybe } from 'purify-ts'
+import { packQuarantine, readQuarantines, type QuarantineUpdate } from '../crashes/crashMessage.js'
 import { packDatagram } from './datagram.js'
 import { packSpeed, readSpeed, type SpeedFields } from './speedFields.js'
 
@@ -96,8 +97,8 @@
   readonly sums: readonly WatchedServerEntry[]
   /** When weights were named: the store keeps only the newest, without the time at which they were named. */
   readonly named: readonly NamedWeightsUpdate[]
-  /** Digests of requests suspected of crashing backend servers. */
-  readonly suspects: readonly string[]
+  /** What is known to crash backend servers. */
+  readonly quarantines: readonly QuarantineUpdate[]
   /** Hashes of prompt levels that the sender recently had saved to the store of cached levels. */
   readonly savedLevels: readonly number[]
   readonly current: readonly CurrentEngines[]
@@ -115,12 +116,12 @@
 }
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, loads, suspects, savedLevels, named, current, sums, stores, instances, speeds, limits, revision, links, brittle } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, loads, quarantines, savedLevels, named, current, sums, stores, instances, speeds, limits, revision, links, brittle } = message
   return packDatagram([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
     loads.map(packLoad),
-    suspects,
+    quarantines.map(packQuarantine),
     savedLevels,
     named.map(({ model, version, ageMs }) => [model, version, Math.round(ageMs)]),
     current.map(({ model, version, engines }) => [model, version, engines]),
@@ -168,7 +169,7 @@
   string, string, string, number, boolean, boolean, number, number,
   readonly [number, string, number] | null,
   readonly WireLoad[],
-  readonly string[],
+  readonly unknown[],
   readonly number[],
   ReadonlyArray<readonly [string, number, number]> | undefined,
   ReadonlyArray<readonly [string, number, readonly number[]]> | undefined,
@@ -204,7 +205,7 @@
 /** Nothing for a datagram of another form, which an instance of another release may send. */
 export function readPeerMessage (datagram: readonly unknown[]): Maybe<PeerMessage> {
   return Maybe.of(datagram).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, loads, suspects, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = [], revision = -1, links = LinkState.Sound, brittle = []] = wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, loads, quarantines, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = [], revision = -1, links = LinkState.Sound, brittle = []] = wire
     return {
       name,
       address,
@@ -219,7 +220,7 @@
       loads: loads.map(readLoad),
       sums: sums.map(readSum),
       instances: Number(instances) || 1,
-      suspects,
+      quarantines: readQuarantines(quarantines),
       savedLevels,
       named: named.map(([model, version, ageMs]) => ({ model, version, ageMs })),
       current: current.map(([model, version, engines]) => ({ model, version, engines })),
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -7,6 +7,7 @@
 import { hashNumber, type Cancellation, type Clock, type Random } from 'foxtaillever-core'
 import { ComputedWatchers } from 'foxtaillever-policy/relay/computedWatchers'
 import { AdmissionProtocol, type AdmissionProtocolOptions } from '../admission/admissionProtocol.js'
+import type { CrashMessage } from '../crashes/crashMessage.js'
 import { PeerLink, type PeerLinkOptions, type AnnouncedRecords } from './peerLink.js'
 import { FleetLoad } from './fleetLoad.js'
 import { LoadProtocol, type LoadProtocolOptions } from './loadProtocol.js'
@@ -61,6 +62,9 @@
 /** Maximum receivers of a read notice, those of the own failure domain first: 60 bytes 1.4 times a second are 8 KB/s. */
 const MAX_NOTIFIED = 96
 
+/** Instances that find out what crashes the servers of a service: a small fleet as a whole, and enough of a large one to outlive kills. */
+const CRASH_DECIDERS = 8
+
 /** What this instance currently reports about itself. */
 export type OwnReport = Omit<PeerMessage, 'name' | 'address' | 'failureDomain' | 'startedAt' | 'instances'>
 
@@ -84,6 +88,7 @@
   readonly onServerCall: PeerLinkOptions['onServerCall']
   readonly onLimit: PeerLinkOptions['onLimit']
   readonly onStreamVersion: PeerLinkOptions['onStreamVersion']
+  readonly onCrash: PeerLinkOptions['onCrash']
   readonly admission: Pick<AdmissionProtocolOptions, 'roomOf' | 'onDecided' | 'onUnresponsive'>
 }
 
@@ -96,6 +101,8 @@
   readonly address: string
   /** Determines which instances sum up a server's load, and which check a store of cached levels. */
   readonly watchers = ComputedWatchers.create()
+  /** Determines which instances find out what crashes the servers of a service. */
+  readonly crashDeciders = ComputedWatchers.create(CRASH_DECIDERS)
   /** Determines which instance decides on the quota of a client account. */
   readonly limitOwners: LimitOwners
   /** Determines which instances keep the software version of a stream. */
@@ -111,7 +118,7 @@
   private cancelSend: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onStreamVersion, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, admission } = options
+    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onStreamVersion, onCrash, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, admission } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.limitOwners = LimitOwners.create(this.options.processStartedAt)
@@ -119,7 +126,7 @@
     this.rounds = HeartbeatRounds.create(options.random)
     this.fleetLoad = FleetLoad.create(clock)
     this.link = PeerLink.create({
-      clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onStreamVersion, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
+      clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onStreamVersion, onCrash, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
     })
     this.loadProtocol = LoadProtocol.create({
       clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (...position) => this.admission.queuedTokens(...position)
@@ -219,6 +226,11 @@
     this.link.sendNotice(this.noticeReceivers(), { ...notice, address: this.address })
   }
 
+  /** Sends a message about crashes to all other instances. */
+  announceCrash (message: CrashMessage): void {
+    this.link.sendCrash(this.receivers(), message)
+  }
+
   private runHeartbeat (): void {
     const { clock, random } = this.options
     const now = clock.now()
@@ -241,7 +253,9 @@
     const now = this.options.clock.now()
     this.likelyOthers = this.table.likely(now, this.isLarge ? LARGE_FLEET_RECEIVERS : MAX_RECEIVERS)
     this.instanceCount = this.table.count(now)
-    this.watchers.setMembers([this.address, ...this.likelyOthers.map(({ address }) => address)])
+    const likely = [this.address, ...this.likelyOthers.map(({ address }) => address)]
+    this.watchers.setMembers(likely)
+    this.crashDeciders.setMembers(likely)
     const lasting = this.table.lasting(now)
     this.streamHolders.setMembers(lasting.map(address => ({ address, failureDomain: this.table.lastMessage(address)?.failureDomain ?? '' })))
     this.limitOwners.setMembers(this.options.isLeaving() ? lasting : [this.address, ...lasting].sort(), this.table.knowsAll(now), now)
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,8 +1,10 @@
 /** One instance of the relay. Takes requests from callers, sends them to backend servers, and follows the platform's store. */
+import { hashNumber } from 'foxtaillever-core'
 import { createAdmissionOptions } from './admission/createAdmissionOptions.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
-import { CrashSuspects } from './exchange/crashSuspects.js'
+import { ServerState } from './model/listedServer.js'
+import { CrashProtocol } from './crashes/crashProtocol.js'
 import { ExchangeDispatcher } from './exchange/exchangeDispatcher.js'
 import { createStoreReplica } from './knowledge/createStoreReplica.js'
 import type { StoreReplica } from './knowledge/storeReplica.js'
@@ -41,7 +43,7 @@
   private readonly state: RelayState
   private readonly metricsServer: MetricsServer
   private readonly dispatcher: ExchangeDispatcher
-  private readonly suspects = CrashSuspects.create()
+  private readonly crashes: CrashProtocol
   private readonly callers: CallerServer
   private readonly readiness: ReadinessServer
   private readonly storeReplica: StoreReplica
@@ -60,7 +62,8 @@
     const { clock, logs, callerWire } = options
     this.log = RelayLog.create(logs, service => this.state.summarize(service))
     this.graceMs = options.graceMs
-    this.links = createLinks({ ...options, log: this.log, wire: options.serverWire, connectTimeoutMs: CONNECT_TIMEOUT_MS, dispatcher: () => this.dispatcher, peers: () => this.peers, routing: () => this.table?.routing })
+    this.crashes = this.createCrashProtocol()
+    this.links = createLinks({ ...options, crashes: this.crashes, log: this.log, wire: options.serverWire, connectTimeoutMs: CONNECT_TIMEOUT_MS, dispatcher: () => this.dispatcher, peers: () => this.peers, routing: () => this.table?.routing })
     this.streamVersions = createStreamVersions({ clock, directory: () => this.dispatcher.directory, peers: () => this.peers })
     this.dispatcher = this.createDispatcher()
     this.state = this.createState()
@@ -127,8 +130,8 @@
     this.isLeaving = true
     this.callers.close()
     this.dispatcher.runs.abort()
-    const { links, orderCoordinator, dispatcher, storeReplica, streamVersions, readiness, metricsServer } = this
-    const working = [links.monitor, orderCoordinator.rollout, dispatcher.caches.monitor, storeReplica, streamVersions]
+    const { links, orderCoordinator, dispatcher, storeReplica, streamVersions, crashes, readiness, metricsServer } = this
+    const working = [links.monitor, orderCoordinator.rollout, dispatcher.caches.monitor, storeReplica, streamVersions, crashes]
     working.forEach(part => part.stop())
     const open = [links.client, readiness, metricsServer]
     open.forEach(part => part.close())
@@ -155,7 +158,7 @@
       retryAllowance,
       knownInstances: () => this.peers.limitOwners.stableSince === undefined ? undefined : this.peers.count(),
       weightsBoundMs,
-      suspects: this.suspects,
+      crashes: this.crashes,
       quota: AccountQuotas.create({ clock, log: this.log, protocol: () => this.limits[LimitScope.Account], revision: () => this.revision }),
       fleetLoad: { of: hash => this.peers.fleetLoad.of(hash) },
       othersTokens: store => this.peers.tokensFrom(store),
@@ -184,6 +187,20 @@
     })
   }
 
+  private createCrashProtocol (): CrashProtocol {
+    return CrashProtocol.create({
+      clock: this.options.clock,
+      log: this.log,
+      address: () => this.peers.address,
+      decidersOf: service => this.peers.crashDeciders.of(hashNumber(service)),
+      serverCount: service => Math.max(1, this.dispatcher.directory.all().filter(({ listed }) => listed.service === service && listed.state !== ServerState.Gone).length),
+      send: (address, message) => this.peers.link.sendCrash([address], message),
+      sendToAll: message => this.peers.announceCrash(message),
+      onQuarantine: () => this.dispatcher.runs.checkQuarantines(),
+      onDecided: () => {}
+    })
+  }
+
   private createState (): RelayState {
     const { options: { name, clock }, dispatcher: { directory, runs } } = this
     return RelayState.create({ name, clock, directory, routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.storeReplica, lease: () => this.orderCoordinator.lease, open: () => runs.size, isReady: () => this.isReady() })
@@ -213,6 +230,7 @@
       onServerCall: (request, response) => this.links.server.handle(request, response),
       onLimit: message => this.limits[message.scope].receive(message),
       onStreamVersion: message => this.streamVersions.receive(message),
+      onCrash: message => this.crashes.receive(message),
       admission: createAdmissionOptions(this.log, this.dispatcher.rooms),
       isLeaving: () => this.isLeaving,
       processStartedAt: clock.now() - process.uptime() * 1000
@@ -269,8 +287,8 @@
   }
 
   private heartbeatParts (): HeartbeatParts {
-    const { options: { clock }, dispatcher, suspects, peers, storeReplica, orderCoordinator, isLeaving, revision, links: { monitor } } = this
-    return { links: monitor.state, clock, exchanges: dispatcher, suspects, peers, knowledge: storeReplica, orders: orderCoordinator, isLeaving, revision }
+    const { dispatcher, crashes, peers, storeReplica, orderCoordinator, isLeaving, revision, links: { monitor } } = this
+    return { links: monitor.state, exchanges: dispatcher, crashes, peers, knowledge: storeReplica, orders: orderCoordinator, isLeaving, revision }
   }
 
   private isReady (): boolean {
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -5,6 +5,7 @@
 import { Verdict, type Failure } from 'foxtaillever-core'
 import type { LimitOutcome, LimitRole } from 'foxtaillever-policy/limits/sharedLimitLedger'
 import type { StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
+import type { Quarantine } from 'foxtaillever-policy/crashes/quarantineTable'
 import type { ExpectedStart } from 'foxtaillever-policy/relay/yieldPriority'
 import { Metrics, Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
@@ -187,6 +188,30 @@
     this.logs.writeFailure(Part.Requests, 'A backend server asks for rest, and the time cannot be read.', { server, text })
   }
 
+  /** This instance reports requests that were in flight when a server ended. */
+  crashReported (service: string, server: number, lost: number): void {
+    this.metrics.count('server_crashes_reported_total', { service })
+    this.logs.write('info', Part.Fleet, 'Reports requests that were in flight when a backend server ended.', { service, incarnation: server, lost })
+  }
+
+  /** This instance found levels of prompts to have been in flight at several crashes. */
+  levelSuspected (service: string, levels: readonly string[]): void {
+    this.metrics.count('levels_suspected_total', { service })
+    this.logs.write('info', Part.Fleet, 'Levels of prompts were in flight at several crashes since they were last answered.', { service, levels: levels.join(' ') })
+  }
+
+  /** Whether a request with suspected levels is sent now. */
+  trialDecided (levels: readonly string[], isGranted: boolean): void {
+    this.metrics.count('level_trials_total', { granted: String(isGranted) })
+    this.logs.write('info', Part.Requests, isGranted ? 'Tries a suspected level of prompts.' : 'A suspected level of prompts is being tried already.', { levels: levels.join(' ') })
+  }
+
+  /** @param how it was proven, received, widened to all accounts, or lifted. */
+  quarantineChanged ({ kind, id, account, servers, revision, isLifted }: Quarantine, how: string): void {
+    this.metrics.count('quarantine_changes_total', { kind, how })
+    this.logs.write('warn', Part.Fleet, isLifted ? 'A quarantine was lifted.' : 'Requests are refused because they crash backend servers.', { kind, id, account, servers: servers.length, revision, how })
+  }
+
   silent (exchange: Exchange, server: string, isOnReusedConnection: boolean): void {
     const connection = isOnReusedConnection ? 'kept' : 'new'
     this.metrics.count('silent_servers_total', { connection })
--- a/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
@@ -3,8 +3,8 @@
 import type { RetryAllowance } from 'foxtaillever-policy/relay/retryShare'
 import { noLoad } from 'foxtaillever-policy/relay/serverLoad'
 import { noCacheStores } from 'foxtaillever-relay/cache/cacheStoreTracker'
+import { noCrashes } from 'foxtaillever-relay/crashes/crashProtocol'
 import { ExchangeDispatcher } from 'foxtaillever-relay/exchange/exchangeDispatcher'
-import type { SuspectRegistry } from 'foxtaillever-relay/exchange/exchangeContext'
 import { noAdmissionProtocol } from 'foxtaillever-relay/admission/admissionProtocol'
 import { noQuotas } from 'foxtaillever-relay/limits/accountQuotas'
 import { directPaths } from 'foxtaillever-relay/links/serverPaths'
@@ -23,19 +23,6 @@
 /** Window over which retries are counted, milliseconds; long enough for a server to restart. */
 const RETRY_WINDOW_MS = 10_000
 
-/**
- * No call is suspected of crashing servers. All callers make the same few
- * lookups, so an outage of the service would make them suspects, and they would
- * be refused long after it.
- */
-const noSuspicions: SuspectRegistry = {
-  isRefused: () => false,
-  refusedUntil: () => 0,
-  wasLostRepeatedly: () => false,
-  recordLoss: () => {},
-  clearSuspicion: () => {}
-}
-
 /** The retry budget of the preset in force. */
 export function retryAllowanceOf (configuration: Configuration): RetryAllowance {
   return { ratio: presetOf(configuration).retryShare, slack: RETRY_SLACK, windowMs: RETRY_WINDOW_MS }
@@ -58,7 +45,8 @@
     retryAllowance: retryAllowanceOf(configuration()),
     // RETRY_SLACK applies to each instance by itself.
     knownInstances: () => 1,
-    suspects: noSuspicions,
+    // All callers make the same few lookups, so an outage of the service would make them suspects, and they would be refused long after it.
+    crashes: noCrashes,
     // The router has already applied its own limits.
     quota: noQuotas,
     streamVersions: noStreamVersions,
