Keep quarantines in the platform's store, so that they outlive kills of all instances

Each decision is now also written to a topic of the platform's store and read at the start, before the instance serves; the topic is written again after the store was restored from an older copy. An instance that reaches neither the store nor another instance serves after two seconds.

--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -5,6 +5,7 @@
 import { ReadinessServer } from './callers/readinessServer.js'
 import { ServerState } from './model/listedServer.js'
 import { CrashProtocol } from './crashes/crashProtocol.js'
+import { QuarantineStore } from './crashes/quarantineStore.js'
 import { ExchangeDispatcher } from './exchange/exchangeDispatcher.js'
 import { createStoreReplica } from './knowledge/createStoreReplica.js'
 import type { StoreReplica } from './knowledge/storeReplica.js'
@@ -38,12 +39,16 @@
  */
 const CONNECT_TIMEOUT_MS = 200
 
+/** An instance that starts serves without knowing what crashes the servers from this long after its start, milliseconds, if neither store nor instances answer. */
+const QUARANTINES_KNOWN_BY_MS = 2000
+
 export class Relay {
   private readonly log: RelayLog
   private readonly state: RelayState
   private readonly metricsServer: MetricsServer
   private readonly dispatcher: ExchangeDispatcher
   private readonly crashes: CrashProtocol
+  private readonly quarantineStore: QuarantineStore
   private readonly callers: CallerServer
   private readonly readiness: ReadinessServer
   private readonly storeReplica: StoreReplica
@@ -56,13 +61,17 @@
   private readonly startCheck = StartCheck.create()
   private table: RouteTable | undefined
   private isLeaving = false
+  /** Milliseconds of Unix time. */
+  private readonly startedAt: number
   private graceMs: number
 
   private constructor (private readonly options: RelayOptions) {
     const { clock, logs, callerWire } = options
     this.log = RelayLog.create(logs, service => this.state.summarize(service))
     this.graceMs = options.graceMs
+    this.startedAt = clock.now()
     this.crashes = this.createCrashProtocol()
+    this.quarantineStore = QuarantineStore.create({ clock, log: options.log, topic: options.topics.quarantines, relayLog: this.log, wallClock: () => Date.now(), onRead: read => this.crashes.applyQuarantines(read), isLeaving: () => this.isLeaving })
     this.links = createLinks({ ...options, crashes: this.crashes, log: this.log, wire: options.serverWire, connectTimeoutMs: CONNECT_TIMEOUT_MS, dispatcher: () => this.dispatcher, peers: () => this.peers, routing: () => this.table?.routing })
     this.streamVersions = createStreamVersions({ clock, directory: () => this.dispatcher.directory, peers: () => this.peers })
     this.dispatcher = this.createDispatcher()
@@ -96,6 +105,7 @@
     this.storeReplica.start()
     this.dispatcher.caches.monitor.start()
     this.runInBackground(this.memberRegistry.register())
+    this.runInBackground(this.quarantineStore.read())
     await this.callers.listen(callers.host, callers.port)
     await this.readiness.listen(readiness.host, readiness.port)
     if (metrics) {
@@ -197,7 +207,7 @@
       send: (address, message) => this.peers.link.sendCrash([address], message),
       sendToAll: message => this.peers.announceCrash(message),
       onQuarantine: () => this.dispatcher.runs.checkQuarantines(),
-      onDecided: () => {}
+      onDecided: quarantine => this.runInBackground(this.quarantineStore.write(quarantine))
     })
   }
 
@@ -246,7 +256,10 @@
       revision: () => this.revision,
       onRouting: routing => this.applyRouting(routing),
       onWeights: (model, version, isStart) => this.orderCoordinator.rollout.addVersion(model, version, isStart),
-      onRestored: () => this.runInBackground(this.memberRegistry.registerAgain())
+      onRestored: () => {
+        this.runInBackground(this.memberRegistry.registerAgain())
+        this.crashes.quarantines.list(this.options.clock.now()).forEach(quarantine => this.runInBackground(this.quarantineStore.write(quarantine)))
+      }
     })
   }
 
@@ -302,7 +315,12 @@
   /** The route table; undefined while its configuration may be older than the one that other instances have. */
   private usableTable (): RouteTable | undefined {
     const state = { now: this.options.clock.now(), revision: this.revision, era: this.storeReplica.storeEra, peerRevisions: () => this.peers.alive().map(({ revision }) => revision) }
-    return this.table && this.startCheck.isPassed(state) ? this.table : undefined
+    return this.table && this.startCheck.isPassed(state) && this.knowsQuarantines() ? this.table : undefined
+  }
+
+  /** Without a store and other instances there is nobody to ask. */
+  private knowsQuarantines (): boolean {
+    return this.quarantineStore.isRead || this.peers.alive().length > 0 || this.options.clock.now() > this.startedAt + QUARANTINES_KNOWN_BY_MS
   }
 
   private applyRouting (routing: Routing): void {
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -43,6 +43,8 @@
   readonly members: string
   /** The lease on giving orders. */
   readonly lease: string
+  /** What is known to crash backend servers. */
+  readonly quarantines: string
 }
 
 /** What may change while the instance runs. */
