Close new connections unread at an instance that falls behind while others do not

Callers of one instance got answers late or never when the load balancer handed it most new connections of a failure domain or region: it read all of them, and what it has read it owes. Each instance now measures by how much its event loop is late and tells the others with the heartbeats. While it is late by more than 100 ms and the median of the others is not, it keeps only as many connections with an unread request as it works off without delay (additive increase, multiplicative decrease) and closes the others at once, so that their callers go elsewhere. Connections that it has are served on; where all instances are late, none is closed.

Not measured with whole processes on a part of a core.

--- a/packages/foxtaillever-relay/src/bench/controlCost.ts
+++ b/packages/foxtaillever-relay/src/bench/controlCost.ts
@@ -77,6 +77,7 @@
     loads: [],
     sums,
     quarantines: [],
+    delayMs: 0,
     savedLevels: [1, 2, 3, 4],
     named: [],
     current: [],
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -13,8 +13,10 @@
 import type { CallerWire } from '../model/wire.js'
 import { selectService, type RouteTable } from '../routing/routeTable.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import { ConnectionLimit } from 'foxtaillever-policy/relay/connectionLimit'
 import { answerFailure } from './answerFailure.js'
 import { CallerConnections } from './callerConnections.js'
+import { EventLoopMonitor } from './eventLoopMonitor.js'
 
 /** How often node:http checks for requests whose head takes too long, milliseconds. */
 const HEADER_CHECK_MS = 1000
@@ -32,17 +34,22 @@
   /** The configuration in force; undefined until one is known. */
   readonly table: () => RouteTable | undefined
   readonly onExchange: (exchange: Exchange, answer: CallerAnswer) => void
+  /** Median delay of the other instances' event loops, milliseconds; undefined where none is known. */
+  readonly othersDelayMs?: () => number | undefined
 }
 
 export class CallerServer {
   private readonly server: Server
   private readonly connections: CallerConnections
+  private readonly connectionLimit = ConnectionLimit.create()
+  private readonly eventLoop: EventLoopMonitor
   private limits = defaultLimits
   private isKeepAliveEnded = false
 
   private constructor (private readonly options: CallerServerOptions) {
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
-    this.connections = CallerConnections.create(this.server)
+    this.connections = CallerConnections.create(this.server, unread => this.isKept(unread))
+    this.eventLoop = EventLoopMonitor.create(options.clock, delayMs => this.observeDelay(delayMs))
     this.setLimits(defaultLimits)
   }
 
@@ -55,9 +62,15 @@
       this.server.once('error', reject)
       this.server.listen(port, host, resolve)
     })
+    this.eventLoop.start()
     return (this.server.address() as AddressInfo).port
   }
 
+  /** By how much the event loop is late, milliseconds. */
+  get delayMs (): number {
+    return this.connectionLimit.delay
+  }
+
   setLimits (limits: CallerLimits): void {
     this.limits = limits
     // Read by node:http for each new connection, though its types know it at creation only.
@@ -73,10 +86,29 @@
 
   /** Accepts no new connections, and closes those without a request. */
   close (): void {
+    this.eventLoop.stop()
     this.server.close()
     this.connections.close()
   }
 
+  private observeDelay (delayMs: number): void {
+    const { clock, log, othersDelayMs = () => undefined } = this.options
+    const wasActive = this.connectionLimit.isActive
+    const others = othersDelayMs()
+    this.connectionLimit.observe(delayMs, others, clock.now())
+    if (this.connectionLimit.isActive !== wasActive) {
+      log.belief(wasActive ? 'New connections are no longer limited.' : 'Closes some new connections unread, since this instance falls behind and others do not.', { delayMs: Math.round(this.delayMs), othersDelayMs: others })
+    }
+  }
+
+  private isKept (unread: number): boolean {
+    const isKept = this.connectionLimit.admit(unread, this.options.clock.now())
+    if (!isKept) {
+      this.options.log.connectionTurnedAway()
+    }
+    return isKept
+  }
+
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
     this.connections.trackRequest(request.socket, response)
     if (this.isKeepAliveEnded) {
--- a/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/peerTable.test.ts
@@ -23,6 +23,7 @@
   loads: [],
   sums: [],
   quarantines: [],
+  delayMs: 0,
   savedLevels: [],
   named: [],
   current: [],
--- a/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/serverSpeeds.test.ts
@@ -118,6 +118,7 @@
   loads: [load],
   sums: [{ ...load, speed: { tokensPerMs: 22, weightStep: -2 } }, { ...load, speed: undefined }],
   quarantines: [],
+  delayMs: 0,
   savedLevels: [],
   named: [],
   current: [],
--- a/packages/foxtaillever-relay/src/peers/heartbeatContents.ts
+++ b/packages/foxtaillever-relay/src/peers/heartbeatContents.ts
@@ -15,6 +15,8 @@
   readonly peers: Peers
   readonly knowledge: StoreReplica
   readonly orders: OrderCoordinator
+  /** By how much the event loop is late, milliseconds. */
+  readonly delayMs: number
   readonly isLeaving: boolean
   /** How much of the servers this instance reaches over its own links. */
   readonly links: LinkState
@@ -22,11 +24,12 @@
   readonly revision: number
 }
 
-export function createOwnReport ({ exchanges, crashes, peers, knowledge, orders, isLeaving, links, revision }: HeartbeatParts): OwnReport {
+export function createOwnReport ({ exchanges, crashes, peers, knowledge, orders, isLeaving, delayMs, links, revision }: HeartbeatParts): OwnReport {
   const { directory, caches, limits } = exchanges
   const cacheReport = caches.createReport()
   return {
     isLeaving,
+    delayMs,
     hasStore: knowledge.hasStore,
     positions: knowledge.positions,
     revision,
--- a/packages/foxtaillever-relay/src/peers/peerMessage.ts
+++ b/packages/foxtaillever-relay/src/peers/peerMessage.ts
@@ -111,12 +111,14 @@
   readonly brittle: readonly LimitUpdate[]
   /** How much of the servers the sender reaches over its own links. */
   readonly links: LinkState
+  /** By how much the sender's event loop is late, milliseconds. */
+  readonly delayMs: number
   /** Number of instances that the sender counts, itself included; an instance that has just started knows few by itself. */
   readonly instances: number
 }
 
 export function encodePeerMessage (message: PeerMessage): Buffer {
-  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, loads, quarantines, savedLevels, named, current, sums, stores, instances, speeds, limits, revision, links, brittle } = message
+  const { name, address, failureDomain, startedAt, isLeaving, hasStore, positions, lease, loads, quarantines, savedLevels, named, current, sums, stores, instances, speeds, limits, revision, links, brittle, delayMs } = message
   return packDatagram([
     name, address, failureDomain, startedAt, isLeaving, hasStore, positions.operators, positions.servers,
     lease === undefined ? null : [lease.offset, lease.holder, Math.round(lease.ageMs)],
@@ -132,7 +134,8 @@
     limits.map(packLimit),
     revision,
     links,
-    brittle.map(packLimit)
+    brittle.map(packLimit),
+    Math.round(delayMs)
   ])
 }
 
@@ -180,7 +183,8 @@
   readonly WireLimit[] | undefined,
   number | undefined,
   number | undefined,
-  readonly WireLimit[] | undefined
+  readonly WireLimit[] | undefined,
+  number | undefined
 ]
 
 const HEAD = ['string', 'string', 'string', 'number', 'boolean', 'boolean', 'number', 'number']
@@ -205,7 +209,7 @@
 /** Nothing for a datagram of another form, which an instance of another release may send. */
 export function readPeerMessage (datagram: readonly unknown[]): Maybe<PeerMessage> {
   return Maybe.of(datagram).filter(isWire).chain(wire => Maybe.encase(() => {
-    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, loads, quarantines, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = [], revision = -1, links = LinkState.Sound, brittle = []] = wire
+    const [name, address, failureDomain, startedAt, isLeaving, hasStore, operators, servers, lease, loads, quarantines, savedLevels, named = [], current = [], sums = [], stores = [], instances = 1, speeds = [], limits = [], revision = -1, links = LinkState.Sound, brittle = [], delayMs = 0] = wire
     return {
       name,
       address,
@@ -215,6 +219,7 @@
       hasStore,
       positions: { operators, servers },
       revision: Number(revision),
+      delayMs: Number(delayMs),
       links: links in LinkState ? links : LinkState.Sound,
       lease: lease === null ? undefined : { offset: lease[0], holder: lease[1], ageMs: lease[2] },
       loads: loads.map(readLoad),
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -42,6 +42,10 @@
 /** An instance that starts serves without knowing what crashes the servers from this long after its start, milliseconds, if neither store nor instances answer. */
 const QUARANTINES_KNOWN_BY_MS = 2000
 
+function medianOf (values: readonly number[]): number | undefined {
+  return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)]
+}
+
 export class Relay {
   private readonly log: RelayLog
   private readonly state: RelayState
@@ -88,6 +92,7 @@
       wire: callerWire,
       log: this.log,
       table: () => this.usableTable(),
+      othersDelayMs: () => medianOf(this.peers.alive().map(peer => peer.delayMs)),
       onExchange: (exchange, answer) => this.dispatcher.runs.start(exchange, answer)
     })
     this.readiness = ReadinessServer.create(() => this.isReady())
@@ -300,8 +305,8 @@
   }
 
   private heartbeatParts (): HeartbeatParts {
-    const { dispatcher, crashes, peers, storeReplica, orderCoordinator, isLeaving, revision, links: { monitor } } = this
-    return { links: monitor.state, exchanges: dispatcher, crashes, peers, knowledge: storeReplica, orders: orderCoordinator, isLeaving, revision }
+    const { dispatcher, crashes, peers, storeReplica, orderCoordinator, isLeaving, revision, links: { monitor }, callers: { delayMs } } = this
+    return { links: monitor.state, delayMs, exchanges: dispatcher, crashes, peers, knowledge: storeReplica, orders: orderCoordinator, isLeaving, revision }
   }
 
   private isReady (): boolean {
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -61,6 +61,11 @@
     this.logs.writeFailure(Part.Callers, 'Refused a request.', { request: head.id, code, verdict, reason: message, host: head.host, path: head.path, ...this.describeState() })
   }
 
+  /** Only counted: a crowd of connections would fill the log. */
+  connectionTurnedAway (): void {
+    this.metrics.count('connections_turned_away_total')
+  }
+
   malformed (reason: string): void {
     this.metrics.count('malformed_total')
     this.logs.write('warn', Part.Callers, 'Got a malformed request.', { reason })
