Take a stream that ends inside an event for broken off, however it is framed

Callers of an instance that sends through another one got half an event at the end of an answer that looked complete: the server's answer had neither length nor chunks and broke off, and the carrying instance passed it on in chunks that end well. What ends inside an event is now truncated whatever its framing, so it counts as a loss of the server and goes on at another one. answerRelay.test fails before (framed: taken for complete).

--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -16,8 +16,6 @@
   readonly marks: AnswerMarks
   /** Headers for the caller, alternating names and values. */
   readonly headers: readonly string[]
-  /** Whether the answer itself states where it ends; otherwise it ends with its connection. */
-  readonly isFramed: boolean
   /** When the head arrived, milliseconds of Unix time. */
   readonly at: number
 }
@@ -161,7 +159,7 @@
     response.on('error', error => this.onError(error))
     response.on('aborted', () => this.fail(AttemptFailureKind.Lost, 'answer cut'))
     const { clock, wire, listener } = this.options
-    listener.onHead({ status, marks, headers: wire.passHeaders(response.rawHeaders), isFramed: isFramed(response), at: clock.now() })
+    listener.onHead({ status, marks, headers: wire.passHeaders(response.rawHeaders), at: clock.now() })
   }
 
   private checkHead (status: number, marks: AnswerMarks): AttemptFailure | undefined {
--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -91,10 +91,11 @@
   /**
    * Checks an answer after its last byte. Returns why it is truncated; undefined
    * where it is complete. Without a content length, a server that crashes in
-   * the middle of an event looks like one that has finished.
+   * the middle of an event looks like one that has finished, and an instance that
+   * carries its answer frames what it got.
    */
   findTruncation (): string | undefined {
-    return this.isStreaming && this.head?.isFramed === false && this.splitter.incompleteEvent.length > 0 ? 'ended in the middle of an event' : undefined
+    return this.isStreaming && this.splitter.incompleteEvent.length > 0 ? 'ended in the middle of an event' : undefined
   }
 
   /** Sends the rest of a complete answer. */
