Soak and drawn histories: prompts that crash servers

The soak sends prompts with a level that crashes the stand-in's servers, and checks that no sound request is refused as one that does; a request itself may be refused after three servers ended with it. fuzz crashes plays the drawn histories.

--- a/packages/foxtaillever-proof/src/fuzz.ts
+++ b/packages/foxtaillever-proof/src/fuzz.ts
@@ -1,4 +1,4 @@
-/** `npm run fuzz -- --seed S --runs N`, `npm run fuzz -- quota`, `server-limits`, `server-statements`, `admission`, `links`, `retries` and `stream-versions`: exits 1 when a promise was broken. */
+/** `npm run fuzz -- --seed S --runs N`, `npm run fuzz -- quota`, `server-limits`, `server-statements`, `admission`, `links`, `retries`, `stream-versions` and `crashes`: exits 1 when a promise was broken. */
 import { Cli, Command, Option } from 'clipanion'
 import { AdmissionHistory } from 'foxtaillever-relay/admission/__fixtures__/admissionHistory'
 import { quotas, serverLimits, type LimitSubject } from 'foxtaillever-relay/limits/__fixtures__/limitFleet'
@@ -6,6 +6,7 @@
 import { LinkHistory } from 'foxtaillever-relay/links/__fixtures__/linkHistory'
 import { Disturbance, drawnFleets, RetryHistory, type DrawnFleet, type RetryReport } from 'foxtaillever-policy/relay/__fixtures__/retryHistory'
 import { StreamVersionHistory } from 'foxtaillever-relay/streams/__fixtures__/streamVersionHistory'
+import { CrashHistory, OtherTrouble, smallFleet } from 'foxtaillever-relay/crashes/__fixtures__/crashHistory'
 import { FleetStatementHistory } from 'foxtaillever-relay/servers/__fixtures__/fleetStatementHistory'
 import { StatementHistory } from 'foxtaillever-relay/servers/__fixtures__/statementHistory'
 import { runFuzz } from './fuzz/runFuzz.js'
@@ -111,6 +112,28 @@
   }
 }
 
+/** Requests a second with each level that crashes servers, and how many such levels; histories use them in turn. */
+const CRASHING_RATES = [0.2, 1, 4, 15]
+const CRASHING_LEVELS = [0, 1, 1, 2]
+
+/** Requests with a level that may reach servers later than users allow. */
+const MAX_SENT_LATE = 3
+
+class CrashesCommand extends ViolationsCommand {
+  static override paths = [['crashes']]
+  static override usage = Command.Usage({ description: 'Draw histories of levels of prompts that crash servers, beside crashes for other reasons, and check which levels are refused and how soon.' })
+
+  protected async play (seed: number): Promise<HistoryReport> {
+    const crashingLevels = CRASHING_LEVELS[seed % CRASHING_LEVELS.length] as number
+    const crashingPerS = CRASHING_RATES[Math.floor(seed / CRASHING_LEVELS.length) % CRASHING_RATES.length] as number
+    const { violations, crashes, sentLate, counts } = await CrashHistory.play({ ...smallFleet, seed, crashingPerS, crashingLevels, troubles: crashingLevels === 0 ? Object.values(OtherTrouble) : [] })
+    return {
+      violations: [...violations, ...(sentLate > MAX_SENT_LATE ? [`${sentLate} requests with a level were sent late`] : [])],
+      counts: { crashes: crashes.reduce((sum, count) => sum + count, 0), levels: crashingLevels, begunLate: counts.begunLate, askedLate: counts.askedLate, deniedTrials: counts.deniedTrials, sound: counts.sound }
+    }
+  }
+}
+
 class StatementsCommand extends ViolationsCommand {
   static override paths = [['server-statements']]
   static override usage = Command.Usage({ description: 'Draw histories of servers that state that they are leaving or backing off, and count the requests that reach them.' })
@@ -159,4 +182,4 @@
   }
 }
 
-await Cli.from([FuzzCommand, RetriesCommand, StreamVersionsCommand, LimitsCommand, StatementsCommand, AdmissionCommand, LinksCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
+await Cli.from([FuzzCommand, RetriesCommand, StreamVersionsCommand, CrashesCommand, LimitsCommand, StatementsCommand, AdmissionCommand, LinksCommand], { binaryName: 'npm run fuzz --' }).runExit(process.argv.slice(2))
--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -1,7 +1,8 @@
 /** The faults that a soak injects into processes, store and servers; each fault ends by itself. */
 import { waitUntil, type Clock, type Random } from 'foxtaillever-core'
-import { ENGINES, MODEL, ZONES } from 'foxtaillever-platform/__fixtures__/relayFleet'
-import { AppendFault, LinkCut, LinkFault, ServerFault, StoreMode, type BackendServer } from 'foxtaillever-standins'
+import { levelHeaders } from 'foxtaillever-platform/__fixtures__/crashingPrompts'
+import { ENGINES, MODEL, Path, ZONES } from 'foxtaillever-platform/__fixtures__/relayFleet'
+import { AppendFault, LinkCut, LinkFault, ServerFault, StoreMode, type BackendServer, type LevelFault } from 'foxtaillever-standins'
 import type { Disturbances } from './disturbances.js'
 import type { SoakFleet, SoakInstance } from './soakFleet.js'
 
@@ -51,6 +52,12 @@
 /** Kills in series fall into one window of the retry budget, milliseconds between two. */
 const SERIES_INTERVAL_MS = 1200
 
+/** Prompts with a level that crashes the servers: how many, how far apart, and how long their callers wait, milliseconds. */
+const CRASHING_PROMPTS = 20
+const CRASHING_INTERVAL_MS = 200
+const CRASHING_PATIENCE_MS = 2000
+const CRASHES: readonly LevelFault[] = [ServerFault.CrashAtStart, ServerFault.CrashAfterStart]
+
 /** Software versions of servers that replace others. */
 const SOFTWARE_VERSIONS = ['v1', 'v2', 'v3']
 
@@ -167,6 +174,18 @@
   },
   'forget the history': async ({ fleet }) => fleet.platform.store.compact(),
   // Each fault hits one request. If only one server got a fault, few requests of a short run would hit one.
+  'send prompts that crash the servers': async ({ fleet, clock, random }) => {
+    const { platform, instances, caller } = fleet
+    const level = `crashing-${platform.crashingLevels.size}`
+    platform.crashingLevels.set(level, draw(random, CRASHES))
+    const sent: Array<Promise<unknown>> = []
+    for (let count = 0; count < CRASHING_PROMPTS; count += 1) {
+      const id = `${level}-${count}`
+      sent.push(caller.send({ address: draw(random, instances).address, id, path: `${Path.Stream}x`, key: 'key-acme', headers: levelHeaders(level, id), patienceMs: CRASHING_PATIENCE_MS }))
+      await waitUntil(clock, clock.now() + CRASHING_INTERVAL_MS)
+    }
+    await Promise.all(sent)
+  },
   'fault the servers': async ({ fleet, random }) => {
     fleet.platform.servers.forEach(({ faults }) => faults.push(draw(random, Object.values(ServerFault))))
   },
--- a/packages/foxtaillever-proof/src/platformSoak/platformLoad.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformLoad.ts
@@ -33,6 +33,9 @@
 const MAX_TRIES = 3
 const TRY_AGAIN_AFTER_MS = 50
 
+/** Servers that end with a request before it is refused. */
+const CRASHES_TO_REFUSE = 3
+
 interface CompletedRequest {
   readonly id: string
   readonly path: Path
@@ -143,6 +146,13 @@
       : until + MAX_CONFIGURATION_DELAY_MS <= at && this.disturbances.wasUndisturbed(until, at)
   }
 
+  /** A request that was lost at three servers may be refused for itself; never for a level of its prompt. */
+  private mayHaveCrashed ({ id, reply: { body } }: CompletedRequest): boolean {
+    const [first = ''] = id.split('-')
+    const runs = this.completed.filter(other => other.id.split('-')[0] === first).reduce((sum, other) => sum + this.fleet.platform.servers.reduce((count, server) => count + server.runsOf(other.id), 0), 0)
+    return body.includes('This request crashed') && runs >= CRASHES_TO_REFUSE
+  }
+
   private check (sent: CompletedRequest): string[] {
     const { id, path, eventsBefore, reply: { status, isWhole, body, isStamped } } = sent
     const runs = this.fleet.platform.servers.reduce((sum, server) => sum + server.runsOf(id), 0)
@@ -159,6 +169,7 @@
       ['got events out of order or cut off', !isStream || status !== 200 || isInOrder],
       ['got events of several software versions', new Set(events.map(event => event.split('@')[1])).size <= 1],
       ['was denied though its key is in force', ![400, 401, 403, 404].includes(status) || !this.isKeyStateKnown(sent, true)],
+      ['was refused as one that crashes servers, and is sound', !body.includes('"code":"quarantined"') || this.mayHaveCrashed(sent)],
       ['ran though its key was no longer in force', runs === 0 || !this.isKeyStateKnown(sent, false)]
     ]
     return promises.filter(([, holds]) => !holds).map(([claim]) => `${id} (${path}) ${claim}: status ${status}, ${runs} runs`)
