Operators list and lift what is refused as crashing backend servers

Instances list their quarantines at the metrics address and lift one on request; the command line has quarantine list and quarantine lift for it. A failed attempt without shared levels prints no empty field.

--- a/packages/foxtaillever-proof/src/platformSoak/platformLoad.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformLoad.ts
@@ -149,8 +149,8 @@
   /** A request that was lost at three servers may be refused for itself; never for a level of its prompt. */
   private mayHaveCrashed ({ id, reply: { body } }: CompletedRequest): boolean {
     const [first = ''] = id.split('-')
-    const runs = this.completed.filter(other => other.id.split('-')[0] === first).reduce((sum, other) => sum + this.fleet.platform.servers.reduce((count, server) => count + server.runsOf(other.id), 0), 0)
-    return body.includes('This request crashed') && runs >= CRASHES_TO_REFUSE
+    const arrivals = this.fleet.platform.servers.flatMap(server => server.arrivals).filter(({ requestId }) => requestId.split('-')[0] === first)
+    return body.includes('This request crashed') && arrivals.length >= CRASHES_TO_REFUSE
   }
 
   private check (sent: CompletedRequest): string[] {
--- a/packages/foxtaillever-relay/src/crashes/crashProtocol.ts
+++ b/packages/foxtaillever-relay/src/crashes/crashProtocol.ts
@@ -253,13 +253,15 @@
     })
   }
 
-  /** Lifts a quarantine at all instances. @returns whether there is one. */
-  lift (kind: CauseKind, id: string): boolean {
-    const lifted = this.quarantines.lift(kind, id, this.options.clock.now())
-    if (lifted) {
-      this.decide(lifted, 'lifted')
-    }
-    return lifted !== undefined
+  /**
+   * Lifts the quarantine of a level, or of a request, at all instances.
+   * @returns whether there is one.
+   */
+  liftAny (id: string): boolean {
+    const now = this.options.clock.now()
+    const lifted = Object.values(CauseKind).flatMap(kind => this.quarantines.lift(kind, id, now) ?? [])
+    lifted.forEach(quarantine => this.decide(quarantine, 'lifted'))
+    return lifted.length > 0
   }
 
   stop (): void {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -81,7 +81,12 @@
     this.dispatcher = this.createDispatcher()
     this.state = this.createState()
     this.state.registerGauges(this.log.metrics)
-    this.metricsServer = MetricsServer.create({ render: () => this.log.metrics.render(), dump: () => this.dump() })
+    this.metricsServer = MetricsServer.create({
+      render: () => this.log.metrics.render(),
+      dump: () => this.dump(),
+      quarantines: () => this.crashes.quarantines.list(clock.now()).filter(({ isLifted }) => !isLifted),
+      liftQuarantine: id => this.crashes.liftAny(id)
+    })
     this.peers = this.createPeers()
     this.limits = createLimitProtocols({ clock, quotaTolerance: options.quotaTolerance, peers: this.peers, log: this.log })
     this.storeReplica = this.createReplica()
--- a/packages/foxtaillever-relay/src/telemetry/metricsServer.ts
+++ b/packages/foxtaillever-relay/src/telemetry/metricsServer.ts
@@ -1,24 +1,34 @@
-/** HTTP server for operators: metrics as text, and a dump of the state. */
+/** HTTP server for operators: metrics as text, a dump of the state, and the quarantines, which they can lift. */
 import { createServer, type Server } from 'node:http'
 import type { ListenAddress } from '../relayOptions.js'
 
 const METRICS_PATH = '/metrics'
 const STATE_PATH = '/state'
+const QUARANTINES_PATH = '/quarantines'
 
 export interface MetricsSource {
   readonly render: () => string
   readonly dump: () => object
+  readonly quarantines: () => object
+  /** Lifts the quarantine of a level of prompts, or of a request, at all instances; returns whether there is one. */
+  readonly liftQuarantine: (id: string) => boolean
 }
 
 export class MetricsServer {
   private readonly server: Server
 
-  private constructor ({ render, dump }: MetricsSource) {
-    const answers: Readonly<Record<string, () => string>> = { [METRICS_PATH]: render, [STATE_PATH]: () => JSON.stringify(dump(), undefined, 2) }
-    this.server = createServer((request, response) => {
-      const answer = answers[request.url ?? '']
-      response.writeHead(answer ? 200 : 404, { 'Content-Type': 'text/plain; charset=utf-8' })
-      response.end(answer?.() ?? `${METRICS_PATH} or ${STATE_PATH}\n`)
+  private constructor ({ render, dump, quarantines, liftQuarantine }: MetricsSource) {
+    const format = (value: object): string => JSON.stringify(value, undefined, 2)
+    const answers: Readonly<Record<string, () => string>> = {
+      [`GET ${METRICS_PATH}`]: render,
+      [`GET ${STATE_PATH}`]: () => format(dump()),
+      [`GET ${QUARANTINES_PATH}`]: () => format(quarantines())
+    }
+    this.server = createServer(({ method = '', url = '' }, response) => {
+      const id = method === 'DELETE' && url.startsWith(`${QUARANTINES_PATH}/`) ? decodeURIComponent(url.slice(QUARANTINES_PATH.length + 1)) : undefined
+      const answer = id === undefined ? answers[`${method} ${url}`]?.() : format({ id, isLifted: liftQuarantine(id) })
+      response.writeHead(answer === undefined ? 404 : 200, { 'Content-Type': 'text/plain; charset=utf-8' })
+      response.end(answer ?? `${METRICS_PATH}, ${STATE_PATH} or ${QUARANTINES_PATH}\n`)
     })
   }
 
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -92,7 +92,7 @@
   attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now, forwarder, answeredAt }: LastHeard): void {
     this.metrics.count('tries_failed_total', { kind })
     this.logs.writeFailure(Part.Requests, 'A try failed.', {
-      request: exchange.id, account: exchange.account?.name, sharedLevels: sharedLevelsOf(exchange).map(({ id }) => id).join(' '), server, kind, detail, verdict, forwarder, answeringMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt), connection: isOnReusedConnection === true ? 'kept' : undefined, heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now)
+      request: exchange.id, account: exchange.account?.name, sharedLevels: sharedLevelsOf(exchange).map(({ id }) => id).join(' ') || undefined, server, kind, detail, verdict, forwarder, answeringMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt), connection: isOnReusedConnection === true ? 'kept' : undefined, heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now)
     })
   }
 
--- a/packages/foxtaillever/src/createCli.ts
+++ b/packages/foxtaillever/src/createCli.ts
@@ -16,6 +16,8 @@
 import { PresetListCommand } from './commands/presetList.js'
 import { PresetShowCommand } from './commands/presetShow.js'
 import { PresetSwitchCommand } from './commands/presetSwitch.js'
+import { QuarantineLiftCommand } from './commands/quarantineLift.js'
+import { QuarantineListCommand } from './commands/quarantineList.js'
 import { ReportCommand } from './commands/report.js'
 import { ReportDayCommand } from './commands/reportDay.js'
 import { ReturnCommand } from './commands/return.js'
@@ -33,6 +35,7 @@
   PresetListCommand, PresetShowCommand, PresetSwitchCommand,
   MembersCommand, ServersCommand, AccountsCommand,
   DrainCommand, ReturnCommand, OrderCommand, OrdersCommand,
+  QuarantineListCommand, QuarantineLiftCommand,
   SettingsCheckCommand, DumpCommand, ExplainCommand, TimelineCommand, TopCommand, ReportCommand, ReportDayCommand,
   CompletionCommand, CompletionWordsCommand, DemoCommand
 ]
