Take only what is lost within 3 ms as not run; the soak's links refuse while their server is down

What the 15 ms were for came from the stand-in: its links accepted connections for servers that were down.

--- a/packages/foxtaillever-policy/src/crashes/__tests__/quarantineTable.test.ts
+++ b/packages/foxtaillever-policy/src/crashes/__tests__/quarantineTable.test.ts
@@ -14,7 +14,7 @@
     t.truthy(table.findFor(CauseKind.Level, 'bad', 'other', 2))
   })
 
-  // Guards against a quarantine that comes back from an instance that has not heard that it was lifted.
+  // Guards against a lifted quarantine that is in force again because another instance announces the older entry.
   it('stays lifted when an older entry arrives', t => {
     const table = QuarantineTable.create()
     const entry = table.add(cause, 0)
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -55,7 +55,7 @@
  * server reads the prompt first. A proxy accepts a connection and resets it at once while
  * its server is down.
  */
-const MIN_RUN_MS = 15
+const MIN_RUN_MS = 3
 
 /** Whether the server may have crashed with the request in flight: a process that ends closes its connections. */
 export function mayBeCrash ({ kind, sentForMs = Infinity }: AttemptFailure): boolean {
--- a/packages/foxtaillever-standins/src/platform/instanceLinks.ts
+++ b/packages/foxtaillever-standins/src/platform/instanceLinks.ts
@@ -42,6 +42,10 @@
     this.linksTo(targets).forEach(link => link.repair())
   }
 
+  setTargetUp (target: string, isUp: boolean): void {
+    this.links.get(target)?.setTargetUp(isUp)
+  }
+
   close (): void {
     this.links.forEach(link => link.close())
   }
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -237,15 +237,21 @@
       restartMs,
       onCrashed: ({ id }) => {
         entry.sendsHeartbeats = false
+        setLinksUp(false)
         clock.at(clock.now() + MISSED_HEARTBEATS * heartbeatMs, () => this.expire(entry, id))
       },
       onStarted: () => {
         if (entry.address !== '') {
+          setLinksUp(true)
           entry.sendsHeartbeats = true
           this.writeEntry(entry)
         }
       }
     }, runner)
+    const setLinksUp = (isUp: boolean): void => {
+      this.links.filter(link => link.target === server.address).forEach(link => link.setTargetUp(isUp))
+      this.instanceLinks.forEach(links => links.setTargetUp(entry.address, isUp))
+    }
     const entry: RegisteredServer = { server, runner, service, zone, slots, address: '', sendsHeartbeats: false }
     this.servers.push(server)
     server.crashingLevels = this.crashingLevels
