--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -148,10 +148,32 @@
     this.ports = await freePorts(hosts, 4)
   }
 
-  addFront (node, zone, ip, seeds = []) {
+  addFront (node, zone, ip, seeds = [], changes = {}) {
     const [front, ready, control, peer] = this.ports
     const settings = {
-      node, role: 'entry', machine_class: 'front', serves: ['front', 'control'], ip, zone, region: 'hr-central', zones: { 'zg-dubrava': 'hr-central', 'zg-jankomir': 'hr-central', sesvete: 'hr-central' }, listen: { front: `${ip}:${front}`, ready: `${ip}:${ready}`, control: `${ip}:${control}` }, internal_ports: [peer, peer + 15], seeds: seeds.map(seed => `${seed}:${control}`), bootstrap: true, in_tolerance: false, limits: { cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000, disk_mb: 0 }, data_dir: null, discovery: 'platform', entry: 'vip', heartbeat_ms: HEARTBEAT_MS, contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'kvcache', 'stream', 'engine', 'tenants', 'platform'], tolerate: { machines: 2, zones: 0, regions: 0 }, bounds: BOUNDS, platform: { address: this.storeAddress, form: 'log', writes_per_s: 400, reads_per_s: 2000, parts: 8, append_ms: 4, part_mb_s: 20, read_mb_s: 80, record_bytes: 262144, call_bytes: 2097152, keep_s: 300, part_mb: 200, ttl_min_ms: 1000 }
+      node,
+      role: 'entry',
+      machine_class: 'front',
+      serves: ['front', 'control'],
+      ip,
+      zone,
+      region: 'central',
+      zones: { [zone]: 'central' },
+      listen: { front: `${ip}:${front}`, ready: `${ip}:${ready}`, control: `${ip}:${control}` },
+      internal_ports: [peer, peer + 15],
+      seeds: seeds.map(seed => `${seed}:${control}`),
+      bootstrap: true,
+      in_tolerance: false,
+      limits: { cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000, disk_mb: 0 },
+      data_dir: null,
+      discovery: 'platform',
+      entry: 'vip',
+      heartbeat_ms: HEARTBEAT_MS,
+      contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'kvcache', 'stream', 'engine', 'tenants', 'platform'],
+      tolerate: { machines: 2, zones: 0, regions: 0 },
+      bounds: BOUNDS,
+      platform: { address: this.storeAddress, form: 'log', writes_per_s: 400, reads_per_s: 2000, parts: 8, append_ms: 4, part_mb_s: 20, read_mb_s: 80, record_bytes: 262144, call_bytes: 2097152, keep_s: 300, part_mb: 200, ttl_min_ms: 1000 },
+      ...changes
     }
     const added = new Front(this.folder, settings)
     this.fronts.push(added)
