--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -98,10 +98,15 @@
       this.receive(request, response, handle).catch(error => response.destroy(error))
     })
     this.server.keepAliveTimeout = 30_000
+    /** Called with each request for this worker once its head has arrived; returns whether nothing more is done for it. */
+    this.beginsToRun = () => false
   }
 
   async receive (request, response, handle) {
     const { headers: { 'x-request-id': id, 'x-expect-instance': expected } } = request
+    if (expected === this.id && this.beginsToRun(request)) {
+      return
+    }
     const body = await readBody(request)
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421, { 'X-Instance-Id': this.id, 'X-Not-Executed': '1' }).end()
