--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -10,7 +10,7 @@
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0'
 const CLIENT = fileURLToPath(new URL('../standins/slowClient.py', import.meta.url))
-const ZONES = ['zg-dubrava', 'zg-jankomir', 'sesvete']
+const ZONES = ['petrolina', 'juazeiro', 'recife']
 /** One download a machine; sizes differ a little, as documents do. */
 const SIZES = [1_000_000, 1_150_000, 1_300_000]
 const BYTES_PER_S = 190_000
@@ -26,9 +26,9 @@
   const hosts = ZONES.map((_, index) => `127.0.0.${11 + index}`)
   await deployment.open(hosts)
   const runs = new Map()
-  await deployment.addWorker('127.0.0.1', { id: 'i-5ed1a0', service: 'sudnet', zone: ZONES[0] }, (request, body, response) => {
+  await deployment.addWorker('127.0.0.1', { id: 'i-5ed1a0', service: 'app', zone: ZONES[0] }, (request, body, response) => {
     const id = request.headers['x-request-id']
-    const answer = Buffer.alloc(SIZES[Number(id.at(-1))], `judgment ${id} `)
+    const answer = Buffer.alloc(SIZES[Number(id.at(-1))], `order ${id} `)
     const run = { startedAt: Date.now(), finishedAt: undefined }
     runs.set(id, run)
     record('worker runs', { id, deadlineMs: request.headers['x-deadline-ms'] })
@@ -41,9 +41,9 @@
   })
   deployment.configure({
     version: 3,
-    routes: [{ name: 'r-export', host: 'lex.example', path_prefix: '/export/', kind: 'non_idempotent', timeout_ms: LIMIT_MS, target_latency_ms: 1000, priority: 2, service: 'sudnet', max_attempts: 1, public: false, sticky: false, resumable: false }],
-    services: [{ name: 'sudnet', health_path: '/health', max_conns: 96, protocol: 'h1', tls: false }],
-    tenants: [{ name: 'firm', api_keys: ['key-firm'], priority: 1, isolated: false }]
+    routes: [{ name: 'r-export', host: 'racao.example', path_prefix: '/export/', kind: 'non_idempotent', timeout_ms: LIMIT_MS, target_latency_ms: 1000, priority: 2, service: 'app', max_attempts: 1, public: false, sticky: false, resumable: false }],
+    services: [{ name: 'app', health_path: '/health', max_conns: 110, protocol: 'h1', tls: false }],
+    tenants: [{ name: 'granja', api_keys: ['key-granja'], priority: 1, isolated: false }]
   })
   const fronts = hosts.map((host, index) => deployment.addFront(`front-${ZONES[index]}-1`, ZONES[index], host, hosts))
   fronts.forEach(front => front.start())
@@ -52,7 +52,7 @@
 
   const downloads = fronts.map(async ({ address }, index) => {
     const [host, port] = address.split(':')
-    const { stdout } = await promisify(execFile)('python3', [CLIENT, host, port, `export-${index}`, 'lex.example', '/export/judgment', 'key-firm', String(LIMIT_MS), String(BYTES_PER_S), String(WINDOW_BYTES)])
+    const { stdout } = await promisify(execFile)('python3', [CLIENT, host, port, `export-${index}`, 'racao.example', '/export/orders', 'key-granja', String(LIMIT_MS), String(BYTES_PER_S), String(WINDOW_BYTES)])
     const result = JSON.parse(stdout)
     record('client', result)
     return result
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -9,12 +9,12 @@
 const HAS_TROUBLE = process.env.TROUBLE !== '0'
 /** Time from the start of the run to the crash, ms; other values are for comparison only. */
 const CRASH_AFTER_MS = Number(process.env.CRASH_AFTER_MS ?? 0)
-const ZONES = ['zg-dubrava', 'zg-jankomir', 'sesvete']
+const ZONES = ['petrolina', 'juazeiro', 'recife']
 const RESTART_MS = 2000
 const LENGTH_MS = 30_000
 const POISON_EVERY_MS = 400
 const SOUND_EVERY_MS = 60
-const WORK_MS = 43
+const WORK_MS = 21
 const POISON_PATH = '/cite/poison'
 /** "reaches workers in more than three retries" */
 const RETRIES_ALLOWED = 3
@@ -30,7 +30,7 @@
 
 async function startWorker (zone) {
   const id = `i-a${workerNumber++}`
-  const worker = await deployment.addWorker('127.0.0.1', { id, service: 'sudnet', zone }, (request, body, response) => {
+  const worker = await deployment.addWorker('127.0.0.1', { id, service: 'app', zone }, (request, body, response) => {
     const requestId = request.headers['x-request-id']
     const answer = () => {
       response.writeHead(200, { 'X-Request-Id': requestId, 'X-Server-Stamp': `stamp-${requestId}`, 'Content-Length': 4 })
@@ -77,7 +77,7 @@
 async function send (front, method, path, id, limitMs) {
   const [host, port] = front.address.split(':')
   return await new Promise(resolve => {
-    const call = httpRequest({ host, port, method, path, agent: false, timeout: limitMs + 500, headers: { Host: 'lex.example', 'X-Request-Id': id, 'X-Deadline-Ms': String(limitMs), Authorization: 'Bearer key-firm' } }, response => {
+    const call = httpRequest({ host, port, method, path, agent: false, timeout: limitMs + 500, headers: { Host: 'racao.example', 'X-Request-Id': id, 'X-Deadline-Ms': String(limitMs), Authorization: 'Bearer key-granja' } }, response => {
       response.resume()
       response.on('end', () => resolve({ status: response.complete ? response.statusCode : 0, retryAfter: response.headers['retry-after'] }))
       response.on('error', () => resolve({ status: 0 }))
@@ -94,12 +94,12 @@
   for (const zone of ZONES) {
     await startWorker(zone)
   }
-  const route = (name, path, kind, attempts) => ({ name, host: 'lex.example', path_prefix: path, kind, timeout_ms: 1000, target_latency_ms: 150, priority: 2, service: 'sudnet', max_attempts: attempts, public: false, sticky: false, resumable: false })
+  const route = (name, path, kind, attempts) => ({ name, host: 'racao.example', path_prefix: path, kind, timeout_ms: 1500, target_latency_ms: 100, priority: 2, service: 'app', max_attempts: attempts, public: false, sticky: false, resumable: false })
   deployment.configure({
     version: 3,
     routes: [route('r-cite', '/cite/', 'idempotent', 2), route('r-export', '/export/', 'non_idempotent', 1)],
-    services: [{ name: 'sudnet', health_path: '/health', max_conns: 96, protocol: 'h1', tls: false }],
-    tenants: [{ name: 'firm', api_keys: ['key-firm'], priority: 1, isolated: false }]
+    services: [{ name: 'app', health_path: '/health', max_conns: 110, protocol: 'h1', tls: false }],
+    tenants: [{ name: 'granja', api_keys: ['key-granja'], priority: 1, isolated: false }]
   })
   const fronts = hosts.map((host, index) => deployment.addFront(`front-${ZONES[index]}-1`, ZONES[index], host, hosts))
   fronts.forEach(front => front.start())
@@ -112,7 +112,7 @@
   const sendSound = async () => {
     for (let number = 0; Date.now() < until; number += 1) {
       counts.sound += 1
-      pending.push(send(fronts[number % 3], 'POST', `/export/${number}`, `sound-${number}`, 1000).then(({ status }) => {
+      pending.push(send(fronts[number % 3], 'POST', `/export/${number}`, `sound-${number}`, 1500).then(({ status }) => {
         if (status === 200) {
           counts.whole += 1
         } else if (status === 502 || status === 0) {
@@ -130,7 +130,7 @@
     for (let number = 0; Date.now() < poisonUntil; number += 1) {
       const id = `poison-${number}`
       const at = Date.now()
-      pending.push(send(fronts[number % 3], 'GET', POISON_PATH, id, 1000).then(answer => record('client of the crashing request', { id, sentAt: at, ...answer })))
+      pending.push(send(fronts[number % 3], 'GET', POISON_PATH, id, 1500).then(answer => record('client of the crashing request', { id, sentAt: at, ...answer })))
       await sleep(POISON_EVERY_MS)
     }
   }
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -10,9 +10,9 @@
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url))
 const HEARTBEAT_MS = 1200
-/** The bounds of presedan-zg. */
+/** The bounds of rsp-foxtail. */
 export const BOUNDS = {
-  seed_lag_s: 3, reuse_after_s: 2, contact_ms: 3000, ack_ms: 4000, catch_up_s: 4, drain_ms: 2000, grace_s: 8, loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, skew_bound_ms: 5000, strict_revoke: false, revoke_ms: 5000, retry_budget_ratio: 0.2, budget_window_s: 10, retry_budget_slack: 52, recovery_s: 12, transit_ms: 120, reuse_window_s: 10, require_fencing: true, lease_ms: 3000, thaw_slack_ms: 300, version_ms: 8000, version_all_ms: 11000
+  seed_lag_s: 3, reuse_after_s: 2, contact_ms: 3000, ack_ms: 4000, catch_up_s: 4, drain_ms: 2000, grace_s: 8, loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, skew_bound_ms: 5000, strict_revoke: false, revoke_ms: 5000, retry_budget_ratio: 0.2, budget_window_s: 10, retry_budget_slack: 58, recovery_s: 12, transit_ms: 120, reuse_window_s: 10, require_fencing: true, lease_ms: 3000, thaw_slack_ms: 300, version_ms: 8000, version_all_ms: 11000
 }
 
 export async function sleep (ms) {
@@ -162,14 +162,14 @@
       serves: ['front', 'control'],
       ip,
       zone,
-      region: 'central',
-      zones: { [zone]: 'central' },
+      region: 'nordeste',
+      zones: { petrolina: 'nordeste', juazeiro: 'nordeste', recife: 'nordeste' },
       listen: { front: `${ip}:${front}`, ready: `${ip}:${ready}`, control: `${ip}:${control}` },
       internal_ports: [peer, peer + 15],
       seeds: seeds.map(seed => `${seed}:${control}`),
       bootstrap: true,
       in_tolerance: false,
-      limits: { cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000, disk_mb: 0 },
+      limits: { cpu_share: 0.675, cores: 1, memory_mb: 200, max_fds: 4100, link_mbps: 1000, disk_mb: 0 },
       data_dir: null,
       discovery: 'platform',
       entry: 'vip',
