Keep a shutdown waiting until answers are written out, not only handed over

Each process ended with seconds of its grace unused.

Cause, from new fields of the lines `Leaving.` and `Stopped.`: all exchanges had ended, and 36,117 to 57,093 bytes of each answer were still in the process. A shutdown waited for exchanges, which end when node:http has the last byte, not the operating system. The test showed a second place: http.Server.close destroys connections whose answer has ended but waits for its reader, so that an answer which was handed over before the instance stopped listening was cut even then. A reset by the operating system is ruled out: callers saw an orderly end, and never more bytes were missing than unsent.

CallerConnections keeps the answers that are not written out, and so do calls between instances; a shutdown waits for both within its grace, and logs what is left. This also covers a request whose body is still being read, which was cut before.

--- a/packages/foxtaillever-relay/src/callers/callerConnections.ts
+++ b/packages/foxtaillever-relay/src/callers/callerConnections.ts
@@ -1,16 +1,22 @@
 /**
  * Callers' connections: turns new ones away while the instance falls behind, and closes
- * them all at a shutdown. node:http closes only idle
- * connections that have had a request. It leaves open a connection that was never
- * used, and one whose answer began before the shutdown. A later request on such
- * a connection would be cut when the process ends.
+ * them all at a shutdown, each after its last answer is written out. node:http closes
+ * only connections that have had a request, leaves open one whose answer began before
+ * the shutdown, and destroys one whose answer has ended but waits for a slow caller.
  */
 import type { Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
+/** Answers that this process still owes to callers. */
+export interface UnsentAnswers {
+  readonly answers: number
+  /** Bytes of these answers that the operating system has not accepted yet, since their callers read slowly. */
+  readonly bytes: number
+}
+
 export class CallerConnections {
-  /** Number of requests of each connection whose answer is not complete. */
-  private readonly unanswered = new Map<Socket, number>()
+  /** Answers of each connection that are not written out: the operating system has not accepted their last byte. */
+  private readonly unsentOf = new Map<Socket, Set<ServerResponse>>()
   /** Connections whose first request is not read yet. */
   private readonly unread = new Set<Socket>()
   private isClosing = false
@@ -24,18 +30,25 @@
     return connections
   }
 
-  /** Keeps the connection of a request open until its answer is sent. */
+  /** Answers to requests of open connections that are not written out, whether they have begun or not. */
+  get unsent (): UnsentAnswers {
+    const responses = [...this.unsentOf.values()].flatMap(answers => [...answers])
+    return { answers: responses.length, bytes: responses.reduce((sum, { writableLength }) => sum + writableLength, 0) }
+  }
+
+  /** Keeps the connection of a request open until its answer is written out. */
   trackRequest (socket: Socket, response: ServerResponse): void {
     this.unread.delete(socket)
-    this.unanswered.set(socket, (this.unanswered.get(socket) ?? 0) + 1)
-    response.once('close', () => this.handleAnswerClosed(socket))
+    this.unsentOf.get(socket)?.add(response)
+    // Emitted after the last byte was handed to the operating system, or when the connection ended.
+    response.once('close', () => this.handleAnswerClosed(socket, response))
   }
 
   /** Closes connections without a pending answer now, and the others after their last answer. */
   close (): void {
     this.isClosing = true
-    for (const [socket, count] of this.unanswered) {
-      if (count === 0) {
+    for (const [socket, answers] of this.unsentOf) {
+      if (answers.size === 0) {
         socket.destroy()
       }
     }
@@ -47,21 +60,18 @@
       socket.destroy()
       return
     }
-    this.unanswered.set(socket, 0)
+    this.unsentOf.set(socket, new Set())
     this.unread.add(socket)
     socket.once('close', () => {
-      this.unanswered.delete(socket)
+      this.unsentOf.delete(socket)
       this.unread.delete(socket)
     })
   }
 
-  private handleAnswerClosed (socket: Socket): void {
-    const count = this.unanswered.get(socket)
-    if (count === undefined) {
-      return
-    }
-    this.unanswered.set(socket, count - 1)
-    if (count === 1 && this.isClosing) {
+  private handleAnswerClosed (socket: Socket, response: ServerResponse): void {
+    const answers = this.unsentOf.get(socket)
+    answers?.delete(response)
+    if (answers?.size === 0 && this.isClosing) {
       // Not destroyed: the answer's last bytes may still be on their way.
       socket.destroySoon()
     }
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -4,7 +4,7 @@
  * exchange on.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { Server as NetServer, type AddressInfo } from 'node:net'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
@@ -15,7 +15,7 @@
 import type { RelayLog } from '../telemetry/relayLog.js'
 import { ConnectionLimit } from 'foxtaillever-policy/relay/connectionLimit'
 import { answerFailure } from './answerFailure.js'
-import { CallerConnections } from './callerConnections.js'
+import { CallerConnections, type UnsentAnswers } from './callerConnections.js'
 import { EventLoopMonitor } from './eventLoopMonitor.js'
 
 /** How often node:http checks for requests whose head takes too long, milliseconds. */
@@ -71,6 +71,11 @@
     return this.connectionLimit.delay
   }
 
+  /** Answers that are not written out to their callers. */
+  get unsent (): UnsentAnswers {
+    return this.connections.unsent
+  }
+
   setLimits (limits: CallerLimits): void {
     this.limits = limits
     // Read by node:http for each new connection, though its types know it at creation only.
@@ -87,7 +92,8 @@
   /** Accepts no new connections, and closes those without a request. */
   close (): void {
     this.eventLoop.stop()
-    this.server.close()
+    // Not the close of node:http, which destroys connections whose answer has ended but is not written out.
+    NetServer.prototype.close.call(this.server)
     this.connections.close()
   }
 
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -36,6 +36,7 @@
 }
 
 export class ForwardingServer {
+  /** Requests of other instances that are in flight. */
   private carried = 0
 
   private constructor (private readonly options: ForwardingServerOptions) {}
@@ -44,11 +45,6 @@
     return new ForwardingServer(options)
   }
 
-  /** Requests of other instances that are in flight. */
-  get size (): number {
-    return this.carried
-  }
-
   /** Handles a call of another instance. @returns whether it is a call of this protocol. */
   handle (request: IncomingMessage, response: ServerResponse): boolean {
     const forwarding = readForwarding(request.headers)
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -70,6 +70,8 @@
   private readonly connections = new Map<string, ServerConnections>()
   private readonly receivers: Readonly<Record<DatagramKind, Receiver | undefined>>
   private readonly receiveHeartbeat: Receiver
+  /** Calls of other instances whose answers are not written out. */
+  openCalls = 0
 
   private constructor (private readonly options: PeerLinkOptions) {
     const { onMessage, onNotice, onLoad, onWeights, onLimit, onAdmission, onStreamVersion, onCrash } = options
@@ -107,6 +109,8 @@
     }
     this.datagrams = UdpDatagrams.create(`${options.host}:${options.port}`)
     this.server = createServer((request, response) => {
+      this.openCalls += 1
+      response.once('close', () => { this.openCalls -= 1 })
       if (options.onServerCall(request, response)) {
         return
       }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,4 +1,5 @@
 /** One instance of the relay. Takes requests from callers, sends them to backend servers, and follows the platform's store. */
+import type { Subject } from 'foxtaillever-telemetry'
 import { createAdmissionOptions } from './admission/createAdmissionOptions.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
@@ -140,17 +141,17 @@
     this.peers.addAddresses(seeds)
   }
 
-  /** Shuts down gracefully: not ready at once, but serving until the load balancer has noticed and the last answer is sent. */
+  /** Shuts down gracefully: not ready at once, but serving until the load balancer has noticed and the last answer is written out. */
   async stop (): Promise<void> {
     const { clock } = this.options
     if (this.isLeaving) {
       return
     }
     this.isLeaving = true
-    this.log.belief('Leaving.', { requests: this.dispatcher.runs.size })
+    this.log.belief('Leaving.', { requests: this.dispatcher.runs.size, ...this.describeUnsent() })
     this.callers.endKeepAlive()
     this.peers.sendHeartbeat()
-    await waitForRequests({ clock, graceMs: this.graceMs, stopListening: () => this.callers.close(), requests: () => this.dispatcher.runs.size + this.links.server.size })
+    await waitForRequests({ clock, graceMs: this.graceMs, stopListening: () => this.callers.close(), unanswered: () => this.dispatcher.runs.size + this.callers.unsent.answers + this.peers.link.openCalls })
     await this.close()
   }
 
@@ -165,7 +166,7 @@
     const open = [links.client, readiness, metricsServer]
     open.forEach(part => part.close())
     await this.peers.stop()
-    this.log.belief('Stopped.', {})
+    this.log.belief('Stopped.', this.describeUnsent())
   }
 
   /** The state that this instance knows, for an operator. */
@@ -173,6 +174,11 @@
     return this.state.dump()
   }
 
+  private describeUnsent (): Subject {
+    const { answers, bytes } = this.callers.unsent
+    return { unsentAnswers: answers, unsentBytes: bytes }
+  }
+
   private createDispatcher (): ExchangeDispatcher {
     const { clock, random, failureDomain, serverWire, cacheStoreCalls, retryAllowance, weightsBoundMs } = this.options
     return ExchangeDispatcher.create({
--- a/packages/foxtaillever-relay/src/waitForRequests.ts
+++ b/packages/foxtaillever-relay/src/waitForRequests.ts
@@ -4,7 +4,7 @@
 /** How long a shutdown still accepts connections, milliseconds: the load balancer notices within two seconds that the instance is not ready. */
 const STOP_LISTENING_MS = 2600
 
-/** How often a shutdown checks whether the last answer is sent, milliseconds. */
+/** How often a shutdown checks whether the last answer is written out, milliseconds. */
 const SHUTDOWN_POLL_MS = 50
 
 /** Share of the grace period that is reserved for the process to end: a quarter of a second of eight, ten times what it takes. */
@@ -15,16 +15,16 @@
   /** Time until the process is killed, milliseconds. */
   readonly graceMs: number
   readonly stopListening: () => void
-  /** Number of requests in flight. */
-  readonly requests: () => number
+  /** Number of requests in flight, and of answers that are not written out. */
+  readonly unanswered: () => number
 }
 
-/** Serves until the load balancer has noticed that the instance is not ready and the last answer is sent, or the time is up. */
-export async function waitForRequests ({ clock, graceMs, stopListening, requests }: ClosingInstance): Promise<void> {
+/** Serves until the load balancer has noticed that the instance is not ready and the last answer is written out, or the time is up. */
+export async function waitForRequests ({ clock, graceMs, stopListening, unanswered }: ClosingInstance): Promise<void> {
   const until = clock.now() + graceMs * (1 - GRACE_RESERVE_SHARE)
   await waitUntil(clock, clock.now() + STOP_LISTENING_MS)
   stopListening()
-  while (requests() > 0 && clock.now() < until) {
+  while (unanswered() > 0 && clock.now() < until) {
     await waitUntil(clock, clock.now() + SHUTDOWN_POLL_MS)
   }
 }
