End a shutdown within a grace period that is shorter than the load balancer's checks

With a grace period below 2.6 s a shutdown waited for the load balancer longer than it had, and the process was killed with its answers in flight and its last lines unwritten.

--- a/packages/foxtaillever-relay/src/waitForRequests.ts
+++ b/packages/foxtaillever-relay/src/waitForRequests.ts
@@ -22,9 +22,9 @@
 /** Serves until the load balancer has noticed that the instance is not ready and the last answer is written out, or the time is up. */
 export async function waitForRequests ({ clock, graceMs, stopListening, unanswered }: ClosingInstance): Promise<void> {
   const until = clock.now() + graceMs * (1 - GRACE_RESERVE_SHARE)
-  await waitUntil(clock, clock.now() + STOP_LISTENING_MS)
+  await waitUntil(clock, Math.min(until, clock.now() + STOP_LISTENING_MS))
   stopListening()
   while (unanswered() > 0 && clock.now() < until) {
-    await waitUntil(clock, clock.now() + SHUTDOWN_POLL_MS)
+    await waitUntil(clock, Math.min(until, clock.now() + SHUTDOWN_POLL_MS))
   }
 }
