Wait for the shutdown in progress when told to stop again

A second SIGTERM ended the process at once and cut every answer in flight. The review saw it in the source. `Relay.stop` returned at once where a shutdown had begun, and the process exits when it returns. It now waits for that shutdown.

shutdown.test.ts, "stays until answers are sent when it is told to stop again": failed before, passes after.

--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -65,6 +65,8 @@
   private readonly startCheck = StartCheck.create()
   private table: RouteTable | undefined
   private isLeaving = false
+  /** Resolves when the shutdown that has begun is complete. */
+  private stopped = Promise.resolve()
   /** Milliseconds of Unix time. */
   private readonly startedAt: number
   private graceMs: number
@@ -141,12 +143,16 @@
     this.peers.addAddresses(seeds)
   }
 
-  /** Shuts down gracefully: not ready at once, but serving until the load balancer has noticed and the last answer is written out. */
+  /** Shuts down gracefully: not ready at once, but serving until the load balancer has noticed and the last answer is written out. May be called again meanwhile. */
   async stop (): Promise<void> {
-    const { clock } = this.options
-    if (this.isLeaving) {
-      return
+    if (!this.isLeaving) {
+      this.stopped = this.shutDown()
     }
+    await this.stopped
+  }
+
+  private async shutDown (): Promise<void> {
+    const { clock } = this.options
     this.isLeaving = true
     this.log.belief('Leaving.', { requests: this.dispatcher.runs.size, ...this.describeUnsent() })
     this.callers.endKeepAlive()
