Tell a crash by evidence instead of the time since the first byte

Cause: what was lost within 3 ms of its first byte counted as not run, so no crash was reported. New fields showed it: every lost attempt had been out for 0.3 to 1.3 ms, and all 117 checks of the links found the server not reached. A check that reaches the server, and evidence that does not add up, are ruled out: no report was ever made.

The limit protected sound requests that meet connections which are reset. So a request now counts as in flight at a crash only if it was sent before the instance's connections to the server began to break, and a crash only if the server has ended: its address refuses connections, or it writes its entry in the store no more. One server is one crash, also for the retries within an answer, and an answer clears the request.

--- a/packages/foxtaillever-policy/src/crashes/__tests__/crashEvidence.test.ts
+++ b/packages/foxtaillever-policy/src/crashes/__tests__/crashEvidence.test.ts
@@ -11,13 +11,19 @@
   return { request, account, levels, sentAt, isTrial }
 }
 
+/** A crash of a server that is known to have ended. */
+function addCrash (evidence: CrashEvidence, server: number, at: number, lost: readonly LostRequest[], now = at): void {
+  evidence.addCrash(server, at, lost, ANSWERS, now)
+  evidence.confirmEnd(server)
+}
+
 /** Each crash loses one request with the level and others with levels of their own, as many as an engine runs. */
 function crashInTurn (evidence: CrashEvidence, count: number, accounts: readonly string[], from = 0): ProvenCause[] {
   const proven: ProvenCause[] = []
   for (let index = from; index < from + count; index += 1) {
     const at = 1000 + index * 1000
     const others = Array.from({ length: 40 }, (_, other) => lose(`sound-${index}-${other}`, at - 50, ['first', `second-${other}`]))
-    evidence.addCrash(index, at, [lose(`bad-${index}`, at - 100, ['first', 'bad'], accounts[index % accounts.length], index > 1), ...others], ANSWERS, at)
+    addCrash(evidence, index, at, [lose(`bad-${index}`, at - 100, ['first', 'bad'], accounts[index % accounts.length], index > 1), ...others])
     evidence.addAnswer(['first', ...others.flatMap(({ levels }) => levels)], at + 100)
     proven.push(...evidence.proveCauses(SERVERS, at + 200))
   }
@@ -45,7 +51,7 @@
   it('counts servers that crash at the same moment once', t => {
     const evidence = CrashEvidence.create()
     for (let server = 0; server < SERVERS; server += 1) {
-      evidence.addCrash(server, 1000 + server, [lose(`r-${server}`, 900, ['first', 'second'])], ANSWERS, 1000)
+      addCrash(evidence, server, 1000 + server, [lose(`r-${server}`, 900, ['first', 'second'])], 1000)
     }
     t.deepEqual(evidence.proveCauses(SERVERS, 1100), [])
   })
@@ -55,7 +61,7 @@
     const evidence = CrashEvidence.create()
     for (let index = 0; index < 8; index += 1) {
       const at = 1000 + 1000 * index
-      evidence.addCrash(index, at, [lose(`r-${index}`, at - 100, ['first', 'second'])], ANSWERS, at)
+      addCrash(evidence, index, at, [lose(`r-${index}`, at - 100, ['first', 'second'])])
       t.deepEqual(evidence.proveCauses(SERVERS, at + 100), [])
       evidence.addAnswer(['first', 'second'], at + 200)
     }
@@ -75,9 +81,31 @@
   it('finds a request without levels that crashes three servers', t => {
     const evidence = CrashEvidence.create()
     const proven = [0, 1, 2].flatMap(index => {
-      evidence.addCrash(index, 1000 + 100 * index, [lose('same', 950 + 100 * index, [])], ANSWERS, 1000)
+      addCrash(evidence, index, 1000 + 100 * index, [lose('same', 950 + 100 * index, [])], 1000)
       return evidence.proveCauses(SERVERS, 1050 + 100 * index)
     })
     t.deepEqual(proven.map(({ kind, id }) => `${kind} ${id}`), ['request same'])
   })
+
+  // Guards against a request that is blamed because it is sent to servers that others have crashed before.
+  it('does not count a request that was sent after the crash', t => {
+    const evidence = CrashEvidence.create()
+    for (let index = 0; index < 3; index += 1) {
+      addCrash(evidence, index, 1000 + 500 * index, [lose('late', 900 + 500 * index, [])])
+      // Another instance knows an earlier time of the same crash.
+      addCrash(evidence, index, 700 + 500 * index, [lose(`other-${index}`, 690 + 500 * index, [])])
+    }
+    t.deepEqual(evidence.proveCauses(SERVERS, 2500), [])
+  })
+
+  // Guards against a sound request that is blamed because its connections are reset while the servers run on.
+  it('proves nothing by servers that are not known to have ended', t => {
+    const evidence = CrashEvidence.create()
+    for (let index = 0; index < 3; index += 1) {
+      evidence.addCrash(index, 1000 + 500 * index, [lose('same', 950 + 500 * index, [])], ANSWERS, 1000 + 500 * index)
+    }
+    t.deepEqual(evidence.proveCauses(SERVERS, 2500), [])
+    ;[0, 1, 2].forEach(server => evidence.confirmEnd(server))
+    t.is(evidence.proveCauses(SERVERS, 2500).length, 1)
+  })
 })
--- a/packages/foxtaillever-policy/src/crashes/crashEvidence.ts
+++ b/packages/foxtaillever-policy/src/crashes/crashEvidence.ts
@@ -53,9 +53,31 @@
 /** Evidence is kept for this long, milliseconds. */
 const KEPT_MS = 120_000
 
+/**
+ * Times of one event that several instances report differ by the delay of their datagrams, milliseconds. A request
+ * that was sent later than this after a crash did not cause it.
+ */
+const MAX_REPORT_SKEW_MS = 30
+
 const MAX_CRASHES = 64
 const MAX_LOST_REQUESTS = 256
 
+function wasInFlight ({ sentAt }: LostRequest, { at }: Crash): boolean {
+  return sentAt <= at + MAX_REPORT_SKEW_MS
+}
+
+/** The time of the crash may be known better since these were added. */
+function removeSentAfter (crash: Crash): void {
+  const { lost, levels } = crash
+  lost.forEach(request => {
+    if (!wasInFlight(request, crash)) {
+      lost.delete(request.request)
+    }
+  })
+  levels.clear()
+  lost.forEach(request => request.levels.forEach(level => levels.add(level)))
+}
+
 export class CrashEvidence {
   /** By the hash of the server's incarnation, in order of arrival. */
   private readonly crashes = new Map<number, Crash>()
@@ -74,27 +96,36 @@
   }
 
   /**
-   * Adds requests that were in flight when a server crashed.
+   * Adds requests that were in flight when a server crashed. Of several times of the crash the earliest counts, and
+   * requests that were sent after it do not.
    * @param at time of the crash, milliseconds of Unix time.
    * @param answers of the instance that lost these, before the crash.
    */
   addCrash (server: number, at: number, lost: readonly LostRequest[], answers: AnswerCounts, now: number): void {
     this.expire(now)
-    const crash = this.crashes.get(server) ?? { server, at, lost: new Map(), levels: new Set(), answers: ANSWER_SPANS_MS.map(() => 0), isExplained: false }
+    const crash = this.crashes.get(server) ?? { server, at, lost: new Map(), levels: new Set(), answers: ANSWER_SPANS_MS.map(() => 0), isConfirmed: false, isExplained: false }
     if (lost.some(({ request }) => !crash.lost.has(request))) {
       answers.forEach((count, index) => { crash.answers[index] = (crash.answers[index] ?? 0) + count })
     }
     crash.at = Math.min(crash.at, at)
     this.crashes.set(server, crash)
-    lost.forEach(request => {
-      if (crash.lost.size < MAX_LOST_REQUESTS) {
-        crash.lost.set(request.request, request)
-        request.levels.forEach(level => crash.levels.add(level))
-      }
-    })
+    lost.filter(request => crash.lost.size < MAX_LOST_REQUESTS && wasInFlight(request, crash)).forEach(request => crash.lost.set(request.request, request))
+    removeSentAfter(crash)
+  }
+
+  /** The server is known to have ended. Only such crashes prove anything. */
+  confirmEnd (server: number): void {
+    const crash = this.crashes.get(server)
+    if (crash) {
+      crash.isConfirmed = true
+    }
   }
 
-  /** Removes a crash that did not happen: the same incarnation has answered since. */
+  isConfirmed (server: number): boolean {
+    return this.crashes.get(server)?.isConfirmed === true
+  }
+
+  /** Removes a crash that did not happen: the same incarnation is alive. */
   removeCrash (server: number): void {
     this.crashes.delete(server)
   }
@@ -120,7 +151,7 @@
 
   /** Whether the level was in flight at several crashes since the last answer. */
   isSuspected (level: string): boolean {
-    return this.unexplainedCrashes(level).length >= CRASHES_TO_SUSPECT
+    return this.unexplainedCrashes(level).filter(({ isConfirmed }) => isConfirmed).length >= CRASHES_TO_SUSPECT
   }
 
   /** Levels that were in flight at crashes since a time, milliseconds of Unix time. */
@@ -172,7 +203,11 @@
     return this.crashesWith(level).filter(({ isExplained, at }) => !isExplained && at > answeredAt)
   }
 
-  /** Everything that was in flight at crashes that are not explained. */
+  private confirmedCrashes (): Crash[] {
+    return [...this.crashes.values()].filter(({ isConfirmed }) => isConfirmed)
+  }
+
+  /** Everything that was in flight at confirmed crashes that are not explained. */
   private suspicions (): Map<string, Suspicion> {
     const suspicions = new Map<string, Suspicion>()
     const add = (kind: CauseKind, id: string, depth: number, crash: Crash): void => {
@@ -184,7 +219,7 @@
       }
       suspicions.set(key, known)
     }
-    for (const crash of [...this.crashes.values()].sort((a, b) => a.at - b.at)) {
+    for (const crash of this.confirmedCrashes().sort((a, b) => a.at - b.at)) {
       crash.lost.forEach(({ request, levels }) => {
         if (!this.provenRequests.has(request) && crash.at > (this.answeredAt.get(request) ?? -Infinity)) {
           add(CauseKind.Request, request, levels.length, crash)
--- a/packages/foxtaillever-policy/src/crashes/suspicion.ts
+++ b/packages/foxtaillever-policy/src/crashes/suspicion.ts
@@ -40,6 +40,8 @@
   readonly levels: Set<string>
   /** Requests answered before the crash, by all instances that lost requests in it. */
   readonly answers: number[]
+  /** The server is known to have ended; otherwise something else may have broken its connections. */
+  isConfirmed: boolean
   /** A quarantined level was in flight, so the crash says nothing about other levels. */
   isExplained: boolean
 }
--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -101,6 +101,7 @@
     address: () => 'own',
     decidersOf: () => ['own'],
     serverCount: () => this.directory.all().length,
+    isBeating: async () => false,
     send: () => {},
     sendToAll: () => {},
     onQuarantine: () => this.runs.checkQuarantines(),
--- a/packages/foxtaillever-relay/src/attempts/__tests__/attemptFailure.test.ts
+++ b/packages/foxtaillever-relay/src/attempts/__tests__/attemptFailure.test.ts
@@ -2,11 +2,10 @@
 import { AttemptFailureKind, mayBeCrash } from '../attemptFailure.js'
 
 describe('mayBeCrash', () => {
-  // Guards against sound requests that count as lost in a crash because a proxy accepts connections for a server that is down.
-  it('says no if the connection broke before the server can have run the request', t => {
+  // Guards against requests that crash servers as soon as these have read their head, and are never held back.
+  it('says yes if the connection broke, however soon', t => {
     const lost = { kind: AttemptFailureKind.Lost, detail: '' }
-    t.false(mayBeCrash({ ...lost, sentForMs: 1 }))
-    t.true(mayBeCrash({ ...lost, sentForMs: 20 }))
+    ;[0, 1, 3, 20].forEach(sentForMs => t.true(mayBeCrash({ ...lost, sentForMs })))
     t.true(mayBeCrash(lost))
   })
 
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -51,15 +51,11 @@
 }
 
 /**
- * A request that is lost sooner after its first byte was sent has not run, milliseconds: a
- * server reads the prompt first. A proxy accepts a connection and resets it at once while
- * its server is down.
+ * Whether the server may have crashed with the request in flight: a process that ends closes its
+ * connections. How soon it did says nothing, since a server may crash as soon as it has read a head.
  */
-const MIN_RUN_MS = 3
-
-/** Whether the server may have crashed with the request in flight: a process that ends closes its connections. */
-export function mayBeCrash ({ kind, sentForMs = Infinity }: AttemptFailure): boolean {
-  return kind === AttemptFailureKind.Lost && sentForMs >= MIN_RUN_MS
+export function mayBeCrash ({ kind }: AttemptFailure): boolean {
+  return kind === AttemptFailureKind.Lost
 }
 
 /** How an attempt failed. */
--- a/packages/foxtaillever-relay/src/crashes/__fixtures__/crashHistory.ts
+++ b/packages/foxtaillever-relay/src/crashes/__fixtures__/crashHistory.ts
@@ -4,7 +4,7 @@
  * datagrams are lost. Counts what the levels cost until they are refused, and which sound
  * levels are quarantined.
  */
-import { hashNumber, SeededRandom, type Random } from 'foxtaillever-core'
+import { hashNumber, SeededRandom, waitUntil, type Random } from 'foxtaillever-core'
 import { CauseKind } from 'foxtaillever-policy/crashes/suspicion'
 import type { Quarantine } from 'foxtaillever-policy/crashes/quarantineTable'
 import { watchersOf } from 'foxtaillever-policy/relay/computedWatchers'
@@ -39,6 +39,8 @@
 const DATAGRAM_MS = { least: 1, most: 5 }
 /** Time until an instance knows that a broken connection is not its own link's fault. */
 const CHECK_MS = { least: 5, most: 60 }
+/** Time until it is known whether a server that was not reached still writes its entry. */
+const HEARTBEAT_CHECK_MS = 1800
 const BAD_LOSS = 0.3
 const USUAL_LOSS = 0.002
 
@@ -203,10 +205,14 @@
     const deciders = watchersOf(hashNumber(SERVICE), members, DECIDERS).map(decider => decider.address)
     return CrashProtocol.create({
       clock: this.clock,
-      log: { quarantineChanged: () => {}, crashReported: () => {}, levelSuspected: () => {}, trialDecided: () => {} },
+      log: { quarantineChanged: () => {}, crashReported: () => {}, heartbeatChecked: () => {}, levelSuspected: () => {}, trialDecided: () => {} },
       address: () => address,
       decidersOf: () => deciders,
       serverCount: () => this.options.servers,
+      isBeating: async incarnation => {
+        await waitUntil(this.clock, this.now + HEARTBEAT_CHECK_MS)
+        return this.servers.some(server => server.incarnation === incarnation)
+      },
       send: (to, message) => this.transmit(address, to, message),
       sendToAll: message => this.nodes.filter(node => node.address !== address).forEach(node => this.transmit(address, node.address, message)),
       onQuarantine: quarantine => this.checkQuarantine(quarantine),
@@ -378,10 +384,10 @@
     server.running.clear()
     server.upFrom = this.now + this.between(RESTART_MS)
     server.incarnation = this.draw()
-    lost.forEach(attempt => this.lose(attempt, incarnation))
+    lost.forEach(attempt => this.lose(attempt, incarnation, true))
   }
 
-  private lose (attempt: Attempt, incarnation: number): void {
+  private lose (attempt: Attempt, incarnation: number, hasEnded: boolean): void {
     const { node, life, request, sentAt, answeredAt, attempts } = attempt
     attempt.isOver = true
     if (node.life !== life || !this.isUp(node)) {
@@ -390,7 +396,7 @@
     const lostAt = this.now
     this.clock.at(lostAt + this.between(CHECK_MS), () => {
       if (node.life === life) {
-        node.protocol.recordLoss(request.causes, { service: SERVICE, server: incarnation, sentAt, lostAt, answeredAt })
+        node.protocol.recordLoss(request.causes, { service: SERVICE, server: incarnation, sentAt, brokenAt: lostAt, lostAt, answeredAt, hasEnded })
       }
     })
     if (request.isRepeatable && attempts < MAX_ATTEMPTS && node.protocol.mayRetry(request.causes)) {
@@ -452,7 +458,7 @@
     this.servers.forEach(server => {
       const lost = [...server.running]
       server.running.clear()
-      lost.forEach(attempt => this.lose(attempt, server.incarnation))
+      lost.forEach(attempt => this.lose(attempt, server.incarnation, false))
     })
   }
 
--- a/packages/foxtaillever-relay/src/crashes/crashDecider.ts
+++ b/packages/foxtaillever-relay/src/crashes/crashDecider.ts
@@ -3,6 +3,7 @@
 import { CrashEvidence } from 'foxtaillever-policy/crashes/crashEvidence'
 import { CauseKind } from 'foxtaillever-policy/crashes/suspicion'
 import type { Quarantine, QuarantineTable } from 'foxtaillever-policy/crashes/quarantineTable'
+import type { RelayLog } from '../telemetry/relayLog.js'
 import type { CrashReport } from './crashMessage.js'
 import { LevelTrials } from './levelTrials.js'
 
@@ -17,6 +18,9 @@
   readonly quarantines: QuarantineTable
   /** Listed servers of a service; at least 1. */
   readonly serverCount: (service: string) => number
+  /** Whether a server, given by the hash of its incarnation, still writes its entry in the platform's store. Never rejects. */
+  readonly isBeating: (server: number) => Promise<boolean>
+  readonly log: Pick<RelayLog, 'heartbeatChecked'>
   /** @param how it came about. */
   readonly onDecided: (quarantine: Quarantine, how: 'proven' | 'widened') => void
   /** @param levels with the time of the last crash, milliseconds of Unix time. */
@@ -27,6 +31,8 @@
   /** By service. */
   private readonly evidence = new Map<string, CrashEvidence>()
   private readonly trials = LevelTrials.create()
+  /** Hashes of the servers whose heartbeats are checked. */
+  private readonly checked = new Set<number>()
   private readonly dueEvaluations = new Map<string, Cancellation>()
 
   private constructor (private readonly options: CrashDeciderOptions) {}
@@ -45,14 +51,37 @@
     return this.evidence.get(service)?.isOpen(id, at) === true
   }
 
-  addReport ({ service, server, ageMs, lost, answers }: CrashReport): void {
+  addReport ({ service, server, ageMs, hasEnded, lost, answers }: CrashReport): void {
     const now = this.options.clock.now()
     const evidence = this.evidence.get(service) ?? CrashEvidence.create()
     this.evidence.set(service, evidence)
     evidence.addCrash(server, now - ageMs, lost.map(({ sentAgeMs, ...request }) => ({ ...request, sentAt: now - sentAgeMs })), answers, now)
+    if (hasEnded) {
+      evidence.confirmEnd(server)
+    } else if (!evidence.isConfirmed(server)) {
+      this.checkHeartbeat(service, evidence, server)
+    }
     this.evaluateSoon(service, evidence)
   }
 
+  private checkHeartbeat (service: string, evidence: CrashEvidence, server: number): void {
+    const { log, isBeating } = this.options
+    if (this.checked.has(server)) {
+      return
+    }
+    this.checked.add(server)
+    isBeating(server).then(isAlive => {
+      this.checked.delete(server)
+      log.heartbeatChecked(service, server, isAlive)
+      if (isAlive) {
+        evidence.removeCrash(server)
+      } else {
+        evidence.confirmEnd(server)
+        this.evaluateSoon(service, evidence)
+      }
+    }, () => {})
+  }
+
   /** The server has answered since. */
   removeCrash (service: string, server: number): void {
     this.evidence.get(service)?.removeCrash(server)
--- a/packages/foxtaillever-relay/src/crashes/crashMessage.ts
+++ b/packages/foxtaillever-relay/src/crashes/crashMessage.ts
@@ -17,6 +17,8 @@
   readonly server: number
   /** Since the crash, milliseconds. */
   readonly ageMs: number
+  /** Whether the server is known to have ended. */
+  readonly hasEnded: boolean
   /** Requests of the service that the sender had answered before. */
   readonly answers: AnswerCounts
   readonly lost: ReadonlyArray<Omit<LostRequest, 'sentAt'> & { readonly sentAgeMs: number }>
@@ -85,7 +87,7 @@
   const { kind, address, service } = message
   switch (kind) {
     case DatagramKind.CrashReport:
-      return packDatagram([kind, address, service, message.server, Math.round(message.ageMs), message.answers, message.lost.map(({ request, account, levels, isTrial, sentAgeMs }) => [request, account, Math.round(sentAgeMs), isTrial, levels])])
+      return packDatagram([kind, address, service, message.server, Math.round(message.ageMs), message.answers, message.lost.map(({ request, account, levels, isTrial, sentAgeMs }) => [request, account, Math.round(sentAgeMs), isTrial, levels]), message.hasEnded])
     case DatagramKind.CrashRetraction: return packDatagram([kind, address, service, message.server])
     case DatagramKind.AnsweredNotice: return packDatagram([kind, address, service, Math.round(message.ageMs), message.levels])
     case DatagramKind.SuspicionNotice: return packDatagram([kind, address, service, message.levels.map(({ level, ageMs }) => [level, Math.round(ageMs)])])
@@ -110,11 +112,12 @@
 }
 
 const readers: Readonly<Record<CrashMessage['kind'], Reader>> = {
-  [DatagramKind.CrashReport]: (head, [server, age, answers, lost]) => ({
+  [DatagramKind.CrashReport]: (head, [server, age, answers, lost, hasEnded]) => ({
     kind: DatagramKind.CrashReport,
     ...head,
     server: Number(server),
     ageMs: amountOf(age),
+    hasEnded: hasEnded === true,
     answers: listOf(answers).map(amountOf),
     lost: listOf(lost).map(entry => {
       const [request, account, sentAge, isTrial, levels] = listOf(entry)
--- a/packages/foxtaillever-relay/src/crashes/crashProtocol.ts
+++ b/packages/foxtaillever-relay/src/crashes/crashProtocol.ts
@@ -21,20 +21,22 @@
 import { SuspectedLevels } from './suspectedLevels.js'
 import { TrialClient } from './trialClient.js'
 
-/** How often a request may be lost with its server before it is not retried within the same answer. */
-const MAX_LOSSES = 1
+/** Servers that may crash with a request in flight before it is not retried within the same answer. */
+const MAX_CRASHES = 1
 
 /** Quarantines in a heartbeat, 40 to 80 bytes each. */
 const MAX_IN_HEARTBEAT = 12
 
 export interface CrashProtocolOptions {
   readonly clock: Clock
-  readonly log: Pick<RelayLog, 'quarantineChanged' | 'crashReported' | 'levelSuspected' | 'trialDecided'>
+  readonly log: Pick<RelayLog, 'quarantineChanged' | 'crashReported' | 'heartbeatChecked' | 'levelSuspected' | 'trialDecided'>
   readonly address: () => string
   /** Addresses of the instances that decide for a service, in order. */
   readonly decidersOf: (service: string) => readonly string[]
   /** Listed servers of a service; at least 1. */
   readonly serverCount: (service: string) => number
+  /** Whether a server, given by the hash of its incarnation, still writes its entry in the platform's store. Never rejects. */
+  readonly isBeating: (server: number) => Promise<boolean>
   readonly send: (address: string, message: CrashMessage) => void
   /** Sends to all other instances. */
   readonly sendToAll: (message: CrashMessage) => void
@@ -66,13 +68,15 @@
   private readonly repeater: Repeater
 
   private constructor (private readonly options: CrashProtocolOptions) {
-    const { clock, log, address, decidersOf, serverCount } = options
+    const { clock, log, address, decidersOf, serverCount, isBeating } = options
     this.repeater = Repeater.create(clock)
     this.reporter = LossReporter.create({ clock, log, address, sendToDeciders: message => decidersOf(message.service).forEach(decider => this.sendTo(decider, message)) })
     this.decider = CrashDecider.create({
       clock,
+      log,
       quarantines: this.quarantines,
       serverCount,
+      isBeating,
       onDecided: (quarantine, how) => this.decide(quarantine, how),
       onSuspected: (service, levels) => this.announceSuspicions(service, levels)
     })
@@ -122,7 +126,7 @@
   /** Whether a lost request may be sent again within the same answer. */
   mayRetry (causes: RequestCauses): boolean {
     const isSuspected = this.suspected.among(causes.levels, this.options.clock.now()).length > 0
-    return !isSuspected && this.reporter.lossesOf(causes.request) <= MAX_LOSSES && this.findQuarantine(causes) === undefined
+    return !isSuspected && this.reporter.crashesWith(causes.request) <= MAX_CRASHES && this.findQuarantine(causes) === undefined
   }
 
   /** Records that a server ended while it had a request of this instance. */
@@ -136,6 +140,7 @@
    */
   recordAnswer ({ request, levels }: RequestCauses, service: string, server: number, sentAt: number): void {
     this.reporter.recordAlive(server, sentAt)
+    this.reporter.recordAnswer(request)
     this.reporter.countAnswer(service)
     if (this.isAnythingOpen) {
       this.clear([...levels, request], service, this.options.clock.now())
--- a/packages/foxtaillever-relay/src/crashes/createCrashes.ts
+++ b/packages/foxtaillever-relay/src/crashes/createCrashes.ts
@@ -3,9 +3,11 @@
 import type { WritableKeyedLog } from '../knowledge/memberRegistry.js'
 import { ServerState } from '../model/listedServer.js'
 import type { Peers } from '../peers/peers.js'
+import type { RecordReaders } from '../relayOptions.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import { CrashProtocol } from './crashProtocol.js'
+import { HeartbeatCheck } from './heartbeatCheck.js'
 import { QuarantineStore } from './quarantineStore.js'
 
 export interface CrashesOptions {
@@ -14,7 +16,14 @@
   readonly log: WritableKeyedLog
   readonly topic: string
   readonly peers: () => Peers
-  readonly directory: () => Pick<ServerDirectory, 'all'>
+  readonly directory: () => Pick<ServerDirectory, 'all' | 'getByHash'>
+  /** Topic of the servers' entries. */
+  readonly serversTopic: string
+  readonly readServer: RecordReaders['server']
+  /** Interval at which servers write their entries, milliseconds. */
+  readonly serverHeartbeatMs: number
+  /** Up to where the servers' topic is known. */
+  readonly serversPosition: () => number
   /** Running requests must be checked. */
   readonly onQuarantine: () => void
   readonly isLeaving: () => boolean
@@ -26,13 +35,15 @@
   readonly store: QuarantineStore
 }
 
-export function createCrashes ({ clock, relayLog, log, topic, peers, directory, onQuarantine, isLeaving, runInBackground }: CrashesOptions): Crashes {
+export function createCrashes ({ clock, relayLog, log, topic, serversTopic, readServer, serverHeartbeatMs, serversPosition, peers, directory, onQuarantine, isLeaving, runInBackground }: CrashesOptions): Crashes {
+  const heartbeats = HeartbeatCheck.create({ clock, log, topic: serversTopic, readServer, heartbeatMs: serverHeartbeatMs, position: serversPosition, serverOf: hash => directory().getByHash(hash) })
   const protocol = CrashProtocol.create({
     clock,
     log: relayLog,
     address: () => peers().address,
     decidersOf: service => peers().crashDeciders.of(hashNumber(service)),
     serverCount: service => Math.max(1, directory().all().filter(({ listed }) => listed.service === service && listed.state !== ServerState.Gone).length),
+    isBeating: async server => await heartbeats.isBeating(server),
     send: (address, message) => peers().link.sendCrash([address], message),
     sendToAll: message => peers().announceCrash(message),
     onQuarantine,
--- a/packages/foxtaillever-relay/src/crashes/lossReporter.ts
+++ b/packages/foxtaillever-relay/src/crashes/lossReporter.ts
@@ -31,10 +31,14 @@
   readonly server: number
   /** When the attempt began, milliseconds of Unix time. */
   readonly sentAt: number
-  /** When its connection broke. */
+  /** When connections of this instance to the server began to break, nothing heard from it since. */
+  readonly brokenAt: number
+  /** When the connection of the request broke. */
   readonly lostAt: number
   /** When the head of the answer arrived; undefined if it did not. */
   readonly answeredAt: number | undefined
+  /** Whether the server is known to have ended: since then its address refuses connections. */
+  readonly hasEnded: boolean
 }
 
 export interface LossReporterOptions {
@@ -46,11 +50,16 @@
 
 interface ReportedServer {
   readonly service: string
-  /** Milliseconds of Unix time; Infinity once it has answered. */
+  /** When its connections began to break, milliseconds of Unix time; Infinity once it has answered. */
   readonly crashedAt: number
+  /** When the last of them broke, milliseconds of Unix time. */
+  readonly lostAt: number
 }
 
-interface UnsentReport extends Loss {
+const noServers: ReadonlySet<number> = new Set()
+
+interface UnsentReport extends Pick<Loss, 'service' | 'brokenAt'> {
+  hasEnded: boolean
   readonly lost: LostRequest[]
 }
 
@@ -59,8 +68,8 @@
   private readonly unsent = new Map<number, UnsentReport>()
   /** By the hash of the server. */
   private readonly reported = RecentMap.create<ReportedServer>(MAX_REMEMBERED)
-  /** How often requests were lost here, by their digest. */
-  private readonly losses = RecentMap.create<number>(MAX_REMEMBERED)
+  /** Hashes of the servers that crashed with a request of this instance in flight, by the request's digest, since it was last answered. */
+  private readonly crashedBy = RecentMap.create<ReadonlySet<number>>(MAX_REMEMBERED)
   /** By service. */
   private readonly answers = new Map<string, AnswerCounter>()
   private readonly repeater: Repeater
@@ -74,27 +83,39 @@
     return new LossReporter(options)
   }
 
-  /** How often the request, given by its digest, was lost here with its server. */
-  lossesOf (request: string): number {
-    return this.losses.peek(request) ?? 0
+  /** How many servers crashed here with the request, given by its digest, in flight since it was last answered. */
+  crashesWith (request: string): number {
+    return this.crashesOf(request).size
+  }
+
+  /** The request, given by its digest, was answered. */
+  recordAnswer (request: string): void {
+    if (this.crashesWith(request) > 0) {
+      this.crashedBy.set(request, noServers)
+    }
   }
 
   countAnswer (service: string): void {
     this.answersOf(service).count(this.options.clock.now())
   }
 
-  /** @param isTrial whether the request tried its suspected levels. */
+  /**
+   * A request that was sent after the server's connections began to break did not crash it: it
+   * met a server that was down already, or one that resets all connections. Of such requests only
+   * the time of the crash is reported, which other instances may not know.
+   * @param isTrial whether the request tried its suspected levels.
+   */
   recordLoss ({ request, account, levels }: RequestCauses, loss: Loss, isTrial: boolean): void {
-    const { clock } = this.options
-    const { server, service, sentAt, lostAt, answeredAt } = loss
-    const mayBeCause = answeredAt === undefined || lostAt < answeredAt + PROVEN_AFTER_MS
-    this.losses.set(request, this.lossesOf(request) + 1)
-    this.reported.set(String(server), { service, crashedAt: lostAt })
-    const unsent = this.unsent.get(server) ?? { ...loss, lost: [] }
-    unsent.lost.push({ request, account, levels: mayBeCause ? levels : [], sentAt, isTrial })
-    if (unsent.lost.length === 1) {
-      this.unsent.set(server, unsent)
-      clock.at(clock.now() + REPORT_DELAY_MS, () => this.report(server))
+    const { server, service, sentAt, brokenAt, lostAt, answeredAt } = loss
+    const wasInFlight = sentAt <= brokenAt
+    const isReported = this.reported.peek(String(server))?.crashedAt === brokenAt
+    this.reported.set(String(server), { service, crashedAt: brokenAt, lostAt })
+    if (wasInFlight) {
+      const mayBeCause = answeredAt === undefined || lostAt < answeredAt + PROVEN_AFTER_MS
+      this.crashedBy.set(request, new Set([...this.crashesOf(request), server]))
+      this.reportSoon(loss, [{ request, account, levels: mayBeCause ? levels : [], sentAt, isTrial }])
+    } else if (!isReported) {
+      this.reportSoon(loss, [])
     }
   }
 
@@ -104,10 +125,10 @@
    */
   recordAlive (server: number, sentAt: number): void {
     const known = this.reported.size > 0 ? this.reported.peek(String(server)) : undefined
-    if (known && known.crashedAt < sentAt && sentAt < known.crashedAt + ALIVE_WITHIN_MS) {
+    if (known && known.crashedAt < sentAt && sentAt < known.lostAt + ALIVE_WITHIN_MS) {
       const { service } = known
       const { address, sendToDeciders } = this.options
-      this.reported.set(String(server), { service, crashedAt: Infinity })
+      this.reported.set(String(server), { ...known, crashedAt: Infinity })
       this.repeater.repeat(() => sendToDeciders({ kind: DatagramKind.CrashRetraction, address: address(), service, server }))
     }
   }
@@ -117,6 +138,19 @@
     this.repeater.stop()
   }
 
+  private reportSoon (loss: Loss, lost: readonly LostRequest[]): void {
+    const { clock } = this.options
+    const { server, service, brokenAt, hasEnded } = loss
+    const unsent = this.unsent.get(server)
+    if (unsent) {
+      unsent.lost.push(...lost)
+      unsent.hasEnded ||= hasEnded
+      return
+    }
+    this.unsent.set(server, { service, brokenAt, hasEnded, lost: [...lost] })
+    clock.at(clock.now() + REPORT_DELAY_MS, () => this.report(server))
+  }
+
   private report (server: number): void {
     const { clock, address, log, sendToDeciders } = this.options
     const unsent = this.unsent.get(server)
@@ -124,18 +158,22 @@
     if (!unsent || this.isStopped || this.reported.peek(String(server))?.crashedAt === Infinity) {
       return
     }
-    const { service, lostAt, lost } = unsent
+    const { service, brokenAt, hasEnded, lost } = unsent
     const answers = this.answersOf(service).recent(clock.now())
-    log.crashReported(service, server, lost.length)
-    for (let from = 0; from < lost.length; from += MAX_REPORTED) {
+    log.crashReported(service, server, lost.length, hasEnded)
+    for (let from = 0; from === 0 || from < lost.length; from += MAX_REPORTED) {
       const part = lost.slice(from, from + MAX_REPORTED)
       this.repeater.repeat(() => {
         const now = clock.now()
-        sendToDeciders({ kind: DatagramKind.CrashReport, address: address(), service, server, ageMs: now - lostAt, answers, lost: part.map(({ sentAt, ...request }) => ({ ...request, sentAgeMs: now - sentAt })) })
+        sendToDeciders({ kind: DatagramKind.CrashReport, address: address(), service, server, hasEnded, ageMs: now - brokenAt, answers, lost: part.map(({ sentAt, ...request }) => ({ ...request, sentAgeMs: now - sentAt })) })
       })
     }
   }
 
+  private crashesOf (request: string): ReadonlySet<number> {
+    return this.crashedBy.peek(request) ?? noServers
+  }
+
   private answersOf (service: string): AnswerCounter {
     const answers = this.answers.get(service) ?? AnswerCounter.create()
     this.answers.set(service, answers)
--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -39,6 +39,10 @@
 function recordDirectFailure (context: ExchangeContext, exchange: Exchange, { server, beganAt }: FailedAttempt, failure: AttemptFailure, answeredAt: number | undefined): void {
   const { clock, directory, paths, crashes, onUnreachable } = context
   const lostAt = clock.now()
+  if (failure.kind === AttemptFailureKind.Lost) {
+    directory.recordBroken(server)
+  }
+  const { brokenAt } = server
   const suspicion = suspicionOf[failure.kind]
   if (suspicion === undefined) {
     recordServerFailure(context, exchange, server, failure)
@@ -56,7 +60,7 @@
     },
     onNotReached: () => {
       if (mayBeCrash(failure)) {
-        crashes.recordLoss(causesOf(exchange), { service: exchange.service, server: server.hash, sentAt: beganAt, lostAt, answeredAt })
+        crashes.recordLoss(causesOf(exchange), { service: exchange.service, server: server.hash, sentAt: beganAt, brokenAt, lostAt, answeredAt, hasEnded: server.refusedConnectionAt >= brokenAt })
       }
     }
   })
--- a/packages/foxtaillever-relay/src/links/createLinks.ts
+++ b/packages/foxtaillever-relay/src/links/createLinks.ts
@@ -52,7 +52,10 @@
     random,
     log,
     directory,
-    probe: async ({ listed: { address, service } }, deadline) => await probeServer({ address, call: probeCall(routing()?.services.get(service)) }, clock, deadline),
+    probe: async (server, deadline) => {
+      const { address, service } = server.listed
+      return await probeServer({ address, call: probeCall(routing()?.services.get(service)) }, clock, deadline, () => { server.refusedConnectionAt = clock.now() })
+    },
     peers: () => client.soundPeers(),
     probeThrough: async (peer, server, deadline) => await client.probe(peer, server, deadline),
     onStateChanged: () => peers().sendSoon(),
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -25,7 +25,7 @@
   readonly clock: Clock
   readonly wire: AnswerWire
   readonly connectTimeoutMs: number
-  readonly directory: () => Pick<ServerDirectory, 'getByHash' | 'recordHeard'>
+  readonly directory: () => Pick<ServerDirectory, 'getByHash' | 'recordHeard' | 'recordBroken'>
   readonly monitor: Pick<LinkMonitor, 'brokenSince' | 'findFor' | 'suspect'>
   readonly log: Pick<RelayLog, 'carried'>
   readonly crashes: Pick<CrashProtocol, 'findQuarantine' | 'recordLoss'>
@@ -130,7 +130,11 @@
         },
         onFailed: failure => {
           const lostAt = clock.now()
-          this.suspectServer(server, failure, beganAt, () => crashes.recordLoss(causes, { service: server.listed.service, server: server.hash, sentAt: beganAt, lostAt, answeredAt }))
+          if (failure.kind === AttemptFailureKind.Lost) {
+            directory().recordBroken(server)
+          }
+          const { hash, brokenAt, listed: { service } } = server
+          this.suspectServer(server, failure, beganAt, () => crashes.recordLoss(causes, { service, server: hash, sentAt: beganAt, brokenAt, lostAt, answeredAt, hasEnded: server.refusedConnectionAt >= brokenAt }))
           this.reportFailure(response, failure)
           finish(failure.kind)
         }
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -188,6 +188,7 @@
     } else {
       this.markBroken(server, finding)
     }
+    this.options.log.belief('Checked a backend server.', { server: server.listed.id, finding, failures: waiting.length })
     conclude(waiting, finding)
   }
 
--- a/packages/foxtaillever-relay/src/links/serverProbe.ts
+++ b/packages/foxtaillever-relay/src/links/serverProbe.ts
@@ -9,11 +9,15 @@
   readonly call: ServerCall
 }
 
+/** Error code of a connection to an address at which no process listens. */
+const CONNECTION_REFUSED = 'ECONNREFUSED'
+
 /**
  * @param deadline milliseconds of Unix time.
+ * @param onRefused called if the server's address refused the connection.
  * @returns whether the server answered; never rejects.
  */
-export async function probeServer ({ address, call: { method, path, headers } }: ProbeTarget, clock: Clock, deadline: number): Promise<boolean> {
+export async function probeServer ({ address, call: { method, path, headers } }: ProbeTarget, clock: Clock, deadline: number, onRefused: () => void = () => {}): Promise<boolean> {
   const [host, port] = address.split(':')
   return await new Promise(resolve => {
     const probe = request({ host, port, method, path, headers: headers as unknown as Record<string, string>, setHost: false, agent: false })
@@ -24,7 +28,12 @@
       probe.destroy()
     }
     probe.on('response', () => finish(true))
-    probe.on('error', () => finish(false))
+    probe.on('error', ({ code }: NodeJS.ErrnoException) => {
+      if (code === CONNECTION_REFUSED) {
+        onRefused()
+      }
+      finish(false)
+    })
     probe.end()
   })
 }
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -84,4 +84,6 @@
   readonly leasePauseMs: number
   /** Time after the announcement of new weights from which no request may begin on older weights, milliseconds. */
   readonly weightsBoundMs: number
+  /** Interval at which backend servers write their entries, approximately, milliseconds. */
+  readonly serverHeartbeatMs: number
 }
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -53,6 +53,10 @@
   newestAnsweredSentAt: number
   /** When this instance last received anything from it, milliseconds of Unix time; 0 for never. */
   heardAt: number
+  /** When connections of this instance to it began to break, nothing heard since, milliseconds of Unix time; before `heardAt` if none did. */
+  brokenAt: number
+  /** When its address last refused a connection, so that no process listened there, milliseconds of Unix time; 0 for never. */
+  refusedConnectionAt: number
   /** Its weights are being changed by an order until then, milliseconds of Unix time. */
   changingUntil: number
   /** The weights that it will have after that change; undefined if its weights were never changed. */
@@ -81,6 +85,8 @@
     speed: ordinarySpeed,
     newestAnsweredSentAt: 0,
     heardAt: 0,
+    brokenAt: 0,
+    refusedConnectionAt: 0,
     changingUntil: 0,
     changingTo: undefined
   }
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -35,7 +35,7 @@
   private readonly idleListeners = new WeakMap<Duplex, () => void>()
   private readonly idleSince = new WeakMap<Duplex, number>()
 
-  constructor (options: AgentOptions, private readonly now: () => number) {
+  constructor (options: AgentOptions, private readonly now: () => number, private readonly onIdleReset: () => void) {
     super(options)
   }
 
@@ -71,6 +71,7 @@
     this.idleListeners.set(socket, destroy)
     socket.on('data', destroy)
     socket.on('end', destroy)
+    socket.on('error', this.onIdleReset)
     socket.setTimeout(idleMs, destroy)
     socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS)
     return true
@@ -82,6 +83,7 @@
     if (destroy) {
       socket.off('data', destroy)
       socket.off('end', destroy)
+      socket.off('error', this.onIdleReset)
       socket.off('timeout', destroy)
       socket.setTimeout(0)
     }
@@ -112,6 +114,8 @@
   /** Checked right before the first byte of a request is sent. */
   readonly maySend?: () => boolean
   readonly onAnswer?: AnswerListener
+  /** An idle connection was reset, which a server that closes idle ones in good order does not do. */
+  readonly onIdleReset?: () => void
   /** IP address from which connections are opened; the system chooses one if not given. */
   readonly localHost?: string | undefined
 }
@@ -136,7 +140,7 @@
   private readonly onAnswer: AnswerListener
   private readonly localHost: string | undefined
 
-  private constructor ({ address, part, now = () => performance.now(), maySend = () => true, onAnswer = () => {}, localHost }: ServerConnectionsOptions) {
+  private constructor ({ address, part, now = () => performance.now(), maySend = () => true, onAnswer = () => {}, onIdleReset = () => {}, localHost }: ServerConnectionsOptions) {
     this.now = now
     this.localHost = localHost
     this.maySend = maySend
@@ -144,7 +148,7 @@
     const colon = address.lastIndexOf(':')
     this.host = address.slice(0, colon)
     this.port = Number(address.slice(colon + 1))
-    this.agent = new ServerAgent({ keepAlive: true, scheduling: 'lifo' }, now)
+    this.agent = new ServerAgent({ keepAlive: true, scheduling: 'lifo' }, now, onIdleReset)
     this.setLimits(part)
   }
 
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -248,6 +248,13 @@
     this.heardAt = server.heardAt
   }
 
+  /** Records that a connection of this instance to the server broke. Until something is heard from it, the first one counts. */
+  recordBroken (server: KnownServer): void {
+    if (server.brokenAt <= server.heardAt) {
+      server.brokenAt = this.now()
+    }
+  }
+
   /** Records a weights version; within one incarnation of a server versions only increase. */
   recordWeights (server: KnownServer, model: string, version: number): void {
     if (version > (server.weights.get(model) ?? -1)) {
@@ -279,6 +286,7 @@
       now: this.now,
       part: this.connectionPart(listed.service),
       maySend: () => reachableFrom(server) <= this.now(),
+      onIdleReset: () => this.recordBroken(server),
       onAnswer: (status, headers, sentAt) => {
         this.recordHeard(server)
         this.options.onAnswer?.(server, status, headers, sentAt)
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -89,10 +89,10 @@
   }
 
   /** @param heard tells a server that is down from links of this instance that are down. */
-  attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now, forwarder, answeredAt }: LastHeard): void {
+  attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection, sentForMs }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now, forwarder, answeredAt }: LastHeard): void {
     this.metrics.count('tries_failed_total', { kind })
     this.logs.writeFailure(Part.Requests, 'A try failed.', {
-      request: exchange.id, account: exchange.account?.name, sharedLevels: sharedLevelsOf(exchange).map(({ id }) => id).join(' ') || undefined, server, kind, detail, verdict, forwarder, answeringMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt), connection: isOnReusedConnection === true ? 'kept' : undefined, heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now)
+      request: exchange.id, account: exchange.account?.name, sharedLevels: sharedLevelsOf(exchange).map(({ id }) => id).join(' ') || undefined, server, kind, detail, verdict, forwarder, answeringMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt), connection: isOnReusedConnection === true ? 'kept' : undefined, sentForMs: sentForMs === undefined ? undefined : Number(sentForMs.toFixed(1)), heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now)
     })
   }
 
@@ -194,9 +194,16 @@
   }
 
   /** This instance reports requests that were in flight when a server ended. */
-  crashReported (service: string, server: number, lost: number): void {
+  /** @param hasEnded whether the server is known to have ended; otherwise its heartbeats tell. */
+  crashReported (service: string, server: number, lost: number, hasEnded: boolean): void {
     this.metrics.count('server_crashes_reported_total', { service })
-    this.logs.write('info', Part.Fleet, 'Reports requests that were in flight when a backend server ended.', { service, incarnation: server, lost })
+    this.logs.write('info', Part.Fleet, 'Reports requests that were in flight when a backend server ended.', { service, incarnation: server, lost, server: hasEnded ? 'ended' : 'not reached' })
+  }
+
+  /** The connections of a backend server broke and it still writes its entry, so it has not crashed; or it does not. */
+  heartbeatChecked (service: string, server: number, isBeating: boolean): void {
+    this.metrics.count('server_heartbeat_checks_total', { service, beating: String(isBeating) })
+    this.logs.write('info', Part.Fleet, 'Checked whether a backend server that is not reached still writes its entry.', { service, incarnation: server, outcome: isBeating ? 'alive' : 'ended' })
   }
 
   /** This instance found levels of prompts to have been in flight at several crashes. */
--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -18,6 +18,13 @@
 /** From the start of an answer to the crash that it causes, milliseconds. */
 const CRASH_DELAY_MS = { least: 20, most: 120 }
 
+/** How a server crashes on a request. */
+export interface RequestCrash {
+  /** From the arrival of the request's head, or of its body, milliseconds. */
+  readonly afterMs: number
+  readonly isBodyRead: boolean
+}
+
 /** Runs the requests of a kind of server. */
 export interface Runner {
   /** Returns the status of the refusal, or undefined if the request may run. */
@@ -72,6 +79,10 @@
   readonly levelCrashes: number[] = []
   /** How the server crashes on prompts with a level, by the level's id. */
   crashingLevels: ReadonlyMap<string, LevelFault> = new Map()
+  /** How the server crashes on requests with a path, by the path. */
+  crashingPaths: ReadonlyMap<string, RequestCrash> = new Map()
+  /** When it crashed because of a request's path, milliseconds of Unix time. */
+  readonly pathCrashes: number[] = []
   private brittleness: Brittleness | undefined
   /** When it rejected requests for want of room, milliseconds of Unix time. */
   private rejections: number[] = []
@@ -160,7 +171,18 @@
 
   private async handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { method = '', url = '' } = request
+    const fault = this.crashingPaths.get(url)
+    if (fault?.isBodyRead === false) {
+      this.recordArrival(request, Buffer.alloc(0))
+      this.crashOnPath(fault)
+      return
+    }
     const body = await readBody(request)
+    if (fault) {
+      this.recordArrival(request, body)
+      this.crashOnPath(fault)
+      return
+    }
     const call = this.runner.calls[`${method} ${url.split('?')[0]}`]
     const expected = headerOf(request, 'x-expect-instance')
     if (expected !== '' && expected !== this.id) {
@@ -176,6 +198,22 @@
     }
   }
 
+  private crashOnPath ({ afterMs }: RequestCrash): void {
+    const { clock } = this.options
+    const { startedAt } = this
+    const crash = (): void => {
+      if (startedAt === this.startedAt && !this.isRestarting && !this.isClosed) {
+        this.pathCrashes.push(clock.now())
+        this.crash()
+      }
+    }
+    if (afterMs === 0) {
+      crash()
+    } else {
+      clock.at(clock.now() + afterMs, crash)
+    }
+  }
+
   /** Headers of every answer in which the server states its limit and that it leaves. */
   private statementHeaders (): Readonly<Record<string, string>> {
     return {
--- a/packages/foxtaillever-standins/src/platform/link.ts
+++ b/packages/foxtaillever-standins/src/platform/link.ts
@@ -22,6 +22,10 @@
   Reset = 'reset',
   /** Open connections work and new ones are refused. */
   RefuseNew = 'refuse-new',
+  /** Open connections are reset, and new ones as soon as they are accepted. */
+  ResetAccepted = 'reset-accepted',
+  /** Open connections are reset, and new ones as soon as the caller has sent something. */
+  ResetAfterSend = 'reset-after-send',
   /** On open and new connections, bytes from the server are lost and bytes to the server are forwarded. */
   OneWay = 'one-way'
 }
@@ -60,6 +64,8 @@
   [LinkCut.Hang]: faultActions[LinkFault.Silent],
   [LinkCut.Reset]: faultActions[LinkFault.Reset],
   [LinkCut.RefuseNew]: () => {},
+  [LinkCut.ResetAccepted]: faultActions[LinkFault.Reset],
+  [LinkCut.ResetAfterSend]: faultActions[LinkFault.Reset],
   [LinkCut.OneWay]: faultActions[LinkFault.AnswersLost]
 }
 
@@ -71,12 +77,17 @@
   },
   [LinkCut.Reset]: () => {},
   [LinkCut.RefuseNew]: () => {},
+  [LinkCut.ResetAccepted]: () => {},
+  [LinkCut.ResetAfterSend]: () => {},
   [LinkCut.OneWay]: faultActions[LinkFault.Reset]
 }
 
 /** Cuts during which the link refuses new connections. */
 const refusingCuts: ReadonlySet<LinkCut> = new Set([LinkCut.Reset, LinkCut.RefuseNew])
 
+/** Cuts during which the link accepts new connections only to reset them, as a proxy does whose server is down. */
+const acceptingCuts: ReadonlySet<LinkCut> = new Set([LinkCut.ResetAccepted, LinkCut.ResetAfterSend])
+
 export class Link {
   private readonly server: Server
   private readonly connections = new Set<LinkedConnection>()
@@ -126,14 +137,14 @@
     this.connections.forEach(repairActions[cut])
   }
 
-  /** While the target is down, the link refuses connections as the target would. */
+  /** While the target is down, the link refuses connections as the target would, unless a cut accepts them. */
   setTargetUp (isUp: boolean): void {
     this.isTargetUp = isUp
     this.listenOrRefuse()
   }
 
   private listenOrRefuse (): void {
-    const isRefusing = !this.isTargetUp || (this.currentCut !== undefined && refusingCuts.has(this.currentCut))
+    const isRefusing = this.currentCut === undefined ? !this.isTargetUp : refusingCuts.has(this.currentCut) || (!this.isTargetUp && !acceptingCuts.has(this.currentCut))
     if (isRefusing && this.server.listening) {
       this.server.close()
     } else if (!isRefusing && !this.server.listening && !this.isClosed) {
@@ -171,7 +182,9 @@
       socket.on('error', () => faultActions[LinkFault.Reset](connection))
       socket.on('close', end)
     }
-    if (this.currentCut !== undefined) {
+    if (this.currentCut === LinkCut.ResetAfterSend) {
+      callerSocket.once('data', () => faultActions[LinkFault.Reset](connection))
+    } else if (this.currentCut !== undefined) {
       cutActions[this.currentCut](connection)
     }
   }
