--- a/packages/foxtaillever-relay/src/__tests__/answers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/answers.test.ts
@@ -254,8 +254,8 @@
 const DECIDED_WITHIN_MS = 100
 
 /** Ends the connection of a request that ran for a moment. */
-function crashAfterRunning (rig: RelayRig, { socket }: Arrival): void {
-  rig.clock.advanceBy(20).then(() => socket.destroy(), error => { throw error })
+function crashAfterRunning (rig: RelayRig, { socket }: Arrival, ms = 20): void {
+  rig.clock.advanceBy(ms).then(() => socket.destroy(), error => { throw error })
 }
 
 describe('requests that crash servers', () => {
@@ -273,6 +273,20 @@
     rig.stop()
   })
 
+  // Guards against requests whose crashes are not counted because the servers end as soon as they have read the head.
+  for (const ms of [0, 1, 2, 3, 5]) {
+    it(`are refused if the servers crash ${ms} ms after they arrive`, async t => {
+      const rig: RelayRig = await RelayRig.start({}, ...Array.from({ length: 4 }, () => (arrival: Arrival) => crashAfterRunning(rig, arrival, ms)))
+      for (const [index, id] of ['a', 'b', 'c'].entries()) {
+        t.regex(await rig.sendRequest(id, 'poison'), /^HTTP\/1.1 502 /)
+        rig.directory.remove(`s${index}`, 100 + index)
+        await rig.clock.advanceBy(DECIDED_WITHIN_MS)
+      }
+      t.regex(await rig.sendRequest('d', 'poison'), /^HTTP\/1.1 503 [^]*quarantined/)
+      rig.stop()
+    })
+  }
+
   it('are refused by an instance that never received them', async t => {
     const rig: RelayRig = await RelayRig.start({}, ...Array.from({ length: 3 }, () => (arrival: Arrival) => crashAfterRunning(rig, arrival)))
     for (const [index, id] of ['a', 'b', 'c'].entries()) {
