Bound the age of operators' records by the ends of calls that are spread over the watchers

Cause, from a new line with the duration of the call that brings records: the weights ended the held calls of all three watchers at once, all three called again at the same moment, and the store held these calls for their whole 2.5 s although the configuration was there. No position moved without its record, and each configuration was in force in the millisecond of its read, which rules out a skipped record and a slow application. Whatever the store's reason: nothing else asked, and the calls were longer than the bound.

A watcher that another one has overtaken abandons its call. The fake store's set of held calls lost an instance when an unheld call of it ended; no test changed with that.

--- a/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__fixtures__/fakeFleet.ts
@@ -1,5 +1,5 @@
 /** Replicas of several instances around one fake store, on a virtual clock. */
-import { Failure, FailureCode, SeededRandom, Verdict } from 'foxtaillever-core'
+import { Failure, FailureCode, SeededRandom, Verdict, waitUntil, type Random } from 'foxtaillever-core'
 import type { VirtualClock } from 'foxtaillever-testing'
 import { Left, Right, type Either } from 'purify-ts'
 import { Logs } from 'foxtaillever-telemetry'
@@ -13,10 +13,24 @@
 
 const ANSWER_MS = 4
 const HEARTBEAT_MS = 1000
+/** Time within which a configuration must be in force. */
+export const CONFIGURATION_BOUND_MS = 2000
 /** A call fails this long after the store should have answered, milliseconds. */
 const CALL_TIMEOUT_MS = 700
 const unanswered = Failure.create(FailureCode.LogUnavailable, Verdict.NotRun, 'down')
 
+/** How one call to the store fails the expectations of its caller. */
+export enum CallFault {
+  /** It is held to the end of its wait although there is a record. */
+  Held = 'held',
+  /** It is answered late. */
+  Late = 'late',
+  /** Its connection is silent: it is never answered. */
+  Silent = 'silent'
+}
+
+const LATE_MS = 250
+
 /** A store that can be unreachable from some instances. */
 export class FakeStore {
   readonly topics = new Map<string, KeyedRecord[]>()
@@ -26,6 +40,8 @@
   calls = 0
   /** No call gets through. */
   isDown = false
+  /** Draws the fault of a call. */
+  drawFault: (topic: string) => CallFault | undefined = () => undefined
   private era = 0
   /** Calls sent before this time get no answer, milliseconds of Unix time. */
   private silencedAt = -Infinity
@@ -67,7 +83,9 @@
           this.held.add(instance)
         }
         const answer = await this.answer(instance, waitMs, topic, from, () => this.read(topic, from))
-        this.held.delete(instance)
+        if (waitMs > 0) {
+          this.held.delete(instance)
+        }
         return answer
       }
     }
@@ -99,13 +117,18 @@
     this.calls += 1
     const calledAt = this.clock.now()
     const until = calledAt + waitMs
+    const fault = this.drawFault(topic)
     do {
-      await new Promise<void>(resolve => { this.clock.at(this.clock.now() + ANSWER_MS, resolve) })
-    } while (!this.isUnreachableFrom(instance) && this.clock.now() < until && this.endsAt(topic, from))
-    if (calledAt < this.silencedAt) {
-      await new Promise<void>(resolve => { this.clock.at(until + CALL_TIMEOUT_MS, resolve) })
+      await waitUntil(this.clock, this.clock.now() + ANSWER_MS)
+    } while (!this.isUnreachableFrom(instance) && this.clock.now() < until && (this.endsAt(topic, from) || fault === CallFault.Held))
+    if (fault === CallFault.Late) {
+      await waitUntil(this.clock, this.clock.now() + LATE_MS)
+    }
+    const isSilent = calledAt < this.silencedAt || fault === CallFault.Silent
+    if (isSilent) {
+      await waitUntil(this.clock, until + CALL_TIMEOUT_MS)
     }
-    if (calledAt < this.silencedAt || this.isUnreachableFrom(instance)) {
+    if (isSilent || this.isUnreachableFrom(instance)) {
       return Left(unanswered)
     }
     this.lastEras.set(instance, this.era)
@@ -144,6 +167,9 @@
   readonly instances: FakeInstance[] = []
   /** Instances whose datagrams are lost. */
   readonly muted = new Set<string>()
+  /** Share of the datagrams that are lost, drawn one by one. */
+  lossShare = 0
+  private readonly lossRandom: Random = SeededRandom.create(11)
   /** Instances whose calls to others fail. */
   readonly cutOff = new Set<string>()
   /** Instances that the store answered at the last heartbeat. */
@@ -214,6 +240,7 @@
       peers: () => others().map(other => ({ address: other.name, positions: other.replica.positions, revision: revisionOf(other.values) })),
       revision: () => revisionOf(values),
       onRestored: () => {},
+      configurationBoundMs: CONFIGURATION_BOUND_MS,
       self: { name, failureDomain },
       readers: () => others().filter(other => this.answered.has(other.name)).map(other => ({ name: other.name, failureDomain: `domain-${this.instances.indexOf(other) % 3}` })),
       notify: notice => this.deliver(name, { ...notice, address: name }),
@@ -227,7 +254,7 @@
 
   private deliver (from: string, notice: ReadNotice): void {
     if (!this.muted.has(from)) {
-      this.clock.at(this.clock.now() + 1, () => this.instances.filter(({ name, isAlive }) => isAlive && name !== from).forEach(({ replica }) => replica.handleNotice(notice)))
+      this.clock.at(this.clock.now() + 1, () => this.instances.filter(({ name, isAlive }) => isAlive && name !== from && this.lossRandom.next() >= this.lossShare).forEach(({ replica }) => replica.handleNotice(notice)))
     }
   }
 
--- a/packages/foxtaillever-relay/src/knowledge/createStoreReplica.ts
+++ b/packages/foxtaillever-relay/src/knowledge/createStoreReplica.ts
@@ -9,7 +9,7 @@
 import { RecordHandler } from './recordHandler.js'
 import { readWallClockSeconds } from './suspensionDetector.js'
 
-type OwnOptions = Pick<RelayOptions, 'clock' | 'random' | 'log' | 'topics' | 'name' | 'failureDomain' | 'readers'>
+type OwnOptions = Pick<RelayOptions, 'clock' | 'random' | 'log' | 'topics' | 'name' | 'failureDomain' | 'readers' | 'configurationBoundMs'>
 
 export interface CreateStoreReplicaOptions extends OwnOptions {
   readonly relayLog: RelayLog
@@ -24,7 +24,7 @@
 }
 
 export function createStoreReplica (options: CreateStoreReplicaOptions): StoreReplica {
-  const { clock, random, log, topics, name, failureDomain, readers, relayLog, directory, peers, revision, onRouting, onWeights, onRestored } = options
+  const { clock, random, log, topics, name, failureDomain, readers, configurationBoundMs, relayLog, directory, peers, revision, onRouting, onWeights, onRestored } = options
   const recordHandler = RecordHandler.create({
     clock,
     log: relayLog,
@@ -38,6 +38,7 @@
     clock,
     random,
     wallSeconds: readWallClockSeconds,
+    configurationBoundMs,
     self: { name, failureDomain },
     readers: () => peers.likely().filter(({ hasStore }) => hasStore),
     notify: notice => peers.announceReading(notice),
--- a/packages/foxtaillever-relay/src/knowledge/readPlans.ts
+++ b/packages/foxtaillever-relay/src/knowledge/readPlans.ts
@@ -1,13 +1,10 @@
 /** Decides when this instance reads each topic of the platform's store: few instances read at a time and notify the others. */
 import type { Clock } from 'foxtaillever-core'
-import { nextReadAt, nextWatchAt, rankReader, type Reader, type ReaderRank } from 'foxtaillever-policy/relay/readSchedule'
+import { nextReadAt, nextWatchAt, rankReader, watchCallMs, type Reader, type ReaderRank } from 'foxtaillever-policy/relay/readSchedule'
 import { AnnouncedTopic } from '../peers/announcedTopic.js'
 import type { FreshnessTracker } from './freshnessTracker.js'
 import type { TopicFollower, TopicFollowerOptions } from './topicFollower.js'
 
-/** How long the store may hold a call for operators' records, which are rare, milliseconds; it bounds how long a dead connection goes unnoticed. */
-const OPERATORS_WAIT_MS = 2500
-
 /** Without a read, by this instance or announced by another, for this long, other instances are queried, milliseconds. */
 const STALE_MS = 1600
 
@@ -16,6 +13,8 @@
 export interface ReadPlansOptions {
   readonly clock: Clock
   readonly freshness: FreshnessTracker
+  /** Time within which a configuration must be in force, milliseconds. */
+  readonly configurationBoundMs: number
   /** This instance as a reader of the store. */
   readonly self: Reader
   /** Other instances that the store answers. */
@@ -25,6 +24,9 @@
 }
 
 export class ReadPlans {
+  /** Whether a call for operators' records began since the last change. */
+  private hasWatchedSinceChange = false
+
   private constructor (private readonly options: ReadPlansOptions) {}
 
   static create (options: ReadPlansOptions): ReadPlans {
@@ -49,10 +51,15 @@
     return this.options.freshness.freshAt + STALE_MS > this.options.clock.now()
   }
 
+  /** Operators have written something, which ends the calls of all instances that wait for it. */
+  recordOperatorsChange (): void {
+    this.hasWatchedSinceChange = false
+  }
+
   /** Operators' records must arrive at once, so the first instances of each failure domain wait for them at the store. */
   private planOperators (): ReadPlan {
     return {
-      waitMs: () => this.isWatching ? OPERATORS_WAIT_MS : 0,
+      waitMs: () => this.isWatching ? this.nextWatchMs() : 0,
       dueAt: () => this.watchAt(),
       // The servers' topic shows whether the store answers again; calls for both topics would cost twice.
       notBefore: () => this.options.servers().isFailing ? Infinity : 0,
@@ -70,6 +77,12 @@
     }
   }
 
+  private nextWatchMs (): number {
+    const isFirst = !this.hasWatchedSinceChange
+    this.hasWatchedSinceChange = true
+    return watchCallMs(this.options.configurationBoundMs, this.rankAmongReaders(), isFirst)
+  }
+
   private rankAmongReaders (): ReaderRank {
     const { self, readers } = this.options
     return rankReader(self, readers())
--- a/packages/foxtaillever-relay/src/knowledge/readingLog.ts
+++ b/packages/foxtaillever-relay/src/knowledge/readingLog.ts
@@ -34,6 +34,11 @@
     this.log.belief('Read a topic of the platform\'s store whole.', subject)
   }
 
+  /** @param calledAt when the call was sent that brought the records, milliseconds of Unix time. */
+  logNewRecords ({ topic, end, known }: EndedReading, calledAt: number, now: number): void {
+    this.log.belief('Read new records of the platform\'s store.', { topic, end: formatPosition(end), known: formatPosition(known), callMs: Math.round(now - calledAt) })
+  }
+
   logPartialRead ({ topic, end, known }: EndedReading): void {
     const older = this.takeOlderCount(topic)
     if (older > 0) {
--- a/packages/foxtaillever-relay/src/knowledge/storeReplica.ts
+++ b/packages/foxtaillever-relay/src/knowledge/storeReplica.ts
@@ -27,6 +27,9 @@
 /** In this time a live server writes its entry several times, and the entry of a server that has left is removed again, milliseconds. */
 const RESURRECTED_KEYS_MS = 5000
 
+/** An instance that waits at the store gets a change soon after another one announced it; share of the bound on configurations after which its call is abandoned. */
+const OWN_ANSWER_SHARE = 0.05
+
 const topics = Object.values(AnnouncedTopic)
 
 const rankings: Readonly<Record<AnnouncedTopic, RecordRanking>> = {
@@ -39,6 +42,8 @@
   readonly follower: TopicFollower
   /** Changes before this offset were announced to or by other instances. */
   announcedEnd: number
+  /** It will be checked whether the call in flight has brought what another instance announced. */
+  isRecheckDue: boolean
 }
 
 export class StoreReplica {
@@ -154,6 +159,9 @@
       },
       onAdvanced: end => {
         this.readingLog.logPartialRead({ topic, end, known: table.position })
+        if (topic === AnnouncedTopic.Operators && end > table.position) {
+          this.readingLog.logNewRecords({ topic, end, known: table.position }, this.followed[topic].follower.lastCallAt, clock.now())
+        }
         this.handleReading(topic, end, () => table.advanceTo(end))
       },
       onUnreachable: failure => {
@@ -165,7 +173,7 @@
         topics.forEach(other => this.followed[other].follower.reschedule())
       }
     })
-    return { table, follower, announcedEnd: 0 }
+    return { table, follower, announcedEnd: 0, isRecheckDue: false }
   }
 
   /** Called before records of a later era are applied: entries that they lack may be written again. */
@@ -195,6 +203,7 @@
     const wasComplete = table.isComplete
     const from = this.followed[topic].announcedEnd
     advance()
+    this.recordChange(topic)
     this.followed[topic].announcedEnd = table.changed
     const update = wasComplete && table.changed > from && table.knowsRemovalsSince(from) ? limitNewRecords({ topic, from, records: table.recordsSince(from) }) : undefined
     if (topic === AnnouncedTopic.Servers) {
@@ -222,11 +231,20 @@
     const { table, follower } = followed
     this.recordEra(topic, update.position)
     if (table.applyUpdate(update)) {
+      this.recordChange(topic)
       follower.skipTo(update.position)
       followed.announcedEnd = table.changed
     }
   }
 
+  /** Called before the end up to which changes were announced is updated. */
+  private recordChange (topic: AnnouncedTopic): void {
+    const { table, announcedEnd } = this.followed[topic]
+    if (topic === AnnouncedTopic.Operators && table.changed > announcedEnd) {
+      this.plans.recordOperatorsChange()
+    }
+  }
+
   /** Compares the position of another instance with this one's and fetches what is missing. */
   private handlePeerPosition (topic: AnnouncedTopic, { position, changed }: ReadPosition, address: string, freshAt: number): void {
     const { table, follower } = this.followed[topic]
@@ -250,7 +268,26 @@
     } else if (!follower.isReading) {
       // The store's connection is faster than an instance's, and a configuration may be large.
       follower.readNow()
+    } else {
+      this.readAgainIfBehind(topic, changed)
+    }
+  }
+
+  /** The store may hold this instance's call although it has answered others. */
+  private readAgainIfBehind (topic: AnnouncedTopic, changed: number): void {
+    const { clock, configurationBoundMs } = this.options
+    const followed = this.followed[topic]
+    const { table, follower } = followed
+    if (followed.isRecheckDue) {
+      return
     }
+    followed.isRecheckDue = true
+    clock.at(clock.now() + configurationBoundMs * OWN_ANSWER_SHARE, () => {
+      followed.isRecheckDue = false
+      if (table.position < changed) {
+        follower.readAgain()
+      }
+    })
   }
 
   /**
--- a/packages/foxtaillever-relay/src/knowledge/storeReplicaOptions.ts
+++ b/packages/foxtaillever-relay/src/knowledge/storeReplicaOptions.ts
@@ -19,6 +19,8 @@
   readonly relayLog: RelayLog
   readonly link: () => Pick<PeerLink, 'fetchRecords'>
   readonly peers: () => readonly PeerProgress[]
+  /** Time within which a configuration must be in force, milliseconds. */
+  readonly configurationBoundMs: number
   /** This instance as a reader of the store. */
   readonly self: Reader
   /** Other instances that the store answers. */
--- a/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
+++ b/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
@@ -132,6 +132,13 @@
     this.wake()
   }
 
+  /** Abandons a call that the store holds, and reads what there is. */
+  readAgain (): void {
+    this.isReadRequested = true
+    this.interrupt()
+    this.wake()
+  }
+
   private async run (): Promise<void> {
     const { clock } = this.options
     while (this.isRunning) {
@@ -140,10 +147,11 @@
         await this.sleepUntil(Math.min(due, clock.now() + MAX_SLEEP_MS))
         continue
       }
+      const waitMs = this.isReadRequested ? 0 : this.options.waitMs()
       this.isReadRequested = false
       this.lastCallAt = clock.now()
       this.isReading = true
-      const failure = this.next === undefined ? await this.readAll() : await this.readFrom(this.next)
+      const failure = this.next === undefined ? await this.readAll() : await this.readFrom(this.next, waitMs)
       this.isReading = false
       if (failure) {
         this.recordFailure(failure)
@@ -219,10 +227,10 @@
     return undefined
   }
 
-  private async readFrom (from: number): Promise<Failure | undefined> {
-    const { log, topic, waitMs, onRecord, onAdvanced } = this.options
+  private async readFrom (from: number, waitMs: number): Promise<Failure | undefined> {
+    const { log, topic, onRecord, onAdvanced } = this.options
     const interrupted = new Promise<undefined>(resolve => { this.interrupt = () => resolve(undefined) })
-    const page = await Promise.race([log.read(topic, from, waitMs()), interrupted])
+    const page = await Promise.race([log.read(topic, from, waitMs), interrupted])
     return page?.caseOf({
       Left: failure => failure,
       Right: ({ records, next, isGap }) => {
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -84,6 +84,8 @@
   readonly leasePauseMs: number
   /** Time after the announcement of new weights from which no request may begin on older weights, milliseconds. */
   readonly weightsBoundMs: number
+  /** Time within which a configuration must be in force at all instances, milliseconds. */
+  readonly configurationBoundMs: number
   /** Interval at which backend servers write their entries, approximately, milliseconds. */
   readonly serverHeartbeatMs: number
 }
