Keep the product's own entry instance waiting until answers are written out too

It now waits for the answers of its connections to its drain deadline, and logs those that are cut. The connection of the tests that accepts bytes when the test says so is test support now.

--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -3,6 +3,7 @@
 import fastify, { type FastifyError, type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify'
 import { CallerHeader, EnginePath, Failure, FailureCode, type ClientAccount, type Clock, type Configuration } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
+import { CallerConnections } from 'foxtaillever-relay/callers/callerConnections'
 import type { RouterCore } from '../core/routerCore.js'
 import type { InstanceLimits } from '../instance/entryInstanceOptions.js'
 import type { PlainRouter } from '../plain/plainRouter.js'
@@ -42,6 +43,7 @@
 
 export class CallerServer {
   readonly http: FastifyInstance
+  private readonly connections: CallerConnections
 
   private constructor (private readonly options: CallerServerOptions) {
     const { bodyBytes, headerBytes, arrivalTimeoutMs, idleTimeoutMs } = options.limits
@@ -58,6 +60,8 @@
       },
       clientErrorHandler: answerBrokenRequest
     })
+    this.connections = CallerConnections.create(this.http.server, () => true)
+    this.http.server.on('request', (request, response) => this.connections.trackRequest(request.socket, response))
     this.http.setErrorHandler((error: FastifyError, request, reply) => this.refuse(request, reply, readHttpError(error)))
     this.addHealth()
     this.addModels()
@@ -71,6 +75,11 @@
     return new CallerServer(options)
   }
 
+  /** Number of answers that are not written out to their callers. */
+  get unsentAnswers (): number {
+    return this.connections.unsent.answers
+  }
+
   private addHealth (): void {
     this.http.get('/healthz', async () => ({ status: 'alive' }))
     this.http.get('/readyz', (_, reply) => {
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -230,25 +230,33 @@
     this.options.logs.write('info', Part.Process, 'New member keys are in force.', { keys: keys.map(({ id }) => id).join(' ') })
   }
 
+  private logUnsent (): void {
+    const { unsentAnswers } = this.callers
+    if (unsentAnswers > 0) {
+      this.options.logs.write('warn', Part.Callers, 'The shutdown cuts answers whose callers read too slowly.', { unsentAnswers })
+    }
+  }
+
   /** Number of requests and plain calls that still wait for their answer. */
   private inFlight (): number {
     return this.core.inFlight() + this.plain.inFlight()
   }
 
-  /** Accepts nothing new, finishes what is in flight and ends at the drain deadline at the latest. */
+  /** Accepts nothing new, finishes what is in flight, waits until the answers are written out and ends at the drain deadline at the latest. */
   async stop (): Promise<void> {
     const deadline = this.clock.now() + this.options.limits.drainTimeoutMs
     this.accepting = false
     this.fleet.leave()
     this.options.logs.write('info', Part.Process, 'The instance is shutting down.', { inFlight: this.inFlight() })
     const goodbyeUntil = this.clock.now() + GOODBYE_DELAY_MS
-    while (this.clock.now() < goodbyeUntil || (this.inFlight() > 0 && this.clock.now() < deadline)) {
+    while (this.clock.now() < goodbyeUntil || ((this.inFlight() > 0 || this.callers.unsentAnswers > 0) && this.clock.now() < deadline)) {
       await waitUntil(this.clock, this.clock.now() + SHUTDOWN_CHECK_INTERVAL_MS)
     }
     this.core.failAll()
     this.plain.close()
     await this.claims.stop(this.clock.now() + OUTCOME_WRITE_TIMEOUT_MS)
     this.components.forEach(component => component.stop())
+    this.logUnsent()
     await this.callers.http.close()
     await this.control?.close()
     await this.fleet.stop()
--- a/packages/foxtaillever-testing/src/index.ts
+++ b/packages/foxtaillever-testing/src/index.ts
@@ -1,4 +1,5 @@
 /** Public API of the test support. */
 export * from './describe.js'
 export * from './blockEventLoopUntil.js'
+export * from './slowConnection.js'
 export * from './virtualClock.js'
--- a/platform/src/__fixtures__/slowConnection.ts
+++ b/packages/foxtaillever-testing/src/slowConnection.ts
@@ -3,8 +3,6 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { Duplex } from 'node:stream'
-import { HOST } from './caller.js'
-import type { Instance } from './relayFleet.js'
 
 /** Published by node:http for each request that a server of this process receives. */
 const REQUEST_CHANNEL = 'http.server.request.start'
@@ -34,9 +32,13 @@
     return this.heldBytes
   }
 
-  /** Sends the head of a request and a part of its body. */
-  sendHead (id: string, path: string, contentLength: number, body = ''): void {
-    this.push(`POST ${path} HTTP/1.1\r\nHost: ${HOST}\r\nX-Request-Id: ${id}\r\nX-Deadline-Ms: 60000\r\nAuthorization: Bearer key-acme\r\nContent-Length: ${contentLength}\r\n\r\n${body}`)
+  /**
+   * Sends a request, or the beginning of one.
+   * @param contentLength length of the whole body, bytes.
+   */
+  sendRequest (path: string, headers: Readonly<Record<string, string>>, body = '', contentLength = Buffer.byteLength(body)): void {
+    const fields = Object.entries({ ...headers, 'Content-Length': String(contentLength) }).map(([name, value]) => `${name}: ${value}`)
+    this.push([`POST ${path} HTTP/1.1`, ...fields, '', body].join('\r\n'))
   }
 
   /** Accepts everything from now on. */
@@ -66,8 +68,12 @@
   }
 }
 
-/** Connects a slow caller to an instance. @param request sends any request to the instance on a connection of its own. */
-export async function connectSlowly ({ address }: Instance, request: () => Promise<unknown>): Promise<SlowConnection> {
+/**
+ * Connects a slow caller to a server of this process.
+ * @param address IP address and port.
+ * @param request sends any request to the server on a connection of its own.
+ */
+export async function connectSlowly (address: string, request: () => Promise<unknown>): Promise<SlowConnection> {
   let found: Server | undefined
   const find = (message: unknown): void => {
     const { server, socket } = message as RequestStart
