--- a/packages/foxtaillever-relay/src/crashes/heartbeatCheck.ts
+++ b/packages/foxtaillever-relay/src/crashes/heartbeatCheck.ts
@@ -39,7 +39,7 @@
 
   /**
    * @param hash hash of the server's incarnation.
-   * @returns whether it wrote its entry after this call; false also if the store does not tell. Never rejects.
+   * @returns whether it wrote its entry after this call; false also if the store does not tell, or too many are checked. Never rejects.
    */
   async isBeating (hash: number): Promise<boolean> {
     const server = this.options.serverOf(hash)
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -197,7 +197,7 @@
   /** @param hasEnded whether the server is known to have ended; otherwise its heartbeats tell. */
   crashReported (service: string, server: number, lost: number, hasEnded: boolean): void {
     this.metrics.count('server_crashes_reported_total', { service })
-    this.logs.write('info', Part.Fleet, 'Reports requests that were in flight when a backend server ended.', { service, incarnation: server, lost, server: hasEnded ? 'ended' : 'not reached' })
+    this.logs.write('info', Part.Fleet, 'Reports requests that were in flight when a backend server ended.', { service, incarnation: server, lost, state: hasEnded ? 'ended' : 'not reached' })
   }
 
   /** The connections of a backend server broke and it still writes its entry, so it has not crashed; or it does not. */
