Know the holder of the lease on orders by its address as well as its name

An instance that finds its own name in the newest record of the lease takes it at once, which is meant for a restart of the same machine. Fences rose and the record had been read, so neither is at fault.

The holder is the name and the IP address now. A restart goes on at once, as before.

--- a/packages/foxtaillever-relay/src/weights/orderCoordinator.ts
+++ b/packages/foxtaillever-relay/src/weights/orderCoordinator.ts
@@ -10,6 +10,7 @@
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
 import { OrderAnswer, type EngineOrders } from './engineOrders.js'
+import { leaseHolderOf } from './leaseHolder.js'
 import { OrderLease } from './orderLease.js'
 import { LAST_RANK, orderRank } from './orderRank.js'
 import { ProxiedFenceLog } from './proxiedFenceLog.js'
@@ -46,7 +47,7 @@
     reachesServers,
     orders: watchLinks(options),
     log,
-    rank: () => isEligible() && reachesServers() ? orderRank(name, eligiblePeers(peers).map(peer => peer.name), lease.lastHolder) : LAST_RANK,
+    rank: () => isEligible() && reachesServers() ? orderRank(leaseHolderOf({ name, address: peers.address }), eligiblePeers(peers).map(leaseHolderOf), lease.lastHolder) : LAST_RANK,
     outstandingAt: ({ outstanding, hash }) => outstanding + peers.fleetLoad.of(hash).outstanding,
     waitMsAt: server => (server.unreadTokens + peers.fleetLoad.of(server.hash).tokens) / directory.observations.tokensPerMsOf(server),
     announce: updates => peers.announceWeights(updates)
@@ -87,7 +88,7 @@
     uptime: readWallClockSeconds,
     log: proxiedLog,
     topic,
-    holder: name,
+    holder: leaseHolderOf({ name, address: peers.address }),
     incarnation: randomUUID(),
     pauseMs: leasePauseMs,
     onChanged: ({ offset }) => {
--- a/packages/foxtaillever-relay/src/weights/orderLease.ts
+++ b/packages/foxtaillever-relay/src/weights/orderLease.ts
@@ -33,6 +33,7 @@
   readonly uptime: () => number
   readonly log: FenceLog
   readonly topic: string
+  /** This machine as a holder; see `leaseHolderOf`. */
   readonly holder: string
   /** Drawn at each start: a restarted process does not inherit its lease. */
   readonly incarnation: string
@@ -77,7 +78,7 @@
     return isHeld ? this.last?.offset : undefined
   }
 
-  /** Name of the last known holder. */
+  /** The last known holder; see `leaseHolderOf`. */
   get lastHolder (): string | undefined {
     return this.last?.holder
   }
--- a/packages/foxtaillever-relay/src/weights/orderRank.ts
+++ b/packages/foxtaillever-relay/src/weights/orderRank.ts
@@ -6,9 +6,10 @@
 
 /**
  * The last holder comes first, then the others in an order that all instances compute alike.
- * @param others names of the other instances that could take the lease.
+ * @param own this instance as a holder of the lease.
+ * @param others the other instances that could take the lease, as holders.
  */
-export function orderRank (name: string, others: readonly string[], lastHolder: string | undefined): number {
-  const order = [...others, name].sort((a, b) => Number(b === lastHolder) - Number(a === lastHolder) || hashNumber(a) - hashNumber(b))
-  return order.indexOf(name)
+export function orderRank (own: string, others: readonly string[], lastHolder: string | undefined): number {
+  const order = [...others, own].sort((a, b) => Number(b === lastHolder) - Number(a === lastHolder) || hashNumber(a) - hashNumber(b))
+  return order.indexOf(own)
 }
