Replace machines under their names in the drawn histories of orders

The histories told holders apart by name, so that they could not see two machines that bear the same one. Two tests that looked for a holder by its name do so by its machine.

--- a/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
@@ -9,6 +9,7 @@
 import { RelayLog } from '../../telemetry/relayLog.js'
 import type { FenceLog } from '../fenceLog.js'
 import { ProxiedFenceLog } from '../proxiedFenceLog.js'
+import { leaseHolderOf } from '../leaseHolder.js'
 import { OrderLease } from '../orderLease.js'
 import { WeightsRollout } from '../weightsRollout.js'
 import { FakeEngines } from './fakeEngines.js'
@@ -84,7 +85,11 @@
   /** Whether its links to the engines work. */
   reachesServers = true
 
+  /** Address of its machine; a replacement under the same name has another one. */
+  readonly address: string
+
   constructor (private readonly fleet: OrderingFleet, readonly name: string) {
+    this.address = `machine-${fleet.machines++}:7340`
     const { clock, store, engines } = fleet
     const own = new FreezableClock(clock)
     this.clock = own
@@ -95,8 +100,8 @@
       clock: this.clock,
       uptime,
       topic: 'lease',
-      holder: name,
-      incarnation: name,
+      holder: this.holder,
+      incarnation: this.address,
       pauseMs: PAUSE_MS,
       onChanged: snapshot => fleet.send(this, snapshot),
       onReleased: () => fleet.send(this, this.lease.snapshot()),
@@ -105,7 +110,8 @@
     this.rollout = WeightsRollout.create({
       reachesServers: () => this.reachesServers,
       clock: this.clock,
-      holder: name,
+      // The oracle tells machines apart, whatever name they bear.
+      holder: this.address,
       directory: this.directory,
       lease: this.lease,
       orders: { report: async server => await own.read(engines.report(server)), order: async (...call) => await own.read(engines.order(...call)) },
@@ -120,6 +126,16 @@
     this.heartbeat()
   }
 
+  get holder (): string {
+    return leaseHolderOf(this)
+  }
+
+  /** Its machine is gone for good: nothing more of it happens but what is on its way. */
+  end (): void {
+    this.isPartitioned = true
+    this.clock.freeze(Infinity, false)
+  }
+
   /** Adds an entry of an engine to this instance's list. */
   list (id: string, startedAt: number, version: number, offset: number): void {
     this.directory.applyEntry({
@@ -146,6 +162,11 @@
   readonly engines: FakeEngines
   readonly store: FakeFenceLog
   readonly instances: Instance[]
+  /** Machines that have ever run an instance. */
+  machines = 0
+  /** Entries of engines that started again. */
+  private readonly restarts = new Map<string, { readonly startedAt: number, readonly version: number, readonly offset: number }>()
+  private newestVersion = 1
   /** Offset of the next entry of the list. */
   private offset = 1000
   /** How long prompts wait at each engine, milliseconds; may change during a test. */
@@ -168,6 +189,7 @@
 
   /** Operators name a version; every instance learns it after a short random delay. */
   name (version: number): void {
+    this.newestVersion = version
     this.instances.forEach(({ clock, rollout }) => clock.at(clock.now() + this.random.below(HEARTBEAT_MS / 10), () => rollout.addVersion(MODEL, version)))
   }
 
@@ -175,9 +197,22 @@
   restart (id: string): void {
     const { startedAt, version } = this.engines.restart(id)
     const offset = this.offset++
+    this.restarts.set(id, { startedAt, version, offset })
     this.instances.forEach(instance => instance.clock.at(this.clock.now() + this.random.below(MAX_LISTING_DELAY_MS), () => instance.list(id, startedAt, version, offset)))
   }
 
+  /** A machine is gone for good, and another one takes its place under its name after a while. */
+  replace (index: number, afterMs: number): void {
+    const former = this.instances[index]
+    former?.end()
+    this.clock.at(this.clock.now() + afterMs, () => {
+      const instance = new Instance(this, former?.name ?? '')
+      this.instances[index] = instance
+      this.restarts.forEach(({ startedAt, version, offset }, id) => instance.list(id, startedAt, version, offset))
+      instance.rollout.addVersion(MODEL, this.newestVersion)
+    })
+  }
+
   /** Sends datagrams to all other instances; some are lost. */
   send (from: Instance, lease: LeaseUpdate | undefined, updates: readonly WeightsUpdate[] = []): void {
     for (const other of this.instances.filter(instance => instance !== from && !instance.isPartitioned && !from.isPartitioned)) {
@@ -201,7 +236,7 @@
 
   rankOf (instance: Instance): number {
     const last = instance.lease.lastHolder
-    const order = [...this.instances].sort((a, b) => Number(b.name === last) - Number(a.name === last) || hashNumber(a.name) - hashNumber(b.name))
+    const order = [...this.instances].sort((a, b) => Number(b.holder === last) - Number(a.holder === last) || hashNumber(a.holder) - hashNumber(b.holder))
     return instance.storeConditions.isDown ? this.instances.length : order.indexOf(instance)
   }
 }
--- a/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
+++ b/packages/foxtaillever-relay/src/weights/__tests__/rollout.test.ts
@@ -13,7 +13,8 @@
   DatagramsLost = 'datagrams-lost',
   ReleaseLease = 'release-lease',
   RestartEngine = 'restart-engine',
-  StoreRestored = 'store-restored'
+  StoreRestored = 'store-restored',
+  Replace = 'replace'
 }
 
 interface Event {
@@ -72,6 +73,10 @@
       instances.forEach(({ storeConditions }) => { storeConditions.isDown = false })
     }
   },
+  [Fault.Replace]: (fleet, _, { target, forMs }) => {
+    fleet.replace(target, forMs / 4)
+    return () => {}
+  },
   [Fault.ReleaseLease]: (_, { lease }) => {
     lease.release()
     return () => {}
@@ -193,13 +198,13 @@
     const { clock, engines, instances } = fleet
     fleet.name(2)
     await clock.advanceBy(600)
-    const holder = instances.find(({ name }) => name === engines.receivedOrders[0]?.holder)
+    const holder = instances.find(({ address }) => address === engines.receivedOrders[0]?.holder)
     if (holder) {
       holder.storeConditions.isDown = true
     }
     await clock.advanceBy(5400)
     t.deepEqual(new Set(engines.versions), new Set([2]))
-    t.deepEqual(new Set(engines.receivedOrders.map(order => order.holder)), new Set([holder?.name]))
+    t.deepEqual(new Set(engines.receivedOrders.map(order => order.holder)), new Set([holder?.address]))
     t.is(engines.receivedOrders.length, 42)
   })
 
@@ -209,11 +214,11 @@
     const { clock, engines, instances } = fleet
     fleet.name(2)
     await clock.advanceBy(600)
-    const holder = instances.find(({ name }) => name === engines.receivedOrders[0]?.holder)
+    const holder = instances.find(({ address }) => address === engines.receivedOrders[0]?.holder)
     holder?.rollout.stop()
     const ended = clock.now()
     await clock.advanceBy(PAUSE_MS + 1500)
-    const next = engines.receivedOrders.find(order => order.holder !== holder?.name)
+    const next = engines.receivedOrders.find(order => order.holder !== holder?.address)
     t.true(next !== undefined && next.at - ended >= PAUSE_MS && next.at - ended < PAUSE_MS + 1200)
   })
 
@@ -262,7 +267,7 @@
     t.true(await acquire(clock, former))
   })
 
-  // Machines freeze or lose the store or each other; appends and orders are late. Engines must never get orders of two
+  // Machines freeze, lose the store or each other, or are replaced by others under their names; appends and orders are late. Engines must never get orders of two
   // holders within the pause, and once the faults end, all of them must get the newest weights.
   it('reach all engines by one holder at a time under any faults', async t => {
     await fc.assert(fc.asyncProperty(scenario, async drawn => {
