Test streams whose server pauses: they are cut while the server would go on

Callers got 200, some events and a closed connection. An attempt that has been silent for 1.2 s (1.2 s is four times the route's pause objective, 1 s at least) is closed before another server is looked for. If none takes the stream (none of its software version, a refusal, no retry left), the answer is cut, although the first server would have finished it.

--- /dev/null
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/silentStreams.test.ts
@@ -0,0 +1,142 @@
+/** Streams whose server falls silent after the caller has received a part of them. */
+import { setTimeout as wait } from 'node:timers/promises'
+import { describe, it } from 'foxtaillever-testing'
+import { RelayRig } from '../../__fixtures__/relayRig.js'
+import { chunk, streamHead, wholeAnswer, type Answer, type Arrival } from '../../__fixtures__/scriptedServer.js'
+
+const stream = { isStream: true, isResumable: true }
+
+/** Longer than any pause for which an attempt is not taken for silent, milliseconds. */
+const SILENCE_MS = 2500
+
+/** Longest wait for what arrives within a moment on loopback, milliseconds. */
+const MAX_WAIT_MS = 5000
+
+const LAST_CHUNK = '0\r\n\r\n'
+
+function event (id: number): string {
+  return chunk(`id: ${id}\n\n`)
+}
+
+function sendFirstEvent (arrival: Arrival): void {
+  arrival.socket.write(streamHead(arrival) + event(1))
+}
+
+function refuse (arrival: Arrival): void {
+  arrival.socket.write(wholeAnswer(arrival, '', '503 Full', 'not-run: 1'))
+}
+
+function idsOf (text: string): string[] {
+  return [...text.matchAll(/id: (\d+)/g)].map(([, id = '']) => id)
+}
+
+/** A stream of which the caller has received one event, at a server that is silent from then on. */
+class SilentStream {
+  private text = ''
+  private readonly answer: Promise<void>
+
+  private constructor (readonly rig: RelayRig) {
+    const socket = rig.connect()
+    socket.write('POST /p HTTP/1.1\r\nhost: h\r\nrequest-id: a\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
+    socket.on('data', bytes => { this.text += bytes.toString('latin1') })
+    this.answer = new Promise(resolve => socket.once('close', () => resolve()))
+  }
+
+  /** @param others answer whatever the first server's attempt is followed by. */
+  static async begin (...others: Answer[]): Promise<SilentStream> {
+    const rig = await RelayRig.start(stream, sendFirstEvent, ...others)
+    const silent = new SilentStream(rig)
+    await silent.receives(1)
+    await rig.clock.advanceBy(SILENCE_MS)
+    return silent
+  }
+
+  get isComplete (): boolean {
+    return this.text.endsWith(LAST_CHUNK)
+  }
+
+  /** Waits until the caller has this number of events. */
+  async receives (count: number): Promise<void> {
+    for (let ms = 0; ms < MAX_WAIT_MS && idsOf(this.text).length < count; ms += 1) {
+      await wait(1)
+    }
+  }
+
+  /** Whether the server's connection for the stream is closed soon. */
+  async isClosedAt (server: number): Promise<boolean> {
+    return await Promise.race([this.rig.servers[server]?.closed(0).then(() => true), wait(MAX_WAIT_MS, false)]) ?? false
+  }
+
+  send (server: number, text: string): void {
+    this.rig.servers[server]?.arrivals[0]?.socket.write(text)
+  }
+
+  async end (): Promise<string[]> {
+    await Promise.race([this.answer, wait(MAX_WAIT_MS)])
+    this.rig.stop()
+    return idsOf(this.text)
+  }
+}
+
+describe('a stream whose server pauses for longer than the timeout', () => {
+  // Guards against giving up the only server that can finish the stream before another one is found.
+  it('goes on there if no other server can take it', async t => {
+    const silent = await SilentStream.begin()
+    silent.send(0, event(2) + LAST_CHUNK)
+    t.deepEqual(await silent.end(), ['1', '2'])
+    t.true(silent.isComplete)
+  })
+
+  // Guards against giving up the first server once another one is chosen, which may refuse.
+  it('goes on there if the other server refuses it', async t => {
+    const silent = await SilentStream.begin(refuse)
+    await silent.rig.servers[1]?.arrived(1)
+    silent.send(0, event(2) + LAST_CHUNK)
+    t.deepEqual(await silent.end(), ['1', '2'])
+    t.true(silent.isComplete)
+  })
+
+  // Guards against a pause after which the stream can no longer move to another server.
+  it('moves to another server in a later pause if none could take it in the first', async t => {
+    const silent = await SilentStream.begin()
+    silent.send(0, event(2))
+    await silent.receives(2)
+    await silent.rig.addServer(arrival => arrival.socket.write(streamHead(arrival) + event(3) + LAST_CHUNK))
+    await silent.rig.clock.advanceBy(SILENCE_MS)
+    t.deepEqual(await silent.end(), ['1', '2', '3'])
+    t.true(silent.isComplete)
+  })
+
+  // Guards against events of two servers in one stream.
+  it('stays with the server that goes on first', async t => {
+    const silent = await SilentStream.begin(arrival => arrival.socket.write(streamHead(arrival)))
+    await silent.rig.servers[1]?.arrived(1)
+    silent.send(0, event(2))
+    await silent.receives(2)
+    t.true(await silent.isClosedAt(1))
+    silent.send(0, event(3) + LAST_CHUNK)
+    t.deepEqual(await silent.end(), ['1', '2', '3'])
+    t.true(silent.isComplete)
+  })
+
+  // Guards against work that goes on at two servers.
+  it('ends at the first server once the other one goes on', async t => {
+    const silent = await SilentStream.begin(arrival => arrival.socket.write(streamHead(arrival) + event(2)))
+    await silent.receives(2)
+    t.true(await silent.isClosedAt(0))
+    silent.send(1, event(3) + LAST_CHUNK)
+    t.deepEqual(await silent.end(), ['1', '2', '3'])
+    t.true(silent.isComplete)
+  })
+
+  // Guards against a second replacement when the first server is lost after all.
+  it('goes on at the other server if the first one is lost before either sends an event', async t => {
+    const silent = await SilentStream.begin(arrival => arrival.socket.write(streamHead(arrival)))
+    await silent.rig.servers[1]?.arrived(1)
+    silent.rig.servers[0]?.sockets[0]?.destroy()
+    await silent.rig.servers[0]?.closed(0)
+    silent.send(1, event(2) + LAST_CHUNK)
+    t.deepEqual(await silent.end(), ['1', '2'])
+    t.true(silent.isComplete)
+  })
+})
