Keep a silent stream open until another server goes on with it

Callers got 200, some events and a closed connection, while the backend server would have gone on (or had just gone on, and its events were dropped).

Cause: three questions at three moments. `handleSilence` asked whether the request may be repeated, has an attempt left and the retry budget has room, and closed the attempt at once. Only then was a server looked for, a retry counted and the attempt sent. Each of these may fail: no server of the stream's software version, limits, rest, a full queue, a refusal, a retry budget that several streams of one instance asked for in the same moment. An answer that had begun was then cut.

Change: where the answer has begun, the silent attempt stays open while a replacement is found and sent. The first of the two that sends something goes on and the other one is cancelled; a replacement that fails or finds no server leaves the first one where it was, and a later silence may try again. Before an answer has begun nothing changes: the caller gets a clean refusal and may retry.

The ledger counts servers instead of attempts, since an attempt that was silent may fail again later.

--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -56,15 +56,19 @@
     this.splitter = EventSplitter.create()
   }
 
-  /** Returns why this answer cannot continue the one that was begun; undefined where it can. */
+  /** Returns why an answer cannot continue the one that was begun; undefined where it can. */
+  findMismatch (head: AnswerHead): string | undefined {
+    return this.answer.hasBegun && !this.isEventStream(head) ? `status ${head.status} cannot continue the stream that was begun` : undefined
+  }
+
+  /** Begins to forward an answer. Returns why it cannot continue the one that was begun; undefined where it can. */
   begin (head: AnswerHead): string | undefined {
-    const isStreaming = this.exchange.route.isStream && head.marks.isEventStream && head.status < 300
-    if (this.answer.hasBegun && !isStreaming) {
-      return `status ${head.status} cannot continue the stream that was begun`
+    const mismatch = this.findMismatch(head)
+    if (mismatch === undefined) {
+      this.head = head
+      this.isStreaming = this.isEventStream(head)
     }
-    this.head = head
-    this.isStreaming = isStreaming
-    return undefined
+    return mismatch
   }
 
   /** Returns what is wrong with the bytes; undefined where nothing is. */
@@ -115,6 +119,10 @@
     }
   }
 
+  private isEventStream ({ marks, status }: AnswerHead): boolean {
+    return this.exchange.route.isStream && marks.isEventStream && status < 300
+  }
+
   private buffer (bytes: Buffer): void {
     if (this.answer.hasBegun) {
       this.write(bytes)
--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -35,8 +35,8 @@
   arrivals = 0
   /** Code of the last attempt that ran or may have run. The caller gets it rather than the reason why no further attempt is made. */
   ranCode: FailureCode | undefined
-  /** Attempts that ran or may have run. */
-  private runs = 0
+  /** Servers that ran the request or may have run it. */
+  private readonly ranAt = new Set<string>()
   /** Attempts that were rejected by a server. */
   private rejections = 0
   /** Attempts that did not arrive at a server. */
@@ -49,9 +49,9 @@
     return new AttemptLedger(exchange)
   }
 
-  /** Whether one more server may run the request. */
-  get hasAttemptsLeft (): boolean {
-    return this.runs + 1 < this.exchange.route.mostAttempts
+  /** Whether one more server may run the request, besides the one at which an attempt is in flight. */
+  hasAttemptsBeside (server: string): boolean {
+    return new Set([...this.ranAt, server]).size < this.exchange.route.mostAttempts
   }
 
   addAttempt (server: string): void {
@@ -78,24 +78,25 @@
     this.rejections += isArrival && !this.hasRun ? 1 : 0
     this.unconnected += isArrival ? 0 : 1
     if (this.hasRun) {
-      this.runs += 1
+      this.ranAt.add(server)
       this.ranCode = code
       this.raiseVerdict(hasAnswerBegun ? Verdict.Ran : verdict)
     }
   }
 
   /** Records an attempt that this instance ended without an outcome from the server. */
-  recordInterruption (mayHaveArrived: boolean): void {
+  recordInterruption (server: string, mayHaveArrived: boolean): void {
     if (mayHaveArrived) {
+      this.ranAt.add(server)
       this.raiseVerdict(Verdict.MayHaveRun)
     }
   }
 
   /** Whether another attempt may follow the one that failed last. */
   mayRetry (now: number): boolean {
-    const { exchange, runs } = this
+    const { exchange, ranAt } = this
     const { mostAttempts } = exchange.route
-    if (exchange.deadline - now < MIN_ATTEMPT_MS || runs >= mostAttempts) {
+    if (exchange.deadline - now < MIN_ATTEMPT_MS || ranAt.size >= mostAttempts) {
       return false
     }
     return this.hasRun ? isRepeatable(exchange) : this.rejections < MAX_REJECTIONS && this.unconnected < MAX_UNCONNECTED
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -19,8 +19,8 @@
   readonly context: ExchangeContext
   readonly exchange: Exchange
   readonly ledger: AttemptLedger
-  /** Whether the exchange has ended. */
-  readonly isOver: () => boolean
+  /** Whether the exchange still waits for a server. */
+  readonly isNeeded: () => boolean
   /** @param isAdmitted by the owner of the server's queue, which has counted what waits there. */
   readonly onPlaced: (server: KnownServer, isAdmitted: boolean) => void
   /** @param retryAt when the caller may retry, milliseconds of Unix time; undefined where the code determines it. */
@@ -56,15 +56,15 @@
   }
 
   placeNext (): void {
-    const { context, exchange, ledger, isOver } = this.options
+    const { context, exchange, ledger, isNeeded } = this.options
     callWhenDone(context.queryLoad(exchange, ledger), queriedServers => {
-      if (!isOver()) {
+      if (isNeeded()) {
         this.selectServer(queriedServers)
       }
     })
   }
 
-  /** Stops waiting, because the exchange has ended. */
+  /** Stops waiting, because no server is needed any more. */
   stop (): void {
     if (this.admission.isWaiting) {
       this.releaseLimit()
@@ -104,11 +104,11 @@
   }
 
   private onAdmission (server: KnownServer, admission: LimitAdmission, queriedServers: QueriedServers | undefined): void {
-    const { ledger, isOver } = this.options
+    const { ledger, isNeeded } = this.options
     // The retry was counted before the attempt was queued.
     const isRetry = ledger.arrivals > 0 && !this.admission.isWaiting
     this.countedServer = admission === LimitAdmission.Counted ? server : undefined
-    if (isOver()) {
+    if (!isNeeded()) {
       this.releaseLimit()
     } else if (admission === LimitAdmission.Refused) {
       this.selectServer(queriedServers)
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -2,7 +2,8 @@
  * Runs one exchange: places it, makes one or more attempts, and ends in exactly
  * one reply to the caller. The reply is a complete answer or a failure whose
  * verdict counts all attempts. A request that may have run is sent again only
- * where it is repeatable.
+ * where it is repeatable. An answer that has begun stays at a silent server until
+ * another server goes on with it.
  */
 import { atAfterReading, Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
@@ -21,6 +22,7 @@
 import { findAttemptRoute } from './findAttemptRoute.js'
 import { handleSilence, isSilentOnBrokenLink, suspectSilentServer } from './handleSilence.js'
 import { InFlightAttempt } from './inFlightAttempt.js'
+import { InFlightAttempts } from './inFlightAttempts.js'
 import { planAttempt } from './planAttempt.js'
 import { recordAnswer, recordAnswerHead } from './recordAnswerHead.js'
 import { recordAttemptFailure } from './recordAttemptFailure.js'
@@ -33,13 +35,12 @@
 const DEADLINE_GRACE_MS = 40
 
 export class ExchangeRun {
-  private current: InFlightAttempt | undefined
+  private readonly attempts = InFlightAttempts.create(({ serverId, attempt }) => this.ledger.recordInterruption(serverId, attempt.mayHaveArrived))
   private readonly ledger: AttemptLedger
   private readonly continuity: StreamContinuity
   private readonly placement: AttemptPlacement
   private readonly relay: AnswerRelay
   private readonly pace = StreamPace.create()
-  private head: AnswerHead | undefined
   private isOver = false
   /** A server's own error answer, forwarded when no other attempt succeeds. */
   private fallback: { readonly head: AnswerHead, readonly body: Buffer } | undefined
@@ -61,17 +62,17 @@
       context,
       exchange,
       ledger: this.ledger,
-      isOver: () => this.isOver,
+      isNeeded: () => !this.isOver && this.attempts.needsServer,
       onPlaced: (server, isAdmitted) => this.send(server, isAdmitted),
-      onFailed: (code, message, retryAt) => this.fail(code, message, retryAt)
+      onFailed: (code, message, retryAt) => this.onUnplaced(code, message, retryAt)
     })
     this.relay = AnswerRelay.create(exchange, answer, {
       onFirstEvent: () => {
         context.log.firstEvent(exchange, this.now)
-        this.continuity.recordFirstEvent(this.current?.server)
+        this.continuity.recordFirstEvent(this.attempts.current?.server)
       },
       onEvents: () => this.pace.recordChunk(this.now),
-      onBackpressure: () => this.current?.attempt.pause()
+      onBackpressure: () => this.attempts.current?.attempt.pause()
     })
   }
 
@@ -90,7 +91,7 @@
       this.finish(ExchangeEnd.CallerGone, '')
       return
     }
-    answer.listen({ onGone: () => this.onGone(), onDrained: () => this.current?.attempt.resume() })
+    answer.listen({ onGone: () => this.onGone(), onDrained: () => this.attempts.current?.attempt.resume() })
     this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
     retries.addRequest(exchange.service, this.now)
     this.refuseOr(this.guard.findRefusal(), () => this.quota.claim(refusal => this.onAdmitted(refusal)))
@@ -122,12 +123,12 @@
   }
 
   private send (server: KnownServer, isAdmitted: boolean): void {
-    const { exchange, context, relay } = this
+    const { exchange, context, relay, attempts } = this
     const beganAt = this.now
     const refusal = this.guard.findQuarantine()
     if (refusal) {
       this.placement.releaseLimit()
-      this.fail(refusal.code, refusal.message, refusal.retryAt)
+      this.onUnplaced(refusal.code, refusal.message, refusal.retryAt)
       return
     }
     const route = findAttemptRoute(context, exchange, server, this.ledger)
@@ -136,66 +137,102 @@
       return
     }
     this.ledger.addAttempt(server.listed.id)
-    this.head = undefined
-    relay.reset()
+    if (!attempts.current) {
+      relay.reset()
+    }
     this.continuity.recordAttempt(server, relay.lastEventId)
     const { terms, othersTokens } = planAttempt(context, exchange, server, { resumeAfter: relay.lastEventId, isAdmitted })
     const attempt = beginAttempt(context, exchange, route, context.wire.createHeaders(exchange, terms, beganAt), {
       maySend: () => this.guard.maySend(),
-      onHead: head => this.onHead(head),
-      onData: bytes => this.onData(bytes),
-      onEnd: () => this.onEnd(),
-      onFailed: failure => this.onFailed(failure)
+      onHead: head => this.onHead(inFlight, head),
+      onData: bytes => this.onData(inFlight, bytes),
+      onEnd: () => this.onEnd(inFlight),
+      onFailed: failure => this.onFailed(inFlight, failure)
     })
-    this.current = InFlightAttempt.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, usualMs: context.directory.observations.usualTimeOf(exchange.route.name).value, watch: watchAttempt(context, exchange, beganAt, () => this.onSilent()), forwarder: route.path.forwarder, context })
+    const inFlight: InFlightAttempt = InFlightAttempt.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, usualMs: context.directory.observations.usualTimeOf(exchange.route.name).value, watch: watchAttempt(context, exchange, beganAt, () => this.onSilent(inFlight)), forwarder: route.path.forwarder, context })
+    attempts.open(inFlight)
   }
 
-  private onHead (head: AnswerHead): void {
-    const { exchange, context, current } = this
-    if (current) {
-      recordAnswerHead(context, exchange, current, head)
+  /** No server takes the next attempt. The current one goes on, if there is one. */
+  private onUnplaced (code: FailureCode, message: string, retryAt?: number): void {
+    const { attempts, context, exchange } = this
+    if (attempts.current) {
+      attempts.stopReplacing()
+      context.log.notReplaced(exchange, attempts.current.serverId, message)
+      return
     }
-    this.head = head
-    this.rejectIf(this.relay.begin(head))
+    this.fail(code, message, retryAt)
   }
 
-  private onData (bytes: Buffer): void {
-    const { current, context, head } = this
-    current?.recordActivity(this.now)
-    if (head) {
-      this.guard.recordProgress(head.at)
+  private onHead (inFlight: InFlightAttempt, head: AnswerHead): void {
+    const { exchange, context, attempts, relay } = this
+    recordAnswerHead(context, exchange, inFlight, head)
+    inFlight.head = head
+    this.rejectIf(inFlight, inFlight === attempts.current ? relay.begin(head) : relay.findMismatch(head))
+  }
+
+  private onData (inFlight: InFlightAttempt, bytes: Buffer): void {
+    const { context, relay } = this
+    this.goOnWith(inFlight)
+    inFlight.recordActivity(this.now)
+    if (inFlight.head) {
+      this.guard.recordProgress(inFlight.head.at)
     }
-    if (current && current.forwarder === undefined) {
-      context.directory.recordHeard(current.server)
+    if (inFlight.forwarder === undefined) {
+      context.directory.recordHeard(inFlight.server)
     }
-    this.rejectIf(this.relay.push(bytes))
+    this.rejectIf(inFlight, relay.push(bytes))
   }
 
-  private rejectIf (reason: string | undefined): void {
+  private rejectIf (inFlight: InFlightAttempt, reason: string | undefined): void {
     if (reason !== undefined) {
-      this.current?.attempt.reject(reason)
+      inFlight.attempt.reject(reason)
+    }
+  }
+
+  /** The attempt is the first to send something since the current one fell silent. */
+  private goOnWith (inFlight: InFlightAttempt): void {
+    const { attempts, placement, context, exchange } = this
+    if (!attempts.isReplacing) {
+      return
+    }
+    placement.stop()
+    const isReplacement = attempts.choose(inFlight)
+    context.log.silenceEnded(exchange, inFlight.serverId, isReplacement)
+    if (isReplacement) {
+      this.forwardFrom(inFlight)
+    }
+  }
+
+  /** Forwards the answer of an attempt that takes the place of another one. */
+  private forwardFrom ({ head }: InFlightAttempt): void {
+    this.relay.reset()
+    if (head) {
+      this.relay.begin(head)
     }
   }
 
-  private onEnd (): void {
-    const { head, answer, current, context, exchange, relay } = this
+  private onEnd (inFlight: InFlightAttempt): void {
+    this.goOnWith(inFlight)
+    const { answer, context, exchange, relay } = this
+    const { head } = inFlight
     const truncation = relay.findTruncation()
     if (!head || truncation !== undefined) {
-      this.onFailed({ kind: AttemptFailureKind.Lost, detail: truncation ?? 'no answer' })
+      this.onFailed(inFlight, { kind: AttemptFailureKind.Lost, detail: truncation ?? 'no answer' })
       return
     }
-    this.closeCurrent()
+    this.attempts.close(inFlight)
     if (head.status >= 500 && !answer.hasBegun) {
-      this.onServerError(head, relay.body, current)
+      this.onServerError(head, relay.body, inFlight)
       return
     }
-    recordAnswer(context, exchange, current, head)
+    recordAnswer(context, exchange, inFlight, head)
     relay.end()
     this.finish(ExchangeEnd.Answered, String(head.status))
   }
 
   /** The server ran the request and failed. Its answer is forwarded unless another attempt is allowed. */
-  private onServerError (head: AnswerHead, body: Buffer, failed: InFlightAttempt | undefined): void {
+  private onServerError (head: AnswerHead, body: Buffer, failed: InFlightAttempt): void {
     this.fallback = { head, body }
     this.recordFailure({ kind: AttemptFailureKind.ServerError, detail: `status ${head.status}`, isReported: true }, failed)
     if (this.mayRetry()) {
@@ -210,27 +247,45 @@
     this.finish(ExchangeEnd.Answered, String(head.status))
   }
 
-  private onFailed (failure: AttemptFailure): void {
+  private onFailed (inFlight: InFlightAttempt, failure: AttemptFailure): void {
+    const { attempts } = this
     const { kind } = failure
-    const inFlight = this.current
-    this.closeCurrent(meaningOf[kind].verdict === Verdict.MayHaveRun)
+    const promoted = attempts.close(inFlight, meaningOf[kind].verdict === Verdict.MayHaveRun)
     this.recordFailure(failure, inFlight)
     if (!meaningOf[kind].isArrival) {
       this.placement.releaseLimit()
     }
-    if (inFlight && kind === AttemptFailureKind.Misdirected) {
+    if (kind === AttemptFailureKind.Misdirected) {
       this.context.onMisdirected(inFlight, this.exchange, failure)
     }
+    if (promoted) {
+      this.forwardFrom(promoted)
+    } else if (attempts.current) {
+      this.placeReplacement()
+    } else if (!attempts.isReplacing) {
+      this.placeOrFail(failure)
+    }
+  }
+
+  private placeOrFail ({ kind }: AttemptFailure): void {
     if (this.mayRetry()) {
       this.placement.placeNext()
-      return
+    } else {
+      this.fail(meaningOf[kind].code, 'The request could not be completed.')
+    }
+  }
+
+  private placeReplacement (): void {
+    if (this.mayRetry()) {
+      this.placement.placeNext()
+    } else {
+      this.attempts.stopReplacing()
     }
-    this.fail(meaningOf[kind].code, 'The request could not be completed.')
   }
 
-  private recordFailure (failure: AttemptFailure, failed: InFlightAttempt | undefined): void {
-    this.ledger.recordFailure(failed?.serverId ?? '', failure, this.answer.hasBegun, failed?.forwarder)
-    recordAttemptFailure(this.context, this.exchange, failed, failure, this.head?.at)
+  private recordFailure (failure: AttemptFailure, failed: InFlightAttempt): void {
+    this.ledger.recordFailure(failed.serverId, failure, this.answer.hasBegun, failed.forwarder)
+    recordAttemptFailure(this.context, this.exchange, failed, failure, failed.head?.at)
   }
 
   private mayRetry (): boolean {
@@ -242,24 +297,33 @@
    * retried at another server; any other waits for its deadline, because it may
    * still be answered.
    */
-  private onSilent (): void {
-    const { current, context, exchange, relay, ledger, answer } = this
-    if (current && !current.isChanging) {
-      handleSilence(context, exchange, { current, ledger, canContinue: relay.canContinue, hasBegun: answer.hasBegun })
+  private onSilent (inFlight: InFlightAttempt): void {
+    const { context, exchange, relay, ledger, answer, attempts } = this
+    const isReplaceable = inFlight === attempts.current && !attempts.isReplacing && !inFlight.isChanging
+    if (!isReplaceable || !handleSilence(context, exchange, { current: inFlight, ledger, canContinue: relay.canContinue, hasBegun: answer.hasBegun })) {
+      return
+    }
+    if (!answer.hasBegun) {
+      inFlight.attempt.timeOut()
+      return
     }
+    // The server may still be the only one that can finish the answer.
+    attempts.beginReplacing()
+    this.recordFailure({ kind: AttemptFailureKind.Silent, detail: 'no event in time' }, inFlight)
+    this.placeReplacement()
   }
 
-  /** The links of this instance broke: an attempt that is silent since may be abandoned early. */
+  /** The links of this instance broke: an attempt that is silent since may be replaced early. */
   checkLink (): void {
-    if (isSilentOnBrokenLink(this.context, this.current)) {
-      this.onSilent()
+    const { current } = this.attempts
+    if (current && isSilentOnBrokenLink(this.context, current)) {
+      this.onSilent(current)
     }
   }
 
   private onGone (): void {
     if (!this.isOver) {
-      this.ledger.recordInterruption(this.current?.attempt.mayHaveArrived === true)
-      this.cancelCurrent()
+      this.attempts.cancel()
       this.finish(ExchangeEnd.CallerGone, '')
     }
   }
@@ -278,13 +342,12 @@
   }
 
   private interrupt (code: FailureCode, message: string, retryAt?: number): void {
-    const { current, context } = this
-    const mayHaveArrived = current?.attempt.mayHaveArrived === true
-    this.ledger.recordInterruption(mayHaveArrived)
-    if (current && mayHaveArrived && !this.head && code === FailureCode.DeadlinePassed) {
+    const { attempts, context } = this
+    const { current } = attempts
+    if (current?.attempt.mayHaveArrived === true && !current.head && code === FailureCode.DeadlinePassed) {
       suspectSilentServer(context, current, () => {})
     }
-    this.cancelCurrent()
+    attempts.cancel()
     this.fail(code, message, retryAt)
   }
 
@@ -297,17 +360,6 @@
     this.finish(ExchangeEnd.Failed, code, message)
   }
 
-  private cancelCurrent (): void {
-    this.current?.attempt.cancel()
-    this.closeCurrent(this.current?.attempt.mayHaveArrived)
-  }
-
-  private closeCurrent (mayStillRun = false): void {
-    const { current } = this
-    this.current = undefined
-    current?.close(mayStillRun)
-  }
-
   private finish (end: ExchangeEnd, outcome: string, reason?: string): void {
     this.isOver = true
     this.cancelDeadline()
--- a/packages/foxtaillever-relay/src/exchange/handleSilence.ts
+++ b/packages/foxtaillever-relay/src/exchange/handleSilence.ts
@@ -3,7 +3,7 @@
 import type { Exchange } from '../model/exchange.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import type { InFlightAttempt } from './inFlightAttempt.js'
-import { shouldAbandon, type SilentAttempt } from './shouldAbandon.js'
+import { shouldReplace, type SilentAttempt } from './shouldReplace.js'
 
 /** Silence of an attempt after which broken links are taken to be its cause, milliseconds. */
 const BROKEN_SILENCE_MS = 250
@@ -20,7 +20,8 @@
   }
 }
 
-export function handleSilence (context: ExchangeContext, exchange: Exchange, silent: SilentAttempt): void {
+/** Returns whether another attempt is to replace the silent one. */
+export function handleSilence (context: ExchangeContext, exchange: Exchange, silent: SilentAttempt): boolean {
   const { clock, log, paths, directory: { observations } } = context
   const { current } = silent
   const { attempt, server, forwarder } = current
@@ -29,9 +30,11 @@
     // Connections of the same age tend to go silent together; the server itself may be healthy.
     server.connections.closeIdle()
   }
-  if (shouldAbandon(context, exchange, silent)) {
-    attempt.timeOut()
-  } else if (!attempt.isOnReusedConnection) {
+  if (shouldReplace(context, exchange, silent)) {
+    return true
+  }
+  if (!attempt.isOnReusedConnection) {
     suspectSilentServer(context, current, () => observations.recordFault(server, clock.now()))
   }
+  return false
 }
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -1,5 +1,5 @@
 /** An attempt in flight. The load that it puts on its backend server counts until it is closed, which happens once. */
-import type { Attempt } from '../attempts/attempt.js'
+import type { AnswerHead, Attempt } from '../attempts/attempt.js'
 import type { Transfer } from '../cache/fetchLoad.js'
 import type { SendTerms } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
@@ -42,6 +42,8 @@
   private readonly endWait: () => void
   /** When anything was last received, or the attempt began; milliseconds of Unix time. */
   activeAt: number
+  /** Undefined until the answer begins. */
+  head: AnswerHead | undefined
 
   private constructor (private readonly options: InFlightAttemptOptions) {
     const { attempt, server, terms, beganAt, heldTokens } = options
--- /dev/null
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempts.ts
@@ -0,0 +1,93 @@
+/**
+ * The attempts of one exchange that are in flight: the one whose answer is forwarded, and
+ * while that one is silent, its replacement. The first of the two that sends something
+ * goes on, and the other is cancelled.
+ */
+import type { InFlightAttempt } from './inFlightAttempt.js'
+
+export class InFlightAttempts {
+  private forwarded: InFlightAttempt | undefined
+  private replacement: InFlightAttempt | undefined
+  private replacing = false
+
+  private constructor (private readonly onCancelled: (attempt: InFlightAttempt) => void) {}
+
+  /** @param onCancelled called for each attempt that is cancelled, before it is closed. */
+  static create (onCancelled: (attempt: InFlightAttempt) => void): InFlightAttempts {
+    return new InFlightAttempts(onCancelled)
+  }
+
+  /** The attempt whose answer is forwarded. */
+  get current (): InFlightAttempt | undefined {
+    return this.forwarded
+  }
+
+  /** Whether there is no attempt, or a replacement is to be found for the current one. */
+  get needsServer (): boolean {
+    return this.forwarded === undefined || (this.replacing && this.replacement === undefined)
+  }
+
+  /** Whether the current attempt is being replaced. */
+  get isReplacing (): boolean {
+    return this.replacing
+  }
+
+  /** From now on a second attempt may be opened beside the current one. */
+  beginReplacing (): void {
+    this.replacing = true
+  }
+
+  /** Only the current attempt goes on, because no server takes the other one. */
+  stopReplacing (): void {
+    this.replacing = false
+  }
+
+  open (attempt: InFlightAttempt): void {
+    if (this.forwarded) {
+      this.replacement = attempt
+    } else {
+      this.forwarded = attempt
+      this.replacing = false
+    }
+  }
+
+  /** Cancels the other attempt. Returns whether this one was the replacement. */
+  choose (attempt: InFlightAttempt): boolean {
+    const isReplacement = attempt === this.replacement
+    const other = isReplacement ? this.forwarded : this.replacement
+    this.forwarded = attempt
+    this.replacement = undefined
+    this.replacing = false
+    this.cancelAttempt(other)
+    return isReplacement
+  }
+
+  /** Closes an attempt that has ended. Returns the replacement if it takes its place. */
+  close (attempt: InFlightAttempt, mayStillRun = false): InFlightAttempt | undefined {
+    const { replacement } = this
+    this.replacement = undefined
+    if (attempt === this.forwarded) {
+      this.forwarded = replacement
+      this.replacing &&= replacement === undefined
+    }
+    attempt.close(mayStillRun)
+    return attempt === replacement ? undefined : replacement
+  }
+
+  cancel (): void {
+    const { forwarded, replacement } = this
+    this.forwarded = undefined
+    this.replacement = undefined
+    this.replacing = false
+    this.cancelAttempt(forwarded)
+    this.cancelAttempt(replacement)
+  }
+
+  private cancelAttempt (attempt: InFlightAttempt | undefined): void {
+    if (attempt) {
+      this.onCancelled(attempt)
+      attempt.attempt.cancel()
+      attempt.close(attempt.attempt.mayHaveArrived)
+    }
+  }
+}
--- a/packages/foxtaillever-relay/src/exchange/shouldAbandon.ts
+++ b/packages/foxtaillever-relay/src/exchange/shouldReplace.ts
@@ -1,4 +1,4 @@
-/** Decides whether an attempt at a silent server is abandoned for another attempt. */
+/** Decides whether an attempt at a silent server is to be replaced by another attempt. */
 import { isRepeatable, type Exchange } from '../model/exchange.js'
 import type { AttemptLedger } from './attemptLedger.js'
 import type { ExchangeContext } from './exchangeContext.js'
@@ -13,8 +13,8 @@
   readonly hasBegun: boolean
 }
 
-export function shouldAbandon ({ clock, retries, paths }: ExchangeContext, exchange: Exchange, { current, ledger, canContinue, hasBegun }: SilentAttempt): boolean {
+export function shouldReplace ({ clock, retries, paths }: ExchangeContext, exchange: Exchange, { current, ledger, canContinue, hasBegun }: SilentAttempt): boolean {
   // A request that waits in the engine's queue would only wait again at another server.
   const isQueued = exchange.route.isStream && !hasBegun && (!current.isOvertaken || current.isYielding) && !(current.forwarder === undefined && paths.isBroken(current.server))
-  return !isQueued && isRepeatable(exchange) && canContinue && ledger.hasAttemptsLeft && retries.canRetry(exchange.service, clock.now())
+  return !isQueued && isRepeatable(exchange) && canContinue && ledger.hasAttemptsBeside(current.serverId) && retries.canRetry(exchange.service, clock.now())
 }
