Don't take a server for silent while its answer isn't read because the caller reads slowly

Callers that read nothing for 1.2 s while 16 KB and more waited for them got their stream from a second server, or a closed connection if there was none. The first server was also recorded as failing, and its links were probed.

Cause: the watch for silence runs on while the attempt is paused by back pressure; a paused answer delivers no data, whatever the server sends.

Change: a paused attempt isn't taken for silent, and its wait begins anew when it is read again.

silentStreams.test.ts, "a stream whose caller pauses": before, a second server got the request (2 arrivals); after, 1 arrival and all 200 events of 60 KB.

--- a/packages/foxtaillever-relay/src/exchange/__tests__/silentStreams.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/silentStreams.test.ts
@@ -1,7 +1,7 @@
 /** Streams whose server falls silent after the caller has received a part of them. */
 import { setTimeout as wait } from 'node:timers/promises'
 import { describe, it } from 'foxtaillever-testing'
-import { RelayRig } from '../../__fixtures__/relayRig.js'
+import { readAll, RelayRig } from '../../__fixtures__/relayRig.js'
 import { chunk, streamHead, wholeAnswer, type Answer, type Arrival } from '../../__fixtures__/scriptedServer.js'
 
 const stream = { isStream: true, isResumable: true }
@@ -12,6 +12,9 @@
 /** Longest wait for what arrives within a moment on loopback, milliseconds. */
 const MAX_WAIT_MS = 5000
 
+/** The connection of a caller that doesn't read is full within this, milliseconds. */
+const PRESSURE_MS = 300
+
 const LAST_CHUNK = '0\r\n\r\n'
 
 function event (id: number): string {
@@ -140,3 +143,20 @@
     t.true(silent.isComplete)
   })
 })
+
+describe('a stream whose caller pauses for longer than the timeout', () => {
+  // Guards against taking a server for silent that isn't read from because the caller doesn't read.
+  it('goes on at its server, and no other server runs it', async t => {
+    const events = Array.from({ length: 200 }, (_, index) => chunk(`id: ${index + 1}\ndata: ${'x'.repeat(60_000)}\n\n`))
+    const rig = await RelayRig.start(stream, arrival => arrival.socket.write(streamHead(arrival) + events.join('') + LAST_CHUNK), refuse)
+    const socket = rig.connect()
+    socket.write('POST /p HTTP/1.1\r\nhost: h\r\nrequest-id: a\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
+    await new Promise<void>(resolve => socket.once('readable', () => resolve()))
+    await wait(PRESSURE_MS)
+    await rig.clock.advanceBy(SILENCE_MS)
+    const text = await readAll(socket)
+    t.is(idsOf(text).length, events.length)
+    t.is(rig.arrivals, 1)
+    rig.stop()
+  })
+})
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -72,7 +72,7 @@
         this.continuity.recordFirstEvent(this.attempts.current?.server)
       },
       onEvents: () => this.pace.recordChunk(this.now),
-      onBackpressure: () => this.attempts.current?.attempt.pause()
+      onBackpressure: () => this.attempts.current?.pause()
     })
   }
 
@@ -91,7 +91,7 @@
       this.finish(ExchangeEnd.CallerGone, '')
       return
     }
-    answer.listen({ onGone: () => this.onGone(), onDrained: () => this.attempts.current?.attempt.resume() })
+    answer.listen({ onGone: () => this.onGone(), onDrained: () => this.attempts.current?.resume(this.now) })
     this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
     retries.addRequest(exchange.service, this.now)
     this.refuseOr(this.guard.findRefusal(), () => this.quota.claim(refusal => this.onAdmitted(refusal)))
@@ -299,7 +299,7 @@
    */
   private onSilent (inFlight: InFlightAttempt): void {
     const { context, exchange, relay, ledger, answer, attempts } = this
-    const isReplaceable = inFlight === attempts.current && !attempts.isReplacing && !inFlight.isChanging
+    const isReplaceable = inFlight === attempts.current && !attempts.isReplacing && !inFlight.isChanging && !inFlight.isPaused
     if (!isReplaceable || !handleSilence(context, exchange, { current: inFlight, ledger, canContinue: relay.canContinue, hasBegun: answer.hasBegun })) {
       return
     }
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -42,6 +42,8 @@
   private readonly endWait: () => void
   /** When anything was last received, or the attempt began; milliseconds of Unix time. */
   activeAt: number
+  /** Nothing is read from the server at the moment, which says nothing about the server. */
+  isPaused = false
   /** Undefined until the answer begins. */
   head: AnswerHead | undefined
 
@@ -106,6 +108,20 @@
     return this.options.forwarder
   }
 
+  /** Stops reading from the server because the caller reads too slowly. */
+  pause (): void {
+    this.isPaused = true
+    this.attempt.pause()
+  }
+
+  resume (now: number): void {
+    if (this.isPaused) {
+      this.isPaused = false
+      this.attempt.resume()
+      this.recordActivity(now)
+    }
+  }
+
   recordActivity (now: number): void {
     this.activeAt = now
     this.options.watch.recordActivity()
