Log what the caller has of an answer that is cut, and what ended it

Operators could not tell from `Ended: failed.` whether the server of a cut stream still worked, how much its caller had, and whether its bytes had left the process. The line of an answer that had begun now has the state of the last attempt (in flight, or how it failed), events and bytes passed on, the last event id, the time since the server's last byte, bytes not written out, and the revision in force when the exchange began; that of a caller that left has them too. answers_cut_total counts such answers by code and attempt. Lines of requests whose answer had not begun are unchanged.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -92,8 +92,15 @@
   passHeaders: () => []
 }
 
+export interface WarningLine {
+  readonly msg: string
+  readonly [field: string]: unknown
+}
+
 export class RelayRig {
   readonly clock = VirtualClock.create()
+  readonly warnings: WarningLine[] = []
+  readonly log = RelayLog.create(Logs.create({ instance: 'i', level: 'warn', clock: this.clock, destination: { write: text => { this.warnings.push(JSON.parse(text) as WarningLine) } } }))
   /** As of a fleet of one instance. */
   readonly crashes = CrashProtocol.create({
     clock: this.clock,
@@ -140,7 +147,7 @@
     const limits = { headerBytes: 16_384, bodyBytes: 100_000, headerTimeoutMs: 5000, idleTimeoutMs: 5000 }
     const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], limits }
     const random = SeededRandom.create(1)
-    const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
+    const { log } = this
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, onUrgent: () => {} })
     const brittle = BrittleServers.create({ clock, log, directory: this.directory, onUrgent: () => {} })
     this.statements = ServerStatementHandler.create({ clock, log, directory: this.directory, limits: this.limits, brittle, onBackoffRequested: () => {} })
--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -29,6 +29,8 @@
   private isStreaming = false
   /** Id of the last event sent to the caller. */
   lastEventId: string
+  /** Events sent to the caller. */
+  eventsPassed = 0
 
   private constructor (private readonly exchange: Exchange, private readonly answer: CallerAnswer, private readonly listener: AnswerRelayListener) {
     this.lastEventId = exchange.resumeAfter
@@ -84,6 +86,7 @@
       this.beginAnswer()
       this.write(event)
       this.lastEventId = id === '' ? this.lastEventId : id
+      this.eventsPassed += 1
     }
     return this.splitter.isEventTooLarge ? 'an event is too large' : undefined
   }
--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -16,6 +16,13 @@
 /** Time that must be left before the deadline for another attempt, milliseconds. */
 const MIN_ATTEMPT_MS = 20
 
+/** State of an attempt that has not failed. */
+export enum AttemptState {
+  /** No attempt was made. */
+  None = 'none',
+  InFlight = 'in-flight'
+}
+
 export class AttemptLedger {
   /** Servers of all attempts, in order. */
   readonly attemptedServers: string[] = []
@@ -35,6 +42,8 @@
   arrivals = 0
   /** Code of the last attempt that ran or may have run. The caller gets it rather than the reason why no further attempt is made. */
   ranCode: FailureCode | undefined
+  /** How the last attempt failed, or its state if it has not. */
+  lastAttempt: AttemptFailureKind | AttemptState = AttemptState.None
   /** Attempts that ran or may have run. */
   private runs = 0
   /** Attempts that were rejected by a server. */
@@ -56,6 +65,7 @@
 
   addAttempt (server: string): void {
     this.attemptedServers.push(server)
+    this.lastAttempt = AttemptState.InFlight
   }
 
   /**
@@ -65,6 +75,7 @@
    */
   recordFailure (server: string, { kind, isReported }: AttemptFailure, hasAnswerBegun: boolean, forwarder?: string): void {
     const { verdict, code, isArrival } = meaningOf[kind]
+    this.lastAttempt = kind
     this.hasRun = verdict !== Verdict.NotRun
     if (forwarder !== undefined && (isReported !== true || !isArrival)) {
       this.triedForwarders.add(forwarder)
--- a/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
+++ b/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
@@ -21,6 +21,8 @@
 
 export class CallerAnswer {
   private isOver = false
+  /** Bytes of an answer that is forwarded as it arrives. */
+  bytesPassed = 0
 
   private constructor (private readonly response: ServerResponse, private readonly refuse: (failure: Failure) => void) {}
 
@@ -33,6 +35,11 @@
     return this.response.headersSent
   }
 
+  /** Bytes of the answer that the operating system has not accepted yet. */
+  get unsentBytes (): number {
+    return this.response.writableLength
+  }
+
   /** Whether the caller closed its connection while its request was read. */
   get isGone (): boolean {
     return this.response.destroyed
@@ -55,6 +62,7 @@
 
   /** Returns false when the caller has to drain the write buffer first. */
   write (bytes: Buffer): boolean {
+    this.bytesPassed += bytes.length
     return this.response.write(bytes)
   }
 
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -10,6 +10,7 @@
 import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { heldTokensOf, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import { AnswerProgress, type IncompleteAnswer } from './answerProgress.js'
 import { AnswerRelay } from './answerRelay.js'
 import { AttemptLedger } from './attemptLedger.js'
 import { AttemptPlacement } from './attemptPlacement.js'
@@ -39,6 +40,7 @@
   private readonly placement: AttemptPlacement
   private readonly relay: AnswerRelay
   private readonly pace = StreamPace.create()
+  private readonly progress: AnswerProgress
   private head: AnswerHead | undefined
   private isOver = false
   /** A server's own error answer, forwarded when no other attempt succeeds. */
@@ -73,6 +75,7 @@
       onEvents: () => this.pace.recordChunk(this.now),
       onBackpressure: () => this.current?.attempt.pause()
     })
+    this.progress = AnswerProgress.create({ answer, relay: this.relay, ledger: this.ledger, revisionAtStart: context.routing().revision })
   }
 
   static create (context: ExchangeContext, exchange: Exchange, answer: CallerAnswer, onOver: (verdict: Verdict) => void): ExchangeRun {
@@ -162,6 +165,7 @@
   private onData (bytes: Buffer): void {
     const { current, context, head } = this
     current?.recordActivity(this.now)
+    this.progress.recordBytes(this.now)
     if (head) {
       this.guard.recordProgress(head.at)
     }
@@ -260,7 +264,7 @@
     if (!this.isOver) {
       this.ledger.recordInterruption(this.current?.attempt.mayHaveArrived === true)
       this.cancelCurrent()
-      this.finish(ExchangeEnd.CallerGone, '')
+      this.finish(ExchangeEnd.CallerGone, '', undefined, this.progress.describe(this.now))
     }
   }
 
@@ -293,8 +297,9 @@
       this.forwardAnswer(this.fallback.head, this.fallback.body)
       return
     }
+    const incomplete = this.progress.describe(this.now)
     this.answer.fail(Failure.create(code, this.ledger.verdict, message, this.ledger.verdict === Verdict.NotRun ? retryAt : undefined))
-    this.finish(ExchangeEnd.Failed, code, message)
+    this.finish(ExchangeEnd.Failed, code, message, incomplete)
   }
 
   private cancelCurrent (): void {
@@ -308,12 +313,12 @@
     current?.close(mayStillRun)
   }
 
-  private finish (end: ExchangeEnd, outcome: string, reason?: string): void {
+  private finish (end: ExchangeEnd, outcome: string, reason?: string, incomplete?: IncompleteAnswer): void {
     this.isOver = true
     this.cancelDeadline()
     this.placement.stop()
     const { exchange, ledger, now } = this
-    this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.attemptedServers, pace: this.pace.measureSince(exchange.arrivedAt), now, reason })
+    this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.attemptedServers, pace: this.pace.measureSince(exchange.arrivedAt), now, reason, incomplete })
     this.quota.settle(end === ExchangeEnd.Answered || ledger.verdict !== Verdict.NotRun)
     this.onOver(end === ExchangeEnd.Answered ? Verdict.Ran : ledger.verdict)
   }
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -13,6 +13,7 @@
 import type { AdmissionResult } from '../admission/admissionProtocol.js'
 import { LimitScope } from '../limits/limitMessage.js'
 import type { LimitResult } from '../limits/limitProtocol.js'
+import type { IncompleteAnswer } from '../exchange/answerProgress.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { ListedServer } from '../model/listedServer.js'
 import { sharedLevelsOf, type Exchange, type ExchangeHead } from '../model/exchange.js'
@@ -29,7 +30,9 @@
   readonly pace: { readonly firstMs: number, readonly pauseMs: number } | undefined
   readonly now: number
   /** Why the exchange failed, if it did. */
-  readonly reason?: string
+  readonly reason?: string | undefined
+  /** What the caller has of an answer that is not complete; undefined where none has begun. */
+  readonly incomplete?: IncompleteAnswer | undefined
 }
 
 /** When this instance last received anything from backend servers, milliseconds of Unix time; 0 for never. */
@@ -230,12 +233,15 @@
     this.logs.writeFailure(Part.Requests, 'A backend server is silent.', { request: exchange.id, server, connection })
   }
 
-  ended ({ exchange, end, outcome, verdict, servers, pace, now, reason }: ExchangeOutcome): void {
+  ended ({ exchange, end, outcome, verdict, servers, pace, now, reason, incomplete }: ExchangeOutcome): void {
     const ms = Math.round(now - exchange.arrivedAt)
     const { id: request, account, route } = exchange
     this.metrics.count('requests_total', { end, outcome, verdict })
     this.metrics.observe('request_ms', { end }, ms)
-    const subject = { request, account: account?.name, route: route.name, end, outcome, verdict, servers: servers.join(' '), ms, ...pace, promptTokens: exchange.prompt?.promptTokens }
+    if (incomplete && end === ExchangeEnd.Failed) {
+      this.metrics.count('answers_cut_total', { cause: outcome, attempt: incomplete.attempt })
+    }
+    const subject = { request, account: account?.name, route: route.name, end, outcome, verdict, servers: servers.join(' '), ms, ...pace, promptTokens: exchange.prompt?.promptTokens, ...incomplete }
     const isFailure = end === ExchangeEnd.Failed || Number(outcome) >= SERVER_ERROR
     if (isFailure) {
       this.logs.writeFailure(Part.Requests, `Ended: ${end}.`, { ...subject, reason, ...this.describeState(exchange.service) })
