Name answers that are complete and not written out; log memory and event loop delay of a shutdown

An answer that this instance had in full counted as answered, whether its caller got it or not: a connection that closed before the last bytes were written out left no line, and `Stopped.` only had a sum. `Leaving.` and `Stopped.` have resident memory, its peak and by how much the event loop was late at most, before and during the shutdown; the lines of failed requests say for how long the instance has been shutting down, and a second SIGTERM leaves a line. The event loop is measured to the end of a shutdown; what it decides on new connections still ends when listening does.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -218,6 +218,11 @@
     return this.servers.reduce((sum, { arrivals }) => sum + arrivals.length, 0)
   }
 
+  /** Address for callers, IP address and port. */
+  get address (): string {
+    return `127.0.0.1:${this.port}`
+  }
+
   connect (): Socket {
     return connect(this.port, '127.0.0.1').on('error', () => {})
   }
--- a/packages/foxtaillever-relay/src/callers/callerConnections.ts
+++ b/packages/foxtaillever-relay/src/callers/callerConnections.ts
@@ -6,6 +6,7 @@
  */
 import type { Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { PendingAnswer } from './pendingAnswer.js'
 
 /** Answers that this process still owes to callers. */
 export interface UnsentAnswers {
@@ -16,32 +17,42 @@
 
 export class CallerConnections {
   /** Answers of each connection that are not written out: the operating system has not accepted their last byte. */
-  private readonly unsentOf = new Map<Socket, Set<ServerResponse>>()
+  private readonly unsentOf = new Map<Socket, Set<PendingAnswer>>()
   /** Connections whose first request is not read yet. */
   private readonly unread = new Set<Socket>()
   private isClosing = false
 
-  private constructor (private readonly isKept: (unread: number) => boolean) {}
+  private constructor (private readonly isKept: (unread: number) => boolean, private readonly onUnsent: (answer: PendingAnswer) => void) {}
 
-  /** @param isKept decides on a new connection, given how many others have no request read yet. */
-  static create (server: Server, isKept: (unread: number) => boolean): CallerConnections {
-    const connections = new CallerConnections(isKept)
+  /**
+   * @param isKept decides on a new connection, given how many others have no request read yet.
+   * @param onUnsent called when a connection ended before its complete answer was written out.
+   */
+  static create (server: Server, isKept: (unread: number) => boolean, onUnsent: (answer: PendingAnswer) => void = () => {}): CallerConnections {
+    const connections = new CallerConnections(isKept, onUnsent)
     server.on('connection', socket => connections.addConnection(socket))
     return connections
   }
 
   /** Answers to requests of open connections that are not written out, whether they have begun or not. */
   get unsent (): UnsentAnswers {
-    const responses = [...this.unsentOf.values()].flatMap(answers => [...answers])
-    return { answers: responses.length, bytes: responses.reduce((sum, { writableLength }) => sum + writableLength, 0) }
+    const pending = this.pendingAnswers()
+    return { answers: pending.length, bytes: pending.reduce((sum, { unsentBytes }) => sum + unsentBytes, 0) }
+  }
+
+  /** Answers that are complete here and not written out. */
+  get completeUnsent (): readonly PendingAnswer[] {
+    return this.pendingAnswers().filter(({ completeAt }) => completeAt !== undefined)
   }
 
   /** Keeps the connection of a request open until its answer is written out. */
-  trackRequest (socket: Socket, response: ServerResponse): void {
+  trackRequest (socket: Socket, response: ServerResponse): PendingAnswer {
+    const answer = PendingAnswer.create(response)
     this.unread.delete(socket)
-    this.unsentOf.get(socket)?.add(response)
+    this.unsentOf.get(socket)?.add(answer)
     // Emitted after the last byte was handed to the operating system, or when the connection ended.
-    response.once('close', () => this.handleAnswerClosed(socket, response))
+    response.once('close', () => this.handleAnswerClosed(socket, answer))
+    return answer
   }
 
   /** Closes connections without a pending answer now, and the others after their last answer. */
@@ -54,6 +65,10 @@
     }
   }
 
+  private pendingAnswers (): readonly PendingAnswer[] {
+    return [...this.unsentOf.values()].flatMap(answers => [...answers])
+  }
+
   private addConnection (socket: Socket): void {
     if (!this.isKept(this.unread.size)) {
       // Nothing is read, so its request may go to another instance.
@@ -68,9 +83,12 @@
     })
   }
 
-  private handleAnswerClosed (socket: Socket, response: ServerResponse): void {
+  private handleAnswerClosed (socket: Socket, answer: PendingAnswer): void {
     const answers = this.unsentOf.get(socket)
-    answers?.delete(response)
+    answers?.delete(answer)
+    if (answer.completeAt !== undefined && !answer.isWrittenOut) {
+      this.onUnsent(answer)
+    }
     if (answers?.size === 0 && this.isClosing) {
       // Not destroyed: the answer's last bytes may still be on their way.
       socket.destroySoon()
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -17,6 +17,7 @@
 import { answerFailure } from './answerFailure.js'
 import { CallerConnections, type UnsentAnswers } from './callerConnections.js'
 import { EventLoopMonitor } from './eventLoopMonitor.js'
+import type { PendingAnswer } from './pendingAnswer.js'
 
 /** How often node:http checks for requests whose head takes too long, milliseconds. */
 const HEADER_CHECK_MS = 1000
@@ -48,7 +49,7 @@
 
   private constructor (private readonly options: CallerServerOptions) {
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
-    this.connections = CallerConnections.create(this.server, unread => this.isKept(unread))
+    this.connections = CallerConnections.create(this.server, unread => this.isKept(unread), answer => options.log.closedUnsent(answer, options.clock.now()))
     this.eventLoop = EventLoopMonitor.create(options.clock, delayMs => this.observeDelay(delayMs))
     this.setLimits(defaultLimits)
   }
@@ -76,6 +77,17 @@
     return this.connections.unsent
   }
 
+  /** By how much the event loop was late at most since the last call, milliseconds. */
+  takeLargestDelay (): number {
+    return this.eventLoop.takeLargest()
+  }
+
+  /** Logs the complete answers that are not written out, since the process ends. */
+  logUnsent (): void {
+    const { clock, log } = this.options
+    this.connections.completeUnsent.forEach(answer => log.stopsUnsent(answer, clock.now()))
+  }
+
   setLimits (limits: CallerLimits): void {
     this.limits = limits
     // Read by node:http for each new connection, though its types know it at creation only.
@@ -89,15 +101,23 @@
     this.isKeepAliveEnded = true
   }
 
-  /** Accepts no new connections, and closes those without a request. */
+  /** Ends the measurement of the event loop too. */
   close (): void {
     this.eventLoop.stop()
+    this.stopListening()
+  }
+
+  /** Accepts no new connections, and closes those without a request. */
+  stopListening (): void {
     // Not the close of node:http, which destroys connections whose answer has ended but is not written out.
     NetServer.prototype.close.call(this.server)
     this.connections.close()
   }
 
   private observeDelay (delayMs: number): void {
+    if (!this.server.listening) {
+      return
+    }
     const { clock, log, othersDelayMs = () => undefined } = this.options
     const wasActive = this.connectionLimit.isActive
     const others = othersDelayMs()
@@ -116,7 +136,7 @@
   }
 
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
-    this.connections.trackRequest(request.socket, response)
+    const pending = this.connections.trackRequest(request.socket, response)
     if (this.isKeepAliveEnded) {
       response.shouldKeepAlive = false
     }
@@ -126,13 +146,14 @@
         log.malformed(reason)
         answerFailure(response, Failure.notRun(FailureCode.BadRequest, reason), this.options.clock.now())
       },
-      Right: head => this.handleHead(head, request, response)
+      Right: head => this.handleHead(head, request, response, pending)
     })
   }
 
-  private handleHead (head: ExchangeHead, request: IncomingMessage, response: ServerResponse): void {
+  private handleHead (head: ExchangeHead, request: IncomingMessage, response: ServerResponse, pending: PendingAnswer): void {
     const { clock, table, log, onExchange } = this.options
     const arrivedAt = clock.now()
+    pending.requestId = head.id
     const refuse = (failure: Failure): void => {
       log.refused(head, failure)
       answerFailure(response, failure, clock.now())
@@ -150,7 +171,8 @@
           const callerDeadline = head.patienceMs === undefined ? Infinity : arrivedAt + head.patienceMs
           const deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
           this.readBody(request, response, refuse, body => {
-            onExchange({ ...head, route, account, service: selectService(route, head.resumedId || head.id), body, arrivedAt, callerDeadline, deadline }, CallerAnswer.create(response, failure => answerFailure(response, failure, clock.now())))
+            const answer = CallerAnswer.create(response, failure => answerFailure(response, failure, clock.now()), () => { pending.completeAt = clock.now() })
+            onExchange({ ...head, route, account, service: selectService(route, head.resumedId || head.id), body, arrivedAt, callerDeadline, deadline }, answer)
           })
         }
       })
--- a/packages/foxtaillever-relay/src/callers/eventLoopMonitor.ts
+++ b/packages/foxtaillever-relay/src/callers/eventLoopMonitor.ts
@@ -5,6 +5,7 @@
 
 export class EventLoopMonitor {
   private cancel: Cancellation = () => {}
+  private largestMs = 0
 
   private constructor (private readonly clock: Clock, private readonly onMeasured: (delayMs: number) => void) {}
 
@@ -16,10 +17,19 @@
     const dueAt = this.clock.now() + INTERVAL_MS
     this.cancel = this.clock.at(dueAt, () => {
       this.start()
-      this.onMeasured(this.clock.now() - dueAt)
+      const delayMs = this.clock.now() - dueAt
+      this.largestMs = Math.max(this.largestMs, delayMs)
+      this.onMeasured(delayMs)
     })
   }
 
+  /** By how much the event loop was late at most since the last call, milliseconds. */
+  takeLargest (): number {
+    const { largestMs } = this
+    this.largestMs = 0
+    return largestMs
+  }
+
   stop (): void {
     this.cancel()
   }
--- a/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
+++ b/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
@@ -24,11 +24,14 @@
   /** Bytes of an answer that is forwarded as it arrives. */
   bytesPassed = 0
 
-  private constructor (private readonly response: ServerResponse, private readonly refuse: (failure: Failure) => void) {}
+  private constructor (private readonly response: ServerResponse, private readonly refuse: (failure: Failure) => void, private readonly onComplete: () => void) {}
 
-  /** @param refuse writes a failure in the callers' protocol; called only when nothing of an answer was written. */
-  static create (response: ServerResponse, refuse: (failure: Failure) => void): CallerAnswer {
-    return new CallerAnswer(response, refuse)
+  /**
+   * @param refuse writes a failure in the callers' protocol; called only when nothing of an answer was written.
+   * @param onComplete called when the whole answer is in the connection's buffers.
+   */
+  static create (response: ServerResponse, refuse: (failure: Failure) => void, onComplete: () => void = () => {}): CallerAnswer {
+    return new CallerAnswer(response, refuse, onComplete)
   }
 
   get hasBegun (): boolean {
@@ -70,6 +73,7 @@
   end (): void {
     this.isOver = true
     this.response.end()
+    this.onComplete()
   }
 
   /** Sends a complete answer. */
@@ -78,6 +82,7 @@
     const omitsLength = bodilessStatuses.has(status) || this.response.req.method === 'HEAD' || hasContentLength(headers)
     this.response.writeHead(status, omitsLength ? headers as string[] : [...headers, 'Content-Length', String(body.length)])
     this.response.end(body)
+    this.onComplete()
   }
 
   /** Ends with a failure. An answer that was begun is cut by closing the connection, so that it does not look complete. */
@@ -88,5 +93,6 @@
       return
     }
     this.refuse(failure)
+    this.onComplete()
   }
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -20,6 +20,7 @@
 import { waitForRequests } from './waitForRequests.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
+import { describeProcess } from './telemetry/processFigures.js'
 import { AccountQuotas } from './limits/accountQuotas.js'
 import { createLimitProtocols, type LimitProtocols } from './limits/createLimitProtocols.js'
 import { createLinks, type Links } from './links/createLinks.js'
@@ -64,7 +65,8 @@
   private readonly orderCoordinator: OrderCoordinator
   private readonly startCheck = StartCheck.create()
   private table: RouteTable | undefined
-  private isLeaving = false
+  /** Since when the instance has been shutting down, milliseconds of Unix time; undefined while it is not. */
+  private leavingSince: number | undefined
   /** Resolves when the shutdown that has begun is complete. */
   private stopped = Promise.resolve()
   /** Milliseconds of Unix time. */
@@ -148,7 +150,9 @@
 
   /** Shuts down gracefully: not ready at once, but serving until the load balancer has noticed and the last answer is written out. May be called again meanwhile. */
   async stop (): Promise<void> {
-    if (!this.isLeaving) {
+    if (this.isLeaving) {
+      this.log.belief('Told to stop again; the shutdown goes on.', this.describeUnsent())
+    } else {
       this.stopped = this.shutDown()
     }
     await this.stopped
@@ -156,17 +160,17 @@
 
   private async shutDown (): Promise<void> {
     const { clock } = this.options
-    this.isLeaving = true
-    this.log.belief('Leaving.', { requests: this.dispatcher.runs.size, ...this.describeUnsent() })
+    this.leavingSince = clock.now()
+    this.log.belief('Leaving.', { requests: this.dispatcher.runs.size, ...this.describeUnsent(), ...describeProcess(this.callers.takeLargestDelay()) })
     this.callers.endKeepAlive()
     this.peers.sendHeartbeat()
-    await waitForRequests({ clock, graceMs: this.graceMs, stopListening: () => this.callers.close(), unanswered: () => this.dispatcher.runs.size + this.callers.unsent.answers + this.peers.link.openCalls })
+    await waitForRequests({ clock, graceMs: this.graceMs, stopListening: () => this.callers.stopListening(), unanswered: () => this.dispatcher.runs.size + this.callers.unsent.answers + this.peers.link.openCalls })
     await this.close()
   }
 
   /** Ends at once, and fails the requests that are still in flight. */
   async close (): Promise<void> {
-    this.isLeaving = true
+    this.leavingSince ??= this.options.clock.now()
     this.callers.close()
     this.dispatcher.runs.abort()
     const { links, orderCoordinator, dispatcher, storeReplica, streamVersions, crashes, readiness, metricsServer } = this
@@ -175,7 +179,8 @@
     const open = [links.client, readiness, metricsServer]
     open.forEach(part => part.close())
     await this.peers.stop()
-    this.log.belief('Stopped.', this.describeUnsent())
+    this.callers.logUnsent()
+    this.log.belief('Stopped.', { ...this.describeUnsent(), ...describeProcess(this.callers.takeLargestDelay()) })
   }
 
   /** The state that this instance knows, for an operator. */
@@ -183,6 +188,10 @@
     return this.state.dump()
   }
 
+  private get isLeaving (): boolean {
+    return this.leavingSince !== undefined
+  }
+
   private describeUnsent (): Subject {
     const { answers, bytes } = this.callers.unsent
     return { unsentAnswers: answers, unsentBytes: bytes }
@@ -233,7 +242,7 @@
 
   private createState (): RelayState {
     const { options: { name, clock }, dispatcher: { directory, runs } } = this
-    return RelayState.create({ name, clock, directory, routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.storeReplica, lease: () => this.orderCoordinator.lease, open: () => runs.size, isReady: () => this.isReady() })
+    return RelayState.create({ name, clock, directory, routing: () => this.table?.routing, peers: () => this.peers, knowledge: () => this.storeReplica, lease: () => this.orderCoordinator.lease, open: () => runs.size, isReady: () => this.isReady(), leavingSince: () => this.leavingSince })
   }
 
   private createPeers (): Peers {
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -15,6 +15,7 @@
 import type { LimitResult } from '../limits/limitProtocol.js'
 import type { IncompleteAnswer } from '../exchange/answerProgress.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
+import type { PendingAnswer } from '../callers/pendingAnswer.js'
 import type { ListedServer } from '../model/listedServer.js'
 import { sharedLevelsOf, type Exchange, type ExchangeHead } from '../model/exchange.js'
 
@@ -69,6 +70,18 @@
     this.metrics.count('connections_turned_away_total')
   }
 
+  /** A connection ended, by its caller or by this process, before the caller had the complete answer. */
+  closedUnsent (answer: PendingAnswer, now: number): void {
+    this.metrics.count('answers_unsent_total', { when: 'connection-closed' })
+    this.logs.writeFailure(Part.Callers, 'A connection closed before its answer was written out.', describePending(answer, now))
+  }
+
+  /** The process ends, and its connections with it. Only some of many answers are named. */
+  stopsUnsent (answer: PendingAnswer, now: number): void {
+    this.metrics.count('answers_unsent_total', { when: 'process-ended' })
+    this.logs.write('warn', Part.Callers, 'Stops before an answer is written out.', describePending(answer, now))
+  }
+
   malformed (reason: string): void {
     this.metrics.count('malformed_total')
     this.logs.write('warn', Part.Callers, 'Got a malformed request.', { reason })
@@ -261,6 +274,10 @@
   }
 }
 
+function describePending ({ requestId, unsentBytes, completeAt }: PendingAnswer, now: number): Subject {
+  return { request: requestId, unsentBytes, completeForMs: completeAt === undefined ? undefined : Math.round(now - completeAt) }
+}
+
 /** Undefined for a time of 0, which stands for never. */
 function millisecondsSince (at: number, now: number): number | undefined {
   return at === 0 ? undefined : Math.round(now - at)
--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -24,6 +24,8 @@
   /** Number of requests that are not yet answered. */
   readonly open: () => number
   readonly isReady: () => boolean
+  /** Since when this instance has been shutting down, milliseconds of Unix time; undefined while it is not. */
+  readonly leavingSince: () => number | undefined
 }
 
 export class RelayState {
@@ -35,8 +37,9 @@
 
   /** Summary for a failure: the configuration's revision, and the servers that could have taken the request. */
   summarize (service?: string): Subject {
-    const { clock, routing, directory, knowledge } = this.options
-    const common = { revision: routing()?.revision, store: knowledge().hasStore ? 'answers' : 'dark' }
+    const { clock, routing, directory, knowledge, leavingSince } = this.options
+    const since = leavingSince()
+    const common = { revision: routing()?.revision, store: knowledge().hasStore ? 'answers' : 'dark', ...(since === undefined ? {} : { leavingMs: Math.round(clock.now() - since) }) }
     if (service === undefined) {
       return common
     }
