Log carried requests whose answer is cut, and those that their instance cancels

An instance that carried a request for another one left no line when the other one closed the call, and one of level info, with no word on the answer, when the server broke it off. Both now leave one line with the bytes passed on and for how long the server had been answering; where an answer had begun it is a warning.

--- a/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
@@ -12,6 +12,7 @@
 import { ServerState } from '../../model/listedServer.js'
 import type { PeerMessage } from '../../peers/peerMessage.js'
 import type { KnownServer } from '../../servers/knownServer.js'
+import type { CarriedRequest } from '../../telemetry/requestOutcome.js'
 import type { Loss } from '../../crashes/lossReporter.js'
 import type { RequestCauses } from '../../crashes/lostRequests.js'
 import { ServerDirectory } from '../../servers/serverDirectory.js'
@@ -43,6 +44,8 @@
   /** What the carrying instance recorded as lost. */
   readonly losses: Array<{ readonly causes: RequestCauses, readonly loss: Loss }> = []
   readonly outcomes: string[] = []
+  /** What the carrying instance logged of each request. */
+  readonly logged: CarriedRequest[] = []
   private readonly http: Server
   readonly carrying: ForwardingServer
   readonly client: ForwardingClient
@@ -57,7 +60,12 @@
       connectTimeoutMs: 500,
       directory: () => this.directory,
       monitor: { brokenSince: () => this.isBroken ? 1 : undefined, findFor: async () => ProbeFinding.Reached, suspect: (_server, _suspicion, _beganAt, conclusions) => conclusions?.onNotReached?.() },
-      log: { carried: ({ outcome }) => this.outcomes.push(outcome) },
+      log: {
+        carried: request => {
+          this.outcomes.push(request.outcome)
+          this.logged.push(request)
+        }
+      },
       crashes: { findQuarantine: () => this.quarantine, recordLoss: (causes, loss) => this.losses.push({ causes, loss }) },
       isMember: address => this.members.has(address),
       maxBodyBytes: () => 1000
@@ -193,6 +201,20 @@
       socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nstamp: s\r\ncontent-length: 10\r\n\r\nok`, () => { socket.destroy() })
     })
     t.is((await rig.send('r1')).failure?.kind, AttemptFailureKind.Lost)
+    t.is(rig.logged.length, 1)
+    t.like(rig.logged[0], { request: 'r1', outcome: AttemptFailureKind.Lost, bytes: 2 })
+    t.true(Number(rig.logged[0]?.answeringMs) >= 0)
+    rig.stop()
+  })
+
+  // Guards against a stream that ends at the instance that asked, of which the carrying instance's log says nothing.
+  it('leaves a line if its instance cancels it in the middle of the answer', async t => {
+    const rig = await Rig.start(({ id, socket }) => { socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nstamp: s\r\ncontent-length: 10\r\n\r\nok`) })
+    rig.send('r1', '', attempt => setTimeout(() => attempt.cancel(), RUN_MS)).catch(t.fail)
+    await rig.scripted.arrived(1)
+    await rig.scripted.closed(0)
+    t.is(rig.logged.length, 1)
+    t.like(rig.logged[0], { request: 'r1', outcome: 'cancelled', bytes: 2 })
     rig.stop()
   })
 
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -8,6 +8,7 @@
 import { Attempt } from '../attempts/attempt.js'
 import { AttemptFailureKind, mayBeCrash, type AttemptFailure } from '../attempts/attemptFailure.js'
 import type { CrashProtocol } from '../crashes/crashProtocol.js'
+import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { AnswerWire } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { reachableFrom } from '../servers/serverAvailability.js'
@@ -21,6 +22,9 @@
 /** Requests that one instance carries at the same time, some ten kilobytes each: they must not crowd out its own. */
 const MAX_CARRIED = 256
 
+/** Outcome of a request whose instance closed the call before the answer was complete. */
+const CANCELLED = 'cancelled'
+
 export interface ForwardingServerOptions {
   readonly clock: Clock
   readonly wire: AnswerWire
@@ -104,7 +108,15 @@
     const { clock, wire, connectTimeoutMs, directory, log, crashes } = this.options
     const beganAt = clock.now()
     let answeredAt: number | undefined
-    const finish = (outcome: string): void => log.carried({ request: requestId, from, server: server.listed.id, outcome, ms: Math.round(clock.now() - beganAt) })
+    let bytesPassed = 0
+    let isOver = false
+    const finish = (outcome: string): void => {
+      if (!isOver) {
+        isOver = true
+        const now = clock.now()
+        log.carried({ request: requestId, from, server: server.listed.id, outcome, ms: Math.round(now - beganAt), bytes: bytesPassed, answeringMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt) })
+      }
+    }
     const attempt = Attempt.begin({
       clock,
       wire,
@@ -120,13 +132,14 @@
         },
         onData: bytes => {
           directory().recordHeard(server)
+          bytesPassed += bytes.length
           if (!response.write(bytes)) {
             attempt.pause()
           }
         },
         onEnd: () => {
           response.end()
-          finish('answered')
+          finish(ExchangeEnd.Answered)
         },
         onFailed: failure => {
           const lostAt = clock.now()
@@ -135,8 +148,8 @@
           }
           const { hash, brokenAt, listed: { service } } = server
           this.suspectServer(server, failure, beganAt, () => crashes.recordLoss(causes, { service, server: hash, sentAt: beganAt, brokenAt, lostAt, answeredAt, hasEnded: server.refusedConnectionAt >= brokenAt }))
-          this.reportFailure(response, failure)
           finish(failure.kind)
+          this.reportFailure(response, failure)
         }
       }
     })
@@ -144,6 +157,7 @@
     response.on('close', () => {
       if (!response.writableFinished) {
         attempt.cancel()
+        finish(CANCELLED)
       }
     })
   }
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -2,7 +2,7 @@
  * Log lines of the relay: one for each decision that affects a request or
  * changes the state of the process, and the metrics that go with them.
  */
-import { Verdict, type Failure } from 'foxtaillever-core'
+import type { Failure, Verdict } from 'foxtaillever-core'
 import type { LimitOutcome, LimitRole } from 'foxtaillever-policy/limits/sharedLimitLedger'
 import type { StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
 import type { Quarantine } from 'foxtaillever-policy/crashes/quarantineTable'
@@ -13,39 +13,11 @@
 import type { AdmissionResult } from '../admission/admissionProtocol.js'
 import { LimitScope } from '../limits/limitMessage.js'
 import type { LimitResult } from '../limits/limitProtocol.js'
-import type { IncompleteAnswer } from '../exchange/answerProgress.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { PendingAnswer } from '../callers/pendingAnswer.js'
 import type { ListedServer } from '../model/listedServer.js'
 import { sharedLevelsOf, type Exchange, type ExchangeHead } from '../model/exchange.js'
-
-/** How an exchange ended. */
-export interface ExchangeOutcome {
-  readonly exchange: Exchange
-  readonly end: ExchangeEnd
-  /** Status, or the failure's code. */
-  readonly outcome: string
-  readonly verdict: Verdict
-  readonly servers: readonly string[]
-  /** Timing of a streamed answer; see `StreamPace`. */
-  readonly pace: { readonly firstMs: number, readonly pauseMs: number } | undefined
-  readonly now: number
-  /** Why the exchange failed, if it did. */
-  readonly reason?: string | undefined
-  /** What the caller has of an answer that is not complete; undefined where none has begun. */
-  readonly incomplete?: IncompleteAnswer | undefined
-}
-
-/** When this instance last received anything from backend servers, milliseconds of Unix time; 0 for never. */
-export interface LastHeard {
-  readonly serverAt: number
-  readonly anyServerAt: number
-  readonly now: number
-  /** Address of the instance that carried the request; undefined for none. */
-  readonly forwarder?: string | undefined
-  /** When the head of the answer arrived; undefined if it did not. */
-  readonly answeredAt?: number | undefined
-}
+import type { CarriedRequest, ExchangeOutcome, LastHeard } from './requestOutcome.js'
 
 /** Summarizes the state of the process, and of a service if one is given. */
 export type DescribeState = (service?: string) => Subject
@@ -125,9 +97,15 @@
   }
 
   /** This instance carried a request of another one to a server. */
-  carried (subject: { readonly request: string, readonly from: string, readonly server: string, readonly outcome: string, readonly ms: number }): void {
+  carried (subject: CarriedRequest): void {
     this.metrics.count('requests_carried_total', { outcome: subject.outcome })
-    this.logs.write('info', Part.Requests, 'Carried a request of another instance.', { ...subject })
+    const isCut = subject.answeringMs !== undefined && subject.outcome !== ExchangeEnd.Answered
+    const sentence = 'Carried a request of another instance.'
+    if (isCut) {
+      this.logs.writeFailure(Part.Requests, sentence, { ...subject })
+    } else {
+      this.logs.write('info', Part.Requests, sentence, { ...subject })
+    }
   }
 
   /** The queue at its server would make the request late; it goes behind requests that can be in time. */
