--- a/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
+++ b/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
@@ -21,18 +21,28 @@
 
 export class CallerAnswer {
   private isOver = false
+  /** Bytes of an answer that is forwarded as it arrives. */
+  bytesPassed = 0
 
-  private constructor (private readonly response: ServerResponse, private readonly refuse: (failure: Failure) => void) {}
+  private constructor (private readonly response: ServerResponse, private readonly refuse: (failure: Failure) => void, private readonly onComplete: () => void) {}
 
-  /** @param refuse writes a failure in the callers' protocol; called only when nothing of an answer was written. */
-  static create (response: ServerResponse, refuse: (failure: Failure) => void): CallerAnswer {
-    return new CallerAnswer(response, refuse)
+  /**
+   * @param refuse writes a failure in the callers' protocol; called only when nothing of an answer was written.
+   * @param onComplete called when the whole answer is in the connection's buffers.
+   */
+  static create (response: ServerResponse, refuse: (failure: Failure) => void, onComplete: () => void = () => {}): CallerAnswer {
+    return new CallerAnswer(response, refuse, onComplete)
   }
 
   get hasBegun (): boolean {
     return this.response.headersSent
   }
 
+  /** Bytes of the answer that the operating system has not accepted yet. */
+  get unsentBytes (): number {
+    return this.response.writableLength
+  }
+
   /** Whether the caller closed its connection while its request was read. */
   get isGone (): boolean {
     return this.response.destroyed
@@ -55,6 +65,7 @@
 
   /** Returns false when the caller has to drain the write buffer first. */
   write (bytes: Buffer): boolean {
+    this.bytesPassed += bytes.length
     return this.response.write(bytes)
   }
 
@@ -62,6 +73,7 @@
   end (): void {
     this.isOver = true
     this.response.end()
+    this.onComplete()
   }
 
   /** Sends a complete answer. */
@@ -70,6 +82,7 @@
     const omitsLength = bodilessStatuses.has(status) || this.response.req.method === 'HEAD' || hasContentLength(headers)
     this.response.writeHead(status, omitsLength ? headers as string[] : [...headers, 'Content-Length', String(body.length)])
     this.response.end(body)
+    this.onComplete()
   }
 
   /** Ends with a failure. An answer that was begun is cut by closing the connection, so that it does not look complete. */
@@ -80,5 +93,6 @@
       return
     }
     this.refuse(failure)
+    this.onComplete()
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -11,6 +11,7 @@
 import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
 import { heldTokensOf, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import { AnswerProgress, type IncompleteAnswer } from './answerProgress.js'
 import { AnswerRelay } from './answerRelay.js'
 import { AttemptLedger } from './attemptLedger.js'
 import { AttemptPlacement } from './attemptPlacement.js'
@@ -41,6 +42,7 @@
   private readonly placement: AttemptPlacement
   private readonly relay: AnswerRelay
   private readonly pace = StreamPace.create()
+  private readonly progress: AnswerProgress
   private isOver = false
   /** A server's own error answer, forwarded when no other attempt succeeds. */
   private fallback: { readonly head: AnswerHead, readonly body: Buffer } | undefined
@@ -74,6 +76,7 @@
       onEvents: () => this.pace.recordChunk(this.now),
       onBackpressure: () => this.attempts.current?.pause()
     })
+    this.progress = AnswerProgress.create({ answer, relay: this.relay, ledger: this.ledger, revisionAtStart: context.routing().revision })
   }
 
   static create (context: ExchangeContext, exchange: Exchange, answer: CallerAnswer, onOver: (verdict: Verdict) => void): ExchangeRun {
@@ -175,6 +178,7 @@
     const { context, relay } = this
     this.goOnWith(inFlight)
     inFlight.recordActivity(this.now)
+    this.progress.recordBytes(this.now)
     if (inFlight.head) {
       this.guard.recordProgress(inFlight.head.at)
     }
@@ -192,12 +196,13 @@
 
   /** The attempt is the first to send something since the current one fell silent. */
   private goOnWith (inFlight: InFlightAttempt): void {
-    const { attempts, placement, context, exchange } = this
+    const { attempts, placement, ledger, context, exchange } = this
     if (!attempts.isReplacing) {
       return
     }
     placement.stop()
     const isReplacement = attempts.choose(inFlight)
+    ledger.recordResumption()
     context.log.silenceEnded(exchange, inFlight.serverId, isReplacement)
     if (isReplacement) {
       this.forwardFrom(inFlight)
@@ -324,7 +329,7 @@
   private onGone (): void {
     if (!this.isOver) {
       this.attempts.cancel()
-      this.finish(ExchangeEnd.CallerGone, '')
+      this.finish(ExchangeEnd.CallerGone, '', undefined, this.progress.describe(this.now))
     }
   }
 
@@ -356,16 +361,17 @@
       this.forwardAnswer(this.fallback.head, this.fallback.body)
       return
     }
+    const incomplete = this.progress.describe(this.now)
     this.answer.fail(Failure.create(code, this.ledger.verdict, message, this.ledger.verdict === Verdict.NotRun ? retryAt : undefined))
-    this.finish(ExchangeEnd.Failed, code, message)
+    this.finish(ExchangeEnd.Failed, code, message, incomplete)
   }
 
-  private finish (end: ExchangeEnd, outcome: string, reason?: string): void {
+  private finish (end: ExchangeEnd, outcome: string, reason?: string, incomplete?: IncompleteAnswer): void {
     this.isOver = true
     this.cancelDeadline()
     this.placement.stop()
     const { exchange, ledger, now } = this
-    this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.attemptedServers, pace: this.pace.measureSince(exchange.arrivedAt), now, reason })
+    this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.attemptedServers, pace: this.pace.measureSince(exchange.arrivedAt), now, reason, incomplete })
     this.quota.settle(end === ExchangeEnd.Answered || ledger.verdict !== Verdict.NotRun)
     this.onOver(end === ExchangeEnd.Answered ? Verdict.Ran : ledger.verdict)
   }
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -2,7 +2,7 @@
  * Log lines of the relay: one for each decision that affects a request or
  * changes the state of the process, and the metrics that go with them.
  */
-import { Verdict, type Failure } from 'foxtaillever-core'
+import type { Failure, Verdict } from 'foxtaillever-core'
 import type { LimitOutcome, LimitRole } from 'foxtaillever-policy/limits/sharedLimitLedger'
 import type { StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
 import type { Quarantine } from 'foxtaillever-policy/crashes/quarantineTable'
@@ -14,34 +14,10 @@
 import { LimitScope } from '../limits/limitMessage.js'
 import type { LimitResult } from '../limits/limitProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
+import type { PendingAnswer } from '../callers/pendingAnswer.js'
 import type { ListedServer } from '../model/listedServer.js'
 import { sharedLevelsOf, type Exchange, type ExchangeHead } from '../model/exchange.js'
-
-/** How an exchange ended. */
-export interface ExchangeOutcome {
-  readonly exchange: Exchange
-  readonly end: ExchangeEnd
-  /** Status, or the failure's code. */
-  readonly outcome: string
-  readonly verdict: Verdict
-  readonly servers: readonly string[]
-  /** Timing of a streamed answer; see `StreamPace`. */
-  readonly pace: { readonly firstMs: number, readonly pauseMs: number } | undefined
-  readonly now: number
-  /** Why the exchange failed, if it did. */
-  readonly reason?: string
-}
-
-/** When this instance last received anything from backend servers, milliseconds of Unix time; 0 for never. */
-export interface LastHeard {
-  readonly serverAt: number
-  readonly anyServerAt: number
-  readonly now: number
-  /** Address of the instance that carried the request; undefined for none. */
-  readonly forwarder?: string | undefined
-  /** When the head of the answer arrived; undefined if it did not. */
-  readonly answeredAt?: number | undefined
-}
+import type { CarriedRequest, ExchangeOutcome, LastHeard } from './requestOutcome.js'
 
 /** Summarizes the state of the process, and of a service if one is given. */
 export type DescribeState = (service?: string) => Subject
@@ -66,6 +42,18 @@
     this.metrics.count('connections_turned_away_total')
   }
 
+  /** A connection ended, by its caller or by this process, before the caller had the complete answer. */
+  closedUnsent (answer: PendingAnswer, now: number): void {
+    this.metrics.count('answers_unsent_total', { when: 'connection-closed' })
+    this.logs.writeFailure(Part.Callers, 'A connection closed before its answer was written out.', describePending(answer, now))
+  }
+
+  /** The process ends, and its connections with it. Only some of many answers are named. */
+  stopsUnsent (answer: PendingAnswer, now: number): void {
+    this.metrics.count('answers_unsent_total', { when: 'process-ended' })
+    this.logs.write('warn', Part.Callers, 'Stops before an answer is written out.', describePending(answer, now))
+  }
+
   malformed (reason: string): void {
     this.metrics.count('malformed_total')
     this.logs.write('warn', Part.Callers, 'Got a malformed request.', { reason })
@@ -109,9 +97,15 @@
   }
 
   /** This instance carried a request of another one to a server. */
-  carried (subject: { readonly request: string, readonly from: string, readonly server: string, readonly outcome: string, readonly ms: number }): void {
+  carried (subject: CarriedRequest): void {
     this.metrics.count('requests_carried_total', { outcome: subject.outcome })
-    this.logs.write('info', Part.Requests, 'Carried a request of another instance.', { ...subject })
+    const isCut = subject.answeringMs !== undefined && subject.outcome !== ExchangeEnd.Answered
+    const sentence = 'Carried a request of another instance.'
+    if (isCut) {
+      this.logs.writeFailure(Part.Requests, sentence, { ...subject })
+    } else {
+      this.logs.write('info', Part.Requests, sentence, { ...subject })
+    }
   }
 
   /** The queue at its server would make the request late; it goes behind requests that can be in time. */
@@ -243,12 +237,15 @@
     this.logs.write('info', Part.Requests, 'A stream goes on after its server was silent.', { request, account: account?.name, server, outcome })
   }
 
-  ended ({ exchange, end, outcome, verdict, servers, pace, now, reason }: ExchangeOutcome): void {
+  ended ({ exchange, end, outcome, verdict, servers, pace, now, reason, incomplete }: ExchangeOutcome): void {
     const ms = Math.round(now - exchange.arrivedAt)
     const { id: request, account, route } = exchange
     this.metrics.count('requests_total', { end, outcome, verdict })
     this.metrics.observe('request_ms', { end }, ms)
-    const subject = { request, account: account?.name, route: route.name, end, outcome, verdict, servers: servers.join(' '), ms, ...pace, promptTokens: exchange.prompt?.promptTokens }
+    if (incomplete && end === ExchangeEnd.Failed) {
+      this.metrics.count('answers_cut_total', { cause: outcome, attempt: incomplete.attempt })
+    }
+    const subject = { request, account: account?.name, route: route.name, end, outcome, verdict, servers: servers.join(' '), ms, ...pace, promptTokens: exchange.prompt?.promptTokens, ...incomplete }
     const isFailure = end === ExchangeEnd.Failed || Number(outcome) >= SERVER_ERROR
     if (isFailure) {
       this.logs.writeFailure(Part.Requests, `Ended: ${end}.`, { ...subject, reason, ...this.describeState(exchange.service) })
@@ -268,6 +265,10 @@
   }
 }
 
+function describePending ({ requestId, unsentBytes, completeAt }: PendingAnswer, now: number): Subject {
+  return { request: requestId, unsentBytes, completeForMs: completeAt === undefined ? undefined : Math.round(now - completeAt) }
+}
+
 /** Undefined for a time of 0, which stands for never. */
 function millisecondsSince (at: number, now: number): number | undefined {
   return at === 0 ? undefined : Math.round(now - at)
