--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -9,28 +9,26 @@
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
 import type { AnswerHead } from '../attempts/attempt.js'
 import { AttemptFailureKind, meaningOf, type AttemptFailure } from '../attempts/attemptFailure.js'
-import { heldTokensOf, type Exchange } from '../model/exchange.js'
+import type { Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { AnswerProgress, type IncompleteAnswer } from './answerProgress.js'
 import { AnswerRelay } from './answerRelay.js'
 import { AttemptLedger } from './attemptLedger.js'
 import { AttemptPlacement } from './attemptPlacement.js'
-import { beginAttempt } from './beginAttempt.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { CrashGuard } from './crashGuard.js'
 import { ExchangeEnd } from './exchangeEnd.js'
 import { findAttemptRoute } from './findAttemptRoute.js'
 import { handleSilence, isSilentOnBrokenLink, suspectSilentServer } from './handleSilence.js'
-import { InFlightAttempt } from './inFlightAttempt.js'
+import type { InFlightAttempt } from './inFlightAttempt.js'
 import { InFlightAttempts } from './inFlightAttempts.js'
-import { planAttempt } from './planAttempt.js'
+import { openAttempt, type InFlightListener } from './openAttempt.js'
 import { recordAnswer, recordAnswerHead } from './recordAnswerHead.js'
 import { recordAttemptFailure } from './recordAttemptFailure.js'
 import { QuotaClaim } from './quotaClaim.js'
 import { StreamContinuity } from './streamContinuity.js'
 import { StreamPace } from './streamPace.js'
-import { watchAttempt } from './watchAttempt.js'
 
 /** A server answers at the deadline by itself. If it does not, this instance fails the request this much later, milliseconds. */
 const DEADLINE_GRACE_MS = 40
@@ -49,6 +47,14 @@
   private cancelDeadline: Cancellation = () => {}
   private readonly quota: QuotaClaim
   private readonly guard: CrashGuard
+  private readonly listener: InFlightListener = {
+    maySend: () => this.guard.maySend(),
+    onHead: (inFlight, head) => this.onHead(inFlight, head),
+    onData: (inFlight, bytes) => this.onData(inFlight, bytes),
+    onEnd: inFlight => this.onEnd(inFlight),
+    onFailed: (inFlight, failure) => this.onFailed(inFlight, failure),
+    onSilent: inFlight => this.onSilent(inFlight)
+  }
 
   private constructor (
     private readonly context: ExchangeContext,
@@ -127,7 +133,6 @@
 
   private send (server: KnownServer, isAdmitted: boolean): void {
     const { exchange, context, relay, attempts } = this
-    const beganAt = this.now
     const refusal = this.guard.findQuarantine()
     if (refusal) {
       this.placement.releaseLimit()
@@ -144,16 +149,7 @@
       relay.reset()
     }
     this.continuity.recordAttempt(server, relay.lastEventId)
-    const { terms, othersTokens } = planAttempt(context, exchange, server, { resumeAfter: relay.lastEventId, isAdmitted })
-    const attempt = beginAttempt(context, exchange, route, context.wire.createHeaders(exchange, terms, beganAt), {
-      maySend: () => this.guard.maySend(),
-      onHead: head => this.onHead(inFlight, head),
-      onData: bytes => this.onData(inFlight, bytes),
-      onEnd: () => this.onEnd(inFlight),
-      onFailed: failure => this.onFailed(inFlight, failure)
-    })
-    const inFlight: InFlightAttempt = InFlightAttempt.open({ attempt, server, beganAt, terms, heldTokens: heldTokensOf(exchange), othersTokens, usualMs: context.directory.observations.usualTimeOf(exchange.route.name).value, watch: watchAttempt(context, exchange, beganAt, () => this.onSilent(inFlight)), forwarder: route.path.forwarder, context })
-    attempts.open(inFlight)
+    attempts.open(openAttempt(context, exchange, { server, route, isAdmitted, resumeAfter: relay.lastEventId }, this.listener))
   }
 
   /** No server takes the next attempt. The current one goes on, if there is one. */
