Operations page: from a request id to the cause of a stream that was cut

The page led from an id to a cause for refusals and for a server that went, not for a stream that ends after it has begun. It now tells by the last line about the request whether no attempt followed a failed one, the instance ended it, or its bytes did not leave the instance, with lines of this build for each; the test of the page makes each of the three happen.

--- a/packages/foxtaillever/src/__tests__/operations.test.ts
+++ b/packages/foxtaillever/src/__tests__/operations.test.ts
@@ -1,10 +1,11 @@
 import { mkdtemp, readFile, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { HOST } from 'foxtaillever-platform/__fixtures__/caller'
 import { createConfiguration, Path, withFleet, type RelayFleet } from 'foxtaillever-platform/__fixtures__/relayFleet'
 import { waitFor } from 'foxtaillever-platform/__fixtures__/waitFor'
 import { ServerFault } from 'foxtaillever-standins'
-import { describe, it } from 'foxtaillever-testing'
+import { connectSlowly, describe, it } from 'foxtaillever-testing'
 import { runCommand } from '../__fixtures__/runCommand.js'
 
 const page = new URL('../../../../docs/OPERATIONS.md', import.meta.url).pathname
@@ -12,6 +13,9 @@
 /** Requests sent at once: more than three engines accept with eight slots and eight queued requests each. */
 const CROWD_SIZE = 120
 
+/** A stream of so many tokens takes longer than the grace period. */
+const LONG_STREAM_TOKENS = 4000
+
 /** Replaces what differs from run to run: times, addresses, counts, and names of instances and zones. */
 function normalise (line: string): string {
   return line.replace(/zone-[abc]/g, 'zone-x').replace(/instance-\d/g, 'instance-n').replace(/\d+(\.\d+)?/g, '#').trim()
@@ -44,6 +48,28 @@
     await waitFor('the new keys are in force', async () => (await fleet.send(0, { id: `before-${Math.random()}`, path: `${Path.Once}x` })).status === 401)
     await fleet.send(0, { id: 'late-3', path: `${Path.Once}x` })
     return 'late-3'
+  },
+  'Cut because no attempt follows': async fleet => {
+    const [first, ...others] = fleet.engines
+    others.forEach(({ server }) => fleet.platform.drain(server))
+    await waitFor('the other engines take nothing', () => others.every(({ server }) => fleet.instances[0]?.lines.some(line => line.server === server.id && line.state === 'draining')))
+    first?.server.faults.push(ServerFault.Truncate)
+    await fleet.stream(0, 'stream-1', 'one', 200)
+    return 'stream-1'
+  },
+  'Complete here, not at the caller': async fleet => {
+    const connection = await connectSlowly(fleet.instances[0]?.address ?? '', async () => await fleet.send(0, { id: 'before', path: `${Path.Once}x` }))
+    connection.sendRequest(`${Path.Once}x`, { Host: HOST, 'X-Request-Id': 'order-8', 'X-Deadline-Ms': '60000', Authorization: 'Bearer key-acme' })
+    await waitFor('the answer is handed over', () => connection.held > 0 && fleet.instances[0]?.lines.some(({ request, end }) => request === 'order-8' && end === 'answered') === true)
+    await fleet.stopAtOnce(0)
+    return 'order-8'
+  },
+  'Ended by the instance': async fleet => {
+    const stream = fleet.stream(0, 'stream-2', 'two', LONG_STREAM_TOKENS)
+    await waitFor('the stream runs', () => fleet.runsOf('stream-2') === 1)
+    await fleet.instances[0]?.relay.stop()
+    await stream
+    return 'stream-2'
   }
 }
 
