Log how a caller's connection closed when it closed before the answer was complete

`Ended: caller-gone.` did not say which side closed the connection, nor how: a caller that closed in good order, one that reset, and one whose connection this instance closed for bytes that are no request all looked the same. The line of an answer that had begun now has `connection`: ended, closed, or the code of the error.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -92,15 +92,15 @@
   passHeaders: () => []
 }
 
-export interface WarningLine {
+export interface LogLine {
   readonly msg: string
   readonly [field: string]: unknown
 }
 
 export class RelayRig {
   readonly clock = VirtualClock.create()
-  readonly warnings: WarningLine[] = []
-  readonly log = RelayLog.create(Logs.create({ instance: 'i', level: 'warn', clock: this.clock, destination: { write: text => { this.warnings.push(JSON.parse(text) as WarningLine) } } }))
+  readonly lines: LogLine[] = []
+  readonly log = RelayLog.create(Logs.create({ instance: 'i', level: 'info', clock: this.clock, destination: { write: text => { this.lines.push(JSON.parse(text) as LogLine) } } }))
   /** As of a fleet of one instance. */
   readonly crashes = CrashProtocol.create({
     clock: this.clock,
--- a/packages/foxtaillever-relay/src/callers/__tests__/unsentAnswers.test.ts
+++ b/packages/foxtaillever-relay/src/callers/__tests__/unsentAnswers.test.ts
@@ -1,5 +1,5 @@
 import { connectSlowly, describe, it } from 'foxtaillever-testing'
-import { RelayRig, type WarningLine } from '../../__fixtures__/relayRig.js'
+import { RelayRig, type LogLine } from '../../__fixtures__/relayRig.js'
 import { wholeAnswer } from '../../__fixtures__/scriptedServer.js'
 
 const SENTENCE = 'callers: A connection closed before its answer was written out.'
@@ -9,7 +9,7 @@
 }
 
 /** The line about an answer whose caller closes its connection, after it has read the answer or before. */
-async function closeAfter (isRead: boolean): Promise<WarningLine | undefined> {
+async function closeAfter (isRead: boolean): Promise<LogLine | undefined> {
   const rig = await RelayRig.start({}, arrival => arrival.socket.write(wholeAnswer(arrival, 'hello')))
   const connection = await connectSlowly(rig.address, async () => await rig.sendRequest('first'))
   connection.sendRequest('/p', { host: 'h', 'request-id': 'slow' })
@@ -24,7 +24,7 @@
   connection.destroy()
   await settle()
   rig.stop()
-  return rig.warnings.find(({ msg }) => msg === SENTENCE)
+  return rig.lines.find(({ msg }) => msg === SENTENCE)
 }
 
 // Guards against a caller without its answer of which the log says that it was answered.
--- a/packages/foxtaillever-relay/src/exchange/__tests__/cutAnswers.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/cutAnswers.test.ts
@@ -1,5 +1,5 @@
 import { describe, it } from 'foxtaillever-testing'
-import { readAll, RelayRig, type WarningLine } from '../../__fixtures__/relayRig.js'
+import { readAll, RelayRig, type LogLine } from '../../__fixtures__/relayRig.js'
 import { chunk, streamHead, wholeAnswer, type Answer, type Arrival } from '../../__fixtures__/scriptedServer.js'
 import type { Route } from '../../model/routing.js'
 
@@ -13,7 +13,7 @@
 }
 
 interface Cut {
-  readonly line: WarningLine | undefined
+  readonly line: LogLine | undefined
   readonly metrics: string
 }
 
@@ -28,7 +28,7 @@
   await end(rig)
   await received
   rig.stop()
-  return { line: rig.warnings.find(({ msg }) => msg === 'requests: Ended: failed.'), metrics: rig.log.metrics.render() }
+  return { line: rig.lines.find(({ msg }) => msg === 'requests: Ended: failed.'), metrics: rig.log.metrics.render() }
 }
 
 // Guards against a cut stream whose cause cannot be told from the log: whether its server still worked, how much its caller has, and who ended it.
--- a/packages/foxtaillever-relay/src/exchange/answerProgress.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerProgress.ts
@@ -17,6 +17,8 @@
   readonly lastByteMsAgo: number | undefined
   /** Bytes passed on that the operating system has not accepted yet. */
   readonly unsentBytes: number
+  /** How the caller's connection closed; undefined while it is open. */
+  readonly connection: string | undefined
   /** Revision of the configuration in force when the exchange began. */
   readonly revisionAtStart: number
 }
@@ -53,6 +55,7 @@
           lastEventId: relay.lastEventId,
           lastByteMsAgo: lastByteAt === undefined ? undefined : Math.round(now - lastByteAt),
           unsentBytes: answer.unsentBytes,
+          connection: answer.connectionEnd,
           revisionAtStart
         }
       : undefined
--- a/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
+++ b/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
@@ -43,6 +43,16 @@
     return this.response.writableLength
   }
 
+  /** How the connection closed: the code of an error, or whether the caller had ended its side; undefined while it is open. */
+  get connectionEnd (): string | undefined {
+    const { destroyed, errored, readableEnded } = this.response.req.socket
+    if (!destroyed) {
+      return undefined
+    }
+    const error: NodeJS.ErrnoException | null = errored
+    return error?.code ?? (readableEnded ? 'ended' : 'closed')
+  }
+
   /** Whether the caller closed its connection while its request was read. */
   get isGone (): boolean {
     return this.response.destroyed
