--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -22,7 +22,7 @@
 /** Requests that one instance carries at the same time, some ten kilobytes each: they must not crowd out its own. */
 const MAX_CARRIED = 256
 
-/** Outcome of a request whose instance closed the call before the answer was complete. */
+/** Outcome of a request whose call closed before the answer was complete, by the instance that asked or because this one stops. */
 const CANCELLED = 'cancelled'
 
 export interface ForwardingServerOptions {
--- a/packages/foxtaillever-relay/src/telemetry/requestOutcome.ts
+++ b/packages/foxtaillever-relay/src/telemetry/requestOutcome.ts
@@ -26,7 +26,7 @@
   readonly request: string
   readonly from: string
   readonly server: string
-  /** `ExchangeEnd.Answered`, `cancelled` by the instance that asked, or the kind of failure that went back. */
+  /** `ExchangeEnd.Answered`, `cancelled` if the call closed before the answer was complete, or the kind of failure that went back. */
   readonly outcome: string
   readonly ms: number
   /** Bytes of the answer's body that were passed on. */
