Read a refusal's body within a bound, and close its connection beyond it

Callers saw nothing, but the process did: where a server answers 503 with a not-run statement and then a body without end, each such connection stayed open and was read until the server ended it.

Cause: a refusal's body was read to its end so that the connection could be reused, with no bound in bytes or time. The attempt itself had failed over at once.

Change: the body is read for up to 16 KB and 80 ms, then the connection is closed. Bytes of the connection count too, since chunk extensions are not of the body. A Content-Length above the bound closes at once. The refusal still counts as not run and the next attempt doesn't wait; what exceeds the bound is a fault of the server (or passes over the instance that carried the request), a log line and a count in bodies_exceeded_total. 16 KB is more than any ordinary refusal and takes 13 ms at 10 Mbit/s; 80 ms is twice the 40 ms of a delayed acknowledgement and leaves room below 100 ms.

--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net'
 import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
 import type { AnswerMarks, AnswerWire } from '../model/wire.js'
+import { drainBody } from '../servers/bodyBound.js'
 import { SendNotAllowedError, type ServerCall, type ServerChannel } from '../servers/serverConnections.js'
 import { AttemptFailureKind, type AttemptFailure } from './attemptFailure.js'
 
@@ -186,7 +187,7 @@
     return marks.isStamped ? undefined : { kind: AttemptFailureKind.Malformed, detail: `status ${status} without a stamp` }
   }
 
-  /** Reads a refusal to its end, so that its connection can be reused; the connection of an untrusted answer is closed. */
+  /** Reads a refusal to its end if it is short, so that its connection can be reused; the connection of an untrusted answer is closed. */
   private rejectResponse (response: IncomingMessage, failure: AttemptFailure): void {
     const { kind, detail } = failure
     const isKept = kind === AttemptFailureKind.Refused || kind === AttemptFailureKind.Misdirected
@@ -198,9 +199,10 @@
   }
 
   private failAfterReading (response: IncomingMessage, failure: AttemptFailure): void {
+    const { clock, connections, listener } = this.options
     this.finish()
-    response.resume()
-    this.options.listener.onFailed(failure)
+    drainBody(response, { clock, maxBytes: REFUSAL_BODY_BYTES, deadline: clock.now() + REFUSAL_BODY_MS }, excess => connections.recordExcess(excess))
+    listener.onFailed(failure)
   }
 
   private onData (bytes: Buffer): void {
@@ -237,6 +239,12 @@
   }
 }
 
+/** The body of a refusal is read up to this size, bytes. Ordinary ones have some hundred bytes, and a new connection costs less than 16 KB do. */
+const REFUSAL_BODY_BYTES = 16 * 1024
+
+/** The body of a refusal is read for this long, milliseconds: a second packet may be held back for 40 ms by a delayed acknowledgement. */
+const REFUSAL_BODY_MS = 80
+
 /** Status of a server that is not the expected one, or has other weights. */
 const MISDIRECTED = 421
 
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -25,7 +25,7 @@
 import { ServerDirectory } from '../servers/serverDirectory.js'
 import { ServiceRetrySchedules } from '../servers/serviceRetrySchedules.js'
 import { ServerStatementHandler } from '../servers/serverStatementHandler.js'
-import type { RelayLog } from '../telemetry/relayLog.js'
+import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRuns } from './exchangeRuns.js'
 
@@ -82,6 +82,7 @@
     this.directory = ServerDirectory.create({
       now: () => clock.now(),
       onAnswer: (server, status, headers, sentAt) => this.statements.applyStatement(server, wire.readStatement(status, headers), sentAt),
+      onExcess: ({ listed }, excess) => log.bodyExceeded(ByteSource.Server, listed.id, excess),
       onChanged: (server, before) => {
         const { id, startedAt, service, softwareVersion, state } = server
         log.belief('A backend server changed its state.', { server: id, startedAt, service, softwareVersion, state, before })
--- a/packages/foxtaillever-relay/src/links/createLinks.ts
+++ b/packages/foxtaillever-relay/src/links/createLinks.ts
@@ -7,7 +7,7 @@
 import type { Peers } from '../peers/peers.js'
 import type { RelayOptions } from '../relayOptions.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
-import type { RelayLog } from '../telemetry/relayLog.js'
+import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
 import { ForwardingClient } from './forwardingClient.js'
 import { ForwardingServer } from './forwardingServer.js'
 import { LinkMonitor } from './linkMonitor.js'
@@ -44,6 +44,7 @@
     random,
     address: () => peers().address,
     peers: () => peers().likely(),
+    onExcess: (address, excess) => log.bodyExceeded(ByteSource.Instance, address, excess),
     onAnswer: (...answer) => dispatcher().applyForwardedAnswer(...answer)
   })
   const directory = (): ServerDirectory => dispatcher().directory
--- a/packages/foxtaillever-relay/src/links/forwardingClient.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingClient.ts
@@ -11,6 +11,7 @@
 import type { Clock, Random } from 'foxtaillever-core'
 import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
 import type { PeerMessage } from '../peers/peerMessage.js'
+import type { BodyExcess } from '../servers/bodyBound.js'
 import { callServer } from '../servers/callServer.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { ServerConnections, type ServerCall, type ServerChannel } from '../servers/serverConnections.js'
@@ -30,6 +31,8 @@
   readonly address: () => string
   /** Other instances that are probably alive. */
   readonly peers: () => readonly PeerMessage[]
+  /** A body of another instance exceeded its bound. */
+  readonly onExcess?: (address: string, excess: BodyExcess) => void
   /** A server answered through another instance; `sentAt` is when the request was sent, milliseconds of Unix time. */
   readonly onAnswer: (server: KnownServer, status: number, headers: IncomingHttpHeaders, sentAt: number) => void
 }
@@ -73,7 +76,7 @@
     const candidates = this.candidates().filter(address => !tried.has(address))
     const drawn = [random, random].flatMap(source => candidates[source.below(Math.max(1, candidates.length))] ?? [])
     const [address] = drawn.sort((a, b) => this.inFlightAt(a) - this.inFlightAt(b))
-    return address === undefined ? undefined : { address, channel: { send: (call, onBeforeSend) => this.send(address, server, request, call, onBeforeSend), closeIdleFor: () => {} } }
+    return address === undefined ? undefined : { address, channel: this.createChannel(address, server, request) }
   }
 
   /** Records that the instance could not send a request on. */
@@ -93,6 +96,14 @@
     this.connections.forEach(connections => connections.close())
   }
 
+  private createChannel (address: string, server: KnownServer, request: ForwardedRequest): ServerChannel {
+    return {
+      send: (call, onBeforeSend) => this.send(address, server, request, call, onBeforeSend),
+      closeIdleFor: () => {},
+      recordExcess: excess => this.connectionsTo(address).recordExcess(excess)
+    }
+  }
+
   private send (address: string, server: KnownServer, forwarded: ForwardedRequest, call: ServerCall, onBeforeSend: () => void): ClientRequest {
     const { clock, onAnswer } = this.options
     const sentAt = clock.now()
@@ -122,8 +133,17 @@
   private connectionsTo (address: string): ServerConnections {
     let connections = this.connections.get(address)
     if (!connections) {
-      const { clock, address: own } = this.options
-      connections = ServerConnections.create({ address, part: CONNECTIONS, now: () => clock.now(), localHost: own().split(':')[0] })
+      const { clock, address: own, onExcess = () => {} } = this.options
+      connections = ServerConnections.create({
+        address,
+        part: CONNECTIONS,
+        now: () => clock.now(),
+        localHost: own().split(':')[0],
+        onExcess: excess => {
+          this.recordFailure(address)
+          onExcess(address, excess)
+        }
+      })
       this.connections.set(address, connections)
     }
     return connections
--- a/packages/foxtaillever-relay/src/links/serverPaths.ts
+++ b/packages/foxtaillever-relay/src/links/serverPaths.ts
@@ -91,7 +91,7 @@
         return (isDoubtful ? forwardedPath(server, need) : undefined) ?? directPath(server.connections)
       }
       return hasLivingConnection(server, since, now() - need.maxIdleMs)
-        ? directPath({ send: (call, onBeforeSend) => server.connections.send(call, onBeforeSend), closeIdleFor: () => {} })
+        ? directPath({ send: (call, onBeforeSend) => server.connections.send(call, onBeforeSend), closeIdleFor: () => {}, recordExcess: excess => server.connections.recordExcess(excess) })
         : forwardedPath(server, need)
     },
     isBroken: server => monitor.brokenSince(server) !== undefined,
--- /dev/null
+++ b/packages/foxtaillever-relay/src/servers/bodyBound.ts
@@ -0,0 +1,60 @@
+/**
+ * Bounds on a message body from outside this process, in bytes and in time. A body may
+ * come without end: it must cost no memory, link or connection.
+ */
+import type { IncomingMessage } from 'node:http'
+import { atAfterSilence, type Clock } from 'foxtaillever-core'
+
+export interface BodyBound {
+  readonly clock: Clock
+  readonly maxBytes: number
+  /** Milliseconds of Unix time; extended by stalls of this process. */
+  readonly deadline: number
+}
+
+/** Why a body was not read to its end. */
+export enum BodyExcess {
+  Bytes = 'bytes',
+  Time = 'time'
+}
+
+/**
+ * Closes the connection of a message whose body is larger than the bound or does not
+ * end in time. The body must be read by someone, see `drainBody`.
+ * @param onExceeded called at most once, after the connection was closed.
+ */
+export function boundBody (message: IncomingMessage, { clock, maxBytes, deadline }: BodyBound, onExceeded: (excess: BodyExcess) => void): void {
+  const { socket } = message
+  const bytesBefore = socket.bytesRead
+  let bodyBytes = 0
+  const exceed = (excess: BodyExcess): void => {
+    stop()
+    message.destroy()
+    onExceeded(excess)
+  }
+  const cancelDeadline = atAfterSilence(clock, deadline, () => exceed(BodyExcess.Time))
+  const onData = (bytes: Buffer): void => {
+    bodyBytes += bytes.length
+    // Chunk extensions are bytes of the connection, but not of the body.
+    if (Math.max(bodyBytes, socket.bytesRead - bytesBefore) > maxBytes) {
+      exceed(BodyExcess.Bytes)
+    }
+  }
+  const stop = (): void => {
+    cancelDeadline()
+    message.off('data', onData)
+  }
+  message.once('end', stop)
+  message.once('close', stop)
+  if (Number(message.headers['content-length'] ?? 0) > maxBytes) {
+    exceed(BodyExcess.Bytes)
+    return
+  }
+  message.on('data', onData)
+}
+
+/** Reads a body that nobody needs, so that its connection can be reused, unless it exceeds the bound. */
+export function drainBody (message: IncomingMessage, bound: BodyBound, onExceeded: (excess: BodyExcess) => void): void {
+  boundBody(message, bound, onExceeded)
+  message.resume()
+}
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -9,6 +9,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { ConnectionShare } from 'foxtaillever-policy/relay/connectionShare'
+import type { BodyExcess } from './bodyBound.js'
 
 /** An idle connection is closed after this unless the server states another time, milliseconds. */
 const IDLE_TIMEOUT_MS = 4000
@@ -116,6 +117,8 @@
   readonly onAnswer?: AnswerListener
   /** An idle connection was reset, which a server that closes idle ones in good order does not do. */
   readonly onIdleReset?: () => void
+  /** A body exceeded its bound, and its connection was closed. */
+  readonly onExcess?: (excess: BodyExcess) => void
   /** IP address from which connections are opened; the system chooses one if not given. */
   readonly localHost?: string | undefined
 }
@@ -129,6 +132,8 @@
   readonly send: (call: ServerCall, onBeforeSend: () => void) => ClientRequest
   /** Closes connections that have been idle for at least this long, milliseconds. */
   readonly closeIdleFor: (idleMs: number) => void
+  /** Records that a body exceeded its bound, and that its connection was closed. */
+  readonly recordExcess: (excess: BodyExcess) => void
 }
 
 export class ServerConnections implements ServerChannel {
@@ -139,10 +144,12 @@
   private readonly maySend: () => boolean
   private readonly onAnswer: AnswerListener
   private readonly localHost: string | undefined
+  readonly recordExcess: (excess: BodyExcess) => void
 
-  private constructor ({ address, part, now = () => performance.now(), maySend = () => true, onAnswer = () => {}, onIdleReset = () => {}, localHost }: ServerConnectionsOptions) {
+  private constructor ({ address, part, now = () => performance.now(), maySend = () => true, onAnswer = () => {}, onIdleReset = () => {}, onExcess = () => {}, localHost }: ServerConnectionsOptions) {
     this.now = now
     this.localHost = localHost
+    this.recordExcess = onExcess
     this.maySend = maySend
     this.onAnswer = onAnswer
     const colon = address.lastIndexOf(':')
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -16,6 +16,7 @@
 import { ServerState, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { SpeedUpdate } from '../peers/peerMessage.js'
+import type { BodyExcess } from './bodyBound.js'
 import { createKnownServer, type KnownServer } from './knownServer.js'
 import { ServerConnections } from './serverConnections.js'
 import { ServerObservations } from './serverObservations.js'
@@ -29,6 +30,8 @@
   readonly onChanged: (server: ListedServer, before: ServerState | undefined) => void
   /** A server has answered a request of any kind; `sentAt` is a time of `now`. */
   readonly onAnswer?: (server: KnownServer, status: number, headers: IncomingHttpHeaders, sentAt: number) => void
+  /** A body of a server exceeded its bound, and its connection was closed. */
+  readonly onExcess?: (server: KnownServer, excess: BodyExcess) => void
   /** Milliseconds of Unix time, monotonic. */
   readonly now?: () => number
 }
@@ -287,6 +290,10 @@
       part: this.connectionPart(listed.service),
       maySend: () => reachableFrom(server) <= this.now(),
       onIdleReset: () => this.recordBroken(server),
+      onExcess: excess => {
+        this.observations.recordFault(server, this.now())
+        this.options.onExcess?.(server, excess)
+      },
       onAnswer: (status, headers, sentAt) => {
         this.recordHeard(server)
         this.options.onAnswer?.(server, status, headers, sentAt)
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -14,6 +14,7 @@
 import { LimitScope } from '../limits/limitMessage.js'
 import type { LimitResult } from '../limits/limitProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
+import type { BodyExcess } from '../servers/bodyBound.js'
 import type { ListedServer } from '../model/listedServer.js'
 import { sharedLevelsOf, type Exchange, type ExchangeHead } from '../model/exchange.js'
 
@@ -46,6 +47,15 @@
 /** Summarizes the state of the process, and of a service if one is given. */
 export type DescribeState = (service?: string) => Subject
 
+/** Where bytes come from. */
+export enum ByteSource {
+  Server = 'server',
+  Instance = 'instance',
+  Store = 'store',
+  CacheStore = 'cache-store',
+  Caller = 'caller'
+}
+
 /** From this status on, the backend server itself reports a failure. */
 const SERVER_ERROR = 500
 
@@ -224,6 +234,12 @@
     this.logs.write('warn', Part.Fleet, isLifted ? 'A quarantine was lifted.' : 'Requests are refused because they crash backend servers.', { kind, id, account, servers: servers.length, revision, how })
   }
 
+  /** The connection of a body that exceeded its bound was closed. */
+  bodyExceeded (source: ByteSource, from: string, excess: BodyExcess): void {
+    this.metrics.count('bodies_exceeded_total', { source, excess })
+    this.logs.writeFailure(Part.Requests, 'Closed a connection whose body exceeded its bound.', { source, from, excess })
+  }
+
   silent (exchange: Exchange, server: string, isOnReusedConnection: boolean): void {
     const connection = isOnReusedConnection ? 'kept' : 'new'
     this.metrics.count('silent_servers_total', { connection })
