--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -8,6 +8,7 @@
 import { hashNumber, type Cancellation, type Clock } from 'foxtaillever-core'
 import { readBody } from '../readBody.js'
 import { AnswerWriter, headerOf, type Arrival, type StatedAnswer } from './answerWriter.js'
+import { EndlessWriter, type EndlessAnswer } from './endlessAnswers.js'
 import { ServerFault } from './serverFaults.js'
 
 export const HEALTH_PATH = '/health'
@@ -73,6 +74,11 @@
   statedLimit: string | undefined
   /** If set, it refuses all requests and requests a backoff of this many seconds, as stated in its answers. */
   retryAfter: string | undefined
+  /** If set, its answers to requests do not end. */
+  endlessRequests: EndlessAnswer | undefined
+  /** If set, its answers to health probes and calls about itself do not end. */
+  endlessCalls: EndlessAnswer | undefined
+  readonly endless = EndlessWriter.create()
   /** When it failed because it had to reject too many requests, milliseconds of Unix time. */
   readonly falls: number[] = []
   /** When it crashed because of a level of a prompt, milliseconds of Unix time. */
@@ -184,6 +190,12 @@
       return
     }
     const call = this.runner.calls[`${method} ${url.split('?')[0]}`]
+    const endless = url === HEALTH_PATH || call ? this.endlessCalls : this.endlessRequests
+    if (endless) {
+      this.recordArrival(request, body)
+      this.endless.write(endless, headerOf(request, 'x-request-id'), request.socket)
+      return
+    }
     const expected = headerOf(request, 'x-expect-instance')
     if (expected !== '' && expected !== this.id) {
       this.recordArrival(request, body)
