End an attempt whose stream sends comments without an event for 64 KB

Callers of a stream got comments until their deadline, and then a cut: a server that sends whole comments one after the other was never given up, because each counted as an event.

Comments between two events are counted now; beyond 64 KB the answer is malformed, so that a stream that may be resumed goes on at another server. The time is bounded by the request's deadline as before.

--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -11,6 +11,9 @@
 /** Answers up to this size are buffered until they are complete, bytes. */
 const MAX_BUFFERED_BYTES = 256 * 1024
 
+/** Comments between two events up to this size are passed on, bytes: one of 15 bytes a second for more than an hour. */
+const MAX_COMMENT_BYTES = 64 * 1024
+
 export interface AnswerRelayListener {
   /** The first event is sent to the caller. */
   readonly onFirstEvent: () => void
@@ -25,6 +28,8 @@
   private buffered: Buffer[] = []
   private bufferedBytes = 0
   private splitter = EventSplitter.create()
+  /** Bytes of comments since the last event. */
+  private commentBytes = 0
   /** Events are sent to the caller as they arrive. */
   private isStreaming = false
   /** Id of the last event sent to the caller. */
@@ -53,6 +58,7 @@
     this.head = undefined
     this.buffered = []
     this.bufferedBytes = 0
+    this.commentBytes = 0
     this.splitter = EventSplitter.create()
   }
 
@@ -77,7 +83,11 @@
     if (events.length > 0) {
       this.listener.onEvents()
     }
-    for (const { bytes: event, id } of events) {
+    for (const { bytes: event, id, isComment } of events) {
+      this.commentBytes = isComment ? this.commentBytes + event.length : 0
+      if (this.commentBytes > MAX_COMMENT_BYTES) {
+        return 'comments follow each other without an event'
+      }
       if (isRepeated(id, this.lastEventId)) {
         return `event ${id} arrived after event ${this.lastEventId}`
       }
--- a/packages/foxtaillever-relay/src/streams/eventSplitter.ts
+++ b/packages/foxtaillever-relay/src/streams/eventSplitter.ts
@@ -7,6 +7,7 @@
 const ID_FIELD = Buffer.from('id:')
 const LINE_END = 0x0a
 const CARRIAGE_RETURN = 0x0d
+const COLON = 0x3a
 
 /** Larger than any event of a model; a stream whose event never ends would fill the memory. */
 const MAX_EVENT_BYTES = 1024 * 1024
@@ -16,6 +17,8 @@
   readonly bytes: Buffer
   /** Empty for an event without id. */
   readonly id: string
+  /** Whether it has only comments and empty lines, and so is no event for the caller. */
+  readonly isComment: boolean
 }
 
 /** Index after the empty line that ends the first event; -1 for none. Lines may end with a carriage return too. */
@@ -44,6 +47,20 @@
   return ''
 }
 
+const firstBytesWithoutField = new Set([COLON, LINE_END, CARRIAGE_RETURN])
+
+function hasOnlyComments (event: Buffer): boolean {
+  let from = 0
+  while (from < event.length) {
+    if (!firstBytesWithoutField.has(event[from] ?? LINE_END)) {
+      return false
+    }
+    const end = event.indexOf(LINE_END, from)
+    from = end === -1 ? event.length : end + 1
+  }
+  return true
+}
+
 export class EventSplitter {
   private incomplete: Buffer = Buffer.alloc(0)
 
@@ -74,7 +91,7 @@
         break
       }
       const event = joined.subarray(from, end)
-      events.push({ bytes: event, id: readId(event) })
+      events.push({ bytes: event, id: readId(event), isComment: hasOnlyComments(event) })
       from = end
     }
     this.incomplete = joined.subarray(from)
