Close a connection on which informational heads come without an answer

A server that sends 102 after 102 was read as fast as it sent until the silence or the deadline of the request ended the attempt: node:http bounds one head, not their number. Calls (reports, orders) and health probes read them until their deadlines too.

More than 64 heads before an answer now end the connection; the attempt counts as malformed, a fault of the server. A probe ends with the first one, which shows as well as an answer that the link works.

--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net'
 import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
 import type { AnswerMarks, AnswerWire } from '../model/wire.js'
-import { drainBody } from '../servers/bodyBound.js'
+import { drainBody, EndlessHeadsError } from '../servers/byteBounds.js'
 import { SendNotAllowedError, type ServerCall, type ServerChannel } from '../servers/serverConnections.js'
 import { AttemptFailureKind, type AttemptFailure } from './attemptFailure.js'
 
@@ -134,7 +134,7 @@
       this.fail(error instanceof SendNotAllowedError ? AttemptFailureKind.Closed : AttemptFailureKind.Unreachable, code)
       return
     }
-    this.fail(code.startsWith('HPE_') ? AttemptFailureKind.Malformed : AttemptFailureKind.Lost, code)
+    this.fail(code.startsWith('HPE_') || error instanceof EndlessHeadsError ? AttemptFailureKind.Malformed : AttemptFailureKind.Lost, code)
   }
 
   private onResponse (response: IncomingMessage): void {
--- a/packages/foxtaillever-relay/src/links/serverProbe.ts
+++ b/packages/foxtaillever-relay/src/links/serverProbe.ts
@@ -27,6 +27,7 @@
       resolve(isReached)
       probe.destroy()
     }
+    probe.on('information', () => finish(true))
     probe.on('response', () => finish(true))
     probe.on('error', ({ code }: NodeJS.ErrnoException) => {
       if (code === CONNECTION_REFUSED) {
--- a/packages/foxtaillever-relay/src/servers/bodyBound.ts
+++ b/packages/foxtaillever-relay/src/servers/byteBounds.ts
@@ -1,8 +1,8 @@
 /**
- * Bounds on a message body from outside this process, in bytes and in time. A body may
- * come without end: it must cost no memory, link or connection.
+ * Bounds on bytes from outside this process that may come without end: they must cost no
+ * memory, link or connection. A single head is bounded by node:http, at 16 KB.
  */
-import type { IncomingMessage } from 'node:http'
+import type { ClientRequest, IncomingMessage } from 'node:http'
 import { atAfterSilence, type Clock } from 'foxtaillever-core'
 
 export interface BodyBound {
@@ -58,3 +58,20 @@
   boundBody(message, bound, onExceeded)
   message.resume()
 }
+
+/** Informational heads that may precede an answer: one a second for a minute, from a server that shows so that it is at work. */
+const MAX_INFORMATIONAL_HEADS = 64
+
+/** An answer did not begin after so many informational heads. */
+export class EndlessHeadsError extends Error {}
+
+/** Closes the connection of a request whose answer does not begin after many informational heads. */
+export function boundInformationalHeads (request: ClientRequest): void {
+  let heads = 0
+  request.on('information', () => {
+    heads += 1
+    if (heads > MAX_INFORMATIONAL_HEADS) {
+      request.destroy(new EndlessHeadsError('too many informational heads'))
+    }
+  })
+}
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -9,7 +9,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { ConnectionShare } from 'foxtaillever-policy/relay/connectionShare'
-import type { BodyExcess } from './bodyBound.js'
+import { boundInformationalHeads, type BodyExcess } from './byteBounds.js'
 
 /** An idle connection is closed after this unless the server states another time, milliseconds. */
 const IDLE_TIMEOUT_MS = 4000
@@ -171,6 +171,7 @@
     const { host, port, agent, localHost } = this
     const call = request({ host, port, agent, ...(localHost === undefined ? {} : { localAddress: localHost }), method, path, headers: headers as unknown as Record<string, string>, setHost: false })
     const sentAt = this.now()
+    boundInformationalHeads(call)
     call.on('response', ({ statusCode = 0, headers }) => this.onAnswer(statusCode, headers, sentAt))
     const startSending = (): void => {
       if (this.maySend()) {
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -16,7 +16,7 @@
 import { ServerState, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import type { SpeedUpdate } from '../peers/peerMessage.js'
-import type { BodyExcess } from './bodyBound.js'
+import type { BodyExcess } from './byteBounds.js'
 import { createKnownServer, type KnownServer } from './knownServer.js'
 import { ServerConnections } from './serverConnections.js'
 import { ServerObservations } from './serverObservations.js'
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -14,7 +14,7 @@
 import { LimitScope } from '../limits/limitMessage.js'
 import type { LimitResult } from '../limits/limitProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
-import type { BodyExcess } from '../servers/bodyBound.js'
+import type { BodyExcess } from '../servers/byteBounds.js'
 import type { ListedServer } from '../model/listedServer.js'
 import { sharedLevelsOf, type Exchange, type ExchangeHead } from '../model/exchange.js'
 
