Bound the answers to calls in bytes, and those that go on in time

A report, an answer to an order or to a poll of a cache store was collected without a bound in bytes until its deadline, and one of the platform's store for as long as chunks arrived less than 700 ms apart, without an end.

An answer that goes on beyond its deadline ends 32 s after it at the latest. What exceeds the bound closes the connection and fails the call; from a listed server it counts as its fault.

--- a/packages/foxtaillever-relay/src/__tests__/endlessHeads.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/endlessHeads.test.ts
@@ -13,6 +13,9 @@
 /** Much later than `CLOSE_MS`, so that only the bound on heads can end a call before, milliseconds. */
 const DEADLINE_MS = 20_000
 
+/** More than any answer here has. */
+const MAX_BYTES = 10_000
+
 const heads: Readonly<Record<string, string>> = {
   102: 'HTTP/1.1 102 Processing\r\n\r\n',
   100: 'HTTP/1.1 100 Continue\r\n\r\n',
@@ -40,7 +43,7 @@
     it(`of status ${status} end a call`, async t => {
       const clock = SystemClock.create()
       const server = await ScriptedServer.start(answerEndlessly)
-      const answer = callServer(ServerConnections.create({ address: server.address, part: { total: 1, idle: 1 } }), call, clock, clock.now() + DEADLINE_MS)
+      const answer = callServer(ServerConnections.create({ address: server.address, part: { total: 1, idle: 1 } }), call, { clock, deadline: clock.now() + DEADLINE_MS, maxBytes: MAX_BYTES })
       await server.arrived(1)
       t.true(await closesWithin(server.sockets[0], CLOSE_MS))
       t.true((await answer).isLeft())
--- a/packages/foxtaillever-relay/src/links/forwardingClient.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingClient.ts
@@ -24,6 +24,9 @@
 /** An instance that could not send a request on is passed over for this long, milliseconds: as long as it may take to notice that it is cut off too. */
 const PASSED_OVER_MS = 500
 
+/** Longest finding of another instance's probe, bytes: one word. */
+const MAX_FINDING_BYTES = 1024
+
 export interface ForwardingClientOptions {
   readonly clock: Clock
   readonly random: Random
@@ -87,7 +90,7 @@
   /** Asks the instance to probe a server; never rejects. */
   async probe (address: string, { hash }: KnownServer, deadline: number): Promise<ProbeFinding> {
     const call = { method: 'GET', path: `${PROBE_PATH}?server=${hash}`, headers: ['Host', 'peer'], body: Buffer.alloc(0) }
-    const answer = await callServer(this.connectionsTo(address), call, this.options.clock, deadline)
+    const answer = await callServer(this.connectionsTo(address), call, { clock: this.options.clock, deadline, maxBytes: MAX_FINDING_BYTES })
     const text = answer.map(({ status, body }) => status === 200 ? body.toString() : '').orDefault('')
     return Object.values(ProbeFinding).find(finding => finding === text) ?? ProbeFinding.Unknown
   }
--- a/packages/foxtaillever-relay/src/peers/__tests__/leaseCalls.test.ts
+++ b/packages/foxtaillever-relay/src/peers/__tests__/leaseCalls.test.ts
@@ -13,6 +13,9 @@
 const TOPIC = 'lease'
 const TIMEOUT_MS = 5000
 
+/** More than any answer here has. */
+const MAX_BYTES = 10_000
+
 async function withProxiedLog (log: FenceLog, use: (proxied: FenceLog) => Promise<void>): Promise<void> {
   const clock = SystemClock.create()
   const server = createServer((request, response) => {
@@ -20,7 +23,7 @@
   })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   const connections = ServerConnections.create({ address: `127.0.0.1:${(server.address() as AddressInfo).port}`, part: { total: 1, idle: 1 } })
-  await use(createProxiedLog(async call => await callServer(connections, call, clock, clock.now() + TIMEOUT_MS)))
+  await use(createProxiedLog(async call => await callServer(connections, call, { clock, deadline: clock.now() + TIMEOUT_MS, maxBytes: MAX_BYTES })))
   connections.close()
   server.close()
 }
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -40,6 +40,12 @@
 /** Timeout of a call in milliseconds; the other instance answers from memory. */
 const CALL_TIMEOUT_MS = 600
 
+/** Longest records of a topic that another instance announces, bytes: ten thousand servers' entries. */
+const MAX_RECORDS_BYTES = 8 * 1024 * 1024
+
+/** Longest answer to a call about the lease, bytes; its record has at most 1000. */
+const MAX_LEASE_ANSWER_BYTES = 16 * 1024
+
 export interface PeerLinkOptions {
   readonly clock: Clock
   /** IP address and port, for datagrams and calls. */
@@ -196,14 +202,14 @@
   async fetchRecords (address: string, topic: AnnouncedTopic, from: number): Promise<Either<Failure, AnnouncedRecords>> {
     const { clock } = this.options
     const call = { method: 'GET', path: `/records/${topic}?from=${from}`, headers: ['Host', 'peer'], body: Buffer.alloc(0) }
-    const answer = await callServer(this.connectionsTo(address), call, clock, clock.now() + CALL_TIMEOUT_MS)
+    const answer = await callServer(this.connectionsTo(address), call, { clock, deadline: clock.now() + CALL_TIMEOUT_MS, maxBytes: MAX_RECORDS_BYTES })
     return answer.chain(({ status, body }) => status === 200 ? decodeRecords(body) : Left(malformed(`status ${status}`)))
   }
 
   /** The lease's log, accessed through the instance at the address. */
   proxiedLog (address: string): FenceLog {
     const { clock } = this.options
-    return createProxiedLog(async call => await callServer(this.connectionsTo(address), call, clock, clock.now() + CALL_TIMEOUT_MS))
+    return createProxiedLog(async call => await callServer(this.connectionsTo(address), call, { clock, deadline: clock.now() + CALL_TIMEOUT_MS, maxBytes: MAX_LEASE_ANSWER_BYTES }))
   }
 
   private connectionsTo (address: string): ServerConnections {
--- a/packages/foxtaillever-relay/src/servers/__tests__/callServer.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/callServer.test.ts
@@ -7,6 +7,9 @@
 
 const DEADLINE_MS = 40
 
+/** More than any answer here has. */
+const MAX_BYTES = 10_000
+
 /** Far longer than the call may take. */
 const STALL_MS = 200
 
@@ -37,7 +40,7 @@
       const { server, connections } = await listen((_request, response) => {
         response.end('known', () => blockEventLoopUntil(deadline + STALL_MS))
       })
-      const answer = callServer(connections, call, clock, deadline)
+      const answer = callServer(connections, call, { clock, deadline, maxBytes: MAX_BYTES })
       t.is((await answer).map(({ status }) => status).extract(), 200)
       close(server, connections)
     })
@@ -46,7 +49,7 @@
     it('gives the server the time that the pause took', async t => {
       const { server, connections } = await listen((_request, response) => { response.end('known') })
       const deadline = clock.now() + DEADLINE_MS
-      const answer = callServer(connections, call, clock, deadline)
+      const answer = callServer(connections, call, { clock, deadline, maxBytes: MAX_BYTES })
       blockEventLoopUntil(deadline + STALL_MS)
       t.is((await answer).map(({ status }) => status).extract(), 200)
       close(server, connections)
@@ -57,7 +60,7 @@
   it('gives the server the time of a stall that ends before the deadline', async t => {
     const { server, connections } = await listen((_request, response) => { response.end('known') })
     const beganAt = clock.now()
-    const answer = callServer(connections, call, clock, beganAt + DEADLINE_MS)
+    const answer = callServer(connections, call, { clock, deadline: beganAt + DEADLINE_MS, maxBytes: MAX_BYTES })
     blockEventLoopUntil(beganAt + 0.9 * DEADLINE_MS)
     setImmediate(() => blockEventLoopUntil(beganAt + 1.2 * DEADLINE_MS))
     t.is((await answer).map(({ status }) => status).extract(), 200)
@@ -74,7 +77,7 @@
       }
       write(1)
     })
-    const read = async (path: string): Promise<number> => (await callServer(connections, { ...call, path }, clock, clock.now() + DEADLINE_MS, 10 * DEADLINE_MS)).map(({ body }) => body.length).orDefault(0)
+    const read = async (path: string): Promise<number> => (await callServer(connections, { ...call, path }, { clock, deadline: clock.now() + DEADLINE_MS, maxBytes: MAX_BYTES, chunkTimeoutMs: 10 * DEADLINE_MS })).map(({ body }) => body.length).orDefault(0)
     t.is(await read('/'), 25)
     t.is(await read('/stalls'), 0)
     close(server, connections)
@@ -82,7 +85,7 @@
 
   it('fails at its deadline if nothing answers', async t => {
     const { server, connections } = await listen(() => {})
-    t.true((await callServer(connections, call, clock, clock.now() + DEADLINE_MS)).isLeft())
+    t.true((await callServer(connections, call, { clock, deadline: clock.now() + DEADLINE_MS, maxBytes: MAX_BYTES })).isLeft())
     close(server, connections)
   })
 })
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverConnections.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverConnections.test.ts
@@ -20,7 +20,7 @@
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
     const instances = Array.from({ length: INSTANCES }, () => ServerConnections.create({ address, part: connectionShare(MAX_CONNECTIONS, INSTANCES) }))
     const clock = SystemClock.create()
-    const answers = await Promise.all(instances.flatMap(connections => [0, 1].map(async () => await callServer(connections, call, clock, clock.now() + PATIENCE_MS))))
+    const answers = await Promise.all(instances.flatMap(connections => [0, 1].map(async () => await callServer(connections, call, { clock, deadline: clock.now() + PATIENCE_MS, maxBytes: 1000 }))))
     t.true(answers.every(answer => answer.isRight()))
     const until = clock.now() + PATIENCE_MS
     const countOpen = async (): Promise<number> => await new Promise(resolve => server.getConnections((_, count) => resolve(count)))
--- a/packages/foxtaillever-relay/src/servers/callServer.ts
+++ b/packages/foxtaillever-relay/src/servers/callServer.ts
@@ -1,7 +1,8 @@
-/** Sends a short call of this process once and reads its complete answer; the call fails at its deadline. */
+/** Sends a short call of this process once and reads its complete answer, within a bound in bytes and in time. */
 import type { IncomingMessage } from 'node:http'
-import { atAfterSilence, Failure, FailureCode, Verdict, type Cancellation, type Clock } from 'foxtaillever-core'
+import { atAfterSilence, Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
+import { boundBody, type BodyBound } from './byteBounds.js'
 import type { ServerCall, ServerConnections } from './serverConnections.js'
 
 export interface WholeAnswer {
@@ -10,11 +11,16 @@
   readonly body: Buffer
 }
 
-/**
- * @param deadline milliseconds of Unix time; the connection is closed then if the answer is not complete.
- * @param chunkTimeoutMs an answer that has begun may continue beyond the deadline while no gap between its chunks is longer than this.
- */
-export async function callServer (connections: ServerConnections, call: ServerCall, clock: Clock, deadline: number, chunkTimeoutMs = 0): Promise<Either<Failure, WholeAnswer>> {
+/** The connection is closed at the deadline if the answer is not complete. */
+export interface CallBound extends BodyBound {
+  /** An answer that has begun may continue beyond the deadline while no gap between its chunks is longer than this, milliseconds. */
+  readonly chunkTimeoutMs?: number
+}
+
+/** Longest continuation of an answer beyond its deadline, milliseconds: 8 MB over a link of 2 Mbit/s. */
+const MAX_CONTINUATION_MS = 32_000
+
+export async function callServer (connections: ServerConnections, call: ServerCall, { clock, maxBytes, deadline, chunkTimeoutMs = 0 }: CallBound): Promise<Either<Failure, WholeAnswer>> {
   return await new Promise(resolve => {
     let verdict = Verdict.NotRun
     const request = connections.send(call, () => { verdict = Verdict.MayHaveRun })
@@ -28,6 +34,15 @@
     request.on('error', fail)
     request.on('response', response => {
       const chunks: Buffer[] = []
+      const isContinued = chunkTimeoutMs > 0
+      if (!isContinued) {
+        cancelDeadline()
+      }
+      response.on('error', fail)
+      boundBody(response, { clock, maxBytes, deadline: isContinued ? deadline + MAX_CONTINUATION_MS : deadline }, excess => {
+        connections.recordExcess(excess)
+        fail(new Error(`the answer exceeded its bound in ${excess}`))
+      })
       response.on('data', chunk => {
         chunks.push(chunk)
         const until = clock.now() + chunkTimeoutMs
@@ -36,7 +51,6 @@
           cancelDeadline = timeOutAt(until)
         }
       })
-      response.on('error', fail)
       response.on('end', () => {
         cancelDeadline()
         resolve(Right({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks) }))
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -51,8 +51,6 @@
 export enum ByteSource {
   Server = 'server',
   Instance = 'instance',
-  Store = 'store',
-  CacheStore = 'cache-store',
   Caller = 'caller'
 }
 
--- a/packages/foxtaillever-router/src/adapters/engineClient.ts
+++ b/packages/foxtaillever-router/src/adapters/engineClient.ts
@@ -14,6 +14,9 @@
 /** Timeout of load queries and cancels, milliseconds. */
 const ANSWER_TIMEOUT_MS = 1000
 
+/** Longest load report or answer to a cancel, bytes. */
+const MAX_ANSWER_BYTES = 1024 * 1024
+
 const noBody = Buffer.alloc(0)
 
 /** Engines run lower numbers first. */
@@ -63,7 +66,7 @@
   }
 
   private async callEngine (call: ServerCall): Promise<Either<Failure, WholeAnswer>> {
-    return await callServer(this.connections, call, this.clock, this.clock.now() + ANSWER_TIMEOUT_MS)
+    return await callServer(this.connections, call, { clock: this.clock, deadline: this.clock.now() + ANSWER_TIMEOUT_MS, maxBytes: MAX_ANSWER_BYTES })
   }
 
   private createCall (method: string, path: string, body = noBody, headers: Readonly<Record<string, string>> = {}): ServerCall {
