Bound the bodies of callers' requests that are refused or that never end

The body of a request that was refused by its head (unknown route, unknown key, no configuration) was read to an end that may never come, and an accepted one within the limit of bytes was awaited for ever.

A refused body is read within the limits of any body (its bytes, and the time that a head may take), so that an ordinary one keeps its connection; one that announces more gets its answer and a closed connection. An accepted body is awaited until one second after the deadline: one that ends before still gets its refusal. Both are logged and counted with the caller as their source.

--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -12,7 +12,8 @@
 import type { CallerLimits } from '../model/routing.js'
 import type { CallerWire } from '../model/wire.js'
 import { selectService, type RouteTable } from '../routing/routeTable.js'
-import type { RelayLog } from '../telemetry/relayLog.js'
+import { boundBody, drainBody, hasBody, type BodyExcess } from '../servers/byteBounds.js'
+import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
 import { ConnectionLimit } from 'foxtaillever-policy/relay/connectionLimit'
 import { answerFailure } from './answerFailure.js'
 import { CallerConnections, type UnsentAnswers } from './callerConnections.js'
@@ -24,6 +25,9 @@
 /** Callers use an idle connection until shortly before its announced end. It is closed here this much later, milliseconds, so that no request meets the close. */
 const IDLE_MARGIN_MS = 1000
 
+/** A body is read for this much longer than its caller waits for the answer, milliseconds: one that is complete by then is still refused. */
+const BODY_GRACE_MS = 1000
+
 /** Limits until a configuration is known. */
 const defaultLimits: CallerLimits = { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeoutMs: 5000, idleTimeoutMs: 10_000 }
 
@@ -38,6 +42,13 @@
   readonly othersDelayMs?: () => number | undefined
 }
 
+interface BodyReading {
+  /** Refuses the request because its body is too large. */
+  readonly refuse: (failure: Failure) => void
+  /** Milliseconds of Unix time. */
+  readonly deadline: number
+}
+
 export class CallerServer {
   private readonly server: Server
   private readonly connections: CallerConnections
@@ -124,7 +135,7 @@
     wire.readHead(request).caseOf({
       Left: reason => {
         log.malformed(reason)
-        answerFailure(response, Failure.notRun(FailureCode.BadRequest, reason), this.options.clock.now())
+        this.refuseUnread(request, response, () => answerFailure(response, Failure.notRun(FailureCode.BadRequest, reason), this.options.clock.now()))
       },
       Right: head => this.handleHead(head, request, response)
     })
@@ -137,27 +148,49 @@
       log.refused(head, failure)
       answerFailure(response, failure, clock.now())
     }
+    const refuseUnread = (failure: Failure): void => this.refuseUnread(request, response, () => refuse(failure))
     const routes = table()
     if (!routes) {
-      refuse(Failure.notRun(FailureCode.NoConfiguration, 'No configuration is known yet.', earliestRetryTime(FailureCode.NoConfiguration, arrivedAt)))
+      refuseUnread(Failure.notRun(FailureCode.NoConfiguration, 'No configuration is known yet.', earliestRetryTime(FailureCode.NoConfiguration, arrivedAt)))
       return
     }
     routes.find(head.host, head.path)
       .chain(route => routes.authenticate(route, head.apiKey).map(account => ({ route, account })))
       .caseOf({
-        Left: refuse,
+        Left: refuseUnread,
         Right: ({ route, account }) => {
           const callerDeadline = head.patienceMs === undefined ? Infinity : arrivedAt + head.patienceMs
           const deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
-          this.readBody(request, response, refuse, body => {
+          this.readBody(request, response, { refuse, deadline: deadline + BODY_GRACE_MS }, body => {
             onExchange({ ...head, route, account, service: selectService(route, head.resumedId || head.id), body, arrivedAt, callerDeadline, deadline }, CallerAnswer.create(response, failure => answerFailure(response, failure, clock.now())))
           })
         }
       })
   }
 
-  /** A body that exceeds the limit is refused as soon as that is known, and its connection is closed. */
-  private readBody (request: IncomingMessage, response: ServerResponse, refuse: (failure: Failure) => void, onBody: (body: Buffer) => void): void {
+  /** Refuses a request of which only the head was read. Its body is read within the limits of any body, so that the connection can be reused. */
+  private refuseUnread (request: IncomingMessage, response: ServerResponse, refuse: () => void): void {
+    const { bodyBytes, headerTimeoutMs } = this.limits
+    const { clock } = this.options
+    const isTooLarge = Number(request.headers['content-length'] ?? 0) > bodyBytes
+    if (isTooLarge) {
+      response.shouldKeepAlive = false
+    }
+    refuse()
+    if (!isTooLarge && hasBody(request)) {
+      drainBody(request, { clock, maxBytes: bodyBytes, deadline: clock.now() + headerTimeoutMs }, excess => this.logExcess(request, excess))
+    }
+  }
+
+  private logExcess ({ socket }: IncomingMessage, excess: BodyExcess): void {
+    this.options.log.bodyExceeded(ByteSource.Caller, socket.remoteAddress ?? '', excess)
+  }
+
+  /**
+   * A body that exceeds the limit is refused as soon as that is known, and its connection
+   * is closed. One that is not complete long after the deadline only closes the connection.
+   */
+  private readBody (request: IncomingMessage, response: ServerResponse, { refuse, deadline }: BodyReading, onBody: (body: Buffer) => void): void {
     const { bodyBytes } = this.limits
     const chunks: Buffer[] = []
     let length = 0
@@ -171,6 +204,12 @@
       refuseTooLarge()
       return
     }
+    if (hasBody(request)) {
+      boundBody(request, { clock: this.options.clock, maxBytes: Infinity, deadline }, excess => {
+        isRefusedOrFailed = true
+        this.logExcess(request, excess)
+      })
+    }
     request.on('data', (chunk: Buffer) => {
       length += chunk.length
       if (length > bodyBytes && !isRefusedOrFailed) {
--- a/packages/foxtaillever-relay/src/servers/byteBounds.ts
+++ b/packages/foxtaillever-relay/src/servers/byteBounds.ts
@@ -53,6 +53,11 @@
   message.on('data', onData)
 }
 
+/** Whether the head of a request announces a body. */
+export function hasBody ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
+}
+
 /** Reads a body that nobody needs, so that its connection can be reused, unless it exceeds the bound. */
 export function drainBody (message: IncomingMessage, bound: BodyBound, onExceeded: (excess: BodyExcess) => void): void {
   boundBody(message, bound, onExceeded)
