Bound the bodies of calls between instances in bytes and in time

A call of another instance with a body without end was read for as long as it came: refused requests, probes, calls of other kinds, and carried ones that stay below the limit and keep their place.

The body of every call is bounded where it arrives: the limit of requests' bodies for one that carries a request, 16 KB for any other, 3 s for both. Beyond it the connection is closed, logged and counted.

--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -10,9 +10,10 @@
 import type { CrashProtocol } from '../crashes/crashProtocol.js'
 import type { AnswerWire } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import { boundBody, hasBody } from '../servers/byteBounds.js'
 import { reachableFrom } from '../servers/serverAvailability.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
-import type { RelayLog } from '../telemetry/relayLog.js'
+import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
 import { answeredHeaders, failureHeaders, FAILURE_STATUS, omitForwarding, PROBE_PATH, readForwarding, type ForwardingRequest } from './forwardingMessage.js'
 import { Suspicion } from './linkCheck.js'
 import type { LinkMonitor } from './linkMonitor.js'
@@ -21,13 +22,19 @@
 /** Requests that one instance carries at the same time, some ten kilobytes each: they must not crowd out its own. */
 const MAX_CARRIED = 256
 
+/** The body of a call of another instance is read for this long, milliseconds: 1 MB takes 0.8 s at 10 Mbit/s. */
+const BODY_TIMEOUT_MS = 3000
+
+/** Longest body of a call that carries no request, bytes; the record of a lease has at most 1000. */
+const MAX_CALL_BODY_BYTES = 16 * 1024
+
 export interface ForwardingServerOptions {
   readonly clock: Clock
   readonly wire: AnswerWire
   readonly connectTimeoutMs: number
   readonly directory: () => Pick<ServerDirectory, 'getByHash' | 'recordHeard' | 'recordBroken'>
   readonly monitor: Pick<LinkMonitor, 'brokenSince' | 'findFor' | 'suspect'>
-  readonly log: Pick<RelayLog, 'carried'>
+  readonly log: Pick<RelayLog, 'carried' | 'bodyExceeded'>
   readonly crashes: Pick<CrashProtocol, 'findQuarantine' | 'recordLoss'>
   /** Whether an instance of the fleet has the address. */
   readonly isMember: (address: string) => boolean
@@ -45,9 +52,10 @@
     return new ForwardingServer(options)
   }
 
-  /** Handles a call of another instance. @returns whether it is a call of this protocol. */
+  /** Handles a call of another instance, and bounds the body of any call. @returns whether it is a call of this protocol. */
   handle (request: IncomingMessage, response: ServerResponse): boolean {
     const forwarding = readForwarding(request.headers)
+    this.boundCall(request, forwarding === undefined ? MAX_CALL_BODY_BYTES : this.options.maxBodyBytes())
     if (forwarding) {
       this.forward(forwarding, request, response)
       return true
@@ -60,8 +68,16 @@
     return true
   }
 
+  private boundCall (request: IncomingMessage, maxBytes: number): void {
+    const { clock, log } = this.options
+    if (hasBody(request)) {
+      const from = request.socket.remoteAddress ?? ''
+      boundBody(request, { clock, maxBytes, deadline: clock.now() + BODY_TIMEOUT_MS }, excess => log.bodyExceeded(ByteSource.Instance, from, excess))
+    }
+  }
+
   private forward (forwarding: ForwardingRequest, request: IncomingMessage, response: ServerResponse): void {
-    const { isMember, directory, maxBodyBytes } = this.options
+    const { isMember, directory } = this.options
     const server = directory().getByHash(forwarding.server)
     const refusal = !isMember(forwarding.from) || hostOf(forwarding.from) !== request.socket.remoteAddress ? 'not a request of the fleet' : this.findRefusal(server)
     if (server === undefined || refusal !== undefined) {
@@ -72,14 +88,7 @@
     this.carried += 1
     response.once('close', () => { this.carried -= 1 })
     const chunks: Buffer[] = []
-    let length = 0
-    request.on('data', (chunk: Buffer) => {
-      length += chunk.length
-      chunks.push(chunk)
-      if (length > maxBodyBytes()) {
-        request.destroy()
-      }
-    })
+    request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
     request.on('error', () => {})
     request.on('end', () => this.send(forwarding, server, request, Buffer.concat(chunks), response))
   }
