--- a/packages/foxtaillever-relay/src/links/forwardingClient.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingClient.ts
@@ -11,6 +11,7 @@
 import type { Clock, Random } from 'foxtaillever-core'
 import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
 import type { PeerMessage } from '../peers/peerMessage.js'
+import type { BodyExcess } from '../servers/byteBounds.js'
 import { callServer } from '../servers/callServer.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { ServerConnections, type ServerCall, type ServerChannel } from '../servers/serverConnections.js'
@@ -23,6 +24,9 @@
 /** An instance that could not send a request on is passed over for this long, milliseconds: as long as it may take to notice that it is cut off too. */
 const PASSED_OVER_MS = 500
 
+/** Longest finding of another instance's probe, bytes: one word. */
+const MAX_FINDING_BYTES = 1024
+
 export interface ForwardingClientOptions {
   readonly clock: Clock
   readonly random: Random
@@ -30,6 +34,8 @@
   readonly address: () => string
   /** Other instances that are probably alive. */
   readonly peers: () => readonly PeerMessage[]
+  /** A body of another instance exceeded its bound. */
+  readonly onExcess?: (address: string, excess: BodyExcess) => void
   /** A server answered through another instance; `sentAt` is when the request was sent, milliseconds of Unix time. */
   readonly onAnswer: (server: KnownServer, status: number, headers: IncomingHttpHeaders, sentAt: number) => void
 }
@@ -73,7 +79,7 @@
     const candidates = this.candidates().filter(address => !tried.has(address))
     const drawn = [random, random].flatMap(source => candidates[source.below(Math.max(1, candidates.length))] ?? [])
     const [address] = drawn.sort((a, b) => this.inFlightAt(a) - this.inFlightAt(b))
-    return address === undefined ? undefined : { address, channel: { send: (call, onBeforeSend) => this.send(address, server, request, call, onBeforeSend), closeIdleFor: () => {} } }
+    return address === undefined ? undefined : { address, channel: this.createChannel(address, server, request) }
   }
 
   /** Records that the instance could not send a request on. */
@@ -84,7 +90,7 @@
   /** Asks the instance to probe a server; never rejects. */
   async probe (address: string, { hash }: KnownServer, deadline: number): Promise<ProbeFinding> {
     const call = { method: 'GET', path: `${PROBE_PATH}?server=${hash}`, headers: ['Host', 'peer'], body: Buffer.alloc(0) }
-    const answer = await callServer(this.connectionsTo(address), call, this.options.clock, deadline)
+    const answer = await callServer(this.connectionsTo(address), call, { clock: this.options.clock, deadline, maxBytes: MAX_FINDING_BYTES })
     const text = answer.map(({ status, body }) => status === 200 ? body.toString() : '').orDefault('')
     return Object.values(ProbeFinding).find(finding => finding === text) ?? ProbeFinding.Unknown
   }
@@ -93,6 +99,14 @@
     this.connections.forEach(connections => connections.close())
   }
 
+  private createChannel (address: string, server: KnownServer, request: ForwardedRequest): ServerChannel {
+    return {
+      send: (call, onBeforeSend) => this.send(address, server, request, call, onBeforeSend),
+      closeIdleFor: () => {},
+      recordExcess: excess => this.connectionsTo(address).recordExcess(excess)
+    }
+  }
+
   private send (address: string, server: KnownServer, forwarded: ForwardedRequest, call: ServerCall, onBeforeSend: () => void): ClientRequest {
     const { clock, onAnswer } = this.options
     const sentAt = clock.now()
@@ -122,8 +136,17 @@
   private connectionsTo (address: string): ServerConnections {
     let connections = this.connections.get(address)
     if (!connections) {
-      const { clock, address: own } = this.options
-      connections = ServerConnections.create({ address, part: CONNECTIONS, now: () => clock.now(), localHost: own().split(':')[0] })
+      const { clock, address: own, onExcess = () => {} } = this.options
+      connections = ServerConnections.create({
+        address,
+        part: CONNECTIONS,
+        now: () => clock.now(),
+        localHost: own().split(':')[0],
+        onExcess: excess => {
+          this.recordFailure(address)
+          onExcess(address, excess)
+        }
+      })
       this.connections.set(address, connections)
     }
     return connections
