Share cached levels under a key of the set of isolated accounts

A client account becomes isolated by a new revision of the configuration; requests of other accounts go on running on levels that its requests made, in engines and in stores, until these are evicted. After the account is shared anew the same holds for what it shared before.

Cause: all accounts that are not isolated have one cache salt, shared/wVERSION. It says nothing of who was among them, so the levels of an account that leaves them stay in reach. A request that is sent again after the change is also planned with its account as it was when the request arrived.

The key of the shared levels is now computed from the set of isolated accounts of the configuration in force. Whoever makes or uses a level under a key is not isolated in that set, so no history and no agreement among instances is needed: all compute the same key from the configuration alone, however late they apply it. The key without isolated accounts stays as it was. A request is planned with the configuration in force; if its account was isolated when it arrived, it stays on its own levels.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -7,6 +7,7 @@
 import { Logs } from 'foxtaillever-telemetry'
 import { VirtualClock } from 'foxtaillever-testing'
 import { Right } from 'purify-ts'
+import { CacheIsolation } from '../cache/cacheIsolation.js'
 import { FetchLoad } from '../cache/fetchLoad.js'
 import { CallerServer } from '../callers/callerServer.js'
 import { CrashProtocol } from '../crashes/crashProtocol.js'
@@ -138,7 +139,7 @@
   private constructor (route: Route) {
     const { clock } = this
     const limits = { headerBytes: 16_384, bodyBytes: 100_000, headerTimeoutMs: 5000, idleTimeoutMs: 5000 }
-    const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], limits }
+    const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], cacheIsolation: CacheIsolation.create([]), limits }
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, onUrgent: () => {} })
--- a/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
+++ b/packages/foxtaillever-relay/src/attempts/__tests__/planTerms.test.ts
@@ -2,6 +2,7 @@
 import { SavedLevels } from 'foxtaillever-policy/relay/savedLevels'
 import { describe, it } from 'foxtaillever-testing'
 import { createExchange } from '../../__fixtures__/createExchange.js'
+import { CacheIsolation } from '../../cache/cacheIsolation.js'
 import { FetchLoad } from '../../cache/fetchLoad.js'
 import { ServerState, type ListedServer } from '../../model/listedServer.js'
 import type { CacheStore, Routing } from '../../model/routing.js'
@@ -23,6 +24,7 @@
   services: new Map([['engines', { name: 'engines', healthPath: '', mostConnections: 1, engine: { slots: 32, cacheTokens: 71_780, tokenBytes: TOKEN_BYTES, mostEventCalls: 1 } }]]),
   cacheStores: ['a', 'b', 'c'].map(storeIn),
   accounts: [],
+  cacheIsolation: CacheIsolation.create([]),
   limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
 
--- a/packages/foxtaillever-relay/src/attempts/planTerms.ts
+++ b/packages/foxtaillever-relay/src/attempts/planTerms.ts
@@ -17,25 +17,25 @@
  * Identity under which levels are cached. Neither engines nor stores record the
  * weights that produced a level, and they check no client account. Both are
  * therefore part of the identity, so that a level of other weights or of an
- * isolated account is never found.
+ * isolated account is never found. The configuration in force decides which
+ * accounts are isolated: it may have changed since the request arrived.
  */
-export function cacheSaltOf ({ account }: Exchange, weightsVersion: number): string {
-  const isolationKey = account?.isIsolated === true ? `a:${account.name}` : 'shared'
-  return `${isolationKey}/w${weightsVersion}`
+export function cacheSaltOf ({ account }: Pick<Exchange, 'account'>, { cacheIsolation }: Pick<Routing, 'cacheIsolation'>, weightsVersion: number): string {
+  return `${cacheIsolation.keyOf(account)}/w${weightsVersion}`
 }
 
 /** Hash of the shared level of a prompt, as saved at a store under these weights. */
-export function savedLevelOf (exchange: Exchange, prompt: Prompt, weightsVersion: number, store: CacheStore): number {
-  return hashNumber(`${prompt.model}/${cacheSaltOf(exchange, weightsVersion)}/${sharedLevelOf(prompt)}@${store.address}`)
+export function savedLevelOf (prompt: Prompt, cacheSalt: string, store: CacheStore): number {
+  return hashNumber(`${prompt.model}/${cacheSalt}/${sharedLevelOf(prompt)}@${store.address}`)
 }
 
 /** Hash under which the shared level is saved once this server has read it; undefined where it is not saved. */
-export function savedLevelAt (exchange: Exchange, { weights }: Pick<KnownServer, 'weights'>, stores: readonly CacheStore[]): number | undefined {
+export function savedLevelAt (exchange: Exchange, { weights }: Pick<KnownServer, 'weights'>, routing: Routing, stores: readonly CacheStore[]): number | undefined {
   const { prompt } = exchange
   const key = promptKeyOf(exchange)
   const version = prompt && weights.get(prompt.model)
   const store = key === undefined ? undefined : homeOf(key, stores)
-  return prompt && version !== undefined && store ? savedLevelOf(exchange, prompt, version, store) : undefined
+  return prompt && version !== undefined && store ? savedLevelOf(prompt, cacheSaltOf(exchange, routing, version), store) : undefined
 }
 
 /** Tokens after the levels shared with other requests; a prompt of one level may be shared as a whole. */
@@ -107,14 +107,14 @@
   if (prompt === undefined || weightsVersion === undefined) {
     return { ...noCache, cacheSalt: '', weightsVersion: undefined, unreadTokens: prompt?.promptTokens ?? 0 }
   }
-  const cacheSalt = cacheSaltOf(exchange, weightsVersion)
+  const cacheSalt = cacheSaltOf(exchange, routing, weightsVersion)
   const key = promptKeyOf(exchange)
   const store = key === undefined ? undefined : homeOf(key, stores)
   const tokenBytes = routing.services.get(exchange.service)?.engine?.tokenBytes
   if (store === undefined || tokenBytes === undefined) {
     return { ...noCache, cacheSalt, weightsVersion, unreadTokens: prompt.promptTokens }
   }
-  const level = savedLevelOf(exchange, prompt, weightsVersion, store)
+  const level = savedLevelOf(prompt, cacheSalt, store)
   const isCrossDomain = store.failureDomain !== server.listed.failureDomain
   const link = { tokensInTransit: fetchLoad.tokensInTransit(store.address, now), tokensPerMs: store.linkBytesPerMs / tokenBytes }
   const isFetched = mayFetch(link)
--- a/packages/foxtaillever-relay/src/cache/estimateLevelFetch.ts
+++ b/packages/foxtaillever-relay/src/cache/estimateLevelFetch.ts
@@ -1,6 +1,6 @@
 /** Estimates how an engine would get the shared levels of a prompt: already cached, fetched from their store, or computed. */
 import { homeOf } from 'foxtaillever-policy/relay/levelHome'
-import { deepestSharedTokensOf, ownTokensOf, promptKeyOf, savedLevelOf } from '../attempts/planTerms.js'
+import { cacheSaltOf, deepestSharedTokensOf, ownTokensOf, promptKeyOf, savedLevelOf } from '../attempts/planTerms.js'
 import type { Exchange } from '../model/exchange.js'
 import type { Routing } from '../model/routing.js'
 import type { KnownServer } from '../servers/knownServer.js'
@@ -17,14 +17,14 @@
 
 const noFetch: LevelFetchEstimate = { fetchMs: 0, waitMs: 0, missingTokens: () => 0 }
 
-export function estimateLevelFetch (exchange: Exchange, { services }: Routing, caches: Pick<CacheStoreTracker, 'available' | 'fetchLoad' | 'savedLevels'>, now: number, tokensPerMs: number): LevelFetchEstimate {
+export function estimateLevelFetch (exchange: Exchange, routing: Routing, caches: Pick<CacheStoreTracker, 'available' | 'fetchLoad' | 'savedLevels'>, now: number, tokensPerMs: number): LevelFetchEstimate {
   const { prompt, service } = exchange
   const key = promptKeyOf(exchange)
   if (prompt === undefined || key === undefined) {
     return noFetch
   }
   const store = homeOf(key, caches.available())
-  const tokenBytes = services.get(service)?.engine?.tokenBytes
+  const tokenBytes = routing.services.get(service)?.engine?.tokenBytes
   if (store === undefined || tokenBytes === undefined) {
     const ownTokens = ownTokensOf(prompt)
     return { fetchMs: (prompt.promptTokens - ownTokens) / tokensPerMs, waitMs: 0, missingTokens: () => ownTokens }
@@ -36,7 +36,7 @@
     if (known !== undefined) {
       return known
     }
-    const isSaved = caches.savedLevels.isSavedRecently(savedLevelOf(exchange, prompt, version, store), now)
+    const isSaved = caches.savedLevels.isSavedRecently(savedLevelOf(prompt, cacheSaltOf(exchange, routing, version), store), now)
     const tokens = isSaved ? ownTokensOf(prompt) : prompt.promptTokens
     missingByVersion.set(version, tokens)
     return tokens
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -72,7 +72,7 @@
   private readonly log: RelayLog
   private readonly wire: ServerWire
 
-  private constructor (options: ExchangeDispatcherOptions) {
+  private constructor (private readonly options: ExchangeDispatcherOptions) {
     const { clock, random, connectTimeoutMs, wire, log, crashes, quota, streamVersions, queryLoad, onLoadChanged, onSpeedSample, onSaved, onUnreachable, onMisdirected, paths } = options
     this.clock = clock
     this.log = log
@@ -148,7 +148,7 @@
   }
 
   private levelAtHome (exchange: Exchange, home: KnownServer | undefined): LevelAtHome | undefined {
-    const level = home && savedLevelAt(exchange, home, this.caches.available())
+    const level = home && savedLevelAt(exchange, home, requireRouting(this.options.routing()), this.caches.available())
     return home && level !== undefined ? { level, home: home.hash } : undefined
   }
 
--- a/packages/foxtaillever-relay/src/index.ts
+++ b/packages/foxtaillever-relay/src/index.ts
@@ -2,6 +2,7 @@
 export { eraOf, MAX_ERA, offsetOf, positionAt } from './knowledge/storePosition.js'
 export * from './relay.js'
 export * from './relayOptions.js'
+export { CacheIsolation } from './cache/cacheIsolation.js'
 export type { CacheStoreCalls, StoreState } from './cache/storeMonitor.js'
 export * from './knowledge/keyedLog.js'
 export * from './model/exchange.js'
--- a/packages/foxtaillever-relay/src/model/routing.ts
+++ b/packages/foxtaillever-relay/src/model/routing.ts
@@ -2,6 +2,7 @@
  * What operators configure for relayed traffic: routes, services and client
  * accounts. Names are independent of those in the platform's own format.
  */
+import type { CacheIsolation } from '../cache/cacheIsolation.js'
 
 /** Whether a request may run more than once. */
 export enum Repeatability {
@@ -126,5 +127,7 @@
   /** Each level has its home at one of these stores. */
   readonly cacheStores: readonly CacheStore[]
   readonly accounts: readonly RelayAccount[]
+  /** Which of the accounts share cached levels. */
+  readonly cacheIsolation: CacheIsolation
   readonly limits: CallerLimits
 }
--- a/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
+++ b/packages/foxtaillever-relay/src/weights/__fixtures__/orderingFleet.ts
@@ -2,6 +2,7 @@
 import { hashNumber, SeededRandom, waitUntil, type Cancellation, type Clock } from 'foxtaillever-core'
 import { Logs } from 'foxtaillever-telemetry'
 import { VirtualClock } from 'foxtaillever-testing'
+import { CacheIsolation } from '../../cache/cacheIsolation.js'
 import { ServerState } from '../../model/listedServer.js'
 import type { Routing } from '../../model/routing.js'
 import type { LeaseUpdate, WeightsUpdate } from '../../peers/peerMessage.js'
@@ -22,6 +23,7 @@
   services: new Map([['engines', { name: 'engines', healthPath: '', mostConnections: 300, engine: undefined }]]),
   cacheStores: [],
   accounts: [],
+  cacheIsolation: CacheIsolation.create([]),
   limits: { headerBytes: 0, bodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 }
 }
 
--- a/packages/foxtaillever-router/src/plain/plainRoutes.ts
+++ b/packages/foxtaillever-router/src/plain/plainRoutes.ts
@@ -1,5 +1,6 @@
 /** Converts plain services of the configuration to routes and servers of the relay core. */
 import { AdministrativeState, type BackendServer, type Configuration, type PlainService } from 'foxtaillever-core'
+import { CacheIsolation } from 'foxtaillever-relay/cache/cacheIsolation'
 import { ServerState, type ListedServer } from 'foxtaillever-relay/model/listedServer'
 import { Repeatability, type Route, type Routing } from 'foxtaillever-relay/model/routing'
 import type { MatchedCall } from './matchCall.js'
@@ -39,6 +40,7 @@
     services: new Map(Object.values(services).map(({ name, concurrentRequests }) => [name, { name, healthPath: '', mostConnections: concurrentRequests, engine: undefined }])),
     cacheStores: [],
     accounts: [],
+    cacheIsolation: CacheIsolation.create([]),
     limits: { headerBytes: 0, bodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 }
   }
 }
