Send requests again that wait at servers while an account becomes isolated

A request that was sent before a client account became isolated, and still waits at a busy engine when the new revision must be in force, begins under the former cache salt: it runs on levels of that account, or the account's own request on levels of others.

Half the bound on configurations after an instance applied a revision that isolates one more account, it withdraws attempts that have the former salt and whose answer has not begun, and sends them again under the new one, also to the same server. Most requests begin before that and cost nothing. Withdrawn attempts count against the retry budget; where it has no room, for requests that may run only once, and where no attempt is left, the request keeps its place. Nothing is withdrawn when an account is shared anew, since nothing is broken then.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -64,7 +64,7 @@
     headers: [],
     apiKey: undefined,
     patienceMs: undefined,
-    prompt: undefined,
+    prompt: headers.model === undefined ? undefined : { model: String(headers.model), levels: [], promptTokens: 10, outputTokens: 1 },
     resumeAfter: '',
     resumedId: ''
   })
@@ -72,7 +72,7 @@
 
 export const serverWire: ServerWire = {
   notRunStatuses: new Set([408, 429, 503]),
-  createHeaders: ({ id, body }, { resumeAfter }) => ['Host', 'h', 'request-id', id, 'after', resumeAfter, 'content-length', String(body.length)],
+  createHeaders: ({ id, body }, { resumeAfter, cacheSalt }) => ['Host', 'h', 'request-id', id, 'after', resumeAfter, 'salt', cacheSalt, 'content-length', String(body.length)],
   readMarks: (_, headers) => ({
     requestId: headers['request-id'] as string | undefined,
     isStamped: headers['stamp'] !== undefined,
@@ -130,6 +130,8 @@
   choices = 0
   /** Decides on admission at servers. */
   admission: AdmissionContext = { claims: { claimFor: () => undefined, queuePositionOf: () => undefined, mayBypass: () => true }, protocol: noAdmissionProtocol }
+  /** The configuration in force. */
+  routing: Routing
   private readonly callers: CallerServer
   readonly limits: ServerLimits
   private readonly statements: ServerStatementHandler
@@ -139,7 +141,7 @@
   private constructor (route: Route) {
     const { clock } = this
     const limits = { headerBytes: 16_384, bodyBytes: 100_000, headerTimeoutMs: 5000, idleTimeoutMs: 5000 }
-    const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], cacheIsolation: CacheIsolation.create([]), limits }
+    this.routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], cacheIsolation: CacheIsolation.create([]), limits }
     const random = SeededRandom.create(1)
     const log = RelayLog.create(Logs.create({ instance: 'i', level: 'silent', clock, destination: new PassThrough() }))
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, onUrgent: () => {} })
@@ -168,7 +170,7 @@
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
       log,
       isBrittle: server => brittle.isBrittle(server),
-      routing: () => routing,
+      routing: () => this.routing,
       othersTokensAt: () => 0,
       onLoadChanged: () => this.onLoadChanged(),
       onSpeedSample: () => {},
@@ -184,7 +186,7 @@
       onMisdirected: () => {}
     }
     this.runs = ExchangeRuns.create(context)
-    const table = RouteTable.create(routing)
+    const table = RouteTable.create(this.routing)
     this.callers = CallerServer.create({
       clock, log, wire: callerWire, table: () => table, onExchange: (exchange, answer) => this.runs.start(exchange, answer)
     })
@@ -217,9 +219,9 @@
   }
 
   /** Sends one request on its own connection and returns all bytes received until the connection ends. */
-  async sendRequest (id: string, body = ''): Promise<string> {
+  async sendRequest (id: string, body = '', headers: readonly string[] = []): Promise<string> {
     const socket = this.connect()
-    socket.write(`POST /p HTTP/1.1\r\nhost: h\r\nrequest-id: ${id}\r\nconnection: close\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+    socket.write(`POST /p HTTP/1.1\r\nhost: h\r\nrequest-id: ${id}\r\nconnection: close\r\n${headers.map(header => `${header}\r\n`).join('')}content-length: ${body.length}\r\n\r\n${body}`)
     return await readAll(socket)
   }
 
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -94,6 +94,11 @@
     this.fail(this.hasSent ? AttemptFailureKind.Silent : AttemptFailureKind.Unreachable, 'no answer in time')
   }
 
+  /** Fails the attempt, which is to be sent again with another cache salt. */
+  withdraw (): void {
+    this.fail(this.hasSent ? AttemptFailureKind.Withdrawn : AttemptFailureKind.HeldBack, 'the isolated accounts have changed')
+  }
+
   /** Fails the attempt because the answer is malformed. */
   reject (detail: string): void {
     this.fail(AttemptFailureKind.Malformed, detail)
--- a/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
+++ b/packages/foxtaillever-relay/src/attempts/attemptFailure.ts
@@ -24,6 +24,8 @@
   Malformed = 'malformed',
   /** The server neither answered nor closed the connection in time. */
   Silent = 'silent',
+  /** This instance ended an attempt that had not begun, since its cache salt is no longer valid. */
+  Withdrawn = 'withdrawn',
   /** The server answered that it failed while running the request. */
   ServerError = 'server-error'
 }
@@ -47,6 +49,7 @@
   [AttemptFailureKind.Foreign]: { verdict: Verdict.MayHaveRun, code: FailureCode.StreamBroken, isServerFault: true, isArrival: true },
   [AttemptFailureKind.Malformed]: { verdict: Verdict.MayHaveRun, code: FailureCode.StreamBroken, isServerFault: true, isArrival: true },
   [AttemptFailureKind.Silent]: { verdict: Verdict.MayHaveRun, code: FailureCode.ConnectionLost, isServerFault: true, isArrival: true },
+  [AttemptFailureKind.Withdrawn]: { verdict: Verdict.MayHaveRun, code: FailureCode.ConnectionLost, isServerFault: false, isArrival: true },
   [AttemptFailureKind.ServerError]: { verdict: Verdict.Ran, code: FailureCode.BackendServerError, isServerFault: true, isArrival: true }
 }
 
--- a/packages/foxtaillever-relay/src/cache/cacheIsolation.ts
+++ b/packages/foxtaillever-relay/src/cache/cacheIsolation.ts
@@ -37,6 +37,11 @@
     return new CacheIsolation(accounts)
   }
 
+  /** Whether an account is isolated that is not in the other revision. */
+  isolatesMoreThan (other: CacheIsolation): boolean {
+    return [...this.isolated].some(name => !other.isolated.has(name))
+  }
+
   /**
    * Isolation key of the cached levels of a request.
    * @param account as of the arrival of the request. If it was isolated then, it stays on its own levels until the request ends.
--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -66,10 +66,11 @@
   recordFailure (server: string, { kind, isReported }: AttemptFailure, hasAnswerBegun: boolean, forwarder?: string): void {
     const { verdict, code, isArrival } = meaningOf[kind]
     this.hasRun = verdict !== Verdict.NotRun
-    if (forwarder !== undefined && (isReported !== true || !isArrival)) {
+    const isWithdrawn = kind === AttemptFailureKind.Withdrawn
+    if (forwarder !== undefined && !isWithdrawn && (isReported !== true || !isArrival)) {
       this.triedForwarders.add(forwarder)
     }
-    if (forwarder === undefined || isArrival) {
+    if (!isWithdrawn && (forwarder === undefined || isArrival)) {
       this.failed.add(server)
     }
     this.wasUnreachable ||= forwarder === undefined && kind === AttemptFailureKind.Unreachable
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -21,6 +21,7 @@
 import { findAttemptRoute } from './findAttemptRoute.js'
 import { handleSilence, isSilentOnBrokenLink, suspectSilentServer } from './handleSilence.js'
 import { InFlightAttempt } from './inFlightAttempt.js'
+import { isOutdated } from './isOutdated.js'
 import { planAttempt } from './planAttempt.js'
 import { recordAnswer, recordAnswerHead } from './recordAnswerHead.js'
 import { recordAttemptFailure } from './recordAttemptFailure.js'
@@ -79,6 +80,10 @@
     return new ExchangeRun(context, exchange, answer, onOver)
   }
 
+  get service (): string {
+    return this.exchange.service
+  }
+
   private get now (): number {
     return this.context.clock.now()
   }
@@ -256,6 +261,16 @@
     }
   }
 
+  /** Sends the request again if other accounts share cached levels than when it was sent, and no answer has begun; returns whether it does. */
+  withdrawOutdated (): boolean {
+    const { current, head, context, exchange, relay, ledger, guard } = this
+    const isWithdrawn = current !== undefined && !head && relay.canContinue && guard.mayRetry() && isOutdated(context, exchange, current, ledger)
+    if (isWithdrawn) {
+      current.attempt.withdraw()
+    }
+    return isWithdrawn
+  }
+
   private onGone (): void {
     if (!this.isOver) {
       this.ledger.recordInterruption(this.current?.attempt.mayHaveArrived === true)
--- a/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
@@ -41,6 +41,18 @@
     this.runs.forEach(run => run.checkQuarantine())
   }
 
+  /** Sends requests again that wait at servers with a cache salt that is no longer valid, as many as the retry budget allows. */
+  checkCacheSalts (): void {
+    const { clock, retries } = this.context
+    const now = clock.now()
+    // Read once for each service, since some retries are counted at once and others only when their server is chosen.
+    const left = new Map<string, number>()
+    this.runs.forEach(run => {
+      const count = left.get(run.service) ?? retries.available(run.service, now)
+      left.set(run.service, count >= 1 && run.withdrawOutdated() ? count - 1 : count)
+    })
+  }
+
   /** Fails the remaining exchanges when the time of a graceful shutdown is up. */
   abort (): void {
     this.runs.forEach(run => run.abort())
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -74,6 +74,11 @@
     return this.options.terms.weightsVersion
   }
 
+  /** Salt under which the server finds and caches the levels of the prompt; empty for requests without a prompt. */
+  get cacheSalt (): string {
+    return this.options.terms.cacheSalt
+  }
+
   /** Whether requests that can still be in time go first. */
   get isYielding (): boolean {
     return this.options.terms.isYielding
--- /dev/null
+++ b/packages/foxtaillever-relay/src/exchange/isOutdated.ts
@@ -0,0 +1,11 @@
+/** Decides whether an attempt that waits at its server is to be sent again, because other accounts share cached levels than when it was sent. */
+import { cacheSaltOf } from '../attempts/planTerms.js'
+import { isRepeatable, type Exchange } from '../model/exchange.js'
+import type { AttemptLedger } from './attemptLedger.js'
+import type { ExchangeContext } from './exchangeContext.js'
+import type { InFlightAttempt } from './inFlightAttempt.js'
+
+/** A request that may run only once keeps its place: the server may have begun it. */
+export function isOutdated ({ routing }: Pick<ExchangeContext, 'routing'>, exchange: Exchange, { cacheSalt, expectedWeights }: InFlightAttempt, { hasAttemptsLeft }: AttemptLedger): boolean {
+  return expectedWeights !== undefined && cacheSalt !== cacheSaltOf(exchange, routing(), expectedWeights) && isRepeatable(exchange) && hasAttemptsLeft
+}
--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -69,6 +69,9 @@
 /** Only what the other instance reports says anything about the server. */
 function recordForwardedFailure (context: ExchangeContext, exchange: Exchange, server: KnownServer, forwarder: string, failure: AttemptFailure): void {
   const { clock, directory, paths } = context
+  if (failure.kind === AttemptFailureKind.Withdrawn) {
+    return
+  }
   if (failure.isReported === true && meaningOf[failure.kind].isArrival) {
     recordServerFailure(context, exchange, server, failure)
     return
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -42,6 +42,13 @@
 /** An instance that starts serves without knowing what crashes the servers from this long after its start, milliseconds, if neither store nor instances answer. */
 const QUARANTINES_KNOWN_BY_MS = 2000
 
+/**
+ * How long requests that wait at servers keep the cache salt from before an account became isolated, as a share of the
+ * bound on configurations: most begin within it and need not be sent again. The rest is for an instance that applies the
+ * configuration late.
+ */
+const WITHDRAWAL_SHARE = 0.5
+
 function medianOf (values: readonly number[]): number | undefined {
   return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)]
 }
@@ -343,8 +350,17 @@
     return this.quarantineStore.isRead || this.peers.alive().length > 0 || this.options.clock.now() > this.startedAt + QUARANTINES_KNOWN_BY_MS
   }
 
+  /** Sends requests again that wait at servers with a cache salt from before an account became isolated. */
+  private withdrawSoon (): void {
+    const { clock, configurationBoundMs } = this.options
+    clock.at(clock.now() + configurationBoundMs * WITHDRAWAL_SHARE, () => this.dispatcher.runs.checkCacheSalts())
+  }
+
   private applyRouting (routing: Routing): void {
     const before = this.revision
+    if (this.table && routing.cacheIsolation.isolatesMoreThan(this.table.routing.cacheIsolation)) {
+      this.withdrawSoon()
+    }
     this.table = RouteTable.create(routing)
     this.dispatcher.directory.configure(routing)
     this.callers.setLimits(routing.limits)
