--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -7,6 +7,7 @@
 import { Logs } from 'foxtaillever-telemetry'
 import { VirtualClock } from 'foxtaillever-testing'
 import { Right } from 'purify-ts'
+import { CacheIsolation } from '../cache/cacheIsolation.js'
 import { FetchLoad } from '../cache/fetchLoad.js'
 import { CallerServer } from '../callers/callerServer.js'
 import { CrashProtocol } from '../crashes/crashProtocol.js'
@@ -63,7 +64,7 @@
     headers: [],
     apiKey: undefined,
     patienceMs: undefined,
-    prompt: undefined,
+    prompt: headers.model === undefined ? undefined : { model: String(headers.model), levels: [], promptTokens: 10, outputTokens: 1 },
     resumeAfter: '',
     resumedId: ''
   })
@@ -71,7 +72,7 @@
 
 export const serverWire: ServerWire = {
   notRunStatuses: new Set([408, 429, 503]),
-  createHeaders: ({ id, body }, { resumeAfter }) => ['Host', 'h', 'request-id', id, 'after', resumeAfter, 'content-length', String(body.length)],
+  createHeaders: ({ id, body }, { resumeAfter, cacheSalt }) => ['Host', 'h', 'request-id', id, 'after', resumeAfter, 'salt', cacheSalt, 'content-length', String(body.length)],
   readMarks: (_, headers) => ({
     requestId: headers['request-id'] as string | undefined,
     isStamped: headers['stamp'] !== undefined,
@@ -136,6 +137,8 @@
   choices = 0
   /** Decides on admission at servers. */
   admission: AdmissionContext = { claims: { claimFor: () => undefined, queuePositionOf: () => undefined, mayBypass: () => true }, protocol: noAdmissionProtocol }
+  /** The configuration in force. */
+  routing: Routing
   private readonly callers: CallerServer
   readonly limits: ServerLimits
   private readonly statements: ServerStatementHandler
@@ -145,7 +148,7 @@
   private constructor (route: Route) {
     const { clock } = this
     const limits = { headerBytes: 16_384, bodyBytes: 100_000, headerTimeoutMs: 5000, idleTimeoutMs: 5000 }
-    const routing: Routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], limits }
+    this.routing = { revision: 1, routes: [route], services: new Map(), cacheStores: [], accounts: [], cacheIsolation: CacheIsolation.create([]), limits }
     const random = SeededRandom.create(1)
     const { log } = this
     this.limits = ServerLimits.create({ clock, log, directory: this.directory, protocol: () => this.limitProtocol, onUrgent: () => {} })
@@ -174,7 +177,7 @@
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
       log,
       isBrittle: server => brittle.isBrittle(server),
-      routing: () => routing,
+      routing: () => this.routing,
       othersTokensAt: () => 0,
       onLoadChanged: () => this.onLoadChanged(),
       onSpeedSample: () => {},
@@ -190,7 +193,7 @@
       onMisdirected: () => {}
     }
     this.runs = ExchangeRuns.create(context)
-    const table = RouteTable.create(routing)
+    const table = RouteTable.create(this.routing)
     this.callers = CallerServer.create({
       clock, log, wire: callerWire, table: () => table, onExchange: (exchange, answer) => this.runs.start(exchange, answer)
     })
@@ -228,9 +231,9 @@
   }
 
   /** Sends one request on its own connection and returns all bytes received until the connection ends. */
-  async sendRequest (id: string, body = ''): Promise<string> {
+  async sendRequest (id: string, body = '', headers: readonly string[] = []): Promise<string> {
     const socket = this.connect()
-    socket.write(`POST /p HTTP/1.1\r\nhost: h\r\nrequest-id: ${id}\r\nconnection: close\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+    socket.write(`POST /p HTTP/1.1\r\nhost: h\r\nrequest-id: ${id}\r\nconnection: close\r\n${headers.map(header => `${header}\r\n`).join('')}content-length: ${body.length}\r\n\r\n${body}`)
     return await readAll(socket)
   }
 
--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -77,10 +77,11 @@
     const { verdict, code, isArrival } = meaningOf[kind]
     this.lastAttempt = kind
     this.hasRun = verdict !== Verdict.NotRun
-    if (forwarder !== undefined && (isReported !== true || !isArrival)) {
+    const isWithdrawn = kind === AttemptFailureKind.Withdrawn
+    if (forwarder !== undefined && !isWithdrawn && (isReported !== true || !isArrival)) {
       this.triedForwarders.add(forwarder)
     }
-    if (forwarder === undefined || isArrival) {
+    if (!isWithdrawn && (forwarder === undefined || isArrival)) {
       this.failed.add(server)
     }
     this.wasUnreachable ||= forwarder === undefined && kind === AttemptFailureKind.Unreachable
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -23,6 +23,7 @@
 import { handleSilence, isSilentOnBrokenLink, suspectSilentServer } from './handleSilence.js'
 import type { InFlightAttempt } from './inFlightAttempt.js'
 import { InFlightAttempts } from './inFlightAttempts.js'
+import { isOutdated } from './isOutdated.js'
 import { openAttempt, type InFlightListener } from './openAttempt.js'
 import { recordAnswer, recordAnswerHead } from './recordAnswerHead.js'
 import { recordAttemptFailure } from './recordAttemptFailure.js'
@@ -89,6 +90,10 @@
     return new ExchangeRun(context, exchange, answer, onOver)
   }
 
+  get service (): string {
+    return this.exchange.service
+  }
+
   private get now (): number {
     return this.context.clock.now()
   }
@@ -322,6 +327,16 @@
     }
   }
 
+  /** Sends the request again if other accounts share cached levels than when it was sent, and no answer has begun; returns whether it does. */
+  withdrawOutdated (): boolean {
+    const { attempts: { current }, context, exchange, relay, ledger, guard } = this
+    const isWithdrawn = current !== undefined && !current.head && relay.canContinue && guard.mayRetry() && isOutdated(context, exchange, current, ledger)
+    if (isWithdrawn) {
+      current.attempt.withdraw()
+    }
+    return isWithdrawn
+  }
+
   private onGone (): void {
     if (!this.isOver) {
       this.attempts.cancel()
