--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -132,6 +132,8 @@
   quota = noQuotas
   /** Decides on requests under the limits that servers stated. */
   limitProtocol = noSharedLimits
+  /** Queries the load of servers before one is chosen. */
+  queryLoad = (): Promise<ReadonlySet<number>> | undefined => undefined
   /** How often a server was chosen for an attempt. */
   choices = 0
   /** Decides on admission at servers. */
@@ -181,7 +183,7 @@
       onSaved: () => {},
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
       onRejected: () => {},
-      queryLoad: () => undefined,
+      queryLoad: () => this.queryLoad(),
       selectServer: (_, { failed }) => {
         this.choices += 1
         return this.directory.ready('s').find(server => !failed.has(server.listed.id) && availableFrom(server) <= clock.now())
--- a/packages/foxtaillever-relay/src/exchange/__tests__/silentStreams.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/silentStreams.test.ts
@@ -2,85 +2,16 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { describe, it } from 'foxtaillever-testing'
 import { readAll, RelayRig } from '../../__fixtures__/relayRig.js'
-import { chunk, streamHead, wholeAnswer, type Answer, type Arrival } from '../../__fixtures__/scriptedServer.js'
-
-const stream = { isStream: true, isResumable: true }
-
-/** Longer than any pause for which an attempt is not taken for silent, milliseconds. */
-const SILENCE_MS = 2500
-
-/** Longest wait for what arrives within a moment on loopback, milliseconds. */
-const MAX_WAIT_MS = 5000
+import { chunk, streamHead, wholeAnswer, type Arrival } from '../../__fixtures__/scriptedServer.js'
+import { event, idsOf, LAST_CHUNK, resumableStream, SILENCE_MS, SilentStream } from '../../__fixtures__/silentStream.js'
 
 /** The connection of a caller that doesn't read is full within this, milliseconds. */
 const PRESSURE_MS = 300
 
-const LAST_CHUNK = '0\r\n\r\n'
-
-function event (id: number): string {
-  return chunk(`id: ${id}\n\n`)
-}
-
-function sendFirstEvent (arrival: Arrival): void {
-  arrival.socket.write(streamHead(arrival) + event(1))
-}
-
 function refuse (arrival: Arrival): void {
   arrival.socket.write(wholeAnswer(arrival, '', '503 Full', 'not-run: 1'))
 }
 
-function idsOf (text: string): string[] {
-  return [...text.matchAll(/id: (\d+)/g)].map(([, id = '']) => id)
-}
-
-/** A stream of which the caller has received one event, at a server that is silent from then on. */
-class SilentStream {
-  private text = ''
-  private readonly answer: Promise<void>
-
-  private constructor (readonly rig: RelayRig) {
-    const socket = rig.connect()
-    socket.write('POST /p HTTP/1.1\r\nhost: h\r\nrequest-id: a\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
-    socket.on('data', bytes => { this.text += bytes.toString('latin1') })
-    this.answer = new Promise(resolve => socket.once('close', () => resolve()))
-  }
-
-  /** @param others answer whatever the first server's attempt is followed by. */
-  static async begin (...others: Answer[]): Promise<SilentStream> {
-    const rig = await RelayRig.start(stream, sendFirstEvent, ...others)
-    const silent = new SilentStream(rig)
-    await silent.receives(1)
-    await rig.clock.advanceBy(SILENCE_MS)
-    return silent
-  }
-
-  get isComplete (): boolean {
-    return this.text.endsWith(LAST_CHUNK)
-  }
-
-  /** Waits until the caller has this number of events. */
-  async receives (count: number): Promise<void> {
-    for (let ms = 0; ms < MAX_WAIT_MS && idsOf(this.text).length < count; ms += 1) {
-      await wait(1)
-    }
-  }
-
-  /** Whether the server's connection for the stream is closed soon. */
-  async isClosedAt (server: number): Promise<boolean> {
-    return await Promise.race([this.rig.servers[server]?.closed(0).then(() => true), wait(MAX_WAIT_MS, false)]) ?? false
-  }
-
-  send (server: number, text: string): void {
-    this.rig.servers[server]?.arrivals[0]?.socket.write(text)
-  }
-
-  async end (): Promise<string[]> {
-    await Promise.race([this.answer, wait(MAX_WAIT_MS)])
-    this.rig.stop()
-    return idsOf(this.text)
-  }
-}
-
 describe('a stream whose server pauses for longer than the timeout', () => {
   // Guards against giving up the only server that can finish the stream before another one is found.
   it('goes on there if no other server can take it', async t => {
@@ -148,7 +79,7 @@
   // Guards against taking a server for silent that isn't read from because the caller doesn't read.
   it('goes on at its server, and no other server runs it', async t => {
     const events = Array.from({ length: 200 }, (_, index) => chunk(`id: ${index + 1}\ndata: ${'x'.repeat(60_000)}\n\n`))
-    const rig = await RelayRig.start(stream, arrival => arrival.socket.write(streamHead(arrival) + events.join('') + LAST_CHUNK), refuse)
+    const rig = await RelayRig.start(resumableStream, arrival => arrival.socket.write(streamHead(arrival) + events.join('') + LAST_CHUNK), refuse)
     const socket = rig.connect()
     socket.write('POST /p HTTP/1.1\r\nhost: h\r\nrequest-id: a\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
     await new Promise<void>(resolve => socket.once('readable', () => resolve()))
