Test that a stream is not at two servers for long

InFlightAttempts keeps the silent attempt until the replacement sends bytes of its body. The head of the replacement does not count, and no timer bounds the time, so both servers work until one sends something or the deadline passes.

--- a/packages/foxtaillever-relay/src/exchange/__tests__/replacedStreams.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/replacedStreams.test.ts
@@ -1,12 +1,19 @@
 /** Streams whose silent server is to be replaced, where the replacement does not do what it should. */
 import { setTimeout as wait } from 'node:timers/promises'
 import { describe, it } from 'foxtaillever-testing'
-import { chunk, streamHead } from '../../__fixtures__/scriptedServer.js'
+import { chunk, streamHead, type Arrival } from '../../__fixtures__/scriptedServer.js'
 import { event, LAST_CHUNK, SilentStream } from '../../__fixtures__/silentStream.js'
 
 /** Time for what arrives within a moment on loopback, milliseconds. */
 const ARRIVAL_MS = 100
 
+/** Two servers may work on a request that goes on at the second one for this long, milliseconds. */
+const MAX_OVERLAP_MS = 400
+
+function sendHead (arrival: Arrival): void {
+  arrival.socket.write(streamHead(arrival))
+}
+
 describe('a stream whose silent server is replaced', () => {
   // Guards against giving up the first server for bytes of another one that are no event of the stream.
   it('stays with its server if the other one sends a comment and nothing more', async t => {
@@ -37,4 +44,16 @@
     t.deepEqual(await silent.end(), ['1', '2'])
     t.true(silent.isComplete)
   })
+
+  // Guards against two servers that work on one request until one of them sends something.
+  it('is at one server only 400 ms after the other one has it', async t => {
+    const silent = await SilentStream.begin(sendHead)
+    await silent.rig.servers[1]?.arrived(1)
+    await wait(ARRIVAL_MS)
+    await silent.rig.clock.advanceBy(MAX_OVERLAP_MS)
+    await wait(ARRIVAL_MS)
+    const open = silent.rig.servers.filter(({ sockets: [socket] }) => socket?.destroyed === false)
+    silent.rig.stop()
+    t.is(open.length, 1)
+  })
 })
