Test a replacement that is silent itself

ExchangeRun.onSilent ignores the replacement, which is not the current attempt, and the current one, which is being replaced already. A third server is not tried although three attempts are allowed. Fails: the stream has one event.

--- a/packages/foxtaillever-relay/src/exchange/__tests__/replacedStreams.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/replacedStreams.test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { describe, it } from 'foxtaillever-testing'
 import { chunk, streamHead, type Arrival } from '../../__fixtures__/scriptedServer.js'
-import { event, LAST_CHUNK, SilentStream } from '../../__fixtures__/silentStream.js'
+import { event, LAST_CHUNK, SILENCE_MS, SilentStream } from '../../__fixtures__/silentStream.js'
 
 /** Time for what arrives within a moment on loopback, milliseconds. */
 const ARRIVAL_MS = 100
@@ -14,6 +14,8 @@
   arrival.socket.write(streamHead(arrival))
 }
 
+function ignore (): void {}
+
 describe('a stream whose silent server is replaced', () => {
   // Guards against giving up the first server for bytes of another one that are no event of the stream.
   it('stays with its server if the other one sends a comment and nothing more', async t => {
@@ -56,4 +58,14 @@
     silent.rig.stop()
     t.is(open.length, 1)
   })
+
+  // Guards against a replacement that is silent itself and holds the stream until its deadline.
+  it('moves to a third server if the second one is silent too', async t => {
+    const silent = await SilentStream.beginOn({ mostAttempts: 3 }, ignore, arrival => arrival.socket.write(streamHead(arrival) + event(2) + LAST_CHUNK))
+    await silent.rig.servers[1]?.arrived(1)
+    await silent.rig.clock.advanceBy(SILENCE_MS)
+    await silent.rig.clock.advanceBy(SILENCE_MS)
+    t.deepEqual(await silent.end(), ['1', '2'])
+    t.true(silent.isComplete)
+  })
 })
