Test a stream that resumes after a pause and loses its server later

A replacement that was cancelled since the first server went on stays in AttemptLedger.ranAt. With two attempts, the stream has none left for the rest of its life, although the second server has not failed and would not be a further server. Fails: cut after event 2.

--- a/packages/foxtaillever-relay/src/exchange/__tests__/replacedStreams.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/replacedStreams.test.ts
@@ -14,6 +14,10 @@
   arrival.socket.write(streamHead(arrival))
 }
 
+function resumesAfterTwo ({ head }: Arrival): boolean {
+  return /^after: 2$/m.test(head)
+}
+
 function ignore (): void {}
 
 describe('a stream whose silent server is replaced', () => {
@@ -68,4 +72,16 @@
     t.deepEqual(await silent.end(), ['1', '2'])
     t.true(silent.isComplete)
   })
+
+  // Guards against a pause that uses up the attempts, so that the stream is cut when its server is lost later.
+  it('goes on at the other server if the first one goes on and is lost later', async t => {
+    const silent = await SilentStream.begin(arrival => arrival.socket.write(streamHead(arrival) + (resumesAfterTwo(arrival) ? event(3) + LAST_CHUNK : '')))
+    await silent.rig.servers[1]?.arrived(1)
+    silent.send(0, event(2))
+    await silent.receives(2)
+    t.true(await silent.isClosedAt(1))
+    silent.rig.servers[0]?.sockets[0]?.destroy()
+    t.deepEqual(await silent.end(), ['1', '2', '3'])
+    t.true(silent.isComplete)
+  })
 })
