Test that one pause counts as one failed try

While no replacement is found, each further wait of SilenceWatch records the same attempt as failed: a log line, a fault of the server and an arrival a second. Fails: 5 of 1 in 5 s.

--- a/packages/foxtaillever-relay/src/exchange/__tests__/replacedStreams.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/replacedStreams.test.ts
@@ -84,4 +84,13 @@
     t.deepEqual(await silent.end(), ['1', '2', '3'])
     t.true(silent.isComplete)
   })
+
+  // Guards against a pause that counts as another failure each second.
+  it('counts one failed try for one pause', async t => {
+    const silent = await SilentStream.begin()
+    await silent.rig.clock.advanceBy(SILENCE_MS)
+    silent.send(0, event(2) + LAST_CHUNK)
+    t.deepEqual(await silent.end(), ['1', '2'])
+    t.is(silent.rig.warnings.filter(({ msg }) => msg === 'requests: A try failed.').length, 1)
+  })
 })
