Test the log line of a stream that is cut after it went on

If no replacement was found, the silence ends without AttemptLedger.recordResumption and without the line of its end.

--- a/packages/foxtaillever-relay/src/exchange/__tests__/replacedStreams.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/replacedStreams.test.ts
@@ -93,4 +93,14 @@
     t.deepEqual(await silent.end(), ['1', '2'])
     t.is(silent.rig.warnings.filter(({ msg }) => msg === 'requests: A try failed.').length, 1)
   })
+
+  // Guards against a log line that names an old pause as the end of a stream that had gone on.
+  it('is logged as in flight when it is cut after it went on at its server', async t => {
+    const silent = await SilentStream.begin()
+    silent.send(0, event(2))
+    await silent.receives(2)
+    silent.rig.runs.abort()
+    await silent.end()
+    t.is(silent.rig.warnings.find(({ msg }) => msg === 'requests: Ended: failed.')?.attempt, 'in-flight')
+  })
 })
