Test requests that leave the queue of a server before they have a place

AttemptPlacement.selectServer cancels the claim when no server can be chosen at that moment, and RequestAdmission.request cancels it before the owner of another queue has decided.

--- a/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
@@ -2,11 +2,16 @@
 import { describe, it } from 'foxtaillever-testing'
 import { RelayRig } from '../__fixtures__/relayRig.js'
 import { wholeAnswer, type Arrival } from '../__fixtures__/scriptedServer.js'
+import { AdmissionOutcome } from '../admission/admissionMessage.js'
+import type { AdmissionProtocol, AdmissionResult } from '../admission/admissionProtocol.js'
 import { Repeatability } from '../model/routing.js'
 
 /** Longer than the wait for the first byte of an answer, milliseconds. */
 const SILENCE_MS = 500
 
+/** Turns of the event loop within which a claim is made. */
+const MAX_TURNS = 100_000
+
 function answerOk (arrival: Arrival): void {
   arrival.socket.write(wholeAnswer(arrival, 'ok'))
 }
@@ -37,3 +42,80 @@
     t.regex(text, /^HTTP\/1.1 200 /)
   })
 })
+
+/** Owners of queues, one result at a time for the claim that was made last. */
+class ScriptedOwners {
+  cancellations = 0
+  steps = 0
+  private onResult: (result: AdmissionResult) => void = () => {}
+
+  readonly protocol: Pick<AdmissionProtocol, 'request'> = {
+    request: (_, onResult) => {
+      this.await(onResult)
+      return { renew: onRenewed => this.await(onRenewed), cancel: () => { this.cancellations += 1 } }
+    }
+  }
+
+  /** Decides on a claim or renewal once it is made; there may be none within the steps that follow. */
+  async decide (step: number, outcome: AdmissionOutcome): Promise<void> {
+    for (let turn = 0; this.steps < step; turn += 1) {
+      if (turn === MAX_TURNS) {
+        return
+      }
+      await new Promise<void>(resolve => setImmediate(resolve))
+    }
+    this.onResult({ outcome, decidedBy: 'owner', retryAt: 0, backlogMs: 0 })
+  }
+
+  private await (onResult: (result: AdmissionResult) => void): void {
+    this.steps += 1
+    this.onResult = onResult
+  }
+}
+
+async function startQueued (servers: number): Promise<{ rig: RelayRig, owners: ScriptedOwners }> {
+  const rig = await RelayRig.start({ mostAttempts: 1, awaitsAdmission: true }, ...Array.from({ length: servers }, () => answerOk))
+  const owners = new ScriptedOwners()
+  const claim = { tokens: 1, heldTokens: 1, priority: 1, account: '', fingerprint: 1, arrivedAt: rig.clock.now(), objectiveMs: 1000, latestStartAt: Infinity, isBrittle: false }
+  rig.admission = { claims: { claimFor: (_, { hash }) => ({ ...claim, server: hash }), queuePositionOf: () => undefined, mayBypass: () => true }, protocol: owners.protocol }
+  return { rig, owners }
+}
+
+describe('a request in the queue of a server that takes no requests for a moment', () => {
+  // Guards against leaving a queue when nothing else takes the request.
+  it('stays in the queue if there is no other server', async t => {
+    const { rig, owners } = await startQueued(1)
+    const answer = rig.sendRequest('a')
+    await owners.decide(1, AdmissionOutcome.Queued)
+    const server = rig.directory.get('s0')
+    if (server) {
+      server.limitedUntil = rig.clock.now() + 5
+    }
+    await owners.decide(2, AdmissionOutcome.Queued)
+    const { cancellations } = owners
+    await Promise.race([owners.decide(3, AdmissionOutcome.Admitted), answer])
+    const text = await answer
+    rig.stop()
+    t.is(cancellations, 0)
+    t.regex(text, /^HTTP\/1.1 200 /)
+  })
+
+  // Guards against leaving a queue before another one has a place.
+  it('stays in the queue if the other server has no room', async t => {
+    const { rig, owners } = await startQueued(2)
+    const answer = rig.sendRequest('a')
+    await owners.decide(1, AdmissionOutcome.Queued)
+    const server = rig.directory.get('s0')
+    if (server) {
+      server.limitedUntil = rig.clock.now() + 5
+    }
+    await owners.decide(2, AdmissionOutcome.Queued)
+    const { cancellations } = owners
+    await owners.decide(3, AdmissionOutcome.Rejected)
+    await Promise.race([owners.decide(4, AdmissionOutcome.Admitted), answer])
+    const text = await answer
+    rig.stop()
+    t.is(cancellations, 0)
+    t.regex(text, /^HTTP\/1.1 200 /)
+  })
+})
