Test that a replacement which is never sent does not count against a limit

InFlightAttempts.choose cancels the replacement, and nothing calls AttemptPlacement.releaseLimit. Its server's limit counts a request that did not reach it.

--- a/packages/foxtaillever-relay/src/exchange/__tests__/replacementCounts.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/replacementCounts.test.ts
@@ -1,8 +1,11 @@
 /** What replacements of silent servers count against the limits of servers and of the exchange. */
 import { setTimeout as wait } from 'node:timers/promises'
+import { LimitOutcome } from 'foxtaillever-policy/limits/sharedLimitLedger'
 import { describe, it } from 'foxtaillever-testing'
-import { wholeAnswer, type Answer } from '../../__fixtures__/scriptedServer.js'
+import { streamHead, wholeAnswer, type Answer, type Arrival } from '../../__fixtures__/scriptedServer.js'
 import { event, LAST_CHUNK, SILENCE_MS, SilentStream } from '../../__fixtures__/silentStream.js'
+import type { LimitResult } from '../../limits/limitProtocol.js'
+import { LimitStatementKind } from '../../model/limitStatement.js'
 
 /** Time for what arrives within a moment on loopback, milliseconds. */
 const ARRIVAL_MS = 100
@@ -12,6 +15,10 @@
 
 const refuse: Answer = arrival => { arrival.socket.write(wholeAnswer(arrival, '', '503 Full', 'not-run: 1')) }
 
+function sendHead (arrival: Arrival): void {
+  arrival.socket.write(streamHead(arrival))
+}
+
 describe('a stream whose server pauses several times', () => {
   // Guards against pauses that each allow one more rejection.
   it('is rejected by three servers at most', async t => {
@@ -24,3 +31,29 @@
     t.is(silent.rig.arrivals - 1, MAX_REJECTIONS)
   })
 })
+
+describe('a replacement that is cancelled before it has a connection', () => {
+  // Guards against a limit of a server that counts requests which never reached it.
+  it('does not count against the limit of its server', async t => {
+    const silent = await SilentStream.begin()
+    await silent.rig.addServer(sendHead)
+    const server = silent.rig.directory.get('s1')
+    if (server) {
+      silent.rig.limits.applyStatement(server, { limit: { kind: LimitStatementKind.Limit, perSecond: 50 }, hasRun: true }, silent.rig.clock.now())
+    }
+    let [claims, refunds] = [0, 0]
+    let grant = (): void => {}
+    silent.rig.limitProtocol = {
+      claim: (_: unknown, onResult: (result: LimitResult) => void) => {
+        claims += 1
+        grant = () => onResult({ outcome: LimitOutcome.Granted } as LimitResult)
+      },
+      refund: () => { refunds += 1 }
+    }
+    await silent.rig.clock.advanceBy(SILENCE_MS)
+    silent.send(0, event(2) + LAST_CHUNK)
+    grant()
+    await silent.end()
+    t.deepEqual({ claims, refunds, arrivals: silent.rig.servers[1]?.arrivals.length }, { claims: 1, refunds: 1, arrivals: 0 })
+  })
+})
