Test requests for which no path leads to the server that was chosen

ServerSelector asks isUsable, ExchangeRun.send asks pathTo, which knows more (forwarders that were tried, the longest idle time of a connection). Where the answers differ, AttemptPlacement.failUnreached refuses the request and tries no other server.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -132,6 +132,8 @@
   quota = noQuotas
   /** Decides on requests under the limits that servers stated. */
   limitProtocol = noSharedLimits
+  /** Finds how an attempt reaches its server. */
+  pathTo = directPaths.pathTo
   /** Queries the load of servers before one is chosen. */
   queryLoad = (): Promise<ReadonlySet<number>> | undefined => undefined
   /** How often a server was chosen for an attempt. */
@@ -172,7 +174,7 @@
         claims: { claimFor: (exchange, server) => this.admission.claims.claimFor(exchange, server), queuePositionOf: () => undefined, mayBypass: () => true },
         protocol: { request: (claim, onResult) => this.admission.protocol.request(claim, onResult) }
       },
-      paths: directPaths,
+      paths: { ...directPaths, pathTo: (server, need) => this.pathTo(server, need) },
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
       log,
       isBrittle: server => brittle.isBrittle(server),
--- a/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
@@ -119,3 +119,15 @@
     t.regex(text, /^HTTP\/1.1 200 /)
   })
 })
+
+describe('a request for whose server no path is found', () => {
+  // Guards against a refusal for one server out of reach while another one is within reach.
+  it('is sent to a server within reach', async t => {
+    const rig = await RelayRig.start({}, answerOk, answerOk)
+    const { pathTo } = rig
+    rig.pathTo = (server, need) => server.listed.id === 's0' ? undefined : pathTo(server, need)
+    const text = await rig.sendRequest('a')
+    rig.stop()
+    t.regex(text, /^HTTP\/1.1 200 /)
+  })
+})
