Test that an admission which is not used is returned

RequestAdmission forgets its claim once it is admitted, so ExchangeRun.send cannot return it where there is no path or the request was quarantined meanwhile. The owner counts it for 60 ms, or 250 for a brittle server. Fails: no cancellation.

--- a/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
@@ -130,4 +130,16 @@
     rig.stop()
     t.regex(text, /^HTTP\/1.1 200 /)
   })
+
+  // Guards against a place that stays taken at a server which does not get the request.
+  it('returns its admission', async t => {
+    const { rig, owners } = await startQueued(1)
+    rig.pathTo = () => undefined
+    const answer = rig.sendRequest('a')
+    await owners.decide(1, AdmissionOutcome.Admitted)
+    const text = await answer
+    rig.stop()
+    t.regex(text, /^HTTP\/1.1 503 /)
+    t.is(owners.cancellations, 1)
+  })
 })
