--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -133,6 +133,10 @@
   quota = noQuotas
   /** Decides on requests under the limits that servers stated. */
   limitProtocol = noSharedLimits
+  /** Finds how an attempt reaches its server. */
+  pathTo = directPaths.pathTo
+  /** Queries the load of servers before one is chosen. */
+  queryLoad = (): Promise<ReadonlySet<number>> | undefined => undefined
   /** How often a server was chosen for an attempt. */
   choices = 0
   /** Decides on admission at servers. */
@@ -173,7 +177,7 @@
         claims: { claimFor: (exchange, server) => this.admission.claims.claimFor(exchange, server), queuePositionOf: () => undefined, mayBypass: () => true },
         protocol: { request: (claim, onResult) => this.admission.protocol.request(claim, onResult) }
       },
-      paths: directPaths,
+      paths: { ...directPaths, pathTo: (server, need) => this.pathTo(server, need) },
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
       log,
       isBrittle: server => brittle.isBrittle(server),
@@ -184,7 +188,7 @@
       onSaved: () => {},
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
       onRejected: () => {},
-      queryLoad: () => undefined,
+      queryLoad: () => this.queryLoad(),
       selectServer: (_, { failed }) => {
         this.choices += 1
         return this.directory.ready('s').find(server => !failed.has(server.listed.id) && availableFrom(server) <= clock.now())
