Close the connection of a readiness check or a metrics call that has a body

The bodies of such requests were read and dropped for up to 300 s (the default of node:http) without a bound in bytes.

A request with a body gets its answer and a closed connection; one without keeps its connection.

--- a/packages/foxtaillever-relay/src/callers/readinessServer.ts
+++ b/packages/foxtaillever-relay/src/callers/readinessServer.ts
@@ -1,5 +1,6 @@
 /** Answers the load balancer's readiness checks by the status alone; the body is empty. */
 import { createServer, type Server } from 'node:http'
+import { hasBody } from '../servers/byteBounds.js'
 
 const READY_STATUS = 200
 const NOT_READY_STATUS = 503
@@ -8,7 +9,9 @@
   private readonly server: Server
 
   private constructor (isReady: () => boolean) {
-    this.server = createServer((_, response) => {
+    this.server = createServer((request, response) => {
+      // The body of a request is not read.
+      response.shouldKeepAlive &&= !hasBody(request)
       response.writeHead(isReady() ? READY_STATUS : NOT_READY_STATUS)
       response.end()
     })
--- a/packages/foxtaillever-relay/src/telemetry/metricsServer.ts
+++ b/packages/foxtaillever-relay/src/telemetry/metricsServer.ts
@@ -1,6 +1,7 @@
 /** HTTP server for operators: metrics as text, a dump of the state, and the quarantines, which they can lift. */
 import { createServer, type Server } from 'node:http'
 import type { ListenAddress } from '../relayOptions.js'
+import { hasBody } from '../servers/byteBounds.js'
 
 const METRICS_PATH = '/metrics'
 const STATE_PATH = '/state'
@@ -24,7 +25,10 @@
       [`GET ${STATE_PATH}`]: () => format(dump()),
       [`GET ${QUARANTINES_PATH}`]: () => format(quarantines())
     }
-    this.server = createServer(({ method = '', url = '' }, response) => {
+    this.server = createServer((request, response) => {
+      const { method = '', url = '' } = request
+      // The body of a request is not read.
+      response.shouldKeepAlive &&= !hasBody(request)
       const id = method === 'DELETE' && url.startsWith(`${QUARANTINES_PATH}/`) ? decodeURIComponent(url.slice(QUARANTINES_PATH.length + 1)) : undefined
       const answer = id === undefined ? answers[`${method} ${url}`]?.() : format({ id, isLifted: liftQuarantine(id) })
       response.writeHead(answer === undefined ? 404 : 200, { 'Content-Type': 'text/plain; charset=utf-8' })
