Search only the newest bytes of an event that has not ended

A server that sends one event in chunks of a byte kept the process at work for nothing else: each chunk copied and searched the whole event, up to 1 MB of it.

Only the newest bytes, and two before them, are searched; the rest is kept in a buffer that doubles.

--- a/packages/foxtaillever-relay/src/streams/eventSplitter.ts
+++ b/packages/foxtaillever-relay/src/streams/eventSplitter.ts
@@ -3,12 +3,16 @@
  * backend server that crashes may stop in the middle of an event. The caller
  * gets complete events only, so that the stream can be resumed at another server.
  */
+import { ByteCollector } from '../servers/byteCollector.js'
 
 const ID_FIELD = Buffer.from('id:')
 const LINE_END = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const COLON = 0x3a
 
+/** The end of an event has two or three bytes, so that it may begin this many bytes before the newest ones. */
+const END_OVERLAP = 2
+
 /** Larger than any event of a model; a stream whose event never ends would fill the memory. */
 const MAX_EVENT_BYTES = 1024 * 1024
 
@@ -62,7 +66,8 @@
 }
 
 export class EventSplitter {
-  private incomplete: Buffer = Buffer.alloc(0)
+  /** Bytes of the event that has not ended yet. */
+  private readonly incomplete = ByteCollector.create()
 
   private constructor () {}
 
@@ -72,7 +77,7 @@
 
   /** Bytes of the event that has not ended yet. */
   get incompleteEvent (): Buffer {
-    return this.incomplete
+    return this.incomplete.bytes
   }
 
   /** Whether the event that has not ended yet exceeds the maximum size. */
@@ -82,7 +87,13 @@
 
   /** Adds bytes, and returns the events that end in them. */
   push (bytes: Buffer): StreamEvent[] {
-    const joined = this.incomplete.length === 0 ? bytes : Buffer.concat([this.incomplete, bytes])
+    const { incomplete } = this
+    // Only the newest bytes are searched: an event may arrive in many pieces.
+    if (endOfEvent(Buffer.concat([incomplete.bytes.subarray(-END_OVERLAP), bytes]), 0) === -1) {
+      incomplete.add(bytes)
+      return []
+    }
+    const joined = incomplete.length === 0 ? bytes : Buffer.concat([incomplete.bytes, bytes])
     const events: StreamEvent[] = []
     let from = 0
     for (;;) {
@@ -94,7 +105,8 @@
       events.push({ bytes: event, id: readId(event), isComment: hasOnlyComments(event) })
       from = end
     }
-    this.incomplete = joined.subarray(from)
+    incomplete.clear()
+    incomplete.add(joined.subarray(from))
     return events
   }
 }
