Copy bytes that are kept into one buffer, so that small pieces take no more memory

A server or caller that sends chunks of a byte made each of them an object of about a hundred bytes: an answer that is held back (256 KB), the answer to a call (up to 8 MB) or a request body took a hundred times its size, and the bounds in bytes didn't hold in memory.

Kept pieces are copied into a buffer that doubles.

--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -13,6 +13,7 @@
 import type { CallerWire } from '../model/wire.js'
 import { selectService, type RouteTable } from '../routing/routeTable.js'
 import { boundBody, drainBody, hasBody, type BodyExcess } from '../servers/byteBounds.js'
+import { ByteCollector } from '../servers/byteCollector.js'
 import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
 import { ConnectionLimit } from 'foxtaillever-policy/relay/connectionLimit'
 import { answerFailure } from './answerFailure.js'
@@ -192,8 +193,7 @@
    */
   private readBody (request: IncomingMessage, response: ServerResponse, { refuse, deadline }: BodyReading, onBody: (body: Buffer) => void): void {
     const { bodyBytes } = this.limits
-    const chunks: Buffer[] = []
-    let length = 0
+    const body = ByteCollector.create()
     let isRefusedOrFailed = false
     const refuseTooLarge = (): void => {
       isRefusedOrFailed = true
@@ -211,17 +211,17 @@
       })
     }
     request.on('data', (chunk: Buffer) => {
-      length += chunk.length
-      if (length > bodyBytes && !isRefusedOrFailed) {
-        refuseTooLarge()
-      }
       if (!isRefusedOrFailed) {
-        chunks.push(chunk)
+        body.add(chunk)
+      }
+      if (!isRefusedOrFailed && body.length > bodyBytes) {
+        body.clear()
+        refuseTooLarge()
       }
     })
     request.on('end', () => {
       if (!isRefusedOrFailed) {
-        onBody(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks))
+        onBody(body.bytes)
       }
     })
     // The caller closed the connection while it was sending; nothing can be answered.
--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -5,6 +5,7 @@
  */
 import type { AnswerHead } from '../attempts/attempt.js'
 import type { Exchange } from '../model/exchange.js'
+import { ByteCollector } from '../servers/byteCollector.js'
 import { EventSplitter } from '../streams/eventSplitter.js'
 import type { CallerAnswer } from './callerAnswer.js'
 
@@ -25,8 +26,7 @@
 
 export class AnswerRelay {
   private head: AnswerHead | undefined
-  private buffered: Buffer[] = []
-  private bufferedBytes = 0
+  private readonly buffered = ByteCollector.create()
   private splitter = EventSplitter.create()
   /** Bytes of comments since the last event. */
   private commentBytes = 0
@@ -44,7 +44,7 @@
   }
 
   get body (): Buffer {
-    return Buffer.concat(this.buffered)
+    return this.buffered.bytes
   }
 
   /** Whether another attempt may continue the answer: the caller has received nothing yet, or only complete events of a resumable stream. */
@@ -56,8 +56,7 @@
   /** Starts a new attempt and drops what is buffered of the previous one. */
   reset (): void {
     this.head = undefined
-    this.buffered = []
-    this.bufferedBytes = 0
+    this.buffered.clear()
     this.commentBytes = 0
     this.splitter = EventSplitter.create()
   }
@@ -130,11 +129,11 @@
       this.write(bytes)
       return
     }
-    this.buffered.push(bytes)
-    this.bufferedBytes += bytes.length
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES && this.head) {
+    this.buffered.add(bytes)
+    if (this.buffered.length > MAX_BUFFERED_BYTES && this.head) {
       this.answer.begin(this.head.status, this.head.headers)
-      this.buffered.splice(0).forEach(chunk => this.write(chunk))
+      this.write(this.buffered.bytes)
+      this.buffered.clear()
     }
   }
 
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -11,6 +11,7 @@
 import type { AnswerWire } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { boundBody, hasBody } from '../servers/byteBounds.js'
+import { ByteCollector } from '../servers/byteCollector.js'
 import { reachableFrom } from '../servers/serverAvailability.js'
 import type { ServerDirectory } from '../servers/serverDirectory.js'
 import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
@@ -87,10 +88,10 @@
     }
     this.carried += 1
     response.once('close', () => { this.carried -= 1 })
-    const chunks: Buffer[] = []
-    request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+    const body = ByteCollector.create()
+    request.on('data', (chunk: Buffer) => { body.add(chunk) })
     request.on('error', () => {})
-    request.on('end', () => this.send(forwarding, server, request, Buffer.concat(chunks), response))
+    request.on('end', () => this.send(forwarding, server, request, body.bytes, response))
   }
 
   /** Why this instance does not send a request to the server now; undefined if it does. */
--- a/packages/foxtaillever-relay/src/servers/byteCollector.ts
+++ b/packages/foxtaillever-relay/src/servers/byteCollector.ts
@@ -20,7 +20,7 @@
   add (bytes: Buffer): void {
     const length = this.length + bytes.length
     if (length > this.buffer.length) {
-      const larger = Buffer.allocUnsafeSlow(Math.max(length, 2 * this.buffer.length))
+      const larger = Buffer.allocUnsafe(Math.max(length, 2 * this.buffer.length))
       this.bytes.copy(larger)
       this.buffer = larger
     }
--- a/packages/foxtaillever-relay/src/servers/callServer.ts
+++ b/packages/foxtaillever-relay/src/servers/callServer.ts
@@ -3,6 +3,7 @@
 import { atAfterSilence, Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
 import { boundBody, type BodyBound } from './byteBounds.js'
+import { ByteCollector } from './byteCollector.js'
 import type { ServerCall, ServerConnections } from './serverConnections.js'
 
 export interface WholeAnswer {
@@ -33,7 +34,7 @@
     }
     request.on('error', fail)
     request.on('response', response => {
-      const chunks: Buffer[] = []
+      const body = ByteCollector.create()
       const isContinued = chunkTimeoutMs > 0
       if (!isContinued) {
         cancelDeadline()
@@ -44,7 +45,7 @@
         fail(new Error(`the answer exceeded its bound in ${excess}`))
       })
       response.on('data', chunk => {
-        chunks.push(chunk)
+        body.add(chunk)
         const until = clock.now() + chunkTimeoutMs
         if (until > deadline) {
           cancelDeadline()
@@ -53,7 +54,7 @@
       })
       response.on('end', () => {
         cancelDeadline()
-        resolve(Right({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks) }))
+        resolve(Right({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.from(body.bytes) }))
       })
     })
   })
