Give up an error of a server whose body does not end, instead of passing it on

A server that answers 500 with its stamp and a body without end was passed on to the caller until its deadline, since an answer is forwarded from 256 KB on; no other server was tried.

An error that exceeds what is held back (256 KB) is malformed now, a fault of the server: the request goes to another server where it may run twice, else its caller gets 502 at once. Errors up to 256 KB are passed on as before, and large answers that are no errors too.

--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -12,6 +12,9 @@
 /** Answers up to this size are buffered until they are complete, bytes. */
 const MAX_BUFFERED_BYTES = 256 * 1024
 
+/** From this status on, the server reports a failure, which is passed on only if no other server answers. */
+const SERVER_ERROR = 500
+
 /** Comments between two events up to this size are passed on, bytes: one of 15 bytes a second for more than an hour. */
 const MAX_COMMENT_BYTES = 64 * 1024
 
@@ -75,8 +78,7 @@
   /** Returns what is wrong with the bytes; undefined where nothing is. */
   push (bytes: Buffer): string | undefined {
     if (!this.isStreaming) {
-      this.buffer(bytes)
-      return undefined
+      return this.buffer(bytes)
     }
     const events = this.splitter.push(bytes)
     if (events.length > 0) {
@@ -124,17 +126,21 @@
     }
   }
 
-  private buffer (bytes: Buffer): void {
+  private buffer (bytes: Buffer): string | undefined {
     if (this.answer.hasBegun) {
       this.write(bytes)
-      return
+      return undefined
     }
     this.buffered.add(bytes)
     if (this.buffered.length > MAX_BUFFERED_BYTES && this.head) {
+      if (this.head.status >= SERVER_ERROR) {
+        return 'an error is too large'
+      }
       this.answer.begin(this.head.status, this.head.headers)
       this.write(this.buffered.bytes)
       this.buffered.clear()
     }
+    return undefined
   }
 
   private beginAnswer (): void {
