Soak: let servers answer without end on request, drawn from all kinds but comments

No such connection may be open 5 s after the load. The draw has a source of its own, so that seeds without it play the same faults as before.

--- a/packages/foxtaillever-proof/src/platformSoak.ts
+++ b/packages/foxtaillever-proof/src/platformSoak.ts
@@ -11,10 +11,12 @@
   seconds = Option.String('--seconds', '20', { description: 'How long load and faults of one seed last.' })
   entry = Option.String('--entry', 'target/entry.cjs', { description: 'The program to run.' })
 
+  hasEndlessAnswers = Option.Boolean('--endless', false, { description: 'Servers also answer without end.' })
+
   async execute (): Promise<number> {
     let broken = 0
     for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.seeds); seed += 1) {
-      const { violations, outcomes, faults, seen } = await runPlatformSoak({ seed, seconds: Number(this.seconds), entry: this.entry })
+      const { violations, outcomes, faults, seen } = await runPlatformSoak({ seed, seconds: Number(this.seconds), entry: this.entry, hasEndlessAnswers: this.hasEndlessAnswers })
       broken += violations.length
       console.log(`seed ${seed}: ${violations.length} promises broken, outcomes ${JSON.stringify(outcomes)}, faults ${JSON.stringify(faults)}, seen ${JSON.stringify(seen)}`)
       violations.forEach(violation => console.log(`  ${violation}`))
--- a/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
@@ -1,6 +1,7 @@
 /** One soak of the real program on stand-ins of the users' platform: load and faults for a given time, then the checks. */
 import { SeededRandom, SystemClock, waitUntil } from 'foxtaillever-core'
 import { Disturbances } from './disturbances.js'
+import { answerWithoutEnd, endlessViolations } from './endlessAnswers.js'
 import { platformFaults } from './platformFaults.js'
 import { PlatformLoad } from './platformLoad.js'
 import { brittleViolations, limitViolations, linkCutViolations, retryViolations, serverViolations, statementViolations } from './serverViolations.js'
@@ -13,6 +14,8 @@
   readonly entry: string
   /** Names of the faults to draw from; all if not given. */
   readonly faultNames?: readonly string[]
+  /** Whether servers also answer without end. */
+  readonly hasEndlessAnswers?: boolean
 }
 
 export interface PlatformSoakReport {
@@ -26,7 +29,7 @@
 const REQUEST_INTERVAL_MS = 20
 const MAX_FAULT_INTERVAL_MS = 800
 
-export async function runPlatformSoak ({ seed, seconds, entry, faultNames = Object.keys(platformFaults) }: PlatformSoakOptions): Promise<PlatformSoakReport> {
+export async function runPlatformSoak ({ seed, seconds, entry, faultNames = Object.keys(platformFaults), hasEndlessAnswers = false }: PlatformSoakOptions): Promise<PlatformSoakReport> {
   const clock = SystemClock.create()
   const random = SeededRandom.create(seed)
   const fleet = await SoakFleet.start(entry)
@@ -36,6 +39,7 @@
   const load = PlatformLoad.create(fleet, SeededRandom.create(seed + 1), disturbances)
   const endsAt = clock.now() + seconds * 1000
   const faults: Record<string, number> = {}
+  const endless = { fleet, clock, random: SeededRandom.create(seed + 2), endsAt }
   const injectFaults = async (): Promise<void> => {
     while (clock.now() < endsAt) {
       const name = faultNames[random.below(faultNames.length)] ?? ''
@@ -53,13 +57,14 @@
     await Promise.all(pending)
   }
   try {
-    await Promise.all([injectFaults(), injectFaults(), sendRequests()])
+    const [endlessBegun] = await Promise.all([hasEndlessAnswers ? answerWithoutEnd(endless) : {}, injectFaults(), injectFaults(), sendRequests()])
     await fleet.waitUntilServing()
     await fleet.waitUntilConfigured()
     await fleet.waitUntilSettled()
+    const openEndless = hasEndlessAnswers ? await endlessViolations(endless) : []
     const { platform, operator } = fleet
     const seen = { cachedLevelsUsed: platform.partUses().length, orders: platform.acceptedOrders().length, drains: operator.drains.length, keysTaken: operator.temporaryKeys.length - 1, limits: operator.rates.length, rests: operator.backoffCount, linkCuts: operator.linkCuts.length, streamsTakenUp: load.takenUp.streams, streamsWentOn: load.takenUp.wentOn, falls: platform.servers.reduce((sum, { falls }) => sum + falls.length, 0) }
-    return { violations: [...load.violations(), ...serverViolations(fleet, disturbances), ...limitViolations(fleet, outages), ...statementViolations(fleet, load.requests, outages, cuts), ...linkCutViolations(fleet, load.replies, outages), ...brittleViolations(fleet, outages, cuts), ...retryViolations(fleet, load.requestTimes)], outcomes: load.outcomes, faults, seen }
+    return { violations: [...openEndless, ...load.violations(), ...serverViolations(fleet, disturbances), ...limitViolations(fleet, outages), ...statementViolations(fleet, load.requests, outages, cuts), ...linkCutViolations(fleet, load.replies, outages), ...brittleViolations(fleet, outages, cuts), ...retryViolations(fleet, load.requestTimes)], outcomes: load.outcomes, faults: { ...faults, ...endlessBegun }, seen }
   } finally {
     await fleet.close()
   }
