--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -5,12 +5,16 @@
  */
 import type { AnswerHead } from '../attempts/attempt.js'
 import type { Exchange } from '../model/exchange.js'
+import { ByteCollector } from '../servers/byteCollector.js'
 import { EventSplitter } from '../streams/eventSplitter.js'
 import type { CallerAnswer } from './callerAnswer.js'
 
 /** Answers up to this size are buffered until they are complete, bytes. */
 const MAX_BUFFERED_BYTES = 256 * 1024
 
+/** From this status on, the server reports a failure, which is passed on only if no other server answers. */
+const SERVER_ERROR = 500
+
 /** Comments between two events up to this size are passed on, bytes: one of 15 bytes a second for more than an hour. */
 const MAX_COMMENT_BYTES = 64 * 1024
 
@@ -25,8 +29,7 @@
 
 export class AnswerRelay {
   private head: AnswerHead | undefined
-  private buffered: Buffer[] = []
-  private bufferedBytes = 0
+  private readonly buffered = ByteCollector.create()
   private splitter = EventSplitter.create()
   /** Bytes of comments since the last event. */
   private commentBytes = 0
@@ -46,7 +49,7 @@
   }
 
   get body (): Buffer {
-    return Buffer.concat(this.buffered)
+    return this.buffered.bytes
   }
 
   /** Whether another attempt may continue the answer: the caller has received nothing yet, or only complete events of a resumable stream. */
@@ -58,8 +61,7 @@
   /** Starts a new attempt and drops what is buffered of the previous one. */
   reset (): void {
     this.head = undefined
-    this.buffered = []
-    this.bufferedBytes = 0
+    this.buffered.clear()
     this.commentBytes = 0
     this.splitter = EventSplitter.create()
   }
@@ -82,8 +84,7 @@
   /** Returns what is wrong with the bytes; undefined where nothing is. */
   push (bytes: Buffer): string | undefined {
     if (!this.isStreaming) {
-      this.buffer(bytes)
-      return undefined
+      return this.buffer(bytes)
     }
     const events = this.splitter.push(bytes)
     if (events.length > 0) {
@@ -136,17 +137,21 @@
     return this.exchange.route.isStream && marks.isEventStream && status < 300
   }
 
-  private buffer (bytes: Buffer): void {
+  private buffer (bytes: Buffer): string | undefined {
     if (this.answer.hasBegun) {
       this.write(bytes)
-      return
+      return undefined
     }
-    this.buffered.push(bytes)
-    this.bufferedBytes += bytes.length
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES && this.head) {
+    this.buffered.add(bytes)
+    if (this.buffered.length > MAX_BUFFERED_BYTES && this.head) {
+      if (this.head.status >= SERVER_ERROR) {
+        return 'an error is too large'
+      }
       this.answer.begin(this.head.status, this.head.headers)
-      this.buffered.splice(0).forEach(chunk => this.write(chunk))
+      this.write(this.buffered.bytes)
+      this.buffered.clear()
     }
+    return undefined
   }
 
   private beginAnswer (): void {
