Soak streams of seconds over planned work, and report those that are cut

Callers got 200 and a part of a stream, then a closed connection, around configurations and SIGTERM, although the server had finished or would have gone on. The soak could not see this: its streams last 80 ms, its engines never pause, and no oracle asked who cut an answer.

New: a route with streams of 1.5 to 11 s (25 to 179 events) on engines of two services, callers that read in steps, a software version for each engine in every third seed; faults `stop instances in order in series`, `stop an instance with two signals`, `reload the settings of instances`, `change the configuration in series` (330 ms; weights of the split, time limit, limits of connections, keys), `pause an engine`, `pause all engines`, `hold the processors of instances back` (stopped 70 of 100 ms); instances run with the memory limits of deploy/system.toml. The oracle counts from callers, stand-in servers and signals: a cut is excused if a server broke off, the deadline passed, the process was killed, a link was faulty, or a run took until the last sixth of the grace period. Excused cuts are counted by reason, and a cut is reported with the process's log lines of the request.

--- a/packages/foxtaillever-proof/src/__tests__/platformSoak.test.ts
+++ b/packages/foxtaillever-proof/src/__tests__/platformSoak.test.ts
@@ -19,4 +19,11 @@
     t.deepEqual(violations, [])
     t.true((seen.streamsTakenUp ?? 0) > 0)
   })
+
+  // Guards against streams of seconds that an instance cuts around a shutdown, a reload or a configuration, though their servers go on.
+  it('cuts no stream over planned work in series, also with a third of a processor', async t => {
+    const { violations, seen } = await runPlatformSoak({ seed: 2, seconds: 12, entry, faultNames: ['stop instances in order in series', 'stop an instance with two signals', 'reload the settings of instances', 'change the configuration in series', 'hold the processors of instances back'] })
+    t.deepEqual(violations, [])
+    t.true((seen.longStreamsWhole ?? 0) > 0)
+  })
 })
--- a/packages/foxtaillever-proof/src/platformSoak.ts
+++ b/packages/foxtaillever-proof/src/platformSoak.ts
@@ -10,13 +10,15 @@
   seeds = Option.String('--seeds', '1', { description: 'How many seeds to run, one after the other.' })
   seconds = Option.String('--seconds', '20', { description: 'How long load and faults of one seed last.' })
   entry = Option.String('--entry', 'target/entry.cjs', { description: 'The program to run.' })
+  faults = Option.String('--faults', '', { description: 'Names of the faults to draw from, separated by commas; all if not given.' })
 
   async execute (): Promise<number> {
     let broken = 0
+    const drawn = this.faults === '' ? {} : { faultNames: this.faults.split(',') }
     for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.seeds); seed += 1) {
-      const { violations, outcomes, faults, seen } = await runPlatformSoak({ seed, seconds: Number(this.seconds), entry: this.entry })
+      const { violations, outcomes, faults, seen, excused } = await runPlatformSoak({ seed, seconds: Number(this.seconds), entry: this.entry, ...drawn })
       broken += violations.length
-      console.log(`seed ${seed}: ${violations.length} promises broken, outcomes ${JSON.stringify(outcomes)}, faults ${JSON.stringify(faults)}, seen ${JSON.stringify(seen)}`)
+      console.log(`seed ${seed}: ${violations.length} promises broken, outcomes ${JSON.stringify(outcomes)}, faults ${JSON.stringify(faults)}, seen ${JSON.stringify(seen)}, excused ${JSON.stringify(excused)}`)
       violations.forEach(violation => console.log(`  ${violation}`))
     }
     return broken > 0 ? 1 : 0
--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -4,6 +4,7 @@
 import { ENGINES, MODEL, Path, ZONES } from 'foxtaillever-platform/__fixtures__/relayFleet'
 import { AppendFault, LinkCut, LinkFault, ServerFault, StoreMode, type BackendServer, type LevelFault } from 'foxtaillever-standins'
 import type { Disturbances } from './disturbances.js'
+import { plannedWork } from './plannedWork.js'
 import type { SoakFleet, SoakInstance } from './soakFleet.js'
 
 export interface PlatformFaultContext {
@@ -233,5 +234,6 @@
       await waitUntil(clock, clock.now() + SUCCESSION_INTERVAL_MS)
     }
   },
-  'change the configuration': async ({ fleet }) => fleet.operator.configure()
+  'change the configuration': async ({ fleet }) => fleet.operator.configure(),
+  ...plannedWork
 }
--- a/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/runPlatformSoak.ts
@@ -1,6 +1,8 @@
 /** One soak of the real program on stand-ins of the users' platform: load and faults for a given time, then the checks. */
 import { SeededRandom, SystemClock, waitUntil } from 'foxtaillever-core'
+import { findCuts, unexpectedExits } from './cutStreams.js'
 import { Disturbances } from './disturbances.js'
+import { LongStreams } from './longStreams.js'
 import { platformFaults } from './platformFaults.js'
 import { PlatformLoad } from './platformLoad.js'
 import { brittleViolations, limitViolations, linkCutViolations, retryViolations, serverViolations, statementViolations } from './serverViolations.js'
@@ -21,19 +23,26 @@
   readonly faults: Readonly<Record<string, number>>
   /** How often the events that the promises cover occurred. */
   readonly seen: Readonly<Record<string, number>>
+  /** Long streams that were cut for a reason that excuses it, by reason. */
+  readonly excused: Readonly<Record<string, number>>
 }
 
 const REQUEST_INTERVAL_MS = 20
 const MAX_FAULT_INTERVAL_MS = 800
+const LONG_STREAM_INTERVAL_MS = 100
+
+/** Every so many seeds, each engine of long streams has a software version of its own. */
+const OWN_VERSIONS_SEEDS = 3
 
 export async function runPlatformSoak ({ seed, seconds, entry, faultNames = Object.keys(platformFaults) }: PlatformSoakOptions): Promise<PlatformSoakReport> {
   const clock = SystemClock.create()
   const random = SeededRandom.create(seed)
-  const fleet = await SoakFleet.start(entry)
+  const fleet = await SoakFleet.start(entry, seed % OWN_VERSIONS_SEEDS === 0)
   const disturbances = Disturbances.create(() => clock.now())
   const outages = Disturbances.create(() => clock.now())
   const cuts = Disturbances.create(() => clock.now())
   const load = PlatformLoad.create(fleet, SeededRandom.create(seed + 1), disturbances)
+  const longStreams = LongStreams.create(fleet, SeededRandom.create(seed + 2))
   const endsAt = clock.now() + seconds * 1000
   const faults: Record<string, number> = {}
   const injectFaults = async (): Promise<void> => {
@@ -53,13 +62,14 @@
     await Promise.all(pending)
   }
   try {
-    await Promise.all([injectFaults(), injectFaults(), sendRequests()])
+    await Promise.all([injectFaults(), injectFaults(), sendRequests(), longStreams.sendUntil(endsAt, LONG_STREAM_INTERVAL_MS)])
     await fleet.waitUntilServing()
     await fleet.waitUntilConfigured()
     await fleet.waitUntilSettled()
     const { platform, operator } = fleet
-    const seen = { cachedLevelsUsed: platform.partUses().length, orders: platform.acceptedOrders().length, drains: operator.drains.length, keysTaken: operator.temporaryKeys.length - 1, limits: operator.rates.length, rests: operator.backoffCount, linkCuts: operator.linkCuts.length, streamsTakenUp: load.takenUp.streams, streamsWentOn: load.takenUp.wentOn, falls: platform.servers.reduce((sum, { falls }) => sum + falls.length, 0) }
-    return { violations: [...load.violations(), ...serverViolations(fleet, disturbances), ...limitViolations(fleet, outages), ...statementViolations(fleet, load.requests, outages, cuts), ...linkCutViolations(fleet, load.replies, outages), ...brittleViolations(fleet, outages, cuts), ...retryViolations(fleet, load.requestTimes)], outcomes: load.outcomes, faults, seen }
+    const cutStreams = findCuts(fleet, longStreams.ended, cuts)
+    const seen = { longStreams: longStreams.ended.length, longStreamsWhole: longStreams.ended.filter(({ reply: { status, isWhole } }) => status === 200 && isWhole).length, longStreamsCut: cutStreams.violations.length, longStreamsExcused: Object.values(cutStreams.excused).reduce((sum, count) => sum + count, 0), cachedLevelsUsed: platform.partUses().length, orders: platform.acceptedOrders().length, drains: operator.drains.length, keysTaken: operator.temporaryKeys.length - 1, limits: operator.rates.length, rests: operator.backoffCount, linkCuts: operator.linkCuts.length, streamsTakenUp: load.takenUp.streams, streamsWentOn: load.takenUp.wentOn, falls: platform.servers.reduce((sum, { falls }) => sum + falls.length, 0) }
+    return { violations: [...load.violations(), ...serverViolations(fleet, disturbances), ...limitViolations(fleet, outages), ...statementViolations(fleet, load.requests, outages, cuts), ...linkCutViolations(fleet, load.replies, outages), ...brittleViolations(fleet, outages, cuts), ...retryViolations(fleet, load.requestTimes), ...cutStreams.violations, ...unexpectedExits(fleet)], outcomes: load.outcomes, faults, seen, excused: cutStreams.excused }
   } finally {
     await fleet.close()
   }
--- a/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
@@ -10,6 +10,8 @@
 import { PlatformDeployment, type InstanceLinks, type PlainShape, type StoreServer } from 'foxtaillever-standins'
 import { Child } from '../soak/child.js'
 import { LINKS_HOST, SERVERS_HOST } from './linkHosts.js'
+import { addLongEngines } from './longStreams.js'
+import { RequestLines } from './requestLines.js'
 import { SoakOperator } from './soakOperator.js'
 
 /** Time bounds of the settings, so short that a soak of seconds reaches them. */
@@ -20,15 +22,21 @@
 
 const HEARTBEAT_MS = 300
 
+/** Limits of the memory of an instance, as it runs on machines of 178 MB. */
+const MEMORY_FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=2']
+
 /** About half used by the load, so that a server that lets no request wait has to reject some. */
 const PLAIN_SHAPE: PlainShape = { workMs: 100, slots: 2, maxWaiting: 4 }
 
 export interface SoakInstance {
   readonly child: Child
   readonly address: string
+  readonly readyAddress: string
   readonly storeServer: StoreServer
   /** Its links to the servers. */
   readonly links: InstanceLinks
+  /** What it logged about requests. */
+  readonly lines: RequestLines
 }
 
 export class SoakFleet {
@@ -44,14 +52,18 @@
 
   private constructor (private readonly entry: string) {}
 
-  /** @param entry the program to run. */
-  static async start (entry: string): Promise<SoakFleet> {
+  /**
+   * @param entry the program to run.
+   * @param hasOwnVersions whether each engine of long streams has a software version of its own.
+   */
+  static async start (entry: string, hasOwnVersions = false): Promise<SoakFleet> {
     const fleet = new SoakFleet(entry)
     fleet.operator.start()
     for (const zone of ZONES) {
       await fleet.platform.addEngine(`engine-${zone}`, ENGINES, zone, { [MODEL]: 1 })
       await fleet.platform.addPlain(`plain-${zone}`, PLAIN, zone, PLAIN_SHAPE)
     }
+    await addLongEngines(fleet.platform, hasOwnVersions)
     fleet.peerPort = await freePort(nextHost())
     for (const zone of ZONES) {
       await fleet.addInstance(zone)
@@ -96,8 +108,9 @@
     const name = `instance-${this.instances.length + 1}`
     const path = join(this.folder, `${name}.json`)
     writeFileSync(path, JSON.stringify({ node: name, zone, ip, listen: { front, ready }, internal_ports: [this.peerPort, this.peerPort], seeds: [], heartbeat_ms: HEARTBEAT_MS, bounds: SHORT_BOUNDS, platform: { address: store } }))
-    const child = Child.create({ name, arguments: ['--import', LINKS_MODULE, this.entry], environment: { FOXTAILLEVER_BOOT: path, [SERVERS_HOST]: this.serversHost, [LINKS_HOST]: links.host }, onLine: () => {} })
-    this.instances.push({ child, address: front, storeServer, links })
+    const lines = RequestLines.create()
+    const child = Child.create({ name, arguments: [...MEMORY_FLAGS, '--import', LINKS_MODULE, this.entry], environment: { FOXTAILLEVER_BOOT: path, [SERVERS_HOST]: this.serversHost, [LINKS_HOST]: links.host }, onLine: line => lines.add(line) })
+    this.instances.push({ child, address: front, readyAddress: ready, storeServer, links, lines })
     child.start()
   }
 
--- a/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
@@ -1,7 +1,8 @@
 /** The operator of a soak: writes configurations with temporary keys, names weights, drains servers. */
 import type { Clock } from 'foxtaillever-core'
-import { createConfiguration, MODEL, services } from 'foxtaillever-platform/__fixtures__/relayFleet'
+import { createConfiguration, createRoute, ENGINES, MODEL, Path, PLAIN, services } from 'foxtaillever-platform/__fixtures__/relayFleet'
 import type { BackendServer, PlatformDeployment } from 'foxtaillever-standins'
+import { longStreamSettings } from './longStreams.js'
 
 /** Address of the store of cached prompt levels; only engines connect to it. */
 const CACHE_STORE = '127.0.0.1:9'
@@ -97,8 +98,11 @@
     this.revision += 1
     const key = `key-${this.revision}`
     const previousKey = this.temporaryKeys.at(-1)
+    const long = longStreamSettings(this.revision)
     this.platform.configure(createConfiguration(this.revision, {
-      services: [...services, { name: 'levels', kv_store_addr: CACHE_STORE, zone: 'zone-a', kv_capacity_tokens: CACHE_STORE_TOKENS }],
+      routes: [createRoute(Path.Stream, 'stream', ENGINES), createRoute(Path.Once, 'non_idempotent', PLAIN), createRoute(Path.Repeatable, 'idempotent', PLAIN), long.route],
+      limits: long.limits,
+      services: [...services, ...long.services, { name: 'levels', kv_store_addr: CACHE_STORE, zone: 'zone-a', kv_capacity_tokens: CACHE_STORE_TOKENS }],
       tenants: [{ name: 'acme', api_keys: ['key-acme', key] }, { name: ISOLATED_ACCOUNT, api_keys: ['key-walled'], isolated: true }]
     }))
     const now = this.clock.now()
--- a/packages/foxtaillever-proof/src/soak/child.ts
+++ b/packages/foxtaillever-proof/src/soak/child.ts
@@ -13,8 +13,21 @@
   readonly onLine: (line: string) => void
 }
 
+/** A signal that was sent to a process, or its exit; milliseconds of Unix time. */
+interface ProcessEvent<Kind> {
+  readonly kind: Kind
+  readonly at: number
+}
+
 export class Child {
   private process: ChildProcess | undefined
+  /** Signals that end the process, in the order in which they were sent. */
+  readonly endings: Array<ProcessEvent<NodeJS.Signals>> = []
+  /** Exits without such a signal, by exit code or signal. */
+  readonly unexpectedExits: Array<ProcessEvent<string>> = []
+  /** Whether it was sent such a signal and has not been started since. */
+  isEnding = false
+  private startedAt = 0
   isSuspended = false
   /** The last 2000 characters of standard error, across restarts. */
   stderrTail = ''
@@ -36,9 +49,14 @@
     const child = spawn(process.execPath, [...this.options.arguments], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...this.options.environment } })
     this.process = child
     this.isSuspended = false
+    this.isEnding = false
+    this.startedAt = Date.now()
     createInterface({ input: child.stdout }).on('line', this.options.onLine)
     child.stderr.on('data', (chunk: Buffer) => { this.stderrTail = (this.stderrTail + chunk.toString()).slice(-2000) })
-    child.once('exit', () => {
+    child.once('exit', (code, signal) => {
+      if (!this.isEnding) {
+        this.unexpectedExits.push({ kind: String(signal ?? code), at: Date.now() })
+      }
       if (this.process === child) {
         this.process = undefined
       }
@@ -61,6 +79,8 @@
       return 0
     }
     const ended = new Promise<number | null>(resolve => child.once('exit', code => resolve(code)))
+    this.isEnding = true
+    this.endings.push({ kind: signal, at: Date.now() })
     child.kill(signal)
     if (this.isSuspended) {
       child.kill('SIGCONT')
@@ -69,6 +89,13 @@
     return await ended
   }
 
+  /** Makes the process read its settings again, if it was started at least this long ago, milliseconds. */
+  reload (startedMs: number): void {
+    if (Date.now() >= this.startedAt + startedMs) {
+      this.process?.kill('SIGHUP')
+    }
+  }
+
   suspend (): void {
     this.isSuspended = this.process?.kill('SIGSTOP') === true
   }
--- a/packages/foxtaillever-standins/src/platform/engines/answerWriter.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/answerWriter.ts
@@ -16,6 +16,16 @@
   readonly backoffMs: number
 }
 
+/** How a server's work on a request ended. */
+export enum RunEnd {
+  /** It wrote the whole answer. */
+  Finished = 'finished',
+  /** Its connection was closed while it worked. */
+  Cancelled = 'cancelled',
+  /** The server itself broke off, by a crash or another fault. */
+  BrokenOff = 'broken-off'
+}
+
 /** A request as it arrived, for oracles. */
 export interface Arrival {
   readonly requestId: string
@@ -32,6 +42,8 @@
   answer: StatedAnswer | undefined
   /** Whether the server began to work on it. */
   hasRun: boolean
+  /** How and when the connection of its answer ended, milliseconds of Unix time; undefined before. */
+  end: { readonly how: RunEnd, readonly at: number } | undefined
 }
 
 export function headerOf (request: IncomingMessage, name: string): string {
--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -7,7 +7,7 @@
 import type { AddressInfo } from 'node:net'
 import { hashNumber, type Cancellation, type Clock } from 'foxtaillever-core'
 import { readBody } from '../readBody.js'
-import { AnswerWriter, headerOf, type Arrival, type StatedAnswer } from './answerWriter.js'
+import { AnswerWriter, headerOf, RunEnd, type Arrival, type StatedAnswer } from './answerWriter.js'
 import { ServerFault } from './serverFaults.js'
 
 export const HEALTH_PATH = '/health'
@@ -225,7 +225,7 @@
 
   private recordArrival (request: IncomingMessage, body: Buffer): Arrival {
     const { method = '', url = '', headers } = request
-    const arrival: Arrival = { requestId: headerOf(request, 'x-request-id'), method, path: url, headers, body: body.toString(), at: this.options.clock.now(), startedAt: this.startedAt, statedLimit: this.statedLimit, answer: undefined, hasRun: false }
+    const arrival: Arrival = { requestId: headerOf(request, 'x-request-id'), method, path: url, headers, body: body.toString(), at: this.options.clock.now(), startedAt: this.startedAt, statedLimit: this.statedLimit, answer: undefined, hasRun: false, end: undefined }
     this.arrivals.push(arrival)
     return arrival
   }
@@ -280,7 +280,12 @@
         return this.statementHeaders()
       }
     })
-    response.on('close', () => this.runner.cancel(requestId))
+    const { startedAt } = this
+    response.on('close', () => {
+      this.runner.cancel(requestId)
+      const isServerUp = startedAt === this.startedAt && !this.isRestarting && !this.isClosed
+      arrival.end = { how: response.writableEnded ? RunEnd.Finished : fault === undefined && isServerUp ? RunEnd.Cancelled : RunEnd.BrokenOff, at: clock.now() }
+    })
     if (!this.runner.run(request, writer, () => { arrival.hasRun = true })) {
       refuse(503)
       this.recordRejection()
--- a/packages/foxtaillever-standins/src/platform/engines/tokenEngine.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/tokenEngine.ts
@@ -79,6 +79,8 @@
   private running: ScheduledRun[] = []
   private order = 0
   private cancelStep: Cancellation | undefined
+  /** No step ends before this, milliseconds of Unix time. */
+  private pausedUntil = 0
 
   private constructor (readonly options: TokenEngineOptions, private readonly clock: Clock, private readonly versionOf: (model: string) => number) {
     this.maxWaiting = options.maxWaiting
@@ -121,9 +123,15 @@
     this.running = this.running.filter(isOther)
   }
 
+  /** Holds all runs until a time, milliseconds of Unix time; they go on afterwards. */
+  pauseUntil (until: number): void {
+    this.pausedUntil = until
+  }
+
   clear (): void {
     this.waiting = []
     this.running = []
+    this.pausedUntil = 0
     this.cancelStep?.()
     this.cancelStep = undefined
   }
@@ -137,6 +145,10 @@
   /** @param prefilled prompt tokens that this step has prefilled. */
   private step (prefilled: number): void {
     this.cancelStep = undefined
+    if (this.clock.now() < this.pausedUntil) {
+      this.cancelStep = this.clock.at(this.pausedUntil, () => this.step(prefilled))
+      return
+    }
     this.prefilledTokens += prefilled
     this.produceTokens()
     this.admitWaiting()
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -111,7 +111,7 @@
       cacheAt: address => this.cacheAt(address)
     })
     Object.entries(models).forEach(([model, version]) => runner.orders.versions.set(model, version))
-    return { server: await this.add(name, service, zone, runner, ENGINE.slots, softwareVersion), runner }
+    return { server: await this.add(name, service, zone, runner, shape.slots ?? ENGINE.slots, softwareVersion), runner }
   }
 
   async addPlain (name: string, service: string, zone: string, shape = PLAIN): Promise<BackendServer> {
