Do not count the time in which a slow caller holds back reading as silence of the server

Callers that read nothing for some seconds lost their stream: 200, a part, then a closed connection, though the server had finished; or the request ran up to three times.

Cause: while the caller's buffer is full, the instance stops reading from the server. The watch for silence and `activeAt`, by which an attempt on a broken link is judged, went on, so that the instance took its own pause for silence of the server and abandoned the attempt.

InFlightAttempt now has the pause: it holds the watch and counts as active, and a new wait begins when the caller has drained.

--- a/packages/foxtaillever-relay/src/exchange/__tests__/silenceWatch.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/silenceWatch.test.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events'
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import { SystemClock } from 'foxtaillever-core'
-import { describe, blockEventLoopUntil, it } from 'foxtaillever-testing'
+import { describe, blockEventLoopUntil, it, VirtualClock } from 'foxtaillever-testing'
 import { SilenceWatch } from '../silenceWatch.js'
 
 const PATIENCE_MS = 20
@@ -56,4 +56,21 @@
     })
     t.pass()
   })
+
+  // Guards against a server that counts as silent while this instance does not read from it.
+  it('reports no silence while it is paused, and begins a new wait afterwards', async t => {
+    const clock = VirtualClock.create()
+    const silences: number[] = []
+    const watch = SilenceWatch.start({ clock, firstUntil: PATIENCE_MS, nextUntil: receivedAt => receivedAt + PATIENCE_MS, onSilent: () => silences.push(clock.now()) })
+    watch.pause()
+    await clock.advanceBy(5 * PATIENCE_MS + 1)
+    t.deepEqual(silences, [])
+    const resumedAt = clock.now()
+    watch.resume()
+    await clock.advanceBy(PATIENCE_MS - 1)
+    t.deepEqual(silences, [])
+    await clock.advanceBy(2 * PATIENCE_MS)
+    t.true(silences.length > 0 && silences.every(at => at >= resumedAt + PATIENCE_MS))
+    watch.stop()
+  })
 })
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -71,7 +71,7 @@
         this.continuity.recordFirstEvent(this.current?.server)
       },
       onEvents: () => this.pace.recordChunk(this.now),
-      onBackpressure: () => this.current?.attempt.pause()
+      onBackpressure: () => this.current?.pause()
     })
   }
 
@@ -90,7 +90,7 @@
       this.finish(ExchangeEnd.CallerGone, '')
       return
     }
-    answer.listen({ onGone: () => this.onGone(), onDrained: () => this.current?.attempt.resume() })
+    answer.listen({ onGone: () => this.onGone(), onDrained: () => this.current?.resume() })
     this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
     retries.addRequest(exchange.service, this.now)
     this.refuseOr(this.guard.findRefusal(), () => this.quota.claim(refusal => this.onAdmitted(refusal)))
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -40,8 +40,9 @@
   readonly tokensToRead: number
   private fetch: Transfer | undefined
   private readonly endWait: () => void
-  /** When anything was last received, or the attempt began; milliseconds of Unix time. */
-  activeAt: number
+  /** When anything was last received, or the attempt began or was resumed; milliseconds of Unix time. */
+  private lastActiveAt: number
+  private isPaused = false
 
   private constructor (private readonly options: InFlightAttemptOptions) {
     const { attempt, server, terms, beganAt, heldTokens } = options
@@ -56,7 +57,7 @@
     this.tokensToRead = server.unreadTokens + options.othersTokens
     server.heldTokens += heldTokens
     this.fetch = options.context.caches.fetchLoad.beginTransfer(terms.fetchFrom, terms.fetchedTokens, terms.fetchUntil)
-    this.activeAt = beganAt
+    this.lastActiveAt = beganAt
     this.endWait = options.forwarder === undefined ? options.context.paths.beginWait(server) : () => {}
     options.context.onLoadChanged(server)
   }
@@ -104,8 +105,27 @@
     return this.options.forwarder
   }
 
+  /** When the server was last not silent, milliseconds of Unix time: a server that is not read from is not silent. */
+  get activeAt (): number {
+    return this.isPaused ? this.options.context.clock.now() : this.lastActiveAt
+  }
+
+  /** Stops reading from the server because the caller reads too slowly. */
+  pause (): void {
+    this.isPaused = true
+    this.options.watch.pause()
+    this.attempt.pause()
+  }
+
+  resume (): void {
+    this.lastActiveAt = this.activeAt
+    this.isPaused = false
+    this.options.watch.resume()
+    this.attempt.resume()
+  }
+
   recordActivity (now: number): void {
-    this.activeAt = now
+    this.lastActiveAt = now
     this.options.watch.recordActivity()
   }
 
--- a/packages/foxtaillever-relay/src/exchange/silenceWatch.ts
+++ b/packages/foxtaillever-relay/src/exchange/silenceWatch.ts
@@ -15,6 +15,7 @@
   private until: number
   private cancel: Cancellation = () => {}
   private isStopped = false
+  private isPaused = false
 
   private constructor (private readonly options: SilenceWatchOptions) {
     this.until = options.firstUntil
@@ -30,6 +31,19 @@
     this.until = this.options.nextUntil(this.options.clock.now())
   }
 
+  /** Reports no silence until `resume`, because nothing is read from the server. */
+  pause (): void {
+    this.isPaused = true
+  }
+
+  /** Begins a new wait if the watch was paused. */
+  resume (): void {
+    if (this.isPaused) {
+      this.isPaused = false
+      this.recordActivity()
+    }
+  }
+
   stop (): void {
     this.isStopped = true
     this.cancel()
@@ -40,7 +54,9 @@
     const until = this.until
     this.cancel = atAfterReading(clock, until, () => {
       if (this.until <= until) {
-        onSilent()
+        if (!this.isPaused) {
+          onSilent()
+        }
         this.recordActivity()
       }
       if (!this.isStopped) {
