Soak releases of a software version under long streams, and configurations with idle routes

A server whose entry goes away while it still has streams must keep them; no soak played it with streams that outlast the entry. `release a software version` replaces the engines of long streams one after the other; each new one has another software version, and each old one finishes its streams after its entry is gone. Configurations now have 40 further routes.

--- a/packages/foxtaillever-proof/src/platformSoak/longStreams.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/longStreams.ts
@@ -1,15 +1,18 @@
 /** Load of a soak: resumable streams of some seconds, which run on while instances, servers and the configuration change. */
 import { waitUntil, type Random } from 'foxtaillever-core'
 import type { CallerReply } from 'foxtaillever-platform/__fixtures__/caller'
-import { createRoute, MODEL, Path, promptHeaders, ZONES } from 'foxtaillever-platform/__fixtures__/relayFleet'
-import type { PlatformDeployment } from 'foxtaillever-standins'
+import { createRoute, MODEL, Path, PLAIN, promptHeaders, ZONES } from 'foxtaillever-platform/__fixtures__/relayFleet'
+import type { BackendServer, PlatformDeployment } from 'foxtaillever-standins'
 import { ReadyInstances } from './readyInstances.js'
 import type { SoakFleet } from './soakFleet.js'
 
 const PATH = '/long/'
 
 /** Services among which the route splits its streams, and how many engines each has. */
-const SERVICES = { long: 3, 'long-b': 2 }
+export const LONG_SERVICES = { long: 3, 'long-b': 2 }
+
+/** Routes that no request uses, as an operator's configuration has them. */
+const IDLE_ROUTES = 40
 
 /** An engine that has streams of seconds open for all instances. */
 const SLOTS = 32
@@ -22,6 +25,9 @@
 /** Most streams are short: the number of events is drawn this often and the smallest taken. */
 const DRAWS = 2
 
+/** From the entry that says that an engine leaves to the end of the entry, milliseconds. */
+const DRAIN_MS = 3000
+
 const TIMEOUT_MS = 20_000
 const OBJECTIVE_MS = 400
 const PAUSE_OBJECTIVE_MS = 300
@@ -43,20 +49,38 @@
   readonly reply: CallerReply
 }
 
+async function addLongEngine (platform: PlatformDeployment, service: string, name: string, zone: string, weights: number, softwareVersion: string): Promise<BackendServer> {
+  const { server } = await platform.addEngine(name, service, zone, { [MODEL]: weights }, ENGINE, softwareVersion)
+  return server
+}
+
 export async function addLongEngines (platform: PlatformDeployment, hasOwnVersions: boolean): Promise<void> {
-  for (const [service, count] of Object.entries(SERVICES)) {
+  for (const [service, count] of Object.entries(LONG_SERVICES)) {
     for (let index = 0; index < count; index += 1) {
-      await platform.addEngine(`${service}-${index}`, service, ZONES[index % ZONES.length] ?? '', { [MODEL]: 1 }, ENGINE, hasOwnVersions ? `${service}-v${index}` : 'v1')
+      await addLongEngine(platform, service, `${service}-${index}`, ZONES[index % ZONES.length] ?? '', 1, hasOwnVersions ? `${service}-v${index}` : 'v1')
     }
   }
 }
 
+/** Replaces the longest running engine of a service that does not leave yet. Its entry goes away while it still has streams, which it finishes. */
+export async function replaceLongEngine ({ platform, operator, clock }: SoakFleet, service: string, softwareVersion: string): Promise<void> {
+  const leaving = platform.servers.find(({ options: { name }, isLeaving }) => !isLeaving && new RegExp(`^${service}-\\d+$`).test(name))
+  if (!leaving) {
+    return
+  }
+  await addLongEngine(platform, service, `${service}-${platform.servers.length}`, ZONES[platform.servers.length % ZONES.length] ?? '', operator.weights, softwareVersion)
+  operator.drain(leaving)
+  await waitUntil(clock, clock.now() + DRAIN_MS)
+  platform.remove(leaving)
+}
+
 /** Route, services and limits of long streams. The weights of the split, the time limit and the limits of connections change with each revision. */
-export function longStreamSettings (revision: number): { readonly route: object, readonly services: readonly object[], readonly limits: object } {
-  const split = Object.keys(SERVICES).map((service, index) => ({ service, weight: index === 0 ? 9 : 1 + revision % 5 }))
+export function longStreamSettings (revision: number): { readonly route: object, readonly services: readonly object[], readonly idleRoutes: readonly object[], readonly limits: object } {
+  const split = Object.keys(LONG_SERVICES).map((service, index) => ({ service, weight: index === 0 ? 9 : 1 + revision % 5 }))
   return {
     route: { ...createRoute(Path.Stream, 'stream', ''), name: PATH, path_prefix: PATH, split, sticky: true, resumable: true, max_attempts: 2, timeout_ms: TIMEOUT_MS + revision % 2 * 1000, target_latency_ms: OBJECTIVE_MS, gap_target_ms: PAUSE_OBJECTIVE_MS },
-    services: Object.keys(SERVICES).map(name => ({ name, health_path: '/health', max_conns: revision % 4 === 1 ? 300 : 500, engine: { slots: SLOTS, kv_capacity_tokens: ENGINE.memoryTokens, max_inflight: SLOTS } })),
+    services: Object.keys(LONG_SERVICES).map(name => ({ name, health_path: '/health', max_conns: revision % 4 === 1 ? 300 : 500, engine: { slots: SLOTS, kv_capacity_tokens: ENGINE.memoryTokens, max_inflight: SLOTS } })),
+    idleRoutes: Array.from({ length: IDLE_ROUTES }, (_, index) => ({ ...createRoute(Path.Added, 'idempotent', PLAIN), name: `idle-${index}`, path_prefix: `/idle/${revision}/${index}/` })),
     limits: { max_header_bytes: 16_384, max_body_bytes: 100_000, header_timeout_ms: 5000 - revision % 3 * 2000, idle_timeout_ms: 10_000 - revision % 3 * 4000 }
   }
 }
--- a/packages/foxtaillever-proof/src/platformSoak/plannedWork.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/plannedWork.ts
@@ -1,5 +1,6 @@
-/** Work that operators plan, which must cut no stream: shutdowns, settings and configurations, in series. Beside it, engines and processors that pause. */
+/** Work that operators plan, which must cut no stream: shutdowns, settings, configurations and releases, in series. Beside it, engines and processors that pause. */
 import { waitUntil } from 'foxtaillever-core'
+import { LONG_SERVICES, replaceLongEngine } from './longStreams.js'
 import type { PlatformFaultContext } from './platformFaults.js'
 import type { SoakInstance } from './soakFleet.js'
 
@@ -54,6 +55,14 @@
       await waitUntil(clock, clock.now() + CONFIGURATION_INTERVAL_MS)
     }
   },
+  'release a software version': async ({ fleet, clock }) => {
+    const version = `r${Math.floor(clock.now())}`
+    for (const [service, count] of Object.entries(LONG_SERVICES)) {
+      for (let index = 0; index < count; index += 1) {
+        await replaceLongEngine(fleet, service, version)
+      }
+    }
+  },
   'pause an engine': async ({ fleet: { platform }, clock, random }) => {
     const engines = platform.engines()
     engines[random.below(engines.length)]?.engine.pauseUntil(clock.now() + MIN_PAUSE_MS + random.below(MAX_PAUSE_MS - MIN_PAUSE_MS))
--- a/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakOperator.ts
@@ -100,7 +100,7 @@
     const previousKey = this.temporaryKeys.at(-1)
     const long = longStreamSettings(this.revision)
     this.platform.configure(createConfiguration(this.revision, {
-      routes: [createRoute(Path.Stream, 'stream', ENGINES), createRoute(Path.Once, 'non_idempotent', PLAIN), createRoute(Path.Repeatable, 'idempotent', PLAIN), long.route],
+      routes: [createRoute(Path.Stream, 'stream', ENGINES), createRoute(Path.Once, 'non_idempotent', PLAIN), createRoute(Path.Repeatable, 'idempotent', PLAIN), long.route, ...long.idleRoutes],
       limits: long.limits,
       services: [...services, ...long.services, { name: 'levels', kv_store_addr: CACHE_STORE, zone: 'zone-a', kv_capacity_tokens: CACHE_STORE_TOKENS }],
       tenants: [{ name: 'acme', api_keys: ['key-acme', key] }, { name: ISOLATED_ACCOUNT, api_keys: ['key-walled'], isolated: true }]
