Let a carried stream go on at its server when the instance that carried it ends

Callers got 200 and a part of a stream, then a closed connection from an instance that was not stopped, around the shutdown of another one that carried the stream.

Cause: an answer that breaks off at another instance is `lost` for the server too, since the carrying instance cannot report a failure once the head is sent. The server counted as failed, and where no other one has its software version, nobody could take the stream, though the server was sound and other instances reached it.

AttemptLedger now keeps such a server as doubtful: it gets the request again only if no other server can take it, within the route's attempts and the retry budget as before. A failure that the carrying instance reports, and silence, count against the server as before.

--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -21,6 +21,8 @@
   readonly attemptedServers: string[] = []
   /** Servers that failed the request; it is not sent to them again. */
   readonly failed = new Set<string>()
+  /** Servers whose answer broke off at another instance, which may itself have ended; they get the request again if no other server can take it. */
+  readonly doubtful = new Set<string>()
   /** Addresses of other instances that failed to carry the request; it is not sent through them again. */
   readonly triedForwarders = new Set<string>()
   /** Whether an attempt over this instance's own links found no connection. */
@@ -69,7 +71,9 @@
     if (forwarder !== undefined && (isReported !== true || !isArrival)) {
       this.triedForwarders.add(forwarder)
     }
-    if (forwarder === undefined || isArrival) {
+    if (forwarder !== undefined && isReported !== true && kind === AttemptFailureKind.Lost) {
+      this.doubtful.add(server)
+    } else if (forwarder === undefined || isArrival) {
       this.failed.add(server)
     }
     this.wasUnreachable ||= forwarder === undefined && kind === AttemptFailureKind.Unreachable
--- a/packages/foxtaillever-relay/src/servers/serverSelector.ts
+++ b/packages/foxtaillever-relay/src/servers/serverSelector.ts
@@ -48,10 +48,14 @@
 /** Hashes of servers whose load was just queried. */
 export type QueriedServers = ReadonlySet<number>
 
+const noServers: ReadonlySet<string> = new Set()
+
 /** The outcome of the earlier attempts of an exchange. */
 export interface EarlierAttempts {
   /** Ids of servers at which an attempt failed; they do not get the exchange again. */
   readonly failed: ReadonlySet<string>
+  /** Ids of servers at which an attempt may have failed; they get the exchange again only if no other server can take it. */
+  readonly doubtful?: ReadonlySet<string>
   /** One of these servers had other weights than expected. */
   readonly wasMisdirected: boolean
   /** Software version of the servers that may get the exchange; undefined for any. */
@@ -128,10 +132,12 @@
   }
 
   /** The servers that can take the next attempt. */
-  private eligibleServers (exchange: Exchange, { failed, wasMisdirected, softwareVersion }: EarlierAttempts): readonly KnownServer[] {
+  private eligibleServers (exchange: Exchange, { failed, doubtful = noServers, wasMisdirected, softwareVersion }: EarlierAttempts): readonly KnownServer[] {
     const { clock, directory } = this.options
     const now = clock.now()
-    const eligible = directory.ready(exchange.service).filter(server => !failed.has(server.listed.id) && hasSoftware(server, softwareVersion) && availableFrom(server) <= now && this.options.isUsable(server) && this.hasAllowedWeights(server, exchange))
+    const available = directory.ready(exchange.service).filter(server => !failed.has(server.listed.id) && hasSoftware(server, softwareVersion) && availableFrom(server) <= now && this.options.isUsable(server) && this.hasAllowedWeights(server, exchange))
+    const others = available.filter(server => !doubtful.has(server.listed.id))
+    const eligible = others.length > 0 ? others : available
     return wasMisdirected ? this.preferCurrentWeights(eligible, exchange) : eligible
   }
 
