Load no weights in a stand-in engine that pauses

Suspected, not traced in the run: an engine that was told to swap weights beside its runs loaded them during a drawn pause, while a request that was accepted under the old weights waited for the next step. No real engine that stands still loads weights.

--- a/packages/foxtaillever-standins/src/platform/engines/engineRunner.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/engineRunner.ts
@@ -57,6 +57,7 @@
       loadMs,
       isNamed,
       isIdle: () => this.engine.active + this.engine.queued === 0,
+      isPaused: () => this.engine.isPaused,
       onLoaded: model => {
         this.engine.cache.dropModel(model)
         onLoaded()
--- a/packages/foxtaillever-standins/src/platform/engines/tokenEngine.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/tokenEngine.ts
@@ -128,6 +128,10 @@
     this.pausedUntil = until
   }
 
+  get isPaused (): boolean {
+    return this.clock.now() < this.pausedUntil
+  }
+
   clear (): void {
     this.waiting = []
     this.running = []
@@ -145,7 +149,7 @@
   /** @param prefilled prompt tokens that this step has prefilled. */
   private step (prefilled: number): void {
     this.cancelStep = undefined
-    if (this.clock.now() < this.pausedUntil) {
+    if (this.isPaused) {
       this.cancelStep = this.clock.at(this.pausedUntil, () => this.step(prefilled))
       return
     }
--- a/packages/foxtaillever-standins/src/platform/engines/weightOrders.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/weightOrders.ts
@@ -33,6 +33,8 @@
   readonly isNamed: (model: string, version: number) => boolean
   /** Whether no request runs or waits. */
   readonly isIdle: () => boolean
+  /** Whether the engine pauses; it loads nothing then. */
+  readonly isPaused: () => boolean
   readonly onLoaded: (model: string) => void
 }
 
@@ -79,8 +81,8 @@
   }
 
   private loadWhenAllowed (mayLoad: () => boolean, model: string, version: number): void {
-    const { clock, loadMs } = this.options
-    if (!mayLoad()) {
+    const { clock, loadMs, isPaused } = this.options
+    if (isPaused() || !mayLoad()) {
       clock.at(clock.now() + CHECK_INTERVAL_MS, () => this.loadWhenAllowed(mayLoad, model, version))
       return
     }
