Skip log lines that a killed process left incomplete

A soak that kills processes would end with a syntax error if the last line of one was cut in the middle.

--- a/packages/foxtaillever-proof/src/platformSoak/requestLines.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/requestLines.ts
@@ -1,4 +1,5 @@
 /** Keeps what a process logs about requests, so that a broken promise is reported with its cause. */
+import { Either } from 'purify-ts/Either'
 
 /** Fields of log lines that tell why an answer ended. */
 const CAUSES = ['kind', 'detail', 'code', 'outcome', 'reason', 'server', 'servers', 'softwareVersion', 'ms'] as const
@@ -18,7 +19,11 @@
     if (!text.includes('"request":')) {
       return
     }
-    const line = JSON.parse(text) as LogLine
+    // The last line of a process that was killed may be incomplete.
+    Either.encase(() => JSON.parse(text) as LogLine).ifRight(line => this.addLine(line))
+  }
+
+  private addLine (line: LogLine): void {
     const { request = '', msg, time } = line
     const causes = CAUSES.flatMap(name => line[name] === undefined ? [] : [`${name}=${String(line[name])}`])
     const lines = this.linesOf.get(request) ?? []
