--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -23,11 +23,24 @@
   InFlight = 'in-flight'
 }
 
+/** Where an attempt was made. */
+export interface AttemptPlace {
+  readonly serverId: string
+  /** Address of the instance that carried the request; undefined for none. */
+  readonly forwarder: string | undefined
+}
+
+function wayTo (server: string, forwarder: string | undefined): string {
+  return forwarder === undefined ? server : `${server} through ${forwarder}`
+}
+
 export class AttemptLedger {
   /** Servers of all attempts, in order. */
   readonly attemptedServers: string[] = []
   /** Servers that failed the request; it is not sent to them again. */
   readonly failed = new Set<string>()
+  /** Servers whose answer broke off at another instance, which may itself have ended; they get the request again if no other server can take it. */
+  readonly doubtful = new Set<string>()
   /** Addresses of other instances that failed to carry the request; it is not sent through them again. */
   readonly triedForwarders = new Set<string>()
   /** Whether an attempt over this instance's own links found no connection. */
@@ -44,9 +57,9 @@
   ranCode: FailureCode | undefined
   /** How the last attempt failed, or its state if it has not. */
   lastAttempt: AttemptFailureKind | AttemptState = AttemptState.None
-  /** Servers that ran the request or may have run it. */
+  /** Ways to servers that ran the request or may have run it. An attempt that was silent may be recorded again when it is lost. */
   private readonly ranAt = new Set<string>()
-  /** Servers that may have run the request until this instance cancelled it. */
+  /** Ways to servers that may have run the request until this instance cancelled it. */
   private readonly cancelledAt = new Set<string>()
   /** Attempts that were rejected by a server. */
   private rejections = 0
@@ -61,8 +74,8 @@
   }
 
   /** Whether one more server may run the request, besides the one at which an attempt is in flight. */
-  hasAttemptsBeside (server: string): boolean {
-    return new Set([...this.ranAt, ...this.cancelledAt, server]).size < this.exchange.route.mostAttempts
+  hasAttemptsBeside ({ serverId, forwarder }: AttemptPlace): boolean {
+    return new Set([...this.ranAt, ...this.cancelledAt, wayTo(serverId, forwarder)]).size < this.exchange.route.mostAttempts
   }
 
   addAttempt (server: string): void {
@@ -83,7 +96,9 @@
     if (forwarder !== undefined && !isWithdrawn && (isReported !== true || !isArrival)) {
       this.triedForwarders.add(forwarder)
     }
-    if (!isWithdrawn && (forwarder === undefined || isArrival)) {
+    if (forwarder !== undefined && isReported !== true && kind === AttemptFailureKind.Lost) {
+      this.doubtful.add(server)
+    } else if (!isWithdrawn && (forwarder === undefined || isArrival)) {
       this.failed.add(server)
     }
     this.wasUnreachable ||= forwarder === undefined && kind === AttemptFailureKind.Unreachable
@@ -92,7 +107,7 @@
     this.rejections += isArrival && !this.hasRun ? 1 : 0
     this.unconnected += isArrival ? 0 : 1
     if (this.hasRun) {
-      this.ranAt.add(server)
+      this.ranAt.add(wayTo(server, forwarder))
       this.ranCode = code
       this.raiseVerdict(hasAnswerBegun ? Verdict.Ran : verdict)
     }
@@ -104,9 +119,9 @@
   }
 
   /** Records an attempt that this instance ended without an outcome from the server. */
-  recordInterruption (server: string, mayHaveArrived: boolean): void {
+  recordInterruption ({ serverId, forwarder }: AttemptPlace, mayHaveArrived: boolean): void {
     if (mayHaveArrived) {
-      this.cancelledAt.add(server)
+      this.cancelledAt.add(wayTo(serverId, forwarder))
       this.raiseVerdict(Verdict.MayHaveRun)
     }
   }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -39,7 +39,7 @@
 const MAX_OVERLAP_MS = 300
 
 export class ExchangeRun {
-  private readonly attempts = InFlightAttempts.create(({ serverId, attempt }) => this.recordCancelled(serverId, attempt.mayHaveArrived))
+  private readonly attempts = InFlightAttempts.create(attempt => this.recordCancelled(attempt))
   /** What the replacement of a silent attempt has sent. */
   private preview = ReplacementPreview.create('')
   private readonly ledger: AttemptLedger
@@ -111,7 +111,7 @@
       this.finish(ExchangeEnd.CallerGone, '')
       return
     }
-    answer.listen({ onGone: () => this.onGone(), onDrained: () => this.attempts.current?.resume(this.now) })
+    answer.listen({ onGone: () => this.onGone(), onDrained: () => this.attempts.current?.resume() })
     this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
     retries.addRequest(exchange.service, this.now)
     this.refuseOr(this.guard.findRefusal(), () => this.quota.claim(refusal => this.onAdmitted(refusal)))
@@ -355,7 +355,7 @@
       this.onReplacementSilent(inFlight)
       return
     }
-    const isReplaceable = !attempts.isReplacing && !inFlight.isChanging && !inFlight.isPaused
+    const isReplaceable = !attempts.isReplacing && !inFlight.isChanging
     if (!isReplaceable || !handleSilence(context, exchange, { current: inFlight, ledger, canContinue: relay.canContinue, hasBegun: answer.hasBegun })) {
       return
     }
@@ -374,7 +374,7 @@
 
   /** A third server may take the stream, if another attempt is left; otherwise both servers may still go on. */
   private onReplacementSilent (replacement: InFlightAttempt): void {
-    if (!replacement.isChanging && this.ledger.hasAttemptsBeside(replacement.serverId)) {
+    if (!replacement.isChanging && this.ledger.hasAttemptsBeside(replacement)) {
       replacement.attempt.timeOut()
     }
   }
@@ -384,8 +384,9 @@
     this.attempts.all.filter(attempt => isSilentOnBrokenLink(this.context, attempt)).forEach(attempt => this.onSilent(attempt))
   }
 
-  private recordCancelled (server: string, mayHaveArrived: boolean): void {
-    this.ledger.recordInterruption(server, mayHaveArrived)
+  private recordCancelled (cancelled: InFlightAttempt): void {
+    const { mayHaveArrived } = cancelled.attempt
+    this.ledger.recordInterruption(cancelled, mayHaveArrived)
     if (!mayHaveArrived) {
       this.placement.releaseLimit()
     }
--- a/packages/foxtaillever-relay/src/exchange/isOutdated.ts
+++ b/packages/foxtaillever-relay/src/exchange/isOutdated.ts
@@ -6,6 +6,7 @@
 import type { InFlightAttempt } from './inFlightAttempt.js'
 
 /** A request that may run only once keeps its place: the server may have begun it. */
-export function isOutdated ({ routing }: Pick<ExchangeContext, 'routing'>, exchange: Exchange, { serverId, cacheSalt, expectedWeights }: InFlightAttempt, ledger: AttemptLedger): boolean {
-  return expectedWeights !== undefined && cacheSalt !== cacheSaltOf(exchange, routing(), expectedWeights) && isRepeatable(exchange) && ledger.hasAttemptsBeside(serverId)
+export function isOutdated ({ routing }: Pick<ExchangeContext, 'routing'>, exchange: Exchange, attempt: InFlightAttempt, ledger: AttemptLedger): boolean {
+  const { cacheSalt, expectedWeights } = attempt
+  return expectedWeights !== undefined && cacheSalt !== cacheSaltOf(exchange, routing(), expectedWeights) && isRepeatable(exchange) && ledger.hasAttemptsBeside(attempt)
 }
--- a/packages/foxtaillever-relay/src/exchange/shouldReplace.ts
+++ b/packages/foxtaillever-relay/src/exchange/shouldReplace.ts
@@ -16,5 +16,5 @@
 export function shouldReplace ({ clock, retries, paths }: ExchangeContext, exchange: Exchange, { current, ledger, canContinue, hasBegun }: SilentAttempt): boolean {
   // A request that waits in the engine's queue would only wait again at another server.
   const isQueued = exchange.route.isStream && !hasBegun && (!current.isOvertaken || current.isYielding) && !(current.forwarder === undefined && paths.isBroken(current.server))
-  return !isQueued && isRepeatable(exchange) && canContinue && ledger.hasAttemptsBeside(current.serverId) && retries.canRetry(exchange.service, clock.now())
+  return !isQueued && isRepeatable(exchange) && canContinue && ledger.hasAttemptsBeside(current) && retries.canRetry(exchange.service, clock.now())
 }
