--- a/packages/foxtaillever-relay/src/cache/cacheIsolation.ts
+++ b/packages/foxtaillever-relay/src/cache/cacheIsolation.ts
@@ -2,10 +2,9 @@
  * Decides which client accounts share cached levels, for one revision of the configuration.
  *
  * The key of the shared levels depends on the set of isolated accounts and on nothing else.
- * Whoever made or uses a level under a key is therefore not isolated in that set, also if an
- * account became isolated since, or if instances apply revisions at different times. All
- * instances compute the same key from the configuration alone, and levels are found again
- * once the set is as it was.
+ * An account in the set therefore neither makes nor uses a level under the key, also if
+ * instances apply revisions at different times. All instances compute the same key from the
+ * configuration alone, and levels are found again once the set is as it was.
  */
 import { hashNumber } from 'foxtaillever-core'
 import type { RelayAccount } from '../model/routing.js'
