Try another server where no path leads to the one that was chosen

Callers got 503 "No backend server is within reach" although another server was.

Cause: the choice of a server asks whether any path to it is known, the sending which path this request may take, and the second also knows the instances that failed to carry it and how long connections may be idle. Where the two differ, the first server was the last.

Now the server is left out and another one is chosen, as often as servers may be unreachable for one exchange. abandonedWaits.test.ts, "is sent to a server within reach": failed before, passes after.

--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -113,6 +113,12 @@
     }
   }
 
+  /** Records a server to which no path is known, so that no attempt was made. */
+  recordOutOfReach (server: string): void {
+    this.failed.add(server)
+    this.unconnected += 1
+  }
+
   /** Records that an attempt which was silent, or its replacement, goes on. */
   recordActivity (): void {
     this.lastAttempt = AttemptState.InFlight
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -152,7 +152,7 @@
     }
     const route = findAttemptRoute(context, exchange, server, this.ledger)
     if (!route) {
-      this.placement.failUnreached()
+      this.placeWithinReach(server)
       return
     }
     this.ledger.addAttempt(server.listed.id)
@@ -165,6 +165,17 @@
     attempts.open(openAttempt(context, exchange, { server, route, isAdmitted, resumeAfter: relay.lastEventId }, this.listener))
   }
 
+  /** No path leads to the server that was chosen; another one may be within reach. */
+  private placeWithinReach (server: KnownServer): void {
+    this.placement.releaseLimit()
+    this.ledger.recordOutOfReach(server.listed.id)
+    if (this.mayRetry()) {
+      this.placement.placeNext()
+    } else {
+      this.placement.failUnreached()
+    }
+  }
+
   /** No server takes the next attempt. The current one goes on, if there is one. */
   private onUnplaced (code: FailureCode, message: string, retryAt?: number): void {
     const { attempts, context, exchange } = this
