Move what follows from a silent server out of the run of an exchange

Replacements has what decides when a silent attempt is replaced, what the replacement must send and which of the two goes on. Behaviour is unchanged: tests of exchanges, the request path, paused engines, slow readers and carried streams give the same results.

--- a/packages/foxtaillever-relay/src/exchange/__tests__/cutAnswers.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/cutAnswers.test.ts
@@ -31,7 +31,7 @@
   return { line: rig.lines.find(({ msg }) => msg === 'requests: Ended: failed.'), metrics: rig.log.metrics.render() }
 }
 
-// Guards against a cut stream whose cause cannot be told from the log: whether its server still worked, how much its caller has, and who ended it.
+// Guards against a cut stream whose cause does not show in the log: whether its server still worked, how much its caller has, and who ended it.
 describe('the log line of an answer that has begun and is cut', () => {
   it('says how much was passed on and that the server still worked, if its time is up', async t => {
     const { line, metrics } = await cutBy(async rig => await rig.clock.advanceBy(900), pause)
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -20,13 +20,13 @@
 import { CrashGuard } from './crashGuard.js'
 import { ExchangeEnd } from './exchangeEnd.js'
 import { findAttemptRoute } from './findAttemptRoute.js'
-import { handleSilence, isSilentOnBrokenLink, suspectSilentServer } from './handleSilence.js'
+import { isSilentOnBrokenLink, suspectSilentServer } from './handleSilence.js'
 import type { InFlightAttempt } from './inFlightAttempt.js'
 import { InFlightAttempts } from './inFlightAttempts.js'
 import { isOutdated } from './isOutdated.js'
 import { openAttempt, type InFlightListener } from './openAttempt.js'
 import { recordAnswer, recordAnswerHead } from './recordAnswerHead.js'
-import { ReplacementPreview } from './replacementPreview.js'
+import { Replacements } from './replacements.js'
 import { recordAttemptFailure } from './recordAttemptFailure.js'
 import { QuotaClaim } from './quotaClaim.js'
 import { StreamContinuity } from './streamContinuity.js'
@@ -35,17 +35,13 @@
 /** A server answers at the deadline by itself. If it does not, this instance fails the request this much later, milliseconds. */
 const DEADLINE_GRACE_MS = 40
 
-/** Two servers may work on a request that goes on at the second one for 400 ms; the rest is for the cancellation to arrive, milliseconds. */
-const MAX_OVERLAP_MS = 300
-
 export class ExchangeRun {
   private readonly attempts = InFlightAttempts.create(attempt => this.recordCancelled(attempt))
-  /** What the replacement of a silent attempt has sent. */
-  private preview = ReplacementPreview.create('')
   private readonly ledger: AttemptLedger
   private readonly continuity: StreamContinuity
   private readonly placement: AttemptPlacement
   private readonly relay: AnswerRelay
+  private readonly replacements: Replacements
   private readonly pace = StreamPace.create()
   private readonly progress: AnswerProgress
   private isOver = false
@@ -60,7 +56,7 @@
     onData: (inFlight, bytes) => this.onData(inFlight, bytes),
     onEnd: inFlight => this.onEnd(inFlight),
     onFailed: (inFlight, failure) => this.onFailed(inFlight, failure),
-    onSilent: inFlight => this.onSilent(inFlight)
+    onSilent: inFlight => this.replacements.handleSilence(inFlight)
   }
 
   private constructor (
@@ -89,6 +85,17 @@
       onEvents: () => this.pace.recordChunk(this.now),
       onBackpressure: () => this.attempts.current?.pause()
     })
+    this.replacements = Replacements.create({
+      context,
+      exchange,
+      ledger: this.ledger,
+      placement: this.placement,
+      relay: this.relay,
+      attempts: this.attempts,
+      answer,
+      mayRetry: () => this.mayRetry(),
+      recordFailure: (failure, failed) => this.recordFailure(failure, failed)
+    })
     this.progress = AnswerProgress.create({ answer, relay: this.relay, ledger: this.ledger, revisionAtStart: context.routing().revision })
   }
 
@@ -157,7 +164,7 @@
     }
     this.ledger.addAttempt(server.listed.id)
     if (attempts.current) {
-      this.preview = ReplacementPreview.create(relay.lastEventId)
+      this.replacements.expect()
     } else {
       relay.reset()
     }
@@ -178,13 +185,12 @@
 
   /** No server takes the next attempt. The current one goes on, if there is one. */
   private onUnplaced (code: FailureCode, message: string, retryAt?: number): void {
-    const { attempts, context, exchange } = this
-    if (attempts.current) {
-      attempts.stopReplacing()
-      context.log.notReplaced(exchange, attempts.current.serverId, message)
-      return
+    const { current } = this.attempts
+    if (current) {
+      this.replacements.giveUp(current, message)
+    } else {
+      this.fail(code, message, retryAt)
     }
-    this.fail(code, message, retryAt)
   }
 
   private onHead (inFlight: InFlightAttempt, head: AnswerHead): void {
@@ -192,31 +198,21 @@
     recordAnswerHead(context, exchange, inFlight, head)
     inFlight.head = head
     if (!attempts.isReplacement(inFlight)) {
-      this.rejectIf(inFlight, relay.begin(head))
+      inFlight.rejectIf(relay.begin(head))
       return
     }
-    this.rejectIf(inFlight, relay.findMismatch(head))
-    this.limitOverlap(inFlight)
-  }
-
-  /** The server of the replacement has begun to work. */
-  private limitOverlap (replacement: InFlightAttempt): void {
-    const { context: { clock }, attempts } = this
-    clock.at(this.now + MAX_OVERLAP_MS, () => {
-      if (attempts.isReplacement(replacement)) {
-        this.goOnWith(replacement)
-      }
-    })
+    inFlight.rejectIf(relay.findMismatch(head))
+    this.replacements.limitOverlap(inFlight)
   }
 
   private onData (inFlight: InFlightAttempt, bytes: Buffer): void {
-    const { context, relay, attempts } = this
+    const { context, relay, attempts, replacements } = this
     inFlight.recordActivity(this.now)
     if (attempts.isReplacement(inFlight)) {
-      this.hold(inFlight, bytes)
+      replacements.hold(inFlight, bytes)
       return
     }
-    this.goOnWith(inFlight)
+    replacements.goOnWith(inFlight)
     this.ledger.recordActivity()
     this.progress.recordBytes(this.now)
     if (inFlight.head) {
@@ -225,60 +221,17 @@
     if (inFlight.forwarder === undefined) {
       context.directory.recordHeard(inFlight.server)
     }
-    this.rejectIf(inFlight, relay.push(bytes))
-  }
-
-  /** Holds what a replacement sends until the stream can go on with it. */
-  private hold (replacement: InFlightAttempt, bytes: Buffer): void {
-    const { preview } = this
-    this.rejectIf(replacement, preview.push(bytes))
-    if (preview.hasEvent && this.attempts.isReplacement(replacement)) {
-      this.goOnWith(replacement)
-    }
-  }
-
-  private rejectIf (inFlight: InFlightAttempt, reason: string | undefined): void {
-    if (reason !== undefined) {
-      inFlight.attempt.reject(reason)
-    }
-  }
-
-  /** The attempt is the first to go on since the current one fell silent. */
-  private goOnWith (inFlight: InFlightAttempt): void {
-    const { attempts, placement, context, exchange } = this
-    const isReplacement = attempts.isReplacement(inFlight)
-    if (attempts.isReplacing) {
-      placement.stop()
-      attempts.choose(inFlight)
-    }
-    if (isReplacement || inFlight.isSilent) {
-      context.log.silenceEnded(exchange, inFlight.serverId, isReplacement)
-    }
-    inFlight.isSilent = false
-    if (isReplacement) {
-      this.forwardFrom(inFlight)
-    }
-  }
-
-  /** Forwards the answer of an attempt that takes the place of another one. */
-  private forwardFrom (inFlight: InFlightAttempt): void {
-    const { relay, preview } = this
-    this.ledger.recordActivity()
-    relay.reset()
-    if (inFlight.head) {
-      relay.begin(inFlight.head)
-      this.rejectIf(inFlight, relay.push(preview.bytes))
-    }
+    inFlight.rejectIf(relay.push(bytes))
   }
 
   private onEnd (inFlight: InFlightAttempt): void {
-    const { answer, context, exchange, relay, attempts } = this
+    const { answer, context, exchange, relay, replacements } = this
     const { head } = inFlight
-    if (attempts.isReplacement(inFlight) && this.preview.isTruncated) {
+    if (replacements.isTruncated(inFlight)) {
       this.onFailed(inFlight, { kind: AttemptFailureKind.Lost, detail: 'ended in the middle of an event' })
       return
     }
-    this.goOnWith(inFlight)
+    replacements.goOnWith(inFlight)
     const truncation = relay.findTruncation()
     if (!head || truncation !== undefined) {
       this.onFailed(inFlight, { kind: AttemptFailureKind.Lost, detail: truncation ?? 'no answer' })
@@ -322,9 +275,9 @@
       this.context.onMisdirected(inFlight, this.exchange, failure)
     }
     if (promoted) {
-      this.forwardFrom(promoted)
+      this.replacements.forwardFrom(promoted)
     } else if (attempts.current) {
-      this.placeReplacement()
+      this.replacements.place()
     } else if (!attempts.isReplacing) {
       this.placeOrFail(failure)
     }
@@ -338,14 +291,6 @@
     }
   }
 
-  private placeReplacement (): void {
-    if (this.mayRetry()) {
-      this.placement.placeNext()
-    } else {
-      this.attempts.stopReplacing()
-    }
-  }
-
   private recordFailure (failure: AttemptFailure, failed: InFlightAttempt): void {
     this.ledger.recordFailure(failed.serverId, failure, this.answer.hasBegun, failed.forwarder)
     recordAttemptFailure(this.context, this.exchange, failed, failure, failed.head?.at)
@@ -355,44 +300,9 @@
     return !this.isOver && this.relay.canContinue && this.ledger.mayRetry(this.now) && this.guard.mayRetry()
   }
 
-  /**
-   * The server has sent nothing for too long. A repeatable request may be
-   * retried at another server; any other waits for its deadline, because it may
-   * still be answered.
-   */
-  private onSilent (inFlight: InFlightAttempt): void {
-    const { context, exchange, relay, ledger, answer, attempts } = this
-    if (attempts.isReplacement(inFlight)) {
-      this.onReplacementSilent(inFlight)
-      return
-    }
-    const isReplaceable = !attempts.isReplacing && !inFlight.isChanging
-    if (!isReplaceable || !handleSilence(context, exchange, { current: inFlight, ledger, canContinue: relay.canContinue, hasBegun: answer.hasBegun })) {
-      return
-    }
-    if (!answer.hasBegun) {
-      inFlight.attempt.timeOut()
-      return
-    }
-    // The server may still be the only one that can finish the answer.
-    attempts.beginReplacing()
-    if (!inFlight.isSilent) {
-      inFlight.isSilent = true
-      this.recordFailure({ kind: AttemptFailureKind.Silent, detail: 'no event in time' }, inFlight)
-    }
-    this.placeReplacement()
-  }
-
-  /** A third server may take the stream, if another attempt is left; otherwise both servers may still go on. */
-  private onReplacementSilent (replacement: InFlightAttempt): void {
-    if (!replacement.isChanging && this.ledger.hasAttemptsBeside(replacement)) {
-      replacement.attempt.timeOut()
-    }
-  }
-
   /** The links of this instance broke: attempts that are silent since may be replaced early. */
   checkLink (): void {
-    this.attempts.all.filter(attempt => isSilentOnBrokenLink(this.context, attempt)).forEach(attempt => this.onSilent(attempt))
+    this.attempts.all.filter(attempt => isSilentOnBrokenLink(this.context, attempt)).forEach(attempt => this.replacements.handleSilence(attempt))
   }
 
   private recordCancelled (cancelled: InFlightAttempt): void {
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -133,6 +133,13 @@
     this.attempt.resume()
   }
 
+  /** Fails the attempt if there is a reason why its answer is not accepted. */
+  rejectIf (reason: string | undefined): void {
+    if (reason !== undefined) {
+      this.attempt.reject(reason)
+    }
+  }
+
   recordActivity (now: number): void {
     this.lastActiveAt = now
     this.options.watch.recordActivity()
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -158,7 +158,7 @@
   /** Shuts down gracefully: not ready at once, but serving until the load balancer has noticed and the last answer is written out. May be called again meanwhile. */
   async stop (): Promise<void> {
     if (this.isLeaving) {
-      this.log.belief('Told to stop again; the shutdown goes on.', this.describeUnsent())
+      this.log.belief('Got another signal to stop; the shutdown goes on.', this.describeUnsent())
     } else {
       this.stopped = this.shutDown()
     }
