Give up a silent server only for one that goes on, also before its answer has begun

Cause: before the first event, and for whole answers until their last byte, a silent attempt was ended before another server was found. If there was none, or it refused, failed or broke off, nothing was left that could answer. The class is the one of cut streams: something is given up before what follows is certain.

The silent attempt now stays open beside its replacement for these answers too. An error of one cancels no attempt of the other; it is forwarded if neither succeeds. A request that waits for new cache salts is withdrawn at each server that has not begun its answer.

--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -12,7 +12,7 @@
 /** Answers up to this size are buffered until they are complete, bytes. */
 const MAX_BUFFERED_BYTES = 256 * 1024
 
-/** From this status on, the server reports a failure, which is passed on only if no other server answers. */
+/** From this status on, the server reports a failure. */
 const SERVER_ERROR = 500
 
 /** Comments between two events up to this size are passed on, bytes: one of 15 bytes a second for more than an hour. */
@@ -58,6 +58,11 @@
     return !this.answer.hasBegun || (isStream && isResumable && this.isStreaming)
   }
 
+  /** Whether the answer is forwarded event by event. */
+  isEventStream ({ marks, status }: AnswerHead): boolean {
+    return this.exchange.route.isStream && marks.isEventStream && status < 300
+  }
+
   /** Starts a new attempt and drops what is buffered of the previous one. */
   reset (): void {
     this.head = undefined
@@ -133,10 +138,6 @@
     }
   }
 
-  private isEventStream ({ marks, status }: AnswerHead): boolean {
-    return this.exchange.route.isStream && marks.isEventStream && status < 300
-  }
-
   private buffer (bytes: Buffer): string | undefined {
     if (this.answer.hasBegun) {
       this.write(bytes)
@@ -144,7 +145,7 @@
     }
     this.buffered.add(bytes)
     if (this.buffered.length > MAX_BUFFERED_BYTES && this.head) {
-      if (this.head.status >= SERVER_ERROR) {
+      if (isServerError(this.head)) {
         return 'an error is too large'
       }
       this.answer.begin(this.head.status, this.head.headers)
@@ -168,6 +169,11 @@
   }
 }
 
+/** Whether the answer reports a failure of the server, which is passed on only if no other server answers. */
+export function isServerError ({ status }: Pick<AnswerHead, 'status'>): boolean {
+  return status >= SERVER_ERROR
+}
+
 /** Event ids of a stream increase. An id that does not is a duplicate or comes from another run of the request. */
 export function isRepeatedEvent (id: string, last: string): boolean {
   if (id === '' || last === '') {
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -2,8 +2,8 @@
  * Runs one exchange: places it, makes one or more attempts, and ends in exactly
  * one reply to the caller. The reply is a complete answer or a failure whose
  * verdict counts all attempts. A request that may have run is sent again only
- * where it is repeatable. An answer that has begun stays at a silent server until
- * another server goes on with it.
+ * where it is repeatable. It stays at a silent server until another server goes on
+ * with it.
  */
 import { atAfterReading, Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
@@ -12,7 +12,7 @@
 import type { Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { AnswerProgress, type IncompleteAnswer } from './answerProgress.js'
-import { AnswerRelay } from './answerRelay.js'
+import { AnswerRelay, isServerError } from './answerRelay.js'
 import { AttemptLedger } from './attemptLedger.js'
 import { AttemptPlacement } from './attemptPlacement.js'
 import type { CallerAnswer } from './callerAnswer.js'
@@ -202,7 +202,7 @@
       return
     }
     inFlight.rejectIf(relay.findMismatch(head))
-    this.replacements.limitOverlap(inFlight)
+    this.replacements.beginHolding(inFlight, head)
   }
 
   private onData (inFlight: InFlightAttempt, bytes: Buffer): void {
@@ -227,6 +227,10 @@
   private onEnd (inFlight: InFlightAttempt): void {
     const { answer, context, exchange, relay, replacements } = this
     const { head } = inFlight
+    if (head && isServerError(head) && !answer.hasBegun) {
+      this.onServerError(inFlight, head)
+      return
+    }
     if (replacements.isTruncated(inFlight)) {
       this.onFailed(inFlight, { kind: AttemptFailureKind.Lost, detail: 'ended in the middle of an event' })
       return
@@ -238,24 +242,16 @@
       return
     }
     this.attempts.close(inFlight)
-    if (head.status >= 500 && !answer.hasBegun) {
-      this.onServerError(head, relay.body, inFlight)
-      return
-    }
     recordAnswer(context, exchange, inFlight, head)
     relay.end()
     this.finish(ExchangeEnd.Answered, String(head.status))
   }
 
-  /** The server ran the request and failed. Its answer is forwarded unless another attempt is allowed. */
-  private onServerError (head: AnswerHead, body: Buffer, failed: InFlightAttempt): void {
+  /** The server ran the request and failed. Its answer is forwarded unless another attempt succeeds. */
+  private onServerError (failed: InFlightAttempt, head: AnswerHead): void {
+    const body = this.attempts.isReplacement(failed) ? this.replacements.heldBytes : this.relay.body
     this.fallback = { head, body }
-    this.recordFailure({ kind: AttemptFailureKind.ServerError, detail: `status ${head.status}`, isReported: true }, failed)
-    if (this.mayRetry()) {
-      this.placement.placeNext()
-      return
-    }
-    this.forwardAnswer(head, body)
+    this.onFailed(failed, { kind: AttemptFailureKind.ServerError, detail: `status ${head.status}`, isReported: true })
   }
 
   private forwardAnswer (head: AnswerHead, body: Buffer): void {
@@ -315,12 +311,11 @@
 
   /** Sends the request again if other accounts share cached levels than when it was sent, and no answer has begun; returns whether it does. */
   withdrawOutdated (): boolean {
-    const { attempts: { current }, context, exchange, relay, ledger, guard } = this
-    const isWithdrawn = current !== undefined && !current.head && relay.canContinue && guard.mayRetry() && isOutdated(context, exchange, current, ledger)
-    if (isWithdrawn) {
-      current.attempt.withdraw()
-    }
-    return isWithdrawn
+    const { attempts, context, exchange, relay, ledger, guard } = this
+    const mayWithdraw = relay.canContinue && guard.mayRetry()
+    const outdated = attempts.all.filter(attempt => mayWithdraw && !attempt.head && isOutdated(context, exchange, attempt, ledger))
+    outdated.forEach(({ attempt }) => attempt.withdraw())
+    return outdated.length > 0
   }
 
   private onGone (): void {
--- a/packages/foxtaillever-relay/src/exchange/replacements.ts
+++ b/packages/foxtaillever-relay/src/exchange/replacements.ts
@@ -1,11 +1,12 @@
 /**
- * Finds another server for a stream whose own server is silent, and decides which of the
+ * Finds another server for a request whose own server is silent, and decides which of the
  * two goes on. The silent attempt stays open until then, because its server may be the
  * only one that can finish the answer.
  */
 import { AttemptFailureKind, type AttemptFailure } from '../attempts/attemptFailure.js'
 import type { Exchange } from '../model/exchange.js'
-import type { AnswerRelay } from './answerRelay.js'
+import type { AnswerHead } from '../attempts/attempt.js'
+import { isServerError, type AnswerRelay } from './answerRelay.js'
 import type { AttemptLedger } from './attemptLedger.js'
 import type { AttemptPlacement } from './attemptPlacement.js'
 import type { CallerAnswer } from './callerAnswer.js'
@@ -13,7 +14,7 @@
 import { handleSilence } from './handleSilence.js'
 import type { InFlightAttempt } from './inFlightAttempt.js'
 import type { InFlightAttempts } from './inFlightAttempts.js'
-import { ReplacementPreview } from './replacementPreview.js'
+import { HeldKind, ReplacementPreview } from './replacementPreview.js'
 
 /** Two servers may work on a request that goes on at the second one for 400 ms; the rest is for the cancellation to arrive, milliseconds. */
 const MAX_OVERLAP_MS = 300
@@ -33,7 +34,7 @@
 
 export class Replacements {
   /** What the replacement has sent. */
-  private preview = ReplacementPreview.create('')
+  private preview = ReplacementPreview.create(HeldKind.Whole, '')
 
   private constructor (private readonly options: ReplacementsOptions) {}
 
@@ -43,7 +44,7 @@
 
   /** Prepares for an attempt that is about to be opened beside the current one. */
   expect (): void {
-    this.preview = ReplacementPreview.create(this.options.relay.lastEventId)
+    this.preview = ReplacementPreview.create(HeldKind.Whole, '')
   }
 
   /** Looks for a server for a replacement, unless no further attempt is allowed. */
@@ -63,9 +64,15 @@
     context.log.notReplaced(exchange, serverId, reason)
   }
 
+  /** What the replacement has sent of its answer's body. */
+  get heldBytes (): Buffer {
+    return this.preview.bytes
+  }
+
   /** The server of the replacement has begun to work. */
-  limitOverlap (replacement: InFlightAttempt): void {
-    const { context: { clock }, attempts } = this.options
+  beginHolding (replacement: InFlightAttempt, head: AnswerHead): void {
+    const { context: { clock }, attempts, relay } = this.options
+    this.preview = ReplacementPreview.create(this.heldKindOf(head), relay.lastEventId)
     clock.at(clock.now() + MAX_OVERLAP_MS, () => {
       if (attempts.isReplacement(replacement)) {
         this.goOnWith(replacement)
@@ -77,7 +84,7 @@
   hold (replacement: InFlightAttempt, bytes: Buffer): void {
     const { preview } = this
     replacement.rejectIf(preview.push(bytes))
-    if (preview.hasEvent && this.options.attempts.isReplacement(replacement)) {
+    if (preview.isSufficient && this.options.attempts.isReplacement(replacement)) {
       this.goOnWith(replacement)
     }
   }
@@ -87,9 +94,12 @@
     return this.options.attempts.isReplacement(attempt) && this.preview.isTruncated
   }
 
-  /** The attempt is the first to go on since the current one fell silent. */
+  /** The attempt is the first to go on since the current one fell silent. An error cancels no attempt that may still succeed. */
   goOnWith (attempt: InFlightAttempt): void {
     const { attempts, placement, context, exchange } = this.options
+    if (attempt.head && isServerError(attempt.head)) {
+      return
+    }
     const isReplacement = attempts.isReplacement(attempt)
     if (attempts.isReplacing) {
       placement.stop()
@@ -130,19 +140,26 @@
     if (!isReplaceable || !handleSilence(context, exchange, { current: attempt, ledger, canContinue: relay.canContinue, hasBegun: answer.hasBegun })) {
       return
     }
-    if (!answer.hasBegun) {
+    if (!attempt.attempt.mayHaveArrived) {
       attempt.attempt.timeOut()
       return
     }
     attempts.beginReplacing()
     if (!attempt.isSilent) {
       attempt.isSilent = true
-      recordFailure({ kind: AttemptFailureKind.Silent, detail: 'no event in time' }, attempt)
+      recordFailure({ kind: AttemptFailureKind.Silent, detail: 'nothing received in time' }, attempt)
     }
     this.place()
   }
 
-  /** A third server may take the stream, if another attempt is left; otherwise both servers may still go on. */
+  private heldKindOf (head: AnswerHead): HeldKind {
+    if (isServerError(head)) {
+      return HeldKind.Error
+    }
+    return this.options.relay.isEventStream(head) ? HeldKind.Stream : HeldKind.Whole
+  }
+
+  /** A third server may take the request, if another attempt is left; otherwise both servers may still go on. */
   private handleSilentReplacement (replacement: InFlightAttempt): void {
     if (!replacement.isChanging && this.options.ledger.hasAttemptsBeside(replacement)) {
       replacement.attempt.timeOut()
