Return an admission whose server is not reached

Cause: AttemptPlacement refunded only the limit of an attempt that did not reach its server. RequestAdmission forgot the claim as soon as it was admitted, so that nothing could return it, least of all an admission that was granted within the call.

Change: RequestAdmission keeps the claim that was admitted last; releaseLimit, which runs wherever an attempt did not reach its server, returns it as well. A decision that arrives within the call is handled once the claim is known.

A new test covers an owner that decides within the call.

--- a/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
@@ -142,4 +142,20 @@
     t.regex(text, /^HTTP\/1.1 503 /)
     t.is(owners.cancellations, 1)
   })
+
+  // Guards against a place that stays taken if this instance itself owns the queue, and decides within the call.
+  it('returns an admission that was granted at once', async t => {
+    const { rig, owners } = await startQueued(1)
+    rig.pathTo = () => undefined
+    const request: AdmissionProtocol['request'] = (claim, onResult) => {
+      const pending = owners.protocol.request(claim, onResult)
+      onResult({ outcome: AdmissionOutcome.Admitted, decidedBy: 'owner', retryAt: 0, backlogMs: 0 })
+      return pending
+    }
+    rig.admission = { ...rig.admission, protocol: { request } }
+    const text = await rig.sendRequest('a')
+    rig.stop()
+    t.regex(text, /^HTTP\/1.1 503 /)
+    t.is(owners.cancellations, 1)
+  })
 })
--- a/packages/foxtaillever-relay/src/admission/requestAdmission.ts
+++ b/packages/foxtaillever-relay/src/admission/requestAdmission.ts
@@ -44,6 +44,8 @@
 export class RequestAdmission {
   private pending: PendingAdmission | undefined
   private server: KnownServer | undefined
+  /** The admission that was granted last. */
+  private admitted: PendingAdmission | undefined
   /** When the request first asked for admission, milliseconds of Unix time. */
   private requestedAt: number | undefined
   private wasQueued = false
@@ -69,6 +71,7 @@
       return
     }
     this.cancel()
+    this.admitted = undefined
     const claim = admission.claims.claimFor(exchange, server)
     if (claim === undefined) {
       this.options.onAdmitted(server, false)
@@ -77,13 +80,18 @@
     this.requestedAt ??= clock.now()
     this.server = server
     this.renewals = 0
-    let isDecided = false
-    const pending = admission.protocol.request(claim, result => {
-      isDecided = result.outcome !== AdmissionOutcome.Queued
-      this.handleResult(server, result)
+    // An owner that is this instance may decide before the call returns.
+    let earlyResult: AdmissionResult | undefined
+    this.pending = admission.protocol.request(claim, result => {
+      if (this.pending) {
+        this.handleResult(server, result)
+      } else {
+        earlyResult = result
+      }
     })
-    // An owner that is this instance may have decided before the call returned.
-    this.pending = isDecided ? undefined : pending
+    if (earlyResult) {
+      this.handleResult(server, earlyResult)
+    }
   }
 
   /** Withdraws the request from the queue. */
@@ -93,6 +101,12 @@
     this.server = undefined
   }
 
+  /** Returns an admission that is not used, so that the server's owner admits another request. */
+  returnAdmission (): void {
+    this.admitted?.cancel()
+    this.admitted = undefined
+  }
+
   private handleResult (server: KnownServer, result: AdmissionResult): void {
     this.handlers[result.outcome](server, result)
   }
@@ -103,6 +117,7 @@
       if (this.wasQueued) {
         log.admittedAfterWaiting(exchange, server.listed.id, result, this.requestedAt ?? clock.now(), clock.now())
       }
+      this.admitted = this.pending
       this.pending = undefined
       onAdmitted(server, true)
     },
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -41,11 +41,11 @@
       exchange,
       onAdmitted: onPlaced,
       onRejected: retryAt => {
-        this.releaseLimit()
+        this.refundLimit()
         this.fail(FailureCode.Overloaded, 'No backend server has room before the deadline.', retryAt)
       },
       onQueued: () => {
-        this.releaseLimit()
+        this.refundLimit()
         this.placeNext()
       }
     })
@@ -67,7 +67,7 @@
   /** Stops waiting, because no server is needed any more. */
   stop (): void {
     if (this.admission.isWaiting) {
-      this.releaseLimit()
+      this.refundLimit()
       this.admission.cancel()
     }
   }
@@ -78,8 +78,13 @@
     this.fail(FailureCode.NoBackendServer, 'No backend server is within reach of this instance, and no other instance can carry the request.')
   }
 
-  /** Stops counting an attempt that did not reach its server. */
+  /** Stops counting an attempt that did not reach its server: refunds its limit and returns its admission. */
   releaseLimit (): void {
+    this.refundLimit()
+    this.admission.returnAdmission()
+  }
+
+  private refundLimit (): void {
     const server = this.countedServer
     this.countedServer = undefined
     if (server) {
@@ -109,11 +114,11 @@
     const isRetry = ledger.arrivals > 0 && !this.admission.isWaiting
     this.countedServer = admission === LimitAdmission.Counted ? server : undefined
     if (!isNeeded()) {
-      this.releaseLimit()
+      this.refundLimit()
     } else if (admission === LimitAdmission.Refused) {
       this.selectServer(queriedServers)
     } else if (isRetry && !this.countRetry()) {
-      this.releaseLimit()
+      this.refundLimit()
       this.fail(FailureCode.Overloaded, 'The retry budget is used up.')
     } else {
       this.admission.request(server)
