Stay in the queue of a server that takes no requests for a moment

Callers got 503 'All backend servers rest or are at the limits that they stated' while their request waited in the queue of a server that was blocked for some milliseconds, such as by a refusal of its limit to another request.

Cause: at a renewal the server is chosen again; if none can be chosen, AttemptPlacement withdrew the claim and refused the request.

Change: the claim is renewed if its server takes requests again within 500 ms and before the latest start, and is otherwise as suitable as when it was chosen: not failed, of the right software version and weights, with a path. The claim on the limit is returned at each choice as before, so that a queue hoards no share of a limit; a request that stayed without one is counted when it is admitted. If the limit has no room then, or the server still rests, it returns its admission and the server is chosen again, so it is refused at once where nothing else takes it. A server that is blocked for longer is left at once as before.

Evidence: npx ava packages/foxtaillever-relay/dist/__tests__/abandonedWaits.test.js, 'stays in the queue if there is no other server': 1 cancellation and 503 before, none and 200 after. Two new tests cover the block of 2 s and the limit without room at admission.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -193,6 +193,7 @@
         this.choices += 1
         return this.directory.ready('s').find(server => !failed.has(server.listed.id) && availableFrom(server) <= clock.now())
       },
+      isSuitable: (_, { failed }, server) => !failed.has(server.listed.id) && this.directory.ready('s').includes(server),
       earliestRetryAt: (service, softwareVersion) => retrySchedules.nextRetryAt(service, softwareVersion),
       onMisdirected: () => {}
     }
--- a/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
@@ -1,9 +1,12 @@
 /** Requests whose place is given up before another one is certain. */
+import { LimitOutcome, LimitRole } from 'foxtaillever-policy/limits/sharedLimitLedger'
 import { describe, it } from 'foxtaillever-testing'
 import { RelayRig } from '../__fixtures__/relayRig.js'
 import { wholeAnswer, type Arrival } from '../__fixtures__/scriptedServer.js'
 import { AdmissionOutcome } from '../admission/admissionMessage.js'
 import type { AdmissionProtocol, AdmissionResult } from '../admission/admissionProtocol.js'
+import { noSharedLimits } from '../limits/limitProtocol.js'
+import { LimitStatementKind } from '../model/limitStatement.js'
 import { Repeatability } from '../model/routing.js'
 
 /** Longer than the wait for the first byte of an answer, milliseconds. */
@@ -100,6 +103,43 @@
     t.regex(text, /^HTTP\/1.1 200 /)
   })
 
+  // Guards against a request that is held at a server which cannot begin it in a moment.
+  it('is refused at once if the server rests for longer', async t => {
+    const { rig, owners } = await startQueued(1)
+    const answer = rig.sendRequest('a')
+    await owners.decide(1, AdmissionOutcome.Queued)
+    const server = rig.directory.get('s0')
+    if (server) {
+      server.limitedUntil = rig.clock.now() + 2000
+    }
+    await owners.decide(2, AdmissionOutcome.Queued)
+    const text = await answer
+    rig.stop()
+    t.is(owners.cancellations, 1)
+    t.regex(text, /^HTTP\/1.1 503 [^]*"not_run"/)
+  })
+
+  // Guards against a request beyond the limit of its server, and against a place that stays taken there.
+  it('is refused if the limit has no room when it is admitted', async t => {
+    const { rig, owners } = await startQueued(1)
+    const answer = rig.sendRequest('a')
+    await owners.decide(1, AdmissionOutcome.Queued)
+    const server = rig.directory.get('s0')
+    const retryAt = rig.clock.now() + 5
+    if (server) {
+      rig.limits.applyStatement(server, { limit: { kind: LimitStatementKind.Limit, perSecond: 1 }, hasRun: true }, rig.clock.now())
+    }
+    rig.limitProtocol = { ...noSharedLimits, claim: (_, onResult) => onResult({ outcome: LimitOutcome.Refused, role: LimitRole.Owner, decidedBy: 'owner', retryAt }) }
+    await owners.decide(2, AdmissionOutcome.Queued)
+    t.is(owners.cancellations, 0)
+    await owners.decide(3, AdmissionOutcome.Admitted)
+    const text = await answer
+    rig.stop()
+    t.is(owners.cancellations, 1)
+    t.is(rig.arrivals, 0)
+    t.regex(text, /^HTTP\/1.1 503 [^]*"not_run"/)
+  })
+
   // Guards against leaving a queue before another one has a place.
   it('stays in the queue if the other server has no room', async t => {
     const { rig, owners } = await startQueued(2)
--- a/packages/foxtaillever-relay/src/admission/requestAdmission.ts
+++ b/packages/foxtaillever-relay/src/admission/requestAdmission.ts
@@ -2,7 +2,8 @@
  * Waits for admission of one request at the backend server that was chosen for it.
  * While it waits, its server is chosen again at every second renewal, and at once when
  * the server takes no more requests, so that it leaves the queue of a server that fails,
- * or takes the room of another.
+ * or takes the room of another. It stays in the queue of a server that takes requests again
+ * in a moment if no other server takes it.
  */
 import type { Clock } from 'foxtaillever-core'
 import type { Exchange } from '../model/exchange.js'
@@ -37,13 +38,23 @@
   readonly onQueued: () => void
 }
 
+/** Longest time for which a server may take no requests while its queue keeps them, milliseconds: about two renewals. */
+const MAX_BLOCKED_MS = 500
+
+/** Infinity for never again. */
+function takesRequestsFrom (server: KnownServer): number {
+  return Math.max(availableFrom(server), server.changingUntil, server.unreachableUntil)
+}
+
 function takesRequests (server: KnownServer, now: number): boolean {
-  return Math.max(availableFrom(server), server.changingUntil, server.unreachableUntil) <= now
+  return takesRequestsFrom(server) <= now
 }
 
 export class RequestAdmission {
   private pending: PendingAdmission | undefined
   private server: KnownServer | undefined
+  /** Of the claim at the server, milliseconds of Unix time. */
+  private latestStartAt = 0
   /** The admission that was granted last. */
   private admitted: PendingAdmission | undefined
   /** When the request first asked for admission, milliseconds of Unix time. */
@@ -63,11 +74,18 @@
     return this.pending !== undefined
   }
 
+  /** The server in whose queue the request waits, if it takes requests again in a moment, and in time for the request to begin. */
+  get serverToKeep (): KnownServer | undefined {
+    const { pending, server, latestStartAt, options: { clock } } = this
+    const isKept = pending && server && takesRequestsFrom(server) <= Math.min(clock.now() + MAX_BLOCKED_MS, latestStartAt)
+    return isKept ? server : undefined
+  }
+
   /** Asks for admission at the server; after `onQueued` it renews the claim there, or moves it. */
   request (server: KnownServer): void {
     const { admission, clock, exchange } = this.options
-    if (this.pending && this.server === server) {
-      this.pending.renew(result => this.handleResult(server, result))
+    if (this.server === server) {
+      this.renew()
       return
     }
     this.cancel()
@@ -79,6 +97,7 @@
     }
     this.requestedAt ??= clock.now()
     this.server = server
+    this.latestStartAt = claim.latestStartAt
     this.renewals = 0
     // An owner that is this instance may decide before the call returns.
     let earlyResult: AdmissionResult | undefined
@@ -94,11 +113,18 @@
     }
   }
 
+  /** Goes on waiting in the same queue, after `onQueued`. */
+  renew (): void {
+    const { pending, server } = this
+    if (server) {
+      pending?.renew(result => this.handleResult(server, result))
+    }
+  }
+
   /** Withdraws the request from the queue. */
   cancel (): void {
     this.pending?.cancel()
-    this.pending = undefined
-    this.server = undefined
+    this.leaveQueue()
   }
 
   /** Returns an admission that is not used, so that the server's owner admits another request. */
@@ -107,6 +133,11 @@
     this.admitted = undefined
   }
 
+  private leaveQueue (): void {
+    this.pending = undefined
+    this.server = undefined
+  }
+
   private handleResult (server: KnownServer, result: AdmissionResult): void {
     this.handlers[result.outcome](server, result)
   }
@@ -118,7 +149,7 @@
         log.admittedAfterWaiting(exchange, server.listed.id, result, this.requestedAt ?? clock.now(), clock.now())
       }
       this.admitted = this.pending
-      this.pending = undefined
+      this.leaveQueue()
       onAdmitted(server, true)
     },
     [AdmissionOutcome.Queued]: (server, result) => {
@@ -129,7 +160,7 @@
       }
       this.renewals += 1
       if (this.renewals % RENEWALS_PER_CHOICE !== 0 && takesRequests(server, clock.now())) {
-        this.pending?.renew(renewed => this.handleResult(server, renewed))
+        this.renew()
       } else {
         onQueued()
       }
@@ -137,12 +168,12 @@
     [AdmissionOutcome.Rejected]: (server, result) => {
       const { log, exchange, clock, onRejected } = this.options
       log.admissionRejected(exchange, server.listed.id, result, this.requestedAt ?? clock.now(), clock.now())
-      this.pending = undefined
+      this.leaveQueue()
       onRejected(result.retryAt)
     },
     [AdmissionOutcome.NotOwner]: server => {
       const { admission, clock, onAdmitted, onRejected } = this.options
-      this.pending = undefined
+      this.leaveQueue()
       if (admission.claims.mayBypass(server)) {
         onAdmitted(server, false)
       } else {
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -3,13 +3,16 @@
  * where that helps, chooses a server, and counts the attempt against the rate
  * limit that the server stated. A server at its limit is skipped for the next
  * best one. Where the route asks for it, the attempt then waits for admission at the
- * server; while it waits, the server is chosen again.
+ * server; while it waits, the server is chosen again. If none can be chosen because its
+ * server takes no requests for a moment, the attempt stays in the queue and is counted
+ * against the limit when it is admitted.
  */
 import { FailureCode } from 'foxtaillever-core'
 import { RequestAdmission } from '../admission/requestAdmission.js'
 import { LimitAdmission } from '../limits/serverLimits.js'
 import type { Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import { opensAt } from '../servers/serverAvailability.js'
 import type { QueriedServers } from '../servers/serverSelector.js'
 import type { AttemptLedger } from './attemptLedger.js'
 import type { ExchangeContext } from './exchangeContext.js'
@@ -28,18 +31,20 @@
 }
 
 export class AttemptPlacement {
+  /** The server whose rate limit allows the current attempt. */
+  private allowedServer: KnownServer | undefined
   /** The server against whose rate limit the current attempt counts. */
   private countedServer: KnownServer | undefined
   private readonly admission: RequestAdmission
 
   private constructor (private readonly options: AttemptPlacementOptions) {
-    const { context: { admission, clock, log }, exchange, onPlaced } = options
+    const { context: { admission, clock, log }, exchange } = options
     this.admission = RequestAdmission.create({
       admission,
       clock,
       log,
       exchange,
-      onAdmitted: onPlaced,
+      onAdmitted: (server, isAdmitted) => this.checkLimit(server, isAdmitted),
       onRejected: retryAt => {
         this.refundLimit()
         this.fail(FailureCode.Overloaded, 'No backend server has room before the deadline.', retryAt)
@@ -87,6 +92,7 @@
   private refundLimit (): void {
     const server = this.countedServer
     this.countedServer = undefined
+    this.allowedServer = undefined
     if (server) {
       this.options.context.limits.refund(server)
     }
@@ -99,6 +105,10 @@
       context.limits.admit(server, exchange, admission => this.onAdmission(server, admission, queriedServers))
       return
     }
+    if (this.mayStay()) {
+      this.admission.renew()
+      return
+    }
     this.admission.cancel()
     const earliestRetryAt = context.earliestRetryAt(exchange.service, ledger.softwareVersion)
     if (earliestRetryAt === undefined) {
@@ -112,7 +122,7 @@
     const { ledger, isNeeded } = this.options
     // The retry was counted before the attempt was queued.
     const isRetry = ledger.arrivals > 0 && !this.admission.isWaiting
-    this.countedServer = admission === LimitAdmission.Counted ? server : undefined
+    this.recordLimit(server, admission)
     if (!isNeeded()) {
       this.refundLimit()
     } else if (admission === LimitAdmission.Refused) {
@@ -125,6 +135,43 @@
     }
   }
 
+  private recordLimit (server: KnownServer, admission: LimitAdmission): void {
+    this.countedServer = admission === LimitAdmission.Counted ? server : undefined
+    this.allowedServer = admission === LimitAdmission.Refused ? undefined : server
+  }
+
+  /** Whether the attempt may go on waiting in its queue while no server can be chosen. */
+  private mayStay (): boolean {
+    const { context, exchange, ledger } = this.options
+    const server = this.admission.serverToKeep
+    return server !== undefined && context.isSuitable(exchange, ledger, server)
+  }
+
+  /** Sends the attempt, unless it stayed in the queue without being counted against the limit: then the server may still take no requests. */
+  private checkLimit (server: KnownServer, isAdmitted: boolean): void {
+    const { context, exchange, ledger, onPlaced } = this.options
+    if (this.allowedServer === server) {
+      onPlaced(server, isAdmitted)
+    } else if (opensAt(server) <= context.clock.now() && context.isSuitable(exchange, ledger, server)) {
+      context.limits.admit(server, exchange, admission => this.onLimitChecked(server, admission, isAdmitted))
+    } else {
+      this.admission.returnAdmission()
+      this.placeNext()
+    }
+  }
+
+  private onLimitChecked (server: KnownServer, admission: LimitAdmission, isAdmitted: boolean): void {
+    this.recordLimit(server, admission)
+    if (!this.options.isNeeded()) {
+      this.releaseLimit()
+    } else if (admission === LimitAdmission.Refused) {
+      this.admission.returnAdmission()
+      this.placeNext()
+    } else {
+      this.options.onPlaced(server, isAdmitted)
+    }
+  }
+
   /** Counts the attempt against the retry budget; returns whether the budget allows it. */
   private countRetry (): boolean {
     const { context: { clock, log, retries }, exchange } = this.options
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -61,6 +61,8 @@
   readonly queryLoad: (exchange: Exchange, earlier: EarlierAttempts) => Promise<QueriedServers> | undefined
   /** Selects the server for the next attempt among those at which no attempt failed; undefined when there is none. */
   readonly selectServer: (exchange: Exchange, earlier: EarlierAttempts, queriedServers: QueriedServers | undefined) => KnownServer | undefined
+  /** Whether the server can take the next attempt once it accepts requests. */
+  readonly isSuitable: (exchange: Exchange, earlier: EarlierAttempts, server: KnownServer) => boolean
   /** When a caller may retry while no server of the service, or of one of its software versions, takes requests, milliseconds of Unix time; undefined where no server stated it. */
   readonly earliestRetryAt: (service: string, softwareVersion: string | undefined) => number | undefined
   /** A server has another id or other weights than expected; the failure may name its id. */
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -134,6 +134,7 @@
       queryLoad: (exchange, earlier) => exchange.prompt && queryLoad(() => ({ servers: selector.shortlist(exchange, earlier), position: claims.queuePositionOf(exchange), level: this.levelAtHome(exchange, selector.homeServerOf(exchange)) })),
       earliestRetryAt: (service, softwareVersion) => retrySchedules.nextRetryAt(service, softwareVersion),
       selectServer: (exchange, earlier, queriedServers) => selector.selectServer(exchange, earlier, queriedServers),
+      isSuitable: (exchange, earlier, server) => selector.isSuitable(exchange, earlier, server),
       onMisdirected
     })
   }
--- a/packages/foxtaillever-relay/src/servers/serverAvailability.ts
+++ b/packages/foxtaillever-relay/src/servers/serverAvailability.ts
@@ -7,7 +7,12 @@
   return listed.state === ServerState.Ready ? Math.max(displacedUntil, stated.reachableFrom) : Infinity
 }
 
-/** When requests of callers may be sent to the server: they also count against the limit that it stated, and only a few are sent at first after its backoff. */
+/** When requests of callers may be sent to the server as far as it stated no limit: only a few are sent at first after its backoff. */
+export function opensAt (server: KnownServer): number {
+  return Math.max(reachableFrom(server), server.stated.opensAt)
+}
+
+/** When requests of callers may be sent to the server: they also count against the limit that it stated. */
 export function availableFrom (server: KnownServer): number {
-  return Math.max(reachableFrom(server), server.stated.opensAt, server.limitedUntil)
+  return Math.max(opensAt(server), server.limitedUntil)
 }
--- a/packages/foxtaillever-relay/src/servers/serverSelector.ts
+++ b/packages/foxtaillever-relay/src/servers/serverSelector.ts
@@ -131,11 +131,21 @@
     return home && home.changingUntil <= now ? home : undefined
   }
 
+  /** Whether the server can take the next attempt once it accepts requests. */
+  isSuitable (exchange: Exchange, earlier: EarlierAttempts, server: KnownServer): boolean {
+    return this.options.directory.ready(exchange.service).includes(server) && this.canRun(exchange, earlier, server)
+  }
+
+  private canRun (exchange: Exchange, { failed, softwareVersion }: EarlierAttempts, server: KnownServer): boolean {
+    return !failed.has(server.listed.id) && hasSoftware(server, softwareVersion) && this.options.isUsable(server) && this.hasAllowedWeights(server, exchange)
+  }
+
   /** The servers that can take the next attempt. */
-  private eligibleServers (exchange: Exchange, { failed, doubtful = noServers, wasMisdirected, softwareVersion }: EarlierAttempts): readonly KnownServer[] {
+  private eligibleServers (exchange: Exchange, earlier: EarlierAttempts): readonly KnownServer[] {
+    const { doubtful = noServers, wasMisdirected } = earlier
     const { clock, directory } = this.options
     const now = clock.now()
-    const available = directory.ready(exchange.service).filter(server => !failed.has(server.listed.id) && hasSoftware(server, softwareVersion) && availableFrom(server) <= now && this.options.isUsable(server) && this.hasAllowedWeights(server, exchange))
+    const available = directory.ready(exchange.service).filter(server => availableFrom(server) <= now && this.canRun(exchange, earlier, server))
     const others = available.filter(server => !doubtful.has(server.listed.id))
     const eligible = others.length > 0 ? others : available
     return wasMisdirected ? this.preferCurrentWeights(eligible, exchange) : eligible
