Keep a place in a queue until another server has given one

Callers got 503 'No backend server has room before the deadline' although their request waited in the queue of a server that would have begun it in time: the choice of a server at a renewal fell on another one, which had no room.

Cause: RequestAdmission withdrew the claim at the first server before it asked the owner of the second one.

Change: the request keeps its place while it asks for another one, and leaves it when the other owner has queued or admitted it. AdmissionProtocol reports the queueing after a round trip, 250 ms before the result, so that the two queues count the request together for no longer. If the other server rejects it, or no instance decides there and the server is brittle, the request renews its place and does not ask that server again: its owner would count each claim as a caller that retries. A place at a server that leaves, fails or stays blocked for longer than 500 ms is withdrawn first as before.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -175,7 +175,7 @@
       limits: this.limits,
       admission: {
         claims: { claimFor: (exchange, server) => this.admission.claims.claimFor(exchange, server), queuePositionOf: () => undefined, mayBypass: () => true },
-        protocol: { request: (claim, onResult) => this.admission.protocol.request(claim, onResult) }
+        protocol: { request: (claim, onResult, onQueued) => this.admission.protocol.request(claim, onResult, onQueued) }
       },
       paths: { ...directPaths, pathTo: (server, need) => this.pathTo(server, need) },
       caches: { savedLevels: SavedLevels.create(), fetchLoad: FetchLoad.create(() => 0), available: () => [] },
--- a/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/abandonedWaits.test.ts
@@ -50,10 +50,16 @@
 class ScriptedOwners {
   cancellations = 0
   steps = 0
+  /** Claims, renewals not counted. */
+  claims = 0
+  /** Tells the instance that the claim that was made last is queued. */
+  confirmQueued: () => void = () => {}
   private onResult: (result: AdmissionResult) => void = () => {}
 
   readonly protocol: Pick<AdmissionProtocol, 'request'> = {
-    request: (_, onResult) => {
+    request: (_, onResult, onQueued = () => {}) => {
+      this.claims += 1
+      this.confirmQueued = onQueued
       this.await(onResult)
       return { renew: onRenewed => this.await(onRenewed), cancel: () => { this.cancellations += 1 } }
     }
@@ -160,6 +166,47 @@
   })
 })
 
+describe('a request that moves from the queue of one server to that of another', () => {
+  async function startMove (): Promise<{ rig: RelayRig, owners: ScriptedOwners, answer: Promise<string> }> {
+    const { rig, owners } = await startQueued(2)
+    const answer = rig.sendRequest('a')
+    await owners.decide(1, AdmissionOutcome.Queued)
+    const server = rig.directory.get('s0')
+    if (server) {
+      server.limitedUntil = rig.clock.now() + 5
+    }
+    await owners.decide(2, AdmissionOutcome.Queued)
+    return { rig, owners, answer }
+  }
+
+  // Guards against a request that is counted in two queues, or admitted at two servers.
+  it('leaves the first one once it is queued in the other', async t => {
+    const { rig, owners, answer } = await startMove()
+    t.is(owners.cancellations, 0)
+    owners.confirmQueued()
+    t.is(owners.cancellations, 1)
+    await owners.decide(3, AdmissionOutcome.Queued)
+    await owners.decide(4, AdmissionOutcome.Admitted)
+    const text = await answer
+    rig.stop()
+    t.is(owners.cancellations, 1)
+    t.regex(text, /^HTTP\/1.1 200 /)
+    t.deepEqual(rig.servers.map(({ arrivals }) => arrivals.length), [0, 1])
+  })
+
+  // Guards against a claim at each renewal, each of which the other owner counts as a caller to be served first.
+  it('asks for a place in the other once', async t => {
+    const { rig, owners, answer } = await startMove()
+    await owners.decide(3, AdmissionOutcome.Rejected)
+    await owners.decide(4, AdmissionOutcome.Queued)
+    await owners.decide(5, AdmissionOutcome.Rejected)
+    const text = await answer
+    rig.stop()
+    t.deepEqual([owners.claims, owners.cancellations], [2, 0])
+    t.regex(text, /^HTTP\/1.1 503 [^]*"not_run"/)
+  })
+})
+
 describe('a request for whose server no path is found', () => {
   // Guards against a refusal for one server out of reach while another one is within reach.
   it('is sent to a server within reach', async t => {
--- a/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
@@ -85,6 +85,7 @@
   awaited: string | undefined
   /** Address and backlog of the instance that queued the request in this round. */
   queuedAt: Pick<AdmissionResult, 'decidedBy' | 'backlogMs'> | undefined
+  readonly onQueued: () => void
   wasQueued: boolean
   result: AdmissionResult | undefined
   /** Undefined between the result `Queued` and the renewal. */
@@ -123,14 +124,14 @@
   }
 
   /**
-   * Asks for admission. Calls back once, possibly before it returns: `Admitted`,
-   * `Rejected`, `Queued` after 250 ms, upon which the caller renews or cancels, or
-   * `NotOwner` when no instance decided.
+   * Asks for admission. Calls back once, possibly before it returns: `Admitted`, `Rejected`, `Queued`
+   * after 250 ms, upon which the caller renews or cancels, or `NotOwner` when no instance decided.
+   * @param onQueued called once an owner has queued the request, before the result.
    */
-  request (claim: AdmissionClaim, onResult: (result: AdmissionResult) => void): PendingAdmission {
+  request (claim: AdmissionClaim, onResult: (result: AdmissionResult) => void, onQueued: () => void = () => {}): PendingAdmission {
     const now = this.options.clock.now()
     const request: PendingRequest = {
-      number: this.nextNumber++, claim, requestedAt: now, asked: new Set(), remaining: [], awaited: undefined, queuedAt: undefined, wasQueued: false, result: undefined, onResult: undefined, cancelTimeout: () => {}, cancelRound: () => {}
+      number: this.nextNumber++, claim, requestedAt: now, asked: new Set(), remaining: [], awaited: undefined, queuedAt: undefined, onQueued, wasQueued: false, result: undefined, onResult: undefined, cancelTimeout: () => {}, cancelRound: () => {}
     }
     this.pending.set(request.number, request)
     this.startRound(request, onResult)
@@ -249,6 +250,7 @@
     if (!request.wasQueued) {
       request.wasQueued = true
       onDecided(AdmissionOutcome.Queued, clock.now() - request.requestedAt)
+      request.onQueued()
     }
   }
 
--- a/packages/foxtaillever-relay/src/admission/requestAdmission.ts
+++ b/packages/foxtaillever-relay/src/admission/requestAdmission.ts
@@ -3,7 +3,7 @@
  * While it waits, its server is chosen again at every second renewal, and at once when
  * the server takes no more requests, so that it leaves the queue of a server that fails,
  * or takes the room of another. It stays in the queue of a server that takes requests again
- * in a moment if no other server takes it.
+ * in a moment until the owner of another queue has given it a place.
  */
 import type { Clock } from 'foxtaillever-core'
 import type { Exchange } from '../model/exchange.js'
@@ -12,7 +12,7 @@
 import type { RelayLog } from '../telemetry/relayLog.js'
 import type { AdmissionClaims } from './admissionClaims.js'
 import { AdmissionOutcome } from './admissionMessage.js'
-import type { AdmissionProtocol, AdmissionResult, PendingAdmission } from './admissionProtocol.js'
+import type { AdmissionClaim, AdmissionProtocol, AdmissionResult, PendingAdmission } from './admissionProtocol.js'
 
 /** Renewals after which the server is chosen again while it takes requests: a choice costs more than all else that a renewal does. */
 const RENEWALS_PER_CHOICE = 2
@@ -28,7 +28,7 @@
 export interface RequestAdmissionOptions {
   readonly admission: AdmissionContext
   readonly clock: Clock
-  readonly log: Pick<RelayLog, 'admissionQueued' | 'admittedAfterWaiting' | 'admissionRejected'>
+  readonly log: Pick<RelayLog, 'admissionQueued' | 'admittedAfterWaiting' | 'admissionRejected' | 'moveRejected'>
   readonly exchange: Exchange
   /** @param isAdmitted by the owner of the server's queue; false where no instance decided. */
   readonly onAdmitted: (server: KnownServer, isAdmitted: boolean) => void
@@ -36,6 +36,18 @@
   readonly onRejected: (retryAt: number) => void
   /** The request still waits; its server is to be chosen again. */
   readonly onQueued: () => void
+  /** The server that was chosen again rejected the request, which goes on waiting where it is. */
+  readonly onMoveRejected: () => void
+}
+
+/** A place in the queue of a server. */
+interface QueuePlace {
+  readonly server: KnownServer
+  readonly claim: AdmissionClaim
+  /** Undefined until the call that asks for the place has returned. */
+  pending: PendingAdmission | undefined
+  /** Since the server was chosen. */
+  renewals: number
 }
 
 /** Longest time for which a server may take no requests while its queue keeps them, milliseconds: about two renewals. */
@@ -51,17 +63,17 @@
 }
 
 export class RequestAdmission {
-  private pending: PendingAdmission | undefined
-  private server: KnownServer | undefined
-  /** Of the claim at the server, milliseconds of Unix time. */
-  private latestStartAt = 0
+  /** Where the request waits. */
+  private place: QueuePlace | undefined
+  /** Asked for while the request keeps its place, and taken instead of it once the owner has queued or admitted the request. */
+  private nextPlace: QueuePlace | undefined
   /** The admission that was granted last. */
   private admitted: PendingAdmission | undefined
+  /** Hashes of the servers to whose queues the request could not move. */
+  private readonly rejectedBy = new Set<number>()
   /** When the request first asked for admission, milliseconds of Unix time. */
   private requestedAt: number | undefined
   private wasQueued = false
-  /** Since the server was chosen. */
-  private renewals = 0
 
   private constructor (private readonly options: RequestAdmissionOptions) {}
 
@@ -71,60 +83,61 @@
 
   /** Whether the request was queued and its server is to be chosen again. */
   get isWaiting (): boolean {
-    return this.pending !== undefined
+    return this.place !== undefined
   }
 
   /** The server in whose queue the request waits, if it takes requests again in a moment, and in time for the request to begin. */
   get serverToKeep (): KnownServer | undefined {
-    const { pending, server, latestStartAt, options: { clock } } = this
-    const isKept = pending && server && takesRequestsFrom(server) <= Math.min(clock.now() + MAX_BLOCKED_MS, latestStartAt)
-    return isKept ? server : undefined
+    const { place, options: { clock } } = this
+    const isKept = place && takesRequestsFrom(place.server) <= Math.min(clock.now() + MAX_BLOCKED_MS, place.claim.latestStartAt)
+    return isKept ? place.server : undefined
   }
 
-  /** Asks for admission at the server; after `onQueued` it renews the claim there, or moves it. */
-  request (server: KnownServer): void {
+  /** Whether the request asked for a place at the server in vain, which it does once only. */
+  wasRejectedBy ({ hash }: KnownServer): boolean {
+    return this.rejectedBy.has(hash)
+  }
+
+  /**
+   * Asks for admission at the server; after `onQueued` it renews the claim there, or moves it.
+   * @param keepsPlace whether the request keeps its place elsewhere until it has one at the server.
+   */
+  request (server: KnownServer, keepsPlace: boolean): void {
     const { admission, clock, exchange } = this.options
-    if (this.server === server) {
+    if (this.place?.server === server) {
       this.renew()
       return
     }
-    this.cancel()
-    this.admitted = undefined
     const claim = admission.claims.claimFor(exchange, server)
+    if (claim === undefined || !keepsPlace) {
+      this.cancel()
+    }
+    this.admitted = undefined
     if (claim === undefined) {
       this.options.onAdmitted(server, false)
       return
     }
     this.requestedAt ??= clock.now()
-    this.server = server
-    this.latestStartAt = claim.latestStartAt
-    this.renewals = 0
-    // An owner that is this instance may decide before the call returns.
-    let earlyResult: AdmissionResult | undefined
-    this.pending = admission.protocol.request(claim, result => {
-      if (this.pending) {
-        this.handleResult(server, result)
-      } else {
-        earlyResult = result
-      }
-    })
-    if (earlyResult) {
-      this.handleResult(server, earlyResult)
+    const place: QueuePlace = { server, claim, pending: undefined, renewals: 0 }
+    if (this.place) {
+      this.nextPlace = place
+    } else {
+      this.place = place
     }
+    this.askFor(place)
   }
 
   /** Goes on waiting in the same queue, after `onQueued`. */
   renew (): void {
-    const { pending, server } = this
-    if (server) {
-      pending?.renew(result => this.handleResult(server, result))
-    }
+    const { place } = this
+    place?.pending?.renew(result => this.handleResult(place, result))
   }
 
-  /** Withdraws the request from the queue. */
+  /** Withdraws the request from all queues. */
   cancel (): void {
-    this.pending?.cancel()
-    this.leaveQueue()
+    this.place?.pending?.cancel()
+    this.nextPlace?.pending?.cancel()
+    this.leaveQueues()
   }
 
   /** Returns an admission that is not used, so that the server's owner admits another request. */
@@ -133,49 +146,99 @@
     this.admitted = undefined
   }
 
-  private leaveQueue (): void {
-    this.pending = undefined
-    this.server = undefined
+  private askFor (place: QueuePlace): void {
+    // An owner that is this instance may decide before the call returns.
+    let earlyResult: AdmissionResult | undefined
+    place.pending = this.options.admission.protocol.request(place.claim, result => {
+      if (place.pending) {
+        this.handleResult(place, result)
+      } else {
+        earlyResult = result
+      }
+    }, () => this.moveTo(place))
+    if (earlyResult) {
+      this.handleResult(place, earlyResult)
+    }
+  }
+
+  /** The owner has queued or admitted the request at the place: it leaves the queue where it waited until now. */
+  private moveTo (place: QueuePlace): void {
+    if (place === this.nextPlace) {
+      this.place?.pending?.cancel()
+      this.place = place
+      this.nextPlace = undefined
+    }
+  }
+
+  private leaveQueues (): void {
+    this.place = undefined
+    this.nextPlace = undefined
+  }
+
+  /** The request cannot move to the place that it asked for: it keeps the one that it has. Returns whether it has one. */
+  private stay ({ server }: QueuePlace, result: AdmissionResult): boolean {
+    const { options: { log, exchange, onMoveRejected }, place, nextPlace } = this
+    if (place === undefined || nextPlace?.server !== server) {
+      return false
+    }
+    log.moveRejected(exchange, place.server.listed.id, server.listed.id, result)
+    this.rejectedBy.add(server.hash)
+    this.nextPlace = undefined
+    onMoveRejected()
+    this.renew()
+    return true
   }
 
-  private handleResult (server: KnownServer, result: AdmissionResult): void {
-    this.handlers[result.outcome](server, result)
+  private handleResult (place: QueuePlace, result: AdmissionResult): void {
+    this.handlers[result.outcome](place, result)
   }
 
-  private readonly handlers: Readonly<Record<AdmissionOutcome, (server: KnownServer, result: AdmissionResult) => void>> = {
-    [AdmissionOutcome.Admitted]: (server, result) => {
+  private readonly handlers: Readonly<Record<AdmissionOutcome, (place: QueuePlace, result: AdmissionResult) => void>> = {
+    [AdmissionOutcome.Admitted]: (place, result) => {
       const { log, exchange, clock, onAdmitted } = this.options
+      const { server, pending } = place
+      this.moveTo(place)
       if (this.wasQueued) {
         log.admittedAfterWaiting(exchange, server.listed.id, result, this.requestedAt ?? clock.now(), clock.now())
       }
-      this.admitted = this.pending
-      this.leaveQueue()
+      this.admitted = pending
+      this.leaveQueues()
       onAdmitted(server, true)
     },
-    [AdmissionOutcome.Queued]: (server, result) => {
+    [AdmissionOutcome.Queued]: (place, result) => {
       const { log, exchange, clock, onQueued } = this.options
+      const { server } = place
+      this.moveTo(place)
       if (!this.wasQueued) {
         this.wasQueued = true
         log.admissionQueued(exchange, server.listed.id, result)
       }
-      this.renewals += 1
-      if (this.renewals % RENEWALS_PER_CHOICE !== 0 && takesRequests(server, clock.now())) {
+      place.renewals += 1
+      if (place.renewals % RENEWALS_PER_CHOICE !== 0 && takesRequests(server, clock.now())) {
         this.renew()
       } else {
         onQueued()
       }
     },
-    [AdmissionOutcome.Rejected]: (server, result) => {
+    [AdmissionOutcome.Rejected]: (place, result) => {
       const { log, exchange, clock, onRejected } = this.options
-      log.admissionRejected(exchange, server.listed.id, result, this.requestedAt ?? clock.now(), clock.now())
-      this.leaveQueue()
+      if (this.stay(place, result)) {
+        return
+      }
+      log.admissionRejected(exchange, place.server.listed.id, result, this.requestedAt ?? clock.now(), clock.now())
+      this.leaveQueues()
       onRejected(result.retryAt)
     },
-    [AdmissionOutcome.NotOwner]: server => {
+    [AdmissionOutcome.NotOwner]: (place, result) => {
       const { admission, clock, onAdmitted, onRejected } = this.options
-      this.leaveQueue()
-      if (admission.claims.mayBypass(server)) {
-        onAdmitted(server, false)
+      const mayBypass = admission.claims.mayBypass(place.server)
+      if (!mayBypass && this.stay(place, result)) {
+        return
+      }
+      this.moveTo(place)
+      this.leaveQueues()
+      if (mayBypass) {
+        onAdmitted(place.server, false)
       } else {
         onRejected(clock.now() + UNDECIDED_RETRY_MS)
       }
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -5,7 +5,8 @@
  * best one. Where the route asks for it, the attempt then waits for admission at the
  * server; while it waits, the server is chosen again. If none can be chosen because its
  * server takes no requests for a moment, the attempt stays in the queue and is counted
- * against the limit when it is admitted.
+ * against the limit when it is admitted. It leaves a queue for another one only once it
+ * has a place there.
  */
 import { FailureCode } from 'foxtaillever-core'
 import { RequestAdmission } from '../admission/requestAdmission.js'
@@ -52,7 +53,8 @@
       onQueued: () => {
         this.refundLimit()
         this.placeNext()
-      }
+      },
+      onMoveRejected: () => this.refundLimit()
     })
   }
 
@@ -101,12 +103,12 @@
   private selectServer (queriedServers: QueriedServers | undefined): void {
     const { context, exchange, ledger } = this.options
     const server = context.selectServer(exchange, ledger, queriedServers)
-    if (server) {
-      context.limits.admit(server, exchange, admission => this.onAdmission(server, admission, queriedServers))
+    if ((!server || this.admission.wasRejectedBy(server)) && this.mayStay()) {
+      this.admission.renew()
       return
     }
-    if (this.mayStay()) {
-      this.admission.renew()
+    if (server) {
+      context.limits.admit(server, exchange, admission => this.onAdmission(server, admission, queriedServers))
       return
     }
     this.admission.cancel()
@@ -131,7 +133,7 @@
       this.refundLimit()
       this.fail(FailureCode.Overloaded, 'The retry budget is used up.')
     } else {
-      this.admission.request(server)
+      this.admission.request(server, this.mayStay())
     }
   }
 
@@ -140,7 +142,7 @@
     this.allowedServer = admission === LimitAdmission.Refused ? undefined : server
   }
 
-  /** Whether the attempt may go on waiting in its queue while no server can be chosen. */
+  /** Whether the attempt may go on waiting in its queue until another server takes it. */
   private mayStay (): boolean {
     const { context, exchange, ledger } = this.options
     const server = this.admission.serverToKeep
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -117,7 +117,7 @@
       quota,
       streamVersions,
       limits: this.limits,
-      admission: { claims, protocol: { request: (claim, onResult) => options.admissionProtocol().request(claim, onResult) } },
+      admission: { claims, protocol: { request: (claim, onResult, onQueued) => options.admissionProtocol().request(claim, onResult, onQueued) } },
       log,
       isBrittle,
       routing: () => requireRouting(options.routing()),
--- a/packages/foxtaillever-relay/src/servers/serverSelector.ts
+++ b/packages/foxtaillever-relay/src/servers/serverSelector.ts
@@ -133,7 +133,7 @@
 
   /** Whether the server can take the next attempt once it accepts requests. */
   isSuitable (exchange: Exchange, earlier: EarlierAttempts, server: KnownServer): boolean {
-    return this.options.directory.ready(exchange.service).includes(server) && this.canRun(exchange, earlier, server)
+    return this.options.directory.getByHash(server.hash) === server && this.canRun(exchange, earlier, server)
   }
 
   private canRun (exchange: Exchange, { failed, softwareVersion }: EarlierAttempts, server: KnownServer): boolean {
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -178,6 +178,11 @@
     this.logs.writeFailure(Part.Requests, 'Rejected: a backend server has no room before the latest start.', { request, account: account?.name, server, waitedMs: Math.round(now - requestedAt), backlogMs: Math.round(backlogMs), retryMs: Math.round(retryAt - now), decidedBy })
   }
 
+  /** The request waits at one server, and another one did not take it. */
+  moveRejected ({ id: request, account }: Exchange, server: string, rejectedBy: string, { outcome, decidedBy, backlogMs }: AdmissionResult): void {
+    this.logs.write('info', Part.Requests, 'Stays in the queue of a backend server, because another one has no room.', { request, account: account?.name, server, rejectedBy, outcome: AdmissionOutcome[outcome], backlogMs: Math.round(backlogMs), decidedBy })
+  }
+
   leavingStated (server: string, request: string | undefined, isNew: boolean): void {
     this.metrics.count('server_statements_total', { kind: 'leaving' })
     if (isNew) {
