Ask again for a place whose renewal is late

A caller got no answer before its deadline: its request waited in a queue, and its instance, late by more than 600 ms between the result and the renewal, did nothing more for it.

Cause: a claim that is not renewed for 600 ms is cancelled; AdmissionProtocol.renew ignored a claim that it no longer knew, and called back never.

Change: a late renewal asks the owner again, under the same number. A caller that withdrew does not renew.

--- a/packages/foxtaillever-relay/src/admission/__tests__/admissionFailures.test.ts
+++ b/packages/foxtaillever-relay/src/admission/__tests__/admissionFailures.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'foxtaillever-testing'
 import { DatagramKind } from '../../peers/datagram.js'
 import { AdmissionFleet, type FleetNode, type FleetRequest, type FleetServer } from '../__fixtures__/admissionFleet.js'
-import { assertDecidedBy, assertNextDecidedBy, occupy, startScene } from '../__fixtures__/admissionScene.js'
+import { assertDecidedBy, assertNextDecidedBy, occupy, outcomesOf, startScene } from '../__fixtures__/admissionScene.js'
 import { AdmissionOutcome } from '../admissionMessage.js'
 
 const { Admitted, NotOwner } = AdmissionOutcome
@@ -200,6 +200,25 @@
     fleet.stopAll()
   })
 
+  // Guards against a request that gets no result because its instance was late for longer than a claim lasts.
+  it('decides on a request that is renewed too late', async t => {
+    const scene = await startScene()
+    const { fleet, server, owner, requester } = scene
+    await occupy(scene, 30)
+    let renew = (): void => {}
+    fleet.onQueue = request => {
+      renew = () => request.pending?.renew(result => fleet.handleResult(request, result))
+    }
+    const request = fleet.request(requester, server, { startInMs: 30_000 })
+    await fleet.pass(1000)
+    t.deepEqual(outcomesOf(request), [AdmissionOutcome.Queued])
+    renew()
+    fleet.onQueue = ({ pending }) => pending?.renew(result => fleet.handleResult(request, result))
+    await fleet.pass(5000)
+    assertDecidedBy(t, request, owner)
+    fleet.stopAll()
+  })
+
   it('lets a queued request leave a server that fails at its next renewal', async t => {
     const fleet = await AdmissionFleet.start(6, { servers: 2 })
     const [server, other] = fleet.servers as [FleetServer, FleetServer]
--- a/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
@@ -163,7 +163,9 @@
     if (request.result) {
       // It was decided between the result `Queued` and the renewal.
       onResult(request.result)
-    } else if (this.pending.has(request.number)) {
+    } else {
+      // A renewal later than ABANDONED_MS asks for a new place.
+      this.pending.set(request.number, request)
       this.startRound(request, onResult)
     }
   }
