--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -243,17 +243,17 @@
     this.logs.writeFailure(Part.Requests, 'A backend server is silent.', { request: exchange.id, server, connection })
   }
 
-  /** No server takes a stream whose own server is silent, so it stays there. */
+  /** No server takes a request whose own server is silent, so it stays there. */
   notReplaced ({ id: request, account }: Exchange, server: string, reason: string): void {
     this.metrics.count('silent_attempts_total', { outcome: 'stayed' })
-    this.logs.write('info', Part.Requests, 'A stream stays with its silent server.', { request, account: account?.name, server, reason })
+    this.logs.write('info', Part.Requests, 'A request stays with its silent server.', { request, account: account?.name, server, reason })
   }
 
   /** @param isReplacement whether another server than the silent one went on first. */
   silenceEnded ({ id: request, account }: Exchange, server: string, isReplacement: boolean): void {
     const outcome = isReplacement ? 'replaced' : 'resumed'
     this.metrics.count('silent_attempts_total', { outcome })
-    this.logs.write('info', Part.Requests, 'A stream goes on after its server was silent.', { request, account: account?.name, server, outcome })
+    this.logs.write('info', Part.Requests, 'A request goes on after its server was silent.', { request, account: account?.name, server, outcome })
   }
 
   ended ({ exchange, end, outcome, verdict, servers, pace, now, reason, incomplete }: ExchangeOutcome): void {
