Keep the extended deadline of a call while its answer arrives

A short call of an instance (a read of the store, a report of an engine) failed with 'no answer in time' at the first chunk after its deadline, although the deadline is extended by the time for which the instance stalled; an answer without end was then not counted as such.

Cause: callServer sets a new timer at each chunk after the deadline. That is meant for answers that may continue beyond it (chunkTimeoutMs); for any other the timer was due at once and destroyed the call before the extended bound of the body. The suspicion that the head came after the deadline is not needed to explain it.

Change: the timer is set anew only for answers that may continue.

--- a/packages/foxtaillever-relay/src/servers/__tests__/endlessCalls.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/endlessCalls.test.ts
@@ -1,5 +1,5 @@
 import { SystemClock } from 'foxtaillever-core'
-import { describe, it } from 'foxtaillever-testing'
+import { blockEventLoopUntil, describe, it } from 'foxtaillever-testing'
 import { closesWithin, Framing, headWithoutEnd, pieceOf, writeWithoutEnd } from '../../__fixtures__/endlessBytes.js'
 import { chunk, ScriptedServer, type Answer } from '../../__fixtures__/scriptedServer.js'
 import { BodyExcess } from '../byteBounds.js'
@@ -20,6 +20,9 @@
 /** Time of a call whose answer begins within it on a busy machine, milliseconds. */
 const CALL_MS = 2000
 
+/** Longer than many pieces take, milliseconds. */
+const STALL_MS = 300
+
 /** Between the pieces of a slow answer, milliseconds. */
 const PIECE_MS = 10
 
@@ -59,14 +62,23 @@
     })
   }
 
+  const answerSlowly: Answer = ({ socket }) => {
+    socket.write(headWithoutEnd('200 OK', []))
+    const timer = setInterval(() => socket.write(chunk('x')), PIECE_MS)
+    socket.once('close', () => clearInterval(timer))
+  }
+
   // Guards against a body of a few bytes a second that never ends.
   it('fails at its deadline if it comes slowly', async t => {
-    const outcome = await makeCall(({ socket }) => {
-      socket.write(headWithoutEnd('200 OK', []))
-      const timer = setInterval(() => socket.write(chunk('x')), PIECE_MS)
-      socket.once('close', () => clearInterval(timer))
-    }, { ms: CALL_MS })
-    t.deepEqual(outcome, { bytes: 0, excesses: [BodyExcess.Time], isClosed: true })
+    t.deepEqual(await makeCall(answerSlowly, { ms: CALL_MS }), { bytes: 0, excesses: [BodyExcess.Time], isClosed: true })
+  })
+
+  // Guards against a chunk after the deadline that cancels the time by which a stall of this process extends it.
+  it('fails at its extended deadline if it comes slowly and this process stalled', async t => {
+    const clock = SystemClock.create()
+    const stallsAt = clock.now() + CALL_MS / 2 - STALL_MS / 2
+    clock.at(stallsAt, () => blockEventLoopUntil(stallsAt + STALL_MS))
+    t.deepEqual(await makeCall(answerSlowly, { ms: CALL_MS }), { bytes: 0, excesses: [BodyExcess.Time], isClosed: true })
   })
 })
 
--- a/packages/foxtaillever-relay/src/servers/callServer.ts
+++ b/packages/foxtaillever-relay/src/servers/callServer.ts
@@ -47,7 +47,7 @@
       response.on('data', chunk => {
         body.add(chunk)
         const until = clock.now() + chunkTimeoutMs
-        if (until > deadline) {
+        if (isContinued && until > deadline) {
           cancelDeadline()
           cancelDeadline = timeOutAt(until)
         }
