--- a/packages/foxtaillever-relay/src/admission/__tests__/admissionFailures.test.ts
+++ b/packages/foxtaillever-relay/src/admission/__tests__/admissionFailures.test.ts
@@ -219,6 +219,31 @@
     fleet.stopAll()
   })
 
+  // Guards against a request that goes to its server on an admission which its instance, late itself, has returned.
+  it('uses no admission that arrives after the request was withdrawn and renewed', async t => {
+    const scene = await startScene()
+    const { fleet, server, owner, requester } = scene
+    await occupy(scene, 30)
+    let renew = (): void => {}
+    fleet.onQueue = request => {
+      renew = () => request.pending?.renew(result => fleet.handleResult(request, result))
+    }
+    const numbers: number[] = []
+    fleet.onSend = (from, _, message) => { from === requester && message.kind === DatagramKind.AdmissionRequest && numbers.push(message.number) }
+    const request = fleet.request(requester, server, { startInMs: 30_000 })
+    await fleet.pass(1000)
+    renew()
+    requester.admission.receive({ kind: DatagramKind.AdmissionResponse, address: owner.address, number: numbers[0] ?? 0, server: server.hash, outcome: AdmissionOutcome.Admitted, retryMs: 0, backlogMs: 0 })
+    t.is(request.sent, 0)
+    await fleet.pass(5)
+    t.is(request.sent, 0)
+    fleet.onQueue = ({ pending }) => pending?.renew(result => fleet.handleResult(request, result))
+    await fleet.pass(5000)
+    assertDecidedBy(t, request, owner)
+    t.is(owner.admission.queueSize, 0)
+    fleet.stopAll()
+  })
+
   it('lets a queued request leave a server that fails at its next renewal', async t => {
     const fleet = await AdmissionFleet.start(6, { servers: 2 })
     const [server, other] = fleet.servers as [FleetServer, FleetServer]
--- /dev/null
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/uncertainAttempts.test.ts
@@ -0,0 +1,81 @@
+/** How requests end after an attempt whose outcome is uncertain for a while. */
+import { describe, it } from 'foxtaillever-testing'
+import { AnswerStep, playAnswers, type Step } from '../../__fixtures__/stepwiseAnswers.js'
+
+const { Silence, Half, Byte, Whole, Rest, Refuse, Lose, Block, Isolate } = AnswerStep
+
+describe('a request whose silent server states later that it did not run it', () => {
+  // Guards against 502 (may have run) for a request that ran nowhere.
+  it('is refused as not run if no other server takes it', async t => {
+    const { status, body } = await playAnswers({}, 1, [[Silence], [Refuse]])
+    t.is(status, 503)
+    t.regex(body, /"not_run"/)
+  })
+
+  // Guards against a silence that uses up an attempt although the server did not run the request.
+  it('has as many attempts left as without the silence', async t => {
+    const after: Step[] = [[Refuse], [Lose, 1], [Whole, 2]]
+    const plain = await playAnswers({ mostAttempts: 2 }, 3, after)
+    const silent = await playAnswers({ mostAttempts: 2 }, 3, [[Silence], ...after])
+    t.deepEqual(plain, { status: 200, body: 'server2', arrivals: '1,1,1', outstanding: '0,0,0' })
+    t.deepEqual(silent, plain)
+  })
+
+  // Guards against "not run" for a request that was withdrawn from a server and may have begun there.
+  it('may still have run at a server from which it was withdrawn', async t => {
+    const { status, body } = await playAnswers({ mostAttempts: 3 }, 1, [[Isolate], [Silence], [Refuse]])
+    t.is(status, 502)
+    t.regex(body, /"may_have_run"/)
+  })
+})
+
+describe('a request with three attempts whose first two servers are silent', () => {
+  // Guards against giving up the second server although no third one takes the request.
+  it('gets the answer of the second one', async t => {
+    const whole = await playAnswers({ mostAttempts: 3 }, 2, [[Silence], [Silence], [Whole, 1]])
+    t.deepEqual(whole, { status: 200, body: 'server1', arrivals: '1,1', outstanding: '0,0' })
+  })
+
+  it('gets the answer of the second one if the first one is lost', async t => {
+    const whole = await playAnswers({ mostAttempts: 3 }, 2, [[Silence], [Silence], [Lose], [Whole, 1]])
+    t.deepEqual(whole, { status: 200, body: 'server1', arrivals: '1,1', outstanding: '0,0' })
+  })
+
+  it('gets the answer of the first one', async t => {
+    const whole = await playAnswers({ mostAttempts: 3 }, 2, [[Silence], [Silence], [Whole]])
+    t.deepEqual(whole, { status: 200, body: 'server0', arrivals: '1,1', outstanding: '0,0' })
+  })
+
+  it('gets the answer of a third one', async t => {
+    const whole = await playAnswers({ mostAttempts: 3 }, 3, [[Silence], [Silence], [Whole, 2]])
+    t.deepEqual(whole, { status: 200, body: 'server2', arrivals: '1,1,1', outstanding: '0,0,0' })
+  })
+
+  it('gets the answer of a third one if the first one is lost', async t => {
+    const whole = await playAnswers({ mostAttempts: 3 }, 3, [[Silence], [Silence], [Lose], [Whole, 2]])
+    t.deepEqual(whole, { status: 200, body: 'server2', arrivals: '1,1,1', outstanding: '0,0,0' })
+  })
+})
+
+describe('a request whose server goes on after another one has it, and is lost then', () => {
+  const pauses: Step[] = [[Half], [Silence], [Half, 1], [Byte]]
+
+  // Guards against more servers than the route allows.
+  it('goes to no third server with two attempts', async t => {
+    const { arrivals } = await playAnswers({ mostAttempts: 2 }, 3, [...pauses, [Block, 1], [Lose], [Whole, 2]])
+    t.is(arrivals, '1,1,0')
+  })
+
+  it('goes to the other one again', async t => {
+    const end = await playAnswers({ mostAttempts: 2 }, 3, [...pauses, [Lose], [Whole, 1]])
+    t.deepEqual(end, { status: 200, body: 'server1', arrivals: '1,2,0', outstanding: '0,0,0' })
+  })
+})
+
+describe('a request that waits with a former cache salt', () => {
+  // Guards against withdrawing a request that no server takes again.
+  it('keeps its place while its server takes no further requests', async t => {
+    const end = await playAnswers({ mostAttempts: 2 }, 1, [[Block], [Isolate], [Half], [Rest]])
+    t.deepEqual(end, { status: 200, body: 'server0', arrivals: '1', outstanding: '0' })
+  })
+})
