Count a silent server that proves later that it did not run the request as such

Callers got 502 (may have run) where the only server was silent for a second and then refused the request as not run, and a request with two attempts was not sent to a third server after a silent one had refused it and the second one was lost.

Cause: a silence is recorded as an attempt that may have run. Since the silent attempt stays open, its outcome may follow, but nothing took the silence back.

AttemptLedger now keeps silences apart; the outcome of the same attempt replaces its silence. The verdict follows from the ways that are left. A server from which the request was withdrawn still counts as one that may have run it.

--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -49,16 +49,14 @@
   softwareVersion: string | undefined
   /** Whether a server had another id or other weights than expected. */
   wasMisdirected = false
-  /** The verdict on all attempts together. */
-  verdict = Verdict.NotRun
   /** Attempts that arrived at a server; each but the first counts as a retry. */
   arrivals = 0
-  /** Code of the last attempt that ran or may have run. The caller gets it rather than the reason why no further attempt is made. */
-  ranCode: FailureCode | undefined
   /** How the last attempt failed, or its state if it has not. */
   lastAttempt: AttemptFailureKind | AttemptState = AttemptState.None
-  /** Ways to servers that ran the request or may have run it. An attempt that was silent may be recorded again when it is lost. */
+  /** Ways to servers that ran the request or may have run it. */
   private readonly ranAt = new Set<string>()
+  /** Ways to servers that were silent. Such a server may still state that it did not run the request, or be lost. */
+  private readonly silentAt = new Set<string>()
   /** Ways to servers that may have run the request until this instance cancelled it. */
   private readonly cancelledAt = new Set<string>()
   /** Attempts that were rejected by a server. */
@@ -66,6 +64,8 @@
   /** Attempts that did not arrive at a server. */
   private unconnected = 0
   private hasRun = false
+  /** Code of the last attempt that ran or may have run. */
+  private lastRanCode: FailureCode | undefined
 
   private constructor (private readonly exchange: Exchange) {}
 
@@ -75,7 +75,24 @@
 
   /** Whether one more server may run the request, besides the one at which an attempt is in flight. */
   hasAttemptsBeside ({ serverId, forwarder }: AttemptPlace): boolean {
-    return new Set([...this.ranAt, ...this.cancelledAt, wayTo(serverId, forwarder)]).size < this.exchange.route.mostAttempts
+    return new Set([...this.possiblyRanAt, ...this.cancelledAt, wayTo(serverId, forwarder)]).size < this.exchange.route.mostAttempts
+  }
+
+  /** The verdict on all attempts together. */
+  get verdict (): Verdict {
+    if (this.hasRun) {
+      return Verdict.Ran
+    }
+    return this.possiblyRanAt.size + this.cancelledAt.size > 0 ? Verdict.MayHaveRun : Verdict.NotRun
+  }
+
+  /** Code of the last attempt that ran or may have run. The caller gets it rather than the reason why no further attempt is made. */
+  get ranCode (): FailureCode | undefined {
+    return this.possiblyRanAt.size > 0 ? this.lastRanCode : undefined
+  }
+
+  private get possiblyRanAt (): ReadonlySet<string> {
+    return new Set([...this.ranAt, ...this.silentAt])
   }
 
   addAttempt (server: string): void {
@@ -90,8 +107,9 @@
    */
   recordFailure (server: string, { kind, isReported }: AttemptFailure, hasAnswerBegun: boolean, forwarder?: string): void {
     const { verdict, code, isArrival } = meaningOf[kind]
+    const way = wayTo(server, forwarder)
+    const mayHaveRun = verdict !== Verdict.NotRun
     this.lastAttempt = kind
-    this.hasRun = verdict !== Verdict.NotRun
     const isWithdrawn = kind === AttemptFailureKind.Withdrawn
     if (forwarder !== undefined && !isWithdrawn && (isReported !== true || !isArrival)) {
       this.triedForwarders.add(forwarder)
@@ -104,12 +122,15 @@
     this.wasUnreachable ||= forwarder === undefined && kind === AttemptFailureKind.Unreachable
     this.wasMisdirected ||= kind === AttemptFailureKind.Misdirected
     this.arrivals += isArrival ? 1 : 0
-    this.rejections += isArrival && !this.hasRun ? 1 : 0
+    this.rejections += isArrival && !mayHaveRun ? 1 : 0
     this.unconnected += isArrival ? 0 : 1
-    if (this.hasRun) {
-      this.ranAt.add(wayTo(server, forwarder))
-      this.ranCode = code
-      this.raiseVerdict(hasAnswerBegun ? Verdict.Ran : verdict)
+    // The outcome of an attempt that was silent replaces the silence.
+    this.silentAt.delete(way)
+    if (mayHaveRun) {
+      const ways = kind === AttemptFailureKind.Silent ? this.silentAt : this.ranAt
+      ways.add(way)
+      this.lastRanCode = code
+      this.hasRun ||= hasAnswerBegun || verdict === Verdict.Ran
     }
   }
 
@@ -128,24 +149,16 @@
   recordInterruption ({ serverId, forwarder }: AttemptPlace, mayHaveArrived: boolean): void {
     if (mayHaveArrived) {
       this.cancelledAt.add(wayTo(serverId, forwarder))
-      this.raiseVerdict(Verdict.MayHaveRun)
     }
   }
 
   /** Whether another attempt may follow the one that failed last. */
   mayRetry (now: number): boolean {
-    const { exchange, ranAt } = this
+    const { exchange, possiblyRanAt } = this
     const { mostAttempts } = exchange.route
-    if (exchange.deadline - now < MIN_ATTEMPT_MS || ranAt.size >= mostAttempts) {
+    if (exchange.deadline - now < MIN_ATTEMPT_MS || possiblyRanAt.size >= mostAttempts) {
       return false
     }
-    return (ranAt.size === 0 || isRepeatable(exchange)) && this.rejections < MAX_REJECTIONS && this.unconnected < MAX_UNCONNECTED
-  }
-
-  /** Updates the verdict; once it is `Ran`, it stays. */
-  private raiseVerdict (verdict: Verdict): void {
-    if (this.verdict !== Verdict.Ran) {
-      this.verdict = verdict
-    }
+    return (possiblyRanAt.size === 0 || isRepeatable(exchange)) && this.rejections < MAX_REJECTIONS && this.unconnected < MAX_UNCONNECTED
   }
 }
