Log the crashes that prove a cause; draw histories with repeated requests

Callers saw sound requests refused as ones that crash servers, and the lines did not say by which crashes. The line 'Crashes of backend servers prove their cause.' now names them, with how many requests were lost in each and whether one of them was a trial.

Drawn histories can repeat sound requests, and requests that crash servers as a whole. No rule changes.

--- a/packages/foxtaillever-policy/src/crashes/crashEvidence.ts
+++ b/packages/foxtaillever-policy/src/crashes/crashEvidence.ts
@@ -7,7 +7,7 @@
  * were sent one after another. A level is suspected from its second crash on and then
  * tried by one request at a time; it is quarantined once enough crashes speak against it.
  */
-import { answersSince, ANSWER_SPANS_MS, CauseKind, countRequests, explainsAsWell, isCausedBy, onlyAccount, successiveCrashes, type AnswerCounts, type Crash, type LostRequest, type Suspicion } from './suspicion.js'
+import { answersSince, ANSWER_SPANS_MS, CauseKind, countRequests, explainsAsWell, isCausedBy, onlyAccount, successiveCrashes, summarize, type AnswerCounts, type Crash, type CrashSummary, type LostRequest, type Suspicion } from './suspicion.js'
 
 /** A cause of crashes that the evidence proves. */
 export interface ProvenCause {
@@ -16,8 +16,8 @@
   readonly id: string
   /** The only client account whose requests crashed servers; undefined if there are several, so that the cause does not depend on the account. */
   readonly account: string | undefined
-  /** Hashes of the incarnations that it crashed. */
-  readonly servers: readonly number[]
+  /** The crashes that prove it, in order of time. */
+  readonly crashes: readonly CrashSummary[]
 }
 
 /** Crashes by requests sent one after another, and distinct requests among them, without which nothing is proven. */
@@ -173,7 +173,7 @@
     const proven: ProvenCause[] = []
     for (let cause = this.strongestProof(serverCount); cause !== undefined; cause = this.strongestProof(serverCount)) {
       const { kind, id, crashes } = cause
-      proven.push({ kind, id, account: onlyAccount(crashes, cause), servers: crashes.map(({ server }) => server) })
+      proven.push({ kind, id, account: onlyAccount(crashes, cause), crashes: crashes.map(crash => summarize(crash, cause)) })
       if (kind === CauseKind.Level) {
         this.markExplained(id)
       } else {
--- a/packages/foxtaillever-policy/src/crashes/suspicion.ts
+++ b/packages/foxtaillever-policy/src/crashes/suspicion.ts
@@ -46,6 +46,19 @@
   isExplained: boolean
 }
 
+/** A crash that speaks against a cause, for the log. */
+export interface CrashSummary {
+  /** Hash of the server's incarnation. */
+  readonly server: number
+  /** Milliseconds of Unix time. */
+  readonly at: number
+  /** Requests that were in flight, and how many of them may have been the cause. */
+  readonly lost: number
+  readonly own: number
+  /** Whether one of these tried its suspected levels. */
+  readonly isTrial: boolean
+}
+
 /** What speaks against one cause. */
 export interface Suspicion {
   readonly kind: CauseKind
@@ -61,6 +74,12 @@
   return kind === CauseKind.Request ? ({ request }) => request === id : ({ levels }) => levels.includes(id)
 }
 
+/** What a crash says about a cause. */
+export function summarize ({ server, at, lost }: Crash, cause: Pick<Suspicion, 'kind' | 'id'>): CrashSummary {
+  const own = [...lost.values()].filter(isCausedBy(cause))
+  return { server, at, lost: lost.size, own: own.length, isTrial: own.some(({ isTrial }) => isTrial) }
+}
+
 /** Crashes of which each had a request in flight that was sent after the crash before: servers that crash at the same moment have one reason. */
 export function successiveCrashes (suspicion: Suspicion): Crash[] {
   const isOwn = isCausedBy(suspicion)
--- a/packages/foxtaillever-relay/src/crashes/__fixtures__/crashHistory.ts
+++ b/packages/foxtaillever-relay/src/crashes/__fixtures__/crashHistory.ts
@@ -22,13 +22,20 @@
 /** Requests with the levels begin here, milliseconds after the start. */
 const CRASHING_FROM_MS = 5000
 
-/** The bounds that users state: crashes that are not counted, and the time after them. */
-const UNCOUNTED_CRASHES = 5
+/** The bounds that users state: crashes that are not counted, by what causes them, and the time after them. */
+const UNCOUNTED_CRASHES: Readonly<Record<CauseKind, number>> = { [CauseKind.Level]: 5, [CauseKind.Request]: 3 }
 const CONTACT_MS = 3000
 
 const FIRST_LEVELS = 4
 const SECOND_LEVELS = 146
 const ACCOUNTS = 8
+
+/** Digests of these requests begin so. */
+const REPEATED = 'repeated-'
+
+/** Sound requests that callers send again and again, the same each time. */
+const REPEATED_REQUESTS = 4
+
 const QUEUE_MS = { least: 0, most: 60 }
 const SHORT_RUN_MS = { least: 60, most: 300 }
 const LONG_RUN_MS = { least: 500, most: 2500 }
@@ -76,6 +83,10 @@
   readonly crashingLevels: number
   /** Whether these are first levels, which all requests below share. */
   readonly areFirst?: boolean
+  /** Whether requests as a whole crash servers, which callers send again and again, in place of levels. */
+  readonly areRequests?: boolean
+  /** Share of the sound requests that are the same again and again; these have no levels. */
+  readonly repeatedShare?: number
   readonly troubles: readonly OtherTrouble[]
   /** Between two troubles, milliseconds at most. */
   readonly troubleIntervalMs?: number
@@ -196,8 +207,14 @@
   }
 
   private sentLate (level: string): number {
-    const fifth = (this.crashTimes.get(level) ?? [])[UNCOUNTED_CRASHES - 1] ?? Infinity
-    return (this.arrivalTimes.get(level) ?? []).filter(at => at > fifth + CONTACT_MS).length
+    const last = this.lastUncounted(level) ?? Infinity
+    return (this.arrivalTimes.get(level) ?? []).filter(at => at > last + CONTACT_MS).length
+  }
+
+  /** Time of the last crash by the level, or the request, that users do not count; undefined if there were fewer. */
+  private lastUncounted (level: string): number | undefined {
+    const kind = this.options.areRequests === true ? CauseKind.Request : CauseKind.Level
+    return (this.crashTimes.get(level) ?? [])[UNCOUNTED_CRASHES[kind] - 1]
   }
 
   private createProtocol (address: string): CrashProtocol {
@@ -205,7 +222,7 @@
     const deciders = watchersOf(hashNumber(SERVICE), members, DECIDERS).map(decider => decider.address)
     return CrashProtocol.create({
       clock: this.clock,
-      log: { quarantineChanged: () => {}, crashReported: () => {}, heartbeatChecked: () => {}, levelSuspected: () => {}, trialDecided: () => {} },
+      log: { quarantineChanged: () => {}, crashReported: () => {}, heartbeatChecked: () => {}, causeProven: () => {}, levelSuspected: () => {}, trialDecided: () => {} },
       address: () => address,
       decidersOf: () => deciders,
       serverCount: () => this.options.servers,
@@ -221,10 +238,11 @@
   }
 
   private checkQuarantine ({ kind, id }: Quarantine): void {
-    if (kind === CauseKind.Level && !this.badLevels.includes(id)) {
-      this.violations.add(`sound level ${id} was quarantined`)
+    const isBad = this.badLevels.includes(id)
+    if (!isBad && (kind === CauseKind.Level || id.startsWith(REPEATED))) {
+      this.violations.add(`sound ${kind} ${id} was quarantined`)
     }
-    if (kind === CauseKind.Level) {
+    if (isBad || kind === CauseKind.Level) {
       this.servers.forEach(({ running }) => running.forEach(attempt => {
         if (attempt.answeredAt === undefined && attempt.request.bad === id) {
           this.end(attempt)
@@ -259,6 +277,10 @@
 
   private createSound (): Request {
     this.counts.sound += 1
+    const { repeatedShare = 0 } = this.options
+    if (repeatedShare > 0 && this.random.next() < repeatedShare) {
+      return this.createRepeated()
+    }
     const number = this.draw()
     const isShort = this.random.next() < 0.5
     const first = `first-${this.options.areFirst === true ? this.badLevels.length + this.random.below(FIRST_LEVELS) : this.random.below(FIRST_LEVELS)}`
@@ -274,7 +296,15 @@
     }
   }
 
+  private createRepeated (): Request {
+    const number = this.random.below(REPEATED_REQUESTS)
+    return { causes: { request: `${REPEATED}${number}`, account: `a${number}`, levels: [] }, bad: undefined, runMs: this.between(SHORT_RUN_MS), isRepeatable: true, askedAt: this.now, retries: CALLER_RETRIES }
+  }
+
   private createCrashing (level: string): Request {
+    if (this.options.areRequests === true) {
+      return { causes: { request: level, account: 'a0', levels: [] }, bad: level, runMs: 0, isRepeatable: true, askedAt: this.now, retries: CALLER_RETRIES }
+    }
     const levels = this.options.areFirst === true ? [level, `second-${this.random.below(SECOND_LEVELS)}`] : [`first-${hashNumber(level) % FIRST_LEVELS}`, level]
     const account = this.options.seed % 2 === 0 ? 'a0' : `a${this.random.below(ACCOUNTS)}`
     return { causes: { request: `r${this.draw()}`, account, levels }, bad: level, runMs: 0, isRepeatable: true, askedAt: this.now, retries: CALLER_RETRIES }
@@ -319,8 +349,8 @@
   }
 
   private isAfterBounds (): boolean {
-    const fifths = this.badLevels.map(level => (this.crashTimes.get(level) ?? [])[UNCOUNTED_CRASHES - 1] ?? (this.crashTimes.get(level) ?? []).at(-1) ?? Infinity)
-    return this.badLevels.length > 0 && this.now > Math.max(...fifths) + 2 * CONTACT_MS
+    const last = this.badLevels.map(level => this.lastUncounted(level) ?? (this.crashTimes.get(level) ?? []).at(-1) ?? Infinity)
+    return this.badLevels.length > 0 && this.now > Math.max(...last) + 2 * CONTACT_MS
   }
 
   private send (request: Request, node: Node, attempts: number, isLate = false): void {
--- a/packages/foxtaillever-relay/src/crashes/crashDecider.ts
+++ b/packages/foxtaillever-relay/src/crashes/crashDecider.ts
@@ -20,7 +20,7 @@
   readonly serverCount: (service: string) => number
   /** Whether a server, given by the hash of its incarnation, still writes its entry in the platform's store. Never rejects. */
   readonly isBeating: (server: number) => Promise<boolean>
-  readonly log: Pick<RelayLog, 'heartbeatChecked'>
+  readonly log: Pick<RelayLog, 'heartbeatChecked' | 'causeProven'>
   /** @param how it came about. */
   readonly onDecided: (quarantine: Quarantine, how: 'proven' | 'widened') => void
   /** @param levels with the time of the last crash, milliseconds of Unix time. */
@@ -125,7 +125,7 @@
   }
 
   private evaluate (service: string, evidence: CrashEvidence): void {
-    const { clock, quarantines, serverCount, onDecided, onSuspected } = this.options
+    const { clock, log, quarantines, serverCount, onDecided, onSuspected } = this.options
     this.dueEvaluations.delete(service)
     const now = clock.now()
     quarantines.list(now).filter(({ kind, isLifted }) => kind === CauseKind.Level && !isLifted).forEach(quarantine => {
@@ -134,7 +134,10 @@
         onDecided(quarantines.widen(quarantine, now), 'widened')
       }
     })
-    evidence.proveCauses(serverCount(service), now).forEach(cause => onDecided(quarantines.add(cause, now), 'proven'))
+    evidence.proveCauses(serverCount(service), now).forEach(({ crashes, ...cause }) => {
+      log.causeProven(service, cause, crashes, now)
+      onDecided(quarantines.add({ ...cause, servers: crashes.map(({ server }) => server) }, now), 'proven')
+    })
     onSuspected(service, evidence.suspectedLevels())
     // Not before: another request would be tried while the crash of the last one is proof enough.
     this.trials.end(evidence.levelsOfCrashesSince(now - TRIED_WITHIN_MS))
--- a/packages/foxtaillever-relay/src/crashes/crashProtocol.ts
+++ b/packages/foxtaillever-relay/src/crashes/crashProtocol.ts
@@ -29,7 +29,7 @@
 
 export interface CrashProtocolOptions {
   readonly clock: Clock
-  readonly log: Pick<RelayLog, 'quarantineChanged' | 'crashReported' | 'heartbeatChecked' | 'levelSuspected' | 'trialDecided'>
+  readonly log: Pick<RelayLog, 'quarantineChanged' | 'crashReported' | 'heartbeatChecked' | 'causeProven' | 'levelSuspected' | 'trialDecided'>
   readonly address: () => string
   /** Addresses of the instances that decide for a service, in order. */
   readonly decidersOf: (service: string) => readonly string[]
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -6,6 +6,7 @@
 import type { LimitOutcome, LimitRole } from 'foxtaillever-policy/limits/sharedLimitLedger'
 import type { StatedLimit } from 'foxtaillever-policy/limits/statedLimits'
 import type { Quarantine } from 'foxtaillever-policy/crashes/quarantineTable'
+import type { CrashSummary } from 'foxtaillever-policy/crashes/suspicion'
 import type { ExpectedStart } from 'foxtaillever-policy/relay/yieldPriority'
 import { Metrics, Part, type Logs, type Subject } from 'foxtaillever-telemetry'
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
@@ -220,6 +221,12 @@
     this.logs.write('info', Part.Requests, isGranted ? 'Tries a suspected level of prompts.' : 'A suspected level of prompts is being tried already.', { levels: levels.join(' ') })
   }
 
+  /** @param crashes those that prove the cause. */
+  causeProven (service: string, { kind, id }: Pick<Quarantine, 'kind' | 'id'>, crashes: readonly CrashSummary[], now: number): void {
+    const [agesMs, lost, own] = [crashes.map(({ at }) => Math.round(now - at)), crashes.map(({ lost }) => lost), crashes.map(({ own }) => own)].map(counts => counts.join(' '))
+    this.logs.write('warn', Part.Fleet, 'Crashes of backend servers prove their cause.', { service, kind, id, incarnations: crashes.map(({ server }) => server).join(' '), agesMs, lost, own, trials: crashes.filter(({ isTrial }) => isTrial).length })
+  }
+
   /** @param how it was proven, received, widened to all accounts, or lifted. */
   quarantineChanged ({ kind, id, account, servers, revision, isLifted }: Quarantine, how: string): void {
     this.metrics.count('quarantine_changes_total', { kind, how })
