Take no refused connection for the end of a server while no server is reached

Callers saw sound requests refused as ones that crash servers, among others while the links of instances were cut.

Cause: a cut link may refuse connections as an ended server does. A report of lost requests then said that the server has ended, also if the check of the links had found that neither this instance nor those that it asked reach any server, so that the deciding instances did not read the server's entry.

Change: a check that reaches no server forgets the refusal; the server's entry tells then, as it does for servers behind proxies. The new test of the link monitor fails before and passes now.

--- a/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
@@ -98,6 +98,22 @@
       t.is(rig.monitor.state, LinkState.Cut)
     })
 
+    // Guards against sound servers that count as ended because this instance's own broken links refuse connections.
+    it('takes a refused connection for the end of a server only if another server is reached', async t => {
+      for (const reached of [[], ['b1', 'c1']]) {
+        const rig = new Rig()
+        rig.findings = [ProbeFinding.Unknown]
+        reached.forEach(id => rig.reached.add(id))
+        const server = rig.server('a1')
+        server.refusedConnectionAt = rig.clock.now()
+        let refusedAt: number | undefined
+        rig.monitor.suspect(server, Suspicion.Unresponsive, rig.clock.now(), { onNotReached: () => { refusedAt = server.refusedConnectionAt } })
+        await rig.advance(1000)
+        t.is(refusedAt !== undefined && refusedAt > 0, reached.length > 0)
+        t.not(refusedAt, undefined)
+      }
+    })
+
     it('blames the server if no instance can tell, but another server answers', async t => {
       const rig = new Rig()
       rig.findings = [ProbeFinding.Unknown]
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -183,6 +183,10 @@
         this.failed.delete(hash)
       }
     })
+    if (finding === LinkFinding.NoneReached) {
+      // Broken links of this instance refuse connections too, so that a refusal does not show that the server has ended.
+      server.refusedConnectionAt = 0
+    }
     if (isServerAtFault[finding]) {
       this.failed.set(server.hash, { finding, until: now + FINDING_VALID_MS })
     } else {
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -55,7 +55,7 @@
   heardAt: number
   /** When connections of this instance to it began to break, nothing heard since, milliseconds of Unix time; before `heardAt` if none did. */
   brokenAt: number
-  /** When its address last refused a connection, so that no process listened there, milliseconds of Unix time; 0 for never. */
+  /** When its address last refused a connection while others were reached, so that no process listened there, milliseconds of Unix time; 0 for never. */
   refusedConnectionAt: number
   /** Its weights are being changed by an order until then, milliseconds of Unix time. */
   changingUntil: number
