--- a/packages/foxtaillever-policy/src/crashes/crashEvidence.ts
+++ b/packages/foxtaillever-policy/src/crashes/crashEvidence.ts
@@ -7,7 +7,7 @@
  * were sent one after another. A level is suspected from its second crash on and then
  * tried by one request at a time; it is quarantined once enough crashes speak against it.
  */
-import { answersSince, ANSWER_SPANS_MS, CauseKind, countRequests, explainsAsWell, isCausedBy, onlyAccount, successiveCrashes, type AnswerCounts, type Crash, type LostRequest, type Suspicion } from './suspicion.js'
+import { answersSince, ANSWER_SPANS_MS, CauseKind, countRequests, explainsAsWell, isCausedBy, onlyAccount, successiveCrashes, summarize, type AnswerCounts, type Crash, type CrashSummary, type LostRequest, type Suspicion } from './suspicion.js'
 
 /** A cause of crashes that the evidence proves. */
 export interface ProvenCause {
@@ -16,8 +16,8 @@
   readonly id: string
   /** The only client account whose requests crashed servers; undefined if there are several, so that the cause does not depend on the account. */
   readonly account: string | undefined
-  /** Hashes of the incarnations that it crashed. */
-  readonly servers: readonly number[]
+  /** The crashes that prove it, in order of time. */
+  readonly crashes: readonly CrashSummary[]
 }
 
 /** Crashes by requests sent one after another, and distinct requests among them, without which nothing is proven. */
@@ -154,9 +154,15 @@
     return this.unexplainedCrashes(level).filter(({ isConfirmed }) => isConfirmed).length >= CRASHES_TO_SUSPECT
   }
 
-  /** Levels that were in flight at crashes since a time, milliseconds of Unix time. */
-  levelsOfCrashesSince (since: number): Set<string> {
-    return new Set([...this.crashes.values()].filter(({ at }) => at >= since).flatMap(({ levels }) => [...levels]))
+  /** Whether the level was in flight at a crash of which it is not known yet whether the server has ended. */
+  isPending (level: string): boolean {
+    return this.unexplainedCrashes(level).some(({ isConfirmed }) => !isConfirmed)
+  }
+
+  /** Levels that were in flight at crashes since a time, with the time of the last of these crashes, milliseconds of Unix time. */
+  levelsOfCrashesSince (since: number): Map<string, number> {
+    const recent = [...this.crashes.values()].filter(({ at }) => at >= since).sort((a, b) => a.at - b.at)
+    return new Map(recent.flatMap(({ at, levels }) => [...levels].map(level => [level, at] as const)))
   }
 
   /** Records that a level is known to crash servers: crashes with it in flight say nothing about other levels. */
@@ -173,7 +179,7 @@
     const proven: ProvenCause[] = []
     for (let cause = this.strongestProof(serverCount); cause !== undefined; cause = this.strongestProof(serverCount)) {
       const { kind, id, crashes } = cause
-      proven.push({ kind, id, account: onlyAccount(crashes, cause), servers: crashes.map(({ server }) => server) })
+      proven.push({ kind, id, account: onlyAccount(crashes, cause), crashes: crashes.map(crash => summarize(crash, cause)) })
       if (kind === CauseKind.Level) {
         this.markExplained(id)
       } else {
--- a/packages/foxtaillever-relay/src/crashes/crashDecider.ts
+++ b/packages/foxtaillever-relay/src/crashes/crashDecider.ts
@@ -20,7 +20,7 @@
   readonly serverCount: (service: string) => number
   /** Whether a server, given by the hash of its incarnation, still writes its entry in the platform's store. Never rejects. */
   readonly isBeating: (server: number) => Promise<boolean>
-  readonly log: Pick<RelayLog, 'heartbeatChecked'>
+  readonly log: Pick<RelayLog, 'heartbeatChecked' | 'causeProven'>
   /** @param how it came about. */
   readonly onDecided: (quarantine: Quarantine, how: 'proven' | 'widened') => void
   /** @param levels with the time of the last crash, milliseconds of Unix time. */
@@ -98,14 +98,16 @@
       // What is left of several suspected levels may be proven now.
       this.evaluateSoon(service, evidence)
     }
-    this.trials.end(new Set(causes))
+    this.trials.end(new Map(causes.map(id => [id, at])))
   }
 
   /** Whether a request with these levels may be sent now. */
   grantTrial (service: string, levels: readonly string[]): boolean {
     const { clock, serverCount } = this.options
     const evidence = this.evidence.get(service)
-    return this.trials.begin(levels.filter(level => evidence?.isSuspected(level) === true), serverCount(service), clock.now())
+    const suspected = levels.filter(level => evidence?.isSuspected(level) === true)
+    // The crash that is being checked may be proof enough.
+    return !suspected.some(level => evidence?.isPending(level) === true) && this.trials.begin(suspected, serverCount(service), clock.now())
   }
 
   /** A level is known to crash servers: crashes with it say nothing about others. */
@@ -125,7 +127,7 @@
   }
 
   private evaluate (service: string, evidence: CrashEvidence): void {
-    const { clock, quarantines, serverCount, onDecided, onSuspected } = this.options
+    const { clock, log, quarantines, serverCount, onDecided, onSuspected } = this.options
     this.dueEvaluations.delete(service)
     const now = clock.now()
     quarantines.list(now).filter(({ kind, isLifted }) => kind === CauseKind.Level && !isLifted).forEach(quarantine => {
@@ -134,7 +136,10 @@
         onDecided(quarantines.widen(quarantine, now), 'widened')
       }
     })
-    evidence.proveCauses(serverCount(service), now).forEach(cause => onDecided(quarantines.add(cause, now), 'proven'))
+    evidence.proveCauses(serverCount(service), now).forEach(({ crashes, ...cause }) => {
+      log.causeProven(service, cause, crashes, now)
+      onDecided(quarantines.add({ ...cause, servers: crashes.map(({ server }) => server) }, now), 'proven')
+    })
     onSuspected(service, evidence.suspectedLevels())
     // Not before: another request would be tried while the crash of the last one is proof enough.
     this.trials.end(evidence.levelsOfCrashesSince(now - TRIED_WITHIN_MS))
