Renew an abandoned place in a queue under a new number

A request could be sent on an admission that its instance had returned: the instance stood still for longer than a place lasts, withdrew the place, renewed it under the same number, and then read the admission of the former place. Its owner admitted another request for it, and the renewed claim stayed in the queue.

A withdrawn claim now gets a new number, so that a late response on the former one is recognized.

admissionFailures: the listed case failed before and passes. Tests of the relay's admission, abandonedWaits and replacementCounts: 50 pass.

--- a/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
+++ b/packages/foxtaillever-relay/src/admission/admissionProtocol.ts
@@ -74,7 +74,7 @@
 }
 
 interface PendingRequest {
-  readonly number: number
+  number: number
   readonly claim: AdmissionClaim
   readonly requestedAt: number
   /** Instances that were asked and may have the request queued. */
@@ -164,7 +164,6 @@
       // It was decided between the result `Queued` and the renewal.
       onResult(request.result)
     } else {
-      // A renewal later than ABANDONED_MS asks for a new place.
       this.pending.set(request.number, request)
       this.startRound(request, onResult)
     }
@@ -180,13 +179,14 @@
     this.completed.set(String(number), '')
     asked.forEach(address => this.sendCancel(address, request))
     asked.clear()
+    // A renewal later than ABANDONED_MS asks for a new place, while a response on this one may still arrive.
+    request.number = this.nextNumber++
   }
 
   /** Asks the watchers of the server in turn. */
   private startRound (request: PendingRequest, onResult: (result: AdmissionResult) => void): void {
     this.cancelTimers(request)
-    const { server } = request.claim
-    Object.assign(request, { onResult, queuedAt: undefined, remaining: this.options.watchersOf(server).filter(address => !this.unresponsive.has(address)) })
+    Object.assign(request, { onResult, queuedAt: undefined, remaining: this.options.watchersOf(request.claim.server).filter(address => !this.unresponsive.has(address)) })
     this.askNext(request)
   }
 
