Return limit and admission of the attempt that did not reach its server

Where another instance carried a silent request and reported later that it had found no connection, the limit and the admission of the replacement were given back while its server ran the request, so that a brittle server could get more than it takes.

Cause: AttemptPlacement gave back what was counted last, whichever attempt failed. It now gives back only what was counted at the server of the failed attempt.

--- a/packages/foxtaillever-relay/src/admission/requestAdmission.ts
+++ b/packages/foxtaillever-relay/src/admission/requestAdmission.ts
@@ -67,8 +67,8 @@
   private place: QueuePlace | undefined
   /** Asked for while the request keeps its place, and taken instead of it once the owner has queued or admitted the request. */
   private nextPlace: QueuePlace | undefined
-  /** The admission that was granted last. */
-  private admitted: PendingAdmission | undefined
+  /** The place whose admission was granted last. */
+  private admitted: QueuePlace | undefined
   /** Hashes of the servers to whose queues the request could not move. */
   private readonly rejectedBy = new Set<number>()
   /** When the request first asked for admission, milliseconds of Unix time. */
@@ -140,10 +140,12 @@
     this.leaveQueues()
   }
 
-  /** Returns an admission that is not used, so that the server's owner admits another request. */
-  returnAdmission (): void {
-    this.admitted?.cancel()
-    this.admitted = undefined
+  /** Returns an admission at the server that is not used, so that its owner admits another request. */
+  returnAdmission (server: KnownServer): void {
+    if (this.admitted?.server === server) {
+      this.admitted.pending?.cancel()
+      this.admitted = undefined
+    }
   }
 
   private askFor (place: QueuePlace): void {
@@ -196,12 +198,12 @@
   private readonly handlers: Readonly<Record<AdmissionOutcome, (place: QueuePlace, result: AdmissionResult) => void>> = {
     [AdmissionOutcome.Admitted]: (place, result) => {
       const { log, exchange, clock, onAdmitted } = this.options
-      const { server, pending } = place
+      const { server } = place
       this.moveTo(place)
       if (this.wasQueued) {
         log.admittedAfterWaiting(exchange, server.listed.id, result, this.requestedAt ?? clock.now(), clock.now())
       }
-      this.admitted = pending
+      this.admitted = place
       this.leaveQueues()
       onAdmitted(server, true)
     },
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -81,14 +81,15 @@
 
   /** No path leads to the server that was chosen. */
   failUnreached (): void {
-    this.releaseLimit()
     this.fail(FailureCode.NoBackendServer, 'No backend server is within reach of this instance, and no other instance can carry the request.')
   }
 
-  /** Stops counting an attempt that did not reach its server: refunds its limit and returns its admission. */
-  releaseLimit (): void {
-    this.refundLimit()
-    this.admission.returnAdmission()
+  /** Stops counting an attempt that did not reach its server: refunds its limit and returns its admission, unless a later attempt was counted since. */
+  releaseLimit (server: KnownServer): void {
+    if (this.countedServer === server) {
+      this.refundLimit()
+    }
+    this.admission.returnAdmission(server)
   }
 
   private refundLimit (): void {
@@ -157,7 +158,7 @@
     } else if (opensAt(server) <= context.clock.now() && context.isSuitable(exchange, ledger, server)) {
       context.limits.admit(server, exchange, admission => this.onLimitChecked(server, admission, isAdmitted))
     } else {
-      this.admission.returnAdmission()
+      this.admission.returnAdmission(server)
       this.placeNext()
     }
   }
@@ -165,9 +166,9 @@
   private onLimitChecked (server: KnownServer, admission: LimitAdmission, isAdmitted: boolean): void {
     this.recordLimit(server, admission)
     if (!this.options.isNeeded()) {
-      this.releaseLimit()
+      this.releaseLimit(server)
     } else if (admission === LimitAdmission.Refused) {
-      this.admission.returnAdmission()
+      this.admission.returnAdmission(server)
       this.placeNext()
     } else {
       this.options.onPlaced(server, isAdmitted)
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -153,7 +153,7 @@
     const { exchange, context, relay, attempts } = this
     const refusal = this.guard.findQuarantine()
     if (refusal) {
-      this.placement.releaseLimit()
+      this.placement.releaseLimit(server)
       this.onUnplaced(refusal.code, refusal.message, refusal.retryAt)
       return
     }
@@ -174,7 +174,7 @@
 
   /** No path leads to the server that was chosen; another one may be within reach. */
   private placeWithinReach (server: KnownServer): void {
-    this.placement.releaseLimit()
+    this.placement.releaseLimit(server)
     this.ledger.recordOutOfReach(server.listed.id)
     if (this.mayRetry()) {
       this.placement.placeNext()
@@ -265,7 +265,7 @@
     const promoted = attempts.close(inFlight, meaningOf[kind].verdict === Verdict.MayHaveRun)
     this.recordFailure(failure, inFlight)
     if (!meaningOf[kind].isArrival) {
-      this.placement.releaseLimit()
+      this.placement.releaseLimit(inFlight.server)
     }
     if (kind === AttemptFailureKind.Misdirected) {
       this.context.onMisdirected(inFlight, this.exchange, failure)
@@ -305,7 +305,7 @@
     const { mayHaveArrived } = cancelled.attempt
     this.ledger.recordInterruption(cancelled, mayHaveArrived)
     if (!mayHaveArrived) {
-      this.placement.releaseLimit()
+      this.placement.releaseLimit(cancelled.server)
     }
   }
 
