--- a/packages/foxtaillever-relay/src/admission/__tests__/admissionFailures.test.ts
+++ b/packages/foxtaillever-relay/src/admission/__tests__/admissionFailures.test.ts
@@ -260,7 +260,6 @@
     await fleet.pass(5)
     server.isReady = false
     await fleet.pass(260)
-    console.log('LOG', fleet.requests.filter(({ result }) => result === undefined).length, owner.admission.queueSize, request.decidedAt, fleet.clock.now())
     t.is(owner.admission.queueSize, 0)
     t.is(request.server, other)
     await fleet.pass(800)
