--- a/packages/foxtaillever-proof/src/platformSoak/__tests__/unansweredRequests.test.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/__tests__/unansweredRequests.test.ts
@@ -1,5 +1,5 @@
 import type { ExecutionContext } from 'ava'
-import { SeededRandom } from 'foxtaillever-core'
+import { SeededRandom, waitUntil } from 'foxtaillever-core'
 import { StallStage, type BackendServer } from 'foxtaillever-standins'
 import { describe, it } from 'foxtaillever-testing'
 import { findCuts, type TimedRequest } from '../cutStreams.js'
@@ -23,6 +23,13 @@
 /** New connections to three instances, one of which stands still most of the time. */
 const CONNECTIONS_PER_S = 300
 
+/** From SIGTERM to the standstill of an instance, just before it stops listening, milliseconds; how long it stands still, and when and how many connections arrive meanwhile. */
+const STOPPED_AFTER_MS = 2300
+const STOPPED_MS = 600
+const BURST_AFTER_MS = 2350
+const BURST_MS = 100
+const BURST_PER_S = 400
+
 interface Scene {
   readonly send: (fleet: SoakFleet, until: number) => Promise<readonly TimedRequest[]>
   readonly prepare: (server: BackendServer) => void
@@ -96,3 +103,25 @@
     })
   })
 })
+
+describe('an instance that stands still while its shutdown stops listening', () => {
+  // Guards against a shutdown that closes the connections of requests that have arrived whole and are not read yet.
+  it('answers what has arrived meanwhile', async t => {
+    await check(t, {
+      prepare: () => {},
+      send: async ({ clock, instances }) => {
+        await waitUntil(clock, clock.now() + BURST_AFTER_MS)
+        return await sendOnNewConnections({ clock, addresses: [instances[0]?.address ?? ''], name: 'shutdown', path: '/unknown/', perSecond: BURST_PER_S, until: clock.now() + BURST_MS })
+      },
+      disturb: async ({ clock, instances }) => {
+        const { child } = instances[0] as SoakInstance
+        const ended = child.terminate()
+        await waitUntil(clock, clock.now() + STOPPED_AFTER_MS)
+        child.suspend()
+        await waitUntil(clock, clock.now() + STOPPED_MS)
+        child.resume()
+        await ended
+      }
+    })
+  })
+})
