Check other servers of a failure domain once one is out of reach

Callers of an instance whose links to one failure domain hang waited for their deadlines at the second server of the domain after the first one was known to be out of reach: a request that may run once, sent 2386 ms after the cut, 143 ms after the finding, got 504.

Cause: the finding for one server of a domain does not count for the others; two stand for the domain. Nothing checked a second one until a request had failed there (1.2 s later in the trace).

Change: LinkMonitor checks two other servers of the domain as soon as one is found out of reach. One that answers is neither out of reach nor blamed.

--- a/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/linkMonitor.test.ts
@@ -128,6 +128,29 @@
   })
 
   // Guards against instances that all take their links for broken since a silent server answers some of their probes a moment sooner.
+  describe('when one server of a failure domain is out of reach', () => {
+    // Guards against a request that waits in vain at each server whose link broke with the first one.
+    it('finds the others out of reach without a request that fails there', async t => {
+      const rig = new Rig()
+      rig.reached.add('b1').add('c1')
+      await rig.suspect('a1')
+      await rig.advance(250)
+      t.not(rig.monitor.brokenSince(rig.server('a2')), undefined)
+      t.deepEqual(rig.concluded, [])
+      t.is(rig.monitor.state, LinkState.Partial)
+    })
+
+    it('does not take one that it reaches for out of reach, nor blames it', async t => {
+      const rig = new Rig()
+      rig.reached.add('a2').add('b1').add('c1')
+      await rig.suspect('a1')
+      await rig.advance(100)
+      t.is(rig.monitor.brokenSince(rig.server('a2')), undefined)
+      t.true(rig.probed.includes('a2'))
+      t.deepEqual(rig.concluded, [])
+    })
+  })
+
   it('takes no link for broken if the server answers here too a moment later', async t => {
     for (const suspicion of Object.values(Suspicion)) {
       const rig = new Rig()
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -7,7 +7,7 @@
  * probed here, and then through other instances: if one of them reaches it, the link
  * is at fault.
  */
-import type { Cancellation } from 'foxtaillever-core'
+import type { Cancellation, Random } from 'foxtaillever-core'
 import { BrokenLinks, LinkState, type LinkedServer } from 'foxtaillever-policy/relay/brokenLinks'
 import type { KnownServer } from '../servers/knownServer.js'
 import { reachableFrom } from '../servers/serverAvailability.js'
@@ -23,6 +23,9 @@
 /** Servers of such a failure domain that are probed each time. */
 const RETURN_PROBES = 2
 
+/** Other servers of a failure domain that are checked once one is out of reach; one of them may have failed itself. */
+const CHECKED_NEIGHBOURS = 2
+
 /** A finding that a server itself has failed is valid for this long, milliseconds: as long as it is then passed over. */
 const FINDING_VALID_MS = 300
 
@@ -200,12 +203,21 @@
     log.belief('A backend server is out of reach from here, but not for other instances.', { server: server.listed.id, failureDomain: server.listed.failureDomain, finding, links: LinkState[this.state] })
     onBroken()
     this.silence.checkSoon()
+    this.checkNeighbours(server)
     if (!this.isProbing && !this.isStopped) {
       this.isProbing = true
       this.scheduleProbes()
     }
   }
 
+  /** Checks other servers of the failure domain, so that no request has to find out that they are out of reach too. */
+  private checkNeighbours ({ listed: { failureDomain } }: KnownServer): void {
+    const { clock, directory, random } = this.options
+    const now = clock.now()
+    const neighbours = directory().all().filter(server => server.listed.failureDomain === failureDomain && reachableFrom(server) <= now && this.brokenSince(server) === undefined)
+    rotate(neighbours, random).slice(0, CHECKED_NEIGHBOURS).forEach(server => this.suspect(server, Suspicion.Unresponsive, now))
+  }
+
   private scheduleProbes (): void {
     const { clock } = this.options
     this.cancelProbes = clock.at(clock.now() + RETURN_PROBE_INTERVAL_MS, () => {
@@ -223,8 +235,7 @@
     const { clock, directory, random } = this.options
     await Promise.all(this.links.failureDomains.map(async failureDomain => {
       const servers = directory().all().filter(server => server.listed.failureDomain === failureDomain && reachableFrom(server) <= clock.now())
-      const first = random.below(Math.max(1, servers.length))
-      const probed = [...servers.slice(first), ...servers.slice(0, first)].slice(0, RETURN_PROBES)
+      const probed = rotate(servers, random).slice(0, RETURN_PROBES)
       if (probed.length === 0 || await isAnyReached(probed.map(async server => await this.linkCheck.probe(server)))) {
         this.markSound(failureDomain, servers)
       }
@@ -253,6 +264,12 @@
   }
 }
 
+/** The same servers, beginning with a random one. */
+function rotate (servers: readonly KnownServer[], random: Random): readonly KnownServer[] {
+  const first = random.below(Math.max(1, servers.length))
+  return [...servers.slice(first), ...servers.slice(0, first)]
+}
+
 function linkOf ({ hash, listed: { failureDomain } }: KnownServer): LinkedServer {
   return { hash, failureDomain }
 }
