Keep a silent replacement until a third server has the request

On a route with three attempts callers got 502 or 504 although the second server answered: it had been silent too, and its attempt was closed although no third server took the request.

Cause: Replacements.handleSilentReplacement ended the attempt and looked for a server then, the same class as a silent first attempt that is given up too early.

The replacement now goes on until the third attempt is opened in its place, or either of the two servers goes on. A failure of an attempt begins no second choice of a server while one is under way. If the third server refuses the request, only the first one is left.

--- a/packages/foxtaillever-relay/src/__fixtures__/stepwiseAnswers.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/stepwiseAnswers.ts
@@ -9,6 +9,9 @@
 /** Time in which what was written arrives on loopback, milliseconds. */
 const ARRIVAL_MS = 60
 
+/** Longer than the wait for the first byte of an answer, and shorter than twice that wait, milliseconds. */
+const FIRST_SILENCE_MS = 300
+
 /** Longer than the deadline of the request, milliseconds. */
 const PAST_DEADLINE_MS = 12_000
 
@@ -19,8 +22,10 @@
 const REST_BYTES = 3
 
 export enum AnswerStep {
-  /** The server of the current attempt is taken for silent. */
+  /** All servers that have the request are taken for silent. */
   Silence = 'silence',
+  /** The server that got the request last is taken for silent. */
+  FirstSilence = 'first-silence',
   /** The server sends all but the end of its answer, one byte more, the end, or all. */
   Half = 'half',
   Byte = 'byte',
@@ -29,6 +34,9 @@
   /** The server states that it did not run the request. */
   Refuse = 'refuse',
   Lose = 'lose',
+  /** The choice of the next server waits for a query of the load, until it is answered. */
+  HoldChoice = 'hold-choice',
+  Choose = 'choose',
   /** The server takes no further requests. */
   Block = 'block',
   /** An account becomes isolated, and requests that wait with the former cache salt are withdrawn. */
@@ -54,6 +62,7 @@
   const known = rig.directory.all()
   known.forEach(({ weights }) => weights.set(MODEL, 1))
   const answer = rig.sendRequest('a', '', [`model: ${MODEL}`])
+  const queries: Array<() => void> = []
   const write = async (index: number, bytesOf: (whole: string) => string, ...shape: string[]): Promise<void> => {
     await Promise.race([rig.servers[index]?.arrived(1), wait(PAST_DEADLINE_MS / 10)])
     const arrival = rig.servers[index]?.arrivals.at(-1)
@@ -63,12 +72,18 @@
   }
   const acts: Readonly<Record<AnswerStep, (server: number) => Promise<void> | void>> = {
     [AnswerStep.Silence]: async () => await rig.clock.advanceBy(SILENCE_MS),
+    [AnswerStep.FirstSilence]: async () => await rig.clock.advanceBy(FIRST_SILENCE_MS),
     [AnswerStep.Half]: async server => await write(server, whole => whole.slice(0, -REST_BYTES)),
     [AnswerStep.Byte]: async server => await write(server, whole => whole.slice(-REST_BYTES, 1 - REST_BYTES)),
     [AnswerStep.Rest]: async server => await write(server, whole => whole.slice(-REST_BYTES)),
     [AnswerStep.Whole]: async server => await write(server, whole => whole),
     [AnswerStep.Refuse]: async server => await write(server, whole => whole, '503 Full', 'not-run: 1'),
     [AnswerStep.Lose]: server => { rig.servers[server]?.sockets.at(-1)?.destroy() },
+    [AnswerStep.HoldChoice]: () => { rig.queryLoad = async () => await new Promise(resolve => queries.push(() => resolve(new Set<number>()))) },
+    [AnswerStep.Choose]: () => {
+      rig.queryLoad = () => undefined
+      queries.splice(0).forEach(resolve => resolve())
+    },
     [AnswerStep.Block]: server => {
       const blocked = rig.directory.get(`s${server}`)
       if (blocked) {
--- a/packages/foxtaillever-relay/src/exchange/__tests__/uncertainAttempts.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/uncertainAttempts.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'foxtaillever-testing'
 import { AnswerStep, playAnswers, type Step } from '../../__fixtures__/stepwiseAnswers.js'
 
-const { Silence, Half, Byte, Whole, Rest, Refuse, Lose, Block, Isolate } = AnswerStep
+const { Silence, FirstSilence, Half, Byte, Whole, Rest, Refuse, Lose, HoldChoice, Choose, Block, Isolate } = AnswerStep
 
 describe('a request whose silent server states later that it did not run it', () => {
   // Guards against 502 (may have run) for a request that ran nowhere.
@@ -57,6 +57,26 @@
   })
 })
 
+describe('a request with three attempts for which a third server is chosen', () => {
+  const chooses: Step[] = [[FirstSilence], [HoldChoice], [FirstSilence]]
+  const scenarios: ReadonlyArray<{ readonly steps: Step[], readonly body: string, readonly arrivals: string }> = [
+    { steps: [[Whole], [Choose]], body: 'server0', arrivals: '1,1,0' },
+    { steps: [[Whole, 1], [Choose]], body: 'server1', arrivals: '1,1,0' },
+    { steps: [[Lose, 1], [Choose], [Whole, 2]], body: 'server2', arrivals: '1,1,1' },
+    { steps: [[Lose], [Choose], [Whole, 2]], body: 'server2', arrivals: '1,1,1' },
+    { steps: [[Lose], [Whole, 1], [Choose]], body: 'server1', arrivals: '1,1,0' },
+    { steps: [[Lose], [Lose, 1], [Choose], [Whole, 2]], body: 'server2', arrivals: '1,1,1' },
+    { steps: [[Lose, 1], [Lose], [Choose], [Whole, 2]], body: 'server2', arrivals: '1,1,1' }
+  ]
+
+  // Guards against a request that waits for a choice which was dropped, or is sent once more by a second one.
+  for (const { steps, body, arrivals } of scenarios) {
+    it(`gets one whole answer: ${steps.map(step => step.join(' ')).join(', ')}`, async t => {
+      t.deepEqual(await playAnswers({ mostAttempts: 3 }, 4, [...chooses, ...steps]), { status: 200, body, arrivals: `${arrivals},0`, outstanding: '0,0,0,0' })
+    })
+  }
+})
+
 describe('a request whose server goes on after another one has it, and is lost then', () => {
   const pauses: Step[] = [[Half], [Silence], [Half, 1], [Byte]]
 
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -262,6 +262,7 @@
   private onFailed (inFlight: InFlightAttempt, failure: AttemptFailure): void {
     const { attempts } = this
     const { kind } = failure
+    const isPlacing = attempts.needsServer
     const promoted = attempts.close(inFlight, meaningOf[kind].verdict === Verdict.MayHaveRun)
     this.recordFailure(failure, inFlight)
     if (!meaningOf[kind].isArrival) {
@@ -272,9 +273,9 @@
     }
     if (promoted) {
       this.replacements.forwardFrom(promoted)
-    } else if (attempts.current) {
+    } else if (!isPlacing && attempts.current) {
       this.replacements.place()
-    } else if (!attempts.isReplacing) {
+    } else if (!isPlacing) {
       this.placeOrFail(failure)
     }
   }
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempts.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempts.ts
@@ -9,6 +9,8 @@
   private forwarded: InFlightAttempt | undefined
   private replacement: InFlightAttempt | undefined
   private replacing = false
+  /** Whether the replacement is silent too, and a third server is to take its place. */
+  private replacingAgain = false
 
   private constructor (private readonly onCancelled: (attempt: InFlightAttempt) => void) {}
 
@@ -29,7 +31,7 @@
 
   /** Whether there is no attempt, or a replacement is to be found for the current one. */
   get needsServer (): boolean {
-    return this.forwarded === undefined || (this.replacing && this.replacement === undefined)
+    return this.forwarded === undefined || (this.replacing && (this.replacement === undefined || this.replacingAgain))
   }
 
   /** Whether the current attempt is being replaced. */
@@ -42,18 +44,27 @@
     this.replacing = true
   }
 
+  /** From now on another attempt may be opened in place of the replacement, which goes on until then. */
+  beginReplacingAgain (): void {
+    this.replacingAgain = true
+  }
+
   isReplacement (attempt: InFlightAttempt): boolean {
     return attempt === this.replacement
   }
 
-  /** Only the current attempt goes on, because no server takes the other one. */
+  /** Only the attempts that are in flight go on, because no server takes another one. */
   stopReplacing (): void {
-    this.replacing = false
+    this.replacing = this.replacement !== undefined
+    this.replacingAgain = false
   }
 
   open (attempt: InFlightAttempt): void {
-    if (this.forwarded) {
+    const { forwarded, replacement } = this
+    this.replacingAgain = false
+    if (forwarded) {
       this.replacement = attempt
+      this.cancelAttempt(replacement)
     } else {
       this.forwarded = attempt
       this.replacing = false
@@ -67,6 +78,7 @@
     this.forwarded = attempt
     this.replacement = undefined
     this.replacing = false
+    this.replacingAgain = false
     this.cancelAttempt(other)
     return isReplacement
   }
@@ -77,8 +89,9 @@
     this.replacement = undefined
     if (attempt === this.forwarded) {
       this.forwarded = replacement
-      this.replacing &&= replacement === undefined
+      this.replacing &&= replacement === undefined || this.replacingAgain
     }
+    this.replacingAgain = false
     attempt.close(mayStillRun)
     return attempt === replacement ? undefined : replacement
   }
@@ -88,6 +101,7 @@
     this.forwarded = undefined
     this.replacement = undefined
     this.replacing = false
+    this.replacingAgain = false
     this.cancelAttempt(forwarded)
     this.cancelAttempt(replacement)
   }
--- a/packages/foxtaillever-relay/src/exchange/replacements.ts
+++ b/packages/foxtaillever-relay/src/exchange/replacements.ts
@@ -159,10 +159,21 @@
     return this.options.relay.isEventStream(head) ? HeldKind.Stream : HeldKind.Whole
   }
 
-  /** A third server may take the request, if another attempt is left; otherwise both servers may still go on. */
+  /** A third server may take the request, if another attempt is left; until it has the request, both servers may still go on. */
   private handleSilentReplacement (replacement: InFlightAttempt): void {
-    if (!replacement.isChanging && this.options.ledger.hasAttemptsBeside(replacement)) {
+    const { ledger, attempts, recordFailure } = this.options
+    if (replacement.isChanging || attempts.needsServer || !ledger.hasAttemptsBeside(replacement)) {
+      return
+    }
+    if (!replacement.attempt.mayHaveArrived) {
       replacement.attempt.timeOut()
+      return
     }
+    attempts.beginReplacingAgain()
+    if (!replacement.isSilent) {
+      replacement.isSilent = true
+      recordFailure({ kind: AttemptFailureKind.Silent, detail: 'nothing received in time' }, replacement)
+    }
+    this.place()
   }
 }
