Pass on no request behind an answer that closes its connection

Callers that send several requests on one connection without waiting lost one that had run: its connection was closed by an answer before it, which was a refusal of a body that is too large, or any answer during a shutdown. The log said 'answered'.

Cause: node:http hands over a pipelined request while earlier answers are pending, and ends the connection after the first answer that is not kept alive. Whether a request could still be answered was asked nowhere.

A request behind an answer that closes the connection is now ignored, which that answer says to the caller. During a shutdown an answer whose head is not sent leaves the close to the request that follows it, so that both are answered.

--- a/packages/foxtaillever-relay/src/callers/callerConnections.ts
+++ b/packages/foxtaillever-relay/src/callers/callerConnections.ts
@@ -55,6 +55,13 @@
     return answer
   }
 
+  /** Whether a further request on the connection would get no answer, because one of the answers before it closes the connection. */
+  endsBeforeNext (socket: Socket): boolean {
+    const answers = this.pendingOf(socket)
+    answers.forEach(answer => answer.renewKeepAlive())
+    return answers.some(({ closesConnection }) => closesConnection)
+  }
+
   /** Closes connections without a pending answer now, and the others after their last answer. */
   close (): void {
     this.isClosing = true
@@ -65,6 +72,10 @@
     }
   }
 
+  private pendingOf (socket: Socket): readonly PendingAnswer[] {
+    return [...this.unsentOf.get(socket) ?? []]
+  }
+
   private pendingAnswers (): readonly PendingAnswer[] {
     return [...this.unsentOf.values()].flatMap(answers => [...answers])
   }
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -148,11 +148,15 @@
   }
 
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
+    const { wire, log } = this.options
+    if (this.connections.endsBeforeNext(request.socket)) {
+      log.ignoredAfterLast()
+      return
+    }
     const pending = this.connections.trackRequest(request.socket, response)
     if (this.isKeepAliveEnded) {
-      response.shouldKeepAlive = false
+      pending.endKeepAlive()
     }
-    const { wire, log } = this.options
     wire.readHead(request).caseOf({
       Left: reason => {
         log.malformed(reason)
--- a/packages/foxtaillever-relay/src/callers/pendingAnswer.ts
+++ b/packages/foxtaillever-relay/src/callers/pendingAnswer.ts
@@ -6,6 +6,8 @@
   requestId = ''
   /** Since when the whole answer is in the connection's buffers, milliseconds of Unix time; undefined before. */
   completeAt: number | undefined
+  /** Whether a shutdown closes the connection after this answer, unless another request follows in time. */
+  private endsForShutdown = false
 
   private constructor (private readonly response: ServerResponse) {}
 
@@ -18,6 +20,24 @@
     return this.response.writableLength
   }
 
+  /** Whether the connection closes after this answer. */
+  get closesConnection (): boolean {
+    return !this.response.shouldKeepAlive
+  }
+
+  /** Closes the connection after this answer, since the instance shuts down. */
+  endKeepAlive (): void {
+    this.response.shouldKeepAlive = false
+    this.endsForShutdown = true
+  }
+
+  /** Another request has arrived on the connection: it closes after that one, unless this answer has announced the close already. */
+  renewKeepAlive (): void {
+    if (this.endsForShutdown && !this.response.headersSent) {
+      this.response.shouldKeepAlive = true
+    }
+  }
+
   /** Whether the operating system has accepted the last byte. */
   get isWrittenOut (): boolean {
     return this.response.writableFinished
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -51,6 +51,12 @@
     this.metrics.count('connections_turned_away_total')
   }
 
+  /** A request arrived on a connection that closes after an earlier answer, which says so. */
+  ignoredAfterLast (): void {
+    this.metrics.count('requests_ignored_total')
+    this.logs.write('info', Part.Callers, 'Ignores a request, because an answer before it closes the connection.', {})
+  }
+
   /** A connection ended, by its caller or by this process, before the caller had the complete answer. */
   closedUnsent (answer: PendingAnswer, now: number): void {
     this.metrics.count('answers_unsent_total', { when: 'connection-closed' })
