Keep the answers that are due when a connection sends what is no request

A request whose server worked on it got 408, which says that it has not run, because the head of the next request on its connection stayed incomplete for header_timeout_ms; other bytes that are no request cut the answer before them.

Cause: without a listener for unreadable bytes node:http answers 400 or 408 if no head of an answer was sent, and destroys the connection.

The pending answers are now sent, and the connection is closed after them. Where none is pending, the answer is that of node:http as before.

pipelinedRequests, 'keep the answer of a request that runs': failed before, passes now; tests of callers pass.

--- a/packages/foxtaillever-relay/src/callers/answerFailure.ts
+++ b/packages/foxtaillever-relay/src/callers/answerFailure.ts
@@ -1,5 +1,5 @@
 /** Sends a failure to a caller: status, verdict, and when to retry. */
-import type { ServerResponse } from 'node:http'
+import { STATUS_CODES, type ServerResponse } from 'node:http'
 import { FailureCode, Verdict, type Failure } from 'foxtaillever-core'
 
 const statusOfCode: Partial<Record<FailureCode, number>> = {
@@ -42,3 +42,18 @@
   response.writeHead(status, headers)
   response.end(body)
 }
+
+/** Statuses for bytes that are no request, by the code of the error; as node:http has them. */
+const statusOfUnreadable: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  ERR_HTTP_REQUEST_TIMEOUT: 408
+}
+
+const BAD_REQUEST = 400
+
+/** The bytes of the answer to what is no request, or no whole one in time. */
+export function renderUnreadable ({ code = '' }: NodeJS.ErrnoException): string {
+  const status = statusOfUnreadable[code] ?? BAD_REQUEST
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`
+}
--- a/packages/foxtaillever-relay/src/callers/callerConnections.ts
+++ b/packages/foxtaillever-relay/src/callers/callerConnections.ts
@@ -20,6 +20,8 @@
   private readonly unsentOf = new Map<Socket, Set<PendingAnswer>>()
   /** Connections whose first request is not read yet. */
   private readonly unread = new Set<Socket>()
+  /** Connections on which no further request can be read, and that are closed after their pending answers. */
+  private readonly ending = new WeakSet<Socket>()
   private isClosing = false
 
   private constructor (private readonly isKept: (unread: number) => boolean, private readonly onUnsent: (answer: PendingAnswer) => void) {}
@@ -59,7 +61,16 @@
   endsBeforeNext (socket: Socket): boolean {
     const answers = this.pendingOf(socket)
     answers.forEach(answer => answer.renewKeepAlive())
-    return answers.some(({ closesConnection }) => closesConnection)
+    return this.ending.has(socket) || answers.some(({ closesConnection }) => closesConnection)
+  }
+
+  /** Closes the connection after its pending answers, because nothing more can be read from it. Returns whether there are any. */
+  endAfterPending (socket: Socket): boolean {
+    const hasPending = this.pendingOf(socket).length > 0
+    if (hasPending) {
+      this.ending.add(socket)
+    }
+    return hasPending
   }
 
   /** Closes connections without a pending answer now, and the others after their last answer. */
@@ -100,7 +111,7 @@
     if (answer.completeAt !== undefined && !answer.isWrittenOut) {
       this.onUnsent(answer)
     }
-    if (answers?.size === 0 && this.isClosing) {
+    if (answers?.size === 0 && (this.isClosing || this.ending.has(socket))) {
       // Not destroyed: the answer's last bytes may still be on their way.
       socket.destroySoon()
     }
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -4,7 +4,7 @@
  * exchange on.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Server as NetServer, type AddressInfo } from 'node:net'
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
@@ -16,7 +16,7 @@
 import { ByteCollector } from '../servers/byteCollector.js'
 import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
 import { ConnectionLimit } from 'foxtaillever-policy/relay/connectionLimit'
-import { answerFailure } from './answerFailure.js'
+import { answerFailure, renderUnreadable } from './answerFailure.js'
 import { CallerConnections, type UnsentAnswers } from './callerConnections.js'
 import { EventLoopMonitor } from './eventLoopMonitor.js'
 import type { PendingAnswer } from './pendingAnswer.js'
@@ -63,6 +63,7 @@
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
     this.connections = CallerConnections.create(this.server, unread => this.isKept(unread), answer => options.log.closedUnsent(answer, options.clock.now()))
     this.eventLoop = EventLoopMonitor.create(options.clock, delayMs => this.observeDelay(delayMs))
+    this.server.on('clientError', (error, socket) => this.handleUnreadable(error, socket as Socket))
     this.setLimits(defaultLimits)
   }
 
@@ -166,6 +167,17 @@
     })
   }
 
+  /** What arrives is no request, or no whole one in time. Answers to requests before it are still sent. */
+  private handleUnreadable (error: NodeJS.ErrnoException, socket: Socket): void {
+    if (socket.destroyed || this.connections.endAfterPending(socket)) {
+      return
+    }
+    if (socket.writable) {
+      socket.write(renderUnreadable(error))
+    }
+    socket.destroy(error)
+  }
+
   private handleHead (head: ExchangeHead, request: IncomingMessage, response: ServerResponse, pending: PendingAnswer): void {
     const { clock, table, log, onExchange } = this.options
     const arrivedAt = clock.now()
