Log how long a connection that is closed unread may have waited

An instance that falls behind closes some new connections unread. Whether their requests had arrived long before could not be told from its log: it had one line when the limit began, and a counter. The delay of the timers does not show it either. Node accepts one connection in each turn of the event loop (libuv since 1.45), so connections wait in the queue of the listening socket while all timers are in time.

The decisions on new connections move from CallerServer to ConnectionAdmission; none of them changes.

--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -15,10 +15,9 @@
 import { boundBody, drainBody, hasBody, type BodyExcess } from '../servers/byteBounds.js'
 import { ByteCollector } from '../servers/byteCollector.js'
 import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
-import { ConnectionLimit } from 'foxtaillever-policy/relay/connectionLimit'
 import { answerFailure } from './answerFailure.js'
 import { CallerConnections, type UnsentAnswers } from './callerConnections.js'
-import { EventLoopMonitor } from './eventLoopMonitor.js'
+import { ConnectionAdmission } from './connectionAdmission.js'
 import type { PendingAnswer } from './pendingAnswer.js'
 
 /** How often node:http checks for requests whose head takes too long, milliseconds. */
@@ -54,15 +53,14 @@
 export class CallerServer {
   private readonly server: Server
   private readonly connections: CallerConnections
-  private readonly connectionLimit = ConnectionLimit.create()
-  private readonly eventLoop: EventLoopMonitor
+  private readonly admission: ConnectionAdmission
   private limits = defaultLimits
   private isKeepAliveEnded = false
 
   private constructor (private readonly options: CallerServerOptions) {
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
-    this.connections = CallerConnections.create(this.server, unread => this.isKept(unread), answer => options.log.closedUnsent(answer, options.clock.now()))
-    this.eventLoop = EventLoopMonitor.create(options.clock, delayMs => this.observeDelay(delayMs))
+    this.admission = ConnectionAdmission.create({ othersDelayMs: () => undefined, ...options, isListening: () => this.server.listening })
+    this.connections = CallerConnections.create(this.server, unread => this.admission.isKept(unread), answer => options.log.closedUnsent(answer, options.clock.now()))
     this.setLimits(defaultLimits)
   }
 
@@ -75,13 +73,13 @@
       this.server.once('error', reject)
       this.server.listen(port, host, resolve)
     })
-    this.eventLoop.start()
+    this.admission.start()
     return (this.server.address() as AddressInfo).port
   }
 
-  /** By how much the event loop is late, milliseconds. */
+  /** By how much this instance is late, milliseconds. */
   get delayMs (): number {
-    return this.connectionLimit.delay
+    return this.admission.delayMs
   }
 
   /** Answers that are not written out to their callers. */
@@ -91,7 +89,7 @@
 
   /** By how much the event loop was late at most since the last call, milliseconds. */
   takeLargestDelay (): number {
-    return this.eventLoop.takeLargest()
+    return this.admission.takeLargestDelay()
   }
 
   /** Logs the complete answers that are not written out, since the process ends. */
@@ -115,7 +113,7 @@
 
   /** Ends the measurement of the event loop too. */
   close (): void {
-    this.eventLoop.stop()
+    this.admission.stop()
     this.stopListening()
   }
 
@@ -126,27 +124,6 @@
     this.connections.close()
   }
 
-  private observeDelay (delayMs: number): void {
-    if (!this.server.listening) {
-      return
-    }
-    const { clock, log, othersDelayMs = () => undefined } = this.options
-    const wasActive = this.connectionLimit.isActive
-    const others = othersDelayMs()
-    this.connectionLimit.observe(delayMs, others, clock.now())
-    if (this.connectionLimit.isActive !== wasActive) {
-      log.belief(wasActive ? 'New connections are no longer limited.' : 'Closes some new connections unread, since this instance falls behind and others do not.', { delayMs: Math.round(this.delayMs), othersDelayMs: others })
-    }
-  }
-
-  private isKept (unread: number): boolean {
-    const isKept = this.connectionLimit.admit(unread, this.options.clock.now())
-    if (!isKept) {
-      this.options.log.connectionTurnedAway()
-    }
-    return isKept
-  }
-
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
     const pending = this.connections.trackRequest(request.socket, response)
     if (this.isKeepAliveEnded) {
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -45,9 +45,10 @@
     this.logs.writeFailure(Part.Callers, 'Refused a request.', { request: head.id, code, verdict, reason: message, host: head.host, path: head.path, ...this.describeState() })
   }
 
-  /** Only counted: a crowd of connections would fill the log. */
-  connectionTurnedAway (): void {
+  /** @param longestWaitMs longest time that the connection may have waited before this process looked at it. */
+  connectionTurnedAway (longestWaitMs: number, delayMs: number): void {
     this.metrics.count('connections_turned_away_total')
+    this.logs.write('info', Part.Callers, 'Closed a new connection unread.', { longestWaitMs: Math.round(longestWaitMs), delayMs: Math.round(delayMs) })
   }
 
   /** A connection ended, by its caller or by this process, before the caller had the complete answer. */
