Show that requests of late connections get neither an answer nor a refusal

Sixty requests are sent, each on a new connection, while the event loop of an instance that limits new connections is blocked for 400 ms. Afterwards 30 of them are answered and 30 connections are reset without a byte, later than 200 ms after their request had arrived whole.

--- /dev/null
+++ b/packages/foxtaillever-relay/src/callers/__fixtures__/lateServer.ts
@@ -0,0 +1,49 @@
+/** A server for callers in real time whose instance falls behind while others do not. */
+import { blockEventLoopUntil } from 'foxtaillever-testing'
+import { SystemClock } from 'foxtaillever-core'
+import { Logs } from 'foxtaillever-telemetry'
+import { Left } from 'purify-ts'
+import { RelayLog } from '../../telemetry/relayLog.js'
+import { CallerServer } from '../callerServer.js'
+
+/** Longer than the delay from which new connections are limited, milliseconds. */
+const STALL_MS = 150
+
+/** After so many more stalls the limit is at its smallest. */
+const STALLS_UNTIL_SMALLEST = 6
+
+/** Answer to each request that is read. */
+export const READ = 'the request was read'
+
+export interface LateServer {
+  readonly server: CallerServer
+  readonly port: number
+  readonly log: RelayLog
+}
+
+const clock = SystemClock.create()
+
+/** Blocks the event loop, as a process that gets no processor time. */
+export function stall (ms = STALL_MS): void {
+  blockEventLoopUntil(clock.now() + ms)
+}
+
+/** Lets timers and sockets have one turn of the event loop each. */
+async function takeTurn (): Promise<void> {
+  await new Promise(resolve => setImmediate(() => setImmediate(resolve)))
+}
+
+/** Starts a server and makes it late until its limit of new connections is at its smallest. */
+export async function startLateServer (): Promise<LateServer> {
+  const lines: string[] = []
+  const log = RelayLog.create(Logs.create({ instance: 'i', level: 'info', clock, destination: { write: text => { lines.push(text) } } }))
+  const server = CallerServer.create({ clock, wire: { readHead: () => Left(READ) }, log, table: () => undefined, onExchange: () => {}, othersDelayMs: () => 0 })
+  const port = await server.listen('127.0.0.1', 0)
+  let stallsLeft = STALLS_UNTIL_SMALLEST
+  while (stallsLeft > 0) {
+    stall()
+    await takeTurn()
+    stallsLeft -= lines.some(line => line.includes('since this instance falls behind')) ? 1 : 0
+  }
+  return { server, port, log }
+}
