Refuse requests that arrived while the process was late instead of resetting them

Callers of an instance that limits new connections got a reset, later than 200 ms after their whole request had arrived: 30 of 60 requests that were sent while the event loop was blocked for 400 ms. And a crowd at one instance was served late altogether: with 300 or 900 new connections a second and 20 ms of work for each request, a single process served 45 to 46 a second, none of them within 400 ms.

Both have one cause. Node accepts one connection in each turn of the event loop (libuv since 1.45), so a crowd waits in the queue of the listening socket while all timers are in time. The limit judged by the timers alone, hence it was never active in the crowds, and where it was, it let through every second connection, since the request of one is read while the next is accepted. What it closed unread may have waited in the queue, or for the process, for any time.

ConnectionAdmission now decides for all connections that wait together. AcceptQueue knows since when the queue has not been empty; that counts as lateness, and tells how long a connection may have waited. While connections are limited, they are accepted without being read. If none can have waited for longer than at an instance in time, the limit's number is kept and the listening socket closed for a turn, which resets the rest and refuses what comes at no cost. Otherwise all that wait are accepted first, then the socket is closed for a turn, and those beyond the limit get 503, Retry-After, the verdict not_run and Connection: close at once; their bytes are read and discarded within bounds, so that no reset destroys the refusal.

A connection that is kept and idle no longer counts against the limit.

--- a/packages/foxtaillever-policy/src/relay/connectionLimit.ts
+++ b/packages/foxtaillever-policy/src/relay/connectionLimit.ts
@@ -4,11 +4,11 @@
  * Load pattern: for some seconds the load balancer hands most new connections of a failure
  * domain or region to one instance. What it has read it owes an answer, but a connection
  * that is closed unread is free to go to another instance. So it keeps only so many
- * connections whose request is not read yet that it is never idle and never late, found by
- * additive-increase, multiplicative-decrease, and closes the others at once.
+ * of the connections that wait that it is never idle and never late, found by
+ * additive-increase, multiplicative-decrease, and turns the others away at once.
  */
 
-/** Delay of the event loop from which new connections are limited, milliseconds: a busy instance on a part of a core is often late by half of it. */
+/** Delay from which new connections are limited, milliseconds: a busy instance on a part of a core is often late by half of it. */
 const TOO_LATE_MS = 100
 
 /** Below this delay the limit rises again, milliseconds. */
@@ -22,7 +22,7 @@
 
 const DECREASE = 0.7
 
-/** Unread connections at first, and at least. */
+/** Waiting connections that are kept, at first and at least. */
 const FIRST_WINDOW = 8
 const MIN_WINDOW = 1
 
@@ -34,7 +34,7 @@
 
 export class ConnectionLimit {
   private delayMs = 0
-  /** Most connections whose request is not read yet; undefined while new connections are not limited. */
+  /** Most waiting connections that are kept; undefined while new connections are not limited. */
   private window: number | undefined
   private adjustedAt = 0
   private turnedAwayAt = 0
@@ -49,13 +49,13 @@
     return this.window !== undefined
   }
 
-  /** By how much the event loop is late, milliseconds, as other instances get to know it. */
+  /** By how much the instance is late, milliseconds, as other instances get to know it. */
   get delay (): number {
     return this.delayMs
   }
 
   /**
-   * @param delayMs by how much the event loop is late, milliseconds.
+   * @param delayMs by how much the event loop, or the accepting of connections, is late, milliseconds.
    * @param othersDelayMs of the median of the other instances; undefined where none is known.
    */
   observe (delayMs: number, othersDelayMs: number | undefined, now: number): void {
@@ -77,16 +77,21 @@
 
   /**
    * Whether a new connection is kept.
-   * @param unread connections that were kept and whose request is not read yet.
+   * @param kept connections that waited together with this one and are kept.
    */
-  admit (unread: number, now: number): boolean {
-    if (this.window === undefined || unread < this.window) {
+  admit (kept: number, now: number): boolean {
+    if (this.window === undefined || kept < this.window) {
       return true
     }
     this.turnedAwayAt = now
     return false
   }
 
+  /** Whether a connection that has waited for this long, milliseconds, has waited no longer than at an instance in time. */
+  isInTime (waitMs: number): boolean {
+    return waitMs <= TOO_LATE_MS
+  }
+
   private adjusted (window: number): number {
     if (this.delayMs > TOO_LATE_MS) {
       return Math.max(MIN_WINDOW, window * DECREASE)
--- a/packages/foxtaillever-relay/src/callers/__fixtures__/callerThread.ts
+++ b/packages/foxtaillever-relay/src/callers/__fixtures__/callerThread.ts
@@ -19,6 +19,12 @@
   readonly openMs: number
 }
 
+/** Whether the caller has all bytes of one answer. */
+export function isWhole ({ answer }: CallerResult): boolean {
+  const [head = '', body] = answer.split('\r\n\r\n', 2)
+  return head.startsWith('HTTP/1.1 ') && Buffer.byteLength(body ?? '') === Number(/content-length: (\d+)/i.exec(head)?.[1])
+}
+
 export class CallerThread {
   private constructor (private readonly worker: Worker) {}
 
--- a/packages/foxtaillever-relay/src/callers/acceptQueue.ts
+++ b/packages/foxtaillever-relay/src/callers/acceptQueue.ts
@@ -17,12 +17,12 @@
     this.emptyAt = clock.now()
   }
 
-  /** @param onEmpty called when the queue is empty after connections were accepted. */
+  /** @param onEmpty called each time when the queue was found empty. */
   static create (clock: Clock, onEmpty: () => void): AcceptQueue {
     return new AcceptQueue(clock, onEmpty)
   }
 
-  /** By how much the process is behind with accepting connections, milliseconds; 0 while the queue is empty. */
+  /** Since when the queue has not been empty, milliseconds ago; 0 while it is empty. */
   get backlogMs (): number {
     return this.backlogSince === undefined ? 0 : this.clock.now() - this.backlogSince
   }
@@ -32,6 +32,11 @@
     return this.clock.now() - this.emptyAt
   }
 
+  /** The listening socket was closed until now. */
+  noteOpened (): void {
+    this.emptyAt = this.clock.now()
+  }
+
   noteAccepted (): void {
     this.accepted += 1
     this.backlogSince ??= this.clock.now()
@@ -42,7 +47,7 @@
     }
   }
 
-  /** Finds out whether the queue is empty. Called by a timer, that is before the event loop reads its sockets. */
+  /** Finds out whether the queue is empty. Must be called from a timer or `setImmediate`, that is before the event loop reads its sockets. */
   check (): void {
     if (!this.isChecking) {
       this.isChecking = true
@@ -66,9 +71,7 @@
   private handleEmpty (emptyAt: number): void {
     this.isChecking = false
     this.emptyAt = emptyAt
-    if (this.backlogSince !== undefined) {
-      this.backlogSince = undefined
-      this.onEmpty()
-    }
+    this.backlogSince = undefined
+    this.onEmpty()
   }
 }
--- a/packages/foxtaillever-relay/src/callers/answerFailure.ts
+++ b/packages/foxtaillever-relay/src/callers/answerFailure.ts
@@ -1,5 +1,5 @@
 /** Sends a failure to a caller: status, verdict, and when to retry. */
-import type { ServerResponse } from 'node:http'
+import { STATUS_CODES, type ServerResponse } from 'node:http'
 import { FailureCode, Verdict, type Failure } from 'foxtaillever-core'
 
 const statusOfCode: Partial<Record<FailureCode, number>> = {
@@ -32,13 +32,26 @@
   return (Math.max(1, Math.ceil((retryAt - now) / 10)) / 100).toFixed(2)
 }
 
-export function answerFailure (response: ServerResponse, failure: Failure, now: number): void {
-  const status = statusOf(failure)
+/** Headers and body of the answer that tells a caller of a failure. */
+function renderFailure (failure: Failure, now: number): { readonly headers: readonly string[], readonly body: Buffer } {
   const body = Buffer.from(JSON.stringify({ error: { code: failure.code, verdict: failure.verdict, message: failure.message } }))
   const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)]
   if (failure.retryAt !== undefined && failure.verdict === Verdict.NotRun) {
     headers.push('Retry-After', retryAfterOf(failure.retryAt, now))
   }
-  response.writeHead(status, headers)
+  return { headers, body }
+}
+
+export function answerFailure (response: ServerResponse, failure: Failure, now: number): void {
+  const { headers, body } = renderFailure(failure, now)
+  response.writeHead(statusOf(failure), [...headers])
   response.end(body)
 }
+
+/** The bytes of an answer that is the last one on its connection. */
+export function renderLastAnswer (failure: Failure, now: number): Buffer {
+  const status = statusOf(failure)
+  const { headers, body } = renderFailure(failure, now)
+  const lines = headers.map((text, index) => index % 2 === 0 ? `${text}: ` : `${text}\r\n`).join('')
+  return Buffer.concat([Buffer.from(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n${lines}Connection: close\r\n\r\n`), body])
+}
--- a/packages/foxtaillever-relay/src/callers/callerConnections.ts
+++ b/packages/foxtaillever-relay/src/callers/callerConnections.ts
@@ -1,8 +1,8 @@
 /**
- * Callers' connections: turns new ones away while the instance falls behind, and closes
- * them all at a shutdown, each after its last answer is written out. node:http closes
- * only connections that have had a request, leaves open one whose answer began before
- * the shutdown, and destroys one whose answer has ended but waits for a slow caller.
+ * Callers' connections, all closed at a shutdown, each after its last answer is written
+ * out. node:http closes only connections that have had a request, leaves open one whose
+ * answer began before the shutdown, and destroys one whose answer has ended but waits for
+ * a slow caller.
  */
 import type { Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -18,18 +18,13 @@
 export class CallerConnections {
   /** Answers of each connection that are not written out: the operating system has not accepted their last byte. */
   private readonly unsentOf = new Map<Socket, Set<PendingAnswer>>()
-  /** Connections whose first request is not read yet. */
-  private readonly unread = new Set<Socket>()
   private isClosing = false
 
-  private constructor (private readonly isKept: (unread: number) => boolean, private readonly onUnsent: (answer: PendingAnswer) => void) {}
+  private constructor (private readonly onUnsent: (answer: PendingAnswer) => void) {}
 
-  /**
-   * @param isKept decides on a new connection, given how many others have no request read yet.
-   * @param onUnsent called when a connection ended before its complete answer was written out.
-   */
-  static create (server: Server, isKept: (unread: number) => boolean, onUnsent: (answer: PendingAnswer) => void = () => {}): CallerConnections {
-    const connections = new CallerConnections(isKept, onUnsent)
+  /** @param onUnsent called when a connection ended before its complete answer was written out. */
+  static create (server: Server, onUnsent: (answer: PendingAnswer) => void = () => {}): CallerConnections {
+    const connections = new CallerConnections(onUnsent)
     server.on('connection', socket => connections.addConnection(socket))
     return connections
   }
@@ -48,7 +43,6 @@
   /** Keeps the connection of a request open until its answer is written out. */
   trackRequest (socket: Socket, response: ServerResponse): PendingAnswer {
     const answer = PendingAnswer.create(response)
-    this.unread.delete(socket)
     this.unsentOf.get(socket)?.add(answer)
     // Emitted after the last byte was handed to the operating system, or when the connection ended.
     response.once('close', () => this.handleAnswerClosed(socket, answer))
@@ -70,17 +64,8 @@
   }
 
   private addConnection (socket: Socket): void {
-    if (!this.isKept(this.unread.size)) {
-      // Nothing is read, so its request may go to another instance.
-      socket.destroy()
-      return
-    }
     this.unsentOf.set(socket, new Set())
-    this.unread.add(socket)
-    socket.once('close', () => {
-      this.unsentOf.delete(socket)
-      this.unread.delete(socket)
-    })
+    socket.once('close', () => this.unsentOf.delete(socket))
   }
 
   private handleAnswerClosed (socket: Socket, answer: PendingAnswer): void {
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -4,7 +4,6 @@
  * exchange on.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Server as NetServer, type AddressInfo } from 'node:net'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
@@ -19,6 +18,7 @@
 import { CallerConnections, type UnsentAnswers } from './callerConnections.js'
 import { ConnectionAdmission } from './connectionAdmission.js'
 import type { PendingAnswer } from './pendingAnswer.js'
+import type { RefusalBounds } from './refuseConnections.js'
 
 /** How often node:http checks for requests whose head takes too long, milliseconds. */
 const HEADER_CHECK_MS = 1000
@@ -39,7 +39,7 @@
   /** The configuration in force; undefined until one is known. */
   readonly table: () => RouteTable | undefined
   readonly onExchange: (exchange: Exchange, answer: CallerAnswer) => void
-  /** Median delay of the other instances' event loops, milliseconds; undefined where none is known. */
+  /** Median delay of the other instances, milliseconds; undefined where none is known. */
   readonly othersDelayMs?: () => number | undefined
 }
 
@@ -59,8 +59,8 @@
 
   private constructor (private readonly options: CallerServerOptions) {
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
-    this.admission = ConnectionAdmission.create({ othersDelayMs: () => undefined, ...options, isListening: () => this.server.listening })
-    this.connections = CallerConnections.create(this.server, unread => this.admission.isKept(unread), answer => options.log.closedUnsent(answer, options.clock.now()))
+    this.connections = CallerConnections.create(this.server, answer => options.log.closedUnsent(answer, options.clock.now()))
+    this.admission = ConnectionAdmission.create({ othersDelayMs: () => undefined, ...options, server: this.server, refusalBounds: () => this.refusalBounds() })
     this.setLimits(defaultLimits)
   }
 
@@ -68,13 +68,9 @@
     return new CallerServer(options)
   }
 
+  /** Resolves with the port. */
   async listen (host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(port, host, resolve)
-    })
-    this.admission.start()
-    return (this.server.address() as AddressInfo).port
+    return await this.admission.listen(host, port)
   }
 
   /** By how much this instance is late, milliseconds. */
@@ -113,17 +109,22 @@
 
   /** Ends the measurement of the event loop too. */
   close (): void {
-    this.admission.stop()
+    this.admission.stopMeasuring()
     this.stopListening()
   }
 
   /** Accepts no new connections, and closes those without a request. */
   stopListening (): void {
-    // Not the close of node:http, which destroys connections whose answer has ended but is not written out.
-    NetServer.prototype.close.call(this.server)
+    this.admission.stopListening()
     this.connections.close()
   }
 
+  private refusalBounds (): RefusalBounds {
+    const { headerBytes, bodyBytes, headerTimeoutMs } = this.limits
+    const { clock } = this.options
+    return { clock, maxBytes: headerBytes + bodyBytes, deadline: clock.now() + headerTimeoutMs }
+  }
+
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
     const pending = this.connections.trackRequest(request.socket, response)
     if (this.isKeepAliveEnded) {
--- a/packages/foxtaillever-relay/src/callers/eventLoopMonitor.ts
+++ b/packages/foxtaillever-relay/src/callers/eventLoopMonitor.ts
@@ -1,7 +1,8 @@
 /** Measures by how much the event loop is late. */
 import type { Cancellation, Clock } from 'foxtaillever-core'
 
-const INTERVAL_MS = 50
+/** Between two measurements, milliseconds. A loop that is blocked for longer is late by the rest. */
+export const INTERVAL_MS = 50
 
 export class EventLoopMonitor {
   private cancel: Cancellation = () => {}
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -46,9 +46,9 @@
   }
 
   /** @param longestWaitMs longest time that the connection may have waited before this process looked at it. */
-  connectionTurnedAway (longestWaitMs: number, delayMs: number): void {
-    this.metrics.count('connections_turned_away_total')
-    this.logs.write('info', Part.Callers, 'Closed a new connection unread.', { longestWaitMs: Math.round(longestWaitMs), delayMs: Math.round(delayMs) })
+  connectionTurnedAway (outcome: 'closed' | 'refused', longestWaitMs: number, delayMs: number): void {
+    this.metrics.count('connections_turned_away_total', { outcome })
+    this.logs.write('info', Part.Callers, 'Turned a new connection away.', { outcome, longestWaitMs: Math.round(longestWaitMs), delayMs: Math.round(delayMs) })
   }
 
   /** A connection ended, by its caller or by this process, before the caller had the complete answer. */
