--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -4,7 +4,7 @@
  * exchange on.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
@@ -15,11 +15,11 @@
 import { boundBody, drainBody, hasBody, type BodyExcess } from '../servers/byteBounds.js'
 import { ByteCollector } from '../servers/byteCollector.js'
 import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
-import { ConnectionLimit } from 'foxtaillever-policy/relay/connectionLimit'
 import { answerFailure, renderUnreadable } from './answerFailure.js'
 import { CallerConnections, type UnsentAnswers } from './callerConnections.js'
-import { EventLoopMonitor } from './eventLoopMonitor.js'
+import { ConnectionAdmission } from './connectionAdmission.js'
 import type { PendingAnswer } from './pendingAnswer.js'
+import type { RefusalBounds } from './refuseConnections.js'
 
 /** How often node:http checks for requests whose head takes too long, milliseconds. */
 const HEADER_CHECK_MS = 1000
@@ -40,7 +40,7 @@
   /** The configuration in force; undefined until one is known. */
   readonly table: () => RouteTable | undefined
   readonly onExchange: (exchange: Exchange, answer: CallerAnswer) => void
-  /** Median delay of the other instances' event loops, milliseconds; undefined where none is known. */
+  /** Median delay of the other instances, milliseconds; undefined where none is known. */
   readonly othersDelayMs?: () => number | undefined
 }
 
@@ -54,15 +54,14 @@
 export class CallerServer {
   private readonly server: Server
   private readonly connections: CallerConnections
-  private readonly connectionLimit = ConnectionLimit.create()
-  private readonly eventLoop: EventLoopMonitor
+  private readonly admission: ConnectionAdmission
   private limits = defaultLimits
   private isKeepAliveEnded = false
 
   private constructor (private readonly options: CallerServerOptions) {
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
-    this.connections = CallerConnections.create(this.server, unread => this.isKept(unread), answer => options.log.closedUnsent(answer, options.clock.now()))
-    this.eventLoop = EventLoopMonitor.create(options.clock, delayMs => this.observeDelay(delayMs))
+    this.connections = CallerConnections.create(this.server, answer => options.log.closedUnsent(answer, options.clock.now()))
+    this.admission = ConnectionAdmission.create({ othersDelayMs: () => undefined, ...options, server: this.server, refusalBounds: () => this.refusalBounds() })
     this.server.on('clientError', (error, socket) => this.handleUnreadable(error, socket as Socket))
     this.setLimits(defaultLimits)
   }
@@ -71,18 +70,14 @@
     return new CallerServer(options)
   }
 
+  /** Resolves with the port. */
   async listen (host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(port, host, resolve)
-    })
-    this.eventLoop.start()
-    return (this.server.address() as AddressInfo).port
+    return await this.admission.listen(host, port)
   }
 
-  /** By how much the event loop is late, milliseconds. */
+  /** By how much this instance is late, milliseconds. */
   get delayMs (): number {
-    return this.connectionLimit.delay
+    return this.admission.delayMs
   }
 
   /** Answers that are not written out to their callers. */
@@ -92,7 +87,7 @@
 
   /** By how much the event loop was late at most since the last call, milliseconds. */
   takeLargestDelay (): number {
-    return this.eventLoop.takeLargest()
+    return this.admission.takeLargestDelay()
   }
 
   /** Logs the complete answers that are not written out, since the process ends. */
@@ -116,36 +111,20 @@
 
   /** Ends the measurement of the event loop too. */
   close (): void {
-    this.eventLoop.stop()
+    this.admission.stopMeasuring()
     this.stopListening()
   }
 
   /** Accepts no new connections, and closes those without a request. */
   stopListening (): void {
-    // Not the close of node:http, which destroys connections whose answer has ended but is not written out.
-    NetServer.prototype.close.call(this.server)
+    this.admission.stopListening()
     this.connections.close()
   }
 
-  private observeDelay (delayMs: number): void {
-    if (!this.server.listening) {
-      return
-    }
-    const { clock, log, othersDelayMs = () => undefined } = this.options
-    const wasActive = this.connectionLimit.isActive
-    const others = othersDelayMs()
-    this.connectionLimit.observe(delayMs, others, clock.now())
-    if (this.connectionLimit.isActive !== wasActive) {
-      log.belief(wasActive ? 'New connections are no longer limited.' : 'Closes some new connections unread, since this instance falls behind and others do not.', { delayMs: Math.round(this.delayMs), othersDelayMs: others })
-    }
-  }
-
-  private isKept (unread: number): boolean {
-    const isKept = this.connectionLimit.admit(unread, this.options.clock.now())
-    if (!isKept) {
-      this.options.log.connectionTurnedAway()
-    }
-    return isKept
+  private refusalBounds (): RefusalBounds {
+    const { headerBytes, bodyBytes, headerTimeoutMs } = this.limits
+    const { clock } = this.options
+    return { clock, maxBytes: headerBytes + bodyBytes, deadline: clock.now() + headerTimeoutMs }
   }
 
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -46,9 +46,10 @@
     this.logs.writeFailure(Part.Callers, 'Refused a request.', { request: head.id, code, verdict, reason: message, host: head.host, path: head.path, ...this.describeState() })
   }
 
-  /** Only counted: a crowd of connections would fill the log. */
-  connectionTurnedAway (): void {
-    this.metrics.count('connections_turned_away_total')
+  /** @param longestWaitMs longest time that the connection may have waited before this process looked at it. */
+  connectionTurnedAway (outcome: 'closed' | 'refused', longestWaitMs: number, delayMs: number): void {
+    this.metrics.count('connections_turned_away_total', { outcome })
+    this.logs.write('info', Part.Callers, 'Turned a new connection away.', { outcome, longestWaitMs: Math.round(longestWaitMs), delayMs: Math.round(delayMs) })
   }
 
   /** A request arrived on a connection that closes after an earlier answer, which says so. */
