Read what has arrived before a shutdown stops listening

Callers whose whole request had arrived at an instance that was late at that moment of its shutdown got a reset: 60 of 60 requests (40 new connections, 20 kept ones) sent while the process stood still from 2.3 to 2.9 s after its SIGTERM, 557 to 567 ms after their last byte; 49 of 1,201 with instances held to a third of a core and a SIGTERM to each in turn. None had run, and no line named them.

Cause: listening ended from a timer. The operating system resets the connections that wait to be accepted, of which a turn of the event loop takes one, and connections whose request was not read yet counted as idle.

The shutdown now accepts what waits, until a turn finds nothing or a full queue was accepted twice, reads it, and only then closes. Such a request is served, or refused as not run if the instance limits new connections.

unansweredRequests, 'an instance that stands still while its shutdown stops listening': failed before, passes now (42 requests, all with an answer or a refusal).

--- a/packages/foxtaillever-relay/src/__tests__/waitForRequests.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/waitForRequests.test.ts
@@ -12,7 +12,7 @@
   const startedAt = clock.now()
   let stoppedListeningMs = Infinity
   let endedMs = Infinity
-  const shutdown = waitForRequests({ clock, graceMs, stopListening: () => { stoppedListeningMs = clock.now() - startedAt }, unanswered: () => unanswered })
+  const shutdown = waitForRequests({ clock, graceMs, stopListening: async () => { stoppedListeningMs = clock.now() - startedAt }, unanswered: () => unanswered })
     .then(() => { endedMs = clock.now() - startedAt })
   await clock.advanceBy(graceMs * 2)
   await shutdown
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -112,11 +112,16 @@
   /** Ends the measurement of the event loop too. */
   close (): void {
     this.admission.stopMeasuring()
-    this.stopListening()
+    this.closeConnections()
   }
 
-  /** Accepts no new connections, and closes those without a request. */
-  stopListening (): void {
+  /** Reads what has arrived, then accepts no new connections, and closes those without a request. */
+  async stopListening (): Promise<void> {
+    await this.admission.drain()
+    this.closeConnections()
+  }
+
+  private closeConnections (): void {
     this.admission.stopListening()
     this.connections.close()
   }
--- a/packages/foxtaillever-relay/src/callers/connectionAdmission.ts
+++ b/packages/foxtaillever-relay/src/callers/connectionAdmission.ts
@@ -41,6 +41,9 @@
   private kept: Socket[] = []
   /** Accepted connections that will be refused. */
   private excess: Socket[] = []
+  private onDrained: (() => void) | undefined
+  /** Connections that were accepted since the queue is being drained. */
+  private drained = 0
 
   private constructor (private readonly options: ConnectionAdmissionOptions) {
     const { clock, log, server } = options
@@ -70,6 +73,21 @@
     this.listeningSocket.close()
   }
 
+  /**
+   * Accepts the connections that have arrived, and resolves when their first bytes are read. Closing
+   * the listening socket before would reset them, however long they have waited while the process was late.
+   */
+  async drain (): Promise<void> {
+    if (this.listeningSocket.isOpen) {
+      this.drained = 0
+      await new Promise<void>(resolve => {
+        this.onDrained = resolve
+        this.queue.check()
+      })
+      await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+
   stopMeasuring (): void {
     this.eventLoop.stop()
   }
@@ -86,6 +104,10 @@
 
   private handleConnection (socket: Socket): void {
     this.queue.noteAccepted()
+    this.drained += 1
+    if (this.drained >= MAX_COLLECTED) {
+      this.onDrained?.()
+    }
     if (!this.limit.isActive) {
       this.serve(socket)
       return
@@ -120,6 +142,7 @@
       this.queue.check()
     } else {
       this.handleCollected()
+      this.onDrained?.()
       if (this.listeningSocket.resume()) {
         this.queue.noteOpened()
       }
--- a/packages/foxtaillever-relay/src/waitForRequests.ts
+++ b/packages/foxtaillever-relay/src/waitForRequests.ts
@@ -14,7 +14,8 @@
   readonly clock: Clock
   /** Time until the process is killed, milliseconds. */
   readonly graceMs: number
-  readonly stopListening: () => void
+  /** Resolves when the requests that have arrived are read. */
+  readonly stopListening: () => Promise<void>
   /** Number of requests in flight, and of answers that are not written out. */
   readonly unanswered: () => number
 }
@@ -23,7 +24,7 @@
 export async function waitForRequests ({ clock, graceMs, stopListening, unanswered }: ClosingInstance): Promise<void> {
   const until = clock.now() + graceMs * (1 - GRACE_RESERVE_SHARE)
   await waitUntil(clock, Math.min(until, clock.now() + STOP_LISTENING_MS))
-  stopListening()
+  await stopListening()
   while (unanswered() > 0 && clock.now() < until) {
     await waitUntil(clock, Math.min(until, clock.now() + SHUTDOWN_POLL_MS))
   }
