Send a request to no more servers than its route allows after a cancelled replacement

A request with two attempts reached three servers: its server was silent, the second one got it and was cancelled because the first went on, the first was lost, and a third one was chosen. A cancelled attempt deliberately uses up no attempt, so that the request can still go on at the second server; nothing kept it from another one.

Once as many servers as the route allows may have run the request, only these are chosen, less those at which it failed. If none of them takes it, the request ends as it does when its attempts are used up.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -189,11 +189,11 @@
       onUnreachable: ({ listed }) => { this.unreachable.push(listed.id) },
       onRejected: () => {},
       queryLoad: () => this.queryLoad(),
-      selectServer: (_, { failed }) => {
+      selectServer: (_, { failed, onlyServers }) => {
         this.choices += 1
-        return this.directory.ready('s').find(server => !failed.has(server.listed.id) && availableFrom(server) <= clock.now())
+        return this.directory.ready('s').find(server => !failed.has(server.listed.id) && onlyServers?.has(server.listed.id) !== false && availableFrom(server) <= clock.now())
       },
-      isSuitable: (_, { failed }, server) => !failed.has(server.listed.id) && this.directory.ready('s').includes(server),
+      isSuitable: (_, { failed, onlyServers }, server) => !failed.has(server.listed.id) && onlyServers?.has(server.listed.id) !== false && this.directory.ready('s').includes(server),
       earliestRetryAt: (service, softwareVersion) => retrySchedules.nextRetryAt(service, softwareVersion),
       onMisdirected: () => {}
     }
--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -59,6 +59,8 @@
   private readonly silentAt = new Set<string>()
   /** Ways to servers that may have run the request until this instance cancelled it. */
   private readonly cancelledAt = new Set<string>()
+  /** Ids of all servers that may have run the request. */
+  private readonly reachedServers = new Set<string>()
   /** Attempts that were rejected by a server. */
   private rejections = 0
   /** Attempts that did not arrive at a server. */
@@ -73,6 +75,11 @@
     return new AttemptLedger(exchange)
   }
 
+  /** Servers that may have run the request already, if no other one may run it; undefined for any. */
+  get onlyServers (): ReadonlySet<string> | undefined {
+    return new Set([...this.possiblyRanAt, ...this.cancelledAt]).size < this.exchange.route.mostAttempts ? undefined : this.reachedServers
+  }
+
   /** Whether one more server may run the request, besides the one at which an attempt is in flight. */
   hasAttemptsBeside ({ serverId, forwarder }: AttemptPlace): boolean {
     return new Set([...this.possiblyRanAt, ...this.cancelledAt, wayTo(serverId, forwarder)]).size < this.exchange.route.mostAttempts
@@ -129,6 +136,7 @@
     if (mayHaveRun) {
       const ways = kind === AttemptFailureKind.Silent ? this.silentAt : this.ranAt
       ways.add(way)
+      this.reachedServers.add(server)
       this.lastRanCode = code
       this.hasRun ||= hasAnswerBegun || verdict === Verdict.Ran
     }
@@ -149,6 +157,7 @@
   recordInterruption ({ serverId, forwarder }: AttemptPlace, mayHaveArrived: boolean): void {
     if (mayHaveArrived) {
       this.cancelledAt.add(wayTo(serverId, forwarder))
+      this.reachedServers.add(serverId)
     }
   }
 
--- a/packages/foxtaillever-relay/src/servers/serverSelector.ts
+++ b/packages/foxtaillever-relay/src/servers/serverSelector.ts
@@ -56,6 +56,8 @@
   readonly failed: ReadonlySet<string>
   /** Ids of servers at which an attempt may have failed; they get the exchange again only if no other server can take it. */
   readonly doubtful?: ReadonlySet<string>
+  /** Ids of the servers that may get the exchange; undefined for any. */
+  readonly onlyServers?: ReadonlySet<string> | undefined
   /** One of these servers had other weights than expected. */
   readonly wasMisdirected: boolean
   /** Software version of the servers that may get the exchange; undefined for any. */
@@ -136,8 +138,9 @@
     return this.options.directory.getByHash(server.hash) === server && this.canRun(exchange, earlier, server)
   }
 
-  private canRun (exchange: Exchange, { failed, softwareVersion }: EarlierAttempts, server: KnownServer): boolean {
-    return !failed.has(server.listed.id) && hasSoftware(server, softwareVersion) && this.options.isUsable(server) && this.hasAllowedWeights(server, exchange)
+  private canRun (exchange: Exchange, { failed, onlyServers, softwareVersion }: EarlierAttempts, server: KnownServer): boolean {
+    const { id } = server.listed
+    return !failed.has(id) && onlyServers?.has(id) !== false && hasSoftware(server, softwareVersion) && this.options.isUsable(server) && this.hasAllowedWeights(server, exchange)
   }
 
   /** The servers that can take the next attempt. */
