--- a/packages/foxtaillever-relay/src/__fixtures__/stepwiseAnswers.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/stepwiseAnswers.ts
@@ -12,6 +12,9 @@
 /** Longer than the wait for the first byte of an answer, and shorter than twice that wait, milliseconds. */
 const FIRST_SILENCE_MS = 300
 
+/** Longest wait for a request that is to arrive, milliseconds. */
+const MAX_WAIT_MS = 1000
+
 /** Longer than the deadline of the request, milliseconds. */
 const PAST_DEADLINE_MS = 12_000
 
@@ -56,6 +59,12 @@
 
 const MODEL = 'm'
 
+/** Isolates an account, and withdraws requests that wait with the former cache salt. */
+export function isolateAccount (rig: RelayRig): void {
+  rig.routing = { ...rig.routing, cacheIsolation: CacheIsolation.create([{ name: 'a', apiKeys: [], priority: undefined, isIsolated: true, quota: undefined }]) }
+  rig.runs.checkCacheSalts()
+}
+
 /** Plays the steps, then lets the deadline pass if there is no answer yet. */
 export async function playAnswers (route: Partial<Route>, servers: number, steps: readonly Step[]): Promise<AnswerEnd> {
   const rig = await RelayRig.start({ repeatability: Repeatability.Idempotent, ...route }, ...Array.from({ length: servers }, () => () => {}))
@@ -64,10 +73,13 @@
   const answer = rig.sendRequest('a', '', [`model: ${MODEL}`])
   const queries: Array<() => void> = []
   const write = async (index: number, bytesOf: (whole: string) => string, ...shape: string[]): Promise<void> => {
-    await Promise.race([rig.servers[index]?.arrived(1), wait(PAST_DEADLINE_MS / 10)])
-    const arrival = rig.servers[index]?.arrivals.at(-1)
-    if (arrival) {
-      arrival.socket.write(bytesOf(wholeAnswer(arrival, `server${index}`, ...shape)))
+    for (let ms = 0; ms < MAX_WAIT_MS; ms += 1) {
+      const arrival = rig.servers[index]?.arrivals.findLast(({ socket }) => !socket.destroyed)
+      if (arrival) {
+        arrival.socket.write(bytesOf(wholeAnswer(arrival, `server${index}`, ...shape)))
+        return
+      }
+      await wait(1)
     }
   }
   const acts: Readonly<Record<AnswerStep, (server: number) => Promise<void> | void>> = {
@@ -90,10 +102,7 @@
         blocked.limitedUntil = rig.clock.now() + BLOCKED_MS
       }
     },
-    [AnswerStep.Isolate]: () => {
-      rig.routing = { ...rig.routing, cacheIsolation: CacheIsolation.create([{ name: 'a', apiKeys: [], priority: undefined, isIsolated: true, quota: undefined }]) }
-      rig.runs.checkCacheSalts()
-    }
+    [AnswerStep.Isolate]: () => isolateAccount(rig)
   }
   await rig.servers[0]?.arrived(1)
   for (const [step, server = 0] of steps) {
--- a/packages/foxtaillever-relay/src/exchange/__tests__/uncertainAttempts.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/uncertainAttempts.test.ts
@@ -1,6 +1,9 @@
 /** How requests end after an attempt whose outcome is uncertain for a while. */
 import { describe, it } from 'foxtaillever-testing'
-import { AnswerStep, playAnswers, type Step } from '../../__fixtures__/stepwiseAnswers.js'
+import { RelayRig } from '../../__fixtures__/relayRig.js'
+import { wholeAnswer } from '../../__fixtures__/scriptedServer.js'
+import { AnswerStep, isolateAccount, playAnswers, type Step } from '../../__fixtures__/stepwiseAnswers.js'
+import { Repeatability } from '../../model/routing.js'
 
 const { Silence, FirstSilence, Half, Byte, Whole, Rest, Refuse, Lose, HoldChoice, Choose, Block, Isolate } = AnswerStep
 
@@ -98,4 +101,20 @@
     const end = await playAnswers({ mostAttempts: 2 }, 1, [[Block], [Isolate], [Half], [Rest]])
     t.deepEqual(end, { status: 200, body: 'server0', arrivals: '1', outstanding: '0' })
   })
+
+  // Guards against a server that is passed over because the request was withdrawn while it connected there.
+  it('is sent to its only server if it was withdrawn before it was sent', async t => {
+    const rig = await RelayRig.start({ repeatability: Repeatability.Idempotent }, arrival => arrival.socket.write(wholeAnswer(arrival, 'ok')))
+    rig.directory.get('s0')?.weights.set('m', 1)
+    let isFirst = true
+    rig.onLoadChanged = () => {
+      if (isFirst) {
+        isFirst = false
+        queueMicrotask(() => isolateAccount(rig))
+      }
+    }
+    const text = await rig.sendRequest('a', '', ['model: m'])
+    rig.stop()
+    t.regex(text, /^HTTP\/1.1 200 /)
+  })
 })
