Send a request that was withdrawn while it connected to the same server again

A request whose attempt was ended by this instance before anything was sent got 503 where its server was the only one: the attempt counted as a failure of the server, which was not chosen again. An attempt that this instance holds back now says nothing about its server.

Relay's exchange tests and those at its root: 215 pass.

--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -117,7 +117,8 @@
     const way = wayTo(server, forwarder)
     const mayHaveRun = verdict !== Verdict.NotRun
     this.lastAttempt = kind
-    const isWithdrawn = kind === AttemptFailureKind.Withdrawn
+    // Ended by this instance, which says nothing about the server.
+    const isWithdrawn = kind === AttemptFailureKind.Withdrawn || (kind === AttemptFailureKind.HeldBack && isReported !== true)
     if (forwarder !== undefined && !isWithdrawn && (isReported !== true || !isArrival)) {
       this.triedForwarders.add(forwarder)
     }
