Read what has arrived before a silent server is given up for a replacement's head

An instance that had stood still for some hundred milliseconds gave up the first server 300 ms after the head of the replacement, although the answer of the first one had arrived and was not read yet. The timer now runs after the sockets were read, as those of deadlines and silences do.

--- a/packages/foxtaillever-relay/src/exchange/replacements.ts
+++ b/packages/foxtaillever-relay/src/exchange/replacements.ts
@@ -3,6 +3,7 @@
  * two goes on. The silent attempt stays open until then, because its server may be the
  * only one that can finish the answer.
  */
+import { atAfterReading } from 'foxtaillever-core'
 import { AttemptFailureKind, type AttemptFailure } from '../attempts/attemptFailure.js'
 import type { Exchange } from '../model/exchange.js'
 import type { AnswerHead } from '../attempts/attempt.js'
@@ -73,7 +74,7 @@
   beginHolding (replacement: InFlightAttempt, head: AnswerHead): void {
     const { context: { clock }, attempts, relay } = this.options
     this.preview = ReplacementPreview.create(this.heldKindOf(head), relay.lastEventId)
-    clock.at(clock.now() + MAX_OVERLAP_MS, () => {
+    atAfterReading(clock, clock.now() + MAX_OVERLAP_MS, () => {
       if (attempts.isReplacement(replacement)) {
         this.goOnWith(replacement)
       }
