Open some connections before their request in the play of a late instance

The limit of unread connections counts those whose request has not been read, and node accepts one connection in each turn of its event loop, so that hardly any are unread if all requests arrive at once.

One in four callers now opens its connection 600 ms before it sends, as load balancers do.

--- a/packages/foxtaillever-proof/src/platformSoak/newConnections.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/newConnections.ts
@@ -7,6 +7,10 @@
 /** A request arrives one round trip after its connection is accepted, milliseconds. */
 const ROUND_TRIP_MS = 40
 
+/** One in so many callers opens its connection this long before it sends, as load balancers do, milliseconds. */
+const EARLY_INTERVAL = 4
+const EARLY_MS = 600
+
 const TIMEOUT_MS = 5000
 
 /** Callers leave a connection that stays without an answer after this time, milliseconds. */
@@ -30,12 +34,24 @@
   for (let count = 0; clock.now() < until; count += 1) {
     await waitUntil(clock, beganAt + count * 1000 / perSecond)
     const instance = count % addresses.length
-    pending.push(send(clock, addresses[instance] ?? '', instance, `${name}-${count}`, path))
+    const sendsAfterMs = Math.floor(count / addresses.length) % EARLY_INTERVAL === 0 ? EARLY_MS : ROUND_TRIP_MS
+    pending.push(send({ clock, address: addresses[instance] ?? '', instance, id: `${name}-${count}`, path, sendsAfterMs }))
   }
   return await Promise.all(pending)
 }
 
-async function send (clock: Clock, address: string, instance: number, id: string, path: string): Promise<TimedRequest> {
+interface NewConnection {
+  readonly clock: Clock
+  readonly address: string
+  /** Index of the instance. */
+  readonly instance: number
+  readonly id: string
+  readonly path: string
+  /** From the connection to the request, milliseconds. */
+  readonly sendsAfterMs: number
+}
+
+async function send ({ clock, address, instance, id, path, sendsAfterMs }: NewConnection): Promise<TimedRequest> {
   const [host, port] = address.split(':')
   const sentAt = clock.now()
   const socket = connect(Number(port), host)
@@ -45,7 +61,7 @@
   let isEnded = false
   return await new Promise(resolve => {
     socket.once('connect', () => {
-      clock.at(clock.now() + ROUND_TRIP_MS, () => socket.write(text, error => { lastByteAt = error ? Infinity : Date.now() }))
+      clock.at(clock.now() + sendsAfterMs, () => socket.write(text, error => { lastByteAt = error ? Infinity : Date.now() }))
     })
     socket.on('data', bytes => { answer += String(bytes) })
     socket.on('end', () => { isEnded = true })
