--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -242,6 +242,11 @@
     return await readAll(socket)
   }
 
+  /** Reads what has arrived, then accepts no new connections, and closes those without a request. */
+  async stopListening (): Promise<void> {
+    await this.callers.stopListening()
+  }
+
   stop (): void {
     this.callers.close()
     this.servers.forEach(server => server.stop())
