--- a/packages/foxtaillever-relay/src/exchange/__tests__/uncertainAttempts.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/uncertainAttempts.test.ts
@@ -60,6 +60,14 @@
   })
 })
 
+describe('a request with three attempts whose third server refuses it', () => {
+  // Guards against giving up the second server for a third one that does not take the request.
+  it('gets the answer of the second one if the first one is lost', async t => {
+    const { status, body } = await playAnswers({ mostAttempts: 3 }, 3, [[FirstSilence], [FirstSilence], [Refuse, 2], [Lose], [Whole, 1]])
+    t.deepEqual({ status, body }, { status: 200, body: 'server1' })
+  })
+})
+
 describe('a request with three attempts for which a third server is chosen', () => {
   const chooses: Step[] = [[FirstSilence], [HoldChoice], [FirstSilence]]
   const scenarios: ReadonlyArray<{ readonly steps: Step[], readonly body: string, readonly arrivals: string }> = [
@@ -102,6 +110,12 @@
     t.deepEqual(end, { status: 200, body: 'server0', arrivals: '1', outstanding: '0' })
   })
 
+  // Guards against a request that is withdrawn and then refused, so that it may have run and gets no answer.
+  it('gets an answer or a truthful refusal if its server refuses it after the withdrawal', async t => {
+    const { status } = await playAnswers({ mostAttempts: 2 }, 1, [[Isolate], [Refuse]])
+    t.not(status, 502)
+  })
+
   // Guards against a server that is passed over because the request was withdrawn while it connected there.
   it('is sent to its only server if it was withdrawn before it was sent', async t => {
     const rig = await RelayRig.start({ repeatability: Repeatability.Idempotent }, arrival => arrival.socket.write(wholeAnswer(arrival, 'ok')))
--- a/packages/foxtaillever-relay/src/servers/__tests__/serverSelector.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/serverSelector.test.ts
@@ -10,7 +10,7 @@
 const SLOTS = 48
 
 /** Whether the only engine is chosen with this many outstanding requests, this long after newer weights were named. */
-function isChosen (outstanding: number, outdatedMs: number): boolean {
+function isChosen (outstanding: number, outdatedMs: number, onlyServers?: ReadonlySet<string>): boolean {
   const clock = VirtualClock.create()
   const directory = ServerDirectory.create({ onChanged: () => {} })
   directory.applyEntry({ id: 'e', startedAt: 0, service: 'engines', address: '127.0.0.1:1', failureDomain: 'a', slots: SLOTS, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map([['model', 1]]) }, 0)
@@ -20,7 +20,7 @@
   }
   const weights = { outdatedSince: () => clock.now() - outdatedMs }
   const selector = ServerSelector.create({ clock, random: SeededRandom.create(1), failureDomain: 'a', directory, fleetLoad: FleetLoad.create(clock), estimateLevelFetch: () => ({ fetchMs: 0, waitMs: 0, missingTokens: () => 0 }), stores: () => [], weights, weightsBoundMs: BOUND_MS, pauseObjectiveMsOf: () => undefined, isUsable: () => true })
-  return selector.selectServer(createExchange(clock.now()), { failed: new Set(), wasMisdirected: false }) !== undefined
+  return selector.selectServer(createExchange(clock.now()), { failed: new Set(), onlyServers, wasMisdirected: false }) !== undefined
 }
 
 /** The engine chosen among twenty: the queried ones have the given numbers of tokens to process, and nothing is known of the others. */
@@ -101,3 +101,11 @@
     t.false(isChosen(SLOTS, 6000))
   })
 })
+
+describe('ServerSelector for a request that may run at no further server', () => {
+  // Guards against more servers than the route allows.
+  it('takes only servers that may have run it', t => {
+    t.true(isChosen(10, 0, new Set(['e'])))
+    t.false(isChosen(10, 0, new Set(['other'])))
+  })
+})
