Notice that a caller has left after bytes that are no request

Since pending answers are kept when a connection sends what is no request, a caller that left after such bytes, or in the middle of the next request, went unnoticed: its server would have worked on. At the end of the caller's side node:http reports what is incomplete as an unreadable request too; the connection is then closed as before.

--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -153,10 +153,11 @@
 
   /** What arrives is no request, or no whole one in time. Answers to requests before it are still sent. */
   private handleUnreadable (error: NodeJS.ErrnoException, socket: Socket): void {
-    if (socket.destroyed || this.connections.endAfterPending(socket)) {
+    // A caller that has left in the middle of a request gets no answer.
+    if (socket.destroyed || (!socket.readableEnded && this.connections.endAfterPending(socket))) {
       return
     }
-    if (socket.writable) {
+    if (socket.writable && !socket.readableEnded) {
       socket.write(renderUnreadable(error))
     }
     socket.destroy(error)
