Log and measure the age of the server list, the end of its reading, and entries with earlier starts

Now: listAgeMs in lines about failures and in the state, the server's state in failed attempts, the gauge foxtaillever_server_list_age_ms, a line when the reading of a topic ends by an error, and one when a later entry names an earlier start.

--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -82,6 +82,7 @@
     this.directory = ServerDirectory.create({
       now: () => clock.now(),
       onAnswer: (server, status, headers, sentAt) => this.statements.applyStatement(server, wire.readStatement(status, headers), sentAt),
+      onEarlierStart: ({ id, startedAt, state }, knownStart) => log.trouble('A later entry of a backend server names an earlier start.', { server: id, startedAt, knownStart, state }),
       onExcess: ({ listed }, excess) => log.bodyExceeded(ByteSource.Server, listed.id, excess),
       onChanged: (server, before) => {
         const { id, startedAt, service, softwareVersion, state } = server
--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -25,7 +25,7 @@
 export function recordAttemptFailure (context: ExchangeContext, exchange: Exchange, attempt: FailedAttempt | undefined, failure: AttemptFailure, answeredAt?: number): void {
   const { clock, log, directory } = context
   const { verdict } = meaningOf[failure.kind]
-  log.attemptFailed(exchange, attempt?.server.listed.id ?? '', failure, verdict, { serverAt: attempt?.server.heardAt ?? 0, anyServerAt: directory.heardAt, now: clock.now(), forwarder: attempt?.forwarder, answeredAt })
+  log.attemptFailed(exchange, attempt?.server.listed, failure, verdict, { serverAt: attempt?.server.heardAt ?? 0, anyServerAt: directory.heardAt, now: clock.now(), forwarder: attempt?.forwarder, answeredAt })
   if (!attempt) {
     return
   }
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/restoredStoreHerd.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/restoredStoreHerd.test.ts
@@ -78,7 +78,8 @@
         onCompleteRead: (_, end) => { if (eraOf(end) === 1) { knownAt.set(follower, clock.now()) } },
         onAdvanced: () => {},
         onUnreachable: () => {},
-        onRecovered: () => {}
+        onRecovered: () => {},
+        onError: () => {}
       })
       return follower
     }))
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/topicFollower.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/topicFollower.test.ts
@@ -70,7 +70,8 @@
       onCompleteRead: keys => keysOfCompleteReads.push([...keys]),
       onAdvanced: () => {},
       onUnreachable: () => {},
-      onRecovered: () => {}
+      onRecovered: () => {},
+      onError: () => {}
     })
   }
   rig.follower.start()
--- a/packages/foxtaillever-relay/src/knowledge/storeReplica.ts
+++ b/packages/foxtaillever-relay/src/knowledge/storeReplica.ts
@@ -14,7 +14,7 @@
 import { ReadingLog } from './readingLog.js'
 import { ReadPlans } from './readPlans.js'
 import { RecordRanking, RecordTable, type RecordUpdate } from './recordTable.js'
-import { eraOf } from './storePosition.js'
+import { eraOf, formatPosition } from './storePosition.js'
 import { SuspensionDetector } from './suspensionDetector.js'
 import { TopicFollower } from './topicFollower.js'
 
@@ -99,6 +99,11 @@
     return Math.max(this.era, this.options.log.era)
   }
 
+  /** Time as of which the servers' entries are known here, milliseconds of Unix time; -Infinity if they never were, 0 if they may be stale. */
+  get serversKnownAt (): number {
+    return this.freshness.freshAt
+  }
+
   /** Checks at once whether the store answers, after a call outside this class failed. */
   checkStore (): void {
     this.servers.follower.readNow()
@@ -171,7 +176,8 @@
       onRecovered: () => {
         relayLog.belief('The platform\'s store answers again.', { topic })
         topics.forEach(other => this.followed[other].follower.reschedule())
-      }
+      },
+      onError: error => relayLog.trouble('An unexpected error ended the reading of a topic of the platform\'s store.', { topic, position: formatPosition(table.position), reason: String(error) })
     })
     return { table, follower, announcedEnd: 0, isRecheckDue: false }
   }
--- a/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
+++ b/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
@@ -32,6 +32,8 @@
   readonly onAdvanced: (offset: number) => void
   readonly onUnreachable: (failure: Failure) => void
   readonly onRecovered: () => void
+  /** Called when an unexpected error has ended the reading of the topic. */
+  readonly onError: (error: unknown) => void
 }
 
 /** First pause after a call that failed, milliseconds; doubled with each further one. */
@@ -95,7 +97,7 @@
 
   start (): void {
     this.isRunning = true
-    this.run()
+    this.run().catch(this.options.onError)
   }
 
   stop (): void {
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -28,6 +28,8 @@
 export interface ServerDirectoryOptions {
   /** The state of a server has changed, or it is new. */
   readonly onChanged: (server: ListedServer, before: ServerState | undefined) => void
+  /** An entry with a later offset than the known one names an earlier start. */
+  readonly onEarlierStart?: (listed: ListedServer, knownStart: number) => void
   /** A server has answered a request of any kind; `sentAt` is a time of `now`. */
   readonly onAnswer?: (server: KnownServer, status: number, headers: IncomingHttpHeaders, sentAt: number) => void
   /** A body of a server exceeded its bound, and its connection was closed. */
@@ -91,7 +93,12 @@
   /** Applies an entry; one that is older than the known entry changes nothing. */
   applyEntry (listed: ListedServer, offset: number): void {
     // The last record of one incarnation may come after the first record of the next.
-    if (!this.isNewer(listed.id, offset) || listed.startedAt < this.newestStartOf(listed.id)) {
+    if (!this.isNewer(listed.id, offset)) {
+      return
+    }
+    const knownStart = this.newestStartOf(listed.id)
+    if (listed.startedAt < knownStart) {
+      this.options.onEarlierStart?.(listed, knownStart)
       return
     }
     const known = this.incarnationOf(listed)
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -92,11 +92,14 @@
     this.logs.write('info', Part.Requests, 'Goes on with a stream.', { request, resumes: resumedId, server, softwareVersion, lastEventId })
   }
 
-  /** @param heard tells a server that is down from links of this instance that are down. */
-  attemptFailed (exchange: Exchange, server: string, { kind, detail, isOnReusedConnection, sentForMs }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now, forwarder, answeredAt }: LastHeard): void {
+  /**
+   * @param server undefined if none was chosen.
+   * @param heard tells a server that is down from links of this instance that are down.
+   */
+  attemptFailed (exchange: Exchange, server: ListedServer | undefined, { kind, detail, isOnReusedConnection, sentForMs }: AttemptFailure, verdict: Verdict, { serverAt, anyServerAt, now, forwarder, answeredAt }: LastHeard): void {
     this.metrics.count('tries_failed_total', { kind })
     this.logs.writeFailure(Part.Requests, 'A try failed.', {
-      request: exchange.id, account: exchange.account?.name, sharedLevels: sharedLevelsOf(exchange).map(({ id }) => id).join(' ') || undefined, server, kind, detail, verdict, forwarder, answeringMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt), connection: isOnReusedConnection === true ? 'kept' : undefined, sentForMs: sentForMs === undefined ? undefined : Number(sentForMs.toFixed(1)), heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now)
+      request: exchange.id, account: exchange.account?.name, sharedLevels: sharedLevelsOf(exchange).map(({ id }) => id).join(' ') || undefined, server: server?.id ?? '', state: server?.state, kind, detail, verdict, forwarder, answeringMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt), connection: isOnReusedConnection === true ? 'kept' : undefined, sentForMs: sentForMs === undefined ? undefined : Number(sentForMs.toFixed(1)), heardMsAgo: millisecondsSince(serverAt, now), anyHeardMsAgo: millisecondsSince(anyServerAt, now), listAgeMs: this.describeState().listAgeMs
     })
   }
 
--- a/packages/foxtaillever-relay/src/telemetry/relayState.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayState.ts
@@ -39,7 +39,7 @@
   summarize (service?: string): Subject {
     const { clock, routing, directory, knowledge, leavingSince } = this.options
     const since = leavingSince()
-    const common = { revision: routing()?.revision, store: knowledge().hasStore ? 'answers' : 'dark', ...(since === undefined ? {} : { leavingMs: Math.round(clock.now() - since) }) }
+    const common = { revision: routing()?.revision, store: knowledge().hasStore ? 'answers' : 'dark', listAgeMs: this.listAgeMs, ...(since === undefined ? {} : { leavingMs: Math.round(clock.now() - since) }) }
     if (service === undefined) {
       return common
     }
@@ -54,6 +54,13 @@
     }
   }
 
+  /** Age of the list of servers, milliseconds; undefined if it was never read, or may be stale since this machine stood still. */
+  private get listAgeMs (): number | undefined {
+    const { clock, knowledge } = this.options
+    const { serversKnownAt } = knowledge()
+    return serversKnownAt > 0 ? Math.round(clock.now() - serversKnownAt) : undefined
+  }
+
   /** The full state for an operator, without secrets. */
   dump (): object {
     const { name, clock, routing, directory, peers, knowledge, lease, open, isReady } = this.options
@@ -66,7 +73,7 @@
       isReady: isReady(),
       open: open(),
       configuration: { revision, routes: routes.map(route => route.name), accounts: accounts.map(account => account.name) },
-      store: { answers: knowledge().hasStore, era: knowledge().storeEra, positions: { operators: formatPosition(operators), servers: formatPosition(read) } },
+      store: { answers: knowledge().hasStore, listAgeMs: this.listAgeMs, era: knowledge().storeEra, positions: { operators: formatPosition(operators), servers: formatPosition(read) } },
       lease: { isHeld: lease().fence() !== undefined, ...lease().snapshot() },
       servers: directory.all().map(server => this.describe(server, now)),
       reading: Object.fromEntries([...directory.observations.prefillSpeeds].map(([service, { tokensPerMs, samples }]) => [service, { tokensPerMs, samples }])),
@@ -101,6 +108,7 @@
     metrics.gauge('prefill_tokens_per_ms', () => Math.round([...directory.observations.prefillSpeeds.values()].at(0)?.tokensPerMs ?? 0))
     metrics.gauge('store_answers', () => Number(knowledge().hasStore))
     metrics.gauge('store_era', () => knowledge().storeEra)
+    metrics.gauge('server_list_age_ms', () => this.listAgeMs ?? -1)
     metrics.gauge('lease_held', () => Number(lease().fence() !== undefined))
     metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
   }
