--- a/packages/foxtaillever-proof/src/platformSoak/silentServers.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/silentServers.ts
@@ -6,7 +6,7 @@
 import { ReadyInstances } from './readyInstances.js'
 import type { SoakFleet } from './soakFleet.js'
 
-const SERVICE = 'silent'
+export const SILENT_SERVICE = 'silent'
 const SHAPE = { workMs: 20, slots: Infinity, maxWaiting: 0 }
 
 /** Paths of the load, and the kind of each route. */
@@ -27,13 +27,13 @@
 
 export function silentServerSettings (): { readonly routes: readonly object[], readonly services: readonly object[] } {
   return {
-    routes: Object.entries(kinds).map(([path, kind]) => ({ ...createRoute(Path.Repeatable, kind, SERVICE), name: path, path_prefix: path, timeout_ms: TIMEOUT_MS, target_latency_ms: OBJECTIVE_MS, gap_target_ms: OBJECTIVE_MS })),
-    services: [{ name: SERVICE, health_path: '/health', max_conns: 500 }]
+    routes: Object.entries(kinds).map(([path, kind]) => ({ ...createRoute(Path.Repeatable, kind, SILENT_SERVICE), name: path, path_prefix: path, timeout_ms: TIMEOUT_MS, target_latency_ms: OBJECTIVE_MS, gap_target_ms: OBJECTIVE_MS })),
+    services: [{ name: SILENT_SERVICE, health_path: '/health', max_conns: 500 }]
   }
 }
 
-export async function addSilentServer (platform: PlatformDeployment): Promise<BackendServer> {
-  return await platform.addPlain(`${SERVICE}-0`, SERVICE, ZONES[0], SHAPE)
+export async function addSilentServer (platform: PlatformDeployment, index = 0): Promise<BackendServer> {
+  return await platform.addPlain(`${SILENT_SERVICE}-${index}`, SILENT_SERVICE, ZONES[index % ZONES.length] ?? ZONES[0], SHAPE)
 }
 
 /** Draws for one in `interval` requests a silence; the request's id decides, so that a seed draws the same ones again. */
--- a/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
@@ -44,6 +44,7 @@
   readonly hasOwnVersions?: boolean
   /** Whether processes reach the servers over links, which can have faults and cost processor time. */
   readonly hasLinks?: boolean
+  readonly instancesPerZone?: number
 }
 
 export class SoakFleet {
@@ -63,7 +64,7 @@
   }
 
   /** @param entry the program to run. */
-  static async start (entry: string, { hasOwnVersions = false, hasLinks = true }: SoakFleetOptions = {}): Promise<SoakFleet> {
+  static async start (entry: string, { hasOwnVersions = false, hasLinks = true, instancesPerZone = 1 }: SoakFleetOptions = {}): Promise<SoakFleet> {
     const fleet = new SoakFleet(entry, hasLinks)
     fleet.operator.start()
     for (const zone of ZONES) {
@@ -72,7 +73,7 @@
     }
     await addLongEngines(fleet.platform, hasOwnVersions)
     fleet.peerPort = await freePort(nextHost())
-    for (const zone of ZONES) {
+    for (const zone of Array.from({ length: instancesPerZone }, () => ZONES).flat()) {
       await fleet.addInstance(zone)
     }
     await fleet.waitUntilServing()
--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -67,6 +67,10 @@
   readonly faults: ServerFault[] = []
   readonly arrivals: Arrival[] = []
   isLeaving = false
+  /** Whether its answers state that it leaves; if not, only its entry does. */
+  statesLeaving = true
+  /** By how much its clock, which dates its starts, is ahead, milliseconds; in force from the next start on. */
+  clockAheadMs = 0
   /** Version of the software that runs. */
   softwareVersion: string
   /** Version of the software from the next start on. */
@@ -158,7 +162,7 @@
     this.idNumber += keepsId ? 0 : 1
     this.isRestarting = true
     this.cancelRestart = clock.at(clock.now() + restartMs, () => {
-      this.startedAt = Math.floor(clock.now())
+      this.startedAt = Math.floor(clock.now() + this.clockAheadMs)
       this.softwareVersion = this.nextSoftwareVersion
       this.server.listen(Number(port), host, () => {
         this.isRestarting = false
@@ -233,7 +237,7 @@
   private statementHeaders (): Readonly<Record<string, string>> {
     return {
       ...(this.statedLimit === undefined ? {} : { 'Server-Limit': this.statedLimit }),
-      ...(this.isLeaving ? { 'Server-Leaving': '1' } : {}),
+      ...(this.isLeaving && this.statesLeaving ? { 'Server-Leaving': '1' } : {}),
       ...(this.brittleness ? { 'Server-Brittle': String(this.brittleness.perSecond) } : {})
     }
   }
