Decode what other processes write without exceptions, with bounded nesting

Callers' requests reached servers long after these announced that they leave: instances no longer followed the list, and said ready all the while.

Cause: purify's codecs quote the whole value in their message. For nested lists that message overflows the stack, and the exception passes the Either: one such record in a known field ends TopicFollower.run, at every instance that reads it. One reader after the other takes over and ends at the same record. Evidence: RangeError from reportError in readServer, readWeights and readRouting for 100,000 nested lists.

decodeJson is now one function of foxtaillever-core: at most 64 levels (the deepest format has five), counted before parsing; an exception of a codec is a reason; a reason has at most 200 characters.

--- a/packages/foxtaillever-core/src/index.ts
+++ b/packages/foxtaillever-core/src/index.ts
@@ -2,6 +2,7 @@
 export * from './callerProtocol.js'
 export * from './clock.js'
 export * from './configuration.js'
+export * from './decodeJson.js'
 export * from './engineOrders.js'
 export * from './engineProtocol.js'
 export * from './hashNumber.js'
--- a/packages/foxtaillever-relay/src/crashes/quarantineStore.ts
+++ b/packages/foxtaillever-relay/src/crashes/quarantineStore.ts
@@ -2,10 +2,10 @@
  * Keeps quarantines in a topic of the platform's store, so that they outlive a moment in
  * which no instance runs. An instance reads them when it starts, before it is ready.
  */
-import { waitUntil, type Clock } from 'foxtaillever-core'
+import { decodeJson, waitUntil, type Clock } from 'foxtaillever-core'
 import { CauseKind } from 'foxtaillever-policy/crashes/suspicion'
 import type { Quarantine } from 'foxtaillever-policy/crashes/quarantineTable'
-import { Codec, Either, enumeration, nullType, number, oneOf, string } from 'purify-ts'
+import { Codec, enumeration, nullType, number, oneOf, string } from 'purify-ts'
 import { array, boolean } from 'purify-ts/Codec'
 import type { WritableKeyedLog } from '../knowledge/memberRegistry.js'
 import type { RelayLog } from '../telemetry/relayLog.js'
@@ -87,9 +87,7 @@
   }
 
   private decode (value: Buffer): QuarantineUpdate[] {
-    return Either.encase(() => JSON.parse(value.toString()) as unknown)
-      .mapLeft(({ message }) => message)
-      .chain(json => record.decode(json))
+    return decodeJson(record, value)
       .map(({ expiresAt, account, ...quarantine }) => ({ ...quarantine, account: account ?? undefined, leftMs: expiresAt - this.options.wallClock() }))
       .map(update => [update])
       .orDefault([])
--- a/packages/foxtaillever-relay/src/peers/leaseCalls.ts
+++ b/packages/foxtaillever-relay/src/peers/leaseCalls.ts
@@ -1,7 +1,7 @@
 /** Calls between instances through which an instance that cannot reach the platform's store uses the lease's log by way of another instance. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Failure, FailureCode, Verdict } from 'foxtaillever-core'
-import { Either, Left, Right } from 'purify-ts'
+import { Failure, FailureCode, parseJson, Verdict } from 'foxtaillever-core'
+import { Left, Right, type Either } from 'purify-ts'
 import type { WholeAnswer } from '../servers/callServer.js'
 import type { ServerCall } from '../servers/serverConnections.js'
 import type { FenceAppend, FenceLog } from '../weights/fenceLog.js'
@@ -23,8 +23,7 @@
   if (status !== 200) {
     return Left(Failure.create(FailureCode.LogUnavailable, Verdict.MayHaveRun, `the other instance answered with status ${status}`))
   }
-  return Either.encase(() => JSON.parse(body.toString()) as unknown)
-    .mapLeft(({ message }) => message)
+  return parseJson(body)
     .chain<string, T>(value => isWanted(value) ? Right(value) : Left('an unexpected form'))
     .mapLeft(reason => Failure.create(FailureCode.LogUnavailable, Verdict.MayHaveRun, reason))
 }
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -4,9 +4,10 @@
  * the platform's store does not answer it.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Failure, FailureCode, Verdict, type Clock } from 'foxtaillever-core'
+import { decodeJson, Failure, FailureCode, Verdict, type Clock } from 'foxtaillever-core'
 import { UdpDatagrams } from 'foxtaillever-fleet/membership/datagrams'
-import { Either, Left, Right } from 'purify-ts'
+import { Left, type Either } from 'purify-ts'
+import { array, Codec, nullable, number, optional, string, type GetType } from 'purify-ts/Codec'
 import type { KeyedRecord } from '../knowledge/keyedLog.js'
 import { callServer } from '../servers/callServer.js'
 import { ServerConnections } from '../servers/serverConnections.js'
@@ -31,11 +32,11 @@
   readonly keys: readonly string[] | undefined
 }
 
-interface WireRecords {
-  readonly keys?: readonly string[]
-  readonly position: number
-  readonly records: ReadonlyArray<{ readonly key: string, readonly value: string | null, readonly offset: number }>
-}
+const wireRecords = Codec.interface({
+  keys: optional(array(string)),
+  position: number,
+  records: array(Codec.interface({ key: string, value: nullable(string), offset: number }))
+})
 
 /** Timeout of a call in milliseconds; the other instance answers from memory. */
 const CALL_TIMEOUT_MS = 600
@@ -227,14 +228,12 @@
 }
 
 function encodeRecords ({ records, position, keys }: AnnouncedRecords): string {
-  const wire: WireRecords = { position, keys, records: records.map(({ key, value, offset }) => ({ key, offset, value: value?.toString('base64') ?? null })) }
+  const wire: GetType<typeof wireRecords> = { position, keys: keys && [...keys], records: records.map(({ key, value, offset }) => ({ key, offset, value: value?.toString('base64') ?? null })) }
   return JSON.stringify(wire)
 }
 
 function decodeRecords (body: Buffer): Either<Failure, AnnouncedRecords> {
-  return Either.encase(() => JSON.parse(body.toString()) as WireRecords)
-    .mapLeft(({ message }) => malformed(message))
-    .chain(({ position, records, keys }) => typeof position === 'number' && Array.isArray(records)
-      ? Right({ position, keys: Array.isArray(keys) ? keys : undefined, records: records.map(({ key, value, offset }) => ({ key, offset, value: value === null ? undefined : Buffer.from(value, 'base64') })) })
-      : Left(malformed('an unexpected form')))
+  return decodeJson(wireRecords, body)
+    .mapLeft(malformed)
+    .map(({ position, keys, records }) => ({ position, keys, records: records.map(({ key, value, offset }) => ({ key, offset, value: value === null ? undefined : Buffer.from(value, 'base64') })) }))
 }
