Go on reading a topic after an unexpected error, and let a record cost itself only

An instance whose reading of the list ended went on with what it knew, ready and saying store=answers: TopicFollower.run had no catch, nothing started it again, and an exception of one record skipped all records behind it.

RecordHandler keeps an exception of one record from the reader: the server gets no work until its next entry, and a configuration or weights in force stay.

--- a/packages/foxtaillever-relay/src/knowledge/__tests__/recordHandler.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/recordHandler.test.ts
@@ -68,6 +68,30 @@
     t.deepEqual(ready(), ['s'])
   })
 
+  // Guards against one record that ends the reading of all records behind it.
+  describe('when a record cannot be applied', () => {
+    const failing = (): never => { throw new RangeError('Maximum call stack size exceeded') }
+
+    it('gives its server no work until the next entry', t => {
+      const options = createOptions(VirtualClock.create())
+      const server = (id: string, bytes: Buffer): Either<string, ListedServer> => bytes.toString() === 'odd' ? failing() : Right(readEntry(id))
+      const handler = RecordHandler.create({ ...options, readers: { ...options.readers, server } })
+      handler.applyServerRecord({ key: 's', value, offset: 0 })
+      t.true(handler.applyServerRecord({ key: 's', value: Buffer.from('odd'), offset: 1 }))
+      t.deepEqual(options.directory.ready('chat'), [])
+      t.true(handler.applyServerRecord({ key: 's', value, offset: 2 }))
+      t.is(options.directory.ready('chat').length, 1)
+    })
+
+    it('keeps the configuration and the weights in force', t => {
+      for (const kind of [OperatorKey.Routing, OperatorKey.Weights]) {
+        const options = createOptions(VirtualClock.create())
+        const handler = RecordHandler.create({ ...options, readers: { ...options.readers, kindOfKey: () => kind, routing: failing, weights: failing } })
+        t.true(handler.applyOperatorRecord({ key: 'config', value, offset: 0 }))
+      }
+    })
+  })
+
   describe('when it decides which records to pass on', () => {
     function createEntryHandler (): { handler: RecordHandler, directory: ServerDirectory, apply: (text: string, offset: number) => boolean } {
       const options = createOptions(VirtualClock.create())
--- a/packages/foxtaillever-relay/src/knowledge/__tests__/topicFollower.test.ts
+++ b/packages/foxtaillever-relay/src/knowledge/__tests__/topicFollower.test.ts
@@ -20,9 +20,15 @@
   readonly follower: TopicFollower
   readonly calls: string[]
   readonly keysOfCompleteReads: string[][]
+  readonly applied: string[]
+  readonly errors: unknown[]
   records: KeyedRecord[]
   answer: Answer
   hasPeerUpdates: boolean
+  /** Called before a record is applied; it may throw. */
+  beforeRecord: (record: KeyedRecord) => void
+  /** Called before the next read is planned; it may throw. */
+  beforePlan: () => void
 }
 
 const ANSWER_MS = 4
@@ -45,13 +51,18 @@
       await waitForAnswer()
       const isGap = rig.answer === Answer.Gap
       rig.answer = isGap ? Answer.Page : rig.answer
-      return rig.answer === Answer.Failure ? Left(unanswered) : Right({ records: [], next: from, isGap })
+      const appended = rig.records.filter(({ offset }) => offset >= from)
+      return rig.answer === Answer.Failure ? Left(unanswered) : Right({ records: isGap ? [] : appended, next: Math.max(from, ...appended.map(({ offset }) => offset + 1)), isGap })
     }
   }
   const rig: Rig = {
     clock,
     calls,
     keysOfCompleteReads,
+    applied: [],
+    errors: [],
+    beforeRecord: () => {},
+    beforePlan: () => {},
     records: [],
     answer: Answer.Page,
     hasPeerUpdates: false,
@@ -61,17 +72,23 @@
       log,
       topic: 'servers',
       waitMs: () => 0,
-      dueAt: () => rig.follower.lastCallAt + dueEveryMs,
+      dueAt: () => {
+        rig.beforePlan()
+        return rig.follower.lastCallAt + dueEveryMs
+      },
       notBefore: () => 0,
       hasPeerUpdates: () => rig.hasPeerUpdates,
       onAnswered: () => {},
-      onRecord: () => {},
+      onRecord: record => {
+        rig.beforeRecord(record)
+        rig.applied.push(record.key)
+      },
       onListedRecord: () => {},
       onCompleteRead: keys => keysOfCompleteReads.push([...keys]),
       onAdvanced: () => {},
       onUnreachable: () => {},
       onRecovered: () => {},
-      onError: () => {}
+      onError: error => rig.errors.push(error)
     })
   }
   rig.follower.start()
@@ -119,4 +136,36 @@
     await rig.clock.advanceBy(50)
     t.deepEqual(rig.calls, ['read'])
   })
+
+  // Guards against an instance that stops following a topic after an unexpected error, and keeps what it knew for good.
+  it('goes on reading after an unexpected error, with pauses', async t => {
+    const rig = createRig(700)
+    await rig.clock.advanceBy(100)
+    rig.beforeRecord = ({ key }) => {
+      if (key === 'odd') {
+        throw new Error('odd')
+      }
+    }
+    rig.records = [{ key: 'odd', value: Buffer.from('odd'), offset: 10 }]
+    await rig.clock.advanceBy(10_000)
+    t.true(rig.errors.length >= 5 && rig.errors.length <= 20, `${rig.errors.length} errors`)
+    t.false(rig.follower.isAnswered)
+    rig.beforeRecord = () => {}
+    rig.records = [...rig.records, { key: 'sound', value: Buffer.from('ready'), offset: 11 }]
+    await rig.clock.advanceBy(2000)
+    t.deepEqual(rig.applied, ['odd', 'sound'])
+    t.true(rig.follower.isAnswered)
+  })
+
+  it('goes on after an error between two reads', async t => {
+    const rig = createRig(700)
+    await rig.clock.advanceBy(100)
+    rig.beforePlan = () => { throw new Error('no plan') }
+    await rig.clock.advanceBy(5000)
+    t.true(rig.errors.length > 0 && rig.errors.length <= 20, `${rig.errors.length} errors`)
+    rig.beforePlan = () => {}
+    rig.records = [{ key: 'sound', value: Buffer.from('ready'), offset: 10 }]
+    await rig.clock.advanceBy(2000)
+    t.deepEqual(rig.applied, ['sound'])
+  })
 })
--- a/packages/foxtaillever-relay/src/knowledge/recordHandler.ts
+++ b/packages/foxtaillever-relay/src/knowledge/recordHandler.ts
@@ -1,13 +1,15 @@
 /**
  * Applies records of the platform's store: configurations, weights versions and
  * the entries of backend servers. A configuration or weights record that cannot be
- * read changes nothing.
+ * read changes nothing. An unexpected error with one record never reaches the reader of
+ * the topic, which would miss the records behind it.
  *
  * Whether a record is passed on to other instances depends on the earlier records of
  * its key only. What this instance learned in another way, such as from a server's
  * answer, other instances may not know.
  */
 import type { Clock } from 'foxtaillever-core'
+import { Either } from 'purify-ts'
 import { hasSameContent, type ListedServer } from '../model/listedServer.js'
 import type { Routing } from '../model/routing.js'
 import { OperatorKey, type RecordReaders } from '../relayOptions.js'
@@ -76,7 +78,15 @@
       // A record that is removed from the store revokes nothing: its contents stay in force.
       return false
     }
-    return this.operatorHandlers[this.options.readers.kindOfKey(record)](key, value, record.offset)
+    return this.guard(
+      () => this.operatorHandlers[this.options.readers.kindOfKey(record)](key, value, record.offset),
+      reason => this.options.log.trouble('A record of operators cannot be applied; what is in force stays.', { key: key.slice(0, MAX_KEY_LOGGED), position: formatPosition(record.offset), reason })
+    )
+  }
+
+  /** Other instances get a record that cannot be applied here: they may run another release. */
+  private guard (apply: () => boolean, onError: (reason: string) => void): boolean {
+    return Either.encase(apply).mapLeft(String).ifLeft(onError).orDefault(true)
   }
 
   private applyRouting (key: string, value: Buffer, offset: number): boolean {
@@ -132,7 +142,15 @@
    * Applies an entry of a backend server, or its removal.
    * @returns whether it differs from the entry before.
    */
-  applyServerRecord ({ key, value, offset }: KeyedRecord): boolean {
+  applyServerRecord (record: KeyedRecord): boolean {
+    const { key, offset } = record
+    return this.guard(() => this.applyEntry(record), reason => {
+      this.handleUnreadableEntry(key, offset, reason)
+      this.replaceEntry(key, undefined)
+    })
+  }
+
+  private applyEntry ({ key, value, offset }: KeyedRecord): boolean {
     const { readers, directory } = this.options
     if (value === undefined) {
       this.entries.delete(key)
--- a/packages/foxtaillever-relay/src/knowledge/storeReplica.ts
+++ b/packages/foxtaillever-relay/src/knowledge/storeReplica.ts
@@ -177,7 +177,7 @@
         relayLog.belief('The platform\'s store answers again.', { topic })
         topics.forEach(other => this.followed[other].follower.reschedule())
       },
-      onError: error => relayLog.trouble('An unexpected error ended the reading of a topic of the platform\'s store.', { topic, position: formatPosition(table.position), reason: String(error) })
+      onError: error => relayLog.trouble('An unexpected error interrupted the reading of a topic of the platform\'s store.', { topic, position: formatPosition(table.position), reason: String(error) })
     })
     return { table, follower, announcedEnd: 0, isRecheckDue: false }
   }
--- a/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
+++ b/packages/foxtaillever-relay/src/knowledge/topicFollower.ts
@@ -32,7 +32,7 @@
   readonly onAdvanced: (offset: number) => void
   readonly onUnreachable: (failure: Failure) => void
   readonly onRecovered: () => void
-  /** Called when an unexpected error has ended the reading of the topic. */
+  /** Called after an unexpected error; reading goes on after a pause. */
   readonly onError: (error: unknown) => void
 }
 
@@ -63,10 +63,17 @@
 /** Longest sleep before the due time is computed again, milliseconds. */
 const MAX_SLEEP_MS = 10_000
 
+/** Pause after a number of consecutive failures, milliseconds. */
+function pauseAfter (failures: number): number {
+  return Math.min(INITIAL_PAUSE_MS * 2 ** (failures - 1), MAX_PAUSE_MS)
+}
+
 export class TopicFollower {
   /** Offset of the next record; undefined while a complete read is needed. */
   private next: number | undefined
   private failures = 0
+  /** Unexpected errors since the last read without one. */
+  private errors = 0
   private pauseFactor = 1
   private isRunning = false
   private isReadRequested = false
@@ -92,12 +99,12 @@
 
   /** A complete read has succeeded, and so has the last call. */
   get isAnswered (): boolean {
-    return this.next !== undefined && this.failures === 0
+    return this.next !== undefined && this.failures === 0 && this.errors === 0
   }
 
   start (): void {
     this.isRunning = true
-    this.run().catch(this.options.onError)
+    this.run()
   }
 
   stop (): void {
@@ -142,29 +149,48 @@
   }
 
   private async run (): Promise<void> {
-    const { clock } = this.options
+    const { clock, onError } = this.options
     while (this.isRunning) {
-      const due = this.nextDueAt()
-      if (due > clock.now()) {
-        await this.sleepUntil(Math.min(due, clock.now() + MAX_SLEEP_MS))
-        continue
+      try {
+        await this.readWhenDue()
+      } catch (error) {
+        this.errors += 1
+        onError(error)
+        await this.sleepUntil(clock.now() + pauseAfter(this.errors))
       }
-      const waitMs = this.isReadRequested ? 0 : this.options.waitMs()
-      this.isReadRequested = false
-      this.lastCallAt = clock.now()
-      this.isReading = true
-      const failure = this.next === undefined ? await this.readAll() : await this.readFrom(this.next, waitMs)
+    }
+  }
+
+  private async readWhenDue (): Promise<void> {
+    const { clock } = this.options
+    const due = this.nextDueAt()
+    if (due > clock.now()) {
+      await this.sleepUntil(Math.min(due, clock.now() + MAX_SLEEP_MS))
+      return
+    }
+    const waitMs = this.isReadRequested ? 0 : this.options.waitMs()
+    this.isReadRequested = false
+    this.lastCallAt = clock.now()
+    const failure = await this.read(waitMs)
+    this.errors = 0
+    if (failure) {
+      this.recordFailure(failure)
+    }
+  }
+
+  private async read (waitMs: number): Promise<Failure | undefined> {
+    this.isReading = true
+    try {
+      return this.next === undefined ? await this.readAll() : await this.readFrom(this.next, waitMs)
+    } finally {
       this.isReading = false
-      if (failure) {
-        this.recordFailure(failure)
-      }
     }
   }
 
   private nextDueAt (): number {
     const { dueAt, notBefore, hasPeerUpdates } = this.options
     if (this.failures > 0) {
-      const pause = hasPeerUpdates() ? PEER_UPDATES_PAUSE_MS : Math.min(INITIAL_PAUSE_MS * 2 ** (this.failures - 1), MAX_PAUSE_MS)
+      const pause = hasPeerUpdates() ? PEER_UPDATES_PAUSE_MS : pauseAfter(this.failures)
       return Math.max(notBefore(), this.lastCallAt + pause * this.pauseFactor)
     }
     const isDue = this.next === undefined || this.isReadRequested
