Keep timers, loops and pending flags alive through an unexpected error

The class of the list that is no longer followed, looked for at every endless loop and at everything that is done again after a timer: one exception ended each of these for the rest of the process's life, which stayed ready.

heartbeats to the other instances; the check of the replica (suspensions, missing records); polls of the stores of cached levels; reads of the settings file; the probes of broken links (the error was swallowed); the rollout of weights (isRunning stayed true, so no engine got later weights); the fetch of records from another instance (the topic stayed pending)

The next run is now scheduled before the work, or the error is logged and the loop goes on. An address with an invalid port made dgram throw in the middle of a heartbeat's receivers and left a send that close() waits for; such text is no address of an instance now. An invalid escape in a path of the metrics server left its caller without an answer.

--- a/packages/foxtaillever-fleet/src/membership/datagrams.ts
+++ b/packages/foxtaillever-fleet/src/membership/datagrams.ts
@@ -1,6 +1,7 @@
 /**
  * The interface for datagrams between instances, and its UDP implementation.
  */
+import { isSocketAddress } from 'foxtaillever-core'
 import { createSocket, type Socket, type SocketOptions } from 'node:dgram'
 
 export type DatagramListener = (bytes: Uint8Array) => void
@@ -54,7 +55,8 @@
   }
 
   send (address: string, bytes: Uint8Array): void {
-    if (this.isClosed) {
+    // The socket throws for an invalid port, which would keep other receivers from their datagrams.
+    if (this.isClosed || !isSocketAddress(address)) {
       return
     }
     const { host, port } = parseAddress(address)
--- a/packages/foxtaillever-relay/src/cache/__tests__/storeMonitor.test.ts
+++ b/packages/foxtaillever-relay/src/cache/__tests__/storeMonitor.test.ts
@@ -29,7 +29,8 @@
         }
       },
       stores: () => [store],
-      onChanged: report => changes.push(report)
+      onChanged: report => changes.push(report),
+      onError: () => {}
     })
     const pass = async (milliseconds: number): Promise<void> => {
       await clock.advanceBy(milliseconds)
--- a/packages/foxtaillever-relay/src/cache/cacheStoreTracker.ts
+++ b/packages/foxtaillever-relay/src/cache/cacheStoreTracker.ts
@@ -49,9 +49,9 @@
   private readonly reach = StoreReachability.create()
 
   private constructor (private readonly options: CacheStoreTrackerOptions) {
-    const { clock, cacheStoreCalls: calls, othersTokens } = options
+    const { clock, cacheStoreCalls: calls, othersTokens, log } = options
     this.fetchLoad = FetchLoad.create(othersTokens)
-    this.monitor = StoreMonitor.create({ clock, calls, stores: () => this.watchedStores(), onChanged: report => this.handleChange(report) })
+    this.monitor = StoreMonitor.create({ clock, calls, stores: () => this.watchedStores(), onChanged: report => this.handleChange(report), onError: error => log.trouble('A poll of a store of cached levels failed.', { reason: String(error) }) })
   }
 
   static create (options: CacheStoreTrackerOptions): CacheStoreTracker {
--- a/packages/foxtaillever-relay/src/cache/storeMonitor.ts
+++ b/packages/foxtaillever-relay/src/cache/storeMonitor.ts
@@ -33,6 +33,8 @@
   readonly stores: () => readonly CacheStore[]
   /** A store became silent, answers again or has restarted. */
   readonly onChanged: (report: StoreReport) => void
+  /** Called after an unexpected error; the stores are polled again. */
+  readonly onError: (error: unknown) => void
 }
 
 interface PollState {
@@ -75,7 +77,10 @@
         this.polls.delete(address)
       }
     }
-    const hasFailed = (await Promise.all(watched.map(async store => await this.pollStore(store)))).includes(false)
+    const hasFailed = (await Promise.all(watched.map(async store => await this.pollStore(store).catch((error: unknown) => {
+      this.options.onError(error)
+      return false
+    })))).includes(false)
     if (!this.isStopped) {
       this.cancelPoll = clock.at(clock.now() + (hasFailed ? POLL_RETRY_MS : POLL_INTERVAL_MS), () => { this.pollAll() })
     }
--- a/packages/foxtaillever-relay/src/knowledge/peerRecordFetcher.ts
+++ b/packages/foxtaillever-relay/src/knowledge/peerRecordFetcher.ts
@@ -65,10 +65,9 @@
       return
     }
     this.pendingTopics.add(topic)
-    const answer = await link().fetchRecords(address, topic, from)
-    this.pendingTopics.delete(topic)
+    const answer = await link().fetchRecords(address, topic, from).finally(() => this.pendingTopics.delete(topic))
     answer.caseOf({
-      Left: ({ message }) => relayLog.trouble('Another instance does not tell its records.', { peer: address, topic, reason: message }),
+      Left: ({ message }) => relayLog.trouble('Another instance does not send its records.', { peer: address, topic, reason: message }),
       Right: ({ records, position, keys }) => {
         if (position > from) {
           relayLog.belief('Takes records from another instance.', { peer: address, topic, from: formatPosition(from), position: formatPosition(position), records: records.length })
--- a/packages/foxtaillever-relay/src/knowledge/storeReplica.ts
+++ b/packages/foxtaillever-relay/src/knowledge/storeReplica.ts
@@ -318,8 +318,10 @@
     }
   }
 
+  /** The next check is due even if this one fails. */
   private check (): void {
     const { clock, relayLog } = this.options
+    this.cancelCheck = clock.at(clock.now() + CHECK_INTERVAL_MS, () => this.check())
     const peers = this.options.peers()
     this.advanceEra(Math.max(this.options.log.era, ...peers.map(({ positions }) => eraOf(positions?.servers ?? 0))))
     const suspendedMs = this.suspensionDetector.measureSuspendedMs(CHECK_INTERVAL_MS)
@@ -332,7 +334,6 @@
     topics.map(topic => this.followed[topic].follower).filter(({ isFailing }) => isFailing).forEach(follower => follower.reschedule())
     topics.forEach(topic => this.fetchMissingRecords(topic, peers))
     this.peerFetcher.fetchNewerRouting(this.followed[AnnouncedTopic.Operators].table.position, this.options.revision(), peers)
-    this.cancelCheck = clock.at(clock.now() + CHECK_INTERVAL_MS, () => this.check())
   }
 }
 
--- a/packages/foxtaillever-relay/src/links/linkMonitor.ts
+++ b/packages/foxtaillever-relay/src/links/linkMonitor.ts
@@ -225,12 +225,14 @@
   private scheduleProbes (): void {
     const { clock } = this.options
     this.cancelProbes = clock.at(clock.now() + RETURN_PROBE_INTERVAL_MS, () => {
-      this.probeBrokenDomains().then(() => {
+      this.probeBrokenDomains().catch((error: unknown) => {
+        this.options.log.belief('Probing a failure domain that is out of reach failed.', { reason: String(error) })
+      }).then(() => {
         this.isProbing = this.state !== LinkState.Sound && !this.isStopped
         if (this.isProbing) {
           this.scheduleProbes()
         }
-      }, () => {})
+      })
     })
   }
 
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -121,7 +121,8 @@
       if (options.onServerCall(request, response)) {
         return
       }
-      const { searchParams, pathname } = new URL(request.url ?? '', 'http://peer')
+      // Only the path follows the host, so that no text makes an invalid URL.
+      const { searchParams, pathname } = new URL(`http://peer${(request.url ?? '').replace(/^[^/]*/, '')}`)
       if (pathname === LEASE_PATH) {
         options.onLeaseCall(request, searchParams, response)
         return
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -4,7 +4,7 @@
  * Every datagram may be lost: its contents are repeated with the next heartbeat
  * or can be determined again.
  */
-import { hashNumber, type Cancellation, type Clock, type Random } from 'foxtaillever-core'
+import { hashNumber, isSocketAddress, type Cancellation, type Clock, type Random } from 'foxtaillever-core'
 import { ComputedWatchers } from 'foxtaillever-policy/relay/computedWatchers'
 import { AdmissionProtocol, type AdmissionProtocolOptions } from '../admission/admissionProtocol.js'
 import type { CrashMessage } from '../crashes/crashMessage.js'
@@ -153,10 +153,10 @@
     await this.link.close()
   }
 
-  /** Adds addresses at which instances may be. */
+  /** Adds addresses at which instances may be; text that is no address is ignored. */
   addAddresses (addresses: readonly string[]): void {
     const now = this.options.clock.now()
-    addresses.filter(address => address !== this.address).forEach(address => this.table.addAddress(address, now))
+    addresses.filter(address => address !== this.address && isSocketAddress(address)).forEach(address => this.table.addAddress(address, now))
     this.refresh()
     this.sendHeartbeat()
   }
@@ -231,18 +231,18 @@
     this.link.sendCrash(this.receivers(), message)
   }
 
+  /** The next heartbeat is due even if this one fails: an instance without heartbeats counts as gone. */
   private runHeartbeat (): void {
     const { clock, random } = this.options
     const now = clock.now()
     this.table.expire(now)
+    const heartbeatMs = this.isLarge ? MAX_HEARTBEAT_MS : Math.min(MAX_HEARTBEAT_MS, Math.max(MIN_HEARTBEAT_MS, this.table.size / DATAGRAMS_PER_MS))
+    this.cancelHeartbeat = clock.at(now + heartbeatMs * (1 - HEARTBEAT_JITTER * random.next()), () => this.runHeartbeat())
     this.refresh()
     const alive = new Set(this.alive().map(({ address }) => address))
     this.fleetLoad.retain(address => alive.has(address))
-    const receivers = this.isLarge ? this.rounds.next(this.receivers(), LARGE_FLEET_RECEIVERS) : this.receivers()
-    const heartbeatMs = this.isLarge ? MAX_HEARTBEAT_MS : Math.min(MAX_HEARTBEAT_MS, Math.max(MIN_HEARTBEAT_MS, receivers.length / DATAGRAMS_PER_MS))
-    this.link.send(receivers, this.message(MAX_LIMITS))
+    this.link.send(this.isLarge ? this.rounds.next(this.receivers(), LARGE_FLEET_RECEIVERS) : this.receivers(), this.message(MAX_LIMITS))
     this.loadProtocol.handleHeartbeat()
-    this.cancelHeartbeat = clock.at(now + heartbeatMs * (1 - HEARTBEAT_JITTER * random.next()), () => this.runHeartbeat())
   }
 
   /**
--- a/packages/foxtaillever-relay/src/settings/settingsFile.ts
+++ b/packages/foxtaillever-relay/src/settings/settingsFile.ts
@@ -60,12 +60,12 @@
     })
   }
 
-  /** Reads the file regularly until stopped. */
+  /** Reads the file regularly until stopped, even if a change cannot be applied. */
   startPolling (): void {
     const { clock } = this.options
     this.cancelPoll = clock.at(clock.now() + POLL_INTERVAL_MS, () => {
-      this.reload()
       this.startPolling()
+      this.reload()
     })
   }
 
--- a/packages/foxtaillever-relay/src/telemetry/metricsServer.ts
+++ b/packages/foxtaillever-relay/src/telemetry/metricsServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for operators: metrics as text, a dump of the state, and the quarantines, which they can lift. */
 import { createServer, type Server } from 'node:http'
+import { Maybe } from 'purify-ts'
 import type { ListenAddress } from '../relayOptions.js'
 import { hasBody } from '../servers/byteBounds.js'
 
@@ -15,6 +16,11 @@
   readonly liftQuarantine: (id: string) => boolean
 }
 
+/** Undefined for an invalid escape sequence, for which `decodeURIComponent` throws. */
+function decodeText (escaped: string): string | undefined {
+  return Maybe.encase(() => decodeURIComponent(escaped)).extract()
+}
+
 export class MetricsServer {
   private readonly server: Server
 
@@ -29,7 +35,7 @@
       const { method = '', url = '' } = request
       // The body of a request is not read.
       response.shouldKeepAlive &&= !hasBody(request)
-      const id = method === 'DELETE' && url.startsWith(`${QUARANTINES_PATH}/`) ? decodeURIComponent(url.slice(QUARANTINES_PATH.length + 1)) : undefined
+      const id = method === 'DELETE' && url.startsWith(`${QUARANTINES_PATH}/`) ? decodeText(url.slice(QUARANTINES_PATH.length + 1)) : undefined
       const answer = id === undefined ? answers[`${method} ${url}`]?.() : format({ id, isLifted: liftQuarantine(id) })
       response.writeHead(answer === undefined ? 404 : 200, { 'Content-Type': 'text/plain; charset=utf-8' })
       response.end(answer ?? `${METRICS_PATH}, ${STATE_PATH} or ${QUARANTINES_PATH}\n`)
--- a/packages/foxtaillever-relay/src/weights/weightsRollout.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsRollout.ts
@@ -131,14 +131,18 @@
   ensureRunning (): void {
     if (!this.isRunning && !this.isStopped) {
       this.isRunning = true
-      this.logFailure(this.checkUntilDone())
+      this.checkUntilDone().catch((error: unknown) => {
+        this.isRunning = false
+        this.logFailure(error)
+      })
     }
   }
 
   private async checkUntilDone (): Promise<void> {
     const { clock } = this.options
     while (!this.isStopped && this.outdatedModels().length > 0) {
-      await this.check()
+      // Engines that lack weights are checked again whatever happens in one check.
+      await this.check().catch(error => this.logFailure(error))
       await waitUntil(clock, clock.now() + CHECK_INTERVAL_MS)
     }
     this.isRunning = false
@@ -146,9 +150,8 @@
     this.announcePending()
   }
 
-  /** An internal failure must neither end the process nor go unnoticed. */
-  private logFailure (work: Promise<void>): void {
-    work.catch((error: unknown) => this.options.log.trouble('Changing weights failed.', { reason: String(error) }))
+  private logFailure (error: unknown): void {
+    this.options.log.trouble('Changing weights failed.', { reason: String(error) })
   }
 
   private outdatedModels (): string[] {
