Let the store's order decide which entry of a server is in force, not the start that it names

Callers' requests reached servers long after these announced that they leave, and servers that came back at another address got none. ServerDirectory ignored every entry whose start is earlier than the newest known one.

The entry with the latest offset is in force now, whatever start it names; starts only tell incarnations apart. Weighed against a late entry of a former incarnation, for which the rule was made: it costs the server's knowledge here until its next heartbeat. What incarnations have stated in answers is kept for each start (IncarnationStatements), so that such an entry undoes no statement: after one that names an earlier start, a server that said it leaves gets nothing for as long as a live server may be silent, and a backoff goes on. A start that the server itself reported later than its entry no longer makes a server ready whose entry says that it leaves.

StatementHistory listed entries in random order without heartbeats; its list now lags by a time of its own and keeps the order of writes, with single late writes between them.

--- a/packages/foxtaillever-policy/src/relay/statedAvailability.ts
+++ b/packages/foxtaillever-policy/src/relay/statedAvailability.ts
@@ -75,6 +75,16 @@
     }
   }
 
+  /** Adds what the same incarnation has stated elsewhere. */
+  merge ({ leavingAt, backoff }: StatedAvailability): void {
+    if (leavingAt !== undefined) {
+      this.recordLeaving(leavingAt)
+    }
+    if (backoff && backoff.until > (this.backoff?.until ?? 0)) {
+      this.backoff = { ...backoff }
+    }
+  }
+
   /**
    * What the server's next incarnation stated before its start became known: answers
    * received after the start came from the new incarnation.
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -44,6 +44,7 @@
     fleetLoad: { of: () => noLoad },
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
+    serverHeartbeatMs: 1000,
     routing: () => undefined,
     queryLoad: () => undefined,
     onLoadChanged: () => {},
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -32,6 +32,9 @@
 /** How long a reported backoff counts, milliseconds: it serves one choice only, because watchers are queried again before each prompt. */
 const BACKOFF_REPORT_VALID_MS = 50
 
+/** The platform removes the entry of a server that does not write it for so many intervals. */
+const MISSED_ENTRIES = 3
+
 export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'crashes' | 'quota' | 'paths' | 'streamVersions' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
@@ -48,6 +51,8 @@
   readonly onBackoffRequested: (server: KnownServer) => void
   /** Decides on requests under the limits that servers stated. */
   readonly limitProtocol: ServerLimitsOptions['protocol']
+  /** Interval at which servers write their entries, milliseconds. */
+  readonly serverHeartbeatMs: number
   /** Decides on admission at servers. */
   readonly admissionProtocol: () => AdmissionContext['protocol']
   /** A server stated a limit that all instances must know now. */
@@ -81,6 +86,7 @@
     this.caches = CacheStoreTracker.create({ ...options, stores: () => options.routing()?.cacheStores ?? [] })
     this.directory = ServerDirectory.create({
       now: () => clock.now(),
+      entryExpiryMs: MISSED_ENTRIES * options.serverHeartbeatMs,
       onAnswer: (server, status, headers, sentAt) => this.statements.applyStatement(server, wire.readStatement(status, headers), sentAt),
       onEarlierStart: ({ id, startedAt, state }, knownStart) => log.trouble('A later entry of a backend server names an earlier start.', { server: id, startedAt, knownStart, state }),
       onExcess: ({ listed }, excess) => log.bodyExceeded(ByteSource.Server, listed.id, excess),
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -205,7 +205,7 @@
   }
 
   private createDispatcher (): ExchangeDispatcher {
-    const { clock, random, failureDomain, serverWire, cacheStoreCalls, retryAllowance, weightsBoundMs } = this.options
+    const { clock, random, failureDomain, serverWire, cacheStoreCalls, retryAllowance, weightsBoundMs, serverHeartbeatMs } = this.options
     return ExchangeDispatcher.create({
       clock,
       random,
@@ -216,6 +216,7 @@
       streamVersions: this.streamVersions,
       log: this.log,
       retryAllowance,
+      serverHeartbeatMs,
       knownInstances: () => this.peers.limitOwners.stableSince === undefined ? undefined : this.peers.count(),
       weightsBoundMs,
       crashes: this.crashes,
--- a/packages/foxtaillever-relay/src/servers/__fixtures__/statementHistory.ts
+++ b/packages/foxtaillever-relay/src/servers/__fixtures__/statementHistory.ts
@@ -1,7 +1,8 @@
 /**
  * A random history, drawn from a seed, of one instance and servers that state things about
  * themselves in their answers: answers arrive late and out of order, the server list lags and
- * loses entries, servers start again under their ids. Each server counts the requests that reach it.
+ * loses entries, late entries of former incarnations arrive between the heartbeats of the current one, servers start
+ * again under their ids, some with a clock that was set back. Each server counts the requests that reach it.
  */
 import { SeededRandom, type Random } from 'foxtaillever-core'
 import { VirtualClock } from 'foxtaillever-testing/virtualClock'
@@ -28,11 +29,15 @@
 const TRANSIT_MS = 30
 const WORK_MS = 1500
 const LIST_LAG_MS = 6000
+const HEARTBEAT_MS = 1200
+
+/** How late a write may take effect, after later ones of the same server, milliseconds. */
+const LATE_WRITE_MS = 6000
 const BACKOFF_MS = 4000
 const OVERLOAD_MS = 5000
 
 /** After this long without changes every backoff has ended, milliseconds. */
-const QUIET_MS = LIST_LAG_MS + BACKOFF_MS + OVERLOAD_MS
+const QUIET_MS = LIST_LAG_MS + LATE_WRITE_MS + BACKOFF_MS + OVERLOAD_MS
 
 interface Arrival {
   readonly at: number
@@ -67,7 +72,7 @@
 export class StatementHistory {
   private readonly clock = VirtualClock.create()
   private readonly random: Random
-  private readonly directory = ServerDirectory.create({ onChanged: () => {}, now: () => this.clock.now() })
+  private readonly directory = ServerDirectory.create({ onChanged: () => {}, now: () => this.clock.now(), entryExpiryMs: 3 * HEARTBEAT_MS })
   private readonly statements = ServerStatementHandler.create({
     clock: this.clock,
     directory: this.directory,
@@ -79,9 +84,12 @@
 
   private readonly servers = Array.from({ length: SERVERS }, (_, index) => new SimulatedServer(`s${index}`))
   private offset = 0
+  /** How late the list shows the servers' heartbeats, milliseconds. */
+  private readonly listLagMs: number
 
   private constructor (seed: number) {
     this.random = SeededRandom.create(seed)
+    this.listLagMs = this.random.below(LIST_LAG_MS)
     this.servers.forEach(server => {
       server.startedAt = this.clock.now()
       this.publishEntry(server, 0)
@@ -100,6 +108,7 @@
         history.after(history.random.below(2 * REQUEST_MS * SERVERS * SERVERS), change)
       }
     }
+    history.servers.forEach(server => history.writeHeartbeats(server, endsAt + QUIET_MS))
     history.sendRequest(endsAt + QUIET_MS)
     history.after(0, change)
     await clock.advanceTo(endsAt + QUIET_MS)
@@ -113,13 +122,14 @@
       this.after(this.random.below(OVERLOAD_MS), () => { server.isBackingOff = false })
     },
     restart: server => {
-      Object.assign(server, { startedAt: this.clock.now(), isLeaving: false, isBackingOff: false })
-      this.publishEntry(server, this.random.below(LIST_LAG_MS))
+      // A start takes a moment, so that it is later than what the former process answered.
+      Object.assign(server, { startedAt: this.clock.now() + 1, isLeaving: false, isBackingOff: false })
+      this.publishEntry(server, this.listLagMs)
     },
-    updateEntry: server => this.publishEntry(server, this.random.below(LIST_LAG_MS)),
+    updateEntry: server => this.publishEntry(server, this.listLagMs + this.random.below(LATE_WRITE_MS)),
     removeEntry: server => {
       this.directory.remove(server.id, this.offset++)
-      this.publishEntry(server, this.random.below(LIST_LAG_MS))
+      this.publishEntry(server, this.listLagMs + this.random.below(LATE_WRITE_MS))
     },
     report: server => {
       const known = this.directory.get(server.id)
@@ -129,12 +139,20 @@
     }
   }
 
-  /** The list shows the present state of the server after a delay; a later record may overtake it. */
+  /** The list shows the present state of the server after a delay. */
   private publishEntry (server: SimulatedServer, lagMs: number): void {
     const entry = server.entry()
     this.after(lagMs, () => this.directory.applyEntry(entry, this.offset++))
   }
 
+  /** Shows the server's entry again and again, in the order in which it is written. */
+  private writeHeartbeats (server: SimulatedServer, until: number): void {
+    this.publishEntry(server, this.listLagMs)
+    if (this.clock.now() < until) {
+      this.after(HEARTBEAT_MS, () => this.writeHeartbeats(server, until))
+    }
+  }
+
   private after (ms: number, task: () => void): void {
     this.clock.at(this.clock.now() + ms, task)
   }
--- a/packages/foxtaillever-relay/src/servers/knownServer.ts
+++ b/packages/foxtaillever-relay/src/servers/knownServer.ts
@@ -23,6 +23,8 @@
   readonly hash: number
   /** Hash of its id, by which rendezvous hashing assigns prompt levels to their home servers. */
   readonly idHash: number
+  /** Start that the entry names, milliseconds of Unix time: the server itself may have reported a later one since. */
+  entryStartedAt: number
   /** Offset of the record that the entry comes from; a record with a lower offset never replaces it. */
   offset: number
   readonly connections: ServerConnections
@@ -69,6 +71,7 @@
     listed,
     hash: incarnationHash(listed),
     idHash: hashNumber(listed.id),
+    entryStartedAt: listed.startedAt,
     offset,
     connections,
     stated,
--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -1,13 +1,14 @@
 /**
  * The backend servers as this instance knows them. Entries come from records of
  * the platform's store, read here or received from another instance. The record's
- * offset is the version of the entry, so that an older record never replaces a newer
- * one. Removed servers stay known as removed, because an older record of them may
- * still arrive.
+ * offset alone is the version of the entry, so that an older record never replaces a newer
+ * one, and all instances that know the same records know the same servers. Removed servers
+ * stay known as removed, because an older record of them may still arrive.
  *
  * A server may start again under its id. The new incarnation keeps no state of the
  * previous one: it gets its own `KnownServer`, and code that still holds the previous
- * one, such as a request in flight, changes only that.
+ * one, such as a request in flight, changes only that. The start that an entry names tells
+ * incarnations apart; it orders nothing, because it is of the server's clock or of another writer.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { connectionShare, type ConnectionShare } from 'foxtaillever-policy/relay/connectionShare'
@@ -17,6 +18,7 @@
 import type { Routing } from '../model/routing.js'
 import type { SpeedUpdate } from '../peers/peerMessage.js'
 import type { BodyExcess } from './byteBounds.js'
+import { IncarnationStatements, type Incarnation } from './incarnationStatements.js'
 import { createKnownServer, type KnownServer } from './knownServer.js'
 import { ServerConnections } from './serverConnections.js'
 import { ServerObservations } from './serverObservations.js'
@@ -36,14 +38,18 @@
   readonly onExcess?: (server: KnownServer, excess: BodyExcess) => void
   /** Milliseconds of Unix time, monotonic. */
   readonly now?: () => number
+  /** Time after which the entry of a silent server is removed, milliseconds: one that lives writes it again before. */
+  readonly entryExpiryMs?: number
+}
+
+interface ListedIncarnation extends Incarnation {
+  /** Start that its last entry names, milliseconds of Unix time. */
+  readonly entryStartedAt: number
 }
 
 /** The record that removed an entry. */
-interface Removal {
+interface Removal extends ListedIncarnation {
   readonly offset: number
-  /** Of the newest incarnation that was known. */
-  readonly startedAt: number
-  readonly stated: StatedAvailability
 }
 
 export class ServerDirectory {
@@ -51,6 +57,7 @@
   /** The same servers by the hash of their incarnation. */
   private readonly byHash = new Map<number, KnownServer>()
   private readonly removals = new Map<string, Removal>()
+  private readonly statements: IncarnationStatements
   /** What requests have shown about the servers. */
   readonly observations = ServerObservations.create()
   /** When this instance last received anything from any server, milliseconds of Unix time; 0 for never. */
@@ -62,6 +69,7 @@
 
   private constructor (private readonly options: ServerDirectoryOptions) {
     this.now = options.now ?? (() => performance.now())
+    this.statements = IncarnationStatements.create(options.entryExpiryMs ?? 0)
   }
 
   static create (options: ServerDirectoryOptions): ServerDirectory {
@@ -96,21 +104,26 @@
     if (!this.isNewer(listed.id, offset)) {
       return
     }
-    const knownStart = this.newestStartOf(listed.id)
-    if (listed.startedAt < knownStart) {
-      this.options.onEarlierStart?.(listed, knownStart)
-      return
+    const current = this.currentIncarnation(listed.id)
+    // The server itself may have reported a later start than the list, whose entries then are of the former incarnation.
+    const isOwnEntry = current === undefined || current.startedAt === current.entryStartedAt || current.entryStartedAt !== listed.startedAt
+    const startedAt = isOwnEntry ? listed.startedAt : current.startedAt
+    if (current !== undefined && startedAt < current.startedAt) {
+      this.options.onEarlierStart?.(listed, current.startedAt)
     }
-    const known = this.incarnationOf(listed)
-    const before = known?.listed.state
-    const server = known ?? this.addIncarnation(listed, offset)
-    if (listed.state === ServerState.Draining) {
+    const known = this.servers.get(listed.id)
+    const before = known?.listed.startedAt === startedAt ? known.listed.state : undefined
+    const server = known?.listed.startedAt === startedAt ? known : this.addIncarnation({ ...listed, startedAt }, offset)
+    if (isOwnEntry && listed.state === ServerState.Draining) {
       server.stated.recordLeaving(0)
     }
     // An incarnation that stated that it leaves never serves again.
-    server.listed = { ...listed, state: server.stated.isLeaving ? ServerState.Draining : listed.state }
+    server.listed = { ...listed, startedAt, state: server.stated.isLeaving ? ServerState.Draining : listed.state }
+    server.entryStartedAt = listed.startedAt
     server.offset = offset
-    listed.weights.forEach((version, model) => this.recordWeights(server, model, version))
+    if (isOwnEntry) {
+      listed.weights.forEach((version, model) => this.recordWeights(server, model, version))
+    }
     if (before !== server.listed.state) {
       this.options.onChanged(server.listed, before)
     }
@@ -134,11 +147,11 @@
   }
 
   /**
-   * What the newest known incarnation of the id has stated. That incarnation answers
-   * every request to the id, because the earlier ones have ended.
+   * What the current incarnation of the id has stated. That incarnation answers
+   * every request to the id, because the others have ended.
    */
   newestStatedState (id: string): StatedAvailability | undefined {
-    return (this.servers.get(id) ?? this.removals.get(id))?.stated
+    return this.currentIncarnation(id)?.stated
   }
 
   /**
@@ -164,7 +177,9 @@
   recordStart (server: KnownServer, startedAt: number): boolean {
     const { listed, offset } = server
     if (startedAt > listed.startedAt && this.servers.get(listed.id) === server) {
-      const next = this.addIncarnation({ ...listed, startedAt, state: ServerState.Ready, weights: new Map<string, number>() }, offset)
+      // A server whose entry keeps work from it gets none until its next entry.
+      const next = this.addIncarnation({ ...listed, startedAt, weights: new Map<string, number>() }, offset)
+      next.entryStartedAt = server.entryStartedAt
       if (next.stated.isLeaving) {
         next.listed = { ...next.listed, state: ServerState.Draining }
       }
@@ -177,24 +192,10 @@
     return offset > (this.servers.get(id)?.offset ?? this.removals.get(id)?.offset ?? -1)
   }
 
-  /** Start time of the newest known incarnation of the id; 0 if none is known. */
-  private newestStartOf (id: string): number {
-    return this.servers.get(id)?.listed.startedAt ?? this.removals.get(id)?.startedAt ?? 0
-  }
-
-  /** The known server of the id, unless the entry is of a later incarnation. */
-  private incarnationOf ({ id, startedAt }: ListedServer): KnownServer | undefined {
+  /** The incarnation of the id that the list had last, or that the server itself reported since; undefined if none is known. */
+  private currentIncarnation (id: string): ListedIncarnation | undefined {
     const known = this.servers.get(id)
-    return known && startedAt > known.listed.startedAt ? undefined : known
-  }
-
-  /** What the incarnation has stated so far. If it is later than the known one, that is what was stated since its start. */
-  private statedStateOf ({ id, startedAt }: ListedServer): StatedAvailability {
-    const stated = this.newestStatedState(id)
-    if (stated === undefined) {
-      return StatedAvailability.create()
-    }
-    return startedAt > this.newestStartOf(id) ? stated.sinceStart(startedAt) : stated
+    return known ? { startedAt: known.listed.startedAt, entryStartedAt: known.entryStartedAt, stated: known.stated } : this.removals.get(id)
   }
 
   /** Removes the incarnation; its requests in flight end by themselves. */
@@ -210,8 +211,8 @@
       return
     }
     const known = this.servers.get(id)
-    const stated = this.newestStatedState(id) ?? StatedAvailability.create()
-    this.removals.set(id, { offset, startedAt: this.newestStartOf(id), stated })
+    const current = this.currentIncarnation(id) ?? { startedAt: 0, entryStartedAt: 0, stated: StatedAvailability.create() }
+    this.removals.set(id, { ...current, offset })
     if (known) {
       const before = known.listed.state
       known.listed = { ...known.listed, state: ServerState.Gone }
@@ -286,7 +287,7 @@
 
   /** Adds an incarnation and removes the previous one. */
   private addIncarnation (listed: ListedServer, offset: number): KnownServer {
-    const stated = this.statedStateOf(listed)
+    const stated = this.statements.succeed(listed.id, listed.startedAt, this.currentIncarnation(listed.id), this.now())
     const former = this.servers.get(listed.id)
     if (former) {
       this.endIncarnation(former)
--- a/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
@@ -60,6 +60,7 @@
     queryLoad: () => undefined,
     weights: { outdatedSince: () => undefined },
     weightsBoundMs: Infinity,
+    serverHeartbeatMs: 0,
     routing: () => routingOf(configuration()),
     limitProtocol: () => noSharedLimits,
     admissionProtocol: () => noAdmissionProtocol,
