Reproduce streams that are joined from two software versions after all instances were killed (red)

Three real entry processes; releases in series; all processes are killed when the servers of the former version are just gone, and callers take their streams up at the new processes. Servers state no start, as on the deployments without that field:

--- a/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/soakFleet.ts
@@ -45,6 +45,8 @@
   /** Whether processes reach the servers over links, which can have faults and cost processor time. */
   readonly hasLinks?: boolean
   readonly instancesPerZone?: number
+  /** Whether servers state when they started. */
+  readonly statesStarts?: boolean
 }
 
 export class SoakFleet {
@@ -58,14 +60,14 @@
   private peerPort = 0
   private probes = 0
 
-  private constructor (private readonly entry: string, private readonly hasLinks: boolean) {
-    this.platform = PlatformDeployment.create({ clock: this.clock, host: this.serversHost, heartbeatMs: HEARTBEAT_MS, hasLinks })
+  private constructor (private readonly entry: string, private readonly hasLinks: boolean, statesStarts: boolean) {
+    this.platform = PlatformDeployment.create({ clock: this.clock, host: this.serversHost, heartbeatMs: HEARTBEAT_MS, hasLinks, statesStarts })
     this.operator = SoakOperator.create(this.clock, this.platform)
   }
 
   /** @param entry the program to run. */
-  static async start (entry: string, { hasOwnVersions = false, hasLinks = true, instancesPerZone = 1 }: SoakFleetOptions = {}): Promise<SoakFleet> {
-    const fleet = new SoakFleet(entry, hasLinks)
+  static async start (entry: string, { hasOwnVersions = false, hasLinks = true, instancesPerZone = 1, statesStarts = true }: SoakFleetOptions = {}): Promise<SoakFleet> {
+    const fleet = new SoakFleet(entry, hasLinks, statesStarts)
     fleet.operator.start()
     for (const zone of ZONES) {
       await fleet.platform.addEngine(`engine-${zone}`, ENGINES, zone, { [MODEL]: 1 })
--- a/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/backendServer.ts
@@ -48,6 +48,8 @@
   readonly softwareVersion: string
   /** Time from a crash to the restart, milliseconds. */
   readonly restartMs: number
+  /** Whether its reports and its entry state when it started; they do if not given. */
+  readonly statesStart?: boolean
   readonly onCrashed: (server: BackendServer) => void
   readonly onStarted: (server: BackendServer) => void
 }
@@ -211,7 +213,7 @@
       response.writeHead(this.isLeaving ? 503 : 200, { 'X-Instance-Id': this.id, ...this.statementHeaders() }).end()
     } else if (call) {
       const answer = await call(request, body)
-      response.writeHead(answer.status, { 'Content-Type': 'application/json', ...this.statementHeaders() }).end(answer.body && JSON.stringify({ ...answer.body, born: this.startedAt }))
+      response.writeHead(answer.status, { 'Content-Type': 'application/json', ...this.statementHeaders() }).end(answer.body && JSON.stringify({ ...answer.body, ...(this.options.statesStart === false ? {} : { born: this.startedAt }) }))
     } else {
       this.run(request, response, this.recordArrival(request, body))
     }
--- a/packages/foxtaillever-standins/src/platform/platformDeployment.ts
+++ b/packages/foxtaillever-standins/src/platform/platformDeployment.ts
@@ -58,6 +58,8 @@
   readonly hasLinks?: boolean
   /** Time from a server's crash to its restart, milliseconds. */
   readonly restartMs?: number
+  /** Whether servers state when they started, in their entries and reports. */
+  readonly statesStarts?: boolean
 }
 
 export class PlatformDeployment {
@@ -229,12 +231,13 @@
   }
 
   private async add (name: string, service: string, zone: string, runner: Runner, slots = ENGINE.slots, softwareVersion = FIRST_SOFTWARE_VERSION): Promise<BackendServer> {
-    const { clock, host, heartbeatMs, restartMs = RESTART_MS } = this.options
+    const { clock, host, heartbeatMs, restartMs = RESTART_MS, statesStarts = true } = this.options
     const server = BackendServer.create({
       name,
       clock,
       softwareVersion,
       restartMs,
+      statesStart: statesStarts,
       onCrashed: ({ id }) => {
         entry.sendsHeartbeats = false
         setLinksUp(false)
@@ -303,7 +306,7 @@
       stage: 'both',
       models: runner instanceof EngineRunner ? runner.models() : [],
       seq: this.entrySequence,
-      born: server.startedAt
+      ...(server.options.statesStart === false ? {} : { born: server.startedAt })
     })
   }
 }
