Let a stream that nobody knows go on only where one version can have begun it

Callers' streams were joined from two software versions (ORDER): after a release, all instances were killed when the servers of the former version had just left; callers took their streams up at the new processes, which took the one version that serves for all that served. Cause: whether servers had started lately was asked of the start in their entries, which not all servers state, and only for streams that callers name. Silence counted as well: an instance that is cut off or stood still while a version joined, and asked others that did not answer, took its own list for complete.

Two facts are asked for now: an instance has answered, or the list was read since the stream was taken up; and an instance that answered or asks has run for 30 s, or has read which versions served lately. The latter is a record for each service in a topic of the platform's store, written by two instances when its versions change and read at a start, so that it outlives all of them. The comparison of servers' starts with this machine's clock is gone. Streams that callers don't name take the same way.

Three unit tests changed: 'goes on at the only version that serves' concluded that from silence, which is the fault; it now demands a list that was read since, and another one demands a refusal without. 'where nobody knows more and no server has started lately' demands that the instance has read which versions served; 'after a release where nobody knows' demands a refusal without a server that started lately, too.

--- a/packages/foxtaillever-policy/src/relay/servedVersions.ts
+++ b/packages/foxtaillever-policy/src/relay/servedVersions.ts
@@ -18,13 +18,19 @@
     return new ServedVersions()
   }
 
-  /** @param serving versions of the servers that are listed now. */
-  recent (service: string, serving: Iterable<string>, now: number): readonly string[] {
+  /** Records versions that served until a moment ago, as another instance knew. */
+  recordSeen (service: string, versions: Iterable<string>, now: number): void {
     const seen = this.services.get(service) ?? new Map<string, number>()
     this.services.set(service, seen)
-    for (const version of serving) {
+    for (const version of versions) {
       seen.set(version, now)
     }
+  }
+
+  /** @param serving versions of the servers that are listed now. */
+  recent (service: string, serving: Iterable<string>, now: number): readonly string[] {
+    this.recordSeen(service, serving, now)
+    const seen = this.services.get(service) ?? new Map<string, number>()
     for (const [version, seenAt] of seen) {
       if (seenAt + COUNTED_MS <= now) {
         seen.delete(version)
--- a/packages/foxtaillever-relay/src/__tests__/boundedWaits.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/boundedWaits.test.ts
@@ -43,7 +43,7 @@
   },
   'a trial': ({ clock, address, members }, onEnd) => TrialClient.create({ clock, address: () => address, decidersOf: members, send: () => {} }).ask('s', ['l'], onEnd),
   'the version of a stream': ({ clock, address, members }, onEnd) => {
-    const versions = StreamVersions.create({ clock, address: () => address, holdersOf: members, askedFor: members, versionsOf: () => ['v1', 'v2'], hasRecentServers: () => true, send: () => {} })
+    const versions = StreamVersions.create({ clock, address: () => address, holdersOf: members, askedFor: members, versionsOf: () => ['v1', 'v2'], knowsRecentVersions: () => false, listKnownAt: () => -Infinity, refreshList: () => {}, send: () => {} })
     versions.find('s', 'id', onEnd)
   },
   admission: ({ clock, address, members }, onEnd) => {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -26,6 +26,7 @@
 import { createLinks, type Links } from './links/createLinks.js'
 import { LimitScope } from './limits/limitMessage.js'
 import type { StreamVersions } from './streams/streamVersions.js'
+import type { VersionRecords } from './streams/versionRecords.js'
 import { createSpeedRegistry } from './servers/speedRegistry.js'
 import { createStreamVersions } from './streams/createStreamVersions.js'
 import { RelayLog } from './telemetry/relayLog.js'
@@ -69,6 +70,7 @@
   private readonly limits: LimitProtocols
   private readonly links: Links
   private readonly streamVersions: StreamVersions
+  private readonly versionRecords: VersionRecords
   private readonly orderCoordinator: OrderCoordinator
   private readonly startCheck = StartCheck.create()
   private table: RouteTable | undefined
@@ -101,7 +103,17 @@
     this.crashes = protocol
     this.quarantineStore = store
     this.links = createLinks({ ...options, crashes: this.crashes, log: this.log, wire: options.serverWire, connectTimeoutMs: CONNECT_TIMEOUT_MS, dispatcher: () => this.dispatcher, peers: () => this.peers, routing: () => this.table?.routing })
-    this.streamVersions = createStreamVersions({ clock, directory: () => this.dispatcher.directory, peers: () => this.peers })
+    const { versions, records } = createStreamVersions({
+      clock,
+      log: options.log,
+      topic: options.topics.versions,
+      relayLog: this.log,
+      directory: () => this.dispatcher.directory,
+      peers: () => this.peers,
+      knowledge: () => this.storeReplica
+    })
+    this.streamVersions = versions
+    this.versionRecords = records
     this.dispatcher = this.createDispatcher()
     this.state = this.createState()
     this.state.registerGauges(this.log.metrics)
@@ -140,6 +152,7 @@
     this.dispatcher.caches.monitor.start()
     this.runInBackground(this.memberRegistry.register())
     this.runInBackground(this.quarantineStore.read())
+    this.versionRecords.start()
     await this.callers.listen(callers.host, callers.port)
     await this.readiness.listen(readiness.host, readiness.port)
     if (metrics) {
@@ -180,8 +193,8 @@
     this.leavingSince ??= this.options.clock.now()
     this.callers.close()
     this.dispatcher.runs.abort()
-    const { links, orderCoordinator, dispatcher, storeReplica, streamVersions, crashes, readiness, metricsServer } = this
-    const working = [links.monitor, orderCoordinator.rollout, dispatcher.caches.monitor, storeReplica, streamVersions, crashes]
+    const { links, orderCoordinator, dispatcher, storeReplica, streamVersions, versionRecords, crashes, readiness, metricsServer } = this
+    const working = [links.monitor, orderCoordinator.rollout, dispatcher.caches.monitor, storeReplica, streamVersions, versionRecords, crashes]
     working.forEach(part => part.stop())
     const open = [links.client, readiness, metricsServer]
     open.forEach(part => part.close())
@@ -242,6 +255,7 @@
       onServerChanged: ({ service }) => {
         this.orderCoordinator.rollout.ensureRunning()
         this.streamVersions.handleServersChanged(service)
+        this.versionRecords.update(service)
       },
       onMisdirected: ({ server, serverId, expectedWeights }, { prompt }, failure) =>
         this.orderCoordinator.rollout.handleRefusal(server, prompt?.model, failure.serverId === serverId ? expectedWeights : undefined)
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -45,6 +45,8 @@
   readonly lease: string
   /** What is known to crash backend servers. */
   readonly quarantines: string
+  /** Software versions that served each service until a moment ago, read by instances that start. */
+  readonly versions: string
 }
 
 /** What may change while the instance runs. */
--- a/packages/foxtaillever-relay/src/streams/__fixtures__/streamVersionHistory.ts
+++ b/packages/foxtaillever-relay/src/streams/__fixtures__/streamVersionHistory.ts
@@ -1,14 +1,17 @@
 /**
  * A history of a fleet whose backend servers run several software versions, drawn
- * from a seed: instances are killed, cut off and added, datagrams are lost and
- * versions come and go while callers take streams up at other instances.
+ * from a seed: instances are killed, one by one or all at once, cut off, out of step and added, datagrams are lost and
+ * versions come and go while callers take streams up at other instances. Some callers do not name the stream.
  */
-import { SeededRandom, type Random } from 'foxtaillever-core'
+import { Failure, FailureCode, SeededRandom, Verdict, waitUntil, type Random } from 'foxtaillever-core'
 import { ServedVersions } from 'foxtaillever-policy/relay/servedVersions'
 import { VirtualClock } from 'foxtaillever-testing/virtualClock'
+import { Left, Right, type Either } from 'purify-ts'
+import type { WritableKeyedLog } from '../../knowledge/memberRegistry.js'
 import { StreamHolders } from '../streamHolders.js'
 import type { StreamVersionMessage } from '../streamVersionMessage.js'
 import { StreamVersions, type StreamOrigin } from '../streamVersions.js'
+import { VersionRecords } from '../versionRecords.js'
 
 const SERVICE = 's'
 const HISTORY_MS = 40_000
@@ -29,12 +32,26 @@
 const BAD_LOSS = 0.3
 const USUAL_LOSS = 0.002
 
+/** Time of an answer of the store, milliseconds. */
+const STORE_MS = 5
+
+/** Instances that write the records of a service. */
+const WRITERS = 2
+
+/** Share of callers that do not name the stream that they take up. */
+const UNNAMED_SHARE = 0.3
+
+const unanswered = Failure.create(FailureCode.LogUnavailable, Verdict.NotRun, 'out of step')
+
 /** A caller hears at the latest by then whether its stream goes on, milliseconds. */
 const DECIDED_WITHIN_MS = 200
 
 export interface StreamVersionReport {
   readonly violations: readonly string[]
-  /** Streams that were taken up while servers of their version served, and those of them that went on. */
+  /**
+   * Streams that were taken up while servers of their version served, and those of them that went on. Left out are those that
+   * nobody can know: their callers do not name them, all instances were killed since, or one of the two instances is out of step.
+   */
   readonly takenUp: number
   readonly wentOn: number
 }
@@ -47,9 +64,31 @@
   served: ServedVersions
   /** Until when it receives and sends nothing, milliseconds of Unix time. */
   cutUntil: number
+  /** Since when and until when its callers reach it, and neither instances nor the store do; milliseconds of Unix time. */
+  outOfStepFrom: number
+  outOfStepUntil: number
+  /** When it last read the list of servers itself, milliseconds of Unix time. */
+  listReadAt: number
+  records: VersionRecords
   restartsAt: number
 }
 
+interface BegunStream {
+  readonly id: string
+  readonly softwareVersion: string
+  /** Milliseconds of Unix time. */
+  readonly beganAt: number
+  /** Whether the instance that began it was out of step. */
+  readonly isOutOfStep: boolean
+}
+
+interface Take {
+  /** Milliseconds of Unix time. */
+  readonly askedAt: number
+  /** Whether the caller names the stream. */
+  readonly isNamed: boolean
+}
+
 interface Change {
   readonly at: number
   readonly version: string
@@ -62,6 +101,10 @@
   private readonly nodes: Node[] = []
   private readonly changes: Change[] = [{ at: 0, version: 'v1', isServing: true }]
   private readonly violations: string[] = []
+  /** Records in the store. */
+  private readonly records = new Map<string, Buffer>()
+  /** When all instances were last killed at once, milliseconds of Unix time. */
+  private allKilledAt = -Infinity
   private loss = USUAL_LOSS
   private begun = 0
   private takenUp = 0
@@ -94,17 +137,75 @@
       }
     }
     await clock.advanceTo(until + DECIDED_WITHIN_MS)
-    this.nodes.forEach(({ streams }) => streams.stop())
+    this.nodes.forEach(({ streams, records }) => {
+      streams.stop()
+      records.stop()
+    })
   }
 
   private addNode (): Node {
     const index = this.nodes.length
     const own = { address: `i${index}`, failureDomain: `d${index % DOMAINS}` }
-    const node: Node = { ...own, holders: StreamHolders.create(own), served: ServedVersions.create(), streams: this.createStreams(index), cutUntil: 0, restartsAt: 0 }
+    const node: Node = { ...own, holders: StreamHolders.create(own), served: ServedVersions.create(), streams: this.createStreams(index), records: this.createRecords(index), cutUntil: 0, outOfStepFrom: 0, outOfStepUntil: 0, listReadAt: -Infinity, restartsAt: 0 }
     this.nodes.push(node)
+    node.records.start()
     return node
   }
 
+  /** Only two instances write, the first ones that are up. */
+  private createRecords (index: number): VersionRecords {
+    const node = (): Node => this.nodes[index] as Node
+    const versionsOf = (service: string): readonly string[] => node().served.recent(service, this.versionsKnownTo(node()), this.clock.now())
+    return VersionRecords.create({
+      clock: this.clock,
+      log: this.storeOf(node),
+      topic: 'versions',
+      relayLog: { belief: () => {}, trouble: () => {} },
+      services: () => [SERVICE],
+      versionsOf,
+      isWriter: () => this.nodes.filter(other => this.isUp(other)).slice(0, WRITERS).includes(node()),
+      onRead: (service, versions) => node().served.recordSeen(service, versions, this.clock.now())
+    })
+  }
+
+  /** The store as an instance reaches it, which is killed or out of step at times. */
+  private storeOf (node: () => Node): WritableKeyedLog {
+    const { clock, records } = this
+    const answer = async <Value> (value: () => Value): Promise<Either<Failure, Value>> => {
+      const { streams } = node()
+      await waitUntil(clock, clock.now() + STORE_MS)
+      return this.isUp(node()) && !this.isOutOfStep(node()) && node().streams === streams ? Right(value()) : Left(unanswered)
+    }
+    return {
+      era: 0,
+      newest: async () => await answer(() => ({ records: [...records].map(([key, value], offset) => ({ key, value, offset })), hasMore: false, end: records.size })),
+      read: async (_, from) => await answer(() => ({ records: [], next: from, isGap: false })),
+      put: async (_, key, value) => await answer(() => { records.set(key, value) })
+    }
+  }
+
+  private isOutOfStep ({ outOfStepUntil }: Node): boolean {
+    return this.clock.now() < outOfStepUntil
+  }
+
+  /** Reads the list of servers, unless the instance is out of step. */
+  private refreshList (node: Node): void {
+    const { clock } = this
+    const calledAt = clock.now()
+    clock.at(calledAt + STORE_MS, () => {
+      if (!this.isOutOfStep(node)) {
+        node.listReadAt = calledAt
+      }
+    })
+  }
+
+  /** Time as of which the instance knows the list. */
+  private listKnownAt (node: Node): number {
+    const delay = Number(node.address.slice(1)) * 397 % DISCOVERY_MS
+    const heardAt = this.isOutOfStep(node) ? node.outOfStepFrom : this.clock.now()
+    return Math.max(heardAt - delay, node.listReadAt)
+  }
+
   private createStreams (index: number): StreamVersions {
     const node = (): Node => this.nodes[index] as Node
     return StreamVersions.create({
@@ -113,7 +214,9 @@
       holdersOf: id => node().holders.of(id),
       askedFor: id => node().holders.asked(id),
       versionsOf: service => node().served.recent(service, this.versionsKnownTo(node()), this.clock.now()),
-      hasRecentServers: () => this.changes.some(({ at, isServing }) => isServing && at > 0),
+      knowsRecentVersions: () => node().records.isRead,
+      listKnownAt: () => this.listKnownAt(node()),
+      refreshList: () => this.refreshList(node()),
       send: (address, message) => this.transmit(node(), address, message)
     })
   }
@@ -122,11 +225,11 @@
     const { clock, random } = this
     const to = this.nodes.find(node => node.address === address)
     const { streams } = to ?? {}
-    if (!to || !this.isUp(from) || random.next() < this.loss) {
+    if (!to || !this.isUp(from) || this.isOutOfStep(from) || random.next() < this.loss) {
       return
     }
     clock.at(clock.now() + drawBetween(random, DATAGRAM_MS), () => {
-      if (this.isUp(to) && to.streams === streams) {
+      if (this.isUp(to) && !this.isOutOfStep(to) && to.streams === streams) {
         to.streams.receive(message)
       }
     })
@@ -153,9 +256,8 @@
   }
 
   /** Each instance learns of a change at a moment of its own. */
-  private versionsKnownTo ({ address }: Node): string[] {
-    const delay = Number(address.slice(1)) * 397 % DISCOVERY_MS
-    return this.servingAt(this.clock.now() - delay)
+  private versionsKnownTo (node: Node): string[] {
+    return this.servingAt(this.listKnownAt(node))
   }
 
   private beginStream (node: Node): void {
@@ -165,14 +267,14 @@
     if (softwareVersion === undefined) {
       return
     }
-    const id = `stream-${this.begun++}`
-    node.streams.record({ id, service: SERVICE, softwareVersion })
-    this.breakStream(id, softwareVersion, MAX_TAKEN_UP)
+    const stream: BegunStream = { id: `stream-${this.begun++}`, softwareVersion, beganAt: clock.now(), isOutOfStep: this.isOutOfStep(node) }
+    node.streams.record({ id: stream.id, service: SERVICE, softwareVersion })
+    this.breakStream(stream, MAX_TAKEN_UP)
     clock.at(clock.now(), () => node.streams.handleServersChanged(SERVICE))
   }
 
   /** The stream breaks, and its caller takes it up at another instance. */
-  private breakStream (id: string, softwareVersion: string, triesLeft: number): void {
+  private breakStream (stream: BegunStream, triesLeft: number): void {
     const { clock, random } = this
     clock.at(clock.now() + drawBetween(random, BREAKS_AFTER_MS), () => {
       const node = this.drawUp()
@@ -181,16 +283,17 @@
       }
       const { streams } = node
       const askedAt = clock.now()
-      streams.find(SERVICE, id, origin => {
+      const isNamed = random.next() >= UNNAMED_SHARE
+      streams.find(SERVICE, isNamed ? stream.id : '', origin => {
         if (node.streams === streams && this.isUp(node)) {
-          this.takeUp(node, id, softwareVersion, origin, askedAt)
-          this.breakStream(id, softwareVersion, triesLeft - 1)
+          this.takeUp(node, stream, origin, { askedAt, isNamed })
+          this.breakStream(stream, triesLeft - 1)
         }
       })
     })
   }
 
-  private takeUp (node: Node, id: string, softwareVersion: string, { softwareVersion: found }: StreamOrigin, askedAt: number): void {
+  private takeUp (node: Node, { id, softwareVersion, beganAt, isOutOfStep }: BegunStream, { softwareVersion: found }: StreamOrigin, { askedAt, isNamed }: Take): void {
     const known = this.versionsKnownTo(node)
     const candidates = known.filter(version => version === found)
     const other = candidates.find(version => version !== softwareVersion)
@@ -200,11 +303,12 @@
     if (this.clock.now() > askedAt + DECIDED_WITHIN_MS) {
       this.violations.push(`${id} waited for ${this.clock.now() - askedAt} ms`)
     }
-    if (known.includes(softwareVersion)) {
+    const canBeKnown = isNamed && !isOutOfStep && !this.isOutOfStep(node) && beganAt > this.allKilledAt
+    if (canBeKnown && known.includes(softwareVersion)) {
       this.takenUp += 1
       this.wentOn += candidates.length > 0 ? 1 : 0
     }
-    if (candidates.length > 0) {
+    if (candidates.length > 0 && isNamed) {
       node.streams.record({ id, service: SERVICE, softwareVersion })
     }
   }
@@ -214,6 +318,11 @@
     const faults: ReadonlyArray<() => void> = [
       () => this.kill(this.drawUp()),
       () => nodes.filter(() => random.next() < 0.3).forEach(node => this.kill(node)),
+      () => {
+        this.allKilledAt = clock.now()
+        nodes.forEach(node => this.kill(node))
+      },
+      () => nodes.filter(() => random.next() < 0.3).forEach(node => Object.assign(node, { outOfStepFrom: clock.now(), outOfStepUntil: clock.now() + random.below(4000) })),
       () => nodes.filter(() => random.next() < 0.3).forEach(node => { node.cutUntil = clock.now() + random.below(4000) }),
       () => {
         this.loss = BAD_LOSS
@@ -234,9 +343,14 @@
   private kill (node: Node | undefined): void {
     if (node) {
       node.streams.stop()
-      node.streams = this.createStreams(this.nodes.indexOf(node))
+      node.records.stop()
+      const index = this.nodes.indexOf(node)
+      node.streams = this.createStreams(index)
       node.served = ServedVersions.create()
+      const records = this.createRecords(index)
+      node.records = records
       node.restartsAt = this.clock.now() + 200 + this.random.below(1500)
+      this.clock.at(node.restartsAt, () => records.start())
     }
   }
 
@@ -248,7 +362,10 @@
       const isServing = serving.length < 2 || (serving.length < 4 && random.next() < 0.5)
       const version = isServing ? `v${changes.length + 1}` : serving[random.below(serving.length)] as string
       changes.push({ at: clock.now(), version, isServing })
-      this.nodes.forEach(node => clock.at(clock.now() + DISCOVERY_MS, () => node.streams.handleServersChanged(SERVICE)))
+      this.nodes.forEach(node => clock.at(clock.now() + DISCOVERY_MS, () => {
+        node.streams.handleServersChanged(SERVICE)
+        node.records.update(SERVICE)
+      }))
       this.scheduleRelease()
     })
   }
--- a/packages/foxtaillever-relay/src/streams/__tests__/streamVersionHistory.test.ts
+++ b/packages/foxtaillever-relay/src/streams/__tests__/streamVersionHistory.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'foxtaillever-testing'
 import { StreamVersionHistory } from '../__fixtures__/streamVersionHistory.js'
 
-const SEEDS = 8
+const SEEDS = 24
 
 /** Streams that are taken up go on at least as often, as a share of how often new ones begin. */
 const MIN_RELATIVE_SHARE = 0.9
--- a/packages/foxtaillever-relay/src/streams/__tests__/streamVersions.test.ts
+++ b/packages/foxtaillever-relay/src/streams/__tests__/streamVersions.test.ts
@@ -13,19 +13,31 @@
   readonly sent: Array<StreamVersionMessage & { readonly to: string }>
   readonly origins: StreamOrigin[]
   versions: string[]
-  hasRecentServers: boolean
+  knowsRecentVersions: boolean
+  /** Whether the store answers when the list is to be read. */
+  hasStore: boolean
 }
 
 function createRig (versions: string[]): Rig {
   const clock = VirtualClock.create()
+  let listKnownAt = -Infinity
   const rig: Rig = {
     clock,
     sent: [],
     origins: [],
     versions,
-    hasRecentServers: false,
+    knowsRecentVersions: false,
+    hasStore: false,
     streams: StreamVersions.create({
-      clock, address: () => 'own', holdersOf: () => ['a', 'b'], askedFor: () => ['a', 'b', 'c'], versionsOf: () => rig.versions, hasRecentServers: () => rig.hasRecentServers, send: (to, message) => { rig.sent.push({ ...message, to }) }
+      clock,
+      address: () => 'own',
+      holdersOf: () => ['a', 'b'],
+      askedFor: () => ['a', 'b', 'c'],
+      versionsOf: () => rig.versions,
+      knowsRecentVersions: () => rig.knowsRecentVersions,
+      listKnownAt: () => listKnownAt,
+      refreshList: () => { listKnownAt = rig.hasStore ? clock.now() : listKnownAt },
+      send: (to, message) => { rig.sent.push({ ...message, to }) }
     })
   }
   return rig
@@ -109,18 +121,42 @@
     })
 
     // Guards against a second version that begins to serve between the decision and the choice of a server.
-    it('goes on at the only version that serves where no instance knows more', async t => {
-      const rig = createRig(['v1'])
-      await rig.clock.advanceBy(LONG_MS)
-      find(rig, 'x')
-      await rig.clock.advanceBy(40)
-      t.deepEqual(rig.origins, [{ isKnown: false, softwareVersion: 'v1' }])
+    it('goes on at the only version that serves as of a list that was read since', async t => {
+      for (const id of ['x', '']) {
+        const rig = createRig(['v1'])
+        await rig.clock.advanceBy(LONG_MS)
+        rig.hasStore = true
+        find(rig, id)
+        await rig.clock.advanceBy(70)
+        t.deepEqual(rig.origins, [{ isKnown: false, softwareVersion: 'v1' }])
+      }
+    })
+
+    // Guards against an instance that is cut off, or stood still, and takes the silence of others for one version.
+    it('has no version where the others are silent and the list cannot be read', async t => {
+      for (const id of ['x', '']) {
+        const rig = createRig(['v1'])
+        await rig.clock.advanceBy(LONG_MS)
+        find(rig, id)
+        await rig.clock.advanceBy(200)
+        t.deepEqual(rig.origins, [{ isKnown: false, softwareVersion: undefined }])
+      }
+    })
+
+    it('goes on at the only version that serves if another instance knows no more, whether or not its caller names it', async t => {
+      for (const id of ['x', '']) {
+        const rig = createRig(['v1'])
+        await rig.clock.advanceBy(LONG_MS)
+        find(rig, id)
+        respond(rig, 'a', rig.sent[0]?.id ?? '')
+        await rig.clock.advanceBy(200)
+        t.deepEqual(rig.origins, [{ isKnown: false, softwareVersion: 'v1' }])
+      }
     })
 
     // Guards against instances that have just started, all of them, and take the versions that serve now for all that served a moment ago.
-    it('has no version after a release where nobody knows which versions served a moment ago', async t => {
+    it('has no version where nobody knows which versions served a moment ago', async t => {
       const rig = createRig(['v1'])
-      rig.hasRecentServers = true
       find(rig, 'x')
       respond(rig, 'a', 'x', undefined, false, false)
       await rig.clock.advanceBy(200)
@@ -128,8 +164,10 @@
     })
 
     // Guards against streams that are refused after all instances were killed, although there is no sign of another version.
-    it('goes on at the only version where nobody knows more and no server has started lately', async t => {
+    it('goes on at the only version where an instance that has just started has read which versions served', async t => {
       const rig = createRig(['v1'])
+      rig.knowsRecentVersions = true
+      rig.hasStore = true
       find(rig, 'x')
       await rig.clock.advanceBy(200)
       t.deepEqual(rig.origins, [{ isKnown: false, softwareVersion: 'v1' }])
@@ -137,7 +175,6 @@
 
     it('goes on at the only version after a release if an instance that has run for long knows no other', t => {
       const rig = createRig(['v1'])
-      rig.hasRecentServers = true
       find(rig, 'x')
       for (const address of ['a', 'b', 'c']) {
         respond(rig, address, 'x', undefined, false, address === 'b')
--- a/packages/foxtaillever-relay/src/streams/streamVersions.ts
+++ b/packages/foxtaillever-relay/src/streams/streamVersions.ts
@@ -8,6 +8,10 @@
  * servers of several versions serve the service, or while it has run too short to know
  * that; once several serve, it announces those that it began before. An instance at
  * which a stream is taken up asks those that may know it.
+ *
+ * A stream that nobody knows goes on only if a single version can have begun it. Silence does not show that: an instance that
+ * is cut off or stood still knows neither the stream nor the servers that began it. It takes another instance's word, or a
+ * list of servers that was read after the stream was taken up.
  */
 import { atAfterSilence, type Cancellation, type Clock } from 'foxtaillever-core'
 import { RecentMap } from 'foxtaillever-policy/collections/recentMap'
@@ -17,6 +21,9 @@
 /** Time until a datagram without an answer is sent again, milliseconds: a round trip takes a few, a busy event loop adds tens. */
 const RESEND_MS = 30
 
+/** Begins what is asked for instead of the id of a stream that its caller does not name; no id of a request has it. */
+const UNNAMED = '\n'
+
 /** Transmissions of a notice or request: where three in ten datagrams are lost, fewer than one in a hundred does not arrive. */
 const MAX_SENDS = 4
 
@@ -46,8 +53,12 @@
   readonly askedFor: (id: string) => readonly string[]
   /** Versions whose servers serve the service, or did until a moment ago, as far as this instance knows. */
   readonly versionsOf: (service: string) => readonly string[]
-  /** Whether servers of the service have started lately, as in a release. */
-  readonly hasRecentServers: (service: string) => boolean
+  /** Whether this instance knows which versions served until a moment ago, although it may have started since. */
+  readonly knowsRecentVersions: () => boolean
+  /** Time as of which the list of servers is known, milliseconds of Unix time. */
+  readonly listKnownAt: () => number
+  /** Reads the list of servers now. */
+  readonly refreshList: () => void
   readonly send: (address: string, message: StreamVersionMessage) => void
 }
 
@@ -75,8 +86,11 @@
 
 interface PendingSearch extends Repetition {
   readonly request: StreamVersionRequest
+  /** Milliseconds of Unix time. */
+  readonly beganAt: number
+  hasAnswer: boolean
   areSeveral: boolean
-  /** Whether this instance, or one that answered, knows which versions served a moment ago. */
+  /** Whether an instance that answered knows which versions served until a moment ago. */
   hasFullKnowledge: boolean
   readonly waiting: Array<(origin: StreamOrigin) => void>
 }
@@ -116,32 +130,68 @@
     })
   }
 
-  /** Finds the version of a stream that a caller takes up; calls back once it is known or the asked instances have answered or are silent. */
+  /**
+   * Finds the version of a stream that a caller takes up; calls back once it is known, or the asked instances have answered or are silent.
+   * @param id empty if the caller does not name the stream.
+   */
   find (service: string, id: string, onFound: (origin: StreamOrigin) => void): void {
+    const { clock, address, askedFor } = this.options
     const known = this.knownVersion(id, service)
-    const asked = known === undefined && id !== '' ? this.options.askedFor(id) : []
-    if (asked.length === 0) {
-      onFound(this.originOf(service, known, this.areSeveral(service)))
+    if (known !== undefined) {
+      onFound({ isKnown: true, softwareVersion: known })
       return
     }
-    const earlier = this.searches.get(id)
+    // Of streams without a name, others can only tell which versions serve.
+    const searched = id === '' ? `${UNNAMED}${service}` : id
+    const earlier = this.searches.get(searched)
     if (earlier) {
       earlier.waiting.push(onFound)
       return
     }
-    const request: StreamVersionRequest = { kind: DatagramKind.StreamVersionRequest, address: this.options.address(), id, service }
-    const search: PendingSearch = { request, areSeveral: false, hasFullKnowledge: this.hasFullKnowledge, waiting: [onFound], unanswered: new Set(asked), sends: 0, cancel: () => {} }
-    this.searches.set(id, search)
-    this.repeat(search, request, () => this.isConclusive(search) ? 1 : MAX_SENDS, () => this.complete(search, undefined))
+    const request: StreamVersionRequest = { kind: DatagramKind.StreamVersionRequest, address: address(), id: searched, service }
+    const search: PendingSearch = { request, beganAt: clock.now(), hasAnswer: false, areSeveral: false, hasFullKnowledge: false, waiting: [onFound], unanswered: new Set(askedFor(searched)), sends: 0, cancel: () => {} }
+    this.searches.set(searched, search)
+    this.continueSearch(search)
+  }
+
+  /** Asks all that have not answered, again and again, until the version is known or can be concluded, or most often. */
+  private continueSearch (search: PendingSearch): void {
+    const { clock, send, refreshList } = this.options
+    if (search.sends >= MAX_SENDS || this.isConclusive(search)) {
+      this.complete(search, undefined)
+      return
+    }
+    // Once an instance is silent, or none can be asked, the list has to show which versions serve.
+    if (!this.isInStep(search) && (search.sends > 0 || search.unanswered.size === 0)) {
+      refreshList()
+    }
+    search.sends += 1
+    search.unanswered.forEach(address => send(address, search.request))
+    search.cancel = atAfterSilence(clock, clock.now() + RESEND_MS, () => this.continueSearch(search))
   }
 
-  /** Whether silent instances need not be waited for: one version serves, as far as all know that answered. */
-  private isConclusive ({ request, areSeveral }: PendingSearch): boolean {
-    return this.hasFullKnowledge && !areSeveral && !this.areSeveral(request.service)
+  /** Whether nothing that silent instances know can matter: all have answered, or one version serves as of the search. */
+  private isConclusive (search: PendingSearch): boolean {
+    const { hasAnswer, unanswered, sends } = search
+    return unanswered.size === 0 ? hasAnswer || this.isListCurrent(search) : sends > 0 && this.isListCurrent(search) && !this.mayBeSeveral(search)
+  }
+
+  /** Whether servers that began streams before the search are known here, or at an instance that answered. */
+  private isInStep (search: PendingSearch): boolean {
+    return search.hasAnswer || this.isListCurrent(search)
+  }
+
+  private isListCurrent ({ beganAt }: PendingSearch): boolean {
+    return this.options.listKnownAt() >= beganAt
+  }
+
+  /** Whether another version than the only one that serves may have begun the stream. */
+  private mayBeSeveral (search: PendingSearch): boolean {
+    return search.areSeveral || this.areSeveral(search.request.service) || !this.isInStep(search) || !(search.hasFullKnowledge || this.hasFullKnowledge)
   }
 
   private get hasFullKnowledge (): boolean {
-    return this.options.clock.now() >= this.fullKnowledgeAt
+    return this.options.clock.now() >= this.fullKnowledgeAt || this.options.knowsRecentVersions()
   }
 
   receive (message: StreamVersionMessage): void {
@@ -176,19 +226,19 @@
     const notice: StreamVersionNotice = { kind: DatagramKind.StreamVersionNotice, address: this.options.address(), id, service, softwareVersion }
     const repetition: Repetition = { unanswered: new Set(this.options.holdersOf(id)), sends: 0, cancel: () => {} }
     this.notices.set(id, repetition)
-    this.repeat(repetition, notice, () => MAX_SENDS, () => this.notices.delete(id))
+    this.repeat(repetition, notice, () => this.notices.delete(id))
   }
 
   /** Sends the message to all that have not answered, again and again; calls back when it was sent often enough. */
-  private repeat (repetition: Repetition, message: StreamVersionMessage, maxSends: () => number, onOver: () => void): void {
+  private repeat (repetition: Repetition, message: StreamVersionMessage, onOver: () => void): void {
     const { clock, send } = this.options
-    if (repetition.sends >= maxSends() || repetition.unanswered.size === 0) {
+    if (repetition.sends >= MAX_SENDS || repetition.unanswered.size === 0) {
       onOver()
       return
     }
     repetition.sends += 1
     repetition.unanswered.forEach(address => send(address, message))
-    repetition.cancel = atAfterSilence(clock, clock.now() + RESEND_MS, () => this.repeat(repetition, message, maxSends, onOver))
+    repetition.cancel = atAfterSilence(clock, clock.now() + RESEND_MS, () => this.repeat(repetition, message, onOver))
   }
 
   private handleAcknowledgement (address: string, id: string): void {
@@ -205,6 +255,7 @@
       return
     }
     search.unanswered.delete(address)
+    search.hasAnswer = true
     search.areSeveral ||= areSeveral
     search.hasFullKnowledge ||= hasFullKnowledge
     if (softwareVersion !== undefined || search.unanswered.size === 0) {
@@ -213,17 +264,11 @@
   }
 
   private complete (search: PendingSearch, known: string | undefined): void {
-    const { request: { id, service }, areSeveral, hasFullKnowledge, waiting } = search
+    const { request: { id, service }, waiting } = search
     search.cancel()
     this.searches.delete(id)
-    // After a release, servers of another version may have left before any of those that answered started.
-    const mayBeSeveral = areSeveral || this.areSeveral(service) || (!hasFullKnowledge && this.options.hasRecentServers(service))
-    waiting.forEach(onFound => onFound(this.originOf(service, known, mayBeSeveral)))
-  }
-
-  private originOf (service: string, known: string | undefined, mayBeSeveral: boolean): StreamOrigin {
-    const [only] = mayBeSeveral ? [] : this.options.versionsOf(service)
-    return { isKnown: known !== undefined, softwareVersion: known ?? only }
+    const [only] = known === undefined && this.mayBeSeveral(search) ? [] : this.options.versionsOf(service)
+    waiting.forEach(onFound => onFound({ isKnown: known !== undefined, softwareVersion: known ?? only }))
   }
 
   private areSeveral (service: string): boolean {
