--- a/packages/foxtaillever-fleet/src/fleet.ts
+++ b/packages/foxtaillever-fleet/src/fleet.ts
@@ -8,7 +8,7 @@
 import { Publisher, type Publication, type PublicationRequest } from './configuration/publisher.js'
 import { SnapshotWriter } from './configuration/snapshotWriter.js'
 import { createDump, type FleetDump } from './fleetDump.js'
-import { LogReader, type GapListener, type RecordHandler } from './log/logReader.js'
+import { LogReader, type GapListener, type RecordHandler, type ErrorListener } from './log/logReader.js'
 import type { Datagrams } from './membership/datagrams.js'
 import type { Member } from './membership/member.js'
 import { MemberTable } from './membership/memberTable.js'
@@ -53,6 +53,8 @@
   readonly readers?: readonly RecordHandler[]
   /** Called when records expired before they were read. */
   readonly onGap?: GapListener
+  /** Called with an error of a reader of the log; without it, the error ends the process. */
+  readonly onLogError?: ErrorListener
 }
 
 export class Fleet implements PeerSource {
@@ -74,7 +76,7 @@
     this.reader = LogReader.create(log, clock, [this.store.applyRecord, this.publisher.handleRecord, this.snapshotWriter.handleRecord, ...options.readers ?? []], (first, page) => {
       this.store.noteFirstRetainedOffset(first)
       options.onGap?.(first, page)
-    })
+    }, options.onLogError)
     const self = Self.create(options.self, clock.now())
     const table = MemberTable.create()
     const messenger = Messenger.create({ self, table, store: this.store, keys, clock, datagrams })
@@ -204,8 +206,8 @@
       this.systems.resumeAfterPause()
     }
     this.lastTickAt = now
+    this.cancelTick = clock.at(now + TICK_MS + random.below(TICK_SPREAD_MS), () => this.tick())
     this.systems.tick()
     this.snapshotWriter.tick()
-    this.cancelTick = clock.at(now + TICK_MS + random.below(TICK_SPREAD_MS), () => this.tick())
   }
 }
--- a/packages/foxtaillever-fleet/src/log/__tests__/logReader.test.ts
+++ b/packages/foxtaillever-fleet/src/log/__tests__/logReader.test.ts
@@ -27,6 +27,21 @@
     t.true(reader.isCaughtUp())
   })
 
+  // Guards against one record that ends the process, or the reading of the log, at every instance that reads it.
+  it('passes on the records behind one that a handler cannot apply, and reports the error', async t => {
+    const clock = VirtualClock.create()
+    const log = FakeLog.create(clock)
+    const offsets: number[] = []
+    const errors: unknown[] = []
+    const failing = (): void => { throw new TypeError('odd') }
+    const reader = LogReader.create(log, clock, [({ offset }) => { offset === 2 && failing() }, ({ offset }) => offsets.push(offset)], () => {}, error => errors.push(error))
+    await appendRecords(log, 3)
+    reader.start()
+    await clock.advanceBy(100)
+    t.deepEqual(offsets, [1, 2, 3])
+    t.is(errors.length, 1)
+  })
+
   it('reports records that expired unread, also when none is left', async t => {
     const clock = VirtualClock.create()
     const log = FakeLog.create(clock)
--- a/packages/foxtaillever-fleet/src/log/logReader.ts
+++ b/packages/foxtaillever-fleet/src/log/logReader.ts
@@ -12,6 +12,9 @@
 
 export type RecordHandler = (record: LogRecord) => void
 
+/** Called with an error of a handler, which costs that handler the record. */
+export type ErrorListener = (error: unknown, record: LogRecord) => void
+
 /** Called when records expired before they were read, with the first offset that the log still has and the page that stated it. */
 export type GapListener = (first: number, page: LogPage) => void
 
@@ -21,10 +24,10 @@
   private endOffset = 0
   private lastRead = 0
 
-  private constructor (private readonly log: Log, private readonly clock: Clock, private readonly handlers: readonly RecordHandler[], private readonly onGap: GapListener) {}
+  private constructor (private readonly log: Log, private readonly clock: Clock, private readonly handlers: readonly RecordHandler[], private readonly onGap: GapListener, private readonly onError: ErrorListener) {}
 
-  static create (log: Log, clock: Clock, handlers: readonly RecordHandler[], onGap: GapListener = () => {}): LogReader {
-    return new LogReader(log, clock, handlers, onGap)
+  static create (log: Log, clock: Clock, handlers: readonly RecordHandler[], onGap: GapListener = () => {}, onError: ErrorListener = error => { throw error }): LogReader {
+    return new LogReader(log, clock, handlers, onGap, onError)
   }
 
   /** Offset of the last record passed to the handlers. */
@@ -78,7 +81,16 @@
         continue
       }
       this.nextOffset = record.offset + 1
-      this.handlers.forEach(handler => handler(record))
+      this.handlers.forEach(handler => this.handle(handler, record))
+    }
+  }
+
+  /** All instances meet the same record: an error must neither end their processes nor keep the records behind it. */
+  private handle (handler: RecordHandler, record: LogRecord): void {
+    try {
+      handler(record)
+    } catch (error) {
+      this.onError(error, record)
     }
   }
 }
--- a/packages/foxtaillever-router/src/instance/__tests__/serverLoadMonitor.test.ts
+++ b/packages/foxtaillever-router/src/instance/__tests__/serverLoadMonitor.test.ts
@@ -44,6 +44,7 @@
       clock: this.clock,
       name,
       configuration: () => configuration,
+      onError: () => {},
       core: { inFlight: () => this.members.some(member => member.name === name) ? 1 : 0, applyLoadReport: (server, load) => { load.waiting === report.waiting && observed.add(server) } },
       fleet: {
         members: () => this.members,
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -91,8 +91,8 @@
     this.components = [
       this.core,
       this.orders,
-      InstanceListMonitor.create({ clock, list: this.list, core: this.core, plain: this.plain }),
-      ServerLoadMonitor.create({ clock, name, fleet: this.fleet, core: this.core, engines: this.engines, configuration: () => this.configuration() }),
+      InstanceListMonitor.create({ clock, list: this.list, core: this.core, plain: this.plain, onError: error => this.logError('The list of instances cannot be applied.', error) }),
+      ServerLoadMonitor.create({ clock, name, fleet: this.fleet, core: this.core, engines: this.engines, configuration: () => this.configuration(), onError: error => this.logError('The load of a backend server cannot be applied.', error) }),
       SoftStateSharing.create({ name, clock, fleet: this.fleet, scheduler: this.core.scheduler })
     ]
   }
@@ -131,10 +131,15 @@
       clock,
       random,
       readers: [record => this.claims.applyRecord(record), record => this.orders.read(record)],
-      onGap: (_, page) => this.claims.updateCoverage(page)
+      onGap: (_, page) => this.claims.updateCoverage(page),
+      onLogError: error => this.logError('A record of the log cannot be applied.', error)
     })
   }
 
+  private logError (sentence: string, error: unknown): void {
+    this.options.logs.write('error', Part.Fleet, sentence, { reason: String(error) })
+  }
+
   private createCore (): RouterCore {
     const { failureDomain, distancesMs } = this.options
     return RouterCore.create({
--- a/packages/foxtaillever-router/src/instance/instanceListMonitor.ts
+++ b/packages/foxtaillever-router/src/instance/instanceListMonitor.ts
@@ -12,8 +12,10 @@
 export interface InstanceListMonitorOptions {
   readonly clock: Clock
   readonly list: InstanceList
-  readonly core: RouterCore
+  readonly core: Pick<RouterCore, 'applyInstanceList'>
   readonly plain: Pick<PlainRouter, 'setLeaving'>
+  /** Called with an unexpected error; the list is read again. */
+  readonly onError: (error: unknown) => void
 }
 
 export class InstanceListMonitor {
@@ -34,15 +36,19 @@
   }
 
   private async poll (): Promise<void> {
-    const { clock, list } = this.options
+    const { clock, onError } = this.options
     while (this.running) {
       const nextAt = clock.now() + PERIOD_MS
-      const listed = await list.list()
-      listed.ifRight(instances => this.applyList(instances))
+      await this.read().catch(onError)
       await waitUntil(clock, nextAt)
     }
   }
 
+  private async read (): Promise<void> {
+    const listed = await this.options.list.list()
+    listed.ifRight(instances => this.applyList(instances))
+  }
+
   private applyList (instances: readonly ListedInstance[]): void {
     this.options.core.applyInstanceList(instances)
     instances
--- a/packages/foxtaillever-router/src/instance/serverLoadMonitor.ts
+++ b/packages/foxtaillever-router/src/instance/serverLoadMonitor.ts
@@ -61,6 +61,8 @@
   readonly engines: { readonly of: (server: BackendServer) => Pick<Engine, 'load'> }
   readonly name: string
   readonly configuration: () => Configuration
+  /** Called with an unexpected error; the loads are read again. */
+  readonly onError: (error: unknown) => void
 }
 
 export class ServerLoadMonitor {
@@ -85,10 +87,10 @@
   }
 
   private async poll (): Promise<void> {
-    const { clock } = this.options
+    const { clock, onError } = this.options
     while (this.running) {
       const nextAt = clock.now() + this.period(clock.now())
-      await Promise.all(this.serversToRead().map(async server => await this.read(server)))
+      await Promise.all(this.serversToRead().map(async server => await this.read(server).catch(onError)))
       await waitUntil(clock, nextAt)
     }
   }
