--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -4,6 +4,7 @@
 import { ENGINES, MODEL, Path, ZONES } from 'foxtaillever-platform/__fixtures__/relayFleet'
 import { AppendFault, LinkCut, LinkFault, ServerFault, StoreMode, type BackendServer, type LevelFault } from 'foxtaillever-standins'
 import type { Disturbances } from './disturbances.js'
+import { oddEntries } from './leavingServers.js'
 import { plannedWork } from './plannedWork.js'
 import type { SoakFleet, SoakInstance } from './soakFleet.js'
 
@@ -59,6 +60,9 @@
 const CRASHING_PATIENCE_MS = 2000
 const CRASHES: readonly LevelFault[] = [ServerFault.CrashAtStart, ServerFault.CrashAfterStart]
 
+/** How far starts of servers may be dated wrongly, milliseconds. */
+const MAX_AHEAD_MS = 86_400_000
+
 /** Software versions of servers that replace others. */
 const SOFTWARE_VERSIONS = ['v1', 'v2', 'v3']
 
@@ -125,6 +129,7 @@
   return [
     Buffer.from([0xff, 0xfe, 0x00]),
     Buffer.from('[]'),
+    ...Object.values(oddEntries('nobody\'s', address)),
     ...[{}, { ...ready, slots: 'many' }, { ...ready, state: 'asleep' }, { ...ready, address: undefined }, { ...ready, service: 'nobody\'s', models: [{ name: MODEL, version: 1 }] }]
       .map(value => Buffer.from(JSON.stringify(value)))
   ]
@@ -202,6 +207,16 @@
     const keys = ['somebody', draw(random, fleet.platform.servers).id]
     foreignEntries(context).forEach(value => fleet.platform.writeForeign(draw(random, keys), value))
   },
+  // Another writer dates the start of a server in the future; the server's next entry is its own again.
+  'date the start of a server in the future': async ({ fleet: { platform }, random }) => {
+    const { id, address, startedAt } = draw(random, platform.servers)
+    platform.writeForeign(id, Buffer.from(JSON.stringify({ service: 'nobody\'s', address, zone: ZONES[0], version: 'v1', slots: 8, state: 'ready', seq: 1, cold_left_ms: 0, born: startedAt + MAX_AHEAD_MS })))
+  },
+  'set the clock of a server back and start it again': async ({ fleet: { platform }, random }) => {
+    const server = draw(random, platform.servers)
+    server.clockAheadMs -= random.below(MAX_AHEAD_MS)
+    server.crash(true)
+  },
   'replace a server': replaceServer,
   'disturb the links': async ({ fleet, random, cuts }) => {
     const fault = draw(random, Object.values(LinkFault))
