Ask an engine again after a call to it failed unexpectedly

An engine got no new weights any more after one call to it threw: isCalling stayed true. Found on reading the calls again.

--- a/packages/foxtaillever-relay/src/__tests__/unexpectedErrors.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unexpectedErrors.test.ts
@@ -124,6 +124,28 @@
   })
 })
 
+describe('after an unexpected error of a call to an engine', () => {
+  for (const call of ['report', 'order'] as const) {
+    it(`the engine still gets new weights: ${call}`, async t => {
+      const fleet = OrderingFleet.create({ instances: 1, engines: 1 })
+      const original = fleet.engines[call].bind(fleet.engines) as (...terms: unknown[]) => Promise<unknown>
+      let calls = 0
+      Object.assign(fleet.engines, {
+        [call]: async (...terms: unknown[]) => {
+          calls += 1
+          if (calls === 1) {
+            throw unexpected
+          }
+          return await original(...terms)
+        }
+      })
+      fleet.name(2)
+      await fleet.clock.advanceBy(20 * SECOND_MS)
+      t.deepEqual(fleet.engines.versions, [2], `${calls} calls`)
+    })
+  }
+})
+
 describe('a path that cannot be decoded', () => {
   it('is answered by the server for operators', async t => {
     const server = MetricsServer.create({ render: () => '', dump: () => ({}), quarantines: () => ({}), liftQuarantine: () => true })
--- a/packages/foxtaillever-relay/src/weights/engineChange.ts
+++ b/packages/foxtaillever-relay/src/weights/engineChange.ts
@@ -122,8 +122,7 @@
       return
     }
     this.isCalling = true
-    const answer = await orders.report(engine)
-    this.isCalling = false
+    const answer = await orders.report(engine).finally(() => { this.isCalling = false })
     this.nextPollAt = clock.now() + RETRY_MS
     this.missedReports = answer.isLeft() ? this.missedReports + 1 : 0
     answer.ifRight(report => {
@@ -146,8 +145,7 @@
     this.orderedVersion = version
     this.idleChecks = 0
     const expectedSequence = this.report.sequence
-    const answer = await orders.order(engine, { model, version, holder, fence, expectedSequence })
-    this.isCalling = false
+    const answer = await orders.order(engine, { model, version, holder, fence, expectedSequence }).finally(() => { this.isCalling = false })
     const outcome = answer.orDefault(OrderAnswer.Unknown)
     const subject = { server: engine.listed.id, model, version, fence, sequence: expectedSequence, running: this.report.running, outcome, failure: answer.swap().map(({ message }) => message).orDefault('') }
     log.belief('Ordered new weights.', subject)
--- a/packages/foxtaillever-relay/src/weights/weightsRollout.ts
+++ b/packages/foxtaillever-relay/src/weights/weightsRollout.ts
@@ -142,7 +142,7 @@
     const { clock } = this.options
     while (!this.isStopped && this.outdatedModels().length > 0) {
       // Engines that lack weights are checked again whatever happens in one check.
-      await this.check().catch(error => this.logFailure(error))
+      await this.check().catch(this.logFailure)
       await waitUntil(clock, clock.now() + CHECK_INTERVAL_MS)
     }
     this.isRunning = false
@@ -150,7 +150,7 @@
     this.announcePending()
   }
 
-  private logFailure (error: unknown): void {
+  private readonly logFailure = (error: unknown): void => {
     this.options.log.trouble('Changing weights failed.', { reason: String(error) })
   }
 
@@ -212,7 +212,7 @@
       const change = this.changes.get(engine.listed.id)
       if (change) {
         this.keepSteered(engine, model)
-        this.logFailure(change.pollReport())
+        change.pollReport().catch(this.logFailure)
       }
     }
   }
@@ -270,7 +270,7 @@
     const fence = this.options.lease.fence()
     const change = this.changes.get(id)
     if (change && fence !== undefined) {
-      this.logFailure(change.sendOrder({ version: this.wantedVersion(model), fence }))
+      change.sendOrder({ version: this.wantedVersion(model), fence }).catch(this.logFailure)
     }
   }
 
