--- a/packages/foxtaillever-relay/src/servers/serverDirectory.ts
+++ b/packages/foxtaillever-relay/src/servers/serverDirectory.ts
@@ -42,6 +42,7 @@
   readonly entryExpiryMs?: number
 }
 
+/** An incarnation that the list has, or had. */
 interface ListedIncarnation extends Incarnation {
   /** Start that its last entry names, milliseconds of Unix time. */
   readonly entryStartedAt: number
@@ -100,20 +101,15 @@
 
   /** Applies an entry; one that is older than the known entry changes nothing. */
   applyEntry (listed: ListedServer, offset: number): void {
-    // The last record of one incarnation may come after the first record of the next.
     if (!this.isNewer(listed.id, offset)) {
       return
     }
-    const current = this.currentIncarnation(listed.id)
-    // The server itself may have reported a later start than the list, whose entries then are of the former incarnation.
-    const isOwnEntry = current === undefined || current.startedAt === current.entryStartedAt || current.entryStartedAt !== listed.startedAt
-    const startedAt = isOwnEntry ? listed.startedAt : current.startedAt
-    if (current !== undefined && startedAt < current.startedAt) {
-      this.options.onEarlierStart?.(listed, current.startedAt)
-    }
+    const startedAt = this.startOfIncarnation(listed)
+    const isOwnEntry = startedAt === listed.startedAt
     const known = this.servers.get(listed.id)
-    const before = known?.listed.startedAt === startedAt ? known.listed.state : undefined
-    const server = known?.listed.startedAt === startedAt ? known : this.addIncarnation({ ...listed, startedAt }, offset)
+    const same = known?.listed.startedAt === startedAt ? known : undefined
+    const before = same?.listed.state
+    const server = same ?? this.addIncarnation({ ...listed, startedAt }, offset)
     if (isOwnEntry && listed.state === ServerState.Draining) {
       server.stated.recordLeaving(0)
     }
@@ -129,6 +125,18 @@
     }
   }
 
+  /** Start of the incarnation that the entry puts in force: a later one than the entry names if the server has reported it since the entry before. */
+  private startOfIncarnation (listed: ListedServer): number {
+    const current = this.currentIncarnation(listed.id)
+    if (current?.entryStartedAt === listed.startedAt) {
+      return current.startedAt
+    }
+    if (current !== undefined && listed.startedAt < current.startedAt) {
+      this.options.onEarlierStart?.(listed, current.startedAt)
+    }
+    return listed.startedAt
+  }
+
   /**
    * The newest entry of the id cannot be read, for example because another writer
    * wrote it: the server gets no new work until a later entry can be read.
