--- a/packages/foxtaillever-fleet/src/fleet.ts
+++ b/packages/foxtaillever-fleet/src/fleet.ts
@@ -206,8 +206,11 @@
       this.systems.resumeAfterPause()
     }
     this.lastTickAt = now
-    this.cancelTick = clock.at(now + TICK_MS + random.below(TICK_SPREAD_MS), () => this.tick())
-    this.systems.tick()
-    this.snapshotWriter.tick()
+    try {
+      this.systems.tick()
+      this.snapshotWriter.tick()
+    } finally {
+      this.cancelTick = clock.at(now + TICK_MS + random.below(TICK_SPREAD_MS), () => this.tick())
+    }
   }
 }
