Search for each stream without a name by itself

A stream that a caller takes up without a name joined the search for another one, and could go on as of a list that was read before it was taken up. Each is searched for by itself now.

streamVersions 'is not decided by what was read before it was taken up': fails before, passes now; tests of streams and bounded waits: 69 passed.

--- a/packages/foxtaillever-relay/src/streams/__tests__/streamVersions.test.ts
+++ b/packages/foxtaillever-relay/src/streams/__tests__/streamVersions.test.ts
@@ -143,6 +143,19 @@
       }
     })
 
+    // Guards against a stream that goes on as of a list that was read for another stream, before it was taken up.
+    it('is not decided by what was read before it was taken up', async t => {
+      const rig = createRig(['v1'])
+      await rig.clock.advanceBy(LONG_MS)
+      rig.hasStore = true
+      find(rig, '')
+      await rig.clock.advanceBy(40)
+      rig.hasStore = false
+      find(rig, '')
+      await rig.clock.advanceBy(200)
+      t.deepEqual(rig.origins.map(({ softwareVersion }) => softwareVersion), ['v1', undefined])
+    })
+
     it('goes on at the only version that serves if another instance knows no more, whether or not its caller names it', async t => {
       for (const id of ['x', '']) {
         const rig = createRig(['v1'])
--- a/packages/foxtaillever-relay/src/streams/streamVersions.ts
+++ b/packages/foxtaillever-relay/src/streams/streamVersions.ts
@@ -21,7 +21,7 @@
 /** Time until a datagram without an answer is sent again, milliseconds: a round trip takes a few, a busy event loop adds tens. */
 const RESEND_MS = 30
 
-/** Begins what is asked for instead of the id of a stream that its caller does not name; no id of a request has it. */
+/** Begins the name of a search for a stream that its caller does not name; no id of a request has it. */
 const UNNAMED = '\n'
 
 /** Transmissions of a notice or request: where three in ten datagrams are lost, fewer than one in a hundred does not arrive. */
@@ -100,6 +100,8 @@
   private readonly notices = new Map<string, Repetition>()
   private readonly searches = new Map<string, PendingSearch>()
   private readonly fullKnowledgeAt: number
+  /** Streams that callers took up without a name. */
+  private unnamedCount = 0
 
   private constructor (private readonly options: StreamVersionsOptions) {
     this.fullKnowledgeAt = options.clock.now() + FULL_KNOWLEDGE_MS
@@ -141,8 +143,8 @@
       onFound({ isKnown: true, softwareVersion: known })
       return
     }
-    // Of streams without a name, others can only tell which versions serve.
-    const searched = id === '' ? `${UNNAMED}${service}` : id
+    // Of streams without a name, others can only tell which versions serve; each is searched for by itself.
+    const searched = id === '' ? `${UNNAMED}${this.unnamedCount++}` : id
     const earlier = this.searches.get(searched)
     if (earlier) {
       earlier.waiting.push(onFound)
@@ -154,7 +156,7 @@
     this.continueSearch(search)
   }
 
-  /** Asks all that have not answered, again and again, until the version is known or can be concluded, or most often. */
+  /** Asks all that have not answered, again and again, until the version is known or can be concluded, `MAX_SENDS` times at most. */
   private continueSearch (search: PendingSearch): void {
     const { clock, send, refreshList } = this.options
     if (search.sends >= MAX_SENDS || this.isConclusive(search)) {
