Count what callers make an instance hold, by kind

After a process had ended with its memory full, no figure told whether the heap or buffers were full, nor of what. The metrics show the used heap and its limit, bytes of buffers, callers' connections, and what requests in progress, bodies and answers hold; the line at the end of a process has the peaks. The figures are counted where each is taken and returned, and nothing is refused yet.

--- a/packages/foxtaillever-relay/src/callers/callerConnections.ts
+++ b/packages/foxtaillever-relay/src/callers/callerConnections.ts
@@ -21,6 +21,8 @@
   /** Connections on which no further request can be read, and that are closed after their pending answers. */
   private readonly ending = new WeakSet<Socket>()
   private isClosing = false
+  /** The most connections that were open at the same time. */
+  peak = 0
 
   private constructor (private readonly onUnsent: (answer: PendingAnswer) => void) {}
 
@@ -31,6 +33,10 @@
     return connections
   }
 
+  get open (): number {
+    return this.unsentOf.size
+  }
+
   /** Answers to requests of open connections that are not written out, whether they have begun or not. */
   get unsent (): UnsentAnswers {
     const pending = this.pendingAnswers()
@@ -87,6 +93,7 @@
 
   private addConnection (socket: Socket): void {
     this.unsentOf.set(socket, new Set())
+    this.peak = Math.max(this.peak, this.open)
     socket.once('close', () => this.unsentOf.delete(socket))
   }
 
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
+import { Holding, holdingOfBody, ProcessBudget, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 import type { CallerLimits } from '../model/routing.js'
@@ -42,6 +43,8 @@
   readonly onExchange: (exchange: Exchange, answer: CallerAnswer) => void
   /** Median delay of the other instances, milliseconds; undefined where none is known. */
   readonly othersDelayMs?: () => number | undefined
+  /** What callers may make the process hold; without bound if not given. */
+  readonly budget?: ProcessBudget
 }
 
 interface BodyReading {
@@ -57,8 +60,10 @@
   private readonly admission: ConnectionAdmission
   private limits = defaultLimits
   private isKeepAliveEnded = false
+  private readonly budget: ProcessBudget
 
   private constructor (private readonly options: CallerServerOptions) {
+    this.budget = options.budget ?? ProcessBudget.unlimited()
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
     this.connections = CallerConnections.create(this.server, answer => options.log.closedUnsent(answer, options.clock.now()))
     this.admission = ConnectionAdmission.create({ othersDelayMs: () => undefined, ...options, server: this.server, refusalBounds: () => this.refusalBounds() })
@@ -80,6 +85,15 @@
     return this.admission.delayMs
   }
 
+  get openConnections (): number {
+    return this.connections.open
+  }
+
+  /** The most connections that were open at the same time. */
+  get peakConnections (): number {
+    return this.connections.peak
+  }
+
   /** Answers that are not written out to their callers. */
   get unsent (): UnsentAnswers {
     return this.connections.unsent
@@ -142,6 +156,7 @@
     if (this.isKeepAliveEnded) {
       pending.endKeepAlive()
     }
+    this.reserveUntilAnswered(Holding.Request, response).resize(requestBytesOf(headBytesOf(request), request.rawHeaders.length / 2))
     wire.readHead(request).caseOf({
       Left: reason => {
         log.malformed(reason)
@@ -151,6 +166,13 @@
     })
   }
 
+  /** A reservation that ends when the answer is written out, or the connection closed. */
+  private reserveUntilAnswered (holding: Holding, response: ServerResponse): Reservation {
+    const reservation = Reservation.create(this.budget, holding)
+    response.once('close', () => reservation.release())
+    return reservation
+  }
+
   /** What arrives is no request, or no whole one in time. Answers to requests before it are still sent. */
   private handleUnreadable (error: NodeJS.ErrnoException, socket: Socket): void {
     // A caller that has left in the middle of a request gets no answer.
@@ -185,7 +207,11 @@
           const callerDeadline = head.patienceMs === undefined ? Infinity : arrivedAt + head.patienceMs
           const deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
           this.readBody(request, response, { refuse, deadline: deadline + BODY_GRACE_MS }, body => {
-            const answer = CallerAnswer.create(response, failure => answerFailure(response, failure, clock.now()), () => { pending.completeAt = clock.now() })
+            const answer = CallerAnswer.create(response, {
+              refuse: failure => answerFailure(response, failure, clock.now()),
+              onComplete: () => { pending.completeAt = clock.now() },
+              held: this.reserveUntilAnswered(Holding.Answer, response)
+            })
             onExchange({ ...head, route, account, service: selectService(route, head.resumedId || head.id), body, arrivedAt, callerDeadline, deadline }, answer)
           })
         }
@@ -217,6 +243,7 @@
   private readBody (request: IncomingMessage, response: ServerResponse, { refuse, deadline }: BodyReading, onBody: (body: Buffer) => void): void {
     const { bodyBytes } = this.limits
     const body = ByteCollector.create()
+    const held = this.reserveUntilAnswered(Holding.SmallBody, response)
     let isRefusedOrFailed = false
     const refuseTooLarge = (): void => {
       isRefusedOrFailed = true
@@ -236,9 +263,11 @@
     request.on('data', (chunk: Buffer) => {
       if (!isRefusedOrFailed) {
         body.add(chunk)
+        held.resize(body.capacity, holdingOfBody(body.capacity))
       }
       if (!isRefusedOrFailed && body.length > bodyBytes) {
         body.clear()
+        held.release()
         refuseTooLarge()
       }
     })
@@ -251,3 +280,8 @@
     request.on('error', () => { isRefusedOrFailed = true })
   }
 }
+
+/** Bytes of a request's head, those between its fields not counted. */
+function headBytesOf ({ url = '', rawHeaders }: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length, url.length)
+}
--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -67,6 +67,7 @@
   reset (): void {
     this.head = undefined
     this.buffered.clear()
+    this.answer.countHeld()
     this.commentBytes = 0
     this.splitter = EventSplitter.create()
   }
@@ -144,6 +145,7 @@
       return undefined
     }
     this.buffered.add(bytes)
+    this.answer.countHeld(this.buffered.capacity)
     if (this.buffered.length > MAX_BUFFERED_BYTES && this.head) {
       if (isServerError(this.head)) {
         return 'an error is too large'
--- a/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
+++ b/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
@@ -4,6 +4,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { Failure } from 'foxtaillever-core'
+import { Holding, ProcessBudget, Reservation } from 'foxtaillever-policy/relay/processBudget'
 
 export interface CallerAnswerListener {
   /** The caller closed its connection before the answer was complete. */
@@ -19,19 +20,28 @@
   return headers.some((text, index) => index % 2 === 0 && text.toLowerCase() === 'content-length')
 }
 
+export interface CallerAnswerOptions {
+  /** Writes a failure in the callers' protocol; called only when nothing of an answer was written. */
+  readonly refuse: (failure: Failure) => void
+  /** Called when the whole answer is in the connection's buffers. */
+  readonly onComplete?: () => void
+  /** What the answer holds until it is written out; not counted if not given. */
+  readonly held?: Reservation
+}
+
 export class CallerAnswer {
   private isOver = false
   /** Bytes of an answer that is forwarded as it arrives. */
   bytesPassed = 0
 
-  private constructor (private readonly response: ServerResponse, private readonly refuse: (failure: Failure) => void, private readonly onComplete: () => void) {}
+  private readonly held: Reservation
+
+  private constructor (private readonly response: ServerResponse, private readonly options: CallerAnswerOptions) {
+    this.held = options.held ?? Reservation.create(ProcessBudget.unlimited(), Holding.Answer)
+  }
 
-  /**
-   * @param refuse writes a failure in the callers' protocol; called only when nothing of an answer was written.
-   * @param onComplete called when the whole answer is in the connection's buffers.
-   */
-  static create (response: ServerResponse, refuse: (failure: Failure) => void, onComplete: () => void = () => {}): CallerAnswer {
-    return new CallerAnswer(response, refuse, onComplete)
+  static create (response: ServerResponse, options: CallerAnswerOptions): CallerAnswer {
+    return new CallerAnswer(response, options)
   }
 
   get hasBegun (): boolean {
@@ -65,7 +75,10 @@
         onGone()
       }
     })
-    this.response.on('drain', onDrained)
+    this.response.on('drain', () => {
+      this.countHeld()
+      onDrained()
+    })
   }
 
   /** Begins an answer that is forwarded as it arrives. */
@@ -76,14 +89,16 @@
   /** Returns false when the caller has to drain the write buffer first. */
   write (bytes: Buffer): boolean {
     this.bytesPassed += bytes.length
-    return this.response.write(bytes)
+    const isEmpty = this.response.write(bytes)
+    this.countHeld()
+    return isEmpty
   }
 
   /** Completes the answer that was begun. */
   end (): void {
     this.isOver = true
     this.response.end()
-    this.onComplete()
+    this.options.onComplete?.()
   }
 
   /** Sends a complete answer. */
@@ -92,7 +107,8 @@
     const omitsLength = bodilessStatuses.has(status) || this.response.req.method === 'HEAD' || hasContentLength(headers)
     this.response.writeHead(status, omitsLength ? headers as string[] : [...headers, 'Content-Length', String(body.length)])
     this.response.end(body)
-    this.onComplete()
+    this.countHeld()
+    this.options.onComplete?.()
   }
 
   /** Ends with a failure. An answer that was begun is cut by closing the connection, so that it does not look complete. */
@@ -102,7 +118,12 @@
       this.response.destroy()
       return
     }
-    this.refuse(failure)
-    this.onComplete()
+    this.options.refuse(failure)
+    this.options.onComplete?.()
+  }
+
+  /** Counts what the answer holds. @param bufferedBytes of an answer that is not written before it is complete. */
+  countHeld (bufferedBytes = 0): void {
+    this.held.resize(bufferedBytes + this.unsentBytes)
   }
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,4 +1,5 @@
 /** One instance of the relay. Takes requests from callers, sends them to backend servers, and follows the platform's store. */
+import { ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import type { Subject } from 'foxtaillever-telemetry'
 import { createAdmissionOptions } from './admission/createAdmissionOptions.js'
 import { CallerServer } from './callers/callerServer.js'
@@ -20,7 +21,7 @@
 import { waitForRequests } from './waitForRequests.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
-import { describeProcess } from './telemetry/processFigures.js'
+import { describePeaks, describeProcess, registerMemoryGauges } from './telemetry/processFigures.js'
 import { AccountQuotas } from './limits/accountQuotas.js'
 import { createLimitProtocols, type LimitProtocols } from './limits/createLimitProtocols.js'
 import { createLinks, type Links } from './links/createLinks.js'
@@ -59,6 +60,7 @@
   private readonly log: RelayLog
   private readonly state: RelayState
   private readonly metricsServer: MetricsServer
+  private readonly budget = ProcessBudget.unlimited()
   private readonly dispatcher: ExchangeDispatcher
   private readonly crashes: CrashProtocol
   private readonly quarantineStore: QuarantineStore
@@ -117,6 +119,8 @@
     this.dispatcher = this.createDispatcher()
     this.state = this.createState()
     this.state.registerGauges(this.log.metrics)
+    registerMemoryGauges(this.log.metrics, this.budget)
+    this.log.metrics.gauge('caller_connections', () => this.callers.openConnections)
     this.metricsServer = MetricsServer.create({
       render: () => this.log.metrics.render(),
       dump: () => this.dump(),
@@ -134,7 +138,8 @@
       log: this.log,
       table: () => this.usableTable(),
       othersDelayMs: () => medianOf(this.peers.alive().map(peer => peer.delayMs)),
-      onExchange: (exchange, answer) => this.dispatcher.runs.start(exchange, answer)
+      onExchange: (exchange, answer) => this.dispatcher.runs.start(exchange, answer),
+      budget: this.budget
     })
     this.readiness = ReadinessServer.create(() => this.isReady())
   }
@@ -200,7 +205,7 @@
     open.forEach(part => part.close())
     await this.peers.stop()
     this.callers.logUnsent()
-    this.log.belief('Stopped.', { ...this.describeUnsent(), ...describeProcess(this.callers.takeLargestDelay()) })
+    this.log.belief('Stopped.', { ...this.describeUnsent(), ...describeProcess(this.callers.takeLargestDelay()), ...describePeaks(this.budget), callerConnections: this.callers.peakConnections })
   }
 
   /** The state that this instance knows, for an operator. */
--- a/packages/foxtaillever-relay/src/servers/byteCollector.ts
+++ b/packages/foxtaillever-relay/src/servers/byteCollector.ts
@@ -12,6 +12,11 @@
     return new ByteCollector()
   }
 
+  /** Bytes of memory, at least the length. */
+  get capacity (): number {
+    return this.buffer.length
+  }
+
   /** Valid until more bytes are added or the collector is cleared. */
   get bytes (): Buffer {
     return this.buffer.subarray(0, this.length)
--- a/packages/foxtaillever-relay/src/telemetry/processFigures.ts
+++ b/packages/foxtaillever-relay/src/telemetry/processFigures.ts
@@ -1,5 +1,7 @@
-/** Figures of this process for the log lines of a shutdown. */
-import type { Subject } from 'foxtaillever-telemetry'
+/** Figures of this process for metrics and for the log lines of a shutdown. */
+import { getHeapStatistics } from 'node:v8'
+import { Holding, type ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
+import type { Metrics, Subject } from 'foxtaillever-telemetry'
 
 const BYTES_PER_KILOBYTE = 1024
 
@@ -11,3 +13,16 @@
     peakResidentBytes: process.resourceUsage().maxRSS * BYTES_PER_KILOBYTE
   }
 }
+
+/** The most that callers made the process hold at the same time, bytes. */
+export function describePeaks (budget: ProcessBudget): Subject {
+  return { peakHeldBytes: Object.values(Holding).map(holding => `${holding} ${budget.peakBytes(holding)}`).join(', ') }
+}
+
+/** Gauges that tell a full heap from full buffers, and what fills them. */
+export function registerMemoryGauges (metrics: Metrics, budget: ProcessBudget): void {
+  metrics.gauge('heap_used_bytes', () => process.memoryUsage().heapUsed)
+  metrics.gauge('heap_limit_bytes', () => getHeapStatistics().heap_size_limit)
+  metrics.gauge('buffer_bytes', () => process.memoryUsage().arrayBuffers)
+  Object.values(Holding).forEach(holding => metrics.gauge(`held_${holding}_bytes`, () => budget.heldBytes(holding)))
+}
--- a/packages/foxtaillever-router/src/plain/plainRouter.ts
+++ b/packages/foxtaillever-router/src/plain/plainRouter.ts
@@ -96,7 +96,7 @@
     const head = readHead(request)
     const response = reply.raw
     response.setHeader(CallerHeader.RequestId, head.id)
-    const caller = { response, answer: CallerAnswer.create(response, failure => writeFailure(response, failure, head.id, clock)) }
+    const caller = { response, answer: CallerAnswer.create(response, { refuse: failure => writeFailure(response, failure, head.id, clock) }) }
     matchCall(configuration, request.method, request.url).caseOf({
       Left: failure => this.refuse(caller, head, failure),
       Right: call => {
