Parse a few requests of a connection at a time

Callers saw: an entry process ended (SIGABRT, heap full) when one client sent thousands of small requests on one connection and read nothing; all callers of that instance lost their connections.

Cause: node:http parses all of what was read (up to 64 KB) into requests, whether those before them are answered or not. One read holds 400 to 850 short requests of some ten kilobytes of heap each, so a few connections fill it.

The bytes of a connection go to the parser request by request. Four requests of a connection may be in progress, as some clients do not wait for answers; up to 16 KB behind them wait. What is beyond is read and dropped, so that the caller's leaving is still noticed, and the connection closes after the answers that it owes: none of the dropped requests was read. The feed stands before all four servers of the process.

--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
-import { Holding, holdingOfBody, ProcessBudget, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
+import { Holding, holdingOfBody, requestBytesOf, Reservation, type ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 import type { CallerLimits } from '../model/routing.js'
@@ -21,6 +21,7 @@
 import { ConnectionAdmission } from './connectionAdmission.js'
 import type { PendingAnswer } from './pendingAnswer.js'
 import type { RefusalBounds } from './refuseConnections.js'
+import { Door, ServerGuard } from './serverGuard.js'
 
 /** How often node:http checks for requests whose head takes too long, milliseconds. */
 const HEADER_CHECK_MS = 1000
@@ -43,8 +44,8 @@
   readonly onExchange: (exchange: Exchange, answer: CallerAnswer) => void
   /** Median delay of the other instances, milliseconds; undefined where none is known. */
   readonly othersDelayMs?: () => number | undefined
-  /** What callers may make the process hold; without bound if not given. */
-  readonly budget?: ProcessBudget
+  /** Bounds what callers may make the process hold; a guard without a budget if not given. */
+  readonly guard?: ServerGuard
 }
 
 interface BodyReading {
@@ -63,8 +64,10 @@
   private readonly budget: ProcessBudget
 
   private constructor (private readonly options: CallerServerOptions) {
-    this.budget = options.budget ?? ProcessBudget.unlimited()
+    const { guard = ServerGuard.unlimited() } = options
+    this.budget = guard.budget
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
+    guard.protect(this.server, Door.Callers)
     this.connections = CallerConnections.create(this.server, answer => options.log.closedUnsent(answer, options.clock.now()))
     this.admission = ConnectionAdmission.create({ othersDelayMs: () => undefined, ...options, server: this.server, refusalBounds: () => this.refusalBounds() })
     this.server.on('clientError', (error, socket) => this.handleUnreadable(error, socket as Socket))
--- /dev/null
+++ b/packages/foxtaillever-relay/src/callers/requestFeed.ts
@@ -0,0 +1,176 @@
+/**
+ * Hands the bytes of a connection to the parser of node:http request by request. The parser would take every request of
+ * what was read before any of them is answered, so that some kilobytes of short requests become a hundred times as much
+ * in the heap. Here the bytes behind a few requests wait until one of these is answered. The connection is read on
+ * meanwhile, since otherwise nothing would tell that its caller left; if more follows than may wait, it is dropped, and
+ * the connection closes after the answers.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { Holding, ProcessBudget, Reservation } from 'foxtaillever-policy/relay/processBudget'
+
+/** Requests of a connection that are in progress at the same time. */
+const MAX_UNANSWERED = 4
+
+/** Bytes that may wait behind these: a whole head of the usual limit. */
+const MAX_PIPELINED_BYTES = 16 * 1024
+
+/** Ends a head, and a body in chunks. No request is complete before it, so that bytes up to it hold one request at most. */
+const END = Buffer.from('\r\n\r\n')
+
+const none: Buffer = Buffer.alloc(0)
+
+export interface RequestFeedOptions {
+  readonly budget: ProcessBudget
+  /** More bytes followed the requests in progress than may wait; their connection closes after the answers. */
+  readonly onPipelinedExcess: () => void
+}
+
+export class RequestFeed {
+  /** Bytes that were read and not parsed. */
+  private waiting = none
+  /** Last bytes that were parsed, which may be the beginning of an end. */
+  private tail = none
+  /** The request whose body is not complete; undefined between bodies. */
+  private incomplete: IncomingMessage | undefined
+  /** Bytes that are missing of a body with a length. */
+  private missingBytes = 0
+  private unanswered = 0
+  private isDropping = false
+  private readonly pipelined: Reservation
+
+  private constructor (private readonly socket: Socket, private readonly parse: (bytes: Buffer) => void, private readonly options: RequestFeedOptions) {
+    this.pipelined = Reservation.create(options.budget, Holding.Pipelined)
+  }
+
+  /** Feeds all connections of the server. Must be called before others listen for its connections and requests. */
+  static attach (server: Server, options: RequestFeedOptions): void {
+    const feeds = new WeakMap<Socket, RequestFeed>()
+    server.on('connection', (socket: Socket) => feeds.set(socket, RequestFeed.create(socket, options)))
+    server.prependListener('request', (request, response) => feeds.get(request.socket)?.handleRequest(request, response))
+  }
+
+  private static create (socket: Socket, options: RequestFeedOptions): RequestFeed {
+    const listeners = socket.listeners('data') as Array<(bytes: Buffer) => void>
+    const feed = new RequestFeed(socket, bytes => listeners.forEach(listener => listener.call(socket, bytes)), options)
+    listeners.forEach(listener => socket.removeListener('data', listener))
+    socket.on('data', (bytes: Buffer) => feed.handleBytes(bytes))
+    socket.once('close', () => feed.release())
+    // An answer to what is no request has no event of its own.
+    socket.on('drain', () => feed.parseWaiting())
+    return feed
+  }
+
+  /** Whether the next bytes belong to the request that is being read, or a new one may begin. */
+  private get isParsing (): boolean {
+    const { socket, incomplete, unanswered } = this
+    return !socket.destroyed && (incomplete !== undefined || (unanswered < MAX_UNANSWERED && !socket.writableNeedDrain))
+  }
+
+  private handleBytes (bytes: Buffer): void {
+    if (this.isDropping) {
+      return
+    }
+    if (this.waiting.length > 0) {
+      this.wait(Buffer.concat([this.waiting, bytes]))
+    } else {
+      this.parseAll(bytes)
+    }
+  }
+
+  private parseAll (bytes: Buffer): void {
+    let from = 0
+    while (from < bytes.length && this.isParsing) {
+      from += this.parsePiece(bytes, from)
+    }
+    if (from < bytes.length && !this.socket.destroyed) {
+      this.wait(bytes.subarray(from))
+    }
+  }
+
+  /** Parses bytes that hold the rest of one head or of one body at most; returns how many. */
+  private parsePiece (bytes: Buffer, from: number): number {
+    const length = this.pieceLength(bytes, from)
+    const piece = bytes.subarray(from, from + length)
+    if (this.missingBytes > 0) {
+      this.missingBytes -= length
+    }
+    this.tail = Buffer.concat([this.tail, piece.subarray(-END.length)]).subarray(1 - END.length)
+    this.parse(piece)
+    if (this.incomplete && (this.incomplete.complete || (this.missingBytes === 0 && !isInChunks(this.incomplete)))) {
+      this.incomplete = undefined
+    }
+    return length
+  }
+
+  private pieceLength (bytes: Buffer, from: number): number {
+    const left = bytes.length - from
+    if (this.missingBytes > 0) {
+      return Math.min(this.missingBytes, left)
+    }
+    const { tail } = this
+    const seam = Buffer.concat([tail, bytes.subarray(from, from + END.length - 1)]).indexOf(END)
+    if (seam >= 0) {
+      return seam + END.length - tail.length
+    }
+    const end = bytes.indexOf(END, from)
+    return end < 0 ? left : end + END.length - from
+  }
+
+  private handleRequest (request: IncomingMessage, response: ServerResponse): void {
+    this.unanswered += 1
+    this.missingBytes = isInChunks(request) ? 0 : Number(request.headers['content-length'] ?? 0)
+    this.incomplete = isInChunks(request) || this.missingBytes > 0 ? request : undefined
+    response.once('close', () => this.handleAnswered())
+  }
+
+  private handleAnswered (): void {
+    this.unanswered -= 1
+    if (this.isDropping) {
+      this.closeIfAnswered()
+    } else {
+      this.parseWaiting()
+    }
+  }
+
+  private closeIfAnswered (): void {
+    if (this.unanswered === 0) {
+      this.socket.destroySoon()
+    }
+  }
+
+  /** Parses what waits behind requests in progress, if there are fewer now. */
+  private parseWaiting (): void {
+    const { waiting } = this
+    if (waiting.length > 0 && this.isParsing) {
+      this.waiting = none
+      this.pipelined.release()
+      this.parseAll(waiting)
+    }
+  }
+
+  private wait (bytes: Buffer): void {
+    if (bytes.length <= MAX_PIPELINED_BYTES && this.pipelined.resize(bytes.length)) {
+      // Copied, so that a few bytes do not keep all that was read with them.
+      this.waiting = Buffer.from(bytes)
+    } else {
+      this.drop()
+    }
+  }
+
+  private drop (): void {
+    this.isDropping = true
+    this.release()
+    this.options.onPipelinedExcess()
+    this.closeIfAnswered()
+  }
+
+  private release (): void {
+    this.waiting = none
+    this.pipelined.release()
+  }
+}
+
+function isInChunks ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined
+}
--- a/packages/foxtaillever-relay/src/peers/peerLink.ts
+++ b/packages/foxtaillever-relay/src/peers/peerLink.ts
@@ -9,6 +9,7 @@
 import { Left, type Either } from 'purify-ts'
 import { array, Codec, nullable, number, optional, string, type GetType } from 'purify-ts/Codec'
 import type { KeyedRecord } from '../knowledge/keyedLog.js'
+import { Door, type ServerGuard } from '../callers/serverGuard.js'
 import { callServer } from '../servers/callServer.js'
 import { ServerConnections } from '../servers/serverConnections.js'
 import { DatagramKind, unpackDatagram } from './datagram.js'
@@ -66,6 +67,7 @@
   readonly onServerCall: (request: IncomingMessage, response: ServerResponse) => boolean
   /** Handles a call of another instance that uses the lease's log through this one. */
   readonly onLeaseCall: (request: IncomingMessage, search: URLSearchParams, response: ServerResponse) => void
+  readonly guard: ServerGuard
 }
 
 /** Handles one kind of datagram. */
@@ -134,6 +136,7 @@
       }
       response.end(encodeRecords(options.recordsFrom(topic, Number(searchParams.get('from')))))
     })
+    options.guard.protect(this.server, Door.Peers)
   }
 
   static create (options: PeerLinkOptions): PeerLink {
--- a/packages/foxtaillever-relay/src/peers/peers.ts
+++ b/packages/foxtaillever-relay/src/peers/peers.ts
@@ -85,6 +85,7 @@
   readonly onNotice: (notice: ReadNotice) => void
   readonly onWeights: PeerLinkOptions['onWeights']
   readonly onLeaseCall: PeerLinkOptions['onLeaseCall']
+  readonly guard: PeerLinkOptions['guard']
   readonly onServerCall: PeerLinkOptions['onServerCall']
   readonly onLimit: PeerLinkOptions['onLimit']
   readonly onStreamVersion: PeerLinkOptions['onStreamVersion']
@@ -118,7 +119,7 @@
   private cancelSend: Cancellation = () => {}
 
   private constructor (private readonly options: PeersOptions) {
-    const { clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onStreamVersion, onCrash, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, admission } = options
+    const { clock, host, port, guard, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onStreamVersion, onCrash, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, admission } = options
     this.address = `${host}:${port}`
     this.startedAt = clock.now()
     this.limitOwners = LimitOwners.create(this.options.processStartedAt)
@@ -126,7 +127,7 @@
     this.rounds = HeartbeatRounds.create(options.random)
     this.fleetLoad = FleetLoad.create(clock)
     this.link = PeerLink.create({
-      clock, host, port, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onStreamVersion, onCrash, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
+      clock, host, port, guard, recordsFrom, onNotice, onWeights, onLeaseCall, onServerCall, onLimit, onStreamVersion, onCrash, onMessage: message => this.handleMessage(message), onLoad: message => this.loadProtocol.handleMessage(message), onAdmission: message => this.admission.receive(message)
     })
     this.loadProtocol = LoadProtocol.create({
       clock, address: this.address, fleetLoad: this.fleetLoad, ownLoads, isQueried, onSaved, onUnreachable, onBackingOff, onRejectionReported, onUnresponsive, speeds, send: (address, message) => this.link.sendLoad(address, message), watchersOf: server => this.watchers.of(server), onReported: (server, reporter, added) => this.admission.recordLoad(server, reporter, added), queuedTokens: (...position) => this.admission.queuedTokens(...position)
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -4,6 +4,7 @@
 import { createAdmissionOptions } from './admission/createAdmissionOptions.js'
 import { CallerServer } from './callers/callerServer.js'
 import { ReadinessServer } from './callers/readinessServer.js'
+import { ServerGuard } from './callers/serverGuard.js'
 import { createCrashes } from './crashes/createCrashes.js'
 import type { CrashProtocol } from './crashes/crashProtocol.js'
 import type { QuarantineStore } from './crashes/quarantineStore.js'
@@ -60,7 +61,7 @@
   private readonly log: RelayLog
   private readonly state: RelayState
   private readonly metricsServer: MetricsServer
-  private readonly budget = ProcessBudget.unlimited()
+  private readonly guard: ServerGuard
   private readonly dispatcher: ExchangeDispatcher
   private readonly crashes: CrashProtocol
   private readonly quarantineStore: QuarantineStore
@@ -87,6 +88,7 @@
   private constructor (private readonly options: RelayOptions) {
     const { clock, logs, callerWire } = options
     this.log = RelayLog.create(logs, service => this.state.summarize(service))
+    this.guard = ServerGuard.create({ budget: ProcessBudget.unlimited(), log: this.log })
     this.graceMs = options.graceMs
     this.startedAt = clock.now()
     const { protocol, store } = createCrashes({
@@ -119,14 +121,14 @@
     this.dispatcher = this.createDispatcher()
     this.state = this.createState()
     this.state.registerGauges(this.log.metrics)
-    registerMemoryGauges(this.log.metrics, this.budget)
+    registerMemoryGauges(this.log.metrics, this.guard.budget)
     this.log.metrics.gauge('caller_connections', () => this.callers.openConnections)
     this.metricsServer = MetricsServer.create({
       render: () => this.log.metrics.render(),
       dump: () => this.dump(),
       quarantines: () => this.crashes.quarantines.list(clock.now()).filter(({ isLifted }) => !isLifted),
       liftQuarantine: id => this.crashes.liftAny(id)
-    })
+    }, this.guard)
     this.peers = this.createPeers()
     this.limits = createLimitProtocols({ clock, quotaTolerance: options.quotaTolerance, peers: this.peers, log: this.log })
     this.storeReplica = this.createReplica()
@@ -139,9 +141,9 @@
       table: () => this.usableTable(),
       othersDelayMs: () => medianOf(this.peers.alive().map(peer => peer.delayMs)),
       onExchange: (exchange, answer) => this.dispatcher.runs.start(exchange, answer),
-      budget: this.budget
+      guard: this.guard
     })
-    this.readiness = ReadinessServer.create(() => this.isReady())
+    this.readiness = ReadinessServer.create(() => this.isReady(), this.guard)
   }
 
   static create (options: RelayOptions): Relay {
@@ -205,7 +207,7 @@
     open.forEach(part => part.close())
     await this.peers.stop()
     this.callers.logUnsent()
-    this.log.belief('Stopped.', { ...this.describeUnsent(), ...describeProcess(this.callers.takeLargestDelay()), ...describePeaks(this.budget), callerConnections: this.callers.peakConnections })
+    this.log.belief('Stopped.', { ...this.describeUnsent(), ...describeProcess(this.callers.takeLargestDelay()), ...describePeaks(this.guard.budget), callerConnections: this.callers.peakConnections })
   }
 
   /** The state that this instance knows, for an operator. */
@@ -299,6 +301,7 @@
       onCrash: message => this.crashes.receive(message),
       admission: createAdmissionOptions(this.log, this.dispatcher.rooms),
       isLeaving: () => this.isLeaving,
+      guard: this.guard,
       processStartedAt: clock.now() - process.uptime() * 1000
     })
   }
--- a/packages/foxtaillever-relay/src/telemetry/metricsServer.ts
+++ b/packages/foxtaillever-relay/src/telemetry/metricsServer.ts
@@ -1,6 +1,7 @@
 /** HTTP server for operators: metrics as text, a dump of the state, and the quarantines, which they can lift. */
 import { createServer, type Server } from 'node:http'
 import { Maybe } from 'purify-ts'
+import { Door, ServerGuard } from '../callers/serverGuard.js'
 import type { ListenAddress } from '../relayOptions.js'
 import { hasBody } from '../servers/byteBounds.js'
 
@@ -24,7 +25,7 @@
 export class MetricsServer {
   private readonly server: Server
 
-  private constructor ({ render, dump, quarantines, liftQuarantine }: MetricsSource) {
+  private constructor ({ render, dump, quarantines, liftQuarantine }: MetricsSource, guard: ServerGuard) {
     const format = (value: object): string => JSON.stringify(value, undefined, 2)
     const answers: Readonly<Record<string, () => string>> = {
       [`GET ${METRICS_PATH}`]: render,
@@ -40,10 +41,11 @@
       response.writeHead(answer === undefined ? 404 : 200, { 'Content-Type': 'text/plain; charset=utf-8' })
       response.end(answer ?? `${METRICS_PATH}, ${STATE_PATH} or ${QUARANTINES_PATH}\n`)
     })
+    guard.protect(this.server, Door.Metrics)
   }
 
-  static create (source: MetricsSource): MetricsServer {
-    return new MetricsServer(source)
+  static create (source: MetricsSource, guard = ServerGuard.unlimited()): MetricsServer {
+    return new MetricsServer(source, guard)
   }
 
   /** The relay works without metrics too, so an address in use is only reported. */
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -16,6 +16,7 @@
 import type { LimitResult } from '../limits/limitProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { PendingAnswer } from '../callers/pendingAnswer.js'
+import type { Door } from '../callers/serverGuard.js'
 import type { BodyExcess } from '../servers/byteBounds.js'
 import type { ListedServer } from '../model/listedServer.js'
 import { sharedLevelsOf, type Exchange, type ExchangeHead } from '../model/exchange.js'
@@ -58,6 +59,12 @@
     this.logs.write('info', Part.Callers, 'Ignores a request, because an answer before it closes the connection.', {})
   }
 
+  /** More bytes followed a request on its connection than may wait for its answer. */
+  pipelinedExcess (door: Door): void {
+    this.metrics.count('pipelined_excess_total', { door })
+    this.logs.write('info', Part.Callers, 'Closes a connection after an answer, because too much followed the request.', { door })
+  }
+
   /** A connection ended, by its caller or by this process, before the caller had the complete answer. */
   closedUnsent (answer: PendingAnswer, now: number): void {
     this.metrics.count('answers_unsent_total', { when: 'connection-closed' })
