Refuse requests that the heap has no room for

Callers saw: an entry process ended (SIGABRT, heap full) while many callers waited for answers at once, part of whom had left; all others lost their connections with it.

Cause: nothing bounds the requests in progress, and each takes some 25 KB of heap beside its head, 55 KB with a head of 15 KB (250 that wait: 14 MB). The heap has a limit of its own, below that of the memory. Nothing is kept for callers that have left: all figures were 0 again after a crowd.

A budget is made from the heap's limit and the settings' memory_mb, which the process ignored. Each request reserves what it will take when its head is read and returns it when its answer is written out or its connection closes. One that does not fit gets 503 with Retry-After before anything is sent: it has not run.

--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -159,7 +159,10 @@
     if (this.isKeepAliveEnded) {
       pending.endKeepAlive()
     }
-    this.reserveUntilAnswered(Holding.Request, response).resize(requestBytesOf(headBytesOf(request), request.rawHeaders.length / 2))
+    if (!this.reserveUntilAnswered(Holding.Request, response).resize(requestBytesOf(headBytesOf(request), request.rawHeaders.length / 2))) {
+      this.refuseForMemory(request, response, 'This instance has as many requests in progress as its memory allows.')
+      return
+    }
     wire.readHead(request).caseOf({
       Left: reason => {
         log.malformed(reason)
@@ -169,6 +172,15 @@
     })
   }
 
+  /** Refuses a request of which only the head was read, since the process has no memory for it. */
+  private refuseForMemory (request: IncomingMessage, response: ServerResponse, message: string): void {
+    const { clock, log } = this.options
+    const now = clock.now()
+    const failure = Failure.notRun(FailureCode.Overloaded, message, earliestRetryTime(FailureCode.Overloaded, now))
+    log.refusedForMemory(failure)
+    this.refuseUnread(request, response, () => answerFailure(response, failure, now))
+  }
+
   /** A reservation that ends when the answer is written out, or the connection closed. */
   private reserveUntilAnswered (holding: Holding, response: ServerResponse): Reservation {
     const reservation = Reservation.create(this.budget, holding)
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -22,7 +22,7 @@
 import { waitForRequests } from './waitForRequests.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
-import { describePeaks, describeProcess, registerMemoryGauges } from './telemetry/processFigures.js'
+import { describePeaks, describeProcess, processLimitsOf, registerMemoryGauges } from './telemetry/processFigures.js'
 import { AccountQuotas } from './limits/accountQuotas.js'
 import { createLimitProtocols, type LimitProtocols } from './limits/createLimitProtocols.js'
 import { createLinks, type Links } from './links/createLinks.js'
@@ -88,7 +88,7 @@
   private constructor (private readonly options: RelayOptions) {
     const { clock, logs, callerWire } = options
     this.log = RelayLog.create(logs, service => this.state.summarize(service))
-    this.guard = ServerGuard.create({ budget: ProcessBudget.unlimited(), log: this.log })
+    this.guard = ServerGuard.create({ budget: ProcessBudget.create(processLimitsOf(options)), log: this.log })
     this.graceMs = options.graceMs
     this.startedAt = clock.now()
     const { protocol, store } = createCrashes({
--- a/packages/foxtaillever-relay/src/relayOptions.ts
+++ b/packages/foxtaillever-relay/src/relayOptions.ts
@@ -63,6 +63,10 @@
   readonly quotaTolerance: LimitTolerance
   readonly name: string
   readonly failureDomain: string
+  /** Memory of the machine that the process may use, bytes; undefined if nothing limits it but its heap. */
+  readonly memoryBytes?: number | undefined
+  /** Descriptors that the process may have open; undefined if unknown. */
+  readonly descriptors?: number | undefined
   readonly callers: ListenAddress
   readonly readiness: ListenAddress
   /** Address of the metrics endpoint; undefined for none. */
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -59,6 +59,12 @@
     this.logs.write('info', Part.Callers, 'Ignores a request, because an answer before it closes the connection.', {})
   }
 
+  /** A request was refused before its head was examined or its body was read. */
+  refusedForMemory ({ code, verdict, message }: Failure): void {
+    this.metrics.count('refusals_total', { code })
+    this.logs.writeFailure(Part.Callers, 'Refused a request for want of memory.', { code, verdict, reason: message, ...this.describeState() })
+  }
+
   /** More bytes followed a request on its connection than may wait for its answer. */
   pipelinedExcess (door: Door): void {
     this.metrics.count('pipelined_excess_total', { door })
