Refuse requests whose bodies the memory has no room for

Callers saw: an instance took several times the memory of its machine while callers sent bodies at once, which ends it there.

Cause: each body may have max_body_bytes, and nothing bounds their sum, whether they are complete or not. 60 open bodies of 1 MB took 63 MB of buffers and 1 MB of heap, so this is not the heap's fault. Buffers also doubled as they grew although the head names the length.

A body reserves its length when its head is read, or what it has while it comes in chunks, and returns it when the request is answered or the connection closes. One that does not fit gets 503 with Retry-After: its request was not sent. If there is none, the body that received the least for its age makes room after a second, so that clients which announce much and send little do not keep others out.

--- a/packages/foxtaillever-policy/src/relay/processBudget.ts
+++ b/packages/foxtaillever-policy/src/relay/processBudget.ts
@@ -146,7 +146,7 @@
 
 /** What one client holds of the budget. */
 export class Reservation {
-  private bytes = 0
+  private reserved = 0
 
   private constructor (private readonly budget: ProcessBudget, private holding: Holding) {}
 
@@ -155,18 +155,23 @@
     return new Reservation(budget, holding)
   }
 
+  /** Bytes that it holds. */
+  get bytes (): number {
+    return this.reserved
+  }
+
   /** Holds so many bytes from now on, if they fit; else what it held before. */
   resize (bytes: number, holding = this.holding): boolean {
     const isSame = holding === this.holding
-    const more = isSame ? bytes - this.bytes : bytes
+    const more = isSame ? bytes - this.reserved : bytes
     if (more > 0 && !this.budget.reserve(holding, more)) {
       return false
     }
     if (!isSame || more < 0) {
-      this.budget.release(this.holding, isSame ? -more : this.bytes)
+      this.budget.release(this.holding, isSame ? -more : this.reserved)
     }
     this.holding = holding
-    this.bytes = bytes
+    this.reserved = bytes
     return true
   }
 
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -19,6 +19,7 @@
 import { answerFailure, renderUnreadable } from './answerFailure.js'
 import { CallerConnections, type UnsentAnswers } from './callerConnections.js'
 import { ConnectionAdmission } from './connectionAdmission.js'
+import { IncompleteBodies } from './incompleteBodies.js'
 import type { PendingAnswer } from './pendingAnswer.js'
 import type { RefusalBounds } from './refuseConnections.js'
 import { Door, ServerGuard } from './serverGuard.js'
@@ -61,11 +62,13 @@
   private readonly admission: ConnectionAdmission
   private limits = defaultLimits
   private isKeepAliveEnded = false
+  private readonly bodies: IncompleteBodies
   private readonly budget: ProcessBudget
 
   private constructor (private readonly options: CallerServerOptions) {
     const { guard = ServerGuard.unlimited() } = options
     this.budget = guard.budget
+    this.bodies = IncompleteBodies.create(options.clock)
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
     guard.protect(this.server, Door.Callers)
     this.connections = CallerConnections.create(this.server, answer => options.log.closedUnsent(answer, options.clock.now()))
@@ -257,7 +260,8 @@
    */
   private readBody (request: IncomingMessage, response: ServerResponse, { refuse, deadline }: BodyReading, onBody: (body: Buffer) => void): void {
     const { bodyBytes } = this.limits
-    const body = ByteCollector.create()
+    const length = Number(request.headers['content-length'] ?? 0)
+    const body = ByteCollector.create(length <= bodyBytes ? length : 0)
     const held = this.reserveUntilAnswered(Holding.SmallBody, response)
     let isRefusedOrFailed = false
     const refuseTooLarge = (): void => {
@@ -265,11 +269,30 @@
       response.shouldKeepAlive = false
       refuse(Failure.notRun(FailureCode.TooLarge, 'The body is larger than allowed.'))
     }
-    if (Number(request.headers['content-length'] ?? 0) > bodyBytes) {
+    if (length > bodyBytes) {
       refuseTooLarge()
       return
     }
+    const incomplete = { receivedBytes: () => body.length, reservedBytes: () => held.bytes, abandon: () => refuseForMemory() }
+    const reserve = (bytes: number): boolean => held.resize(bytes, holdingOfBody(bytes)) || (this.bodies.abandonSlowest() && held.resize(bytes, holdingOfBody(bytes)))
+    const refuseForMemory = (): void => {
+      // It may have been abandoned for its own further bytes.
+      if (isRefusedOrFailed) {
+        return
+      }
+      isRefusedOrFailed = true
+      body.clear()
+      held.release()
+      this.bodies.delete(incomplete)
+      this.refuseForMemory(request, response, 'This instance holds as many bytes of bodies as its memory allows.')
+    }
+    if (!reserve(length)) {
+      refuseForMemory()
+      return
+    }
     if (hasBody(request)) {
+      this.bodies.add(incomplete)
+      response.once('close', () => this.bodies.delete(incomplete))
       boundBody(request, { clock: this.options.clock, maxBytes: Infinity, deadline }, excess => {
         isRefusedOrFailed = true
         this.logExcess(request, excess)
@@ -278,7 +301,9 @@
     request.on('data', (chunk: Buffer) => {
       if (!isRefusedOrFailed) {
         body.add(chunk)
-        held.resize(body.capacity, holdingOfBody(body.capacity))
+        if (body.capacity > held.bytes && !reserve(body.capacity)) {
+          refuseForMemory()
+        }
       }
       if (!isRefusedOrFailed && body.length > bodyBytes) {
         body.clear()
@@ -287,6 +312,7 @@
       }
     })
     request.on('end', () => {
+      this.bodies.delete(incomplete)
       if (!isRefusedOrFailed) {
         onBody(body.bytes)
       }
--- a/packages/foxtaillever-relay/src/servers/byteCollector.ts
+++ b/packages/foxtaillever-relay/src/servers/byteCollector.ts
@@ -6,10 +6,11 @@
   private buffer: Buffer = Buffer.alloc(0)
   length = 0
 
-  private constructor () {}
+  private constructor (private readonly expectedLength: number) {}
 
-  static create (): ByteCollector {
-    return new ByteCollector()
+  /** @param expectedLength of all bytes if it is known: so much is allocated with the first piece. */
+  static create (expectedLength = 0): ByteCollector {
+    return new ByteCollector(expectedLength)
   }
 
   /** Bytes of memory, at least the length. */
@@ -25,7 +26,7 @@
   add (bytes: Buffer): void {
     const length = this.length + bytes.length
     if (length > this.buffer.length) {
-      const larger = Buffer.allocUnsafe(Math.max(length, 2 * this.buffer.length))
+      const larger = Buffer.allocUnsafe(Math.max(length, 2 * this.buffer.length, this.expectedLength))
       this.bytes.copy(larger)
       this.buffer = larger
     }
