Bound the connections of each server of the process

Callers saw: while very many connections were open at an instance, it could open none to its servers, the platform's store or its neighbours, and was not ready.

Cause: nothing bounds the connections of any of the four servers, so one of them can take all descriptors (max_fds of the settings was not read). Evidence: 900 idle connections are all accepted at each of the four ports, 930 of 600 descriptors.

Of the descriptors beside those for files, callers' connections get a half, other instances a tenth, checks of readiness and metrics 16 each, and requests in progress the rest, since each takes a connection to a server. At the bound a new connection takes the place of the oldest one that has sent no request, else of the one idle for longest; a request in progress is never cut. A request beyond the bound of those in progress gets 503 before anything is sent.

--- a/packages/foxtaillever-relay/src/callers/callerConnections.ts
+++ b/packages/foxtaillever-relay/src/callers/callerConnections.ts
@@ -20,6 +20,8 @@
   private readonly unsentOf = new Map<Socket, Set<PendingAnswer>>()
   /** Connections on which no further request can be read, and that are closed after their pending answers. */
   private readonly ending = new WeakSet<Socket>()
+  /** Answers that are not written out. */
+  unanswered = 0
   private isClosing = false
   /** The most connections that were open at the same time. */
   peak = 0
@@ -52,6 +54,7 @@
   trackRequest (socket: Socket, response: ServerResponse): PendingAnswer {
     const answer = PendingAnswer.create(response)
     this.unsentOf.get(socket)?.add(answer)
+    this.unanswered += 1
     // Emitted after the last byte was handed to the operating system, or when the connection ended.
     response.once('close', () => this.handleAnswerClosed(socket, answer))
     return answer
@@ -100,6 +103,7 @@
   private handleAnswerClosed (socket: Socket, answer: PendingAnswer): void {
     const answers = this.unsentOf.get(socket)
     answers?.delete(answer)
+    this.unanswered -= 1
     if (answer.completeAt !== undefined && !answer.isWrittenOut) {
       this.onUnsent(answer)
     }
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
-import { Holding, holdingOfBody, requestBytesOf, Reservation, type ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
+import { Holding, holdingOfBody, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 import type { CallerLimits } from '../model/routing.js'
@@ -63,14 +63,13 @@
   private limits = defaultLimits
   private isKeepAliveEnded = false
   private readonly bodies: IncompleteBodies
-  private readonly budget: ProcessBudget
+  private readonly guard: ServerGuard
 
   private constructor (private readonly options: CallerServerOptions) {
-    const { guard = ServerGuard.unlimited() } = options
-    this.budget = guard.budget
+    this.guard = options.guard ?? ServerGuard.unlimited()
     this.bodies = IncompleteBodies.create(options.clock)
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
-    guard.protect(this.server, Door.Callers)
+    this.guard.protect(this.server, Door.Callers)
     this.connections = CallerConnections.create(this.server, answer => options.log.closedUnsent(answer, options.clock.now()))
     this.admission = ConnectionAdmission.create({ othersDelayMs: () => undefined, ...options, server: this.server, refusalBounds: () => this.refusalBounds() })
     this.server.on('clientError', (error, socket) => this.handleUnreadable(error, socket as Socket))
@@ -162,8 +161,12 @@
     if (this.isKeepAliveEnded) {
       pending.endKeepAlive()
     }
+    if (this.connections.unanswered > this.guard.maxRequests) {
+      this.refuseForResources(request, response, 'This instance has as many requests in progress as its descriptors allow.')
+      return
+    }
     if (!this.reserveUntilAnswered(Holding.Request, response).resize(requestBytesOf(headBytesOf(request), request.rawHeaders.length / 2))) {
-      this.refuseForMemory(request, response, 'This instance has as many requests in progress as its memory allows.')
+      this.refuseForResources(request, response, 'This instance has as many requests in progress as its memory allows.')
       return
     }
     wire.readHead(request).caseOf({
@@ -175,18 +178,18 @@
     })
   }
 
-  /** Refuses a request of which only the head was read, since the process has no memory for it. */
-  private refuseForMemory (request: IncomingMessage, response: ServerResponse, message: string): void {
+  /** Refuses a request of which only the head was read, since the process has no room for it. */
+  private refuseForResources (request: IncomingMessage, response: ServerResponse, message: string): void {
     const { clock, log } = this.options
     const now = clock.now()
     const failure = Failure.notRun(FailureCode.Overloaded, message, earliestRetryTime(FailureCode.Overloaded, now))
-    log.refusedForMemory(failure)
+    log.refusedForResources(failure)
     this.refuseUnread(request, response, () => answerFailure(response, failure, now))
   }
 
   /** A reservation that ends when the answer is written out, or the connection closed. */
   private reserveUntilAnswered (holding: Holding, response: ServerResponse): Reservation {
-    const reservation = Reservation.create(this.budget, holding)
+    const reservation = Reservation.create(this.guard.budget, holding)
     response.once('close', () => reservation.release())
     return reservation
   }
@@ -273,9 +276,9 @@
       refuseTooLarge()
       return
     }
-    const incomplete = { receivedBytes: () => body.length, reservedBytes: () => held.bytes, abandon: () => refuseForMemory() }
+    const incomplete = { receivedBytes: () => body.length, reservedBytes: () => held.bytes, abandon: () => refuseForResources() }
     const reserve = (bytes: number): boolean => held.resize(bytes, holdingOfBody(bytes)) || (this.bodies.abandonSlowest() && held.resize(bytes, holdingOfBody(bytes)))
-    const refuseForMemory = (): void => {
+    const refuseForResources = (): void => {
       // It may have been abandoned for its own further bytes.
       if (isRefusedOrFailed) {
         return
@@ -284,10 +287,10 @@
       body.clear()
       held.release()
       this.bodies.delete(incomplete)
-      this.refuseForMemory(request, response, 'This instance holds as many bytes of bodies as its memory allows.')
+      this.refuseForResources(request, response, 'This instance holds as many bytes of bodies as its memory allows.')
     }
     if (!reserve(length)) {
-      refuseForMemory()
+      refuseForResources()
       return
     }
     if (hasBody(request)) {
@@ -302,7 +305,7 @@
       if (!isRefusedOrFailed) {
         body.add(chunk)
         if (body.capacity > held.bytes && !reserve(body.capacity)) {
-          refuseForMemory()
+          refuseForResources()
         }
       }
       if (!isRefusedOrFailed && body.length > bodyBytes) {
--- a/packages/foxtaillever-relay/src/callers/serverGuard.ts
+++ b/packages/foxtaillever-relay/src/callers/serverGuard.ts
@@ -1,7 +1,9 @@
 /** Bounds what the clients of each server of the process may make it hold. */
 import type { Server } from 'node:http'
 import { ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
+import { shareDescriptors, type DescriptorShares } from 'foxtaillever-policy/relay/descriptorShares'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import { ConnectionCap } from './connectionCap.js'
 import { RequestFeed } from './requestFeed.js'
 
 /** Servers of the process, as the log names them. */
@@ -15,7 +17,8 @@
 
 export interface ServerGuardOptions {
   readonly budget: ProcessBudget
-  readonly log: Pick<RelayLog, 'pipelinedExcess'>
+  readonly shares: DescriptorShares
+  readonly log: Pick<RelayLog, 'pipelinedExcess' | 'connectionCapped'>
 }
 
 export class ServerGuard {
@@ -27,16 +30,22 @@
 
   /** A guard without a budget, which logs nothing. */
   static unlimited (): ServerGuard {
-    return new ServerGuard({ budget: ProcessBudget.unlimited(), log: { pipelinedExcess: () => {} } })
+    return new ServerGuard({ budget: ProcessBudget.unlimited(), shares: shareDescriptors(), log: { pipelinedExcess: () => {}, connectionCapped: () => {} } })
   }
 
   get budget (): ProcessBudget {
     return this.options.budget
   }
 
+  /** Most requests of callers in progress. */
+  get maxRequests (): number {
+    return this.options.shares.requests
+  }
+
   /** Must be called before others listen for connections of the server. */
   protect (server: Server, door: Door): void {
-    const { budget, log } = this.options
+    const { budget, shares, log } = this.options
+    ConnectionCap.attach(server, { maxConnections: shares[door], onClosed: closure => log.connectionCapped(door, closure) })
     RequestFeed.attach(server, { budget, onPipelinedExcess: () => log.pipelinedExcess(door) })
   }
 }
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -1,4 +1,5 @@
 /** One instance of the relay. Takes requests from callers, sends them to backend servers, and follows the platform's store. */
+import { shareDescriptors } from 'foxtaillever-policy/relay/descriptorShares'
 import { ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import type { Subject } from 'foxtaillever-telemetry'
 import { createAdmissionOptions } from './admission/createAdmissionOptions.js'
@@ -88,7 +89,7 @@
   private constructor (private readonly options: RelayOptions) {
     const { clock, logs, callerWire } = options
     this.log = RelayLog.create(logs, service => this.state.summarize(service))
-    this.guard = ServerGuard.create({ budget: ProcessBudget.create(processLimitsOf(options)), log: this.log })
+    this.guard = ServerGuard.create({ budget: ProcessBudget.create(processLimitsOf(options)), shares: shareDescriptors(options.descriptors), log: this.log })
     this.graceMs = options.graceMs
     this.startedAt = clock.now()
     const { protocol, store } = createCrashes({
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -16,6 +16,7 @@
 import type { LimitResult } from '../limits/limitProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { PendingAnswer } from '../callers/pendingAnswer.js'
+import type { CapClosure } from '../callers/connectionCap.js'
 import type { Door } from '../callers/serverGuard.js'
 import type { BodyExcess } from '../servers/byteBounds.js'
 import type { ListedServer } from '../model/listedServer.js'
@@ -60,9 +61,15 @@
   }
 
   /** A request was refused before its head was examined or its body was read. */
-  refusedForMemory ({ code, verdict, message }: Failure): void {
+  refusedForResources ({ code, verdict, message }: Failure): void {
     this.metrics.count('refusals_total', { code })
-    this.logs.writeFailure(Part.Callers, 'Refused a request for want of memory.', { code, verdict, reason: message, ...this.describeState() })
+    this.logs.writeFailure(Part.Callers, 'Refused a request for want of memory or descriptors.', { code, verdict, reason: message, ...this.describeState() })
+  }
+
+  /** A server of the process had as many connections as it may have. */
+  connectionCapped (door: Door, closure: CapClosure): void {
+    this.metrics.count('connections_capped_total', { door, closed: closure })
+    this.logs.write('warn', Part.Callers, 'Closed a connection, because there are as many as may be open.', { door, closed: closure })
   }
 
   /** More bytes followed a request on its connection than may wait for its answer. */
