Close connections whose heads do not end when the heap has no room for them

Callers saw: an entry process ended (SIGABRT, heap full) while clients sent heads of thousands of short lines and did not end them.

Cause: node:http keeps each line of a head as texts in the heap, many times the bytes of the connection, until the head is complete or its time is up; max_header_bytes bounds one head and nothing bounds their sum.

Bytes of a head that is not complete reserve twelve times their number in the heap's budget, the most that short lines take, and return it with the last line. Where there is no room, the head that has been open for longest is answered with 503 and its connection closed: an ordinary head is complete within milliseconds. If requests before it on the connection are in progress, the connection closes after their answers.

--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -16,7 +16,7 @@
 import { boundBody, drainBody, hasBody, type BodyExcess } from '../servers/byteBounds.js'
 import { ByteCollector } from '../servers/byteCollector.js'
 import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
-import { answerFailure, renderUnreadable } from './answerFailure.js'
+import { answerFailure, renderLastAnswer, renderUnreadable } from './answerFailure.js'
 import { CallerConnections, type UnsentAnswers } from './callerConnections.js'
 import { ConnectionAdmission } from './connectionAdmission.js'
 import { IncompleteBodies } from './incompleteBodies.js'
@@ -69,7 +69,7 @@
     this.guard = options.guard ?? ServerGuard.unlimited()
     this.bodies = IncompleteBodies.create(options.clock)
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
-    this.guard.protect(this.server, Door.Callers)
+    this.guard.protect(this.server, Door.Callers, socket => { socket.write(this.renderOverload()) })
     this.connections = CallerConnections.create(this.server, answer => options.log.closedUnsent(answer, options.clock.now()))
     this.admission = ConnectionAdmission.create({ othersDelayMs: () => undefined, ...options, server: this.server, refusalBounds: () => this.refusalBounds() })
     this.server.on('clientError', (error, socket) => this.handleUnreadable(error, socket as Socket))
@@ -178,6 +178,11 @@
     })
   }
 
+  private renderOverload (): Buffer {
+    const now = this.options.clock.now()
+    return renderLastAnswer(Failure.notRun(FailureCode.Overloaded, 'This instance has as many incomplete requests as its memory allows.', earliestRetryTime(FailureCode.Overloaded, now)), now)
+  }
+
   /** Refuses a request of which only the head was read, since the process has no room for it. */
   private refuseForResources (request: IncomingMessage, response: ServerResponse, message: string): void {
     const { clock, log } = this.options
--- a/packages/foxtaillever-relay/src/callers/requestFeed.ts
+++ b/packages/foxtaillever-relay/src/callers/requestFeed.ts
@@ -7,7 +7,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { Holding, ProcessBudget, Reservation } from 'foxtaillever-policy/relay/processBudget'
+import { Holding, openHeadBytesOf, Reservation, type ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 
 /** Requests of a connection that are in progress at the same time. */
 const MAX_UNANSWERED = 4
@@ -22,6 +22,8 @@
 
 export interface RequestFeedOptions {
   readonly budget: ProcessBudget
+  /** Ends a connection whose head has no room and is not complete. */
+  readonly refuseOpenHead: (socket: Socket) => void
   /** More bytes followed the requests in progress than may wait; their connection closes after the answers. */
   readonly onPipelinedExcess: () => void
 }
@@ -38,21 +40,27 @@
   private unanswered = 0
   private isDropping = false
   private readonly pipelined: Reservation
+  /** Bytes of the head that is being read. */
+  private headBytes = 0
+  private readonly openHead: Reservation
 
-  private constructor (private readonly socket: Socket, private readonly parse: (bytes: Buffer) => void, private readonly options: RequestFeedOptions) {
+  /** @param openHeads of all connections of the server, in the order in which they began. */
+  private constructor (private readonly socket: Socket, private readonly parse: (bytes: Buffer) => void, private readonly openHeads: Set<RequestFeed>, private readonly options: RequestFeedOptions) {
+    this.openHead = Reservation.create(options.budget, Holding.OpenHead)
     this.pipelined = Reservation.create(options.budget, Holding.Pipelined)
   }
 
   /** Feeds all connections of the server. Must be called before others listen for its connections and requests. */
   static attach (server: Server, options: RequestFeedOptions): void {
     const feeds = new WeakMap<Socket, RequestFeed>()
-    server.on('connection', (socket: Socket) => feeds.set(socket, RequestFeed.create(socket, options)))
+    const openHeads = new Set<RequestFeed>()
+    server.on('connection', (socket: Socket) => feeds.set(socket, RequestFeed.create(socket, openHeads, options)))
     server.prependListener('request', (request, response) => feeds.get(request.socket)?.handleRequest(request, response))
   }
 
-  private static create (socket: Socket, options: RequestFeedOptions): RequestFeed {
+  private static create (socket: Socket, openHeads: Set<RequestFeed>, options: RequestFeedOptions): RequestFeed {
     const listeners = socket.listeners('data') as Array<(bytes: Buffer) => void>
-    const feed = new RequestFeed(socket, bytes => listeners.forEach(listener => listener.call(socket, bytes)), options)
+    const feed = new RequestFeed(socket, bytes => listeners.forEach(listener => listener.call(socket, bytes)), openHeads, options)
     listeners.forEach(listener => socket.removeListener('data', listener))
     socket.on('data', (bytes: Buffer) => feed.handleBytes(bytes))
     socket.once('close', () => feed.release())
@@ -96,7 +104,11 @@
       this.missingBytes -= length
     }
     this.tail = Buffer.concat([this.tail, piece.subarray(-END.length)]).subarray(1 - END.length)
+    const { unanswered, incomplete } = this
     this.parse(piece)
+    if (incomplete === undefined && unanswered === this.unanswered) {
+      this.countOpenHead(length)
+    }
     if (this.incomplete && (this.incomplete.complete || (this.missingBytes === 0 && !isInChunks(this.incomplete)))) {
       this.incomplete = undefined
     }
@@ -117,7 +129,34 @@
     return end < 0 ? left : end + END.length - from
   }
 
+  private countOpenHead (bytes: number): void {
+    this.headBytes += bytes
+    this.openHeads.add(this)
+    while (!this.socket.destroyed && !this.isDropping && !this.openHead.resize(openHeadBytesOf(this.headBytes))) {
+      const [oldest = this] = this.openHeads
+      oldest.closeOpenHead()
+    }
+  }
+
+  /** Makes room for other heads. Requests before this one are still answered. */
+  private closeOpenHead (): void {
+    if (this.unanswered > 0) {
+      this.drop()
+      return
+    }
+    this.release()
+    this.options.refuseOpenHead(this.socket)
+    this.socket.destroy()
+  }
+
+  private endOpenHead (): void {
+    this.headBytes = 0
+    this.openHeads.delete(this)
+    this.openHead.release()
+  }
+
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
+    this.endOpenHead()
     this.unanswered += 1
     this.missingBytes = isInChunks(request) ? 0 : Number(request.headers['content-length'] ?? 0)
     this.incomplete = isInChunks(request) || this.missingBytes > 0 ? request : undefined
@@ -168,6 +207,7 @@
   private release (): void {
     this.waiting = none
     this.pipelined.release()
+    this.endOpenHead()
   }
 }
 
--- a/packages/foxtaillever-relay/src/callers/serverGuard.ts
+++ b/packages/foxtaillever-relay/src/callers/serverGuard.ts
@@ -1,5 +1,6 @@
 /** Bounds what the clients of each server of the process may make it hold. */
 import type { Server } from 'node:http'
+import type { Socket } from 'node:net'
 import { ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import { shareDescriptors, type DescriptorShares } from 'foxtaillever-policy/relay/descriptorShares'
 import type { RelayLog } from '../telemetry/relayLog.js'
@@ -18,7 +19,7 @@
 export interface ServerGuardOptions {
   readonly budget: ProcessBudget
   readonly shares: DescriptorShares
-  readonly log: Pick<RelayLog, 'pipelinedExcess' | 'connectionCapped'>
+  readonly log: Pick<RelayLog, 'pipelinedExcess' | 'connectionCapped' | 'openHeadExcess'>
 }
 
 export class ServerGuard {
@@ -30,7 +31,7 @@
 
   /** A guard without a budget, which logs nothing. */
   static unlimited (): ServerGuard {
-    return new ServerGuard({ budget: ProcessBudget.unlimited(), shares: shareDescriptors(), log: { pipelinedExcess: () => {}, connectionCapped: () => {} } })
+    return new ServerGuard({ budget: ProcessBudget.unlimited(), shares: shareDescriptors(), log: { pipelinedExcess: () => {}, connectionCapped: () => {}, openHeadExcess: () => {} } })
   }
 
   get budget (): ProcessBudget {
@@ -42,10 +43,20 @@
     return this.options.shares.requests
   }
 
-  /** Must be called before others listen for connections of the server. */
-  protect (server: Server, door: Door): void {
+  /**
+   * Must be called before others listen for connections of the server.
+   * @param refuse writes an answer to the beginning of a request, whose connection is closed after it.
+   */
+  protect (server: Server, door: Door, refuse: (socket: Socket) => void = () => {}): void {
     const { budget, shares, log } = this.options
     ConnectionCap.attach(server, { maxConnections: shares[door], onClosed: closure => log.connectionCapped(door, closure) })
-    RequestFeed.attach(server, { budget, onPipelinedExcess: () => log.pipelinedExcess(door) })
+    RequestFeed.attach(server, {
+      budget,
+      onPipelinedExcess: () => log.pipelinedExcess(door),
+      refuseOpenHead: socket => {
+        log.openHeadExcess(door)
+        refuse(socket)
+      }
+    })
   }
 }
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -72,6 +72,12 @@
     this.logs.write('warn', Part.Callers, 'Closed a connection, because there are as many as may be open.', { door, closed: closure })
   }
 
+  /** The memory has no room for the head of a request that is not complete. */
+  openHeadExcess (door: Door): void {
+    this.metrics.count('open_heads_refused_total', { door })
+    this.logs.write('warn', Part.Callers, 'Closed a connection whose request has no complete head, for want of memory.', { door })
+  }
+
   /** More bytes followed a request on its connection than may wait for its answer. */
   pipelinedExcess (door: Door): void {
     this.metrics.count('pipelined_excess_total', { door })
