Share each turn of the event loop between bodies in chunks

Callers saw: no answer for 30 s and more from an instance to which others sent bodies in chunks of one byte, also after these had left.

Cause: each chunk costs as much as one of kilobytes: 64 KB that are read at once hold 10,900 of them, and each connection's turn is parsed whole. With 200 connections one turn of the event loop takes longer than callers wait, and what they have sent is parsed to its end after they have left. Evidence: no ordinary request in 30 s after the crowd, heap and memory at 73 to 80 MB.

Bodies in chunks are parsed in pieces of 1 KB, 16 KB in each turn of all connections together, in turns. What waits is reserved as other pipelined bytes are, and the connection is not read meanwhile; no request of it runs before its body is complete. Heads and bodies with a length are parsed as before, and so are chunks while no connection waits and the turn has room.

--- a/packages/foxtaillever-relay/src/callers/__tests__/requestFeed.test.ts
+++ b/packages/foxtaillever-relay/src/callers/__tests__/requestFeed.test.ts
@@ -3,6 +3,7 @@
 import { connect, type AddressInfo, type Socket } from 'node:net'
 import { Holding, ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import { describe, it } from 'foxtaillever-testing'
+import { ChunkWork } from '../chunkWork.js'
 import { RequestFeed } from '../requestFeed.js'
 
 const MEGABYTE = 1_048_576
@@ -26,7 +27,7 @@
     request.on('end', () => response.setHeader('x-body', String(body)))
     responses.push(response)
   })
-  RequestFeed.attach(server, { budget, onPipelinedExcess: () => {}, refuseOpenHead: () => {} })
+  RequestFeed.attach(server, { budget, chunkWork: ChunkWork.create(), onPipelinedExcess: () => {}, refuseOpenHead: () => {} })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
   let text = ''
@@ -80,6 +81,27 @@
     })
   })
 
+  // Guards against an event loop that is busy with the chunks of one body only.
+  it('reads a body of many chunks in several turns of the event loop', async t => {
+    await withFeed(async ({ responses, socket }) => {
+      const chunks = 20_000
+      let turns = 0
+      const count = (): void => {
+        turns += 1
+        if (responses[0]?.req.complete !== true) {
+          setImmediate(count)
+        }
+      }
+      socket.write(`POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\n.\r\n'.repeat(chunks)}0\r\n\r\n`)
+      await waitUntil(() => responses.length === 1)
+      count()
+      await waitUntil(() => responses[0]?.req.complete === true)
+      t.true(turns >= 6 * chunks / (64 * 1024), `${turns} turns`)
+      await waitUntil(() => responses[0]?.getHeader('x-body') === String(chunks))
+      t.pass()
+    })
+  })
+
   // Guards against reservations that outlive their connection.
   it('returns what it holds when a caller leaves', async t => {
     await withFeed(async ({ budget, responses, socket }) => {
--- a/packages/foxtaillever-relay/src/callers/requestFeed.ts
+++ b/packages/foxtaillever-relay/src/callers/requestFeed.ts
@@ -3,11 +3,15 @@
  * what was read before any of them is answered, so that some kilobytes of short requests become a hundred times as much
  * in the heap. Here the bytes behind a few requests wait until one of these is answered. The connection is read on
  * meanwhile, since otherwise nothing would tell that its caller left; if more follows than may wait, it is dropped, and
- * the connection closes after the answers.
+ * the connection closes after the answers. Bodies in chunks share a part of each turn of the event loop.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { Holding, openHeadBytesOf, Reservation, type ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
+import type { ChunkReader, ChunkWork } from './chunkWork.js'
+
+/** Bytes of a body in chunks that are parsed at once. */
+const CHUNKED_PIECE_BYTES = 1024
 
 /** Requests of a connection that are in progress at the same time. */
 const MAX_UNANSWERED = 4
@@ -22,13 +26,15 @@
 
 export interface RequestFeedOptions {
   readonly budget: ProcessBudget
+  /** Shared by all connections of the process. */
+  readonly chunkWork: ChunkWork
   /** Ends a connection whose head has no room and is not complete. */
   readonly refuseOpenHead: (socket: Socket) => void
   /** More bytes followed the requests in progress than may wait; their connection closes after the answers. */
   readonly onPipelinedExcess: () => void
 }
 
-export class RequestFeed {
+export class RequestFeed implements ChunkReader {
   /** Bytes that were read and not parsed. */
   private waiting = none
   /** Last bytes that were parsed, which may be the beginning of an end. */
@@ -69,6 +75,25 @@
     return feed
   }
 
+  get hasChunks (): boolean {
+    return !this.socket.destroyed && this.isReadingChunks && this.waiting.length > 0
+  }
+
+  parseChunks (): number {
+    const { waiting } = this
+    const parsed = this.parsePiece(waiting, 0)
+    this.waiting = waiting.subarray(parsed)
+    if (this.waiting.length === 0 || !this.isReadingChunks) {
+      this.resume()
+    }
+    return parsed
+  }
+
+  /** Whether the next bytes belong to a body in chunks. */
+  private get isReadingChunks (): boolean {
+    return this.incomplete !== undefined && this.missingBytes === 0
+  }
+
   /** Whether the next bytes belong to the request that is being read, or a new one may begin. */
   private get isParsing (): boolean {
     const { socket, incomplete, unanswered } = this
@@ -88,7 +113,7 @@
 
   private parseAll (bytes: Buffer): void {
     let from = 0
-    while (from < bytes.length && this.isParsing) {
+    while (from < bytes.length && this.isParsing && (!this.isReadingChunks || this.options.chunkWork.takePiece(CHUNKED_PIECE_BYTES))) {
       from += this.parsePiece(bytes, from)
     }
     if (from < bytes.length && !this.socket.destroyed) {
@@ -116,17 +141,17 @@
   }
 
   private pieceLength (bytes: Buffer, from: number): number {
-    const left = bytes.length - from
+    const left = Math.min(bytes.length - from, this.isReadingChunks ? CHUNKED_PIECE_BYTES : Infinity)
     if (this.missingBytes > 0) {
       return Math.min(this.missingBytes, left)
     }
     const { tail } = this
     const seam = Buffer.concat([tail, bytes.subarray(from, from + END.length - 1)]).indexOf(END)
     if (seam >= 0) {
-      return seam + END.length - tail.length
+      return Math.min(left, seam + END.length - tail.length)
     }
     const end = bytes.indexOf(END, from)
-    return end < 0 ? left : end + END.length - from
+    return end < 0 ? left : Math.min(left, end + END.length - from)
   }
 
   private countOpenHead (bytes: number): void {
@@ -181,7 +206,7 @@
   /** Parses what waits behind requests in progress, if there are fewer now. */
   private parseWaiting (): void {
     const { waiting } = this
-    if (waiting.length > 0 && this.isParsing) {
+    if (waiting.length > 0 && this.isParsing && !this.isReadingChunks) {
       this.waiting = none
       this.pipelined.release()
       this.parseAll(waiting)
@@ -189,7 +214,9 @@
   }
 
   private wait (bytes: Buffer): void {
-    if (bytes.length <= MAX_PIPELINED_BYTES && this.pipelined.resize(bytes.length)) {
+    if (this.isReadingChunks) {
+      this.waitForTurn(bytes)
+    } else if (bytes.length <= MAX_PIPELINED_BYTES && this.pipelined.resize(bytes.length)) {
       // Copied, so that a few bytes do not keep all that was read with them.
       this.waiting = Buffer.from(bytes)
     } else {
@@ -197,6 +224,32 @@
     }
   }
 
+  /** Nothing more is read before the event loop has had time for these chunks. */
+  private waitForTurn (bytes: Buffer): void {
+    const isFirst = this.waiting.length === 0
+    if (!this.pipelined.resize(bytes.length)) {
+      this.release()
+      this.socket.destroy()
+      return
+    }
+    this.waiting = bytes
+    this.socket.pause()
+    if (isFirst) {
+      this.options.chunkWork.add(this)
+    }
+  }
+
+  /** The chunks that waited are parsed. What follows them may be the next request. */
+  private resume (): void {
+    const { waiting } = this
+    this.waiting = none
+    this.pipelined.release()
+    if (!this.socket.destroyed) {
+      this.socket.resume()
+      this.parseAll(waiting)
+    }
+  }
+
   private drop (): void {
     this.isDropping = true
     this.release()
--- a/packages/foxtaillever-relay/src/callers/serverGuard.ts
+++ b/packages/foxtaillever-relay/src/callers/serverGuard.ts
@@ -4,6 +4,7 @@
 import { ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import { shareDescriptors, type DescriptorShares } from 'foxtaillever-policy/relay/descriptorShares'
 import type { RelayLog } from '../telemetry/relayLog.js'
+import { ChunkWork } from './chunkWork.js'
 import { ConnectionCap } from './connectionCap.js'
 import { RequestFeed } from './requestFeed.js'
 
@@ -23,6 +24,8 @@
 }
 
 export class ServerGuard {
+  private readonly chunkWork = ChunkWork.create()
+
   private constructor (private readonly options: ServerGuardOptions) {}
 
   static create (options: ServerGuardOptions): ServerGuard {
@@ -52,6 +55,7 @@
     ConnectionCap.attach(server, { maxConnections: shares[door], onClosed: closure => log.connectionCapped(door, closure) })
     RequestFeed.attach(server, {
       budget,
+      chunkWork: this.chunkWork,
       onPipelinedExcess: () => log.pipelinedExcess(door),
       refuseOpenHead: socket => {
         log.openHeadExcess(door)
