Cut answers that their callers do not read when there is no memory for them

Callers saw: an instance took more than the memory of its machine while callers asked for large answers and read nothing.

Cause: each answer holds up to 256 KB before it is passed on, and what its caller has not taken afterwards; nothing bounds their sum, and a caller may leave them unread until its deadline, or for good if they are complete. Besides, when the reading of a server pauses, two pieces of 64 KB that were read from it are held beside (450 such answers: 87 MB of buffers, 19 MB of them answers).

An answer reserves what it holds, with the pieces of a server whose reading has paused. If there is no room, the answer that has been blocked for longest is cut, so that those of callers that read go on; if none is blocked, an answer is passed on before it is complete.

--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -8,6 +8,7 @@
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
 import { Holding, holdingOfBody, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
+import { BlockedAnswers } from '../exchange/blockedAnswers.js'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 import type { CallerLimits } from '../model/routing.js'
@@ -63,11 +64,13 @@
   private limits = defaultLimits
   private isKeepAliveEnded = false
   private readonly bodies: IncompleteBodies
+  private readonly blockedAnswers: BlockedAnswers
   private readonly guard: ServerGuard
 
   private constructor (private readonly options: CallerServerOptions) {
     this.guard = options.guard ?? ServerGuard.unlimited()
     this.bodies = IncompleteBodies.create(options.clock)
+    this.blockedAnswers = BlockedAnswers.create(() => options.log.unreadAnswerCut())
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
     this.guard.protect(this.server, Door.Callers, socket => { socket.write(this.renderOverload()) })
     this.connections = CallerConnections.create(this.server, answer => options.log.closedUnsent(answer, options.clock.now()))
@@ -236,8 +239,10 @@
             const answer = CallerAnswer.create(response, {
               refuse: failure => answerFailure(response, failure, clock.now()),
               onComplete: () => { pending.completeAt = clock.now() },
-              held: this.reserveUntilAnswered(Holding.Answer, response)
+              held: this.reserveUntilAnswered(Holding.Answer, response),
+              blocked: this.blockedAnswers
             })
+            response.once('close', () => this.blockedAnswers.delete(answer))
             onExchange({ ...head, route, account, service: selectService(route, head.resumedId || head.id), body, arrivedAt, callerDeadline, deadline }, answer)
           })
         }
--- a/packages/foxtaillever-relay/src/exchange/__tests__/answerRelay.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/answerRelay.test.ts
@@ -8,7 +8,7 @@
 
 /** An answer to a stream that has begun. */
 function beginStream (): AnswerRelay {
-  const answer = { hasBegun: false, begin: () => {}, write: () => true, end: () => {}, countHeld: () => {} } as unknown as CallerAnswer
+  const answer = { hasBegun: false, begin: () => {}, write: () => true, end: () => {}, countHeld: () => true } as unknown as CallerAnswer
   const relay = AnswerRelay.create({ ...createExchange(0), route: { ...plainRoute, isStream: true, isResumable: true } }, answer, listener)
   const marks = { requestId: 'r', isStamped: true, isNotRun: false, serverId: undefined, weightsVersion: undefined, isEventStream: true }
   relay.begin({ status: 200, marks, headers: [], at: 0 })
--- a/packages/foxtaillever-relay/src/exchange/answerRelay.ts
+++ b/packages/foxtaillever-relay/src/exchange/answerRelay.ts
@@ -145,8 +145,8 @@
       return undefined
     }
     this.buffered.add(bytes)
-    this.answer.countHeld(this.buffered.capacity)
-    if (this.buffered.length > MAX_BUFFERED_BYTES && this.head) {
+    const hasRoom = this.answer.countHeld(this.buffered.capacity)
+    if ((!hasRoom || this.buffered.length > MAX_BUFFERED_BYTES) && this.head) {
       if (isServerError(this.head)) {
         return 'an error is too large'
       }
--- a/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
+++ b/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
@@ -5,6 +5,10 @@
 import type { ServerResponse } from 'node:http'
 import type { Failure } from 'foxtaillever-core'
 import { Holding, ProcessBudget, Reservation } from 'foxtaillever-policy/relay/processBudget'
+import type { BlockedAnswer, BlockedAnswers } from './blockedAnswers.js'
+
+/** Bytes that were read from a server, in the pieces of its connection, when reading pauses since the caller does not read. */
+const PAUSED_READ_BYTES = 128 * 1024
 
 export interface CallerAnswerListener {
   /** The caller closed its connection before the answer was complete. */
@@ -27,9 +31,11 @@
   readonly onComplete?: () => void
   /** What the answer holds until it is written out; not counted if not given. */
   readonly held?: Reservation
+  /** Answers of all callers that do not read, which make room for others. */
+  readonly blocked?: BlockedAnswers
 }
 
-export class CallerAnswer {
+export class CallerAnswer implements BlockedAnswer {
   private isOver = false
   /** Bytes of an answer that is forwarded as it arrives. */
   bytesPassed = 0
@@ -76,6 +82,7 @@
       }
     })
     this.response.on('drain', () => {
+      this.options.blocked?.delete(this)
       this.countHeld()
       onDrained()
     })
@@ -90,7 +97,7 @@
   write (bytes: Buffer): boolean {
     this.bytesPassed += bytes.length
     const isEmpty = this.response.write(bytes)
-    this.countHeld()
+    this.noteWritten()
     return isEmpty
   }
 
@@ -107,7 +114,7 @@
     const omitsLength = bodilessStatuses.has(status) || this.response.req.method === 'HEAD' || hasContentLength(headers)
     this.response.writeHead(status, omitsLength ? headers as string[] : [...headers, 'Content-Length', String(body.length)])
     this.response.end(body)
-    this.countHeld()
+    this.noteWritten()
     this.options.onComplete?.()
   }
 
@@ -122,8 +129,30 @@
     this.options.onComplete?.()
   }
 
-  /** Counts what the answer holds. @param bufferedBytes of an answer that is not written before it is complete. */
-  countHeld (bufferedBytes = 0): void {
-    this.held.resize(bufferedBytes + this.unsentBytes)
+  cut (): void {
+    this.held.release()
+    this.response.destroy()
+  }
+
+  /**
+   * Counts what the answer holds; returns whether there is room for it, if answers are cut whose callers do not read.
+   * @param bufferedBytes of an answer that is not written before it is complete.
+   */
+  countHeld (bufferedBytes = 0): boolean {
+    const isServerPaused = !this.isOver && this.response.writableNeedDrain
+    const bytes = bufferedBytes + this.unsentBytes + (isServerPaused ? PAUSED_READ_BYTES : 0)
+    while (!this.response.destroyed && !this.held.resize(bytes)) {
+      if (this.options.blocked?.cutLongestBlocked() !== true) {
+        return false
+      }
+    }
+    return true
+  }
+
+  private noteWritten (): void {
+    if (this.response.writableNeedDrain) {
+      this.options.blocked?.add(this)
+    }
+    this.countHeld()
   }
 }
--- a/packages/foxtaillever-relay/src/servers/__tests__/byteCollector.test.ts
+++ b/packages/foxtaillever-relay/src/servers/__tests__/byteCollector.test.ts
@@ -45,7 +45,7 @@
 describe('an answer in chunks of one byte', () => {
   // Guards against an answer below the limit of bytes that takes a hundred times its size in memory.
   it('takes little more memory than its bytes while it is held back', t => {
-    const answer = { hasBegun: false, begin: () => {}, write: () => true, send: () => {}, end: () => {}, countHeld: () => {} } as unknown as CallerAnswer
+    const answer = { hasBegun: false, begin: () => {}, write: () => true, send: () => {}, end: () => {}, countHeld: () => true } as unknown as CallerAnswer
     const relay = AnswerRelay.create({ ...createExchange(0), route: plainRoute }, answer, { onFirstEvent: () => {}, onEvents: () => {}, onBackpressure: () => {} })
     relay.begin({ status: 200, marks: { requestId: 'r', isStamped: true, isNotRun: false, serverId: undefined, weightsVersion: undefined, isEventStream: false }, headers: [], at: 0 })
     const growth = measureGrowth(piece => relay.push(piece))
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -78,6 +78,12 @@
     this.logs.write('warn', Part.Callers, 'Closed a connection whose request has no complete head, for want of memory.', { door })
   }
 
+  /** A caller does not read its answer, and the memory has no room for bytes of others. */
+  unreadAnswerCut (): void {
+    this.metrics.count('unread_answers_cut_total')
+    this.logs.write('warn', Part.Callers, 'Cut an answer that its caller does not read, for want of memory.', {})
+  }
+
   /** More bytes followed a request on its connection than may wait for its answer. */
   pipelinedExcess (door: Door): void {
     this.metrics.count('pipelined_excess_total', { door })
