--- a/packages/foxtaillever-proof/src/soak/soakDeployment.ts
+++ b/packages/foxtaillever-proof/src/soak/soakDeployment.ts
@@ -46,6 +46,15 @@
   return fileURLToPath(new URL(specifier, import.meta.resolve('foxtaillever-standins')))
 }
 
+export interface SoakDeploymentOptions {
+  /** Number of entry instances. */
+  readonly entries?: number
+  /** Options of the runtime for entry instances. */
+  readonly entryFlags?: readonly string[]
+  /** Limits of entry instances beside the usual ones. */
+  readonly limits?: object
+}
+
 export class SoakDeployment {
   readonly entries: Array<ServedProcess & { readonly control: string }> = []
   readonly engines: ServedProcess[] = []
@@ -55,10 +64,10 @@
   private readonly children: Child[] = []
   private readonly clock = SystemClock.create()
 
-  private constructor (private readonly onRun: (run: EngineRun) => void) {}
+  private constructor (private readonly onRun: (run: EngineRun) => void, private readonly options: SoakDeploymentOptions) {}
 
-  static async create (onRun: (run: EngineRun) => void): Promise<SoakDeployment> {
-    const deployment = new SoakDeployment(onRun)
+  static async create (onRun: (run: EngineRun) => void, options: SoakDeploymentOptions = {}): Promise<SoakDeployment> {
+    const deployment = new SoakDeployment(onRun, options)
     deployment.folder = await mkdtemp(join(tmpdir(), 'foxtaillever-soak-'))
     try {
       await deployment.start()
@@ -149,7 +158,7 @@
   }
 
   private async startEntries (): Promise<void> {
-    const ports = await Promise.all(Array.from({ length: ENTRIES }, async () => [await choosePort(), await choosePort(), await choosePort()] as const))
+    const ports = await Promise.all(Array.from({ length: this.options.entries ?? ENTRIES }, async () => [await choosePort(), await choosePort(), await choosePort()] as const))
     const memberKey = randomBytes(32).toString('hex')
     for (const [index, [listen, control, gossip]] of ports.entries()) {
       const file = join(this.folder, `entry-${index}.jsonc`)
@@ -164,11 +173,11 @@
         platform: { logAddress: this.log.address, listAddress: this.list.address, logRetentionMs: RETENTION_MS },
         operators: [{ name: 'soak', tokenDigests: [digest('soak')] }],
         memberKeys: [{ id: 'soak', keyVariable: 'FOXTAILLEVER_SOAK_KEY' }],
-        limits: { claimKeptMs: RETENTION_MS / 2 },
+        limits: { claimKeptMs: RETENTION_MS / 2, ...this.options.limits },
         logLevel: 'error'
       }))
       const script = fileURLToPath(new URL('./main.js', import.meta.resolve('foxtaillever-router')))
-      const child = Child.create({ name: `entry-${index}`, arguments: [script, file], environment: { FOXTAILLEVER_SOAK_KEY: memberKey }, onLine: () => {} })
+      const child = Child.create({ name: `entry-${index}`, arguments: [...this.options.entryFlags ?? [], script, file], environment: { FOXTAILLEVER_SOAK_KEY: memberKey }, onLine: () => {} })
       this.launch(child)
       this.entries.push({ child, address: `http://127.0.0.1:${listen}`, control: `http://127.0.0.1:${control}` })
     }
--- a/packages/foxtaillever-settings/src/router/routerSchema.ts
+++ b/packages/foxtaillever-settings/src/router/routerSchema.ts
@@ -58,8 +58,10 @@
   idleTimeoutMs: timeout('A connection without a request is closed after this; more than the balancer keeps its own open').default(75_000),
   arrivalTimeoutMs: timeout('A request that takes longer to arrive is refused').default(10_000),
   drainTimeoutMs: timeout('How long a leaving instance lets requests in flight go on').default(60_000),
-  claimKeptMs: z.number().int().min(MIN_CLAIM_KEPT_MS).default(3_600_000).describe('How long the claim of a non-idempotent request is remembered, milliseconds; a caller may send it again within.')
-}).strict().describe('Limits on what one caller can hold.')
+  claimKeptMs: z.number().int().min(MIN_CLAIM_KEPT_MS).default(3_600_000).describe('How long the claim of a non-idempotent request is remembered, milliseconds; a caller may send it again within.'),
+  memoryMb: z.number().int().min(64).max(1024 * 1024).optional().describe('Memory that the process may use, megabytes of 1024 * 1024 bytes; if not given, 256 more than its heap may grow to.'),
+  descriptors: z.number().int().min(264).max(1024 * 1024).default(16_384).describe('Descriptors that the process may have open; half of those beside 200 for files are for the connections of callers.')
+}).strict().describe('Limits on what one caller can hold, and all callers together.')
 
 const distance = z.object({
   between: z.tuple([formatted(Format.Name), formatted(Format.Name)]).describe('Two failure domains.'),
--- a/packages/foxtaillever-settings/src/router/routerSettings.ts
+++ b/packages/foxtaillever-settings/src/router/routerSettings.ts
@@ -52,6 +52,10 @@
   readonly drainTimeoutMs: number
   /** How long the claim of a non-idempotent request is remembered. */
   readonly claimKeptMs: number
+  /** Memory that the process may use, megabytes; undefined if only its heap is limited. */
+  readonly memoryMb?: number | undefined
+  /** Descriptors that the process may have open. */
+  readonly descriptors: number
 }
 
 /** Network latency between two failure domains, one way. */
