Guard the servers of the project's own entry process as those of the relay

Callers saw: the project's own entry process ended (SIGABRT, heap full) while clients sent heads of thousands of lines, bodies in chunks of one byte, or calls for metrics without reading; idle connections took all descriptors.

Cause: the same as at the entry process of the users' platform; fastify stands on the same parser of node:http, and nothing bounds either server.

The metrics show what callers make the process hold.

--- a/packages/foxtaillever-relay/src/callers/serverGuard.ts
+++ b/packages/foxtaillever-relay/src/callers/serverGuard.ts
@@ -13,7 +13,7 @@
   Callers = 'callers',
   Readiness = 'readiness',
   Metrics = 'metrics',
-  /** Calls of other instances. */
+  /** Calls of other instances, and of operators where they share the port. */
   Peers = 'peers'
 }
 
--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -4,6 +4,7 @@
 import { CallerHeader, EnginePath, Failure, FailureCode, type ClientAccount, type Clock, type Configuration } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
 import { CallerConnections } from 'foxtaillever-relay/callers/callerConnections'
+import { Door, type ServerGuard } from 'foxtaillever-relay/callers/serverGuard'
 import type { RouterCore } from '../core/routerCore.js'
 import type { InstanceLimits } from '../instance/entryInstanceOptions.js'
 import type { PlainRouter } from '../plain/plainRouter.js'
@@ -26,6 +27,8 @@
   readonly configuration: () => Configuration | undefined
   /** Whether new requests are accepted; false once a shutdown has begun. */
   readonly accepting: () => boolean
+  /** Bounds what callers may make the process hold. */
+  readonly guard: ServerGuard
   readonly limits: Pick<InstanceLimits, 'bodyBytes' | 'headerBytes' | 'arrivalTimeoutMs' | 'idleTimeoutMs'>
   /** Notified of calls that were refused before they became requests. */
   readonly onRejected?: (requestId: string, failure: Failure) => void
@@ -60,6 +63,7 @@
       },
       clientErrorHandler: answerBrokenRequest
     })
+    options.guard.protect(this.http.server, Door.Callers)
     this.connections = CallerConnections.create(this.http.server, () => true)
     this.http.server.on('request', (request, response) => this.connections.trackRequest(request.socket, response))
     this.http.setErrorHandler((error: FastifyError, request, reply) => this.refuse(request, reply, readHttpError(error)))
--- a/packages/foxtaillever-router/src/control/controlServer.ts
+++ b/packages/foxtaillever-router/src/control/controlServer.ts
@@ -10,6 +10,7 @@
 import type { Clock } from 'foxtaillever-core'
 import { CONTROL_PATH, controlRouter, createControlContext, type Control, type ControlRouter, type Operators } from 'foxtaillever-control'
 import { PEER_PATH, type PeerRouter } from 'foxtaillever-fleet'
+import { Door, type ServerGuard } from 'foxtaillever-relay/callers/serverGuard'
 import type { Metrics } from '../telemetry/metrics.js'
 
 export interface ControlServices {
@@ -36,8 +37,9 @@
   private constructor (private readonly server: Server) {}
 
   /** Binds the port; port 0 lets the system choose. */
-  static async listen (host: string, port: number): Promise<ControlServer> {
+  static async listen (host: string, port: number, guard: ServerGuard): Promise<ControlServer> {
     const server = createServer()
+    guard.protect(server, Door.Peers)
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
       server.listen(port, host, () => {
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -17,10 +17,13 @@
 import { RouterCore } from '../core/routerCore.js'
 import { Orders } from '../orders/orders.js'
 import { PlainRouter } from '../plain/plainRouter.js'
+import { Holding } from 'foxtaillever-policy/relay/processBudget'
+import type { ServerGuard } from 'foxtaillever-relay/callers/serverGuard'
 import { Part } from 'foxtaillever-telemetry'
 import { MetricName } from '../telemetry/metricTable.js'
 import { readInvariants } from '../telemetry/readInvariants.js'
 import { Telemetry } from '../telemetry/telemetry.js'
+import { createGuard } from './createGuard.js'
 import { Engines } from './engines.js'
 import type { EntryAddresses, EntryInstanceOptions, Listening } from './entryInstanceOptions.js'
 import { InstanceListMonitor } from './instanceListMonitor.js'
@@ -61,6 +64,7 @@
   private readonly datagrams: UdpDatagrams
   private readonly telemetry: Telemetry
   private readonly claims: ClaimManager
+  private readonly guard: ServerGuard
   private readonly fleet: Fleet
   private readonly core: RouterCore
   private readonly orders: Orders
@@ -79,6 +83,7 @@
     this.list = InstanceListClient.create(options.listAddress)
     this.datagrams = UdpDatagrams.create(addressOf(options.gossip))
     this.telemetry = Telemetry.create({ instance: name, clock, logs: options.logs })
+    this.guard = createGuard(options)
     if (options.hasOwnProcess === true) {
       this.telemetry.metrics.addProcessMetrics()
     }
@@ -167,7 +172,8 @@
       configuration: () => this.fleet.store.hasConfiguration() ? this.configuration() : undefined,
       onRejected: (requestId, failure) => this.telemetry.rejected(requestId, failure),
       accepting: () => this.accepting,
-      limits: this.options.limits
+      limits: this.options.limits,
+      guard: this.guard
     })
   }
 
@@ -188,6 +194,7 @@
   private measureFleet (): void {
     const { clock, fleet, telemetry } = this
     const startedAt = clock.now()
+    telemetry.metrics.onRead(() => Object.values(Holding).map(holding => ({ name: MetricName.HeldBytes, labels: { holding }, value: this.guard.budget.heldBytes(holding) })))
     telemetry.metrics.onRead(() => readInvariants(this.core.invariants))
     telemetry.metrics.onRead(() => [
       { name: MetricName.Revision, value: fleet.store.configuration().revision },
@@ -209,7 +216,7 @@
     const { listen, control, logs } = this.options
     this.fleet.store.onChange(() => this.configure())
     const gossipAddress = await this.datagrams.bind()
-    this.control = await ControlServer.listen(control.host, control.port)
+    this.control = await ControlServer.listen(control.host, control.port, this.guard)
     const controlAddress = this.control.address()
     this.fleet.setAddresses({ address: gossipAddress, controlAddress })
     await this.serveControl(this.control)
--- a/packages/foxtaillever-router/src/instance/entryInstanceOptions.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstanceOptions.ts
@@ -47,6 +47,10 @@
   readonly idleTimeoutMs: number
   /** How long an instance that shuts down waits for requests in flight. */
   readonly drainTimeoutMs: number
+  /** Memory that the process may use, megabytes; undefined if only its heap is limited. */
+  readonly memoryMb?: number | undefined
+  /** Descriptors that the process may have open; undefined if nothing limits them. */
+  readonly descriptors?: number | undefined
 }
 
 /** Where an instance listens once it has started. */
--- a/packages/foxtaillever-router/src/telemetry/metricTable.ts
+++ b/packages/foxtaillever-router/src/telemetry/metricTable.ts
@@ -24,6 +24,7 @@
   FoldOffset = 'foxtaillever_fold_offset',
   FoldAge = 'foxtaillever_fold_age_seconds',
   Members = 'foxtaillever_live_instances',
+  HeldBytes = 'foxtaillever_held_bytes',
   LinesLeftOut = 'foxtaillever_log_lines_left_out_total',
   InvariantChecks = 'foxtaillever_invariant_checks_total',
   InvariantViolations = 'foxtaillever_invariant_violations_total'
@@ -62,6 +63,7 @@
   [MetricName.FoldOffset]: { kind: Gauge, help: 'Offset up to which the log is folded here.', labels: [] },
   [MetricName.FoldAge]: { kind: Gauge, help: 'Time since the log last answered a read.', labels: [] },
   [MetricName.Members]: { kind: Gauge, help: 'Entry instances alive, this one included.', labels: [] },
+  [MetricName.HeldBytes]: { kind: Gauge, help: 'Bytes that callers make the process hold, by what holds them.', labels: ['holding'] },
   [MetricName.LinesLeftOut]: { kind: Counter, help: 'Log lines counted instead of written.', labels: [] },
   [MetricName.InvariantChecks]: { kind: Counter, help: 'Times that what must always hold was looked at.', labels: ['invariant'] },
   [MetricName.InvariantViolations]: { kind: Counter, help: 'Times that it did not hold: a fault of the program, to be reported.', labels: ['invariant'] }
