Reserve requests and bodies at the project's own entry process

Callers saw: the process took more than its memory while clients sent bodies at once.

Cause: fastify collects each body up to its limit, and nothing bounds their sum, nor the requests in progress.

A request reserves its place and the length of its body before the body is read, or what has arrived while it comes in chunks, and returns both when it is answered or its connection closes. What does not fit gets 503 with Retry-After and verdict not_run; a body in chunks that grows beyond it closes its connection.

--- a/packages/foxtaillever-router/src/callers/callerServer.ts
+++ b/packages/foxtaillever-router/src/callers/callerServer.ts
@@ -12,6 +12,7 @@
 import { answerBrokenRequest } from './answerBrokenRequest.js'
 import { failureBody, failureHeaders } from './failureBody.js'
 import { readSubmission, type CompletionPath, type ReadCall } from './readSubmission.js'
+import { RequestReservations } from './requestReservations.js'
 import { statusOf } from './statusOf.js'
 import { readStreamResumption, type StreamResumption } from './readStreamResumption.js'
 import { StreamResponder } from './streamResponder.js'
@@ -64,6 +65,7 @@
       clientErrorHandler: answerBrokenRequest
     })
     options.guard.protect(this.http.server, Door.Callers)
+    this.reserveResources()
     this.connections = CallerConnections.create(this.http.server, () => true)
     this.http.server.on('request', (request, response) => this.connections.trackRequest(request.socket, response))
     this.http.setErrorHandler((error: FastifyError, request, reply) => this.refuse(request, reply, readHttpError(error)))
@@ -84,6 +86,22 @@
     return this.connections.unsent.answers
   }
 
+  private reserveResources (): void {
+    const reservations = RequestReservations.create(this.options.clock, this.options.guard)
+    this.http.addHook('onRequest', (request, reply, done) => {
+      const failure = reservations.reserve(request.raw, reply.raw)
+      if (failure) {
+        this.refuse(request, reply, failure)
+      } else {
+        done()
+      }
+    })
+    this.http.addHook('preParsing', (request, _reply, payload, done) => {
+      reservations.reserveChunks(request.raw)
+      done(null, payload)
+    })
+  }
+
   private addHealth (): void {
     this.http.get('/healthz', async () => ({ status: 'alive' }))
     this.http.get('/readyz', (_, reply) => {
