Notice that a caller has left for all its requests in progress

Callers saw nothing; servers went on with requests of callers that had left, and what these held was not returned, when a connection carried several requests at once.

Cause: node:http tells the end of a connection only to the answer that is next to be written. Those behind it get no event, so that their exchanges run until their deadlines and their reservations are never returned. Evidence: 20 connections with 100 pipelined requests each; 30 s after they have left the process still holds bytes for them, every other crowd is at 0.

The feed of a connection knows its unanswered requests and closes their answers with it.

--- a/packages/foxtaillever-proof/src/clients/limitedRelay.ts
+++ b/packages/foxtaillever-proof/src/clients/limitedRelay.ts
@@ -78,6 +78,7 @@
     clock,
     child,
     doors: { callers: `${ip}:${front}`, readiness: `${ip}:${ready}`, peers: `${ip}:${peers}`, metrics: `${ip}:${METRICS_PORT}` },
+    metricsUrl: `http://${ip}:${METRICS_PORT}/metrics`,
     memoryBytes: MEMORY_MB * BYTES_PER_MEGABYTE,
     descriptors,
     sendOrdinary,
--- a/packages/foxtaillever-proof/src/clients/limitedRouter.ts
+++ b/packages/foxtaillever-proof/src/clients/limitedRouter.ts
@@ -37,6 +37,7 @@
     clock: SystemClock.create(),
     child: entry.child,
     doors: { callers: entry.address.replace('http://', ''), control: entry.control.replace('http://', '') },
+    metricsUrl: `${entry.control}/metrics`,
     memoryBytes: MEMORY_MB * BYTES_PER_MEGABYTE,
     descriptors,
     sendOrdinary: async () => {
--- a/packages/foxtaillever-relay/src/callers/__tests__/requestFeed.test.ts
+++ b/packages/foxtaillever-relay/src/callers/__tests__/requestFeed.test.ts
@@ -102,6 +102,20 @@
     })
   })
 
+  // Guards against requests that run on since nothing tells that their caller left.
+  it('closes all answers when a caller leaves', async t => {
+    await withFeed(async ({ responses, socket }) => {
+      const closed: number[] = []
+      socket.write(REQUEST.repeat(4))
+      await waitUntil(() => responses.length === 4)
+      responses.forEach((response, index) => response.on('close', () => closed.push(index)))
+      socket.destroy()
+      await waitUntil(() => closed.length >= 4)
+      await new Promise(resolve => setTimeout(resolve, 20))
+      t.deepEqual([...closed].sort(), [0, 1, 2, 3])
+    })
+  })
+
   // Guards against reservations that outlive their connection.
   it('returns what it holds when a caller leaves', async t => {
     await withFeed(async ({ budget, responses, socket }) => {
--- a/packages/foxtaillever-relay/src/callers/requestFeed.ts
+++ b/packages/foxtaillever-relay/src/callers/requestFeed.ts
@@ -43,7 +43,8 @@
   private incomplete: IncomingMessage | undefined
   /** Bytes that are missing of a body with a length. */
   private missingBytes = 0
-  private unanswered = 0
+  /** Answers that are not written out. */
+  private readonly unanswered = new Set<ServerResponse>()
   private isDropping = false
   private readonly pipelined: Reservation
   /** Bytes of the head that is being read. */
@@ -69,7 +70,7 @@
     const feed = new RequestFeed(socket, bytes => listeners.forEach(listener => listener.call(socket, bytes)), openHeads, options)
     listeners.forEach(listener => socket.removeListener('data', listener))
     socket.on('data', (bytes: Buffer) => feed.handleBytes(bytes))
-    socket.once('close', () => feed.release())
+    socket.once('close', () => feed.handleClosed())
     // An answer to what is no request has no event of its own.
     socket.on('drain', () => feed.parseWaiting())
     return feed
@@ -97,7 +98,7 @@
   /** Whether the next bytes belong to the request that is being read, or a new one may begin. */
   private get isParsing (): boolean {
     const { socket, incomplete, unanswered } = this
-    return !socket.destroyed && (incomplete !== undefined || (unanswered < MAX_UNANSWERED && !socket.writableNeedDrain))
+    return !socket.destroyed && (incomplete !== undefined || (unanswered.size < MAX_UNANSWERED && !socket.writableNeedDrain))
   }
 
   private handleBytes (bytes: Buffer): void {
@@ -129,9 +130,9 @@
       this.missingBytes -= length
     }
     this.tail = Buffer.concat([this.tail, piece.subarray(-END.length)]).subarray(1 - END.length)
-    const { unanswered, incomplete } = this
+    const { unanswered: { size }, incomplete } = this
     this.parse(piece)
-    if (incomplete === undefined && unanswered === this.unanswered) {
+    if (incomplete === undefined && size === this.unanswered.size) {
       this.countOpenHead(length)
     }
     if (this.incomplete && (this.incomplete.complete || (this.missingBytes === 0 && !isInChunks(this.incomplete)))) {
@@ -165,7 +166,7 @@
 
   /** Makes room for other heads. Requests before this one are still answered. */
   private closeOpenHead (): void {
-    if (this.unanswered > 0) {
+    if (this.unanswered.size > 0) {
       this.drop()
       return
     }
@@ -182,14 +183,14 @@
 
   private handleRequest (request: IncomingMessage, response: ServerResponse): void {
     this.endOpenHead()
-    this.unanswered += 1
+    this.unanswered.add(response)
     this.missingBytes = isInChunks(request) ? 0 : Number(request.headers['content-length'] ?? 0)
     this.incomplete = isInChunks(request) || this.missingBytes > 0 ? request : undefined
-    response.once('close', () => this.handleAnswered())
+    response.once('close', () => this.handleAnswered(response))
   }
 
-  private handleAnswered (): void {
-    this.unanswered -= 1
+  private handleAnswered (response: ServerResponse): void {
+    this.unanswered.delete(response)
     if (this.isDropping) {
       this.closeIfAnswered()
     } else {
@@ -198,7 +199,7 @@
   }
 
   private closeIfAnswered (): void {
-    if (this.unanswered === 0) {
+    if (this.unanswered.size === 0) {
       this.socket.destroySoon()
     }
   }
@@ -257,6 +258,15 @@
     this.closeIfAnswered()
   }
 
+  private handleClosed (): void {
+    this.release()
+    // node:http closes only the first answer with its connection; those behind it would never learn that their caller left.
+    process.nextTick(() => this.unanswered.forEach(response => {
+      response.destroy()
+      response.emit('close')
+    }))
+  }
+
   private release (): void {
     this.waiting = none
     this.pipelined.release()
