Let a single request fit whatever the shares of the memory are

Callers would see: a body within max_body_bytes that no instance ever takes, since it is larger than the share of its kind. By reading: at 178 MB and a heap of 102 MB large bodies have 12 MB, and a configuration may allow more.

What is alone of its kind always fits now, and nothing fits beside it beyond the share.

--- a/packages/foxtaillever-policy/src/relay/processBudget.ts
+++ b/packages/foxtaillever-policy/src/relay/processBudget.ts
@@ -79,6 +79,11 @@
   readonly heapBytes: number
 }
 
+/** Bytes of the names and values of a head. */
+export function headBytesOf (rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length, 0)
+}
+
 /** Heap that a request takes until its answer is written out, bytes. */
 export function requestBytesOf (headBytes: number, headLines: number): number {
   return REQUEST_BYTES + HEAP_PER_HEAD_BYTE * headBytes + HEAP_PER_HEAD_LINE * headLines
@@ -125,11 +130,15 @@
     return this.peaks[holding]
   }
 
-  /** Reserves the bytes if they fit. */
-  reserve (holding: Holding, bytes: number): boolean {
+  /**
+   * Reserves the bytes if they fit, or if nothing else of the kind is held: a single request within the limits of callers is served.
+   * @param ownBytes that the client holds of this kind already.
+   */
+  reserve (holding: Holding, bytes: number, ownBytes = 0): boolean {
     const { memory, share } = allotments[holding]
     const capacity = this.capacities[memory]
-    if (this.held[holding] + bytes > share * capacity || this.totals[memory] + bytes > capacity) {
+    const fits = this.held[holding] + bytes <= share * capacity && this.totals[memory] + bytes <= capacity
+    if (!fits && this.held[holding] > ownBytes) {
       return false
     }
     this.held[holding] += bytes
@@ -164,7 +173,7 @@
   resize (bytes: number, holding = this.holding): boolean {
     const isSame = holding === this.holding
     const more = isSame ? bytes - this.reserved : bytes
-    if (more > 0 && !this.budget.reserve(holding, more)) {
+    if (more > 0 && !this.budget.reserve(holding, more, isSame ? this.reserved : 0)) {
       return false
     }
     if (!isSame || more < 0) {
