Reserve requests that are carried for other instances

Callers would see: an instance that ends because it carries requests of neighbours whose links are cut.

A carried request reserves its head and body as those of its own callers do. One that does not fit goes back as not sent, and its own instance sends it through another one. The test of the carrying instance is red without the reservation and green with it; no crowd of real processes plays this.

--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
-import { Holding, holdingOfBody, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
+import { headBytesOf, Holding, holdingOfBody, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
 import { BlockedAnswers } from '../exchange/blockedAnswers.js'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
@@ -168,7 +168,7 @@
       this.refuseForResources(request, response, 'This instance has as many requests in progress as its descriptors allow.')
       return
     }
-    if (!this.reserveUntilAnswered(Holding.Request, response).resize(requestBytesOf(headBytesOf(request), request.rawHeaders.length / 2))) {
+    if (!this.reserveUntilAnswered(Holding.Request, response).resize(requestBytesOf((request.url ?? '').length + headBytesOf(request.rawHeaders), request.rawHeaders.length / 2))) {
       this.refuseForResources(request, response, 'This instance has as many requests in progress as its memory allows.')
       return
     }
@@ -334,8 +334,3 @@
     request.on('error', () => { isRefusedOrFailed = true })
   }
 }
-
-/** Bytes of a request's head, those between its fields not counted. */
-function headBytesOf ({ url = '', rawHeaders }: IncomingMessage): number {
-  return rawHeaders.reduce((sum, text) => sum + text.length, url.length)
-}
--- a/packages/foxtaillever-relay/src/links/__fixtures__/forwardingRig.ts
+++ b/packages/foxtaillever-relay/src/links/__fixtures__/forwardingRig.ts
@@ -4,6 +4,7 @@
 import type { Quarantine } from 'foxtaillever-policy/crashes/quarantineTable'
 import { SeededRandom, SystemClock } from 'foxtaillever-core'
 import { LinkState } from 'foxtaillever-policy/relay/brokenLinks'
+import { ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import { serverWire } from '../../__fixtures__/relayRig.js'
 import { ScriptedServer, type Answer } from '../../__fixtures__/scriptedServer.js'
 import { Attempt, type AnswerHead } from '../../attempts/attempt.js'
@@ -35,6 +36,8 @@
   readonly clock = SystemClock.create()
   readonly directory = ServerDirectory.create({ onChanged: () => {}, now: () => this.clock.now() })
   readonly members = new Set([`${OWN_HOST}:7340`])
+  /** Of the carrying instance. */
+  readonly budget = ProcessBudget.create({ memoryBytes: 1, heapBytes: 1 })
   isBroken = false
   quarantine: Quarantine | undefined
   /** What the carrying instance recorded as lost. */
@@ -66,7 +69,8 @@
       },
       crashes: { findQuarantine: () => this.quarantine, recordLoss: (causes, loss) => this.losses.push({ causes, loss }) },
       isMember: address => this.members.has(address),
-      maxBodyBytes: () => 1000
+      maxBodyBytes: () => 1000,
+      budget: this.budget
     })
     this.http = createServer(handle ?? ((request, response) => { this.carrying.handle(request, response) }))
     this.client = ForwardingClient.create({
--- a/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
@@ -1,3 +1,4 @@
+import { Holding, Reservation } from 'foxtaillever-policy/relay/processBudget'
 import { CauseKind } from 'foxtaillever-policy/crashes/suspicion'
 import { describe, it } from 'foxtaillever-testing'
 import type { Attempt } from '../../attempts/attempt.js'
@@ -40,6 +41,21 @@
     rig.stop()
   })
 
+  // Guards against an instance whose memory is filled by requests of others, each within the bounds of its own.
+  it('is not sent if the carrying instance has no memory for it, and nothing is held afterwards', async t => {
+    const rig = await ForwardingRig.start(answerWell)
+    const others = Reservation.create(rig.budget, Holding.Request)
+    t.true(others.resize(1_000_000_000))
+    const { failure } = await rig.send('r1')
+    t.is(failure?.kind, AttemptFailureKind.Unreachable)
+    t.is(rig.scripted.arrivals.length, 0)
+    others.release()
+    t.is((await rig.send('r2')).head?.status, 200)
+    await new Promise(resolve => setTimeout(resolve, RUN_MS))
+    t.deepEqual(Object.values(Holding).map(holding => rig.budget.heldBytes(holding)), Object.values(Holding).map(() => 0))
+    rig.stop()
+  })
+
   // Guards against two instances without links that send each other's requests back and forth.
   it('is not sent on by an instance whose own link is broken', async t => {
     const rig = await ForwardingRig.start(answerWell)
--- a/packages/foxtaillever-relay/src/links/createLinks.ts
+++ b/packages/foxtaillever-relay/src/links/createLinks.ts
@@ -1,5 +1,6 @@
 /** Creates the parts of an instance that deal with its links to the backend servers. */
 import type { Clock, Random } from 'foxtaillever-core'
+import type { ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import type { CrashProtocol } from '../crashes/crashProtocol.js'
 import type { ExchangeDispatcher } from '../exchange/exchangeDispatcher.js'
 import type { Routing } from '../model/routing.js'
@@ -29,6 +30,7 @@
   readonly dispatcher: () => ExchangeDispatcher
   readonly peers: () => Peers
   readonly routing: () => Routing | undefined
+  readonly budget: ProcessBudget
 }
 
 export interface Links {
@@ -38,7 +40,7 @@
   readonly paths: ServerPaths
 }
 
-export function createLinks ({ clock, random, log, crashes, wire, probeCall, connectTimeoutMs, dispatcher, peers, routing }: LinksOptions): Links {
+export function createLinks ({ clock, random, log, crashes, wire, probeCall, connectTimeoutMs, dispatcher, peers, routing, budget }: LinksOptions): Links {
   const client = ForwardingClient.create({
     clock,
     random,
@@ -71,7 +73,8 @@
     log,
     crashes,
     isMember: address => peers().table.has(address),
-    maxBodyBytes: () => routing()?.limits.bodyBytes ?? DEFAULT_BODY_BYTES
+    maxBodyBytes: () => routing()?.limits.bodyBytes ?? DEFAULT_BODY_BYTES,
+    budget
   })
   return { monitor, client, server, paths: createServerPaths({ now: () => clock.now(), monitor, client }) }
 }
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock } from 'foxtaillever-core'
+import { headBytesOf, Holding, holdingOfBody, requestBytesOf, Reservation, type ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import { Attempt } from '../attempts/attempt.js'
 import { AttemptFailureKind, mayBeCrash, type AttemptFailure } from '../attempts/attemptFailure.js'
 import type { CrashProtocol } from '../crashes/crashProtocol.js'
@@ -45,6 +46,8 @@
   readonly isMember: (address: string) => boolean
   /** Longest body of a request that is accepted, bytes. */
   readonly maxBodyBytes: () => number
+  /** What callers and other instances may make the process hold. */
+  readonly budget: ProcessBudget
 }
 
 export class ForwardingServer {
@@ -90,6 +93,11 @@
       this.reportFailure(response, { kind: AttemptFailureKind.Unreachable, detail: refusal ?? 'unknown server' })
       return
     }
+    if (!this.reserve(request, response)) {
+      request.resume()
+      this.reportFailure(response, { kind: AttemptFailureKind.Unreachable, detail: 'no memory for requests of other instances' })
+      return
+    }
     this.carried += 1
     response.once('close', () => { this.carried -= 1 })
     const body = ByteCollector.create()
@@ -98,6 +106,18 @@
     request.on('end', () => this.send(forwarding, server, request, body.bytes, response))
   }
 
+  /** Reserves the request and its body until it is answered; returns whether there is room. */
+  private reserve ({ headers, rawHeaders }: IncomingMessage, response: ServerResponse): boolean {
+    const { budget } = this.options
+    const [head, body] = [Reservation.create(budget, Holding.Request), Reservation.create(budget, Holding.SmallBody)]
+    response.once('close', () => {
+      head.release()
+      body.release()
+    })
+    const bodyBytes = Number(headers['content-length'] ?? 0)
+    return head.resize(requestBytesOf(headBytesOf(rawHeaders), rawHeaders.length / 2)) && body.resize(bodyBytes, holdingOfBody(bodyBytes))
+  }
+
   /** Why this instance does not send a request to the server now; undefined if it does. */
   private findRefusal (server: KnownServer | undefined): string | undefined {
     const { clock, monitor } = this.options
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -107,7 +107,7 @@
     })
     this.crashes = protocol
     this.quarantineStore = store
-    this.links = createLinks({ ...options, crashes: this.crashes, log: this.log, wire: options.serverWire, connectTimeoutMs: CONNECT_TIMEOUT_MS, dispatcher: () => this.dispatcher, peers: () => this.peers, routing: () => this.table?.routing })
+    this.links = createLinks({ ...options, crashes: this.crashes, log: this.log, wire: options.serverWire, connectTimeoutMs: CONNECT_TIMEOUT_MS, dispatcher: () => this.dispatcher, peers: () => this.peers, routing: () => this.table?.routing, budget: this.guard.budget })
     const { versions, records } = createStreamVersions({
       clock,
       log: options.log,
--- a/packages/foxtaillever-router/src/callers/requestReservations.ts
+++ b/packages/foxtaillever-router/src/callers/requestReservations.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
-import { Holding, holdingOfBody, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
+import { headBytesOf, Holding, holdingOfBody, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
 import type { ServerGuard } from 'foxtaillever-relay/callers/serverGuard'
 
 export class RequestReservations {
@@ -30,9 +30,8 @@
       head.release()
       body.release()
     })
-    const headBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0)
     const bodyBytes = Number(request.headers['content-length'] ?? 0)
-    const hasRoom = this.inProgress <= maxRequests && head.resize(requestBytesOf(headBytes, request.rawHeaders.length / 2)) && body.resize(bodyBytes, holdingOfBody(bodyBytes))
+    const hasRoom = this.inProgress <= maxRequests && head.resize(requestBytesOf(headBytesOf(request.rawHeaders), request.rawHeaders.length / 2)) && body.resize(bodyBytes, holdingOfBody(bodyBytes))
     return hasRoom ? undefined : this.describeOverload()
   }
 
