--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -7,20 +7,19 @@
 import type { Socket } from 'node:net'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
-import { headBytesOf, Holding, holdingOfBody, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
+import { headBytesOf, Holding, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
 import { BlockedAnswers } from '../exchange/blockedAnswers.js'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
 import type { CallerLimits } from '../model/routing.js'
 import type { CallerWire } from '../model/wire.js'
 import { selectService, type RouteTable } from '../routing/routeTable.js'
-import { boundBody, drainBody, hasBody, type BodyExcess } from '../servers/byteBounds.js'
-import { ByteCollector } from '../servers/byteCollector.js'
+import { drainBody, hasBody, type BodyExcess } from '../servers/byteBounds.js'
 import { ByteSource, type RelayLog } from '../telemetry/relayLog.js'
 import { answerFailure, renderLastAnswer, renderUnreadable } from './answerFailure.js'
+import { BodyReader } from './bodyReader.js'
 import { CallerConnections, type UnsentAnswers } from './callerConnections.js'
 import { ConnectionAdmission } from './connectionAdmission.js'
-import { IncompleteBodies } from './incompleteBodies.js'
 import type { PendingAnswer } from './pendingAnswer.js'
 import type { RefusalBounds } from './refuseConnections.js'
 import { Door, ServerGuard } from './serverGuard.js'
@@ -50,26 +49,19 @@
   readonly guard?: ServerGuard
 }
 
-interface BodyReading {
-  /** Refuses the request because its body is too large. */
-  readonly refuse: (failure: Failure) => void
-  /** Milliseconds of Unix time. */
-  readonly deadline: number
-}
-
 export class CallerServer {
   private readonly server: Server
   private readonly connections: CallerConnections
   private readonly admission: ConnectionAdmission
   private limits = defaultLimits
   private isKeepAliveEnded = false
-  private readonly bodies: IncompleteBodies
+  private readonly bodies: BodyReader
   private readonly blockedAnswers: BlockedAnswers
   private readonly guard: ServerGuard
 
   private constructor (private readonly options: CallerServerOptions) {
     this.guard = options.guard ?? ServerGuard.unlimited()
-    this.bodies = IncompleteBodies.create(options.clock)
+    this.bodies = BodyReader.create(options.clock)
     this.blockedAnswers = BlockedAnswers.create(() => options.log.unreadAnswerCut())
     this.server = createServer({ connectionsCheckingInterval: HEADER_CHECK_MS, requestTimeout: 0, noDelay: true }, (request, response) => this.handleRequest(request, response))
     this.guard.protect(this.server, Door.Callers, socket => { socket.write(this.renderOverload()) })
@@ -235,7 +227,7 @@
         Right: ({ route, account }) => {
           const callerDeadline = head.patienceMs === undefined ? Infinity : arrivedAt + head.patienceMs
           const deadline = Math.min(callerDeadline, arrivedAt + route.timeoutMs)
-          this.readBody(request, response, { refuse, deadline: deadline + BODY_GRACE_MS }, body => {
+          this.readBody(request, response, refuse, deadline, body => {
             const answer = CallerAnswer.create(response, {
               refuse: failure => answerFailure(response, failure, clock.now()),
               onComplete: () => { pending.completeAt = clock.now() },
@@ -271,66 +263,18 @@
    * A body that exceeds the limit is refused as soon as that is known, and its connection
    * is closed. One that is not complete long after the deadline only closes the connection.
    */
-  private readBody (request: IncomingMessage, response: ServerResponse, { refuse, deadline }: BodyReading, onBody: (body: Buffer) => void): void {
-    const { bodyBytes } = this.limits
-    const length = Number(request.headers['content-length'] ?? 0)
-    const body = ByteCollector.create(length <= bodyBytes ? length : 0)
-    const held = this.reserveUntilAnswered(Holding.SmallBody, response)
-    let isRefusedOrFailed = false
-    const refuseTooLarge = (): void => {
-      isRefusedOrFailed = true
-      response.shouldKeepAlive = false
-      refuse(Failure.notRun(FailureCode.TooLarge, 'The body is larger than allowed.'))
-    }
-    if (length > bodyBytes) {
-      refuseTooLarge()
-      return
-    }
-    const incomplete = { receivedBytes: () => body.length, reservedBytes: () => held.bytes, abandon: () => refuseForResources() }
-    const reserve = (bytes: number): boolean => held.resize(bytes, holdingOfBody(bytes)) || (this.bodies.abandonSlowest() && held.resize(bytes, holdingOfBody(bytes)))
-    const refuseForResources = (): void => {
-      // It may have been abandoned for its own further bytes.
-      if (isRefusedOrFailed) {
-        return
-      }
-      isRefusedOrFailed = true
-      body.clear()
-      held.release()
-      this.bodies.delete(incomplete)
-      this.refuseForResources(request, response, 'This instance holds as many bytes of bodies as its memory allows.')
-    }
-    if (!reserve(length)) {
-      refuseForResources()
-      return
-    }
-    if (hasBody(request)) {
-      this.bodies.add(incomplete)
-      response.once('close', () => this.bodies.delete(incomplete))
-      boundBody(request, { clock: this.options.clock, maxBytes: Infinity, deadline }, excess => {
-        isRefusedOrFailed = true
-        this.logExcess(request, excess)
-      })
-    }
-    request.on('data', (chunk: Buffer) => {
-      if (!isRefusedOrFailed) {
-        body.add(chunk)
-        if (body.capacity > held.bytes && !reserve(body.capacity)) {
-          refuseForResources()
-        }
-      }
-      if (!isRefusedOrFailed && body.length > bodyBytes) {
-        body.clear()
-        held.release()
-        refuseTooLarge()
-      }
-    })
-    request.on('end', () => {
-      this.bodies.delete(incomplete)
-      if (!isRefusedOrFailed) {
-        onBody(body.bytes)
-      }
+  private readBody (request: IncomingMessage, response: ServerResponse, refuse: (failure: Failure) => void, deadline: number, onBody: (body: Buffer) => void): void {
+    this.bodies.read(request, {
+      maxBytes: this.limits.bodyBytes,
+      deadline: deadline + BODY_GRACE_MS,
+      held: this.reserveUntilAnswered(Holding.SmallBody, response),
+      onBody,
+      onTooLarge: () => {
+        response.shouldKeepAlive = false
+        refuse(Failure.notRun(FailureCode.TooLarge, 'The body is larger than allowed.'))
+      },
+      onNoRoom: () => this.refuseForResources(request, response, 'This instance holds as many bytes of bodies as its memory allows.'),
+      onExcess: excess => this.logExcess(request, excess)
     })
-    // The caller closed the connection while it was sending; nothing can be answered.
-    request.on('error', () => { isRefusedOrFailed = true })
   }
 }
