Reserve a request's head and body in one place

The reservation of a request until its answer is written out stood three times: in the server for callers, in the server that carries requests of other instances, and in the project's own entry process, each with its own listener for the close. reserveUntilAnswered and reserveRequest serve all three. The path counts as part of the head everywhere now, as it did for callers only; nothing else changes. A comment loses its figurative words.

--- a/packages/foxtaillever-proof/src/clients/crowd.ts
+++ b/packages/foxtaillever-proof/src/clients/crowd.ts
@@ -1,4 +1,4 @@
-/** Connections of clients that do not behave: they send bytes as given, read only if told to, and leave when told to. */
+/** Connections of misbehaving clients: each sends given bytes, may leave answers unread, and may disconnect early. */
 import { connect, type Socket } from 'node:net'
 import { waitUntil, type Clock } from 'foxtaillever-core'
 
--- a/packages/foxtaillever-relay/src/callers/callerServer.ts
+++ b/packages/foxtaillever-relay/src/callers/callerServer.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
-import { headBytesOf, Holding, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
+import { Holding } from 'foxtaillever-policy/relay/processBudget'
 import { BlockedAnswers } from '../exchange/blockedAnswers.js'
 import { CallerAnswer } from '../exchange/callerAnswer.js'
 import type { Exchange, ExchangeHead } from '../model/exchange.js'
@@ -22,6 +22,7 @@
 import { ConnectionAdmission } from './connectionAdmission.js'
 import type { PendingAnswer } from './pendingAnswer.js'
 import type { RefusalBounds } from './refuseConnections.js'
+import { reserveRequest, reserveUntilAnswered } from './reserveRequest.js'
 import { Door, ServerGuard } from './serverGuard.js'
 
 /** How often node:http checks for requests whose head takes too long, milliseconds. */
@@ -160,7 +161,7 @@
       this.refuseForResources(request, response, 'This instance has as many requests in progress as its descriptors allow.')
       return
     }
-    if (!this.reserveUntilAnswered(Holding.Request, response).resize(requestBytesOf((request.url ?? '').length + headBytesOf(request.rawHeaders), request.rawHeaders.length / 2))) {
+    if (!reserveRequest(this.guard.budget, request, response)) {
       this.refuseForResources(request, response, 'This instance has as many requests in progress as its memory allows.')
       return
     }
@@ -187,13 +188,6 @@
     this.refuseUnread(request, response, () => answerFailure(response, failure, now))
   }
 
-  /** A reservation that ends when the answer is written out, or the connection closed. */
-  private reserveUntilAnswered (holding: Holding, response: ServerResponse): Reservation {
-    const reservation = Reservation.create(this.guard.budget, holding)
-    response.once('close', () => reservation.release())
-    return reservation
-  }
-
   /** What arrives is no request, or no whole one in time. Answers to requests before it are still sent. */
   private handleUnreadable (error: NodeJS.ErrnoException, socket: Socket): void {
     // A caller that has left in the middle of a request gets no answer.
@@ -231,7 +225,7 @@
             const answer = CallerAnswer.create(response, {
               refuse: failure => answerFailure(response, failure, clock.now()),
               onComplete: () => { pending.completeAt = clock.now() },
-              held: this.reserveUntilAnswered(Holding.Answer, response),
+              held: reserveUntilAnswered(this.guard.budget, Holding.Answer, response),
               blocked: this.blockedAnswers
             })
             response.once('close', () => this.blockedAnswers.delete(answer))
@@ -267,7 +261,7 @@
     this.bodies.read(request, {
       maxBytes: this.limits.bodyBytes,
       deadline: deadline + BODY_GRACE_MS,
-      held: this.reserveUntilAnswered(Holding.SmallBody, response),
+      held: reserveUntilAnswered(this.guard.budget, Holding.SmallBody, response),
       onBody,
       onTooLarge: () => {
         response.shouldKeepAlive = false
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -5,9 +5,10 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock } from 'foxtaillever-core'
-import { headBytesOf, Holding, holdingOfBody, requestBytesOf, Reservation, type ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
+import { holdingOfBody, type ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import { Attempt } from '../attempts/attempt.js'
 import { AttemptFailureKind, mayBeCrash, type AttemptFailure } from '../attempts/attemptFailure.js'
+import { reserveRequest, reserveUntilAnswered } from '../callers/reserveRequest.js'
 import type { CrashProtocol } from '../crashes/crashProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
 import type { AnswerWire } from '../model/wire.js'
@@ -107,15 +108,11 @@
   }
 
   /** Reserves the request and its body until it is answered; returns whether there is room. */
-  private reserve ({ headers, rawHeaders }: IncomingMessage, response: ServerResponse): boolean {
+  private reserve (request: IncomingMessage, response: ServerResponse): boolean {
     const { budget } = this.options
-    const [head, body] = [Reservation.create(budget, Holding.Request), Reservation.create(budget, Holding.SmallBody)]
-    response.once('close', () => {
-      head.release()
-      body.release()
-    })
-    const bodyBytes = Number(headers['content-length'] ?? 0)
-    return head.resize(requestBytesOf(headBytesOf(rawHeaders), rawHeaders.length / 2)) && body.resize(bodyBytes, holdingOfBody(bodyBytes))
+    const bodyBytes = Number(request.headers['content-length'] ?? 0)
+    const holding = holdingOfBody(bodyBytes)
+    return reserveRequest(budget, request, response) && reserveUntilAnswered(budget, holding, response).resize(bodyBytes)
   }
 
   /** Why this instance does not send a request to the server now; undefined if it does. */
--- a/packages/foxtaillever-router/src/callers/requestReservations.ts
+++ b/packages/foxtaillever-router/src/callers/requestReservations.ts
@@ -5,7 +5,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Failure, FailureCode, type Clock } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
-import { headBytesOf, Holding, holdingOfBody, requestBytesOf, Reservation } from 'foxtaillever-policy/relay/processBudget'
+import { Holding, holdingOfBody, type Reservation } from 'foxtaillever-policy/relay/processBudget'
+import { reserveRequest, reserveUntilAnswered } from 'foxtaillever-relay/callers/reserveRequest'
 import type { ServerGuard } from 'foxtaillever-relay/callers/serverGuard'
 
 export class RequestReservations {
@@ -21,17 +22,12 @@
   /** @returns why there is no room for the request; undefined if there is. */
   reserve (request: IncomingMessage, response: ServerResponse): Failure | undefined {
     const { budget, maxRequests } = this.guard
-    const head = Reservation.create(budget, Holding.Request)
-    const body = Reservation.create(budget, Holding.SmallBody)
+    const body = reserveUntilAnswered(budget, Holding.SmallBody, response)
     this.inProgress += 1
     this.bodies.set(request, body)
-    response.once('close', () => {
-      this.inProgress -= 1
-      head.release()
-      body.release()
-    })
+    response.once('close', () => { this.inProgress -= 1 })
     const bodyBytes = Number(request.headers['content-length'] ?? 0)
-    const hasRoom = this.inProgress <= maxRequests && head.resize(requestBytesOf(headBytesOf(request.rawHeaders), request.rawHeaders.length / 2)) && body.resize(bodyBytes, holdingOfBody(bodyBytes))
+    const hasRoom = this.inProgress <= maxRequests && reserveRequest(budget, request, response) && body.resize(bodyBytes, holdingOfBody(bodyBytes))
     return hasRoom ? undefined : this.describeOverload()
   }
 
