Let a reservation that has ended hold nothing

Bytes of a body in chunks may arrive after the answer has closed, and were reserved again, for good. A reservation ends with its answer now, in the mechanism, so that no late byte or event of any client counts; the new test of the budget is on a call that the code before does not have.

--- a/packages/foxtaillever-policy/src/relay/__tests__/processBudget.test.ts
+++ b/packages/foxtaillever-policy/src/relay/__tests__/processBudget.test.ts
@@ -44,6 +44,16 @@
     t.true(second.resize(BYTES_PER_MEGABYTE))
   })
 
+  // Guards against bytes that arrive after the connection has closed, and are held for good.
+  it('holds nothing for a reservation that has ended', t => {
+    const budget = ProcessBudget.create(LIMITS)
+    const reservation = Reservation.create(budget, Holding.SmallBody)
+    t.true(reservation.resize(1000))
+    reservation.end()
+    t.true(reservation.resize(2000))
+    t.is(budget.heldBytes(Holding.SmallBody), 0)
+  })
+
   // Guards against reservations that are never returned, until nothing is admitted any more.
   it('has everything back after reservations grew, changed their kind and were released twice', t => {
     const budget = ProcessBudget.create(LIMITS)
--- a/packages/foxtaillever-policy/src/relay/processBudget.ts
+++ b/packages/foxtaillever-policy/src/relay/processBudget.ts
@@ -156,6 +156,7 @@
 /** What one client holds of the budget. */
 export class Reservation {
   private reserved = 0
+  private isEnded = false
 
   private constructor (private readonly budget: ProcessBudget, private holding: Holding) {}
 
@@ -171,6 +172,9 @@
 
   /** Holds so many bytes from now on, if they fit; else what it held before. */
   resize (bytes: number, holding = this.holding): boolean {
+    if (this.isEnded) {
+      return true
+    }
     const isSame = holding === this.holding
     const more = isSame ? bytes - this.reserved : bytes
     if (more > 0 && !this.budget.reserve(holding, more, isSame ? this.reserved : 0)) {
@@ -188,4 +192,10 @@
   release (): void {
     this.resize(0)
   }
+
+  /** Holds nothing from now on, whatever is read or written late for a client that has gone. */
+  end (): void {
+    this.release()
+    this.isEnded = true
+  }
 }
--- a/packages/foxtaillever-relay/src/callers/reserveRequest.ts
+++ b/packages/foxtaillever-relay/src/callers/reserveRequest.ts
@@ -5,7 +5,7 @@
 /** Holds nothing yet. */
 export function reserveUntilAnswered (budget: ProcessBudget, holding: Holding, response: ServerResponse): Reservation {
   const reservation = Reservation.create(budget, holding)
-  response.once('close', () => reservation.release())
+  response.once('close', () => reservation.end())
   return reservation
 }
 
