--- a/review/standins-2/entries.mjs
+++ b/review/standins-2/entries.mjs
@@ -31,6 +31,15 @@
   folder = mkdtempSync(join(tmpdir(), 'review-'))
   entries = []
 
+  /** A case that is stopped ends what it has started. */
+  constructor () {
+    process.once('SIGTERM', () => {
+      this.entries.forEach(({ child }) => child.kill('SIGKILL'))
+      rmSync(this.folder, { recursive: true, force: true })
+      process.exit(2)
+    })
+  }
+
   /** @param options `zones` of the entries in order, `store` (an address, or a function of the index), `net` (second number of the loopback addresses), `memoryMb`. */
   async start ({ zones, store, net, memoryMb = 350, logFile }) {
     const hosts = zones.map((_, index) => `127.${net}.${index + 1}.1`)
