Believe no answer whose status is none of a final answer

Cause: node:http takes any three digits for a status and reports 101 like a final answer; nothing decided whether a head is that of an answer. writeHead throws for a status below 100, the exchange has closed its attempt by then, and its deadline finds nothing in the ledger.

Change: servers/finalAnswer.ts checks the status (200 to 599) of every answer to a request or call of this process before anything else reads the head. Any other is malformed: may have run, its connection closed, its statements not read; another server where the request may run twice.

--- a/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
+++ b/packages/foxtaillever-proof/src/platformSoak/platformFaults.ts
@@ -58,6 +58,9 @@
 const CRASHING_PROMPTS = 20
 const CRASHING_INTERVAL_MS = 200
 const CRASHING_PATIENCE_MS = 2000
+/** Faults of single answers. A seed plays what it did before `OddStatus` was added. */
+const DRAWN_FAULTS = Object.values(ServerFault).filter(fault => fault !== ServerFault.OddStatus)
+
 const CRASHES: readonly LevelFault[] = [ServerFault.CrashAtStart, ServerFault.CrashAfterStart]
 
 /** How far starts of servers may be dated wrongly, milliseconds. */
@@ -193,7 +196,7 @@
     await Promise.all(sent)
   },
   'fault the servers': async ({ fleet, random }) => {
-    fleet.platform.servers.forEach(({ faults }) => faults.push(draw(random, Object.values(ServerFault))))
+    fleet.platform.servers.forEach(({ faults }) => faults.push(draw(random, DRAWN_FAULTS)))
   },
   'limit a server': async ({ fleet, random }) => fleet.operator.stateLimit(draw(random, fleet.platform.servers), draw(random, STATED_RATES)),
   'rest a server': async context => await makeServersBackOff(context, [draw(context.random, context.fleet.platform.servers)]),
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -8,6 +8,7 @@
 import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
 import type { AnswerMarks, AnswerWire } from '../model/wire.js'
 import { drainBody, EndlessHeadsError } from '../servers/byteBounds.js'
+import { MalformedHeadError, onFinalAnswer } from '../servers/finalAnswer.js'
 import { SendNotAllowedError, type ServerCall, type ServerChannel } from '../servers/serverConnections.js'
 import { AttemptFailureKind, type AttemptFailure } from './attemptFailure.js'
 
@@ -61,7 +62,7 @@
     const { connections, call, clock, connectTimeoutMs, maxIdleMs = Infinity } = options
     connections.closeIdleFor(maxIdleMs)
     this.request = connections.send(call, () => this.onFirstByte())
-    this.request.on('response', response => this.onResponse(response))
+    onFinalAnswer(this.request, response => this.onResponse(response))
     this.request.on('error', error => this.onError(error))
     this.cancelConnectTimeout = atAfterReading(clock, clock.now() + connectTimeoutMs, () => this.onConnectTimeout())
   }
@@ -139,7 +140,8 @@
       this.fail(error instanceof SendNotAllowedError ? AttemptFailureKind.Closed : AttemptFailureKind.Unreachable, code)
       return
     }
-    this.fail(code.startsWith('HPE_') || error instanceof EndlessHeadsError ? AttemptFailureKind.Malformed : AttemptFailureKind.Lost, code)
+    const isMalformed = code.startsWith('HPE_') || error instanceof EndlessHeadsError || error instanceof MalformedHeadError
+    this.fail(isMalformed ? AttemptFailureKind.Malformed : AttemptFailureKind.Lost, code)
   }
 
   private onResponse (response: IncomingMessage): void {
--- a/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
@@ -1,6 +1,7 @@
 import { Holding, Reservation } from 'foxtaillever-policy/relay/processBudget'
 import { CauseKind } from 'foxtaillever-policy/crashes/suspicion'
 import { describe, it } from 'foxtaillever-testing'
+import { wholeAnswer } from '../../__fixtures__/scriptedServer.js'
 import type { Attempt } from '../../attempts/attempt.js'
 import { AttemptFailureKind } from '../../attempts/attemptFailure.js'
 import { answerWell, causes, ForwardingRig } from '../__fixtures__/forwardingRig.js'
@@ -22,6 +23,17 @@
     rig.stop()
   })
 
+  // Guards against a carrier that neither passes on an answer with an odd status nor reports it.
+  it('is reported as answered with a malformed head', async t => {
+    for (const status of ['000', '101', '700']) {
+      const rig = await ForwardingRig.start(arrival => { arrival.socket.write(wholeAnswer(arrival, 'odd', `${status} Odd`)) })
+      const { head, failure } = await rig.send('r1')
+      t.deepEqual([head, failure?.kind, failure?.isReported], [undefined, AttemptFailureKind.Malformed, true], status)
+      t.deepEqual(rig.outcomes, ['malformed'])
+      rig.stop()
+    }
+  })
+
   // Guards against strangers that send requests to servers through an instance.
   it('is not sent if it comes from no instance of the fleet', async t => {
     const rig = await ForwardingRig.start(answerWell)
--- a/packages/foxtaillever-relay/src/links/forwardingClient.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingClient.ts
@@ -13,6 +13,7 @@
 import type { PeerMessage } from '../peers/peerMessage.js'
 import type { BodyExcess } from '../servers/byteBounds.js'
 import { callServer } from '../servers/callServer.js'
+import { onFinalAnswer } from '../servers/finalAnswer.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { ServerConnections, type ServerCall, type ServerChannel } from '../servers/serverConnections.js'
 import { forwardingHeaders, PROBE_PATH, type ForwardedRequest } from './forwardingMessage.js'
@@ -114,7 +115,7 @@
     const request = this.connectionsTo(address).send({ ...call, headers }, onBeforeSend)
     this.inFlight.set(address, this.inFlightAt(address) + 1)
     request.once('close', () => this.inFlight.set(address, this.inFlightAt(address) - 1))
-    request.on('response', ({ statusCode = 0, headers }) => onAnswer(server, statusCode, headers, sentAt))
+    onFinalAnswer(request, ({ statusCode = 0, headers }) => onAnswer(server, statusCode, headers, sentAt))
     return request
   }
 
--- a/packages/foxtaillever-relay/src/servers/callServer.ts
+++ b/packages/foxtaillever-relay/src/servers/callServer.ts
@@ -4,6 +4,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import { boundBody, type BodyBound } from './byteBounds.js'
 import { ByteCollector } from './byteCollector.js'
+import { onFinalAnswer } from './finalAnswer.js'
 import type { ServerCall, ServerConnections } from './serverConnections.js'
 
 export interface WholeAnswer {
@@ -33,7 +34,7 @@
       resolve(Left(Failure.create(code, verdict, error.message)))
     }
     request.on('error', fail)
-    request.on('response', response => {
+    onFinalAnswer(request, response => {
       const body = ByteCollector.create()
       const isContinued = chunkTimeoutMs > 0
       if (!isContinued) {
--- a/packages/foxtaillever-relay/src/servers/serverConnections.ts
+++ b/packages/foxtaillever-relay/src/servers/serverConnections.ts
@@ -10,6 +10,7 @@
 import type { Duplex } from 'node:stream'
 import type { ConnectionShare } from 'foxtaillever-policy/relay/connectionShare'
 import { boundInformationalHeads, type BodyExcess } from './byteBounds.js'
+import { onFinalAnswer, rejectMalformedHead } from './finalAnswer.js'
 
 /** An idle connection is closed after this unless the server states another time, milliseconds. */
 const IDLE_TIMEOUT_MS = 4000
@@ -172,7 +173,8 @@
     const call = request({ host, port, agent, ...(localHost === undefined ? {} : { localAddress: localHost }), method, path, headers: headers as unknown as Record<string, string>, setHost: false })
     const sentAt = this.now()
     boundInformationalHeads(call)
-    call.on('response', ({ statusCode = 0, headers }) => this.onAnswer(statusCode, headers, sentAt))
+    rejectMalformedHead(call)
+    onFinalAnswer(call, ({ statusCode = 0, headers }) => this.onAnswer(statusCode, headers, sentAt))
     const startSending = (): void => {
       if (this.maySend()) {
         onBeforeSend()
--- a/packages/foxtaillever-router/src/adapters/__tests__/engineClient.test.ts
+++ b/packages/foxtaillever-router/src/adapters/__tests__/engineClient.test.ts
@@ -60,6 +60,14 @@
     }
   })
 
+  // Guards against a head that is none of a final answer, and passes for the engine's own error.
+  it('is not believed if its status is none of a final answer', async t => {
+    for (const status of ['000', '101', '700']) {
+      const rig = await EngineRig.start(t, ({ socket }) => socket.write(`HTTP/1.1 ${status} Odd\r\ncontent-length: 0\r\n\r\n`))
+      t.is(await rig.generate(), 'stream_broken may_have_run', status)
+    }
+  })
+
   // The claim of a request expires while its connection is established. If a byte
   // were sent, the request could run twice.
   it('gets no byte of a request that may not be sent, on a new or a reused connection', async t => {
--- a/packages/foxtaillever-router/src/plain/__tests__/plainAnswers.test.ts
+++ b/packages/foxtaillever-router/src/plain/__tests__/plainAnswers.test.ts
@@ -27,6 +27,16 @@
     t.is((await rig.call('GET', '/citations/1')).body, wholeBody)
   })
 
+  // Guards against a call that has run and is answered with bytes that are no answer, or is never answered.
+  it('are not passed on if their status is none of a final answer', async t => {
+    for (const status of ['000', '101', '700']) {
+      const rig = await PlainRig.start(t, arrival => arrival.socket.write(wholeAnswer(arrival, 'odd', `${status} Odd`)), playing(ServerBehaviour.Whole))
+      const { status: answered, headers } = await rig.call('POST', '/exports')
+      t.deepEqual([answered, headers.get('x-verdict')], [502, 'may_have_run'], status)
+      t.is((await rig.call('GET', '/citations/1')).body, wholeBody, status)
+    }
+  })
+
   // A service answers one call twice. If the next call received the second
   // answer, one client would see the records of another.
   it('are never those of an earlier call', async t => {
--- a/packages/foxtaillever-standins/src/platform/engines/answerWriter.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/answerWriter.ts
@@ -81,11 +81,8 @@
       crash()
       return false
     }
-    if (fault === ServerFault.AnswerLost || fault === ServerFault.Garbage) {
-      if (fault === ServerFault.Garbage) {
-        response.socket?.write('no answer at all\r\n\r\n')
-      }
-      response.socket?.end()
+    if (fault === ServerFault.AnswerLost || fault === ServerFault.Garbage || fault === ServerFault.OddStatus) {
+      response.socket?.end(fault === ServerFault.AnswerLost ? '' : this.spoiledHead(fault))
       return false
     }
     const id = fault === ServerFault.Foreign ? `not-${requestId}` : requestId
@@ -103,6 +100,11 @@
     return true
   }
 
+  private spoiledHead (fault: ServerFault): string {
+    const { requestId } = this.options
+    return fault === ServerFault.Garbage ? 'no answer at all\r\n\r\n' : `HTTP/1.1 000 OK\r\nX-Request-Id: ${requestId}\r\nX-Server-Stamp: stamp.${requestId}\r\nContent-Length: 0\r\n\r\n`
+  }
+
   event (number: number, text: string): void {
     const { response, options: { fault, crash, softwareVersion, stall } } = this
     const whole = `id: ${number}\ndata: ${text}${softwareVersion === FIRST_SOFTWARE_VERSION ? '' : `@${softwareVersion}`}\n\n`
--- a/packages/foxtaillever-standins/src/platform/engines/serverFaults.ts
+++ b/packages/foxtaillever-standins/src/platform/engines/serverFaults.ts
@@ -12,6 +12,8 @@
   ExtraAnswer = 'extra-answer',
   /** The server sends bytes that are not an HTTP answer. */
   Garbage = 'garbage',
+  /** The answer has everything but a status that HTTP knows. */
+  OddStatus = 'odd-status',
   /** The answer has another request's id. */
   Foreign = 'foreign',
   /** The request is never read. */
