End requests and calls whose answer switches protocols

A caller whose server answered 101 with an upgrade got nothing until its deadline, though another server was free; a call of the instance itself never ended, not even at its deadline.

Cause: node:http closes such a connection without an answer or an error of the request, and both Attempt and callServer wait for one of them. callServer's deadline relied on the error of a request that was closed already.

Change: the upgrade fails the request as malformed, at once; callServer ends its call at the deadline by itself.

--- a/packages/foxtaillever-relay/src/__tests__/malformedHeads.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/malformedHeads.test.ts
@@ -25,7 +25,14 @@
   readonly headers?: readonly string[]
 }
 
-const malformed: readonly Head[] = ['000', '001', '010', '099', '101', '600', '700', '999'].map(status => ({ status }))
+const malformed: readonly Head[] = [
+  ...['000', '001', '010', '099', '101', '600', '700', '999'].map(status => ({ status })),
+  { status: '101', headers: ['connection: upgrade', 'upgrade: other'] }
+]
+
+function describeHead ({ status, headers }: Head): string {
+  return headers ? `${status}, ${headers.join(', ')}` : status
+}
 
 async function atOnce (answer: Promise<string>): Promise<string> {
   const timeout = new Promise<string>(resolve => { setTimeout(resolve, AT_ONCE_MS, 'no answer').unref() })
@@ -43,9 +50,8 @@
 describe('a server whose answer has a status that is none of a final answer', () => {
   for (const [name, route] of Object.entries(routes)) {
     for (const head of malformed) {
-      const { status } = head
       // Guards against a request that has run, and whose caller is told that it has not, or gets the malformed answer.
-      it(`costs its caller that attempt only: ${name}, ${status}`, async t => {
+      it(`costs its caller that attempt only: ${name}, ${describeHead(head)}`, async t => {
         const rig = await RelayRig.start(route, answerWith(head), answerWell(route.isStream === true))
         t.regex(await atOnce(rig.sendRequest('a')), repeatable.has(name) ? /^HTTP\/1.1 200 [^]*well/ : /^HTTP\/1.1 502 [^]*stream_broken[^]*may_have_run/)
         t.is(rig.runs.size, 0)
@@ -93,9 +99,8 @@
 
 describe('a call of this process whose answer has a status that is none of a final answer', () => {
   for (const head of malformed) {
-    const { status } = head
     // Guards against reports, orders and health checks that wait for good, or believe bytes that are no answer.
-    it(`fails at once: ${status}`, async t => {
+    it(`fails at once: ${describeHead(head)}`, async t => {
       const server = await ScriptedServer.start(answerWith(head))
       const connections = ServerConnections.create({ address: server.address, part: { total: 1, idle: 1 } })
       const clock = SystemClock.create()
--- a/packages/foxtaillever-relay/src/servers/callServer.ts
+++ b/packages/foxtaillever-relay/src/servers/callServer.ts
@@ -26,13 +26,19 @@
   return await new Promise(resolve => {
     let verdict = Verdict.NotRun
     const request = connections.send(call, () => { verdict = Verdict.MayHaveRun })
-    const timeOutAt = (at: number): Cancellation => atAfterSilence(clock, at, () => request.destroy(new Error('no answer in time')))
-    let cancelDeadline = timeOutAt(deadline)
     const fail = (error: Error): void => {
       cancelDeadline()
       const code = verdict === Verdict.NotRun ? FailureCode.ConnectionRefused : FailureCode.ConnectionLost
       resolve(Left(Failure.create(code, verdict, error.message)))
     }
+    const timeOut = (): void => {
+      const error = new Error('no answer in time')
+      request.destroy(error)
+      // A request that has closed already emits no error.
+      fail(error)
+    }
+    const timeOutAt = (at: number): Cancellation => atAfterSilence(clock, at, timeOut)
+    let cancelDeadline = timeOutAt(deadline)
     request.on('error', fail)
     onFinalAnswer(request, response => {
       const body = ByteCollector.create()
--- a/packages/foxtaillever-relay/src/servers/finalAnswer.ts
+++ b/packages/foxtaillever-relay/src/servers/finalAnswer.ts
@@ -15,13 +15,18 @@
   return statusCode >= FIRST_FINAL_STATUS && statusCode <= LAST_FINAL_STATUS
 }
 
-/** Fails a request with `MalformedHeadError` if the head of its answer is not final; its connection is closed. */
+/** Fails a request with `MalformedHeadError` if the head of its answer is not final or switches protocols; its connection is closed. */
 export function rejectMalformedHead (request: ClientRequest): void {
   request.on('response', response => {
     if (!isFinal(response)) {
       request.destroy(new MalformedHeadError(`status ${response.statusCode} is not final`))
     }
   })
+  // Without a listener, node:http closes the connection, and the request gets neither an answer nor an error.
+  request.on('upgrade', (_, socket) => {
+    socket.destroy()
+    request.emit('error', new MalformedHeadError('the answer switches protocols'))
+  })
 }
 
 /** Listens for the final answer to a request that `rejectMalformedHead` checks. */
