End an exchange at once, with a true verdict, after an unexpected error in it

A caller that takes the promise at its word orders twice.

Cause: what throws in a callback of an exchange reaches the process, which logs it and goes on without that exchange; and the verdict follows from failed attempts alone, so one that answered leaves no trace. The operators' page showed the second half all along: "end=answered ... verdict=not_run".

Change: - The ledger holds an attempt as unresolved from before its first byte until its outcome is recorded; not run has to be proved. - All steps of an exchange run through a StepGuard: an error cancels the attempts, answers internal or cuts an answer that has begun, releases slot, quota and memory, and is logged with the id and counted. The loops over all exchanges no longer stop at the first that throws. - Attempt guards its own steps, so that an instance that carries a request and the engine adapter of the project's own entry process end it as well. - Errors that still reach the process are counted.

Two stubs got the new functions; the page shows verdict=ran for a request that was answered, which is what the line prints now.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -33,6 +33,7 @@
 import { noStreamVersions } from '../streams/streamVersions.js'
 import { RelayLog } from '../telemetry/relayLog.js'
 import { ScriptedServer, type Answer } from './scriptedServer.js'
+import { watchCalls } from './watchCalls.js'
 
 export const plainRoute: Route = {
   name: 'r',
@@ -137,6 +138,8 @@
   pathTo = directPaths.pathTo
   /** Queries the load of servers before one is chosen. */
   queryLoad = (): Promise<ReadonlySet<number>> | undefined => undefined
+  /** Called before each call that a run makes of its context; throws in place of it where a test wants that. */
+  onContextCall = (_name: string): void => {}
   /** How often a server was chosen for an attempt. */
   choices = 0
   /** Decides on admission at servers. */
@@ -197,7 +200,7 @@
       earliestRetryAt: (service, softwareVersion) => retrySchedules.nextRetryAt(service, softwareVersion),
       onMisdirected: () => {}
     }
-    this.runs = ExchangeRuns.create(context)
+    this.runs = ExchangeRuns.create(watchCalls(context, name => this.onContextCall(name)))
     const table = RouteTable.create(this.routing)
     this.callers = CallerServer.create({
       clock, log, wire: callerWire, table: () => table, onExchange: (exchange, answer) => this.runs.start(exchange, answer)
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -6,6 +6,7 @@
 import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
+import { StepGuard } from '../exchange/stepGuard.js'
 import type { AnswerMarks, AnswerWire } from '../model/wire.js'
 import { drainBody, EndlessHeadsError } from '../servers/byteBounds.js'
 import { MalformedHeadError, onFinalAnswer } from '../servers/finalAnswer.js'
@@ -31,6 +32,8 @@
   readonly onEnd: () => void
   /** The attempt ended without a complete answer. */
   readonly onFailed: (failure: AttemptFailure) => void
+  /** A step of the attempt, or one of these functions, threw. The attempt is cancelled; nothing else is called. */
+  readonly onError: (error: unknown) => void
 }
 
 export interface AttemptOptions {
@@ -57,14 +60,19 @@
   private isOver = false
   /** Whether a reset, rather than the server, ended the connection. */
   private wasReset = false
+  private readonly steps = StepGuard.create(error => {
+    this.cancel()
+    this.options.listener.onError(error)
+  })
 
   private constructor (private readonly options: AttemptOptions) {
     const { connections, call, clock, connectTimeoutMs, maxIdleMs = Infinity } = options
     connections.closeIdleFor(maxIdleMs)
-    this.request = connections.send(call, () => this.onFirstByte())
-    onFinalAnswer(this.request, response => this.onResponse(response))
-    this.request.on('error', error => this.onError(error))
-    this.cancelConnectTimeout = atAfterReading(clock, clock.now() + connectTimeoutMs, () => this.onConnectTimeout())
+    const { steps } = this
+    this.request = connections.send(call, steps.wrap(() => this.onFirstByte()))
+    onFinalAnswer(this.request, steps.wrap(response => this.onResponse(response)))
+    this.request.on('error', steps.wrap(error => this.onError(error)))
+    this.cancelConnectTimeout = atAfterReading(clock, clock.now() + connectTimeoutMs, steps.wrap(() => this.onConnectTimeout()))
   }
 
   static begin (options: AttemptOptions): Attempt {
@@ -167,10 +175,11 @@
       // Prepended, because the listener of node:http closes the connection at its end.
       socket.prependOnceListener('end', () => { this.wasReset = isDisconnected(socket) })
     }
-    response.on('data', bytes => this.onData(bytes))
-    response.on('end', () => this.onEnd(response))
-    response.on('error', error => this.onError(error))
-    response.on('aborted', () => this.fail(AttemptFailureKind.Lost, 'answer cut'))
+    const { steps } = this
+    response.on('data', steps.wrap(bytes => this.onData(bytes)))
+    response.on('end', steps.wrap(() => this.onEnd(response)))
+    response.on('error', steps.wrap(error => this.onError(error)))
+    response.on('aborted', steps.wrap(() => this.fail(AttemptFailureKind.Lost, 'answer cut')))
     const { clock, wire, listener } = this.options
     listener.onHead({ status, marks, headers: wire.passHeaders(response.rawHeaders), at: clock.now() })
   }
--- a/packages/foxtaillever-relay/src/exchange/__tests__/lateReplacements.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/lateReplacements.test.ts
@@ -6,6 +6,7 @@
 import type { AnswerHead } from '../../attempts/attempt.js'
 import type { InFlightAttempt } from '../inFlightAttempt.js'
 import { Replacements, type ReplacementsOptions } from '../replacements.js'
+import { StepGuard } from '../stepGuard.js'
 
 /** Longer than the time for which two servers may work, milliseconds. */
 const STALL_MS = 400
@@ -25,7 +26,8 @@
       context: { clock: SystemClock.create(), log: { silenceEnded: () => {} } },
       attempts: { isReplacement: () => true, get isReplacing () { events.push('given up'); return false } },
       relay: { isEventStream: () => false, lastEventId: '', reset: () => {} },
-      ledger: { recordActivity: () => {} }
+      ledger: { recordActivity: () => {} },
+      steps: StepGuard.create(error => { throw error })
     } as unknown as ReplacementsOptions)
     replacements.beginHolding(replacement, { status: 200 } as AnswerHead)
     peer.write('answer')
--- a/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptLedger.ts
@@ -59,6 +59,8 @@
   private readonly silentAt = new Set<string>()
   /** Ways to servers that may have run the request until this instance cancelled it. */
   private readonly cancelledAt = new Set<string>()
+  /** Ways on which the request was sent, and whose outcome is not recorded. */
+  private readonly unresolvedAt = new Set<string>()
   /** Ids of all servers that may have run the request. */
   private readonly reachedServers = new Set<string>()
   /** Attempts that were rejected by a server. */
@@ -85,12 +87,12 @@
     return new Set([...this.possiblyRanAt, ...this.cancelledAt, wayTo(serverId, forwarder)]).size < this.exchange.route.mostAttempts
   }
 
-  /** The verdict on all attempts together. */
+  /** The verdict on all attempts together: "not run" needs a statement or a failed connection for each of them. */
   get verdict (): Verdict {
     if (this.hasRun) {
       return Verdict.Ran
     }
-    return this.possiblyRanAt.size + this.cancelledAt.size > 0 ? Verdict.MayHaveRun : Verdict.NotRun
+    return this.possiblyRanAt.size + this.cancelledAt.size + this.unresolvedAt.size > 0 ? Verdict.MayHaveRun : Verdict.NotRun
   }
 
   /** Code of the last attempt that ran or may have run. The caller gets it rather than the reason why no further attempt is made. */
@@ -107,6 +109,18 @@
     this.lastAttempt = AttemptState.InFlight
   }
 
+  /** Records that the request is about to be sent. Until the outcome is recorded, it may have run. */
+  recordSent ({ serverId, forwarder }: AttemptPlace): void {
+    this.unresolvedAt.add(wayTo(serverId, forwarder))
+  }
+
+  /** Records a complete answer. */
+  recordAnswer ({ serverId, forwarder }: AttemptPlace): void {
+    this.unresolvedAt.delete(wayTo(serverId, forwarder))
+    this.reachedServers.add(serverId)
+    this.hasRun = true
+  }
+
   /**
    * Records a failed attempt.
    * @param hasAnswerBegun whether a part of an answer was sent to the caller.
@@ -134,6 +148,9 @@
     this.unconnected += isArrival ? 0 : 1
     // The outcome of an attempt that was silent replaces the silence.
     this.silentAt.delete(way)
+    if (kind !== AttemptFailureKind.Silent) {
+      this.unresolvedAt.delete(way)
+    }
     if (mayHaveRun) {
       const ways = kind === AttemptFailureKind.Silent ? this.silentAt : this.ranAt
       ways.add(way)
@@ -156,6 +173,7 @@
 
   /** Records an attempt that this instance ended without an outcome from the server. */
   recordInterruption ({ serverId, forwarder }: AttemptPlace, mayHaveArrived: boolean): void {
+    this.unresolvedAt.delete(wayTo(serverId, forwarder))
     if (mayHaveArrived) {
       this.cancelledAt.add(wayTo(serverId, forwarder))
       this.reachedServers.add(serverId)
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -18,11 +18,13 @@
 import type { AttemptLedger } from './attemptLedger.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { callWhenDone } from './callWhenDone.js'
+import type { StepGuard } from './stepGuard.js'
 
 export interface AttemptPlacementOptions {
   readonly context: ExchangeContext
   readonly exchange: Exchange
   readonly ledger: AttemptLedger
+  readonly steps: StepGuard
   /** Whether the exchange still waits for a server. */
   readonly isNeeded: () => boolean
   /** @param isAdmitted by the owner of the server's queue, which has counted what waits there. */
@@ -39,22 +41,22 @@
   private readonly admission: RequestAdmission
 
   private constructor (private readonly options: AttemptPlacementOptions) {
-    const { context: { admission, clock, log }, exchange } = options
+    const { context: { admission, clock, log }, exchange, steps } = options
     this.admission = RequestAdmission.create({
       admission,
       clock,
       log,
       exchange,
-      onAdmitted: (server, isAdmitted) => this.checkLimit(server, isAdmitted),
-      onRejected: retryAt => {
+      onAdmitted: steps.wrap((server, isAdmitted) => this.checkLimit(server, isAdmitted)),
+      onRejected: steps.wrap(retryAt => {
         this.refundLimit()
         this.fail(FailureCode.Overloaded, 'No backend server has room before the deadline.', retryAt)
-      },
-      onQueued: () => {
+      }),
+      onQueued: steps.wrap(() => {
         this.refundLimit()
         this.placeNext()
-      },
-      onMoveRejected: () => this.refundLimit()
+      }),
+      onMoveRejected: steps.wrap(() => this.refundLimit())
     })
   }
 
@@ -63,12 +65,12 @@
   }
 
   placeNext (): void {
-    const { context, exchange, ledger, isNeeded } = this.options
-    callWhenDone(context.queryLoad(exchange, ledger), queriedServers => {
+    const { context, exchange, ledger, isNeeded, steps } = this.options
+    callWhenDone(context.queryLoad(exchange, ledger), steps.wrap(queriedServers => {
       if (isNeeded()) {
         this.selectServer(queriedServers)
       }
-    })
+    }))
   }
 
   /** Stops waiting, because no server is needed any more. */
@@ -109,7 +111,7 @@
       return
     }
     if (server) {
-      context.limits.admit(server, exchange, admission => this.onAdmission(server, admission, queriedServers))
+      context.limits.admit(server, exchange, this.options.steps.wrap(admission => this.onAdmission(server, admission, queriedServers)))
       return
     }
     this.admission.cancel()
@@ -156,7 +158,7 @@
     if (this.allowedServer === server) {
       onPlaced(server, isAdmitted)
     } else if (opensAt(server) <= context.clock.now() && context.isSuitable(exchange, ledger, server)) {
-      context.limits.admit(server, exchange, admission => this.onLimitChecked(server, admission, isAdmitted))
+      context.limits.admit(server, exchange, this.options.steps.wrap(admission => this.onLimitChecked(server, admission, isAdmitted)))
     } else {
       this.admission.returnAdmission(server)
       this.placeNext()
--- a/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
+++ b/packages/foxtaillever-relay/src/exchange/callerAnswer.ts
@@ -69,6 +69,11 @@
     return error?.code ?? (readableEnded ? 'ended' : 'closed')
   }
 
+  /** Whether nothing more is written: the answer is complete, or its connection is closed. */
+  get isEnded (): boolean {
+    return this.response.writableEnded || this.response.destroyed
+  }
+
   /** Whether the caller closed its connection while its request was read. */
   get isGone (): boolean {
     return this.response.destroyed
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -3,7 +3,7 @@
  * one reply to the caller. The reply is a complete answer or a failure whose
  * verdict counts all attempts. A request that may have run is sent again only
  * where it is repeatable. It stays at a silent server until another server goes on
- * with it.
+ * with it. An unexpected error in one of its steps ends it, and no other exchange.
  */
 import { atAfterReading, Failure, FailureCode, Verdict, type Cancellation } from 'foxtaillever-core'
 import { earliestRetryTime } from 'foxtaillever-policy/relay/earliestRetryTime'
@@ -13,7 +13,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import { AnswerProgress, type IncompleteAnswer } from './answerProgress.js'
 import { AnswerRelay, isServerError } from './answerRelay.js'
-import { AttemptLedger } from './attemptLedger.js'
+import { AttemptLedger, type AttemptPlace } from './attemptLedger.js'
 import { AttemptPlacement } from './attemptPlacement.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import type { ExchangeContext } from './exchangeContext.js'
@@ -29,6 +29,7 @@
 import { Replacements } from './replacements.js'
 import { recordAttemptFailure } from './recordAttemptFailure.js'
 import { QuotaClaim } from './quotaClaim.js'
+import { runAll, StepGuard } from './stepGuard.js'
 import { StreamContinuity } from './streamContinuity.js'
 import { StreamPace } from './streamPace.js'
 
@@ -50,13 +51,15 @@
   private cancelDeadline: Cancellation = () => {}
   private readonly quota: QuotaClaim
   private readonly guard: CrashGuard
+  private readonly steps = StepGuard.create(error => this.endAfterError(error))
   private readonly listener: InFlightListener = {
-    maySend: () => this.guard.maySend(),
-    onHead: (inFlight, head) => this.onHead(inFlight, head),
-    onData: (inFlight, bytes) => this.onData(inFlight, bytes),
-    onEnd: inFlight => this.onEnd(inFlight),
-    onFailed: (inFlight, failure) => this.onFailed(inFlight, failure),
-    onSilent: inFlight => this.replacements.handleSilence(inFlight)
+    maySend: place => this.steps.run(() => this.maySend(place), false),
+    onHead: this.steps.wrap((inFlight, head) => this.onHead(inFlight, head)),
+    onData: this.steps.wrap((inFlight, bytes) => this.onData(inFlight, bytes)),
+    onEnd: this.steps.wrap(inFlight => this.onEnd(inFlight)),
+    onFailed: this.steps.wrap((inFlight, failure) => this.onFailed(inFlight, failure)),
+    onError: error => this.endAfterError(error),
+    onSilent: this.steps.wrap(inFlight => this.replacements.handleSilence(inFlight))
   }
 
   private constructor (
@@ -73,6 +76,7 @@
       context,
       exchange,
       ledger: this.ledger,
+      steps: this.steps,
       isNeeded: () => !this.isOver && this.attempts.needsServer,
       onPlaced: (server, isAdmitted) => this.send(server, isAdmitted),
       onFailed: (code, message, retryAt) => this.onUnplaced(code, message, retryAt)
@@ -93,6 +97,7 @@
       relay: this.relay,
       attempts: this.attempts,
       answer,
+      steps: this.steps,
       mayRetry: () => this.mayRetry(),
       recordFailure: (failure, failed) => this.recordFailure(failure, failed)
     })
@@ -113,15 +118,19 @@
 
   /** Places and sends the request, or refuses it at once. */
   begin (): void {
-    const { exchange, answer, context: { clock, retries } } = this
+    this.steps.run(() => this.start(), undefined)
+  }
+
+  private start (): void {
+    const { exchange, answer, context: { clock, retries }, steps } = this
     if (answer.isGone) {
       this.finish(ExchangeEnd.CallerGone, '')
       return
     }
-    answer.listen({ onGone: () => this.onGone(), onDrained: () => this.attempts.current?.resume() })
-    this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, () => this.onDeadline())
+    answer.listen({ onGone: steps.wrap(() => this.onGone()), onDrained: steps.wrap(() => this.attempts.current?.resume()) })
+    this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, steps.wrap(() => this.onDeadline()))
     retries.addRequest(exchange.service, this.now)
-    this.refuseOr(this.guard.findRefusal(), () => this.quota.claim(refusal => this.onAdmitted(refusal)))
+    this.refuseOr(this.guard.findRefusal(), () => this.quota.claim(steps.wrap(refusal => this.onAdmitted(refusal))))
   }
 
   /** Goes on with the next step, unless the exchange has ended or is refused. */
@@ -138,15 +147,28 @@
     if (this.isOver) {
       this.quota.settle(false)
     }
-    this.refuseOr(refusal, () => this.continuity.resolve(failure => this.refuseOr(failure, () => this.guard.claimTrial(denial => this.refuseOr(denial, () => this.placement.placeNext())))))
+    const { steps } = this
+    const placeUnlessRefused = steps.wrap((denial: Failure | undefined) => this.refuseOr(denial, () => this.placement.placeNext()))
+    const tryUnlessRefused = steps.wrap((failure?: Failure) => this.refuseOr(failure, () => this.guard.claimTrial(placeUnlessRefused)))
+    this.refuseOr(refusal, () => this.continuity.resolve(tryUnlessRefused))
   }
 
   /** What crashes servers became known: the request is not sent, or is cancelled if its answer has not begun. */
   checkQuarantine (): void {
-    const refusal = this.isOver || this.answer.hasBegun ? undefined : this.guard.findQuarantine()
-    if (refusal) {
-      this.interrupt(refusal.code, refusal.message, refusal.retryAt)
+    this.steps.run(() => {
+      const refusal = this.isOver || this.answer.hasBegun ? undefined : this.guard.findQuarantine()
+      if (refusal) {
+        this.interrupt(refusal.code, refusal.message, refusal.retryAt)
+      }
+    }, undefined)
+  }
+
+  private maySend (place: AttemptPlace): boolean {
+    const isAllowed = this.guard.maySend()
+    if (isAllowed) {
+      this.ledger.recordSent(place)
     }
+    return isAllowed
   }
 
   private send (server: KnownServer, isAdmitted: boolean): void {
@@ -241,6 +263,7 @@
       this.onFailed(inFlight, { kind: AttemptFailureKind.Lost, detail: truncation ?? 'no answer' })
       return
     }
+    this.ledger.recordAnswer(inFlight)
     this.attempts.close(inFlight)
     recordAnswer(context, exchange, inFlight, head)
     relay.end()
@@ -299,7 +322,9 @@
 
   /** The links of this instance broke: attempts that are silent since may be replaced early. */
   checkLink (): void {
-    this.attempts.all.filter(attempt => isSilentOnBrokenLink(this.context, attempt)).forEach(attempt => this.replacements.handleSilence(attempt))
+    this.steps.run(() => {
+      this.attempts.all.filter(attempt => isSilentOnBrokenLink(this.context, attempt)).forEach(attempt => this.replacements.handleSilence(attempt))
+    }, undefined)
   }
 
   private recordCancelled (cancelled: InFlightAttempt): void {
@@ -312,6 +337,10 @@
 
   /** Sends the request again if other accounts share cached levels than when it was sent, and no answer has begun; returns whether it does. */
   withdrawOutdated (): boolean {
+    return this.steps.run(() => this.withdraw(), false)
+  }
+
+  private withdraw (): boolean {
     const { attempts, context, exchange, relay, ledger, guard } = this
     const mayWithdraw = relay.canContinue && guard.mayRetry()
     const outdated = attempts.all.filter(attempt => mayWithdraw && !attempt.head && isOutdated(context, exchange, attempt, ledger))
@@ -335,7 +364,7 @@
   /** Fails the exchange when the time of a graceful shutdown is up. */
   abort (): void {
     if (!this.isOver) {
-      this.interrupt(FailureCode.Leaving, 'This instance shut down before the answer was complete.')
+      this.steps.run(() => this.interrupt(FailureCode.Leaving, 'This instance shut down before the answer was complete.'), undefined)
     }
   }
 
@@ -355,17 +384,48 @@
       return
     }
     const incomplete = this.progress.describe(this.now)
-    this.answer.fail(Failure.create(code, this.ledger.verdict, message, this.ledger.verdict === Verdict.NotRun ? retryAt : undefined))
+    this.sendFailure(code, message, retryAt)
     this.finish(ExchangeEnd.Failed, code, message, incomplete)
   }
 
+  private sendFailure (code: FailureCode, message: string, retryAt: number): void {
+    const { verdict } = this.ledger
+    this.answer.fail(Failure.create(code, verdict, message, verdict === Verdict.NotRun ? retryAt : undefined))
+  }
+
+  /** Ends the exchange after a step of it threw, and releases all that it holds. */
+  private endAfterError (error: unknown): void {
+    const { context: { log }, exchange, answer, attempts, now } = this
+    const code = FailureCode.Internal
+    const message = 'The request ended because of an unexpected error.'
+    const unlessEnded = (step: () => void) => (): void => {
+      if (!answer.isEnded) {
+        step()
+      }
+    }
+    runAll(
+      () => log.stepFailed(exchange, error),
+      () => attempts.cancel(),
+      unlessEnded(() => this.sendFailure(code, message, earliestRetryTime(code, now))),
+      unlessEnded(() => answer.cut()),
+      () => {
+        if (!this.isOver) {
+          this.finish(ExchangeEnd.Failed, code, message)
+        }
+      }
+    )
+  }
+
   private finish (end: ExchangeEnd, outcome: string, reason?: string, incomplete?: IncompleteAnswer): void {
     this.isOver = true
-    this.cancelDeadline()
-    this.placement.stop()
     const { exchange, ledger, now } = this
-    this.context.log.ended({ exchange, end, outcome, verdict: ledger.verdict, servers: ledger.attemptedServers, pace: this.pace.measureSince(exchange.arrivedAt), now, reason, incomplete })
-    this.quota.settle(end === ExchangeEnd.Answered || ledger.verdict !== Verdict.NotRun)
-    this.onOver(end === ExchangeEnd.Answered ? Verdict.Ran : ledger.verdict)
+    const { verdict } = ledger
+    runAll(
+      () => this.cancelDeadline(),
+      () => this.placement.stop(),
+      () => this.context.log.ended({ exchange, end, outcome, verdict, servers: ledger.attemptedServers, pace: this.pace.measureSince(exchange.arrivedAt), now, reason, incomplete }),
+      () => this.quota.settle(verdict !== Verdict.NotRun),
+      () => this.onOver(verdict)
+    )
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
@@ -1,9 +1,10 @@
 /** The running exchanges of an instance, so that a shutdown can wait for them. */
-import type { Verdict } from 'foxtaillever-core'
+import { Failure, FailureCode, Verdict } from 'foxtaillever-core'
 import type { Exchange } from '../model/exchange.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRun } from './exchangeRun.js'
+import { StepGuard } from './stepGuard.js'
 
 export class ExchangeRuns {
   private readonly runs = new Set<ExchangeRun>()
@@ -23,12 +24,19 @@
    * @param onOver receives the verdict: whether the request may have run.
    */
   start (exchange: Exchange, answer: CallerAnswer, onOver: (verdict: Verdict) => void = () => {}): void {
-    const run = ExchangeRun.create(this.context, exchange, answer, verdict => {
-      this.runs.delete(run)
-      onOver(verdict)
+    const guard = StepGuard.create(error => {
+      this.context.log.stepFailed(exchange, error)
+      answer.fail(Failure.notRun(FailureCode.Internal, 'The request could not be begun because of an unexpected error.'))
+      onOver(Verdict.NotRun)
     })
-    this.runs.add(run)
-    run.begin()
+    const run: ExchangeRun | undefined = guard.run(() => ExchangeRun.create(this.context, exchange, answer, verdict => {
+      this.runs.delete(run as ExchangeRun)
+      onOver(verdict)
+    }), undefined)
+    if (run) {
+      this.runs.add(run)
+      run.begin()
+    }
   }
 
   /** Abandons attempts that are silent because links of this instance are broken. */
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -5,6 +5,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import type { SilenceWatch } from './silenceWatch.js'
+import { runAll } from './stepGuard.js'
 
 /** A server stops the run of a cancelled request within this, milliseconds. */
 const MAX_CANCELLED_RUN_MS = 500
@@ -39,7 +40,7 @@
   /** Prompt tokens that the server had to read when the attempt was sent, its own included. */
   readonly tokensToRead: number
   private fetch: Transfer | undefined
-  private readonly endWait: () => void
+  private endWait = (): void => {}
   /** When anything was last received, or the attempt began or was resumed; milliseconds of Unix time. */
   private lastActiveAt: number
   private isPaused = false
@@ -60,14 +61,27 @@
     server.unreadTokens += this.unreadTokens
     this.tokensToRead = server.unreadTokens + options.othersTokens
     server.heldTokens += heldTokens
-    this.fetch = options.context.caches.fetchLoad.beginTransfer(terms.fetchFrom, terms.fetchedTokens, terms.fetchUntil)
     this.lastActiveAt = beganAt
-    this.endWait = options.forwarder === undefined ? options.context.paths.beginWait(server) : () => {}
-    options.context.onLoadChanged(server)
   }
 
   static open (options: InFlightAttemptOptions): InFlightAttempt {
-    return new InFlightAttempt(options)
+    const inFlight = new InFlightAttempt(options)
+    try {
+      inFlight.announce()
+    } catch (error) {
+      inFlight.close(false)
+      throw error
+    }
+    return inFlight
+  }
+
+  private announce (): void {
+    const { context: { caches, paths, onLoadChanged }, terms, server, forwarder } = this.options
+    this.fetch = caches.fetchLoad.beginTransfer(terms.fetchFrom, terms.fetchedTokens, terms.fetchUntil)
+    if (forwarder === undefined) {
+      this.endWait = paths.beginWait(server)
+    }
+    onLoadChanged(server)
   }
 
   get serverId (): string {
@@ -160,18 +174,28 @@
    * @param mayStillRun whether the server may still run the request, because its answer was not awaited.
    */
   close (mayStillRun: boolean): void {
-    const { server, terms, context, watch, heldTokens } = this.options
-    watch.stop()
-    this.endWait()
+    const { server, terms: { savedLevel }, context, watch, heldTokens } = this.options
+    let holdsSlot = false
     server.heldTokens -= heldTokens
-    if (mayStillRun && context.isBrittle(server)) {
+    runAll(
+      () => watch.stop(),
+      () => this.endWait(),
+      () => { holdsSlot = mayStillRun && context.isBrittle(server) },
+      () => this.releaseSlot(holdsSlot),
+      () => this.releaseUnreadPrompt(),
+      () => {
+        if (savedLevel !== undefined) {
+          context.caches.savedLevels.releaseSave(savedLevel)
+        }
+      }
+    )
+  }
+
+  private releaseSlot (isHeld: boolean): void {
+    if (isHeld) {
       this.releaseSlotLater()
     } else {
-      server.outstanding -= 1
-    }
-    this.releaseUnreadPrompt()
-    if (terms.savedLevel !== undefined) {
-      context.caches.savedLevels.releaseSave(terms.savedLevel)
+      this.server.outstanding -= 1
     }
   }
 
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempts.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempts.ts
@@ -4,6 +4,7 @@
  * goes on, and the other is cancelled.
  */
 import type { InFlightAttempt } from './inFlightAttempt.js'
+import { runAll } from './stepGuard.js'
 
 export class InFlightAttempts {
   private forwarded: InFlightAttempt | undefined
@@ -102,15 +103,16 @@
     this.replacement = undefined
     this.replacing = false
     this.replacingAgain = false
-    this.cancelAttempt(forwarded)
-    this.cancelAttempt(replacement)
+    runAll(() => this.cancelAttempt(forwarded), () => this.cancelAttempt(replacement))
   }
 
   private cancelAttempt (attempt: InFlightAttempt | undefined): void {
     if (attempt) {
-      this.onCancelled(attempt)
-      attempt.attempt.cancel()
-      attempt.close(attempt.attempt.mayHaveArrived)
+      runAll(
+        () => this.onCancelled(attempt),
+        () => attempt.attempt.cancel(),
+        () => attempt.close(attempt.attempt.mayHaveArrived)
+      )
     }
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/openAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/openAttempt.ts
@@ -3,6 +3,7 @@
 import type { AttemptFailure } from '../attempts/attemptFailure.js'
 import { heldTokensOf, type Exchange } from '../model/exchange.js'
 import type { KnownServer } from '../servers/knownServer.js'
+import type { AttemptPlace } from './attemptLedger.js'
 import { beginAttempt, type AttemptRoute } from './beginAttempt.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { InFlightAttempt } from './inFlightAttempt.js'
@@ -16,11 +17,13 @@
 
 export interface InFlightListener {
   /** Called before the first byte is sent; returning false holds the request back. */
-  readonly maySend: () => boolean
+  readonly maySend: (place: AttemptPlace) => boolean
   readonly onHead: (inFlight: InFlightAttempt, head: AnswerHead) => void
   readonly onData: (inFlight: InFlightAttempt, bytes: Buffer) => void
   readonly onEnd: (inFlight: InFlightAttempt) => void
   readonly onFailed: (inFlight: InFlightAttempt, failure: AttemptFailure) => void
+  /** A step of the attempt threw, and the attempt is cancelled. */
+  readonly onError: (error: unknown) => void
   /** The server has sent nothing for too long; called again after each further wait. */
   readonly onSilent: (inFlight: InFlightAttempt) => void
 }
@@ -31,23 +34,30 @@
   const beganAt = clock.now()
   const { terms, othersTokens } = planAttempt(context, exchange, server, target)
   const attempt = beginAttempt(context, exchange, route, wire.createHeaders(exchange, terms, beganAt), {
-    maySend: listener.maySend,
+    maySend: () => listener.maySend({ serverId: server.listed.id, forwarder: route.path.forwarder }),
     onHead: head => listener.onHead(inFlight, head),
     onData: bytes => listener.onData(inFlight, bytes),
     onEnd: () => listener.onEnd(inFlight),
-    onFailed: failure => listener.onFailed(inFlight, failure)
-  })
-  const inFlight: InFlightAttempt = InFlightAttempt.open({
-    attempt,
-    server,
-    beganAt,
-    terms,
-    heldTokens: heldTokensOf(exchange),
-    othersTokens,
-    usualMs: directory.observations.usualTimeOf(exchange.route.name).value,
-    watch: watchAttempt(context, exchange, beganAt, () => listener.onSilent(inFlight)),
-    forwarder: route.path.forwarder,
-    context
+    onFailed: failure => listener.onFailed(inFlight, failure),
+    onError: listener.onError
   })
+  let inFlight: InFlightAttempt
+  try {
+    inFlight = InFlightAttempt.open({
+      attempt,
+      server,
+      beganAt,
+      terms,
+      heldTokens: heldTokensOf(exchange),
+      othersTokens,
+      usualMs: directory.observations.usualTimeOf(exchange.route.name).value,
+      watch: watchAttempt(context, exchange, beganAt, () => listener.onSilent(inFlight)),
+      forwarder: route.path.forwarder,
+      context
+    })
+  } catch (error) {
+    attempt.cancel()
+    throw error
+  }
   return inFlight
 }
--- a/packages/foxtaillever-relay/src/exchange/quotaClaim.ts
+++ b/packages/foxtaillever-relay/src/exchange/quotaClaim.ts
@@ -22,9 +22,10 @@
 
   /** Gives the cost back, once, where the exchange has not run. */
   settle (hasRun: boolean): void {
-    if (this.isCounted && !hasRun) {
+    const isOwed = this.isCounted && !hasRun
+    this.isCounted = false
+    if (isOwed) {
       this.quota.refund(this.exchange)
     }
-    this.isCounted = false
   }
 }
--- a/packages/foxtaillever-relay/src/exchange/replacements.ts
+++ b/packages/foxtaillever-relay/src/exchange/replacements.ts
@@ -16,6 +16,7 @@
 import type { InFlightAttempt } from './inFlightAttempt.js'
 import type { InFlightAttempts } from './inFlightAttempts.js'
 import { HeldKind, ReplacementPreview } from './replacementPreview.js'
+import type { StepGuard } from './stepGuard.js'
 
 /** Two servers may work on a request that goes on at the second one for 400 ms; the rest is for the cancellation to arrive, milliseconds. */
 const MAX_OVERLAP_MS = 300
@@ -28,6 +29,7 @@
   readonly relay: AnswerRelay
   readonly attempts: InFlightAttempts
   readonly answer: Pick<CallerAnswer, 'hasBegun'>
+  readonly steps: StepGuard
   /** Whether another attempt may follow. */
   readonly mayRetry: () => boolean
   readonly recordFailure: (failure: AttemptFailure, failed: InFlightAttempt) => void
@@ -72,13 +74,13 @@
 
   /** The server of the replacement has begun to work. */
   beginHolding (replacement: InFlightAttempt, head: AnswerHead): void {
-    const { context: { clock }, attempts, relay } = this.options
+    const { context: { clock }, attempts, relay, steps } = this.options
     this.preview = ReplacementPreview.create(this.heldKindOf(head), relay.lastEventId)
-    atAfterReading(clock, clock.now() + MAX_OVERLAP_MS, () => {
+    atAfterReading(clock, clock.now() + MAX_OVERLAP_MS, steps.wrap(() => {
       if (attempts.isReplacement(replacement)) {
         this.goOnWith(replacement)
       }
-    })
+    }))
   }
 
   /** Holds what the replacement sends until the stream can go on with it. */
--- a/packages/foxtaillever-relay/src/links/__fixtures__/forwardingRig.ts
+++ b/packages/foxtaillever-relay/src/links/__fixtures__/forwardingRig.ts
@@ -7,6 +7,7 @@
 import { ProcessBudget } from 'foxtaillever-policy/relay/processBudget'
 import { serverWire } from '../../__fixtures__/relayRig.js'
 import { ScriptedServer, type Answer } from '../../__fixtures__/scriptedServer.js'
+import { watchCalls } from '../../__fixtures__/watchCalls.js'
 import { Attempt, type AnswerHead } from '../../attempts/attempt.js'
 import { AttemptFailureKind, type AttemptFailure } from '../../attempts/attemptFailure.js'
 import { ServerState } from '../../model/listedServer.js'
@@ -46,6 +47,10 @@
   /** What the carrying instance logged of each request. */
   readonly logged: CarriedRequest[] = []
   readonly excesses: string[] = []
+  /** Called before each call that the carrying instance makes of its surroundings; throws in place of it where a test wants that. */
+  onCarrierCall = (_name: string): void => {}
+  /** What steps of carried requests threw. */
+  readonly errors: string[] = []
   private readonly http: Server
   readonly carrying: ForwardingServer
   readonly client: ForwardingClient
@@ -54,7 +59,7 @@
   private constructor (readonly scripted: ScriptedServer, handle?: (request: IncomingMessage, response: ServerResponse) => void) {
     const { clock } = this
     this.directory.applyEntry({ id: 's', startedAt: 0, service: 's', address: scripted.address, failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map() }, 1)
-    this.carrying = ForwardingServer.create({
+    this.carrying = ForwardingServer.create(watchCalls({
       clock,
       wire: { ...serverWire, passHeaders: headers => [...headers] },
       connectTimeoutMs: 500,
@@ -65,13 +70,14 @@
           this.outcomes.push(request.outcome)
           this.logged.push(request)
         },
-        bodyExceeded: (source, _from, excess) => this.excesses.push(`${source} ${excess}`)
+        bodyExceeded: (source, _from, excess) => this.excesses.push(`${source} ${excess}`),
+        stepFailed: (_, error) => this.errors.push(String(error))
       },
       crashes: { findQuarantine: () => this.quarantine, recordLoss: (causes, loss) => this.losses.push({ causes, loss }) },
       isMember: address => this.members.has(address),
       maxBodyBytes: () => 1000,
       budget: this.budget
-    })
+    }, name => this.onCarrierCall(name)))
     this.http = createServer(handle ?? ((request, response) => { this.carrying.handle(request, response) }))
     this.client = ForwardingClient.create({
       clock,
@@ -115,7 +121,8 @@
           onHead: received => { head = received },
           onData: bytes => { text += bytes.toString() },
           onEnd: () => resolve({ ...(head ? { head } : {}), body: text }),
-          onFailed: failure => resolve({ ...(head ? { head } : {}), body: text, failure })
+          onFailed: failure => resolve({ ...(head ? { head } : {}), body: text, failure }),
+          onError: error => { throw error }
         }
       }))
     })
--- a/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
+++ b/packages/foxtaillever-relay/src/links/__tests__/forwarding.test.ts
@@ -1,9 +1,10 @@
+import { Verdict } from 'foxtaillever-core'
 import { Holding, Reservation } from 'foxtaillever-policy/relay/processBudget'
 import { CauseKind } from 'foxtaillever-policy/crashes/suspicion'
 import { describe, it } from 'foxtaillever-testing'
 import { wholeAnswer } from '../../__fixtures__/scriptedServer.js'
 import type { Attempt } from '../../attempts/attempt.js'
-import { AttemptFailureKind } from '../../attempts/attemptFailure.js'
+import { AttemptFailureKind, meaningOf } from '../../attempts/attemptFailure.js'
 import { answerWell, causes, ForwardingRig } from '../__fixtures__/forwardingRig.js'
 
 /** Long enough that a server may have run a request, milliseconds. */
@@ -185,3 +186,30 @@
     rig.stop()
   })
 })
+
+describe('an unexpected error in a step of a request that another instance carries', () => {
+  // Guards against a carrier that holds a request until its deadline, or reports that it was not sent though it was.
+  it('ends it at once with what it proves', async t => {
+    const calls: string[] = []
+    const counting = await ForwardingRig.start(answerWell)
+    counting.onCarrierCall = name => { calls.push(name) }
+    await counting.send('r')
+    counting.stop()
+    t.true(calls.includes('crashes.findQuarantine') && calls.includes('wire.passHeaders'), calls.join())
+    for (const [index, name] of calls.entries()) {
+      const rig = await ForwardingRig.start(answerWell)
+      let left = index
+      rig.onCarrierCall = () => {
+        if (left-- === 0) {
+          throw new RangeError(`thrown by ${name}`)
+        }
+      }
+      const { failure, body } = await rig.send('r')
+      const isNotRun = failure !== undefined && meaningOf[failure.kind].verdict === Verdict.NotRun
+      t.false(isNotRun && rig.scripted.arrivals.length > 0, `call ${index}, ${name}: ${failure?.kind}`)
+      t.true(failure !== undefined || body === 'ok', `call ${index}, ${name}`)
+      t.true(name.startsWith('log.') || rig.errors.length > 0, `call ${index}, ${name}: not logged`)
+      rig.stop()
+    }
+  })
+})
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -11,6 +11,7 @@
 import { reserveRequest, reserveUntilAnswered } from '../callers/reserveRequest.js'
 import type { CrashProtocol } from '../crashes/crashProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
+import { StepGuard } from '../exchange/stepGuard.js'
 import type { AnswerWire } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { boundBody, hasBody } from '../servers/byteBounds.js'
@@ -29,6 +30,9 @@
 /** Outcome of a request whose call closed before the answer was complete, by the instance that asked or because this one stops. */
 const CANCELLED = 'cancelled'
 
+/** Outcome of a request that an unexpected error ended. */
+const UNEXPECTED_ERROR = 'unexpected error'
+
 /** The body of a call of another instance is read for this long, milliseconds: 1 MB takes 0.8 s at 10 Mbit/s. */
 const BODY_TIMEOUT_MS = 3000
 
@@ -41,7 +45,7 @@
   readonly connectTimeoutMs: number
   readonly directory: () => Pick<ServerDirectory, 'getByHash' | 'recordHeard' | 'recordBroken'>
   readonly monitor: Pick<LinkMonitor, 'brokenSince' | 'findFor' | 'suspect'>
-  readonly log: Pick<RelayLog, 'carried' | 'bodyExceeded'>
+  readonly log: Pick<RelayLog, 'carried' | 'bodyExceeded' | 'stepFailed'>
   readonly crashes: Pick<CrashProtocol, 'findQuarantine' | 'recordLoss'>
   /** Whether an instance of the fleet has the address. */
   readonly isMember: (address: string) => boolean
@@ -64,11 +68,15 @@
   /** Handles a call of another instance, and bounds the body of any call. @returns whether it is a call of this protocol. */
   handle (request: IncomingMessage, response: ServerResponse): boolean {
     const forwarding = readForwarding(request.headers)
-    this.boundCall(request, forwarding === undefined ? MAX_CALL_BODY_BYTES : this.options.maxBodyBytes())
     if (forwarding) {
-      this.forward(forwarding, request, response)
+      const steps = StepGuard.create(error => this.endAfterError(forwarding, error, false, response))
+      steps.run(() => {
+        this.boundCall(request, this.options.maxBodyBytes())
+        this.forward(forwarding, request, response, steps)
+      }, undefined)
       return true
     }
+    this.boundCall(request, MAX_CALL_BODY_BYTES)
     const { pathname, searchParams } = new URL(request.url ?? '', 'http://peer')
     if (pathname !== PROBE_PATH) {
       return false
@@ -85,7 +93,7 @@
     }
   }
 
-  private forward (forwarding: ForwardingRequest, request: IncomingMessage, response: ServerResponse): void {
+  private forward (forwarding: ForwardingRequest, request: IncomingMessage, response: ServerResponse, steps: StepGuard): void {
     const { isMember, directory } = this.options
     const server = directory().getByHash(forwarding.server)
     const refusal = !isMember(forwarding.from) || hostOf(forwarding.from) !== request.socket.remoteAddress ? 'not a request of the fleet' : this.findRefusal(server)
@@ -104,7 +112,7 @@
     const body = ByteCollector.create()
     request.on('data', (chunk: Buffer) => { body.add(chunk) })
     request.on('error', () => {})
-    request.on('end', () => this.send(forwarding, server, request, body.bytes, response))
+    request.on('end', steps.wrap(() => this.send(forwarding, server, request, body.bytes, response)))
   }
 
   /** Reserves the request and its body until it is answered; returns whether there is room. */
@@ -177,6 +185,10 @@
           this.suspectServer(server, failure, beganAt, () => crashes.recordLoss(causes, { service, server: hash, sentAt: beganAt, brokenAt, lostAt, answeredAt, hasEnded: server.refusedConnectionAt >= brokenAt }))
           finish(failure.kind)
           this.reportFailure(response, failure)
+        },
+        onError: error => {
+          finish(UNEXPECTED_ERROR)
+          this.endAfterError({ requestId }, error, attempt.mayHaveArrived, response)
         }
       }
     })
@@ -200,6 +212,16 @@
     }
   }
 
+  /** Ends a request after a step of it threw. Nothing is reported of one that was sent, which then may have run. */
+  private endAfterError ({ requestId }: Pick<ForwardingRequest, 'requestId'>, error: unknown, mayHaveArrived: boolean, response: ServerResponse): void {
+    this.options.log.stepFailed({ id: requestId }, error)
+    if (mayHaveArrived) {
+      response.destroy()
+    } else {
+      this.reportFailure(response, { kind: AttemptFailureKind.Unreachable, detail: UNEXPECTED_ERROR })
+    }
+  }
+
   /** An answer that was begun is cut, so that it does not look complete. */
   private reportFailure (response: ServerResponse, failure: AttemptFailure): void {
     if (response.headersSent) {
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -211,6 +211,11 @@
     this.log.belief('Stopped.', { ...this.describeUnsent(), ...describeProcess(this.callers.takeLargestDelay()), ...describePeaks(this.guard.budget), callerConnections: this.callers.peakConnections })
   }
 
+  /** Logs and counts an error that nothing of this instance caught. */
+  recordUncaughtError (error: unknown): void {
+    this.log.uncaught(error)
+  }
+
   /** The state that this instance knows, for an operator. */
   dump (): object {
     return this.state.dump()
--- a/packages/foxtaillever-relay/src/telemetry/relayLog.ts
+++ b/packages/foxtaillever-relay/src/telemetry/relayLog.ts
@@ -141,6 +141,18 @@
     this.logs.write('info', Part.Requests, isAllowed ? 'Retries at another backend server.' : 'The retry budget is used up.', { request, account: account?.name, service, available: Number(available.toFixed(2)) })
   }
 
+  /** A step of an exchange, or of a request that this instance carries for another, threw; that request has ended. */
+  stepFailed ({ id: request }: Pick<Exchange, 'id'>, error: unknown): void {
+    this.metrics.count('step_errors_total')
+    this.logs.write('error', Part.Requests, 'An unexpected error ended a request.', { request, ...describeError(error) })
+  }
+
+  /** An error reached the process, because nothing that concerns one request or task caught it. */
+  uncaught (error: unknown): void {
+    this.metrics.count('uncaught_errors_total')
+    this.logs.write('error', Part.Process, 'Uncaught error; the process keeps running.', describeError(error))
+  }
+
   /** This instance's own link to the server is broken; another instance carries the request. */
   forwarded ({ id: request, account }: Exchange, server: string, forwarder: string): void {
     this.metrics.count('requests_forwarded_total')
@@ -333,6 +345,11 @@
   }
 }
 
+function describeError (error: unknown): Subject {
+  const { message, stack } = error instanceof Error ? error : new Error(String(error))
+  return { reason: message, stack }
+}
+
 function describePending ({ requestId, unsentBytes, completeAt }: PendingAnswer, now: number): Subject {
   return { request: requestId, unsentBytes, completeForMs: completeAt === undefined ? undefined : Math.round(now - completeAt) }
 }
--- a/packages/foxtaillever-router/src/adapters/streamHandler.ts
+++ b/packages/foxtaillever-router/src/adapters/streamHandler.ts
@@ -132,6 +132,14 @@
     this.fail(Failure.create(code, verdict, `The try at the backend server failed: ${detail}`))
   }
 
+  /** The listener decides by what was sent whether this ends the request. */
+  onError (error: unknown): void {
+    this.isOver = true
+    this.silenceWatch.stop()
+    const verdict = this.attempt.mayHaveArrived ? Verdict.MayHaveRun : Verdict.NotRun
+    this.options.listener.failed(Failure.create(FailureCode.Internal, verdict, `An unexpected error ended the attempt: ${String(error)}`))
+  }
+
   /** The stream is also silent while it is paused for a slow caller, which is no fault of the engine. */
   private onSilent (): void {
     if (!this.isPaused) {
