Test answers that a server breaks off in their head or while it is sent the request

Two reports from other systems: a worker that stops in the middle of its answer's head, and one that answers a long upload at once without a length and resets the connection, whose part of an answer its caller got as a whole one. No product code changes.

The rigs learn larger bodies and servers that answer before they have read the request; plain calls of the project's own process get their body in the rig.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -208,6 +208,11 @@
     this.callers.setLimits(limits)
   }
 
+  /** Lets callers send bodies up to this size, bytes. */
+  allowBodies (bodyBytes: number): void {
+    this.callers.setLimits({ ...this.routing.limits, bodyBytes })
+  }
+
   /** Starts a server for each answer; requests are sent to the servers in this order. */
   static async start (route: Partial<Route>, ...answers: Answer[]): Promise<RelayRig> {
     const rig = new RelayRig({ ...plainRoute, ...route })
@@ -218,8 +223,9 @@
     return rig
   }
 
-  async addServer (answer: Answer): Promise<void> {
-    const server = await ScriptedServer.start(answer)
+  /** @param answersEarly see `ScriptedServer.start`. */
+  async addServer (answer: Answer, answersEarly = false): Promise<void> {
+    const server = await ScriptedServer.start(answer, answersEarly)
     const id = `s${this.servers.push(server) - 1}`
     const listed = { id, startedAt: 0, service: 's', address: server.address, failureDomain: 'd', slots: 8, state: ServerState.Ready, coldLeftMs: 0, softwareVersion: 'v1', weights: new Map<string, number>() }
     this.directory.applyEntry(listed, this.servers.length)
--- a/packages/foxtaillever-relay/src/__fixtures__/scriptedServer.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/scriptedServer.ts
@@ -24,11 +24,12 @@
   readonly sockets: Socket[] = []
   private readonly waiting: Array<() => void> = []
 
-  private constructor (private readonly server: Server) {}
+  private constructor (private readonly server: Server, private readonly answersEarly: boolean) {}
 
-  static async start (answer: Answer): Promise<ScriptedServer> {
+  /** @param answersEarly whether it answers after a head, and reads none of the body that has not arrived by then. */
+  static async start (answer: Answer, answersEarly = false): Promise<ScriptedServer> {
     const server = createServer()
-    const scripted = new ScriptedServer(server)
+    const scripted = new ScriptedServer(server, answersEarly)
     server.on('connection', socket => scripted.read(socket, answer))
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
     return scripted
@@ -67,13 +68,16 @@
       for (;;) {
         const end = text.indexOf(HEAD_END)
         const head = text.slice(0, Math.max(0, end))
-        const length = Number(headerOf(head, 'content-length') || 0)
+        const length = this.answersEarly ? 0 : Number(headerOf(head, 'content-length') || 0)
         if (end === -1 || text.length < end + HEAD_END.length + length) {
           return
         }
         const body = text.slice(end + HEAD_END.length, end + HEAD_END.length + length)
         text = text.slice(end + HEAD_END.length + length)
         const arrival = { id: headerOf(head, 'request-id'), head, body, connection, socket }
+        if (this.answersEarly) {
+          socket.pause()
+        }
         this.arrivals.push(arrival)
         this.waiting.splice(0).forEach(wake => wake())
         answer(arrival)
--- a/packages/foxtaillever-relay/src/links/__fixtures__/forwardingRig.ts
+++ b/packages/foxtaillever-relay/src/links/__fixtures__/forwardingRig.ts
@@ -40,6 +40,7 @@
   /** Of the carrying instance. */
   readonly budget = ProcessBudget.create({ memoryBytes: 1, heapBytes: 1 })
   isBroken = false
+  maxBodyBytes = 1000
   quarantine: Quarantine | undefined
   /** What the carrying instance recorded as lost. */
   readonly losses: Array<{ readonly causes: RequestCauses, readonly loss: Loss }> = []
@@ -75,7 +76,7 @@
       },
       crashes: { findQuarantine: () => this.quarantine, recordLoss: (causes, loss) => this.losses.push({ causes, loss }) },
       isMember: address => this.members.has(address),
-      maxBodyBytes: () => 1000,
+      maxBodyBytes: () => this.maxBodyBytes,
       budget: this.budget
     }, name => this.onCarrierCall(name)))
     this.http = createServer(handle ?? ((request, response) => { this.carrying.handle(request, response) }))
@@ -88,8 +89,9 @@
     })
   }
 
-  static async start (answer: Answer, handle?: (request: IncomingMessage, response: ServerResponse) => void): Promise<ForwardingRig> {
-    const rig = new ForwardingRig(await ScriptedServer.start(answer), handle)
+  /** @param answersEarly see `ScriptedServer.start`. */
+  static async start (answer: Answer, handle?: (request: IncomingMessage, response: ServerResponse) => void, answersEarly = false): Promise<ForwardingRig> {
+    const rig = new ForwardingRig(await ScriptedServer.start(answer, answersEarly), handle)
     await new Promise<void>(resolve => rig.http.listen(0, OWN_HOST, resolve))
     rig.address = `${OWN_HOST}:${(rig.http.address() as AddressInfo).port}`
     return rig
--- a/packages/foxtaillever-router/src/plain/__fixtures__/plainRig.ts
+++ b/packages/foxtaillever-router/src/plain/__fixtures__/plainRig.ts
@@ -65,6 +65,9 @@
   return address
 }
 
+/** Bodies of calls that the rig accepts, bytes. */
+const MAX_BODY_BYTES = 16 * 1024 * 1024
+
 /** Time in which a router saves as much of its retry budget as it may, milliseconds. */
 const RETRIES_SAVED_MS = 4000
 
@@ -85,11 +88,20 @@
     return await PlainRig.startWithClaims(t, noClaims, ...answers)
   }
 
+  /** As `start`, with servers that answer while they are sent a call. */
+  static async startEarly (t: ExecutionContext, ...answers: Answer[]): Promise<PlainRig> {
+    return await PlainRig.serve(t, noClaims, await Promise.all(answers.map(async answer => await ScriptedServer.start(answer, true))))
+  }
+
   static async startWithClaims (t: ExecutionContext, claims: Claims, ...answers: Answer[]): Promise<PlainRig> {
-    const servers = await Promise.all(answers.map(async answer => await ScriptedServer.start(answer)))
+    return await PlainRig.serve(t, claims, await Promise.all(answers.map(async answer => await ScriptedServer.start(answer))))
+  }
+
+  private static async serve (t: ExecutionContext, claims: Claims, servers: readonly ScriptedServer[]): Promise<PlainRig> {
     const rig = new PlainRig(servers, claims)
     rig.configure(createConfiguration(servers.map(({ address }) => address)))
-    const front = fastify({ forceCloseConnections: true })
+    const front = fastify({ forceCloseConnections: true, bodyLimit: MAX_BODY_BYTES })
+    front.addContentTypeParser('application/octet-stream', { parseAs: 'buffer' }, (_, body, done) => { done(null, body) })
     front.all('/*', (request, reply) => { rig.router.serve({ request, reply, account, configuration: rig.configuration }) })
     rig.address = await front.listen({ host: '127.0.0.1', port: 0 })
     await rig.clock.advanceBy(RETRIES_SAVED_MS)
--- a/packages/foxtaillever-router/src/plain/__tests__/plainAnswers.test.ts
+++ b/packages/foxtaillever-router/src/plain/__tests__/plainAnswers.test.ts
@@ -1,11 +1,15 @@
 /** What callers receive when plain services answer incompletely, twice, late or with their own failures. */
 import { bodyOf, respondAs, ServerBehaviour } from 'foxtaillever-relay/__fixtures__/serverBehaviour'
+import { answerPartAndReset, Break, Framing, headLength, stopInHead } from 'foxtaillever-relay/__fixtures__/interruptedAnswers'
 import { wholeAnswer, type Answer } from 'foxtaillever-relay/__fixtures__/scriptedServer'
 import { describe, it } from 'foxtaillever-testing'
 import { PlainRig } from '../__fixtures__/plainRig.js'
 
 const wholeBody = bodyOf({ id: '' })
 
+/** Larger than what the system buffers of a connection on loopback, bytes. */
+const UPLOAD_BYTES = 8 * 1024 * 1024
+
 function playing (way: ServerBehaviour): Answer {
   return arrival => respondAs(way, false, arrival)
 }
@@ -37,6 +41,29 @@
     }
   })
 
+  // Guards against a part of a head that becomes a whole answer with an empty body.
+  it('are none if they stop in their head', async t => {
+    for (const how of Object.values(Break)) {
+      for (let length = 0; length < headLength('', false); length += 7) {
+        const rig = await PlainRig.start(t, stopInHead(length, how, false))
+        const { status, headers } = await rig.call('POST', '/exports')
+        t.deepEqual([status, headers.get('x-verdict')], [502, 'may_have_run'], `${length} bytes, ${how}`)
+      }
+    }
+  })
+
+  // Guards against a part of an answer that looks whole, since an error of the upload hides the reset of the answer.
+  it('are not whole if their server resets while it is sent the call', async t => {
+    for (const framing of Object.values(Framing)) {
+      for (const afterMs of [0, 20]) {
+        const rig = await PlainRig.startEarly(t, answerPartAndReset(framing, afterMs))
+        const { status, headers } = await rig.call('POST', '/exports', { body: Buffer.alloc(UPLOAD_BYTES), headers: { 'content-type': 'application/octet-stream' } })
+        t.deepEqual([status, headers.get('x-verdict')], [502, 'may_have_run'], `${framing}, reset after ${afterMs} ms`)
+        t.regex(rig.servers[0]?.arrivals[0]?.head ?? '', new RegExp(`content-length: ${UPLOAD_BYTES}`))
+      }
+    }
+  })
+
   // A service answers one call twice. If the next call received the second
   // answer, one client would see the records of another.
   it('are never those of an earlier call', async t => {
