Bound answers to the calls of the project's own entry process

Here an engine that answers a read of its state or an order so filled the memory of the instance that had called it; informational heads without end or a slow body held the call for good, and with it all later orders.

Cause: OrderClient, LogClient and InstanceListClient read body.text() of undici, whose timeouts count pauses and whose size has no bound by default.

Change: one reader of whole answers with bounds in bytes and in time.

--- a/packages/foxtaillever-router/src/adapters/instanceListClient.ts
+++ b/packages/foxtaillever-router/src/adapters/instanceListClient.ts
@@ -2,7 +2,8 @@
 import { Failure, FailureCode, isSocketAddress, ListedKind, ListedState, parseJson, type InstanceList, type ListedInstance } from 'foxtaillever-core'
 import { Either, Left } from 'purify-ts'
 import { array, Codec, enumeration, string, unknown } from 'purify-ts/Codec'
-import { Pool } from 'undici'
+import type { Pool } from 'undici'
+import { createPlatformPool, requestText } from './boundedAnswer.js'
 
 const entry = Codec.interface({ name: string, kind: enumeration(ListedKind), address: string, failureDomain: string, state: enumeration(ListedState) })
 
@@ -23,13 +24,13 @@
   private constructor (private readonly pool: Pool) {}
 
   static create (address: string): InstanceListClient {
-    return new InstanceListClient(new Pool(`http://${address}`, { connections: 1, headersTimeout: ANSWER_TIMEOUT_MS, bodyTimeout: ANSWER_TIMEOUT_MS }))
+    return new InstanceListClient(createPlatformPool(address, 1))
   }
 
   async list (): Promise<Either<Failure, readonly ListedInstance[]>> {
     try {
-      const answer = await this.pool.request({ method: 'GET', path: '/instances' })
-      return readList(await answer.body.text())
+      const { text } = await requestText(this.pool, { method: 'GET', path: '/instances' }, ANSWER_TIMEOUT_MS)
+      return readList(text)
     } catch {
       return Left(Failure.notRun(FailureCode.Internal, 'The instance list does not answer.'))
     }
--- a/packages/foxtaillever-router/src/adapters/logClient.ts
+++ b/packages/foxtaillever-router/src/adapters/logClient.ts
@@ -1,7 +1,8 @@
 /** Client of the platform's log over HTTP. */
 import { Failure, FailureCode, Verdict, type Clock, type Log, type LogEntry, type LogPage } from 'foxtaillever-core'
 import { Left, Right, type Either } from 'purify-ts'
-import { Pool } from 'undici'
+import type { Pool } from 'undici'
+import { createPlatformPool, requestText } from './boundedAnswer.js'
 import { isBeforeFirstByte } from './isBeforeFirstByte.js'
 
 /** Added to the wait of a read before the read counts as lost, milliseconds. */
@@ -10,11 +11,13 @@
 /** An append whose answer takes longer counts as lost, milliseconds. */
 const APPEND_TIMEOUT_MS = 5000
 
+const CONNECTIONS = 4
+
 export class LogClient implements Log {
   private constructor (private readonly pool: Pool, private readonly clock: Clock) {}
 
   static create (address: string, clock: Clock): LogClient {
-    return new LogClient(new Pool(`http://${address}`, { connections: 4 }), clock)
+    return new LogClient(createPlatformPool(address, CONNECTIONS), clock)
   }
 
   async append (entry: LogEntry): Promise<Either<Failure, number>> {
@@ -31,9 +34,8 @@
   private async call (method: 'GET' | 'POST', path: string, deadline: number, body?: string): Promise<Either<Failure, unknown>> {
     const limit = Math.max(1, deadline - this.clock.now())
     try {
-      const answer = await this.pool.request({ method, path, body, headers: { 'content-type': 'application/json' }, headersTimeout: limit, bodyTimeout: limit })
-      const text = await answer.body.text()
-      if (answer.statusCode === 200) {
+      const { status, text } = await requestText(this.pool, { method, path, body, headers: { 'content-type': 'application/json' } }, limit)
+      if (status === 200) {
         return Right(JSON.parse(text) as unknown)
       }
       return Left(Failure.notRun(FailureCode.LogUnavailable, 'The log refuses the call.'))
--- a/packages/foxtaillever-router/src/adapters/orderClient.ts
+++ b/packages/foxtaillever-router/src/adapters/orderClient.ts
@@ -2,7 +2,8 @@
 import { EngineHeader, EnginePath, Failure, FailureCode, Verdict, type EngineOrder, type EngineState } from 'foxtaillever-core'
 import type { OrderPort } from 'foxtaillever-fleet'
 import { Left, Right, type Either } from 'purify-ts'
-import { request, type Dispatcher } from 'undici'
+import type { Dispatcher } from 'undici'
+import { createServerAgent, requestText } from './boundedAnswer.js'
 import { isBeforeFirstByte } from './isBeforeFirstByte.js'
 
 /** Identifies this system, not the instance, to servers that check the sender of an order. */
@@ -13,6 +14,8 @@
 const STATUS_OK = 200
 
 export class OrderClient implements OrderPort {
+  private readonly agent = createServerAgent()
+
   private constructor (private readonly addressOf: (server: string) => string | undefined) {}
 
   static create (addressOf: (server: string) => string | undefined): OrderClient {
@@ -49,12 +52,11 @@
       return Left(Failure.notRun(FailureCode.NoBackendServer, `There is no backend server ${server}.`))
     }
     try {
-      const answer = await request(`http://${address}${path}`, { ...options, headersTimeout: ANSWER_TIMEOUT_MS, bodyTimeout: ANSWER_TIMEOUT_MS })
-      const text = await answer.body.text()
-      if (answer.statusCode === STATUS_OK) {
+      const { status, headers, text } = await requestText(this.agent, { origin: `http://${address}`, path, ...options }, ANSWER_TIMEOUT_MS, ANSWER_TIMEOUT_MS)
+      if (status === STATUS_OK) {
         return Right(JSON.parse(text) as unknown)
       }
-      const verdict = answer.headers[EngineHeader.Verdict] === Verdict.NotRun ? Verdict.NotRun : Verdict.MayHaveRun
+      const verdict = headers[EngineHeader.Verdict] === Verdict.NotRun ? Verdict.NotRun : Verdict.MayHaveRun
       return Left(Failure.create(FailureCode.BackendServerRefused, verdict, `Backend server ${server} refused: ${text.slice(0, 200)}`))
     } catch (error) {
       const verdict = isBeforeFirstByte(error) ? Verdict.NotRun : Verdict.MayHaveRun
