Abandon attempts at engines that send no event and no end

A caller of the project's own entry process whose engine sent comments, unknown events or an error without end got nothing until its deadline.

Cause: each byte counts as activity, and the engine adapter passed over what it did not know.

Change: the attempt ends after 64 KB without a known event, and an error counts as read after 16 KB.

--- a/packages/foxtaillever-router/src/adapters/__tests__/engineClient.test.ts
+++ b/packages/foxtaillever-router/src/adapters/__tests__/engineClient.test.ts
@@ -1,10 +1,18 @@
 /** What the router receives from attempts at an engine whose connections and streams misbehave. */
 import type { ExecutionContext } from 'ava'
 import { EnginePath, PriorityClass, type Failure, type GenerateCall, type GenerateListener, type GenerateStream } from 'foxtaillever-core'
+import { writeWithoutEnd } from 'foxtaillever-relay/__fixtures__/endlessBytes'
 import { chunk, ScriptedServer, type Answer } from 'foxtaillever-relay/__fixtures__/scriptedServer'
 import { describe, it, VirtualClock } from 'foxtaillever-testing'
 import { EngineClient } from '../engineClient.js'
 
+/** Long enough for some megabytes over loopback, milliseconds. */
+const AT_ONCE_MS = 5000
+
+async function wait (ms: number): Promise<string> {
+  return await new Promise(resolve => { setTimeout(() => resolve('no outcome'), ms).unref() })
+}
+
 const HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n'
 const STARTED = 'event: started\ndata: {"streamId":"s"}\n\n'
 const FINISHED = 'event: finished\ndata: {"completionTokens":1}\n\n'
@@ -99,6 +107,21 @@
     await rig.server.closed(0)
   })
 
+  // Guards against an attempt that a faulty engine holds until the deadline of its request with bytes that are no event or no end of an error.
+  it('is abandoned if nothing but comments, unknown events or an error without end follows', async t => {
+    const pieces = { [HEAD + chunk(STARTED)]: [': comment\n\n', 'event: other\ndata: x\n\n'], 'HTTP/1.1 500 Failed\r\ntransfer-encoding: chunked\r\n\r\n': ['failed '] }
+    for (const [head, texts] of Object.entries(pieces)) {
+      for (const text of texts) {
+        const rig = await EngineRig.start(t, ({ socket }) => {
+          socket.write(head)
+          writeWithoutEnd(socket, chunk(text.repeat(100)))
+        })
+        t.is(await Promise.race([rig.generate(), wait(AT_ONCE_MS)]), head.includes(' 500 ') ? 'backend_server_error may_have_run' : 'stream_broken may_have_run', text)
+        await rig.server.closed(0)
+      }
+    }
+  })
+
   // An event cannot be parsed. If the connection's reader threw the error, nothing
   // would catch it, and the request would never end.
   it('fails the request with an event that cannot be read', async t => {
--- a/packages/foxtaillever-router/src/adapters/streamHandler.ts
+++ b/packages/foxtaillever-router/src/adapters/streamHandler.ts
@@ -21,13 +21,18 @@
 /** A stream without data for this long counts as lost, milliseconds. */
 const SILENCE_TIMEOUT_MS = 30_000
 
-/** Maximum size of an error body that is read, bytes. */
+/** Maximum size of an error body that is read, bytes. The rest is not awaited. */
 const MAX_ERROR_BODY_BYTES = 16_384
 
+/** Comments and unknown events between two events up to this size are read, bytes: a comment of 15 bytes a second for more than an hour. */
+const MAX_IGNORED_BYTES = 64 * 1024
+
 const STATUS_OK = 200
 
 type EventHandler = (handler: StreamHandler, event: EventFields) => void
 
+const handleToken: EventHandler = (handler, event) => handler.onToken(event)
+
 const eventHandlers: Record<string, EventHandler> = {
   [StreamEvent.Started]: (handler, event) => handler.onStarted(event.data),
   [StreamEvent.Finished]: (handler, event) => handler.onFinished(event.data)
@@ -55,6 +60,8 @@
   private head: AnswerHead | undefined
   private readonly errorBody: Buffer[] = []
   private errorBytes = 0
+  /** Bytes of comments and unknown events since the last event. */
+  private ignoredBytes = 0
 
   private constructor (private readonly options: StreamOptions) {
     const { clock, connections, requestId, call } = options
@@ -149,14 +156,20 @@
 
   private onEvent (bytes: Buffer): void {
     const event = readEventFields(bytes)
-    if (this.isOver || !event) {
+    if (this.isOver) {
       return
     }
-    if (event.type === '') {
-      this.options.listener.token(Number(event.id), event.data)
-      return
+    const handleEvent = event && (event.type === '' ? handleToken : eventHandlers[event.type])
+    this.ignoredBytes = handleEvent ? 0 : this.ignoredBytes + bytes.length
+    if (this.ignoredBytes > MAX_IGNORED_BYTES) {
+      this.attempt.reject('comments or unknown events follow each other without end')
+    } else if (event) {
+      handleEvent?.(this, event)
     }
-    eventHandlers[event.type]?.(this, event)
+  }
+
+  onToken ({ id, data }: EventFields): void {
+    this.options.listener.token(Number(id), data)
   }
 
   onStarted (data: string): void {
@@ -178,9 +191,12 @@
   }
 
   private keepError (bytes: Buffer): void {
-    if (this.errorBytes < MAX_ERROR_BODY_BYTES) {
-      this.errorBody.push(bytes)
-      this.errorBytes += bytes.length
+    this.errorBody.push(bytes)
+    this.errorBytes += bytes.length
+    if (this.errorBytes > MAX_ERROR_BODY_BYTES) {
+      this.silenceWatch.stop()
+      this.attempt.cancel()
+      this.fail(this.readRefusal())
     }
   }
 
