Refuse requests that the end of a shutdown would cut

Here such a request got 502 leaving, may_have_run, and its caller could not send it again, though another instance would have served it.

Cause: a request that has begun to arrive is read to its end and placed like any other, whatever is left of the grace period.

Change: while an instance shuts down, a request whose route usually takes longer to begin its answer than what is left is refused at once, not run.

--- a/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
+++ b/packages/foxtaillever-relay/src/__fixtures__/relayRig.ts
@@ -140,6 +140,8 @@
   queryLoad = (): Promise<ReadonlySet<number>> | undefined => undefined
   /** Called before each call that a run makes of its context; throws in place of it where a test wants that. */
   onContextCall = (_name: string): void => {}
+  /** When the instance ends a shutdown, milliseconds of Unix time. */
+  endsAt = Infinity
   /** How often a server was chosen for an attempt. */
   choices = 0
   /** Decides on admission at servers. */
@@ -164,6 +166,7 @@
     const retrySchedules = ServiceRetrySchedules.create({ clock, directory: this.directory, limitOf: server => this.limits.limitOf(server), instances: () => 1 })
     const context: ExchangeContext = {
       clock,
+      endsAt: () => this.endsAt,
       connectTimeoutMs: 200,
       random,
       wire: serverWire,
--- a/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/unreachable.test.ts
@@ -34,6 +34,7 @@
     random: SeededRandom.create(1),
     failureDomain: 'd',
     connectTimeoutMs: 200,
+    endsAt: () => Infinity,
     wire: serverWire,
     log: RelayLog.create(Logs.create({ instance: 'i', level: 'info', clock, destination })),
     retryAllowance: { ratio: 0.2, slack: 10, windowMs: 10_000 },
--- a/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeContext.ts
@@ -24,6 +24,8 @@
 
 export interface ExchangeContext {
   readonly clock: Clock
+  /** When this instance fails what is in flight, because it shuts down; milliseconds of Unix time, Infinity while it does not. */
+  readonly endsAt: () => number
   /** Longest wait for a connection, milliseconds. */
   readonly connectTimeoutMs: number
   readonly random: Random
--- a/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeDispatcher.ts
@@ -35,7 +35,7 @@
 /** The platform removes the entry of a server that does not write it for so many intervals. */
 const MISSED_ENTRIES = 3
 
-export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'connectTimeoutMs' | 'crashes' | 'quota' | 'paths' | 'streamVersions' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
+export interface ExchangeDispatcherOptions extends Pick<ServerSelectorOptions, 'failureDomain' | 'fleetLoad' | 'weights' | 'weightsBoundMs'>, Pick<ExchangeContext, 'endsAt' | 'connectTimeoutMs' | 'crashes' | 'quota' | 'paths' | 'streamVersions' | 'onMisdirected' | 'onLoadChanged' | 'onSpeedSample' | 'onSaved' | 'onUnreachable'>, Omit<CacheStoreTrackerOptions, 'stores'> {
   readonly clock: Clock
   readonly random: Random
   readonly wire: ServerWire
@@ -78,7 +78,7 @@
   private readonly wire: ServerWire
 
   private constructor (private readonly options: ExchangeDispatcherOptions) {
-    const { clock, random, connectTimeoutMs, wire, log, crashes, quota, streamVersions, queryLoad, onLoadChanged, onSpeedSample, onSaved, onUnreachable, onMisdirected, paths } = options
+    const { clock, random, endsAt, connectTimeoutMs, wire, log, crashes, quota, streamVersions, queryLoad, onLoadChanged, onSpeedSample, onSaved, onUnreachable, onMisdirected, paths } = options
     this.clock = clock
     this.log = log
     this.wire = wire
@@ -114,6 +114,7 @@
     this.runs = ExchangeRuns.create({
       clock,
       random,
+      endsAt,
       connectTimeoutMs,
       wire,
       directory: this.directory,
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -20,6 +20,7 @@
 import { CrashGuard } from './crashGuard.js'
 import { ExchangeEnd } from './exchangeEnd.js'
 import { findAttemptRoute } from './findAttemptRoute.js'
+import { findLateRefusal } from './findRefusal.js'
 import { isSilentOnBrokenLink, suspectSilentServer } from './handleSilence.js'
 import type { InFlightAttempt } from './inFlightAttempt.js'
 import { InFlightAttempts } from './inFlightAttempts.js'
@@ -130,7 +131,7 @@
     answer.listen({ onGone: steps.wrap(() => this.onGone()), onDrained: steps.wrap(() => this.attempts.current?.resume()) })
     this.cancelDeadline = atAfterReading(clock, exchange.deadline + DEADLINE_GRACE_MS, steps.wrap(() => this.onDeadline()))
     retries.addRequest(exchange.service, this.now)
-    this.refuseOr(this.guard.findRefusal(), () => this.quota.claim(steps.wrap(refusal => this.onAdmitted(refusal))))
+    this.refuseOr(this.guard.findRefusal() ?? findLateRefusal(exchange, this.context), () => this.quota.claim(steps.wrap(refusal => this.onAdmitted(refusal))))
   }
 
   /** Goes on with the next step, unless the exchange has ended or is refused. */
--- a/packages/foxtaillever-relay/src/relay.ts
+++ b/packages/foxtaillever-relay/src/relay.ts
@@ -20,7 +20,7 @@
 import { ownLoads } from './peers/ownLoads.js'
 import { Peers } from './peers/peers.js'
 import type { RelayOptions, RunningSettings } from './relayOptions.js'
-import { waitForRequests } from './waitForRequests.js'
+import { endOfShutdown, waitForRequests } from './waitForRequests.js'
 import { RouteTable } from './routing/routeTable.js'
 import { MetricsServer } from './telemetry/metricsServer.js'
 import { describePeaks, describeProcess, processLimitsOf, registerMemoryGauges } from './telemetry/processFigures.js'
@@ -237,6 +237,7 @@
       random,
       failureDomain,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      endsAt: () => this.leavingSince === undefined ? Infinity : endOfShutdown(this.leavingSince, this.graceMs),
       wire: serverWire,
       paths: this.links.paths,
       streamVersions: this.streamVersions,
--- a/packages/foxtaillever-relay/src/waitForRequests.ts
+++ b/packages/foxtaillever-relay/src/waitForRequests.ts
@@ -20,9 +20,14 @@
   readonly unanswered: () => number
 }
 
+/** When a shutdown fails what is in flight, so that the process ends within its grace period; milliseconds of Unix time. */
+export function endOfShutdown (startedAt: number, graceMs: number): number {
+  return startedAt + graceMs * (1 - GRACE_RESERVE_SHARE)
+}
+
 /** Serves until the load balancer has noticed that the instance is not ready and the last answer is written out, or the time is up. */
 export async function waitForRequests ({ clock, graceMs, stopListening, unanswered }: ClosingInstance): Promise<void> {
-  const until = clock.now() + graceMs * (1 - GRACE_RESERVE_SHARE)
+  const until = endOfShutdown(clock.now(), graceMs)
   await waitUntil(clock, Math.min(until, clock.now() + STOP_LISTENING_MS))
   await stopListening()
   while (unanswered() > 0 && clock.now() < until) {
--- a/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
+++ b/packages/foxtaillever-router/src/plain/createPlainDispatcher.ts
@@ -42,6 +42,8 @@
     wire: plainWire,
     paths: directPaths,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    // An instance that shuts down takes nothing new.
+    endsAt: () => Infinity,
     retryAllowance: retryAllowanceOf(configuration()),
     // RETRY_SLACK applies to each instance by itself.
     knownInstances: () => 1,
