--- a/packages/foxtaillever-relay/src/__tests__/malformedHeads.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/malformedHeads.test.ts
@@ -50,7 +50,7 @@
 describe('a server whose answer has a status that is none of a final answer', () => {
   for (const [name, route] of Object.entries(routes)) {
     for (const head of malformed) {
-      // Guards against a request that has run, and whose caller is told that it has not, or gets the malformed answer.
+      // Guards against a request that has run, and which is answered as not run or with the malformed answer.
       it(`costs its caller that attempt only: ${name}, ${describeHead(head)}`, async t => {
         const rig = await RelayRig.start(route, answerWith(head), answerWell(route.isStream === true))
         t.regex(await atOnce(rig.sendRequest('a')), repeatable.has(name) ? /^HTTP\/1.1 200 [^]*well/ : /^HTTP\/1.1 502 [^]*stream_broken[^]*may_have_run/)
--- a/packages/foxtaillever-relay/src/attempts/attempt.ts
+++ b/packages/foxtaillever-relay/src/attempts/attempt.ts
@@ -6,7 +6,7 @@
 import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { atAfterReading, type Cancellation, type Clock } from 'foxtaillever-core'
-import { StepGuard } from '../exchange/stepGuard.js'
+import { StepGuard } from './stepGuard.js'
 import type { AnswerMarks, AnswerWire } from '../model/wire.js'
 import { drainBody, EndlessHeadsError } from '../servers/byteBounds.js'
 import { MalformedHeadError, onFinalAnswer } from '../servers/finalAnswer.js'
--- a/packages/foxtaillever-relay/src/exchange/__tests__/lateReplacements.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/lateReplacements.test.ts
@@ -6,7 +6,7 @@
 import type { AnswerHead } from '../../attempts/attempt.js'
 import type { InFlightAttempt } from '../inFlightAttempt.js'
 import { Replacements, type ReplacementsOptions } from '../replacements.js'
-import { StepGuard } from '../stepGuard.js'
+import { StepGuard } from '../../attempts/stepGuard.js'
 
 /** Longer than the time for which two servers may work, milliseconds. */
 const STALL_MS = 400
--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -18,7 +18,7 @@
 import type { AttemptLedger } from './attemptLedger.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { callWhenDone } from './callWhenDone.js'
-import type { StepGuard } from './stepGuard.js'
+import type { StepGuard } from '../attempts/stepGuard.js'
 
 export interface AttemptPlacementOptions {
   readonly context: ExchangeContext
--- a/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRun.ts
@@ -30,7 +30,7 @@
 import { Replacements } from './replacements.js'
 import { recordAttemptFailure } from './recordAttemptFailure.js'
 import { QuotaClaim } from './quotaClaim.js'
-import { runAll, StepGuard } from './stepGuard.js'
+import { runAll, StepGuard } from '../attempts/stepGuard.js'
 import { StreamContinuity } from './streamContinuity.js'
 import { StreamPace } from './streamPace.js'
 
--- a/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
@@ -4,7 +4,7 @@
 import type { CallerAnswer } from './callerAnswer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRun } from './exchangeRun.js'
-import { StepGuard } from './stepGuard.js'
+import { StepGuard } from '../attempts/stepGuard.js'
 
 export class ExchangeRuns {
   private readonly runs = new Set<ExchangeRun>()
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -5,7 +5,7 @@
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import type { SilenceWatch } from './silenceWatch.js'
-import { runAll } from './stepGuard.js'
+import { runAll } from '../attempts/stepGuard.js'
 
 /** A server stops the run of a cancelled request within this, milliseconds. */
 const MAX_CANCELLED_RUN_MS = 500
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempts.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempts.ts
@@ -4,7 +4,7 @@
  * goes on, and the other is cancelled.
  */
 import type { InFlightAttempt } from './inFlightAttempt.js'
-import { runAll } from './stepGuard.js'
+import { runAll } from '../attempts/stepGuard.js'
 
 export class InFlightAttempts {
   private forwarded: InFlightAttempt | undefined
--- a/packages/foxtaillever-relay/src/exchange/replacements.ts
+++ b/packages/foxtaillever-relay/src/exchange/replacements.ts
@@ -16,7 +16,7 @@
 import type { InFlightAttempt } from './inFlightAttempt.js'
 import type { InFlightAttempts } from './inFlightAttempts.js'
 import { HeldKind, ReplacementPreview } from './replacementPreview.js'
-import type { StepGuard } from './stepGuard.js'
+import type { StepGuard } from '../attempts/stepGuard.js'
 
 /** Two servers may work on a request that goes on at the second one for 400 ms; the rest is for the cancellation to arrive, milliseconds. */
 const MAX_OVERLAP_MS = 300
--- a/packages/foxtaillever-relay/src/links/forwardingServer.ts
+++ b/packages/foxtaillever-relay/src/links/forwardingServer.ts
@@ -11,7 +11,7 @@
 import { reserveRequest, reserveUntilAnswered } from '../callers/reserveRequest.js'
 import type { CrashProtocol } from '../crashes/crashProtocol.js'
 import { ExchangeEnd } from '../exchange/exchangeEnd.js'
-import { StepGuard } from '../exchange/stepGuard.js'
+import { StepGuard } from '../attempts/stepGuard.js'
 import type { AnswerWire } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import { boundBody, hasBody } from '../servers/byteBounds.js'
