Keep the project's own entry process running after an uncaught error

An unexpected error of one request ended foxtaillever-router and with it the requests of all its callers. A plain service that answered 000 was enough.

Cause: it had no handler for uncaught errors, which the platform's process has.

Change: such errors are logged and counted, and the process goes on.

Before: after an uncaught error and an unhandled rejection the next ordinary request finds no process. After: it is answered 200, the metric counts 2.

--- a/packages/foxtaillever-proof/src/clients/limitedRouter.ts
+++ b/packages/foxtaillever-proof/src/clients/limitedRouter.ts
@@ -27,8 +27,9 @@
   return { path: EnginePath.Completions, headers: { host: 'entry', ...HEADERS, ...(bodyBytes === undefined ? { 'transfer-encoding': 'chunked' } : { 'content-length': String(bodyBytes) }) } }
 }
 
-export async function startLimitedRouter (descriptors = DESCRIPTORS): Promise<LimitedProcess> {
-  const deployment = await SoakDeployment.create(() => {}, { entries: 1, entryFlags: [`--max-old-space-size=${HEAP_MB}`, '--max-semi-space-size=2'], limits: { memoryMb: MEMORY_MB, descriptors, bodyBytes: MAX_BODY_BYTES } })
+/** @param flags of the process, beside those of its heap. */
+export async function startLimitedRouter (descriptors = DESCRIPTORS, flags: readonly string[] = []): Promise<LimitedProcess> {
+  const deployment = await SoakDeployment.create(() => {}, { entries: 1, entryFlags: [`--max-old-space-size=${HEAP_MB}`, '--max-semi-space-size=2', ...flags], limits: { memoryMb: MEMORY_MB, descriptors, bodyBytes: MAX_BODY_BYTES } })
   const [entry] = deployment.entries
   if (!entry) {
     throw new Error('No entry instance was started.')
--- a/packages/foxtaillever-router/src/commands/serve.ts
+++ b/packages/foxtaillever-router/src/commands/serve.ts
@@ -60,6 +60,10 @@
 
   private async serve (settings: RouterSettings): Promise<ExitCode> {
     const instance = EntryInstance.create(createEntryInstanceOptions(settings, SystemClock.create()))
+    // Such an error concerns one request or task; ending the process would break all others.
+    const recordError = (error: unknown): void => instance.recordUncaughtError(error)
+    process.on('uncaughtException', recordError)
+    process.on('unhandledRejection', recordError)
     // Registered before callers can connect, so that no signal ends the process with an answer in flight.
     const stopSignal = new Promise<void>(resolve => {
       process.once('SIGTERM', resolve)
--- a/packages/foxtaillever-router/src/instance/entryInstance.ts
+++ b/packages/foxtaillever-router/src/instance/entryInstance.ts
@@ -141,6 +141,13 @@
     })
   }
 
+  /** Logs and counts an error that nothing of this instance caught. */
+  recordUncaughtError (error: unknown): void {
+    const { message, stack } = error instanceof Error ? error : new Error(String(error))
+    this.telemetry.metrics.count(MetricName.UncaughtErrors, {})
+    this.options.logs.write('error', Part.Process, 'Uncaught error; the process keeps running.', { reason: message, stack })
+  }
+
   private logError (sentence: string, error: unknown): void {
     this.options.logs.write('error', Part.Fleet, sentence, { reason: String(error) })
   }
--- a/packages/foxtaillever-router/src/telemetry/metricTable.ts
+++ b/packages/foxtaillever-router/src/telemetry/metricTable.ts
@@ -27,7 +27,8 @@
   HeldBytes = 'foxtaillever_held_bytes',
   LinesLeftOut = 'foxtaillever_log_lines_left_out_total',
   InvariantChecks = 'foxtaillever_invariant_checks_total',
-  InvariantViolations = 'foxtaillever_invariant_violations_total'
+  InvariantViolations = 'foxtaillever_invariant_violations_total',
+  UncaughtErrors = 'foxtaillever_uncaught_errors_total'
 }
 
 export enum MetricKind {
@@ -66,7 +67,8 @@
   [MetricName.HeldBytes]: { kind: Gauge, help: 'Bytes that callers make the process hold, by what holds them.', labels: ['holding'] },
   [MetricName.LinesLeftOut]: { kind: Counter, help: 'Log lines counted instead of written.', labels: [] },
   [MetricName.InvariantChecks]: { kind: Counter, help: 'Times that what must always hold was looked at.', labels: ['invariant'] },
-  [MetricName.InvariantViolations]: { kind: Counter, help: 'Times that it did not hold: a fault of the program, to be reported.', labels: ['invariant'] }
+  [MetricName.InvariantViolations]: { kind: Counter, help: 'Times that it did not hold: a fault of the program, to be reported.', labels: ['invariant'] },
+  [MetricName.UncaughtErrors]: { kind: Counter, help: 'Errors that nothing that concerns one request or task caught: a fault of the program, to be reported.', labels: [] }
 }
 
 /** Upper bounds of the buckets; the library adds the unbounded one. */
