--- a/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
+++ b/packages/foxtaillever-relay/src/exchange/attemptPlacement.ts
@@ -9,6 +9,7 @@
  * has a place there.
  */
 import { FailureCode } from 'foxtaillever-core'
+import type { StepGuard } from '../attempts/stepGuard.js'
 import { RequestAdmission } from '../admission/requestAdmission.js'
 import { LimitAdmission } from '../limits/serverLimits.js'
 import type { Exchange } from '../model/exchange.js'
@@ -18,7 +19,6 @@
 import type { AttemptLedger } from './attemptLedger.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { callWhenDone } from './callWhenDone.js'
-import type { StepGuard } from '../attempts/stepGuard.js'
 
 export interface AttemptPlacementOptions {
   readonly context: ExchangeContext
--- a/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
+++ b/packages/foxtaillever-relay/src/exchange/exchangeRuns.ts
@@ -1,10 +1,10 @@
 /** The running exchanges of an instance, so that a shutdown can wait for them. */
 import { Failure, FailureCode, Verdict } from 'foxtaillever-core'
+import { StepGuard } from '../attempts/stepGuard.js'
 import type { Exchange } from '../model/exchange.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import { ExchangeRun } from './exchangeRun.js'
-import { StepGuard } from '../attempts/stepGuard.js'
 
 export class ExchangeRuns {
   private readonly runs = new Set<ExchangeRun>()
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempt.ts
@@ -1,11 +1,11 @@
 /** An attempt in flight. The load that it puts on its backend server counts until it is closed, which happens once. */
 import type { AnswerHead, Attempt } from '../attempts/attempt.js'
+import { runAll } from '../attempts/stepGuard.js'
 import type { Transfer } from '../cache/fetchLoad.js'
 import type { SendTerms } from '../model/wire.js'
 import type { KnownServer } from '../servers/knownServer.js'
 import type { ExchangeContext } from './exchangeContext.js'
 import type { SilenceWatch } from './silenceWatch.js'
-import { runAll } from '../attempts/stepGuard.js'
 
 /** A server stops the run of a cancelled request within this, milliseconds. */
 const MAX_CANCELLED_RUN_MS = 500
--- a/packages/foxtaillever-relay/src/exchange/inFlightAttempts.ts
+++ b/packages/foxtaillever-relay/src/exchange/inFlightAttempts.ts
@@ -3,8 +3,8 @@
  * while that one is silent, its replacement. The first of the two that sends something
  * goes on, and the other is cancelled.
  */
-import type { InFlightAttempt } from './inFlightAttempt.js'
 import { runAll } from '../attempts/stepGuard.js'
+import type { InFlightAttempt } from './inFlightAttempt.js'
 
 export class InFlightAttempts {
   private forwarded: InFlightAttempt | undefined
--- a/packages/foxtaillever-relay/src/exchange/replacements.ts
+++ b/packages/foxtaillever-relay/src/exchange/replacements.ts
@@ -7,6 +7,7 @@
 import { AttemptFailureKind, type AttemptFailure } from '../attempts/attemptFailure.js'
 import type { Exchange } from '../model/exchange.js'
 import type { AnswerHead } from '../attempts/attempt.js'
+import type { StepGuard } from '../attempts/stepGuard.js'
 import { isServerError, type AnswerRelay } from './answerRelay.js'
 import type { AttemptLedger } from './attemptLedger.js'
 import type { AttemptPlacement } from './attemptPlacement.js'
@@ -16,7 +17,6 @@
 import type { InFlightAttempt } from './inFlightAttempt.js'
 import type { InFlightAttempts } from './inFlightAttempts.js'
 import { HeldKind, ReplacementPreview } from './replacementPreview.js'
-import type { StepGuard } from '../attempts/stepGuard.js'
 
 /** Two servers may work on a request that goes on at the second one for 400 ms; the rest is for the cancellation to arrive, milliseconds. */
 const MAX_OVERLAP_MS = 300
