--- a/packages/foxtaillever-relay/src/exchange/__tests__/stepErrors.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/stepErrors.test.ts
@@ -4,6 +4,7 @@
 import { RelayRig, readAll } from '../../__fixtures__/relayRig.js'
 import { chunk, streamHead, wholeAnswer, type Answer } from '../../__fixtures__/scriptedServer.js'
 import { Repeatability, type Route } from '../../model/routing.js'
+import type { KnownServer } from '../../servers/knownServer.js'
 
 /** Turns of the event loop before the clock advances; sockets on loopback need a few. */
 const TURNS_PER_STEP = 20
@@ -62,8 +63,10 @@
   readonly endedAfterMs: number
   /** Whether a server ran the request. */
   readonly hasRun: boolean
-  /** Exchanges that have not ended, and what servers still count for the exchange. */
-  readonly left: object
+  /** Exchanges that have not ended. */
+  readonly runs: number
+  /** What is still counted against each server. */
+  readonly servers: ReadonlyArray<Pick<KnownServer, 'outstanding' | 'unreadTokens' | 'heldTokens'>>
   readonly claimed: number
   readonly refunded: number
   readonly logged: boolean
@@ -102,16 +105,17 @@
   const endedAfterMs = rig.clock.now() - failedAt
   socket.destroy()
   const text = await answer
-  const left = { runs: rig.runs.size, servers: rig.directory.all().map(({ outstanding, unreadTokens, heldTokens }) => ({ outstanding, unreadTokens, heldTokens })) }
+  const servers = rig.directory.all().map(({ outstanding, unreadTokens, heldTokens }) => ({ outstanding, unreadTokens, heldTokens }))
   const logged = rig.lines.some(({ msg }) => msg.includes('An unexpected error ended a request.'))
+  const runs = rig.runs.size
   rig.stop()
-  return { calls, text, endedAfterMs, hasRun, left, claimed, refunded, logged }
+  return { calls, text, endedAfterMs, hasRun, runs, servers, claimed, refunded, logged }
 }
 
 const notRunStatuses = new Set(['408', '421', '429', '503'])
 
 /** Returns what is wrong with an exchange in which a call threw; undefined where nothing is. */
-function findFault ({ calls, text, endedAfterMs, hasRun, left, claimed, refunded, logged }: Play, isStream: boolean, failingCall: number): string | undefined {
+function findFault ({ calls, text, endedAfterMs, hasRun, runs, servers, claimed, refunded, logged }: Play, isStream: boolean, failingCall: number): string | undefined {
   const status = text.slice(9, 12)
   const isWhole = text.endsWith(isStream ? '0\r\n\r\n' : '\r\n\r\nwell')
   const isPromised = notRunStatuses.has(status)
@@ -120,12 +124,12 @@
     'ran and was answered as not run': isPromised && hasRun,
     'looks complete and is not': status === '200' && isWhole && !(isStream ? text.includes('data: a') && text.includes('data: b') : text.endsWith('well')),
     'gets an unknown status': !['200', '500', '502', '503', '504', ''].includes(status),
-    'holds something': JSON.stringify(left) !== JSON.stringify({ runs: 0, servers: JSON.parse(JSON.stringify(left)).servers.map(() => ({ outstanding: 0, unreadTokens: 0, heldTokens: 0 })) }),
+    'holds something': runs > 0 || servers.some(server => Object.values(server).some(count => count !== 0)),
     'keeps its share of the quota': isPromised && refunded !== claimed && calls[failingCall] !== 'quota.refund',
     'is not logged': !logged && !String(calls[failingCall]).startsWith('log.')
   }
   const [fault] = Object.entries(faults).flatMap(([name, isTrue]) => isTrue ? [name] : [])
-  return fault && `a request ${fault} if call ${failingCall} throws (${calls[failingCall]}): status ${status}, ${endedAfterMs} ms, ${JSON.stringify(left)}`
+  return fault && `a request ${fault} if call ${failingCall} throws (${calls[failingCall]}): status ${status}, ${endedAfterMs} ms, ${runs} runs, ${JSON.stringify(servers)}`
 }
 
 async function checkSteps (t: ExecutionContext, route: Partial<Route>, script: readonly Script[]): Promise<void> {
--- a/packages/foxtaillever-router/src/adapters/boundedAnswer.ts
+++ b/packages/foxtaillever-router/src/adapters/boundedAnswer.ts
@@ -30,8 +30,9 @@
 }
 
 /**
- * Rejects if the answer does not begin within the time, pauses for longer than that, or exceeds a bound.
- * @param timeoutMs milliseconds.
+ * Reads a whole answer; rejects if it exceeds a bound.
+ * @param timeoutMs longest wait for the head, and longest pause of the body, milliseconds.
+ * @param transferMs longest transfer of the body, milliseconds.
  */
 export async function requestText (dispatcher: Dispatcher, call: Dispatcher.RequestOptions, timeoutMs: number, transferMs = MAX_TRANSFER_MS): Promise<WholeText> {
   const controller = new AbortController()
