Take an answer that breaks off for no failure of the instance that carries it

An instance whose links to the servers were cut refused most of its requests, 503 no_backend_server, when one of three servers broke off some answers, though both other servers and all neighbours were sound.

Cause: a carrier passes an answer on as it arrives and can only close the connection when the server breaks off; the instance that asked passed the carrier over for 0.5 s after each.

Change: a loss after the head counts neither against the carrier nor the server. A carrier that has ended refuses its next connection.

--- a/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
+++ b/packages/foxtaillever-relay/src/exchange/recordAttemptFailure.ts
@@ -32,7 +32,7 @@
   if (attempt.forwarder === undefined) {
     recordDirectFailure(context, exchange, attempt, failure, answeredAt)
   } else {
-    recordForwardedFailure(context, exchange, attempt.server, attempt.forwarder, failure)
+    recordForwardedFailure(context, exchange, attempt.server, attempt.forwarder, failure, answeredAt !== undefined)
   }
 }
 
@@ -67,9 +67,11 @@
 }
 
 /** Only what the other instance reports says anything about the server. */
-function recordForwardedFailure (context: ExchangeContext, exchange: Exchange, server: KnownServer, forwarder: string, failure: AttemptFailure): void {
+function recordForwardedFailure (context: ExchangeContext, exchange: Exchange, server: KnownServer, forwarder: string, failure: AttemptFailure, hasBegun: boolean): void {
   const { clock, directory, paths } = context
-  if (failure.kind === AttemptFailureKind.Withdrawn) {
+  // An answer that breaks off does not say at whom; an instance that has ended refuses its next connection.
+  const isOfNeither = failure.kind === AttemptFailureKind.Withdrawn || (failure.kind === AttemptFailureKind.Lost && hasBegun)
+  if (isOfNeither) {
     return
   }
   if (failure.isReported === true && meaningOf[failure.kind].isArrival) {
