--- a/packages/foxtaillever-relay/src/attempts/stepGuard.ts
+++ b/packages/foxtaillever-relay/src/attempts/stepGuard.ts
@@ -20,7 +20,13 @@
 
   /** A callback that may throw without harm to its caller. */
   wrap<Terms extends unknown[]> (step: (...terms: Terms) => void): (...terms: Terms) => void {
-    return (...terms) => { this.run(() => { step(...terms) }, undefined) }
+    return (...terms) => {
+      try {
+        step(...terms)
+      } catch (error) {
+        this.onError(error)
+      }
+    }
   }
 }
 
