--- a/packages/foxtaillever-relay/src/__tests__/interruptedAnswers.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/interruptedAnswers.test.ts
@@ -2,31 +2,16 @@
 import { describe, it } from 'foxtaillever-testing'
 import { answerPartAndReset, Break, Framing, headLength, stopInHead } from '../__fixtures__/interruptedAnswers.js'
 import { RelayRig } from '../__fixtures__/relayRig.js'
-import { chunk, streamHead, wholeAnswer, type Answer } from '../__fixtures__/scriptedServer.js'
-import { Repeatability, type Route } from '../model/routing.js'
+import { answerWell, repeatableKinds, routeKinds } from '../__fixtures__/routeKinds.js'
 
 /** Larger than what the system buffers of a connection on loopback, so that the server answers while it is sent, bytes. */
 const UPLOAD_BYTES = 8 * 1024 * 1024
 
-const routes: Readonly<Record<string, Partial<Route>>> = {
-  once: {},
-  idempotent: { repeatability: Repeatability.Idempotent },
-  stream: { isStream: true },
-  resumable: { isStream: true, isResumable: true }
-}
-
-/** Routes whose requests may be sent to a second server after the first one may have run them. */
-const repeatable = new Set(['idempotent', 'resumable'])
-
-function answerWell (isStream: boolean): Answer {
-  return arrival => { arrival.socket.write(isStream ? `${streamHead(arrival)}${chunk('id: 1\ndata: well\n\n')}0\r\n\r\n` : wholeAnswer(arrival, 'well')) }
-}
-
 function expectedOf (name: string): RegExp {
-  return repeatable.has(name) ? /^HTTP\/1.1 200 [^]*well/ : /^HTTP\/1.1 502 [^]*may_have_run/
+  return repeatableKinds.has(name) ? /^HTTP\/1.1 200 [^]*well/ : /^HTTP\/1.1 502 [^]*may_have_run/
 }
 
-for (const [name, route] of Object.entries(routes)) {
+for (const [name, route] of Object.entries(routeKinds)) {
   const isStream = route.isStream === true
 
   describe(`a server that stops in the head of its answer: ${name}`, () => {
--- a/packages/foxtaillever-relay/src/__tests__/malformedHeads.test.ts
+++ b/packages/foxtaillever-relay/src/__tests__/malformedHeads.test.ts
@@ -2,24 +2,14 @@
 import { SystemClock } from 'foxtaillever-core'
 import { describe, it } from 'foxtaillever-testing'
 import { RelayRig } from '../__fixtures__/relayRig.js'
+import { answerWell, repeatableKinds, routeKinds } from '../__fixtures__/routeKinds.js'
 import { chunk, ScriptedServer, streamHead, wholeAnswer, type Answer, type Arrival } from '../__fixtures__/scriptedServer.js'
-import { Repeatability, type Route } from '../model/routing.js'
 import { callServer } from '../servers/callServer.js'
 import { ServerConnections } from '../servers/serverConnections.js'
 
 /** Long enough for an exchange over loopback on a busy machine, far below the deadline of the requests, milliseconds. */
 const AT_ONCE_MS = 5000
 
-const routes: Readonly<Record<string, Partial<Route>>> = {
-  once: {},
-  idempotent: { repeatability: Repeatability.Idempotent },
-  stream: { isStream: true },
-  resumable: { isStream: true, isResumable: true }
-}
-
-/** Routes whose requests may be sent to a second server after the first one may have run them. */
-const repeatable = new Set(['idempotent', 'resumable'])
-
 interface Head {
   readonly status: string
   readonly headers?: readonly string[]
@@ -43,17 +33,13 @@
   return arrival => { arrival.socket.write(wholeAnswer(arrival, 'odd', `${status} Odd`, ...headers)) }
 }
 
-function answerWell (isStream: boolean): Answer {
-  return arrival => { arrival.socket.write(isStream ? `${streamHead(arrival)}${chunk('id: 1\ndata: well\n\n')}0\r\n\r\n` : wholeAnswer(arrival, 'well')) }
-}
-
 describe('a server whose answer has a status that is none of a final answer', () => {
-  for (const [name, route] of Object.entries(routes)) {
+  for (const [name, route] of Object.entries(routeKinds)) {
     for (const head of malformed) {
       // Guards against a request that has run, and which is answered as not run or with the malformed answer.
       it(`costs its caller that attempt only: ${name}, ${describeHead(head)}`, async t => {
         const rig = await RelayRig.start(route, answerWith(head), answerWell(route.isStream === true))
-        t.regex(await atOnce(rig.sendRequest('a')), repeatable.has(name) ? /^HTTP\/1.1 200 [^]*well/ : /^HTTP\/1.1 502 [^]*stream_broken[^]*may_have_run/)
+        t.regex(await atOnce(rig.sendRequest('a')), repeatableKinds.has(name) ? /^HTTP\/1.1 200 [^]*well/ : /^HTTP\/1.1 502 [^]*stream_broken[^]*may_have_run/)
         t.is(rig.runs.size, 0)
         t.true(rig.directory.all().every(({ outstanding }) => outstanding === 0))
         rig.stop()
--- a/packages/foxtaillever-relay/src/exchange/__tests__/stepErrors.test.ts
+++ b/packages/foxtaillever-relay/src/exchange/__tests__/stepErrors.test.ts
@@ -2,8 +2,9 @@
 import type { ExecutionContext } from 'ava'
 import { describe, it } from 'foxtaillever-testing'
 import { RelayRig, readAll } from '../../__fixtures__/relayRig.js'
+import { routeKinds } from '../../__fixtures__/routeKinds.js'
 import { chunk, streamHead, wholeAnswer, type Answer } from '../../__fixtures__/scriptedServer.js'
-import { Repeatability, type Route } from '../../model/routing.js'
+import type { Route } from '../../model/routing.js'
 import type { KnownServer } from '../../servers/knownServer.js'
 
 /** Turns of the event loop before the clock advances; sockets on loopback need a few. */
@@ -16,13 +17,6 @@
 /** Longest exchange without an error, milliseconds of the virtual clock: the deadline of the route and a little more. */
 const LONGEST_MS = 12_000
 
-const routes: Readonly<Record<string, Partial<Route>>> = {
-  once: {},
-  idempotent: { repeatability: Repeatability.Idempotent },
-  stream: { isStream: true },
-  resumable: { isStream: true, isResumable: true }
-}
-
 const EVENTS = chunk('id: 1\ndata: a\n\n') + chunk('id: 2\ndata: b\n\n')
 
 interface Script {
@@ -147,7 +141,7 @@
 describe('an unexpected error in a step of an exchange', () => {
   for (const [name, script] of Object.entries(scripts)) {
     describe(`whose servers send ${name}`, () => {
-      for (const [kind, route] of Object.entries(routes)) {
+      for (const [kind, route] of Object.entries(routeKinds)) {
         it(`ends it at once, with a true verdict, and nothing is held: ${kind}`, async t => {
           t.timeout(60_000)
           await checkSteps(t, route, script)
